--- /dev/null
+++ b/protocol/platformapi/platformapi.go
@@ -0,0 +1,92 @@
+// Package platformapi holds the typed messages of the platform's object API.
+// docs/api/platform.md is the contract that stand-in and client both meet.
+package platformapi
+
+import "encoding/json"
+
+// Kinds of objects. Records are written by operators, targets by the platform,
+// the others by the system.
+const (
+	KindPipelines = "pipelines"
+	KindTiers     = "tiers"
+	KindAccounts  = "accounts"
+	KindPools     = "pools"
+	// KindTargets is the platform's lagging list of live and leaving targets.
+	KindTargets = "targets"
+	// KindInstances holds one object per entry instance, written once at its
+	// start and deleted at its planned stop: where a new instance finds peers.
+	KindInstances = "instances"
+	KindClaims    = "claims"
+	KindLeases    = "leases"
+	KindDigests   = "digests"
+)
+
+// RecordKinds are the kinds that operators write.
+var RecordKinds = []string{KindPools, KindTiers, KindPipelines, KindAccounts}
+
+// Metadata describes an object in the store.
+type Metadata struct {
+	Name string `json:"name"`
+	// Revision is the store's revision of the object's last change. In a
+	// write it is the condition; 0 means unconditional.
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Object is one stored object. Spec belongs to its writer, Status to the system.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+	Status   json.RawMessage `json:"status,omitempty"`
+}
+
+// List is a page of objects of one kind.
+type List struct {
+	Items []Object `json:"items"`
+	// Revision is the store's revision as of the list; watch from it.
+	Revision uint64 `json:"revision"`
+	// Next continues the list when it is not empty.
+	Next string `json:"next,omitempty"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Watch is the answer of a watch: the changes after the asked revision, empty
+// when the wait ended without any.
+type Watch struct {
+	Events   []Event `json:"events"`
+	Revision uint64  `json:"revision"`
+}
+
+// Conflict is the body of a 409 answer: what the object is now.
+type Conflict struct {
+	Error   string  `json:"error"`
+	Current *Object `json:"current,omitempty"`
+}
+
+// TargetEntry is the spec of an object of KindTargets, named by incarnation.
+type TargetEntry struct {
+	Pool        string `json:"pool"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation string `json:"incarnation"`
+	// State is TargetReady or TargetLeaving.
+	State string `json:"state"`
+}
+
+// States of a target in the platform's list.
+const (
+	TargetReady   = "ready"
+	TargetLeaving = "leaving"
+)
+
+// InstanceEntry is the spec of an object of KindInstances.
+type InstanceEntry struct {
+	Address     string `json:"address"`
+	CallerURL   string `json:"caller_url"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation uint64 `json:"incarnation"`
+}
