--- /dev/null
+++ b/state/catalog/accounts.go
@@ -0,0 +1,149 @@
+package catalog
+
+import (
+	"iter"
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// accountShards is how many maps an account table is spread over. A change of
+// one account copies one map of each index and no other.
+const accountShards = 256
+
+// AccountTable is an immutable set of accounts with two indexes, by name and
+// by key hash. The zero value is empty. Change it through Edit.
+type AccountTable struct {
+	byName *[accountShards]map[string]*Account
+	byKey  *[accountShards]map[[32]byte]*Account
+	count  int
+}
+
+// NewAccountTable builds a table. Of two accounts with one name the later wins.
+func NewAccountTable(accounts ...*Account) AccountTable {
+	editor := AccountTable{}.Edit()
+	for _, a := range accounts {
+		editor.Put(a)
+	}
+	return editor.Table()
+}
+
+// Len returns the number of accounts.
+func (t AccountTable) Len() int { return t.count }
+
+// Get finds an account by name.
+func (t AccountTable) Get(name string) (*Account, bool) {
+	if t.byName == nil {
+		return nil, false
+	}
+	a, ok := t.byName[nameShard(name)][name]
+	return a, ok
+}
+
+// ByKey finds the account that a caller key's SHA-256 digest belongs to.
+func (t AccountTable) ByKey(hash [32]byte) (*Account, bool) {
+	if t.byKey == nil {
+		return nil, false
+	}
+	a, ok := t.byKey[keyShard(hash)][hash]
+	return a, ok
+}
+
+// All yields the accounts in no particular order.
+func (t AccountTable) All() iter.Seq[*Account] {
+	return func(yield func(*Account) bool) {
+		if t.byName == nil {
+			return
+		}
+		for _, shard := range t.byName {
+			for _, a := range shard {
+				if !yield(a) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Edit starts a change; the table itself stays as it is.
+func (t AccountTable) Edit() *AccountEditor {
+	e := &AccountEditor{
+		byName: new([accountShards]map[string]*Account),
+		byKey:  new([accountShards]map[[32]byte]*Account),
+		count:  t.count,
+	}
+	if t.byName != nil {
+		*e.byName = *t.byName
+		*e.byKey = *t.byKey
+	}
+	return e
+}
+
+// AccountEditor changes a copy of an account table. It copies each shard on
+// its first change. It is for one goroutine, and spent once Table is called.
+type AccountEditor struct {
+	byName     *[accountShards]map[string]*Account
+	byKey      *[accountShards]map[[32]byte]*Account
+	ownedNames [accountShards]bool
+	ownedKeys  [accountShards]bool
+	count      int
+}
+
+// Put adds an account or replaces the one of its name.
+func (e *AccountEditor) Put(a *Account) {
+	e.Delete(a.Name)
+	e.names(a.Name)[a.Name] = a
+	for _, hash := range a.KeyHashes {
+		e.keys(hash)[hash] = a
+	}
+	e.count++
+}
+
+// Delete removes an account with its keys; a name that is absent is no fault.
+func (e *AccountEditor) Delete(name string) {
+	old, ok := e.byName[nameShard(name)][name]
+	if !ok {
+		return
+	}
+	delete(e.names(name), name)
+	for _, hash := range old.KeyHashes {
+		if e.byKey[keyShard(hash)][hash] == old {
+			delete(e.keys(hash), hash)
+		}
+	}
+	e.count--
+}
+
+// Table returns the changed table.
+func (e *AccountEditor) Table() AccountTable {
+	return AccountTable{byName: e.byName, byKey: e.byKey, count: e.count}
+}
+
+func (e *AccountEditor) names(name string) map[string]*Account {
+	i := nameShard(name)
+	if !e.ownedNames[i] {
+		e.ownedNames[i] = true
+		e.byName[i] = cloneOrMake(e.byName[i])
+	}
+	return e.byName[i]
+}
+
+func (e *AccountEditor) keys(hash [32]byte) map[[32]byte]*Account {
+	i := keyShard(hash)
+	if !e.ownedKeys[i] {
+		e.ownedKeys[i] = true
+		e.byKey[i] = cloneOrMake(e.byKey[i])
+	}
+	return e.byKey[i]
+}
+
+func cloneOrMake[K comparable](m map[K]*Account) map[K]*Account {
+	if m == nil {
+		return make(map[K]*Account)
+	}
+	return maps.Clone(m)
+}
+
+func nameShard(name string) int { return int(xxhash.Sum64String(name) % accountShards) }
+
+func keyShard(hash [32]byte) int { return int(hash[0]) }
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -128,10 +128,28 @@
 	// Versions lists the schema versions of a pipeline in rising order.
 	Versions map[string][]int
 	Tiers    map[string]*Tier
-	Accounts map[string]*Account
 	Pools    map[string]*Pool
-	// ByKeyHash finds the account of a caller key.
-	ByKeyHash map[[32]byte]*Account
+	// Accounts is shared in most of its parts between one snapshot and the
+	// next, because there are far more accounts than other records.
+	Accounts AccountTable
+}
+
+// Account finds an account by name.
+func (s *Snapshot) Account(name string) (*Account, bool) { return s.Accounts.Get(name) }
+
+// AccountByKey finds the account that a caller key's SHA-256 digest belongs to.
+func (s *Snapshot) AccountByKey(hash [32]byte) (*Account, bool) { return s.Accounts.ByKey(hash) }
+
+// Tier finds a tier by name.
+func (s *Snapshot) Tier(name string) (*Tier, bool) {
+	t, ok := s.Tiers[name]
+	return t, ok
+}
+
+// Pool finds a pool by name.
+func (s *Snapshot) Pool(name string) (*Pool, bool) {
+	p, ok := s.Pools[name]
+	return p, ok
 }
 
 // DeadlineFor returns the end-to-end deadline of a pipeline for a tier.
