Read the INI settings with every fault at once

Cause: a process learns its addresses and data centre from its settings, and an operator wants all faults of a file in one go. Ruled out: struct mapping of ini.v1 (stops at the first fault, names no line, ignores unknown keys). Change: package settings with typed defaults, a line index over the file, and typed faults. Conclusion: the daemon can load its settings.

--- /dev/null
+++ b/settings/fields.go
@@ -0,0 +1,62 @@
+package settings
+
+import "time"
+
+// Limits of the values, beyond which a setting is more likely a slip than a wish.
+const (
+	maxBytes     = 64 << 20
+	maxHeader    = 1 << 20
+	maxCount     = 1 << 20
+	maxLogLevel  = 10
+	maxRetention = 366 * 24 * time.Hour
+)
+
+// field binds one key of the file to its place in Settings.
+type field struct {
+	section  string
+	key      string
+	value    value
+	required bool
+}
+
+// fields lists every key in the order of example.ini.
+func (s *Settings) fields() []field {
+	return []field{
+		{"instance", "name", name(&s.Instance.Name), true},
+		{"instance", "data_centre", name(&s.Instance.DataCentre), true},
+		{"instance", "cluster", name(&s.Instance.Cluster), true},
+
+		{"listen", "callers", address{&s.Listen.Callers}, true},
+		{"listen", "peers", address{&s.Listen.Peers}, true},
+		{"listen", "admin", address{&s.Listen.Admin}, true},
+
+		{"platform", "url", httpURL{&s.Platform.URL}, true},
+		{"platform", "timeout", duration{&s.Platform.Timeout, time.Millisecond, time.Minute}, true},
+		{"platform", "calls_per_second", float{&s.Platform.CallsPerSecond, 0.1, 10000}, true},
+
+		{"peers", "seeds", addressList{&s.Peers.Seeds}, false},
+		{"peers", "tls_cert", text{p: &s.Peers.TLSCert}, false},
+		{"peers", "tls_key", text{p: &s.Peers.TLSKey}, false},
+		{"peers", "tls_ca", text{p: &s.Peers.TLSCA}, false},
+
+		{"limits", "max_body_bytes", integer[int64]{&s.Limits.MaxBodyBytes, 1, maxBytes}, true},
+		{"limits", "max_header_bytes", integer[int]{&s.Limits.MaxHeaderBytes, 1024, maxHeader}, true},
+		{"limits", "header_timeout", duration{&s.Limits.HeaderTimeout, time.Millisecond, time.Minute}, true},
+		{"limits", "idle_timeout", duration{&s.Limits.IdleTimeout, time.Millisecond, time.Hour}, true},
+		{"limits", "max_streams", integer[int]{&s.Limits.MaxStreams, 1, maxCount}, true},
+		{"limits", "max_in_flight", integer[int]{&s.Limits.MaxInFlight, 1, maxCount}, true},
+
+		{"routing", "subset", integer[int]{&s.Routing.Subset, 0, maxCount}, true},
+
+		{"shutdown", "grace", duration{&s.Shutdown.Grace, 0, time.Hour}, true},
+		{"shutdown", "balancer_delay", duration{&s.Shutdown.BalancerDelay, 0, time.Minute}, true},
+
+		{"telemetry", "otlp_endpoint", httpURL{&s.Telemetry.OTLPEndpoint}, false},
+		{"telemetry", "log_level", integer[int]{&s.Telemetry.LogLevel, 0, maxLogLevel}, true},
+
+		{"status", "ring_size", integer[int]{&s.Status.RingSize, 1, maxCount}, true},
+		{"status", "retention", duration{&s.Status.Retention, time.Second, 24 * time.Hour}, true},
+
+		{"claims", "retention", duration{&s.Claims.Retention, time.Minute, maxRetention}, true},
+	}
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"cmp"
+	"net/netip"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Load reads the file at path over the defaults. When the file is at fault the
+// error holds Faults with every fault in it; the returned Settings are then
+// not fit for use.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings: read")
+	}
+	s, faults := Parse(data)
+	if len(faults) > 0 {
+		return Settings{}, errors.Wrapf(faults, "settings: %s", path)
+	}
+	return s, nil
+}
+
+// Parse reads the content of a settings file over the defaults.
+func Parse(data []byte) (Settings, Faults) {
+	s := Default()
+	lines := scanLines(data)
+	faults := lines.faults
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation: true,
+		KeyValueDelimiters: "=",
+	}, lines.clean)
+	if err != nil {
+		return s, append(faults, Fault{Reason: err.Error()})
+	}
+	fields := s.fields()
+	faults = append(faults, unknown(lines, fields)...)
+	faults = append(faults, assign(file, lines, fields)...)
+	faults = append(faults, s.check(lines)...)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	return s, faults
+}
+
+// unknown reports sections and keys that no setting has: a misspelt key would
+// otherwise leave its default in force without a word.
+func unknown(lines scan, fields []field) Faults {
+	sections := map[string]bool{}
+	keys := map[position]bool{}
+	for _, f := range fields {
+		sections[f.section] = true
+		keys[position{f.section, f.key}] = true
+	}
+	var faults Faults
+	for section, line := range lines.sections {
+		if !sections[section] {
+			faults = append(faults, Fault{Section: section, Line: line, Reason: "unknown section"})
+		}
+	}
+	for at, line := range lines.keys {
+		if sections[at.section] && !keys[at] {
+			faults = append(faults, Fault{Section: at.section, Key: at.key, Line: line, Reason: "unknown key"})
+		}
+		if at.section == "" {
+			faults = append(faults, Fault{Key: at.key, Line: line, Reason: "key before the first section"})
+		}
+	}
+	return faults
+}
+
+// assign parses each key that the file has into its field.
+func assign(file *ini.File, lines scan, fields []field) Faults {
+	var faults Faults
+	for _, f := range fields {
+		line := lines.keys[position{f.section, f.key}]
+		raw := f.value.format()
+		if line > 0 {
+			raw = file.Section(f.section).Key(f.key).Value()
+		}
+		reason := ""
+		switch {
+		case raw == "" && f.required:
+			reason = "must be set"
+		case raw == "" || line == 0:
+			// An optional setting left out, or a default.
+		default:
+			if err := f.value.parse(raw); err != nil {
+				reason = err.Error()
+			}
+		}
+		if reason != "" {
+			faults = append(faults, Fault{Section: f.section, Key: f.key, Line: line, Reason: reason})
+		}
+	}
+	return faults
+}
+
+// check reports faults that lie between settings.
+func (s *Settings) check(lines scan) Faults {
+	var faults Faults
+	report := func(section, key, reason string) {
+		line := lines.keys[position{section, key}]
+		faults = append(faults, Fault{Section: section, Key: key, Line: line, Reason: reason})
+	}
+	files := []struct{ key, path string }{
+		{"tls_cert", s.Peers.TLSCert},
+		{"tls_key", s.Peers.TLSKey},
+		{"tls_ca", s.Peers.TLSCA},
+	}
+	anyTLS := s.Peers.TLSCert != "" || s.Peers.TLSKey != "" || s.Peers.TLSCA != ""
+	for _, f := range files {
+		if anyTLS && f.path == "" {
+			report("peers", f.key, "must be set: mutual TLS needs tls_cert, tls_key and tls_ca")
+		}
+	}
+	peers, err := netip.ParseAddrPort(s.Listen.Peers)
+	if err != nil {
+		return faults
+	}
+	if peers.Addr().IsUnspecified() {
+		report("listen", "peers", "other instances are told to connect to this address: it can't be unspecified")
+	}
+	// Without mutual TLS any host that reaches the port could pose as an
+	// instance and hand out records and answers.
+	if !anyTLS && !peers.Addr().Unmap().IsLoopback() {
+		report("listen", "peers", "without mutual TLS ([peers] tls_cert, tls_key, tls_ca) only a loopback address is allowed")
+	}
+	return faults
+}
