Set up logs, bounded metrics and traces

Cause: an operator has to see a request by its stages, targets and peers, at a cost that does not grow with accounts. Ruled out: free key-value logging (a body could slip in), unbounded Tagged (a series for each value from outside), a global tracer provider (several instances share a process in dev mode). Change: package telemetry with Start and Shutdown, typed log events, a tally scope with a fixed list of labels and a bound, OTLP/HTTP traces off by default, the W3C propagator always. Conclusion: the daemon can start its telemetry.

--- /dev/null
+++ b/telemetry/logs.go
@@ -0,0 +1,143 @@
+package telemetry
+
+import (
+	"flag"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+)
+
+// maxLogText bounds an error's text in a log line, in bytes: an error that
+// wraps a peer's answer can't flood the log.
+const maxLogText = 512
+
+// Event is what a log line may say beside its message. Empty fields are left
+// out. There is no field for a body or a key, so neither can be logged by a
+// slip.
+type Event struct {
+	RequestID string
+	Stage     string
+	Target    string
+	Peer      string
+	AttemptID string
+	Pipeline  string
+	Pool      string
+	// Record names a record of the platform, as kind/name.
+	Record   string
+	Revision uint64
+	// Reason is a short, fixed text from the program, never one from outside.
+	Reason  string
+	Count   int
+	Elapsed time.Duration
+	// Address is an IP:port that the instance listens on or connects to.
+	Address string
+}
+
+// maxPairs is the number of keys and values that an Event and an instance
+// make at most.
+const maxPairs = 2 * 13
+
+// pairs lists the fields that are set, as klog wants them.
+func (e *Event) pairs() []any {
+	kv := make([]any, 0, maxPairs)
+	kv = appendText(kv, "request_id", e.RequestID)
+	kv = appendText(kv, "stage", e.Stage)
+	kv = appendText(kv, "target", e.Target)
+	kv = appendText(kv, "peer", e.Peer)
+	kv = appendText(kv, "attempt_id", e.AttemptID)
+	kv = appendText(kv, "pipeline", e.Pipeline)
+	kv = appendText(kv, "pool", e.Pool)
+	kv = appendText(kv, "record", e.Record)
+	if e.Revision != 0 {
+		kv = append(kv, "revision", e.Revision)
+	}
+	kv = appendText(kv, "reason", e.Reason)
+	if e.Count != 0 {
+		kv = append(kv, "count", e.Count)
+	}
+	if e.Elapsed != 0 {
+		kv = append(kv, "elapsed", e.Elapsed)
+	}
+	return appendText(kv, "address", e.Address)
+}
+
+func appendText(kv []any, key, text string) []any {
+	if text == "" {
+		return kv
+	}
+	return append(kv, key, shorten(text))
+}
+
+func shorten(text string) string {
+	if len(text) <= maxLogText {
+		return text
+	}
+	return text[:maxLogText] + "..."
+}
+
+// InfoS logs a message that an operator must see.
+func InfoS(msg string, e Event) {
+	klog.InfoSDepth(1, msg, e.pairs()...)
+}
+
+// ErrorS logs a failure that an operator may have to act on. The error's text
+// is shortened.
+func ErrorS(err error, msg string, e Event) {
+	klog.ErrorSDepth(1, shortError{err}, msg, e.pairs()...)
+}
+
+// DebugS logs at the given verbosity. The event is built by the caller, so a
+// hot path asks DebugEnabled first.
+func DebugS(level int, msg string, e Event) {
+	if !DebugEnabled(level) {
+		return
+	}
+	klog.InfoSDepth(1, msg, e.pairs()...)
+}
+
+// DebugEnabled tells whether lines of the given verbosity are written.
+func DebugEnabled(level int) bool {
+	return klog.V(klog.Level(level)).Enabled()
+}
+
+// shortError bounds the text of an error.
+type shortError struct{ err error }
+
+// Error implements error.
+func (e shortError) Error() string {
+	if e.err == nil {
+		return ""
+	}
+	return shorten(e.err.Error())
+}
+
+func (e shortError) Unwrap() error { return e.err }
+
+// setupLogs points klog at the output. klog reads its configuration from
+// flags; the set here is private, so the program's own flags stay as they are.
+func setupLogs(o Options) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	toStderr := strconv.FormatBool(o.LogOutput == nil)
+	config := [][2]string{
+		{"v", strconv.Itoa(o.LogLevel)},
+		{"logtostderr", toStderr},
+		{"alsologtostderr", "false"},
+		// A daemon's log goes to one place: errors are not repeated elsewhere.
+		{"stderrthreshold", "FATAL"},
+		{"one_output", "true"},
+	}
+	for _, c := range config {
+		if err := flags.Set(c[0], c[1]); err != nil {
+			return errors.Wrapf(err, "telemetry: log flag %s", c[0])
+		}
+	}
+	if o.LogOutput != nil {
+		klog.SetOutput(o.LogOutput)
+	}
+	return nil
+}
+
+func flushLogs() { klog.Flush() }
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,82 @@
+// Package telemetry sets up what operators see of an instance: structured
+// logs, metrics for Prometheus and traces for an OTLP collector. Request
+// bodies and secrets have no way into any of the three: a log line takes a
+// typed Event, and a metric takes labels from a fixed set.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// instrumentation names the tracer in exported spans.
+const instrumentation = "github.com/ivyhollow/ivyhollow"
+
+// Options configures the telemetry of one instance.
+type Options struct {
+	Instance   string
+	DataCentre string
+	Cluster    string
+	// Version is the program's version, for the resource of exported spans.
+	Version string
+	// OTLPEndpoint is the URL of an OTLP/HTTP collector; empty turns tracing off.
+	OTLPEndpoint string
+	// LogLevel is the klog verbosity.
+	LogLevel int
+	// LogOutput takes the log lines; nil is standard error. klog is one logger
+	// for the process: the last Start with an output wins.
+	LogOutput io.Writer
+}
+
+// Telemetry is the running telemetry of one instance.
+type Telemetry struct {
+	// Scope is the root of the metrics. Its labels are bounded; see Label.
+	Scope tally.Scope
+	// Tracer starts the spans.
+	Tracer trace.Tracer
+	// TracerProvider is for instrumentation that makes its own tracer.
+	TracerProvider trace.TracerProvider
+	// Propagator reads and writes the W3C trace headers, also with tracing off,
+	// so that an instance never breaks a caller's trace.
+	Propagator propagation.TextMapPropagator
+
+	metrics  http.Handler
+	closers  []io.Closer
+	flushers []func(context.Context) error
+}
+
+// Start sets up logs, metrics and traces. The caller ends them by Shutdown.
+func Start(ctx context.Context, o Options) (*Telemetry, error) {
+	if err := setupLogs(o); err != nil {
+		return nil, err
+	}
+	t := &Telemetry{}
+	if err := t.startTraces(ctx, o); err != nil {
+		return nil, err
+	}
+	t.startMetrics()
+	return t, nil
+}
+
+// MetricsHandler serves the metrics in Prometheus' text format.
+func (t *Telemetry) MetricsHandler() http.Handler { return t.metrics }
+
+// Shutdown flushes what is buffered and ends the reporters. The context bounds
+// the wait for a collector that does not answer.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	var err error
+	for _, flush := range t.flushers {
+		err = errors.CombineErrors(err, flush(ctx))
+	}
+	for _, c := range t.closers {
+		err = errors.CombineErrors(err, c.Close())
+	}
+	flushLogs()
+	return errors.Wrap(err, "telemetry: shutdown")
+}
