--- /dev/null
+++ b/protocol/sse/encoder.go
@@ -0,0 +1,81 @@
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+)
+
+// ErrBadField says that a name, an id or a comment holds a line end or a NUL,
+// with which a peer could be made to see other events than were meant.
+var ErrBadField = errors.New("sse: line end or NUL in a field")
+
+const unsafeInField = "\r\n\x00"
+
+// Encoder writes the events of one stream. It is not safe for concurrent use.
+type Encoder struct {
+	w   io.Writer
+	buf bytes.Buffer
+}
+
+// NewEncoder returns an encoder that writes to w.
+func NewEncoder(w io.Writer) *Encoder {
+	return &Encoder{w: w}
+}
+
+// Encode writes the whole event with one Write. Line ends within the data,
+// of whatever kind, reach the reader as line feeds.
+func (e *Encoder) Encode(event Event) error {
+	if strings.ContainsAny(event.Name+event.ID, unsafeInField) {
+		return ErrBadField
+	}
+	e.buf.Reset()
+	e.field("event", event.Name)
+	e.field("id", event.ID)
+	e.data(event.Data)
+	e.buf.WriteByte('\n')
+	_, err := e.w.Write(e.buf.Bytes())
+	return err
+}
+
+// Comment writes a comment, which readers skip. It shows the other end that
+// the connection is alive.
+func (e *Encoder) Comment(text string) error {
+	if strings.ContainsAny(text, unsafeInField) {
+		return ErrBadField
+	}
+	_, err := io.WriteString(e.w, ": "+text+"\n\n")
+	return err
+}
+
+func (e *Encoder) field(name, value string) {
+	if value == "" {
+		return
+	}
+	e.buf.WriteString(name)
+	e.buf.WriteString(": ")
+	e.buf.WriteString(value)
+	e.buf.WriteByte('\n')
+}
+
+func (e *Encoder) data(data string) {
+	for {
+		end := strings.IndexAny(data, "\r\n")
+		if end < 0 {
+			break
+		}
+		e.dataLine(data[:end])
+		if strings.HasPrefix(data[end:], "\r\n") {
+			end++
+		}
+		data = data[end+1:]
+	}
+	e.dataLine(data)
+}
+
+func (e *Encoder) dataLine(line string) {
+	e.buf.WriteString("data: ")
+	e.buf.WriteString(line)
+	e.buf.WriteByte('\n')
+}
