Route stages by two choices on corrected load

Cause: the request path needs the routing API. Ruled out: a lock on the pick path; views are immutable and per-target state is atomic.

--- /dev/null
+++ b/coordination/routing/attempt.go
@@ -0,0 +1,64 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Handle stands for one attempt in flight.
+type Handle struct {
+	table  *Table
+	target *targetView
+	cost   int64
+	done   atomic.Bool
+}
+
+// Started records that an attempt was sent. Cost is its expected work relative
+// to the pool's mean; 0 means 1. Each handle must be ended by Done.
+func (t *Table) Started(now time.Time, incarnation string, cost float64) *Handle {
+	target := t.view.Load().byTarget[incarnation]
+	if target == nil {
+		return &Handle{}
+	}
+	if cost <= 0 {
+		cost = 1
+	}
+	h := &Handle{table: t, target: target, cost: int64(cost * costUnit)}
+	target.add(now.UnixNano(), h.cost)
+	return h
+}
+
+// Done records how the attempt ended. A second call does nothing.
+func (h *Handle) Done(now time.Time, result Result) {
+	if h.target == nil || h.done.Swap(true) {
+		return
+	}
+	ns := now.UnixNano()
+	h.target.add(ns, -h.cost)
+	if h.target.health.observe(ns, result) && !h.table.config.off(MechanismEjection) {
+		h.table.eject(ns, h.target)
+	}
+}
+
+// eject takes a target out of routing unless the pool's floor forbids it.
+func (t *Table) eject(now int64, target *targetView) {
+	pool := target.pool
+	pool.health.Lock()
+	defer pool.health.Unlock()
+	routable, all := 0, 0
+	for _, other := range pool.targets {
+		if other.leaving {
+			continue
+		}
+		all++
+		if other != target && other.health.ejection(now) == notEjected {
+			routable++
+		}
+	}
+	if routable < pool.floor(all) {
+		t.counts.floored.Add(1)
+		return
+	}
+	target.health.eject(now, &t.config)
+	t.counts.ejected.Add(1)
+}
--- /dev/null
+++ b/coordination/routing/config.go
@@ -0,0 +1,78 @@
+package routing
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultSubset           = 64
+	DefaultChoices          = 2
+	DefaultOrigins          = 32
+	DefaultDigestEntries    = 128
+	DefaultDigestTTL        = 2 * time.Second
+	DefaultReportTrust      = 3 * time.Second
+	DefaultSlowStart        = 10 * time.Second
+	DefaultEjection         = 1 * time.Second
+	DefaultEjectionMax      = 30 * time.Second
+	DefaultLeavingRetention = 10 * time.Minute
+	DefaultPrefixTTL        = 2 * time.Minute
+	DefaultPrefixSlots      = 2048
+)
+
+// Config holds the settings of a Table. A zero field takes its default.
+type Config struct {
+	// Instance names this instance; it seeds the choice of its subsets.
+	Instance        string
+	LocalDataCentre string
+	// Subset is the number of targets kept for each pool.
+	Subset int
+	// Choices is the number of targets that are sampled for a pick.
+	Choices int
+	// Origins bounds the number of peers whose digests are kept.
+	Origins int
+	// DigestEntries bounds the entries of an own digest.
+	DigestEntries int
+	// DigestTTL is how long a peer's digest counts.
+	DigestTTL time.Duration
+	// ReportTrust is the age at which a target's report counts no longer.
+	ReportTrust time.Duration
+	// SlowStart is how long a new target takes to get its full share.
+	SlowStart time.Duration
+	// Ejection is how long a first ejection lasts; each further one in a row
+	// doubles it up to EjectionMax.
+	Ejection, EjectionMax time.Duration
+	// LeavingRetention is how long a leaving incarnation is remembered after
+	// it vanished from the list.
+	LeavingRetention time.Duration
+	// PrefixTTL is how long an own routing decision counts as a cached prefix.
+	PrefixTTL time.Duration
+	// PrefixSlots bounds the prefix parts remembered for each target.
+	PrefixSlots int
+	// Off switches mechanisms off, for experiments.
+	Off Mechanism
+}
+
+func (c Config) off(m Mechanism) bool {
+	return c.Off&m != 0
+}
+
+func orDefault[T int | time.Duration](value *T, fallback T) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.Subset, DefaultSubset)
+	orDefault(&c.Choices, DefaultChoices)
+	orDefault(&c.Origins, DefaultOrigins)
+	orDefault(&c.DigestEntries, DefaultDigestEntries)
+	orDefault(&c.DigestTTL, DefaultDigestTTL)
+	orDefault(&c.ReportTrust, DefaultReportTrust)
+	orDefault(&c.SlowStart, DefaultSlowStart)
+	orDefault(&c.Ejection, DefaultEjection)
+	orDefault(&c.EjectionMax, DefaultEjectionMax)
+	orDefault(&c.LeavingRetention, DefaultLeavingRetention)
+	orDefault(&c.PrefixTTL, DefaultPrefixTTL)
+	orDefault(&c.PrefixSlots, DefaultPrefixSlots)
+	return c
+}
--- /dev/null
+++ b/coordination/routing/pick.go
@@ -0,0 +1,264 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxCandidates is the number of candidates a pick holds without allocating.
+const maxCandidates = 96
+
+// candidate is an eligible target with what a pick computed of it.
+type candidate struct {
+	target   *targetView
+	load     float64 // estimated requests at the target
+	score    float64 // lower is better
+	cached   int
+	ejection ejection
+}
+
+// Pick chooses a target. It returns *NoTargetError when the pool has none that
+// is eligible: an unknown pool, all leaving, excluded or unfit.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, q Query) (Choice, error) {
+	p := t.view.Load().pools[q.Pool]
+	if p == nil {
+		return Choice{}, &NoTargetError{Pool: q.Pool}
+	}
+	pick := pick{table: t, pool: p, query: &q, rng: rng, now: now.UnixNano()}
+	var buffer [maxCandidates]candidate
+	if err := pick.collect(buffer[:0]); err != nil {
+		t.counts.refused.Add(1)
+		return Choice{}, err
+	}
+	chosen, reason := pick.choose()
+	chosen.target.picked.Add(1)
+	t.counts.reasons[reason].Add(1)
+	pick.remember(chosen)
+	return Choice{
+		Target:       chosen.target.Target,
+		Reason:       reason,
+		CachedTokens: chosen.cached,
+		Load:         chosen.load,
+	}, nil
+}
+
+// pick is the work of one Pick.
+type pick struct {
+	table      *Table
+	pool       *poolView
+	query      *Query
+	rng        *rand.Rand
+	now        int64
+	candidates []candidate
+	hashes     []uint64
+}
+
+// collect finds the eligible targets.
+func (p *pick) collect(buffer []candidate) error {
+	none := NoTargetError{Pool: p.query.Pool, Known: len(p.pool.targets)}
+	for _, target := range p.pool.targets {
+		switch {
+		case target.leaving:
+			none.Leaving++
+		case slices.Contains(p.query.Exclude, target.Incarnation):
+			none.Excluded++
+		case !target.fits(p.query):
+			none.Unfit++
+		default:
+			buffer = append(buffer, candidate{target: target})
+		}
+	}
+	if len(buffer) == 0 {
+		return &none
+	}
+	p.candidates = buffer
+	return nil
+}
+
+func (t *targetView) fits(q *Query) bool {
+	if q.Model != "" && len(t.Models) > 0 && !slices.Contains(t.Models, q.Model) {
+		return false
+	}
+	return q.Adapter == "" || len(t.Adapters) == 0 || slices.Contains(t.Adapters, q.Adapter)
+}
+
+// choose applies the rules in their order: probe, floor, affinity, load.
+func (p *pick) choose() (*candidate, Reason) {
+	if len(p.candidates) == 1 {
+		p.assess()
+		return &p.candidates[0], ReasonOnly
+	}
+	floored := false
+	if !p.table.config.off(MechanismEjection) {
+		if probe := p.probe(); probe != nil {
+			return probe, ReasonProbe
+		}
+		floored = p.dropEjected()
+	}
+	p.assess()
+	if c, reason := p.byPrefix(); c != nil {
+		return c, reason
+	}
+	c, reason := p.byLoad()
+	if floored && c.ejection != notEjected {
+		reason = ReasonFloor
+	}
+	return c, reason
+}
+
+// probePatience is how long a due probe waits for a request of a lower tier.
+const probePatience = int64(time.Second)
+
+// probe returns an ejected target whose time is over and which this pick may
+// try. One probe at a time guards against the stampede on a target that is
+// back; requests of the highest tier are risked only when no other came.
+func (p *pick) probe() *candidate {
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		h := &c.target.health
+		c.ejection = h.ejection(p.now)
+		if c.ejection != probeDue {
+			continue
+		}
+		if p.query.Rank == 0 && p.now-h.ejected.Load() < probePatience {
+			continue
+		}
+		if h.claimProbe(p.now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// dropEjected leaves ejected targets out, but for as many of those whose time
+// ends first as the floor asks for. It tells whether it kept some.
+func (p *pick) dropEjected() bool {
+	slices.SortStableFunc(p.candidates, func(a, b candidate) int {
+		return cmp.Compare(a.ejectedUntil(), b.ejectedUntil())
+	})
+	healthy := 0
+	for i := range p.candidates {
+		if p.candidates[i].ejection == notEjected {
+			healthy++
+		}
+	}
+	keep := max(healthy, p.pool.floor(len(p.candidates)))
+	p.candidates = p.candidates[:keep]
+	return keep > healthy
+}
+
+func (c *candidate) ejectedUntil() int64 {
+	if c.ejection == notEjected {
+		return 0
+	}
+	return c.target.health.ejected.Load()
+}
+
+// floor is the least number of n targets that stay routable.
+func (p *poolView) floor(n int) int {
+	return min(n, max(1, int(math.Ceil(p.pool.EjectionFloor*float64(n)))))
+}
+
+// headroomWeight is what a busy but not yet full target counts: it breaks ties
+// towards the emptier one, since batching slows an engine a little.
+const headroomWeight = 0.3
+
+// assess estimates each candidate's load and score: how long a request takes
+// there, relative to its usual time on an idle target.
+func (p *pick) assess() {
+	config := &p.table.config
+	cost := p.query.Cost
+	if cost <= 0 {
+		cost = 1
+	}
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		c.load = c.target.estimate(p.now, config)
+		use := (c.load + cost) / c.target.slots(c.target.Slots)
+		c.score = 1 + headroomWeight*math.Min(use, 1) + math.Max(0, use-1)
+		if !config.off(MechanismLatency) {
+			c.score *= c.target.health.slow(p.now)
+		}
+	}
+}
+
+// byLoad samples among the local targets, or among all when the best local one
+// would queue and a farther one would not.
+func (p *pick) byLoad() (*candidate, Reason) {
+	if p.table.config.off(MechanismLocalFirst) {
+		return p.sample(func(*candidate) bool { return true }), ReasonLoad
+	}
+	local := p.sample(func(c *candidate) bool { return c.target.local })
+	if local != nil && local.score <= overflowScore {
+		return local, ReasonLoad
+	}
+	remote := p.sample(func(c *candidate) bool { return !c.target.local })
+	if local == nil || (remote != nil && remote.score < local.score) {
+		return remote, ReasonOverflow
+	}
+	return local, ReasonLoad
+}
+
+// overflowScore is the score of a target that is just full.
+const overflowScore = 1 + headroomWeight
+
+// sample draws Config.Choices distinct candidates and returns the best. Each is
+// passed over with the probability that its share asks for, unless all are.
+func (p *pick) sample(from func(*candidate) bool) *candidate {
+	var best, fallback *candidate
+	seen := 0
+	n := len(p.candidates)
+	// A random start and a random odd-ish stride would correlate neighbours, so
+	// draw without replacement by a partial Fisher-Yates shuffle.
+	for i := 0; i < n && seen < p.table.config.Choices; i++ {
+		j := i + p.rng.IntN(n-i)
+		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
+		c := &p.candidates[i]
+		if !from(c) {
+			continue
+		}
+		if share := c.target.share(p.now, &p.table.config); share < 1 && p.rng.Float64() >= share {
+			fallback = better(fallback, c)
+			continue
+		}
+		seen++
+		best = better(best, c)
+	}
+	if best == nil {
+		return fallback
+	}
+	return best
+}
+
+func better(a, b *candidate) *candidate {
+	if a == nil || b.score < a.score {
+		return b
+	}
+	return a
+}
+
+// remember notes that the chosen target will cache the prompt's parts.
+func (p *pick) remember(c *candidate) {
+	if p.table.config.off(MechanismAffinity) {
+		return
+	}
+	p.hash()
+	for _, h := range p.hashes {
+		c.target.prefixes.add(p.now, h)
+	}
+}
+
+func (p *pick) hash() {
+	if p.hashes != nil || len(p.query.Prefix) == 0 {
+		return
+	}
+	p.hashes = make([]uint64, len(p.query.Prefix))
+	for i, part := range p.query.Prefix {
+		p.hashes[i] = xxhash.Sum64String(part.ID)
+	}
+}
--- /dev/null
+++ b/coordination/routing/prefix.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixIndex is the approximate set of prompt parts that one engine caches:
+// a direct-mapped table of fixed size. A newer part overwrites an older one of
+// the same slot, much as the engine's own bounded cache does. Each slot holds a
+// fingerprint (upper 32 bits) and the second it was last seen (lower 32 bits).
+type prefixIndex struct {
+	slots []atomic.Uint64
+	// valid is the second before which entries count no longer.
+	valid atomic.Int64
+	epoch atomic.Uint64
+}
+
+// gapTrust is the age up to which entries still count after a gap in the
+// events: the lost events may have told that older parts were evicted.
+const gapTrust = 20 * time.Second
+
+func (p *prefixIndex) init(slots int) {
+	p.slots = make([]atomic.Uint64, slots)
+}
+
+func (p *prefixIndex) slot(part uint64) *atomic.Uint64 {
+	return &p.slots[part%uint64(len(p.slots))]
+}
+
+func (p *prefixIndex) add(now int64, part uint64) {
+	second := uint64(now/int64(time.Second)) & 0xffffffff
+	p.slot(part).Store(part&^0xffffffff | second)
+}
+
+func (p *prefixIndex) remove(part uint64) {
+	slot := p.slot(part)
+	value := slot.Load()
+	if value>>32 == part>>32 {
+		slot.CompareAndSwap(value, 0)
+	}
+}
+
+func (p *prefixIndex) has(now int64, part uint64, ttl time.Duration) bool {
+	value := p.slot(part).Load()
+	if value == 0 || value>>32 != part>>32 {
+		return false
+	}
+	second := int64(value & 0xffffffff)
+	return second >= p.valid.Load() && now/int64(time.Second)-second <= int64(ttl/time.Second)
+}
+
+func (p *prefixIndex) apply(now int64, u CacheUpdate) {
+	second := now / int64(time.Second)
+	if old := p.epoch.Swap(u.Epoch); old != 0 && old != u.Epoch {
+		p.valid.Store(second)
+	}
+	if u.Gap {
+		p.valid.Store(max(p.valid.Load(), second-int64(gapTrust/time.Second)))
+	}
+	for _, part := range u.Added {
+		p.add(now, xxhash.Sum64String(part))
+	}
+	for _, part := range u.Removed {
+		p.remove(xxhash.Sum64String(part))
+	}
+}
+
+// cached returns the number of leading tokens that the target is believed to
+// hold. Parts are cached in order, so the first missing part ends the run.
+func (s *targetState) cached(now int64, parts []PrefixPart, hashes []uint64, ttl time.Duration) int {
+	tokens := 0
+	for i, part := range parts {
+		if !s.prefixes.has(now, hashes[i], ttl) {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
--- /dev/null
+++ b/coordination/routing/stats.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+type counters struct {
+	reasons [len(reasonNames)]atomic.Uint64
+	refused atomic.Uint64
+	ejected atomic.Uint64
+	floored atomic.Uint64
+}
+
+// Stats is a snapshot of a table for metrics and operators.
+type Stats struct {
+	// Picks counts the choices by reason.
+	Picks map[Reason]uint64
+	// Refused counts the picks that found no target.
+	Refused uint64
+	// Ejections counts ejections; Floored those that the floor forbade.
+	Ejections, Floored uint64
+	Targets            []TargetStats
+}
+
+// TargetStats is the state of one kept target.
+type TargetStats struct {
+	Incarnation, Pool string
+	// InFlight is the own cost in flight, Load the estimate over all instances.
+	InFlight, Load float64
+	// Slowness is the latency over the expected one, Failing the failing share.
+	Slowness, Failing float64
+	Leaving, Ejected  bool
+	Picked            uint64
+}
+
+// Stats returns the counters and the state of every kept target.
+func (t *Table) Stats(now time.Time) Stats {
+	ns := now.UnixNano()
+	stats := Stats{
+		Picks:     map[Reason]uint64{},
+		Refused:   t.counts.refused.Load(),
+		Ejections: t.counts.ejected.Load(),
+		Floored:   t.counts.floored.Load(),
+	}
+	for i := range t.counts.reasons {
+		stats.Picks[Reason(i)] = t.counts.reasons[i].Load()
+	}
+	for _, pool := range t.view.Load().pools {
+		for _, target := range pool.targets {
+			stats.Targets = append(stats.Targets, target.stats(ns, &t.config))
+		}
+	}
+	return stats
+}
+
+func (t *targetView) stats(now int64, c *Config) TargetStats {
+	return TargetStats{
+		Incarnation: t.Incarnation,
+		Pool:        t.Pool,
+		InFlight:    t.own(),
+		Load:        t.estimate(now, c),
+		Slowness:    t.health.slow(now),
+		Failing:     t.health.failing.read(now),
+		Leaving:     t.leaving,
+		Ejected:     t.health.ejection(now) != notEjected,
+		Picked:      t.picked.Load(),
+	}
+}
--- /dev/null
+++ b/coordination/routing/subset.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// localShare is the part of a subset that is taken from the local data centre
+// when it has enough targets; the rest is for overflow and for its loss.
+const localShare = 0.75
+
+// leastPerModel is how many targets of each model a subset keeps, so that a
+// rare model is not routed to a single target.
+const leastPerModel = 4
+
+type ranked struct {
+	target Target
+	rank   uint64
+}
+
+// subset returns the targets that this instance keeps. Rendezvous hashing gives
+// every instance another subset and changes it by one target when one comes or
+// goes.
+func (c *Config) subset(targets []Target) []Target {
+	if len(targets) <= c.Subset {
+		return slices.Clone(targets)
+	}
+	all := c.rank(targets)
+	local := int(localShare * float64(c.Subset))
+	kept := make([]Target, 0, c.Subset)
+	taken := make(map[string]bool, c.Subset)
+	models := map[string]int{}
+	take := func(limit int, fits func(Target) bool) {
+		for _, r := range all {
+			if len(kept) >= limit {
+				return
+			}
+			if taken[r.target.Incarnation] || !fits(r.target) {
+				continue
+			}
+			taken[r.target.Incarnation] = true
+			kept = append(kept, r.target)
+			countModels(models, r.target)
+		}
+	}
+	rare := func(t Target) bool {
+		return slices.ContainsFunc(t.Models, func(m string) bool { return models[m] < leastPerModel })
+	}
+	take(c.Subset, rare)
+	take(max(local, len(kept)), func(t Target) bool { return t.DataCentre == c.LocalDataCentre })
+	take(c.Subset, func(t Target) bool { return t.DataCentre != c.LocalDataCentre })
+	take(c.Subset, func(Target) bool { return true })
+	return kept
+}
+
+func countModels(counts map[string]int, t Target) {
+	for _, m := range t.Models {
+		counts[m]++
+	}
+}
+
+func (c *Config) rank(targets []Target) []ranked {
+	all := make([]ranked, len(targets))
+	for i, t := range targets {
+		all[i] = ranked{target: t, rank: rendezvous(c.Instance, t.Incarnation)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.target.Incarnation, b.target.Incarnation))
+	})
+	return all
+}
+
+func rendezvous(a, b string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(a)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(b)
+	return d.Sum64()
+}
+
+// mix ranks a target for an already hashed key, without allocation.
+func mix(key uint64, target uint32) uint64 {
+	x := key ^ uint64(target)*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/coordination/routing/table.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxLeaving bounds the leaving incarnations that are remembered.
+const maxLeaving = 16384
+
+// Table routes the requests of one instance.
+type Table struct {
+	config Config
+	view   atomic.Pointer[view]
+	counts counters
+
+	mu      sync.Mutex // serialises updates; never held by Pick
+	states  map[string]*targetState
+	pools   map[string]*poolInput
+	leaving map[string]time.Time // when it was last in a list or told of
+	digests digests
+}
+
+// poolInput is what the last list said of a pool.
+type poolInput struct {
+	pool   Pool
+	listed map[string]bool
+	subset []Target
+	health sync.Mutex // serialises ejections of the pool
+}
+
+// view is what Pick reads; it is never changed once published.
+type view struct {
+	pools    map[string]*poolView
+	byTarget map[string]*targetView
+	byHash   map[uint32]*targetView
+}
+
+type poolView struct {
+	pool    Pool
+	targets []*targetView
+	health  *sync.Mutex
+}
+
+// targetView is one routable or leaving target of a view.
+type targetView struct {
+	Target
+	*targetState
+	pool    *poolView
+	leaving bool
+	local   bool
+}
+
+// New returns an empty table.
+func New(config Config) *Table {
+	t := &Table{
+		config:  config.withDefaults(),
+		states:  map[string]*targetState{},
+		pools:   map[string]*poolInput{},
+		leaving: map[string]time.Time{},
+	}
+	t.digests.byOrigin = map[string]*originDigest{}
+	t.publish()
+	return t
+}
+
+// SetTargets takes the platform's list of a pool's targets. Only a subset is
+// kept when the list is longer than Config.Subset. An incarnation that is known
+// to be leaving stays so, whatever the list says.
+func (t *Table) SetTargets(now time.Time, pool Pool, targets []Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	input, known := t.pools[pool.Name]
+	if !known {
+		input = &poolInput{}
+		t.pools[pool.Name] = input
+	}
+	input.pool = pool
+	input.listed = make(map[string]bool, len(targets))
+	for _, target := range targets {
+		input.listed[target.Incarnation] = true
+	}
+	input.subset = t.config.subset(targets)
+	added := int64(0)
+	if known {
+		added = now.UnixNano()
+	}
+	for _, target := range input.subset {
+		if t.states[target.Incarnation] == nil {
+			t.states[target.Incarnation] = newTargetState(target, added, t.config.PrefixSlots)
+		}
+	}
+	t.forget(now)
+	t.publish()
+}
+
+// Leaving records that an incarnation is shutting down, from whichever signal
+// came first: the list, the target's own reply or a peer. It gets no new
+// request from then on, and nothing takes the record back: a list that lags
+// must not bring the target back.
+func (t *Table) Leaving(now time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.leaving[incarnation]; known {
+		return
+	}
+	if len(t.leaving) >= maxLeaving {
+		t.dropOldestLeaving()
+	}
+	t.leaving[incarnation] = now
+	t.publish()
+}
+
+// Report takes in a target's own load report.
+func (t *Table) Report(now time.Time, incarnation string, load Load) {
+	target := t.view.Load().byTarget[incarnation]
+	if target == nil {
+		return
+	}
+	target.applyReport(now, load, !t.config.off(MechanismAgeCorrection))
+}
+
+// CacheEvent takes in a page of an engine's cache events.
+func (t *Table) CacheEvent(now time.Time, incarnation string, update CacheUpdate) {
+	target := t.view.Load().byTarget[incarnation]
+	if target == nil {
+		return
+	}
+	target.prefixes.apply(now.UnixNano(), update)
+}
+
+// forget drops the state of targets that no list names any more, and leaving
+// marks whose incarnation vanished from the lists long ago.
+func (t *Table) forget(now time.Time) {
+	kept := make(map[string]bool, len(t.states))
+	for _, input := range t.pools {
+		for _, target := range input.subset {
+			kept[target.Incarnation] = true
+		}
+	}
+	for incarnation, state := range t.states {
+		if !kept[incarnation] && state.inFlight.Load() == 0 {
+			delete(t.states, incarnation)
+		}
+	}
+	for incarnation, seen := range t.leaving {
+		if t.listed(incarnation) {
+			t.leaving[incarnation] = now
+			continue
+		}
+		if now.Sub(seen) > t.config.LeavingRetention {
+			delete(t.leaving, incarnation)
+		}
+	}
+}
+
+func (t *Table) listed(incarnation string) bool {
+	for _, input := range t.pools {
+		if input.listed[incarnation] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) dropOldestLeaving() {
+	oldest := ""
+	for incarnation, seen := range t.leaving {
+		if oldest == "" || seen.Before(t.leaving[oldest]) {
+			oldest = incarnation
+		}
+	}
+	delete(t.leaving, oldest)
+}
+
+// publish builds the view that Pick reads from now on.
+func (t *Table) publish() {
+	v := &view{
+		pools:    make(map[string]*poolView, len(t.pools)),
+		byTarget: make(map[string]*targetView, len(t.states)),
+		byHash:   make(map[uint32]*targetView, len(t.states)),
+	}
+	for name, input := range t.pools {
+		p := &poolView{pool: input.pool, health: &input.health}
+		for _, target := range input.subset {
+			tv := t.newTargetView(target, p)
+			p.targets = append(p.targets, tv)
+			v.byTarget[target.Incarnation] = tv
+			v.byHash[tv.hash] = tv
+		}
+		v.pools[name] = p
+	}
+	t.view.Store(v)
+}
+
+func (t *Table) newTargetView(target Target, p *poolView) *targetView {
+	_, leaving := t.leaving[target.Incarnation]
+	return &targetView{
+		Target:      target,
+		targetState: t.states[target.Incarnation],
+		pool:        p,
+		leaving:     leaving,
+		local:       target.DataCentre == t.config.LocalDataCentre,
+	}
+}
