--- /dev/null
+++ b/protocol/record/decode.go
@@ -0,0 +1,236 @@
+package record
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// Bounds of what a record may hold.
+const (
+	// MaxSpecBytes bounds the text of one record.
+	MaxSpecBytes = 64 << 10
+	// MaxMilliseconds bounds every time in a record: an hour.
+	MaxMilliseconds = 3_600_000
+	MaxStages       = 16
+	MaxAttempts     = 10
+	// DefaultMaxAttempts serves when a pipeline names none.
+	DefaultMaxAttempts = 3
+	// MaxKeys lets an account change its key without a gap, and no more.
+	MaxKeys      = 2
+	MaxRank      = 99
+	MaxPriority  = 9
+	MaxSlots     = 100_000
+	MaxTokens    = 1_000_000
+	MaxRequestsS = 1_000_000
+	// MaxOverrides bounds the tiers that a pipeline sets a deadline for.
+	MaxOverrides = 100
+)
+
+// Decode reads the spec of a record into a catalog item that carries the
+// revision. The error, if any, is a Faults with everything that is wrong.
+func Decode(kind catalog.RecordKind, name string, revision uint64, spec []byte) (catalog.Item, error) {
+	list := &faultList{text: spec}
+	item := decode(list, kind, name, revision, spec)
+	if len(list.faults) > 0 {
+		slices.SortStableFunc(list.faults, func(a, b Fault) int { return a.Line - b.Line })
+		return nil, list.faults
+	}
+	return item, nil
+}
+
+func decode(list *faultList, kind catalog.RecordKind, name string, revision uint64, spec []byte) catalog.Item {
+	root, ok := parseSpec(list, spec)
+	if !ok {
+		return nil
+	}
+	d := &decoding{list: list, name: name, revision: revision, spec: newObject(list, "", root)}
+	read := d.reader(kind)
+	if read == nil {
+		list.faults = append(list.faults, Fault{Field: "kind", Reason: quote(string(kind)) + " is not a kind of record"})
+		return nil
+	}
+	return read()
+}
+
+func parseSpec(list *faultList, spec []byte) (value, bool) {
+	if len(spec) > MaxSpecBytes {
+		list.faults = append(list.faults, Fault{Reason: fmt.Sprintf("is longer than %d bytes", MaxSpecBytes)})
+		return value{}, false
+	}
+	values, err := parse(spec)
+	if err != nil {
+		list.faults = append(list.faults, syntaxFault(spec, err))
+		return value{}, false
+	}
+	if len(values) != 1 {
+		list.faults = append(list.faults, Fault{Reason: fmt.Sprintf("must be one JSON object, not %d values", len(values))})
+		return value{}, false
+	}
+	return values[0], values[0].kind == valueObject || noObject(list, values[0])
+}
+
+func noObject(list *faultList, v value) bool {
+	list.add(v.offset, "", "must be an object, not %s", v.kind)
+	return false
+}
+
+// decoding is the reading of one spec.
+type decoding struct {
+	list     *faultList
+	name     string
+	revision uint64
+	spec     *object
+}
+
+func (d *decoding) reader(kind catalog.RecordKind) func() catalog.Item {
+	switch kind {
+	case catalog.RecordPools:
+		return d.pool
+	case catalog.RecordTiers:
+		return d.tier
+	case catalog.RecordPipelines:
+		return d.pipeline
+	case catalog.RecordAccounts:
+		return d.account
+	}
+	return nil
+}
+
+// schemaVersion reads the version and tells whether it is a known one. The
+// other fields are read only if it is: their meaning hangs on it.
+func (d *decoding) schemaVersion(known ...int) (int, bool) {
+	v, ok := d.spec.get("schema_version", valueNumber, true)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(v.text)
+	if err != nil || !slices.Contains(known, n) {
+		d.spec.fault("schema_version", "%s is not a known schema version of this kind; known: %v", short(v.text), known)
+		return 0, false
+	}
+	return n, true
+}
+
+func (d *decoding) checkRecordName() {
+	if reason := checkName(d.name); reason != "" {
+		d.list.faults = append(d.list.faults, Fault{Field: "name", Reason: reason})
+	}
+}
+
+func (d *decoding) tier() catalog.Item {
+	d.checkRecordName()
+	if _, ok := d.schemaVersion(1); !ok {
+		return nil
+	}
+	t := &catalog.Tier{Name: d.name, Revision: d.revision}
+	t.Rank, _ = d.spec.integer("rank", 0, MaxRank, true)
+	t.Deadline = d.spec.milliseconds("deadline_ms")
+	t.EnginePriority, _ = d.spec.integer("engine_priority", 0, MaxPriority, true)
+	d.spec.finish()
+	return t
+}
+
+func (d *decoding) pool() catalog.Item {
+	d.checkRecordName()
+	if _, ok := d.schemaVersion(1); !ok {
+		return nil
+	}
+	p := &catalog.Pool{Name: d.name, Revision: d.revision}
+	p.Kind = catalog.PoolKind(d.spec.oneOf("kind",
+		string(catalog.KindEngine), string(catalog.KindEncoder), string(catalog.KindRetriever),
+		string(catalog.KindReranker), string(catalog.KindService)))
+	p.Objective = catalog.Objective(d.spec.oneOf("objective",
+		string(catalog.ObjectiveAttainment), string(catalog.ObjectiveCost)))
+	p.Slots, _ = d.spec.integer("slots", 1, MaxSlots, true)
+	p.ChecksFencing = d.spec.boolean("checks_fencing", true)
+	p.EjectionFloor = d.spec.number("ejection_floor", 0, 1, true)
+	d.spec.finish()
+	return p
+}
+
+func (d *decoding) account() catalog.Item {
+	d.checkRecordName()
+	if _, ok := d.schemaVersion(1); !ok {
+		return nil
+	}
+	a := &catalog.Account{Name: d.name, Revision: d.revision}
+	a.Tier = d.spec.name("tier")
+	a.KeyHashes = d.keys()
+	a.RequestsPerSecond = d.spec.number("requests_per_s", 0, MaxRequestsS, true)
+	a.Burst = d.spec.number("burst", 0, MaxRequestsS, true)
+	if a.RequestsPerSecond > 0 && a.Burst < 1 && d.spec.has("burst") {
+		d.spec.fault("burst", "must be at least 1 when requests_per_s is above 0: no request would ever pass")
+	}
+	d.spec.finish()
+	return a
+}
+
+func (d *decoding) keys() [][32]byte {
+	v, ok := d.spec.get("keys", valueArray, true)
+	if !ok {
+		return nil
+	}
+	if len(v.items) < 1 || len(v.items) > MaxKeys {
+		d.spec.fault("keys", "must hold 1 to %d keys, not %d", MaxKeys, len(v.items))
+		return nil
+	}
+	var hashes [][32]byte
+	for i, item := range v.items {
+		key := newObject(d.list, fmt.Sprintf("keys[%d]", i), item)
+		if hash, ok := key.sha256("sha256"); ok {
+			if slices.Contains(hashes, hash) {
+				key.fault("sha256", "stands twice")
+			}
+			hashes = append(hashes, hash)
+		}
+		key.finish()
+	}
+	return hashes
+}
+
+func (o *object) sha256(name string) (hash [32]byte, ok bool) {
+	v, ok := o.get(name, valueString, true)
+	if !ok {
+		return hash, false
+	}
+	raw, err := hex.DecodeString(v.text)
+	if err != nil || len(raw) != len(hash) {
+		// The text isn't repeated: it may be the key itself by mistake.
+		o.fault(name, "must be the SHA-256 digest of the key, as 64 hexadecimal digits")
+		return hash, false
+	}
+	copy(hash[:], raw)
+	return hash, true
+}
+
+// deadlines reads the deadlines by tier, in milliseconds.
+func (d *decoding) deadlines(criticalPath time.Duration) map[string]time.Duration {
+	v, ok := d.spec.get("deadlines_ms", valueObject, false)
+	if !ok {
+		return nil
+	}
+	if len(v.members) > MaxOverrides {
+		d.spec.fault("deadlines_ms", "holds more than %d tiers", MaxOverrides)
+		return nil
+	}
+	tiers := newObject(d.list, "deadlines_ms", v)
+	deadlines := make(map[string]time.Duration, len(v.members))
+	for _, m := range v.members {
+		if reason := checkName(m.name); reason != "" {
+			d.list.add(m.offset, "deadlines_ms", "%s", reason)
+			continue
+		}
+		deadline := tiers.milliseconds(m.name)
+		if deadline > 0 && deadline < criticalPath {
+			tiers.fault(m.name, "%d is less than the %d ms that the stages are expected to take",
+				deadline.Milliseconds(), criticalPath.Milliseconds())
+		}
+		deadlines[m.name] = deadline
+	}
+	return deadlines
+}
--- /dev/null
+++ b/protocol/record/fault.go
@@ -0,0 +1,72 @@
+// Package record decodes and encodes the records that operators write: pools,
+// tiers, pipelines and accounts. Decoding is strict and reports every fault of
+// a record at once. docs/api/records.md is the reference.
+package record
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing that is wrong with a record.
+type Fault struct {
+	// Field is the path of the field, such as "stages[2].pool"; empty when
+	// the text as a whole is at fault.
+	Field string
+	// Line counts from 1 within the text that was decoded; 0 when unknown.
+	Line   int
+	Reason string
+}
+
+// Error describes the fault with its place.
+func (f Fault) Error() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Field != "" {
+		b.WriteString(f.Field)
+		b.WriteString(": ")
+	}
+	b.WriteString(f.Reason)
+	return b.String()
+}
+
+// Faults are all faults of one record or file, in the order of the text.
+type Faults []Fault
+
+// Error joins the faults.
+func (fs Faults) Error() string {
+	texts := make([]string, len(fs))
+	for i, f := range fs {
+		texts[i] = f.Error()
+	}
+	return strings.Join(texts, "; ")
+}
+
+// Shift returns the faults of a record that begins at the given line of a
+// file: with lines of the file, and the record's name before each path.
+func (fs Faults) Shift(record string, firstLine int) Faults {
+	shifted := make(Faults, len(fs))
+	for i, f := range fs {
+		if f.Field != "" {
+			f.Field = ": " + f.Field
+		}
+		f.Field = record + f.Field
+		if f.Line > 0 {
+			f.Line += firstLine - 1
+		}
+		shifted[i] = f
+	}
+	return shifted
+}
+
+func join(prefix, field string) string {
+	switch {
+	case prefix == "":
+		return field
+	case field == "":
+		return prefix
+	}
+	return prefix + "." + field
+}
--- /dev/null
+++ b/protocol/record/object.go
@@ -0,0 +1,216 @@
+package record
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxNameLength bounds names of records, stages, models and adapters.
+const MaxNameLength = 63
+
+var (
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+	modelPattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._/-]*[A-Za-z0-9])?$`)
+)
+
+// faultList gathers the faults of one text.
+type faultList struct {
+	text   []byte
+	faults Faults
+}
+
+func (l *faultList) add(offset int, field, format string, args ...any) {
+	fault := Fault{Field: field, Line: lineOf(l.text, offset), Reason: fmt.Sprintf(format, args...)}
+	l.faults = append(l.faults, fault)
+}
+
+// object reads the members of a JSON object by name. Each read of a member
+// reports what is wrong with it; finish reports the members nobody read.
+type object struct {
+	list   *faultList
+	path   string
+	offset int
+	byName map[string]value
+	order  []member
+	read   map[string]bool
+	// invalid marks a value that was reported already because it is no object.
+	invalid bool
+}
+
+// newObject reports a value that is no object, and members that stand twice.
+func newObject(list *faultList, path string, v value) *object {
+	o := &object{list: list, path: path, offset: v.offset, byName: map[string]value{}, read: map[string]bool{}}
+	if v.kind != valueObject {
+		list.add(v.offset, path, "must be an object, not %s", v.kind)
+		o.invalid = true
+		return o
+	}
+	o.order = v.members
+	for _, m := range v.members {
+		if _, twice := o.byName[m.name]; twice {
+			list.add(m.offset, o.field(m.name), "stands twice")
+			continue
+		}
+		o.byName[m.name] = m.value
+	}
+	return o
+}
+
+func (o *object) field(name string) string { return join(o.path, name) }
+
+func (o *object) fault(name, format string, args ...any) {
+	offset := o.offset
+	if v, ok := o.byName[name]; ok {
+		offset = v.offset
+	}
+	o.list.add(offset, o.field(name), format, args...)
+}
+
+// get fetches a member of the wanted kind. An absent one is reported only when
+// it is required; null counts as a value of the wrong kind.
+func (o *object) get(name string, kind valueKind, required bool) (value, bool) {
+	o.read[name] = true
+	v, ok := o.byName[name]
+	if !ok {
+		if required && !o.invalid {
+			o.fault(name, "is missing")
+		}
+		return value{}, false
+	}
+	if v.kind != kind {
+		o.fault(name, "must be %s, not %s", kind, v.kind)
+		return value{}, false
+	}
+	return v, true
+}
+
+func (o *object) has(name string) bool {
+	_, ok := o.byName[name]
+	return ok
+}
+
+// name reads a member that names a record or a stage.
+func (o *object) name(name string) string {
+	v, ok := o.get(name, valueString, true)
+	if !ok {
+		return ""
+	}
+	if reason := checkName(v.text); reason != "" {
+		o.fault(name, "%s", reason)
+		return ""
+	}
+	return v.text
+}
+
+// model reads an optional name of a model or adapter, which is freer in form.
+func (o *object) model(name string) string {
+	v, ok := o.get(name, valueString, false)
+	if !ok {
+		return ""
+	}
+	if len(v.text) > MaxNameLength || !modelPattern.MatchString(v.text) {
+		o.fault(name, "%s is not a model name of at most %d letters, digits and ._/-", quote(v.text), MaxNameLength)
+		return ""
+	}
+	return v.text
+}
+
+// oneOf reads a member that takes one of a few words.
+func (o *object) oneOf(name string, words ...string) string {
+	v, ok := o.get(name, valueString, true)
+	if !ok {
+		return ""
+	}
+	for _, w := range words {
+		if v.text == w {
+			return w
+		}
+	}
+	o.fault(name, "%s is not one of %s", quote(v.text), strings.Join(words, ", "))
+	return ""
+}
+
+func (o *object) boolean(name string, required bool) bool {
+	v, _ := o.get(name, valueBool, required)
+	return v.truth
+}
+
+// integer reads a whole number between low and high.
+func (o *object) integer(name string, low, high int, required bool) (int, bool) {
+	v, ok := o.get(name, valueNumber, required)
+	if !ok {
+		return 0, false
+	}
+	n, reason := wholeNumber(v.text, low, high)
+	if reason != "" {
+		o.fault(name, "%s", reason)
+	}
+	return n, reason == ""
+}
+
+// number reads a number between low and high.
+func (o *object) number(name string, low, high float64, required bool) float64 {
+	v, ok := o.get(name, valueNumber, required)
+	if !ok {
+		return 0
+	}
+	f, err := strconv.ParseFloat(v.text, 64)
+	if err != nil || math.IsNaN(f) || f < low || f > high {
+		o.fault(name, "%s is not between %v and %v", short(v.text), low, high)
+		return 0
+	}
+	return f
+}
+
+// milliseconds reads a time of at least one millisecond.
+func (o *object) milliseconds(name string) time.Duration {
+	n, _ := o.integer(name, 1, MaxMilliseconds, true)
+	return time.Duration(n) * time.Millisecond
+}
+
+// finish reports every member that was never read.
+func (o *object) finish() {
+	for _, m := range o.order {
+		if !o.read[m.name] {
+			o.list.add(m.offset, o.field(m.name), "is not a known field")
+			o.read[m.name] = true
+		}
+	}
+}
+
+func wholeNumber(text string, low, high int) (n int, reason string) {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, fmt.Sprintf("%s is not a whole number between %d and %d", short(text), low, high)
+	}
+	if n < low || n > high {
+		return 0, fmt.Sprintf("%d is not between %d and %d", n, low, high)
+	}
+	return n, ""
+}
+
+// checkName returns what is wrong with a name, or nothing.
+func checkName(name string) string {
+	if len(name) > MaxNameLength {
+		return fmt.Sprintf("%s is longer than %d characters", quote(name), MaxNameLength)
+	}
+	if !namePattern.MatchString(name) {
+		return fmt.Sprintf("%s is not a name of lower-case letters, digits and inner hyphens", quote(name))
+	}
+	return ""
+}
+
+func quote(s string) string { return strconv.Quote(short(s)) }
+
+// short keeps hostile input from filling a message.
+func short(s string) string {
+	const most = 40
+	if len(s) <= most {
+		return s
+	}
+	return s[:most] + "..."
+}
--- /dev/null
+++ b/protocol/record/tree.go
@@ -0,0 +1,173 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxDepth bounds how deeply values nest; records need five levels.
+const maxDepth = 12
+
+type valueKind int
+
+const (
+	valueNull valueKind = iota
+	valueBool
+	valueNumber
+	valueString
+	valueArray
+	valueObject
+)
+
+// String names the kind as operators know it from JSON.
+func (k valueKind) String() string {
+	return [...]string{"null", "a boolean", "a number", "a string", "a list", "an object"}[k]
+}
+
+// value is a JSON value that knows where it stands in its text.
+type value struct {
+	kind    valueKind
+	offset  int
+	end     int
+	text    string
+	truth   bool
+	members []member
+	items   []value
+}
+
+type member struct {
+	name   string
+	offset int
+	value  value
+}
+
+// parser builds values from text that is known to be valid JSON.
+type parser struct {
+	text    []byte
+	decoder *json.Decoder
+}
+
+var errTooDeep = fmt.Errorf("values nest deeper than %d levels", maxDepth)
+
+// parse reads the JSON values of a text one after another.
+func parse(text []byte) ([]value, error) {
+	if err := checkSyntax(text); err != nil {
+		return nil, err
+	}
+	p := &parser{text: text, decoder: json.NewDecoder(bytes.NewReader(text))}
+	p.decoder.UseNumber()
+	var values []value
+	for {
+		v, err := p.value(0)
+		if errors.Is(err, io.EOF) {
+			return values, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		values = append(values, v)
+	}
+}
+
+// checkSyntax validates before tokens are read: the token reader alone lets
+// some malformed texts pass.
+func checkSyntax(text []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	var raw json.RawMessage
+	for {
+		err := decoder.Decode(&raw)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (p *parser) value(depth int) (value, error) {
+	if depth > maxDepth {
+		return value{}, errTooDeep
+	}
+	offset := p.nextOffset()
+	token, err := p.decoder.Token()
+	if err != nil {
+		return value{}, err
+	}
+	v := value{offset: offset}
+	switch t := token.(type) {
+	case json.Delim:
+		err = p.composite(&v, t, depth)
+	case bool:
+		v.kind, v.truth = valueBool, t
+	case json.Number:
+		v.kind, v.text = valueNumber, t.String()
+	case string:
+		v.kind, v.text = valueString, t
+	}
+	v.end = int(p.decoder.InputOffset())
+	return v, err
+}
+
+func (p *parser) composite(v *value, open json.Delim, depth int) error {
+	v.kind = valueObject
+	if open == '[' {
+		v.kind = valueArray
+	}
+	for p.decoder.More() {
+		if err := p.element(v, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := p.decoder.Token()
+	return err
+}
+
+func (p *parser) element(v *value, depth int) error {
+	if v.kind == valueArray {
+		item, err := p.value(depth)
+		v.items = append(v.items, item)
+		return err
+	}
+	name, err := p.value(depth)
+	if err != nil {
+		return err
+	}
+	val, err := p.value(depth)
+	v.members = append(v.members, member{name: name.text, offset: name.offset, value: val})
+	return err
+}
+
+// nextOffset finds where the next token starts.
+func (p *parser) nextOffset() int {
+	offset := int(p.decoder.InputOffset())
+	for offset < len(p.text) && bytes.IndexByte([]byte(" \t\r\n,:"), p.text[offset]) >= 0 {
+		offset++
+	}
+	return offset
+}
+
+// syntaxFault turns a parse error into a fault with its line.
+func syntaxFault(text []byte, err error) Fault {
+	fault := Fault{Reason: "not valid JSON: " + err.Error()}
+	var syntax *json.SyntaxError
+	switch {
+	case errors.Is(err, errTooDeep):
+		fault.Reason = err.Error()
+	case errors.As(err, &syntax):
+		fault.Line = lineOf(text, int(syntax.Offset)-1)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		fault.Line = lineOf(text, len(text))
+		fault.Reason = "not valid JSON: the text ends too early"
+	}
+	return fault
+}
+
+// lineOf counts the line, from 1, on which an offset lies.
+func lineOf(text []byte, offset int) int {
+	offset = min(max(offset, 0), len(text))
+	return 1 + bytes.Count(text[:offset], []byte{'\n'})
+}
