Add the platform client and its in-memory stand-in

Cause: drivers need one interface to the object store, with errors that say what became of a write. Ruled out: marking a call as sent by its first written byte (the transport may write after it gave up); HTTP/2 (a timed-out call leaves a silent connection in use). Change: transport/platform with Store, Client, typed errors and a shared budget of calls; emulator/platform with objects, watches, targets, weights, limits and faults. Events of a watch carry their kind. Conclusion: other packages can build against the interface.

--- /dev/null
+++ b/emulator/platform/admin.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// Admin paths of the stand-in.
+const (
+	PathFaults  = "/admin/faults"
+	PathCalls   = "/admin/calls"
+	PathTargets = "/admin/targets"
+)
+
+// WeightChunk is the answer of the weight store: so many bytes may be taken as
+// read now.
+type WeightChunk struct {
+	Name  string `json:"name"`
+	Bytes uint64 `json:"bytes"`
+}
+
+func (s *Store) adminPaths(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Faults())
+	})
+	mux.HandleFunc("PUT "+PathFaults, s.serveSetFaults)
+	mux.HandleFunc("GET "+PathCalls, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Calls())
+	})
+	mux.HandleFunc("PUT "+PathTargets, s.serveSetTarget)
+	mux.HandleFunc("DELETE "+PathTargets+"/{incarnation}", func(w http.ResponseWriter, r *http.Request) {
+		s.RemoveTarget(r.PathValue("incarnation"))
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+}
+
+func (s *Store) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !readAdmin(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	writeJSON(w, http.StatusOK, faults)
+}
+
+// serveSetTarget registers a target, or marks it as leaving by its state.
+func (s *Store) serveSetTarget(w http.ResponseWriter, r *http.Request) {
+	var entry platformapi.TargetEntry
+	if !readAdmin(w, r, &entry) {
+		return
+	}
+	if entry.State == platformapi.TargetLeaving {
+		s.SetLeaving(entry.Incarnation)
+	} else {
+		s.RegisterTarget(entry)
+	}
+	writeJSON(w, http.StatusOK, entry)
+}
+
+func readAdmin(w http.ResponseWriter, r *http.Request, out any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		writeRefusal(w, refuse(http.StatusBadRequest, err.Error()))
+		return false
+	}
+	return true
+}
+
+func (s *Store) serveWeights(w http.ResponseWriter, r *http.Request) {
+	size, ok := number(w, r.URL.Query().Get("bytes"))
+	if !ok {
+		return
+	}
+	chunk := WeightChunk{Name: r.PathValue("name"), Bytes: size}
+	f := s.readWeights(r.Context(), requestOf(r), size)
+	answer(w, r, chunk, f)
+}
+
+// readWeights holds a chunk against the rate of the weight store, which all
+// callers share. A chunk over the burst of one second never passes.
+func (s *Store) readWeights(ctx context.Context, r request, size uint64) *failed {
+	if burst := s.weights.Burst(); burst > 0 && size > uint64(burst) {
+		return &failed{refusal: refuse(http.StatusBadRequest, "chunk over a second's worth")}
+	}
+	r.kind = CallWeight
+	return s.enterLimited(ctx, r, s.weights, int(size))
+}
--- /dev/null
+++ b/emulator/platform/handler.go
@@ -0,0 +1,173 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// maxBodyBytes bounds a request's body. JSON with much white space may be longer
+// than the value it holds.
+const maxBodyBytes = 2*platformapi.MaxValueBytes + 4096
+
+// Handler serves the object API, the weight store and the admin paths.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{kind}", s.serveKind)
+	mux.HandleFunc("POST /v1/objects/{kind}", s.serveCreate)
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.serveGet)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.serveUpdate)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}/status", s.serveUpdate)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.serveDelete)
+	mux.HandleFunc("GET /v1/weights/{name}", s.serveWeights)
+	s.adminPaths(mux)
+	return mux
+}
+
+func (s *Store) serveKind(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if query.Has("watch") {
+		s.serveWatch(w, r)
+		return
+	}
+	limit, ok := number(w, query.Get("limit"))
+	if !ok {
+		return
+	}
+	page, f := s.list(r.Context(), requestOf(r), query.Get("after"), int(limit), query.Get("stale") == "1")
+	answer(w, r, page, f)
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, ok := number(w, query.Get("watch"))
+	if !ok {
+		return
+	}
+	wait, ok := number(w, query.Get("wait_ms"))
+	if !ok {
+		return
+	}
+	kinds := []string{r.PathValue("kind")}
+	if kinds[0] == platformapi.KindAny {
+		kinds = strings.Split(query.Get("kinds"), ",")
+	}
+	waitMS := int(min(wait, platformapi.MaxWatchWaitMS))
+	watch, f := s.watch(r.Context(), requestOf(r), kinds, from, milliseconds(waitMS))
+	answer(w, r, watch, f)
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	object, f := s.get(r.Context(), requestOf(r), r.PathValue("name"))
+	answer(w, r, object, f)
+}
+
+func (s *Store) serveCreate(w http.ResponseWriter, r *http.Request) {
+	object, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	created, f := s.write(r.Context(), requestOf(r), func(t *table) (*platformapi.Object, *refusal) {
+		return t.create(r.PathValue("kind"), object)
+	})
+	answer(w, r, created, f)
+}
+
+func (s *Store) serveUpdate(w http.ResponseWriter, r *http.Request) {
+	object, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	object.Metadata.Name = r.PathValue("name")
+	statusOnly := strings.HasSuffix(r.URL.Path, "/status")
+	updated, f := s.write(r.Context(), requestOf(r), func(t *table) (*platformapi.Object, *refusal) {
+		return t.update(r.PathValue("kind"), object, statusOnly)
+	})
+	answer(w, r, updated, f)
+}
+
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
+	revision, ok := number(w, r.URL.Query().Get("revision"))
+	if !ok {
+		return
+	}
+	_, f := s.write(r.Context(), requestOf(r), func(t *table) (*platformapi.Object, *refusal) {
+		return nil, t.delete(r.PathValue("kind"), r.PathValue("name"), revision)
+	})
+	answer(w, r, struct{}{}, f)
+}
+
+func requestOf(r *http.Request) request {
+	return request{instance: r.Header.Get(platformapi.HeaderInstance), object: r.PathValue("kind")}
+}
+
+// answer writes a success, a refusal or breaks the connection.
+func answer(w http.ResponseWriter, r *http.Request, body any, f *failed) {
+	switch {
+	case f == nil:
+		writeJSON(w, http.StatusOK, body)
+	case f.refusal != nil:
+		writeRefusal(w, f.refusal)
+	case f.how == FailSilence:
+		<-r.Context().Done()
+	default:
+		reset(w)
+	}
+}
+
+func writeRefusal(w http.ResponseWriter, bad *refusal) {
+	if bad.status == http.StatusTooManyRequests || bad.status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	}
+	writeJSON(w, bad.status, platformapi.Conflict{Error: bad.message, Current: bad.current})
+}
+
+// reset closes the connection without an answer, by RST where TCP allows.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the close is a FIN, as good for the test
+	}
+	_ = conn.Close()
+}
+
+func readObject(w http.ResponseWriter, r *http.Request) (platformapi.Object, bool) {
+	var object platformapi.Object
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		writeRefusal(w, refuse(http.StatusRequestEntityTooLarge, "body too large"))
+		return object, false
+	}
+	if err := json.Unmarshal(body, &object); err != nil {
+		writeRefusal(w, refuse(http.StatusBadRequest, "body is not an object"))
+		return object, false
+	}
+	return object, true
+}
+
+// number reads a query value; empty means 0.
+func number(w http.ResponseWriter, text string) (uint64, bool) {
+	if text == "" {
+		return 0, true
+	}
+	value, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		writeRefusal(w, refuse(http.StatusBadRequest, "bad number"))
+		return 0, false
+	}
+	return value, true
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller is gone if this fails
+}
--- /dev/null
+++ b/emulator/platform/local.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	transport "github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// localPeer is the peer in errors of in-process calls.
+const localPeer = "in-process platform"
+
+// retryAfter is what refused callers are told to wait.
+const retryAfter = time.Second
+
+var errNoAnswer = errors.New("no answer")
+
+// Local calls the store within the process, as one instance. It meets the same
+// faults, limits and errors as a call over HTTP, but has no budget of calls.
+type Local struct {
+	store    *Store
+	instance string
+}
+
+var _ transport.Store = (*Local)(nil)
+
+// Local returns the store as instance sees it.
+func (s *Store) Local(instance string) *Local { return &Local{store: s, instance: instance} }
+
+// Get implements transport.Store.
+func (l *Local) Get(ctx context.Context, kind, name string) (*platformapi.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.store.options.LocalTimeout)
+	defer cancel()
+	object, f := l.store.get(ctx, l.request(kind), name)
+	return copied(object), l.check(ctx, transport.Call{Step: "get " + kind}, f)
+}
+
+// List implements transport.Store.
+func (l *Local) List(ctx context.Context, kind string) (platformapi.List, error) {
+	return l.list(ctx, kind, false)
+}
+
+// ListStale implements transport.Store.
+func (l *Local) ListStale(ctx context.Context, kind string) (platformapi.List, error) {
+	return l.list(ctx, kind, true)
+}
+
+func (l *Local) list(ctx context.Context, kind string, stale bool) (platformapi.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.store.options.LocalTimeout)
+	defer cancel()
+	var all platformapi.List
+	after := ""
+	for {
+		page, f := l.store.list(ctx, l.request(kind), after, 0, stale)
+		if err := l.check(ctx, transport.Call{Step: "list " + kind}, f); err != nil {
+			return platformapi.List{}, err
+		}
+		if after == "" {
+			all.Revision = page.Revision
+		}
+		all.Revision = min(all.Revision, page.Revision)
+		all.Items = append(all.Items, page.Items...)
+		after = page.Next
+		if after == "" {
+			return all, nil
+		}
+	}
+}
+
+// Create implements transport.Store.
+func (l *Local) Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
+	return l.write(ctx, "create ", kind, func(t *table) (*platformapi.Object, *refusal) {
+		return t.create(kind, object)
+	})
+}
+
+// Update implements transport.Store.
+func (l *Local) Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
+	return l.write(ctx, "update ", kind, func(t *table) (*platformapi.Object, *refusal) {
+		return t.update(kind, object, false)
+	})
+}
+
+// UpdateStatus implements transport.Store.
+func (l *Local) UpdateStatus(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
+	return l.write(ctx, "update status of ", kind, func(t *table) (*platformapi.Object, *refusal) {
+		return t.update(kind, object, true)
+	})
+}
+
+// Delete implements transport.Store.
+func (l *Local) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	_, err := l.write(ctx, "delete ", kind, func(t *table) (*platformapi.Object, *refusal) {
+		return nil, t.delete(kind, name, revision)
+	})
+	return err
+}
+
+// Watch implements transport.Store.
+func (l *Local) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+l.store.options.LocalTimeout)
+	defer cancel()
+	watch, f := l.store.watch(ctx, l.request(""), kinds, from, wait)
+	return watch, l.check(ctx, transport.Call{Step: "watch " + strings.Join(kinds, ",")}, f)
+}
+
+func (l *Local) write(ctx context.Context, verb, kind string, effect func(*table) (*platformapi.Object, *refusal)) (*platformapi.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.store.options.LocalTimeout)
+	defer cancel()
+	object, f := l.store.write(ctx, l.request(kind), effect)
+	return copied(object), l.check(ctx, transport.Call{Step: verb + kind, Write: true}, f)
+}
+
+func (l *Local) request(kind string) request {
+	return request{instance: l.instance, object: kind}
+}
+
+// check turns the end of a call into the errors of the client.
+func (l *Local) check(ctx context.Context, call transport.Call, f *failed) error {
+	call.Peer = localPeer
+	switch {
+	case f == nil:
+		return nil
+	case f.refusal != nil:
+		return transport.StatusError(call, f.refusal.status, retryAfter, copied(f.refusal.current))
+	case f.how == FailSilence:
+		<-ctx.Done()
+	}
+	return transport.LostAnswer(call, errNoAnswer)
+}
+
+func copied(object *platformapi.Object) *platformapi.Object {
+	if object == nil {
+		return nil
+	}
+	c := *object
+	return &c
+}
--- /dev/null
+++ b/emulator/platform/table.go
@@ -0,0 +1,290 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"sort"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+var (
+	kindPattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9_][A-Za-z0-9._:~@=+|-]{0,252}$`)
+)
+
+// refusal is an answer other than success, as an HTTP status.
+type refusal struct {
+	status  int
+	message string
+	current *platformapi.Object
+}
+
+func refuse(status int, message string) *refusal {
+	return &refusal{status: status, message: message}
+}
+
+// change is one entry of the history. before and after are nil when the object
+// didn't exist.
+type change struct {
+	revision uint64
+	kind     string
+	before   *platformapi.Object
+	after    *platformapi.Object
+}
+
+// table holds the objects and their history. Its owner locks it. Stored objects
+// are never altered in place, so that readers may keep them.
+type table struct {
+	revision uint64
+	kinds    map[string]map[string]*platformapi.Object
+	history  []change
+	keep     int
+	// compacted is the revision of the newest change no longer in history.
+	compacted uint64
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newTable(keep int) *table {
+	return &table{
+		kinds:   make(map[string]map[string]*platformapi.Object),
+		keep:    keep,
+		changed: make(chan struct{}),
+	}
+}
+
+func (t *table) get(kind, name string) *platformapi.Object { return t.kinds[kind][name] }
+
+func (t *table) create(kind string, object platformapi.Object) (*platformapi.Object, *refusal) {
+	name := object.Metadata.Name
+	if bad := checkNames(kind, name); bad != nil {
+		return nil, bad
+	}
+	spec, status, bad := checkValue(object)
+	if bad != nil {
+		return nil, bad
+	}
+	if current := t.get(kind, name); current != nil {
+		return nil, conflict("exists", current)
+	}
+	return t.put(kind, nil, platformapi.Object{
+		Metadata: platformapi.Metadata{Name: name},
+		Spec:     spec,
+		Status:   status,
+	}), nil
+}
+
+// update replaces the spec, or the status when statusOnly.
+func (t *table) update(kind string, object platformapi.Object, statusOnly bool) (*platformapi.Object, *refusal) {
+	current, bad := t.conditional(kind, object.Metadata.Name, object.Metadata.Revision)
+	if bad != nil {
+		return nil, bad
+	}
+	next := *current
+	if statusOnly {
+		next.Status = object.Status
+	} else {
+		next.Spec = object.Spec
+	}
+	next.Spec, next.Status, bad = checkValue(next)
+	if bad != nil {
+		return nil, bad
+	}
+	if bytes.Equal(next.Spec, current.Spec) && bytes.Equal(next.Status, current.Status) {
+		return current, nil
+	}
+	return t.put(kind, current, next), nil
+}
+
+func (t *table) delete(kind, name string, revision uint64) *refusal {
+	current, bad := t.conditional(kind, name, revision)
+	if bad != nil {
+		return bad
+	}
+	delete(t.kinds[kind], name)
+	t.record(kind, current, nil)
+	return nil
+}
+
+// conditional returns the object if it is of the revision, or revision is 0.
+func (t *table) conditional(kind, name string, revision uint64) (*platformapi.Object, *refusal) {
+	if bad := checkNames(kind, name); bad != nil {
+		return nil, bad
+	}
+	current := t.get(kind, name)
+	if current == nil {
+		return nil, refuse(http.StatusNotFound, "no such object")
+	}
+	if revision != 0 && revision != current.Metadata.Revision {
+		return nil, conflict("revision differs", current)
+	}
+	return current, nil
+}
+
+func (t *table) put(kind string, before *platformapi.Object, next platformapi.Object) *platformapi.Object {
+	next.Metadata.Revision = t.revision + 1
+	if t.kinds[kind] == nil {
+		t.kinds[kind] = make(map[string]*platformapi.Object)
+	}
+	t.kinds[kind][next.Metadata.Name] = &next
+	t.record(kind, before, &next)
+	return &next
+}
+
+func (t *table) record(kind string, before, after *platformapi.Object) {
+	t.revision++
+	t.history = append(t.history, change{revision: t.revision, kind: kind, before: before, after: after})
+	if excess := len(t.history) - t.keep; excess > 0 {
+		t.compacted = t.history[excess-1].revision
+		t.history = t.history[excess:]
+	}
+	t.wake()
+}
+
+// wake lets waiting watches look again.
+func (t *table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// dropHistory forgets all changes; watches from before get 410.
+func (t *table) dropHistory() {
+	t.history = nil
+	t.compacted = t.revision
+}
+
+// past returns a kind as it was back revisions ago, as far as history reaches.
+func (t *table) past(kind string, back uint64) (map[string]*platformapi.Object, uint64) {
+	back = min(back, uint64(len(t.history)))
+	if back == 0 {
+		return t.kinds[kind], t.revision
+	}
+	objects := make(map[string]*platformapi.Object, len(t.kinds[kind]))
+	for name, object := range t.kinds[kind] {
+		objects[name] = object
+	}
+	undone := t.history[uint64(len(t.history))-back:]
+	for i := len(undone) - 1; i >= 0; i-- {
+		if undone[i].kind == kind {
+			undo(objects, undone[i])
+		}
+	}
+	return objects, undone[0].revision - 1
+}
+
+func undo(objects map[string]*platformapi.Object, c change) {
+	if c.before == nil {
+		delete(objects, c.after.Metadata.Name)
+		return
+	}
+	objects[c.before.Metadata.Name] = c.before
+}
+
+// list returns one page in the order of names.
+func list(objects map[string]*platformapi.Object, after string, limit int) platformapi.List {
+	names := make([]string, 0, len(objects))
+	for name := range objects {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	page := platformapi.List{Items: []platformapi.Object{}}
+	size := 0
+	for _, name := range names {
+		object := objects[name]
+		size += valueSize(object)
+		if len(page.Items) > 0 && (len(page.Items) >= limit || size > platformapi.MaxPageBytes) {
+			page.Next = page.Items[len(page.Items)-1].Metadata.Name
+			break
+		}
+		page.Items = append(page.Items, *object)
+	}
+	return page
+}
+
+// since returns the changes of the kinds after a revision, as many as fit one
+// answer, and the revision from which the next watch goes on.
+func (t *table) since(kinds []string, from uint64) (platformapi.Watch, *refusal) {
+	watch := platformapi.Watch{Events: []platformapi.Event{}, Revision: t.revision}
+	if from < t.compacted || from > t.revision {
+		return watch, refuse(http.StatusGone, "history is gone")
+	}
+	first := sort.Search(len(t.history), func(i int) bool { return t.history[i].revision > from })
+	size := 0
+	for _, c := range t.history[first:] {
+		if !contains(kinds, c.kind) {
+			continue
+		}
+		event := c.event()
+		size += valueSize(&event.Object)
+		if len(watch.Events) > 0 && (len(watch.Events) >= platformapi.MaxPageItems || size > platformapi.MaxPageBytes) {
+			watch.Revision = c.revision - 1
+			return watch, nil
+		}
+		watch.Events = append(watch.Events, event)
+	}
+	return watch, nil
+}
+
+// event of a deletion carries the last object under the deletion's revision.
+func (c change) event() platformapi.Event {
+	if c.after != nil {
+		return platformapi.Event{Kind: c.kind, Object: *c.after}
+	}
+	object := *c.before
+	object.Metadata.Revision = c.revision
+	return platformapi.Event{Kind: c.kind, Object: object, Deleted: true}
+}
+
+func contains(kinds []string, kind string) bool {
+	for _, k := range kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return false
+}
+
+func conflict(message string, current *platformapi.Object) *refusal {
+	return &refusal{status: http.StatusConflict, message: message, current: current}
+}
+
+func checkNames(kind, name string) *refusal {
+	if !kindPattern.MatchString(kind) || !namePattern.MatchString(name) {
+		return refuse(http.StatusBadRequest, "bad kind or name")
+	}
+	return nil
+}
+
+// checkValue returns spec and status in compact form.
+func checkValue(object platformapi.Object) (spec, status json.RawMessage, bad *refusal) {
+	spec, err := compact(object.Spec)
+	if err != nil {
+		return nil, nil, refuse(http.StatusBadRequest, "spec is not JSON")
+	}
+	status, err = compact(object.Status)
+	if err != nil {
+		return nil, nil, refuse(http.StatusBadRequest, "status is not JSON")
+	}
+	if len(spec)+len(status) > platformapi.MaxValueBytes {
+		return nil, nil, refuse(http.StatusRequestEntityTooLarge, "value too large")
+	}
+	return spec, status, nil
+}
+
+func compact(value json.RawMessage) (json.RawMessage, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var out bytes.Buffer
+	if err := json.Compact(&out, value); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func valueSize(object *platformapi.Object) int { return len(object.Spec) + len(object.Status) }
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -50,6 +50,8 @@
 
 // Event is one change seen by a watch.
 type Event struct {
+	// Kind is the object's kind, since one watch may follow several.
+	Kind    string `json:"kind"`
 	Object  Object `json:"object"`
 	Deleted bool   `json:"deleted,omitempty"`
 }
--- /dev/null
+++ b/transport/platform/budget.go
@@ -0,0 +1,102 @@
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Defaults of BudgetOptions: a share of the platform's limits for a fleet of
+// eight instances.
+const (
+	DefaultReadsPerSecond  = 200
+	DefaultWritesPerSecond = 40
+	DefaultBurst           = 20
+	DefaultMaxWait         = time.Second
+)
+
+// BudgetOptions are the settings of a Budget; zero values mean the defaults.
+type BudgetOptions struct {
+	// ReadsPerSecond and WritesPerSecond are the most this process sends.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// Burst is the number of calls of a class that may leave at once.
+	Burst float64
+	// MaxWait bounds how long a call waits for its turn.
+	MaxWait time.Duration
+	// Rand draws the jitter; the Budget uses it under its lock.
+	Rand *rand.Rand
+}
+
+// Budget is the budget of calls of one process, shared by everything in it that
+// calls the platform. It is safe for concurrent use.
+type Budget struct {
+	mu       sync.Mutex
+	governor *governor
+}
+
+// NewBudget returns a budget that starts at a share of its full rate.
+func NewBudget(o BudgetOptions) *Budget {
+	if o.ReadsPerSecond == 0 {
+		o.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if o.WritesPerSecond == 0 {
+		o.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if o.Burst == 0 {
+		o.Burst = DefaultBurst
+	}
+	if o.MaxWait == 0 {
+		o.MaxWait = DefaultMaxWait
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Budget{governor: newGovernor(o, time.Now())}
+}
+
+// permit allows one call; done must be called once at its end.
+type permit struct {
+	budget *Budget
+	class  Class
+	probe  bool
+}
+
+// acquire waits for the call's turn. It refuses at once when the wait would
+// exceed ctx or MaxWait, or during an outage.
+func (b *Budget) acquire(ctx context.Context, class Class) (permit, error) {
+	if err := ctx.Err(); err != nil {
+		return permit{}, err
+	}
+	b.mu.Lock()
+	admitted, err := b.governor.admit(time.Now(), class)
+	b.mu.Unlock()
+	if err != nil {
+		return permit{}, err
+	}
+	if err := sleep(ctx, admitted.wait); err != nil {
+		return permit{}, err
+	}
+	return permit{budget: b, class: class, probe: admitted.probe}, nil
+}
+
+func (p permit) done(r result) {
+	p.budget.mu.Lock()
+	defer p.budget.mu.Unlock()
+	p.budget.governor.report(time.Now(), p.class, p.probe, r)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/transport/platform/client.go
@@ -0,0 +1,204 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// Defaults of Options.
+const (
+	DefaultTimeout    = 2 * time.Second
+	DefaultWatchSlack = 2 * time.Second
+)
+
+// Options are the settings of a Client; zero values mean the defaults.
+type Options struct {
+	// BaseURL is the platform's address, such as "http://10.0.0.1:7000".
+	BaseURL string
+	// Instance is sent with each call.
+	Instance string
+	// HTTP carries the calls; nil means a client of its own that speaks
+	// HTTP/1.1 alone.
+	HTTP *http.Client
+	// Timeout bounds each call from its sending to the end of its answer.
+	Timeout time.Duration
+	// WatchSlack is added to a watch's wait. A watch without an answer by then
+	// waits on a silent connection.
+	WatchSlack time.Duration
+	// Budget is shared by everything in the process; nil means a new one.
+	Budget *Budget
+}
+
+// Client is a Store over HTTP.
+type Client struct {
+	options Options
+	base    string
+	http    *http.Client
+	budget  *Budget
+}
+
+var _ Store = (*Client)(nil)
+
+// New returns a client; it makes no call yet.
+func New(options Options) *Client {
+	if options.Timeout == 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.WatchSlack == 0 {
+		options.WatchSlack = DefaultWatchSlack
+	}
+	if options.HTTP == nil {
+		options.HTTP = &http.Client{Transport: NewTransport(), CheckRedirect: noRedirect}
+	}
+	if options.Budget == nil {
+		options.Budget = NewBudget(BudgetOptions{})
+	}
+	return &Client{
+		options: options,
+		base:    strings.TrimSuffix(options.BaseURL, "/"),
+		http:    options.HTTP,
+		budget:  options.Budget,
+	}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (*platformapi.Object, error) {
+	var object platformapi.Object
+	err := c.read(ctx, "get "+kind, objectPath(kind, name), &object)
+	if err != nil {
+		return nil, err
+	}
+	return &object, nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, kind string) (platformapi.List, error) {
+	return c.listPages(ctx, kind, url.Values{})
+}
+
+// ListStale implements Store.
+func (c *Client) ListStale(ctx context.Context, kind string) (platformapi.List, error) {
+	return c.listPages(ctx, kind, url.Values{"stale": {"1"}})
+}
+
+// listPages joins the pages of a list. Pages may be of different revisions. The
+// revision given back is the lowest, so that a watch from it replays every
+// change that came between two pages instead of missing it.
+func (c *Client) listPages(ctx context.Context, kind string, query url.Values) (platformapi.List, error) {
+	var all platformapi.List
+	for first := true; ; first = false {
+		var page platformapi.List
+		path := platformapi.PathObjects + url.PathEscape(kind) + "?" + query.Encode()
+		if err := c.read(ctx, "list "+kind, path, &page); err != nil {
+			return platformapi.List{}, err
+		}
+		all.Items = append(all.Items, page.Items...)
+		if first || page.Revision < all.Revision {
+			all.Revision = page.Revision
+		}
+		if page.Next == "" {
+			return all, nil
+		}
+		query.Set("after", page.Next)
+	}
+}
+
+// Create implements Store.
+func (c *Client) Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
+	path := platformapi.PathObjects + url.PathEscape(kind)
+	return c.write(ctx, "create "+kind, http.MethodPost, path, object)
+}
+
+// Update implements Store.
+func (c *Client) Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
+	path := objectPath(kind, object.Metadata.Name)
+	return c.write(ctx, "update "+kind, http.MethodPut, path, object)
+}
+
+// UpdateStatus implements Store.
+func (c *Client) UpdateStatus(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
+	path := objectPath(kind, object.Metadata.Name) + "/status"
+	return c.write(ctx, "update status of "+kind, http.MethodPut, path, object)
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	path := objectPath(kind, name)
+	if revision != 0 {
+		path += "?revision=" + strconv.FormatUint(revision, 10)
+	}
+	return c.do(ctx, exchange{
+		call:    Call{Step: "delete " + kind, Peer: c.base, Write: true},
+		class:   ClassWrite,
+		method:  http.MethodDelete,
+		path:    path,
+		timeout: c.options.Timeout,
+	})
+}
+
+// Watch implements Store. While the platform is being tried again after an
+// outage it answers at once instead of waiting, see Budget.
+func (c *Client) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error) {
+	var watch platformapi.Watch
+	err := c.do(ctx, exchange{
+		call:    Call{Step: "watch " + strings.Join(kinds, ","), Peer: c.base},
+		class:   ClassRead,
+		method:  http.MethodGet,
+		path:    watchPath(kinds, from, wait),
+		probe:   watchPath(kinds, from, 0),
+		out:     &watch,
+		timeout: wait + c.options.WatchSlack,
+	})
+	return watch, err
+}
+
+func (c *Client) read(ctx context.Context, step, path string, out any) error {
+	return c.do(ctx, exchange{
+		call:    Call{Step: step, Peer: c.base},
+		class:   ClassRead,
+		method:  http.MethodGet,
+		path:    path,
+		out:     out,
+		timeout: c.options.Timeout,
+	})
+}
+
+func (c *Client) write(ctx context.Context, step, method, path string, object platformapi.Object) (*platformapi.Object, error) {
+	var written platformapi.Object
+	err := c.do(ctx, exchange{
+		call:    Call{Step: step, Peer: c.base, Write: true},
+		class:   ClassWrite,
+		method:  method,
+		path:    path,
+		in:      &object,
+		out:     &written,
+		timeout: c.options.Timeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &written, nil
+}
+
+// noRedirect gives back a redirect as the answer: following one would send a
+// write a second time.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func objectPath(kind, name string) string {
+	return platformapi.PathObjects + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func watchPath(kinds []string, from uint64, wait time.Duration) string {
+	query := url.Values{
+		"kinds":   {strings.Join(kinds, ",")},
+		"watch":   {strconv.FormatUint(from, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	return platformapi.PathObjects + platformapi.KindAny + "?" + query.Encode()
+}
--- /dev/null
+++ b/transport/platform/exchange.go
@@ -0,0 +1,205 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// maxAnswerBytes bounds an answer: a page and the one item that may exceed it,
+// with room for the envelope.
+const maxAnswerBytes = platformapi.MaxPageBytes + 4*platformapi.MaxValueBytes
+
+// idleTimeout closes connections that nothing has used for so long.
+const idleTimeout = 30 * time.Second
+
+// errTimeout is the cause when the call's own time limit ended it.
+var errTimeout = errors.New("no answer in time")
+
+// NewTransport returns the transport of a client's own. It speaks HTTP/1.1
+// alone: there, a call that timed out closes its connection, while HTTP/2 would
+// go on sending calls into a connection that has gone silent.
+func NewTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		Protocols:           protocols,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// exchange is one call and its answer.
+type exchange struct {
+	call   Call
+	class  Class
+	method string
+	path   string
+	// probe replaces path when this call probes the platform after an outage;
+	// empty means path.
+	probe   string
+	in      *platformapi.Object
+	out     any
+	timeout time.Duration
+}
+
+// do takes the call from the budget, carries it out and reports how it went.
+func (c *Client) do(ctx context.Context, x exchange) error {
+	permit, err := c.budget.acquire(ctx, x.class)
+	if err != nil {
+		return unavailable(x.call, err)
+	}
+	if permit.probe && x.probe != "" {
+		x.path = x.probe
+	}
+	result, err := c.send(ctx, x)
+	permit.done(result)
+	return err
+}
+
+// unavailable is the error of a call that the budget didn't let out.
+func unavailable(call Call, err error) error {
+	var held *heldError
+	if errors.As(err, &held) {
+		return &UnavailableError{Call: call, RetryAfter: held.retryAfter, Err: held.cause}
+	}
+	return &UnavailableError{Call: call, Err: err}
+}
+
+// send carries out one exchange within its time limit.
+func (c *Client) send(ctx context.Context, x exchange) (result, error) {
+	limited, cancel := context.WithTimeoutCause(ctx, x.timeout, errTimeout)
+	defer cancel()
+
+	// The call counts as sent once it holds a connection. A later mark would be
+	// wrong: the transport may still write after it has returned the error.
+	var sent atomic.Bool
+	traced := httptrace.WithClientTrace(limited, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	request, err := c.newRequest(traced, x)
+	if err != nil {
+		return result{outcome: outcomeNeutral}, &CallError{Call: x.call, Err: errors.Mark(err, ErrRefused)}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return c.failed(ctx, limited, x.call, err, sent.Load())
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return c.failed(ctx, limited, x.call, err, true)
+	}
+	return readAnswer(x, response, body)
+}
+
+func (c *Client) newRequest(ctx context.Context, x exchange) (*http.Request, error) {
+	var body io.Reader
+	if x.in != nil {
+		encoded, err := json.Marshal(x.in)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, x.method, c.base+x.path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(platformapi.HeaderInstance, c.options.Instance)
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+// failed classifies a call without a whole answer.
+func (c *Client) failed(ctx, limited context.Context, call Call, err error, sent bool) (result, error) {
+	err = withoutURL(err)
+	outcome := outcomeFailed
+	if ctx.Err() != nil {
+		// The caller gave up: that says nothing about the platform.
+		outcome = outcomeNeutral
+	}
+	if errors.Is(context.Cause(limited), errTimeout) {
+		err = errors.Mark(err, errTimeout)
+		// A timeout may mean that a middlebox forgot our connections: they stay
+		// open, and each takes one more call down with it. Idle ones of the same
+		// age are likely gone too, so the next calls connect anew.
+		c.http.CloseIdleConnections()
+	}
+	if !sent {
+		return result{outcome: outcome}, &UnavailableError{Call: call, Err: err}
+	}
+	return result{outcome: outcome}, LostAnswer(call, err)
+}
+
+// withoutURL takes the URL off an error, since it holds the object's name.
+func withoutURL(err error) error {
+	var located *url.Error
+	if errors.As(err, &located) {
+		return located.Err
+	}
+	return err
+}
+
+// readAnswer decodes a whole answer.
+func readAnswer(x exchange, response *http.Response, body []byte) (result, error) {
+	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
+		return readSuccess(x, body)
+	}
+	retryAfter := parseRetryAfter(response.Header.Get("Retry-After"))
+	var conflict platformapi.Conflict
+	if response.StatusCode == http.StatusConflict {
+		// A body that doesn't decode leaves Current nil: it is still a conflict.
+		_ = json.Unmarshal(body, &conflict)
+	}
+	err := StatusError(x.call, response.StatusCode, retryAfter, conflict.Current)
+	return result{outcome: outcomeOf(response.StatusCode), retryAfter: retryAfter}, err
+}
+
+// readSuccess decodes the body of a success. One that doesn't decode leaves the
+// result unknown, although the platform is up.
+func readSuccess(x exchange, body []byte) (result, error) {
+	ok := result{outcome: outcomeOK}
+	if len(body) > maxAnswerBytes {
+		return ok, LostAnswer(x.call, errors.Newf("answer over %d bytes", maxAnswerBytes))
+	}
+	if x.out == nil {
+		return ok, nil
+	}
+	if err := json.Unmarshal(body, x.out); err != nil {
+		return ok, LostAnswer(x.call, errors.Wrap(err, "decode answer"))
+	}
+	return ok, nil
+}
+
+func outcomeOf(status int) outcome {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return outcomeLimited
+	case status >= http.StatusInternalServerError:
+		return outcomeFailed
+	default:
+		return outcomeOK
+	}
+}
+
+func parseRetryAfter(header string) time.Duration {
+	seconds, err := strconv.Atoi(header)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
