--- a/settings/load.go
+++ b/settings/load.go
@@ -31,8 +31,9 @@
 	lines := scanLines(data)
 	faults := lines.faults
 	file, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreContinuation: true,
-		KeyValueDelimiters: "=",
+		IgnoreContinuation:       true,
+		SpaceBeforeInlineComment: true,
+		KeyValueDelimiters:       "=",
 	}, lines.clean)
 	if err != nil {
 		return s, append(faults, Fault{Reason: err.Error()})
