Decide and drive claims for requests that may not be repeated

Cause: a request that may not be repeated needs a claim in the store before dispatch. Ruled out: leases on claims, since a paused holder could dispatch after its lapse.

--- /dev/null
+++ b/daemon/claims/drive.go
@@ -0,0 +1,91 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+)
+
+// drive runs the state machine of one attempt to its decision.
+func (s *Service) drive(ctx context.Context, id claim.ID, body claim.BodyDigest, attempt uint64) Begun {
+	token := claim.Token{Owner: s.opts.Owner, Attempt: attempt}
+	now := s.opts.Now()
+	deadline := now.Add(s.opts.MaxWait)
+	if end, ok := ctx.Deadline(); ok {
+		deadline = now.Add(time.Until(end))
+	}
+	call := claim.NewCall(token, body, now, deadline, s.opts.Limits)
+	action := call.Start()
+	for {
+		decided, ok := action.(claim.Decide)
+		if ok {
+			return s.conclude(id, attempt, call, decided.Decision)
+		}
+		action = call.Step(s.opts.Now(), s.perform(ctx, id, action))
+	}
+}
+
+// conclude turns a decision into an answer and closes the attempt unless it
+// holds the claim.
+func (s *Service) conclude(id claim.ID, attempt uint64, call *claim.Call, d claim.Decision) Begun {
+	if d.Verdict == Run {
+		t := &Ticket{service: s, id: id, attempt: attempt, record: call.Record(), revision: d.Revision}
+		return Begun{Verdict: Run, Ticket: t, Reason: d.Reason}
+	}
+	s.memory.abandon(id, attempt, call.MayBeStored(), s.opts.Now())
+	if call.MayBeStored() {
+		s.release(id, call.Record(), 0)
+	}
+	if d.Verdict == NotRun {
+		return s.notRun(d)
+	}
+	return Begun{Verdict: d.Verdict, Kept: d.Kept, Reason: d.Reason}
+}
+
+// perform does one action and returns its answer.
+func (s *Service) perform(ctx context.Context, id claim.ID, action claim.Action) claim.Event {
+	switch a := action.(type) {
+	case claim.Create:
+		ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
+		defer cancel()
+		return s.opts.Storage.Create(ctx, id, a.Record)
+	case claim.Read:
+		ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
+		defer cancel()
+		return s.opts.Storage.Get(ctx, id)
+	case claim.TakeOver:
+		ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
+		defer cancel()
+		return s.opts.Storage.Replace(ctx, id, a.Revision, a.Record)
+	case claim.Ask:
+		return s.ask(ctx, claim.Question{ID: id, Token: a.Token})
+	case claim.Wait:
+		return s.wait(ctx, a.Until)
+	default:
+		panic("claims: unknown action")
+	}
+}
+
+func (s *Service) ask(ctx context.Context, q claim.Question) claim.Event {
+	if q.Token.Owner == s.opts.Owner {
+		return claim.PeerSaid{Answer: s.HandleAsk(ctx, q)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.AskTimeout)
+	defer cancel()
+	answer, err := s.opts.Asker.AskClaim(ctx, q.Token.Owner, q)
+	if err != nil {
+		return claim.PeerAway{}
+	}
+	return claim.PeerSaid{Answer: answer}
+}
+
+func (s *Service) wait(ctx context.Context, until time.Time) claim.Event {
+	timer := time.NewTimer(until.Sub(s.opts.Now()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return claim.Waited{}
+}
--- /dev/null
+++ b/daemon/claims/objects.go
@@ -0,0 +1,149 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Store is the part of the platform's store that claims use.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (*platformapi.Object, error)
+	ListStale(ctx context.Context, kind string) (platformapi.List, error)
+	Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
+	Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+}
+
+// Objects is the Storage that keeps one object a claim, named by the claim's
+// id. It costs two writes a claim, and one more when the retention ends.
+type Objects struct {
+	store Store
+}
+
+// NewObjects returns an Objects on the store.
+func NewObjects(store Store) *Objects { return &Objects{store: store} }
+
+// Create implements Storage.
+func (o *Objects) Create(ctx context.Context, id claim.ID, r claim.Record) claim.Event {
+	object, err := encodeRecord(id, 0, r)
+	if err != nil {
+		return claim.StoreAway{}
+	}
+	written, err := o.store.Create(ctx, platformapi.KindClaims, object)
+	return o.written(ctx, id, written, err)
+}
+
+// Replace implements Storage.
+func (o *Objects) Replace(ctx context.Context, id claim.ID, revision uint64, r claim.Record) claim.Event {
+	object, err := encodeRecord(id, revision, r)
+	if err != nil {
+		return claim.StoreAway{}
+	}
+	written, err := o.store.Update(ctx, platformapi.KindClaims, object)
+	return o.written(ctx, id, written, err)
+}
+
+// Get implements Storage.
+func (o *Objects) Get(ctx context.Context, id claim.ID) claim.Event {
+	object, err := o.store.Get(ctx, platformapi.KindClaims, id.String())
+	if errors.Is(err, platform.ErrNotFound) {
+		return claim.Absent{}
+	}
+	if err != nil {
+		return claim.ReadFailed{}
+	}
+	return exists(object)
+}
+
+// Sweep implements Storage. The list may be stale: a claim's time doesn't
+// change, and each removal is conditional on the listed revision.
+func (o *Objects) Sweep(ctx context.Context, before time.Time, pace func() error) (int, error) {
+	list, err := o.store.ListStale(ctx, platformapi.KindClaims)
+	if err != nil {
+		return 0, err
+	}
+	removed := 0
+	for i := range list.Items {
+		item := &list.Items[i]
+		e, ok := exists(item).(claim.Exists)
+		if !ok || !e.Record.Made.Before(before) {
+			continue
+		}
+		if err := pace(); err != nil {
+			return removed, err
+		}
+		err := o.store.Delete(ctx, platformapi.KindClaims, item.Metadata.Name, item.Metadata.Revision)
+		if err == nil {
+			removed++
+		}
+	}
+	return removed, nil
+}
+
+// written turns a write's answer into an event.
+func (o *Objects) written(ctx context.Context, id claim.ID, object *platformapi.Object, err error) claim.Event {
+	if err == nil {
+		return claim.Written{Revision: object.Metadata.Revision}
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return o.conflicting(ctx, id, conflict.Current)
+	}
+	return writeFailed(err)
+}
+
+// conflicting is what a refused write has met. The refusal was definite, but
+// without the claim in it the claim must be read.
+func (o *Objects) conflicting(ctx context.Context, id claim.ID, current *platformapi.Object) claim.Event {
+	if current != nil {
+		return exists(current)
+	}
+	if e := o.Get(ctx, id); e != (claim.ReadFailed{}) {
+		return e
+	}
+	return claim.AnswerLost{}
+}
+
+// writeFailed turns the error of a write, other than a conflict, into an event.
+func writeFailed(err error) claim.Event {
+	var unavailable *platform.UnavailableError
+	var call *platform.CallError
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return claim.Absent{}
+	case errors.As(err, &unavailable):
+		return claim.StoreAway{RetryAfter: unavailable.RetryAfter}
+	case errors.As(err, &call):
+		return claim.StoreAway{}
+	default:
+		// Guard: an error of unknown kind is taken for a lost answer, the
+		// case that forbids dispatch until the token has been read back.
+		return claim.AnswerLost{}
+	}
+}
+
+func encodeRecord(id claim.ID, revision uint64, r claim.Record) (platformapi.Object, error) {
+	spec, err := json.Marshal(r)
+	if err != nil {
+		return platformapi.Object{}, errors.Wrap(err, "claims: encode record")
+	}
+	meta := platformapi.Metadata{Name: id.String(), Revision: revision}
+	return platformapi.Object{Metadata: meta, Spec: spec}, nil
+}
+
+// exists decodes a stored claim. Guard: a claim that can't be read (a newer
+// schema, a broken value) must not count as absent, or its key would run again.
+func exists(object *platformapi.Object) claim.Event {
+	var r claim.Record
+	if err := json.Unmarshal(object.Spec, &r); err != nil {
+		return claim.ReadFailed{}
+	}
+	return claim.Exists{Record: r, Revision: object.Metadata.Revision}
+}
--- /dev/null
+++ b/daemon/claims/queue.go
@@ -0,0 +1,85 @@
+package claims
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+)
+
+// write is a conditional update of a claim that is over.
+type write struct {
+	id     claim.ID
+	record claim.Record
+	// revision is 0 when it isn't known: read first.
+	revision uint64
+	queued   time.Time
+}
+
+func (w *write) bytes() int {
+	if w.record.Kept == nil {
+		return 0
+	}
+	return len(w.record.Kept.Body)
+}
+
+// queue holds the writes that wait for the store, bounded by number and bytes.
+type queue struct {
+	mu       sync.Mutex
+	writes   []write
+	bytes    int
+	// taken counts the writes that pop has handed out and done not yet ended.
+	taken    int
+	max      int
+	maxBytes int
+	// changed is signalled when a write comes in.
+	changed chan struct{}
+}
+
+func newQueue(maxWrites, maxBytes int) *queue {
+	return &queue{max: maxWrites, maxBytes: maxBytes, changed: make(chan struct{}, 1)}
+}
+
+// push adds a write and tells whether there was room.
+func (q *queue) push(w write) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.writes) >= q.max || q.bytes+w.bytes() > q.maxBytes {
+		return false
+	}
+	q.writes = append(q.writes, w)
+	q.bytes += w.bytes()
+	select {
+	case q.changed <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// pop removes the oldest write; done ends the work on it.
+func (q *queue) pop() (write, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.writes) == 0 {
+		return write{}, false
+	}
+	w := q.writes[0]
+	q.writes[0] = write{}
+	q.writes = q.writes[1:]
+	q.bytes -= w.bytes()
+	q.taken++
+	return w, true
+}
+
+func (q *queue) done() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.taken--
+}
+
+// size counts the writes that wait or are under way.
+func (q *queue) size() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.writes) + q.taken
+}
--- /dev/null
+++ b/daemon/orders/boottime/boottime_other.go
@@ -0,0 +1,10 @@
+//go:build !linux
+
+package boottime
+
+import (
+	"errors"
+	"time"
+)
+
+func sinceBoot() (time.Duration, error) { return 0, errors.ErrUnsupported }
