Decide deadlines, admission, tiers, budgets and retries as pure state machines

Cause: the request path needs the decisions under load to compile against. Conclusion: public interfaces are there to build on; tests follow.

--- /dev/null
+++ b/coordination/budget/ledger.go
@@ -0,0 +1,169 @@
+package budget
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/shard"
+)
+
+const shards = 16
+
+// Ledger is one instance's part in the account budgets: what it may spend, and
+// what it grants as a home. It may be called from many goroutines.
+type Ledger struct {
+	config Config
+	view   atomic.Pointer[view]
+	spend  *shard.Map[string, spender]
+	homes  *shard.Map[string, homeBucket]
+}
+
+// NewLedger makes a ledger that starts at now and knows of no other instance.
+func NewLedger(now time.Time, c Config) *Ledger {
+	c = c.withDefaults()
+	l := &Ledger{
+		config: c,
+		spend:  shard.NewMap[string, spender](shards, c.Accounts),
+		homes:  shard.NewMap[string, homeBucket](shards, c.Accounts),
+	}
+	l.view.Store(&view{since: now, members: []string{c.Self}, listed: 1})
+	return l
+}
+
+// SetMembers tells which instances are heard, this one included, and how many
+// the platform lists. Calls are serialised by the caller.
+func (l *Ledger) SetMembers(now time.Time, members []string, listed int) {
+	next := &view{
+		since:    now,
+		members:  append([]string(nil), members...),
+		listed:   max(listed, len(members), 1),
+		previous: l.view.Load(),
+	}
+	next.trim()
+	l.view.Store(next)
+	// A home that lost an account forgets its bucket. Kept, the bucket would be
+	// full again when the account comes back, while the home in between had a
+	// bucket of its own: each flap would give the account a burst.
+	l.homes.DeleteFunc(func(account string, _ *homeBucket) bool {
+		return next.home(account) != l.config.Self
+	})
+}
+
+// Allow decides on one request of an account, by the record that is in force
+// now.
+func (l *Ledger) Allow(now time.Time, account *catalog.Account) Decision {
+	if Unlimited(account) {
+		return Decision{Verdict: Allowed}
+	}
+	v := l.view.Load()
+	var d Decision
+	l.spend.Update(account.Name, func(s *spender, existed bool) {
+		s.refresh(now, l.config, v, account, existed)
+		d = l.decide(now, v, account, s)
+	})
+	return d
+}
+
+func (l *Ledger) decide(now time.Time, v *view, account *catalog.Account, s *spender) Decision {
+	if s.home == l.config.Self {
+		return l.decideAtHome(now, v, account, s)
+	}
+	if s.pay() {
+		return Decision{Verdict: Allowed, Ask: s.prefetch(now, l.config, account.Name)}
+	}
+	if now.Before(s.emptyUntil) {
+		return Decision{Verdict: Refused, RetryAfter: s.retryAfter(now, l.config, v, account)}
+	}
+	if ask := s.ask(now, l.config, account.Name); ask != nil {
+		return Decision{Verdict: Pending, RetryAfter: l.config.AskTimeout, Ask: ask}
+	}
+	if left := l.config.AskTimeout - now.Sub(s.askedAt); left > 0 && s.waitsForGrant() {
+		return Decision{Verdict: Pending, RetryAfter: left}
+	}
+	return Decision{Verdict: Refused, RetryAfter: s.retryAfter(now, l.config, v, account)}
+}
+
+// decideAtHome serves a request at the account's home: from its floor first,
+// then from the bucket.
+func (l *Ledger) decideAtHome(now time.Time, v *view, account *catalog.Account, s *spender) Decision {
+	if s.pay() {
+		return Decision{Verdict: Allowed}
+	}
+	granted, wait := l.take(now, v, account, 1)
+	if granted >= 1 {
+		return Decision{Verdict: Allowed}
+	}
+	return Decision{Verdict: Refused, RetryAfter: wait}
+}
+
+// Grant answers another instance's ask. account is the record as this instance
+// has it. An instance that does not see itself as the home grants nothing: the
+// ask comes from another view, and two homes would grant the budget twice.
+func (l *Ledger) Grant(now time.Time, ask Ask, account *catalog.Account) Grant {
+	v := l.view.Load()
+	out := Grant{Account: ask.Account, Seq: ask.Seq}
+	if v.home(ask.Account) != l.config.Self {
+		out.RetryAfterMS = uint32(l.config.AskTimeout.Milliseconds())
+		return out
+	}
+	tokens, wait := l.take(now, v, account, float64(ask.Tokens))
+	out.Tokens = float32(tokens)
+	out.RetryAfterMS = uint32(wait.Milliseconds())
+	return out
+}
+
+// Granted takes in the answer to an ask of this instance.
+func (l *Ledger) Granted(now time.Time, g Grant) {
+	l.spend.View(g.Account, func(s *spender) { s.granted(now, l.config, g) })
+}
+
+// Accounts returns how many accounts are remembered as spender and as home.
+func (l *Ledger) Accounts() (spending, homes int) {
+	return l.spend.Len(), l.homes.Len()
+}
+
+// take pays tokens out of an account's bucket at its home: whole ones, and at
+// most half of what there is beyond one, so that one instance's chunk never
+// empties the budget for the others.
+func (l *Ledger) take(now time.Time, v *view, account *catalog.Account, tokens float64) (float64, time.Duration) {
+	var granted float64
+	var wait time.Duration
+	l.homes.Update(account.Name, func(b *homeBucket, existed bool) {
+		if !existed {
+			b.last = v.homeSince(account.Name, l.config.Self)
+		}
+		rate := b.refill(now, l.config, v, account)
+		granted = math.Floor(min(tokens, max(1, b.tokens/2), b.tokens))
+		b.tokens -= granted
+		if granted < 1 {
+			wait = secondsToDuration((1 - b.tokens) / rate)
+		}
+	})
+	return granted, wait
+}
+
+// homeBucket is an account's token bucket at its home. It starts empty at the
+// moment when the home became the home: the one before may have granted
+// everything up to then.
+type homeBucket struct {
+	tokens float64
+	last   time.Time
+}
+
+func (b *homeBucket) refill(now time.Time, c Config, v *view, account *catalog.Account) (rate float64) {
+	part := (1 - c.Floor) * v.share()
+	rate = account.RequestsPerSecond * part
+	if elapsed := now.Sub(b.last); elapsed > 0 {
+		b.tokens += rate * elapsed.Seconds()
+		b.last = now
+	}
+	b.tokens = min(b.tokens, max(burst(account)*part, 1))
+	return rate
+}
+
+func secondsToDuration(s float64) time.Duration {
+	const longest = 3600.0
+	return time.Duration(min(s, longest) * float64(time.Second))
+}
--- /dev/null
+++ b/coordination/deadline/histogram.go
@@ -0,0 +1,103 @@
+package deadline
+
+import (
+	"math"
+	"time"
+)
+
+// Shape of the histogram: buckets grow by a factor of 2^(1/bucketsPerOctave)
+// from minTracked on, which bounds the error of a quantile to half a bucket,
+// about 9%.
+const (
+	bucketsPerOctave = 4
+	bucketCount      = 84
+	minTracked       = 500 * time.Microsecond
+)
+
+// maxWeight is where the forward-decayed weights are scaled back, well within
+// the range of a float32.
+const maxWeight = 1e12
+
+// minRemembered bounds how fast old observations fade at a low rate: one new
+// observation never takes more than 1/minRemembered of a half-life, so that a
+// stage which runs once a minute keeps a distribution and not one value.
+const minRemembered = 16
+
+// histogram counts stage times with exponentially decaying weights. Decay works
+// forward (Cormode, Shkapenyuk, Srivastava, Xu: "Forward Decay: A Practical
+// Time Decay Model for Streaming Systems", ICDE 2009): newer observations weigh
+// more, and older ones are never touched until all are scaled back.
+type histogram struct {
+	weights [bucketCount]float32
+	total   float32
+	// scale is the weight of the next observation.
+	scale float64
+	last  time.Time
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= minTracked {
+		return 0
+	}
+	i := int(math.Log2(float64(d)/float64(minTracked))*bucketsPerOctave) + 1
+	return min(i, bucketCount-1)
+}
+
+// bucketValue is the geometric middle of a bucket.
+func bucketValue(i int) time.Duration {
+	if i == 0 {
+		return minTracked
+	}
+	exponent := (float64(i) - 0.5) / bucketsPerOctave
+	return time.Duration(float64(minTracked) * math.Exp2(exponent))
+}
+
+// seed starts the histogram from the operator's estimate: most of the weight
+// at the estimate, some above it, as stage times have a long upper tail.
+func (h *histogram) seed(now time.Time, expected time.Duration) {
+	h.scale = 1
+	h.last = now
+	h.add(expected, 0.8*priorWeight)
+	h.add(expected*3/2, 0.15*priorWeight)
+	h.add(expected*5/2, 0.05*priorWeight)
+}
+
+func (h *histogram) add(d time.Duration, weight float64) {
+	h.weights[bucketOf(d)] += float32(weight)
+	h.total += float32(weight)
+}
+
+func (h *histogram) observe(now time.Time, halfLife, d time.Duration) {
+	elapsed := float64(now.Sub(h.last)) / float64(halfLife)
+	growth := min(max(elapsed, 0), 1.0/minRemembered)
+	h.scale *= math.Exp2(growth)
+	if now.After(h.last) {
+		h.last = now
+	}
+	h.add(d, h.scale)
+	if h.scale > maxWeight {
+		h.rescale()
+	}
+}
+
+func (h *histogram) rescale() {
+	factor := float32(1 / h.scale)
+	h.total = 0
+	for i := range h.weights {
+		h.weights[i] *= factor
+		h.total += h.weights[i]
+	}
+	h.scale = 1
+}
+
+func (h *histogram) quantile(q float64) time.Duration {
+	rank := float32(q) * h.total
+	var seen float32
+	for i, w := range h.weights {
+		seen += w
+		if seen >= rank && w > 0 {
+			return bucketValue(i)
+		}
+	}
+	return bucketValue(bucketCount - 1)
+}
--- /dev/null
+++ b/coordination/tiers/dispatch.go
@@ -0,0 +1,156 @@
+package tiers
+
+import (
+	"math"
+	"time"
+)
+
+// dispatch appends the actions that are due to out: refusals of what waited
+// past the point of use, then dispatches in order of rank.
+func (g *Gate) dispatch(now time.Time, out []Action) []Action {
+	out = g.expire(now, out)
+	if len(g.waiting) == 0 {
+		return out
+	}
+	limit := g.limits(now)
+	upTo := 0
+	for r := range g.queues {
+		upTo += g.inFlight[r]
+		for len(g.queues[r]) > 0 && float64(upTo)+1 <= limit[r]+slack {
+			action, ok := g.place(now, r)
+			if !ok {
+				return out
+			}
+			out = append(out, action...)
+			upTo++
+		}
+	}
+	return out
+}
+
+// slack keeps rounding from withholding the last slot.
+const slack = 1e-6
+
+// place starts the first item of a rank, cancelling lower work for it where
+// that is called for. It returns false when the targets are too full.
+func (g *Gate) place(now time.Time, rank int) ([]Action, bool) {
+	total := g.totalInFlight()
+	over := total + 1 - float64(g.capacity)
+	var out []Action
+	if over > 0 {
+		victim := g.victim(now, rank, over)
+		if victim != nil {
+			victim.preempting = true
+			out = append(out, Action{Kind: Preempt, ID: victim.ID})
+		} else if total+1 > float64(g.capacity)*g.config.Overcommit {
+			return nil, false
+		}
+	}
+	it := g.queues[rank].first()
+	g.dequeue(now, it)
+	g.running[it.ID] = &running{Item: it.Item, since: now}
+	g.inFlight[rank]++
+	g.meters[rank].add(now, g.config.Window, 1)
+	return append(out, Action{Kind: Dispatch, ID: it.ID}), true
+}
+
+func (g *Gate) expire(now time.Time, out []Action) []Action {
+	for r := range g.queues {
+		for {
+			it := g.queues[r].first()
+			if it == nil || !now.After(it.LatestStart) {
+				break
+			}
+			g.dequeue(now, it)
+			out = append(out, g.refusal(now, it.Item, ReasonTooLate))
+		}
+	}
+	return out
+}
+
+// limits computes what this instance may have in flight. A peer whose digest
+// is missing is taken to want what we want: it shares the targets whether we
+// hear it or not, and taking it for idle would let each side of a parted
+// network fill the targets alone.
+func (g *Gate) limits(now time.Time) limits {
+	var own, total [MaxRanks]float64
+	unheard := float64(max(g.peers.Instances-1-g.peers.Heard, 0))
+	for r := range own {
+		m := &g.meters[r]
+		m.advance(now, g.config.Window)
+		own[r] = max(m.mean, float64(m.current))
+		total[r] = own[r]*(1+unheard) + float64(g.peers.Ranks[r].Demand)
+	}
+	l := divide(float64(g.capacity), g.peers.Instances, own, total, g.config.Margin)
+	return g.atLeastOne(l)
+}
+
+// atLeastOne lets every instance have one request of the highest queued rank in
+// flight: with fewer slots than instances, every part would round to none.
+func (g *Gate) atLeastOne(l limits) limits {
+	for r := range l {
+		if g.inFlight[r] > 0 {
+			return l
+		}
+		if len(g.queues[r]) > 0 {
+			l[r] = math.Max(l[r], 1)
+			return l
+		}
+	}
+	return l
+}
+
+// totalInFlight is what all instances are thought to have in flight.
+func (g *Gate) totalInFlight() float64 {
+	total := float64(len(g.running))
+	for r := range g.peers.Ranks {
+		total += float64(g.peers.Ranks[r].InFlight)
+	}
+	return total
+}
+
+// victim picks the running work that is cancelled so that the first item of
+// rank can start, or nil when there is none or when a slot comes free soon
+// enough by itself: a cancelled generation pays for its prompt twice. It takes
+// the lowest rank and, within it, what began last and so loses least.
+func (g *Gate) victim(now time.Time, rank int, over float64) *running {
+	if !g.config.Preempt || g.freesInTime(now, rank, over) {
+		return nil
+	}
+	var out *running
+	for _, r := range g.running {
+		if r.Rank > rank && g.preemptible(now, r) && (out == nil || costsLess(r, out)) {
+			out = r
+		}
+	}
+	return out
+}
+
+func costsLess(a, b *running) bool {
+	if a.Rank != b.Rank {
+		return a.Rank > b.Rank
+	}
+	if !a.since.Equal(b.since) {
+		return a.since.After(b.since)
+	}
+	return a.ID < b.ID
+}
+
+func (g *Gate) preemptible(now time.Time, r *running) bool {
+	return r.Resumable &&
+		!r.preempting &&
+		r.Preemptions < g.config.MaxPreemptions &&
+		now.Sub(r.since) >= g.config.MinRun
+}
+
+// safety is how many times over a slot must come free within an item's slack
+// before nothing is cancelled for it.
+const safety = 4
+
+func (g *Gate) freesInTime(now time.Time, rank int, over float64) bool {
+	g.drain.decay(now, g.config.Window)
+	all := g.drain.rate * float64(g.peers.Instances)
+	wait := over / max(all, minRate)
+	left := g.queues[rank].first().LatestStart.Sub(now)
+	return wait*safety <= left.Seconds()
+}
--- /dev/null
+++ b/coordination/tiers/gate.go
@@ -0,0 +1,235 @@
+package tiers
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultQueue         = 256
+	DefaultWindow        = time.Second
+	DefaultMargin        = 1.0
+	DefaultOvercommit    = 1.25
+	DefaultMinRun        = 500 * time.Millisecond
+	DefaultMaxPreemption = 2
+)
+
+// Config sets a pool's gate. Zero values take the defaults.
+type Config struct {
+	// Queue bounds the number of queued items over all ranks.
+	Queue int
+	// Window is the time over which demand and drain rate are averaged.
+	Window time.Duration
+	// Margin is what is kept free for a rank against lower ones beyond its
+	// mean demand, in standard deviations.
+	Margin float64
+	// Overcommit bounds what a higher rank may dispatch although lower ranks
+	// hold the slots, as a multiple of the capacity: the targets' own queues
+	// hold it, in order of the priority passed to them.
+	Overcommit float64
+	// Preempt allows resumable work to be cancelled for a higher rank.
+	Preempt bool
+	// MinRun is the least time that work runs before it may be cancelled.
+	MinRun time.Duration
+	// MaxPreemptions bounds how often one work is cancelled.
+	MaxPreemptions int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Queue <= 0 {
+		c.Queue = DefaultQueue
+	}
+	if c.Window <= 0 {
+		c.Window = DefaultWindow
+	}
+	if c.Margin <= 0 {
+		c.Margin = DefaultMargin
+	}
+	if c.Overcommit < 1 {
+		c.Overcommit = DefaultOvercommit
+	}
+	if c.MinRun <= 0 {
+		c.MinRun = DefaultMinRun
+	}
+	if c.MaxPreemptions <= 0 {
+		c.MaxPreemptions = DefaultMaxPreemption
+	}
+	return c
+}
+
+// running is an item that was dispatched and has not finished.
+type running struct {
+	Item
+	since      time.Time
+	preempting bool
+}
+
+// Gate is one instance's queue and admission to the targets of one pool.
+type Gate struct {
+	config   Config
+	capacity int
+	peers    PeerLoad
+	queues   [MaxRanks]rankQueue
+	waiting  map[uint64]*queued
+	running  map[uint64]*running
+	inFlight [MaxRanks]int
+	meters   [MaxRanks]meter
+	drain    drain
+	seq      uint64
+}
+
+// NewGate makes a gate for a pool whose targets have capacity slots in all.
+func NewGate(c Config, capacity int) *Gate {
+	return &Gate{
+		config:   c.withDefaults(),
+		capacity: max(capacity, 0),
+		peers:    PeerLoad{Instances: 1},
+		waiting:  make(map[uint64]*queued),
+		running:  make(map[uint64]*running),
+	}
+}
+
+// Enqueue takes an item in, or refuses it when the queue is full of work that
+// is as urgent.
+func (g *Gate) Enqueue(now time.Time, item Item) []Action {
+	item.Rank = clampRank(item.Rank)
+	var out []Action
+	if len(g.waiting) >= g.config.Queue {
+		victim := g.displaceable(item.Rank)
+		if victim == nil {
+			return []Action{g.refusal(now, item, ReasonQueueFull)}
+		}
+		g.dequeue(now, victim)
+		out = append(out, g.refusal(now, victim.Item, ReasonDisplaced))
+	}
+	g.seq++
+	it := &queued{Item: item, seq: g.seq, since: now}
+	heap.Push(&g.queues[item.Rank], it)
+	g.waiting[item.ID] = it
+	g.meters[item.Rank].add(now, g.config.Window, 1)
+	return g.dispatch(now, out)
+}
+
+// Finished tells that an item that was dispatched no longer holds its slot:
+// answered, failed, cancelled or preempted.
+func (g *Gate) Finished(now time.Time, id uint64) []Action {
+	r, ok := g.running[id]
+	if !ok {
+		return nil
+	}
+	delete(g.running, id)
+	g.inFlight[r.Rank]--
+	g.meters[r.Rank].add(now, g.config.Window, -1)
+	g.drain.finished(now, g.config.Window)
+	return g.dispatch(now, nil)
+}
+
+// Abandon takes an item whose caller gave up out of the queue. An item that was
+// dispatched is left alone: it ends by Finished.
+func (g *Gate) Abandon(now time.Time, id uint64) []Action {
+	it, ok := g.waiting[id]
+	if !ok {
+		return nil
+	}
+	g.dequeue(now, it)
+	return g.dispatch(now, nil)
+}
+
+// Tick refuses what waited past the point of use and dispatches what may start
+// since the peers' load or the time changed. Call it some ten times a second.
+func (g *Gate) Tick(now time.Time) []Action {
+	return g.dispatch(now, nil)
+}
+
+// SetCapacity tells how many slots the pool's routable targets have in all.
+func (g *Gate) SetCapacity(now time.Time, slots int) []Action {
+	g.capacity = max(slots, 0)
+	return g.dispatch(now, nil)
+}
+
+// SetPeers tells what the peers' newest digests add up to.
+func (g *Gate) SetPeers(now time.Time, load PeerLoad) []Action {
+	load.Instances = max(load.Instances, 1)
+	g.peers = load
+	return g.dispatch(now, nil)
+}
+
+// Digest returns what the peers have to know of this instance.
+func (g *Gate) Digest(now time.Time) Digest {
+	var d Digest
+	for r := range d.Ranks {
+		g.meters[r].advance(now, g.config.Window)
+		d.Ranks[r].InFlight = float32(g.inFlight[r])
+		d.Ranks[r].Demand = float32(g.meters[r].mean)
+	}
+	return d
+}
+
+// Stats returns a reading for metrics.
+func (g *Gate) Stats(now time.Time) Stats {
+	g.drain.decay(now, g.config.Window)
+	s := Stats{Capacity: g.capacity, InFlight: g.inFlight, Rate: g.drain.rate}
+	for r := range s.Queued {
+		s.Queued[r] = len(g.queues[r])
+	}
+	return s
+}
+
+// Wait is how long an item of the rank that came now would queue: the work of
+// the same and higher ranks ahead of it over the rate at which work finishes.
+// An empty queue means no wait, whatever the rate: an idle gate finishes
+// nothing, and taking that for a standstill would keep it idle.
+func (g *Gate) Wait(now time.Time, rank int) time.Duration {
+	ahead := g.ahead(clampRank(rank))
+	if ahead == 0 {
+		return 0
+	}
+	g.drain.decay(now, g.config.Window)
+	rate := max(g.drain.rate, minRate)
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// minRate, in requests a second, stands in for a drain rate of nothing.
+const minRate = 0.1
+
+// Bounds of a time to come back.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+func (g *Gate) refusal(now time.Time, item Item, reason Reason) Action {
+	wait := g.Wait(now, item.Rank)
+	return Action{
+		Kind:       Refuse,
+		ID:         item.ID,
+		Reason:     reason,
+		RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
+	}
+}
+
+func (g *Gate) ahead(rank int) int {
+	n := 0
+	for r := 0; r <= rank; r++ {
+		n += len(g.queues[r])
+	}
+	return n
+}
+
+// displaceable returns the newest item of the lowest queued rank, if that is
+// below rank.
+func (g *Gate) displaceable(rank int) *queued {
+	for r := MaxRanks - 1; r > rank; r-- {
+		if it := g.queues[r].newest(); it != nil {
+			return it
+		}
+	}
+	return nil
+}
+
+func (g *Gate) dequeue(now time.Time, it *queued) {
+	g.queues[it.Rank].remove(it)
+	delete(g.waiting, it.ID)
+	g.meters[it.Rank].add(now, g.config.Window, -1)
+}
--- /dev/null
+++ b/state/shard/map.go
@@ -0,0 +1,199 @@
+// Package shard holds bounded tables that are split into shards, each under a
+// lock of its own, so that requests on many cores seldom meet. A callback runs
+// under its shard's lock and must neither block nor call back into the table.
+package shard
+
+import (
+	"hash/maphash"
+	"sync"
+)
+
+// none marks the end of a shard's list of entries.
+const none = int32(-1)
+
+// Map is a bounded map. When a shard is full, the entry that was written
+// longest ago makes room for a new one.
+type Map[K comparable, V any] struct {
+	seed   maphash.Seed
+	shards []mapShard[K, V]
+}
+
+type mapShard[K comparable, V any] struct {
+	mu       sync.Mutex
+	index    map[K]int32
+	entries  []mapEntry[K, V]
+	free     []int32
+	newest   int32
+	oldest   int32
+	capacity int
+}
+
+type mapEntry[K comparable, V any] struct {
+	key          K
+	value        V
+	newer, older int32
+}
+
+// NewMap makes a map of the given number of shards that holds about capacity
+// entries in all. Both are raised to at least one a shard.
+func NewMap[K comparable, V any](shards, capacity int) *Map[K, V] {
+	shards = max(shards, 1)
+	perShard := max((capacity+shards-1)/shards, 1)
+	m := &Map[K, V]{seed: maphash.MakeSeed(), shards: make([]mapShard[K, V], shards)}
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.index = make(map[K]int32)
+		s.newest, s.oldest = none, none
+		s.capacity = perShard
+	}
+	return m
+}
+
+func (m *Map[K, V]) shardOf(key K) *mapShard[K, V] {
+	h := maphash.Comparable(m.seed, key)
+	return &m.shards[h%uint64(len(m.shards))]
+}
+
+// Get returns the value of a key. Reading does not make an entry newer.
+func (m *Map[K, V]) Get(key K) (V, bool) {
+	s := m.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.index[key]
+	if !ok {
+		var zero V
+		return zero, false
+	}
+	return s.entries[i].value, true
+}
+
+// Put writes a value and makes its entry the newest of its shard.
+func (m *Map[K, V]) Put(key K, value V) {
+	m.Update(key, func(v *V, _ bool) { *v = value })
+}
+
+// Update lets change work on the value of a key under the shard's lock, and
+// makes the entry the newest of its shard. A missing entry starts as the zero
+// value, and change is told that it did not exist.
+func (m *Map[K, V]) Update(key K, change func(value *V, existed bool)) {
+	s := m.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.index[key]
+	if ok {
+		s.unlink(i)
+	} else {
+		i = s.allocate(key)
+	}
+	s.linkNewest(i)
+	change(&s.entries[i].value, ok)
+}
+
+// View lets look read the value of a key under the shard's lock, without a
+// copy, and tells whether the key exists.
+func (m *Map[K, V]) View(key K, look func(value *V)) bool {
+	s := m.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.index[key]
+	if ok {
+		look(&s.entries[i].value)
+	}
+	return ok
+}
+
+// Delete removes a key and tells whether it existed.
+func (m *Map[K, V]) Delete(key K) bool {
+	s := m.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.index[key]
+	if ok {
+		s.remove(i)
+	}
+	return ok
+}
+
+// DeleteFunc removes every entry for which drop returns true. It takes one
+// shard's lock at a time.
+func (m *Map[K, V]) DeleteFunc(drop func(key K, value *V) bool) {
+	for n := range m.shards {
+		m.shards[n].deleteFunc(drop)
+	}
+}
+
+// Len returns the number of entries.
+func (m *Map[K, V]) Len() int {
+	total := 0
+	for n := range m.shards {
+		s := &m.shards[n]
+		s.mu.Lock()
+		total += len(s.index)
+		s.mu.Unlock()
+	}
+	return total
+}
+
+func (s *mapShard[K, V]) deleteFunc(drop func(K, *V) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := s.oldest; i != none; {
+		e := &s.entries[i]
+		next := e.newer
+		if drop(e.key, &e.value) {
+			s.remove(i)
+		}
+		i = next
+	}
+}
+
+// allocate returns an unlinked entry for a new key, taking the oldest one when
+// the shard is full.
+func (s *mapShard[K, V]) allocate(key K) int32 {
+	if len(s.index) >= s.capacity {
+		s.remove(s.oldest)
+	}
+	var i int32
+	if n := len(s.free); n > 0 {
+		i = s.free[n-1]
+		s.free = s.free[:n-1]
+	} else {
+		i = int32(len(s.entries))
+		s.entries = append(s.entries, mapEntry[K, V]{})
+	}
+	s.entries[i].key = key
+	s.index[key] = i
+	return i
+}
+
+func (s *mapShard[K, V]) remove(i int32) {
+	s.unlink(i)
+	delete(s.index, s.entries[i].key)
+	s.entries[i] = mapEntry[K, V]{}
+	s.free = append(s.free, i)
+}
+
+func (s *mapShard[K, V]) unlink(i int32) {
+	e := &s.entries[i]
+	if e.newer != none {
+		s.entries[e.newer].older = e.older
+	} else {
+		s.newest = e.older
+	}
+	if e.older != none {
+		s.entries[e.older].newer = e.newer
+	} else {
+		s.oldest = e.newer
+	}
+}
+
+func (s *mapShard[K, V]) linkNewest(i int32) {
+	e := &s.entries[i]
+	e.newer, e.older = none, s.newest
+	if s.newest != none {
+		s.entries[s.newest].newer = i
+	} else {
+		s.oldest = i
+	}
+	s.newest = i
+}
