--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -35,7 +35,7 @@
 		Prefix:                 MetricsPrefix,
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	t.Scope = newBoundedScope(scope)
@@ -49,3 +49,11 @@
 func metricRefused(err error) {
 	ErrorS(err, "metric refused", Event{Reason: "name used with other labels"})
 }
+
+// sanitizer is the reporter's own but for the values of labels, which keep the
+// dots and dashes of names: "a-b" and "a.b" stay two.
+func sanitizer() *tally.SanitizeOptions {
+	o := tallyprom.DefaultSanitizerOpts
+	o.ValueCharacters.Characters = tally.UnderscoreDashDotCharacters
+	return &o
+}
--- a/telemetry/traces.go
+++ b/telemetry/traces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
@@ -33,6 +34,12 @@
 		t.Tracer = t.TracerProvider.Tracer(instrumentation)
 		return nil
 	}
+	// The exporter answers a URL that it can't read by its own default, so spans
+	// would go to a collector that nobody named.
+	if _, err := url.ParseRequestURI(o.OTLPEndpoint); err != nil {
+		return errors.Wrap(err, "telemetry: OTLP endpoint")
+	}
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(exportFailed))
 	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(o.OTLPEndpoint))
 	if err != nil {
 		return errors.Wrapf(err, "telemetry: exporter for %s", o.OTLPEndpoint)
@@ -47,6 +54,11 @@
 	return nil
 }
 
+// exportFailed logs spans that are lost, at most once for each batch.
+func exportFailed(err error) {
+	ErrorS(err, "traces not exported", Event{})
+}
+
 func traceResource(o Options) *resource.Resource {
 	return resource.NewSchemaless(
 		attribute.String("service.name", "ivyhollowd"),
