--- a/state/catalog/accounts.go
+++ b/state/catalog/accounts.go
@@ -3,6 +3,8 @@
 import (
 	"iter"
 	"maps"
+	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -16,6 +18,8 @@
 type AccountTable struct {
 	byName *[accountShards]map[string]*Account
 	byKey  *[accountShards]map[[32]byte]*Account
+	// rivals holds the accounts that name a key which another one holds.
+	rivals map[[32]byte][]*Account
 	count  int
 }
 
@@ -70,6 +74,7 @@
 	e := &AccountEditor{
 		byName: new([accountShards]map[string]*Account),
 		byKey:  new([accountShards]map[[32]byte]*Account),
+		rivals: t.rivals,
 		count:  t.count,
 	}
 	if t.byName != nil {
@@ -84,17 +89,26 @@
 type AccountEditor struct {
 	byName     *[accountShards]map[string]*Account
 	byKey      *[accountShards]map[[32]byte]*Account
+	rivals     map[[32]byte][]*Account
 	ownedNames [accountShards]bool
 	ownedKeys  [accountShards]bool
 	count      int
 }
 
-// Put adds an account or replaces the one of its name.
+// ByKey finds the account that a key belongs to at this point of the change.
+func (e *AccountEditor) ByKey(hash [32]byte) (*Account, bool) {
+	a, ok := e.byKey[keyShard(hash)][hash]
+	return a, ok
+}
+
+// Put adds an account or replaces the one of its name. When two accounts name
+// one key, it belongs to the one whose name sorts first: two instances that
+// learned of the accounts in different orders must find the same one.
 func (e *AccountEditor) Put(a *Account) {
 	e.Delete(a.Name)
 	e.names(a.Name)[a.Name] = a
 	for _, hash := range a.KeyHashes {
-		e.keys(hash)[hash] = a
+		e.addKey(hash, a)
 	}
 	e.count++
 }
@@ -107,16 +121,59 @@
 	}
 	delete(e.names(name), name)
 	for _, hash := range old.KeyHashes {
-		if e.byKey[keyShard(hash)][hash] == old {
-			delete(e.keys(hash), hash)
-		}
+		e.dropKey(hash, old)
 	}
 	e.count--
 }
 
+func (e *AccountEditor) addKey(hash [32]byte, a *Account) {
+	holder, taken := e.ByKey(hash)
+	if !taken {
+		e.keys(hash)[hash] = a
+		return
+	}
+	e.setRivals(hash, append(slices.Clone(e.rivals[hash]), holder, a))
+	e.promote(hash)
+}
+
+func (e *AccountEditor) dropKey(hash [32]byte, a *Account) {
+	holder, _ := e.ByKey(hash)
+	if holder == a {
+		delete(e.keys(hash), hash)
+		e.promote(hash)
+		return
+	}
+	e.setRivals(hash, without(e.rivals[hash], a))
+}
+
+// promote gives a key to the first of its rivals.
+func (e *AccountEditor) promote(hash [32]byte) {
+	rivals := e.rivals[hash]
+	if len(rivals) == 0 {
+		return
+	}
+	first := slices.MinFunc(rivals, func(a, b *Account) int { return strings.Compare(a.Name, b.Name) })
+	e.keys(hash)[hash] = first
+	e.setRivals(hash, without(rivals, first))
+}
+
+// setRivals replaces the rivals for a key. It copies the whole map, which is
+// empty but for races of operators.
+func (e *AccountEditor) setRivals(hash [32]byte, rivals []*Account) {
+	e.rivals = cloneOrMake(e.rivals)
+	e.rivals[hash] = rivals
+	if len(rivals) == 0 {
+		delete(e.rivals, hash)
+	}
+}
+
+func without(accounts []*Account, a *Account) []*Account {
+	return slices.DeleteFunc(slices.Clone(accounts), func(b *Account) bool { return a == b })
+}
+
 // Table returns the changed table.
 func (e *AccountEditor) Table() AccountTable {
-	return AccountTable{byName: e.byName, byKey: e.byKey, count: e.count}
+	return AccountTable{byName: e.byName, byKey: e.byKey, rivals: e.rivals, count: e.count}
 }
 
 func (e *AccountEditor) names(name string) map[string]*Account {
@@ -137,9 +194,9 @@
 	return e.byKey[i]
 }
 
-func cloneOrMake[K comparable](m map[K]*Account) map[K]*Account {
+func cloneOrMake[K comparable, V any](m map[K]V) map[K]V {
 	if m == nil {
-		return make(map[K]*Account)
+		return make(map[K]V)
 	}
 	return maps.Clone(m)
 }
