Set the peer protocol and its transport

Cause: instances need typed messages and bounded connections to one another. Ruled out: the msgpack decoder alone, because it allocates by the header of an array; a full mesh of connections. Change: message types, framing with bounds checked before decoding, framed TCP with calls, heartbeats and mutual TLS.

--- /dev/null
+++ b/coordination/membership/view.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is an immutable picture of the cluster as one instance sees it.
+type View struct {
+	// Version rises with every change on this instance. Versions of different
+	// instances are not comparable.
+	Version uint64
+	// Self is the name of the instance whose view it is.
+	Self string
+	// Members are all known members in the order of their names, with the
+	// dead and those that left until they are forgotten.
+	Members []Member
+	live    []Member
+}
+
+// newView sorts members and takes them over.
+func newView(version uint64, self string, members []Member) *View {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	v := &View{Version: version, Self: self, Members: members}
+	for _, m := range members {
+		if m.Live() {
+			v.live = append(v.live, m)
+		}
+	}
+	return v
+}
+
+// NewView returns a view of the given members, for tests and tools.
+func NewView(version uint64, self string, members []Member) *View {
+	return newView(version, self, slices.Clone(members))
+}
+
+// Live returns the members that are alive or suspect, in the order of their
+// names. The caller does not change it.
+func (v *View) Live() []Member { return v.live }
+
+// Find returns the member of a name.
+func (v *View) Find(name string) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(v.Members, name, func(m Member, name string) int {
+		return cmp.Compare(m.Name, name)
+	})
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Gone tells whether a run of an instance is known to be over: its member is
+// dead or has left, or a higher incarnation runs under its name. An unknown
+// name is not known to be over.
+func (v *View) Gone(name string, incarnation uint64) bool {
+	m, ok := v.Find(name)
+	if !ok || m.Incarnation < incarnation {
+		return false
+	}
+	return m.Incarnation > incarnation || !m.Live()
+}
+
+// Owners returns the n live members responsible for a key, the first one being
+// its home. It is rendezvous hashing (D. Thaler and C. Ravishankar, "Using
+// Name-Based Mappings to Increase Hit Rates", IEEE/ACM ToN 1998): when a
+// member goes, only its own keys move. Owners of one key are spread over the
+// data centres before a data centre gives a second one. Two instances whose
+// views differ may name different owners for a while: an owner is a hint and
+// never a lock.
+func Owners(v *View, key string, n int) []Member {
+	if n <= 0 || len(v.live) == 0 {
+		return nil
+	}
+	ranked := rank(v.live, key)
+	owners := make([]Member, 0, min(n, len(ranked)))
+	perCentre := make(map[string]int)
+	for limit := 1; len(owners) < cap(owners); limit++ {
+		for i := range ranked {
+			m := ranked[i].member
+			if ranked[i].taken || perCentre[m.DataCentre] >= limit {
+				continue
+			}
+			ranked[i].taken = true
+			perCentre[m.DataCentre]++
+			owners = append(owners, *m)
+			if len(owners) == cap(owners) {
+				break
+			}
+		}
+	}
+	return owners
+}
+
+type rankedMember struct {
+	score  uint64
+	member *Member
+	taken  bool
+}
+
+// rank orders members by their score for a key, the highest first.
+func rank(members []Member, key string) []rankedMember {
+	ranked := make([]rankedMember, len(members))
+	for i := range members {
+		ranked[i] = rankedMember{score: score(members[i].Name, key), member: &members[i]}
+	}
+	slices.SortFunc(ranked, func(a, b rankedMember) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	return ranked
+}
+
+// score hashes a member's name with a key.
+func score(name, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/protocol/peer/bounds.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// Bounds on the structure of a message.
+const (
+	// MaxElements bounds every array and map in a message.
+	MaxElements = 4096
+	// maxDepth bounds nesting; the deepest message has 4 levels.
+	maxDepth = 8
+)
+
+// checkBounds walks a msgpack value without decoding it. The decoder allocates
+// a slice as long as an array's header says before it reads the first element,
+// so a frame of a few bytes could claim four thousand million members and
+// exhaust the memory. Here every header is compared with what the frame can
+// hold, which is known, and with MaxElements.
+func checkBounds(b []byte) error {
+	rest, err := skipValue(b, maxDepth)
+	if err != nil {
+		return err
+	}
+	if len(rest) != 0 {
+		return errors.Wrapf(ErrMalformed, "%d bytes after the message", len(rest))
+	}
+	return nil
+}
+
+// skipValue returns what follows the first value of b.
+func skipValue(b []byte, depth int) ([]byte, error) {
+	if depth == 0 {
+		return nil, errors.Wrap(ErrMalformed, "nested too deeply")
+	}
+	if len(b) == 0 {
+		return nil, errors.Wrap(ErrMalformed, "cut short")
+	}
+	c, b := b[0], b[1:]
+	switch {
+	case msgpcode.IsFixedNum(c), c == msgpcode.Nil, c == msgpcode.False, c == msgpcode.True:
+		return b, nil
+	case msgpcode.IsFixedString(c):
+		return skipBytes(b, int(c&msgpcode.FixedStrMask))
+	case msgpcode.IsFixedArray(c):
+		return skipElements(b, int(c&msgpcode.FixedArrayMask), depth)
+	case msgpcode.IsFixedMap(c):
+		return skipElements(b, 2*int(c&msgpcode.FixedMapMask), depth)
+	}
+	switch c {
+	case msgpcode.Uint8, msgpcode.Int8:
+		return skipBytes(b, 1)
+	case msgpcode.Uint16, msgpcode.Int16:
+		return skipBytes(b, 2)
+	case msgpcode.Uint32, msgpcode.Int32, msgpcode.Float:
+		return skipBytes(b, 4)
+	case msgpcode.Uint64, msgpcode.Int64, msgpcode.Double:
+		return skipBytes(b, 8)
+	case msgpcode.Str8, msgpcode.Bin8:
+		return skipSized(b, 1)
+	case msgpcode.Str16, msgpcode.Bin16:
+		return skipSized(b, 2)
+	case msgpcode.Str32, msgpcode.Bin32:
+		return skipSized(b, 4)
+	case msgpcode.Array16:
+		return skipCounted(b, 2, 1, depth)
+	case msgpcode.Array32:
+		return skipCounted(b, 4, 1, depth)
+	case msgpcode.Map16:
+		return skipCounted(b, 2, 2, depth)
+	case msgpcode.Map32:
+		return skipCounted(b, 4, 2, depth)
+	}
+	return nil, errors.Wrapf(ErrMalformed, "code %#x is not used", c)
+}
+
+// skipBytes drops n bytes.
+func skipBytes(b []byte, n int) ([]byte, error) {
+	if n > len(b) {
+		return nil, errors.Wrap(ErrMalformed, "cut short")
+	}
+	return b[n:], nil
+}
+
+// skipSized drops a string or binary whose length has the given width.
+func skipSized(b []byte, width int) ([]byte, error) {
+	n, b, err := length(b, width)
+	if err != nil {
+		return nil, err
+	}
+	return skipBytes(b, n)
+}
+
+// skipCounted drops an array or map whose header has the given width.
+func skipCounted(b []byte, width, perElement, depth int) ([]byte, error) {
+	n, b, err := length(b, width)
+	if err != nil {
+		return nil, err
+	}
+	if n > MaxElements {
+		return nil, errors.Wrapf(ErrMalformed, "%d elements, limit %d", n, MaxElements)
+	}
+	return skipElements(b, n*perElement, depth)
+}
+
+// skipElements drops n values.
+func skipElements(b []byte, n, depth int) ([]byte, error) {
+	var err error
+	for range n {
+		if b, err = skipValue(b, depth-1); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// length reads a big-endian length of 1, 2 or 4 bytes.
+func length(b []byte, width int) (int, []byte, error) {
+	if len(b) < width {
+		return 0, nil, errors.Wrap(ErrMalformed, "cut short")
+	}
+	var buf [4]byte
+	copy(buf[4-width:], b)
+	return int(binary.BigEndian.Uint32(buf[:])), b[width:], nil
+}
--- /dev/null
+++ b/protocol/peer/frame.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Limits of a frame, in bytes after the length prefix.
+const (
+	// MaxFrame bounds every frame.
+	MaxFrame = 1 << 20
+	// MaxHandshakeFrame bounds a frame from a peer that has not yet been
+	// accepted.
+	MaxHandshakeFrame = 4 << 10
+	// HeaderSize is the length prefix.
+	HeaderSize = 4
+)
+
+// Errors of the framing. ErrUnknownType is no fault of the connection: the
+// receiver counts it and reads on.
+var (
+	ErrFrameSize   = errors.New("frame size out of bounds")
+	ErrUnknownType = errors.New("unknown message type")
+	ErrMalformed   = errors.New("malformed message")
+)
+
+// Encode returns a whole frame: length, type and msgpack body.
+func Encode(m Message) ([]byte, error) {
+	t := TypeOf(m)
+	if t == 0 {
+		return nil, errors.Wrapf(ErrUnknownType, "encode %T", m)
+	}
+	var buf bytes.Buffer
+	buf.Write([]byte{0, 0, 0, 0, byte(t)})
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	enc.UseArrayEncodedStructs(!selfDescribing(t))
+	enc.UseCompactInts(true)
+	if err := enc.Encode(m); err != nil {
+		return nil, errors.Wrapf(err, "encode %T", m)
+	}
+	frame := buf.Bytes()
+	size := len(frame) - HeaderSize
+	if size > MaxFrame {
+		return nil, errors.Wrapf(ErrFrameSize, "encode %T: %d bytes", m, size)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	return frame, nil
+}
+
+// selfDescribing tells whether a type is sent as a map with field names. The
+// handshake is, because both ends must read it whatever their versions are.
+func selfDescribing(t Type) bool { return t == TypeHello || t == TypeWelcome }
+
+// Decode reads the body of a frame: type and msgpack.
+func Decode(body []byte) (Message, error) {
+	if len(body) == 0 {
+		return nil, errors.Wrap(ErrFrameSize, "empty frame")
+	}
+	t := Type(body[0])
+	m := newMessage(t)
+	if m == nil {
+		return nil, errors.Wrapf(ErrUnknownType, "type %d", t)
+	}
+	if err := checkBounds(body[1:]); err != nil {
+		return nil, errors.Wrapf(err, "decode type %d", t)
+	}
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(body[1:]))
+	if err := dec.Decode(m); err != nil {
+		return nil, errors.Wrapf(errors.Mark(err, ErrMalformed), "decode type %d", t)
+	}
+	return m, nil
+}
+
+// ReadFrame reads the body of one frame. A length of zero or above limit is
+// refused before anything is allocated for it, so that a hostile or confused
+// sender costs no memory.
+func ReadFrame(r io.Reader, limit int) ([]byte, error) {
+	var header [HeaderSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == 0 || uint64(size) > uint64(limit) {
+		return nil, errors.Wrapf(ErrFrameSize, "%d bytes, limit %d", size, limit)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, errors.Wrap(err, "frame cut short")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/transport/peer/credentials.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+)
+
+// sessionCacheSize holds TLS sessions for resumption, which spares most of a
+// handshake's bytes and processor time.
+const sessionCacheSize = 512
+
+// Files names the PEM files of mutual TLS.
+type Files struct {
+	Cert string
+	Key  string
+	// CA signs the certificates of all instances and of nothing else: whoever
+	// holds a certificate of it is a peer.
+	CA string
+}
+
+// material is one consistent reading of the files.
+type material struct {
+	cert  tls.Certificate
+	roots *x509.CertPool
+	stamp stamp
+}
+
+// stamp tells whether the files changed.
+type stamp [3]struct {
+	modified time.Time
+	size     int64
+}
+
+// credentials keeps the newest readable state of the files.
+type credentials struct {
+	files   Files
+	current atomic.Pointer[material]
+}
+
+// loadCredentials reads the files.
+func loadCredentials(files Files) (*credentials, error) {
+	c := &credentials{files: files}
+	m, err := files.read()
+	if err != nil {
+		return nil, err
+	}
+	c.current.Store(m)
+	return c, nil
+}
+
+// read reads and checks the three files.
+func (f Files) read() (*material, error) {
+	st, err := f.stat()
+	if err != nil {
+		return nil, err
+	}
+	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate and key")
+	}
+	pem, err := os.ReadFile(f.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "CA")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("CA file %s has no certificate", f.CA)
+	}
+	return &material{cert: cert, roots: roots, stamp: st}, nil
+}
+
+// stat returns the files' times and sizes.
+func (f Files) stat() (stamp, error) {
+	var st stamp
+	for i, path := range []string{f.Cert, f.Key, f.CA} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return st, err
+		}
+		st[i].modified = info.ModTime()
+		st[i].size = info.Size()
+	}
+	return st, nil
+}
+
+// reload takes over changed files. Files that do not fit together, as in the
+// middle of a change, leave the last good ones in force; the next look tries
+// again.
+func (c *credentials) reload() (changed bool, err error) {
+	st, err := c.files.stat()
+	if err != nil {
+		return false, err
+	}
+	if st == c.current.Load().stamp {
+		return false, nil
+	}
+	m, err := c.files.read()
+	if err != nil {
+		return false, err
+	}
+	c.current.Store(m)
+	return true, nil
+}
+
+// watch looks at the files until the context ends.
+func (c *credentials) watch(ctx context.Context, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		changed, err := c.reload()
+		switch {
+		case err != nil:
+			klog.ErrorS(err, "TLS files are not usable, the last good ones stay in force", "cert", c.files.Cert)
+		case changed:
+			klog.InfoS("TLS files re-read", "cert", c.files.Cert)
+		}
+	}
+}
+
+// serverConfig asks each client for a certificate of the CA.
+func (c *credentials) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &c.current.Load().cert, nil
+		},
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			return c.verify(cs, x509.ExtKeyUsageClientAuth)
+		},
+	}
+}
+
+// clientConfig checks the server against the CA. The library's own check is
+// switched off because it takes its roots once and compares a host name, where
+// instances are found by address and the CA is re-read; verify does it on
+// every connection, resumed ones included.
+func (c *credentials) clientConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true,
+		ClientSessionCache: tls.NewLRUClientSessionCache(sessionCacheSize),
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &c.current.Load().cert, nil
+		},
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			return c.verify(cs, x509.ExtKeyUsageServerAuth)
+		},
+	}
+}
+
+// verify checks a peer's certificate against the CA now in force.
+func (c *credentials) verify(cs tls.ConnectionState, usage x509.ExtKeyUsage) error {
+	if len(cs.PeerCertificates) == 0 {
+		return errors.New("peer sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range cs.PeerCertificates[1:] {
+		intermediates.AddCert(cert)
+	}
+	_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         c.current.Load().roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	return err
+}
--- /dev/null
+++ b/transport/peer/node.go
@@ -0,0 +1,290 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/ivyhollow/ivyhollow/protocol/peer"
+)
+
+// Node is this instance's end of all connections to other instances.
+type Node struct {
+	opts    Options
+	creds   *credentials
+	server  *tls.Config
+	client  *tls.Config
+	metrics metrics
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	listener net.Listener
+	// handlers holds a token for each handler that runs.
+	handlers chan struct{}
+	// posts holds a token for each one-way message that waits for a
+	// connection.
+	posts chan struct{}
+
+	mu        sync.Mutex
+	closed    bool
+	conns     map[*conn]struct{}
+	links     map[string]*conn
+	dialing   map[string]*dialAttempt
+	methods   map[string]method
+	onMessage func(from Peer, m peer.Message)
+
+	bytesIn  atomic.Int64
+	bytesOut atomic.Int64
+}
+
+// Stats are counts since the start of a Node.
+type Stats struct {
+	// BytesIn and BytesOut are bytes on the connections, TLS included, TCP
+	// and IP headers not.
+	BytesIn  int64
+	BytesOut int64
+	// Conns is the number of connections now.
+	Conns int
+}
+
+// New checks the options and reads the TLS files. Handlers are registered
+// before Listen.
+func New(opts Options) (*Node, error) {
+	opts = opts.withDefaults()
+	if err := opts.validate(); err != nil {
+		return nil, fail(StepListen, opts.Listen, err)
+	}
+	n := &Node{
+		opts:     opts,
+		metrics:  newMetrics(opts.Scope),
+		handlers: make(chan struct{}, opts.MaxHandlers),
+		posts:    make(chan struct{}, opts.MaxPosts),
+		conns:    make(map[*conn]struct{}),
+		links:    make(map[string]*conn),
+		dialing:  make(map[string]*dialAttempt),
+		methods:  make(map[string]method),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if opts.TLS != nil {
+		creds, err := loadCredentials(*opts.TLS)
+		if err != nil {
+			return nil, fail(StepTLS, opts.Listen, err)
+		}
+		n.creds = creds
+		n.server = creds.serverConfig()
+		n.client = creds.clientConfig()
+	}
+	return n, nil
+}
+
+// Listen begins to accept connections.
+func (n *Node) Listen() error {
+	listener, err := net.Listen("tcp", n.opts.Listen)
+	if err != nil {
+		return fail(StepListen, n.opts.Listen, err)
+	}
+	n.listener = listener
+	if n.opts.Self.Address == "" {
+		n.opts.Self.Address = listener.Addr().String()
+	}
+	n.wg.Go(n.accept)
+	n.wg.Go(n.monitor)
+	if n.creds != nil {
+		n.wg.Go(func() { n.creds.watch(n.ctx, n.opts.ReloadEvery) })
+	}
+	return nil
+}
+
+// Addr returns the address that peers dial.
+func (n *Node) Addr() string { return n.opts.Self.Address }
+
+// OnMessage sets the receiver of one-way messages. It is called from the
+// connections' readers and must not block.
+func (n *Node) OnMessage(fn func(from Peer, m peer.Message)) { n.onMessage = fn }
+
+// Stats returns the counts.
+func (n *Node) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Stats{BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load(), Conns: len(n.conns)}
+}
+
+// Close ends all connections and waits for all goroutines.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	n.closed = true
+	open := make([]*conn, 0, len(n.conns))
+	for c := range n.conns {
+		open = append(open, c)
+	}
+	n.mu.Unlock()
+	n.cancel()
+	var err error
+	if n.listener != nil {
+		err = n.listener.Close()
+	}
+	for _, c := range open {
+		c.close(ErrClosed)
+	}
+	n.wg.Wait()
+	return err
+}
+
+// accept takes connections until the listener is closed.
+func (n *Node) accept() {
+	for {
+		nc, err := n.listener.Accept()
+		if err != nil {
+			if n.ctx.Err() != nil {
+				return
+			}
+			// Out of descriptors, for one: without a pause this loop would
+			// take a whole core until some are free again.
+			klog.ErrorS(err, "Accepting a peer connection failed")
+			pause(n.ctx, n.opts.HeartbeatTimeout)
+			continue
+		}
+		c, err := n.register(nc, "")
+		if err != nil {
+			n.metrics.refused(StepHandshake, err)
+			_ = nc.Close()
+			continue
+		}
+		n.wg.Go(func() { n.serve(c) })
+	}
+}
+
+// pause waits for a duration or for the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// serve does the handshake of an accepted connection and reads from it.
+func (n *Node) serve(c *conn) {
+	if err := n.welcome(c); err != nil {
+		n.metrics.refused(StepHandshake, err)
+		klog.V(2).InfoS("Peer connection refused", "peer", c.remote, "err", err)
+		c.close(err)
+		return
+	}
+	n.adopt(c)
+	c.run()
+}
+
+// register admits a new socket within the bound of connections.
+func (n *Node) register(nc net.Conn, address string) (*conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, ErrClosed
+	}
+	if len(n.conns) >= n.opts.MaxConns {
+		return nil, errors.Wrapf(ErrBusy, "%d connections", len(n.conns))
+	}
+	c := newConn(n, nc, address)
+	n.conns[c] = struct{}{}
+	return c, nil
+}
+
+// adopt makes an accepted connection the link to its peer if there is none, or
+// if the present one leads to an older run at the same address.
+func (n *Node) adopt(c *conn) {
+	address := c.peer.Address
+	n.mu.Lock()
+	old := n.links[address]
+	if old == nil || old.peer.Incarnation < c.peer.Incarnation {
+		n.links[address] = c
+	}
+	n.mu.Unlock()
+	if old != nil && old.peer.Incarnation < c.peer.Incarnation {
+		old.close(errors.Wrap(ErrConnLost, "a newer run has the address"))
+	}
+}
+
+// forget drops a closed connection.
+func (n *Node) forget(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+	n.unlink(c.address, c)
+	if c.ready.Load() {
+		n.unlink(c.peer.Address, c)
+	}
+}
+
+// unlink drops a connection as the link to an address; n.mu is held.
+func (n *Node) unlink(address string, c *conn) {
+	if n.links[address] == c {
+		delete(n.links, address)
+	}
+}
+
+// metrics are the counters of a Node.
+type metrics struct {
+	scope    tally.Scope
+	dials    tally.Counter
+	silent   tally.Counter
+	dropped  tally.Counter
+	unknown  tally.Counter
+	bytesIn  tally.Counter
+	bytesOut tally.Counter
+}
+
+// newMetrics makes the counters.
+func newMetrics(scope tally.Scope) metrics {
+	s := scope.SubScope("peer")
+	return metrics{
+		scope:    s,
+		dials:    s.Counter("dials"),
+		silent:   s.Counter("silent_connections"),
+		dropped:  s.Counter("gossip_dropped"),
+		unknown:  s.Counter("unknown_messages"),
+		bytesIn:  s.Counter("bytes_in"),
+		bytesOut: s.Counter("bytes_out"),
+	}
+}
+
+// refused counts a connection that was refused or broken by bad input.
+func (m metrics) refused(step Step, err error) {
+	m.scope.Tagged(map[string]string{"step": string(step), "reason": reason(err)}).Counter("refused").Inc(1)
+}
+
+// reason is the tag value of an error; the set is closed, so that bad input
+// can't grow the metrics.
+func reason(err error) string {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, peer.ErrFrameSize):
+		return "frame_size"
+	case errors.Is(err, peer.ErrMalformed):
+		return "malformed"
+	case errors.Is(err, ErrVersion):
+		return "version"
+	case errors.Is(err, ErrCluster):
+		return "cluster"
+	case errors.Is(err, ErrInvalid):
+		return "invalid"
+	case errors.Is(err, ErrBusy):
+		return "busy"
+	case errors.Is(err, ErrCleartext):
+		return "cleartext"
+	case errors.Is(err, errTLS):
+		return "tls"
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return "timeout"
+	}
+	return "cut_short"
+}
--- /dev/null
+++ b/transport/peer/options.go
@@ -0,0 +1,148 @@
+// Package peer connects instances over framed TCP: one-way gossip and calls by
+// method name, multiplexed over kept connections.
+//
+// Every wait and every table in it is bounded. A connection on which nothing
+// arrives is probed by a heartbeat; when that is missed the connection counts
+// as silent, is closed, and a new one is tried before the other instance
+// counts as unreachable.
+package peer
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/protocol/peer"
+)
+
+// Options are the settings of a Node. Zero durations and counts take the
+// defaults of DefaultOptions.
+type Options struct {
+	// Cluster names the cluster; peers of another one are refused.
+	Cluster string
+	// Self describes this instance. An empty Address takes the listener's.
+	Self membership.Member
+	// Listen is the IP address and port to listen on.
+	Listen string
+	// TLS names the files for mutual TLS. Nil means cleartext, which is
+	// refused on addresses that are not loopback.
+	TLS *Files
+
+	DialTimeout      time.Duration
+	HandshakeTimeout time.Duration
+	// FrameTimeout bounds the time from a frame's length to its last byte.
+	FrameTimeout time.Duration
+	WriteTimeout time.Duration
+	// CallTimeout bounds a call whose context has no deadline, and the time a
+	// handler may take.
+	CallTimeout time.Duration
+	// HeartbeatBusy is how long nothing may arrive before a heartbeat while a
+	// call waits for its answer, HeartbeatIdle the same while none does.
+	HeartbeatBusy time.Duration
+	HeartbeatIdle time.Duration
+	// HeartbeatTimeout is how long a heartbeat waits for any sign.
+	HeartbeatTimeout time.Duration
+	// IdleClose closes a connection without messages for so long.
+	IdleClose time.Duration
+	// ReloadEvery is how often the TLS files are looked at for a change.
+	ReloadEvery time.Duration
+
+	// MaxConns bounds the connections, both ways together.
+	MaxConns int
+	// MaxHandlers bounds the handlers that run at once.
+	MaxHandlers int
+	// MaxPending bounds the calls that wait on one connection.
+	MaxPending int
+	// MaxPosts bounds the one-way messages that wait for a connection.
+	MaxPosts int
+	// QueueLength and QueueBytes bound what waits to be written on one
+	// connection.
+	QueueLength int
+	QueueBytes  int
+
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
+}
+
+// DefaultOptions returns the defaults, without cluster, self and addresses.
+func DefaultOptions() Options {
+	return Options{
+		DialTimeout:      time.Second,
+		HandshakeTimeout: 2 * time.Second,
+		FrameTimeout:     5 * time.Second,
+		WriteTimeout:     2 * time.Second,
+		CallTimeout:      5 * time.Second,
+		HeartbeatBusy:    500 * time.Millisecond,
+		HeartbeatIdle:    20 * time.Second,
+		HeartbeatTimeout: 500 * time.Millisecond,
+		IdleClose:        2 * time.Minute,
+		ReloadEvery:      5 * time.Second,
+		MaxConns:         256,
+		MaxHandlers:      128,
+		MaxPending:       256,
+		MaxPosts:         64,
+		QueueLength:      64,
+		QueueBytes:       4 * peer.MaxFrame,
+		Scope:            tally.NoopScope,
+	}
+}
+
+// withDefaults fills what is zero.
+func (o Options) withDefaults() Options {
+	d := DefaultOptions()
+	fill(&o.DialTimeout, d.DialTimeout)
+	fill(&o.HandshakeTimeout, d.HandshakeTimeout)
+	fill(&o.FrameTimeout, d.FrameTimeout)
+	fill(&o.WriteTimeout, d.WriteTimeout)
+	fill(&o.CallTimeout, d.CallTimeout)
+	fill(&o.HeartbeatBusy, d.HeartbeatBusy)
+	fill(&o.HeartbeatIdle, d.HeartbeatIdle)
+	fill(&o.HeartbeatTimeout, d.HeartbeatTimeout)
+	fill(&o.IdleClose, d.IdleClose)
+	fill(&o.ReloadEvery, d.ReloadEvery)
+	fill(&o.MaxConns, d.MaxConns)
+	fill(&o.MaxHandlers, d.MaxHandlers)
+	fill(&o.MaxPending, d.MaxPending)
+	fill(&o.MaxPosts, d.MaxPosts)
+	fill(&o.QueueLength, d.QueueLength)
+	fill(&o.QueueBytes, d.QueueBytes)
+	if o.Scope == nil {
+		o.Scope = d.Scope
+	}
+	return o
+}
+
+// fill sets a value that is zero.
+func fill[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// validate checks what has no default.
+func (o Options) validate() error {
+	if o.Cluster == "" || o.Self.Name == "" || o.Self.Incarnation == 0 {
+		return errors.New("cluster, name and incarnation must be set")
+	}
+	if o.TLS != nil {
+		return nil
+	}
+	return requireLoopback(o.Listen)
+}
+
+// requireLoopback refuses addresses that a cleartext connection must not use:
+// anyone on the path could read or forge what instances tell one another.
+func requireLoopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return errors.Wrapf(ErrCleartext, "address %s", address)
+	}
+	return nil
+}
