Serve callers and execute the stages of a request

Cause: the path from a caller through the stages needs its drivers before anything runs end to end. Ruled out: one goroutine a request that holds all decisions (the decisions are pure packages and stay testable without it); a verdict kept by the caller of each attempt (a forgotten path would invent a false not_run, so a ledger counts every attempt as unknown until settled). Change: the callers interface, the executor with retries, hedges, resume and preemption, and the drivers of the gates, the account budgets and the budgets of extra attempts.

--- /dev/null
+++ b/daemon/execute/attempt.go
@@ -0,0 +1,219 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// errSealed forbids a dispatch after the request's final answer.
+var errSealed = errors.New("the request has had its final answer")
+
+// attemptResult is the fate of one attempt.
+type attemptResult struct {
+	answer     targetapi.RunAnswer
+	peer       string
+	err        error
+	verdict    outcome.Verdict
+	retryAfter time.Duration
+	// preempted tells that a higher tier took the slot: the stage goes on
+	// later from the tokens it has.
+	preempted bool
+}
+
+// attempt is one attempt under way.
+type attempt struct {
+	*stageRun
+	id      string
+	choice  routing.Choice
+	started time.Time
+	handle  *routing.Handle
+	// stream tells that tokens are delivered as they come.
+	stream bool
+}
+
+// newAttempt enters the attempt in the ledger before anything can leave.
+func (s *stageRun) newAttempt(choice routing.Choice) (*attempt, error) {
+	if !s.ledger.Dispatch() {
+		return nil, errSealed
+	}
+	s.tried = append(s.tried, choice.Target.Incarnation)
+	now := s.opts.Now()
+	a := &attempt{
+		stageRun: s,
+		id:       s.nextAttempt(),
+		choice:   choice,
+		started:  now,
+		stream:   s.streams(),
+	}
+	a.handle = s.opts.Router.Started(now, choice.Target.Incarnation, 0)
+	return a, nil
+}
+
+// do makes the attempt, settles it in the ledger and teaches the router.
+func (a *attempt) do(ctx context.Context) attemptResult {
+	call := a.call()
+	var answer targetapi.RunAnswer
+	var meta target.Meta
+	var err error
+	if a.stream {
+		answer, meta, err = a.opts.Targets.Stream(ctx, call, a.deliver)
+	} else {
+		answer, meta, err = a.opts.Targets.Run(ctx, call)
+	}
+	result := attemptResult{answer: answer, peer: call.Address, err: err}
+	a.classify(&result)
+	a.ledger.Settle(result.verdict)
+	a.learn(ctx, meta, &result)
+	return result
+}
+
+func (a *attempt) call() target.Call {
+	return target.Call{
+		Address:     a.choice.Target.Address,
+		Incarnation: a.choice.Target.Incarnation,
+		AttemptID:   a.id,
+		RequestID:   a.job.ID,
+		Deadline:    a.job.Deadline,
+		Priority:    a.job.Tier.EnginePriority,
+		Tier:        a.job.Tier.Name,
+		Run: targetapi.RunRequest{
+			Stage:      a.stage.Name,
+			Inputs:     a.inputs,
+			Model:      a.stage.Model,
+			Adapter:    a.stage.Adapter,
+			MaxTokens:  a.maxTokens(a.index),
+			Prefix:     targetParts(a.prefix()),
+			ResumeFrom: a.offset,
+		},
+	}
+}
+
+func targetParts(parts []Part) []targetapi.Part {
+	out := make([]targetapi.Part, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, targetapi.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return out
+}
+
+// deliver keeps a token and passes it on. Only the token that comes next is
+// taken: a resumed target that repeats or skips one would double or lose it.
+func (a *attempt) deliver(offset int, token string) error {
+	if offset != a.offset {
+		return errors.New("stream: token out of order")
+	}
+	a.offset++
+	a.text.WriteString(token)
+	if a.job.OnToken == nil || !a.last() {
+		return nil
+	}
+	return a.job.OnToken(offset, token)
+}
+
+// classify says what the attempt's end means for the request.
+func (a *attempt) classify(r *attemptResult) {
+	if r.err == nil {
+		r.verdict = outcome.Ran
+		if a.stream {
+			a.joinStream(r)
+		}
+		return
+	}
+	r.verdict = outcome.Unknown
+	var failed *target.AttemptError
+	if !errors.As(r.err, &failed) {
+		return
+	}
+	r.retryAfter = time.Duration(failed.RetryAfterMS) * time.Millisecond
+	switch failed.Outcome {
+	case target.NotRun:
+		r.verdict = outcome.NotRun
+	case target.Failed:
+		r.verdict = outcome.Ran
+	}
+}
+
+// joinStream makes the whole answer of all parts of a resumed stream.
+func (a *attempt) joinStream(r *attemptResult) {
+	r.answer.Output = a.text.String()
+	r.answer.Tokens = a.offset
+}
+
+// learn tells the router, the learned times and the status how it ended.
+func (a *attempt) learn(ctx context.Context, meta target.Meta, r *attemptResult) {
+	now := a.opts.Now()
+	elapsed := now.Sub(a.started)
+	incarnation := a.choice.Target.Incarnation
+	p50, _ := a.opts.Times.Estimate(a.stageKey(a.index), a.stage.Expected)
+	a.handle.Done(now, routing.Result{
+		Outcome:  a.routingOutcome(ctx, r),
+		Latency:  elapsed,
+		Expected: p50,
+	})
+	if meta.HasLoad {
+		load := routing.Load{Active: meta.Active, Queued: meta.Queued, Slots: meta.Slots}
+		a.opts.Router.Report(now, incarnation, load)
+	}
+	if meta.Leaving {
+		a.opts.Router.Leaving(now, incarnation)
+	}
+	if r.err == nil {
+		a.opts.Times.Observe(now, a.stageKey(a.index), a.stage.Expected, elapsed)
+	}
+	a.record(ctx, elapsed, r)
+}
+
+func (a *attempt) routingOutcome(ctx context.Context, r *attemptResult) routing.Outcome {
+	switch {
+	case r.err == nil:
+		return routing.OutcomeOK
+	case r.verdict == outcome.NotRun:
+		return routing.OutcomeNotRun
+	case errors.Is(context.Cause(ctx), errLostHedge) || errors.Is(ctx.Err(), context.Canceled):
+		return routing.OutcomeCancelled
+	case ctx.Err() != nil:
+		return routing.OutcomeLate
+	default:
+		return routing.OutcomeFailed
+	}
+}
+
+func (a *attempt) record(ctx context.Context, elapsed time.Duration, r *attemptResult) {
+	entry := AttemptRecord{
+		RequestID:     a.job.ID,
+		Stage:         a.stage.Name,
+		AttemptID:     a.id,
+		Target:        r.peer,
+		Result:        resultName(a.routingOutcome(ctx, r)),
+		Elapsed:       elapsed,
+		Work:          time.Duration(r.answer.WorkMS) * time.Millisecond,
+		Tokens:        r.answer.Tokens,
+		PrefillTokens: r.answer.PrefillTokens,
+		Wasted:        r.err != nil,
+	}
+	if r.err != nil {
+		entry.Error = r.err.Error()
+	}
+	a.opts.Recorder.Record(entry)
+}
+
+func resultName(o routing.Outcome) string {
+	switch o {
+	case routing.OutcomeOK:
+		return ResultOK
+	case routing.OutcomeNotRun:
+		return ResultNotRun
+	case routing.OutcomeLate:
+		return ResultLate
+	case routing.OutcomeCancelled:
+		return ResultCancelled
+	default:
+		return ResultFailed
+	}
+}
--- /dev/null
+++ b/daemon/execute/estimate.go
@@ -0,0 +1,55 @@
+package execute
+
+import (
+	"github.com/ivyhollow/ivyhollow/coordination/deadline"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// stageKey names the learned times of stage i for this job's size.
+func (r *run) stageKey(i int) deadline.StageKey {
+	return deadline.StageKey{
+		Pipeline: r.job.Pipeline.Key,
+		Stage:    r.job.Pipeline.Stages[i].Name,
+		Size:     deadline.SizeBucket(r.size(i)),
+	}
+}
+
+// size is the work of stage i in tokens: those to read and those to generate.
+func (r *run) size(i int) int {
+	total := r.maxTokens(i)
+	if total == 0 {
+		return 0
+	}
+	for _, part := range r.job.Prefix {
+		total += part.Tokens
+	}
+	return total
+}
+
+// maxTokens bounds what stage i may generate: the caller's wish within the
+// stage's own bound.
+func (r *run) maxTokens(i int) int {
+	own := r.job.Pipeline.Stages[i].MaxTokens
+	if own == 0 || r.job.MaxTokens == 0 {
+		return own
+	}
+	return min(own, r.job.MaxTokens)
+}
+
+func (r *run) estimate(i int) deadline.Remaining {
+	stage := &r.job.Pipeline.Stages[i]
+	p50, p95 := r.opts.Times.Estimate(r.stageKey(i), stage.Expected)
+	wait := r.opts.Gate.Wait(stage.Pool, r.job.Tier.Rank)
+	return deadline.Remaining{Stage: i, After: stage.After, P50: p50, P95: p95, Wait: wait}
+}
+
+// attainmentFirst tells whether the stage's pool weighs answers in time more
+// than the work they cost: only then is a hedge worth its price.
+func (r *run) attainmentFirst(pool string) bool {
+	snapshot := r.opts.Config()
+	if snapshot == nil {
+		return false
+	}
+	p, ok := snapshot.Pool(pool)
+	return ok && p.Objective == catalog.ObjectiveAttainment
+}
--- /dev/null
+++ b/daemon/execute/executor.go
@@ -0,0 +1,221 @@
+package execute
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ivyhollow/ivyhollow/coordination/admission"
+	"github.com/ivyhollow/ivyhollow/coordination/deadline"
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// Options are the parts an Executor works with; all are required but Now.
+type Options struct {
+	Router   Router
+	Targets  Caller
+	Gate     Gate
+	Spender  Spender
+	Times    *deadline.Times
+	Recorder Recorder
+	// Config returns the configuration in force, for the pools' records.
+	Config func() *catalog.Snapshot
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Executor runs jobs. It is safe for concurrent use.
+type Executor struct {
+	opts       Options
+	admissions *admissions
+}
+
+// New makes an executor.
+func New(o Options) *Executor {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Executor{opts: o, admissions: newAdmissions()}
+}
+
+// run is the state of one job.
+type run struct {
+	*Executor
+	job    *Job
+	ledger outcome.Ledger
+	// outputs holds each finished stage's output; done is closed with it.
+	outputs []string
+	tokens  []int
+	done    []chan struct{}
+
+	mu        sync.Mutex
+	remaining []deadline.Remaining
+	finished  []bool
+	claimed   bool
+}
+
+// Run runs the job's stages and returns the whole answer of the last one. Its
+// error is always a *Failure, whose verdict is final: nothing of the job leaves
+// for a target after Run returned.
+func (e *Executor) Run(ctx context.Context, job Job) (Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	defer cancel()
+	r := e.newRun(&job)
+	if failure := r.hopeless(); failure != nil {
+		return Result{}, r.seal(failure)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range job.Pipeline.Stages {
+		group.Go(func() error { return r.stageWhenReady(ctx, i) })
+	}
+	if err := group.Wait(); err != nil {
+		return Result{}, r.seal(r.asFailure(ctx, err))
+	}
+	r.ledger.Seal()
+	last := len(r.outputs) - 1
+	return Result{Output: r.outputs[last], Tokens: r.tokens[last]}, nil
+}
+
+func (e *Executor) newRun(job *Job) *run {
+	n := len(job.Pipeline.Stages)
+	r := &run{
+		Executor: e,
+		job:      job,
+		outputs:  make([]string, n),
+		tokens:   make([]int, n),
+		done:     make([]chan struct{}, n),
+		finished: make([]bool, n),
+	}
+	for i := range job.Pipeline.Stages {
+		r.done[i] = make(chan struct{})
+		r.remaining = append(r.remaining, r.estimate(i))
+	}
+	return r
+}
+
+// hopeless refuses a job that can't make its deadline before it costs a stage.
+func (r *run) hopeless() *Failure {
+	decision := r.admissions.decide(r.opts.Now(), r.job, r.remaining)
+	if decision.Admit {
+		return nil
+	}
+	f := &Failure{Reason: ReasonDeadline, Step: r.job.Pipeline.Stages[0].Name}
+	f.RetryAfter = decision.RetryAfter
+	if decision.Reason == admission.ReasonQueue {
+		f.Reason = ReasonOverload
+	}
+	return f
+}
+
+// stageWhenReady waits for the stages before, then runs stage i.
+func (r *run) stageWhenReady(ctx context.Context, i int) error {
+	inputs, err := r.inputs(ctx, i)
+	if err != nil {
+		return err
+	}
+	s := newStageRun(r, i, inputs)
+	if err := s.execute(ctx); err != nil {
+		return err
+	}
+	r.finish(i, s)
+	return nil
+}
+
+func (r *run) inputs(ctx context.Context, i int) ([]string, error) {
+	after := r.job.Pipeline.Stages[i].After
+	if len(after) == 0 {
+		return []string{r.job.Input}, nil
+	}
+	inputs := make([]string, 0, len(after))
+	for _, before := range after {
+		select {
+		case <-r.done[before]:
+			inputs = append(inputs, r.outputs[before])
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return inputs, nil
+}
+
+func (r *run) finish(i int, s *stageRun) {
+	r.outputs[i] = s.output
+	r.tokens[i] = s.tokens
+	r.mu.Lock()
+	r.finished[i] = true
+	r.mu.Unlock()
+	close(r.done[i])
+}
+
+// share recomputes stage i's part of what is left of the deadline.
+func (r *run) share(now time.Time, i int) deadline.Share {
+	r.mu.Lock()
+	var left []deadline.Remaining
+	for j := range r.remaining {
+		if !r.finished[j] {
+			left = append(left, r.remaining[j])
+		}
+	}
+	r.mu.Unlock()
+	for _, share := range deadline.Plan(now, r.job.Deadline, left) {
+		if share.Stage == i {
+			return share
+		}
+	}
+	return deadline.Share{Stage: i, Due: r.job.Deadline, LatestStart: r.job.Deadline}
+}
+
+// claimDispatch asks once for leave to send stages that may not be repeated.
+func (r *run) claimDispatch() error {
+	if r.job.BeforeDispatch == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.claimed {
+		return nil
+	}
+	if err := r.job.BeforeDispatch(); err != nil {
+		return err
+	}
+	r.claimed = true
+	return nil
+}
+
+// seal makes the failure's verdict final.
+func (r *run) seal(f *Failure) *Failure {
+	f.Verdict = r.ledger.Seal()
+	return f
+}
+
+// asFailure names the cause of an end that no stage reported.
+func (r *run) asFailure(ctx context.Context, err error) *Failure {
+	if f, ok := err.(*Failure); ok {
+		return f
+	}
+	reason := ReasonCaller
+	if !r.opts.Now().Before(r.job.Deadline) {
+		reason = ReasonDeadline
+	}
+	return &Failure{Reason: reason, Step: r.firstUnfinished(), Cause: context.Cause(ctx)}
+}
+
+func (r *run) firstUnfinished() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, finished := range r.finished {
+		if !finished {
+			return r.job.Pipeline.Stages[i].Name
+		}
+	}
+	return ""
+}
+
+// newRand gives each stage its own source, so that no lock is shared.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/daemon/execute/ports.go
@@ -0,0 +1,81 @@
+package execute
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// Router chooses targets and learns from attempts; *routing.Table is one. It
+// is called from every request's goroutines and does not block.
+type Router interface {
+	Pick(now time.Time, rng *rand.Rand, q routing.Query) (routing.Choice, error)
+	Started(now time.Time, incarnation string, cost float64) *routing.Handle
+	Report(now time.Time, incarnation string, load routing.Load)
+	Leaving(now time.Time, incarnation string)
+}
+
+// Caller makes one attempt at a target; *target.Client is one. Both methods
+// block until the answer, the context's end or a bound of the client.
+type Caller interface {
+	Run(ctx context.Context, call target.Call) (targetapi.RunAnswer, target.Meta, error)
+	Stream(ctx context.Context, call target.Call, onToken func(offset int, token string) error) (targetapi.RunAnswer, target.Meta, error)
+}
+
+// Gate lets attempts through to a pool, the higher tiers first;
+// *gate.Group is one. A refusal is a *gate.RefusedError.
+type Gate interface {
+	// Enter blocks until the attempt's turn, a refusal, or the context's end.
+	// Each grant is ended by its Release.
+	Enter(ctx context.Context, pool string, r gate.Request) (*gate.Grant, error)
+	// TryEnter does not wait; it serves hedges, which nobody needs.
+	TryEnter(pool string, r gate.Request) (*gate.Grant, bool)
+	// Wait is how long an attempt of the rank that came now would queue.
+	Wait(pool string, rank int) time.Duration
+}
+
+// Spender spends the instance's budget of extra attempts; calls don't block.
+type Spender interface {
+	// Retry tells whether a stage may be sent once more.
+	Retry(now time.Time, pool string) bool
+	// Hedge tells whether a second attempt may run beside the first.
+	Hedge(now time.Time, pool string) bool
+	// Succeeded tells that a stage was answered whole; it earns.
+	Succeeded(now time.Time, pool string)
+}
+
+// AttemptRecord is the fate of one attempt, for the status of its request.
+type AttemptRecord struct {
+	RequestID     string
+	Stage         string
+	AttemptID     string
+	Target        string
+	Result        string
+	Elapsed       time.Duration
+	Work          time.Duration
+	Tokens        int
+	PrefillTokens int
+	Error         string
+	// Wasted tells that the work did not go into the answer.
+	Wasted bool
+}
+
+// Results of an AttemptRecord.
+const (
+	ResultRunning   = "running"
+	ResultOK        = "ok"
+	ResultNotRun    = "not_run"
+	ResultFailed    = "failed"
+	ResultLate      = "late"
+	ResultCancelled = "cancelled"
+)
+
+// Recorder keeps the fate of attempts; calls don't block.
+type Recorder interface {
+	Record(AttemptRecord)
+}
--- /dev/null
+++ b/daemon/execute/stage.go
@@ -0,0 +1,239 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// defaultMaxAttempts bounds the attempts of a stage whose pipeline names none.
+const defaultMaxAttempts = 3
+
+// stageRun is the state of one stage of a job.
+type stageRun struct {
+	*run
+	index  int
+	stage  *catalog.Stage
+	inputs []string
+	rng    *rand.Rand
+	// text and offset are the tokens that were delivered so far: a resumed
+	// stream goes on behind them.
+	text   strings.Builder
+	offset int
+	// tried holds the incarnations that an attempt was sent to.
+	tried       []string
+	attempts    int
+	preemptions int
+	// serial numbers the attempts, preempted ones too.
+	serial int
+
+	output string
+	tokens int
+}
+
+func newStageRun(r *run, i int, inputs []string) *stageRun {
+	return &stageRun{
+		run:    r,
+		index:  i,
+		stage:  &r.job.Pipeline.Stages[i],
+		inputs: inputs,
+		rng:    newRand(),
+	}
+}
+
+// streams tells whether this stage's tokens go to the caller as they come, or
+// can be kept so that a broken stream resumes.
+func (s *stageRun) streams() bool {
+	toCaller := s.job.OnToken != nil && s.last()
+	return s.maxTokens(s.index) > 0 && (toCaller || s.stage.Resumable)
+}
+
+func (s *stageRun) last() bool { return s.index == len(s.job.Pipeline.Stages)-1 }
+
+// execute sends the stage to targets until one answers whole or nothing more may
+// be tried. Its error is a *Failure or the context's.
+func (s *stageRun) execute(ctx context.Context) error {
+	for {
+		result, err := s.turn(ctx)
+		if err != nil {
+			return err
+		}
+		if result.err == nil {
+			s.opts.Spender.Succeeded(s.opts.Now(), s.stage.Pool)
+			s.output = result.answer.Output
+			s.tokens = result.answer.Tokens
+			return nil
+		}
+		if failure := s.mayTryAgain(ctx, result); failure != nil {
+			return failure
+		}
+	}
+}
+
+// turn waits for the gate, picks a target and makes one attempt, with a hedge
+// beside it where the pool's objective asks for one.
+func (s *stageRun) turn(ctx context.Context) (attemptResult, error) {
+	request := s.gateRequest()
+	grant, err := s.opts.Gate.Enter(ctx, s.stage.Pool, request)
+	if err != nil {
+		return attemptResult{}, s.gateFailure(ctx, err)
+	}
+	choice, failure := s.pick()
+	if failure != nil {
+		grant.Release()
+		return attemptResult{}, failure
+	}
+	if !s.stage.Repeatable {
+		if err := s.claimDispatch(); err != nil {
+			grant.Release()
+			return attemptResult{}, s.failure(ReasonClaim, choice.Target.Address, err)
+		}
+	}
+	first, err := s.newAttempt(choice)
+	if err != nil {
+		grant.Release()
+		return attemptResult{}, s.failure(ReasonDeadline, "", err)
+	}
+	if s.mayHedge() {
+		return s.doHedged(ctx, first, grant, request), nil
+	}
+	return s.doPreemptible(ctx, first, grant), nil
+}
+
+// errPreempted cancels an attempt in favour of a higher tier.
+var errPreempted = errors.New("preempted by a higher tier")
+
+// doPreemptible makes an attempt that a higher tier may interrupt. The slot is
+// given back only once the attempt has ended, so that it is truly free.
+func (s *stageRun) doPreemptible(ctx context.Context, a *attempt, grant *gate.Grant) attemptResult {
+	defer grant.Release()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-grant.Preempted():
+			cancel(errPreempted)
+		case <-ctx.Done():
+		}
+	}()
+	result := a.do(ctx)
+	result.preempted = result.err != nil && errors.Is(context.Cause(ctx), errPreempted)
+	if result.preempted {
+		s.preemptions++
+		s.tried = s.tried[:len(s.tried)-1]
+		s.attempts--
+	}
+	return result
+}
+
+func (s *stageRun) gateRequest() gate.Request {
+	share := s.share(s.opts.Now(), s.index)
+	return gate.Request{
+		Rank:        s.job.Tier.Rank,
+		LatestStart: share.LatestStart,
+		Resumable:   s.stage.Repeatable && s.stage.Resumable && s.streams(),
+		Preemptions: s.preemptions,
+	}
+}
+
+func (s *stageRun) gateFailure(ctx context.Context, err error) error {
+	var refused *gate.RefusedError
+	if !errors.As(err, &refused) {
+		return ctx.Err()
+	}
+	reason := ReasonOverload
+	if refused.Reason == tiers.ReasonTooLate {
+		reason = ReasonDeadline
+	}
+	f := s.failure(reason, "", err)
+	f.RetryAfter = refused.RetryAfter
+	return f
+}
+
+func (s *stageRun) pick() (routing.Choice, *Failure) {
+	query := routing.Query{
+		Pool:    s.stage.Pool,
+		Model:   s.stage.Model,
+		Adapter: s.stage.Adapter,
+		Exclude: s.tried,
+		Rank:    s.job.Tier.Rank,
+	}
+	for _, part := range s.prefix() {
+		query.Prefix = append(query.Prefix, routing.PrefixPart{ID: part.ID, Tokens: part.Tokens})
+	}
+	choice, err := s.opts.Router.Pick(s.opts.Now(), s.rng, query)
+	if err != nil {
+		return choice, s.failure(ReasonNoTarget, "", err)
+	}
+	return choice, nil
+}
+
+// prefix is the caller's prompt, which only generation reads.
+func (s *stageRun) prefix() []Part {
+	if s.maxTokens(s.index) == 0 {
+		return nil
+	}
+	return s.job.Prefix
+}
+
+// mayTryAgain decides whether a failed attempt is followed by another one, and
+// returns the failure that ends the stage if not.
+func (s *stageRun) mayTryAgain(ctx context.Context, result attemptResult) *Failure {
+	if ctx.Err() != nil {
+		return s.asFailure(ctx, ctx.Err())
+	}
+	if result.preempted {
+		return nil
+	}
+	f := s.failure(ReasonTarget, result.peer, result.err)
+	f.RetryAfter = result.retryAfter
+	if result.verdict == outcome.NotRun && f.RetryAfter > 0 {
+		f.Reason = ReasonOverload
+	}
+	if result.verdict != outcome.NotRun && !s.repeatableNow() {
+		return f
+	}
+	if s.attempts >= s.maxAttempts() {
+		return f
+	}
+	if !s.opts.Spender.Retry(s.opts.Now(), s.stage.Pool) {
+		return f
+	}
+	return nil
+}
+
+// repeatableNow tells whether the stage may run again after an attempt that may
+// have run. Tokens that the caller has seen forbid a fresh run: its text could
+// differ, and the joined answer would be of two runs. Only a resume is whole.
+func (s *stageRun) repeatableNow() bool {
+	if !s.stage.Repeatable {
+		return false
+	}
+	return s.offset == 0 || s.stage.Resumable
+}
+
+func (s *stageRun) maxAttempts() int {
+	if n := s.job.Pipeline.MaxAttempts; n > 0 {
+		return n
+	}
+	return defaultMaxAttempts
+}
+
+func (s *stageRun) failure(reason Reason, peer string, cause error) *Failure {
+	return &Failure{Reason: reason, Step: s.stage.Name, Peer: peer, Cause: cause}
+}
+
+// nextAttempt makes the id of the next attempt; it is unique to the request.
+func (s *stageRun) nextAttempt() string {
+	s.attempts++
+	s.serial++
+	return s.job.ID + "/" + s.stage.Name + "/" + strconv.Itoa(s.serial)
+}
--- a/daemon/gate/gate.go
+++ b/daemon/gate/gate.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// TryAcquire takes a slot if the gate gives one at once, and else leaves the
+// queue again.
+func (g *Gate) TryAcquire(r Request) (*Grant, bool) {
+	grant := g.enqueue(r)
+	select {
+	case err := <-grant.ready:
+		return grant, err == nil
+	default:
+		g.abandon(grant)
+		return nil, false
+	}
+}
+
 // Release gives the slot back. Only the first call counts.
 func (t *Grant) Release() {
 	t.once.Do(func() { t.gate.finish(t) })
--- /dev/null
+++ b/daemon/gate/group.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+)
+
+// ReasonNoCapacity refuses work for a pool without a known target.
+const ReasonNoCapacity tiers.Reason = "no_capacity"
+
+// Times of a Group.
+const (
+	tickInterval       = 100 * time.Millisecond
+	noCapacityComeBack = time.Second
+)
+
+// Group holds the gates of all pools of one instance. It is safe for
+// concurrent use.
+type Group struct {
+	config tiers.Config
+	clock  func() time.Time
+
+	mu    sync.RWMutex
+	gates map[string]*Gate
+}
+
+// NewGroup makes a group without gates; SetCapacity adds them.
+func NewGroup(c tiers.Config, clock func() time.Time) *Group {
+	return &Group{config: c, clock: clock, gates: make(map[string]*Gate)}
+}
+
+// SetCapacity tells how many slots a pool's routable targets have in all.
+func (g *Group) SetCapacity(pool string, slots int) {
+	if own := g.find(pool); own != nil {
+		own.SetCapacity(slots)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if own := g.gates[pool]; own == nil {
+		g.gates[pool] = New(pool, g.config, slots, g.clock)
+	}
+}
+
+// Enter waits for a slot of the pool; see Gate.Acquire.
+func (g *Group) Enter(ctx context.Context, pool string, r Request) (*Grant, error) {
+	own := g.find(pool)
+	if own == nil {
+		return nil, &RefusedError{Pool: pool, Reason: ReasonNoCapacity, RetryAfter: noCapacityComeBack}
+	}
+	return own.Acquire(ctx, r)
+}
+
+// TryEnter takes a slot of the pool if one is free for the rank right now.
+func (g *Group) TryEnter(pool string, r Request) (*Grant, bool) {
+	own := g.find(pool)
+	if own == nil {
+		return nil, false
+	}
+	return own.TryAcquire(r)
+}
+
+// Wait is how long work of the rank that came now would queue at the pool.
+func (g *Group) Wait(pool string, rank int) time.Duration {
+	own := g.find(pool)
+	if own == nil {
+		return 0
+	}
+	return own.Wait(rank)
+}
+
+// Each calls f with every gate.
+func (g *Group) Each(f func(pool string, own *Gate)) {
+	g.mu.RLock()
+	gates := make(map[string]*Gate, len(g.gates))
+	for pool, own := range g.gates {
+		gates[pool] = own
+	}
+	g.mu.RUnlock()
+	for pool, own := range gates {
+		f(pool, own)
+	}
+}
+
+// Run refuses what waited too long, until the context ends.
+func (g *Group) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.Each(func(_ string, own *Gate) { own.Tick() })
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Group) find(pool string) *Gate {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.gates[pool]
+}
--- /dev/null
+++ b/daemon/serve/answer.go
@@ -0,0 +1,133 @@
+package serve
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/daemon/claims"
+	"github.com/ivyhollow/ivyhollow/daemon/execute"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/protocol/sse"
+)
+
+// answerer writes the one answer of a request, whole or as a stream.
+type answerer struct {
+	server *Server
+	call   *call
+	id     string
+	w      http.ResponseWriter
+	// started tells that the stream's header is out: from then on a problem
+	// can only be an event.
+	started bool
+}
+
+func (a *answerer) job(deadline time.Time) execute.Job {
+	c := a.call
+	job := execute.Job{
+		ID:        a.id,
+		Pipeline:  c.pipeline,
+		Tier:      c.tier,
+		Account:   c.account.Name,
+		Input:     c.body.Input,
+		MaxTokens: c.body.MaxTokens,
+		Deadline:  deadline,
+	}
+	for _, part := range c.body.Prefix {
+		job.Prefix = append(job.Prefix, execute.Part{ID: part.ID, Tokens: part.Tokens})
+	}
+	if c.stream {
+		job.OnToken = a.token
+	}
+	return job
+}
+
+func (a *answerer) answerBody(result execute.Result) []byte {
+	key := a.call.pipeline.Key
+	body, _ := json.Marshal(callerapi.Answer{ // strings and numbers only: it can't fail
+		RequestID:     a.id,
+		Pipeline:      key.Name,
+		SchemaVersion: key.SchemaVersion,
+		Output:        result.Output,
+		Tokens:        result.Tokens,
+	})
+	return body
+}
+
+// answer writes the whole answer.
+func (a *answerer) answer(body []byte) *callerapi.Problem {
+	a.server.opts.Status.Finish(a.id, StateAnswered, callerapi.OutcomeRan)
+	if a.call.stream {
+		_ = a.event(sse.Event{Name: callerapi.EventDone, Data: string(body)})
+		return nil
+	}
+	a.write(http.StatusOK, callerapi.MediaJSON, body)
+	return nil
+}
+
+// problem writes a refusal or failure.
+func (a *answerer) problem(p *callerapi.Problem) *callerapi.Problem {
+	p.RequestID = a.id
+	a.server.opts.Status.Finish(a.id, StateFailed, p.Outcome)
+	if !a.started {
+		writeProblem(a.w, p)
+		return p
+	}
+	body, _ := json.Marshal(p) // strings and numbers only: it can't fail
+	_ = a.event(sse.Event{Name: callerapi.EventError, Data: string(body)})
+	return p
+}
+
+// replay writes the answer of the run that the claim kept.
+func (a *answerer) replay(kept *claims.Kept) *callerapi.Problem {
+	if !kept.Whole() {
+		p := refusal(http.StatusConflict, typeOutcomeUnknown, "the request ran; its answer was too large to keep")
+		p.Outcome = callerapi.OutcomeRan
+		return a.problem(p)
+	}
+	if kept.Status == http.StatusOK {
+		return a.answer(kept.Body)
+	}
+	p := &callerapi.Problem{}
+	if err := json.Unmarshal(kept.Body, p); err != nil {
+		return a.problem(asProblem(err))
+	}
+	return a.problem(p)
+}
+
+// token passes one token on. The executor calls it from one goroutine.
+func (a *answerer) token(offset int, token string) error {
+	data, err := json.Marshal(callerapi.TokenEvent{Token: token})
+	if err != nil {
+		return err
+	}
+	return a.event(sse.Event{Name: callerapi.EventToken, ID: strconv.Itoa(offset), Data: string(data)})
+}
+
+// event writes one event and flushes it. The write has a bound of its own: a
+// caller that stops reading would hold the target's slot for ever.
+func (a *answerer) event(e sse.Event) error {
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(time.Now().Add(a.server.opts.StreamIdle)) // unsupported only in tests
+	if !a.started {
+		a.started = true
+		a.w.Header().Set("Content-Type", callerapi.MediaStream)
+		a.w.Header().Set("Cache-Control", "no-store")
+		a.w.Header().Set(callerapi.HeaderRequestID, a.id)
+		a.w.WriteHeader(http.StatusOK)
+	}
+	if err := sse.NewEncoder(a.w).Encode(e); err != nil {
+		return err
+	}
+	return control.Flush()
+}
+
+func (a *answerer) write(status int, media string, body []byte) {
+	h := a.w.Header()
+	h.Set("Content-Type", media)
+	h.Set(callerapi.HeaderRequestID, a.id)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	a.w.WriteHeader(status)
+	_, _ = a.w.Write(body) // the caller is gone if this fails
+}
--- /dev/null
+++ b/daemon/serve/parse.go
@@ -0,0 +1,192 @@
+package serve
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// Bounds of a request's fields.
+const (
+	maxIdempotencyKey = 128
+	maxCallerKey      = 256
+	maxPrefixParts    = 64
+	maxTokensLimit    = 1 << 20
+	bearerPrefix      = "Bearer "
+)
+
+// call is a request as read from its connection.
+type call struct {
+	snapshot       *catalog.Snapshot
+	account        *catalog.Account
+	tier           *catalog.Tier
+	pipeline       *catalog.Pipeline
+	body           callerapi.Request
+	digest         [sha256.Size]byte
+	idempotencyKey string
+	stream         bool
+}
+
+// authenticate finds the client account that holds the caller's key.
+//
+// Keys are found by their digest, which a caller can't steer towards a stored
+// one, and the digest is compared in constant time.
+func authenticate(r *http.Request, s *catalog.Snapshot) (*catalog.Account, *callerapi.Problem) {
+	refuse := func(detail string) (*catalog.Account, *callerapi.Problem) {
+		return nil, refusal(http.StatusUnauthorized, typeUnauthenticated, detail)
+	}
+	header := r.Header.Get("Authorization")
+	key, ok := strings.CutPrefix(header, bearerPrefix)
+	if !ok || key == "" || len(key) > maxCallerKey {
+		return refuse("send the client account's key as Authorization: Bearer KEY")
+	}
+	digest := sha256.Sum256([]byte(key))
+	account, ok := s.AccountByKey(digest)
+	if !ok {
+		return refuse("the key belongs to no client account")
+	}
+	for i := range account.KeyHashes {
+		if subtle.ConstantTimeCompare(account.KeyHashes[i][:], digest[:]) == 1 {
+			return account, nil
+		}
+	}
+	return refuse("the key belongs to no client account")
+}
+
+// readCall reads and checks everything a request says about itself.
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*call, *callerapi.Problem) {
+	snapshot := s.opts.Config()
+	if snapshot == nil {
+		p := refusal(http.StatusServiceUnavailable, typeStarting, "no configuration is known yet")
+		return nil, retryLater(p, 0)
+	}
+	account, problem := authenticate(r, snapshot)
+	if problem != nil {
+		return nil, problem
+	}
+	c := &call{snapshot: snapshot, account: account}
+	if problem := c.choosePipeline(r); problem != nil {
+		return nil, problem
+	}
+	tier, ok := snapshot.Tier(account.Tier)
+	if !ok {
+		p := refusal(http.StatusServiceUnavailable, typeStarting, "the account's tier is not known yet")
+		return nil, retryLater(p, 0)
+	}
+	c.tier = tier
+	if problem := c.readKey(r); problem != nil {
+		return nil, problem
+	}
+	c.stream = strings.Contains(r.Header.Get("Accept"), callerapi.MediaStream)
+	return c, s.readBody(w, r, c)
+}
+
+func (c *call) choosePipeline(r *http.Request) *callerapi.Problem {
+	version := 0
+	if text := r.Header.Get(callerapi.HeaderSchemaVersion); text != "" {
+		v, err := strconv.Atoi(text)
+		if err != nil || v < 1 {
+			return fieldRefusal(callerapi.HeaderSchemaVersion, "not a positive whole number")
+		}
+		version = v
+	}
+	name := r.PathValue("pipeline")
+	pipeline, ok := c.snapshot.Pipeline(name, version)
+	if !ok {
+		return refusal(http.StatusNotFound, typeNotFound, "no such pipeline, or not in that schema version")
+	}
+	c.pipeline = pipeline
+	return nil
+}
+
+// readKey refuses a request that may not be repeated and carries no key: a
+// caller that lost the answer could not retry it without running it twice.
+func (c *call) readKey(r *http.Request) *callerapi.Problem {
+	c.idempotencyKey = r.Header.Get(callerapi.HeaderIdempotencyKey)
+	if len(c.idempotencyKey) > maxIdempotencyKey {
+		return fieldRefusal(callerapi.HeaderIdempotencyKey, "longer than 128 characters")
+	}
+	if c.idempotencyKey == "" && !c.pipeline.Repeatable() {
+		detail := "this pipeline may not be repeated: send an idempotency key of your own making"
+		p := refusal(http.StatusBadRequest, typeKeyRequired, detail)
+		p.Field = callerapi.HeaderIdempotencyKey
+		return p
+	}
+	return nil
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) *callerapi.Problem {
+	limited := http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes)
+	raw, err := io.ReadAll(limited)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal(http.StatusRequestEntityTooLarge, typeTooLarge, "the body is over the instance's limit")
+	}
+	if err != nil {
+		return fieldRefusal("body", "could not be read whole")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&c.body); err != nil {
+		return fieldRefusal(jsonField(err), lineOf(raw, decoder.InputOffset())+": "+err.Error())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return fieldRefusal("body", lineOf(raw, decoder.InputOffset())+": something follows the JSON object")
+	}
+	c.digest = c.digestOf(raw)
+	return checkBody(&c.body)
+}
+
+// digestOf tells two requests with one idempotency key apart: it covers the
+// pipeline's definition that was chosen as well as the body.
+func (c *call) digestOf(raw []byte) [sha256.Size]byte {
+	h := sha256.New()
+	h.Write([]byte(c.pipeline.Key.Name))
+	h.Write([]byte{0, byte(c.pipeline.Key.SchemaVersion), 0})
+	h.Write(raw)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+func checkBody(b *callerapi.Request) *callerapi.Problem {
+	if b.MaxTokens < 0 || b.MaxTokens > maxTokensLimit {
+		return fieldRefusal("max_tokens", "must lie between 0 and 1048576")
+	}
+	if len(b.Prefix) > maxPrefixParts {
+		return fieldRefusal("prefix", "more than 64 parts")
+	}
+	for i, part := range b.Prefix {
+		if part.ID == "" || part.Tokens <= 0 {
+			return fieldRefusal("prefix["+strconv.Itoa(i)+"]", "needs an id and a positive number of tokens")
+		}
+	}
+	return nil
+}
+
+// jsonField names the field that a JSON error is about, if it tells.
+func jsonField(err error) string {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) && typeError.Field != "" {
+		return typeError.Field
+	}
+	const unknown = "json: unknown field "
+	if name, ok := strings.CutPrefix(err.Error(), unknown); ok {
+		return strings.Trim(name, `"`)
+	}
+	return "body"
+}
+
+func lineOf(raw []byte, offset int64) string {
+	offset = min(offset, int64(len(raw)))
+	line := 1 + bytes.Count(raw[:offset], []byte{'\n'})
+	return "line " + strconv.Itoa(line)
+}
--- /dev/null
+++ b/daemon/serve/status.go
@@ -0,0 +1,59 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/protocol/requestid"
+)
+
+// forwardTimeout bounds a question to the instance that serves a request.
+const forwardTimeout = time.Second
+
+// status serves GET /v1/requests/{id}. Any instance answers for any other.
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	snapshot := s.opts.Config()
+	if snapshot == nil {
+		p := refusal(http.StatusServiceUnavailable, typeStarting, "no configuration is known yet")
+		writeProblem(w, retryLater(p, 0))
+		return
+	}
+	account, problem := authenticate(r, snapshot)
+	if problem != nil {
+		writeProblem(w, problem)
+		return
+	}
+	status, problem := s.find(r.Context(), r.PathValue("id"), account.Name)
+	if problem != nil {
+		writeProblem(w, problem)
+		return
+	}
+	w.Header().Set("Content-Type", callerapi.MediaJSON)
+	_ = json.NewEncoder(w).Encode(status) // the caller is gone if this fails
+}
+
+// find looks the request up here or at the instance that its id names. Another
+// account's request is as unknown as one that never was.
+func (s *Server) find(ctx context.Context, text, account string) (*callerapi.RequestStatus, *callerapi.Problem) {
+	notFound := refusal(http.StatusNotFound, typeNotFound, "no request of this client account has this id, or it is past its retention")
+	id, err := requestid.Parse(text)
+	if err != nil {
+		return nil, notFound
+	}
+	if status, ok := s.opts.Status.Get(text); ok {
+		if status.Account != account {
+			return nil, notFound
+		}
+		return &status, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	status, err := s.opts.Forward.RequestStatus(ctx, id, account, text)
+	if err != nil || status == nil || status.Account != account {
+		return nil, notFound
+	}
+	return status, nil
+}
--- /dev/null
+++ b/daemon/serve/submit.go
@@ -0,0 +1,197 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	"github.com/ivyhollow/ivyhollow/daemon/claims"
+	"github.com/ivyhollow/ivyhollow/daemon/execute"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+)
+
+// recordTimeout bounds the wait for the store to keep an outcome before the
+// answer is sent.
+const recordTimeout = 500 * time.Millisecond
+
+// submit serves POST /v1/pipelines/{pipeline}/requests.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
+	began := s.opts.Now()
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.opts.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	problem := s.serve(w, r.WithContext(ctx), began)
+	s.metrics.ended(problem, s.opts.Now().Sub(began))
+	if problem != nil {
+		span.SetAttributes(attribute.String("outcome", string(problem.Outcome)))
+	}
+}
+
+// serve writes the one answer and returns the problem in it, if any.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, began time.Time) *callerapi.Problem {
+	c, problem := s.admit(w, r)
+	if problem != nil {
+		writeProblem(w, problem)
+		return problem
+	}
+	defer s.inFlight.leave()
+	id := s.opts.IDs.Next()
+	trace.SpanFromContext(r.Context()).SetAttributes(attribute.String("request", id))
+	a := &answerer{server: s, call: c, id: id, w: w}
+	if c.stream {
+		if !s.streams.enter() {
+			return a.problem(retryLater(refusal(http.StatusServiceUnavailable, typeOverload, "too many open streams"), 0))
+		}
+		defer s.streams.leave()
+	}
+	total := c.snapshot.DeadlineFor(c.pipeline, c.tier)
+	deadline := began.Add(total)
+	s.opts.Status.Begin(Started{
+		ID: id, Pipeline: c.pipeline.Key.Name, SchemaVersion: c.pipeline.Key.SchemaVersion,
+		Account: c.account.Name, Tier: c.tier.Name, Begun: began, Deadline: total,
+	})
+	if c.idempotencyKey == "" {
+		return s.executeOnce(r.Context(), a, deadline, nil)
+	}
+	return s.executeClaimed(r.Context(), a, deadline)
+}
+
+// admit reads a request and takes its place and its account's budget.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request) (*call, *callerapi.Problem) {
+	if !s.inFlight.enter() {
+		p := refusal(http.StatusServiceUnavailable, typeOverload, "the instance serves its greatest number of requests")
+		return nil, retryLater(p, 0)
+	}
+	c, problem := s.readCall(w, r)
+	if problem == nil {
+		problem = s.spend(r.Context(), c)
+	}
+	if problem != nil {
+		s.inFlight.leave()
+	}
+	return c, problem
+}
+
+func (s *Server) spend(ctx context.Context, c *call) *callerapi.Problem {
+	ok, after := s.opts.Budgets.Take(ctx, c.account)
+	if ok {
+		return nil
+	}
+	p := refusal(http.StatusTooManyRequests, typeBudget, "the client account's budget is spent")
+	return retryLater(p, after)
+}
+
+// executeOnce runs the job and writes its answer. Ticket is nil for a request
+// without a claim.
+func (s *Server) executeOnce(ctx context.Context, a *answerer, deadline time.Time, ticket *claims.Ticket) *callerapi.Problem {
+	job := a.job(deadline)
+	if ticket != nil {
+		job.BeforeDispatch = ticket.MarkDispatched
+	}
+	result, err := s.opts.Executor.Run(ctx, job)
+	if err == nil {
+		body := a.answerBody(result)
+		s.keep(ctx, ticket, claim.OutcomeRan, http.StatusOK, callerapi.MediaJSON, body)
+		return a.answer(body)
+	}
+	p := asProblem(err)
+	p.RequestID = a.id
+	telemetry.DebugS(failureLogLevel, "request failed", telemetry.Event{RequestID: a.id, Stage: p.Step, Peer: p.Peer})
+	s.keepFailure(ctx, ticket, p)
+	return a.problem(p)
+}
+
+// failureLogLevel is the verbosity at which each failed request is logged; the
+// metrics count them at any verbosity.
+const failureLogLevel = 2
+
+func asProblem(err error) *callerapi.Problem {
+	var failure *execute.Failure
+	if errors.As(err, &failure) {
+		return failureProblem(failure)
+	}
+	p := refusal(http.StatusInternalServerError, typeOutcomeUnknown, "internal fault")
+	p.Outcome = callerapi.OutcomeUnknown
+	return p
+}
+
+// executeClaimed claims the request first. What a claim forbids to run gets the
+// answer of the first run, or the reason why there is none.
+func (s *Server) executeClaimed(ctx context.Context, a *answerer, deadline time.Time) *callerapi.Problem {
+	// A caller that goes away must not stop work that may not be repeated
+	// half way: its retry with the same key gets the answer.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	key := claims.Key{Account: a.call.account.Name, IdempotencyKey: a.call.idempotencyKey}
+	begun, err := s.opts.Claims.Begin(ctx, key, a.call.digest)
+	if err != nil {
+		return a.problem(asProblem(err))
+	}
+	switch begun.Verdict {
+	case claims.Run:
+		return s.executeOnce(ctx, a, deadline, begun.Ticket)
+	case claims.Replay:
+		s.metrics.replayed.Inc(1)
+		return a.replay(begun.Kept)
+	case claims.Conflict:
+		detail := "this idempotency key was used with another body or pipeline"
+		p := refusal(http.StatusUnprocessableEntity, typeKeyReused, detail)
+		p.Field = callerapi.HeaderIdempotencyKey
+		return a.problem(p)
+	case claims.NotRun:
+		return s.claimRefused(ctx, a, deadline, begun)
+	default:
+		p := refusal(http.StatusConflict, typeOutcomeUnknown, begun.Reason)
+		p.Outcome = callerapi.OutcomeUnknown
+		return a.problem(p)
+	}
+}
+
+// claimRefused answers a request whose claim could not be made. A request that
+// may be repeated is served all the same: its key only spared work.
+func (s *Server) claimRefused(ctx context.Context, a *answerer, deadline time.Time, begun claims.Begun) *callerapi.Problem {
+	if a.call.pipeline.Repeatable() {
+		return s.executeOnce(ctx, a, deadline, nil)
+	}
+	p := refusal(http.StatusServiceUnavailable, typeStore, begun.Reason)
+	return a.problem(retryLater(p, begun.RetryAfter))
+}
+
+// keep records the outcome in the claim before the answer is sent: a retry
+// finds it even when this instance dies between the two.
+func (s *Server) keep(ctx context.Context, ticket *claims.Ticket, o claim.Outcome, status int, media string, body []byte) {
+	if ticket == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	kept := claims.Kept{Outcome: o, Status: status, ContentType: media, Body: body}
+	if err := ticket.Finish(ctx, kept); err != nil && !errors.Is(err, claims.ErrQueued) {
+		telemetry.ErrorS(err, "outcome not kept", telemetry.Event{Reason: "finish claim", RequestID: ticket.Token().String()})
+	}
+}
+
+// keepFailure gives the claim up when nothing was dispatched, so that a retry
+// may run, and else keeps the failure.
+func (s *Server) keepFailure(ctx context.Context, ticket *claims.Ticket, p *callerapi.Problem) {
+	if ticket == nil {
+		return
+	}
+	if ticket.Abandon(ctx) == nil {
+		return
+	}
+	body, err := json.Marshal(p)
+	if err != nil {
+		return
+	}
+	s.keep(ctx, ticket, claim.Outcome(p.Outcome), p.Status, callerapi.MediaProblem, body)
+}
--- /dev/null
+++ b/protocol/requestid/requestid.go
@@ -0,0 +1,68 @@
+// Package requestid makes and reads request ids. An id names the instance and
+// the incarnation that serve the request, so that any instance can pass on a
+// question about it without a call to the platform.
+package requestid
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	separator = "."
+	base      = 36
+	fields    = 3
+)
+
+// MaxLength bounds an id read from outside, in bytes.
+const MaxLength = 160
+
+// ErrMalformed marks an id that no instance of ours made.
+var ErrMalformed = errors.New("malformed request id")
+
+// ID is the parsed form of a request id.
+type ID struct {
+	Instance    string
+	Incarnation uint64
+	Serial      string
+}
+
+// Source makes the ids of one incarnation. It is safe for concurrent use.
+type Source struct {
+	prefix string
+	next   atomic.Uint64
+}
+
+// NewSource returns the source of ids for an instance and its incarnation.
+func NewSource(instance string, incarnation uint64) *Source {
+	prefix := instance + separator + strconv.FormatUint(incarnation, base) + separator
+	return &Source{prefix: prefix}
+}
+
+// Next returns a new id. Its random part keeps one account from guessing the
+// ids of another; access is checked by account all the same.
+func (s *Source) Next() string {
+	serial := strconv.FormatUint(s.next.Add(1), base)
+	noise := strconv.FormatUint(rand.Uint64(), base)
+	return s.prefix + serial + "-" + noise
+}
+
+// Parse reads an id; its error is ErrMalformed.
+func Parse(id string) (ID, error) {
+	if len(id) > MaxLength {
+		return ID{}, ErrMalformed
+	}
+	parts := strings.Split(id, separator)
+	if len(parts) != fields || parts[0] == "" || parts[2] == "" {
+		return ID{}, ErrMalformed
+	}
+	incarnation, err := strconv.ParseUint(parts[1], base, 64)
+	if err != nil {
+		return ID{}, ErrMalformed
+	}
+	return ID{Instance: parts[0], Incarnation: incarnation, Serial: parts[2]}, nil
+}
