Serve and call the targets interface, faults included

Cause: nothing yet served or called what targetapi declares. Ruled out: http.Client (it follows redirects, and an answer from elsewhere is not the target's); taking httptrace.WroteHeaders for the moment at which bytes leave (it comes after the headers went into a buffer that may have been flushed): writes are counted on the connection itself. Change: the emulated target (slots, priorities, prefix cache, events, orders, faults) and the client (outcomes, bounds, cancellation), with a table of faults and what each must come to.

--- /dev/null
+++ b/emulator/target/admin.go
@@ -0,0 +1,57 @@
+package target
+
+import "net/http"
+
+// Paths by which tests and operators of the emulator drive it. Real targets
+// have none of them.
+const (
+	// PathAdminFaults takes and lists a JSON array of Fault.
+	PathAdminFaults = "/admin/faults"
+	// PathAdminLeaving takes a LeavingRequest.
+	PathAdminLeaving = "/admin/leaving"
+	// PathAdminRuns answers a RunsReport.
+	PathAdminRuns = "/admin/runs"
+	// PathAdminOrders lists the orders that took effect.
+	PathAdminOrders = "/admin/orders"
+)
+
+// LeavingRequest is the body of POST /admin/leaving.
+type LeavingRequest struct {
+	Leaving bool `json:"leaving"`
+}
+
+func (t *Target) serveListFaults(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, t.faults.list())
+}
+
+func (t *Target) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var faults []Fault
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	for _, fault := range faults {
+		if !fault.Kind.known() {
+			fail(w, http.StatusBadRequest, "unknown fault "+string(fault.Kind))
+			return
+		}
+	}
+	t.SetFaults(faults...)
+	writeJSON(w, http.StatusOK, t.faults.list())
+}
+
+func (t *Target) serveSetLeaving(w http.ResponseWriter, r *http.Request) {
+	var request LeavingRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	t.SetLeaving(request.Leaving)
+	writeJSON(w, http.StatusOK, request)
+}
+
+func (t *Target) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, t.RunsReport())
+}
+
+func (t *Target) serveOrders(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, t.Orders())
+}
--- /dev/null
+++ b/emulator/target/attempt.go
@@ -0,0 +1,166 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// prefillChunk is how many prompt tokens are read between two moments at which
+// a more urgent call can take the slot.
+const prefillChunk = 512
+
+var (
+	errFull     = errors.New("queue is full")
+	errTooLate  = errors.New("deadline passed in the queue")
+	errStopped  = errors.New("attempt was cancelled")
+	errShutDown = errors.New("target was closed")
+)
+
+// attempt is one call of PathRun.
+type attempt struct {
+	target    *Target
+	id        string
+	requestID string
+	deadline  <-chan time.Time
+	request   targetapi.RunRequest
+	faults    callFaults
+	ticket    *ticket
+	// answer is told of everything that the caller may see.
+	answer answer
+	// ctx ends when the caller cancels or goes away.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	worked time.Duration
+}
+
+// answer writes what an attempt brings.
+type answer interface {
+	// begin is called once the attempt has a slot.
+	begin() error
+	token(offset int, token string) error
+	// idle is called while there is nothing to send.
+	idle() error
+	done(targetapi.RunAnswer) error
+}
+
+// start waits for a slot. After an error nothing was run.
+func (a *attempt) start() error {
+	if !a.target.scheduler.enter(a.ticket) {
+		return errFull
+	}
+	select {
+	case <-a.ticket.granted:
+	case <-a.deadline:
+		return errTooLate
+	case <-a.ctx.Done():
+		return context.Cause(a.ctx)
+	}
+	a.target.runs.start(a.requestID, a.target.leaving.Load())
+	return nil
+}
+
+// run does the work and returns the whole answer.
+func (a *attempt) run() (targetapi.RunAnswer, error) {
+	text, tokens := Output(a.request.Stage, a.request.Inputs, a.request.Model, a.request.MaxTokens)
+	if err := a.spend(a.target.options.CallTime); err != nil {
+		return targetapi.RunAnswer{}, err
+	}
+	read, err := a.prefill()
+	if err != nil {
+		return targetapi.RunAnswer{}, err
+	}
+	if err := a.generate(tokens); err != nil {
+		return targetapi.RunAnswer{}, err
+	}
+	return targetapi.RunAnswer{
+		AttemptID:     a.id,
+		Output:        text,
+		Tokens:        len(tokens) - a.request.ResumeFrom,
+		PrefillTokens: read,
+		WorkMS:        a.worked.Milliseconds(),
+	}, nil
+}
+
+// prefill reads the part of the prompt that no cache holds, and the tokens
+// that another target has generated, and returns how many those were.
+func (a *attempt) prefill() (int, error) {
+	read := a.target.cache.missing(a.request.Prefix) + a.request.ResumeFrom
+	rate := a.target.options.PrefillRate
+	for left := read; left > 0 && rate > 0; left -= prefillChunk {
+		seconds := float64(min(left, prefillChunk)) / rate
+		if err := a.spend(time.Duration(seconds * float64(time.Second))); err != nil {
+			return 0, err
+		}
+	}
+	a.target.cache.add(a.request.Prefix)
+	return read, nil
+}
+
+func (a *attempt) generate(tokens []string) error {
+	for offset := a.request.ResumeFrom; offset < len(tokens); offset++ {
+		if err := a.spend(a.tokenTime()); err != nil {
+			return err
+		}
+		if err := a.answer.token(offset, tokens[offset]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tokenTime is the time of one token in a batch of the present size.
+func (a *attempt) tokenTime() time.Duration {
+	options := a.target.options
+	if options.Kind != catalog.KindEngine {
+		return options.TokenTime
+	}
+	active, _ := a.target.scheduler.load()
+	factor := 1 + options.BatchSlowdown*float64(active-1)
+	return time.Duration(float64(options.TokenTime) * factor)
+}
+
+// spend takes one step of work, then lets a more urgent call have the slot.
+func (a *attempt) spend(step time.Duration) error {
+	if straggler, ok := a.faults[FaultStraggler]; ok {
+		step = time.Duration(float64(step) * straggler.Factor)
+	}
+	if step > 0 {
+		if err := a.wait(a.target.options.After(step)); err != nil {
+			return err
+		}
+		a.worked += step
+	}
+	if !a.target.scheduler.yield(a.ticket) {
+		return context.Cause(a.ctx)
+	}
+	return wait(a, a.ticket.granted)
+}
+
+// wait waits for a moment, and keeps the caller's connection alive meanwhile.
+func (a *attempt) wait(moment <-chan time.Time) error {
+	return wait(a, moment)
+}
+
+func wait[T any](a *attempt, event <-chan T) error {
+	for {
+		var keepAlive <-chan time.Time
+		if interval := a.target.options.KeepAlive; interval > 0 {
+			keepAlive = a.target.options.After(interval)
+		}
+		select {
+		case <-event:
+			return nil
+		case <-a.ctx.Done():
+			return context.Cause(a.ctx)
+		case <-keepAlive:
+			if err := a.answer.idle(); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/emulator/target/control.go
@@ -0,0 +1,91 @@
+package target
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+)
+
+// queryAfter is the query parameter of PathCacheEvents: the number of the last
+// event that the caller has.
+const queryAfter = "after"
+
+func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	t.describe(w.Header())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *Target) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	t.describe(w.Header())
+	writeJSON(w, http.StatusOK, t.report())
+}
+
+// report is the target's lagging description of itself.
+func (t *Target) report() targetapi.Load {
+	seen := t.load.report()
+	report := targetapi.Load{
+		Incarnation: t.options.Incarnation,
+		Active:      seen.active,
+		Queued:      seen.queued,
+		Slots:       t.options.Slots,
+		Leaving:     t.leaving.Load(),
+	}
+	t.orders.describe(&report)
+	return report
+}
+
+// serveOrder answers once the order is in force.
+func (t *Target) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order targetapi.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	t.describe(w.Header())
+	if err := t.carryOut(r, order); err != nil {
+		refuseOrder(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, t.report())
+}
+
+func (t *Target) carryOut(r *http.Request, order targetapi.Order) error {
+	if err := t.orders.accept(order); err != nil {
+		return err
+	}
+	if t.options.LoadTime > 0 {
+		select {
+		case <-t.options.After(t.options.LoadTime):
+		case <-r.Context().Done():
+			return r.Context().Err()
+		case <-t.closing.Done():
+			return errShutDown
+		}
+	}
+	return t.orders.apply(order)
+}
+
+// refuseOrder answers an order that had no effect.
+func refuseOrder(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(err, errFenced):
+		status = http.StatusConflict
+	case errors.Is(err, errBadAction), errors.Is(err, errNoRoom):
+		status = http.StatusBadRequest
+	}
+	refuse(w, status, err.Error())
+}
+
+func (t *Target) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
+	if err != nil && r.URL.Query().Has(queryAfter) {
+		fail(w, http.StatusBadRequest, queryAfter+" is no whole number")
+		return
+	}
+	page := t.events.after(after)
+	page.Incarnation = t.options.Incarnation
+	writeJSON(w, http.StatusOK, page)
+}
--- a/emulator/target/fault.go
+++ b/emulator/target/fault.go
@@ -40,6 +40,16 @@
 	FaultCrash FaultKind = "crash"
 )
 
+func (k FaultKind) known() bool {
+	switch k {
+	case FaultStraggler, FaultGrey, FaultFailFast, FaultTruncate, FaultGarble, FaultDuplicate,
+		FaultCrossed, FaultLost, FaultLate, FaultReset, FaultSilent, FaultCrash:
+		return true
+	default:
+		return false
+	}
+}
+
 // Fault is one fault in force.
 type Fault struct {
 	Kind FaultKind `json:"kind"`
@@ -73,3 +83,34 @@
 	s.faults = append([]Fault(nil), faults...)
 	s.hits = make([]int, len(faults))
 }
+func (s *faultSet) list() []Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Fault{}, s.faults...)
+}
+
+// draw returns the faults that hit the next call.
+func (s *faultSet) draw() callFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drawn := callFaults{}
+	for i, fault := range s.faults {
+		if fault.Limit > 0 && s.hits[i] >= fault.Limit {
+			continue
+		}
+		if fault.Share > 0 && s.rng.Float64() >= fault.Share {
+			continue
+		}
+		s.hits[i]++
+		drawn[fault.Kind] = fault
+	}
+	return drawn
+}
+
+// callFaults are the faults that hit one call.
+type callFaults map[FaultKind]Fault
+
+func (f callFaults) has(kind FaultKind) bool {
+	_, ok := f[kind]
+	return ok
+}
--- a/emulator/target/options.go
+++ b/emulator/target/options.go
@@ -19,6 +19,9 @@
 	DefaultSeed       = 1
 )
 
+// kvFetchTimeout bounds the fetch of KV cache from another target.
+const kvFetchTimeout = 5 * time.Second
+
 // Options describes one emulated target.
 type Options struct {
 	Kind        catalog.PoolKind
@@ -42,9 +45,10 @@
 	// CacheTokens is the capacity of the prefix cache in tokens.
 	CacheTokens int
 
-	// Models that are loaded at the start. When there are none, every model is
-	// served until the first load_model order.
-	Models []string
+	// Models and Adapters that are loaded at the start. Nil means that calls
+	// for every one are served, whatever orders load.
+	Models   []string
+	Adapters []string
 	// LoadTime is how long an order takes before it is in force.
 	LoadTime time.Duration
 	// ChecksFencing makes the target refuse orders with an old fencing number.
--- /dev/null
+++ b/emulator/target/run_handler.go
@@ -0,0 +1,207 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/sse"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+)
+
+const (
+	// maxBody bounds the body of a call, in bytes.
+	maxBody = 16 << 20
+	// defaultPriority is that of a call that names none.
+	defaultPriority = 5
+	lowestPriority  = 9
+)
+
+// serveRun answers PathRun.
+func (t *Target) serveRun(w http.ResponseWriter, r *http.Request) {
+	t.describe(w.Header())
+	w.Header().Set(targetapi.HeaderAttempt, r.Header.Get(targetapi.HeaderAttempt))
+	expected := r.Header.Get(targetapi.HeaderExpect)
+	if expected != "" && expected != t.options.Incarnation {
+		refuse(w, http.StatusMisdirectedRequest, "another incarnation serves here")
+		return
+	}
+	a, err := t.newAttempt(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !t.orders.has(a.request.Model, a.request.Adapter) {
+		refuse(w, http.StatusNotFound, "model or adapter is not loaded")
+		return
+	}
+	t.serveAttempt(w, r, a)
+}
+
+// describe sets the headers that every answer to PathRun carries.
+func (t *Target) describe(header http.Header) {
+	header.Set(targetapi.HeaderIncarnation, t.options.Incarnation)
+	header.Set(targetapi.HeaderLoad, t.loadHeader())
+	if t.leaving.Load() {
+		header.Set(targetapi.HeaderLeaving, "true")
+	}
+}
+
+func (t *Target) loadHeader() string {
+	seen := t.load.report()
+	numbers := []string{
+		strconv.Itoa(seen.active),
+		strconv.Itoa(seen.queued),
+		strconv.Itoa(t.options.Slots),
+	}
+	return strings.Join(numbers, ",")
+}
+
+// newAttempt reads and checks a call.
+func (t *Target) newAttempt(r *http.Request) (*attempt, error) {
+	a := &attempt{
+		target:    t,
+		id:        r.Header.Get(targetapi.HeaderAttempt),
+		requestID: r.Header.Get(targetapi.HeaderRequest),
+	}
+	if a.id == "" {
+		return nil, errors.Newf("no %s", targetapi.HeaderAttempt)
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody)).Decode(&a.request); err != nil {
+		return nil, errors.Wrap(err, "body")
+	}
+	if err := checkRequest(a.request); err != nil {
+		return nil, err
+	}
+	priority, err := numberHeader(r, targetapi.HeaderPriority, defaultPriority)
+	if err != nil {
+		return nil, err
+	}
+	a.ticket = newTicket(min(priority, lowestPriority))
+	left, err := numberHeader(r, targetapi.HeaderDeadline, 0)
+	if err != nil {
+		return nil, err
+	}
+	if left > 0 {
+		a.deadline = t.options.After(time.Duration(left) * time.Millisecond)
+	}
+	return a, nil
+}
+
+func checkRequest(request targetapi.RunRequest) error {
+	if request.ResumeFrom < 0 || request.ResumeFrom > max(request.MaxTokens, 0) {
+		return errors.New("resume_from is outside the answer")
+	}
+	for _, part := range request.Prefix {
+		if part.Tokens < 0 {
+			return errors.New("a part has less than no tokens")
+		}
+	}
+	return nil
+}
+
+// numberHeader reads a header that is a whole number of at least 0.
+func numberHeader(r *http.Request, name string, fallback int) (int, error) {
+	value := r.Header.Get(name)
+	if value == "" {
+		return fallback, nil
+	}
+	number, err := strconv.Atoi(value)
+	if err != nil || number < 0 {
+		return 0, errors.Newf("%s is no whole number", name)
+	}
+	return number, nil
+}
+
+// serveAttempt queues and runs a call that is in order.
+func (t *Target) serveAttempt(w http.ResponseWriter, r *http.Request, a *attempt) {
+	a.faults = t.faults.draw()
+	a.ctx, a.cancel = context.WithCancelCause(r.Context())
+	defer a.cancel(nil)
+	defer context.AfterFunc(t.closing, func() { a.cancel(errShutDown) })()
+	if a.faults.has(FaultFailFast) {
+		fail(w, http.StatusInternalServerError, "fault: failed at once")
+		return
+	}
+	if a.faults.has(FaultSilent) {
+		<-a.ctx.Done()
+		abort()
+	}
+	a.answer = newAnswer(w, r, a)
+	t.register(a)
+	defer t.unregister(a)
+	defer t.scheduler.leave(a.ticket)
+	if err := a.start(); err != nil {
+		refuseStart(w, err)
+		return
+	}
+	a.finish(w)
+}
+
+func newAnswer(w http.ResponseWriter, r *http.Request, a *attempt) answer {
+	if a.faults.has(FaultCrossed) {
+		w.Header().Set(targetapi.HeaderAttempt, crossedID(a.id))
+	}
+	if strings.Contains(r.Header.Get("Accept"), sse.ContentType) {
+		return &streamAnswer{w: w, events: sse.NewEncoder(w), a: a}
+	}
+	return &wholeAnswer{w: w, a: a}
+}
+
+// finish runs the attempt and answers.
+func (a *attempt) finish(w http.ResponseWriter) {
+	err := a.answer.begin()
+	var result targetapi.RunAnswer
+	if err == nil {
+		result, err = a.run()
+	}
+	// The slot is free before the answer shows that it is: a caller who sends
+	// its next call at once must not be refused for the one just answered.
+	a.target.scheduler.leave(a.ticket)
+	if err == nil {
+		err = a.afterWork()
+	}
+	if err == nil {
+		err = a.answer.done(result)
+	}
+	if err != nil {
+		a.fail(w, err)
+	}
+}
+
+// register makes the attempt known to PathCancel.
+func (t *Target) register(a *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempts[a.id] = a
+}
+
+func (t *Target) unregister(a *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.attempts[a.id] == a {
+		delete(t.attempts, a.id)
+	}
+}
+
+// serveCancel answers PathCancel.
+func (t *Target) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var request targetapi.CancelRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	t.mu.Lock()
+	a := t.attempts[request.AttemptID]
+	t.mu.Unlock()
+	if a == nil {
+		fail(w, http.StatusNotFound, "no such attempt")
+		return
+	}
+	a.cancel(errStopped)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/emulator/target/runs.go
@@ -0,0 +1,62 @@
+package target
+
+import (
+	"maps"
+	"sync"
+)
+
+// runsKept bounds the request ids that are counted; the oldest is forgotten.
+const runsKept = 1 << 16
+
+// RunsReport is the body of GET /admin/runs.
+type RunsReport struct {
+	// Runs counts, by request id, how often work was started.
+	Runs map[string]int `json:"runs"`
+	// Started is the number of all runs since the target was made.
+	Started int `json:"started"`
+	// StartedLeaving is the number of runs that started while the target
+	// announced that it is leaving.
+	StartedLeaving int `json:"started_leaving"`
+}
+
+// runCounter counts the runs that were started, so that a test can prove that
+// a request was run at most once.
+type runCounter struct {
+	mu     sync.Mutex
+	report RunsReport
+	order  []string
+}
+
+func newRunCounter() *runCounter {
+	return &runCounter{report: RunsReport{Runs: make(map[string]int)}}
+}
+
+func (c *runCounter) start(requestID string, leaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report.Started++
+	if leaving {
+		c.report.StartedLeaving++
+	}
+	if _, known := c.report.Runs[requestID]; !known {
+		c.remember(requestID)
+	}
+	c.report.Runs[requestID]++
+}
+
+func (c *runCounter) remember(requestID string) {
+	c.order = append(c.order, requestID)
+	if len(c.order) <= runsKept {
+		return
+	}
+	delete(c.report.Runs, c.order[0])
+	c.order = c.order[1:]
+}
+
+func (c *runCounter) snapshot() RunsReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := c.report
+	report.Runs = maps.Clone(report.Runs)
+	return report
+}
--- a/protocol/sse/encoder.go
+++ b/protocol/sse/encoder.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
+	"github.com/cockroachdb/errors"
 	"io"
 	"strings"
 )
--- a/protocol/sse/sse.go
+++ b/protocol/sse/sse.go
@@ -6,7 +6,7 @@
 // taken for a whole one.
 package sse
 
-import "errors"
+import "github.com/cockroachdb/errors"
 
 // ContentType is the media type of an event stream.
 const ContentType = "text/event-stream"
--- /dev/null
+++ b/transport/target/conn_test.go
@@ -0,0 +1,182 @@
+package target_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	emulator "github.com/ivyhollow/ivyhollow/emulator/target"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// deafConn carries what is written, brings nothing back, and hides its closing.
+type deafConn struct {
+	net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *deafConn) Read([]byte) (int, error) { <-c.closed; return 0, net.ErrClosed }
+
+func (c *deafConn) Close() error { c.once.Do(func() { close(c.closed) }); return nil }
+
+// faultyConn fails its writes from the second call on, after some bytes.
+type faultyConn struct {
+	net.Conn
+	writes, passes int
+}
+
+func (c *faultyConn) Write(p []byte) (int, error) {
+	if c.writes++; c.writes == 1 {
+		return c.Conn.Write(p)
+	}
+	n, _ := c.Conn.Write(p[:c.passes])
+	return n, errors.New("broken pipe")
+}
+
+// Story: an idle connection dies just as a call is put on it. If not one byte
+// left, the stage can be sent elsewhere at once; if one did, the target may
+// have the call and "not run" would be a guess.
+func TestOutcomeFollowsTheBytes(t *testing.T) {
+	for passes, outcome := range map[int]target.Outcome{0: target.NotRun, 1: target.Unknown} {
+		inBubble(t, engine(), func(r *rig) {
+			r.client = target.New(clientOptions(func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := r.net.Dial(ctx, network, address)
+				return &faultyConn{Conn: conn, passes: passes}, err
+			}))
+			_, err := r.run(attempt("first"), false)
+			require.NoError(r, err)
+			_, err = r.run(attempt("second"), false)
+			requireFailure(r, err, outcome, target.ReasonReset)
+			require.Zero(r, r.target.Runs()["r-second"])
+		})
+	}
+}
+
+// Story: a target takes a call on a reused connection, starts the work and
+// dies. net/http sends such a request again by itself when it thinks it may;
+// then a supplier order is confirmed twice, and no code of ours has decided it.
+func TestNoSecondSendOnReusedConnection(t *testing.T) {
+	calls := 0
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != targetapi.PathRun {
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		if calls++; calls > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(targetapi.HeaderAttempt, "a-x")
+		_, _ = w.Write([]byte(`{"attempt_id":"a-x"}`))
+	}
+	rawBubble(t, handler, func(r *rig) {
+		_, _, err := r.client.Run(r.Context(), attempt("x"))
+		require.NoError(r, err)
+		_, _, err = r.client.Run(r.Context(), attempt("x"))
+		requireFailure(r, err, target.Unknown, target.ReasonReset)
+		synctest.Wait()
+		require.Equal(r, 2, calls, "the call was sent twice")
+	})
+}
+
+// Story: a target's host is gone and answers no dial. The wait must end by the
+// connect timeout, and nothing was run.
+func TestConnectTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := target.New(clientOptions(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}))
+		defer client.Close()
+		began := time.Now()
+		_, _, err := client.Run(t.Context(), attempt("x"))
+		requireFailure(t, err, target.NotRun, target.ReasonTimeout)
+		require.Equal(t, target.DefaultConnectTimeout, time.Since(began))
+	})
+}
+
+// Story: a burst opens many connections; afterwards they must not all be kept.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	options := engine()
+	options.Slots = 8
+	inBubble(t, options, func(r *rig) {
+		bounded := clientOptions(r.net.Dial)
+		bounded.IdlePerTarget = 3
+		r.client = target.New(bounded)
+		fill(r, nil)
+		for range 6 {
+			go func() { _, _, _ = r.client.Run(r.Context(), attempt("x")) }()
+		}
+		<-time.After(patience)
+		synctest.Wait()
+		require.EqualValues(r, 3, r.net.open.Load())
+		r.client.Close()
+		synctest.Wait()
+		require.Zero(r, r.net.open.Load())
+	})
+}
+
+// Story: a caller takes its tokens slowly, and an engine reads a long prompt.
+// Neither makes the target silent: the wait for bytes is bounded, not the time
+// between them, and keep-alive comments are bytes.
+func TestSlowIsNotSilent(t *testing.T) {
+	options := engine()
+	options.CallTime = 3 * patience
+	options.KeepAlive = patience / 2
+	inBubble(t, options, func(r *rig) {
+		taken := 0
+		_, _, err := r.client.Stream(r.Context(), attempt("x"), func(int, string) error {
+			taken++
+			<-time.After(2 * patience)
+			return nil
+		})
+		require.NoError(r, err)
+		require.Equal(r, maxTokens, taken)
+		require.EqualValues(r, 1, r.net.dials.Load())
+		_, err = r.run(attempt("y"), true)
+		require.NoError(r, err)
+		require.EqualValues(r, 1, r.net.dials.Load(), "a whole stream costs its connection")
+	})
+}
+
+// Story: the browser of a clerk is closed in mid-stream. The attempt ends at
+// once, and the target is told.
+func TestCallerTakesNoMoreTokens(t *testing.T) {
+	inBubble(t, engine(), func(r *rig) {
+		_, _, err := r.client.Stream(r.Context(), attempt("x"), func(int, string) error { return io.ErrClosedPipe })
+		requireFailure(r, err, target.Unknown, target.ReasonCancelled)
+		require.ErrorIs(r, err, io.ErrClosedPipe)
+		r.requireIdle()
+	})
+}
+
+// Story: a target dies in mid-stream and its host resets the connection. The
+// caller holds some tokens and must know that the rest is missing.
+func TestResetOnTCP(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	emulated := emulator.New(engine())
+	defer emulated.Close()
+	server := httptest.NewServer(emulated.Handler())
+	defer server.Close()
+	client := target.New(target.Options{})
+	defer client.Close()
+	emulated.SetFaults(emulator.Fault{Kind: emulator.FaultReset, AfterTokens: 2})
+	call := attempt("x")
+	call.Address = server.Listener.Addr().String()
+	_, _, err := client.Stream(t.Context(), call, func(int, string) error { return nil })
+	failed := (*target.AttemptError)(nil)
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, target.Unknown, failed.Outcome)
+	require.Equal(t, target.ReasonReset, failed.Reason)
+}
--- a/transport/target/options.go
+++ b/transport/target/options.go
@@ -17,6 +17,7 @@
 	DefaultHeaderTimeout  = 30 * time.Second
 	DefaultEventGap       = 10 * time.Second
 	DefaultControlTimeout = 2 * time.Second
+	DefaultOrderTimeout   = time.Minute
 	DefaultMaxBody        = 4 << 20
 	DefaultIdlePerTarget  = 32
 	DefaultIdleTotal      = 1024
@@ -35,6 +36,8 @@
 	EventGap time.Duration
 	// ControlTimeout bounds Cancel, Load and CacheEvents as a whole.
 	ControlTimeout time.Duration
+	// OrderTimeout bounds Order, which lasts until the order is in force.
+	OrderTimeout time.Duration
 	// MaxBody bounds an answer, in bytes.
 	MaxBody int64
 	// IdlePerTarget and IdleTotal bound the idle connections that are kept.
@@ -80,3 +83,26 @@
 	// Received tells whether any answer came, so that the rest means something.
 	Received bool
 }
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&o.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&o.EventGap, DefaultEventGap)
+	setDefault(&o.ControlTimeout, DefaultControlTimeout)
+	setDefault(&o.OrderTimeout, DefaultOrderTimeout)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.IdlePerTarget, DefaultIdlePerTarget)
+	setDefault(&o.IdleTotal, DefaultIdleTotal)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.MaxCancels, DefaultMaxCancels)
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	return o
+}
+
+func setDefault[T int | int64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/transport/target/span.go
@@ -0,0 +1,56 @@
+package target
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const tracerName = "github.com/ivyhollow/ivyhollow/transport/target"
+
+// Attributes of a span. None holds an input or an output of a stage.
+const (
+	attributePeer        = "server.address"
+	attributeStage       = "ivyhollow.stage"
+	attributeRequest     = "ivyhollow.request_id"
+	attributeAttempt     = "ivyhollow.attempt_id"
+	attributeIncarnation = "ivyhollow.target_incarnation"
+	attributeOutcome     = "ivyhollow.outcome"
+	attributeReason      = "ivyhollow.reason"
+)
+
+const (
+	spanRun    = "target.run"
+	spanStream = "target.stream"
+)
+
+// startSpan opens the client span of one call.
+func startSpan(ctx context.Context, call Call, accept string) (context.Context, trace.Span) {
+	name := spanRun
+	if accept == contentTypeStream {
+		name = spanStream
+	}
+	attributes := trace.WithAttributes(
+		attribute.String(attributePeer, call.Address),
+		attribute.String(attributeStage, call.Run.Stage),
+		attribute.String(attributeRequest, call.RequestID),
+		attribute.String(attributeAttempt, call.AttemptID),
+	)
+	return otel.Tracer(tracerName).Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), attributes)
+}
+
+// endSpan closes the span with what came of the call.
+func endSpan(span trace.Span, meta Meta, failed *AttemptError) {
+	span.SetAttributes(attribute.String(attributeIncarnation, meta.Incarnation))
+	if failed != nil {
+		span.SetAttributes(
+			attribute.String(attributeOutcome, failed.Outcome.String()),
+			attribute.String(attributeReason, string(failed.Reason)),
+		)
+		span.SetStatus(codes.Error, string(failed.Reason))
+	}
+	span.End()
+}
