Add routing baselines and a virtual-time experiment

Cause: the ways to route have to be weighed on the same seeds and faults. Ruled out: a cluster simulator; the targets are small fakes at their interface, messages are delays. Change: coordination/routing/baseline (random, round robin, least outstanding, two choices, rating with rounds), testkit/experiment (open-loop load, faults, report, plots) and its command. Tests: same seed same report, every job ends under every fault, response from the intended arrival. Figures before/after: not run as a measurement yet.

--- /dev/null
+++ b/coordination/routing/baseline/simple.go
@@ -0,0 +1,106 @@
+package baseline
+
+import (
+	"math/rand/v2"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+)
+
+// Random draws a target uniformly.
+type Random struct{}
+
+func (Random) choose(_ string, rng *rand.Rand, eligible []*entry) *entry {
+	return eligible[rng.IntN(len(eligible))]
+}
+
+// RoundRobin takes the targets in turn.
+type RoundRobin struct {
+	next map[string]int
+}
+
+func (s *RoundRobin) choose(pool string, _ *rand.Rand, eligible []*entry) *entry {
+	if s.next == nil {
+		s.next = map[string]int{}
+	}
+	s.next[pool]++
+	return eligible[s.next[pool]%len(eligible)]
+}
+
+// LeastOutstanding takes the target with the fewest own requests in flight,
+// ties broken at random.
+type LeastOutstanding struct{}
+
+func (LeastOutstanding) choose(_ string, rng *rand.Rand, eligible []*entry) *entry {
+	var best *entry
+	ties := 0
+	for _, e := range eligible {
+		switch {
+		case best == nil || e.outstanding < best.outstanding:
+			best, ties = e, 1
+		case e.outstanding == best.outstanding:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	return best
+}
+
+// TwoChoices takes the less loaded, by own requests, of two random targets
+// (Mitzenmacher, IEEE TPDS 2001).
+type TwoChoices struct{}
+
+func (TwoChoices) choose(_ string, rng *rand.Rand, eligible []*entry) *entry {
+	i := rng.IntN(len(eligible))
+	if len(eligible) == 1 {
+		return eligible[i]
+	}
+	j := rng.IntN(len(eligible) - 1)
+	if j >= i {
+		j++
+	}
+	if eligible[j].outstanding < eligible[i].outstanding {
+		return eligible[j]
+	}
+	return eligible[i]
+}
+
+// rating is a moving measure of a target's service: its share of successes
+// over its latency relative to the expected one.
+type rating struct {
+	success, slowness float64
+	unavailable       int // recent failures in a row
+}
+
+// ratingShare is the share of a new sample in a rating.
+const ratingShare = 0.1
+
+func newRating() rating {
+	return rating{success: 1, slowness: 1}
+}
+
+func (r *rating) observe(result routing.Result) {
+	ok := 0.0
+	switch result.Outcome {
+	case routing.OutcomeOK:
+		ok = 1
+		r.unavailable = 0
+	case routing.OutcomeCancelled, routing.OutcomeNotRun:
+		return
+	default:
+		r.unavailable++
+	}
+	r.success += ratingShare * (ok - r.success)
+	if ok == 1 && result.Expected > 0 {
+		slow := float64(result.Latency) / float64(result.Expected)
+		r.slowness += ratingShare * (slow - r.slowness)
+	}
+}
+
+// leastRating keeps every target in reach of the sampling.
+const leastRating = 0.01
+
+func (r *rating) value() float64 {
+	return max(leastRating, r.success/max(r.slowness, leastRating))
+}
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -67,7 +67,7 @@
 			none.Leaving++
 		case slices.Contains(p.query.Exclude, target.Incarnation):
 			none.Excluded++
-		case !target.fits(p.query):
+		case !target.Fits(p.query):
 			none.Unfit++
 		default:
 			buffer = append(buffer, candidate{target: target})
@@ -80,13 +80,6 @@
 	return nil
 }
 
-func (t *targetView) fits(q *Query) bool {
-	if q.Model != "" && len(t.Models) > 0 && !slices.Contains(t.Models, q.Model) {
-		return false
-	}
-	return q.Adapter == "" || len(t.Adapters) == 0 || slices.Contains(t.Adapters, q.Adapter)
-}
-
 // choose applies the rules in their order: probe, floor, affinity, load.
 func (p *pick) choose() (*candidate, Reason) {
 	if len(p.candidates) == 1 {
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/state/catalog"
@@ -50,6 +51,14 @@
 	Cost float64
 }
 
+// Fits tells whether the target can serve the query's model and adapter.
+func (t *Target) Fits(q *Query) bool {
+	if q.Model != "" && len(t.Models) > 0 && !slices.Contains(t.Models, q.Model) {
+		return false
+	}
+	return q.Adapter == "" || len(t.Adapters) == 0 || slices.Contains(t.Adapters, q.Adapter)
+}
+
 // Reason says which rule chose a target.
 type Reason uint8
 
--- /dev/null
+++ b/testkit/experiment/control.go
@@ -0,0 +1,70 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+)
+
+// StageInfo is a stage of a request at a moment, for the decisions of Control.
+type StageInfo struct {
+	Request *Request
+	Shape   *Shape
+	Stage   int
+	// Attempt counts the attempts that were sent before.
+	Attempt int
+	// Left is the time to the end-to-end deadline.
+	Left time.Duration
+}
+
+// Spec returns the stage's shape.
+func (s StageInfo) Spec() *StageShape {
+	return &s.Shape.Stages[s.Stage]
+}
+
+// Control is the admission, retry and hedge policy of one instance.
+type Control interface {
+	// Admit tells whether a request is taken at all.
+	Admit(now time.Time, s StageInfo) bool
+	// StartStage tells whether a stage is still worth starting.
+	StartStage(now time.Time, s StageInfo) bool
+	// Retry tells whether a failed stage is sent again, and spends for it.
+	Retry(now time.Time, s StageInfo) bool
+	// HedgeAfter tells how long to wait before a second attempt; ok is false
+	// when the stage is not hedged.
+	HedgeAfter(now time.Time, s StageInfo) (after time.Duration, ok bool)
+	// Hedge tells whether the second attempt may be sent, and spends for it.
+	Hedge(now time.Time, s StageInfo) bool
+	// AttemptDone and RequestDone tell how attempts and requests ended. An
+	// attempt's size is its work relative to the stage's mean, as its answer
+	// told; 0 when it told none.
+	AttemptDone(now time.Time, s StageInfo, result routing.Result, size float64)
+	RequestDone(now time.Time, s StageInfo, attained bool)
+}
+
+// Plain admits everything, sends a failed repeatable stage again once and
+// hedges nothing.
+type Plain struct{}
+
+// Admit implements Control.
+func (Plain) Admit(time.Time, StageInfo) bool { return true }
+
+// StartStage implements Control.
+func (Plain) StartStage(time.Time, StageInfo) bool { return true }
+
+// Retry implements Control.
+func (Plain) Retry(_ time.Time, s StageInfo) bool {
+	return s.Attempt < 2 && s.Spec().Repeatable
+}
+
+// HedgeAfter implements Control.
+func (Plain) HedgeAfter(time.Time, StageInfo) (time.Duration, bool) { return 0, false }
+
+// Hedge implements Control.
+func (Plain) Hedge(time.Time, StageInfo) bool { return false }
+
+// AttemptDone implements Control.
+func (Plain) AttemptDone(time.Time, StageInfo, routing.Result, float64) {}
+
+// RequestDone implements Control.
+func (Plain) RequestDone(time.Time, StageInfo, bool) {}
--- /dev/null
+++ b/testkit/experiment/experiment_test.go
@@ -0,0 +1,88 @@
+package experiment
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testLength = 4 * time.Second
+
+func testGrid() *Grid {
+	return &Grid{
+		Shapes:   []Shape{Periyar()},
+		Loads:    []float64{1.3},
+		Faults:   Faults(),
+		Seeds:    []uint64{1},
+		Policies: append(Baselines(), Routed(OurPolicy, ourConfig())),
+		Length:   testLength,
+	}
+}
+
+// The same seed must give the same report, whatever runs beside it: otherwise
+// two policies could not be compared.
+func TestGridRepeats(t *testing.T) {
+	var first, second bytes.Buffer
+	require.NoError(t, WriteCSV(&first, testGrid().Run()))
+	require.NoError(t, WriteCSV(&second, testGrid().Run()))
+	require.Equal(t, first.String(), second.String())
+}
+
+// Every offered request has one fate and every job ends, under every fault:
+// work that leaked would make a policy look cheap.
+func TestRunConserves(t *testing.T) {
+	for _, fault := range Faults() {
+		r := newRun(Config{Fjallaskali(), 1.3, fault, 1, testLength, Routed(OurPolicy, ourConfig()), true})
+		r.execute()
+		for _, target := range r.targets {
+			require.Zero(t, target.active, "%s: %s", fault, target.spec.Incarnation)
+			require.Zero(t, target.queued, "%s: %s", fault, target.spec.Incarnation)
+		}
+		for _, i := range r.instances {
+			require.Empty(t, i.flows, fault)
+		}
+		result := r.measure()
+		require.LessOrEqual(t, result.Attained+result.Refused+result.Failed, result.Offered, fault)
+		require.GreaterOrEqual(t, result.Sent, 4*result.Attained, fault)
+	}
+}
+
+// A client meant to send at 1 s, and the instance gets to the request only
+// 500 ms later. Measured from the send the answer looks quick; the client has
+// waited half a second more (coordinated omission).
+func TestResponseCountsFromIntendedArrival(t *testing.T) {
+	rec := &record{
+		request:  &Request{Intended: time.Second, Deadline: 3 * time.Second},
+		fate:     fateWhole,
+		answered: 1600 * time.Millisecond,
+	}
+	r := run{config: Config{Shape: Periyar(), Length: testLength}, records: []*record{rec}}
+	require.InDelta(t, 600_000, r.measure().Response.Max(), 1000)
+}
+
+func TestClockOrdersEvents(t *testing.T) {
+	var c clock
+	var got []int
+	for i, at := range []time.Duration{5, 3, 3, 9, 1} {
+		c.at(at, func() { got = append(got, i) })
+	}
+	c.runUntil(5)
+	require.Equal(t, []int{4, 1, 2, 0}, got)
+	require.Equal(t, time.Duration(5), c.now)
+}
+
+func TestCacheDropsLeastRecentlyUsed(t *testing.T) {
+	c := newPrefixCache(accountTokens + 2*documentTokens)
+	request := func(document string) int {
+		return c.read(prefix("a", document))
+	}
+	require.Equal(t, accountTokens+documentTokens, request("1"))
+	require.Equal(t, documentTokens, request("2"))
+	require.Zero(t, request("1"))
+	require.Equal(t, documentTokens, request("3"))
+	require.False(t, c.has("2"))
+	_, removed := c.publish()
+	require.Equal(t, []string{"2"}, removed)
+}
--- /dev/null
+++ b/testkit/experiment/fault.go
@@ -0,0 +1,130 @@
+package experiment
+
+import "time"
+
+// Fault names what goes wrong during a run.
+type Fault string
+
+// The faults of the grid.
+const (
+	FaultNone         Fault = "none"
+	FaultStraggler    Fault = "straggler"
+	FaultGrey         Fault = "grey"
+	FaultFailFast     Fault = "fail_fast"
+	FaultBurst        Fault = "burst"
+	FaultDCLost       Fault = "dc_lost"
+	FaultStaleReports Fault = "stale_reports_2s"
+	FaultStoreDown    Fault = "store_down"
+)
+
+// Faults lists the faults of the grid.
+func Faults() []Fault {
+	return []Fault{
+		FaultNone, FaultStraggler, FaultGrey, FaultFailFast,
+		FaultBurst, FaultDCLost, FaultStaleReports, FaultStoreDown,
+	}
+}
+
+const (
+	stragglerSlowness = 6.0
+	greySlowness      = 2.0
+	// burstRate multiplies the arrivals for burstLength every burstInterval.
+	burstRate     = 2.5
+	burstLength   = time.Second
+	burstInterval = 6 * time.Second
+	// listLag is how late the platform's list follows.
+	listLag = 5 * time.Second
+	// reportAge and staleAge are how old load reports are.
+	reportAge = 300 * time.Millisecond
+	staleAge  = 2 * time.Second
+)
+
+// window is when a fault is on: the middle half of a run.
+type window struct{ from, to time.Duration }
+
+func faultWindow(length time.Duration) window {
+	return window{length / 4, length * 3 / 4}
+}
+
+func (w window) holds(t time.Duration) bool {
+	return t >= w.from && t < w.to
+}
+
+// surge returns the factor of the arrivals at a moment.
+func (f Fault) surge(w window) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		if f == FaultBurst && w.holds(t) && (t-w.from)%burstInterval < burstLength {
+			return burstRate
+		}
+		return 1
+	}
+}
+
+// inject schedules the fault. The first engine and, for the faults of a single
+// target, the first target of one service fail.
+func (r *run) inject(w window) {
+	engine := r.pools["engines"][0]
+	switch r.config.Fault {
+	case FaultStraggler:
+		r.slow(w, stragglerSlowness, engine, r.pools["rerankers"][0])
+	case FaultGrey:
+		r.slow(w, greySlowness, engine, r.pools["retrievers"][0])
+	case FaultFailFast:
+		for _, t := range []*target{engine, r.pools["encoders"][0]} {
+			r.clock.at(w.from, func() { t.failing = true })
+			r.clock.at(w.to, func() { t.failing = false })
+		}
+	case FaultDCLost:
+		r.loseDataCentre(w, dataCentre(0))
+	case FaultStoreDown:
+		// An engine dies while the list can't tell.
+		r.clock.at(w.from, engine.lose)
+		r.clock.at(w.to, func() { engine.down = false })
+	case FaultNone, FaultBurst, FaultStaleReports:
+	}
+}
+
+func (r *run) slow(w window, slowness float64, targets ...*target) {
+	for _, t := range targets {
+		r.clock.at(w.from, func() { t.slowness = slowness })
+		r.clock.at(w.to, func() { t.slowness = 1 })
+	}
+}
+
+// loseDataCentre stops the targets and the instances of a data centre. The
+// balancer sends its clients to the other instances; the platform's list
+// follows after listLag, and again when all are back.
+func (r *run) loseDataCentre(w window, name string) {
+	r.clock.at(w.from, func() {
+		r.lostDC = name
+		for _, t := range r.targets {
+			if t.spec.DataCentre == name {
+				t.lose()
+			}
+		}
+		for _, i := range r.instances {
+			if i.dataCentre == name {
+				i.lose()
+			}
+		}
+	})
+	r.clock.at(w.from+listLag, r.publishLists)
+	r.clock.at(w.to, func() {
+		r.lostDC = ""
+		for _, t := range r.targets {
+			t.down = false
+		}
+		for _, i := range r.instances {
+			i.lost = false
+		}
+	})
+	r.clock.at(w.to+listLag, r.publishLists)
+}
+
+// reportAge returns how old load reports are now.
+func (r *run) reportAge() time.Duration {
+	if r.config.Fault == FaultStaleReports && r.window.holds(r.clock.now) {
+		return staleAge
+	}
+	return reportAge
+}
--- /dev/null
+++ b/testkit/experiment/goal.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// The goal: the best baseline's misses cut to a third, and the cost within
+// goalCost of the fault-free cost.
+const (
+	goalMisses = 1.0 / 3
+	goalCost   = 1.1
+)
+
+type cellKey struct {
+	shape, policy string
+	fault         Fault
+	load          float64
+}
+
+// WriteGoal compares one policy with the best of the baselines, cell by cell,
+// and says whether the goal is met.
+func WriteGoal(w io.Writer, cells []*Cell, policy string, baselines []string) error {
+	index := map[cellKey]*Cell{}
+	for _, c := range cells {
+		index[cellKey{c.Shape, c.Policy, c.Fault, c.Load}] = c
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "shape\tfault\tload\tbest_baseline\tmisses_%\tours_%\tratio\tcost_ratio\tgoal")
+	for _, c := range cells {
+		if c.Policy != policy {
+			continue
+		}
+		best := bestBaseline(index, c, baselines)
+		free := index[cellKey{c.Shape, policy, FaultNone, c.Load}]
+		if best == nil || free == nil {
+			continue
+		}
+		writeGoalRow(out, c, best, free)
+	}
+	return out.Flush()
+}
+
+func bestBaseline(index map[cellKey]*Cell, c *Cell, baselines []string) *Cell {
+	var best *Cell
+	for _, name := range baselines {
+		other := index[cellKey{c.Shape, name, c.Fault, c.Load}]
+		if other != nil && (best == nil || misses(other) < misses(best)) {
+			best = other
+		}
+	}
+	return best
+}
+
+func misses(c *Cell) float64 {
+	return 1 - c.Mean((*Result).Attainment)
+}
+
+func writeGoalRow(w io.Writer, c, best, free *Cell) {
+	share := ratio(misses(c), misses(best))
+	cost := ratio(c.Mean((*Result).SecondsPerAnswer), free.Mean((*Result).SecondsPerAnswer))
+	verdict := "met"
+	switch {
+	case share > goalMisses && cost > goalCost:
+		verdict = "misses and cost not met"
+	case share > goalMisses:
+		verdict = "misses not met"
+	case cost > goalCost:
+		verdict = "cost not met"
+	}
+	fmt.Fprintf(w, "%s\t%s\t%.1f\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%s\n", c.Shape, c.Fault, c.Load, best.Policy,
+		100*misses(best), 100*misses(c), share, cost, verdict)
+}
--- /dev/null
+++ b/testkit/experiment/router.go
@@ -0,0 +1,41 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/routing/baseline"
+)
+
+// Router is the routing of one instance, as the experiment drives it.
+type Router interface {
+	SetTargets(now time.Time, pool routing.Pool, targets []routing.Target)
+	Pick(now time.Time, rng *rand.Rand, q routing.Query) (routing.Choice, error)
+	// Started records a sent attempt; the function it returns ends it.
+	Started(now time.Time, incarnation string, cost float64) func(now time.Time, result routing.Result)
+	Report(now time.Time, incarnation string, load routing.Load)
+	CacheEvent(now time.Time, incarnation string, update routing.CacheUpdate)
+	Digest(now time.Time) []routing.DigestEntry
+	PeerDigest(now time.Time, origin string, entries []routing.DigestEntry)
+}
+
+// tableRouter drives the product's routing.
+type tableRouter struct{ *routing.Table }
+
+func (r tableRouter) Started(now time.Time, incarnation string, cost float64) func(time.Time, routing.Result) {
+	return r.Table.Started(now, incarnation, cost).Done
+}
+
+// baselineRouter drives a baseline, which ignores reports, events and digests.
+type baselineRouter struct{ *baseline.Router }
+
+func (r baselineRouter) Started(_ time.Time, incarnation string, _ float64) func(time.Time, routing.Result) {
+	done := r.Router.Started(incarnation)
+	return func(_ time.Time, result routing.Result) { done(result) }
+}
+
+func (baselineRouter) Report(time.Time, string, routing.Load)              {}
+func (baselineRouter) CacheEvent(time.Time, string, routing.CacheUpdate)   {}
+func (baselineRouter) Digest(time.Time) []routing.DigestEntry              { return nil }
+func (baselineRouter) PeerDigest(time.Time, string, []routing.DigestEntry) {}
--- /dev/null
+++ b/testkit/experiment/run.go
@@ -0,0 +1,225 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+)
+
+// Config is one run.
+type Config struct {
+	Shape Shape
+	// Load is the offered load as a share of the nominal capacity.
+	Load   float64
+	Fault  Fault
+	Seed   uint64
+	Length time.Duration
+	Policy Policy
+	// AgeKnown lets routers know the true age of load reports. The interface
+	// of the targets doesn't tell it, so by default they assume reportAge.
+	AgeKnown bool
+}
+
+// Policy is a way to decide, by name. The functions make one router and one
+// control for each instance.
+type Policy struct {
+	Name       string
+	NewRouter  func(instance, dataCentre string) Router
+	NewControl func(s *Shape) Control
+}
+
+// Intervals of the background traffic.
+const (
+	digestInterval = 200 * time.Millisecond
+	pollInterval   = 500 * time.Millisecond
+	cacheInterval  = time.Second
+	cacheDelay     = 500 * time.Millisecond
+	cacheLossShare = 0.1
+	ejectionFloor  = 0.5
+)
+
+// run is the state of one run.
+type run struct {
+	config    Config
+	clock     *clock
+	window    window
+	targets   []*target
+	pools     map[string][]*target
+	byName    map[string]*target
+	instances []*instance
+	lostDC    string
+	records   []*record
+}
+
+func dataCentre(i int) string {
+	return fmt.Sprintf("dc-%d", i%DataCentres)
+}
+
+// Run runs one configuration and returns what was measured.
+func Run(config Config) *Result {
+	r := newRun(config)
+	r.execute()
+	return r.measure()
+}
+
+func newRun(config Config) *run {
+	r := &run{
+		config: config,
+		clock:  &clock{},
+		window: faultWindow(config.Length),
+		pools:  map[string][]*target{},
+		byName: map[string]*target{},
+	}
+	r.addTargets()
+	r.addInstances()
+	r.publishLists()
+	r.inject(r.window)
+	r.background()
+	r.offer()
+	return r
+}
+
+// drain is longer than the longest deadline, so that every request ends.
+const drain = 10 * time.Second
+
+func (r *run) execute() {
+	r.clock.runUntil(r.config.Length + drain)
+}
+
+func (r *run) addTargets() {
+	for s := range r.config.Shape.Stages {
+		stage := &r.config.Shape.Stages[s]
+		for i := range stage.Targets {
+			name := fmt.Sprintf("%s-%d", stage.Pool, i)
+			spec := routing.Target{
+				Incarnation: name,
+				Pool:        stage.Pool,
+				Address:     name,
+				DataCentre:  dataCentre(i),
+				Slots:       stage.Slots,
+			}
+			t := newTarget(r.clock, spec, stage, len(r.config.Shape.Tiers))
+			t.elsewhere = r.cachedSomewhere
+			r.targets = append(r.targets, t)
+			r.pools[stage.Pool] = append(r.pools[stage.Pool], t)
+			r.byName[name] = t
+		}
+	}
+}
+
+func (r *run) cachedSomewhere(part string) bool {
+	for _, t := range r.pools[enginePool] {
+		if !t.down && t.cache.has(part) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) addInstances() {
+	for i := range Instances {
+		name := fmt.Sprintf("instance-%d", i)
+		r.instances = append(r.instances, &instance{
+			run:        r,
+			name:       name,
+			dataCentre: dataCentre(i),
+			router:     r.config.Policy.NewRouter(name, dataCentre(i)),
+			control:    r.config.Policy.NewControl(&r.config.Shape),
+			rng:        newRand(r.config.Seed, uint64(100+i)),
+			learned:    newLearner(len(r.config.Shape.Stages)),
+		})
+	}
+}
+
+// publishLists gives every instance the platform's list as it is now.
+func (r *run) publishLists() {
+	for _, stage := range r.config.Shape.Stages {
+		pool := routing.Pool{Name: stage.Pool, Objective: r.config.Shape.Objective, EjectionFloor: ejectionFloor}
+		var list []routing.Target
+		for _, t := range r.pools[stage.Pool] {
+			if !t.down {
+				list = append(list, t.spec)
+			}
+		}
+		for _, i := range r.instances {
+			i.router.SetTargets(r.clock.time(), pool, list)
+		}
+	}
+}
+
+// background starts the load reports, digests and cache events.
+func (r *run) background() {
+	for _, t := range r.targets {
+		r.clock.every(0, loadSampleInterval, t.sampleLoad)
+	}
+	for n, i := range r.instances {
+		offset := time.Duration(n) * time.Millisecond
+		r.clock.every(offset, digestInterval, func() { r.spreadDigest(i) })
+		r.clock.every(offset, pollInterval, func() { r.poll(i) })
+	}
+	loss := newRand(r.config.Seed, 2)
+	gaps := make([]bool, len(r.pools[enginePool])*Instances)
+	for n, t := range r.pools[enginePool] {
+		r.clock.every(cacheInterval, cacheInterval, func() {
+			if t.down {
+				return
+			}
+			added, removed := t.cache.publish()
+			for k, i := range r.instances {
+				gap := &gaps[n*Instances+k]
+				if loss.Float64() < cacheLossShare {
+					*gap = true
+					continue
+				}
+				update := routing.CacheUpdate{Epoch: 1, Gap: *gap, Added: added, Removed: removed}
+				*gap = false
+				r.clock.after(cacheDelay, func() { i.router.CacheEvent(r.clock.time(), t.spec.Incarnation, update) })
+			}
+		})
+	}
+}
+
+func (r *run) spreadDigest(from *instance) {
+	if from.lost {
+		return
+	}
+	entries := from.router.Digest(r.clock.time())
+	for _, to := range r.instances {
+		if to == from || to.lost {
+			continue
+		}
+		r.clock.after(farDelay, func() { to.router.PeerDigest(r.clock.time(), from.name, entries) })
+	}
+}
+
+func (r *run) poll(i *instance) {
+	if i.lost {
+		return
+	}
+	for _, t := range r.targets {
+		i.reportFrom(t)
+	}
+}
+
+// offer schedules the workload.
+func (r *run) offer() {
+	surge := r.config.Fault.surge(r.window)
+	shape := &r.config.Shape
+	for _, request := range workload(shape, r.config.Load, r.config.Length, r.config.Seed, surge) {
+		rec := &record{request: request}
+		r.records = append(r.records, rec)
+		r.clock.at(request.Intended+shape.ClientDelay, func() { r.balance(request).accept(request, rec) })
+	}
+}
+
+// balance stands for the platform's balancer in front of the instances.
+func (r *run) balance(request *Request) *instance {
+	for k := range r.instances {
+		i := r.instances[(request.Instance+k)%len(r.instances)]
+		if !i.lost {
+			return i
+		}
+	}
+	return r.instances[request.Instance]
+}
--- /dev/null
+++ b/testkit/experiment/workload.go
@@ -0,0 +1,118 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+)
+
+// Request is one offered request. Its sizes are drawn before the run, so that
+// every policy meets the same ones.
+type Request struct {
+	ID int
+	// Intended is when the client meant to send it, since the start.
+	Intended time.Duration
+	Tier     int
+	Account  int
+	Instance int
+	// Work is the mean-1 size of each stage; 0 leaves the stage out.
+	Work []float64
+	// Tokens is the length of the generated answer.
+	Tokens int
+	Prefix []routing.PrefixPart
+	// Deadline is when the client has no use for the answer any more.
+	Deadline time.Duration
+}
+
+// The arrivals are a Markov-modulated Poisson process: calm and busy periods
+// alternate, with a mean rate of one.
+const (
+	calmRate   = 0.8
+	busyRate   = 2.0
+	calmLength = 2500 * time.Millisecond
+	busyLength = 500 * time.Millisecond
+)
+
+const (
+	serviceSigma = 0.3
+	answerSigma  = 0.4
+)
+
+func newRand(seed uint64, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, stream))
+}
+
+// workload draws the requests of a run. Surge multiplies the rate at a moment.
+func workload(s *Shape, load float64, length time.Duration, seed uint64, surge func(time.Duration) float64) []*Request {
+	rng := newRand(seed, 1)
+	zipf := rand.NewZipf(rng, 1.1, 3, documents-1)
+	rate := load * s.capacity()
+	var requests []*Request
+	busy := false
+	change := time.Duration(0)
+	for now := time.Duration(0); now < length; {
+		for now >= change {
+			busy = !busy && change > 0
+			mean := calmLength
+			if busy {
+				mean = busyLength
+			}
+			change += time.Duration(rng.ExpFloat64() * float64(mean))
+		}
+		factor := calmRate
+		if busy {
+			factor = busyRate
+		}
+		now += time.Duration(rng.ExpFloat64() / (rate * factor * surge(now)) * float64(time.Second))
+		requests = append(requests, draw(s, rng, zipf, len(requests), now))
+	}
+	return requests
+}
+
+func draw(s *Shape, rng *rand.Rand, zipf *rand.Zipf, id int, now time.Duration) *Request {
+	r := &Request{
+		ID:       id,
+		Intended: now,
+		Tier:     drawTier(s, rng),
+		Instance: rng.IntN(Instances),
+		Work:     make([]float64, len(s.Stages)),
+		Tokens:   max(1, int(meanAnswer*logNormal(rng, answerSigma))),
+	}
+	for i, stage := range s.Stages {
+		work := logNormal(rng, serviceSigma)
+		if rng.Float64() < stage.Share {
+			r.Work[i] = work
+		}
+	}
+	document := zipf.Uint64()
+	r.Account = int(document % accounts)
+	r.Prefix = prefix(fmt.Sprintf("account-%d", r.Account), fmt.Sprintf("document-%d", document))
+	r.Deadline = now + s.Tiers[r.Tier].Deadline
+	return r
+}
+
+func prefix(account, document string) []routing.PrefixPart {
+	return []routing.PrefixPart{
+		{ID: account, Tokens: accountTokens},
+		{ID: document, Tokens: documentTokens},
+	}
+}
+
+func drawTier(s *Shape, rng *rand.Rand) int {
+	point := rng.Float64()
+	for i, tier := range s.Tiers {
+		point -= tier.Share
+		if point < 0 {
+			return i
+		}
+	}
+	return len(s.Tiers) - 1
+}
+
+// logNormal draws from a log-normal distribution of mean 1.
+func logNormal(rng *rand.Rand, sigma float64) float64 {
+	return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2)
+}
