Keep the status of requests and sums of their cost in bounded memory

Cause: operators ask how a request and its stages fared, and what each account cost by stage; an instance keeps nothing on disk and has little memory. Change: package state/requests: a sharded table bounded in requests and bytes with retention; attempts with their results; sums by pipeline, stage, tier and account, pruned by lossy counting and drained as a summary of bounded size; settings refuse a table smaller than twice the requests in flight. Seen failing first with the guard removed: stale reference, bound of requests, of bytes, of attempts, own eviction by a late answer, id in use, missing Finish, first end of attempt and request, retention, exact totals after pruning, waste past the deadline.

--- a/settings/load.go
+++ b/settings/load.go
@@ -10,6 +10,10 @@
 	"gopkg.in/ini.v1"
 )
 
+// statusPerInFlight is the least room for status, in requests kept for each
+// that may be in flight: the table's shards don't fill evenly.
+const statusPerInFlight = 2
+
 // Load reads the file at path over the defaults. When the file is at fault the
 // error holds Faults with every fault in it; the returned Settings are then
 // not fit for use.
@@ -117,6 +121,11 @@
 			report("peers", f.key, "must be set: mutual TLS needs tls_cert, tls_key and tls_ca")
 		}
 	}
+	// A running request's status is never pushed out, so a table that they can
+	// fill would leave new requests without one.
+	if s.Status.RingSize < statusPerInFlight*s.Limits.MaxInFlight {
+		report("status", "ring_size", "must be at least twice [limits] max_in_flight")
+	}
 	peers, err := netip.ParseAddrPort(s.Listen.Peers)
 	if err != nil {
 		return faults
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -76,7 +76,7 @@
 otlp_endpoint = http://10.0.0.9:4318/v1/traces
 log_level = 2
 [status]
-ring_size = 9
+ring_size = 12
 retention = 10s
 [claims]
 retention = 11h
@@ -94,7 +94,7 @@
 		Routing:   Routing{7},
 		Shutdown:  Shutdown{8 * time.Second, 0},
 		Telemetry: Telemetry{"http://10.0.0.9:4318/v1/traces", 2},
-		Status:    Status{9, 10 * time.Second},
+		Status:    Status{12, 10 * time.Second},
 		Claims:    Claims{11 * time.Hour},
 	}, got)
 	require.True(t, got.Peers.TLS())
@@ -135,6 +135,8 @@
 			"[peers] tls_ca: must be set: mutual TLS needs tls_cert, tls_key and tls_ca",
 			"line 8: [peers] tls_key: must be set: mutual TLS needs tls_cert, tls_key and tls_ca",
 		}},
+		"fewer statuses than in flight": {required + "[limits]\nmax_in_flight = 6\n[status]\nring_size = 11",
+			[]string{"line 9: [status] ring_size: must be at least twice [limits] max_in_flight"}},
 		"peers unspecified": {required + "[peers]\ntls_cert=/c\ntls_key=/k\ntls_ca=/a\n[listen]\npeers = [::]:1",
 			[]string{"line 11: [listen] peers: other instances are told to connect to this address: it can't be unspecified"}},
 		"all at once": {"[instance]\nname = UPPER\nhuh\n[platfrom]\nurl = x\n[limits]\nmax_streams = none\n", []string{
--- /dev/null
+++ b/state/requests/record.go
@@ -0,0 +1,85 @@
+package requests
+
+import (
+	"strings"
+	"time"
+	"unsafe"
+)
+
+const (
+	// maxAttempts bounds the attempts kept of one request; retries and hedges
+	// have budgets far below it.
+	maxAttempts = 32
+	// keptAttempts is the room for attempts that a free slot keeps for its next
+	// request, so that a common request allocates none.
+	keptAttempts = 8
+	// maxErrorText bounds the error text of an attempt, in bytes.
+	maxErrorText = 160
+	// indexBytes is the estimated cost of a request in the shard's index.
+	indexBytes = 48
+
+	recordBytes  = int64(unsafe.Sizeof(record{})) + indexBytes
+	attemptBytes = int64(unsafe.Sizeof(Attempt{}))
+)
+
+// none is the end of a list of slots.
+const none = int32(-1)
+
+// record is one slot of a shard: a request, or free for one.
+type record struct {
+	info       Info
+	generation uint64
+	state      State
+	outcome    Outcome
+	elapsed    time.Duration
+	ended      time.Time
+	attempts   []Attempt
+	unrecorded int
+	// bytes is the memory of the record's own strings and attempts.
+	bytes int64
+	// prev and next link the slot into one of the shard's lists.
+	prev, next int32
+}
+
+// status copies the record, with the times of what still runs up to now.
+func (r *record) status(now time.Time) Status {
+	s := Status{
+		Info:       r.info,
+		State:      r.state,
+		Outcome:    r.outcome,
+		Elapsed:    r.elapsed,
+		Attempts:   make([]Attempt, len(r.attempts)),
+		Unrecorded: r.unrecorded,
+	}
+	copy(s.Attempts, r.attempts)
+	sinceBegin := now.Sub(r.info.Begun)
+	if r.state == Running {
+		s.Elapsed = sinceBegin
+	}
+	for i := range s.Attempts {
+		a := &s.Attempts[i]
+		if a.Result == ResultRunning {
+			a.Elapsed = sinceBegin - a.Started
+		}
+	}
+	return s
+}
+
+// reset empties the record and keeps its room for attempts.
+func (r *record) reset() {
+	kept := r.attempts[:0]
+	clear(r.attempts)
+	if cap(kept) > keptAttempts {
+		kept = nil
+	}
+	*r = record{generation: r.generation, attempts: kept, prev: none, next: none}
+}
+
+// shortText cuts a text. A cut text is copied, or it would keep all of the
+// long one in memory.
+func shortText(text string) string {
+	if len(text) <= maxErrorText {
+		return text
+	}
+	return strings.Clone(text[:maxErrorText])
+}
--- /dev/null
+++ b/state/requests/table.go
@@ -0,0 +1,207 @@
+package requests
+
+import (
+	"hash/maphash"
+	"math/bits"
+	"time"
+)
+
+// NoAttempt is the number of an attempt that is not recorded; EndAttempt takes
+// it and does nothing.
+const NoAttempt = -1
+
+const (
+	maxShards        = 32
+	requestsPerShard = 64
+	maxStripes       = 8
+	defaultAccounts  = 4096
+)
+
+// Options bounds a Table.
+type Options struct {
+	// MaxRequests is the greatest number of requests kept, running ones included.
+	MaxRequests int
+	// MaxBytes bounds the memory of the requests kept; 0 allows 2 KiB a request.
+	// Slots that were emptied keep at most as much again for the next requests.
+	MaxBytes int64
+	// Retention is how long a finished request is kept at most.
+	Retention time.Duration
+	// MaxAccounts bounds the sums that are kept by client account between two
+	// drains; 0 is 4096. Beyond it the least busy ones are summed together.
+	MaxAccounts int
+}
+
+// Table holds the status of requests in shards by request id. Locks are taken
+// in the order shard, digests; neither is held for more than memory work.
+type Table struct {
+	shards []shard
+	seed   maphash.Seed
+	// digests are striped by the request's shard and not by account: one busy
+	// account would otherwise keep all cores at one lock.
+	digests []*digests
+}
+
+// defaultBytesPerRequest fits a request of four stages with their attempts.
+const defaultBytesPerRequest = 2 << 10
+
+// New makes an empty table.
+func New(o Options) *Table {
+	o.MaxRequests = max(o.MaxRequests, 1)
+	if o.MaxBytes <= 0 {
+		o.MaxBytes = int64(o.MaxRequests) * defaultBytesPerRequest
+	}
+	if o.MaxAccounts <= 0 {
+		o.MaxAccounts = defaultAccounts
+	}
+	n := shardCount(o.MaxRequests)
+	t := &Table{
+		shards:  make([]shard, n),
+		seed:    maphash.MakeSeed(),
+		digests: make([]*digests, min(n, maxStripes)),
+	}
+	for i := range t.digests {
+		t.digests[i] = newDigests(o.MaxAccounts / len(t.digests))
+	}
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.index = map[string]int32{}
+		s.free, s.running, s.finished = newList(), newList(), newList()
+		s.maxRequests = (o.MaxRequests + n - 1) / n
+		s.maxBytes = o.MaxBytes / int64(n)
+		s.retention = o.Retention
+	}
+	return t
+}
+
+// shardCount gives each shard room enough that chance does not fill one while
+// others are empty.
+func shardCount(requests int) int {
+	n := min(max(requests/requestsPerShard, 1), maxShards)
+	return 1 << (bits.Len(uint(n)) - 1)
+}
+
+func (t *Table) shardOf(id string) uint32 {
+	return uint32(maphash.String(t.seed, id)) & uint32(len(t.shards)-1)
+}
+
+func (t *Table) stripe(ref Ref) *digests {
+	return t.digests[int(ref.shard)%len(t.digests)]
+}
+
+// Begin records a request. The reference is the zero Ref when the id is in use
+// or running requests fill the table; the request is then served without a
+// status of its own.
+func (t *Table) Begin(info Info) Ref {
+	i := t.shardOf(info.ID)
+	slot, generation := t.shards[i].begin(info)
+	if slot == none {
+		return Ref{}
+	}
+	return Ref{shard: i, slot: slot, generation: generation}
+}
+
+// StartAttempt records an attempt and returns its number for EndAttempt.
+func (t *Table) StartAttempt(ref Ref, a AttemptStart) int {
+	if !ref.Recorded() {
+		return NoAttempt
+	}
+	return t.shards[ref.shard].addAttempt(ref, a)
+}
+
+// EndAttempt records how an attempt ended, also after the end of its request:
+// the answer of a hedge that lost still counts as work. The first end of an
+// attempt stands.
+func (t *Table) EndAttempt(ref Ref, attempt int, e AttemptEnd) {
+	if !ref.Recorded() {
+		return
+	}
+	s := &t.shards[ref.shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.find(ref)
+	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
+		return
+	}
+	a := &r.attempts[attempt]
+	if a.Result != ResultRunning || e.Result == ResultRunning {
+		return
+	}
+	a.Result = e.Result
+	a.Elapsed = e.At.Sub(r.info.Begun) - a.Started
+	a.Work = e.Work
+	a.Tokens = e.Tokens
+	a.PrefillTokens = e.PrefillTokens
+	text := shortText(e.Error)
+	if s.reserveFor(ref.slot, int64(len(text))) {
+		a.Error = text
+		s.charge(r, int64(len(text)))
+	}
+	t.stripe(ref).add(r.key(a.Stage), attemptCounters(a, r))
+}
+
+// Finish records the end of a request. The first end stands.
+func (t *Table) Finish(ref Ref, e End) {
+	if !ref.Recorded() || e.State == Running {
+		return
+	}
+	s := &t.shards[ref.shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.find(ref)
+	if r == nil || r.state != Running {
+		return
+	}
+	r.state, r.outcome, r.ended = e.State, e.Outcome, e.At
+	r.elapsed = e.At.Sub(r.info.Begun)
+	s.running.remove(s.slots, ref.slot)
+	s.finished.push(s.slots, ref.slot)
+	t.stripe(ref).addRequest(r)
+}
+
+// Get copies the status of a request. It is false when the request is not
+// known, or is past its retention.
+func (t *Table) Get(id string, now time.Time) (Status, bool) {
+	s := &t.shards[t.shardOf(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slot, ok := s.index[id]
+	if !ok || s.expired(slot, now) {
+		return Status{}, false
+	}
+	return s.slots[slot].status(now), true
+}
+
+// Expire removes what is past its retention, for an instance without requests
+// whose Begin would do it.
+func (t *Table) Expire(now time.Time) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		s.expire(now, len(s.slots))
+		s.mu.Unlock()
+	}
+}
+
+// Stats is the size of a table.
+type Stats struct {
+	// Requests counts the records, running and finished.
+	Requests int
+	// Bytes is the memory charged to them.
+	Bytes int64
+	// Unrecorded counts the requests that found no room since the start.
+	Unrecorded uint64
+}
+
+// Stats sums up the shards, one after the other.
+func (t *Table) Stats() Stats {
+	var sum Stats
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		sum.Requests += len(s.index)
+		sum.Bytes += s.bytes
+		sum.Unrecorded += s.unrecorded
+		s.mu.Unlock()
+	}
+	return sum
+}
