--- /dev/null
+++ b/daemon/app/adapters.go
@@ -0,0 +1,105 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/protocol/requestid"
+)
+
+// Methods that instances call at one another.
+const (
+	methodClaim  = "claim.ask"
+	methodStatus = "request.status"
+)
+
+// errNotMember says that no live instance has the name, or the incarnation.
+var errNotMember = errors.New("no such live instance")
+
+// peers reaches other instances by name.
+type peers struct{ cluster *cluster.Cluster }
+
+// Call asks a live instance.
+func (p peers) Call(ctx context.Context, instance, method string, body []byte) ([]byte, error) {
+	member, ok := p.cluster.View().Find(instance)
+	if !ok || !member.Live() {
+		return nil, errors.Wrapf(errNotMember, "call %s at %s", method, instance)
+	}
+	return p.cluster.Call(ctx, member.Address, method, body)
+}
+
+// Others names the other live instances in random order.
+func (p peers) Others() []string {
+	members := p.cluster.Peers()
+	names := make([]string, len(members))
+	for i, place := range rand.Perm(len(members)) {
+		names[i] = members[place].Name
+	}
+	return names
+}
+
+// Publish spreads records of the configuration and of the list of targets.
+func (p peers) Publish(records []spread.Record) {
+	for _, r := range records {
+		p.cluster.Put(r)
+	}
+}
+
+// asker puts questions about claims to their claimants.
+type asker struct{ cluster *cluster.Cluster }
+
+// AskClaim implements claims.Asker. Only the very incarnation that made the
+// claim can answer for it: a later one has none of its memory.
+func (a asker) AskClaim(ctx context.Context, claimant claim.Owner, q claim.Question) (claim.PeerAnswer, error) {
+	var answer claim.PeerAnswer
+	member, ok := a.cluster.View().Find(claimant.Instance)
+	if !ok || !member.Live() || member.Incarnation != claimant.Incarnation {
+		return answer, errors.Wrapf(errNotMember, "ask claim at %s", claimant.Instance)
+	}
+	body, err := msgpack.Marshal(&q)
+	if err != nil {
+		return answer, errors.Wrap(err, "ask claim: encode")
+	}
+	reply, err := a.cluster.Call(ctx, member.Address, methodClaim, body)
+	if err != nil {
+		return answer, errors.Wrapf(err, "ask claim at %s", claimant.Instance)
+	}
+	err = msgpack.Unmarshal(reply, &answer)
+	return answer, errors.Wrapf(err, "ask claim at %s: decode", claimant.Instance)
+}
+
+// statusQuestion asks for the status of a request on behalf of an account.
+type statusQuestion struct {
+	ID      string `msgpack:"i"`
+	Account string `msgpack:"a"`
+}
+
+// forwarder passes questions about requests on.
+type forwarder struct{ cluster *cluster.Cluster }
+
+// RequestStatus implements serve.Forwarder.
+func (f forwarder) RequestStatus(ctx context.Context, id requestid.ID, account, text string) (*callerapi.RequestStatus, error) {
+	member, ok := f.cluster.View().Find(id.Instance)
+	if !ok || !member.Live() || member.Incarnation != id.Incarnation {
+		return nil, errors.Wrapf(errNotMember, "ask request status at %s", id.Instance)
+	}
+	body, err := msgpack.Marshal(&statusQuestion{ID: text, Account: account})
+	if err != nil {
+		return nil, errors.Wrap(err, "ask request status: encode")
+	}
+	reply, err := f.cluster.Call(ctx, member.Address, methodStatus, body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask request status at %s", id.Instance)
+	}
+	var status *callerapi.RequestStatus
+	err = json.Unmarshal(reply, &status)
+	return status, errors.Wrapf(err, "ask request status at %s: decode", id.Instance)
+}
--- /dev/null
+++ b/daemon/app/app.go
@@ -0,0 +1,269 @@
+// Package app puts an instance together from its parts and runs them as one
+// group: it makes no decision of its own.
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/budget"
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	"github.com/ivyhollow/ivyhollow/coordination/deadline"
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+	"github.com/ivyhollow/ivyhollow/daemon/accounts"
+	"github.com/ivyhollow/ivyhollow/daemon/claims"
+	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/daemon/confsync"
+	"github.com/ivyhollow/ivyhollow/daemon/discovery"
+	"github.com/ivyhollow/ivyhollow/daemon/execute"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/daemon/load"
+	"github.com/ivyhollow/ivyhollow/daemon/register"
+	"github.com/ivyhollow/ivyhollow/daemon/serve"
+	"github.com/ivyhollow/ivyhollow/daemon/spender"
+	"github.com/ivyhollow/ivyhollow/protocol/requestid"
+	"github.com/ivyhollow/ivyhollow/settings"
+	"github.com/ivyhollow/ivyhollow/state/requests"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// watchersKey is the key whose owners watch the store.
+const watchersKey = "configuration-watchers"
+
+// streamIdle bounds the wait for a caller that does not read its stream.
+const streamIdle = 10 * time.Second
+
+// App is one instance.
+type App struct {
+	settings  settings.Settings
+	self      membership.Member
+	telemetry *telemetry.Telemetry
+	store     platform.Store
+	targets   *target.Client
+
+	cluster   *cluster.Cluster
+	sync      *confsync.Sync
+	router    *routing.Table
+	gates     *gate.Group
+	budgets   *accounts.Budgets
+	ledger    *budget.Ledger
+	claims    *claims.Service
+	status    *requests.Table
+	server    *serve.Server
+	registrar *register.Registrar
+	exchange  *load.Exchange
+
+	callers  net.Listener
+	admin    net.Listener
+	draining atomic.Bool
+	// listed counts the instances that the platform listed last.
+	listed atomic.Int64
+}
+
+// New puts an instance together and opens its ports. A nil store means the
+// platform that the settings name.
+func New(s settings.Settings, t *telemetry.Telemetry, store platform.Store) (*App, error) {
+	a := &App{settings: s, telemetry: t, store: store}
+	if store == nil {
+		a.store = newStore(s)
+	}
+	if err := a.listen(); err != nil {
+		return nil, err
+	}
+	a.self = membership.Member{
+		Name:        s.Instance.Name,
+		Address:     s.Listen.Peers,
+		CallerURL:   "http://" + a.callers.Addr().String(),
+		DataCentre:  s.Instance.DataCentre,
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	a.buildDecisions()
+	if err := a.buildCluster(); err != nil {
+		return nil, err
+	}
+	a.buildClaims()
+	a.buildServer()
+	a.registerHandlers()
+	return a, nil
+}
+
+func newStore(s settings.Settings) platform.Store {
+	calls := s.Platform.CallsPerSecond
+	return platform.New(platform.Options{
+		BaseURL:  s.Platform.URL,
+		Instance: s.Instance.Name,
+		Timeout:  s.Platform.Timeout,
+		Budget: platform.NewBudget(platform.BudgetOptions{
+			ReadsPerSecond:  calls,
+			WritesPerSecond: calls * writeShare,
+		}),
+	})
+}
+
+// writeShare is the part of the budget of calls that may be writes: the
+// platform takes far fewer of them.
+const writeShare = 0.4
+
+func (a *App) listen() error {
+	var err error
+	a.callers, err = net.Listen("tcp", a.settings.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	a.admin, err = net.Listen("tcp", a.settings.Listen.Admin)
+	return errors.Wrap(err, "listen for admin")
+}
+
+// buildDecisions makes the pure parts and those that need nothing else.
+func (a *App) buildDecisions() {
+	s := a.settings
+	a.router = routing.New(routing.Config{
+		Instance:        s.Instance.Name,
+		LocalDataCentre: s.Instance.DataCentre,
+		Subset:          s.Routing.Subset,
+	})
+	a.gates = gate.NewGroup(tiers.Config{Preempt: true}, time.Now)
+	a.ledger = budget.NewLedger(time.Now(), budget.Config{Self: s.Instance.Name})
+	a.status = requests.New(requests.Options{
+		MaxRequests: s.Status.RingSize,
+		Retention:   s.Status.Retention,
+	})
+	a.targets = target.New(target.Options{})
+	a.registrar = register.New(a.store, func() membership.Member { return a.self })
+}
+
+func (a *App) buildCluster() error {
+	s := a.settings
+	var files *peer.Files
+	if s.Peers.TLS() {
+		files = &peer.Files{Cert: s.Peers.TLSCert, Key: s.Peers.TLSKey, CA: s.Peers.TLSCA}
+	}
+	var err error
+	a.cluster, err = cluster.New(cluster.Options{
+		Transport: peer.Options{
+			Cluster: s.Instance.Cluster,
+			Self:    a.self,
+			Listen:  s.Listen.Peers,
+			TLS:     files,
+			Scope:   a.telemetry.Scope,
+		},
+		Membership:    membership.DefaultConfig(),
+		Spread:        spread.DefaultConfig(),
+		Seeds:         s.Peers.Seeds,
+		ListInstances: a.listInstances,
+		OnRecord:      func(r spread.Record) { a.sync.Receive([]spread.Record{r}) },
+	})
+	if err != nil {
+		return err
+	}
+	a.self = a.cluster.Self()
+	d := discovery.New(a.router, a.gates, time.Now)
+	a.sync = confsync.New(confsync.Options{
+		Store:       a.store,
+		Spreader:    peers{a.cluster},
+		Peers:       peers{a.cluster},
+		WatcherRank: a.watcherRank,
+		OnSnapshot:  d.SetSnapshot,
+		OnTargets:   d.SetTargets,
+		Scope:       a.telemetry.Scope,
+	})
+	a.budgets = accounts.New(a.ledger, peers{a.cluster}, a.sync.Snapshot, time.Now)
+	a.exchange = load.New(s.Instance.Name, a.cluster, a.router, a.gates, a.instances)
+	return nil
+}
+
+func (a *App) listInstances(ctx context.Context) ([]membership.Member, error) {
+	members, err := a.registrar.List(ctx)
+	if err == nil {
+		a.listed.Store(int64(len(members)))
+	}
+	return members, err
+}
+
+func (a *App) instances() int { return len(a.cluster.View().Live()) }
+
+// watcherRank returns this instance's place among those that watch the store.
+func (a *App) watcherRank() (int, bool) {
+	for i, owner := range a.cluster.Owners(watchersKey, confsync.Watchers) {
+		if owner.Name == a.self.Name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (a *App) buildClaims() {
+	a.claims = claims.New(claims.Options{
+		Owner:     claim.Owner{Instance: a.self.Name, Incarnation: a.self.Incarnation},
+		Storage:   claims.NewObjects(a.store),
+		Asker:     asker{a.cluster},
+		Retention: a.settings.Claims.Retention,
+		Scope:     a.telemetry.Scope,
+	})
+}
+
+func (a *App) buildServer() {
+	executor := execute.New(execute.Options{
+		Router:  a.router,
+		Targets: a.targets,
+		Gate:    a.gates,
+		Spender: spender.New(retry.Config{}),
+		Times:   deadline.NewTimes(deadline.Config{}),
+		Status:  a.status,
+		Config:  a.sync.Snapshot,
+	})
+	limits := a.settings.Limits
+	a.server = serve.New(serve.Options{
+		Config:       a.sync.Snapshot,
+		Executor:     executor,
+		Claims:       a.claims,
+		Budgets:      a.budgets,
+		Status:       a.status,
+		Forward:      forwarder{a.cluster},
+		IDs:          requestid.NewSource(a.self.Name, a.self.Incarnation),
+		Scope:        a.telemetry.Scope,
+		Tracer:       a.telemetry.Tracer,
+		MaxBodyBytes: limits.MaxBodyBytes,
+		MaxInFlight:  limits.MaxInFlight,
+		MaxStreams:   limits.MaxStreams,
+		StreamIdle:   streamIdle,
+	})
+}
+
+// CallersURL is where callers reach the instance.
+func (a *App) CallersURL() string { return "http://" + a.callers.Addr().String() }
+
+// AdminURL is where health, readiness and metrics are.
+func (a *App) AdminURL() string { return "http://" + a.admin.Addr().String() }
+
+// Ready tells whether the instance wants new connections.
+func (a *App) Ready() bool {
+	return a.sync.Snapshot() != nil && !a.draining.Load()
+}
+
+// Started is closed once a whole configuration is in force.
+func (a *App) Started() <-chan struct{} { return a.sync.Ready() }
+
+func (a *App) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !a.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", a.telemetry.MetricsHandler())
+	return mux
+}
--- /dev/null
+++ b/daemon/app/handlers.go
@@ -0,0 +1,44 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	"github.com/ivyhollow/ivyhollow/daemon/accounts"
+	"github.com/ivyhollow/ivyhollow/protocol/configwire"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// registerHandlers answers the questions of other instances. All of them may
+// be asked again when an answer is lost, but the grant: what it grants is spent.
+func (a *App) registerHandlers() {
+	plain := func(f func([]byte) ([]byte, error)) peer.Handler {
+		return func(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) { return f(body) }
+	}
+	a.cluster.Handle(configwire.MethodSnapshot, plain(a.sync.HandleSnapshot), peer.Idempotent())
+	a.cluster.Handle(accounts.MethodGrant, plain(a.budgets.HandleGrant))
+	a.cluster.Handle(methodClaim, a.handleClaim, peer.Idempotent())
+	a.cluster.Handle(methodStatus, plain(a.handleStatus), peer.Idempotent())
+}
+
+func (a *App) handleClaim(ctx context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var q claim.Question
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, errors.Wrap(err, "answer claim: decode")
+	}
+	answer := a.claims.HandleAsk(ctx, q)
+	return msgpack.Marshal(&answer)
+}
+
+func (a *App) handleStatus(body []byte) ([]byte, error) {
+	var q statusQuestion
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, errors.Wrap(err, "answer request status: decode")
+	}
+	status, _ := a.server.Find(q.ID, q.Account) // nil, sent as null, means not found
+	return json.Marshal(status)
+}
--- /dev/null
+++ b/daemon/app/run.go
@@ -0,0 +1,121 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+)
+
+// Bounds of the steps of a planned stop that do not wait for callers.
+const (
+	drainClaimsTimeout = 3 * time.Second
+	leaveTimeout       = 2 * time.Second
+	adminReadTimeout   = 5 * time.Second
+)
+
+// Run runs the instance until ctx ends, then stops it as planned: it reports
+// that it is not ready, waits for the balancer, finishes what is in flight,
+// hands its duties over and returns.
+//
+// A planned stop never waits for another instance to stop: what it hands over
+// it only announces, within a bound. Two instances that stop at once and wait
+// for each other would both be killed with requests in flight.
+func (a *App) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	callers := a.callersServer()
+	admin := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminReadTimeout}
+	group.Add(func() error { return a.lifecycle(ctx, callers) }, func(error) {})
+	group.Add(func() error { return serveUntilClosed(callers.Serve(a.callers)) }, func(error) { _ = callers.Close() })
+	group.Add(func() error { return serveUntilClosed(admin.Serve(a.admin)) }, func(error) { _ = admin.Close() })
+	group.Add(a.cluster.Execute, a.cluster.Interrupt)
+	for _, loop := range []func(context.Context) error{
+		a.sync.Run, a.claims.Run, a.gates.Run, a.exchange.Run, a.registrar.Run, a.followView,
+	} {
+		loopContext, stop := context.WithCancel(background)
+		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
+	}
+	telemetry.InfoS("listening for callers", telemetry.Event{Address: a.callers.Addr().String()})
+	telemetry.InfoS("listening for admin", telemetry.Event{Address: a.admin.Addr().String()})
+	telemetry.InfoS("listening for peers", telemetry.Event{Address: a.self.Address})
+	err := group.Run()
+	a.targets.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (a *App) callersServer() *http.Server {
+	limits := a.settings.Limits
+	return &http.Server{
+		Handler:           a.server.Handler(),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+	}
+}
+
+func serveUntilClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// lifecycle waits for the end of ctx and does the planned stop.
+func (a *App) lifecycle(ctx context.Context, callers *http.Server) error {
+	<-ctx.Done()
+	telemetry.InfoS("planned stop", telemetry.Event{Count: a.server.InFlight()})
+	a.draining.Store(true)
+	wait(a.settings.Shutdown.BalancerDelay)
+	callers.SetKeepAlivesEnabled(false)
+	bounded(a.settings.Shutdown.Grace, "finish requests in flight", callers.Shutdown)
+	bounded(drainClaimsTimeout, "record outcomes", a.claims.Drain)
+	bounded(leaveTimeout, "leave the cluster", a.cluster.Leave)
+	bounded(leaveTimeout, "remove the entry in the store", a.registrar.Remove)
+	return context.Canceled
+}
+
+func bounded(limit time.Duration, step string, do func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := do(ctx); err != nil {
+		telemetry.ErrorS(err, "step of the planned stop not finished", telemetry.Event{Reason: step})
+	}
+}
+
+func wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// followView tells the account budgets of each change of the membership.
+func (a *App) followView(ctx context.Context) error {
+	version := uint64(0)
+	for ctx.Err() == nil {
+		view := a.cluster.View()
+		if view.Version != version {
+			version = view.Version
+			a.setMembers(view)
+		}
+		_ = a.cluster.WaitView(ctx, func(v *membership.View) bool { return v.Version != version })
+	}
+	return nil
+}
+
+func (a *App) setMembers(view *membership.View) {
+	names := make([]string, 0, len(view.Live()))
+	for _, m := range view.Live() {
+		names = append(names, m.Name)
+	}
+	a.ledger.SetMembers(time.Now(), names, int(a.listed.Load()))
+}
--- /dev/null
+++ b/daemon/command/command.go
@@ -0,0 +1,139 @@
+// Package command holds the commands of the daemon's command line.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/ivyhollow/ivyhollow/daemon/app"
+	"github.com/ivyhollow/ivyhollow/daemon/dev"
+	"github.com/ivyhollow/ivyhollow/settings"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitFault    = 1
+	ExitSettings = 2
+)
+
+// Version is set at build time.
+var Version = "unreleased"
+
+const (
+	configFlag       = "config"
+	telemetryTimeout = 2 * time.Second
+)
+
+// ExitCode returns the exit code for an error of a command.
+func ExitCode(err error) int {
+	var faults settings.Faults
+	if errors.As(err, &faults) {
+		return ExitSettings
+	}
+	return ExitFault
+}
+
+// All returns the daemon's commands.
+func All() []*cli.Command {
+	return []*cli.Command{
+		{
+			Name:  "serve",
+			Usage: "run an instance until SIGTERM, then stop it without cutting a request",
+			Flags: []cli.Flag{&cli.StringFlag{Name: configFlag, Usage: "the settings file (INI)", Required: true}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				s, err := settings.Load(c.String(configFlag))
+				if err != nil {
+					return err
+				}
+				return serve(ctx, s, nil, func(*app.App) {})
+			},
+		},
+		{
+			Name:      "check-config",
+			Usage:     "report every fault of a settings file with section, key and line",
+			ArgsUsage: "FILE",
+			Action: func(_ context.Context, c *cli.Command) error {
+				if c.Args().Len() != 1 {
+					return errors.New("check-config takes one file")
+				}
+				if _, err := settings.Load(c.Args().First()); err != nil {
+					return err
+				}
+				_, err := fmt.Fprintln(c.Root().Writer, "ok")
+				return err
+			},
+		},
+		{
+			Name:   "dev",
+			Usage:  "run an instance with an embedded platform, targets and a sample pipeline",
+			Flags:  []cli.Flag{&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8080", Usage: "address for callers"}},
+			Action: runDev,
+		},
+	}
+}
+
+func serve(ctx context.Context, s settings.Settings, store platform.Store, started func(*app.App)) error {
+	t, err := telemetry.Start(ctx, telemetry.Options{
+		Instance:     s.Instance.Name,
+		DataCentre:   s.Instance.DataCentre,
+		Cluster:      s.Instance.Cluster,
+		Version:      Version,
+		OTLPEndpoint: s.Telemetry.OTLPEndpoint,
+		LogLevel:     s.Telemetry.LogLevel,
+		LogOutput:    os.Stderr,
+	})
+	if err != nil {
+		return err
+	}
+	defer shutdown(t)
+	instance, err := app.New(s, t, store)
+	if err != nil {
+		return err
+	}
+	go func() {
+		select {
+		case <-instance.Started():
+			started(instance)
+		case <-ctx.Done():
+		}
+	}()
+	return instance.Run(ctx)
+}
+
+func shutdown(t *telemetry.Telemetry) {
+	ctx, cancel := context.WithTimeout(context.Background(), telemetryTimeout)
+	defer cancel()
+	_ = t.Shutdown(ctx) // what could not be exported is lost with the process
+}
+
+// runDev runs an instance against an embedded world.
+func runDev(ctx context.Context, c *cli.Command) error {
+	world, err := dev.Start(ctx)
+	if err != nil {
+		return err
+	}
+	defer world.Close()
+	s := settings.Default()
+	s.Instance.Name = "dev"
+	s.Instance.DataCentre = "local"
+	s.Listen = settings.Listen{Callers: c.String("listen"), Peers: "127.0.0.1:0", Admin: "127.0.0.1:0"}
+	s.Shutdown.BalancerDelay = 0
+	return serve(ctx, s, world.Store.Local("dev"), func(a *app.App) {
+		fmt.Fprintf(c.Root().Writer, devMessage, a.CallersURL(), dev.SampleKey, a.CallersURL(), world.PlatformURL, a.AdminURL())
+	})
+}
+
+const devMessage = `ivyhollow is ready at %s. Try:
+
+  curl -sS -H 'Authorization: Bearer %s' -d '{"input":"hello"}' %s/v1/pipelines/dossier/requests
+
+platform for the operators' client: %s
+health and metrics: %s
+`
--- /dev/null
+++ b/daemon/confsync/errors.go
@@ -0,0 +1,27 @@
+package confsync
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// nothingToWrite tells whether a failed write of a status is final: the record
+// has changed or is gone.
+func nothingToWrite(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound)
+}
+
+type metrics struct {
+	failed   tally.Counter
+	revision tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		failed:   scope.Counter("config_sync_failures"),
+		revision: scope.Gauge("config_revision"),
+	}
+}
--- /dev/null
+++ b/daemon/confsync/sync.go
@@ -0,0 +1,214 @@
+// Package confsync keeps the configuration and the list of targets in force on
+// an instance. A few instances watch the platform's store; the others learn of
+// changes from their peers. A new instance starts from the store or, while
+// that is away, from a peer.
+package confsync
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/config"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Times of the driver.
+const (
+	// watchWait is how long one watch waits. It is short, so that a watch whose
+	// connection went silent is noticed within the time in which a change has
+	// to be in force.
+	watchWait = 2 * time.Second
+	// relistEvery is how often a watcher reads everything again, against a
+	// watch that skips a change. Each page of a list adds as much again.
+	relistEvery  = 5 * time.Second
+	roleInterval = 500 * time.Millisecond
+	retryMin     = 200 * time.Millisecond
+	retryMax     = 2 * time.Second
+)
+
+// failureLogLevel is the verbosity at which each failed round is logged.
+const failureLogLevel = 1
+
+// Watchers is how many instances watch the store. Two may die at once, or one
+// may sit on a silent connection, and a change still spreads at once.
+const Watchers = 3
+
+// Spreader passes records on to all instances; *cluster.Node is one. Publish
+// doesn't block.
+type Spreader interface {
+	Publish(records []spread.Record)
+}
+
+// Peers asks another instance for all records; *cluster.Node is one.
+type Peers interface {
+	Call(ctx context.Context, instance, method string, body []byte) ([]byte, error)
+	// Others names live instances other than this one, in random order.
+	Others() []string
+}
+
+// Options are the parts that a Sync works with.
+type Options struct {
+	Store    platform.Store
+	Spreader Spreader
+	Peers    Peers
+	// WatcherRank returns this instance's place among the watchers, from 0,
+	// or false when it is none. Place 0 writes the verdicts to the store.
+	WatcherRank func() (rank int, ok bool)
+	// OnSnapshot is told of each new configuration, one at a time.
+	OnSnapshot func(*catalog.Snapshot)
+	// OnTargets is told of the whole list of targets after each change of it.
+	OnTargets func([]platformapi.TargetEntry)
+	Scope     tally.Scope
+}
+
+// Sync is the driver. Its methods are safe for concurrent use.
+type Sync struct {
+	opts     Options
+	current  atomic.Pointer[catalog.Snapshot]
+	complete atomic.Bool
+	ready    chan struct{}
+	verdicts *verdictWriter
+	metrics  metrics
+
+	mu      sync.Mutex
+	set     *config.Set
+	targets *targetList
+	// outbox holds what is to be spread once the lock is given back.
+	outbox []spread.Record
+}
+
+// New makes a driver that holds nothing yet.
+func New(o Options) *Sync {
+	s := &Sync{
+		opts:     o,
+		ready:    make(chan struct{}),
+		set:      config.New(record.Decode),
+		targets:  newTargetList(),
+		verdicts: newVerdictWriter(o.Store),
+		metrics:  newMetrics(o.Scope),
+	}
+	return s
+}
+
+// Snapshot returns the configuration in force, nil before the first one.
+func (s *Sync) Snapshot() *catalog.Snapshot { return s.current.Load() }
+
+// Ready is closed once a whole configuration is in force.
+func (s *Sync) Ready() <-chan struct{} { return s.ready }
+
+// Run follows the store or the peers until the context ends.
+func (s *Sync) Run(ctx context.Context) error {
+	go s.verdicts.run(ctx)
+	pause := retryMin
+	for ctx.Err() == nil {
+		err := s.follow(ctx)
+		if err == nil {
+			pause = retryMin
+			continue
+		}
+		s.metrics.failed.Inc(1)
+		telemetry.DebugS(failureLogLevel, "configuration not read", telemetry.Event{Reason: "store", Elapsed: pause})
+		sleep(ctx, pause)
+		pause = min(2*pause, retryMax)
+	}
+	return nil
+}
+
+// follow does one round by the instance's role.
+func (s *Sync) follow(ctx context.Context) error {
+	if !s.complete.Load() {
+		return s.bootstrap(ctx)
+	}
+	if _, watcher := s.opts.WatcherRank(); !watcher {
+		sleep(ctx, roleInterval)
+		return nil
+	}
+	return s.watch(ctx)
+}
+
+// Receive takes records that a peer has spread.
+func (s *Sync) Receive(records []spread.Record) {
+	s.locked(func() {
+		s.applyRecords(fromSpread(records))
+		for _, r := range records {
+			if r.Kind == platformapi.KindTargets {
+				s.targets.put(r.Name, r.Revision, r.Deleted, r.Body)
+			}
+		}
+		s.publishTargets()
+	})
+}
+
+// locked runs a step under the lock and spreads what it brought without it: the
+// spreader hands news back to Receive before it returns, which would wait for
+// the lock for ever.
+func (s *Sync) locked(step func()) {
+	s.mu.Lock()
+	step()
+	news := s.outbox
+	s.outbox = nil
+	s.mu.Unlock()
+	if len(news) > 0 {
+		s.opts.Spreader.Publish(news)
+	}
+}
+
+// Digest sums up the configuration held, for status and tests.
+func (s *Sync) Digest() config.Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set.Digest()
+}
+
+// applyRecords needs the lock.
+func (s *Sync) applyRecords(records []config.Record) {
+	if len(records) == 0 {
+		return
+	}
+	s.settle(s.set.Apply(records))
+}
+
+// settle publishes what a change of the set brought. It needs the lock.
+func (s *Sync) settle(changed []config.Record, snapshot *catalog.Snapshot, verdicts []config.Verdict) {
+	s.outbox = append(s.outbox, toSpread(changed)...)
+	keys := make([]config.Key, 0, len(verdicts))
+	for _, v := range verdicts {
+		keys = append(keys, v.Key)
+	}
+	s.writeVerdicts(keys)
+	if !s.set.Complete() {
+		return
+	}
+	if old := s.current.Swap(snapshot); old != snapshot {
+		s.metrics.revision.Update(float64(snapshot.Revision))
+		s.opts.OnSnapshot(snapshot)
+	}
+	if !s.complete.Swap(true) {
+		close(s.ready)
+	}
+}
+
+// publishTargets needs the lock.
+func (s *Sync) publishTargets() {
+	if list, changed := s.targets.take(); changed {
+		s.opts.OnTargets(list)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/discovery/discovery.go
@@ -0,0 +1,99 @@
+// Package discovery joins the platform's list of targets with the pools'
+// records and hands the result to the router and to the gates.
+package discovery
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// Router takes the targets of each pool; *routing.Table is one.
+type Router interface {
+	SetTargets(now time.Time, pool routing.Pool, targets []routing.Target)
+	Leaving(now time.Time, incarnation string)
+}
+
+// Gates take the number of slots of each pool; *gate.Group is one.
+type Gates interface {
+	SetCapacity(pool string, slots int)
+}
+
+// Discovery holds the newest list and the newest records. It is safe for
+// concurrent use; updates reach the router one at a time.
+type Discovery struct {
+	router Router
+	gates  Gates
+	now    func() time.Time
+
+	mu       sync.Mutex
+	snapshot *catalog.Snapshot
+	targets  []platformapi.TargetEntry
+}
+
+// New makes a discovery that knows nothing yet.
+func New(router Router, gates Gates, now func() time.Time) *Discovery {
+	return &Discovery{router: router, gates: gates, now: now}
+}
+
+// SetSnapshot takes the configuration in force.
+func (d *Discovery) SetSnapshot(s *catalog.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.snapshot = s
+	d.update()
+}
+
+// SetTargets takes the platform's whole list.
+func (d *Discovery) SetTargets(targets []platformapi.TargetEntry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets = targets
+	d.update()
+}
+
+// update needs the lock.
+func (d *Discovery) update() {
+	if d.snapshot == nil {
+		return
+	}
+	byPool := make(map[string][]platformapi.TargetEntry)
+	for _, t := range d.targets {
+		byPool[t.Pool] = append(byPool[t.Pool], t)
+	}
+	for name, pool := range d.snapshot.Pools {
+		d.updatePool(pool, byPool[name])
+	}
+}
+
+func (d *Discovery) updatePool(pool *catalog.Pool, entries []platformapi.TargetEntry) {
+	now := d.now()
+	targets := make([]routing.Target, 0, len(entries))
+	slots := 0
+	for _, e := range entries {
+		targets = append(targets, routing.Target{
+			Incarnation: e.Incarnation,
+			Pool:        pool.Name,
+			Address:     e.Address,
+			DataCentre:  e.DataCentre,
+			Slots:       pool.Slots,
+		})
+		if e.State == platformapi.TargetReady {
+			slots += pool.Slots
+		}
+	}
+	d.router.SetTargets(now, routing.Pool{
+		Name:          pool.Name,
+		Objective:     pool.Objective,
+		EjectionFloor: pool.EjectionFloor,
+	}, targets)
+	for _, e := range entries {
+		if e.State == platformapi.TargetLeaving {
+			d.router.Leaving(now, e.Incarnation)
+		}
+	}
+	d.gates.SetCapacity(pool.Name, slots)
+}
--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
@@ -33,6 +34,8 @@
 	choice  routing.Choice
 	started time.Time
 	handle  *routing.Handle
+	// number is the attempt's place in the status of its request.
+	number int
 	// stream tells that tokens are delivered as they come.
 	stream bool
 }
@@ -51,6 +54,9 @@
 		started:  now,
 		stream:   s.streams(),
 	}
+	a.number = s.opts.Status.StartAttempt(s.job.Ref, requests.AttemptStart{
+		Stage: s.index, ID: a.id, Target: choice.Target.Address, At: now,
+	})
 	a.handle = s.opts.Router.Started(now, choice.Target.Incarnation, 0)
 	return a, nil
 }
@@ -151,8 +157,9 @@
 	elapsed := now.Sub(a.started)
 	incarnation := a.choice.Target.Incarnation
 	p50, _ := a.opts.Times.Estimate(a.stageKey(a.index), a.stage.Expected)
+	end := a.routingOutcome(ctx, r)
 	a.handle.Done(now, routing.Result{
-		Outcome:  a.routingOutcome(ctx, r),
+		Outcome:  end,
 		Latency:  elapsed,
 		Expected: p50,
 	})
@@ -166,7 +173,7 @@
 	if r.err == nil {
 		a.opts.Times.Observe(now, a.stageKey(a.index), a.stage.Expected, elapsed)
 	}
-	a.record(ctx, elapsed, r)
+	a.record(now, end, r)
 }
 
 func (a *attempt) routingOutcome(ctx context.Context, r *attemptResult) routing.Outcome {
@@ -184,36 +191,32 @@
 	}
 }
 
-func (a *attempt) record(ctx context.Context, elapsed time.Duration, r *attemptResult) {
-	entry := AttemptRecord{
-		RequestID:     a.job.ID,
-		Stage:         a.stage.Name,
-		AttemptID:     a.id,
-		Target:        r.peer,
-		Result:        resultName(a.routingOutcome(ctx, r)),
-		Elapsed:       elapsed,
+// record keeps the attempt's fate in the status of its request.
+func (a *attempt) record(now time.Time, end routing.Outcome, r *attemptResult) {
+	entry := requests.AttemptEnd{
+		Result:        statusResult(end),
 		Work:          time.Duration(r.answer.WorkMS) * time.Millisecond,
 		Tokens:        r.answer.Tokens,
 		PrefillTokens: r.answer.PrefillTokens,
-		Wasted:        r.err != nil,
+		At:            now,
 	}
 	if r.err != nil {
 		entry.Error = r.err.Error()
 	}
-	a.opts.Recorder.Record(entry)
+	a.opts.Status.EndAttempt(a.job.Ref, a.number, entry)
 }
 
-func resultName(o routing.Outcome) string {
+func statusResult(o routing.Outcome) requests.Result {
 	switch o {
 	case routing.OutcomeOK:
-		return ResultOK
+		return requests.ResultOK
 	case routing.OutcomeNotRun:
-		return ResultNotRun
+		return requests.ResultNotRun
 	case routing.OutcomeLate:
-		return ResultLate
+		return requests.ResultLate
 	case routing.OutcomeCancelled:
-		return ResultCancelled
+		return requests.ResultCancelled
 	default:
-		return ResultFailed
+		return requests.ResultFailed
 	}
 }
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -12,16 +12,18 @@
 	"github.com/ivyhollow/ivyhollow/coordination/deadline"
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/requests"
 )
 
 // Options are the parts an Executor works with; all are required but Now.
 type Options struct {
-	Router   Router
-	Targets  Caller
-	Gate     Gate
-	Spender  Spender
-	Times    *deadline.Times
-	Recorder Recorder
+	Router  Router
+	Targets Caller
+	Gate    Gate
+	Spender Spender
+	Times   *deadline.Times
+	// Status keeps the fate of each attempt.
+	Status *requests.Table
 	// Config returns the configuration in force, for the pools' records.
 	Config func() *catalog.Snapshot
 	// Now is the clock; nil means time.Now.
@@ -97,8 +99,15 @@
 	return r
 }
 
-// hopeless refuses a job that can't make its deadline before it costs a stage.
+// hopeless refuses a job that can't make its deadline, or that a later stage
+// has no target for, before it costs a stage.
 func (r *run) hopeless() *Failure {
+	for i := range r.job.Pipeline.Stages {
+		stage := &r.job.Pipeline.Stages[i]
+		if !r.opts.Gate.Open(stage.Pool) {
+			return &Failure{Reason: ReasonNoTarget, Step: stage.Name}
+		}
+	}
 	decision := r.admissions.decide(r.opts.Now(), r.job, r.remaining)
 	if decision.Admit {
 		return nil
--- a/daemon/execute/job.go
+++ b/daemon/execute/job.go
@@ -8,11 +8,14 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/requests"
 )
 
 // Job is one request that was admitted to the pipeline.
 type Job struct {
-	ID       string
+	ID string
+	// Ref finds the request's status; the zero Ref is not recorded.
+	Ref      requests.Ref
 	Pipeline *catalog.Pipeline
 	Tier     *catalog.Tier
 	Account  string
--- a/daemon/execute/ports.go
+++ b/daemon/execute/ports.go
@@ -37,6 +37,8 @@
 	TryEnter(pool string, r gate.Request) (*gate.Grant, bool)
 	// Wait is how long an attempt of the rank that came now would queue.
 	Wait(pool string, rank int) time.Duration
+	// Open tells whether any target of the pool is known.
+	Open(pool string) bool
 }
 
 // Spender spends the instance's budget of extra attempts; calls don't block.
@@ -48,34 +50,3 @@
 	// Succeeded tells that a stage was answered whole; it earns.
 	Succeeded(now time.Time, pool string)
 }
-
-// AttemptRecord is the fate of one attempt, for the status of its request.
-type AttemptRecord struct {
-	RequestID     string
-	Stage         string
-	AttemptID     string
-	Target        string
-	Result        string
-	Elapsed       time.Duration
-	Work          time.Duration
-	Tokens        int
-	PrefillTokens int
-	Error         string
-	// Wasted tells that the work did not go into the answer.
-	Wasted bool
-}
-
-// Results of an AttemptRecord.
-const (
-	ResultRunning   = "running"
-	ResultOK        = "ok"
-	ResultNotRun    = "not_run"
-	ResultFailed    = "failed"
-	ResultLate      = "late"
-	ResultCancelled = "cancelled"
-)
-
-// Recorder keeps the fate of attempts; calls don't block.
-type Recorder interface {
-	Record(AttemptRecord)
-}
--- a/daemon/gate/group.go
+++ b/daemon/gate/group.go
@@ -72,6 +72,12 @@
 	return own.Wait(rank)
 }
 
+// Open tells whether any target of the pool is known.
+func (g *Group) Open(pool string) bool {
+	own := g.find(pool)
+	return own != nil && own.Stats().Capacity > 0
+}
+
 // Each calls f with every gate.
 func (g *Group) Each(f func(pool string, own *Gate)) {
 	g.mu.RLock()
--- /dev/null
+++ b/daemon/load/load.go
@@ -0,0 +1,112 @@
+// Package load exchanges load digests with the peers: it sends what this
+// instance has in flight and takes in what the others have.
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/protocol/loadwire"
+)
+
+// interval is the time between two looks at the digests. How often they travel
+// is the spread's to bound.
+const interval = 200 * time.Millisecond
+
+// digestTTL is how long a peer's digest counts for the gates.
+const digestTTL = 3 * time.Second
+
+// Cluster carries the digests; *cluster.Cluster is one.
+type Cluster interface {
+	SendDigest(body []byte)
+	Loads() []spread.Load
+}
+
+// Router counts the targets' requests in flight; *routing.Table is one.
+type Router interface {
+	Digest(now time.Time) []routing.DigestEntry
+	PeerDigest(now time.Time, origin string, entries []routing.DigestEntry)
+}
+
+// Exchange is the driver.
+type Exchange struct {
+	self    string
+	cluster Cluster
+	router  Router
+	gates   *gate.Group
+	// instances counts the live instances.
+	instances func() int
+	peers     map[string]*tiers.Peers
+}
+
+// New makes a driver; self is this instance's name.
+func New(self string, c Cluster, r Router, g *gate.Group, instances func() int) *Exchange {
+	return &Exchange{
+		self:      self,
+		cluster:   c,
+		router:    r,
+		gates:     g,
+		instances: instances,
+		peers:     make(map[string]*tiers.Peers),
+	}
+}
+
+// Run exchanges digests until the context ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			e.send(now)
+			e.receive(now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (e *Exchange) send(now time.Time) {
+	digest := loadwire.Digest{
+		Targets: e.router.Digest(now),
+		Pools:   make(map[string]tiers.Digest),
+	}
+	e.gates.Each(func(pool string, own *gate.Gate) { digest.Pools[pool] = own.Digest() })
+	if body, err := loadwire.Encode(digest); err == nil {
+		e.cluster.SendDigest(body)
+	}
+}
+
+func (e *Exchange) receive(now time.Time) {
+	for _, l := range e.cluster.Loads() {
+		if l.Origin == e.self {
+			continue
+		}
+		digest, err := loadwire.Decode(l.Body)
+		if err != nil {
+			continue // made by another release
+		}
+		made := now.Add(-l.Age)
+		e.router.PeerDigest(made, l.Origin, digest.Targets)
+		for pool, load := range digest.Pools {
+			e.pool(pool).Heard(made, l.Origin, load)
+		}
+	}
+	instances := e.instances()
+	e.gates.Each(func(pool string, own *gate.Gate) {
+		own.SetPeers(e.pool(pool).Load(now, instances))
+	})
+}
+
+func (e *Exchange) pool(name string) *tiers.Peers {
+	p, ok := e.peers[name]
+	if !ok {
+		p = tiers.NewPeers(digestTTL)
+		e.peers[name] = p
+	}
+	return p
+}
--- a/daemon/serve/answer.go
+++ b/daemon/serve/answer.go
@@ -10,6 +10,7 @@
 	"github.com/ivyhollow/ivyhollow/daemon/execute"
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
 	"github.com/ivyhollow/ivyhollow/protocol/sse"
+	"github.com/ivyhollow/ivyhollow/state/requests"
 )
 
 // answerer writes the one answer of a request, whole or as a stream.
@@ -17,6 +18,7 @@
 	server *Server
 	call   *call
 	id     string
+	ref    requests.Ref
 	w      http.ResponseWriter
 	// started tells that the stream's header is out: from then on a problem
 	// can only be an event.
@@ -27,6 +29,7 @@
 	c := a.call
 	job := execute.Job{
 		ID:        a.id,
+		Ref:       a.ref,
 		Pipeline:  c.pipeline,
 		Tier:      c.tier,
 		Account:   c.account.Name,
@@ -57,7 +60,7 @@
 
 // answer writes the whole answer.
 func (a *answerer) answer(body []byte) *callerapi.Problem {
-	a.server.opts.Status.Finish(a.id, StateAnswered, callerapi.OutcomeRan)
+	a.finish(requests.Answered, requests.OutcomeRan)
 	if a.call.stream {
 		_ = a.event(sse.Event{Name: callerapi.EventDone, Data: string(body)})
 		return nil
@@ -69,7 +72,7 @@
 // problem writes a refusal or failure.
 func (a *answerer) problem(p *callerapi.Problem) *callerapi.Problem {
 	p.RequestID = a.id
-	a.server.opts.Status.Finish(a.id, StateFailed, p.Outcome)
+	a.finish(requests.Failed, statusOutcome(p.Outcome))
 	if !a.started {
 		writeProblem(a.w, p)
 		return p
@@ -79,6 +82,10 @@
 	return p
 }
 
+func (a *answerer) finish(state requests.State, o requests.Outcome) {
+	a.server.opts.Status.Finish(a.ref, requests.End{State: state, Outcome: o, At: a.server.opts.Now()})
+}
+
 // replay writes the answer of the run that the claim kept.
 func (a *answerer) replay(kept *claims.Kept) *callerapi.Problem {
 	if !kept.Whole() {
--- a/daemon/serve/server.go
+++ b/daemon/serve/server.go
@@ -16,6 +16,7 @@
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
 	"github.com/ivyhollow/ivyhollow/protocol/requestid"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/requests"
 )
 
 // Executor runs an admitted request; *execute.Executor is one. Run blocks until
@@ -38,32 +39,6 @@
 	Take(ctx context.Context, account *catalog.Account) (ok bool, retryAfter time.Duration)
 }
 
-// StatusBook keeps the status of requests in memory; calls don't block.
-type StatusBook interface {
-	Begin(s Started)
-	Finish(id string, state string, o callerapi.Outcome)
-	// Get returns the status of a request of this instance.
-	Get(id string) (callerapi.RequestStatus, bool)
-}
-
-// Started describes a request that was accepted for execution.
-type Started struct {
-	ID            string
-	Pipeline      string
-	SchemaVersion int
-	Account       string
-	Tier          string
-	Begun         time.Time
-	Deadline      time.Duration
-}
-
-// States of a request in its status.
-const (
-	StateRunning  = "running"
-	StateAnswered = "answered"
-	StateFailed   = "failed"
-)
-
 // Forwarder passes a question about a request on to the instance that its id
 // names. It blocks until the answer or the context's end.
 type Forwarder interface {
@@ -77,7 +52,7 @@
 	Executor Executor
 	Claims   Claimer
 	Budgets  Budgets
-	Status   StatusBook
+	Status   *requests.Table
 	Forward  Forwarder
 	IDs      *requestid.Source
 	Scope    tally.Scope
--- a/daemon/serve/status.go
+++ b/daemon/serve/status.go
@@ -35,6 +35,16 @@
 	_ = json.NewEncoder(w).Encode(status) // the caller is gone if this fails
 }
 
+// Find looks up a request that this instance serves or served. It answers
+// callers and, for them, other instances.
+func (s *Server) Find(id, account string) (*callerapi.RequestStatus, bool) {
+	status, ok := s.opts.Status.Get(id, s.opts.Now())
+	if !ok || status.Account != account {
+		return nil, false
+	}
+	return statusView(&status), true
+}
+
 // find looks the request up here or at the instance that its id names. Another
 // account's request is as unknown as one that never was.
 func (s *Server) find(ctx context.Context, text, account string) (*callerapi.RequestStatus, *callerapi.Problem) {
@@ -43,11 +53,8 @@
 	if err != nil {
 		return nil, notFound
 	}
-	if status, ok := s.opts.Status.Get(text); ok {
-		if status.Account != account {
-			return nil, notFound
-		}
-		return &status, nil
+	if status, ok := s.Find(text, account); ok {
+		return status, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -16,6 +16,8 @@
 	"github.com/ivyhollow/ivyhollow/daemon/claims"
 	"github.com/ivyhollow/ivyhollow/daemon/execute"
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
@@ -55,9 +57,15 @@
 	}
 	total := c.snapshot.DeadlineFor(c.pipeline, c.tier)
 	deadline := began.Add(total)
-	s.opts.Status.Begin(Started{
-		ID: id, Pipeline: c.pipeline.Key.Name, SchemaVersion: c.pipeline.Key.SchemaVersion,
-		Account: c.account.Name, Tier: c.tier.Name, Begun: began, Deadline: total,
+	a.ref = s.opts.Status.Begin(requests.Info{
+		ID:            id,
+		Pipeline:      c.pipeline.Key.Name,
+		SchemaVersion: c.pipeline.Key.SchemaVersion,
+		Account:       c.account.Name,
+		Tier:          c.tier.Name,
+		Stages:        stageNames(c.pipeline),
+		Deadline:      total,
+		Begun:         began,
 	})
 	if c.idempotencyKey == "" {
 		return s.executeOnce(r.Context(), a, deadline, nil)
@@ -65,6 +73,14 @@
 	return s.executeClaimed(r.Context(), a, deadline)
 }
 
+func stageNames(p *catalog.Pipeline) []string {
+	names := make([]string, len(p.Stages))
+	for i := range p.Stages {
+		names[i] = p.Stages[i].Name
+	}
+	return names
+}
+
 // admit reads a request and takes its place and its account's budget.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) (*call, *callerapi.Problem) {
 	if !s.inFlight.enter() {
--- /dev/null
+++ b/protocol/configwire/configwire.go
@@ -0,0 +1,94 @@
+// Package configwire is the form of configuration records between instances:
+// msgpack arrays, so that names of fields are not sent with each record.
+package configwire
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/config"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// MethodSnapshot names the question for a page of all records, which a new
+// instance puts to a peer when the platform's store is away.
+const MethodSnapshot = "config.snapshot"
+
+type version struct {
+	_msgpack     struct{} `msgpack:",as_array"`
+	Revision     uint64
+	Deleted      bool
+	Spec         []byte
+	SpecRevision uint64
+}
+
+type record struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Kind     string
+	Name     string
+	Newest   version
+	Accepted bool
+	InForce  version
+}
+
+// PageRequest asks for the records behind a cursor.
+type PageRequest struct {
+	Revision uint64 `msgpack:"r"`
+	Kind     string `msgpack:"k"`
+	Name     string `msgpack:"n"`
+}
+
+// Page is one page of all records that an instance holds.
+type Page struct {
+	Records [][]byte    `msgpack:"r"`
+	Last    PageRequest `msgpack:"l"`
+	More    bool        `msgpack:"m"`
+	// AsOf is the store's revision of the newest full list, by kind. It is
+	// empty when the instance has not seen a full list itself.
+	AsOf map[string]uint64 `msgpack:"a"`
+}
+
+// Cursor returns the place that the request names.
+func (p PageRequest) Cursor() config.Cursor {
+	key := config.Key{Kind: catalog.RecordKind(p.Kind), Name: p.Name}
+	return config.Cursor{Revision: p.Revision, Key: key}
+}
+
+// RequestAfter makes the request for what follows a cursor.
+func RequestAfter(c config.Cursor) PageRequest {
+	return PageRequest{Revision: c.Revision, Kind: string(c.Kind), Name: c.Name}
+}
+
+// EncodeRecord writes a record.
+func EncodeRecord(r config.Record) ([]byte, error) {
+	body, err := msgpack.Marshal(&record{
+		Kind:     string(r.Kind),
+		Name:     r.Name,
+		Newest:   toWire(r.Newest),
+		Accepted: r.Accepted,
+		InForce:  toWire(r.InForce),
+	})
+	return body, errors.Wrap(err, "encode configuration record")
+}
+
+// DecodeRecord reads a record.
+func DecodeRecord(body []byte) (config.Record, error) {
+	var r record
+	if err := msgpack.Unmarshal(body, &r); err != nil {
+		return config.Record{}, errors.Wrap(err, "decode configuration record")
+	}
+	return config.Record{
+		Key:      config.Key{Kind: catalog.RecordKind(r.Kind), Name: r.Name},
+		Newest:   fromWire(r.Newest),
+		Accepted: r.Accepted,
+		InForce:  fromWire(r.InForce),
+	}, nil
+}
+
+func toWire(v config.Version) version {
+	return version{Revision: v.Revision, Deleted: v.Deleted, Spec: v.Spec, SpecRevision: v.SpecRevision}
+}
+
+func fromWire(v version) config.Version {
+	return config.Version{Revision: v.Revision, Deleted: v.Deleted, Spec: v.Spec, SpecRevision: v.SpecRevision}
+}
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -92,3 +92,17 @@
 	DataCentre  string `json:"data_centre"`
 	Incarnation uint64 `json:"incarnation"`
 }
+
+// RecordStatus is the status of a record: the system's verdict on it.
+type RecordStatus struct {
+	// Revision is the version of the record that was judged. Writing the
+	// status raises the object's revision beyond it.
+	Revision uint64 `json:"revision"`
+	// SpecDigest identifies the spec that was judged.
+	SpecDigest string `json:"spec_digest"`
+	Accepted   bool   `json:"accepted"`
+	// Reason says why the version is refused.
+	Reason string `json:"reason,omitempty"`
+	// InForce is the revision that goes on serving in place of a refused one.
+	InForce uint64 `json:"in_force,omitempty"`
+}
--- /dev/null
+++ b/testkit/scenario/process.go
@@ -0,0 +1,137 @@
+// Package scenario gives scripted scenarios their verbs: it starts the daemon
+// and the stand-ins as processes of their own, harms them, and talks to them as
+// callers and operators do.
+package scenario
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"os/exec"
+	"regexp"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// patience bounds every wait for something to happen. It is no measure: a
+// scenario that reaches it has failed.
+const patience = 30 * time.Second
+
+// process is one process of a scenario.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *os.File
+
+	mu sync.Mutex
+	// seen holds the addresses that the process has told, by what listens.
+	seen   map[string]string
+	signal chan struct{}
+	exited chan struct{}
+}
+
+// Lines by which processes tell their addresses.
+var (
+	daemonLine  = regexp.MustCompile(`"listening for (\w+)".* address="([^"]+)"`)
+	standinLine = regexp.MustCompile(`^()listening (\S+)`)
+)
+
+// start runs a program of the test binary and follows what it prints.
+func start(name, logPath string, environment []string, program string, args ...string) (*process, error) {
+	log, err := os.Create(logPath)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		name:   name,
+		cmd:    exec.Command(program, args...),
+		log:    log,
+		seen:   make(map[string]string),
+		signal: make(chan struct{}),
+		exited: make(chan struct{}),
+	}
+	p.cmd.Env = environment
+	reader, writer := io.Pipe()
+	p.cmd.Stdout = writer
+	p.cmd.Stderr = writer
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	go p.follow(reader)
+	go func() {
+		_ = p.cmd.Wait() // the exit code is read from ProcessState
+		_ = writer.Close()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+func (p *process) follow(output io.Reader) {
+	scanner := bufio.NewScanner(output)
+	for scanner.Scan() {
+		line := scanner.Text()
+		_, _ = p.log.WriteString(line + "\n")
+		for _, pattern := range []*regexp.Regexp{daemonLine, standinLine} {
+			if found := pattern.FindStringSubmatch(line); found != nil {
+				p.told(found[1], found[2])
+			}
+		}
+	}
+	_, _ = io.Copy(p.log, output)
+}
+
+func (p *process) told(what, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen[what] = address
+	close(p.signal)
+	p.signal = make(chan struct{})
+}
+
+// address waits until the process has told where it listens.
+func (p *process) address(what string) (string, error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		address, ok := p.seen[what]
+		signal := p.signal
+		p.mu.Unlock()
+		if ok {
+			return address, nil
+		}
+		select {
+		case <-signal:
+		case <-p.exited:
+			return "", errors.Newf("%s ended before it listened; its log is %s", p.name, p.log.Name())
+		case <-timer.C:
+			return "", errors.Newf("%s did not listen in time", p.name)
+		}
+	}
+}
+
+// send sends a signal to the process.
+func (p *process) send(s syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.name)
+}
+
+// wait waits for the end of the process and returns its exit code, -1 after a
+// signal.
+func (p *process) wait() (int, error) {
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(patience):
+		return 0, errors.Newf("%s did not end in time", p.name)
+	}
+}
+
+// stop ends the process for good, at the end of a scenario.
+func (p *process) stop() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
