Prove the faults of targets and the bounds of their client

Ruled out: one attempt id for the first try and the resumed one: the late cancellation of the first stopped the second, seen in a test before it landed; ids are never used twice, and the Call says so.

--- a/transport/target/conn_test.go
+++ b/transport/target/conn_test.go
@@ -20,16 +20,47 @@
 	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
-// deafConn carries what is written, brings nothing back, and hides its closing.
-type deafConn struct {
+// fragileConn loses what is sent, what comes and its own closing once silent is
+// closed.
+type fragileConn struct {
 	net.Conn
+	silent <-chan struct{}
 	once   sync.Once
 	closed chan struct{}
 }
 
-func (c *deafConn) Read([]byte) (int, error) { <-c.closed; return 0, net.ErrClosed }
+func (c *fragileConn) isSilent() bool {
+	select {
+	case <-c.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *fragileConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
 
-func (c *deafConn) Close() error { c.once.Do(func() { close(c.closed) }); return nil }
+func (c *fragileConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *fragileConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	if c.isSilent() {
+		return c.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.Close()
+}
 
 // faultyConn fails its writes from the second call on, after some bytes.
 type faultyConn struct {
--- a/transport/target/contract_test.go
+++ b/transport/target/contract_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,28 +173,54 @@
 	}
 }
 
-// Story: an open connection goes silent in both directions: the target can't
-// see that its caller gave up. Only a cancellation on a new connection frees
-// the slot.
+// Story: all open connections to a target go silent in both directions: the
+// target can't see that its caller gave up, and an idle connection brings it no
+// message. Only a cancellation on a new connection frees the slot.
 func TestCancelTakesANewConnection(t *testing.T) {
-	options := engine()
-	options.CallTime = time.Hour
-	inBubble(t, options, func(r *rig) {
-		dials := 0
-		r.client = target.New(clientOptions(func(ctx context.Context, network, address string) (conn net.Conn, err error) {
-			conn, err = r.net.Dial(ctx, network, address)
-			if dials++; dials == 1 {
-				conn = &deafConn{Conn: conn, closed: make(chan struct{})}
+	inBubble(t, engine(), func(r *rig) {
+		silent := make(chan struct{})
+		r.client = target.New(clientOptions(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := r.net.Dial(ctx, network, address)
+			if old := r.net.dials.Load() <= 2; old {
+				conn = &fragileConn{Conn: conn, silent: silent, closed: make(chan struct{})}
 			}
 			return conn, err
 		}))
-		_, err := r.run(attempt("silent"), false)
+		fill(r, nil)
+		<-time.After(patience)
+		require.EqualValues(r, 2, r.net.dials.Load(), "two connections are idle")
+		long := attempt("silent")
+		long.Run.MaxTokens = 1e6
+		time.AfterFunc(callTime, func() { close(silent) })
+		_, err := r.run(long, false)
 		requireFailure(r, err, target.Unknown, target.ReasonSilent)
 		r.requireIdle()
 		require.ErrorIs(r, r.client.Cancel(r.Context(), address, "a-silent"), target.ErrNoAttempt)
 	})
 }
 
+// Story: many targets go silent at once. Their cancellations must not pile up.
+func TestCancellationsAreBounded(t *testing.T) {
+	var cancels atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == targetapi.PathCancel {
+			cancels.Add(1)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	rawBubble(t, handler, func(r *rig) {
+		options := clientOptions(r.net.Dial)
+		options.MaxCancels = 2
+		r.client = target.New(options)
+		for range 5 {
+			go func() { _, _, _ = r.client.Run(r.Context(), attempt("x")) }()
+		}
+		<-time.After(2 * patience)
+		require.EqualValues(r, 2, cancels.Load())
+	})
+}
+
 // Story: answers that no emulated fault makes, from a target or a middlebox
 // that breaks the contract. None may pass for a whole answer or a true refusal.
 func TestBrokenAnswers(t *testing.T) {
@@ -261,6 +289,10 @@
 					require.NoError(r, err)
 				}
 				require.Equal(r, 1, calls)
+				synctest.Wait()
+				if c.want.failed && c.want.outcome == target.Unknown {
+					require.Zero(r, r.net.open.Load(), "the connection can bring a late answer to the next call")
+				}
 			})
 		})
 	}
--- /dev/null
+++ b/transport/target/control_call.go
@@ -0,0 +1,107 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+)
+
+// controlCall is a call that is no attempt to run a stage.
+type controlCall struct {
+	step      Step
+	transport *http.Transport
+	timeout   time.Duration
+	address   string
+	method    string
+	path      string
+	// body is sent as JSON unless it is nil.
+	body any
+	// refusals names the errors behind statuses that mean something here.
+	refusals map[int]error
+}
+
+// control makes the call and returns the whole body of a good answer.
+func (c *Client) control(ctx context.Context, call controlCall) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
+	defer cancel()
+	request, err := call.request(ctx)
+	if err != nil {
+		return nil, call.failed(NotRun, err)
+	}
+	response, err := call.transport.RoundTrip(request)
+	if err != nil {
+		return nil, call.failed(connectOutcome(err), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := readBounded(response.Body, c.options.MaxBody)
+	if refused := call.refusal(response); refused != nil {
+		return nil, refused
+	}
+	if err != nil {
+		return nil, call.failed(Unknown, err)
+	}
+	return content, nil
+}
+
+func (call controlCall) request(ctx context.Context) (*http.Request, error) {
+	var content io.Reader
+	if call.body != nil {
+		encoded, err := json.Marshal(call.body)
+		if err != nil {
+			return nil, err
+		}
+		content = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+call.address+call.path, content)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", contentTypeJSON)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	return request, nil
+}
+
+// refusal returns the error behind an answer that is not a good one.
+func (call controlCall) refusal(response *http.Response) error {
+	if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNoContent {
+		return nil
+	}
+	if known := call.refusals[response.StatusCode]; known != nil {
+		return call.failed(NotRun, known)
+	}
+	outcome := Unknown
+	if response.Header.Get(targetapi.HeaderNotRun) == "true" {
+		outcome = NotRun
+	}
+	return call.failed(outcome, errors.Newf("status %d", response.StatusCode))
+}
+
+func (call controlCall) failed(outcome Outcome, err error) *ControlError {
+	return &ControlError{Step: call.step, Peer: call.address, Outcome: outcome, Err: err}
+}
+
+// connectOutcome tells a dial that failed from a call that may have been sent.
+func connectOutcome(err error) Outcome {
+	if dial := (*dialError)(nil); errors.As(err, &dial) {
+		return NotRun
+	}
+	return Unknown
+}
+
+// readBounded reads to the end, and fails when that is further than the bound.
+func readBounded(r io.Reader, bound int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(r, bound+1))
+	if err == nil && int64(len(content)) > bound {
+		err = errTooLarge
+	}
+	return content, err
+}
--- a/transport/target/options.go
+++ b/transport/target/options.go
@@ -58,8 +58,10 @@
 	Address string
 	// Incarnation that is meant; empty when any will do.
 	Incarnation string
-	AttemptID   string
-	RequestID   string
+	// AttemptID is never used twice: a late answer to the first attempt, or its
+	// cancellation, would be taken for the second's.
+	AttemptID string
+	RequestID string
 	// Deadline is when the answer is of no more use; zero means none.
 	Deadline time.Time
 	// Priority is 0 (most urgent) to 9.
--- a/transport/target/rig_test.go
+++ b/transport/target/rig_test.go
@@ -139,7 +139,7 @@
 func (r *rig) run(call target.Call, stream bool) (target.Meta, error) {
 	r.Helper()
 	text, tokens := emulator.Output(call.Run.Stage, call.Run.Inputs, call.Run.Model, call.Run.MaxTokens)
-	var seen []string
+	seen := []string{}
 	var answer targetapi.RunAnswer
 	var meta target.Meta
 	var err error
