--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -45,6 +45,11 @@
 // streamIdle bounds the wait for a caller that does not read its stream.
 const streamIdle = 10 * time.Second
 
+// eventGap is how long a stream may stay without a byte. Engines send a token
+// every hundred milliseconds or a comment meanwhile; a longer silence is that of
+// a connection which something between the two ends has lost track of.
+const eventGap = 2 * time.Second
+
 // App is one instance.
 type App struct {
 	settings  settings.Settings
@@ -140,7 +145,7 @@
 		MaxRequests: s.Status.RingSize,
 		Retention:   s.Status.Retention,
 	})
-	a.targets = target.New(target.Options{})
+	a.targets = target.New(target.Options{EventGap: eventGap})
 	a.registrar = register.New(a.store, func() membership.Member { return a.self })
 }
 
--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -81,13 +81,14 @@
 
 func (a *attempt) call() target.Call {
 	return target.Call{
-		Address:     a.choice.Target.Address,
-		Incarnation: a.choice.Target.Incarnation,
-		AttemptID:   a.id,
-		RequestID:   a.job.ID,
-		Deadline:    a.job.Deadline,
-		Priority:    a.job.Tier.EnginePriority,
-		Tier:        a.job.Tier.Name,
+		HeaderTimeout: a.headerTimeout(),
+		Address:       a.choice.Target.Address,
+		Incarnation:   a.choice.Target.Incarnation,
+		AttemptID:     a.id,
+		RequestID:     a.job.ID,
+		Deadline:      a.job.Deadline,
+		Priority:      a.job.Tier.EnginePriority,
+		Tier:          a.job.Tier.Name,
 		Run: targetapi.RunRequest{
 			Stage:      a.stage.Name,
 			Inputs:     a.inputs,
@@ -100,6 +101,17 @@
 	}
 }
 
+// headerTimeout bounds the wait for the first byte of a stream that may be
+// started again elsewhere, so that a silent target leaves time for another one.
+// What may not be repeated waits until the deadline: giving up sooner would turn
+// a late answer into an unknown outcome.
+func (a *attempt) headerTimeout() time.Duration {
+	if a.stream && a.stage.Repeatable {
+		return a.left() / 2
+	}
+	return a.left()
+}
+
 func targetParts(parts []Part) []targetapi.Part {
 	out := make([]targetapi.Part, 0, len(parts))
 	for _, p := range parts {
--- a/daemon/execute/hedge.go
+++ b/daemon/execute/hedge.go
@@ -32,13 +32,28 @@
 // mayHedge tells whether a second attempt is allowed at all. A stream is never
 // hedged: two runs' tokens must not mix.
 func (s *stageRun) mayHedge() bool {
-	return s.stage.Repeatable && !s.streams() && s.attainmentFirst(s.stage.Pool)
+	return s.stage.Repeatable && !s.streams()
+}
+
+// rescueFactor is how many times its usual 95th percentile an attempt may take
+// in a pool that weighs cost first before a second one is started.
+const rescueFactor = 4
+
+// hedgeDelay is how long the first attempt is left alone. A pool that weighs
+// attainment first hedges the slowest of twenty; one that weighs cost first
+// only rescues: a target that went silent would else hold the request until its
+// deadline. Half of what is left is always kept for the second attempt.
+func (s *stageRun) hedgeDelay() time.Duration {
+	_, delay := s.opts.Times.Estimate(s.stageKey(s.index), s.stage.Expected)
+	if !s.attainmentFirst(s.stage.Pool) {
+		delay *= rescueFactor
+	}
+	return min(delay, s.left()/2)
 }
 
 // race waits for the first whole answer among the attempt and its hedge.
 func (s *stageRun) race(ctx context.Context, results chan attemptResult, request gate.Request) attemptResult {
-	_, delay := s.opts.Times.Estimate(s.stageKey(s.index), s.stage.Expected)
-	timer := time.NewTimer(delay)
+	timer := time.NewTimer(s.hedgeDelay())
 	defer timer.Stop()
 	running := 1
 	for {
--- /dev/null
+++ b/daemon/execute/rig_test.go
@@ -0,0 +1,100 @@
+package execute
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/deadline"
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/daemon/spender"
+	emulated "github.com/ivyhollow/ivyhollow/emulator/target"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/requests"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+const (
+	rigPool   = "pool"
+	rigTokens = 6
+)
+
+// rig is an executor before two emulated targets of one pool.
+type rig struct {
+	*Executor
+	targets []*emulated.Target
+	spender *spender.Spender
+}
+
+func newRig(t *testing.T, kind catalog.PoolKind, objective catalog.Objective) *rig {
+	t.Helper()
+	return newRigListed(t, kind, objective, "")
+}
+
+// newRigListed has the targets listed under their incarnation with a suffix.
+func newRigListed(t *testing.T, kind catalog.PoolKind, objective catalog.Objective, suffix string) *rig {
+	t.Helper()
+	r := &rig{spender: spender.New(retry.Config{Reserve: 100})}
+	table := routing.New(routing.Config{Instance: "test"})
+	var listed []routing.Target
+	for _, name := range []string{"a", "b"} {
+		e := emulated.New(emulated.Options{Kind: kind, Incarnation: name, Slots: 4, QueueLimit: -1, TokenTime: time.Millisecond})
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(func() { e.Close(); server.CloseClientConnections(); server.Close() })
+		r.targets = append(r.targets, e)
+		listed = append(listed, routing.Target{Incarnation: name + suffix, Pool: rigPool, Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4})
+	}
+	table.SetTargets(time.Now(), routing.Pool{Name: rigPool, Objective: objective, EjectionFloor: 1}, listed)
+	gates := gate.NewGroup(tiers.Config{Preempt: true, MinRun: time.Nanosecond}, time.Now)
+	gates.SetCapacity(rigPool, 8)
+	client := target.New(target.Options{EventGap: 200 * time.Millisecond})
+	t.Cleanup(client.Close)
+	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{rigPool: {Name: rigPool, Objective: objective}}}
+	r.Executor = New(Options{
+		Router: table, Targets: client, Gate: gates, Spender: r.spender,
+		Times:  deadline.NewTimes(deadline.Config{}),
+		Status: requests.New(requests.Options{MaxRequests: 16, Retention: time.Minute}),
+		Config: func() *catalog.Snapshot { return snapshot },
+	})
+	return r
+}
+
+func (r *rig) fault(faults ...emulated.Fault) {
+	for _, e := range r.targets {
+		e.SetFaults(faults...)
+	}
+}
+
+// runs counts the work started for a request over all targets.
+func (r *rig) runs(id string) int {
+	total := 0
+	for _, e := range r.targets {
+		total += e.Runs()[id]
+	}
+	return total
+}
+
+// stages makes the one stage of a job; tokens above 0 make it a generation.
+func oneStage(repeatable, resumable bool, tokens int) *catalog.Pipeline {
+	return &catalog.Pipeline{
+		Key: catalog.PipelineKey{Name: "p", SchemaVersion: 1},
+		Stages: []catalog.Stage{{
+			Name: "s", Pool: rigPool, Expected: 20 * time.Millisecond,
+			Repeatable: repeatable, Resumable: resumable, MaxTokens: tokens,
+		}},
+	}
+}
+
+func (r *rig) job(p *catalog.Pipeline, within time.Duration) Job {
+	return Job{
+		ID: "test.1.1", Pipeline: p, Tier: &catalog.Tier{Name: "gold"}, Input: "in",
+		Deadline: time.Now().Add(within),
+	}
+}
+
+func (r *rig) do(job Job) (Result, error) { return r.Run(context.Background(), job) }
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
@@ -237,3 +238,6 @@
 	s.serial++
 	return s.job.ID + "/" + s.stage.Name + "/" + strconv.Itoa(s.serial)
 }
+
+// left is what is left of the job's deadline.
+func (s *stageRun) left() time.Duration { return s.job.Deadline.Sub(s.opts.Now()) }
