Prove the platform contract against both stores

Cause: the client, its budget and the stand-in had no proof. Change: one table of contract cases and one of fault cases run in process and over HTTP in virtual time; the rate now grows only where it is used and returns to what it was; a call unanswered for a quarter of its limit counts against the platform even if its caller gave up; an outage breaks waiting watches of the stand-in; redirects are not followed. Not proved: HTTP/2 stays off over TLS. Conclusion: both stores meet the same contract.

--- a/emulator/platform/faults.go
+++ b/emulator/platform/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 )
@@ -62,9 +63,9 @@
 	if f.DropHistory {
 		s.table.dropHistory()
 		f.DropHistory = false
-		s.table.wake()
 	}
 	s.faults = f
+	s.table.wake()
 }
 
 // Faults returns the faults in force; counted ones show what is left.
@@ -86,6 +87,18 @@
 	return faults.Down
 }
 
+// down turns a way to fail before any effect into the end of the call.
+func down(how Failure) *failed {
+	switch how {
+	case FailNot:
+		return nil
+	case FailRefuse:
+		return &failed{refusal: refuse(http.StatusServiceUnavailable, "platform is down")}
+	default:
+		return &failed{how: how}
+	}
+}
+
 // loss says whether the answer of a write gets lost and how late its effect is.
 // The caller holds s.mu.
 func (s *Store) loss(instance string) (Failure, time.Duration) {
--- a/emulator/platform/store.go
+++ b/emulator/platform/store.go
@@ -73,12 +73,8 @@
 
 func (s *Store) enterLimited(ctx context.Context, r request, limiter *rate.Limiter, tokens int) *failed {
 	s.count(r)
-	switch how := s.gate(ctx, r.instance, r.kind); how {
-	case FailNot:
-	case FailRefuse:
-		return &failed{refusal: refuse(http.StatusServiceUnavailable, "platform is down")}
-	default:
-		return &failed{how: how}
+	if f := down(s.gate(ctx, r.instance, r.kind)); f != nil {
+		return f
 	}
 	if !limiter.AllowN(s.options.Now(), tokens) {
 		s.countLimited()
@@ -179,10 +175,11 @@
 	defer cancel()
 	s.options.AfterFunc(min(wait, milliseconds(platformapi.MaxWatchWaitMS)), cancel)
 	for {
-		watch, changed, bad := s.observe(r.instance, kinds, from)
-		if bad != nil {
-			return watch, &failed{refusal: bad}
+		watch, changed, f := s.observe(r, kinds, from)
+		if f != nil {
+			return watch, f
 		}
+		from = watch.Revision
 		if len(watch.Events) > 0 || wait <= 0 || limited.Err() != nil {
 			return watch, nil
 		}
@@ -196,19 +193,24 @@
 	}
 }
 
-// observe looks once and returns what is closed at the next change.
-func (s *Store) observe(instance string, kinds []string, from uint64) (platformapi.Watch, <-chan struct{}, *refusal) {
+// observe looks once and returns what is closed at the next change of the table
+// or of the faults. An outage breaks watches that already wait.
+func (s *Store) observe(r request, kinds []string, from uint64) (platformapi.Watch, <-chan struct{}, *failed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.table.changed
-	if s.faults.MuteWatches && s.faults.hits(instance) {
+	faulty := s.faults.hits(r.instance)
+	if faulty && s.faults.covers(CallWatch) && s.faults.Down != FailNot {
+		return platformapi.Watch{}, changed, down(s.faults.Down)
+	}
+	if faulty && s.faults.MuteWatches {
 		return platformapi.Watch{Events: []platformapi.Event{}, Revision: from}, changed, nil
 	}
 	watch, bad := s.table.since(kinds, from)
 	if bad != nil {
-		return watch, changed, bad
+		return watch, changed, &failed{refusal: bad}
 	}
-	if s.faults.hits(instance) {
+	if faulty {
 		skipped := min(s.faults.SkipEvents, len(watch.Events))
 		s.faults.SkipEvents -= skipped
 		watch.Events = watch.Events[skipped:]
--- /dev/null
+++ b/emulator/platform/table_test.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const kind = platformapi.KindPools
+
+func specs(objects map[string]*platformapi.Object) map[string]string {
+	out := map[string]string{}
+	for name, object := range objects {
+		out[name] = string(object.Spec)
+	}
+	return out
+}
+
+// TestHistory: after any writes, each revision still kept reads as it was, and a
+// watch from it leads to the present; one that isn't kept says so.
+func TestHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const keep = 8
+		table := newTable(keep)
+		snapshots := []map[string]string{{}}
+		for i := range rapid.IntRange(0, 40).Draw(t, "writes") {
+			o := platformapi.Object{Spec: fmt.Append(nil, i)}
+			o.Metadata.Name = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			switch rapid.IntRange(0, 3).Draw(t, "verb") {
+			case 0:
+				_, _ = table.create(kind, o)
+			case 1:
+				_, _ = table.update(kind, o, false)
+			case 2:
+				_ = table.delete(kind, o.Metadata.Name, 0)
+			case 3:
+				_, _ = table.create("others", platformapi.Object{Metadata: platformapi.Metadata{Name: fmt.Sprint("o", i)}})
+			}
+			if int(table.revision) == len(snapshots) {
+				snapshots = append(snapshots, specs(table.kinds[kind]))
+			}
+		}
+		require.Len(t, snapshots, int(table.revision)+1)
+		for from, snapshot := range snapshots {
+			objects, revision := table.past(kind, table.revision-uint64(from))
+			require.Equal(t, max(uint64(from), table.compacted), revision)
+			require.Equal(t, snapshots[revision], specs(objects))
+
+			watch, bad := table.since([]string{kind}, uint64(from))
+			require.Equal(t, uint64(from) < table.compacted, bad != nil)
+			if bad != nil {
+				continue
+			}
+			require.Equal(t, table.revision, watch.Revision)
+			replayed := maps.Clone(snapshot)
+			for _, event := range watch.Events {
+				replayed[event.Object.Metadata.Name] = string(event.Object.Spec)
+				if event.Deleted {
+					delete(replayed, event.Object.Metadata.Name)
+				}
+			}
+			require.Equal(t, snapshots[table.revision], replayed)
+		}
+	})
+}
+
+// TestLargePages: a list and a watch of large values come in several answers,
+// none over the limit and none of them empty.
+func TestLargePages(t *testing.T) {
+	table := newTable(100)
+	value := []byte(`"` + strings.Repeat("x", platformapi.MaxValueBytes-2) + `"`)
+	for i := range 9 {
+		o := platformapi.Object{Metadata: platformapi.Metadata{Name: fmt.Sprint("n", i)}, Spec: value}
+		_, bad := table.create(kind, o)
+		require.Nil(t, bad)
+	}
+	var listed, watched []int
+	for after := ""; len(listed) == 0 || after != ""; {
+		page := list(table.kinds[kind], after, platformapi.MaxPageItems)
+		listed, after = append(listed, len(page.Items)), page.Next
+	}
+	for from := uint64(0); from < table.revision; {
+		watch, bad := table.since([]string{kind}, from)
+		require.Nil(t, bad)
+		watched, from = append(watched, len(watch.Events)), watch.Revision
+	}
+	require.Equal(t, []int{4, 4, 1}, listed)
+	require.Equal(t, []int{4, 4, 1}, watched)
+}
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -17,6 +17,10 @@
 	DefaultWatchSlack = 2 * time.Second
 )
 
+// patienceShare of Timeout without an answer counts against the platform. Else
+// callers with short deadlines of their own would never find it silent.
+const patienceShare = 4
+
 // Options are the settings of a Client; zero values mean the defaults.
 type Options struct {
 	// BaseURL is the platform's address, such as "http://10.0.0.1:7000".
@@ -54,7 +58,7 @@
 		options.WatchSlack = DefaultWatchSlack
 	}
 	if options.HTTP == nil {
-		options.HTTP = &http.Client{Transport: NewTransport(), CheckRedirect: noRedirect}
+		options.HTTP = NewHTTPClient(NewTransport())
 	}
 	if options.Budget == nil {
 		options.Budget = NewBudget(BudgetOptions{})
@@ -134,11 +138,12 @@
 		path += "?revision=" + strconv.FormatUint(revision, 10)
 	}
 	return c.do(ctx, exchange{
-		call:    Call{Step: "delete " + kind, Peer: c.base, Write: true},
-		class:   ClassWrite,
-		method:  http.MethodDelete,
-		path:    path,
-		timeout: c.options.Timeout,
+		call:     Call{Step: "delete " + kind, Peer: c.base, Write: true},
+		class:    ClassWrite,
+		method:   http.MethodDelete,
+		path:     path,
+		timeout:  c.options.Timeout,
+		patience: c.options.Timeout / patienceShare,
 	})
 }
 
@@ -147,38 +152,41 @@
 func (c *Client) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error) {
 	var watch platformapi.Watch
 	err := c.do(ctx, exchange{
-		call:    Call{Step: "watch " + strings.Join(kinds, ","), Peer: c.base},
-		class:   ClassRead,
-		method:  http.MethodGet,
-		path:    watchPath(kinds, from, wait),
-		probe:   watchPath(kinds, from, 0),
-		out:     &watch,
-		timeout: wait + c.options.WatchSlack,
+		call:     Call{Step: "watch " + strings.Join(kinds, ","), Peer: c.base},
+		class:    ClassRead,
+		method:   http.MethodGet,
+		path:     watchPath(kinds, from, wait),
+		probe:    watchPath(kinds, from, 0),
+		out:      &watch,
+		timeout:  wait + c.options.WatchSlack,
+		patience: wait + c.options.WatchSlack,
 	})
 	return watch, err
 }
 
 func (c *Client) read(ctx context.Context, step, path string, out any) error {
 	return c.do(ctx, exchange{
-		call:    Call{Step: step, Peer: c.base},
-		class:   ClassRead,
-		method:  http.MethodGet,
-		path:    path,
-		out:     out,
-		timeout: c.options.Timeout,
+		call:     Call{Step: step, Peer: c.base},
+		class:    ClassRead,
+		method:   http.MethodGet,
+		path:     path,
+		out:      out,
+		timeout:  c.options.Timeout,
+		patience: c.options.Timeout / patienceShare,
 	})
 }
 
 func (c *Client) write(ctx context.Context, step, method, path string, object platformapi.Object) (*platformapi.Object, error) {
 	var written platformapi.Object
 	err := c.do(ctx, exchange{
-		call:    Call{Step: step, Peer: c.base, Write: true},
-		class:   ClassWrite,
-		method:  method,
-		path:    path,
-		in:      &object,
-		out:     &written,
-		timeout: c.options.Timeout,
+		call:     Call{Step: step, Peer: c.base, Write: true},
+		class:    ClassWrite,
+		method:   method,
+		path:     path,
+		in:       &object,
+		out:      &written,
+		timeout:  c.options.Timeout,
+		patience: c.options.Timeout / patienceShare,
 	})
 	if err != nil {
 		return nil, err
@@ -186,10 +194,6 @@
 	return &written, nil
 }
 
-// noRedirect gives back a redirect as the answer: following one would send a
-// write a second time.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 func objectPath(kind, name string) string {
 	return platformapi.PathObjects + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
--- a/transport/platform/errors.go
+++ b/transport/platform/errors.go
@@ -113,12 +113,11 @@
 	case http.StatusRequestEntityTooLarge:
 		return &CallError{Call: call, Err: ErrTooLarge}
 	}
-	cause := errors.Newf("status %d", status)
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return &UnavailableError{Call: call, RetryAfter: retryAfter, Err: cause}
+		return &UnavailableError{Call: call, RetryAfter: retryAfter, Err: errors.Newf("status %d", status)}
 	case http.StatusBadRequest, http.StatusForbidden, http.StatusUnauthorized, http.StatusMethodNotAllowed:
-		return &CallError{Call: call, Err: errors.Mark(cause, ErrRefused)}
+		return &CallError{Call: call, Err: errors.Wrapf(ErrRefused, "status %d", status)}
 	}
-	return LostAnswer(call, cause)
+	return LostAnswer(call, errors.Newf("status %d", status))
 }
--- a/transport/platform/exchange.go
+++ b/transport/platform/exchange.go
@@ -24,9 +24,6 @@
 // idleTimeout closes connections that nothing has used for so long.
 const idleTimeout = 30 * time.Second
 
-// errTimeout is the cause when the call's own time limit ended it.
-var errTimeout = errors.New("no answer in time")
-
 // NewTransport returns the transport of a client's own. It speaks HTTP/1.1
 // alone: there, a call that timed out closes its connection, while HTTP/2 would
 // go on sending calls into a connection that has gone silent.
@@ -52,6 +49,28 @@
 	in      *platformapi.Object
 	out     any
 	timeout time.Duration
+	// patience is how long an answer may be missing before that counts against
+	// the platform, even if the caller gave up before timeout.
+	patience time.Duration
+}
+
+// NewHTTPClient returns a client over transport that gives back a redirect as
+// the answer: following one would send a write a second time.
+func NewHTTPClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// ending is the end of a call without a whole answer.
+type ending struct {
+	err    error
+	sent   bool
+	after  time.Duration
+	gaveUp bool
 }
 
 // do takes the call from the budget, carries it out and reports how it went.
@@ -79,7 +98,8 @@
 
 // send carries out one exchange within its time limit.
 func (c *Client) send(ctx context.Context, x exchange) (result, error) {
-	limited, cancel := context.WithTimeoutCause(ctx, x.timeout, errTimeout)
+	start := time.Now()
+	limited, cancel := context.WithTimeout(ctx, x.timeout)
 	defer cancel()
 
 	// The call counts as sent once it holds a connection. A later mark would be
@@ -90,16 +110,16 @@
 	})
 	request, err := c.newRequest(traced, x)
 	if err != nil {
-		return result{outcome: outcomeNeutral}, &CallError{Call: x.call, Err: errors.Mark(err, ErrRefused)}
+		return result{outcome: outcomeNeutral}, &CallError{Call: x.call, Err: errors.Wrapf(ErrRefused, "build request: %v", err)}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return c.failed(ctx, limited, x.call, err, sent.Load())
+		return c.failed(x, ending{err: err, sent: sent.Load(), after: time.Since(start), gaveUp: ctx.Err() != nil})
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
-		return c.failed(ctx, limited, x.call, err, true)
+		return c.failed(x, ending{err: err, sent: true, after: time.Since(start), gaveUp: ctx.Err() != nil})
 	}
 	return readAnswer(x, response, body)
 }
@@ -125,24 +145,22 @@
 }
 
 // failed classifies a call without a whole answer.
-func (c *Client) failed(ctx, limited context.Context, call Call, err error, sent bool) (result, error) {
-	err = withoutURL(err)
-	outcome := outcomeFailed
-	if ctx.Err() != nil {
-		// The caller gave up: that says nothing about the platform.
-		outcome = outcomeNeutral
-	}
-	if errors.Is(context.Cause(limited), errTimeout) {
-		err = errors.Mark(err, errTimeout)
+func (c *Client) failed(x exchange, e ending) (result, error) {
+	r := result{outcome: outcomeFailed}
+	if e.gaveUp && e.after < x.patience {
+		// The caller gave up early: that says nothing about the platform.
+		r.outcome = outcomeNeutral
+	}
+	if e.after >= x.patience {
 		// A timeout may mean that a middlebox forgot our connections: they stay
 		// open, and each takes one more call down with it. Idle ones of the same
 		// age are likely gone too, so the next calls connect anew.
 		c.http.CloseIdleConnections()
 	}
-	if !sent {
-		return result{outcome: outcome}, &UnavailableError{Call: call, Err: err}
+	if !e.sent {
+		return r, &UnavailableError{Call: x.call, Err: withoutURL(e.err)}
 	}
-	return result{outcome: outcome}, LostAnswer(call, err)
+	return r, LostAnswer(x.call, withoutURL(e.err))
 }
 
 // withoutURL takes the URL off an error, since it holds the object's name.
--- /dev/null
+++ b/transport/platform/faults_test.go
@@ -0,0 +1,282 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// TestFaults puts each fault against each kind of call. The object's spec goes
+// from 1 to 2 at revision 2, then the fault sets in; the write under it tries 3.
+func TestFaults(t *testing.T) {
+	const (
+		at2, at3 = "2", "3"
+		lateMS   = 5000
+	)
+	for name, c := range map[string]struct {
+		faults             emulator.Faults
+		read, write, watch string
+		readSpec           string // what the read sees when it is done
+		events             int    // of the watch from revision 1, when done
+		soon, later        string // the spec in truth right after the write, and in the end
+	}{
+		"none":             {emulator.Faults{}, "done", "done", "done", at2, 2, at3, at3},
+		"slow":             {emulator.Faults{LatencyMS: 900}, "done", "done", "done", at2, 2, at3, at3},
+		"too slow":         {emulator.Faults{LatencyMS: 60000}, "nothing done", "unknown", "nothing done", "", 0, at2, at2},
+		"refused":          {emulator.Faults{Down: emulator.FailRefuse}, "nothing done", "nothing done", "nothing done", "", 0, at2, at2},
+		"reset":            {emulator.Faults{Down: emulator.FailReset}, "nothing done", "unknown", "nothing done", "", 0, at2, at2},
+		"silent":           {emulator.Faults{Down: emulator.FailSilence}, "nothing done", "unknown", "nothing done", "", 0, at2, at2},
+		"others refused":   {emulator.Faults{Down: emulator.FailRefuse, Instances: []string{"i2"}}, "done", "done", "done", at2, 2, at3, at3},
+		"writes refused":   {emulator.Faults{Down: emulator.FailRefuse, Calls: []emulator.CallKind{emulator.CallWrite}}, "done", "nothing done", "done", at2, 1, at2, at2},
+		"answer lost":      {emulator.Faults{LoseWrites: 1}, "done", "unknown", "done", at2, 2, at3, at3},
+		"answer silent":    {emulator.Faults{LoseWrites: 1, LoseBy: emulator.FailSilence}, "done", "unknown", "done", at2, 2, at3, at3},
+		"all answers lost": {emulator.Faults{LoseShare: 1}, "done", "unknown", "done", at2, 2, at3, at3},
+		"applied late":     {emulator.Faults{LoseWrites: 1, ApplyAfterMS: lateMS}, "done", "unknown", "done", at2, 1, at2, at3},
+		"stale":            {emulator.Faults{StaleBy: 1}, "done", "done", "done", "1", 2, at3, at3},
+		"watch muted":      {emulator.Faults{MuteWatches: true}, "done", "done", "done", at2, 0, at3, at3},
+		"event skipped":    {emulator.Faults{SkipEvents: 1}, "done", "done", "done", at2, 1, at3, at3},
+		"history dropped":  {emulator.Faults{DropHistory: true}, "done", "done", "compacted", at2, 0, at3, at3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachStore(t, func(t *testing.T, e *emulator.Store, s platform.Store) {
+				truth := func() string {
+					faults := e.Faults()
+					e.SetFaults(emulator.Faults{})
+					defer e.SetFaults(faults)
+					o, err := e.Local("").Get(t.Context(), kind, "a")
+					require.NoError(t, err)
+					return string(o.Spec)
+				}
+				_, err := e.Local("").Create(t.Context(), kind, object("a", "1"))
+				require.NoError(t, err)
+				_, err = e.Local("").Update(t.Context(), kind, object("a", "2"))
+				require.NoError(t, err)
+				e.SetFaults(c.faults)
+
+				o, err := s.Get(t.Context(), kind, "a")
+				require.Equal(t, c.read, class(err))
+				if err == nil {
+					require.Equal(t, c.readSpec, string(o.Spec))
+				}
+				_, err = s.Update(t.Context(), kind, object("a", "3"))
+				require.Equal(t, c.write, class(err))
+				require.Equal(t, c.soon, truth())
+				w, err := s.Watch(t.Context(), []string{kind}, 1, time.Second)
+				require.Equal(t, c.watch, class(err))
+				require.Len(t, w.Events, c.events)
+				time.Sleep(lateMS * time.Millisecond) // virtual
+				synctest.Wait()
+				require.Equal(t, c.later, truth())
+			})
+		})
+	}
+}
+
+// TestOutageBreaksWaitingWatch: the platform goes down while a watch waits. The
+// watch must end then, and not at the end of its wait.
+func TestOutageBreaksWaitingWatch(t *testing.T) {
+	eachStore(t, func(t *testing.T, e *emulator.Store, s platform.Store) {
+		ended := make(chan error, 1)
+		go func() {
+			_, err := s.Watch(t.Context(), []string{kind}, 0, time.Minute)
+			ended <- err
+		}()
+		synctest.Wait()
+		e.SetFaults(emulator.Faults{Down: emulator.FailReset})
+		synctest.Wait()
+		require.Equal(t, "nothing done", class(<-ended))
+	})
+}
+
+// TestRateLimits: the limits hold for all callers together, and a call over them
+// is refused before any effect, with a time to come back.
+func TestRateLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := emulator.New(emulator.Options{WritesPerSecond: 20, ReadsPerSecond: 10})
+		refused := 0
+		for _, name := range []string{"a", "b", "c"} {
+			_, err := e.Local(name).Create(t.Context(), kind, object(name, "1"))
+			if class(err) == "nothing done" {
+				refused++
+			}
+		}
+		require.Equal(t, 1, refused)
+		_, err := e.Local("a").Watch(t.Context(), []string{kind}, 0, 0)
+		require.NoError(t, err)
+		_, err = e.Local("b").Get(t.Context(), kind, "a")
+		var unavailable *platform.UnavailableError
+		require.ErrorAs(t, err, &unavailable)
+		require.Equal(t, time.Second, unavailable.RetryAfter)
+		require.EqualValues(t, 2, e.Calls().Limited)
+		require.EqualValues(t, 3, e.Calls().Kinds[kind].Writes)
+	})
+}
+
+// TestSilentConnections: every open connection goes silent for good while new
+// ones work, as when a middlebox between the two ends forgets them. A caller
+// sees one call time out; without the guard each idle connection takes one more
+// call down with it.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := emulator.New(emulator.Options{})
+		client, wire := serve(t, e.Handler())
+		e.SetFaults(emulator.Faults{LatencyMS: 10})
+		for range 3 { // three at once leave three idle connections
+			go func() { _, _ = client.List(t.Context(), kind) }()
+		}
+		time.Sleep(timeout) // virtual
+		synctest.Wait()
+		require.EqualValues(t, 3, wire.dials.Load())
+		wire.forget()
+
+		start := time.Now()
+		_, err := client.Create(t.Context(), kind, object("a", "1"))
+		require.Equal(t, "unknown", class(err))
+		require.Equal(t, timeout, time.Since(start))
+		_, err = client.List(t.Context(), kind)
+		require.NoError(t, err)
+		require.EqualValues(t, 4, wire.dials.Load())
+	})
+}
+
+// TestSilentWatch: the connection of a waiting watch goes silent. The platform's
+// later changes never arrive; the watch must end soon after its wait and say so,
+// or the instance would follow nothing for ever.
+func TestSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := emulator.New(emulator.Options{})
+		client, wire := serve(t, e.Handler())
+		_, err := client.List(t.Context(), kind)
+		require.NoError(t, err)
+		wire.forget()
+		start := time.Now()
+		_, err = client.Watch(t.Context(), []string{kind}, 0, 20*time.Second)
+		require.Equal(t, "nothing done", class(err))
+		require.Equal(t, 20*time.Second+timeout, time.Since(start))
+	})
+}
+
+// TestShortDeadlines: the platform is silent, and all callers give up before the
+// client's own time limit. That must count as an outage; a caller that gives up
+// at once must not.
+func TestShortDeadlines(t *testing.T) {
+	for _, c := range []struct {
+		deadline time.Duration
+		sent     uint64
+	}{{timeout / 2, 3}, {timeout / 100, 10}} {
+		synctest.Test(t, func(t *testing.T) {
+			e := emulator.New(emulator.Options{})
+			client, _ := serve(t, e.Handler())
+			e.SetFaults(emulator.Faults{Down: emulator.FailSilence})
+			for range 10 {
+				ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+				_, err := client.Get(ctx, kind, "a")
+				require.Equal(t, "nothing done", class(err))
+				cancel()
+			}
+			require.Equal(t, c.sent, e.Calls().Reads)
+		})
+	}
+}
+
+// TestNoConnection: a write that found no connection wasn't done; calling its
+// effect unknown would make the caller read back what can't exist.
+func TestNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, wire := serve(t, http.NotFoundHandler())
+		wire.refusing.Store(true)
+		_, err := client.Update(t.Context(), kind, object("secret-key", "1"))
+		require.Equal(t, "nothing done", class(err))
+		require.NotContains(t, err.Error(), "secret-key")
+		require.Contains(t, err.Error(), "update accounts at http://platform")
+	})
+}
+
+// TestStatuses: only the refusals that the contract names mean that a write
+// wasn't done. A redirect must not be followed: it would send the write twice.
+func TestStatuses(t *testing.T) {
+	for status, want := range map[int]string{
+		200: "done", 307: "unknown", 400: "refused", 403: "refused", 404: "not found", 408: "unknown", 409: "conflict",
+		410: "compacted", 413: "too large", 429: "nothing done", 500: "unknown", 502: "unknown", 503: "nothing done", 504: "unknown",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			calls := 0
+			client, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Location", "/elsewhere")
+				if r.URL.Path != "/elsewhere" {
+					w.WriteHeader(status)
+				}
+				_, _ = w.Write([]byte("{}"))
+			}))
+			_, err := client.Update(t.Context(), kind, object("a", "1"))
+			require.Equal(t, want, class(err), "status %d", status)
+			require.Equal(t, 1, calls)
+		})
+	}
+}
+
+// TestChangeBetweenPages: an object changes while its kind is listed, after its
+// page was read. A watch from the last page's revision would miss the change and
+// the instance keep the old object; the list must give the first page's.
+func TestChangeBetweenPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			page := `{"revision":5,"next":"a"}`
+			if r.URL.Query().Get("after") == "a" {
+				page = `{"revision":9}`
+			}
+			_, _ = w.Write([]byte(page))
+		}))
+		all, err := client.List(t.Context(), kind)
+		require.NoError(t, err)
+		require.EqualValues(t, 5, all.Revision)
+	})
+}
+
+// TestCutAnswer: an answer that is cut or no JSON leaves a write unknown.
+func TestCutAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"metadata":`))
+		}))
+		_, err := client.Update(t.Context(), kind, object("a", "1"))
+		require.Equal(t, "unknown", class(err))
+		_, err = client.Get(t.Context(), kind, "a")
+		require.Equal(t, "nothing done", class(err))
+	})
+}
+
+// TestReturnFromOutage: after failures, calls are refused at once and nothing is
+// sent; then a single probe goes out. Here it is a watch: if it waited, every
+// other call would be held back for as long.
+func TestReturnFromOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := emulator.New(emulator.Options{})
+		client, _ := serve(t, e.Handler())
+		e.SetFaults(emulator.Faults{Down: emulator.FailRefuse})
+		for range 10 {
+			_, err := client.Get(t.Context(), platformapi.KindTiers, "a")
+			require.Equal(t, "nothing done", class(err))
+		}
+		require.EqualValues(t, 3, e.Calls().Reads)
+		e.SetFaults(emulator.Faults{})
+		time.Sleep(5 * time.Second) // virtual
+		start := time.Now()
+		_, err := client.Watch(t.Context(), []string{kind}, 0, time.Minute)
+		require.NoError(t, err)
+		require.Zero(t, time.Since(start))
+		_, err = client.List(t.Context(), kind)
+		require.NoError(t, err)
+	})
+}
--- /dev/null
+++ b/transport/platform/governor_test.go
@@ -0,0 +1,234 @@
+package platform
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+// TestBreaker plays outcomes and tells after each what a call meets: "go",
+// "held" or "probe". Time passes by 10 s, over any back-off, before a step that
+// begins with "+".
+func TestBreaker(t *testing.T) {
+	ok, failed, neutral := result{outcome: outcomeOK}, result{outcome: outcomeFailed}, result{outcome: outcomeNeutral}
+	type step struct {
+		r    result
+		want string
+	}
+	for name, steps := range map[string][]step{
+		"one silent connection is no outage": {{failed, "go"}, {failed, "go"}, {ok, "go"}, {failed, "go"}},
+		"three failures in a row are one":    {{failed, "go"}, {failed, "go"}, {failed, "held"}, {failed, "held"}},
+		"one probe at a time":                {{failed, "go"}, {failed, "go"}, {failed, "+probe"}, {failed, "held"}},
+		"a late success ends it":             {{failed, "go"}, {failed, "go"}, {failed, "held"}, {ok, "go"}},
+		"being limited isn't being down":     {{failed, "go"}, {failed, "go"}, {result{outcome: outcomeLimited}, "go"}, {failed, "go"}},
+		"callers that give up don't count":   {{neutral, "go"}, {neutral, "go"}, {neutral, "go"}, {neutral, "go"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b breaker
+			now := epoch
+			for i, s := range steps {
+				b.report(now, false, s.r, testRand(1))
+				if s.want[0] == '+' {
+					now = now.Add(10 * time.Second)
+					s.want = s.want[1:]
+				}
+				probe, held := b.allow(now)
+				require.Equal(t, s.want, map[bool]string{true: "probe", false: map[bool]string{true: "held", false: "go"}[held > 0]}[probe], "step %d", i)
+			}
+		})
+	}
+}
+
+// TestAbandonedProbe: the caller of the probe gives up. The next call must probe
+// in its place, or the process would never come back from the outage.
+func TestAbandonedProbe(t *testing.T) {
+	var b breaker
+	for range failuresToOpen {
+		b.report(epoch, false, result{outcome: outcomeFailed}, testRand(1))
+	}
+	now := epoch.Add(time.Minute)
+	probe, _ := b.allow(now)
+	require.True(t, probe)
+	b.report(now, true, result{outcome: outcomeNeutral}, testRand(1))
+	probe, _ = b.allow(now)
+	require.True(t, probe)
+}
+
+// TestCallsUnderWay: many calls are under way when the platform goes down, and
+// fail one after the other. They have one cause; if each one stretched the
+// back-off, a blip under load would hold calls back for seconds.
+func TestCallsUnderWay(t *testing.T) {
+	var b breaker
+	for range 50 {
+		b.report(epoch, false, result{outcome: outcomeFailed}, testRand(1))
+	}
+	probe, _ := b.allow(epoch.Add(backoffBase))
+	require.True(t, probe)
+}
+
+// TestPacerBound: whatever the load and the answers, no window of a second sends
+// more than the full rate and one burst, and no admitted call waits over MaxWait.
+func TestPacerBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const full, burst, maxWait = 50, 10, time.Second
+		p := newPacer(full, burst, epoch)
+		now := epoch
+		perSecond := map[int64]int{}
+		for range rapid.IntRange(1, 400).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+			wait, ok := p.take(now, maxWait)
+			if ok {
+				require.LessOrEqual(t, wait, maxWait)
+				perSecond[now.Add(wait).Unix()]++
+			}
+			if rapid.IntRange(0, 20).Draw(t, "limited") == 0 {
+				p.cut(now, 0)
+			}
+		}
+		for _, n := range perSecond {
+			require.LessOrEqual(t, n, full+burst+1)
+		}
+	})
+}
+
+// fleet plays instances against a platform with a limit. Each has a backlog of
+// calls that it tries to send at every tick.
+type fleet struct {
+	governors []*governor // nil: every backlog is retried every 100 ms
+	backlog   []float64
+	due       [horizon][]int  // ring of ticks → calls of each instance
+	probes    [horizon][]bool // whether the first of them is a probe
+	limiter   *rate.Limiter
+}
+
+const (
+	tick       = 10 * time.Millisecond
+	window     = 10  // ticks
+	horizon    = 256 // ticks, over MaxWait
+	readLimit  = 2000
+	fullRate   = 500  // far over each one's share
+	outageFrom = 1500 // ticks
+	outageTo   = 3000
+	fleetEnd   = 6000
+	maxBacklog = 30
+)
+
+type returned struct {
+	peak    float64 // busiest window of the 10 s after the return, of the limit's share
+	limited float64 // share of 429 in these 10 s
+	served  float64 // calls a second in the last 10 s
+}
+
+func newFleet(n int, governed bool) *fleet {
+	f := &fleet{backlog: make([]float64, n), limiter: rate.NewLimiter(readLimit, readLimit/10)}
+	for i := range horizon {
+		f.due[i], f.probes[i] = make([]int, n), make([]bool, n)
+	}
+	for i := range n {
+		if governed {
+			o := BudgetOptions{ReadsPerSecond: fullRate, WritesPerSecond: 1, Burst: DefaultBurst, MaxWait: DefaultMaxWait, Rand: testRand(uint64(i))}
+			f.governors = append(f.governors, newGovernor(o, epoch))
+		}
+	}
+	return f
+}
+
+func (f *fleet) play(demand float64) returned {
+	var out returned
+	var sent, refused, inWindow int
+	for now := range fleetEnd {
+		at := epoch.Add(time.Duration(now) * tick)
+		if now%window == 0 {
+			inWindow = 0
+		}
+		for i := range f.backlog {
+			f.backlog[i] = min(maxBacklog, f.backlog[i]+demand*tick.Seconds())
+			f.admit(i, now, at)
+			for ; f.due[now%horizon][i] > 0; f.due[now%horizon][i]-- {
+				r := f.call(i, now, at)
+				if r.outcome == outcomeOK && now >= fleetEnd-1000 {
+					out.served += 0.1
+				}
+				if now >= outageTo && now < outageTo+1000 {
+					sent++
+					inWindow++
+					refused += map[outcome]int{outcomeLimited: 1}[r.outcome]
+				}
+			}
+		}
+		out.peak = max(out.peak, float64(inWindow)/(readLimit*window*tick.Seconds()))
+	}
+	out.limited = float64(refused) / float64(sent)
+	return out
+}
+
+func (f *fleet) admit(i, now int, at time.Time) {
+	for f.backlog[i] >= 1 {
+		then := now
+		if f.governors == nil {
+			if (now+i)%window != 0 {
+				return
+			}
+		} else {
+			a, err := f.governors[i].admit(at, ClassRead)
+			if err != nil {
+				return
+			}
+			then += int((a.wait + tick - 1) / tick)
+			f.probes[then%horizon][i] = a.probe
+		}
+		f.backlog[i]--
+		f.due[then%horizon][i]++
+	}
+}
+
+func (f *fleet) call(i, now int, at time.Time) result {
+	r := result{outcome: outcomeOK}
+	if now >= outageFrom && now < outageTo {
+		r.outcome = outcomeFailed
+	} else if !f.limiter.AllowN(at, 1) {
+		r = result{outcome: outcomeLimited, retryAfter: time.Second}
+	}
+	if r.outcome != outcomeOK {
+		f.backlog[i]++
+	}
+	if f.governors != nil {
+		f.governors[i].report(at, ClassRead, f.probes[now%horizon][i], r)
+		f.probes[now%horizon][i] = false
+	}
+	return r
+}
+
+// TestReturnWithoutRush: the platform comes back after an outage of 15 s, and
+// every instance has a full backlog. Without a budget they all send it at once
+// and again, and most calls get 429. Held to the budget, the platform sees no
+// rush, and the calls that are due get through.
+func TestReturnWithoutRush(t *testing.T) {
+	for name, c := range map[string]struct {
+		n      int
+		demand float64 // calls a second of each instance
+		limits returned
+	}{
+		"8 instances":                  {8, 100, returned{1, 0, 800}},
+		"8 instances over the limit":   {8, 400, returned{1.25, 0.01, 1900}},
+		"440 instances":                {440, 3, returned{1.25, 0.01, 1250}},
+		"440 instances over the limit": {440, 20, returned{1.5, 0.05, 1900}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			free := newFleet(c.n, false).play(c.demand)
+			held := newFleet(c.n, true).play(c.demand)
+			t.Logf(name+" free %+v held %+v", free, held)
+			require.LessOrEqual(t, held.peak, c.limits.peak)
+			require.LessOrEqual(t, held.limited, c.limits.limited)
+			require.GreaterOrEqual(t, held.served, c.limits.served)
+		})
+	}
+}
--- a/transport/platform/pacer.go
+++ b/transport/platform/pacer.go
@@ -9,18 +9,20 @@
 const (
 	// minRate keeps calls flowing that find out when more is possible, per second.
 	minRate = 0.5
-	// restartShare of the full rate is where a start or a return begins.
-	restartShare = 1.0 / 8
+	// startRate is where a start or a return begins, per second. It is absolute:
+	// a share of the full rate would grow with the fleet.
+	startRate = 2
 	// cutEvery bounds how often 429 halves the rate. The calls that were under
 	// way together are one sign, not several.
 	cutEvery = time.Second
-	// raisesToFull is the number of seconds from zero to the full rate once the
-	// platform's limit has been met.
-	raisesToFull = 60
+	// raiseStep and raiseShare are the rise a second once the platform's limit
+	// has been met: calls a second, or a share of the rate if that is more.
+	raiseStep  = 0.1
+	raiseShare = 0.03
 )
 
 // pacer is a token bucket whose rate adapts to the platform: it doubles each
-// second up to a threshold (slow start), rises by equal steps beyond, and halves
+// second up to a threshold (slow start), rises slowly beyond, and halves
 // at 429. The scheme is that of congestion control in TCP, V. Jacobson,
 // "Congestion Avoidance and Control", SIGCOMM 1988: the instances share the
 // platform's limit without knowing how many they are.
@@ -40,7 +42,7 @@
 	return pacer{
 		full:      full,
 		burst:     burst,
-		rate:      max(minRate, full*restartShare),
+		rate:      min(full, startRate),
 		threshold: full,
 		tokens:    burst,
 		updated:   now,
@@ -71,14 +73,16 @@
 	}
 	p.updated = now
 	p.tokens = min(p.burst, p.tokens+elapsed*p.rate)
-	if now.Before(p.blocked) {
+	if now.Before(p.blocked) || p.tokens >= p.burst {
+		// A rate that isn't used proves nothing about the platform, and must not
+		// grow: it would be there to spend at the end of an outage.
 		return
 	}
 	if p.rate < p.threshold {
 		p.rate = min(p.threshold, p.rate*math.Exp2(elapsed))
 		return
 	}
-	p.rate = min(p.full, p.rate+elapsed*p.full/raisesToFull)
+	p.rate = min(p.full, p.rate+elapsed*max(raiseStep, raiseShare*p.rate))
 }
 
 // cut halves the rate after an answer of 429.
@@ -98,7 +102,8 @@
 func (p *pacer) restart(now time.Time) {
 	p.advance(now)
 	p.tokens = min(p.tokens, 0)
-	p.rate = max(minRate, p.full*restartShare)
+	p.threshold = max(p.rate, startRate)
+	p.rate = min(p.full, startRate)
 }
 
 func later(a, b time.Time) time.Time {
