Prove the routing and stop it from mistaking queues for slowness

Cause: the latency of a request that queued behind a known crowd counted as slowness, which moved requests away from the engine that held their prefix. Strikes of an ejected target were reset at each ejection, so the wait never doubled (found by TestReturnWithoutStampede). Ruled out: a second check of the probe in flight; claimProbe alone decides. Change: latency is compared with the crowding known at the start, and counts from 1.4 times on; peers tell their ejections in the digest and one own failure then suffices; an empty pool fills without slow start; candidates are sized by the pool.

--- /dev/null
+++ b/coordination/routing/affinity_test.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/stretchr/testify/require"
+)
+
+var prompt = []PrefixPart{{"system", 800}, {"document", 900}}
+
+func TestPrefixIsFoundAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		update CacheUpdate
+		later  time.Duration
+		cached int
+	}{
+		{"own history", CacheUpdate{}, time.Second, 1700},
+		{"history too old", CacheUpdate{}, DefaultPrefixTTL + 2*time.Second, 0},
+		{"second part evicted", CacheUpdate{Removed: []string{"document"}}, time.Second, 800},
+		{"first part evicted", CacheUpdate{Removed: []string{"system"}}, time.Second, 0},
+		{"gap, entries young", CacheUpdate{Gap: true}, time.Second, 1700},
+		{"gap, entries old", CacheUpdate{Gap: true}, time.Minute, 0},
+		{"cache emptied", CacheUpdate{Epoch: 2}, 2 * time.Second, 0},
+		{"emptied, refilled", CacheUpdate{Epoch: 2, Added: []string{"system"}}, 2 * time.Second, 800},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newTable(Config{}, someTargets(8))
+			rng := newRNG()
+			holder := table.mustPick(t, start, rng, Query{Prefix: prompt}).Target.Incarnation
+			table.CacheEvent(start, holder, CacheUpdate{Epoch: 1})
+			if tc.update.Epoch == 0 {
+				tc.update.Epoch = 1
+			}
+			now := at(tc.later)
+			table.CacheEvent(now, holder, tc.update)
+			choice := table.mustPick(t, now, rng, Query{Prefix: prompt})
+			require.Equal(t, tc.cached, choice.CachedTokens)
+			if tc.cached > 0 {
+				require.Equal(t, holder, choice.Target.Incarnation)
+				require.Equal(t, ReasonAffinity, choice.Reason)
+			}
+		})
+	}
+}
+
+// A document is on everybody's screen. If its cache alone decided, one engine
+// would get all of its requests and queue while the others idle.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	for _, tc := range []struct {
+		objective catalog.Objective
+		load      int
+		stays     bool
+	}{
+		{catalog.ObjectiveAttainment, 2, true},
+		{catalog.ObjectiveAttainment, 5, false},
+		{catalog.ObjectiveCost, 5, true},
+		{catalog.ObjectiveCost, 9, false},
+	} {
+		table := newTable(Config{}, nil)
+		pool := testPool
+		pool.Objective = tc.objective
+		table.SetTargets(start, pool, someTargets(8))
+		rng := newRNG()
+		table.CacheEvent(start, "t3", CacheUpdate{Epoch: 1, Added: []string{"system", "document"}})
+		for range tc.load {
+			table.Started(start, "t3", 1)
+		}
+		choice := table.mustPick(t, start, rng, Query{Prefix: prompt})
+		require.Equal(t, tc.stays, choice.Target.Incarnation == "t3", "%+v", tc)
+	}
+}
+
+// Engines that hold most of the prompt are preferred, and a target that does
+// not have the adapter is never taken for its cache.
+func TestAffinityWithinConstraints(t *testing.T) {
+	targets := someTargets(4)
+	targets[0].Adapters = []string{"other"}
+	table := newTable(Config{}, targets)
+	table.CacheEvent(start, "t0", CacheUpdate{Epoch: 1, Added: []string{"system", "document"}})
+	table.CacheEvent(start, "t1", CacheUpdate{Epoch: 1, Added: []string{"system"}})
+	pick := func(adapter string) string {
+		return table.mustPick(t, start, newRNG(), Query{Prefix: prompt, Adapter: adapter}).Target.Incarnation
+	}
+	require.Equal(t, "t1", pick("mine"))
+	require.Equal(t, "t0", pick("other"))
+}
+
+func TestPrefixIndexIsBounded(t *testing.T) {
+	var p prefixIndex
+	p.init(16)
+	for part := range uint64(1000) {
+		p.add(start.UnixNano(), part<<32|part)
+	}
+	held := 0
+	for part := range uint64(1000) {
+		if p.has(start.UnixNano(), part<<32|part, time.Minute) {
+			held++
+		}
+	}
+	require.Equal(t, 16, held)
+}
--- a/coordination/routing/attempt.go
+++ b/coordination/routing/attempt.go
@@ -10,7 +10,9 @@
 	table  *Table
 	target *targetView
 	cost   int64
-	done   atomic.Bool
+	// crowding is how many times the target's slots were taken at the start.
+	crowding float64
+	done     atomic.Bool
 }
 
 // Started records that an attempt was sent. Cost is its expected work relative
@@ -23,8 +25,10 @@
 	if cost <= 0 {
 		cost = 1
 	}
-	h := &Handle{table: t, target: target, cost: int64(cost * costUnit)}
-	target.add(now.UnixNano(), h.cost)
+	ns := now.UnixNano()
+	use := (target.estimate(ns, &t.config) + cost) / target.slots(target.Slots)
+	h := &Handle{table: t, target: target, cost: int64(cost * costUnit), crowding: max(1, use)}
+	target.add(ns, h.cost)
 	return h
 }
 
@@ -35,6 +39,9 @@
 	}
 	ns := now.UnixNano()
 	h.target.add(ns, -h.cost)
+	// A target that was known to be crowded is expected to take longer: only
+	// what goes beyond that tells of a slow target.
+	result.Expected = time.Duration(float64(result.Expected) * h.crowding)
 	if h.target.health.observe(ns, result) && !h.table.config.off(MechanismEjection) {
 		h.table.eject(ns, h.target)
 	}
--- a/coordination/routing/digest.go
+++ b/coordination/routing/digest.go
@@ -36,8 +36,8 @@
 	t.sumPeers(now, v)
 }
 
-// Digest returns what this instance has in flight, the most loaded targets
-// first and at most Config.DigestEntries. It also ends the validity of peers'
+// Digest returns what this instance has in flight, the ejected and the most
+// loaded targets first and at most Config.DigestEntries. It also ends the validity of peers'
 // digests that grew old, so call it at a steady rate.
 func (t *Table) Digest(now time.Time) []DigestEntry {
 	t.mu.Lock()
@@ -46,9 +46,13 @@
 	t.sumPeers(now, v)
 	entries := make([]DigestEntry, 0, len(v.byHash))
 	for hash, target := range v.byHash {
+		if target.health.ejection(now.UnixNano()) != notEjected {
+			entries = append(entries, DigestEntry{hash, Suspected})
+			continue
+		}
 		load := math.Round(target.own())
 		if load >= 1 {
-			entries = append(entries, DigestEntry{hash, uint16(min(load, math.MaxUint16))})
+			entries = append(entries, DigestEntry{hash, uint16(min(load, Suspected-1))})
 		}
 	}
 	slices.SortFunc(entries, func(a, b DigestEntry) int {
@@ -60,12 +64,20 @@
 // sumPeers drops old digests and sets each target's sum over the others.
 func (t *Table) sumPeers(now time.Time, v *view) {
 	sums := make(map[uint32]int64, len(v.byHash))
+	suspicions := make(map[uint32]int64)
+	off := t.config.off(MechanismSuspicion)
 	for origin, digest := range t.digests.byOrigin {
 		if now.Sub(digest.at) > t.config.DigestTTL {
 			delete(t.digests.byOrigin, origin)
 			continue
 		}
 		for _, e := range digest.entries {
+			if e.InFlight == Suspected {
+				if !off {
+					suspicions[e.TargetHash]++
+				}
+				continue
+			}
 			sums[e.TargetHash] += int64(e.InFlight)
 		}
 	}
@@ -76,6 +88,7 @@
 	for hash, target := range v.byHash {
 		target.peers.Store(sums[hash])
 		target.peersAt.Store(at)
+		target.health.suspicions.Store(suspicions[hash])
 	}
 }
 
--- a/coordination/routing/health.go
+++ b/coordination/routing/health.go
@@ -19,6 +19,9 @@
 	ejectShare = 0.5
 	// ejectSamples is the least number of samples before ejectShare counts.
 	ejectSamples = 8
+	// slowThreshold is the slowness from which on it counts. Below it, sizes
+	// and queues explain the difference, and acting on it costs cache hits.
+	slowThreshold = 1.4
 	// maxSlowness bounds what one sample can say.
 	maxSlowness = 20.0
 	// leastShare is the share of its traffic that a target gets at the start
@@ -34,8 +37,11 @@
 	failures atomic.Int64 // in a row
 	ejected  atomic.Int64 // end of the ejection; 0 when not ejected
 	strikes  atomic.Int64 // ejections in a row
+	struck   atomic.Int64 // the latest ejection
 	probing  atomic.Int64 // when the probe in flight was sent; 0 without one
-	returned atomic.Int64 // when a probe succeeded: start of the slow return
+	// suspicions counts the peers that ejected the target.
+	suspicions atomic.Int64
+	returned   atomic.Int64 // when a probe succeeded: start of the slow return
 }
 
 // average is an exponential moving average that decays towards its resting
@@ -64,9 +70,14 @@
 	a.bits.Store(0)
 }
 
-// slow returns how many times its usual time the target takes, at least 1.
+// slow returns how many times its usual time the target takes; 1 while that
+// could still be chance.
 func (h *health) slow(now int64) float64 {
-	return math.Max(1, 1+h.slowness.read(now))
+	slowness := 1 + h.slowness.read(now)
+	if slowness < slowThreshold {
+		return 1
+	}
+	return slowness
 }
 
 // observe takes in one result and tells whether the target should be ejected.
@@ -130,16 +141,22 @@
 	if h.ejected.Load() != 0 {
 		return false
 	}
-	if row >= ejectFailures {
+	if row >= ejectFailures-h.corroboration() {
 		return true
 	}
 	return samples >= ejectSamples && h.failing.read(now) > ejectShare
 }
 
+// corroboration is how many own failures peers' ejections stand in for. One own
+// failure is always needed: a peer whose own path is cut suspects everything.
+func (h *health) corroboration() int64 {
+	return min(h.suspicions.Load(), ejectFailures-1)
+}
+
 // eject takes the target out of routing for a time that doubles with each
-// strike. A long healthy time before it starts the count again.
+// strike. A long time without one starts the count again.
 func (h *health) eject(now int64, c *Config) {
-	if now-h.returned.Load() > 2*int64(c.EjectionMax) {
+	if now-h.struck.Swap(now) > 2*int64(c.EjectionMax) {
 		h.strikes.Store(0)
 	}
 	strikes := min(h.strikes.Add(1), 16)
@@ -167,9 +184,6 @@
 	if now < until {
 		return stillEjected
 	}
-	if sent := h.probing.Load(); sent != 0 && now-sent < probeTimeout {
-		return stillEjected
-	}
 	return probeDue
 }
 
--- /dev/null
+++ b/coordination/routing/health_test.go
@@ -0,0 +1,166 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// One target fails every request in a millisecond. It always looks idle, so the
+// less loaded of two choices is mostly this one, and most requests fail.
+func TestFailFastDoesNotAttract(t *testing.T) {
+	result := func(name string) Result {
+		if name == "t0" {
+			return Result{Outcome: OutcomeFailed, Latency: time.Millisecond}
+		}
+		return Result{Latency: 300 * time.Millisecond, Expected: 300 * time.Millisecond}
+	}
+	for _, tc := range []struct {
+		off         Mechanism
+		least, most int
+	}{{0, 3, 20}, {MechanismEjection, 150, 1000}} {
+		counts := newTable(Config{Off: tc.off}, someTargets(8)).shares(t, start, 1000, Query{Rank: 1}, result)
+		require.GreaterOrEqual(t, counts["t0"], tc.least)
+		require.LessOrEqual(t, counts["t0"], tc.most)
+	}
+}
+
+// One target fails every third request: never three in a row, never the half of
+// them, so it stays in. It must get less than its share all the same.
+func TestFlakyTargetGetsLess(t *testing.T) {
+	n := 0
+	result := func(name string) Result {
+		r := usual(name)
+		if name == "t0" {
+			n++
+			r.Outcome = []Outcome{OutcomeFailed, OutcomeOK, OutcomeOK}[n%3]
+		}
+		return r
+	}
+	table := newTable(Config{}, someTargets(8))
+	require.Less(t, table.shares(t, start, 2000, Query{}, result)["t0"], 170)
+	require.Zero(t, table.Stats(start).Ejections)
+}
+
+// One target answers every request whole, but takes three times as long: it
+// never fails a health check, yet requests sent there miss their deadline.
+func TestGreyTargetGetsLess(t *testing.T) {
+	result := func(name string) Result {
+		r := usual(name)
+		if name == "t0" {
+			r.Latency *= 3
+		}
+		return r
+	}
+	counts := newTable(Config{}, someTargets(8)).shares(t, start, 2000, Query{}, result)
+	require.Less(t, counts["t0"], 80)
+	counts = newTable(Config{Off: MechanismLatency}, someTargets(8)).shares(t, start, 2000, Query{}, result)
+	require.Greater(t, counts["t0"], 120)
+}
+
+// All targets of a pool fail for a while. Ejecting them all would refuse every
+// request and nobody would see them recover.
+func TestFloorStays(t *testing.T) {
+	for _, tc := range []struct {
+		floor    float64
+		routable int
+	}{{0, 1}, {0.5, 3}, {0.9, 6}, {1, 6}} {
+		pool := testPool
+		pool.EjectionFloor = tc.floor
+		table := newTable(Config{}, nil)
+		table.SetTargets(start, pool, someTargets(6))
+		for _, target := range someTargets(6) {
+			table.fail(start, target.Incarnation, 10)
+		}
+		routable := 0
+		for _, s := range table.Stats(start).Targets {
+			if !s.Ejected {
+				routable++
+			}
+		}
+		require.Equal(t, tc.routable, routable, "floor %v", tc.floor)
+		// The routable ones leave: ejected targets take their place.
+		for _, s := range table.Stats(start).Targets {
+			if !s.Ejected {
+				table.Leaving(start, s.Incarnation)
+			}
+		}
+		choice, err := table.Pick(start, newRNG(), Query{Pool: pool.Name})
+		if tc.routable == 6 {
+			require.Error(t, err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Contains(t, []Reason{ReasonFloor, ReasonOnly}, choice.Reason)
+	}
+}
+
+// An ejected target is back after an outage. If all waiting requests went
+// there at once it would be buried again: one probe goes first, of a lower tier
+// where there is one, and its share then grows.
+func TestReturnWithoutStampede(t *testing.T) {
+	table := newTable(Config{}, someTargets(4))
+	table.fail(start, "t0", ejectFailures)
+	rng := newRNG()
+	probes := func(now time.Time, rank int) (n int) {
+		for range 40 {
+			if table.mustPick(t, now, rng, Query{Rank: rank}).Target.Incarnation == "t0" {
+				n++
+			}
+		}
+		return n
+	}
+	require.Zero(t, probes(at(500*time.Millisecond), 1), "still ejected")
+	require.Zero(t, probes(at(1100*time.Millisecond), 0), "the highest tier is not risked")
+	require.Equal(t, 1, probes(at(1100*time.Millisecond), 1), "one probe")
+	// The probe fails: twice as long now.
+	table.fail(at(1200*time.Millisecond), "t0", 1)
+	require.Zero(t, probes(at(3100*time.Millisecond), 1))
+	require.Equal(t, 1, probes(at(4300*time.Millisecond), 0), "nobody else came: the highest tier probes")
+	back := at(4400 * time.Millisecond)
+	table.Started(back, "t0", 1).Done(back, usual("t0"))
+	first := table.shares(t, back, 100, Query{}, usual)["t0"]
+	later := table.shares(t, back.Add(DefaultSlowStart), 100, Query{}, usual)["t0"]
+	require.Less(t, first, 15)
+	require.Greater(t, later, 18)
+}
+
+// A target that was never in the list before starts cold; targets of the first
+// list have been running for long.
+func TestSlowStartOfNewTarget(t *testing.T) {
+	table := newTable(Config{}, someTargets(4)[1:])
+	table.SetTargets(at(time.Minute), testPool, someTargets(4))
+	require.Less(t, table.shares(t, at(time.Minute), 100, Query{}, usual)["t0"], 15)
+	require.Greater(t, table.shares(t, at(2*time.Minute), 100, Query{}, usual)["t0"], 18)
+}
+
+// Each of eight instances sees only an eighth of a target's failures, so each
+// would send it several requests before acting. Peers' suspicions lower that,
+// but a peer whose own path is cut suspects everything and must not be enough.
+func TestSuspicionNeedsAnOwnFailure(t *testing.T) {
+	table := newTable(Config{}, someTargets(4))
+	for _, origin := range []string{"a", "b", "c"} {
+		table.PeerDigest(start, origin, []DigestEntry{{HashTarget("t0"), Suspected}})
+	}
+	h := &table.target("t0").health
+	require.Equal(t, notEjected, h.ejection(start.UnixNano()))
+	table.fail(start, "t0", 1)
+	require.Equal(t, stillEjected, h.ejection(start.UnixNano()))
+	require.Contains(t, table.Digest(start), DigestEntry{HashTarget("t0"), Suspected})
+	table.fail(start, "t1", 1)
+	require.Equal(t, notEjected, table.target("t1").health.ejection(start.UnixNano()))
+}
+
+func TestAttemptsThatProveNothing(t *testing.T) {
+	table := newTable(Config{}, someTargets(2))
+	for range 10 {
+		for _, outcome := range []Outcome{OutcomeCancelled, OutcomeNotRun} {
+			table.Started(start, "t0", 1).Done(start, Result{Outcome: outcome, Expected: time.Second})
+		}
+	}
+	s := table.target("t0").stats(start.UnixNano(), &table.config)
+	require.False(t, s.Ejected)
+	require.Equal(t, 1.0, s.Slowness)
+	require.Zero(t, s.InFlight)
+}
--- /dev/null
+++ b/coordination/routing/load_test.go
@@ -0,0 +1,122 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A report says how much was at the target some time ago, own requests
+// included. Since then own requests have ended or begun: taken as it is, the
+// report would count them twice or keep them alive.
+func TestReportIsCorrectedForItsAge(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		ownThen, ownNow int
+		reported        int
+		age, later      time.Duration
+		off             Mechanism
+		want            float64
+		digest          int
+	}{
+		{name: "own ones ended", ownThen: 5, ownNow: 1, reported: 7, age: time.Second, want: 1 + 2*(1-1.0/3)},
+		{name: "own ones began", ownThen: 0, ownNow: 6, reported: 2, age: time.Second, want: 6 + 2*(1-1.0/3)},
+		{name: "without the correction", ownThen: 5, ownNow: 1, reported: 7, age: time.Second, off: MechanismAgeCorrection, want: 7},
+		{name: "too old to count", ownThen: 5, ownNow: 1, reported: 7, age: time.Second, later: 3 * time.Second, want: 1},
+		{name: "a digest knows more", ownNow: 1, reported: 2, digest: 4, want: 5},
+		{name: "reports off", reported: 9, off: MechanismReports, want: 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newTable(Config{Off: tc.off}, someTargets(1))
+			target := table.target("t0")
+			target.add(start.UnixNano(), int64(tc.ownThen*costUnit))
+			then := at(500 * time.Millisecond)
+			now := then.Add(tc.age)
+			target.add(then.Add(tc.age/2+1).UnixNano(), int64((tc.ownNow-tc.ownThen)*costUnit))
+			table.Report(now, "t0", Load{Active: tc.reported, Age: tc.age})
+			if tc.digest > 0 {
+				table.PeerDigest(now, "i1", []DigestEntry{{HashTarget("t0"), uint16(tc.digest)}})
+			}
+			require.InDelta(t, tc.want, target.estimate(now.Add(tc.later).UnixNano(), &table.config), 0.01)
+		})
+	}
+}
+
+// The newest digest of each origin counts, for a while; origins and entries
+// are bounded, whatever peers send.
+func TestPeerDigests(t *testing.T) {
+	table := newTable(Config{Origins: 2, DigestEntries: 1}, someTargets(2))
+	send := func(now time.Time, origin string, n uint16) {
+		table.PeerDigest(now, origin, []DigestEntry{{HashTarget("t0"), n}, {HashTarget("t1"), n}, {1, n}})
+	}
+	load := func(now time.Time) float64 {
+		return table.target("t0").estimate(now.UnixNano(), &table.config)
+	}
+	send(at(1*time.Second), "a", 3)
+	send(at(1100*time.Millisecond), "a", 5)
+	send(at(1200*time.Millisecond), "b", 2)
+	require.Equal(t, 7.0, load(at(1200*time.Millisecond)))
+	require.Zero(t, table.target("t1").peers.Load(), "entries are bounded")
+	send(at(1300*time.Millisecond), "c", 1)
+	require.Equal(t, 3.0, load(at(1300*time.Millisecond)), "the oldest origin gives way")
+	require.Zero(t, load(at(4*time.Second)), "old digests count no longer")
+	table.Digest(at(4 * time.Second))
+	require.Empty(t, table.digests.byOrigin)
+	table.Started(start, "t1", 2)
+	table.Started(start, "t0", 1)
+	require.Equal(t, []DigestEntry{{HashTarget("t1"), 2}}, table.Digest(at(4*time.Second)))
+}
+
+// A node before thousands of targets keeps a subset. It is bounded, prefers the
+// local data centre, has each model several times, and a target that goes
+// changes it by one: otherwise every change would cost all warm connections.
+func TestSubset(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := someTargets(400)
+		for i := range targets {
+			targets[i].DataCentre = fmt.Sprintf("dc-%d", i%5)
+			targets[i].Models = []string{"common"}
+			if i%50 == 0 {
+				targets[i].Models = []string{"rare"}
+			}
+		}
+		c := Config{Instance: rapid.String().Draw(rt, "instance"), LocalDataCentre: "dc-1", Subset: 32}
+		kept := c.subset(targets)
+		require.Len(rt, kept, 32)
+		local, rare, names := 0, 0, map[string]bool{}
+		for _, target := range kept {
+			names[target.Incarnation] = true
+			if target.DataCentre == "dc-1" {
+				local++
+			}
+			if target.Models[0] == "rare" {
+				rare++
+			}
+		}
+		require.GreaterOrEqual(rt, rare, leastPerModel)
+		// Three quarters, less what the two models took elsewhere.
+		require.GreaterOrEqual(rt, local, 24-2*leastPerModel)
+		gone := rapid.IntRange(0, 399).Draw(rt, "gone")
+		changed := 0
+		for _, target := range c.subset(append(targets[:gone:gone], targets[gone+1:]...)) {
+			if !names[target.Incarnation] {
+				changed++
+			}
+		}
+		require.LessOrEqual(rt, changed, 1+leastPerModel)
+	})
+}
+
+// The state of targets that left the lists must not pile up.
+func TestStateIsForgotten(t *testing.T) {
+	table := newTable(Config{}, someTargets(3))
+	h := table.Started(start, "t2", 1)
+	table.SetTargets(start, testPool, someTargets(1))
+	require.Len(t, table.states, 2, "one has a request in flight")
+	h.Done(start, Result{})
+	table.SetTargets(start, testPool, someTargets(1))
+	require.Len(t, table.states, 1)
+}
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -10,9 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxCandidates is the number of candidates a pick holds without allocating.
-const maxCandidates = 96
-
 // candidate is an eligible target with what a pick computed of it.
 type candidate struct {
 	target   *targetView
@@ -30,8 +27,7 @@
 		return Choice{}, &NoTargetError{Pool: q.Pool}
 	}
 	pick := pick{table: t, pool: p, query: &q, rng: rng, now: now.UnixNano()}
-	var buffer [maxCandidates]candidate
-	if err := pick.collect(buffer[:0]); err != nil {
+	if err := pick.collect(); err != nil {
 		t.counts.refused.Add(1)
 		return Choice{}, err
 	}
@@ -59,7 +55,8 @@
 }
 
 // collect finds the eligible targets.
-func (p *pick) collect(buffer []candidate) error {
+func (p *pick) collect() error {
+	eligible := make([]candidate, 0, len(p.pool.targets))
 	none := NoTargetError{Pool: p.query.Pool, Known: len(p.pool.targets)}
 	for _, target := range p.pool.targets {
 		switch {
@@ -70,13 +67,13 @@
 		case !target.Fits(p.query):
 			none.Unfit++
 		default:
-			buffer = append(buffer, candidate{target: target})
+			eligible = append(eligible, candidate{target: target})
 		}
 	}
-	if len(buffer) == 0 {
+	if len(eligible) == 0 {
 		return &none
 	}
-	p.candidates = buffer
+	p.candidates = eligible
 	return nil
 }
 
@@ -206,8 +203,7 @@
 	var best, fallback *candidate
 	seen := 0
 	n := len(p.candidates)
-	// A random start and a random odd-ish stride would correlate neighbours, so
-	// draw without replacement by a partial Fisher-Yates shuffle.
+	// A partial Fisher-Yates shuffle draws without replacement.
 	for i := 0; i < n && seen < p.table.config.Choices; i++ {
 		j := i + p.rng.IntN(n-i)
 		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
--- /dev/null
+++ b/coordination/routing/pick_test.go
@@ -0,0 +1,193 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Whatever lists, reports, digests, failures and signals of leaving come in
+// whichever order, a pick never returns a target that is leaving, excluded,
+// unfit or unknown, and it fails exactly when no other target is left. A
+// request sent to a leaving target would be cut; a pool emptied by ejections
+// would refuse everybody.
+func TestPickIsAlwaysEligible(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := someTargets(rapid.IntRange(1, 8).Draw(rt, "targets"))
+		for i := range targets {
+			targets[i].Models = [][]string{nil, {"a"}, {"b"}, {"a", "b"}}[rapid.IntRange(0, 3).Draw(rt, "models")]
+			targets[i].DataCentre = rapid.SampledFrom([]string{"dc-0", "dc-1"}).Draw(rt, "dc")
+		}
+		table := newTable(Config{}, targets)
+		listed := targets
+		leaving := map[string]bool{}
+		now := start
+		rng := newRNG()
+		name := func() string { return fmt.Sprintf("t%d", rapid.IntRange(0, 8).Draw(rt, "name")) }
+		var open []*Handle
+		rt.Repeat(map[string]func(*rapid.T){
+			"wait": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"list": func(rt *rapid.T) {
+				listed = targets[:rapid.IntRange(0, len(targets)).Draw(rt, "n")]
+				table.SetTargets(now, testPool, listed)
+			},
+			"leaving": func(rt *rapid.T) {
+				n := name()
+				leaving[n] = true
+				table.Leaving(now, n)
+			},
+			"fail": func(rt *rapid.T) { table.fail(now, name(), rapid.IntRange(1, 4).Draw(rt, "times")) },
+			"done": func(rt *rapid.T) {
+				if len(open) > 0 {
+					outcome := Outcome(rapid.IntRange(0, 4).Draw(rt, "outcome"))
+					open[0].Done(now, Result{outcome, time.Second, time.Millisecond})
+					open = open[1:]
+				}
+			},
+			"report": func(rt *rapid.T) {
+				table.Report(now, name(), Load{Active: rapid.IntRange(0, 9).Draw(rt, "active"), Age: time.Second})
+			},
+			"digest": func(rt *rapid.T) {
+				in := rapid.SampledFrom([]uint16{0, 7, Suspected}).Draw(rt, "in")
+				table.PeerDigest(now, "i1", []DigestEntry{{HashTarget(name()), in}})
+			},
+			"pick": func(rt *rapid.T) {
+				q := Query{
+					Pool:    testPool.Name,
+					Model:   rapid.SampledFrom([]string{"", "a"}).Draw(rt, "model"),
+					Exclude: []string{name(), name()},
+					Rank:    rapid.IntRange(0, 1).Draw(rt, "rank"),
+					Prefix:  []PrefixPart{{rapid.SampledFrom([]string{"p", "q"}).Draw(rt, "part"), 100}},
+				}
+				eligible := map[string]bool{}
+				for _, target := range listed {
+					if !leaving[target.Incarnation] && !slices.Contains(q.Exclude, target.Incarnation) && target.Fits(&q) {
+						eligible[target.Incarnation] = true
+					}
+				}
+				choice, err := table.Pick(now, rng, q)
+				if len(eligible) == 0 {
+					var none *NoTargetError
+					require.ErrorAs(rt, err, &none)
+					require.Equal(rt, len(listed), none.Known)
+					return
+				}
+				require.NoError(rt, err)
+				require.True(rt, eligible[choice.Target.Incarnation], choice.Target.Incarnation)
+				open = append(open, table.Started(now, choice.Target.Incarnation, 1))
+			},
+		})
+	})
+}
+
+// A target tells that it is leaving; the platform's list lags and names it for
+// some time more, loses it and, read from a replica behind, names it again. A
+// request sent to it then would be cut.
+func TestLeavingIsSticky(t *testing.T) {
+	targets := someTargets(2)
+	table := newTable(Config{LeavingRetention: time.Minute}, targets)
+	table.Leaving(at(1*time.Second), "t0")
+	lists := [][]Target{targets, targets[1:], targets}
+	for i, list := range lists {
+		now := at(time.Duration(i+2) * time.Second)
+		table.SetTargets(now, testPool, list)
+		for range 50 {
+			require.Equal(t, "t1", table.mustPick(t, now, newRNG(), Query{}).Target.Incarnation)
+		}
+	}
+	// It is forgotten only a good while after it vanished for the last time.
+	table.SetTargets(at(10*time.Second), testPool, targets[1:])
+	table.SetTargets(at(60*time.Second), testPool, targets[1:])
+	require.Contains(t, table.leaving, "t0")
+	table.SetTargets(at(120*time.Second), testPool, targets[1:])
+	require.NotContains(t, table.leaving, "t0")
+}
+
+func TestLeavingIsBounded(t *testing.T) {
+	table := newTable(Config{}, someTargets(1))
+	for i := range maxLeaving + 10 {
+		table.leaving[fmt.Sprint(i)] = at(time.Duration(i))
+	}
+	table.Leaving(at(time.Second), "x")
+	require.NotContains(t, table.leaving, "0")
+	require.Contains(t, table.leaving, "x")
+}
+
+// Local targets are taken while they have free slots; when the local ones
+// would queue, the free ones of the next data centre take over.
+func TestLocalFirstWithOverflow(t *testing.T) {
+	targets := someTargets(4)
+	targets[2].DataCentre, targets[3].DataCentre = "dc-1", "dc-1"
+	for _, tc := range []struct {
+		local, remote int
+		want          Reason
+	}{{0, 0, ReasonLoad}, {3, 0, ReasonLoad}, {4, 0, ReasonOverflow}, {8, 9, ReasonLoad}} {
+		table := newTable(Config{}, targets)
+		for _, target := range targets {
+			load := tc.remote
+			if target.DataCentre == "dc-0" {
+				load = tc.local
+			}
+			table.Report(start, target.Incarnation, Load{Active: load})
+		}
+		choice := table.mustPick(t, start, newRNG(), Query{})
+		require.Equal(t, tc.want, choice.Reason, "%+v", tc)
+		require.Equal(t, tc.want == ReasonOverflow, choice.Target.DataCentre == "dc-1")
+	}
+}
+
+// Picks and results run beside updates; the race detector is the judge.
+func TestConcurrentUse(t *testing.T) {
+	targets := someTargets(6)
+	table := newTable(Config{}, targets)
+	var all sync.WaitGroup
+	for w := range 4 {
+		all.Go(func() {
+			rng := newRNG()
+			for i := range 300 {
+				now := at(time.Duration(i) * time.Millisecond)
+				choice, err := table.Pick(now, rng, Query{Pool: testPool.Name, Prefix: []PrefixPart{{"p", 10}}})
+				if err != nil {
+					continue
+				}
+				h := table.Started(now, choice.Target.Incarnation, 1)
+				h.Done(now, Result{Outcome: Outcome(i % 5), Latency: time.Second, Expected: time.Second})
+				h.Done(now, Result{})
+			}
+		})
+		all.Go(func() {
+			for i := range 60 {
+				now := at(time.Duration(i) * time.Millisecond)
+				table.SetTargets(now, testPool, targets[:3+i%4])
+				table.PeerDigest(now, fmt.Sprint(w), table.Digest(now))
+				table.Report(now, "t1", Load{Active: i})
+				table.CacheEvent(now, "t2", CacheUpdate{Epoch: 1, Added: []string{"p"}})
+				table.Stats(now)
+			}
+		})
+	}
+	all.Wait()
+	for _, s := range table.Stats(start).Targets {
+		require.Zero(t, s.InFlight, s.Incarnation)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 64, 4000} {
+		table := newTable(Config{}, someTargets(n))
+		rng := newRNG()
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = table.Pick(start, rng, Query{Pool: testPool.Name})
+			}
+		})
+	}
+}
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -76,14 +76,16 @@
 		input = &poolInput{}
 		t.pools[pool.Name] = input
 	}
+	hadTargets := len(input.subset) > 0
 	input.pool = pool
 	input.listed = make(map[string]bool, len(targets))
 	for _, target := range targets {
 		input.listed[target.Incarnation] = true
 	}
 	input.subset = t.config.subset(targets)
+	// Where all targets are new at once, none can be spared.
 	added := int64(0)
-	if known {
+	if hadTargets {
 		added = now.UnixNano()
 	}
 	for _, target := range input.subset {
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -155,9 +156,13 @@
 // HashTarget of the incarnation.
 type DigestEntry struct {
 	TargetHash uint32
-	InFlight   uint16
+	// InFlight is the count, or Suspected.
+	InFlight uint16
 }
 
+// Suspected in place of a count tells that the origin ejected the target.
+const Suspected = math.MaxUint16
+
 // CacheUpdate is a page of an engine's cache events.
 type CacheUpdate struct {
 	// Epoch changes when the engine's cache was emptied as a whole.
@@ -181,4 +186,5 @@
 	MechanismSlowStart
 	MechanismAffinity
 	MechanismHome
+	MechanismSuspicion
 )
--- a/testkit/experiment/policy.go
+++ b/testkit/experiment/policy.go
@@ -63,6 +63,7 @@
 		Routed("no_slow_start", routing.Config{Off: routing.MechanismSlowStart}),
 		Routed("no_affinity", routing.Config{Off: routing.MechanismAffinity}),
 		Routed("no_home", routing.Config{Off: routing.MechanismHome}),
+		Routed("no_suspicion", routing.Config{Off: routing.MechanismSuspicion}),
 		Routed("choices_3", routing.Config{Choices: 3}),
 		Routed("choices_all", routing.Config{Choices: 1000}),
 	}
