--- a/coordination/config/change.go
+++ b/coordination/config/change.go
@@ -32,20 +32,16 @@
 	}
 }
 
-// merge takes one record. A record that is unknown and not newer than the
-// floor is an old version of one that was deleted: a peer that was parted, or
-// a store that answers from the past, would bring it back. It is dropped,
-// because the full list at the floor, or a tombstone pruned at it, has shown
-// the record gone.
+// merge takes one record, unless it is an old version of one that is gone.
 func (c *change) merge(r *Record, floor uint64) {
 	if bit(r.Kind) == 0 || r.Newest.Revision == 0 {
 		return
 	}
 	e, known := c.set.entries[r.Key]
+	if r.Newest.Revision <= floor && isOld(e, r.Newest) {
+		return
+	}
 	if !known {
-		if r.Newest.Revision <= floor {
-			return
-		}
 		e = &entry{key: r.Key}
 		c.set.entries[r.Key] = e
 	}
@@ -57,6 +53,18 @@
 	}
 }
 
+// isOld tells whether a version not above the floor would bring back a record
+// that is gone. A peer that was parted, or a store that answers from the past,
+// offers such versions, and the delete may be unknown here or older than they
+// are. But the full list at the floor, or the tombstone that was pruned at it,
+// has shown the record gone. The spec that a tombstone keeps may still be news.
+func isOld(e *entry, v Version) bool {
+	if v.Deleted {
+		return e == nil && v.SpecRevision == 0
+	}
+	return e == nil || e.newest.Deleted
+}
+
 func (c *change) mergeList(kind catalog.RecordKind, records []Record, asOf uint64) {
 	s := c.set
 	present := make(map[string]bool, len(records))
@@ -64,12 +72,13 @@
 		if records[i].Kind != kind {
 			continue
 		}
-		present[records[i].Name] = true
+		// A peer's list holds tombstones too, perhaps of an earlier delete.
+		present[records[i].Name] = !records[i].Newest.Deleted
 		c.merge(&records[i], 0)
 	}
 	for key, e := range s.entries {
-		absent := key.Kind == kind && !present[key.Name] && !e.newest.Deleted
-		if absent && e.newest.Revision < asOf {
+		if key.Kind == kind && !present[key.Name] && !e.newest.Deleted {
+			// What is newer than the list stays: mergeNewest only goes forward.
 			c.mergeNewest(e, Version{Revision: asOf, Deleted: true})
 		}
 	}
