--- a/transport/platform/budget.go
+++ b/transport/platform/budget.go
@@ -34,6 +34,26 @@
 type Budget struct {
 	mu       sync.Mutex
 	governor *governor
+	stats    Stats
+}
+
+// Stats are counts of calls since the start, for metrics.
+type Stats struct {
+	// Sent left the process, Held were refused within it.
+	Sent, Held uint64
+	// Limited were answered 429, Failed had no answer or one of 5xx.
+	Limited, Failed uint64
+	// Outage is true while calls are held back after failures.
+	Outage bool
+}
+
+// Stats returns the counts.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stats := b.stats
+	stats.Outage = b.governor.breaker.open()
+	return stats
 }
 
 // NewBudget returns a budget that starts at a share of its full rate.
@@ -69,9 +89,7 @@
 	if err := ctx.Err(); err != nil {
 		return permit{}, err
 	}
-	b.mu.Lock()
-	admitted, err := b.governor.admit(time.Now(), class)
-	b.mu.Unlock()
+	admitted, err := b.admit(class)
 	if err != nil {
 		return permit{}, err
 	}
@@ -81,10 +99,28 @@
 	return permit{budget: b, class: class, probe: admitted.probe}, nil
 }
 
+func (b *Budget) admit(class Class) (admission, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	admitted, err := b.governor.admit(time.Now(), class)
+	if err != nil {
+		b.stats.Held++
+	}
+	return admitted, err
+}
+
 func (p permit) done(r result) {
-	p.budget.mu.Lock()
-	defer p.budget.mu.Unlock()
-	p.budget.governor.report(time.Now(), p.class, p.probe, r)
+	b := p.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.governor.report(time.Now(), p.class, p.probe, r)
+	b.stats.Sent++
+	switch r.outcome {
+	case outcomeLimited:
+		b.stats.Limited++
+	case outcomeFailed:
+		b.stats.Failed++
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -164,6 +164,9 @@
 	return watch, err
 }
 
+// Budget returns the budget of calls, for its counts.
+func (c *Client) Budget() *Budget { return c.budget }
+
 func (c *Client) read(ctx context.Context, step, path string, out any) error {
 	return c.do(ctx, exchange{
 		call:     Call{Step: step, Peer: c.base},
--- a/transport/platform/faults_test.go
+++ b/transport/platform/faults_test.go
@@ -97,6 +97,27 @@
 	})
 }
 
+// TestSkippedEvent: the feed of a waiting watch drops the only event there is.
+// The watch goes on waiting and sees the next change, but never the dropped one.
+func TestSkippedEvent(t *testing.T) {
+	eachStore(t, func(t *testing.T, e *emulator.Store, s platform.Store) {
+		e.SetFaults(emulator.Faults{SkipEvents: 1})
+		seen := make(chan platformapi.Watch, 1)
+		go func() {
+			watch, _ := s.Watch(t.Context(), []string{kind}, 0, time.Minute)
+			seen <- watch
+		}()
+		for _, name := range []string{"a", "b"} {
+			synctest.Wait()
+			_, err := e.Local("").Create(t.Context(), kind, object(name, "1"))
+			require.NoError(t, err)
+		}
+		watch := <-seen
+		require.Len(t, watch.Events, 1)
+		require.Equal(t, "b", watch.Events[0].Object.Metadata.Name)
+	})
+}
+
 // TestRateLimits: the limits hold for all callers together, and a call over them
 // is refused before any effect, with a time to come back.
 func TestRateLimits(t *testing.T) {
@@ -270,6 +291,7 @@
 			require.Equal(t, "nothing done", class(err))
 		}
 		require.EqualValues(t, 3, e.Calls().Reads)
+		require.Equal(t, platform.Stats{Sent: 3, Failed: 3, Held: 7, Outage: true}, client.Budget().Stats())
 		e.SetFaults(emulator.Faults{})
 		time.Sleep(5 * time.Second) // virtual
 		start := time.Now()
--- a/transport/platform/store.go
+++ b/transport/platform/store.go
@@ -12,8 +12,9 @@
 // Store is the platform's object store as the daemon's drivers see it. The
 // daemon and the operators' client call it; pure packages never do.
 //
-// All methods may be called concurrently. Each one blocks, for no longer than
-// its time limit or ctx, so no lock may be held across a call. An error tells
+// All methods may be called concurrently. Each one blocks, so no lock may be
+// held across a call: at most until ctx ends, and for a Client at most
+// BudgetOptions.MaxWait and then Options.Timeout for each page or write. An error tells
 // what became of a write: *UnavailableError, *ConflictError and *CallError mean
 // that nothing was done, *UnknownEffectError that it may have been done or may
 // still be done later.
