Poll engines, report to the store, tidy up; refuse bad input by field

Ruled out: a report object per window (its number grows with instances and time); removing entries as soon as an instance is unheard (a parted region is unheard for an hour and lives). The preemption test of daemon/execute is red while coordination/tiers changes under it; it is not committed as passing.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -27,9 +27,12 @@
 	"github.com/ivyhollow/ivyhollow/daemon/execute"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	"github.com/ivyhollow/ivyhollow/daemon/load"
+	"github.com/ivyhollow/ivyhollow/daemon/poll"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
+	"github.com/ivyhollow/ivyhollow/daemon/report"
 	"github.com/ivyhollow/ivyhollow/daemon/serve"
 	"github.com/ivyhollow/ivyhollow/daemon/spender"
+	"github.com/ivyhollow/ivyhollow/daemon/tidy"
 	"github.com/ivyhollow/ivyhollow/protocol/requestid"
 	"github.com/ivyhollow/ivyhollow/settings"
 	"github.com/ivyhollow/ivyhollow/state/requests"
@@ -69,6 +72,10 @@
 	server    *serve.Server
 	registrar *register.Registrar
 	exchange  *load.Exchange
+	discovery *discovery.Discovery
+	poller    *poll.Poller
+	reporter  *report.Reporter
+	tidier    *tidy.Tidier
 
 	callers  net.Listener
 	admin    net.Listener
@@ -174,21 +181,48 @@
 		return err
 	}
 	a.self = a.cluster.Self()
-	d := discovery.New(a.router, a.gates, time.Now)
+	a.discovery = discovery.New(a.router, a.gates, time.Now)
 	a.sync = confsync.New(confsync.Options{
 		Store:       a.store,
 		Spreader:    peers{a.cluster},
 		Peers:       peers{a.cluster},
 		WatcherRank: a.watcherRank,
-		OnSnapshot:  d.SetSnapshot,
-		OnTargets:   d.SetTargets,
+		OnSnapshot:  a.discovery.SetSnapshot,
+		OnTargets:   a.discovery.SetTargets,
 		Scope:       a.telemetry.Scope,
 	})
 	a.budgets = accounts.New(a.ledger, peers{a.cluster}, a.sync.Snapshot, time.Now)
 	a.exchange = load.New(s.Instance.Name, a.cluster, a.router, a.gates, a.instances)
+	a.poller = poll.New(a.targets, a.router, a.engines, a.discovery.SetLoaded)
+	a.reporter = report.New(a.store, s.Instance.Name, a.status, time.Now)
+	a.tidier = tidy.New(a.store, a.firstWatcher, a.isLive, time.Now)
 	return nil
 }
 
+// engines returns the engines that this instance routes to.
+func (a *App) engines() []poll.Engine {
+	kept := make(map[string]bool)
+	for _, t := range a.router.Stats(time.Now()).Targets {
+		kept[t.Incarnation] = true
+	}
+	entries := a.discovery.Engines(func(incarnation string) bool { return kept[incarnation] })
+	engines := make([]poll.Engine, 0, len(entries))
+	for _, e := range entries {
+		engines = append(engines, poll.Engine{Incarnation: e.Incarnation, Address: e.Address})
+	}
+	return engines
+}
+
+func (a *App) firstWatcher() bool {
+	rank, ok := a.watcherRank()
+	return ok && rank == 0
+}
+
+func (a *App) isLive(name string) bool {
+	member, ok := a.cluster.View().Find(name)
+	return ok && member.Live()
+}
+
 func (a *App) listInstances(ctx context.Context) ([]membership.Member, error) {
 	members, err := a.registrar.List(ctx)
 	if err == nil {
@@ -228,6 +262,7 @@
 		Times:   deadline.NewTimes(deadline.Config{}),
 		Status:  a.status,
 		Config:  a.sync.Snapshot,
+		Tracer:  a.telemetry.Tracer,
 	})
 	limits := a.settings.Limits
 	a.server = serve.New(serve.Options{
--- /dev/null
+++ b/daemon/app/app_test.go
@@ -0,0 +1,177 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/ivyhollow/ivyhollow/daemon/dev"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/settings"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("k8s.io/klog/v2.(*flushDaemon).run.func1"))
+}
+
+// otherKey is the key of a second client account.
+const otherKey = "other-key"
+
+// startInstance runs one instance against an embedded world until the test ends.
+func startInstance(t *testing.T) *App {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	world, err := dev.Start(ctx)
+	require.NoError(t, err)
+	addAccount(t, world)
+	s := settings.Default()
+	s.Instance.Name, s.Instance.DataCentre = "one", "local"
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0"}
+	s.Limits.MaxBodyBytes = 4096
+	s.Limits.MaxHeaderBytes = 4096
+	s.Limits.HeaderTimeout = 100 * time.Millisecond
+	s.Shutdown.BalancerDelay = 0
+	tel, err := telemetry.Start(ctx, telemetry.Options{Instance: "one"})
+	require.NoError(t, err)
+	a, err := New(s, tel, world.Store.Local("one"))
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	<-a.Started()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+		world.Close()
+		require.NoError(t, tel.Shutdown(context.Background()))
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return a
+}
+
+func addAccount(t *testing.T, world *dev.World) {
+	t.Helper()
+	const digestOfOtherKey = "580843d03d2216ff1a275d0991bad66e4d1af871171d929e9de604b7959f9bca"
+	spec := `{"schema_version":1,"tier":"batch","keys":[{"sha256":"` + digestOfOtherKey + `"}],"requests_per_s":10,"burst":10}`
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: "other"}, Spec: json.RawMessage(spec)}
+	_, err := world.Store.Local("operator").Create(context.Background(), platformapi.KindAccounts, object)
+	require.NoError(t, err)
+}
+
+func send(t *testing.T, method, url, key, body string, header ...string) (int, callerapi.Problem, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	var problem callerapi.Problem
+	if answer.StatusCode != http.StatusOK {
+		require.NoError(t, json.NewDecoder(answer.Body).Decode(&problem))
+	}
+	return answer.StatusCode, problem, answer.Header.Get(callerapi.HeaderRequestID)
+}
+
+// A ward clerk's tool is misconfigured, or somebody probes the port: whatever
+// comes in gets a clear answer that names the field, and harms nobody else.
+func TestBadRequestsAreRefusedByField(t *testing.T) {
+	a := startInstance(t)
+	path := a.CallersURL() + "/v1/pipelines/dossier/requests"
+	good := `{"input":"x"}`
+	cases := map[string]struct {
+		method, url, key, body string
+		header                 []string
+		status                 int
+		field                  string
+	}{
+		"no key":              {url: path, body: good, status: 401},
+		"wrong key":           {url: path, key: "nope", body: good, status: 401},
+		"long key":            {url: path, key: strings.Repeat("k", 300), body: good, status: 401},
+		"unknown pipeline":    {url: a.CallersURL() + "/v1/pipelines/none/requests", key: dev.SampleKey, body: good, status: 404},
+		"unknown path":        {url: a.CallersURL() + "/v2", key: dev.SampleKey, body: good, status: 404},
+		"empty body":          {url: path, key: dev.SampleKey, status: 400, field: "body"},
+		"not JSON":            {url: path, key: dev.SampleKey, body: "\x00\x01", status: 400, field: "body"},
+		"two documents":       {url: path, key: dev.SampleKey, body: good + good, status: 400, field: "body"},
+		"unknown field":       {url: path, key: dev.SampleKey, body: `{"inputs":"x"}`, status: 400, field: "inputs"},
+		"wrong type":          {url: path, key: dev.SampleKey, body: `{"max_tokens":"x"}`, status: 400, field: "max_tokens"},
+		"negative tokens":     {url: path, key: dev.SampleKey, body: `{"max_tokens":-1}`, status: 400, field: "max_tokens"},
+		"part without tokens": {url: path, key: dev.SampleKey, body: `{"prefix":[{"id":"a"}]}`, status: 400, field: "prefix[0]"},
+		"oversized":           {url: path, key: dev.SampleKey, body: `{"input":"` + strings.Repeat("x", 5000) + `"}`, status: 413},
+		"schema version":      {url: path, key: dev.SampleKey, body: good, header: []string{callerapi.HeaderSchemaVersion, "x"}, status: 400, field: callerapi.HeaderSchemaVersion},
+		"schema not there":    {url: path, key: dev.SampleKey, body: good, header: []string{callerapi.HeaderSchemaVersion, "9"}, status: 404},
+		"key required":        {url: a.CallersURL() + "/v1/pipelines/work-order/requests", key: dev.SampleKey, body: good, status: 400, field: callerapi.HeaderIdempotencyKey},
+		"idempotency key":     {url: path, key: dev.SampleKey, body: good, header: []string{callerapi.HeaderIdempotencyKey, strings.Repeat("k", 200)}, status: 400, field: callerapi.HeaderIdempotencyKey},
+		"malformed id":        {method: "GET", url: a.CallersURL() + "/v1/requests/x", key: dev.SampleKey, status: 404},
+		"id of nobody":        {method: "GET", url: a.CallersURL() + "/v1/requests/gone.1.1-1", key: dev.SampleKey, status: 404},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if c.method == "" {
+				c.method = http.MethodPost
+			}
+			status, problem, _ := send(t, c.method, c.url, c.key, c.body, c.header...)
+			require.Equal(t, c.status, status)
+			require.Equal(t, c.field, problem.Field)
+			require.Equal(t, callerapi.OutcomeNotRun, problem.Outcome)
+		})
+	}
+	status, _, _ := send(t, http.MethodPost, path, dev.SampleKey, good)
+	require.Equal(t, http.StatusOK, status, "others are still served")
+}
+
+// One account asks for the status of another's request by its id: it must look
+// as if there were none, or ids would tell who is a client.
+func TestStatusIsForItsAccountAlone(t *testing.T) {
+	a := startInstance(t)
+	_, _, id := send(t, http.MethodPost, a.CallersURL()+"/v1/pipelines/dossier/requests", dev.SampleKey, `{"input":"x"}`)
+	require.NotEmpty(t, id)
+	status, _, _ := send(t, http.MethodGet, a.CallersURL()+"/v1/requests/"+id, dev.SampleKey, "")
+	require.Equal(t, http.StatusOK, status)
+	status, problem, _ := send(t, http.MethodGet, a.CallersURL()+"/v1/requests/"+id, otherKey, "")
+	require.Equal(t, http.StatusNotFound, status)
+	require.Empty(t, problem.RequestID)
+}
+
+// Noise, a half-sent header or one without end must not hold a connection open:
+// some thousands of them and the instance has no descriptor left for clerks.
+func TestRawBytesAreCutOff(t *testing.T) {
+	a := startInstance(t)
+	ports := map[string]string{"callers": a.CallersURL(), "admin": a.AdminURL()}
+	inputs := map[string]string{
+		"noise":        "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\n\n",
+		"truncated":    "POST /v1/pipelines/dossier/requests HTTP/1.1\r\nHost: x\r\n",
+		"large header": "GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", 2<<20) + "\r\n\r\n",
+	}
+	for port, url := range ports {
+		for name, input := range inputs {
+			t.Run(port+"/"+name, func(t *testing.T) {
+				if port == "admin" && name == "truncated" {
+					t.Parallel() // its header timeout is longer; the bound is the same
+				}
+				conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+				require.NoError(t, err)
+				defer conn.Close()
+				_, _ = conn.Write([]byte(input)) // the server may close first
+				reader := bufio.NewReader(conn)
+				for err == nil {
+					_, err = reader.ReadByte() // the end of the connection is the proof
+				}
+			})
+		}
+	}
+}
--- a/daemon/app/run.go
+++ b/daemon/app/run.go
@@ -38,6 +38,7 @@
 	group.Add(a.cluster.Execute, a.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
 		a.sync.Run, a.claims.Run, a.gates.Run, a.exchange.Run, a.registrar.Run, a.followView,
+		a.poller.Run, a.reporter.Run, a.tidier.Run,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
@@ -79,6 +80,10 @@
 	callers.SetKeepAlivesEnabled(false)
 	bounded(a.settings.Shutdown.Grace, "finish requests in flight", callers.Shutdown)
 	bounded(drainClaimsTimeout, "record outcomes", a.claims.Drain)
+	bounded(leaveTimeout, "write the last report", func(ctx context.Context) error {
+		a.reporter.Write(ctx)
+		return nil
+	})
 	bounded(leaveTimeout, "leave the cluster", a.cluster.Leave)
 	bounded(leaveTimeout, "remove the entry in the store", a.registrar.Remove)
 	return context.Canceled
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+	"go.opentelemetry.io/otel"
 
 	"github.com/ivyhollow/ivyhollow/daemon/app"
 	"github.com/ivyhollow/ivyhollow/daemon/dev"
@@ -93,6 +94,7 @@
 		return err
 	}
 	defer shutdown(t)
+	otel.SetTracerProvider(t.TracerProvider)
 	instance, err := app.New(s, t, store)
 	if err != nil {
 		return err
--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -32,11 +33,15 @@
 	mu       sync.Mutex
 	snapshot *catalog.Snapshot
 	targets  []platformapi.TargetEntry
+	loaded   map[string]weights
 }
 
+// weights are what an engine has loaded.
+type weights struct{ models, adapters []string }
+
 // New makes a discovery that knows nothing yet.
 func New(router Router, gates Gates, now func() time.Time) *Discovery {
-	return &Discovery{router: router, gates: gates, now: now}
+	return &Discovery{router: router, gates: gates, now: now, loaded: make(map[string]weights)}
 }
 
 // SetSnapshot takes the configuration in force.
@@ -52,9 +57,53 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.targets = targets
+	d.forget()
+	d.update()
+}
+
+// SetLoaded takes what an engine says that it has loaded.
+func (d *Discovery) SetLoaded(incarnation string, models, adapters []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.loaded[incarnation]
+	if slices.Equal(old.models, models) && slices.Equal(old.adapters, adapters) {
+		return
+	}
+	d.loaded[incarnation] = weights{models: models, adapters: adapters}
 	d.update()
 }
 
+// Engines returns the listed engines; keep chooses among them.
+func (d *Discovery) Engines(keep func(incarnation string) bool) []platformapi.TargetEntry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var engines []platformapi.TargetEntry
+	if d.snapshot == nil {
+		return nil
+	}
+	for _, t := range d.targets {
+		pool, ok := d.snapshot.Pool(t.Pool)
+		if ok && pool.Kind == catalog.KindEngine && keep(t.Incarnation) {
+			engines = append(engines, t)
+		}
+	}
+	return engines
+}
+
+// forget drops the weights of engines that are not listed any more. It needs
+// the lock.
+func (d *Discovery) forget() {
+	listed := make(map[string]bool, len(d.targets))
+	for _, t := range d.targets {
+		listed[t.Incarnation] = true
+	}
+	for incarnation := range d.loaded {
+		if !listed[incarnation] {
+			delete(d.loaded, incarnation)
+		}
+	}
+}
+
 // update needs the lock.
 func (d *Discovery) update() {
 	if d.snapshot == nil {
@@ -80,6 +129,8 @@
 			Address:     e.Address,
 			DataCentre:  e.DataCentre,
 			Slots:       pool.Slots,
+			Models:      d.loaded[e.Incarnation].models,
+			Adapters:    d.loaded[e.Incarnation].adapters,
 		})
 		if e.State == platformapi.TargetReady {
 			slots += pool.Slots
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ivyhollow/ivyhollow/coordination/admission"
@@ -13,6 +16,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/requests"
+	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
 // Options are the parts an Executor works with; all are required but Now.
@@ -26,6 +30,8 @@
 	Status *requests.Table
 	// Config returns the configuration in force, for the pools' records.
 	Config func() *catalog.Snapshot
+	// Tracer starts a span for each stage; nil means none.
+	Tracer trace.Tracer
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -41,6 +47,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	return &Executor{opts: o, admissions: newAdmissions()}
 }
 
@@ -127,7 +136,11 @@
 		return err
 	}
 	s := newStageRun(r, i, inputs)
+	ctx, span := r.opts.Tracer.Start(ctx, "stage "+s.stage.Name)
+	defer span.End()
+	span.SetAttributes(telemetry.AttrRequestID.String(r.job.ID), telemetry.AttrStage.String(s.stage.Name))
 	if err := s.execute(ctx); err != nil {
+		span.SetStatus(codes.Error, string(reasonOf(err)))
 		return err
 	}
 	r.finish(i, s)
@@ -213,6 +226,13 @@
 	return &Failure{Reason: reason, Step: r.firstUnfinished(), Cause: context.Cause(ctx)}
 }
 
+func reasonOf(err error) Reason {
+	if f, ok := err.(*Failure); ok {
+		return f.Reason
+	}
+	return ReasonDeadline
+}
+
 func (r *run) firstUnfinished() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/execute/executor_test.go
+++ b/daemon/execute/executor_test.go
@@ -152,14 +152,15 @@
 func TestPreemptedStreamGoesOnWhole(t *testing.T) {
 	r := newRig(t, catalog.KindEngine, catalog.ObjectiveCost)
 	r.opts.Gate.(interface{ SetCapacity(string, int) }).SetCapacity(rigPool, 1)
-	low := r.job(oneStage(true, true, rigTokens), 20*time.Second)
+	const tokens = 500 // far more than are generated before the interruption
+	low := r.job(oneStage(true, true, tokens), 20*time.Second)
 	low.Pipeline.MaxAttempts = 1 // a preemption is no attempt of its own
 	for r.spender.Retry(time.Now(), rigPool) {
 		continue // nor is it paid from the budget of retries
 	}
 	low.Tier = &catalog.Tier{Name: "low", Rank: 3}
-	expected, _ := emulated.Output("s", []string{"in"}, "", rigTokens)
-	high := r.job(oneStage(true, false, 0), 10*time.Second)
+	expected, _ := emulated.Output("s", []string{"in"}, "", tokens)
+	high := r.job(oneStage(true, false, 0), 400*time.Millisecond)
 	high.ID = "test.1.2"
 	highDone := make(chan error, 1)
 	next := 0
--- a/daemon/serve/parse.go
+++ b/daemon/serve/parse.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,6 +24,8 @@
 	maxPrefixParts    = 64
 	maxTokensLimit    = 1 << 20
 	bearerPrefix      = "Bearer "
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 5 * time.Second
 )
 
 // call is a request as read from its connection.
@@ -126,6 +129,10 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) *callerapi.Problem {
+	// A caller that sends its body byte by byte would hold its place for ever.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(s.opts.Now().Add(bodyTimeout)) // unsupported only in tests
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	limited := http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes)
 	raw, err := io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -34,7 +33,7 @@
 	problem := s.serve(w, r.WithContext(ctx), began)
 	s.metrics.ended(problem, s.opts.Now().Sub(began))
 	if problem != nil {
-		span.SetAttributes(attribute.String("outcome", string(problem.Outcome)))
+		span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
 	}
 }
 
@@ -47,7 +46,7 @@
 	}
 	defer s.inFlight.leave()
 	id := s.opts.IDs.Next()
-	trace.SpanFromContext(r.Context()).SetAttributes(attribute.String("request", id))
+	trace.SpanFromContext(r.Context()).SetAttributes(telemetry.AttrRequestID.String(id))
 	a := &answerer{server: s, call: c, id: id, w: w}
 	if c.stream {
 		if !s.streams.enter() {
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -2,7 +2,10 @@
 // docs/api/platform.md is the contract that stand-in and client both meet.
 package platformapi
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Kinds of objects. Records are written by operators, targets by the platform,
 // the others by the system.
@@ -106,3 +109,30 @@
 	// InForce is the revision that goes on serving in place of a refused one.
 	InForce uint64 `json:"in_force,omitempty"`
 }
+
+// DigestEntry is the spec of an object of KindDigests, named by instance: how
+// the requests of a span of time fared.
+type DigestEntry struct {
+	Instance string      `json:"instance"`
+	From     time.Time   `json:"from"`
+	To       time.Time   `json:"to"`
+	Rows     []DigestRow `json:"rows"`
+}
+
+// DigestRow sums up one pipeline, stage, tier and client account. The row of a
+// whole request has no stage; an account that is not among the busiest is
+// summed up under no name.
+type DigestRow struct {
+	Pipeline string `json:"pipeline"`
+	Stage    string `json:"stage,omitempty"`
+	Tier     string `json:"tier"`
+	Account  string `json:"account,omitempty"`
+	Count    uint64 `json:"count"`
+	// Attained counts the requests answered whole within their deadline.
+	Attained      uint64 `json:"attained,omitempty"`
+	ElapsedMS     int64  `json:"elapsed_ms"`
+	WorkMS        int64  `json:"work_ms,omitempty"`
+	WastedMS      int64  `json:"wasted_ms,omitempty"`
+	Tokens        uint64 `json:"tokens,omitempty"`
+	PrefillTokens uint64 `json:"prefill_tokens,omitempty"`
+}
