Hold the highest tier through a flood and recover from overload

Cause: the first form of the gates compared the peers' reported work in flight with the capacity. With short stages the reports are older than the work, so all instances waited on one another and the targets idled; in a sudden flood every instance took the whole capacity until it heard of the others. Change: parts of the capacity by what the peers were told, one burst beyond, drain rate by the law of Little, latest start by the 95th percentile, probes that ramp up after an overload.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -23,7 +23,7 @@
 
 // Defaults of Config.
 const (
-	DefaultMinConfidence = 0.05
+	DefaultMinConfidence = deadline.MinConfidence
 	DefaultProbeEvery    = time.Second
 )
 
@@ -55,6 +55,9 @@
 type Controller struct {
 	config    Config
 	lastProbe time.Time
+	// credit is the number of probes that may go at once, and ramp what the
+	// next probe that makes it sets it to.
+	credit, ramp int
 }
 
 // New makes a controller.
@@ -80,13 +83,13 @@
 	left := due.Sub(now)
 	d := Decision{
 		Confidence:  deadline.Confidence(left, stages),
-		LatestStart: deadline.LatestStart(due, withoutWaits(stages)),
+		LatestStart: deadline.LatestStart(now, due, stages),
 	}
+	unqueued := deadline.Confidence(left, withoutWaits(stages))
 	if d.Confidence >= c.config.MinConfidence {
 		d.Admit = true
 		return d
 	}
-	unqueued := deadline.Confidence(left, withoutWaits(stages))
 	if unqueued < c.config.MinConfidence {
 		return c.refuseDeadline(now, d, rng)
 	}
@@ -100,10 +103,10 @@
 // would never end: everything is refused, so nothing is measured, so the
 // learned times stay where they are and everything is refused.
 func (c *Controller) refuseDeadline(now time.Time, d Decision, rng *rand.Rand) Decision {
-	if c.lastProbe.IsZero() || now.Sub(c.lastProbe) >= c.config.ProbeEvery {
-		c.lastProbe = now
+	if c.mayProbe(now) {
 		d.Admit = true
 		d.Probe = true
+		d.LatestStart = now
 		return d
 	}
 	d.Reason = ReasonDeadline
@@ -111,12 +114,38 @@
 	return d
 }
 
+func (c *Controller) mayProbe(now time.Time) bool {
+	if c.credit > 0 {
+		c.credit--
+		return true
+	}
+	if !c.lastProbe.IsZero() && now.Sub(c.lastProbe) < c.config.ProbeEvery {
+		return false
+	}
+	c.lastProbe = now
+	return true
+}
+
+// maxRamp bounds the probes that one success lets go.
+const maxRamp = 1024
+
+// Probed tells how a request that was admitted as a probe ended. Each one that
+// made it lets twice as many go, so that the refusals end within some stage
+// times; one that did not make it stops them until the next probe is due.
+// Learned times alone would need as many probes as there were slow requests.
+func (c *Controller) Probed(made bool) {
+	if !made {
+		c.credit, c.ramp = 0, 0
+		return
+	}
+	c.ramp = min(2*max(c.ramp, 1), maxRamp)
+	c.credit = c.ramp
+}
+
 // queueExcess is how long the queues need to drain to where a request that
 // comes then would make it in typical times.
 func queueExcess(left time.Duration, stages []deadline.Remaining) time.Duration {
-	var epoch time.Time
-	whole := epoch.Sub(deadline.LatestStart(epoch, stages))
-	return whole - left
+	return deadline.Typical(stages) - left
 }
 
 func withoutWaits(stages []deadline.Remaining) []deadline.Remaining {
--- a/coordination/deadline/histogram.go
+++ b/coordination/deadline/histogram.go
@@ -18,9 +18,8 @@
 // the range of a float32.
 const maxWeight = 1e12
 
-// minRemembered bounds how fast old observations fade at a low rate: one new
-// observation never takes more than 1/minRemembered of a half-life, so that a
-// stage which runs once a minute keeps a distribution and not one value.
+// minRemembered is the number of observations that fading leaves: a stage which
+// runs once a minute keeps a distribution and not one value.
 const minRemembered = 16
 
 // histogram counts stage times with exponentially decaying weights. Decay works
@@ -68,9 +67,8 @@
 }
 
 func (h *histogram) observe(now time.Time, halfLife, d time.Duration) {
-	elapsed := float64(now.Sub(h.last)) / float64(halfLife)
-	growth := min(max(elapsed, 0), 1.0/minRemembered)
-	h.scale *= math.Exp2(growth)
+	elapsed := max(float64(now.Sub(h.last))/float64(halfLife), 0)
+	h.scale *= math.Exp2(min(elapsed, h.fadeable()))
 	if now.After(h.last) {
 		h.last = now
 	}
@@ -80,6 +78,12 @@
 	}
 }
 
+// fadeable is by how many half-lives the observations may fade at once.
+func (h *histogram) fadeable() float64 {
+	samples := float64(h.total) / h.scale
+	return max(math.Log2(samples/minRemembered), 1.0/minRemembered)
+}
+
 func (h *histogram) rescale() {
 	factor := float32(1 / h.scale)
 	h.total = 0
--- a/coordination/deadline/paths.go
+++ b/coordination/deadline/paths.go
@@ -1,78 +1,105 @@
 package deadline
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// pathLengths holds the longest paths through a pipeline's remaining stages.
-type pathLengths struct {
-	// before is the longest path up to a stage, without it.
-	before []time.Duration
-	// from is the longest path from a stage to the end, with it.
-	from []time.Duration
+// z95 is the 95th percentile of the standard normal distribution.
+const z95 = 1.645
+
+// minRemainingShare is the part of its median that a stage which ran past its
+// usual time is still expected to take.
+const minRemainingShare = 0.1
+
+// span is the time of a chain of stages: a random part with mean and variance,
+// in ns and ns², and a constant wait in ns.
+type span struct {
+	mean, variance, wait float64
 }
 
-func measure(stages []Remaining, weight func(Remaining) time.Duration) pathLengths {
-	p := pathLengths{
-		before: make([]time.Duration, len(stages)),
-		from:   make([]time.Duration, len(stages)),
-	}
-	for i := range stages {
-		for _, j := range predecessors(stages, i) {
-			p.before[i] = max(p.before[i], p.before[j]+weight(stages[j]))
-		}
+func (s span) whole() float64 { return s.mean + s.wait }
+
+func (s span) plus(t span) span {
+	return span{s.mean + t.mean, s.variance + t.variance, s.wait + t.wait}
+}
+
+// logNormal returns the parameters of the log-normal distribution with the
+// span's mean and variance. A sum of log-normal variables is close to one
+// (Fenton: "The Sum of Log-Normal Probability Distributions in Scatter
+// Transmission Systems", 1960).
+func (s span) logNormal() (mu, sigma float64) {
+	sigma2 := math.Log1p(s.variance / (s.mean * s.mean))
+	return math.Log(s.mean) - sigma2/2, math.Sqrt(sigma2)
+}
+
+// within is the probability that the span ends within left.
+func (s span) within(left time.Duration) float64 {
+	room := float64(left) - s.wait
+	if room <= 0 {
+		return 0
 	}
-	for i := len(stages) - 1; i >= 0; i-- {
-		p.from[i] += weight(stages[i])
-		for _, j := range predecessors(stages, i) {
-			p.from[j] = max(p.from[j], p.from[i])
-		}
+	mu, sigma := s.logNormal()
+	if sigma == 0 {
+		sigma = math.SmallestNonzeroFloat32
 	}
-	return p
+	return 0.5 * math.Erfc((mu-math.Log(room))/(sigma*math.Sqrt2))
+}
+
+// p95 is the time within which the span ends 95 times in 100.
+func (s span) p95() time.Duration {
+	mu, sigma := s.logNormal()
+	return time.Duration(s.wait + math.Exp(mu+z95*sigma))
 }
 
-func (p pathLengths) longest() time.Duration {
-	var out time.Duration
-	for _, d := range p.from {
-		out = max(out, d)
+// spanOf is the time of one stage: log-normal with its median and 95th
+// percentile, less what has elapsed.
+func spanOf(r *Remaining) span {
+	p50 := float64(max(r.P50, 1))
+	p95 := float64(max(r.P95, r.P50, 1))
+	sigma := math.Log(p95/p50) / z95
+	whole := p50 * math.Exp(sigma*sigma/2)
+	return span{
+		mean:     max(whole-float64(r.Elapsed), minRemainingShare*p50),
+		variance: math.Expm1(sigma*sigma) * whole * whole,
+		wait:     float64(r.Wait),
 	}
-	return out
 }
 
-// critical lists the stages on the longest path, in order.
-func (p pathLengths) critical(stages []Remaining) []int {
-	var out []int
-	longest := p.longest()
-	at := time.Duration(0)
-	for i := range stages {
-		if p.before[i] == at && p.before[i]+p.from[i] == longest {
-			out = append(out, i)
-			at = p.before[i] + p.own(stages, i)
-		}
+// tails returns, for each stage, the longest chain by its mean from the stage
+// to the end of the pipeline, the stage included.
+func tails(stages []Remaining) []span {
+	out := make([]span, len(stages))
+	for i := len(stages) - 1; i >= 0; i-- {
+		out[i] = spanOf(&stages[i]).plus(out[i])
+		forEachPredecessor(stages, i, func(j int) {
+			if out[i].whole() > out[j].whole() {
+				out[j] = out[i]
+			}
+		})
 	}
 	return out
 }
 
-// own is the weight of a stage, found from the path lengths.
-func (p pathLengths) own(stages []Remaining, i int) time.Duration {
-	var after time.Duration
-	for j := i + 1; j < len(stages); j++ {
-		for _, k := range predecessors(stages, j) {
-			if k == i {
-				after = max(after, p.from[j])
-			}
+// longest returns the longest of the chains.
+func longest(chains []span) span {
+	var out span
+	for _, c := range chains {
+		if c.whole() > out.whole() {
+			out = c
 		}
 	}
-	return p.from[i] - after
+	return out
 }
 
-// predecessors lists the positions of the remaining stages that stage i needs.
-func predecessors(stages []Remaining, i int) []int {
-	var out []int
+// forEachPredecessor visits the positions of the remaining stages that stage i
+// needs.
+func forEachPredecessor(stages []Remaining, i int, visit func(j int)) {
 	for _, index := range stages[i].After {
 		for j := 0; j < i; j++ {
 			if stages[j].Stage == index {
-				out = append(out, j)
+				visit(j)
 			}
 		}
 	}
-	return out
 }
--- a/coordination/deadline/plan.go
+++ b/coordination/deadline/plan.go
@@ -1,9 +1,6 @@
 package deadline
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Remaining is what is known of one stage that has not finished.
 type Remaining struct {
@@ -27,9 +24,7 @@
 	Budget time.Duration
 	// Due is when the stage should have finished.
 	Due time.Time
-	// LatestStart is the last moment at which starting the stage is of use:
-	// later, even typical times of it and of what follows end past the
-	// deadline.
+	// LatestStart is the last moment at which starting the stage is of use.
 	LatestStart time.Time
 }
 
@@ -39,99 +34,92 @@
 // shares exceed what is left, and a stage beside the critical path gets the
 // slack of its own path. It is called again after each stage.
 func Plan(now, deadline time.Time, stages []Remaining) []Share {
-	paths := measure(stages, weightP95)
-	typical := measure(stages, weightP50)
+	chains := tails(stages)
+	before := heads(stages)
+	from := make([]time.Duration, len(stages))
 	left := max(deadline.Sub(now), 0)
 	shares := make([]Share, len(stages))
-	for i, s := range stages {
-		through := paths.before[i] + paths.from[i]
-		budget := time.Duration(float64(left) * float64(weightP95(s)) / float64(through))
+	for i := len(stages) - 1; i >= 0; i-- {
+		from[i] += weight(&stages[i])
+		forEachPredecessor(stages, i, func(j int) { from[j] = max(from[j], from[i]) })
+	}
+	for i := range stages {
 		start := now
-		for _, j := range predecessors(stages, i) {
-			start = later(start, shares[j].Due)
-		}
+		forEachPredecessor(stages, i, func(j int) { start = later(start, shares[j].Due) })
+		part := float64(weight(&stages[i])) / float64(before[i]+from[i])
+		budget := time.Duration(part * float64(left))
 		shares[i] = Share{
-			Stage:       s.Stage,
+			Stage:       stages[i].Stage,
 			Budget:      budget,
 			Due:         start.Add(budget),
-			LatestStart: deadline.Add(-(typical.from[i] - s.Wait)),
+			LatestStart: latestStart(now, deadline, chains[i], start.Equal(now)),
 		}
 	}
 	return shares
 }
 
-// LatestStart returns the last moment at which starting the pipeline's
-// remaining stages is of use, typical times and waits assumed.
-func LatestStart(deadline time.Time, stages []Remaining) time.Time {
-	return deadline.Add(-measure(stages, weightP50).longest())
+// LatestStart returns the last moment at which starting the first of the
+// remaining stages is of use.
+func LatestStart(now, deadline time.Time, stages []Remaining) time.Time {
+	return latestStart(now, deadline, longest(tails(stages)), true)
+}
+
+// latestStart is the moment from which a chain still ends in time 95 times in
+// 100. Later starts are left to work that has more time: a queue that runs each
+// item at the last moment of some hope spends an overload on answers that are
+// just too late. Work that may start now is not held to that, since when it is
+// not in a queue nothing else wants the slot; hopeless work never starts.
+func latestStart(now, deadline time.Time, chain span, ready bool) time.Time {
+	chain.wait = 0
+	safe := deadline.Add(-chain.p95())
+	if ready && chain.within(deadline.Sub(now)) >= MinConfidence {
+		return later(safe, now)
+	}
+	return safe
 }
 
-// minConfidence is the least confidence that still counts as "can make it":
+// MinConfidence is the least confidence that still counts as "can make it":
 // work is refused only when it is almost sure to be late, since a refusal of
 // what would have made it costs as much as a late answer.
-const minConfidence = 0.05
+const MinConfidence = 0.05
 
 // CanMake tells whether the remaining stages can end by the deadline, and the
-// confidence, 0 to 1, that they do. The times along the longest path are summed
-// as log-normal variables (Fenton, "The Sum of Log-Normal Probability
-// Distributions in Scatter Transmission Systems", 1960), the waits as constants.
+// confidence, 0 to 1, that they do.
 func CanMake(now, deadline time.Time, stages []Remaining) (ok bool, confidence float64) {
 	confidence = Confidence(deadline.Sub(now), stages)
-	return confidence >= minConfidence, confidence
+	return confidence >= MinConfidence, confidence
 }
 
 // Confidence is the probability, 0 to 1, that the remaining stages end within
-// left.
+// left. Waits count as constants.
 func Confidence(left time.Duration, stages []Remaining) float64 {
 	if len(stages) == 0 {
 		return 1
 	}
-	var mean, variance, wait float64
-	for _, i := range measure(stages, weightP50).critical(stages) {
-		m, v := moments(stages[i])
-		mean += m
-		variance += v
-		wait += float64(stages[i].Wait)
-	}
-	room := float64(left) - wait
-	if room <= 0 {
-		return 0
-	}
-	if variance == 0 {
-		return boolToFloat(room >= mean)
-	}
-	sigma2 := math.Log1p(variance / (mean * mean))
-	mu := math.Log(mean) - sigma2/2
-	z := (math.Log(room) - mu) / math.Sqrt(sigma2)
-	return 0.5 * math.Erfc(-z/math.Sqrt2)
+	return longest(tails(stages)).within(left)
 }
 
-// z95 is the 95th percentile of the standard normal distribution.
-const z95 = 1.645
-
-// minRemainingShare is the part of its median that a stage which ran past its
-// median is still expected to take.
-const minRemainingShare = 0.1
-
-// moments returns mean and variance, in ns and ns², of a log-normal time with
-// the stage's median and 95th percentile, less what has elapsed.
-func moments(s Remaining) (mean, variance float64) {
-	p50 := float64(max(s.P50, 1))
-	p95 := float64(max(s.P95, s.P50, 1))
-	sigma := math.Log(p95/p50) / z95
-	whole := p50 * math.Exp(sigma*sigma/2)
-	variance = math.Expm1(sigma*sigma) * whole * whole
-	mean = max(whole-float64(s.Elapsed), minRemainingShare*p50)
-	return mean, variance
+// Typical is the mean time of the remaining stages, waits included.
+func Typical(stages []Remaining) time.Duration {
+	return time.Duration(longest(tails(stages)).whole())
 }
 
-func weightP50(s Remaining) time.Duration { return weight(s, s.P50) }
-
-func weightP95(s Remaining) time.Duration { return weight(s, max(s.P95, s.P50)) }
+// heads returns, for each stage, the longest path up to it, without it.
+func heads(stages []Remaining) []time.Duration {
+	out := make([]time.Duration, len(stages))
+	for i := range stages {
+		forEachPredecessor(stages, i, func(j int) {
+			out[i] = max(out[i], out[j]+weight(&stages[j]))
+		})
+	}
+	return out
+}
 
-func weight(s Remaining, quantile time.Duration) time.Duration {
-	rest := max(quantile-s.Elapsed, time.Duration(minRemainingShare*float64(s.P50)), 1)
-	return s.Wait + rest
+// weight is a stage's claim on what is left: the 95th percentile of what it
+// still takes, and its wait.
+func weight(r *Remaining) time.Duration {
+	least := time.Duration(minRemainingShare * float64(r.P50))
+	return r.Wait + max(max(r.P95, r.P50)-r.Elapsed, least, 1)
 }
 
 func later(a, b time.Time) time.Time {
@@ -140,10 +128,3 @@
 	}
 	return a
 }
-
-func boolToFloat(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/coordination/tiers/demand.go
+++ b/coordination/tiers/demand.go
@@ -6,7 +6,7 @@
 )
 
 // meter follows the number of requests of one rank, dispatched and queued, by
-// an exponential mean, and the rate at which they finish.
+// an exponential mean.
 type meter struct {
 	mean    float64
 	current int
@@ -33,55 +33,85 @@
 	m.current += n
 }
 
-// drain measures how many requests finish a second.
-type drain struct {
-	rate float64
-	last time.Time
+// holding follows the mean time, in seconds, that a request holds a slot.
+type holding struct {
+	mean float64
 }
 
-func (d *drain) finished(now time.Time, window time.Duration) {
-	d.decay(now, window)
-	d.rate += 1 / window.Seconds()
+// holdingWeight is the weight of one request in the mean.
+const holdingWeight = 0.05
+
+func (h *holding) add(d time.Duration) {
+	if h.mean == 0 {
+		h.mean = d.Seconds()
+		return
+	}
+	h.mean += holdingWeight * (d.Seconds() - h.mean)
 }
 
-func (d *drain) decay(now time.Time, window time.Duration) {
-	if elapsed := now.Sub(d.last); elapsed > 0 {
-		d.rate *= math.Exp(-float64(elapsed) / float64(window))
-		d.last = now
+// drainRate is how many of the given requests finish a second, by Little's law.
+// Counting them as they finish would need a window longer than the requests
+// run, and would take an idle gate for one at a standstill.
+func (h *holding) drainRate(inFlight float64) float64 {
+	if h.mean == 0 {
+		return math.Inf(1)
 	}
+	return inFlight / h.mean
 }
 
 // limits are how many requests of the ranks up to and including r this
 // instance may have in flight, for each r.
 type limits [MaxRanks]float64
 
+// demand is what the instances want, by rank.
+type demand struct {
+	instances  float64
+	own, total [MaxRanks]float64
+}
+
 // divide splits a capacity among the ranks, the highest first, and within a
-// rank among the instances in proportion to what they want. own and total are
-// this instance's and all instances' demand. Every instance does the same sum
-// on nearly the same figures, so that the parts add up to the capacity without
-// a word between them, however late the digests are.
+// rank among the instances in proportion to what they want. Every instance does
+// the same sum on nearly the same figures, so that the parts add up to the
+// capacity without a word between them, however late the digests are.
 //
-// margin widens what is kept for a rank against the ranks below by that many
-// standard deviations of a Poisson variable, since a mean says nothing of the
-// next burst.
-func divide(capacity float64, instances int, own, total [MaxRanks]float64, margin float64) limits {
+// ordered tells that the targets run the most urgent first. Then every rank may
+// exceed its part by a burst, which keeps the slots busy and delays nobody
+// above. Otherwise only the highest rank that is wanted may.
+func divide(capacity float64, d demand, ordered bool) limits {
 	var out limits
 	left := capacity
-	mine := 0.0
+	mine, above := 0.0, 0.0
 	for r := range out {
-		want := max(total[r], own[r])
+		own, want := d.own[r], d.total[r]
 		if want > left {
-			out[r] = mine + left*own[r]/want
-			mine, left = out[r], 0
-			continue
+			own = left * own / want
+			out[r] = mine + own
+			if ordered || above == 0 {
+				out[r] += min(burst(own), left)
+			}
+			left = 0
+		} else {
+			out[r] = mine + own + headroom(left-want, own, d.instances)
+			left -= want
 		}
-		// What nobody wants is open to every instance alike for a burst.
-		out[r] = mine + own[r] + (left-want)/float64(instances)
-		mine += own[r]
-		left -= want
-		reserve := min(margin*math.Sqrt(want), left)
-		left -= reserve
-		mine += reserve / float64(instances)
+		above += want
+		mine += own
 	}
 	return out
 }
+
+// headroom is what an instance may dispatch beyond what its peers know it to
+// want, out of the spare capacity: its even part, or one burst. More would let
+// all instances fill the same spare slots at the start of a flood, before they
+// hear of one another.
+func headroom(spare, own, instances float64) float64 {
+	return max(spare/instances, min(spare, burst(own)))
+}
+
+// burst is how far arrivals exceed their mean by chance, after Poisson.
+func burst(mean float64) float64 {
+	return 1 + burstDeviations*math.Sqrt(mean)
+}
+
+// burstDeviations is how many standard deviations a burst is taken to be.
+const burstDeviations = 2
--- a/coordination/tiers/dispatch.go
+++ b/coordination/tiers/dispatch.go
@@ -12,16 +12,12 @@
 	if len(g.waiting) == 0 {
 		return out
 	}
-	limit := g.limits(now)
+	limit := g.limits()
 	upTo := 0
 	for r := range g.queues {
 		upTo += g.inFlight[r]
 		for len(g.queues[r]) > 0 && float64(upTo)+1 <= limit[r]+slack {
-			action, ok := g.place(now, r)
-			if !ok {
-				return out
-			}
-			out = append(out, action...)
+			out = append(out, g.place(now, r)...)
 			upTo++
 		}
 	}
@@ -32,26 +28,24 @@
 const slack = 1e-6
 
 // place starts the first item of a rank, cancelling lower work for it where
-// that is called for. It returns false when the targets are too full.
-func (g *Gate) place(now time.Time, rank int) ([]Action, bool) {
-	total := g.totalInFlight()
-	over := total + 1 - float64(g.capacity)
+// that is called for. Where lower ranks hold all slots the item starts even so:
+// the lower ranks start nothing until the surplus is gone, and until then the
+// targets' own queues hold it, in order of the priority passed to them. Holding
+// it back here by the peers' reported work in flight was tried and stalls short
+// stages: the reports are older than the work, so all instances wait on one
+// another while the targets idle.
+func (g *Gate) place(now time.Time, rank int) []Action {
 	var out []Action
-	if over > 0 {
-		victim := g.victim(now, rank, over)
-		if victim != nil {
-			victim.preempting = true
-			out = append(out, Action{Kind: Preempt, ID: victim.ID})
-		} else if total+1 > float64(g.capacity)*g.config.Overcommit {
-			return nil, false
-		}
+	if victim := g.victim(now, rank); victim != nil {
+		victim.preempting = true
+		out = append(out, Action{Kind: Preempt, ID: victim.ID})
 	}
 	it := g.queues[rank].first()
 	g.dequeue(now, it)
 	g.running[it.ID] = &running{Item: it.Item, since: now}
 	g.inFlight[rank]++
 	g.meters[rank].add(now, g.config.Window, 1)
-	return append(out, Action{Kind: Dispatch, ID: it.ID}), true
+	return append(out, Action{Kind: Dispatch, ID: it.ID})
 }
 
 func (g *Gate) expire(now time.Time, out []Action) []Action {
@@ -68,21 +62,24 @@
 	return out
 }
 
-// limits computes what this instance may have in flight. A peer whose digest
-// is missing is taken to want what we want: it shares the targets whether we
-// hear it or not, and taking it for idle would let each side of a parted
-// network fill the targets alone.
-func (g *Gate) limits(now time.Time) limits {
-	var own, total [MaxRanks]float64
+// limits computes what this instance may have in flight. It goes by what this
+// instance told its peers, not by what it wants now, and by the lesser of the
+// last two words: the peers' words are a period old as well, and an instance
+// that counts its own part of a flood before the peers' parts takes all slots.
+// A peer whose digest is missing is taken to want what we want:
+// it shares the targets whether we hear it or not, and taking it for idle would
+// let each side of a parted network fill the targets alone.
+func (g *Gate) limits() limits {
+	d := demand{instances: float64(g.peers.Instances)}
 	unheard := float64(max(g.peers.Instances-1-g.peers.Heard, 0))
-	for r := range own {
-		m := &g.meters[r]
-		m.advance(now, g.config.Window)
-		own[r] = max(m.mean, float64(m.current))
-		total[r] = own[r]*(1+unheard) + float64(g.peers.Ranks[r].Demand)
+	for r := range d.own {
+		d.own[r] = float64(min(g.told.Ranks[r].Demand, g.toldBefore.Ranks[r].Demand))
+		if g.peers.Instances == 1 {
+			d.own[r] = float64(g.meters[r].current)
+		}
+		d.total[r] = d.own[r]*(1+unheard) + float64(g.peers.Ranks[r].Demand)
 	}
-	l := divide(float64(g.capacity), g.peers.Instances, own, total, g.config.Margin)
-	return g.atLeastOne(l)
+	return g.atLeastOne(divide(float64(g.capacity), d, g.config.Ordered))
 }
 
 // atLeastOne lets every instance have one request of the highest queued rank in
@@ -110,11 +107,12 @@
 }
 
 // victim picks the running work that is cancelled so that the first item of
-// rank can start, or nil when there is none or when a slot comes free soon
-// enough by itself: a cancelled generation pays for its prompt twice. It takes
-// the lowest rank and, within it, what began last and so loses least.
-func (g *Gate) victim(now time.Time, rank int, over float64) *running {
-	if !g.config.Preempt || g.freesInTime(now, rank, over) {
+// rank can start, or nil when the targets have room or will have it soon
+// enough: a cancelled generation pays for its prompt twice. It takes the lowest
+// rank and, within it, what began last and so loses least.
+func (g *Gate) victim(now time.Time, rank int) *running {
+	over := g.totalInFlight() + 1 - float64(g.capacity)
+	if !g.config.Preempt || over <= 0 || g.freesInTime(now, rank, over) {
 		return nil
 	}
 	var out *running
@@ -148,9 +146,7 @@
 const safety = 4
 
 func (g *Gate) freesInTime(now time.Time, rank int, over float64) bool {
-	g.drain.decay(now, g.config.Window)
-	all := g.drain.rate * float64(g.peers.Instances)
-	wait := over / max(all, minRate)
+	wait := over / g.held.drainRate(g.totalInFlight())
 	left := g.queues[rank].first().LatestStart.Sub(now)
 	return wait*safety <= left.Seconds()
 }
--- a/coordination/tiers/gate.go
+++ b/coordination/tiers/gate.go
@@ -8,9 +8,7 @@
 // Defaults of Config.
 const (
 	DefaultQueue         = 256
-	DefaultWindow        = time.Second
-	DefaultMargin        = 1.0
-	DefaultOvercommit    = 1.25
+	DefaultWindow        = 300 * time.Millisecond
 	DefaultMinRun        = 500 * time.Millisecond
 	DefaultMaxPreemption = 2
 )
@@ -19,15 +17,14 @@
 type Config struct {
 	// Queue bounds the number of queued items over all ranks.
 	Queue int
-	// Window is the time over which demand and drain rate are averaged.
+	// Window is the time over which demand is averaged.
 	Window time.Duration
 	// Margin is what is kept free for a rank against lower ones beyond its
 	// mean demand, in standard deviations.
 	Margin float64
-	// Overcommit bounds what a higher rank may dispatch although lower ranks
-	// hold the slots, as a multiple of the capacity: the targets' own queues
-	// hold it, in order of the priority passed to them.
-	Overcommit float64
+	// Ordered tells that the targets run the most urgent first, by the
+	// priority that is passed to them, as model engines do.
+	Ordered bool
 	// Preempt allows resumable work to be cancelled for a higher rank.
 	Preempt bool
 	// MinRun is the least time that work runs before it may be cancelled.
@@ -43,12 +40,6 @@
 	if c.Window <= 0 {
 		c.Window = DefaultWindow
 	}
-	if c.Margin <= 0 {
-		c.Margin = DefaultMargin
-	}
-	if c.Overcommit < 1 {
-		c.Overcommit = DefaultOvercommit
-	}
 	if c.MinRun <= 0 {
 		c.MinRun = DefaultMinRun
 	}
@@ -70,13 +61,15 @@
 	config   Config
 	capacity int
 	peers    PeerLoad
-	queues   [MaxRanks]rankQueue
-	waiting  map[uint64]*queued
-	running  map[uint64]*running
-	inFlight [MaxRanks]int
-	meters   [MaxRanks]meter
-	drain    drain
-	seq      uint64
+	// told and toldBefore are the digests that the peers got last.
+	told, toldBefore Digest
+	queues           [MaxRanks]rankQueue
+	waiting          map[uint64]*queued
+	running          map[uint64]*running
+	inFlight         [MaxRanks]int
+	meters           [MaxRanks]meter
+	held             holding
+	seq              uint64
 }
 
 // NewGate makes a gate for a pool whose targets have capacity slots in all.
@@ -121,7 +114,7 @@
 	delete(g.running, id)
 	g.inFlight[r.Rank]--
 	g.meters[r.Rank].add(now, g.config.Window, -1)
-	g.drain.finished(now, g.config.Window)
+	g.held.add(now.Sub(r.since))
 	return g.dispatch(now, nil)
 }
 
@@ -155,7 +148,8 @@
 	return g.dispatch(now, nil)
 }
 
-// Digest returns what the peers have to know of this instance.
+// Digest returns what the peers have to know of this instance. It is to be sent
+// to them, since the gate keeps to what it says.
 func (g *Gate) Digest(now time.Time) Digest {
 	var d Digest
 	for r := range d.Ranks {
@@ -163,13 +157,16 @@
 		d.Ranks[r].InFlight = float32(g.inFlight[r])
 		d.Ranks[r].Demand = float32(g.meters[r].mean)
 	}
+	g.toldBefore, g.told = g.told, d
 	return d
 }
 
 // Stats returns a reading for metrics.
-func (g *Gate) Stats(now time.Time) Stats {
-	g.drain.decay(now, g.config.Window)
-	s := Stats{Capacity: g.capacity, InFlight: g.inFlight, Rate: g.drain.rate}
+func (g *Gate) Stats(time.Time) Stats {
+	s := Stats{Capacity: g.capacity, InFlight: g.inFlight}
+	if len(g.running) > 0 {
+		s.Rate = g.held.drainRate(float64(len(g.running)))
+	}
 	for r := range s.Queued {
 		s.Queued[r] = len(g.queues[r])
 	}
@@ -177,22 +174,21 @@
 }
 
 // Wait is how long an item of the rank that came now would queue: the work of
-// the same and higher ranks ahead of it over the rate at which work finishes.
-// An empty queue means no wait, whatever the rate: an idle gate finishes
-// nothing, and taking that for a standstill would keep it idle.
-func (g *Gate) Wait(now time.Time, rank int) time.Duration {
-	ahead := g.ahead(clampRank(rank))
-	if ahead == 0 {
+// the same and higher ranks that is queued, over the rate at which the work of
+// these ranks that holds slots finishes.
+func (g *Gate) Wait(_ time.Time, rank int) time.Duration {
+	queued, inFlight := 0, 0
+	for r := 0; r <= clampRank(rank); r++ {
+		queued += len(g.queues[r])
+		inFlight += g.inFlight[r]
+	}
+	if queued == 0 {
 		return 0
 	}
-	g.drain.decay(now, g.config.Window)
-	rate := max(g.drain.rate, minRate)
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	rate := g.held.drainRate(float64(max(inFlight, 1)))
+	return time.Duration(float64(queued) / rate * float64(time.Second))
 }
 
-// minRate, in requests a second, stands in for a drain rate of nothing.
-const minRate = 0.1
-
 // Bounds of a time to come back.
 const (
 	minRetryAfter = 100 * time.Millisecond
@@ -209,14 +205,6 @@
 	}
 }
 
-func (g *Gate) ahead(rank int) int {
-	n := 0
-	for r := 0; r <= rank; r++ {
-		n += len(g.queues[r])
-	}
-	return n
-}
-
 // displaceable returns the newest item of the lowest queued rank, if that is
 // below rank.
 func (g *Gate) displaceable(rank int) *queued {
