Decide who is alive and spread records between instances

Cause: instances share no memory and no second coordination service; each must know the others and the newest configuration within seconds and within 2 KB/s. Ruled out: probing everyone in turn, because it keeps a connection to each of 440 instances; believing the first exchange after a cut, which accuses members who are well; relaying load digests in a small cluster, which made them three times as old as sending them directly. Change: SWIM with the rings of Rapid, refutation apart from the incarnation, retries of the dead at a fixed rate; rumours with pull anti-entropy over a hash tree and a shortcut by the store revision; load digests that age hop by hop.

--- /dev/null
+++ b/coordination/membership/membership.go
@@ -0,0 +1,218 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Membership is the state machine of one instance.
+type Membership struct {
+	cfg  Config
+	self Member
+	rng  *rand.Rand
+
+	table      map[string]*entry
+	byAddress  map[string]string
+	suspects   map[string]struct{}
+	gone       map[string]struct{}
+	updates    updateQueue
+	probes     prober
+	candidates candidates
+	sync       syncState
+
+	view     *View
+	dirty    bool
+	digest   uint64
+	lastTick time.Time
+	nextDead time.Time
+	leaving  bool
+	leftAcks int
+	out      []Action
+}
+
+// entry is what is known of one member other than self.
+type entry struct {
+	Member
+	// changed is when the state last changed; the end of a suspicion and of
+	// the retention are counted from it.
+	changed time.Time
+}
+
+// New returns the state machine of an instance that knows only itself. Self is
+// alive; its incarnation is higher than that of any earlier run of its name.
+func New(cfg Config, self Member, rng *rand.Rand) *Membership {
+	self.State = Alive
+	m := &Membership{
+		cfg:       cfg.withDefaults(),
+		self:      self,
+		rng:       rng,
+		table:     make(map[string]*entry),
+		byAddress: make(map[string]string),
+		suspects:  make(map[string]struct{}),
+		gone:      make(map[string]struct{}),
+		updates:   newUpdateQueue(),
+		probes:    newProber(),
+		dirty:     true,
+	}
+	m.updates.put(self)
+	m.rebuild()
+	return m
+}
+
+// View returns the present view.
+func (m *Membership) View() *View { return m.view }
+
+// Members returns all known members in the order of their names.
+func (m *Membership) Members() []Member { return m.view.Members }
+
+// Self returns this instance as it announces itself.
+func (m *Membership) Self() Member { return m.self }
+
+// Tick does what is due. It is to be called several times a period.
+func (m *Membership) Tick(now time.Time) []Action {
+	m.afterPause(now)
+	m.lastTick = now
+	m.endSuspicions(now)
+	m.forgetGone(now)
+	if !m.leaving {
+		m.tickProbe(now)
+		m.tickDead(now)
+		m.tickCandidates(now)
+		m.tickSync(now)
+	}
+	return m.flush()
+}
+
+// afterPause guards against this process having been stopped for a while: to
+// it, every other instance then seems silent, and it would accuse them all the
+// moment it runs again. The outstanding probe is given up and suspicions get
+// the lost time back. (Compare A. Dadgar, J. Phillips and J. Currey,
+// "Lifeguard: Local Health Awareness for More Accurate Failure Detection",
+// DSN-W 2018.)
+func (m *Membership) afterPause(now time.Time) {
+	if m.lastTick.IsZero() || now.Sub(m.lastTick) < m.cfg.Period {
+		return
+	}
+	pause := now.Sub(m.lastTick)
+	m.probes.abandon(now)
+	for name := range m.suspects {
+		e := m.table[name]
+		e.changed = e.changed.Add(pause)
+	}
+}
+
+// Receive handles a message. From is the sender as its connection's handshake
+// named it.
+func (m *Membership) Receive(now time.Time, from Member, msg Message) []Action {
+	if !m.observe(now, from) {
+		return m.flush()
+	}
+	switch msg := msg.(type) {
+	case *Ping:
+		m.applyAll(now, msg.Updates)
+		m.noteDigest(now, from, msg.Digest)
+		m.send(Send{To: from.Address, Reply: true, Message: m.ack(from.Name, msg.Seq)})
+	case *PingReq:
+		m.applyAll(now, msg.Updates)
+		m.relay(now, from, msg)
+	case *Ack:
+		m.applyAll(now, msg.Updates)
+		m.acknowledged(now, msg.Seq)
+		m.noteDigest(now, from, msg.Digest)
+	case *SyncRequest:
+		m.send(Send{To: from.Address, Reply: true, Message: m.page(msg.After)})
+	case *SyncAnswer:
+		m.applyPage(now, from, msg)
+	}
+	return m.flush()
+}
+
+// observe takes a message's sender as a sign of life. It returns false if the
+// message is to be ignored: it comes from a run that is over.
+func (m *Membership) observe(now time.Time, from Member) bool {
+	if from.Name == m.self.Name {
+		if from.Incarnation != m.self.Incarnation {
+			m.contradict(from)
+		}
+		return false
+	}
+	from.State, from.Refutation = Alive, 0
+	m.apply(now, from)
+	e := m.table[from.Name]
+	return e != nil && e.Incarnation == from.Incarnation
+}
+
+// Leave announces the planned departure of this instance. Its driver keeps
+// ticking and receiving until LeaveAcked is satisfied or its time is over.
+func (m *Membership) Leave(now time.Time) []Action {
+	if m.leaving {
+		return nil
+	}
+	m.leaving = true
+	m.self.State = Left
+	m.updates.put(m.self)
+	m.dirty = true
+	for _, e := range m.pick(m.cfg.LeaveFanout, "") {
+		seq := m.probes.nextSeq()
+		m.probes.leaves[seq] = struct{}{}
+		m.send(Send{To: e.Address, Message: m.ping(e, seq)})
+	}
+	return m.flush()
+}
+
+// LeaveAcked returns how many members have acknowledged the departure, and how
+// many were told directly.
+func (m *Membership) LeaveAcked() (acked, told int) {
+	return m.leftAcks, m.leftAcks + len(m.probes.leaves)
+}
+
+// send adds a message to the actions.
+func (m *Membership) send(s Send) { m.out = append(m.out, s) }
+
+// flush returns the actions, with the new view if something changed.
+func (m *Membership) flush() []Action {
+	if m.dirty {
+		m.rebuild()
+		m.out = append(m.out, Changed{View: m.view})
+	}
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// rebuild makes a new view and digest.
+func (m *Membership) rebuild() {
+	m.dirty = false
+	members := make([]Member, 0, len(m.table)+1)
+	members = append(members, m.self)
+	for _, e := range m.table {
+		members = append(members, e.Member)
+	}
+	version := uint64(1)
+	if m.view != nil {
+		version = m.view.Version + 1
+	}
+	m.view = newView(version, m.self.Name, members)
+	m.digest = digestOf(m.view.live)
+}
+
+// digestOf summarises a set of live members, whatever their order.
+func digestOf(live []Member) uint64 {
+	var sum uint64
+	for i := range live {
+		h := score(live[i].Name, live[i].Address)
+		sum ^= (h ^ live[i].Incarnation) * 0x9e3779b97f4a7c15
+	}
+	return sum
+}
+
+// logSize is the logarithm to the base 10 of the cluster's size, at least 1.
+func (m *Membership) logSize() float64 {
+	return max(1, math.Log10(float64(len(m.view.live)+1)))
+}
+
+// suspicion is how long a suspect has to refute.
+func (m *Membership) suspicion() time.Duration {
+	return time.Duration(float64(m.cfg.SuspicionPeriods) * m.logSize() * float64(m.cfg.Period))
+}
--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,436 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// bench runs several state machines in virtual time. Messages arrive in the
+// step in which they are sent unless drop says otherwise.
+type bench struct {
+	t      require.TestingT
+	now    time.Time
+	nodes  map[string]*Membership
+	frozen map[string]bool
+	drop   func(from, to string, fresh bool) bool
+	// check looks at each message.
+	check func(Message)
+	// accused holds the worst state of each member in any view, near the same
+	// in the views of its own data centre.
+	accused, near map[string]State
+}
+
+const maxMembers = 16
+
+// addresses are those of all members that a test can start.
+var addresses = func() (list [maxMembers]string) {
+	for i := range list {
+		list[i] = member(i).Address
+	}
+	return list
+}()
+
+func member(i int) Member {
+	return Member{
+		Name: fmt.Sprintf("i%03d", i), Address: fmt.Sprintf("10.0.0.%d:7", i),
+		CallerURL: "http://10.0.0.1:80", DataCentre: fmt.Sprint("dc", i%3), Incarnation: 1,
+	}
+}
+
+func newBench(t require.TestingT, n int, cfg Config) *bench {
+	b := &bench{
+		t: t, now: time.Unix(1000, 0), nodes: map[string]*Membership{}, frozen: map[string]bool{},
+		drop: func(string, string, bool) bool { return false }, accused: map[string]State{}, near: map[string]State{},
+	}
+	for i := range n {
+		b.start(cfg, member(i), member(0))
+	}
+	return b
+}
+
+// start runs a process at a member's address and names it a seed.
+func (b *bench) start(cfg Config, self, seed Member) *Membership {
+	m := New(cfg, self, rand.New(rand.NewPCG(self.Incarnation, uint64(len(self.Address)+len(b.nodes)))))
+	b.nodes[self.Address] = m
+	b.do(m, m.Seed(b.now, []Member{{Address: seed.Address}}))
+	return m
+}
+
+// do delivers what the actions ask for, until nothing is left to deliver.
+func (b *bench) do(from *Membership, actions []Action) {
+	for _, a := range actions {
+		if c, ok := a.(Changed); ok {
+			for _, x := range c.View.Members {
+				b.accused[x.Name] = max(b.accused[x.Name], x.State)
+				if x.DataCentre == from.self.DataCentre {
+					b.near[x.Name] = max(b.near[x.Name], x.State)
+				}
+			}
+		}
+		s, ok := a.(Send)
+		if !ok {
+			continue
+		}
+		if b.check != nil {
+			b.check(s.Message)
+		}
+		to := b.nodes[s.To]
+		if to == nil || b.frozen[s.To] || b.drop(from.self.Address, s.To, s.Fresh) {
+			continue
+		}
+		b.do(to, to.Receive(b.now, from.self, s.Message))
+	}
+}
+
+// run lets time pass in steps of a tenth of a second.
+func (b *bench) run(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(100 * time.Millisecond)
+		for _, address := range addresses {
+			if m := b.nodes[address]; m != nil && !b.frozen[address] {
+				b.do(m, m.Tick(b.now))
+			}
+		}
+	}
+}
+
+// agree requires that every running process sees just these names as live.
+func (b *bench) agree(want ...string) {
+	for _, m := range b.nodes {
+		require.ElementsMatch(b.t, want, names(m.view.live), "view of %s", m.self.Name)
+	}
+}
+
+func all(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = member(i).Name
+	}
+	return out
+}
+
+func TestFaults(t *testing.T) {
+	cut := func(a, c Member) func(string, string, bool) bool {
+		return func(from, to string, _ bool) bool {
+			return from == a.Address && to == c.Address || from == c.Address && to == a.Address
+		}
+	}
+	cases := []struct {
+		name  string
+		story string
+		run   func(t *testing.T, b *bench)
+	}{
+		{"join", "Seven instances know one seed. Each learns all others.",
+			func(t *testing.T, b *bench) { b.agree(all(8)...) }},
+		{"crash", "A process dies. All others give it up, and remember it for the retention only.",
+			func(t *testing.T, b *bench) {
+				delete(b.nodes, member(3).Address)
+				b.run(20 * time.Second)
+				b.agree(append(all(3), all(8)[4:]...)...)
+				b.run(20 * time.Minute)
+				require.Len(t, b.nodes[member(0).Address].Members(), 7)
+			}},
+		{"restart", "A process dies and is started anew at once at its address. " +
+			"Updates about the earlier run are still on their way; they must not take the new one out.",
+			func(t *testing.T, b *bench) {
+				delete(b.nodes, member(3).Address)
+				b.run(3 * time.Second)
+				again := member(3)
+				again.Incarnation = 2
+				b.start(Config{}, again, member(5))
+				b.run(20 * time.Second)
+				b.agree(all(8)...)
+				for _, m := range b.nodes {
+					x, _ := m.View().Find(again.Name)
+					require.Equal(t, uint64(2), x.Incarnation)
+					require.True(t, m.View().Gone(again.Name, 1))
+				}
+			}},
+		{"replaced", "Another instance gets the address of one that died. " +
+			"Calls to the old name must not reach the new process.",
+			func(t *testing.T, b *bench) {
+				next := member(3)
+				next.Name, next.Incarnation = "other", 9
+				b.start(Config{}, next, member(5))
+				b.run(2 * time.Second)
+				b.agree(append(append(all(3), all(8)[4:]...), "other")...)
+			}},
+		{"leave", "An instance leaves. Others drop it within a second or two, and a platform's " +
+			"list that still names it does not bring this run back.",
+			func(t *testing.T, b *bench) {
+				m := b.nodes[member(3).Address]
+				b.do(m, m.Leave(b.now))
+				acked, told := m.LeaveAcked()
+				require.Equal(t, told, acked)
+				require.Positive(t, told)
+				b.run(2 * time.Second)
+				delete(b.nodes, member(3).Address)
+				b.do(b.nodes[member(0).Address], b.nodes[member(0).Address].Seed(b.now, []Member{member(3)}))
+				for _, n := range b.nodes {
+					b.do(n, n.Receive(b.now, member(3), &Ping{}))
+				}
+				b.run(10 * time.Second)
+				b.agree(append(all(3), all(8)[4:]...)...)
+			}},
+		{"cut path", "Two instances lose the path between each other, both are well. " +
+			"Either would call the other dead; the paths through others must prevent it.",
+			func(t *testing.T, b *bench) {
+				b.drop = cut(member(1), member(2))
+				b.run(2 * time.Minute)
+				b.agree(all(8)...)
+				require.Equal(t, Alive, b.accused[member(1).Name])
+				require.Equal(t, Alive, b.accused[member(2).Name])
+			}},
+		{"one way cut", "An instance is not heard by half of the others, but hears all. " +
+			"Those who can reach it keep it alive for everyone.",
+			func(t *testing.T, b *bench) {
+				b.drop = func(from, to string, _ bool) bool {
+					return from == member(2).Address && to < member(4).Address
+				}
+				b.run(2 * time.Minute)
+				b.agree(all(8)...)
+				require.Less(t, b.accused[member(2).Name], Dead)
+			}},
+		{"silent connections", "Every open connection of an instance goes silent while new ones " +
+			"work. It must not even be suspected.",
+			func(t *testing.T, b *bench) {
+				b.drop = func(from, to string, fresh bool) bool { return !fresh && to == member(2).Address }
+				b.run(time.Minute)
+				require.Equal(t, Alive, b.accused[member(2).Name])
+			}},
+		{"paused", "A process is stopped for less than the others' suspicion lasts, then runs on. " +
+			"To it all others were silent; it must accuse none of them.",
+			func(t *testing.T, b *bench) {
+				m := b.nodes[member(2).Address]
+				b.drop = func(_, to string, _ bool) bool { return to == m.self.Address }
+				for m.probes.target == "" {
+					b.run(100 * time.Millisecond)
+				}
+				accused := member(5)
+				accused.State = Suspect
+				m.Receive(b.now, member(0), &Ping{Updates: []Member{accused}})
+				b.frozen[m.self.Address] = true
+				b.drop = func(string, string, bool) bool { return false }
+				b.run(6 * time.Second)
+				b.frozen[m.self.Address] = false
+				b.run(20 * time.Second)
+				b.agree(all(8)...)
+				for i := range 8 {
+					if i != 2 && i != 5 {
+						require.Equal(t, Alive, b.accused[member(i).Name], member(i).Name)
+					}
+				}
+				require.Less(t, b.accused[member(5).Name], Dead)
+			}},
+		{"false verdict", "One instance whose own paths are broken declares another dead and says so. " +
+			"Those to whom it is alive must let it refute.",
+			func(t *testing.T, b *bench) {
+				verdict := member(3)
+				verdict.State = Dead
+				m := b.nodes[member(1).Address]
+				b.do(m, m.Receive(b.now, member(2), &Ping{Updates: []Member{verdict}}))
+				b.run(10 * time.Second)
+				require.Equal(t, Suspect, b.accused[verdict.Name])
+				b.agree(all(8)...)
+			}},
+		{"exchange after a cut", "The first full exchange after a cut carries the other side's verdicts " +
+			"of death about all of this side. Nobody may be accused for it; the dead are asked and refute.",
+			func(t *testing.T, b *bench) {
+				var verdicts []Member
+				for i := 2; i < 8; i++ {
+					v := member(i)
+					v.State = Dead
+					verdicts = append(verdicts, v)
+				}
+				m := b.nodes[member(1).Address]
+				b.do(m, m.Receive(b.now, member(0), &SyncAnswer{Members: verdicts}))
+				b.run(10 * time.Second)
+				for _, v := range verdicts {
+					require.Equal(t, Alive, b.accused[v.Name])
+					require.Equal(t, uint32(1), b.nodes[v.Address].self.Refutation)
+				}
+			}},
+		{"parted", "One data centre loses the others for ten minutes. Each side gives the other up. " +
+			"When the cut heals, all see all again, and the first exchange kills nobody.",
+			func(t *testing.T, b *bench) {
+				side := func(a string) bool { return b.nodes[a].self.DataCentre == "dc0" }
+				b.drop = func(from, to string, _ bool) bool { return side(from) != side(to) }
+				b.run(10 * time.Minute)
+				require.Len(t, b.nodes[member(0).Address].View().Live(), 3)
+				require.Len(t, b.nodes[member(1).Address].View().Live(), 5)
+				b.drop = func(string, string, bool) bool { return false }
+				b.near = map[string]State{}
+				b.run(time.Minute)
+				for name, state := range b.near {
+					require.Equal(t, Alive, state, "%s was accused in its own data centre", name)
+				}
+				b.agree(all(8)...)
+			}},
+		{"forgotten", "A cut outlasts the retention, so that both sides forgot each other. " +
+			"The platform's list brings them together.",
+			func(t *testing.T, b *bench) {
+				alone := member(7).Address
+				b.drop = func(from, to string, _ bool) bool { return (from == alone) != (to == alone) }
+				b.run(20 * time.Minute)
+				require.Len(t, b.nodes[alone].Members(), 1)
+				b.drop = func(string, string, bool) bool { return false }
+				b.do(b.nodes[alone], b.nodes[alone].Seed(b.now, []Member{member(0), member(1)}))
+				b.run(time.Minute)
+				b.agree(all(8)...)
+			}},
+		{"superseded", "Two processes run under one name. The earlier one is told.",
+			func(t *testing.T, b *bench) {
+				m := b.nodes[member(2).Address]
+				later := member(2)
+				later.Incarnation = 5
+				require.Contains(t, m.Receive(b.now, member(1), &Ping{Updates: []Member{later}}), Superseded{By: later})
+			}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 8, Config{Retention: 15 * time.Minute})
+			b.run(10 * time.Second)
+			c.run(t, b)
+		})
+	}
+}
+
+// Messages are lost, processes die and are started anew in any order. In the
+// end all that run must see just each other, nobody who runs may be held dead,
+// no message may exceed its bounds, and what is remembered is bounded.
+func TestConvergesAfterRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := Config{MaxGone: 4}.withDefaults()
+		b := newBench(rt, 12, cfg)
+		seed := rapid.Uint64().Draw(rt, "seed")
+		rng := rand.New(rand.NewPCG(seed, 1))
+		loss := rapid.Float64Range(0, 0.3).Draw(rt, "loss")
+		b.drop = func(string, string, bool) bool { return rng.Float64() < loss }
+		b.check = func(m Message) {
+			var updates []Member
+			switch m := m.(type) {
+			case *Ping:
+				updates = m.Updates
+			case *Ack:
+				updates = m.Updates
+			}
+			require.LessOrEqual(rt, len(updates), cfg.MaxUpdates)
+		}
+		for step := range rapid.IntRange(1, 8).Draw(rt, "steps") {
+			b.run(time.Duration(rapid.IntRange(0, 100).Draw(rt, "tenths")) * 100 * time.Millisecond)
+			i := rapid.IntRange(1, 11).Draw(rt, "who")
+			if b.nodes[member(i).Address] != nil && rapid.Bool().Draw(rt, "dies") {
+				delete(b.nodes, member(i).Address)
+				continue
+			}
+			again := member(i)
+			again.Incarnation = uint64(step + 2)
+			b.start(cfg, again, member(0))
+		}
+		b.drop = func(string, string, bool) bool { return false }
+		b.run(2 * time.Minute)
+		var running []string
+		for _, m := range b.nodes {
+			running = append(running, m.self.Name)
+			require.LessOrEqual(rt, len(m.gone), cfg.MaxGone)
+			require.Empty(rt, m.probes.doubts)
+		}
+		b.agree(running...)
+	})
+}
+
+// Instances come and go for days. What is remembered of those that are gone
+// must not grow, and must not come back from others who still remember them.
+func TestRememberedMembersAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Config{MaxGone: 4, MaxMembers: 9}, member(0), rand.New(rand.NewPCG(1, 1)))
+	for i := 1; i < maxMembers; i++ {
+		x := member(i)
+		m.Receive(now, x, &Ping{})
+		if i < 8 {
+			x.State = Left
+			m.Receive(now, x, &Ping{Updates: []Member{x}})
+		}
+		m.Tick(now)
+		now = now.Add(time.Millisecond)
+	}
+	require.Len(t, m.Members(), 1+4+8, "self, the latest gone and the live ones")
+	gone := member(1)
+	gone.State = Dead
+	m.Receive(now, member(9), &SyncAnswer{Members: []Member{gone}})
+	require.Len(t, m.Members(), 1+4+8)
+}
+
+// Instances hear the same updates in different orders. If the order decided,
+// their views would differ for ever.
+func TestSupersedesIsATotalOrder(t *testing.T) {
+	gen := rapid.Custom(func(t *rapid.T) Member {
+		return Member{
+			Incarnation: rapid.Uint64Range(1, 2).Draw(t, "incarnation"),
+			Refutation:  rapid.Uint32Range(0, 2).Draw(t, "refutation"),
+			State:       State(rapid.IntRange(0, 3).Draw(t, "state")),
+		}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		a, b, c := gen.Draw(rt, "a"), gen.Draw(rt, "b"), gen.Draw(rt, "c")
+		require.False(rt, supersedes(a, b) && supersedes(b, a))
+		if supersedes(a, b) && supersedes(b, c) {
+			require.True(rt, supersedes(a, c))
+		}
+		if a.State == Left && b.Incarnation == a.Incarnation {
+			require.False(rt, supersedes(b, a), "left is final for an incarnation")
+		}
+	})
+}
+
+func TestOwners(t *testing.T) {
+	var members []Member
+	for i := range 9 {
+		members = append(members, member(i))
+	}
+	members[4].State = Dead
+	v := NewView(1, "i000", members)
+	moved := NewView(2, "i000", append(append([]Member{}, members[:2]...), members[3:]...))
+	homes := map[string]int{}
+	for k := range 900 {
+		key := fmt.Sprint("account", k)
+		owners := Owners(v, key, 3)
+		require.Len(t, owners, 3)
+		centres := map[string]bool{}
+		for _, o := range owners {
+			centres[o.DataCentre] = true
+			require.NotEqual(t, "i004", o.Name, "the dead own nothing")
+		}
+		require.Len(t, centres, 3)
+		if home := owners[0].Name; home != "i002" {
+			require.Equal(t, home, Owners(moved, key, 1)[0].Name, "only the keys of the one that went move")
+		}
+		homes[owners[0].Name]++
+	}
+	require.Len(t, homes, 8)
+	require.Len(t, Owners(v, "k", 99), 8)
+	require.Empty(t, Owners(v, "k", 0))
+}
+
+// In a large cluster each instance probes a bounded number of members, and
+// each is probed by someone, or its death would go unnoticed.
+func TestRingsBoundTheProbes(t *testing.T) {
+	var members []Member
+	for i := range 440 {
+		members = append(members, member(i))
+	}
+	probed := map[string]int{}
+	for _, m := range members {
+		v := NewView(1, m.Name, members)
+		for _, s := range Successors(v, 8) {
+			probed[s.Name]++
+		}
+		require.LessOrEqual(t, len(Neighbours(v, 8)), 16)
+	}
+	require.Len(t, probed, 440)
+}
--- /dev/null
+++ b/coordination/membership/rings.go
@@ -0,0 +1,77 @@
+package membership
+
+import "strconv"
+
+// Successors returns whom this instance probes: the member that follows it on
+// each ring, or everyone in a cluster with no more others than rings. Each ring
+// orders all members by a hash of its own, so that each member also follows
+// one other on each ring: it is probed about once a period, and connections
+// stay bounded however many members there are.
+func Successors(v *View, rings int) []Member {
+	return onRings(v, rings, func(own, other uint64) uint64 { return other - own })
+}
+
+// Neighbours returns the successors and those of whom this instance is a
+// successor. Two members whose views agree are neighbours of each other, and
+// have a connection already because one of them probes the other.
+func Neighbours(v *View, rings int) []Member {
+	if len(v.live) <= rings+1 {
+		return Successors(v, rings)
+	}
+	before := onRings(v, rings, func(own, other uint64) uint64 { return own - other })
+	all := Successors(v, rings)
+	seen := make(map[string]struct{}, len(all))
+	for _, m := range all {
+		seen[m.Name] = struct{}{}
+	}
+	for _, m := range before {
+		if _, ok := seen[m.Name]; !ok {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// onRings returns the nearest live member on each ring, without repeats.
+func onRings(v *View, rings int, distance func(own, other uint64) uint64) []Member {
+	if len(v.live) <= rings+1 {
+		return v.others("")
+	}
+	var out []Member
+	seen := make(map[string]struct{}, rings)
+	for ring := range rings {
+		m := v.nearest(strconv.Itoa(ring), distance)
+		if _, ok := seen[m.Name]; !ok {
+			seen[m.Name] = struct{}{}
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// nearest returns the other live member at the least distance on a ring.
+func (v *View) nearest(ring string, distance func(own, other uint64) uint64) Member {
+	own := score(v.Self, ring)
+	best, least := -1, uint64(0)
+	for i := range v.live {
+		if v.live[i].Name == v.Self {
+			continue
+		}
+		d := distance(own, score(v.live[i].Name, ring))
+		if best < 0 || d < least {
+			best, least = i, d
+		}
+	}
+	return v.live[best]
+}
+
+// others returns the live members but self and one more.
+func (v *View) others(except string) []Member {
+	out := make([]Member, 0, len(v.live))
+	for _, m := range v.live {
+		if m.Name != v.Self && m.Name != except {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/coordination/spread/messages.go
+++ b/coordination/spread/messages.go
@@ -36,12 +36,19 @@
 type Message interface{ spreadMessage() }
 
 // Push carries records to a peer.
-type Push struct{ Records []Record }
+type Push struct {
+	Records []Record
+	// Recovered marks records sent in answer to a Pull. They are old news to
+	// most instances, so the receiver does not spread them as rumours.
+	Recovered bool
+}
 
 // Pull asks a peer for what differs. With Bucket below zero it compares the
 // roots; otherwise it carries the leaf sums of one bucket.
 type Pull struct {
-	Root   uint64
+	Root uint64
+	// Newest is the highest revision that the sender holds.
+	Newest uint64
 	Bucket int
 	Leaves []uint64
 }
--- /dev/null
+++ b/coordination/spread/spread.go
@@ -0,0 +1,295 @@
+package spread
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Config holds the periods and bounds. Zero values take the defaults.
+type Config struct {
+	// Period is the time between two rounds of rumours.
+	Period time.Duration
+	// Fanout is the number of peers told in one round.
+	Fanout int
+	// ExtraCopies, added to the natural logarithm of the cluster's size, is
+	// how often an instance passes a record on.
+	ExtraCopies int
+	// PushBytesPerSecond bounds rumours, on average.
+	PushBytesPerSecond int
+	// MaxPush bounds the records of one message, in bytes; a larger record
+	// goes alone.
+	MaxPush int
+	// PullEvery is the time between two comparisons with a random peer.
+	PullEvery time.Duration
+	// RecoveryBytesPerSecond bounds, on average, what is sent to find and to
+	// fill differences. It is not used while instances agree.
+	RecoveryBytesPerSecond int
+	// LoadEvery is the time between two times that load digests are sent.
+	LoadEvery time.Duration
+	// LoadBytes bounds the digests sent each time.
+	LoadBytes int
+	// LoadTTL is the age at which a digest is dropped.
+	LoadTTL time.Duration
+	// MaxLoadBody bounds one digest's body, in bytes.
+	MaxLoadBody int
+	// MaxOrigins bounds the origins whose digests are kept.
+	MaxOrigins int
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		Period:                 100 * time.Millisecond,
+		Fanout:                 2,
+		ExtraCopies:            2,
+		PushBytesPerSecond:     2000,
+		MaxPush:                16 << 10,
+		PullEvery:              500 * time.Millisecond,
+		RecoveryBytesPerSecond: 64 << 10,
+		LoadEvery:              time.Second,
+		LoadBytes:              600,
+		LoadTTL:                15 * time.Second,
+		MaxLoadBody:            128,
+		MaxOrigins:             1024,
+	}
+}
+
+// withDefaults fills what is zero.
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	fill(&c.Period, d.Period)
+	fill(&c.Fanout, d.Fanout)
+	fill(&c.ExtraCopies, d.ExtraCopies)
+	fill(&c.PushBytesPerSecond, d.PushBytesPerSecond)
+	fill(&c.MaxPush, d.MaxPush)
+	fill(&c.PullEvery, d.PullEvery)
+	fill(&c.RecoveryBytesPerSecond, d.RecoveryBytesPerSecond)
+	fill(&c.LoadEvery, d.LoadEvery)
+	fill(&c.LoadBytes, d.LoadBytes)
+	fill(&c.LoadTTL, d.LoadTTL)
+	fill(&c.MaxLoadBody, d.MaxLoadBody)
+	fill(&c.MaxOrigins, d.MaxOrigins)
+	return c
+}
+
+// fill sets a value that is zero.
+func fill[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+const (
+	// maxRumours bounds the records that are being passed on; the others are
+	// found by comparison.
+	maxRumours = 1024
+	// burstSeconds is how many seconds' worth of a budget may be spent at once.
+	burstSeconds = 4
+)
+
+// Spread is the state machine of one instance.
+type Spread struct {
+	cfg      Config
+	rng      *rand.Rand
+	source   Source
+	rumours  map[recordKey]*rumour
+	order    uint64
+	push     budget
+	recovery budget
+	loads    loadTable
+	nextPush time.Time
+	nextPull time.Time
+	nextLoad time.Time
+	out      []Action
+}
+
+// rumour is a record that is being passed on.
+type rumour struct {
+	record Record
+	copies int
+	order  uint64
+}
+
+// New returns the state machine of an instance that holds source.
+func New(cfg Config, source Source, rng *rand.Rand) *Spread {
+	cfg = cfg.withDefaults()
+	return &Spread{
+		cfg:      cfg,
+		rng:      rng,
+		source:   source,
+		rumours:  make(map[recordKey]*rumour),
+		push:     budget{rate: float64(cfg.PushBytesPerSecond)},
+		recovery: budget{rate: float64(cfg.RecoveryBytesPerSecond)},
+		loads:    newLoadTable(),
+	}
+}
+
+// Put takes over a record that this instance learned elsewhere, from the
+// store's watch for one, and spreads it. It returns an Accepted if it is news.
+func (s *Spread) Put(r Record) []Action {
+	s.accept(r, true)
+	return s.flush()
+}
+
+// Tick does what is due. Peers are the addresses of the neighbours, all others
+// in a small cluster; size is the number of live instances, this one included.
+func (s *Spread) Tick(now time.Time, peers []string, size int) []Action {
+	s.push.refill(now)
+	s.recovery.refill(now)
+	s.loads.expire(now, s.cfg.LoadTTL)
+	if len(peers) == 0 {
+		return s.flush()
+	}
+	if due(now, &s.nextPush, s.cfg.Period) {
+		s.pushRumours(peers, size)
+	}
+	if due(now, &s.nextPull, s.cfg.PullEvery) {
+		s.send(peers[s.rng.IntN(len(peers))], s.comparison())
+	}
+	if due(now, &s.nextLoad, s.cfg.LoadEvery) {
+		s.sendLoads(now, peers, size)
+	}
+	return s.flush()
+}
+
+// due tells whether a periodic act is due and sets the time of the next.
+func due(now time.Time, next *time.Time, every time.Duration) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(every)
+	return true
+}
+
+// Receive handles a message that came from an address.
+func (s *Spread) Receive(now time.Time, from string, msg Message) []Action {
+	s.recovery.refill(now)
+	switch msg := msg.(type) {
+	case *Push:
+		for _, r := range msg.Records {
+			s.accept(r, !msg.Recovered)
+		}
+	case *Pull:
+		s.answerPull(from, msg)
+	case *PullAnswer:
+		s.compare(from, msg)
+	case *Loads:
+		for _, d := range msg.Digests {
+			s.loads.put(now, d, &s.cfg)
+		}
+	}
+	return s.flush()
+}
+
+// accept takes a record over if it is news.
+func (s *Spread) accept(r Record, spread bool) {
+	if !s.source.Apply(r) {
+		return
+	}
+	s.out = append(s.out, Accepted{Record: r})
+	key := recordKey{r.Kind, r.Name}
+	if !spread {
+		// The rumour of the older revision, if there is one, is obsolete.
+		delete(s.rumours, key)
+		return
+	}
+	if _, ok := s.rumours[key]; !ok && len(s.rumours) >= maxRumours {
+		return
+	}
+	s.order++
+	s.rumours[key] = &rumour{record: r, order: s.order}
+}
+
+// pushRumours tells a few random peers the records not yet passed on often
+// enough.
+func (s *Spread) pushRumours(peers []string, size int) {
+	if len(s.rumours) == 0 {
+		return
+	}
+	copies := int(math.Ceil(math.Log(float64(size)))) + s.cfg.ExtraCopies
+	for _, to := range s.pick(peers, s.cfg.Fanout) {
+		if !s.push.open() {
+			return
+		}
+		if records := s.batch(copies); len(records) > 0 {
+			s.send(to, &Push{Records: records})
+		}
+	}
+}
+
+// batch returns the records for one message, the least often sent first.
+func (s *Spread) batch(copies int) []Record {
+	list := make([]*rumour, 0, len(s.rumours))
+	for _, r := range s.rumours {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *rumour) int {
+		return cmp.Or(cmp.Compare(a.copies, b.copies), cmp.Compare(a.order, b.order))
+	})
+	var out []Record
+	size := 0
+	for _, r := range list {
+		n := recordSize(r.record)
+		if len(out) > 0 && size+n > s.cfg.MaxPush || !s.push.open() {
+			break
+		}
+		size += n
+		s.push.spend(n)
+		out = append(out, r.record)
+		r.copies++
+		if r.copies >= copies {
+			delete(s.rumours, recordKey{r.record.Kind, r.record.Name})
+		}
+	}
+	return out
+}
+
+// pick returns n different random peers.
+func (s *Spread) pick(peers []string, n int) []string {
+	n = min(n, len(peers))
+	chosen := make([]string, 0, n)
+	for len(chosen) < n {
+		p := peers[s.rng.IntN(len(peers))]
+		if !slices.Contains(chosen, p) {
+			chosen = append(chosen, p)
+		}
+	}
+	return chosen
+}
+
+// send adds a message to the actions.
+func (s *Spread) send(to string, m Message) {
+	s.out = append(s.out, Send{To: to, Message: m})
+}
+
+// flush returns the actions.
+func (s *Spread) flush() []Action {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// budget is a rate of bytes. One message may overdraw it, so that a record
+// larger than the burst can pass; the debt is waited off.
+type budget struct {
+	rate   float64
+	tokens float64
+	last   time.Time
+}
+
+// refill adds what the time since the last call allows.
+func (b *budget) refill(now time.Time) {
+	if b.last.IsZero() {
+		b.tokens = b.rate * burstSeconds
+	} else if elapsed := now.Sub(b.last); elapsed > 0 {
+		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), b.rate*burstSeconds)
+	}
+	b.last = now
+}
+
+func (b *budget) open() bool  { return b.tokens > 0 }
+func (b *budget) spend(n int) { b.tokens -= float64(n) }
--- /dev/null
+++ b/coordination/spread/spread_test.go
@@ -0,0 +1,326 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+)
+
+// bench runs n state machines in virtual time; a message arrives in the next
+// round, or is lost.
+type bench struct {
+	now   time.Time
+	rng   *rand.Rand
+	loss  float64
+	nodes []*Spread
+	peers [][]string
+	index map[string]int
+	queue []delivery
+	// bytes is an estimate of what was sent, by kind of message.
+	rumour, idle, load int
+	down               map[int]bool
+}
+
+type delivery struct {
+	from, to int
+	msg      Message
+}
+
+func newBench(n int, loss float64, cfg Config) *bench {
+	b := &bench{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(7, uint64(n))), loss: loss, index: map[string]int{}, down: map[int]bool{}}
+	members := make([]membership.Member, n)
+	for i := range members {
+		members[i] = membership.Member{Name: fmt.Sprint("i", i), Address: fmt.Sprint("a", i)}
+		b.index[members[i].Address] = i
+	}
+	for i := range members {
+		view := membership.NewView(1, members[i].Name, members)
+		var peers []string
+		for _, m := range membership.Neighbours(view, 8) {
+			peers = append(peers, m.Address)
+		}
+		b.peers = append(b.peers, peers)
+		b.nodes = append(b.nodes, New(cfg, NewTable(100), rand.New(rand.NewPCG(uint64(i), 3))))
+	}
+	return b
+}
+
+func (b *bench) do(from int, actions []Action) {
+	for _, a := range actions {
+		s, ok := a.(Send)
+		if !ok {
+			continue
+		}
+		switch m := s.Message.(type) {
+		case *Push:
+			for _, r := range m.Records {
+				b.rumour += recordSize(r)
+			}
+		case *Loads:
+			for _, d := range m.Digests {
+				b.load += loadOverhead + len(d.Origin) + len(d.Body)
+			}
+		case *Pull:
+			b.idle += pullSize + sumSize*len(m.Leaves)
+		case *PullAnswer:
+			b.idle += 4 + sumSize*len(m.Buckets)
+		}
+		if to := b.index[s.To]; b.rng.Float64() >= b.loss && !b.down[to] && !b.down[from] {
+			b.queue = append(b.queue, delivery{from, to, s.Message})
+		}
+	}
+}
+
+// round delivers what is queued and lets a tenth of a second pass.
+func (b *bench) round() {
+	b.now = b.now.Add(100 * time.Millisecond)
+	queue := b.queue
+	b.queue = nil
+	for _, d := range queue {
+		b.do(d.to, b.nodes[d.to].Receive(b.now, fmt.Sprint("a", d.from), d.msg))
+	}
+	for i, n := range b.nodes {
+		b.do(i, n.Tick(b.now, b.peers[i], len(b.nodes)))
+	}
+}
+
+// holders counts the instances that hold a revision or a later one.
+func (b *bench) holders(name string, revision uint64) int {
+	count := 0
+	for _, n := range b.nodes {
+		if r, ok := n.source.(*Table).Get("k", name); ok && r.Revision >= revision {
+			count++
+		}
+	}
+	return count
+}
+
+// roundsToAll runs until everyone holds the record.
+func (b *bench) roundsToAll(name string, revision uint64, limit int) int {
+	for r := range limit {
+		if b.holders(name, revision) == len(b.nodes) {
+			return r
+		}
+		b.round()
+	}
+	return limit
+}
+
+func record(name string, revision uint64, size int) Record {
+	return Record{Kind: "k", Name: name, Revision: revision, Body: make([]byte, size)}
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name, story string
+		run         func(t *testing.T, b *bench)
+	}{
+		{"old store", "The store answers from the past and the old record is put again. " +
+			"No instance may go back to it.",
+			func(t *testing.T, b *bench) {
+				b.do(0, b.nodes[0].Put(record("r", 9, 10)))
+				require.Less(t, b.roundsToAll("r", 9, 100), 100)
+				require.Empty(t, b.nodes[3].Put(record("r", 8, 20)))
+				for _, n := range b.nodes {
+					require.Empty(t, n.Receive(b.now, "a1", &Push{Records: []Record{record("r", 9, 30), record("r", 2, 0)}}))
+				}
+				require.Equal(t, 8, b.holders("r", 9))
+			}},
+		{"missed", "An instance is cut off while a record is spread and comes back when all " +
+			"rumours have died. The comparison brings it the record.",
+			func(t *testing.T, b *bench) {
+				b.down[5] = true
+				b.do(0, b.nodes[0].Put(record("r", 1, 10)))
+				for range 100 {
+					b.round()
+				}
+				require.Equal(t, 7, b.holders("r", 1))
+				for i, n := range b.nodes {
+					require.Empty(t, n.rumours, i)
+				}
+				b.down = map[int]bool{}
+				require.Less(t, b.roundsToAll("r", 1, 100), 100)
+			}},
+		{"born in an outage", "An instance starts while the store is down. It gets all records " +
+			"from its peers.",
+			func(t *testing.T, b *bench) {
+				for i := range 3000 {
+					for _, n := range b.nodes[1:] {
+						n.source.Apply(record(fmt.Sprint("r", i), 5, 100))
+					}
+				}
+				for range 300 {
+					b.round()
+				}
+				require.Equal(t, 3000, b.nodes[0].source.(*Table).Len())
+			}},
+		{"deleted", "A record is deleted and an instance that was cut off still has it. " +
+			"The deletion wins.",
+			func(t *testing.T, b *bench) {
+				b.do(0, b.nodes[0].Put(record("r", 1, 10)))
+				b.roundsToAll("r", 1, 100)
+				b.down[5] = true
+				b.do(0, b.nodes[0].Put(Record{Kind: "k", Name: "r", Revision: 2, Deleted: true}))
+				for range 50 {
+					b.round()
+				}
+				b.down = map[int]bool{}
+				require.Less(t, b.roundsToAll("r", 2, 100), 100)
+			}},
+		{"load digests", "Instances report load and one dies. All have all digests soon, and the " +
+			"dead one's is dropped.",
+			func(t *testing.T, b *bench) {
+				report := func(rounds int) {
+					for range rounds {
+						for i, n := range b.nodes {
+							if !b.down[i] {
+								n.SetLoad(b.now, LoadDigest{Origin: fmt.Sprint("i", i), Incarnation: 1, Seq: uint64(b.now.UnixNano()), Body: make([]byte, 40)})
+							}
+						}
+						b.round()
+					}
+				}
+				report(100)
+				for _, n := range b.nodes {
+					require.Len(t, n.Loads(b.now), 8)
+				}
+				b.down[5] = true
+				report(200)
+				require.NotContains(t, fmt.Sprint(b.nodes[0].Loads(b.now)), "i5")
+				require.Len(t, b.nodes[0].Loads(b.now), 7)
+				require.Len(t, b.nodes[0].loads.byOrigin, 7)
+			}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(t, newBench(8, 0.1, Config{})) })
+	}
+}
+
+// A digest waits at each instance that relays it. If it did not grow older
+// there, an old load would be taken for a present one and attract requests.
+func TestRelayedDigestsAge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Config{}, NewTable(1), rand.New(rand.NewPCG(1, 1)))
+	s.Receive(now, "a1", &Loads{Digests: []LoadDigest{{Origin: "x", Incarnation: 1, Seq: 1, AgeMillis: 1000}}})
+	var relayed []LoadDigest
+	for _, a := range s.Tick(now.Add(5*time.Second), []string{"a2"}, 50) {
+		if send, ok := a.(Send); ok {
+			if m, ok := send.Message.(*Loads); ok {
+				relayed = m.Digests
+			}
+		}
+	}
+	require.Len(t, relayed, 1)
+	require.Equal(t, uint32(6000), relayed[0].AgeMillis)
+}
+
+// A flood of changes must not raise the traffic of an instance above its
+// budgets, however many peers ask and push.
+func TestBytesAreBounded(t *testing.T) {
+	cfg := Config{PushBytesPerSecond: 1000, RecoveryBytesPerSecond: 4000}.withDefaults()
+	b := newBench(8, 0, cfg)
+	const seconds = 60
+	for i := range seconds * 10 {
+		b.do(i%8, b.nodes[i%8].Put(record(fmt.Sprint("r", i), 1, 500)))
+		b.round()
+	}
+	allowed := 8 * (seconds + burstSeconds) * (cfg.PushBytesPerSecond + cfg.RecoveryBytesPerSecond)
+	overdraw := 8 * 2 * cfg.MaxPush
+	require.Less(t, b.rumour, allowed+overdraw)
+	require.LessOrEqual(t, b.load, 8*seconds*cfg.LoadBytes)
+	require.LessOrEqual(t, b.idle, allowed)
+}
+
+// Whatever is applied in whatever order, the highest revision stays, sums match
+// a table built afresh, and tombstones are bounded.
+func TestTableOnlyGrows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table, fresh := NewTable(3), NewTable(3)
+		held := map[string]uint64{}
+		for range rapid.IntRange(1, 60).Draw(rt, "n") {
+			r := record(fmt.Sprint("r", rapid.IntRange(0, 9).Draw(rt, "name")), rapid.Uint64Range(1, 20).Draw(rt, "revision"), 1)
+			r.Deleted = rapid.Bool().Draw(rt, "deleted")
+			before, had := table.Get("k", r.Name)
+			if table.Apply(r) {
+				require.True(rt, !had || r.Revision > before.Revision)
+				held[r.Name] = r.Revision
+			}
+			require.LessOrEqual(rt, table.tombstones, 3)
+		}
+		for name, revision := range held {
+			if r, ok := table.Get("k", name); ok {
+				require.Equal(rt, revision, r.Revision)
+				fresh.Apply(r)
+			}
+		}
+		require.Equal(rt, fresh.Digest(), table.Digest())
+	})
+}
+
+// BenchmarkRoundsToAll prints, for each size and loss, the rounds of 100 ms
+// until a record is held by all, and the bytes an instance sends for it and
+// each second for comparisons and load digests.
+func BenchmarkRoundsToAll(b *testing.B) {
+	for _, n := range []int{8, 64, 440} {
+		for _, loss := range []float64{0, 0.2} {
+			b.Run(fmt.Sprintf("n=%d/loss=%g", n, loss), func(b *testing.B) {
+				const samples = 20
+				for b.Loop() {
+					s := newBench(n, loss, Config{})
+					var rounds []int
+					total := 0
+					for i := range samples {
+						name := fmt.Sprint("r", i)
+						s.do(i%n, s.nodes[i%n].Put(record(name, 1, 300)))
+						rounds = append(rounds, s.roundsToAll(name, 1, 1000))
+						for range 30 {
+							s.round()
+						}
+						total += rounds[i] + 30
+					}
+					slices.Sort(rounds)
+					seconds := float64(total) / 10
+					b.ReportMetric(float64(rounds[samples/2]), "rounds-p50")
+					b.ReportMetric(float64(rounds[samples-1]), "rounds-max")
+					b.ReportMetric(float64(s.rumour)/float64(n*samples), "B/node/record")
+					b.ReportMetric(float64(s.idle)/float64(n)/seconds, "compare-B/node/s")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkLoadAge prints the age of the load digests that an instance holds,
+// and for how many of the others it holds one.
+func BenchmarkLoadAge(b *testing.B) {
+	for _, n := range []int{8, 64, 440} {
+		b.Run(fmt.Sprint("n=", n), func(b *testing.B) {
+			for b.Loop() {
+				s := newBench(n, 0, Config{})
+				for range 300 {
+					for i, node := range s.nodes {
+						node.SetLoad(s.now, LoadDigest{Origin: fmt.Sprint("i", i), Incarnation: 1, Seq: uint64(s.now.UnixNano()), Body: make([]byte, 40)})
+					}
+					s.round()
+				}
+				known, age := 0, time.Duration(0)
+				for _, node := range s.nodes {
+					for _, l := range node.Loads(s.now) {
+						known++
+						age += l.Age
+					}
+				}
+				b.ReportMetric(100*float64(known)/float64(n*n), "known-%")
+				b.ReportMetric(age.Seconds()/float64(known), "mean-age-s")
+				b.ReportMetric(float64(s.load)/float64(n)/30, "B/node/s")
+			}
+		})
+	}
+}
