--- a/protocol/record/file.go
+++ b/protocol/record/file.go
@@ -55,14 +55,14 @@
 
 func readDocument(list *faultList, v value, index int) Document {
 	o := newObject(list, fmt.Sprintf("records[%d]", index), v)
-	doc := Document{Line: lineOf(list.text, v.offset)}
+	doc := Document{Line: list.line(v.offset)}
 	doc.Kind = catalog.RecordKind(o.oneOf("kind", platformapi.RecordKinds...))
 	if metadata, ok := o.get("metadata", valueObject, true); ok {
 		doc.Object.Metadata = readMetadata(newObject(list, o.field("metadata"), metadata))
 	}
 	if spec, ok := o.get("spec", valueObject, true); ok {
 		doc.Object.Spec = json.RawMessage(list.text[spec.offset:spec.end])
-		doc.SpecLine = lineOf(list.text, spec.offset)
+		doc.SpecLine = list.line(spec.offset)
 	}
 	// The status belongs to the system; a file made from an answer may hold it.
 	o.read["status"] = true
--- a/protocol/record/object.go
+++ b/protocol/record/object.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,17 +18,43 @@
 	modelPattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._/-]*[A-Za-z0-9])?$`)
 )
 
+// maxFaults bounds the faults that are gathered of one text: a text of some
+// megabytes that holds no records at all would else give a million.
+const maxFaults = 1000
+
 // faultList gathers the faults of one text.
 type faultList struct {
 	text   []byte
 	faults Faults
+	// lineStarts are the offsets at which lines start, found on first use.
+	lineStarts []int
 }
 
 func (l *faultList) add(offset int, field, format string, args ...any) {
-	fault := Fault{Field: field, Line: lineOf(l.text, offset), Reason: fmt.Sprintf(format, args...)}
+	if len(l.faults) == maxFaults {
+		return
+	}
+	fault := Fault{Field: field, Line: l.line(offset), Reason: fmt.Sprintf(format, args...)}
 	l.faults = append(l.faults, fault)
 }
 
+// line finds the line, from 1, on which an offset lies.
+func (l *faultList) line(offset int) int {
+	if l.lineStarts == nil {
+		l.lineStarts = []int{0}
+		for i, c := range l.text {
+			if c == '\n' {
+				l.lineStarts = append(l.lineStarts, i+1)
+			}
+		}
+	}
+	at, found := slices.BinarySearch(l.lineStarts, offset)
+	if found {
+		return at + 1
+	}
+	return at
+}
+
 // object reads the members of a JSON object by name. Each read of a member
 // reports what is wrong with it; finish reports the members nobody read.
 type object struct {
