--- a/emulator/target/options.go
+++ b/emulator/target/options.go
@@ -93,7 +93,10 @@
 		o.After = time.After
 	}
 	if o.Peers == nil {
-		o.Peers = &http.Client{Timeout: kvFetchTimeout}
+		o.Peers = &http.Client{
+			Timeout:   kvFetchTimeout,
+			Transport: &http.Transport{DisableKeepAlives: true},
+		}
 	}
 	return o
 }
--- a/emulator/target/target_test.go
+++ b/emulator/target/target_test.go
@@ -87,6 +87,8 @@
 	prefix := targetapi.RunRequest{Prefix: []targetapi.Part{{ID: "a", Tokens: 600}, {ID: "b", Tokens: 300}}}
 	bubble(t, engine, func(t *testing.T, target *Target) {
 		require.Equal(t, 200*time.Millisecond, run(t.Context(), target, "1", tokens10).took)
+		resumed := targetapi.RunRequest{Stage: "s", MaxTokens: 10, ResumeFrom: 7}
+		require.Equal(t, 137*time.Millisecond, run(t.Context(), target, "resumed", resumed).took, "7 tokens read, 3 generated")
 		first, second := later(t, target, "2", tokens10), later(t, target, "3", tokens10)
 		require.Equal(t, 250*time.Millisecond, (<-first).took, "a batch of two")
 		require.Equal(t, 250*time.Millisecond, (<-second).took)
@@ -253,13 +255,18 @@
 	options := Options{ChecksFencing: true, LoadTime: time.Second, Models: []string{}}
 	bubble(t, options, func(t *testing.T, target *Target) {
 		give := func(order targetapi.Order) int {
-			return call(t.Context(), target, http.MethodPost, targetapi.PathOrders, order).Code
+			got := call(t.Context(), target, http.MethodPost, targetapi.PathOrders, order)
+			if order.Fencing == 0 {
+				require.Zero(t, got.took, "an old order is refused before its load begins")
+			}
+			return got.Code
 		}
 		old := make(chan int, 1)
 		go func() { old <- give(targetapi.Order{Fencing: 1, Action: targetapi.ActionSetRole, Value: "prefill"}) }()
 		<-time.After(time.Second / 2)
 		require.Equal(t, http.StatusOK, give(targetapi.Order{Fencing: 2, Action: targetapi.ActionSetRole, Value: "decode"}))
 		require.Equal(t, http.StatusConflict, <-old)
+		require.Equal(t, http.StatusConflict, give(targetapi.Order{Action: targetapi.ActionSetRole}))
 		require.Equal(t, http.StatusNotFound, run(t.Context(), target, "x", targetapi.RunRequest{Model: "m"}).Code)
 		require.Equal(t, http.StatusOK, give(targetapi.Order{Fencing: 2, Action: targetapi.ActionLoadModel, Value: "m"}))
 		require.Equal(t, http.StatusOK, run(t.Context(), target, "x", targetapi.RunRequest{Model: "m"}).Code)
--- a/transport/target/contract_test.go
+++ b/transport/target/contract_test.go
@@ -251,6 +251,7 @@
 		"done with another text":      {200, token(0, "t") + done("a-x", "u", 1), failing(target.Unknown, target.ReasonGarbled), true, true},
 		"done counts more tokens":     {200, token(0, "t") + done("a-x", "t", 2), failing(target.Unknown, target.ReasonGarbled), true, true},
 		"endless line":                {200, strings.Repeat("x", target.DefaultMaxBody+1), failing(target.Unknown, target.ReasonTooLarge), true, true},
+		"stream as plain text":        {200, token(0, "t") + done("a-x", "t", 1), failing(target.Unknown, target.ReasonGarbled), true, true},
 		"error event":                 {200, "event: error\ndata: {\"error\":\"x\"}\n\n", failing(target.Failed, target.ReasonFailed), true, true},
 		"whole, events after it":      {200, token(0, "t") + done("a-x", "t", 1) + token(1, "u"), answered, true, true},
 		"whole, unknown events in it": {200, "event: news\ndata: 1\n\n" + token(0, "t") + done("a-x", "t", 1), answered, true, true},
@@ -266,7 +267,7 @@
 				if c.echoed {
 					echo(w)
 				}
-				if c.stream {
+				if c.stream && name != "stream as plain text" {
 					w.Header().Set("Content-Type", "text/event-stream")
 				}
 				if c.status != http.StatusOK {
