--- /dev/null
+++ b/coordination/deadline/deadline_test.go
@@ -0,0 +1,236 @@
+package deadline
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// A request whose shares add up to more than its deadline is late although
+// every stage kept its share.
+func TestPlanKeepsDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := rapid.Int64Range(1, 2000)
+		draw := func(name string) time.Duration { return time.Duration(ms.Draw(t, name)) * time.Millisecond }
+		var stages []Remaining
+		for i := range rapid.IntRange(1, 6).Draw(t, "stages") {
+			p50 := draw("p50")
+			r := Remaining{Stage: i + 1, P50: p50, P95: p50 + draw("tail"), Wait: draw("wait")}
+			for j := range i + 1 {
+				if rapid.Bool().Draw(t, "after") {
+					r.After = append(r.After, j) // 0 has finished already
+				}
+			}
+			stages = append(stages, r)
+		}
+		left := draw("left")
+		shares := Plan(epoch, epoch.Add(left), stages)
+		used := time.Duration(0)
+		for i, s := range shares {
+			require.Equal(t, stages[i].Stage, s.Stage)
+			require.Positive(t, s.Budget)
+			used = max(used, s.Due.Sub(epoch))
+			forEachPredecessor(stages, i, func(j int) {
+				require.False(t, s.Due.Add(-s.Budget).Before(shares[j].Due), "starts when its inputs are there")
+			})
+		}
+		require.InDelta(t, float64(left), float64(used), float64(len(stages)), "the critical path gets all that is left")
+	})
+}
+
+func TestPlanFollowsProgress(t *testing.T) {
+	const ms = time.Millisecond
+	chain := func(from int, p95s ...time.Duration) (out []Remaining) {
+		for i, p95 := range p95s {
+			out = append(out, Remaining{Stage: from + i, After: []int{from + i - 1}, P50: p95 / 2, P95: p95})
+		}
+		return out
+	}
+	due := epoch.Add(1000 * ms)
+	tests := map[string]struct {
+		now    time.Time
+		stages []Remaining
+		want   []time.Duration
+	}{
+		"in proportion":          {epoch, chain(0, 100*ms, 300*ms, 100*ms), []time.Duration{200 * ms, 600 * ms, 200 * ms}},
+		"a slow stage takes off": {epoch.Add(600 * ms), chain(1, 300*ms, 100*ms), []time.Duration{300 * ms, 100 * ms}},
+		"a fast stage leaves":    {epoch.Add(100 * ms), chain(1, 300*ms, 100*ms), []time.Duration{675 * ms, 225 * ms}},
+		"nothing is left":        {due.Add(ms), chain(2, 100*ms), []time.Duration{0}},
+		"what has run counts":    {epoch, []Remaining{{Stage: 0, P50: 100 * ms, P95: 300 * ms, Elapsed: 200 * ms}, {Stage: 1, After: []int{0}, P50: 100 * ms, P95: 300 * ms}}, []time.Duration{250 * ms, 750 * ms}},
+		"slack beside the path":  {epoch, []Remaining{{Stage: 0, P50: 1, P95: 100 * ms}, {Stage: 1, P50: 1, P95: 400 * ms}, {Stage: 2, After: []int{0, 1}, P50: 1, P95: 100 * ms}}, []time.Duration{500 * ms, 800 * ms, 200 * ms}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for i, s := range Plan(tt.now, due, tt.stages) {
+				require.InDelta(t, float64(tt.want[i]), float64(s.Budget), 10, "stage %d", i)
+			}
+		})
+	}
+}
+
+// Work that is started although it has no hope takes a slot from work that has.
+func TestLatestStart(t *testing.T) {
+	const ms = time.Millisecond
+	stages := []Remaining{{Stage: 0, P50: 100 * ms, P95: 200 * ms}}
+	due := epoch.Add(1000 * ms)
+	require.WithinDuration(t, due.Add(-200*ms), LatestStart(epoch, due, stages), ms)
+	tight := due.Add(-120 * ms)
+	require.Equal(t, tight, LatestStart(tight, due, stages), "no queue, some hope: at once or not at all")
+	hopeless := due.Add(-10 * ms)
+	require.True(t, LatestStart(hopeless, due, stages).Before(hopeless))
+	ok, _ := CanMake(hopeless, due, stages)
+	require.False(t, ok)
+	stages[0].Wait = 100 * ms
+	require.WithinDuration(t, due.Add(-200*ms), LatestStart(epoch, due, stages), ms, "waiting is not part of the work")
+}
+
+// A confidence that is wrong by much refuses what would have made it, or starts
+// what will not.
+func TestConfidenceIsCalibrated(t *testing.T) {
+	const trials = 20_000
+	rng := rand.New(rand.NewPCG(1, 2))
+	stages := []Remaining{
+		{Stage: 0, P50: 10 * time.Millisecond, P95: 20 * time.Millisecond},
+		{Stage: 1, After: []int{0}, P50: 40 * time.Millisecond, P95: 200 * time.Millisecond},
+		{Stage: 2, After: []int{0}, P50: 20 * time.Millisecond, P95: 25 * time.Millisecond},
+		{Stage: 3, After: []int{1, 2}, P50: 300 * time.Millisecond, P95: 500 * time.Millisecond, Wait: 50 * time.Millisecond},
+	}
+	draw := func(r Remaining) float64 {
+		sigma := math.Log(float64(r.P95)/float64(r.P50)) / z95
+		return float64(r.P50)*math.Exp(sigma*rng.NormFloat64()) + float64(r.Wait)
+	}
+	for _, left := range []time.Duration{300, 400, 450, 500, 600, 800} {
+		left *= time.Millisecond
+		made := 0
+		for range trials {
+			first := draw(stages[0])
+			whole := first + max(draw(stages[1]), draw(stages[2])) + draw(stages[3])
+			if whole <= float64(left) {
+				made++
+			}
+		}
+		measured, said := float64(made)/trials, Confidence(left, stages)
+		t.Logf("%v left: said %.3f, measured %.3f", left, said, measured)
+		require.InDelta(t, measured, said, 0.05)
+	}
+}
+
+func TestTimesLearn(t *testing.T) {
+	const expected, real = 100 * time.Millisecond, 30 * time.Millisecond
+	key := StageKey{Stage: "encode", Size: SizeBucket(500)}
+	rng := rand.New(rand.NewPCG(1, 2))
+	sample := func(median time.Duration) time.Duration {
+		return time.Duration(float64(median) * math.Exp(0.5*rng.NormFloat64()))
+	}
+	feed := func(times *Times, from time.Time, n int, every, median time.Duration) time.Time {
+		for range n {
+			from = from.Add(every)
+			times.Observe(from, key, expected, sample(median))
+		}
+		return from
+	}
+	near := func(want, got time.Duration, tolerance float64) {
+		t.Helper()
+		require.InEpsilon(t, float64(want), float64(got), tolerance)
+	}
+	times := NewTimes(Config{})
+	p50, p95 := times.Estimate(key, expected)
+	near(expected, p50, 0.01)
+	near(150*time.Millisecond, p95, 0.01)
+
+	now := feed(times, epoch, 2000, 10*time.Millisecond, real)
+	p50, p95 = times.Estimate(key, expected)
+	near(real, p50, 0.15)
+	near(time.Duration(float64(real)*math.Exp(0.5*z95)), p95, 0.2)
+	near(time.Duration(float64(real)*math.Exp(0.5*2.326)), times.Quantile(key, expected, 0.99), 0.25)
+
+	now = feed(times, now, 2000, 10*time.Millisecond, 4*real)
+	p50, _ = times.Estimate(key, expected)
+	near(4*real, p50, 0.2)
+
+	// Once an hour: the distribution stays one, of the last dozens.
+	now = feed(times, now, 200, time.Hour, real)
+	p50, p95 = times.Estimate(key, expected)
+	near(real, p50, 0.5)
+	require.Greater(t, p95, p50*5/4)
+
+	require.NotPanics(t, func() { times.Observe(now.Add(-time.Hour), key, expected, -1) })
+}
+
+// A histogram whose weights overflow answers the largest time for ever.
+func TestTimesNeverOverflow(t *testing.T) {
+	times := NewTimes(Config{HalfLife: time.Second})
+	now := epoch
+	for range 5000 {
+		now = now.Add(time.Second)
+		times.Observe(now, StageKey{}, 0, 10*time.Millisecond)
+	}
+	p50, _ := times.Estimate(StageKey{}, 0)
+	require.InEpsilon(t, float64(10*time.Millisecond), float64(p50), 0.15)
+}
+
+func TestTimesAreBounded(t *testing.T) {
+	times := NewTimes(Config{Capacity: 64})
+	for i := range 10_000 {
+		times.Observe(epoch, StageKey{Stage: string(rune(i))}, 0, time.Millisecond)
+	}
+	require.LessOrEqual(t, times.table.Len(), 64)
+}
+
+func TestSizeBucket(t *testing.T) {
+	for tokens, want := range map[int]uint8{-1: 0, 0: 0, 1: 1, 2: 1, 3: 1, 4: 2, 15: 2, 16: 3, 4095: 6, 4096: 7} {
+		require.Equal(t, want, SizeBucket(tokens), "%d tokens", tokens)
+	}
+}
+
+func fourStages() []Remaining {
+	var out []Remaining
+	for i := range 4 {
+		out = append(out, Remaining{Stage: i, P50: time.Second, P95: 2 * time.Second})
+		if i > 0 {
+			out[i].After = []int{i - 1}
+		}
+	}
+	return out
+}
+
+func BenchmarkPlan(b *testing.B) {
+	stages := fourStages()
+	b.ReportAllocs()
+	for b.Loop() {
+		Plan(epoch, epoch.Add(time.Minute), stages)
+	}
+}
+
+func BenchmarkConfidence(b *testing.B) {
+	stages := fourStages()
+	b.ReportAllocs()
+	for b.Loop() {
+		Confidence(time.Minute, stages)
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	times := NewTimes(Config{})
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		times.Observe(now, StageKey{Stage: "encode"}, time.Second, time.Second)
+	}
+}
+
+func BenchmarkEstimate(b *testing.B) {
+	times := NewTimes(Config{})
+	times.Observe(epoch, StageKey{Stage: "encode"}, time.Second, time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		times.Estimate(StageKey{Stage: "encode"}, time.Second)
+	}
+}
--- a/coordination/tiers/demand.go
+++ b/coordination/tiers/demand.go
@@ -76,7 +76,8 @@
 //
 // ordered tells that the targets run the most urgent first. Then every rank may
 // exceed its part by a burst, which keeps the slots busy and delays nobody
-// above. Otherwise only the highest rank that is wanted may.
+// above. Otherwise only the highest rank that is wanted may. An instance that is
+// alone knows all there is to know and has no need to exceed anything.
 func divide(capacity float64, d demand, ordered bool) limits {
 	var out limits
 	left := capacity
@@ -86,7 +87,7 @@
 		if want > left {
 			own = left * own / want
 			out[r] = mine + own
-			if ordered || above == 0 {
+			if d.instances > 1 && (ordered || above == 0) {
 				out[r] += min(burst(own), left)
 			}
 			left = 0
--- a/coordination/tiers/dispatch.go
+++ b/coordination/tiers/dispatch.go
@@ -85,6 +85,9 @@
 // atLeastOne lets every instance have one request of the highest queued rank in
 // flight: with fewer slots than instances, every part would round to none.
 func (g *Gate) atLeastOne(l limits) limits {
+	if g.capacity == 0 {
+		return l
+	}
 	for r := range l {
 		if g.inFlight[r] > 0 {
 			return l
--- a/coordination/tiers/peers.go
+++ b/coordination/tiers/peers.go
@@ -1,6 +1,10 @@
 package tiers
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // maxPeers bounds the digests that are kept; an instance hears of few peers.
 const maxPeers = 64
@@ -39,7 +43,10 @@
 func (p *Peers) Load(now time.Time, instances int) PeerLoad {
 	p.expire(now)
 	out := PeerLoad{Instances: max(instances, len(p.seen)+1), Heard: len(p.seen)}
-	for _, h := range p.seen {
+	// In a fixed order: sums of floats depend on it, and the same events have
+	// to lead to the same decisions.
+	for _, name := range slices.Sorted(maps.Keys(p.seen)) {
+		h := p.seen[name]
 		for r := range out.Ranks {
 			out.Ranks[r].InFlight += h.digest.Ranks[r].InFlight
 			out.Ranks[r].Demand += h.digest.Ranks[r].Demand
--- /dev/null
+++ b/state/shard/shard_test.go
@@ -0,0 +1,139 @@
+package shard
+
+import (
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A map that forgets the wrong entry, or none, shows as a budget that starts
+// anew or as memory that grows. The model is a list in order of writing.
+func TestMapForgetsOldest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 6).Draw(t, "capacity")
+		m := NewMap[int, int](1, capacity)
+		var order []int
+		values := map[int]int{}
+		drop := func(key int) {
+			order = slices.DeleteFunc(order, func(k int) bool { return k == key })
+			delete(values, key)
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := rapid.IntRange(0, 9).Draw(t, "key")
+			switch rapid.IntRange(0, 3).Draw(t, "operation") {
+			case 0:
+				_, existed := values[key]
+				m.Update(key, func(v *int, had bool) {
+					require.Equal(t, existed, had)
+					*v += step
+				})
+				old := values[key]
+				drop(key)
+				if len(order) == capacity {
+					drop(order[0])
+				}
+				order, values[key] = append(order, key), old+step
+			case 1:
+				_, existed := values[key]
+				require.Equal(t, existed, m.Delete(key))
+				drop(key)
+			case 2:
+				v, ok := m.Get(key)
+				want, existed := values[key]
+				require.Equal(t, existed, ok)
+				require.Equal(t, want, v)
+			case 3:
+				m.DeleteFunc(func(k int, _ *int) bool { return k%3 == key%3 })
+				for _, k := range slices.Clone(order) {
+					if k%3 == key%3 {
+						drop(k)
+					}
+				}
+			}
+			require.Equal(t, len(values), m.Len())
+		}
+	})
+}
+
+func TestRingKeepsNewestArrivals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 6).Draw(t, "capacity")
+		r := NewRing[int, int](1, capacity)
+		var order []int
+		values := map[int]int{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := rapid.IntRange(0, 9).Draw(t, "key")
+			_, existed := values[key]
+			if rapid.Bool().Draw(t, "update") {
+				require.Equal(t, existed, r.Update(key, func(v *int) { *v = step }))
+			} else {
+				r.Put(key, step)
+				if !existed {
+					order = append(order, key)
+				}
+				existed = true
+			}
+			if existed {
+				values[key] = step
+			}
+			if len(order) > capacity {
+				delete(values, order[0])
+				order = order[1:]
+			}
+			var seen []int
+			r.Each(func(k, v int) bool {
+				require.Equal(t, values[k], v)
+				seen = append(seen, k)
+				return true
+			})
+			require.Equal(t, order, seen)
+			require.Equal(t, len(order), r.Len())
+		}
+	})
+}
+
+func TestConcurrentUse(t *testing.T) {
+	const workers, rounds, keys = 8, 2000, 16
+	m := NewMap[int, int](4, 1024)
+	r := NewRing[int, int](4, 1024)
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := range rounds {
+				m.Update(i%keys, func(v *int, _ bool) { *v++ })
+				r.Put(w*rounds+i, i)
+				r.Get(i)
+				m.Len()
+			}
+		})
+	}
+	wg.Wait()
+	sum := 0
+	for k := range keys {
+		v, _ := m.Get(k)
+		sum += v
+	}
+	require.Equal(t, workers*rounds, sum)
+	require.LessOrEqual(t, r.Len(), 1024)
+}
+
+func BenchmarkMapUpdate(b *testing.B) {
+	m := NewMap[string, int](16, 4096)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			m.Update("account", func(v *int, _ bool) { *v++ })
+		}
+	})
+}
+
+func BenchmarkRingPut(b *testing.B) {
+	r := NewRing[int, [8]int](16, 4096)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		r.Put(i, [8]int{})
+	}
+}
