Add the operators client

Cause: operators drive the system by records alone, and need to see what became of them and of requests. Ruled out: unconditional writes, where the last writer wins; reporting a lost answer as a failure. Change: cmd/ivyhollow over package client: apply, validate, get, list, watch, delete, status, request show, submit; exit codes 0 to 8. Apply judges with the code that instances judge with. A write whose answer was lost is read back; a conflict shows the newer record; a status written in between is none. Found by the tests: the flag library splits file names at commas and does not hand usage errors down to commands.

--- /dev/null
+++ b/client/instance.go
@@ -0,0 +1,163 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+const (
+	// defaultTimeout bounds a command.
+	defaultTimeout = 2 * time.Minute
+	// maxAnswerBytes bounds an answer of an instance.
+	maxAnswerBytes = 16 << 20
+	// maxKeyBytes bounds a key file.
+	maxKeyBytes = 4096
+)
+
+// instance is one entry instance, asked with a caller key.
+type instance struct {
+	http *http.Client
+	base string
+	key  string
+}
+
+func (a *app) instance(cmd *cli.Command) (*instance, error) {
+	url := cmd.String(flagInstance)
+	if url == "" {
+		url = a.Getenv(envInstance)
+	}
+	if url == "" {
+		return nil, usagef("name an instance with --%s or %s", flagInstance, envInstance)
+	}
+	key, err := a.key(cmd.String(flagKeyFile))
+	if err != nil {
+		return nil, err
+	}
+	return &instance{http: a.HTTP, base: strings.TrimSuffix(url, "/"), key: key}, nil
+}
+
+// key reads the caller key. It is no flag of its own: command lines are seen by
+// every user of a machine.
+func (a *app) key(file string) (string, error) {
+	if file == "" {
+		if key := a.Getenv(envKey); key != "" {
+			return key, nil
+		}
+		return "", usagef("give the caller key with --%s or in %s", flagKeyFile, envKey)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read key")
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxKeyBytes))
+	key := strings.TrimSpace(string(text))
+	if err == nil && key == "" {
+		err = errors.Newf("%s holds no key", file)
+	}
+	return key, errors.Wrap(err, "read key")
+}
+
+// call is one call of an instance.
+type call struct {
+	method string
+	path   string
+	header http.Header
+	body   any
+	// read takes the body of a success.
+	read func(*http.Response) error
+}
+
+// do sends a call. A failure becomes a *RequestError that says whether the
+// request may have been run.
+func (i *instance) do(ctx context.Context, c call) error {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	request, err := i.newRequest(ctx, c)
+	if err != nil {
+		return usagef("%v", err)
+	}
+	response, err := i.http.Do(request)
+	if err != nil {
+		return i.lost(err, sent.Load())
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return i.refusal(response)
+	}
+	return c.read(response)
+}
+
+func (i *instance) newRequest(ctx context.Context, c call) (*http.Request, error) {
+	var body io.Reader
+	if c.body != nil {
+		text, err := json.Marshal(c.body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, c.method, i.base+c.path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range c.header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+i.key)
+	if body != nil {
+		request.Header.Set("Content-Type", callerapi.MediaJSON)
+	}
+	return request, nil
+}
+
+// lost is the error of a call without an answer. Before a connection was held
+// nothing can have been run; after that the request may have arrived.
+func (i *instance) lost(cause error, sent bool) error {
+	outcome := callerapi.OutcomeNotRun
+	if sent {
+		outcome = callerapi.OutcomeUnknown
+	}
+	return &RequestError{Problem: callerapi.Problem{
+		Title: "no answer from the instance", Detail: cause.Error(), Peer: i.base, Outcome: outcome,
+	}}
+}
+
+// refusal reads the problem of an answer that is no success. An answer without
+// one comes from a hop between: what became of the request is unknown.
+func (i *instance) refusal(response *http.Response) error {
+	problem := callerapi.Problem{Outcome: callerapi.OutcomeUnknown}
+	media, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if media == callerapi.MediaProblem {
+		if err := readJSON(response, &problem); err != nil {
+			problem.Outcome = callerapi.OutcomeUnknown
+		}
+	}
+	if problem.Title == "" {
+		problem.Title = response.Status
+	}
+	if problem.Peer == "" {
+		problem.Peer = i.base
+	}
+	return &RequestError{Problem: problem}
+}
+
+func readJSON(response *http.Response, into any) error {
+	return json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into)
+}
--- /dev/null
+++ b/client/output.go
@@ -0,0 +1,95 @@
+package client
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// Formats of answers.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+func checkOutput(format string) error {
+	if format != outputTable && format != outputJSON {
+		return fmt.Errorf("%q is neither table nor json", format)
+	}
+	return nil
+}
+
+// table is an answer for people.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+// print writes an answer in the format that was asked for.
+func (a *app) print(cmd *cli.Command, people table, machines any) error {
+	if cmd.String(flagOutput) == outputJSON {
+		return printJSON(a.Stdout, machines)
+	}
+	return people.write(a.Stdout)
+}
+
+func (t table) write(w io.Writer) error {
+	columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{t.header}, t.rows...) {
+		fmt.Fprintln(columns, strings.TrimRight(strings.Join(row, "\t"), "\t "))
+	}
+	return columns.Flush()
+}
+
+func printJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(v)
+}
+
+// indent formats a spec for people; one that is no JSON is shown as it is.
+func indent(spec []byte) string {
+	var b bytes.Buffer
+	if json.Indent(&b, spec, "", "  ") != nil {
+		return string(spec)
+	}
+	return b.String()
+}
+
+// writeRow tells what became of one record.
+type writeRow struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Result   string `json:"result"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+func writeTable(rows []writeRow) table {
+	t := table{header: []string{"KIND", "NAME", "RESULT", "REVISION"}}
+	for _, r := range rows {
+		t.rows = append(t.rows, []string{r.Kind, r.Name, r.Result, revision(r.Revision)})
+	}
+	return t
+}
+
+func revision(r uint64) string {
+	if r == 0 {
+		return ""
+	}
+	return strconv.FormatUint(r, 10)
+}
+
+// document is a stored record as it is shown; it can be applied again.
+type document struct {
+	Kind string `json:"kind"`
+	platformapi.Object
+}
--- /dev/null
+++ b/client/records_test.go
@@ -0,0 +1,241 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+const (
+	slow    = `{"schema_version":1,"rank":1,"deadline_ms":9000,"engine_priority":5}`
+	fast    = `{"schema_version":1,"rank":1,"deadline_ms":100,"engine_priority":5}`
+	service = `{"schema_version":1,"kind":"service","objective":"cost","slots":1,"checks_fencing":true,"ejection_floor":0.5}`
+	chat    = `{"schema_version":1,"pipeline":"chat","stages":[{"name":"s","pool":"p","expected_ms":500,"repeatable":true}]}`
+)
+
+func doc(kind, name, spec string) string {
+	return `{"kind":"` + kind + `","metadata":{"name":"` + name + `"},"spec":` + spec + `}`
+}
+
+func filled() *bench {
+	b := newBench()
+	b.store.set("pools", "p", service, "")
+	b.store.set("tiers", "gold", slow, "")
+	b.store.set("pipelines", "chat.v1", chat, "")
+	return b
+}
+
+// A record at fault must be refused before anything is written.
+func TestApplyRefusesBeforeItWrites(t *testing.T) {
+	cases := []struct {
+		name, text, want string
+		code             int
+	}{
+		{"bad field", doc("tiers", "x", `{"schema_version":1,"rank":-1,"deadline_ms":1,"engine_priority":0}`), "line 1: tiers/x: rank: -1", ExitInvalid},
+		{"bad second record", doc("tiers", "x", slow) + "\n" + doc("tiers", "y", `{}`), "line 2: tiers/y: schema_version: is missing", ExitInvalid},
+		{"unknown pool", doc("pipelines", "chat.v1", strings.Replace(chat, `"p"`, `"q"`, 1)), "pool q does not exist", ExitInvalid},
+		{"deadline under the pipeline", doc("tiers", "gold", fast), "100 ms, is less than the 500 ms", ExitInvalid},
+		{"not JSON", "tiers: gold", "not valid JSON", ExitInvalid},
+		{"empty", "", "holds no record", ExitInvalid},
+		{"an old revision", strings.Replace(doc("tiers", "gold", slow), `"gold"`, `"gold","revision":1`, 1), "the record is at revision 2 now", ExitConflict},
+		{"a revision of a record that is gone", strings.Replace(doc("tiers", "x", slow), `"x"`, `"x","revision":1`, 1), "was deleted meanwhile", ExitConflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := filled()
+			assert.Equal(t, c.code, b.run("apply", "-f", file(t, c.text)))
+			assert.Contains(t, b.stderr.String(), c.want)
+			assert.Empty(t, b.stdout.String())
+			assert.Equal(t, uint64(3), b.store.revision, "nothing may be written")
+		})
+	}
+}
+
+func TestApplyWritesInOrderOfDependencies(t *testing.T) {
+	b := newBench()
+	text := doc("pipelines", "chat.v1", chat) + doc("tiers", "gold", slow) + "[" + doc("pools", "p", service) + "]"
+	path := file(t, text)
+	require.Equal(t, ExitOK, b.run("-o", "json", "apply", "-f", path), b.stderr.String())
+	var rows []writeRow
+	require.NoError(t, json.Unmarshal(b.stdout.Bytes(), &rows))
+	assert.Equal(t, writeRow{"pools", "p", resultCreated, 1}, rows[0])
+	assert.Equal(t, writeRow{"pipelines", "chat.v1", resultCreated, 3}, rows[2])
+	require.Equal(t, ExitOK, b.run("apply", "-f", path))
+	assert.Contains(t, b.stdout.String(), resultUnchanged)
+	assert.Equal(t, uint64(3), b.store.revision)
+}
+
+// The store's answer is lost, or another writer comes between the check and the
+// write. The operator must learn what became of the record, and no change of
+// another operator may be written over.
+func TestWritesUnderFaults(t *testing.T) {
+	other := strings.Replace(slow, "9000", "8000", 1)
+	wanted := strings.Replace(slow, "9000", "7000", 1)
+	byOther := func(spec, status string) func(*memory) {
+		return func(m *memory) {
+			act := func() error { m.set("tiers", "gold", spec, status); return nil }
+			m.before = once("update", act)
+		}
+	}
+	refusedOnce := func(call string, err func() error) func(*memory) {
+		return func(m *memory) { m.before = once(call, err) }
+	}
+	lostOnce := func(call string) func(*memory) {
+		return func(m *memory) { m.lost = once(call, unknownEffect) }
+	}
+	apply := []string{"apply", "-f"}
+	remove := []string{"delete", "tiers", "spare"}
+	cases := []struct {
+		name   string
+		args   []string
+		script func(*memory)
+		code   int
+		stderr string
+		spec   string // of gold afterwards; empty when args delete spare and it is gone
+	}{
+		{"answer lost, write done", apply, lostOnce("update"), ExitOK, "", wanted},
+		{"answer lost, write not done", apply, refusedOnce("update", unknownEffect), ExitOK, "", wanted},
+		{"answer lost, read back fails", apply, func(m *memory) {
+			m.lost = once("update", func() error { m.before = func(string) error { return unavailable() }; return unknownEffect() })
+		}, ExitUnknown, "reading back failed too", wanted},
+		{"store down", apply, refusedOnce("update", unavailable), ExitStoreUnavailable, "unavailable", slow},
+		{"store down at the check", apply, refusedOnce("list", unavailable), ExitStoreUnavailable, "unavailable", slow},
+		{"another operator first", apply, byOther(other, ""), ExitConflict, "8000", other},
+		{"another operator, the same spec", apply, byOther(wanted, ""), ExitOK, "", wanted},
+		{"an instance wrote the status", apply, byOther(slow, `{"accepted":true}`), ExitOK, "", wanted},
+		{"deleted meanwhile", apply, func(m *memory) {
+			m.before = once("update", func() error { delete(m.objects["tiers"], "gold"); return nil })
+		}, ExitConflict, "was deleted meanwhile", ""},
+		{"delete", remove, func(*memory) {}, ExitOK, "", slow},
+		{"delete, answer lost", remove, lostOnce("delete"), ExitOK, "", slow},
+		{"delete, not done", remove, refusedOnce("delete", unknownEffect), ExitOK, "", slow},
+		{"delete, changed first", remove, func(m *memory) {
+			m.before = once("delete", func() error { m.set("tiers", "spare", other, ""); return nil })
+		}, ExitConflict, "8000", slow},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := filled()
+			b.store.set("tiers", "spare", slow, "")
+			c.script(b.store)
+			args := c.args
+			if args[0] == "apply" {
+				args = append(args, file(t, doc("tiers", "gold", wanted)))
+			}
+			assert.Equal(t, c.code, b.run(args...), b.stderr.String())
+			assert.Contains(t, b.stderr.String(), c.stderr)
+			gold, ok := b.store.objects["tiers"]["gold"]
+			assert.Equal(t, c.spec != "", ok)
+			assert.Equal(t, c.spec, string(gold.Spec))
+			if c.args[0] == "delete" && c.code == ExitOK {
+				assert.NotContains(t, b.store.objects["tiers"], "spare")
+			}
+		})
+	}
+}
+
+func TestDeleteRefusesWhatIsUsed(t *testing.T) {
+	b := filled()
+	assert.Equal(t, ExitInvalid, b.run("delete", "pools", "p"))
+	assert.Contains(t, b.stderr.String(), "still used by pipelines")
+	assert.Equal(t, ExitNotFound, b.run("delete", "pools", "q"))
+	assert.Equal(t, ExitOK, b.run("delete", "pipelines", "chat.v1"))
+	assert.Equal(t, ExitOK, b.run("delete", "pools", "p"))
+}
+
+func TestValidateIsOfflineWithoutAPlatform(t *testing.T) {
+	b := filled()
+	path := file(t, doc("pipelines", "chat.v1", strings.Replace(chat, `"p"`, `"q"`, 1)))
+	assert.Equal(t, ExitInvalid, b.run("validate", "-f", path))
+	b.env[envPlatform] = ""
+	calls := len(b.store.calls)
+	assert.Equal(t, ExitOK, b.run("validate", "-f", path))
+	assert.Len(t, b.store.calls, calls)
+	assert.Equal(t, ExitUsage, b.run("apply", "-f", path))
+}
+
+func TestReading(t *testing.T) {
+	b := filled()
+	status, err := json.Marshal(record.Status{Reason: "because", SpecSHA256: "x"})
+	require.NoError(t, err)
+	b.store.set("tiers", "batch", slow, string(status))
+	b.store.set("instances", "one", `{"address":"127.0.0.1:1","data_centre":"north","incarnation":7}`, "")
+	for want, args := range map[string][]string{
+		`"deadline_ms": 9000`:    {"get", "tiers", "gold"},
+		`"kind": "tiers"`:        {"get", "tiers", "gold", "-o", "json"},
+		"no instance has judged": {"list", "tiers"},
+		`"name": "batch"`:        {"list", "tiers", "-o", "json"},
+		"one       north":        {"status"},
+		`"data_centre": "north"`: {"-o", "json", "status"},
+		"pipelines\ntiers":       nil,
+		"apply":                  {"--help"},
+	} {
+		if args == nil {
+			continue
+		}
+		require.Equal(t, ExitOK, b.run(args...), b.stderr.String())
+		assert.Contains(t, b.stdout.String(), want)
+	}
+	assert.Equal(t, ExitNotFound, b.run("get", "tiers", "none"))
+}
+
+func TestUsageErrors(t *testing.T) {
+	for _, args := range [][]string{
+		{"frobnicate"}, {"get", "tiers"}, {"get", "colours", "red"}, {"apply"}, {"list", "tiers", "-o", "yaml"},
+		{"--nonsense"}, {"get", "--nonsense"}, {"request"}, {"request", "show"}, {"watch"}, {"submit", "chat"}, {"request", "show", "--x"},
+	} {
+		b := filled()
+		assert.Equal(t, ExitUsage, b.run(args...), "%v: %s", args, b.stderr.String())
+		assert.NotEmpty(t, b.stderr.String())
+	}
+}
+
+func TestCompletion(t *testing.T) {
+	b := filled()
+	require.Equal(t, ExitOK, b.run("completion", "bash"))
+	assert.Contains(t, b.stdout.String(), "ivyhollow")
+	require.Equal(t, ExitOK, b.run("get", "--generate-shell-completion"))
+	assert.Equal(t, "pools\ntiers\npipelines\naccounts\n", b.stdout.String())
+}
+
+// The platform is away for a while, and its history is gone when it is back. A
+// watch must go on by itself, show each change once and the deletes it missed.
+func TestWatchGoesOn(t *testing.T) {
+	b := filled()
+	b.store.set("tiers", "spare", slow, "")
+	ctx, cancel := context.WithCancel(context.Background())
+	b.ctx = ctx
+	step := 0
+	b.store.before = func(call string) error {
+		if call != "watch" {
+			return nil
+		}
+		step++
+		switch step {
+		case 1:
+			b.store.set("tiers", "batch", fast, "")
+		case 2:
+			cancelled := &platform.CallError{Err: platform.ErrCompacted}
+			b.store.revision++
+			delete(b.store.objects["tiers"], "spare")
+			return cancelled
+		case 3:
+			cancel()
+		}
+		return nil
+	}
+	require.Equal(t, ExitOK, b.run("watch", "tiers"))
+	var names []string
+	for line := range strings.Lines(b.stdout.String()) {
+		fields := strings.Fields(line)
+		names = append(names, fields[0]+" "+fields[2])
+	}
+	assert.Equal(t, []string{"tiers/gold pending", "tiers/spare pending", "tiers/batch pending", "tiers/spare deleted"}, names)
+}
--- /dev/null
+++ b/client/request_test.go
@@ -0,0 +1,118 @@
+package client
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+func answerProblem(status int, outcome callerapi.Outcome) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", callerapi.MediaProblem)
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(callerapi.Problem{Title: "no", Status: status, Outcome: outcome, RetryAfterMS: 20})
+	}
+}
+
+func answer(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// The exit code must tell a script whether the work may have been done.
+func TestSubmitOutcomes(t *testing.T) {
+	done := "event: done\ndata: {\"request_id\":\"r1\",\"output\":\"ab\"}\n\n"
+	tokens := "event: token\nid: 0\ndata: {\"token\":\"a\"}\n\nevent: token\nid: 1\ndata: {\"token\":\"b\"}\n\n"
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		args    []string
+		code    int
+		stdout  string
+		stderr  string
+	}{
+		{"whole", answer(`{"request_id":"r1","output":"hello"}`), nil, ExitOK, "hello\n", "request r1"},
+		{"streamed", answer(tokens + done), []string{"--stream"}, ExitOK, "ab\n", "request r1"},
+		{"streamed as JSON", answer(tokens + done), []string{"--stream", "-o", "json"}, ExitOK, `"output": "ab"`, ""},
+		{"stream cut off", answer(tokens), []string{"--stream"}, ExitUnknown, "ab", "cut off"},
+		{"stream with an error", answer(tokens + "event: error\ndata: {\"title\":\"gone\",\"outcome\":\"ran\"}\n\n"), []string{"--stream"}, ExitFault, "ab", "gone (ran)"},
+		{"answer cut off", answer(`{"request_id":`), nil, ExitUnknown, "", "cut off"},
+		{"not run", answerProblem(503, callerapi.OutcomeNotRun), nil, ExitNotRun, "", "come back in 20 ms"},
+		{"ran", answerProblem(504, callerapi.OutcomeRan), nil, ExitFault, "", "no (ran)"},
+		{"unknown", answerProblem(502, callerapi.OutcomeUnknown), nil, ExitUnknown, "", "no (unknown)"},
+		{"a hop between", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }, nil, ExitUnknown, "", "502 Bad Gateway"},
+		{"connection dropped", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, nil, ExitUnknown, "", "no answer"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			b := newBench()
+			b.http = server.Client()
+			args := append([]string{"--instance", server.URL, "submit", "chat", "--input", "x"}, c.args...)
+			assert.Equal(t, c.code, b.run(args...), b.stderr.String())
+			assert.Contains(t, b.stdout.String(), c.stdout)
+			assert.Contains(t, b.stderr.String(), c.stderr)
+			assert.NotContains(t, b.stderr.String(), "demo-key")
+		})
+	}
+}
+
+func TestNoInstanceIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	b := newBench()
+	code := b.run("--instance", "http://"+listener.Addr().String(), "submit", "chat", "--input", "x")
+	assert.Equal(t, ExitNotRun, code, b.stderr.String())
+}
+
+func TestSubmitSendsWhatWasAsked(t *testing.T) {
+	var got *http.Request
+	var body callerapi.Request
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	defer server.Close()
+	b := newBench()
+	b.env[envInstance] = server.URL
+	b.env[envKey] = ""
+	require.Equal(t, ExitUsage, b.run("submit", "chat", "--input", "x"))
+	key := file(t, "file-key\n")
+	require.Equal(t, ExitOK, b.run("submit", "a/b", "--input", "-", "--key-file", key,
+		"--idempotency-key", "k1", "--schema-version", "2", "--max-tokens", "9"), b.stderr.String())
+	assert.Equal(t, "/v1/pipelines/a%2Fb/requests", got.URL.EscapedPath())
+	assert.Equal(t, "Bearer file-key", got.Header.Get("Authorization"))
+	assert.Equal(t, "k1", got.Header.Get(callerapi.HeaderIdempotencyKey))
+	assert.Equal(t, "2", got.Header.Get(callerapi.HeaderSchemaVersion))
+	assert.Equal(t, callerapi.Request{Input: "from stdin", MaxTokens: 9}, body)
+}
+
+func TestRequestShow(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/requests/r1" {
+			answerProblem(http.StatusNotFound, callerapi.OutcomeNotRun)(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(callerapi.RequestStatus{RequestID: "r1", State: "answered", Stages: []callerapi.StageStatus{
+			{Stage: "encode", Attempts: []callerapi.AttemptStatus{{AttemptID: "a1", Target: "t1", Result: "late"}, {AttemptID: "a2", Target: "t2", Result: "ok"}}},
+		}})
+	}))
+	defer server.Close()
+	b := newBench()
+	b.env[envInstance] = server.URL
+	require.Equal(t, ExitOK, b.run("request", "show", "r1"), b.stderr.String())
+	assert.Contains(t, b.stdout.String(), "encode  a1       t1      late")
+	require.Equal(t, ExitOK, b.run("request", "show", "r1", "-o", "json"))
+	assert.Contains(t, b.stdout.String(), `"result": "ok"`)
+	assert.Equal(t, ExitNotFound, b.run("request", "show", "r2"))
+}
--- /dev/null
+++ b/client/store.go
@@ -0,0 +1,147 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Store is what the client needs of the platform's object API. The errors are
+// those of package platform, whose Client implements it.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (*platformapi.Object, error)
+	List(ctx context.Context, kind string) (platformapi.List, error)
+	Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
+	Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+	Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error)
+}
+
+var _ Store = (*platform.Client)(nil)
+
+// writeTries bounds how often one write is tried.
+const writeTries = 4
+
+// Results of a write, as they are shown.
+const (
+	resultCreated   = "created"
+	resultUpdated   = "updated"
+	resultUnchanged = "unchanged"
+	resultDeleted   = "deleted"
+)
+
+// writer writes one record and never over what its operator hasn't seen.
+type writer struct {
+	store Store
+	kind  string
+	// seen is the object as it was when the write was checked; nil when there
+	// was none.
+	seen *platformapi.Object
+}
+
+// put creates or updates a record. Each try is conditional, so a try whose
+// answer was lost may be repeated: should the lost one land after all, the
+// other meets a conflict with the very same spec.
+func (w *writer) put(ctx context.Context, wanted platformapi.Object) (*platformapi.Object, string, error) {
+	if w.seen != nil && record.SameSpec(w.seen.Spec, wanted.Spec) {
+		return w.seen, resultUnchanged, nil
+	}
+	result := resultCreated
+	if w.seen != nil {
+		result = resultUpdated
+	}
+	var err error
+	for range writeTries {
+		var written *platformapi.Object
+		written, err = w.try(ctx, wanted)
+		if err == nil {
+			return written, result, nil
+		}
+		var current *platformapi.Object
+		current, err = w.readBack(ctx, wanted.Metadata.Name, err)
+		if err != nil {
+			return nil, "", err
+		}
+		if current != nil && record.SameSpec(current.Spec, wanted.Spec) {
+			return current, result, nil
+		}
+		if !w.onlyStatusChanged(current) {
+			return nil, "", &ConflictError{Kind: w.kind, Name: wanted.Metadata.Name, Current: current}
+		}
+		w.seen = current
+		err = &ConflictError{Kind: w.kind, Name: wanted.Metadata.Name, Current: current}
+	}
+	return nil, "", err
+}
+
+func (w *writer) try(ctx context.Context, wanted platformapi.Object) (*platformapi.Object, error) {
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: wanted.Metadata.Name}, Spec: wanted.Spec}
+	if w.seen == nil {
+		return w.store.Create(ctx, w.kind, object)
+	}
+	object.Metadata.Revision = w.seen.Metadata.Revision
+	return w.store.Update(ctx, w.kind, object)
+}
+
+// readBack finds what the record is after a write that met a conflict or whose
+// answer was lost; nil means that there is none. Any other error, and one that
+// leaves a lost write unexplained, is returned.
+func (w *writer) readBack(ctx context.Context, name string, cause error) (*platformapi.Object, error) {
+	var conflict *platform.ConflictError
+	var unknown *platform.UnknownEffectError
+	gone := errors.Is(cause, platform.ErrNotFound)
+	if !errors.As(cause, &conflict) && !errors.As(cause, &unknown) && !gone {
+		return nil, cause
+	}
+	current, err := w.store.Get(ctx, w.kind, name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return nil, nil
+	case err != nil && unknown != nil:
+		// The write may have taken effect: that is the news, not the failed read.
+		return nil, errors.Wrapf(cause, "%s/%s: reading back failed too (%v)", w.kind, name, err)
+	case err != nil:
+		return nil, err
+	}
+	return current, nil
+}
+
+// onlyStatusChanged tells whether a record still is what the operator's write
+// was checked against. Instances write the status, which raises the revision;
+// that is no other operator's change.
+func (w *writer) onlyStatusChanged(current *platformapi.Object) bool {
+	if w.seen == nil || current == nil {
+		return w.seen == nil && current == nil
+	}
+	return record.SameSpec(w.seen.Spec, current.Spec)
+}
+
+// remove deletes the record that was seen.
+func (w *writer) remove(ctx context.Context, name string) error {
+	var err error
+	for range writeTries {
+		err = w.store.Delete(ctx, w.kind, name, w.seen.Metadata.Revision)
+		if err == nil {
+			return nil
+		}
+		var current *platformapi.Object
+		current, err = w.readBack(ctx, name, err)
+		if err != nil {
+			return err
+		}
+		if current == nil {
+			return nil
+		}
+		err = &ConflictError{Kind: w.kind, Name: name, Current: current}
+		if !w.onlyStatusChanged(current) {
+			return err
+		}
+		w.seen = current
+	}
+	return err
+}
--- /dev/null
+++ b/client/submit.go
@@ -0,0 +1,175 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+const (
+	flagInput         = "input"
+	flagStream        = "stream"
+	flagIdempotency   = "idempotency-key"
+	flagSchemaVersion = "schema-version"
+	flagMaxTokens     = "max-tokens"
+)
+
+func (a *app) submitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "send one request to an instance and print its answer",
+		ArgsUsage: "PIPELINE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagInput, Required: true, Usage: "`TEXT` of the request, @FILE, or - for standard input"},
+			&cli.BoolFlag{Name: flagStream, Usage: "print tokens as they come"},
+			&cli.StringFlag{Name: flagIdempotency, Usage: "`KEY` under which the request runs at most once"},
+			&cli.IntFlag{Name: flagSchemaVersion, Usage: "schema version `N` of the pipeline; the oldest when absent"},
+			&cli.IntFlag{Name: flagMaxTokens, Usage: "at most `N` tokens"},
+		},
+		Action: action(1, "PIPELINE", a.submit),
+	}
+}
+
+func (a *app) submit(ctx context.Context, cmd *cli.Command) error {
+	instance, err := a.instance(cmd)
+	if err != nil {
+		return err
+	}
+	input, err := a.input(cmd.String(flagInput))
+	if err != nil {
+		return err
+	}
+	c := call{
+		method: http.MethodPost,
+		path:   "/v1/pipelines/" + url.PathEscape(cmd.Args().First()) + "/requests",
+		header: submitHeader(cmd),
+		body:   callerapi.Request{Input: input, MaxTokens: cmd.Int(flagMaxTokens)},
+		read:   func(r *http.Response) error { return a.wholeAnswer(cmd, r) },
+	}
+	if cmd.Bool(flagStream) {
+		c.read = func(r *http.Response) error { return a.streamedAnswer(cmd, r) }
+	}
+	return instance.do(ctx, c)
+}
+
+func submitHeader(cmd *cli.Command) http.Header {
+	header := http.Header{}
+	header.Set("Accept", callerapi.MediaJSON)
+	if cmd.Bool(flagStream) {
+		header.Set("Accept", callerapi.MediaStream)
+	}
+	if key := cmd.String(flagIdempotency); key != "" {
+		header.Set(callerapi.HeaderIdempotencyKey, key)
+	}
+	if version := cmd.Int(flagSchemaVersion); version != 0 {
+		header.Set(callerapi.HeaderSchemaVersion, strconv.Itoa(version))
+	}
+	return header
+}
+
+func (a *app) input(word string) (string, error) {
+	if word == "-" {
+		text, err := io.ReadAll(io.LimitReader(a.Stdin, maxAnswerBytes))
+		return string(text), errors.Wrap(err, "read input")
+	}
+	if file, ok := strings.CutPrefix(word, "@"); ok {
+		text, err := os.ReadFile(file)
+		return string(text), errors.Wrap(err, "read input")
+	}
+	return word, nil
+}
+
+func (a *app) wholeAnswer(cmd *cli.Command, response *http.Response) error {
+	var answer callerapi.Answer
+	if err := readJSON(response, &answer); err != nil {
+		return cutOff(response, err)
+	}
+	return a.printAnswer(cmd, answer)
+}
+
+func (a *app) printAnswer(cmd *cli.Command, answer callerapi.Answer) error {
+	if cmd.String(flagOutput) == outputJSON {
+		return printJSON(a.Stdout, answer)
+	}
+	_, err := fmt.Fprintf(a.Stdout, "%s\n", answer.Output)
+	fmt.Fprintf(a.Stderr, "request %s\n", answer.RequestID)
+	return err
+}
+
+// streamedAnswer prints tokens until the event that ends the stream. A stream
+// that ends without one was cut off.
+func (a *app) streamedAnswer(cmd *cli.Command, response *http.Response) error {
+	events := bufio.NewScanner(io.LimitReader(response.Body, maxAnswerBytes))
+	events.Buffer(nil, maxAnswerBytes)
+	var name string
+	for events.Scan() {
+		field, text, _ := strings.Cut(events.Text(), ":")
+		text = strings.TrimPrefix(text, " ")
+		switch field {
+		case "event":
+			name = text
+		case "data":
+			done, err := a.event(cmd, name, []byte(text))
+			if done || err != nil {
+				return err
+			}
+		}
+	}
+	return cutOff(response, errors.CombineErrors(events.Err(), io.ErrUnexpectedEOF))
+}
+
+func (a *app) event(cmd *cli.Command, name string, data []byte) (done bool, err error) {
+	switch name {
+	case callerapi.EventToken:
+		var token callerapi.TokenEvent
+		if err := json.Unmarshal(data, &token); err != nil {
+			return false, errors.Wrap(err, "read token")
+		}
+		if cmd.String(flagOutput) == outputTable {
+			fmt.Fprint(a.Stdout, token.Token)
+		}
+	case callerapi.EventDone:
+		var answer callerapi.Answer
+		if err := json.Unmarshal(data, &answer); err != nil {
+			return false, errors.Wrap(err, "read end of stream")
+		}
+		return true, a.endStream(cmd, answer)
+	case callerapi.EventError:
+		problem := callerapi.Problem{Outcome: callerapi.OutcomeUnknown}
+		if err := json.Unmarshal(data, &problem); err != nil {
+			return false, errors.Wrap(err, "read error of stream")
+		}
+		return false, &RequestError{Problem: problem}
+	}
+	return false, nil
+}
+
+func (a *app) endStream(cmd *cli.Command, answer callerapi.Answer) error {
+	if cmd.String(flagOutput) == outputJSON {
+		return printJSON(a.Stdout, answer)
+	}
+	fmt.Fprintln(a.Stdout)
+	fmt.Fprintf(a.Stderr, "request %s\n", answer.RequestID)
+	return nil
+}
+
+// cutOff is the error of an answer that ended early: the request was run, at
+// least in part.
+func cutOff(response *http.Response, cause error) error {
+	return &RequestError{Problem: callerapi.Problem{
+		Title: "the answer was cut off", Detail: cause.Error(),
+		RequestID: response.Header.Get(callerapi.HeaderRequestID), Outcome: callerapi.OutcomeUnknown,
+	}}
+}
