Allow the labels verdict and step, and log a label that is dropped

Cause: two packages use labels that the list lacked; their counters would have run together without a word. Ruled out: a free list. Change: both labels; the first use of one that is not in the list is logged. Conclusion: a lost label shows in the log.

--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -28,13 +29,18 @@
 	LabelState     Label = "state"
 	LabelRole      Label = "role"
 	LabelCode      Label = "code"
+	LabelStep      Label = "step"
+	LabelVerdict   Label = "verdict"
 )
 
 var allowedLabels = []Label{
 	LabelPipeline, LabelStage, LabelTier, LabelPool, LabelResult, LabelOutcome,
 	LabelReason, LabelKind, LabelOperation, LabelState, LabelRole, LabelCode,
+	LabelStep, LabelVerdict,
 }
 
+var errUnknownLabel = errors.New("not in the list of bounded labels")
+
 const (
 	// maxLabelSets bounds the distinct sets of labels of an instance.
 	maxLabelSets = 2048
@@ -54,12 +60,20 @@
 }
 
 type labelSets struct {
-	mu   sync.Mutex
-	sets map[string]struct{}
+	mu      sync.Mutex
+	sets    map[string]struct{}
+	dropped map[string]struct{}
 }
 
+// maxDroppedLogged bounds the labels whose loss is logged. They are written in
+// the program, so only a fault reaches it.
+const maxDroppedLogged = 64
+
 func newBoundedScope(scope tally.Scope) tally.Scope {
-	return &boundedScope{Scope: scope, seen: &labelSets{sets: map[string]struct{}{}}}
+	return &boundedScope{Scope: scope, seen: &labelSets{
+		sets:    map[string]struct{}{},
+		dropped: map[string]struct{}{},
+	}}
 }
 
 // Tagged implements tally.Scope. It costs a lock and a map, so a hot path keeps
@@ -70,9 +84,11 @@
 		merged[key] = value
 	}
 	for key, value := range tags {
-		if slices.Contains(allowedLabels, Label(key)) {
-			merged[key] = value
+		if !slices.Contains(allowedLabels, Label(key)) {
+			s.seen.drop(key)
+			continue
 		}
+		merged[key] = value
 	}
 	if !s.seen.admit(merged) {
 		for key := range merged {
@@ -102,6 +118,20 @@
 	return true
 }
 
+// drop logs a label that is not allowed, once, for the one who wrote it.
+func (l *labelSets) drop(key string) {
+	l.mu.Lock()
+	_, logged := l.dropped[key]
+	full := len(l.dropped) >= maxDroppedLogged
+	if !logged && !full {
+		l.dropped[key] = struct{}{}
+	}
+	l.mu.Unlock()
+	if !logged && !full {
+		ErrorS(errUnknownLabel, "metric label dropped", Event{Reason: key})
+	}
+}
+
 func setKey(tags map[string]string) string {
 	pairs := make([]string, 0, len(tags))
 	for key, value := range tags {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -61,7 +61,8 @@
 // millions of series: somebody tagged a counter with the account or request.
 // The label is dropped, so the counts stay and the series don't grow.
 func TestUnboundedLabelsDropped(t *testing.T) {
-	tel := start(t, Options{LogOutput: io.Discard})
+	var log bytes.Buffer
+	tel := start(t, Options{LogOutput: &log})
 	for i := range 50 {
 		id := fmt.Sprint(i)
 		tags := map[string]string{"account": id, "request_id": id, "target": id, "tier": "gold"}
@@ -70,6 +71,7 @@
 	text := scrape(t, tel)
 	require.Contains(t, text, `ivyhollow_answered{tier="gold"} 50`)
 	require.NotContains(t, text, "account")
+	require.Equal(t, 1, strings.Count(log.String(), `reason="account"`))
 }
 
 // The same end, reached through an allowed label whose values come from
