--- a/coordination/retry/race.go
+++ b/coordination/retry/race.go
@@ -107,6 +107,9 @@
 	if r.done || len(r.open) != 1 || r.sent >= r.stage.MaxAttempts {
 		return nil
 	}
+	if !r.stage.Repeatable {
+		return nil
+	}
 	if now.After(r.stage.LatestStart) || !r.budget.TakeHedge(now) {
 		return nil
 	}
