--- a/coordination/membership/updates.go
+++ b/coordination/membership/updates.go
@@ -15,8 +15,8 @@
 	memberOverhead = 32
 )
 
-// encodedSize bounds the bytes of a member on the wire.
-func encodedSize(m Member) int {
+// EncodedSize bounds the bytes of a member on the wire.
+func EncodedSize(m Member) int {
 	return memberOverhead + len(m.Name) + len(m.Address) + len(m.CallerURL) + len(m.DataCentre)
 }
 
@@ -73,7 +73,7 @@
 		if len(out) == count {
 			break
 		}
-		if size := encodedSize(u.member); size <= bytes {
+		if size := EncodedSize(u.member); size <= bytes {
 			bytes -= size
 			out = append(out, u.member)
 			q.sentOnce(u, limit)
@@ -98,11 +98,11 @@
 	if e := m.table[to]; e != nil && e.State != Alive {
 		out = append(out, e.Member)
 		count--
-		bytes -= encodedSize(e.Member)
+		bytes -= EncodedSize(e.Member)
 	} else if doubt, ok := m.probes.doubts[to]; ok {
 		out = append(out, doubt)
 		count--
-		bytes -= encodedSize(doubt)
+		bytes -= EncodedSize(doubt)
 	}
 	limit := int(math.Ceil(float64(m.cfg.RetransmitFactor) * math.Log2(float64(len(m.view.live)+1))))
 	return append(out, m.updates.take(count, bytes, limit)...)
--- a/coordination/spread/pull.go
+++ b/coordination/spread/pull.go
@@ -41,7 +41,7 @@
 // recover sends records that a peer has missed, false if there are none.
 func (s *Spread) recover(to string, records []Record) bool {
 	for _, r := range records {
-		s.recovery.spend(recordSize(r))
+		s.recovery.spend(RecordSize(r))
 	}
 	if len(records) > 0 {
 		s.send(to, &Push{Records: records, Recovered: true})
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -233,7 +233,7 @@
 	var out []Record
 	size := 0
 	for _, r := range list {
-		n := recordSize(r.record)
+		n := RecordSize(r.record)
 		if len(out) > 0 && size+n > s.cfg.MaxPush || !s.push.open() {
 			break
 		}
--- a/coordination/spread/spread_test.go
+++ b/coordination/spread/spread_test.go
@@ -61,7 +61,7 @@
 		switch m := s.Message.(type) {
 		case *Push:
 			for _, r := range m.Records {
-				b.rumour += recordSize(r)
+				b.rumour += RecordSize(r)
 			}
 		case *Loads:
 			for _, d := range m.Digests {
--- a/coordination/spread/table.go
+++ b/coordination/spread/table.go
@@ -106,7 +106,7 @@
 		}
 		for _, key := range l.keys {
 			r := t.records[key]
-			limit -= recordSize(r)
+			limit -= RecordSize(r)
 			out = append(out, r)
 			if limit <= 0 {
 				return out
@@ -127,7 +127,7 @@
 		if r.Revision <= revision || slices.Contains(t.recent[i+1:], key) {
 			continue
 		}
-		limit -= recordSize(r)
+		limit -= RecordSize(r)
 		out = append(out, r)
 		if limit <= 0 {
 			break
@@ -249,7 +249,7 @@
 	return d.Sum64()
 }
 
-// recordSize bounds the bytes of a record on the wire.
-func recordSize(r Record) int {
+// RecordSize bounds the bytes of a record on the wire.
+func RecordSize(r Record) int {
 	return recordOverhead + len(r.Kind) + len(r.Name) + len(r.Body)
 }
--- a/protocol/peer/frame.go
+++ b/protocol/peer/frame.go
@@ -74,7 +74,7 @@
 	defer msgpack.PutDecoder(dec)
 	dec.Reset(bytes.NewReader(body[1:]))
 	if err := dec.Decode(m); err != nil {
-		return nil, errors.Wrapf(errors.Mark(err, ErrMalformed), "decode type %d", t)
+		return nil, errors.Wrapf(ErrMalformed, "decode type %d: %v", t, err)
 	}
 	return m, nil
 }
