--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -119,11 +119,11 @@
 	}))
 	defer collector.Close()
 	tel := start(t, Options{OTLPEndpoint: collector.URL + "/v1/traces", Instance: "entry-1", LogOutput: io.Discard})
-	_, span := tel.Tracer.Start(t.Context(), "stage generate", trace.WithAttributes(AttrTarget.String("engine-3")))
+	_, span := tel.Tracer.Start(t.Context(), "stage", trace.WithAttributes(AttrStage.String("generate")))
 	span.End()
 	require.NoError(t, tel.Shutdown(t.Context()))
 	body := string(<-bodies)
-	for _, want := range []string{"stage generate", "engine-3", "entry-1", "ivyhollowd"} {
+	for _, want := range []string{"ivyhollow.stage", "generate", "entry-1", "ivyhollowd"} {
 		require.Contains(t, body, want)
 	}
 }
--- a/telemetry/traces.go
+++ b/telemetry/traces.go
@@ -17,12 +17,7 @@
 // Attributes of a span. None carries a body or a key.
 const (
 	AttrRequestID = attribute.Key("ivyhollow.request_id")
-	AttrPipeline  = attribute.Key("ivyhollow.pipeline")
-	AttrTier      = attribute.Key("ivyhollow.tier")
 	AttrStage     = attribute.Key("ivyhollow.stage")
-	AttrAttempt   = attribute.Key("ivyhollow.attempt_id")
-	AttrTarget    = attribute.Key("ivyhollow.target")
-	AttrPeer      = attribute.Key("ivyhollow.peer")
 	AttrOutcome   = attribute.Key("ivyhollow.outcome")
 )
 
