--- a/client/read.go
+++ b/client/read.go
@@ -123,6 +123,7 @@
 	default:
 		row.Reason = status.Reason
 	}
+	row.InForce = status.InForce
 	if status.LastAccepted != nil {
 		row.InForce = status.LastAccepted.Revision
 	}
