--- a/coordination/budget/ledger.go
+++ b/coordination/budget/ledger.go
@@ -108,9 +108,15 @@
 		out.RetryAfterMS = uint32(l.config.AskTimeout.Milliseconds())
 		return out
 	}
+	if Unlimited(account) {
+		out.Tokens = ask.Tokens // the asker has not heard of the change yet
+		return out
+	}
 	tokens, wait := l.take(now, v, account, float64(ask.Tokens))
 	out.Tokens = float32(tokens)
-	out.RetryAfterMS = uint32(wait.Milliseconds())
+	if tokens < float64(ask.Tokens) {
+		out.RetryAfterMS = uint32(wait.Milliseconds())
+	}
 	return out
 }
 
@@ -126,7 +132,8 @@
 
 // take pays tokens out of an account's bucket at its home: whole ones, and at
 // most half of what there is beyond one, so that one instance's chunk never
-// empties the budget for the others.
+// empties the budget for the others. When none is left it tells how long until
+// there is one again.
 func (l *Ledger) take(now time.Time, v *view, account *catalog.Account, tokens float64) (float64, time.Duration) {
 	var granted float64
 	var wait time.Duration
@@ -137,7 +144,7 @@
 		rate := b.refill(now, l.config, v, account)
 		granted = math.Floor(min(tokens, max(1, b.tokens/2), b.tokens))
 		b.tokens -= granted
-		if granted < 1 {
+		if b.tokens < 1 {
 			wait = secondsToDuration((1 - b.tokens) / rate)
 		}
 	})
--- a/coordination/budget/spender.go
+++ b/coordination/budget/spender.go
@@ -91,10 +91,15 @@
 	return true
 }
 
+// minPrefetch is the least chunk that is asked for ahead of need: a single token
+// of an account that comes seldom would mostly end unspent.
+const minPrefetch = 2
+
 // prefetch asks for the next chunk once the present one no longer lasts for
 // half of the horizon.
 func (s *spender) prefetch(now time.Time, c Config, account string) *Ask {
-	if s.chunk+s.floor >= s.demand*c.Horizon.Seconds()/2 || now.Before(s.emptyUntil) {
+	lasts := s.demand * c.Horizon.Seconds()
+	if lasts < minPrefetch || s.chunk+s.floor >= lasts/2 || now.Before(s.emptyUntil) {
 		return nil
 	}
 	return s.ask(now, c, account)
@@ -126,9 +131,9 @@
 		return
 	}
 	s.waiting = false
-	if g.Tokens < 1 {
-		s.emptyUntil = now.Add(time.Duration(g.RetryAfterMS) * time.Millisecond)
-		return
+	if g.RetryAfterMS > 0 {
+		pause := time.Duration(g.RetryAfterMS) * time.Millisecond
+		s.emptyUntil = now.Add(max(pause, c.AskPause))
 	}
 	if !now.Before(s.expires) {
 		s.chunk = 0
--- a/coordination/budget/types.go
+++ b/coordination/budget/types.go
@@ -7,7 +7,7 @@
 // Bound: in any time T with m changes of membership that take up to D to reach
 // every instance, one account is served at most
 //
-//	Burst + Rate*(T + Expiry + m*D) + N
+//	Burst + Rate*(T + Expiry + m*D) + (N + m)*max(Floor*Burst/N, 1)
 //
 // requests by N listed instances, however they part, die and join.
 package budget
@@ -55,16 +55,18 @@
 	Account string  `msgpack:"a"`
 	Seq     uint32  `msgpack:"s"`
 	Tokens  float32 `msgpack:"t"`
-	// RetryAfterMS is when the home will have a token again, when it had none.
+	// RetryAfterMS is when the home will have a token again, when it has none
+	// left and could not grant all.
 	RetryAfterMS uint32 `msgpack:"r"`
 }
 
 // Defaults of Config.
 const (
-	DefaultFloor      = 0.2
+	DefaultFloor      = 0.05
 	DefaultHorizon    = 500 * time.Millisecond
 	DefaultExpiry     = 2 * time.Second
 	DefaultAskTimeout = 50 * time.Millisecond
+	DefaultAskPause   = 100 * time.Millisecond
 	DefaultAccounts   = 4096
 )
 
@@ -81,6 +83,9 @@
 	Expiry time.Duration
 	// AskTimeout is how long an ask may go unanswered.
 	AskTimeout time.Duration
+	// AskPause is how long no ask follows one that left the home without a
+	// token: it bounds the messages for an account that is over its budget.
+	AskPause time.Duration
 	// Accounts bounds the accounts remembered here, as spender and as home; it
 	// has to exceed those that are active within Burst/Rate.
 	Accounts int
@@ -99,6 +104,9 @@
 	if c.AskTimeout <= 0 {
 		c.AskTimeout = DefaultAskTimeout
 	}
+	if c.AskPause <= 0 {
+		c.AskPause = DefaultAskPause
+	}
 	if c.Accounts <= 0 {
 		c.Accounts = DefaultAccounts
 	}
