Name tombstones as what they are

Cause: two names in coordination/config were metaphors. Change: names and comments only; one step less in the delete path.

--- a/coordination/config/change.go
+++ b/coordination/config/change.go
@@ -105,7 +105,7 @@
 	}
 	s := c.set
 	if e.newest.Deleted {
-		s.graves--
+		s.tombstones--
 	}
 	e.newest = v
 	e.candidate = nil
@@ -114,20 +114,14 @@
 	c.news[e.key] = e
 	c.review[e.key] = e
 	if v.Deleted {
-		s.graves++
-		c.bury(e)
+		s.tombstones++
+		delete(c.queue, e.key)
+		c.putTombstone(e, v)
 		return
 	}
 	c.queue[e.key] = e
 }
 
-// bury puts a delete in force. Whether the pool or tier then disappears hangs
-// on its users and is computed from them; see shownItem.
-func (c *change) bury(e *entry) {
-	delete(c.queue, e.key)
-	c.putTombstone(e, e.newest)
-}
-
 // mergeInForce takes a version that a peer, or the status in the store, says
 // was accepted. What this instance can't decode stays out of force: a newer
 // release may have accepted it.
@@ -148,6 +142,8 @@
 }
 
 // putTombstone puts a delete in force with the newest spec known for it.
+// Whether a pool or tier then disappears hangs on its users and is computed from
+// them; see shownItem.
 func (c *change) putTombstone(e *entry, v Version) {
 	if !keepsSpec(e.key.Kind) {
 		c.putInForce(e, Version{Revision: v.Revision, Deleted: true}, nil)
--- a/coordination/config/history.go
+++ b/coordination/config/history.go
@@ -86,13 +86,13 @@
 	if len(s.history.places) > 2*len(s.entries)+MaxTombstones {
 		s.history.arrange(len(s.entries))
 	}
-	if s.graves <= MaxTombstones {
+	if s.tombstones <= MaxTombstones {
 		return
 	}
 	s.history.sorted = false
 	s.history.arrange(len(s.entries))
 	for _, p := range s.history.places {
-		if s.graves <= MaxTombstones/2 {
+		if s.tombstones <= MaxTombstones/2 {
 			break
 		}
 		e := p.entry
@@ -102,7 +102,7 @@
 		s.floor[e.key.Kind] = max(s.floor[e.key.Kind], e.newest.Revision)
 		delete(s.entries, e.key)
 		e.newest.Revision = 0
-		s.graves--
+		s.tombstones--
 	}
 	s.history.sorted = false
 	s.history.arrange(len(s.entries))
--- a/coordination/config/set.go
+++ b/coordination/config/set.go
@@ -9,16 +9,21 @@
 // Set holds the configuration of one instance. It is for one goroutine at a
 // time; the snapshots that it publishes are free for all.
 type Set struct {
-	decode   Decoder
-	entries  map[Key]*entry
-	waiting  map[kinds]map[Key]*entry
-	users    map[Key]*userCount
-	history  history
-	sums     sums
-	listed   kinds
-	asOf     map[catalog.RecordKind]uint64
-	floor    map[catalog.RecordKind]uint64
-	graves   int
+	decode  Decoder
+	entries map[Key]*entry
+	// waiting holds the refused entries by the kind whose change may turn that.
+	waiting map[kinds]map[Key]*entry
+	users   map[Key]*userCount
+	history history
+	sums    sums
+	// listed are the kinds that were listed once, asOf the revisions of the
+	// newest lists.
+	listed kinds
+	asOf   map[catalog.RecordKind]uint64
+	// floor is the revision at or below which an unknown record is an old one.
+	floor      map[catalog.RecordKind]uint64
+	tombstones int
+	// inForce is the greatest revision that was ever in force.
 	inForce  uint64
 	snapshot *catalog.Snapshot
 }
