--- a/protocol/loadwire/loadwire.go
+++ b/protocol/loadwire/loadwire.go
@@ -3,6 +3,8 @@
 package loadwire
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -14,7 +16,6 @@
 const MaxPools = 64
 
 type wire struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Hashes and InFlight are the targets' entries, in step.
 	Hashes   []uint32
 	InFlight []uint16
@@ -22,8 +23,7 @@
 }
 
 type poolLoad struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     string
+	Pool string
 	// InFlight and Demand hold a value for each rank up to the last in use.
 	InFlight []float32
 	Demand   []float32
@@ -51,8 +51,11 @@
 		}
 		w.Pools = append(w.Pools, encodePool(pool, load))
 	}
-	body, err := msgpack.Marshal(&w)
-	return body, errors.Wrap(err, "encode load digest")
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	encoder.UseArrayEncodedStructs(true) // names of fields would double its size
+	err := encoder.Encode(&w)
+	return body.Bytes(), errors.Wrap(err, "encode load digest")
 }
 
 func encodePool(pool string, load tiers.Digest) poolLoad {
