Weigh load, cache and age in one score, and gate overload

(1) A choice kept as a pointer into the candidate list was changed by the next draw, so overflow took a random target: found by TestHangingTargetIsNoticedByOpenAttempts. (3) A slow target was noticed only by its first late answer. (4) A retry went to the data centre that had just failed. (5) A fixed bound on affinity gave up cache hits when all engines queue. Change: candidates are pointers; reports count for 500 ms; the age of open attempts tells of a slow target; a retry avoids tried data centres; a cached prompt takes a share off the score; two failures in a row eject; a farther target wins by a margin. The experiment drives admission, gates, hedges and retry budgets, has the fault of replaced engines, and an oracle that bounds what routing could reach.

--- a/coordination/routing/attempt.go
+++ b/coordination/routing/attempt.go
@@ -12,6 +12,7 @@
 	cost   int64
 	// crowding is how many times the target's slots were taken at the start.
 	crowding float64
+	start    int64
 	done     atomic.Bool
 }
 
@@ -29,6 +30,7 @@
 	use := (target.estimate(ns, &t.config) + cost) / target.slots(target.Slots)
 	h := &Handle{table: t, target: target, cost: int64(cost * costUnit), crowding: max(1, use)}
 	target.add(ns, h.cost)
+	h.start = target.open.began(ns)
 	return h
 }
 
@@ -39,6 +41,7 @@
 	}
 	ns := now.UnixNano()
 	h.target.add(ns, -h.cost)
+	h.target.open.ended(h.start, result.Expected)
 	// A target that was known to be crowded is expected to take longer: only
 	// what goes beyond that tells of a slow target.
 	result.Expected = time.Duration(float64(result.Expected) * h.crowding)
--- a/coordination/routing/config.go
+++ b/coordination/routing/config.go
@@ -9,13 +9,14 @@
 	DefaultOrigins          = 32
 	DefaultDigestEntries    = 128
 	DefaultDigestTTL        = 2 * time.Second
-	DefaultReportTrust      = 3 * time.Second
+	DefaultReportTrust      = 500 * time.Millisecond
 	DefaultSlowStart        = 10 * time.Second
 	DefaultEjection         = 1 * time.Second
 	DefaultEjectionMax      = 30 * time.Second
 	DefaultLeavingRetention = 10 * time.Minute
 	DefaultPrefixTTL        = 2 * time.Minute
 	DefaultPrefixSlots      = 2048
+	DefaultCacheWeight      = 0.5
 )
 
 // Config holds the settings of a Table. A zero field takes its default.
@@ -43,6 +44,9 @@
 	// LeavingRetention is how long a leaving incarnation is remembered after
 	// it vanished from the list.
 	LeavingRetention time.Duration
+	// CacheWeight, 0 to 1, is how much of a target's score a fully cached
+	// prompt takes off.
+	CacheWeight float64
 	// PrefixTTL is how long an own routing decision counts as a cached prefix.
 	PrefixTTL time.Duration
 	// PrefixSlots bounds the prefix parts remembered for each target.
@@ -74,5 +78,8 @@
 	orDefault(&c.LeavingRetention, DefaultLeavingRetention)
 	orDefault(&c.PrefixTTL, DefaultPrefixTTL)
 	orDefault(&c.PrefixSlots, DefaultPrefixSlots)
+	if c.CacheWeight <= 0 {
+		c.CacheWeight = DefaultCacheWeight
+	}
 	return c
 }
--- a/coordination/routing/doc.go
+++ b/coordination/routing/doc.go
@@ -7,9 +7,9 @@
 // atomics of single targets, so the request path takes no shared lock.
 //
 // The choice itself is the power of two choices (Mitzenmacher, "The Power of
-// Two Choices in Randomized Load Balancing", IEEE TPDS 2001), with affinity
-// bounded by load (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing
-// with Bounded Loads", SODA 2018) and subsets by rendezvous hashing (Thaler and
+// Two Choices in Randomized Load Balancing", IEEE TPDS 2001) on the estimated
+// load of all instances; a prompt goes to the target where it would end first,
+// cached parts counted. Subsets come from rendezvous hashing (Thaler and
 // Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM ToN
-// 1998).
+// 1998). docs/design/routing.md gives the ways weighed and their figures.
 package routing
--- a/coordination/routing/health.go
+++ b/coordination/routing/health.go
@@ -14,7 +14,7 @@
 	// that a target that got no traffic is tried again.
 	forgetHalf = 10 * time.Second
 	// ejectFailures in a row eject a target.
-	ejectFailures = 3
+	ejectFailures = 2
 	// ejectShare is the failing share that ejects without a row of failures.
 	ejectShare = 0.5
 	// ejectSamples is the least number of samples before ejectShare counts.
--- a/coordination/routing/health_test.go
+++ b/coordination/routing/health_test.go
@@ -59,6 +59,40 @@
 	require.Greater(t, counts["t0"], 120)
 }
 
+// A target hangs: it takes requests and answers none. There is no result to
+// learn from, and by the first late answer everything sent there is late. The
+// age of what is in flight tells earlier.
+func TestHangingTargetIsNoticedByOpenAttempts(t *testing.T) {
+	busy := func(string) Result {
+		return Result{Latency: 350 * time.Millisecond, Expected: 350 * time.Millisecond}
+	}
+	hanging := func(name string) Result {
+		r := busy(name)
+		if name == "t0" {
+			r.Latency = time.Hour
+		}
+		return r
+	}
+	shares := func(off Mechanism) int {
+		table := newTable(Config{Off: off}, someTargets(8))
+		table.shares(t, start, 200, Query{}, busy)
+		return table.shares(t, at(10*time.Second), 1000, Query{}, hanging)["t0"]
+	}
+	require.Less(t, shares(0), shares(MechanismLatency))
+	var open openAttempts
+	open.ended(open.began(start.UnixNano()), time.Second)
+	for _, tc := range []struct {
+		age      time.Duration
+		crowding float64
+		want     float64
+	}{{time.Second, 1, 1}, {3 * time.Second, 1, 3}, {3 * time.Second, 2, 1}, {9 * time.Second, 3, 3}} {
+		began := open.began(start.UnixNano())
+		now := at(tc.age).UnixNano()
+		require.InDelta(t, tc.want, open.slow(now, tc.crowding), 0.01, "%+v", tc)
+		open.ended(began, 0)
+	}
+}
+
 // All targets of a pool fail for a while. Ejecting them all would refuse every
 // request and nobody would see them recover.
 func TestFloorStays(t *testing.T) {
--- a/coordination/routing/helpers_test.go
+++ b/coordination/routing/helpers_test.go
@@ -70,6 +70,9 @@
 		r := result(name)
 		open = append(open, end{now.Add(r.Latency), t.Started(now, name, 1), r})
 	}
+	for _, e := range open {
+		e.handle.Done(e.at, e.result)
+	}
 	return counts
 }
 
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -45,13 +45,17 @@
 
 // pick is the work of one Pick.
 type pick struct {
-	table      *Table
-	pool       *poolView
-	query      *Query
-	rng        *rand.Rand
-	now        int64
-	candidates []candidate
+	table *Table
+	pool  *poolView
+	query *Query
+	rng   *rand.Rand
+	now   int64
+	// candidates are pointers, so that drawing may reorder them while an earlier
+	// choice is still held.
+	candidates []*candidate
 	hashes     []uint64
+	// tried are the data centres of the excluded targets.
+	tried []string
 }
 
 // collect finds the eligible targets.
@@ -64,6 +68,7 @@
 			none.Leaving++
 		case slices.Contains(p.query.Exclude, target.Incarnation):
 			none.Excluded++
+			p.tried = append(p.tried, target.DataCentre)
 		case !target.Fits(p.query):
 			none.Unfit++
 		default:
@@ -73,7 +78,10 @@
 	if len(eligible) == 0 {
 		return &none
 	}
-	p.candidates = eligible
+	p.candidates = make([]*candidate, len(eligible))
+	for i := range eligible {
+		p.candidates[i] = &eligible[i]
+	}
 	return nil
 }
 
@@ -81,7 +89,7 @@
 func (p *pick) choose() (*candidate, Reason) {
 	if len(p.candidates) == 1 {
 		p.assess()
-		return &p.candidates[0], ReasonOnly
+		return p.candidates[0], ReasonOnly
 	}
 	floored := false
 	if !p.table.config.off(MechanismEjection) {
@@ -91,16 +99,20 @@
 		floored = p.dropEjected()
 	}
 	p.assess()
-	if c, reason := p.byPrefix(); c != nil {
-		return c, reason
-	}
-	c, reason := p.byLoad()
+	c, reason := p.byRule()
 	if floored && c.ejection != notEjected {
 		reason = ReasonFloor
 	}
 	return c, reason
 }
 
+func (p *pick) byRule() (*candidate, Reason) {
+	if len(p.query.Prefix) > 0 && !p.table.config.off(MechanismAffinity) {
+		return p.byPrefix()
+	}
+	return p.byLoad()
+}
+
 // probePatience is how long a due probe waits for a request of a lower tier.
 const probePatience = int64(time.Second)
 
@@ -108,8 +120,7 @@
 // try. One probe at a time guards against the stampede on a target that is
 // back; requests of the highest tier are risked only when no other came.
 func (p *pick) probe() *candidate {
-	for i := range p.candidates {
-		c := &p.candidates[i]
+	for _, c := range p.candidates {
 		h := &c.target.health
 		c.ejection = h.ejection(p.now)
 		if c.ejection != probeDue {
@@ -128,12 +139,12 @@
 // dropEjected leaves ejected targets out, but for as many of those whose time
 // ends first as the floor asks for. It tells whether it kept some.
 func (p *pick) dropEjected() bool {
-	slices.SortStableFunc(p.candidates, func(a, b candidate) int {
+	slices.SortStableFunc(p.candidates, func(a, b *candidate) int {
 		return cmp.Compare(a.ejectedUntil(), b.ejectedUntil())
 	})
 	healthy := 0
-	for i := range p.candidates {
-		if p.candidates[i].ejection == notEjected {
+	for _, c := range p.candidates {
+		if c.ejection == notEjected {
 			healthy++
 		}
 	}
@@ -158,6 +169,11 @@
 // towards the emptier one, since batching slows an engine a little.
 const headroomWeight = 0.3
 
+// triedPenalty is added to the score of targets in a data centre where the
+// stage was already sent: when a data centre is lost, an attempt there fails,
+// and a second one beside it would fail alike and use up the retries.
+const triedPenalty = 1.0
+
 // assess estimates each candidate's load and score: how long a request takes
 // there, relative to its usual time on an idle target.
 func (p *pick) assess() {
@@ -166,52 +182,57 @@
 	if cost <= 0 {
 		cost = 1
 	}
-	for i := range p.candidates {
-		c := &p.candidates[i]
+	for _, c := range p.candidates {
 		c.load = c.target.estimate(p.now, config)
 		use := (c.load + cost) / c.target.slots(c.target.Slots)
 		c.score = 1 + headroomWeight*math.Min(use, 1) + math.Max(0, use-1)
 		if !config.off(MechanismLatency) {
-			c.score *= c.target.health.slow(p.now)
+			c.score *= max(c.target.health.slow(p.now), c.target.open.slow(p.now, use))
+		}
+		if slices.Contains(p.tried, c.target.DataCentre) && !config.off(MechanismSpread) {
+			c.score += triedPenalty
 		}
 	}
 }
 
-// byLoad samples among the local targets, or among all when the best local one
-// would queue and a farther one would not.
+// remotePenalty is how much better a target of another data centre has to be:
+// a third of its slots more free than the local one's.
+const remotePenalty = 0.1
+
+// byLoad samples among the local targets and among the others, and takes the
+// farther one where it is better by a margin.
 func (p *pick) byLoad() (*candidate, Reason) {
 	if p.table.config.off(MechanismLocalFirst) {
 		return p.sample(func(*candidate) bool { return true }), ReasonLoad
 	}
 	local := p.sample(func(c *candidate) bool { return c.target.local })
-	if local != nil && local.score <= overflowScore {
-		return local, ReasonLoad
-	}
 	remote := p.sample(func(c *candidate) bool { return !c.target.local })
-	if local == nil || (remote != nil && remote.score < local.score) {
+	if local == nil || (remote != nil && remote.score+remotePenalty < local.score) {
 		return remote, ReasonOverflow
 	}
 	return local, ReasonLoad
 }
 
-// overflowScore is the score of a target that is just full.
-const overflowScore = 1 + headroomWeight
+// sample draws Config.Choices distinct candidates and returns the best.
+func (p *pick) sample(from func(*candidate) bool) *candidate {
+	return p.best(p.table.config.Choices, from)
+}
 
-// sample draws Config.Choices distinct candidates and returns the best. Each is
+// best draws up to limit distinct candidates and returns the best. Each is
 // passed over with the probability that its share asks for, unless all are.
-func (p *pick) sample(from func(*candidate) bool) *candidate {
+func (p *pick) best(limit int, from func(*candidate) bool) *candidate {
 	var best, fallback *candidate
 	seen := 0
 	n := len(p.candidates)
 	// A partial Fisher-Yates shuffle draws without replacement.
-	for i := 0; i < n && seen < p.table.config.Choices; i++ {
+	for i := 0; i < n && seen < limit; i++ {
 		j := i + p.rng.IntN(n-i)
 		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
-		c := &p.candidates[i]
+		c := p.candidates[i]
 		if !from(c) {
 			continue
 		}
-		if share := c.target.share(p.now, &p.table.config); share < 1 && p.rng.Float64() >= share {
+		if p.thinned(c) {
 			fallback = better(fallback, c)
 			continue
 		}
@@ -224,6 +245,11 @@
 	return best
 }
 
+func (p *pick) thinned(c *candidate) bool {
+	share := c.target.share(p.now, &p.table.config)
+	return share < 1 && p.rng.Float64() >= share
+}
+
 func better(a, b *candidate) *candidate {
 	if a == nil || b.score < a.score {
 		return b
--- a/coordination/routing/stats.go
+++ b/coordination/routing/stats.go
@@ -67,3 +67,19 @@
 		Picked:      t.picked.Load(),
 	}
 }
+
+// Slots returns how many requests the kept targets of a pool run at once, those
+// that are leaving or ejected left out: what a gate before the pool may fill.
+func (t *Table) Slots(now time.Time, pool string) int {
+	p := t.view.Load().pools[pool]
+	if p == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, target := range p.targets {
+		if !target.leaving && target.health.ejection(now.UnixNano()) == notEjected {
+			sum += target.slots(target.Target.Slots)
+		}
+	}
+	return int(sum)
+}
--- a/coordination/routing/subset.go
+++ b/coordination/routing/subset.go
@@ -80,13 +80,3 @@
 	_, _ = d.WriteString(b)
 	return d.Sum64()
 }
-
-// mix ranks a target for an already hashed key, without allocation.
-func mix(key uint64, target uint32) uint64 {
-	x := key ^ uint64(target)*0x9e3779b97f4a7c15
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/coordination/routing/target.go
+++ b/coordination/routing/target.go
@@ -23,6 +23,7 @@
 	added int64 // 0 for a target of the first list: it needs no slow start
 
 	inFlight atomic.Int64 // sum of costs, in 1/costUnit
+	open     openAttempts
 	history  history
 	peers    atomic.Int64 // requests in flight at peers
 	peersAt  atomic.Int64
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -11,7 +11,8 @@
 
 // Pool is what routing needs to know of a pool's record.
 type Pool struct {
-	Name      string
+	Name string
+	// Objective is the record's; routing itself serves both alike.
 	Objective catalog.Objective
 	// EjectionFloor is the least share of eligible targets, 0 to 1, that stay
 	// routable however badly they do. At least one target always stays.
@@ -72,8 +73,6 @@
 	ReasonOverflow
 	// ReasonAffinity is a target that holds the prefix in its cache.
 	ReasonAffinity
-	// ReasonHome is the target that all instances agree on for a new prefix.
-	ReasonHome
 	// ReasonProbe is an ejected target that is tried again.
 	ReasonProbe
 	// ReasonFloor is an ejected target, kept routable by the ejection floor.
@@ -82,7 +81,7 @@
 	ReasonOnly
 )
 
-var reasonNames = [...]string{"load", "overflow", "affinity", "home", "probe", "floor", "only"}
+var reasonNames = [...]string{"load", "overflow", "affinity", "probe", "floor", "only"}
 
 // String returns the reason's name for logs and spans.
 func (r Reason) String() string {
@@ -185,6 +184,6 @@
 	MechanismLatency
 	MechanismSlowStart
 	MechanismAffinity
-	MechanismHome
 	MechanismSuspicion
+	MechanismSpread
 )
--- a/testkit/experiment/control.go
+++ b/testkit/experiment/control.go
@@ -26,8 +26,9 @@
 type Control interface {
 	// Admit tells whether a request is taken at all.
 	Admit(now time.Time, s StageInfo) bool
-	// StartStage tells whether a stage is still worth starting.
-	StartStage(now time.Time, s StageInfo) bool
+	// StartStage calls start once the stage may begin, or with false when it is
+	// not worth starting; at once or later.
+	StartStage(now time.Time, s StageInfo, start func(ok bool))
 	// Retry tells whether a failed stage is sent again, and spends for it.
 	Retry(now time.Time, s StageInfo) bool
 	// HedgeAfter tells how long to wait before a second attempt; ok is false
@@ -42,6 +43,13 @@
 	RequestDone(now time.Time, s StageInfo, attained bool)
 }
 
+// Gossiper is a Control that talks with its peers at every digest interval.
+type Gossiper interface {
+	// Digest also tells the slots of each pool that are routable now.
+	Digest(now time.Time, slots map[string]int) any
+	PeerDigest(now time.Time, origin string, digest any)
+}
+
 // Plain admits everything, sends a failed repeatable stage again once and
 // hedges nothing.
 type Plain struct{}
@@ -50,7 +58,7 @@
 func (Plain) Admit(time.Time, StageInfo) bool { return true }
 
 // StartStage implements Control.
-func (Plain) StartStage(time.Time, StageInfo) bool { return true }
+func (Plain) StartStage(_ time.Time, _ StageInfo, start func(bool)) { start(true) }
 
 // Retry implements Control.
 func (Plain) Retry(_ time.Time, s StageInfo) bool {
--- a/testkit/experiment/fault.go
+++ b/testkit/experiment/fault.go
@@ -1,6 +1,9 @@
 package experiment
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Fault names what goes wrong during a run.
 type Fault string
@@ -15,13 +18,14 @@
 	FaultDCLost       Fault = "dc_lost"
 	FaultStaleReports Fault = "stale_reports_2s"
 	FaultStoreDown    Fault = "store_down"
+	FaultReplaced     Fault = "replaced"
 )
 
 // Faults lists the faults of the grid.
 func Faults() []Fault {
 	return []Fault{
 		FaultNone, FaultStraggler, FaultGrey, FaultFailFast,
-		FaultBurst, FaultDCLost, FaultStaleReports, FaultStoreDown,
+		FaultBurst, FaultDCLost, FaultStaleReports, FaultStoreDown, FaultReplaced,
 	}
 }
 
@@ -32,6 +36,11 @@
 	burstRate     = 2.5
 	burstLength   = time.Second
 	burstInterval = 6 * time.Second
+	// An engine is replaced every replaceInterval; the new one is slow until it
+	// has warmed up.
+	replaceInterval = 4 * time.Second
+	coldSlowness    = 4.0
+	warmUpTime      = 3 * time.Second
 	// listLag is how late the platform's list follows.
 	listLag = 5 * time.Second
 	// reportAge and staleAge are how old load reports are.
@@ -80,6 +89,10 @@
 		// An engine dies while the list can't tell.
 		r.clock.at(w.from, engine.lose)
 		r.clock.at(w.to, func() { engine.down = false })
+	case FaultReplaced:
+		for n := range int((w.to - w.from) / replaceInterval) {
+			r.clock.at(w.from+time.Duration(n)*replaceInterval, func() { r.replaceEngine(n) })
+		}
 	case FaultNone, FaultBurst, FaultStaleReports:
 	}
 }
@@ -91,6 +104,22 @@
 	}
 }
 
+// replaceEngine takes an engine out of the list, where it ends its work, and
+// puts a new incarnation in its place.
+func (r *run) replaceEngine(n int) {
+	engines := r.pools[enginePool]
+	place := n % len(engines)
+	old := engines[place]
+	spec := old.spec
+	spec.Incarnation = fmt.Sprintf("%s-%d", spec.Incarnation, n)
+	t := r.addTarget(spec, old.stage)
+	engines[place] = t
+	t.slowness = coldSlowness
+	r.clock.after(warmUpTime, func() { t.slowness = 1 })
+	r.clock.every(r.clock.now, loadSampleInterval, t.sampleLoad)
+	r.publishLists()
+}
+
 // loseDataCentre stops the targets and the instances of a data centre. The
 // balancer sends its clients to the other instances; the platform's list
 // follows after listLag, and again when all are back.
--- /dev/null
+++ b/testkit/experiment/oracle.go
@@ -0,0 +1,70 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+)
+
+// oracleRouter sees the true state of every listed target at once, which no instance
+// can: its result bounds what routing alone could reach.
+type oracleRouter struct {
+	baselineRouter
+	run    *run
+	listed map[string][]*target
+}
+
+// SetTargets takes the list; the oracle sees no more targets than others do.
+func (r *oracleRouter) SetTargets(_ time.Time, pool routing.Pool, targets []routing.Target) {
+	r.listed[pool.Name] = nil
+	for _, t := range targets {
+		r.listed[pool.Name] = append(r.listed[pool.Name], r.run.byName[t.Incarnation])
+	}
+}
+
+// Pick takes the target where the request would end first, judged by its true
+// queue, speed and cache.
+func (r *oracleRouter) Pick(_ time.Time, rng *rand.Rand, q routing.Query) (routing.Choice, error) {
+	var best *target
+	bestTime := 0.0
+	targets := r.listed[q.Pool]
+	for _, i := range rng.Perm(len(targets)) {
+		t := targets[i]
+		if t.down || t.failing {
+			continue
+		}
+		if expected := t.expected(q.Prefix); best == nil || expected < bestTime {
+			best, bestTime = t, expected
+		}
+	}
+	if best == nil {
+		return routing.Choice{}, &routing.NoTargetError{Pool: q.Pool}
+	}
+	return routing.Choice{Target: best.spec}, nil
+}
+
+// expected returns the mean time to an answer, in seconds.
+func (t *target) expected(parts []routing.PrefixPart) float64 {
+	mean := t.stage.mean().Seconds()
+	own := mean
+	if t.cache != nil {
+		own = (meanAnswer*decodeTime + tailTokens*prefillTime).Seconds()
+		for _, part := range parts {
+			if !t.cache.has(part.ID) {
+				own += float64(part.Tokens) * prefillTime.Seconds()
+			}
+		}
+	}
+	use := float64(t.active+t.queued+1) / float64(t.spec.Slots)
+	return t.slowness * (own*(1+batchSlowdown*min(use, 1)) + mean*max(0, use-1))
+}
+
+// Oracle returns the bound: no policy of the product.
+func Oracle() Policy {
+	return Policy{
+		Name:       "oracle",
+		NewRouter:  func(string, string) Router { return &oracleRouter{} },
+		NewControl: plainControl,
+	}
+}
--- a/testkit/experiment/router.go
+++ b/testkit/experiment/router.go
@@ -16,6 +16,8 @@
 	Started(now time.Time, incarnation string, cost float64) func(now time.Time, result routing.Result)
 	Report(now time.Time, incarnation string, load routing.Load)
 	CacheEvent(now time.Time, incarnation string, update routing.CacheUpdate)
+	// Slots counts the slots of a pool's routable targets.
+	Slots(now time.Time, pool string) int
 	Digest(now time.Time) []routing.DigestEntry
 	PeerDigest(now time.Time, origin string, entries []routing.DigestEntry)
 }
@@ -39,3 +41,5 @@
 func (baselineRouter) CacheEvent(time.Time, string, routing.CacheUpdate)   {}
 func (baselineRouter) Digest(time.Time) []routing.DigestEntry              { return nil }
 func (baselineRouter) PeerDigest(time.Time, string, []routing.DigestEntry) {}
+
+func (baselineRouter) Slots(time.Time, string) int { return 0 }
--- a/testkit/experiment/shape.go
+++ b/testkit/experiment/shape.go
@@ -62,7 +62,7 @@
 	batchSlowdown = 0.3
 )
 
-func stages() []StageShape {
+func stageShapes() []StageShape {
 	return []StageShape{
 		{"encode", "encoders", catalog.KindEncoder, 5, 4, 100 * time.Millisecond, true, 1, true},
 		{"retrieve", "retrievers", catalog.KindRetriever, 4, 4, 80 * time.Millisecond, true, 1, true},
@@ -72,7 +72,7 @@
 	}
 }
 
-func tiers() []TierShape {
+func tierShapes() []TierShape {
 	return []TierShape{
 		{"gold", 2500 * time.Millisecond, 0.2},
 		{"silver", 3500 * time.Millisecond, 0.3},
@@ -82,12 +82,12 @@
 
 // Periyar is Periyar Pipeworks Consolidated: attainment first.
 func Periyar() Shape {
-	return Shape{"periyar", 3 * time.Millisecond, catalog.ObjectiveAttainment, tiers(), stages()}
+	return Shape{"periyar", 3 * time.Millisecond, catalog.ObjectiveAttainment, tierShapes(), stageShapes()}
 }
 
 // Fjallaskali is Fjallaskáli Catering: cost first.
 func Fjallaskali() Shape {
-	return Shape{"fjallaskali", 1 * time.Millisecond, catalog.ObjectiveCost, tiers(), stages()}
+	return Shape{"fjallaskali", 1 * time.Millisecond, catalog.ObjectiveCost, tierShapes(), stageShapes()}
 }
 
 // capacity returns the nominal requests a second: what the engines carry with
