Start from peers and store together and spread leaving targets

Cause: a new instance took the store alone although it may answer from the past; a peer handed on no targets; the last page's revision could hide records; a target that told one instance it leaves stayed in use at the others until the lagging list said so; statuses were compared by a digest of their own and lost the last accepted version; the sample existed twice. Ruled out: keeping every status in memory to compare (a copy of each spec); the writer reads the record before it writes. Change: confsync asks a peer and the store before anything is in force, keeps the first page's revisions, hands on targets and marks, reads and writes statuses by protocol/record, writes refusals first. Revisions of targets have a floor. Records of kind leaving mark leaving targets, bounded, with tombstones. Package examples embeds the records that the embedded mode loads.

--- a/daemon/confsync/bootstrap.go
+++ b/daemon/confsync/bootstrap.go
@@ -2,72 +2,126 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/config"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/protocol/configwire"
-	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 )
 
-// Bounds of a snapshot from a peer.
+// Bounds of a start from a peer.
 const (
 	maxPeersAsked    = 3
 	maxSnapshotPages = 1024
-	pageRecords      = 512
-	pageBytes        = 512 << 10
+	// peerTimeout bounds one page. A peer on a silent connection must not hold
+	// up a start that another peer or the store could serve.
+	peerTimeout = time.Second
+	// joinWait is how long a start waits for a first peer to be known.
+	joinWait     = 500 * time.Millisecond
+	joinInterval = 50 * time.Millisecond
 )
 
 // errNoPeer says that no peer could hand a whole configuration on.
 var errNoPeer = errors.New("no peer has a whole configuration")
 
-// bootstrap gets a first whole configuration: from the store, which is the
-// newest there is, or from a peer while the store is away.
+// bootstrap gets a first whole configuration from a peer and from the store and
+// takes the newest version of each record. Either alone would do in an outage
+// of the other. But a store that answers from the past would bring a record
+// back on this instance alone, and a peer that was parted for long would too.
 func (s *Sync) bootstrap(ctx context.Context) error {
-	_, _, err := s.list(ctx)
-	if err == nil {
-		return nil
+	peerErr := s.fromPeers(ctx)
+	_, _, storeErr := s.list(ctx)
+	if peerErr != nil && storeErr != nil {
+		return errors.CombineErrors(storeErr, peerErr)
 	}
-	for i, peer := range s.opts.Peers.Others() {
+	s.start()
+	return nil
+}
+
+// start puts in force what was gathered.
+func (s *Sync) start() {
+	s.locked(func() {
+		s.started = true
+		s.settle(s.set.Apply(nil))
+	})
+}
+
+// fromPeers asks a few peers in turn until one has a whole configuration.
+func (s *Sync) fromPeers(ctx context.Context) error {
+	others := s.opts.Peers.Others()
+	for waited := time.Duration(0); len(others) == 0 && waited < joinWait; waited += joinInterval {
+		sleep(ctx, joinInterval)
+		others = s.opts.Peers.Others()
+	}
+	err := errNoPeer
+	for i, peer := range others {
 		if i == maxPeersAsked {
 			break
 		}
-		if s.fromPeer(ctx, peer) == nil {
+		if err = s.fromPeer(ctx, peer); err == nil {
 			return nil
 		}
 	}
-	return errors.CombineErrors(err, errNoPeer)
+	return err
+}
+
+// snapshot is what a peer has handed on.
+type snapshot struct {
+	records []config.Record
+	others  []spread.Record
+	// asOf are the revisions of the peer's newest full lists, by kind.
+	asOf map[string]uint64
 }
 
 // fromPeer reads all pages of a peer's records before any of them counts: half
 // a configuration would refuse what the other half allows.
 func (s *Sync) fromPeer(ctx context.Context, peer string) error {
-	var records []config.Record
-	var asOf map[string]uint64
+	var got snapshot
 	request := configwire.PageRequest{}
 	for range maxSnapshotPages {
 		page, err := s.askPage(ctx, peer, request)
 		if err != nil {
 			return err
 		}
-		for _, body := range page.Records {
-			r, err := configwire.DecodeRecord(body)
-			if err != nil {
-				return err
-			}
-			records = append(records, r)
+		if err := got.add(page); err != nil {
+			return err
 		}
-		asOf = page.AsOf
 		if !page.More {
-			return s.adopt(records, asOf)
+			return s.adopt(got)
 		}
 		request = page.Last
 	}
 	return errors.Newf("snapshot from %s: more than %d pages", peer, maxSnapshotPages)
 }
 
+// add takes one page. The first page's revisions count: a list that the peer
+// reads while it hands out pages may stand for records that a page before left
+// out, and such a revision would have them taken for deleted.
+func (g *snapshot) add(page configwire.Page) error {
+	if g.asOf == nil {
+		g.asOf = page.AsOf
+	}
+	if len(g.asOf) < len(config.Kinds) {
+		return errNoPeer
+	}
+	for _, body := range page.Records {
+		r, err := configwire.DecodeRecord(body)
+		if err != nil {
+			return err
+		}
+		g.records = append(g.records, r)
+	}
+	g.others = append(g.others, page.Others...)
+	return nil
+}
+
 func (s *Sync) askPage(ctx context.Context, peer string, request configwire.PageRequest) (configwire.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
 	var page configwire.Page
 	body, err := msgpack.Marshal(&request)
 	if err != nil {
@@ -81,49 +135,20 @@
 	return page, errors.Wrapf(err, "ask for snapshot at %s: decode", peer)
 }
 
-func (s *Sync) adopt(records []config.Record, asOf map[string]uint64) error {
-	if len(asOf) < len(config.Kinds) {
-		return errNoPeer
-	}
+// adopt takes a peer's lists over, then once more its records by themselves:
+// where the store has listed a kind already as of a later revision, the peer's
+// list does not count, but what the peer has seen since still does.
+func (s *Sync) adopt(got snapshot) error {
 	s.locked(func() {
 		for _, kind := range config.Kinds {
-			s.settle(s.set.ApplyList(kind, records, asOf[string(kind)]))
+			s.settle(s.set.ApplyList(kind, got.records, got.asOf[string(kind)]))
+		}
+		s.applyRecords(got.records)
+		for _, r := range got.others {
+			s.takeOther(r)
 		}
+		s.targets.raiseFloor(got.asOf[platformapi.KindTargets])
+		s.spreadTargets()
 	})
 	return nil
 }
-
-// HandleSnapshot answers a peer that starts; it is the handler of
-// configwire.MethodSnapshot.
-func (s *Sync) HandleSnapshot(body []byte) ([]byte, error) {
-	var request configwire.PageRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "snapshot: decode")
-	}
-	s.mu.Lock()
-	limit := config.Limit{Records: pageRecords, Bytes: pageBytes}
-	records, last, more := s.set.Records(request.Cursor(), limit, config.AllBuckets)
-	asOf := s.asOf()
-	s.mu.Unlock()
-	page := configwire.Page{Last: configwire.RequestAfter(last), More: more, AsOf: asOf}
-	for _, r := range records {
-		encoded, err := configwire.EncodeRecord(r)
-		if err != nil {
-			return nil, err
-		}
-		page.Records = append(page.Records, encoded)
-	}
-	return msgpack.Marshal(&page)
-}
-
-// asOf needs the lock. It is empty until this instance is complete itself.
-func (s *Sync) asOf() map[string]uint64 {
-	if !s.set.Complete() {
-		return nil
-	}
-	out := make(map[string]uint64, len(config.Kinds))
-	for _, kind := range config.Kinds {
-		out[string(kind)] = s.set.AsOf(catalog.RecordKind(kind))
-	}
-	return out
-}
--- /dev/null
+++ b/daemon/confsync/snapshot.go
@@ -0,0 +1,88 @@
+package confsync
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/config"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/configwire"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// Bounds of one page.
+const (
+	pageRecords = 512
+	pageBytes   = 512 << 10
+)
+
+// HandleSnapshot answers a peer that starts; it is the handler of
+// configwire.MethodSnapshot. The records of operators come first, then the
+// targets, then the marks of leaving ones: an instance that is born in an outage
+// of the store has no other place to learn them from.
+func (s *Sync) HandleSnapshot(body []byte) ([]byte, error) {
+	var request configwire.PageRequest
+	if err := msgpack.Unmarshal(body, &request); err != nil {
+		return nil, errors.Wrap(err, "snapshot: decode")
+	}
+	s.mu.Lock()
+	page, err := s.page(request)
+	s.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(&page)
+}
+
+// page needs the lock.
+func (s *Sync) page(request configwire.PageRequest) (configwire.Page, error) {
+	switch request.Kind {
+	case platformapi.KindTargets:
+		return s.otherPage(s.targets.after(request.Name, pageRecords, pageBytes), platformapi.KindTargets, kindLeaving), nil
+	case kindLeaving:
+		return s.otherPage(s.leaving.after(request.Name, pageRecords), kindLeaving, ""), nil
+	}
+	limit := config.Limit{Records: pageRecords, Bytes: pageBytes}
+	records, last, more := s.set.Records(request.Cursor(), limit, config.AllBuckets)
+	page := configwire.Page{Last: configwire.RequestAfter(last), More: true, AsOf: s.asOf()}
+	if !more {
+		page.Last = configwire.PageRequest{Kind: platformapi.KindTargets}
+	}
+	for _, r := range records {
+		encoded, err := configwire.EncodeRecord(r)
+		if err != nil {
+			return page, err
+		}
+		page.Records = append(page.Records, encoded)
+	}
+	return page, nil
+}
+
+// otherPage makes the page of a kind; next is the kind that comes after it.
+// It needs the lock.
+func (s *Sync) otherPage(records []spread.Record, kind, next string) configwire.Page {
+	page := configwire.Page{Others: records, AsOf: s.asOf()}
+	switch {
+	case len(records) > 0:
+		page.More = true
+		page.Last = configwire.PageRequest{Kind: kind, Name: records[len(records)-1].Name}
+	case next != "":
+		page.More = true
+		page.Last = configwire.PageRequest{Kind: next}
+	}
+	return page
+}
+
+// asOf needs the lock. It is empty until this instance is complete itself.
+func (s *Sync) asOf() map[string]uint64 {
+	if !s.started || !s.set.Complete() {
+		return nil
+	}
+	out := make(map[string]uint64, len(config.Kinds)+1)
+	for _, kind := range config.Kinds {
+		out[string(kind)] = s.set.AsOf(catalog.RecordKind(kind))
+	}
+	out[platformapi.KindTargets] = s.targets.floor
+	return out
+}
--- a/daemon/confsync/sync.go
+++ b/daemon/confsync/sync.go
@@ -1,7 +1,7 @@
 // Package confsync keeps the configuration and the list of targets in force on
 // an instance. A few instances watch the platform's store; the others learn of
-// changes from their peers. A new instance starts from the store or, while
-// that is away, from a peer.
+// changes from their peers. A new instance starts from its peers and the store
+// and takes the newest that either has.
 package confsync
 
 import (
@@ -42,13 +42,13 @@
 // may sit on a silent connection, and a change still spreads at once.
 const Watchers = 3
 
-// Spreader passes records on to all instances; *cluster.Node is one. Publish
+// Spreader passes records on to all instances; *cluster.Cluster is one. Publish
 // doesn't block.
 type Spreader interface {
 	Publish(records []spread.Record)
 }
 
-// Peers asks another instance for all records; *cluster.Node is one.
+// Peers asks another instance for all records; *cluster.Cluster is one.
 type Peers interface {
 	Call(ctx context.Context, instance, method string, body []byte) ([]byte, error)
 	// Others names live instances other than this one, in random order.
@@ -67,6 +67,9 @@
 	OnSnapshot func(*catalog.Snapshot)
 	// OnTargets is told of the whole list of targets after each change of it.
 	OnTargets func([]platformapi.TargetEntry)
+	// OnLeaving is told once of each incarnation that a peer saw leaving; nil
+	// if nobody listens. It must not block.
+	OnLeaving func(incarnation string)
 	Scope     tally.Scope
 }
 
@@ -82,21 +85,28 @@
 	mu      sync.Mutex
 	set     *config.Set
 	targets *targetList
-	// outbox holds what is to be spread once the lock is given back.
+	leaving *leavingMarks
+	// started is false until peers and store were both asked: until then
+	// nothing is published, lest the older of the two comes into force.
+	started bool
+	// outbox holds what is to be spread once the lock is given back, told the
+	// incarnations that OnLeaving is to be told.
 	outbox []spread.Record
+	told   []string
 }
 
 // New makes a driver that holds nothing yet.
 func New(o Options) *Sync {
-	s := &Sync{
+	m := newMetrics(o.Scope)
+	return &Sync{
 		opts:     o,
 		ready:    make(chan struct{}),
 		set:      config.New(record.Decode),
 		targets:  newTargetList(),
-		verdicts: newVerdictWriter(o.Store),
-		metrics:  newMetrics(o.Scope),
+		leaving:  newLeavingMarks(),
+		verdicts: newVerdictWriter(o.Store, m),
+		metrics:  m,
 	}
-	return s
 }
 
 // Snapshot returns the configuration in force, nil before the first one.
@@ -107,7 +117,10 @@
 
 // Run follows the store or the peers until the context ends.
 func (s *Sync) Run(ctx context.Context) error {
-	go s.verdicts.run(ctx)
+	var drivers sync.WaitGroup
+	drivers.Go(func() { s.verdicts.run(ctx) })
+	drivers.Go(func() { s.expireLeaving(ctx) })
+	defer drivers.Wait()
 	pause := retryMin
 	for ctx.Err() == nil {
 		err := s.follow(ctx)
@@ -140,26 +153,37 @@
 	s.locked(func() {
 		s.applyRecords(fromSpread(records))
 		for _, r := range records {
-			if r.Kind == platformapi.KindTargets {
-				s.targets.put(r.Name, r.Revision, r.Deleted, r.Body)
-			}
+			s.takeOther(r)
 		}
 		s.publishTargets()
 	})
 }
 
+// takeOther takes a record that is no record of operators. It needs the lock.
+func (s *Sync) takeOther(r spread.Record) {
+	switch r.Kind {
+	case platformapi.KindTargets:
+		s.targets.put(r.Name, r.Revision, r.Deleted, r.Body)
+	case kindLeaving:
+		s.takeMark(r)
+	}
+}
+
 // locked runs a step under the lock and spreads what it brought without it: the
 // spreader hands news back to Receive before it returns, which would wait for
 // the lock for ever.
 func (s *Sync) locked(step func()) {
 	s.mu.Lock()
 	step()
-	news := s.outbox
-	s.outbox = nil
+	news, told := s.outbox, s.told
+	s.outbox, s.told = nil, nil
 	s.mu.Unlock()
 	if len(news) > 0 {
 		s.opts.Spreader.Publish(news)
 	}
+	for _, incarnation := range told {
+		s.opts.OnLeaving(incarnation)
+	}
 }
 
 // Digest sums up the configuration held, for status and tests.
@@ -175,17 +199,14 @@
 		return
 	}
 	s.settle(s.set.Apply(records))
+	s.contradict(records)
 }
 
 // settle publishes what a change of the set brought. It needs the lock.
 func (s *Sync) settle(changed []config.Record, snapshot *catalog.Snapshot, verdicts []config.Verdict) {
 	s.outbox = append(s.outbox, toSpread(changed)...)
-	keys := make([]config.Key, 0, len(verdicts))
-	for _, v := range verdicts {
-		keys = append(keys, v.Key)
-	}
-	s.writeVerdicts(keys)
-	if !s.set.Complete() {
+	s.queueVerdicts(verdicts)
+	if !s.started || !s.set.Complete() {
 		return
 	}
 	if old := s.current.Swap(snapshot); old != snapshot {
--- a/daemon/confsync/verdicts.go
+++ b/daemon/confsync/verdicts.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/ivyhollow/ivyhollow/coordination/config"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
 
@@ -24,123 +25,151 @@
 // verdictWriter writes each record's verdict to its status, once. Only the
 // first watcher has anything to write.
 type verdictWriter struct {
-	store platform.Store
+	store   platform.Store
+	metrics metrics
 
 	mu sync.Mutex
-	// due holds the verdicts to write; the newest of a record replaces the
-	// one before.
-	due map[config.Key]platformapi.RecordStatus
-	// seen is what the store holds, as far as known.
-	seen map[config.Key]platformapi.RecordStatus
+	// refused and accepted hold the verdicts to write; the newest of a record
+	// replaces the one before. Refused ones go first: somebody has to mend the
+	// record.
+	refused  map[config.Key]config.Verdict
+	accepted map[config.Key]config.Verdict
 }
 
-func newVerdictWriter(store platform.Store) *verdictWriter {
+func newVerdictWriter(store platform.Store, m metrics) *verdictWriter {
 	return &verdictWriter{
-		store: store,
-		due:   make(map[config.Key]platformapi.RecordStatus),
-		seen:  make(map[config.Key]platformapi.RecordStatus),
+		store:    store,
+		metrics:  m,
+		refused:  make(map[config.Key]config.Verdict),
+		accepted: make(map[config.Key]config.Verdict),
 	}
 }
 
-// add has a verdict written unless the store holds it already.
-func (w *verdictWriter) add(key config.Key, status platformapi.RecordStatus) {
+// add has a verdict written unless a newer one of the record waits.
+func (w *verdictWriter) add(v config.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.due) < maxVerdicts && !sameVerdict(w.seen[key], status) {
-		w.due[key] = status
+	if w.waiting(v.Key).Revision > v.Revision {
+		return
+	}
+	delete(w.refused, v.Key)
+	delete(w.accepted, v.Key)
+	due := w.refused
+	if v.Accepted {
+		due = w.accepted
+	}
+	if len(due) < maxVerdicts {
+		due[v.Key] = v
 	}
+	w.report()
 }
 
-// statusOf makes the status of a verdict on a spec.
-func statusOf(v config.Verdict, spec []byte) platformapi.RecordStatus {
-	return platformapi.RecordStatus{
-		Revision:   v.Revision,
-		SpecDigest: strconv.FormatUint(xxhash.Sum64(spec), 16),
-		Accepted:   v.Accepted,
-		Reason:     v.Reason,
-		InForce:    v.InForce.Revision,
+// waiting needs the lock.
+func (w *verdictWriter) waiting(key config.Key) config.Verdict {
+	if v, ok := w.refused[key]; ok {
+		return v
 	}
+	return w.accepted[key]
 }
 
-// sameVerdict compares what operators read. It leaves the revision out: the
-// write of a status raises the object's revision, so that a comparison of it
-// would have the status written again for ever.
-func sameVerdict(a, b platformapi.RecordStatus) bool {
-	a.Revision, b.Revision = 0, 0
-	return a == b
+// report needs the lock.
+func (w *verdictWriter) report() {
+	w.metrics.verdictsDue.Update(float64(len(w.refused) + len(w.accepted)))
 }
 
-// note remembers the status that the store holds for a record.
-func (w *verdictWriter) note(key config.Key, status json.RawMessage) {
-	var known platformapi.RecordStatus
-	if len(status) == 0 || json.Unmarshal(status, &known) != nil {
-		return
-	}
+// clear forgets what waits, when another instance has taken the duty over: it
+// lists the store and finds by itself what has to be written.
+func (w *verdictWriter) clear() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.seen[key] = known
+	clear(w.refused)
+	clear(w.accepted)
+	w.report()
 }
 
 // run writes due verdicts one by one until the context ends.
 func (w *verdictWriter) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, verdictInterval)
-		if key, status, ok := w.next(); ok {
-			w.write(ctx, key, status)
+		if v, ok := w.next(); ok {
+			w.write(ctx, v)
 		}
 	}
 }
 
-func (w *verdictWriter) next() (config.Key, platformapi.RecordStatus, bool) {
+func (w *verdictWriter) next() (config.Verdict, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for key, status := range w.due {
-		delete(w.due, key)
-		return key, status, !sameVerdict(w.seen[key], status)
+	for _, due := range []map[config.Key]config.Verdict{w.refused, w.accepted} {
+		for key, v := range due {
+			delete(due, key)
+			w.report()
+			return v, true
+		}
 	}
-	return config.Key{}, platformapi.RecordStatus{}, false
+	return config.Verdict{}, false
 }
 
-// write puts the verdict into the record's status. A conflict means that the
-// record has changed: its new version gets a verdict of its own. What fails
-// otherwise is tried again.
-func (w *verdictWriter) write(ctx context.Context, key config.Key, status platformapi.RecordStatus) {
-	encoded, err := json.Marshal(status)
-	if err != nil {
+// write puts the verdict into the record's status, if it isn't there. What the
+// store doesn't take now is tried again.
+func (w *verdictWriter) write(ctx context.Context, v config.Verdict) {
+	err := w.tryWrite(ctx, v)
+	if err == nil || nothingToWrite(err) {
 		return
 	}
-	object := platformapi.Object{
-		Metadata: platformapi.Metadata{Name: key.Name, Revision: status.Revision},
-		Status:   encoded,
+	w.metrics.failed.Inc(1)
+	w.add(v)
+	sleep(ctx, retryMax)
+}
+
+// tryWrite reads the record first: another writer may have been faster, and a
+// read is far cheaper for the store than a write. The write is conditional on
+// the version that was judged. Were it not, the status would say of a newer
+// spec, written in between, that it is accepted.
+func (w *verdictWriter) tryWrite(ctx context.Context, v config.Verdict) error {
+	object, err := w.store.Get(ctx, string(v.Kind), v.Name)
+	if err != nil {
+		return errors.Wrap(err, "write verdict: read")
 	}
-	_, err = w.store.UpdateStatus(ctx, string(key.Kind), object)
-	if err == nil {
-		w.note(key, encoded)
-		return
+	if !record.NeedsStatus(object, v) {
+		return nil
+	}
+	status, err := json.Marshal(record.StatusOf(v, object.Spec))
+	if err != nil {
+		return errors.Wrap(err, "write verdict: encode")
 	}
-	if !nothingToWrite(err) {
-		w.add(key, status)
-		sleep(ctx, retryMax)
+	_, err = w.store.UpdateStatus(ctx, string(v.Kind), platformapi.Object{Metadata: object.Metadata, Status: status})
+	if err != nil {
+		return errors.Wrap(err, "write verdict")
 	}
+	w.metrics.verdicts.Inc(1)
+	return nil
 }
 
-// noteStatus remembers what the store says of a record's verdict. It needs the
-// lock.
-func (s *Sync) noteStatus(kind string, o *platformapi.Object) {
-	s.verdicts.note(liveRecord(kind, o).Key, o.Status)
+// writes tells whether this instance writes the verdicts now.
+func (s *Sync) writes() bool {
+	rank, ok := s.opts.WatcherRank()
+	return ok && rank == 0
 }
 
-// writeVerdicts has the verdicts written that the store lacks, if this instance
-// is the one that writes them. It needs the lock.
-func (s *Sync) writeVerdicts(keys []config.Key) {
-	if rank, ok := s.opts.WatcherRank(); !ok || rank != 0 {
+// queueVerdicts has verdicts that changed written, if this instance is the one
+// that writes them. It needs the lock.
+func (s *Sync) queueVerdicts(verdicts []config.Verdict) {
+	if !s.writes() {
 		return
 	}
-	for _, key := range keys {
-		v, judged := s.set.Verdict(key)
-		held, known := s.set.Get(key)
-		if judged && known && !v.Deleted {
-			s.verdicts.add(key, statusOf(v, held.Newest.Spec))
+	for _, v := range verdicts {
+		if !v.Deleted {
+			s.verdicts.add(v)
 		}
 	}
 }
+
+// compareStatus has the verdict on an object written that its status lacks: one
+// that the writer before could not write any more. It needs the lock.
+func (s *Sync) compareStatus(kind string, object *platformapi.Object) {
+	key := config.Key{Kind: catalog.RecordKind(kind), Name: object.Metadata.Name}
+	if v, judged := s.set.Verdict(key); judged && record.NeedsStatus(object, v) {
+		s.verdicts.add(v)
+	}
+}
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	_ "embed"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,15 +13,14 @@
 
 	platformemulator "github.com/ivyhollow/ivyhollow/emulator/platform"
 	targetemulator "github.com/ivyhollow/ivyhollow/emulator/target"
+	"github.com/ivyhollow/ivyhollow/examples"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/protocol/record"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 )
 
 // Sample holds the sample's records, as a file of the operators' client.
-//
-//go:embed sample.json
-var Sample []byte
+var Sample = examples.Records()
 
 // SampleKey is the caller key of the sample's client account.
 const SampleKey = "demo-key"
--- a/protocol/configwire/configwire.go
+++ b/protocol/configwire/configwire.go
@@ -3,10 +3,13 @@
 package configwire
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/config"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 )
 
@@ -15,7 +18,6 @@
 const MethodSnapshot = "config.snapshot"
 
 type version struct {
-	_msgpack     struct{} `msgpack:",as_array"`
 	Revision     uint64
 	Deleted      bool
 	Spec         []byte
@@ -23,7 +25,6 @@
 }
 
 type record struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Kind     string
 	Name     string
 	Newest   version
@@ -43,6 +44,8 @@
 	Records [][]byte    `msgpack:"r"`
 	Last    PageRequest `msgpack:"l"`
 	More    bool        `msgpack:"m"`
+	// Others are the targets and the marks of leaving ones.
+	Others []spread.Record `msgpack:"o"`
 	// AsOf is the store's revision of the newest full list, by kind. It is
 	// empty when the instance has not seen a full list itself.
 	AsOf map[string]uint64 `msgpack:"a"`
@@ -61,14 +64,17 @@
 
 // EncodeRecord writes a record.
 func EncodeRecord(r config.Record) ([]byte, error) {
-	body, err := msgpack.Marshal(&record{
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	encoder.UseArrayEncodedStructs(true) // names of fields would be sent with each record
+	err := encoder.Encode(&record{
 		Kind:     string(r.Kind),
 		Name:     r.Name,
 		Newest:   toWire(r.Newest),
 		Accepted: r.Accepted,
 		InForce:  toWire(r.InForce),
 	})
-	return body, errors.Wrap(err, "encode configuration record")
+	return body.Bytes(), errors.Wrap(err, "encode configuration record")
 }
 
 // DecodeRecord reads a record.
