--- /dev/null
+++ b/coordination/lease/lease.go
@@ -0,0 +1,263 @@
+// Package lease decides, without I/O, who may give orders to the targets of a
+// pool. A lease lies in the platform's store and changes hands by conditional
+// update only; each change raises its fencing number. The idea of fencing
+// numbers is that of M. Burrows, "The Chubby lock service for loosely-coupled
+// distributed systems" (OSDI 2006), section 2.4, where they are sequencers.
+package lease
+
+import "time"
+
+// Record is a lease as it stands in the store.
+type Record struct {
+	// Holder is the holding incarnation; empty when the lease was given up with
+	// no order under way.
+	Holder string `json:"holder"`
+	// Fencing grows by one with each new holder and never falls.
+	Fencing uint64 `json:"fencing"`
+	// TermMS is how long the lease holds after a renewal, in milliseconds.
+	TermMS int64 `json:"term_ms"`
+	// Attempt numbers the holder's writes. No two are alike, so a holder that
+	// lost an answer knows exactly which of its writes it reads back.
+	Attempt uint64 `json:"attempt"`
+	// LongestOrderMS is how long the longest order of the holder may be under
+	// way, in milliseconds.
+	LongestOrderMS int64 `json:"longest_order_ms"`
+}
+
+func (r Record) term() time.Duration { return time.Duration(r.TermMS) * time.Millisecond }
+
+func (r Record) longestOrder() time.Duration {
+	return time.Duration(r.LongestOrderMS) * time.Millisecond
+}
+
+// Terms are the times of a lease.
+type Terms struct {
+	// Term is how long a lease holds after a renewal.
+	Term time.Duration
+	// RenewEvery is the time between renewals, at most a third of Term.
+	RenewEvery time.Duration
+	// Margin is taken off the holder's own term, for clocks that run at
+	// different rates.
+	Margin time.Duration
+	// LongestOrder bounds an order from its check to its end at the target.
+	LongestOrder time.Duration
+}
+
+// DefaultTerms suit orders that load weights for some seconds.
+var DefaultTerms = Terms{
+	Term:         10 * time.Second,
+	RenewEvery:   3 * time.Second,
+	Margin:       time.Second,
+	LongestOrder: 30 * time.Second,
+}
+
+// Action is what the driver does next.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Read asks the store for the lease.
+	Read struct{}
+	// Write writes the record if the lease is at the revision; revision 0
+	// creates it.
+	Write struct {
+		Record   Record
+		Revision uint64
+	}
+	// Wait does nothing until a time.
+	Wait struct{ Until time.Time }
+)
+
+func (Read) action()  {}
+func (Write) action() {}
+func (Wait) action()  {}
+
+// Lease is one instance's view of one lease. The times given to it come from
+// one clock that runs while the process is paused. It isn't safe for
+// concurrent use.
+type Lease struct {
+	self  string
+	terms Terms
+	// seen is the record last read, at revision, unchanged since seenSince.
+	seen      Record
+	revision  uint64
+	seenSince time.Time
+	known     bool
+	// asked is when the write under way was sent.
+	asked   time.Time
+	wanted  Record
+	attempt uint64
+	held    bool
+	expires time.Time
+	// clearAt is when no order of an earlier holder can be under way any more.
+	clearAt time.Time
+	next    time.Time
+}
+
+// New returns a lease that isn't held. self names the incarnation.
+func New(self string, terms Terms) *Lease { return &Lease{self: self, terms: terms} }
+
+// Next returns what to do at a time.
+func (l *Lease) Next(now time.Time) Action {
+	l.lapse(now)
+	if now.Before(l.next) {
+		return Wait{Until: l.next}
+	}
+	if !l.known {
+		return Read{}
+	}
+	if !l.held && !l.free(now) {
+		return Read{}
+	}
+	if l.seen.Holder == l.self {
+		return l.write(now, l.renewal())
+	}
+	return l.write(now, l.acquisition())
+}
+
+// Absent tells that the store has no lease.
+func (l *Lease) Absent(now time.Time) {
+	l.held = false
+	l.known, l.seen, l.revision, l.seenSince = true, Record{}, 0, now
+	l.next = now
+}
+
+// Seen tells which record the store holds, after a read or a conflict.
+//
+// Guard: the answer of a write can be lost after it has taken effect. When
+// exactly that write is read back, the lease counts from when it was sent, the
+// earliest time at which it can have taken effect. An earlier write of this
+// holder that took effect late doesn't count: observers may have seen it long
+// before the last one was sent.
+func (l *Lease) Seen(now time.Time, r Record, revision uint64) {
+	if !l.known || revision != l.revision {
+		l.seenSince = now
+	}
+	mine := !l.asked.IsZero() && r == l.wanted
+	l.known, l.seen, l.revision = true, r, revision
+	l.next = now.Add(l.terms.RenewEvery)
+	if mine {
+		l.take()
+		return
+	}
+	l.asked = time.Time{}
+	if r.Holder != l.self {
+		l.held = false
+	}
+	if l.held || l.free(now) {
+		l.next = now
+	}
+}
+
+// Written tells that the write under way has taken effect.
+func (l *Lease) Written(now time.Time, revision uint64) {
+	l.seen, l.revision, l.seenSince = l.wanted, revision, now
+	l.take()
+	l.next = l.asked.Add(l.terms.RenewEvery)
+}
+
+// Failed tells that a call to the store got no answer. The lease is read again
+// before the next write; meanwhile a held lease runs out by itself.
+func (l *Lease) Failed(now time.Time) {
+	l.known = false
+	l.next = now.Add(l.terms.RenewEvery / 3)
+}
+
+// Held tells whether an order that ends by the longest order time may be
+// given now, and under which fencing number. It is asked right before each
+// order.
+//
+// Guard: the holder was paused across its lapse and a successor holds the
+// lease. The clock ran meanwhile, so the check fails. What it can't prevent is
+// a pause between the check and the sending of the order: targets that check
+// the fencing number refuse that order, and for the others the successor
+// waits out the longest order, which bounds the order but not the pause.
+func (l *Lease) Held(now time.Time) (uint64, bool) {
+	l.lapse(now)
+	if !l.held {
+		return 0, false
+	}
+	return l.wanted.Fencing, true
+}
+
+// Clear tells whether orders to targets that ignore the fencing number may be
+// given: the lease is held and the orders of earlier holders are over.
+func (l *Lease) Clear(now time.Time) bool {
+	_, held := l.Held(now)
+	return held && !now.Before(l.clearAt)
+}
+
+// ClearAt is when Clear turns true, if the lease stays held.
+func (l *Lease) ClearAt() time.Time { return l.clearAt }
+
+// Release returns the record that gives a held lease up, when no order is
+// under way. The lease counts as not held from now on.
+func (l *Lease) Release(now time.Time) (Write, bool) {
+	if _, held := l.Held(now); !held {
+		return Write{}, false
+	}
+	r := l.seen
+	r.Holder = ""
+	l.held, l.known, l.next = false, false, now.Add(l.terms.Term)
+	return Write{Record: r, Revision: l.revision}, true
+}
+
+// lapse gives up a lease whose time has run out.
+func (l *Lease) lapse(now time.Time) {
+	if l.held && !now.Before(l.expires) {
+		l.held, l.known, l.next = false, false, now
+	}
+}
+
+// free tells whether the lease may be taken: it was given up, or it stood
+// unchanged in this observer's sight for its whole term. No clocks of two
+// instances are compared.
+func (l *Lease) free(now time.Time) bool {
+	if l.revision == 0 || l.seen.Holder == "" || l.seen.Holder == l.self {
+		return true
+	}
+	return now.Sub(l.seenSince) >= l.seen.term()
+}
+
+// renewal prolongs this incarnation's own record under its fencing number.
+func (l *Lease) renewal() Record {
+	r := l.seen
+	r.Attempt = l.nextAttempt()
+	return r
+}
+
+// acquisition replaces another holder's record.
+//
+// Guard: the predecessor may have checked its lease right before it lapsed and
+// sent an order that runs for the longest order time. Towards targets that
+// ignore the fencing number that order would meet ours, so a successor waits
+// out the predecessor's term and longest order from its last sign of life.
+func (l *Lease) acquisition() Record {
+	if l.seen.Holder != "" {
+		l.clearAt = l.seenSince.Add(l.seen.term() + l.seen.longestOrder())
+	}
+	return Record{
+		Holder:         l.self,
+		Fencing:        l.seen.Fencing + 1,
+		TermMS:         l.terms.Term.Milliseconds(),
+		Attempt:        l.nextAttempt(),
+		LongestOrderMS: l.terms.LongestOrder.Milliseconds(),
+	}
+}
+
+func (l *Lease) nextAttempt() uint64 {
+	l.attempt++
+	return l.attempt
+}
+
+func (l *Lease) write(now time.Time, r Record) Action {
+	l.asked, l.wanted = now, r
+	return Write{Record: r, Revision: l.revision}
+}
+
+// take counts the wanted record as in force since its write was sent.
+func (l *Lease) take() {
+	l.held = true
+	l.expires = l.asked.Add(l.terms.Term - l.terms.Margin)
+	l.asked = time.Time{}
+}
--- a/daemon/claims/queue.go
+++ b/daemon/claims/queue.go
@@ -25,9 +25,9 @@
 
 // queue holds the writes that wait for the store, bounded by number and bytes.
 type queue struct {
-	mu       sync.Mutex
-	writes   []write
-	bytes    int
+	mu     sync.Mutex
+	writes []write
+	bytes  int
 	// taken counts the writes that pop has handed out and done not yet ended.
 	taken    int
 	max      int
--- a/daemon/claims/record.go
+++ b/daemon/claims/record.go
@@ -96,15 +96,15 @@
 				return ctx.Err()
 			}
 		}
-		recorded := s.record(ctx, &w)
-		s.queue.done()
-		if recorded {
+		if s.record(ctx, &w) {
+			s.queue.done()
 			backoff = minBackoff
 			s.metrics.recordedLate.Inc(1)
 			s.metrics.queued.Update(float64(s.queue.size()))
 			continue
 		}
 		s.requeue(w)
+		s.queue.done()
 		if err := pause(ctx, jitter(backoff)); err != nil {
 			return err
 		}
