Cut load digests to what the spread takes, take each in once

Cause: the spread drops a digest over 128 bytes without a word. One busy pool made 296 bytes, so that under load no instance heard of another: the counts of peers in routing and the demand of peers in the tiers were missing just when they matter. Besides, each held digest was decoded and summed up again every 200 ms, whatever was new. Ruled out: a larger bound. At 440 instances its bytes are paid by every one that relays; at eight it would end the direct exchange each second. Change: loadwire packs pools by hash with loads in one byte by logarithm (5% at most), most demand first, then targets; all within a limit. The receiver tells a pool left out from an idle one. daemon/load takes a digest in once, and none past its use.

--- a/daemon/load/load.go
+++ b/daemon/load/load.go
@@ -20,6 +20,9 @@
 // digestTTL is how long a peer's digest counts for the gates.
 const digestTTL = 3 * time.Second
 
+// maxBody is the size of a digest that the spread takes.
+var maxBody = spread.DefaultConfig().MaxLoadBody
+
 // Cluster carries the digests; *cluster.Cluster is one.
 type Cluster interface {
 	SendDigest(body []byte)
@@ -41,6 +44,8 @@
 	// instances counts the live instances.
 	instances func() int
 	peers     map[string]*tiers.Peers
+	// taken holds the body of each origin's digest that was taken in last.
+	taken map[string][]byte
 }
 
 // New makes a driver; self is this instance's name.
@@ -52,6 +57,7 @@
 		gates:     g,
 		instances: instances,
 		peers:     make(map[string]*tiers.Peers),
+		taken:     make(map[string][]byte),
 	}
 }
 
@@ -62,46 +68,69 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			e.send(now)
-			e.receive(now)
+			e.Round(now)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// Round sends the own digest and takes in what has come. Calls don't overlap.
+func (e *Exchange) Round(now time.Time) {
+	e.send(now)
+	e.receive(now)
+}
+
 func (e *Exchange) send(now time.Time) {
 	digest := loadwire.Digest{
 		Targets: e.router.Digest(now),
 		Pools:   make(map[string]tiers.Digest),
 	}
 	e.gates.Each(func(pool string, own *gate.Gate) { digest.Pools[pool] = own.Digest() })
-	if body, err := loadwire.Encode(digest); err == nil {
+	if body, err := loadwire.Encode(digest, maxBody); err == nil {
 		e.cluster.SendDigest(body)
 	}
 }
 
 func (e *Exchange) receive(now time.Time) {
+	taken := make(map[string][]byte, len(e.taken))
 	for _, l := range e.cluster.Loads() {
-		if l.Origin == e.self {
+		if l.Origin == e.self || l.Age > digestTTL {
 			continue
 		}
-		digest, err := loadwire.Decode(l.Body)
-		if err != nil {
-			continue // made by another release
-		}
-		made := now.Add(-l.Age)
-		e.router.PeerDigest(made, l.Origin, digest.Targets)
-		for pool, load := range digest.Pools {
-			e.pool(pool).Heard(made, l.Origin, load)
+		taken[l.Origin] = l.Body
+		if !same(l.Body, e.taken[l.Origin]) {
+			e.take(now.Add(-l.Age), l)
 		}
 	}
+	e.taken = taken
 	instances := e.instances()
 	e.gates.Each(func(pool string, own *gate.Gate) {
 		own.SetPeers(e.pool(pool).Load(now, instances))
 	})
 }
 
+// same tells whether two bodies are the very same slice. The spread keeps a
+// digest for many exchanges; to take each of hundreds in again every time would
+// cost more than all else that an instance does for control.
+func same(a, b []byte) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
+
+// take takes one digest in.
+func (e *Exchange) take(made time.Time, l spread.Load) {
+	digest, err := loadwire.Decode(l.Body)
+	if err != nil {
+		return // made by another release
+	}
+	e.router.PeerDigest(made, l.Origin, digest.Targets)
+	e.gates.Each(func(pool string, _ *gate.Gate) {
+		if load, told := digest.Pool(pool); told {
+			e.pool(pool).Heard(made, l.Origin, load)
+		}
+	})
+}
+
 func (e *Exchange) pool(name string) *tiers.Peers {
 	p, ok := e.peers[name]
 	if !ok {
--- a/protocol/loadwire/loadwire.go
+++ b/protocol/loadwire/loadwire.go
@@ -1,5 +1,6 @@
 // Package loadwire is the form of the load digest that an instance spreads to
-// its peers. Its size is bounded by the bounds of its parts.
+// its peers. A digest is cut to a bound of bytes: an instance hears of hundreds
+// of others, and pays for each byte of a digest as often.
 package loadwire
 
 import (
@@ -12,90 +13,68 @@
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 )
 
-// MaxPools bounds the pools in one digest.
-const MaxPools = 64
+// poolShare is the part of a digest, in percent, that pools may fill while
+// targets wait. What one part leaves, the other may use.
+const poolShare = 50
 
-type wire struct {
-	// Hashes and InFlight are the targets' entries, in step.
-	Hashes   []uint32
-	InFlight []uint16
-	Pools    []poolLoad
-}
+// errShort says that a packed part ends too early, or is too long.
+var errShort = errors.New("load digest: parts of a wrong length")
 
-type poolLoad struct {
-	Pool string
-	// InFlight and Demand hold a value for each rank up to the last in use.
-	InFlight []float32
-	Demand   []float32
+type wire struct {
+	Targets []byte
+	Pools   []byte
+	// Whole says that no pool with any load was left out.
+	Whole bool
 }
 
 // Digest is one instance's load.
 type Digest struct {
+	// Targets are in the order of their weight, the first being kept longest.
 	Targets []routing.DigestEntry
 	Pools   map[string]tiers.Digest
 }
 
-// Encode writes a digest.
-func Encode(d Digest) ([]byte, error) {
-	w := wire{
-		Hashes:   make([]uint32, len(d.Targets)),
-		InFlight: make([]uint16, len(d.Targets)),
-	}
-	for i, entry := range d.Targets {
-		w.Hashes[i] = entry.TargetHash
-		w.InFlight[i] = entry.InFlight
-	}
-	for pool, load := range d.Pools {
-		if len(w.Pools) == MaxPools {
-			break
-		}
-		w.Pools = append(w.Pools, encodePool(pool, load))
-	}
+// Received is a peer's digest. It names pools by hash.
+type Received struct {
+	Targets []routing.DigestEntry
+	pools   map[uint32]tiers.Digest
+	whole   bool
+}
+
+// Pool returns the load of a pool, false if the digest had no room for it.
+func (r *Received) Pool(name string) (tiers.Digest, bool) {
+	d, ok := r.pools[hashPool(name)]
+	return d, ok || r.whole
+}
+
+// Encode writes a digest in at most limit bytes. It leaves out the last targets
+// and the pools of least demand that don't fit. Loads of pools are rounded, to
+// one part in twenty.
+//
+// Guard: the spread drops a digest over its bound, so that under load, when
+// there is most to tell, peers would hear nothing at all.
+func Encode(d Digest, limit int) ([]byte, error) {
+	room := limit - envelope
+	wanted := len(d.Targets) * targetSize
+	pools, whole := packPools(d.Pools, max(room*poolShare/100, room-wanted))
+	w := wire{Targets: packTargets(d.Targets, room-len(pools)), Pools: pools, Whole: whole}
 	var body bytes.Buffer
 	encoder := msgpack.NewEncoder(&body)
-	encoder.UseArrayEncodedStructs(true) // names of fields would double its size
+	encoder.UseArrayEncodedStructs(true) // names of fields would take room
 	err := encoder.Encode(&w)
 	return body.Bytes(), errors.Wrap(err, "encode load digest")
 }
 
-func encodePool(pool string, load tiers.Digest) poolLoad {
-	p := poolLoad{Pool: pool}
-	last := -1
-	for rank, r := range load.Ranks {
-		if r.InFlight > 0 || r.Demand > 0 {
-			last = rank
-		}
-	}
-	for _, r := range load.Ranks[:last+1] {
-		p.InFlight = append(p.InFlight, r.InFlight)
-		p.Demand = append(p.Demand, r.Demand)
-	}
-	return p
-}
-
 // Decode reads a digest.
-func Decode(body []byte) (Digest, error) {
+func Decode(body []byte) (Received, error) {
 	var w wire
 	if err := msgpack.Unmarshal(body, &w); err != nil {
-		return Digest{}, errors.Wrap(err, "decode load digest")
+		return Received{}, errors.Wrap(err, "decode load digest")
 	}
-	if len(w.Hashes) != len(w.InFlight) || len(w.Pools) > MaxPools {
-		return Digest{}, errors.New("decode load digest: lists out of step")
-	}
-	d := Digest{Pools: make(map[string]tiers.Digest, len(w.Pools))}
-	for i, hash := range w.Hashes {
-		d.Targets = append(d.Targets, routing.DigestEntry{TargetHash: hash, InFlight: w.InFlight[i]})
-	}
-	for _, p := range w.Pools {
-		d.Pools[p.Pool] = decodePool(p)
-	}
-	return d, nil
-}
-
-func decodePool(p poolLoad) tiers.Digest {
-	var load tiers.Digest
-	for rank := range min(len(p.InFlight), len(p.Demand), tiers.MaxRanks) {
-		load.Ranks[rank] = tiers.RankLoad{InFlight: p.InFlight[rank], Demand: p.Demand[rank]}
+	pools, err := unpackPools(w.Pools)
+	if err != nil {
+		return Received{}, errors.Wrap(err, "decode pools")
 	}
-	return load
+	targets, err := unpackTargets(w.Targets)
+	return Received{Targets: targets, pools: pools, whole: w.Whole}, errors.Wrap(err, "decode targets")
 }
--- /dev/null
+++ b/protocol/loadwire/pack.go
@@ -0,0 +1,132 @@
+package loadwire
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+)
+
+// Sizes of the packed parts, in bytes.
+const (
+	// targetSize is a target's hash and its count.
+	targetSize = 4 + 2
+	// poolHeader is a pool's hash and the number of its ranks.
+	poolHeader = 4 + 1
+	// rankSize is the code of the requests in flight and that of the demand.
+	rankSize = 2
+	// envelope bounds what msgpack adds to the two packed parts.
+	envelope = 8
+)
+
+// hashPool stands for a pool's name, which would take most of the digest.
+func hashPool(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// packPools packs the pools of most demand first, as far as they fit, and tells
+// whether all did.
+func packPools(pools map[string]tiers.Digest, room int) (packed []byte, whole bool) {
+	names := slices.SortedFunc(maps.Keys(pools), func(a, b string) int {
+		return cmp.Or(cmp.Compare(demand(pools[b]), demand(pools[a])), cmp.Compare(a, b))
+	})
+	whole = true
+	for _, name := range names {
+		load := pools[name]
+		ranks := ranksInUse(load)
+		if ranks == 0 {
+			continue
+		}
+		if len(packed)+poolHeader+ranks*rankSize > room {
+			whole = false
+			continue
+		}
+		packed = binary.BigEndian.AppendUint32(packed, hashPool(name))
+		packed = append(packed, byte(ranks))
+		for _, r := range load.Ranks[:ranks] {
+			packed = append(packed, packLoad(r.InFlight), packLoad(r.Demand))
+		}
+	}
+	return packed, whole
+}
+
+func demand(d tiers.Digest) float32 {
+	sum := float32(0)
+	for _, r := range d.Ranks {
+		sum += max(r.InFlight, r.Demand)
+	}
+	return sum
+}
+
+// ranksInUse counts the ranks up to the last that has any load.
+func ranksInUse(d tiers.Digest) int {
+	for rank := len(d.Ranks); rank > 0; rank-- {
+		if r := d.Ranks[rank-1]; r.InFlight > 0 || r.Demand > 0 {
+			return rank
+		}
+	}
+	return 0
+}
+
+// unpackPools reads the pools by the hashes of their names.
+func unpackPools(packed []byte) (map[uint32]tiers.Digest, error) {
+	out := make(map[uint32]tiers.Digest, len(packed)/(poolHeader+rankSize))
+	for len(packed) > 0 {
+		if len(packed) < poolHeader {
+			return nil, errShort
+		}
+		hash, ranks := binary.BigEndian.Uint32(packed), int(packed[4])
+		packed = packed[poolHeader:]
+		if ranks > tiers.MaxRanks || len(packed) < ranks*rankSize {
+			return nil, errShort
+		}
+		var d tiers.Digest
+		for r := range ranks {
+			d.Ranks[r] = tiers.RankLoad{InFlight: unpackLoad(packed[r*rankSize]), Demand: unpackLoad(packed[r*rankSize+1])}
+		}
+		out[hash] = d
+		packed = packed[ranks*rankSize:]
+	}
+	return out, nil
+}
+
+// packTargets packs entries in their order, as far as they fit.
+func packTargets(entries []routing.DigestEntry, room int) []byte {
+	n := min(len(entries), max(room, 0)/targetSize)
+	out := make([]byte, 0, n*targetSize)
+	for _, e := range entries[:n] {
+		out = binary.BigEndian.AppendUint32(out, e.TargetHash)
+		out = binary.BigEndian.AppendUint16(out, e.InFlight)
+	}
+	return out
+}
+
+func unpackTargets(packed []byte) ([]routing.DigestEntry, error) {
+	if len(packed)%targetSize != 0 {
+		return nil, errShort
+	}
+	out := make([]routing.DigestEntry, 0, len(packed)/targetSize)
+	for ; len(packed) > 0; packed = packed[targetSize:] {
+		out = append(out, routing.DigestEntry{
+			TargetHash: binary.BigEndian.Uint32(packed),
+			InFlight:   binary.BigEndian.Uint16(packed[4:]),
+		})
+	}
+	return out, nil
+}
+
+// loadScale is the number of codes for each doubling of a load.
+const loadScale = 8
+
+// packLoad codes a load in one byte, by its logarithm: 0 and 1 are exact, the
+// rest is off by at most one part in twenty, or in forty of the load and one.
+func packLoad(load float32) byte {
+	code := math.Round(loadScale * math.Log2(1+float64(max(load, 0))))
+	return byte(min(code, math.MaxUint8))
+}
+
+func unpackLoad(code byte) float32 { return float32(math.Exp2(float64(code)/loadScale) - 1) }
