Measure how an instance grows, one size at a time

Ruled out: go test benchmarks alone: they give no fit, and no bytes a second of a fleet. Change: testkit/capacity with the command capacity: membership, records and load digests of a fleet in virtual time and over loopback, failures, routing, configuration, budgets, requests, polls and claims; each series with fit, residual and the value at the target size, marked when extrapolated.

--- /dev/null
+++ b/testkit/capacity/accounts.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/config"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+func accountName(i int) string { return fmt.Sprintf("account-%05d", i) }
+
+func accountRecord(i int, revision uint64) config.Record {
+	key := config.Key{Kind: catalog.RecordAccounts, Name: accountName(i)}
+	spec := fmt.Sprintf(`{"schema_version":1,"tier":"gold","keys":[{"sha256":"%x"}],"requests_per_s":%d,"burst":10}`,
+		sha256.Sum256([]byte(key.Name)), 4+revision%2)
+	return config.Live(key, revision, []byte(spec))
+}
+
+// accountSet returns a configuration with n accounts in force.
+func accountSet(n int) (*config.Set, error) {
+	set := config.New(record.Decode)
+	for _, kind := range config.Kinds {
+		set.ApplyList(kind, nil, 0)
+	}
+	tier := config.Live(config.Key{Kind: catalog.RecordTiers, Name: "gold"}, 1,
+		[]byte(`{"schema_version":1,"rank":0,"deadline_ms":6000,"engine_priority":0}`))
+	batch := []config.Record{tier}
+	for i := range n {
+		batch = append(batch, accountRecord(i, uint64(10+i)))
+	}
+	_, snapshot, _ := set.Apply(batch)
+	if held := snapshot.Accounts.Len(); held != n {
+		return nil, errors.Newf("%d of %d accounts are in force", held, n)
+	}
+	return set, nil
+}
+
+// spreadTable returns the records of n accounts as the spread holds them, a
+// second time.
+func spreadTable(n int) *spread.Table {
+	table := spread.NewTable(maxTombstones)
+	for i := range n {
+		r := accountRecord(i, uint64(10+i))
+		table.Apply(spread.Record{Kind: recordKind, Name: r.Name, Revision: r.Newest.Revision, Body: r.Newest.Spec})
+	}
+	return table
+}
+
+func measureAccounts(o Options) ([]Series, error) {
+	series := func(quantity, unit string, budget float64) Series {
+		return Series{Quantity: quantity, Unit: unit, Size: "account", Target: targetAccounts, Budget: budget}
+	}
+	memory := series("configuration set and snapshot", "MB", budgetMemory)
+	table := series("records held by the spread", "MB", budgetMemory)
+	apply := series("Apply of one changed account", "us", 0)
+	lookup := series("finding an account by its key", "ns", 0)
+	put := series("the spread takes one record", "us", 0)
+	for _, n := range o.sizes(5, 1000, 8000, 32000) {
+		if _, err := accountSet(n); err != nil {
+			return nil, err
+		}
+		memory.add(n, heapOf(func() any { set, _ := accountSet(n); return set })/megabyte)
+		table.add(n, heapOf(func() any { return spreadTable(n) })/megabyte)
+		set, _ := accountSet(n)
+		held, revision := spreadTable(n), uint64(1_000_000)
+		apply.add(n, o.nsPerOp(func() {
+			revision++
+			set.Apply([]config.Record{accountRecord(int(revision)%n, revision)})
+		})/1000)
+		put.add(n, o.nsPerOp(func() {
+			revision++
+			held.Apply(spread.Record{Kind: recordKind, Name: accountName(int(revision) % n), Revision: revision})
+		})/1000)
+		snapshot, hash := set.Snapshot(), sha256.Sum256([]byte(accountName(n/2)))
+		lookup.add(n, o.nsPerOp(func() { snapshot.AccountByKey(hash) }))
+	}
+	return []Series{memory, table, apply, put, lookup}, nil
+}
--- /dev/null
+++ b/testkit/capacity/capacity_test.go
@@ -0,0 +1,67 @@
+package capacity
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFit(t *testing.T) {
+	cases := map[string]struct {
+		points         []Point
+		slope, at, off float64
+	}{
+		"line":      {[]Point{{1, 12}, {2, 14}, {4, 18}}, 2, 30, 0},
+		"level":     {[]Point{{1, 5}, {2, 5}, {4, 5}}, 0, 5, 0},
+		"one point": {[]Point{{8, 7}}, 0, 7, 0},
+		"bent":      {[]Point{{0, 0}, {1, 3}, {2, 0}}, 0, 1, 2. / 3},
+		"nothing":   {nil, 0, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := Series{Target: 10, Points: c.points}
+			fit := s.Fit()
+			require.InDelta(t, c.slope, fit.Slope, 1e-9)
+			require.InDelta(t, c.off, fit.Residual, 1e-9)
+			value, measured := s.AtTarget()
+			require.InDelta(t, c.at, value, 1e-9)
+			require.False(t, measured)
+		})
+	}
+}
+
+// A figure that nobody has measured must not be taken for one.
+func TestTableTellsWhatIsExtrapolatedOrOver(t *testing.T) {
+	all := []Series{
+		{Quantity: "a", Target: 4, Budget: 10, Points: []Point{{1, 3}, {4, 12}}},
+		{Quantity: "b", Target: 8, Budget: 10, Points: []Point{{1, 1}, {4, 4}}},
+	}
+	var out strings.Builder
+	require.NoError(t, WriteTable(&out, all))
+	lines := strings.Split(out.String(), "\n")
+	require.Contains(t, lines[0], "12 measured")
+	require.Contains(t, lines[0], "OVER")
+	require.Contains(t, lines[1], "8 EXTRAPOLATED")
+	require.NotContains(t, lines[1], "OVER")
+}
+
+// A change makes each instance talk to all others, or keep something for each
+// target or account times nodes. Nothing shows it at eight instances; at
+// hundreds it eats the budget for control. Traffic is in virtual time and the
+// same on every run.
+func TestTrafficOfAnInstanceIsBounded(t *testing.T) {
+	perNode := func(n int) float64 {
+		f := newFleet(n)
+		_, ok := f.settle(settleLimit)
+		require.True(t, ok, "%d instances did not find one another", n)
+		f.run(time.Minute)
+		f.sent = traffic{}
+		f.change(fleetLength)
+		return float64(f.sent.bytes()) / float64(n) / fleetLength.Seconds()
+	}
+	small, large := perNode(12), perNode(48)
+	require.Less(t, large, budgetBytes*0.6)
+	require.Less(t, large, 1.3*small)
+}
--- /dev/null
+++ b/testkit/capacity/claims.go
@@ -0,0 +1,68 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	"github.com/ivyhollow/ivyhollow/daemon/claims"
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// The platform's calls a second, in all.
+const (
+	storeWrites = 400
+	storeReads  = 2000
+)
+
+// claimShare is an assumption: one request in a hundred may not be repeated.
+const claimShare = 0.01
+
+// targetClaims is the claims a second in all.
+const targetClaims = 42000 * claimShare
+
+// measureClaims counts the calls to the store that a claim causes from its
+// begin to the end of its retention, and those of one instance's sweep.
+func measureClaims(o Options) ([]Series, error) {
+	writes := Series{Quantity: "writes to the store, of 1% of the requests", Unit: "1/s in all", Size: "claim", Target: targetClaims, Budget: storeWrites}
+	pages := Series{Quantity: "reads of one sweep", Unit: "pages", Size: "claim kept", Target: targetClaims * 86400}
+	for _, n := range o.sizes(1, 100, 420) {
+		store := emulator.New(emulator.Options{WritesPerSecond: emulator.Unlimited, ReadsPerSecond: emulator.Unlimited})
+		claimed(store, n)
+		sweep(store)
+		writes.add(n, float64(store.Calls().Kinds[platformapi.KindClaims].Writes))
+	}
+	for _, n := range o.sizes(400, 4000, 20000) {
+		store := emulator.New(emulator.Options{WritesPerSecond: emulator.Unlimited, ReadsPerSecond: emulator.Unlimited})
+		claimed(store, n)
+		before := store.Calls().Kinds[platformapi.KindClaims].Reads
+		_, _ = claims.NewObjects(store.Local("sweeper")).Sweep(context.Background(), time.Time{}, func() error { return nil })
+		pages.add(n, float64(store.Calls().Kinds[platformapi.KindClaims].Reads-before))
+	}
+	return []Series{writes, pages}, nil
+}
+
+// claimed makes n claims and records their outcomes.
+func claimed(store *emulator.Store, n int) {
+	service := claims.New(claims.Options{
+		Owner:   claim.Owner{Instance: "one", Incarnation: 1},
+		Storage: claims.NewObjects(store.Local("one")),
+	})
+	ctx := context.Background()
+	for i := range n {
+		begun, err := service.Begin(ctx, claims.Key{Account: "a", IdempotencyKey: fmt.Sprint(i)}, [32]byte{})
+		if err != nil || begun.Ticket == nil {
+			continue
+		}
+		_ = begun.Ticket.MarkDispatched()
+		_ = begun.Ticket.Finish(ctx, claims.Kept{Outcome: claim.OutcomeRan, Status: 200})
+	}
+}
+
+// sweep removes every claim, as after their retention.
+func sweep(store *emulator.Store) {
+	later := time.Now().Add(time.Hour)
+	_, _ = claims.NewObjects(store.Local("sweeper")).Sweep(context.Background(), later, func() error { return nil })
+}
--- /dev/null
+++ b/testkit/capacity/exchange.go
@@ -0,0 +1,115 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/daemon/load"
+	"github.com/ivyhollow/ivyhollow/protocol/loadwire"
+)
+
+// Shape of the instance whose digests are exchanged.
+const (
+	exchangePools = 10
+	exchangesASec = 5
+)
+
+// heardCluster stands for the spread: the digests of n origins, some of which
+// are replaced each second.
+type heardCluster struct {
+	loads []spread.Load
+	size  int
+	next  int
+}
+
+func (c *heardCluster) SendDigest(body []byte) { c.size = len(body) }
+
+func (c *heardCluster) Loads() []spread.Load { return c.loads }
+
+// renew replaces digests as messages do between two exchanges.
+func (c *heardCluster) renew(n int, body []byte) {
+	for i := range c.loads {
+		c.loads[i].Age += time.Second / exchangesASec
+	}
+	for range n {
+		at := c.next % len(c.loads)
+		c.loads[at].Age = 0
+		c.loads[at].Body = append([]byte(nil), body...)
+		c.next++
+	}
+}
+
+func measureExchange(o Options) ([]Series, error) {
+	cost := Series{Quantity: "taking in peers' load digests", Unit: "ms/s", Size: "origin heard", Target: targetNodes, Budget: budgetCPU}
+	size := Series{Quantity: "own load digest, 10 pools of 3 tiers, all busy", Unit: "B", Size: "pool", Target: exchangePools, Budget: float64(spread.DefaultConfig().MaxLoadBody)}
+	for _, n := range o.sizes(8, 64, 220, 440) {
+		rig := newExchangeRig(n, exchangePools)
+		ns := o.nsPerOp(rig.round)
+		cost.add(n, ns*exchangesASec/1e6)
+	}
+	for _, pools := range o.sizes(1, 5, exchangePools) {
+		rig := newExchangeRig(1, pools)
+		rig.round()
+		size.add(pools, float64(rig.cluster.size))
+	}
+	return []Series{cost, size}, nil
+}
+
+type exchangeRig struct {
+	cluster  *heardCluster
+	exchange *load.Exchange
+	body     []byte
+}
+
+func newExchangeRig(origins, pools int) *exchangeRig {
+	now := time.Now()
+	table := routing.New(routing.Config{Instance: "self", LocalDataCentre: "dc-0"})
+	gates := gate.NewGroup(tiers.Config{}, time.Now)
+	for p := range pools {
+		name := fmt.Sprint("pool-", p)
+		table.SetTargets(now, routing.Pool{Name: name}, targetList(name, 400))
+		gates.SetCapacity(name, 64*16)
+		for rank := range 3 {
+			gates.TryEnter(name, gate.Request{Rank: rank, LatestStart: now.Add(time.Hour)})
+		}
+		for range 96 {
+			choice, err := table.Pick(now, random, routing.Query{Pool: name})
+			if err == nil {
+				table.Started(now, choice.Target.Incarnation, 1)
+			}
+		}
+	}
+	rig := &exchangeRig{cluster: &heardCluster{}, body: peerBody(table, now, pools)}
+	for i := range origins {
+		rig.cluster.loads = append(rig.cluster.loads, spread.Load{Origin: fmt.Sprint("instance-", i), Body: rig.body})
+	}
+	rig.exchange = load.New("self", rig.cluster, table, gates, func() int { return origins + 1 })
+	return rig
+}
+
+// round is one exchange, with the digests that came since the last one.
+func (r *exchangeRig) round() {
+	r.cluster.renew(1, r.body)
+	r.exchange.Round(time.Now())
+}
+
+// peerBody is a peer's digest of the greatest size that the spread takes.
+func peerBody(table *routing.Table, now time.Time, pools int) []byte {
+	digest := loadwire.Digest{Pools: map[string]tiers.Digest{}}
+	for p := range min(pools, 2) {
+		d := tiers.Digest{}
+		d.Ranks[1].InFlight, d.Ranks[1].Demand = 3, 2.5
+		digest.Pools[fmt.Sprint("pool-", p)] = d
+	}
+	entries := table.Digest(now)
+	digest.Targets = entries[:min(len(entries), 8)]
+	body, err := loadwire.Encode(digest, spread.DefaultConfig().MaxLoadBody)
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- /dev/null
+++ b/testkit/capacity/faults.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"time"
+)
+
+// fault is one failure of a fleet of the target size.
+type fault struct {
+	name string
+	// begin makes the failure, end ends it after length; both may be nil.
+	begin, end func(*fleet)
+	length     time.Duration
+}
+
+// rackNodes is an instance rack's share of the fleet: 22 of 440.
+const rackNodes = targetNodes / 20
+
+func faults() []fault {
+	return []fault{
+		{name: "nothing", begin: func(*fleet) {}},
+		{name: "one instance lost", begin: func(f *fleet) { f.stop(1) }},
+		{name: "a rack of 22 lost", begin: func(f *fleet) { f.stop(rackNodes) }},
+		{name: "a data centre of 88 lost", begin: func(f *fleet) { f.stopCentre() }},
+		{
+			name:   "regions parted for an hour",
+			begin:  func(f *fleet) { f.parted = true },
+			end:    func(f *fleet) { f.parted = false },
+			length: time.Hour,
+		},
+	}
+}
+
+func (f *fleet) stop(n int) {
+	for _, node := range f.nodes[1 : 1+n] {
+		node.down = true
+	}
+}
+
+func (f *fleet) stopCentre() {
+	centre := f.nodes[1].self.DataCentre
+	for _, node := range f.nodes {
+		if node.self.DataCentre == centre {
+			node.down = true
+		}
+	}
+}
+
+// measureFaults reports each failure as a series of one point.
+func measureFaults(o Options) ([]Series, error) {
+	n := targetNodes
+	if o.Quick {
+		n = 40
+	}
+	var all []Series
+	for _, fault := range faults() {
+		f := newFleet(n)
+		f.settle(settleLimit)
+		f.run(warmUp)
+		fault.begin(f)
+		all = append(all, f.minute(fault.name)...)
+		if fault.end == nil || o.Quick {
+			continue
+		}
+		f.run(fault.length - time.Minute)
+		fault.end(f)
+		all = append(all, f.minute(fault.name+", over")...)
+	}
+	return all, nil
+}
+
+// minute measures the minute after an event.
+func (f *fleet) minute(name string) []Series {
+	f.sent = traffic{}
+	start, begun := cpu(), f.now
+	took, ok := f.settle(settleLimit)
+	if rest := time.Minute - f.now.Sub(begun); rest > 0 {
+		f.run(rest)
+	}
+	lasted := f.now.Sub(begun).Seconds()
+	n := len(f.nodes)
+	point := func(quantity, unit string, budget, value float64) Series {
+		s := Series{Quantity: name + ": " + quantity, Unit: unit, Size: "node", Target: float64(n), Budget: budget}
+		s.add(n, value)
+		return s
+	}
+	if !ok {
+		name += " (NOT steady within the limit)"
+	}
+	perNode := float64(n) * lasted
+	return []Series{
+		point("until all views are right", "s", 0, took.Seconds()),
+		point("messages", "1/s a node", 0, float64(f.sent.messages)/perNode),
+		point("sent", "B/s a node", budgetBytes, float64(f.sent.bytes())/perNode),
+		point("processor time", "ms/s a node", budgetCPU, (cpu()-start).Seconds()*1000/perNode),
+	}
+}
--- /dev/null
+++ b/testkit/capacity/fleet.go
@@ -0,0 +1,243 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/peer"
+)
+
+// Times of a fleet.
+const (
+	step = 100 * time.Millisecond
+	// fleetCentres is the number of data centres; the first regionCentres of
+	// them are the first region.
+	fleetCentres  = 5
+	regionCentres = 3
+	rings         = 8
+	// digestBytes is the size of a load digest's body.
+	digestBytes   = 100
+	maxTombstones = 4096
+	recordKind    = "accounts"
+)
+
+// fleet is a number of instances in virtual time: the membership and the
+// spread of each, driven as the daemon drives them. A message arrives in the
+// next step.
+type fleet struct {
+	now   time.Time
+	nodes []*fleetNode
+	// byAddress finds a node; queue holds what arrives in the next step.
+	byAddress map[string]*fleetNode
+	queue     []fleetMessage
+	// parted cuts the two regions from each other.
+	parted bool
+	sent   traffic
+}
+
+type fleetNode struct {
+	self    membership.Member
+	members *membership.Membership
+	spread  *spread.Spread
+	table   *spread.Table
+	view    *membership.View
+	peers   []string
+	down    bool
+	seq     uint64
+}
+
+type fleetMessage struct {
+	from, to *fleetNode
+	message  peer.Message
+}
+
+// traffic counts what a fleet has sent, in whole frames.
+type traffic struct {
+	membership, records, loads int
+	messages                   int
+}
+
+func (t traffic) bytes() int { return t.membership + t.records + t.loads }
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1_000_000, 0), byAddress: make(map[string]*fleetNode, n)}
+	list := make([]membership.Member, n)
+	for i := range list {
+		list[i] = fleetMember(i)
+	}
+	for i := range list {
+		random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), stream)) }
+		table := spread.NewTable(maxTombstones)
+		node := &fleetNode{
+			self:    list[i],
+			members: membership.New(membership.DefaultConfig(), list[i], random(1)),
+			spread:  spread.New(spread.DefaultConfig(), table, random(2)),
+			table:   table,
+		}
+		f.nodes = append(f.nodes, node)
+		f.byAddress[list[i].Address] = node
+	}
+	for _, node := range f.nodes {
+		f.doMembership(node, node.members.Seed(f.now, list))
+	}
+	return f
+}
+
+func fleetMember(i int) membership.Member {
+	return membership.Member{
+		Name:        fmt.Sprintf("instance-%03d", i),
+		Address:     fmt.Sprintf("10.1.%d.%d:7100", i/250, i%250),
+		CallerURL:   fmt.Sprintf("http://10.1.%d.%d:7000", i/250, i%250),
+		DataCentre:  fmt.Sprint("dc-", i%fleetCentres),
+		Incarnation: 1_700_000_000_000_000_000,
+	}
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+	}
+}
+
+// step delivers what is under way and ticks every instance.
+func (f *fleet) step() {
+	f.now = f.now.Add(step)
+	queue := f.queue
+	f.queue = nil
+	for _, m := range queue {
+		f.deliver(m)
+	}
+	for _, node := range f.nodes {
+		if !node.down {
+			f.tick(node)
+		}
+	}
+}
+
+func (f *fleet) deliver(m fleetMessage) {
+	if m.to.down || m.from.down || f.cut(m.from, m.to) {
+		return
+	}
+	switch message := m.message.(type) {
+	case membership.Message:
+		f.doMembership(m.to, m.to.members.Receive(f.now, m.from.self, message))
+	case spread.Message:
+		f.doSpread(m.to, m.to.spread.Receive(f.now, m.from.self.Address, message))
+	}
+}
+
+func (f *fleet) tick(node *fleetNode) {
+	f.doMembership(node, node.members.Tick(f.now))
+	if view := node.members.View(); view != node.view {
+		node.view = view
+		node.peers = nil
+		for _, m := range membership.Neighbours(view, rings) {
+			node.peers = append(node.peers, m.Address)
+		}
+	}
+	node.seq++
+	node.spread.SetLoad(f.now, spread.LoadDigest{
+		Origin: node.self.Name, Incarnation: node.self.Incarnation, Seq: node.seq, Body: make([]byte, digestBytes),
+	})
+	f.doSpread(node, node.spread.Tick(f.now, node.peers, len(node.view.Live())))
+}
+
+func (f *fleet) doMembership(from *fleetNode, actions []membership.Action) {
+	for _, a := range actions {
+		if send, ok := a.(membership.Send); ok {
+			f.sent.membership += f.send(from, send.To, send.Message)
+		}
+	}
+}
+
+func (f *fleet) doSpread(from *fleetNode, actions []spread.Action) {
+	for _, a := range actions {
+		send, ok := a.(spread.Send)
+		if !ok {
+			continue
+		}
+		size := f.send(from, send.To, send.Message)
+		if _, load := send.Message.(*spread.Loads); load {
+			f.sent.loads += size
+		} else {
+			f.sent.records += size
+		}
+	}
+}
+
+// send queues a message and returns its bytes on the wire.
+func (f *fleet) send(from *fleetNode, to string, m peer.Message) int {
+	frame, err := peer.Encode(m)
+	if err != nil {
+		return 0
+	}
+	f.sent.messages++
+	if node := f.byAddress[to]; node != nil {
+		f.queue = append(f.queue, fleetMessage{from: from, to: node, message: m})
+	}
+	return len(frame)
+}
+
+func (f *fleet) cut(a, b *fleetNode) bool { return f.parted && f.region(a) != f.region(b) }
+
+// region tells whether an instance is in the first region.
+func (f *fleet) region(n *fleetNode) bool {
+	return n.self.DataCentre < fmt.Sprint("dc-", regionCentres)
+}
+
+// settled tells whether every running instance sees just those that it can
+// reach as live.
+func (f *fleet) settled() bool {
+	var up, first int
+	for _, n := range f.nodes {
+		if n.down {
+			continue
+		}
+		up++
+		if f.region(n) {
+			first++
+		}
+	}
+	for _, n := range f.nodes {
+		if n.down {
+			continue
+		}
+		want := up
+		if f.parted && f.region(n) {
+			want = first
+		} else if f.parted {
+			want = up - first
+		}
+		if len(n.members.View().Live()) != want {
+			return false
+		}
+	}
+	return true
+}
+
+// settle runs until the views are settled, at most for limit.
+func (f *fleet) settle(limit time.Duration) (took time.Duration, ok bool) {
+	begun := f.now
+	for f.now.Sub(begun) < limit {
+		if f.settled() {
+			return f.now.Sub(begun), true
+		}
+		f.step()
+	}
+	return limit, false
+}
+
+// everywhere tells whether every running instance holds a revision.
+func (f *fleet) everywhere(name string, revision uint64) bool {
+	for _, n := range f.nodes {
+		r, ok := n.table.Get(recordKind, name)
+		if !n.down && (!ok || r.Revision < revision) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/testkit/capacity/nodes.go
@@ -0,0 +1,100 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+)
+
+// Lengths of the measures of a fleet, in virtual time.
+const (
+	// warmUp is the time until the updates of a common start, which each
+	// instance passes on some times, are no longer sent.
+	warmUp      = 10 * time.Minute
+	fleetLength = 60 * time.Second
+	settleLimit = 5 * time.Minute
+)
+
+// recordBytes is the size of a configuration record's body.
+const recordBytes = 200
+
+// changesPerDay is the changes of configuration to come.
+const changesPerDay = 8400
+
+func measureNodes(o Options) ([]Series, error) {
+	series := func(quantity, unit string, budget float64) Series {
+		return Series{Quantity: quantity, Unit: unit, Size: "node", Target: targetNodes, Budget: budget}
+	}
+	processor := series("virtual: processor time", "ms/s a node", budgetCPU)
+	probes := series("virtual: membership sent", "B/s a node", budgetBytes)
+	records := series("virtual: records sent", "B/s a node", budgetBytes)
+	loads := series("virtual: load digests sent", "B/s a node", budgetBytes)
+	all := series("virtual: sent in all", "B/s a node", budgetBytes)
+	state := series("virtual: state", "MB a node", budgetMemory)
+	join := series("virtual: all see all after a common start", "s", 0)
+	reach := series("virtual: a record is everywhere", "s", 3)
+	for _, n := range o.sizes(8, 64, 220, 440) {
+		var f *fleet
+		size := heapOf(func() any { f = newFleet(n).start(&join); return f })
+		if f == nil {
+			return nil, errors.Newf("%d instances did not find one another", n)
+		}
+		f.sent = traffic{}
+		start := cpu()
+		f.change(fleetLength)
+		perNode := float64(n) * fleetLength.Seconds()
+		processor.add(n, (cpu()-start).Seconds()*1000/perNode)
+		probes.add(n, float64(f.sent.membership)/perNode)
+		records.add(n, float64(f.sent.records)/perNode)
+		loads.add(n, float64(f.sent.loads)/perNode)
+		all.add(n, float64(f.sent.bytes())/perNode)
+		state.add(n, size/float64(n)/megabyte)
+		reach.add(n, f.timeToAll().Seconds())
+	}
+	return []Series{processor, probes, records, loads, all, state, join, reach}, nil
+}
+
+// start has all instances find one another and come to rest; nil if they don't.
+func (f *fleet) start(join *Series) *fleet {
+	took, ok := f.settle(settleLimit)
+	if !ok {
+		return nil
+	}
+	join.add(len(f.nodes), took.Seconds())
+	f.run(warmUp)
+	return f
+}
+
+// change runs with as many changes of configuration as are to come.
+func (f *fleet) change(length time.Duration) {
+	const every = 24 * time.Hour / changesPerDay
+	revision := uint64(1)
+	for end := f.now.Add(length); f.now.Before(end); revision++ {
+		f.put(fmt.Sprint("account-", revision), revision)
+		f.run(min(every, end.Sub(f.now)))
+	}
+}
+
+func (f *fleet) put(name string, revision uint64) {
+	r := spread.Record{Kind: recordKind, Name: name, Revision: revision, Body: make([]byte, recordBytes)}
+	f.doSpread(f.nodes[0], f.nodes[0].spread.Put(r))
+}
+
+// timeToAll returns how long one record takes to be at every instance: the
+// longest of five.
+func (f *fleet) timeToAll() time.Duration {
+	var longest time.Duration
+	for i := range 5 {
+		name, revision := fmt.Sprint("timed-", i), uint64(1_000_000+i)
+		f.put(name, revision)
+		begun := f.now
+		for !f.everywhere(name, revision) && f.now.Sub(begun) < time.Minute {
+			f.step()
+		}
+		longest = max(longest, f.now.Sub(begun))
+	}
+	return longest
+}
--- /dev/null
+++ b/testkit/capacity/polls.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/poll"
+	emulator "github.com/ivyhollow/ivyhollow/emulator/target"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// targetEngines is the engines that an instance keeps: six models in pools of
+// their own, a subset of 64 of each.
+const targetEngines = 6 * routing.DefaultSubset
+
+const pollLength = 8 * time.Second
+
+func measurePolls(o Options) ([]Series, error) {
+	series := func(quantity, unit string, budget float64) Series {
+		return Series{Quantity: quantity, Unit: unit, Size: "engine", Target: targetEngines, Budget: budget}
+	}
+	calls := series("calls to engines", "1/s a node", 0)
+	bytes := series("sent to engines", "B/s a node", budgetBytes)
+	received := series("received from engines", "B/s a node", 0)
+	processor := series("processor time, both ends", "ms/s a node", 0)
+	for _, n := range o.sizes(12, 64, 384) {
+		rig, err := newPollRig(n)
+		if err != nil {
+			return nil, err
+		}
+		rig.run()
+		seconds := pollLength.Seconds()
+		calls.add(n, float64(rig.calls.Load())/seconds)
+		bytes.add(n, float64(rig.in.Load())/seconds)
+		received.add(n, float64(rig.out.Load())/seconds)
+		processor.add(n, rig.processor.Seconds()*1000/seconds)
+	}
+	return []Series{calls, bytes, received, processor}, nil
+}
+
+// pollRig is a poller and n engines behind one listener each.
+type pollRig struct {
+	engines   []poll.Engine
+	close     []func()
+	calls     atomic.Int64
+	in, out   atomic.Int64
+	processor time.Duration
+}
+
+func newPollRig(n int) (*pollRig, error) {
+	rig := &pollRig{}
+	for i := range n {
+		incarnation := instanceName(i)
+		engine := emulator.New(emulator.Options{Incarnation: incarnation, Models: []string{"model-1"}})
+		server := httptest.NewUnstartedServer(rig.counting(engine.Handler()))
+		server.Listener = &countingListener{Listener: server.Listener, rig: rig}
+		server.Start()
+		rig.engines = append(rig.engines, poll.Engine{Incarnation: incarnation, Address: server.Listener.Addr().String()})
+		rig.close = append(rig.close, server.Close, engine.Close)
+	}
+	return rig, nil
+}
+
+func (r *pollRig) counting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.calls.Add(1)
+		next.ServeHTTP(w, request)
+	})
+}
+
+func (r *pollRig) run() {
+	client := target.New(target.Options{})
+	table := routing.New(routing.Config{Instance: "self"})
+	poller := poll.New(client, table, func() []poll.Engine { return r.engines }, func(string, []string, []string) {})
+	ctx, cancel := context.WithTimeout(context.Background(), pollLength)
+	defer cancel()
+	start := cpu()
+	_ = poller.Run(ctx) // it ends without an error
+	r.processor = cpu() - start
+	client.Close()
+	for _, f := range r.close {
+		f()
+	}
+}
+
+// countingListener counts the bytes of the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	rig *pollRig
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, rig: l.rig}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	rig *pollRig
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.rig.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.rig.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/testkit/capacity/targets.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+)
+
+var random = rand.New(rand.NewPCG(1, 2))
+
+func targetList(pool string, n int) []routing.Target {
+	list := make([]routing.Target, n)
+	for i := range list {
+		list[i] = routing.Target{
+			Incarnation: fmt.Sprintf("%s-%05d-1700000000", pool, i),
+			Pool:        pool,
+			Address:     fmt.Sprintf("10.2.%d.%d:8000", i/250, i%250),
+			DataCentre:  fmt.Sprint("dc-", i%fleetCentres),
+			Slots:       16,
+			Models:      []string{fmt.Sprint("model-", i%6)},
+		}
+	}
+	return list
+}
+
+func measureTargets(o Options) ([]Series, error) {
+	series := func(quantity, unit string, budget float64) Series {
+		return Series{Quantity: quantity, Unit: unit, Size: "target", Target: targetTargets, Budget: budget}
+	}
+	memory := series("routing table", "MB", budgetMemory)
+	pick := series("Pick, Started and Done", "ns", 0)
+	set := series("SetTargets", "us", 0)
+	digest := series("Digest", "us", 0)
+	kept := series("targets kept", "", 0)
+	for _, n := range o.sizes(12, 64, 400, 4000) {
+		list := targetList("engines", n)
+		pool := routing.Pool{Name: "engines"}
+		now := time.Unix(1_000_000, 0)
+		build := func() *routing.Table {
+			t := routing.New(routing.Config{Instance: "instance-1", LocalDataCentre: "dc-0"})
+			t.SetTargets(now, pool, list)
+			return t
+		}
+		memory.add(n, heapOf(func() any { return build() })/megabyte)
+		table := build()
+		kept.add(n, float64(len(table.Stats(now).Targets)))
+		query := routing.Query{Pool: "engines", Model: "model-1", Prefix: []routing.PrefixPart{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 500}}}
+		pick.add(n, o.nsPerOp(func() { pickOnce(table, now, query) }))
+		set.add(n, o.nsPerOp(func() { table.SetTargets(now, pool, list) })/1000)
+		digest.add(n, o.nsPerOp(func() { table.Digest(now) })/1000)
+	}
+	return []Series{memory, pick, set, digest, kept}, nil
+}
+
+func pickOnce(table *routing.Table, now time.Time, query routing.Query) {
+	choice, err := table.Pick(now, random, query)
+	if err != nil {
+		return
+	}
+	handle := table.Started(now, choice.Target.Incarnation, 1)
+	handle.Done(now, routing.Result{Outcome: routing.OutcomeOK, Latency: time.Second, Expected: time.Second})
+}
