Connect instances and drive the cluster in real time

Cause: the state machines need connections that are bounded, found silent in time and open to peers only. Ruled out: waiting for TCP to notice a silent connection; a heartbeat timer per connection; restarting the wait with each call, which kept many short calls from ever finding a silent connection.

--- /dev/null
+++ b/daemon/cluster/api.go
@@ -0,0 +1,139 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// View returns the present view of the cluster.
+func (c *Cluster) View() *membership.View { return c.view.Load() }
+
+// Peers returns the other live instances.
+func (c *Cluster) Peers() []membership.Member {
+	view := c.View()
+	peers := make([]membership.Member, 0, len(view.Live()))
+	for _, m := range view.Live() {
+		if m.Name != view.Self {
+			peers = append(peers, m)
+		}
+	}
+	return peers
+}
+
+// Owners returns the n live instances responsible for a key. It is a hint and
+// never a lock.
+func (c *Cluster) Owners(key string, n int) []membership.Member {
+	return membership.Owners(c.View(), key, n)
+}
+
+// WaitView waits until a view meets a condition.
+func (c *Cluster) WaitView(ctx context.Context, met func(*membership.View) bool) error {
+	for {
+		c.mu.Lock()
+		changed := c.changed
+		view := c.view.Load()
+		c.mu.Unlock()
+		if met(view) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Self returns this instance as it announces itself.
+func (c *Cluster) Self() membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members.Self()
+}
+
+// Joined tells whether this instance has exchanged members with another one.
+func (c *Cluster) Joined() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members.Joined()
+}
+
+// Handle registers a method that other instances may call.
+func (c *Cluster) Handle(method string, h peer.Handler, opts ...peer.HandleOption) {
+	c.node.Handle(method, h, opts...)
+}
+
+// Call asks another instance and waits for its answer. An error is a
+// *peer.Error, whose NotRun tells whether the method certainly did not start.
+func (c *Cluster) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
+	return c.node.Call(ctx, address, method, body)
+}
+
+// SendDigest sets the load digest of this instance, which travels to the
+// others at the configured rate. It replaces the one before.
+func (c *Cluster) SendDigest(body []byte) {
+	now := time.Now()
+	self := c.opts.Transport.Self
+	c.spreadMu.Lock()
+	defer c.spreadMu.Unlock()
+	c.loadSeq++
+	c.spread.SetLoad(now, spread.LoadDigest{
+		Origin:      self.Name,
+		Incarnation: self.Incarnation,
+		Seq:         c.loadSeq,
+		Body:        body,
+	})
+}
+
+// Loads returns the latest load digest of each instance with its age.
+func (c *Cluster) Loads() []spread.Load {
+	now := time.Now()
+	c.spreadMu.Lock()
+	defer c.spreadMu.Unlock()
+	return c.spread.Loads(now)
+}
+
+// Put takes over a record learned from the store and spreads it. OnRecord is
+// told if it is news.
+func (c *Cluster) Put(r spread.Record) {
+	c.withSpread(nil, func(s *spread.Spread) []spread.Action { return s.Put(r) })
+}
+
+// Stats returns the counts of the connections.
+func (c *Cluster) Stats() peer.Stats { return c.node.Stats() }
+
+// Leave announces the planned departure and waits until those told directly
+// have acknowledged it, or the context ends. The instance goes on answering
+// until Interrupt.
+func (c *Cluster) Leave(ctx context.Context) error {
+	now := time.Now()
+	c.membership(nil, func(m *membership.Membership) []membership.Action {
+		c.leaving = true
+		return m.Leave(now)
+	})
+	select {
+	case <-c.left:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// checkLeft ends the wait of Leave; mu is held.
+func (c *Cluster) checkLeft() {
+	if !c.leaving {
+		return
+	}
+	if acked, told := c.members.LeaveAcked(); acked < told {
+		return
+	}
+	select {
+	case <-c.left:
+	default:
+		close(c.left)
+	}
+}
--- /dev/null
+++ b/daemon/cluster/cluster.go
@@ -0,0 +1,322 @@
+// Package cluster runs membership and spread over the connections between
+// instances, in real time. It is an actor of an oklog/run group.
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	protocol "github.com/ivyhollow/ivyhollow/protocol/peer"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// Defaults of Options.
+const (
+	defaultTick      = 50 * time.Millisecond
+	defaultListEvery = 5 * time.Minute
+	defaultListRetry = 5 * time.Second
+	// maxTombstones bounds the deleted records that are remembered.
+	maxTombstones = 4096
+)
+
+// Options are the settings of a Cluster.
+type Options struct {
+	Transport  peer.Options
+	Membership membership.Config
+	Spread     spread.Config
+	// Source holds the records; nil makes a table in memory. It is only used
+	// under the cluster's lock.
+	Source spread.Source
+	// Seeds are peer addresses from the settings.
+	Seeds []string
+	// ListInstances asks the platform for its list of instances; nil if there
+	// is none. The list lags and its names are only candidates.
+	ListInstances func(ctx context.Context) ([]membership.Member, error)
+	// ListEvery is the time between two listings, ListRetry the time after a
+	// failed one or while no other instance is known. Both are jittered.
+	ListEvery time.Duration
+	ListRetry time.Duration
+	// OnRecord is told each record that is news. It must not block. Calls may
+	// overlap and come out of order: the receiver keeps the highest revision.
+	OnRecord func(r spread.Record)
+	// OnSuperseded is told once that a later run has this instance's name.
+	OnSuperseded func(by membership.Member)
+	// Tick is the resolution of all periods.
+	Tick time.Duration
+}
+
+// withDefaults fills what is zero.
+func (o Options) withDefaults() Options {
+	if o.Source == nil {
+		o.Source = spread.NewTable(maxTombstones)
+	}
+	if o.Tick == 0 {
+		o.Tick = defaultTick
+	}
+	if o.ListEvery == 0 {
+		o.ListEvery = defaultListEvery
+	}
+	if o.ListRetry == 0 {
+		o.ListRetry = defaultListRetry
+	}
+	if o.Membership.Rings == 0 {
+		o.Membership.Rings = membership.DefaultConfig().Rings
+	}
+	if o.Transport.Scope == nil {
+		o.Transport.Scope = tally.NoopScope
+	}
+	return o
+}
+
+// Cluster is this instance's part in the cluster.
+type Cluster struct {
+	opts    Options
+	node    *peer.Node
+	metrics metrics
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	view atomic.Pointer[membership.View]
+
+	mu         sync.Mutex
+	members    *membership.Membership
+	changed    chan struct{}
+	left       chan struct{}
+	leaving    bool
+	superseded sync.Once
+
+	spreadMu  sync.Mutex
+	spread    *spread.Spread
+	peers     []string
+	peersView *membership.View
+	loadSeq   uint64
+}
+
+// New binds the peer address. Handlers are registered before Execute.
+func New(opts Options) (*Cluster, error) {
+	opts = opts.withDefaults()
+	node, err := peer.New(opts.Transport)
+	if err != nil {
+		return nil, err
+	}
+	if err := node.Listen(); err != nil {
+		return nil, err
+	}
+	self := opts.Transport.Self
+	self.Address = node.Addr()
+	c := &Cluster{
+		opts:    opts,
+		node:    node,
+		metrics: newMetrics(opts.Transport.Scope),
+		changed: make(chan struct{}),
+		left:    make(chan struct{}),
+		members: membership.New(opts.Membership, self, newRand()),
+		spread:  spread.New(opts.Spread, opts.Source, newRand()),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.view.Store(c.members.View())
+	node.OnMessage(c.receive)
+	return c, nil
+}
+
+// newRand returns a random source of its own; each is used under one lock.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// Execute runs until Interrupt. It implements an actor of oklog/run.
+func (c *Cluster) Execute() error {
+	c.node.Start()
+	var wg sync.WaitGroup
+	wg.Go(c.tickLoop)
+	wg.Go(c.seedLoop)
+	<-c.ctx.Done()
+	wg.Wait()
+	return c.node.Close()
+}
+
+// Interrupt ends Execute. A planned stop calls Leave first.
+func (c *Cluster) Interrupt(error) { c.cancel() }
+
+// tickLoop drives both state machines.
+func (c *Cluster) tickLoop() {
+	ticker := time.NewTicker(c.opts.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.tick(now)
+		}
+	}
+}
+
+// tick does what is due.
+func (c *Cluster) tick(now time.Time) {
+	c.membership(nil, func(m *membership.Membership) []membership.Action { return m.Tick(now) })
+	peers, size := c.spreadPeers()
+	c.withSpread(nil, func(s *spread.Spread) []spread.Action { return s.Tick(now, peers, size) })
+}
+
+// spreadPeers returns the addresses that records and digests go to: the
+// neighbours, to whom there are connections anyway, and the cluster's size.
+func (c *Cluster) spreadPeers() (peers []string, size int) {
+	view := c.View()
+	size = len(view.Live())
+	c.spreadMu.Lock()
+	defer c.spreadMu.Unlock()
+	if c.peersView == view {
+		return c.peers, size
+	}
+	neighbours := membership.Neighbours(view, c.opts.Membership.Rings)
+	peers = make([]string, len(neighbours))
+	for i, m := range neighbours {
+		peers[i] = m.Address
+	}
+	c.peersView, c.peers = view, peers
+	return peers, size
+}
+
+// receive hands a message to its state machine.
+func (c *Cluster) receive(from peer.Peer, m protocol.Message) {
+	now := time.Now()
+	switch m := m.(type) {
+	case membership.Message:
+		c.membership(&from, func(s *membership.Membership) []membership.Action {
+			return s.Receive(now, from.Member, m)
+		})
+	case spread.Message:
+		c.withSpread(&from, func(s *spread.Spread) []spread.Action {
+			return s.Receive(now, from.Address, m)
+		})
+	}
+}
+
+// membership runs a step of the membership under its lock and does its actions
+// without it.
+func (c *Cluster) membership(from *peer.Peer, step func(*membership.Membership) []membership.Action) {
+	c.mu.Lock()
+	actions := step(c.members)
+	for _, a := range actions {
+		if changed, ok := a.(membership.Changed); ok {
+			c.publish(changed.View)
+		}
+	}
+	c.checkLeft()
+	c.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.Send:
+			c.send(from, a)
+		case membership.Superseded:
+			c.superseded.Do(func() { c.reportSuperseded(a.By) })
+		}
+	}
+}
+
+// publish replaces the view and wakes those who wait for a change; mu is held.
+func (c *Cluster) publish(view *membership.View) {
+	c.metrics.report(c.view.Load(), view)
+	c.view.Store(view)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// send does a membership's Send.
+func (c *Cluster) send(from *peer.Peer, s membership.Send) {
+	if s.Reply && from != nil {
+		_ = from.Reply(s.Message)
+		return
+	}
+	c.node.Post(s.To, s.Message, s.Fresh)
+}
+
+// reportSuperseded says that this instance is outdated.
+func (c *Cluster) reportSuperseded(by membership.Member) {
+	klog.ErrorS(nil, "A later run has this instance's name", "name", by.Name, "address", by.Address, "incarnation", by.Incarnation)
+	c.metrics.superseded.Inc(1)
+	if c.opts.OnSuperseded != nil {
+		c.opts.OnSuperseded(by)
+	}
+}
+
+// withSpread runs a step of the spread under its lock and does its actions
+// without it.
+func (c *Cluster) withSpread(from *peer.Peer, step func(*spread.Spread) []spread.Action) {
+	c.spreadMu.Lock()
+	actions := step(c.spread)
+	c.spreadMu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case spread.Send:
+			if from != nil && a.To == from.Address {
+				_ = from.Reply(a.Message)
+				continue
+			}
+			c.node.Post(a.To, a.Message, false)
+		case spread.Accepted:
+			if c.opts.OnRecord != nil {
+				c.opts.OnRecord(a.Record)
+			}
+		}
+	}
+}
+
+// seedLoop names the settings' seeds and the platform's list to the
+// membership, which contacts those it does not know.
+func (c *Cluster) seedLoop() {
+	for {
+		wait := c.opts.ListEvery
+		if !c.seed() || len(c.View().Live()) == 1 {
+			wait = c.opts.ListRetry
+		}
+		timer := time.NewTimer(jitter(wait))
+		select {
+		case <-c.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// jitter returns a duration between half and one and a half of d, so that
+// instances started together do not ask the platform together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// seed names all seeds once, false if the platform's list was not had.
+func (c *Cluster) seed() bool {
+	seeds := make([]membership.Member, 0, len(c.opts.Seeds))
+	for _, address := range c.opts.Seeds {
+		seeds = append(seeds, membership.Member{Address: address})
+	}
+	listed, err := c.list()
+	if err != nil {
+		klog.ErrorS(err, "Listing the instances failed", "step", "list instances")
+	}
+	seeds = append(seeds, listed...)
+	now := time.Now()
+	c.membership(nil, func(m *membership.Membership) []membership.Action { return m.Seed(now, seeds) })
+	return err == nil
+}
+
+// list asks the platform for its list, within ListRetry.
+func (c *Cluster) list() ([]membership.Member, error) {
+	if c.opts.ListInstances == nil {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.opts.ListRetry)
+	defer cancel()
+	return c.opts.ListInstances(ctx)
+}
--- /dev/null
+++ b/daemon/cluster/cluster_test.go
@@ -0,0 +1,343 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fast has periods short enough for a test, and long against a busy machine's
+// delays.
+var fast = membership.Config{
+	Period: 200 * time.Millisecond, ProbeTimeout: 60 * time.Millisecond,
+	DeadRetry: 200 * time.Millisecond, SyncEvery: time.Second,
+}
+
+type instance struct {
+	*Cluster
+	done chan struct{}
+	recs chan spread.Record
+}
+
+// start runs an instance as an actor of a group.
+func start(t testing.TB, name string, incarnation uint64, listen string, change func(*Options), seeds ...string) *instance {
+	i := &instance{done: make(chan struct{}), recs: make(chan spread.Record, 64)}
+	opts := Options{
+		Membership: fast,
+		Seeds:      seeds,
+		Tick:       20 * time.Millisecond,
+		ListRetry:  200 * time.Millisecond,
+		OnRecord:   func(r spread.Record) { i.recs <- r },
+		Transport: peer.Options{
+			Cluster: "c", Listen: listen,
+			Self: membership.Member{Name: name, DataCentre: "dc" + name[len(name)-1:], Incarnation: incarnation},
+		},
+	}
+	if change != nil {
+		change(&opts)
+	}
+	c, err := New(opts)
+	require.NoError(t, err)
+	i.Cluster = c
+	c.Handle("whoami", func(context.Context, peer.Peer, []byte) ([]byte, error) { return []byte(name), nil }, peer.Idempotent())
+	var g run.Group
+	g.Add(c.Execute, c.Interrupt)
+	go func() {
+		defer close(i.done)
+		if err := g.Run(); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(i.stop)
+	return i
+}
+
+// stop ends an instance as a crash does: it says nothing to anyone.
+func (i *instance) stop() {
+	i.Interrupt(nil)
+	<-i.done
+}
+
+// await waits until a condition holds in the views of all instances. The bound
+// only ends a test that has failed.
+func await(t testing.TB, instances []*instance, what string, met func(*membership.View) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, i := range instances {
+		require.NoError(t, i.WaitView(ctx, met), "%s: %s sees %v", what, i.View().Self, i.View().Members)
+	}
+}
+
+func live(n int) func(*membership.View) bool {
+	return func(v *membership.View) bool { return len(v.Live()) == n }
+}
+
+func state(name string, s membership.State) func(*membership.View) bool {
+	return func(v *membership.View) bool { m, ok := v.Find(name); return ok && m.State == s }
+}
+
+// startMany runs n instances that know one seed.
+func startMany(t testing.TB, n int, change func(*Options)) []*instance {
+	all := []*instance{start(t, "i000", 1, "127.0.0.1:0", change)}
+	seed := all[0].Self().Address
+	for k := 1; k < n; k++ {
+		all = append(all, start(t, fmt.Sprintf("i%03d", k), 1, "127.0.0.1:0", change, seed))
+	}
+	return all
+}
+
+// Eight instances start. One is killed and started anew at its address, one
+// leaves. All others must follow each step, and calls, records and load digests
+// must reach everyone in between.
+func TestLifeOfACluster(t *testing.T) {
+	all := startMany(t, 8, nil)
+	await(t, all, "all see all", live(8))
+
+	all[3].Put(spread.Record{Kind: "tiers", Name: "gold", Revision: 4, Body: []byte("x")})
+	for _, i := range all {
+		require.Equal(t, uint64(4), (<-i.recs).Revision)
+		i.SendDigest([]byte(i.Self().Name))
+	}
+	require.Eventually(t, func() bool { return len(all[5].Loads()) == 8 }, time.Minute, 5*time.Millisecond)
+	for _, p := range all[0].Peers() {
+		answer, err := all[0].Call(t.Context(), p.Address, "whoami", nil)
+		require.NoError(t, err)
+		require.Equal(t, p.Name, string(answer))
+	}
+	home := all[0].Owners("account", 3)
+	for _, i := range all {
+		require.Equal(t, home, i.Owners("account", 3))
+	}
+
+	killed := all[5].Self()
+	all[5].stop()
+	rest := slices.Delete(slices.Clone(all), 5, 6)
+	await(t, rest, "the killed one is dead", state(killed.Name, membership.Dead))
+	again := start(t, killed.Name, 2, killed.Address, nil, all[1].Self().Address)
+	all = append(rest, again)
+	await(t, all, "the new run is seen", func(v *membership.View) bool {
+		m, _ := v.Find(killed.Name)
+		return len(v.Live()) == 8 && m.Incarnation == 2 && v.Gone(killed.Name, 1)
+	})
+	require.Equal(t, uint64(4), (<-again.recs).Revision, "the new run learns the records from peers")
+
+	require.NoError(t, all[2].Leave(t.Context()))
+	leaver := all[2].Self().Name
+	await(t, all, "the leaver has left", state(leaver, membership.Left))
+	all[2].stop()
+	rest = slices.Delete(slices.Clone(all), 2, 3)
+	require.NoError(t, rest[0].Leave(t.Context()), "two instances stop in a row")
+	await(t, rest, "both have left", live(6))
+}
+
+// relay stands between instances and one of them. Muted, its open connections
+// are silent for good and new ones work; cut, it takes none at all.
+type relay struct {
+	listener net.Listener
+	target   atomic.Value
+	muted    atomic.Int64
+	cut      atomic.Bool
+	served   atomic.Int64
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newRelay(t *testing.T) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &relay{listener: listener}
+	r.wg.Go(r.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		r.closeAll()
+		r.wg.Wait()
+	})
+	return r
+}
+
+func (r *relay) closeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func (r *relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target.Load().(string))
+		if err != nil || r.cut.Load() {
+			_ = in.Close()
+			if out != nil {
+				_ = out.Close()
+			}
+			continue
+		}
+		id := r.served.Add(1)
+		r.mu.Lock()
+		r.conns = append(r.conns, in, out)
+		r.mu.Unlock()
+		r.wg.Go(func() { r.pipe(id, in, out) })
+		r.wg.Go(func() { r.pipe(id, out, in) })
+	}
+}
+
+func (r *relay) pipe(id int64, from, to net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		silent := id <= r.muted.Load()
+		if err != nil {
+			if !silent {
+				_ = to.Close()
+			}
+			return
+		}
+		if !silent {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+// The connections that others have opened to an instance go silent, twice,
+// while new ones work. Nobody may declare it dead, and calls to it succeed.
+func TestMutedConnections(t *testing.T) {
+	r := newRelay(t)
+	hidden := start(t, "i000", 1, "127.0.0.1:0", func(o *Options) { o.Transport.Self.Address = r.listener.Addr().String() })
+	r.target.Store(hidden.node.ListenAddr())
+	all := []*instance{hidden}
+	for k := 1; k < 4; k++ {
+		all = append(all, start(t, fmt.Sprintf("i%03d", k), 1, "127.0.0.1:0", nil, r.listener.Addr().String()))
+	}
+	await(t, all, "all see all", live(4))
+	for range 2 {
+		before := r.served.Load()
+		r.muted.Store(before)
+		answer, err := all[1].Call(t.Context(), r.listener.Addr().String(), "whoami", nil)
+		require.NoError(t, err)
+		require.Equal(t, "i000", string(answer))
+		require.Eventually(t, func() bool { return r.served.Load() >= before+3 }, time.Minute, 5*time.Millisecond,
+			"all others open new connections")
+	}
+	await(t, all, "nobody is lost", live(4))
+	for _, i := range all {
+		m, _ := i.View().Find("i000")
+		require.Equal(t, uint64(1), m.Incarnation)
+		require.True(t, m.Live())
+	}
+}
+
+// The path into one instance is cut for longer than a suspicion lasts, both
+// sides give each other up, and the cut heals. They must find each other again
+// without any seed being named.
+func TestPartedAndHealed(t *testing.T) {
+	r := newRelay(t)
+	hidden := start(t, "i000", 1, "127.0.0.1:0", func(o *Options) { o.Transport.Self.Address = r.listener.Addr().String() })
+	r.target.Store(hidden.node.ListenAddr()) // it knows no seed
+	toOthers := newRelay(t)
+	b := start(t, "i001", 1, "127.0.0.1:0", func(o *Options) {
+		o.Transport.Self.Address = toOthers.listener.Addr().String()
+		o.ListEvery, o.ListRetry = time.Hour, time.Hour // the seed is named at the start only
+	}, r.listener.Addr().String())
+	toOthers.target.Store(b.node.ListenAddr())
+	all := []*instance{hidden, b}
+	await(t, all, "both see both", live(2))
+	for _, x := range []*relay{r, toOthers} {
+		x.cut.Store(true)
+		x.closeAll()
+	}
+	await(t, all, "each is alone", live(1))
+	r.cut.Store(false)
+	await(t, all, "healed", live(2))
+}
+
+// A platform that answers slowly or fails must not keep an instance from the
+// others, and one that names instances long gone must not put them into the
+// view.
+func TestSeedsFromThePlatform(t *testing.T) {
+	a := start(t, "i000", 1, "127.0.0.1:0", nil)
+	var calls atomic.Int64
+	b := start(t, "i001", 1, "127.0.0.1:0", func(o *Options) {
+		o.ListInstances = func(context.Context) ([]membership.Member, error) {
+			if calls.Add(1) < 3 {
+				return nil, context.DeadlineExceeded
+			}
+			return []membership.Member{{Name: "gone", Address: "127.0.0.1:1", Incarnation: 7}, a.Self()}, nil
+		}
+	})
+	await(t, []*instance{a, b}, "met by the platform's list", live(2))
+	_, known := b.View().Find("gone")
+	require.False(t, known)
+	require.GreaterOrEqual(t, calls.Load(), int64(3))
+}
+
+// BenchmarkCluster prints what an instance sends and the processor time of the
+// whole process by instance, for one period at rest, with the default periods.
+func BenchmarkCluster(b *testing.B) {
+	for _, n := range []int{8, 64} {
+		b.Run(fmt.Sprint("n=", n), func(b *testing.B) {
+			all := startMany(b, n, func(o *Options) {
+				o.Membership, o.Tick = membership.Config{}, 0
+				o.ListRetry = 0
+			})
+			await(b, all, "all see all", live(n))
+			for _, i := range all {
+				i.SendDigest(make([]byte, 40))
+			}
+			const periods = 20
+			pauseFor(periods * time.Second)
+			bytes, conns := totals(all)
+			cpu := processorTime(b)
+			for b.Loop() {
+				pauseFor(periods * time.Second)
+			}
+			after, _ := totals(all)
+			perNode := float64(n * periods * b.N)
+			b.ReportMetric(float64(after-bytes)/perNode, "sent-B/node/s")
+			b.ReportMetric(float64(processorTime(b)-cpu)/perNode, "cpu-ns/node/period")
+			b.ReportMetric(float64(conns)/float64(n), "conns/node")
+		})
+	}
+}
+
+// pauseFor lets real time pass for a measurement.
+func pauseFor(d time.Duration) { <-time.After(d) }
+
+// totals sums the bytes sent and the connections.
+func totals(all []*instance) (bytes int64, conns int) {
+	for _, i := range all {
+		s := i.Stats()
+		bytes += s.BytesOut
+		conns += s.Conns
+	}
+	return bytes, conns
+}
+
+// processorTime is the processor time of this process so far.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/daemon/cluster/metrics.go
@@ -0,0 +1,54 @@
+package cluster
+
+import (
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+)
+
+// metrics are the gauges and counters of the membership.
+type metrics struct {
+	scope      tally.Scope
+	version    tally.Gauge
+	superseded tally.Counter
+	states     map[membership.State]tally.Gauge
+	became     map[membership.State]tally.Counter
+}
+
+// newMetrics makes them.
+func newMetrics(scope tally.Scope) metrics {
+	s := scope.SubScope("membership")
+	m := metrics{
+		scope:      s,
+		version:    s.Gauge("view_version"),
+		superseded: s.Counter("superseded"),
+		states:     make(map[membership.State]tally.Gauge),
+		became:     make(map[membership.State]tally.Counter),
+	}
+	for state := membership.Alive; state <= membership.Left; state++ {
+		tagged := s.Tagged(map[string]string{"state": state.String()})
+		m.states[state] = tagged.Gauge("members")
+		m.became[state] = tagged.Counter("changes")
+	}
+	return m
+}
+
+// report logs and counts what changed between two views.
+func (m *metrics) report(old, now *membership.View) {
+	counts := make(map[membership.State]int)
+	for _, member := range now.Members {
+		counts[member.State]++
+		before, known := old.Find(member.Name)
+		if known && before.State == member.State && before.Incarnation == member.Incarnation {
+			continue
+		}
+		m.became[member.State].Inc(1)
+		klog.InfoS("Member changed", "instance", member.Name, "address", member.Address,
+			"dataCentre", member.DataCentre, "incarnation", member.Incarnation, "state", member.State.String())
+	}
+	for state, gauge := range m.states {
+		gauge.Update(float64(counts[state]))
+	}
+	m.version.Update(float64(now.Version))
+}
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -110,7 +110,7 @@
 	if errors.Is(err, ErrSilent) || errors.Is(err, ErrClosed) {
 		return err
 	}
-	return errors.Mark(err, ErrConnLost)
+	return errors.Wrapf(ErrConnLost, "%v", err)
 }
 
 // run reads until the connection ends.
--- /dev/null
+++ b/transport/peer/helpers_test.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/protocol/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testNode starts a node on loopback with periods short enough for a test.
+func testNode(t *testing.T, name string, change func(*Options), handlers ...func(*Node)) (*Node, tally.TestScope) {
+	t.Helper()
+	scope := tally.NewTestScope("", nil)
+	opts := Options{
+		Cluster: "c", Listen: "127.0.0.1:0", Scope: scope,
+		Self:             membership.Member{Name: name, Incarnation: 1},
+		HeartbeatBusy:    40 * time.Millisecond,
+		HeartbeatTimeout: 250 * time.Millisecond,
+		ReloadEvery:      5 * time.Millisecond,
+	}
+	if change != nil {
+		change(&opts)
+	}
+	n, err := New(opts)
+	require.NoError(t, err)
+	require.NoError(t, n.Listen())
+	for _, h := range handlers {
+		h(n)
+	}
+	n.Start()
+	t.Cleanup(func() { require.NoError(t, n.Close()) })
+	return n, scope
+}
+
+// count sums the counters whose name contains all the given parts.
+func count(scope tally.TestScope, parts ...string) (sum int64) {
+	for key, c := range scope.Snapshot().Counters() {
+		hit := true
+		for _, p := range parts {
+			hit = hit && strings.Contains(key, p)
+		}
+		if hit {
+			sum += c.Value()
+		}
+	}
+	return sum
+}
+
+// eventually waits for an event that has no channel; the bound only ends a
+// test that has failed.
+func eventually(t *testing.T, met func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, met, 20*time.Second, 2*time.Millisecond, what)
+}
+
+// muteRelay passes connections on to a node. Connections that are open when it
+// is muted go silent for good; later ones work.
+type muteRelay struct {
+	listener net.Listener
+	target   string
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	muted    []*atomic.Bool
+	conns    []net.Conn
+}
+
+func newMuteRelay(t *testing.T, target string) *muteRelay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &muteRelay{listener: listener, target: target}
+	r.wg.Go(r.accept)
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *muteRelay) addr() string { return r.listener.Addr().String() }
+
+func (r *muteRelay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		muted := new(atomic.Bool)
+		r.mu.Lock()
+		r.muted = append(r.muted, muted)
+		r.conns = append(r.conns, in, out)
+		r.mu.Unlock()
+		r.wg.Go(func() { pipe(in, out, muted) })
+		r.wg.Go(func() { pipe(out, in, muted) })
+	}
+}
+
+// pipe copies until the source ends, and swallows what comes while muted.
+func pipe(from, to net.Conn, muted *atomic.Bool) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			if !muted.Load() {
+				_ = to.Close()
+			}
+			return
+		}
+		if !muted.Load() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+func (r *muteRelay) mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.muted {
+		m.Store(true)
+	}
+}
+
+func (r *muteRelay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+// authority signs certificates for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	file string
+}
+
+var serial atomic.Int64
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial.Add(1)), Subject: pkix.Name{CommonName: "test CA"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	a := &authority{cert: cert, key: key, file: filepath.Join(t.TempDir(), "ca.pem")}
+	writePEM(t, a.file, "CERTIFICATE", der)
+	return a
+}
+
+// issue writes a certificate and key for an instance into a directory.
+func (a *authority) issue(t *testing.T, dir string) *Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial.Add(1)), Subject: pkix.Name{CommonName: "instance"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	f := &Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	writePEM(t, f.Cert, "CERTIFICATE", der)
+	writePEM(t, f.Key, "EC PRIVATE KEY", keyDER)
+	writePEM(t, f.CA, "CERTIFICATE", a.cert.Raw)
+	return f
+}
+
+func writePEM(t *testing.T, path, kind string, der []byte) {
+	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// wire encodes messages as they go over the connection.
+func wire(t *testing.T, messages ...peer.Message) []byte {
+	var out []byte
+	for _, m := range messages {
+		frame, err := peer.Encode(m)
+		require.NoError(t, err)
+		out = append(out, frame...)
+	}
+	return out
+}
+
+// readWelcome reads the answer of a handshake.
+func readWelcome(t *testing.T, r io.Reader) *peer.Welcome {
+	body, err := peer.ReadFrame(r, peer.MaxFrame)
+	require.NoError(t, err)
+	m, err := peer.Decode(body)
+	require.NoError(t, err)
+	return m.(*peer.Welcome)
+}
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -55,8 +55,7 @@
 	Conns int
 }
 
-// New checks the options and reads the TLS files. Handlers are registered
-// before Listen.
+// New checks the options and reads the TLS files.
 func New(opts Options) (*Node, error) {
 	opts = opts.withDefaults()
 	if err := opts.validate(); err != nil {
@@ -85,7 +84,7 @@
 	return n, nil
 }
 
-// Listen begins to accept connections.
+// Listen binds the address. Connections are accepted from Start on.
 func (n *Node) Listen() error {
 	listener, err := net.Listen("tcp", n.opts.Listen)
 	if err != nil {
@@ -95,17 +94,25 @@
 	if n.opts.Self.Address == "" {
 		n.opts.Self.Address = listener.Addr().String()
 	}
+	return nil
+}
+
+// Start begins to accept connections. Handlers and OnMessage are set before.
+func (n *Node) Start() {
 	n.wg.Go(n.accept)
 	n.wg.Go(n.monitor)
 	if n.creds != nil {
 		n.wg.Go(func() { n.creds.watch(n.ctx, n.opts.ReloadEvery) })
 	}
-	return nil
 }
 
 // Addr returns the address that peers dial.
 func (n *Node) Addr() string { return n.opts.Self.Address }
 
+// ListenAddr returns the address that is bound, which differs from Addr where
+// an address translation stands before the instance.
+func (n *Node) ListenAddr() string { return n.listener.Addr().String() }
+
 // OnMessage sets the receiver of one-way messages. It is called from the
 // connections' readers and must not block.
 func (n *Node) OnMessage(fn func(from Peer, m peer.Message)) { n.onMessage = fn }
