Bound how often an instance polls engines

Cause: an instance asked each engine of its subsets every two seconds: 384 engines at the sizes to come, a call for the load and one for the cache events each. Ruled out: a longer interval for all sizes (a dozen engines would be asked too seldom); dropping the polls (they alone tell what is loaded and the cache events). Change: a round asks at most 8 engines again, those not asked for longest first, and up to 64 for the first time. Conclusion: traffic no longer grows with the engines; what a poll tells of one of 384 engines is up to 1.6 minutes old, its replies are not.

--- a/daemon/poll/poll.go
+++ b/daemon/poll/poll.go
@@ -4,9 +4,11 @@
 package poll
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +20,15 @@
 
 // Bounds of the polls.
 const (
-	// interval is the time between two polls of one engine.
+	// interval is the mean time between two rounds.
 	interval = 2 * time.Second
+	// perRound bounds the engines asked again in one round. A poll sends some
+	// 240 bytes, and what an instance may send for control is 2 KB a second,
+	// however many engines it routes to: more engines are asked less often.
+	perRound = 8
+	// newPerRound bounds the engines asked for the first time in one round.
+	// Until then it is unknown what they have loaded, so they don't wait.
+	newPerRound = 64
 	// parallel bounds the polls under way at once.
 	parallel = 8
 	// assumedAge stands for the age of a report, which targets don't tell.
@@ -56,23 +65,30 @@
 	loaded func(incarnation string, models, adapters []string)
 
 	mu sync.Mutex
-	// next holds the number of the next cache event by incarnation.
-	next map[string]uint64
+	// known holds what was learned of the engines that are asked, by incarnation.
+	known map[string]engineState
+}
+
+type engineState struct {
+	// next is the number of the next cache event.
+	next uint64
+	// asked is the round in which the engine was asked last.
+	asked uint64
 }
 
 // New makes a poller.
 func New(c Client, r Router, engines func() []Engine, loaded func(incarnation string, models, adapters []string)) *Poller {
-	return &Poller{client: c, router: r, engines: engines, loaded: loaded, next: make(map[string]uint64)}
+	return &Poller{client: c, router: r, engines: engines, loaded: loaded, known: make(map[string]engineState)}
 }
 
 // Run polls until the context ends. Rounds are jittered, so that instances that
 // were started together don't ask together.
 func (p *Poller) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for round := uint64(1); ctx.Err() == nil; round++ {
 		timer := time.NewTimer(interval/2 + rand.N(interval))
 		select {
 		case <-timer.C:
-			p.round(ctx)
+			p.round(ctx, round)
 		case <-ctx.Done():
 			timer.Stop()
 		}
@@ -80,12 +96,12 @@
 	return nil
 }
 
-func (p *Poller) round(ctx context.Context) {
+func (p *Poller) round(ctx context.Context, round uint64) {
 	engines := p.engines()
 	p.forget(engines)
 	var group errgroup.Group
 	group.SetLimit(parallel)
-	for _, engine := range engines {
+	for _, engine := range p.due(engines, round) {
 		group.Go(func() error {
 			p.ask(ctx, engine)
 			return nil
@@ -94,6 +110,31 @@
 	_ = group.Wait() // no poll returns an error
 }
 
+// due chooses the engines to ask in a round: those never asked, and of the others
+// those that were not asked for longest.
+func (p *Poller) due(engines []Engine, round uint64) []Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var fresh, again []Engine
+	for _, e := range engines {
+		if p.known[e.Incarnation].asked == 0 {
+			fresh = append(fresh, e)
+		} else {
+			again = append(again, e)
+		}
+	}
+	slices.SortStableFunc(again, func(a, b Engine) int {
+		return cmp.Compare(p.known[a.Incarnation].asked, p.known[b.Incarnation].asked)
+	})
+	chosen := append(fresh[:min(len(fresh), newPerRound)], again[:min(len(again), perRound)]...)
+	for _, e := range chosen {
+		state := p.known[e.Incarnation]
+		state.asked = round
+		p.known[e.Incarnation] = state
+	}
+	return chosen
+}
+
 // ask polls one engine. One that does not answer is judged by the requests that
 // it serves, not by its polls.
 func (p *Poller) ask(ctx context.Context, e Engine) {
@@ -117,14 +158,16 @@
 
 func (p *Poller) events(ctx context.Context, e Engine) {
 	p.mu.Lock()
-	after := p.next[e.Incarnation]
+	after := p.known[e.Incarnation].next
 	p.mu.Unlock()
 	page, err := p.client.CacheEvents(ctx, e.Address, after)
 	if err != nil || page.Incarnation != e.Incarnation {
 		return
 	}
 	p.mu.Lock()
-	p.next[e.Incarnation] = page.Next
+	state := p.known[e.Incarnation]
+	state.next = page.Next
+	p.known[e.Incarnation] = state
 	p.mu.Unlock()
 	update := routing.CacheUpdate{Epoch: epochOf(e.Incarnation), Gap: page.Lost}
 	for _, event := range page.Events {
@@ -152,9 +195,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for incarnation := range p.next {
+	for incarnation := range p.known {
 		if !kept[incarnation] {
-			delete(p.next, incarnation)
+			delete(p.known, incarnation)
 		}
 	}
 }
--- /dev/null
+++ b/daemon/poll/poll_test.go
@@ -0,0 +1,77 @@
+package poll
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+)
+
+// fleet answers as engines of the given addresses do and notes when it did.
+type fleet struct {
+	mu    sync.Mutex
+	asked map[string][]time.Time
+	after map[string]uint64
+}
+
+func (f *fleet) Load(_ context.Context, address string) (targetapi.Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked[address] = append(f.asked[address], time.Now())
+	return targetapi.Load{Incarnation: address}, nil
+}
+
+func (f *fleet) CacheEvents(_ context.Context, address string, after uint64) (targetapi.CacheEvents, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.after[address] = after
+	return targetapi.CacheEvents{Incarnation: address, Next: after + 1}, nil
+}
+
+type router struct{}
+
+func (router) Report(time.Time, string, routing.Load)            {}
+func (router) Leaving(time.Time, string)                         {}
+func (router) CacheEvent(time.Time, string, routing.CacheUpdate) {}
+
+// An instance routes to hundreds of engines. Polling all every two seconds
+// would send many times what it may spend on control, and keep a core busy.
+// Each is asked at once when it is new, and none is forgotten after.
+func TestPollsAreBoundedAndReachEveryEngine(t *testing.T) {
+	for _, n := range []int{6, 60, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			var engines []Engine
+			for i := range n {
+				engines = append(engines, Engine{Incarnation: fmt.Sprint(i), Address: fmt.Sprint(i)})
+			}
+			f := &fleet{asked: map[string][]time.Time{}, after: map[string]uint64{}}
+			poller := New(f, router{}, func() []Engine { return engines }, func(string, []string, []string) {})
+			begun := time.Now()
+			const length = 10 * time.Minute
+			ctx, cancel := context.WithTimeout(t.Context(), length)
+			defer cancel()
+			require.NoError(t, poller.Run(ctx))
+			polls := 0
+			longest := time.Duration(2+n/perRound) * interval * 2
+			for _, e := range engines {
+				times := f.asked[e.Address]
+				require.NotEmpty(t, times)
+				require.Less(t, times[0].Sub(begun), time.Duration(2+n/newPerRound)*2*interval)
+				for i := 1; i < len(times); i++ {
+					require.Less(t, times[i].Sub(times[i-1]), longest)
+				}
+				require.Equal(t, uint64(len(times)-1), f.after[e.Address])
+				polls += len(times) - 1
+			}
+			rounds := int(length / (interval / 2))
+			require.LessOrEqual(t, polls, rounds*perRound)
+		})
+	}
+}
