Give scenarios load, relays, exit codes and the operators client

Cause: no scenario had load, silent connections, operators or pairs of failures; the verb started compared numbers as text. Ruled out: a relay between instances (they tell one another the address they are bound to); counting runs by request id alone (a retry elsewhere has another id, so the emulated target counts runs by input too).

--- a/emulator/target/attempt.go
+++ b/emulator/target/attempt.go
@@ -61,6 +61,9 @@
 		return context.Cause(a.ctx)
 	}
 	a.target.runs.start(a.requestID, a.target.leaving.Load())
+	if len(a.request.Inputs) > 0 && len(a.request.Inputs[0]) <= inputKept {
+		a.target.inputs.start(a.request.Inputs[0], false)
+	}
 	return nil
 }
 
--- a/emulator/target/runs.go
+++ b/emulator/target/runs.go
@@ -8,10 +8,17 @@
 // runsKept bounds the request ids that are counted; the oldest is forgotten.
 const runsKept = 1 << 16
 
+// inputKept is the length of the inputs that are counted, in bytes.
+const inputKept = 256
+
 // RunsReport is the body of GET /admin/runs.
 type RunsReport struct {
 	// Runs counts, by request id, how often work was started.
 	Runs map[string]int `json:"runs"`
+	// Inputs counts the same by the first input, by which a test finds the runs
+	// of all requests that a caller sent for one piece of work.
+	// Inputs longer than inputKept bytes are not counted.
+	Inputs map[string]int `json:"inputs,omitempty"`
 	// Started is the number of all runs since the target was made.
 	Started int `json:"started"`
 	// StartedLeaving is the number of runs that started while the target
--- a/emulator/target/target.go
+++ b/emulator/target/target.go
@@ -20,6 +20,7 @@
 	load      *loadHistory
 	orders    *orderBook
 	runs      *runCounter
+	inputs    *runCounter
 	leaving   atomic.Bool
 
 	// closing ends when Close is called.
@@ -41,6 +42,7 @@
 		load:     newLoadHistory(options.Now, options.ReportLag),
 		orders:   newOrderBook(options),
 		runs:     newRunCounter(),
+		inputs:   newRunCounter(),
 		attempts: make(map[string]*attempt),
 	}
 	t.cache = newPrefixCache(options.CacheTokens, t.events.add)
@@ -91,7 +93,9 @@
 
 // RunsReport tells what GET /admin/runs does.
 func (t *Target) RunsReport() RunsReport {
-	return t.runs.snapshot()
+	report := t.runs.snapshot()
+	report.Inputs = t.inputs.snapshot().Runs
+	return report
 }
 
 // Orders returns the orders that took effect, the oldest first.
--- a/testkit/scenario/call.go
+++ b/testkit/scenario/call.go
@@ -31,6 +31,8 @@
 	Stream         bool
 	// Malformed sends a body that is refused as soon as it is read.
 	Malformed bool
+	// Client makes the call; nil means the scenarios' own.
+	Client *http.Client
 }
 
 // Reply is what the caller got, streamed or not.
@@ -44,7 +46,7 @@
 // Do makes the call. A stream whose tokens don't join to its answer, or that
 // ends without one, is an error.
 func (c Call) Do() (Reply, error) {
-	status, header, text, err := exchange(http.MethodPost, c.URL+"/v1/pipelines/"+c.Pipeline+"/requests", c.body(), c.header())
+	status, header, text, err := exchangeBy(c.Client, http.MethodPost, c.URL+"/v1/pipelines/"+c.Pipeline+"/requests", c.body(), c.header())
 	if err != nil {
 		return Reply{}, err
 	}
--- /dev/null
+++ b/testkit/scenario/load.go
@@ -0,0 +1,302 @@
+package scenario
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+const (
+	// loadTimeout bounds one call of a load's caller. It is longer than any
+	// tier's deadline that the sample's account has.
+	loadTimeout = 8 * time.Second
+	// loadDeadline is the deadline of the sample account's tier.
+	loadDeadline = 6 * time.Second
+	// readyTimeout bounds a look at an instance's readiness.
+	readyTimeout = 500 * time.Millisecond
+)
+
+// entrance is one instance as the balancer before it sees it.
+type entrance struct{ callers, admin string }
+
+// loadOrder is one piece of work of a load and what its caller knows of it.
+type loadOrder struct {
+	input string
+	// answer is OutcomeRan when it was answered whole, "" when nothing is known.
+	answer callerapi.Outcome
+}
+
+// loadCount are the answers of a load, by what they were.
+type loadCount struct {
+	whole, notRun, unknown, failed, cut, late int
+}
+
+// load is a number of callers who call on and on, each checking every answer.
+// They choose among ready instances as the platform's balancer does. A caller
+// who is told not_run, or whose connection breaks, tries elsewhere with the
+// same idempotency key.
+type load struct {
+	name      string
+	call      Call
+	keyed     bool
+	entrances []entrance
+	client    *http.Client
+	stop      chan struct{}
+	abandon   chan struct{}
+	group     sync.WaitGroup
+
+	mu     sync.Mutex
+	count  loadCount
+	orders []loadOrder
+	// problems counts the refusals and failures by type.
+	problems map[string]int
+	wrong    error
+	changed  chan struct{}
+	ended    bool
+}
+
+// runLoad: load begin NAME PIPELINE CALLERS INSTANCE..., load whole NAME COUNT
+// waits for so many further whole answers, load end NAME checks all answers and
+// prints their number. A pipeline "stream:NAME" is called for streams.
+func runLoad(ts *testscript.TestScript, w *world, args []string) error {
+	switch {
+	case len(args) >= 5 && args[0] == "begin":
+		return w.beginLoad(args[1], args[2], args[3], args[4:])
+	case len(args) == 3 && args[0] == "whole":
+		return w.loads[args[1]].awaitWhole(args[2])
+	case len(args) == 2 && args[0] == "end":
+		l := w.loads[args[1]]
+		l.end()
+		c := l.count
+		fmt.Fprintf(ts.Stdout(), "whole %d not_run %d unknown %d failed %d cut %d late %d\nproblems %v\n",
+			c.whole, c.notRun, c.unknown, c.failed, c.cut, c.late, l.problems)
+		return w.checkLoad(l)
+	}
+	return errors.New("usage: load begin NAME PIPELINE CALLERS INSTANCE... | whole NAME COUNT | end NAME")
+}
+
+func (w *world) beginLoad(name, pipeline, callers string, instances []string) error {
+	number, err := strconv.Atoi(callers)
+	if err != nil {
+		return err
+	}
+	l := &load{
+		name:    name,
+		call:    Call{Pipeline: pipeline, SchemaVersion: "1", Key: DefaultKey},
+		client:  &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: number}},
+		stop:    make(chan struct{}),
+		abandon: make(chan struct{}),
+
+		problems: make(map[string]int),
+		changed:  make(chan struct{}),
+	}
+	if pipeline == "work-order" {
+		l.keyed = true
+	}
+	if pipeline == "stream" {
+		l.call.Pipeline, l.call.Stream, l.call.SchemaVersion = "dossier", true, "2"
+	}
+	for _, instance := range instances {
+		callersURL, err := w.url(instance, "callers")
+		if err != nil {
+			return err
+		}
+		adminURL, err := w.url(instance, "admin")
+		if err != nil {
+			return err
+		}
+		l.entrances = append(l.entrances, entrance{callersURL, adminURL})
+	}
+	w.loads[name] = l
+	for caller := range number {
+		l.group.Go(func() { l.run(caller) })
+	}
+	return nil
+}
+
+// run is one caller.
+func (l *load) run(caller int) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for n := 0; l.goesOn(); n++ {
+		order := loadOrder{input: fmt.Sprintf("%s-%d-%d", l.name, caller, n)}
+		for try := caller + n; order.answer == "" || order.answer == callerapi.OutcomeNotRun; try++ {
+			if !l.goesOn() && order.answer != "" {
+				break
+			}
+			if e, ok := l.ready(try); ok {
+				l.try(&order, e)
+			}
+			select {
+			case <-ticker.C:
+			case <-l.abandon:
+				return
+			}
+		}
+		l.note(func() { l.orders = append(l.orders, order) })
+	}
+}
+
+func (l *load) goesOn() bool {
+	select {
+	case <-l.stop:
+		return false
+	default:
+		return true
+	}
+}
+
+// ready finds a ready instance, beginning with one that differs by try.
+func (l *load) ready(try int) (entrance, bool) {
+	client := &http.Client{Transport: l.client.Transport, Timeout: readyTimeout}
+	for i := range l.entrances {
+		e := l.entrances[(try+i)%len(l.entrances)]
+		answer, err := client.Get(e.admin + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			return e, true
+		}
+	}
+	return entrance{}, false
+}
+
+// try makes one call and takes down what came of it.
+func (l *load) try(order *loadOrder, e entrance) {
+	call := l.call
+	call.URL, call.Input, call.Client = e.callers, order.input, l.client
+	if l.keyed {
+		call.IdempotencyKey = order.input
+	}
+	began := time.Now()
+	reply, err := call.Do()
+	late := time.Since(began) > loadDeadline
+	l.note(func() {
+		if reply.Problem != nil {
+			l.problems[reply.Problem.Type]++
+		}
+		if late {
+			l.count.late++
+		}
+		switch {
+		case notConnected(err):
+		case err != nil:
+			l.count.cut++
+			order.answer = "" // it may run
+		case reply.Problem == nil:
+			l.count.whole++
+			order.answer = callerapi.OutcomeRan
+			if want := Expected(call.Pipeline, call.SchemaVersion, call.Input); reply.Answer.Output != want {
+				l.wrong = errors.Newf("%s was answered %q, not %q", call.Input, reply.Answer.Output, want)
+			}
+		case reply.Problem.Outcome == callerapi.OutcomeNotRun:
+			l.count.notRun++
+			order.answer = callerapi.OutcomeNotRun
+		case reply.Problem.Outcome == callerapi.OutcomeUnknown:
+			l.count.unknown++
+			order.answer = callerapi.OutcomeUnknown
+		default:
+			l.count.failed++
+			order.answer = callerapi.OutcomeUnknown
+		}
+	})
+}
+
+// notConnected tells whether no byte of the call can have left.
+func notConnected(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func (l *load) note(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *load) awaitWhole(text string) error {
+	further, err := strconv.Atoi(text)
+	if err != nil {
+		return err
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for first := -1; ; {
+		l.mu.Lock()
+		whole, changed := l.count.whole, l.changed
+		l.mu.Unlock()
+		if first < 0 {
+			first = whole
+		}
+		if whole >= first+further {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return errors.Newf("%d of %d whole answers in time", whole-first, further)
+		}
+	}
+}
+
+// end lets each caller finish its piece of work.
+func (l *load) end() {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	close(l.stop)
+	giveUp := time.AfterFunc(patience, func() { close(l.abandon) })
+	defer giveUp.Stop()
+	l.group.Wait()
+	l.client.CloseIdleConnections()
+}
+
+// checkLoad compares what the callers were told with what the targets ran.
+func (w *world) checkLoad(l *load) error {
+	if l.wrong != nil || !l.keyed {
+		return l.wrong
+	}
+	runs := make(map[string]int)
+	for _, name := range w.targets {
+		report, err := w.runsOf(name)
+		if err != nil {
+			return err
+		}
+		for input, number := range report.Inputs {
+			runs[input] += number
+		}
+	}
+	bad := slices.IndexFunc(l.orders, func(o loadOrder) bool { return !o.agrees(runs[o.input]) })
+	if bad >= 0 {
+		o := l.orders[bad]
+		return errors.Newf("%s was told %q and ran %d times", o.input, o.answer, runs[o.input])
+	}
+	return nil
+}
+
+// agrees tells whether what a caller was told of work that may not be repeated
+// is true, given how often it ran.
+func (o loadOrder) agrees(runs int) bool {
+	switch o.answer {
+	case callerapi.OutcomeRan:
+		return runs == 1
+	case callerapi.OutcomeNotRun:
+		return runs == 0
+	default:
+		return runs <= 1
+	}
+}
--- a/testkit/scenario/process.go
+++ b/testkit/scenario/process.go
@@ -1,6 +1,3 @@
-// Package scenario gives scripted scenarios their verbs: it starts the daemon
-// and the stand-ins as processes of their own, harms them, and talks to them as
-// callers and operators do.
 package scenario
 
 import (
--- /dev/null
+++ b/testkit/scenario/records.go
@@ -0,0 +1,79 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// applyRecords: apply FILE creates or replaces the file's records.
+func applyRecords(ts *testscript.TestScript, w *world, args []string) error {
+	text, err := os.ReadFile(ts.MkAbs(args[0]))
+	if err != nil {
+		return err
+	}
+	documents, faults := record.ParseFile(text)
+	if len(faults) > 0 {
+		return faults
+	}
+	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
+	for _, d := range documents {
+		kind := string(d.Kind)
+		_, err := store.Create(context.Background(), kind, d.Object)
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			_, err = store.Update(context.Background(), kind, d.Object)
+		}
+		if err != nil {
+			return errors.Wrap(err, d.Prefix())
+		}
+	}
+	return nil
+}
+
+// waitInForce: inforce NAME PIPELINE SCHEMA_VERSION waits until the instance
+// serves the definition.
+func waitInForce(_ *testscript.TestScript, w *world, args []string) error {
+	base, err := w.url(args[0], "callers")
+	if err != nil {
+		return err
+	}
+	return until(strings.Join(args, " "), func() bool {
+		call := Call{URL: base, Pipeline: args[1], SchemaVersion: args[2], Key: DefaultKey, Malformed: true}
+		answer, err := call.Do()
+		return err == nil && answer.Status == http.StatusBadRequest
+	})
+}
+
+// waitListed: listed waits until the platform lists all started targets.
+func waitListed(_ *testscript.TestScript, w *world, _ []string) error {
+	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
+	return until("list of targets", func() bool {
+		list, err := store.List(context.Background(), platformapi.KindTargets)
+		return err == nil && len(list.Items) == len(w.targets)
+	})
+}
+
+// waitRefused: refused KIND NAME TEXT waits until the record's status says that
+// its newest version is refused, for a reason with the text.
+func waitRefused(_ *testscript.TestScript, w *world, args []string) error {
+	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
+	return until("status of "+args[1], func() bool {
+		object, err := store.Get(context.Background(), args[0], args[1])
+		if err != nil {
+			return false
+		}
+		var status platformapi.RecordStatus
+		_ = json.Unmarshal(object.Status, &status) // no status yet is no refusal
+		return !status.Accepted && strings.Contains(status.Reason, args[2])
+	})
+}
--- a/testkit/scenario/verbs.go
+++ b/testkit/scenario/verbs.go
@@ -1,10 +1,9 @@
 package scenario
 
 import (
-	"context"
-	"encoding/json"
 	"net/http"
-	"os"
+	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -12,11 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	platformemulator "github.com/ivyhollow/ivyhollow/emulator/platform"
-	targetemulator "github.com/ivyhollow/ivyhollow/emulator/target"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
-	"github.com/ivyhollow/ivyhollow/protocol/record"
-	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
 
 // verb is the body of a verb: it returns what went wrong.
@@ -39,10 +34,16 @@
 		"unlist":       unlistTarget,
 		"apply":        applyRecords,
 		"ready":        waitReady,
+		"unready":      waitUnready,
 		"inforce":      waitInForce,
 		"started":      waitStarted,
 		"whileleaving": expectWhileLeaving,
 		"refused":      waitRefused,
+		"relay":        startRelay,
+		"link":         commandRelay,
+		"dropped":      waitDropped,
+		"load":         runLoad,
+		"exits":        expectExitCode,
 		"listed":       waitListed,
 		"answered":     expectAnswer,
 	}
@@ -62,7 +63,7 @@
 }
 
 func startPlatform(ts *testscript.TestScript, w *world, args []string) error {
-	p, err := w.start(ts, "platform", "standin", append([]string{"platform"}, args...)...)
+	p, err := w.start(ts, platformName, "standin", append([]string{"platform"}, args...)...)
 	if err != nil {
 		return err
 	}
@@ -80,31 +81,47 @@
 	if len(args) < 3 {
 		return errors.New("usage: target NAME POOL KIND [FLAG...]")
 	}
-	flags := []string{
-		"target", "--incarnation", args[0], "--pool", args[1], "--kind", args[2],
-		"--platform", w.platform,
-	}
+	flags := []string{"target", "--incarnation", args[0], "--pool", args[1], "--kind", args[2], "--platform", w.platform}
 	p, err := w.start(ts, args[0], "standin", append(flags, args[3:]...)...)
 	if err != nil {
 		return err
 	}
+	address, err := p.address("")
 	w.targets = append(w.targets, args[0])
-	_, err = p.address("")
+	w.listed[args[0]] = platformapi.TargetEntry{
+		Pool: args[1], Address: address, DataCentre: dataCentreOf(args[3:]), Incarnation: args[0], State: platformapi.TargetReady,
+	}
 	return err
 }
 
-// startInstance: instance NAME DATA_CENTRE [SETTING...]; it waits until the
-// instance is ready unless a setting is "--nowait".
+// dataCentreOf finds the data centre among the flags of a target.
+func dataCentreOf(flags []string) string {
+	if i := slices.Index(flags, "--data-centre"); i >= 0 && i+1 < len(flags) {
+		return flags[i+1]
+	}
+	return "dc1"
+}
+
+// startInstance: instance NAME DATA_CENTRE [--platform RELAY] [--nowait]
+// [SETTING...]. It waits until the instance is ready unless --nowait is given.
 func startInstance(ts *testscript.TestScript, w *world, args []string) error {
 	if len(args) < 2 {
 		return errors.New("usage: instance NAME DATA_CENTRE [SETTING...]")
 	}
 	extra := args[2:]
+	platformURL := w.platform
+	if len(extra) > 1 && extra[0] == "--platform" {
+		r, ok := w.relays[extra[1]]
+		if !ok {
+			return errors.Newf("no relay %s in this scenario", extra[1])
+		}
+		platformURL, extra = "http://"+r.Addr(), extra[2:]
+	}
 	nowait := len(extra) > 0 && extra[0] == "--nowait"
 	if nowait {
 		extra = extra[1:]
 	}
-	path, err := w.settings(args[0], args[1], extra)
+	path, err := w.settings(args[0], args[1], platformURL, extra)
 	if err != nil {
 		return err
 	}
@@ -161,63 +178,33 @@
 	return nil
 }
 
-// setStoreFaults: store JSON, store ok.
-func setStoreFaults(_ *testscript.TestScript, w *world, args []string) error {
-	text := strings.Join(args, " ")
-	if text == "ok" {
-		text = "{}"
-	}
-	return put(http.MethodPut, w.platform+platformemulator.PathFaults, text)
-}
-
-// setTargetFaults: fault TARGET JSON, fault TARGET ok.
-func setTargetFaults(_ *testscript.TestScript, w *world, args []string) error {
-	base, err := w.url(args[0], "")
+// waitUnready: unready NAME waits until the instance wants no new connections.
+func waitUnready(_ *testscript.TestScript, w *world, args []string) error {
+	base, err := w.url(args[0], "admin")
 	if err != nil {
 		return err
 	}
-	text := strings.Join(args[1:], " ")
-	if text == "ok" {
-		text = "[]"
-	}
-	return put(http.MethodPost, base+targetemulator.PathAdminFaults, text)
+	return until(args[0]+" not ready", func() bool {
+		status, _, _, err := exchange(http.MethodGet, base+"/readyz", nil, nil)
+		return err == nil && status == http.StatusServiceUnavailable
+	})
 }
 
-// setLeaving: leaving TARGET; the target itself says so, the list does not yet.
-func setLeaving(_ *testscript.TestScript, w *world, args []string) error {
-	base, err := w.url(args[0], "")
-	if err != nil {
-		return err
+// expectExitCode: exits CODE PROGRAM [ARGUMENT...].
+func expectExitCode(ts *testscript.TestScript, _ *world, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: exits CODE PROGRAM [ARGUMENT...]")
 	}
-	return put(http.MethodPost, base+targetemulator.PathAdminLeaving, `{"leaving":true}`)
-}
-
-// unlistTarget: unlist TARGET takes it off the platform's list.
-func unlistTarget(_ *testscript.TestScript, w *world, args []string) error {
-	return put(http.MethodDelete, w.platform+platformemulator.PathTargets+"/"+args[0], "{}")
-}
-
-// applyRecords: apply FILE creates or replaces the file's records.
-func applyRecords(ts *testscript.TestScript, w *world, args []string) error {
-	text, err := os.ReadFile(ts.MkAbs(args[0]))
-	if err != nil {
-		return err
+	code, failed := 0, ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if errors.As(failed, &exit) {
+		code, failed = exit.ExitCode(), nil
 	}
-	documents, faults := record.ParseFile(text)
-	if len(faults) > 0 {
-		return faults
+	if failed != nil {
+		return failed
 	}
-	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
-	for _, d := range documents {
-		kind := string(d.Kind)
-		_, err := store.Create(context.Background(), kind, d.Object)
-		var conflict *platform.ConflictError
-		if errors.As(err, &conflict) {
-			_, err = store.Update(context.Background(), kind, d.Object)
-		}
-		if err != nil {
-			return errors.Wrap(err, d.Prefix())
-		}
+	if strconv.Itoa(code) != args[0] {
+		return errors.Newf("exit code %d", code)
 	}
 	return nil
 }
@@ -240,104 +227,6 @@
 	return nil
 }
 
-// waitInForce: inforce NAME PIPELINE SCHEMA_VERSION waits until the instance
-// serves the definition.
-func waitInForce(_ *testscript.TestScript, w *world, args []string) error {
-	base, err := w.url(args[0], "callers")
-	if err != nil {
-		return err
-	}
-	return until(strings.Join(args, " "), func() bool {
-		call := Call{URL: base, Pipeline: args[1], SchemaVersion: args[2], Key: DefaultKey, Malformed: true}
-		answer, err := call.Do()
-		return err == nil && answer.Status == http.StatusBadRequest
-	})
-}
-
-// waitStarted: started [TARGET] COUNT waits until the target, or all targets
-// together, have started so much work, and fails when it is more.
-func waitStarted(_ *testscript.TestScript, w *world, args []string) error {
-	names := args[:len(args)-1]
-	want := args[len(args)-1]
-	if len(names) == 0 {
-		names = w.targets
-	}
-	total, failed := 0, error(nil)
-	err := until(want+" started", func() bool {
-		total = 0
-		for _, name := range names {
-			report, err := w.runsOf(name)
-			if err != nil {
-				failed = err
-				return true
-			}
-			total += report.Started
-		}
-		return strconv.Itoa(total) >= want || len(strconv.Itoa(total)) > len(want)
-	})
-	if err != nil || failed != nil {
-		return errors.CombineErrors(failed, err)
-	}
-	if strconv.Itoa(total) != want {
-		return errors.Newf("%d started", total)
-	}
-	return nil
-}
-
-// expectWhileLeaving: whileleaving TARGET MOST bounds the work that the target
-// started after it said that it leaves.
-func expectWhileLeaving(_ *testscript.TestScript, w *world, args []string) error {
-	report, err := w.runsOf(args[0])
-	if err != nil {
-		return err
-	}
-	most, err := strconv.Atoi(args[1])
-	if err != nil {
-		return err
-	}
-	if report.StartedLeaving > most {
-		return errors.Newf("%d started", report.StartedLeaving)
-	}
-	return nil
-}
-
-func (w *world) runsOf(name string) (targetemulator.RunsReport, error) {
-	var report targetemulator.RunsReport
-	base, err := w.url(name, "")
-	if err != nil {
-		return report, err
-	}
-	_, _, body, err := exchange(http.MethodGet, base+targetemulator.PathAdminRuns, nil, nil)
-	if err != nil {
-		return report, err
-	}
-	return report, json.Unmarshal(body, &report)
-}
-
-// waitListed: listed waits until the platform lists all started targets.
-func waitListed(_ *testscript.TestScript, w *world, _ []string) error {
-	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
-	return until("list of targets", func() bool {
-		list, err := store.List(context.Background(), platformapi.KindTargets)
-		return err == nil && len(list.Items) == len(w.targets)
-	})
-}
-
-// waitRefused: refused KIND NAME TEXT waits until the record's status says that
-// its newest version is refused, for a reason with the text.
-func waitRefused(_ *testscript.TestScript, w *world, args []string) error {
-	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
-	return until("status of "+args[1], func() bool {
-		object, err := store.Get(context.Background(), args[0], args[1])
-		if err != nil {
-			return false
-		}
-		var status platformapi.RecordStatus
-		_ = json.Unmarshal(object.Status, &status) // no status yet is no refusal
-		return !status.Accepted && strings.Contains(status.Reason, args[2])
-	})
-}
-
 // expectAnswer: answered FILE compares the last submitted answer with what the
 // program expected printed into the file.
 func expectAnswer(ts *testscript.TestScript, _ *world, args []string) error {
--- a/testkit/scenario/world.go
+++ b/testkit/scenario/world.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +17,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/ivyhollow/ivyhollow/daemon/dev"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/testkit/relay"
 )
 
 // world holds the processes of one scenario.
@@ -24,20 +28,50 @@
 	platform  string
 	// targets names the started targets, in order.
 	targets []string
+	// listed holds the targets as they stand in the platform's list.
+	listed map[string]platformapi.TargetEntry
+	relays map[string]*relay.Relay
+	loads  map[string]*load
 }
 
+// platformName is the name of the platform's process.
+const platformName = "platform"
+
+// budgetPattern finds the account budget of the sample records. Busy records
+// have none, so that the load of a scenario, retries included, is never refused
+// for it.
+var budgetPattern = regexp.MustCompile(`"requests_per_s":\s*\d+`)
+
 type worldKey struct{}
 
 // Setup prepares a scenario and ends its processes with it.
 func Setup(env *testscript.Env) error {
-	w := &world{directory: env.WorkDir, processes: make(map[string]*process)}
+	w := &world{
+		directory: env.WorkDir,
+		processes: make(map[string]*process),
+		listed:    make(map[string]platformapi.TargetEntry),
+		relays:    make(map[string]*relay.Relay),
+		loads:     make(map[string]*load),
+	}
 	env.Values[worldKey{}] = w
-	sample := filepath.Join(env.WorkDir, "sample.json")
-	env.Setenv("SAMPLE", sample)
-	if err := os.WriteFile(sample, dev.Sample, 0o600); err != nil {
-		return err
+	busy := budgetPattern.ReplaceAll(dev.Sample, []byte(`"requests_per_s": 0`))
+	if bytes.Equal(busy, dev.Sample) {
+		return errors.New("the sample records have no account budget")
+	}
+	for name, records := range map[string][]byte{"SAMPLE": dev.Sample, "BUSY": busy} {
+		path := filepath.Join(env.WorkDir, strings.ToLower(name)+".json")
+		env.Setenv(name, path)
+		if err := os.WriteFile(path, records, 0o600); err != nil {
+			return err
+		}
 	}
 	env.Defer(func() {
+		for _, l := range w.loads {
+			l.end()
+		}
+		for _, r := range w.relays {
+			r.Close()
+		}
 		for _, p := range w.processes {
 			p.stop()
 		}
@@ -114,6 +148,14 @@
 
 // exchange makes one HTTP call and returns its status and body.
 func exchange(method, url string, body []byte, header http.Header) (int, http.Header, []byte, error) {
+	return exchangeBy(nil, method, url, body, header)
+}
+
+// exchangeBy is exchange by another client; nil means the scenarios' own.
+func exchangeBy(by *http.Client, method, url string, body []byte, header http.Header) (int, http.Header, []byte, error) {
+	if by == nil {
+		by = client
+	}
 	request, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, err
@@ -121,7 +163,7 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
-	answer, err := client.Do(request)
+	answer, err := by.Do(request)
 	if err != nil {
 		return 0, nil, nil, err
 	}
@@ -145,8 +187,13 @@
 	return nil
 }
 
-// settings writes the INI file of an instance.
-func (w *world) settings(name, dataCentre string, extra []string) (string, error) {
+// settings writes the INI file of an instance. A section [shutdown] among the
+// extra lines replaces the short times that scenarios use.
+func (w *world) settings(name, dataCentre, platformURL string, extra []string) (string, error) {
+	shutdown := "[shutdown]\nbalancer_delay = 100ms\ngrace = 20s"
+	if slices.Contains(extra, "[shutdown]") {
+		shutdown = ""
+	}
 	text := fmt.Sprintf(`[instance]
 name = %s
 data_centre = %s
@@ -157,11 +204,9 @@
 [platform]
 url = %s
 timeout = 1s
-[shutdown]
-balancer_delay = 100ms
-grace = 20s
 %s
-`, name, dataCentre, w.platform, strings.Join(extra, "\n"))
+%s
+`, name, dataCentre, platformURL, shutdown, strings.Join(extra, "\n"))
 	path := filepath.Join(w.directory, name+".ini")
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
