Give orders to targets under a lease with a fencing number

Cause: two instances that order one target, or a holder paused across its lapse, would leave a pool in a state that nobody asked for. Ruled out: repeating an order whose answer was lost at once, since the first one may still be under way. Change: daemon/orders keeps the lease of a pool, reads targets back, gives the orders they lack, waits out the predecessor where targets ignore the number, and rises above numbers that targets have seen. Conclusion: a target that checks refuses the late order; one that ignores the number obeys it and is repaired by the next check, as the test shows.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -87,6 +87,8 @@
 	asked   time.Time
 	wanted  Record
 	attempt uint64
+	// floor is the highest fencing number that a target has seen.
+	floor   uint64
 	held    bool
 	expires time.Time
 	// clearAt is when no order of an earlier holder can be under way any more.
@@ -109,7 +111,7 @@
 	if !l.held && !l.free(now) {
 		return Read{}
 	}
-	if l.seen.Holder == l.self {
+	if l.seen.Holder == l.self && l.seen.Fencing >= l.floor {
 		return l.write(now, l.renewal())
 	}
 	return l.write(now, l.acquisition())
@@ -190,6 +192,15 @@
 // ClearAt is when Clear turns true, if the lease stays held.
 func (l *Lease) ClearAt() time.Time { return l.clearAt }
 
+// Outranked gives the lease up at once, because a target has seen a higher
+// fencing number; number is 0 when it isn't known. The lease is read again: a
+// successor shows there. When none does (the lease was removed and began again
+// at 1), the next number taken is above the one that the target has seen.
+func (l *Lease) Outranked(now time.Time, number uint64) {
+	l.floor = max(l.floor, number)
+	l.held, l.known, l.asked, l.next = false, false, time.Time{}, now
+}
+
 // Release returns the record that gives a held lease up, when no order is
 // under way. The lease counts as not held from now on.
 func (l *Lease) Release(now time.Time) (Write, bool) {
@@ -238,7 +249,7 @@
 	}
 	return Record{
 		Holder:         l.self,
-		Fencing:        l.seen.Fencing + 1,
+		Fencing:        max(l.seen.Fencing, l.floor) + 1,
 		TermMS:         l.terms.Term.Milliseconds(),
 		Attempt:        l.nextAttempt(),
 		LongestOrderMS: l.terms.LongestOrder.Milliseconds(),
--- /dev/null
+++ b/daemon/orders/reconcile.go
@@ -0,0 +1,183 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// reconcileOften compares the targets with the desired state, at intervals and
+// after each change.
+func (k *Keeper) reconcileOften(ctx context.Context) error {
+	timer := time.NewTicker(k.opts.CheckEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-k.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		k.reconcile(ctx)
+	}
+}
+
+// reconcile reads each target back and gives the orders it lacks, no more at
+// once than the pool's share of the weight store allows.
+func (k *Keeper) reconcile(ctx context.Context) {
+	if _, may := k.mayOrder(); !may {
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(k.opts.DownloadSlots)
+	for _, m := range k.opts.Members() {
+		group.Go(func() error {
+			k.reconcileTarget(ctx, m)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (k *Keeper) reconcileTarget(ctx context.Context, m Member) {
+	if _, may := k.mayOrder(); !may || k.busy(m) {
+		return
+	}
+	load, err := k.opts.Targets.Load(ctx, m.Address)
+	if err != nil || load.Incarnation != m.Incarnation || k.outranked(load) {
+		return
+	}
+	desired := k.wanted()
+	for _, order := range Missing(load, desired) {
+		if k.wanted().Revision != desired.Revision || !k.give(ctx, m, order) {
+			return
+		}
+	}
+}
+
+// outranked gives the lease up when the target has obeyed a higher number.
+func (k *Keeper) outranked(load targetapi.Load) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Now()
+	number, held := k.lease.Held(now)
+	if held && load.Fencing > number {
+		k.lease.Outranked(now, load.Fencing)
+	}
+	return !held || load.Fencing > number
+}
+
+// give checks the lease and gives one order. The check comes right before the
+// order; see docs/design/leases.md for what a pause between the two can do.
+func (k *Keeper) give(ctx context.Context, m Member, order targetapi.Order) bool {
+	number, may := k.mayOrder()
+	if !may {
+		return false
+	}
+	order.Fencing = number
+	order.ID = fmt.Sprintf("%s-%d-%s-%s", k.opts.Pool, number, order.Action, order.Value)
+	sent := k.opts.Now()
+	ctx, cancel := context.WithTimeout(ctx, k.opts.Terms.LongestOrder)
+	defer cancel()
+	_, err := k.opts.Targets.Order(ctx, m.Address, order)
+	return k.given(m, order, sent, err)
+}
+
+// given notes how an order ended.
+func (k *Keeper) given(m Member, order targetapi.Order, sent time.Time, err error) bool {
+	if err == nil {
+		k.metrics.given.Inc(1)
+		klog.V(1).InfoS("orders: given", "pool", k.opts.Pool, "target", m.Incarnation,
+			"action", order.Action, "value", order.Value, "fencing", order.Fencing)
+		return true
+	}
+	k.metrics.failed.Inc(1)
+	klog.InfoS("orders: failed", "pool", k.opts.Pool, "target", m.Incarnation, "action", order.Action, "err", err)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var control *target.ControlError
+	switch {
+	case errors.Is(err, target.ErrFenced):
+		k.metrics.fenced.Inc(1)
+		k.lease.Outranked(k.opts.Now(), 0)
+	case errors.As(err, &control) && control.Outcome == target.NotRun:
+	default:
+		// Guard: the answer was lost and the order may still be under way at
+		// the target. A second order now could be overtaken by the first.
+		k.busyUntil[m.Incarnation] = sent.Add(k.opts.Terms.LongestOrder)
+	}
+	return false
+}
+
+// mayOrder tells whether orders may be given now, and under which number.
+// Targets that ignore the number are left alone until the orders of earlier
+// holders are over.
+func (k *Keeper) mayOrder() (uint64, bool) {
+	checks := k.opts.ChecksFencing()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Now()
+	number, held := k.lease.Held(now)
+	if held && !checks && !k.lease.Clear(now) {
+		k.metrics.waiting.Update(k.lease.ClearAt().Sub(now).Seconds())
+		return 0, false
+	}
+	k.metrics.waiting.Update(0)
+	return number, held
+}
+
+func (k *Keeper) busy(m Member) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pruneBusy(k.opts.Now())
+	_, busy := k.busyUntil[m.Incarnation]
+	return busy
+}
+
+func (k *Keeper) pruneBusy(now time.Time) {
+	for incarnation, until := range k.busyUntil {
+		if !now.Before(until) {
+			delete(k.busyUntil, incarnation)
+		}
+	}
+}
+
+func (k *Keeper) wanted() Desired {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.desired
+}
+
+// Missing returns the orders that bring a target from its reported state to
+// the desired one, without ids and fencing numbers.
+func Missing(load targetapi.Load, d Desired) []targetapi.Order {
+	var orders []targetapi.Order
+	add := func(action, value string) {
+		orders = append(orders, targetapi.Order{Action: action, Value: value})
+	}
+	for _, model := range d.Models {
+		if !slices.Contains(load.Models, model) {
+			add(targetapi.ActionLoadModel, model)
+		}
+	}
+	for _, adapter := range d.Adapters {
+		if !slices.Contains(load.Adapters, adapter) {
+			add(targetapi.ActionLoadAdapter, adapter)
+		}
+	}
+	if d.Version != "" && d.Version != load.Version {
+		add(targetapi.ActionSetVersion, d.Version)
+	}
+	if d.Role != "" && d.Role != load.Role {
+		add(targetapi.ActionSetRole, d.Role)
+	}
+	return orders
+}
