--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -45,6 +45,9 @@
 // watchersKey is the key whose owners watch the store.
 const watchersKey = "configuration-watchers"
 
+// sweeperKey is the key whose owner removes old claims.
+const sweeperKey = "claims-sweeper"
+
 // streamIdle bounds the wait for a caller that does not read its stream.
 const streamIdle = 10 * time.Second
 
@@ -222,6 +225,12 @@
 	return ok && rank == 0
 }
 
+// owns tells whether this instance is the first owner of a key.
+func (a *App) owns(key string) bool {
+	owners := a.cluster.Owners(key, 1)
+	return len(owners) > 0 && owners[0].Name == a.self.Name
+}
+
 func (a *App) isLive(name string) bool {
 	member, ok := a.cluster.View().Find(name)
 	return ok && member.Live()
@@ -253,6 +262,7 @@
 		Storage:   claims.NewObjects(a.store),
 		Asker:     asker{a.cluster},
 		Retention: a.settings.Claims.Retention,
+		Sweeper:   func() bool { return a.owns(sweeperKey) },
 		Scope:     a.telemetry.Scope,
 	})
 }
--- a/daemon/claims/objects.go
+++ b/daemon/claims/objects.go
@@ -15,7 +15,7 @@
 // Store is the part of the platform's store that claims use.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (*platformapi.Object, error)
-	ListStale(ctx context.Context, kind string) (platformapi.List, error)
+	ListStalePage(ctx context.Context, kind, after string, limit int) (platformapi.List, error)
 	Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
 	Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
 	Delete(ctx context.Context, kind, name string, revision uint64) error
@@ -62,24 +62,43 @@
 	return exists(object)
 }
 
-// Sweep implements Storage. The list may be stale: a claim's time doesn't
+// sweepPage bounds the claims that a sweep holds at once: a day's claims would
+// not fit an instance's memory.
+const sweepPage = 100
+
+// Sweep implements Storage. The pages may be stale: a claim's time doesn't
 // change, and each removal is conditional on the listed revision.
 func (o *Objects) Sweep(ctx context.Context, before time.Time, pace func() error) (int, error) {
-	list, err := o.store.ListStale(ctx, platformapi.KindClaims)
-	if err != nil {
-		return 0, err
+	removed, after := 0, ""
+	for {
+		if err := pace(); err != nil {
+			return removed, err
+		}
+		page, err := o.store.ListStalePage(ctx, platformapi.KindClaims, after, sweepPage)
+		if err != nil {
+			return removed, err
+		}
+		n, err := o.removeOld(ctx, page.Items, before, pace)
+		removed += n
+		if err != nil || page.Next == "" {
+			return removed, err
+		}
+		after = page.Next
 	}
+}
+
+func (o *Objects) removeOld(ctx context.Context, items []platformapi.Object, before time.Time, pace func() error) (int, error) {
 	removed := 0
-	for i := range list.Items {
-		item := &list.Items[i]
-		e, ok := exists(item).(claim.Exists)
+	for i := range items {
+		e, ok := exists(&items[i]).(claim.Exists)
 		if !ok || !e.Record.Made.Before(before) {
 			continue
 		}
 		if err := pace(); err != nil {
 			return removed, err
 		}
-		err := o.store.Delete(ctx, platformapi.KindClaims, item.Metadata.Name, item.Metadata.Revision)
+		metadata := items[i].Metadata
+		err := o.store.Delete(ctx, platformapi.KindClaims, metadata.Name, metadata.Revision)
 		if err == nil {
 			removed++
 		}
--- a/daemon/claims/options.go
+++ b/daemon/claims/options.go
@@ -20,6 +20,9 @@
 	if o.Limits == (claim.Limits{}) {
 		o.Limits = claim.DefaultLimits
 	}
+	if o.Sweeper == nil {
+		o.Sweeper = func() bool { return true }
+	}
 	if o.SweepRate == 0 {
 		o.SweepRate = DefaultSweepRate
 	}
--- a/daemon/claims/service.go
+++ b/daemon/claims/service.go
@@ -82,8 +82,11 @@
 	// MaxQueued and MaxQueuedBytes bound the outcomes that wait for the store.
 	MaxQueued      int
 	MaxQueuedBytes int
-	// SweepEvery is the time between two sweeps; SweepRate bounds the claims
-	// removed a second.
+	// Sweeper tells whether this instance has the duty to sweep now; nil means
+	// always. Two that believe so only lose conditional deletes to each other.
+	Sweeper func() bool
+	// SweepEvery is the time between two sweeps; SweepRate bounds the pages
+	// read and the claims removed a second.
 	SweepEvery time.Duration
 	SweepRate  float64
 	Limits     claim.Limits
@@ -104,7 +107,7 @@
 	DefaultMaxQueued      = 4096
 	DefaultMaxQueuedBytes = 16 << 20
 	DefaultSweepEvery     = 10 * time.Minute
-	DefaultSweepRate      = 5.0
+	DefaultSweepRate      = 20.0
 )
 
 // Service makes, answers and records claims. It is safe for concurrent use.
--- a/daemon/claims/storage.go
+++ b/daemon/claims/storage.go
@@ -19,7 +19,7 @@
 	// Replace writes the claim if the stored one is at the revision: Written,
 	// Exists, Absent, StoreAway or AnswerLost.
 	Replace(ctx context.Context, id claim.ID, revision uint64, r claim.Record) claim.Event
-	// Sweep removes claims made before a time. It calls pace before each
-	// removal and ends with pace's error. It returns the number removed.
+	// Sweep removes claims made before a time. It calls pace before each page
+	// that it reads and each removal, and ends with pace's error. It returns the number removed.
 	Sweep(ctx context.Context, before time.Time, pace func() error) (int, error)
 }
--- a/daemon/claims/sweep.go
+++ b/daemon/claims/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
@@ -16,19 +17,31 @@
 	return group.Wait()
 }
 
-// sweepOften removes the claims past their retention, at a bounded rate. All
-// instances sweep, at random times; a claim that another one has removed costs
-// one refused call.
+// errNotSweeper ends a sweep when the duty has moved to another instance.
+var errNotSweeper = errors.New("claims: the duty to sweep has moved")
+
+// sweepOften removes the claims past their retention, at a bounded rate, while
+// this instance has the duty.
+//
+// Guard: if all instances swept, each would read every claim of the fleet. The
+// reads would grow with the instances times the claims, and at some hundred
+// instances take all that the store gives. A duty that is held twice, or by
+// nobody for a while, harms nothing.
 func (s *Service) sweepOften(ctx context.Context) error {
 	limiter := rate.NewLimiter(rate.Limit(s.opts.SweepRate), 1)
-	pace := func() error { return limiter.Wait(ctx) }
+	pace := func() error {
+		if !s.opts.Sweeper() {
+			return errNotSweeper
+		}
+		return limiter.Wait(ctx)
+	}
 	for {
 		if err := pause(ctx, jitter(s.opts.SweepEvery)); err != nil {
 			return err
 		}
 		removed, err := s.opts.Storage.Sweep(ctx, s.opts.Now().Add(-s.opts.Retention), pace)
 		s.metrics.swept.Inc(int64(removed))
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil && !errors.Is(err, errNotSweeper) {
 			klog.V(2).InfoS("claims: sweep ended early", "err", err)
 		}
 	}
--- a/emulator/platform/local.go
+++ b/emulator/platform/local.go
@@ -55,8 +55,8 @@
 	var all platformapi.List
 	after := ""
 	for {
-		page, f := l.store.list(ctx, l.request(kind), after, 0, stale)
-		if err := l.check(ctx, transport.Call{Step: "list " + kind}, f); err != nil {
+		page, err := l.page(ctx, kind, after, 0, stale)
+		if err != nil {
 			return platformapi.List{}, err
 		}
 		if after == "" {
@@ -71,6 +71,19 @@
 	}
 }
 
+// ListStalePage implements transport.Store.
+func (l *Local) ListStalePage(ctx context.Context, kind, after string, limit int) (platformapi.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.store.options.LocalTimeout)
+	defer cancel()
+	return l.page(ctx, kind, after, limit, true)
+}
+
+func (l *Local) page(ctx context.Context, kind, after string, limit int, stale bool) (platformapi.List, error) {
+	page, f := l.store.list(ctx, l.request(kind), after, limit, stale)
+	err := l.check(ctx, transport.Call{Step: "list " + kind}, f)
+	return page, err
+}
+
 // Create implements transport.Store.
 func (l *Local) Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
 	return l.write(ctx, "create ", kind, func(t *table) (*platformapi.Object, *refusal) {
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -91,15 +91,33 @@
 	return c.listPages(ctx, kind, url.Values{"stale": {"1"}})
 }
 
+// ListStalePage implements Store.
+func (c *Client) ListStalePage(ctx context.Context, kind, after string, limit int) (platformapi.List, error) {
+	query := url.Values{"stale": {"1"}}
+	if after != "" {
+		query.Set("after", after)
+	}
+	if limit > 0 {
+		query.Set("limit", strconv.Itoa(limit))
+	}
+	return c.listPage(ctx, kind, query)
+}
+
+func (c *Client) listPage(ctx context.Context, kind string, query url.Values) (platformapi.List, error) {
+	var page platformapi.List
+	path := platformapi.PathObjects + url.PathEscape(kind) + "?" + query.Encode()
+	err := c.read(ctx, "list "+kind, path, &page)
+	return page, err
+}
+
 // listPages joins the pages of a list. Pages may be of different revisions. The
 // revision given back is the lowest, so that a watch from it replays every
 // change that came between two pages instead of missing it.
 func (c *Client) listPages(ctx context.Context, kind string, query url.Values) (platformapi.List, error) {
 	var all platformapi.List
 	for first := true; ; first = false {
-		var page platformapi.List
-		path := platformapi.PathObjects + url.PathEscape(kind) + "?" + query.Encode()
-		if err := c.read(ctx, "list "+kind, path, &page); err != nil {
+		page, err := c.listPage(ctx, kind, query)
+		if err != nil {
 			return platformapi.List{}, err
 		}
 		all.Items = append(all.Items, page.Items...)
--- a/transport/platform/store.go
+++ b/transport/platform/store.go
@@ -25,6 +25,10 @@
 	List(ctx context.Context, kind string) (platformapi.List, error)
 	// ListStale is List, but the platform may answer from the past.
 	ListStale(ctx context.Context, kind string) (platformapi.List, error)
+	// ListStalePage reads one page of ListStale: at most limit objects, 0 being
+	// the platform's own bound, of names after the given one. Next of the page
+	// is where to go on, empty at the end.
+	ListStalePage(ctx context.Context, kind, after string, limit int) (platformapi.List, error)
 	// Create writes a new object; *ConflictError when the name is taken.
 	Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
 	// Update replaces the spec of an object and leaves its status. It is
