Prove the claims service against faults of store and peers

Ruled out: looking for a lost write at once only, since its effect may come after the look. Change: a lost write is looked for after ten seconds and marked as abandoned; fault tables in virtual time over the stand-in of the platform.

--- a/daemon/claims/queue.go
+++ b/daemon/claims/queue.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	// revision is 0 when it isn't known: read first.
 	revision uint64
 	queued   time.Time
+	// due is when to try, the zero time for at once.
+	due time.Time
 }
 
 func (w *write) bytes() int {
@@ -56,19 +59,24 @@
 	return true
 }
 
-// pop removes the oldest write; done ends the work on it.
-func (q *queue) pop() (write, bool) {
+// pop removes the oldest write that is due; done ends the work on it. Without
+// one it returns how long to wait at most for the next.
+func (q *queue) pop(now time.Time) (w write, wait time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.writes) == 0 {
-		return write{}, false
+	wait = maxQueueAge
+	for i := range q.writes {
+		if left := q.writes[i].due.Sub(now); left > 0 {
+			wait = min(wait, left)
+			continue
+		}
+		w = q.writes[i]
+		q.writes = slices.Delete(q.writes, i, i+1)
+		q.bytes -= w.bytes()
+		q.taken++
+		return w, 0, true
 	}
-	w := q.writes[0]
-	q.writes[0] = write{}
-	q.writes = q.writes[1:]
-	q.bytes -= w.bytes()
-	q.taken++
-	return w, true
+	return write{}, wait, false
 }
 
 func (q *queue) done() {
--- a/daemon/claims/record.go
+++ b/daemon/claims/record.go
@@ -15,6 +15,10 @@
 	maxConflicts = 3
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// lateEffect is when a lost write is looked for. Guard: its effect may
+	// come after a first look, and would block its key once this incarnation,
+	// which answers for the token meanwhile, is gone.
+	lateEffect = 10 * time.Second
 	// maxQueueAge is when an outcome that can't be recorded is let go.
 	maxQueueAge = time.Hour
 )
@@ -74,6 +78,9 @@
 
 func (s *Service) enqueue(w write) {
 	w.queued = s.opts.Now()
+	if w.record.Abandoned && w.revision == 0 {
+		w.due = w.queued.Add(lateEffect)
+	}
 	if s.queue.push(w) {
 		s.metrics.queued.Update(float64(s.queue.size()))
 		return
@@ -87,14 +94,12 @@
 func (s *Service) recordQueued(ctx context.Context) error {
 	backoff := minBackoff
 	for {
-		w, ok := s.queue.pop()
+		w, wait, ok := s.queue.pop(s.opts.Now())
 		if !ok {
-			select {
-			case <-s.queue.changed:
-				continue
-			case <-ctx.Done():
-				return ctx.Err()
+			if err := s.awaitQueue(ctx, wait); err != nil {
+				return err
 			}
+			continue
 		}
 		if s.record(ctx, &w) {
 			s.queue.done()
@@ -112,6 +117,20 @@
 	}
 }
 
+// awaitQueue waits until a write comes in or one falls due.
+func (s *Service) awaitQueue(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-s.queue.changed:
+		return nil
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // requeue keeps a write for another try unless it is too old.
 func (s *Service) requeue(w write) {
 	tooOld := s.opts.Now().Sub(w.queued) > maxQueueAge
--- /dev/null
+++ b/daemon/claims/service_test.go
@@ -0,0 +1,304 @@
+package claims
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/ivyhollow/ivyhollow/coordination/claim"
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	testKey  = Key{Account: "periyar", IdempotencyKey: "order-1"}
+	testBody = [32]byte{1}
+	testKept = Kept{Outcome: claim.OutcomeRan, Status: 200, ContentType: "application/json", Body: []byte(`{"ok":true}`)}
+)
+
+// world is a store with instances that can ask one another.
+type world struct {
+	t        *testing.T
+	store    *emulator.Store
+	services map[claim.Owner]*Service
+	stops    []func()
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, store: emulator.New(emulator.Options{}), services: map[claim.Owner]*Service{}}
+}
+
+// AskClaim implements Asker; an instance that isn't there can't be reached.
+func (w *world) AskClaim(ctx context.Context, claimant claim.Owner, q claim.Question) (claim.PeerAnswer, error) {
+	s, ok := w.services[claimant]
+	if !ok {
+		return claim.PeerAnswer{}, errors.New("dead")
+	}
+	return s.HandleAsk(ctx, q), nil
+}
+
+func (w *world) instance(name string) *Service {
+	owner := claim.Owner{Instance: name, Incarnation: 1}
+	s := New(Options{
+		Owner: owner, Storage: NewObjects(w.store.Local(name)), Asker: w, Now: time.Now,
+		Retention: time.Hour, SweepEvery: time.Minute,
+	})
+	ctx, cancel := context.WithCancel(w.t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Run(ctx)
+	}()
+	w.services[owner] = s
+	w.stops = append(w.stops, func() {
+		cancel()
+		<-ended
+	})
+	return s
+}
+
+func (w *world) kill(s *Service) { delete(w.services, s.opts.Owner) }
+
+func (w *world) stop() {
+	for _, stop := range w.stops {
+		stop()
+	}
+}
+
+func (w *world) begin(s *Service, wait time.Duration) Begun {
+	ctx, cancel := context.WithTimeout(w.t.Context(), wait)
+	defer cancel()
+	begun, err := s.Begin(ctx, testKey, testBody)
+	require.NoError(w.t, err)
+	return begun
+}
+
+// run begins and dispatches.
+func (w *world) run(s *Service) *Ticket {
+	begun := w.begin(s, 10*time.Second)
+	require.Equal(w.t, Run, begun.Verdict, begun.Reason)
+	require.NoError(w.t, begun.Ticket.MarkDispatched())
+	return begun.Ticket
+}
+
+func inWorld(t *testing.T, body func(t *testing.T, w *world, a, b *Service)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		body(t, w, w.instance("a"), w.instance("b"))
+		w.stop()
+	})
+}
+
+var (
+	down      = emulator.Faults{Down: emulator.FailRefuse}
+	readsDown = []emulator.CallKind{emulator.CallRead}
+)
+
+// Story: a clerk's work order meets a store that fails in one way while
+// instance a claims its key. The clerk is told the truth; then the store is
+// well again and the clerk retries at instance b, with a alive or dead.
+func TestFaultOfTheStoreWhileClaiming(t *testing.T) {
+	lost := emulator.Faults{LoseWrites: 1}
+	for _, tc := range []struct {
+		name   string
+		faults emulator.Faults
+		first  Verdict
+		// retry and orphan are what b says with a alive and with a dead.
+		retry, orphan Verdict
+		takes         time.Duration
+	}{
+		{"none", emulator.Faults{}, Run, Unknown, Unknown, 0},
+		{"answer lost after the effect", lost, Run, Unknown, Unknown, 0},
+		{"answer lost before the effect", emulator.Faults{LoseWrites: 1, ApplyAfterMS: 3000}, Run, Unknown, Unknown, 0},
+		{"answers lost, effects late", emulator.Faults{LoseWrites: 9, ApplyAfterMS: 3000}, NotRun, Run, Run, 0},
+		{"answer lost, read-back failed", emulator.Faults{LoseWrites: 1, Calls: readsDown, Down: emulator.FailRefuse}, NotRun, Run, Run, 0},
+		{"answer lost, read-back silent", emulator.Faults{LoseWrites: 1, Calls: readsDown, Down: emulator.FailSilence}, NotRun, Run, Run, DefaultStoreTimeout},
+		{"down", down, NotRun, Run, Run, 0},
+	} {
+		for _, dead := range []bool{false, true} {
+			t.Run(tc.name, func(t *testing.T) {
+				inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+					w.store.SetFaults(tc.faults)
+					began := time.Now()
+					first := w.begin(a, 10*time.Second)
+					require.Equal(t, tc.first, first.Verdict, first.Reason)
+					require.LessOrEqual(t, time.Since(began), tc.takes)
+					if first.Verdict == Run {
+						require.NoError(t, first.Ticket.MarkDispatched())
+						require.Error(t, first.Ticket.Abandon(t.Context()))
+					} else {
+						require.Positive(t, first.RetryAfter)
+					}
+					w.store.SetFaults(emulator.Faults{})
+					time.Sleep(20 * time.Second)
+					want := tc.retry
+					if dead {
+						w.kill(a)
+						want = tc.orphan
+					}
+					second := w.begin(b, 2*time.Second)
+					require.Equal(t, want, second.Verdict, second.Reason)
+				})
+			})
+		}
+	}
+}
+
+// Story: the first call still runs at a when the clerk retries, at a or at b.
+// The retry waits and gets the first call's answer, whatever the store does.
+func TestRetryJoinsTheRunningCall(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+			ticket := w.run(a)
+			answers := make(chan Begun, 2)
+			for _, s := range []*Service{a, b} {
+				go func() { answers <- w.begin(s, 10*time.Second) }()
+			}
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+			require.Empty(t, answers)
+			if away {
+				w.store.SetFaults(down)
+				require.ErrorIs(t, ticket.Finish(t.Context(), testKept), ErrQueued)
+			} else {
+				require.NoError(t, ticket.Finish(t.Context(), testKept))
+			}
+			for range 2 {
+				begun := <-answers
+				require.Equal(t, Replay, begun.Verdict, begun.Reason)
+				require.Equal(t, testKept.Body, begun.Kept.Body)
+			}
+			require.Equal(t, Replay, w.begin(a, time.Second).Verdict, "known here, whatever the store does")
+			w.store.SetFaults(emulator.Faults{})
+			require.NoError(t, a.Drain(t.Context()))
+			w.kill(a)
+			require.Equal(t, Replay, w.begin(b, time.Second).Verdict, "the outcome outlives its instance")
+		})
+	}
+}
+
+// Story: the instance dies while the work order runs. Nobody can tell whether
+// the crew was sent, so a retry is told "unknown", at once and for ever.
+func TestClaimantDiesWhileRunning(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		w.run(a)
+		w.kill(a)
+		// Another incarnation answers on the same address, and has abandoned an
+		// attempt of the same key under the same number.
+		next := New(Options{Owner: claim.Owner{Instance: "a", Incarnation: 2}})
+		_, err := next.memory.joinOrOpen(testKey.ID(), testBody, 1, time.Now())
+		require.NoError(t, err)
+		require.NoError(t, next.memory.abandon(testKey.ID(), 1, true, time.Now()))
+		w.services[a.opts.Owner] = next
+		for range 3 {
+			require.Equal(t, Unknown, w.begin(b, time.Second).Verdict)
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
+// Story: the deadline passes while the first call of the key runs on. "Not
+// run" would be false, on the same instance as on another one.
+func TestJoinPastTheDeadlineIsUnknown(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		w.run(a)
+		require.Equal(t, Unknown, w.begin(a, time.Second).Verdict)
+		require.Equal(t, Unknown, w.begin(b, time.Second).Verdict)
+	})
+}
+
+// Story: admission refuses the call after its claim was made. A retry must run,
+// also when the claimant has died since; the late dispatch must not.
+func TestAbandonedClaimRunsOnRetry(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		first := w.begin(a, time.Second)
+		require.NoError(t, first.Ticket.Abandon(t.Context()))
+		require.ErrorIs(t, first.Ticket.MarkDispatched(), claim.ErrNotHeld)
+		second := w.begin(b, time.Second)
+		require.Equal(t, Run, second.Verdict)
+		require.NoError(t, second.Ticket.Abandon(t.Context()))
+		time.Sleep(time.Second)
+		w.kill(b)
+		require.Equal(t, Run, w.begin(a, time.Second).Verdict, "the store knows of the end")
+	})
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		require.NoError(t, w.run(a).Finish(t.Context(), Kept{Outcome: claim.OutcomeNotRun, Status: 503}))
+		w.kill(a)
+		require.Equal(t, Run, w.begin(b, time.Second).Verdict, "every dispatched stage was known not to have started")
+	})
+}
+
+// Story: a claim was made, then the process was paused past the dispatch
+// window. Its claim may be gone by then, so it must not dispatch any more.
+func TestLateDispatchIsRefused(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, _ *Service) {
+		first := w.begin(a, time.Second)
+		time.Sleep(2 * time.Hour)
+		require.ErrorIs(t, first.Ticket.MarkDispatched(), claim.ErrWindow)
+	})
+}
+
+func TestKeyWithAnotherBodyIsRefused(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		ticket := w.run(a)
+		for range 2 {
+			for _, s := range []*Service{a, b} {
+				begun, err := s.Begin(t.Context(), testKey, [32]byte{2})
+				require.NoError(t, err)
+				require.Equal(t, Conflict, begun.Verdict)
+			}
+			_ = ticket.Finish(t.Context(), testKept)
+		}
+		_, err := a.Begin(t.Context(), Key{Account: "periyar"}, testBody)
+		require.Error(t, err, "no key")
+	})
+}
+
+func TestLongAnswerKeepsItsDigest(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		whole, long := testKept, testKept
+		whole.Body, long.Body = make([]byte, claim.MaxBody), make([]byte, claim.MaxBody+1)
+		require.NoError(t, w.run(a).Finish(t.Context(), long))
+		replayed := w.begin(b, time.Second).Kept
+		require.False(t, replayed.Whole())
+		require.Equal(t, claim.MaxBody+1, replayed.BodyLength)
+		require.Equal(t, long.Fit().BodyDigest, replayed.BodyDigest)
+		ticket, err := a.Begin(t.Context(), Key{IdempotencyKey: "other"}, testBody)
+		require.NoError(t, err)
+		require.NoError(t, ticket.Ticket.Finish(t.Context(), whole), "the longest body fits the store")
+	})
+}
+
+func TestRetentionEnds(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, b *Service) {
+		require.NoError(t, w.run(a).Finish(t.Context(), testKept))
+		time.Sleep(50 * time.Minute)
+		_, err := a.Begin(t.Context(), Key{IdempotencyKey: "later"}, testBody)
+		require.NoError(t, err, "a later change, since the list may lag by one")
+		require.Equal(t, Replay, w.begin(b, time.Second).Verdict)
+		time.Sleep(20 * time.Minute)
+		require.Equal(t, Run, w.begin(b, time.Second).Verdict)
+	})
+}
+
+func TestOpenClaimsAreBounded(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, a, _ *Service) {
+		limits := claim.HolderLimits{MaxOpen: 0}
+		for i := range a.memory.shards {
+			a.memory.shards[i].holder = claim.NewHolder(limits)
+		}
+		require.Equal(t, NotRun, w.begin(a, time.Second).Verdict)
+	})
+	q := newQueue(2, 10)
+	long := write{record: claim.Record{Kept: &Kept{Body: make([]byte, 9)}}}
+	require.True(t, q.push(long))
+	require.False(t, q.push(long), "bytes are bounded")
+	require.True(t, q.push(write{}))
+	require.False(t, q.push(write{}), "writes are bounded")
+}
