Hand on only the pools in which a target has changed

Cause: each change of one target, one record or one engine that tells what it has loaded ranked the targets of all pools anew. Ruled out: gathering changes for a while (a leaving target has to leave at once); a timer more. Change: discovery keeps what it handed on and skips pools that are the same. Conclusion: still linear in the targets by the grouping and by the views of the routing table, which rebuilds all pools.

--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -34,6 +34,14 @@
 	snapshot *catalog.Snapshot
 	targets  []platformapi.TargetEntry
 	loaded   map[string]weights
+	// handed is what was handed to the router last, by pool.
+	handed map[string]handed
+}
+
+// handed is a pool and its targets as the router has them.
+type handed struct {
+	pool    catalog.Pool
+	entries []platformapi.TargetEntry
 }
 
 // weights are what an engine has loaded.
@@ -41,7 +49,13 @@
 
 // New makes a discovery that knows nothing yet.
 func New(router Router, gates Gates, now func() time.Time) *Discovery {
-	return &Discovery{router: router, gates: gates, now: now, loaded: make(map[string]weights)}
+	return &Discovery{
+		router: router,
+		gates:  gates,
+		now:    now,
+		loaded: make(map[string]weights),
+		handed: make(map[string]handed),
+	}
 }
 
 // SetSnapshot takes the configuration in force.
@@ -70,6 +84,11 @@
 		return
 	}
 	d.loaded[incarnation] = weights{models: models, adapters: adapters}
+	for _, t := range d.targets {
+		if t.Incarnation == incarnation {
+			delete(d.handed, t.Pool)
+		}
+	}
 	d.update()
 }
 
@@ -104,7 +123,11 @@
 	}
 }
 
-// update needs the lock.
+// update hands on the pools in which something has changed. It needs the lock.
+//
+// Guard: each change of the list comes alone. When a data centre with hundreds
+// of targets is lost, handing on all pools for each one would rank all targets
+// as often, and keep a core busy for seconds just when requests must be moved.
 func (d *Discovery) update() {
 	if d.snapshot == nil {
 		return
@@ -114,7 +137,13 @@
 		byPool[t.Pool] = append(byPool[t.Pool], t)
 	}
 	for name, pool := range d.snapshot.Pools {
-		d.updatePool(pool, byPool[name])
+		entries := byPool[name]
+		old, known := d.handed[name]
+		if known && old.pool == *pool && slices.Equal(old.entries, entries) {
+			continue
+		}
+		d.handed[name] = handed{pool: *pool, entries: entries}
+		d.updatePool(pool, entries)
 	}
 }
 
--- a/testkit/capacity/targets.go
+++ b/testkit/capacity/targets.go
@@ -6,6 +6,11 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
+	"github.com/ivyhollow/ivyhollow/daemon/discovery"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
 )
 
 var random = rand.New(rand.NewPCG(1, 2))
@@ -34,6 +39,7 @@
 	set := series("SetTargets", "us", 0)
 	digest := series("Digest", "us", 0)
 	kept := series("targets kept", "", 0)
+	changed := series("one target changes, in 10 pools", "us", 0)
 	for _, n := range o.sizes(12, 64, 400, 4000) {
 		list := targetList("engines", n)
 		pool := routing.Pool{Name: "engines"}
@@ -49,9 +55,10 @@
 		query := routing.Query{Pool: "engines", Model: "model-1", Prefix: []routing.PrefixPart{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 500}}}
 		pick.add(n, o.nsPerOp(func() { pickOnce(table, now, query) }))
 		set.add(n, o.nsPerOp(func() { table.SetTargets(now, pool, list) })/1000)
+		changed.add(n, o.nsPerOp(newChangingList(n))/1000)
 		digest.add(n, o.nsPerOp(func() { table.Digest(now) })/1000)
 	}
-	return []Series{memory, pick, set, digest, kept}, nil
+	return []Series{memory, pick, set, digest, kept, changed}, nil
 }
 
 func pickOnce(table *routing.Table, now time.Time, query routing.Query) {
@@ -62,3 +69,31 @@
 	handle := table.Started(now, choice.Target.Incarnation, 1)
 	handle.Done(now, routing.Result{Outcome: routing.OutcomeOK, Latency: time.Second, Expected: time.Second})
 }
+
+// newChangingList returns a function that changes one of n targets in ten pools.
+func newChangingList(n int) func() {
+	now := time.Unix(1_000_000, 0)
+	table := routing.New(routing.Config{Instance: "instance-1", LocalDataCentre: "dc-0"})
+	gates := gate.NewGroup(tiers.Config{}, func() time.Time { return now })
+	found := discovery.New(table, gates, func() time.Time { return now })
+	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{}}
+	for p := range exchangePools {
+		name := fmt.Sprint("pool-", p)
+		snapshot.Pools[name] = &catalog.Pool{Name: name, Kind: catalog.KindEngine, Slots: 16}
+	}
+	found.SetSnapshot(snapshot)
+	list := make([]platformapi.TargetEntry, 0, n)
+	for i, t := range targetList("t", n) {
+		list = append(list, platformapi.TargetEntry{
+			Pool: fmt.Sprint("pool-", i%exchangePools), Address: t.Address, DataCentre: t.DataCentre,
+			Incarnation: t.Incarnation, State: platformapi.TargetReady,
+		})
+	}
+	at := 0
+	return func() {
+		at = (at + 1) % n
+		list[at].Incarnation += "x"
+		found.SetTargets(append([]platformapi.TargetEntry(nil), list...))
+		list[at].Incarnation = list[at].Incarnation[:len(list[at].Incarnation)-1]
+	}
+}
