Let eight busy instances hear one another each second

Cause: digests of full size to seven peers were over the bytes sent at once, so that the spread handed them on from one to the next: among eight instances 38% of the peers had a digest young enough to count, of a mean age of 3.0 s. Ruled out: digests of 45 bytes, which fit two pools; a change of the spread itself here. Change: daemon/load names the settings of the spread that fit its digests (1,100 bytes a second) and bounds a digest by the name of its instance. Seen failing without the setting.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -179,7 +179,7 @@
 			Scope:   a.telemetry.Scope,
 		},
 		Membership:    membership.DefaultConfig(),
-		Spread:        spread.DefaultConfig(),
+		Spread:        load.SpreadConfig(),
 		Seeds:         s.Peers.Seeds,
 		ListInstances: a.listInstances,
 		OnRecord:      func(r spread.Record) { a.sync.Receive([]spread.Record{r}) },
--- a/daemon/load/load.go
+++ b/daemon/load/load.go
@@ -20,8 +20,31 @@
 // digestTTL is how long a peer's digest counts for the gates.
 const digestTTL = 3 * time.Second
 
-// maxBody is the size of a digest that the spread takes.
-var maxBody = spread.DefaultConfig().MaxLoadBody
+// Bounds of the digests that the spread sends, in bytes.
+const (
+	// loadBytes is sent at once each second.
+	loadBytes = 1100
+	// directPeers is to how many peers a digest goes at once.
+	directPeers = 7
+	// overhead is what the spread counts for a digest besides its texts.
+	overhead = 32
+)
+
+// SpreadConfig returns the settings of the spread that fit the digests.
+//
+// Guard: if a digest to each of seven peers does not fit the bytes that are sent
+// at once, the spread hands digests on from one to the next, as it must among
+// hundreds. Among eight instances most would then be too old to count.
+func SpreadConfig() spread.Config {
+	c := spread.DefaultConfig()
+	c.LoadBytes = loadBytes
+	return c
+}
+
+// maxBody bounds the digest of an instance with the given name.
+func maxBody(name string) int {
+	return min(SpreadConfig().MaxLoadBody, loadBytes/directPeers-overhead-len(name))
+}
 
 // Cluster carries the digests; *cluster.Cluster is one.
 type Cluster interface {
@@ -87,7 +110,7 @@
 		Pools:   make(map[string]tiers.Digest),
 	}
 	e.gates.Each(func(pool string, own *gate.Gate) { digest.Pools[pool] = own.Digest() })
-	if body, err := loadwire.Encode(digest, maxBody); err == nil {
+	if body, err := loadwire.Encode(digest, maxBody(e.self)); err == nil {
 		e.cluster.SendDigest(body)
 	}
 }
--- a/daemon/load/load_test.go
+++ b/daemon/load/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +24,7 @@
 }
 
 func (n *net) SendDigest(body []byte) {
-	if len(body) <= spread.DefaultConfig().MaxLoadBody {
+	if len(body) <= SpreadConfig().MaxLoadBody {
 		n.sent = body
 	}
 }
@@ -72,11 +74,48 @@
 	require.GreaterOrEqual(t, heard, 5)
 }
 
+// Eight instances are busy and their digests are of full size. Each must know
+// the load of all others from the last seconds: with older ones the lower tiers
+// would not make room, and targets that are full elsewhere would look idle.
+func TestEightInstancesHearOneAnother(t *testing.T) {
+	const n = 8
+	now := time.Unix(1000, 0)
+	nodes := map[string]*spread.Spread{}
+	var names []string
+	for i := range n {
+		name := fmt.Sprintf("instance-%011d", i)
+		names = append(names, name)
+		nodes[name] = spread.New(SpreadConfig(), spread.NewTable(1), rand.New(rand.NewPCG(uint64(i), 1)))
+	}
+	for second := range 30 {
+		for i, name := range names {
+			digest := spread.LoadDigest{Origin: name, Incarnation: 1, Seq: uint64(second), Body: make([]byte, maxBody(name))}
+			nodes[name].SetLoad(now, digest)
+			others := slices.Delete(slices.Clone(names), i, i+1)
+			for _, a := range nodes[name].Tick(now, others, n) {
+				if send, ok := a.(spread.Send); ok {
+					nodes[send.To].Receive(now, name, send.Message)
+				}
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	for _, name := range names {
+		young := 0
+		for _, l := range nodes[name].Loads(now) {
+			if l.Age < routing.DefaultDigestTTL {
+				young++
+			}
+		}
+		require.Equal(t, n, young, name)
+	}
+}
+
 // Hundreds of digests are held for seconds while a few a second are new. Each
 // is taken in once, also when only its age has changed; one past its use isn't.
 func TestEachDigestIsTakenInOnce(t *testing.T) {
 	body := func() []byte {
-		b, err := loadwire.Encode(loadwire.Digest{}, maxBody)
+		b, err := loadwire.Encode(loadwire.Digest{}, 100)
 		require.NoError(t, err)
 		return b
 	}
--- a/protocol/loadwire/loadwire.go
+++ b/protocol/loadwire/loadwire.go
@@ -15,7 +15,7 @@
 
 // poolShare is the part of a digest, in percent, that pools may fill while
 // targets wait. What one part leaves, the other may use.
-const poolShare = 50
+const poolShare = 60
 
 // errShort says that a packed part ends too early, or is too long.
 var errShort = errors.New("load digest: parts of a wrong length")
--- a/testkit/capacity/capacity.go
+++ b/testkit/capacity/capacity.go
@@ -38,6 +38,7 @@
 		{"accounts", "n client accounts in force, records of about 200 bytes", measureAccounts},
 		{"budgets", "questions for account budgets, 440 instances, 95 requests/s each", measureBudgets},
 		{"requests", "n requests in flight", measureRequests},
+		{"path", "whole requests of four stages, n callers", measurePath},
 		{"polls", "asking n engines of a pool for their load, over loopback", measurePolls},
 		{"claims", "n claims of requests that may not be repeated", measureClaims},
 	}
--- a/testkit/capacity/fleet.go
+++ b/testkit/capacity/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/load"
 	"github.com/ivyhollow/ivyhollow/protocol/peer"
 )
 
@@ -74,7 +75,7 @@
 		node := &fleetNode{
 			self:    list[i],
 			members: membership.New(membership.DefaultConfig(), list[i], random(1)),
-			spread:  spread.New(spread.DefaultConfig(), table, random(2)),
+			spread:  spread.New(load.SpreadConfig(), table, random(2)),
 			table:   table,
 		}
 		f.nodes = append(f.nodes, node)
--- a/testkit/capacity/loopback.go
+++ b/testkit/capacity/loopback.go
@@ -9,13 +9,14 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/daemon/load"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
 // Lengths of the measure over sockets, in real time.
 const (
 	joinLimit      = time.Minute
-	loopbackWarmUp = 10 * time.Second
+	loopbackWarmUp = 40 * time.Second
 	loopbackLength = 15 * time.Second
 	digestEvery    = 200 * time.Millisecond
 )
@@ -61,6 +62,7 @@
 		self.Address = ""
 		node, err := cluster.New(cluster.Options{
 			Transport: peer.Options{Cluster: "capacity", Self: self, Listen: "127.0.0.1:0", Scope: scope},
+			Spread:    load.SpreadConfig(),
 			Seeds:     seeds,
 		})
 		if err != nil {
--- a/testkit/capacity/nodes.go
+++ b/testkit/capacity/nodes.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 )
 
@@ -35,6 +36,8 @@
 	all := series("virtual: sent in all", "B/s a node", budgetBytes)
 	state := series("virtual: state", "MB a node", budgetMemory)
 	join := series("virtual: all see all after a common start", "s", 0)
+	heard := series("virtual: peers whose load digest is under 2 s old", "%", 0)
+	age := series("virtual: mean age of the load digests held", "s", 0)
 	reach := series("virtual: a record is everywhere", "s", 3)
 	for _, n := range o.sizes(8, 64, 220, 440) {
 		var f *fleet
@@ -52,9 +55,12 @@
 		loads.add(n, float64(f.sent.loads)/perNode)
 		all.add(n, float64(f.sent.bytes())/perNode)
 		state.add(n, size/float64(n)/megabyte)
+		young, mean := f.loadAges()
+		heard.add(n, young)
+		age.add(n, mean)
 		reach.add(n, f.timeToAll().Seconds())
 	}
-	return []Series{processor, probes, records, loads, all, state, join, reach}, nil
+	return []Series{processor, probes, records, loads, all, state, heard, age, join, reach}, nil
 }
 
 // start has all instances find one another and come to rest; nil if they don't.
@@ -98,3 +104,24 @@
 	}
 	return longest
 }
+
+// loadAges returns the share of the peers, in percent, whose load digest an
+// instance holds and may use, and the mean age of all that it holds.
+func (f *fleet) loadAges() (young, mean float64) {
+	var count, useful int
+	var sum time.Duration
+	for _, node := range f.nodes {
+		for _, l := range node.spread.Loads(f.now) {
+			if l.Origin == node.self.Name {
+				continue
+			}
+			count++
+			sum += l.Age
+			if l.Age < routing.DefaultDigestTTL {
+				useful++
+			}
+		}
+	}
+	pairs := len(f.nodes) * (len(f.nodes) - 1)
+	return 100 * float64(useful) / float64(pairs), sum.Seconds() / float64(max(count, 1))
+}
