Come back from an outage as one of many instances

Cause: each instance began with 2 calls a second and probed for 0.1 more each second, whatever the size of the fleet: 880 and 44 together at 440 instances, of some 400 writes that the platform takes. Ruled out: settings for the size (nobody would change them); a share of the full rate (it grows with the fleet). Change: Budget.SetInstances bounds the first rate (100 a second together) and the rise (8 together); the app tells it the size with each change of the membership. Small fleets are as before.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -67,6 +67,7 @@
 	self      membership.Member
 	telemetry *telemetry.Telemetry
 	store     platform.Store
+	calls     *platform.Budget
 	targets   *target.Client
 
 	cluster   *cluster.Cluster
@@ -95,9 +96,9 @@
 // New puts an instance together and opens its ports. A nil store means the
 // platform that the settings name.
 func New(s settings.Settings, t *telemetry.Telemetry, store platform.Store) (*App, error) {
-	a := &App{settings: s, telemetry: t, store: store}
+	a := &App{settings: s, telemetry: t, store: store, calls: newCalls(s)}
 	if store == nil {
-		a.store = newStore(s)
+		a.store = newStore(s, a.calls)
 	}
 	if err := a.listen(); err != nil {
 		return nil, err
@@ -118,16 +119,20 @@
 	return a, nil
 }
 
-func newStore(s settings.Settings) platform.Store {
-	calls := s.Platform.CallsPerSecond
+func newStore(s settings.Settings, calls *platform.Budget) platform.Store {
 	return platform.New(platform.Options{
 		BaseURL:  s.Platform.URL,
 		Instance: s.Instance.Name,
 		Timeout:  s.Platform.Timeout,
-		Budget: platform.NewBudget(platform.BudgetOptions{
-			ReadsPerSecond:  calls,
-			WritesPerSecond: calls * writeShare,
-		}),
+		Budget:   calls,
+	})
+}
+
+func newCalls(s settings.Settings) *platform.Budget {
+	calls := s.Platform.CallsPerSecond
+	return platform.NewBudget(platform.BudgetOptions{
+		ReadsPerSecond:  calls,
+		WritesPerSecond: calls * writeShare,
 	})
 }
 
--- a/daemon/app/run.go
+++ b/daemon/app/run.go
@@ -117,7 +117,8 @@
 	<-timer.C
 }
 
-// followView tells the account budgets of each change of the membership.
+// followView tells the account budgets and the budget of calls of each change of
+// the membership.
 func (a *App) followView(ctx context.Context) error {
 	version := uint64(0)
 	for ctx.Err() == nil {
@@ -136,5 +137,7 @@
 	for _, m := range view.Live() {
 		names = append(names, m.Name)
 	}
-	a.ledger.SetMembers(time.Now(), names, int(a.listed.Load()))
+	listed := int(a.listed.Load())
+	a.ledger.SetMembers(time.Now(), names, listed)
+	a.calls.SetInstances(max(listed, len(names)))
 }
--- a/transport/platform/budget.go
+++ b/transport/platform/budget.go
@@ -76,6 +76,16 @@
 	return &Budget{governor: newGovernor(o, time.Now())}
 }
 
+// SetInstances tells how many instances share the platform's limits, this one
+// included. It sets how carefully calls return after an outage.
+func (b *Budget) SetInstances(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.governor.pacers {
+		b.governor.pacers[i].share(n)
+	}
+}
+
 // permit allows one call; done must be called once at its end.
 type permit struct {
 	budget *Budget
--- a/transport/platform/pacer.go
+++ b/transport/platform/pacer.go
@@ -9,9 +9,11 @@
 const (
 	// minRate keeps calls flowing that find out when more is possible, per second.
 	minRate = 0.5
-	// restartRate is where the return from an outage begins, per second. It is
-	// absolute: a share of the full rate would grow with the fleet.
+	// restartRate is where the return from an outage begins, per second, in a
+	// small fleet. It is absolute: a share of the full rate would grow with it.
 	restartRate = 2
+	// fleetRestartRate is what all instances together begin with at most.
+	fleetRestartRate = 100
 	// usedOver is the time over which the rate of answered calls is averaged.
 	usedOver = 10 * time.Second
 	// keepShare of the answered rate is left after 429, but at least cutShare
@@ -25,6 +27,8 @@
 	// a second, or a share of the rate if that is more.
 	raiseStep  = 0.1
 	raiseShare = 0.03
+	// fleetRaiseStep is the most that raiseStep amounts to for all instances.
+	fleetRaiseStep = 8
 )
 
 // pacer is a token bucket whose rate adapts to the platform. It starts at the
@@ -38,6 +42,10 @@
 	burst     float64
 	rate      float64
 	threshold float64
+	// restartAt is where the return from an outage begins.
+	restartAt float64
+	// raise is the rise beyond the threshold, in calls a second each second.
+	raise float64
 	// used is the rate of answered calls, averaged over usedOver.
 	used float64
 	// tokens below zero are calls already admitted that still wait.
@@ -53,6 +61,8 @@
 		burst:     burst,
 		rate:      full,
 		threshold: full,
+		restartAt: restartRate,
+		raise:     raiseStep,
 		tokens:    burst,
 		updated:   now,
 	}
@@ -88,7 +98,7 @@
 		p.rate = min(p.threshold, p.rate*math.Exp2(elapsed))
 		return
 	}
-	p.rate = min(p.full, p.rate+elapsed*max(raiseStep, raiseShare*p.rate))
+	p.rate = min(p.full, p.rate+elapsed*max(p.raise, raiseShare*p.rate))
 }
 
 // answered counts a call that the platform carried out.
@@ -116,14 +126,25 @@
 // share, and only what the platform carried is known to be safe.
 func (p *pacer) pause(now time.Time) {
 	p.advance(now)
-	p.threshold = min(p.rate, max(p.used, restartRate))
+	p.threshold = min(p.rate, max(p.used, p.restartAt))
 }
 
 // restart begins anew after an outage, with no burst saved up.
 func (p *pacer) restart(now time.Time) {
 	p.advance(now)
 	p.tokens = min(p.tokens, 0)
-	p.rate = min(p.full, restartRate)
+	p.rate = min(p.full, p.restartAt)
+}
+
+// share sets where the return begins for one of a number of instances.
+//
+// Guard: hundreds of instances that each begin with some calls a second, and
+// may each take as many as the threshold, are a rush together, however slowly
+// each of them comes back. The platform answers most of it with 429.
+func (p *pacer) share(instances int) {
+	n := float64(max(instances, 1))
+	p.restartAt = min(restartRate, fleetRestartRate/n)
+	p.raise = min(raiseStep, fleetRaiseStep/n)
 }
 
 func later(a, b time.Time) time.Time {
