Place tiers by their order among the ranks in force

Cause: records may have ranks up to 99, a gate keeps eight places apart: tiers with ranks 10 and 20 would share one, with no order between them. Ruled out: a place a rank, since digests have a fixed size. Change: tiers.Place; the request path has to pass its result in place of the record's rank, which it does not do yet.

--- a/coordination/tiers/tiers_test.go
+++ b/coordination/tiers/tiers_test.go
@@ -269,6 +269,14 @@
 	})
 }
 
+func TestPlace(t *testing.T) {
+	ranks := []int{30, 10, 20, 10}
+	for rank, want := range map[int]int{10: 0, 20: 1, 30: 2, 99: 3} {
+		require.Equal(t, want, Place(ranks, rank), "rank %d", rank)
+	}
+	require.Equal(t, MaxRanks-1, Place([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 9))
+}
+
 func TestPeers(t *testing.T) {
 	var d Digest
 	d.Ranks[1] = RankLoad{InFlight: 2, Demand: 3}
--- a/coordination/tiers/types.go
+++ b/coordination/tiers/types.go
@@ -15,7 +15,7 @@
 type Item struct {
 	// ID is unique within the gate.
 	ID uint64
-	// Rank is the rank of the tier; 0 is the highest.
+	// Rank is the place of the tier, made by Place; 0 is the highest.
 	Rank int
 	// LatestStart is the last moment at which starting is of use. Items of one
 	// rank are dispatched in order of LatestStart, then of arrival.
@@ -93,6 +93,19 @@
 	Rate float64
 }
 
+// Place returns the position of a tier's rank among the ranks in force, which is
+// the rank that a gate takes. Records may have ranks such as 10, 20 and 30:
+// taken as they are, all would share the last place and no order be kept.
+func Place(inForce []int, rank int) int {
+	above := make(map[int]bool)
+	for _, r := range inForce {
+		if r < rank {
+			above[r] = true
+		}
+	}
+	return clampRank(len(above))
+}
+
 func clampRank(rank int) int {
 	return min(max(rank, 0), MaxRanks-1)
 }
