Renew a lease at its pace

Cause: a written renewal cleared the time of its sending before the time of the next one was counted from it, so that the next was always due: a holder renewed without a pause, as fast as the store answers. Ruled out: a pause in the driver (it would hide the fault). Change: the next renewal is counted first. The tool measures the calls of leases. Seen failing before the change.

--- /dev/null
+++ b/coordination/lease/capacity_test.go
@@ -0,0 +1,33 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A holder whose renewals are all answered at once writes nothing for most of
+// the time. If the time of the next renewal is lost, it writes without a pause
+// and takes the store's writes from the claims.
+func TestHolderRenewsAtItsPace(t *testing.T) {
+	const length = time.Minute
+	now := time.Unix(1000, 0)
+	l := New("one", DefaultTerms)
+	writes, revision := 0, uint64(0)
+	for end := now.Add(length); now.Before(end); {
+		switch a := l.Next(now).(type) {
+		case Read:
+			l.Absent(now)
+		case Write:
+			writes++
+			revision++
+			l.Written(now, revision)
+		case Wait:
+			now = a.Until
+		}
+		require.LessOrEqual(t, writes, int(length/DefaultTerms.RenewEvery))
+	}
+	_, held := l.Held(now.Add(-time.Second))
+	require.True(t, held)
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -154,8 +154,8 @@
 // Written tells that the write under way has taken effect.
 func (l *Lease) Written(now time.Time, revision uint64) {
 	l.seen, l.revision, l.seenSince = l.wanted, revision, now
-	l.take()
 	l.next = l.asked.Add(l.terms.RenewEvery)
+	l.take()
 }
 
 // Failed tells that a call to the store got no answer. The lease is read again
--- a/testkit/capacity/capacity.go
+++ b/testkit/capacity/capacity.go
@@ -41,6 +41,7 @@
 		{"path", "whole requests of four stages, n callers", measurePath},
 		{"polls", "asking n engines of a pool for their load, over loopback", measurePolls},
 		{"claims", "n claims of requests that may not be repeated", measureClaims},
+		{"leases", "one pool, n instances that compete for its lease", measureLeases},
 	}
 }
 
--- /dev/null
+++ b/testkit/capacity/leases.go
@@ -0,0 +1,74 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/lease"
+)
+
+// orderedPools is the pools whose engines take orders.
+const orderedPools = 6
+
+// leaseStore is the one record of a lease and counts of the calls.
+type leaseStore struct {
+	record        lease.Record
+	revision      uint64
+	reads, writes int
+}
+
+// measureLeases plays instances that all compete for the leases of the pools.
+func measureLeases(o Options) ([]Series, error) {
+	reads := Series{Quantity: "reads, six pools, if all instances compete", Unit: "1/s in all", Size: "node", Target: targetNodes, Budget: storeReads}
+	writes := Series{Quantity: "writes, six pools", Unit: "1/s in all", Size: "node", Target: targetNodes, Budget: storeWrites}
+	for _, n := range o.sizes(3, 64, 440) {
+		store := playLease(n)
+		reads.add(n, orderedPools*float64(store.reads)/fleetLength.Seconds())
+		writes.add(n, orderedPools*float64(store.writes)/fleetLength.Seconds())
+	}
+	return []Series{reads, writes}, nil
+}
+
+// playLease plays one pool's lease for a while after it has been taken.
+func playLease(n int) *leaseStore {
+	now := time.Unix(1_000_000, 0)
+	store := &leaseStore{}
+	holders := make([]*lease.Lease, n)
+	for i := range holders {
+		holders[i] = lease.New(instanceName(i), lease.DefaultTerms)
+	}
+	for end := now.Add(2 * fleetLength); now.Before(end); now = now.Add(step) {
+		if now.Equal(end.Add(-fleetLength)) {
+			store.reads, store.writes = 0, 0
+		}
+		for _, l := range holders {
+			store.act(now, l)
+		}
+	}
+	return store
+}
+
+// act does what a lease asks for until it asks to wait.
+func (s *leaseStore) act(now time.Time, l *lease.Lease) {
+	for range 4 {
+		switch a := l.Next(now).(type) {
+		case lease.Wait:
+			return
+		case lease.Read:
+			s.reads++
+			if s.revision == 0 {
+				l.Absent(now)
+				continue
+			}
+			l.Seen(now, s.record, s.revision)
+		case lease.Write:
+			s.writes++
+			if a.Revision != s.revision {
+				l.Seen(now, s.record, s.revision)
+				continue
+			}
+			s.record = a.Record
+			s.revision++
+			l.Written(now, s.revision)
+		}
+	}
+}
