--- a/daemon/cluster/cluster_test.go
+++ b/daemon/cluster/cluster_test.go
@@ -294,7 +294,7 @@
 }
 
 // BenchmarkCluster prints what an instance sends and the processor time of the
-// whole process by instance, for one period at rest, with the default periods.
+// whole process by instance, for one period with the default periods, while all report their load.
 func BenchmarkCluster(b *testing.B) {
 	for _, n := range []int{8, 64} {
 		b.Run(fmt.Sprint("n=", n), func(b *testing.B) {
@@ -303,15 +303,21 @@
 				o.ListRetry = 0
 			})
 			await(b, all, "all see all", live(n))
-			for _, i := range all {
-				i.SendDigest(make([]byte, 40))
+			const periods = 15
+			report := func() {
+				for range periods {
+					for _, i := range all {
+						i.SendDigest(make([]byte, 40))
+					}
+					pauseFor(time.Second)
+				}
 			}
-			const periods = 20
-			pauseFor(periods * time.Second)
+			report() // lets the updates of the start die out
+			report()
 			bytes, conns := totals(all)
 			cpu := processorTime(b)
 			for b.Loop() {
-				pauseFor(periods * time.Second)
+				report()
 			}
 			after, _ := totals(all)
 			perNode := float64(n * periods * b.N)
