Prove the configuration under faults of store, watch and peers

Cause: confsync had no tests. They showed that every watch mute at once took 5 s, that a verdict could be written after the end of the context, and that records which fit only singly stayed different on instances that judged in another order. Ruled out: more watchers against a mute watch (all may be mute); a status per instance. Change: a watch waits 1 s and is given up after 1.5 s, a watcher lists every 2 s plus 2 s a page. Tests run in virtual time. Not seen failing alone: the shorter bound of a silent watch (the bound of the client is just short enough) and the list at a change of role (the next list comes within 2 s in a small configuration).

--- /dev/null
+++ b/daemon/confsync/helpers_test.go
@@ -0,0 +1,267 @@
+package confsync_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/confsync"
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// inForceBound is the time in which a change has to be in force everywhere.
+const inForceBound = 3 * time.Second
+
+// fleet is some instances on one store. A record that one spreads reaches those
+// that are not cut off at once.
+type fleet struct {
+	t     *testing.T
+	store *emulator.Store
+	ops   *emulator.Local
+	own   map[string]int // the operator's writes, by kind
+
+	mu        sync.Mutex
+	instances []*instance
+}
+
+type instance struct {
+	fleet *fleet
+	name  string
+	sync  *confsync.Sync
+	stop  context.CancelFunc
+	table *spread.Table
+
+	mu       sync.Mutex
+	onCall   func() // before it asks a peer
+	cut      bool   // no peer reaches it, nor it a peer
+	dead     bool
+	targets  []platformapi.TargetEntry
+	leaving  []string
+	revision []uint64 // of each snapshot, in order
+}
+
+func newFleet(t *testing.T) *fleet {
+	store := emulator.New(emulator.Options{TargetLag: time.Millisecond})
+	f := &fleet{t: t, store: store, ops: store.Local("operator"), own: map[string]int{}}
+	f.write("pools", "p", poolSpec)
+	f.write("tiers", "gold", tierSpec(900))
+	return f
+}
+
+// add starts an instance; wrap may put a fake before its store.
+func (f *fleet) add(wrap func(platform.Store) platform.Store) *instance {
+	f.mu.Lock()
+	in := &instance{fleet: f, name: fmt.Sprint("i", len(f.instances)), table: spread.NewTable(1 << 16)}
+	f.instances = append(f.instances, in)
+	f.mu.Unlock()
+	var store platform.Store = f.store.Local(in.name)
+	if wrap != nil {
+		store = wrap(store)
+	}
+	in.sync = confsync.New(confsync.Options{
+		Store: store, Spreader: in, Peers: in, WatcherRank: in.rank, Scope: tally.NoopScope,
+		OnSnapshot: in.onSnapshot, OnTargets: in.onTargets, OnLeaving: in.onLeaving,
+	})
+	ctx, cancel := context.WithCancel(f.t.Context())
+	in.stop = cancel
+	go func() { _ = in.sync.Run(ctx) }()
+	return in
+}
+
+func (f *fleet) addN(n int) {
+	for range n {
+		f.add(nil)
+		f.pass(time.Second)
+	}
+}
+
+// pass lets virtual time go by.
+func (f *fleet) pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (f *fleet) write(kind, name, spec string) uint64 {
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: name}, Spec: json.RawMessage(spec)}
+	f.own[kind]++
+	written, err := f.ops.Update(f.t.Context(), kind, object)
+	if errors.Is(err, platform.ErrNotFound) {
+		f.own[kind]++
+		written, err = f.ops.Create(f.t.Context(), kind, object)
+	}
+	require.NoError(f.t, err)
+	return written.Metadata.Revision
+}
+
+func (f *fleet) status(kind, name string) (platformapi.RecordStatus, string) {
+	object, err := f.ops.Get(f.t.Context(), kind, name)
+	require.NoError(f.t, err)
+	status, state, err := record.ReadStatus(object)
+	require.NoError(f.t, err)
+	return status, state
+}
+
+// statusWrites counts the writes that are not the operator's.
+func (f *fleet) statusWrites(kind string) int {
+	return int(f.store.Calls().Kinds[kind].Writes) - f.own[kind]
+}
+
+func (f *fleet) others(self *instance) []*instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*instance
+	for _, in := range f.instances {
+		in.mu.Lock()
+		reached := in != self && !in.cut && !in.dead
+		in.mu.Unlock()
+		if reached {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+func (in *instance) set(change func()) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	change()
+}
+
+func (in *instance) kill() {
+	in.set(func() { in.dead = true })
+	in.stop()
+}
+
+func (in *instance) isCut() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.cut || in.dead
+}
+
+// rank is the place among the first live instances.
+func (in *instance) rank() (int, bool) {
+	in.fleet.mu.Lock()
+	defer in.fleet.mu.Unlock()
+	place := 0
+	for _, other := range in.fleet.instances {
+		if other == in {
+			break
+		}
+		other.mu.Lock()
+		if !other.dead {
+			place++
+		}
+		other.mu.Unlock()
+	}
+	return place, place < confsync.Watchers
+}
+
+// Publish is the spreader: as cluster does, it tells the instance itself first.
+func (in *instance) Publish(records []spread.Record) {
+	for _, r := range records {
+		in.take(r)
+	}
+}
+
+func (in *instance) take(r spread.Record) {
+	in.mu.Lock()
+	news := !in.dead && in.table.Apply(r)
+	in.mu.Unlock()
+	if !news {
+		return
+	}
+	in.sync.Receive([]spread.Record{r})
+	if in.isCut() {
+		return
+	}
+	for _, other := range in.fleet.others(in) {
+		other.take(r)
+	}
+}
+
+func (in *instance) Others() []string {
+	var names []string
+	if !in.isCut() {
+		for _, other := range in.fleet.others(in) {
+			names = append(names, other.name)
+		}
+	}
+	return names
+}
+
+func (in *instance) Call(_ context.Context, name, _ string, body []byte) ([]byte, error) {
+	in.mu.Lock()
+	onCall := in.onCall
+	in.mu.Unlock()
+	if onCall != nil {
+		onCall()
+	}
+	for _, other := range in.fleet.others(in) {
+		if other.name == name && !in.isCut() {
+			return other.sync.HandleSnapshot(body)
+		}
+	}
+	return nil, errors.New("not reached")
+}
+
+func (in *instance) onSnapshot(s *catalog.Snapshot) {
+	in.set(func() { in.revision = append(in.revision, s.Revision) })
+}
+
+func (in *instance) onTargets(list []platformapi.TargetEntry) { in.set(func() { in.targets = list }) }
+
+func (in *instance) onLeaving(incarnation string) {
+	in.set(func() { in.leaving = append(in.leaving, incarnation) })
+}
+
+// deadline is that of tier gold in force, in milliseconds; 0 for none.
+func (in *instance) deadline() int64 {
+	if s := in.sync.Snapshot(); s != nil {
+		if tier, ok := s.Tier("gold"); ok {
+			return tier.Deadline.Milliseconds()
+		}
+	}
+	return 0
+}
+
+func (in *instance) hasTarget(incarnation string) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, t := range in.targets {
+		if t.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+const poolSpec = `{"schema_version":1,"kind":"encoder","objective":"attainment","slots":8,"checks_fencing":true,"ejection_floor":0.5}`
+
+func tierSpec(deadline int) string {
+	return fmt.Sprintf(`{"schema_version":1,"rank":0,"deadline_ms":%d,"engine_priority":0}`, deadline)
+}
+
+func pipelineSpec(expected int) string {
+	return fmt.Sprintf(`{"schema_version":1,"pipeline":"chat","stages":[{"name":"s","pool":"p","expected_ms":%d,"repeatable":true}]}`, expected)
+}
+
+func accountSpec(tier string, n int) string {
+	return fmt.Sprintf(`{"schema_version":1,"tier":%q,"keys":[{"sha256":"%064x"}],"requests_per_s":1,"burst":1}`, tier, n)
+}
+
+func target(incarnation string) platformapi.TargetEntry {
+	return platformapi.TargetEntry{Pool: "p", Address: "127.0.0.1:1", DataCentre: "a", Incarnation: incarnation, State: platformapi.TargetReady}
+}
--- a/daemon/confsync/sync.go
+++ b/daemon/confsync/sync.go
@@ -23,13 +23,14 @@
 
 // Times of the driver.
 const (
-	// watchWait is how long one watch waits. It is short, so that a watch whose
-	// connection went silent is noticed within the time in which a change has
-	// to be in force.
-	watchWait = 2 * time.Second
+	// watchWait is how long one watch waits, watchGrace how long its answer may
+	// take beyond. Both are short, so that a watch whose connection went silent
+	// is noticed within the 3 s in which a change has to be in force.
+	watchWait  = time.Second
+	watchGrace = 500 * time.Millisecond
 	// relistEvery is how often a watcher reads everything again, against a
 	// watch that skips a change. Each page of a list adds as much again.
-	relistEvery  = 5 * time.Second
+	relistEvery  = 2 * time.Second
 	roleInterval = 500 * time.Millisecond
 	retryMin     = 200 * time.Millisecond
 	retryMax     = 2 * time.Second
--- a/daemon/confsync/targets.go
+++ b/daemon/confsync/targets.go
@@ -63,12 +63,8 @@
 }
 
 // applyList takes a full list as of a revision and deletes what it no longer
-// has. A list older than one before changes nothing: the store answers from the
-// past.
+// has. What is newer than the list stays: the store may answer from the past.
 func (l *targetList) applyList(list platformapi.List) {
-	if list.Revision < l.floor {
-		return
-	}
 	present := make(map[string]bool, len(list.Items))
 	for i := range list.Items {
 		o := &list.Items[i]
--- /dev/null
+++ b/daemon/confsync/targets_test.go
@@ -0,0 +1,117 @@
+package confsync_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/configwire"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// A target tells one instance that it leaves; the platform's list says so only
+// much later. The others would go on sending it requests.
+func TestALeavingMarkReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.store.RegisterTarget(target("t1"))
+		f.addN(8)
+		for range 3 {
+			f.instances[7].sync.MarkLeaving("t1")
+		}
+		f.pass(inForceBound)
+		for _, in := range f.instances[:7] {
+			assert.Equal(t, []string{"t1"}, in.leaving, in.name)
+		}
+		assert.Empty(t, f.instances[7].leaving, "it knows already")
+	})
+}
+
+// A target leaves, the list forgets it, and an instance that was parted
+// meanwhile still has the mark. The mark is kept while the list has the target,
+// deleted long after, and not set again by the late one.
+func TestALeavingMarkEndsLongAfterItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.store.RegisterTarget(target("t1"))
+		f.addN(4)
+		f.instances[0].sync.MarkLeaving("t1")
+		held := func(in *instance) (mark spread.Record) {
+			mark, _ = in.table.Get("leaving", "t1")
+			return mark
+		}
+		f.pass(time.Hour)
+		for _, in := range f.instances {
+			assert.Equal(t, uint64(1), held(in).Revision, "the target is still listed")
+		}
+		f.store.RemoveTarget("t1")
+		f.pass(5 * time.Minute)
+		assert.False(t, held(f.instances[1]).Deleted, "the list may still bring it back")
+		f.pass(10 * time.Minute)
+		for _, in := range f.instances {
+			assert.True(t, held(in).Deleted, in.name)
+		}
+		f.instances[3].sync.Receive([]spread.Record{{Kind: "leaving", Name: "t1", Revision: 1}})
+		assert.Len(t, f.instances[3].leaving, 1, "told once")
+	})
+}
+
+// A pool's many targets leave and their marks are more than are kept: memory
+// stays bounded.
+func TestLeavingMarksAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addN(2)
+		for i := range 6000 {
+			f.instances[0].sync.MarkLeaving(fmt.Sprint("t", i))
+		}
+		f.pass(inForceBound)
+		assert.Len(t, f.instances[1].leaving, 4096)
+	})
+}
+
+// Targets come and go for weeks. Their tombstones are bounded, and one that was
+// forgotten must still hold off an old entry.
+func TestTombstonesOfTargetsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		in := f.add(nil)
+		f.pass(inForceBound)
+		body := []byte(`{"pool":"p","incarnation":"t0"}`)
+		put := func(name string, revision uint64, deleted bool) {
+			in.sync.Receive([]spread.Record{{Kind: platformapi.KindTargets, Name: name, Revision: revision, Deleted: deleted, Body: body}})
+		}
+		for i := range uint64(6000) {
+			put(fmt.Sprint("t", i), 100+2*i, false)
+			put(fmt.Sprint("t", i), 101+2*i, true)
+		}
+		put("t0", 100, false)
+		put("t5999", 100, false)
+		assert.Empty(t, in.targets)
+		assert.LessOrEqual(t, handedOn(t, in), 4096)
+	})
+}
+
+// handedOn counts the targets, tombstones included, that a new peer would get.
+func handedOn(t *testing.T, in *instance) (count int) {
+	request := configwire.PageRequest{}
+	for {
+		question, err := msgpack.Marshal(&request)
+		require.NoError(t, err)
+		answer, err := in.sync.HandleSnapshot(question)
+		require.NoError(t, err)
+		var page configwire.Page
+		require.NoError(t, msgpack.Unmarshal(answer, &page))
+		count += len(page.Others)
+		if !page.More {
+			return count
+		}
+		request = page.Last
+	}
+}
--- a/daemon/confsync/verdicts.go
+++ b/daemon/confsync/verdicts.go
@@ -89,8 +89,7 @@
 
 // run writes due verdicts one by one until the context ends.
 func (w *verdictWriter) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, verdictInterval)
+	for sleep(ctx, verdictInterval); ctx.Err() == nil; sleep(ctx, verdictInterval) {
 		if v, ok := w.next(); ok {
 			w.write(ctx, v)
 		}
@@ -124,8 +123,8 @@
 
 // tryWrite reads the record first: another writer may have been faster, and a
 // read is far cheaper for the store than a write. The write is conditional on
-// the version that was judged. Were it not, the status would say of a newer
-// spec, written in between, that it is accepted.
+// the version that was judged. Were it not, a verdict on a spec that is gone
+// would raise the revision under an operator who is about to write.
 func (w *verdictWriter) tryWrite(ctx context.Context, v config.Verdict) error {
 	object, err := w.store.Get(ctx, string(v.Kind), v.Name)
 	if err != nil {
--- a/daemon/confsync/watch.go
+++ b/daemon/confsync/watch.go
@@ -32,7 +32,7 @@
 	}
 	until := time.Now().Add(time.Duration(1+pages) * relistEvery)
 	for time.Now().Before(until) && ctx.Err() == nil && s.role() == role {
-		changes, err := s.opts.Store.Watch(ctx, watchedKinds, from, watchWait)
+		changes, err := s.watchOnce(ctx, from, min(watchWait, time.Until(until)))
 		if errors.Is(err, platform.ErrCompacted) {
 			return nil
 		}
@@ -45,6 +45,14 @@
 	return nil
 }
 
+// watchOnce waits for changes. The store's client would wait longer for an
+// answer that never comes than a change may take to be in force.
+func (s *Sync) watchOnce(ctx context.Context, from uint64, wait time.Duration) (platformapi.Watch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	return s.opts.Store.Watch(ctx, watchedKinds, from, wait)
+}
+
 // role is what an instance does for the others.
 type role int
 
