Keep a claimed request whole when its caller or goroutine goes

Cause: a review of the callers path found that a caller leaving a claimed stream stopped work that may not be repeated; that a panic left the claim open, so each retry waited until its deadline; that a whole answer nobody reads held its place for ever; that a call waiting in a target queue until its deadline was told unknown, its not-run answer losing to the client timeout; that a panic in one attempt ended the process; that the key of a repeatable request was of no use once its claimant had died; that a refused dispatch was typed outcome-unknown although not run; that a replayed problem carried another request id than the run. Ruled out: a write deadline left over on a kept connection (net/http clears it after each request; a test in virtual time shows it), a stream cut by a planned stop of the HTTP server (test). Conclusion: table tests of the interface with the true claims; go test -race passes on the three packages.

--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
 	"github.com/ivyhollow/ivyhollow/state/requests"
+	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
@@ -64,14 +67,7 @@
 // do makes the attempt, settles it in the ledger and teaches the router.
 func (a *attempt) do(ctx context.Context) attemptResult {
 	call := a.call()
-	var answer targetapi.RunAnswer
-	var meta target.Meta
-	var err error
-	if a.stream {
-		answer, meta, err = a.opts.Targets.Stream(ctx, call, a.deliver)
-	} else {
-		answer, meta, err = a.opts.Targets.Run(ctx, call)
-	}
+	answer, meta, err := a.send(ctx, call)
 	result := attemptResult{answer: answer, peer: call.Address, err: err}
 	a.classify(&result)
 	a.ledger.Settle(result.verdict)
@@ -79,6 +75,24 @@
 	return result
 }
 
+// send makes the call.
+//
+// A panic on one answer would end the process and with it the requests of all
+// callers; and as the request is tried again elsewhere, one instance after the
+// other. Contained here it is a failed attempt that may have run.
+func (a *attempt) send(ctx context.Context, call target.Call) (answer targetapi.RunAnswer, meta target.Meta, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("attempt %s panicked: %v", a.id, cause)
+			telemetry.ErrorS(err, string(debug.Stack()), telemetry.Event{RequestID: a.job.ID, Stage: a.stage.Name, Target: call.Address})
+		}
+	}()
+	if a.stream {
+		return a.opts.Targets.Stream(ctx, call, a.deliver)
+	}
+	return a.opts.Targets.Run(ctx, call)
+}
+
 func (a *attempt) call() target.Call {
 	return target.Call{
 		HeaderTimeout: a.headerTimeout(),
--- a/daemon/execute/executor_test.go
+++ b/daemon/execute/executor_test.go
@@ -147,6 +147,19 @@
 	require.Zero(t, r.runs(job.ID))
 }
 
+// One answer makes the code that passes it on panic. Not contained it ends the
+// process and every caller's request with it; contained it may have run.
+func TestPanickingAttemptIsUnknown(t *testing.T) {
+	r := newRig(t, catalog.KindEngine, catalog.ObjectiveCost)
+	job := r.job(oneStage(false, false, rigTokens), time.Second)
+	job.OnToken = func(int, string) error { panic("fault") }
+	_, err := r.do(job)
+	var failure *Failure
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, outcome.Unknown, failure.Verdict)
+	require.Equal(t, 1, r.runs(job.ID))
+}
+
 // A guest's chat holds the only slots when an allergy check of a higher tier
 // comes. The chat is interrupted and goes on later; its text must be one text.
 func TestPreemptedStreamGoesOnWhole(t *testing.T) {
--- a/daemon/execute/rig_test.go
+++ b/daemon/execute/rig_test.go
@@ -64,12 +64,6 @@
 	return r
 }
 
-func (r *rig) fault(faults ...emulated.Fault) {
-	for _, e := range r.targets {
-		e.SetFaults(faults...)
-	}
-}
-
 // runs counts the work started for a request over all targets.
 func (r *rig) runs(id string) int {
 	total := 0
--- a/daemon/serve/answer.go
+++ b/daemon/serve/answer.go
@@ -23,6 +23,10 @@
 	// started tells that the stream's header is out: from then on a problem
 	// can only be an event.
 	started bool
+	// claimed tells that the work goes on without its caller.
+	claimed bool
+	// gone tells that the caller no longer takes its stream.
+	gone bool
 }
 
 func (a *answerer) job(deadline time.Time) execute.Job {
@@ -71,7 +75,9 @@
 
 // problem writes a refusal or failure.
 func (a *answerer) problem(p *callerapi.Problem) *callerapi.Problem {
-	p.RequestID = a.id
+	if p.RequestID == "" {
+		p.RequestID = a.id
+	}
 	a.finish(requests.Failed, statusOutcome(p.Outcome))
 	if !a.started {
 		writeProblem(a.w, p)
@@ -104,7 +110,23 @@
 }
 
 // token passes one token on. The executor calls it from one goroutine.
+//
+// A claimed request goes on without its caller: an error here would stop work
+// that may not be repeated half way, and the retry with the key, which should
+// get the answer, would be told that its outcome is unknown.
 func (a *answerer) token(offset int, token string) error {
+	if a.gone {
+		return nil
+	}
+	err := a.writeToken(offset, token)
+	if err != nil && a.claimed {
+		a.gone = true
+		return nil
+	}
+	return err
+}
+
+func (a *answerer) writeToken(offset int, token string) error {
 	data, err := json.Marshal(callerapi.TokenEvent{Token: token})
 	if err != nil {
 		return err
@@ -112,11 +134,8 @@
 	return a.event(sse.Event{Name: callerapi.EventToken, ID: strconv.Itoa(offset), Data: string(data)})
 }
 
-// event writes one event and flushes it. The write has a bound of its own: a
-// caller that stops reading would hold the target's slot for ever.
+// event writes one event and flushes it.
 func (a *answerer) event(e sse.Event) error {
-	control := http.NewResponseController(a.w)
-	_ = control.SetWriteDeadline(time.Now().Add(a.server.opts.StreamIdle)) // unsupported only in tests
 	if !a.started {
 		a.started = true
 		a.w.Header().Set("Content-Type", callerapi.MediaStream)
@@ -127,7 +146,7 @@
 	if err := sse.NewEncoder(a.w).Encode(e); err != nil {
 		return err
 	}
-	return control.Flush()
+	return http.NewResponseController(a.w).Flush()
 }
 
 func (a *answerer) write(status int, media string, body []byte) {
--- a/daemon/serve/parse.go
+++ b/daemon/serve/parse.go
@@ -133,6 +133,9 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(s.opts.Now().Add(bodyTimeout)) // unsupported only in tests
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	if bounded, ok := w.(boundedWriter); ok {
+		w = bounded.ResponseWriter // net/http closes the connection by it alone
+	}
 	limited := http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes)
 	raw, err := io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
@@ -159,7 +162,9 @@
 func (c *call) digestOf(raw []byte) [sha256.Size]byte {
 	h := sha256.New()
 	h.Write([]byte(c.pipeline.Key.Name))
-	h.Write([]byte{0, byte(c.pipeline.Key.SchemaVersion), 0})
+	h.Write([]byte{0})
+	h.Write(strconv.AppendInt(nil, int64(c.pipeline.Key.SchemaVersion), 10))
+	h.Write([]byte{0})
 	h.Write(raw)
 	return [sha256.Size]byte(h.Sum(nil))
 }
--- a/daemon/serve/problem.go
+++ b/daemon/serve/problem.go
@@ -78,7 +78,7 @@
 	case execute.ReasonDeadline:
 		return typeDeadline
 	case execute.ReasonClaim:
-		return typeOutcomeUnknown
+		return typeStore
 	default:
 		return typeTarget
 	}
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -30,7 +30,7 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.opts.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	problem := s.serve(w, r.WithContext(ctx), began)
+	problem := s.serve(boundedWriter{w, s.opts.StreamIdle}, r.WithContext(ctx), began)
 	s.metrics.ended(problem, s.opts.Now().Sub(began))
 	if problem != nil {
 		span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
@@ -39,21 +39,37 @@
 
 // serve writes the one answer and returns the problem in it, if any.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, began time.Time) *callerapi.Problem {
-	c, problem := s.admit(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
-		return problem
+	if !s.inFlight.enter() {
+		return refuse(w, retryLater(refusal(http.StatusServiceUnavailable, typeOverload, "the instance serves its greatest number of requests"), 0))
 	}
 	defer s.inFlight.leave()
-	id := s.opts.IDs.Next()
-	trace.SpanFromContext(r.Context()).SetAttributes(telemetry.AttrRequestID.String(id))
-	a := &answerer{server: s, call: c, id: id, w: w}
+	c, problem := s.readCall(w, r)
+	if problem != nil {
+		return refuse(w, problem)
+	}
 	if c.stream {
 		if !s.streams.enter() {
-			return a.problem(retryLater(refusal(http.StatusServiceUnavailable, typeOverload, "too many open streams"), 0))
+			return refuse(w, retryLater(refusal(http.StatusServiceUnavailable, typeOverload, "too many open streams"), 0))
 		}
 		defer s.streams.leave()
 	}
+	if problem := s.spend(r.Context(), c); problem != nil {
+		return refuse(w, problem)
+	}
+	return s.answerCall(w, r, c, began)
+}
+
+// refuse writes a refusal of a request that got no id.
+func refuse(w http.ResponseWriter, p *callerapi.Problem) *callerapi.Problem {
+	writeProblem(w, p)
+	return p
+}
+
+// answerCall gives an admitted request its id and its answer.
+func (s *Server) answerCall(w http.ResponseWriter, r *http.Request, c *call, began time.Time) *callerapi.Problem {
+	id := s.opts.IDs.Next()
+	trace.SpanFromContext(r.Context()).SetAttributes(telemetry.AttrRequestID.String(id))
+	a := &answerer{server: s, call: c, id: id, w: w}
 	total := c.snapshot.DeadlineFor(c.pipeline, c.tier)
 	deadline := began.Add(total)
 	a.ref = s.opts.Status.Begin(requests.Info{
@@ -80,22 +96,6 @@
 	return names
 }
 
-// admit reads a request and takes its place and its account's budget.
-func (s *Server) admit(w http.ResponseWriter, r *http.Request) (*call, *callerapi.Problem) {
-	if !s.inFlight.enter() {
-		p := refusal(http.StatusServiceUnavailable, typeOverload, "the instance serves its greatest number of requests")
-		return nil, retryLater(p, 0)
-	}
-	c, problem := s.readCall(w, r)
-	if problem == nil {
-		problem = s.spend(r.Context(), c)
-	}
-	if problem != nil {
-		s.inFlight.leave()
-	}
-	return c, problem
-}
-
 func (s *Server) spend(ctx context.Context, c *call) *callerapi.Problem {
 	ok, after := s.opts.Budgets.Take(ctx, c.account)
 	if ok {
@@ -111,20 +111,41 @@
 	job := a.job(deadline)
 	if ticket != nil {
 		job.BeforeDispatch = ticket.MarkDispatched
+		a.claimed = true
 	}
+	over := false
+	defer func() {
+		if !over {
+			s.endPanicked(ctx, a, ticket)
+		}
+	}()
 	result, err := s.opts.Executor.Run(ctx, job)
 	if err == nil {
 		body := a.answerBody(result)
 		s.keep(ctx, ticket, claim.OutcomeRan, http.StatusOK, callerapi.MediaJSON, body)
+		over = true
 		return a.answer(body)
 	}
 	p := asProblem(err)
 	p.RequestID = a.id
 	telemetry.DebugS(failureLogLevel, "request failed", telemetry.Event{RequestID: a.id, Stage: p.Step, Peer: p.Peer})
 	s.keepFailure(ctx, ticket, p)
+	over = true
 	return a.problem(p)
 }
 
+// endPanicked ends a request whose goroutine panics. net/http recovers from the
+// panic and closes the connection, but the claim would stay open: each retry
+// with the key, on any instance, would wait for an answer that never comes.
+func (s *Server) endPanicked(ctx context.Context, a *answerer, ticket *claims.Ticket) {
+	p := asProblem(errPanicked)
+	p.RequestID = a.id
+	s.keepFailure(ctx, ticket, p)
+	a.finish(requests.Failed, requests.OutcomeUnknown)
+}
+
+var errPanicked = errors.New("the request's goroutine panicked")
+
 // failureLogLevel is the verbosity at which each failed request is logged; the
 // metrics count them at any verbosity.
 const failureLogLevel = 2
@@ -165,12 +186,22 @@
 	case claims.NotRun:
 		return s.claimRefused(ctx, a, deadline, begun)
 	default:
-		p := refusal(http.StatusConflict, typeOutcomeUnknown, begun.Reason)
-		p.Outcome = callerapi.OutcomeUnknown
-		return a.problem(p)
+		return s.claimUnknown(ctx, a, deadline, begun)
 	}
 }
 
+// claimUnknown answers a request of whose first run nothing is known. What may
+// be repeated is run again: refused, its key would be of no use for as long as
+// claims are kept because one instance died.
+func (s *Server) claimUnknown(ctx context.Context, a *answerer, deadline time.Time, begun claims.Begun) *callerapi.Problem {
+	if a.call.pipeline.Repeatable() && ctx.Err() == nil {
+		return s.executeOnce(ctx, a, deadline, nil)
+	}
+	p := refusal(http.StatusConflict, typeOutcomeUnknown, begun.Reason)
+	p.Outcome = callerapi.OutcomeUnknown
+	return a.problem(p)
+}
+
 // claimRefused answers a request whose claim could not be made. A request that
 // may be repeated is served all the same: its key only spared work.
 func (s *Server) claimRefused(ctx context.Context, a *answerer, deadline time.Time, begun claims.Begun) *callerapi.Problem {
--- /dev/null
+++ b/transport/target/deadline_test.go
@@ -0,0 +1,31 @@
+package target_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// Story: a clerk's order waits in a full target's queue until its deadline. The
+// target's "not run" and the client's own deadline fall on the same moment; the
+// client wins, and the clerk is told "unknown" about an order that never began.
+func TestDeadlineInTheQueueIsNotRun(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		options := engine()
+		options.CallTime = time.Hour
+		inBubble(t, options, func(r *rig) {
+			fill(r, nil)
+			for _, left := range []time.Duration{3 * time.Millisecond, 90 * time.Millisecond, 700 * time.Millisecond} {
+				call := attempt("queued")
+				call.Deadline = time.Now().Add(left)
+				_, err := r.run(call, stream)
+				requireFailure(r, err, target.NotRun, target.ReasonFull)
+				require.True(r, time.Now().Before(call.Deadline))
+			}
+			require.Zero(r, r.target.Runs()["r-queued"])
+		})
+	}
+}
--- a/transport/target/exchange.go
+++ b/transport/target/exchange.go
@@ -121,11 +121,30 @@
 		header.Set(targetapi.HeaderExpect, x.call.Incarnation)
 	}
 	if !x.call.Deadline.IsZero() {
-		left := max(time.Until(x.call.Deadline), time.Millisecond)
+		left := targetDeadline(time.Until(x.call.Deadline))
 		header.Set(targetapi.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	}
 }
 
+// Bounds of what the target's deadline is earlier than the call's own.
+const (
+	// answerShare is the share of what is left, as a divisor.
+	answerShare  = 10
+	answerMargin = 20 * time.Millisecond
+)
+
+// targetDeadline is the time the target is given.
+//
+// The failure: a call waits in the target's queue until its deadline. The target
+// answers "not run" at the moment at which this client gives up, the answer
+// loses the race, and a caller whose work never started is told "unknown". The
+// margin gives that answer the time to arrive. Where it takes longer the caller
+// is told "unknown" still, which is weaker but not false.
+func targetDeadline(left time.Duration) time.Duration {
+	margin := min(left/answerShare, answerMargin)
+	return max(left-margin, time.Millisecond)
+}
+
 // got notes the connection before anything of the call is written to it.
 func (x *exchange) got(info httptrace.GotConnInfo) {
 	x.hasConn = true
