Read request ids of instances with dots in their names

Cause: the settings allow a dot in an instance's name, and the name opens every request id that the instance makes. Parse took the dots of the name for its own separators, so the status of such an instance's requests was not found, on itself and on the others that should pass the question on.

Ruled out: refusing dots in the settings, which would turn away files that are accepted today.

Change: Parse splits from the end; serial and incarnation hold no separator.

--- a/protocol/requestid/requestid.go
+++ b/protocol/requestid/requestid.go
@@ -15,7 +15,6 @@
 const (
 	separator = "."
 	base      = 36
-	fields    = 3
 )
 
 // MaxLength bounds an id read from outside, in bytes.
@@ -51,18 +50,29 @@
 	return s.prefix + serial + "-" + noise
 }
 
-// Parse reads an id; its error is ErrMalformed.
+// Parse reads an id; its error is ErrMalformed. It splits from the end, since
+// the name of an instance may hold the separator and the other parts may not.
 func Parse(id string) (ID, error) {
 	if len(id) > MaxLength {
 		return ID{}, ErrMalformed
 	}
-	parts := strings.Split(id, separator)
-	if len(parts) != fields || parts[0] == "" || parts[2] == "" {
+	rest, serial := cutLast(id)
+	instance, number := cutLast(rest)
+	if instance == "" || serial == "" {
 		return ID{}, ErrMalformed
 	}
-	incarnation, err := strconv.ParseUint(parts[1], base, 64)
+	incarnation, err := strconv.ParseUint(number, base, 64)
 	if err != nil {
 		return ID{}, ErrMalformed
 	}
-	return ID{Instance: parts[0], Incarnation: incarnation, Serial: parts[2]}, nil
+	return ID{Instance: instance, Incarnation: incarnation, Serial: serial}, nil
+}
+
+// cutLast splits a text at its last separator; without one nothing is before.
+func cutLast(text string) (before, after string) {
+	i := strings.LastIndex(text, separator)
+	if i < 0 {
+		return "", text
+	}
+	return text[:i], text[i+len(separator):]
 }
