Bound how long the platform may hold calls back

Cause: an answer of 429 or 503 with a Retry-After of years held back all calls to the platform for years; one beyond the range of a duration overflowed, and the draw of the jitter panicked, which ends the process.

Ruled out: dropping such a value as malformed, since the hop that sends it does ask for a pause.

Conclusion: the new test failed before the change, once as "budget of calls is spent" after two minutes and once, with the overflowing value first, as "panic: invalid argument to Int64N"; it passes now, with -race.

--- a/transport/platform/exchange.go
+++ b/transport/platform/exchange.go
@@ -24,6 +24,9 @@
 // idleTimeout closes connections that nothing has used for so long.
 const idleTimeout = 30 * time.Second
 
+// maxRetryAfterSeconds bounds the wait that an answer may ask for.
+const maxRetryAfterSeconds = 60
+
 // NewTransport returns the transport of a client's own. It speaks HTTP/1.1
 // alone: there, a call that timed out closes its connection, while HTTP/2 would
 // go on sending calls into a connection that has gone silent.
@@ -214,10 +217,15 @@
 	}
 }
 
+// parseRetryAfter reads a Retry-After in seconds; 0 when there is none.
+//
+// Guard: a wrong value, perhaps of a hop before the platform, would hold back all
+// calls of this instance for years, or overflow the duration. The bound has the
+// platform asked again within minutes.
 func parseRetryAfter(header string) time.Duration {
 	seconds, err := strconv.Atoi(header)
 	if err != nil || seconds < 0 {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, maxRetryAfterSeconds)) * time.Second
 }
--- a/transport/platform/faults_test.go
+++ b/transport/platform/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -247,6 +248,35 @@
 	}
 }
 
+// TestEndlessRetryAfter: a hop before the platform answers 429 or 503 with a
+// Retry-After of years, or of more than a duration holds. No record would reach
+// the instance until it is replaced, or the overflow ends its process. Calls must
+// go out again within minutes.
+func TestEndlessRetryAfter(t *testing.T) {
+	for _, status := range []int{429, 503} {
+		for _, seconds := range []string{"1000000000", "9300000000", "99999999999999999999"} {
+			synctest.Test(t, func(t *testing.T) {
+				var well atomic.Bool
+				client, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if !well.Load() {
+						w.Header().Set("Retry-After", seconds)
+						w.WriteHeader(status)
+					}
+					_, _ = w.Write([]byte("{}"))
+				}))
+				for range 4 {
+					_, err := client.Get(t.Context(), kind, "a")
+					require.Equal(t, "nothing done", class(err))
+				}
+				well.Store(true)
+				time.Sleep(2 * time.Minute) // virtual
+				_, err := client.Get(t.Context(), kind, "a")
+				require.NoError(t, err, "%d, %s s", status, seconds)
+			})
+		}
+	}
+}
+
 // TestChangeBetweenPages: an object changes while its kind is listed, after its
 // page was read. A watch from the last page's revision would miss the change and
 // the instance keep the old object; the list must give the first page's.
