Export the span of each attempt, and prove the trace of every hop

Cause: the client of targets took its tracer from the process, which nothing sets: the spans of attempts were never exported, and a target found the stage as its parent. Ruled out: setting the tracer of the process, which would leak from one instance of a test to another. Seen failing first: without the tracer the trace lacks each attempt. Conclusion: a stand-in of an OTLP/HTTP collector receives, for a whole answer, a retry and a hedge, each hop once a attempt under its parent.

--- a/daemon/app/app_test.go
+++ b/daemon/app/app_test.go
@@ -29,9 +29,15 @@
 
 // startInstance runs one instance against an embedded world until the test ends.
 func startInstance(t *testing.T) *App {
+	t.Helper()
+	return startInstanceWith(t, "")
+}
+
+// startInstanceWith sends the spans to a collector, unless it is empty.
+func startInstanceWith(t testing.TB, collector string, options ...dev.Option) *App {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	world, err := dev.Start(ctx)
+	world, err := dev.Start(ctx, options...)
 	require.NoError(t, err)
 	addAccount(t, world)
 	s := settings.Default()
@@ -41,7 +47,7 @@
 	s.Limits.MaxHeaderBytes = 4096
 	s.Limits.HeaderTimeout = 100 * time.Millisecond
 	s.Shutdown.BalancerDelay = 0
-	tel, err := telemetry.Start(ctx, telemetry.Options{Instance: "one"})
+	tel, err := telemetry.Start(ctx, telemetry.Options{Instance: "one", OTLPEndpoint: collector})
 	require.NoError(t, err)
 	a, err := New(s, tel, world.Store.Local("one"))
 	require.NoError(t, err)
@@ -58,7 +64,7 @@
 	return a
 }
 
-func addAccount(t *testing.T, world *dev.World) {
+func addAccount(t testing.TB, world *dev.World) {
 	t.Helper()
 	const digestOfOtherKey = "580843d03d2216ff1a275d0991bad66e4d1af871171d929e9de604b7959f9bca"
 	spec := `{"schema_version":1,"tier":"batch","keys":[{"sha256":"` + digestOfOtherKey + `"}],"requests_per_s":10,"burst":10}`
--- /dev/null
+++ b/daemon/app/trace_test.go
@@ -0,0 +1,146 @@
+package app
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/propagation"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	otlp "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ivyhollow/ivyhollow/daemon/dev"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+)
+
+// spans is a collector of OTLP/HTTP that keeps the spans of each trace.
+type spans struct {
+	mu  sync.Mutex
+	all map[string][]*otlp.Span
+}
+
+func (s *spans) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var message collector.ExportTraceServiceRequest
+	if r.URL.Path != "/v1/traces" || proto.Unmarshal(body, &message) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, resource := range message.ResourceSpans {
+		for _, scope := range resource.ScopeSpans {
+			for _, span := range scope.Spans {
+				id := hex.EncodeToString(span.TraceId)
+				s.all[id] = append(s.all[id], span)
+			}
+		}
+	}
+}
+
+// paths names each span of a trace by its way from the caller, and counts them.
+func (s *spans) paths(id trace.TraceID, caller trace.SpanID) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byID := map[string]*otlp.Span{}
+	for _, span := range s.all[id.String()] {
+		byID[string(span.SpanId)] = span
+	}
+	paths := map[string]int{}
+	for _, span := range byID {
+		path := span.Name
+		for byID[string(span.ParentSpanId)] != nil {
+			span = byID[string(span.ParentSpanId)]
+			path = span.Name + " > " + path
+		}
+		if string(span.ParentSpanId) == string(caller[:]) {
+			path = "caller > " + path
+		}
+		paths[path]++
+	}
+	return paths
+}
+
+// tracedTargets stands for targets that continue the trace of each call. It
+// makes the first attempt of a stage fail as mode says: "rerank" refused, so
+// that it is retried, or "retrieve" held, so that it is hedged.
+type tracedTargets struct {
+	tracer trace.Tracer
+	mode   string
+}
+
+func (tt *tracedTargets) before(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != targetapi.PathRun {
+			next.ServeHTTP(w, r)
+			return
+		}
+		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		_, span := tt.tracer.Start(ctx, "target", trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		id := r.Header.Get(targetapi.HeaderAttempt)
+		switch {
+		case tt.mode == "retry" && strings.HasSuffix(id, "/rerank/1"):
+			w.Header().Set(targetapi.HeaderAttempt, id)
+			w.Header().Set(targetapi.HeaderNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case tt.mode == "hedge" && strings.HasSuffix(id, "/retrieve/1"):
+			_, _ = io.Copy(io.Discard, r.Body) // net/http notices a hang-up behind the body
+			<-r.Context().Done()
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// A clerk's request was slow and an operator wants to see at which hop: a span
+// that is missing, or hangs under the wrong parent, points at the wrong team.
+func TestTraceNamesEveryHop(t *testing.T) {
+	got := &spans{all: map[string][]*otlp.Span{}}
+	server := httptest.NewServer(got)
+	t.Cleanup(server.Close)
+	targets := &tracedTargets{}
+	a := startInstanceWith(t, server.URL+"/v1/traces", dev.BeforeTargets(targets.before))
+	targets.tracer = a.telemetry.Tracer
+	provider := a.telemetry.TracerProvider.(*sdktrace.TracerProvider)
+	caller := sdktrace.NewTracerProvider().Tracer("caller")
+	extra := map[string]string{"whole": "", "retry": "rerank", "hedge": "retrieve"}
+	for _, mode := range []string{"whole", "retry", "hedge"} {
+		targets.mode = mode
+		ctx, span := caller.Start(context.Background(), "caller")
+		headers := propagation.HeaderCarrier{}
+		propagation.TraceContext{}.Inject(ctx, headers)
+		status, _, _ := send(t, http.MethodPost, a.CallersURL()+"/v1/pipelines/dossier/requests", dev.SampleKey,
+			`{"input":"x"}`, "traceparent", headers.Get("traceparent"))
+		require.Equal(t, http.StatusOK, status)
+		want := map[string]int{"caller > request": 1}
+		for _, stage := range []string{"encode", "retrieve", "rerank", "generate"} {
+			attempts := 1
+			if stage == extra[mode] {
+				attempts = 2
+			}
+			path := "caller > request > stage " + stage
+			want[path] = 1
+			want[path+" > target.run"] = attempts
+			want[path+" > target.run > target"] = attempts
+		}
+		span.End()
+		id := span.SpanContext()
+		// The loser of a hedge ends after the answer.
+		require.EventuallyWithT(t, func(c *assert.CollectT) {
+			require.NoError(c, provider.ForceFlush(context.Background()))
+			require.Equal(c, want, got.paths(id.TraceID(), id.SpanID()), mode)
+		}, 20*time.Second, 20*time.Millisecond)
+	}
+}
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -41,11 +41,24 @@
 	PlatformURL string
 	servers     []*http.Server
 	targets     []*targetemulator.Target
+	before      func(http.Handler) http.Handler
+}
+
+// Option changes a World.
+type Option func(*World)
+
+// BeforeTargets puts a handler before that of every target.
+func BeforeTargets(before func(http.Handler) http.Handler) Option {
+	return func(w *World) { w.before = before }
 }
 
 // Start opens the platform and the targets on loopback and loads the sample.
-func Start(ctx context.Context) (*World, error) {
+func Start(ctx context.Context, options ...Option) (*World, error) {
 	w := &World{Store: platformemulator.New(platformemulator.Options{TargetLag: time.Millisecond})}
+	w.before = func(target http.Handler) http.Handler { return target }
+	for _, option := range options {
+		option(w)
+	}
 	address, err := w.serve(w.Store.Handler())
 	if err != nil {
 		return nil, err
@@ -108,7 +121,7 @@
 			CallTime:    callTime,
 			TokenTime:   tokenTime,
 		})
-		address, err := w.serve(t.Handler())
+		address, err := w.serve(w.before(t.Handler()))
 		if err != nil {
 			return err
 		}
--- a/transport/target/exchange.go
+++ b/transport/target/exchange.go
@@ -58,7 +58,7 @@
 
 func (c *Client) newExchange(ctx context.Context, call Call, accept string) *exchange {
 	x := &exchange{client: c, call: call, accept: accept, gap: c.options.EventGap, stop: func() {}}
-	x.ctx, x.span = startSpan(ctx, call, accept)
+	x.ctx, x.span = startSpan(ctx, c.options.Tracer, &call, accept)
 	if !call.Deadline.IsZero() {
 		x.ctx, x.stop = context.WithDeadlineCause(x.ctx, call.Deadline, errDeadline)
 	}
--- a/transport/target/options.go
+++ b/transport/target/options.go
@@ -8,6 +8,9 @@
 	"net"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
 )
 
@@ -48,6 +51,8 @@
 	// MaxCancels bounds the cancellations under way at once; further ones are
 	// left to the closing of the connection.
 	MaxCancels int
+	// Tracer starts a span for each call; nil means that of the process.
+	Tracer trace.Tracer
 	// Dial replaces the dialler; nil means that of package net.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -97,6 +102,9 @@
 	setDefault(&o.IdleTotal, DefaultIdleTotal)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.MaxCancels, DefaultMaxCancels)
+	if o.Tracer == nil {
+		o.Tracer = otel.Tracer(tracerName)
+	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
--- a/transport/target/span.go
+++ b/transport/target/span.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
@@ -28,22 +27,30 @@
 )
 
 // startSpan opens the client span of one call.
-func startSpan(ctx context.Context, call Call, accept string) (context.Context, trace.Span) {
+func startSpan(ctx context.Context, tracer trace.Tracer, call *Call, accept string) (context.Context, trace.Span) {
 	name := spanRun
 	if accept == contentTypeStream {
 		name = spanStream
 	}
-	attributes := trace.WithAttributes(
+	ctx, span := tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient))
+	if !span.IsRecording() {
+		return ctx, span
+	}
+	span.SetAttributes(
 		attribute.String(attributePeer, call.Address),
 		attribute.String(attributeStage, call.Run.Stage),
 		attribute.String(attributeRequest, call.RequestID),
 		attribute.String(attributeAttempt, call.AttemptID),
 	)
-	return otel.Tracer(tracerName).Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), attributes)
+	return ctx, span
 }
 
 // endSpan closes the span with what came of the call.
 func endSpan(span trace.Span, meta Meta, failed *AttemptError) {
+	defer span.End()
+	if !span.IsRecording() {
+		return
+	}
 	span.SetAttributes(attribute.String(attributeIncarnation, meta.Incarnation))
 	if failed != nil {
 		span.SetAttributes(
@@ -52,5 +59,4 @@
 		)
 		span.SetStatus(codes.Error, string(failed.Reason))
 	}
-	span.End()
 }
