Let pool records say what their targets shall have

Cause: orders to targets had no record by which operators ask for them. Ruled out: a kind of record of its own, which could name a pool that is not there; a second record per schema version, as pipelines have, since nobody chooses among versions of a pool. Change: schema version 2 of pools with an optional desired object (models, adapters, version, role), bounded, all faults with field and line. Version 1 stays in force and is what is written when nothing is desired. A fifth example; the count in its test follows. Conclusion: the fault cases fail with the guards for names that stand twice, too many names and pools without orders removed, and pass with them.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -18,7 +18,7 @@
 func TestExamplesAreAcceptedTogether(t *testing.T) {
 	files, err := filepath.Glob("*.json")
 	require.NoError(t, err)
-	require.Len(t, files, 4)
+	require.Len(t, files, 5)
 	set := config.New(record.Decode)
 	for _, kind := range config.Kinds {
 		set.ApplyList(kind, nil, 0)
--- a/protocol/record/decode.go
+++ b/protocol/record/decode.go
@@ -135,24 +135,6 @@
 	return t
 }
 
-func (d *decoding) pool() catalog.Item {
-	d.checkRecordName()
-	if _, ok := d.schemaVersion(1); !ok {
-		return nil
-	}
-	p := &catalog.Pool{Name: d.name, Revision: d.revision}
-	p.Kind = catalog.PoolKind(d.spec.oneOf("kind",
-		string(catalog.KindEngine), string(catalog.KindEncoder), string(catalog.KindRetriever),
-		string(catalog.KindReranker), string(catalog.KindService)))
-	p.Objective = catalog.Objective(d.spec.oneOf("objective",
-		string(catalog.ObjectiveAttainment), string(catalog.ObjectiveCost)))
-	p.Slots, _ = d.spec.integer("slots", 1, MaxSlots, true)
-	p.ChecksFencing = d.spec.boolean("checks_fencing", true)
-	p.EjectionFloor = d.spec.number("ejection_floor", 0, 1, true)
-	d.spec.finish()
-	return p
-}
-
 func (d *decoding) account() catalog.Item {
 	d.checkRecordName()
 	if _, ok := d.schemaVersion(1); !ok {
--- a/protocol/record/decode_test.go
+++ b/protocol/record/decode_test.go
@@ -41,6 +41,9 @@
 	goodKey, good := `{"sha256":"`+zeros+`"}`, `"requests_per_s":1,"burst":1`
 	pool := `{"schema_version":1,"kind":"engine","objective":"cost","slots":1,"checks_fencing":true,"ejection_floor":0.5}`
 	with := func(old, new string) string { return strings.Replace(pool, old, new, 1) }
+	v2 := func(desired string) string {
+		return strings.Replace(with(`"schema_version":1`, `"schema_version":2`), `"slots"`, `"desired":`+desired+`,"slots"`, 1)
+	}
 	after := func(stage, names string) string { return strings.Replace(stage, "}", `,"after":[`+names+`]}`, 1) }
 	cases := []struct {
 		name, record, spec string
@@ -67,6 +70,14 @@
 		{"unknown objective", "pools/p", with("cost", "speed"), []string{`objective: "speed"`}},
 		{"no slots", "pools/p", with(`"slots":1`, `"slots":0`), []string{"slots: 0"}},
 		{"floor above 1", "pools/p", with("0.5", "1.5"), []string{"ejection_floor: 1.5"}},
+		{"desired in v1", "pools/p", with(`"slots"`, `"desired":{},"slots"`), []string{"desired: is not a known field"}},
+		{"desired of a service", "pools/p", strings.Replace(v2(`{}`), "engine", "service", 1), []string{"desired: only pools of kind engine"}},
+		{"desired is no object", "pools/p", v2(`["m"]`), []string{"desired: must be an object, not a list"}},
+		{"all faults of desired", "pools/p", v2(`{"models":["m",
+"m",7],"adapters":["../x"],"version":"","role":1,"colour":"red"}`), []string{
+			`line 2: desired.models[1]: "m" stands twice`, "line 2: desired.models[2]: must be a string", `line 2: desired.adapters[0]: "../x" is not`,
+			`line 2: desired.version: "" is not`, "line 2: desired.role: must be a string", "line 2: desired.colour: is not a known field"}},
+		{"too many models", "pools/p", v2(`{"models":[` + strings.Repeat(`"m",`, record.MaxDesiredModels) + `"m"]}`), []string{"desired.models: holds 17 names, more than 16"}},
 		{"fencing as text", "pools/p", with("true", `"yes"`), []string{"checks_fencing: must be a boolean"}},
 		{"negative budget", "accounts/a", account(goodKey, `"requests_per_s":-1,"burst":-2`), []string{"requests_per_s: -1", "burst: -2"}},
 		{"infinite budget", "accounts/a", account(goodKey, `"requests_per_s":1e999,"burst":1`), []string{"requests_per_s: 1e999"}},
@@ -138,8 +149,13 @@
 	case 0:
 		return &catalog.Tier{Name: name.Draw(t, "name"), Revision: 3, Rank: whole("rank", 0, 99), Deadline: millis(9000), EnginePriority: whole("priority", 0, 9)}
 	case 1:
-		return &catalog.Pool{Name: name.Draw(t, "name"), Revision: 3, Kind: catalog.KindService, Objective: catalog.ObjectiveCost,
+		p := &catalog.Pool{Name: name.Draw(t, "name"), Revision: 3, Kind: catalog.KindService, Objective: catalog.ObjectiveCost,
 			Slots: whole("slots", 1, 99), ChecksFencing: rapid.Bool().Draw(t, "checks"), EjectionFloor: rapid.Float64Range(0, 1).Draw(t, "floor")}
+		if rapid.Bool().Draw(t, "orders") {
+			models := rapid.SliceOfNDistinct(rapid.StringMatching(`[A-Za-z0-9]([A-Za-z0-9._/-]{0,20}[A-Za-z0-9])?`), 1, record.MaxDesiredModels, rapid.ID[string])
+			p.Kind, p.Desired = catalog.KindEngine, &catalog.Desired{Models: models.Draw(t, "models"), Version: "1.2"}
+		}
+		return p
 	case 2:
 		return &catalog.Account{Name: name.Draw(t, "name"), Revision: 3, Tier: "gold", KeyHashes: [][32]byte{{byte(whole("key", 0, 255))}},
 			RequestsPerSecond: rapid.Float64Range(0, 1e6).Draw(t, "rate"), Burst: rapid.Float64Range(1, 1e6).Draw(t, "burst")}
--- a/protocol/record/encode.go
+++ b/protocol/record/encode.go
@@ -17,15 +17,6 @@
 	EnginePriority int   `json:"engine_priority"`
 }
 
-type poolSpec struct {
-	SchemaVersion int               `json:"schema_version"`
-	Kind          catalog.PoolKind  `json:"kind"`
-	Objective     catalog.Objective `json:"objective"`
-	Slots         int               `json:"slots"`
-	ChecksFencing bool              `json:"checks_fencing"`
-	EjectionFloor float64           `json:"ejection_floor"`
-}
-
 type accountSpec struct {
 	SchemaVersion  int       `json:"schema_version"`
 	Tier           string    `json:"tier"`
@@ -86,11 +77,6 @@
 	return tierSpec{SchemaVersion: 1, Rank: t.Rank, DeadlineMS: t.Deadline.Milliseconds(), EnginePriority: t.EnginePriority}
 }
 
-func encodePool(p *catalog.Pool) poolSpec {
-	return poolSpec{SchemaVersion: 1, Kind: p.Kind, Objective: p.Objective, Slots: p.Slots,
-		ChecksFencing: p.ChecksFencing, EjectionFloor: p.EjectionFloor}
-}
-
 func encodeAccount(a *catalog.Account) accountSpec {
 	spec := accountSpec{SchemaVersion: 1, Tier: a.Tier, RequestsPerSec: a.RequestsPerSecond, Burst: a.Burst}
 	for _, hash := range a.KeyHashes {
--- a/protocol/record/object.go
+++ b/protocol/record/object.go
@@ -139,7 +139,7 @@
 	if !ok {
 		return ""
 	}
-	if len(v.text) > MaxNameLength || !modelPattern.MatchString(v.text) {
+	if !isModelName(v.text) {
 		o.fault(name, "%s is not a model name of at most %d letters, digits and ._/-", quote(v.text), MaxNameLength)
 		return ""
 	}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -118,6 +118,19 @@
 	// EjectionFloor is the least share of targets, 0 to 1, that stay routable
 	// however badly they do.
 	EjectionFloor float64
+	// Desired is what the targets shall have; nil when the operators leave
+	// that to others. Like the pool it is never changed once published.
+	Desired *Desired
+}
+
+// Desired is what each target of a pool shall have. What it doesn't name is
+// left as it is.
+type Desired struct {
+	Models   []string
+	Adapters []string
+	// Version and Role are empty when any will do.
+	Version string
+	Role    string
 }
 
 // Snapshot is one consistent, accepted configuration.
