Remove what nothing calls from state, decisions and stand-in

Cause: a reader of these packages met code that nothing calls, and had to find that out.

Ruled out: keeping it for later; each can come back with its first user.

The stand-in's paths come from the contract's constants, and its own contains and copy loop are those of slices and maps.

Conclusion: no behaviour changes; tests of the packages pass with -race.

--- a/coordination/config/config.go
+++ b/coordination/config/config.go
@@ -111,9 +111,6 @@
 	Key
 }
 
-// After is the cursor behind every record of a revision.
-func After(revision uint64) Cursor { return Cursor{Revision: revision + 1} }
-
 // Limit bounds a page of records.
 type Limit struct {
 	Records int
--- a/coordination/config/history.go
+++ b/coordination/config/history.go
@@ -74,11 +74,6 @@
 	return page, last, false
 }
 
-// Since returns what has changed after a revision, oldest first.
-func (s *Set) Since(revision uint64, limit Limit) (page []Record, last Cursor, more bool) {
-	return s.Records(After(revision), limit, AllBuckets)
-}
-
 // prune forgets the oldest half of the tombstones when there are too many. The
 // floor rises with them, so that an old version from a peer that was parted
 // for long still can't bring a record back.
--- a/coordination/config/set_test.go
+++ b/coordination/config/set_test.go
@@ -224,7 +224,7 @@
 		}
 	}
 	assert.Equal(t, []string{"pools/p", "tiers/gold", "tiers/batch", "pipelines/chat", "accounts/demo"}, seen)
-	page, _, more := set.Since(4, config.Limit{Records: 9, Bytes: 1})
+	page, _, more := set.Records(config.Cursor{Revision: 5}, config.Limit{Records: 9, Bytes: 1}, config.AllBuckets)
 	assert.Len(t, page, 1)
 	assert.False(t, more)
 }
--- a/coordination/deadline/deadline_test.go
+++ b/coordination/deadline/deadline_test.go
@@ -84,8 +84,7 @@
 	require.Equal(t, tight, LatestStart(tight, due, stages), "no queue, some hope: at once or not at all")
 	hopeless := due.Add(-10 * ms)
 	require.True(t, LatestStart(hopeless, due, stages).Before(hopeless))
-	ok, _ := CanMake(hopeless, due, stages)
-	require.False(t, ok)
+	require.Less(t, Confidence(due.Sub(hopeless), stages), MinConfidence)
 	stages[0].Wait = 100 * ms
 	require.WithinDuration(t, due.Add(-200*ms), LatestStart(epoch, due, stages), ms, "waiting is not part of the work")
 }
--- a/coordination/deadline/plan.go
+++ b/coordination/deadline/plan.go
@@ -83,13 +83,6 @@
 // what would have made it costs as much as a late answer.
 const MinConfidence = 0.05
 
-// CanMake tells whether the remaining stages can end by the deadline, and the
-// confidence, 0 to 1, that they do.
-func CanMake(now, deadline time.Time, stages []Remaining) (ok bool, confidence float64) {
-	confidence = Confidence(deadline.Sub(now), stages)
-	return confidence >= MinConfidence, confidence
-}
-
 // Confidence is the probability, 0 to 1, that the remaining stages end within
 // left. Waits count as constants.
 func Confidence(left time.Duration, stages []Remaining) float64 {
--- a/coordination/tiers/gate.go
+++ b/coordination/tiers/gate.go
@@ -19,9 +19,6 @@
 	Queue int
 	// Window is the time over which demand is averaged.
 	Window time.Duration
-	// Margin is what is kept free for a rank against lower ones beyond its
-	// mean demand, in standard deviations.
-	Margin float64
 	// Ordered tells that the targets run the most urgent first, by the
 	// priority that is passed to them, as model engines do.
 	Ordered bool
--- a/coordination/tiers/peers.go
+++ b/coordination/tiers/peers.go
@@ -36,9 +36,6 @@
 	p.seen[peer] = heard{digest: d, at: now}
 }
 
-// Forget drops a peer that is known to be gone.
-func (p *Peers) Forget(peer string) { delete(p.seen, peer) }
-
 // Load adds up the digests that count, for instances live instances in all.
 func (p *Peers) Load(now time.Time, instances int) PeerLoad {
 	p.expire(now)
--- a/coordination/tiers/tiers_test.go
+++ b/coordination/tiers/tiers_test.go
@@ -285,8 +285,7 @@
 	p.Heard(at(500*time.Millisecond), "b", d)
 	require.Equal(t, RankLoad{InFlight: 4, Demand: 6}, p.Load(at(time.Second), 5).Ranks[1])
 	require.Equal(t, 1, p.Load(at(1200*time.Millisecond), 5).Heard, "what is old no longer counts")
-	p.Forget("b")
-	require.Equal(t, PeerLoad{Instances: 5}, p.Load(at(1200*time.Millisecond), 5))
+	require.Equal(t, PeerLoad{Instances: 5}, p.Load(at(1501*time.Millisecond), 5))
 	for n := range 10 * maxPeers {
 		p.Heard(epoch, string(rune('a'+n)), d)
 	}
--- a/emulator/platform/calls.go
+++ b/emulator/platform/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 )
@@ -61,7 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kind := r.object
-	if !contains(knownKinds, kind) {
+	if !slices.Contains(knownKinds, kind) {
 		kind = otherKinds
 	}
 	perKind := s.calls.Kinds[kind]
--- a/emulator/platform/handler.go
+++ b/emulator/platform/handler.go
@@ -17,14 +17,15 @@
 
 // Handler serves the object API, the weight store and the admin paths.
 func (s *Store) Handler() http.Handler {
+	const objects = platformapi.PathObjects
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/objects/{kind}", s.serveKind)
-	mux.HandleFunc("POST /v1/objects/{kind}", s.serveCreate)
-	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.serveGet)
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.serveUpdate)
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}/status", s.serveUpdate)
-	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.serveDelete)
-	mux.HandleFunc("GET /v1/weights/{name}", s.serveWeights)
+	mux.HandleFunc("GET "+objects+"{kind}", s.serveKind)
+	mux.HandleFunc("POST "+objects+"{kind}", s.serveCreate)
+	mux.HandleFunc("GET "+objects+"{kind}/{name}", s.serveGet)
+	mux.HandleFunc("PUT "+objects+"{kind}/{name}", s.serveUpdate)
+	mux.HandleFunc("PUT "+objects+"{kind}/{name}/status", s.serveUpdate)
+	mux.HandleFunc("DELETE "+objects+"{kind}/{name}", s.serveDelete)
+	mux.HandleFunc("GET "+platformapi.PathWeights+"{name}", s.serveWeights)
 	s.adminPaths(mux)
 	return mux
 }
--- a/emulator/platform/table.go
+++ b/emulator/platform/table.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"regexp"
+	"slices"
 	"sort"
 
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
@@ -162,9 +164,9 @@
 	if back == 0 {
 		return t.kinds[kind], t.revision
 	}
-	objects := make(map[string]*platformapi.Object, len(t.kinds[kind]))
-	for name, object := range t.kinds[kind] {
-		objects[name] = object
+	objects := maps.Clone(t.kinds[kind])
+	if objects == nil {
+		objects = make(map[string]*platformapi.Object)
 	}
 	undone := t.history[uint64(len(t.history))-back:]
 	for i := len(undone) - 1; i >= 0; i-- {
@@ -216,7 +218,7 @@
 	first := sort.Search(len(t.history), func(i int) bool { return t.history[i].revision > from })
 	size := 0
 	for _, c := range t.history[first:] {
-		if !contains(kinds, c.kind) {
+		if !slices.Contains(kinds, c.kind) {
 			continue
 		}
 		event := c.event()
@@ -240,15 +242,6 @@
 	return platformapi.Event{Kind: c.kind, Object: object, Deleted: true}
 }
 
-func contains(kinds []string, kind string) bool {
-	for _, k := range kinds {
-		if k == kind {
-			return true
-		}
-	}
-	return false
-}
-
 func conflict(message string, current *platformapi.Object) *refusal {
 	return &refusal{status: http.StatusConflict, message: message, current: current}
 }
--- a/emulator/platform/targets.go
+++ b/emulator/platform/targets.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 )
@@ -33,13 +32,6 @@
 	s.later(targetChange{incarnation: incarnation})
 }
 
-// SetTargetLag changes the lag for changes to come. They still show in order.
-func (s *Store) SetTargetLag(lag time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.options.TargetLag = lag
-}
-
 // later queues a change. Each timer applies the oldest one, since timers of the
 // same lag may fire out of order.
 func (s *Store) later(c targetChange) {
--- a/protocol/callerapi/callerapi.go
+++ b/protocol/callerapi/callerapi.go
@@ -10,8 +10,6 @@
 	HeaderSchemaVersion = "Ivyhollow-Schema-Version"
 	HeaderRequestID     = "Request-Id"
 	HeaderRetryAfter    = "Retry-After"
-	// HeaderLastEventID resumes a stream, as in the SSE standard.
-	HeaderLastEventID = "Last-Event-ID"
 )
 
 // Media types.
--- a/state/shard/shard_test.go
+++ b/state/shard/shard_test.go
@@ -58,54 +58,15 @@
 	})
 }
 
-func TestRingKeepsNewestArrivals(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		capacity := rapid.IntRange(1, 6).Draw(t, "capacity")
-		r := NewRing[int, int](1, capacity)
-		var order []int
-		values := map[int]int{}
-		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			key := rapid.IntRange(0, 9).Draw(t, "key")
-			_, existed := values[key]
-			if rapid.Bool().Draw(t, "update") {
-				require.Equal(t, existed, r.Update(key, func(v *int) { *v = step }))
-			} else {
-				r.Put(key, step)
-				if !existed {
-					order = append(order, key)
-				}
-				existed = true
-			}
-			if existed {
-				values[key] = step
-			}
-			if len(order) > capacity {
-				delete(values, order[0])
-				order = order[1:]
-			}
-			var seen []int
-			r.Each(func(k, v int) bool {
-				require.Equal(t, values[k], v)
-				seen = append(seen, k)
-				return true
-			})
-			require.Equal(t, order, seen)
-			require.Equal(t, len(order), r.Len())
-		}
-	})
-}
-
 func TestConcurrentUse(t *testing.T) {
 	const workers, rounds, keys = 8, 2000, 16
 	m := NewMap[int, int](4, 1024)
-	r := NewRing[int, int](4, 1024)
 	var wg sync.WaitGroup
-	for w := range workers {
+	for range workers {
 		wg.Go(func() {
 			for i := range rounds {
 				m.Update(i%keys, func(v *int, _ bool) { *v++ })
-				r.Put(w*rounds+i, i)
-				r.Get(i)
+				m.Get(i)
 				m.Len()
 			}
 		})
@@ -117,7 +78,6 @@
 		sum += v
 	}
 	require.Equal(t, workers*rounds, sum)
-	require.LessOrEqual(t, r.Len(), 1024)
 }
 
 func BenchmarkMapUpdate(b *testing.B) {
@@ -129,11 +89,3 @@
 		}
 	})
 }
-
-func BenchmarkRingPut(b *testing.B) {
-	r := NewRing[int, [8]int](16, 4096)
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		r.Put(i, [8]int{})
-	}
-}
