Say once how a client command finds its kind and store

Cause: four commands each read the kind and opened the store in their own words, apply opened the store twice, and a type assertion would have missed a wrapped error.

Change: kindAndStore does the first step of get, list, watch and delete; checkAgainstStore takes the store that its caller opened. The alias notFound is gone, and the two fmt.Errorf are errors of the house's library.

--- a/client/app.go
+++ b/client/app.go
@@ -128,6 +128,17 @@
 	return a.OpenStore(url), nil
 }
 
+// kindAndStore reads the kind of record that the command's first argument names,
+// and opens the store.
+func (a *app) kindAndStore(cmd *cli.Command) (kind string, store Store, err error) {
+	kind = cmd.Args().First()
+	if err := checkKind(kind); err != nil {
+		return "", nil, err
+	}
+	store, err = a.store(cmd)
+	return kind, store, err
+}
+
 func (a *app) platformURL(cmd *cli.Command) string {
 	if url := cmd.String(flagPlatform); url != "" {
 		return url
--- a/client/check.go
+++ b/client/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/ivyhollow/ivyhollow/coordination/config"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
@@ -81,11 +82,9 @@
 }
 
 // checkKind refuses a word that is no kind of record.
-func checkKind(word string) (catalog.RecordKind, error) {
-	for _, kind := range config.Kinds {
-		if string(kind) == word {
-			return kind, nil
-		}
+func checkKind(word string) error {
+	if slices.Contains(config.Kinds, catalog.RecordKind(word)) {
+		return nil
 	}
-	return "", usagef("%q is not a kind of record: %v", word, config.Kinds)
+	return usagef("%q is not a kind of record: %v", word, config.Kinds)
 }
--- a/client/output.go
+++ b/client/output.go
@@ -9,6 +9,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
@@ -22,7 +23,7 @@
 
 func checkOutput(format string) error {
 	if format != outputTable && format != outputJSON {
-		return fmt.Errorf("%q is neither table nor json", format)
+		return errors.Newf("%q is neither table nor json", format)
 	}
 	return nil
 }
--- a/client/read.go
+++ b/client/read.go
@@ -11,12 +11,8 @@
 	"github.com/ivyhollow/ivyhollow/coordination/config"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/protocol/record"
-	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
 
-// notFound is the error of a record that a list doesn't hold.
-var notFound = platform.ErrNotFound
-
 func (a *app) getCommand() *cli.Command {
 	return &cli.Command{
 		Name:          "get",
@@ -56,20 +52,16 @@
 }
 
 func (a *app) get(ctx context.Context, cmd *cli.Command) error {
-	kind, err := checkKind(cmd.Args().Get(0))
-	if err != nil {
-		return err
-	}
-	store, err := a.store(cmd)
+	kind, store, err := a.kindAndStore(cmd)
 	if err != nil {
 		return err
 	}
-	object, err := store.Get(ctx, string(kind), cmd.Args().Get(1))
+	object, err := store.Get(ctx, kind, cmd.Args().Get(1))
 	if err != nil {
 		return err
 	}
-	rows := []statusRow{rowOf(string(kind), object)}
-	if err := a.print(cmd, statusTable(rows), document{string(kind), *object}); err != nil {
+	rows := []statusRow{rowOf(kind, object)}
+	if err := a.print(cmd, statusTable(rows), document{kind, *object}); err != nil {
 		return err
 	}
 	if cmd.String(flagOutput) == outputTable {
@@ -79,23 +71,19 @@
 }
 
 func (a *app) list(ctx context.Context, cmd *cli.Command) error {
-	kind, err := checkKind(cmd.Args().Get(0))
-	if err != nil {
-		return err
-	}
-	store, err := a.store(cmd)
+	kind, store, err := a.kindAndStore(cmd)
 	if err != nil {
 		return err
 	}
-	list, err := store.List(ctx, string(kind))
+	list, err := store.List(ctx, kind)
 	if err != nil {
 		return err
 	}
 	documents := make([]document, len(list.Items))
 	rows := make([]statusRow, len(list.Items))
 	for i := range list.Items {
-		documents[i] = document{string(kind), list.Items[i]}
-		rows[i] = rowOf(string(kind), &list.Items[i])
+		documents[i] = document{kind, list.Items[i]}
+		rows[i] = rowOf(kind, &list.Items[i])
 	}
 	return a.print(cmd, statusTable(rows), documents)
 }
--- a/client/request.go
+++ b/client/request.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
@@ -54,8 +55,9 @@
 
 // notFoundOr turns an instance's 404 into the client's own error.
 func notFoundOr(err error) error {
-	if refusal, ok := err.(*RequestError); ok && refusal.Problem.Status == http.StatusNotFound {
-		return fmt.Errorf("%s: %w", refusal.Problem.Detail, platform.ErrNotFound)
+	var refusal *RequestError
+	if errors.As(err, &refusal) && refusal.Problem.Status == http.StatusNotFound {
+		return errors.Wrap(platform.ErrNotFound, refusal.Problem.Detail)
 	}
 	return err
 }
--- a/client/watch.go
+++ b/client/watch.go
@@ -61,15 +61,11 @@
 }
 
 func (a *app) watch(ctx context.Context, cmd *cli.Command) error {
-	kind, err := checkKind(cmd.Args().First())
+	kind, store, err := a.kindAndStore(cmd)
 	if err != nil {
 		return err
 	}
-	store, err := a.store(cmd)
-	if err != nil {
-		return err
-	}
-	f := &follower{app: a, store: store, kind: string(kind), json: cmd.String(flagOutput) == outputJSON, known: map[string]uint64{}}
+	f := &follower{app: a, store: store, kind: kind, json: cmd.String(flagOutput) == outputJSON, known: map[string]uint64{}}
 	if err := f.relist(ctx); err != nil {
 		return err
 	}
@@ -98,9 +94,8 @@
 		return err
 	}
 	f.app.report(err)
-	if f.app.pacer(ctx, max(watchRetry, unavailable.RetryAfter)) != nil {
-		return nil
-	}
+	// The pause fails only when the context ends, which ends the watch as well.
+	_ = f.app.pacer(ctx, max(watchRetry, unavailable.RetryAfter))
 	return nil
 }
 
--- a/client/write.go
+++ b/client/write.go
@@ -12,6 +12,8 @@
 	"github.com/ivyhollow/ivyhollow/coordination/config"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/protocol/record"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
 
 func fileFlag() cli.Flag {
@@ -94,7 +96,11 @@
 		return err
 	}
 	if a.platformURL(cmd) != "" {
-		if _, err := a.checkAgainstStore(ctx, cmd, documents); err != nil {
+		store, err := a.store(cmd)
+		if err != nil {
+			return err
+		}
+		if _, err := checkAgainstStore(ctx, store, documents); err != nil {
 			return err
 		}
 	}
@@ -105,11 +111,9 @@
 	return a.print(cmd, writeTable(rows), rows)
 }
 
-func (a *app) checkAgainstStore(ctx context.Context, cmd *cli.Command, documents []record.Document) (*inventory, error) {
-	store, err := a.store(cmd)
-	if err != nil {
-		return nil, err
-	}
+// checkAgainstStore reads what the store holds and judges the documents beside
+// it.
+func checkAgainstStore(ctx context.Context, store Store, documents []record.Document) (*inventory, error) {
 	inv, err := takeInventory(ctx, store)
 	if err != nil {
 		return nil, err
@@ -125,15 +129,15 @@
 	if err != nil {
 		return err
 	}
-	inv, err := a.checkAgainstStore(ctx, cmd, documents)
+	store, err := a.store(cmd)
 	if err != nil {
 		return err
 	}
-	if err := inv.checkRevisions(documents); err != nil {
+	inv, err := checkAgainstStore(ctx, store, documents)
+	if err != nil {
 		return err
 	}
-	store, err := a.store(cmd)
-	if err != nil {
+	if err := inv.checkRevisions(documents); err != nil {
 		return err
 	}
 	var rows []writeRow
@@ -162,11 +166,7 @@
 }
 
 func (a *app) remove(ctx context.Context, cmd *cli.Command) error {
-	kind, err := checkKind(cmd.Args().Get(0))
-	if err != nil {
-		return err
-	}
-	store, err := a.store(cmd)
+	kind, store, err := a.kindAndStore(cmd)
 	if err != nil {
 		return err
 	}
@@ -174,18 +174,18 @@
 	if err != nil {
 		return err
 	}
-	key := config.Key{Kind: kind, Name: cmd.Args().Get(1)}
-	w := &writer{store: store, kind: string(kind), seen: inv.objects[key]}
+	key := config.Key{Kind: catalog.RecordKind(kind), Name: cmd.Args().Get(1)}
+	w := &writer{store: store, kind: kind, seen: inv.objects[key]}
 	if w.seen == nil {
-		return errors.Wrapf(notFound, "%s/%s", kind, key.Name)
+		return errors.Wrapf(platform.ErrNotFound, "%s/%s", kind, key.Name)
 	}
 	if reason := inv.checkDelete(key); reason != "" {
-		fault := record.Fault{Field: string(kind) + "/" + key.Name, Reason: reason}
+		fault := record.Fault{Field: kind + "/" + key.Name, Reason: reason}
 		return &InvalidError{File: "checked against the store", Faults: record.Faults{fault}}
 	}
 	if err := w.remove(ctx, key.Name); err != nil {
 		return err
 	}
-	rows := []writeRow{{Kind: string(kind), Name: key.Name, Result: resultDeleted}}
+	rows := []writeRow{{Kind: kind, Name: key.Name, Result: resultDeleted}}
 	return a.print(cmd, writeTable(rows), rows)
 }
