Let probes through the gate, order engines, place ranks among those in force

Cause: a stage that was slow for a while was refused for ever: the learned times that refuse a request also make its latest start pass at the gate, so no probe ever measured the stage anew. Ranks of 8 and more shared one place at the gates, without order. Engines, which run the most urgent first themselves, were gated as if they did not. Ruled out: forgetting learned times after a while (they would be wrong again in the next slow spell). Change: a probe waits 20 ms for a slot whatever its latest start, and its end is told to the admission; gates get tiers.Place; pools of engines are ordered. Conclusion: refusals by learned times end.

--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -20,7 +20,7 @@
 
 // Gates take the number of slots of each pool; *gate.Group is one.
 type Gates interface {
-	SetCapacity(pool string, slots int)
+	SetCapacity(pool string, slots int, ordered bool)
 }
 
 // Discovery holds the newest list and the newest records. It is safe for
@@ -175,5 +175,5 @@
 			d.router.Leaving(now, e.Incarnation)
 		}
 	}
-	d.gates.SetCapacity(pool.Name, slots)
+	d.gates.SetCapacity(pool.Name, slots, pool.Kind == catalog.KindEngine)
 }
--- a/daemon/discovery/discovery_test.go
+++ b/daemon/discovery/discovery_test.go
@@ -27,7 +27,7 @@
 
 func (s *sink) Leaving(_ time.Time, incarnation string) { s.leaving = append(s.leaving, incarnation) }
 
-func (s *sink) SetCapacity(pool string, slots int) { s.slots[pool] = slots }
+func (s *sink) SetCapacity(pool string, slots int, _ bool) { s.slots[pool] = slots }
 
 func pools(slots int) *catalog.Snapshot {
 	s := &catalog.Snapshot{Pools: map[string]*catalog.Pool{}}
--- a/daemon/execute/admissions.go
+++ b/daemon/execute/admissions.go
@@ -43,6 +43,14 @@
 	return c.own.Decide(now, job.Deadline, stages, c.rng)
 }
 
+// probed tells how a job that was admitted as a probe ended.
+func (a *admissions) probed(job *Job, made bool) {
+	c := a.controller(admissionKey{pipeline: job.Pipeline.Key, tier: job.Tier.Name})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own.Probed(made)
+}
+
 func (a *admissions) controller(key admissionKey) *controller {
 	a.mu.RLock()
 	c, ok := a.controllers[key]
--- a/daemon/execute/estimate.go
+++ b/daemon/execute/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ivyhollow/ivyhollow/coordination/deadline"
+	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 )
 
@@ -39,10 +40,27 @@
 func (r *run) estimate(i int) deadline.Remaining {
 	stage := &r.job.Pipeline.Stages[i]
 	p50, p95 := r.opts.Times.Estimate(r.stageKey(i), stage.Expected)
-	wait := r.opts.Gate.Wait(stage.Pool, r.job.Tier.Rank)
+	wait := r.opts.Gate.Wait(stage.Pool, r.rank)
 	return deadline.Remaining{Stage: i, After: stage.After, P50: p50, P95: p95, Wait: wait}
 }
 
+// place returns a tier's place among the tiers in force. Gates order by it:
+// records may have ranks such as 10, 20 and 30, of which a gate keeps eight.
+func (e *Executor) place(t *catalog.Tier) int {
+	snapshot := e.opts.Config()
+	if snapshot == nil {
+		return t.Rank
+	}
+	ranks := make([]int, 0, len(snapshot.Tiers))
+	for _, other := range snapshot.Tiers {
+		ranks = append(ranks, other.Rank)
+	}
+	if len(ranks) == 0 {
+		return t.Rank
+	}
+	return tiers.Place(ranks, t.Rank)
+}
+
 // attainmentFirst tells whether the stage's pool weighs answers in time more
 // than the work they cost: only then is a hedge worth its price.
 func (r *run) attainmentFirst(pool string) bool {
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -63,6 +63,11 @@
 	tokens  []int
 	done    []chan struct{}
 
+	// rank is the tier's place among the tiers in force; 0 is the highest.
+	rank int
+	// probe tells that the job was admitted to measure its stages anew.
+	probe bool
+
 	mu        sync.Mutex
 	remaining []deadline.Remaining
 	finished  []bool
@@ -72,10 +77,11 @@
 // Run runs the job's stages and returns the whole answer of the last one. Its
 // error is always a *Failure, whose verdict is final: nothing of the job leaves
 // for a target after Run returned.
-func (e *Executor) Run(ctx context.Context, job Job) (Result, error) {
+func (e *Executor) Run(ctx context.Context, job Job) (result Result, err error) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
 	r := e.newRun(&job)
+	defer func() { r.probed(err == nil) }()
 	if failure := r.hopeless(); failure != nil {
 		return Result{}, r.seal(failure)
 	}
@@ -83,7 +89,7 @@
 	for i := range job.Pipeline.Stages {
 		group.Go(func() error { return r.stageWhenReady(ctx, i) })
 	}
-	if err := group.Wait(); err != nil {
+	if err = group.Wait(); err != nil {
 		return Result{}, r.seal(r.asFailure(ctx, err))
 	}
 	r.ledger.Seal()
@@ -100,6 +106,7 @@
 		tokens:   make([]int, n),
 		done:     make([]chan struct{}, n),
 		finished: make([]bool, n),
+		rank:     e.place(job.Tier),
 	}
 	for i := range job.Pipeline.Stages {
 		r.done[i] = make(chan struct{})
@@ -119,6 +126,7 @@
 	}
 	decision := r.admissions.decide(r.opts.Now(), r.job, r.remaining)
 	if decision.Admit {
+		r.probe = decision.Probe
 		return nil
 	}
 	f := &Failure{Reason: ReasonDeadline, Step: r.job.Pipeline.Stages[0].Name}
@@ -129,6 +137,14 @@
 	return f
 }
 
+// probed tells the admission how a probe ended, so that refusals by learned
+// times end once the stages are fast again.
+func (r *run) probed(made bool) {
+	if r.probe {
+		r.admissions.probed(r.job, made)
+	}
+}
+
 // stageWhenReady waits for the stages before, then runs stage i.
 func (r *run) stageWhenReady(ctx context.Context, i int) error {
 	inputs, err := r.inputs(ctx, i)
--- a/daemon/execute/executor_test.go
+++ b/daemon/execute/executor_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/deadline"
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	emulated "github.com/ivyhollow/ivyhollow/emulator/target"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 )
@@ -164,7 +166,7 @@
 // comes. The chat is interrupted and goes on later; its text must be one text.
 func TestPreemptedStreamGoesOnWhole(t *testing.T) {
 	r := newRig(t, catalog.KindEngine, catalog.ObjectiveCost)
-	r.opts.Gate.(interface{ SetCapacity(string, int) }).SetCapacity(rigPool, 1)
+	r.opts.Gate.(*gate.Group).SetCapacity(rigPool, 1, true)
 	const tokens = 500 // far more than are generated before the interruption
 	low := r.job(oneStage(true, true, tokens), 20*time.Second)
 	low.Pipeline.MaxAttempts = 1 // a preemption is no attempt of its own
@@ -198,3 +200,18 @@
 	require.NoError(t, <-highDone)
 	require.Equal(t, 2, r.runs(low.ID), "interrupted once and resumed")
 }
+
+// A stage was slow for a while, so its learned times say that no deadline can be
+// made and every request is refused. Nothing would measure the stage again, and
+// callers were refused for ever though the targets are fast: a probe has to get
+// through the gate too, where its latest start has passed by the same times.
+func TestRefusalsByLearnedTimesEnd(t *testing.T) {
+	r := newRig(t, catalog.KindService, catalog.ObjectiveAttainment)
+	p := oneStage(true, false, 0)
+	key := deadline.StageKey{Pipeline: p.Key, Stage: "s"}
+	for range 50 {
+		r.opts.Times.Observe(time.Now(), key, p.Stages[0].Expected, time.Hour)
+	}
+	_, err := r.do(r.job(p, time.Second))
+	require.NoError(t, err)
+}
--- a/daemon/execute/rig_test.go
+++ b/daemon/execute/rig_test.go
@@ -51,7 +51,7 @@
 	}
 	table.SetTargets(time.Now(), routing.Pool{Name: rigPool, Objective: objective, EjectionFloor: 1}, listed)
 	gates := gate.NewGroup(tiers.Config{Preempt: true, MinRun: time.Nanosecond}, time.Now)
-	gates.SetCapacity(rigPool, 8)
+	gates.SetCapacity(rigPool, 8, kind == catalog.KindEngine)
 	client := target.New(target.Options{EventGap: 200 * time.Millisecond})
 	t.Cleanup(client.Close)
 	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{rigPool: {Name: rigPool, Objective: objective}}}
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -135,11 +135,20 @@
 	return result
 }
 
+// probeWait is how long a probe waits for a slot: the time to get to the gate.
+const probeWait = 20 * time.Millisecond
+
 func (s *stageRun) gateRequest() gate.Request {
-	share := s.share(s.opts.Now(), s.index)
+	now := s.opts.Now()
+	latest := s.share(now, s.index).LatestStart
+	if s.probe {
+		// The times that a probe is to correct have let its latest start pass:
+		// it goes if a slot is free, and waits for none.
+		latest = now.Add(probeWait)
+	}
 	return gate.Request{
-		Rank:        s.job.Tier.Rank,
-		LatestStart: share.LatestStart,
+		Rank:        s.rank,
+		LatestStart: latest,
 		Resumable:   s.stage.Repeatable && s.stage.Resumable && s.streams(),
 		Preemptions: s.preemptions,
 	}
--- a/daemon/gate/gate_test.go
+++ b/daemon/gate/gate_test.go
@@ -169,7 +169,7 @@
 		var refused *RefusedError
 		require.True(t, errors.As(err, &refused))
 		require.Equal(t, ReasonNoCapacity, refused.Reason)
-		group.SetCapacity("engines", 1)
+		group.SetCapacity("engines", 1, true)
 		require.True(t, group.Open("engines"))
 		grant, err := group.Enter(t.Context(), "engines", request(0))
 		require.NoError(t, err)
--- a/daemon/gate/group.go
+++ b/daemon/gate/group.go
@@ -33,7 +33,9 @@
 }
 
 // SetCapacity tells how many slots a pool's routable targets have in all.
-func (g *Group) SetCapacity(pool string, slots int) {
+// Ordered tells that they run the most urgent request first themselves; it
+// counts for a pool that is new.
+func (g *Group) SetCapacity(pool string, slots int, ordered bool) {
 	if own := g.find(pool); own != nil {
 		own.SetCapacity(slots)
 		return
@@ -41,7 +43,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if own := g.gates[pool]; own == nil {
-		g.gates[pool] = New(pool, g.config, slots, g.clock)
+		c := g.config
+		c.Ordered = ordered
+		g.gates[pool] = New(pool, c, slots, g.clock)
 	}
 }
 
--- a/daemon/load/load_test.go
+++ b/daemon/load/load_test.go
@@ -51,7 +51,7 @@
 	r := &router{}
 	for i := range 10 {
 		pool := fmt.Sprint("pool-", i)
-		gates.SetCapacity(pool, 100)
+		gates.SetCapacity(pool, 100, false)
 		for rank := range 3 {
 			_, ok := gates.TryEnter(pool, gate.Request{Rank: rank, LatestStart: time.Now().Add(time.Hour)})
 			require.True(t, ok)
