--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,7 +45,8 @@
 	URL string
 	// Timeout bounds one call; a watch is bounded by the platform.
 	Timeout time.Duration
-	// CallsPerSecond bounds all calls of this instance, retries included.
+	// CallsPerSecond bounds the reads of this instance, retries included;
+	// writes have a fixed share of it beside that.
 	CallsPerSecond float64
 }
 
