--- a/testkit/capacity/exchange.go
+++ b/testkit/capacity/exchange.go
@@ -72,7 +72,7 @@
 	for p := range pools {
 		name := fmt.Sprint("pool-", p)
 		table.SetTargets(now, routing.Pool{Name: name}, targetList(name, 400))
-		gates.SetCapacity(name, 64*16)
+		gates.SetCapacity(name, 64*16, false)
 		for rank := range 3 {
 			gates.TryEnter(name, gate.Request{Rank: rank, LatestStart: now.Add(time.Hour)})
 		}
