Give orders to the targets of pools that desire something

Cause: the orders package was proved and nothing ran it. Ruled out: one keeper a pool on every instance, which reads the store from 440 instances; reading every target back each round, which outgrows 2 KB/s of control traffic; the state in the pool record status, which the verdict writer owns and which raises the record revision under operators. Change: a group runs a keeper for each pool with a desired state on the two instances that own its key; the lease alone decides. The weight store rate is shared by pools. A keeper has a holder name of its own. Targets that have all are read back four a round, in turn. What targets lack stands in an object of kind orders, written on change. A planned stop hands leases over within 2 s. Conclusion: seen failing with the guard removed: competing only as owner, reading few back, own holder names, release at the stop, writing on change, shares.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -27,6 +27,7 @@
 	"github.com/ivyhollow/ivyhollow/daemon/execute"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	"github.com/ivyhollow/ivyhollow/daemon/load"
+	"github.com/ivyhollow/ivyhollow/daemon/orders"
 	"github.com/ivyhollow/ivyhollow/daemon/poll"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
 	"github.com/ivyhollow/ivyhollow/daemon/report"
@@ -83,6 +84,7 @@
 	exchange  *load.Exchange
 	discovery *discovery.Discovery
 	poller    *poll.Poller
+	orders    *orders.Group
 	reporter  *report.Reporter
 	tidier    *tidy.Tidier
 
@@ -114,6 +116,7 @@
 		return nil, err
 	}
 	a.buildClaims()
+	a.buildOrders()
 	a.buildServer()
 	a.registerHandlers()
 	return a, nil
--- /dev/null
+++ b/daemon/app/orders.go
@@ -0,0 +1,58 @@
+package app
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/ivyhollow/ivyhollow/daemon/orders"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+const (
+	// ordersKey and a pool's name make the key whose owners compete for the
+	// pool's lease.
+	ordersKey = "orders/"
+	// competitors is how many instances compete for a lease: the holder and
+	// one that takes over. The others need not read the store for it.
+	competitors = 2
+)
+
+func (a *App) buildOrders() {
+	a.orders = orders.NewGroup(orders.GroupOptions{
+		Keeper: orders.Options{
+			Holder:  a.self.Name + "-" + strconv.FormatUint(a.self.Incarnation, 10),
+			Store:   a.store,
+			Targets: a.targets,
+			Scope:   a.telemetry.Scope,
+		},
+		Snapshot: a.sync.Snapshot,
+		Members:  a.orderedTargets,
+		Competes: func(pool string) bool { return a.ownsAmong(ordersKey+pool, competitors) },
+	})
+}
+
+// ownsAmong tells whether this instance is among the first n owners of a key.
+func (a *App) ownsAmong(key string, n int) bool {
+	for _, owner := range a.cluster.Owners(key, n) {
+		if owner.Name == a.self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// orderedTargets returns the engines of a pool that are not leaving.
+func (a *App) orderedTargets(pool string) []orders.Member {
+	var members []orders.Member
+	for _, t := range a.discovery.Engines(func(string) bool { return true }) {
+		if t.Pool == pool && t.State == platformapi.TargetReady {
+			members = append(members, orders.Member{Incarnation: t.Incarnation, Address: t.Address})
+		}
+	}
+	return members
+}
+
+// handOverOrders gives up the leases under which this instance gives orders.
+func (a *App) handOverOrders() {
+	bounded(leaveTimeout, "hand over leases", func(ctx context.Context) error { return a.orders.HandOver(ctx) })
+}
--- a/daemon/app/run.go
+++ b/daemon/app/run.go
@@ -39,7 +39,7 @@
 	group.Add(a.cluster.Execute, a.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
 		a.sync.Run, a.claims.Run, a.gates.Run, a.exchange.Run, a.registrar.Run, a.followView,
-		a.poller.Run, a.reporter.Run, a.tidier.Run,
+		a.poller.Run, a.reporter.Run, a.tidier.Run, a.orders.Run,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
@@ -90,6 +90,7 @@
 	<-ctx.Done()
 	telemetry.InfoS("planned stop", telemetry.Event{Count: a.server.InFlight()})
 	a.draining.Store(true)
+	a.handOverOrders()
 	wait(a.settings.Shutdown.BalancerDelay)
 	callers.SetKeepAlivesEnabled(false)
 	bounded(a.settings.Shutdown.Grace, "finish requests in flight", callers.Shutdown)
--- /dev/null
+++ b/daemon/orders/group_test.go
@@ -0,0 +1,192 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// fleet is targets that obey, by address.
+type fleet struct {
+	byAddress map[string]*fakeTarget
+	reads     atomic.Int64
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{byAddress: map[string]*fakeTarget{}}
+	for i := range n {
+		name := fmt.Sprint("t", i)
+		f.byAddress[name] = &fakeTarget{checks: true, load: targetapi.Load{Incarnation: name}}
+	}
+	return f
+}
+
+func (f *fleet) Load(ctx context.Context, address string) (targetapi.Load, error) {
+	f.reads.Add(1)
+	return (&link{fakeTarget: f.byAddress[address]}).Load(ctx, address)
+}
+
+func (f *fleet) Order(_ context.Context, address string, order targetapi.Order) (targetapi.Load, error) {
+	time.Sleep(10 * time.Millisecond)
+	return targetapi.Load{}, f.byAddress[address].obey(order)
+}
+
+func (f *fleet) members(string) []Member {
+	var members []Member
+	for name := range f.byAddress {
+		members = append(members, Member{Incarnation: name, Address: name})
+	}
+	return members
+}
+
+func ordered(revision uint64, role string, pools ...string) *catalog.Snapshot {
+	s := &catalog.Snapshot{Pools: map[string]*catalog.Pool{}}
+	for _, name := range pools {
+		s.Pools[name] = &catalog.Pool{Name: name, Revision: revision, ChecksFencing: true, Desired: &catalog.Desired{Role: role}}
+	}
+	return s
+}
+
+// group starts a group; stop ends it.
+func group(t *testing.T, store *emulator.Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes bool) (g *Group, stop func()) {
+	g = NewGroup(GroupOptions{
+		Keeper:   Options{Holder: name, Store: store.Local(name), Targets: f, Now: time.Now},
+		Snapshot: s.Load, Members: f.members, Competes: func(string) bool { return competes },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	return g, func() {
+		cancel()
+		require.ErrorIs(t, <-ended, context.Canceled)
+	}
+}
+
+func stateOf(t *testing.T, store *emulator.Store, pool string) (entry platformapi.OrdersEntry) {
+	object, err := store.Local("operator").Get(t.Context(), platformapi.KindOrders, pool)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(object.Spec, &entry))
+	return entry
+}
+
+// Story: an operator changes a pool; then the holder is told to stop. Were the
+// lease left to lapse, the pool would have nobody to give orders for a term. The
+// operator reads what the targets lack; a pool at rest must cost no writes.
+func TestPlannedStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, f := emulator.New(emulator.Options{}), newFleet(3)
+		var s atomic.Pointer[catalog.Snapshot]
+		first, stopFirst := group(t, store, "a", f, &s, true)
+		time.Sleep(5 * time.Second)
+		s.Store(ordered(7, "prefill", "engines"))
+		time.Sleep(5 * time.Second)
+		require.Equal(t, platformapi.OrdersEntry{DesiredRevision: 7, Fencing: 1, Targets: 3, Complete: 3}, stateOf(t, store, "engines"))
+		writes := store.Calls().Kinds[platformapi.KindOrders].Writes
+		_, stopSecond := group(t, store, "b", f, &s, true)
+		time.Sleep(time.Minute)
+		require.Equal(t, writes, store.Calls().Kinds[platformapi.KindOrders].Writes, "a pool at rest costs no writes")
+		require.NoError(t, first.HandOver(t.Context()))
+		s.Store(ordered(8, "decode", "engines"))
+		time.Sleep(6 * time.Second)
+		require.Equal(t, platformapi.OrdersEntry{DesiredRevision: 8, Fencing: 2, Targets: 3, Complete: 3}, stateOf(t, store, "engines"))
+		f.byAddress["t1"].set("")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "decode", f.byAddress["t1"].role(), "what a target lost is given again")
+		stopFirst()
+		stopSecond()
+	})
+}
+
+// Story: the instance competes for a lease no more while an order whose answer
+// was lost is under way, and soon competes again. Were it to take up its old
+// lease at once, it would order again beside its own first order.
+func TestKeeperDoesNotTakeUpTheLeaseOfAnEarlierOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.New(emulator.Options{})
+		f := &fakeTarget{load: targetapi.Load{Incarnation: "t1"}}
+		var s atomic.Pointer[catalog.Snapshot]
+		s.Store(ordered(1, "prefill", "engines"))
+		s.Load().Pools["engines"].ChecksFencing = false
+		var competes atomic.Bool
+		competes.Store(true)
+		g := NewGroup(GroupOptions{
+			Keeper:   Options{Holder: "a", Store: store.Local("a"), Targets: &link{fakeTarget: f, loses: true}, Now: time.Now},
+			Snapshot: s.Load, Competes: func(string) bool { return competes.Load() },
+			Members: func(string) []Member { return []Member{{Incarnation: "t1", Address: "t1"}} },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- g.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		require.Len(t, f.history(), 1)
+		competes.Store(false)
+		time.Sleep(2 * time.Second)
+		competes.Store(true)
+		time.Sleep(20 * time.Second)
+		require.Len(t, f.history(), 1, "the first order may still be under way")
+		time.Sleep(40 * time.Second)
+		require.Greater(t, len(f.history()), 1)
+		cancel()
+		<-ended
+	})
+}
+
+// Story: hundreds of instances and targets. If each instance competed for each
+// lease, or the holder read all targets back each time, the store and the
+// network would be full of it while nothing happens.
+func TestCostOfAPoolAtRest(t *testing.T) {
+	pools := []string{"a", "b", "c", "d", "e", "f"}
+	for _, instances := range []int{3, 440} {
+		synctest.Test(t, func(t *testing.T) {
+			store, f := emulator.New(emulator.Options{}), newFleet(40)
+			var s atomic.Pointer[catalog.Snapshot]
+			s.Store(ordered(1, "decode", pools...))
+			var stops []func()
+			for i := range instances {
+				_, stop := group(t, store, fmt.Sprint("i", i), f, &s, i < 2)
+				stops = append(stops, stop)
+			}
+			time.Sleep(time.Minute)
+			before, read := store.Calls(), f.reads.Load()
+			time.Sleep(time.Minute)
+			after := store.Calls()
+			leases, was := after.Kinds[platformapi.KindLeases], before.Kinds[platformapi.KindLeases]
+			writes, reads := leases.Writes-was.Writes, leases.Reads-was.Reads
+			t.Logf("%d instances, 6 pools: %d writes and %d reads of leases a minute", instances, writes, reads)
+			require.LessOrEqual(t, int(writes), len(pools)*21)
+			require.LessOrEqual(t, int(reads), len(pools)*21)
+			require.Equal(t, before.Kinds[platformapi.KindOrders], after.Kinds[platformapi.KindOrders])
+			rounds := int64(time.Minute/DefaultCheckEvery) + 1
+			require.LessOrEqual(t, f.reads.Load()-read, int64(len(pools)*againPerRound)*rounds)
+			for _, stop := range stops {
+				stop()
+			}
+		})
+	}
+}
+
+// Story: seven pools load weights at once. The shares of the weight store's
+// rate must add up to no more than it allows, while each pool can go on.
+func TestSharesOfTheWeightStore(t *testing.T) {
+	var s atomic.Pointer[catalog.Snapshot]
+	g := NewGroup(GroupOptions{Snapshot: s.Load})
+	for _, tc := range []struct {
+		pools []string
+		want  int
+	}{{nil, 8}, {[]string{"a"}, 8}, {[]string{"a", "b", "c"}, 2}, {[]string{"a", "b", "c", "d", "e", "f", "g"}, 1}} {
+		s.Store(ordered(1, "decode", tc.pools...))
+		require.Equal(t, tc.want, g.share())
+		require.LessOrEqual(t, g.share()*len(tc.pools), DefaultWeightSlots)
+	}
+}
--- a/daemon/orders/keeper.go
+++ b/daemon/orders/keeper.go
@@ -61,8 +61,9 @@
 	// ChecksFencing tells whether the pool's targets refuse old numbers.
 	ChecksFencing func() bool
 	// DownloadSlots bounds the orders under way at once in this pool: the
-	// pool's share of what the weight store's rate limit allows.
-	DownloadSlots int
+	// pool's share of what the weight store's rate limit allows. It is asked
+	// once a round.
+	DownloadSlots func() int
 	Terms         lease.Terms
 	// CheckEvery is the time between two comparisons with the targets.
 	CheckEvery time.Duration
@@ -97,6 +98,11 @@
 	// busyUntil is, by incarnation, until when an order whose answer was lost
 	// may be under way.
 	busyUntil map[string]time.Time
+	// readings are what was read of the members last, by incarnation.
+	readings map[string]reading
+	round    uint64
+	// written is the state that operators can read.
+	written writtenState
 }
 
 // New returns a Keeper that does nothing before Run.
@@ -108,6 +114,7 @@
 		metrics:   newMetrics(opts.Scope, opts.Pool),
 		lease:     lease.New(opts.Holder, opts.Terms),
 		busyUntil: make(map[string]time.Time),
+		readings:  make(map[string]reading),
 	}
 }
 
@@ -170,8 +177,8 @@
 	if o.StoreTimeout == 0 {
 		o.StoreTimeout = DefaultStoreTimeout
 	}
-	if o.DownloadSlots < 1 {
-		o.DownloadSlots = DefaultDownloadSlots
+	if o.DownloadSlots == nil {
+		o.DownloadSlots = func() int { return DefaultDownloadSlots }
 	}
 	return o
 }
--- a/daemon/orders/keeper_test.go
+++ b/daemon/orders/keeper_test.go
@@ -68,6 +68,12 @@
 	f.roles = append(f.roles, order.Value)
 }
 
+func (f *fakeTarget) set(role string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load.Role = role
+}
+
 func (f *fakeTarget) role() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/daemon/orders/reconcile.go
+++ b/daemon/orders/reconcile.go
@@ -30,36 +30,55 @@
 	}
 }
 
-// reconcile reads each target back and gives the orders it lacks, no more at
-// once than the pool's share of the weight store allows.
+// parallelReads bounds the targets read back at once.
+const parallelReads = 8
+
+// reconcile reads the due targets back and gives the orders they lack, no more
+// at once than the pool's share of the weight store allows.
 func (k *Keeper) reconcile(ctx context.Context) {
 	if _, may := k.mayOrder(); !may {
 		return
 	}
+	members := k.opts.Members()
+	slots := make(chan struct{}, max(k.opts.DownloadSlots(), 1))
 	var group errgroup.Group
-	group.SetLimit(k.opts.DownloadSlots)
-	for _, m := range k.opts.Members() {
+	group.SetLimit(parallelReads)
+	for _, m := range k.due(members) {
 		group.Go(func() error {
-			k.reconcileTarget(ctx, m)
+			k.reconcileTarget(ctx, m, slots)
 			return nil
 		})
 	}
-	_ = group.Wait()
+	_ = group.Wait() // no target returns an error
+	k.writeState(ctx, members)
 }
 
-func (k *Keeper) reconcileTarget(ctx context.Context, m Member) {
+func (k *Keeper) reconcileTarget(ctx context.Context, m Member, slots chan struct{}) {
 	if _, may := k.mayOrder(); !may || k.busy(m) {
 		return
 	}
 	load, err := k.opts.Targets.Load(ctx, m.Address)
 	if err != nil || load.Incarnation != m.Incarnation || k.outranked(load) {
+		k.forgetReading(m)
 		return
 	}
 	desired := k.wanted()
-	for _, order := range Missing(load, desired) {
+	lacks := Missing(load, desired)
+	k.noteReading(m, desired.Revision, lacks)
+	if len(lacks) == 0 {
+		return
+	}
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-ctx.Done():
+		return
+	}
+	for i, order := range lacks {
 		if k.wanted().Revision != desired.Revision || !k.give(ctx, m, order) {
 			return
 		}
+		k.noteReading(m, desired.Revision, lacks[i+1:])
 	}
 }
 
--- a/daemon/orders/renew.go
+++ b/daemon/orders/renew.go
@@ -71,8 +71,11 @@
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil && wrote:
+		_, held := k.lease.Held(now)
 		k.lease.Written(now, object.Metadata.Revision)
-		k.wake()
+		if !held {
+			k.wake()
+		}
 	case err == nil:
 		k.seen(now, object)
 	case errors.Is(err, platform.ErrNotFound):
--- a/emulator/platform/calls.go
+++ b/emulator/platform/calls.go
@@ -47,6 +47,7 @@
 	platformapi.KindClaims,
 	platformapi.KindLeases,
 	platformapi.KindDigests,
+	platformapi.KindOrders,
 }, platformapi.RecordKinds...)
 
 // Calls returns the counts.
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -22,6 +22,8 @@
 	KindClaims    = "claims"
 	KindLeases    = "leases"
 	KindDigests   = "digests"
+	// KindOrders holds one object a pool that has a desired state.
+	KindOrders = "orders"
 )
 
 // RecordKinds are the kinds that operators write.
@@ -146,3 +148,25 @@
 	Tokens        uint64 `json:"tokens,omitempty"`
 	PrefillTokens uint64 `json:"prefill_tokens,omitempty"`
 }
+
+// OrdersEntry is the spec of an object of KindOrders, named by pool: what its
+// targets have against what its record desires.
+type OrdersEntry struct {
+	// DesiredRevision is that of the pool's record.
+	DesiredRevision uint64 `json:"desired_revision"`
+	// Fencing is the number of the lease holder that wrote it.
+	Fencing uint64 `json:"fencing"`
+	Targets int    `json:"targets"`
+	// Complete counts the targets that have all they should.
+	Complete int `json:"complete"`
+	// Lacking names some of the others.
+	Lacking []LackingTarget `json:"lacking,omitempty"`
+}
+
+// LackingTarget is a target that doesn't have all it should.
+type LackingTarget struct {
+	Incarnation string `json:"incarnation"`
+	// Lacks lists the orders it needs, as "load_model writer"; it is empty when
+	// the target couldn't be read.
+	Lacks []string `json:"lacks,omitempty"`
+}
