Keep to a package what only it uses

Cause: some names were exported that only their own package uses, a few functions took an argument that they never read, and one condition did its work by a side effect.

Ruled out: unexporting Record limits and wire types, which are the reference of their formats.

Change: telemetry's label keys are one list, which callers meet as the strings that they write; typeOf, headerSize, maxElements, sameStatus, shift and maxLength are the packages' own; tiers.Gate.Stats takes no time; parseSpec says in an if what it refuses.

Conclusion: no behaviour changes; the tests of the packages pass with -race.

--- a/coordination/budget/ledger.go
+++ b/coordination/budget/ledger.go
@@ -79,7 +79,7 @@
 	if ask := s.ask(now, l.config, account.Name); ask != nil {
 		return Decision{Verdict: Pending, RetryAfter: l.config.AskTimeout, Ask: ask}
 	}
-	if left := l.config.AskTimeout - now.Sub(s.askedAt); left > 0 && s.waitsForGrant() {
+	if left := l.config.AskTimeout - now.Sub(s.askedAt); left > 0 && s.waiting {
 		return Decision{Verdict: Pending, RetryAfter: left}
 	}
 	return Decision{Verdict: Refused, RetryAfter: s.retryAfter(now, l.config, v, account)}
--- a/coordination/budget/spender.go
+++ b/coordination/budget/spender.go
@@ -122,8 +122,6 @@
 	}
 }
 
-func (s *spender) waitsForGrant() bool { return s.waiting }
-
 // granted takes in a grant. Only the answer to the newest ask counts: a grant
 // that comes twice must not be spent twice.
 func (s *spender) granted(now time.Time, c Config, g Grant) {
--- a/coordination/tiers/gate.go
+++ b/coordination/tiers/gate.go
@@ -159,7 +159,7 @@
 }
 
 // Stats returns a reading for metrics.
-func (g *Gate) Stats(time.Time) Stats {
+func (g *Gate) Stats() Stats {
 	s := Stats{Capacity: g.capacity, InFlight: g.inFlight}
 	if len(g.running) > 0 {
 		s.Rate = g.held.drainRate(float64(len(g.running)))
--- a/coordination/tiers/tiers_test.go
+++ b/coordination/tiers/tiers_test.go
@@ -84,7 +84,7 @@
 				queued += boolToInt(st == waiting)
 				flying += boolToInt(st == running)
 			}
-			stats := g.Stats(now)
+			stats := g.Stats()
 			require.Equal(t, queued, sum(stats.Queued))
 			require.Equal(t, flying, sum(stats.InFlight))
 			require.LessOrEqual(t, queued, 6)
--- a/daemon/gate/gate.go
+++ b/daemon/gate/gate.go
@@ -134,7 +134,7 @@
 func (g *Gate) Stats() tiers.Stats {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.machine.Stats(g.clock())
+	return g.machine.Stats()
 }
 
 func (g *Gate) step(event func(*tiers.Gate, time.Time) []tiers.Action) {
--- a/protocol/peer/bounds.go
+++ b/protocol/peer/bounds.go
@@ -9,8 +9,8 @@
 
 // Bounds on the structure of a message.
 const (
-	// MaxElements bounds every array and map in a message.
-	MaxElements = 4096
+	// maxElements bounds every array and map in a message.
+	maxElements = 4096
 	// maxDepth bounds nesting; the deepest message has 4 levels.
 	maxDepth = 8
 )
@@ -19,7 +19,7 @@
 // a slice as long as an array's header says before it reads the first element,
 // so a frame of a few bytes could claim four thousand million members and
 // exhaust the memory. Here every header is compared with what the frame can
-// hold, which is known, and with MaxElements.
+// hold, which is known, and with maxElements.
 func checkBounds(b []byte) error {
 	rest, err := skipValue(b, maxDepth)
 	if err != nil {
@@ -100,8 +100,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if n > MaxElements {
-		return nil, errors.Wrapf(ErrMalformed, "%d elements, limit %d", n, MaxElements)
+	if n > maxElements {
+		return nil, errors.Wrapf(ErrMalformed, "%d elements, limit %d", n, maxElements)
 	}
 	return skipElements(b, n*perElement, depth)
 }
--- a/protocol/peer/frame.go
+++ b/protocol/peer/frame.go
@@ -16,8 +16,8 @@
 	// MaxHandshakeFrame bounds a frame from a peer that has not yet been
 	// accepted.
 	MaxHandshakeFrame = 4 << 10
-	// HeaderSize is the length prefix.
-	HeaderSize = 4
+	// headerSize is the length prefix.
+	headerSize = 4
 )
 
 // Errors of the framing. ErrUnknownType is no fault of the connection: the
@@ -30,7 +30,7 @@
 
 // Encode returns a whole frame: length, type and msgpack body.
 func Encode(m Message) ([]byte, error) {
-	t := TypeOf(m)
+	t := typeOf(m)
 	if t == 0 {
 		return nil, errors.Wrapf(ErrUnknownType, "encode %T", m)
 	}
@@ -45,7 +45,7 @@
 		return nil, errors.Wrapf(err, "encode %T", m)
 	}
 	frame := buf.Bytes()
-	size := len(frame) - HeaderSize
+	size := len(frame) - headerSize
 	if size > MaxFrame {
 		return nil, errors.Wrapf(ErrFrameSize, "encode %T: %d bytes", m, size)
 	}
@@ -83,7 +83,7 @@
 // refused before anything is allocated for it, so that a hostile or confused
 // sender costs no memory.
 func ReadFrame(r io.Reader, limit int) ([]byte, error) {
-	var header [HeaderSize]byte
+	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
 	}
--- a/protocol/peer/frame_test.go
+++ b/protocol/peer/frame_test.go
@@ -103,7 +103,7 @@
 // The state machines bound their messages by estimates of encoded sizes. An
 // estimate below the truth would break the bound on bytes per second.
 func TestEstimatedSizesAreUpperBounds(t *testing.T) {
-	const overhead = HeaderSize + 1 + 1 + 2*9 + 3
+	const overhead = headerSize + 1 + 1 + 2*9 + 3
 	rapid.Check(t, func(rt *rapid.T) {
 		text := func() string { return strings.Repeat("x", rapid.IntRange(0, 300).Draw(rt, "len")) }
 		m := membership.Member{
@@ -144,7 +144,7 @@
 			}
 			again, err := Encode(m)
 			require.NoError(t, err)
-			back, err := Decode(again[HeaderSize:])
+			back, err := Decode(again[headerSize:])
 			require.NoError(t, err)
 			// Nil and empty slices decode differently, so compare the bytes.
 			third, err := Encode(back)
--- a/protocol/peer/messages.go
+++ b/protocol/peer/messages.go
@@ -154,8 +154,8 @@
 	return nil
 }
 
-// TypeOf returns the wire type of a message, 0 for anything else.
-func TypeOf(m Message) Type {
+// typeOf returns the wire type of a message, 0 for anything else.
+func typeOf(m Message) Type {
 	switch m.(type) {
 	case *Hello:
 		return TypeHello
--- a/protocol/record/decode.go
+++ b/protocol/record/decode.go
@@ -71,12 +71,12 @@
 		list.faults = append(list.faults, Fault{Reason: fmt.Sprintf("must be one JSON object, not %d values", len(values))})
 		return value{}, false
 	}
-	return values[0], values[0].kind == valueObject || noObject(list, values[0])
-}
-
-func noObject(list *faultList, v value) bool {
-	list.add(v.offset, "", "must be an object, not %s", v.kind)
-	return false
+	root := values[0]
+	if root.kind != valueObject {
+		list.add(root.offset, "", "must be an object, not %s", root.kind)
+		return value{}, false
+	}
+	return root, true
 }
 
 // decoding is the reading of one spec.
--- a/protocol/record/fault.go
+++ b/protocol/record/fault.go
@@ -44,9 +44,9 @@
 	return strings.Join(texts, "; ")
 }
 
-// Shift returns the faults of a record that begins at the given line of a
+// shift returns the faults of a record that begins at the given line of a
 // file: with lines of the file, and the record's name before each path.
-func (fs Faults) Shift(record string, firstLine int) Faults {
+func (fs Faults) shift(record string, firstLine int) Faults {
 	shifted := make(Faults, len(fs))
 	for i, f := range fs {
 		if f.Field != "" {
--- a/protocol/record/file.go
+++ b/protocol/record/file.go
@@ -105,7 +105,7 @@
 		item, err := Decode(doc.Kind, doc.Object.Metadata.Name, doc.Object.Metadata.Revision, doc.Object.Spec)
 		items[i] = item
 		if fs, ok := err.(Faults); ok {
-			faults = append(faults, fs.Shift(doc.Prefix(), doc.SpecLine)...)
+			faults = append(faults, fs.shift(doc.Prefix(), doc.SpecLine)...)
 		}
 	}
 	return items, faults
--- a/protocol/record/status.go
+++ b/protocol/record/status.go
@@ -59,12 +59,12 @@
 		return false
 	}
 	written, _, err := ReadStatus(object)
-	return err != nil || !SameStatus(written, StatusOf(v, object.Spec))
+	return err != nil || !sameStatus(written, StatusOf(v, object.Spec))
 }
 
-// SameStatus tells whether two statuses say the same. Revisions play no part:
+// sameStatus tells whether two statuses say the same. Revisions play no part:
 // writing a status raises the object's, and it would be written for ever.
-func SameStatus(a, b platformapi.RecordStatus) bool {
+func sameStatus(a, b platformapi.RecordStatus) bool {
 	return a.SpecDigest == b.SpecDigest && a.Accepted == b.Accepted && a.Reason == b.Reason &&
 		lastAccepted(a) == lastAccepted(b)
 }
--- a/protocol/requestid/requestid.go
+++ b/protocol/requestid/requestid.go
@@ -17,8 +17,8 @@
 	base      = 36
 )
 
-// MaxLength bounds an id read from outside, in bytes.
-const MaxLength = 160
+// maxLength bounds an id read from outside, in bytes.
+const maxLength = 160
 
 // ErrMalformed marks an id that no instance of ours made.
 var ErrMalformed = errors.New("malformed request id")
@@ -53,7 +53,7 @@
 // Parse reads an id; its error is ErrMalformed. It splits from the end, since
 // the name of an instance may hold the separator and the other parts may not.
 func Parse(id string) (ID, error) {
-	if len(id) > MaxLength {
+	if len(id) > maxLength {
 		return ID{}, ErrMalformed
 	}
 	rest, serial := cutLast(id)
--- a/protocol/sse/encoder.go
+++ b/protocol/sse/encoder.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"github.com/cockroachdb/errors"
 	"io"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ErrBadField says that a name, an id or a comment holds a line end or a NUL,
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -9,34 +9,13 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Label is a key that a metric may be tagged with.
-type Label string
-
-// The labels. Each takes its values from the program or from records that
-// operators write. Account, request, attempt, target and peer are not among
-// them: their values come and go without limit, and every one would be a time
-// series for ever.
-const (
-	LabelPipeline  Label = "pipeline"
-	LabelStage     Label = "stage"
-	LabelTier      Label = "tier"
-	LabelPool      Label = "pool"
-	LabelResult    Label = "result"
-	LabelOutcome   Label = "outcome"
-	LabelReason    Label = "reason"
-	LabelKind      Label = "kind"
-	LabelOperation Label = "operation"
-	LabelState     Label = "state"
-	LabelRole      Label = "role"
-	LabelCode      Label = "code"
-	LabelStep      Label = "step"
-	LabelVerdict   Label = "verdict"
-)
-
-var allowedLabels = []Label{
-	LabelPipeline, LabelStage, LabelTier, LabelPool, LabelResult, LabelOutcome,
-	LabelReason, LabelKind, LabelOperation, LabelState, LabelRole, LabelCode,
-	LabelStep, LabelVerdict,
+// allowedLabels are the keys that a metric may be tagged with. Each takes its
+// values from the program or from records that operators write. Account, request,
+// attempt, target and peer are not among them: their values come and go without
+// limit, and every one would be a time series for ever.
+var allowedLabels = []string{
+	"pipeline", "stage", "tier", "pool", "result", "outcome", "reason", "kind",
+	"operation", "state", "role", "code", "step", "verdict",
 }
 
 var errUnknownLabel = errors.New("not in the list of bounded labels")
@@ -84,7 +63,7 @@
 		merged[key] = value
 	}
 	for key, value := range tags {
-		if !slices.Contains(allowedLabels, Label(key)) {
+		if !slices.Contains(allowedLabels, key) {
 			s.seen.drop(key)
 			continue
 		}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -36,7 +36,8 @@
 
 // Telemetry is the running telemetry of one instance.
 type Telemetry struct {
-	// Scope is the root of the metrics. Its labels are bounded; see Label.
+	// Scope is the root of the metrics. Its labels are bounded; see
+	// allowedLabels.
 	Scope tally.Scope
 	// Tracer starts the spans.
 	Tracer trace.Tracer
