--- a/client/write.go
+++ b/client/write.go
@@ -143,15 +143,20 @@
 	var rows []writeRow
 	for _, doc := range documents {
 		row, err := writeDocument(ctx, store, inv, doc)
-		if err != nil && len(rows) > 0 {
-			// What was written before stands: show it beside the error.
-			return errors.CombineErrors(err, a.print(cmd, writeTable(rows), rows))
-		}
 		if err != nil {
-			return err
+			// What was written before stands: show it beside the error.
+			return errors.CombineErrors(err, a.printWritten(cmd, rows))
 		}
 		rows = append(rows, row)
 	}
+	return a.printWritten(cmd, rows)
+}
+
+// printWritten shows what became of the records written; of none it shows nothing.
+func (a *app) printWritten(cmd *cli.Command, rows []writeRow) error {
+	if len(rows) == 0 {
+		return nil
+	}
 	return a.print(cmd, writeTable(rows), rows)
 }
 
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -145,6 +145,9 @@
 	return err
 }
 
+// acceptPause is the wait after a failed accept.
+const acceptPause = 500 * time.Millisecond
+
 // accept takes connections until the listener is closed.
 func (n *Node) accept() {
 	for {
@@ -156,7 +159,7 @@
 			// Out of descriptors, for one: without a pause this loop would
 			// take a whole core until some are free again.
 			klog.ErrorS(err, "Accepting a peer connection failed")
-			pause(n.ctx, n.opts.HeartbeatTimeout)
+			pause(n.ctx, acceptPause)
 			continue
 		}
 		c, err := n.register(nc, "")
