Send no model to an engine that has not loaded it

Cause: an empty list of models means any to the router, so an engine without the model that its pool desires got requests for it. Ruled out: asking engines before each request. Change: where a pool desires models or adapters, an engine that reports none, or was not heard yet, serves none, and its slots do not count.

--- a/daemon/discovery/discovery.go
+++ b/daemon/discovery/discovery.go
@@ -44,9 +44,6 @@
 	entries []platformapi.TargetEntry
 }
 
-// weights are what an engine has loaded.
-type weights struct{ models, adapters []string }
-
 // New makes a discovery that knows nothing yet.
 func New(router Router, gates Gates, now func() time.Time) *Discovery {
 	return &Discovery{
@@ -152,16 +149,17 @@
 	targets := make([]routing.Target, 0, len(entries))
 	slots := 0
 	for _, e := range entries {
+		serves := d.serves(pool, e.Incarnation)
 		targets = append(targets, routing.Target{
 			Incarnation: e.Incarnation,
 			Pool:        pool.Name,
 			Address:     e.Address,
 			DataCentre:  e.DataCentre,
 			Slots:       pool.Slots,
-			Models:      d.loaded[e.Incarnation].models,
-			Adapters:    d.loaded[e.Incarnation].adapters,
+			Models:      serves.models,
+			Adapters:    serves.adapters,
 		})
-		if e.State == platformapi.TargetReady {
+		if e.State == platformapi.TargetReady && !serves.noModel() {
 			slots += pool.Slots
 		}
 	}
--- a/testkit/standin/standin.go
+++ b/testkit/standin/standin.go
@@ -68,19 +68,28 @@
 			&cli.IntFlag{Name: "slots", Value: target.DefaultSlots},
 			&cli.DurationFlag{Name: "call-time", Value: 5 * time.Millisecond},
 			&cli.DurationFlag{Name: "token-time", Value: 2 * time.Millisecond},
+			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse orders with an old fencing number"},
+			&cli.BoolFlag{Name: "empty", Usage: "serve only models and adapters that orders have loaded"},
+			&cli.DurationFlag{Name: "load-time", Usage: "time that an order takes"},
 		},
 		Action: runTarget,
 	}
 }
 
 func runTarget(ctx context.Context, c *cli.Command) error {
-	emulated := target.New(target.Options{
-		Kind:        catalog.PoolKind(c.String("kind")),
-		Incarnation: c.String("incarnation"),
-		Slots:       c.Int("slots"),
-		CallTime:    c.Duration("call-time"),
-		TokenTime:   c.Duration("token-time"),
-	})
+	options := target.Options{
+		Kind:          catalog.PoolKind(c.String("kind")),
+		Incarnation:   c.String("incarnation"),
+		Slots:         c.Int("slots"),
+		CallTime:      c.Duration("call-time"),
+		TokenTime:     c.Duration("token-time"),
+		LoadTime:      c.Duration("load-time"),
+		ChecksFencing: c.Bool("checks-fencing"),
+	}
+	if c.Bool("empty") {
+		options.Models, options.Adapters = []string{}, []string{}
+	}
+	emulated := target.New(options)
 	defer emulated.Close()
 	return serve(ctx, c.String("listen"), emulated.Handler(), func(address string) error {
 		if c.String("platform") == "" {
