Measure the overhead of the path and cut that of a token

Cause: no figure stood for what an instance adds to a request; the allocation profile of a stream showed a json decoder, a json encoder, an event encoder and two bounds on the connection for each token. Ruled out: flushing fewer events than tokens, which would delay a token. Change: benchmarks of the path against direct calls in the same run; a token event in its usual form is cut and written without encoding/json, one encoder serves a stream, the bound on writes is renewed four times in its length, the headers of a call share one array, a call whose context ends no later has no timer of its own.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -161,7 +161,7 @@
 		LocalDataCentre: s.Instance.DataCentre,
 		Subset:          s.Routing.Subset,
 	})
-	a.gates = gate.NewGroup(tiers.Config{Preempt: true}, time.Now)
+	a.gates = gate.NewGroup(gate.GroupConfig{Tiers: tiers.Config{Preempt: true}}, time.Now)
 	a.ledger = budget.NewLedger(time.Now(), budget.Config{Self: s.Instance.Name})
 	a.status = requests.New(requests.Options{
 		MaxRequests: s.Status.RingSize,
--- a/daemon/app/app_test.go
+++ b/daemon/app/app_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -34,12 +35,15 @@
 }
 
 // startInstanceWith sends the spans to a collector, unless it is empty.
-func startInstanceWith(t testing.TB, collector string, options ...dev.Option) *App {
+func startInstanceWith(t testing.TB, collector string, world ...dev.Option) *App {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	world, err := dev.Start(ctx, options...)
+	around, err := dev.Start(ctx, world...)
 	require.NoError(t, err)
-	addAccount(t, world)
+	addAccount(t, around)
+	if b, ok := t.(*testing.B); ok {
+		addBenchRecords(b, around)
+	}
 	s := settings.Default()
 	s.Instance.Name, s.Instance.DataCentre = "one", "local"
 	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0"}
@@ -47,9 +51,13 @@
 	s.Limits.MaxHeaderBytes = 4096
 	s.Limits.HeaderTimeout = 100 * time.Millisecond
 	s.Shutdown.BalancerDelay = 0
-	tel, err := telemetry.Start(ctx, telemetry.Options{Instance: "one", OTLPEndpoint: collector})
+	options := telemetry.Options{Instance: "one", OTLPEndpoint: collector}
+	if _, ok := t.(*testing.B); ok {
+		options.LogOutput = io.Discard // its lines would stand between the figures
+	}
+	tel, err := telemetry.Start(ctx, options)
 	require.NoError(t, err)
-	a, err := New(s, tel, world.Store.Local("one"))
+	a, err := New(s, tel, around.Store.Local("one"))
 	require.NoError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
@@ -57,7 +65,7 @@
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-ended)
-		world.Close()
+		around.Close()
 		require.NoError(t, tel.Shutdown(context.Background()))
 		http.DefaultClient.CloseIdleConnections()
 	})
--- /dev/null
+++ b/daemon/app/overhead_test.go
@@ -0,0 +1,185 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime/metrics"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/daemon/dev"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/protocol/sse"
+	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
+)
+
+const (
+	benchKey    = "bench-key"
+	benchInput  = "a question of some eighty characters, as a clerk would put it to a dossier, twice"
+	benchTokens = 512
+)
+
+// addBenchRecords adds an account whose budget is no limit and a pipeline of
+// one long generation.
+func addBenchRecords(b *testing.B, world *dev.World) {
+	account := fmt.Sprintf(`{"schema_version":1,"tier":"gold","keys":[{"sha256":"%x"}],"requests_per_s":100000,"burst":100000}`, sha256.Sum256([]byte(benchKey)))
+	pipeline := `{"schema_version":1,"pipeline":"long","stages":[{"name":"generate","pool":"engines","expected_ms":200,"repeatable":true,"max_tokens":512}]}`
+	for kind, object := range map[string]platformapi.Object{
+		platformapi.KindAccounts:  {Metadata: platformapi.Metadata{Name: "bench"}, Spec: json.RawMessage(account)},
+		platformapi.KindPipelines: {Metadata: platformapi.Metadata{Name: "long.v1"}, Spec: json.RawMessage(pipeline)},
+	} {
+		_, err := world.Store.Local("operator").Create(context.Background(), kind, object)
+		require.NoError(b, err)
+	}
+}
+
+// side is what one way of calling the stages took.
+type side struct {
+	time   time.Duration
+	allocs uint64
+}
+
+func (s *side) add(do func()) {
+	allocs, began := allocated(), time.Now()
+	do()
+	s.time += time.Since(began)
+	s.allocs += allocated() - allocs
+}
+
+func allocated() uint64 {
+	sample := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
+// post makes a call and hands its body to read.
+func post(b *testing.B, url, accept string, body []byte, header map[string]string, read func(io.Reader)) string {
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Accept", accept)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		b.Fatal(err, answer)
+	}
+	read(answer.Body)
+	_ = answer.Body.Close()
+	return answer.Header.Get(callerapi.HeaderRequestID)
+}
+
+func into(b *testing.B, value any) func(io.Reader) {
+	return func(body io.Reader) {
+		if err := json.NewDecoder(body).Decode(value); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// events reads a stream to its end.
+func events(b *testing.B, want int) func(io.Reader) {
+	return func(body io.Reader) {
+		decoder := sse.NewDecoder(body, sse.Limits{Line: 1 << 20, Event: 1 << 20})
+		tokens := 0
+		for {
+			event, err := decoder.Next()
+			if err == io.EOF && tokens == want {
+				return
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			if event.Name == callerapi.EventToken {
+				tokens++
+			}
+		}
+	}
+}
+
+// bench is an instance before targets that work no time at all.
+type bench struct {
+	*testing.B
+	app *App
+	// addresses are the targets that a first request met, by stage.
+	addresses map[string]string
+	serial    int
+}
+
+func newBench(b *testing.B, pipeline string) *bench {
+	s := &bench{B: b, app: startInstanceWith(b, "", dev.WorkTimes(0, 0)), addresses: map[string]string{}}
+	id := s.ask(pipeline, "", func(body io.Reader) { _, _ = io.Copy(io.Discard, body) })
+	status, ok := s.app.server.Find(id, "bench")
+	require.True(b, ok)
+	for _, stage := range status.Stages {
+		s.addresses[stage.Stage] = stage.Attempts[0].Target
+	}
+	return s
+}
+
+func (s *bench) ask(pipeline, accept string, read func(io.Reader)) string {
+	body, _ := json.Marshal(callerapi.Request{Input: benchInput})
+	url := s.app.CallersURL() + "/v1/pipelines/" + pipeline + "/requests"
+	return post(s.B, url, accept, body, map[string]string{"Authorization": "Bearer " + benchKey}, read)
+}
+
+func (s *bench) stage(name, input, accept string, tokens int, read func(io.Reader)) {
+	s.serial++
+	body, _ := json.Marshal(targetapi.RunRequest{Stage: name, Inputs: []string{input}, MaxTokens: tokens})
+	header := map[string]string{targetapi.HeaderAttempt: fmt.Sprint("direct-", s.serial), targetapi.HeaderRequest: "direct"}
+	post(s.B, "http://"+s.addresses[name]+targetapi.PathRun, accept, body, header, read)
+}
+
+func (s *bench) report(direct, path side, per int) {
+	n := float64(s.N * per)
+	s.ReportMetric(float64(path.time)/float64(direct.time), "path/direct")
+	s.ReportMetric(float64(path.time-direct.time)/n, "added-ns/unit")
+	s.ReportMetric(float64(direct.allocs)/n, "direct-allocs/unit")
+	s.ReportMetric(float64(path.allocs)/n, "path-allocs/unit")
+}
+
+// BenchmarkPath takes turns between a request of four stages through an
+// instance and the same four calls made one after the other. Everything runs in
+// this process: the allocations are those of caller, instance and targets.
+func BenchmarkPath(b *testing.B) {
+	s := newBench(b, "dossier")
+	var direct, path side
+	for b.Loop() {
+		direct.add(func() {
+			input := benchInput
+			for _, name := range strings.Fields("encode retrieve rerank generate") {
+				tokens := 0
+				if name == "generate" {
+					tokens = 24
+				}
+				var answer targetapi.RunAnswer
+				s.stage(name, input, "application/json", tokens, into(b, &answer))
+				input = answer.Output
+			}
+		})
+		path.add(func() { s.ask("dossier", "application/json", into(b, &callerapi.Answer{})) })
+	}
+	s.report(direct, path, 1)
+}
+
+// BenchmarkPathStream does so with a stream of 512 tokens; a unit is a token.
+func BenchmarkPathStream(b *testing.B) {
+	s := newBench(b, "long")
+	var direct, path side
+	for b.Loop() {
+		direct.add(func() { s.stage("generate", benchInput, callerapi.MediaStream, benchTokens, events(b, benchTokens)) })
+		path.add(func() { s.ask("long", callerapi.MediaStream, events(b, benchTokens)) })
+	}
+	s.report(direct, path, benchTokens)
+}
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -42,6 +42,8 @@
 	servers     []*http.Server
 	targets     []*targetemulator.Target
 	before      func(http.Handler) http.Handler
+	// callTime and tokenTime are how long a target works.
+	callTime, tokenTime time.Duration
 }
 
 // Option changes a World.
@@ -52,10 +54,16 @@
 	return func(w *World) { w.before = before }
 }
 
+// WorkTimes sets how long a target works on a call and on each token.
+func WorkTimes(call, token time.Duration) Option {
+	return func(w *World) { w.callTime, w.tokenTime = call, token }
+}
+
 // Start opens the platform and the targets on loopback and loads the sample.
 func Start(ctx context.Context, options ...Option) (*World, error) {
 	w := &World{Store: platformemulator.New(platformemulator.Options{TargetLag: time.Millisecond})}
 	w.before = func(target http.Handler) http.Handler { return target }
+	w.callTime, w.tokenTime = callTime, tokenTime
 	for _, option := range options {
 		option(w)
 	}
@@ -118,8 +126,8 @@
 			Kind:        pool.Kind,
 			Incarnation: incarnation,
 			Slots:       pool.Slots,
-			CallTime:    callTime,
-			TokenTime:   tokenTime,
+			CallTime:    w.callTime,
+			TokenTime:   w.tokenTime,
 		})
 		address, err := w.serve(w.before(t.Handler()))
 		if err != nil {
--- a/daemon/serve/answer.go
+++ b/daemon/serve/answer.go
@@ -20,6 +20,9 @@
 	id     string
 	ref    requests.Ref
 	w      http.ResponseWriter
+	events *sse.Encoder
+	// data holds the token event that is written.
+	data []byte
 	// started tells that the stream's header is out: from then on a problem
 	// can only be an event.
 	started bool
@@ -127,23 +130,24 @@
 }
 
 func (a *answerer) writeToken(offset int, token string) error {
-	data, err := json.Marshal(callerapi.TokenEvent{Token: token})
-	if err != nil {
+	var err error
+	if a.data, err = appendToken(a.data[:0], token); err != nil {
 		return err
 	}
-	return a.event(sse.Event{Name: callerapi.EventToken, ID: strconv.Itoa(offset), Data: string(data)})
+	return a.event(sse.Event{Name: callerapi.EventToken, ID: strconv.Itoa(offset), Data: string(a.data)})
 }
 
 // event writes one event and flushes it.
 func (a *answerer) event(e sse.Event) error {
 	if !a.started {
 		a.started = true
+		a.events = sse.NewEncoder(a.w)
 		a.w.Header().Set("Content-Type", callerapi.MediaStream)
 		a.w.Header().Set("Cache-Control", "no-store")
 		a.w.Header().Set(callerapi.HeaderRequestID, a.id)
 		a.w.WriteHeader(http.StatusOK)
 	}
-	if err := sse.NewEncoder(a.w).Encode(e); err != nil {
+	if err := a.events.Encode(e); err != nil {
 		return err
 	}
 	return http.NewResponseController(a.w).Flush()
--- a/daemon/serve/parse.go
+++ b/daemon/serve/parse.go
@@ -133,7 +133,7 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(s.opts.Now().Add(bodyTimeout)) // unsupported only in tests
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	if bounded, ok := w.(boundedWriter); ok {
+	if bounded, ok := w.(*boundedWriter); ok {
 		w = bounded.ResponseWriter // net/http closes the connection by it alone
 	}
 	limited := http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes)
--- a/daemon/serve/status.go
+++ b/daemon/serve/status.go
@@ -15,7 +15,7 @@
 
 // status serves GET /v1/requests/{id}. Any instance answers for any other.
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	w = boundedWriter{w, s.opts.StreamIdle}
+	w = &boundedWriter{ResponseWriter: w, limit: s.opts.StreamIdle}
 	snapshot := s.opts.Config()
 	if snapshot == nil {
 		p := refusal(http.StatusServiceUnavailable, typeStarting, "no configuration is known yet")
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -30,7 +30,7 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.opts.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	problem := s.serve(boundedWriter{w, s.opts.StreamIdle}, r.WithContext(ctx), began)
+	problem := s.serve(&boundedWriter{ResponseWriter: w, limit: s.opts.StreamIdle}, r.WithContext(ctx), began)
 	s.metrics.ended(problem, s.opts.Now().Sub(began))
 	if problem != nil {
 		span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
--- /dev/null
+++ b/daemon/serve/token.go
@@ -0,0 +1,38 @@
+package serve
+
+import (
+	"encoding/json"
+
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+const (
+	tokenHead = `{"token":"`
+	tokenTail = `"}`
+)
+
+// appendToken appends the JSON of a token event. Most tokens need no escape and
+// are copied; the encoder takes the rest.
+func appendToken(dst []byte, token string) ([]byte, error) {
+	if !plain(token) {
+		data, err := json.Marshal(callerapi.TokenEvent{Token: token})
+		return append(dst, data...), err
+	}
+	dst = append(dst, tokenHead...)
+	dst = append(dst, token...)
+	return append(dst, tokenTail...), nil
+}
+
+// plain tells whether JSON writes the text as it is: printable ASCII without
+// the characters that encoding/json escapes.
+func plain(text string) bool {
+	for i := range len(text) {
+		switch c := text[i]; {
+		case c < ' ' || c > '~':
+			return false
+		case c == '"' || c == '\\' || c == '<' || c == '>' || c == '&':
+			return false
+		}
+	}
+	return true
+}
--- a/daemon/serve/writer.go
+++ b/daemon/serve/writer.go
@@ -11,26 +11,36 @@
 // the next write never returns, and the request holds its place, and a stream
 // its target's slot, for ever. net/http takes the bound off again before the
 // connection's next request.
+//
+// The bound is put off at most once in a quarter of the limit, because each
+// time costs as much as a small write; it so lies between three quarters of the
+// limit and the whole.
 type boundedWriter struct {
 	http.ResponseWriter
 	limit time.Duration
+	set   time.Time
 }
 
 // Write implements http.ResponseWriter.
-func (w boundedWriter) Write(p []byte) (int, error) {
+func (w *boundedWriter) Write(p []byte) (int, error) {
 	w.bound()
 	return w.ResponseWriter.Write(p)
 }
 
 // FlushError implements the extension of http.ResponseController.
-func (w boundedWriter) FlushError() error {
+func (w *boundedWriter) FlushError() error {
 	w.bound()
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // Unwrap lets http.ResponseController find the deadlines of the connection.
-func (w boundedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *boundedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-func (w boundedWriter) bound() {
-	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.limit)) // unsupported only in tests
+func (w *boundedWriter) bound() {
+	now := time.Now()
+	if now.Sub(w.set) < w.limit/4 {
+		return
+	}
+	w.set = now
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(now.Add(w.limit)) // unsupported only in tests
 }
--- a/transport/target/exchange.go
+++ b/transport/target/exchange.go
@@ -59,7 +59,7 @@
 func (c *Client) newExchange(ctx context.Context, call Call, accept string) *exchange {
 	x := &exchange{client: c, call: call, accept: accept, gap: c.options.EventGap, stop: func() {}}
 	x.ctx, x.span = startSpan(ctx, c.options.Tracer, &call, accept)
-	if !call.Deadline.IsZero() {
+	if ends, ok := ctx.Deadline(); !call.Deadline.IsZero() && (!ok || ends.After(call.Deadline)) {
 		x.ctx, x.stop = context.WithDeadlineCause(x.ctx, call.Deadline, errDeadline)
 	}
 	x.ctx, x.cancel = context.WithCancelCause(x.ctx)
@@ -109,23 +109,34 @@
 }
 
 func (x *exchange) setHeaders(header http.Header) {
-	header.Set("Content-Type", contentTypeJSON)
-	header.Set("Accept", x.accept)
-	header.Set(targetapi.HeaderAttempt, x.call.AttemptID)
-	header.Set(targetapi.HeaderRequest, x.call.RequestID)
-	header.Set(targetapi.HeaderPriority, strconv.Itoa(x.call.Priority))
+	// One array holds all values: Header.Set makes one for each. The names are
+	// constants in canonical form.
+	values := make([]string, 0, maxHeaders)
+	set := func(name, value string) {
+		n := len(values)
+		values = append(values, value)
+		header[name] = values[n : n+1 : n+1]
+	}
+	set("Content-Type", contentTypeJSON)
+	set("Accept", x.accept)
+	set(targetapi.HeaderAttempt, x.call.AttemptID)
+	set(targetapi.HeaderRequest, x.call.RequestID)
+	set(targetapi.HeaderPriority, strconv.Itoa(x.call.Priority))
 	if x.call.Tier != "" {
-		header.Set(targetapi.HeaderTier, x.call.Tier)
+		set(targetapi.HeaderTier, x.call.Tier)
 	}
 	if x.call.Incarnation != "" {
-		header.Set(targetapi.HeaderExpect, x.call.Incarnation)
+		set(targetapi.HeaderExpect, x.call.Incarnation)
 	}
 	if !x.call.Deadline.IsZero() {
 		left := targetDeadline(time.Until(x.call.Deadline))
-		header.Set(targetapi.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+		set(targetapi.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	}
 }
 
+// maxHeaders is how many headers a call has at most.
+const maxHeaders = 8
+
 // Bounds of what the target's deadline is earlier than the call's own.
 const (
 	// answerShare is the share of what is left, as a divisor.
--- a/transport/target/stream.go
+++ b/transport/target/stream.go
@@ -71,8 +71,8 @@
 	if err != nil {
 		return x.failure(StepStream, garbledError{err})
 	}
-	var token targetapi.TokenEvent
-	if err := json.Unmarshal([]byte(event.Data), &token); err != nil {
+	token, err := parseToken(event.Data)
+	if err != nil {
 		return x.failure(StepStream, garbledError{err})
 	}
 	if offset < s.next {
@@ -82,14 +82,38 @@
 	if offset > s.next {
 		return x.failure(StepStream, garbledError{errGap})
 	}
-	if err := s.onToken(offset, token.Token); err != nil {
+	if err := s.onToken(offset, token); err != nil {
 		return x.failure(StepDeliver, &deliveryError{err})
 	}
 	s.next++
-	s.text.WriteString(token.Token)
+	s.text.WriteString(token)
 	return nil
 }
 
+// parseToken parses a TokenEvent. In its usual form, one field whose text has no
+// escape, the text is cut out; whatever else is left to the decoder.
+func parseToken(data string) (string, error) {
+	text, head := strings.CutPrefix(data, `{"token":"`)
+	text, tail := strings.CutSuffix(text, `"}`)
+	if head && tail && plain(text) {
+		return text, nil
+	}
+	var token targetapi.TokenEvent
+	err := json.Unmarshal([]byte(data), &token)
+	return token.Token, err
+}
+
+// plain tells whether a JSON string of this text is the text itself.
+func plain(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		if c < ' ' || c > '~' || c == '"' || c == '\\' {
+			return false
+		}
+	}
+	return true
+}
+
 // done checks that the whole answer is what the tokens add up to.
 func (s *tokenStream) done(event sse.Event) (targetapi.RunAnswer, error) {
 	x := s.exchange
