Measure how soon a change is in force on eight instances

Cause: the 3 s in which a change has to be in force everywhere were not measured, and an operator saw no line when the store went away or a record was refused. Ruled out: a timed test. Change: BenchmarkInForce runs eight real clusters on loopback against the stand-in over HTTP, with faults. The first failed round of a series and its end are logged, and each refusal that was written.

--- /dev/null
+++ b/daemon/confsync/inforce_bench_test.go
@@ -0,0 +1,312 @@
+package confsync_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/daemon/confsync"
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/configwire"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+const (
+	benchInstances = 8
+	// givenUp ends the wait for a change that is never in force.
+	givenUp = 30 * time.Second
+)
+
+// benchFleet is real clusters on loopback and a platform over HTTP.
+type benchFleet struct {
+	b        *testing.B
+	store    *emulator.Store
+	url      string
+	watchers int
+	skip     float64
+	nodes    []*benchNode
+	made     int
+}
+
+type benchNode struct {
+	fleet   *benchFleet
+	name    string
+	cluster *cluster.Cluster
+	sync    *confsync.Sync
+	stop    func()
+
+	mu      sync.Mutex
+	inForce map[int64]time.Time // when a deadline of tier gold came in force
+}
+
+// skippingStore leaves events out of watches at random.
+type skippingStore struct {
+	platform.Store
+	share float64
+}
+
+func (s skippingStore) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error) {
+	w, err := s.Store.Watch(ctx, kinds, from, wait)
+	w.Events = slices.DeleteFunc(w.Events, func(platformapi.Event) bool { return rand.Float64() < s.share })
+	return w, err
+}
+
+func newBenchFleet(b *testing.B, watchers int, skip float64) *benchFleet {
+	store := emulator.New(emulator.Options{})
+	server := httptest.NewServer(store.Handler())
+	b.Cleanup(server.Close)
+	f := &benchFleet{b: b, store: store, url: server.URL, watchers: watchers, skip: skip}
+	_, err := store.Local("operator").Create(b.Context(), "tiers",
+		platformapi.Object{Metadata: platformapi.Metadata{Name: "gold"}, Spec: json.RawMessage(tierSpec(1))})
+	require.NoError(b, err)
+	for range benchInstances {
+		f.start()
+	}
+	f.whole()
+	return f
+}
+
+func (f *benchFleet) start() {
+	n := &benchNode{fleet: f, name: fmt.Sprint("b", f.made), inForce: make(map[int64]time.Time)}
+	f.made++
+	var seeds []string
+	for _, other := range f.nodes {
+		seeds = append(seeds, other.cluster.Self().Address)
+	}
+	var err error
+	n.cluster, err = cluster.New(cluster.Options{
+		Transport: peer.Options{
+			Cluster: "bench", Listen: "127.0.0.1:0",
+			Self: membership.Member{Name: n.name, DataCentre: "a", Incarnation: uint64(time.Now().UnixNano())},
+		},
+		Membership: membership.DefaultConfig(), Spread: spread.DefaultConfig(), Seeds: seeds,
+		OnRecord: func(r spread.Record) { n.sync.Receive([]spread.Record{r}) },
+	})
+	require.NoError(f.b, err)
+	store := skippingStore{platform.New(platform.Options{BaseURL: f.url, Instance: n.name}), f.skip}
+	n.sync = confsync.New(confsync.Options{
+		Store: store, Spreader: n, Peers: n, WatcherRank: n.rank, Scope: tally.NoopScope,
+		OnSnapshot: n.onSnapshot, OnTargets: func([]platformapi.TargetEntry) {},
+	})
+	n.cluster.Handle(configwire.MethodSnapshot, func(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+		return n.sync.HandleSnapshot(body)
+	}, peer.Idempotent())
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = n.cluster.Execute() })
+	running.Go(func() { _ = n.sync.Run(ctx) })
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		n.cluster.Interrupt(nil)
+		running.Wait()
+	})
+	f.b.Cleanup(n.stop)
+	f.nodes = append(f.nodes, n)
+}
+
+// whole waits until all see each other and have a configuration.
+func (f *benchFleet) whole() {
+	ctx, cancel := context.WithTimeout(f.b.Context(), givenUp)
+	defer cancel()
+	for _, n := range f.nodes {
+		require.NoError(f.b, n.cluster.WaitView(ctx, func(v *membership.View) bool { return len(v.Live()) == len(f.nodes) }))
+		select {
+		case <-n.sync.Ready():
+		case <-ctx.Done():
+			f.b.Fatal("not ready")
+		}
+	}
+}
+
+func (n *benchNode) rank() (int, bool) {
+	for i, owner := range n.cluster.Owners("configuration-watchers", n.fleet.watchers) {
+		if owner.Name == n.name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (n *benchNode) Publish(records []spread.Record) {
+	for _, r := range records {
+		n.cluster.Put(r)
+	}
+}
+
+func (n *benchNode) Call(ctx context.Context, name, method string, body []byte) ([]byte, error) {
+	member, _ := n.cluster.View().Find(name)
+	return n.cluster.Call(ctx, member.Address, method, body)
+}
+
+func (n *benchNode) Others() []string {
+	var names []string
+	for _, m := range n.cluster.Peers() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+func (n *benchNode) onSnapshot(s *catalog.Snapshot) {
+	now := time.Now()
+	if tier, ok := s.Tier("gold"); ok {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.inForce[tier.Deadline.Milliseconds()] = now
+	}
+}
+
+func (n *benchNode) since(deadline int64) (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, ok := n.inForce[deadline]
+	return at, ok
+}
+
+// watcher returns the live node of a rank.
+func (f *benchFleet) watcher(rank int) *benchNode {
+	for _, n := range f.nodes {
+		if place, ok := n.rank(); ok && place == rank {
+			return n
+		}
+	}
+	return f.nodes[0]
+}
+
+// change writes a deadline and returns when.
+func (f *benchFleet) change(deadline int64) time.Time {
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: "gold"}, Spec: json.RawMessage(tierSpec(int(deadline)))}
+	_, err := f.store.Local("operator").Update(f.b.Context(), "tiers", object)
+	require.NoError(f.b, err)
+	return time.Now()
+}
+
+// last waits until a deadline is in force on all live nodes and returns how long
+// the last of them took.
+func (f *benchFleet) last(deadline int64, written time.Time) time.Duration {
+	last := time.Duration(0)
+	poll := time.NewTicker(5 * time.Millisecond)
+	defer poll.Stop()
+	for _, n := range f.nodes {
+		at, ok := n.since(deadline)
+		for !ok && time.Since(written) < givenUp {
+			<-poll.C
+			at, ok = n.since(deadline)
+		}
+		if !ok {
+			return givenUp
+		}
+		last = max(last, at.Sub(written))
+	}
+	return last
+}
+
+// pause lets changes fall on any moment of the watchers' rounds.
+func pause(least time.Duration) { <-time.After(least + rand.N(time.Second)) }
+
+// BenchmarkInForce measures the time from a write in the store until it is in
+// force on the last of eight instances.
+func BenchmarkInForce(b *testing.B) {
+	watches := []emulator.CallKind{emulator.CallWatch}
+	cases := []struct {
+		name     string
+		watchers int
+		skip     float64
+		// accounts are written before; their verdicts are still being written.
+		accounts int
+		// fault comes right after the write, mend before the next one.
+		fault, mend func(f *benchFleet)
+	}{
+		{name: "few/no fault", watchers: confsync.Watchers},
+		{name: "few/a thousand new records", watchers: confsync.Watchers, accounts: 1000},
+		{name: "one/no fault", watchers: 1},
+		{name: "all/no fault", watchers: benchInstances},
+		{name: "few/a watch silent", watchers: confsync.Watchers, fault: func(f *benchFleet) {
+			f.store.SetFaults(emulator.Faults{Instances: []string{f.watcher(0).name}, Calls: watches, Down: emulator.FailSilence})
+		}},
+		{name: "few/20% of events skipped", watchers: confsync.Watchers, skip: 0.2},
+		{name: "one/20% of events skipped", watchers: 1, skip: 0.2},
+		{name: "few/store down for the others", watchers: confsync.Watchers, fault: func(f *benchFleet) {
+			var others []string
+			kept := f.watcher(rand.IntN(confsync.Watchers))
+			for _, n := range f.nodes {
+				if n != kept {
+					others = append(others, n.name)
+				}
+			}
+			f.store.SetFaults(emulator.Faults{Instances: others, Down: emulator.FailRefuse})
+		}, mend: func(f *benchFleet) { f.store.SetFaults(emulator.Faults{}); pause(2 * time.Second) }},
+		{name: "few/the writer killed", watchers: confsync.Watchers, fault: func(f *benchFleet) { f.kill(f.watcher(0)) },
+			mend: func(f *benchFleet) { f.start(); f.whole() }},
+		{name: "one/the writer killed", watchers: 1, fault: func(f *benchFleet) { f.kill(f.watcher(0)) },
+			mend: func(f *benchFleet) { f.start(); f.whole() }},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			f := newBenchFleet(b, c.watchers, c.skip)
+			f.addAccounts(c.accounts)
+			var took []time.Duration
+			calls, begun := f.store.Calls(), time.Now()
+			deadline := int64(1)
+			for b.Loop() {
+				pause(0)
+				deadline++
+				written := f.change(deadline)
+				if c.fault != nil {
+					c.fault(f)
+				}
+				took = append(took, f.last(deadline, written))
+				if c.mend != nil {
+					c.mend(f)
+				}
+			}
+			report(b, took)
+			now, seconds := f.store.Calls(), time.Since(begun).Seconds()
+			b.ReportMetric(float64(now.Reads-calls.Reads)/seconds, "reads/s")
+			b.ReportMetric(float64(now.Watches-calls.Watches)/seconds, "watches/s")
+		})
+	}
+}
+
+// addAccounts writes accounts as fast as the store takes them.
+func (f *benchFleet) addAccounts(n int) {
+	operator := f.store.Local("operator")
+	for i := range n {
+		object := platformapi.Object{Metadata: platformapi.Metadata{Name: fmt.Sprint("a", i)}, Spec: json.RawMessage(accountSpec("gold", i+1))}
+		_, err := operator.Create(f.b.Context(), "accounts", object)
+		for ; err != nil; _, err = operator.Create(f.b.Context(), "accounts", object) {
+			<-time.After(100 * time.Millisecond)
+		}
+	}
+}
+
+// kill ends a node without any farewell.
+func (f *benchFleet) kill(n *benchNode) {
+	f.nodes = slices.DeleteFunc(f.nodes, func(other *benchNode) bool { return other == n })
+	n.stop()
+}
+
+func report(b *testing.B, took []time.Duration) {
+	slices.Sort(took)
+	ms := func(share float64) float64 {
+		return float64(took[int(share*float64(len(took)-1))]) / float64(time.Millisecond)
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(ms(0.5), "p50-ms")
+	b.ReportMetric(ms(0.95), "p95-ms")
+	b.ReportMetric(ms(1), "max-ms")
+}
--- a/daemon/confsync/sync.go
+++ b/daemon/confsync/sync.go
@@ -82,6 +82,8 @@
 	ready    chan struct{}
 	verdicts *verdictWriter
 	metrics  metrics
+	// failing tells that the last round failed; only Run uses it.
+	failing bool
 
 	mu      sync.Mutex
 	set     *config.Set
@@ -125,18 +127,37 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		err := s.follow(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		s.note(err, pause)
 		if err == nil {
 			pause = retryMin
 			continue
 		}
-		s.metrics.failed.Inc(1)
-		telemetry.DebugS(failureLogLevel, "configuration not read", telemetry.Event{Reason: "store", Elapsed: pause})
 		sleep(ctx, pause)
 		pause = min(2*pause, retryMax)
 	}
 	return nil
 }
 
+// note logs the first failed round of a series, and its end: while the store is
+// away for an hour, a line a round would hide everything else.
+func (s *Sync) note(err error, pause time.Duration) {
+	switch {
+	case err == nil && s.failing:
+		telemetry.InfoS("configuration is read again", telemetry.Event{})
+	case err != nil && !s.failing:
+		telemetry.ErrorS(err, "configuration not read; the one in force goes on", telemetry.Event{Reason: "store"})
+	case err != nil:
+		telemetry.DebugS(failureLogLevel, "configuration not read", telemetry.Event{Reason: "store", Elapsed: pause})
+	}
+	s.failing = err != nil
+	if err != nil {
+		s.metrics.failed.Inc(1)
+	}
+}
+
 // follow does one round by the instance's role.
 func (s *Sync) follow(ctx context.Context) error {
 	if !s.complete.Load() {
--- a/daemon/confsync/verdicts.go
+++ b/daemon/confsync/verdicts.go
@@ -12,6 +12,7 @@
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/protocol/record"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
 
@@ -142,6 +143,9 @@
 		return errors.Wrap(err, "write verdict")
 	}
 	w.metrics.verdicts.Inc(1)
+	if !v.Accepted {
+		telemetry.InfoS("record refused", telemetry.Event{Record: string(v.Kind) + "/" + v.Name, Revision: v.Revision})
+	}
 	return nil
 }
 
