Fill targets beyond their slots and hedge only with room to spare

The load in reply headers counted as new although targets do not tell its age. Change: gate.GroupConfig with the two fills and the bound for hedges; a report from headers counts as 300 ms old. TestHedgesNeedRoomToSpare fails without the bound.

--- a/coordination/tiers/gate.go
+++ b/coordination/tiers/gate.go
@@ -160,7 +160,7 @@
 
 // Stats returns a reading for metrics.
 func (g *Gate) Stats() Stats {
-	s := Stats{Capacity: g.capacity, InFlight: g.inFlight}
+	s := Stats{Capacity: g.capacity, InFlight: g.inFlight, Total: g.totalInFlight()}
 	if len(g.running) > 0 {
 		s.Rate = g.held.drainRate(float64(len(g.running)))
 	}
--- a/coordination/tiers/types.go
+++ b/coordination/tiers/types.go
@@ -89,6 +89,9 @@
 type Stats struct {
 	Queued, InFlight [MaxRanks]int
 	Capacity         int
+	// Total is the number of requests that all instances are thought to have
+	// in flight.
+	Total float64
 	// Rate is the number of requests finished a second.
 	Rate float64
 }
--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -15,6 +15,11 @@
 	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
+// reportAge stands for the age of the load in a reply's headers, which targets
+// do not tell. Taken for new, a report would count over what is known to have
+// been sent since it was made.
+const reportAge = 300 * time.Millisecond
+
 // errSealed forbids a dispatch after the request's final answer.
 var errSealed = errors.New("the request has had its final answer")
 
@@ -190,7 +195,7 @@
 		Expected: p50,
 	})
 	if meta.HasLoad {
-		load := routing.Load{Active: meta.Active, Queued: meta.Queued, Slots: meta.Slots}
+		load := routing.Load{Active: meta.Active, Queued: meta.Queued, Slots: meta.Slots, Age: reportAge}
 		a.opts.Router.Report(now, incarnation, load)
 	}
 	if meta.Leaving {
--- a/daemon/execute/rig_test.go
+++ b/daemon/execute/rig_test.go
@@ -50,7 +50,9 @@
 		listed = append(listed, routing.Target{Incarnation: name + suffix, Pool: rigPool, Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4})
 	}
 	table.SetTargets(time.Now(), routing.Pool{Name: rigPool, Objective: objective, EjectionFloor: 1}, listed)
-	gates := gate.NewGroup(tiers.Config{Preempt: true, MinRun: time.Nanosecond}, time.Now)
+	gates := gate.NewGroup(gate.GroupConfig{
+		Tiers: tiers.Config{Preempt: true, MinRun: time.Nanosecond}, FillOrdered: 1, FillPlain: 1,
+	}, time.Now)
 	gates.SetCapacity(rigPool, 8, kind == catalog.KindEngine)
 	client := target.New(target.Options{EventGap: 200 * time.Millisecond})
 	t.Cleanup(client.Close)
--- a/daemon/gate/gate.go
+++ b/daemon/gate/gate.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
@@ -41,6 +42,9 @@
 type Gate struct {
 	pool  string
 	clock func() time.Time
+	// slots is the number of the pool's slots, of which the machine's capacity
+	// is a multiple.
+	slots atomic.Int64
 
 	mu      sync.Mutex
 	machine *tiers.Gate
--- a/daemon/gate/gate_test.go
+++ b/daemon/gate/gate_test.go
@@ -164,7 +164,7 @@
 
 func TestGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		group := NewGroup(tiers.Config{}, time.Now)
+		group := NewGroup(GroupConfig{FillOrdered: 1}, time.Now)
 		_, err := group.Enter(t.Context(), "engines", request(0))
 		var refused *RefusedError
 		require.True(t, errors.As(err, &refused))
@@ -199,3 +199,21 @@
 		}
 	})
 }
+
+// A stage is slow because its pool is full. A hedge for each of its requests
+// would fill the pool further and make every other request late.
+func TestHedgesNeedRoomToSpare(t *testing.T) {
+	group := NewGroup(GroupConfig{}, time.Now)
+	group.SetCapacity("services", 10, false)
+	for range 6 {
+		_, err := group.Enter(t.Context(), "services", Request{LatestStart: time.Now().Add(time.Hour)})
+		require.NoError(t, err)
+	}
+	request := Request{LatestStart: time.Now().Add(time.Hour)}
+	_, ok := group.TryEnter("services", request)
+	require.True(t, ok, "six of ten slots are in use")
+	_, ok = group.TryEnter("services", request)
+	require.False(t, ok, "seven of ten are")
+	_, err := group.Enter(t.Context(), "services", request)
+	require.NoError(t, err, "what is needed goes all the same")
+}
--- a/daemon/gate/group.go
+++ b/daemon/gate/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -20,15 +21,43 @@
 // Group holds the gates of all pools of one instance. It is safe for
 // concurrent use.
 type Group struct {
-	config tiers.Config
+	config GroupConfig
 	clock  func() time.Time
 
 	mu    sync.RWMutex
 	gates map[string]*Gate
 }
 
+// GroupConfig sets a Group. Zero values take the defaults.
+type GroupConfig struct {
+	Tiers tiers.Config
+	// FillOrdered and FillPlain are how many requests are sent to a pool's
+	// targets for each slot, where the targets run the most urgent first and
+	// where they do not.
+	FillOrdered, FillPlain float64
+	// HedgeBelow is the share of a pool's slots under which hedges may go.
+	HedgeBelow float64
+}
+
+// Defaults of GroupConfig. Gates that fill exactly the slots leave targets idle
+// between two requests; docs/design/routing.md has the figures of the others.
+const (
+	DefaultFillOrdered = 2.0
+	DefaultFillPlain   = 1.5
+	DefaultHedgeBelow  = 0.7
+)
+
 // NewGroup makes a group without gates; SetCapacity adds them.
-func NewGroup(c tiers.Config, clock func() time.Time) *Group {
+func NewGroup(c GroupConfig, clock func() time.Time) *Group {
+	if c.FillOrdered <= 0 {
+		c.FillOrdered = DefaultFillOrdered
+	}
+	if c.FillPlain <= 0 {
+		c.FillPlain = DefaultFillPlain
+	}
+	if c.HedgeBelow <= 0 {
+		c.HedgeBelow = DefaultHedgeBelow
+	}
 	return &Group{config: c, clock: clock, gates: make(map[string]*Gate)}
 }
 
@@ -36,16 +65,24 @@
 // Ordered tells that they run the most urgent request first themselves; it
 // counts for a pool that is new.
 func (g *Group) SetCapacity(pool string, slots int, ordered bool) {
+	fill := g.config.FillPlain
+	if ordered {
+		fill = g.config.FillOrdered
+	}
+	capacity := int(math.Ceil(float64(slots) * fill))
 	if own := g.find(pool); own != nil {
-		own.SetCapacity(slots)
+		own.SetCapacity(capacity)
+		own.slots.Store(int64(slots))
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if own := g.gates[pool]; own == nil {
-		c := g.config
+		c := g.config.Tiers
 		c.Ordered = ordered
-		g.gates[pool] = New(pool, c, slots, g.clock)
+		own = New(pool, c, capacity, g.clock)
+		own.slots.Store(int64(slots))
+		g.gates[pool] = own
 	}
 }
 
@@ -58,10 +95,12 @@
 	return own.Acquire(ctx, r)
 }
 
-// TryEnter takes a slot of the pool if one is free for the rank right now.
+// TryEnter takes a slot for a hedge, if one is free for the rank right now and
+// the pool has room to spare: a hedge that makes others wait costs more answers
+// than it saves.
 func (g *Group) TryEnter(pool string, r Request) (*Grant, bool) {
 	own := g.find(pool)
-	if own == nil {
+	if own == nil || own.Stats().Total >= g.config.HedgeBelow*float64(own.slots.Load()) {
 		return nil, false
 	}
 	return own.TryAcquire(r)
--- a/daemon/load/load_test.go
+++ b/daemon/load/load_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
-	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	"github.com/ivyhollow/ivyhollow/protocol/loadwire"
 )
@@ -47,7 +46,7 @@
 // work must make room on all instances. A digest longer than the spread takes
 // is dropped without a word, and every instance would count itself alone.
 func TestBusyInstanceIsHeard(t *testing.T) {
-	gates := gate.NewGroup(tiers.Config{}, time.Now)
+	gates := gate.NewGroup(gate.GroupConfig{}, time.Now)
 	r := &router{}
 	for i := range 10 {
 		pool := fmt.Sprint("pool-", i)
@@ -120,7 +119,7 @@
 		return b
 	}
 	n, r := &net{}, &router{}
-	e := New("self", n, r, gate.NewGroup(tiers.Config{}, time.Now), func() int { return 4 })
+	e := New("self", n, r, gate.NewGroup(gate.GroupConfig{}, time.Now), func() int { return 4 })
 	now := time.Unix(1000, 0)
 	n.loads = []spread.Load{{Origin: "a", Body: body()}, {Origin: "self", Body: body()}, {Origin: "old", Age: digestTTL + 1, Body: body()}}
 	e.Round(now)
--- a/testkit/capacity/exchange.go
+++ b/testkit/capacity/exchange.go
@@ -68,7 +68,7 @@
 func newExchangeRig(origins, pools int) *exchangeRig {
 	now := time.Now()
 	table := routing.New(routing.Config{Instance: "self", LocalDataCentre: "dc-0"})
-	gates := gate.NewGroup(tiers.Config{}, time.Now)
+	gates := gate.NewGroup(gate.GroupConfig{}, time.Now)
 	for p := range pools {
 		name := fmt.Sprint("pool-", p)
 		table.SetTargets(now, routing.Pool{Name: name}, targetList(name, 400))
--- a/testkit/capacity/targets.go
+++ b/testkit/capacity/targets.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
-	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/discovery"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
@@ -74,7 +73,7 @@
 func newChangingList(n int) func() {
 	now := time.Unix(1_000_000, 0)
 	table := routing.New(routing.Config{Instance: "instance-1", LocalDataCentre: "dc-0"})
-	gates := gate.NewGroup(tiers.Config{}, func() time.Time { return now })
+	gates := gate.NewGroup(gate.GroupConfig{}, func() time.Time { return now })
 	found := discovery.New(table, gates, func() time.Time { return now })
 	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{}}
 	for p := range exchangePools {
