--- a/testkit/scenario/load.go
+++ b/testkit/scenario/load.go
@@ -38,6 +38,8 @@
 // loadCount are the answers of a load, by what they were.
 type loadCount struct {
 	whole, notRun, unknown, failed, cut, late int
+	// slowest is the longest time of a whole answer.
+	slowest time.Duration
 }
 
 // load is a number of callers who call on and on, each checking every answer.
@@ -77,8 +79,8 @@
 		l := w.loads[args[1]]
 		l.end()
 		c := l.count
-		fmt.Fprintf(ts.Stdout(), "whole %d not_run %d unknown %d failed %d cut %d late %d\nproblems %v\n",
-			c.whole, c.notRun, c.unknown, c.failed, c.cut, c.late, l.problems)
+		fmt.Fprintf(ts.Stdout(), "whole %d not_run %d unknown %d failed %d cut %d late %d\nslowest %v\nproblems %v\n",
+			c.whole, c.notRun, c.unknown, c.failed, c.cut, c.late, c.slowest, l.problems)
 		return w.checkLoad(l)
 	}
 	return errors.New("usage: load begin NAME PIPELINE CALLERS INSTANCE... | whole NAME COUNT | end NAME")
@@ -181,12 +183,12 @@
 	}
 	began := time.Now()
 	reply, err := call.Do()
-	late := time.Since(began) > loadDeadline
+	elapsed := time.Since(began)
 	l.note(func() {
 		if reply.Problem != nil {
 			l.problems[reply.Problem.Type]++
 		}
-		if late {
+		if elapsed > loadDeadline {
 			l.count.late++
 		}
 		switch {
@@ -196,6 +198,7 @@
 			order.answer = "" // it may run
 		case reply.Problem == nil:
 			l.count.whole++
+			l.count.slowest = max(l.count.slowest, elapsed)
 			order.answer = callerapi.OutcomeRan
 			if want := Expected(call.Pipeline, call.SchemaVersion, call.Input); reply.Answer.Output != want {
 				l.wrong = errors.Newf("%s was answered %q, not %q", call.Input, reply.Answer.Output, want)
