--- a/daemon/execute/hedge.go
+++ b/daemon/execute/hedge.go
@@ -15,34 +15,19 @@
 // first whole answer wins; the other attempt is cancelled so that it frees its
 // slot. The tail a hedge cuts is that of Dean and Barroso, "The Tail at Scale"
 // (2013).
-//
-// The attempt runs on the stage's own goroutine: nearly all answers come before
-// a hedge is due, and none of them pays for a goroutine and its hand-over.
 func (s *stageRun) doHedged(ctx context.Context, first *attempt, grant *gate.Grant, request gate.Request) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(errLostHedge)
-	hedged := make(chan *attemptResult, 1)
-	timer := time.AfterFunc(s.hedgeDelay(), func() {
-		result := s.doHedge(ctx, request)
-		if result != nil && result.err == nil {
-			cancel(errLostHedge)
-		}
-		hedged <- result
-	})
-	result := s.doFirst(ctx, first, grant)
-	if timer.Stop() || result.err == nil {
-		return result
-	}
-	if other := <-hedged; other != nil {
-		return *other
-	}
-	return result
+	results := make(chan attemptResult, maxParallel)
+	go func() {
+		defer grant.Release()
+		results <- first.do(ctx)
+	}()
+	return s.race(ctx, results, request)
 }
 
-func (s *stageRun) doFirst(ctx context.Context, first *attempt, grant *gate.Grant) attemptResult {
-	defer grant.Release()
-	return first.do(ctx)
-}
+// maxParallel is an attempt and its hedge.
+const maxParallel = 2
 
 // mayHedge tells whether a second attempt is allowed at all. A stream is never
 // hedged: two runs' tokens must not mix.
@@ -66,23 +51,45 @@
 	return min(delay, s.left()/2)
 }
 
-// doHedge makes the second attempt, or none where a slot or the budget is
-// missing.
-func (s *stageRun) doHedge(ctx context.Context, request gate.Request) *attemptResult {
-	if s.attempts >= s.maxAttempts() || ctx.Err() != nil {
-		return nil
+// race waits for the first whole answer among the attempt and its hedge.
+func (s *stageRun) race(ctx context.Context, results chan attemptResult, request gate.Request) attemptResult {
+	timer := time.NewTimer(s.hedgeDelay())
+	defer timer.Stop()
+	running := 1
+	for {
+		select {
+		case result := <-results:
+			running--
+			if result.err == nil || running == 0 {
+				return result
+			}
+		case <-timer.C:
+			if s.startHedge(ctx, results, request) {
+				running++
+			}
+		}
+	}
+}
+
+// startHedge sends the second attempt, unless a slot or the budget is missing.
+func (s *stageRun) startHedge(ctx context.Context, results chan<- attemptResult, request gate.Request) bool {
+	if s.attempts >= s.maxAttempts() {
+		return false
 	}
 	grant, ok := s.opts.Gate.TryEnter(s.stage.Pool, request)
 	if !ok {
-		return nil
+		return false
 	}
-	defer grant.Release()
 	second := s.hedgeAttempt()
 	if second == nil {
-		return nil
+		grant.Release()
+		return false
 	}
-	result := second.do(ctx)
-	return &result
+	go func() {
+		defer grant.Release()
+		results <- second.do(ctx)
+	}()
+	return true
 }
 
 func (s *stageRun) hedgeAttempt() *attempt {
