--- a/testkit/capacity/capacity.go
+++ b/testkit/capacity/capacity.go
@@ -32,6 +32,7 @@
 	return []Measure{
 		{"nodes", "membership, records and load digests, n instances in virtual time", measureNodes},
 		{"loopback", "the same over TCP on loopback, n instances in this process", measureLoopback},
+		{"owners", "views and owners of duties among n instances", measureOwners},
 		{"faults", "what the cluster sends after a failure, 440 instances in virtual time", measureFaults},
 		{"digest", "taking in the peers' load digests, every 200 ms", measureExchange},
 		{"targets", "one pool of n targets, a subset of 64 kept", measureTargets},
