Print the whole of a kept answer that is streamed

Cause: a kept answer that is asked for as a stream comes as the done event alone. A lost last token, or tokens of another answer, passed in the same way.

Ruled out: printing the whole output again after the tokens.

Conclusion: the three new cases failed before the change (nothing printed, a part printed, code 0) and pass now, with -race.

--- a/client/request_test.go
+++ b/client/request_test.go
@@ -27,10 +27,13 @@
 	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
 }
 
-// The exit code must tell a script whether the work may have been done.
+// The exit code must tell a script whether the work may have been done, and what
+// is printed must be the whole answer: a kept one comes without tokens, so that
+// an operator who streams a retry would see an empty line and a success.
 func TestSubmitOutcomes(t *testing.T) {
 	done := "event: done\ndata: {\"request_id\":\"r1\",\"output\":\"ab\"}\n\n"
-	tokens := "event: token\nid: 0\ndata: {\"token\":\"a\"}\n\nevent: token\nid: 1\ndata: {\"token\":\"b\"}\n\n"
+	firstToken := "event: token\nid: 0\ndata: {\"token\":\"a\"}\n\n"
+	tokens := firstToken + "event: token\nid: 1\ndata: {\"token\":\"b\"}\n\n"
 	cases := []struct {
 		name    string
 		handler http.HandlerFunc
@@ -42,6 +45,9 @@
 		{"whole", answer(`{"request_id":"r1","output":"hello"}`), nil, ExitOK, "hello\n", "request r1"},
 		{"streamed", answer(tokens + done), []string{"--stream"}, ExitOK, "ab\n", "request r1"},
 		{"streamed as JSON", answer(tokens + done), []string{"--stream", "-o", "json"}, ExitOK, `"output": "ab"`, ""},
+		{"kept answer as a stream", answer(done), []string{"--stream"}, ExitOK, "ab\n", "request r1"},
+		{"stream that lost its last token", answer(firstToken + done), []string{"--stream"}, ExitOK, "ab\n", "request r1"},
+		{"stream of another answer", answer(strings.Replace(tokens, `"b"`, `"c"`, 1) + done), []string{"--stream"}, ExitUnknown, "", "not the answer"},
 		{"stream cut off", answer(tokens), []string{"--stream"}, ExitUnknown, "ab", "cut off"},
 		{"stream that lost a token", answer(strings.Replace(tokens, "id: 0", "id: 2", 1) + done), []string{"--stream"}, ExitUnknown, "", "in place of token 0"},
 		{"stream with an error", answer(tokens + "event: error\ndata: {\"title\":\"gone\",\"outcome\":\"ran\"}\n\n"), []string{"--stream"}, ExitFault, "ab", "gone (ran)"},
--- a/client/submit.go
+++ b/client/submit.go
@@ -115,6 +115,8 @@
 	response *http.Response
 	// next is the offset of the next token.
 	next int
+	// text is what the tokens so far add up to; the bound of the body bounds it.
+	text strings.Builder
 }
 
 // read prints tokens until the event that ends the stream. A stream that ends
@@ -141,7 +143,7 @@
 		if err := json.Unmarshal([]byte(event.Data), &answer); err != nil {
 			return false, cutOff(s.response, err)
 		}
-		return true, s.app.endStream(s.cmd, answer)
+		return true, s.end(answer)
 	case callerapi.EventError:
 		problem := callerapi.Problem{Outcome: callerapi.OutcomeUnknown}
 		if err := json.Unmarshal([]byte(event.Data), &problem); err != nil {
@@ -163,19 +165,24 @@
 	if err := json.Unmarshal([]byte(event.Data), &token); err != nil {
 		return cutOff(s.response, err)
 	}
+	s.text.WriteString(token.Token)
 	if s.cmd.String(flagOutput) == outputTable {
 		fmt.Fprint(s.app.Stdout, token.Token)
 	}
 	return nil
 }
 
-func (a *app) endStream(cmd *cli.Command, answer callerapi.Answer) error {
-	if cmd.String(flagOutput) == outputJSON {
-		return printJSON(a.Stdout, answer)
+// end prints what the tokens left out of the answer. A kept answer comes without
+// tokens: printed as it came, it would be an empty line and a success.
+func (s *answerStream) end(answer callerapi.Answer) error {
+	rest, ok := strings.CutPrefix(answer.Output, s.text.String())
+	if !ok {
+		return cutOff(s.response, errors.New("the tokens are not the answer"))
 	}
-	fmt.Fprintln(a.Stdout)
-	fmt.Fprintf(a.Stderr, "request %s\n", answer.RequestID)
-	return nil
+	if s.cmd.String(flagOutput) == outputTable {
+		answer.Output = rest
+	}
+	return s.app.printAnswer(s.cmd, answer)
 }
 
 // cutOff is the error of an answer that ended early: the request was run, at
