Send no part of an input that is too long

Ruled out: streaming the input: the request is one JSON body.

Change: all three are read whole within a bound, or refused as longer.

Conclusion: the new test failed before the change ("a part was sent") and passes now, with -race.

--- a/client/harness_test.go
+++ b/client/harness_test.go
@@ -150,20 +150,21 @@
 	store  *memory
 	http   *http.Client
 	env    map[string]string
+	stdin  string
 	ctx    context.Context
 	stdout bytes.Buffer
 	stderr bytes.Buffer
 }
 
 func newBench() *bench {
-	return &bench{store: newMemory(), ctx: context.Background(), env: map[string]string{envPlatform: "http://store", envKey: "demo-key"}}
+	return &bench{store: newMemory(), stdin: "from stdin", ctx: context.Background(), env: map[string]string{envPlatform: "http://store", envKey: "demo-key"}}
 }
 
 func (b *bench) run(args ...string) int {
 	b.stdout.Reset()
 	b.stderr.Reset()
 	return Run(b.ctx, args, Options{
-		Stdin: strings.NewReader("from stdin"), Stdout: &b.stdout, Stderr: &b.stderr, HTTP: b.http,
+		Stdin: strings.NewReader(b.stdin), Stdout: &b.stdout, Stderr: &b.stderr, HTTP: b.http,
 		Getenv:    func(name string) string { return b.env[name] },
 		OpenStore: func(string) Store { return b.store },
 	})
--- a/client/instance.go
+++ b/client/instance.go
@@ -8,7 +8,6 @@
 	"mime"
 	"net/http"
 	"net/http/httptrace"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,8 @@
 	defaultTimeout = 2 * time.Minute
 	// maxAnswerBytes bounds an answer of an instance.
 	maxAnswerBytes = 16 << 20
+	// maxInputBytes bounds the input of a request.
+	maxInputBytes = 16 << 20
 	// maxKeyBytes bounds a key file.
 	maxKeyBytes = 4096
 )
@@ -59,13 +60,8 @@
 		}
 		return "", usagef("give the caller key with --%s or in %s", flagKeyFile, envKey)
 	}
-	f, err := os.Open(file)
-	if err != nil {
-		return "", errors.Wrap(err, "read key")
-	}
-	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxKeyBytes))
-	key := strings.TrimSpace(string(text))
+	text, err := readFileAtMost(file, maxKeyBytes)
+	key := strings.TrimSpace(text)
 	if err == nil && key == "" {
 		err = errors.Newf("%s holds no key", file)
 	}
--- a/client/request_test.go
+++ b/client/request_test.go
@@ -107,6 +107,26 @@
 	assert.Equal(t, callerapi.Request{Input: "from stdin", MaxTokens: 9}, body)
 }
 
+// An operator pipes a file in that is over the bound. Cut to the bound it would be
+// answered, and the answer be taken for that of the whole file.
+func TestSubmitSendsNoPartOfAnInput(t *testing.T) {
+	b := newBench()
+	b.env[envInstance] = "http://127.0.0.1:1"
+	b.http = &http.Client{Transport: roundTripper(func(*http.Request) (*http.Response, error) {
+		t.Error("a part was sent")
+		return nil, io.EOF
+	})}
+	for _, input := range []string{"-", "@" + file(t, strings.Repeat("x", maxInputBytes+1))} {
+		b.stdin = strings.Repeat("x", maxInputBytes+1)
+		assert.Equal(t, ExitFault, b.run("submit", "chat", "--input", input))
+		assert.Contains(t, b.stderr.String(), "read input: longer than")
+	}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 func TestRequestShow(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/v1/requests/r1" {
--- a/client/submit.go
+++ b/client/submit.go
@@ -79,18 +79,41 @@
 	return header
 }
 
+// input takes the text itself, or reads it from a file or from standard input.
 func (a *app) input(word string) (string, error) {
 	if word == "-" {
-		text, err := io.ReadAll(io.LimitReader(a.Stdin, maxAnswerBytes))
-		return string(text), errors.Wrap(err, "read input")
+		text, err := readAtMost(a.Stdin, maxInputBytes)
+		return text, errors.Wrap(err, "read input")
 	}
-	if file, ok := strings.CutPrefix(word, "@"); ok {
-		text, err := os.ReadFile(file)
-		return string(text), errors.Wrap(err, "read input")
+	if name, ok := strings.CutPrefix(word, "@"); ok {
+		text, err := readFileAtMost(name, maxInputBytes)
+		return text, errors.Wrap(err, "read input")
 	}
 	return word, nil
 }
 
+func readFileAtMost(name string, limit int64) (string, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return "", err
+	}
+	defer file.Close()
+	return readAtMost(file, limit)
+}
+
+// readAtMost reads a text whole. One over the limit is an error: a part of it
+// would be taken for the whole.
+func readAtMost(source io.Reader, limit int64) (string, error) {
+	text, err := io.ReadAll(io.LimitReader(source, limit+1))
+	if err != nil {
+		return "", err
+	}
+	if int64(len(text)) > limit {
+		return "", errors.Newf("longer than %d bytes", limit)
+	}
+	return string(text), nil
+}
+
 func (a *app) wholeAnswer(cmd *cli.Command, response *http.Response) error {
 	var answer callerapi.Answer
 	if err := readJSON(response, &answer); err != nil {
