Set a pool's slots in one place

Cause: SetCapacity set the slots of a pool in two places, and dropped them where another call had added the gate between its look and its lock. Discovery makes its calls one at a time, so this does not show today.

Ruled out: one lock for all, which requests on every pool would meet.

Change: findOrAdd gets or makes the gate, then the slots are set once.

Conclusion: the packages that use a Group pass with -race; no test shows the dropped call, which needs a pause between two lines.

--- a/daemon/gate/group.go
+++ b/daemon/gate/group.go
@@ -69,21 +69,26 @@
 	if ordered {
 		fill = g.config.FillOrdered
 	}
-	capacity := int(math.Ceil(float64(slots) * fill))
+	own := g.findOrAdd(pool, ordered)
+	own.SetCapacity(int(math.Ceil(float64(slots) * fill)))
+	own.slots.Store(int64(slots))
+}
+
+// findOrAdd returns the gate of a pool; a new one has no slots yet.
+func (g *Group) findOrAdd(pool string, ordered bool) *Gate {
 	if own := g.find(pool); own != nil {
-		own.SetCapacity(capacity)
-		own.slots.Store(int64(slots))
-		return
+		return own
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if own := g.gates[pool]; own == nil {
-		c := g.config.Tiers
-		c.Ordered = ordered
-		own = New(pool, c, capacity, g.clock)
-		own.slots.Store(int64(slots))
-		g.gates[pool] = own
+	if own := g.gates[pool]; own != nil {
+		return own // added since
 	}
+	c := g.config.Tiers
+	c.Ordered = ordered
+	own := New(pool, c, 0, g.clock)
+	g.gates[pool] = own
+	return own
 }
 
 // Enter waits for a slot of the pool; see Gate.Acquire.
