Prove orders to targets through processes

Cause: leases and orders were proved in virtual time alone, and no operator could see what targets lack. Ruled out: driving a late order by timing a SIGSTOP between check and send, which would hang on luck: the scenario gives that order itself, under the old number. Change: five scenarios (engines that load while requests run, frozen holders, holder killed and stopped, store down across the lapse, operators that race), six verbs; the client status command shows what pools lack.

--- /dev/null
+++ b/client/orders.go
@@ -0,0 +1,56 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+)
+
+// ordersRow tells what the targets of a pool have against what is desired.
+type ordersRow struct {
+	Pool string `json:"pool"`
+	platformapi.OrdersEntry
+}
+
+func listOrders(ctx context.Context, store Store) ([]ordersRow, error) {
+	list, err := store.List(ctx, platformapi.KindOrders)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]ordersRow, len(list.Items))
+	for i := range list.Items {
+		rows[i].Pool = list.Items[i].Metadata.Name
+		if err := decodeSpec(&list.Items[i], &rows[i].OrdersEntry); err != nil {
+			return nil, err
+		}
+	}
+	return rows, nil
+}
+
+func ordersTable(rows []ordersRow) table {
+	t := table{header: []string{"POOL", "DESIRED REVISION", "FENCING", "COMPLETE", "LACKING"}}
+	for _, r := range rows {
+		t.rows = append(t.rows, []string{
+			r.Pool, revision(r.DesiredRevision), strconv.FormatUint(r.Fencing, 10),
+			fmt.Sprintf("%d/%d", r.Complete, r.Targets), lackingText(r.Lacking),
+		})
+	}
+	return t
+}
+
+// lackingText tells what each target lacks; one that could not be read lacks
+// nothing that is known.
+func lackingText(targets []platformapi.LackingTarget) string {
+	texts := make([]string, len(targets))
+	for i, t := range targets {
+		lacks := "not read"
+		if len(t.Lacks) > 0 {
+			lacks = strings.Join(t.Lacks, ", ")
+		}
+		texts[i] = t.Incarnation + ": " + lacks
+	}
+	return strings.Join(texts, "; ")
+}
--- a/client/read.go
+++ b/client/read.go
@@ -36,7 +36,7 @@
 func (a *app) statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:   "status",
-		Usage:  "show which records are accepted or refused, and why, and the instances",
+		Usage:  "show which records are accepted or refused, and why, the instances and what targets lack",
 		Action: action(0, "none", a.status),
 	}
 }
@@ -130,6 +130,7 @@
 type statusAnswer struct {
 	Records   []statusRow   `json:"records"`
 	Instances []instanceRow `json:"instances"`
+	Orders    []ordersRow   `json:"orders"`
 }
 
 // instanceRow tells of one entry instance, as it wrote itself down at its start.
@@ -157,6 +158,10 @@
 	if err != nil {
 		return err
 	}
+	answer.Orders, err = listOrders(ctx, store)
+	if err != nil {
+		return err
+	}
 	if cmd.String(flagOutput) == outputJSON {
 		return printJSON(a.Stdout, answer)
 	}
@@ -164,7 +169,11 @@
 		return err
 	}
 	fmt.Fprintln(a.Stdout)
-	return instanceTable(answer.Instances).write(a.Stdout)
+	if err := instanceTable(answer.Instances).write(a.Stdout); err != nil || len(answer.Orders) == 0 {
+		return err
+	}
+	fmt.Fprintln(a.Stdout)
+	return ordersTable(answer.Orders).write(a.Stdout)
 }
 
 func listInstances(ctx context.Context, store Store) ([]instanceRow, error) {
--- a/client/records_test.go
+++ b/client/records_test.go
@@ -170,6 +170,8 @@
 	require.NoError(t, err)
 	b.store.set("tiers", "batch", slow, string(status))
 	b.store.set("instances", "one", `{"address":"127.0.0.1:1","data_centre":"north","incarnation":7}`, "")
+	b.store.set("orders", "engines", `{"desired_revision":9,"fencing":2,"targets":3,"complete":1,"lacking":[
+		{"incarnation":"e1","lacks":["load_model m","set_role r"]},{"incarnation":"e2"}]}`, "")
 	for want, args := range map[string][]string{
 		`"deadline_ms": 9000`:    {"get", "tiers", "gold"},
 		`"kind": "tiers"`:        {"get", "tiers", "gold", "-o", "json"},
@@ -179,7 +181,9 @@
 		`"name": "batch"`:        {"list", "tiers", "-o", "json"},
 		"one       north":        {"status"},
 		`"data_centre": "north"`: {"-o", "json", "status"},
-		"apply":                  {"--help"},
+		"engines  9                 2        1/3       e1: load_model m, set_role r; e2: not read": {"status"},
+		`"complete": 1`: {"-o", "json", "status"},
+		"apply":         {"--help"},
 	} {
 		require.Equal(t, ExitOK, b.run(args...), b.stderr.String())
 		assert.Contains(t, b.stdout.String(), want)
--- a/testkit/scenario/verbs.go
+++ b/testkit/scenario/verbs.go
@@ -46,6 +46,12 @@
 		"exits":        expectExitCode,
 		"listed":       waitListed,
 		"answered":     expectAnswer,
+		"holder":       waitHolder,
+		"lapsed":       waitLapsed,
+		"has":          waitHas,
+		"complete":     waitComplete,
+		"orders":       printOrders,
+		"order":        giveOrder,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(verbs))
 	for name, body := range verbs {
--- a/testkit/scenario/world.go
+++ b/testkit/scenario/world.go
@@ -130,7 +130,12 @@
 
 // until polls a condition of another process until it holds.
 func until(what string, holds func() bool) error {
-	timeout := time.NewTimer(patience)
+	return untilWithin(patience, what, holds)
+}
+
+// untilWithin is until with a bound of its own.
+func untilWithin(bound time.Duration, what string, holds func() bool) error {
+	timeout := time.NewTimer(bound)
 	defer timeout.Stop()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
