Let a second call join a running request by its id

Cause: a call with the id of a running request got its status only, not its answer. Ruled out: a ring of all recent answers, which costs every request; waits on the peers interface without a bound of their own, which could take every handler from the questions about claims. A benchmark of the traced path. Seen failing first, guard removed: bound on bytes, bound on a body, account told by another instance.

--- a/daemon/app/adapters.go
+++ b/daemon/app/adapters.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -11,6 +12,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/claim"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/daemon/serve"
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
 	"github.com/ivyhollow/ivyhollow/protocol/requestid"
 )
@@ -19,6 +21,7 @@
 const (
 	methodClaim  = "claim.ask"
 	methodStatus = "request.status"
+	methodAnswer = "request.answer"
 )
 
 // errNotMember says that no live instance has the name, or the incarnation.
@@ -80,6 +83,8 @@
 type statusQuestion struct {
 	ID      string `msgpack:"i"`
 	Account string `msgpack:"a"`
+	// Wait is how long to wait for an answer, for methodAnswer alone.
+	Wait time.Duration `msgpack:"w,omitempty"`
 }
 
 // forwarder passes questions about requests on.
@@ -87,19 +92,31 @@
 
 // RequestStatus implements serve.Forwarder.
 func (f forwarder) RequestStatus(ctx context.Context, id requestid.ID, account, text string) (*callerapi.RequestStatus, error) {
+	var status *callerapi.RequestStatus
+	err := f.ask(ctx, id, methodStatus, statusQuestion{ID: text, Account: account}, &status)
+	return status, err
+}
+
+// RequestAnswer implements serve.Forwarder.
+func (f forwarder) RequestAnswer(ctx context.Context, id requestid.ID, account, text string, wait time.Duration) (*serve.Joined, error) {
+	var joined *serve.Joined
+	err := f.ask(ctx, id, methodAnswer, statusQuestion{ID: text, Account: account, Wait: wait}, &joined)
+	return joined, err
+}
+
+// ask puts a question to the very incarnation that the request's id names.
+func (f forwarder) ask(ctx context.Context, id requestid.ID, method string, q statusQuestion, answer any) error {
 	member, ok := f.cluster.View().Find(id.Instance)
 	if !ok || !member.Live() || member.Incarnation != id.Incarnation {
-		return nil, errors.Wrapf(errNotMember, "ask request status at %s", id.Instance)
+		return errors.Wrapf(errNotMember, "%s at %s", method, id.Instance)
 	}
-	body, err := msgpack.Marshal(&statusQuestion{ID: text, Account: account})
+	body, err := msgpack.Marshal(&q)
 	if err != nil {
-		return nil, errors.Wrap(err, "ask request status: encode")
+		return errors.Wrapf(err, "%s: encode", method)
 	}
-	reply, err := f.cluster.Call(ctx, member.Address, methodStatus, body)
+	reply, err := f.cluster.Call(ctx, member.Address, method, body)
 	if err != nil {
-		return nil, errors.Wrapf(err, "ask request status at %s", id.Instance)
+		return errors.Wrapf(err, "%s at %s", method, id.Instance)
 	}
-	var status *callerapi.RequestStatus
-	err = json.Unmarshal(reply, &status)
-	return status, errors.Wrapf(err, "ask request status at %s: decode", id.Instance)
+	return errors.Wrapf(json.Unmarshal(reply, answer), "%s at %s: decode", method, id.Instance)
 }
--- a/daemon/app/app_test.go
+++ b/daemon/app/app_test.go
@@ -35,29 +35,42 @@
 }
 
 // startInstanceWith sends the spans to a collector, unless it is empty.
-func startInstanceWith(t testing.TB, collector string, world ...dev.Option) *App {
+func startInstanceWith(t testing.TB, collector string, options ...dev.Option) *App {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	around, err := dev.Start(ctx, world...)
+	return startIn(t, startWorld(t, options...), "one", collector)
+}
+
+func startWorld(t testing.TB, options ...dev.Option) *dev.World {
+	t.Helper()
+	world, err := dev.Start(context.Background(), options...)
 	require.NoError(t, err)
-	addAccount(t, around)
+	t.Cleanup(world.Close)
+	addAccount(t, world)
 	if b, ok := t.(*testing.B); ok {
-		addBenchRecords(b, around)
+		addBenchRecords(b, world)
 	}
+	return world
+}
+
+// startIn runs an instance of the name in a world; seeds are peer addresses.
+func startIn(t testing.TB, world *dev.World, name, collector string, seeds ...string) *App {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
 	s := settings.Default()
-	s.Instance.Name, s.Instance.DataCentre = "one", "local"
+	s.Instance.Name, s.Instance.DataCentre = name, "local"
 	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0"}
+	s.Peers.Seeds = seeds
 	s.Limits.MaxBodyBytes = 4096
 	s.Limits.MaxHeaderBytes = 4096
 	s.Limits.HeaderTimeout = 100 * time.Millisecond
 	s.Shutdown.BalancerDelay = 0
-	options := telemetry.Options{Instance: "one", OTLPEndpoint: collector}
+	options := telemetry.Options{Instance: name, OTLPEndpoint: collector}
 	if _, ok := t.(*testing.B); ok {
 		options.LogOutput = io.Discard // its lines would stand between the figures
 	}
 	tel, err := telemetry.Start(ctx, options)
 	require.NoError(t, err)
-	a, err := New(s, tel, around.Store.Local("one"))
+	a, err := New(s, tel, world.Store.Local(name))
 	require.NoError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
@@ -65,7 +78,6 @@
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-ended)
-		around.Close()
 		require.NoError(t, tel.Shutdown(context.Background()))
 		http.DefaultClient.CloseIdleConnections()
 	})
--- a/daemon/app/handlers.go
+++ b/daemon/app/handlers.go
@@ -9,6 +9,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/claim"
 	"github.com/ivyhollow/ivyhollow/daemon/accounts"
+	"github.com/ivyhollow/ivyhollow/daemon/serve"
 	"github.com/ivyhollow/ivyhollow/protocol/configwire"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
@@ -23,6 +24,36 @@
 	a.cluster.Handle(accounts.MethodGrant, plain(a.budgets.HandleGrant))
 	a.cluster.Handle(methodClaim, a.handleClaim, peer.Idempotent())
 	a.cluster.Handle(methodStatus, plain(a.handleStatus), peer.Idempotent())
+	waiting := make(chan struct{}, maxPeerJoins)
+	a.cluster.Handle(methodAnswer, func(ctx context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+		select {
+		case waiting <- struct{}{}:
+			defer func() { <-waiting }()
+			return a.handleAnswer(ctx, body)
+		default:
+			return nil, errTooManyJoins
+		}
+	}, peer.Idempotent())
+}
+
+// maxPeerJoins bounds the handlers that wait for answers: without a bound they
+// could take every place, and questions about claims would find none.
+const maxPeerJoins = 32
+
+var errTooManyJoins = errors.New("too many questions wait for answers")
+
+func (a *App) handleAnswer(ctx context.Context, body []byte) ([]byte, error) {
+	var q statusQuestion
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, errors.Wrap(err, "answer a join: decode")
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(q.Wait, serve.MaxJoinWait))
+	defer cancel()
+	joined, ok := a.server.Join(ctx, q.ID, q.Account)
+	if !ok {
+		return []byte("null"), nil
+	}
+	return json.Marshal(joined)
 }
 
 func (a *App) handleClaim(ctx context.Context, _ peer.Peer, body []byte) ([]byte, error) {
--- a/daemon/app/overhead_test.go
+++ b/daemon/app/overhead_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime/metrics"
 	"strings"
 	"testing"
@@ -117,8 +118,8 @@
 	serial    int
 }
 
-func newBench(b *testing.B, pipeline string) *bench {
-	s := &bench{B: b, app: startInstanceWith(b, "", dev.WorkTimes(0, 0)), addresses: map[string]string{}}
+func newBench(b *testing.B, pipeline, collector string) *bench {
+	s := &bench{B: b, app: startInstanceWith(b, collector, dev.WorkTimes(0, 0)), addresses: map[string]string{}}
 	id := s.ask(pipeline, "", func(body io.Reader) { _, _ = io.Copy(io.Discard, body) })
 	status, ok := s.app.server.Find(id, "bench")
 	require.True(b, ok)
@@ -152,8 +153,20 @@
 // BenchmarkPath takes turns between a request of four stages through an
 // instance and the same four calls made one after the other. Everything runs in
 // this process: the allocations are those of caller, instance and targets.
-func BenchmarkPath(b *testing.B) {
-	s := newBench(b, "dossier")
+func BenchmarkPath(b *testing.B) { benchmarkPath(b, "") }
+
+// BenchmarkPathTraced does so with every request traced, to a collector that
+// only reads.
+func BenchmarkPathTraced(b *testing.B) {
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	b.Cleanup(collector.Close)
+	benchmarkPath(b, collector.URL+"/v1/traces")
+}
+
+func benchmarkPath(b *testing.B, collector string) {
+	s := newBench(b, "dossier", collector)
 	var direct, path side
 	for b.Loop() {
 		direct.add(func() {
@@ -175,7 +188,7 @@
 
 // BenchmarkPathStream does so with a stream of 512 tokens; a unit is a token.
 func BenchmarkPathStream(b *testing.B) {
-	s := newBench(b, "long")
+	s := newBench(b, "long", "")
 	var direct, path side
 	for b.Loop() {
 		direct.add(func() { s.stage("generate", benchInput, callerapi.MediaStream, benchTokens, events(b, benchTokens)) })
--- a/daemon/serve/answer.go
+++ b/daemon/serve/answer.go
@@ -68,6 +68,7 @@
 // answer writes the whole answer.
 func (a *answerer) answer(body []byte) *callerapi.Problem {
 	a.finish(requests.Answered, requests.OutcomeRan)
+	a.server.joins.ended(a.id, http.StatusOK, callerapi.MediaJSON, body)
 	if a.call.stream {
 		_ = a.event(sse.Event{Name: callerapi.EventDone, Data: string(body)})
 		return nil
@@ -82,11 +83,12 @@
 		p.RequestID = a.id
 	}
 	a.finish(requests.Failed, statusOutcome(p.Outcome))
+	body, _ := json.Marshal(p) // strings and numbers only: it can't fail
+	a.server.joins.ended(a.id, p.Status, callerapi.MediaProblem, body)
 	if !a.started {
 		writeProblem(a.w, p)
 		return p
 	}
-	body, _ := json.Marshal(p) // strings and numbers only: it can't fail
 	_ = a.event(sse.Event{Name: callerapi.EventError, Data: string(body)})
 	return p
 }
--- /dev/null
+++ b/daemon/serve/join_test.go
@@ -0,0 +1,106 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/daemon/execute"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+// Story: a ward's tablet loses its connection while a dossier is written, and
+// asks for the same answer by the request's id. It must get what the first call
+// would have got, once it is there; and never another account's.
+func TestJoinARunningRequest(t *testing.T) {
+	problem := &execute.Failure{Reason: execute.ReasonTarget, Verdict: outcome.Unknown}
+	cases := map[string]struct {
+		output string
+		err    error
+		// wait is how long the second call waits; the request takes a second.
+		wait         string
+		first, again int
+	}{
+		"answer":      {output: "out", wait: "2000", first: 200, again: 200},
+		"problem":     {err: problem, wait: "2000", first: 502, again: 502},
+		"waits less":  {output: "out", wait: "500", first: 202, again: 200},
+		"no wait":     {output: "out", first: 202, again: 200},
+		"too large":   {output: strings.Repeat("x", maxJoinBody), wait: "2000", first: 410, again: 410},
+		"not a wait":  {output: "out", wait: "x", first: 400, again: 400},
+		"nobody came": {output: "out", wait: "late", first: 410, again: 410},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			var id string
+			r := newRig(t, func(_ context.Context, job execute.Job) (execute.Result, error) {
+				id = job.ID
+				<-time.After(time.Second)
+				return execute.Result{Output: c.output}, c.err
+			}, nil)
+			direct := make(chan answer, 1)
+			go func() { direct <- r.ask(t, ask{pipeline: "again"}) }()
+			synctest.Wait()
+			if c.wait == "late" {
+				<-time.After(2 * time.Second)
+				c.wait = ""
+			}
+			got := r.join(id, c.wait)
+			require.Equal(t, c.first, got.Code, name)
+			want := <-direct
+			got = r.join(id, c.wait)
+			require.Equal(t, c.again, got.Code, name)
+			if c.again == want.status {
+				require.JSONEq(t, want.raw, got.Body.String())
+			}
+			require.Zero(t, r.server.waiting.count())
+			_, ok := r.server.Join(t.Context(), id, "other")
+			require.False(t, ok, "another account")
+		})
+	}
+}
+
+func (r *rig) join(id, wait string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodGet, "/v1/requests/"+id+"/answer?wait_ms="+wait, nil)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	r.server.Handler().ServeHTTP(w, request)
+	return w
+}
+
+// Another instance serves the request: its answer is passed on, unless it is of
+// another account, whatever that instance says.
+func TestJoinThroughAnotherInstance(t *testing.T) {
+	for account, status := range map[string]int{"a": http.StatusOK, "b": http.StatusNotFound} {
+		r := newRig(t, answers, nil)
+		r.joined = &Joined{State: &callerapi.RequestStatus{Account: account}, Status: 200, Body: json.RawMessage(`{}`)}
+		require.Equal(t, status, r.join("two.1.1-1", "").Code)
+	}
+}
+
+// Many ids are joined and never asked for again: what is kept stays bounded.
+func TestJoinsAreBounded(t *testing.T) {
+	j := newJoins()
+	for i := range 2 * maxJoins {
+		id := strings.Repeat("i", i)
+		require.NotNil(t, j.enter(id))
+		j.ended(id, http.StatusOK, "", make([]byte, maxJoinBytes/64))
+		require.LessOrEqual(t, j.bytes, maxJoinBytes)
+		require.LessOrEqual(t, len(j.byID), maxJoins)
+	}
+	require.EqualValues(t, len(j.byID), j.count.Load())
+	for i := range maxJoins - len(j.byID) {
+		require.NotNil(t, j.enter(strings.Repeat("r", i+1)))
+	}
+	for len(j.over) > 0 {
+		require.NotNil(t, j.enter("n"+strings.Repeat("n", len(j.over))))
+	}
+	require.Nil(t, j.enter("full of running ones"))
+}
--- a/daemon/serve/problem.go
+++ b/daemon/serve/problem.go
@@ -27,6 +27,7 @@
 	typeTarget          = "target-failed"
 	typeOutcomeUnknown  = "outcome-unknown"
 	typeStarting        = "starting"
+	typeNotKept         = "answer-not-kept"
 )
 
 // defaultRetryAfter is offered when nothing better is known.
--- a/daemon/serve/rig_test.go
+++ b/daemon/serve/rig_test.go
@@ -46,6 +46,8 @@
 	down    bool
 	// budget is when to come back for an account without budget; 0 spends.
 	budget time.Duration
+	// joined is what another instance tells of a request.
+	joined *Joined
 }
 
 func (f *fakes) Take(context.Context, *catalog.Account) (bool, time.Duration) {
@@ -56,6 +58,10 @@
 	return nil, nil
 }
 
+func (f *fakes) RequestAnswer(context.Context, requestid.ID, string, string, time.Duration) (*Joined, error) {
+	return f.joined, nil
+}
+
 // AskClaim finds every other claimant dead.
 func (f *fakes) AskClaim(context.Context, claim.Owner, claim.Question) (claim.PeerAnswer, error) {
 	return claim.PeerAnswer{}, context.DeadlineExceeded
--- a/daemon/serve/server.go
+++ b/daemon/serve/server.go
@@ -43,6 +43,8 @@
 // names. It blocks until the answer or the context's end.
 type Forwarder interface {
 	RequestStatus(ctx context.Context, id requestid.ID, account string, text string) (*callerapi.RequestStatus, error)
+	// RequestAnswer lets that instance wait for the request's answer.
+	RequestAnswer(ctx context.Context, id requestid.ID, account, text string, wait time.Duration) (*Joined, error)
 }
 
 // Options are the parts a Server works with. All are required but Now.
@@ -71,7 +73,10 @@
 	opts     Options
 	inFlight *limiter
 	streams  *limiter
-	metrics  *metrics
+	// waiting bounds the calls that wait for the answer of another.
+	waiting *limiter
+	joins   *joins
+	metrics *metrics
 }
 
 // New makes a server.
@@ -83,6 +88,8 @@
 		opts:     o,
 		inFlight: newLimiter(o.MaxInFlight),
 		streams:  newLimiter(o.MaxStreams),
+		waiting:  newLimiter(o.MaxInFlight),
+		joins:    newJoins(),
 		metrics:  newMetrics(o.Scope),
 	}
 }
@@ -92,6 +99,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/pipelines/{pipeline}/requests", s.submit)
 	mux.HandleFunc("GET /v1/requests/{id}", s.status)
+	mux.HandleFunc("GET /v1/requests/{id}/answer", s.joinAnswer)
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeProblem(w, refusal(http.StatusNotFound, typeNotFound, "no such path"))
 	})
--- a/daemon/serve/status.go
+++ b/daemon/serve/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
 	"github.com/ivyhollow/ivyhollow/protocol/requestid"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
 )
 
 // forwardTimeout bounds a question to the instance that serves a request.
@@ -16,13 +17,7 @@
 // status serves GET /v1/requests/{id}. Any instance answers for any other.
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
 	w = &boundedWriter{ResponseWriter: w, limit: s.opts.StreamIdle}
-	snapshot := s.opts.Config()
-	if snapshot == nil {
-		p := refusal(http.StatusServiceUnavailable, typeStarting, "no configuration is known yet")
-		writeProblem(w, retryLater(p, 0))
-		return
-	}
-	account, problem := authenticate(r, snapshot)
+	account, problem := s.asker(r)
 	if problem != nil {
 		writeProblem(w, problem)
 		return
@@ -36,6 +31,16 @@
 	_ = json.NewEncoder(w).Encode(status) // the caller is gone if this fails
 }
 
+// asker finds the account that asks about a request.
+func (s *Server) asker(r *http.Request) (*catalog.Account, *callerapi.Problem) {
+	snapshot := s.opts.Config()
+	if snapshot == nil {
+		p := refusal(http.StatusServiceUnavailable, typeStarting, "no configuration is known yet")
+		return nil, retryLater(p, 0)
+	}
+	return authenticate(r, snapshot)
+}
+
 // Find looks up a request that this instance serves or served. It answers
 // callers and, for them, other instances.
 func (s *Server) Find(id, account string) (*callerapi.RequestStatus, bool) {
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -142,6 +142,8 @@
 	p.RequestID = a.id
 	s.keepFailure(ctx, ticket, p)
 	a.finish(requests.Failed, requests.OutcomeUnknown)
+	body, _ := json.Marshal(p) // strings and numbers only: it can't fail
+	s.joins.ended(a.id, p.Status, callerapi.MediaProblem, body)
 }
 
 var errPanicked = errors.New("the request's goroutine panicked")
