Finish a renewal before a lease is given up

Cause: a planned stop during a renewal dropped its answer; the revision was then unknown and the lease was left to lapse. Ruled out: reading the lease again before the release, one more call with the same weakness.

--- a/daemon/orders/group_test.go
+++ b/daemon/orders/group_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/lease"
 	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
@@ -58,10 +59,27 @@
 	return s
 }
 
-// group starts a group; stop ends it.
-func group(t *testing.T, store *emulator.Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes bool) (g *Group, stop func()) {
+// lateAnswers is a store whose updates take effect at once and are answered late.
+type lateAnswers struct{ Store }
+
+func (l lateAnswers) Update(ctx context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	stored, err := l.Store.Update(ctx, kind, o)
+	select {
+	case <-time.After(400 * time.Millisecond):
+		return stored, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func group(t *testing.T, store *emulator.Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes bool) (*Group, func()) {
+	return groupAt(t, store.Local(name), name, f, s, competes)
+}
+
+// groupAt starts a group; stop ends it.
+func groupAt(t *testing.T, store Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes bool) (g *Group, stop func()) {
 	g = NewGroup(GroupOptions{
-		Keeper:   Options{Holder: name, Store: store.Local(name), Targets: f, Now: time.Now},
+		Keeper:   Options{Holder: name, Store: store, Targets: f, Now: time.Now},
 		Snapshot: s.Load, Members: f.members, Competes: func(string) bool { return competes },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -108,6 +126,30 @@
 	})
 }
 
+// Story: the instance is told to stop at any moment, also while the store takes
+// long over a renewal. Were the renewal's answer given up, the lease couldn't be
+// given up any more, and the pool would have no holder for a term.
+func TestPlannedStopDuringARenewal(t *testing.T) {
+	for offset := time.Duration(0); offset < lease.DefaultTerms.RenewEvery; offset += 250 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store, f := emulator.New(emulator.Options{}), newFleet(1)
+			var s atomic.Pointer[catalog.Snapshot]
+			s.Store(ordered(1, "decode", "engines"))
+			g, stop := groupAt(t, lateAnswers{store.Local("a")}, "a", f, &s, true)
+			time.Sleep(20*time.Second + offset)
+			began := time.Now()
+			require.NoError(t, g.HandOver(t.Context()))
+			require.LessOrEqual(t, time.Since(began), 2*DefaultStoreTimeout)
+			object, err := store.Local("operator").Get(t.Context(), platformapi.KindLeases, "engines")
+			require.NoError(t, err)
+			var r lease.Record
+			require.NoError(t, json.Unmarshal(object.Spec, &r))
+			require.Empty(t, r.Holder, "stopped %v into a renewal's time", offset)
+			stop()
+		})
+	}
+}
+
 // Story: the instance competes for a lease no more while an order whose answer
 // was lost is under way, and soon competes again. Were it to take up its old
 // lease at once, it would order again beside its own first order.
--- a/daemon/orders/renew.go
+++ b/daemon/orders/renew.go
@@ -23,27 +23,31 @@
 		k.mu.Unlock()
 		k.noteHeld(wasHeld, held)
 		wasHeld = held
-		if err := k.perform(ctx, action); err != nil {
-			return err
-		}
+		k.perform(ctx, action)
 	}
 	return ctx.Err()
 }
 
-func (k *Keeper) perform(ctx context.Context, action lease.Action) error {
+// perform does what the lease asks for, within StoreTimeout at most.
+//
+// Guard: a planned stop comes while a renewal is under way. Were its answer
+// given up, the lease's revision would be unknown: it couldn't be given up and
+// the successor would wait for the lapse. So a call, which is bounded, is
+// finished; only a wait is cut short.
+func (k *Keeper) perform(ctx context.Context, action lease.Action) {
+	call := context.WithoutCancel(ctx)
 	switch a := action.(type) {
 	case lease.Wait:
-		return pause(ctx, a.Until.Sub(k.opts.Now()))
+		pause(ctx, a.Until.Sub(k.opts.Now()))
 	case lease.Write:
-		object, err := k.write(ctx, a)
+		object, err := k.write(call, a)
 		k.told(object, err, true)
 	case lease.Read:
-		call, cancel := context.WithTimeout(ctx, k.opts.StoreTimeout)
+		call, cancel := context.WithTimeout(call, k.opts.StoreTimeout)
 		defer cancel()
 		object, err := k.opts.Store.Get(call, platformapi.KindLeases, k.opts.Pool)
 		k.told(object, err, false)
 	}
-	return nil
 }
 
 func (k *Keeper) write(ctx context.Context, w lease.Write) (*platformapi.Object, error) {
@@ -133,13 +137,11 @@
 	klog.InfoS("orders: lease held", "pool", k.opts.Pool)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
+func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
 }
