Give a hanging caller up before it costs a claimed answer

Cause: a caller of a claimed stream that stayed connected and did not read held the work for ten seconds, past the deadline of most tiers: an order that ran was told as unknown. Ruled out: writing to the caller from a goroutine of its own, with a queue to bound. Seen failing first, guard removed: TestHangingCallerCostsNoClaimedAnswer. Conclusion: the retry replays the whole answer.

--- a/daemon/serve/answer.go
+++ b/daemon/serve/answer.go
@@ -131,6 +131,26 @@
 	return err
 }
 
+// slowCallerShare is the share of what is left, as a divisor, that a caller who
+// does not read may cost claimed work; leastWriteBound is its least.
+const (
+	slowCallerShare = 4
+	// leastWriteBound leaves time to write the answer of a call that was joined
+	// until its deadline.
+	leastWriteBound = 200 * time.Millisecond
+)
+
+// outliveCaller lets the work go on without its caller. A caller that stays but
+// does not read is given up early enough: the wait for it would else last past
+// the deadline, and the outcome of work that may not be repeated be unknown.
+func (a *answerer) outliveCaller(deadline time.Time) {
+	a.claimed = true
+	if w, ok := a.w.(*boundedWriter); ok {
+		share := deadline.Sub(a.server.opts.Now()) / slowCallerShare
+		w.limit = min(w.limit, max(share, leastWriteBound))
+	}
+}
+
 func (a *answerer) writeToken(offset int, token string) error {
 	var err error
 	if a.data, err = appendToken(a.data[:0], token); err != nil {
--- a/daemon/serve/conn_test.go
+++ b/daemon/serve/conn_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/daemon/execute"
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
 )
@@ -48,9 +49,15 @@
 }
 
 func inBubble(t *testing.T, run executorFunc, test func(t *testing.T, r *connRig)) {
+	t.Helper()
+	inBubbleWith(t, run, nil, test)
+}
+
+func inBubbleWith(t *testing.T, run executorFunc, change func(*Options), test func(t *testing.T, r *connRig)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		listener := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
-		r := &connRig{rig: newRig(t, run, nil)}
+		r := &connRig{rig: newRig(t, run, change)}
 		r.http = &http.Server{Handler: r.server.Handler()}
 		go func() { _ = r.http.Serve(listener) }()
 		near, far := net.Pipe()
@@ -85,6 +92,27 @@
 	}
 }
 
+// Story: a clerk's browser hangs while the answer to an order is streamed. The
+// wait for it must not last until the order's deadline, or the order, which ran
+// to its end at the target, is told as unknown to the clerk's retry.
+func TestHangingCallerCostsNoClaimedAnswer(t *testing.T) {
+	patient := func(o *Options) { o.StreamIdle = time.Minute }
+	run := func(ctx context.Context, job execute.Job) (execute.Result, error) {
+		got, err := answers(ctx, job)
+		if ctx.Err() != nil {
+			return got, &execute.Failure{Reason: execute.ReasonDeadline, Verdict: outcome.Unknown}
+		}
+		return got, err
+	}
+	inBubbleWith(t, run, patient, func(t *testing.T, r *connRig) {
+		a := ask{pipeline: "once", key: "k", stream: true}
+		r.send(t, a)
+		<-time.After(2 * time.Minute)
+		require.Equal(t, "out", r.ask(t, a).output)
+		require.EqualValues(t, 1, r.runs.Load())
+	})
+}
+
 // Story: a tool keeps its connection open after a stream and asks again later.
 // The bound on the stream's writes must not cut off the next answer.
 func TestConnectionServesAgainAfterAStream(t *testing.T) {
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -111,7 +111,7 @@
 	job := a.job(deadline)
 	if ticket != nil {
 		job.BeforeDispatch = ticket.MarkDispatched
-		a.claimed = true
+		a.outliveCaller(deadline)
 	}
 	over := false
 	defer func() {
