--- a/daemon/orders/keeper.go
+++ b/daemon/orders/keeper.go
@@ -147,6 +147,7 @@
 	group.Go(func() error { return k.reconcileOften(inner) })
 	err := group.Wait()
 	k.release(context.WithoutCancel(ctx))
+	k.metrics.held.Update(0)
 	return err
 }
 
--- a/daemon/orders/renew.go
+++ b/daemon/orders/renew.go
@@ -120,7 +120,9 @@
 	}
 	if _, err := k.write(ctx, w); err != nil {
 		klog.InfoS("orders: lease not given up, it lapses", "pool", k.opts.Pool, "err", err)
+		return
 	}
+	klog.InfoS("orders: lease given up", "pool", k.opts.Pool)
 }
 
 func (k *Keeper) noteHeld(was, is bool) {
