Let a refused order run again though other stages ran

Cause: the claim of a pipeline whose repeatable stages had run kept the failure ran when the stage that may not be repeated was refused: each retry with the key was answered by that failure for the retention, of an order that no target had begun. Ruled out: answering the first call not_run, which would be false of the other stages. Change: a second ledger counts the attempts of stages that may not be repeated; where it says not run, the claim is given up. Seen failing first: both tests, with the use of the ledger and the ledger itself removed. Conclusion: the caller is told ran as before, its retry runs.

--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -53,6 +53,9 @@
 	if !s.ledger.Dispatch() {
 		return nil, errSealed
 	}
+	if !s.stage.Repeatable {
+		s.once.Dispatch() // sealed after the ledger, so it can't be sealed here
+	}
 	s.tried = append(s.tried, choice.Target.Incarnation)
 	now := s.opts.Now()
 	a := &attempt{
@@ -76,6 +79,9 @@
 	result := attemptResult{answer: answer, peer: call.Address, err: err}
 	a.classify(&result)
 	a.ledger.Settle(result.verdict)
+	if !a.stage.Repeatable {
+		a.once.Settle(result.verdict)
+	}
 	a.learn(ctx, meta, &result)
 	return result
 }
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -58,6 +58,8 @@
 	*Executor
 	job    *Job
 	ledger outcome.Ledger
+	// once counts only the attempts of stages that may not be repeated.
+	once outcome.Ledger
 	// outputs holds each finished stage's output; done is closed with it.
 	outputs []string
 	tokens  []int
@@ -227,6 +229,7 @@
 // seal makes the failure's verdict final.
 func (r *run) seal(f *Failure) *Failure {
 	f.Verdict = r.ledger.Seal()
+	f.MayRunAgain = r.once.Seal() == outcome.NotRun
 	return f
 }
 
--- a/daemon/execute/executor_test.go
+++ b/daemon/execute/executor_test.go
@@ -149,6 +149,35 @@
 	require.Zero(t, r.runs(job.ID))
 }
 
+// An order's text is encoded, then the order itself meets a target in some state.
+// "Ran" is true of the encoding; whether the clerk may send the order again
+// depends on the order alone.
+func TestMayRunAgainLooksAtWhatMayNotBeRepeated(t *testing.T) {
+	const forbidden emulated.FaultKind = "the claim forbids the order"
+	cases := map[emulated.FaultKind]bool{emulated.FaultReset: false, emulated.FaultFailFast: false, forbidden: true}
+	for fault, again := range cases {
+		r := newRig(t, catalog.KindService, catalog.ObjectiveCost)
+		job := r.job(oneStage(true, false, 0), time.Second)
+		order := oneStage(false, false, 0).Stages[0]
+		order.Name, order.After = "order", []int{0}
+		job.Pipeline.Stages = append(job.Pipeline.Stages, order)
+		job.BeforeDispatch = func() error {
+			if fault == forbidden {
+				return errors.New("abandoned")
+			}
+			for _, target := range r.targets {
+				target.SetFaults(emulated.Fault{Kind: fault})
+			}
+			return nil
+		}
+		_, err := r.do(job)
+		var failure *Failure
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, again, failure.MayRunAgain, "%s: %v", fault, err)
+		require.NotEqual(t, outcome.NotRun, failure.Verdict)
+	}
+}
+
 // One answer makes the code that passes it on panic. Not contained it ends the
 // process and every caller's request with it; contained it may have run.
 func TestPanickingAttemptIsUnknown(t *testing.T) {
--- a/daemon/execute/job.go
+++ b/daemon/execute/job.go
@@ -70,6 +70,9 @@
 type Failure struct {
 	Reason  Reason
 	Verdict outcome.Verdict
+	// MayRunAgain tells that no stage that may not be repeated has run or may
+	// have, whatever the Verdict says of the others.
+	MayRunAgain bool
 	// Step is the stage and Peer the target at which it arose.
 	Step string
 	Peer string
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -129,7 +129,7 @@
 	p := asProblem(err)
 	p.RequestID = a.id
 	telemetry.DebugS(failureLogLevel, "request failed", telemetry.Event{RequestID: a.id, Stage: p.Step, Peer: p.Peer})
-	s.keepFailure(ctx, ticket, p)
+	s.keepFailure(ctx, ticket, p, mayRunAgain(err))
 	over = true
 	return a.problem(p)
 }
@@ -140,7 +140,7 @@
 func (s *Server) endPanicked(ctx context.Context, a *answerer, ticket *claims.Ticket) {
 	p := asProblem(errPanicked)
 	p.RequestID = a.id
-	s.keepFailure(ctx, ticket, p)
+	s.keepFailure(ctx, ticket, p, false)
 	a.finish(requests.Failed, requests.OutcomeUnknown)
 	body, _ := json.Marshal(p) // strings and numbers only: it can't fail
 	s.joins.ended(a.id, p.Status, callerapi.MediaProblem, body)
@@ -228,9 +228,17 @@
 	}
 }
 
-// keepFailure gives the claim up when nothing was dispatched, so that a retry
-// may run, and else keeps the failure.
-func (s *Server) keepFailure(ctx context.Context, ticket *claims.Ticket, p *callerapi.Problem) {
+// mayRunAgain tells whether a failed job left what may not be repeated undone.
+func mayRunAgain(err error) bool {
+	var failure *execute.Failure
+	return errors.As(err, &failure) && failure.MayRunAgain
+}
+
+// keepFailure gives the claim up when nothing that may not be repeated can have
+// run, so that a retry may run, and else keeps the failure. Kept for a pipeline
+// whose earlier, repeatable stages ran, the failure would answer each retry of
+// an order that no target has begun.
+func (s *Server) keepFailure(ctx context.Context, ticket *claims.Ticket, p *callerapi.Problem, again bool) {
 	if ticket == nil {
 		return
 	}
@@ -241,5 +249,9 @@
 	if err != nil {
 		return
 	}
-	s.keep(ctx, ticket, claim.Outcome(p.Outcome), p.Status, callerapi.MediaProblem, body)
+	kept := claim.Outcome(p.Outcome)
+	if again {
+		kept = claim.OutcomeNotRun
+	}
+	s.keep(ctx, ticket, kept, p.Status, callerapi.MediaProblem, body)
 }
--- a/daemon/serve/submit_test.go
+++ b/daemon/serve/submit_test.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// refusedLate is an order that its target refused after other stages had run.
+func refusedLate(_ context.Context, job execute.Job) (execute.Result, error) {
+	_ = dispatch(job)
+	return execute.Result{}, &execute.Failure{Reason: execute.ReasonTarget, Verdict: outcome.Ran, MayRunAgain: true}
+}
+
 func panics(_ context.Context, job execute.Job) (execute.Result, error) {
 	_ = dispatch(job)
 	panic("fault")
@@ -113,6 +119,7 @@
 		"lost, retry replays":         {before: runFirst(once), run: lost, ask: once, status: 502, outcome: unknown, kind: typeTarget, runs: 1},
 		"lost, repeatable runs again": {before: runFirst(again), run: lost, ask: again, status: 502, outcome: unknown, kind: typeTarget, runs: 2},
 		"late, ran":                   {run: fails(execute.ReasonDeadline, outcome.Ran, true), ask: once, status: 504, outcome: ran, kind: typeDeadline, runs: 1},
+		"refused late, runs on retry": {before: runFirst(once), run: refusedLate, ask: once, status: 502, outcome: ran, kind: typeTarget, runs: 2},
 		"too large to keep":           {before: runFirst(once), run: large, ask: once, status: 409, outcome: ran, kind: typeOutcomeUnknown, runs: 1},
 		"panicked":                    {before: panicFirst(once), run: panics, ask: once, status: 500, outcome: unknown, kind: typeOutcomeUnknown, runs: 1},
 	}
