Charge no retry for an attempt that got no connection

Cause: targets that were killed and stay in the list for a while were met again and again; each meeting cost a token of the retry budget, and once it was empty most requests failed although other targets were well. Ruled out: a larger reserve (it only comes later); a higher retry ratio (it would raise amplification under overload, which the budget is for); ejecting below the floor. Change: an attempt that ended at connect, known not to have run, needs no budget for the next one; the number of attempts stays bounded.

--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -13,6 +13,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
 // defaultMaxAttempts bounds the attempts of a stage whose pipeline names none.
@@ -229,12 +230,24 @@
 	if s.attempts >= s.maxAttempts() {
 		return f
 	}
-	if !s.opts.Spender.Retry(s.opts.Now(), s.stage.Pool) {
+	if !noConnection(result) && !s.opts.Spender.Retry(s.opts.Now(), s.stage.Pool) {
 		return f
 	}
 	return nil
 }
 
+// noConnection tells whether an attempt ended before it had a connection.
+//
+// The failure: several targets of a pool are killed at once and stand in the
+// platform's list for some time more. Attempts meet them until the budget of
+// retries is empty, and then most requests fail though other targets are well.
+// An attempt without a connection gave the pool no work, so that the next one
+// multiplies no load and needs no budget; its number is bounded all the same.
+func noConnection(result attemptResult) bool {
+	var failed *target.AttemptError
+	return errors.As(result.err, &failed) && failed.Outcome == target.NotRun && failed.Step == target.StepConnect
+}
+
 // repeatableNow tells whether the stage may run again after an attempt that may
 // have run. Tokens that the caller has seen forbid a fresh run: its text could
 // differ, and the joined answer would be of two runs. Only a resume is whole.
