Sample the store from instances that do not watch

Cause: when just the three watchers lost the store, a change waited for their return, though the others had it. Ruled out: more watchers (the calls follow their number); a vote on who has the store. Change: those that do not watch list the store at random times, together about as often as one watcher. BenchmarkLeaving measures the marks of leaving targets.

--- a/daemon/confsync/bootstrap.go
+++ b/daemon/confsync/bootstrap.go
@@ -34,7 +34,7 @@
 // back on this instance alone, and a peer that was parted for long would too.
 func (s *Sync) bootstrap(ctx context.Context) error {
 	peerErr := s.fromPeers(ctx)
-	_, _, storeErr := s.list(ctx)
+	_, storeErr := s.list(ctx)
 	if peerErr != nil && storeErr != nil {
 		return errors.CombineErrors(storeErr, peerErr)
 	}
--- a/daemon/confsync/inforce_bench_test.go
+++ b/daemon/confsync/inforce_bench_test.go
@@ -52,6 +52,7 @@
 
 	mu      sync.Mutex
 	inForce map[int64]time.Time // when a deadline of tier gold came in force
+	told    map[int64]time.Time // when a target was known to leave
 }
 
 // skippingStore leaves events out of watches at random.
@@ -82,7 +83,7 @@
 }
 
 func (f *benchFleet) start() {
-	n := &benchNode{fleet: f, name: fmt.Sprint("b", f.made), inForce: make(map[int64]time.Time)}
+	n := &benchNode{fleet: f, name: fmt.Sprint("b", f.made), inForce: make(map[int64]time.Time), told: make(map[int64]time.Time)}
 	f.made++
 	var seeds []string
 	for _, other := range f.nodes {
@@ -102,6 +103,7 @@
 	n.sync = confsync.New(confsync.Options{
 		Store: store, Spreader: n, Peers: n, WatcherRank: n.rank, Scope: tally.NoopScope,
 		OnSnapshot: n.onSnapshot, OnTargets: func([]platformapi.TargetEntry) {},
+		OnLeaving: n.onLeaving,
 	})
 	n.cluster.Handle(configwire.MethodSnapshot, func(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
 		return n.sync.HandleSnapshot(body)
@@ -170,10 +172,19 @@
 	}
 }
 
-func (n *benchNode) since(deadline int64) (time.Time, bool) {
+func (n *benchNode) onLeaving(incarnation string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	at, ok := n.inForce[deadline]
+	var number int64
+	if _, err := fmt.Sscanf(incarnation, "t%d", &number); err == nil {
+		n.told[number] = time.Now()
+	}
+}
+
+func (n *benchNode) since(times map[int64]time.Time, what int64) (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, ok := times[what]
 	return at, ok
 }
 
@@ -195,24 +206,24 @@
 	return time.Now()
 }
 
-// last waits until a deadline is in force on all live nodes and returns how long
-// the last of them took.
-func (f *benchFleet) last(deadline int64, written time.Time) time.Duration {
-	last := time.Duration(0)
+// last waits until all nodes have a time of something and returns how long the
+// last of them took.
+func last(nodes []*benchNode, times func(*benchNode) map[int64]time.Time, what int64, begun time.Time) time.Duration {
+	longest := time.Duration(0)
 	poll := time.NewTicker(5 * time.Millisecond)
 	defer poll.Stop()
-	for _, n := range f.nodes {
-		at, ok := n.since(deadline)
-		for !ok && time.Since(written) < givenUp {
+	for _, n := range nodes {
+		at, ok := n.since(times(n), what)
+		for !ok && time.Since(begun) < givenUp {
 			<-poll.C
-			at, ok = n.since(deadline)
+			at, ok = n.since(times(n), what)
 		}
 		if !ok {
 			return givenUp
 		}
-		last = max(last, at.Sub(written))
+		longest = max(longest, at.Sub(begun))
 	}
-	return last
+	return longest
 }
 
 // pause lets changes fall on any moment of the watchers' rounds.
@@ -250,6 +261,10 @@
 			}
 			f.store.SetFaults(emulator.Faults{Instances: others, Down: emulator.FailRefuse})
 		}, mend: func(f *benchFleet) { f.store.SetFaults(emulator.Faults{}); pause(2 * time.Second) }},
+		{name: "few/store down for all watchers", watchers: confsync.Watchers, fault: func(f *benchFleet) {
+			watching := []string{f.watcher(0).name, f.watcher(1).name, f.watcher(2).name}
+			f.store.SetFaults(emulator.Faults{Instances: watching, Down: emulator.FailRefuse})
+		}, mend: func(f *benchFleet) { f.store.SetFaults(emulator.Faults{}); pause(2 * time.Second) }},
 		{name: "few/the writer killed", watchers: confsync.Watchers, fault: func(f *benchFleet) { f.kill(f.watcher(0)) },
 			mend: func(f *benchFleet) { f.start(); f.whole() }},
 		{name: "one/the writer killed", watchers: 1, fault: func(f *benchFleet) { f.kill(f.watcher(0)) },
@@ -269,7 +284,7 @@
 				if c.fault != nil {
 					c.fault(f)
 				}
-				took = append(took, f.last(deadline, written))
+				took = append(took, last(f.nodes, func(n *benchNode) map[int64]time.Time { return n.inForce }, deadline, written))
 				if c.mend != nil {
 					c.mend(f)
 				}
@@ -282,6 +297,24 @@
 	}
 }
 
+// BenchmarkLeaving measures the time from one instance's learning that a target
+// leaves until the last of the seven others knows.
+func BenchmarkLeaving(b *testing.B) {
+	f := newBenchFleet(b, confsync.Watchers, 0)
+	var took []time.Duration
+	number := int64(0)
+	for b.Loop() {
+		pause(0)
+		number++
+		place := rand.IntN(len(f.nodes))
+		begun := time.Now()
+		f.nodes[place].sync.MarkLeaving(fmt.Sprint("t", number))
+		others := slices.Concat(f.nodes[:place], f.nodes[place+1:])
+		took = append(took, last(others, func(n *benchNode) map[int64]time.Time { return n.told }, number, begun))
+	}
+	report(b, took)
+}
+
 // addAccounts writes accounts as fast as the store takes them.
 func (f *benchFleet) addAccounts(n int) {
 	operator := f.store.Local("operator")
--- a/daemon/confsync/sync.go
+++ b/daemon/confsync/sync.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,8 @@
 	metrics  metrics
 	// failing tells that the last round failed; only Run uses it.
 	failing bool
+	// pages is how many pages the last lists had; only Run uses it.
+	pages int
 
 	mu      sync.Mutex
 	set     *config.Set
@@ -163,13 +166,26 @@
 	if !s.complete.Load() {
 		return s.bootstrap(ctx)
 	}
-	if _, watcher := s.opts.WatcherRank(); !watcher {
-		sleep(ctx, roleInterval)
-		return nil
+	if s.role() == follower {
+		return s.sample(ctx)
 	}
 	return s.watch(ctx)
 }
 
+// sample waits a little and now and then lists the store, so that the followers
+// together do so about as often as one watcher. All watchers may have lost the
+// store while the followers have it, and a change would wait for their return.
+func (s *Sync) sample(ctx context.Context) error {
+	sleep(ctx, roleInterval)
+	followers := max(1, len(s.opts.Peers.Others())+1-Watchers)
+	between := float64(s.untilList()) * float64(followers)
+	if ctx.Err() != nil || rand.Float64() > float64(roleInterval)/between {
+		return nil
+	}
+	_, err := s.list(ctx)
+	return err
+}
+
 // Receive takes records that a peer has spread.
 func (s *Sync) Receive(records []spread.Record) {
 	s.locked(func() {
--- a/daemon/confsync/verdicts_test.go
+++ b/daemon/confsync/verdicts_test.go
@@ -163,6 +163,7 @@
 		f.pass(inForceBound)
 		apart := f.instances[3]
 		apart.set(func() { apart.cut = true })
+		f.store.SetFaults(emulator.Faults{Instances: []string{apart.name}, Down: emulator.FailRefuse})
 		f.write("tiers", "gold", tierSpec(300))
 		f.pass(inForceBound)
 		revision := f.write("pipelines", "chat.v1", pipelineSpec(800))
@@ -173,6 +174,7 @@
 		f.pass(inForceBound)
 		assert.Equal(t, int64(900), apart.deadline(), "it has not heard of the tier")
 
+		f.store.SetFaults(emulator.Faults{})
 		apart.set(func() { apart.cut = false })
 		for _, key := range [][2]string{{"tiers", "gold"}, {"pipelines", "chat.v1"}} {
 			r, ok := f.instances[0].table.Get(key[0], key[1])
--- a/daemon/confsync/watch.go
+++ b/daemon/confsync/watch.go
@@ -26,11 +26,11 @@
 	if role != writer {
 		s.verdicts.clear()
 	}
-	from, pages, err := s.list(ctx)
+	from, err := s.list(ctx)
 	if err != nil {
 		return err
 	}
-	until := time.Now().Add(time.Duration(1+pages) * relistEvery)
+	until := time.Now().Add(s.untilList())
 	for time.Now().Before(until) && ctx.Err() == nil && s.role() == role {
 		changes, err := s.watchOnce(ctx, from, min(watchWait, time.Until(until)))
 		if errors.Is(err, platform.ErrCompacted) {
@@ -76,13 +76,17 @@
 // pageSize is the number of objects in a page of the platform's list.
 const pageSize = platformapi.MaxPageItems
 
+// untilList is the time between two lists of everything.
+func (s *Sync) untilList() time.Duration { return time.Duration(1+s.pages) * relistEvery }
+
 // list reads all watched kinds and returns the least revision of the lists, to
-// watch from, and how many pages they had.
-func (s *Sync) list(ctx context.Context) (from uint64, pages int, err error) {
+// watch from.
+func (s *Sync) list(ctx context.Context) (from uint64, err error) {
+	pages := 0
 	for i, kind := range watchedKinds {
 		list, err := s.opts.Store.List(ctx, kind)
 		if err != nil {
-			return 0, 0, errors.Wrapf(err, "list %s", kind)
+			return 0, errors.Wrapf(err, "list %s", kind)
 		}
 		s.locked(func() { s.mergeList(kind, list) })
 		if i == 0 || list.Revision < from {
@@ -90,7 +94,8 @@
 		}
 		pages += len(list.Items) / pageSize
 	}
-	return from, pages, nil
+	s.pages = pages
+	return from, nil
 }
 
 // mergeList needs the lock.
--- a/daemon/confsync/watch_test.go
+++ b/daemon/confsync/watch_test.go
@@ -88,3 +88,23 @@
 		}
 	})
 }
+
+// All three watchers lose the store, and only they. The others have it, but
+// none of them watches: a change must come into force all the same.
+func TestAChangeComesWithoutAnyWatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addN(8)
+		f.pass(inForceBound)
+		f.store.SetFaults(emulator.Faults{Instances: []string{"i0", "i1", "i2"}, Down: emulator.FailRefuse})
+		f.write("tiers", "gold", tierSpec(700))
+		f.pass(time.Minute) // 2 s on average
+		for _, in := range f.instances {
+			assert.Equal(t, int64(700), in.deadline(), in.name)
+		}
+		before := f.store.Calls().Reads
+		f.store.SetFaults(emulator.Faults{})
+		f.pass(time.Minute)
+		assert.Less(t, f.store.Calls().Reads-before, uint64(60*20), "few calls, whoever makes them")
+	})
+}
