Prove work orders on silent connections

Cause: no test through processes had an order whose answer never arrives because its connection has gone silent. Ruled out: silencing both ways only (the order may then never arrive, and the check passed without its guard: seen).

--- a/testkit/scenario/faults.go
+++ b/testkit/scenario/faults.go
@@ -87,8 +87,9 @@
 	return put(http.MethodPut, w.platform+platformemulator.PathTargets, string(text))
 }
 
-// commandRelay: link RELAY mute|mute-new|reset|refuse|restore. Mute makes the
-// open connections silent for good while new ones work.
+// commandRelay: link RELAY mute|mute-answers|mute-new|reset|refuse|restore. Mute
+// makes the open connections silent for good while new ones work, mute-answers
+// only on the way back.
 func commandRelay(_ *testscript.TestScript, w *world, args []string) error {
 	if len(args) != 2 {
 		return errors.New("usage: link RELAY COMMAND")
@@ -100,6 +101,8 @@
 	switch args[1] {
 	case "mute":
 		r.Mute(relay.Both)
+	case "mute-answers":
+		r.Mute(relay.ToClient)
 	case "mute-new":
 		r.MuteNew(relay.Both)
 	case "reset":
