Spread what targets say of leaving; never say come back in 0 ms

Cause: the marks of leaving targets were proved in their driver but not handed on by the instance. A refusal while the store is silent did not tell that an earlier call with the key may have run. Ruled out: a least wait of a second (a store that is back at once would be asked late for nothing).

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -74,6 +74,7 @@
 	cluster   *cluster.Cluster
 	sync      *confsync.Sync
 	router    *routing.Table
+	marking   discovery.Marking
 	gates     *gate.Group
 	budgets   *accounts.Budgets
 	ledger    *budget.Ledger
@@ -197,6 +198,7 @@
 	}
 	a.self = a.cluster.Self()
 	a.discovery = discovery.New(a.router, a.gates, time.Now)
+	a.marking = discovery.Marking{Table: a.router, Mark: func(incarnation string) { a.sync.MarkLeaving(incarnation) }}
 	a.sync = confsync.New(confsync.Options{
 		Store:       a.store,
 		Spreader:    peers{a.cluster},
@@ -204,11 +206,12 @@
 		WatcherRank: a.watcherRank,
 		OnSnapshot:  a.discovery.SetSnapshot,
 		OnTargets:   a.discovery.SetTargets,
+		OnLeaving:   func(incarnation string) { a.router.Leaving(time.Now(), incarnation) },
 		Scope:       a.telemetry.Scope,
 	})
 	a.budgets = accounts.New(a.ledger, peers{a.cluster}, a.sync.Snapshot, time.Now)
 	a.exchange = load.New(s.Instance.Name, a.cluster, a.router, a.gates, a.instances)
-	a.poller = poll.New(a.targets, a.router, a.engines, a.discovery.SetLoaded)
+	a.poller = poll.New(a.targets, a.marking, a.engines, a.discovery.SetLoaded)
 	a.reporter = report.New(a.store, s.Instance.Name, a.status, time.Now)
 	a.tidier = tidy.New(a.store, a.firstWatcher, a.isLive, time.Now)
 	return nil
@@ -277,7 +280,7 @@
 
 func (a *App) buildServer() {
 	executor := execute.New(execute.Options{
-		Router:  a.router,
+		Router:  a.marking,
 		Targets: a.targets,
 		Gate:    a.gates,
 		Spender: spender.New(retry.Config{Reserve: retryReserve}),
--- a/daemon/serve/problem.go
+++ b/daemon/serve/problem.go
@@ -56,7 +56,7 @@
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
-	p.RetryAfterMS = after.Milliseconds()
+	p.RetryAfterMS = int64(math.Ceil(after.Seconds() * 1000)) // never 0, which means no time
 	return p
 }
 
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -210,7 +210,11 @@
 	if a.call.pipeline.Repeatable() {
 		return s.executeOnce(ctx, a, deadline, nil)
 	}
-	p := refusal(http.StatusServiceUnavailable, typeStore, begun.Reason)
+	detail := begun.Reason
+	if begun.EarlierUnknown {
+		detail += "; this call ran nothing, an earlier one with the key may have: come back with the same key"
+	}
+	p := refusal(http.StatusServiceUnavailable, typeStore, detail)
 	return a.problem(retryLater(p, begun.RetryAfter))
 }
 
