Contain a panic of a stage outside its attempts

Cause: a stage runs on a goroutine of its own. A panic there outside the call to a target (at the gate, in routing, in what is learned from an answer) ended the process and the requests of every caller of the instance.

Ruled out: a guard around Run alone, which net/http has; it does not reach other goroutines. Letting the ledger alone speak: after a panic what the stage did is not known, so a stage that panics is unknown even when no attempt was entered.

Change: each stage and each attempt (a hedged one has its own goroutine) ends a panic as a failure of that one request; the slot at the gate is given back on every path between the grant and the attempt. The error names the stage and the target.

Conclusion: TestPanickingStageFailsItsRequestAlone and TestPanickingAttemptIsRepeated. Seen failing first: without the guard of the stage, and without that of the attempt, the test process ends by the panic; without the return of the slot three cases fail as the next request gets no slot.

--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"runtime/debug"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
 	"github.com/ivyhollow/ivyhollow/state/requests"
-	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
@@ -72,11 +70,17 @@
 	return a, nil
 }
 
+// failedUnknown is the fate of an attempt that may have run.
+func failedUnknown(peer string, err error) attemptResult {
+	return attemptResult{peer: peer, err: err, verdict: outcome.Unknown}
+}
+
 // do makes the attempt, settles it in the ledger and teaches the router.
-func (a *attempt) do(ctx context.Context) attemptResult {
+func (a *attempt) do(ctx context.Context) (result attemptResult) {
+	defer a.contain(&result)
 	call := a.call()
 	answer, meta, err := a.send(ctx, call)
-	result := attemptResult{answer: answer, peer: call.Address, err: err}
+	result = attemptResult{answer: answer, peer: call.Address, err: err}
 	a.classify(&result)
 	a.ledger.Settle(result.verdict)
 	if !a.stage.Repeatable {
@@ -86,16 +90,13 @@
 	return result
 }
 
-// send makes the call.
-//
-// A panic on one answer would end the process and with it the requests of all
-// callers; and as the request is tried again elsewhere, one instance after the
-// other. Contained here it is a failed attempt that may have run.
+// send makes the call. A panic on its answer is contained here already, so that
+// the attempt is settled and the router learns that it ended.
 func (a *attempt) send(ctx context.Context, call target.Call) (answer targetapi.RunAnswer, meta target.Meta, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			err = fmt.Errorf("attempt %s panicked: %v", a.id, cause)
-			telemetry.ErrorS(err, string(debug.Stack()), telemetry.Event{RequestID: a.job.ID, Stage: a.stage.Name, Target: call.Address})
+			err = fmt.Errorf("attempt %s at %s panicked: %v", a.id, call.Address, cause)
+			a.logPanic(err, call.Address)
 		}
 	}()
 	if a.stream {
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -148,16 +148,16 @@
 }
 
 // stageWhenReady waits for the stages before, then runs stage i.
-func (r *run) stageWhenReady(ctx context.Context, i int) error {
-	inputs, err := r.inputs(ctx, i)
-	if err != nil {
+func (r *run) stageWhenReady(ctx context.Context, i int) (err error) {
+	s := newStageRun(r, i)
+	defer s.contain(&err)
+	if s.inputs, err = r.inputs(ctx, i); err != nil {
 		return err
 	}
-	s := newStageRun(r, i, inputs)
 	ctx, span := r.opts.Tracer.Start(ctx, "stage "+s.stage.Name)
 	defer span.End()
 	span.SetAttributes(telemetry.AttrRequestID.String(r.job.ID), telemetry.AttrStage.String(s.stage.Name))
-	if err := s.execute(ctx); err != nil {
+	if err = s.execute(ctx); err != nil {
 		span.SetStatus(codes.Error, string(reasonOf(err)))
 		return err
 	}
--- a/daemon/execute/hedge.go
+++ b/daemon/execute/hedge.go
@@ -80,9 +80,8 @@
 	if !ok {
 		return false
 	}
-	second := s.hedgeAttempt()
+	second := s.hedgeAttempt(grant)
 	if second == nil {
-		grant.Release()
 		return false
 	}
 	go func() {
@@ -92,7 +91,14 @@
 	return true
 }
 
-func (s *stageRun) hedgeAttempt() *attempt {
+// hedgeAttempt enters an attempt at a target that was not tried yet. Without
+// one, be it by a panic, the slot is given back.
+func (s *stageRun) hedgeAttempt(grant *gate.Grant) (second *attempt) {
+	defer func() {
+		if second == nil {
+			grant.Release()
+		}
+	}()
 	choice, failure := s.pickOther()
 	if failure != nil {
 		return nil
--- a/daemon/execute/job.go
+++ b/daemon/execute/job.go
@@ -63,6 +63,8 @@
 	ReasonClaim Reason = "claim"
 	// ReasonCaller: the caller went away.
 	ReasonCaller Reason = "caller_gone"
+	// ReasonFault: a fault of the daemon itself ended the stage.
+	ReasonFault Reason = "internal_fault"
 )
 
 // Failure tells why a job ended without a whole answer, where, and what may be
--- /dev/null
+++ b/daemon/execute/panic_test.go
@@ -0,0 +1,130 @@
+package execute
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	emulated "github.com/ivyhollow/ivyhollow/emulator/target"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+)
+
+// fault panics once, at the n-th call of the method it is set for.
+type fault struct {
+	Router
+	Gate
+	Spender
+	method string
+	after  int
+}
+
+func (f *fault) hit(method string) {
+	if f.method != method || f.after == 0 {
+		return
+	}
+	if f.after--; f.after == 0 {
+		panic("fault in " + method)
+	}
+}
+
+func (f *fault) Pick(now time.Time, rng *rand.Rand, q routing.Query) (routing.Choice, error) {
+	f.hit("Pick")
+	return f.Router.Pick(now, rng, q)
+}
+
+func (f *fault) Started(now time.Time, incarnation string, cost float64) *routing.Handle {
+	f.hit("Started")
+	return f.Router.Started(now, incarnation, cost)
+}
+
+func (f *fault) Report(now time.Time, incarnation string, load routing.Load) {
+	f.hit("Report")
+	f.Router.Report(now, incarnation, load)
+}
+
+func (f *fault) Enter(ctx context.Context, pool string, r gate.Request) (*gate.Grant, error) {
+	f.hit("Enter")
+	return f.Gate.Enter(ctx, pool, r)
+}
+
+func (f *fault) Retry(now time.Time, pool string) bool {
+	f.hit("Retry")
+	return f.Spender.Retry(now, pool)
+}
+
+func (f *fault) Succeeded(now time.Time, pool string) {
+	f.hit("Succeeded")
+	f.Spender.Succeeded(now, pool)
+}
+
+// One request's stage panics outside a call to a target. Not contained it ends
+// the process and every caller's request with it; contained it fails that one
+// request, whose outcome nobody knows, and the only slot serves the next one.
+func TestPanickingStageFailsItsRequestAlone(t *testing.T) {
+	cases := []struct {
+		method  string
+		after   int
+		failing bool // all targets fail, so that a retry is decided on
+	}{
+		{method: "Enter", after: 1},
+		{method: "Pick", after: 1},
+		{method: "Started", after: 1},
+		{method: "Report", after: 1},
+		{method: "Retry", after: 1, failing: true},
+		{method: "Pick", after: 2, failing: true},
+		{method: "Succeeded", after: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.method, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, catalog.KindService, catalog.ObjectiveCost)
+			r.opts.Gate.(*gate.Group).SetCapacity(rigPool, 1, false)
+			f := &fault{Router: r.opts.Router, Gate: r.opts.Gate, Spender: r.opts.Spender, method: c.method, after: c.after}
+			r.opts.Router, r.opts.Gate, r.opts.Spender = f, f, f
+			if c.failing {
+				for _, target := range r.targets {
+					target.SetFaults(emulated.Fault{Kind: emulated.FaultFailFast})
+				}
+			}
+			repeatable := c.failing || c.method == "Succeeded"
+			_, err := r.do(r.job(oneStage(repeatable, false, 0), 10*time.Second))
+			require.Zero(t, f.after, "the fault was not met")
+			var failure *Failure
+			require.ErrorAs(t, err, &failure)
+			require.Equal(t, "s", failure.Step)
+			require.False(t, failure.MayRunAgain)
+			want := outcome.Unknown
+			if c.method == "Report" {
+				want = outcome.Ran // its answer had come and was settled
+			}
+			require.Equal(t, want, failure.Verdict, "%v", err)
+
+			for _, target := range r.targets {
+				target.SetFaults()
+			}
+			next := r.job(oneStage(true, false, 0), 10*time.Second)
+			next.ID = "test.1.2"
+			_, err = r.do(next)
+			require.NoError(t, err, "the slot is lost")
+		})
+	}
+}
+
+// The answer of an attempt that may be repeated makes the code that learns from
+// it panic, on the attempt's own goroutine. The stage is sent once more.
+func TestPanickingAttemptIsRepeated(t *testing.T) {
+	r := newRig(t, catalog.KindService, catalog.ObjectiveAttainment)
+	f := &fault{Router: r.opts.Router, method: "Report", after: 1}
+	r.opts.Router = f
+	job := r.job(oneStage(true, false, 0), 10*time.Second)
+	_, err := r.do(job)
+	require.NoError(t, err)
+	require.Zero(t, f.after, "the fault was not met")
+	require.Equal(t, 2, r.runs(job.ID))
+}
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -41,13 +41,12 @@
 	tokens int
 }
 
-func newStageRun(r *run, i int, inputs []string) *stageRun {
+func newStageRun(r *run, i int) *stageRun {
 	return &stageRun{
-		run:    r,
-		index:  i,
-		stage:  &r.job.Pipeline.Stages[i],
-		inputs: inputs,
-		rng:    newRand(),
+		run:   r,
+		index: i,
+		stage: &r.job.Pipeline.Stages[i],
+		rng:   newRand(),
 	}
 }
 
@@ -88,26 +87,39 @@
 	if err != nil {
 		return attemptResult{}, s.gateFailure(ctx, err)
 	}
-	choice, failure := s.pick()
+	first, failure := s.firstAttempt(grant)
 	if failure != nil {
-		grant.Release()
 		return attemptResult{}, failure
 	}
+	if s.mayHedge() {
+		return s.doHedged(ctx, first, grant, request), nil
+	}
+	return s.doPreemptible(ctx, first, grant), nil
+}
+
+// firstAttempt picks the target of a turn's first attempt, asks for leave to
+// send what may not be repeated, and enters the attempt. Without an attempt, be
+// it by a panic, the slot is given back.
+func (s *stageRun) firstAttempt(grant *gate.Grant) (first *attempt, failure *Failure) {
+	defer func() {
+		if first == nil {
+			grant.Release()
+		}
+	}()
+	choice, failure := s.pick()
+	if failure != nil {
+		return nil, failure
+	}
 	if !s.stage.Repeatable {
 		if err := s.claimDispatch(); err != nil {
-			grant.Release()
-			return attemptResult{}, s.failure(ReasonClaim, choice.Target.Address, err)
+			return nil, s.failure(ReasonClaim, choice.Target.Address, err)
 		}
 	}
 	first, err := s.newAttempt(choice)
 	if err != nil {
-		grant.Release()
-		return attemptResult{}, s.failure(ReasonDeadline, "", err)
+		return nil, s.failure(ReasonDeadline, choice.Target.Address, err)
 	}
-	if s.mayHedge() {
-		return s.doHedged(ctx, first, grant, request), nil
-	}
-	return s.doPreemptible(ctx, first, grant), nil
+	return first, nil
 }
 
 // errPreempted cancels an attempt in favour of a higher tier.
