--- /dev/null
+++ b/docs_test.go
@@ -0,0 +1,94 @@
+package ivyhollow
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const scenarios = "testkit/scenario/testdata"
+
+var (
+	linkTarget   = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+	testFunction = regexp.MustCompile(`(?m)^func (Test\w+)\(`)
+	testName     = regexp.MustCompile(`\bTest[A-Z]\w*`)
+	scenarioName = regexp.MustCompile(`\bS:([a-z0-9-]+)`)
+	packagePath  = regexp.MustCompile("`((?:client|cmd|coordination|daemon|emulator|protocol|settings|state|telemetry|testkit|transport)/[a-z0-9/_.-]*)`")
+)
+
+// filesOf returns all files of the tree whose name ends in suffix.
+func filesOf(t *testing.T, suffix string) map[string]string {
+	t.Helper()
+	files := map[string]string{}
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, suffix) {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		files[path] = string(text)
+		return err
+	})
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	return files
+}
+
+func submatches(pattern *regexp.Regexp, text string) []string {
+	var found []string
+	for _, match := range pattern.FindAllStringSubmatch(text, -1) {
+		found = append(found, match[1])
+	}
+	return found
+}
+
+// A page is moved or renamed and the pages that point to it are forgotten: a
+// reader follows a link to nothing.
+func TestLinksOfPagesLead(t *testing.T) {
+	for page, text := range filesOf(t, ".md") {
+		for _, link := range submatches(linkTarget, text) {
+			path, _, _ := strings.Cut(link, "#")
+			if path == "" || strings.Contains(link, "://") {
+				continue
+			}
+			require.FileExists(t, filepath.Join(filepath.Dir(page), path+index(path)), "%s links to %s", page, link)
+		}
+	}
+}
+
+// index is the page that a reader sees who follows a link to a directory.
+func index(path string) string {
+	if strings.HasSuffix(path, "/") {
+		return "README.md"
+	}
+	return ""
+}
+
+// A test is renamed or removed and the pages go on citing it as a proof.
+func TestNamedProofsExist(t *testing.T) {
+	tests := filesOf(t, "_test.go")
+	var names []string
+	for _, text := range tests {
+		names = append(names, submatches(testFunction, text)...)
+	}
+	for page, text := range filesOf(t, ".md") {
+		if page == "CONTRIBUTING.md" {
+			continue // its TestName is a placeholder
+		}
+		for _, name := range testName.FindAllString(text, -1) {
+			require.True(t, slices.Contains(names, name), "%s names %s", page, name)
+		}
+		for _, name := range submatches(scenarioName, text) {
+			require.FileExists(t, filepath.Join(scenarios, name+".txt"), page)
+		}
+		for _, path := range submatches(packagePath, text) {
+			_, err := os.Stat(strings.TrimSuffix(path, "/..."))
+			require.NoError(t, err, page)
+		}
+	}
+}
