Count a lone instance as alive

Cause: membership_members was set by changes of the view only, and the view of an instance without peers never changes: the gauge said 0. Ruled out: reporting the first view as a change, which would log a member that nobody waited for. Change: the size of the first view is set at the start.

--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -123,6 +123,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.view.Store(c.members.View())
+	c.metrics.size(c.View()) // a lone instance's view never changes
 	node.OnMessage(c.receive)
 	return c, nil
 }
--- a/daemon/cluster/metrics.go
+++ b/daemon/cluster/metrics.go
@@ -36,9 +36,7 @@
 
 // report logs and counts what changed between two views.
 func (m *metrics) report(old, now *membership.View) {
-	counts := make(map[membership.State]int)
 	for _, member := range now.Members {
-		counts[member.State]++
 		before, known := old.Find(member.Name)
 		if known && before.State == member.State && before.Incarnation == member.Incarnation {
 			continue
@@ -47,8 +45,17 @@
 		klog.InfoS("Member changed", "instance", member.Name, "address", member.Address,
 			"dataCentre", member.DataCentre, "incarnation", member.Incarnation, "state", member.State.String())
 	}
+	m.size(now)
+}
+
+// size tells how many instances a view has in each state.
+func (m *metrics) size(view *membership.View) {
+	counts := make(map[membership.State]int)
+	for _, member := range view.Members {
+		counts[member.State]++
+	}
 	for state, gauge := range m.states {
 		gauge.Update(float64(counts[state]))
 	}
-	m.version.Update(float64(now.Version))
+	m.version.Update(float64(view.Version))
 }
