Serve what gates, routing, status and the budget of calls count

Cause: the parts count refusals, ejections, picks, calls and the size of the status table, but nobody read the counts; an operator saw none of them. Ruled out: counters in each part, since pure packages know no metrics library and a request should not pay for what is read once a second; a label for a target or account, which grows without limit. Change: daemon/metrics samples the parts each second from narrow interfaces. Calls are counted by class, gate refusals by reason, problems by type (a spent account budget among them), ended requests by tier. The label "rank" is allowed; it has eight values. Seen failing without their counts: TestWaitEnds, TestGroup, TestReturnFromOutage (class), and without its bound TestAttainmentByTier. Conclusion: retries and hedges that their budget refuses still have no metric.

--- a/daemon/gate/gate.go
+++ b/daemon/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,8 @@
 	machine *tiers.Gate
 	nextID  uint64
 	grants  map[uint64]*Grant
+	// refused counts the refusals by reason, since the start.
+	refused map[tiers.Reason]uint64
 }
 
 // Grant is the right to use a slot until Release.
@@ -67,6 +70,7 @@
 		clock:   clock,
 		machine: tiers.NewGate(c, slots),
 		grants:  make(map[uint64]*Grant),
+		refused: make(map[tiers.Reason]uint64),
 	}
 }
 
@@ -141,6 +145,13 @@
 	return g.machine.Stats()
 }
 
+// Refused returns how many requests were refused by reason, since the start.
+func (g *Gate) Refused() map[tiers.Reason]uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.refused)
+}
+
 func (g *Gate) step(event func(*tiers.Gate, time.Time) []tiers.Action) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -200,6 +211,7 @@
 			t.ready <- nil
 		case tiers.Refuse:
 			delete(g.grants, a.ID)
+			g.refused[a.Reason]++
 			t.ready <- &RefusedError{Pool: g.pool, Reason: a.Reason, RetryAfter: a.RetryAfter}
 		case tiers.Preempt:
 			close(t.preempted)
--- a/daemon/gate/gate_test.go
+++ b/daemon/gate/gate_test.go
@@ -69,6 +69,7 @@
 				ticker := time.AfterFunc(2*time.Second, g.Tick)
 				defer ticker.Stop()
 				_, err := g.Acquire(t.Context(), Request{LatestStart: time.Now().Add(time.Second)})
+				require.Equal(t, map[tiers.Reason]uint64{tiers.ReasonTooLate: 1}, g.Refused())
 				return err
 			},
 			want: func(t *testing.T, err error) {
@@ -169,6 +170,7 @@
 		var refused *RefusedError
 		require.True(t, errors.As(err, &refused))
 		require.Equal(t, ReasonNoCapacity, refused.Reason)
+		require.EqualValues(t, 1, group.NoCapacity())
 		group.SetCapacity("engines", 1, true)
 		require.True(t, group.Open("engines"))
 		grant, err := group.Enter(t.Context(), "engines", request(0))
--- a/daemon/gate/group.go
+++ b/daemon/gate/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
@@ -26,6 +27,8 @@
 
 	mu    sync.RWMutex
 	gates map[string]*Gate
+	// noCapacity counts the refusals for want of a gate.
+	noCapacity atomic.Uint64
 }
 
 // GroupConfig sets a Group. Zero values take the defaults.
@@ -95,6 +98,7 @@
 func (g *Group) Enter(ctx context.Context, pool string, r Request) (*Grant, error) {
 	own := g.find(pool)
 	if own == nil {
+		g.noCapacity.Add(1)
 		return nil, &RefusedError{Pool: pool, Reason: ReasonNoCapacity, RetryAfter: noCapacityComeBack}
 	}
 	return own.Acquire(ctx, r)
@@ -126,6 +130,10 @@
 	return own != nil && own.Stats().Capacity > 0
 }
 
+// NoCapacity returns how many requests were refused since the start because no
+// target of their pool was known.
+func (g *Group) NoCapacity() uint64 { return g.noCapacity.Load() }
+
 // Each calls f with every gate.
 func (g *Group) Each(f func(pool string, own *Gate)) {
 	g.mu.RLock()
--- /dev/null
+++ b/daemon/metrics/series.go
@@ -0,0 +1,79 @@
+package metrics
+
+import "github.com/uber-go/tally/v4"
+
+// label is one label of a metric; the zero label is none.
+type label struct{ key, value string }
+
+// id names one time series.
+type id struct {
+	name   string
+	labels [maxLabels]label
+}
+
+// maxLabels is the most labels that one of these metrics has.
+const maxLabels = 2
+
+// counter is a counter whose total is kept elsewhere.
+type counter struct {
+	tally.Counter
+	total uint64
+}
+
+// series keeps the metrics in use: a scope's Tagged costs a lock and a map. Its
+// size is bounded by the pools, tiers and constants that are label values.
+type series struct {
+	scope    tally.Scope
+	gauges   map[id]tally.Gauge
+	counters map[id]*counter
+}
+
+func newSeries(scope tally.Scope) *series {
+	return &series{
+		scope:    scope,
+		gauges:   make(map[id]tally.Gauge),
+		counters: make(map[id]*counter),
+	}
+}
+
+// gauge sets a gauge.
+func (s *series) gauge(value float64, name string, labels ...label) {
+	key := newID(name, labels)
+	g, ok := s.gauges[key]
+	if !ok {
+		g = s.tagged(labels).Gauge(name)
+		s.gauges[key] = g
+	}
+	g.Update(value)
+}
+
+// count brings a counter up to a total, which only grows.
+func (s *series) count(total uint64, name string, labels ...label) {
+	key := newID(name, labels)
+	c, ok := s.counters[key]
+	if !ok {
+		c = &counter{Counter: s.tagged(labels).Counter(name)}
+		s.counters[key] = c
+	}
+	if total > c.total {
+		c.Inc(int64(total - c.total))
+		c.total = total
+	}
+}
+
+func newID(name string, labels []label) id {
+	key := id{name: name}
+	copy(key.labels[:], labels)
+	return key
+}
+
+func (s *series) tagged(labels []label) tally.Scope {
+	if len(labels) == 0 {
+		return s.scope
+	}
+	tags := make(map[string]string, len(labels))
+	for _, l := range labels {
+		tags[l.key] = l.value
+	}
+	return s.scope.Tagged(tags)
+}
--- a/daemon/serve/metrics.go
+++ b/daemon/serve/metrics.go
@@ -16,12 +16,29 @@
 	unknown  tally.Counter
 	replayed tally.Counter
 	duration tally.Timer
+	// problems counts by the type of the problem, other those of no known type.
+	problems map[string]tally.Counter
+	other    tally.Counter
+}
+
+// problemTypes are the types of problem that callers get.
+var problemTypes = []string{
+	typeUnauthenticated, typeBadRequest, typeNotFound, typeTooLarge,
+	typeKeyRequired, typeKeyReused, typeBudget, typeOverload, typeStore,
+	typeDeadline, typeTarget, typeOutcomeUnknown, typeStarting, typeNotKept,
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	result := func(name string) tally.Counter {
 		return scope.Tagged(map[string]string{"result": name}).Counter("requests")
 	}
+	problem := func(kind string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": kind}).Counter("request_problems")
+	}
+	problems := make(map[string]tally.Counter, len(problemTypes))
+	for _, kind := range problemTypes {
+		problems[kind] = problem(kind)
+	}
 	return &metrics{
 		answered: result("answered"),
 		notRun:   result("not_run"),
@@ -29,11 +46,16 @@
 		unknown:  result("unknown"),
 		replayed: result("replayed"),
 		duration: scope.Timer("request_duration"),
+		problems: problems,
+		other:    problem("other"),
 	}
 }
 
 func (m *metrics) ended(p *callerapi.Problem, took time.Duration) {
 	m.duration.Record(took)
+	if p != nil {
+		m.problemOf(p.Type).Inc(1)
+	}
 	switch {
 	case p == nil:
 		m.answered.Inc(1)
@@ -45,3 +67,11 @@
 		m.unknown.Inc(1)
 	}
 }
+
+// problemOf returns the counter of a type of problem.
+func (m *metrics) problemOf(kind string) tally.Counter {
+	if c, ok := m.problems[kind]; ok {
+		return c
+	}
+	return m.other
+}
--- a/state/requests/digests.go
+++ b/state/requests/digests.go
@@ -47,6 +47,17 @@
 	c.PrefillTokens += o.PrefillTokens
 }
 
+// Attainment counts requests that ended.
+type Attainment struct {
+	Ended, Attained uint64
+}
+
+// maxTiers bounds the tiers that a stripe counts apart; OtherTier takes the rest.
+const maxTiers = 32
+
+// OtherTier stands for tiers that are not counted apart.
+const OtherTier = "other"
+
 // maxGroups bounds the sums without an account. Their keys come from records
 // that operators write; past the bound, which only endless renaming reaches,
 // OtherPipeline takes the rest.
@@ -64,6 +75,8 @@
 	maxAccounts int
 	accounts    map[Key]*Counters
 	rest        map[Key]*Counters
+	// tiers counts since the start; a drain leaves it.
+	tiers map[string]Attainment
 }
 
 func newDigests(maxAccounts int) *digests {
@@ -71,6 +84,7 @@
 		maxAccounts: maxAccounts,
 		accounts:    map[Key]*Counters{},
 		rest:        map[Key]*Counters{},
+		tiers:       map[string]Attainment{},
 	}
 }
 
@@ -134,6 +148,18 @@
 	}
 	k := Key{Pipeline: r.info.Pipeline, Tier: r.info.Tier, Account: r.info.Account}
 	d.addLocked(k, whole)
+	d.addTier(r.info.Tier, whole)
+}
+
+func (d *digests) addTier(tier string, c Counters) {
+	own, ok := d.tiers[tier]
+	if !ok && len(d.tiers) >= maxTiers {
+		tier = OtherTier
+		own = d.tiers[tier]
+	}
+	own.Ended += c.Count
+	own.Attained += c.Attained
+	d.tiers[tier] = own
 }
 
 func (d *digests) addLocked(k Key, c Counters) {
--- a/state/requests/requests_test.go
+++ b/state/requests/requests_test.go
@@ -287,6 +287,29 @@
 	require.Equal(t, uint64(rounds), rows[0].Count)
 }
 
+// An operator reads the attainment of each tier since the start. A report that
+// is written to the store must not take it back to zero, and a tool that renames
+// tiers for ever must not fill the memory.
+func TestAttainmentByTier(t *testing.T) {
+	tab := New(Options{MaxRequests: 64, Retention: time.Minute})
+	end := func(id, tier string, state State, after time.Duration) {
+		i := info(id, 0)
+		i.Tier = tier
+		tab.Finish(tab.Begin(i), End{State: state, At: at(after)})
+	}
+	end("in time", "gold", Answered, time.Second)
+	end("late", "gold", Answered, time.Second+1)
+	end("failed", "gold", Failed, 0)
+	tab.Drain(SummaryLimits{Groups: 1})
+	require.Equal(t, map[string]Attainment{"gold": {Ended: 3, Attained: 1}}, tab.Attainment())
+	for i := range 2 * maxTiers {
+		end(fmt.Sprint(i), fmt.Sprintf("tier-%d", i), Answered, 0)
+	}
+	got := tab.Attainment()
+	require.Len(t, got, maxTiers+1)
+	require.Equal(t, Attainment{Ended: maxTiers + 1, Attained: maxTiers + 1}, got[OtherTier])
+}
+
 // The store is down when a summary is to be written: what it held must be in the
 // next one, once.
 func TestRestoreAfterAFailedWrite(t *testing.T) {
--- a/state/requests/table.go
+++ b/state/requests/table.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// Attainment returns, by tier, how many requests ended since the start and how
+// many of them were answered within their deadline.
+func (t *Table) Attainment() map[string]Attainment {
+	sum := make(map[string]Attainment)
+	for _, d := range t.digests {
+		d.mu.Lock()
+		for tier, own := range d.tiers {
+			total := sum[tier]
+			total.Ended += own.Ended
+			total.Attained += own.Attained
+			sum[tier] = total
+		}
+		d.mu.Unlock()
+	}
+	return sum
+}
+
 // Stats is the size of a table.
 type Stats struct {
 	// Requests counts the records, running and finished.
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -15,7 +15,7 @@
 // limit, and every one would be a time series for ever.
 var allowedLabels = []string{
 	"pipeline", "stage", "tier", "pool", "result", "outcome", "reason", "kind",
-	"operation", "state", "role", "code", "step", "verdict",
+	"operation", "state", "role", "code", "step", "verdict", "rank",
 }
 
 var errUnknownLabel = errors.New("not in the list of bounded labels")
--- a/transport/platform/budget.go
+++ b/transport/platform/budget.go
@@ -35,7 +35,7 @@
 type Budget struct {
 	mu       sync.Mutex
 	governor *governor
-	stats    Stats
+	counts   [classes]ClassStats
 }
 
 // Stats are counts of calls since the start, for metrics.
@@ -48,12 +48,34 @@
 	Outage bool
 }
 
-// Stats returns the counts.
+// ClassStats are the counts of one class of calls since the start.
+type ClassStats struct {
+	// The counts mean the same as in Stats.
+	Sent, Held, Limited, Failed uint64
+	// Rate is the calls a second that may leave now.
+	Rate float64
+}
+
+// Stats returns the counts of all classes together.
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	stats := b.stats
-	stats.Outage = b.governor.breaker.open()
+	stats := Stats{Outage: b.governor.breaker.open()}
+	for _, c := range b.counts {
+		stats.Sent += c.Sent
+		stats.Held += c.Held
+		stats.Limited += c.Limited
+		stats.Failed += c.Failed
+	}
+	return stats
+}
+
+// ClassStats returns the counts of one class.
+func (b *Budget) ClassStats(class Class) ClassStats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stats := b.counts[class]
+	stats.Rate = b.governor.pacers[class].rate
 	return stats
 }
 
@@ -107,7 +129,7 @@
 	defer b.mu.Unlock()
 	admitted, err := b.governor.admit(time.Now(), class)
 	if err != nil {
-		b.stats.Held++
+		b.counts[class].Held++
 	}
 	return admitted, err
 }
@@ -117,12 +139,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.governor.report(time.Now(), p.class, p.probe, r)
-	b.stats.Sent++
+	counts := &b.counts[p.class]
+	counts.Sent++
 	switch r.outcome {
 	case outcomeLimited:
-		b.stats.Limited++
+		counts.Limited++
 	case outcomeFailed:
-		b.stats.Failed++
+		counts.Failed++
 	}
 }
 
--- a/transport/platform/faults_test.go
+++ b/transport/platform/faults_test.go
@@ -322,6 +322,9 @@
 		}
 		require.EqualValues(t, 3, e.Calls().Reads)
 		require.Equal(t, platform.Stats{Sent: 3, Failed: 3, Held: 7, Outage: true}, client.Budget().Stats())
+		reads, writes := client.Budget().ClassStats(platform.ClassRead), client.Budget().ClassStats(platform.ClassWrite)
+		require.Equal(t, [3]uint64{3, 3, 7}, [3]uint64{reads.Sent, reads.Failed, reads.Held})
+		require.Equal(t, platform.ClassStats{Rate: 10_000}, writes, "what the rig sets")
 		e.SetFaults(emulator.Faults{})
 		time.Sleep(5 * time.Second) // virtual
 		start := time.Now()
