Keep the entry of the incarnation that runs

Cause: three faults of an instance's entry in the store. An earlier process that wrote late, after a pause or an outage, overwrote the entry of a later one without a condition. An entry that the others removed, because its region was cut off for longer than the grace, was never written again. A planned stop whose entry was gone or replaced logged an error for what is in order. Ruled out: a periodic write or read of the own entry; the list that each instance reads for its peers says whether the entry is there, at no call more. Change: the entry is replaced by a conditional update, and only that of an earlier incarnation; a list without the own entry has it written again, not after a planned stop began; losing the conditional delete is no error. Tests: the first for this package. Seen failing before the change: TestEarlierIncarnationLeavesTheEntry (writes late), TestMissingEntryIsWrittenAgain, TestRemoveIsFinal, TestRemoveLosesTheRace. The rest passed before as well. Conclusion: a write that is under way when the planned stop removes the entry may still leave one behind; the tidier removes it after its grace.

--- a/daemon/register/register.go
+++ b/daemon/register/register.go
@@ -1,10 +1,11 @@
-// Package register lists this instance in the platform's store, once at its
-// start and until its planned stop, so that new instances find their peers.
+// Package register lists this instance in the platform's store from its start
+// until its planned stop, so that new instances find their peers.
 package register
 
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,30 +25,63 @@
 type Registrar struct {
 	store platform.Store
 	self  func() membership.Member
+	// missing has a value when a list did not have the entry.
+	missing chan struct{}
+	// removed is set once a planned stop removes the entry.
+	removed atomic.Bool
 }
 
 // New makes a registrar; self tells what the entry says.
 func New(store platform.Store, self func() membership.Member) *Registrar {
-	return &Registrar{store: store, self: self}
+	return &Registrar{store: store, self: self, missing: make(chan struct{}, 1)}
 }
 
-// Run writes the entry, trying until the store takes it, and returns at the end
-// of the context.
+// Run writes the entry, trying until the store takes it, and again when List
+// does not find it. It returns at the end of the context.
+//
+// Guard: an instance that is cut off for hours counts as gone, and its entry is
+// removed. Were it not written again, instances that start later would never
+// find this one among their peers.
 func (r *Registrar) Run(ctx context.Context) error {
-	pause := retryMin
 	for ctx.Err() == nil {
+		r.writeUntilTaken(ctx)
+		select {
+		case <-r.missing:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (r *Registrar) writeUntilTaken(ctx context.Context) {
+	pause := retryMin
+	for ctx.Err() == nil && !r.removed.Load() {
 		if r.write(ctx) == nil {
-			<-ctx.Done()
-			return nil
+			return
 		}
 		wait(ctx, pause)
 		pause = min(2*pause, retryMax)
 	}
-	return nil
 }
 
-// write creates the entry or replaces that of an earlier incarnation.
+// write creates the entry or replaces that of an earlier incarnation. That of a
+// later one stays, which counts as written: this process is the outdated one.
+// So does the own one, whose write was taken while its answer was lost.
 func (r *Registrar) write(ctx context.Context) error {
+	object, err := r.entry()
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Create(ctx, platformapi.KindInstances, object)
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return errors.Wrap(err, "register instance")
+	}
+	return r.replace(ctx, object)
+}
+
+// entry is what the store is to say of this instance.
+func (r *Registrar) entry() (platformapi.Object, error) {
 	self := r.self()
 	spec, err := json.Marshal(platformapi.InstanceEntry{
 		Address:     self.Address,
@@ -55,35 +89,54 @@
 		DataCentre:  self.DataCentre,
 		Incarnation: self.Incarnation,
 	})
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: self.Name}, Spec: spec}
+	return object, errors.Wrap(err, "register instance: encode")
+}
+
+// replace overwrites the entry of an earlier incarnation. The update is
+// conditional: one that appears after the read makes it fail.
+func (r *Registrar) replace(ctx context.Context, object platformapi.Object) error {
+	name := object.Metadata.Name
+	found, err := r.store.Get(ctx, platformapi.KindInstances, name)
 	if err != nil {
-		return errors.Wrap(err, "register: encode")
+		return errors.Wrap(err, "register instance: read")
 	}
-	object := platformapi.Object{Metadata: platformapi.Metadata{Name: self.Name}, Spec: spec}
-	_, err = r.store.Create(ctx, platformapi.KindInstances, object)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		_, err = r.store.Update(ctx, platformapi.KindInstances, object)
+	var entry platformapi.InstanceEntry
+	known := json.Unmarshal(found.Spec, &entry) == nil // else not of our making
+	if known && entry.Incarnation >= r.self().Incarnation {
+		return nil
 	}
-	return errors.Wrap(err, "register instance")
+	object.Metadata.Revision = found.Metadata.Revision
+	_, err = r.store.Update(ctx, platformapi.KindInstances, object)
+	return errors.Wrap(err, "register instance: replace")
 }
 
 // Remove deletes the entry at a planned stop, unless a later incarnation has
-// taken it over.
+// taken it over. From then on it is not written again.
 func (r *Registrar) Remove(ctx context.Context) error {
+	r.removed.Store(true)
+	err := r.remove(ctx)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) {
+		return nil // replaced meanwhile, or gone
+	}
+	return errors.Wrap(err, "remove instance")
+}
+
+func (r *Registrar) remove(ctx context.Context) error {
 	self := r.self()
 	object, err := r.store.Get(ctx, platformapi.KindInstances, self.Name)
 	if err != nil {
-		return errors.Wrap(err, "remove instance: read")
+		return errors.Wrap(err, "read")
 	}
 	var entry platformapi.InstanceEntry
 	if err := json.Unmarshal(object.Spec, &entry); err != nil {
-		return errors.Wrap(err, "remove instance: decode")
+		return errors.Wrap(err, "decode")
 	}
 	if entry.Incarnation != self.Incarnation {
 		return nil
 	}
-	err = r.store.Delete(ctx, platformapi.KindInstances, self.Name, object.Metadata.Revision)
-	return errors.Wrap(err, "remove instance")
+	return r.store.Delete(ctx, platformapi.KindInstances, self.Name, object.Metadata.Revision)
 }
 
 // List returns the instances that the store lists, as candidates for peers.
@@ -93,22 +146,43 @@
 		return nil, errors.Wrap(err, "list instances")
 	}
 	members := make([]membership.Member, 0, len(list.Items))
+	listed := false
 	for i := range list.Items {
-		var entry platformapi.InstanceEntry
-		if json.Unmarshal(list.Items[i].Spec, &entry) != nil {
+		member, ok := memberOf(&list.Items[i])
+		if !ok {
 			continue // not of our making
 		}
-		members = append(members, membership.Member{
-			Name:        list.Items[i].Metadata.Name,
-			Address:     entry.Address,
-			CallerURL:   entry.CallerURL,
-			DataCentre:  entry.DataCentre,
-			Incarnation: entry.Incarnation,
-		})
+		members = append(members, member)
+		listed = listed || member.Name == r.self().Name
+	}
+	if !listed {
+		r.writeAgain()
 	}
 	return members, nil
 }
 
+func memberOf(object *platformapi.Object) (membership.Member, bool) {
+	var entry platformapi.InstanceEntry
+	if json.Unmarshal(object.Spec, &entry) != nil {
+		return membership.Member{}, false
+	}
+	return membership.Member{
+		Name:        object.Metadata.Name,
+		Address:     entry.Address,
+		CallerURL:   entry.CallerURL,
+		DataCentre:  entry.DataCentre,
+		Incarnation: entry.Incarnation,
+	}, true
+}
+
+// writeAgain wakes Run, unless it is to wake up already.
+func (r *Registrar) writeAgain() {
+	select {
+	case r.missing <- struct{}{}:
+	default:
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/daemon/register/register_test.go
@@ -0,0 +1,157 @@
+package register
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig is a store in virtual time with registrars that run until the test ends.
+type rig struct {
+	t     *testing.T
+	store *emulator.Store
+	// ctx ends the registrars.
+	ctx context.Context
+}
+
+func inRig(t *testing.T, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		test(&rig{t: t, store: emulator.New(emulator.Options{}), ctx: ctx})
+	})
+}
+
+// start runs the registrar of an incarnation of the instance "one".
+func (r *rig) start(incarnation uint64) *Registrar {
+	self := membership.Member{Name: "one", Address: "127.0.0.1:1", DataCentre: "local", Incarnation: incarnation}
+	registrar := New(r.store.Local("one"), func() membership.Member { return self })
+	go func() { _ = registrar.Run(r.ctx) }()
+	synctest.Wait()
+	return registrar
+}
+
+// incarnations returns those that a new instance finds in the store.
+func (r *rig) incarnations() []uint64 {
+	members, err := New(r.store.Local("two"), func() membership.Member { return membership.Member{} }).List(r.t.Context())
+	require.NoError(r.t, err)
+	incarnations := make([]uint64, len(members))
+	for i, m := range members {
+		incarnations[i] = m.Incarnation
+	}
+	return incarnations
+}
+
+// An instance is replaced under its own name while the old process still runs:
+// it starts late against a store that was away, or stops last. Were it to write
+// or remove the entry, new instances would look for a process that is gone.
+func TestEarlierIncarnationLeavesTheEntry(t *testing.T) {
+	earlier := map[string]func(r *rig){
+		"stops": func(r *rig) {
+			old := r.start(1)
+			r.start(2)
+			require.NoError(r.t, old.Remove(r.t.Context()))
+		},
+		"writes late": func(r *rig) {
+			r.start(2)
+			r.start(1)
+		},
+		"lists": func(r *rig) {
+			old := r.start(1)
+			r.start(2)
+			_, err := old.List(r.t.Context())
+			require.NoError(r.t, err)
+		},
+	}
+	for name, act := range earlier {
+		t.Run(name, func(t *testing.T) {
+			inRig(t, func(r *rig) {
+				act(r)
+				synctest.Wait()
+				require.Equal(r.t, []uint64{2}, r.incarnations())
+			})
+		})
+	}
+}
+
+// The store is away when an instance starts, or loses the answer to its write.
+// Once the store is back, new instances must find the entry, and once only.
+func TestEntryIsWrittenInTheEnd(t *testing.T) {
+	faults := map[string]emulator.Faults{
+		"store down":  {Down: emulator.FailRefuse},
+		"answer lost": {LoseWrites: 1},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			inRig(t, func(r *rig) {
+				r.store.SetFaults(fault)
+				r.start(1)
+				time.Sleep(time.Minute) // virtual
+				r.store.SetFaults(emulator.Faults{})
+				time.Sleep(2 * retryMax) // virtual
+				require.Equal(r.t, []uint64{1}, r.incarnations())
+			})
+		})
+	}
+}
+
+// A region is cut off for hours, and the others take the entries of its
+// instances for those of the dead. When it is back, an instance that finds its
+// own entry missing writes it again, or new ones would never find it.
+func TestMissingEntryIsWrittenAgain(t *testing.T) {
+	inRig(t, func(r *rig) {
+		one := r.start(1)
+		require.NoError(r.t, r.store.Local("two").Delete(r.t.Context(), platformapi.KindInstances, "one", 0))
+		_, err := one.List(r.t.Context())
+		require.NoError(r.t, err)
+		synctest.Wait()
+		require.Equal(r.t, []uint64{1}, r.incarnations())
+	})
+}
+
+// A planned stop removes the entry; a list that is read meanwhile must not
+// bring it back, and a second try finds nothing to do.
+func TestRemoveIsFinal(t *testing.T) {
+	inRig(t, func(r *rig) {
+		one := r.start(1)
+		require.NoError(r.t, one.Remove(r.t.Context()))
+		_, err := one.List(r.t.Context())
+		require.NoError(r.t, err)
+		synctest.Wait()
+		require.Empty(r.t, r.incarnations())
+		require.NoError(r.t, one.Remove(r.t.Context()))
+	})
+}
+
+// replacedStore lets another incarnation write right before a delete.
+type replacedStore struct {
+	platform.Store
+	replace func()
+}
+
+func (s replacedStore) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	s.replace()
+	return s.Store.Delete(ctx, kind, name, revision)
+}
+
+// The later incarnation writes between the read and the delete of the earlier
+// one's planned stop: the delete is conditional, so the entry stays.
+func TestRemoveLosesTheRace(t *testing.T) {
+	inRig(t, func(r *rig) {
+		old := r.start(1)
+		old.store = replacedStore{Store: old.store, replace: func() { r.start(2) }}
+		require.NoError(r.t, old.Remove(r.t.Context()))
+		require.Equal(r.t, []uint64{2}, r.incarnations())
+	})
+}
