Start the grace of an entry anew when it is written

Cause: the tidier kept by name since when an instance was gone. An entry written anew between two rounds, or reports written by an instance that only the tidier does not see, were removed with the old time. Names whose entries others removed stayed in memory for ever, one for each replaced instance. One lost race ended the round for all entries after it. Ruled out: reading the incarnation in the entry, which reports do not have. Change: the time is kept with the revision and starts anew with it; what is not listed is forgotten; a conflict or a missing entry does not end the round. Tests: the first for this package. Seen failing before the change: TestOnlyWhatIsGoneForLongIsRemoved (written anew, still reports), TestDeletesThatLoseRacesHarmNothing (also with an unconditional delete), TestForgetsEntriesThatOthersRemoved. The rest passed before as well. Conclusion: memory is bounded by the entries in the store.

--- a/daemon/tidy/tidy.go
+++ b/daemon/tidy/tidy.go
@@ -35,13 +35,19 @@
 	// live tells whether an instance is live.
 	live func(name string) bool
 	now  func() time.Time
-	// gone holds when an entry was first found without its instance.
-	gone map[string]time.Time
+	// gone holds, by kind and name, the entries whose instance is not live.
+	gone map[string]map[string]absence
+}
+
+// absence is since when an entry stands as it is without its instance.
+type absence struct {
+	revision uint64
+	since    time.Time
 }
 
 // New makes a tidier.
 func New(store platform.Store, mine func() bool, live func(name string) bool, now func() time.Time) *Tidier {
-	return &Tidier{store: store, mine: mine, live: live, now: now, gone: make(map[string]time.Time)}
+	return &Tidier{store: store, mine: mine, live: live, now: now, gone: make(map[string]map[string]absence)}
 }
 
 // Run tidies until the context ends.
@@ -69,36 +75,56 @@
 	_ = t.kind(ctx, platformapi.KindDigests, reportGrace)
 }
 
+// kind removes the entries of one kind that are due.
 func (t *Tidier) kind(ctx context.Context, kind string, grace time.Duration) error {
 	list, err := t.store.ListStale(ctx, kind)
 	if err != nil {
 		return errors.Wrapf(err, "tidy: list %s", kind)
 	}
+	t.gone[kind] = t.absent(t.gone[kind], list.Items)
 	deletes := 0
-	for i := range list.Items {
-		metadata := list.Items[i].Metadata
-		if !t.due(kind+"/"+metadata.Name, metadata.Name, grace) || deletes == maxDeletes {
+	for name, a := range t.gone[kind] {
+		if t.now().Sub(a.since) <= grace || deletes == maxDeletes {
 			continue
 		}
 		deletes++
-		if err := t.store.Delete(ctx, kind, metadata.Name, metadata.Revision); err != nil {
+		if err := t.delete(ctx, kind, name, a.revision); err != nil {
 			return errors.Wrapf(err, "tidy: delete %s", kind)
 		}
-		delete(t.gone, kind+"/"+metadata.Name)
 	}
 	return nil
 }
 
-// due tells whether an entry's instance is gone for longer than grace.
-func (t *Tidier) due(key, name string, grace time.Duration) bool {
-	if t.live(name) {
-		delete(t.gone, key)
-		return false
+// absent returns the entries without a live instance, with the time from before
+// for those that stand unchanged. What is no longer listed is forgotten.
+//
+// Guard: an instance may come back and write its entry between two rounds, or be
+// cut off from this one alone and go on writing its reports. Were the time kept
+// by name, such an entry would be removed long before its grace. A new revision
+// starts the time anew.
+func (t *Tidier) absent(before map[string]absence, items []platformapi.Object) map[string]absence {
+	now := make(map[string]absence)
+	for i := range items {
+		metadata := items[i].Metadata
+		if t.live(metadata.Name) {
+			continue
+		}
+		a, known := before[metadata.Name]
+		if !known || a.revision != metadata.Revision {
+			a = absence{revision: metadata.Revision, since: t.now()}
+		}
+		now[metadata.Name] = a
 	}
-	since, known := t.gone[key]
-	if !known {
-		t.gone[key] = t.now()
-		return false
+	return now
+}
+
+// delete removes an entry as it was listed. One that was written or removed
+// since is left alone.
+func (t *Tidier) delete(ctx context.Context, kind, name string, revision uint64) error {
+	err := t.store.Delete(ctx, kind, name, revision)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) {
+		return nil
 	}
-	return t.now().Sub(since) > grace
+	return err
 }
--- /dev/null
+++ b/daemon/tidy/tidy_test.go
@@ -0,0 +1,174 @@
+package tidy
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// rig is a tidier whose clock and view of the instances the test sets.
+type rig struct {
+	t      *testing.T
+	store  *emulator.Local
+	now    time.Time
+	live   map[string]bool
+	mine   bool
+	writes int
+	*Tidier
+}
+
+func newRig(t *testing.T) *rig {
+	store := emulator.New(emulator.Options{WritesPerSecond: emulator.Unlimited})
+	r := &rig{t: t, store: store.Local("one"), now: time.Unix(1_000_000, 0), live: map[string]bool{}, mine: true}
+	r.Tidier = New(r.store, func() bool { return r.mine }, func(name string) bool { return r.live[name] },
+		func() time.Time { return r.now })
+	return r
+}
+
+// write writes an entry of the kind, or replaces it.
+func (r *rig) write(kind, name string) {
+	r.writes++ // the same spec again would be no change
+	spec := fmt.Appendf(nil, `{"write":%d}`, r.writes)
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: name}, Spec: spec}
+	_, err := r.store.Update(r.t.Context(), kind, object)
+	if err != nil {
+		_, err = r.store.Create(r.t.Context(), kind, object)
+	}
+	require.NoError(r.t, err)
+}
+
+// after passes time and does a round. The store's stale lists are one change
+// behind, so it makes one.
+func (r *rig) after(d time.Duration) {
+	r.now = r.now.Add(d)
+	r.write(platformapi.KindTiers, "any")
+	r.Round(r.t.Context())
+}
+
+func (r *rig) names(kind string) []string {
+	list, err := r.store.List(r.t.Context(), kind)
+	require.NoError(r.t, err)
+	names := []string{}
+	for _, o := range list.Items {
+		names = append(names, o.Metadata.Name)
+	}
+	return names
+}
+
+// An operator looks for the report of an instance that died yesterday, or a new
+// instance for peers of a region that was cut off for an hour: what stands in
+// the store may go only once its instance is gone for longer than the grace.
+func TestOnlyWhatIsGoneForLongIsRemoved(t *testing.T) {
+	const instances, digests = platformapi.KindInstances, platformapi.KindDigests
+	cases := map[string]struct {
+		kind string
+		act  func(r *rig)
+		kept bool
+	}{
+		"gone for less than the grace": {kind: instances, kept: true, act: func(r *rig) { r.after(instanceGrace) }},
+		"gone for the grace":           {kind: instances, act: func(r *rig) { r.after(instanceGrace + 1) }},
+		"its report, less":             {kind: digests, kept: true, act: func(r *rig) { r.after(reportGrace) }},
+		"its report":                   {kind: digests, act: func(r *rig) { r.after(reportGrace + 1) }},
+		"back for a moment": {kind: instances, kept: true, act: func(r *rig) {
+			r.live["two"] = true
+			r.after(instanceGrace)
+			delete(r.live, "two")
+			r.after(1)
+			r.after(instanceGrace)
+		}},
+		"another has the duty": {kind: instances, kept: true, act: func(r *rig) {
+			r.mine = false
+			r.after(2 * instanceGrace)
+		}},
+		"the duty comes back": {kind: instances, kept: true, act: func(r *rig) {
+			r.mine = false
+			r.after(instanceGrace)
+			r.mine = true
+			r.after(instanceGrace)
+		}},
+		"written anew, unseen between two rounds": {kind: instances, kept: true, act: func(r *rig) {
+			r.write(instances, "two")
+			r.after(instanceGrace + 1)
+		}},
+		"still reports, though nobody sees it": {kind: digests, kept: true, act: func(r *rig) {
+			r.write(digests, "two")
+			r.after(reportGrace + 1)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.write(c.kind, "two")
+			r.after(0)
+			c.act(r)
+			require.Equal(t, c.kept, len(r.names(c.kind)) == 1)
+		})
+	}
+}
+
+// racingStore lets another instance write or delete right before a delete.
+type racingStore struct {
+	platform.Store
+	race func(name string)
+}
+
+func (s racingStore) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	s.race(name)
+	return s.Store.Delete(ctx, kind, name, revision)
+}
+
+// While a round runs, an instance comes back and writes its entry, and a second
+// tidier removes another: the first stays, and the rest of the round is done.
+func TestDeletesThatLoseRacesHarmNothing(t *testing.T) {
+	r := newRig(t)
+	const kind = platformapi.KindInstances
+	for _, name := range []string{"back", "done", "gone"} {
+		r.write(kind, name)
+	}
+	r.after(0)
+	r.Tidier.store = racingStore{Store: r.store, race: func(name string) {
+		switch name {
+		case "back":
+			r.write(kind, name)
+		case "done":
+			require.NoError(t, r.store.Delete(t.Context(), kind, name, 0))
+		}
+	}}
+	r.after(instanceGrace + 1)
+	require.Equal(t, []string{"back"}, r.names(kind))
+}
+
+// A whole data centre of old names is left after a rollout: a round removes a
+// bounded number, since other calls need the store's writes too.
+func TestRoundIsBounded(t *testing.T) {
+	r := newRig(t)
+	for i := range maxDeletes + 5 {
+		r.write(platformapi.KindInstances, fmt.Sprintf("old-%02d", i))
+	}
+	r.after(0)
+	r.after(instanceGrace + 1)
+	require.Len(t, r.names(platformapi.KindInstances), 5)
+	r.after(time.Minute)
+	require.Empty(t, r.names(platformapi.KindInstances))
+}
+
+// Every replaced instance has a new name, and most remove their entry as they
+// stop. What the tidier remembers of them must go with the entry, or its memory
+// grows with each rollout.
+func TestForgetsEntriesThatOthersRemoved(t *testing.T) {
+	r := newRig(t)
+	for _, kind := range []string{platformapi.KindInstances, platformapi.KindDigests} {
+		r.write(kind, "two")
+		r.after(0)
+		require.NoError(t, r.store.Delete(t.Context(), kind, "two", 0))
+		r.after(time.Minute)
+		require.Empty(t, r.gone[kind])
+	}
+}
