--- a/daemon/app/orders.go
+++ b/daemon/app/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 
+	"github.com/ivyhollow/ivyhollow/coordination/lease"
 	"github.com/ivyhollow/ivyhollow/daemon/orders"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 )
@@ -18,12 +19,15 @@
 )
 
 func (a *App) buildOrders() {
+	terms := lease.DefaultTerms
+	terms.LongestOrder = a.settings.Orders.LongestOrder
 	a.orders = orders.NewGroup(orders.GroupOptions{
 		Keeper: orders.Options{
 			Holder:  a.self.Name + "-" + strconv.FormatUint(a.self.Incarnation, 10),
 			Store:   a.store,
 			Targets: a.targets,
 			Scope:   a.telemetry.Scope,
+			Terms:   terms,
 		},
 		Snapshot: a.sync.Snapshot,
 		Members:  a.orderedTargets,
--- a/emulator/target/attempt.go
+++ b/emulator/target/attempt.go
@@ -63,6 +63,9 @@
 	a.target.runs.start(a.requestID, a.target.leaving.Load())
 	if len(a.request.Inputs) > 0 && len(a.request.Inputs[0]) <= inputKept {
 		a.target.inputs.start(a.request.Inputs[0], false)
+		if a.target.options.Started != nil {
+			a.target.options.Started(a.request.Inputs[0])
+		}
 	}
 	return nil
 }
--- a/emulator/target/options.go
+++ b/emulator/target/options.go
@@ -54,6 +54,10 @@
 	// ChecksFencing makes the target refuse orders with an old fencing number.
 	ChecksFencing bool
 
+	// Started is told of the first input of each run before its work begins, so
+	// that a test knows the runs of a target that it kills; nil means nobody.
+	Started func(input string)
+
 	// ReportLag is the age of the load that the target reports.
 	ReportLag time.Duration
 	// EventLag is the age at which a cache event can be read.
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -58,5 +58,7 @@
 		{"status", "retention", duration{&s.Status.Retention, time.Second, 24 * time.Hour}, true},
 
 		{"claims", "retention", duration{&s.Claims.Retention, time.Minute, maxRetention}, true},
+
+		{"orders", "longest_order", duration{&s.Orders.LongestOrder, time.Second, time.Hour}, true},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	Telemetry Telemetry
 	Status    Status
 	Claims    Claims
+	Orders    Orders
 }
 
 // Instance says who this instance is.
@@ -119,6 +120,14 @@
 	Retention time.Duration
 }
 
+// Orders bounds the orders that instances give to targets.
+type Orders struct {
+	// LongestOrder bounds an order from its check to its end at the target. The
+	// successor of a holder that died waits it out before it orders targets that
+	// don't check fencing numbers.
+	LongestOrder time.Duration
+}
+
 // Default returns the settings of an empty file. The required keys
 // (instance.name, instance.data_centre, platform.url) are empty in it.
 func Default() Settings {
@@ -142,5 +151,6 @@
 		Telemetry: Telemetry{},
 		Status:    Status{RingSize: 16384, Retention: 10 * time.Minute},
 		Claims:    Claims{Retention: 24 * time.Hour},
+		Orders:    Orders{LongestOrder: 30 * time.Second},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -80,6 +80,8 @@
 retention = 10s
 [claims]
 retention = 11h
+[orders]
+longest_order = 12s
 `
 	path := filepath.Join(t.TempDir(), "instance.ini")
 	require.NoError(t, os.WriteFile(path, []byte(file), 0o600))
@@ -96,6 +98,7 @@
 		Telemetry: Telemetry{"http://10.0.0.9:4318/v1/traces", 2},
 		Status:    Status{12, 10 * time.Second},
 		Claims:    Claims{11 * time.Hour},
+		Orders:    Orders{12 * time.Second},
 	}, got)
 	require.True(t, got.Peers.TLS())
 }
--- a/testkit/scenario/load.go
+++ b/testkit/scenario/load.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 // loadCount are the answers of a load, by what they were.
 type loadCount struct {
 	whole, notRun, unknown, failed, cut, late int
+	// undated are those not_run that name no time to come back.
+	undated int
 	// slowest is the longest time of a whole answer.
 	slowest time.Duration
 }
@@ -68,7 +71,8 @@
 
 // runLoad: load begin NAME PIPELINE CALLERS INSTANCE..., load whole NAME COUNT
 // waits for so many further whole answers, load end NAME checks all answers and
-// prints their number. A pipeline "stream:NAME" is called for streams.
+// prints their number. The pipeline "stream" is the dossier, called for streams;
+// PIPELINE@KEY calls as another account.
 func runLoad(ts *testscript.TestScript, w *world, args []string) error {
 	switch {
 	case len(args) >= 5 && args[0] == "begin":
@@ -79,8 +83,8 @@
 		l := w.loads[args[1]]
 		l.end()
 		c := l.count
-		fmt.Fprintf(ts.Stdout(), "whole %d not_run %d unknown %d failed %d cut %d late %d\nslowest %v\nproblems %v\n",
-			c.whole, c.notRun, c.unknown, c.failed, c.cut, c.late, c.slowest, l.problems)
+		fmt.Fprintf(ts.Stdout(), "whole %d not_run %d unknown %d failed %d cut %d late %d\nundated %d\nslowest %v\nproblems %v\n",
+			c.whole, c.notRun, c.unknown, c.failed, c.cut, c.late, c.undated, c.slowest, l.problems)
 		return w.checkLoad(l)
 	}
 	return errors.New("usage: load begin NAME PIPELINE CALLERS INSTANCE... | whole NAME COUNT | end NAME")
@@ -101,6 +105,9 @@
 		problems: make(map[string]int),
 		changed:  make(chan struct{}),
 	}
+	if name, key, ok := strings.Cut(pipeline, "@"); ok {
+		pipeline, l.call.Pipeline, l.call.Key = name, name, key
+	}
 	if pipeline == "work-order" {
 		l.keyed = true
 	}
@@ -205,6 +212,9 @@
 			}
 		case reply.Problem.Outcome == callerapi.OutcomeNotRun:
 			l.count.notRun++
+			if reply.Problem.RetryAfterMS == 0 {
+				l.count.undated++
+			}
 			order.answer = callerapi.OutcomeNotRun
 		case reply.Problem.Outcome == callerapi.OutcomeUnknown:
 			l.count.unknown++
@@ -275,11 +285,11 @@
 	}
 	runs := make(map[string]int)
 	for _, name := range w.targets {
-		report, err := w.runsOf(name)
+		starts, err := w.startsOf(name)
 		if err != nil {
 			return err
 		}
-		for input, number := range report.Inputs {
+		for input, number := range starts {
 			runs[input] += number
 		}
 	}
--- a/testkit/scenario/process.go
+++ b/testkit/scenario/process.go
@@ -27,13 +27,18 @@
 	// seen holds the addresses that the process has told, by what listens.
 	seen   map[string]string
 	signal chan struct{}
-	exited chan struct{}
+	// started counts the runs that a service has told, by input.
+	started map[string]int
+	exited  chan struct{}
+	// read is closed once all that the process printed is read.
+	read chan struct{}
 }
 
 // Lines by which processes tell their addresses.
 var (
 	daemonLine  = regexp.MustCompile(`"listening for (\w+)".* address="([^"]+)"`)
 	standinLine = regexp.MustCompile(`^()listening (\S+)`)
+	startedLine = regexp.MustCompile(`^started (\S+)$`)
 )
 
 // start runs a program of the test binary and follows what it prints.
@@ -43,12 +48,14 @@
 		return nil, err
 	}
 	p := &process{
-		name:   name,
-		cmd:    exec.Command(program, args...),
-		log:    log,
-		seen:   make(map[string]string),
-		signal: make(chan struct{}),
-		exited: make(chan struct{}),
+		name:    name,
+		cmd:     exec.Command(program, args...),
+		log:     log,
+		seen:    make(map[string]string),
+		signal:  make(chan struct{}),
+		started: make(map[string]int),
+		exited:  make(chan struct{}),
+		read:    make(chan struct{}),
 	}
 	p.cmd.Env = environment
 	reader, writer := io.Pipe()
@@ -67,10 +74,16 @@
 }
 
 func (p *process) follow(output io.Reader) {
+	defer close(p.read)
 	scanner := bufio.NewScanner(output)
 	for scanner.Scan() {
 		line := scanner.Text()
 		_, _ = p.log.WriteString(line + "\n")
+		if found := startedLine.FindStringSubmatch(line); found != nil {
+			p.mu.Lock()
+			p.started[found[1]]++
+			p.mu.Unlock()
+		}
 		for _, pattern := range []*regexp.Regexp{daemonLine, standinLine} {
 			if found := pattern.FindStringSubmatch(line); found != nil {
 				p.told(found[1], found[2])
--- a/testkit/scenario/runs.go
+++ b/testkit/scenario/runs.go
@@ -75,3 +75,21 @@
 	}
 	return report, json.Unmarshal(body, &report)
 }
+
+// startsOf returns how often a target started work, by input. A killed one can't
+// be asked; a service has told each start before its work began, and the pipe
+// keeps what it told.
+func (w *world) startsOf(name string) (map[string]int, error) {
+	p, err := w.find(name)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-p.exited:
+		<-p.read
+		return p.started, nil
+	default:
+		report, err := w.runsOf(name)
+		return report.Inputs, err
+	}
+}
--- a/testkit/standin/standin.go
+++ b/testkit/standin/standin.go
@@ -86,6 +86,9 @@
 		LoadTime:      c.Duration("load-time"),
 		ChecksFencing: c.Bool("checks-fencing"),
 	}
+	if options.Kind == catalog.KindService {
+		options.Started = func(input string) { fmt.Println("started", input) }
+	}
 	if c.Bool("empty") {
 		options.Models, options.Adapters = []string{}, []string{}
 	}
