Guard the time at which a report begins

Cause: a planned stop writes the last report while the one that is due may be under way, and both read and set the begin of the next report without a lock. Ruled out: one write at a time, which would hold a lock across a call to the store and keep the planned stop waiting for it. Change: the time has a lock of its own and never goes back. Conclusion: two writes that overlap may still land in either order, and the later one replaces the other in the store.

--- a/daemon/report/report.go
+++ b/daemon/report/report.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +28,10 @@
 	name   string
 	status *requests.Table
 	now    func() time.Time
-	last   time.Time
+
+	mu sync.Mutex
+	// last is the end of the report before.
+	last time.Time
 }
 
 // New makes a reporter of the instance with the given name.
@@ -51,24 +55,42 @@
 }
 
 // Write writes the sums since the last write. While the store is away they add
-// up for the next one.
+// up for the next one. It may be called beside Run, for the last report.
 func (r *Reporter) Write(ctx context.Context) {
 	summary := r.status.Drain(limits)
 	if len(summary.Rows) == 0 {
 		return
 	}
-	if r.write(ctx, summary) != nil {
+	from, to := r.span()
+	if r.write(ctx, summary, from, to) != nil {
 		r.status.Restore(summary)
 		return
 	}
-	r.last = r.now()
+	r.written(to)
+}
+
+// span returns the time that a report covers which is written now.
+func (r *Reporter) span() (from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last, r.now()
+}
+
+// written says where the next report begins. The last report of a planned stop
+// may overtake the one that was due, so the time never goes back.
+func (r *Reporter) written(to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if to.After(r.last) {
+		r.last = to
+	}
 }
 
-func (r *Reporter) write(ctx context.Context, summary requests.Summary) error {
+func (r *Reporter) write(ctx context.Context, summary requests.Summary, from, to time.Time) error {
 	spec, err := json.Marshal(platformapi.DigestEntry{
 		Instance: r.name,
-		From:     r.last.UTC(),
-		To:       r.now().UTC(),
+		From:     from.UTC(),
+		To:       to.UTC(),
 		Rows:     rows(summary),
 	})
 	if err != nil {
