Hold the log lines of the page to those of the code

Cause: seven messages that instances log were missing on the page of operators, two stood there in a short form that a search does not find; two defaults were those of a library, not of the daemon. Ruled out: a list of messages in code; the calls themselves are the list. Change: docs_test.go compares the messages of the calls with the first column of the table, both ways. Conclusion: TestLogLinesAreOnThePage seen failing with one line of the table removed. A message that is not a literal in the call is not seen by it.

--- a/docs_test.go
+++ b/docs_test.go
@@ -19,6 +19,10 @@
 	testFunction = regexp.MustCompile(`(?m)^func (Test\w+)\(`)
 	testName     = regexp.MustCompile(`\bTest[A-Z]\w*`)
 	scenarioName = regexp.MustCompile(`\bS:([a-z0-9-]+)`)
+	logMessage   = regexp.MustCompile(`\.?(?:Info|Error|Debug)S\((?:\w+, )?"([^"]+)"`)
+	logTable     = regexp.MustCompile(`(?s)\n\| message \|.*?\n\n`)
+	firstColumn  = regexp.MustCompile(`(?m)^\| (` + "`[^|]*`" + `) \|`)
+	quoted       = regexp.MustCompile("`([^`]+)`")
 	packagePath  = regexp.MustCompile("`((?:client|cmd|coordination|daemon|emulator|protocol|settings|state|telemetry|testkit|transport)/[a-z0-9/_.-]*)`")
 )
 
@@ -92,3 +96,24 @@
 		}
 	}
 }
+
+// An operator looks a log line up and the page has no word about it, or waits
+// for one that no instance writes any more.
+func TestLogLinesAreOnThePage(t *testing.T) {
+	var written []string
+	for path, text := range filesOf(t, ".go") {
+		top, _, _ := strings.Cut(path, "/")
+		if slices.Contains([]string{"daemon", "transport", "telemetry"}, top) && !strings.HasSuffix(path, "_test.go") {
+			written = append(written, submatches(logMessage, text)...)
+		}
+	}
+	page, err := os.ReadFile("docs/operations/metrics.md")
+	require.NoError(t, err)
+	var explained []string
+	for _, cell := range submatches(firstColumn, logTable.FindString(string(page))) {
+		explained = append(explained, submatches(quoted, cell)...)
+	}
+	slices.Sort(written)
+	slices.Sort(explained)
+	require.Equal(t, slices.Compact(written), explained)
+}
