Decide retries in one place and back off after refusals

Cause: retry logic stood twice: retry.Race, pure and used by nobody, and a loop in daemon/execute that the daemon ran, whose decisions were not pure. A retry after a refusal left at once, so that a pool that was full for a moment used up all attempts of a request within that moment.

Ruled out: letting execute follow Race. It knows no gate, preemption, resumed stream or free attempt without a connection; taught these, it would mirror what the goroutines of execute hold already (slots, cancels).

Change: retry.Attempts takes each decision of the loop: what follows an attempt, whether it is paid for, after which wait, whether a hedge may run; retry.HedgeAfter says when. execute asks, pays, waits and sends. After a refusal the wait is random up to 10 ms, doubled with each, at most 200 ms, what the target asks for and half of the time to the latest start. A failure says why it was not sent again. The way to the target and the retry have files of their own.

Race is removed, and with it TestRace and BenchmarkRace, which tested only it.

Conclusion: the daemon and the tests run the same decisions.

--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -72,57 +72,97 @@
 	}
 }
 
-// A stage has an attempt and a hedge under way, and answers come late, twice or for
-// nobody. The caller must get one answer, and nothing may run on for no one.
-func TestRace(t *testing.T) {
-	repeatable := Stage{Repeatable: true, MaxAttempts: 3, LatestStart: epoch.Add(time.Second), HedgeAfter: 50 * time.Millisecond}
-	once := repeatable
-	once.Repeatable = false
-	single := repeatable
-	single.MaxAttempts = 1
-	late := epoch.Add(2 * time.Second)
-	end := func(now time.Time, attempt int, result Result) func(*Race) []Action {
-		return func(r *Race) []Action { return r.Ended(now, newRand(), attempt, result) }
+// A work order is sent on after a failure in some state: sent again after it may
+// have run, two crews come; given up after a mere refusal, none comes.
+func TestAttempts(t *testing.T) {
+	latest := epoch.Add(time.Second)
+	repeatable := Stage{Repeatable: true, MaxAttempts: 3}
+	once := Stage{MaxAttempts: 3}
+	resumable := Stage{Repeatable: true, Streams: true, Resumable: true, MaxAttempts: 3}
+	plain := Stage{Repeatable: true, Streams: true, MaxAttempts: 3}
+	single := Stage{Repeatable: true, MaxAttempts: 1}
+	failed, refused := End{Result: Failed}, End{Result: Refused}
+	alone, preempted := End{Result: NoConnection}, End{Result: Preempted, Delivered: true}
+	broken := End{Result: Failed, Delivered: true}
+	paid := Decision{Again: true, Paid: true}
+	tests := map[string]struct {
+		stage Stage
+		ends  []End
+		want  Decision // without its delay
+	}{
+		"retry":                                {repeatable, []End{failed}, paid},
+		"retry of what was refused":            {once, []End{refused}, paid},
+		"retry without a connection is free":   {repeatable, []End{alone}, Decision{Again: true}},
+		"once, no connection":                  {once, []End{alone, alone}, Decision{Again: true}},
+		"never twice what may run once":        {once, []End{failed}, Decision{Reason: ReasonNotRepeatable}},
+		"once, refused and then failed":        {once, []End{refused, failed}, Decision{Reason: ReasonNotRepeatable}},
+		"once, a refusal does not undo a run":  {once, []End{failed, refused}, Decision{Reason: ReasonNotRepeatable}},
+		"attempts used up":                     {repeatable, []End{failed, failed, failed}, Decision{Reason: ReasonAttempts}},
+		"attempts used up by refusals":         {once, []End{refused, refused, refused}, Decision{Reason: ReasonAttempts}},
+		"attempts used up without connections": {once, []End{alone, alone, alone}, Decision{Reason: ReasonAttempts}},
+		"a single attempt":                     {single, []End{failed}, Decision{Reason: ReasonAttempts}},
+		"at least one attempt":                 {Stage{Repeatable: true}, []End{failed}, Decision{Reason: ReasonAttempts}},
+		"a broken stream resumes":              {resumable, []End{broken}, paid},
+		"a broken stream never starts afresh":  {plain, []End{broken}, Decision{Reason: ReasonDelivered}},
+		"nor after a refusal":                  {plain, []End{{Result: Refused, Delivered: true}}, Decision{Reason: ReasonDelivered}},
+		"a stream that brought no token yet":   {plain, []End{failed}, paid},
+		"preempted":                            {resumable, []End{preempted}, Decision{Again: true}},
+		"a preemption is no attempt":           {resumable, []End{preempted, failed, preempted, failed}, paid},
+		"preempted, then used up":              {resumable, []End{preempted, failed, failed, failed}, Decision{Reason: ReasonAttempts}},
 	}
-	hedge := func(now time.Time) func(*Race) []Action {
-		return func(r *Race) []Action { return r.HedgeDue(now) }
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, got := NewAttempts(tt.stage), Decision{}
+			for _, end := range tt.ends {
+				a.Sent()
+				got = a.Ended(epoch, latest, newRand(), end)
+			}
+			got.Delay = 0
+			require.Equal(t, tt.want, got)
+		})
 	}
+}
+
+// Every target of a pool is full for a moment. Sent on at once, a request uses up
+// its attempts within that moment; sent on after a fixed wait, the requests that
+// were refused together come back together; waiting too long is too late.
+func TestBackoffAfterRefusal(t *testing.T) {
+	const second = time.Second
 	tests := map[string]struct {
-		stage  Stage
-		broke  bool
-		events []func(*Race) []Action
-		want   []Action
+		result           Result
+		refusals         int
+		room, retryAfter time.Duration
+		ceiling          time.Duration
 	}{
-		"answered":                         {repeatable, false, []func(*Race) []Action{end(epoch, 0, Answered)}, []Action{{Kind: Deliver}}},
-		"the loser is cancelled":           {repeatable, false, []func(*Race) []Action{hedge(epoch), end(epoch, 1, Answered)}, []Action{{Kind: Cancel, Attempt: 0}, {Kind: Deliver, Attempt: 1}}},
-		"a late second answer is dropped":  {repeatable, false, []func(*Race) []Action{hedge(epoch), end(epoch, 1, Answered), end(epoch, 0, Answered)}, nil},
-		"an answer that comes twice":       {repeatable, false, []func(*Race) []Action{end(epoch, 0, Answered), end(epoch, 0, Answered)}, nil},
-		"an answer nobody asked for":       {repeatable, false, []func(*Race) []Action{end(epoch, 7, Answered)}, nil},
-		"the hedge goes on alone":          {repeatable, false, []func(*Race) []Action{hedge(epoch), end(epoch, 0, Failed)}, nil},
-		"one hedge at most":                {repeatable, false, []func(*Race) []Action{hedge(epoch), hedge(epoch)}, nil},
-		"no hedge when it is too late":     {repeatable, false, []func(*Race) []Action{hedge(late)}, nil},
-		"no hedge beyond the attempts":     {single, false, []func(*Race) []Action{hedge(epoch)}, nil},
-		"no hedge without a token":         {repeatable, true, []func(*Race) []Action{hedge(epoch)}, nil},
-		"no retry without a token":         {repeatable, true, []func(*Race) []Action{end(epoch, 0, Failed)}, []Action{{Kind: GiveUp, Reason: ReasonBudget}}},
-		"no retry when it is too late":     {repeatable, false, []func(*Race) []Action{end(late, 0, Failed)}, []Action{{Kind: GiveUp, Reason: ReasonTooLate}}},
-		"no retry beyond the attempts":     {single, false, []func(*Race) []Action{end(epoch, 0, Failed)}, []Action{{Kind: GiveUp, Reason: ReasonAttempts}}},
-		"never twice what may run once":    {once, false, []func(*Race) []Action{end(epoch, 0, Failed)}, []Action{{Kind: GiveUp, Reason: ReasonNotRepeatable}}},
-		"stopped: all open ones cancelled": {repeatable, false, []func(*Race) []Action{hedge(epoch), func(r *Race) []Action { return r.Stop() }}, []Action{{Kind: Cancel, Attempt: 0}, {Kind: Cancel, Attempt: 1}}},
-		"stopped twice":                    {repeatable, false, []func(*Race) []Action{func(r *Race) []Action { return r.Stop() }, func(r *Race) []Action { return r.Stop() }}, nil},
+		"first refusal":              {Refused, 1, second, 0, 10 * time.Millisecond},
+		"doubles":                    {Refused, 3, second, 0, 40 * time.Millisecond},
+		"is bounded":                 {Refused, 90, second, 0, backoffMax},
+		"the target asks for less":   {Refused, 3, second, 7 * time.Millisecond, 7 * time.Millisecond},
+		"the target asks for more":   {Refused, 1, second, time.Hour, 10 * time.Millisecond},
+		"half of what is left":       {Refused, 90, 30 * time.Millisecond, 0, 15 * time.Millisecond},
+		"nothing is left":            {Refused, 3, 0, 0, 0},
+		"too late":                   {Refused, 3, -second, second, 0},
+		"after a failure at once":    {Failed, 3, second, 0, 0},
+		"without a connection, too":  {NoConnection, 3, second, 0, 0},
+		"preempted, the gate queues": {Preempted, 3, second, 0, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := NewBudget(Config{})
-			for tt.broke && (b.TakeRetry(epoch) || b.TakeHedge(epoch)) {
-				continue
-			}
-			r := NewRace(tt.stage, b)
-			r.Start()
-			var got []Action
-			for _, event := range tt.events {
-				got = event(r)
+			rng, longest, differ := newRand(), time.Duration(0), map[time.Duration]bool{}
+			for range 200 {
+				a := NewAttempts(Stage{Repeatable: true, MaxAttempts: 100})
+				var got Decision
+				for range tt.refusals {
+					a.Sent()
+					got = a.Ended(epoch, epoch.Add(tt.room), rng, End{Result: tt.result, RetryAfter: tt.retryAfter})
+				}
+				require.True(t, got.Again)
+				require.GreaterOrEqual(t, got.Delay, time.Duration(0))
+				longest, differ[got.Delay] = max(longest, got.Delay), true
 			}
-			require.Equal(t, tt.want, got)
+			require.LessOrEqual(t, longest, tt.ceiling)
+			require.GreaterOrEqual(t, longest, tt.ceiling*9/10, "the whole range is used")
+			require.Equal(t, tt.ceiling > 0, len(differ) > 100, "jitter")
 		})
 	}
 }
@@ -130,69 +170,89 @@
 // A work order that may run once is sent again only when the target vouches
 // that it did not start; it is never sent beside itself.
 func TestRaceOfWhatMayRunOnce(t *testing.T) {
-	stage := Stage{MaxAttempts: 3, LatestStart: epoch.Add(time.Second), HedgeAfter: time.Millisecond}
-	r := NewRace(stage, NewBudget(Config{}))
-	require.Equal(t, []Action{{Kind: Dispatch}}, r.Start(), "no hedge is set up")
-	again := r.Ended(epoch, newRand(), 0, NotRun)
-	require.Len(t, again, 1)
-	require.Equal(t, Dispatch, again[0].Kind)
-	require.LessOrEqual(t, again[0].Delay, backoffMax)
-	require.Equal(t, []Action{{Kind: GiveUp, Reason: ReasonNotRepeatable}}, r.Ended(epoch, newRand(), 1, Failed))
+	a, latest := NewAttempts(Stage{MaxAttempts: 3}), epoch.Add(time.Second)
+	a.Sent()
+	require.False(t, a.MayHedge())
+	again := a.Ended(epoch, latest, newRand(), End{Result: Refused})
+	require.True(t, again.Again && again.Paid)
+	require.LessOrEqual(t, again.Delay, backoffMax)
+	a.Sent()
+	require.False(t, a.MayHedge())
+	require.Equal(t, Decision{Reason: ReasonNotRepeatable}, a.Ended(epoch, latest, newRand(), End{Result: Failed}))
 }
 
-// Whatever happens in whatever order, a race ends once, delivers at most one
-// answer, and leaves no attempt running.
-func TestRaceEndsOnce(t *testing.T) {
+// Whatever happens in whatever order: never more attempts than allowed, nothing
+// twice that may run once, no second text behind delivered tokens, no attempt
+// without a token that would give a pool more work, no wait beyond what is left.
+func TestAttemptsAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		stage := Stage{
 			Repeatable:  rapid.Bool().Draw(t, "repeatable"),
+			Streams:     rapid.Bool().Draw(t, "streams"),
+			Resumable:   rapid.Bool().Draw(t, "resumable"),
 			MaxAttempts: rapid.IntRange(1, 4).Draw(t, "attempts"),
-			LatestStart: epoch.Add(time.Second), HedgeAfter: time.Millisecond,
 		}
-		r := NewRace(stage, NewBudget(Config{Reserve: 5}))
-		open, sent, ends, failed := map[int]bool{}, 0, 0, false
-		apply := func(actions []Action) {
-			for _, a := range actions {
-				switch a.Kind {
-				case Dispatch:
-					require.False(t, failed && !stage.Repeatable, "sent again although it may have run")
-					require.True(t, stage.Repeatable || len(open) == 0)
-					open[a.Attempt] = true
-					sent++
-				case Cancel:
-					require.True(t, open[a.Attempt])
-					delete(open, a.Attempt)
-				case Deliver, GiveUp:
-					ends++
-				}
+		a, rng := NewAttempts(stage), newRand()
+		sent, mayHaveRun := 0, false
+		for again := true; again; {
+			a.Sent()
+			sent++
+			if a.MayHedge() && rapid.Bool().Draw(t, "hedge") {
+				require.True(t, stage.Repeatable && !stage.Streams)
+				a.Sent()
+				sent++
 			}
-		}
-		apply(r.Start())
-		for range rapid.IntRange(0, 12).Draw(t, "events") {
-			if rapid.Bool().Draw(t, "hedge") {
-				apply(r.HedgeDue(epoch))
-				continue
+			require.LessOrEqual(t, sent, stage.MaxAttempts)
+			end := End{
+				Result:     Result(rapid.IntRange(1, 3).Draw(t, "result")),
+				RetryAfter: time.Duration(rapid.IntRange(0, 300).Draw(t, "retry after ms")) * time.Millisecond,
+				Delivered:  stage.Streams && rapid.Bool().Draw(t, "delivered"),
+			}
+			room := time.Duration(rapid.IntRange(-100, 500).Draw(t, "room ms")) * time.Millisecond
+			mayHaveRun = mayHaveRun || end.Result == Failed
+			got := a.Ended(epoch, epoch.Add(room), rng, end)
+			again = got.Again
+			require.Equal(t, again, got.Reason == "")
+			require.Equal(t, again && end.Result != NoConnection, got.Paid)
+			require.LessOrEqual(t, got.Delay, max(room, 0))
+			if again {
+				require.True(t, stage.Repeatable || !mayHaveRun, "sent again although it may have run")
+				require.True(t, stage.Resumable || !end.Delivered, "two texts")
 			}
-			attempt := rapid.IntRange(0, 4).Draw(t, "attempt")
-			result := Result(rapid.IntRange(1, 3).Draw(t, "result"))
-			failed = failed || open[attempt] && result == Failed
-			delete(open, attempt)
-			apply(r.Ended(epoch, newRand(), attempt, result))
 		}
-		require.LessOrEqual(t, sent, stage.MaxAttempts)
-		require.LessOrEqual(t, ends, 1)
-		require.Equal(t, len(open) == 0, ends == 1, "it has ended when nothing runs any more")
 	})
 }
 
-func BenchmarkRace(b *testing.B) {
-	budget, rng := NewBudget(Config{}), newRand()
-	stage := Stage{Repeatable: true, MaxAttempts: 3, LatestStart: epoch.Add(time.Second)}
+// A hedge beside each request doubles the load; one that comes too late saves
+// nobody.
+func TestHedge(t *testing.T) {
+	const ms = time.Millisecond
+	require.Equal(t, 50*ms, HedgeAfter(50*ms, time.Second, true), "the slowest of twenty")
+	require.Equal(t, 200*ms, HedgeAfter(50*ms, time.Second, false), "a rescue only")
+	require.Equal(t, 40*ms, HedgeAfter(50*ms, 80*ms, true), "half is kept")
+	require.Zero(t, HedgeAfter(50*ms, -ms, true))
+	for stage, want := range map[Stage]bool{
+		{Repeatable: true, MaxAttempts: 2}:                                 true,
+		{Repeatable: true, MaxAttempts: 1}:                                 false,
+		{MaxAttempts: 2}:                                                   false,
+		{Repeatable: true, Streams: true, Resumable: true, MaxAttempts: 2}: false,
+	} {
+		a := NewAttempts(stage)
+		a.Sent()
+		require.Equal(t, want, a.MayHedge(), "%+v", stage)
+		a.Sent()
+		require.False(t, a.MayHedge(), "one hedge at most of two attempts")
+	}
+}
+
+func BenchmarkAttempts(b *testing.B) {
+	rng, latest := newRand(), epoch.Add(time.Second)
+	stage := Stage{Repeatable: true, MaxAttempts: 3}
 	b.ReportAllocs()
 	for b.Loop() {
-		r := NewRace(stage, budget)
-		r.Start()
-		r.Ended(epoch, rng, 0, Answered)
+		a := NewAttempts(stage)
+		a.Sent()
+		a.Ended(epoch, latest, rng, End{Result: Refused})
 	}
 }
 
--- /dev/null
+++ b/daemon/execute/pick.go
@@ -0,0 +1,44 @@
+package execute
+
+import "github.com/ivyhollow/ivyhollow/coordination/routing"
+
+// pick chooses the target of a first attempt or of a retry. Where every target
+// not yet tried is gone, one that failed once is better than none.
+func (s *stageRun) pick() (routing.Choice, *Failure) {
+	choice, failure := s.pickOther()
+	if failure == nil || len(s.tried) == 0 {
+		return choice, failure
+	}
+	tried := s.tried
+	s.tried = nil
+	choice, failure = s.pickOther()
+	s.tried = tried
+	return choice, failure
+}
+
+// pickOther chooses a target that the stage was not sent to yet.
+func (s *stageRun) pickOther() (routing.Choice, *Failure) {
+	query := routing.Query{
+		Pool:    s.stage.Pool,
+		Model:   s.stage.Model,
+		Adapter: s.stage.Adapter,
+		Exclude: s.tried,
+		Rank:    s.job.Tier.Rank,
+	}
+	for _, part := range s.prefix() {
+		query.Prefix = append(query.Prefix, routing.PrefixPart{ID: part.ID, Tokens: part.Tokens})
+	}
+	choice, err := s.opts.Router.Pick(s.opts.Now(), s.rng, query)
+	if err != nil {
+		return choice, s.failure(ReasonNoTarget, "", err)
+	}
+	return choice, nil
+}
+
+// prefix is the caller's prompt, which only generation reads.
+func (s *stageRun) prefix() []Part {
+	if s.maxTokens(s.index) == 0 {
+		return nil
+	}
+	return s.job.Prefix
+}
--- /dev/null
+++ b/daemon/execute/retry.go
@@ -0,0 +1,77 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
+	"github.com/ivyhollow/ivyhollow/transport/target"
+)
+
+// beforeRetry decides whether a failed attempt is followed by another one, pays
+// for it and waits until it is due. Its error ends the stage.
+func (s *stageRun) beforeRetry(ctx context.Context, result attemptResult) error {
+	if ctx.Err() != nil {
+		return s.asFailure(ctx, ctx.Err())
+	}
+	now := s.opts.Now()
+	decision := s.attempts.Ended(now, s.share(now, s.index).LatestStart, s.rng, retry.End{
+		Result:     retryResult(result),
+		RetryAfter: result.retryAfter,
+		Delivered:  s.offset > 0,
+	})
+	if !decision.Again {
+		return s.targetFailure(result, decision.Reason)
+	}
+	if decision.Paid && !s.opts.Spender.Retry(now, s.stage.Pool) {
+		return s.targetFailure(result, retry.ReasonBudget)
+	}
+	return wait(ctx, decision.Delay)
+}
+
+func retryResult(result attemptResult) retry.Result {
+	switch {
+	case result.preempted:
+		return retry.Preempted
+	case result.verdict != outcome.NotRun:
+		return retry.Failed
+	case noConnection(result.err):
+		return retry.NoConnection
+	default:
+		return retry.Refused
+	}
+}
+
+// noConnection tells whether an attempt ended before it had a connection.
+func noConnection(err error) bool {
+	var failed *target.AttemptError
+	return errors.As(err, &failed) && failed.Outcome == target.NotRun && failed.Step == target.StepConnect
+}
+
+// targetFailure tells how the last attempt ended, and why it was the last.
+func (s *stageRun) targetFailure(result attemptResult, why retry.Reason) *Failure {
+	f := s.failure(ReasonTarget, result.peer, fmt.Errorf("%w (no retry: %s)", result.err, why))
+	f.RetryAfter = result.retryAfter
+	if result.verdict == outcome.NotRun && f.RetryAfter > 0 {
+		f.Reason = ReasonOverload
+	}
+	return f
+}
+
+// wait blocks for the delay or until the context's end, whose error it returns.
+func wait(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -8,12 +8,10 @@
 	"strings"
 	"time"
 
-	"github.com/ivyhollow/ivyhollow/coordination/outcome"
-	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
-	"github.com/ivyhollow/ivyhollow/transport/target"
 )
 
 // defaultMaxAttempts bounds the attempts of a stage whose pipeline names none.
@@ -32,7 +30,7 @@
 	offset int
 	// tried holds the incarnations that an attempt was sent to.
 	tried       []string
-	attempts    int
+	attempts    *retry.Attempts
 	preemptions int
 	// serial numbers the attempts, preempted ones too.
 	serial int
@@ -42,12 +40,19 @@
 }
 
 func newStageRun(r *run, i int) *stageRun {
-	return &stageRun{
+	s := &stageRun{
 		run:   r,
 		index: i,
 		stage: &r.job.Pipeline.Stages[i],
 		rng:   newRand(),
 	}
+	s.attempts = retry.NewAttempts(retry.Stage{
+		Repeatable:  s.stage.Repeatable,
+		Streams:     s.streams(),
+		Resumable:   s.stage.Resumable,
+		MaxAttempts: s.maxAttempts(),
+	})
+	return s
 }
 
 // streams tells whether this stage's tokens go to the caller as they come, or
@@ -73,8 +78,8 @@
 			s.tokens = result.answer.Tokens
 			return nil
 		}
-		if failure := s.mayTryAgain(ctx, result); failure != nil {
-			return failure
+		if err := s.beforeRetry(ctx, result); err != nil {
+			return err
 		}
 	}
 }
@@ -91,7 +96,7 @@
 	if failure != nil {
 		return attemptResult{}, failure
 	}
-	if s.mayHedge() {
+	if s.attempts.MayHedge() {
 		return s.doHedged(ctx, first, grant, request), nil
 	}
 	return s.doPreemptible(ctx, first, grant), nil
@@ -143,7 +148,6 @@
 	if result.preempted {
 		s.preemptions++
 		s.tried = s.tried[:len(s.tried)-1]
-		s.attempts--
 	}
 	return result
 }
@@ -181,95 +185,6 @@
 	return f
 }
 
-// pick chooses the target of a first attempt or of a retry. Where every target
-// not yet tried is gone, one that failed once is better than none.
-func (s *stageRun) pick() (routing.Choice, *Failure) {
-	choice, failure := s.pickOther()
-	if failure == nil || len(s.tried) == 0 {
-		return choice, failure
-	}
-	tried := s.tried
-	s.tried = nil
-	choice, failure = s.pickOther()
-	s.tried = tried
-	return choice, failure
-}
-
-// pickOther chooses a target that the stage was not sent to yet.
-func (s *stageRun) pickOther() (routing.Choice, *Failure) {
-	query := routing.Query{
-		Pool:    s.stage.Pool,
-		Model:   s.stage.Model,
-		Adapter: s.stage.Adapter,
-		Exclude: s.tried,
-		Rank:    s.job.Tier.Rank,
-	}
-	for _, part := range s.prefix() {
-		query.Prefix = append(query.Prefix, routing.PrefixPart{ID: part.ID, Tokens: part.Tokens})
-	}
-	choice, err := s.opts.Router.Pick(s.opts.Now(), s.rng, query)
-	if err != nil {
-		return choice, s.failure(ReasonNoTarget, "", err)
-	}
-	return choice, nil
-}
-
-// prefix is the caller's prompt, which only generation reads.
-func (s *stageRun) prefix() []Part {
-	if s.maxTokens(s.index) == 0 {
-		return nil
-	}
-	return s.job.Prefix
-}
-
-// mayTryAgain decides whether a failed attempt is followed by another one, and
-// returns the failure that ends the stage if not.
-func (s *stageRun) mayTryAgain(ctx context.Context, result attemptResult) *Failure {
-	if ctx.Err() != nil {
-		return s.asFailure(ctx, ctx.Err())
-	}
-	if result.preempted {
-		return nil
-	}
-	f := s.failure(ReasonTarget, result.peer, result.err)
-	f.RetryAfter = result.retryAfter
-	if result.verdict == outcome.NotRun && f.RetryAfter > 0 {
-		f.Reason = ReasonOverload
-	}
-	if result.verdict != outcome.NotRun && !s.repeatableNow() {
-		return f
-	}
-	if s.attempts >= s.maxAttempts() {
-		return f
-	}
-	if !noConnection(result) && !s.opts.Spender.Retry(s.opts.Now(), s.stage.Pool) {
-		return f
-	}
-	return nil
-}
-
-// noConnection tells whether an attempt ended before it had a connection.
-//
-// The failure: several targets of a pool are killed at once and stand in the
-// platform's list for some time more. Attempts meet them until the budget of
-// retries is empty, and then most requests fail though other targets are well.
-// An attempt without a connection gave the pool no work, so that the next one
-// multiplies no load and needs no budget; its number is bounded all the same.
-func noConnection(result attemptResult) bool {
-	var failed *target.AttemptError
-	return errors.As(result.err, &failed) && failed.Outcome == target.NotRun && failed.Step == target.StepConnect
-}
-
-// repeatableNow tells whether the stage may run again after an attempt that may
-// have run. Tokens that the caller has seen forbid a fresh run: its text could
-// differ, and the joined answer would be of two runs. Only a resume is whole.
-func (s *stageRun) repeatableNow() bool {
-	if !s.stage.Repeatable {
-		return false
-	}
-	return s.offset == 0 || s.stage.Resumable
-}
-
 func (s *stageRun) maxAttempts() int {
 	if n := s.job.Pipeline.MaxAttempts; n > 0 {
 		return n
@@ -283,7 +198,7 @@
 
 // nextAttempt makes the id of the next attempt; it is unique to the request.
 func (s *stageRun) nextAttempt() string {
-	s.attempts++
+	s.attempts.Sent()
 	s.serial++
 	return s.job.ID + "/" + s.stage.Name + "/" + strconv.Itoa(s.serial)
 }
