Forget a token's outcome with the token

Cause: a Holder lists the tokens whose outcome it remembers, and took them off that list only when the bodies reached their bound of bytes. Tokens that were forgotten for their number or age stayed listed: eight bytes for every finished claim, without end where answers are small. Ruled out: a search of the list; both lists are in the order of closing, so the oldest token's outcome is the first. Change: the list shrinks with the tokens. The condition under which later calls no longer join an attempt stood three times and is now unlink. Tests: TestHolderForgetsOutcomesWithTheirTokens, seen failing before the change. Conclusion: a Holder is bounded by its limits.

--- a/coordination/claim/call_test.go
+++ b/coordination/claim/call_test.go
@@ -160,3 +160,24 @@
 	require.NoError(t, h.Abandon(5, true, callStart.Add(3*time.Hour)))
 	require.Zero(t, h.OpenCount())
 }
+
+// An instance serves small answers for weeks and never fills the bytes that it
+// may remember. Tokens past their bound are forgotten, and what lists their
+// outcomes must shrink with them, or the instance grows until it is killed.
+func TestHolderForgetsOutcomesWithTheirTokens(t *testing.T) {
+	const closed = 8
+	h := NewHolder(HolderLimits{MaxOpen: 1, MaxClosed: closed, MaxKeptBytes: 1 << 20, Remember: time.Hour, DispatchWindow: time.Minute})
+	for attempt := range uint64(100) {
+		require.NoError(t, h.Open(ID{byte(attempt)}, BodyDigest{}, attempt, callStart))
+		require.NoError(t, h.Dispatch(attempt, callStart))
+		kept := Kept{Outcome: OutcomeRan, Body: []byte("x")}
+		if attempt%3 == 0 {
+			kept.Outcome = OutcomeNotRun // keeps nothing
+		}
+		require.NoError(t, h.Finish(attempt, kept, callStart))
+		require.LessOrEqual(t, len(h.bodies), closed)
+		require.Equal(t, len(h.bodies), h.keptBytes)
+	}
+	require.Len(t, h.tokens, closed)
+	require.Len(t, h.latest, len(h.bodies))
+}
--- a/coordination/claim/holder.go
+++ b/coordination/claim/holder.go
@@ -194,8 +194,8 @@
 	t.closed = now
 	h.open--
 	h.order = append(h.order, attempt)
-	if state == abandoned && h.latest[t.id] == attempt {
-		delete(h.latest, t.id)
+	if state == abandoned {
+		h.unlink(attempt, t)
 	}
 	h.expire(now)
 }
@@ -210,6 +210,12 @@
 			return
 		}
 		h.order = h.order[1:]
+		// Both lists are in the order of closing: the outcome of the oldest
+		// token is the oldest. Left in the list it would stay there for ever
+		// in an instance whose bodies never reach their bound.
+		if len(h.bodies) > 0 && h.bodies[0] == attempt {
+			h.bodies = h.bodies[1:]
+		}
 		h.forget(attempt, t)
 	}
 }
@@ -217,9 +223,7 @@
 func (h *Holder) forget(attempt uint64, t *holding) {
 	h.dropBody(t)
 	delete(h.tokens, attempt)
-	if h.latest[t.id] == attempt {
-		delete(h.latest, t.id)
-	}
+	h.unlink(attempt, t)
 }
 
 // shedBodies drops the oldest bodies over the bound; the store has them.
@@ -227,10 +231,9 @@
 	for h.keptBytes > h.limits.MaxKeptBytes && len(h.bodies) > 0 {
 		attempt := h.bodies[0]
 		h.bodies = h.bodies[1:]
-		if t, ok := h.tokens[attempt]; ok {
-			h.dropBody(t)
-			h.unlink(attempt, t)
-		}
+		t := h.tokens[attempt]
+		h.dropBody(t)
+		h.unlink(attempt, t)
 	}
 }
 
@@ -242,7 +245,8 @@
 	t.kept = nil
 }
 
-// unlink makes later calls of the key read the store, which has the body.
+// unlink makes later calls of the key ask the store instead of joining the
+// attempt.
 func (h *Holder) unlink(attempt uint64, t *holding) {
 	if h.latest[t.id] == attempt {
 		delete(h.latest, t.id)
