Say sorted keys and defaults once

Change: sortedKeys takes any map; cmp.Or fills defaults; Joined.Answer is gone. Behaviour is unchanged.

--- a/coordination/claim/holder.go
+++ b/coordination/claim/holder.go
@@ -83,7 +83,6 @@
 	Attempt uint64
 	// SameBody tells whether the attempt has the asked body digest.
 	SameBody bool
-	Answer   PeerAnswer
 }
 
 // Join finds the last attempt of a key on this instance, unless it was
@@ -94,7 +93,7 @@
 		return Joined{}, false
 	}
 	t := h.tokens[attempt]
-	return Joined{Attempt: attempt, SameBody: t.body == body, Answer: t.answer()}, true
+	return Joined{Attempt: attempt, SameBody: t.body == body}, true
 }
 
 // Open starts to track an attempt. It comes before the attempt's first write.
--- a/coordination/membership/apply.go
+++ b/coordination/membership/apply.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -180,16 +181,8 @@
 	m.dirty = true
 }
 
-// sortedKeys returns the keys of a set in order, so that one seed always gives
+// sortedKeys returns the keys of a map in order, so that one seed always gives
 // one course of events.
-func sortedKeys(set map[string]struct{}) []string {
-	if len(set) == 0 {
-		return nil
-	}
-	keys := make([]string, 0, len(set))
-	for k := range set {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
 }
--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config holds the periods and bounds. Zero values take the defaults.
 type Config struct {
@@ -65,28 +68,20 @@
 // withDefaults fills what is zero.
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	fill(&c.Period, d.Period)
-	fill(&c.ProbeTimeout, d.ProbeTimeout)
-	fill(&c.IndirectProbes, d.IndirectProbes)
-	fill(&c.Rings, d.Rings)
-	fill(&c.SuspicionPeriods, d.SuspicionPeriods)
-	fill(&c.RetransmitFactor, d.RetransmitFactor)
-	fill(&c.MaxUpdates, d.MaxUpdates)
-	fill(&c.MaxUpdateBytes, d.MaxUpdateBytes)
-	fill(&c.DeadRetry, d.DeadRetry)
-	fill(&c.Retention, d.Retention)
-	fill(&c.MaxGone, d.MaxGone)
-	fill(&c.MaxMembers, d.MaxMembers)
-	fill(&c.SyncEvery, d.SyncEvery)
-	fill(&c.SyncPage, d.SyncPage)
-	fill(&c.LeaveFanout, d.LeaveFanout)
+	c.Period = cmp.Or(c.Period, d.Period)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, d.ProbeTimeout)
+	c.IndirectProbes = cmp.Or(c.IndirectProbes, d.IndirectProbes)
+	c.Rings = cmp.Or(c.Rings, d.Rings)
+	c.SuspicionPeriods = cmp.Or(c.SuspicionPeriods, d.SuspicionPeriods)
+	c.RetransmitFactor = cmp.Or(c.RetransmitFactor, d.RetransmitFactor)
+	c.MaxUpdates = cmp.Or(c.MaxUpdates, d.MaxUpdates)
+	c.MaxUpdateBytes = cmp.Or(c.MaxUpdateBytes, d.MaxUpdateBytes)
+	c.DeadRetry = cmp.Or(c.DeadRetry, d.DeadRetry)
+	c.Retention = cmp.Or(c.Retention, d.Retention)
+	c.MaxGone = cmp.Or(c.MaxGone, d.MaxGone)
+	c.MaxMembers = cmp.Or(c.MaxMembers, d.MaxMembers)
+	c.SyncEvery = cmp.Or(c.SyncEvery, d.SyncEvery)
+	c.SyncPage = cmp.Or(c.SyncPage, d.SyncPage)
+	c.LeaveFanout = cmp.Or(c.LeaveFanout, d.LeaveFanout)
 	return c
 }
-
-// fill sets a value that is zero.
-func fill[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -113,7 +113,7 @@
 // round, nil if there is none.
 func (m *Membership) nextTarget() *entry {
 	p := &m.probes
-	for _, name := range sortedDoubts(p.doubts) {
+	for _, name := range sortedKeys(p.doubts) {
 		if e := m.table[name]; e != nil && e.State != Left {
 			return e
 		}
@@ -133,15 +133,6 @@
 	return nil
 }
 
-// sortedDoubts returns the names in doubt in order.
-func sortedDoubts(doubts map[string]Member) []string {
-	set := make(map[string]struct{}, len(doubts))
-	for name := range doubts {
-		set[name] = struct{}{}
-	}
-	return sortedKeys(set)
-}
-
 // names returns the names of members.
 func names(members []Member) []string {
 	out := make([]string, len(members))
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -72,11 +72,7 @@
 // were tried often enough.
 func (m *Membership) contact(n int) {
 	c := &m.candidates
-	set := make(map[string]struct{}, len(c.tries))
-	for address := range c.tries {
-		set[address] = struct{}{}
-	}
-	addresses := sortedKeys(set)
+	addresses := sortedKeys(c.tries)
 	m.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses {
 		if _, known := m.byAddress[address]; known || c.tries[address] >= candidateTries {
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -60,29 +60,21 @@
 // withDefaults fills what is zero.
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	fill(&c.Period, d.Period)
-	fill(&c.Fanout, d.Fanout)
-	fill(&c.ExtraCopies, d.ExtraCopies)
-	fill(&c.PushBytesPerSecond, d.PushBytesPerSecond)
-	fill(&c.MaxPush, d.MaxPush)
-	fill(&c.PullEvery, d.PullEvery)
-	fill(&c.RecoveryBytesPerSecond, d.RecoveryBytesPerSecond)
-	fill(&c.LoadEvery, d.LoadEvery)
-	fill(&c.LoadBytes, d.LoadBytes)
-	fill(&c.LoadTTL, d.LoadTTL)
-	fill(&c.MaxLoadBody, d.MaxLoadBody)
-	fill(&c.MaxOrigins, d.MaxOrigins)
+	c.Period = cmp.Or(c.Period, d.Period)
+	c.Fanout = cmp.Or(c.Fanout, d.Fanout)
+	c.ExtraCopies = cmp.Or(c.ExtraCopies, d.ExtraCopies)
+	c.PushBytesPerSecond = cmp.Or(c.PushBytesPerSecond, d.PushBytesPerSecond)
+	c.MaxPush = cmp.Or(c.MaxPush, d.MaxPush)
+	c.PullEvery = cmp.Or(c.PullEvery, d.PullEvery)
+	c.RecoveryBytesPerSecond = cmp.Or(c.RecoveryBytesPerSecond, d.RecoveryBytesPerSecond)
+	c.LoadEvery = cmp.Or(c.LoadEvery, d.LoadEvery)
+	c.LoadBytes = cmp.Or(c.LoadBytes, d.LoadBytes)
+	c.LoadTTL = cmp.Or(c.LoadTTL, d.LoadTTL)
+	c.MaxLoadBody = cmp.Or(c.MaxLoadBody, d.MaxLoadBody)
+	c.MaxOrigins = cmp.Or(c.MaxOrigins, d.MaxOrigins)
 	return c
 }
 
-// fill sets a value that is zero.
-func fill[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 const (
 	// maxRumours bounds the records that are being passed on; the others are
 	// found by comparison.
