Name the budgets of retries for what they are, and test them

Cause: daemon/spender had no test, kept the names of pools that the configuration dropped for ever, and shared its name with the spender of client accounts in coordination/budget.

Ruled out: a sharded map; the pools are few, and a read lock is held for one look-up.

Change: daemon/spender is daemon/retrybudget, its type Budgets; the port of daemon/execute has the same name. At most 4096 budgets are kept; beyond that all start anew with their reserve.

Seen failing, each with its guard taken out: one budget for all pools (table); the bound; the lock of a pool (under -race); the second look before a pool is made: in 3 of 5 runs, under -race in 5 of 5, as it takes two goroutines at one point.

Conclusion: TestBudgetsOfPoolsAreApart, TestConcurrentRequestsSpendEachTokenOnce, TestDroppedPoolsAreNotKeptForEver.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -31,8 +31,8 @@
 	"github.com/ivyhollow/ivyhollow/daemon/poll"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
 	"github.com/ivyhollow/ivyhollow/daemon/report"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/daemon/serve"
-	"github.com/ivyhollow/ivyhollow/daemon/spender"
 	"github.com/ivyhollow/ivyhollow/daemon/tidy"
 	"github.com/ivyhollow/ivyhollow/protocol/requestid"
 	"github.com/ivyhollow/ivyhollow/settings"
@@ -283,7 +283,7 @@
 		Router:  a.marking,
 		Targets: a.targets,
 		Gate:    a.gates,
-		Spender: spender.New(retry.Config{Reserve: retryReserve}),
+		Budgets: retrybudget.New(retry.Config{Reserve: retryReserve}),
 		Times:   deadline.NewTimes(deadline.Config{}),
 		Status:  a.status,
 		Config:  a.sync.Snapshot,
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -24,7 +24,7 @@
 	Router  Router
 	Targets Caller
 	Gate    Gate
-	Spender Spender
+	Budgets Budgets
 	Times   *deadline.Times
 	// Status keeps the fate of each attempt.
 	Status *requests.Table
--- a/daemon/execute/panic_test.go
+++ b/daemon/execute/panic_test.go
@@ -19,7 +19,7 @@
 type fault struct {
 	Router
 	Gate
-	Spender
+	Budgets
 	method string
 	after  int
 }
@@ -55,12 +55,12 @@
 
 func (f *fault) Retry(now time.Time, pool string) bool {
 	f.hit("Retry")
-	return f.Spender.Retry(now, pool)
+	return f.Budgets.Retry(now, pool)
 }
 
 func (f *fault) Succeeded(now time.Time, pool string) {
 	f.hit("Succeeded")
-	f.Spender.Succeeded(now, pool)
+	f.Budgets.Succeeded(now, pool)
 }
 
 // One request's stage panics outside a call to a target. Not contained it ends
@@ -85,8 +85,8 @@
 			t.Parallel()
 			r := newRig(t, catalog.KindService, catalog.ObjectiveCost)
 			r.opts.Gate.(*gate.Group).SetCapacity(rigPool, 1, false)
-			f := &fault{Router: r.opts.Router, Gate: r.opts.Gate, Spender: r.opts.Spender, method: c.method, after: c.after}
-			r.opts.Router, r.opts.Gate, r.opts.Spender = f, f, f
+			f := &fault{Router: r.opts.Router, Gate: r.opts.Gate, Budgets: r.opts.Budgets, method: c.method, after: c.after}
+			r.opts.Router, r.opts.Gate, r.opts.Budgets = f, f, f
 			if c.failing {
 				for _, target := range r.targets {
 					target.SetFaults(emulated.Fault{Kind: emulated.FaultFailFast})
--- a/daemon/execute/ports.go
+++ b/daemon/execute/ports.go
@@ -41,11 +41,12 @@
 	Open(pool string) bool
 }
 
-// Spender spends the instance's budget of extra attempts; calls don't block.
-type Spender interface {
-	// Retry tells whether a stage may be sent once more.
+// Budgets pays for extra attempts from the instance's budget of each pool;
+// *retrybudget.Budgets is one. Calls don't block.
+type Budgets interface {
+	// Retry pays for one retry, or tells that it can't.
 	Retry(now time.Time, pool string) bool
-	// Hedge tells whether a second attempt may run beside the first.
+	// Hedge pays for a second attempt beside the first, or tells that it can't.
 	Hedge(now time.Time, pool string) bool
 	// Succeeded tells that a stage was answered whole; it earns.
 	Succeeded(now time.Time, pool string)
--- a/daemon/execute/rig_test.go
+++ b/daemon/execute/rig_test.go
@@ -12,7 +12,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
-	"github.com/ivyhollow/ivyhollow/daemon/spender"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	emulated "github.com/ivyhollow/ivyhollow/emulator/target"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/requests"
@@ -28,7 +28,7 @@
 type rig struct {
 	*Executor
 	targets []*emulated.Target
-	spender *spender.Spender
+	budgets *retrybudget.Budgets
 }
 
 func newRig(t *testing.T, kind catalog.PoolKind, objective catalog.Objective) *rig {
@@ -39,7 +39,7 @@
 // newRigListed has the targets listed under their incarnation with a suffix.
 func newRigListed(t *testing.T, kind catalog.PoolKind, objective catalog.Objective, suffix string) *rig {
 	t.Helper()
-	r := &rig{spender: spender.New(retry.Config{Reserve: 100})}
+	r := &rig{budgets: retrybudget.New(retry.Config{Reserve: 100})}
 	table := routing.New(routing.Config{Instance: "test"})
 	var listed []routing.Target
 	for _, name := range []string{"a", "b"} {
@@ -58,7 +58,7 @@
 	t.Cleanup(client.Close)
 	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{rigPool: {Name: rigPool, Objective: objective}}}
 	r.Executor = New(Options{
-		Router: table, Targets: client, Gate: gates, Spender: r.spender,
+		Router: table, Targets: client, Gate: gates, Budgets: r.budgets,
 		Times:  deadline.NewTimes(deadline.Config{}),
 		Status: requests.New(requests.Options{MaxRequests: 16, Retention: time.Minute}),
 		Config: func() *catalog.Snapshot { return snapshot },
--- a/daemon/execute/script_test.go
+++ b/daemon/execute/script_test.go
@@ -17,7 +17,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
-	"github.com/ivyhollow/ivyhollow/daemon/spender"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/protocol/targetapi"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/requests"
@@ -105,7 +105,7 @@
 
 // scripted is an executor before three targets that follow the script.
 func scripted(s *script, budget retry.Config) *rig {
-	r := &rig{spender: spender.New(budget)}
+	r := &rig{budgets: retrybudget.New(budget)}
 	table := routing.New(routing.Config{Instance: "test"})
 	listed := []routing.Target{}
 	for _, name := range []string{"a", "b", "c"} {
@@ -117,7 +117,7 @@
 	gates.SetCapacity(rigPool, 12, false)
 	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{rigPool: {Name: rigPool, Objective: objective}}}
 	r.Executor = New(Options{
-		Router: table, Targets: s, Gate: gates, Spender: r.spender,
+		Router: table, Targets: s, Gate: gates, Budgets: r.budgets,
 		Times:  deadline.NewTimes(deadline.Config{}),
 		Status: requests.New(requests.Options{MaxRequests: 16, Retention: time.Minute}),
 		Config: func() *catalog.Snapshot { return snapshot },
@@ -202,7 +202,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &script{steps: c.steps}
 				r := scripted(s, retry.Config{Reserve: 5})
-				for c.empty && (r.spender.Retry(time.Now(), rigPool) || r.spender.Hedge(time.Now(), rigPool)) {
+				for c.empty && (r.budgets.Retry(time.Now(), rigPool) || r.budgets.Hedge(time.Now(), rigPool)) {
 					continue
 				}
 				start := time.Now()
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -73,7 +73,7 @@
 			return err
 		}
 		if result.err == nil {
-			s.opts.Spender.Succeeded(s.opts.Now(), s.stage.Pool)
+			s.opts.Budgets.Succeeded(s.opts.Now(), s.stage.Pool)
 			s.output = result.answer.Output
 			s.tokens = result.answer.Tokens
 			return nil
--- /dev/null
+++ b/daemon/retrybudget/retrybudget.go
@@ -0,0 +1,77 @@
+// Package retrybudget holds an instance's budgets of extra attempts, one a pool,
+// each under its own lock.
+package retrybudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
+)
+
+// maxPools bounds the budgets that are kept. Names of pools that the
+// configuration dropped would else stay for the life of the process.
+const maxPools = 4096
+
+// Budgets are the budgets of all pools. They are safe for concurrent use.
+type Budgets struct {
+	config retry.Config
+
+	mu    sync.RWMutex
+	pools map[string]*pool
+}
+
+type pool struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// New makes budgets that all have the given shares.
+func New(c retry.Config) *Budgets {
+	return &Budgets{config: c, pools: make(map[string]*pool)}
+}
+
+// Retry pays for one retry at the pool, or tells that it can't.
+func (b *Budgets) Retry(now time.Time, name string) bool {
+	p := b.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.TakeRetry(now)
+}
+
+// Hedge pays for one attempt beside the first, or tells that it can't.
+func (b *Budgets) Hedge(now time.Time, name string) bool {
+	p := b.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.TakeHedge(now)
+}
+
+// Succeeded tells that a stage was answered whole, which earns extra attempts.
+// It is told once a stage, however many attempts there were.
+func (b *Budgets) Succeeded(now time.Time, name string) {
+	p := b.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Succeeded(now)
+}
+
+func (b *Budgets) pool(name string) *pool {
+	b.mu.RLock()
+	p, ok := b.pools[name]
+	b.mu.RUnlock()
+	if ok {
+		return p
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p, ok := b.pools[name]; ok {
+		return p
+	}
+	if len(b.pools) >= maxPools {
+		clear(b.pools) // the pools in use come back with a new budget's reserve
+	}
+	p = &pool{budget: retry.NewBudget(b.config)}
+	b.pools[name] = p
+	return p
+}
--- /dev/null
+++ b/daemon/retrybudget/retrybudget_test.go
@@ -0,0 +1,96 @@
+package retrybudget
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// spent takes tokens until there is none.
+func spent(take func(time.Time, string) bool, pool string) int {
+	n := 0
+	for take(epoch, pool) {
+		n++
+	}
+	return n
+}
+
+// All of one pool fails and takes every token it can get; the retries of another
+// pool, and the hedges of its own, must not be paid from the same purse.
+func TestBudgetsOfPoolsAreApart(t *testing.T) {
+	tests := map[string]struct {
+		answered, empty            string
+		retriesA, retriesB, hedges int // what is left in "a", "b" and "a"
+	}{
+		"new":                      {retriesA: 2, retriesB: 2, hedges: 2},
+		"another pool was emptied": {empty: "b", retriesA: 2, retriesB: 0, hedges: 2},
+		"its retries were spent":   {empty: "a", retriesA: 0, retriesB: 2, hedges: 2},
+		"its answers earn":         {answered: "a", retriesA: 12, retriesB: 2, hedges: 7},
+		"answers of another pool":  {answered: "b", retriesA: 2, retriesB: 12, hedges: 2},
+		"spent, then earned":       {answered: "a", empty: "a", retriesA: 10, retriesB: 2, hedges: 7},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := New(retry.Config{})
+			if tt.empty != "" {
+				require.Equal(t, 2, spent(b.Retry, tt.empty))
+			}
+			for range 105 { // ten tokens and a half: no sum of tenths is exact
+				if tt.answered != "" {
+					b.Succeeded(epoch, tt.answered)
+				}
+			}
+			require.Equal(t, tt.retriesA, spent(b.Retry, "a"))
+			require.Equal(t, tt.retriesB, spent(b.Retry, "b"))
+			require.Equal(t, tt.hedges, spent(b.Hedge, "a"))
+		})
+	}
+}
+
+// Requests that fail together ask for the same tokens at once, the first ones
+// for a pool that is not known yet. Each token is spent once.
+func TestConcurrentRequestsSpendEachTokenOnce(t *testing.T) {
+	const reserve, pools, requests = 20, 256, 64
+	b := New(retry.Config{Reserve: reserve})
+	var retries, hedges [pools]atomic.Int64
+	var start, done sync.WaitGroup
+	start.Add(1)
+	for range requests {
+		done.Go(func() {
+			start.Wait()
+			for p := range pools {
+				name := strconv.Itoa(p)
+				if b.Retry(epoch, name) {
+					retries[p].Add(1)
+				}
+				if b.Hedge(epoch, name) {
+					hedges[p].Add(1)
+				}
+			}
+		})
+	}
+	start.Done()
+	done.Wait()
+	for p := range pools {
+		require.EqualValues(t, reserve, retries[p].Load())
+		require.EqualValues(t, reserve, hedges[p].Load())
+	}
+}
+
+// Pools come and go with the configuration for as long as the process lives.
+func TestDroppedPoolsAreNotKeptForEver(t *testing.T) {
+	b := New(retry.Config{})
+	for i := range 3*maxPools + 1 {
+		b.Succeeded(epoch, strconv.Itoa(i))
+		require.LessOrEqual(t, len(b.pools), maxPools)
+	}
+	require.True(t, b.Retry(epoch, "in use"))
+}
