Score rendezvous choices in one place

Cause: membership and routing each had the same hash of two names; a change of one alone would part what instances of a rollout agree on. Ruled out: package budget, whose score is another one for the sake of speed. Its values are the same as before.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
 )
 
 // Membership is the state machine of one instance.
@@ -201,7 +203,7 @@
 func digestOf(live []Member) uint64 {
 	var sum uint64
 	for i := range live {
-		h := score(live[i].Name, live[i].Address)
+		h := rendezvous.Score(live[i].Name, live[i].Address)
 		sum ^= (h ^ live[i].Incarnation) * 0x9e3779b97f4a7c15
 	}
 	return sum
--- a/coordination/membership/rings.go
+++ b/coordination/membership/rings.go
@@ -1,6 +1,10 @@
 package membership
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
+)
 
 // Successors returns whom this instance probes: the member that follows it on
 // each ring, or everyone in a cluster with no more others than rings. Each ring
@@ -51,13 +55,13 @@
 
 // nearest returns the other live member at the least distance on a ring.
 func (v *View) nearest(ring string, distance func(own, other uint64) uint64) Member {
-	own := score(v.Self, ring)
+	own := rendezvous.Score(v.Self, ring)
 	best, least := -1, uint64(0)
 	for i := range v.live {
 		if v.live[i].Name == v.Self {
 			continue
 		}
-		d := distance(own, score(v.live[i].Name, ring))
+		d := distance(own, rendezvous.Score(v.live[i].Name, ring))
 		if best < 0 || d < least {
 			best, least = i, d
 		}
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
 )
 
 // View is an immutable picture of the cluster as one instance sees it.
@@ -104,20 +104,10 @@
 func rank(members []Member, key string) []rankedMember {
 	ranked := make([]rankedMember, len(members))
 	for i := range members {
-		ranked[i] = rankedMember{score: score(members[i].Name, key), member: &members[i]}
+		ranked[i] = rankedMember{score: rendezvous.Score(members[i].Name, key), member: &members[i]}
 	}
 	slices.SortFunc(ranked, func(a, b rankedMember) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
 	})
 	return ranked
 }
-
-// score hashes a member's name with a key.
-func score(name, key string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(name)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(key)
-	return d.Sum64()
-}
--- a/coordination/routing/subset.go
+++ b/coordination/routing/subset.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
 )
 
 // localShare is the part of a subset that is taken from the local data centre
@@ -64,19 +64,10 @@
 func (c *Config) rank(targets []Target) []ranked {
 	all := make([]ranked, len(targets))
 	for i, t := range targets {
-		all[i] = ranked{target: t, rank: rendezvous(c.Instance, t.Incarnation)}
+		all[i] = ranked{target: t, rank: rendezvous.Score(c.Instance, t.Incarnation)}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.target.Incarnation, b.target.Incarnation))
 	})
 	return all
 }
-
-func rendezvous(a, b string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(a)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(b)
-	return d.Sum64()
-}
