--- a/daemon/claims/journal.go
+++ b/daemon/claims/journal.go
@@ -151,9 +151,9 @@
 	return batch
 }
 
-// commit writes one batch with one conditional update.
+// commit writes one batch with one conditional update, and again on a newer
+// view when another instance was faster.
 func (j *journal) commit(batch []*journalOp) {
-	var away claim.StoreAway
 	fresh := false
 	for range maxJournalTries {
 		if j.view == nil {
@@ -164,37 +164,51 @@
 		}
 		next := j.view.clone()
 		results, changed := j.applyAll(&next, batch)
-		if !changed && fresh {
+		switch {
+		case changed:
+			if answered := j.writeBatch(next, batch, results); answered {
+				return
+			}
+		case fresh:
 			answer(batch, results)
 			return
-		}
-		if !changed {
+		default:
 			// No write will tell whether the view is behind: read it anew.
 			j.view = nil
-			continue
-		}
-		err := j.write(next)
-		if err == nil {
-			answer(batch, results)
-			return
-		}
-		var conflict *platform.ConflictError
-		if errors.As(err, &conflict) {
-			j.take(conflict.Current)
-			continue
 		}
-		failed, ok := writeFailed(err).(claim.StoreAway)
-		if !ok {
-			// Guard: the answer was lost, so the view isn't known any more and
-			// each op of the batch must be read back by its call.
-			j.view = nil
-			answerAll(batch, claim.AnswerLost{})
-			return
-		}
-		away = failed
-		break
 	}
-	answerAll(batch, away)
+	answerAll(batch, claim.StoreAway{})
+}
+
+// writeBatch writes the view that the batch led to and answers the batch. It
+// does not answer after a conflict, which brings a newer view to try again on.
+func (j *journal) writeBatch(next journalView, batch []*journalOp, results []claim.Event) (answered bool) {
+	err := j.write(next)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		answer(batch, results)
+	case errors.As(err, &conflict):
+		j.take(conflict.Current)
+		return false
+	default:
+		j.failed(batch, err)
+	}
+	return true
+}
+
+// failed answers a batch whose write was not taken, or may have been.
+//
+// Guard: after a lost answer the view isn't known any more, and each op of the
+// batch must be read back by its call.
+func (j *journal) failed(batch []*journalOp, err error) {
+	event := writeFailed(err)
+	if _, nothingDone := event.(claim.StoreAway); nothingDone {
+		answerAll(batch, event)
+		return
+	}
+	j.view = nil
+	answerAll(batch, claim.AnswerLost{})
 }
 
 // applyAll puts the batch's ops into the view, in order.
