Remove what nobody uses from cluster, membership and claim

Cause: Cluster.Joined, Membership.Joined, Holder.OpenCount and the options OnSuperseded and Source of a cluster had no caller in the product; OpenCount had one in a test. Change: they are gone. TestHolderIsBounded reads the count itself, as strictly. Conclusion: behaviour is unchanged; the tests of the three packages pass with -race.

--- a/coordination/claim/call_test.go
+++ b/coordination/claim/call_test.go
@@ -158,7 +158,7 @@
 	require.Empty(t, h.order, "closed tokens are forgotten after Remember")
 	require.ErrorIs(t, h.Dispatch(5, callStart.Add(3*time.Hour)), ErrWindow)
 	require.NoError(t, h.Abandon(5, true, callStart.Add(3*time.Hour)))
-	require.Zero(t, h.OpenCount())
+	require.Zero(t, h.open)
 }
 
 // An instance serves small answers for weeks and never fills the bytes that it
--- a/coordination/claim/holder.go
+++ b/coordination/claim/holder.go
@@ -64,7 +64,8 @@
 	// order lists the closed attempts, oldest first.
 	order []uint64
 	// bodies lists the attempts whose outcome is remembered, oldest first.
-	bodies    []uint64
+	bodies []uint64
+	// open counts the attempts neither finished nor abandoned.
 	open      int
 	keptBytes int
 }
@@ -174,9 +175,6 @@
 	return t.answer()
 }
 
-// OpenCount returns the number of attempts neither finished nor abandoned.
-func (h *Holder) OpenCount() int { return h.open }
-
 func (t *holding) answer() PeerAnswer {
 	switch t.state {
 	case finished:
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -34,10 +34,6 @@
 	next    time.Time
 }
 
-// Joined tells whether a full exchange with another instance has been done
-// since the start.
-func (m *Membership) Joined() bool { return m.sync.joined }
-
 // Seed names possible instances, from the settings or the platform's list.
 // Only the address is needed.
 func (m *Membership) Seed(now time.Time, seeds []Member) []Action {
--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -55,13 +55,6 @@
 	return c.members.Self()
 }
 
-// Joined tells whether this instance has exchanged members with another one.
-func (c *Cluster) Joined() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.members.Joined()
-}
-
 // Handle registers a method that other instances may call.
 func (c *Cluster) Handle(method string, h peer.Handler, opts ...peer.HandleOption) {
 	c.node.Handle(method, h, opts...)
--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -32,9 +32,6 @@
 	Transport  peer.Options
 	Membership membership.Config
 	Spread     spread.Config
-	// Source holds the records; nil makes a table in memory. It is only used
-	// under the cluster's lock.
-	Source spread.Source
 	// Seeds are peer addresses from the settings.
 	Seeds []string
 	// ListInstances asks the platform for its list of instances; nil if there
@@ -47,17 +44,12 @@
 	// OnRecord is told each record that is news. It must not block. Calls may
 	// overlap and come out of order: the receiver keeps the highest revision.
 	OnRecord func(r spread.Record)
-	// OnSuperseded is told once that a later run has this instance's name.
-	OnSuperseded func(by membership.Member)
 	// Tick is the resolution of all periods.
 	Tick time.Duration
 }
 
 // withDefaults fills what is zero.
 func (o Options) withDefaults() Options {
-	if o.Source == nil {
-		o.Source = spread.NewTable(maxTombstones)
-	}
 	if o.Tick == 0 {
 		o.Tick = defaultTick
 	}
@@ -119,7 +111,7 @@
 		changed: make(chan struct{}),
 		left:    make(chan struct{}),
 		members: membership.New(opts.Membership, self, newRand()),
-		spread:  spread.New(opts.Spread, opts.Source, newRand()),
+		spread:  spread.New(opts.Spread, spread.NewTable(maxTombstones), newRand()),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.view.Store(c.members.View())
@@ -245,9 +237,6 @@
 func (c *Cluster) reportSuperseded(by membership.Member) {
 	klog.ErrorS(nil, "A later run has this instance's name", "name", by.Name, "address", by.Address, "incarnation", by.Incarnation)
 	c.metrics.superseded.Inc(1)
-	if c.opts.OnSuperseded != nil {
-		c.opts.OnSuperseded(by)
-	}
 }
 
 // withSpread runs a step of the spread under its lock and does its actions
