Name the stage and the target of every failure

Cause: when the deadline passed in an attempt, the failure named the first unfinished stage of the list and no target; with several stages that was often another one. A gate that fails in a way it does not promise would have made an empty answer a whole one: its error was dropped for the context error, which was nil. A preemption of a stage that cannot be resumed would have been sent again unpaid.

Ruled out: the stages that wait for inputs naming the cause; they see the same end of the context at the same moment and hide the stage that it struck.

Change: a stage that waits in vain reports nothing; the one at work reports its name, its target and the reason. A job whose stages were not all answered is a failure whatever they reported. A preemption counts only for what can be resumed.

Seen failing: TestFailuresNameStageAndTarget with the name and target, the error of the gate and the check of all stages taken out one by one, and, seen once, with the report of a waiting stage put back (that order is a matter of chance: the next run with it passed); TestAttempts with the guard of preemption out.

Conclusion: an operator reads where a request ended.

--- a/coordination/retry/attempts.go
+++ b/coordination/retry/attempts.go
@@ -28,7 +28,8 @@
 	Refused
 	// Failed means that the stage may have run.
 	Failed
-	// Preempted means that a higher tier took the slot.
+	// Preempted means that a higher tier took the slot. Of a stage that can't
+	// be resumed it counts as Failed.
 	Preempted
 )
 
@@ -100,11 +101,11 @@
 // requests fail though other targets are well. Such an attempt gave the pool no
 // work, so the next one multiplies no load; its number is bounded all the same.
 func (a *Attempts) Ended(now, latestStart time.Time, rng *rand.Rand, end End) Decision {
-	if end.Result == Preempted {
+	if end.Result == Preempted && a.stage.Repeatable && a.stage.Resumable {
 		a.sent--
 		return Decision{Again: true}
 	}
-	a.mayHaveRun = a.mayHaveRun || end.Result == Failed
+	a.mayHaveRun = a.mayHaveRun || end.Result == Failed || end.Result == Preempted
 	if reason := a.over(end); reason != "" {
 		return Decision{Reason: reason}
 	}
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -108,6 +108,7 @@
 		"a stream that brought no token yet":   {plain, []End{failed}, paid},
 		"preempted":                            {resumable, []End{preempted}, Decision{Again: true}},
 		"a preemption is no attempt":           {resumable, []End{preempted, failed, preempted, failed}, paid},
+		"once, preempted by mistake":           {once, []End{{Result: Preempted}}, Decision{Reason: ReasonNotRepeatable}},
 		"preempted, then used up":              {resumable, []End{preempted, failed, failed, failed}, Decision{Reason: ReasonAttempts}},
 	}
 	for name, tt := range tests {
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,11 +89,11 @@
 	if failure := r.hopeless(); failure != nil {
 		return Result{}, r.seal(failure)
 	}
-	group, ctx := errgroup.WithContext(ctx)
+	group, stageCtx := errgroup.WithContext(ctx)
 	for i := range job.Pipeline.Stages {
-		group.Go(func() error { return r.stageWhenReady(ctx, i) })
+		group.Go(func() error { return r.stageWhenReady(stageCtx, i) })
 	}
-	if err = group.Wait(); err != nil {
+	if err = group.Wait(); err != nil || !r.whole() {
 		return Result{}, r.seal(r.asFailure(ctx, err))
 	}
 	r.ledger.Seal()
@@ -147,13 +149,16 @@
 	}
 }
 
-// stageWhenReady waits for the stages before, then runs stage i.
+// stageWhenReady waits for the stages before, then runs stage i. A stage that
+// waits in vain reports nothing: the one that it waits for says why, and where.
 func (r *run) stageWhenReady(ctx context.Context, i int) (err error) {
 	s := newStageRun(r, i)
 	defer s.contain(&err)
-	if s.inputs, err = r.inputs(ctx, i); err != nil {
-		return err
+	inputs, ok := r.inputs(ctx, i)
+	if !ok {
+		return nil
 	}
+	s.inputs = inputs
 	ctx, span := r.opts.Tracer.Start(ctx, "stage "+s.stage.Name)
 	defer span.End()
 	span.SetAttributes(telemetry.AttrRequestID.String(r.job.ID), telemetry.AttrStage.String(s.stage.Name))
@@ -165,10 +170,11 @@
 	return nil
 }
 
-func (r *run) inputs(ctx context.Context, i int) ([]string, error) {
+// inputs waits for what stage i reads; false tells that the context ended first.
+func (r *run) inputs(ctx context.Context, i int) ([]string, bool) {
 	after := r.job.Pipeline.Stages[i].After
 	if len(after) == 0 {
-		return []string{r.job.Input}, nil
+		return []string{r.job.Input}, true
 	}
 	inputs := make([]string, 0, len(after))
 	for _, before := range after {
@@ -176,10 +182,10 @@
 		case <-r.done[before]:
 			inputs = append(inputs, r.outputs[before])
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, false
 		}
 	}
-	return inputs, nil
+	return inputs, true
 }
 
 func (r *run) finish(i int, s *stageRun) {
@@ -233,10 +239,20 @@
 	return f
 }
 
+// whole tells whether every stage was answered. The failure: the context ends at
+// the moment at which a stage is answered, the next one still waits and reports
+// nothing, and the caller gets an empty answer for a whole one.
+func (r *run) whole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !slices.Contains(r.finished, false)
+}
+
 // asFailure names the cause of an end that no stage reported.
 func (r *run) asFailure(ctx context.Context, err error) *Failure {
-	if f, ok := err.(*Failure); ok {
-		return f
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
 	}
 	reason := ReasonCaller
 	if !r.opts.Now().Before(r.job.Deadline) {
@@ -246,8 +262,9 @@
 }
 
 func reasonOf(err error) Reason {
-	if f, ok := err.(*Failure); ok {
-		return f.Reason
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.Reason
 	}
 	return ReasonDeadline
 }
--- a/daemon/execute/retry.go
+++ b/daemon/execute/retry.go
@@ -15,7 +15,7 @@
 // for it and waits until it is due. Its error ends the stage.
 func (s *stageRun) beforeRetry(ctx context.Context, result attemptResult) error {
 	if ctx.Err() != nil {
-		return s.asFailure(ctx, ctx.Err())
+		return s.unfinished(ctx, result.peer, ctx.Err())
 	}
 	now := s.opts.Now()
 	decision := s.attempts.Ended(now, s.share(now, s.index).LatestStart, s.rng, retry.End{
@@ -29,7 +29,10 @@
 	if decision.Paid && !s.opts.Budgets.Retry(now, s.stage.Pool) {
 		return s.targetFailure(result, retry.ReasonBudget)
 	}
-	return wait(ctx, decision.Delay)
+	if err := wait(ctx, decision.Delay); err != nil {
+		return s.unfinished(ctx, result.peer, err)
+	}
+	return nil
 }
 
 func retryResult(result attemptResult) retry.Result {
--- a/daemon/execute/script_test.go
+++ b/daemon/execute/script_test.go
@@ -28,6 +28,7 @@
 type step struct {
 	after time.Duration
 	err   *target.AttemptError // nil: a whole answer
+	deaf  bool                 // to a cancel
 }
 
 // script is a Caller whose n-th attempt ends as the n-th step says; the ones
@@ -48,12 +49,16 @@
 func (s *script) Run(ctx context.Context, call target.Call) (targetapi.RunAnswer, target.Meta, error) {
 	next := s.begin(call)
 	var err error
+	cancelled := ctx.Done()
+	if next.deaf {
+		cancelled = nil
+	}
 	select {
 	case <-time.After(next.after):
 		if next.err != nil {
 			err = next.err
 		}
-	case <-ctx.Done():
+	case <-cancelled:
 		err = &target.AttemptError{Step: target.StepHeaders, Peer: call.Address, Outcome: target.Unknown, Reason: target.ReasonCancelled, Err: ctx.Err()}
 	}
 	s.end(ctx, call, err)
@@ -232,3 +237,49 @@
 		})
 	}
 }
+
+// brokenGate is a gate that fails in a way it does not promise to.
+type brokenGate struct{ Gate }
+
+func (brokenGate) Enter(context.Context, string, gate.Request) (*gate.Grant, error) {
+	return nil, errors.New("gate is broken")
+}
+
+// The only target is silent until the deadline, while another stage waits for
+// the answer; or the gate fails. An operator reads which stage and which target
+// it was; a caller is never given an empty answer for a whole one.
+func TestFailuresNameStageAndTarget(t *testing.T) {
+	cases := map[string]struct {
+		steps     []step
+		gate      func(Gate) Gate
+		reason    Reason
+		stage     string
+		attempted bool
+	}{
+		"silent until the deadline":             {steps: []step{{after: time.Hour}}, reason: ReasonDeadline, stage: "s", attempted: true},
+		"a gate that fails":                     {gate: func(g Gate) Gate { return brokenGate{g} }, reason: ReasonFault, stage: "s"},
+		"answered late, the next one never ran": {steps: []step{{after: 2 * time.Second, deaf: true}}, reason: ReasonDeadline, stage: "last"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{steps: c.steps}
+				r := scripted(s, retry.Config{})
+				if c.gate != nil {
+					r.opts.Gate = c.gate(r.opts.Gate)
+				}
+				p := oneStage(false, false, 0)
+				last := p.Stages[0]
+				last.Name, last.After = "last", []int{1}
+				p.Stages = []catalog.Stage{last, p.Stages[0]} // the one that fails is not the first of the list
+				_, err := r.do(r.job(p, time.Second))
+				synctest.Wait()
+				var failure *Failure
+				require.ErrorAs(t, err, &failure)
+				require.Equal(t, c.reason, failure.Reason)
+				require.Equal(t, c.stage, failure.Step)
+				require.Equal(t, c.attempted, failure.Peer != "")
+			})
+		})
+	}
+}
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -65,7 +65,7 @@
 func (s *stageRun) last() bool { return s.index == len(s.job.Pipeline.Stages)-1 }
 
 // execute sends the stage to targets until one answers whole or nothing more may
-// be tried. Its error is a *Failure or the context's.
+// be tried. Its error is a *Failure.
 func (s *stageRun) execute(ctx context.Context) error {
 	for {
 		result, err := s.turn(ctx)
@@ -85,7 +85,7 @@
 }
 
 // turn waits for the gate, picks a target and makes one attempt, with a hedge
-// beside it where the pool's objective asks for one.
+// beside it where it is slow and may run twice.
 func (s *stageRun) turn(ctx context.Context) (attemptResult, error) {
 	request := s.gateRequest()
 	grant, err := s.opts.Gate.Enter(ctx, s.stage.Pool, request)
@@ -171,10 +171,10 @@
 	}
 }
 
-func (s *stageRun) gateFailure(ctx context.Context, err error) error {
+func (s *stageRun) gateFailure(ctx context.Context, err error) *Failure {
 	var refused *gate.RefusedError
 	if !errors.As(err, &refused) {
-		return ctx.Err()
+		return s.unfinished(ctx, "", err)
 	}
 	reason := ReasonOverload
 	if refused.Reason == tiers.ReasonTooLate {
@@ -196,6 +196,18 @@
 	return &Failure{Reason: reason, Step: s.stage.Name, Peer: peer, Cause: cause}
 }
 
+// unfinished is the failure of a stage that err stopped, mostly the end of its
+// context: the deadline passed, the caller went away or another stage failed.
+func (s *stageRun) unfinished(ctx context.Context, peer string, err error) *Failure {
+	if ctx.Err() == nil {
+		return s.failure(ReasonFault, peer, err)
+	}
+	f := s.asFailure(ctx, ctx.Err())
+	f.Step = s.stage.Name
+	f.Peer = peer
+	return f
+}
+
 // nextAttempt makes the id of the next attempt; it is unique to the request.
 func (s *stageRun) nextAttempt() string {
 	s.attempts.Sent()
