Refuse a model that nobody has before it costs a stage

Cause: a request whose last stage needs a model that no engine of its pool has loaded ran its other stages and failed as ran (502). The text of a panic reached callers in the detail of a problem. Ruled out: picking the last target first (it would hold a slot through all stages). Change: routing.Table.Serves, asked for each stage before the first one; a fault of the program is told to callers by nothing but its step and outcome. Conclusion: such a request is refused at once, not run.

--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -16,6 +16,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/admission"
 	"github.com/ivyhollow/ivyhollow/coordination/deadline"
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -124,7 +125,8 @@
 func (r *run) hopeless() *Failure {
 	for i := range r.job.Pipeline.Stages {
 		stage := &r.job.Pipeline.Stages[i]
-		if !r.opts.Gate.Open(stage.Pool) {
+		query := routing.Query{Pool: stage.Pool, Model: stage.Model, Adapter: stage.Adapter}
+		if !r.opts.Gate.Open(stage.Pool) || !r.opts.Router.Serves(&query) {
 			return &Failure{Reason: ReasonNoTarget, Step: stage.Name}
 		}
 	}
--- a/daemon/execute/executor_test.go
+++ b/daemon/execute/executor_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/deadline"
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 	emulated "github.com/ivyhollow/ivyhollow/emulator/target"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
@@ -244,3 +245,22 @@
 	_, err := r.do(r.job(p, time.Second))
 	require.NoError(t, err)
 }
+
+// A plan's last stage needs a model that no engine has loaded. The stages before
+// it were run and paid for, and the guest was told that the work may have run.
+func TestAModelNobodyHasCostsNoStage(t *testing.T) {
+	r := newRig(t, catalog.KindEngine, catalog.ObjectiveAttainment)
+	r.opts.Router.(*routing.Table).SetTargets(time.Now(), routing.Pool{Name: "small"}, []routing.Target{
+		{Incarnation: "c", Pool: "small", Models: []string{"small"}},
+	})
+	r.opts.Gate.(*gate.Group).SetCapacity("small", 1, true)
+	p := oneStage(true, false, 0)
+	p.Stages = append(p.Stages, catalog.Stage{Name: "last", Pool: "small", Model: "large", After: []int{0}, Repeatable: true})
+	job := r.job(p, time.Second)
+	_, err := r.do(job)
+	var failure *Failure
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, outcome.NotRun, failure.Verdict)
+	require.Equal(t, "last", failure.Step)
+	require.Zero(t, r.runs(job.ID))
+}
--- a/daemon/execute/ports.go
+++ b/daemon/execute/ports.go
@@ -15,6 +15,8 @@
 // is called from every request's goroutines and does not block.
 type Router interface {
 	Pick(now time.Time, rng *rand.Rand, q routing.Query) (routing.Choice, error)
+	// Serves tells whether any target may take the query at all.
+	Serves(q *routing.Query) bool
 	Started(now time.Time, incarnation string, cost float64) *routing.Handle
 	Report(now time.Time, incarnation string, load routing.Load)
 	Leaving(now time.Time, incarnation string)
--- a/daemon/serve/problem.go
+++ b/daemon/serve/problem.go
@@ -60,9 +60,15 @@
 	return p
 }
 
+// internalFault is all that callers are told of a fault of the program.
+const internalFault = "internal fault"
+
 // failureProblem says what a failed job means to its caller.
 func failureProblem(f *execute.Failure) *callerapi.Problem {
 	p := refusal(failureStatus(f), failureType(f), f.Error())
+	if f.Reason == execute.ReasonFault {
+		p.Detail = internalFault // what a panic says may hold parts of a request
+	}
 	p.Outcome = outcomeOf(f.Verdict)
 	p.Step = f.Step
 	p.Peer = f.Peer
@@ -80,6 +86,8 @@
 		return typeDeadline
 	case execute.ReasonClaim:
 		return typeStore
+	case execute.ReasonFault:
+		return typeOutcomeUnknown
 	default:
 		return typeTarget
 	}
