Spend equal shares while the home of an account is silent

Ruled out: a second home to ask (two homes of a parted cluster grant the budget twice for as long as it is parted); a larger part without a home (it is lost to an account that comes to one instance alone). Change: an ask without an answer lets the instance spend an equal share of the whole budget, until an answer or another membership comes, ten seconds at most and again only fifty seconds after that began. A silent home is asked ten times a second at most. Conclusion: the new term of the bound, for a home that lives and is out of reach of some, stands in the package comment.

--- a/coordination/budget/budget_test.go
+++ b/coordination/budget/budget_test.go
@@ -335,3 +335,51 @@
 		}
 	}
 }
+
+// The instance that is home to an account dies. Until the others notice, which
+// takes them some seconds, the account's callers got 429 at the living ones with
+// most of the budget unspent, since only the home could grant it.
+func TestADeadHomeRefusesNothingWithinTheBudget(t *testing.T) {
+	f := newFleet(1, 2, account(100, 100))
+	home := f.find(f.nodes[0].ledger.view.Load().home(f.account.Name))
+	home.alive = false
+	other := f.nodes[0]
+	if other == home {
+		other = f.nodes[1]
+	}
+	refused := 0
+	for range 60 { // six seconds at a tenth of the budget
+		verdict := f.request(other)
+		f.step(100 * time.Millisecond)
+		if verdict == Pending {
+			verdict = f.request(other)
+		}
+		if verdict != Allowed {
+			refused++
+		}
+	}
+	require.LessOrEqual(t, refused, 1)
+}
+
+// One way between an instance and a home is cut for good, and the membership
+// does not notice, since others reach both. The home goes on granting, so the
+// instance must not spend a whole share beside it for ever.
+func TestAHomeOutOfReachBoundsTheShare(t *testing.T) {
+	f := newFleet(1, 2, account(100, 100))
+	home := f.find(f.nodes[0].ledger.view.Load().home(f.account.Name))
+	home.side = 1
+	other := f.nodes[0]
+	if other == home {
+		other = f.nodes[1]
+	}
+	const seconds, perSecond = 100, 200
+	for range seconds * perSecond {
+		f.request(other)
+		f.step(time.Second / perSecond)
+	}
+	c := Config{}.withDefaults()
+	share := f.account.RequestsPerSecond / 2
+	alone := c.SilentFor.Seconds() + seconds/silentRest
+	most := share*alone + share*c.Floor*seconds + f.account.Burst/2
+	require.LessOrEqual(t, float64(f.served), most)
+}
--- a/coordination/budget/ledger.go
+++ b/coordination/budget/ledger.go
@@ -125,6 +125,14 @@
 	l.spend.View(g.Account, func(s *spender) { s.granted(now, l.config, g) })
 }
 
+// Unanswered tells that no answer to an ask of this instance comes: its home is
+// dead or out of reach. Until an answer comes again or the membership changes,
+// but for no longer than SilentFor, this instance spends an equal share of the
+// whole budget without it.
+func (l *Ledger) Unanswered(now time.Time, ask Ask) {
+	l.spend.View(ask.Account, func(s *spender) { s.unanswered(now, l.config, ask) })
+}
+
 // Accounts returns how many accounts are remembered as spender and as home.
 func (l *Ledger) Accounts() (spending, homes int) {
 	return l.spend.Len(), l.homes.Len()
--- a/coordination/budget/simulation_test.go
+++ b/coordination/budget/simulation_test.go
@@ -110,6 +110,15 @@
 	f.mail = append(f.mail, l)
 }
 
+// lost tells the one who asked that no answer comes.
+func (f *fleet) lost(l letter) {
+	if l.ask != nil {
+		l.from.ledger.Unanswered(f.now, *l.ask)
+		return
+	}
+	l.to.ledger.Unanswered(f.now, Ask{Account: l.grant.Account, Seq: l.grant.Seq})
+}
+
 // step lets time pass, and delivers what is due.
 func (f *fleet) step(d time.Duration) {
 	f.now = f.now.Add(d)
@@ -117,6 +126,7 @@
 		l := f.mail[0]
 		f.mail = f.mail[1:]
 		if !l.from.alive || !l.to.alive || l.from.side != l.to.side {
+			f.lost(l)
 			continue
 		}
 		if l.ask != nil {
--- a/coordination/budget/spender.go
+++ b/coordination/budget/spender.go
@@ -23,6 +23,11 @@
 	waiting    bool
 	emptyUntil time.Time
 
+	// silent tells that the home did not answer the last ask. silentFrom is
+	// when the last span began in which this instance did without a home.
+	silent     bool
+	silentFrom time.Time
+
 	view *view
 	home string
 	rate float64
@@ -38,8 +43,12 @@
 		s.home = v.home(account.Name)
 		s.emptyUntil = time.Time{}
 		s.waiting = false
+		s.silent = false
 	}
 	s.adopt(account)
+	if s.alone(now, c) {
+		c.Floor = 1
+	}
 	rate, most := floorOf(c, v, account)
 	if !existed {
 		s.floor = most
@@ -129,6 +138,7 @@
 		return
 	}
 	s.waiting = false
+	s.silent = false
 	if g.RetryAfterMS > 0 {
 		pause := time.Duration(g.RetryAfterMS) * time.Millisecond
 		s.emptyUntil = now.Add(max(pause, c.AskPause))
@@ -140,6 +150,33 @@
 	s.expires = now.Add(c.Expiry)
 }
 
+// unanswered notes that the newest ask gets no answer.
+//
+// Without it a dead home would have its accounts refused, with their budgets
+// unspent, until the membership notices. A home that lives and is only out of
+// reach goes on granting to others, so the time in which an instance does
+// without is bounded, however often answers come and go meanwhile.
+func (s *spender) unanswered(now time.Time, c Config, ask Ask) {
+	if !s.waiting || ask.Seq != s.seq {
+		return
+	}
+	s.waiting = false
+	s.silent = true
+	s.emptyUntil = now.Add(c.AskPause) // a dead home is not asked in a tight loop
+	if s.silentFrom.IsZero() || now.Sub(s.silentFrom) >= silentRest*c.SilentFor {
+		s.silentFrom = now
+	}
+}
+
+// silentRest is the least time between the begins of two spans without a home,
+// as a multiple of SilentFor.
+const silentRest = 5
+
+// alone tells whether the instance may do without the home now.
+func (s *spender) alone(now time.Time, c Config) bool {
+	return s.silent && now.Sub(s.silentFrom) < c.SilentFor
+}
+
 // retryAfter is when the next token comes, from the home or the floor.
 func (s *spender) retryAfter(now time.Time, c Config, v *view, account *catalog.Account) time.Duration {
 	rate, _ := floorOf(c, v, account)
--- a/coordination/budget/types.go
+++ b/coordination/budget/types.go
@@ -9,7 +9,9 @@
 //
 //	Burst + Rate*(T + Expiry + m*D) + (N + m)*max(Floor*Burst/N, 1)
 //
-// requests by N listed instances, however they part, die and join.
+// requests by N listed instances, however they part, die and join. While a home
+// does not answer, and no change of membership follows, the others spend their
+// equal shares without it: at most Rate*(SilentFor + T/5) beside what it grants.
 package budget
 
 import (
@@ -67,6 +69,7 @@
 	DefaultExpiry     = 2 * time.Second
 	DefaultAskTimeout = 50 * time.Millisecond
 	DefaultAskPause   = 100 * time.Millisecond
+	DefaultSilentFor  = 10 * time.Second
 	DefaultAccounts   = 4096
 )
 
@@ -86,6 +89,9 @@
 	// AskPause is how long no ask follows one that left the home without a
 	// token: it bounds the messages for an account that is over its budget.
 	AskPause time.Duration
+	// SilentFor is how long an instance does without a home that does not
+	// answer: longer than the membership takes to notice that it is dead.
+	SilentFor time.Duration
 	// Accounts bounds the accounts remembered here, as spender and as home; it
 	// has to exceed those that are active within Burst/Rate.
 	Accounts int
@@ -107,6 +113,9 @@
 	if c.AskPause <= 0 {
 		c.AskPause = DefaultAskPause
 	}
+	if c.SilentFor <= 0 {
+		c.SilentFor = DefaultSilentFor
+	}
 	if c.Accounts <= 0 {
 		c.Accounts = DefaultAccounts
 	}
--- a/daemon/accounts/budgets.go
+++ b/daemon/accounts/budgets.go
@@ -100,9 +100,11 @@
 	go func() {
 		defer b.answered(ask.Account, answered)
 		grant, err := b.call(ask)
-		if err == nil {
-			b.ledger.Granted(b.now(), grant)
+		if err != nil {
+			b.ledger.Unanswered(b.now(), ask)
+			return
 		}
+		b.ledger.Granted(b.now(), grant)
 	}()
 }
 
