Count retries and hedges, paid and refused

Cause: operators could not see whether extra attempts are made or lack a budget. Ruled out: a label for the pool (the budgets come and go with pools). Change: the metric extra_attempts by kind and result, sampled from daemon/retrybudget. Conclusion: the page of metrics and what is served agree (TestMetricsPageIsWhatIsServed); the sampler test checks the counts.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -76,6 +76,7 @@
 	router    *routing.Table
 	marking   discovery.Marking
 	gates     *gate.Group
+	extra     *retrybudget.Budgets
 	budgets   *accounts.Budgets
 	ledger    *budget.Ledger
 	claims    *claims.Service
@@ -164,6 +165,7 @@
 	})
 	a.gates = gate.NewGroup(gate.GroupConfig{Tiers: tiers.Config{Preempt: true}}, time.Now)
 	a.ledger = budget.NewLedger(time.Now(), budget.Config{Self: s.Instance.Name})
+	a.extra = retrybudget.New(retry.Config{Reserve: retryReserve})
 	a.status = requests.New(requests.Options{
 		MaxRequests: s.Status.RingSize,
 		Retention:   s.Status.Retention,
@@ -283,7 +285,7 @@
 		Router:  a.marking,
 		Targets: a.targets,
 		Gate:    a.gates,
-		Budgets: retrybudget.New(retry.Config{Reserve: retryReserve}),
+		Budgets: a.extra,
 		Times:   deadline.NewTimes(deadline.Config{}),
 		Status:  a.status,
 		Config:  a.sync.Snapshot,
--- a/daemon/app/metrics.go
+++ b/daemon/app/metrics.go
@@ -13,6 +13,7 @@
 		Gates:  a.gates,
 		Router: a.router,
 		Status: a.status,
+		Extra:  a.extra,
 		Scope:  a.telemetry.Scope,
 	})
 	return sampler.Run(ctx)
--- a/daemon/metrics/bench_test.go
+++ b/daemon/metrics/bench_test.go
@@ -7,9 +7,11 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
@@ -43,6 +45,7 @@
 		Gates:  gates,
 		Router: router,
 		Status: status,
+		Extra:  retrybudget.New(retry.Config{}),
 		Scope:  tally.NewTestScope("", nil),
 	})
 	b.ReportAllocs()
--- a/daemon/metrics/metrics.go
+++ b/daemon/metrics/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
@@ -44,12 +45,18 @@
 	Expire(now time.Time)
 }
 
+// Extra pays for retries and hedges; *retrybudget.Budgets is one.
+type Extra interface {
+	Counts() (retries, hedges retrybudget.Counts)
+}
+
 // Options are the parts that a Sampler reads; all are required.
 type Options struct {
 	Calls  Calls
 	Gates  Gates
 	Router Router
 	Status Status
+	Extra  Extra
 	Scope  tally.Scope
 }
 
@@ -86,4 +93,14 @@
 	s.gates()
 	s.routing(now)
 	s.status(now)
+	s.extra()
+}
+
+// extra reports the attempts beyond the first ones.
+func (s *Sampler) extra() {
+	retries, hedges := s.opts.Extra.Counts()
+	for kind, c := range map[string]retrybudget.Counts{"retry": retries, "hedge": hedges} {
+		s.series.count(c.Paid, "extra_attempts", label{"kind", kind}, label{"result", "paid"})
+		s.series.count(c.Refused, "extra_attempts", label{"kind", kind}, label{"result", "refused"})
+	}
 }
--- a/daemon/metrics/metrics_test.go
+++ b/daemon/metrics/metrics_test.go
@@ -9,8 +9,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
 )
@@ -50,12 +52,19 @@
 	status := requests.New(requests.Options{MaxRequests: 4, Retention: time.Minute})
 	status.Finish(status.Begin(requests.Info{ID: "r", Tier: "gold", Deadline: time.Second, Begun: now}),
 		requests.End{State: requests.Failed, At: now})
-	s := New(Options{Calls: calls, Gates: gates, Router: routes, Status: status, Scope: scope})
+	extra := retrybudget.New(retry.Config{})
+	for range 5 {
+		extra.Hedge(now, "p")
+	}
+	s := New(Options{Calls: calls, Gates: gates, Router: routes, Status: status, Extra: extra, Scope: scope})
 	s.Sample(now)
 	s.Sample(now)
 	counter := func(name string) int64 { return scope.Snapshot().Counters()[name].Value() }
 	gauge := func(name string) float64 { return scope.Snapshot().Gauges()[name].Value() }
 	want := map[string]int64{
+		"extra_attempts+kind=hedge,result=paid":       2,
+		"extra_attempts+kind=hedge,result=refused":    3,
+		"extra_attempts+kind=retry,result=paid":       0,
 		"platform_calls+kind=read,result=answered":    4,
 		"platform_calls+kind=read,result=limited":     2,
 		"platform_calls+kind=read,result=failed":      3,
--- a/daemon/retrybudget/retrybudget.go
+++ b/daemon/retrybudget/retrybudget.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
@@ -19,8 +20,31 @@
 
 	mu    sync.RWMutex
 	pools map[string]*pool
+
+	retries, hedges counts
+}
+
+// Counts tells how often an extra attempt was paid for and how often not, over
+// all pools.
+type Counts struct{ Paid, Refused uint64 }
+
+type counts struct{ paid, refused atomic.Uint64 }
+
+// note counts one decision and returns it.
+func (c *counts) note(paid bool) bool {
+	if paid {
+		c.paid.Add(1)
+	} else {
+		c.refused.Add(1)
+	}
+	return paid
 }
 
+func (c *counts) read() Counts { return Counts{Paid: c.paid.Load(), Refused: c.refused.Load()} }
+
+// Counts returns the retries and the hedges since the start.
+func (b *Budgets) Counts() (retries, hedges Counts) { return b.retries.read(), b.hedges.read() }
+
 type pool struct {
 	mu     sync.Mutex
 	budget *retry.Budget
@@ -36,7 +60,7 @@
 	p := b.pool(name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.TakeRetry(now)
+	return b.retries.note(p.budget.TakeRetry(now))
 }
 
 // Hedge pays for one attempt beside the first, or tells that it can't.
@@ -44,7 +68,7 @@
 	p := b.pool(name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.TakeHedge(now)
+	return b.hedges.note(p.budget.TakeHedge(now))
 }
 
 // Succeeded tells that a stage was answered whole, which earns extra attempts.
