Forget a silent connection before its end is told

A connection found silent was counted and ended before it was forgotten, so that a call which came in between was given the dead connection, and one that may not be repeated ended as unknown. Change: forget, then end, then count. Conclusion: a new call meets a new connection.

--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -99,9 +99,11 @@
 
 // close ends the connection; the first cause is kept.
 func (c *conn) close(cause error) {
+	// Forgotten first: a call that came between the end and the forgetting would
+	// be given the connection that has just been found silent.
+	c.node.forget(c)
 	c.cancel(cause)
 	_ = c.sock.Close()
-	c.node.forget(c)
 }
 
 // cause returns why the connection ended.
