Count a silent connection before its calls end

Ruled out: the heartbeat of the tests (a second is longer than any stall seen). Change: forget, count, end.

--- a/transport/peer/monitor.go
+++ b/transport/peer/monitor.go
@@ -65,9 +65,12 @@
 		case c.lastIn.Load() >= sent:
 			c.heartbeatSent.Store(0)
 		case now-sent > int64(opts.HeartbeatTimeout):
-			c.close(errors.Wrapf(ErrSilent, "no answer to a heartbeat for %s", opts.HeartbeatTimeout))
+			// Forgotten, counted, ended, in this order: whoever sees the count
+			// or the end of a call gets a new connection and finds it counted.
+			c.node.forget(c)
 			c.node.metrics.silent.Inc(1)
 			klog.V(1).InfoS("Peer connection is silent", "peer", c.peer.Name, "address", c.remote)
+			c.close(errors.Wrapf(ErrSilent, "no answer to a heartbeat for %s", opts.HeartbeatTimeout))
 		}
 		return
 	}
