--- a/daemon/claims/journal_test.go
+++ b/daemon/claims/journal_test.go
@@ -35,7 +35,7 @@
 		for n, w := range writers {
 			for i := range keys {
 				group.Go(func() {
-					time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+					time.Sleep(time.Duration(i) * 4 * time.Millisecond) // virtual
 					token := claim.Token{Attempt: uint64(n + 1)}
 					e := w.Create(t.Context(), testID(i), claim.Record{Token: token, Made: time.Now()})
 					if _, ok := e.(claim.Written); ok {
@@ -48,7 +48,7 @@
 		}
 		group.Wait()
 		store.SetFaults(emulator.Faults{})
-		time.Sleep(time.Minute)
+		time.Sleep(time.Minute) // virtual: what was applied late is in
 		segments, err := store.Local("c").List(t.Context(), platformapi.KindClaims)
 		require.NoError(t, err)
 		require.Greater(t, len(segments.Items), 3, "the journal has rolled over")
