--- /dev/null
+++ b/coordination/gather/dispatch.go
@@ -0,0 +1,374 @@
+package gather
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// crossBytes is how many more bytes than at the best place may cross data
+// centres without a wait: below it the price of a crossing is under a hundredth
+// of what a request is worth.
+const crossBytes = 64 << 10
+
+// candidate is a stage with pieces to send, with what orders it.
+type candidate struct {
+	stage *stageWork
+	// late tells that the answer can't be on time any more.
+	late bool
+}
+
+// dispatch gives calls to the targets of a service that can take one, those
+// first that answered last, and then the fastest.
+func (p *Planner) dispatch(now time.Time, s *service) {
+	if len(s.queue) == 0 {
+		return
+	}
+	free := make([]*target, 0, len(s.targets))
+	for _, t := range s.targets {
+		if t.usable(now) {
+			free = append(free, t)
+		}
+	}
+	if len(free) == 0 {
+		return
+	}
+	slices.SortFunc(free, func(a, b *target) int {
+		return cmp.Or(cmp.Compare(a.strikes, b.strikes), cmp.Compare(a.slow, b.slow), cmp.Compare(a.heldBytes, b.heldBytes),
+			cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	ordered := p.order(now, s)
+	for _, t := range free {
+		if chosen := p.choose(now, t, ordered); len(chosen) > 0 {
+			p.start(now, t, chosen)
+			ordered = slices.DeleteFunc(ordered, func(c candidate) bool { return len(c.stage.todo) == 0 })
+		}
+	}
+}
+
+// order sorts the queue: what can still be on time goes first, then the more
+// urgent, then what has results that take room, then what is due earlier.
+// Pieces of requests that are late anyway fill what is left of a call, so they
+// cost others nothing.
+func (p *Planner) order(now time.Time, s *service) []candidate {
+	ordered := make([]candidate, len(s.queue))
+	for i, st := range s.queue {
+		ordered[i] = candidate{stage: st, late: now.Add(p.least(st.work)).After(st.work.Objective)}
+	}
+	slices.SortStableFunc(ordered, func(a, b candidate) int {
+		wa, wb := a.stage.work, b.stage.work
+		return cmp.Or(
+			compareBool(a.late, b.late),
+			cmp.Compare(wa.Priority, wb.Priority),
+			cmp.Compare(a.stage.height, b.stage.height),
+			wa.Objective.Compare(wb.Objective),
+		)
+	})
+	return ordered
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// choose takes the pieces of a target's next call. Pieces of one stage of a
+// request stay together, since each of them reads all results before it; only a
+// stage that no call holds whole is split.
+func (p *Planner) choose(now time.Time, t *target, ordered []candidate) []pieceRef {
+	s := t.service
+	if p.passOver(now, t) {
+		return nil
+	}
+	var chosen []pieceRef
+	room := s.shape.ResultBytes - t.heldBytes
+	for _, c := range ordered {
+		left := s.shape.MaxPieces - len(chosen)
+		if left <= 0 {
+			break
+		}
+		st := c.stage
+		n := len(st.todo)
+		if n == 0 || (n > left && len(chosen) > 0) || p.waitsForNearer(now, t, st) {
+			continue
+		}
+		n = min(n, left)
+		if s.shape.ResultBytes > 0 && st.ResultBytes > 0 {
+			n = min(n, int(room/st.ResultBytes))
+			if n <= 0 {
+				continue
+			}
+		}
+		room -= int64(n) * st.ResultBytes
+		for _, index := range st.todo[:n] {
+			chosen = append(chosen, pieceRef{st, index})
+		}
+	}
+	return chosen
+}
+
+// passOver tells whether a slow target is left without a call: a call there
+// takes longer than waiting for another target, and its pieces would come late.
+// Now and then it gets one, to learn whether it is still slow.
+func (p *Planner) passOver(now time.Time, t *target) bool {
+	if t.slow < slowFactor || now.Sub(t.lastCall) > slowProbe {
+		return false
+	}
+	fast := 0
+	for _, other := range t.service.targets {
+		if other.up(now) && other.slow < slowFactor {
+			fast++
+		}
+	}
+	if fast == 0 {
+		return false
+	}
+	waiting := 0
+	for _, st := range t.service.queue {
+		waiting += len(st.todo)
+	}
+	calls := 1 + float64(waiting)/float64(max(t.service.shape.MaxPieces, 1)*fast)
+	return t.slow > calls+1
+}
+
+// waitsForNearer tells whether pieces rather wait a little for a target beside
+// their inputs or their reader.
+func (p *Planner) waitsForNearer(now time.Time, t *target, st *stageWork) bool {
+	here := st.crossing(t.DataCentre) * int64(len(st.todo))
+	if here <= crossBytes || now.Sub(st.readySince) >= p.config.Patience {
+		return false
+	}
+	for _, other := range t.service.targets {
+		if other.up(now) && other.slow < slowFactor &&
+			st.crossing(other.DataCentre)*int64(len(st.todo))+crossBytes < here {
+			return true
+		}
+	}
+	return false
+}
+
+// start begins a call.
+func (p *Planner) start(now time.Time, t *target, chosen []pieceRef) {
+	p.nextCall++
+	c := &call{id: p.nextCall, target: t, pieces: chosen, started: now, slow: t.slow}
+	orders := make([]PieceOrder, 0, len(chosen))
+	var pieceTime time.Duration
+	var inputs []string
+	var reader *stageWork
+	for _, ref := range chosen {
+		st := ref.stage
+		if reader != st {
+			reader, inputs = st, st.inputs()
+		}
+		order := PieceOrder{
+			Request: st.work.ID, Stage: st.index, Index: ref.index,
+			Inputs: inputs, Deadline: st.work.Deadline.Add(-st.work.Rest),
+		}
+		if len(inputs) == 0 {
+			order.Key = st.work.Key
+		}
+		orders = append(orders, order)
+		st.todo = slices.DeleteFunc(st.todo, func(i int) bool { return i == ref.index })
+		st.inCall++
+		c.bytes += st.ResultBytes
+		pieceTime += t.service.pieceTime(st)
+		if len(st.todo) == 0 {
+			p.dequeue(st)
+		}
+	}
+	c.expected = t.service.expected(pieceTime)
+	t.calls++
+	t.heldBytes += c.bytes
+	t.lastCall = now
+	t.busyUntil = now.Add(time.Duration(max(t.slow, 1) * float64(c.expected)))
+	p.calls[c.id] = c
+	timeout := time.Duration(timeoutFactor*max(t.slow, 1)*float64(c.expected)) + timeoutMargin
+	p.out = append(p.out, StartCall{ID: c.id, Target: t.Target, Pieces: orders, Timeout: timeout})
+}
+
+// CallDone takes in the end of a call. Results is in the order of the pieces;
+// it is only read for CallAnswered.
+func (p *Planner) CallDone(now time.Time, id uint64, outcome CallOutcome, results []PieceResult) []Action {
+	c := p.calls[id]
+	if c == nil {
+		return nil
+	}
+	delete(p.calls, id)
+	t := c.target
+	t.calls--
+	t.heldBytes -= c.bytes
+	p.learn(now, c, outcome)
+	touched := map[*work]bool{}
+	for i, ref := range c.pieces {
+		r := PieceResult{Failure: PieceFailed}
+		if outcome == CallAnswered && i < len(results) {
+			r = results[i]
+		}
+		p.pieceDone(now, c, ref, outcome, r)
+		touched[ref.stage.work] = true
+	}
+	if t.leaving && t.calls == 0 {
+		delete(t.service.targets, t.Incarnation)
+	}
+	for w := range touched {
+		if p.works[w.ID] == w {
+			p.advance(now, w)
+		}
+	}
+	p.dispatch(now, t.service)
+	return p.flush()
+}
+
+// learn takes what a call tells of its target and of the pieces' times.
+func (p *Planner) learn(now time.Time, c *call, outcome CallOutcome) {
+	t := c.target
+	t.strikes++
+	switch outcome {
+	case CallFull:
+		t.downUntil = now.Add(fullPause)
+		return
+	case CallWrongTarget:
+		t.leaving = true
+		return
+	case CallLost:
+		t.lost(now)
+		t.slow = max(t.slow, 1)
+		return
+	}
+	t.failures, t.strikes = 0, 0
+	t.downUntil = time.Time{}
+	taken := now.Sub(c.started)
+	ratio := float64(taken) / float64(max(c.expected, time.Millisecond))
+	t.slow += sampleShare * (ratio - t.slow)
+	if ratio < slowFactor && t.slow < slowFactor {
+		p.learnPieces(c, taken)
+	}
+	if ratio < slowFactor {
+		t.slow = min(t.slow, slowFactor)
+	}
+}
+
+// learnPieces corrects the times of the call's pieces by what the call took.
+func (p *Planner) learnPieces(c *call, taken time.Duration) {
+	sv := c.target.service
+	expected := c.expected - sv.shape.CallTime
+	if expected <= 0 {
+		return
+	}
+	ratio := float64(taken-sv.shape.CallTime) / float64(expected)
+	ratio = min(max(ratio, 0.2), 3)
+	for _, ref := range c.pieces {
+		key := factorKey{ref.stage.work.Route, ref.stage.index}
+		factor, ok := sv.pieceFactor[key]
+		if !ok {
+			factor = 1
+		}
+		share := pieceSampleShare / float64(len(c.pieces))
+		sv.pieceFactor[key] = min(max(factor*(1+share*(ratio-1)), 0.1), 4)
+	}
+}
+
+// pieceSampleShare is what one call may change of its pieces' times.
+const pieceSampleShare = 0.3
+
+// pieceDone takes in the end of one piece.
+func (p *Planner) pieceDone(now time.Time, c *call, ref pieceRef, outcome CallOutcome, r PieceResult) {
+	st := ref.stage
+	st.inCall--
+	w := st.work
+	if p.works[w.ID] != w {
+		if r.Handle != "" {
+			c.target.heldBytes += st.ResultBytes
+			p.freeHandle(c.target, r.Handle, st.ResultBytes)
+		}
+		return
+	}
+	if r.Handle != "" {
+		keep := c.target.service.shape.KeepFor
+		st.results[ref.index] = &result{
+			handle: r.Handle, target: c.target, bytes: st.ResultBytes,
+			expires: now.Add(keep - min(keepMargin, keep/2)),
+		}
+		c.target.heldBytes += st.ResultBytes
+		st.made++
+		if st.done() {
+			p.freeRead(st)
+		}
+		return
+	}
+	p.again(now, c, ref, outcome, r.Failure)
+}
+
+// freeRead gives back the results that no stage reads any more, now that st is
+// done.
+func (p *Planner) freeRead(st *stageWork) {
+	for _, i := range st.After {
+		read := st.work.stages[i]
+		if p.needed(read) {
+			continue
+		}
+		for _, r := range read.results {
+			p.free(r)
+		}
+	}
+}
+
+// again has a piece sent once more, or gives its request up.
+func (p *Planner) again(now time.Time, c *call, ref pieceRef, outcome CallOutcome, failure PieceFailure) {
+	st := ref.stage
+	w := st.work
+	if outcome == CallAnswered && failure == PieceLate {
+		p.drop(w)
+		p.refuse(w.ID, ReasonDeadline, minRetryAfter)
+		return
+	}
+	if ref.index == c.firstOf(st) {
+		st.resends++
+	}
+	if st.resends > maxResends {
+		p.drop(w)
+		p.refuse(w.ID, ReasonRetries, time.Second)
+		return
+	}
+	if failure == PieceInputGone {
+		p.remake(st)
+	}
+	if failure == PieceNoRoom && outcome == CallAnswered {
+		c.target.downUntil = now.Add(fullPause)
+	}
+	st.todo = append(st.todo, ref.index)
+	slices.Sort(st.todo)
+}
+
+// firstOf is the first piece of a stage in the call, so that a stage counts a
+// failed call once.
+func (c *call) firstOf(st *stageWork) int {
+	for _, ref := range c.pieces {
+		if ref.stage == st {
+			return ref.index
+		}
+	}
+	return -1
+}
+
+// remake has the inputs of a stage made again: one of them is gone, and the
+// answer doesn't tell which.
+func (p *Planner) remake(st *stageWork) {
+	for _, i := range st.After {
+		before := st.work.stages[i]
+		for n, r := range before.results {
+			if r == nil {
+				continue
+			}
+			p.free(r)
+			p.unmake(before, n)
+		}
+		p.remake(before)
+	}
+}
--- /dev/null
+++ b/coordination/gather/planner.go
@@ -0,0 +1,326 @@
+package gather
+
+import (
+	"slices"
+	"time"
+)
+
+// Config holds the bounds of a Planner. Zero values take the defaults.
+type Config struct {
+	// Patience is how long pieces wait for a target beside their inputs before
+	// they go to one of another data centre.
+	Patience time.Duration
+	// MaxRequests bounds the requests that are held.
+	MaxRequests int
+}
+
+// Defaults of Config.
+const (
+	// DefaultPatience is about the time until the next target of a data centre
+	// with two comes free.
+	DefaultPatience = 150 * time.Millisecond
+	// DefaultMaxRequests is some ten seconds of the heaviest load measured.
+	DefaultMaxRequests = 4096
+)
+
+// maxResends bounds the calls that carry pieces of one stage again.
+const maxResends = 4
+
+// keepMargin is taken off the time that results are kept: a result must still be
+// there when its reader's call has its turn.
+const keepMargin = 300 * time.Millisecond
+
+// Planner holds the requests of a group of targets.
+type Planner struct {
+	config   Config
+	services map[string]*service
+	works    map[string]*work
+	calls    map[uint64]*call
+	nextCall uint64
+	// freeing are the results whose makers are being told, by handle.
+	freeing map[string]freeing
+	out     []Action
+}
+
+// freeing is a result whose room is about to be given back.
+type freeing struct {
+	target *target
+	bytes  int64
+}
+
+// call is a call in progress.
+type call struct {
+	id       uint64
+	target   *target
+	pieces   []pieceRef
+	bytes    int64
+	started  time.Time
+	expected time.Duration
+	// slow is what the target was believed to be at the start.
+	slow float64
+}
+
+type pieceRef struct {
+	stage *stageWork
+	index int
+}
+
+// New returns a planner without services.
+func New(c Config) *Planner {
+	if c.Patience <= 0 {
+		c.Patience = DefaultPatience
+	}
+	if c.MaxRequests <= 0 {
+		c.MaxRequests = DefaultMaxRequests
+	}
+	return &Planner{
+		config:   c,
+		services: map[string]*service{},
+		works:    map[string]*work{},
+		calls:    map[uint64]*call{},
+		freeing:  map[string]freeing{},
+	}
+}
+
+// SetService takes the shape of a service's targets.
+func (p *Planner) SetService(name string, shape Shape) {
+	p.service(name).shape = shape
+}
+
+func (p *Planner) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{name: name, targets: map[string]*target{}, pieceFactor: map[factorKey]float64{}}
+		p.services[name] = s
+	}
+	return s
+}
+
+// SetTargets takes the targets of a service that may get calls. Calls in
+// progress at one that is left out go on.
+func (p *Planner) SetTargets(now time.Time, name string, list []Target) []Action {
+	s := p.service(name)
+	kept := make(map[string]bool, len(list))
+	for _, t := range list {
+		kept[t.Incarnation] = true
+		if known := s.targets[t.Incarnation]; known != nil {
+			known.leaving = false
+			continue
+		}
+		s.targets[t.Incarnation] = &target{Target: t, service: s, slow: 1}
+	}
+	for id, t := range s.targets {
+		if !kept[id] {
+			t.leaving = true
+			if t.calls == 0 {
+				delete(s.targets, id)
+			}
+		}
+	}
+	p.dispatch(now, s)
+	return p.flush()
+}
+
+// Held returns the number of requests that wait or have results here.
+func (p *Planner) Held() int { return len(p.works) }
+
+// Submit takes a request in, or refuses it at once.
+func (p *Planner) Submit(now time.Time, r Request) []Action {
+	if old := p.works[r.ID]; old != nil {
+		p.drop(old)
+	}
+	if len(p.works) >= p.config.MaxRequests {
+		p.refuse(r.ID, ReasonBound, minRetryAfter)
+		return p.flush()
+	}
+	w := newWork(r)
+	if reason, after := p.admit(now, w); reason != "" {
+		p.refuse(r.ID, reason, after)
+		return p.flush()
+	}
+	p.works[r.ID] = w
+	p.advance(now, w)
+	return p.flush()
+}
+
+// Drop forgets a request: its caller left, or its results have been read. What
+// it still holds is freed.
+func (p *Planner) Drop(_ time.Time, id string) []Action {
+	if w := p.works[id]; w != nil {
+		p.drop(w)
+	}
+	return p.flush()
+}
+
+func (p *Planner) drop(w *work) {
+	delete(p.works, w.ID)
+	for _, s := range w.stages {
+		p.dequeue(s)
+		for _, r := range s.results {
+			p.free(r)
+		}
+	}
+}
+
+// Tick does what is due: results that were kept too long, requests that can't
+// be done in time, and targets that are tried again.
+func (p *Planner) Tick(now time.Time) []Action {
+	for _, w := range p.works {
+		p.expireResults(now, w)
+		if !w.completed {
+			p.giveUpLate(now, w)
+		} else if now.After(w.Deadline) {
+			// The instance that asked is gone, or its word was lost.
+			p.drop(w)
+		}
+	}
+	for _, s := range p.services {
+		p.dispatch(now, s)
+	}
+	return p.flush()
+}
+
+// expireResults drops results that their makers no longer keep, and has those
+// made again that are still needed.
+func (p *Planner) expireResults(now time.Time, w *work) {
+	expired := false
+	for _, s := range w.stages {
+		for i, r := range s.results {
+			if r == nil || r.freed || now.Before(r.expires) {
+				continue
+			}
+			r.target.heldBytes -= r.bytes
+			r.freed = true
+			if !w.completed && p.needed(s) {
+				p.unmake(s, i)
+				expired = true
+			}
+		}
+	}
+	if expired {
+		p.advance(now, w)
+	}
+}
+
+// unmake has a piece made again whose result is gone. Stages that read it wait
+// until it is there: a piece with only some of its inputs would be answered with
+// another request's work, or with none.
+func (p *Planner) unmake(s *stageWork, index int) {
+	s.results[index] = nil
+	s.made--
+	s.todo = append(s.todo, index)
+	s.readySince = time.Time{}
+	for _, reader := range s.work.stages {
+		if slices.Contains(reader.After, s.index) {
+			p.dequeue(reader)
+			reader.readySince = time.Time{}
+		}
+	}
+}
+
+// needed tells whether some stage that isn't done reads the results.
+func (p *Planner) needed(s *stageWork) bool {
+	if s.final() {
+		return true
+	}
+	for _, other := range s.work.stages {
+		if !other.done() && slices.Contains(other.After, s.index) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUpLate refuses a request as soon as what is left takes longer than there
+// is time.
+func (p *Planner) giveUpLate(now time.Time, w *work) {
+	if now.Add(p.least(w)).After(w.Deadline) {
+		p.drop(w)
+		p.refuse(w.ID, ReasonDeadline, minRetryAfter)
+	}
+}
+
+// refuse gives a request up.
+func (p *Planner) refuse(id string, reason Reason, after time.Duration) {
+	p.out = append(p.out, Refused{Request: id, Reason: reason, RetryAfter: after})
+}
+
+// advance queues the stages of a request that are due, and completes it when all
+// are done.
+func (p *Planner) advance(now time.Time, w *work) {
+	if w.completed {
+		return
+	}
+	if w.allDone() {
+		w.completed = true
+		p.out = append(p.out, Completed{Request: w.ID, Handles: w.handles()})
+		return
+	}
+	for _, s := range w.stages {
+		if len(s.todo) == 0 || !s.due() {
+			continue
+		}
+		if s.readySince.IsZero() {
+			s.readySince = now
+		}
+		p.enqueue(s)
+		p.dispatch(now, p.service(s.Service))
+	}
+}
+
+func (p *Planner) enqueue(s *stageWork) {
+	sv := p.service(s.Service)
+	if !slices.Contains(sv.queue, s) {
+		sv.queue = append(sv.queue, s)
+	}
+}
+
+func (p *Planner) dequeue(s *stageWork) {
+	sv := p.service(s.Service)
+	if i := slices.Index(sv.queue, s); i >= 0 {
+		sv.queue = slices.Delete(sv.queue, i, i+1)
+	}
+}
+
+// free gives a result's room back.
+func (p *Planner) free(r *result) {
+	if r == nil || r.freed {
+		return
+	}
+	r.freed = true
+	p.freeHandle(r.target, r.handle, r.bytes)
+}
+
+// freeHandle joins the handles of one target into one action. The room counts as
+// taken until the target has been told.
+func (p *Planner) freeHandle(held *target, handle string, bytes int64) {
+	t := held.Target
+	p.freeing[handle] = freeing{held, bytes}
+	for i, a := range p.out {
+		if f, ok := a.(FreeResults); ok && f.Target == t {
+			f.Handles = append(f.Handles, handle)
+			p.out[i] = f
+			return
+		}
+	}
+	p.out = append(p.out, FreeResults{Target: t, Handles: []string{handle}})
+}
+
+// FreeDone tells that a target gave the room of results back, or that it couldn't
+// be told.
+func (p *Planner) FreeDone(now time.Time, handles []string) []Action {
+	for _, handle := range handles {
+		if f, ok := p.freeing[handle]; ok {
+			delete(p.freeing, handle)
+			f.target.heldBytes -= f.bytes
+			p.dispatch(now, f.target.service)
+		}
+	}
+	return p.flush()
+}
+
+func (p *Planner) flush() []Action {
+	out := p.out
+	p.out = nil
+	return out
+}
--- /dev/null
+++ b/coordination/gather/planner_test.go
@@ -0,0 +1,351 @@
+package gather
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rig plays targets against a planner in virtual time.
+type rig struct {
+	t         *testing.T
+	planner   *Planner
+	now       time.Time
+	running   []runningCall
+	completed map[string][]string
+	refused   map[string]Refused
+	freed     []string
+	// took overrides how long a call takes.
+	took func(StartCall) time.Duration
+	// end overrides how a call ends.
+	end func(StartCall) (CallOutcome, []PieceResult)
+	// calls are all calls, in order.
+	calls []StartCall
+	made  int
+}
+
+type runningCall struct {
+	StartCall
+	ends time.Time
+}
+
+func newRig(t *testing.T) *rig {
+	return &rig{
+		t: t, planner: New(Config{}), now: time.Unix(1000, 0),
+		completed: map[string][]string{}, refused: map[string]Refused{},
+	}
+}
+
+var narrow = Shape{Slots: 1, MaxPieces: 8, CallTime: 200 * time.Millisecond, PieceTime: 20 * time.Millisecond, KeepFor: 4 * time.Second}
+
+// service adds a service with targets in the given data centres.
+func (r *rig) service(name string, shape Shape, dataCentres ...string) {
+	r.planner.SetService(name, shape)
+	var list []Target
+	for i, dc := range dataCentres {
+		id := fmt.Sprintf("%s-%d", name, i)
+		list = append(list, Target{Incarnation: id, Address: id, DataCentre: dc})
+	}
+	r.do(r.planner.SetTargets(r.now, name, list))
+}
+
+func (r *rig) submit(q Request) {
+	if q.Deadline.IsZero() {
+		q.Objective, q.Deadline = r.now.Add(2*time.Second), r.now.Add(6*time.Second)
+	}
+	r.do(r.planner.Submit(r.now, q))
+}
+
+func (r *rig) do(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case StartCall:
+			r.calls = append(r.calls, a)
+			took := 200*time.Millisecond + time.Duration(len(a.Pieces))*20*time.Millisecond
+			if r.took != nil {
+				took = r.took(a)
+			}
+			r.running = append(r.running, runningCall{a, r.now.Add(min(took, a.Timeout))})
+		case Completed:
+			r.completed[a.Request] = a.Handles
+		case Refused:
+			r.refused[a.Request] = a
+		case FreeResults:
+			r.freed = append(r.freed, a.Handles...)
+			r.do(r.planner.FreeDone(r.now, a.Handles))
+		}
+	}
+}
+
+// run plays for a while.
+func (r *rig) run(d time.Duration) {
+	until := r.now.Add(d)
+	for r.now.Before(until) {
+		r.now = r.now.Add(10 * time.Millisecond)
+		for i := 0; i < len(r.running); i++ {
+			c := r.running[i]
+			if c.ends.After(r.now) {
+				continue
+			}
+			r.running = slices.Delete(r.running, i, i+1)
+			i--
+			r.finish(c.StartCall)
+		}
+		r.do(r.planner.Tick(r.now))
+	}
+}
+
+func (r *rig) finish(c StartCall) {
+	if r.end != nil {
+		if outcome, results := r.end(c); outcome != CallAnswered || results != nil {
+			r.do(r.planner.CallDone(r.now, c.ID, outcome, results))
+			return
+		}
+	}
+	results := make([]PieceResult, len(c.Pieces))
+	for i := range c.Pieces {
+		r.made++
+		results[i].Handle = fmt.Sprintf("%s/%d", c.Target.Incarnation, r.made)
+	}
+	r.do(r.planner.CallDone(r.now, c.ID, CallAnswered, results))
+}
+
+func chain(id string, counts ...int) Request {
+	q := Request{ID: id, Route: "r", Key: "k"}
+	names := []string{"a", "b", "c"}
+	for i, n := range counts {
+		s := Stage{Service: names[i], Pieces: n, ResultBytes: 1000}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		q.Stages = append(q.Stages, s)
+	}
+	return q
+}
+
+// Requests run through their stages in order, each piece reads all results
+// before it and only those, and the last stage's results are handed out.
+func TestStagesRunInOrder(t *testing.T) {
+	r := newRig(t)
+	for _, name := range []string{"a", "b", "c"} {
+		r.service(name, narrow, "x", "x")
+	}
+	r.submit(chain("one", 1, 3, 2))
+	r.run(2 * time.Second)
+
+	require.Len(t, r.completed["one"], 2)
+	for _, c := range r.calls {
+		for _, p := range c.Pieces {
+			require.Equal(t, "one", p.Request)
+			require.Len(t, p.Inputs, []int{0, 1, 3}[p.Stage])
+			require.Equal(t, p.Stage == 0, p.Key != "")
+		}
+	}
+	require.Len(t, r.freed, 4, "results that were read are given back")
+	r.do(r.planner.Drop(r.now, "one"))
+	require.Len(t, r.freed, 6)
+	require.Zero(t, r.planner.Held())
+}
+
+// Many requests come at once. Sent one by one they would take a call each; pieces
+// that wait together leave in full calls.
+func TestCallsAreFilled(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x", "x")
+	for i := range 34 {
+		r.submit(chain(fmt.Sprint(i), 1))
+	}
+	r.run(2 * time.Second)
+	require.Len(t, r.completed, 34)
+	require.LessOrEqual(t, len(r.calls), 2+32/8+1)
+}
+
+// A stage target falls silent for its results: while the second stage of a request
+// waits for a place, the first stage's results expire. The second stage must wait
+// until they are made again; sent with what was left, it would read nothing, and
+// the instance that holds the queue would crash.
+func TestResultsExpireWhileTheirReaderWaits(t *testing.T) {
+	r := newRig(t)
+	short := narrow
+	short.KeepFor = 600 * time.Millisecond
+	r.service("a", short, "x")
+	r.service("b", narrow, "x")
+	r.took = func(c StartCall) time.Duration {
+		if c.Pieces[0].Stage == 1 {
+			return 700 * time.Millisecond
+		}
+		return 200 * time.Millisecond
+	}
+	for i := range 12 {
+		q := chain(fmt.Sprint(i), 1, 4)
+		q.Objective, q.Deadline = r.now.Add(20*time.Second), r.now.Add(30*time.Second)
+		r.submit(q)
+	}
+	r.run(12 * time.Second)
+	require.Len(t, r.completed, 12)
+	for _, c := range r.calls {
+		for _, p := range c.Pieces {
+			require.Len(t, p.Inputs, p.Stage)
+		}
+	}
+}
+
+// The answer to one call says that an input is gone, for every piece that read it.
+// The input is made again once, and the pieces after it.
+func TestInputGone(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	r.service("b", narrow, "x")
+	gone := true
+	r.end = func(c StartCall) (CallOutcome, []PieceResult) {
+		if c.Pieces[0].Stage == 0 || !gone {
+			return CallAnswered, nil
+		}
+		gone = false
+		return CallAnswered, []PieceResult{{Failure: PieceInputGone}, {Failure: PieceInputGone}}
+	}
+	r.submit(chain("one", 1, 2))
+	r.run(3 * time.Second)
+	require.Len(t, r.completed["one"], 2)
+	require.Len(t, r.calls, 4)
+}
+
+// A target refuses, another is gone, a third loses its answer: the pieces go to
+// the target that is left, and the request doesn't fail.
+func TestFailedCallsGoElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x", "x", "x", "x")
+	r.end = func(c StartCall) (CallOutcome, []PieceResult) {
+		switch c.Target.Incarnation {
+		case "a-0":
+			return CallFull, nil
+		case "a-1":
+			return CallWrongTarget, nil
+		case "a-2":
+			return CallLost, nil
+		}
+		return CallAnswered, nil
+	}
+	r.submit(chain("one", 3))
+	r.run(3 * time.Second)
+	require.Len(t, r.completed["one"], 3)
+	require.Empty(t, r.refused)
+}
+
+// A request that can't be done in time is refused at once and says when it could,
+// before it costs a stage.
+func TestRefusedAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	for i := range 80 {
+		q := chain(fmt.Sprint(i), 4)
+		q.Objective, q.Deadline = r.now.Add(time.Second), r.now.Add(3*time.Second)
+		r.submit(q)
+	}
+	require.NotEmpty(t, r.refused)
+	for _, refused := range r.refused {
+		require.Equal(t, ReasonQueue, refused.Reason)
+		require.GreaterOrEqual(t, refused.RetryAfter, minRetryAfter)
+	}
+	refused := len(r.refused)
+	r.run(5 * time.Second)
+	require.Len(t, r.refused, refused, "what was taken in was done in time")
+	require.Equal(t, 80, len(r.completed)+refused)
+}
+
+// A service has no target: a request that needs it is told so at once.
+func TestNoTarget(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow)
+	r.submit(chain("one", 1))
+	require.Equal(t, ReasonNoTarget, r.refused["one"].Reason)
+}
+
+// The more urgent go first when all wait.
+func TestUrgentFirst(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	r.submit(chain("first", 8))
+	for _, name := range []string{"low", "high"} {
+		q := chain(name, 8)
+		q.Priority = map[string]int{"low": 2, "high": 0}[name]
+		r.submit(q)
+	}
+	r.run(3 * time.Second)
+	require.Equal(t, "high", r.calls[1].Pieces[0].Request)
+	require.Equal(t, "low", r.calls[2].Pieces[0].Request)
+}
+
+// A target has room for two results of the size. A third piece sent there would be
+// refused and cost a call.
+func TestRoomIsKept(t *testing.T) {
+	r := newRig(t)
+	tight := narrow
+	tight.ResultBytes = 2500
+	r.service("a", tight, "x")
+	for i := range 3 {
+		r.submit(chain(fmt.Sprint(i), 1))
+	}
+	r.run(time.Second)
+	require.Len(t, r.completed, 2)
+	for id := range r.completed {
+		r.do(r.planner.Drop(r.now, id))
+	}
+	r.run(time.Second)
+	require.Len(t, r.completed, 3)
+}
+
+// A caller leaves while its pieces run: what they bring is given back.
+func TestDroppedDuringACall(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	r.submit(chain("one", 2))
+	r.do(r.planner.Drop(r.now, "one"))
+	r.run(time.Second)
+	require.Len(t, r.freed, 2)
+	require.Empty(t, r.completed)
+}
+
+// One of two targets works five times as long. Waiting for the other is faster, so
+// the slow one gets only a call now and then, which tells when it is well again.
+func TestSlowTargetIsPassedOver(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x", "x")
+	slow := true
+	r.took = func(c StartCall) time.Duration {
+		if slow && c.Target.Incarnation == "a-0" {
+			return 1300 * time.Millisecond
+		}
+		return 260 * time.Millisecond
+	}
+	count := func(from int) (slowCalls int) {
+		for _, c := range r.calls[from:] {
+			if c.Target.Incarnation == "a-0" {
+				slowCalls++
+			}
+		}
+		return slowCalls
+	}
+	play := func(seconds int) {
+		for i := range seconds * 5 {
+			r.submit(chain(fmt.Sprint(r.now.UnixNano(), i), 3))
+			r.run(200 * time.Millisecond)
+			for id := range r.completed {
+				r.do(r.planner.Drop(r.now, id))
+			}
+		}
+	}
+	play(4)
+	before := len(r.calls)
+	play(6)
+	require.LessOrEqual(t, count(before), 4)
+	require.Empty(t, r.refused)
+	slow = false
+	play(4)
+	before = len(r.calls)
+	play(4)
+	require.GreaterOrEqual(t, count(before), 3)
+}
--- /dev/null
+++ b/coordination/gather/types.go
@@ -0,0 +1,160 @@
+package gather
+
+import "time"
+
+// Shape is how one target of a service works.
+type Shape struct {
+	// Slots is the number of calls that one target works on at once.
+	Slots int
+	// MaxPieces bounds the pieces of a call.
+	MaxPieces int
+	// CallTime is what a call takes, PieceTime what each piece adds to it.
+	CallTime, PieceTime time.Duration
+	// ResultBytes is a target's room for results.
+	ResultBytes int64
+	// KeepFor is how long a result is kept that nobody frees.
+	KeepFor time.Duration
+}
+
+// Target is one incarnation of a stage target.
+type Target struct {
+	Incarnation string
+	Address     string
+	DataCentre  string
+}
+
+// Stage is one stage of a request.
+type Stage struct {
+	Service string
+	// After lists the stages whose results each piece reads, all of them.
+	After []int
+	// Pieces is the number of pieces; a stage of none is left out.
+	Pieces int
+	// ResultBytes is the usual size of one result.
+	ResultBytes int64
+}
+
+// Request asks for all results of the stages that no other stage reads.
+type Request struct {
+	ID string
+	// Route names the kind of request, whose pieces take alike time.
+	Route string
+	// Key is passed to pieces that read no other piece's result.
+	Key string
+	// Priority is the rank; 0 goes first.
+	Priority int
+	Stages   []Stage
+	// Objective is when the caller's answer is due to be on time, Deadline when
+	// it is of no use any more.
+	Objective, Deadline time.Time
+	// Rest is what the request still takes after its stages.
+	Rest time.Duration
+	// DataCentre is where the final results are read.
+	DataCentre string
+}
+
+// PieceOrder is one piece of a call.
+type PieceOrder struct {
+	Request string
+	Stage   int
+	Index   int
+	// Key is set for pieces that read no results, Inputs for the others.
+	Key    string
+	Inputs []string
+	// Deadline is when the piece is of no use any more.
+	Deadline time.Time
+}
+
+// PieceResult is what became of one piece.
+type PieceResult struct {
+	// Handle names the result at its maker; it is empty if there is none.
+	Handle  string
+	Failure PieceFailure
+}
+
+// PieceFailure is why a piece has no result.
+type PieceFailure uint8
+
+// The failures of a piece.
+const (
+	// PieceOK is no failure.
+	PieceOK PieceFailure = iota
+	// PieceLate ran out of time before its turn.
+	PieceLate
+	// PieceInputGone reads a result that its maker no longer has.
+	PieceInputGone
+	// PieceNoRoom found no room for its result.
+	PieceNoRoom
+	// PieceFailed failed at the target.
+	PieceFailed
+)
+
+// CallOutcome is how a call as a whole ended.
+type CallOutcome uint8
+
+// The outcomes of a call.
+const (
+	// CallAnswered has a result for each piece.
+	CallAnswered CallOutcome = iota
+	// CallFull was refused: the target has no place and ran nothing.
+	CallFull
+	// CallWrongTarget reached another process at the address; nothing was run.
+	CallWrongTarget
+	// CallLost got no answer; the pieces may have been made.
+	CallLost
+)
+
+// Action is what the driver is to do.
+type Action interface{ gatherAction() }
+
+// StartCall sends pieces to a target. The driver reports the end by CallDone.
+type StartCall struct {
+	ID     uint64
+	Target Target
+	Pieces []PieceOrder
+	// Timeout is when the call counts as lost.
+	Timeout time.Duration
+}
+
+// Completed hands out the results of a request: the handles of all pieces of the
+// final stages, in their order.
+type Completed struct {
+	Request string
+	Handles []string
+}
+
+// Refused gives a request up. Its own target has not been asked.
+type Refused struct {
+	Request string
+	Reason  Reason
+	// RetryAfter is when the request could be served.
+	RetryAfter time.Duration
+}
+
+// FreeResults gives back the room of results.
+type FreeResults struct {
+	Target  Target
+	Handles []string
+}
+
+func (StartCall) gatherAction()   {}
+func (Completed) gatherAction()   {}
+func (Refused) gatherAction()     {}
+func (FreeResults) gatherAction() {}
+
+// Reason is why a request was given up.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// ReasonQueue tells that the work ahead leaves no time.
+	ReasonQueue Reason = "queue_too_long"
+	// ReasonDeadline tells that what is left takes longer than there is time.
+	ReasonDeadline Reason = "deadline_too_near"
+	// ReasonNoTarget tells that a service has no target.
+	ReasonNoTarget Reason = "no_stage_target"
+	// ReasonRetries tells that pieces failed too often.
+	ReasonRetries Reason = "stage_failed"
+	// ReasonBound tells that the planner holds all requests that it may.
+	ReasonBound Reason = "too_many_requests"
+)
--- /dev/null
+++ b/coordination/gather/work.go
@@ -0,0 +1,162 @@
+package gather
+
+import (
+	"slices"
+	"time"
+)
+
+// work is one admitted request.
+type work struct {
+	Request
+	stages    []*stageWork
+	completed bool
+}
+
+// stageWork is one stage of a request.
+type stageWork struct {
+	work  *work
+	index int
+	Stage
+	// height is the number of stages on the longest way from this one to the
+	// request's own target, itself included.
+	height int
+	// todo are the pieces without a result that are in no call.
+	todo []int
+	// inCall counts the pieces in calls.
+	inCall int
+	// results has an entry for each piece; nil before its result.
+	results []*result
+	made    int
+	// readySince is when the stage could first be sent; zero before.
+	readySince time.Time
+	// sends counts the calls that carried pieces again.
+	resends int
+	sent    bool
+}
+
+// result is a piece's result at its maker.
+type result struct {
+	handle  string
+	target  *target
+	bytes   int64
+	expires time.Time
+	freed   bool
+}
+
+func newWork(r Request) *work {
+	w := &work{Request: r}
+	for i, s := range r.Stages {
+		sw := &stageWork{work: w, index: i, Stage: s, results: make([]*result, s.Pieces)}
+		sw.todo = make([]int, s.Pieces)
+		for n := range sw.todo {
+			sw.todo[n] = n
+		}
+		w.stages = append(w.stages, sw)
+	}
+	// A stage only names earlier ones, so heights settle from the last back.
+	for i := len(w.stages) - 1; i >= 0; i-- {
+		s := w.stages[i]
+		if s.Pieces == 0 {
+			continue
+		}
+		s.height = 1
+		for _, later := range w.stages[i+1:] {
+			if later.Pieces > 0 && slices.Contains(later.After, i) {
+				s.height = max(s.height, later.height+1)
+			}
+		}
+	}
+	return w
+}
+
+func (s *stageWork) done() bool { return s.made == s.Pieces }
+
+// inputsReady tells whether all results that the stage reads are there.
+func (s *stageWork) inputsReady() bool {
+	for _, i := range s.After {
+		if !s.work.stages[i].done() {
+			return false
+		}
+	}
+	return true
+}
+
+// heldResultBytes is the size of a result from which on it is made as late as
+// possible. A target has room for a dozen results of 1.5 MB; made first, they
+// would lie there while the other stages of their request run, and calls of
+// other requests would find no room.
+const heldResultBytes = 256 << 10
+
+// due tells whether the stage should run now: large results that only the
+// request's own target reads are made beside the last stage of the longest way.
+func (s *stageWork) due() bool {
+	if !s.inputsReady() {
+		return false
+	}
+	if s.ResultBytes < heldResultBytes {
+		return true
+	}
+	for _, other := range s.work.stages {
+		if !other.done() && other.height > s.height {
+			return false
+		}
+	}
+	return true
+}
+
+// final tells whether no other stage reads the results.
+func (s *stageWork) final() bool {
+	return s.Pieces > 0 && s.height == 1
+}
+
+// inputs returns the handles that each piece of the stage reads.
+func (s *stageWork) inputs() []string {
+	var handles []string
+	for _, i := range s.After {
+		for _, r := range s.work.stages[i].results {
+			handles = append(handles, r.handle)
+		}
+	}
+	return handles
+}
+
+// crossing is the bytes that cross data centres if one piece of the stage runs
+// in the given one.
+func (s *stageWork) crossing(dataCentre string) int64 {
+	var bytes int64
+	for _, i := range s.After {
+		for _, r := range s.work.stages[i].results {
+			if r.target.DataCentre != dataCentre {
+				bytes += r.bytes
+			}
+		}
+	}
+	if s.final() && s.work.DataCentre != "" && s.work.DataCentre != dataCentre {
+		bytes += s.ResultBytes
+	}
+	return bytes
+}
+
+// allDone tells whether all final stages are done.
+func (w *work) allDone() bool {
+	for _, s := range w.stages {
+		if s.final() && !s.done() {
+			return false
+		}
+	}
+	return true
+}
+
+// handles returns the results of the final stages in order.
+func (w *work) handles() []string {
+	var handles []string
+	for _, s := range w.stages {
+		if !s.final() {
+			continue
+		}
+		for _, r := range s.results {
+			handles = append(handles, r.handle)
+		}
+	}
+	return handles
+}
--- /dev/null
+++ b/coordination/roster/roster.go
@@ -0,0 +1,167 @@
+// Package roster decides which targets may get new work, from the platform's
+// entries, from their removal and from what targets say themselves.
+//
+// Two failures pull in opposite directions. A target that leaves must get nothing
+// new within two seconds of the word that it leaves. And entries also vanish
+// because the platform's store was away: they expire while their targets live,
+// and are back about two seconds after the store is. So the removal of an entry
+// takes effect at once while the store is well, and only after a grace when it
+// was not. Word that an incarnation leaves is final.
+//
+// Roster is a pure state machine: time is an argument. It is not safe for
+// concurrent use.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/state/routes"
+)
+
+// returnGrace is how long after the store's return an entry may be missing whose
+// target lives: the platform says about two seconds.
+const returnGrace = 2200 * time.Millisecond
+
+// maxLeft bounds the incarnations that are remembered as leaving.
+const maxLeft = 8192
+
+// Roster holds the targets of all services.
+type Roster struct {
+	entries map[string]*entry
+	// left are incarnations that were told to leave; nothing brings them back.
+	left     map[string]struct{}
+	leftList []string
+	// troubled is when the store was last known not to answer.
+	troubled time.Time
+	changed  bool
+}
+
+type entry struct {
+	target   routes.Target
+	revision uint64
+	// removed is when the entry vanished; zero while it is there.
+	removed time.Time
+	// goneAt is when a vanished entry takes effect.
+	goneAt time.Time
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{entries: map[string]*entry{}, left: map[string]struct{}{}}
+}
+
+// Put takes in an entry as of a revision of the store. It tells whether that is
+// news.
+func (r *Roster) Put(t routes.Target, revision uint64) bool {
+	e := r.entries[t.Incarnation]
+	if e != nil && revision < e.revision {
+		return false
+	}
+	if t.Leaving {
+		r.Leaving(t.Incarnation)
+	}
+	if e != nil && e.removed.IsZero() && e.target == t {
+		e.revision = revision
+		return false
+	}
+	r.entries[t.Incarnation] = &entry{target: t, revision: revision}
+	r.changed = true
+	return true
+}
+
+// Remove takes in the removal of an entry. It tells whether that is news.
+func (r *Roster) Remove(now time.Time, incarnation string, revision uint64) bool {
+	e := r.entries[incarnation]
+	if e == nil || revision < e.revision || !e.removed.IsZero() {
+		return false
+	}
+	e.revision = revision
+	e.removed = now
+	e.goneAt = now
+	if !r.troubled.IsZero() && now.Sub(r.troubled) < returnGrace {
+		e.goneAt = r.troubled.Add(returnGrace)
+	}
+	r.changed = true
+	return true
+}
+
+// Listed takes in a whole list as of a revision: what it doesn't have is removed.
+func (r *Roster) Listed(now time.Time, targets []routes.Target, revision uint64) {
+	listed := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		listed[t.Incarnation] = true
+		r.Put(t, revision)
+	}
+	for incarnation, e := range r.entries {
+		if !listed[incarnation] && e.revision <= revision {
+			r.Remove(now, incarnation, revision)
+		}
+	}
+}
+
+// Leaving notes that an incarnation takes no new work, from whichever source.
+// It tells whether that is news.
+func (r *Roster) Leaving(incarnation string) bool {
+	if _, known := r.left[incarnation]; known {
+		return false
+	}
+	if len(r.leftList) >= maxLeft {
+		delete(r.left, r.leftList[0])
+		r.leftList = r.leftList[1:]
+	}
+	r.left[incarnation] = struct{}{}
+	r.leftList = append(r.leftList, incarnation)
+	r.changed = true
+	return true
+}
+
+// StoreFailed notes that the store didn't answer.
+func (r *Roster) StoreFailed(now time.Time) { r.troubled = now }
+
+// Tick drops entries whose grace is over. It tells when the next one is due;
+// zero if none is.
+func (r *Roster) Tick(now time.Time) time.Time {
+	var next time.Time
+	for incarnation, e := range r.entries {
+		if e.removed.IsZero() {
+			continue
+		}
+		if !now.Before(e.goneAt) {
+			delete(r.entries, incarnation)
+			r.changed = true
+			continue
+		}
+		if next.IsZero() || e.goneAt.Before(next) {
+			next = e.goneAt
+		}
+	}
+	return next
+}
+
+// TakeChanged tells whether the usable targets may have changed since the last
+// call.
+func (r *Roster) TakeChanged() bool {
+	changed := r.changed
+	r.changed = false
+	return changed
+}
+
+// Usable returns the targets that may get new work, by service and in a fixed
+// order.
+func (r *Roster) Usable() map[string][]routes.Target {
+	usable := map[string][]routes.Target{}
+	for incarnation, e := range r.entries {
+		if _, left := r.left[incarnation]; !left {
+			usable[e.target.Service] = append(usable[e.target.Service], e.target)
+		}
+	}
+	for _, list := range usable {
+		slices.SortFunc(list, func(a, b routes.Target) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	}
+	return usable
+}
+
+// Len returns the number of entries.
+func (r *Roster) Len() int { return len(r.entries) }
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -107,6 +107,9 @@
 }
 
 func (p *pick) byRule() (*candidate, Reason) {
+	if p.query.Home != "" {
+		return p.byHome()
+	}
 	if len(p.query.Prefix) > 0 && !p.table.config.off(MechanismAffinity) {
 		return p.byPrefix()
 	}
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -51,6 +51,10 @@
 	Rank int
 	// Cost is the expected work relative to the pool's mean; 0 means 1.
 	Cost float64
+	// Home names what the request reads again and again, such as a subject whose
+	// prompt an engine caches. All instances choose the same target for a home
+	// without a word, as long as it isn't crowded.
+	Home string
 }
 
 // Fits tells whether the target can serve the query's model and adapter.
@@ -79,9 +83,11 @@
 	ReasonFloor
 	// ReasonOnly is the one eligible target.
 	ReasonOnly
+	// ReasonHome is the target that the query's Home maps to.
+	ReasonHome
 )
 
-var reasonNames = [...]string{"load", "overflow", "affinity", "probe", "floor", "only"}
+var reasonNames = [...]string{"load", "overflow", "affinity", "probe", "floor", "only", "home"}
 
 // String returns the reason's name for logs and spans.
 func (r Reason) String() string {
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -4,7 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,9 +16,11 @@
 
 	"github.com/ivyhollow/ivyhollow/daemon/app"
 	"github.com/ivyhollow/ivyhollow/daemon/dev"
+	"github.com/ivyhollow/ivyhollow/daemon/gateway"
+	"github.com/ivyhollow/ivyhollow/platform"
 	"github.com/ivyhollow/ivyhollow/settings"
 	"github.com/ivyhollow/ivyhollow/telemetry"
-	"github.com/ivyhollow/ivyhollow/transport/platform"
+	store "github.com/ivyhollow/ivyhollow/transport/platform"
 )
 
 // Exit codes of the daemon.
@@ -56,6 +61,15 @@
 				return serve(ctx, s, nil, func(*app.App) {})
 			},
 		},
+		{
+			Name:  "gateway",
+			Usage: "run an instance on the users' platform until SIGTERM, then stop it without cutting a request",
+			Flags: []cli.Flag{&cli.StringFlag{
+				Name: configFlag, Usage: "the settings file (INI)", Required: true,
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			}},
+			Action: runGateway,
+		},
 		{
 			Name:      "check-config",
 			Usage:     "report every fault of a settings file with section, key and line",
@@ -80,7 +94,27 @@
 	}
 }
 
-func serve(ctx context.Context, s settings.Settings, store platform.Store, started func(*app.App)) error {
+func serve(ctx context.Context, s settings.Settings, objects store.Store, started func(*app.App)) error {
+	t, err := startTelemetry(ctx, s, os.Stderr)
+	if err != nil {
+		return err
+	}
+	defer shutdown(t)
+	instance, err := app.New(s, t, objects)
+	if err != nil {
+		return err
+	}
+	go func() {
+		select {
+		case <-instance.Started():
+			started(instance)
+		case <-ctx.Done():
+		}
+	}()
+	return instance.Run(ctx)
+}
+
+func startTelemetry(ctx context.Context, s settings.Settings, logs io.Writer) (*telemetry.Telemetry, error) {
 	t, err := telemetry.Start(ctx, telemetry.Options{
 		Instance:     s.Instance.Name,
 		DataCentre:   s.Instance.DataCentre,
@@ -88,25 +122,53 @@
 		Version:      Version,
 		OTLPEndpoint: s.Telemetry.OTLPEndpoint,
 		LogLevel:     s.Telemetry.LogLevel,
-		LogOutput:    os.Stderr,
+		LogOutput:    logs,
 	})
+	if err != nil {
+		return nil, err
+	}
+	otel.SetTracerProvider(t.TracerProvider)
+	return t, nil
+}
+
+// runGateway runs an instance on the users' platform.
+func runGateway(ctx context.Context, c *cli.Command) error {
+	s, err := settings.Load(c.String(configFlag))
+	if err != nil {
+		return err
+	}
+	t, err := startTelemetry(ctx, s, os.Stdout)
 	if err != nil {
 		return err
 	}
 	defer shutdown(t)
-	otel.SetTracerProvider(t.TracerProvider)
-	instance, err := app.New(s, t, store)
+	instance, err := gateway.New(s, t, platform.Adapter())
 	if err != nil {
 		return err
 	}
-	go func() {
+	go reloadOnHangup(ctx, c.String(configFlag), instance.Reload)
+	return instance.Run(ctx)
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP. A file at fault leaves
+// the settings as they are. The signal would else end the process.
+func reloadOnHangup(ctx context.Context, path string, apply func(settings.Settings)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
 		select {
-		case <-instance.Started():
-			started(instance)
 		case <-ctx.Done():
+			return
+		case <-signals:
 		}
-	}()
-	return instance.Run(ctx)
+		s, err := settings.Load(path)
+		if err != nil {
+			telemetry.ErrorS(err, "Settings refused, the ones before stay in force", telemetry.Event{})
+			continue
+		}
+		apply(s)
+	}
 }
 
 func shutdown(t *telemetry.Telemetry) {
--- /dev/null
+++ b/daemon/follow/follow.go
@@ -0,0 +1,372 @@
+// Package follow keeps the routing configuration and the list of targets of an
+// outside platform in force on an instance. It watches the platform's store, and
+// hears of what the store told others from its peers, so that an instance which
+// the store refuses is not left behind.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/ivyhollow/ivyhollow/coordination/roster"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Times of the follower.
+const (
+	// watchWait is how long one watch waits. It is also the longest that a
+	// watch can stay unnoticed which the store has forgotten.
+	watchWait = 8 * time.Second
+	// retryMin and retryMax bound the pause after a call that failed. The store
+	// must be heard within two seconds of its return.
+	retryMin = 150 * time.Millisecond
+	retryMax = 700 * time.Millisecond
+	// confirmTimeout bounds the question whether a newer version exists.
+	confirmTimeout = 400 * time.Millisecond
+	// rosterTick is how often entries are looked at whose grace may be over.
+	rosterTick = 200 * time.Millisecond
+)
+
+// Kinds of the records that instances tell one another.
+const (
+	recordConfig  = "config"
+	recordTarget  = "target"
+	recordLeaving = "leaving"
+	configName    = "current"
+)
+
+// Source is where a platform keeps its configuration and targets, and how they
+// are read.
+type Source struct {
+	ConfigKind   string
+	ConfigName   string
+	TargetKind   string
+	DecodeConfig func(spec []byte, revision uint64) (*routes.Table, error)
+	DecodeTarget func(name string, spec []byte) (routes.Target, error)
+}
+
+// Options are the parts that a Follower works with.
+type Options struct {
+	Store  platform.Store
+	Source Source
+	// Spread tells the other instances a record.
+	Spread func(r spread.Record)
+	// OnChange is told the configuration and the usable targets after each
+	// change of either. Calls don't overlap.
+	OnChange func(now time.Time, t *routes.Table, usable map[string][]routes.Target)
+	// OnLeaving is told of each target that takes nothing new from now on.
+	OnLeaving func(now time.Time, incarnation string)
+}
+
+// Follower holds what is in force.
+type Follower struct {
+	options Options
+	table   atomic.Pointer[routes.Table]
+	listed  atomic.Bool
+
+	mu     sync.Mutex
+	roster *roster.Roster
+	// failed counts calls in a row without an answer, by kind.
+	failed map[string]int
+
+	confirming sync.Mutex
+	confirmed  time.Time
+}
+
+// New returns a follower that knows nothing yet.
+func New(o Options) *Follower {
+	return &Follower{options: o, roster: roster.New(), failed: map[string]int{}}
+}
+
+// Table returns the configuration in force; nil before the first.
+func (f *Follower) Table() *routes.Table { return f.table.Load() }
+
+// Ready tells whether a configuration and the targets are known.
+func (f *Follower) Ready() bool { return f.table.Load() != nil && f.listed.Load() }
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.follow(ctx, f.options.Source.ConfigKind, f.configEvent, f.configList) })
+	wg.Go(func() { f.follow(ctx, f.options.Source.TargetKind, f.targetEvent, f.targetList) })
+	wg.Go(func() { f.tick(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// follow lists a kind and then watches it.
+func (f *Follower) follow(ctx context.Context, kind string, event func(platformapi.Event), list func(platformapi.List)) {
+	var revision uint64
+	for ctx.Err() == nil {
+		var err error
+		if revision == 0 {
+			var l platformapi.List
+			if l, err = f.options.Store.List(ctx, kind); err == nil {
+				list(l)
+				revision = l.Revision
+			}
+		} else {
+			var w platformapi.Watch
+			w, err = f.options.Store.Watch(ctx, []string{kind}, revision, watchWait)
+			if errors.Is(err, platform.ErrCompacted) {
+				telemetry.InfoS("History of the store is gone, listing again", telemetry.Event{Record: kind, Revision: revision})
+				revision = 0
+				continue
+			}
+			if err == nil {
+				for _, e := range w.Events {
+					event(e)
+				}
+				revision = max(revision, w.Revision)
+			}
+		}
+		f.noteCall(ctx, kind, err)
+	}
+}
+
+// noteCall notes whether the store answered, and pauses if it didn't.
+func (f *Follower) noteCall(ctx context.Context, kind string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	failed := f.failed[kind]
+	if err == nil {
+		f.failed[kind] = 0
+	} else {
+		f.failed[kind]++
+		f.roster.StoreFailed(time.Now())
+	}
+	f.mu.Unlock()
+	switch {
+	case err == nil && failed > 0:
+		telemetry.InfoS("Store answers again", telemetry.Event{Record: kind, Count: failed})
+	case err != nil && failed == 0:
+		telemetry.ErrorS(err, "Store doesn't answer", telemetry.Event{Record: kind})
+	}
+	if err != nil {
+		pause(ctx, min(retryMin<<min(failed, 3), retryMax)+rand.N(retryMin))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *Follower) configList(l platformapi.List) {
+	for _, o := range l.Items {
+		f.configObject(o)
+	}
+}
+
+func (f *Follower) configEvent(e platformapi.Event) {
+	if !e.Deleted {
+		f.configObject(e.Object)
+	}
+}
+
+func (f *Follower) configObject(o platformapi.Object) {
+	if o.Metadata.Name == f.options.Source.ConfigName {
+		f.accept(o.Metadata.Revision, o.Spec, true)
+	}
+}
+
+// accept puts a version in force that is newer than the present one. One that
+// doesn't decode leaves the present one in force.
+func (f *Follower) accept(revision uint64, spec []byte, direct bool) {
+	if f.putInForce(revision, spec, direct) && direct {
+		f.options.Spread(spread.Record{Kind: recordConfig, Name: configName, Revision: revision, Body: spec})
+	}
+}
+
+func (f *Follower) putInForce(revision uint64, spec []byte, direct bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if current := f.table.Load(); current != nil && revision <= current.Revision {
+		return false
+	}
+	table, err := f.options.Source.DecodeConfig(spec, revision)
+	if err != nil {
+		klog.ErrorS(err, "Configuration refused, the one before stays in force", "revision", revision)
+		return false
+	}
+	f.table.Store(table)
+	reason := "from a peer"
+	if direct {
+		reason = "from the store"
+	}
+	telemetry.InfoS("Configuration in force", telemetry.Event{Revision: revision, Count: table.RouteCount(), Reason: reason})
+	f.publish(time.Now())
+	return true
+}
+
+func (f *Follower) targetList(l platformapi.List) {
+	targets := make([]routes.Target, 0, len(l.Items))
+	for _, o := range l.Items {
+		if t, ok := f.decodeTarget(o.Metadata.Name, o.Spec); ok {
+			targets = append(targets, t)
+			f.options.Spread(spread.Record{Kind: recordTarget, Name: t.Incarnation, Revision: o.Metadata.Revision, Body: o.Spec})
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.roster.Listed(now, targets, l.Revision)
+	f.listed.Store(true)
+	telemetry.InfoS("Targets listed", telemetry.Event{Revision: l.Revision, Count: len(targets)})
+	f.rosterChanged(now)
+}
+
+func (f *Follower) decodeTarget(name string, spec []byte) (routes.Target, bool) {
+	t, err := f.options.Source.DecodeTarget(name, spec)
+	if err != nil {
+		klog.ErrorS(err, "Entry of a target refused", "target", name)
+		return routes.Target{}, false
+	}
+	return t, true
+}
+
+func (f *Follower) targetEvent(e platformapi.Event) {
+	f.targetRecord(spread.Record{
+		Kind: recordTarget, Name: e.Object.Metadata.Name, Revision: e.Object.Metadata.Revision,
+		Deleted: e.Deleted, Body: e.Object.Spec,
+	}, true)
+}
+
+// targetRecord takes in one change of a target's entry.
+func (f *Follower) targetRecord(r spread.Record, direct bool) {
+	now := time.Now()
+	var t routes.Target
+	if !r.Deleted {
+		var ok bool
+		if t, ok = f.decodeTarget(r.Name, r.Body); !ok {
+			return
+		}
+	}
+	if direct {
+		// The record comes back by Receive if no peer told it before.
+		f.options.Spread(r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.Deleted {
+		if f.roster.Remove(now, r.Name, r.Revision) {
+			telemetry.InfoS("Entry of a target removed", telemetry.Event{Target: r.Name, Revision: r.Revision})
+		}
+	} else if f.roster.Put(t, r.Revision) {
+		if t.Leaving {
+			f.options.OnLeaving(now, r.Name)
+		}
+		telemetry.InfoS("Entry of a target", telemetry.Event{Target: r.Name, Revision: r.Revision, Reason: state(t)})
+	}
+	f.rosterChanged(now)
+}
+
+func state(t routes.Target) string {
+	if t.Leaving {
+		return "leaving"
+	}
+	return "ready"
+}
+
+// Leaving notes what a target itself said of its leaving, and tells the others.
+func (f *Follower) Leaving(incarnation string) {
+	f.mu.Lock()
+	news := f.roster.Leaving(incarnation)
+	if news {
+		now := time.Now()
+		f.options.OnLeaving(now, incarnation)
+		f.rosterChanged(now)
+	}
+	f.mu.Unlock()
+	if news {
+		f.options.Spread(spread.Record{Kind: recordLeaving, Name: incarnation, Revision: 1})
+	}
+}
+
+// Receive takes in what another instance learned.
+func (f *Follower) Receive(r spread.Record) {
+	switch r.Kind {
+	case recordConfig:
+		f.accept(r.Revision, r.Body, false)
+	case recordTarget:
+		f.targetRecord(r, false)
+	case recordLeaving:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.roster.Leaving(r.Name) {
+			f.options.OnLeaving(time.Now(), r.Name)
+			f.rosterChanged(time.Now())
+		}
+	}
+}
+
+// tick drops entries whose grace is over.
+func (f *Follower) tick(ctx context.Context) {
+	ticker := time.NewTicker(rosterTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.mu.Lock()
+			f.roster.Tick(now)
+			f.rosterChanged(now)
+			f.mu.Unlock()
+		}
+	}
+}
+
+// rosterChanged publishes the targets if they changed; mu is held.
+func (f *Follower) rosterChanged(now time.Time) {
+	f.roster.Tick(now)
+	if f.roster.TakeChanged() {
+		f.publish(now)
+	}
+}
+
+// publish tells what is in force; mu is held.
+func (f *Follower) publish(now time.Time) {
+	if table := f.table.Load(); table != nil {
+		f.options.OnChange(now, table, f.roster.Usable())
+	}
+}
+
+// Confirm asks the store whether a newer version exists and puts it in force.
+// It guards against refusing a key or a route that was added a moment ago. It
+// tells whether the store answered.
+func (f *Follower) Confirm(ctx context.Context) bool {
+	asked := time.Now()
+	f.confirming.Lock()
+	defer f.confirming.Unlock()
+	if f.confirmed.After(asked) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	start := time.Now()
+	o, err := f.options.Store.Get(ctx, f.options.Source.ConfigKind, f.options.Source.ConfigName)
+	if err != nil {
+		telemetry.ErrorS(err, "Configuration could not be confirmed", telemetry.Event{})
+		return false
+	}
+	f.confirmed = start
+	f.configObject(*o)
+	return true
+}
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,249 @@
+// Package gateway puts an instance together that serves callers of an outside
+// platform: what their requests go to is configured there, and the instances find
+// one another there. It makes no decision of its own.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/retry"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/daemon/follow"
+	"github.com/ivyhollow/ivyhollow/daemon/register"
+	"github.com/ivyhollow/ivyhollow/daemon/relay"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/settings"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Platform is what an adapter gives: names, formats and calls.
+type Platform struct {
+	Dialect  exchange.Dialect
+	Spelling platform.Spelling
+	Source   follow.Source
+}
+
+// ejectionFloor is the least share of a service's targets that stay routable
+// however badly they do.
+const ejectionFloor = 0.5
+
+// Bounds of the connections between instances. Each request with stages is a
+// call that waits for seconds, so there are as many as requests in flight.
+const (
+	maxPeerCalls   = 4096
+	peerQueue      = 1024
+	peerCallWait   = 30 * time.Second
+	listEvery      = 30 * time.Minute
+	listRetry      = 800 * time.Millisecond
+	idleSweep      = 2 * time.Second
+	metricsTimeout = 5 * time.Second
+)
+
+// Gateway is one instance.
+type Gateway struct {
+	settings  settings.Settings
+	telemetry *telemetry.Telemetry
+	self      membership.Member
+
+	cluster   *cluster.Cluster
+	calls     *platform.Budget
+	follower  *follow.Follower
+	router    *routing.Table
+	client    *forward.Client
+	stages    *stages.Stages
+	relay     *relay.Relay
+	registrar *register.Registrar
+
+	callers  net.Listener
+	admin    net.Listener
+	metrics  net.Listener
+	draining atomic.Bool
+	// shutdown are the times of a planned stop, as last read.
+	shutdown atomic.Pointer[settings.Shutdown]
+	// addresses are those of the targets in use.
+	addresses atomic.Pointer[map[string]bool]
+}
+
+// New puts an instance together and opens its ports.
+func New(s settings.Settings, t *telemetry.Telemetry, p Platform) (*Gateway, error) {
+	g := &Gateway{settings: s, telemetry: t}
+	g.shutdown.Store(&s.Shutdown)
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.self = membership.Member{
+		Name:        s.Instance.Name,
+		CallerURL:   "http://" + s.Listen.Callers,
+		DataCentre:  s.Instance.DataCentre,
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	g.calls = platform.NewBudget(platform.BudgetOptions{ReadsPerSecond: s.Platform.CallsPerSecond})
+	store := platform.New(platform.Options{
+		BaseURL: s.Platform.URL, Instance: s.Instance.Name, Timeout: s.Platform.Timeout,
+		Budget: g.calls, Spelling: p.Spelling, WatchSlack: time.Second,
+	})
+	g.registrar = register.New(store, func() membership.Member { return g.self })
+	if err := g.buildCluster(); err != nil {
+		return nil, err
+	}
+	g.client = forward.New()
+	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre})
+	g.follower = follow.New(follow.Options{
+		Store: store, Source: p.Source,
+		Spread:    g.cluster.Put,
+		OnChange:  g.setTargets,
+		OnLeaving: g.router.Leaving,
+	})
+	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower.Leaving)
+	g.relay = relay.New(relay.Options{
+		Dialect: p.Dialect,
+		Table:   g.follower.Table,
+		Confirm: g.follower.Confirm,
+		Router:  g.router,
+		Client:  g.client,
+		Stages:  g.stages,
+		Budgets: retrybudget.New(g.retryConfig()),
+		Leaving: g.follower.Leaving,
+		Tracer:  t.Tracer,
+	})
+	return g, nil
+}
+
+// assumedInstances is the number of instances that share the slack of retries.
+const assumedInstances = 8
+
+// retryConfig is this instance's part of what the fleet may send once more.
+func (g *Gateway) retryConfig() retry.Config {
+	return retry.Config{
+		RetryRatio: g.settings.Retries.Share / 2,
+		HalfLife:   g.settings.Retries.Window,
+		Reserve:    g.settings.Retries.Slack / assumedInstances / 2,
+	}
+}
+
+func (g *Gateway) listen() error {
+	var err error
+	if g.callers, err = net.Listen("tcp", g.settings.Listen.Callers); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if g.admin, err = net.Listen("tcp", g.settings.Listen.Admin); err != nil {
+		return errors.Wrap(err, "listen for admin")
+	}
+	if g.settings.Listen.Metrics != "" {
+		g.metrics, err = net.Listen("tcp", g.settings.Listen.Metrics)
+	}
+	return errors.Wrap(err, "listen for metrics")
+}
+
+func (g *Gateway) buildCluster() error {
+	s := g.settings
+	var files *peer.Files
+	if s.Peers.TLS() {
+		files = &peer.Files{Cert: s.Peers.TLSCert, Key: s.Peers.TLSKey, CA: s.Peers.TLSCA}
+	}
+	var err error
+	g.cluster, err = cluster.New(cluster.Options{
+		Transport: peer.Options{
+			Cluster: s.Instance.Cluster, Self: g.self, Listen: s.Listen.Peers,
+			TLS: files, Cleartext: s.Peers.Cleartext, Scope: g.telemetry.Scope,
+			CallTimeout: peerCallWait, MaxHandlers: maxPeerCalls, MaxPending: maxPeerCalls,
+			QueueLength: peerQueue,
+		},
+		Membership:    membership.DefaultConfig(),
+		Spread:        spreadConfig(),
+		Seeds:         s.Peers.Seeds,
+		ListInstances: g.registrar.List,
+		ListEvery:     listEvery,
+		ListRetry:     listRetry,
+		OnRecord:      func(r spread.Record) { g.follower.Receive(r) },
+	})
+	if err != nil {
+		return err
+	}
+	g.self = g.cluster.Self()
+	return nil
+}
+
+// pushBytesPerSecond lets a configuration of a hundred kilobytes reach all
+// instances within the two seconds that it has.
+const pushBytesPerSecond = 256 << 10
+
+func spreadConfig() spread.Config {
+	c := spread.DefaultConfig()
+	c.PushBytesPerSecond = pushBytesPerSecond
+	return c
+}
+
+// setTargets hands the targets to those who use them.
+func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
+	addresses := map[string]bool{}
+	for name, service := range table.Services {
+		list := make([]routing.Target, 0, len(usable[name]))
+		for _, t := range usable[name] {
+			addresses[t.Address] = true
+			list = append(list, routing.Target{
+				Incarnation: t.Incarnation, Pool: name, Address: t.Address,
+				DataCentre: t.DataCentre, Slots: max(t.Slots, service.Slots),
+			})
+		}
+		if service.Batch == nil {
+			pool := routing.Pool{Name: name, Objective: catalog.ObjectiveAttainment, EjectionFloor: ejectionFloor}
+			g.router.SetTargets(now, pool, list)
+		}
+	}
+	g.stages.SetTargets(now, table, usable)
+	g.addresses.Store(&addresses)
+}
+
+// Reload takes in settings that were read again. What an instance is and where it
+// listens stays until its next start; what can change is the pace of a stop.
+func (g *Gateway) Reload(s settings.Settings) {
+	g.shutdown.Store(&s.Shutdown)
+	telemetry.InfoS("Settings read again", telemetry.Event{Elapsed: s.Shutdown.Grace})
+}
+
+// Ready tells whether the instance wants new connections.
+func (g *Gateway) Ready() bool { return g.follower.Ready() && !g.draining.Load() }
+
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
+	return mux
+}
+
+// sweepIdle closes connections that are of no use any more.
+func (g *Gateway) sweepIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			addresses := g.addresses.Load()
+			g.client.CloseIdle(func(a string) bool { return addresses != nil && (*addresses)[a] })
+		}
+	}
+}
--- /dev/null
+++ b/daemon/gateway/run.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/ivyhollow/ivyhollow/telemetry"
+)
+
+// Times of the servers and of the planned stop.
+const (
+	// headerTimeout bounds the reading of a request's head; callers stay well
+	// within it.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than any caller keeps an idle connection, so that
+	// no request meets its close.
+	idleTimeout = 5 * time.Minute
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 256 << 10
+	// exitMargin is left of the grace for the end itself.
+	exitMargin = 600 * time.Millisecond
+	// drainPoll is how often the end of requests in flight is looked for.
+	drainPoll = 50 * time.Millisecond
+	// leaveTimeout bounds the word to the other instances.
+	leaveTimeout = time.Second
+)
+
+// Run runs the instance until ctx ends, then stops it as planned: it reports that
+// it isn't ready, goes on serving until the balancer has surely noticed, finishes
+// what is in flight and returns.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	callers := &http.Server{
+		Handler:           g.relay,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	admin := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: metricsTimeout}
+	group.Add(func() error { return g.lifecycle(ctx) }, func(error) {})
+	addServer(&group, callers, g.callers)
+	addServer(&group, admin, g.admin)
+	if g.metrics != nil {
+		metrics := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: metricsTimeout}
+		addServer(&group, metrics, g.metrics)
+	}
+	group.Add(g.cluster.Execute, g.cluster.Interrupt)
+	for _, loop := range []func(context.Context) error{
+		g.follower.Run, g.registrar.Run, g.stages.Run, g.sweepIdle,
+	} {
+		loopContext, stop := context.WithCancel(background)
+		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
+	}
+	telemetry.InfoS("Instance started", telemetry.Event{Address: g.settings.Listen.Callers, Peer: g.self.Address})
+	err := group.Run()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// addServer adds an HTTP server to the group.
+func addServer(group *run.Group, server *http.Server, listener net.Listener) {
+	group.Add(func() error {
+		return errors.Wrap(server.Serve(listener), "serve")
+	}, func(error) {
+		_ = server.Close() // the process ends with it
+	})
+}
+
+// lifecycle waits for the end of ctx and does the planned stop.
+func (g *Gateway) lifecycle(ctx context.Context) error {
+	<-ctx.Done()
+	begin := time.Now()
+	telemetry.InfoS("Planned stop", telemetry.Event{Count: g.relay.InFlight()})
+	g.draining.Store(true)
+	g.relay.Drain()
+	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := g.cluster.Leave(leave); err != nil {
+		telemetry.ErrorS(err, "The other instances were not all told of the stop", telemetry.Event{})
+	}
+	g.finish(begin)
+	telemetry.InfoS("Instance stopped", telemetry.Event{Count: g.relay.InFlight(), Elapsed: time.Since(begin)})
+	return context.Canceled
+}
+
+// finish waits until the balancer has noticed and nothing is in flight, at most
+// for the grace.
+func (g *Gateway) finish(begin time.Time) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	times := g.shutdown.Load()
+	for now := range ticker.C {
+		spent := now.Sub(begin)
+		noticed := spent >= times.BalancerDelay
+		if noticed && g.relay.InFlight() == 0 && g.stages.Held() == 0 {
+			return
+		}
+		if spent >= times.Grace-exitMargin {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/daemon/relay/answer.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
+	"github.com/ivyhollow/ivyhollow/protocol/sse"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
+)
+
+// readBuffer is the size of one read of an answer, in bytes.
+const readBuffer = 16 << 10
+
+// passOn gives the target's answer to the caller.
+func (q *request) passOn(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
+	if q.streams() && reply.Status == http.StatusOK {
+		return q.passEvents(ctx, reply, silence)
+	}
+	return q.passWhole(ctx, reply)
+}
+
+// passWhole passes an answer on that is no stream of events. What is not too
+// long is read whole before its head is sent.
+func (q *request) passWhole(ctx context.Context, reply *forward.Reply) (routing.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(reply, bufferedAnswer))
+	if err != nil {
+		return q.brokenOff(ctx, err)
+	}
+	q.dropResults()
+	if reply.Status >= http.StatusInternalServerError && q.mayBetter() {
+		return routing.OutcomeOK, &failure{
+			cause: errors.Newf("target failed with status %d", reply.Status),
+			reply: &heldReply{reply.Status, reply.Header, body},
+		}
+	}
+	if len(body) < bufferedAnswer {
+		q.sendHeld(&heldReply{reply.Status, reply.Header, body})
+		return routing.OutcomeOK, nil
+	}
+	q.sendHead(reply.Status, reply.Header, reply.Length)
+	if _, err := q.w.Write(body); err == nil {
+		_, err = io.Copy(q.w, reply)
+		if err == nil {
+			q.logEnd(reply.Status)
+			return routing.OutcomeOK, nil
+		}
+	}
+	q.abort(ctx, "answer_broken_off")
+	return routing.OutcomeFailed, nil
+}
+
+// mayBetter tells whether another target may be asked after a failure that the
+// target itself reported.
+func (q *request) mayBetter() bool {
+	return q.route.MayRepeat() && q.sent+1 < q.route.MaxAttempts
+}
+
+// sendHeld sends a whole answer of a target.
+func (q *request) sendHeld(h *heldReply) {
+	q.sendHead(h.status, h.header, int64(len(h.body)))
+	if _, err := q.w.Write(h.body); err != nil {
+		q.reason = "caller_left"
+	}
+	q.logEnd(h.status)
+}
+
+// sendHead sends the head of a target's answer.
+func (q *request) sendHead(status int, header http.Header, length int64) {
+	h := q.w.Header()
+	for name, values := range q.relay.options.Dialect.CallerHeader(header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // else net/http guesses one
+	}
+	if length >= 0 && q.r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	q.w.WriteHeader(status)
+	q.headerSent = true
+}
+
+// passEvents passes a stream on, event by event: a target may stop in the middle
+// of one, and what goes on elsewhere begins with a whole one.
+func (q *request) passEvents(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
+	events := sse.NewSplitter(0)
+	buffer := make([]byte, readBuffer)
+	controller := http.NewResponseController(q.w)
+	for {
+		n, readErr := reply.Read(buffer)
+		if n > 0 {
+			if q.handles != nil {
+				q.dropResults()
+				q.handles = []string{}
+			}
+			silence.Reset(q.gapBound())
+			whole, err := events.Add(buffer[:n])
+			if err != nil {
+				return q.brokenOff(ctx, err)
+			}
+			if len(whole) > 0 {
+				if err := q.sendEvents(reply, whole, controller); err != nil {
+					return routing.OutcomeCancelled, nil
+				}
+				q.lastEvent = events.LastID()
+			}
+		}
+		if readErr == io.EOF && len(events.Torn()) == 0 {
+			if !q.headerSent {
+				q.sendHead(reply.Status, reply.Header, -1)
+			}
+			q.logEnd(reply.Status)
+			return routing.OutcomeOK, nil
+		}
+		if readErr == io.EOF {
+			readErr = io.ErrUnexpectedEOF
+		}
+		if readErr != nil {
+			return q.brokenOff(ctx, readErr)
+		}
+	}
+}
+
+// gapBound is how long a stream may pause before it goes on elsewhere.
+func (q *request) gapBound() time.Duration {
+	left := time.Until(q.deadline)
+	if !q.route.MayRepeat() || q.sent+1 >= q.route.MaxAttempts {
+		return max(left, time.Millisecond)
+	}
+	return silentGap
+}
+
+// sendEvents sends whole events at once.
+func (q *request) sendEvents(reply *forward.Reply, whole []byte, controller *http.ResponseController) error {
+	if !q.headerSent {
+		q.sendHead(reply.Status, reply.Header, -1)
+	}
+	_, err := q.w.Write(whole)
+	if err == nil {
+		err = controller.Flush()
+	}
+	if err != nil {
+		q.reason = "caller_left"
+		q.logEnd(reply.Status)
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// brokenOff tells what an answer means that ended early.
+func (q *request) brokenOff(ctx context.Context, err error) (routing.Outcome, error) {
+	outcome, failed := q.failed(ctx, err)
+	var f *failure
+	if errors.As(failed, &f) {
+		f.notRun = false
+	}
+	return outcome, failed
+}
+
+// answerFailure sends the final answer of a request that no target answered.
+func (q *request) answerFailure(ctx context.Context, err error) {
+	var f *failure
+	if errors.As(err, &f) && f.reply != nil && !q.headerSent {
+		q.sendHeld(f.reply)
+		return
+	}
+	if q.headerSent {
+		q.abort(ctx, "stream_broken_off")
+		return
+	}
+	if q.r.Context().Err() != nil {
+		q.abort(ctx, "caller_left")
+		return
+	}
+	var refused *stages.RefusedError
+	var none *routing.NoTargetError
+	late := errors.Is(err, errDeadline) || ctx.Err() != nil
+	switch {
+	case errors.As(err, &refused) && !q.mayHaveRun:
+		q.refuse(string(refused.Reason), refused.RetryAfter)
+	case errors.As(err, &none) && !q.mayHaveRun:
+		q.refuse("no_target", time.Second)
+	case !q.mayHaveRun && late:
+		q.refuse("deadline", minRetryAfter)
+	case !q.mayHaveRun:
+		q.refuse("targets_refused", minRetryAfter)
+	case late:
+		q.fail(http.StatusGatewayTimeout, "deadline")
+	default:
+		q.fail(http.StatusBadGateway, "target_failed")
+	}
+}
+
+// minRetryAfter is the least time to come back: about one stage call.
+const minRetryAfter = 250 * time.Millisecond
+
+// refuse says that the request has not run and when to come back.
+func (q *request) refuse(reason string, after time.Duration) {
+	q.w.Header().Set("Retry-After", strconv.FormatFloat(max(after, minRetryAfter).Seconds(), 'f', 2, 64))
+	q.answer(http.StatusServiceUnavailable, reason, "not run: "+reason)
+}
+
+// fail says that the request may have run.
+func (q *request) fail(status int, reason string) {
+	q.answer(status, reason, "the request may have run: "+reason)
+}
+
+// deny refuses what is not allowed or not well formed.
+func (q *request) deny(status int, text string) {
+	q.answer(status, "denied", text)
+}
+
+// answer sends an answer of the system's own.
+func (q *request) answer(status int, reason, text string) {
+	q.reason = reason
+	h := q.w.Header()
+	q.relay.options.Dialect.StampAnswer(h, q.call.ID)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	body := text + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.w.WriteHeader(status)
+	_, _ = fmt.Fprint(q.w, body) // a caller that left needs no answer
+	q.logEnd(status)
+}
+
+// abort closes the caller's connection, so that an answer which isn't whole
+// can't look so.
+func (q *request) abort(_ context.Context, reason string) {
+	q.reason = reason
+	q.logEnd(0)
+	q.dropResults()
+	panic(http.ErrAbortHandler)
+}
+
+// logEnd writes the line of the request's end.
+func (q *request) logEnd(status int) {
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	telemetry.InfoS("Request ended", telemetry.Event{
+		RequestID: q.call.ID, Pipeline: route, Target: q.target, Reason: q.reason,
+		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
+	})
+	if status == http.StatusOK && q.service != "" {
+		q.relay.options.Budgets.Succeeded(time.Now(), q.service)
+	}
+}
--- /dev/null
+++ b/daemon/relay/attempt.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
+)
+
+// Bounds of attempts.
+const (
+	// maxRefused bounds the targets that refuse one request in turn.
+	maxRefused = 3
+	// silentFirst is how long a target that may be replaced has for its first
+	// byte: several times what an engine takes for the longest prompts.
+	silentFirst = 1200 * time.Millisecond
+	// silentGap is how long a stream that may go on elsewhere may pause: a few
+	// times the pause at which it is late.
+	silentGap = 1200 * time.Millisecond
+	// hedgeShare is the share of the objective that a target which may be
+	// replaced has for a plain answer, so that a second one can be on time.
+	hedgeShare = 0.7
+	// bufferedAnswer is the size, in bytes, up to which an answer is read whole
+	// before its head is passed on: until then another target may replace one
+	// that breaks off.
+	bufferedAnswer = 64 << 10
+)
+
+var errSilent = errors.New("the target was silent for too long")
+
+// attempt sends the request to one target. It tells whether another attempt is
+// to follow; otherwise either the answer has been passed on or the error says
+// why there is none.
+func (q *request) attempt(ctx context.Context) (again bool, err error) {
+	choice, err := q.pick()
+	if err != nil {
+		return false, err
+	}
+	if len(q.route.Stages) > 0 && q.handles == nil {
+		if err := q.makeStages(ctx, choice.Target.DataCentre); err != nil {
+			return false, err
+		}
+		// Seconds may have passed since the choice.
+		if choice, err = q.pick(); err != nil {
+			return false, err
+		}
+	}
+	q.target = choice.Target.Incarnation
+	started := time.Now()
+	handle := q.relay.options.Router.Started(started, q.target, 1)
+	outcome, err := q.exchange(ctx, choice.Target)
+	handle.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started), Expected: q.expected()})
+	if err == nil {
+		return false, nil
+	}
+	return q.judge(ctx, err)
+}
+
+// pick chooses a target for the request itself.
+func (q *request) pick() (routing.Choice, error) {
+	query := routing.Query{
+		Pool: q.service, Model: q.call.Model, Exclude: q.excluded, Rank: q.priority,
+	}
+	if q.route.PromptRoute {
+		query.Home = subject(q.call.Prefix)
+	}
+	return q.relay.options.Router.Pick(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), query)
+}
+
+// subject is the last part of a prompt that other requests read too. The last
+// part of all belongs to the request itself, or to its session, whose requests
+// have the subject in common.
+func subject(prefix []routing.PrefixPart) string {
+	if len(prefix) == 0 {
+		return ""
+	}
+	return prefix[max(len(prefix)-2, 0)].ID
+}
+
+// expected is the usual time of an answer, for the judgement of slow targets.
+func (q *request) expected() time.Duration { return 0 }
+
+// makeStages has the stages run.
+func (q *request) makeStages(ctx context.Context, dataCentre string) error {
+	r := gather.Request{
+		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority,
+		Objective: q.objective, Deadline: q.deadline, Rest: engineTime, DataCentre: dataCentre,
+	}
+	for i, s := range q.route.Stages {
+		pieces := 0
+		if i < len(q.call.Pieces) {
+			pieces = q.call.Pieces[i]
+		}
+		r.Stages = append(r.Stages, gather.Stage{Service: s.Service, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
+	}
+	var err error
+	q.handles, q.owner, err = q.relay.options.Stages.Make(ctx, r)
+	if err == nil && q.handles == nil {
+		q.handles = []string{}
+	}
+	return err
+}
+
+// engineTime is what an engine takes to its first event, as measured at the
+// usual load.
+const engineTime = 250 * time.Millisecond
+
+// dropResults gives the stages' results back.
+func (q *request) dropResults() {
+	if q.owner != "" {
+		q.relay.options.Stages.Drop(q.owner, q.call.ID)
+	}
+	q.owner, q.handles = "", nil
+}
+
+// failure is an attempt without a whole answer.
+type failure struct {
+	cause error
+	// notRun tells that the target certainly didn't run the request.
+	notRun bool
+	// inputsGone tells that the stages' results are gone.
+	inputsGone bool
+	// replaceable is set for an answer of the target that another may better.
+	reply *heldReply
+}
+
+// heldReply is a target's own failure, kept in case no better answer comes.
+type heldReply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (f *failure) Error() string { return f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f *failure) Unwrap() error { return f.cause }
+
+// judge decides what follows a failed attempt.
+func (q *request) judge(ctx context.Context, err error) (again bool, _ error) {
+	var f *failure
+	if !errors.As(err, &f) {
+		return false, err
+	}
+	telemetry.InfoS("Attempt failed", telemetry.Event{
+		RequestID: q.call.ID, Pipeline: q.route.Name, Target: q.target, Reason: f.cause.Error(),
+		Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
+	})
+	q.excluded = append(q.excluded, q.target)
+	if f.notRun {
+		q.refused++
+	} else {
+		q.sent++
+		q.mayHaveRun = true
+	}
+	if f.inputsGone {
+		q.excluded = q.excluded[:len(q.excluded)-1]
+		q.dropResults()
+	}
+	switch {
+	case ctx.Err() != nil, q.refused > maxRefused:
+		return false, err
+	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
+		return false, err
+	case !q.relay.options.Budgets.Retry(time.Now(), q.service):
+		return false, err
+	}
+	if q.lastEvent != "" || !f.notRun {
+		// The results were freed with the first byte, or a while ago.
+		q.dropResults()
+	}
+	return true, nil
+}
+
+// exchange is one attempt at one target.
+func (q *request) exchange(ctx context.Context, t routing.Target) (routing.Outcome, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(q.firstByteBound(), func() { cancel(errSilent) })
+	defer silence.Stop()
+	options := forward.Options{Belongs: q.belongs, KeepIdle: q.keepIdle}
+	if !q.route.MayRepeat() {
+		options.MaxIdle = forward.FreshIdle
+	}
+	reply, err := q.relay.options.Client.Do(ctx, t.Address, q.outgoing(t), options)
+	if err != nil {
+		return q.failed(ctx, err)
+	}
+	defer reply.Close()
+	said := q.relay.options.Dialect.ParseReply(reply.Status, reply.Header)
+	if said.WrongTarget {
+		q.relay.options.Leaving(t.Incarnation)
+	}
+	switch {
+	case said.NotRun:
+		_, _ = io.Copy(io.Discard, io.LimitReader(reply, bufferedAnswer)) // only so that the connection can be kept
+		return routing.OutcomeNotRun, &failure{cause: errors.Newf("target refused with status %d", reply.Status), notRun: true, inputsGone: said.InputsGone}
+	case !said.Genuine:
+		return routing.OutcomeFailed, &failure{cause: errors.Newf("reply with status %d has no signature", reply.Status)}
+	case reply.Header.Get("Content-Encoding") != "":
+		return routing.OutcomeFailed, &failure{cause: errors.New("reply is encoded")}
+	}
+	return q.passOn(ctx, reply, silence)
+}
+
+// firstByteBound is how long the target may be silent at first.
+func (q *request) firstByteBound() time.Duration {
+	left := time.Until(q.deadline)
+	if !q.route.MayRepeat() || q.sent+1 >= q.route.MaxAttempts {
+		return left
+	}
+	if q.streams() {
+		return min(silentFirst, left/2)
+	}
+	return min(time.Duration(hedgeShare*float64(q.route.Objective)), left/2)
+}
+
+func (q *request) streams() bool { return q.route.MaxPause > 0 }
+
+// failed tells what an attempt without a reply means.
+func (q *request) failed(ctx context.Context, err error) (routing.Outcome, error) {
+	var f *forward.Error
+	notRun := errors.As(err, &f) && !f.Sent
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
+		return routing.OutcomeFailed, &failure{cause: errors.CombineErrors(errSilent, err), notRun: notRun}
+	case errors.Is(cause, errDeadline):
+		return routing.OutcomeLate, &failure{cause: errDeadline, notRun: notRun}
+	case cause != nil:
+		return routing.OutcomeCancelled, &failure{cause: cause, notRun: notRun}
+	}
+	return routing.OutcomeFailed, &failure{cause: err, notRun: notRun}
+}
+
+// outgoing is the request as the target gets it.
+func (q *request) outgoing(t routing.Target) *http.Request {
+	resume := q.call.ResumeAfter
+	if q.lastEvent != "" {
+		resume = q.lastEvent
+	}
+	header := q.relay.options.Dialect.TargetHeader(q.r.Header, exchange.Send{
+		Left:        time.Until(q.deadline),
+		Incarnation: t.Incarnation,
+		Account:     q.account,
+		Priority:    q.priority,
+		Prompt:      q.route.PromptRoute,
+		Inputs:      q.handles,
+		ResumeAfter: resume,
+	})
+	out := &http.Request{
+		Method: q.r.Method, URL: q.r.URL, Host: q.r.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(q.body)),
+	}
+	if len(q.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(q.body))
+	}
+	return out
+}
+
+// belongs tells whether a reply is this request's.
+func (q *request) belongs(status int, h http.Header) bool {
+	id := q.relay.options.Dialect.ParseReply(status, h).ID
+	return id == "" || id == q.call.ID
+}
+
+func (q *request) keepIdle(h http.Header) time.Duration {
+	return q.relay.options.Dialect.ParseReply(http.StatusOK, h).KeepIdle
+}
--- /dev/null
+++ b/daemon/relay/relay.go
@@ -0,0 +1,262 @@
+// Package relay serves callers' requests by passing them on, as they are, to a
+// target of their route's service, after the route's stages have run.
+//
+// Each request gets one final answer: the target's, or a refusal that it didn't
+// run with a time to come back, or an error that promises nothing. What may have
+// run and may not be repeated is never sent a second time.
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
+)
+
+// Maker has the stages of a request run.
+type Maker interface {
+	Make(ctx context.Context, r gather.Request) (handles []string, owner string, err error)
+	Drop(owner, id string)
+}
+
+// Options are the parts that a Relay works with.
+type Options struct {
+	Dialect exchange.Dialect
+	// Table is the configuration in force; nil before the first.
+	Table func() *routes.Table
+	// Confirm asks whether a newer configuration exists.
+	Confirm func(ctx context.Context) bool
+	Router  *routing.Table
+	Client  *forward.Client
+	Stages  Maker
+	Budgets *retrybudget.Budgets
+	// Leaving is told of a target that takes nothing new.
+	Leaving func(incarnation string)
+	Tracer  trace.Tracer
+}
+
+// Relay is the callers' HTTP interface.
+type Relay struct {
+	options  Options
+	draining atomic.Bool
+	inFlight atomic.Int64
+	served   atomic.Int64
+}
+
+// New returns a relay.
+func New(o Options) *Relay { return &Relay{options: o} }
+
+// Drain has each further answer close its connection.
+func (s *Relay) Drain() { s.draining.Store(true) }
+
+// InFlight returns the number of requests without their final answer.
+func (s *Relay) InFlight() int { return int(s.inFlight.Load()) }
+
+// Bounds of a request.
+const (
+	// defaultTimeout bounds requests of routes without a timeout.
+	defaultTimeout = 30 * time.Second
+	// answerMargin is taken off the caller's wait: an answer sent any later
+	// would reach it too late. It is a few times the way to callers.
+	answerMargin = 25 * time.Millisecond
+	// maxBody bounds a body where the configuration doesn't, in bytes.
+	maxBody = 8 << 20
+)
+
+var errDeadline = errors.New("the request's time is over")
+
+// request is one request on its way.
+type request struct {
+	relay   *Relay
+	w       http.ResponseWriter
+	r       *http.Request
+	call    exchange.Call
+	route   *routes.Route
+	account string
+	// priority is the account's or the route's; 0 goes first.
+	priority int
+	body     []byte
+	service  string
+
+	arrived   time.Time
+	objective time.Time
+	deadline  time.Time
+
+	// mayHaveRun is set once bytes of an attempt left whose target didn't vouch
+	// that nothing ran.
+	mayHaveRun bool
+	// sent counts the attempts that may have run, refused those that didn't.
+	sent, refused int
+	excluded      []string
+	target        string
+	// stage results
+	handles []string
+	owner   string
+
+	// headerSent is set once the caller has the head of the answer.
+	headerSent bool
+	// lastEvent is the last whole event that the caller has.
+	lastEvent string
+	reason    string
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{relay: s, w: w, r: r, arrived: time.Now()}
+	if !q.accept() {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
+	defer cancel()
+	ctx, span := s.options.Tracer.Start(ctx, "request "+q.route.Name)
+	defer span.End()
+	defer q.dropResults()
+	q.run(ctx)
+}
+
+// accept reads the request, and answers at once what isn't served.
+func (q *request) accept() bool {
+	table := q.relay.options.Table()
+	if table == nil {
+		q.refuse("no_configuration", time.Second)
+		return false
+	}
+	var err error
+	if q.call, err = q.relay.options.Dialect.ParseCall(q.r); err != nil {
+		q.deny(http.StatusBadRequest, err.Error())
+		return false
+	}
+	if q.call.ID == "" {
+		q.deny(http.StatusBadRequest, "the request has no id")
+		return false
+	}
+	if status := q.authorize(table); status != 0 {
+		// A version that allows the request may be a moment old.
+		q.relay.options.Confirm(q.r.Context())
+		if status = q.authorize(q.relay.options.Table()); status != 0 {
+			q.deny(status, http.StatusText(status))
+			return false
+		}
+	}
+	q.setTimes()
+	return q.readBody(table.Limits.BodyBytes)
+}
+
+// authorize finds the route and the client account. It returns the status of a
+// denial, or 0.
+func (q *request) authorize(table *routes.Table) int {
+	route, ok := table.Match(hostOf(q.r.Host), q.r.URL.EscapedPath())
+	if !ok {
+		return http.StatusNotFound
+	}
+	q.route, q.priority, q.account = route, route.Priority, ""
+	if !table.NeedsKeys || route.Anonymous {
+		return 0
+	}
+	account, ok := table.Account(q.call.Key)
+	if !ok {
+		return http.StatusUnauthorized
+	}
+	q.account = account.Name
+	if account.Priority != nil {
+		q.priority = *account.Priority
+	}
+	return 0
+}
+
+// hostOf drops the port of a Host header.
+func hostOf(host string) string {
+	for i := range len(host) {
+		if host[i] == ':' {
+			return host[:i]
+		}
+	}
+	return host
+}
+
+// setTimes works out when the answer is due.
+func (q *request) setTimes() {
+	timeout := q.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if wait := q.call.Wait; wait > 0 {
+		timeout = min(timeout, wait-min(answerMargin, wait/10))
+	}
+	q.deadline = q.arrived.Add(timeout)
+	q.objective = q.arrived.Add(q.route.Objective)
+}
+
+// readBody takes the whole body in, so that it can be sent again where that is
+// allowed.
+func (q *request) readBody(limit int64) bool {
+	if limit <= 0 || limit > maxBody {
+		limit = maxBody
+	}
+	if q.r.ContentLength == 0 {
+		return true
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		q.deny(http.StatusRequestEntityTooLarge, "the body is too large")
+		return false
+	case err != nil:
+		q.reason = "caller_left_body"
+		q.logEnd(0)
+		panic(http.ErrAbortHandler)
+	}
+	q.body = body
+	return true
+}
+
+// run serves the request to its one final answer.
+func (q *request) run(ctx context.Context) {
+	q.service = pickService(q.route.Split)
+	for {
+		again, err := q.attempt(ctx)
+		if !again {
+			if err != nil {
+				q.answerFailure(ctx, err)
+			}
+			return
+		}
+		if ctx.Err() != nil {
+			q.answerFailure(ctx, context.Cause(ctx))
+			return
+		}
+	}
+}
+
+// pickService draws a service by weight.
+func pickService(split []routes.WeightedService) string {
+	total := 0.0
+	for _, s := range split {
+		total += s.Weight
+	}
+	draw := rand.Float64() * total
+	for _, s := range split {
+		if draw -= s.Weight; draw < 0 {
+			return s.Service
+		}
+	}
+	return split[len(split)-1].Service
+}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -29,6 +29,7 @@
 		{"listen", "callers", address{&s.Listen.Callers}, true},
 		{"listen", "peers", address{&s.Listen.Peers}, true},
 		{"listen", "admin", address{&s.Listen.Admin}, true},
+		{"listen", "metrics", address{&s.Listen.Metrics}, false},
 
 		{"platform", "url", httpURL{&s.Platform.URL}, true},
 		{"platform", "timeout", duration{&s.Platform.Timeout, time.Millisecond, time.Minute}, true},
@@ -38,6 +39,7 @@
 		{"peers", "tls_cert", text{p: &s.Peers.TLSCert}, false},
 		{"peers", "tls_key", text{p: &s.Peers.TLSKey}, false},
 		{"peers", "tls_ca", text{p: &s.Peers.TLSCA}, false},
+		{"peers", "cleartext", boolean{&s.Peers.Cleartext}, true},
 
 		{"limits", "max_body_bytes", integer[int64]{&s.Limits.MaxBodyBytes, 1, maxBytes}, true},
 		{"limits", "max_header_bytes", integer[int]{&s.Limits.MaxHeaderBytes, 1024, maxHeader}, true},
@@ -60,5 +62,9 @@
 		{"claims", "retention", duration{&s.Claims.Retention, time.Minute, maxRetention}, true},
 
 		{"orders", "longest_order", duration{&s.Orders.LongestOrder, time.Second, time.Hour}, true},
+
+		{"retries", "share", float{&s.Retries.Share, 0, 1}, true},
+		{"retries", "slack", float{&s.Retries.Slack, 0, maxCount}, true},
+		{"retries", "window", duration{&s.Retries.Window, 100 * time.Millisecond, time.Hour}, true},
 	}
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -135,7 +135,7 @@
 	}
 	// Without mutual TLS any host that reaches the port could pose as an
 	// instance and hand out records and answers.
-	if !anyTLS && !peers.Addr().Unmap().IsLoopback() {
+	if !anyTLS && !s.Peers.Cleartext && !peers.Addr().Unmap().IsLoopback() {
 		report("listen", "peers", "without mutual TLS ([peers] tls_cert, tls_key, tls_ca) only a loopback address is allowed")
 	}
 	return faults
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,7 @@
 	Status    Status
 	Claims    Claims
 	Orders    Orders
+	Retries   Retries
 }
 
 // Instance says who this instance is.
@@ -39,6 +40,8 @@
 	Peers string
 	// Admin is the address of health, readiness and metrics.
 	Admin string
+	// Metrics is a second address of the metrics alone; empty for none.
+	Metrics string
 }
 
 // Platform says how to reach the platform's object API.
@@ -61,6 +64,9 @@
 	TLSCert string
 	TLSKey  string
 	TLSCA   string
+	// Cleartext allows connections between instances without TLS on other than
+	// loopback addresses. It is for networks that only instances reach.
+	Cleartext bool
 }
 
 // TLS tells whether mutual TLS is configured.
@@ -128,6 +134,15 @@
 	LongestOrder time.Duration
 }
 
+// Retries bounds the requests that the whole fleet sends to a service once more.
+type Retries struct {
+	// Share is what they may be of the requests for the service, 0 to 1, Slack
+	// what may come on top within Window.
+	Share  float64
+	Slack  float64
+	Window time.Duration
+}
+
 // Default returns the settings of an empty file. The required keys
 // (instance.name, instance.data_centre, platform.url) are empty in it.
 func Default() Settings {
@@ -152,5 +167,6 @@
 		Status:    Status{RingSize: 16384, Retention: 10 * time.Minute},
 		Claims:    Claims{Retention: 24 * time.Hour},
 		Orders:    Orders{LongestOrder: 30 * time.Second},
+		Retries:   Retries{Share: 0.2, Slack: 50, Window: 10 * time.Second},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -51,6 +51,7 @@
 callers = 10.0.0.1:1
 peers = [fd00::1]:2
 admin = 0.0.0.0:3
+metrics = 10.0.0.1:4
 [platform]
 url = https://platform:4/base
 timeout = 5ms
@@ -60,6 +61,7 @@
 tls_cert = /c#1\
 tls_key = /k
 tls_ca = /a
+cleartext = true
 [limits]
 max_body_bytes = 1
 max_header_bytes = 2048
@@ -82,6 +84,10 @@
 retention = 11h
 [orders]
 longest_order = 12s
+[retries]
+share = 0.5
+slack = 13
+window = 14s
 `
 	path := filepath.Join(t.TempDir(), "instance.ini")
 	require.NoError(t, os.WriteFile(path, []byte(file), 0o600))
@@ -89,9 +95,9 @@
 	require.NoError(t, err)
 	require.Equal(t, Settings{
 		Instance:  Instance{"b", "dc-2", "c"},
-		Listen:    Listen{"10.0.0.1:1", "[fd00::1]:2", "0.0.0.0:3"},
+		Listen:    Listen{"10.0.0.1:1", "[fd00::1]:2", "0.0.0.0:3", "10.0.0.1:4"},
 		Platform:  Platform{"https://platform:4/base", 5 * time.Millisecond, 2.5},
-		Peers:     Peers{[]string{"10.0.0.2:2", "10.0.0.3:2"}, `/c#1\`, "/k", "/a"},
+		Peers:     Peers{[]string{"10.0.0.2:2", "10.0.0.3:2"}, `/c#1\`, "/k", "/a", true},
 		Limits:    Limits{1, 2048, 3 * time.Second, 4 * time.Second, 5, 6},
 		Routing:   Routing{7},
 		Shutdown:  Shutdown{8 * time.Second, 0},
@@ -99,6 +105,7 @@
 		Status:    Status{12, 10 * time.Second},
 		Claims:    Claims{11 * time.Hour},
 		Orders:    Orders{12 * time.Second},
+		Retries:   Retries{0.5, 13, 14 * time.Second},
 	}, got)
 	require.True(t, got.Peers.TLS())
 }
--- a/settings/values.go
+++ b/settings/values.go
@@ -109,6 +109,20 @@
 
 func (d duration) format() string { return d.p.String() }
 
+// boolean is true or false.
+type boolean struct{ p *bool }
+
+func (b boolean) parse(raw string) error {
+	v, err := strconv.ParseBool(raw)
+	if err != nil {
+		return errors.Newf("%q is neither true nor false", raw)
+	}
+	*b.p = v
+	return nil
+}
+
+func (b boolean) format() string { return strconv.FormatBool(*b.p) }
+
 // integer is a whole number from min to max.
 type integer[T int | int64] struct {
 	p        *T
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -28,8 +28,10 @@
 	Record   string
 	Revision uint64
 	// Reason is a short, fixed text from the program, never one from outside.
-	Reason  string
-	Count   int
+	Reason string
+	Count  int
+	// Status is that of an HTTP answer; 0 tells that there was none.
+	Status  int
 	Elapsed time.Duration
 	// Address is an IP:port that the instance listens on or connects to.
 	Address string
@@ -37,7 +39,7 @@
 
 // maxPairs is the number of keys and values that an Event and an instance
 // make at most.
-const maxPairs = 2 * 13
+const maxPairs = 2 * 14
 
 // pairs lists the fields that are set, as klog wants them.
 func (e *Event) pairs() []any {
@@ -57,6 +59,9 @@
 	if e.Count != 0 {
 		kv = append(kv, "count", e.Count)
 	}
+	if e.Status != 0 {
+		kv = append(kv, "status", e.Status)
+	}
 	if e.Elapsed != 0 {
 		kv = append(kv, "elapsed", e.Elapsed)
 	}
--- /dev/null
+++ b/transport/forward/attempt.go
@@ -0,0 +1,164 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Reply is a target's answer. Its body ends with io.EOF only if it is whole.
+// Close must be called.
+type Reply struct {
+	Status int
+	Header http.Header
+	// Length is the body's length in bytes, -1 if it is unknown.
+	Length int64
+
+	client   *Client
+	conn     *conn
+	response *http.Response
+	options  Options
+	written  <-chan error
+	stop     func() bool
+	whole    bool
+	foreign  bool
+}
+
+// Do sends a request to an address and waits for the header of its answer. The
+// context bounds the whole attempt, the body included.
+func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
+	k := c.take(address, cmp.Or(o.MaxIdle, idleMax))
+	if k == nil {
+		var err error
+		if k, err = c.dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	if ctx.Err() != nil {
+		c.keep(k)
+		return nil, &Error{Step: StepConnect, Peer: address, Err: ctx.Err()}
+	}
+	// Waiting reads and writes end with the context.
+	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) }) // a closed one needs none
+	r := &Reply{client: c, conn: k, options: o, stop: stop}
+	r.written = send(k, request)
+	if err := r.readHeader(request); err != nil {
+		return nil, r.fail(ctx, err)
+	}
+	return r, nil
+}
+
+// smallBody is the size, in bytes, up to which a request fits what a connection
+// takes without the other end reading.
+const smallBody = 4 << 10
+
+// send writes the request, a long one beside the reader: a target may answer
+// before it has read the body, and read on only when its answer is taken.
+func send(k *conn, request *http.Request) <-chan error {
+	written := make(chan error, 1)
+	if request.ContentLength <= smallBody {
+		written <- request.Write(k)
+		return written
+	}
+	go func() {
+		written <- request.Write(k)
+	}()
+	return written
+}
+
+// readHeader reads up to the header of the reply that belongs to the request.
+func (r *Reply) readHeader(request *http.Request) error {
+	for range maxForeignReplies {
+		response, err := http.ReadResponse(r.conn.reader, request)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.options.Belongs != nil && !r.options.Belongs(response.StatusCode, response.Header) {
+			r.foreign = true
+			n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
+			if err != nil {
+				return err
+			}
+			if n == maxForeignBytes || response.Close {
+				return errors.New("the reply belongs to another request")
+			}
+			continue
+		}
+		r.response = response
+		r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
+		return nil
+	}
+	return errors.New("too many replies of other requests")
+}
+
+// fail ends an attempt without a reply.
+func (r *Reply) fail(ctx context.Context, err error) error {
+	r.stop()
+	// Closed before the count is read, so that no byte can leave after.
+	_ = r.conn.Close() // its fault is told by err
+	writeErr := <-r.written
+	failed := &Error{Step: StepReply, Peer: r.conn.address, Sent: r.conn.writes > 0, Err: err}
+	if !failed.Sent && writeErr != nil {
+		failed.Step, failed.Err = StepSend, writeErr
+	}
+	if ctx.Err() != nil {
+		failed.Err = errors.CombineErrors(context.Cause(ctx), failed.Err)
+	}
+	return failed
+}
+
+// Read reads the body.
+func (r *Reply) Read(p []byte) (int, error) {
+	n, err := r.response.Body.Read(p)
+	if err == io.EOF {
+		r.whole = true
+		return n, err
+	}
+	if err != nil {
+		err = &Error{Step: StepBody, Peer: r.conn.address, Sent: true, Err: err}
+	}
+	return n, err
+}
+
+// Close ends the attempt. The connection is kept if the answer was whole and
+// nothing follows it; otherwise it is closed, which tells the target to stop.
+func (r *Reply) Close() {
+	stopped := r.stop()
+	if !r.whole || !stopped || !r.reusable() {
+		_ = r.conn.Close() // the attempt is over, whatever it brings
+		return
+	}
+	r.client.keep(r.conn)
+}
+
+// reusable tells whether the connection may carry another request.
+func (r *Reply) reusable() bool {
+	select {
+	case err := <-r.written:
+		if err != nil {
+			return false
+		}
+	default:
+		// The target answered before it had the body; what of it is on the way
+		// would be read as the next request.
+		return false
+	}
+	unframed := r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0
+	if r.foreign || unframed || r.response.Close || r.conn.reader.Buffered() > 0 {
+		return false
+	}
+	r.conn.keep = idleMax
+	if r.options.KeepIdle != nil {
+		if keep := r.options.KeepIdle(r.Header); keep > 0 {
+			r.conn.keep = min(idleMax, keep-min(idleMargin, keep/2))
+		}
+	}
+	return true
+}
--- a/transport/peer/handshake.go
+++ b/transport/peer/handshake.go
@@ -113,6 +113,9 @@
 // startTLS wraps a connection in TLS, or checks that cleartext may be used.
 func (n *Node) startTLS(c *conn, config *tls.Config, wrap func(net.Conn, *tls.Config) *tls.Conn) error {
 	if config == nil {
+		if n.opts.Cleartext {
+			return nil
+		}
 		return requireLoopback(c.nc.RemoteAddr().String())
 	}
 	if c.address != "" {
@@ -183,7 +186,7 @@
 // connect dials an address and does the handshake.
 func (n *Node) connect(address string) (*conn, error) {
 	n.metrics.dials.Inc(1)
-	if n.client == nil {
+	if n.client == nil && !n.opts.Cleartext {
 		if err := requireLoopback(address); err != nil {
 			return nil, notRun(StepDial, address, err)
 		}
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -29,8 +29,9 @@
 	// Listen is the IP address and port to listen on.
 	Listen string
 	// TLS names the files for mutual TLS. Nil means cleartext, which is
-	// refused on addresses that are not loopback.
-	TLS *Files
+	// refused on addresses that are not loopback unless Cleartext allows it.
+	TLS       *Files
+	Cleartext bool
 
 	DialTimeout      time.Duration
 	HandshakeTimeout time.Duration
@@ -121,7 +122,7 @@
 	if o.Cluster == "" || o.Self.Name == "" || o.Self.Incarnation == 0 {
 		return errors.New("cluster, name and incarnation must be set")
 	}
-	if o.TLS != nil {
+	if o.TLS != nil || o.Cleartext {
 		return nil
 	}
 	return requireLoopback(o.Listen)
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +37,9 @@
 	WatchSlack time.Duration
 	// Budget is shared by everything in the process; nil means a new one.
 	Budget *Budget
+	// Spelling is how the platform writes paths and bodies; nil means that of
+	// package platformapi.
+	Spelling Spelling
 }
 
 // Client is a Store over HTTP.
@@ -60,6 +62,9 @@
 	if options.Budget == nil {
 		options.Budget = NewBudget(BudgetOptions{})
 	}
+	if options.Spelling == nil {
+		options.Spelling = plainSpelling{}
+	}
 	return &Client{
 		options: options,
 		base:    strings.TrimSuffix(options.BaseURL, "/"),
@@ -70,47 +75,37 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (*platformapi.Object, error) {
-	var object platformapi.Object
-	err := c.read(ctx, "get "+kind, objectPath(kind, name), &object)
-	if err != nil {
-		return nil, err
-	}
-	return &object, nil
+	return c.readObject(ctx, "get "+kind, c.options.Spelling.ObjectPath(kind, name))
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kind string) (platformapi.List, error) {
-	return c.listPages(ctx, kind, url.Values{})
+	return c.listPages(ctx, kind, ListQuery{})
 }
 
 // ListStale implements Store.
 func (c *Client) ListStale(ctx context.Context, kind string) (platformapi.List, error) {
-	return c.listPages(ctx, kind, url.Values{"stale": {"1"}})
+	return c.listPages(ctx, kind, ListQuery{Stale: true})
 }
 
 // ListStalePage implements Store.
 func (c *Client) ListStalePage(ctx context.Context, kind, after string, limit int) (platformapi.List, error) {
-	query := url.Values{"stale": {"1"}}
-	if after != "" {
-		query.Set("after", after)
-	}
-	if limit > 0 {
-		query.Set("limit", strconv.Itoa(limit))
-	}
-	return c.listPage(ctx, kind, query)
+	return c.listPage(ctx, kind, ListQuery{Stale: true, After: after, Limit: limit})
 }
 
-func (c *Client) listPage(ctx context.Context, kind string, query url.Values) (platformapi.List, error) {
+func (c *Client) listPage(ctx context.Context, kind string, query ListQuery) (platformapi.List, error) {
 	var page platformapi.List
-	path := platformapi.PathObjects + url.PathEscape(kind) + "?" + query.Encode()
-	err := c.read(ctx, "list "+kind, path, &page)
+	err := c.read(ctx, "list "+kind, c.options.Spelling.ListPath(kind, query), func(body []byte) (err error) {
+		page, err = c.options.Spelling.DecodeList(body)
+		return err
+	})
 	return page, err
 }
 
 // listPages joins the pages of a list. Pages may be of different revisions. The
 // revision given back is the lowest, so that a watch from it replays every
 // change that came between two pages instead of missing it.
-func (c *Client) listPages(ctx context.Context, kind string, query url.Values) (platformapi.List, error) {
+func (c *Client) listPages(ctx context.Context, kind string, query ListQuery) (platformapi.List, error) {
 	var all platformapi.List
 	for first := true; ; first = false {
 		page, err := c.listPage(ctx, kind, query)
@@ -124,31 +119,31 @@
 		if page.Next == "" {
 			return all, nil
 		}
-		query.Set("after", page.Next)
+		query.After = page.Next
 	}
 }
 
 // Create implements Store.
 func (c *Client) Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
-	path := platformapi.PathObjects + url.PathEscape(kind)
+	path := c.options.Spelling.ListPath(kind, ListQuery{})
 	return c.write(ctx, "create "+kind, http.MethodPost, path, object)
 }
 
 // Update implements Store.
 func (c *Client) Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
-	path := objectPath(kind, object.Metadata.Name)
+	path := c.options.Spelling.ObjectPath(kind, object.Metadata.Name)
 	return c.write(ctx, "update "+kind, http.MethodPut, path, object)
 }
 
 // UpdateStatus implements Store.
 func (c *Client) UpdateStatus(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error) {
-	path := objectPath(kind, object.Metadata.Name) + "/status"
+	path := c.options.Spelling.ObjectPath(kind, object.Metadata.Name) + "/status"
 	return c.write(ctx, "update status of "+kind, http.MethodPut, path, object)
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, revision uint64) error {
-	path := objectPath(kind, name)
+	path := c.options.Spelling.ObjectPath(kind, name)
 	if revision != 0 {
 		path += "?revision=" + strconv.FormatUint(revision, 10)
 	}
@@ -167,12 +162,15 @@
 func (c *Client) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error) {
 	var watch platformapi.Watch
 	err := c.do(ctx, exchange{
-		call:     Call{Step: "watch " + strings.Join(kinds, ","), Peer: c.base},
-		class:    ClassRead,
-		method:   http.MethodGet,
-		path:     watchPath(kinds, from, wait),
-		probe:    watchPath(kinds, from, 0),
-		out:      &watch,
+		call:   Call{Step: "watch " + strings.Join(kinds, ","), Peer: c.base},
+		class:  ClassRead,
+		method: http.MethodGet,
+		path:   c.options.Spelling.WatchPath(kinds, from, wait),
+		probe:  c.options.Spelling.WatchPath(kinds, from, 0),
+		decode: func(body []byte) (err error) {
+			watch, err = c.options.Spelling.DecodeWatch(kinds, body)
+			return err
+		},
 		timeout:  wait + c.options.WatchSlack,
 		patience: wait + c.options.WatchSlack,
 	})
@@ -182,13 +180,25 @@
 // Budget returns the budget of calls, for its counts.
 func (c *Client) Budget() *Budget { return c.budget }
 
-func (c *Client) read(ctx context.Context, step, path string, out any) error {
+func (c *Client) readObject(ctx context.Context, step, path string) (*platformapi.Object, error) {
+	var object platformapi.Object
+	err := c.read(ctx, step, path, func(body []byte) (err error) {
+		object, err = c.options.Spelling.DecodeObject(body)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &object, nil
+}
+
+func (c *Client) read(ctx context.Context, step, path string, decode func([]byte) error) error {
 	return c.do(ctx, exchange{
 		call:     Call{Step: step, Peer: c.base},
 		class:    ClassRead,
 		method:   http.MethodGet,
 		path:     path,
-		out:      out,
+		decode:   decode,
 		timeout:  c.options.Timeout,
 		patience: c.options.Timeout / patienceShare,
 	})
@@ -197,12 +207,15 @@
 func (c *Client) write(ctx context.Context, step, method, path string, object platformapi.Object) (*platformapi.Object, error) {
 	var written platformapi.Object
 	err := c.do(ctx, exchange{
-		call:     Call{Step: step, Peer: c.base, Write: true},
-		class:    ClassWrite,
-		method:   method,
-		path:     path,
-		in:       &object,
-		out:      &written,
+		call:   Call{Step: step, Peer: c.base, Write: true},
+		class:  ClassWrite,
+		method: method,
+		path:   path,
+		in:     &object,
+		decode: func(body []byte) (err error) {
+			written, err = c.options.Spelling.DecodeObject(body)
+			return err
+		},
 		timeout:  c.options.Timeout,
 		patience: c.options.Timeout / patienceShare,
 	})
@@ -211,16 +224,3 @@
 	}
 	return &written, nil
 }
-
-func objectPath(kind, name string) string {
-	return platformapi.PathObjects + url.PathEscape(kind) + "/" + url.PathEscape(name)
-}
-
-func watchPath(kinds []string, from uint64, wait time.Duration) string {
-	query := url.Values{
-		"kinds":   {strings.Join(kinds, ",")},
-		"watch":   {strconv.FormatUint(from, 10)},
-		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
-	}
-	return platformapi.PathObjects + platformapi.KindAny + "?" + query.Encode()
-}
--- a/transport/platform/exchange.go
+++ b/transport/platform/exchange.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -24,6 +24,15 @@
 // idleTimeout closes connections that nothing has used for so long.
 const idleTimeout = 30 * time.Second
 
+// Times of connections to the platform. A watch waits on one that says nothing
+// for seconds; the probes tell within three of them that something on the way has
+// lost track of it.
+const (
+	connectTimeout  = time.Second
+	keepAliveEvery  = time.Second
+	keepAliveMissed = 2
+)
+
 // maxRetryAfterSeconds bounds the wait that an answer may ask for.
 const maxRetryAfterSeconds = 60
 
@@ -33,8 +42,13 @@
 func NewTransport() *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	dialer := net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveMissed},
+	}
 	return &http.Transport{
 		Protocols:           protocols,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     idleTimeout,
 	}
@@ -48,9 +62,10 @@
 	path   string
 	// probe replaces path when this call probes the platform after an outage;
 	// empty means path.
-	probe   string
-	in      *platformapi.Object
-	out     any
+	probe string
+	in    *platformapi.Object
+	// decode takes in the body of a success; nil drops it.
+	decode  func(body []byte) error
 	timeout time.Duration
 	// patience is how long an answer may be missing before that counts against
 	// the platform, even if the caller gave up before timeout.
@@ -124,13 +139,13 @@
 	if err != nil {
 		return c.failed(x, ending{err: err, sent: true, after: time.Since(start), gaveUp: ctx.Err() != nil})
 	}
-	return readAnswer(x, response, body)
+	return c.readAnswer(x, response, body)
 }
 
 func (c *Client) newRequest(ctx context.Context, x exchange) (*http.Request, error) {
 	var body io.Reader
 	if x.in != nil {
-		encoded, err := json.Marshal(x.in)
+		encoded, err := c.options.Spelling.EncodeObject(*x.in)
 		if err != nil {
 			return nil, err
 		}
@@ -176,17 +191,17 @@
 }
 
 // readAnswer decodes a whole answer.
-func readAnswer(x exchange, response *http.Response, body []byte) (result, error) {
+func (c *Client) readAnswer(x exchange, response *http.Response, body []byte) (result, error) {
 	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
 		return readSuccess(x, body)
 	}
 	retryAfter := parseRetryAfter(response.Header.Get("Retry-After"))
-	var conflict platformapi.Conflict
+	var current *platformapi.Object
 	if response.StatusCode == http.StatusConflict {
-		// A body that doesn't decode leaves Current nil: it is still a conflict.
-		_ = json.Unmarshal(body, &conflict)
+		// A body that doesn't decode leaves current nil: it is still a conflict.
+		current = c.options.Spelling.DecodeConflict(body)
 	}
-	err := StatusError(x.call, response.StatusCode, retryAfter, conflict.Current)
+	err := StatusError(x.call, response.StatusCode, retryAfter, current)
 	return result{outcome: outcomeOf(response.StatusCode), retryAfter: retryAfter}, err
 }
 
@@ -197,10 +212,10 @@
 	if len(body) > maxAnswerBytes {
 		return ok, LostAnswer(x.call, errors.Newf("answer over %d bytes", maxAnswerBytes))
 	}
-	if x.out == nil {
+	if x.decode == nil {
 		return ok, nil
 	}
-	if err := json.Unmarshal(body, x.out); err != nil {
+	if err := x.decode(body); err != nil {
 		return ok, LostAnswer(x.call, errors.Wrap(err, "decode answer"))
 	}
 	return ok, nil
