Refuse late streams during a planned stop, close kept connections

Ruled out: a longer stay, since the grace is 8 s; refusing from the SIGTERM on, which would turn requests away that the balancer still sends here.

Change: streams are taken up to 2.8 s after the signal, plain requests while their deadline lies before the end; kept connections are closed once the balancer has noticed.

--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -44,7 +44,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	admin := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: metricsTimeout}
-	group.Add(func() error { return g.lifecycle(ctx) }, func(error) {})
+	group.Add(func() error { return g.lifecycle(ctx, callers) }, func(error) {})
 	addServer(&group, callers, g.callers)
 	addServer(&group, admin, g.admin)
 	if g.metrics != nil {
@@ -76,35 +76,43 @@
 }
 
 // lifecycle waits for the end of ctx and does the planned stop.
-func (g *Gateway) lifecycle(ctx context.Context) error {
+func (g *Gateway) lifecycle(ctx context.Context, callers *http.Server) error {
 	<-ctx.Done()
 	begin := time.Now()
 	telemetry.InfoS("Planned stop", telemetry.Event{Count: g.relay.InFlight()})
 	g.draining.Store(true)
-	g.relay.Drain()
+	times := g.shutdown.Load()
+	ends := begin.Add(times.Grace - exitMargin)
+	g.relay.Drain(ends)
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := g.cluster.Leave(leave); err != nil {
 		telemetry.ErrorS(err, "The other instances were not all told of the stop", telemetry.Event{})
 	}
-	g.finish(begin)
+	g.finish(callers, begin.Add(times.BalancerDelay), ends)
 	telemetry.InfoS("Instance stopped", telemetry.Event{Count: g.relay.InFlight(), Elapsed: time.Since(begin)})
 	return context.Canceled
 }
 
 // finish waits until the balancer has noticed and nothing is in flight, at most
-// for the grace.
-func (g *Gateway) finish(begin time.Time) {
+// until ends. Kept connections are closed once the balancer has noticed, so that
+// their callers go elsewhere.
+func (g *Gateway) finish(callers *http.Server, noticed, ends time.Time) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	times := g.shutdown.Load()
+	closed := false
 	for now := range ticker.C {
-		spent := now.Sub(begin)
-		noticed := spent >= times.BalancerDelay
-		if noticed && g.relay.InFlight() == 0 && g.stages.Held() == 0 {
+		if now.After(ends) {
 			return
 		}
-		if spent >= times.Grace-exitMargin {
+		if now.Before(noticed) {
+			continue
+		}
+		if !closed {
+			callers.SetKeepAlivesEnabled(false)
+			closed = true
+		}
+		if g.relay.InFlight() == 0 && g.stages.Held() == 0 {
 			return
 		}
 	}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -49,8 +49,9 @@
 
 // Relay is the callers' HTTP interface.
 type Relay struct {
-	options  Options
-	draining atomic.Bool
+	options Options
+	// drain is set once the planned stop began.
+	drain    atomic.Pointer[drain]
 	inFlight atomic.Int64
 	served   atomic.Int64
 }
@@ -58,8 +59,35 @@
 // New returns a relay.
 func New(o Options) *Relay { return &Relay{options: o} }
 
-// Drain has each further answer close its connection.
-func (s *Relay) Drain() { s.draining.Store(true) }
+// drain are the times of a planned stop.
+type drain struct {
+	began, ends time.Time
+}
+
+// streamsAfterStop is how long after the beginning of a planned stop requests for
+// streams are still taken. The balancer has noticed by then; what comes later
+// comes on kept connections, and a stream with its stages takes longer than the
+// rest of the grace.
+const streamsAfterStop = 2800 * time.Millisecond
+
+// Drain begins the planned stop: each further answer closes its connection, and
+// what can't be answered by ends is refused.
+//
+// It guards against a stream that is taken on a kept connection shortly before
+// the process ends: its caller would get half an answer, where another instance
+// gives a whole one.
+func (s *Relay) Drain(ends time.Time) {
+	s.drain.Store(&drain{began: time.Now(), ends: ends})
+}
+
+// takes tells whether a request that has just come can be answered before the
+// stop.
+func (d *drain) takes(q *request) bool {
+	if q.streams() {
+		return q.arrived.Sub(d.began) <= streamsAfterStop
+	}
+	return !q.deadline.After(d.ends)
+}
 
 // InFlight returns the number of requests without their final answer.
 func (s *Relay) InFlight() int { return int(s.inFlight.Load()) }
@@ -116,7 +144,7 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
+	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{relay: s, w: w, r: r, arrived: time.Now()}
@@ -156,6 +184,10 @@
 		}
 	}
 	q.setTimes()
+	if d := q.relay.drain.Load(); d != nil && !d.takes(q) {
+		q.refuse("stopping", minRetryAfter)
+		return false
+	}
 	return q.readBody(table.Limits.BodyBytes)
 }
 
