Hold the stage queue at the oldest instance and hand overdue calls on

Ruled out: asking every target for its free room at a takeover: a refusal tells it as well, without a probe.

Change: the instance that has run longest holds the queue; pieces of an overdue call are made elsewhere too, the first result counts; room that a target didn't have, or that a lost call may hold, counts as taken for a while; 8% of the room is left to small results; the wait for a near target is a quarter of the spare time at most. Stage times of each request are logged.

--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -99,11 +99,8 @@
 			continue
 		}
 		n = min(n, left)
-		if s.shape.ResultBytes > 0 && st.ResultBytes > 0 {
-			n = min(n, int(room/st.ResultBytes))
-			if n <= 0 {
-				continue
-			}
+		if n = min(n, s.fits(room, st.ResultBytes)); n <= 0 {
+			continue
 		}
 		room -= int64(n) * st.ResultBytes
 		for _, index := range st.todo[:n] {
@@ -113,6 +110,22 @@
 	return chosen
 }
 
+// smallRoomShare is the share of a target's room that large results leave to
+// small ones. Without it a dozen results of 1.5 MB keep out pieces of 8 KB, whose
+// requests then wait for a place half a second and more.
+const smallRoomShare = 0.08
+
+// fits is how many results of a size there is room for.
+func (s *service) fits(room, size int64) int {
+	if s.shape.ResultBytes <= 0 || size <= 0 {
+		return s.shape.MaxPieces
+	}
+	if size >= heldResultBytes {
+		room -= int64(smallRoomShare * float64(s.shape.ResultBytes))
+	}
+	return int(max(room, 0) / size)
+}
+
 // passOver tells whether a slow target is left without a call: a call there
 // takes longer than waiting for another target, and its pieces would come late.
 // Now and then it gets one, to learn whether it is still slow.
@@ -141,7 +154,7 @@
 // their inputs or their reader.
 func (p *Planner) waitsForNearer(now time.Time, t *target, st *stageWork) bool {
 	here := st.crossing(t.DataCentre) * int64(len(st.todo))
-	if here <= crossBytes || now.Sub(st.readySince) >= p.config.Patience {
+	if here <= crossBytes || now.Sub(st.readySince) >= p.patience(now, st) {
 		return false
 	}
 	for _, other := range t.service.targets {
@@ -153,10 +166,22 @@
 	return false
 }
 
+// patienceShare is the part of a request's spare time that one stage may wait for
+// a target beside its inputs.
+const patienceShare = 4
+
+// patience is how long a stage waits for a target beside its inputs: a share of
+// the time that the request has to spare, so that saving bytes makes no answer
+// late.
+func (p *Planner) patience(now time.Time, st *stageWork) time.Duration {
+	spare := st.work.Objective.Sub(now) - p.least(st.work)
+	return min(p.config.Patience, max(spare, 0)/patienceShare)
+}
+
 // start begins a call.
 func (p *Planner) start(now time.Time, t *target, chosen []pieceRef) {
 	p.nextCall++
-	c := &call{id: p.nextCall, target: t, pieces: chosen, started: now, slow: t.slow}
+	c := &call{id: p.nextCall, target: t, pieces: chosen, started: now}
 	orders := make([]PieceOrder, 0, len(chosen))
 	var pieceTime time.Duration
 	var inputs []string
@@ -176,6 +201,7 @@
 		orders = append(orders, order)
 		st.todo = slices.DeleteFunc(st.todo, func(i int) bool { return i == ref.index })
 		st.inCall++
+		st.sent = now
 		c.bytes += st.ResultBytes
 		pieceTime += t.service.pieceTime(st)
 		if len(st.todo) == 0 {
@@ -188,10 +214,33 @@
 	t.lastCall = now
 	t.busyUntil = now.Add(time.Duration(max(t.slow, 1) * float64(c.expected)))
 	p.calls[c.id] = c
-	timeout := time.Duration(timeoutFactor*max(t.slow, 1)*float64(c.expected)) + timeoutMargin
+	c.overdue = now.Add(time.Duration(overdueFactor*max(t.slow, 1)*float64(c.expected)) + overdueMargin)
+	timeout := time.Duration(timeoutFactor*float64(c.expected)) + timeoutMargin
 	p.out = append(p.out, StartCall{ID: c.id, Target: t.Target, Pieces: orders, Timeout: timeout})
 }
 
+// handOn has the pieces of overdue calls made elsewhere as well. The call goes on:
+// whichever result comes first is used and the other is given back. It guards
+// against a target that turned slow or silent in the middle of a call, whose
+// requests would wait for its time-out.
+func (p *Planner) handOn(now time.Time) {
+	for _, c := range p.calls {
+		if c.handedOn || now.Before(c.overdue) {
+			continue
+		}
+		c.handedOn = true
+		c.target.slow = max(c.target.slow, float64(now.Sub(c.started))/float64(c.expected))
+		for _, ref := range c.pieces {
+			st := ref.stage
+			if p.works[st.work.ID] != st.work || st.results[ref.index] != nil || slices.Contains(st.todo, ref.index) {
+				continue
+			}
+			st.todo = append(st.todo, ref.index)
+			p.enqueue(st)
+		}
+	}
+}
+
 // CallDone takes in the end of a call. Results is in the order of the pieces;
 // it is only read for CallAnswered.
 func (p *Planner) CallDone(now time.Time, id uint64, outcome CallOutcome, results []PieceResult) []Action {
@@ -237,8 +286,7 @@
 		t.leaving = true
 		return
 	case CallLost:
-		t.lost(now)
-		t.slow = max(t.slow, 1)
+		t.callLost(now, c.bytes)
 		return
 	}
 	t.failures, t.strikes = 0, 0
@@ -281,8 +329,9 @@
 func (p *Planner) pieceDone(now time.Time, c *call, ref pieceRef, outcome CallOutcome, r PieceResult) {
 	st := ref.stage
 	st.inCall--
+	st.ended = now
 	w := st.work
-	if p.works[w.ID] != w {
+	if p.works[w.ID] != w || st.results[ref.index] != nil {
 		if r.Handle != "" {
 			c.target.heldBytes += st.ResultBytes
 			p.freeHandle(c.target, r.Handle, st.ResultBytes)
@@ -297,6 +346,12 @@
 		}
 		c.target.heldBytes += st.ResultBytes
 		st.made++
+		if i := slices.Index(st.todo, ref.index); i >= 0 {
+			st.todo = slices.Delete(st.todo, i, i+1)
+			if len(st.todo) == 0 {
+				p.dequeue(st)
+			}
+		}
 		if st.done() {
 			p.freeRead(st)
 		}
@@ -323,6 +378,9 @@
 func (p *Planner) again(now time.Time, c *call, ref pieceRef, outcome CallOutcome, failure PieceFailure) {
 	st := ref.stage
 	w := st.work
+	if c.handedOn && outcome != CallAnswered || slices.Contains(st.todo, ref.index) {
+		return // it is on its way again already
+	}
 	if outcome == CallAnswered && failure == PieceLate {
 		p.drop(w)
 		p.refuse(w.ID, ReasonDeadline, minRetryAfter)
@@ -340,7 +398,7 @@
 		p.remake(st)
 	}
 	if failure == PieceNoRoom && outcome == CallAnswered {
-		c.target.downUntil = now.Add(fullPause)
+		c.target.occupied(now, st.ResultBytes)
 	}
 	st.todo = append(st.todo, ref.index)
 	slices.Sort(st.todo)
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -17,8 +17,8 @@
 // Defaults of Config.
 const (
 	// DefaultPatience is about the time until the next target of a data centre
-	// with two comes free.
-	DefaultPatience = 150 * time.Millisecond
+	// comes free.
+	DefaultPatience = 200 * time.Millisecond
 	// DefaultMaxRequests is some ten seconds of the heaviest load measured.
 	DefaultMaxRequests = 4096
 )
@@ -56,8 +56,10 @@
 	bytes    int64
 	started  time.Time
 	expected time.Duration
-	// slow is what the target was believed to be at the start.
-	slow float64
+	// overdue is when the pieces are made elsewhere as well; handedOn tells that
+	// they are.
+	overdue  time.Time
+	handedOn bool
 }
 
 type pieceRef struct {
@@ -134,6 +136,7 @@
 		return p.flush()
 	}
 	w := newWork(r)
+	w.admitted = now
 	if reason, after := p.admit(now, w); reason != "" {
 		p.refuse(r.ID, reason, after)
 		return p.flush()
@@ -174,7 +177,11 @@
 			p.drop(w)
 		}
 	}
+	p.handOn(now)
 	for _, s := range p.services {
+		for _, t := range s.targets {
+			t.expireLost(now)
+		}
 		p.dispatch(now, s)
 	}
 	return p.flush()
@@ -253,7 +260,7 @@
 	}
 	if w.allDone() {
 		w.completed = true
-		p.out = append(p.out, Completed{Request: w.ID, Handles: w.handles()})
+		p.out = append(p.out, Completed{Request: w.ID, Handles: w.handles(), Times: w.times()})
 		return
 	}
 	for _, s := range w.stages {
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -1,6 +1,9 @@
 package gather
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // service is the queue and the targets of one stage service.
 type service struct {
@@ -34,6 +37,8 @@
 	// downUntil is when a target that failed is tried again.
 	downUntil time.Time
 	failures  int
+	// lost are results that a call without an answer may have left.
+	lost []lostRoom
 	// strikes counts the calls in a row that brought nothing, refused ones too.
 	strikes int
 	// busyUntil is when the latest call should end.
@@ -52,11 +57,18 @@
 	// slowProbe is the time after which a slow target gets a call again, to
 	// learn whether it still is.
 	slowProbe = 1500 * time.Millisecond
+	// overdueFactor times the expected time, and overdueMargin, is when the
+	// pieces of a call are sent to another target as well. Usual calls differ by
+	// a few hundredths; one queued behind a call of another holder takes twice.
+	overdueFactor = 2.0
+	overdueMargin = 120 * time.Millisecond
 	// timeoutFactor times the expected time, and timeoutMargin, make a call
-	// count as lost. A target that works five times as long is still waited for
-	// once it is known to.
-	timeoutFactor = 3.0
-	timeoutMargin = 200 * time.Millisecond
+	// count as lost: a target that works eight times as long still answers.
+	timeoutFactor = 8.0
+	timeoutMargin = time.Second
+	// occupiedFor is how long room counts as taken that a target didn't have: a
+	// quarter of the time for which results are usually kept.
+	occupiedFor = time.Second
 	// fullPause is how long a target that refused a call gets no other: about
 	// half a call of another sender.
 	fullPause = 120 * time.Millisecond
@@ -101,8 +113,36 @@
 	return total
 }
 
-// lost notes a call without an answer.
-func (t *target) lost(now time.Time) {
+// lostRoom is room that is taken by results nobody can free.
+type lostRoom struct {
+	bytes   int64
+	expires time.Time
+}
+
+// expireLost counts room again whose results are gone by now.
+func (t *target) expireLost(now time.Time) {
+	t.lost = slices.DeleteFunc(t.lost, func(l lostRoom) bool {
+		if !now.After(l.expires) {
+			return false
+		}
+		t.heldBytes -= l.bytes
+		return true
+	})
+}
+
+// occupied notes that there was no room for a result: others take it that this
+// queue doesn't know of, as those of a holder that was killed. Without the note the
+// same pieces would be sent there again and again until those results expire.
+func (t *target) occupied(now time.Time, bytes int64) {
+	t.heldBytes += bytes
+	t.lost = append(t.lost, lostRoom{bytes, now.Add(occupiedFor)})
+}
+
+// callLost notes a call without an answer. What it may have made takes room until
+// it expires: counted as free, that room would have the next calls refused.
+func (t *target) callLost(now time.Time, bytes int64) {
+	t.heldBytes += bytes
+	t.lost = append(t.lost, lostRoom{bytes, now.Add(t.service.shape.KeepFor)})
 	pause := min(downPause<<min(t.failures, 4), downPauseMax)
 	t.failures++
 	t.downUntil = now.Add(pause)
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -121,6 +121,14 @@
 type Completed struct {
 	Request string
 	Handles []string
+	// Times tells for each stage when it could be sent, was sent and was done,
+	// counted from the request's admission; all zero for one without pieces.
+	Times []StageTimes
+}
+
+// StageTimes are the times of one stage.
+type StageTimes struct {
+	Ready, Sent, Done time.Duration
 }
 
 // Refused gives a request up. Its own target has not been asked.
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -10,6 +10,7 @@
 	Request
 	stages    []*stageWork
 	completed bool
+	admitted  time.Time
 }
 
 // stageWork is one stage of a request.
@@ -29,9 +30,10 @@
 	made    int
 	// readySince is when the stage could first be sent; zero before.
 	readySince time.Time
-	// sends counts the calls that carried pieces again.
+	// resends counts the calls that carried pieces again.
 	resends int
-	sent    bool
+	// sent and ended are when the latest call with pieces of it began and ended.
+	sent, ended time.Time
 }
 
 // result is a piece's result at its maker.
@@ -137,6 +139,17 @@
 	return bytes
 }
 
+// times tells how long each stage waited and took.
+func (w *work) times() []StageTimes {
+	times := make([]StageTimes, len(w.stages))
+	for i, s := range w.stages {
+		if s.Pieces > 0 {
+			times[i] = StageTimes{s.readySince.Sub(w.admitted), s.sent.Sub(w.admitted), s.ended.Sub(w.admitted)}
+		}
+	}
+	return times
+}
+
 // allDone tells whether all final stages are done.
 func (w *work) allDone() bool {
 	for _, s := range w.stages {
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -159,10 +161,28 @@
 	}
 	o.mu.Unlock()
 	for _, a := range actions {
-		if call, ok := a.(gather.StartCall); ok {
-			go o.call(call)
+		switch a := a.(type) {
+		case gather.StartCall:
+			go o.call(a)
+		case gather.Completed:
+			telemetry.InfoS("Stages done", telemetry.Event{RequestID: a.Request, Stage: timesText(a.Times)})
+		case gather.Refused:
+			telemetry.InfoS("Stages refused", telemetry.Event{RequestID: a.Request, Reason: string(a.Reason), Elapsed: a.RetryAfter})
+		}
+	}
+}
+
+// timesText writes for each stage when it was ready, sent and done, in
+// milliseconds from the request's admission.
+func timesText(times []gather.StageTimes) string {
+	var b strings.Builder
+	for i, t := range times {
+		if t.Done == 0 {
+			continue
 		}
+		fmt.Fprintf(&b, "%d:%d/%d/%d ", i, t.Ready.Milliseconds(), t.Sent.Milliseconds(), t.Done.Milliseconds())
 	}
+	return strings.TrimSpace(b.String())
 }
 
 // finish tells a request's end; mu is held.
@@ -217,12 +237,36 @@
 			Reason: callOutcomes[how], Elapsed: time.Since(started),
 		})
 	}
+	o.logFailures(c, results)
 	if how == gather.CallWrongTarget {
 		o.leaving(c.Target.Incarnation)
 	}
 	o.do(func(p *gather.Planner) []gather.Action { return p.CallDone(time.Now(), c.ID, how, results) })
 }
 
+// logFailures writes one line for each way in which pieces of a call failed.
+func (o *Owner) logFailures(c gather.StartCall, results []gather.PieceResult) {
+	counts := map[gather.PieceFailure]int{}
+	for _, r := range results {
+		counts[r.Failure]++
+	}
+	for failure, n := range counts {
+		if failure != gather.PieceOK {
+			telemetry.InfoS("Pieces not made", telemetry.Event{
+				Target: c.Target.Incarnation, Address: c.Target.Address, Count: n, Reason: pieceFailures[failure],
+			})
+		}
+	}
+}
+
+// pieceFailures names failures in logs.
+var pieceFailures = map[gather.PieceFailure]string{
+	gather.PieceLate:      "late",
+	gather.PieceInputGone: "input_gone",
+	gather.PieceNoRoom:    "no_room",
+	gather.PieceFailed:    "failed",
+}
+
 // callOutcomes names outcomes in logs.
 var callOutcomes = map[gather.CallOutcome]string{
 	gather.CallAnswered:    "answered",
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -15,7 +15,6 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
-	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -30,8 +29,6 @@
 )
 
 const (
-	// ownerKey is the key whose owner holds the queue.
-	ownerKey = "stages"
 	// avoidFor is how long an owner that didn't answer is passed over: the
 	// membership finds out meanwhile.
 	avoidFor = 3 * time.Second
@@ -149,13 +146,16 @@
 	return nil, "", err
 }
 
-// pick returns the instance that holds the queue, as far as this one knows.
+// pick returns the instance that holds the queue, as far as this one knows: the
+// one that has run longest. An instance that starts again is the youngest, so the
+// queue moves only when its holder ends. Chosen by a hash of names, it would come
+// back to each holder that was restarted, and while instances are restarted in
+// turn several would hold a part of it.
 func (s *Stages) pick(now time.Time) membership.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.cluster.View()
-	var best membership.Member
-	var bestScore uint64
+	var oldest membership.Member
 	for _, m := range view.Live() {
 		if until, ok := s.avoided[m.Name]; ok && m.Name != view.Self {
 			if now.Before(until) {
@@ -163,14 +163,14 @@
 			}
 			delete(s.avoided, m.Name)
 		}
-		if score := rendezvous.Score(m.Name, ownerKey); best.Name == "" || score > bestScore {
-			best, bestScore = m, score
+		if oldest.Name == "" || m.Incarnation < oldest.Incarnation {
+			oldest = m
 		}
 	}
-	if best.Name == "" {
-		best, _ = view.Find(view.Self)
+	if oldest.Name == "" {
+		oldest, _ = view.Find(view.Self)
 	}
-	return best
+	return oldest
 }
 
 func (s *Stages) avoid(name string) {
