Keep the stage queue's holder alive when inputs expire; test the whole path

The property test then found a request that was refused after it had been completed, by the late end of a call it no longer needed (rapid).

Ruled out: a check for missing inputs at the send, which would hide the cause.

Change: overdue calls are handed on only while their inputs are kept; a completed request takes nothing more; a silent target is cut off only when the second attempt is paid; connections with chunked bodies close after the answer; a late request ranks one and a half priorities lower instead of below all; streams that can't begin before their callers give up are refused.

--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -14,8 +14,8 @@
 // candidate is a stage with pieces to send, with what orders it.
 type candidate struct {
 	stage *stageWork
-	// late tells that the answer can't be on time any more.
-	late bool
+	// rank is the priority, lower for an answer that can't be on time any more.
+	rank float64
 }
 
 // dispatch gives calls to the targets of a service that can take one, those
@@ -46,20 +46,25 @@
 	}
 }
 
-// order sorts the queue: what can still be on time goes first, then the more
-// urgent, then what has results that take room, then what is due earlier.
-// Pieces of requests that are late anyway fill what is left of a call, so they
-// cost others nothing.
+// lateRank is how many priorities lower a request ranks whose answer can't be on
+// time: below timely ones of the next priority, which it would make late, and above
+// those of the one after, which must not starve it to its deadline.
+const lateRank = 1.5
+
+// order sorts the queue: by rank, then what has results that take room, then what
+// is due earlier.
 func (p *Planner) order(now time.Time, s *service) []candidate {
 	ordered := make([]candidate, len(s.queue))
 	for i, st := range s.queue {
-		ordered[i] = candidate{stage: st, late: now.Add(p.least(st.work)).After(st.work.Objective)}
+		ordered[i] = candidate{stage: st, rank: float64(st.work.Priority)}
+		if now.Add(p.least(st.work)).After(st.work.Objective) {
+			ordered[i].rank += lateRank
+		}
 	}
 	slices.SortStableFunc(ordered, func(a, b candidate) int {
 		wa, wb := a.stage.work, b.stage.work
 		return cmp.Or(
-			compareBool(a.late, b.late),
-			cmp.Compare(wa.Priority, wb.Priority),
+			cmp.Compare(a.rank, b.rank),
 			cmp.Compare(a.stage.height, b.stage.height),
 			wa.Objective.Compare(wb.Objective),
 		)
@@ -67,17 +72,6 @@
 	return ordered
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // choose takes the pieces of a target's next call. Pieces of one stage of a
 // request stay together, since each of them reads all results before it; only a
 // stage that no call holds whole is split.
@@ -232,7 +226,10 @@
 		c.target.slow = max(c.target.slow, float64(now.Sub(c.started))/float64(c.expected))
 		for _, ref := range c.pieces {
 			st := ref.stage
-			if p.works[st.work.ID] != st.work || st.results[ref.index] != nil || slices.Contains(st.todo, ref.index) {
+			if p.works[st.work.ID] != st.work || st.work.completed || st.results[ref.index] != nil || slices.Contains(st.todo, ref.index) {
+				continue
+			}
+			if !st.inputsKept() {
 				continue
 			}
 			st.todo = append(st.todo, ref.index)
@@ -331,7 +328,7 @@
 	st.inCall--
 	st.ended = now
 	w := st.work
-	if p.works[w.ID] != w || st.results[ref.index] != nil {
+	if p.works[w.ID] != w || w.completed || st.results[ref.index] != nil {
 		if r.Handle != "" {
 			c.target.heldBytes += st.ResultBytes
 			p.freeHandle(c.target, r.Handle, st.ResultBytes)
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -225,19 +225,25 @@
 	}
 }
 
-// needed tells whether some stage that isn't done reads the results.
+// needed tells whether the results are still to be read: by the request's own
+// target, or by pieces that wait. Pieces in a call have read them; should that call
+// fail, its target's next answer tells that they are gone.
 func (p *Planner) needed(s *stageWork) bool {
 	if s.final() {
 		return true
 	}
 	for _, other := range s.work.stages {
-		if !other.done() && slices.Contains(other.After, s.index) {
+		if slices.Contains(other.After, s.index) && (len(other.todo) > 0 || other.needsLater()) {
 			return true
 		}
 	}
 	return false
 }
 
+// needsLater tells whether the stage waits for other inputs than those that are
+// there.
+func (s *stageWork) needsLater() bool { return !s.done() && !s.inputsReady() }
+
 // giveUpLate refuses a request as soon as what is left takes longer than there
 // is time.
 func (p *Planner) giveUpLate(now time.Time, w *work) {
@@ -260,6 +266,11 @@
 	}
 	if w.allDone() {
 		w.completed = true
+		for _, s := range w.stages {
+			// A piece that is made again may not be needed any more.
+			s.todo = nil
+			p.dequeue(s)
+		}
 		p.out = append(p.out, Completed{Request: w.ID, Handles: w.handles(), Times: w.times()})
 		return
 	}
--- a/coordination/gather/planner_test.go
+++ b/coordination/gather/planner_test.go
@@ -193,6 +193,31 @@
 	}
 }
 
+// A target falls silent in the middle of a call, and the results that the call read
+// expire meanwhile. Handed on, its pieces would be sent without inputs, and the
+// instance that holds the queue would crash.
+func TestResultsExpireDuringAnOverdueCall(t *testing.T) {
+	r := newRig(t)
+	short := narrow
+	short.KeepFor = 700 * time.Millisecond
+	r.service("a", short, "x")
+	r.service("b", narrow, "x", "x")
+	r.took = func(c StartCall) time.Duration {
+		if c.Pieces[0].Stage == 1 && c.Target.Incarnation == "b-0" {
+			return 3 * time.Second
+		}
+		return 250 * time.Millisecond
+	}
+	for i := range 6 {
+		q := chain(fmt.Sprint(i), 1, 3)
+		q.Objective, q.Deadline = r.now.Add(20*time.Second), r.now.Add(30*time.Second)
+		r.submit(q)
+		r.run(150 * time.Millisecond)
+	}
+	r.run(15 * time.Second)
+	require.Len(t, r.completed, 6)
+}
+
 // The answer to one call says that an input is gone, for every piece that read it.
 // The input is made again once, and the pieces after it.
 func TestInputGone(t *testing.T) {
--- /dev/null
+++ b/coordination/gather/property_test.go
@@ -0,0 +1,71 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Targets are slow, full, silent or gone, results expire, callers leave, lists of
+// targets change, all in any order. Whatever happens, a piece is sent with all its
+// inputs or none, each request ends once, and nothing is held for ever.
+func TestAnyOrderOfFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newRig(t)
+		shape := narrow
+		shape.KeepFor = time.Duration(rapid.IntRange(300, 3000).Draw(rt, "keep")) * time.Millisecond
+		shape.ResultBytes = int64(rapid.IntRange(5, 40).Draw(rt, "room")) * 1000
+		services := []string{"a", "b", "c"}
+		for _, name := range services {
+			r.service(name, shape, "x", "y", "x")
+		}
+		r.took = func(StartCall) time.Duration {
+			return time.Duration(rapid.IntRange(50, 3000).Draw(rt, "took")) * time.Millisecond
+		}
+		r.end = func(c StartCall) (CallOutcome, []PieceResult) {
+			switch rapid.IntRange(0, 9).Draw(rt, "end") {
+			case 0:
+				return CallFull, nil
+			case 1:
+				return CallWrongTarget, nil
+			case 2:
+				return CallLost, nil
+			case 3:
+				results := make([]PieceResult, len(c.Pieces))
+				for i := range results {
+					results[i].Failure = PieceFailure(rapid.IntRange(1, 4).Draw(rt, "failure"))
+				}
+				return CallAnswered, results
+			}
+			return CallAnswered, nil
+		}
+		submitted := 0
+		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0, 1:
+				q := chain(fmt.Sprint(submitted), rapid.IntRange(0, 9).Draw(rt, "n1"), rapid.IntRange(0, 12).Draw(rt, "n2"), rapid.IntRange(0, 5).Draw(rt, "n3"))
+				q.Priority = rapid.IntRange(0, 2).Draw(rt, "priority")
+				q.DataCentre = "y"
+				submitted++
+				r.submit(q)
+			case 2:
+				r.do(r.planner.Drop(r.now, fmt.Sprint(rapid.IntRange(0, submitted).Draw(rt, "dropped"))))
+			case 3:
+				name := rapid.SampledFrom(services).Draw(rt, "relisted")
+				r.service(name, shape, []string{"x", "y", "x", "y"}[:rapid.IntRange(0, 4).Draw(rt, "targets")]...)
+			}
+			r.run(time.Duration(rapid.IntRange(10, 400).Draw(rt, "pause")) * time.Millisecond)
+		}
+		r.run(12 * time.Second)
+		for _, c := range r.calls {
+			require.LessOrEqual(rt, len(c.Pieces), shape.MaxPieces)
+		}
+		require.Zero(rt, r.planner.Held(), "everything has ended")
+		for id := range r.completed {
+			require.NotContains(rt, r.refused, id)
+		}
+	})
+}
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -83,6 +83,19 @@
 	return true
 }
 
+// inputsKept tells whether all results that the stage reads are still at their
+// makers.
+func (s *stageWork) inputsKept() bool {
+	for _, i := range s.After {
+		for _, r := range s.work.stages[i].results {
+			if r == nil || r.freed {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // heldResultBytes is the size of a result from which on it is made as late as
 // possible. A target has room for a dozen results of 1.5 MB; made first, they
 // would lie there while the other stages of their request run, and calls of
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -98,7 +98,7 @@
 	}
 	g.self = membership.Member{
 		Name:        s.Instance.Name,
-		CallerURL:   "http://" + s.Listen.Callers,
+		CallerURL:   "http://" + g.CallersAddr(),
 		DataCentre:  s.Instance.DataCentre,
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
@@ -231,6 +231,12 @@
 	telemetry.InfoS("Settings read again", telemetry.Event{Elapsed: s.Shutdown.Grace})
 }
 
+// CallersAddr is where callers reach the instance.
+func (g *Gateway) CallersAddr() string { return g.callers.Addr().String() }
+
+// AdminAddr is where health, readiness and metrics are.
+func (g *Gateway) AdminAddr() string { return g.admin.Addr().String() }
+
 // Ready tells whether the instance wants new connections.
 func (g *Gateway) Ready() bool { return g.follower.Ready() && !g.draining.Load() }
 
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -94,7 +94,7 @@
 func (q *request) makeStages(ctx context.Context, dataCentre string) error {
 	r := gather.Request{
 		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority,
-		Objective: q.objective, Deadline: q.deadline, Rest: engineTime, DataCentre: dataCentre,
+		Objective: q.objective, Deadline: q.firstEventDue(), Rest: engineTime, DataCentre: dataCentre,
 	}
 	for i, s := range q.route.Stages {
 		pieces := 0
@@ -111,6 +111,27 @@
 	return err
 }
 
+// Callers give a stream up that brings no event for so long: the longest of a least
+// time, times of the objective and times of the longest pause that is on time.
+const (
+	abandonLeast      = 2 * time.Second
+	abandonObjectives = 4
+	abandonPauses     = 8
+)
+
+// firstEventDue is when the first event must be there: work that ends later is of
+// use to nobody.
+func (q *request) firstEventDue() time.Time {
+	if !q.streams() {
+		return q.deadline
+	}
+	wait := max(abandonLeast, abandonObjectives*q.route.Objective, abandonPauses*q.route.MaxPause)
+	if due := q.arrived.Add(wait - answerMargin); due.Before(q.deadline) {
+		return due
+	}
+	return q.deadline
+}
+
 // engineTime is what an engine takes to its first event, as measured at the
 // usual load.
 const engineTime = 250 * time.Millisecond
@@ -172,9 +193,10 @@
 		return false, err
 	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
 		return false, err
-	case !q.relay.options.Budgets.Retry(time.Now(), q.service):
+	case !q.payResend():
 		return false, err
 	}
+	q.paid.Store(false)
 	if q.lastEvent != "" || !f.notRun {
 		// The results were freed with the first byte, or a while ago.
 		q.dropResults()
@@ -182,11 +204,29 @@
 	return true, nil
 }
 
+// payResend takes one more attempt from the budget, once for each attempt. It
+// tells whether the budget allows it.
+func (q *request) payResend() bool {
+	if q.paid.Load() {
+		return true
+	}
+	if !q.relay.options.Budgets.Retry(time.Now(), q.service) {
+		return false
+	}
+	q.paid.Store(true)
+	return true
+}
+
 // exchange is one attempt at one target.
 func (q *request) exchange(ctx context.Context, t routing.Target) (routing.Outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(q.firstByteBound(), func() { cancel(errSilent) })
+	silence := time.AfterFunc(q.firstByteBound(), func() {
+		// Cut off without a second attempt the request would fail for sure.
+		if q.payResend() {
+			cancel(errSilent)
+		}
+	})
 	defer silence.Stop()
 	options := forward.Options{Belongs: q.belongs, KeepIdle: q.keepIdle}
 	if !q.route.MayRepeat() {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -128,6 +128,8 @@
 	// sent counts the attempts that may have run, refused those that didn't.
 	sent, refused int
 	excluded      []string
+	// paid tells that the budget has given the next attempt.
+	paid atomic.Bool
 	target        string
 	// stage results
 	handles []string
@@ -144,7 +146,7 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.drain.Load() != nil {
+	if s.drain.Load() != nil || chunked(r) {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{relay: s, w: w, r: r, arrived: time.Now()}
@@ -159,6 +161,14 @@
 	q.run(ctx)
 }
 
+// chunked tells whether the body came in chunks.
+//
+// It guards against a request hidden behind a body that has a length as well:
+// net/http reads the chunks, forgets the length without a word, and would take what
+// the length covers for the next request, under the id that its sender chose. On a
+// connection that closes after the answer nothing follows.
+func chunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
+
 // accept reads the request, and answers at once what isn't served.
 func (q *request) accept() bool {
 	table := q.relay.options.Table()
