Let the deadline alone end an attempt that nobody may take over

The bound also spent a retry that could not be used.

Change: no bound of silence where no other target may take over.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -58,12 +58,6 @@
 	return routing.OutcomeFailed, nil
 }
 
-// mayBetter tells whether another target may be asked after a failure that the
-// target itself reported.
-func (q *request) mayBetter() bool {
-	return q.route.MayRepeat() && q.sent+1 < q.route.MaxAttempts
-}
-
 // sendHeld sends a whole answer of a target.
 func (q *request) sendHeld(h *heldReply) {
 	q.sendHead(h.status, h.header, int64(len(h.body)))
@@ -132,9 +126,8 @@
 
 // gapBound is how long a stream may pause before it goes on elsewhere.
 func (q *request) gapBound() time.Duration {
-	left := time.Until(q.deadline)
-	if !q.route.MayRepeat() || q.sent+1 >= q.route.MaxAttempts {
-		return max(left, time.Millisecond)
+	if !q.mayBetter() {
+		return unbounded
 	}
 	return silentGap
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -253,18 +253,28 @@
 	return q.passOn(ctx, reply, silence)
 }
 
+// unbounded is the bound of a target's silence where no other target may take over:
+// the request's own deadline comes first.
+const unbounded = 24 * time.Hour
+
 // firstByteBound is how long the target may be silent at first.
 func (q *request) firstByteBound() time.Duration {
-	left := time.Until(q.deadline)
-	if !q.route.MayRepeat() || q.sent+1 >= q.route.MaxAttempts {
-		return left
+	if !q.mayBetter() {
+		return unbounded
 	}
+	left := time.Until(q.deadline)
 	if q.streams() {
 		return min(silentFirst, left/2)
 	}
 	return min(time.Duration(hedgeShare*float64(q.route.Objective)), left/2)
 }
 
+// mayBetter tells whether another target may be asked if this one doesn't answer
+// well.
+func (q *request) mayBetter() bool {
+	return q.route.MayRepeat() && q.sent+1 < q.route.MaxAttempts
+}
+
 func (q *request) streams() bool { return q.route.MaxPause > 0 }
 
 // failed tells what an attempt without a reply means.
