Let six instances of a large fleet watch the store for the others

Ruled out: lists from the past, which lag by seconds; one watcher, which a refusing store silences.

Change: up to 12 instances all watch; beyond, six owners do and tell the others, who ask one of them every 0.7 s whether it hears the store and watch for themselves while two in a row don't.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -64,6 +64,10 @@
 	// OnChange is told the configuration and the usable targets after each
 	// change of either. Calls don't overlap.
 	OnChange func(now time.Time, t *routes.Table, usable map[string][]routes.Target)
+	// Watches tells whether this instance is one of those that watch the store;
+	// nil if all do. AskWatcher asks one of them whether it hears the store.
+	Watches    func() bool
+	AskWatcher func(ctx context.Context) bool
 	// OnLeaving is told of each target that takes nothing new from now on.
 	OnLeaving func(now time.Time, incarnation string)
 }
@@ -80,6 +84,8 @@
 	failed map[string]int
 	// heard is when the store last told of the configuration.
 	heard time.Time
+	// standIn is until when this instance watches in place of the watchers.
+	standIn time.Time
 
 	confirming sync.Mutex
 	// unconfirmed is when the store was last asked in vain.
@@ -103,6 +109,7 @@
 	wg.Go(func() { f.follow(ctx, f.options.Source.ConfigKind, f.configEvent, f.configList) })
 	wg.Go(func() { f.follow(ctx, f.options.Source.TargetKind, f.targetEvent, f.targetList) })
 	wg.Go(func() { f.tick(ctx) })
+	wg.Go(func() { f.patrol(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -119,6 +126,7 @@
 				revision = l.Revision
 			}
 		} else {
+			f.awaitDuty(ctx)
 			var w platformapi.Watch
 			w, err = f.options.Store.Watch(ctx, []string{kind}, revision, watchWait)
 			if errors.Is(err, platform.ErrCompacted) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
@@ -119,10 +120,15 @@
 	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre})
 	g.follower = follow.New(follow.Options{
 		Store: store, Source: p.Source,
-		Spread:    g.cluster.Put,
-		OnChange:  g.setTargets,
-		OnLeaving: g.router.Leaving,
+		Spread:     g.cluster.Put,
+		OnChange:   g.setTargets,
+		OnLeaving:  g.router.Leaving,
+		Watches:    g.watches,
+		AskWatcher: g.askWatcher,
 	})
+	g.cluster.Handle(methodHears, func(context.Context, peer.Peer, []byte) ([]byte, error) {
+		return msgpack.Marshal(g.follower.Hears())
+	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower.Leaving)
 	g.relay = relay.New(relay.Options{
 		Dialect: p.Dialect,
