Let late requests wait behind what can still be on time, also in predictions

Change: a prediction has a position in the queue; late requests yield to what still comes, with 0.4 of a stage left to them at least; one that is late and not begun is refused as soon as the work before it leaves no time.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -15,10 +15,18 @@
 // times the usual rate against targets of which a quarter is lost, where work
 // that ends past its deadline takes the place of work that would not.
 func (p *Planner) admit(now time.Time, w *work) (Reason, time.Duration) {
-	predicted, ok := p.predict(now, w)
+	timely := position{rank: float64(w.Priority), objective: w.Objective}
+	predicted, ok := p.predict(now, w, timely)
 	if !ok {
 		return ReasonNoTarget, time.Second
 	}
+	if !now.Add(predicted).After(w.Objective) {
+		return "", 0
+	}
+	// Late already or soon, it goes behind what can be on time, also behind what
+	// is still to come.
+	late := position{rank: timely.rank + lateRank, objective: w.Objective, yields: true}
+	predicted, _ = p.predict(now, w, late)
 	end := now.Add(predicted)
 	if !end.After(w.Deadline) {
 		return "", 0
@@ -27,9 +35,17 @@
 	return ReasonQueue, min(max(after, minRetryAfter), maxRetryAfter)
 }
 
-// predict is how long the rest of a request takes with the queues as they are;
-// false if a service has no target.
-func (p *Planner) predict(now time.Time, w *work) (time.Duration, bool) {
+// position is where a request stands in the queues.
+type position struct {
+	rank      float64
+	objective time.Time
+	// yields tells that work still to come goes first.
+	yields bool
+}
+
+// predict is how long the rest of a request takes at a position in the queues as
+// they are; false if a service has no target.
+func (p *Planner) predict(now time.Time, w *work, at position) (time.Duration, bool) {
 	ends := make([]time.Duration, len(w.stages))
 	var longest time.Duration
 	for i, s := range w.stages {
@@ -38,7 +54,7 @@
 			start = max(start, ends[after])
 		}
 		if !s.done() {
-			spent, ok := p.stageTime(now, s)
+			spent, ok := p.stageTime(now, s, at)
 			if !ok {
 				return 0, false
 			}
@@ -50,26 +66,39 @@
 	return longest + w.Rest, true
 }
 
+// leastShare is what is left at least, in predictions, to work that yields.
+const leastShare = 0.4
+
 // stageTime is the wait for the work ahead and the call itself.
-func (p *Planner) stageTime(now time.Time, s *stageWork) (time.Duration, bool) {
+func (p *Planner) stageTime(now time.Time, s *stageWork, at position) (time.Duration, bool) {
+	if s.Pieces == 0 {
+		return 0, true
+	}
 	sv := p.service(s.Service)
 	capacity := sv.capacity(now)
 	if capacity == 0 {
 		return 0, false
 	}
-	ahead, aheadTime := p.ahead(s)
+	ahead, aheadTime := p.ahead(now, s, at)
 	calls := float64(ahead) / float64(max(sv.shape.MaxPieces, 1))
 	wait := (calls*float64(sv.shape.CallTime) + float64(aheadTime)) / capacity
+	if at.yields {
+		wait /= max(1-sv.taken(now, at.rank, capacity), leastShare)
+	}
 	own := sv.expected(time.Duration(s.Pieces) * sv.pieceTime(s))
 	return time.Duration(wait) + sv.residual(now) + own, true
 }
 
-// ahead counts the pieces at a service that go before those of a stage, also of
+// ahead counts the pieces at a service that go before those of a position, also of
 // stages that are not yet due, and the time that they add to calls.
-func (p *Planner) ahead(s *stageWork) (pieces int, spent time.Duration) {
+func (p *Planner) ahead(now time.Time, s *stageWork, at position) (pieces int, spent time.Duration) {
 	sv := p.service(s.Service)
 	for _, w := range p.works {
-		if w == s.work || w.completed || w.Priority > s.work.Priority {
+		if w == s.work || w.completed {
+			continue
+		}
+		rank := w.rank(now)
+		if rank > at.rank || (rank == at.rank && w.Objective.After(at.objective)) {
 			continue
 		}
 		for _, other := range w.stages {
--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -56,10 +56,7 @@
 func (p *Planner) order(now time.Time, s *service) []candidate {
 	ordered := make([]candidate, len(s.queue))
 	for i, st := range s.queue {
-		ordered[i] = candidate{stage: st, rank: float64(st.work.Priority)}
-		if now.Add(p.least(st.work)).After(st.work.Objective) {
-			ordered[i].rank += lateRank
-		}
+		ordered[i] = candidate{stage: st, rank: st.work.rank(now)}
 	}
 	slices.SortStableFunc(ordered, func(a, b candidate) int {
 		wa, wb := a.stage.work, b.stage.work
@@ -195,6 +192,7 @@
 		orders = append(orders, order)
 		st.todo = slices.DeleteFunc(st.todo, func(i int) bool { return i == ref.index })
 		st.inCall++
+		st.work.begun = true
 		st.sent = now
 		c.bytes += st.ResultBytes
 		pieceTime += t.service.pieceTime(st)
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -92,7 +92,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, targets: map[string]*target{}, pieceFactor: map[factorKey]float64{}}
+		s = &service{name: name, targets: map[string]*target{}, pieceFactor: map[factorKey]float64{}, rates: map[int]*rate{}}
 		p.services[name] = s
 	}
 	return s
@@ -137,11 +137,17 @@
 	}
 	w := newWork(r)
 	w.admitted = now
+	w.lateAt = w.Objective.Add(-p.least(w))
 	if reason, after := p.admit(now, w); reason != "" {
 		p.refuse(r.ID, reason, after)
 		return p.flush()
 	}
 	p.works[r.ID] = w
+	for _, st := range w.stages {
+		if st.Pieces > 0 {
+			p.service(st.Service).came(now, w.Priority, st.Pieces)
+		}
+	}
 	p.advance(now, w)
 	return p.flush()
 }
@@ -245,11 +251,21 @@
 func (s *stageWork) needsLater() bool { return !s.done() && !s.inputsReady() }
 
 // giveUpLate refuses a request as soon as what is left takes longer than there
-// is time.
+// is time. One that is late and has nothing to lose yet is refused as soon as the
+// work before it leaves no time: its caller hears so while it can still do
+// something else.
 func (p *Planner) giveUpLate(now time.Time, w *work) {
 	if now.Add(p.least(w)).After(w.Deadline) {
 		p.drop(w)
 		p.refuse(w.ID, ReasonDeadline, minRetryAfter)
+		return
+	}
+	if w.begun || !now.After(w.lateAt) {
+		return
+	}
+	if reason, after := p.admit(now, w); reason != "" {
+		p.drop(w)
+		p.refuse(w.ID, reason, after)
 	}
 }
 
@@ -264,6 +280,7 @@
 	if w.completed {
 		return
 	}
+	w.lateAt = w.Objective.Add(-p.least(w))
 	if w.allDone() {
 		w.completed = true
 		for _, s := range w.stages {
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -15,6 +16,8 @@
 	// pieceFactor is, by kind of request and stage, how many times the shape's
 	// PieceTime a piece takes.
 	pieceFactor map[factorKey]float64
+	// rates are, by priority, the pieces a second that came lately.
+	rates map[int]*rate
 }
 
 type factorKey struct {
@@ -66,6 +69,8 @@
 	// count as lost: a target that works eight times as long still answers.
 	timeoutFactor = 8.0
 	timeoutMargin = time.Second
+	// rateHalf is how fast a rate follows the load: bursts last seconds.
+	rateHalf = 700 * time.Millisecond
 	// occupiedFor is how long room counts as taken that a target didn't have: a
 	// quarter of the time for which results are usually kept.
 	occupiedFor = time.Second
@@ -147,3 +152,49 @@
 	t.failures++
 	t.downUntil = now.Add(pause)
 }
+
+// rate is a moving rate of pieces.
+type rate struct {
+	pieces float64
+	at     time.Time
+}
+
+func (r *rate) add(now time.Time, n int) {
+	r.decay(now)
+	r.pieces += float64(n)
+}
+
+// read returns the pieces a second.
+func (r *rate) read(now time.Time) float64 {
+	r.decay(now)
+	return r.pieces * math.Ln2 / rateHalf.Seconds()
+}
+
+func (r *rate) decay(now time.Time) {
+	if !r.at.IsZero() {
+		r.pieces *= math.Exp2(-float64(now.Sub(r.at)) / float64(rateHalf))
+	}
+	r.at = now
+}
+
+// came counts the pieces of a request.
+func (s *service) came(now time.Time, priority, pieces int) {
+	r := s.rates[priority]
+	if r == nil {
+		r = &rate{}
+		s.rates[priority] = r
+	}
+	r.add(now, pieces)
+}
+
+// taken is the share of the service that timely requests take which rank higher.
+func (s *service) taken(now time.Time, rank, capacity float64) float64 {
+	pieces := 0.0
+	for priority, r := range s.rates {
+		if float64(priority) < rank {
+			pieces += r.read(now)
+		}
+	}
+	perPiece := s.shape.CallTime.Seconds()/float64(max(s.shape.MaxPieces, 1)) + s.shape.PieceTime.Seconds()
+	return pieces * perPiece / capacity
+}
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -10,7 +10,19 @@
 	Request
 	stages    []*stageWork
 	completed bool
-	admitted  time.Time
+	// begun tells that some piece was sent.
+	begun    bool
+	admitted time.Time
+	// lateAt is from when on the answer can't be on time any more.
+	lateAt time.Time
+}
+
+// rank orders requests: the priority, lower for an answer that can't be on time.
+func (w *work) rank(now time.Time) float64 {
+	if now.After(w.lateAt) {
+		return float64(w.Priority) + lateRank
+	}
+	return float64(w.Priority)
 }
 
 // stageWork is one stage of a request.
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -35,7 +35,7 @@
 
 // Roster holds the targets of all services.
 type Roster struct {
-	gone []Gone
+	gone    []Gone
 	entries map[string]*entry
 	// left are incarnations that were told to leave; nothing brings them back.
 	left     map[string]struct{}
