--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -159,7 +159,7 @@
 
 // patienceShare is the part of a request's spare time that one stage may wait for
 // a target beside its inputs.
-const patienceShare = 4
+const patienceShare = 3
 
 // patience is how long a stage waits for a target beside its inputs: a share of
 // the time that the request has to spare, so that saving bytes makes no answer
--- a/coordination/routing/home.go
+++ b/coordination/routing/home.go
@@ -2,14 +2,20 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
 )
 
-// homeBound is how many times the least score a target's may be for it to be
-// used as a home.
-const homeBound = 1.5
+const (
+	// homeBound is how many times the least score a target's may be for it to be
+	// used as a home.
+	homeBound = 1.5
+	// leastHomeShare is the share of homes that a data centre has at least, times
+	// its even share: its targets are there to be used.
+	leastHomeShare = 0.2
+)
 
 // byHome chooses by rendezvous hashing among the targets that aren't crowded.
 //
@@ -22,15 +28,41 @@
 // Loads", SODA 2018).
 func (p *pick) byHome() (*candidate, Reason) {
 	least := slices.MinFunc(p.candidates, func(a, b *candidate) int { return cmp.Compare(a.score, b.score) })
+	weights := p.homeWeights()
 	var best *candidate
-	var bestScore uint64
+	bestDraw := math.Inf(1)
 	for _, c := range p.candidates {
 		if c.score > homeBound*least.score {
 			continue
 		}
-		if score := rendezvous.Score(c.target.Incarnation, p.query.Home); best == nil || score > bestScore {
-			best, bestScore = c, score
+		if draw := p.homeDraw(c) / weights[c.target.DataCentre]; best == nil || draw < bestDraw {
+			best, bestDraw = c, draw
 		}
 	}
 	return best, ReasonHome
 }
+
+// homeDraw is an exponential draw that is the same at all instances. Divided by a
+// weight, the least of them falls to each target in proportion to its weight, and
+// when a weight changes only the homes that it gains or loses move.
+func (p *pick) homeDraw(c *candidate) float64 {
+	score := rendezvous.Score(c.target.Incarnation, p.query.Home)
+	return -math.Log((float64(score) + 1) / (math.MaxUint64 + 2))
+}
+
+// homeWeights is the weight of one target of each data centre.
+func (p *pick) homeWeights() map[string]float64 {
+	count := map[string]float64{}
+	for _, c := range p.candidates {
+		count[c.target.DataCentre]++
+	}
+	weights := make(map[string]float64, len(count))
+	for dataCentre, n := range count {
+		weights[dataCentre] = 1
+		if len(p.query.HomeShares) > 0 {
+			even := 1 / float64(len(count))
+			weights[dataCentre] = max(p.query.HomeShares[dataCentre], leastHomeShare*even) / n
+		}
+	}
+	return weights
+}
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -55,6 +55,10 @@
 	// prompt an engine caches. All instances choose the same target for a home
 	// without a word, as long as it isn't crowded.
 	Home string
+	// HomeShares are the shares of homes that data centres should have, where
+	// something else than the targets' number decides: such as where the inputs of
+	// the requests are made. Nil is by the number of targets.
+	HomeShares map[string]float64
 }
 
 // Fits tells whether the target can serve the query's model and adapter.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -88,6 +88,8 @@
 	shutdown atomic.Pointer[settings.Shutdown]
 	// addresses are those of the targets in use.
 	addresses atomic.Pointer[map[string]bool]
+	// shares are, by service, the shares of its targets that data centres have.
+	shares atomic.Pointer[map[string]map[string]float64]
 }
 
 // New puts an instance together and opens its ports.
@@ -136,6 +138,7 @@
 		Confirm: g.follower.Confirm,
 		Router:  g.router,
 		Client:  g.client,
+		Shares:  g.sharesOf,
 		Stages:  g.stages,
 		Budgets: retrybudget.New(g.retryConfig()),
 		Leaving: g.follower.Leaving,
@@ -212,10 +215,15 @@
 // setTargets hands the targets to those who use them.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
 	addresses := map[string]bool{}
+	shares := map[string]map[string]float64{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
 			addresses[t.Address] = true
+			if shares[name] == nil {
+				shares[name] = map[string]float64{}
+			}
+			shares[name][t.DataCentre] += 1 / float64(len(usable[name]))
 			list = append(list, routing.Target{
 				Incarnation: t.Incarnation, Pool: name, Address: t.Address,
 				DataCentre: t.DataCentre, Slots: max(t.Slots, service.Slots),
@@ -228,6 +236,15 @@
 	}
 	g.stages.SetTargets(now, table, usable)
 	g.addresses.Store(&addresses)
+	g.shares.Store(&shares)
+}
+
+// sharesOf returns the shares of a service's targets that data centres have.
+func (g *Gateway) sharesOf(service string) map[string]float64 {
+	if shares := g.shares.Load(); shares != nil {
+		return (*shares)[service]
+	}
+	return nil
 }
 
 // Reload takes in settings that were read again. What an instance is and where it
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -73,10 +73,27 @@
 	}
 	if q.route.PromptRoute {
 		query.Home = subject(q.call.Prefix)
+		query.HomeShares = q.inputShares()
 	}
 	return q.relay.options.Router.Pick(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), query)
 }
 
+// largeInput is the size in bytes from which on a stage's result is worth a nearby
+// target: crossing data centres with one costs as much as reading hundreds of
+// tokens again.
+const largeInput = 256 << 10
+
+// inputShares tells where the large inputs of the request are made, as shares of
+// data centres; nil if it has none.
+func (q *request) inputShares() map[string]float64 {
+	for _, i := range q.route.FinalStages() {
+		if st := q.route.Stages[i]; st.ResultBytes >= largeInput {
+			return q.relay.options.Shares(st.Service)
+		}
+	}
+	return nil
+}
+
 // subject is the last part of a prompt that other requests read too. The last
 // part of all belongs to the request itself, or to its session, whose requests
 // have the subject in common.
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -40,6 +40,8 @@
 	Confirm func(ctx context.Context) bool
 	Router  *routing.Table
 	Client  *forward.Client
+	// Shares tells which share of a service's targets each data centre has.
+	Shares  func(service string) map[string]float64
 	Stages  Maker
 	Budgets *retrybudget.Budgets
 	// Leaving is told of a target that takes nothing new.
@@ -129,8 +131,8 @@
 	sent, refused int
 	excluded      []string
 	// paid tells that the budget has given the next attempt.
-	paid atomic.Bool
-	target        string
+	paid   atomic.Bool
+	target string
 	// stage results
 	handles []string
 	owner   string
