Be ready only when those who use the targets know them; test the way to targets

Change: ready is set after the targets have been published; messages between instances are encoded without names of fields in one place.

--- /dev/null
+++ b/coordination/routing/home_test.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func homeTable(instance string, n int) *Table {
+	table := New(Config{Instance: instance})
+	var targets []Target
+	for i := range n {
+		targets = append(targets, Target{
+			Incarnation: fmt.Sprintf("t%d", i), Pool: "p", DataCentre: fmt.Sprintf("dc%d", i%3), Slots: 8,
+		})
+	}
+	table.SetTargets(time.Unix(1000, 0), Pool{Name: "p", EjectionFloor: 0.5}, targets)
+	return table
+}
+
+func pickHome(t *testing.T, table *Table, home string, shares map[string]float64) Target {
+	choice, err := table.Pick(time.Unix(1000, 0), rand.New(rand.NewPCG(1, 2)), Query{Pool: "p", Home: home, HomeShares: shares})
+	require.NoError(t, err)
+	return choice.Target
+}
+
+// Seven instances read the same subjects. Each must send a subject to the engine that
+// the others send it to, or its prompt is read at each of them.
+func TestInstancesAgreeOnHomes(t *testing.T) {
+	a, b := homeTable("a", 12), homeTable("b", 12)
+	used := map[string]int{}
+	for i := range 600 {
+		home := fmt.Sprint("subject", i)
+		require.Equal(t, pickHome(t, a, home, nil), pickHome(t, b, home, nil))
+		used[pickHome(t, a, home, nil).Incarnation]++
+	}
+	require.Len(t, used, 12)
+	for name, n := range used {
+		require.InDelta(t, 50, n, 25, name)
+	}
+}
+
+// An engine goes: only its own subjects find a new home.
+func TestOnlyLostHomesMove(t *testing.T) {
+	before, after := homeTable("a", 12), homeTable("a", 11)
+	for i := range 300 {
+		home := fmt.Sprint("subject", i)
+		if was := pickHome(t, before, home, nil); was.Incarnation != "t11" {
+			require.Equal(t, was, pickHome(t, after, home, nil))
+		}
+	}
+}
+
+// An engine is crowded: its subjects are read elsewhere until it isn't.
+func TestCrowdedHomeIsPassedOver(t *testing.T) {
+	table := homeTable("a", 12)
+	home := pickHome(t, table, "subject", nil)
+	for range 3 * home.Slots {
+		table.Started(time.Unix(1000, 0), home.Incarnation, 1)
+	}
+	require.NotEqual(t, home, pickHome(t, table, "subject", nil))
+}
+
+// Half of the large inputs are made in one of three data centres: half of the homes
+// are there, so that inputs needn't cross.
+func TestHomesFollowShares(t *testing.T) {
+	table := homeTable("a", 12)
+	count := map[string]int{}
+	for i := range 1000 {
+		shares := map[string]float64{"dc0": 0.5, "dc1": 0.25, "dc2": 0.25}
+		count[pickHome(t, table, fmt.Sprint("subject", i), shares).DataCentre]++
+	}
+	require.InDelta(t, 500, count["dc0"], 80)
+	require.InDelta(t, 250, count["dc1"], 70)
+	require.InDelta(t, 250, count["dc2"], 70)
+}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -77,6 +77,7 @@
 	options Options
 	table   atomic.Pointer[routes.Table]
 	listed  atomic.Bool
+	ready   atomic.Bool
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -100,8 +101,9 @@
 // Table returns the configuration in force; nil before the first.
 func (f *Follower) Table() *routes.Table { return f.table.Load() }
 
-// Ready tells whether a configuration and the targets are known.
-func (f *Follower) Ready() bool { return f.table.Load() != nil && f.listed.Load() }
+// Ready tells whether a configuration and the targets are known, and those who use
+// them have been told. A request that came before would find no target.
+func (f *Follower) Ready() bool { return f.ready.Load() }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -246,7 +248,9 @@
 	f.roster.Listed(now, targets, l.Revision)
 	f.listed.Store(true)
 	telemetry.InfoS("Targets listed", telemetry.Event{Revision: l.Revision, Count: len(targets)})
-	f.rosterChanged(now)
+	f.roster.Tick(now)
+	f.roster.TakeChanged()
+	f.publish(now)
 }
 
 func (f *Follower) decodeTarget(name string, spec []byte) (routes.Target, bool) {
@@ -379,6 +383,9 @@
 func (f *Follower) publish(now time.Time) {
 	if table := f.table.Load(); table != nil {
 		f.options.OnChange(now, table, f.roster.Usable())
+		if f.listed.Load() {
+			f.ready.Store(true)
+		}
 	}
 }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -55,7 +55,6 @@
 	// drain is set once the planned stop began.
 	drain    atomic.Pointer[drain]
 	inFlight atomic.Int64
-	served   atomic.Int64
 }
 
 // New returns a relay.
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -46,8 +46,6 @@
 	planner *gather.Planner
 	waiting map[string]chan outcome
 	freeing map[gather.Target][]string
-	// usable keeps the planner from work for targets that it doesn't own.
-	calls sync.WaitGroup
 }
 
 // outcome is the end of a request's stages.
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -6,6 +6,7 @@
 package stages
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -85,7 +86,6 @@
 // makeAsk is the body of methodMake. Times are what is left, since the clocks of
 // two instances differ.
 type makeAsk struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	ID         string
 	Route      string
 	Key        string
@@ -98,7 +98,6 @@
 }
 
 type stageAsk struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Service     string
 	After       []int
 	Pieces      int
@@ -107,12 +106,21 @@
 
 // makeAnswer is the answer of methodMake.
 type makeAnswer struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Handles    []string
 	Reason     string
 	RetryAfter time.Duration
 }
 
+// encode writes a message without the names of its fields, which would be a third
+// of it.
+func encode(message any) ([]byte, error) {
+	var b bytes.Buffer
+	encoder := msgpack.NewEncoder(&b)
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(message)
+	return b.Bytes(), err
+}
+
 // RefusedError says that a request's stages won't be run in time.
 type RefusedError struct {
 	Reason     gather.Reason
@@ -187,7 +195,7 @@
 		}
 		return end.handles, err
 	}
-	body, err := msgpack.Marshal(newAsk(time.Now(), r))
+	body, err := encode(newAsk(time.Now(), r))
 	if err != nil {
 		return nil, errors.Wrap(err, "encode")
 	}
@@ -242,7 +250,7 @@
 	if end.refused != nil {
 		answer.Reason, answer.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
 	}
-	return msgpack.Marshal(&answer)
+	return encode(&answer)
 }
 
 // Drop tells the holder that a request's results have been read or that its
--- /dev/null
+++ b/transport/forward/forward_test.go
@@ -0,0 +1,221 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serve answers each connection by a script; conns counts them.
+func serve(t *testing.T, script func(nc net.Conn, r *bufio.Reader)) (address string, conns *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conns = new(atomic.Int64)
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer nc.Close()
+				script(nc, bufio.NewReader(nc))
+			}()
+		}
+	}()
+	return listener.Addr().String(), conns
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+
+// answerAll answers every request on a connection.
+func answerAll(text string) func(net.Conn, *bufio.Reader) {
+	return func(nc net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(nc, text)
+		}
+	}
+}
+
+func do(t *testing.T, c *Client, address, body string, o Options) (string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", strings.NewReader(body))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reply, err := c.Do(ctx, address, request, o)
+	if err != nil {
+		return "", err
+	}
+	defer reply.Close()
+	text, err := io.ReadAll(reply)
+	return string(text), err
+}
+
+// A connection whose answer was whole carries the next request.
+func TestConnectionIsKept(t *testing.T) {
+	address, conns := serve(t, answerAll(whole))
+	c := New()
+	for range 3 {
+		got, err := do(t, c, address, "", Options{})
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+	}
+	require.EqualValues(t, 1, conns.Load())
+}
+
+// What ends badly or is followed by bytes of nobody's must not carry the next
+// request: it would be answered by another's answer.
+func TestConnectionIsNotKept(t *testing.T) {
+	cases := map[string]string{
+		"second answer":  whole + whole,
+		"stray bytes":    whole + "stray",
+		"asks to close":  "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"foreign answer": "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 5\r\n\r\nother" + whole,
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, conns := serve(t, answerAll(text))
+			c := New()
+			o := Options{Belongs: func(_ int, h http.Header) bool { return h.Get("Id") == "1" }}
+			for range 3 {
+				got, err := do(t, c, address, "", o)
+				require.NoError(t, err)
+				require.Equal(t, "ok", got)
+			}
+			require.EqualValues(t, 3, conns.Load())
+		})
+	}
+}
+
+// A second answer arrives late, while the connection is idle.
+func TestLateAnswerIsNotTaken(t *testing.T) {
+	late := make(chan struct{})
+	sent := make(chan struct{})
+	var once sync.Once
+	address, conns := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(nc, whole)
+		<-late
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nlate")
+		once.Do(func() { close(sent) })
+		_, _ = r.ReadByte()
+	})
+	c := New()
+	_, err := do(t, c, address, "", Options{})
+	require.NoError(t, err)
+	close(late)
+	<-sent
+	// Loopback delivers in order with what the next call looks at.
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return !quiet(c.idle[address][0].Conn)
+	}, 5*time.Second, time.Millisecond)
+	_, _ = do(t, c, address, "", Options{}) // the script serves one answer a connection
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// The target closes or resets the connection: whether the request may have run is
+// told by whether a byte left, and it is sent once in any case.
+func TestFailuresTellWhetherTheRequestLeft(t *testing.T) {
+	var requests atomic.Int64
+	address, _ := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			requests.Add(1)
+		}
+	})
+	_, err := do(t, New(), address, "body", Options{})
+	var failed *Error
+	require.True(t, errors.As(err, &failed))
+	require.True(t, failed.Sent)
+	require.EqualValues(t, 1, requests.Load())
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = do(t, New(), nobody, "body", Options{})
+	require.True(t, errors.As(err, &failed))
+	require.False(t, failed.Sent)
+	require.True(t, failed.Refused)
+}
+
+// An answer that breaks off must not look whole.
+func TestBrokenAnswers(t *testing.T) {
+	cases := map[string]string{
+		"short of its length": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"chunks without end":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(nc net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(nc, text)
+			})
+			got, err := do(t, New(), address, "", Options{})
+			require.Error(t, err)
+			require.NotErrorIs(t, err, io.EOF)
+			require.Equal(t, "ok", got)
+		})
+	}
+}
+
+// A target answers before it has read a long body, and reads on later. The answer is
+// taken; the connection, on which the rest of the body is due, carries nothing else.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	address, conns := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(nc, whole)
+		_, _ = io.Copy(io.Discard, r)
+	})
+	c := New()
+	for range 2 {
+		got, err := do(t, c, address, strings.Repeat("x", 32<<20), Options{})
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// A kept connection that was idle too long isn't used for what may run once at most:
+// its target may close it just then.
+func TestIdleConnectionIsTooOld(t *testing.T) {
+	address, conns := serve(t, answerAll(whole))
+	c := New()
+	_, err := do(t, c, address, "", Options{})
+	require.NoError(t, err)
+	c.mu.Lock()
+	c.idle[address][0].since = time.Now().Add(-2 * FreshIdle)
+	c.mu.Unlock()
+	_, err = do(t, c, address, "", Options{MaxIdle: FreshIdle})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// A target is silent. The attempt ends with its context.
+func TestSilentTarget(t *testing.T) {
+	address, _ := serve(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	require.NoError(t, err)
+	_, err = New().Do(ctx, address, request, Options{})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
