Count the decisions of the gateway in metrics

Cause: an on-call engineer had only log lines of an instance on the platform.

Change: counters and latencies of final answers, attempts, stage calls, pieces and refusals; gauges of the configuration and the targets in force. Tests share one telemetry, since klog is one logger for a process: a race detected once in TestHolderOfTheQueueIsLost (its trace wasn't kept, 13 runs since showed none) is put down to setting klog up beside a running instance, which is not shown.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/roster"
@@ -70,11 +71,13 @@
 	AskWatcher func(ctx context.Context) bool
 	// OnLeaving is told of each target that takes nothing new from now on.
 	OnLeaving func(now time.Time, incarnation string)
+	Scope     tally.Scope
 }
 
 // Follower holds what is in force.
 type Follower struct {
 	options Options
+	scope   tally.Scope
 	table   atomic.Pointer[routes.Table]
 	listed  atomic.Bool
 	ready   atomic.Bool
@@ -95,7 +98,7 @@
 
 // New returns a follower that knows nothing yet.
 func New(o Options) *Follower {
-	return &Follower{options: o, roster: roster.New(), failed: map[string]int{}}
+	return &Follower{options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), failed: map[string]int{}}
 }
 
 // Table returns the configuration in force; nil before the first.
@@ -158,6 +161,7 @@
 		f.failed[kind] = 0
 	} else {
 		f.failed[kind]++
+		f.scope.Counter("store_failures").Inc(1)
 		if !errors.Is(err, platform.ErrBudget) && !errors.Is(err, platform.ErrOutage) {
 			f.roster.StoreFailed(time.Now())
 		}
@@ -382,6 +386,8 @@
 // publish tells what is in force; mu is held.
 func (f *Follower) publish(now time.Time) {
 	if table := f.table.Load(); table != nil {
+		f.scope.Gauge("revision").Update(float64(table.Revision))
+		f.scope.Gauge("targets").Update(float64(f.roster.Len()))
 		f.options.OnChange(now, table, f.roster.Usable())
 		if f.listed.Load() {
 			f.ready.Store(true)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -125,13 +125,14 @@
 		Spread:     g.cluster.Put,
 		OnChange:   g.setTargets,
 		OnLeaving:  g.router.Leaving,
+		Scope:      t.Scope,
 		Watches:    g.watches,
 		AskWatcher: g.askWatcher,
 	})
 	g.cluster.Handle(methodHears, func(context.Context, peer.Peer, []byte) ([]byte, error) {
 		return msgpack.Marshal(g.follower.Hears())
 	}, peer.Idempotent())
-	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower.Leaving)
+	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower.Leaving, t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect: p.Dialect,
 		Table:   g.follower.Table,
@@ -143,6 +144,7 @@
 		Budgets: retrybudget.New(g.retryConfig()),
 		Leaving: g.follower.Leaving,
 		Tracer:  t.Tracer,
+		Scope:   t.Scope,
 	})
 	return g, nil
 }
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -244,6 +244,7 @@
 		RequestID: q.call.ID, Pipeline: route, Target: q.target, Reason: q.reason,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
 	})
+	q.relay.metrics.ended(status, q.reason, time.Since(q.arrived))
 	if status == http.StatusOK && q.service != "" {
 		q.relay.options.Budgets.Succeeded(time.Now(), q.service)
 	}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -194,6 +194,7 @@
 		RequestID: q.call.ID, Pipeline: q.route.Name, Target: q.target, Reason: f.cause.Error(),
 		Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
 	})
+	q.relay.metrics.attempt(f.notRun)
 	q.excluded = append(q.excluded, q.target)
 	if f.notRun {
 		q.refused++
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
@@ -47,18 +48,20 @@
 	// Leaving is told of a target that takes nothing new.
 	Leaving func(incarnation string)
 	Tracer  trace.Tracer
+	Scope   tally.Scope
 }
 
 // Relay is the callers' HTTP interface.
 type Relay struct {
 	options Options
+	metrics metrics
 	// drain is set once the planned stop began.
 	drain    atomic.Pointer[drain]
 	inFlight atomic.Int64
 }
 
 // New returns a relay.
-func New(o Options) *Relay { return &Relay{options: o} }
+func New(o Options) *Relay { return &Relay{options: o, metrics: newMetrics(o.Scope)} }
 
 // drain are the times of a planned stop.
 type drain struct {
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -41,6 +41,7 @@
 	client  *forward.Client
 	// leaving is told of targets that another process replaced.
 	leaving func(incarnation string)
+	metrics metrics
 
 	mu      sync.Mutex
 	planner *gather.Planner
@@ -54,11 +55,12 @@
 	refused *gather.Refused
 }
 
-func newOwner(d exchange.Dialect, client *forward.Client, leaving func(string)) *Owner {
+func newOwner(d exchange.Dialect, client *forward.Client, leaving func(string), m metrics) *Owner {
 	return &Owner{
 		dialect: d,
 		client:  client,
 		leaving: leaving,
+		metrics: m,
 		planner: gather.New(gather.Config{}),
 		waiting: map[string]chan outcome{},
 		freeing: map[gather.Target][]string{},
@@ -165,6 +167,7 @@
 		case gather.Completed:
 			telemetry.InfoS("Stages done", telemetry.Event{RequestID: a.Request, Stage: timesText(a.Times)})
 		case gather.Refused:
+			o.metrics.refused(string(a.Reason))
 			telemetry.InfoS("Stages refused", telemetry.Event{RequestID: a.Request, Reason: string(a.Reason), Elapsed: a.RetryAfter})
 		}
 	}
@@ -235,21 +238,24 @@
 			Reason: callOutcomes[how], Elapsed: time.Since(started),
 		})
 	}
-	o.logFailures(c, results)
+	o.metrics.call(callOutcomes[how], time.Since(started))
+	o.noteFailures(c, results)
 	if how == gather.CallWrongTarget {
 		o.leaving(c.Target.Incarnation)
 	}
 	o.do(func(p *gather.Planner) []gather.Action { return p.CallDone(time.Now(), c.ID, how, results) })
 }
 
-// logFailures writes one line for each way in which pieces of a call failed.
-func (o *Owner) logFailures(c gather.StartCall, results []gather.PieceResult) {
+// noteFailures writes one line for each way in which pieces of a call failed.
+func (o *Owner) noteFailures(c gather.StartCall, results []gather.PieceResult) {
 	counts := map[gather.PieceFailure]int{}
 	for _, r := range results {
 		counts[r.Failure]++
 	}
+	o.metrics.pieces("made", counts[gather.PieceOK])
 	for failure, n := range counts {
 		if failure != gather.PieceOK {
+			o.metrics.pieces(pieceFailures[failure], n)
 			telemetry.InfoS("Pieces not made", telemetry.Event{
 				Target: c.Target.Incarnation, Address: c.Target.Address, Count: n, Reason: pieceFailures[failure],
 			})
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
@@ -60,10 +61,10 @@
 }
 
 // New registers the methods that other instances call.
-func New(c Cluster, d exchange.Dialect, client *forward.Client, leaving func(incarnation string)) *Stages {
+func New(c Cluster, d exchange.Dialect, client *forward.Client, leaving func(incarnation string), scope tally.Scope) *Stages {
 	s := &Stages{
 		cluster:  c,
-		owner:    newOwner(d, client, leaving),
+		owner:    newOwner(d, client, leaving, newMetrics(scope)),
 		avoided:  map[string]time.Time{},
 		dropping: map[string][]string{},
 	}
