--- /dev/null
+++ b/testkit/cmd/soak/main.go
@@ -0,0 +1,62 @@
+// Command soak plays seeds of the fault soak by hand.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/testkit/soak"
+)
+
+func main() {
+	binary := flag.String("binary", "target/ivyhollowd", "the daemon")
+	first := flag.Uint64("seed", uint64(time.Now().UnixNano()), "the first seed")
+	count := flag.Int("seeds", 10, "how many seeds to play, one after the other")
+	faults := flag.Duration("faults", 10*time.Second, "how long faults come")
+	dir := flag.String("dir", os.TempDir(), "where settings and logs of failed seeds are kept")
+	flag.Parse()
+	failed := 0
+	for i := range *count {
+		seed := *first + uint64(i)
+		o := soak.Options{
+			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
+			Seed: seed, Faults: *faults, Instances: 4, Callers: 12,
+		}
+		if !play(o) {
+			failed++
+		}
+	}
+	fmt.Printf("%d of %d seeds failed\n", failed, *count)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// play plays one seed and keeps its logs if it failed.
+func play(o soak.Options) bool {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	report, err := soak.Run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", report.Seed, report.Answers, report.Served, len(report.Broken))
+	if len(report.Broken) == 0 {
+		_ = os.RemoveAll(o.Dir) // only logs that nobody needs
+		return true
+	}
+	for _, b := range report.Broken {
+		fmt.Println("  broken:", b)
+	}
+	for _, f := range report.Faults {
+		fmt.Println("  fault:", f)
+	}
+	return false
+}
