Never wait for the reader of the log, and bound its lines

Change: a queue of lines with a bound a second; what is dropped is counted and said. A line tells when the stage queue gets another holder.

Figures: TestLogNeverBlocks hangs without the queue (by its construction; not run).

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -137,7 +137,9 @@
 	if err != nil {
 		return err
 	}
-	t, err := startTelemetry(ctx, s, os.Stdout)
+	logs := telemetry.NewLineQueue(os.Stdout)
+	defer logs.Close()
+	t, err := startTelemetry(ctx, s, logs)
 	if err != nil {
 		return err
 	}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -55,7 +55,9 @@
 	cluster Cluster
 	owner   *Owner
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// holder is the name of the instance that holds the queue, as last believed.
+	holder   string
 	avoided  map[string]time.Time
 	dropping map[string][]string
 }
@@ -179,6 +181,10 @@
 	if oldest.Name == "" {
 		oldest, _ = view.Find(view.Self)
 	}
+	if oldest.Name != s.holder {
+		s.holder = oldest.Name
+		telemetry.InfoS("Holder of the stage queue", telemetry.Event{Peer: oldest.Name, Count: len(view.Live())})
+	}
 	return oldest
 }
 
--- /dev/null
+++ b/telemetry/queue_test.go
@@ -0,0 +1,52 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stuck is a pipe that nobody reads until it is opened.
+type stuck struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.open
+	return s.Buffer.Write(p)
+}
+
+// Nobody reads the log and the pipe is full. Requests must go on: a line costs no
+// wait, what doesn't fit is dropped, and the log says how much once it is read again.
+func TestLogNeverBlocks(t *testing.T) {
+	pipe := &stuck{open: make(chan struct{})}
+	q := NewLineQueue(pipe)
+	const lines = 3 * queuedLines
+	for i := range lines {
+		n, err := q.Write(fmt.Appendf(nil, "line %d\n", i))
+		require.NoError(t, err)
+		require.Positive(t, n)
+	}
+	require.Positive(t, q.Dropped())
+	close(pipe.open)
+	q.Close()
+	text := pipe.String()
+	written := strings.Count(text, "line ")
+	require.EqualValues(t, lines, int64(written)+q.Dropped())
+	require.Contains(t, text, fmt.Sprintf("log lines dropped count=%d", q.Dropped()))
+}
+
+// A storm of lines is cut to the bound, whoever reads.
+func TestLogIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	q := NewLineQueue(&out)
+	for range 10 * linesBurst {
+		_, _ = q.Write([]byte("line\n"))
+	}
+	q.Close()
+	require.Less(t, strings.Count(out.String(), "line\n"), 2*linesBurst)
+}
