--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -109,9 +109,13 @@
 
 // makeStages has the stages run.
 func (q *request) makeStages(ctx context.Context, dataCentre string) error {
+	objective := q.objective
+	if q.headerSent {
+		objective = time.Now().Add(resumeObjective)
+	}
 	r := gather.Request{
 		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority,
-		Objective: q.objective, Deadline: q.firstEventDue(), Rest: engineTime, DataCentre: dataCentre,
+		Objective: objective, Deadline: q.firstEventDue(), Rest: engineTime, DataCentre: dataCentre,
 	}
 	for i, s := range q.route.Stages {
 		pieces := 0
@@ -149,6 +153,11 @@
 	return q.deadline
 }
 
+// resumeObjective is when a stream that broke off should go on. Its caller has a part
+// of the answer and waits: counted as late by the request's own objective, its stages
+// would run behind all requests that have not begun, until the caller gives up.
+const resumeObjective = 2 * time.Second
+
 // engineTime is what an engine takes to its first event, as measured at the
 // usual load.
 const engineTime = 250 * time.Millisecond
--- a/docs_test.go
+++ b/docs_test.go
@@ -117,3 +117,24 @@
 	slices.Sort(explained)
 	require.Equal(t, slices.Compact(written), explained)
 }
+
+// The on-call page quotes log lines. One that the code no longer writes sends an
+// engineer after a line that never comes.
+func TestQuotedLogLinesAreWritten(t *testing.T) {
+	var written []string
+	for path, text := range filesOf(t, ".go") {
+		if !strings.HasSuffix(path, "_test.go") {
+			written = append(written, submatches(logMessage, text)...)
+		}
+	}
+	page, err := os.ReadFile("docs/OPERATIONS.md")
+	require.NoError(t, err)
+	lines := submatches(quotedLine, string(page))
+	require.GreaterOrEqual(t, len(lines), 6)
+	for _, line := range lines {
+		require.Contains(t, written, line)
+	}
+}
+
+// quotedLine is a log line in an indented block of a page.
+var quotedLine = regexp.MustCompile(`(?m)^    \w+\.go:\d+\] "([^"]+)"`)
