Let stages wait longer for a near target, late ones too

Requests that were late anyway didn't wait at all.

Change: up to 500 ms, half of the spare time; late requests wait up to 500 ms.

--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -159,14 +159,17 @@
 
 // patienceShare is the part of a request's spare time that one stage may wait for
 // a target beside its inputs.
-const patienceShare = 3
+const patienceShare = 2
 
 // patience is how long a stage waits for a target beside its inputs: a share of
 // the time that the request has to spare, so that saving bytes makes no answer
 // late.
 func (p *Planner) patience(now time.Time, st *stageWork) time.Duration {
 	spare := st.work.Objective.Sub(now) - p.least(st.work)
-	return min(p.config.Patience, max(spare, 0)/patienceShare)
+	if spare < 0 {
+		return p.config.Patience
+	}
+	return min(p.config.Patience, spare/patienceShare)
 }
 
 // start begins a call.
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -18,7 +18,7 @@
 const (
 	// DefaultPatience is about the time until the next target of a data centre
 	// comes free.
-	DefaultPatience = 350 * time.Millisecond
+	DefaultPatience = 500 * time.Millisecond
 	// DefaultMaxRequests is some ten seconds of the heaviest load measured.
 	DefaultMaxRequests = 4096
 )
