--- /dev/null
+++ b/daemon/relay/relay_test.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+)
+
+var began = time.Unix(1000, 0)
+
+// A stream came on a kept connection 6.7 s after the stop began and was cut 0.7 s
+// later by the end of the process. What can't be finished is refused, so that its
+// caller gets a whole answer elsewhere; what can be is served to the end.
+func TestLateRequestsDuringAStop(t *testing.T) {
+	stop := &drain{began: began, ends: began.Add(7400 * time.Millisecond)}
+	cases := map[string]struct {
+		pause, timeout, after time.Duration
+		takes                 bool
+	}{
+		"stream at once":          {300 * time.Millisecond, 6 * time.Second, 0, true},
+		"stream before notice":    {300 * time.Millisecond, 20 * time.Second, 2700 * time.Millisecond, true},
+		"stream after notice":     {300 * time.Millisecond, 6 * time.Second, 2900 * time.Millisecond, false},
+		"stream late":             {300 * time.Millisecond, 6 * time.Second, 6700 * time.Millisecond, false},
+		"plain late, short":       {0, 800 * time.Millisecond, 6 * time.Second, true},
+		"plain beyond the end":    {0, 800 * time.Millisecond, 7 * time.Second, false},
+		"plain with a long limit": {0, 30 * time.Second, time.Second, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := &request{route: &routes.Route{MaxPause: c.pause}, arrived: began.Add(c.after)}
+			q.deadline = q.arrived.Add(c.timeout)
+			require.Equal(t, c.takes, stop.takes(q))
+		})
+	}
+}
+
+// Callers give a stream up that brings nothing for four times its objective. Work
+// that ends later than that is for nobody.
+func TestFirstEventIsDueBeforeCallersLeave(t *testing.T) {
+	cases := map[string]struct {
+		objective, pause, deadline, due time.Duration
+	}{
+		"objective":     {1900 * time.Millisecond, 300 * time.Millisecond, 20 * time.Second, 7600 * time.Millisecond},
+		"pause":         {100 * time.Millisecond, 500 * time.Millisecond, 20 * time.Second, 4 * time.Second},
+		"least":         {100 * time.Millisecond, 100 * time.Millisecond, 20 * time.Second, 2 * time.Second},
+		"deadline":      {1900 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second, 3*time.Second + answerMargin},
+		"not a stream":  {300 * time.Millisecond, 0, 30 * time.Second, 30*time.Second + answerMargin},
+		"deadline wins": {2000 * time.Millisecond, 300 * time.Millisecond, 6 * time.Second, 6*time.Second + answerMargin},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := &request{route: &routes.Route{Objective: c.objective, MaxPause: c.pause}, arrived: began, deadline: began.Add(c.deadline)}
+			require.Equal(t, began.Add(c.due-answerMargin), q.firstEventDue())
+		})
+	}
+}
+
+// The last part of a prompt is the request's own; what others read too is before it.
+func TestSubjectIsTheLastSharedPart(t *testing.T) {
+	require.Empty(t, subject(nil))
+	require.Equal(t, "a", subject([]routing.PrefixPart{{ID: "a"}}))
+	require.Equal(t, "a", subject([]routing.PrefixPart{{ID: "a"}, {ID: "own"}}))
+	require.Equal(t, "b", subject([]routing.PrefixPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}))
+}
+
+// Requests are shared out by weight, and a service of weight nought gets none.
+func TestServicesByWeight(t *testing.T) {
+	split := []routes.WeightedService{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}, {Service: "off", Weight: 0}}
+	count := map[string]int{}
+	for range 10000 {
+		count[pickService(split)]++
+	}
+	require.InDelta(t, 1000, count["new"], 200)
+	require.Zero(t, count["off"])
+	require.Equal(t, "only", pickService([]routes.WeightedService{{Service: "only"}}))
+}
