Bound an instance's part of the fleet's slack of retries at its start

Cause: read in the code: each instance began with a sixteenth of the slack, so 90 of them could send five times the slack that the fleet has.

Ruled out: a part by the number of live instances, which none knows at its start.

Change: 2.4 repeats at most at the start; what is earned is as before. Unused parameters and a function that returned nought are gone.

Conclusion: the sum over a fleet has no test of its own.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -154,15 +154,23 @@
 	return g, nil
 }
 
-// assumedInstances is the number of instances that share the slack of retries.
-const assumedInstances = 8
+const (
+	// earnedShare is the part of the allowed share of repeats that an instance
+	// earns; the rest is left to what it doesn't count, such as stage calls.
+	earnedShare = 0.5
+	// slackShare is an instance's part of the fleet's slack at its start. It is
+	// enough for a small fleet, and for 90 instances that start at once with the
+	// slack of 220 that they have.
+	slackShare = 1.0 / 16
+	slackMost  = 2.4
+)
 
 // retryConfig is this instance's part of what the fleet may send once more.
 func (g *Gateway) retryConfig() retry.Config {
 	return retry.Config{
-		RetryRatio: g.settings.Retries.Share / 2,
+		RetryRatio: g.settings.Retries.Share * earnedShare,
 		HalfLife:   g.settings.Retries.Window,
-		Reserve:    g.settings.Retries.Slack / assumedInstances / 2,
+		Reserve:    min(g.settings.Retries.Slack*slackShare, slackMost),
 	}
 }
 
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -54,8 +54,8 @@
 			return routing.OutcomeOK, nil
 		}
 	}
-	q.abort(ctx, "answer_broken_off")
-	return routing.OutcomeFailed, nil
+	q.abort("answer_broken_off")
+	return routing.OutcomeFailed, nil // not reached: abort panics
 }
 
 // sendHeld sends a whole answer of a target.
@@ -167,11 +167,11 @@
 		return
 	}
 	if q.headerSent {
-		q.abort(ctx, "stream_broken_off")
+		q.abort("stream_broken_off")
 		return
 	}
 	if q.r.Context().Err() != nil {
-		q.abort(ctx, "caller_left")
+		q.abort("caller_left")
 		return
 	}
 	var refused *stages.RefusedError
@@ -227,7 +227,7 @@
 
 // abort closes the caller's connection, so that an answer which isn't whole
 // can't look so.
-func (q *request) abort(_ context.Context, reason string) {
+func (q *request) abort(reason string) {
 	q.reason = reason
 	q.logEnd(0)
 	q.dropResults()
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -59,7 +59,7 @@
 	started := time.Now()
 	handle := q.relay.options.Router.Started(started, q.target, 1)
 	outcome, err := q.exchange(ctx, choice.Target)
-	handle.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started), Expected: q.expected()})
+	handle.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started)})
 	if err == nil {
 		return false, nil
 	}
@@ -104,9 +104,6 @@
 	return prefix[max(len(prefix)-2, 0)].ID
 }
 
-// expected is the usual time of an answer, for the judgement of slow targets.
-func (q *request) expected() time.Duration { return 0 }
-
 // makeStages has the stages run.
 func (q *request) makeStages(ctx context.Context, dataCentre string) error {
 	objective := q.objective
@@ -177,7 +174,7 @@
 	notRun bool
 	// inputsGone tells that the stages' results are gone.
 	inputsGone bool
-	// replaceable is set for an answer of the target that another may better.
+	// reply is set for a target's own failure that another target may better.
 	reply *heldReply
 }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -143,7 +143,8 @@
 	headerSent bool
 	// lastEvent is the last whole event that the caller has.
 	lastEvent string
-	reason    string
+	// reason is why an answer of our own was given, for the log.
+	reason string
 }
 
 // ServeHTTP implements http.Handler.
