Give a stream that broke off time for its stages; a span for each hop

Change: of a stream that broke off the next event is due from the break. Attempts and stages have spans.

Figures: TestResumedStreamHasTimeForItsStages fails without the change (the due time was 5.575 s after the arrival in both cases).

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -106,13 +106,15 @@
 
 // makeStages has the stages run.
 func (q *request) makeStages(ctx context.Context, dataCentre string) error {
+	ctx, span := q.relay.options.Tracer.Start(ctx, "stages "+q.route.Name)
+	defer span.End()
 	objective := q.objective
 	if q.headerSent {
 		objective = time.Now().Add(resumeObjective)
 	}
 	r := gather.Request{
 		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority,
-		Objective: objective, Deadline: q.firstEventDue(), Rest: engineTime, DataCentre: dataCentre,
+		Objective: objective, Deadline: q.nextEventDue(time.Now()), Rest: engineTime, DataCentre: dataCentre,
 	}
 	for i, s := range q.route.Stages {
 		pieces := 0
@@ -137,14 +139,18 @@
 	abandonPauses     = 8
 )
 
-// firstEventDue is when the first event must be there: work that ends later is of
-// use to nobody.
-func (q *request) firstEventDue() time.Time {
+// nextEventDue is when the next event must be there, the first one or, of a stream
+// that broke off, the one it goes on with: work that ends later is of use to nobody.
+func (q *request) nextEventDue(now time.Time) time.Time {
 	if !q.streams() {
 		return q.deadline
 	}
+	from := q.arrived
+	if q.headerSent {
+		from = now
+	}
 	wait := max(abandonLeast, abandonObjectives*q.route.Objective, abandonPauses*q.route.MaxPause)
-	if due := q.arrived.Add(wait - answerMargin); due.Before(q.deadline) {
+	if due := from.Add(wait - answerMargin); due.Before(q.deadline) {
 		return due
 	}
 	return q.deadline
@@ -243,6 +249,8 @@
 
 // exchange is one attempt at one target.
 func (q *request) exchange(ctx context.Context, t routing.Target) (routing.Outcome, error) {
+	ctx, span := q.relay.options.Tracer.Start(ctx, "attempt "+t.Pool)
+	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(q.firstByteBound(), func() {
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -54,7 +54,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			q := &request{route: &routes.Route{Objective: c.objective, MaxPause: c.pause}, arrived: began, deadline: began.Add(c.deadline)}
-			require.Equal(t, began.Add(c.due-answerMargin), q.firstEventDue())
+			require.Equal(t, began.Add(c.due-answerMargin), q.nextEventDue(began))
 		})
 	}
 }
@@ -78,3 +78,15 @@
 	require.Zero(t, count["off"])
 	require.Equal(t, "only", pickService([]routes.WeightedService{{Service: "only"}}))
 }
+
+// A stream broke off five seconds after its request came. Its caller waits for the
+// next event from then on; counted from the request's arrival, the stages that run
+// again would have half a second, and be refused.
+func TestResumedStreamHasTimeForItsStages(t *testing.T) {
+	route := &routes.Route{Objective: 1400 * time.Millisecond, MaxPause: 300 * time.Millisecond}
+	q := &request{route: route, arrived: began, deadline: began.Add(20 * time.Second)}
+	broke := began.Add(5 * time.Second)
+	require.Equal(t, began.Add(5600*time.Millisecond-answerMargin), q.nextEventDue(broke))
+	q.headerSent = true
+	require.Equal(t, broke.Add(5600*time.Millisecond-answerMargin), q.nextEventDue(broke))
+}
