--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -20,7 +20,7 @@
 	if !ok {
 		return ReasonNoTarget, time.Second
 	}
-	if !now.Add(predicted).After(w.Objective) {
+	if end := now.Add(predicted); !end.After(w.Objective) && !end.After(w.Deadline) {
 		return "", 0
 	}
 	// Late already or soon, it goes behind what can be on time, also behind what
--- a/coordination/gather/planner_test.go
+++ b/coordination/gather/planner_test.go
@@ -281,6 +281,18 @@
 	require.Equal(t, 80, len(r.completed)+refused)
 }
 
+// A caller waits for less than the objective. What it takes fits the objective but
+// not the caller's wait: refused at once, not after a stage.
+func TestDeadlineBeforeTheObjective(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	q := chain("one", 1)
+	q.Objective, q.Deadline = r.now.Add(2*time.Second), r.now.Add(100*time.Millisecond)
+	r.submit(q)
+	require.Equal(t, ReasonQueue, r.refused["one"].Reason)
+	require.Empty(t, r.calls)
+}
+
 // A service has no target: a request that needs it is told so at once.
 func TestNoTarget(t *testing.T) {
 	r := newRig(t)
