Put a budget's question in one step with the decision that raises it

A request that was told to wait found no question under way when it looked between another's decision and its question; it looked again at once, up to three times, and each look raised the account's demand and so the size of the next question. After three looks it would have been refused with the answer on its way.

Change: decision and question are one step, and so are answer and end of a question, under a lock for each sixteenth of the accounts. A home that doesn't answer is logged. The test looks for leftover questions in each shard.

--- a/daemon/accounts/budgets.go
+++ b/daemon/accounts/budgets.go
@@ -8,11 +8,13 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/budget"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
+	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
 // MethodGrant names the question to a home instance on the peers' interface.
@@ -35,30 +37,38 @@
 	config func() *catalog.Snapshot
 	now    func() time.Time
 
+	questions [questionShards]questions
+}
+
+// questionShards is as many as the ledger has, so that requests of different
+// accounts contend here no more than there.
+const questionShards = 16
+
+// questions are the questions under way about some of the accounts.
+type questions struct {
 	mu sync.Mutex
 	// asking holds a channel for each account whose home is being asked; it is
-	// closed when the answer is in. It is bounded by the questions under way.
+	// closed when the answer is in.
 	asking map[string]chan struct{}
 }
 
 // New makes the driver of a ledger.
 func New(ledger *budget.Ledger, peers Peers, config func() *catalog.Snapshot, now func() time.Time) *Budgets {
-	return &Budgets{
-		ledger: ledger,
-		peers:  peers,
-		config: config,
-		now:    now,
-		asking: make(map[string]chan struct{}),
+	b := &Budgets{ledger: ledger, peers: peers, config: config, now: now}
+	for i := range b.questions {
+		b.questions[i].asking = make(map[string]chan struct{})
 	}
+	return b
+}
+
+func (b *Budgets) questionsOf(account string) *questions {
+	return &b.questions[xxhash.Sum64String(account)%questionShards]
 }
 
 // Take spends one request of the account's budget, or says when to come back.
 func (b *Budgets) Take(ctx context.Context, account *catalog.Account) (ok bool, retryAfter time.Duration) {
 	for range maxRounds {
-		decision := b.ledger.Allow(b.now(), account)
-		if decision.Ask != nil {
-			b.ask(*decision.Ask)
-		}
+		decision, answered := b.decide(account)
 		switch decision.Verdict {
 		case budget.Allowed:
 			return true, 0
@@ -66,19 +76,32 @@
 			return false, decision.RetryAfter
 		}
 		retryAfter = decision.RetryAfter
-		b.wait(ctx, account.Name, retryAfter)
+		wait(ctx, answered, retryAfter)
 	}
 	return false, retryAfter
 }
 
-// wait blocks until the home of the account has answered, at most for limit.
-func (b *Budgets) wait(ctx context.Context, account string, limit time.Duration) {
-	b.mu.Lock()
-	answered := b.asking[account]
-	b.mu.Unlock()
-	if answered == nil {
-		return
+// decide asks the ledger and puts the question that it raises. A request that is
+// to wait gets the channel that is closed with the answer.
+//
+// The decision and its question are one step under one lock. Between them, another
+// request would be told to wait for a question that nobody finds yet, look again at
+// once, and be refused after maxRounds although the answer is on its way.
+func (b *Budgets) decide(account *catalog.Account) (budget.Decision, <-chan struct{}) {
+	q := b.questionsOf(account.Name)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	decision := b.ledger.Allow(b.now(), account)
+	if decision.Ask != nil && q.asking[account.Name] == nil {
+		answered := make(chan struct{})
+		q.asking[account.Name] = answered
+		go b.ask(q, *decision.Ask, answered)
 	}
+	return decision, q.asking[account.Name]
+}
+
+// wait blocks until the answer is in, at most for limit.
+func wait(ctx context.Context, answered <-chan struct{}, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -88,31 +111,29 @@
 	}
 }
 
-// ask puts the question to the home in the background, unless one is under way.
-func (b *Budgets) ask(ask budget.Ask) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.asking[ask.Account] != nil {
-		return
-	}
-	answered := make(chan struct{})
-	b.asking[ask.Account] = answered
-	go func() {
-		defer b.answered(ask.Account, answered)
-		grant, err := b.call(ask)
-		if err != nil {
-			b.ledger.Unanswered(b.now(), ask)
-			return
-		}
-		b.ledger.Granted(b.now(), grant)
-	}()
+// ask puts the question to the home and ends it.
+func (b *Budgets) ask(q *questions, ask budget.Ask, answered chan struct{}) {
+	grant, err := b.call(ask)
+	b.settle(q, ask, grant, err)
+	close(answered)
 }
 
-func (b *Budgets) answered(account string, answered chan struct{}) {
-	b.mu.Lock()
-	delete(b.asking, account)
-	b.mu.Unlock()
-	close(answered)
+// settle has the ledger take in an answer, and lets another question about the
+// account be put.
+//
+// Both happen under one lock. Between them, a request that the grant serves could
+// raise the next question while the old one still counts as under way; it would be
+// dropped, and the ledger would wait for its answer to the time-out.
+func (b *Budgets) settle(q *questions, ask budget.Ask, grant budget.Grant, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.asking, ask.Account)
+	if err != nil {
+		telemetry.ErrorS(err, "Home of a budget didn't answer", telemetry.Event{Peer: ask.Home})
+		b.ledger.Unanswered(b.now(), ask)
+		return
+	}
+	b.ledger.Granted(b.now(), grant)
 }
 
 func (b *Budgets) call(ask budget.Ask) (budget.Grant, error) {
--- a/daemon/accounts/budgets_test.go
+++ b/daemon/accounts/budgets_test.go
@@ -105,7 +105,9 @@
 				require.LessOrEqual(t, time.Since(start), maxRounds*budget.DefaultAskTimeout)
 				time.Sleep(budget.DefaultAskTimeout) // virtual: a question ahead of need ends
 				synctest.Wait()
-				require.Empty(t, own.asking)
+				for i := range own.questions {
+					require.Empty(t, own.questions[i].asking)
+				}
 				require.Equal(t, c.served, served.Load())
 				require.Equal(t, c.questions, questions.Load())
 			})
