Share the question for a newer configuration without a lock across the call

Cause: found by reading. Confirm held a mutex across one call to the store (400 ms), with the context of the request that came first: when that caller left, the question counted as failed and all that waited for it were refused without an answer of the store.

Change: one shared question with a bound of its own; who waits leaves when its caller does. An answer that is older than what a watch told doesn't take the newer time back.

--- /dev/null
+++ b/daemon/follow/confirm_test.go
@@ -0,0 +1,117 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// slowStore answers Get after a while, and counts the questions.
+type slowStore struct {
+	platform.Store
+	takes     time.Duration
+	down      bool
+	questions atomic.Int32
+}
+
+func (s *slowStore) Get(ctx context.Context, _, name string) (*platformapi.Object, error) {
+	s.questions.Add(1)
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(s.takes):
+	}
+	if s.down {
+		return nil, errors.New("store is down")
+	}
+	return &platformapi.Object{Metadata: platformapi.Metadata{Name: name, Revision: 7}}, nil
+}
+
+func newConfirming(s *slowStore) *Follower {
+	return New(Options{
+		Store: s,
+		Source: Source{
+			ConfigKind: "config", ConfigName: "main",
+			DecodeConfig: func(_ []byte, revision uint64) (*routes.Table, error) {
+				return &routes.Table{Revision: revision}, nil
+			},
+		},
+		Spread:   func(spread.Record) {},
+		OnChange: func(time.Time, *routes.Table, map[string][]routes.Target) {},
+		Scope:    tally.NoopScope,
+	})
+}
+
+// A client account gets a new key. Forty requests with it come in the same moment,
+// and the one that put the question to the store leaves before the answer. The
+// others would be refused with it, or ask forty times, if the question were its own.
+func TestConfirmIsSharedAndOutlivesItsAsker(t *testing.T) {
+	cases := map[string]struct {
+		store     *slowStore
+		leaves    time.Duration
+		known     int32
+		questions int32
+		longest   time.Duration
+	}{
+		"answers":                   {&slowStore{takes: 100 * time.Millisecond}, time.Hour, 41, 1, 100 * time.Millisecond},
+		"answers, the asker left":   {&slowStore{takes: 100 * time.Millisecond}, 10 * time.Millisecond, 40, 1, 100 * time.Millisecond},
+		"silent":                    {&slowStore{takes: time.Hour}, time.Hour, 0, 1, confirmTimeout},
+		"fails, then isn't asked":   {&slowStore{down: true}, time.Hour, 0, 1, 0},
+		"silent and the asker left": {&slowStore{takes: time.Hour}, 10 * time.Millisecond, 0, 1, confirmTimeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newConfirming(c.store)
+				var known atomic.Int32
+				var wg sync.WaitGroup
+				ask := func(ctx context.Context) {
+					if f.Confirm(ctx) {
+						known.Add(1)
+					}
+				}
+				begin := time.Now()
+				first, leave := context.WithTimeout(t.Context(), c.leaves)
+				defer leave()
+				wg.Go(func() { ask(first) })
+				synctest.Wait()
+				for range 40 {
+					wg.Go(func() { ask(t.Context()) })
+				}
+				wg.Wait()
+				require.Equal(t, c.longest, time.Since(begin))
+				require.Equal(t, c.known, known.Load())
+				require.Equal(t, c.questions, c.store.questions.Load())
+			})
+		})
+	}
+}
+
+// The store answers a question after it told of a newer state by a watch: its word
+// must not look older than it is, else the next denial asks again.
+func TestConfirmKeepsTheNewerWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowStore{takes: 300 * time.Millisecond}
+		f := newConfirming(store)
+		go func() {
+			time.Sleep(200 * time.Millisecond) // virtual: the watch answers meanwhile
+			f.noteCall(t.Context(), "config", nil)
+		}()
+		require.True(t, f.Confirm(t.Context()))
+		time.Sleep(800 * time.Millisecond) // virtual
+		require.True(t, f.Confirm(t.Context()))
+		require.EqualValues(t, 1, store.questions.Load())
+	})
+}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/roster"
@@ -32,8 +33,6 @@
 	// must be heard within two seconds of its return.
 	retryMin = 150 * time.Millisecond
 	retryMax = 700 * time.Millisecond
-	// confirmTimeout bounds the question whether a newer version exists.
-	confirmTimeout = 400 * time.Millisecond
 	// rosterTick is how often entries are looked at whose grace may be over.
 	rosterTick = 200 * time.Millisecond
 )
@@ -91,8 +90,9 @@
 	// standIn is until when this instance watches in place of the watchers.
 	standIn time.Time
 
-	confirming sync.Mutex
-	// unconfirmed is when the store was last asked in vain.
+	confirming singleflight.Group
+	// unconfirmed is when the store was last asked in vain whether a newer
+	// version exists.
 	unconfirmed time.Time
 }
 
@@ -248,39 +248,3 @@
 		}
 	}
 }
-
-// confirmedFor is how long the store's word on the newest configuration holds: half
-// the time in which a new version is to be in force. It also bounds the calls that
-// requests with keys of nobody can cause.
-const confirmedFor = time.Second
-
-// unconfirmedFor is how long the store isn't asked again after it didn't answer.
-const unconfirmedFor = 300 * time.Millisecond
-
-// Confirm asks the store whether a newer version exists and puts it in force,
-// unless the store has told lately. It guards against refusing a key or a route
-// that was added a moment ago. It tells whether the store's word is known.
-func (f *Follower) Confirm(ctx context.Context) bool {
-	f.confirming.Lock()
-	defer f.confirming.Unlock()
-	f.mu.Lock()
-	known := time.Since(f.heard) < confirmedFor
-	f.mu.Unlock()
-	if known || time.Since(f.unconfirmed) < unconfirmedFor {
-		return known
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	start := time.Now()
-	o, err := f.options.Store.Get(ctx, f.options.Source.ConfigKind, f.options.Source.ConfigName)
-	if err != nil {
-		f.unconfirmed = time.Now()
-		telemetry.ErrorS(err, "Configuration could not be confirmed", telemetry.Event{})
-		return false
-	}
-	f.configObject(*o)
-	f.mu.Lock()
-	f.heard = start
-	f.mu.Unlock()
-	return true
-}
