--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -13,15 +13,16 @@
 // admit decides whether a request can be answered by its deadline, with the work
 // that goes before it counted. The load it answers: bursts of two and a half
 // times the usual rate against targets of which a quarter is lost, where work
-// that ends past its deadline takes the place of work that would not.
-func (p *Planner) admit(now time.Time, w *work) (Reason, time.Duration) {
+// that ends past its deadline takes the place of work that would not. It returns
+// nil for a request that is taken in.
+func (p *Planner) admit(now time.Time, w *work) *Refused {
 	timely := position{rank: float64(w.Priority), objective: w.Objective}
 	predicted, ok := p.predict(now, w, timely)
 	if !ok {
-		return ReasonNoTarget, time.Second
+		return &Refused{Request: w.ID, Reason: ReasonNoTarget, RetryAfter: time.Second}
 	}
 	if end := now.Add(predicted); !end.After(w.Objective) && !end.After(w.Deadline) {
-		return "", 0
+		return nil
 	}
 	// Late already or soon, it goes behind what can be on time, also behind what
 	// is still to come.
@@ -29,10 +30,13 @@
 	predicted, _ = p.predict(now, w, late)
 	end := now.Add(predicted)
 	if !end.After(w.Deadline) {
-		return "", 0
+		return nil
+	}
+	return &Refused{
+		Request: w.ID, Reason: ReasonQueue,
+		RetryAfter: min(max(end.Sub(w.Deadline), minRetryAfter), maxRetryAfter),
+		Needed:     predicted, Left: w.Deadline.Sub(now),
 	}
-	after := end.Sub(w.Deadline)
-	return ReasonQueue, min(max(after, minRetryAfter), maxRetryAfter)
 }
 
 // position is where a request stands in the queues.
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -132,14 +132,14 @@
 		p.drop(old)
 	}
 	if len(p.works) >= p.config.MaxRequests {
-		p.refuse(r.ID, ReasonBound, minRetryAfter)
+		p.out = append(p.out, Refused{Request: r.ID, Reason: ReasonBound, RetryAfter: minRetryAfter})
 		return p.flush()
 	}
 	w := newWork(r)
 	w.admitted = now
 	w.lateAt = w.Objective.Add(-p.least(w))
-	if reason, after := p.admit(now, w); reason != "" {
-		p.refuse(r.ID, reason, after)
+	if refusal := p.admit(now, w); refusal != nil {
+		p.out = append(p.out, *refusal)
 		return p.flush()
 	}
 	p.works[r.ID] = w
@@ -255,23 +255,26 @@
 // work before it leaves no time: its caller hears so while it can still do
 // something else.
 func (p *Planner) giveUpLate(now time.Time, w *work) {
-	if now.Add(p.least(w)).After(w.Deadline) {
-		p.drop(w)
-		p.refuse(w.ID, ReasonDeadline, minRetryAfter)
+	if least := p.least(w); now.Add(least).After(w.Deadline) {
+		p.giveUp(w, Refused{
+			Reason: ReasonDeadline, RetryAfter: minRetryAfter,
+			Needed: least, Left: w.Deadline.Sub(now),
+		})
 		return
 	}
 	if w.begun || !now.After(w.lateAt) {
 		return
 	}
-	if reason, after := p.admit(now, w); reason != "" {
-		p.drop(w)
-		p.refuse(w.ID, reason, after)
+	if refusal := p.admit(now, w); refusal != nil {
+		p.giveUp(w, *refusal)
 	}
 }
 
-// refuse gives a request up.
-func (p *Planner) refuse(id string, reason Reason, after time.Duration) {
-	p.out = append(p.out, Refused{Request: id, Reason: reason, RetryAfter: after})
+// giveUp drops a request that was taken in, and refuses it.
+func (p *Planner) giveUp(w *work, refusal Refused) {
+	p.drop(w)
+	refusal.Request = w.ID
+	p.out = append(p.out, refusal)
 }
 
 // advance queues the stages of a request that are due, and completes it when all
--- a/coordination/gather/results.go
+++ b/coordination/gather/results.go
@@ -171,16 +171,14 @@
 		return // it is on its way again already
 	}
 	if outcome == CallAnswered && failure == PieceLate {
-		p.drop(w)
-		p.refuse(w.ID, ReasonDeadline, minRetryAfter)
+		p.giveUp(w, Refused{Reason: ReasonDeadline, RetryAfter: minRetryAfter, Left: w.Deadline.Sub(now)})
 		return
 	}
 	if ref.index == c.firstOf(st) {
 		st.resends++
 	}
 	if st.resends > maxResends {
-		p.drop(w)
-		p.refuse(w.ID, ReasonRetries, time.Second)
+		p.giveUp(w, Refused{Reason: ReasonRetries, RetryAfter: time.Second})
 		return
 	}
 	if failure == PieceInputGone {
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -137,6 +137,9 @@
 	Reason  Reason
 	// RetryAfter is when the request could be served.
 	RetryAfter time.Duration
+	// Needed is how long the rest of it was predicted to take, Left the time until
+	// its deadline. Both are zero for a refusal that no prediction decided.
+	Needed, Left time.Duration
 }
 
 // FreeResults gives back the room of results.
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -168,7 +168,7 @@
 			telemetry.InfoS("Stages done", telemetry.Event{RequestID: a.Request, Stage: timesText(a.Times)})
 		case gather.Refused:
 			o.metrics.refused(string(a.Reason))
-			telemetry.InfoS("Stages refused", telemetry.Event{RequestID: a.Request, Reason: string(a.Reason), Elapsed: a.RetryAfter})
+			telemetry.InfoS("Stages refused", telemetry.Event{RequestID: a.Request, Reason: string(a.Reason), Needed: a.Needed, Left: a.Left, RetryAfter: a.RetryAfter})
 		}
 	}
 }
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -33,13 +33,16 @@
 	// Status is that of an HTTP answer; 0 tells that there was none.
 	Status  int
 	Elapsed time.Duration
+	// Needed is the time that work was predicted to take, Left the time that there
+	// was for it, and RetryAfter when its caller was told to come back.
+	Needed, Left, RetryAfter time.Duration
 	// Address is an IP:port that the instance listens on or connects to.
 	Address string
 }
 
 // maxPairs is the number of keys and values that an Event and an instance
 // make at most.
-const maxPairs = 2 * 14
+const maxPairs = 2 * 17
 
 // pairs lists the fields that are set, as klog wants them.
 func (e *Event) pairs() []any {
@@ -62,12 +65,20 @@
 	if e.Status != 0 {
 		kv = append(kv, "status", e.Status)
 	}
-	if e.Elapsed != 0 {
-		kv = append(kv, "elapsed", e.Elapsed)
-	}
+	kv = appendDuration(kv, "elapsed", e.Elapsed)
+	kv = appendDuration(kv, "needed", e.Needed)
+	kv = appendDuration(kv, "left", e.Left)
+	kv = appendDuration(kv, "retry_after", e.RetryAfter)
 	return appendText(kv, "address", e.Address)
 }
 
+func appendDuration(kv []any, key string, d time.Duration) []any {
+	if d == 0 {
+		return kv
+	}
+	return append(kv, key, d)
+}
+
 func appendText(kv []any, key, text string) []any {
 	if text == "" {
 		return kv
