Learn what calls cost apart from what their pieces add

The line of a refusal showed 2,434 pieces ahead that counted 16.5 s, where they take 5.1: the few milliseconds of the way to a target had been put down to the pieces of small calls, which came to count up to four times what they take.

Ruled out: a full holder (0.12 of a core at most), targets that are slow.

Change: the fixed time of calls is learned too, by normalised least mean squares.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -85,7 +85,7 @@
 	}
 	ahead, aheadTime := p.ahead(now, s, at)
 	calls := float64(ahead) / float64(max(sv.shape.MaxPieces, 1))
-	wait := (calls*float64(sv.shape.CallTime) + float64(aheadTime)) / capacity
+	wait := (calls*float64(sv.callTime()) + float64(aheadTime)) / capacity
 	if at.yields {
 		wait /= max(1-sv.taken(now, at.rank, capacity), leastShare)
 	}
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -92,7 +92,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, targets: map[string]*target{}, pieceFactor: map[factorKey]float64{}, rates: map[int]*rate{}}
+		s = &service{name: name, targets: map[string]*target{}, times: newCallTimes(), rates: map[int]*rate{}}
 		p.services[name] = s
 	}
 	return s
--- a/coordination/gather/results.go
+++ b/coordination/gather/results.go
@@ -84,36 +84,13 @@
 	ratio := float64(taken) / float64(max(c.expected, time.Millisecond))
 	t.slow += sampleShare * (ratio - t.slow)
 	if ratio < slowFactor && t.slow < slowFactor {
-		p.learnPieces(c, taken)
+		c.learnTimes(taken)
 	}
 	if ratio < slowFactor {
 		t.slow = min(t.slow, slowFactor)
 	}
 }
 
-// learnPieces corrects the times of the call's pieces by what the call took.
-func (p *Planner) learnPieces(c *call, taken time.Duration) {
-	sv := c.target.service
-	expected := c.expected - sv.shape.CallTime
-	if expected <= 0 {
-		return
-	}
-	ratio := float64(taken-sv.shape.CallTime) / float64(expected)
-	ratio = min(max(ratio, 0.2), 3)
-	for _, ref := range c.pieces {
-		key := factorKey{ref.stage.work.Route, ref.stage.index}
-		factor, ok := sv.pieceFactor[key]
-		if !ok {
-			factor = 1
-		}
-		share := pieceSampleShare / float64(len(c.pieces))
-		sv.pieceFactor[key] = min(max(factor*(1+share*(ratio-1)), 0.1), 4)
-	}
-}
-
-// pieceSampleShare is what one call may change of its pieces' times.
-const pieceSampleShare = 0.3
-
 // pieceDone takes in the end of one piece.
 func (p *Planner) pieceDone(now time.Time, c *call, ref pieceRef, outcome CallOutcome, r PieceResult) {
 	st := ref.stage
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -13,18 +13,11 @@
 	targets map[string]*target
 	// queue holds the stages with pieces to send.
 	queue []*stageWork
-	// pieceFactor is, by kind of request and stage, how many times the shape's
-	// PieceTime a piece takes.
-	pieceFactor map[factorKey]float64
+	times callTimes
 	// rates are, by priority, the pieces a second that came lately.
 	rates map[int]*rate
 }
 
-type factorKey struct {
-	route string
-	stage int
-}
-
 // target is one stage target.
 type target struct {
 	Target
@@ -93,20 +86,6 @@
 	return !t.leaving && (t.failures == 0 || !now.Before(t.downUntil))
 }
 
-// expected is how long a call of pieces takes at a target of usual speed.
-func (s *service) expected(pieceTime time.Duration) time.Duration {
-	return s.shape.CallTime + pieceTime
-}
-
-// pieceTime is what one piece of a stage adds to a call.
-func (s *service) pieceTime(w *stageWork) time.Duration {
-	factor, ok := s.pieceFactor[factorKey{w.work.Route, w.index}]
-	if !ok {
-		factor = 1
-	}
-	return time.Duration(factor * float64(s.shape.PieceTime))
-}
-
 // capacity is the number of targets that count, a slow one for its share.
 func (s *service) capacity(now time.Time) float64 {
 	total := 0.0
@@ -195,6 +174,6 @@
 			pieces += r.read(now)
 		}
 	}
-	perPiece := s.shape.CallTime.Seconds()/float64(max(s.shape.MaxPieces, 1)) + s.shape.PieceTime.Seconds()
+	perPiece := s.callTime().Seconds()/float64(max(s.shape.MaxPieces, 1)) + s.shape.PieceTime.Seconds()
 	return pieces * perPiece / capacity
 }
