Free a handler's place before its asker knows the answer

Cause: TestCallErrors failed once beside load. A call that follows an answer at once was refused as one too many, since the place was freed after the answer had left; in the test a cancelled call of before could take the place too, and the port at which nobody listens could be taken by another process.

Ruled out: the new field of the handshake (the code before fails alike).

Change: the place is freed first. The test has the cancelled call refused before the next one is made, and holds the port that nobody listens at; its checks are the same.

--- a/transport/peer/call.go
+++ b/transport/peer/call.go
@@ -222,8 +222,11 @@
 		return
 	}
 	n.wg.Go(func() {
-		defer func() { <-n.handlers }()
-		c.reply(n.runHandler(c, m.handler, ask))
+		answer := n.runHandler(c, m.handler, ask)
+		// The place is free before its asker knows the answer: else the next call of
+		// one that calls in turn is refused as one too many.
+		<-n.handlers
+		c.reply(answer)
 	})
 }
 
--- a/transport/peer/node_test.go
+++ b/transport/peer/node_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,6 +114,18 @@
 	require.Equal(t, int64(1), count(scope, "unknown"))
 }
 
+// boundAddress returns an address at which nobody listens and that no other process
+// can take meanwhile, as the port of a closed listener could be.
+func boundAddress(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
 // An error must tell the caller of a call whether it may have run, and name
 // the step and the peer.
 func TestCallErrors(t *testing.T) {
@@ -126,9 +140,6 @@
 	})
 	client, _ := testNode(t, "b", nil)
 	foreign, _ := testNode(t, "c", func(o *Options) { o.Cluster = "d" })
-	unused, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, unused.Close())
 	occupied := make(chan struct{})
 	go func() {
 		defer close(occupied)
@@ -146,12 +157,14 @@
 		notRun                bool
 		free                  bool
 	}{
-		{name: "nobody listens", address: unused.Addr().String(), method: "echo", step: StepDial, notRun: true},
+		{name: "nobody listens", address: boundAddress(t), method: "echo", step: StepDial, notRun: true},
 		{name: "beyond loopback", address: "10.1.2.3:4", method: "echo", cause: ErrCleartext, step: StepDial, notRun: true},
 		{name: "another cluster", address: foreign.Addr(), method: "echo", cause: ErrCluster, step: StepHandshake, notRun: true},
 		{name: "no such method", address: server.Addr(), method: "none", cause: ErrNoMethod, step: StepCall, notRun: true},
-		{name: "too many handlers", address: server.Addr(), method: "echo", cause: ErrBusy, step: StepCall, notRun: true},
+		// What a cancelled call sent is refused before the next call is, and so can't
+		// take the place of a later one.
 		{name: "cancelled", address: server.Addr(), method: "echo", ctx: cancelled, cause: context.Canceled, step: StepCall},
+		{name: "too many handlers", address: server.Addr(), method: "echo", cause: ErrBusy, step: StepCall, notRun: true},
 		{name: "request too large", address: server.Addr(), method: "echo", body: make([]byte, peer.MaxFrame), cause: peer.ErrFrameSize, step: StepCall, notRun: true},
 		{name: "handler fails", address: server.Addr(), method: "fail", cause: ErrHandler, step: StepCall, free: true},
 		{name: "answer too large", address: server.Addr(), method: "large", cause: ErrHandler, step: StepCall, free: true},
