Look at each waiting request once for an admission

Cause: the holder of the queue spends most of its time on admissions: for each of a request's stages, and twice, all waiting requests were looked at, with a look-up in a map for each piece time.

Change: one look for all stages; a stage keeps its service and the time of its pieces. A request of more stages than are planned for is refused; it would have ended the process.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -50,7 +50,8 @@
 // predict is how long the rest of a request takes at a position in the queues as
 // they are; false if a service has no target.
 func (p *Planner) predict(now time.Time, w *work, at position) (time.Duration, bool) {
-	ends := make([]time.Duration, len(w.stages))
+	ahead := p.ahead(now, w, at)
+	var ends [maxStages]time.Duration
 	var longest time.Duration
 	for i, s := range w.stages {
 		var start time.Duration
@@ -58,7 +59,7 @@
 			start = max(start, ends[after])
 		}
 		if !s.done() {
-			spent, ok := p.stageTime(now, s, at)
+			spent, ok := s.timeBehind(now, at, ahead[i])
 			if !ok {
 				return 0, false
 			}
@@ -73,47 +74,59 @@
 // leastShare is what is left at least, in predictions, to work that yields.
 const leastShare = 0.4
 
-// stageTime is the wait for the work ahead and the call itself.
-func (p *Planner) stageTime(now time.Time, s *stageWork, at position) (time.Duration, bool) {
+// waiting is work that waits at a service.
+type waiting struct {
+	pieces int
+	// added is the time that the pieces add to calls.
+	added time.Duration
+}
+
+// timeBehind is the wait for the work ahead and the call itself; false if the
+// service has no target.
+func (s *stageWork) timeBehind(now time.Time, at position, ahead waiting) (time.Duration, bool) {
 	if s.Pieces == 0 {
 		return 0, true
 	}
-	sv := p.service(s.Service)
+	sv := s.service
 	capacity := sv.capacity(now)
 	if capacity == 0 {
 		return 0, false
 	}
-	ahead, aheadTime := p.ahead(now, s, at)
-	calls := float64(ahead) / float64(max(sv.shape.MaxPieces, 1))
-	wait := (calls*float64(sv.callTime()) + float64(aheadTime)) / capacity
+	calls := float64(ahead.pieces) / float64(max(sv.shape.MaxPieces, 1))
+	wait := (calls*float64(sv.callTime()) + float64(ahead.added)) / capacity
 	if at.yields {
 		wait /= max(1-sv.taken(now, at.rank, capacity), leastShare)
 	}
-	own := sv.expected(time.Duration(s.Pieces) * sv.pieceTime(s))
+	own := sv.expected(time.Duration(s.Pieces) * s.pieceTime())
 	return time.Duration(wait) + sv.residual(now) + own, true
 }
 
-// ahead counts the pieces at a service that go before those of a position, also of
-// stages that are not yet due, and the time that they add to calls.
-func (p *Planner) ahead(now time.Time, s *stageWork, at position) (pieces int, spent time.Duration) {
-	sv := p.service(s.Service)
-	for _, w := range p.works {
-		if w == s.work || w.completed {
+// ahead counts, for each stage of a request, the work at its service that goes
+// before that of a position, also of stages that are not yet due. It looks at each
+// waiting request once: with 2,500 of them, this is most of what an admission takes.
+func (p *Planner) ahead(now time.Time, w *work, at position) [maxStages]waiting {
+	var ahead [maxStages]waiting
+	for _, other := range p.works {
+		if other == w || other.completed {
 			continue
 		}
-		rank := w.rank(now)
-		if rank > at.rank || (rank == at.rank && w.Objective.After(at.objective)) {
+		rank := other.rank(now)
+		if rank > at.rank || (rank == at.rank && other.Objective.After(at.objective)) {
 			continue
 		}
-		for _, other := range w.stages {
-			if other.Service != s.Service || len(other.todo) == 0 {
+		for _, s := range other.stages {
+			if len(s.todo) == 0 {
 				continue
 			}
-			pieces += len(other.todo)
-			spent += time.Duration(len(other.todo)) * sv.pieceTime(other)
+			for i, own := range w.stages {
+				if own.service == s.service {
+					ahead[i].pieces += len(s.todo)
+					ahead[i].added += time.Duration(len(s.todo)) * s.pieceTime()
+				}
+			}
 		}
 	}
-	return pieces, spent
+	return ahead
 }
 
 // residual is the time until a target is free.
@@ -144,8 +157,7 @@
 			start = max(start, ends[after])
 		}
 		if !s.done() && s.inCall == 0 {
-			sv := p.service(s.Service)
-			start += sv.expected(time.Duration(len(s.todo)) * sv.pieceTime(s))
+			start += s.service.expected(time.Duration(len(s.todo)) * s.pieceTime())
 		}
 		ends[i] = start
 		longest = max(longest, start)
@@ -153,5 +165,5 @@
 	return longest + w.Rest
 }
 
-// maxStages bounds the stages of a request.
+// maxStages bounds the stages of a request; none with more is taken in.
 const maxStages = 64
--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -188,7 +188,7 @@
 		st.sent = now
 		st.readBy = c.readBy
 		c.bytes += st.ResultBytes
-		pieceTime += t.service.pieceTime(st)
+		pieceTime += st.pieceTime()
 		if len(st.todo) == 0 {
 			p.dequeue(st)
 		}
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -137,11 +137,11 @@
 	if old := p.works[r.ID]; old != nil {
 		p.drop(old)
 	}
-	if len(p.works) >= p.config.MaxRequests {
+	if len(p.works) >= p.config.MaxRequests || len(r.Stages) > maxStages {
 		p.out = append(p.out, Refused{Request: r.ID, Reason: ReasonBound, RetryAfter: minRetryAfter})
 		return p.flush()
 	}
-	w := newWork(r)
+	w := p.newWork(r)
 	w.admitted = now
 	w.lateAt = w.Objective.Add(-p.least(w))
 	w.lifted = p.shares.behind(now, &w.Request)
@@ -153,7 +153,7 @@
 	p.works[r.ID] = w
 	for _, st := range w.stages {
 		if st.Pieces > 0 {
-			p.service(st.Service).came(now, w.ownRank(), st.Pieces)
+			st.service.came(now, w.ownRank(), st.Pieces)
 		}
 	}
 	p.advance(now, w)
@@ -315,7 +315,7 @@
 			s.readySince = now
 		}
 		p.enqueue(s)
-		p.dispatch(now, p.service(s.Service))
+		p.dispatch(now, s.service)
 	}
 }
 
@@ -340,14 +340,14 @@
 }
 
 func (p *Planner) enqueue(s *stageWork) {
-	sv := p.service(s.Service)
+	sv := s.service
 	if !slices.Contains(sv.queue, s) {
 		sv.queue = append(sv.queue, s)
 	}
 }
 
 func (p *Planner) dequeue(s *stageWork) {
-	sv := p.service(s.Service)
+	sv := s.service
 	if i := slices.Index(sv.queue, s); i >= 0 {
 		sv.queue = slices.Delete(sv.queue, i, i+1)
 	}
--- a/coordination/gather/times.go
+++ b/coordination/gather/times.go
@@ -23,7 +23,7 @@
 // configured.
 type callTimes struct {
 	fixed  float64
-	pieces map[pieceKind]float64
+	pieces map[pieceKind]*float64
 }
 
 // pieceKind is a stage of a kind of request: its pieces take alike time.
@@ -33,28 +33,35 @@
 }
 
 func newCallTimes() callTimes {
-	return callTimes{fixed: 1, pieces: map[pieceKind]float64{}}
+	return callTimes{fixed: 1, pieces: map[pieceKind]*float64{}}
 }
 
-// piece is the multiple for pieces of a kind.
-func (t *callTimes) piece(k pieceKind) float64 {
-	if factor, ok := t.pieces[k]; ok {
-		return factor
+// piece is the multiple for pieces of a kind. It is shared: what is learned of later
+// calls shows in it.
+func (t *callTimes) piece(k pieceKind) *float64 {
+	factor := t.pieces[k]
+	if factor == nil {
+		if len(t.pieces) >= maxKinds {
+			clear(t.pieces)
+		}
+		usual := 1.0
+		factor = &usual
+		t.pieces[k] = factor
 	}
-	return 1
+	return factor
 }
 
 // learnTimes takes in how long the call took.
 func (c *call) learnTimes(taken time.Duration) {
 	s := c.target.service
 	fixed := s.shape.CallTime.Seconds()
-	added := map[pieceKind]float64{}
+	added := map[*float64]float64{}
 	for _, ref := range c.pieces {
-		added[ref.stage.kind()] += s.shape.PieceTime.Seconds()
+		added[ref.stage.factor] += s.shape.PieceTime.Seconds()
 	}
 	expected, norm := s.times.fixed*fixed, fixed*fixed
-	for kind, seconds := range added {
-		expected += s.times.piece(kind) * seconds
+	for factor, seconds := range added {
+		expected += *factor * seconds
 		norm += seconds * seconds
 	}
 	if norm == 0 {
@@ -62,11 +69,8 @@
 	}
 	step := learnRate * (taken.Seconds() - expected) / norm
 	s.times.fixed = min(max(s.times.fixed+step*fixed, leastFixed), mostFixed)
-	if len(s.times.pieces) > maxKinds {
-		clear(s.times.pieces)
-	}
-	for kind, seconds := range added {
-		s.times.pieces[kind] = min(max(s.times.piece(kind)+step*seconds, leastPiece), mostPiece)
+	for factor, seconds := range added {
+		*factor = min(max(*factor+step*seconds, leastPiece), mostPiece)
 	}
 }
 
@@ -76,13 +80,11 @@
 }
 
 // pieceTime is what one piece of a stage adds to a call.
-func (s *service) pieceTime(w *stageWork) time.Duration {
-	return time.Duration(s.times.piece(w.kind()) * float64(s.shape.PieceTime))
+func (s *stageWork) pieceTime() time.Duration {
+	return time.Duration(*s.factor * float64(s.service.shape.PieceTime))
 }
 
 // expected is how long a call of pieces takes at a target of usual speed.
 func (s *service) expected(pieceTime time.Duration) time.Duration {
 	return s.callTime() + pieceTime
 }
-
-func (s *stageWork) kind() pieceKind { return pieceKind{s.work.Route, s.index} }
--- a/coordination/gather/times_test.go
+++ b/coordination/gather/times_test.go
@@ -25,7 +25,7 @@
 	s := r.planner.services["a"]
 	kind := pieceKind{route: "r", stage: 0}
 	require.InDelta(t, 220, s.callTime().Milliseconds(), 6)
-	require.InDelta(t, 1, s.times.piece(kind), 0.2)
+	require.InDelta(t, 1, *s.times.piece(kind), 0.2)
 
 	for i := range 36 { // six full calls for each target end within 2.3 s
 		q := chain(fmt.Sprint("burst", i), 2)
@@ -59,7 +59,7 @@
 		r.run(250 * time.Millisecond)
 	}
 	s := r.planner.services["a"]
-	require.InDelta(t, 0.35, s.times.piece(pieceKind{"r", 0}), 0.25)
-	require.InDelta(t, 2, s.times.piece(pieceKind{"long", 0}), 0.4)
+	require.InDelta(t, 0.35, *s.times.piece(pieceKind{"r", 0}), 0.25)
+	require.InDelta(t, 2, *s.times.piece(pieceKind{"long", 0}), 0.4)
 	require.InDelta(t, 200, s.callTime().Milliseconds(), 15)
 }
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -41,8 +41,11 @@
 
 // stageWork is one stage of a request.
 type stageWork struct {
-	work  *work
-	index int
+	work    *work
+	service *service
+	index   int
+	// factor is how many times the configured time its pieces take.
+	factor *float64
 	Stage
 	// height is the number of stages on the longest way from this one to the
 	// request's own target, itself included.
@@ -73,10 +76,11 @@
 	freed   bool
 }
 
-func newWork(r Request) *work {
+func (p *Planner) newWork(r Request) *work {
 	w := &work{Request: r}
 	for i, s := range r.Stages {
-		sw := &stageWork{work: w, index: i, Stage: s, results: make([]*result, s.Pieces)}
+		sv := p.service(s.Service)
+		sw := &stageWork{work: w, service: sv, index: i, factor: sv.times.piece(pieceKind{r.Route, i}), Stage: s, results: make([]*result, s.Pieces)}
 		sw.todo = make([]int, s.Pieces)
 		for n := range sw.todo {
 			sw.todo[n] = n
