Give the changed layout of members its version; reserve the soak's ports

Cause: soak seed 520, played beside two other soaks, broke a promise: instance-2 ended by itself. Its log: address already in use. While it was down a connection had taken its port.

Ruled out: a fault of the daemon in seed 520 (four starts, all ended by the port).

Change: the soak holds its ports by bound sockets that don't listen; 520 stays among the seeds.

A fleet that changes over has two holders meanwhile (docs/api/peers.md).

--- a/coordination/membership/messages.go
+++ b/coordination/membership/messages.go
@@ -48,9 +48,6 @@
 	Address    string
 	CallerURL  string
 	DataCentre string
-	// Capacity is the instance's processor share, in thousandths of a core; 0 is
-	// unknown.
-	Capacity uint32
 	// Incarnation identifies one run of the process. A later run has a higher
 	// one.
 	Incarnation uint64
@@ -59,6 +56,9 @@
 	// request ids name the run, and the run stays the same.
 	Refutation uint32
 	State      State
+	// Capacity is the instance's processor share, in thousandths of a core; 0 is
+	// unknown.
+	Capacity uint32
 }
 
 // Live tells whether the member counts as a part of the cluster. A suspect
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -94,12 +94,13 @@
 	Route      string
 	Key        string
 	Priority   int
-	Kind       int
 	Stages     []stageAsk
 	Objective  time.Duration
 	Deadline   time.Duration
 	Rest       time.Duration
 	DataCentre string
+	// Kind is the priority of the kind of request.
+	Kind int
 }
 
 type stageAsk struct {
--- a/protocol/peer/messages.go
+++ b/protocol/peer/messages.go
@@ -13,8 +13,8 @@
 // Version is the protocol version this code speaks, and MinVersion the oldest
 // it accepts.
 const (
-	Version    = 1
-	MinVersion = 1
+	Version    = 2
+	MinVersion = 2
 )
 
 // Type names the type of a message on the wire. A number is never reused.
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -12,7 +12,10 @@
 
 // seeds are played in every run of the tests: one to find what is new in the code,
 // and each that ever failed, with its cause.
-var seeds = []uint64{1}
+//
+// 520: a connection took the port of an instance that was down, which then could not
+// start again; the ports are reserved since.
+var seeds = []uint64{1, 520}
 
 // Instances are killed, paused, restarted and cut off, targets and the store
 // misbehave, all at random and overlapping. What callers and targets saw is compared
--- a/testkit/soak/world.go
+++ b/testkit/soak/world.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -17,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ivyhollow/ivyhollow/platform/standin"
 	"github.com/ivyhollow/ivyhollow/testkit/relay"
 )
@@ -44,8 +45,10 @@
 	// instance.
 	paths     map[string]*relay.Relay
 	instances []*instance
-	version   int
-	keys      atomic.Pointer[[]string]
+	// reserved are the sockets that hold the instances' ports.
+	reserved []int
+	version  int
+	keys     atomic.Pointer[[]string]
 
 	mu     sync.Mutex
 	faults []string
@@ -164,7 +167,7 @@
 		return err
 	}
 	w.paths[name] = path
-	ports, err := freePorts(3)
+	ports, err := w.reservePorts(3)
 	if err != nil {
 		return err
 	}
@@ -182,16 +185,33 @@
 	return w.launch(in)
 }
 
-// freePorts returns addresses on loopback that nobody listens on.
-func freePorts(n int) ([]string, error) {
+// reservePorts returns addresses on loopback for an instance. A socket that doesn't
+// listen holds each of them while the soak runs: an instance can listen there, but
+// while it is down no connection and no other listener gets the port. Else the
+// instance could not start again.
+func (w *world) reservePorts(n int) ([]string, error) {
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrap(err, "reserve a port")
+		}
+		w.reserved = append(w.reserved, fd)
+		if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+			return nil, errors.Wrap(err, "reserve a port")
+		}
+		if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+			return nil, errors.Wrap(err, "reserve a port")
 		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+		bound, err := syscall.Getsockname(fd)
+		if err != nil {
+			return nil, errors.Wrap(err, "reserve a port")
+		}
+		v4, ok := bound.(*syscall.SockaddrInet4)
+		if !ok {
+			return nil, errors.Newf("reserve a port: bound to %T", bound)
+		}
+		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", v4.Port))
 	}
 	return addresses, nil
 }
@@ -258,6 +278,9 @@
 	}
 	w.storeHTTP.CloseClientConnections()
 	w.storeHTTP.Close()
+	for _, fd := range w.reserved {
+		_ = syscall.Close(fd) // the ports are of no use any more
+	}
 	for _, in := range w.instances {
 		_ = in.log.Close() // its content is only read
 	}
