--- a/coordination/gather/room.go
+++ b/coordination/gather/room.go
@@ -96,8 +96,8 @@
 }
 
 // punctualFactor is the slowness up to which a target counts as punctual: one answer
-// that took 1.6 times as long as expected ends it. One whose
-// calls queue behind those of another holder takes twice the usual time.
+// that took 1.6 times as long as expected ends it. A target whose calls queue behind
+// those of another holder takes twice the usual time.
 const punctualFactor = 1.2
 
 // punctual tells whether the target answered its last calls about when expected, so
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -76,6 +76,7 @@
 	freed   bool
 }
 
+// newWork lays a request out in its stages; nothing waits yet.
 func (p *Planner) newWork(r Request) *work {
 	w := &work{Request: r}
 	for i, s := range r.Stages {
