--- a/daemon/follow/confirm.go
+++ b/daemon/follow/confirm.go
@@ -60,9 +60,9 @@
 // configuration in force here is the newest. It tells whether it is; if there is a
 // newer one, or no answer, the store is asked.
 //
-// In a fleet of 90, requests for routes that don't exist had every instance ask the
-// store: some 1,500 calls in forty seconds, half of all, where one instance that asks
-// for all makes one a second.
+// In a fleet of 90, each instance that met a request for a route that doesn't exist
+// asked the store. With a thousand such requests on a calm day of 54 s, 2,965 calls of
+// all instances became 2,035 (one run each).
 func (f *Follower) askConfirmer() bool {
 	if f.options.AskConfirmer == nil {
 		return false
