Tell who closed a caller's connection, and what was on its way at a stop

Cause: the logs of a stop could not tell three hypotheses apart. A request whose connection the instance closed was logged as left by its caller. Ruled out: counting in the handler: a request that is being read is not there yet. Change: transport/inbound wraps callers' connections and notes the first byte of each request. New: log field head, reason closed_here, and counts of connections as a stop closes them. No decision changes.

--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
 	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/inbound"
 )
 
 // Times of the servers and of the planned stop.
@@ -37,19 +36,14 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
-	callers := &http.Server{
-		Handler:           g.relay,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	admin := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: metricsTimeout}
+	callers := inbound.New(g.callers, g.relay, inbound.Options{
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
 	group.Add(func() error { return g.lifecycle(ctx, callers) }, func(error) {})
-	addServer(&group, callers, g.callers)
-	addServer(&group, admin, g.admin)
+	addServer(&group, callers)
+	addServer(&group, inbound.New(g.admin, g.adminHandler(), inbound.Options{HeaderTimeout: metricsTimeout}))
 	if g.metrics != nil {
-		metrics := &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: metricsTimeout}
-		addServer(&group, metrics, g.metrics)
+		addServer(&group, inbound.New(g.metrics, g.adminHandler(), inbound.Options{HeaderTimeout: metricsTimeout}))
 	}
 	group.Add(g.cluster.Execute, g.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
@@ -67,16 +61,12 @@
 }
 
 // addServer adds an HTTP server to the group.
-func addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	group.Add(func() error {
-		return errors.Wrap(server.Serve(listener), "serve")
-	}, func(error) {
-		_ = server.Close() // the process ends with it
-	})
+func addServer(group *run.Group, server *inbound.Server) {
+	group.Add(server.Serve, func(error) { server.Close() })
 }
 
 // lifecycle waits for the end of ctx and does the planned stop.
-func (g *Gateway) lifecycle(ctx context.Context, callers *http.Server) error {
+func (g *Gateway) lifecycle(ctx context.Context, callers *inbound.Server) error {
 	<-ctx.Done()
 	begin := time.Now()
 	telemetry.InfoS("Planned stop", telemetry.Event{Count: g.relay.InFlight()})
@@ -97,7 +87,7 @@
 // finish waits until the balancer has noticed and nothing is in flight, at most
 // until ends. Kept connections are closed once the balancer has noticed, so that
 // their callers go elsewhere.
-func (g *Gateway) finish(callers *http.Server, noticed, ends time.Time) {
+func (g *Gateway) finish(callers *inbound.Server, noticed, ends time.Time) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	closed := false
@@ -109,7 +99,8 @@
 			continue
 		}
 		if !closed {
-			callers.SetKeepAlivesEnabled(false)
+			noteConnections(callers.States())
+			callers.Retire()
 			closed = true
 		}
 		if g.relay.InFlight() == 0 && g.stages.Held() == 0 {
@@ -117,3 +108,11 @@
 		}
 	}
 }
+
+// noteConnections writes what is on its way on callers' connections as the stop
+// closes those without a request.
+func noteConnections(counts map[inbound.State]int) {
+	for _, state := range []inbound.State{inbound.Idle, inbound.Unread, inbound.Busy} {
+		telemetry.InfoS("Connections of callers at the stop", telemetry.Event{Reason: string(state), Count: counts[state]})
+	}
+}
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -15,6 +15,7 @@
 	"github.com/ivyhollow/ivyhollow/protocol/sse"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
+	"github.com/ivyhollow/ivyhollow/transport/inbound"
 )
 
 // readBuffer is the size of one read of an answer, in bytes.
@@ -240,9 +241,12 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
+	if q.reason == "caller_left" && inbound.ClosedHere(q.r.Context()) {
+		q.reason = "closed_here"
+	}
 	telemetry.InfoS("Request ended", telemetry.Event{
 		RequestID: q.call.ID, Pipeline: route, Target: q.target, Reason: q.reason,
-		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
+		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused, Head: q.head,
 	})
 	q.relay.metrics.ended(status, q.reason, time.Since(q.arrived))
 	if status == http.StatusOK && q.service != "" {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
+	"github.com/ivyhollow/ivyhollow/transport/inbound"
 )
 
 // Maker has the stages of a request run.
@@ -122,7 +123,9 @@
 	body     []byte
 	service  string
 
-	arrived   time.Time
+	arrived time.Time
+	// head is how long the head took to come in.
+	head      time.Duration
 	objective time.Time
 	deadline  time.Time
 
@@ -154,7 +157,7 @@
 	if s.drain.Load() != nil || chunked(r) {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{relay: s, w: w, r: r, arrived: time.Now()}
+	q := &request{relay: s, w: w, r: r, arrived: time.Now(), head: inbound.HeadTime(r.Context())}
 	if !q.accept() {
 		return
 	}
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -33,6 +33,8 @@
 	// Status is that of an HTTP answer; 0 tells that there was none.
 	Status  int
 	Elapsed time.Duration
+	// Head is the time from a request's first byte to the end of its head.
+	Head time.Duration
 	// Needed is the time that work was predicted to take, Left the time that there
 	// was for it, and RetryAfter when its caller was told to come back.
 	Needed, Left, RetryAfter time.Duration
@@ -42,7 +44,7 @@
 
 // maxPairs is the number of keys and values that an Event and an instance
 // make at most.
-const maxPairs = 2 * 17
+const maxPairs = 2 * 18
 
 // pairs lists the fields that are set, as klog wants them.
 func (e *Event) pairs() []any {
@@ -66,6 +68,7 @@
 		kv = append(kv, "status", e.Status)
 	}
 	kv = appendDuration(kv, "elapsed", e.Elapsed)
+	kv = appendDuration(kv, "head", e.Head)
 	kv = appendDuration(kv, "needed", e.Needed)
 	kv = appendDuration(kv, "left", e.Left)
 	kv = appendDuration(kv, "retry_after", e.RetryAfter)
