Hand the stage queue over at a planned stop

Ruled out: the old holder keeps its askers' calls and passes outcomes on (its end breaks them all the same, and in a series of stops each passes through all); each asker carries its request's state (twice the bytes, and calls in progress are known to the new holder only once they end); new fields in `stages.make` (an instance of the version before refuses an array of another length: seen in a test).

Change: Stages.HandOver gives the queue to the instance that all others pick next, in one state sent in parts that counts with its last part. Calls in progress end at the old holder, which passes their ends on (`stages.ended`); its askers are told where the queue is (`stages.follow`) and go on there by the request's id. An instance that stops takes no queue. Results of an asker that died or started again are freed at once. Drops that don't reach their holder go to the present one. daemon/gateway/run.go calls HandOver before Leave.

Conclusion: while some live instance takes the queue, one instance sends calls through any series of stops. What is left comes from views that differ: an instance that has just started counts one that leaves as alive while that still runs, and asks it; at 90 instances several so come to hold a queue. And where all instances stop within seconds of one another, none may be left to take it.

--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -74,6 +74,7 @@
 	times := g.shutdown.Load()
 	ends := begin.Add(times.Grace - exitMargin)
 	g.relay.Drain(ends)
+	g.stages.HandOver(context.Background())
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := g.cluster.Leave(leave); err != nil {
--- /dev/null
+++ b/daemon/stages/calls.go
@@ -0,0 +1,104 @@
+package stages
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
+)
+
+// call carries out one stage call.
+func (o *Owner) call(c gather.StartCall) {
+	started := time.Now()
+	results, how, err := o.exchange(c)
+	if err != nil {
+		telemetry.ErrorS(err, "Stage call failed", telemetry.Event{
+			Target: c.Target.Incarnation, Address: c.Target.Address, Count: len(c.Pieces),
+			Reason: callOutcomes[how], Elapsed: time.Since(started),
+		})
+	}
+	o.metrics.call(callOutcomes[how], time.Since(started))
+	o.noteFailures(c, results)
+	if how == gather.CallWrongTarget {
+		o.leaving(c.Target.Incarnation)
+	}
+	o.callEnded(c.ID, how, results)
+	o.mu.Lock()
+	o.running--
+	o.mu.Unlock()
+}
+
+// noteFailures writes one line for each way in which pieces of a call failed.
+func (o *Owner) noteFailures(c gather.StartCall, results []gather.PieceResult) {
+	counts := map[gather.PieceFailure]int{}
+	for _, r := range results {
+		counts[r.Failure]++
+	}
+	o.metrics.pieces("made", counts[gather.PieceOK])
+	for failure, n := range counts {
+		if failure != gather.PieceOK {
+			o.metrics.pieces(pieceFailures[failure], n)
+			telemetry.InfoS("Pieces not made", telemetry.Event{
+				Target: c.Target.Incarnation, Address: c.Target.Address, Count: n, Reason: pieceFailures[failure],
+			})
+		}
+	}
+}
+
+// pieceFailures names failures in logs.
+var pieceFailures = map[gather.PieceFailure]string{
+	gather.PieceLate:      "late",
+	gather.PieceInputGone: "input_gone",
+	gather.PieceNoRoom:    "no_room",
+	gather.PieceFailed:    "failed",
+}
+
+// callOutcomes names outcomes in logs.
+var callOutcomes = map[gather.CallOutcome]string{
+	gather.CallAnswered:    "answered",
+	gather.CallFull:        "target_full",
+	gather.CallWrongTarget: "wrong_target",
+	gather.CallLost:        "lost",
+}
+
+// exchange sends a call and reads its results.
+func (o *Owner) exchange(c gather.StartCall) ([]gather.PieceResult, gather.CallOutcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	request, err := o.dialect.StageCall(c.Target.Address, c.Target.Incarnation, c.Pieces, time.Now())
+	if err != nil {
+		return nil, gather.CallLost, err
+	}
+	reply, err := o.client.Do(ctx, c.Target.Address, request, forward.Options{})
+	if err != nil {
+		return nil, gather.CallLost, err
+	}
+	defer reply.Close()
+	said := o.dialect.ParseReply(reply.Status, reply.Header)
+	body, err := io.ReadAll(io.LimitReader(reply, maxReply))
+	switch {
+	case said.WrongTarget:
+		return nil, gather.CallWrongTarget, errors.Newf("status %d", reply.Status)
+	case said.NotRun:
+		return nil, gather.CallFull, errors.Newf("status %d", reply.Status)
+	case err != nil:
+		return nil, gather.CallLost, err
+	case reply.Status != http.StatusOK:
+		return nil, gather.CallLost, errors.Newf("status %d: %.100s", reply.Status, bytes.TrimSpace(body))
+	}
+	results, err := o.dialect.ParseStageReply(body)
+	if err == nil && len(results) != len(c.Pieces) {
+		err = errors.Newf("%d results for %d pieces", len(results), len(c.Pieces))
+	}
+	if err != nil {
+		return nil, gather.CallLost, err
+	}
+	return results, gather.CallAnswered, nil
+}
--- /dev/null
+++ b/daemon/stages/handover.go
@@ -0,0 +1,291 @@
+package stages
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/holder"
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// Methods of a hand-over between instances.
+const (
+	methodTake  = "stages.take"
+	methodEnded = "stages.ended"
+)
+
+const (
+	// takeTimeout bounds one message of a hand-over; the largest, of some 200 KB,
+	// takes 0.16 s over a link of 10 Mbit/s.
+	takeTimeout = 500 * time.Millisecond
+	// handOverTimeout bounds the first try, which a stop waits for: a seventh of the
+	// usual grace.
+	handOverTimeout = time.Second
+	// retryHandOver is how soon a stopping instance looks again for one that takes
+	// its queue over, as one that has just started.
+	retryHandOver = 200 * time.Millisecond
+	// worksPerPart and callsPerPart bound a message of a hand-over: requests of 40
+	// results take some 2 KB each, calls of 128 pieces 3 KB.
+	worksPerPart = 100
+	callsPerPart = 32
+	// takingFor is after how long a hand-over that breaks off is forgotten: longer than
+	// its 40 parts take over a link of 10 Mbit/s.
+	takingFor = 10 * time.Second
+	// endedTimeout bounds the word that a call has ended; the new holder counts a
+	// call of which it hears nothing as lost.
+	endedTimeout = 2 * time.Second
+)
+
+// takeAsk is a part of a hand-over. The state counts with its last part, so that a
+// hand-over that breaks off has no effect.
+type takeAsk struct {
+	// Number tells the hand-overs of one instance apart.
+	Number uint64
+	Part   gather.State
+	Last   bool
+}
+
+// takeAnswer tells whether the instance takes the queue; one that stops itself
+// doesn't.
+type takeAnswer struct {
+	Taken bool
+}
+
+// endedAsk passes on the end of a call that its sender carried out for a queue that
+// it gave away.
+type endedAsk struct {
+	Call    uint64
+	Outcome uint8
+	Results []gather.PieceResult
+}
+
+// HandOver gives the queue away as this instance begins its planned stop, to the one
+// that all others pick next. Callers that wait here are told to ask there.
+//
+// The failure it guards against: the others pick the next holder at once, while this
+// one goes on with what it holds. Two holders send calls to targets of one place, each
+// blind to the other: calls find targets full and results no room, and what is still
+// held as the instance ends begins anew elsewhere. Only one instance sends calls now,
+// and it knows of all calls in progress and all results.
+//
+// It returns when the queue is given away, when the context ends, or when no instance
+// takes it at once; then it goes on looking until the instance ends.
+func (s *Stages) HandOver(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if !s.tryHandOver(ctx) {
+		go s.keepTrying()
+	}
+}
+
+// keepTrying goes on until another instance has the queue.
+func (s *Stages) keepTrying() {
+	ticker := time.NewTicker(retryHandOver)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ended:
+			return
+		case <-ticker.C:
+		}
+		if s.tryHandOver(context.Background()) {
+			return
+		}
+	}
+}
+
+// tryHandOver asks up to maxOwners instances.
+func (s *Stages) tryHandOver(ctx context.Context) bool {
+	for range maxOwners {
+		next, ok := s.next(time.Now())
+		if !ok {
+			return false
+		}
+		if s.handTo(ctx, next) {
+			return true
+		}
+		s.avoid(next.Name)
+	}
+	return false
+}
+
+func (s *Stages) next(now time.Time) (membership.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return holder.Next(s.cluster.View(), func(name string) bool { return s.isAvoided(now, name) })
+}
+
+// handTo gives the queue to an instance. Without a word from it on the last part the
+// queue counts as given away: were it kept, two instances might hold it. Should the
+// other not have it, the callers' requests begin anew there.
+func (s *Stages) handTo(ctx context.Context, next membership.Member) bool {
+	begun := time.Now()
+	state := s.owner.freeze()
+	if len(state.Works) == 0 && len(state.Calls) == 0 {
+		// What an instance knows of targets that it sends no calls is old.
+		s.owner.moved(next.Address)
+		return true
+	}
+	err := s.sendState(ctx, next.Address, state)
+	var kept *keptError
+	if errors.As(err, &kept) {
+		telemetry.ErrorS(err, "Stage queue not handed over", telemetry.Event{Peer: next.Name, Count: len(state.Works)})
+		s.owner.thaw(state)
+		return false
+	}
+	if err != nil {
+		telemetry.ErrorS(err, "Stage queue handed over without a word", telemetry.Event{Peer: next.Name, Count: len(state.Works)})
+	}
+	telemetry.InfoS("Stage queue handed over", telemetry.Event{Peer: next.Name, Count: len(state.Works), Elapsed: time.Since(begun)})
+	s.owner.moved(next.Address)
+	return true
+}
+
+// keptError tells that the other instance certainly doesn't have the queue.
+type keptError struct{ cause error }
+
+func (e *keptError) Error() string { return "not taken: " + e.cause.Error() }
+func (e *keptError) Unwrap() error { return e.cause }
+
+// errRefused is the refusal of an instance that stops itself.
+var errRefused = errors.New("refused")
+
+// sendState sends a state in parts. A *keptError tells that it certainly isn't taken.
+func (s *Stages) sendState(ctx context.Context, address string, state gather.State) error {
+	parts := split(state)
+	number := uint64(time.Now().UnixNano())
+	for i, part := range parts {
+		last := i == len(parts)-1
+		err := s.sendPart(ctx, address, &takeAsk{Number: number, Part: part, Last: last})
+		if err != nil && (!last || notTaken(err)) {
+			return &keptError{err}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// notTaken tells whether an instance certainly didn't take a part: it refused, failed
+// or doesn't know the method.
+func notTaken(err error) bool {
+	var failed *peer.Error
+	return errors.Is(err, errRefused) || errors.Is(err, peer.ErrHandler) || (errors.As(err, &failed) && failed.NotRun)
+}
+
+func (s *Stages) sendPart(ctx context.Context, address string, ask *takeAsk) error {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	var answer takeAnswer
+	if err := s.callFor(ctx, address, methodTake, ask, &answer); err != nil {
+		return err
+	}
+	if !answer.Taken {
+		return errRefused
+	}
+	return nil
+}
+
+// split cuts a state into parts that fit a message. The targets come first.
+func split(state gather.State) []gather.State {
+	parts := []gather.State{{Targets: state.Targets, Times: state.Times}}
+	for calls := range slices.Chunk(state.Calls, callsPerPart) {
+		parts = append(parts, gather.State{Calls: calls})
+	}
+	for works := range slices.Chunk(state.Works, worksPerPart) {
+		parts = append(parts, gather.State{Works: works})
+	}
+	return parts
+}
+
+// taking is a hand-over of which parts have come.
+type taking struct {
+	number uint64
+	begun  time.Time
+	state  gather.State
+}
+
+// handleTake takes over the queue of an instance that stops. It refuses without a
+// wait when this one stops too: two that stop at once don't wait for each other.
+func (s *Stages) handleTake(_ context.Context, from peer.Peer, body []byte) ([]byte, error) {
+	var ask takeAsk
+	if err := msgpack.Unmarshal(body, &ask); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	state, ok := s.gatherParts(from.Name, &ask)
+	if ok && ask.Last {
+		ok = s.owner.takeOver(sender{from.Name, from.Incarnation}, state)
+		telemetry.InfoS("Stage queue taken over", telemetry.Event{Peer: from.Name, Count: len(state.Works)})
+	}
+	return encode(&takeAnswer{Taken: ok})
+}
+
+// gatherParts adds a part to those that have come of its hand-over.
+func (s *Stages) gatherParts(name string, ask *takeAsk) (gather.State, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return gather.State{}, false
+	}
+	t := s.taking[name]
+	if t == nil || t.number != ask.Number {
+		s.forgetTaking(time.Now())
+		t = &taking{number: ask.Number, begun: time.Now()}
+		s.taking[name] = t
+	}
+	if len(t.state.Works)+len(ask.Part.Works) > gather.DefaultMaxRequests {
+		delete(s.taking, name)
+		return gather.State{}, false
+	}
+	t.state.Targets = append(t.state.Targets, ask.Part.Targets...)
+	t.state.Times = append(t.state.Times, ask.Part.Times...)
+	t.state.Calls = append(t.state.Calls, ask.Part.Calls...)
+	t.state.Works = append(t.state.Works, ask.Part.Works...)
+	if ask.Last {
+		delete(s.taking, name)
+	}
+	return t.state, true
+}
+
+// forgetTaking forgets hand-overs that broke off; mu is held.
+func (s *Stages) forgetTaking(now time.Time) {
+	for name, t := range s.taking {
+		if now.Sub(t.begun) > takingFor {
+			delete(s.taking, name)
+		}
+	}
+}
+
+// passEnd tells the new holder of the end of a call that this instance carried out.
+func (s *Stages) passEnd(to string, id uint64, how gather.CallOutcome, results []gather.PieceResult) {
+	body, err := encode(&endedAsk{Call: id, Outcome: uint8(how), Results: results})
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+		defer cancel()
+		_, err = s.cluster.Call(ctx, to, methodEnded, body)
+	}
+	if err != nil {
+		// The new holder counts the call as lost and has its pieces made again.
+		telemetry.ErrorS(err, "Holder of the stage queue was not told of a call's end", telemetry.Event{Peer: to, Count: len(results)})
+	}
+}
+
+func (s *Stages) handleEnded(_ context.Context, from peer.Peer, body []byte) ([]byte, error) {
+	var ask endedAsk
+	if err := msgpack.Unmarshal(body, &ask); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	s.owner.adoptedEnded(sender{from.Name, from.Incarnation}, ask.Call, gather.CallOutcome(ask.Outcome), ask.Results)
+	return nil, nil
+}
--- /dev/null
+++ b/daemon/stages/handover_test.go
@@ -0,0 +1,107 @@
+package stages
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+)
+
+// frameBytes is what a message between instances holds at most.
+const frameBytes = 1 << 20
+
+// burst is a planner in the middle of the heaviest load measured: 2,500 requests of
+// three stages at 30 targets, all of which have a full call.
+func burst(tb testing.TB, now time.Time) *gather.Planner {
+	p := gather.New(gather.Config{})
+	shape := gather.Shape{
+		Slots: 1, MaxPieces: 128, CallTime: 200 * time.Millisecond, PieceTime: time.Millisecond,
+		ResultBytes: 8 << 20, KeepFor: 4 * time.Second,
+	}
+	var calls []gather.StartCall
+	for _, name := range []string{"a", "b", "c"} {
+		p.SetService(name, shape)
+		var list []gather.Target
+		for i := range 10 {
+			id := fmt.Sprintf("i-%s%09d", name, i)
+			list = append(list, gather.Target{Incarnation: id, Address: "10.1.64.15:8624", DataCentre: "x"})
+		}
+		p.SetTargets(now, name, list)
+	}
+	for i := range 2500 {
+		for _, a := range p.Submit(now, gather.Request{
+			ID: fmt.Sprintf("%016x", i), Route: "route", Key: fmt.Sprintf("subject-%d/key", i), Objective: now.Add(time.Hour), Deadline: now.Add(time.Hour),
+			DataCentre: "x", Stages: []gather.Stage{
+				{Service: "a", Pieces: 4, ResultBytes: 8 << 10},
+				{Service: "b", After: []int{0}, Pieces: 4, ResultBytes: 8 << 10},
+				{Service: "c", After: []int{1}, Pieces: 1, ResultBytes: 60 << 10},
+			},
+		}) {
+			if c, ok := a.(gather.StartCall); ok {
+				calls = append(calls, c)
+			}
+		}
+	}
+	for range 60 {
+		c := calls[0]
+		results := make([]gather.PieceResult, len(c.Pieces))
+		for i := range results {
+			results[i].Handle = fmt.Sprintf("10.1.64.15:8624/%s.%d-%d", c.Target.Incarnation, c.ID, i)
+		}
+		calls = calls[1:]
+		for _, a := range p.CallDone(now, c.ID, gather.CallAnswered, results) {
+			if c, ok := a.(gather.StartCall); ok {
+				calls = append(calls, c)
+			}
+		}
+	}
+	require.Equal(tb, 2500, p.Held())
+	return p
+}
+
+// A queue of the heaviest load goes over in messages that fit, and arrives as it was.
+func TestHandOverOfALargeQueue(t *testing.T) {
+	now := time.Now()
+	state := burst(t, now).Export(now)
+	parts := split(state)
+	var got gather.State
+	bytes := 0
+	for _, part := range parts {
+		body, err := encode(&takeAsk{Part: part})
+		require.NoError(t, err)
+		require.Less(t, len(body), frameBytes)
+		bytes += len(body)
+		var ask takeAsk
+		require.NoError(t, msgpack.Unmarshal(body, &ask))
+		got.Targets = append(got.Targets, ask.Part.Targets...)
+		got.Times = append(got.Times, ask.Part.Times...)
+		got.Calls = append(got.Calls, ask.Part.Calls...)
+		got.Works = append(got.Works, ask.Part.Works...)
+	}
+	t.Logf("%d requests, %d calls: %d messages, %d bytes", len(state.Works), len(state.Calls), len(parts), bytes)
+	require.Equal(t, len(state.Works), len(got.Works))
+	again := gather.New(gather.Config{})
+	_, ids := again.Import(now, got)
+	require.Len(t, ids, len(state.Calls))
+	require.Equal(t, 2500, again.Held())
+}
+
+// BenchmarkHandOver measures what both ends of a hand-over work.
+func BenchmarkHandOver(b *testing.B) {
+	now := time.Now()
+	p := burst(b, now)
+	for b.Loop() {
+		state := p.Export(now)
+		for _, part := range split(state) {
+			if _, err := encode(&takeAsk{Part: part}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		p = gather.New(gather.Config{})
+		p.Import(now, state)
+	}
+}
--- /dev/null
+++ b/daemon/stages/messages.go
@@ -0,0 +1,94 @@
+package stages
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+)
+
+// makeAsk is the body of methodMake. Times are what is left, since the clocks of
+// two instances differ.
+type makeAsk struct {
+	ID         string
+	Route      string
+	Key        string
+	Priority   int
+	Stages     []stageAsk
+	Objective  time.Duration
+	Deadline   time.Duration
+	Rest       time.Duration
+	DataCentre string
+	// Kind is the priority of the kind of request.
+	Kind int
+}
+
+// followAsk is the body of methodFollow, of askers that follow a queue that moves.
+// Messages are arrays whose lengths both ends have to agree on: what a new field is
+// to tell needs a new method.
+type followAsk struct {
+	Make makeAsk
+	// Bounded tells that the asker stops, and has brought the deadline forward.
+	Bounded bool
+}
+
+// followAnswer is the answer of methodFollow.
+type followAnswer struct {
+	Made makeAnswer
+	// Moved is the address of the instance that has the queue and the request now.
+	Moved string
+}
+
+type stageAsk struct {
+	Service     string
+	After       []int
+	Pieces      int
+	ResultBytes int64
+}
+
+// makeAnswer is the answer of methodMake.
+type makeAnswer struct {
+	Handles    []string
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// errMoved answers askers that don't follow a queue: they ask the next instance.
+var errMoved = errors.New("the queue has moved")
+
+// encode writes a message without the names of its fields, which would be a third
+// of it.
+func encode(message any) ([]byte, error) {
+	var b bytes.Buffer
+	encoder := msgpack.NewEncoder(&b)
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(message)
+	return b.Bytes(), err
+}
+
+func newAsk(now time.Time, r gather.Request) *makeAsk {
+	ask := &makeAsk{
+		ID: r.ID, Route: r.Route, Key: r.Key, Priority: r.Priority, Kind: r.KindPriority,
+		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now),
+		Rest: r.Rest, DataCentre: r.DataCentre,
+	}
+	for _, st := range r.Stages {
+		ask.Stages = append(ask.Stages, stageAsk{Service: st.Service, After: st.After, Pieces: st.Pieces, ResultBytes: st.ResultBytes})
+	}
+	return ask
+}
+
+func (a *makeAsk) request(now time.Time) gather.Request {
+	r := gather.Request{
+		ID: a.ID, Route: a.Route, Key: a.Key, Priority: a.Priority, KindPriority: a.Kind,
+		Objective: now.Add(a.Objective), Deadline: now.Add(a.Deadline),
+		Rest: a.Rest, DataCentre: a.DataCentre,
+	}
+	for _, st := range a.Stages {
+		r.Stages = append(r.Stages, gather.Stage{Service: st.Service, After: st.After, Pieces: st.Pieces, ResultBytes: st.ResultBytes})
+	}
+	return r
+}
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -1,19 +1,17 @@
 package stages
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -42,17 +40,28 @@
 	// leaving is told of targets that another process replaced.
 	leaving func(incarnation string)
 	metrics metrics
+	// passEnd and passDrops tell the instance that has the queue of the end of a call
+	// and of requests that nobody waits for.
+	passEnd   func(to string, call uint64, how gather.CallOutcome, results []gather.PieceResult)
+	passDrops func(to string, ids ...string)
 
 	mu      sync.Mutex
 	planner *gather.Planner
 	waiting map[string]chan outcome
 	freeing map[gather.Target][]string
+	// running counts the calls that this instance carries out.
+	running int
+	// readers are other instances that read the results of requests that are done.
+	readers map[string]reading
+	handing
 }
 
-// outcome is the end of a request's stages.
+// outcome is the end of a request's stages at this instance.
 type outcome struct {
 	handles []string
 	refused *gather.Refused
+	// movedTo is the address of the instance that has the queue and the request now.
+	movedTo string
 }
 
 func newOwner(d exchange.Dialect, client *forward.Client, leaving func(string), m metrics) *Owner {
@@ -64,6 +73,8 @@
 		planner: gather.New(gather.Config{}),
 		waiting: map[string]chan outcome{},
 		freeing: map[gather.Target][]string{},
+		readers: map[string]reading{},
+		handing: newHanding(),
 	}
 }
 
@@ -94,8 +105,8 @@
 	}
 }
 
-// run drives the planner until the context ends.
-func (o *Owner) run(ctx context.Context) {
+// run drives the planner until the context ends. view returns the members as known.
+func (o *Owner) run(ctx context.Context, view func() *membership.View) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -106,6 +117,8 @@
 			o.mu.Lock()
 			idle := o.planner.Held() == 0
 			o.mu.Unlock()
+			o.dropUnclaimed(now)
+			o.dropReaderless(now, view())
 			if !idle {
 				o.do(func(p *gather.Planner) []gather.Action { return p.Tick(now) })
 			}
@@ -113,13 +126,15 @@
 	}
 }
 
-// make has the stages of a request run and waits for their results.
-func (o *Owner) make(ctx context.Context, r gather.Request) (outcome, error) {
-	done := make(chan outcome, 1)
-	o.mu.Lock()
-	o.waiting[r.ID] = done
-	o.mu.Unlock()
-	o.do(func(p *gather.Planner) []gather.Action { return p.Submit(time.Now(), r) })
+// make has the stages of a request run and waits for their results. A request that
+// was taken over with another instance's queue goes on with what is made of it.
+//
+// bounded tells that its deadline was brought forward since it was asked for first.
+func (o *Owner) make(ctx context.Context, r gather.Request, bounded bool) (outcome, error) {
+	done, err := o.begin(ctx, r, bounded)
+	if err != nil {
+		return outcome{}, err
+	}
 	select {
 	case end := <-done:
 		return end, nil
@@ -129,13 +144,66 @@
 	}
 }
 
+// begin takes a request in, as soon as the queue isn't on its way. The channel tells
+// the request's end.
+func (o *Owner) begin(ctx context.Context, r gather.Request, bounded bool) (<-chan outcome, error) {
+	done := make(chan outcome, 1)
+	o.mu.Lock()
+	for o.frozen {
+		decided := o.decided
+		o.mu.Unlock()
+		select {
+		case <-decided:
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+		o.mu.Lock()
+	}
+	if o.movedTo != "" {
+		done <- outcome{movedTo: o.movedTo}
+		o.mu.Unlock()
+		return done, nil
+	}
+	_, taken := o.unclaimed[r.ID]
+	delete(o.unclaimed, r.ID)
+	if end, ok := o.early[r.ID]; ok {
+		delete(o.early, r.ID)
+		done <- end
+		o.mu.Unlock()
+		return done, nil
+	}
+	o.waiting[r.ID] = done
+	var actions []gather.Action
+	switch {
+	case !taken:
+		actions = o.planner.Submit(time.Now(), r)
+	case bounded:
+		actions = o.planner.Bound(time.Now(), r.Deadline, r.ID)
+	}
+	o.settle(actions)
+	o.mu.Unlock()
+	o.carryOut(actions)
+	return done, nil
+}
+
 // drop forgets a request and frees what it holds.
 func (o *Owner) drop(ids ...string) {
 	o.mu.Lock()
 	for _, id := range ids {
 		delete(o.waiting, id)
+		delete(o.unclaimed, id)
+		delete(o.early, id)
+		delete(o.readers, id)
+	}
+	if o.frozen {
+		o.drops = append(o.drops, ids...)
 	}
+	to := o.movedTo
 	o.mu.Unlock()
+	if to != "" {
+		o.passDrops(to, ids...)
+		return
+	}
 	o.do(func(p *gather.Planner) []gather.Action {
 		var actions []gather.Action
 		for _, id := range ids {
@@ -145,10 +213,25 @@
 	})
 }
 
-// do runs a step of the planner under its lock and its actions without it.
+// do runs a step of the planner under its lock and its actions without it. While the
+// queue is on its way steps wait; once another instance has it they are of no use.
 func (o *Owner) do(step func(*gather.Planner) []gather.Action) {
 	o.mu.Lock()
+	if o.frozen {
+		o.steps = append(o.steps, step)
+	}
+	if o.frozen || o.movedTo != "" {
+		o.mu.Unlock()
+		return
+	}
 	actions := step(o.planner)
+	o.settle(actions)
+	o.mu.Unlock()
+	o.carryOut(actions)
+}
+
+// settle does what actions change here; mu is held.
+func (o *Owner) settle(actions []gather.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case gather.Completed:
@@ -157,9 +240,14 @@
 			o.finish(a.Request, outcome{refused: &a})
 		case gather.FreeResults:
 			o.freeLater(a)
+		case gather.StartCall:
+			o.running++
 		}
 	}
-	o.mu.Unlock()
+}
+
+// carryOut begins the calls among actions and writes down the ends; mu isn't held.
+func (o *Owner) carryOut(actions []gather.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case gather.StartCall:
@@ -191,6 +279,10 @@
 	if done := o.waiting[id]; done != nil {
 		delete(o.waiting, id)
 		done <- end
+		return
+	}
+	if _, ok := o.unclaimed[id]; ok {
+		o.early[id] = end
 	}
 }
 
@@ -227,89 +319,3 @@
 	}
 	o.do(func(p *gather.Planner) []gather.Action { return p.FreeDone(time.Now(), handles) })
 }
-
-// call carries out one stage call.
-func (o *Owner) call(c gather.StartCall) {
-	started := time.Now()
-	results, how, err := o.exchange(c)
-	if err != nil {
-		telemetry.ErrorS(err, "Stage call failed", telemetry.Event{
-			Target: c.Target.Incarnation, Address: c.Target.Address, Count: len(c.Pieces),
-			Reason: callOutcomes[how], Elapsed: time.Since(started),
-		})
-	}
-	o.metrics.call(callOutcomes[how], time.Since(started))
-	o.noteFailures(c, results)
-	if how == gather.CallWrongTarget {
-		o.leaving(c.Target.Incarnation)
-	}
-	o.do(func(p *gather.Planner) []gather.Action { return p.CallDone(time.Now(), c.ID, how, results) })
-}
-
-// noteFailures writes one line for each way in which pieces of a call failed.
-func (o *Owner) noteFailures(c gather.StartCall, results []gather.PieceResult) {
-	counts := map[gather.PieceFailure]int{}
-	for _, r := range results {
-		counts[r.Failure]++
-	}
-	o.metrics.pieces("made", counts[gather.PieceOK])
-	for failure, n := range counts {
-		if failure != gather.PieceOK {
-			o.metrics.pieces(pieceFailures[failure], n)
-			telemetry.InfoS("Pieces not made", telemetry.Event{
-				Target: c.Target.Incarnation, Address: c.Target.Address, Count: n, Reason: pieceFailures[failure],
-			})
-		}
-	}
-}
-
-// pieceFailures names failures in logs.
-var pieceFailures = map[gather.PieceFailure]string{
-	gather.PieceLate:      "late",
-	gather.PieceInputGone: "input_gone",
-	gather.PieceNoRoom:    "no_room",
-	gather.PieceFailed:    "failed",
-}
-
-// callOutcomes names outcomes in logs.
-var callOutcomes = map[gather.CallOutcome]string{
-	gather.CallAnswered:    "answered",
-	gather.CallFull:        "target_full",
-	gather.CallWrongTarget: "wrong_target",
-	gather.CallLost:        "lost",
-}
-
-// exchange sends a call and reads its results.
-func (o *Owner) exchange(c gather.StartCall) ([]gather.PieceResult, gather.CallOutcome, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	request, err := o.dialect.StageCall(c.Target.Address, c.Target.Incarnation, c.Pieces, time.Now())
-	if err != nil {
-		return nil, gather.CallLost, err
-	}
-	reply, err := o.client.Do(ctx, c.Target.Address, request, forward.Options{})
-	if err != nil {
-		return nil, gather.CallLost, err
-	}
-	defer reply.Close()
-	said := o.dialect.ParseReply(reply.Status, reply.Header)
-	body, err := io.ReadAll(io.LimitReader(reply, maxReply))
-	switch {
-	case said.WrongTarget:
-		return nil, gather.CallWrongTarget, errors.Newf("status %d", reply.Status)
-	case said.NotRun:
-		return nil, gather.CallFull, errors.Newf("status %d", reply.Status)
-	case err != nil:
-		return nil, gather.CallLost, err
-	case reply.Status != http.StatusOK:
-		return nil, gather.CallLost, errors.Newf("status %d: %.100s", reply.Status, bytes.TrimSpace(body))
-	}
-	results, err := o.dialect.ParseStageReply(body)
-	if err == nil && len(results) != len(c.Pieces) {
-		err = errors.Newf("%d results for %d pieces", len(results), len(c.Pieces))
-	}
-	if err != nil {
-		return nil, gather.CallLost, err
-	}
-	return results, gather.CallAnswered, nil
-}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -6,7 +6,6 @@
 package stages
 
 import (
-	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -27,8 +26,9 @@
 
 // Methods between instances.
 const (
-	methodMake = "stages.make"
-	methodDrop = "stages.drop"
+	methodMake   = "stages.make"
+	methodFollow = "stages.follow"
+	methodDrop   = "stages.drop"
 )
 
 const (
@@ -41,6 +41,9 @@
 	dropTimeout = 2 * time.Second
 	// maxOwners bounds the instances that one request is handed to.
 	maxOwners = 3
+	// maxMoves bounds how often a request follows the queue in a row: more instances
+	// than end their stop within a request's time.
+	maxMoves = 16
 )
 
 // Cluster is what the package needs of the connections between instances.
@@ -61,6 +64,15 @@
 	holder   string
 	avoided  map[string]time.Time
 	dropping map[string][]string
+	// asking are the requests of this instance that wait for their stages.
+	asking map[string]*asking
+	// stopping tells that this instance gives its queue away and takes no other.
+	stopping bool
+	// taking are the hand-overs on their way to this instance, by the name of the one
+	// that stops.
+	taking map[string]*taking
+	// ended is closed when Run ends.
+	ended chan struct{}
 }
 
 // New registers the methods that other instances call.
@@ -70,15 +82,29 @@
 		owner:    newOwner(d, client, leaving, newMetrics(scope)),
 		avoided:  map[string]time.Time{},
 		dropping: map[string][]string{},
+		asking:   map[string]*asking{},
+		taking:   map[string]*taking{},
+		ended:    make(chan struct{}),
+	}
+	s.owner.passEnd = s.passEnd
+	s.owner.passDrops = func(to string, ids ...string) {
+		for _, id := range ids {
+			s.Drop(to, id)
+		}
 	}
 	c.Handle(methodMake, s.handleMake)
+	c.Handle(methodFollow, s.handleFollow)
 	c.Handle(methodDrop, s.handleDrop)
+	c.Handle(methodTake, s.handleTake)
+	c.Handle(methodEnded, s.handleEnded)
+	c.Handle(methodBound, s.handleBound)
 	return s
 }
 
 // Run drives the queue until the context ends.
 func (s *Stages) Run(ctx context.Context) error {
-	s.owner.run(ctx)
+	s.owner.run(ctx, s.cluster.View)
+	close(s.ended)
 	return nil
 }
 
@@ -87,46 +113,6 @@
 	s.owner.setTargets(now, table, usable)
 }
 
-// makeAsk is the body of methodMake. Times are what is left, since the clocks of
-// two instances differ.
-type makeAsk struct {
-	ID         string
-	Route      string
-	Key        string
-	Priority   int
-	Stages     []stageAsk
-	Objective  time.Duration
-	Deadline   time.Duration
-	Rest       time.Duration
-	DataCentre string
-	// Kind is the priority of the kind of request.
-	Kind int
-}
-
-type stageAsk struct {
-	Service     string
-	After       []int
-	Pieces      int
-	ResultBytes int64
-}
-
-// makeAnswer is the answer of methodMake.
-type makeAnswer struct {
-	Handles    []string
-	Reason     string
-	RetryAfter time.Duration
-}
-
-// encode writes a message without the names of its fields, which would be a third
-// of it.
-func encode(message any) ([]byte, error) {
-	var b bytes.Buffer
-	encoder := msgpack.NewEncoder(&b)
-	encoder.UseArrayEncodedStructs(true)
-	err := encoder.Encode(message)
-	return b.Bytes(), err
-}
-
 // RefusedError says that a request's stages won't be run in time.
 type RefusedError struct {
 	Reason     gather.Reason
@@ -143,9 +129,10 @@
 // ones' results with the instance that holds them. A *RefusedError means that
 // the request was given up. The results stay until Drop.
 func (s *Stages) Make(ctx context.Context, r gather.Request) (handles []string, owner string, err error) {
+	defer s.asked(r.ID)
 	for range maxOwners {
 		m := s.pick(time.Now())
-		handles, err = s.makeAt(ctx, m, r)
+		handles, m, err = s.follow(ctx, m, r)
 		var refused *RefusedError
 		if err == nil || errors.As(err, &refused) {
 			return handles, m.Address, err
@@ -160,6 +147,35 @@
 	return nil, "", err
 }
 
+// movedError tells where the queue has gone.
+type movedError struct{ to string }
+
+func (e *movedError) Error() string { return "the queue has moved to " + e.to }
+
+// follow has a request made by an instance, or by the one that has its queue now. It
+// returns the one that answered.
+func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request) ([]string, membership.Member, error) {
+	for range maxMoves {
+		handles, err := s.makeAt(ctx, m, r)
+		var moved *movedError
+		if !errors.As(err, &moved) {
+			return handles, m, err
+		}
+		m = s.memberAt(moved.to)
+	}
+	return nil, m, errors.Newf("the queue moved %d times", maxMoves)
+}
+
+// memberAt returns the member of an address; one that isn't known has just that.
+func (s *Stages) memberAt(address string) membership.Member {
+	for _, m := range s.cluster.View().Members {
+		if m.Address == address {
+			return m
+		}
+	}
+	return membership.Member{Name: address, Address: address}
+}
+
 // pick returns the instance that holds the queue, as far as this one knows.
 func (s *Stages) pick(now time.Time) membership.Member {
 	s.mu.Lock()
@@ -191,69 +207,96 @@
 }
 
 func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request) ([]string, error) {
+	r, bounded := s.ask(m.Address, r)
 	if m.Name == s.cluster.View().Self {
-		end, err := s.owner.make(ctx, r)
+		end, err := s.owner.make(ctx, r, bounded)
+		if err == nil && end.movedTo != "" {
+			return nil, &movedError{end.movedTo}
+		}
 		if err == nil && end.refused != nil {
 			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Owner: m.Name}
 		}
 		return end.handles, err
 	}
-	body, err := encode(newAsk(time.Now(), r))
-	if err != nil {
-		return nil, errors.Wrap(err, "encode")
-	}
-	answer, err := s.cluster.Call(ctx, m.Address, methodMake, body)
+	answer, err := s.makeRemote(ctx, m.Address, &followAsk{*newAsk(time.Now(), r), bounded})
 	if err != nil {
 		return nil, err
 	}
-	var a makeAnswer
-	if err := msgpack.Unmarshal(answer, &a); err != nil {
-		return nil, errors.Wrap(err, "decode")
+	if answer.Moved != "" {
+		return nil, &movedError{answer.Moved}
 	}
-	if a.Reason != "" {
-		return nil, &RefusedError{Reason: gather.Reason(a.Reason), RetryAfter: a.RetryAfter, Owner: m.Name}
+	if made := answer.Made; made.Reason != "" {
+		return nil, &RefusedError{Reason: gather.Reason(made.Reason), RetryAfter: made.RetryAfter, Owner: m.Name}
 	}
-	return a.Handles, nil
+	return answer.Made.Handles, nil
 }
 
-func newAsk(now time.Time, r gather.Request) *makeAsk {
-	ask := &makeAsk{
-		ID: r.ID, Route: r.Route, Key: r.Key, Priority: r.Priority, Kind: r.KindPriority,
-		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now),
-		Rest: r.Rest, DataCentre: r.DataCentre,
-	}
-	for _, st := range r.Stages {
-		ask.Stages = append(ask.Stages, stageAsk{Service: st.Service, After: st.After, Pieces: st.Pieces, ResultBytes: st.ResultBytes})
+// makeRemote asks another instance; one of a version that knows no methodFollow by
+// methodMake.
+func (s *Stages) makeRemote(ctx context.Context, address string, ask *followAsk) (followAnswer, error) {
+	var answer followAnswer
+	err := s.callFor(ctx, address, methodFollow, ask, &answer)
+	if errors.Is(err, peer.ErrNoMethod) {
+		err = s.callFor(ctx, address, methodMake, &ask.Make, &answer.Made)
 	}
-	return ask
+	return answer, err
 }
 
-func (a *makeAsk) request(now time.Time) gather.Request {
-	r := gather.Request{
-		ID: a.ID, Route: a.Route, Key: a.Key, Priority: a.Priority, KindPriority: a.Kind,
-		Objective: now.Add(a.Objective), Deadline: now.Add(a.Deadline),
-		Rest: a.Rest, DataCentre: a.DataCentre,
+// callFor calls a method with a message and reads its answer.
+func (s *Stages) callFor(ctx context.Context, address, method string, message, answer any) error {
+	body, err := encode(message)
+	if err != nil {
+		return errors.Wrap(err, "encode")
 	}
-	for _, st := range a.Stages {
-		r.Stages = append(r.Stages, gather.Stage{Service: st.Service, After: st.After, Pieces: st.Pieces, ResultBytes: st.ResultBytes})
+	reply, err := s.cluster.Call(ctx, address, method, body)
+	if err != nil {
+		return err
 	}
-	return r
+	return errors.Wrap(msgpack.Unmarshal(reply, answer), "decode")
 }
 
-func (s *Stages) handleMake(ctx context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+func (s *Stages) handleMake(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
 	var ask makeAsk
 	if err := msgpack.Unmarshal(body, &ask); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	end, err := s.owner.make(ctx, ask.request(time.Now()))
+	answer, err := s.makeFor(ctx, from, &followAsk{Make: ask})
 	if err != nil {
 		return nil, err
 	}
-	answer := makeAnswer{Handles: end.handles}
-	if end.refused != nil {
-		answer.Reason, answer.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
+	if answer.Moved != "" {
+		return nil, errMoved
+	}
+	return encode(&answer.Made)
+}
+
+func (s *Stages) handleFollow(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
+	var ask followAsk
+	if err := msgpack.Unmarshal(body, &ask); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	answer, err := s.makeFor(ctx, from, &ask)
+	if err != nil {
+		return nil, err
 	}
-	return encode(&answer)
+	return encode(answer)
+}
+
+// makeFor has the stages of another instance's request run.
+func (s *Stages) makeFor(ctx context.Context, from peer.Peer, ask *followAsk) (*followAnswer, error) {
+	r := ask.Make.request(time.Now())
+	end, err := s.owner.make(ctx, r, ask.Bounded)
+	if err != nil {
+		return nil, err
+	}
+	answer := &followAnswer{Made: makeAnswer{Handles: end.handles}, Moved: end.movedTo}
+	switch {
+	case end.refused != nil:
+		answer.Made.Reason, answer.Made.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
+	case end.movedTo == "":
+		s.owner.noteReader(r.ID, reading{sender{from.Name, from.Incarnation}, r.Deadline})
+	}
+	return answer, nil
 }
 
 // Drop tells the holder that a request's results have been read or that its
@@ -287,6 +330,19 @@
 	if err != nil {
 		// The holder drops them at their deadlines.
 		telemetry.ErrorS(err, "Holder of the stage queue was not told of ended requests", telemetry.Event{Peer: owner, Count: len(ids)})
+		s.dropElsewhere(owner, ids)
+	}
+}
+
+// dropElsewhere tells the present holder of ended requests: it may have them from the
+// one that didn't answer.
+func (s *Stages) dropElsewhere(lost string, ids []string) {
+	next := s.pick(time.Now())
+	if next.Address == lost || next.Address == "" {
+		return
+	}
+	for _, id := range ids {
+		s.Drop(next.Address, id)
 	}
 }
 
@@ -299,9 +355,10 @@
 	return nil, nil
 }
 
-// Held returns the number of requests whose stages this instance holds.
+// Held returns the number of requests whose stages this instance holds, and of calls
+// that it carries out, also for another instance's queue.
 func (s *Stages) Held() int {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
-	return s.owner.planner.Held()
+	return s.owner.planner.Held() + s.owner.running + len(s.owner.freeing)
 }
