Send askers whose view differs on to the holder of the stage queue

Traced: word of a stop took up to 5 s, and an instance that had just started counted one that was leaving as alive. Some so picked another holder than the rest; whoever they asked began a queue of its own.

Change: who is asked and wouldn't pick itself sends the asker on to the one that it would pick, once for a request, and not to one that the asker found not to answer. Who took a queue over keeps it, and its own requests, for 5 s whatever its view says.

Seen failing without their guards: sending on, once, not to what didn't answer, the queue that was taken over (own requests, those of others).

--- a/daemon/stages/messages.go
+++ b/daemon/stages/messages.go
@@ -33,6 +33,10 @@
 	Make makeAsk
 	// Bounded tells that the asker stops, and has brought the deadline forward.
 	Bounded bool
+	// Sent tells that the asker was sent here by another instance, Passed lists the
+	// addresses of those that it passes over since they didn't answer.
+	Sent   bool
+	Passed []string
 }
 
 // followAnswer is the answer of methodFollow.
--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -49,6 +49,8 @@
 	drops []string
 	// movedTo is the address of the instance that has the queue.
 	movedTo string
+	// tookOver is when a queue was last taken over.
+	tookOver time.Time
 	// renamed are the numbers of calls that changed when the queue came back.
 	renamed map[uint64]uint64
 	// adopted are the numbers of calls that other instances carry out.
@@ -141,6 +143,7 @@
 		return false
 	}
 	now := time.Now()
+	o.tookOver = now
 	for _, w := range state.Works {
 		if !w.Completed && o.waiting[w.ID] == nil {
 			o.unclaimed[w.ID] = now.Add(claimWithin)
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -130,9 +130,10 @@
 // the request was given up. The results stay until Drop.
 func (s *Stages) Make(ctx context.Context, r gather.Request) (handles []string, owner string, err error) {
 	defer s.asked(r.ID)
+	sent := false
 	for range maxOwners {
 		m := s.pick(time.Now())
-		handles, m, err = s.follow(ctx, m, r)
+		handles, m, err = s.follow(ctx, m, r, &sent)
 		var refused *RefusedError
 		if err == nil || errors.As(err, &refused) {
 			return handles, m.Address, err
@@ -153,15 +154,15 @@
 func (e *movedError) Error() string { return "the queue has moved to " + e.to }
 
 // follow has a request made by an instance, or by the one that has its queue now. It
-// returns the one that answered.
-func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request) ([]string, membership.Member, error) {
+// returns the one that answered. sent tells that some instance has sent it on.
+func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request, sent *bool) ([]string, membership.Member, error) {
 	for range maxMoves {
-		handles, err := s.makeAt(ctx, m, r)
+		handles, err := s.makeAt(ctx, m, r, *sent)
 		var moved *movedError
 		if !errors.As(err, &moved) {
 			return handles, m, err
 		}
-		m = s.memberAt(moved.to)
+		m, *sent = s.memberAt(moved.to), true
 	}
 	return nil, m, errors.Newf("the queue moved %d times", maxMoves)
 }
@@ -181,6 +182,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.cluster.View()
+	if self, ok := view.Find(view.Self); ok && s.owner.tookLately(now) {
+		return self
+	}
 	chosen := holder.Pick(view, func(name string) bool { return s.isAvoided(now, name) })
 	if chosen.Name != s.holder {
 		s.holder = chosen.Name
@@ -206,7 +210,7 @@
 	s.avoided[name] = time.Now().Add(avoidFor)
 }
 
-func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request) ([]string, error) {
+func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, sent bool) ([]string, error) {
 	r, bounded := s.ask(m.Address, r)
 	if m.Name == s.cluster.View().Self {
 		end, err := s.owner.make(ctx, r, bounded)
@@ -218,7 +222,7 @@
 		}
 		return end.handles, err
 	}
-	answer, err := s.makeRemote(ctx, m.Address, &followAsk{*newAsk(time.Now(), r), bounded})
+	answer, err := s.makeRemote(ctx, m.Address, &followAsk{*newAsk(time.Now(), r), bounded, sent, s.passed(time.Now())})
 	if err != nil {
 		return nil, err
 	}
@@ -260,7 +264,7 @@
 	if err := msgpack.Unmarshal(body, &ask); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	answer, err := s.makeFor(ctx, from, &followAsk{Make: ask})
+	answer, err := s.makeFor(ctx, from, &followAsk{Make: ask, Sent: true})
 	if err != nil {
 		return nil, err
 	}
@@ -284,6 +288,9 @@
 
 // makeFor has the stages of another instance's request run.
 func (s *Stages) makeFor(ctx context.Context, from peer.Peer, ask *followAsk) (*followAnswer, error) {
+	if to := s.sendOn(time.Now(), ask); to != "" {
+		return &followAnswer{Moved: to}, nil
+	}
 	r := ask.Make.request(time.Now())
 	end, err := s.owner.make(ctx, r, ask.Bounded)
 	if err != nil {
