--- /dev/null
+++ b/days_test.go
@@ -0,0 +1,104 @@
+package ivyhollow
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+	"github.com/stretchr/testify/require"
+)
+
+// trafficSeconds is how long a day's traffic lasts, in seconds.
+const trafficSeconds = 34
+
+// dayFile is a file of deploy/days: what happens to a fleet in a day that is played.
+type dayFile struct {
+	Day []day `toml:"day"`
+}
+
+type day struct {
+	Name   string  `toml:"name"`
+	Slot   string  `toml:"slot"`
+	Seed   int64   `toml:"seed"`
+	Plan   []event `toml:"plan"`
+	Faults []event `toml:"faults"`
+}
+
+// event is one disturbance, in planned work or beside it. Times are in seconds from
+// the begin of the traffic.
+type event struct {
+	At      float64 `toml:"at"`
+	Kind    string  `toml:"kind"`
+	Gap     float64 `toml:"gap_s"`
+	For     float64 `toml:"for_s"`
+	Share   float64 `toml:"share"`
+	Count   int     `toml:"count"`
+	X       float64 `toml:"x"`
+	How     string  `toml:"how"`
+	On      string  `toml:"on"`
+	Service string  `toml:"service"`
+	Class   string  `toml:"class"`
+	Zone    string  `toml:"zone"`
+}
+
+// plannedKinds are the disturbances that operators bring about themselves.
+var plannedKinds = []string{
+	"config_change", "config_storm", "hup", "release", "revoke", "roll_term", "scale_in", "scale_out",
+}
+
+// dayPlaceholder stands for a site's own service, kind of request or data centre.
+var dayPlaceholder = regexp.MustCompile(`^@[csz][0-9]$`)
+
+func readDay(t *testing.T, path string) (string, day) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	var file dayFile
+	meta, err := toml.Decode(string(text), &file)
+	require.NoError(t, err, path)
+	require.Empty(t, meta.Undecoded(), "%s has fields that no day has", path)
+	require.Len(t, file.Day, 1, path)
+	return string(text), file.Day[0]
+}
+
+// A day with a slip of the pen is left out when days are played, and nobody misses it:
+// a field that is misspelt, planned work among the faults, a name of one site only.
+func TestDaysParse(t *testing.T) {
+	paths, err := filepath.Glob("deploy/days/*")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		require.Equal(t, ".toml", filepath.Ext(path), path)
+		text, day := readDay(t, path)
+		require.True(t, strings.HasPrefix(text, "# "), "%s doesn't say what it keeps in sight", path)
+		require.Equal(t, strings.TrimSuffix(filepath.Base(path), ".toml"), day.Name)
+		require.Equal(t, "trouble", day.Slot, path)
+		require.NotZero(t, day.Seed, path)
+		require.NotEmpty(t, day.Plan, path)
+		for _, planned := range day.Plan {
+			require.Contains(t, plannedKinds, planned.Kind, path)
+			checkEvent(t, path, planned)
+		}
+		for _, fault := range day.Faults {
+			require.NotContains(t, plannedKinds, fault.Kind, path)
+			checkEvent(t, path, fault)
+		}
+	}
+}
+
+// checkEvent requires times within the day, shares up to 1, and no site's own names.
+func checkEvent(t *testing.T, path string, e event) {
+	t.Helper()
+	require.NotEmpty(t, e.Kind, path)
+	require.Positive(t, e.At, "%s: %s", path, e.Kind)
+	require.Less(t, e.At+e.For, float64(trafficSeconds), "%s: %s", path, e.Kind)
+	require.LessOrEqual(t, e.Share, 1.0, "%s: %s", path, e.Kind)
+	for _, name := range []string{e.Service, e.Class, e.Zone} {
+		if name != "" {
+			require.Regexp(t, dayPlaceholder, name, "%s: %s", path, e.Kind)
+		}
+	}
+}
