Keep a signal to read settings from ending an instance that stops

The reader of settings returns at the begin of the stop and gives SIGHUP back to its default, which ends the process; so does one that comes before the reader is there. Ruled out: reading settings on through the stop: the stop's times are taken at its begin, so nothing would use them. Ignoring the signal: settings would never be read. Change: the signal is caught before the settings are read first and until the process ends. `serve` doesn't read settings again, and SIGHUP still ends it at once.

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -133,6 +133,7 @@
 
 // runGateway runs an instance on the users' platform.
 func runGateway(ctx context.Context, c *cli.Command) error {
+	hangups := catchHangups()
 	s, err := settings.Load(c.String(configFlag))
 	if err != nil {
 		return err
@@ -148,21 +149,27 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnHangup(ctx, c.String(configFlag), instance.Reload)
+	go reloadOnHangup(ctx, hangups, c.String(configFlag), instance.Reload)
 	return instance.Run(ctx)
 }
 
-// reloadOnHangup reads the settings again at each SIGHUP. A file at fault leaves
-// the settings as they are. The signal would else end the process.
-func reloadOnHangup(ctx context.Context, path string, apply func(settings.Settings)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// catchHangups catches SIGHUP for as long as the process lives. The signal's default
+// ends the process at once: one that came during the start or the planned stop, when
+// nothing reads the settings, would close callers' connections in the middle of answers.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP until ctx ends. A file at
+// fault leaves the settings as they are.
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, path string, apply func(settings.Settings)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 		}
 		s, err := settings.Load(path)
 		if err != nil {
