Close callers' connections without losing a request at a planned stop

Cause: at the end of the balancer delay the stop had net/http close all idle connections. net/http counts a connection as idle until the whole head of its next request has been read, so requests that lay in the socket, were being read, or had just reached their handler lost their connection. At the end of the grace the process ended with whatever was in flight, also what still waited for stages. Ruled out: http.Server.Shutdown (the same closeIdleConns, in a loop); looking for requests in flight once more before the close (a request that is being read isn't counted); a longer delay (the close stays as blind, and a stop takes longer). Change: transport/inbound: a connection is closed only by its own reader, after it found the socket empty; the listener gives out what waits before it closes; a stop ends when no connection is left. coordination/drain decides what is still taken and the last moment to send: what waits for stages then is refused. What runs at the end of the grace gets a whole 504, a body that doesn't come a 503. Answers of a stopping instance say Connection: close, also those begun before. Open: the product's own interface, signals that come again.

--- /dev/null
+++ b/coordination/drain/drain.go
@@ -0,0 +1,58 @@
+// Package drain decides what an instance that stops as planned still takes, and until
+// when, so that each request that a caller has sent gets an answer or a true refusal
+// before the process ends.
+//
+// What can't end in time is refused as early as that is known: its caller can then be
+// served by another instance, where one that waits until the end can't any more.
+package drain
+
+import "time"
+
+// Window is the time of a planned stop.
+type Window struct {
+	Began time.Time
+	// Ends is when the last answer must have been given.
+	Ends time.Time
+}
+
+// lateArrival is how long after the stop's begin requests are still taken whose end
+// nobody can know. The balancer has noticed by then, two misses of a second each and
+// their answers; what comes later comes on kept connections, and its caller loses
+// nothing by going elsewhere.
+const lateArrival = 2800 * time.Millisecond
+
+// Request is what the decisions need to know of a request.
+type Request struct {
+	Arrived time.Time
+	// Deadline is when its answer is due at the latest.
+	Deadline time.Time
+	// Streams tells that its answer may go on for longer than is known.
+	Streams bool
+	// Usual is how long answers of its kind usually take once it has been sent.
+	Usual time.Duration
+}
+
+// Takes tells whether a request that has just come is served. A plain answer is there
+// by its deadline; a stream is taken while its usual time is left.
+func (w Window) Takes(r Request) bool {
+	if !r.Streams {
+		return !r.Deadline.After(w.Ends)
+	}
+	return r.Arrived.Sub(w.Began) <= lateArrival && !r.Arrived.After(w.SendBy(r))
+}
+
+// SendBy is the last moment at which a request may be sent to its target. One that
+// still waits for its stages then is refused.
+//
+// It guards against requests that wait for stages until the end of the grace: their
+// connections were closed without a word, 5 to 7 s after they had come, on days with
+// stops in series under a doubled load (30 of them on four played days of seven
+// instances).
+func (w Window) SendBy(r Request) time.Time {
+	usual := r.Usual
+	if !r.Streams {
+		// Its deadline bounds it; without one it needs as long as it usually takes.
+		usual = min(usual, r.Deadline.Sub(r.Arrived))
+	}
+	return w.Ends.Add(-min(usual, w.Ends.Sub(w.Began)))
+}
--- /dev/null
+++ b/coordination/drain/drain_test.go
@@ -0,0 +1,88 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var began = time.Unix(1000, 0)
+
+const grace = 7400 * time.Millisecond
+
+// A stream came on a kept connection 6.7 s after the stop began and was cut 0.7 s
+// later by the end of the process. What can't be finished is refused, so that its
+// caller gets a whole answer elsewhere; what can be is served to the end.
+func TestLateRequestsDuringAStop(t *testing.T) {
+	window := Window{Began: began, Ends: began.Add(grace)}
+	cases := map[string]struct {
+		streams               bool
+		usual, timeout, after time.Duration
+		takes                 bool
+	}{
+		"stream at once":          {true, Unobserved, 6 * time.Second, 0, true},
+		"stream before notice":    {true, Unobserved, 20 * time.Second, 2700 * time.Millisecond, true},
+		"stream after notice":     {true, Unobserved, 6 * time.Second, 2900 * time.Millisecond, false},
+		"stream late":             {true, Unobserved, 6 * time.Second, 6700 * time.Millisecond, false},
+		"short stream late":       {true, 100 * time.Millisecond, 6 * time.Second, 6700 * time.Millisecond, false},
+		"long streams":            {true, 6 * time.Second, 20 * time.Second, 1500 * time.Millisecond, false},
+		"longer than the grace":   {true, 20 * time.Second, 60 * time.Second, 100 * time.Millisecond, false},
+		"plain late, short":       {false, Unobserved, 800 * time.Millisecond, 6 * time.Second, true},
+		"plain beyond the end":    {false, Unobserved, 800 * time.Millisecond, 7 * time.Second, false},
+		"plain with a long limit": {false, Unobserved, 30 * time.Second, time.Second, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			arrived := began.Add(c.after)
+			r := Request{Arrived: arrived, Deadline: arrived.Add(c.timeout), Streams: c.streams, Usual: c.usual}
+			require.Equal(t, c.takes, window.Takes(r))
+		})
+	}
+}
+
+// A request waits for its stages when the stop begins. It must be refused while its
+// caller can still go elsewhere, and never after the last moment at which its answer
+// could end in the grace.
+func TestWaitingRequestsAreRefusedInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		window := Window{Began: began, Ends: began.Add(time.Duration(rapid.Int64Range(1, int64(20*time.Second)).Draw(t, "grace")))}
+		r := Request{
+			Arrived:  began.Add(-time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "age"))),
+			Streams:  rapid.Bool().Draw(t, "streams"),
+			Usual:    time.Duration(rapid.Int64Range(0, int64(30*time.Second)).Draw(t, "usual")),
+			Deadline: began.Add(time.Duration(rapid.Int64Range(0, int64(30*time.Second)).Draw(t, "left"))),
+		}
+		by := window.SendBy(r)
+		require.False(t, by.After(window.Ends))
+		require.False(t, by.Before(window.Began))
+		if r.Streams && r.Usual <= window.Ends.Sub(window.Began) {
+			require.Equal(t, window.Ends, by.Add(r.Usual))
+		}
+	})
+}
+
+// Estimates follow what answers take, and cover most of them: of streams of three
+// seconds on average, of which one in five takes twice that, four in five at least.
+func TestUsualCoversMostAnswers(t *testing.T) {
+	var u Usual
+	require.Equal(t, Unobserved, u.Time())
+	u.Observe(2250 * time.Millisecond)
+	covered := 0
+	for i := range 100 {
+		taken := 2250 * time.Millisecond
+		if i%5 == 4 {
+			taken = 6 * time.Second
+		}
+		if taken <= u.Time() {
+			covered++
+		}
+		u.Observe(taken)
+	}
+	require.GreaterOrEqual(t, covered, 80)
+	for range 50 {
+		u.Observe(100 * time.Millisecond)
+	}
+	require.Less(t, u.Time(), 200*time.Millisecond)
+}
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -21,8 +21,10 @@
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 256 << 10
-	// exitMargin is left of the grace for the end itself.
+	// exitMargin is left of the grace for the end itself. By then each request has
+	// its answer; the first closeTime of it is for the answers to leave.
 	exitMargin = 600 * time.Millisecond
+	closeTime  = 300 * time.Millisecond
 	// drainPoll is how often the end of requests in flight is looked for.
 	drainPoll = 50 * time.Millisecond
 	// leaveTimeout bounds the word to the other instances.
@@ -84,28 +86,28 @@
 	return context.Canceled
 }
 
-// finish waits until the balancer has noticed and nothing is in flight, at most
-// until ends. Kept connections are closed once the balancer has noticed, so that
-// their callers go elsewhere.
+// finish serves on until the balancer has noticed, then closes the connections of
+// callers as they become idle, so that they go elsewhere, and ends when all requests
+// have their answers.
 func (g *Gateway) finish(callers *inbound.Server, noticed, ends time.Time) {
+	time.Sleep(time.Until(noticed))
+	noteConnections(callers.States())
+	callers.Retire()
+	g.awaitQuiet(callers, ends)
+	ctx, cancel := context.WithDeadline(context.Background(), ends.Add(closeTime))
+	defer cancel()
+	if err := callers.Finish(ctx); err != nil {
+		telemetry.ErrorS(err, "Connections of callers were cut by the stop", telemetry.Event{Count: callers.Open()})
+	}
+}
+
+// awaitQuiet waits until no caller has a connection and no other instance's request
+// has stages here, at most until ends.
+func (g *Gateway) awaitQuiet(callers *inbound.Server, ends time.Time) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	closed := false
-	for now := range ticker.C {
-		if now.After(ends) {
-			return
-		}
-		if now.Before(noticed) {
-			continue
-		}
-		if !closed {
-			noteConnections(callers.States())
-			callers.Retire()
-			closed = true
-		}
-		if g.relay.InFlight() == 0 && g.stages.Held() == 0 {
-			return
-		}
+	for time.Now().Before(ends) && (callers.Open() > 0 || g.stages.Held() > 0) {
+		<-ticker.C
 	}
 }
 
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -71,6 +71,7 @@
 // sendHead sends the head of a target's answer.
 func (q *request) sendHead(status int, header http.Header, length int64) {
 	h := q.w.Header()
+	q.announceStop(h)
 	for name, values := range q.relay.options.Dialect.CallerHeader(header) {
 		h[name] = values
 	}
@@ -84,6 +85,14 @@
 	q.headerSent = true
 }
 
+// announceStop tells the caller of an instance that stops to go elsewhere with its next
+// request.
+func (q *request) announceStop(h http.Header) {
+	if _, stopping := q.relay.draining(); stopping {
+		h.Set("Connection", "close")
+	}
+}
+
 // passEvents passes a stream on, event by event: a target may stop in the middle
 // of one, and what goes on elsewhere begins with a whole one.
 func (q *request) passEvents(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
@@ -177,8 +186,13 @@
 	}
 	var refused *stages.RefusedError
 	var none *routing.NoTargetError
+	stopped := errors.Is(err, errStopping) || errors.Is(err, errStopped)
 	late := errors.Is(err, errDeadline) || ctx.Err() != nil
 	switch {
+	case stopped && !q.mayHaveRun:
+		q.refuse("stopping", minRetryAfter)
+	case stopped:
+		q.fail(http.StatusGatewayTimeout, "stopping")
 	case errors.As(err, &refused) && !q.mayHaveRun:
 		q.refuse(string(refused.Reason), refused.RetryAfter)
 	case errors.As(err, &none) && !q.mayHaveRun:
@@ -217,6 +231,7 @@
 func (q *request) answer(status int, reason, text string) {
 	q.reason = reason
 	h := q.w.Header()
+	q.announceStop(h)
 	q.relay.options.Dialect.StampAnswer(h, q.call.ID)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	body := text + "\n"
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
@@ -61,6 +62,9 @@
 	outcome, err := q.exchange(ctx, choice.Target)
 	handle.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started)})
 	if err == nil {
+		if outcome == routing.OutcomeOK {
+			q.relay.durations.observe(q.route.Name, time.Since(started))
+		}
 		return false, nil
 	}
 	return q.judge(ctx, err)
@@ -108,13 +112,15 @@
 func (q *request) makeStages(ctx context.Context, dataCentre string) error {
 	ctx, span := q.relay.options.Tracer.Start(ctx, "stages "+q.route.Name)
 	defer span.End()
+	ctx, release := q.untilSendBy(ctx)
+	defer release()
 	objective := q.objective
 	if q.headerSent {
 		objective = time.Now().Add(resumeObjective)
 	}
 	r := gather.Request{
 		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority, KindPriority: q.route.Priority,
-		Objective: objective, Deadline: q.nextEventDue(time.Now()), Rest: engineTime, DataCentre: dataCentre,
+		Objective: objective, Deadline: q.stagesDue(time.Now()), Rest: engineTime, DataCentre: dataCentre,
 	}
 	for i, s := range q.route.Stages {
 		pieces := 0
@@ -128,9 +134,27 @@
 	if err == nil && q.handles == nil {
 		q.handles = []string{}
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
+		return errStopping
+	}
+	var refused *stages.RefusedError
+	if errors.As(err, &refused) {
+		// Another instance has the time that the stop takes from this one.
+		refused.RetryAfter -= q.nextEventDue(time.Now()).Sub(r.Deadline)
+	}
 	return err
 }
 
+// stagesDue is when the first event must be there that the stages are for. In a planned
+// stop it is early enough for the rest of the answer.
+func (q *request) stagesDue(now time.Time) time.Time {
+	due := q.nextEventDue(now)
+	if window, stopping := q.relay.draining(); stopping {
+		due = earlier(due, window.SendBy(q.drainRequest()).Add(engineTime))
+	}
+	return due
+}
+
 // Callers give a stream up that brings no event for so long: the longest of a least
 // time, times of the objective and times of the longest pause that is on time.
 const (
--- /dev/null
+++ b/daemon/relay/durations.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/drain"
+)
+
+// maxKinds bounds the kinds of request that durations are known of: several times the
+// routes of a configuration.
+const maxKinds = 1024
+
+// durations are the usual times of answers by route, from the sending of the request
+// to the answer's end.
+type durations struct {
+	mu      sync.Mutex
+	byRoute map[string]*drain.Usual
+}
+
+func newDurations() *durations { return &durations{byRoute: map[string]*drain.Usual{}} }
+
+// observe takes in an answer's time.
+func (d *durations) observe(route string, taken time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.byRoute[route]
+	if u == nil {
+		if len(d.byRoute) >= maxKinds {
+			clear(d.byRoute)
+		}
+		u = &drain.Usual{}
+		d.byRoute[route] = u
+	}
+	u.Observe(taken)
+}
+
+// usual is how long an answer of a route usually takes.
+func (d *durations) usual(route string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if u := d.byRoute[route]; u != nil {
+		return u.Time()
+	}
+	return drain.Unobserved
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -56,42 +57,15 @@
 type Relay struct {
 	options Options
 	metrics metrics
-	// drain is set once the planned stop began.
-	drain    atomic.Pointer[drain]
-	inFlight atomic.Int64
+	// stopping is the planned stop, begun or not.
+	stopping  *stopping
+	durations *durations
+	inFlight  atomic.Int64
 }
 
 // New returns a relay.
-func New(o Options) *Relay { return &Relay{options: o, metrics: newMetrics(o.Scope)} }
-
-// drain are the times of a planned stop.
-type drain struct {
-	began, ends time.Time
-}
-
-// streamsAfterStop is how long after the beginning of a planned stop requests for
-// streams are still taken. The balancer has noticed by then; what comes later
-// comes on kept connections, and a stream with its stages takes longer than the
-// rest of the grace.
-const streamsAfterStop = 2800 * time.Millisecond
-
-// Drain begins the planned stop: each further answer closes its connection, and
-// what can't be answered by ends is refused.
-//
-// It guards against a stream that is taken on a kept connection shortly before
-// the process ends: its caller would get half an answer, where another instance
-// gives a whole one.
-func (s *Relay) Drain(ends time.Time) {
-	s.drain.Store(&drain{began: time.Now(), ends: ends})
-}
-
-// takes tells whether a request that has just come can be answered before the
-// stop.
-func (d *drain) takes(q *request) bool {
-	if q.streams() {
-		return q.arrived.Sub(d.began) <= streamsAfterStop
-	}
-	return !q.deadline.After(d.ends)
+func New(o Options) *Relay {
+	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations()}
 }
 
 // InFlight returns the number of requests without their final answer.
@@ -154,7 +128,7 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.drain.Load() != nil || chunked(r) {
+	if chunked(r) {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{relay: s, w: w, r: r, arrived: time.Now(), head: inbound.HeadTime(r.Context())}
@@ -163,6 +137,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
 	defer cancel()
+	ctx, release := q.untilStopped(ctx)
+	defer release()
 	ctx, span := s.options.Tracer.Start(ctx, "request "+q.route.Name)
 	defer span.End()
 	defer q.dropResults()
@@ -202,7 +178,7 @@
 		}
 	}
 	q.setTimes()
-	if d := q.relay.drain.Load(); d != nil && !d.takes(q) {
+	if window, stopping := q.relay.draining(); stopping && !window.Takes(q.drainRequest()) {
 		q.refuse("stopping", minRetryAfter)
 		return false
 	}
@@ -263,12 +239,15 @@
 	if q.r.ContentLength == 0 {
 		return true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := q.readAll(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		q.deny(http.StatusRequestEntityTooLarge, "the body is too large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.refuse("body_not_sent", minRetryAfter)
+		return false
 	case err != nil:
 		q.reason = "caller_left_body"
 		q.logEnd(0)
@@ -278,6 +257,29 @@
 	return true
 }
 
+// readAll reads the body, at most until its answer is due or the instance stops.
+//
+// It guards against a body that doesn't come: its connection would stay until the end
+// of a planned stop, and be closed then without an answer.
+func (q *request) readAll(limit int64) ([]byte, error) {
+	wait := &bodyWait{controller: http.NewResponseController(q.w)}
+	wait.until(q.deadline)
+	release := context.AfterFunc(q.relay.stopping.begun, func() {
+		window, _ := q.relay.draining()
+		wait.until(earlier(q.deadline, window.Ends))
+	})
+	defer wait.end()
+	defer release()
+	return io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // run serves the request to its one final answer.
 func (q *request) run(ctx context.Context) {
 	q.service = pickService(q.route.Split)
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -12,32 +12,6 @@
 
 var began = time.Unix(1000, 0)
 
-// A stream came on a kept connection 6.7 s after the stop began and was cut 0.7 s
-// later by the end of the process. What can't be finished is refused, so that its
-// caller gets a whole answer elsewhere; what can be is served to the end.
-func TestLateRequestsDuringAStop(t *testing.T) {
-	stop := &drain{began: began, ends: began.Add(7400 * time.Millisecond)}
-	cases := map[string]struct {
-		pause, timeout, after time.Duration
-		takes                 bool
-	}{
-		"stream at once":          {300 * time.Millisecond, 6 * time.Second, 0, true},
-		"stream before notice":    {300 * time.Millisecond, 20 * time.Second, 2700 * time.Millisecond, true},
-		"stream after notice":     {300 * time.Millisecond, 6 * time.Second, 2900 * time.Millisecond, false},
-		"stream late":             {300 * time.Millisecond, 6 * time.Second, 6700 * time.Millisecond, false},
-		"plain late, short":       {0, 800 * time.Millisecond, 6 * time.Second, true},
-		"plain beyond the end":    {0, 800 * time.Millisecond, 7 * time.Second, false},
-		"plain with a long limit": {0, 30 * time.Second, time.Second, false},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			q := &request{route: &routes.Route{MaxPause: c.pause}, arrived: began.Add(c.after)}
-			q.deadline = q.arrived.Add(c.timeout)
-			require.Equal(t, c.takes, stop.takes(q))
-		})
-	}
-}
-
 // Callers give a stream up that brings nothing for four times its objective. Work
 // that ends later than that is for nobody.
 func TestFirstEventIsDueBeforeCallersLeave(t *testing.T) {
--- /dev/null
+++ b/daemon/relay/stop.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/drain"
+)
+
+var (
+	// errStopping ends the wait for stages that don't end in a planned stop.
+	errStopping = errors.New("the instance stops before the request can be served")
+	// errStopped ends what is in flight at the end of a planned stop.
+	errStopped = errors.New("the instance stops")
+)
+
+// stopping is the planned stop as the requests in flight see it.
+type stopping struct {
+	// begun is done once the stop began, over once its last answers are due.
+	begun, over context.Context
+	begin       context.CancelFunc
+	end         context.CancelCauseFunc
+	// window is valid once begun is done.
+	window drain.Window
+	once   sync.Once
+}
+
+func newStopping() *stopping {
+	s := &stopping{}
+	s.begun, s.begin = context.WithCancel(context.Background())
+	s.over, s.end = context.WithCancelCause(context.Background())
+	return s
+}
+
+// Drain begins the planned stop: each further answer closes its connection, what can't
+// be answered by ends is refused, and what is in flight then is ended.
+func (s *Relay) Drain(ends time.Time) {
+	s.stopping.once.Do(func() {
+		s.stopping.window = drain.Window{Began: time.Now(), Ends: ends}
+		s.stopping.begin()
+		time.AfterFunc(time.Until(ends), func() { s.stopping.end(errStopped) })
+	})
+}
+
+// draining returns the window of the planned stop; false before it.
+func (s *Relay) draining() (drain.Window, bool) {
+	if s.stopping.begun.Err() == nil {
+		return drain.Window{}, false
+	}
+	return s.stopping.window, true
+}
+
+// drainRequest is the request as the decisions of a stop see it.
+func (q *request) drainRequest() drain.Request {
+	return drain.Request{
+		Arrived: q.arrived, Deadline: q.deadline, Streams: q.streams(),
+		Usual: q.relay.durations.usual(q.route.Name),
+	}
+}
+
+// untilStopped returns a context that ends with the planned stop too, by errStopped.
+func (q *request) untilStopped(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := context.AfterFunc(q.relay.stopping.over, func() { cancel(errStopped) })
+	return ctx, func() {
+		release()
+		cancel(nil)
+	}
+}
+
+// untilSendBy returns a context that ends, by errStopping, when a planned stop leaves no
+// time to send the request.
+func (q *request) untilSendBy(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := context.AfterFunc(q.relay.stopping.begun, func() {
+		window, _ := q.relay.draining()
+		timer := time.AfterFunc(time.Until(window.SendBy(q.drainRequest())), func() { cancel(errStopping) })
+		context.AfterFunc(ctx, func() { timer.Stop() })
+	})
+	return ctx, func() {
+		release()
+		cancel(nil)
+	}
+}
+
+// bodyWait bounds the wait for a request's body.
+type bodyWait struct {
+	mu         sync.Mutex
+	over       bool
+	controller *http.ResponseController
+}
+
+// until sets the end of the wait, unless the body is there.
+func (b *bodyWait) until(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.over {
+		_ = b.controller.SetReadDeadline(t) // a closed connection shows at the read
+	}
+}
+
+// end lifts the bound: from now on net/http watches whether the caller leaves.
+func (b *bodyWait) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.over = true
+	_ = b.controller.SetReadDeadline(time.Time{}) // a closed connection shows at the next read
+}
--- a/transport/inbound/server.go
+++ b/transport/inbound/server.go
@@ -30,20 +30,30 @@
 	MaxHeaderBytes int
 }
 
-// Server is an HTTP server for callers.
+// Server is an HTTP server for callers. Its stop is Retire, Finish, Close.
 type Server struct {
 	http     *http.Server
-	listener net.Listener
-
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	listener *listener
+	// accepted is closed when no more connections are accepted, closed by Close.
+	accepted, closed chan struct{}
+	closeOnce        sync.Once
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	retiring bool
+	// changed is told when a connection is gone.
+	changed chan struct{}
 }
 
 // New returns a server that accepts from the listener once it runs.
 func New(l net.Listener, h http.Handler, o Options) *Server {
-	s := &Server{listener: l, conns: map[*conn]struct{}{}}
+	s := &Server{
+		accepted: make(chan struct{}), closed: make(chan struct{}),
+		conns: map[*conn]struct{}{}, changed: make(chan struct{}, 1),
+	}
+	s.listener = &listener{Listener: l, server: s}
 	s.http = &http.Server{
-		Handler:           h,
+		Handler:           s.announce(h),
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		MaxHeaderBytes:    o.MaxHeaderBytes,
@@ -55,18 +65,87 @@
 	return s
 }
 
-// Serve accepts and serves connections until Close.
+// announce tells callers that their connection closes after the answer.
+func (s *Server) announce(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isRetiring() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) isRetiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retiring
+}
+
+// Serve accepts and serves connections until Close. Finish ends the accepting alone:
+// the group that runs the server must not end with it.
 func (s *Server) Serve() error {
-	return errors.Wrap(s.http.Serve(&listener{s.listener, s}), "serve")
+	err := s.http.Serve(s.listener)
+	close(s.accepted)
+	if !s.listener.ending.Load() {
+		return errors.Wrap(err, "serve")
+	}
+	<-s.closed
+	return nil
+}
+
+// Retire has each connection closed as soon as no request is on its way on it, also
+// those that are still to come. New ones have time for their first request.
+func (s *Server) Retire() {
+	s.mu.Lock()
+	s.retiring = true
+	s.mu.Unlock()
+	now := time.Now()
+	for _, c := range s.all() {
+		s.retireInTime(now, c)
+	}
+}
+
+// retireInTime retires a connection, a new one once its first request should be there.
+func (s *Server) retireInTime(now time.Time, c *conn) {
+	if wait := c.patience(now); wait > 0 {
+		time.AfterFunc(wait, c.retire)
+		return
+	}
+	c.retire()
+}
+
+// Finish ends the accepting, and waits until all connections that were opened have
+// been served and closed. It returns the context's error if that ends before.
+func (s *Server) Finish(ctx context.Context) error {
+	s.Retire()
+	s.listener.end()
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+		return errors.Wrap(context.Cause(ctx), "accept what waits")
+	}
+	for s.Open() > 0 {
+		select {
+		case <-s.changed:
+		case <-ctx.Done():
+			return errors.Wrap(context.Cause(ctx), "finish requests")
+		}
+	}
+	return nil
 }
 
 // Close closes all connections, whatever is on its way on them.
 func (s *Server) Close() {
 	_ = s.http.Close() // the process ends with it
+	s.closeOnce.Do(func() { close(s.closed) })
 }
 
-// Retire closes the connections without a request.
-func (s *Server) Retire() { s.http.SetKeepAlivesEnabled(false) }
+// Open returns the number of connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
 
 // States counts the connections.
 func (s *Server) States() map[State]int {
@@ -87,10 +166,28 @@
 	return all
 }
 
+// adopt takes in a connection that has just been accepted.
+func (s *Server) adopt(nc net.Conn) *conn {
+	now := time.Now()
+	c := &conn{Conn: nc, server: s, awaiting: true, began: now}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	retiring := s.retiring
+	s.mu.Unlock()
+	if retiring {
+		s.retireInTime(now, c)
+	}
+	return c
+}
+
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.mu.Unlock()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
 }
 
 // noteState takes in what net/http knows of a connection.
@@ -106,22 +203,3 @@
 		c.idle()
 	}
 }
-
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: nc, server: l.server, awaiting: true, began: time.Now()}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
-}
