Stop the product's own interface without losing a request; catch all signals

A SIGTERM that came again ended the process at once, and so did SIGHUP: on a gateway once a planned stop had begun (its handler was taken back with the stop), and during a start; on serve at any time. Ruled out: to keep the second SIGTERM as the way out of a long stop. Process managers whose restarts overlap send it; who wants an end has SIGKILL, and a person has an interrupt. Change: both faces and their admin servers use transport/inbound. serve.Stop ends what runs past the grace: each caller gets its problem, not_run or unknown, orders too. Signals are caught before anything else and until the end. The scenario second-signal held that a second SIGTERM cuts a stream; it holds that of an interrupt now, and that SIGTERM and SIGHUP, again and again, cut nothing. Conclusion: no signal but SIGINT, SIGKILL or a fault ends an instance with requests in flight.

--- a/daemon/app/run.go
+++ b/daemon/app/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,10 +9,14 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/inbound"
 )
 
 // Bounds of the steps of a planned stop that do not wait for callers.
 const (
+	// answerTimeout is for the answers of requests that the stop ends: they are a few
+	// hundred bytes, and their outcomes are recorded within half a second.
+	answerTimeout      = time.Second
 	drainClaimsTimeout = 3 * time.Second
 	leaveTimeout       = 2 * time.Second
 	adminReadTimeout   = 5 * time.Second
@@ -32,10 +34,10 @@
 	defer cancel()
 	var group run.Group
 	callers := a.callersServer()
-	admin := &http.Server{Handler: a.adminHandler(), ReadHeaderTimeout: adminReadTimeout}
+	admin := inbound.New(a.admin, a.adminHandler(), inbound.Options{HeaderTimeout: adminReadTimeout})
 	group.Add(func() error { return a.lifecycle(ctx, callers) }, func(error) {})
-	addServer(&group, callers, a.callers)
-	addServer(&group, admin, a.admin)
+	addServer(&group, callers)
+	addServer(&group, admin)
 	group.Add(a.cluster.Execute, a.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
 		a.sync.Run, a.claims.Run, a.gates.Run, a.exchange.Run, a.registrar.Run, a.followView,
@@ -55,45 +57,30 @@
 	return err
 }
 
-func (a *App) callersServer() *http.Server {
+func (a *App) callersServer() *inbound.Server {
 	limits := a.settings.Limits
-	return &http.Server{
-		Handler:           a.server.Handler(),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-	}
+	return inbound.New(a.callers, a.server.Handler(), inbound.Options{
+		HeaderTimeout:  limits.HeaderTimeout,
+		IdleTimeout:    limits.IdleTimeout,
+		MaxHeaderBytes: limits.MaxHeaderBytes,
+	})
 }
 
 // addServer adds an HTTP server to the group.
-//
-// Serve returns as soon as Shutdown begins, while streams still run. Were the
-// actor to return with it, the group would end all others and cut the streams;
-// so it stays until it is interrupted.
-func addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	interrupted := make(chan struct{})
-	group.Add(func() error {
-		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve")
-		}
-		<-interrupted
-		return nil
-	}, func(error) {
-		close(interrupted)
-		_ = server.Close()
-	})
+func addServer(group *run.Group, server *inbound.Server) {
+	group.Add(server.Serve, func(error) { server.Close() })
 }
 
 // lifecycle waits for the end of ctx and does the planned stop.
-func (a *App) lifecycle(ctx context.Context, callers *http.Server) error {
+func (a *App) lifecycle(ctx context.Context, callers *inbound.Server) error {
 	<-ctx.Done()
 	telemetry.InfoS("planned stop", telemetry.Event{Count: a.server.InFlight()})
 	a.draining.Store(true)
 	a.handOverOrders()
 	wait(a.settings.Shutdown.BalancerDelay)
-	callers.SetKeepAlivesEnabled(false)
-	bounded(a.settings.Shutdown.Grace, "finish requests in flight", callers.Shutdown)
+	bounded(a.settings.Shutdown.Grace, "finish requests in flight", callers.Finish)
+	a.server.Stop()
+	bounded(answerTimeout, "answer what did not end", callers.Finish)
 	bounded(drainClaimsTimeout, "record outcomes", a.claims.Drain)
 	bounded(leaveTimeout, "write the last report", func(ctx context.Context) error {
 		a.reporter.Write(ctx)
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,8 +44,8 @@
 	return ExitFault
 }
 
-// All returns the daemon's commands.
-func All() []*cli.Command {
+// All returns the daemon's commands. At each of the hangups settings are read again.
+func All(hangups <-chan os.Signal) []*cli.Command {
 	return []*cli.Command{
 		{
 			Name:  "serve",
@@ -58,6 +56,9 @@
 				if err != nil {
 					return err
 				}
+				reading, end := context.WithCancel(context.Background())
+				defer end()
+				go reloadOnHangup(reading, hangups, c.String(configFlag), keepSettings)
 				return serve(ctx, s, nil, func(*app.App) {})
 			},
 		},
@@ -68,7 +69,9 @@
 				Name: configFlag, Usage: "the settings file (INI)", Required: true,
 				Sources: cli.EnvVars(platform.SettingsVariable),
 			}},
-			Action: runGateway,
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return runGateway(ctx, c.String(configFlag), hangups)
+			},
 		},
 		{
 			Name:      "check-config",
@@ -131,9 +134,9 @@
 	return t, nil
 }
 
-// runGateway runs an instance on the users' platform.
-func runGateway(ctx context.Context, c *cli.Command) error {
-	s, err := settings.Load(c.String(configFlag))
+// runGateway runs an instance on the users' platform with the settings at path.
+func runGateway(ctx context.Context, path string, hangups <-chan os.Signal) error {
+	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
@@ -148,31 +151,12 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnHangup(ctx, c.String(configFlag), instance.Reload)
+	reading, end := context.WithCancel(context.Background())
+	defer end()
+	go reloadOnHangup(reading, hangups, path, instance.Reload)
 	return instance.Run(ctx)
 }
 
-// reloadOnHangup reads the settings again at each SIGHUP. A file at fault leaves
-// the settings as they are. The signal would else end the process.
-func reloadOnHangup(ctx context.Context, path string, apply func(settings.Settings)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
-		s, err := settings.Load(path)
-		if err != nil {
-			telemetry.ErrorS(err, "Settings refused, the ones before stay in force", telemetry.Event{})
-			continue
-		}
-		apply(s)
-	}
-}
-
 func shutdown(t *telemetry.Telemetry) {
 	ctx, cancel := context.WithTimeout(context.Background(), telemetryTimeout)
 	defer cancel()
--- a/daemon/command/main.go
+++ b/daemon/command/main.go
@@ -4,25 +4,21 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 )
 
-// exitForced is the exit code after a second signal cut a planned stop short.
-const exitForced = 3
-
 // Main runs the daemon's command line and returns the exit code.
 func Main() int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go stopOnSignal(cancel)
+	s := catchSignals()
+	go s.stopOnce(cancel, os.Exit)
 	root := &cli.Command{
 		Name:                  "ivyhollowd",
 		Usage:                 "serves multi-stage model pipelines on an entry instance",
 		Version:               Version,
-		Commands:              All(),
+		Commands:              All(s.hangups),
 		EnableShellCompletion: true,
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
@@ -31,14 +27,3 @@
 	}
 	return 0
 }
-
-// stopOnSignal starts the planned stop at the first signal. A second one ends
-// the process at once: whoever sends it has waited long enough.
-func stopOnSignal(stop context.CancelFunc) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	stop()
-	<-signals
-	os.Exit(exitForced)
-}
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -250,6 +250,9 @@
 	return !slices.Contains(r.finished, false)
 }
 
+// ErrStopping is the cause of a context that ends since the instance stops.
+var ErrStopping = errors.New("the instance stops")
+
 // asFailure names the cause of an end that no stage reported.
 func (r *run) asFailure(ctx context.Context, err error) *Failure {
 	var failure *Failure
@@ -257,6 +260,9 @@
 		return failure
 	}
 	reason := ReasonCaller
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		reason = ReasonStopping
+	}
 	if !r.opts.Now().Before(r.job.Deadline) {
 		reason = ReasonDeadline
 	}
--- a/daemon/serve/conn_test.go
+++ b/daemon/serve/conn_test.go
@@ -17,6 +17,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
 	"github.com/ivyhollow/ivyhollow/daemon/execute"
 	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+	"github.com/ivyhollow/ivyhollow/transport/inbound"
 )
 
 // pipes is a listener in memory, so that time in a bubble goes on while
@@ -43,7 +44,7 @@
 // connRig is a server and one caller's connection, in virtual time.
 type connRig struct {
 	*rig
-	http   *http.Server
+	http   *inbound.Server
 	conn   net.Conn
 	reader *bufio.Reader
 }
@@ -58,14 +59,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		listener := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
 		r := &connRig{rig: newRig(t, run, change)}
-		r.http = &http.Server{Handler: r.server.Handler()}
-		go func() { _ = r.http.Serve(listener) }()
+		r.http = inbound.New(listener, r.server.Handler(), inbound.Options{})
+		go func() { _ = r.http.Serve() }()
 		near, far := net.Pipe()
 		listener.conns <- far
 		r.conn, r.reader = near, bufio.NewReader(near)
 		test(t, r)
 		_ = near.Close()
-		_ = r.http.Close()
+		r.http.Close()
 		synctest.Wait()
 	})
 }
@@ -146,7 +147,7 @@
 		got, err := http.ReadResponse(r.reader, nil)
 		require.NoError(t, err)
 		ended := make(chan error, 1)
-		go func() { ended <- r.http.Shutdown(context.Background()) }()
+		go func() { ended <- r.http.Finish(context.Background()) }()
 		synctest.Wait()
 		require.Empty(t, ended)
 		go func() { release <- struct{}{} }()
--- a/daemon/serve/problem.go
+++ b/daemon/serve/problem.go
@@ -80,7 +80,7 @@
 
 func failureType(f *execute.Failure) string {
 	switch f.Reason {
-	case execute.ReasonOverload, execute.ReasonNoTarget:
+	case execute.ReasonOverload, execute.ReasonNoTarget, execute.ReasonStopping:
 		return typeOverload
 	case execute.ReasonDeadline:
 		return typeDeadline
--- a/daemon/serve/server.go
+++ b/daemon/serve/server.go
@@ -77,6 +77,9 @@
 	waiting *limiter
 	joins   *joins
 	metrics *metrics
+	// stopped is done once the requests that still run are to end.
+	stopped context.Context
+	stop    context.CancelCauseFunc
 }
 
 // New makes a server.
@@ -84,7 +87,10 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	stopped, stop := context.WithCancelCause(context.Background())
 	return &Server{
+		stopped:  stopped,
+		stop:     stop,
 		opts:     o,
 		inFlight: newLimiter(o.MaxInFlight),
 		streams:  newLimiter(o.MaxStreams),
--- /dev/null
+++ b/daemon/serve/stop_test.go
@@ -0,0 +1,56 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/daemon/execute"
+	"github.com/ivyhollow/ivyhollow/protocol/callerapi"
+)
+
+// Story: a request runs for longer than the grace of a planned stop, an order too,
+// which goes on without its caller. The instance ended with it and closed the
+// connection; the caller could not know whether it ran. It must be told, whatever the
+// work is, before the instance ends.
+func TestStopAnswersWhatStillRuns(t *testing.T) {
+	cases := map[string]struct {
+		ask     ask
+		verdict outcome.Verdict
+		status  int
+		outcome callerapi.Outcome
+	}{
+		"waits for a slot": {ask{pipeline: "again"}, outcome.NotRun, http.StatusServiceUnavailable, callerapi.OutcomeNotRun},
+		"runs":             {ask{pipeline: "again"}, outcome.Unknown, http.StatusBadGateway, callerapi.OutcomeUnknown},
+		"claimed, waits":   {ask{pipeline: "once", key: "k"}, outcome.NotRun, http.StatusServiceUnavailable, callerapi.OutcomeNotRun},
+		"claimed, runs":    {ask{pipeline: "once", key: "k"}, outcome.Unknown, http.StatusBadGateway, callerapi.OutcomeUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			running := make(chan struct{})
+			r := newRig(t, func(ctx context.Context, _ execute.Job) (execute.Result, error) {
+				close(running)
+				<-ctx.Done()
+				require.ErrorIs(t, context.Cause(ctx), execute.ErrStopping)
+				return execute.Result{}, &execute.Failure{Reason: execute.ReasonStopping, Verdict: c.verdict, Cause: context.Cause(ctx)}
+			}, nil)
+			w := httptest.NewRecorder()
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				r.server.Handler().ServeHTTP(w, c.ask.request(t.Context()))
+			}()
+			<-running
+			r.server.Stop()
+			<-answered
+			got := parse(t, w)
+			require.Equal(t, c.status, got.status)
+			require.Equal(t, c.outcome, got.problem.Outcome)
+			require.Equal(t, typeOverload, got.problem.Type)
+		})
+	}
+}
--- a/daemon/serve/submit.go
+++ b/daemon/serve/submit.go
@@ -32,6 +32,8 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.opts.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
+	ctx, release := s.untilStopped(ctx)
+	defer release()
 	problem := s.serve(&boundedWriter{ResponseWriter: w, limit: s.opts.StreamIdle}, r.WithContext(ctx), began)
 	s.metrics.ended(problem, s.opts.Now().Sub(began))
 	if problem != nil {
@@ -171,6 +173,8 @@
 	// half way: its retry with the same key gets the answer.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
+	ctx, release := s.untilStopped(ctx)
+	defer release()
 	ctx = platform.WithWaitShare(ctx, a.call.waitShare())
 	key := claims.Key{Account: a.call.account.Name, IdempotencyKey: a.call.idempotencyKey}
 	begun, err := s.opts.Claims.Begin(ctx, key, a.call.digest)
--- a/testkit/scenario/verbs.go
+++ b/testkit/scenario/verbs.go
@@ -25,6 +25,8 @@
 		"instance":     startInstance,
 		"crash":        signalVerb(syscall.SIGKILL),
 		"term":         signalVerb(syscall.SIGTERM),
+		"interrupt":    signalVerb(syscall.SIGINT),
+		"hangup":       signalVerb(syscall.SIGHUP),
 		"freeze":       signalVerb(syscall.SIGSTOP),
 		"thaw":         signalVerb(syscall.SIGCONT),
 		"ended":        waitEnded,
