Serve late streams that surely end while all instances stop

Cause: a stopping instance refuses streams from 2.8 s on, whoever else is there. Ruled out: to take all late streams (one whose end isn't known may be cut with the process, after its target has run it). Change: coordination/drain: with nobody else there a late stream is taken if the longest answer of its kind, as observed, still ends in the grace; a refusal names a second then.

--- a/daemon/relay/durations.go
+++ b/daemon/relay/durations.go
@@ -35,12 +35,18 @@
 	u.Observe(taken)
 }
 
-// usual is how long an answer of a route usually takes.
-func (d *durations) usual(route string) time.Duration {
+// of returns how long an answer of a route usually takes, and at most: longer than any
+// stop if that isn't known.
+func (d *durations) of(route string) (usual, longest time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if u := d.byRoute[route]; u != nil {
-		return u.Time()
+	u := d.byRoute[route]
+	if u == nil {
+		return drain.Unobserved, unbounded
+	}
+	longest, known := u.Longest()
+	if !known {
+		longest = unbounded
 	}
-	return drain.Unobserved
+	return u.Time(), longest
 }
