Refuse late streams again while all instances stop

Ruled out: to keep it for its sense: it adds a second estimate and a question to the membership for no gain that shows. Change: reverted. What binds is the stages' queue, not the refusal at the door.

--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -37,34 +37,11 @@
 		t.Run(name, func(t *testing.T) {
 			arrived := began.Add(c.after)
 			r := Request{Arrived: arrived, Deadline: arrived.Add(c.timeout), Streams: c.streams, Usual: c.usual}
-			require.Equal(t, c.takes, window.Takes(r, false))
+			require.Equal(t, c.takes, window.Takes(r))
 		})
 	}
 }
 
-// All instances of a fleet stop at once. A caller that is refused finds nobody else; one
-// whose answer surely ends in the grace is served, also late, and no other.
-func TestLateRequestsWhileAllStop(t *testing.T) {
-	window := Window{Began: began, Ends: began.Add(grace)}
-	cases := map[string]struct {
-		longest, after time.Duration
-		alone, takes   bool
-	}{
-		"another is there":   {2 * time.Second, 4 * time.Second, false, false},
-		"nobody else":        {2 * time.Second, 4 * time.Second, true, true},
-		"it may not end":     {2 * time.Second, 5500 * time.Millisecond, true, false},
-		"long answers":       {6 * time.Second, 3 * time.Second, true, false},
-		"at the last moment": {2 * time.Second, 5400 * time.Millisecond, true, true},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			r := Request{Arrived: began.Add(c.after), Deadline: began.Add(20 * time.Second), Streams: true, Usual: time.Second, Longest: c.longest}
-			require.Equal(t, c.takes, window.Takes(r, c.alone))
-		})
-	}
-	require.Greater(t, RetryAfter(true), RetryAfter(false))
-}
-
 // A request waits for its stages when the stop begins. It must be refused while its
 // caller can still go elsewhere, and never after the last moment at which its answer
 // could end in the grace.
@@ -104,24 +81,8 @@
 		u.Observe(taken)
 	}
 	require.GreaterOrEqual(t, covered, 80)
-	longest, known := u.Longest()
-	require.True(t, known)
-	require.InDelta(t, 7.5, longest.Seconds(), 0.1)
 	for range 50 {
 		u.Observe(100 * time.Millisecond)
 	}
 	require.Less(t, u.Time(), 200*time.Millisecond)
-	longest, _ = u.Longest()
-	require.Greater(t, longest, 6*time.Second, "the longest is forgotten too soon")
-}
-
-// An instance that has served a few requests doesn't know how long its longest answers
-// are: it must not take what may be cut.
-func TestLongestIsUnknownAtFirst(t *testing.T) {
-	var u Usual
-	for range enough - 1 {
-		u.Observe(100 * time.Millisecond)
-	}
-	_, known := u.Longest()
-	require.False(t, known)
 }
--- a/coordination/drain/usual.go
+++ b/coordination/drain/usual.go
@@ -7,8 +7,7 @@
 // Control", SIGCOMM 1988).
 type Usual struct {
 	mean, deviation time.Duration
-	longest         time.Duration
-	observed        int
+	known           bool
 }
 
 const (
@@ -21,19 +20,12 @@
 	// Unobserved is taken for a kind of request without an answer yet: what streams of
 	// a few hundred tokens take.
 	Unobserved = 3 * time.Second
-	// enough answers show how long the longest are: their sizes are bounded, and one in
-	// twenty comes near the bound.
-	enough = 24
-	// longestDecay is the share, as a divisor, that the longest loses with each answer.
-	longestDecay = 256
 )
 
 // Observe takes in how long an answer took.
 func (u *Usual) Observe(taken time.Duration) {
-	u.observed++
-	u.longest = max(taken, u.longest-u.longest/longestDecay)
-	if u.observed == 1 {
-		u.mean, u.deviation = taken, taken/2
+	if !u.known {
+		u.mean, u.deviation, u.known = taken, taken/2, true
 		return
 	}
 	off := taken - u.mean
@@ -43,14 +35,8 @@
 
 // Time is how long an answer takes in most cases.
 func (u *Usual) Time() time.Duration {
-	if u.observed == 0 {
+	if !u.known {
 		return Unobserved
 	}
 	return u.mean + deviations*u.deviation
 }
-
-// Longest is how long an answer takes at most, with a quarter to spare; false while too
-// few are known.
-func (u *Usual) Longest() (time.Duration, bool) {
-	return u.longest + u.longest/4, u.observed >= enough
-}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -151,7 +151,6 @@
 		Shares:  g.sharesOf,
 		Stages:  g.stages,
 		Budgets: retrybudget.New(g.retryConfig()),
-		Alone:   g.alone,
 		Leaving: g.follower.Leaving,
 		Tracer:  t.Tracer,
 		Scope:   t.Scope,
@@ -259,16 +258,6 @@
 	g.shares.Store(&shares)
 }
 
-// alone tells that this instance knows of no other that takes requests.
-func (g *Gateway) alone() bool {
-	for _, m := range g.cluster.View().Live() {
-		if m.Name != g.self.Name {
-			return false
-		}
-	}
-	return true
-}
-
 // sharesOf returns the shares of a service's targets that data centres have.
 func (g *Gateway) sharesOf(service string) map[string]float64 {
 	if shares := g.shares.Load(); shares != nil {
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -190,7 +190,7 @@
 	late := errors.Is(err, errDeadline) || ctx.Err() != nil
 	switch {
 	case stopped && !q.mayHaveRun:
-		q.refuseStopping()
+		q.refuse("stopping", minRetryAfter)
 	case stopped:
 		q.fail(http.StatusGatewayTimeout, "stopping")
 	case errors.As(err, &refused) && !q.mayHaveRun:
--- a/daemon/relay/durations.go
+++ b/daemon/relay/durations.go
@@ -35,18 +35,12 @@
 	u.Observe(taken)
 }
 
-// of returns how long an answer of a route usually takes, and at most: longer than any
-// stop if that isn't known.
-func (d *durations) of(route string) (usual, longest time.Duration) {
+// usual is how long an answer of a route usually takes.
+func (d *durations) usual(route string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	u := d.byRoute[route]
-	if u == nil {
-		return drain.Unobserved, unbounded
-	}
-	longest, known := u.Longest()
-	if !known {
-		longest = unbounded
+	if u := d.byRoute[route]; u != nil {
+		return u.Time()
 	}
-	return u.Time(), longest
+	return drain.Unobserved
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -47,8 +47,6 @@
 	Shares  func(service string) map[string]float64
 	Stages  Maker
 	Budgets *retrybudget.Budgets
-	// Alone tells that no other instance takes requests.
-	Alone func() bool
 	// Leaving is told of a target that takes nothing new.
 	Leaving func(incarnation string)
 	Tracer  trace.Tracer
@@ -180,8 +178,8 @@
 		}
 	}
 	q.setTimes()
-	if window, stopping := q.relay.draining(); stopping && !window.Takes(q.drainRequest(), q.relay.options.Alone()) {
-		q.refuseStopping()
+	if window, stopping := q.relay.draining(); stopping && !window.Takes(q.drainRequest()) {
+		q.refuse("stopping", minRetryAfter)
 		return false
 	}
 	return q.readBody(table.Limits.BodyBytes)
--- a/daemon/relay/stop.go
+++ b/daemon/relay/stop.go
@@ -56,18 +56,12 @@
 
 // drainRequest is the request as the decisions of a stop see it.
 func (q *request) drainRequest() drain.Request {
-	usual, longest := q.relay.durations.of(q.route.Name)
 	return drain.Request{
 		Arrived: q.arrived, Deadline: q.deadline, Streams: q.streams(),
-		Usual: usual, Longest: longest,
+		Usual: q.relay.durations.usual(q.route.Name),
 	}
 }
 
-// refuseStopping refuses what the instance can't serve before it stops.
-func (q *request) refuseStopping() {
-	q.refuse("stopping", drain.RetryAfter(q.relay.options.Alone()))
-}
-
 // untilStopped returns a context that ends with the planned stop too, by errStopped.
 func (q *request) untilStopped(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
