End the wait for a newer configuration with a planned stop

A request that would be denied waits for up to 0.55 s whether a newer configuration allows it; at the end of the grace its connection was closed 0.3 s later without an answer. Ruled out: to deny it: an instance that couldn't ask must not say that a key or a route doesn't exist. Change: the wait ends with the stop, and the request is refused as not run. Conclusion: from a request's first byte on each wait ends with the stop.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -132,13 +132,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{relay: s, w: w, r: r, arrived: time.Now(), head: inbound.HeadTime(r.Context())}
-	if !q.accept() {
+	ctx, release := q.untilStopped(r.Context())
+	defer release()
+	if !q.accept(ctx) {
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 	defer cancel()
-	ctx, release := q.untilStopped(ctx)
-	defer release()
 	ctx, span := s.options.Tracer.Start(ctx, "request "+q.route.Name)
 	defer span.End()
 	defer q.dropResults()
@@ -154,7 +154,7 @@
 func chunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
 
 // accept reads the request, and answers at once what isn't served.
-func (q *request) accept() bool {
+func (q *request) accept(ctx context.Context) bool {
 	table := q.relay.options.Table()
 	if table == nil {
 		q.refuse("no_configuration", time.Second)
@@ -171,7 +171,11 @@
 	}
 	if status := q.authorize(table); status != 0 {
 		// A version that allows the request may be a moment old.
-		q.relay.options.Confirm(q.r.Context())
+		q.relay.options.Confirm(ctx)
+		if errors.Is(context.Cause(ctx), errStopped) {
+			q.refuse("stopping", minRetryAfter)
+			return false
+		}
 		if status = q.authorize(q.relay.options.Table()); status != 0 {
 			q.deny(status, http.StatusText(status))
 			return false
