Tell the starts of a target apart where it keeps its name

Cause: a target may now start again under the name that it had, and tells its start (born). Everything was kept by the name: a target that left and started again would never have got work, and its results, health and kept connections would have been those of the process before. Ruled out: a number of an instance's own for each start seen: instances name incarnations to one another, in records and in homes of prompts. To close what is in flight at the process before: the kernel tells of it within a second once the address answers, and a reply that has come would be lost. Change: routes.Target has a name and a start; its incarnation is both. The roster keys entries by name, words of leaving by incarnation, and takes no entry of an earlier start. The planner has results of the process before made again and hands its calls on; pieces handed on go in one call a request, no more in one each. Connections are kept by address and incarnation. Homes of prompts are drawn by name. On the wire the name alone is expected. Two lines of daemon/relay/attempt.go change with it. A clock that steps back between two starts makes the later one count as earlier.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -109,6 +109,7 @@
 func (p *Planner) SetTargets(now time.Time, name string, list []Target) []Action {
 	s := p.service(name)
 	kept := make(map[string]bool, len(list))
+	var added []Target
 	for _, t := range list {
 		kept[t.Incarnation] = true
 		if known := s.targets[t.Incarnation]; known != nil {
@@ -116,6 +117,7 @@
 			continue
 		}
 		s.targets[t.Incarnation] = &target{Target: t, service: s, slow: 1}
+		added = append(added, t)
 	}
 	for id, t := range s.targets {
 		if !kept[id] {
@@ -125,6 +127,9 @@
 			}
 		}
 	}
+	for _, t := range added {
+		p.restarted(now, t)
+	}
 	p.dispatch(now, s)
 	return p.flush()
 }
@@ -205,21 +210,7 @@
 // expireResults drops results that their makers no longer keep, and has those
 // made again that are still needed.
 func (p *Planner) expireResults(now time.Time, w *work) {
-	expired := false
-	for _, s := range w.stages {
-		for i, r := range s.results {
-			if r == nil || r.freed || now.Before(r.expires) {
-				continue
-			}
-			r.target.heldBytes -= r.bytes
-			r.freed = true
-			if !w.completed && p.needed(s) {
-				p.unmake(s, i)
-				expired = true
-			}
-		}
-	}
-	if expired {
+	if p.dropResults(w, func(r *result) bool { return !now.Before(r.expires) }) {
 		p.advance(now, w)
 	}
 }
--- /dev/null
+++ b/coordination/gather/restart.go
@@ -0,0 +1,54 @@
+package gather
+
+import "time"
+
+// restarted takes in that a target started again under its name: whatever its earlier
+// incarnations held is gone, and they answer nothing any more.
+//
+// Without it the results would count as there until they expire, four seconds later.
+// Each stage that reads one of them costs a call whose pieces come back unmade, and a
+// call in progress behind a silent link holds its pieces until its time-out: requests
+// would end late that have the time for another try.
+func (p *Planner) restarted(now time.Time, t Target) {
+	if t.Name == "" {
+		return
+	}
+	earlier := func(other *target) bool { return other.Name == t.Name && other.Incarnation != t.Incarnation }
+	var short []*work
+	for _, w := range p.works {
+		if p.dropResults(w, func(r *result) bool { return earlier(r.target) }) {
+			short = append(short, w)
+		}
+	}
+	// Only now: a stage sent before all of this is known would read what is gone.
+	for _, w := range short {
+		p.advance(now, w)
+	}
+	for _, c := range p.calls {
+		if earlier(c.target) {
+			c.target.ended = true
+			p.handOnCall(now, c)
+		}
+	}
+}
+
+// dropResults drops results that are gone at their makers, and has those made again
+// that are still needed. It tells whether there are any; the request is to be advanced
+// then.
+func (p *Planner) dropResults(w *work, gone func(*result) bool) bool {
+	unmade := false
+	for _, s := range w.stages {
+		for i, r := range s.results {
+			if r == nil || r.freed || !gone(r) {
+				continue
+			}
+			r.target.heldBytes -= r.bytes
+			r.freed = true
+			if !w.completed && p.needed(s) {
+				p.unmake(s, i)
+				unmade = true
+			}
+		}
+	}
+	return unmade
+}
--- /dev/null
+++ b/coordination/gather/restart_test.go
@@ -0,0 +1,119 @@
+package gather
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// named lists targets of a service by name and incarnation.
+func named(service string, incarnations ...string) []Target {
+	var list []Target
+	for i, incarnation := range incarnations {
+		name := service + "-" + string(rune('0'+i))
+		list = append(list, Target{Incarnation: incarnation, Name: name, Address: name, DataCentre: "x"})
+	}
+	return list
+}
+
+// madeByFirst has a request of two stages whose first results are made by a-0@100, and
+// whose second stage waits since its target went.
+func madeByFirst(t *testing.T) *rig {
+	r := newRig(t)
+	r.planner.SetService("a", narrow)
+	r.planner.SetService("b", narrow)
+	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@100")))
+	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
+	q := chain("one", 2, 3)
+	q.Objective, q.Deadline = r.now.Add(20*time.Second), r.now.Add(30*time.Second)
+	r.submit(q)
+	r.do(r.planner.SetTargets(r.now, "b", nil))
+	r.run(time.Second)
+	require.Len(t, r.calls, 1)
+	require.Empty(t, r.refused)
+	return r
+}
+
+// A target makes results, crashes and starts again under its name and address, all
+// while the stage that reads them waits for its turn. The results are gone: they are
+// made again before the stage is sent, at the target that has its room free again, and
+// no call reads or frees one of the process before.
+func TestResultsOfTheProcessBeforeAreMadeAgain(t *testing.T) {
+	r := madeByFirst(t)
+	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
+	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
+	r.run(2 * time.Second)
+	require.Len(t, r.completed["one"], 3)
+	require.Len(t, r.calls, 3)
+	require.Equal(t, "a-0@200", r.calls[1].Target.Incarnation)
+	require.Equal(t, []string{"a-0@200/3", "a-0@200/4"}, r.calls[2].Pieces[0].Inputs)
+	require.NotContains(t, r.freed, "a-0@100/1")
+	for _, held := range r.planner.services["a"].targets {
+		require.Zero(t, held.heldBytes, "what the process before held takes no room")
+	}
+}
+
+// The same, where the entry was removed first, so that the old incarnation is known no
+// more when the new one comes.
+func TestResultsAreMadeAgainAfterARemoval(t *testing.T) {
+	r := madeByFirst(t)
+	r.do(r.planner.SetTargets(r.now, "a", nil))
+	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
+	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
+	r.run(2 * time.Second)
+	require.Len(t, r.completed["one"], 3)
+	require.Equal(t, []string{"a-0@200/3", "a-0@200/4"}, r.calls[2].Pieces[0].Inputs)
+}
+
+// An outage of the store lets entries lapse, and the same incarnation is back: what it
+// holds is still there.
+func TestResultsOutliveALapse(t *testing.T) {
+	r := madeByFirst(t)
+	r.do(r.planner.SetTargets(r.now, "a", nil))
+	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@100")))
+	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
+	r.run(2 * time.Second)
+	require.Len(t, r.completed["one"], 3)
+	require.Len(t, r.calls, 2)
+}
+
+// A target crashes behind a cut link with a call in its hands and starts again under
+// its name. The call is silent until its time-out, seconds later. Its pieces are made
+// elsewhere as soon as the restart is known, and an answer of the old process that is
+// read after that names nothing that anybody holds.
+func TestCallsOfTheProcessBeforeAreLost(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		r := newRig(t)
+		r.planner.SetService("a", narrow)
+		r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@100")))
+		r.took = func(c StartCall) time.Duration {
+			switch {
+			case c.Target.Incarnation != "a-0@100":
+				return 250 * time.Millisecond
+			case answers:
+				return 300 * time.Millisecond
+			}
+			return time.Hour
+		}
+		r.end = func(c StartCall) (CallOutcome, []PieceResult) {
+			if c.Target.Incarnation == "a-0@100" && !answers {
+				return CallLost, nil
+			}
+			return CallAnswered, nil
+		}
+		r.submit(chain("one", 2))
+		r.run(100 * time.Millisecond)
+		r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
+		require.Len(t, r.calls, 2, "sent again at once")
+		r.run(400 * time.Millisecond)
+		require.Empty(t, r.refused)
+		require.Len(t, r.completed["one"], 2)
+		for _, handle := range r.completed["one"] {
+			require.NotContains(t, handle, "a-0@100")
+		}
+		r.run(5 * time.Second)
+		require.False(t, slices.Contains(r.freed, "a-0@100/1"))
+	}
+}
--- a/coordination/gather/results.go
+++ b/coordination/gather/results.go
@@ -14,16 +14,29 @@
 		if c.handedOn || now.Before(c.overdue) {
 			continue
 		}
-		c.handedOn = true
 		c.target.slow = max(c.target.slow, float64(now.Sub(c.started))/float64(c.expected))
-		for _, ref := range c.pieces {
-			st := ref.stage
-			if p.works[st.work.ID] != st.work || st.work.completed || st.results[ref.index] != nil || slices.Contains(st.todo, ref.index) {
-				continue
-			}
-			st.todo = append(st.todo, ref.index)
-			p.advance(now, st.work)
+		p.handOnCall(now, c)
+	}
+}
+
+// handOnCall has those pieces of a call made elsewhere that are still wanted. They are
+// sent together: a call for each would take as many targets.
+func (p *Planner) handOnCall(now time.Time, c *call) {
+	if c.handedOn {
+		return
+	}
+	c.handedOn = true
+	wanted := map[*work]bool{}
+	for _, ref := range c.pieces {
+		st := ref.stage
+		if p.works[st.work.ID] != st.work || st.work.completed || st.results[ref.index] != nil || slices.Contains(st.todo, ref.index) {
+			continue
 		}
+		st.todo = append(st.todo, ref.index)
+		wanted[st.work] = true
+	}
+	for w := range wanted {
+		p.advance(now, w)
 	}
 }
 
@@ -36,6 +49,9 @@
 	}
 	delete(p.calls, id)
 	t := c.target
+	if t.ended {
+		outcome = CallLost
+	}
 	t.calls--
 	t.heldBytes -= c.bytes
 	p.learn(now, c, outcome)
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -44,6 +44,9 @@
 	// busyUntil is when the latest call should end.
 	busyUntil time.Time
 	leaving   bool
+	// ended tells that the process is gone, since another took its name. A reply of it
+	// that is read after that names results that nobody holds.
+	ended bool
 }
 
 // Tuning of the targets.
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -19,8 +19,10 @@
 // Target is one incarnation of a stage target.
 type Target struct {
 	Incarnation string
-	Address     string
-	DataCentre  string
+	// Name is what the target answers to, and keeps when it starts again.
+	Name       string
+	Address    string
+	DataCentre string
 }
 
 // Stage is one stage of a request.
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -8,6 +8,10 @@
 // takes effect at once while the store is well, and only after a grace when it
 // was not. Word that an incarnation leaves is final.
 //
+// Entries are told apart by name, and one name may have several incarnations in
+// turn: a process that starts again keeps it. What was said of one of them doesn't
+// hold for the next, and an earlier one never comes back.
+//
 // Roster is a pure state machine: time is an argument. It is not safe for
 // concurrent use.
 package roster
@@ -24,22 +28,30 @@
 // target lives: the platform says about two seconds.
 const returnGrace = 2200 * time.Millisecond
 
-// maxLeft bounds the incarnations that are remembered as leaving.
-const maxLeft = 8192
+// Bounds of what is remembered: incarnations as leaving, and starts by name.
+const (
+	maxLeft    = 8192
+	maxStarted = 8192
+)
 
 // Gone is the removal of an entry that has taken effect.
 type Gone struct {
-	Incarnation string
-	Revision    uint64
+	Name     string
+	Revision uint64
 }
 
 // Roster holds the targets of all services.
 type Roster struct {
-	gone    []Gone
+	gone []Gone
+	// entries are by name.
 	entries map[string]*entry
 	// left are incarnations that were told to leave; nothing brings them back.
 	left     map[string]struct{}
 	leftList []string
+	// started is the latest start of each name, where starts are told. It outlives
+	// the entry: an earlier start may still be told then.
+	started     map[string]int64
+	startedList []string
 	// troubled is when the store was last known not to answer.
 	troubled time.Time
 	changed  bool
@@ -56,44 +68,67 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]*entry{}, left: map[string]struct{}{}}
+	return &Roster{entries: map[string]*entry{}, left: map[string]struct{}{}, started: map[string]int64{}}
 }
 
 // Put takes in an entry as of a revision of the store. It tells whether that is
 // news.
+//
+// An entry of an earlier start than the latest one known is none: the word of a
+// process that is gone may be written late, after that of the one that took its
+// name, and would bring back what is left or take out what is there.
 func (r *Roster) Put(t routes.Target, revision uint64) bool {
-	e := r.entries[t.Incarnation]
+	e := r.entries[t.Name]
 	if e != nil && revision < e.revision {
 		return false
 	}
+	if t.Started < r.started[t.Name] {
+		return false
+	}
+	r.noteStart(t)
 	if t.Leaving {
-		r.Leaving(t.Incarnation)
+		r.Leaving(t.Incarnation())
 	}
 	if e != nil && e.removed.IsZero() && e.target == t {
 		e.revision = revision
 		return false
 	}
-	r.entries[t.Incarnation] = &entry{target: t, revision: revision}
+	r.entries[t.Name] = &entry{target: t, revision: revision}
 	r.changed = true
 	return true
 }
 
+// noteStart remembers the latest start of a name.
+func (r *Roster) noteStart(t routes.Target) {
+	if t.Started == 0 {
+		return
+	}
+	if _, known := r.started[t.Name]; !known {
+		if len(r.startedList) >= maxStarted {
+			delete(r.started, r.startedList[0])
+			r.startedList = r.startedList[1:]
+		}
+		r.startedList = append(r.startedList, t.Name)
+	}
+	r.started[t.Name] = t.Started
+}
+
 // Remove takes in the removal of an entry that this instance saw in the store. It
 // tells whether that is news.
-func (r *Roster) Remove(now time.Time, incarnation string, revision uint64) bool {
-	return r.remove(now, incarnation, revision, false)
+func (r *Roster) Remove(now time.Time, name string, revision uint64) bool {
+	return r.remove(now, name, revision, false)
 }
 
 // RemoveSettled takes in a removal that has taken effect at another instance. It
 // does so here at once: what this instance's own contact with the store is like
 // says nothing about it. An instance that the store refuses would else go on
 // sending work to a target that left, for as long as it is refused.
-func (r *Roster) RemoveSettled(now time.Time, incarnation string, revision uint64) bool {
-	return r.remove(now, incarnation, revision, true)
+func (r *Roster) RemoveSettled(now time.Time, name string, revision uint64) bool {
+	return r.remove(now, name, revision, true)
 }
 
-func (r *Roster) remove(now time.Time, incarnation string, revision uint64, settled bool) bool {
-	e := r.entries[incarnation]
+func (r *Roster) remove(now time.Time, name string, revision uint64, settled bool) bool {
+	e := r.entries[name]
 	if e == nil || revision < e.revision || (!e.removed.IsZero() && !settled) {
 		return false
 	}
@@ -111,12 +146,12 @@
 func (r *Roster) Listed(now time.Time, targets []routes.Target, revision uint64) {
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
-		listed[t.Incarnation] = true
+		listed[t.Name] = true
 		r.Put(t, revision)
 	}
-	for incarnation, e := range r.entries {
-		if !listed[incarnation] && e.revision <= revision {
-			r.Remove(now, incarnation, revision)
+	for name, e := range r.entries {
+		if !listed[name] && e.revision <= revision {
+			r.Remove(now, name, revision)
 		}
 	}
 }
@@ -144,13 +179,13 @@
 // zero if none is.
 func (r *Roster) Tick(now time.Time) time.Time {
 	var next time.Time
-	for incarnation, e := range r.entries {
+	for name, e := range r.entries {
 		if e.removed.IsZero() {
 			continue
 		}
 		if !now.Before(e.goneAt) {
-			delete(r.entries, incarnation)
-			r.gone = append(r.gone, Gone{incarnation, e.revision})
+			delete(r.entries, name)
+			r.gone = append(r.gone, Gone{name, e.revision})
 			r.changed = true
 			continue
 		}
@@ -180,13 +215,13 @@
 // order.
 func (r *Roster) Usable() map[string][]routes.Target {
 	usable := map[string][]routes.Target{}
-	for incarnation, e := range r.entries {
-		if _, left := r.left[incarnation]; !left {
+	for _, e := range r.entries {
+		if _, left := r.left[e.target.Incarnation()]; !left {
 			usable[e.target.Service] = append(usable[e.target.Service], e.target)
 		}
 	}
 	for _, list := range usable {
-		slices.SortFunc(list, func(a, b routes.Target) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+		slices.SortFunc(list, func(a, b routes.Target) int { return cmp.Compare(a.Name, b.Name) })
 	}
 	return usable
 }
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,14 +14,21 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func target(incarnation string) routes.Target {
-	return routes.Target{Incarnation: incarnation, Service: "s", Address: incarnation}
+func target(name string) routes.Target {
+	return routes.Target{Name: name, Service: "s", Address: name}
+}
+
+// startedAt is a target that tells its start.
+func startedAt(name string, started int64) routes.Target {
+	t := target(name)
+	t.Started = started
+	return t
 }
 
 func usable(r *Roster) []string {
 	names := []string{}
 	for _, t := range r.Usable()["s"] {
-		names = append(names, t.Incarnation)
+		names = append(names, t.Incarnation())
 	}
 	return names
 }
@@ -116,3 +124,72 @@
 	r.Put(target("a"), 3)
 	require.Equal(t, []string{"a"}, usable(r))
 }
+
+// A target leaves, by its entry or by what was heard at its address, and the process
+// starts again under its name. The word was about the start before: held against the
+// name it would keep the new process without work for as long as it lives. And nothing
+// that is told of the earlier start later may bring that back.
+func TestStartsAgainAfterLeaving(t *testing.T) {
+	leaving := startedAt("a", 100)
+	leaving.Leaving = true
+	cases := map[string]struct {
+		next routes.Target
+		want []string
+	}{
+		"later start":                   {startedAt("a", 200), []string{"a@200"}},
+		"the same start, said ready":    {startedAt("a", 100), []string{}},
+		"an earlier start":              {startedAt("a", 50), []string{}},
+		"no start, from another writer": {target("a"), []string{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Put(leaving, 5)
+			r.Put(c.next, 6)
+			require.Equal(t, c.want, usable(r))
+			require.False(t, r.Leaving("a@100"), "it was told before")
+			require.Equal(t, c.want, usable(r))
+		})
+	}
+}
+
+// A target starts again, and the last entry of the process before is written late: it
+// calls itself leaving, or stands at an address that is another's by now. Neither may
+// touch the process that has the name.
+func TestEarlierStartIsNoNews(t *testing.T) {
+	r := New()
+	require.True(t, r.Put(startedAt("a", 200), 5))
+	late := startedAt("a", 100)
+	late.Leaving, late.Address = true, "elsewhere"
+	require.False(t, r.Put(late, 6))
+	require.Equal(t, []string{"a@200"}, usable(r))
+	require.Equal(t, "a", r.Usable()["s"][0].Address)
+	require.True(t, r.Leaving("a@200"), "the late entry said nothing of this start")
+}
+
+// The entry of a target that crashed is removed. It starts again, and after that
+// instances tell one another of the removal, and of the entry before it.
+func TestRemovalAndEntryFromBeforeTheStart(t *testing.T) {
+	r := New()
+	r.Put(startedAt("a", 100), 1)
+	r.Remove(start, "a", 2)
+	r.Tick(start)
+	require.Empty(t, usable(r))
+	require.False(t, r.Put(startedAt("a", 50), 1), "of an earlier start, told late")
+	r.Put(startedAt("a", 200), 3)
+	require.False(t, r.RemoveSettled(start, "a", 2))
+	require.False(t, r.Put(startedAt("a", 100), 1))
+	r.Tick(start)
+	require.Equal(t, []string{"a@200"}, usable(r))
+	require.Equal(t, []Gone{{"a", 2}}, r.TakeGone())
+}
+
+// Names come and go for weeks. What is remembered of their starts stays bounded.
+func TestStartsAreBounded(t *testing.T) {
+	r := New()
+	for i := range maxStarted + 10 {
+		r.Put(startedAt(strconv.Itoa(i), 100), uint64(i+1))
+	}
+	require.Len(t, r.started, maxStarted)
+	require.Len(t, r.startedList, maxStarted)
+}
--- a/coordination/routing/home.go
+++ b/coordination/routing/home.go
@@ -44,9 +44,12 @@
 
 // homeDraw is an exponential draw that is the same at all instances. Divided by a
 // weight, the least of them falls to each target in proportion to its weight, and
-// when a weight changes only the homes that it gains or loses move.
+// when a weight changes only the homes that it gains or loses move. It is drawn by
+// the target's name: one that starts again has lost what it cached, and gets its own
+// homes back. Drawn anew they would move to others, and as many of others to it, so
+// that twice as many prompts were read again.
 func (p *pick) homeDraw(c *candidate) float64 {
-	score := rendezvous.Score(c.target.Incarnation, p.query.Home)
+	score := rendezvous.Score(cmp.Or(c.target.Name, c.target.Incarnation), p.query.Home)
 	return -math.Log((float64(score) + 1) / (math.MaxUint64 + 2))
 }
 
--- a/coordination/routing/home_test.go
+++ b/coordination/routing/home_test.go
@@ -77,3 +77,57 @@
 	require.InDelta(t, 250, count["dc1"], 70)
 	require.InDelta(t, 250, count["dc2"], 70)
 }
+
+// An engine starts again under its name and has cached nothing. Its own subjects are
+// read again there, and no other's: with new homes for the new start, those of the old
+// one would be read at other engines and as many of theirs at this one.
+func TestHomesOutliveARestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	named := func(incarnation func(i int) string) []Target {
+		targets := make([]Target, 12)
+		for i := range targets {
+			targets[i] = Target{Incarnation: incarnation(i), Name: fmt.Sprint("t", i), Pool: "p", DataCentre: "x", Slots: 8}
+		}
+		return targets
+	}
+	table := New(Config{Instance: "a", LocalDataCentre: "x"})
+	pool := Pool{Name: "p", EjectionFloor: 0.5}
+	table.SetTargets(now, pool, named(func(i int) string { return fmt.Sprintf("t%d@100", i) }))
+	before := map[string]string{}
+	for i := range 300 {
+		home := fmt.Sprint("subject", i)
+		before[home] = pickHome(t, table, home, nil).Name
+	}
+	table.SetTargets(now, pool, named(func(i int) string {
+		if i == 3 {
+			return "t3@200"
+		}
+		return fmt.Sprintf("t%d@100", i)
+	}))
+	later := now.Add(time.Hour) // the slow start of the new incarnation is over
+	for home, name := range before {
+		choice, err := table.Pick(later, newRNG(), Query{Pool: "p", Home: home})
+		require.NoError(t, err)
+		require.Equal(t, name, choice.Target.Name)
+	}
+}
+
+// A target is ejected for its failures, or word is that it leaves, and it starts again
+// under its name. What was held against the process before isn't against this one.
+func TestRestartedTargetIsJudgedAnew(t *testing.T) {
+	targets := someTargets(4)
+	targets[0].Incarnation, targets[0].Name = "t0@100", "t0"
+	table := newTable(Config{}, targets)
+	table.fail(start, "t0@100", 50)
+	table.Leaving(start, "t0@100")
+	handle := table.Started(start, "t0@100", 1)
+
+	targets[0].Incarnation = "t0@200"
+	table.SetTargets(start, testPool, targets)
+	now := start.Add(time.Hour) // past its slow start
+	counts := table.shares(t, now, 400, Query{}, usual)
+	require.InDelta(t, 100, counts["t0@200"], 40)
+	require.Zero(t, counts["t0@100"])
+	handle.Done(now, Result{Outcome: OutcomeFailed})
+	require.Zero(t, table.target("t0@200").own(), "the request was at the process before")
+}
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -22,9 +22,12 @@
 // Target is one incarnation of a target process.
 type Target struct {
 	Incarnation string
-	Pool        string
-	Address     string
-	DataCentre  string
+	// Name is what the process answers to, and keeps when it starts again; empty
+	// where an incarnation has no other name.
+	Name       string
+	Pool       string
+	Address    string
+	DataCentre string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// Models and Adapters are what an engine has loaded; empty means no
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -72,7 +72,7 @@
 	// revision that the store tells it; false if this is that instance, or if it
 	// doesn't know. Nil if each asks for itself.
 	AskConfirmer func(ctx context.Context) (revision uint64, known bool)
-	// OnLeaving is told of each target that takes nothing new from now on.
+	// OnLeaving is told of each incarnation that takes nothing new from now on.
 	OnLeaving func(now time.Time, incarnation string)
 	Scope     tally.Scope
 }
--- a/daemon/follow/targets.go
+++ b/daemon/follow/targets.go
@@ -18,7 +18,7 @@
 	for _, o := range l.Items {
 		if t, ok := f.decodeTarget(o.Metadata.Name, o.Spec); ok {
 			targets = append(targets, t)
-			f.options.Spread(spread.Record{Kind: recordTarget, Name: t.Incarnation, Revision: o.Metadata.Revision, Body: o.Spec})
+			f.options.Spread(spread.Record{Kind: recordTarget, Name: t.Name, Revision: o.Metadata.Revision, Body: o.Spec})
 		}
 	}
 	defer f.spreadGone()
@@ -76,9 +76,9 @@
 		}
 	} else if f.roster.Put(t, r.Revision) {
 		if t.Leaving {
-			f.options.OnLeaving(now, r.Name)
+			f.options.OnLeaving(now, t.Incarnation())
 		}
-		telemetry.InfoS("Entry of a target", telemetry.Event{Target: r.Name, Revision: r.Revision, Reason: state(t)})
+		telemetry.InfoS("Entry of a target", telemetry.Event{Target: t.Incarnation(), Revision: r.Revision, Reason: state(t)})
 	}
 	f.rosterChanged(now)
 }
@@ -90,7 +90,9 @@
 	return "ready"
 }
 
-// Leaving notes what a target itself said of its leaving, and tells the others.
+// Leaving notes what was said at an incarnation's own address of its leaving, and
+// tells the others. It holds for that incarnation alone: one that starts later under
+// its name is another.
 func (f *Follower) Leaving(incarnation string) {
 	f.mu.Lock()
 	news := f.roster.Leaving(incarnation)
@@ -147,7 +149,7 @@
 	gone := f.roster.TakeGone()
 	f.mu.Unlock()
 	for _, g := range gone {
-		f.options.Spread(spread.Record{Kind: recordTarget, Name: g.Incarnation, Revision: g.Revision, Deleted: true})
+		f.options.Spread(spread.Record{Kind: recordTarget, Name: g.Name, Revision: g.Revision, Deleted: true})
 	}
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -91,8 +91,8 @@
 	draining atomic.Bool
 	// shutdown are the times of a planned stop, as last read.
 	shutdown atomic.Pointer[settings.Shutdown]
-	// addresses are those of the targets in use.
-	addresses atomic.Pointer[map[string]bool]
+	// inUse are the incarnations of the targets in use.
+	inUse atomic.Pointer[map[string]bool]
 	// shares are, by service, the shares of its targets that data centres have.
 	shares atomic.Pointer[map[string]map[string]float64]
 }
@@ -233,18 +233,18 @@
 
 // setTargets hands the targets to those who use them.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
-	addresses := map[string]bool{}
+	inUse := map[string]bool{}
 	shares := map[string]map[string]float64{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
-			addresses[t.Address] = true
+			inUse[t.Incarnation()] = true
 			if shares[name] == nil {
 				shares[name] = map[string]float64{}
 			}
 			shares[name][t.DataCentre] += 1 / float64(len(usable[name]))
 			list = append(list, routing.Target{
-				Incarnation: t.Incarnation, Pool: name, Address: t.Address,
+				Incarnation: t.Incarnation(), Name: t.Name, Pool: name, Address: t.Address,
 				DataCentre: t.DataCentre, Slots: max(t.Slots, service.Slots),
 			})
 		}
@@ -254,7 +254,7 @@
 		}
 	}
 	g.stages.SetTargets(now, table, usable)
-	g.addresses.Store(&addresses)
+	g.inUse.Store(&inUse)
 	g.shares.Store(&shares)
 }
 
@@ -303,8 +303,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			addresses := g.addresses.Load()
-			g.client.CloseIdle(func(a string) bool { return addresses != nil && (*addresses)[a] })
+			inUse := g.inUse.Load()
+			g.client.CloseIdle(func(process string) bool { return inUse != nil && (*inUse)[process] })
 		}
 	}
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -260,7 +260,7 @@
 		}
 	})
 	defer silence.Stop()
-	options := forward.Options{Belongs: q.belongs, KeepIdle: q.keepIdle}
+	options := forward.Options{Process: t.Incarnation, Belongs: q.belongs, KeepIdle: q.keepIdle}
 	if !q.route.MayRepeat() {
 		options.MaxIdle = forward.FreshIdle
 	}
@@ -332,7 +332,7 @@
 	}
 	header := q.relay.options.Dialect.TargetHeader(q.r.Header, exchange.Send{
 		Left:        time.Until(q.deadline),
-		Incarnation: t.Incarnation,
+		Target:      t.Name,
 		Account:     q.account,
 		Priority:    q.priority,
 		Prompt:      q.route.PromptRoute,
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -78,7 +78,9 @@
 			p.SetService(name, shape(s.Batch))
 			list := make([]gather.Target, 0, len(usable[name]))
 			for _, t := range usable[name] {
-				list = append(list, gather.Target{Incarnation: t.Incarnation, Address: t.Address, DataCentre: t.DataCentre})
+				list = append(list, gather.Target{
+					Incarnation: t.Incarnation(), Name: t.Name, Address: t.Address, DataCentre: t.DataCentre,
+				})
 			}
 			actions = append(actions, p.SetTargets(now, name, list)...)
 		}
@@ -209,14 +211,14 @@
 	handles := o.freeing[t]
 	delete(o.freeing, t)
 	o.mu.Unlock()
-	request, err := o.dialect.FreeCall(t.Address, t.Incarnation, handles)
+	request, err := o.dialect.FreeCall(t.Address, t.Name, handles)
 	if err != nil {
 		klog.ErrorS(err, "Results could not be freed", "target", t.Incarnation, "count", len(handles))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	reply, err := o.client.Do(ctx, t.Address, request, forward.Options{})
+	reply, err := o.client.Do(ctx, t.Address, request, forward.Options{Process: t.Incarnation})
 	if err == nil {
 		_, err = io.Copy(io.Discard, reply)
 		reply.Close()
@@ -283,11 +285,11 @@
 func (o *Owner) exchange(c gather.StartCall) ([]gather.PieceResult, gather.CallOutcome, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	request, err := o.dialect.StageCall(c.Target.Address, c.Target.Incarnation, c.Pieces, time.Now())
+	request, err := o.dialect.StageCall(c.Target.Address, c.Target.Name, c.Pieces, time.Now())
 	if err != nil {
 		return nil, gather.CallLost, err
 	}
-	reply, err := o.client.Do(ctx, c.Target.Address, request, forward.Options{})
+	reply, err := o.client.Do(ctx, c.Target.Address, request, forward.Options{Process: c.Target.Incarnation})
 	if err != nil {
 		return nil, gather.CallLost, err
 	}
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -36,8 +36,8 @@
 type Send struct {
 	// Left is the time until the attempt is of no use any more.
 	Left time.Duration
-	// Incarnation is the only one that may take the attempt.
-	Incarnation string
+	// Target is the name of the only one that may take the attempt.
+	Target string
 	// Account is the client account's name; empty without one.
 	Account  string
 	Priority int
@@ -78,9 +78,9 @@
 	CallerHeader(h http.Header) http.Header
 	// StampAnswer sets the request's id on an answer of the system's own.
 	StampAnswer(h http.Header, id string)
-	// StageCall is the request for pieces, for the incarnation alone.
-	StageCall(address, incarnation string, pieces []gather.PieceOrder, now time.Time) (*http.Request, error)
+	// StageCall is the request for pieces, for the target of that name alone.
+	StageCall(address, target string, pieces []gather.PieceOrder, now time.Time) (*http.Request, error)
 	ParseStageReply(body []byte) ([]gather.PieceResult, error)
 	// FreeCall is the request that gives results back.
-	FreeCall(address, incarnation string, handles []string) (*http.Request, error)
+	FreeCall(address, target string, handles []string) (*http.Request, error)
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -31,10 +31,11 @@
 // Do sends a request to an address and waits for the header of its answer. The
 // context bounds the whole attempt, the body included.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
-	k := c.take(address, cmp.Or(o.MaxIdle, idleMax))
+	peer := peerKey{address, o.Process}
+	k := c.take(peer, cmp.Or(o.MaxIdle, idleMax))
 	if k == nil {
 		var err error
-		if k, err = c.dial(ctx, address); err != nil {
+		if k, err = c.dial(ctx, peer); err != nil {
 			return nil, err
 		}
 	}
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -46,18 +46,26 @@
 type Client struct {
 	dialer net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu sync.Mutex
+	// idle are the kept connections.
+	idle map[peerKey][]*conn
 }
 
+// peerKey tells the processes apart that have an address in turn. A process that
+// dies behind a cut link leaves connections that look whole: the first bytes on one
+// are answered by a reset from the process that has its address now, and what may run
+// once at most would then count as one that may have run. So a connection carries
+// only what is for the process that it was opened for.
+type peerKey struct{ address, process string }
+
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
-	address string
-	reader  *bufio.Reader
-	since   time.Time
-	keep    time.Duration
-	writes  int
+	peerKey
+	reader *bufio.Reader
+	since  time.Time
+	keep   time.Duration
+	writes int
 }
 
 // Write counts the bytes that left.
@@ -71,7 +79,7 @@
 func New() *Client {
 	return &Client{
 		dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: KeepAlive, Control: BoundSilence},
-		idle:   map[string][]*conn{},
+		idle:   map[peerKey][]*conn{},
 	}
 }
 
@@ -116,9 +124,9 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // take returns a kept connection that nothing was received on, or nil.
-func (c *Client) take(address string, maxIdle time.Duration) *conn {
+func (c *Client) take(peer peerKey, maxIdle time.Duration) *conn {
 	for {
-		k := c.pop(address)
+		k := c.pop(peer)
 		if k == nil {
 			return nil
 		}
@@ -130,19 +138,19 @@
 	}
 }
 
-func (c *Client) pop(address string) *conn {
+func (c *Client) pop(peer peerKey) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[address]
+	list := c.idle[peer]
 	if len(list) == 0 {
 		return nil
 	}
 	k := list[len(list)-1]
 	list[len(list)-1] = nil
 	if len(list) == 1 {
-		delete(c.idle, address)
+		delete(c.idle, peer)
 	} else {
-		c.idle[address] = list[:len(list)-1]
+		c.idle[peer] = list[:len(list)-1]
 	}
 	return k
 }
@@ -157,23 +165,23 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[k.address]) >= maxIdlePerTarget {
+	if len(c.idle[k.peerKey]) >= maxIdlePerTarget {
 		_ = k.Close() // one too many
 		return
 	}
-	c.idle[k.address] = append(c.idle[k.address], k)
+	c.idle[k.peerKey] = append(c.idle[k.peerKey], k)
 }
 
 // CloseIdle closes connections that have been idle too long, and all those to
-// addresses that are not in use any more.
-func (c *Client) CloseIdle(inUse func(address string) bool) {
+// processes that are not in use any more.
+func (c *Client) CloseIdle(inUse func(process string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for address, list := range c.idle {
+	for peer, list := range c.idle {
 		kept := list[:0]
 		for _, k := range list {
-			if inUse(address) && now.Sub(k.since) < k.keep {
+			if inUse(peer.process) && now.Sub(k.since) < k.keep {
 				kept = append(kept, k)
 				continue
 			}
@@ -181,9 +189,9 @@
 		}
 		clear(list[len(kept):])
 		if len(kept) == 0 {
-			delete(c.idle, address)
+			delete(c.idle, peer)
 		} else {
-			c.idle[address] = kept
+			c.idle[peer] = kept
 		}
 	}
 }
@@ -210,16 +218,19 @@
 }
 
 // dial opens a connection.
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	nc, err := c.dialer.DialContext(ctx, "tcp", address)
+func (c *Client) dial(ctx context.Context, peer peerKey) (*conn, error) {
+	nc, err := c.dialer.DialContext(ctx, "tcp", peer.address)
 	if err != nil {
-		return nil, &Error{Step: StepConnect, Peer: address, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
+		return nil, &Error{Step: StepConnect, Peer: peer.address, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReader(nc), keep: idleMax}, nil
+	return &conn{Conn: nc, peerKey: peer, reader: bufio.NewReader(nc), keep: idleMax}, nil
 }
 
 // Options of one attempt.
 type Options struct {
+	// Process names the incarnation that the attempt is for. Kept connections of
+	// others at the address are not used.
+	Process string
 	// MaxIdle bounds how long a kept connection may have been idle; 0 is no
 	// bound of its own.
 	MaxIdle time.Duration
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -126,7 +126,7 @@
 	require.Eventually(t, func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return !quiet(c.idle[address][0].Conn)
+		return !quiet(c.idle[peerKey{address: address}][0].Conn)
 	}, 5*time.Second, time.Millisecond)
 	_, _ = do(t, c, address, "", Options{}) // the script serves one answer a connection
 	require.EqualValues(t, 2, conns.Load())
@@ -202,7 +202,7 @@
 	_, err := do(t, c, address, "", Options{})
 	require.NoError(t, err)
 	c.mu.Lock()
-	c.idle[address][0].since = time.Now().Add(-2 * FreshIdle)
+	c.idle[peerKey{address: address}][0].since = time.Now().Add(-2 * FreshIdle)
 	c.mu.Unlock()
 	_, err = do(t, c, address, "", Options{MaxIdle: FreshIdle})
 	require.NoError(t, err)
@@ -219,3 +219,37 @@
 	_, err = New().Do(ctx, address, request, Options{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// A target dies behind a cut link and starts again at its address. The connection that
+// was kept to it looks whole, and what is sent on it is reset by the new process's
+// machine: a request that may run once at most would end as one that may have run. It
+// goes out on a connection of its own.
+func TestKeptConnectionIsForItsProcess(t *testing.T) {
+	var served atomic.Int64
+	address, conns := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		first := served.Add(1) == 1
+		for n := 0; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if first && n > 0 {
+				_ = nc.(*net.TCPConn).SetLinger(0) // closed, it is reset
+				return
+			}
+			_, _ = io.WriteString(nc, whole)
+		}
+	})
+	c := New()
+	_, err := do(t, c, address, "", Options{Process: "a@100"})
+	require.NoError(t, err)
+	for range 2 {
+		got, err := do(t, c, address, "", Options{Process: "a@200"})
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+	}
+	require.EqualValues(t, 2, conns.Load(), "the new process's connection is kept as well")
+
+	c.CloseIdle(func(process string) bool { return process == "a@200" })
+	require.Len(t, c.idle, 1)
+	require.Contains(t, c.idle, peerKey{address, "a@200"})
+}
