Check entries of targets field by field, and let none hide the others

Cause: an entry may come from another writer, with fields missing or of another type, a state that is unknown, or bytes that can't be read. Read with defaults it named a target: without a state one counted as ready, without an address one was dialled at "". A bad entry over a good one left the old target in use, and one unreadable element failed the whole list or watch, so that an instance which starts would never get a target. Ruled out: to go on with the last good entry (its target may have left, its address may be another's); to leave out single fields; a sticky leaving for a bad entry, since nobody said that the target leaves; to tell peers the bad body, which earlier builds would read with defaults: they are told a removal. A refused entry is a removal that has taken effect.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -113,16 +113,24 @@
 	r.started[t.Name] = t.Started
 }
 
+// TellsStart tells whether an entry of the name has told a start: one without is
+// not whole then.
+func (r *Roster) TellsStart(name string) bool {
+	_, known := r.started[name]
+	return known
+}
+
 // Remove takes in the removal of an entry that this instance saw in the store. It
 // tells whether that is news.
 func (r *Roster) Remove(now time.Time, name string, revision uint64) bool {
 	return r.remove(now, name, revision, false)
 }
 
-// RemoveSettled takes in a removal that has taken effect at another instance. It
-// does so here at once: what this instance's own contact with the store is like
-// says nothing about it. An instance that the store refuses would else go on
-// sending work to a target that left, for as long as it is refused.
+// RemoveSettled takes in a removal that has taken effect at another instance, or an
+// entry that names no target any more. It takes effect here at once: what this
+// instance's own contact with the store is like says nothing about it. An instance
+// that the store refuses would else go on sending work to a target that left, for as
+// long as it is refused.
 func (r *Roster) RemoveSettled(now time.Time, name string, revision uint64) bool {
 	return r.remove(now, name, revision, true)
 }
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -184,6 +184,20 @@
 	require.Equal(t, []Gone{{"a", 2}}, r.TakeGone())
 }
 
+// An entry that can't be read takes the place of a target's. The target takes nothing
+// new, though the store was in trouble a moment ago: the entry is no lapse. The next
+// good entry brings the same start back, since nobody said that it leaves.
+func TestEntryThatNamesNoTarget(t *testing.T) {
+	r := New()
+	r.Put(startedAt("a", 100), 1)
+	r.StoreFailed(start)
+	require.True(t, r.RemoveSettled(at(time.Millisecond), "a", 2))
+	r.Tick(at(time.Millisecond))
+	require.Empty(t, usable(r))
+	r.Put(startedAt("a", 100), 3)
+	require.Equal(t, []string{"a@100"}, usable(r))
+}
+
 // Names come and go for weeks. What is remembered of their starts stays bounded.
 func TestStartsAreBounded(t *testing.T) {
 	r := New()
@@ -192,4 +206,6 @@
 	}
 	require.Len(t, r.started, maxStarted)
 	require.Len(t, r.startedList, maxStarted)
+	require.False(t, r.TellsStart("0"))
+	require.True(t, r.TellsStart(strconv.Itoa(maxStarted)))
 }
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -52,6 +52,8 @@
 	ConfigName   string
 	TargetKind   string
 	DecodeConfig func(spec []byte, revision uint64) (*routes.Table, error)
+	// DecodeTarget reads an entry of a target. One that isn't whole is an error: it
+	// names no target.
 	DecodeTarget func(name string, spec []byte) (routes.Target, error)
 }
 
@@ -87,6 +89,8 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// refusals are the entries that name no target, as far as they were logged.
+	refusals refusals
 	// failed counts calls in a row without an answer, by kind.
 	failed map[string]int
 	// heard is when the store last told of the configuration.
@@ -131,6 +135,7 @@
 		if revision == 0 {
 			var l platformapi.List
 			if l, err = f.options.Store.List(ctx, kind); err == nil {
+				f.noteUnreadable(kind, l.Unreadable)
 				list(l)
 				revision = l.Revision
 			}
@@ -144,6 +149,7 @@
 				continue
 			}
 			if err == nil {
+				f.noteUnreadable(kind, w.Unreadable)
 				for _, e := range w.Events {
 					event(e)
 				}
--- a/daemon/follow/targets.go
+++ b/daemon/follow/targets.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"k8s.io/klog/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
@@ -12,14 +12,19 @@
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
-// targetList takes in a whole list of entries.
+// targetList takes in a whole list of entries. One that names no target is none of
+// the list, so what stood under its name is removed; the others hold.
 func (f *Follower) targetList(l platformapi.List) {
 	targets := make([]routes.Target, 0, len(l.Items))
 	for _, o := range l.Items {
-		if t, ok := f.decodeTarget(o.Metadata.Name, o.Spec); ok {
-			targets = append(targets, t)
-			f.options.Spread(spread.Record{Kind: recordTarget, Name: t.Name, Revision: o.Metadata.Revision, Body: o.Spec})
+		r := spread.Record{Kind: recordTarget, Name: o.Metadata.Name, Revision: o.Metadata.Revision, Body: o.Spec}
+		t, err := f.decodeTarget(r.Name, r.Body)
+		if err != nil {
+			f.refuseEntry(r, err)
+			continue
 		}
+		targets = append(targets, t)
+		f.options.Spread(r)
 	}
 	defer f.spreadGone()
 	f.mu.Lock()
@@ -33,48 +38,74 @@
 	f.publish(now)
 }
 
-func (f *Follower) decodeTarget(name string, spec []byte) (routes.Target, bool) {
+// errNoStart tells of an entry without the start that its target told before.
+var errNoStart = errors.New("the start of the target is missing")
+
+// decodeTarget reads an entry. Where a start was told under its name, one without is
+// from another writer than the target.
+func (f *Follower) decodeTarget(name string, spec []byte) (routes.Target, error) {
 	t, err := f.options.Source.DecodeTarget(name, spec)
-	if err != nil {
-		klog.ErrorS(err, "Entry of a target refused", "target", name)
-		return routes.Target{}, false
+	if err != nil || t.Started != 0 {
+		return t, err
 	}
-	return t, true
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.roster.TellsStart(name) {
+		return routes.Target{}, errors.Wrapf(errNoStart, "entry of target %.40q", name)
+	}
+	return t, nil
 }
 
 func (f *Follower) targetEvent(e platformapi.Event) {
-	f.targetRecord(spread.Record{
+	r := spread.Record{
 		Kind: recordTarget, Name: e.Object.Metadata.Name, Revision: e.Object.Metadata.Revision,
 		Deleted: e.Deleted, Body: e.Object.Spec,
-	}, true)
+	}
+	if r.Deleted {
+		f.removeEntry(r, false)
+		return
+	}
+	t, err := f.decodeTarget(r.Name, r.Body)
+	if err != nil {
+		f.refuseEntry(r, err)
+		return
+	}
+	// The record comes back by Receive if no peer told it before.
+	f.options.Spread(r)
+	f.putEntry(r, t)
 }
 
-// targetRecord takes in one change of a target's entry.
-func (f *Follower) targetRecord(r spread.Record, direct bool) {
-	now := time.Now()
-	var t routes.Target
-	if !r.Deleted {
-		var ok bool
-		if t, ok = f.decodeTarget(r.Name, r.Body); !ok {
-			return
-		}
+// targetReceived takes in what another instance told of an entry.
+func (f *Follower) targetReceived(r spread.Record) {
+	if r.Deleted {
+		f.removeEntry(r, true)
+		return
 	}
-	if direct && !r.Deleted {
-		// The record comes back by Receive if no peer told it before.
-		f.options.Spread(r)
+	t, err := f.decodeTarget(r.Name, r.Body)
+	if err != nil {
+		f.noteRefusal(err)
+		f.removeEntry(r, true)
+		return
 	}
-	defer f.spreadGone()
+	f.putEntry(r, t)
+}
+
+// refuseEntry takes in an entry of the store that names no target. What stood under
+// its name takes nothing new from now on, as after a removal that has taken effect: a
+// later entry brings it back. The other instances are told it as that removal, which
+// they understand whatever entries they can read.
+func (f *Follower) refuseEntry(r spread.Record, err error) {
+	f.noteRefusal(err)
+	r.Deleted, r.Body = true, nil
+	f.options.Spread(r)
+	f.removeEntry(r, true)
+}
+
+func (f *Follower) putEntry(r spread.Record, t routes.Target) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r.Deleted {
-		remove := f.roster.RemoveSettled
-		if direct {
-			remove = f.roster.Remove
-		}
-		if remove(now, r.Name, r.Revision) {
-			telemetry.InfoS("Entry of a target removed", telemetry.Event{Target: r.Name, Revision: r.Revision})
-		}
-	} else if f.roster.Put(t, r.Revision) {
+	if f.roster.Put(t, r.Revision) {
 		if t.Leaving {
 			f.options.OnLeaving(now, t.Incarnation())
 		}
@@ -83,6 +114,22 @@
 	f.rosterChanged(now)
 }
 
+// removeEntry takes in a removal, one that has taken effect or one that was just seen.
+func (f *Follower) removeEntry(r spread.Record, settled bool) {
+	defer f.spreadGone()
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	remove := f.roster.Remove
+	if settled {
+		remove = f.roster.RemoveSettled
+	}
+	if remove(now, r.Name, r.Revision) {
+		telemetry.InfoS("Entry of a target removed", telemetry.Event{Target: r.Name, Revision: r.Revision})
+	}
+	f.rosterChanged(now)
+}
+
 func state(t routes.Target) string {
 	if t.Leaving {
 		return "leaving"
@@ -113,7 +160,7 @@
 	case recordConfig:
 		f.accept(r.Revision, r.Body, false)
 	case recordTarget:
-		f.targetRecord(r, false)
+		f.targetReceived(r)
 	case recordLeaving:
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/daemon/follow/targets_test.go
+++ b/daemon/follow/targets_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -93,3 +94,66 @@
 	h.Receive(spread.Record{Kind: recordTarget, Name: "a", Revision: 1, Body: []byte("ready 100")})
 	require.Equal(t, []string{"a@200"}, h.usable)
 }
+
+// Another writer replaces a target's entry. It is told to the other instances as a
+// removal, which takes effect at once and isn't final.
+func TestEntryThatNamesNoTargetIsARemoval(t *testing.T) {
+	for _, bad := range []string{"rubbish", "ready 0"} { // without the start that was told before
+		h := newHeard()
+		h.event("a", 1, "ready 100")
+		h.event("a", 2, bad)
+		require.Empty(t, h.usable)
+		require.Empty(t, h.leaving)
+		require.Contains(t, h.spread, spread.Record{Kind: recordTarget, Name: "a", Revision: 2, Deleted: true})
+		h.event("a", 3, "ready 100")
+		require.Equal(t, []string{"a@100"}, h.usable)
+
+		h.targetList(platformapi.List{Revision: 4, Items: []platformapi.Object{
+			{Metadata: platformapi.Metadata{Name: "a", Revision: 4}, Spec: []byte(bad)},
+			{Metadata: platformapi.Metadata{Name: "b", Revision: 4}, Spec: []byte("ready 100")},
+		}})
+		require.Equal(t, []string{"b@100"}, h.usable)
+	}
+}
+
+// The same, at an instance that starts after it and lists. It never knew the target,
+// and an instance that the store refuses still does: it has to be told all the same.
+func TestEntryThatNamesNoTargetIsToldUnknown(t *testing.T) {
+	h := newHeard()
+	h.targetList(platformapi.List{Revision: 4, Items: []platformapi.Object{
+		{Metadata: platformapi.Metadata{Name: "a", Revision: 2}, Spec: []byte("rubbish")},
+	}})
+	told := spread.Record{Kind: recordTarget, Name: "a", Revision: 2, Deleted: true}
+	require.Equal(t, []spread.Record{told}, h.spread)
+	refused := newHeard()
+	refused.Receive(spread.Record{Kind: recordTarget, Name: "a", Revision: 1, Body: []byte("ready 100")})
+	refused.Receive(told)
+	require.Empty(t, refused.usable)
+}
+
+// Somebody writes bad entries with every heartbeat, under ever new names. Each fault is
+// logged once, and all of them in a bounded number of lines.
+func TestRefusalsAreLoggedWithinBounds(t *testing.T) {
+	var r refusals
+	now := time.Unix(1000, 0)
+	tell, last := r.tell(now, "entry a: slots")
+	require.True(t, tell)
+	require.False(t, last)
+	tell, _ = r.tell(now, "entry a: slots")
+	require.False(t, tell, "the same again")
+	lines, lasts := 1, 0
+	for i := range 10 * maxRefusals {
+		tell, last := r.tell(now, fmt.Sprint("entry ", i))
+		if tell {
+			lines++
+		}
+		if last {
+			lasts++
+		}
+	}
+	require.Equal(t, maxRefusals, lines)
+	require.Equal(t, 1, lasts)
+	require.Len(t, r.told, maxRefusals)
+	tell, _ = r.tell(now.Add(refusalPeriod), "entry a: slots")
+	require.True(t, tell, "what lasts is told again")
+}
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -51,6 +51,9 @@
 	Revision uint64 `json:"revision"`
 	// Next continues the list when it is not empty.
 	Next string `json:"next,omitempty"`
+	// Unreadable counts objects that have no name or can't be read; they are not
+	// among Items.
+	Unreadable int `json:"-"`
 }
 
 // Event is one change seen by a watch.
@@ -66,6 +69,8 @@
 type Watch struct {
 	Events   []Event `json:"events"`
 	Revision uint64  `json:"revision"`
+	// Unreadable counts changes that can't be read; they are not among Events.
+	Unreadable int `json:"-"`
 }
 
 // Conflict is the body of a 409 answer: what the object is now.
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -113,6 +113,7 @@
 			return platformapi.List{}, err
 		}
 		all.Items = append(all.Items, page.Items...)
+		all.Unreadable += page.Unreadable
 		if first || page.Revision < all.Revision {
 			all.Revision = page.Revision
 		}
