Take in all restarts of a list before any call is sent

Cause: two targets of a service that start again in one list: the first one's restart had a request's pieces made again, and the calls that this sent read results of the second one, which were gone too. Found by reading; the property test has restarts now. Ruled out: to do so across services: their lists come one after another, and a call that reads what is gone is answered so and made again. Change: the planner drops the results of all restarted targets first and sends then. The rig knows starts, and requires of each call and each end that no result lies at a process that is gone. Conclusion: holds within a service.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -127,9 +127,7 @@
 			}
 		}
 	}
-	for _, t := range added {
-		p.restarted(now, t)
-	}
+	p.restarted(now, added)
 	p.dispatch(now, s)
 	return p.flush()
 }
--- a/coordination/gather/planner_test.go
+++ b/coordination/gather/planner_test.go
@@ -25,6 +25,8 @@
 	// calls are all calls, in order.
 	calls []StartCall
 	made  int
+	// starts counts the starts of targets under their names.
+	starts map[string]int
 }
 
 type runningCall struct {
@@ -35,7 +37,7 @@
 func newRig(t *testing.T) *rig {
 	return &rig{
 		t: t, planner: New(Config{}), now: time.Unix(1000, 0),
-		completed: map[string][]string{}, refused: map[string]Refused{},
+		completed: map[string][]string{}, refused: map[string]Refused{}, starts: map[string]int{},
 	}
 }
 
@@ -47,7 +49,7 @@
 	var list []Target
 	for i, dc := range dataCentres {
 		id := fmt.Sprintf("%s-%d", name, i)
-		list = append(list, Target{Incarnation: id, Address: id, DataCentre: dc})
+		list = append(list, Target{Incarnation: r.incarnation(id), Name: id, Address: id, DataCentre: dc})
 	}
 	r.do(r.planner.SetTargets(r.now, name, list))
 }
@@ -65,6 +67,7 @@
 		case StartCall:
 			r.calls = append(r.calls, a)
 			for _, piece := range a.Pieces {
+				r.requireHeld(piece.Inputs)
 				for _, input := range piece.Inputs {
 					require.NotContains(r.t, r.freed, input, "a call reads a result that was given back")
 				}
@@ -75,6 +78,7 @@
 			}
 			r.running = append(r.running, runningCall{a, r.now.Add(min(took, a.Timeout))})
 		case Completed:
+			r.requireHeld(a.Handles)
 			r.completed[a.Request] = a.Handles
 		case Refused:
 			r.refused[a.Request] = a
--- a/coordination/gather/property_test.go
+++ b/coordination/gather/property_test.go
@@ -9,9 +9,10 @@
 	"pgregory.net/rapid"
 )
 
-// Targets are slow, full, silent or gone, results expire, callers leave, lists of
-// targets change, all in any order. Whatever happens, a piece is sent with all its
-// inputs or none, each request ends once, and nothing is held for ever.
+// Targets are slow, full, silent or gone, or start again under their names, results
+// expire, callers leave, lists of targets change, all in any order. Whatever happens, a
+// piece is sent with all its inputs or none, and none that lay at a process which is
+// gone, each request ends once, and nothing is held for ever.
 func TestAnyOrderOfFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRig(t)
@@ -44,7 +45,7 @@
 		}
 		submitted := 0
 		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
 			case 0, 1:
 				q := chain(fmt.Sprint(submitted), rapid.IntRange(0, 9).Draw(rt, "n1"), rapid.IntRange(0, 12).Draw(rt, "n2"), rapid.IntRange(0, 5).Draw(rt, "n3"))
 				q.Priority = rapid.IntRange(0, 2).Draw(rt, "priority")
@@ -53,6 +54,10 @@
 				r.submit(q)
 			case 2:
 				r.do(r.planner.Drop(r.now, fmt.Sprint(rapid.IntRange(0, submitted).Draw(rt, "dropped"))))
+			case 4:
+				name := rapid.SampledFrom(services).Draw(rt, "restarted")
+				r.starts[fmt.Sprintf("%s-%d", name, rapid.IntRange(0, 3).Draw(rt, "target"))]++
+				r.service(name, shape, "x", "y", "x", "y")
 			case 3:
 				name := rapid.SampledFrom(services).Draw(rt, "relisted")
 				r.service(name, shape, []string{"x", "y", "x", "y"}[:rapid.IntRange(0, 4).Draw(rt, "targets")]...)
--- a/coordination/gather/restart.go
+++ b/coordination/gather/restart.go
@@ -2,18 +2,27 @@
 
 import "time"
 
-// restarted takes in that a target started again under its name: whatever its earlier
-// incarnations held is gone, and they answer nothing any more.
+// restarted takes in targets that are new. Where one started again under its name,
+// whatever its earlier incarnations held is gone, and they answer nothing any more.
 //
 // Without it the results would count as there until they expire, four seconds later.
 // Each stage that reads one of them costs a call whose pieces come back unmade, and a
 // call in progress behind a silent link holds its pieces until its time-out: requests
 // would end late that have the time for another try.
-func (p *Planner) restarted(now time.Time, t Target) {
-	if t.Name == "" {
+func (p *Planner) restarted(now time.Time, added []Target) {
+	latest := map[string]string{}
+	for _, t := range added {
+		if t.Name != "" {
+			latest[t.Name] = t.Incarnation
+		}
+	}
+	if len(latest) == 0 {
 		return
 	}
-	earlier := func(other *target) bool { return other.Name == t.Name && other.Incarnation != t.Incarnation }
+	earlier := func(t *target) bool {
+		incarnation, known := latest[t.Name]
+		return known && incarnation != t.Incarnation
+	}
 	var short []*work
 	for _, w := range p.works {
 		if p.dropResults(w, func(r *result) bool { return earlier(r.target) }) {
--- a/coordination/gather/restart_test.go
+++ b/coordination/gather/restart_test.go
@@ -1,13 +1,32 @@
 package gather
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// incarnation is a target's latest one.
+func (r *rig) incarnation(name string) string {
+	if r.starts[name] == 0 {
+		return name
+	}
+	return fmt.Sprintf("%s@%d", name, r.starts[name])
+}
+
+// requireHeld requires that results lie at the latest incarnations of their makers.
+func (r *rig) requireHeld(handles []string) {
+	for _, handle := range handles {
+		maker, _, _ := strings.Cut(handle, "/")
+		name, _, _ := strings.Cut(maker, "@")
+		require.Equal(r.t, r.incarnation(name), maker, "a result of a process that is gone")
+	}
+}
+
 // named lists targets of a service by name and incarnation.
 func named(service string, incarnations ...string) []Target {
 	var list []Target
@@ -22,6 +41,7 @@
 // whose second stage waits since its target went.
 func madeByFirst(t *testing.T) *rig {
 	r := newRig(t)
+	r.starts["a-0"], r.starts["b-0"] = 100, 100
 	r.planner.SetService("a", narrow)
 	r.planner.SetService("b", narrow)
 	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@100")))
@@ -42,6 +62,7 @@
 // no call reads or frees one of the process before.
 func TestResultsOfTheProcessBeforeAreMadeAgain(t *testing.T) {
 	r := madeByFirst(t)
+	r.starts["a-0"] = 200
 	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
 	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
 	r.run(2 * time.Second)
@@ -59,6 +80,7 @@
 // more when the new one comes.
 func TestResultsAreMadeAgainAfterARemoval(t *testing.T) {
 	r := madeByFirst(t)
+	r.starts["a-0"] = 200
 	r.do(r.planner.SetTargets(r.now, "a", nil))
 	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
 	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
@@ -105,6 +127,7 @@
 		}
 		r.submit(chain("one", 2))
 		r.run(100 * time.Millisecond)
+		r.starts["a-0"] = 200
 		r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
 		require.Len(t, r.calls, 2, "sent again at once")
 		r.run(400 * time.Millisecond)
@@ -117,3 +140,26 @@
 		require.False(t, slices.Contains(r.freed, "a-0@100/1"))
 	}
 }
+
+// One service makes two stages of each request, and its two targets start again while
+// the second stages wait for them. What one of the requests needs made again gives the
+// targets their first calls: the other request's second stage must not be sent with it,
+// on results that are gone too.
+func TestRestartsAreKnownOfAllRequestsAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x", "x")
+	for _, id := range []string{"one", "two"} {
+		q := chain(id, 2, 2)
+		q.Stages[1].Service = "a"
+		q.Objective, q.Deadline = r.now.Add(20*time.Second), r.now.Add(30*time.Second)
+		r.submit(q)
+	}
+	require.Len(t, r.calls, 2, "each request at a target of its own")
+	r.do(r.planner.SetTargets(r.now, "a", nil))
+	r.run(600 * time.Millisecond)
+	r.starts["a-0"], r.starts["a-1"] = 1, 1
+	r.service("a", narrow, "x", "x")
+	r.run(3 * time.Second)
+	require.Empty(t, r.refused)
+	require.Len(t, r.completed, 2)
+}
