Hand the targets on before a configuration is in force

Cause: a new version was in force before the targets of its services were handed to those who choose among them. One that names a service for the first time had requests refused (503, no target) in between, though its targets were known. Found by TestServiceIsNamedLater, which failed once in a run of all packages at once. Ruled out: the entry of the target coming after the configuration, two watches being two: with an instance that had listed the entry before, the test failed more often. Change: targets are handed on first, then the version is in force, then the instance is ready. Requests by the version before find the services that it names all the while.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -237,24 +237,37 @@
 		klog.ErrorS(err, "Configuration refused, the one before stays in force", "revision", revision)
 		return false
 	}
+	// The targets first: by a configuration that names a new service, requests would
+	// else be refused for want of a target until those of the service are handed on.
+	f.handOn(time.Now(), table)
 	f.table.Store(table)
+	f.noteReady()
 	reason := "from a peer"
 	if direct {
 		reason = "from the store"
 	}
 	telemetry.InfoS("Configuration in force", telemetry.Event{Revision: revision, Count: table.RouteCount(), Reason: reason})
-	f.publish(time.Now())
 	return true
 }
 
-// publish tells what is in force; mu is held.
+// publish hands the targets on by the configuration in force; mu is held.
 func (f *Follower) publish(now time.Time) {
 	if table := f.table.Load(); table != nil {
-		f.scope.Gauge("revision").Update(float64(table.Revision))
-		f.scope.Gauge("targets").Update(float64(f.roster.Len()))
-		f.options.OnChange(now, table, f.roster.Usable())
-		if f.listed.Load() {
-			f.ready.Store(true)
-		}
+		f.handOn(now, table)
+		f.noteReady()
+	}
+}
+
+// handOn tells the targets that are usable by a configuration; mu is held.
+func (f *Follower) handOn(now time.Time, table *routes.Table) {
+	f.scope.Gauge("revision").Update(float64(table.Revision))
+	f.scope.Gauge("targets").Update(float64(f.roster.Len()))
+	f.options.OnChange(now, table, f.roster.Usable())
+}
+
+// noteReady notes that a configuration is in force whose targets were handed on.
+func (f *Follower) noteReady() {
+	if f.listed.Load() {
+		f.ready.Store(true)
 	}
 }
--- a/daemon/follow/targets_test.go
+++ b/daemon/follow/targets_test.go
@@ -22,13 +22,17 @@
 	usable  []string
 	leaving []string
 	spread  []spread.Record
+	// inForce is the revision that was in force as a change was told.
+	inForce uint64
 }
 
 // newHeard reads specs of the form "ready 100" or "leaving 100": a state and a start.
 func newHeard() *heard {
 	h := &heard{}
 	h.Follower = New(Options{
-		Source: Source{DecodeTarget: func(name string, spec []byte) (routes.Target, error) {
+		Source: Source{DecodeConfig: func(_ []byte, revision uint64) (*routes.Table, error) {
+			return &routes.Table{Revision: revision}, nil
+		}, DecodeTarget: func(name string, spec []byte) (routes.Target, error) {
 			state, started, _ := strings.Cut(string(spec), " ")
 			n, err := strconv.ParseInt(started, 10, 64)
 			if err != nil || (state != "ready" && state != "leaving") {
@@ -38,7 +42,7 @@
 		}},
 		Spread: func(r spread.Record) { h.spread = append(h.spread, r) },
 		OnChange: func(_ time.Time, _ *routes.Table, usable map[string][]routes.Target) {
-			h.usable = nil
+			h.usable, h.inForce = nil, h.Table().Revision
 			for _, t := range usable["s"] {
 				h.usable = append(h.usable, t.Incarnation())
 			}
@@ -157,3 +161,15 @@
 	tell, _ = r.tell(now.Add(refusalPeriod), "entry a: slots")
 	require.True(t, tell, "what lasts is told again")
 }
+
+// A configuration names a service for the first time, whose targets have been there for
+// a while. Were it in force before they are handed on, requests that come between would
+// be refused for want of a target.
+func TestTargetsAreHandedOnBeforeTheConfiguration(t *testing.T) {
+	h := newHeard()
+	h.event("a", 1, "ready 100")
+	h.accept(2, nil, true)
+	require.Equal(t, []string{"a@100"}, h.usable)
+	require.EqualValues(t, 0, h.inForce)
+	require.EqualValues(t, 2, h.Table().Revision)
+}
