--- a/coordination/gather/export.go
+++ b/coordination/gather/export.go
@@ -57,8 +57,8 @@
 		return i
 	}
 	held := HeldTarget{
-		Service: t.service.name, Incarnation: t.Incarnation, Address: t.Address, DataCentre: t.DataCentre,
-		Slow: t.slow, Answered: t.answered, DownUntil: left(now, t.downUntil), Failures: t.failures, Strikes: t.strikes,
+		Service: t.service.name, Incarnation: t.Incarnation, Name: t.Name, Address: t.Address, DataCentre: t.DataCentre,
+		Ended: t.ended, Slow: t.slow, Answered: t.answered, DownUntil: left(now, t.downUntil), Failures: t.failures, Strikes: t.strikes,
 	}
 	for _, l := range t.lost {
 		held.Occupied = append(held.Occupied, HeldRoom{l.bytes, l.expires.Sub(now)})
--- a/coordination/gather/handover_test.go
+++ b/coordination/gather/handover_test.go
@@ -194,7 +194,7 @@
 		r.submit(chain(fmt.Sprint(i), 2))
 	}
 	one := r.services["a"]
-	r.services["a"] = listed{narrow, append(one.targets, Target{Incarnation: "a-1", Address: "a-1", DataCentre: "x"})}
+	r.services["a"] = listed{narrow, append(one.targets, Target{Incarnation: "a-1", Name: "a-1", Address: "a-1", DataCentre: "x"})}
 	r.handOver()
 	require.Equal(t, []int{2, 8}, piecesOf(r.calls))
 }
@@ -253,3 +253,36 @@
 	r.run(freeingFor + 10*time.Millisecond)
 	require.Zero(t, target.heldBytes)
 }
+
+// The new holder hears of a target's restart by the queue that it takes over, before
+// its own list tells. Once that does, what it had at the process before is made again.
+func TestHandOverTellsOfARestartBeforeTheList(t *testing.T) {
+	r := madeByFirst(t)
+	other := New(Config{})
+	other.SetService("a", narrow)
+	other.SetTargets(r.now, "a", named("a", "a-0@200"))
+	r.starts["a-0"] = 200
+	actions, _ := r.planner.Import(r.now, other.Export(r.now))
+	r.do(actions)
+	r.do(r.planner.SetTargets(r.now, "a", named("a", "a-0@200")))
+	r.do(r.planner.SetTargets(r.now, "b", named("b", "b-0@100")))
+	r.run(2 * time.Second)
+	require.Len(t, r.completed["one"], 3)
+	require.Equal(t, "a-0@200", r.calls[1].Target.Incarnation)
+}
+
+// A process that is gone is still in a call as the queue changes hands. Its reply, read
+// after that, names results that nobody holds.
+func TestHandOverOfACallOfAProcessThatIsGone(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	r.submit(chain("one", 2))
+	r.run(100 * time.Millisecond)
+	r.starts["a-0"] = 1
+	r.service("a", narrow, "x")
+	require.Len(t, r.calls, 2, "sent again at once")
+	r.handOver()
+	r.run(2 * time.Second)
+	require.Len(t, r.completed["one"], 2)
+	require.NotContains(t, r.freed, "a-0/1")
+}
--- a/coordination/gather/import.go
+++ b/coordination/gather/import.go
@@ -56,9 +56,10 @@
 	s := p.service(held.Service)
 	t := s.targets[held.Incarnation]
 	if t == nil {
-		t = &target{Target: Target{held.Incarnation, held.Address, held.DataCentre}, service: s, leaving: true}
+		t = &target{Target: Target{held.Incarnation, held.Name, held.Address, held.DataCentre}, service: s, leaving: true}
 		s.targets[held.Incarnation] = t
 	}
+	t.ended = t.ended || held.Ended
 	t.slow, t.answered, t.failures, t.strikes = max(held.Slow, 0), held.Answered, held.Failures, held.Strikes
 	t.downUntil = until(now, held.DownUntil)
 	for _, room := range held.Occupied {
--- a/coordination/gather/planner_test.go
+++ b/coordination/gather/planner_test.go
@@ -25,6 +25,8 @@
 	// calls are all calls, in order.
 	calls []StartCall
 	made  int
+	// starts counts the starts of targets under their names.
+	starts map[string]int
 	// services are those added so far, for a planner that takes over.
 	services map[string]listed
 	// ended counts how often each request ended.
@@ -44,7 +46,7 @@
 func newRig(t *testing.T) *rig {
 	return &rig{
 		t: t, planner: New(Config{}), now: time.Unix(1000, 0),
-		completed: map[string][]string{}, refused: map[string]Refused{},
+		completed: map[string][]string{}, refused: map[string]Refused{}, starts: map[string]int{},
 		services: map[string]listed{}, ended: map[string]int{},
 	}
 }
@@ -57,7 +59,7 @@
 	var list []Target
 	for i, dc := range dataCentres {
 		id := fmt.Sprintf("%s-%d", name, i)
-		list = append(list, Target{Incarnation: id, Address: id, DataCentre: dc})
+		list = append(list, Target{Incarnation: r.incarnation(id), Name: id, Address: id, DataCentre: dc})
 	}
 	r.services[name] = listed{shape, list}
 	r.do(r.planner.SetTargets(r.now, name, list))
@@ -76,6 +78,7 @@
 		case StartCall:
 			r.calls = append(r.calls, a)
 			for _, piece := range a.Pieces {
+				r.requireHeld(piece.Inputs)
 				for _, input := range piece.Inputs {
 					require.NotContains(r.t, r.freed, input, "a call reads a result that was given back")
 				}
@@ -86,6 +89,7 @@
 			}
 			r.running = append(r.running, runningCall{a, r.now.Add(min(took, a.Timeout))})
 		case Completed:
+			r.requireHeld(a.Handles)
 			r.completed[a.Request] = a.Handles
 			r.ended[a.Request]++
 		case Refused:
--- a/coordination/gather/state.go
+++ b/coordination/gather/state.go
@@ -94,12 +94,14 @@
 
 // HeldTarget is what is known of a target.
 type HeldTarget struct {
-	Service                          string
-	Incarnation, Address, DataCentre string
-	Slow                             float64
-	Answered                         bool
-	DownUntil                        time.Duration
-	Failures, Strikes                int
+	Service                                string
+	Incarnation, Name, Address, DataCentre string
+	// Ended tells that the process is gone, since another took its name.
+	Ended             bool
+	Slow              float64
+	Answered          bool
+	DownUntil         time.Duration
+	Failures, Strikes int
 	// Occupied is room that is taken by what nobody can free.
 	Occupied []HeldRoom
 }
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -72,11 +72,11 @@
 func (o *Owner) exchange(c gather.StartCall) ([]gather.PieceResult, gather.CallOutcome, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	request, err := o.dialect.StageCall(c.Target.Address, c.Target.Incarnation, c.Pieces, time.Now())
+	request, err := o.dialect.StageCall(c.Target.Address, c.Target.Name, c.Pieces, time.Now())
 	if err != nil {
 		return nil, gather.CallLost, err
 	}
-	reply, err := o.client.Do(ctx, c.Target.Address, request, forward.Options{})
+	reply, err := o.client.Do(ctx, c.Target.Address, request, forward.Options{Process: c.Target.Incarnation})
 	if err != nil {
 		return nil, gather.CallLost, err
 	}
--- a/daemon/stages/handover_test.go
+++ b/daemon/stages/handover_test.go
@@ -28,7 +28,7 @@
 		var list []gather.Target
 		for i := range 10 {
 			id := fmt.Sprintf("i-%s%09d", name, i)
-			list = append(list, gather.Target{Incarnation: id, Address: "10.1.64.15:8624", DataCentre: "x"})
+			list = append(list, gather.Target{Incarnation: id, Name: id, Address: "10.1.64.15:8624", DataCentre: "x"})
 		}
 		p.SetTargets(now, name, list)
 	}
