Tell whoever runs the stages of a stop that leaves them no time

Cause: a request that waits for stages as its instance begins to stop was refused only at the last moment to send it, up to four seconds later: its caller had no time left to be served elsewhere. Ruled out: to ask the holder again for each request (it would begin anew). Change: Drain gives the waiting requests their earlier deadline through Stages.Bound, one message for each kind and holder; those that won't be done are refused at once, as stopping. Figures: TestStopTellsWhoRunsTheStages fails without the call.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -114,6 +114,8 @@
 	defer span.End()
 	ctx, release := q.untilSendBy(ctx)
 	defer release()
+	q.relay.waiting.add(q)
+	defer q.relay.waiting.remove(q)
 	objective := q.objective
 	if q.headerSent {
 		objective = time.Now().Add(resumeObjective)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -32,6 +32,9 @@
 type Maker interface {
 	Make(ctx context.Context, r gather.Request) (handles []string, owner string, err error)
 	Drop(owner, id string)
+	// Bound gives requests that wait in Make an earlier deadline, and refuses those
+	// that won't be done by then. It doesn't wait.
+	Bound(until time.Time, ids ...string)
 }
 
 // Options are the parts that a Relay works with.
@@ -60,12 +63,13 @@
 	// stopping is the planned stop, begun or not.
 	stopping  *stopping
 	durations *durations
+	waiting   *waiting
 	inFlight  atomic.Int64
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations()}
+	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations(), waiting: newWaiting()}
 }
 
 // InFlight returns the number of requests without their final answer.
--- a/daemon/relay/stop.go
+++ b/daemon/relay/stop.go
@@ -42,10 +42,21 @@
 	s.stopping.once.Do(func() {
 		s.stopping.window = drain.Window{Began: time.Now(), Ends: ends}
 		s.stopping.begin()
+		s.boundStages()
 		time.AfterFunc(time.Until(ends), func() { s.stopping.end(errStopped) })
 	})
 }
 
+// boundStages tells whoever runs the stages of waiting requests by when they must be
+// done. Those that won't be are refused now, as long as their callers have time to be
+// served elsewhere, and not when the time is over.
+func (s *Relay) boundStages() {
+	due := s.waiting.due(func(q *request) time.Time { return s.stopping.window.SendBy(q.drainRequest()).Add(engineTime) })
+	for by, ids := range due {
+		s.options.Stages.Bound(by, ids...)
+	}
+}
+
 // draining returns the window of the planned stop; false before it.
 func (s *Relay) draining() (drain.Window, bool) {
 	if s.stopping.begun.Err() == nil {
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -11,15 +11,22 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
 
-// dialect reads nothing of a call but its id.
+// dialect reads nothing of a call but its id and its pieces.
 type dialect struct{ exchange.Dialect }
 
-func (dialect) ParseCall(*http.Request) (exchange.Call, error) { return exchange.Call{ID: "a"}, nil }
+func (dialect) ParseCall(*http.Request) (exchange.Call, error) {
+	return exchange.Call{ID: "a", Pieces: []int{1}}, nil
+}
 
 func (dialect) StampAnswer(http.Header, string) {}
 
@@ -54,3 +61,92 @@
 		require.NotEmpty(t, w.Header().Get("Retry-After"))
 	})
 }
+
+// maker runs stages that don't end. It refuses a request as soon as it is given less
+// time, as the holder of the queue does that predicts a later end.
+type maker struct {
+	asked   chan gather.Request
+	refused chan time.Time
+	// deaf makers don't hear of a stop.
+	deaf bool
+}
+
+func (m *maker) Make(ctx context.Context, r gather.Request) ([]string, string, error) {
+	m.asked <- r
+	select {
+	case <-m.refused:
+		return nil, "", &stages.RefusedError{Reason: gather.ReasonStopping}
+	case <-ctx.Done():
+		return nil, "", context.Cause(ctx)
+	}
+}
+
+func (m *maker) Drop(string, string) {}
+
+func (m *maker) Bound(until time.Time, ids ...string) {
+	if !m.deaf && len(ids) == 1 && ids[0] == "a" {
+		m.refused <- until
+	}
+}
+
+// stagedRelay is a relay with one target and one route of one stage.
+func stagedRelay(m Maker) *Relay {
+	route := &routes.Route{
+		Name: "r", Host: "example.com", Prefix: "/", Objective: 5 * time.Second, MaxPause: time.Second,
+		Timeout: 20 * time.Second, Stages: []routes.Stage{{Service: "stage"}},
+		Split: []routes.WeightedService{{Service: "engine", Weight: 1}},
+	}
+	table := routes.Build(routes.Table{}, []*routes.Route{route}, nil)
+	router := routing.New(routing.Config{})
+	pool := routing.Pool{Name: "engine", Objective: catalog.ObjectiveAttainment}
+	router.SetTargets(time.Now(), pool, []routing.Target{{Incarnation: "e", Name: "e", Pool: "engine", Address: "x", Slots: 1}})
+	return New(Options{
+		Dialect: dialect{}, Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
+		Table: func() *routes.Table { return table }, Router: router, Stages: m,
+	})
+}
+
+// A request waits for its stages when its instance begins to stop, and they won't be
+// done before the instance ends. Its caller must hear so at once, while another
+// instance can still serve it.
+func TestStopTellsWhoRunsTheStages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &maker{asked: make(chan gather.Request, 1), refused: make(chan time.Time, 1)}
+		s := stagedRelay(m)
+		w := httptest.NewRecorder()
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")))
+		}()
+		asked := <-m.asked
+		stop := time.Now()
+		s.Drain(stop.Add(7 * time.Second))
+		<-answered
+		require.Equal(t, stop, time.Now(), "the refusal was held back")
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.Contains(t, w.Body.String(), "stopping")
+		require.True(t, asked.Deadline.After(stop.Add(7*time.Second)))
+	})
+}
+
+// The same, and whoever runs the stages doesn't hear of the stop: the request is refused
+// when no time is left to send it.
+func TestStopRefusesWhatWaitsAtTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &maker{asked: make(chan gather.Request, 1), deaf: true}
+		s := stagedRelay(m)
+		w := httptest.NewRecorder()
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")))
+		}()
+		<-m.asked
+		stop := time.Now()
+		s.Drain(stop.Add(7 * time.Second))
+		<-answered
+		require.Equal(t, 4*time.Second, time.Since(stop))
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	})
+}
