--- a/daemon/app/run.go
+++ b/daemon/app/run.go
@@ -20,6 +20,9 @@
 	drainClaimsTimeout = 3 * time.Second
 	leaveTimeout       = 2 * time.Second
 	adminReadTimeout   = 5 * time.Second
+	// adminTimeout bounds the last answers to probes and scrapes: they take a
+	// millisecond.
+	adminTimeout = 100 * time.Millisecond
 )
 
 // Run runs the instance until ctx ends, then stops it as planned: it reports
@@ -68,7 +71,7 @@
 
 // addServer adds an HTTP server to the group.
 func addServer(group *run.Group, server *inbound.Server) {
-	group.Add(server.Serve, func(error) { server.Close() })
+	group.Add(server.Serve, func(error) { server.Stop(adminTimeout) })
 }
 
 // lifecycle waits for the end of ctx and does the planned stop.
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -44,14 +44,15 @@
 	return ExitFault
 }
 
-// All returns the daemon's commands. At each of the hangups settings are read again.
-func All(hangups <-chan os.Signal) []*cli.Command {
+// All returns the daemon's commands.
+func All() []*cli.Command {
 	return []*cli.Command{
 		{
 			Name:  "serve",
 			Usage: "run an instance until SIGTERM, then stop it without cutting a request",
 			Flags: []cli.Flag{&cli.StringFlag{Name: configFlag, Usage: "the settings file (INI)", Required: true}},
 			Action: func(ctx context.Context, c *cli.Command) error {
+				hangups := catchHangups()
 				s, err := settings.Load(c.String(configFlag))
 				if err != nil {
 					return err
@@ -70,7 +71,7 @@
 				Sources: cli.EnvVars(platform.SettingsVariable),
 			}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				return runGateway(ctx, c.String(configFlag), hangups)
+				return runGateway(ctx, c.String(configFlag), catchHangups())
 			},
 		},
 		{
--- a/daemon/command/hangup_test.go
+++ b/daemon/command/hangup_test.go
@@ -83,3 +83,26 @@
 	}
 	require.FailNow(t, "the daemon ended before its line", text)
 }
+
+// Callers' connections close in the middle of answers: whoever reads an instance's log has
+// gone, and the next line that it writes ends the process. It must go on without a log.
+func TestLostReaderOfTheLogDoesNotEndTheProcess(t *testing.T) {
+	store := httptest.NewServer(http.NotFoundHandler())
+	defer store.Close()
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, gatewaySettings, store.URL), 0o600))
+
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	daemon := exec.Command(os.Args[0], "gateway", "--config", file)
+	daemon.Env = append(os.Environ(), daemonVariable+"=1")
+	daemon.Stdout, daemon.Stderr = writer, os.Stderr
+	require.NoError(t, daemon.Start())
+	defer func() { _ = daemon.Process.Kill() }() // it has ended where the test passes
+	require.NoError(t, writer.Close())
+
+	awaitLine(t, bufio.NewScanner(reader), `"Instance started"`)
+	require.NoError(t, reader.Close())
+	require.NoError(t, daemon.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, daemon.Wait())
+}
--- a/daemon/command/main.go
+++ b/daemon/command/main.go
@@ -18,7 +18,7 @@
 		Name:                  "ivyhollowd",
 		Usage:                 "serves multi-stage model pipelines on an entry instance",
 		Version:               Version,
-		Commands:              All(s.hangups),
+		Commands:              All(),
 		EnableShellCompletion: true,
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
--- a/daemon/command/signals.go
+++ b/daemon/command/signals.go
@@ -19,16 +19,25 @@
 // that isn't caught ends the process with all requests in flight: so did SIGHUP during
 // a planned stop, when the settings were no longer read again.
 type signals struct {
-	stops, hangups chan os.Signal
+	stops chan os.Signal
 }
 
+// catchSignals also lets writes to a pipe that nobody reads fail: the signal that they
+// send would end the process as soon as the reader of its log is gone.
 func catchSignals() signals {
-	s := signals{stops: make(chan os.Signal, 2), hangups: make(chan os.Signal, 1)}
+	s := signals{stops: make(chan os.Signal, 2)}
 	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(s.hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
+// catchHangups returns the hangups from now on; each would else end the process.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // stopOnce starts the planned stop at the first signal. An interrupt after it comes from
 // a person who has waited long enough, and ends the process. SIGTERM comes again from
 // process managers whose restarts overlap: the stop under way goes on, since whoever
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -25,6 +25,8 @@
 	// its answer; the first closeTime of it is for the answers to leave.
 	exitMargin = 600 * time.Millisecond
 	closeTime  = 300 * time.Millisecond
+	// adminTime bounds the last answers to probes and scrapes: they take a millisecond.
+	adminTime = 100 * time.Millisecond
 	// drainPoll is how often the end of requests in flight is looked for.
 	drainPoll = 50 * time.Millisecond
 	// leaveTimeout bounds the word to the other instances.
@@ -64,7 +66,7 @@
 
 // addServer adds an HTTP server to the group.
 func addServer(group *run.Group, server *inbound.Server) {
-	group.Add(server.Serve, func(error) { server.Close() })
+	group.Add(server.Serve, func(error) { server.Stop(adminTime) })
 }
 
 // lifecycle waits for the end of ctx and does the planned stop.
@@ -91,6 +93,9 @@
 // callers as they become idle, so that they go elsewhere, and ends when all requests
 // have their answers.
 func (g *Gateway) finish(callers *inbound.Server, noticed, ends time.Time) {
+	if ends.Before(noticed) {
+		noticed = ends // a grace that is shorter than the balancer's delay
+	}
 	time.Sleep(time.Until(noticed))
 	noteConnections(callers.States())
 	callers.Retire()
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -56,8 +56,11 @@
 			return false, err
 		}
 	}
-	q.target = choice.Target.Incarnation
 	started := time.Now()
+	if q.tooLateToSend(started) {
+		return false, errStopping
+	}
+	q.target = choice.Target.Incarnation
 	handle := q.relay.options.Router.Started(started, q.target, 1)
 	outcome, err := q.exchange(ctx, choice.Target)
 	handle.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started)})
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -274,11 +274,14 @@
 	wait.until(q.deadline)
 	release := context.AfterFunc(q.relay.stopping.begun, func() {
 		window, _ := q.relay.draining()
-		wait.until(earlier(q.deadline, window.Ends))
+		wait.until(earlier(q.deadline, window.SendBy(q.drainRequest())))
 	})
-	defer wait.end()
 	defer release()
-	return io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	if err == nil {
+		wait.end()
+	}
+	return body, err
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/daemon/relay/stop.go
+++ b/daemon/relay/stop.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// tooLateToSend tells that a planned stop leaves no time for another attempt.
+func (q *request) tooLateToSend(now time.Time) bool {
+	window, stopping := q.relay.draining()
+	return stopping && now.After(window.SendBy(q.drainRequest()))
+}
+
 // untilStopped returns a context that ends with the planned stop too, by errStopped.
 func (q *request) untilStopped(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -114,7 +120,9 @@
 	}
 }
 
-// end lifts the bound: from now on net/http watches whether the caller leaves.
+// end lifts the bound of a body that has been read whole: from now on net/http watches
+// whether the caller leaves. Else it stays: net/http would read the rest of the body
+// before it sends the answer, however long that takes to come.
 func (b *bodyWait) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -69,13 +70,15 @@
 	refused chan time.Time
 	// deaf makers don't hear of a stop.
 	deaf bool
+	// retryAfter is when a refused request may come back.
+	retryAfter time.Duration
 }
 
 func (m *maker) Make(ctx context.Context, r gather.Request) ([]string, string, error) {
 	m.asked <- r
 	select {
 	case <-m.refused:
-		return nil, "", &stages.RefusedError{Reason: gather.ReasonStopping}
+		return nil, "", &stages.RefusedError{Reason: gather.ReasonStopping, RetryAfter: m.retryAfter}
 	case <-ctx.Done():
 		return nil, "", context.Cause(ctx)
 	}
@@ -150,3 +153,61 @@
 		require.Equal(t, http.StatusServiceUnavailable, w.Code)
 	})
 }
+
+// An order's body is whole only when no time is left to send it. It must not be sent: it
+// would run, and its caller be told that it may have.
+func TestStopSendsNothingAfterTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := stagedRelay(&maker{})
+		route, _ := s.options.Table().Match("example.com", "/")
+		route.Stages, route.MaxPause = nil, 0
+		body, rest := io.Pipe()
+		w := httptest.NewRecorder()
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", body))
+		}()
+		synctest.Wait()
+		s.Drain(time.Now().Add(7 * time.Second))
+		time.Sleep(5 * time.Second)
+		_, err := rest.Write([]byte("body"))
+		require.NoError(t, err)
+		require.NoError(t, rest.Close())
+		<-answered // sent, it would have met a nil client
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	})
+}
+
+// A stream comes long after the balancer has noticed a stop. It is refused at once, and no
+// stage runs for it.
+func TestStopRefusesLateStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := stagedRelay(&maker{}) // asked, it would wait for ever
+		s.Drain(time.Now().Add(7 * time.Second))
+		time.Sleep(3 * time.Second)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")))
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.Contains(t, w.Body.String(), "stopping")
+	})
+}
+
+// A stream comes while the instance stops. Its stages get no more time than the stop
+// leaves, and a refusal of them names when another instance, which has that time, could
+// serve it.
+func TestStopBoundsTheStagesOfNewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &maker{asked: make(chan gather.Request, 1), refused: make(chan time.Time, 1)}
+		s := stagedRelay(m)
+		s.Drain(time.Now().Add(7 * time.Second))
+		m.refused <- time.Time{}
+		m.retryAfter = 18*time.Second - answerMargin
+		w := httptest.NewRecorder()
+		began := time.Now()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")))
+		require.Equal(t, began.Add(4*time.Second+engineTime), (<-m.asked).Deadline)
+		// Its own deadline is 20 s, 15.75 s later.
+		require.Equal(t, "2.25", w.Header().Get("Retry-After"))
+	})
+}
--- a/daemon/serve/parse.go
+++ b/daemon/serve/parse.go
@@ -132,7 +132,6 @@
 	// A caller that sends its body byte by byte would hold its place for ever.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(s.opts.Now().Add(bodyTimeout)) // unsupported only in tests
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	if bounded, ok := w.(*boundedWriter); ok {
 		w = bounded.ResponseWriter // net/http closes the connection by it alone
 	}
@@ -143,8 +142,10 @@
 		return refusal(http.StatusRequestEntityTooLarge, typeTooLarge, "the body is over the instance's limit")
 	}
 	if err != nil {
+		// The bound stays: net/http reads the rest before it sends the answer.
 		return fieldRefusal("body", "could not be read whole")
 	}
+	_ = control.SetReadDeadline(time.Time{}) // unsupported only in tests
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&c.body); err != nil {
--- a/transport/inbound/server.go
+++ b/transport/inbound/server.go
@@ -134,9 +134,18 @@
 	return nil
 }
 
-// Close closes all connections, whatever is on its way on them.
+// Stop finishes within a time, and closes what isn't done then.
+func (s *Server) Stop(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_ = s.Finish(ctx) // what isn't done is closed
+	s.Close()
+}
+
+// Close closes all connections, whatever is on its way on them: what Finish had no more
+// time for.
 func (s *Server) Close() {
-	_ = s.http.Close() // the process ends with it
+	_ = s.http.Close() // nothing is left to do with a connection that doesn't close
 	s.closeOnce.Do(func() { close(s.closed) })
 }
 
@@ -169,7 +178,7 @@
 // adopt takes in a connection that has just been accepted.
 func (s *Server) adopt(nc net.Conn) *conn {
 	now := time.Now()
-	c := &conn{Conn: nc, server: s, awaiting: true, began: now}
+	c := &conn{Conn: nc, server: s, began: now}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	retiring := s.retiring
@@ -198,7 +207,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.active()
+		c.headRead()
 	case http.StateIdle:
 		c.idle()
 	}
--- a/transport/inbound/server_test.go
+++ b/transport/inbound/server_test.go
@@ -182,7 +182,7 @@
 	require.Eventually(t, func() bool {
 		connection.mu.Lock()
 		defer connection.mu.Unlock()
-		return connection.early
+		return connection.ahead
 	}, bound, time.Millisecond)
 	r.server.Retire()
 	r.release <- struct{}{}
@@ -190,7 +190,7 @@
 	require.Eventually(t, func() bool {
 		connection.mu.Lock()
 		defer connection.mu.Unlock()
-		return connection.served
+		return connection.answered
 	}, bound, time.Millisecond)
 	require.Equal(t, Busy, connection.state())
 	c.send(text[1:])
@@ -251,3 +251,100 @@
 	require.ErrorIs(t, r.server.Finish(ctx), context.Canceled)
 	r.release <- struct{}{}
 }
+
+// Two requests come in one segment, so the second one's bytes lie in net/http's buffer
+// while the first is served, and no byte of it is read from the socket. A stop begins
+// during the first or the second: the second was taken for none, its connection was
+// closed, and its target ran it.
+func TestRetireAnswersWhatLiesInTheBuffer(t *testing.T) {
+	for name, stopDuring := range map[string]int{"the first": 1, "the second": 2} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, listen(t), true)
+			r.serve()
+			c := r.dial()
+			c.send(text + text)
+			for n := 1; n <= 2; n++ {
+				<-r.entered
+				if n == stopDuring {
+					r.server.Retire()
+					require.Equal(t, Busy, r.server.all()[0].state())
+				}
+				r.release <- struct{}{}
+				c.answered()
+			}
+			c.closed()
+			r.finish()
+		})
+	}
+}
+
+// Of the second of two requests half the head lies in net/http's buffer when the stop
+// begins. The rest comes later.
+func TestRetireWaitsForTheRestOfABufferedHead(t *testing.T) {
+	r := newRig(t, listen(t), true)
+	r.serve()
+	c := r.dial()
+	c.send(text + text[:10])
+	<-r.entered
+	connection := r.server.all()[0]
+	r.release <- struct{}{}
+	c.answered()
+	require.Eventually(t, func() bool { return connection.state() == Busy }, bound, time.Millisecond)
+	r.server.Retire()
+	c.send(text[10:])
+	<-r.entered
+	r.release <- struct{}{}
+	c.answered()
+}
+
+// A caller begins a head and doesn't go on. The stop waited for it to the end of its
+// grace, and closed the connection without a word. The caller hears that its request
+// hasn't run, and the stop goes on.
+func TestRetireRefusesAHeadThatDoesNotCome(t *testing.T) {
+	r := newRig(t, listen(t), false)
+	r.serve()
+	c := r.dial()
+	c.send(text[:10])
+	require.Eventually(t, func() bool { return r.server.States()[Busy] == 1 }, bound, time.Millisecond)
+	r.server.Retire()
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	c.closed()
+	r.finish()
+}
+
+// A caller has just opened a connection when the stop begins, and another opens one
+// during it. Each has time for its first request; one that sends none doesn't hold the
+// stop.
+func TestRetireGivesNewConnectionsTime(t *testing.T) {
+	r := newRig(t, listen(t), false)
+	r.serve()
+	before := r.dial()
+	require.Eventually(t, func() bool { return r.server.Open() == 1 }, bound, time.Millisecond)
+	r.server.Retire()
+	require.Equal(t, 1, r.server.States()[Idle])
+	before.send(text)
+	before.answered()
+	during, silent := r.dial(), r.dial()
+	require.Eventually(t, func() bool { return r.server.States()[Idle] == 2 }, bound, time.Millisecond)
+	during.send(text)
+	during.answered()
+	silent.closed()
+	r.finish()
+}
+
+// An instance stands still for longer than a connection may be idle, and a request lies in
+// the socket when it goes on. It is read, and answered.
+func TestIdleTimeoutLooksIntoTheSocket(t *testing.T) {
+	g := &gated{listen(t), make(chan struct{})}
+	r := &rig{t: t}
+	r.server = New(g, http.HandlerFunc(r.handle), Options{HeaderTimeout: time.Nanosecond, IdleTimeout: time.Nanosecond})
+	t.Cleanup(r.server.Close)
+	r.serve()
+	c := r.dial()
+	c.send(text)
+	require.Eventually(t, func() bool { return r.server.States()[Unread] == 1 }, bound, time.Millisecond)
+	close(g.gate)
+	c.answered()
+}
