--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -52,6 +52,8 @@
 	ConfigName   string
 	TargetKind   string
 	DecodeConfig func(spec []byte, revision uint64) (*routes.Table, error)
+	// DecodeTarget reads an entry of a target. One that isn't whole is an error: it
+	// names no target.
 	DecodeTarget func(name string, spec []byte) (routes.Target, error)
 }
 
@@ -72,7 +74,7 @@
 	// revision that the store tells it; false if this is that instance, or if it
 	// doesn't know. Nil if each asks for itself.
 	AskConfirmer func(ctx context.Context) (revision uint64, known bool)
-	// OnLeaving is told of each target that takes nothing new from now on.
+	// OnLeaving is told of each incarnation that takes nothing new from now on.
 	OnLeaving func(now time.Time, incarnation string)
 	Scope     tally.Scope
 }
@@ -87,6 +89,8 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// refusals are the entries that name no target, as far as they were logged.
+	refusals refusals
 	// failed counts calls in a row without an answer, by kind.
 	failed map[string]int
 	// heard is when the store last told of the configuration.
@@ -131,6 +135,7 @@
 		if revision == 0 {
 			var l platformapi.List
 			if l, err = f.options.Store.List(ctx, kind); err == nil {
+				f.noteUnreadable(kind, l.Unreadable)
 				list(l)
 				revision = l.Revision
 			}
@@ -144,6 +149,7 @@
 				continue
 			}
 			if err == nil {
+				f.noteUnreadable(kind, w.Unreadable)
 				for _, e := range w.Events {
 					event(e)
 				}
@@ -231,24 +237,37 @@
 		klog.ErrorS(err, "Configuration refused, the one before stays in force", "revision", revision)
 		return false
 	}
+	// The targets first: by a configuration that names a new service, requests would
+	// else be refused for want of a target until those of the service are handed on.
+	f.handOn(time.Now(), table)
 	f.table.Store(table)
+	f.noteReady()
 	reason := "from a peer"
 	if direct {
 		reason = "from the store"
 	}
 	telemetry.InfoS("Configuration in force", telemetry.Event{Revision: revision, Count: table.RouteCount(), Reason: reason})
-	f.publish(time.Now())
 	return true
 }
 
-// publish tells what is in force; mu is held.
+// publish hands the targets on by the configuration in force; mu is held.
 func (f *Follower) publish(now time.Time) {
 	if table := f.table.Load(); table != nil {
-		f.scope.Gauge("revision").Update(float64(table.Revision))
-		f.scope.Gauge("targets").Update(float64(f.roster.Len()))
-		f.options.OnChange(now, table, f.roster.Usable())
-		if f.listed.Load() {
-			f.ready.Store(true)
-		}
+		f.handOn(now, table)
+		f.noteReady()
+	}
+}
+
+// handOn tells the targets that are usable by a configuration; mu is held.
+func (f *Follower) handOn(now time.Time, table *routes.Table) {
+	f.scope.Gauge("revision").Update(float64(table.Revision))
+	f.scope.Gauge("targets").Update(float64(f.roster.Len()))
+	f.options.OnChange(now, table, f.roster.Usable())
+}
+
+// noteReady notes that a configuration is in force whose targets were handed on.
+func (f *Follower) noteReady() {
+	if f.listed.Load() {
+		f.ready.Store(true)
 	}
 }
