Have the soak's stops meet half-sent requests, waits for stages and one core

Ruled out: longer pauses (losses at targets' expense), more callers (the machine), an order of timers and sockets that the runtime doesn't promise: half of the instances run one thread at a time, where what is due after a pause comes before what lies in sockets.

What is given up when its own time is over counts as overdue and is reported.

--- a/testkit/cmd/soak/main.go
+++ b/testkit/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	planned := flag.Bool("planned", false, "do planned work only, and check that no caller loses by it")
 	instances := flag.Int("instances", 4, "how many instances run")
 	callers := flag.Int("callers", 12, "how many callers there are")
+	verbose := flag.Bool("verbose", false, "tell what was done in runs that pass, too")
 	flag.Parse()
 	failed := 0
 	for i := range *count {
@@ -29,7 +30,7 @@
 			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
 			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned,
 		}
-		if !play(o) {
+		if !play(o, *verbose) {
 			failed++
 		}
 	}
@@ -40,7 +41,7 @@
 }
 
 // play plays one seed and keeps its logs if it failed.
-func play(o soak.Options) bool {
+func play(o soak.Options, verbose bool) bool {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
@@ -52,18 +53,20 @@
 	}
 	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", report.Seed, report.Answers, report.Served, len(report.Broken))
 	if o.Planned {
-		fmt.Printf("  refused %d, crossed a close %d, not accepted %d\n",
-			report.Losses.Refused, report.Losses.Crossed, report.Losses.Unaccepted)
-	}
-	if len(report.Broken) == 0 && !o.Planned {
-		_ = os.RemoveAll(o.Dir) // only logs that nobody needs
-		return true
+		fmt.Printf("  refused %d, crossed a close %d, not accepted %d, overdue %d\n",
+			report.Losses.Refused, report.Losses.Crossed, report.Losses.Unaccepted, report.Losses.Overdue)
 	}
 	for _, b := range report.Broken {
 		fmt.Println("  broken:", b)
 	}
-	for _, f := range report.Faults {
-		fmt.Println("  fault:", f)
+	failed := len(report.Broken) > 0
+	if failed || verbose {
+		for _, f := range report.Faults {
+			fmt.Println("  fault:", f)
+		}
+	}
+	if !failed {
+		_ = os.RemoveAll(o.Dir) // only logs that nobody needs
 	}
-	return false
+	return !failed
 }
--- a/testkit/soak/config.go
+++ b/testkit/soak/config.go
@@ -13,9 +13,9 @@
 // latest versions, the newest first, so that a caller's key is good for a while.
 func (w *world) configure() {
 	w.version++
-	kept := keptKeys
+	kept, timeout := keptKeys, requestWait
 	if w.options.Planned {
-		kept = keptKeysPlanned
+		kept, timeout = keptKeysPlanned, longestWait
 	}
 	var keys []string
 	for n := range kept {
@@ -24,7 +24,7 @@
 	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
 		r := map[string]any{
 			"name": name, "host": "host.example", "path_prefix": prefix, "kind": kind, "service": service,
-			"timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "max_attempts": 1,
+			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 300, "priority": 1, "max_attempts": 1,
 		}
 		for k, v := range more {
 			r[k] = v
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -14,7 +14,9 @@
 
 // The times of a planned stop in the instances' settings.
 const (
+	// A short grace ends while streams wait for slow stages.
 	grace         = 4 * time.Second
+	shortGrace    = 2500 * time.Millisecond
 	balancerDelay = 500 * time.Millisecond
 	// lateGrace is how much longer than its grace a process may last; a paused or
 	// busy one needs some of it.
@@ -30,6 +32,11 @@
 	// text is the settings but for the times of a planned stop.
 	text string
 	log  *os.File
+	// grace is the time that a planned stop has.
+	grace time.Duration
+	// oneCore has one thread run at a time, as on a small machine: what is due after a
+	// pause is done in turn, timers before what lies in sockets.
+	oneCore bool
 	// restarting is held from an end to the next start.
 	restarting sync.Mutex
 
@@ -55,9 +62,13 @@
 	}
 	in := &instance{
 		name: name, callers: ports[0], admin: ports[1], settings: filepath.Join(w.options.Dir, name+".ini"),
+		grace: grace, oneCore: w.options.Planned && len(w.instances)%2 == 0,
 		text: fmt.Sprintf("[instance]\nname = %s\ndata_centre = x\n[listen]\ncallers = %s\nadmin = %s\npeers = %s\n"+
 			"[platform]\nurl = http://%s\ncalls_per_second = 200\n", name, ports[0], ports[1], ports[2], path.Addr()),
 	}
+	if w.options.Planned && len(w.instances)%3 == 1 {
+		in.grace = shortGrace
+	}
 	if err := in.writeSettings(balancerDelay); err != nil {
 		return err
 	}
@@ -70,7 +81,7 @@
 
 // writeSettings puts a settings file in place, whole at any moment.
 func (in *instance) writeSettings(delay time.Duration) error {
-	text := in.text + fmt.Sprintf("[shutdown]\ngrace = %s\nbalancer_delay = %s\n", grace, delay)
+	text := in.text + fmt.Sprintf("[shutdown]\ngrace = %s\nbalancer_delay = %s\n", in.grace, delay)
 	if err := os.WriteFile(in.settings+".new", []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -81,6 +92,9 @@
 func (w *world) launch(in *instance) error {
 	command := exec.Command(w.options.Binary, "gateway", "--config", in.settings)
 	command.Stdout, command.Stderr = in.log, in.log
+	if in.oneCore {
+		command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	// The process ends with this one, however this one ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -88,7 +102,7 @@
 	}
 	in.mu.Lock()
 	ended := make(chan struct{})
-	l := &life{instance: in.name}
+	l := &life{instance: in.name, grace: in.grace, launched: time.Now()}
 	in.process, in.life, in.asked, in.ended = command, l, false, ended
 	in.mu.Unlock()
 	go func() {
@@ -101,6 +115,9 @@
 		if !asked {
 			w.breach("%s ended by itself: %v", in.name, err)
 		}
+		if err != nil && w.options.Planned && l.stopsCleanly() {
+			w.breach("a planned stop ended with %v: %s", err, l.at(time.Now()))
+		}
 	}()
 	return nil
 }
--- a/testkit/soak/keepers.go
+++ b/testkit/soak/keepers.go
@@ -17,7 +17,10 @@
 const (
 	// plannedWait is a caller's patience; it is longer than a request's time and a
 	// pause together, so whatever ends by it had no answer.
-	plannedWait = 6 * time.Second
+	plannedWait = 8 * time.Second
+	// longestWait is what streams wait at most. It is longer than a planned stop, so a
+	// stop comes to its end while streams wait for their stages.
+	longestWait = 5 * time.Second
 	// refusedWait bounds how long a caller that was refused stays away.
 	refusedWait = 200 * time.Millisecond
 	// settledKey is which of the keys callers use, from the newest: one that had two
@@ -33,22 +36,28 @@
 	parted int
 }
 
+// partedMost bounds the time between the parts of a request. A stop often finds a
+// request of which it has a part only.
+const partedMost = 300 * time.Millisecond
+
 // kinds of callers; each caller is of one of them.
 var kinds = []manners{
 	{0, 20 * time.Millisecond, 0},
 	{0, 150 * time.Millisecond, 2},
 	{200 * time.Millisecond, 900 * time.Millisecond, 0},
-	{200 * time.Millisecond, 900 * time.Millisecond, 3},
+	{200 * time.Millisecond, 900 * time.Millisecond, 1},
 	{300 * time.Millisecond, 1200 * time.Millisecond, 0},
 	{300 * time.Millisecond, 1200 * time.Millisecond, 0},
-	{300 * time.Millisecond, 1200 * time.Millisecond, 3},
-	{400 * time.Millisecond, 2500 * time.Millisecond, 0},
+	{300 * time.Millisecond, 1200 * time.Millisecond, 2},
+	{400 * time.Millisecond, 2500 * time.Millisecond, 3},
 }
 
 // exchange is a request on a kept connection and what came of it.
 type exchange struct {
 	answer
 	life *life
+	// wait is the time that the request names.
+	wait time.Duration
 	// kept counts the answers that the connection had given before.
 	kept int
 	// sent tells that all bytes were written: from first to last.
@@ -128,7 +137,7 @@
 		x := c.next()
 		x.life, x.kept = k.life, k.answers
 		parts := c.parts(&x)
-		k.send(&x, parts, c.between(0, 60*time.Millisecond))
+		k.send(&x, parts, c.between(0, partedMost))
 		goesOn := k.receive(&x)
 		c.all = append(c.all, x)
 		if x.status == http.StatusServiceUnavailable {
@@ -143,10 +152,15 @@
 // next draws the next request.
 func (c *keeper) next() exchange {
 	kind := paths[c.random.IntN(len(paths))]
-	return exchange{answer: answer{
+	x := exchange{answer: answer{
 		id: fmt.Sprintf("%04x%06x", c.number, len(c.all)), path: kind.path, once: kind.once,
 		pieces: [2]int{c.random.IntN(4), 1 + c.random.IntN(4)},
 	}}
+	x.wait = c.between(time.Second, requestWait)
+	if strings.HasPrefix(x.path, "/stream") {
+		x.wait = c.between(requestWait, longestWait)
+	}
+	return x
 }
 
 // parts are the bytes of a request, in the parts in which they are sent. The cut is
@@ -157,7 +171,7 @@
 		panic(err) // a path of our own
 	}
 	request.Header = standin.Call{
-		ID: x.id, Key: (*c.world.keys.Load())[settledKey], Wait: requestWait, Subject: "s1", Pieces: x.pieces[:], PieceKey: "key" + x.id,
+		ID: x.id, Key: (*c.world.keys.Load())[settledKey], Wait: x.wait, Subject: "s1", Pieces: x.pieces[:], PieceKey: "key" + x.id,
 	}.Header()
 	var text bytes.Buffer
 	if err := request.Write(&text); err != nil {
@@ -168,7 +182,7 @@
 	}
 	head := bytes.Index(text.Bytes(), []byte("\r\n\r\n"))
 	cut := 1 + c.random.IntN(head)
-	if c.random.IntN(2) == 0 {
+	if c.random.IntN(3) == 0 {
 		cut = text.Len() - 1 - c.random.IntN(8) // within the body
 	}
 	return [][]byte{text.Bytes()[:cut], text.Bytes()[cut:]}
--- a/testkit/soak/life.go
+++ b/testkit/soak/life.go
@@ -10,11 +10,15 @@
 // life is what was done to one process of an instance, and when.
 type life struct {
 	instance string
+	// grace is the time that its planned stop has.
+	grace time.Duration
 
 	mu sync.Mutex
-	// stopped is when its planned stop began, again when the signal came once
-	// more, ended when it was gone; zero if not.
-	stopped, again, ended time.Time
+	// launched is when it was started, stopped when its planned stop began, again when
+	// the signal came once more, ended when it was gone; zero if not.
+	launched, stopped, again, ended time.Time
+	// killed tells that it was not to end by itself.
+	killed bool
 	// pauses are the spans in which it was paused; the last may be open.
 	pauses []span
 }
@@ -39,6 +43,8 @@
 		} else if l.again.IsZero() {
 			l.again = now
 		}
+	case syscall.SIGKILL:
+		l.killed = true
 	case syscall.SIGSTOP:
 		l.pauses = append(l.pauses, span{from: now})
 	case syscall.SIGCONT:
@@ -54,6 +60,17 @@
 	l.ended = time.Now()
 }
 
+// startTime is how long a process may take until it catches signals. One that ends
+// it before has cut nothing.
+const startTime = 250 * time.Millisecond
+
+// stopsCleanly tells whether the process had to end by itself and without an error.
+func (l *life) stopsCleanly() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.killed && !l.stopped.IsZero() && l.stopped.Sub(l.launched) > startTime
+}
+
 // paused tells whether the process was paused at some moment of a span.
 func (l *life) paused(s span) bool {
 	l.mu.Lock()
--- a/testkit/soak/losses.go
+++ b/testkit/soak/losses.go
@@ -13,6 +13,9 @@
 	// Crossed met the close of an idle connection, and Unaccepted that of a
 	// connection that the instance may never have accepted. Neither reached a target.
 	Crossed, Unaccepted int
+	// Overdue were ended, by an answer that says so or in the middle of one, when
+	// their time was over.
+	Overdue int
 }
 
 const (
@@ -20,13 +23,17 @@
 	// closed and count as one that crossed the close. On loopback that takes far
 	// less than a millisecond, and a loaded machine some more.
 	crossing = 10 * time.Millisecond
+	// early is how long before the end of its time, counted from its last byte, a
+	// request may be given up: its time counts from the head, and a part may come later.
+	early = partedMost + 100*time.Millisecond
 	// crossedShare of all requests may cross a close or come unaccepted; a few may
 	// in a run that is too short for the share to say much.
 	crossedShare = 0.003
 	crossedFew   = 2
 	// A request is refused early enough to be tried elsewhere: not within
-	// lastOfGrace, unless it came no longer than freshRefusal before.
-	lastOfGrace  = time.Second
+	// lastOfGrace, in which the instance ends what is left, unless it came no longer
+	// than freshRefusal before.
+	lastOfGrace  = 700 * time.Millisecond
 	freshRefusal = time.Second
 	// servedShare is what a fleet serves at least while it is stopped in turn.
 	servedShare = 0.5
@@ -42,6 +49,9 @@
 		switch {
 		case x.status == 0:
 			w.checkClosed(x, s, &losses)
+		case x.overdue():
+			losses.Overdue++
+			w.note("overdue: %d, %s", x.status, w.story(x, s))
 		case !x.whole:
 			w.lost(x, s, "was cut in the middle of its answer")
 		case x.status == http.StatusOK:
@@ -64,6 +74,12 @@
 	return losses
 }
 
+// overdue tells whether a request was given up when its time was over.
+func (x *exchange) overdue() bool {
+	gaveUp := !x.whole || x.status == http.StatusGatewayTimeout
+	return gaveUp && x.sent && x.ended.Sub(x.last) >= x.wait-early
+}
+
 // checkClosed looks at a request without any answer.
 func (w *world) checkClosed(x *exchange, s seen, losses *Losses) {
 	between := span{x.first, x.closed}
@@ -100,7 +116,7 @@
 		w.lost(x, s, "was refused without a time to come back: %q", x.retryAfter)
 	}
 	since, stopping := x.life.sinceStop(x.ended)
-	if stopping && since > grace-lastOfGrace && x.ended.Sub(x.first) > freshRefusal {
+	if stopping && since > x.life.grace-lastOfGrace && x.ended.Sub(x.first) > freshRefusal {
 		w.lost(x, s, "was refused at the end of the grace only")
 	}
 }
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -19,10 +19,10 @@
 
 // plannedSeeds are played with planned work only.
 //
-// 1: SIGHUP ended a process in the middle of its planned stop, and so did a second
-// SIGTERM; a stop closed connections on whose sockets requests lay while the process
-// was paused.
-var plannedSeeds = []uint64{1}
+// 6: a stop closed connections while requests lay in the sockets of a paused process,
+// and at the end of its grace one that waited for its stages; a second SIGTERM ended a
+// process in the middle of its stop.
+var plannedSeeds = []uint64{6}
 
 // build builds the daemon.
 func build(t *testing.T) string {
--- a/testkit/soak/stops.go
+++ b/testkit/soak/stops.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -30,65 +28,6 @@
 	earlyAfter time.Duration
 }
 
-// plan does planned work until the time is over: stops in series that overlap,
-// configuration changes, and targets that are replaced. All that is drawn is drawn
-// here, from a source of its own, so that a seed gives the same series.
-func (w *world) plan(until time.Time, rest time.Duration) {
-	random := rand.New(rand.NewPCG(w.options.Seed, 0))
-	var wg sync.WaitGroup
-	wg.Go(func() { w.changes(until, rest, rand.New(rand.NewPCG(w.options.Seed, 1<<32))) })
-	for time.Now().Before(until) {
-		var last time.Duration
-		for _, s := range w.series(random) {
-			w.note("planned: %+v of %s", s.times(), s.in.name)
-			last = s.after
-			wg.Go(func() {
-				time.Sleep(s.after)
-				w.stop(s)
-			})
-		}
-		time.Sleep(last + rest + between(random, 0, time.Second))
-	}
-	wg.Wait()
-}
-
-// series draws stops of half to all instances, one or two at a time.
-func (w *world) series(random *rand.Rand) []stop {
-	order := random.Perm(len(w.instances))
-	least := (len(order) + 1) / 2
-	order = order[:least+random.IntN(len(order)-least+1)]
-	gap := between(random, 200*time.Millisecond, time.Second)
-	together := 1 + random.IntN(2)
-	stops := make([]stop, 0, len(order))
-	for i, n := range order {
-		s := drawStop(random)
-		s.in, s.after = w.instances[n], time.Duration(i/together)*gap
-		stops = append(stops, s)
-	}
-	return stops
-}
-
-// drawStop draws what happens to a process around its stop.
-func drawStop(random *rand.Rand) stop {
-	s := stop{down: between(random, 0, 300*time.Millisecond)}
-	again := between(random, time.Millisecond, 2*time.Second)
-	hangup := between(random, 0, time.Second)
-	// The end of the delay comes while the process is paused.
-	freeze := between(random, balancerDelay-250*time.Millisecond, balancerDelay-20*time.Millisecond)
-	thaw := between(random, balancerDelay+20*time.Millisecond, balancerDelay+200*time.Millisecond)
-	earlyAfter := between(random, 0, 250*time.Millisecond)
-	switch random.IntN(8) {
-	case 0:
-		s.again = again
-	case 1:
-		s.hangup, s.delay = hangup, balancerDelay+between(random, 0, 100*time.Millisecond)
-	case 2, 3, 4, 5, 6:
-		s.freeze, s.thaw = freeze, thaw
-	}
-	s.early, s.earlyAfter = random.IntN(5) == 0, earlyAfter
-	return s
-}
-
 // times are what is noted of a stop.
 func (s stop) times() any {
 	return struct {
@@ -137,7 +76,7 @@
 		}
 	}
 	add(s.again, func() { in.signal(syscall.SIGTERM, true) })
-	add(s.hangup, func() { w.reread(in, s.delay) })
+	add(s.hangup, func() { w.rewrite(in, s.delay) })
 	add(s.freeze, func() { in.signal(syscall.SIGSTOP, false) })
 	add(s.thaw, func() { in.signal(syscall.SIGCONT, false) })
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
@@ -152,24 +91,19 @@
 	}
 	select {
 	case <-ended:
-	case <-time.After(time.Until(begin.Add(grace + lateGrace))):
+	case <-time.After(time.Until(begin.Add(in.grace + lateGrace))):
 		if w.options.Planned {
-			w.breach("%s still runs %v after its stop began", in.name, grace+lateGrace)
+			w.breach("%s still runs %v after its stop began", in.name, in.grace+lateGrace)
 		}
 		in.signal(syscall.SIGKILL, true)
 		<-ended
 	}
 }
 
-// reread writes an instance's settings anew and has it read them.
-func (w *world) reread(in *instance, delay time.Duration) {
+// rewrite writes an instance's settings anew and has it read them.
+func (w *world) rewrite(in *instance, delay time.Duration) {
 	if err := in.writeSettings(delay); err != nil {
 		w.breach("settings of %s: %v", in.name, err)
 	}
 	in.signal(syscall.SIGHUP, false)
 }
-
-// between draws a time.
-func between(random *rand.Rand, least, most time.Duration) time.Duration {
-	return least + time.Duration(random.Int64N(int64(most-least)+1))
-}
--- a/testkit/soak/targets.go
+++ b/testkit/soak/targets.go
@@ -20,6 +20,9 @@
 	// shorter than a planned stop.
 	streamPace        = 10 * time.Millisecond
 	streamPacePlanned = 80 * time.Millisecond
+	// slowest is the delay of a stage's call each way that leaves a stream with two
+	// stages time within its wait, if not within a planned stop.
+	slowest = time.Second
 )
 
 func (w *world) addTarget(name string) error {
@@ -81,6 +84,25 @@
 	}
 }
 
+// slowStages has the calls of stages take longer for a while, as under a load: streams
+// that were admitted before then wait for their stages when a stop comes to its end.
+func (w *world) slowStages(by, span time.Duration) {
+	w.note("planned: stages are slow by %v each way for %v", by, span)
+	w.delayStages(by)
+	time.Sleep(span)
+	w.delayStages(0)
+}
+
+func (w *world) delayStages(by time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, path := range w.paths {
+		if strings.HasPrefix(name, "stage-") {
+			path.Delay(relay.Both, by)
+		}
+	}
+}
+
 // leave has a target leave: it says so, its entry goes, then the target itself.
 func (w *world) leave(name string) {
 	w.enter(name, "draining")
