--- a/coordination/gather/planner_test.go
+++ b/coordination/gather/planner_test.go
@@ -27,6 +27,15 @@
 	made  int
 	// starts counts the starts of targets under their names.
 	starts map[string]int
+	// services are those added so far, for a planner that takes over.
+	services map[string]listed
+	// ended counts how often each request ended.
+	ended map[string]int
+}
+
+type listed struct {
+	shape   Shape
+	targets []Target
 }
 
 type runningCall struct {
@@ -38,6 +47,7 @@
 	return &rig{
 		t: t, planner: New(Config{}), now: time.Unix(1000, 0),
 		completed: map[string][]string{}, refused: map[string]Refused{}, starts: map[string]int{},
+		services: map[string]listed{}, ended: map[string]int{},
 	}
 }
 
@@ -51,6 +61,7 @@
 		id := fmt.Sprintf("%s-%d", name, i)
 		list = append(list, Target{Incarnation: r.incarnation(id), Name: id, Address: id, DataCentre: dc})
 	}
+	r.services[name] = listed{shape, list}
 	r.do(r.planner.SetTargets(r.now, name, list))
 }
 
@@ -80,8 +91,10 @@
 		case Completed:
 			r.requireHeld(a.Handles)
 			r.completed[a.Request] = a.Handles
+			r.ended[a.Request]++
 		case Refused:
 			r.refused[a.Request] = a
+			r.ended[a.Request]++
 		case FreeResults:
 			r.freed = append(r.freed, a.Handles...)
 			r.do(r.planner.FreeDone(r.now, a.Handles))
--- a/coordination/gather/property_test.go
+++ b/coordination/gather/property_test.go
@@ -10,9 +10,9 @@
 )
 
 // Targets are slow, full, silent or gone, or start again under their names, results
-// expire, callers leave, lists of targets change, all in any order. Whatever happens, a
-// piece is sent with all its inputs or none, and none that lay at a process which is
-// gone, each request ends once, and nothing is held for ever.
+// expire, callers leave, lists of targets change, the queue changes hands, all in any
+// order. Whatever happens, a piece is sent with all its inputs or none, and none that
+// lay at a process which is gone, each request ends once, and nothing is held for ever.
 func TestAnyOrderOfFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRig(t)
@@ -45,7 +45,7 @@
 		}
 		submitted := 0
 		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
 			case 0, 1:
 				q := chain(fmt.Sprint(submitted), rapid.IntRange(0, 9).Draw(rt, "n1"), rapid.IntRange(0, 12).Draw(rt, "n2"), rapid.IntRange(0, 5).Draw(rt, "n3"))
 				q.Priority = rapid.IntRange(0, 2).Draw(rt, "priority")
@@ -61,6 +61,8 @@
 			case 3:
 				name := rapid.SampledFrom(services).Draw(rt, "relisted")
 				r.service(name, shape, []string{"x", "y", "x", "y"}[:rapid.IntRange(0, 4).Draw(rt, "targets")]...)
+			case 5:
+				r.handOver()
 			}
 			r.run(time.Duration(rapid.IntRange(10, 400).Draw(rt, "pause")) * time.Millisecond)
 		}
@@ -72,5 +74,8 @@
 		for id := range r.completed {
 			require.NotContains(rt, r.refused, id)
 		}
+		for id, n := range r.ended {
+			require.Equal(rt, 1, n, id)
+		}
 	})
 }
