--- a/testkit/cmd/soak/main.go
+++ b/testkit/cmd/soak/main.go
@@ -18,15 +18,19 @@
 	count := flag.Int("seeds", 10, "how many seeds to play, one after the other")
 	faults := flag.Duration("faults", 10*time.Second, "how long faults come")
 	dir := flag.String("dir", os.TempDir(), "where settings and logs of failed seeds are kept")
+	planned := flag.Bool("planned", false, "do planned work only, and check that no caller loses by it")
+	instances := flag.Int("instances", 4, "how many instances run")
+	callers := flag.Int("callers", 12, "how many callers there are")
+	verbose := flag.Bool("verbose", false, "tell what was done in runs that pass, too")
 	flag.Parse()
 	failed := 0
 	for i := range *count {
 		seed := *first + uint64(i)
 		o := soak.Options{
 			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
-			Seed: seed, Faults: *faults, Instances: 4, Callers: 12,
+			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned,
 		}
-		if !play(o) {
+		if !play(o, *verbose) {
 			failed++
 		}
 	}
@@ -37,7 +41,7 @@
 }
 
 // play plays one seed and keeps its logs if it failed.
-func play(o soak.Options) bool {
+func play(o soak.Options, verbose bool) bool {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
@@ -48,15 +52,21 @@
 		return false
 	}
 	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", report.Seed, report.Answers, report.Served, len(report.Broken))
-	if len(report.Broken) == 0 {
-		_ = os.RemoveAll(o.Dir) // only logs that nobody needs
-		return true
+	if o.Planned {
+		fmt.Printf("  refused %d, crossed a close %d, not accepted %d, overdue %d\n",
+			report.Losses.Refused, report.Losses.Crossed, report.Losses.Unaccepted, report.Losses.Overdue)
 	}
 	for _, b := range report.Broken {
 		fmt.Println("  broken:", b)
 	}
-	for _, f := range report.Faults {
-		fmt.Println("  fault:", f)
+	failed := len(report.Broken) > 0
+	if failed || verbose {
+		for _, f := range report.Faults {
+			fmt.Println("  fault:", f)
+		}
+	}
+	if !failed {
+		_ = os.RemoveAll(o.Dir) // only logs that nobody needs
 	}
-	return false
+	return !failed
 }
