--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -186,7 +186,7 @@
 	}
 	var refused *stages.RefusedError
 	var none *routing.NoTargetError
-	stopped := errors.Is(err, errStopping) || errors.Is(err, errStopped)
+	stopped := errors.Is(err, errNoTimeToSend) || errors.Is(err, errStopOver)
 	late := errors.Is(err, errDeadline) || ctx.Err() != nil
 	switch {
 	case stopped && !q.mayHaveRun:
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -58,7 +58,7 @@
 	}
 	started := time.Now()
 	if q.tooLateToSend(started) {
-		return false, errStopping
+		return false, errNoTimeToSend
 	}
 	q.target = choice.Target.Incarnation
 	handle := q.relay.options.Router.Started(started, q.target, 1)
@@ -139,8 +139,8 @@
 	if err == nil && q.handles == nil {
 		q.handles = []string{}
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
-		return errStopping
+	if err != nil && errors.Is(context.Cause(ctx), errNoTimeToSend) {
+		return errNoTimeToSend
 	}
 	var refused *stages.RefusedError
 	if errors.As(err, &refused) {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -176,7 +176,7 @@
 	if status := q.authorize(table); status != 0 {
 		// A version that allows the request may be a moment old.
 		q.relay.options.Confirm(ctx)
-		if errors.Is(context.Cause(ctx), errStopped) {
+		if errors.Is(context.Cause(ctx), errStopOver) {
 			q.refuse("stopping", minRetryAfter)
 			return false
 		}
--- a/daemon/relay/stop.go
+++ b/daemon/relay/stop.go
@@ -12,10 +12,10 @@
 )
 
 var (
-	// errStopping ends the wait for stages that don't end in a planned stop.
-	errStopping = errors.New("the instance stops before the request can be served")
-	// errStopped ends what is in flight at the end of a planned stop.
-	errStopped = errors.New("the instance stops")
+	// errNoTimeToSend ends the wait for stages that don't end in a planned stop.
+	errNoTimeToSend = errors.New("the instance stops before the request can be served")
+	// errStopOver ends what is in flight at the end of a planned stop.
+	errStopOver = errors.New("the instance stops")
 )
 
 // stopping is the planned stop as the requests in flight see it.
@@ -43,7 +43,7 @@
 		s.stopping.window = drain.Window{Began: time.Now(), Ends: ends}
 		s.stopping.begin()
 		s.boundStages()
-		time.AfterFunc(time.Until(ends), func() { s.stopping.end(errStopped) })
+		time.AfterFunc(time.Until(ends), func() { s.stopping.end(errStopOver) })
 	})
 }
 
@@ -79,23 +79,23 @@
 	return stopping && now.After(window.SendBy(q.drainRequest()))
 }
 
-// untilStopped returns a context that ends with the planned stop too, by errStopped.
+// untilStopped returns a context that ends with the planned stop too, by errStopOver.
 func (q *request) untilStopped(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	release := context.AfterFunc(q.relay.stopping.over, func() { cancel(errStopped) })
+	release := context.AfterFunc(q.relay.stopping.over, func() { cancel(errStopOver) })
 	return ctx, func() {
 		release()
 		cancel(nil)
 	}
 }
 
-// untilSendBy returns a context that ends, by errStopping, when a planned stop leaves no
+// untilSendBy returns a context that ends, by errNoTimeToSend, when a planned stop leaves no
 // time to send the request.
 func (q *request) untilSendBy(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	release := context.AfterFunc(q.relay.stopping.begun, func() {
 		window, _ := q.relay.draining()
-		timer := time.AfterFunc(time.Until(window.SendBy(q.drainRequest())), func() { cancel(errStopping) })
+		timer := time.AfterFunc(time.Until(window.SendBy(q.drainRequest())), func() { cancel(errNoTimeToSend) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
 	})
 	return ctx, func() {
