Spread the word of a departure at once, and to those that start

Cause: an instance that started while another left counted that one as alive for seconds and asked it. The one that left answered on, but named its departure only as often as any update, and not in each page; a new instance took in no departure of a member that it didn't know, so that older word made the member live afterwards; and the word itself travelled on probes, one a second.

Ruled out: a state in Hello (made once for a connection, which lives on as the state changes; the updates of each message say it already); departures of unknown members kept for the whole retention or passed on (they come back from instance to instance); telling all members directly (439 connections at 440 instances).

Change: one that leaves puts its own word first in each Ping, PingReq and Ack and into each page, and asks for no exchange. Who hears of a departure passes it on at once to 3 of those that it probes, as an Ack that answers nothing, some 100 B; versions before take it as an Ack. A departure of an unknown member is kept a minute and not passed on. Older word of one that left is put right in the answer. No layout differs.

Tests of coordination/... and daemon/cluster, membership and cluster under -race: pass. Not run: 440 instances, a fleet of two versions.

--- a/coordination/membership/apply.go
+++ b/coordination/membership/apply.go
@@ -22,10 +22,12 @@
 	return u.State > k.State
 }
 
-// applyAll applies the updates of a message.
+// applyAll applies the updates of a message, and has the answer put right what is
+// out of date in them.
 func (m *Membership) applyAll(now time.Time, updates []Member) {
 	for _, u := range updates {
 		m.apply(now, u)
+		m.correct(u)
 	}
 }
 
@@ -40,6 +42,7 @@
 	}
 	e := m.table[u.Name]
 	if e == nil && !m.admits(u) {
+		m.hear(now, u)
 		return
 	}
 	if e != nil && !supersedes(u, e.Member) {
@@ -55,6 +58,9 @@
 		u.State = Suspect
 	}
 	m.set(now, u)
+	if u.State == Left {
+		m.departed = append(m.departed, u)
+	}
 }
 
 // admits tells whether an unknown member is taken in. One that is gone is not,
@@ -118,7 +124,7 @@
 	case u.Incarnation > m.self.Incarnation:
 		m.out = append(m.out, Superseded{By: u})
 	case u.Incarnation < m.self.Incarnation:
-		if u.Live() {
+		if u.Live() && !m.leaving {
 			m.updates.put(m.self)
 		}
 	case m.leaving || u.State == Left || u.State == Alive:
--- a/coordination/membership/bench_test.go
+++ b/coordination/membership/bench_test.go
@@ -18,15 +18,21 @@
 	drop   func(from, to string, fresh bool) bool
 	// check looks at each message.
 	check func(Message)
+	// watch looks at each new view.
+	watch func(*View)
 	// accused holds the worst state of each member in any view, near the same
 	// in the views of its own data centre.
 	accused, near map[string]State
 }
 
-const maxMembers = 16
+const (
+	maxMembers = 16
+	// largest is the size of the largest cluster in a test.
+	largest = 96
+)
 
 // addresses are those of all members that a test can start.
-var addresses = func() (list [maxMembers]string) {
+var addresses = func() (list [largest]string) {
 	for i := range list {
 		list[i] = member(i).Address
 	}
@@ -63,6 +69,9 @@
 func (b *bench) do(from *Membership, actions []Action) {
 	for _, a := range actions {
 		if c, ok := a.(Changed); ok {
+			if b.watch != nil {
+				b.watch(c.View)
+			}
 			for _, x := range c.View.Members {
 				b.accused[x.Name] = max(b.accused[x.Name], x.State)
 				if x.DataCentre == from.self.DataCentre {
--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -42,6 +42,9 @@
 	SyncPage int
 	// LeaveFanout is the number of members told directly of a departure.
 	LeaveFanout int
+	// LeaveRelays is the number of members to whom each that hears of a departure
+	// passes the word on at once.
+	LeaveRelays int
 }
 
 // DefaultConfig returns the defaults.
@@ -62,6 +65,7 @@
 		SyncEvery:        30 * time.Second,
 		SyncPage:         32,
 		LeaveFanout:      6,
+		LeaveRelays:      3,
 	}
 }
 
@@ -83,5 +87,6 @@
 	c.SyncEvery = cmp.Or(c.SyncEvery, d.SyncEvery)
 	c.SyncPage = cmp.Or(c.SyncPage, d.SyncPage)
 	c.LeaveFanout = cmp.Or(c.LeaveFanout, d.LeaveFanout)
+	c.LeaveRelays = cmp.Or(c.LeaveRelays, d.LeaveRelays)
 	return c
 }
--- /dev/null
+++ b/coordination/membership/leave_test.go
@@ -0,0 +1,203 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// leave has an instance of a bench announce its departure. It goes on answering.
+func (b *bench) leave(i int) *Membership {
+	m := b.nodes[member(i).Address]
+	b.do(m, m.Leave(b.now))
+	return m
+}
+
+// departed returns a member's last word.
+func departed(i int) Member {
+	m := member(i)
+	m.State = Left
+	return m
+}
+
+// Instances are restarted in turn. One that leaves answers for seconds more, long after
+// its word went round, and is the first that a new one meets: the platform's list still
+// names it. The new one counts it as alive, takes it for the holder of what one does for
+// all, and sends its requests there.
+func TestOneThatLeavesSaysSoToWhoeverAsks(t *testing.T) {
+	cfg := Config{SyncPage: 4, MaxUpdates: 3}.withDefaults()
+	b := newBench(t, 12, cfg)
+	b.run(10 * time.Second)
+	m := b.leave(6)
+	b.run(2 * time.Minute)
+	crowd := m.Receive(b.now, member(1), &Ping{Updates: []Member{member(12), member(13), member(14), member(15)}})
+	require.Contains(t, crowd[0].(Send).Message.(*Ack).Updates, departed(6), "not crowded out by newer word")
+	b.run(10 * time.Second) // it could ask for all by now, as one whose set of live members differs
+
+	asked := map[string]Message{
+		"a probe":                   &Ping{Seq: 9},
+		"a probe through it":        &PingReq{Seq: 9, Target: member(2).Name, Address: member(2).Address},
+		"the first page":            &SyncRequest{},
+		"a page past it":            &SyncRequest{After: member(8).Name},
+		"the last page":             &SyncRequest{After: member(11).Name},
+		"a page that leads to more": &SyncAnswer{Next: member(4).Name},
+	}
+	for name, msg := range asked {
+		t.Run(name, func(t *testing.T) {
+			for _, a := range m.Receive(b.now, member(13), msg) {
+				send, ok := a.(Send)
+				if !ok {
+					continue
+				}
+				var told []Member
+				switch answer := send.Message.(type) {
+				case *Ping:
+					told = answer.Updates
+					require.LessOrEqual(t, len(told), cfg.MaxUpdates)
+				case *Ack:
+					told = answer.Updates
+					require.LessOrEqual(t, len(told), cfg.MaxUpdates)
+				case *SyncAnswer:
+					told = answer.Members
+					require.LessOrEqual(t, len(told), cfg.SyncPage)
+				}
+				require.Contains(t, told, departed(6), "%T", send.Message)
+			}
+		})
+	}
+}
+
+// The page of one that leaves has room for its own word. No other member may be passed
+// over for it, or the new instance would miss one.
+func TestPagesOfOneThatLeavesHoldAll(t *testing.T) {
+	for leaver := range 10 {
+		b := newBench(t, 10, Config{SyncPage: 4})
+		b.run(10 * time.Second)
+		m := b.leave(leaver)
+		seen := map[string]bool{}
+		after := ""
+		for range 10 {
+			page := m.page(after)
+			require.LessOrEqual(t, len(page.Members), 4)
+			for _, x := range page.Members {
+				seen[x.Name] = true
+			}
+			if after = page.Next; after == "" {
+				break
+			}
+		}
+		require.Len(t, seen, 10)
+	}
+}
+
+// An instance starts while another leaves. It meets the one that leaves, or a member that
+// knows, and then hears older word from one that doesn't know yet. In none of its views
+// may the leaving one be live from the first exchange on, whatever the order.
+func TestJoinerTakesOverWhoLeaves(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := Config{SyncPage: rapid.IntRange(2, 16).Draw(rt, "page")}
+		b := newBench(rt, 10, cfg)
+		b.run(10 * time.Second)
+		leaver := rapid.IntRange(1, 9).Draw(rt, "leaver")
+		b.leave(leaver)
+		b.run(time.Duration(rapid.IntRange(10, 100).Draw(rt, "tenths")) * 100 * time.Millisecond)
+		joiner := member(10)
+		var first *View
+		b.watch = func(v *View) {
+			if v.Self != joiner.Name {
+				return
+			}
+			if x, _ := v.Find(member(leaver).Name); x.Live() && x.Name != "" {
+				first = v
+			}
+		}
+		m := b.start(cfg, joiner, member(rapid.IntRange(0, 9).Draw(rt, "seed")))
+		for range rapid.IntRange(1, 4).Draw(rt, "stale") {
+			ignorant := member(rapid.IntRange(0, 9).Draw(rt, "ignorant"))
+			b.do(m, m.Receive(b.now, ignorant, &Ping{Seq: 1, Updates: []Member{member(leaver)}}))
+			b.run(time.Duration(rapid.IntRange(0, 30).Draw(rt, "between")) * 100 * time.Millisecond)
+		}
+		require.Nil(rt, first, "%s counts as live", member(leaver).Name)
+	})
+}
+
+// A new instance has heard of one that leaves only from members that didn't know. It
+// probes one that knows, whose word of the departure was passed on often enough long ago:
+// the answer must put it right, or it asks the one that leaves until that is gone.
+func TestStaleWordIsPutRightInTheAnswer(t *testing.T) {
+	b := newBench(t, 8, Config{})
+	b.run(10 * time.Second)
+	b.leave(3)
+	b.run(2 * time.Minute)
+	knows := b.nodes[member(1).Address]
+	require.Empty(t, knows.updates.byName, "nothing is passed on any more")
+	for _, msg := range []Message{
+		&Ping{Seq: 1, Updates: []Member{member(3)}},
+		&PingReq{Seq: 1, Target: member(2).Name, Address: member(2).Address, Updates: []Member{member(3)}},
+	} {
+		said := false
+		for _, a := range knows.Receive(b.now, member(2), msg) {
+			switch s := a.(Send).Message.(type) {
+			case *Ping:
+				said = said || len(s.Updates) > 0 && s.Updates[0] == departed(3)
+			case *Ack:
+				said = said || len(s.Updates) > 0 && s.Updates[0] == departed(3)
+			}
+		}
+		require.True(t, said, "%T", msg)
+	}
+}
+
+// What a new instance was told of departures that it didn't see is kept for a while only
+// and is no news: passed on, it would come back from instance to instance for ever.
+func TestDeparturesHeardOfAreForgottenAndNotPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Config{MaxGone: 4}, member(0), rand.New(rand.NewPCG(1, 1)))
+	m.updates.drop(member(0).Name)
+	var told []Member
+	for i := 2; i < 12; i++ {
+		told = append(told, departed(i))
+	}
+	m.Receive(now, member(1), &SyncAnswer{Members: told})
+	require.Len(t, m.gone, 4, "bounded")
+	for _, x := range m.page("").Members {
+		require.NotEqual(t, Left, x.State, "%s", x.Name)
+	}
+	require.NotContains(t, m.updates.byName, departed(2).Name)
+	m.Tick(now.Add(time.Minute))
+	require.Empty(t, m.gone)
+}
+
+// One of 90 instances leaves. Each passes the word on at once to a few, so that nearly
+// all know before the next probe: until then some ask the one that leaves and all others
+// its successor. The messages for it are bounded for each instance.
+func TestWordOfADepartureOutrunsTheProbes(t *testing.T) {
+	const n = 90
+	cfg := DefaultConfig()
+	b := newBench(t, n, cfg)
+	b.run(30 * time.Second)
+	for leaver := range 3 {
+		sent := map[string]int{}
+		b.drop = func(from, _ string, _ bool) bool { sent[from]++; return false }
+		b.leave(leaver)
+		b.drop = func(string, string, bool) bool { return false }
+		ignorant := 0
+		for i := leaver + 1; i < n; i++ {
+			m := b.nodes[member(i).Address]
+			if x, _ := m.View().Find(member(leaver).Name); x.State != Left {
+				ignorant++
+			}
+			require.LessOrEqual(t, sent[m.self.Address], 3+2, fmt.Sprint(m.self.Name))
+		}
+		require.Less(t, ignorant, n/10)
+		b.run(2 * cfg.Period)
+		for i := leaver + 1; i < n; i++ {
+			x, _ := b.nodes[member(i).Address].View().Find(member(leaver).Name)
+			require.Equal(t, Left, x.State, "%s sees %s", member(i).Name, x.Name)
+		}
+	}
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -30,6 +30,8 @@
 	nextDead time.Time
 	leaving  bool
 	leftAcks int
+	// departed holds the departures heard of in the present step.
+	departed []Member
 	out      []Action
 }
 
@@ -39,6 +41,8 @@
 	// changed is when the state last changed; the end of a suspicion and of
 	// the retention are counted from it.
 	changed time.Time
+	// hearsay marks a departure that was over when it was heard of.
+	hearsay bool
 }
 
 // New returns the state machine of an instance that knows only itself. Self is
@@ -153,7 +157,7 @@
 	}
 	m.leaving = true
 	m.self.State = Left
-	m.updates.put(m.self)
+	m.updates.drop(m.self.Name) // it goes first on each message from now on
 	m.dirty = true
 	for _, e := range m.pick(m.cfg.LeaveFanout, "") {
 		seq := m.probes.nextSeq()
@@ -178,6 +182,7 @@
 		m.rebuild()
 		m.out = append(m.out, Changed{View: m.view})
 	}
+	m.passDeparturesOn()
 	out := m.out
 	m.out = nil
 	return out
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -115,16 +115,19 @@
 	if m.sync.differs.IsZero() {
 		m.sync.differs = now
 	}
-	if now.Sub(m.sync.differs) < settleFactor*m.cfg.Period || now.Before(m.sync.next) {
+	if m.leaving || now.Sub(m.sync.differs) < settleFactor*m.cfg.Period || now.Before(m.sync.next) {
 		return
 	}
 	m.sync.next = now.Add(m.cfg.SyncEvery)
 	m.send(Send{To: from.Address, Reply: true, Message: &SyncRequest{}})
 }
 
-// page returns the members that follow a name.
+// page returns the members that follow a name. One that leaves adds itself to each.
 func (m *Membership) page(after string) *SyncAnswer {
-	members := m.view.Members
+	members, size := m.known(), m.cfg.SyncPage
+	if m.leaving {
+		size--
+	}
 	i, found := slices.BinarySearchFunc(members, after, func(x Member, name string) int {
 		switch {
 		case x.Name < name:
@@ -137,14 +140,25 @@
 	if found {
 		i++
 	}
-	end := min(i+m.cfg.SyncPage, len(members))
+	end := min(i+size, len(members))
 	answer := &SyncAnswer{Members: slices.Clone(members[i:end])}
 	if end < len(members) {
 		answer.Next = members[end-1].Name
 	}
+	if m.leaving && !slices.Contains(answer.Members, m.self) {
+		answer.Members = append(answer.Members, m.self)
+	}
 	return answer
 }
 
+// known returns the members that are told of in a full exchange.
+func (m *Membership) known() []Member {
+	return slices.DeleteFunc(slices.Clone(m.view.Members), func(x Member) bool {
+		e := m.table[x.Name]
+		return e != nil && e.hearsay
+	})
+}
+
 // applyPage takes a page over and asks for the next one.
 func (m *Membership) applyPage(now time.Time, from Member, a *SyncAnswer) {
 	if len(a.Members) > m.cfg.SyncPage {
@@ -157,6 +171,9 @@
 		m.sync.joined = true
 		return
 	}
+	if m.leaving {
+		return
+	}
 	m.send(Send{To: from.Address, Reply: true, Message: &SyncRequest{After: a.Next}})
 }
 
--- a/coordination/membership/updates.go
+++ b/coordination/membership/updates.go
@@ -90,11 +90,16 @@
 	}
 }
 
-// piggyback returns the updates for a message to a member. If that member is
-// not alive here, it is told so first: only it can refute it.
+// piggyback returns the updates for a message to a member. One that leaves says so
+// first. If the receiver is not alive here, it is told so next: only it can refute it.
 func (m *Membership) piggyback(to string) []Member {
 	count, bytes := m.cfg.MaxUpdates, m.cfg.MaxUpdateBytes
 	var out []Member
+	if m.leaving {
+		out = append(out, m.self)
+		count--
+		bytes -= EncodedSize(m.self)
+	}
 	if e := m.table[to]; e != nil && e.State != Alive {
 		out = append(out, e.Member)
 		count--
