Let an instance that leaves go on hearing of the others

Cause: an instance that has announced its departure runs on for seconds to end what is in flight, and asks the holder of the stage queue for that.

Ruled out: passing departures on to members that left lately as well (most have ended; each costs a dial).

Change: it goes on with one probe a period, which brings the news of its answers and its own word. No answer means nothing: the silence may be its own end.

The test fails without the probes.

One that leaves lags by a period or two.

--- a/coordination/membership/depart.go
+++ b/coordination/membership/depart.go
@@ -53,3 +53,20 @@
 		m.send(Send{To: r.Address, Message: &Ack{Digest: m.digest, Updates: told}})
 	}
 }
+
+// tickLeaving asks one member a period for its news, without a verdict if no answer
+// comes. One that leaves is probed by nobody, and runs on for seconds to end what is in
+// flight: without news it would go on asking members that left after it.
+func (m *Membership) tickLeaving(now time.Time) {
+	p := &m.probes
+	p.target = ""
+	if now.Before(p.next) {
+		return
+	}
+	p.next = now.Add(m.cfg.Period)
+	m.expireRelays(now)
+	if e := m.nextTarget(); e != nil {
+		m.send(Send{To: e.Address, Message: m.ping(e, p.nextSeq())})
+		delete(p.doubts, e.Name)
+	}
+}
--- a/coordination/membership/leave_test.go
+++ b/coordination/membership/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -201,3 +202,34 @@
 		}
 	}
 }
+
+// Instances stop one after the other, each running on for seconds to end what is in
+// flight. One that has announced its departure is probed no more; if it asked nobody
+// either, it would go on sending its requests to a member that left after it. It accuses
+// nobody: silence around it may be its own end.
+func TestOneThatLeavesStillHearsOfOthers(t *testing.T) {
+	cfg := DefaultConfig()
+	b := newBench(t, 12, cfg)
+	b.run(10 * time.Second)
+	m := b.leave(3)
+	b.run(time.Second)
+	b.leave(4)
+	next := member(12)
+	b.start(cfg, next, member(0))
+	b.run(3 * cfg.Period)
+	x, _ := m.View().Find(member(4).Name)
+	require.Equal(t, Left, x.State)
+	x, ok := m.View().Find(next.Name)
+	require.True(t, ok && x.Live())
+
+	b.drop = func(from, to string, _ bool) bool { return from == m.self.Address || to == m.self.Address }
+	b.run(time.Minute)
+	for _, x := range m.View().Live() {
+		require.Equal(t, Alive, x.State, "%s", x.Name)
+	}
+	b.drop = func(string, string, bool) bool { return false }
+	b.run(3 * cfg.Period)
+	b.agree(slices.DeleteFunc(all(13), func(name string) bool {
+		return name == member(3).Name || name == member(4).Name
+	})...)
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -81,12 +81,14 @@
 	m.lastTick = now
 	m.endSuspicions(now)
 	m.forgetGone(now)
-	if !m.leaving {
-		m.tickProbe(now)
-		m.tickDead(now)
-		m.tickCandidates(now)
-		m.tickSync(now)
+	if m.leaving {
+		m.tickLeaving(now)
+		return m.flush()
 	}
+	m.tickProbe(now)
+	m.tickDead(now)
+	m.tickCandidates(now)
+	m.tickSync(now)
 	return m.flush()
 }
 
