Ask for all once more after joining, and bound what is passed on at once

Cause: a new instance that asks a member in the moment in which another leaves counts that one as live for seconds: the word goes round before anyone knows the new one. And words passed on at once grow with the rate of stops; at 440 instances that stop at four a second they would be some 1.2 KB/s an instance (worked out: 4 x 3 x 100 B), beside 996 B/s at rest.

Ruled out: to stop passing on what a joiner learns of all (the queue of its news is long then, but members put it right by it); fan-out 2 (one in five not reached at once).

Change: the full exchange is done a second time a period after the first (90 members: three pages). Words passed on at once: 80 in a burst, then 8 a second; the rest goes by probes.

Seen failing without their guard: the second exchange, that it is once, the bound.

--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -45,6 +45,10 @@
 	// LeaveRelays is the number of members to whom each that hears of a departure
 	// passes the word on at once.
 	LeaveRelays int
+	// RelayRate is how many such words an instance sends a second over time, RelayBurst
+	// how many at once. One has some 100 bytes, and all control traffic 2 KB/s.
+	RelayRate  int
+	RelayBurst int
 }
 
 // DefaultConfig returns the defaults.
@@ -66,6 +70,8 @@
 		SyncPage:         32,
 		LeaveFanout:      6,
 		LeaveRelays:      3,
+		RelayRate:        8,
+		RelayBurst:       80,
 	}
 }
 
@@ -88,5 +94,7 @@
 	c.SyncPage = cmp.Or(c.SyncPage, d.SyncPage)
 	c.LeaveFanout = cmp.Or(c.LeaveFanout, d.LeaveFanout)
 	c.LeaveRelays = cmp.Or(c.LeaveRelays, d.LeaveRelays)
+	c.RelayRate = cmp.Or(c.RelayRate, d.RelayRate)
+	c.RelayBurst = cmp.Or(c.RelayBurst, d.RelayBurst)
 	return c
 }
--- a/coordination/membership/leave_test.go
+++ b/coordination/membership/leave_test.go
@@ -233,3 +233,66 @@
 		return name == member(3).Name || name == member(4).Name
 	})...)
 }
+
+// An instance starts in the moment in which another leaves: the member that it asks for
+// all others doesn't know yet, and nobody knows the new one when the word goes round. By
+// probes the word competes with that of all others that start and stop.
+func TestJoinerAsksOnceMoreForAll(t *testing.T) {
+	cfg := DefaultConfig()
+	now := time.Unix(1000, 0)
+	joiner := New(cfg, member(12), rand.New(rand.NewPCG(1, 1)))
+	joiner.Receive(now, member(0), &SyncAnswer{Members: []Member{member(0), member(1), member(2), member(3)}})
+	require.True(t, joiner.sync.joined)
+	asked := map[time.Duration]int{}
+	for since := 100 * time.Millisecond; since <= time.Minute; since += 100 * time.Millisecond {
+		for _, a := range joiner.Tick(now.Add(since)) {
+			if s, ok := a.(Send); ok {
+				if _, ok := s.Message.(*SyncRequest); ok {
+					asked[since]++
+				}
+			}
+		}
+	}
+	require.Equal(t, map[time.Duration]int{cfg.Period: 1}, asked)
+}
+
+// A fleet of hundreds is restarted at several instances a second for minutes. The word of
+// each departure, passed on at once by everyone, would take what all control traffic may
+// use. A short series is passed on whole, a long one at a bounded rate.
+func TestWordPassedOnAtOnceIsBounded(t *testing.T) {
+	cfg := Config{MaxMembers: 500}.withDefaults()
+	now := time.Unix(1000, 0)
+	m := New(cfg, member(0), rand.New(rand.NewPCG(1, 1)))
+	for i := 1; i < 440; i++ {
+		m.Receive(now, manyth(i), &Ping{Digest: m.digest})
+	}
+	m.Tick(now)
+	copies := 0
+	const perSecond, short, series = 4, 20, 400
+	for i := 1; i <= series; i++ {
+		x := manyth(i)
+		x.State = Left
+		for _, a := range m.Receive(now, manyth(439), &Ping{Updates: []Member{x}}) {
+			if s, ok := a.(Send); ok {
+				if word, ok := s.Message.(*Ack); ok && word.Seq == 0 && !s.Reply {
+					copies += len(word.Updates)
+				}
+			}
+		}
+		if i == short {
+			require.Equal(t, short*cfg.LeaveRelays, copies)
+		}
+		now = now.Add(time.Second / perSecond)
+		m.Tick(now)
+	}
+	seconds := series / perSecond
+	require.LessOrEqual(t, copies, cfg.RelayBurst+cfg.RelayRate*seconds)
+	require.Greater(t, copies, cfg.RelayRate*(seconds-1), "it goes on at the rate")
+}
+
+// manyth returns a member of a large cluster.
+func manyth(i int) Member {
+	m := member(i)
+	m.Address = fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
+	return m
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -32,7 +32,9 @@
 	leftAcks int
 	// departed holds the departures heard of in the present step.
 	departed []Member
-	out      []Action
+	// words is how many words of departures may be passed on now.
+	words float64
+	out   []Action
 }
 
 // entry is what is known of one member other than self.
@@ -61,6 +63,7 @@
 		probes:    newProber(),
 		dirty:     true,
 	}
+	m.words = float64(m.cfg.RelayBurst)
 	m.updates.put(self)
 	m.rebuild()
 	return m
@@ -78,6 +81,7 @@
 // Tick does what is due. It is to be called several times a period.
 func (m *Membership) Tick(now time.Time) []Action {
 	m.afterPause(now)
+	m.allowWords(now)
 	m.lastTick = now
 	m.endSuspicions(now)
 	m.forgetGone(now)
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -29,6 +29,8 @@
 // syncState is the state of the full exchange.
 type syncState struct {
 	joined bool
+	// again is when the full exchange is done a second time, zero once it was.
+	again time.Time
 	// differs is since when the digests differ, zero if they do not.
 	differs time.Time
 	next    time.Time
@@ -93,12 +95,22 @@
 	return &SyncRequest{}
 }
 
-// tickSync keeps asking for the full exchange until it was done once.
+// tickSync keeps asking for the full exchange until it was done once, and does it once
+// more a period later.
+//
+// The failure the second one guards against: an instance starts in the moment in which
+// another leaves, and the word goes round before any member knows the new one and
+// after its first exchange; it counts the other as live for seconds. A period later
+// the member asked knows.
 func (m *Membership) tickSync(now time.Time) {
-	if m.sync.joined || now.Before(m.sync.next) {
+	switch {
+	case !m.sync.joined && !now.Before(m.sync.next):
+		m.sync.next = now.Add(m.cfg.Period)
+	case m.sync.joined && !m.sync.again.IsZero() && !now.Before(m.sync.again):
+		m.sync.again = time.Time{}
+	default:
 		return
 	}
-	m.sync.next = now.Add(m.cfg.Period)
 	for _, e := range m.pick(1, "") {
 		m.send(Send{To: e.Address, Message: &SyncRequest{}})
 	}
@@ -168,7 +180,9 @@
 		m.reconcile(now, u)
 	}
 	if a.Next == "" {
-		m.sync.joined = true
+		if !m.sync.joined {
+			m.sync.joined, m.sync.again = true, now.Add(m.cfg.Period)
+		}
 		return
 	}
 	if m.leaving {
