Pass on the word of a start at once as well

Cause: two instances start within 50 ms as others leave. The one that gives the stage queue away knows only the younger and gives it there, the others pick the older: two hold it, and inputs are gone. By probes 90 instances learnt of a start after 1.7 s (p50) and 4.8 s (p90). The second exchange after joining was asked for once only; a member that had ended left the new one without it.

Ruled out: no bound for starts (they come in as large numbers as stops, and one that isn't known yet is asked later, while one that is gone is asked in vain).

Change: starts are passed on like departures, but leave half of the burst to these; what an instance learns of all others as it joins isn't passed on, nor what pages bring. The second exchange is asked for each period until one answers. Fields renamed to what they bound: NewsFanout, NewsRate, NewsBurst.

Seen failing without their guard: starts, the quiet joiner, the part left to departures, the bound, the second exchange and its end.

A start may still be unknown to some for seconds in a long series at 90 instances.

--- a/coordination/membership/apply.go
+++ b/coordination/membership/apply.go
@@ -26,7 +26,7 @@
 // out of date in them.
 func (m *Membership) applyAll(now time.Time, updates []Member) {
 	for _, u := range updates {
-		m.apply(now, u)
+		m.hearOf(now, u)
 		m.correct(u)
 	}
 }
@@ -58,9 +58,6 @@
 		u.State = Suspect
 	}
 	m.set(now, u)
-	if u.State == Left {
-		m.departed = append(m.departed, u)
-	}
 }
 
 // admits tells whether an unknown member is taken in. One that is gone is not,
--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -42,13 +42,13 @@
 	SyncPage int
 	// LeaveFanout is the number of members told directly of a departure.
 	LeaveFanout int
-	// LeaveRelays is the number of members to whom each that hears of a departure
-	// passes the word on at once.
-	LeaveRelays int
-	// RelayRate is how many such words an instance sends a second over time, RelayBurst
+	// NewsFanout is the number of members to whom each that hears of a start or of a
+	// departure passes the word on at once.
+	NewsFanout int
+	// NewsRate is how many such words an instance sends a second over time, NewsBurst
 	// how many at once. One has some 100 bytes, and all control traffic 2 KB/s.
-	RelayRate  int
-	RelayBurst int
+	NewsRate  int
+	NewsBurst int
 }
 
 // DefaultConfig returns the defaults.
@@ -69,9 +69,9 @@
 		SyncEvery:        30 * time.Second,
 		SyncPage:         32,
 		LeaveFanout:      6,
-		LeaveRelays:      3,
-		RelayRate:        8,
-		RelayBurst:       80,
+		NewsFanout:       3,
+		NewsRate:         8,
+		NewsBurst:        80,
 	}
 }
 
@@ -93,8 +93,8 @@
 	c.SyncEvery = cmp.Or(c.SyncEvery, d.SyncEvery)
 	c.SyncPage = cmp.Or(c.SyncPage, d.SyncPage)
 	c.LeaveFanout = cmp.Or(c.LeaveFanout, d.LeaveFanout)
-	c.LeaveRelays = cmp.Or(c.LeaveRelays, d.LeaveRelays)
-	c.RelayRate = cmp.Or(c.RelayRate, d.RelayRate)
-	c.RelayBurst = cmp.Or(c.RelayBurst, d.RelayBurst)
+	c.NewsFanout = cmp.Or(c.NewsFanout, d.NewsFanout)
+	c.NewsRate = cmp.Or(c.NewsRate, d.NewsRate)
+	c.NewsBurst = cmp.Or(c.NewsBurst, d.NewsBurst)
 	return c
 }
--- a/coordination/membership/depart.go
+++ b/coordination/membership/depart.go
@@ -33,38 +33,6 @@
 	}
 }
 
-// passDeparturesOn tells a few members at once of the departures heard of in this step.
-// Whoever knows them already passes nothing on, so each instance sends this once for
-// each departure.
-//
-// The failure it guards against: by probes alone the word takes a few periods, and until
-// then some ask the one that leaves for what others ask its successor for. It holds
-// since those probed by rings reach all members in a few steps; who is missed hears of
-// it from its probes as before.
-func (m *Membership) passDeparturesOn() {
-	if len(m.departed) == 0 {
-		return
-	}
-	told := m.departed[:min(len(m.departed), m.cfg.MaxUpdates)]
-	m.departed = nil
-	receivers := Successors(m.view, m.cfg.Rings)
-	m.rng.Shuffle(len(receivers), func(i, j int) { receivers[i], receivers[j] = receivers[j], receivers[i] })
-	n := min(len(receivers), m.cfg.LeaveRelays, int(m.words)/len(told))
-	m.words -= float64(n * len(told))
-	for _, r := range receivers[:n] {
-		m.send(Send{To: r.Address, Message: &Ack{Digest: m.digest, Updates: told}})
-	}
-}
-
-// allowWords lets as many words be passed on as the time since the last tick allows.
-func (m *Membership) allowWords(now time.Time) {
-	if m.lastTick.IsZero() {
-		return
-	}
-	earned := now.Sub(m.lastTick).Seconds() * float64(m.cfg.RelayRate)
-	m.words = min(float64(m.cfg.RelayBurst), m.words+earned)
-}
-
 // tickLeaving asks one member a period for its news, without a verdict if no answer
 // comes. One that leaves is probed by nobody, and runs on for seconds to end what is in
 // flight: without news it would go on asking members that left after it.
--- a/coordination/membership/leave_test.go
+++ b/coordination/membership/leave_test.go
@@ -243,17 +243,23 @@
 	joiner := New(cfg, member(12), rand.New(rand.NewPCG(1, 1)))
 	joiner.Receive(now, member(0), &SyncAnswer{Members: []Member{member(0), member(1), member(2), member(3)}})
 	require.True(t, joiner.sync.joined)
+	joiner.Receive(now, member(1), &SyncAnswer{Members: []Member{member(1)}}) // of the first round
 	asked := map[time.Duration]int{}
 	for since := 100 * time.Millisecond; since <= time.Minute; since += 100 * time.Millisecond {
 		for _, a := range joiner.Tick(now.Add(since)) {
-			if s, ok := a.(Send); ok {
-				if _, ok := s.Message.(*SyncRequest); ok {
-					asked[since]++
-				}
+			s, ok := a.(Send)
+			if !ok {
+				continue
+			}
+			if _, ok := s.Message.(*SyncRequest); ok {
+				asked[since]++
 			}
 		}
+		if since == 2*cfg.Period+200*time.Millisecond {
+			joiner.Receive(now.Add(since), member(2), &SyncAnswer{Members: []Member{member(2)}})
+		}
 	}
-	require.Equal(t, map[time.Duration]int{cfg.Period: 1}, asked)
+	require.Equal(t, map[time.Duration]int{cfg.Period: 1, 2 * cfg.Period: 1}, asked, "until one answers")
 }
 
 // A fleet of hundreds is restarted at several instances a second for minutes. The word of
@@ -280,14 +286,14 @@
 			}
 		}
 		if i == short {
-			require.Equal(t, short*cfg.LeaveRelays, copies)
+			require.Equal(t, short*cfg.NewsFanout, copies)
 		}
 		now = now.Add(time.Second / perSecond)
 		m.Tick(now)
 	}
 	seconds := series / perSecond
-	require.LessOrEqual(t, copies, cfg.RelayBurst+cfg.RelayRate*seconds)
-	require.Greater(t, copies, cfg.RelayRate*(seconds-1), "it goes on at the rate")
+	require.LessOrEqual(t, copies, cfg.NewsBurst+cfg.NewsRate*seconds)
+	require.Greater(t, copies, cfg.NewsRate*(seconds-1), "it goes on at the rate")
 }
 
 // manyth returns a member of a large cluster.
@@ -296,3 +302,50 @@
 	m.Address = fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
 	return m
 }
+
+// Instances stop in a row and two start meanwhile. The one that gives a duty away knows
+// of the second alone and gives it there, while the others pick the first, which is
+// older: two hold it. Word of a start is passed on at once as well, but what an instance
+// learns of all others as it joins is no news.
+func TestWordOfAStartOutrunsTheProbes(t *testing.T) {
+	const n = 90
+	cfg := DefaultConfig()
+	b := newBench(t, n, cfg)
+	b.run(30 * time.Second)
+	sent := map[string]int{}
+	b.drop = func(from, _ string, _ bool) bool { sent[from]++; return false }
+	joiner := b.start(cfg, member(n), member(7))
+	b.drop = func(string, string, bool) bool { return false }
+	ignorant := 0
+	for i := range n {
+		m := b.nodes[member(i).Address]
+		if x, _ := m.View().Find(joiner.self.Name); !x.Live() || x.Name == "" {
+			ignorant++
+		}
+	}
+	require.Less(t, ignorant, n/10)
+	require.LessOrEqual(t, sent[joiner.self.Address], 1+n/cfg.SyncPage, "asks for pages and passes nothing on")
+}
+
+// Many starts must not use up what departures need to be passed on: a member that isn't
+// known yet is asked later, one that is gone is asked in vain.
+func TestWordOfDeparturesGoesBeforeThatOfStarts(t *testing.T) {
+	cfg := DefaultConfig()
+	now := time.Unix(1000, 0)
+	m := New(cfg, member(0), rand.New(rand.NewPCG(1, 1)))
+	m.sync.joined = true
+	for i := 1; i < 200; i++ {
+		m.Receive(now, manyth(i), &Ping{Digest: m.digest})
+	}
+	x := manyth(5)
+	x.State = Left
+	require.GreaterOrEqual(t, m.words, float64(cfg.NewsBurst)/2-float64(cfg.NewsFanout))
+	require.Less(t, m.words, float64(cfg.NewsBurst)/2, "starts used their part")
+	words := 0
+	for _, a := range m.Receive(now, manyth(9), &Ping{Updates: []Member{x}}) {
+		if s, ok := a.(Send); ok && !s.Reply {
+			words++
+		}
+	}
+	require.Equal(t, cfg.NewsFanout, words)
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -30,9 +30,9 @@
 	nextDead time.Time
 	leaving  bool
 	leftAcks int
-	// departed holds the departures heard of in the present step.
-	departed []Member
-	// words is how many words of departures may be passed on now.
+	// news holds the starts and departures heard of in the present step.
+	news []Member
+	// words is how many words of them may be passed on now.
 	words float64
 	out   []Action
 }
@@ -63,7 +63,7 @@
 		probes:    newProber(),
 		dirty:     true,
 	}
-	m.words = float64(m.cfg.RelayBurst)
+	m.words = float64(m.cfg.NewsBurst)
 	m.updates.put(self)
 	m.rebuild()
 	return m
@@ -150,7 +150,7 @@
 		return false
 	}
 	from.State, from.Refutation = Alive, 0
-	m.apply(now, from)
+	m.hearOf(now, from)
 	e := m.table[from.Name]
 	return e != nil && e.Incarnation == from.Incarnation
 }
@@ -188,7 +188,7 @@
 		m.rebuild()
 		m.out = append(m.out, Changed{View: m.view})
 	}
-	m.passDeparturesOn()
+	m.passNewsOn()
 	out := m.out
 	m.out = nil
 	return out
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -29,8 +29,10 @@
 // syncState is the state of the full exchange.
 type syncState struct {
 	joined bool
-	// again is when the full exchange is done a second time, zero once it was.
-	again time.Time
+	// again is when the full exchange is next tried a second time, zero once it was
+	// done; trying says that it was asked for.
+	again  time.Time
+	trying bool
 	// differs is since when the digests differ, zero if they do not.
 	differs time.Time
 	next    time.Time
@@ -107,7 +109,7 @@
 	case !m.sync.joined && !now.Before(m.sync.next):
 		m.sync.next = now.Add(m.cfg.Period)
 	case m.sync.joined && !m.sync.again.IsZero() && !now.Before(m.sync.again):
-		m.sync.again = time.Time{}
+		m.sync.again, m.sync.trying = now.Add(m.cfg.Period), true
 	default:
 		return
 	}
@@ -180,9 +182,7 @@
 		m.reconcile(now, u)
 	}
 	if a.Next == "" {
-		if !m.sync.joined {
-			m.sync.joined, m.sync.again = true, now.Add(m.cfg.Period)
-		}
+		m.exchanged(now)
 		return
 	}
 	if m.leaving {
@@ -191,6 +191,16 @@
 	m.send(Send{To: from.Address, Reply: true, Message: &SyncRequest{After: a.Next}})
 }
 
+// exchanged notes that the last page of a full exchange has come.
+func (m *Membership) exchanged(now time.Time) {
+	switch {
+	case !m.sync.joined:
+		m.sync.joined, m.sync.again = true, now.Add(m.cfg.Period)
+	case m.sync.trying:
+		m.sync.again, m.sync.trying = time.Time{}, false
+	}
+}
+
 // reconcile compares one member of a page with what is known here. Where the
 // two disagree on whether the same run lives, neither is believed: the member
 // is asked, and told what is said of it, so that it can refute. Otherwise the
