Merge the word of departures and starts, told at once

Cause: an instance that started while another left counted that one as live for up to 18 s at 90 instances, and word of a stop took up to 23 s: second holders of the stage queue, and inputs gone.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -30,7 +30,11 @@
 	nextDead time.Time
 	leaving  bool
 	leftAcks int
-	out      []Action
+	// news holds the starts and departures heard of in the present step.
+	news []Member
+	// words is how many words of them may be passed on now.
+	words float64
+	out   []Action
 }
 
 // entry is what is known of one member other than self.
@@ -39,6 +43,8 @@
 	// changed is when the state last changed; the end of a suspicion and of
 	// the retention are counted from it.
 	changed time.Time
+	// hearsay marks a departure that was over when it was heard of.
+	hearsay bool
 }
 
 // New returns the state machine of an instance that knows only itself. Self is
@@ -57,6 +63,7 @@
 		probes:    newProber(),
 		dirty:     true,
 	}
+	m.words = float64(m.cfg.NewsBurst)
 	m.updates.put(self)
 	m.rebuild()
 	return m
@@ -74,15 +81,18 @@
 // Tick does what is due. It is to be called several times a period.
 func (m *Membership) Tick(now time.Time) []Action {
 	m.afterPause(now)
+	m.allowWords(now)
 	m.lastTick = now
 	m.endSuspicions(now)
 	m.forgetGone(now)
-	if !m.leaving {
-		m.tickProbe(now)
-		m.tickDead(now)
-		m.tickCandidates(now)
-		m.tickSync(now)
+	if m.leaving {
+		m.tickLeaving(now)
+		return m.flush()
 	}
+	m.tickProbe(now)
+	m.tickDead(now)
+	m.tickCandidates(now)
+	m.tickSync(now)
 	return m.flush()
 }
 
@@ -140,7 +150,7 @@
 		return false
 	}
 	from.State, from.Refutation = Alive, 0
-	m.apply(now, from)
+	m.hearOf(now, from)
 	e := m.table[from.Name]
 	return e != nil && e.Incarnation == from.Incarnation
 }
@@ -153,7 +163,7 @@
 	}
 	m.leaving = true
 	m.self.State = Left
-	m.updates.put(m.self)
+	m.updates.drop(m.self.Name) // it goes first on each message from now on
 	m.dirty = true
 	for _, e := range m.pick(m.cfg.LeaveFanout, "") {
 		seq := m.probes.nextSeq()
@@ -178,6 +188,7 @@
 		m.rebuild()
 		m.out = append(m.out, Changed{View: m.view})
 	}
+	m.passNewsOn()
 	out := m.out
 	m.out = nil
 	return out
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -29,6 +29,10 @@
 // syncState is the state of the full exchange.
 type syncState struct {
 	joined bool
+	// again is when the full exchange is next tried a second time, zero once it was
+	// done; trying says that it was asked for.
+	again  time.Time
+	trying bool
 	// differs is since when the digests differ, zero if they do not.
 	differs time.Time
 	next    time.Time
@@ -93,12 +97,22 @@
 	return &SyncRequest{}
 }
 
-// tickSync keeps asking for the full exchange until it was done once.
+// tickSync keeps asking for the full exchange until it was done once, and does it once
+// more a period later.
+//
+// The failure the second one guards against: an instance starts in the moment in which
+// another leaves, and the word goes round before any member knows the new one and
+// after its first exchange; it counts the other as live for seconds. A period later
+// the member asked knows.
 func (m *Membership) tickSync(now time.Time) {
-	if m.sync.joined || now.Before(m.sync.next) {
+	switch {
+	case !m.sync.joined && !now.Before(m.sync.next):
+		m.sync.next = now.Add(m.cfg.Period)
+	case m.sync.joined && !m.sync.again.IsZero() && !now.Before(m.sync.again):
+		m.sync.again, m.sync.trying = now.Add(m.cfg.Period), true
+	default:
 		return
 	}
-	m.sync.next = now.Add(m.cfg.Period)
 	for _, e := range m.pick(1, "") {
 		m.send(Send{To: e.Address, Message: &SyncRequest{}})
 	}
@@ -115,16 +129,19 @@
 	if m.sync.differs.IsZero() {
 		m.sync.differs = now
 	}
-	if now.Sub(m.sync.differs) < settleFactor*m.cfg.Period || now.Before(m.sync.next) {
+	if m.leaving || now.Sub(m.sync.differs) < settleFactor*m.cfg.Period || now.Before(m.sync.next) {
 		return
 	}
 	m.sync.next = now.Add(m.cfg.SyncEvery)
 	m.send(Send{To: from.Address, Reply: true, Message: &SyncRequest{}})
 }
 
-// page returns the members that follow a name.
+// page returns the members that follow a name. One that leaves adds itself to each.
 func (m *Membership) page(after string) *SyncAnswer {
-	members := m.view.Members
+	members, size := m.known(), m.cfg.SyncPage
+	if m.leaving {
+		size--
+	}
 	i, found := slices.BinarySearchFunc(members, after, func(x Member, name string) int {
 		switch {
 		case x.Name < name:
@@ -137,14 +154,25 @@
 	if found {
 		i++
 	}
-	end := min(i+m.cfg.SyncPage, len(members))
+	end := min(i+size, len(members))
 	answer := &SyncAnswer{Members: slices.Clone(members[i:end])}
 	if end < len(members) {
 		answer.Next = members[end-1].Name
 	}
+	if m.leaving && !slices.Contains(answer.Members, m.self) {
+		answer.Members = append(answer.Members, m.self)
+	}
 	return answer
 }
 
+// known returns the members that are told of in a full exchange.
+func (m *Membership) known() []Member {
+	return slices.DeleteFunc(slices.Clone(m.view.Members), func(x Member) bool {
+		e := m.table[x.Name]
+		return e != nil && e.hearsay
+	})
+}
+
 // applyPage takes a page over and asks for the next one.
 func (m *Membership) applyPage(now time.Time, from Member, a *SyncAnswer) {
 	if len(a.Members) > m.cfg.SyncPage {
@@ -154,12 +182,25 @@
 		m.reconcile(now, u)
 	}
 	if a.Next == "" {
-		m.sync.joined = true
+		m.exchanged(now)
+		return
+	}
+	if m.leaving {
 		return
 	}
 	m.send(Send{To: from.Address, Reply: true, Message: &SyncRequest{After: a.Next}})
 }
 
+// exchanged notes that the last page of a full exchange has come.
+func (m *Membership) exchanged(now time.Time) {
+	switch {
+	case !m.sync.joined:
+		m.sync.joined, m.sync.again = true, now.Add(m.cfg.Period)
+	case m.sync.trying:
+		m.sync.again, m.sync.trying = time.Time{}, false
+	}
+}
+
 // reconcile compares one member of a page with what is known here. Where the
 // two disagree on whether the same run lives, neither is believed: the member
 // is asked, and told what is said of it, so that it can refute. Otherwise the
