Take streams until the balancer has noticed, as its delay says

Cause: found by review: streams were refused from 2.8 s after a stop's begin, also where the setting says that the balancer needs five seconds to notice; it goes on sending then, and a caller that comes back is sent here again. Ruled out: nothing. Change: the bound is 0.3 s after [shutdown] balancer_delay: the same 2.8 s with the 2.5 s of deploy/settings.ini. Conclusion: the package has no time of a deployment in it.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -11,15 +11,16 @@
 // Window is the time of a planned stop.
 type Window struct {
 	Began time.Time
+	// Noticed is when the balancer has surely noticed.
+	Noticed time.Time
 	// Ends is when the last answer must have been given.
 	Ends time.Time
 }
 
-// lateArrival is how long after the stop's begin requests are still taken whose end
-// nobody can know. The balancer has noticed by then, two misses of a second each and
-// their answers; what comes later comes on kept connections, and its caller loses
-// nothing by going elsewhere.
-const lateArrival = 2800 * time.Millisecond
+// lateArrival is how long after the balancer has noticed requests are still taken whose
+// end nobody can know: they may have been accepted just before. What comes later comes on
+// kept connections, and its caller loses nothing by going elsewhere.
+const lateArrival = 300 * time.Millisecond
 
 // Request is what the decisions need to know of a request.
 type Request struct {
@@ -38,7 +39,7 @@
 	if !r.Streams {
 		return !r.Deadline.After(w.Ends)
 	}
-	return r.Arrived.Sub(w.Began) <= lateArrival && !r.Arrived.After(w.SendBy(r))
+	return r.Arrived.Sub(w.Noticed) <= lateArrival && !r.Arrived.After(w.SendBy(r))
 }
 
 // SendBy is the last moment at which a request may be sent to its target. One that
--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -16,7 +16,7 @@
 // later by the end of the process. What can't be finished is refused, so that its
 // caller gets a whole answer elsewhere; what can be is served to the end.
 func TestLateRequestsDuringAStop(t *testing.T) {
-	window := Window{Began: began, Ends: began.Add(grace)}
+	window := Window{Began: began, Noticed: began.Add(2500 * time.Millisecond), Ends: began.Add(grace)}
 	cases := map[string]struct {
 		streams               bool
 		usual, timeout, after time.Duration
@@ -42,6 +42,17 @@
 	}
 }
 
+// A balancer checks seldom, and goes on sending for five seconds. Streams that it sends are
+// taken all the while: refused, their callers would be sent here again.
+func TestRequestsAreTakenUntilTheBalancerHasNoticed(t *testing.T) {
+	window := Window{Began: began, Noticed: began.Add(5 * time.Second), Ends: began.Add(30 * time.Second)}
+	for after, takes := range map[time.Duration]bool{4 * time.Second: true, 5200 * time.Millisecond: true, 5400 * time.Millisecond: false} {
+		arrived := began.Add(after)
+		r := Request{Arrived: arrived, Deadline: arrived.Add(time.Minute), Streams: true, Usual: time.Second}
+		require.Equal(t, takes, window.Takes(r), after)
+	}
+}
+
 // A request waits for its stages when the stop begins. It must be refused while its
 // caller can still go elsewhere, and never after the last moment at which its answer
 // could end in the grace.
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -76,15 +76,15 @@
 	telemetry.InfoS("Planned stop", telemetry.Event{Count: g.relay.InFlight()})
 	g.draining.Store(true)
 	times := g.shutdown.Load()
-	ends := begin.Add(times.Grace - exitMargin)
-	g.relay.Drain(ends)
+	noticed, ends := begin.Add(times.BalancerDelay), begin.Add(times.Grace-exitMargin)
+	g.relay.Drain(noticed, ends)
 	g.stages.HandOver(context.Background())
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := g.cluster.Leave(leave); err != nil {
 		telemetry.ErrorS(err, "The other instances were not all told of the stop", telemetry.Event{})
 	}
-	g.finish(callers, begin.Add(times.BalancerDelay), ends)
+	g.finish(callers, noticed, ends)
 	telemetry.InfoS("Instance stopped", telemetry.Event{Count: g.relay.InFlight(), Elapsed: time.Since(begin)})
 	return context.Canceled
 }
--- a/daemon/relay/stop.go
+++ b/daemon/relay/stop.go
@@ -36,11 +36,12 @@
 	return s
 }
 
-// Drain begins the planned stop: each further answer closes its connection, what can't
-// be answered by ends is refused, and what is in flight then is ended.
-func (s *Relay) Drain(ends time.Time) {
+// Drain begins the planned stop, of which the balancer has surely heard by noticed: each
+// further answer closes its connection, what can't be answered by ends is refused, and
+// what is in flight then is ended.
+func (s *Relay) Drain(noticed, ends time.Time) {
 	s.stopping.once.Do(func() {
-		s.stopping.window = drain.Window{Began: time.Now(), Ends: ends}
+		s.stopping.window = drain.Window{Began: time.Now(), Noticed: noticed, Ends: ends}
 		s.stopping.begin()
 		s.boundStages()
 		time.AfterFunc(time.Until(ends), func() { s.stopping.end(errStopOver) })
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -22,6 +22,9 @@
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
 
+// balancerDelay is how long the balancer takes to notice a stop in these tests.
+const balancerDelay = 2500 * time.Millisecond
+
 // dialect reads nothing of a call but its id and its pieces.
 type dialect struct{ exchange.Dialect }
 
@@ -55,7 +58,7 @@
 			s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")))
 		}()
 		<-asked
-		s.Drain(time.Now().Add(time.Second))
+		s.Drain(time.Now(), time.Now().Add(time.Second))
 		<-answered
 		require.Equal(t, http.StatusServiceUnavailable, w.Code)
 		require.Equal(t, "close", w.Header().Get("Connection"))
@@ -124,7 +127,7 @@
 		}()
 		asked := <-m.asked
 		stop := time.Now()
-		s.Drain(stop.Add(7 * time.Second))
+		s.Drain(stop.Add(balancerDelay), stop.Add(7*time.Second))
 		<-answered
 		require.Equal(t, stop, time.Now(), "the refusal was held back")
 		require.Equal(t, http.StatusServiceUnavailable, w.Code)
@@ -147,7 +150,7 @@
 		}()
 		<-m.asked
 		stop := time.Now()
-		s.Drain(stop.Add(7 * time.Second))
+		s.Drain(stop.Add(balancerDelay), stop.Add(7*time.Second))
 		<-answered
 		require.Equal(t, 4*time.Second, time.Since(stop))
 		require.Equal(t, http.StatusServiceUnavailable, w.Code)
@@ -169,7 +172,7 @@
 			s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", body))
 		}()
 		synctest.Wait()
-		s.Drain(time.Now().Add(7 * time.Second))
+		s.Drain(time.Now().Add(balancerDelay), time.Now().Add(7*time.Second))
 		time.Sleep(5 * time.Second) // virtual: the last moment to send passes
 		_, err := rest.Write([]byte("body"))
 		require.NoError(t, err)
@@ -184,7 +187,7 @@
 func TestStopRefusesLateStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := stagedRelay(&maker{}) // asked, it would wait for ever
-		s.Drain(time.Now().Add(7 * time.Second))
+		s.Drain(time.Now().Add(balancerDelay), time.Now().Add(7*time.Second))
 		time.Sleep(3 * time.Second) // virtual: the balancer has noticed
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")))
@@ -200,7 +203,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := &maker{asked: make(chan gather.Request, 1), refused: make(chan time.Time, 1)}
 		s := stagedRelay(m)
-		s.Drain(time.Now().Add(7 * time.Second))
+		s.Drain(time.Now().Add(balancerDelay), time.Now().Add(7*time.Second))
 		m.refused <- time.Time{}
 		m.retryAfter = 18*time.Second - answerMargin
 		w := httptest.NewRecorder()
