Serve plain requests with long limits until the balancer has noticed

Cause: found by review: a plain request whose route leaves it more time than the stop has was refused from the stop's first moment on, though it takes a few milliseconds as a rule; the balancer still leads to this instance then, so its caller was sent here again. Ruled out: to take them late as well (their callers lose nothing by going elsewhere). Change: until the balancer has noticed such a request is taken while its usual time is left, as a stream is. One that runs on to the end gets its whole 504. Conclusion: what is refused at a stop's begin couldn't be served.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -33,11 +33,12 @@
 	Usual time.Duration
 }
 
-// Takes tells whether a request that has just come is served. A plain answer is there
-// by its deadline; a stream is taken while its usual time is left.
+// Takes tells whether a request that has just come is served. A plain one is if its answer
+// is there for sure; until the balancer has noticed, any other too while its usual time
+// is left: refused, its caller might be sent here again.
 func (w Window) Takes(r Request) bool {
-	if !r.Streams {
-		return !r.Deadline.After(w.Ends)
+	if !r.Streams && !r.Deadline.After(w.Ends) {
+		return true
 	}
 	return r.Arrived.Sub(w.Noticed) <= lateArrival && !r.Arrived.After(w.SendBy(r))
 }
