Keep a target's answer when a stop leaves no time for another

Cause: found on reading the change: a request whose target had answered with a failure of its own, that another target might better, was told that it may have run when a stop left no time to send it again. Ruled out: to look at the time before the attempt alone: the answer is lost there. Change: whether another attempt follows also depends on the time that a stop leaves. Figures: TestStopKeepsTheAnswerThatIsThere fails without the guard. Conclusion: answers that are ready are delivered.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -248,7 +248,7 @@
 		q.dropResults()
 	}
 	switch {
-	case ctx.Err() != nil, q.refused > maxRefused:
+	case ctx.Err() != nil, q.refused > maxRefused, q.tooLateToSend(time.Now()):
 		return false, err
 	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
 		return false, err
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -34,6 +34,8 @@
 
 func (dialect) StampAnswer(http.Header, string) {}
 
+func (dialect) CallerHeader(h http.Header) http.Header { return h }
+
 // A request has a key that nobody knows, and whether a newer configuration knows it is
 // asked at a store that doesn't answer. The instance stops meanwhile. Its caller must
 // hear that the request hasn't run: not nothing, and not that the key is wrong.
@@ -214,3 +216,25 @@
 		require.Equal(t, "2.25", w.Header().Get("Retry-After"))
 	})
 }
+
+// A target has answered with a failure of its own that another might better, when no time
+// is left to send the request again. Its caller gets that answer, and not one that says
+// less.
+func TestStopKeepsTheAnswerThatIsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := stagedRelay(&maker{})
+		route, _ := s.options.Table().Match("example.com", "/")
+		route.Repeat, route.MaxAttempts = routes.Idempotent, 2
+		s.Drain(time.Now(), time.Now().Add(time.Second))
+		time.Sleep(900 * time.Millisecond) // virtual: the last moment to send passes
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodGet, "http://example.com/", nil)
+		q := &request{relay: s, w: w, r: r, route: route, arrived: time.Now(), deadline: time.Now().Add(time.Minute)}
+		held := &heldReply{status: http.StatusInternalServerError, body: []byte("its own")}
+		again, err := q.judge(t.Context(), &failure{cause: io.EOF, reply: held})
+		require.False(t, again)
+		q.answerFailure(t.Context(), err)
+		require.Equal(t, http.StatusInternalServerError, w.Code)
+		require.Equal(t, "its own", w.Body.String())
+	})
+}
