Let instances of a test be known once they are whole

Cause: in the tests of daemon/confsync an instance stood in the fleet's list before its Sync was made. Instances that run already tell all in the list what they learn from goroutines of their own, and read the field that add was about to write: 'race detected' at helpers_test.go:186 against :74 in TestEachVerdictIsWrittenOnce.

Ruled out: a race of the product: Sync itself is only used once made; the field belongs to the test's own stand-in of an instance.

Change: an instance is put into the list when it is whole, before it runs. The two tests that set something on an instance before it runs do so on the instance itself.

--- a/daemon/confsync/birth_test.go
+++ b/daemon/confsync/birth_test.go
@@ -103,10 +103,9 @@
 				f.write("tiers", "gold", tierSpec(700))
 				f.write("accounts", "demo", accountSpec("gold", 1))
 				f.pass(inForceBound)
-				born := f.add(func(s platform.Store) platform.Store {
-					f.instances[3].set(func() { f.instances[3].cut = c.alone > 0 })
-					return s
-				})
+				born := f.newInstance()
+				born.set(func() { born.cut = c.alone > 0 })
+				f.start(born, nil)
 				f.pass(c.alone)
 				born.set(func() { born.cut = false })
 				f.pass(inForceBound)
@@ -134,8 +133,9 @@
 				time.Sleep(inForceBound) // virtual
 			}
 		}
-		late := f.add(func(s platform.Store) platform.Store {
-			f.instances[1].set(func() { f.instances[1].onCall = between })
+		late := f.newInstance()
+		late.set(func() { late.onCall = between })
+		f.start(late, func(s platform.Store) platform.Store {
 			return partialStore{s, func(string) bool { return true }}
 		})
 		f.pass(4 * inForceBound)
--- a/daemon/confsync/helpers_test.go
+++ b/daemon/confsync/helpers_test.go
@@ -63,10 +63,22 @@
 
 // add starts an instance; wrap may put a fake before its store.
 func (f *fleet) add(wrap func(platform.Store) platform.Store) *instance {
+	in := f.newInstance()
+	f.start(in, wrap)
+	return in
+}
+
+// newInstance returns an instance that the others don't know of yet.
+func (f *fleet) newInstance() *instance {
 	f.mu.Lock()
-	in := &instance{fleet: f, name: fmt.Sprint("i", len(f.instances)), table: spread.NewTable(1 << 16)}
-	f.instances = append(f.instances, in)
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	return &instance{fleet: f, name: fmt.Sprint("i", len(f.instances)), table: spread.NewTable(1 << 16)}
+}
+
+// start runs a new instance. The others know of it once it is whole: those that run
+// already tell every instance that they know of what they learn, from goroutines of
+// their own.
+func (f *fleet) start(in *instance, wrap func(platform.Store) platform.Store) {
 	var store platform.Store = f.store.Local(in.name)
 	if wrap != nil {
 		store = wrap(store)
@@ -77,8 +89,10 @@
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	in.stop = cancel
+	f.mu.Lock()
+	f.instances = append(f.instances, in)
+	f.mu.Unlock()
 	go func() { _ = in.sync.Run(ctx) }()
-	return in
 }
 
 func (f *fleet) addN(n int) {
