Choose engines where all requests are known

Homes are by hash, and an engine counted as crowded only by its requests in flight against its 64 slots, so the prompts that it still had to read never showed; each instance sees a sixth of the requests besides. Stages were near an engine that a hash had chosen, whatever their targets did.

Ruled out: two choices by each instance's own requests (sees a sixth); reports of the engines (0.2 s old, each is a call); longer stage queues as the cause (the late ones' stages took 0.3 to 0.6 s, as those of the others).

Change: coordination/placing, a pure table of engines at the holder of the stage queue, which hears of nearly every request: what each engine still reads (with a prediction that is learned), which parts it has read, which failed or is behind its predictions. A request's data centre is chosen at its admission, its engine when its stages are done, by wait, tokens to read and bytes of its results that would cross. Askers say how the engine did with the word that frees the results. New methods stages.place and stages.served beside the earlier ones, which older instances go on using. An engine that the asker has ejected, or no answer, leaves the choice to the asker as before.

A holder that ends takes what it knew with it.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -304,7 +304,7 @@
 			p.dequeue(s)
 		}
 		p.out = append(p.out, Completed{
-			Request: w.ID, Handles: w.handles(), Times: w.times(), Route: w.Route,
+			Request: w.ID, Handles: w.handles(), Times: w.times(), Route: w.Route, Bytes: w.finalBytes(),
 			Taken: now.Sub(w.admitted), Predicted: w.predicted, Left: w.Objective.Sub(w.admitted),
 		})
 		return
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -130,6 +130,8 @@
 	Times []StageTimes
 	// Route names the kind of request.
 	Route string
+	// Bytes are the sizes of the results by the data centre in which they are.
+	Bytes map[string]int64
 	// Taken is the time from the request's admission to now, Predicted what its
 	// stages were predicted to take then, zero for a request that was taken over from
 	// another queue. Left is the time that there was then for an answer in time.
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -176,6 +176,20 @@
 	return bytes
 }
 
+// finalBytes are the sizes of the final results by data centre.
+func (w *work) finalBytes() map[string]int64 {
+	bytes := map[string]int64{}
+	for _, s := range w.stages {
+		if !s.final() {
+			continue
+		}
+		for _, r := range s.results {
+			bytes[r.target.DataCentre] += r.bytes
+		}
+	}
+	return bytes
+}
+
 // times tells how long each stage waited and took.
 func (w *work) times() []StageTimes {
 	times := make([]StageTimes, len(w.stages))
--- /dev/null
+++ b/coordination/placing/engine.go
@@ -0,0 +1,151 @@
+package placing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// wordDelay is how much later than an engine's first event its word comes: the
+	// way through the instance that serves the request, which gathers such words.
+	wordDelay = 60 * time.Millisecond
+	// forgetAfter is when a request counts as over of whose end no word came.
+	forgetAfter = 10 * time.Second
+	// failPause is how long an engine that failed gets nothing new; it doubles with
+	// each failure in a row up to failPauseMost.
+	failPause     = 500 * time.Millisecond
+	failPauseMost = 4 * time.Second
+	// cacheShare is the share of an engine's room that is counted on for prompts; the
+	// rest belongs to requests that run.
+	cacheShare = 0.7
+	// maxParts bounds the parts that are remembered of one engine where its room isn't
+	// known, and in any case.
+	maxParts = 4096
+	// evictShare is the part of the bounds that is made free at once.
+	evictShare = 8
+)
+
+// engine is what is known of one engine.
+type engine struct {
+	Engine
+	pool *pool
+	// reading are the requests whose first events have not come, by id.
+	reading map[string]read
+	// cached are the parts that it has read, cachedTokens their length.
+	cached       map[string]*cachedPart
+	cachedTokens int
+	// slow is how many times the usual time it takes, as a moving average.
+	slow      float64
+	failures  int
+	downUntil time.Time
+}
+
+// read is a request that an engine reads.
+type read struct {
+	sent time.Time
+	// due is when its first event is predicted to come.
+	due    time.Time
+	unread int
+	// alone tells that nothing was read before it.
+	alone bool
+}
+
+type cachedPart struct {
+	tokens int
+	used   time.Time
+}
+
+func newEngine(p *pool, e Engine) *engine {
+	return &engine{Engine: e, pool: p, reading: map[string]read{}, cached: map[string]*cachedPart{}, slow: 1}
+}
+
+// wait is how long a request that is sent now waits for those before it. An engine
+// behind its predictions counts as that much longer taken: one that is dead or silent
+// gets less and less without a word from anybody.
+func (e *engine) wait(now time.Time) time.Duration {
+	if len(e.reading) == 0 {
+		return 0
+	}
+	var first, last time.Time
+	for _, r := range e.reading {
+		if first.IsZero() || r.due.Before(first) {
+			first = r.due
+		}
+		if r.due.After(last) {
+			last = r.due
+		}
+	}
+	behind := max(now.Sub(first.Add(wordDelay)), 0)
+	return max(last.Sub(now), 0) + behind
+}
+
+// unread is how many tokens of a prompt the engine has to read: a part counts as read
+// only behind all parts before it.
+func (e *engine) unread(p *Prompt) int {
+	left := p.Tokens
+	for _, part := range p.Parts {
+		if e.cached[part.ID] == nil {
+			break
+		}
+		left -= part.Tokens
+	}
+	return max(left, 0)
+}
+
+// cache notes that the engine reads a prompt.
+func (e *engine) cache(now time.Time, p *Prompt, room int) {
+	for _, part := range p.Parts {
+		c := e.cached[part.ID]
+		if c == nil {
+			c = &cachedPart{tokens: part.Tokens}
+			e.cached[part.ID] = c
+			e.cachedTokens += part.Tokens
+		}
+		c.used = now
+	}
+	tokens := math.MaxInt
+	if room > 0 {
+		tokens = int(cacheShare * float64(room))
+	}
+	if len(e.cached) > maxParts || e.cachedTokens > tokens {
+		e.evict(maxParts/evictShare*(evictShare-1), tokens/evictShare*(evictShare-1))
+	}
+}
+
+// evict forgets the parts that were used longest ago, as engines do, until there are
+// fewer parts and tokens than the given.
+func (e *engine) evict(parts, tokens int) {
+	ids := make([]string, 0, len(e.cached))
+	for id := range e.cached {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(e.cached[a].used.Compare(e.cached[b].used), cmp.Compare(a, b))
+	})
+	for _, id := range ids {
+		if len(e.cached) <= parts && e.cachedTokens <= tokens {
+			return
+		}
+		e.cachedTokens -= e.cached[id].tokens
+		delete(e.cached, id)
+	}
+}
+
+// failed notes that the engine failed.
+func (e *engine) failed(now time.Time) {
+	e.downUntil = now.Add(min(failPause<<min(e.failures, 4), failPauseMost))
+	e.failures++
+}
+
+// lost lists the requests of whose end no word came.
+func (e *engine) lost(now time.Time) []string {
+	var ids []string
+	for id, r := range e.reading {
+		if now.Sub(r.sent) > forgetAfter {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -107,6 +107,9 @@
 }
 
 func (p *pick) byRule() (*candidate, Reason) {
+	if c := p.preferred(); c != nil {
+		return c, ReasonPreferred
+	}
 	if p.query.Home != "" {
 		return p.byHome()
 	}
@@ -116,6 +119,19 @@
 	return p.byLoad()
 }
 
+// preferred is the candidate that the query prefers; nil if it isn't among them.
+func (p *pick) preferred() *candidate {
+	if p.query.Prefer == "" {
+		return nil
+	}
+	for _, c := range p.candidates {
+		if c.target.Incarnation == p.query.Prefer {
+			return c
+		}
+	}
+	return nil
+}
+
 // probePatience is how long a due probe waits for a request of a lower tier.
 const probePatience = int64(time.Second)
 
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -58,6 +58,9 @@
 	// prompt an engine caches. All instances choose the same target for a home
 	// without a word, as long as it isn't crowded.
 	Home string
+	// Prefer is the incarnation that was chosen for the request by who knows more; it
+	// is used unless it is ejected, excluded or not there.
+	Prefer string
 	// HomeShares are the shares of homes that data centres should have, where
 	// something else than the targets' number decides: such as where the inputs of
 	// the requests are made. Nil is by the number of targets.
@@ -92,9 +95,11 @@
 	ReasonOnly
 	// ReasonHome is the target that the query's Home maps to.
 	ReasonHome
+	// ReasonPreferred is the target that the query prefers.
+	ReasonPreferred
 )
 
-var reasonNames = [...]string{"load", "overflow", "affinity", "probe", "floor", "only", "home"}
+var reasonNames = [...]string{"load", "overflow", "affinity", "probe", "floor", "only", "home", "preferred"}
 
 // String returns the reason's name for logs and spans.
 func (r Reason) String() string {
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -104,7 +104,7 @@
 		n, readErr := reply.Read(buffer)
 		if n > 0 {
 			if q.handles != nil {
-				q.dropResults()
+				q.release(time.Since(q.parts.sent))
 				q.handles = []string{}
 			}
 			silence.Reset(q.gapBound())
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
@@ -77,7 +78,7 @@
 // pick chooses a target for the request itself.
 func (q *request) pick() (routing.Choice, error) {
 	query := routing.Query{
-		Pool: q.service, Model: q.call.Model, Exclude: q.excluded, Rank: q.priority,
+		Pool: q.service, Model: q.call.Model, Exclude: q.excluded, Rank: q.priority, Prefer: q.engine,
 	}
 	if q.route.PromptRoute {
 		query.Home = subject(q.call.Prefix)
@@ -135,9 +136,9 @@
 		}
 		r.Stages = append(r.Stages, gather.Stage{Service: s.Service, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
 	}
-	var err error
 	asked := time.Now()
-	q.handles, q.owner, err = q.relay.options.Stages.Make(ctx, r)
+	made, err := q.relay.options.Stages.Make(ctx, r, q.prompt())
+	q.handles, q.owner, q.engine = made.Handles, made.Owner, made.Engine
 	q.parts.stages += time.Since(asked)
 	if err == nil && q.handles == nil {
 		q.handles = []string{}
@@ -197,12 +198,32 @@
 // usual load.
 const engineTime = 250 * time.Millisecond
 
+// prompt is what an engine is to read of the request.
+func (q *request) prompt() placing.Prompt {
+	if !q.route.PromptRoute {
+		return placing.Prompt{}
+	}
+	p := placing.Prompt{Pool: q.service, Tokens: q.call.PromptTokens, Exclude: q.excluded}
+	for _, part := range q.call.Prefix {
+		p.Parts = append(p.Parts, placing.Part{ID: part.ID, Tokens: part.Tokens})
+	}
+	return p
+}
+
 // dropResults gives the stages' results back.
-func (q *request) dropResults() {
+func (q *request) dropResults() { q.release(0) }
+
+// release gives the stages' results back and tells how the engine did that was chosen
+// with them: the time to the first event, or 0 without one.
+func (q *request) release(first time.Duration) {
 	if q.owner != "" {
-		q.relay.options.Stages.Drop(q.owner, q.call.ID)
+		served := placing.Served{Request: q.call.ID, Engine: q.target, First: first}
+		if q.engineFailed {
+			served.Engine, served.Failed = q.engine, true
+		}
+		q.relay.options.Stages.Drop(q.owner, served)
 	}
-	q.owner, q.handles = "", nil
+	q.owner, q.handles, q.engine, q.engineFailed = "", nil, "", false
 }
 
 // failure is an attempt without a whole answer.
@@ -250,6 +271,7 @@
 		q.excluded = q.excluded[:len(q.excluded)-1]
 		q.dropResults()
 	}
+	q.engineFailed = q.engineFailed || (q.engine != "" && q.engine == q.target)
 	switch {
 	case ctx.Err() != nil, q.refused > maxRefused, q.tooLateToSend(time.Now()):
 		return false, err
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -20,8 +20,10 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
@@ -30,8 +32,8 @@
 
 // Maker has the stages of a request run.
 type Maker interface {
-	Make(ctx context.Context, r gather.Request) (handles []string, owner string, err error)
-	Drop(owner, id string)
+	Make(ctx context.Context, r gather.Request, prompt placing.Prompt) (stages.Made, error)
+	Drop(owner string, served placing.Served)
 	// Bound gives requests that wait in Make an earlier deadline, and refuses those
 	// that won't be done by then. It doesn't wait.
 	Bound(until time.Time, ids ...string)
@@ -119,6 +121,11 @@
 	// stage results
 	handles []string
 	owner   string
+	// engine is the incarnation that the holder of the stage queue chose for the
+	// request; empty if it chose none.
+	engine string
+	// engineFailed tells that this engine didn't serve it.
+	engineFailed bool
 
 	// headerSent is set once the caller has the head of the answer.
 	headerSent bool
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
@@ -79,17 +80,17 @@
 	retryAfter time.Duration
 }
 
-func (m *maker) Make(ctx context.Context, r gather.Request) ([]string, string, error) {
+func (m *maker) Make(ctx context.Context, r gather.Request, _ placing.Prompt) (stages.Made, error) {
 	m.asked <- r
 	select {
 	case <-m.refused:
-		return nil, "", &stages.RefusedError{Reason: gather.ReasonStopping, RetryAfter: m.retryAfter}
+		return stages.Made{}, &stages.RefusedError{Reason: gather.ReasonStopping, RetryAfter: m.retryAfter}
 	case <-ctx.Done():
-		return nil, "", context.Cause(ctx)
+		return stages.Made{}, context.Cause(ctx)
 	}
 }
 
-func (m *maker) Drop(string, string) {}
+func (m *maker) Drop(string, placing.Served) {}
 
 func (m *maker) Bound(until time.Time, ids ...string) {
 	if !m.deaf && len(ids) == 1 && ids[0] == "a" {
--- a/daemon/stages/askers.go
+++ b/daemon/stages/askers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 )
 
 // reading is a request whose results its asker reads.
@@ -24,13 +25,13 @@
 // again: nobody reads them, and nobody will say so. Those of askers that leave as
 // planned stay, since these still serve what they have.
 func (o *Owner) dropReaderless(now time.Time, view *membership.View) {
-	var gone []string
+	var gone []placing.Served
 	o.mu.Lock()
 	for id, r := range o.readers {
 		m, ok := view.Find(r.name)
 		switch {
 		case ok && (m.Incarnation > r.incarnation || m.State == membership.Dead):
-			gone = append(gone, id)
+			gone = append(gone, placing.Served{Request: id})
 		case now.After(r.until):
 			delete(o.readers, id)
 		}
--- a/daemon/stages/messages.go
+++ b/daemon/stages/messages.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 )
 
 // makeAsk is the body of methodMake. Times are what is left, since the clocks of
@@ -46,6 +47,20 @@
 	Moved string
 }
 
+// placeAsk is the body of methodPlace: of askers that have the engine chosen as well.
+type placeAsk struct {
+	Follow followAsk
+	Prompt placing.Prompt
+}
+
+// placeAnswer is the answer of methodPlace.
+type placeAnswer struct {
+	Follow followAnswer
+	// Engine is the incarnation of the engine that is to serve the request; empty if
+	// the asker is to choose.
+	Engine string
+}
+
 type stageAsk struct {
 	Service     string
 	After       []int
--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 )
 
 const (
@@ -46,7 +47,7 @@
 	// steps, ends and drops came while it was frozen.
 	steps []func(*gather.Planner) []gather.Action
 	ends  []callEnd
-	drops []string
+	drops []placing.Served
 	// movedTo is the address of the instance that has the queue.
 	movedTo string
 	// tookOver is when a queue was last taken over.
@@ -127,6 +128,7 @@
 	}
 	clear(o.unclaimed)
 	clear(o.early)
+	clear(o.prompts)
 	o.mu.Unlock()
 	for _, e := range ends {
 		o.callEnded(e.id, e.how, e.results)
@@ -212,11 +214,11 @@
 
 // dropUnclaimed forgets requests that were taken over and whose askers never came.
 func (o *Owner) dropUnclaimed(now time.Time) {
-	var gone []string
+	var gone []placing.Served
 	o.mu.Lock()
 	for id, until := range o.unclaimed {
 		if now.After(until) {
-			gone = append(gone, id)
+			gone = append(gone, placing.Served{Request: id})
 		}
 	}
 	o.mu.Unlock()
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -43,10 +44,13 @@
 	// passEnd and passDrops tell the instance that has the queue of the end of a call
 	// and of requests that nobody waits for.
 	passEnd   func(to string, call uint64, how gather.CallOutcome, results []gather.PieceResult)
-	passDrops func(to string, ids ...string)
+	passDrops func(to string, served ...placing.Served)
 
 	mu      sync.Mutex
 	planner *gather.Planner
+	engines *placing.Table
+	// prompts are those of the requests whose stages are made here, by request.
+	prompts map[string]placing.Prompt
 	waiting map[string]chan outcome
 	freeing map[gather.Target][]string
 	// running counts the calls that this instance carries out.
@@ -59,6 +63,9 @@
 // outcome is the end of a request's stages at this instance.
 type outcome struct {
 	handles []string
+	// engine is the incarnation of the engine that is to serve the request; empty if
+	// none was chosen.
+	engine  string
 	refused *gather.Refused
 	// movedTo is the address of the instance that has the queue and the request now.
 	movedTo string
@@ -71,6 +78,8 @@
 		leaving: leaving,
 		metrics: m,
 		planner: gather.New(gather.Config{}),
+		engines: placing.NewTable(),
+		prompts: map[string]placing.Prompt{},
 		waiting: map[string]chan outcome{},
 		freeing: map[gather.Target][]string{},
 		readers: map[string]reading{},
@@ -84,6 +93,7 @@
 		var actions []gather.Action
 		for name, s := range table.Services {
 			if s.Batch == nil {
+				o.setEngines(s, usable[name])
 				continue
 			}
 			p.SetService(name, shape(s.Batch))
@@ -132,8 +142,8 @@
 // was taken over with another instance's queue goes on with what is made of it.
 //
 // bounded tells that its deadline was brought forward since it was asked for first.
-func (o *Owner) make(ctx context.Context, r gather.Request, bounded bool) (outcome, error) {
-	done, err := o.begin(ctx, r, bounded)
+func (o *Owner) make(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded bool) (outcome, error) {
+	done, err := o.begin(ctx, r, prompt, bounded)
 	if err != nil {
 		return outcome{}, err
 	}
@@ -141,14 +151,14 @@
 	case end := <-done:
 		return end, nil
 	case <-ctx.Done():
-		o.drop(r.ID)
+		o.drop(placing.Served{Request: r.ID})
 		return outcome{}, context.Cause(ctx)
 	}
 }
 
 // begin takes a request in, as soon as the queue isn't on its way. The channel tells
 // the request's end.
-func (o *Owner) begin(ctx context.Context, r gather.Request, bounded bool) (<-chan outcome, error) {
+func (o *Owner) begin(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded bool) (<-chan outcome, error) {
 	done := make(chan outcome, 1)
 	o.mu.Lock()
 	for o.frozen {
@@ -175,6 +185,7 @@
 		return done, nil
 	}
 	o.waiting[r.ID] = done
+	r = o.near(time.Now(), r, prompt)
 	var actions []gather.Action
 	switch {
 	case !taken:
@@ -188,22 +199,27 @@
 	return done, nil
 }
 
-// drop forgets a request and frees what it holds.
-func (o *Owner) drop(ids ...string) {
+// drop forgets requests and frees what they hold.
+func (o *Owner) drop(served ...placing.Served) {
+	ids := make([]string, len(served))
 	o.mu.Lock()
-	for _, id := range ids {
+	for i, s := range served {
+		id := s.Request
+		ids[i] = id
+		o.engines.Ended(time.Now(), s)
+		delete(o.prompts, id)
 		delete(o.waiting, id)
 		delete(o.unclaimed, id)
 		delete(o.early, id)
 		delete(o.readers, id)
 	}
 	if o.frozen {
-		o.drops = append(o.drops, ids...)
+		o.drops = append(o.drops, served...)
 	}
 	to := o.movedTo
 	o.mu.Unlock()
 	if to != "" {
-		o.passDrops(to, ids...)
+		o.passDrops(to, served...)
 		return
 	}
 	o.do(func(p *gather.Planner) []gather.Action {
@@ -237,7 +253,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case gather.Completed:
-			o.finish(a.Request, outcome{handles: a.Handles})
+			o.finish(a.Request, outcome{handles: a.Handles, engine: o.place(time.Now(), a)})
 		case gather.Refused:
 			o.finish(a.Request, outcome{refused: &a})
 		case gather.FreeResults:
@@ -281,6 +297,7 @@
 
 // finish tells a request's end; mu is held.
 func (o *Owner) finish(id string, end outcome) {
+	delete(o.prompts, id)
 	if done := o.waiting[id]; done != nil {
 		delete(o.waiting, id)
 		done <- end
--- /dev/null
+++ b/daemon/stages/placed.go
@@ -0,0 +1,55 @@
+package stages
+
+import (
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+)
+
+// setEngines takes the usable engines of a service; mu is held.
+func (o *Owner) setEngines(s *routes.Service, usable []routes.Target) {
+	list := make([]placing.Engine, 0, len(usable))
+	for _, t := range usable {
+		list = append(list, placing.Engine{Incarnation: t.Incarnation(), Name: t.Name, DataCentre: t.DataCentre})
+	}
+	o.engines.SetEngines(placing.Pool{Name: s.Name, CacheTokens: s.CacheTokens}, list)
+}
+
+// near returns the request with the data centre where its results had best be read, as
+// far as can be told before its stages run; mu is held.
+func (o *Owner) near(now time.Time, r gather.Request, prompt placing.Prompt) gather.Request {
+	if prompt.Pool == "" {
+		return r
+	}
+	choice, ok := o.engines.Choose(now, &prompt, o.planner.Detours(now, &r))
+	if !ok {
+		return r
+	}
+	o.prompts[r.ID] = prompt
+	r.DataCentre = choice.Engine.DataCentre
+	return r
+}
+
+// place chooses the engine of a request whose stages are done; mu is held. It returns
+// none where the request's prompt isn't known, as of one that was taken over and whose
+// asker hasn't asked here: its asker chooses then.
+func (o *Owner) place(now time.Time, done gather.Completed) string {
+	prompt, ok := o.prompts[done.Request]
+	if !ok {
+		return ""
+	}
+	var total int64
+	for _, bytes := range done.Bytes {
+		total += bytes
+	}
+	choice, ok := o.engines.Choose(now, &prompt, func(dataCentre string) time.Duration {
+		return gather.CrossingTime(total - done.Bytes[dataCentre])
+	})
+	if !ok {
+		return ""
+	}
+	o.engines.Sent(now, done.Request, &prompt, choice)
+	return choice.Engine.Incarnation
+}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -17,6 +17,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/holder"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -29,6 +30,8 @@
 	methodMake   = "stages.make"
 	methodFollow = "stages.follow"
 	methodDrop   = "stages.drop"
+	methodPlace  = "stages.place"
+	methodServed = "stages.served"
 )
 
 const (
@@ -63,7 +66,7 @@
 	// holder is the name of the instance that holds the queue, as last believed.
 	holder   string
 	avoided  map[string]time.Time
-	dropping map[string][]string
+	dropping map[string][]placing.Served
 	// asking are the requests of this instance that wait for their stages.
 	asking map[string]*asking
 	// stopping tells that this instance gives its queue away and takes no other.
@@ -81,20 +84,22 @@
 		cluster:  c,
 		owner:    newOwner(d, client, leaving, newMetrics(scope)),
 		avoided:  map[string]time.Time{},
-		dropping: map[string][]string{},
+		dropping: map[string][]placing.Served{},
 		asking:   map[string]*asking{},
 		taking:   map[string]*taking{},
 		ended:    make(chan struct{}),
 	}
 	s.owner.passEnd = s.passEnd
-	s.owner.passDrops = func(to string, ids ...string) {
-		for _, id := range ids {
-			s.Drop(to, id)
+	s.owner.passDrops = func(to string, served ...placing.Served) {
+		for _, one := range served {
+			s.Drop(to, one)
 		}
 	}
 	c.Handle(methodMake, s.handleMake)
 	c.Handle(methodFollow, s.handleFollow)
 	c.Handle(methodDrop, s.handleDrop)
+	c.Handle(methodPlace, s.handlePlace)
+	c.Handle(methodServed, s.handleServed)
 	c.Handle(methodTake, s.handleTake)
 	c.Handle(methodEnded, s.handleEnded)
 	c.Handle(methodBound, s.handleBound)
@@ -125,27 +130,41 @@
 	return "stages refused by " + e.Owner + ": " + string(e.Reason)
 }
 
-// Make has all stages of a request run and returns the handles of the final
-// ones' results with the instance that holds them. A *RefusedError means that
-// the request was given up. The results stay until Drop.
-func (s *Stages) Make(ctx context.Context, r gather.Request) (handles []string, owner string, err error) {
+// Made is what became of a request's stages.
+type Made struct {
+	// Handles are the final stages' results, in their order.
+	Handles []string
+	// Owner is the address of the instance that holds them.
+	Owner string
+	// Engine is the incarnation of the engine that is to serve the request; empty if
+	// the asker is to choose.
+	Engine string
+}
+
+// Make has all stages of a request run, and the engine chosen that is to read its
+// prompt. A *RefusedError means that the request was given up. The results stay until
+// Drop.
+func (s *Stages) Make(ctx context.Context, r gather.Request, prompt placing.Prompt) (Made, error) {
 	defer s.asked(r.ID)
 	sent := false
+	var err error
 	for range maxOwners {
+		var made Made
 		m := s.pick(time.Now())
-		handles, m, err = s.follow(ctx, m, r, &sent)
+		made, m, err = s.follow(ctx, m, r, prompt, &sent)
 		var refused *RefusedError
 		if err == nil || errors.As(err, &refused) {
-			return handles, m.Address, err
+			made.Owner = m.Address
+			return made, err
 		}
 		if ctx.Err() != nil {
-			s.Drop(m.Address, r.ID)
-			return nil, "", err
+			s.Drop(m.Address, placing.Served{Request: r.ID})
+			return Made{}, err
 		}
 		telemetry.ErrorS(err, "Holder of the stage queue didn't answer", telemetry.Event{RequestID: r.ID, Peer: m.Name})
 		s.avoid(m.Name)
 	}
-	return nil, "", err
+	return Made{}, err
 }
 
 // movedError tells where the queue has gone.
@@ -155,16 +174,16 @@
 
 // follow has a request made by an instance, or by the one that has its queue now. It
 // returns the one that answered. sent tells that some instance has sent it on.
-func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request, sent *bool) ([]string, membership.Member, error) {
+func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent *bool) (Made, membership.Member, error) {
 	for range maxMoves {
-		handles, err := s.makeAt(ctx, m, r, *sent)
+		made, err := s.makeAt(ctx, m, r, prompt, *sent)
 		var moved *movedError
 		if !errors.As(err, &moved) {
-			return handles, m, err
+			return made, m, err
 		}
 		m, *sent = s.memberAt(moved.to), true
 	}
-	return nil, m, errors.Newf("the queue moved %d times", maxMoves)
+	return Made{}, m, errors.Newf("the queue moved %d times", maxMoves)
 }
 
 // memberAt returns the member of an address; one that isn't known has just that.
@@ -210,38 +229,42 @@
 	s.avoided[name] = time.Now().Add(avoidFor)
 }
 
-func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, sent bool) ([]string, error) {
+func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
 	r, bounded := s.ask(m.Address, r)
 	if m.Name == s.cluster.View().Self {
-		end, err := s.owner.make(ctx, r, bounded)
+		end, err := s.owner.make(ctx, r, prompt, bounded)
 		if err == nil && end.movedTo != "" {
-			return nil, &movedError{end.movedTo}
+			return Made{}, &movedError{end.movedTo}
 		}
 		if err == nil && end.refused != nil {
 			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Owner: m.Name}
 		}
-		return end.handles, err
+		return Made{Handles: end.handles, Engine: end.engine}, err
 	}
-	answer, err := s.makeRemote(ctx, m.Address, &followAsk{*newAsk(time.Now(), r), bounded, sent, s.passed(time.Now())})
+	follow := followAsk{*newAsk(time.Now(), r), bounded, sent, s.passed(time.Now())}
+	answer, err := s.makeRemote(ctx, m.Address, &placeAsk{follow, prompt})
 	if err != nil {
-		return nil, err
+		return Made{}, err
 	}
-	if answer.Moved != "" {
-		return nil, &movedError{answer.Moved}
+	if answer.Follow.Moved != "" {
+		return Made{}, &movedError{answer.Follow.Moved}
 	}
-	if made := answer.Made; made.Reason != "" {
-		return nil, &RefusedError{Reason: gather.Reason(made.Reason), RetryAfter: made.RetryAfter, Owner: m.Name}
+	if made := answer.Follow.Made; made.Reason != "" {
+		return Made{}, &RefusedError{Reason: gather.Reason(made.Reason), RetryAfter: made.RetryAfter, Owner: m.Name}
 	}
-	return answer.Made.Handles, nil
+	return Made{Handles: answer.Follow.Made.Handles, Engine: answer.Engine}, nil
 }
 
-// makeRemote asks another instance; one of a version that knows no methodFollow by
-// methodMake.
-func (s *Stages) makeRemote(ctx context.Context, address string, ask *followAsk) (followAnswer, error) {
-	var answer followAnswer
-	err := s.callFor(ctx, address, methodFollow, ask, &answer)
+// makeRemote asks another instance; one of an earlier version by the latest method that
+// it knows.
+func (s *Stages) makeRemote(ctx context.Context, address string, ask *placeAsk) (placeAnswer, error) {
+	var answer placeAnswer
+	err := s.callFor(ctx, address, methodPlace, ask, &answer)
 	if errors.Is(err, peer.ErrNoMethod) {
-		err = s.callFor(ctx, address, methodMake, &ask.Make, &answer.Made)
+		err = s.callFor(ctx, address, methodFollow, &ask.Follow, &answer.Follow)
+	}
+	if errors.Is(err, peer.ErrNoMethod) {
+		err = s.callFor(ctx, address, methodMake, &ask.Follow.Make, &answer.Follow.Made)
 	}
 	return answer, err
 }
@@ -264,18 +287,30 @@
 	if err := msgpack.Unmarshal(body, &ask); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	answer, err := s.makeFor(ctx, from, &followAsk{Make: ask, Sent: true})
+	answer, err := s.makeFor(ctx, from, &placeAsk{Follow: followAsk{Make: ask, Sent: true}})
 	if err != nil {
 		return nil, err
 	}
-	if answer.Moved != "" {
+	if answer.Follow.Moved != "" {
 		return nil, errMoved
 	}
-	return encode(&answer.Made)
+	return encode(&answer.Follow.Made)
 }
 
 func (s *Stages) handleFollow(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var ask followAsk
+	var ask placeAsk
+	if err := msgpack.Unmarshal(body, &ask.Follow); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	answer, err := s.makeFor(ctx, from, &ask)
+	if err != nil {
+		return nil, err
+	}
+	return encode(&answer.Follow)
+}
+
+func (s *Stages) handlePlace(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
+	var ask placeAsk
 	if err := msgpack.Unmarshal(body, &ask); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
@@ -287,37 +322,37 @@
 }
 
 // makeFor has the stages of another instance's request run.
-func (s *Stages) makeFor(ctx context.Context, from peer.Peer, ask *followAsk) (*followAnswer, error) {
-	if to := s.sendOn(time.Now(), ask); to != "" {
-		return &followAnswer{Moved: to}, nil
+func (s *Stages) makeFor(ctx context.Context, from peer.Peer, ask *placeAsk) (*placeAnswer, error) {
+	if to := s.sendOn(time.Now(), &ask.Follow); to != "" {
+		return &placeAnswer{Follow: followAnswer{Moved: to}}, nil
 	}
-	r := ask.Make.request(time.Now())
-	end, err := s.owner.make(ctx, r, ask.Bounded)
+	r := ask.Follow.Make.request(time.Now())
+	end, err := s.owner.make(ctx, r, ask.Prompt, ask.Follow.Bounded)
 	if err != nil {
 		return nil, err
 	}
-	answer := &followAnswer{Made: makeAnswer{Handles: end.handles}, Moved: end.movedTo}
+	answer := &placeAnswer{followAnswer{Made: makeAnswer{Handles: end.handles}, Moved: end.movedTo}, end.engine}
 	switch {
 	case end.refused != nil:
-		answer.Made.Reason, answer.Made.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
+		answer.Follow.Made.Reason, answer.Follow.Made.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
 	case end.movedTo == "":
 		s.owner.noteReader(r.ID, reading{sender{from.Name, from.Incarnation}, r.Deadline})
 	}
 	return answer, nil
 }
 
-// Drop tells the holder that a request's results have been read or that its
-// caller left. It doesn't wait.
-func (s *Stages) Drop(owner, id string) {
+// Drop tells the holder that a request's results have been read, and how its engine did,
+// or that its caller left. It doesn't wait.
+func (s *Stages) Drop(owner string, served placing.Served) {
 	self, _ := s.cluster.View().Find(s.cluster.View().Self)
 	if owner == self.Address {
-		s.owner.drop(id)
+		s.owner.drop(served)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	first := len(s.dropping[owner]) == 0
-	s.dropping[owner] = append(s.dropping[owner], id)
+	s.dropping[owner] = append(s.dropping[owner], served)
 	if first {
 		time.AfterFunc(dropDelay, func() { s.sendDrops(owner) })
 	}
@@ -325,31 +360,48 @@
 
 func (s *Stages) sendDrops(owner string) {
 	s.mu.Lock()
-	ids := s.dropping[owner]
+	served := s.dropping[owner]
 	delete(s.dropping, owner)
 	s.mu.Unlock()
-	body, err := msgpack.Marshal(ids)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
-		defer cancel()
-		_, err = s.cluster.Call(ctx, owner, methodDrop, body)
+	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+	defer cancel()
+	if err := s.tellServed(ctx, owner, served); err != nil {
+		// The holder drops them at their deadlines.
+		telemetry.ErrorS(err, "Holder of the stage queue was not told of ended requests", telemetry.Event{Peer: owner, Count: len(served)})
+		s.dropElsewhere(owner, served)
 	}
+}
+
+// tellServed tells a holder of ended requests; one of an earlier version just which
+// they are.
+func (s *Stages) tellServed(ctx context.Context, owner string, served []placing.Served) error {
+	body, err := encode(served)
 	if err != nil {
-		// The holder drops them at their deadlines.
-		telemetry.ErrorS(err, "Holder of the stage queue was not told of ended requests", telemetry.Event{Peer: owner, Count: len(ids)})
-		s.dropElsewhere(owner, ids)
+		return errors.Wrap(err, "encode")
 	}
+	if _, err = s.cluster.Call(ctx, owner, methodServed, body); !errors.Is(err, peer.ErrNoMethod) {
+		return err
+	}
+	ids := make([]string, len(served))
+	for i, one := range served {
+		ids[i] = one.Request
+	}
+	if body, err = msgpack.Marshal(ids); err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	_, err = s.cluster.Call(ctx, owner, methodDrop, body)
+	return err
 }
 
 // dropElsewhere tells the present holder of ended requests: it may have them from the
 // one that didn't answer.
-func (s *Stages) dropElsewhere(lost string, ids []string) {
+func (s *Stages) dropElsewhere(lost string, served []placing.Served) {
 	next := s.pick(time.Now())
 	if next.Address == lost || next.Address == "" {
 		return
 	}
-	for _, id := range ids {
-		s.Drop(next.Address, id)
+	for _, one := range served {
+		s.Drop(next.Address, one)
 	}
 }
 
@@ -358,7 +410,20 @@
 	if err := msgpack.Unmarshal(body, &ids); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	s.owner.drop(ids...)
+	served := make([]placing.Served, len(ids))
+	for i, id := range ids {
+		served[i].Request = id
+	}
+	s.owner.drop(served...)
+	return nil, nil
+}
+
+func (s *Stages) handleServed(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var served []placing.Served
+	if err := msgpack.Unmarshal(body, &served); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	s.owner.drop(served...)
 	return nil, nil
 }
 
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -121,6 +121,9 @@
 	// Slots is the number of requests that one target runs at once; 0 where the
 	// configuration doesn't say.
 	Slots int
+	// CacheTokens is the room for prompts at one target, in tokens; 0 where the
+	// configuration doesn't say.
+	CacheTokens int
 	// Batch is set for services that take pieces of stages in batches.
 	Batch *Batch
 }
