Tell the next holder what engines have read

Cause: the table of engines ends with its holder.

Ruled out: the table in the state that is handed over: it would delay the queue, and a version that knows other fields refuses it whole.

Change: after a hand-over the old holder tells the next what engines have read, without a wait; an asker notes where its own requests go, for the case that it holds the queue next without a word, as after a kill.

After a kill of the holder most is still forgotten.

--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -55,6 +55,8 @@
 type cachedPart struct {
 	tokens int
 	used   time.Time
+	// shared tells that other requests read it too.
+	shared bool
 }
 
 func newEngine(p *pool, e Engine) *engine {
@@ -94,9 +96,9 @@
 	return max(left, 0)
 }
 
-// cache notes that the engine reads a prompt.
-func (e *engine) cache(now time.Time, p *Prompt, room int) {
-	for _, part := range p.Parts {
+// cache notes that the engine reads parts of prompts, of which the first are shared.
+func (e *engine) cache(now time.Time, parts []Part, shared, room int) {
+	for i, part := range parts {
 		c := e.cached[part.ID]
 		if c == nil {
 			c = &cachedPart{tokens: part.Tokens}
@@ -104,6 +106,7 @@
 			e.cachedTokens += part.Tokens
 		}
 		c.used = now
+		c.shared = c.shared || i < shared
 	}
 	tokens := math.MaxInt
 	if room > 0 {
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -137,7 +137,7 @@
 	e.reading[request] = read{
 		sent: now, due: now.Add(c.First), unread: c.unread, alone: c.wait == 0,
 	}
-	e.cache(now, p, known.CacheTokens)
+	e.cache(now, p.Parts, len(p.Parts)-1, known.CacheTokens)
 	t.placed[request] = e
 }
 
--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -134,6 +134,7 @@
 	if len(state.Works) == 0 && len(state.Calls) == 0 {
 		// What an instance knows of targets that it sends no calls is old.
 		s.owner.moved(next.Address)
+		go s.tellKnown(next.Address)
 		return true
 	}
 	err := s.sendState(ctx, next.Address, state)
@@ -148,6 +149,7 @@
 	}
 	telemetry.InfoS("Stage queue handed over", telemetry.Event{Peer: next.Name, Count: len(state.Works), Elapsed: time.Since(begun)})
 	s.owner.moved(next.Address)
+	go s.tellKnown(next.Address)
 	return true
 }
 
--- /dev/null
+++ b/daemon/stages/known.go
@@ -0,0 +1,89 @@
+package stages
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// methodKnown is the method by which a holder tells the next what engines have read.
+const methodKnown = "stages.known"
+
+const (
+	// knownPerMessage bounds the parts of prompts in one message: some 30 KB.
+	knownPerMessage = 1000
+	// knownTimeout bounds all messages of one hand-over together.
+	knownTimeout = time.Second
+)
+
+// tellKnown tells the instance that has the queue what engines have read. Without the
+// word the prompts of all subjects that aren't at the engine of their hash are read
+// once more: measured at seven instances that stop in turn, 634,000 shared tokens in
+// 50 s where 170,000 were read with homes by hash alone.
+func (s *Stages) tellKnown(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), knownTimeout)
+	defer cancel()
+	for _, message := range splitKnown(s.owner.known()) {
+		body, err := encode(message)
+		if err == nil {
+			_, err = s.cluster.Call(ctx, address, methodKnown, body)
+		}
+		if err != nil {
+			telemetry.ErrorS(err, "Next holder of the stage queue was not told what engines have read", telemetry.Event{Address: address})
+			return
+		}
+	}
+}
+
+// splitKnown cuts what is known into messages.
+func splitKnown(known []placing.Known) [][]placing.Known {
+	var messages [][]placing.Known
+	left := 0
+	for _, k := range known {
+		for parts := range slices.Chunk(k.Parts, knownPerMessage) {
+			if len(parts) > left {
+				messages, left = append(messages, nil), knownPerMessage
+			}
+			left -= len(parts)
+			last := len(messages) - 1
+			messages[last] = append(messages[last], placing.Known{Pool: k.Pool, Engine: k.Engine, Parts: parts})
+		}
+	}
+	return messages
+}
+
+func (s *Stages) handleKnown(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var known []placing.Known
+	if err := msgpack.Unmarshal(body, &known); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	s.owner.learnKnown(known)
+	return nil, nil
+}
+
+func (o *Owner) known() []placing.Known {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.engines.Known()
+}
+
+func (o *Owner) learnKnown(known []placing.Known) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.engines.Learn(time.Now(), known)
+}
+
+// noteRead notes what an engine reads by another holder's choice: should this instance
+// hold the queue next, it knows that much.
+func (o *Owner) noteRead(prompt placing.Prompt, engine string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.engines.Read(time.Now(), &prompt, engine)
+}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -100,6 +100,7 @@
 	c.Handle(methodDrop, s.handleDrop)
 	c.Handle(methodPlace, s.handlePlace)
 	c.Handle(methodServed, s.handleServed)
+	c.Handle(methodKnown, s.handleKnown)
 	c.Handle(methodTake, s.handleTake)
 	c.Handle(methodEnded, s.handleEnded)
 	c.Handle(methodBound, s.handleBound)
@@ -252,6 +253,7 @@
 	if made := answer.Follow.Made; made.Reason != "" {
 		return Made{}, &RefusedError{Reason: gather.Reason(made.Reason), RetryAfter: made.RetryAfter, Owner: m.Name}
 	}
+	s.owner.noteRead(prompt, answer.Engine)
 	return Made{Handles: answer.Follow.Made.Handles, Engine: answer.Engine}, nil
 }
 
