Wait for the record that a scenario asks for, not for a later one

The scenario took the later record as the sign of the earlier. Records are passed on one by one, each with a revision that only grows; nothing orders one record behind another.

Trace: TestALaterRecordMayComeFirst hands an instance the later of two records first: it serves by it, and by the earlier one in the version before, until that comes, and goes back in nothing. So the case is allowed.

Ruled out: ordering records by revision on their way: an instance can't know that it lacks one, and would hold back what is in force elsewhere.

--- a/daemon/confsync/watch_test.go
+++ b/daemon/confsync/watch_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	emulator "github.com/ivyhollow/ivyhollow/emulator/platform"
 )
 
@@ -108,3 +109,36 @@
 		assert.Less(t, f.store.Calls().Reads-before, uint64(60*20), "few calls, whoever makes them")
 	})
 }
+
+// An operator changes two records one after the other. They are passed on one by one,
+// and an instance may hear of the later one first: it serves by it, and by the earlier
+// one in the version before, until that comes too. Nothing goes back.
+func TestALaterRecordMayComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.addN(4)
+		f.pass(inForceBound)
+		far := f.instances[3]
+		far.set(func() { far.cut = true })
+		f.write("accounts", "demo", accountSpec("gold", 1))
+		f.write("tiers", "gold", tierSpec(700))
+		f.pass(10 * time.Millisecond) // before it asks for itself
+		later, ok := f.instances[0].table.Get("tiers", "gold")
+		assert.True(t, ok)
+		earlier, ok := f.instances[0].table.Get("accounts", "demo")
+		assert.True(t, ok)
+		assert.Less(t, earlier.Revision, later.Revision)
+		if far.deadline() == 700 {
+			t.Fatal("the instance has heard of the change already")
+		}
+		far.sync.Receive([]spread.Record{later})
+		f.pass(time.Millisecond)
+		assert.Equal(t, int64(700), far.deadline())
+		assert.Zero(t, far.sync.Snapshot().Accounts.Len())
+		far.sync.Receive([]spread.Record{earlier})
+		f.pass(time.Millisecond)
+		assert.Equal(t, int64(700), far.deadline())
+		assert.Equal(t, 1, far.sync.Snapshot().Accounts.Len())
+		assert.IsNonDecreasing(t, far.revision)
+	})
+}
--- a/testkit/scenario/records.go
+++ b/testkit/scenario/records.go
@@ -59,6 +59,21 @@
 	})
 }
 
+// waitAnswers: answers NAME PIPELINE TEXT waits until the instance answers a call of the
+// pipeline with an output that begins with the text. Records are passed on one by one:
+// that a later one is in force at an instance doesn't say that an earlier one is.
+func waitAnswers(_ *testscript.TestScript, w *world, args []string) error {
+	base, err := w.url(args[0], "callers")
+	if err != nil {
+		return err
+	}
+	return until(strings.Join(args, " "), func() bool {
+		call := Call{URL: base, Pipeline: args[1], Key: DefaultKey, Input: "x"}
+		answer, err := call.Do()
+		return err == nil && answer.Status == http.StatusOK && strings.HasPrefix(answer.Answer.Output, args[2])
+	})
+}
+
 // waitListed: listed waits until the platform lists all started targets.
 func waitListed(_ *testscript.TestScript, w *world, _ []string) error {
 	store := platform.New(platform.Options{BaseURL: w.platform, Instance: "operator"})
--- a/testkit/scenario/verbs.go
+++ b/testkit/scenario/verbs.go
@@ -39,6 +39,7 @@
 		"ready":        waitReady,
 		"unready":      waitUnready,
 		"inforce":      waitInForce,
+		"answers":      waitAnswers,
 		"started":      waitStarted,
 		"whileleaving": expectWhileLeaving,
 		"refused":      waitRefused,
