Read from logs where the time of requests went

Cause: what binds was read from the logs by hand, and the fill of stage calls not at all.

Ruled out: the fill from the platform's metrics, which tell no time.

--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -202,5 +202,5 @@
 	c.overdue = now.Add(time.Duration(overdueFactor*max(t.slow, 1)*float64(c.expected)) + overdueMargin)
 	timeout := time.Duration(timeoutFactor*float64(c.expected)) + timeoutMargin
 	c.expires = now.Add(timeout)
-	p.out = append(p.out, StartCall{ID: c.id, Target: t.Target, Pieces: orders, Timeout: timeout})
+	p.out = append(p.out, StartCall{ID: c.id, Target: t.Target, Service: t.service.name, Pieces: orders, Timeout: timeout})
 }
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -115,6 +115,8 @@
 type StartCall struct {
 	ID     uint64
 	Target Target
+	// Service is the target's.
+	Service string
 	Pieces []PieceOrder
 	// Timeout is when the call counts as lost.
 	Timeout time.Duration
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -24,6 +24,9 @@
 			Reason: callOutcomes[how], Elapsed: time.Since(started),
 		})
 	}
+	telemetry.InfoS("Stage call ended", telemetry.Event{
+		Target: c.Target.Incarnation, Pool: c.Service, Count: len(c.Pieces), Reason: callOutcomes[how], Elapsed: time.Since(started),
+	})
 	o.metrics.call(callOutcomes[how], time.Since(started))
 	o.noteFailures(c, results)
 	if how == gather.CallWrongTarget {
--- /dev/null
+++ b/testkit/waits/report.go
@@ -0,0 +1,169 @@
+package waits
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	// window is the time over which the plots average.
+	window     = 2 * time.Second
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 4.5 * vg.Inch
+)
+
+// WriteTable writes a line for each pipeline and, below, one for each stage service.
+func (l *Log) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "pipeline\trequests\tanswered\tlate by first event\tqueued p50\tp90\tin calls p50\tp90\tfirst p50\tp90\tpause p90\ttaken less predicted p10\tp50\tp90\t")
+	byPipeline := map[string][]*Request{}
+	for _, r := range l.Requests {
+		byPipeline[r.Pipeline] = append(byPipeline[r.Pipeline], r)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byPipeline)) {
+		writePipeline(t, name, byPipeline[name])
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "service\tcalls\tpieces a call\t")
+	byService := map[string][]Call{}
+	for _, c := range l.Calls {
+		byService[c.Service] = append(byService[c.Service], c)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byService)) {
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t\n", name, len(byService[name]), fill(byService[name]))
+	}
+	return errors.Wrap(t.Flush(), "write")
+}
+
+func fill(calls []Call) float64 {
+	pieces := 0
+	for _, c := range calls {
+		pieces += c.Pieces
+	}
+	return float64(pieces) / float64(len(calls))
+}
+
+func writePipeline(w io.Writer, name string, requests []*Request) {
+	var queued, called, first, pause, over []time.Duration
+	answered, late := 0, 0
+	for _, r := range requests {
+		if r.Status != http.StatusOK {
+			continue
+		}
+		answered++
+		first = append(first, r.First)
+		pause = append(pause, r.Pause)
+		if r.Made == nil {
+			continue
+		}
+		queued = append(queued, r.Made.Queued)
+		called = append(called, r.Made.Called)
+		over = append(over, r.Made.Taken-r.Made.Predicted)
+		if r.Made.Left > 0 && r.Stages+r.First > r.Made.Left {
+			late++
+		}
+	}
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t", name, len(requests), answered, late)
+	for _, cell := range []struct {
+		of     []time.Duration
+		shares []float64
+	}{{queued, []float64{0.5, 0.9}}, {called, []float64{0.5, 0.9}}, {first, []float64{0.5, 0.9}}, {pause, []float64{0.9}}, {over, []float64{0.1, 0.5, 0.9}}} {
+		for _, share := range cell.shares {
+			fmt.Fprintf(w, "%s\t", quantile(cell.of, share))
+		}
+	}
+	fmt.Fprintln(w)
+}
+
+// quantile writes a quantile in milliseconds; "-" of nothing.
+func quantile(of []time.Duration, share float64) string {
+	if len(of) == 0 {
+		return "-"
+	}
+	slices.Sort(of)
+	return fmt.Sprint(of[min(int(share*float64(len(of))), len(of)-1)].Milliseconds())
+}
+
+// Plot writes two PNGs: the mean time of answered requests by part, and the pieces a
+// call, over the time of the requests' ends.
+func (l *Log) Plot(waitsPath, fillPath string) error {
+	start := l.start()
+	parts := map[string]map[int][]float64{}
+	note := func(part string, at time.Time, value float64) {
+		if parts[part] == nil {
+			parts[part] = map[int][]float64{}
+		}
+		i := int(at.Sub(start) / window)
+		parts[part][i] = append(parts[part][i], value)
+	}
+	for _, r := range l.Requests {
+		if r.Status != http.StatusOK || r.Made == nil {
+			continue
+		}
+		note("queued", r.At, r.Made.Queued.Seconds())
+		note("in calls", r.At, r.Made.Called.Seconds())
+		note("engine, to the first event", r.At, r.First.Seconds())
+	}
+	if err := plotMeans(waitsPath, "mean seconds of answered requests", parts); err != nil {
+		return err
+	}
+	parts = map[string]map[int][]float64{}
+	for _, c := range l.Calls {
+		note(c.Service, c.At, float64(c.Pieces))
+	}
+	return plotMeans(fillPath, "pieces a call", parts)
+}
+
+// start is the time of the first line.
+func (l *Log) start() time.Time {
+	var start time.Time
+	earlier := func(at time.Time) {
+		if start.IsZero() || at.Before(start) {
+			start = at
+		}
+	}
+	for _, r := range l.Requests {
+		earlier(r.At)
+	}
+	for _, c := range l.Calls {
+		earlier(c.At)
+	}
+	return start
+}
+
+func plotMeans(path, label string, parts map[string]map[int][]float64) error {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", label
+	var args []any
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		var line plotter.XYs
+		for _, i := range slices.Sorted(maps.Keys(parts[name])) {
+			line = append(line, plotter.XY{X: float64(i) * window.Seconds(), Y: mean(parts[name][i])})
+		}
+		args = append(args, name, line)
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return errors.Wrapf(err, "plot %s", path)
+	}
+	p.Legend.Top = true
+	return errors.Wrapf(p.Save(plotWidth, plotHeight, path), "plot %s", path)
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
--- /dev/null
+++ b/testkit/waits/waits_test.go
@@ -0,0 +1,53 @@
+package waits
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sample = `   1.0 front-1 I1203 10:00:01.000000    7 owner.go:259] "Stages done" request_id="a" stage="0:0/50/300 1:300/400/700" pipeline="r" elapsed="700ms" needed="800ms" left="1s"
+   1.0 front-1 I1203 10:00:01.000000    7 calls.go:27] "Stage call ended" target="t" pool="s" reason="answered" count=3 elapsed="250ms"
+   1.3 front-2 I1203 10:00:01.300000    8 answer.go:264] "Request ended" request_id="a" target="e" pipeline="r" status=200 elapsed="1.3s" stages="702ms" first="400ms" pause="20ms"
+some other line
+   1.4 front-2 I1203 10:00:01.400000    8 answer.go:264] "Request ended" request_id="b" pipeline="r" reason="queue_too_long" status=503 elapsed="2ms"
+`
+
+// An on-call engineer asks where the time of a late answer went: what the holder of the
+// queue says of it and what its own instance says are in different logs.
+func TestReadJoinsTheLinesOfARequest(t *testing.T) {
+	l, err := Read(strings.NewReader(sample))
+	require.NoError(t, err)
+	require.Len(t, l.Requests, 2)
+	a := l.Requests["a"]
+	require.Equal(t, 400*time.Millisecond, a.First)
+	require.Equal(t, &Made{
+		Queued: 150 * time.Millisecond, Called: 550 * time.Millisecond,
+		Taken: 700 * time.Millisecond, Predicted: 800 * time.Millisecond, Left: time.Second,
+	}, a.Made)
+	require.Equal(t, []Call{{At: a.At.Add(-300 * time.Millisecond), Service: "s", Pieces: 3}}, l.Calls)
+
+	var table bytes.Buffer
+	require.NoError(t, l.WriteTable(&table))
+	require.Regexp(t, `r +2 +1 +1 +150 +150 +550`, table.String())
+	require.Regexp(t, `s +1 +3\.0`, table.String())
+
+	dir := t.TempDir()
+	waits, fill := filepath.Join(dir, "w.png"), filepath.Join(dir, "f.png")
+	require.NoError(t, l.Plot(waits, fill))
+	for _, path := range []string{waits, fill} {
+		info, err := os.Stat(path)
+		require.NoError(t, err)
+		require.Positive(t, info.Size())
+	}
+}
+
+func TestReadNamesTheLineAtFault(t *testing.T) {
+	_, err := Read(strings.NewReader("x\nI1203 10:00:01.000000    7 a.go:1] \"Request ended\" request_id=\"a\" elapsed=\"soon\"\n"))
+	require.ErrorContains(t, err, "line 2: elapsed")
+}
