--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -117,7 +117,7 @@
 	Target Target
 	// Service is the target's.
 	Service string
-	Pieces []PieceOrder
+	Pieces  []PieceOrder
 	// Timeout is when the call counts as lost.
 	Timeout time.Duration
 }
