Hold three choices of the planner to tests

Cause: the wait for a target beside the inputs, the late making of large results and a refusal's own time to come back could be taken out by hand and all tests passed.

Change: a test for each; each was seen failing with its choice taken out (the condition replaced by a constant). No code changes.

--- /dev/null
+++ b/coordination/gather/choices_test.go
@@ -0,0 +1,90 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fan is a request whose second stage reads all large results of the first, which are
+// made in data centre x alone.
+func fan(id string, objective time.Time) Request {
+	q := chain(id, 2, 4)
+	q.Stages[0].ResultBytes = 1 << 20
+	q.Objective, q.Deadline = objective, objective.Add(5*time.Second)
+	return q
+}
+
+// spacious is narrow with room for large results.
+var spacious = Shape{Slots: 1, MaxPieces: 8, CallTime: 200 * time.Millisecond, PieceTime: 20 * time.Millisecond, KeepFor: 4 * time.Second, ResultBytes: 64 << 20}
+
+// The target beside a request's inputs is busy for some tens of milliseconds more, and
+// one in another data centre is free. Sent there, each of four pieces would carry 2 MB
+// between data centres. A request that has time waits; one without goes there.
+func TestPiecesWaitForATargetBesideTheirInputs(t *testing.T) {
+	second := func(spare time.Duration) Target {
+		r := newRig(t)
+		r.service("a", spacious, "x")
+		r.service("b", spacious, "x", "y")
+		r.submit(fan("1", r.now.Add(640*time.Millisecond+spare)))
+		// The other takes the target in x just before the first stage ends.
+		r.run(150 * time.Millisecond)
+		other := Request{ID: "other", Route: "o", Key: "k", DataCentre: "x", Stages: []Stage{{Service: "b", Pieces: 2, ResultBytes: 1 << 20}}}
+		r.submit(other)
+		require.Equal(t, "x", r.calls[1].Target.DataCentre)
+		r.run(600 * time.Millisecond)
+		require.Len(t, r.calls, 3)
+		return r.calls[2].Target
+	}
+	require.Equal(t, "x", second(time.Second).DataCentre)
+	require.Equal(t, "y", second(10*time.Millisecond).DataCentre)
+}
+
+// A request needs one large result and a chain of small ones. Made first, the large one
+// lies at its maker while the chain runs, and a dozen of them leave no room there.
+func TestLargeResultsAreMadeLast(t *testing.T) {
+	r := newRig(t)
+	r.service("a", spacious, "x")
+	r.service("b", spacious, "x")
+	r.service("c", spacious, "x")
+	q := chain("1", 0, 2, 2)
+	q.Stages = []Stage{
+		{Service: "a", Pieces: 1, ResultBytes: heldResultBytes},
+		{Service: "b", Pieces: 2, ResultBytes: 1000},
+		{Service: "c", Pieces: 2, ResultBytes: 1000, After: []int{1}},
+	}
+	r.submit(q)
+	require.Len(t, r.calls, 1)
+	require.Equal(t, "b-0", r.calls[0].Target.Name)
+	r.run(250 * time.Millisecond)
+	require.Len(t, r.calls, 3, "the large one beside the last of the chain")
+	r.run(time.Second)
+	require.Len(t, r.completed["1"], 3)
+}
+
+// Two requests are refused in the same moment; one fits soon, the other much later. Told
+// one time to come back, the second would be refused once more.
+func TestRefusedRequestsAreToldTheirOwnTimes(t *testing.T) {
+	r := newRig(t)
+	r.service("a", narrow, "x")
+	for i := range 6 {
+		q := chain(fmt.Sprint(i), 8)
+		q.Objective, q.Deadline = r.now.Add(20*time.Second), r.now.Add(20*time.Second)
+		r.submit(q)
+	}
+	refusal := func(id string, deadline time.Duration) Refused {
+		q := chain(id, 2)
+		q.Priority = 1
+		q.Objective, q.Deadline = r.now.Add(deadline), r.now.Add(deadline)
+		r.submit(q)
+		require.Contains(t, r.refused, id)
+		return r.refused[id]
+	}
+	later, sooner := refusal("later", 500*time.Millisecond), refusal("sooner", 2*time.Second)
+	require.Greater(t, later.RetryAfter, sooner.RetryAfter+time.Second)
+	for _, got := range []Refused{later, sooner} {
+		require.GreaterOrEqual(t, got.RetryAfter, min(got.Needed-got.Left, maxRetryAfter))
+	}
+}
