Leave out the pause of engines that failed; bound what callers say of prompts

Askers eject such engines themselves, and one that is silent is left since it is behind its predictions. So the word of failures, the pause and their test go; a test of excluded engines takes its place.

Also: a prompt's length is bounded where it is read: one that overflows would be predicted to take no time (TestLengthOfAPromptIsBounded).

--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -13,10 +13,6 @@
 	wordDelay = 60 * time.Millisecond
 	// forgetAfter is when a request counts as over of whose end no word came.
 	forgetAfter = 10 * time.Second
-	// failPause is how long an engine that failed gets nothing new; it doubles with
-	// each failure in a row up to failPauseMost.
-	failPause     = 500 * time.Millisecond
-	failPauseMost = 4 * time.Second
 	// cacheShare is the share of an engine's room that is counted on for prompts; the
 	// rest belongs to requests that run.
 	cacheShare = 0.7
@@ -37,9 +33,7 @@
 	cached       map[string]*cachedPart
 	cachedTokens int
 	// slow is how many times the usual time it takes, as a moving average.
-	slow      float64
-	failures  int
-	downUntil time.Time
+	slow float64
 }
 
 // read is a request that an engine reads.
@@ -136,12 +130,6 @@
 	}
 }
 
-// failed notes that the engine failed.
-func (e *engine) failed(now time.Time) {
-	e.downUntil = now.Add(min(failPause<<min(e.failures, 4), failPauseMost))
-	e.failures++
-}
-
 // lost lists the requests of whose end no word came.
 func (e *engine) lost(now time.Time) []string {
 	var ids []string
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -73,7 +73,7 @@
 	}
 	var best Choice
 	var bestCost time.Duration
-	found, bestDown := false, false
+	found := false
 	home := p.home()
 	homeOf := known.homeOf(home)
 	for _, e := range known.engines {
@@ -88,12 +88,11 @@
 		if e.Name == homeOf {
 			cost -= homeAdvantage
 		}
-		down := now.Before(e.downUntil)
-		if found && (down && !bestDown || down == bestDown && cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(e.Incarnation, best.Engine.Incarnation)) >= 0) {
+		if found && cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(e.Incarnation, best.Engine.Incarnation)) >= 0 {
 			continue
 		}
 		best = Choice{Engine: e.Engine, First: wait + duration(seconds), Idle: duration(seconds), unread: unread, wait: wait}
-		bestCost, bestDown, found = cost, down, true
+		bestCost, found = cost, true
 	}
 	return best, found
 }
@@ -142,21 +141,14 @@
 }
 
 // Ended takes in what became of a request.
-func (t *Table) Ended(now time.Time, s Served) {
+func (t *Table) Ended(s Served) {
 	e := t.placed[s.Request]
 	if e == nil {
 		return
 	}
 	r, reading := e.reading[s.Request]
 	t.forget(s.Request)
-	if !reading || s.Engine != e.Incarnation {
-		return
-	}
-	switch {
-	case s.Failed:
-		e.failed(now)
-	case s.First > 0:
-		e.failures, e.downUntil = 0, time.Time{}
+	if reading && s.Engine == e.Incarnation && s.First > 0 {
 		e.learn(r, s.First)
 	}
 }
--- a/coordination/placing/table_test.go
+++ b/coordination/placing/table_test.go
@@ -73,7 +73,7 @@
 func (f *fleet) settle(now time.Time) {
 	slices.SortStableFunc(f.ends, func(a, b end) int { return a.at.Compare(b.at) })
 	for len(f.ends) > 0 && !f.ends[0].at.After(now) {
-		f.table.Ended(f.ends[0].at, f.ends[0].Served)
+		f.table.Ended(f.ends[0].Served)
 		f.ends = f.ends[1:]
 	}
 }
@@ -165,24 +165,18 @@
 	require.NotEqual(t, c.Engine, later.Engine)
 }
 
-// An engine fails what it is sent. It gets nothing for a while, unless all fail.
-func TestFailedEngineIsPassedOver(t *testing.T) {
+// An engine failed the request before, which is to go elsewhere. With all engines
+// excluded there is none.
+func TestExcludedEnginesAreNotChosen(t *testing.T) {
 	f := newFleet(2)
 	p := &Prompt{Pool: "p", Tokens: 2000, Parts: []Part{{"subject", 1900}, {"own", 100}}}
-	fail := func(id string) Choice {
-		c, ok := f.table.Choose(start, p, atHome)
-		require.True(t, ok)
-		f.table.Sent(start, id, p, c)
-		f.table.Ended(start, Served{Request: id, Engine: c.Engine.Incarnation, Failed: true})
-		return c
-	}
-	first, second := fail("1"), fail("2")
+	first, _ := f.table.Choose(start, p, atHome)
+	p.Exclude = []string{first.Engine.Incarnation}
+	second, ok := f.table.Choose(start, p, atHome)
+	require.True(t, ok)
 	require.NotEqual(t, first.Engine, second.Engine)
-	_, ok := f.table.Choose(start, p, atHome)
-	require.True(t, ok, "one that failed is better than none")
-	excluded := *p
-	excluded.Exclude = []string{first.Engine.Incarnation, second.Engine.Incarnation}
-	_, ok = f.table.Choose(start, &excluded, atHome)
+	p.Exclude = append(p.Exclude, second.Engine.Incarnation)
+	_, ok = f.table.Choose(start, p, atHome)
 	require.False(t, ok)
 }
 
@@ -203,7 +197,7 @@
 	}
 	long := &Prompt{Pool: "p", Tokens: 7000, Parts: []Part{{"long", 6300}, {"own", 700}}}
 	f.table.Sent(start, "1", long, Choice{Engine: Engine{Incarnation: "e0"}})
-	f.table.Ended(start, Served{Request: "1"})
+	f.table.Ended(Served{Request: "1"})
 	c, _ := f.table.Choose(start, long, detour)
 	require.Equal(t, "e0", c.Engine.Incarnation)
 }
@@ -263,7 +257,7 @@
 				open[id] = c.Engine.Incarnation
 			case 3:
 				for id, engine := range open {
-					table.Ended(now, Served{Request: id, Engine: engine, First: time.Second, Failed: rapid.Bool().Draw(rt, "failed")})
+					table.Ended(Served{Request: id, Engine: engine, First: time.Duration(rapid.IntRange(0, 2).Draw(rt, "first")) * time.Second})
 					delete(open, id)
 					break
 				}
--- a/coordination/placing/types.go
+++ b/coordination/placing/types.go
@@ -54,6 +54,4 @@
 	Engine string
 	// First is the time from the sending to the first event; 0 without one.
 	First time.Duration
-	// Failed tells that the engine failed.
-	Failed bool
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
-	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
@@ -198,34 +197,6 @@
 // usual load.
 const engineTime = 250 * time.Millisecond
 
-// prompt is what an engine is to read of the request.
-func (q *request) prompt() placing.Prompt {
-	if !q.route.PromptRoute {
-		return placing.Prompt{}
-	}
-	p := placing.Prompt{Pool: q.service, Tokens: q.call.PromptTokens, Exclude: q.excluded}
-	for _, part := range q.call.Prefix {
-		p.Parts = append(p.Parts, placing.Part{ID: part.ID, Tokens: part.Tokens})
-	}
-	return p
-}
-
-// dropResults gives the stages' results back.
-func (q *request) dropResults() { q.release(0) }
-
-// release gives the stages' results back and tells how the engine did that was chosen
-// with them: the time to the first event, or 0 without one.
-func (q *request) release(first time.Duration) {
-	if q.owner != "" {
-		served := placing.Served{Request: q.call.ID, Engine: q.target, First: first}
-		if q.engineFailed {
-			served.Engine, served.Failed = q.engine, true
-		}
-		q.relay.options.Stages.Drop(q.owner, served)
-	}
-	q.owner, q.handles, q.engine, q.engineFailed = "", nil, "", false
-}
-
 // failure is an attempt without a whole answer.
 type failure struct {
 	cause error
@@ -271,7 +242,6 @@
 		q.excluded = q.excluded[:len(q.excluded)-1]
 		q.dropResults()
 	}
-	q.engineFailed = q.engineFailed || (q.engine != "" && q.engine == q.target)
 	switch {
 	case ctx.Err() != nil, q.refused > maxRefused, q.tooLateToSend(time.Now()):
 		return false, err
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -124,8 +124,6 @@
 	// engine is the incarnation that the holder of the stage queue chose for the
 	// request; empty if it chose none.
 	engine string
-	// engineFailed tells that this engine didn't serve it.
-	engineFailed bool
 
 	// headerSent is set once the caller has the head of the answer.
 	headerSent bool
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
 
@@ -64,3 +67,16 @@
 	q.headerSent = true
 	require.Equal(t, broke.Add(5600*time.Millisecond-answerMargin), q.nextEventDue(broke))
 }
+
+// A caller says that its prompt has more tokens than any engine holds, or fewer than
+// none. Taken at its word its length overflows, and an engine counts as idle for it.
+func TestLengthOfAPromptIsBounded(t *testing.T) {
+	q := request{route: &routes.Route{PromptRoute: true}, service: "engines", call: exchange.Call{
+		PromptTokens: math.MaxInt, Prefix: []routing.PrefixPart{{ID: "a", Tokens: math.MinInt}},
+	}}
+	p := q.prompt()
+	require.Equal(t, maxPromptTokens, p.Tokens)
+	require.Equal(t, []placing.Part{{ID: "a", Tokens: 0}}, p.Parts)
+	q.route = &routes.Route{}
+	require.Equal(t, placing.Prompt{}, q.prompt(), "no prompt, no engine to choose")
+}
--- /dev/null
+++ b/daemon/relay/results.go
@@ -0,0 +1,37 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
+)
+
+// prompt is what an engine is to read of the request.
+func (q *request) prompt() placing.Prompt {
+	if !q.route.PromptRoute {
+		return placing.Prompt{}
+	}
+	p := placing.Prompt{Pool: q.service, Tokens: boundTokens(q.call.PromptTokens), Exclude: q.excluded}
+	for _, part := range q.call.Prefix {
+		p.Parts = append(p.Parts, placing.Part{ID: part.ID, Tokens: boundTokens(part.Tokens)})
+	}
+	return p
+}
+
+// maxPromptTokens bounds what a caller may say of its prompt, a few times what the
+// largest engines hold: a length that overflows would be predicted to take no time.
+const maxPromptTokens = 1 << 22
+
+func boundTokens(n int) int { return min(max(n, 0), maxPromptTokens) }
+
+// dropResults gives the stages' results back.
+func (q *request) dropResults() { q.release(0) }
+
+// release gives the stages' results back and tells how the engine did that was chosen
+// with them: the time to the first event, or 0 without one.
+func (q *request) release(first time.Duration) {
+	if q.owner != "" {
+		q.relay.options.Stages.Drop(q.owner, placing.Served{Request: q.call.ID, Engine: q.target, First: first})
+	}
+	q.owner, q.handles, q.engine = "", nil, ""
+}
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -206,7 +206,7 @@
 	for i, s := range served {
 		id := s.Request
 		ids[i] = id
-		o.engines.Ended(time.Now(), s)
+		o.engines.Ended(s)
 		delete(o.prompts, id)
 		delete(o.waiting, id)
 		delete(o.unclaimed, id)
--- /dev/null
+++ b/daemon/stages/served.go
@@ -0,0 +1,112 @@
+package stages
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// Methods by which askers tell of requests that have ended.
+const (
+	methodDrop   = "stages.drop"
+	methodServed = "stages.served"
+)
+
+const (
+	// dropDelay gathers the requests whose results have been read.
+	dropDelay = 30 * time.Millisecond
+	// dropTimeout bounds the word that results have been read.
+	dropTimeout = 2 * time.Second
+)
+
+// Drop tells the holder that a request's results have been read, and how its engine did,
+// or that its caller left. It doesn't wait.
+func (s *Stages) Drop(owner string, served placing.Served) {
+	self, _ := s.cluster.View().Find(s.cluster.View().Self)
+	if owner == self.Address {
+		s.owner.drop(served)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := len(s.dropping[owner]) == 0
+	s.dropping[owner] = append(s.dropping[owner], served)
+	if first {
+		time.AfterFunc(dropDelay, func() { s.sendDrops(owner) })
+	}
+}
+
+func (s *Stages) sendDrops(owner string) {
+	s.mu.Lock()
+	served := s.dropping[owner]
+	delete(s.dropping, owner)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+	defer cancel()
+	if err := s.tellServed(ctx, owner, served); err != nil {
+		// The holder drops them at their deadlines.
+		telemetry.ErrorS(err, "Holder of the stage queue was not told of ended requests", telemetry.Event{Peer: owner, Count: len(served)})
+		s.dropElsewhere(owner, served)
+	}
+}
+
+// tellServed tells a holder of ended requests; one of an earlier version just which
+// they are.
+func (s *Stages) tellServed(ctx context.Context, owner string, served []placing.Served) error {
+	body, err := encode(served)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	if _, err = s.cluster.Call(ctx, owner, methodServed, body); !errors.Is(err, peer.ErrNoMethod) {
+		return err
+	}
+	ids := make([]string, len(served))
+	for i, one := range served {
+		ids[i] = one.Request
+	}
+	if body, err = msgpack.Marshal(ids); err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	_, err = s.cluster.Call(ctx, owner, methodDrop, body)
+	return err
+}
+
+// dropElsewhere tells the present holder of ended requests: it may have them from the
+// one that didn't answer.
+func (s *Stages) dropElsewhere(lost string, served []placing.Served) {
+	next := s.pick(time.Now())
+	if next.Address == lost || next.Address == "" {
+		return
+	}
+	for _, one := range served {
+		s.Drop(next.Address, one)
+	}
+}
+
+func (s *Stages) handleDrop(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var ids []string
+	if err := msgpack.Unmarshal(body, &ids); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	served := make([]placing.Served, len(ids))
+	for i, id := range ids {
+		served[i].Request = id
+	}
+	s.owner.drop(served...)
+	return nil, nil
+}
+
+func (s *Stages) handleServed(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var served []placing.Served
+	if err := msgpack.Unmarshal(body, &served); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	s.owner.drop(served...)
+	return nil, nil
+}
