--- a/coordination/gather/choices_test.go
+++ b/coordination/gather/choices_test.go
@@ -88,3 +88,21 @@
 		require.GreaterOrEqual(t, got.RetryAfter, min(got.Needed-got.Left, maxRetryAfter))
 	}
 }
+
+// A target's room is full of large results that wait for their readers. A piece of 8 KB
+// is still made there: without a part of the room of its own its request would wait half
+// a second and more for the next large result to be read.
+func TestSmallResultsFindRoomBesideLargeOnes(t *testing.T) {
+	r := newRig(t)
+	shape := spacious
+	shape.ResultBytes = 18_000_000
+	r.service("a", shape, "x")
+	for i := range 12 {
+		r.submit(Request{ID: fmt.Sprint(i), Route: "large", Key: "k", Stages: []Stage{{Service: "a", Pieces: 1, ResultBytes: 1_500_000}}})
+	}
+	r.run(time.Second)
+	require.NotContains(t, r.completed, "11", "there is no room for the last large one")
+	r.submit(Request{ID: "small", Route: "small", Key: "k", Stages: []Stage{{Service: "a", Pieces: 1, ResultBytes: 8000}}})
+	r.run(300 * time.Millisecond)
+	require.Contains(t, r.completed, "small")
+}
--- a/coordination/placing/table_test.go
+++ b/coordination/placing/table_test.go
@@ -140,16 +140,26 @@
 // that was read, and must find most subjects where they are.
 func TestNewHolderFindsSubjectsAgain(t *testing.T) {
 	before, after := newFleet(9), newFleet(9)
+	prompt := func(i int) *Prompt {
+		return &Prompt{Pool: "p", Tokens: 1500, Parts: []Part{{fmt.Sprint("subject", i), 1000}, {fmt.Sprint("own", i), 500}}}
+	}
+	placed := map[int]string{}
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 40 * time.Millisecond)
+		before.settle(now)
+		p := prompt(i)
+		c, _ := before.table.Choose(now, p, atHome)
+		before.table.Sent(now, fmt.Sprint(i), p, c)
+		before.send(now, fmt.Sprint(i), p, c.Engine.Incarnation)
+		placed[i] = c.Engine.Incarnation
+	}
 	same := 0
 	for i := range 100 {
-		p := &Prompt{Pool: "p", Tokens: 7000, Parts: []Part{{fmt.Sprint("subject", i), 6000}, {fmt.Sprint("own", i), 1000}}}
-		a, _ := before.table.Choose(start, p, atHome)
-		b, _ := after.table.Choose(start, p, atHome)
-		if a.Engine == b.Engine {
+		if c, _ := after.table.Choose(start, prompt(i), atHome); c.Engine.Incarnation == placed[i] {
 			same++
 		}
 	}
-	require.Equal(t, 100, same)
+	require.Greater(t, same, 75)
 }
 
 // An engine is dead or silent, and no list says so yet. Requests wait there for their
@@ -207,7 +217,7 @@
 	f := newFleet(4)
 	count := map[string]int{}
 	for i := range 400 {
-		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		now := start.Add(time.Duration(i) * 40 * time.Millisecond)
 		f.settle(now)
 		p := &Prompt{Pool: "p", Tokens: 2000, Parts: []Part{{fmt.Sprint("s", i), 1000}, {"own", 1000}}}
 		c, _ := f.table.Choose(now, p, atHome)
