Forget requests of whose ends no word came

Cause: read in the diff. A request that waits for its first event at an engine was forgotten only when the next one was sent there. Were the word of its end lost (its asker cut off, or its results dropped at their deadline), the engine would count as ever further behind its predictions, so that none was sent there, and stay empty for the life of the holder.

Ruled out: a bound in the wait alone: the entry itself would stay.

TestLostWordIsForgotten fails without.

--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -132,7 +132,6 @@
 		return
 	}
 	t.forget(request)
-	t.forget(e.lost(now)...)
 	e.reading[request] = read{
 		sent: now, due: now.Add(c.First), unread: c.unread, alone: c.wait == 0,
 	}
@@ -164,6 +163,19 @@
 	e.pool.model.learn(r.unread, first.Seconds())
 }
 
+// Tick forgets the requests of whose ends no word came.
+//
+// It guards against a word that is lost, as when an asker is cut off: the engine would
+// count as further and further behind, get nothing any more, and so never be found to
+// be well.
+func (t *Table) Tick(now time.Time) {
+	for _, p := range t.pools {
+		for _, e := range p.engines {
+			t.forget(e.lost(now)...)
+		}
+	}
+}
+
 // forget takes requests from their engines.
 func (t *Table) forget(requests ...string) {
 	for _, id := range requests {
--- a/coordination/placing/table_test.go
+++ b/coordination/placing/table_test.go
@@ -175,6 +175,23 @@
 	require.NotEqual(t, c.Engine, later.Engine)
 }
 
+// The word of a request's first event is lost. Its engine counts as behind, but not for
+// ever: it would get nothing any more.
+func TestLostWordIsForgotten(t *testing.T) {
+	f := newFleet(3)
+	p := &Prompt{Pool: "p", Tokens: 2000, Parts: []Part{{"subject", 1900}, {"own", 100}}}
+	c, _ := f.table.Choose(start, p, atHome)
+	f.table.Sent(start, "1", p, c)
+	f.table.Tick(start.Add(forgetAfter))
+	left, _ := f.table.Choose(start.Add(forgetAfter), p, atHome)
+	require.NotEqual(t, c.Engine, left.Engine)
+	later := start.Add(forgetAfter + time.Millisecond)
+	f.table.Tick(later)
+	again, _ := f.table.Choose(later, p, atHome)
+	require.Equal(t, c.Engine, again.Engine)
+	require.Empty(t, f.table.placed)
+}
+
 // An engine failed the request before, which is to go elsewhere. With all engines
 // excluded there is none.
 func TestExcludedEnginesAreNotChosen(t *testing.T) {
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -128,6 +128,7 @@
 		case now := <-ticker.C:
 			o.mu.Lock()
 			idle := o.planner.Held() == 0
+			o.engines.Tick(now)
 			o.mu.Unlock()
 			o.dropUnclaimed(now)
 			o.dropReaderless(now, view())
