Say how old an instance's knowledge of targets is

Cause: nothing told that an instance had heard nothing for 18 s: a second failure in a row wasn't logged, and lines of requests and stage calls didn't say by which knowledge their target was chosen. Ruled out: the age on the readiness answer: nobody reads its body. Change: metric follow_known_age by kind; known on the lines of requests, stage calls and calls to the store; each failed call about a kind is logged with the time that it had waited. No logic is different.

--- a/daemon/follow/confirm_test.go
+++ b/daemon/follow/confirm_test.go
@@ -107,7 +107,7 @@
 		f := newConfirming(store)
 		go func() {
 			time.Sleep(200 * time.Millisecond) // virtual: the watch answers meanwhile
-			f.noteCall(t.Context(), "config", nil)
+			f.noteCall(t.Context(), "config", time.Now(), nil)
 		}()
 		require.True(t, f.Confirm(t.Context()))
 		time.Sleep(800 * time.Millisecond) // virtual
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -93,6 +93,8 @@
 	refusals refusals
 	// failed counts calls in a row without an answer, by kind.
 	failed map[string]int
+	// known is when the store last answered about a kind.
+	known map[string]time.Time
 	// heard is when the store last told of the configuration.
 	heard time.Time
 	// standIn is until when this instance watches in place of the watchers.
@@ -106,7 +108,7 @@
 
 // New returns a follower that knows nothing yet.
 func New(o Options) *Follower {
-	return &Follower{options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), failed: map[string]int{}}
+	return &Follower{options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), failed: map[string]int{}, known: map[string]time.Time{}}
 }
 
 // Table returns the configuration in force; nil before the first.
@@ -132,6 +134,7 @@
 	var revision uint64
 	for ctx.Err() == nil {
 		var err error
+		started := time.Now()
 		if revision == 0 {
 			var l platformapi.List
 			if l, err = f.options.Store.List(ctx, kind); err == nil {
@@ -141,6 +144,7 @@
 			}
 		} else {
 			f.awaitDuty(ctx)
+			started = time.Now()
 			var w platformapi.Watch
 			w, err = f.options.Store.Watch(ctx, []string{kind}, revision, watchWait)
 			if errors.Is(err, platform.ErrCompacted) {
@@ -156,35 +160,41 @@
 				revision = max(revision, w.Revision)
 			}
 		}
-		f.noteCall(ctx, kind, err)
+		f.noteCall(ctx, kind, started, err)
 	}
 }
 
-// noteCall notes whether the store answered, and pauses if it didn't.
-func (f *Follower) noteCall(ctx context.Context, kind string, err error) {
+// noteCall notes whether the store answered a call that began at a time, and pauses if it
+// didn't.
+func (f *Follower) noteCall(ctx context.Context, kind string, started time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	now := time.Now()
 	f.mu.Lock()
 	failed := f.failed[kind]
+	told := telemetry.Event{Record: kind, Count: failed, Elapsed: now.Sub(started), Known: f.ageOf(now, kind)}
 	if err == nil {
 		f.failed[kind] = 0
+		f.known[kind] = now
 	} else {
 		f.failed[kind]++
 		f.scope.Counter("store_failures").Inc(1)
 		if !errors.Is(err, platform.ErrBudget) && !errors.Is(err, platform.ErrOutage) {
-			f.roster.StoreFailed(time.Now())
+			f.roster.StoreFailed(now)
 		}
 	}
 	if err == nil && kind == f.options.Source.ConfigKind {
-		f.heard = time.Now()
+		f.heard = now
 	}
 	f.mu.Unlock()
 	switch {
 	case err == nil && failed > 0:
-		telemetry.InfoS("Store answers again", telemetry.Event{Record: kind, Count: failed})
+		telemetry.InfoS("Store answers again", told)
 	case err != nil && failed == 0:
-		telemetry.ErrorS(err, "Store doesn't answer", telemetry.Event{Record: kind})
+		telemetry.ErrorS(err, "Store doesn't answer", told)
+	case err != nil:
+		telemetry.ErrorS(err, "Store still doesn't answer", told)
 	}
 	if err != nil {
 		pause(ctx, min(retryMin<<min(failed, 3), retryMax)+rand.N(retryMin))
--- a/daemon/follow/targets.go
+++ b/daemon/follow/targets.go
@@ -183,6 +183,7 @@
 			f.mu.Lock()
 			f.roster.Tick(now)
 			f.rosterChanged(now)
+			f.measureAges(now)
 			f.mu.Unlock()
 			f.spreadGone()
 		}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -141,11 +141,12 @@
 	g.cluster.Handle(methodHears, func(context.Context, peer.Peer, []byte) ([]byte, error) {
 		return msgpack.Marshal(g.follower.Hears())
 	}, peer.Idempotent())
-	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower.Leaving, t.Scope)
+	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect: p.Dialect,
 		Table:   g.follower.Table,
 		Confirm: g.follower.Confirm,
+		Known:   g.follower.TargetsAge,
 		Router:  g.router,
 		Client:  g.client,
 		Shares:  g.sharesOf,
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -264,7 +264,7 @@
 	telemetry.InfoS("Request ended", telemetry.Event{
 		RequestID: q.call.ID, Pipeline: route, Target: q.target, Reason: q.reason,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused, Head: q.head,
-		Stages: q.parts.stages, First: q.parts.first, Pause: q.parts.pause,
+		Stages: q.parts.stages, First: q.parts.first, Pause: q.parts.pause, Known: q.known,
 	})
 	q.relay.metrics.ended(status, q.reason, time.Since(q.arrived))
 	q.relay.metrics.took(&q.parts)
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -61,6 +61,7 @@
 		return false, errNoTimeToSend
 	}
 	q.target = choice.Target.Incarnation
+	q.known = q.relay.options.Known()
 	q.parts.sent = started
 	handle := q.relay.options.Router.Started(started, q.target, 1)
 	outcome, err := q.exchange(ctx, choice.Target)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -46,8 +46,10 @@
 	Table func() *routes.Table
 	// Confirm asks whether a newer configuration exists.
 	Confirm func(ctx context.Context) bool
-	Router  *routing.Table
-	Client  *forward.Client
+	// Known tells how old the knowledge of the targets is.
+	Known  func() time.Duration
+	Router *routing.Table
+	Client *forward.Client
 	// Shares tells which share of a service's targets each data centre has.
 	Shares  func(service string) map[string]float64
 	Stages  Maker
@@ -118,6 +120,8 @@
 	// paid tells that the budget has given the next attempt.
 	paid   atomic.Bool
 	target string
+	// known is how old the knowledge was by which the target was chosen.
+	known time.Duration
 	// stage results
 	handles []string
 	owner   string
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -16,7 +16,7 @@
 
 // call carries out one stage call.
 func (o *Owner) call(c gather.StartCall) {
-	started := time.Now()
+	started, known := time.Now(), o.follower.TargetsAge()
 	results, how, err := o.exchange(c)
 	if err != nil {
 		telemetry.ErrorS(err, "Stage call failed", telemetry.Event{
@@ -25,12 +25,12 @@
 		})
 	}
 	telemetry.InfoS("Stage call ended", telemetry.Event{
-		Target: c.Target.Incarnation, Pool: c.Service, Count: len(c.Pieces), Reason: callOutcomes[how], Elapsed: time.Since(started),
+		Target: c.Target.Incarnation, Pool: c.Service, Count: len(c.Pieces), Reason: callOutcomes[how], Elapsed: time.Since(started), Known: known,
 	})
 	o.metrics.call(callOutcomes[how], time.Since(started))
 	o.noteFailures(c, results)
 	if how == gather.CallWrongTarget {
-		o.leaving(c.Target.Incarnation)
+		o.follower.Leaving(c.Target.Incarnation)
 	}
 	o.callEnded(c.ID, how, results)
 	o.mu.Lock()
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -38,9 +38,9 @@
 type Owner struct {
 	dialect exchange.Dialect
 	client  *forward.Client
-	// leaving is told of targets that another process replaced.
-	leaving func(incarnation string)
-	metrics metrics
+	// follower is told of targets that another process replaced.
+	follower Follower
+	metrics  metrics
 	// passEnd and passDrops tell the instance that has the queue of the end of a call
 	// and of requests that nobody waits for.
 	passEnd   func(to string, call uint64, how gather.CallOutcome, results []gather.PieceResult)
@@ -71,19 +71,19 @@
 	movedTo string
 }
 
-func newOwner(d exchange.Dialect, client *forward.Client, leaving func(string), m metrics) *Owner {
+func newOwner(d exchange.Dialect, client *forward.Client, follower Follower, m metrics) *Owner {
 	return &Owner{
-		dialect: d,
-		client:  client,
-		leaving: leaving,
-		metrics: m,
-		planner: gather.New(gather.Config{}),
-		engines: placing.NewTable(),
-		prompts: map[string]placing.Prompt{},
-		waiting: map[string]chan outcome{},
-		freeing: map[gather.Target][]string{},
-		readers: map[string]reading{},
-		handing: newHanding(),
+		dialect:  d,
+		client:   client,
+		follower: follower,
+		metrics:  m,
+		planner:  gather.New(gather.Config{}),
+		engines:  placing.NewTable(),
+		prompts:  map[string]placing.Prompt{},
+		waiting:  map[string]chan outcome{},
+		freeing:  map[gather.Target][]string{},
+		readers:  map[string]reading{},
+		handing:  newHanding(),
 	}
 }
 
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -50,6 +50,14 @@
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
 }
 
+// Follower is what the package needs of the follower of the platform's entries.
+type Follower interface {
+	// Leaving is told of an incarnation that takes nothing new.
+	Leaving(incarnation string)
+	// TargetsAge is how old the knowledge of the targets is.
+	TargetsAge() time.Duration
+}
+
 // Stages makes stage results for this instance's requests and, while it holds
 // the queue, for those of others.
 type Stages struct {
@@ -73,10 +81,10 @@
 }
 
 // New registers the methods that other instances call.
-func New(c Cluster, d exchange.Dialect, client *forward.Client, leaving func(incarnation string), scope tally.Scope) *Stages {
+func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, scope tally.Scope) *Stages {
 	s := &Stages{
 		cluster:  c,
-		owner:    newOwner(d, client, leaving, newMetrics(scope)),
+		owner:    newOwner(d, client, follower, newMetrics(scope)),
 		avoided:  map[string]time.Time{},
 		dropping: map[string][]placing.Served{},
 		asking:   map[string]*asking{},
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -42,13 +42,16 @@
 	// Needed is the time that work was predicted to take, Left the time that there
 	// was for it, and RetryAfter when its caller was told to come back.
 	Needed, Left, RetryAfter time.Duration
+	// Known is how old the instance's knowledge was by which it acted: the time since
+	// the store last answered about it.
+	Known time.Duration
 	// Address is an IP:port that the instance listens on or connects to.
 	Address string
 }
 
 // maxPairs is the number of keys and values that an Event and an instance
 // make at most.
-const maxPairs = 2 * 21
+const maxPairs = 2 * 22
 
 // pairs lists the fields that are set, as klog wants them.
 func (e *Event) pairs() []any {
@@ -79,6 +82,7 @@
 	kv = appendDuration(kv, "needed", e.Needed)
 	kv = appendDuration(kv, "left", e.Left)
 	kv = appendDuration(kv, "retry_after", e.RetryAfter)
+	kv = appendDuration(kv, "known", e.Known)
 	return appendText(kv, "address", e.Address)
 }
 
