Bring about what happens after a silence of the store, failing

Cause: requests and stage calls reached targets up to 3.5 s after they had left, once the platform's store had been silent for some seconds. Change: a store in virtual time that is silent at every point of a watch's term, for 0.3 to 9.6 s, before followers as they run. A target leaves with a word, or without one, 3 s after the store's return; a version of the configuration is written at it; entries run out meanwhile and come back.

--- /dev/null
+++ b/daemon/follow/silence_test.go
@@ -0,0 +1,367 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// Bounds that the users set, counted from the store's acknowledgement.
+const (
+	// leavingBound is the time after which a target that left gets nothing new.
+	leavingBound = 2 * time.Second
+	// configBound is the time within which a configuration is in force.
+	configBound = 2 * time.Second
+	// settledAfter is the time after the store's return from which on both hold.
+	settledAfter = 3 * time.Second
+	// returnBound is the time after the store's return within which entries are back
+	// that ran out meanwhile.
+	returnBound = 2 * time.Second
+)
+
+// Times of the store of these tests and of its client.
+const (
+	answerTime  = 4 * time.Millisecond
+	watchSlack  = time.Second
+	callTimeout = 2 * time.Second
+)
+
+// silence is a time in which the store answers nobody.
+type silence struct{ from, to time.Time }
+
+// timedStore is a store in virtual time. While it is silent it receives nothing: a
+// watch that is sent then is never answered, also not once the store is back.
+type timedStore struct {
+	platform.Store
+
+	mu       sync.Mutex
+	silences []silence
+	revision uint64
+	history  []change
+	objects  map[string]map[string]platformapi.Object
+	changed  chan struct{}
+	watches  int
+}
+
+type change struct {
+	kind  string
+	event platformapi.Event
+}
+
+func newTimedStore() *timedStore {
+	return &timedStore{objects: map[string]map[string]platformapi.Object{}, changed: make(chan struct{})}
+}
+
+// silent has the store answer nobody from now on for a while.
+func (s *timedStore) silent(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences = append(s.silences, silence{time.Now(), time.Now().Add(d)})
+}
+
+func (s *timedStore) isSilent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.silences, func(x silence) bool { return !now.Before(x.from) && now.Before(x.to) })
+}
+
+// put writes an object; an empty spec removes it.
+func (s *timedStore) put(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := platformapi.Object{Metadata: platformapi.Metadata{Name: name, Revision: s.revision}, Spec: []byte(spec)}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]platformapi.Object{}
+	}
+	s.objects[kind][name] = o
+	if spec == "" {
+		delete(s.objects[kind], name)
+	}
+	s.history = append(s.history, change{kind, platformapi.Event{Object: o, Deleted: spec == ""}})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// unanswered waits until a call that is never answered is given up.
+func unanswered(ctx context.Context, until time.Time) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(until)):
+	}
+	return errNoAnswer
+}
+
+func (s *timedStore) List(ctx context.Context, kind string) (platformapi.List, error) {
+	if s.isSilent(time.Now()) {
+		return platformapi.List{}, unanswered(ctx, time.Now().Add(callTimeout))
+	}
+	time.Sleep(answerTime) // virtual
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := platformapi.List{Revision: s.revision}
+	for _, o := range s.objects[kind] {
+		l.Items = append(l.Items, o)
+	}
+	return l, nil
+}
+
+func (s *timedStore) Get(ctx context.Context, kind, name string) (*platformapi.Object, error) {
+	if s.isSilent(time.Now()) {
+		return nil, unanswered(ctx, time.Now().Add(callTimeout))
+	}
+	time.Sleep(answerTime) // virtual
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	return &o, nil
+}
+
+func (s *timedStore) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.Watch, error) {
+	begun := time.Now()
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
+	if s.isSilent(begun) {
+		return platformapi.Watch{}, unanswered(ctx, begun.Add(wait+watchSlack))
+	}
+	over := time.After(wait)
+	for {
+		w, changed := s.since(kinds, from)
+		if len(w.Events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-over:
+			case <-ctx.Done():
+				return platformapi.Watch{}, ctx.Err()
+			}
+			w, _ = s.since(kinds, from)
+		}
+		time.Sleep(answerTime) // virtual
+		if s.isSilent(time.Now()) {
+			return platformapi.Watch{}, unanswered(ctx, begun.Add(wait+watchSlack))
+		}
+		return w, nil
+	}
+}
+
+func (s *timedStore) since(kinds []string, from uint64) (platformapi.Watch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := platformapi.Watch{Revision: s.revision}
+	for _, c := range s.history {
+		if c.event.Object.Metadata.Revision > from && slices.Contains(kinds, c.kind) {
+			w.Events = append(w.Events, c.event)
+		}
+	}
+	return w, s.changed
+}
+
+// fleet is a number of followers in front of one store, each of which hears at once what
+// another learned.
+type fleet struct {
+	t         *testing.T
+	store     *timedStore
+	followers []*Follower
+
+	mu sync.Mutex
+	// usable are the names of the targets in use at each follower.
+	usable [][]string
+	// least is the lowest number of targets that any follower ever had since it had all.
+	least int
+}
+
+// newFleet starts followers that know targets a, b and c and a configuration. change may
+// alter the options of each.
+func newFleet(t *testing.T, size int, change func(fl *fleet, i int, o *Options)) *fleet {
+	fl := &fleet{t: t, store: newTimedStore(), usable: make([][]string, size)}
+	fl.store.put("config", "main", "1")
+	for _, name := range []string{"a", "b", "c"} {
+		fl.store.put("targets", name, "ready")
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for i := range size {
+		o := fl.options(i)
+		if change != nil {
+			change(fl, i, &o)
+		}
+		fl.followers = append(fl.followers, New(o))
+	}
+	for _, f := range fl.followers {
+		running.Go(func() { _ = f.Run(ctx) }) // it has no errors
+	}
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+	})
+	fl.sleep(100 * time.Millisecond)
+	fl.mu.Lock()
+	fl.least = 3
+	fl.mu.Unlock()
+	for i := range size {
+		require.Equal(t, []string{"a", "b", "c"}, fl.usableAt(i))
+	}
+	return fl
+}
+
+func (fl *fleet) options(i int) Options {
+	return Options{
+		Store: fl.store,
+		Source: Source{
+			ConfigKind: "config", ConfigName: "main", TargetKind: "targets",
+			DecodeConfig: func(_ []byte, revision uint64) (*routes.Table, error) {
+				return &routes.Table{Revision: revision}, nil
+			},
+			DecodeTarget: func(name string, spec []byte) (routes.Target, error) {
+				return routes.Target{Name: name, Service: "s", Leaving: string(spec) == "leaving"}, nil
+			},
+		},
+		Spread: func(r spread.Record) {
+			go fl.tell(i, r)
+		},
+		OnChange: func(_ time.Time, _ *routes.Table, usable map[string][]routes.Target) {
+			var names []string
+			for _, t := range usable["s"] {
+				names = append(names, t.Name)
+			}
+			fl.mu.Lock()
+			defer fl.mu.Unlock()
+			fl.usable[i] = names
+			fl.least = min(fl.least, len(names))
+		},
+		OnLeaving: func(time.Time, string) {},
+		Scope:     tally.NoopScope,
+	}
+}
+
+// tell has the other followers hear what one learned.
+func (fl *fleet) tell(from int, r spread.Record) {
+	for i, f := range fl.followers {
+		if i != from {
+			f.Receive(r)
+		}
+	}
+}
+
+func (fl *fleet) usableAt(i int) []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Clone(fl.usable[i])
+}
+
+func (fl *fleet) sleep(d time.Duration) {
+	time.Sleep(d) // virtual
+	synctest.Wait()
+}
+
+// silences are times at which a silence of the store begins, and how long it lasts: at
+// every point of a watch's term, shorter and longer than a lease.
+func silences(test func(begins, lasts time.Duration)) {
+	for begins := 10 * time.Second; begins < 19*time.Second; begins += 700 * time.Millisecond {
+		for _, lasts := range []time.Duration{300 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second, 9600 * time.Millisecond} {
+			test(begins, lasts)
+		}
+	}
+}
+
+// A caller's request reaches a target 2.8 s after the target's word that it leaves. The
+// platform's store had been silent for six seconds until three seconds before. A watch of
+// the targets that went out meanwhile was never received, and its silence can't be told
+// from that of a store without news: it waited out its term of 9 s, long after the store
+// was back, and the instance knew nothing of what left.
+func TestLeavingAfterASilenceIsHeard(t *testing.T) {
+	silences(func(begins, lasts time.Duration) {
+		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 1, nil)
+				fl.sleep(begins)
+				fl.store.silent(lasts)
+				fl.sleep(lasts + settledAfter)
+				fl.store.put("targets", "a", "leaving")
+				fl.sleep(leavingBound)
+				require.Equal(t, []string{"b", "c"}, fl.usableAt(0))
+			})
+		})
+	})
+}
+
+// The same with a target that leaves without a word: its entry is removed. The instance
+// hears of it, and goes on sending it work for 2.2 s: so long it keeps what vanishes while
+// the store is away, counted from the failure of a watch that had been deaf since before
+// the store's return.
+func TestRemovalAfterASilenceTakesEffect(t *testing.T) {
+	silences(func(begins, lasts time.Duration) {
+		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 1, nil)
+				fl.sleep(begins)
+				fl.store.silent(lasts)
+				fl.sleep(lasts + settledAfter)
+				fl.store.put("targets", "a", "")
+				fl.sleep(leavingBound)
+				require.Equal(t, []string{"b", "c"}, fl.usableAt(0))
+			})
+		})
+	})
+}
+
+// The same with a version of the configuration that is written as the store is back: a key
+// that it takes away serves on for seconds.
+func TestConfigurationAfterASilenceIsInForce(t *testing.T) {
+	silences(func(begins, lasts time.Duration) {
+		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 1, nil)
+				fl.sleep(begins)
+				fl.store.silent(lasts)
+				fl.sleep(lasts)
+				fl.store.put("config", "main", "2")
+				written := fl.store.revision
+				fl.sleep(max(settledAfter, configBound))
+				require.Equal(t, written, fl.followers[0].Table().Revision)
+			})
+		})
+	})
+}
+
+// Leases run out while the store is silent, though all targets live; their entries are back
+// two seconds after the store is. An instance that hears of the removals at once must keep
+// the targets until then: its callers would be refused.
+func TestEntriesThatRanOutAreKeptUntilTheyAreBack(t *testing.T) {
+	silences(func(begins, lasts time.Duration) {
+		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 1, nil)
+				fl.sleep(begins)
+				fl.store.silent(lasts)
+				fl.sleep(lasts - 100*time.Millisecond)
+				for _, name := range []string{"a", "b", "c"} {
+					fl.store.put("targets", name, "")
+				}
+				fl.sleep(100*time.Millisecond + returnBound)
+				for _, name := range []string{"a", "b", "c"} {
+					fl.store.put("targets", name, "ready")
+				}
+				fl.sleep(12 * time.Second)
+				require.Equal(t, 3, fl.least)
+			})
+		})
+	})
+}
