Notice a silent store within two seconds of its return

Callers saw nothing of it, but their requests and stage calls reached targets up to 3.5 s after these had left, and a configuration was in force up to 9 s late. Cause: the silence of a watch was taken for the state of the store. (1) A watch that went out while the store was silent is never received; it waited out its term of 9 s, on all instances at once, though the store was back. (2) When it failed at last, its failure was taken for a sign that the store was away now, and targets whose entries were removed stayed in use for 2.2 s more. The two can't be mended apart: who hears of removals at the store's return, and counts the time for entries that ran out from the last failure, drops all targets that live (the fourth test). Ruled out: short terms of all watches (a call a second of each instance); reads beside the watches (show that the store lives, not the watch). Change: coordination/watching. A failed call is followed by a watch that doesn't wait; the first watcher has short terms; the others ask for its word and take its place where it is silent or old; a watch that went out before the store's return is sent again. Kept entries count from the store's return. A target that leaves without a word just as all watches are lost and the first watcher dies is left open (docs/design/freshness.md).

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -180,8 +180,12 @@
 	return true
 }
 
-// StoreFailed notes that the store didn't answer.
-func (r *Roster) StoreFailed(now time.Time) { r.troubled = now }
+// StoreFailed notes that the store was away at a time, or came back then.
+func (r *Roster) StoreFailed(at time.Time) {
+	if at.After(r.troubled) {
+		r.troubled = at
+	}
+}
 
 // Tick drops entries whose grace is over. It tells when the next one is due;
 // zero if none is.
--- /dev/null
+++ b/coordination/watching/watching.go
@@ -0,0 +1,247 @@
+// Package watching decides how an instance keeps what it knows of the platform's store
+// fresh: how long its watches wait, which one is to be sent again, whose word it takes
+// for the store's, and when it has to watch itself.
+//
+// A watch that waits looks the same whether there is no news or nobody listens. One that
+// was sent while the store was silent is never answered, also not once the store is back;
+// so the silence of a watch proves nothing for longer than its term, and a short term
+// costs calls. Therefore the first watcher of a fleet alone watches with short terms. The
+// others ask one another how old their knowledge is, hear of news as records are spread,
+// and take its place where it is silent.
+//
+// Tracker is a pure state machine: time is an argument. It is not safe for concurrent use.
+package watching
+
+import "time"
+
+// Part is what one watch follows.
+type Part string
+
+// The parts of what is known of a store.
+const (
+	Configuration Part = "configuration"
+	Targets       Part = "targets"
+)
+
+// Times of watches, and bounds of the word of others.
+const (
+	// longTerm is how long a watch waits whose silence somebody else would notice.
+	longTerm = 8 * time.Second
+	// shortTerm is how long the watches of the first watcher wait. With the slack that
+	// its client grants and the pause after a failure it bounds the time after which a
+	// deaf watch is sent again: within the three seconds after a disruption of the store
+	// in which no bound holds.
+	shortTerm = 800 * time.Millisecond
+	// wordAge is how old a watcher's knowledge may be for its word to count: a short
+	// term, an answer of a slow store, and the time between two questions.
+	wordAge = 2500 * time.Millisecond
+	// silentRounds without a word that counts have an instance watch for itself.
+	silentRounds = 2
+	// maxPlace is the last place of a watcher that waits for those before it to take
+	// over. It bounds the time until anyone does.
+	maxPlace = 3
+	// standInFor is how long an instance watches for itself before it asks whether that
+	// is still needed.
+	standInFor = 6 * time.Second
+)
+
+// NoWatcher is the place of an instance that leaves the watching to others.
+const NoWatcher = -1
+
+// Word is what an instance tells another of its knowledge.
+type Word struct {
+	// Known tells whether the instance knows everything as of Age ago.
+	Known bool
+	Age   time.Duration
+	// Recovered is how long ago the store answered again after a failure; 0 if that
+	// isn't known.
+	Recovered time.Duration
+}
+
+// Counts tells whether an instance needs no watch of its own beside such a word.
+func (w Word) Counts() bool { return w.Known && w.Age <= wordAge }
+
+// Tracker is what an instance knows of its watches.
+type Tracker struct {
+	parts map[Part]*watch
+	// place is this instance's among the watchers, 0 for the first.
+	place int
+	// proof is the latest begin of a call that was answered.
+	proof time.Time
+	// recovered is when the store is last known to have answered again after a failure.
+	recovered time.Time
+	// told is as of when another instance knows everything.
+	told    time.Time
+	silent  int
+	standIn time.Time
+}
+
+// watch is the state of a part's watch.
+type watch struct {
+	// known is as of when the store has told everything.
+	known time.Time
+	// sent is the begin of the call in progress; zero if there is none.
+	sent   time.Time
+	term   time.Duration
+	failed int
+}
+
+// New returns a tracker of an instance that is the first watcher.
+func New() *Tracker {
+	return &Tracker{parts: map[Part]*watch{Configuration: {}, Targets: {}}}
+}
+
+// SetPlace takes this instance's place among the watchers: 0 for the first, NoWatcher for
+// one that leaves it to others.
+func (t *Tracker) SetPlace(place int) { t.place = place }
+
+// Watches tells whether the instance is to call the store.
+func (t *Tracker) Watches(now time.Time) bool {
+	return t.place != NoWatcher || now.Before(t.standIn)
+}
+
+// isFirst tells whether the instance's watches are those that notice a silent store.
+func (t *Tracker) isFirst(now time.Time) bool {
+	return t.place == 0 || (t.place > 0 && now.Before(t.standIn))
+}
+
+// Begin notes that a call about a part begins, and returns how long its watch is to wait.
+//
+// After a failure it doesn't wait: a store that is back is noticed with its first answer,
+// and not with its first news or at the end of a term.
+func (t *Tracker) Begin(now time.Time, part Part) time.Duration {
+	p := t.parts[part]
+	p.sent = now
+	switch {
+	case p.failed > 0:
+		p.term = 0
+	case t.isFirst(now):
+		p.term = shortTerm
+	default:
+		p.term = longTerm
+	}
+	return p.term
+}
+
+// Answered notes the store's answer. It tells whether the store is back: it didn't answer
+// the call before.
+func (t *Tracker) Answered(now time.Time, part Part) (back bool) {
+	p := t.parts[part]
+	back = p.failed > 0
+	if back {
+		t.recovered = now
+	}
+	t.proof = latest(t.proof, p.sent)
+	p.failed = 0
+	p.known = now
+	p.sent = time.Time{}
+	return back
+}
+
+// Failed notes that the store didn't answer. It tells whether that shows that the store is
+// away now. The failure of a deaf watch doesn't: a later call was answered, and so the
+// store was away before that.
+func (t *Tracker) Failed(part Part) (away bool) {
+	p := t.parts[part]
+	away = !t.proof.After(p.sent)
+	p.failed++
+	p.sent = time.Time{}
+	return away
+}
+
+// Held notes that a call was held back here and never left. It tells nothing of the store.
+func (t *Tracker) Held(part Part) { t.parts[part].sent = time.Time{} }
+
+// Failures returns how many calls about a part in a row had no answer.
+func (t *Tracker) Failures(part Part) int { return t.parts[part].failed }
+
+// Resend tells whether the watch in progress is to be sent again: it proves nothing, since
+// it went out before the store was back, or its term is longer than it may be by now.
+func (t *Tracker) Resend(now time.Time, part Part) bool {
+	p := t.parts[part]
+	if p.sent.IsZero() {
+		return false
+	}
+	return p.sent.Before(t.recovered) || (t.isFirst(now) && p.term > shortTerm)
+}
+
+// Recovered returns when the store is last known to have answered again; zero if it isn't
+// known to have failed.
+func (t *Tracker) Recovered() time.Time { return t.recovered }
+
+// Age returns how old the knowledge of a part is, by the store's own answers and by the
+// word of others; 0 if there was none.
+func (t *Tracker) Age(now time.Time, part Part) time.Duration {
+	known := t.parts[part].known
+	if known.IsZero() {
+		return 0
+	}
+	return now.Sub(latest(known, t.told))
+}
+
+// Word returns what other instances are told.
+func (t *Tracker) Word(now time.Time) Word {
+	w := Word{Known: true}
+	for part, p := range t.parts {
+		w.Known = w.Known && !p.known.IsZero()
+		w.Age = max(w.Age, t.Age(now, part))
+	}
+	if !t.recovered.IsZero() {
+		w.Recovered = now.Sub(t.recovered)
+	}
+	return w
+}
+
+// Asks tells which of the watchers is to be asked for its word, by a number below count;
+// false if none: this instance is the first. A watcher asks those before it in turn, from
+// the first on, so that one alone takes the place of one that is silent. Who doesn't watch
+// asks any of them, drawn by random.
+func (t *Tracker) Asks(count int, random func(n int) int) (nth int, ask bool) {
+	switch {
+	case t.place == 0 || count == 0:
+		return 0, false
+	case t.place == NoWatcher:
+		return random(count), true
+	default:
+		return t.silent % min(t.place, count), true
+	}
+}
+
+// Heard takes in a watcher's answer; a zero Word if there was none. asked is when it was
+// asked. It tells whether this instance begins to watch for itself.
+func (t *Tracker) Heard(asked, now time.Time, w Word) (standsIn bool) {
+	if w.Recovered > 0 {
+		// Rather too late than too early: a watch between the two would stay deaf.
+		t.recovered = latest(t.recovered, now.Add(-w.Recovered))
+	}
+	if w.Counts() {
+		t.told = latest(t.told, asked.Add(-w.Age))
+		t.silent = 0
+		if t.place != NoWatcher {
+			t.standIn = time.Time{}
+		}
+		return false
+	}
+	t.silent++
+	if t.silent < t.patience() {
+		return false
+	}
+	standsIn = now.After(t.standIn)
+	t.standIn = now.Add(standInFor)
+	return standsIn
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// patience is how many rounds without a word an instance bears.
+func (t *Tracker) patience() int {
+	if t.place == NoWatcher {
+		return silentRounds
+	}
+	return silentRounds + min(t.place, maxPlace) - 1
+}
--- a/daemon/follow/confirm_test.go
+++ b/daemon/follow/confirm_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/coordination/watching"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
@@ -107,7 +108,7 @@
 		f := newConfirming(store)
 		go func() {
 			time.Sleep(200 * time.Millisecond) // virtual: the watch answers meanwhile
-			f.noteCall(t.Context(), "config", time.Now(), nil)
+			f.noteAnswer(followed{part: watching.Configuration})
 		}()
 		require.True(t, f.Confirm(t.Context()))
 		time.Sleep(800 * time.Millisecond) // virtual
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -18,6 +18,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/roster"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/coordination/watching"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -26,13 +27,13 @@
 
 // Times of the follower.
 const (
-	// watchWait is how long one watch waits. It is also the longest that a
-	// watch can stay unnoticed which the store has forgotten.
-	watchWait = 8 * time.Second
 	// retryMin and retryMax bound the pause after a call that failed. The store
 	// must be heard within two seconds of its return.
 	retryMin = 150 * time.Millisecond
 	retryMax = 700 * time.Millisecond
+	// standInRetryMax bounds it where the watchers do the same: many instances that
+	// call a store which is away add nothing.
+	standInRetryMax = 2 * time.Second
 	// rosterTick is how often entries are looked at whose grace may be over.
 	rosterTick = 200 * time.Millisecond
 )
@@ -66,10 +67,8 @@
 	// OnChange is told the configuration and the usable targets after each
 	// change of either. Calls don't overlap.
 	OnChange func(now time.Time, t *routes.Table, usable map[string][]routes.Target)
-	// Watches tells whether this instance is one of those that watch the store;
-	// nil if all do. AskWatcher asks one of them whether it hears the store.
-	Watches    func() bool
-	AskWatcher func(ctx context.Context) bool
+	// Fleet are the other instances; nil if there are none.
+	Fleet Fleet
 	// AskConfirmer asks the instance that confirms for all others for the newest
 	// revision that the store tells it; false if this is that instance, or if it
 	// doesn't know. Nil if each asks for itself.
@@ -91,14 +90,12 @@
 	roster *roster.Roster
 	// refusals are the entries that name no target, as far as they were logged.
 	refusals refusals
-	// failed counts calls in a row without an answer, by kind.
-	failed map[string]int
-	// known is when the store last answered about a kind.
-	known map[string]time.Time
+	// watching decides how the store is watched.
+	watching *watching.Tracker
+	// sent ends the calls in progress, by what they are about.
+	sent map[watching.Part]context.CancelCauseFunc
 	// heard is when the store last told of the configuration.
 	heard time.Time
-	// standIn is until when this instance watches in place of the watchers.
-	standIn time.Time
 
 	confirming singleflight.Group
 	// unconfirmed is when the store was last asked in vain whether a newer
@@ -108,7 +105,13 @@
 
 // New returns a follower that knows nothing yet.
 func New(o Options) *Follower {
-	return &Follower{options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), failed: map[string]int{}, known: map[string]time.Time{}}
+	if o.Fleet == nil {
+		o.Fleet = alone{}
+	}
+	return &Follower{
+		options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(),
+		watching: watching.New(), sent: map[watching.Part]context.CancelCauseFunc{},
+	}
 }
 
 // Table returns the configuration in force; nil before the first.
@@ -121,84 +124,135 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	wg.Go(func() { f.follow(ctx, f.options.Source.ConfigKind, f.configEvent, f.configList) })
-	wg.Go(func() { f.follow(ctx, f.options.Source.TargetKind, f.targetEvent, f.targetList) })
+	source := &f.options.Source
+	wg.Go(func() {
+		f.follow(ctx, followed{watching.Configuration, source.ConfigKind, f.configEvent, f.configList})
+	})
+	wg.Go(func() {
+		f.follow(ctx, followed{watching.Targets, source.TargetKind, f.targetEvent, f.targetList})
+	})
 	wg.Go(func() { f.tick(ctx) })
 	wg.Go(func() { f.patrol(ctx) })
 	wg.Wait()
 	return nil
 }
 
+// followed is a kind of object that is followed, and who takes in what is told of it.
+type followed struct {
+	part  watching.Part
+	kind  string
+	event func(platformapi.Event)
+	list  func(platformapi.List)
+}
+
+// errResend ends a watch that is sent again, since its silence proves nothing.
+var errResend = errors.New("the watch is sent again")
+
 // follow lists a kind and then watches it.
-func (f *Follower) follow(ctx context.Context, kind string, event func(platformapi.Event), list func(platformapi.List)) {
+func (f *Follower) follow(ctx context.Context, k followed) {
 	var revision uint64
 	for ctx.Err() == nil {
-		var err error
-		started := time.Now()
-		if revision == 0 {
-			var l platformapi.List
-			if l, err = f.options.Store.List(ctx, kind); err == nil {
-				f.noteUnreadable(kind, l.Unreadable)
-				list(l)
-				revision = l.Revision
-			}
-		} else {
+		if revision != 0 {
 			f.awaitDuty(ctx)
-			started = time.Now()
-			var w platformapi.Watch
-			w, err = f.options.Store.Watch(ctx, []string{kind}, revision, watchWait)
-			if errors.Is(err, platform.ErrCompacted) {
-				telemetry.InfoS("History of the store is gone, listing again", telemetry.Event{Record: kind, Revision: revision})
-				revision = 0
-				continue
-			}
-			if err == nil {
-				f.noteUnreadable(kind, w.Unreadable)
-				for _, e := range w.Events {
-					event(e)
-				}
-				revision = max(revision, w.Revision)
-			}
 		}
-		f.noteCall(ctx, kind, started, err)
+		started := time.Now()
+		call, cancel := context.WithCancelCause(ctx)
+		next, err := f.callStore(call, k, revision, f.begin(started, k.part, cancel))
+		resent := errors.Is(context.Cause(call), errResend)
+		cancel(nil)
+		switch {
+		case errors.Is(err, platform.ErrCompacted):
+			telemetry.InfoS("History of the store is gone, listing again", telemetry.Event{Record: k.kind, Revision: revision})
+			revision = 0
+		case err != nil && resent:
+		case err != nil:
+			f.noteFailure(ctx, k, started, err)
+		default:
+			revision = next
+		}
+	}
+}
+
+// callStore lists a kind, or watches it from a revision on, and takes in what is told. It
+// returns the revision to go on from.
+func (f *Follower) callStore(ctx context.Context, k followed, revision uint64, wait time.Duration) (uint64, error) {
+	if revision == 0 {
+		l, err := f.options.Store.List(ctx, k.kind)
+		if err != nil {
+			return 0, err
+		}
+		f.noteAnswer(k)
+		f.noteUnreadable(k.kind, l.Unreadable)
+		k.list(l)
+		return l.Revision, nil
+	}
+	w, err := f.options.Store.Watch(ctx, []string{k.kind}, revision, wait)
+	if err != nil {
+		return 0, err
+	}
+	f.noteAnswer(k)
+	f.noteUnreadable(k.kind, w.Unreadable)
+	for _, e := range w.Events {
+		k.event(e)
+	}
+	return max(revision, w.Revision), nil
+}
+
+// begin notes that a call begins, which cancel ends, and returns how long a watch waits.
+func (f *Follower) begin(now time.Time, part watching.Part, cancel context.CancelCauseFunc) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[part] = cancel
+	return f.watching.Begin(now, part)
+}
+
+// noteAnswer notes that the store answered, before what it told is taken in: entries that
+// vanished while the store was away are kept for a while from its return on.
+func (f *Follower) noteAnswer(k followed) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.sent, k.part)
+	told := telemetry.Event{Record: k.kind, Count: f.watching.Failures(k.part), Known: f.watching.Age(now, k.part)}
+	if k.part == watching.Configuration {
+		f.heard = now
+	}
+	if !f.watching.Answered(now, k.part) {
+		return
 	}
+	f.roster.StoreFailed(now)
+	f.resend(now)
+	telemetry.InfoS("Store answers again", told)
 }
 
-// noteCall notes whether the store answered a call that began at a time, and pauses if it
-// didn't.
-func (f *Follower) noteCall(ctx context.Context, kind string, started time.Time, err error) {
+// noteFailure notes that the store didn't answer a call that began at a time, and pauses.
+func (f *Follower) noteFailure(ctx context.Context, k followed, started time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	now := time.Now()
 	f.mu.Lock()
-	failed := f.failed[kind]
-	told := telemetry.Event{Record: kind, Count: failed, Elapsed: now.Sub(started), Known: f.ageOf(now, kind)}
-	if err == nil {
-		f.failed[kind] = 0
-		f.known[kind] = now
-	} else {
-		f.failed[kind]++
-		f.scope.Counter("store_failures").Inc(1)
-		if !errors.Is(err, platform.ErrBudget) && !errors.Is(err, platform.ErrOutage) {
-			f.roster.StoreFailed(now)
-		}
-	}
-	if err == nil && kind == f.options.Source.ConfigKind {
-		f.heard = now
+	delete(f.sent, k.part)
+	failed := f.watching.Failures(k.part)
+	told := telemetry.Event{Record: k.kind, Count: failed, Elapsed: now.Sub(started), Known: f.watching.Age(now, k.part)}
+	switch {
+	case errors.Is(err, platform.ErrBudget):
+		f.watching.Held(k.part)
+	case f.watching.Failed(k.part) && !errors.Is(err, platform.ErrOutage):
+		f.roster.StoreFailed(now)
 	}
 	f.mu.Unlock()
-	switch {
-	case err == nil && failed > 0:
-		telemetry.InfoS("Store answers again", told)
-	case err != nil && failed == 0:
+	f.scope.Counter("store_failures").Inc(1)
+	if failed == 0 {
 		telemetry.ErrorS(err, "Store doesn't answer", told)
-	case err != nil:
+	} else {
 		telemetry.ErrorS(err, "Store still doesn't answer", told)
 	}
-	if err != nil {
-		pause(ctx, min(retryMin<<min(failed, 3), retryMax)+rand.N(retryMin))
+	most := retryMax
+	if f.options.Fleet.Place() == watching.NoWatcher {
+		most = standInRetryMax
 	}
+	pause(ctx, min(retryMin<<min(failed, 4), most)+rand.N(retryMin))
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/daemon/follow/patrol.go
+++ b/daemon/follow/patrol.go
@@ -5,46 +5,57 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ivyhollow/ivyhollow/coordination/watching"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
 // In a large fleet few instances watch the store, since it counts each call and a
 // watch of every instance is woken by every change: 58 instances that all watch made
-// 7,700 calls in 45 seconds. The others hear of changes from them, and patrol: they
-// ask a watcher now and then whether it hears the store, and watch for themselves
-// while two in a row don't.
+// 7,700 calls in 45 seconds. The others hear of changes from them. All but the first
+// watcher patrol: they ask a watcher now and then how old its knowledge is.
 const (
 	// patrolEvery is the time between two questions.
 	patrolEvery = 700 * time.Millisecond
 	// patrolTimeout bounds one question.
 	patrolTimeout = 400 * time.Millisecond
-	// silentWatchers in a row make an instance watch for itself, for standInFor.
-	silentWatchers = 2
-	standInFor     = 6 * time.Second
 	// dutyPoll is how often an instance looks whether it is to watch.
 	dutyPoll = 150 * time.Millisecond
 )
 
-// Hears tells whether this instance hears the store at present.
-func (f *Follower) Hears() bool {
+// Fleet is what a follower needs of the other instances.
+type Fleet interface {
+	// Watchers is how many instances are watchers, Place this one's place among them;
+	// watching.NoWatcher if it is none.
+	Watchers() int
+	Place() int
+	// AskWatcher asks the watcher of a place for its word; a zero Word if it doesn't
+	// answer.
+	AskWatcher(ctx context.Context, place int) watching.Word
+}
+
+// alone is a fleet of one instance.
+type alone struct{}
+
+func (alone) Watchers() int { return 1 }
+
+func (alone) Place() int { return 0 }
+
+func (alone) AskWatcher(context.Context, int) watching.Word { return watching.Word{} }
+
+// Word returns what this instance tells another of its knowledge.
+func (f *Follower) Word() watching.Word {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, failed := range f.failed {
-		if failed > 0 {
-			return false
-		}
-	}
-	return f.listed.Load() && time.Since(f.heard) < watchWait+2*time.Second
+	return f.watching.Word(time.Now())
 }
 
 // watches tells whether this instance is to call the store now.
 func (f *Follower) watches() bool {
-	if f.options.Watches == nil || f.options.Watches() {
-		return true
-	}
+	place := f.options.Fleet.Place()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Now().Before(f.standIn)
+	f.watching.SetPlace(place)
+	return f.watching.Watches(time.Now())
 }
 
 // awaitDuty waits until this instance is to call the store.
@@ -54,33 +65,60 @@
 	}
 }
 
-// patrol asks the watchers whether they hear the store.
+// patrol asks the watchers for their word.
 func (f *Follower) patrol(ctx context.Context) {
-	if f.options.AskWatcher == nil {
-		return
-	}
-	silent := 0
 	for ctx.Err() == nil {
 		pause(ctx, patrolEvery/2+rand.N(patrolEvery))
-		if f.options.Watches() {
-			silent = 0
-			continue
-		}
-		asked, cancel := context.WithTimeout(ctx, patrolTimeout)
-		hears := f.options.AskWatcher(asked)
-		cancel()
-		if hears {
-			silent = 0
-			continue
+		f.patrolOnce(ctx)
+	}
+}
+
+// patrolOnce asks one watcher, and sends those watches again that its word, or this
+// instance's place by now, leaves without worth.
+func (f *Follower) patrolOnce(ctx context.Context) {
+	f.watches()
+	watchers := f.options.Fleet.Watchers()
+	f.mu.Lock()
+	place, ask := f.watching.Asks(watchers, rand.IntN)
+	f.mu.Unlock()
+	if ask {
+		f.hear(ctx, place)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resend(time.Now())
+}
+
+// hear asks the watcher of a place.
+func (f *Follower) hear(ctx context.Context, place int) {
+	asked := time.Now()
+	limited, cancel := context.WithTimeout(ctx, patrolTimeout)
+	word := f.options.Fleet.AskWatcher(limited, place)
+	cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.watching.Recovered()
+	if f.watching.Heard(asked, time.Now(), word) {
+		telemetry.InfoS("Watchers don't hear the store, watching", telemetry.Event{Known: word.Age})
+		if word.Known {
+			// The store is away for a watcher that lives. What this instance hears first,
+			// though none of its own calls failed, may be of entries that ran out.
+			f.roster.StoreFailed(time.Now())
 		}
-		if silent++; silent >= silentWatchers {
-			f.mu.Lock()
-			news := time.Now().After(f.standIn)
-			f.standIn = time.Now().Add(standInFor)
-			f.mu.Unlock()
-			if news && ctx.Err() == nil {
-				telemetry.InfoS("Watchers don't hear the store, watching", telemetry.Event{Count: silent})
-			}
+	}
+	if recovered := f.watching.Recovered(); recovered.After(before) {
+		f.roster.StoreFailed(recovered)
+	}
+}
+
+// resend ends the watches that are to be sent again; mu is held.
+func (f *Follower) resend(now time.Time) {
+	for part, cancel := range f.sent {
+		if f.watching.Resend(now, part) {
+			cancel(errResend)
 		}
 	}
 }
--- a/daemon/follow/silence_test.go
+++ b/daemon/follow/silence_test.go
@@ -53,7 +53,9 @@
 	history  []change
 	objects  map[string]map[string]platformapi.Object
 	changed  chan struct{}
-	watches  int
+	// forgotten is when the store last lost all watches that waited.
+	forgotten time.Time
+	watches   int
 }
 
 type change struct {
@@ -78,6 +80,22 @@
 	return slices.ContainsFunc(s.silences, func(x silence) bool { return !now.Before(x.from) && now.Before(x.to) })
 }
 
+// forget loses all watches that wait: they are never answered, and nothing else fails.
+func (s *timedStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = time.Now()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// forgets tells whether a watch that began at a time was lost.
+func (s *timedStore) forgets(begun time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return begun.Before(s.forgotten)
+}
+
 // put writes an object; an empty spec removes it.
 func (s *timedStore) put(kind, name, spec string) {
 	s.mu.Lock()
@@ -143,6 +161,9 @@
 	over := time.After(wait)
 	for {
 		w, changed := s.since(kinds, from)
+		if s.forgets(begun) {
+			return platformapi.Watch{}, unanswered(ctx, begun.Add(wait+watchSlack))
+		}
 		if len(w.Events) == 0 {
 			select {
 			case <-changed:
@@ -154,13 +175,20 @@
 			w, _ = s.since(kinds, from)
 		}
 		time.Sleep(answerTime) // virtual
-		if s.isSilent(time.Now()) {
+		if s.isSilent(time.Now()) || s.forgets(begun) {
 			return platformapi.Watch{}, unanswered(ctx, begun.Add(wait+watchSlack))
 		}
 		return w, nil
 	}
 }
 
+// calls returns the number of watches that were sent so far.
+func (s *timedStore) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 func (s *timedStore) since(kinds []string, from uint64) (platformapi.Watch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,12 +213,14 @@
 	usable [][]string
 	// least is the lowest number of targets that any follower ever had since it had all.
 	least int
+	// cut are the followers that the others can't reach.
+	cut map[int]bool
 }
 
 // newFleet starts followers that know targets a, b and c and a configuration. change may
 // alter the options of each.
 func newFleet(t *testing.T, size int, change func(fl *fleet, i int, o *Options)) *fleet {
-	fl := &fleet{t: t, store: newTimedStore(), usable: make([][]string, size)}
+	fl := &fleet{t: t, store: newTimedStore(), usable: make([][]string, size), cut: map[int]bool{}}
 	fl.store.put("config", "main", "1")
 	for _, name := range []string{"a", "b", "c"} {
 		fl.store.put("targets", name, "ready")
@@ -254,27 +284,61 @@
 // tell has the other followers hear what one learned.
 func (fl *fleet) tell(from int, r spread.Record) {
 	for i, f := range fl.followers {
-		if i != from {
+		if i != from && !fl.isCut(i) && !fl.isCut(from) {
 			f.Receive(r)
 		}
 	}
 }
 
+// cutOff has a follower and the others hear nothing of one another from now on.
+func (fl *fleet) cutOff(i int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.cut[i] = true
+}
+
+func (fl *fleet) isCut(i int) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.cut[i]
+}
+
 func (fl *fleet) usableAt(i int) []string {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	return slices.Clone(fl.usable[i])
 }
 
+// runOut has the store silent for a while in which all entries run out, and which are back
+// as late as they may be.
+func (fl *fleet) runOut(lasts time.Duration) {
+	names := []string{"a", "b", "c"}
+	fl.store.silent(lasts)
+	fl.sleep(lasts - 100*time.Millisecond)
+	for _, name := range names {
+		fl.store.put("targets", name, "")
+	}
+	fl.sleep(100*time.Millisecond + returnBound)
+	for _, name := range names {
+		fl.store.put("targets", name, "ready")
+	}
+}
+
 func (fl *fleet) sleep(d time.Duration) {
 	time.Sleep(d) // virtual
 	synctest.Wait()
 }
 
+// Steps between the begins of silences: for one instance, and for a fleet.
+const (
+	fineStep   = 700 * time.Millisecond
+	coarseStep = 2300 * time.Millisecond
+)
+
 // silences are times at which a silence of the store begins, and how long it lasts: at
 // every point of a watch's term, shorter and longer than a lease.
-func silences(test func(begins, lasts time.Duration)) {
-	for begins := 10 * time.Second; begins < 19*time.Second; begins += 700 * time.Millisecond {
+func silences(step time.Duration, test func(begins, lasts time.Duration)) {
+	for begins := 10 * time.Second; begins < 19*time.Second; begins += step {
 		for _, lasts := range []time.Duration{300 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second, 9600 * time.Millisecond} {
 			test(begins, lasts)
 		}
@@ -287,7 +351,7 @@
 // from that of a store without news: it waited out its term of 9 s, long after the store
 // was back, and the instance knew nothing of what left.
 func TestLeavingAfterASilenceIsHeard(t *testing.T) {
-	silences(func(begins, lasts time.Duration) {
+	silences(fineStep, func(begins, lasts time.Duration) {
 		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fl := newFleet(t, 1, nil)
@@ -307,7 +371,7 @@
 // the store is away, counted from the failure of a watch that had been deaf since before
 // the store's return.
 func TestRemovalAfterASilenceTakesEffect(t *testing.T) {
-	silences(func(begins, lasts time.Duration) {
+	silences(fineStep, func(begins, lasts time.Duration) {
 		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fl := newFleet(t, 1, nil)
@@ -325,7 +389,7 @@
 // The same with a version of the configuration that is written as the store is back: a key
 // that it takes away serves on for seconds.
 func TestConfigurationAfterASilenceIsInForce(t *testing.T) {
-	silences(func(begins, lasts time.Duration) {
+	silences(fineStep, func(begins, lasts time.Duration) {
 		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fl := newFleet(t, 1, nil)
@@ -345,20 +409,12 @@
 // two seconds after the store is. An instance that hears of the removals at once must keep
 // the targets until then: its callers would be refused.
 func TestEntriesThatRanOutAreKeptUntilTheyAreBack(t *testing.T) {
-	silences(func(begins, lasts time.Duration) {
+	silences(fineStep, func(begins, lasts time.Duration) {
 		t.Run(fmt.Sprint(begins, " for ", lasts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fl := newFleet(t, 1, nil)
 				fl.sleep(begins)
-				fl.store.silent(lasts)
-				fl.sleep(lasts - 100*time.Millisecond)
-				for _, name := range []string{"a", "b", "c"} {
-					fl.store.put("targets", name, "")
-				}
-				fl.sleep(100*time.Millisecond + returnBound)
-				for _, name := range []string{"a", "b", "c"} {
-					fl.store.put("targets", name, "ready")
-				}
+				fl.runOut(lasts)
 				fl.sleep(12 * time.Second)
 				require.Equal(t, 3, fl.least)
 			})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -128,18 +128,20 @@
 	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, Subset: knownTargets})
 	g.follower = follow.New(follow.Options{
 		Store: store, Source: p.Source,
-		Spread:     g.cluster.Put,
-		OnChange:   g.setTargets,
-		OnLeaving:  g.router.Leaving,
-		Scope:      t.Scope,
-		Watches:    g.watches,
-		AskWatcher: g.askWatcher,
+		Spread:    g.cluster.Put,
+		OnChange:  g.setTargets,
+		OnLeaving: g.router.Leaving,
+		Scope:     t.Scope,
+		Fleet:     fleet{g},
 
 		AskConfirmer: g.askConfirmer,
 	})
 	g.cluster.Handle(methodConfirm, g.handleConfirm, peer.Idempotent())
+	g.cluster.Handle(methodWord, func(context.Context, peer.Peer, []byte) ([]byte, error) {
+		return msgpack.Marshal(g.follower.Word())
+	}, peer.Idempotent())
 	g.cluster.Handle(methodHears, func(context.Context, peer.Peer, []byte) ([]byte, error) {
-		return msgpack.Marshal(g.follower.Hears())
+		return msgpack.Marshal(g.follower.Word().Counts())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, t.Scope)
 	g.relay = relay.New(relay.Options{
--- a/daemon/gateway/watchers.go
+++ b/daemon/gateway/watchers.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/watching"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
 const (
-	// methodHears asks an instance whether it hears the store.
+	// methodWord asks an instance how old its knowledge of the store is.
+	methodWord = "follow.word"
+	// methodHears asks an instance whether it hears the store: the question of instances
+	// that don't know methodWord.
 	methodHears = "follow.hears"
 	// methodConfirm asks the first watcher for the newest revision of the
 	// configuration.
@@ -27,32 +31,48 @@
 	allWatch = 12
 )
 
-// watches tells whether this instance watches the store.
-func (g *Gateway) watches() bool {
-	if len(g.cluster.View().Live()) <= allWatch {
-		return true
-	}
-	for _, m := range g.cluster.Owners(watchersKey, watchers) {
-		if m.Name == g.self.Name {
-			return true
+// fleet is the follower's view of the other instances.
+type fleet struct{ g *Gateway }
+
+// Watchers implements follow.Fleet.
+func (f fleet) Watchers() int { return len(f.owners()) }
+
+// owners are the watchers, in the order in which one takes another's place.
+func (f fleet) owners() []membership.Member {
+	return f.g.cluster.Owners(watchersKey, watchers)
+}
+
+// Place implements follow.Fleet. Where all watch, those beyond the owners stand behind
+// them.
+func (f fleet) Place() int {
+	owners := f.owners()
+	for place, m := range owners {
+		if m.Name == f.g.self.Name {
+			return place
 		}
 	}
-	return false
+	if len(f.g.cluster.View().Live()) <= allWatch {
+		return len(owners)
+	}
+	return watching.NoWatcher
 }
 
-// askWatcher asks one of the watchers whether it hears the store.
-func (g *Gateway) askWatcher(ctx context.Context) bool {
-	owners := g.cluster.Owners(watchersKey, watchers)
-	if len(owners) == 0 {
-		return false
+// AskWatcher implements follow.Fleet.
+func (f fleet) AskWatcher(ctx context.Context, place int) watching.Word {
+	owners := f.owners()
+	if place >= len(owners) {
+		return watching.Word{}
 	}
-	m := owners[rand.IntN(len(owners))]
-	answer, err := g.cluster.Call(ctx, m.Address, methodHears, nil)
+	var word watching.Word
+	answer, err := f.g.cluster.Call(ctx, owners[place].Address, methodWord, nil)
 	if err != nil {
-		return false // a watcher that can't be asked is no help, whatever it hears
+		return watching.Word{} // a watcher that can't be asked is no help, whatever it knows
+	}
+	if err := msgpack.Unmarshal(answer, &word); err != nil {
+		klog.ErrorS(err, "Answer of a peer could not be read", "peer", owners[place].Name, "step", methodWord)
+		return watching.Word{}
 	}
-	var hears bool
-	return msgpack.Unmarshal(answer, &hears) == nil && hears
+	return word
 }
 
 // confirmed is the answer of methodConfirm.
