Gather news at watchers that aren't the first, and call a store that is away less

Cause: in an outage each of 84 instances that don't watch began to watch for itself, and for six seconds more after the store's return; entries that ran out come back one by one, and each wakes every watch. Ruled out: 0.25 s at the first watcher too (its word is what the others gather for). Change: a watcher that isn't the first puts its next watch off by 0.25 s after news, which it hears by the first one's word; an instance that doesn't watch bears four rounds of words of deaf watchers instead of two, and stops as soon as one hears the store again. Where all six watchers are turned away and the rest is not, the rest takes 5 to 7 s to notice instead of 2 to 3 s.

--- a/coordination/watching/watching.go
+++ b/coordination/watching/watching.go
@@ -37,12 +37,18 @@
 	wordAge = 2500 * time.Millisecond
 	// silentRounds without a word that counts have an instance watch for itself.
 	silentRounds = 2
+	// deafRounds have one do so that doesn't watch else, where the watchers answer and
+	// know nothing new: the store is likely away for all, and many instances that call it
+	// add nothing.
+	deafRounds = 4
 	// maxPlace is the last place of a watcher that waits for those before it to take
 	// over. It bounds the time until anyone does.
 	maxPlace = 3
-	// standInFor is how long an instance watches for itself before it asks whether that
-	// is still needed.
+	// standInFor is how long an instance watches for itself if it hears nothing else.
 	standInFor = 6 * time.Second
+	// gatherFor is how long a watcher that isn't the first waits after news, so that one
+	// call tells of what follows: it hears the same by the first one's word.
+	gatherFor = 250 * time.Millisecond
 )
 
 // NoWatcher is the place of an instance that leaves the watching to others.
@@ -138,6 +144,14 @@
 	return back
 }
 
+// Pause returns how long the next watch is put off after an answer with news.
+func (t *Tracker) Pause(now time.Time) time.Duration {
+	if t.isFirst(now) {
+		return 0
+	}
+	return gatherFor
+}
+
 // Failed notes that the store didn't answer. It tells whether that shows that the store is
 // away now. The failure of a deaf watch doesn't: a later call was answered, and so the
 // store was away before that.
@@ -217,13 +231,11 @@
 	if w.Counts() {
 		t.told = latest(t.told, asked.Add(-w.Age))
 		t.silent = 0
-		if t.place != NoWatcher {
-			t.standIn = time.Time{}
-		}
+		t.standIn = time.Time{}
 		return false
 	}
 	t.silent++
-	if t.silent < t.patience() {
+	if t.silent < t.patience(w) {
 		return false
 	}
 	standsIn = now.After(t.standIn)
@@ -238,9 +250,13 @@
 	return b
 }
 
-// patience is how many rounds without a word an instance bears.
-func (t *Tracker) patience() int {
-	if t.place == NoWatcher {
+// patience is how many rounds without a word that counts an instance bears, of which w is
+// the latest.
+func (t *Tracker) patience(w Word) int {
+	switch {
+	case t.place == NoWatcher && w.Known:
+		return deafRounds
+	case t.place == NoWatcher:
 		return silentRounds
 	}
 	return silentRounds + min(t.place, maxPlace) - 1
--- a/coordination/watching/watching_test.go
+++ b/coordination/watching/watching_test.go
@@ -135,6 +135,26 @@
 	require.False(t, tracker.Watches(at(standInFor)))
 }
 
+// The store is away for all watchers of a large fleet. They say so, and the many who don't
+// watch wait longer before they call it as well; they stop as soon as a watcher hears it.
+func TestDeafWatchersAreGivenTime(t *testing.T) {
+	tracker := well(NoWatcher)
+	for range deafRounds - 1 {
+		require.False(t, tracker.Heard(start, start, Word{Known: true, Age: time.Minute}))
+	}
+	require.True(t, tracker.Heard(start, start, Word{Known: true, Age: time.Minute}))
+	require.True(t, tracker.Watches(start))
+	tracker.Heard(start, start, Word{Known: true})
+	require.False(t, tracker.Watches(start))
+}
+
+// A change wakes all watchers. The first goes on at once; the others gather what follows.
+func TestOthersGatherNews(t *testing.T) {
+	require.Zero(t, well(0).Pause(start))
+	require.Equal(t, gatherFor, well(1).Pause(start))
+	require.Equal(t, gatherFor, well(NoWatcher).Pause(start))
+}
+
 // The age of what is known is that of the older part, and grows less by another's word.
 func TestAge(t *testing.T) {
 	require.Zero(t, New().Age(start, Targets))
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -157,7 +157,7 @@
 		}
 		started := time.Now()
 		call, cancel := context.WithCancelCause(ctx)
-		next, err := f.callStore(call, k, revision, f.begin(started, k.part, cancel))
+		next, news, err := f.callStore(call, k, revision, f.begin(started, k.part, cancel))
 		resent := errors.Is(context.Cause(call), errResend)
 		cancel(nil)
 		switch {
@@ -169,33 +169,45 @@
 			f.noteFailure(ctx, k, started, err)
 		default:
 			revision = next
+			f.gather(ctx, news)
 		}
 	}
 }
 
+// gather puts the next watch off after news.
+func (f *Follower) gather(ctx context.Context, news int) {
+	if news == 0 {
+		return
+	}
+	f.mu.Lock()
+	d := f.watching.Pause(time.Now())
+	f.mu.Unlock()
+	pause(ctx, d)
+}
+
 // callStore lists a kind, or watches it from a revision on, and takes in what is told. It
-// returns the revision to go on from.
-func (f *Follower) callStore(ctx context.Context, k followed, revision uint64, wait time.Duration) (uint64, error) {
+// returns the revision to go on from, and how many changes the store told.
+func (f *Follower) callStore(ctx context.Context, k followed, revision uint64, wait time.Duration) (next uint64, news int, err error) {
 	if revision == 0 {
 		l, err := f.options.Store.List(ctx, k.kind)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		f.noteAnswer(k)
 		f.noteUnreadable(k.kind, l.Unreadable)
 		k.list(l)
-		return l.Revision, nil
+		return l.Revision, 0, nil
 	}
 	w, err := f.options.Store.Watch(ctx, []string{k.kind}, revision, wait)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	f.noteAnswer(k)
 	f.noteUnreadable(k.kind, w.Unreadable)
 	for _, e := range w.Events {
 		k.event(e)
 	}
-	return max(revision, w.Revision), nil
+	return max(revision, w.Revision), len(w.Events), nil
 }
 
 // begin notes that a call begins, which cancel ends, and returns how long a watch waits.
