Have the soak silence the store and then take targets away

Cause: the soak refused the store's calls for 1.7 s at most and never left them without an answer; and nobody counted what reaches a target after it left. So it had no chance to meet a deaf watch. Ruled out: a silence among the other faults: what leaves is bound only once the instances have been calm for three seconds.

--- a/testkit/cmd/soak/main.go
+++ b/testkit/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	planned := flag.Bool("planned", false, "do planned work only, and check that no caller loses by it")
 	instances := flag.Int("instances", 4, "how many instances run")
 	callers := flag.Int("callers", 12, "how many callers there are")
+	silences := flag.Int("silences", 2, "how often the store is silent after the faults, and a target leaves then")
 	verbose := flag.Bool("verbose", false, "tell what was done in runs that pass, too")
 	flag.Parse()
 	failed := 0
@@ -29,6 +30,7 @@
 		o := soak.Options{
 			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
 			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned,
+			Silences: *silences,
 		}
 		if !play(o, *verbose) {
 			failed++
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -64,6 +64,7 @@
 		wg.Go(func() { w.plan(until, restAmongFaults) })
 		w.harm(until)
 		wg.Wait()
+		w.leaveAfterSilences(w.options.Silences)
 	})
 	w.check(all, w.seen(), calmFrom)
 	return all
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// A target leaves three seconds after a silence of the store, in which the instances'
+// watches were never received, and still gets requests long after its word.
+func TestSoakSilences(t *testing.T) {
+	binary := build(t)
+	report, err := Run(Options{
+		Binary: binary, Dir: t.TempDir(), Seed: 7010, Faults: 500 * time.Millisecond, Instances: 3, Callers: 8, Silences: 1,
+	})
+	require.NoError(t, err)
+	t.Logf("%d requests, %d served", report.Answers, report.Served)
+	require.Empty(t, report.Broken, "faults: %v", report.Faults)
+}
+
 // A work order ends with a closed connection though only planned work is going on:
 // instances are stopped in series that overlap, signalled twice or given new settings
 // meanwhile, stopped again at their start, or paused just before they let go of idle
--- a/testkit/soak/world.go
+++ b/testkit/soak/world.go
@@ -30,6 +30,9 @@
 	Callers   int
 	// Planned has planned work done only, and checks that no caller loses by it.
 	Planned bool
+	// Silences is how often the store is silent after the faults, and a target leaves
+	// then; not in runs of planned work.
+	Silences int
 }
 
 // world is one run.
