Gather news in large fleets only

Callers of a small fleet could lose a request that may run once at most: it was sent on a connection of a target's process before. Cause: a watcher that isn't the first put its next watch off by 0.25 s after news; a target that left and started again meanwhile was known at the first watcher and not there. Ruled out: a shorter time for small fleets, which save little by it. Change: where all instances watch, each hears at once, as before. TestSmallFleetHearsAtOnce fails without.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -174,9 +174,11 @@
 	}
 }
 
-// gather puts the next watch off after news.
+// gather puts the next watch off after news, in a fleet most of which hears of news by
+// the word of others. Where all watch, each hears at once: a target that starts again
+// under its name is sent to on connections of the process before until that is known.
 func (f *Follower) gather(ctx context.Context, news int) {
-	if news == 0 {
+	if news == 0 || f.options.Fleet.AllWatch() {
 		return
 	}
 	f.mu.Lock()
--- a/daemon/follow/patrol.go
+++ b/daemon/follow/patrol.go
@@ -28,6 +28,9 @@
 	// watching.NoWatcher if it is none.
 	Watchers() int
 	Place() int
+	// AllWatch tells whether all instances watch: none of them hears of news by the word
+	// of others alone.
+	AllWatch() bool
 	// AskWatcher asks the watcher of a place for its word; a zero Word if it doesn't
 	// answer.
 	AskWatcher(ctx context.Context, place int) watching.Word
@@ -40,6 +43,8 @@
 
 func (alone) Place() int { return 0 }
 
+func (alone) AllWatch() bool { return true }
+
 func (alone) AskWatcher(context.Context, int) watching.Word { return watching.Word{} }
 
 // Word returns what this instance tells another of its knowledge.
--- a/daemon/follow/patrol_test.go
+++ b/daemon/follow/patrol_test.go
@@ -37,6 +37,8 @@
 	return watching.NoWatcher
 }
 
+func (s seat) AllWatch() bool { return s.all }
+
 func (s seat) AskWatcher(ctx context.Context, place int) watching.Word {
 	if s.fl.isCut(s.i) || s.fl.isCut(place) {
 		<-ctx.Done()
@@ -262,3 +264,19 @@
 		require.True(t, slices.Equal([]string{"a", "b", "c"}, fl.usableAt(59)))
 	})
 }
+
+// A target says that it leaves and starts again under its name right after. A caller's
+// request that may run once at most is lost on a connection of the process before, at an
+// instance of a small fleet that put its next watch off after the first word.
+func TestSmallFleetHearsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 8, seated(true))
+		fl.sleep(10 * time.Second)
+		fl.cutOff(7) // by its own watch alone
+		fl.store.put("targets", "a", "leaving")
+		fl.sleep(3 * answerTime)
+		fl.store.put("targets", "b", "leaving")
+		fl.sleep(3 * answerTime)
+		require.Equal(t, []string{"c"}, fl.usableAt(7))
+	})
+}
--- a/daemon/gateway/watchers.go
+++ b/daemon/gateway/watchers.go
@@ -51,12 +51,15 @@
 			return place
 		}
 	}
-	if len(f.g.cluster.View().Live()) <= allWatch {
+	if f.AllWatch() {
 		return len(owners)
 	}
 	return watching.NoWatcher
 }
 
+// AllWatch implements follow.Fleet.
+func (f fleet) AllWatch() bool { return len(f.g.cluster.View().Live()) <= allWatch }
+
 // AskWatcher implements follow.Fleet.
 func (f fleet) AskWatcher(ctx context.Context, place int) watching.Word {
 	owners := f.owners()
