Take connections from each instance of a large fleet

Cause: an instance took at most 256 connections of its peers. In a fleet of 295 the holder of the stage queue refused 39 of them for good ("Holder of the stage queue didn't answer", "connection reset by peer"); these asked the next holder, and two queues filled the stage targets' places and room. Instances that couldn't reach a watcher of the store watched for themselves. Ruled out: closing the connection unused for longest, which only moves the refusals around while all instances ask one. Change: 2,048 connections, two for each of 1,024 instances. Figures: TestFleetReachesOneInstance: 256 of 440 peers welcomed before, 440 now.

--- a/transport/peer/node_test.go
+++ b/transport/peer/node_test.go
@@ -297,6 +297,28 @@
 	eventually(t, func() bool { return server.Stats().Conns == 0 }, "idle ones closed")
 }
 
+// TestFleetReachesOneInstance guards against refused peers in fleets of several hundred:
+// each instance that the holder of a duty refuses asks another one.
+func TestFleetReachesOneInstance(t *testing.T) {
+	const peers = 440
+	server, scope := testNode(t, "holder", nil, echo)
+	welcomed := 0
+	for i := range peers {
+		hello := goodHello
+		hello.Name, hello.Address = fmt.Sprint("peer-", i), fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250+1)
+		nc, err := net.Dial("tcp", server.Addr())
+		require.NoError(t, err)
+		defer nc.Close()
+		_, err = nc.Write(wire(t, &hello))
+		require.NoError(t, err)
+		if _, err := peer.ReadFrame(nc, peer.MaxHandshakeFrame); err == nil {
+			welcomed++
+		}
+	}
+	require.Equal(t, peers, welcomed)
+	require.Zero(t, count(scope, "refused"))
+}
+
 // An instance is started anew at its address. Messages to that address must
 // not go on into the connection of the earlier run.
 func TestNewRunReplacesTheLink(t *testing.T) {
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -69,6 +69,10 @@
 	Scope tally.Scope
 }
 
+// defaultMaxConns has room for two connections, one dialled from either end, with each
+// of 1,024 instances: in a fleet all of them may ask one.
+const defaultMaxConns = 2 * 1024
+
 // DefaultOptions returns the defaults, without cluster, self and addresses.
 func DefaultOptions() Options {
 	return Options{
@@ -82,7 +86,7 @@
 		HeartbeatTimeout: 500 * time.Millisecond,
 		IdleClose:        2 * time.Minute,
 		ReloadEvery:      5 * time.Second,
-		MaxConns:         256,
+		MaxConns:         defaultMaxConns,
 		MaxHandlers:      128,
 		MaxPending:       256,
 		MaxPosts:         64,
