Pay no retry budget for attempts that reach no target

Cause: 25% of the engines of a fleet of 295 crash for two seconds; 290 requests were refused ("targets_refused") after one refused connection. An instance of a large fleet serves two streams a second: its part of the budget is spent after a few, though an attempt that reached no target adds nothing to what targets get, which is what the budget bounds. Ruled out: a larger part of the budget for each instance, which the fleet's bound forbids. Conclusion: a refused connection costs the caller a round trip, not a refusal.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -203,6 +203,9 @@
 	cause error
 	// notRun tells that the target certainly didn't run the request.
 	notRun bool
+	// unreached tells that there was no connection to the target, so that it has no part
+	// in the attempt.
+	unreached bool
 	// inputsGone tells that the stages' results are gone.
 	inputsGone bool
 	// reply is set for a target's own failure that another target may better.
@@ -248,7 +251,9 @@
 		return false, err
 	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
 		return false, err
-	case !q.payResend():
+	case !f.unreached && !q.payResend():
+		// The budget bounds what targets get beyond their share; an attempt that
+		// reached none adds nothing.
 		return false, err
 	}
 	q.paid.Store(false)
@@ -346,7 +351,8 @@
 	case cause != nil:
 		return routing.OutcomeCancelled, &failure{cause: cause, notRun: notRun}
 	}
-	return routing.OutcomeFailed, &failure{cause: err, notRun: notRun}
+	unreached := f != nil && f.Step == forward.StepConnect
+	return routing.OutcomeFailed, &failure{cause: err, notRun: notRun, unreached: unreached}
 }
 
 // outgoing is the request as the target gets it.
