Keep one stage queue while its holder is cut off or wakes

Cause: two ways to a second queue were left. An instance that doesn't reach the holder asks the next one, which began a queue of its own though it reaches the holder. A holder that was suspended for longer than its askers wait goes on with its queue when it wakes, beside that of the one they have turned to, and begins calls before it has looked. Each queue plans as if it had all targets and their room. Ruled out: a new incarnation of a woken instance, which would end its connections; that the woken one keeps the queue, since its askers come back one by one over three seconds. Change: who is asked in place of a holder from which it had an answer within the last second passes the request on to it. A holder that finds that it stood still (time of day, confirmed by the clock since the boot) hands its queue to the next one as in a planned stop, before it sends a call; it sends askers on, who remember that, and may have the queue again when it is handed back or the other is gone. The ends of calls in progress go to whoever took them over. A request that was asked for anew isn't dropped with its first connection. Conclusion: one queue in these cases; an asker cut off from a holder that others haven't heard of for a second still begins another.

--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -81,6 +81,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
+	s.owner.mayTakeBack(false)
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	if !s.tryHandOver(ctx) {
@@ -106,6 +107,11 @@
 
 // tryHandOver asks up to maxOwners instances.
 func (s *Stages) tryHandOver(ctx context.Context) bool {
+	s.giving.Lock()
+	defer s.giving.Unlock()
+	if s.owner.hasMoved() {
+		return true
+	}
 	for range maxOwners {
 		next, ok := s.next(time.Now())
 		if !ok {
--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -40,16 +40,22 @@
 // handing is what an owner knows of the hand-overs it took part in.
 type handing struct {
 	// frozen tells that the queue is on its way to another instance: until that has
-	// it, or hasn't, nothing changes here.
-	frozen bool
+	// it, or hasn't, nothing changes here. exported is what it holds.
+	frozen   bool
+	exported gather.State
 	// decided is closed when the queue isn't frozen any more.
 	decided chan struct{}
 	// steps, ends and drops came while it was frozen.
 	steps []func(*gather.Planner) []gather.Action
 	ends  []callEnd
 	drops []placing.Served
-	// movedTo is the address of the instance that has the queue.
+	// movedTo is the address of the instance that has the queue. yielded tells that
+	// this one goes on beside it and may have the queue again.
 	movedTo string
+	yielded bool
+	// movedCalls are the instances that have calls which were in progress as the queue
+	// was given away, by their numbers here.
+	movedCalls map[uint64]string
 	// tookOver is when a queue was last taken over.
 	tookOver time.Time
 	// renamed are the numbers of calls that changed when the queue came back.
@@ -64,19 +70,29 @@
 
 func newHanding() handing {
 	return handing{
-		renamed:   map[uint64]uint64{},
-		adopted:   map[adoptedCall]uint64{},
-		unclaimed: map[string]time.Time{},
-		early:     map[string]outcome{},
+		movedCalls: map[uint64]string{},
+		renamed:    map[uint64]uint64{},
+		adopted:    map[adoptedCall]uint64{},
+		unclaimed:  map[string]time.Time{},
+		early:      map[string]outcome{},
 	}
 }
 
-// freeze takes the queue out of the planner. moved or thaw ends it.
+// freeze takes the queue out of the planner, unless that is done already. moved or
+// thaw ends it.
 func (o *Owner) freeze() gather.State {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.frozen, o.decided = true, make(chan struct{})
-	return o.planner.Export(time.Now())
+	o.export()
+	return o.exported
+}
+
+// export takes the queue out of the planner; mu is held.
+func (o *Owner) export() {
+	if !o.frozen {
+		o.frozen, o.decided = true, make(chan struct{})
+		o.exported = o.planner.Export(time.Now())
+	}
 }
 
 // thaw goes on with a queue that no other instance took.
@@ -86,7 +102,7 @@
 	o.rename(ids)
 	ends, steps := o.ends, o.steps
 	o.ends, o.steps, o.drops = nil, nil, nil
-	o.frozen = false
+	o.frozen, o.exported = false, gather.State{}
 	close(o.decided)
 	o.settle(actions)
 	o.mu.Unlock()
@@ -121,7 +137,10 @@
 	o.mu.Lock()
 	ends, drops := o.ends, o.drops
 	o.ends, o.steps, o.drops = nil, nil, nil
-	o.frozen, o.movedTo = false, to
+	for _, c := range o.exported.Calls {
+		o.movedCalls[c.ID] = to
+	}
+	o.frozen, o.exported, o.movedTo = false, gather.State{}, to
 	close(o.decided)
 	for id := range o.waiting {
 		o.finish(id, outcome{movedTo: to})
@@ -140,12 +159,12 @@
 // own away.
 func (o *Owner) takeOver(from sender, state gather.State) bool {
 	o.mu.Lock()
-	if o.frozen || o.movedTo != "" {
+	if o.frozen || (o.movedTo != "" && !o.yielded) {
 		o.mu.Unlock()
 		return false
 	}
 	now := time.Now()
-	o.tookOver = now
+	o.tookOver, o.movedTo, o.yielded = now, "", false
 	for _, w := range state.Works {
 		if !w.Completed && o.waiting[w.ID] == nil {
 			o.unclaimed[w.ID] = now.Add(claimWithin)
@@ -191,7 +210,7 @@
 // callEnded takes in the end of a call, or passes it on to the instance that has the
 // queue by now.
 func (o *Owner) callEnded(id uint64, how gather.CallOutcome, results []gather.PieceResult) {
-	o.mu.Lock()
+	o.enter()
 	if o.frozen {
 		o.ends = append(o.ends, callEnd{id, how, results})
 		o.mu.Unlock()
@@ -201,7 +220,8 @@
 		delete(o.renamed, id)
 		id = to
 	}
-	if to := o.movedTo; to != "" {
+	if to, ok := o.movedCalls[id]; ok {
+		delete(o.movedCalls, id)
 		o.mu.Unlock()
 		o.passEnd(to, id, how, results)
 		return
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/holder"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
@@ -53,6 +54,10 @@
 	prompts map[string]placing.Prompt
 	waiting map[string]chan outcome
 	freeing map[gather.Target][]string
+	// stall finds out that this instance stood still.
+	stall holder.Stall
+	// stalled is called once the queue is frozen since this instance stood still.
+	stalled func()
 	// running counts the calls that this instance carries out.
 	running int
 	// readers are other instances that read the results of requests that are done.
@@ -126,7 +131,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			o.mu.Lock()
+			o.takeBack(view())
+			o.enter()
 			idle := o.planner.Held() == 0
 			o.engines.Tick(now)
 			o.mu.Unlock()
@@ -152,16 +158,26 @@
 	case end := <-done:
 		return end, nil
 	case <-ctx.Done():
-		o.drop(placing.Served{Request: r.ID})
+		o.abandon(r.ID, done)
 		return outcome{}, context.Cause(ctx)
 	}
 }
 
+// abandon drops a request whose asker is gone, unless it has been asked for again.
+func (o *Owner) abandon(id string, done <-chan outcome) {
+	o.mu.Lock()
+	again := o.waiting[id] != nil && o.waiting[id] != done
+	o.mu.Unlock()
+	if !again {
+		o.drop(placing.Served{Request: id})
+	}
+}
+
 // begin takes a request in, as soon as the queue isn't on its way. The channel tells
 // the request's end.
 func (o *Owner) begin(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded bool) (<-chan outcome, error) {
 	done := make(chan outcome, 1)
-	o.mu.Lock()
+	o.enter()
 	for o.frozen {
 		decided := o.decided
 		o.mu.Unlock()
@@ -235,7 +251,7 @@
 // do runs a step of the planner under its lock and its actions without it. While the
 // queue is on its way steps wait; once another instance has it they are of no use.
 func (o *Owner) do(step func(*gather.Planner) []gather.Action) {
-	o.mu.Lock()
+	o.enter()
 	if o.frozen {
 		o.steps = append(o.steps, step)
 	}
--- a/daemon/stages/served.go
+++ b/daemon/stages/served.go
@@ -80,7 +80,7 @@
 // dropElsewhere tells the present holder of ended requests: it may have them from the
 // one that didn't answer.
 func (s *Stages) dropElsewhere(lost string, served []placing.Served) {
-	next := s.pick(time.Now())
+	next, _ := s.pick(time.Now())
 	if next.Address == lost || next.Address == "" {
 		return
 	}
@@ -98,7 +98,7 @@
 	for i, id := range ids {
 		served[i].Request = id
 	}
-	s.owner.drop(served...)
+	s.dropHere(served)
 	return nil, nil
 }
 
@@ -107,6 +107,6 @@
 	if err := msgpack.Unmarshal(body, &served); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	s.owner.drop(served...)
+	s.dropHere(served)
 	return nil, nil
 }
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -66,13 +66,21 @@
 
 	mu sync.Mutex
 	// holder is the name of the instance that holds the queue, as last believed.
-	holder   string
-	avoided  map[string]time.Time
+	holder  string
+	avoided map[string]time.Time
+	// redirects are, by the name of an instance, where it last sent a request on to.
+	redirects map[string]redirect
+	// answered is when instances last answered, by their addresses.
+	answered map[string]time.Time
+	// relayed are the requests of other instances that were passed on, by their ids.
+	relayed  map[string]relayed
 	dropping map[string][]placing.Served
 	// asking are the requests of this instance that wait for their stages.
 	asking map[string]*asking
 	// stopping tells that this instance gives its queue away and takes no other.
 	stopping bool
+	// giving is held while this instance gives its queue away.
+	giving sync.Mutex
 	// taking are the hand-overs on their way to this instance, by the name of the one
 	// that stops.
 	taking map[string]*taking
@@ -83,15 +91,19 @@
 // New registers the methods that other instances call.
 func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, scope tally.Scope) *Stages {
 	s := &Stages{
-		cluster:  c,
-		owner:    newOwner(d, client, follower, newMetrics(scope)),
-		avoided:  map[string]time.Time{},
-		dropping: map[string][]placing.Served{},
-		asking:   map[string]*asking{},
-		taking:   map[string]*taking{},
-		ended:    make(chan struct{}),
+		cluster:   c,
+		owner:     newOwner(d, client, follower, newMetrics(scope)),
+		avoided:   map[string]time.Time{},
+		redirects: map[string]redirect{},
+		answered:  map[string]time.Time{},
+		relayed:   map[string]relayed{},
+		dropping:  map[string][]placing.Served{},
+		asking:    map[string]*asking{},
+		taking:    map[string]*taking{},
+		ended:     make(chan struct{}),
 	}
 	s.owner.passEnd = s.passEnd
+	s.owner.stalled = s.Yield
 	s.owner.passDrops = func(to string, served ...placing.Served) {
 		for _, one := range served {
 			s.Drop(to, one)
@@ -148,13 +160,17 @@
 // prompt. A *RefusedError means that the request was given up. The results stay until
 // Drop.
 func (s *Stages) Make(ctx context.Context, r gather.Request, prompt placing.Prompt) (Made, error) {
+	return s.makeFrom(ctx, r, prompt, false)
+}
+
+// makeFrom is Make; sent tells that another instance sent the request on.
+func (s *Stages) makeFrom(ctx context.Context, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
 	defer s.asked(r.ID)
-	sent := false
 	var err error
 	for range maxOwners {
 		var made Made
-		m := s.pick(time.Now())
-		made, m, err = s.follow(ctx, m, r, prompt, &sent)
+		m, redirected := s.pick(time.Now())
+		made, m, err = s.follow(ctx, m, r, prompt, sent || redirected)
 		var refused *RefusedError
 		if err == nil || errors.As(err, &refused) {
 			made.Owner = m.Address
@@ -177,14 +193,16 @@
 
 // follow has a request made by an instance, or by the one that has its queue now. It
 // returns the one that answered. sent tells that some instance has sent it on.
-func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent *bool) (Made, membership.Member, error) {
+func (s *Stages) follow(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent bool) (Made, membership.Member, error) {
 	for range maxMoves {
-		made, err := s.makeAt(ctx, m, r, prompt, *sent)
+		made, err := s.makeAt(ctx, m, r, prompt, sent)
 		var moved *movedError
 		if !errors.As(err, &moved) {
 			return made, m, err
 		}
-		m, *sent = s.memberAt(moved.to), true
+		to := s.memberAt(moved.to)
+		s.noteRedirect(m, to)
+		m, sent = to, true
 	}
 	return Made{}, m, errors.Newf("the queue moved %d times", maxMoves)
 }
@@ -199,20 +217,24 @@
 	return membership.Member{Name: address, Address: address}
 }
 
-// pick returns the instance that holds the queue, as far as this one knows.
-func (s *Stages) pick(now time.Time) membership.Member {
+// pick returns the instance that holds the queue, as far as this one knows, and whether
+// it does so by another's word.
+func (s *Stages) pick(now time.Time) (_ membership.Member, redirected bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.cluster.View()
 	if self, ok := view.Find(view.Self); ok && s.owner.tookLately(now) {
-		return self
+		return self, false
 	}
 	chosen := holder.Pick(view, func(name string) bool { return s.isAvoided(now, name) })
 	if chosen.Name != s.holder {
 		s.holder = chosen.Name
 		telemetry.InfoS("Holder of the stage queue", telemetry.Event{Peer: chosen.Name, Count: len(view.Live())})
 	}
-	return chosen
+	if to, ok := s.redirected(now, view, chosen.Name); ok {
+		return to, true
+	}
+	return chosen, false
 }
 
 // isAvoided tells whether an instance is passed over since it didn't answer; mu is
@@ -230,6 +252,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.avoided[name] = time.Now().Add(avoidFor)
+	delete(s.redirects, name)
 }
 
 func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
@@ -249,6 +272,7 @@
 	if err != nil {
 		return Made{}, err
 	}
+	s.noteAnswer(time.Now(), m.Address)
 	if answer.Follow.Moved != "" {
 		return Made{}, &movedError{answer.Follow.Moved}
 	}
@@ -330,6 +354,9 @@
 	if to := s.sendOn(time.Now(), &ask.Follow); to != "" {
 		return &placeAnswer{Follow: followAnswer{Moved: to}}, nil
 	}
+	if s.relays(time.Now(), &ask.Follow) {
+		return s.relay(ctx, ask)
+	}
 	r := ask.Follow.Make.request(time.Now())
 	end, err := s.owner.make(ctx, r, ask.Prompt, ask.Follow.Bounded)
 	if err != nil {
