Tell the holder of the queue which engines are gone

Cause: the holder chooses the engine of each request, and hears of failures only by the lack of first events. An engine that crashed reads nothing, counts as idle and is chosen on and on; each of 295 instances finds out for itself, some 500 refused connections in two seconds of a crash of 60 engines. Ruled out: failures of other kinds and timeouts, which may be those of the asker's own path: nothing that listens at an address is a fact of the target. Change: an asker whose connection is refused tells the holder at once; the engine gets nothing for 0.4 s, doubled up to 4 s, until a first event. Conclusion: one refused connection tells all instances.

--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -13,6 +13,12 @@
 	wordDelay = 60 * time.Millisecond
 	// forgetAfter is when a request counts as over of whose end no word came.
 	forgetAfter = 10 * time.Second
+	// gonePause is how long an engine gets nothing at whose address nothing listens; it
+	// doubles up to mostGonePause.
+	gonePause     = 400 * time.Millisecond
+	mostGonePause = 4 * time.Second
+	// goneCost is what a request costs at such an engine: more than at any other.
+	goneCost = time.Minute
 	// cacheShare is the share of an engine's room that is counted on for prompts; the
 	// rest belongs to requests that run.
 	cacheShare = 0.7
@@ -34,6 +40,10 @@
 	cachedTokens int
 	// slow is how many times the usual time it takes, as a moving average.
 	slow float64
+	// goneUntil is when an engine is tried again at whose address nothing listened, gone
+	// how often in a row that was so.
+	goneUntil time.Time
+	gone      int
 }
 
 // read is a request that an engine reads.
@@ -77,6 +87,16 @@
 	return max(last.Sub(now), 0) + behind
 }
 
+// isGone notes that nothing listens at the engine's address. Askers that found out before
+// the pause began tell nothing new.
+func (e *engine) isGone(now time.Time) {
+	if now.Before(e.goneUntil) {
+		return
+	}
+	e.goneUntil = now.Add(min(gonePause<<min(e.gone, 8), mostGonePause))
+	e.gone++
+}
+
 // unread is how many tokens of a prompt the engine has to read: a part counts as read
 // only behind all parts before it.
 func (e *engine) unread(p *Prompt) int {
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -88,6 +88,9 @@
 		if e.Name == homeOf {
 			cost -= homeAdvantage
 		}
+		if now.Before(e.goneUntil) {
+			cost += goneCost
+		}
 		if found && cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(e.Incarnation, best.Engine.Incarnation)) >= 0 {
 			continue
 		}
@@ -148,10 +151,20 @@
 	r, reading := e.reading[s.Request]
 	t.forget(s.Request)
 	if reading && s.Engine == e.Incarnation && s.First > 0 {
+		e.gone = 0
 		e.learn(r, s.First)
 	}
 }
 
+// Gone notes that nothing listens at an engine's address. The load it answers: hundreds of
+// instances, of which each finds out for itself and only after the holder has chosen the
+// engine for it, since an engine that reads nothing counts as idle.
+func (t *Table) Gone(now time.Time, pool, engine string) {
+	if p := t.pools[pool]; p != nil && p.engines[engine] != nil {
+		p.engines[engine].isGone(now)
+	}
+}
+
 // learn takes in the time to a first event. Only a request before which nothing was
 // read tells of its own tokens.
 func (e *engine) learn(r read, first time.Duration) {
--- a/coordination/placing/table_test.go
+++ b/coordination/placing/table_test.go
@@ -175,6 +175,31 @@
 	require.NotEqual(t, c.Engine, later.Engine)
 }
 
+// TestEngineThatIsGoneIsLeft guards against requests sent in turn to an engine at whose
+// address nothing listens, which reads nothing and so counts as idle.
+func TestEngineThatIsGoneIsLeft(t *testing.T) {
+	f := newFleet(3)
+	p := &Prompt{Pool: "p", Tokens: 2000, Parts: []Part{{"subject", 1900}, {"own", 100}}}
+	c, _ := f.table.Choose(start, p, atHome)
+	f.table.Gone(start, "p", c.Engine.Incarnation)
+	f.table.Gone(start.Add(time.Millisecond), "p", c.Engine.Incarnation)
+	other, _ := f.table.Choose(start.Add(gonePause-time.Millisecond), p, atHome)
+	require.NotEqual(t, c.Engine, other.Engine)
+
+	later := start.Add(gonePause)
+	again, _ := f.table.Choose(later, p, atHome)
+	require.Equal(t, c.Engine, again.Engine, "it is tried again")
+	f.table.Gone(later, "p", c.Engine.Incarnation)
+	other, _ = f.table.Choose(later.Add(2*gonePause-time.Millisecond), p, atHome)
+	require.NotEqual(t, c.Engine, other.Engine, "the pause grows")
+
+	for _, e := range []string{"e0", "e1", "e2"} {
+		f.table.Gone(later.Add(time.Minute), "p", e)
+	}
+	_, ok := f.table.Choose(later.Add(time.Minute), p, atHome)
+	require.True(t, ok, "one of several that are gone may be back")
+}
+
 // The word of a request's first event is lost. Its engine counts as behind, but not for
 // ever: it would get nothing any more.
 func TestLostWordIsForgotten(t *testing.T) {
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -204,8 +204,8 @@
 	// notRun tells that the target certainly didn't run the request.
 	notRun bool
 	// unreached tells that there was no connection to the target, so that it has no part
-	// in the attempt.
-	unreached bool
+	// in the attempt; nothingListens that there is no process at its address.
+	unreached, nothingListens bool
 	// inputsGone tells that the stages' results are gone.
 	inputsGone bool
 	// reply is set for a target's own failure that another target may better.
@@ -242,6 +242,9 @@
 		q.sent++
 		q.mayHaveRun = true
 	}
+	if f.nothingListens && q.owner != "" {
+		q.relay.options.Stages.EngineGone(q.owner, q.service, q.target)
+	}
 	if f.inputsGone {
 		q.excluded = q.excluded[:len(q.excluded)-1]
 		q.dropResults()
@@ -352,7 +355,7 @@
 		return routing.OutcomeCancelled, &failure{cause: cause, notRun: notRun}
 	}
 	unreached := f != nil && f.Step == forward.StepConnect
-	return routing.OutcomeFailed, &failure{cause: err, notRun: notRun, unreached: unreached}
+	return routing.OutcomeFailed, &failure{cause: err, notRun: notRun, unreached: unreached, nothingListens: unreached && f.Refused}
 }
 
 // outgoing is the request as the target gets it.
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -34,6 +34,8 @@
 type Maker interface {
 	Make(ctx context.Context, r gather.Request, prompt placing.Prompt) (stages.Made, error)
 	Drop(owner string, served placing.Served)
+	// EngineGone tells an owner that nothing listens at an engine's address.
+	EngineGone(owner, pool, engine string)
 	// Bound gives requests that wait in Make an earlier deadline, and refuses those
 	// that won't be done by then. It doesn't wait.
 	Bound(until time.Time, ids ...string)
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -92,6 +92,8 @@
 
 func (m *maker) Drop(string, placing.Served) {}
 
+func (m *maker) EngineGone(string, string, string) {}
+
 func (m *maker) Bound(until time.Time, ids ...string) {
 	if !m.deaf && len(ids) == 1 && ids[0] == "a" {
 		m.refused <- until
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -115,6 +115,7 @@
 	c.Handle(methodPlace, s.handlePlace)
 	c.Handle(methodServed, s.handleServed)
 	c.Handle(methodKnown, s.handleKnown)
+	c.Handle(methodGone, s.handleGone)
 	c.Handle(methodTake, s.handleTake)
 	c.Handle(methodEnded, s.handleEnded)
 	c.Handle(methodBound, s.handleBound)
