Contact the largest instances first at a start, and wait for them

Change: of the listed instances those of the most capacity, 16 at most, are asked for a sign of life at once and every 0.15 s. Until more than half of them are known, 1.5 s at most, requests wait for it before their stages are asked for. Names of members are kept in order, so that a view isn't sorted anew with each change. Of a change of many members eight are logged by name. Conclusion: all pick the same holder a few round trips after their start.

--- a/coordination/membership/apply.go
+++ b/coordination/membership/apply.go
@@ -80,6 +80,9 @@
 	}
 	delete(m.suspects, u.Name)
 	delete(m.gone, u.Name)
+	if i, ok := slices.BinarySearch(m.order, u.Name); !ok {
+		m.order = slices.Insert(m.order, i, u.Name)
+	}
 	m.table[u.Name] = &entry{Member: u, changed: now}
 	switch u.State {
 	case Suspect:
@@ -180,6 +183,9 @@
 func (m *Membership) forget(name string) {
 	delete(m.gone, name)
 	delete(m.table, name)
+	if i, ok := slices.BinarySearch(m.order, name); ok {
+		m.order = slices.Delete(m.order, i, i+1)
+	}
 	m.updates.drop(name)
 	m.dirty = true
 }
--- /dev/null
+++ b/coordination/membership/leads_test.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// listed are members of which the first few have most capacity.
+func listed(n, large int) []Member {
+	list := make([]Member, n)
+	for i := range list {
+		list[i] = manyth(i)
+		list[i].Capacity = 192
+		if i < large {
+			list[i].Capacity = 800
+		}
+	}
+	return list
+}
+
+// TestFleetThatStartsTogetherKnowsItsLeads guards against duties that many instances take
+// for themselves, or give to different ones, in the first seconds after all were lost.
+func TestFleetThatStartsTogetherKnowsItsLeads(t *testing.T) {
+	const n, large = 90, 8
+	list := listed(n, large)
+	b := newBench(t, 0, DefaultConfig())
+	order := rand.New(rand.NewPCG(1, 1)).Perm(n)
+	var started []*Membership
+	for _, i := range order {
+		b.now = b.now.Add(3 * time.Millisecond)
+		m := New(DefaultConfig(), list[i], rand.New(rand.NewPCG(uint64(i), 1)))
+		b.nodes[list[i].Address] = m
+		started = append(started, m)
+		require.True(t, m.Joining(b.now), "it has no list yet")
+		b.do(m, m.Seed(b.now, list))
+	}
+	for range 4 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		for _, m := range started {
+			b.do(m, m.Tick(b.now))
+		}
+	}
+	for _, m := range started {
+		require.False(t, m.Joining(b.now), m.self.Name)
+		for _, lead := range list[:large] {
+			x, _ := m.View().Find(lead.Name)
+			require.True(t, x.Live() && x.Name != "", "%s doesn't know %s", m.self.Name, lead.Name)
+		}
+	}
+}
+
+// TestJoiningEnds guards against an instance that waits for others which never come.
+func TestJoiningEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	start := func(seeds []Member) *Membership {
+		m := New(DefaultConfig(), listed(1, 0)[0], rand.New(rand.NewPCG(1, 1)))
+		require.True(t, m.Joining(now))
+		m.Seed(now, seeds)
+		return m
+	}
+	require.False(t, start(listed(1, 0)).Joining(now), "it is alone")
+	require.True(t, start(nil).Joining(now), "the list is empty, or wasn't had")
+	require.False(t, start(nil).Joining(now.Add(joinWithin)))
+	m := start(listed(20, 9))
+	require.True(t, m.Joining(now))
+	for at := now; at.Before(now.Add(joinWithin)); at = at.Add(50 * time.Millisecond) {
+		m.Tick(at)
+	}
+	require.False(t, m.Joining(now.Add(joinWithin-time.Millisecond)), "none of them answers")
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
@@ -14,7 +15,9 @@
 	self Member
 	rng  *rand.Rand
 
-	table      map[string]*entry
+	table map[string]*entry
+	// order are the names in the table, sorted.
+	order      []string
 	byAddress  map[string]string
 	suspects   map[string]struct{}
 	gone       map[string]struct{}
@@ -91,6 +94,7 @@
 	}
 	m.tickProbe(now)
 	m.tickDead(now)
+	m.contactLeads(now)
 	m.tickCandidates(now)
 	m.tickSync(now)
 	return m.flush()
@@ -198,10 +202,11 @@
 func (m *Membership) rebuild() {
 	m.dirty = false
 	members := make([]Member, 0, len(m.table)+1)
-	members = append(members, m.self)
-	for _, e := range m.table {
-		members = append(members, e.Member)
+	for _, name := range m.order {
+		members = append(members, m.table[name].Member)
 	}
+	i, _ := slices.BinarySearch(m.order, m.self.Name)
+	members = slices.Insert(members, i, m.self)
 	version := uint64(1)
 	if m.view != nil {
 		version = m.view.Version + 1
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -24,6 +24,7 @@
 type candidates struct {
 	tries map[string]int
 	next  time.Time
+	leads leads
 }
 
 // syncState is the state of the full exchange.
@@ -53,6 +54,8 @@
 		c.tries[s.Address] = 0
 	}
 	if !m.leaving {
+		m.nameLeads(seeds)
+		m.contactLeads(now)
 		m.contact(firstContacts)
 		c.next = now.Add(m.cfg.Period)
 	}
--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -130,3 +130,23 @@
 		close(c.left)
 	}
 }
+
+// AwaitJoin waits until this instance knows who holds the duties that one instance has
+// for all, or the context ends. It doesn't wait long: whoever is alone holds them.
+func (c *Cluster) AwaitJoin(ctx context.Context) {
+	select {
+	case <-c.joined:
+	case <-ctx.Done():
+	}
+}
+
+// checkJoined ends the wait of AwaitJoin; mu is held.
+func (c *Cluster) checkJoined(now time.Time) {
+	select {
+	case <-c.joined:
+	default:
+		if !c.members.Joining(now) {
+			close(c.joined)
+		}
+	}
+}
--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -82,6 +82,7 @@
 	members    *membership.Membership
 	changed    chan struct{}
 	left       chan struct{}
+	joined     chan struct{}
 	leaving    bool
 	superseded sync.Once
 
@@ -110,6 +111,7 @@
 		metrics: newMetrics(opts.Transport.Scope),
 		changed: make(chan struct{}),
 		left:    make(chan struct{}),
+		joined:  make(chan struct{}),
 		members: membership.New(opts.Membership, self, newRand()),
 		spread:  spread.New(opts.Spread, spread.NewTable(maxTombstones), newRand()),
 	}
@@ -205,6 +207,7 @@
 		}
 	}
 	c.checkLeft()
+	c.checkJoined(time.Now())
 	c.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/daemon/cluster/metrics.go
+++ b/daemon/cluster/metrics.go
@@ -34,17 +34,28 @@
 	return m
 }
 
+// changesLogged bounds the members of one change that are logged by name: one that joins
+// hears of whole pages of them at once.
+const changesLogged = 8
+
 // report logs and counts what changed between two views.
 func (m *metrics) report(old, now *membership.View) {
+	changes := 0
 	for _, member := range now.Members {
 		before, known := old.Find(member.Name)
 		if known && before.State == member.State && before.Incarnation == member.Incarnation {
 			continue
 		}
 		m.became[member.State].Inc(1)
+		if changes++; changes > changesLogged {
+			continue
+		}
 		klog.InfoS("Member changed", "instance", member.Name, "address", member.Address,
 			"dataCentre", member.DataCentre, "incarnation", member.Incarnation, "state", member.State.String())
 	}
+	if changes > changesLogged {
+		klog.InfoS("More members changed", "count", changes-changesLogged, "live", len(now.Live()))
+	}
 	m.size(now)
 }
 
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -48,6 +48,9 @@
 	View() *membership.View
 	Handle(method string, h peer.Handler, opts ...peer.HandleOption)
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
+	// AwaitJoin waits until an instance that has just started knows who holds the queue,
+	// or the context ends.
+	AwaitJoin(ctx context.Context)
 }
 
 // Follower is what the package needs of the follower of the platform's entries.
@@ -167,6 +170,7 @@
 // makeFrom is Make; sent tells that another instance sent the request on.
 func (s *Stages) makeFrom(ctx context.Context, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
 	defer s.asked(r.ID)
+	s.cluster.AwaitJoin(ctx)
 	var err error
 	for range maxOwners {
 		var made Made
