Have requests wait for an instance's start

Cause: requests that come before an instance knows its configuration and its targets are told to come back after a second (310 and 280 in the second after all instances lost power), though both are there a tenth of a second later. Ruled out: a wait of its own for each request, which would hold requests back while the store is away. Change: within the first second of an instance requests wait for both. Conclusion: a start refuses nobody who is served sooner than he would be back.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -84,7 +84,7 @@
 	scope   tally.Scope
 	table   atomic.Pointer[routes.Table]
 	listed  atomic.Bool
-	ready   atomic.Bool
+	ready   chan struct{}
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -109,7 +109,7 @@
 		o.Fleet = alone{}
 	}
 	return &Follower{
-		options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(),
+		ready: make(chan struct{}), options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(),
 		watching: watching.New(), sent: map[watching.Part]context.CancelCauseFunc{},
 	}
 }
@@ -119,7 +119,22 @@
 
 // Ready tells whether a configuration and the targets are known, and those who use
 // them have been told. A request that came before would find no target.
-func (f *Follower) Ready() bool { return f.ready.Load() }
+func (f *Follower) Ready() bool {
+	select {
+	case <-f.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// AwaitReady waits until the instance is ready, or the context ends.
+func (f *Follower) AwaitReady(ctx context.Context) {
+	select {
+	case <-f.ready:
+	case <-ctx.Done():
+	}
+}
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -353,7 +368,7 @@
 
 // noteReady notes that a configuration is in force whose targets were handed on.
 func (f *Follower) noteReady() {
-	if f.listed.Load() {
-		f.ready.Store(true)
+	if f.listed.Load() && !f.Ready() {
+		close(f.ready)
 	}
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -146,18 +146,19 @@
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, t.Scope)
 	g.relay = relay.New(relay.Options{
-		Dialect: p.Dialect,
-		Table:   g.follower.Table,
-		Confirm: g.follower.Confirm,
-		Known:   g.follower.TargetsAge,
-		Router:  g.router,
-		Client:  g.client,
-		Shares:  g.sharesOf,
-		Stages:  g.stages,
-		Budgets: retrybudget.New(g.retryConfig()),
-		Leaving: g.follower.Leaving,
-		Tracer:  t.Tracer,
-		Scope:   t.Scope,
+		Dialect:    p.Dialect,
+		Table:      g.follower.Table,
+		AwaitReady: g.follower.AwaitReady,
+		Confirm:    g.follower.Confirm,
+		Known:      g.follower.TargetsAge,
+		Router:     g.router,
+		Client:     g.client,
+		Shares:     g.sharesOf,
+		Stages:     g.stages,
+		Budgets:    retrybudget.New(g.retryConfig()),
+		Leaving:    g.follower.Leaving,
+		Tracer:     t.Tracer,
+		Scope:      t.Scope,
 	})
 	return g, nil
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -46,6 +46,9 @@
 	Dialect exchange.Dialect
 	// Table is the configuration in force; nil before the first.
 	Table func() *routes.Table
+	// AwaitReady waits until the configuration and the targets are known; nil where
+	// they always are.
+	AwaitReady func(ctx context.Context)
 	// Confirm asks whether a newer configuration exists.
 	Confirm func(ctx context.Context) bool
 	// Known tells how old the knowledge of the targets is.
@@ -70,12 +73,13 @@
 	stopping  *stopping
 	durations *durations
 	waiting   *waiting
+	started   time.Time
 	inFlight  atomic.Int64
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations(), waiting: newWaiting()}
+	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations(), waiting: newWaiting(), started: time.Now()}
 }
 
 // InFlight returns the number of requests without their final answer.
@@ -92,6 +96,22 @@
 	maxBody = 8 << 20
 )
 
+// startWithin is how long after its start an instance has requests wait for its
+// configuration and its targets. It has them sooner than a caller would come back who
+// is refused; later, only if the store is away.
+const startWithin = time.Second
+
+// awaitStart waits while the instance has just started and isn't ready.
+func (s *Relay) awaitStart(ctx context.Context) {
+	left := startWithin - time.Since(s.started)
+	if s.options.AwaitReady == nil || left <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	s.options.AwaitReady(ctx)
+}
+
 var errDeadline = errors.New("the request's time is over")
 
 // request is one request on its way.
@@ -172,6 +192,7 @@
 
 // accept reads the request, and answers at once what isn't served.
 func (q *request) accept(ctx context.Context) bool {
+	q.relay.awaitStart(ctx)
 	table := q.relay.options.Table()
 	if table == nil {
 		q.refuse("no_configuration", time.Second)
