--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -47,9 +47,7 @@
 // still waits for its stages then is refused.
 //
 // It guards against requests that wait for stages until the end of the grace: their
-// connections were closed without a word, 5 to 7 s after they had come, on days with
-// stops in series under a doubled load (30 of them on four played days of seven
-// instances).
+// connections were closed without a word.
 func (w Window) SendBy(r Request) time.Time {
 	usual := r.Usual
 	if !r.Streams {
--- a/coordination/gather/share.go
+++ b/coordination/gather/share.go
@@ -4,8 +4,7 @@
 
 const (
 	// leastKindShare is the part of the general share of requests that are done in
-	// time below which no kind falls. Of a least urgent kind with three stages beside
-	// an urgent one with one, 0.12 come in time without it and 0.19 with it.
+	// time below which no kind falls.
 	leastKindShare = 0.25
 	// shareHalf is how fast the shares follow the load: slower than
 	// bursts of a few seconds, so that these don't lift what is due to yield.
@@ -46,11 +45,9 @@
 // urgent kind, or less than their least share.
 //
 // The load it answers: client accounts that mostly pay for the same priority, in a
-// burst. Ranked alike, the kind with the longest way through the stages loses: at 90
-// instances two fifths of the most urgent kind were refused while nine tenths of the
-// least urgent one were served. Ranked strictly by urgency, the others starve: at 58
-// instances the share of menu plans that came in time fell from 0.79 to 0.55 on a calm
-// day. So a kind goes first just while it is behind.
+// burst. Ranked alike, the kind with the longest way through the stages loses, however
+// urgent it is. Ranked strictly by urgency, the others starve. So a kind goes first just
+// while it is behind.
 type shares struct {
 	all *record
 	// kinds are by the name of the kind, levels by its urgency.
--- a/coordination/holder/holder.go
+++ b/coordination/holder/holder.go
@@ -3,9 +3,8 @@
 // is a hint: two views may differ for a while, and two holders at once must do no
 // harm.
 //
-// The load it answers: at 90 instances the queue was measured to take up to 0.15 of a
-// core, and worked out to need some 9 Mbit/s in a burst. Most instances have 0.19 of a
-// core and 10 Mbit/s; a few have four times the core and twenty times the link.
+// The load it answers: the queue of a fleet of which most instances are small and a few
+// have several times the processor share and the link.
 package holder
 
 import (
@@ -39,8 +38,7 @@
 //
 // It guards against instances that start in the same instant: without the name each of
 // them picks itself for as long as both live, and two queues take each other's places
-// and room at the targets. Measured on one calm day of six instances: 1,026 pieces whose
-// inputs were gone and 500 without room, mean worth of the answers 0.53 for 0.80.
+// and room at the targets.
 func before(a, b membership.Member) bool {
 	return cmp.Or(
 		cmp.Compare(b.Capacity, a.Capacity),
--- a/coordination/placing/doc.go
+++ b/coordination/placing/doc.go
@@ -2,11 +2,9 @@
 // known: at the instance that holds the queue of their stages.
 //
 // The load it answers: engines that serve a few dozen requests a second together and
-// are idle seven eighths of the time, yet let answers come late. Homes by hash alone put
-// the prompts of a burst on two engines of nine, which took 0.6 to 1.9 s to the first
-// event where the others took 0.2 s; measured on a calm day, nine of the 37 late answers
-// of the kind with the longest prompts. And a home knows nothing of the data centre
-// where a request's large inputs are made.
+// are idle most of the time, yet let answers come late. Homes by hash alone put the
+// prompts of a burst on few engines. And a home knows nothing of the data centre where a
+// request's large inputs are made.
 //
 // Table is a pure state machine: the time is an argument. It is not safe for concurrent
 // use.
--- a/daemon/stages/known.go
+++ b/daemon/stages/known.go
@@ -25,8 +25,7 @@
 
 // tellKnown tells the instance that has the queue what engines have read. Without the
 // word the prompts of all subjects that aren't at the engine of their hash are read
-// once more: measured at seven instances that stop in turn, 634,000 shared tokens in
-// 50 s where 170,000 were read with homes by hash alone.
+// once more.
 func (s *Stages) tellKnown(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), knownTimeout)
 	defer cancel()
--- a/daemon/stages/placed.go
+++ b/daemon/stages/placed.go
@@ -28,9 +28,8 @@
 
 // near returns the request with the data centre where its results had best be read, as
 // far as can be told before its stages run, and the time that it needs after them; mu
-// is held. One constant for all kinds counts a prompt of 30,000 tokens like one of 700:
-// its stages are then done in time and its answer is late (mean worth of the answers
-// 0.715 to 0.726 at six instances, 12 days played twice, standard error 0.003).
+// is held. With one constant for all kinds the stages of a long prompt are done in time
+// and its answer is late.
 func (o *Owner) near(now time.Time, r gather.Request, prompt placing.Prompt) gather.Request {
 	if prompt.Pool == "" {
 		return r
