Watch the store only once the other instances are known

Ruled out: fewer lists, which are one call each; lists from the past for the targets, since the configuration's and the targets' bounds hang on them.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -168,6 +168,8 @@
 	var revision uint64
 	for ctx.Err() == nil {
 		if revision != 0 {
+			// Before it knows the others an instance takes itself for a watcher.
+			f.options.Fleet.AwaitJoin(ctx)
 			f.awaitDuty(ctx)
 		}
 		started := time.Now()
--- a/daemon/follow/patrol.go
+++ b/daemon/follow/patrol.go
@@ -31,6 +31,9 @@
 	// AllWatch tells whether all instances watch: none of them hears of news by the word
 	// of others alone.
 	AllWatch() bool
+	// AwaitJoin waits until an instance that has just started knows most watchers, or the
+	// context ends.
+	AwaitJoin(ctx context.Context)
 	// AskWatcher asks the watcher of a place for its word; a zero Word if it doesn't
 	// answer.
 	AskWatcher(ctx context.Context, place int) watching.Word
@@ -45,6 +48,8 @@
 
 func (alone) AllWatch() bool { return true }
 
+func (alone) AwaitJoin(context.Context) {}
+
 func (alone) AskWatcher(context.Context, int) watching.Word { return watching.Word{} }
 
 // Word returns what this instance tells another of its knowledge.
--- a/daemon/follow/patrol_test.go
+++ b/daemon/follow/patrol_test.go
@@ -39,6 +39,27 @@
 
 func (s seat) AllWatch() bool { return s.all }
 
+func (s seat) AwaitJoin(context.Context) {}
+
+// newcomer is a seat whose instance takes itself for alone until it has joined.
+type newcomer struct {
+	seat
+	joins time.Time
+}
+
+func (n newcomer) joined() bool { return !time.Now().Before(n.joins) }
+
+func (n newcomer) Place() int {
+	if !n.joined() {
+		return 0
+	}
+	return n.seat.Place()
+}
+
+func (n newcomer) AllWatch() bool { return !n.joined() || n.seat.AllWatch() }
+
+func (n newcomer) AwaitJoin(context.Context) { time.Sleep(time.Until(n.joins)) }
+
 func (s seat) AskWatcher(ctx context.Context, place int) watching.Word {
 	if s.fl.isCut(s.i) || s.fl.isCut(place) {
 		<-ctx.Done()
@@ -250,6 +271,22 @@
 	}
 }
 
+// TestStartingFleetMakesFewCalls guards against watches of all instances of a large fleet
+// that starts, each woken by every change until it knows that others watch.
+func TestStartingFleetMakesFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, changes = 60, 10
+		joins := time.Now().Add(300 * time.Millisecond)
+		fl := newFleet(t, size, func(fl *fleet, i int, o *Options) { o.Fleet = newcomer{seat{fl, i, false}, joins} })
+		for i := range changes {
+			fl.store.put("targets", fmt.Sprint("new-", i), "ready")
+			fl.sleep(20 * time.Millisecond)
+		}
+		fl.sleep(500 * time.Millisecond)
+		require.LessOrEqual(t, fl.store.calls(), 2*size+2*fleetWatchers*changes)
+	})
+}
+
 // A silence before a large fleet: those who don't watch come in to help only if nobody's
 // watch is well, and leave again.
 func TestLargeFleetLeavesTheStoreAgain(t *testing.T) {
--- a/daemon/gateway/watchers.go
+++ b/daemon/gateway/watchers.go
@@ -60,6 +60,9 @@
 // AllWatch implements follow.Fleet.
 func (f fleet) AllWatch() bool { return len(f.g.cluster.View().Live()) <= allWatch }
 
+// AwaitJoin implements follow.Fleet.
+func (f fleet) AwaitJoin(ctx context.Context) { f.g.cluster.AwaitJoin(ctx) }
+
 // AskWatcher implements follow.Fleet.
 func (f fleet) AskWatcher(ctx context.Context, place int) watching.Word {
 	owners := f.owners()
