Ask a holder once more whose connection was reset

Cause: an instance that wakes from a freeze, or whose connections are reset, finds its connection to the holder lost, passes the holder over for three seconds and begins its requests anew at the next instance. Ruled out: the retry of transport/peer for idempotent methods, which also follows a silence: a frozen holder would be waited for three times as long. Change: after a lost connection, and only then, the holder is asked once more; it keeps the requests of a lost connection for 0.3 s and goes on with them. Conclusion: a reset costs a round trip.

--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
@@ -148,8 +149,9 @@
 // make has the stages of a request run and waits for their results. A request that
 // was taken over with another instance's queue goes on with what is made of it.
 //
-// bounded tells that its deadline was brought forward since it was asked for first.
-func (o *Owner) make(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded bool) (outcome, error) {
+// bounded tells that its deadline was brought forward since it was asked for first,
+// remote that another instance asks, whose connection the context is bound to.
+func (o *Owner) make(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded, remote bool) (outcome, error) {
 	done, err := o.begin(ctx, r, prompt, bounded)
 	if err != nil {
 		return outcome{}, err
@@ -158,17 +160,28 @@
 	case end := <-done:
 		return end, nil
 	case <-ctx.Done():
-		o.abandon(r.ID, done)
+		o.abandon(r.ID, done, remote && !errors.Is(ctx.Err(), context.DeadlineExceeded))
 		return outcome{}, context.Cause(ctx)
 	}
 }
 
-// abandon drops a request whose asker is gone, unless it has been asked for again.
-func (o *Owner) abandon(id string, done <-chan outcome) {
+// reconnectWithin is how long a request is kept whose asker's connection was lost: some
+// round trips. An asker that is well asks for it again.
+const reconnectWithin = 300 * time.Millisecond
+
+// abandon drops a request whose asker gave up, unless it has been asked for again. One
+// whose asker's connection was lost is kept for a moment.
+func (o *Owner) abandon(id string, done <-chan outcome, lost bool) {
 	o.mu.Lock()
-	again := o.waiting[id] != nil && o.waiting[id] != done
+	present, waits := o.waiting[id]
+	again := waits && present != done
+	kept := lost && waits && !again
+	if kept {
+		delete(o.waiting, id)
+		o.unclaimed[id] = time.Now().Add(reconnectWithin)
+	}
 	o.mu.Unlock()
-	if !again {
+	if !again && !kept {
 		o.drop(placing.Served{Request: id})
 	}
 }
@@ -194,6 +207,8 @@
 		return done, nil
 	}
 	_, taken := o.unclaimed[r.ID]
+	_, asked := o.waiting[r.ID]
+	taken = taken || asked
 	delete(o.unclaimed, r.ID)
 	if end, ok := o.early[r.ID]; ok {
 		delete(o.early, r.ID)
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -263,7 +263,7 @@
 func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
 	r, bounded := s.ask(m.Address, r)
 	if m.Name == s.cluster.View().Self {
-		end, err := s.owner.make(ctx, r, prompt, bounded)
+		end, err := s.owner.make(ctx, r, prompt, bounded, false)
 		if err == nil && end.movedTo != "" {
 			return Made{}, &movedError{end.movedTo}
 		}
@@ -274,6 +274,10 @@
 	}
 	follow := followAsk{*newAsk(time.Now(), r), bounded, sent, s.passed(time.Now())}
 	answer, err := s.makeRemote(ctx, m.Address, &placeAsk{follow, prompt})
+	if errors.Is(err, peer.ErrConnLost) {
+		// The holder keeps the request for a moment, and may well be there.
+		answer, err = s.makeRemote(ctx, m.Address, &placeAsk{follow, prompt})
+	}
 	if err != nil {
 		return Made{}, err
 	}
@@ -363,7 +367,7 @@
 		return s.relay(ctx, ask)
 	}
 	r := ask.Follow.Make.request(time.Now())
-	end, err := s.owner.make(ctx, r, ask.Prompt, ask.Follow.Bounded)
+	end, err := s.owner.make(ctx, r, ask.Prompt, ask.Follow.Bounded, true)
 	if err != nil {
 		return nil, err
 	}
