Wait for others at a start only where the list names a large fleet

Ruled out: to write the entry after the list, which empties the first list of all that start together. Change: any list that was had ends the wait for one; first watches wait only where it names more instances than watch in a small fleet; an entry counts as missing only once it was written; one that the list told isn't read again. Conclusion: a small fleet starts as before the wait.

--- a/coordination/membership/leads.go
+++ b/coordination/membership/leads.go
@@ -24,7 +24,7 @@
 // rumours it takes seconds until each knows all, and until then each gives the duty to
 // another, or takes it itself.
 type leads struct {
-	// named tells that a list has come.
+	// named tells that the platform's list has come.
 	named bool
 	count int
 	// tries is how often those were contacted that aren't known yet, by address.
@@ -36,7 +36,6 @@
 // nameLeads takes those of the first list that names any.
 func (m *Membership) nameLeads(seeds []Member) {
 	l := &m.candidates.leads
-	l.named = l.named || slices.ContainsFunc(seeds, func(s Member) bool { return s.Name != "" })
 	if l.count > 0 {
 		return
 	}
@@ -55,6 +54,9 @@
 	l.count = len(l.tries)
 }
 
+// Listed notes that the seeds named so far hold the whole list of the platform.
+func (m *Membership) Listed() { m.candidates.leads.named = true }
+
 // contactLeads asks those for a sign of life that aren't known yet.
 func (m *Membership) contactLeads(now time.Time) {
 	l := &m.candidates.leads
--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -12,6 +12,16 @@
 // View returns the present view of the cluster.
 func (c *Cluster) View() *membership.View { return c.view.Load() }
 
+// Listed returns how many instances the platform's list last named, those included that
+// are gone. It waits for the first list, or for its failure.
+func (c *Cluster) Listed(ctx context.Context) int {
+	select {
+	case <-c.listTried:
+	case <-ctx.Done():
+	}
+	return int(c.listed.Load())
+}
+
 // Peers returns the other live instances.
 func (c *Cluster) Peers() []membership.Member {
 	view := c.View()
--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -77,6 +77,11 @@
 	cancel  context.CancelFunc
 
 	view atomic.Pointer[membership.View]
+	// listed is how many instances the platform's list last named.
+	listed atomic.Int64
+	// listTried is closed once the list was asked for, with an answer or without.
+	listTried chan struct{}
+	listDone  sync.Once
 
 	mu         sync.Mutex
 	members    *membership.Membership
@@ -112,8 +117,10 @@
 		changed: make(chan struct{}),
 		left:    make(chan struct{}),
 		joined:  make(chan struct{}),
-		members: membership.New(opts.Membership, self, newRand()),
-		spread:  spread.New(opts.Spread, spread.NewTable(maxTombstones), newRand()),
+
+		listTried: make(chan struct{}),
+		members:   membership.New(opts.Membership, self, newRand()),
+		spread:    spread.New(opts.Spread, spread.NewTable(maxTombstones), newRand()),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.view.Store(c.members.View())
@@ -298,9 +305,19 @@
 	if err != nil {
 		klog.ErrorS(err, "Listing the instances failed", "step", "list instances")
 	}
+	if err == nil {
+		c.listed.Store(int64(len(listed)))
+	}
 	seeds = append(seeds, listed...)
 	now := time.Now()
-	c.membership(nil, func(m *membership.Membership) []membership.Action { return m.Seed(now, seeds) })
+	c.membership(nil, func(m *membership.Membership) []membership.Action {
+		actions := m.Seed(now, seeds)
+		if err == nil {
+			m.Listed()
+		}
+		return actions
+	})
+	c.listDone.Do(func() { close(c.listTried) })
 	return err == nil
 }
 
--- a/daemon/gateway/watchers.go
+++ b/daemon/gateway/watchers.go
@@ -60,8 +60,13 @@
 // AllWatch implements follow.Fleet.
 func (f fleet) AllWatch() bool { return len(f.g.cluster.View().Live()) <= allWatch }
 
-// AwaitJoin implements follow.Fleet.
-func (f fleet) AwaitJoin(ctx context.Context) { f.g.cluster.AwaitJoin(ctx) }
+// AwaitJoin implements follow.Fleet. An instance of a small fleet watches at once: it
+// leaves nothing to others.
+func (f fleet) AwaitJoin(ctx context.Context) {
+	if f.g.cluster.Listed(ctx) > allWatch {
+		f.g.cluster.AwaitJoin(ctx)
+	}
+}
 
 // AskWatcher implements follow.Fleet.
 func (f fleet) AskWatcher(ctx context.Context, place int) watching.Word {
--- a/daemon/register/register.go
+++ b/daemon/register/register.go
@@ -29,6 +29,11 @@
 	missing chan struct{}
 	// removed is set once a planned stop removes the entry.
 	removed atomic.Bool
+	// written is set once the store has the entry.
+	written atomic.Bool
+	// found is the entry that a list had under the instance's name before that; nil if
+	// none.
+	found atomic.Pointer[platformapi.Object]
 }
 
 // New makes a registrar; self tells what the entry says.
@@ -68,6 +73,14 @@
 // later one stays, which counts as written: this process is the outdated one.
 // So does the own one, whose write was taken while its answer was lost.
 func (r *Registrar) write(ctx context.Context) error {
+	err := r.writeOnce(ctx)
+	if err == nil {
+		r.written.Store(true)
+	}
+	return err
+}
+
+func (r *Registrar) writeOnce(ctx context.Context) error {
 	object, err := r.entry()
 	if err != nil {
 		return err
@@ -77,7 +90,15 @@
 	if !errors.As(err, &conflict) {
 		return errors.Wrap(err, "register instance")
 	}
-	return r.replace(ctx, object)
+	if found := r.found.Swap(nil); found != nil && r.replace(ctx, object, found) == nil {
+		return nil
+	}
+	// There was no list yet, or the entry has changed since.
+	found, err := r.store.Get(ctx, platformapi.KindInstances, object.Metadata.Name)
+	if err != nil {
+		return errors.Wrap(err, "register instance: read")
+	}
+	return r.replace(ctx, object, found)
 }
 
 // entry is what the store is to say of this instance.
@@ -94,21 +115,16 @@
 	return object, errors.Wrap(err, "register instance: encode")
 }
 
-// replace overwrites the entry of an earlier incarnation. The update is
-// conditional: one that appears after the read makes it fail.
-func (r *Registrar) replace(ctx context.Context, object platformapi.Object) error {
-	name := object.Metadata.Name
-	found, err := r.store.Get(ctx, platformapi.KindInstances, name)
-	if err != nil {
-		return errors.Wrap(err, "register instance: read")
-	}
+// replace overwrites the entry of an earlier incarnation, as it was found. The update
+// is conditional: one that appears after that makes it fail.
+func (r *Registrar) replace(ctx context.Context, object platformapi.Object, found *platformapi.Object) error {
 	var entry platformapi.InstanceEntry
 	known := json.Unmarshal(found.Spec, &entry) == nil // else not of our making
 	if known && entry.Incarnation >= r.self().Incarnation {
 		return nil
 	}
 	object.Metadata.Revision = found.Metadata.Revision
-	_, err = r.store.Update(ctx, platformapi.KindInstances, object)
+	_, err := r.store.Update(ctx, platformapi.KindInstances, object)
 	return errors.Wrap(err, "register instance: replace")
 }
 
@@ -142,6 +158,8 @@
 
 // List returns the instances that the store lists, as candidates for peers.
 func (r *Registrar) List(ctx context.Context) ([]membership.Member, error) {
+	// Before the entry is written for the first time its absence is no news.
+	written := r.written.Load()
 	list, err := r.store.List(ctx, platformapi.KindInstances)
 	if err != nil {
 		return nil, errors.Wrap(err, "list instances")
@@ -154,14 +172,24 @@
 			continue // not of our making
 		}
 		members = append(members, member)
-		listed = listed || member.Name == r.self().Name
+		if member.Name == r.self().Name {
+			listed = true
+			r.noteFound(&list.Items[i])
+		}
 	}
-	if !listed {
+	if !listed && written {
 		r.writeAgain()
 	}
 	return members, nil
 }
 
+// noteFound notes the entry under the instance's name for the first write.
+func (r *Registrar) noteFound(entry *platformapi.Object) {
+	if !r.written.Load() {
+		r.found.Store(entry)
+	}
+}
+
 func memberOf(object *platformapi.Object) (membership.Member, bool) {
 	var entry platformapi.InstanceEntry
 	if json.Unmarshal(object.Spec, &entry) != nil {
--- a/daemon/register/register_test.go
+++ b/daemon/register/register_test.go
@@ -155,3 +155,43 @@
 		require.Equal(r.t, []uint64{2}, r.incarnations())
 	})
 }
+
+// countedStore counts the calls to a store.
+type countedStore struct {
+	platform.Store
+	calls *int
+}
+
+func (s countedStore) Get(ctx context.Context, kind, name string) (*platformapi.Object, error) {
+	*s.calls++
+	return s.Store.Get(ctx, kind, name)
+}
+
+func (s countedStore) Create(ctx context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	*s.calls++
+	return s.Store.Create(ctx, kind, o)
+}
+
+func (s countedStore) Update(ctx context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	*s.calls++
+	return s.Store.Update(ctx, kind, o)
+}
+
+// TestStartMakesFewCalls guards against calls that each of hundreds of instances makes as
+// all start together: a second write since its first list came before its entry, and a
+// read of an entry that the list told.
+func TestStartMakesFewCalls(t *testing.T) {
+	inRig(t, func(r *rig) {
+		for incarnation, calls := range []int{1, 2, 2} {
+			self := membership.Member{Name: "one", Address: "127.0.0.1:1", Incarnation: uint64(incarnation + 1)}
+			made := 0
+			registrar := New(countedStore{r.store.Local("one"), &made}, func() membership.Member { return self })
+			_, err := registrar.List(r.ctx)
+			require.NoError(r.t, err)
+			go func() { _ = registrar.Run(r.ctx) }()
+			synctest.Wait()
+			require.Equal(r.t, calls, made)
+			require.Equal(r.t, []uint64{uint64(incarnation + 1)}, r.incarnations())
+		}
+	})
+}
