Keep a request whose connection is reset as its queue moves

Change: an end that comes as the connection is lost is kept for when the asker asks again, and nothing is dropped that has moved. Who waits for a request that is dropped hears of it.

--- a/daemon/stages/askers.go
+++ b/daemon/stages/askers.go
@@ -41,3 +41,44 @@
 		o.drop(gone...)
 	}
 }
+
+// reconnectWithin is how long a request is kept whose asker's connection was lost: some
+// round trips. An asker that is well asks for it again.
+const reconnectWithin = 300 * time.Millisecond
+
+// abandon drops a request whose asker gave up, unless it has been asked for again or has
+// moved. One whose asker's connection was lost is kept for a moment, with its end if
+// that has come.
+func (o *Owner) abandon(id string, done chan outcome, lost bool) {
+	o.mu.Lock()
+	present, waits := o.waiting[id]
+	if waits && present != done || o.keepEnd(id, done, lost) {
+		o.mu.Unlock()
+		return
+	}
+	if lost {
+		delete(o.waiting, id)
+		o.unclaimed[id] = time.Now().Add(reconnectWithin)
+	}
+	o.mu.Unlock()
+	if !lost {
+		o.drop(placing.Served{Request: id})
+	}
+}
+
+// keepEnd keeps an end that came as its asker was lost, for when that asks again. It
+// tells whether nothing is left to decide here: the request has moved or was dropped.
+// mu is held.
+func (o *Owner) keepEnd(id string, done <-chan outcome, lost bool) (decided bool) {
+	select {
+	case end := <-done:
+		if end.movedTo != "" || end.dropped {
+			return true
+		}
+		if lost {
+			o.early[id] = end
+		}
+	default:
+	}
+	return false
+}
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -75,8 +75,13 @@
 	refused *gather.Refused
 	// movedTo is the address of the instance that has the queue and the request now.
 	movedTo string
+	// dropped tells that the request was dropped by its asker's word, or for want of one.
+	dropped bool
 }
 
+// errDropped answers an ask whose request was dropped meanwhile.
+var errDropped = errors.New("the request was dropped")
+
 func newOwner(d exchange.Dialect, client *forward.Client, follower Follower, m metrics) *Owner {
 	return &Owner{
 		dialect:  d,
@@ -158,6 +163,9 @@
 	}
 	select {
 	case end := <-done:
+		if end.dropped {
+			return outcome{}, errDropped
+		}
 		return end, nil
 	case <-ctx.Done():
 		o.abandon(r.ID, done, remote && !errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -165,30 +173,9 @@
 	}
 }
 
-// reconnectWithin is how long a request is kept whose asker's connection was lost: some
-// round trips. An asker that is well asks for it again.
-const reconnectWithin = 300 * time.Millisecond
-
-// abandon drops a request whose asker gave up, unless it has been asked for again. One
-// whose asker's connection was lost is kept for a moment.
-func (o *Owner) abandon(id string, done <-chan outcome, lost bool) {
-	o.mu.Lock()
-	present, waits := o.waiting[id]
-	again := waits && present != done
-	kept := lost && waits && !again
-	if kept {
-		delete(o.waiting, id)
-		o.unclaimed[id] = time.Now().Add(reconnectWithin)
-	}
-	o.mu.Unlock()
-	if !again && !kept {
-		o.drop(placing.Served{Request: id})
-	}
-}
-
 // begin takes a request in, as soon as the queue isn't on its way. The channel tells
 // the request's end.
-func (o *Owner) begin(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded bool) (<-chan outcome, error) {
+func (o *Owner) begin(ctx context.Context, r gather.Request, prompt placing.Prompt, bounded bool) (chan outcome, error) {
 	done := make(chan outcome, 1)
 	o.enter()
 	for o.frozen {
@@ -239,8 +226,10 @@
 		id := s.Request
 		ids[i] = id
 		o.engines.Ended(s)
+		if o.waiting[id] != nil {
+			o.finish(id, outcome{dropped: true})
+		}
 		delete(o.prompts, id)
-		delete(o.waiting, id)
 		delete(o.unclaimed, id)
 		delete(o.early, id)
 		delete(o.readers, id)
