Name the recount of a call's requests

Cause: read as a newcomer, a variable of the loop above was used again. Ruled out: nothing. Change: recountStages; a comment. Conclusion: no decision changed.

--- a/coordination/gather/backlog.go
+++ b/coordination/gather/backlog.go
@@ -91,7 +91,8 @@
 	return sum
 }
 
-// counted is where and how a stage is counted in its service's backlog.
+// counted is where and how a stage is counted in its service's backlog, with the time
+// that its pieces took as it was counted.
 type counted struct {
 	rank float64
 	slot int64
@@ -110,6 +111,17 @@
 	}
 }
 
+// recountStages does so for the requests of pieces, which follow one another by stage.
+func (p *Planner) recountStages(now time.Time, pieces []pieceRef) {
+	var last *stageWork
+	for _, ref := range pieces {
+		if ref.stage != last {
+			last = ref.stage
+			p.recount(now, last.work)
+		}
+	}
+}
+
 // count brings its service's backlog up to date with the stage's pieces.
 func (s *stageWork) count(rank float64, slot int64) {
 	if s.counted.pieces == len(s.todo) && s.counted.rank == rank && s.counted.slot == slot {
--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -206,13 +206,7 @@
 			p.dequeue(st)
 		}
 	}
-	reader = nil
-	for _, ref := range chosen {
-		if reader != ref.stage {
-			reader = ref.stage
-			p.recount(now, reader.work)
-		}
-	}
+	p.recountStages(now, chosen)
 	c.expected = t.service.expected(pieceTime)
 	t.calls++
 	t.heldBytes += c.bytes
