Take the queue back from a holder that is lost after a yield

Cause: found while taking guards out by hand. TestAskerThatIsCutOff passed with its guard taken out: what was left of the request before made up for the second queue. Written anew, the test of a yield failed: once the instance that took the queue over is lost, all askers are sent on to it by the one that yielded, whose rank they ask first, until its death is known to all, seconds at hundreds of instances. Ruled out: that it takes the queue back on any asker's word, which would begin a second queue for one asker that is cut off. Change: told by an asker that passes it over, or passing it over itself, the one that yielded asks whether it answers, passes the request on if so, and takes the queue back if not.

--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -137,7 +137,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			o.takeBack(view())
+			o.takeBackGone(view())
 			o.enter()
 			idle := o.planner.Held() == 0
 			o.engines.Tick(now)
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -263,6 +263,7 @@
 func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
 	r, bounded := s.ask(m.Address, r)
 	if m.Name == s.cluster.View().Self {
+		s.takeBackAvoided(time.Now())
 		end, err := s.owner.make(ctx, r, prompt, bounded, false)
 		if err == nil && end.movedTo != "" {
 			return Made{}, &movedError{end.movedTo}
@@ -363,7 +364,7 @@
 	if to := s.sendOn(time.Now(), &ask.Follow); to != "" {
 		return &placeAnswer{Follow: followAnswer{Moved: to}}, nil
 	}
-	if s.relays(time.Now(), &ask.Follow) {
+	if s.lostHolder(ctx, &ask.Follow) || s.relays(time.Now(), &ask.Follow) {
 		return s.relay(ctx, ask)
 	}
 	r := ask.Follow.Make.request(time.Now())
--- a/daemon/stages/yield.go
+++ b/daemon/stages/yield.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
@@ -62,18 +63,73 @@
 	}
 }
 
-// takeBack ends a yield to an instance that is gone.
-func (o *Owner) takeBack(view *membership.View) {
+// reachTimeout bounds the question whether the instance answers that has the queue.
+const reachTimeout = 300 * time.Millisecond
+
+// lostHolder deals with an asker that doesn't reach the instance which has this one's
+// queue since a yield. It tells whether that instance answers here; else the queue is
+// taken back.
+//
+// It guards against requests that nobody serves: until its death is known to all, askers
+// are sent on to an instance that is gone.
+func (s *Stages) lostHolder(ctx context.Context, ask *followAsk) (passOn bool) {
+	to := s.owner.yieldedTo()
+	if to == "" || !slices.Contains(ask.Passed, to) {
+		return false
+	}
+	if s.reaches(ctx, to) {
+		return !ask.Sent
+	}
+	s.owner.takeBack(to)
+	return false
+}
+
+// reaches tells whether an instance answers at once.
+func (s *Stages) reaches(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	return s.tellServed(ctx, address, nil) == nil
+}
+
+// takeBackAvoided takes the queue back from an instance that this one passes over.
+func (s *Stages) takeBackAvoided(now time.Time) {
+	to := s.owner.yieldedTo()
+	if to == "" {
+		return
+	}
+	s.mu.Lock()
+	avoided := s.isAvoided(now, s.memberAt(to).Name)
+	s.mu.Unlock()
+	if avoided {
+		s.owner.takeBack(to)
+	}
+}
+
+// yieldedTo is the address of the instance that has the queue since a yield, or "".
+func (o *Owner) yieldedTo() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.yielded {
-		return
+		return ""
 	}
-	for _, m := range view.Live() {
-		if m.Address == o.movedTo {
-			return
-		}
+	return o.movedTo
+}
+
+// takeBackGone ends a yield to an instance that isn't live.
+func (o *Owner) takeBackGone(view *membership.View) {
+	to := o.yieldedTo()
+	isThere := func(m membership.Member) bool { return m.Address == to }
+	if to != "" && !slices.ContainsFunc(view.Live(), isThere) {
+		o.takeBack(to)
+	}
+}
+
+// takeBack ends a yield to an instance.
+func (o *Owner) takeBack(from string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.yielded && o.movedTo == from {
+		telemetry.InfoS("Stage queue taken back", telemetry.Event{Address: from})
+		o.movedTo, o.yielded = "", false
 	}
-	telemetry.InfoS("Stage queue taken back", telemetry.Event{Address: o.movedTo})
-	o.movedTo, o.yielded = "", false
 }
