Log what a caller got of a stream and how its end was marked

Cause: an answer was framed as complete and wasn't, and the logs could not say why. "Request ended" gave the status of the last target, 500 where the caller had the head of a 200, and no line told which events the caller had, of how many targets, or how the target marked the end of its answer.

Ruled out: a line for each event, which costs processor time on each stream.

Change: last_event, sources and framing on "Request ended", last_event and framing on "Attempt failed"; status is that of the head which the caller got.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -83,7 +83,7 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	q.w.WriteHeader(status)
-	q.headerSent = true
+	q.headerSent, q.status = true, status
 }
 
 // announceStop tells the caller of an instance that stops to go elsewhere with its next
@@ -98,6 +98,7 @@
 // of one, and what goes on elsewhere begins with a whole one.
 func (q *request) passEvents(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
 	events := sse.NewSplitter(0)
+	delivered := false
 	buffer := make([]byte, readBuffer)
 	controller := http.NewResponseController(q.w)
 	for {
@@ -118,6 +119,10 @@
 					return routing.OutcomeCancelled, nil
 				}
 				q.lastEvent = events.LastID()
+				if !delivered {
+					delivered = true
+					q.sources++
+				}
 			}
 		}
 		if readErr == io.EOF && len(events.Torn()) == 0 {
@@ -252,8 +257,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// logEnd writes the line of the request's end.
+// logEnd writes the line of the request's end. Status is 0 if the caller's connection is
+// closed before the end of the answer.
 func (q *request) logEnd(status int) {
+	if q.headerSent && status != 0 {
+		status = q.status
+	}
 	route := ""
 	if q.route != nil {
 		route = q.route.Name
@@ -265,6 +274,7 @@
 		RequestID: q.call.ID, Pipeline: route, Target: q.target, Reason: q.reason,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused, Head: q.head,
 		Stages: q.parts.stages, First: q.parts.first, Pause: q.parts.pause, Known: q.known,
+		LastEvent: q.lastEvent, Sources: q.sources, Framing: string(q.framing),
 	})
 	q.relay.metrics.ended(status, q.reason, time.Since(q.arrived))
 	q.relay.metrics.took(&q.parts)
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -233,6 +233,7 @@
 	telemetry.InfoS("Attempt failed", telemetry.Event{
 		RequestID: q.call.ID, Pipeline: q.route.Name, Target: q.target, Reason: f.cause.Error(),
 		Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
+		LastEvent: q.lastEvent, Framing: string(q.framing),
 	})
 	q.relay.metrics.attempt(f.notRun)
 	q.excluded = append(q.excluded, q.target)
@@ -286,6 +287,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	q.framing = ""
 	silence := time.AfterFunc(q.firstByteBound(), func() {
 		// Cut off without a second attempt the request would fail for sure.
 		if q.payResend() {
@@ -302,6 +304,7 @@
 		return q.failed(ctx, err)
 	}
 	defer reply.Close()
+	q.framing = reply.Framing()
 	said := q.relay.options.Dialect.ParseReply(reply.Status, reply.Header)
 	if said.WrongTarget {
 		q.relay.options.Leaving(t.Incarnation)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -153,8 +153,14 @@
 
 	// headerSent is set once the caller has the head of the answer.
 	headerSent bool
+	// status is that of the answer whose head the caller has.
+	status int
 	// lastEvent is the last whole event that the caller has.
 	lastEvent string
+	// sources counts the targets whose events the caller has.
+	sources int
+	// framing is how the latest target marks the end of its answer.
+	framing forward.Framing
 	// parts are the times that its parts took, for the log.
 	parts parts
 	// reason is why an answer of our own was given, for the log.
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -45,13 +45,19 @@
 	// Known is how old the instance's knowledge was by which it acted: the time since
 	// the store last answered about it.
 	Known time.Duration
+	// LastEvent is the id of the last event of a stream that its caller got, Sources the
+	// number of targets whose events the caller got, and Framing how the target marked
+	// the end of its answer.
+	LastEvent string
+	Sources   int
+	Framing   string
 	// Address is an IP:port that the instance listens on or connects to.
 	Address string
 }
 
 // maxPairs is the number of keys and values that an Event and an instance
 // make at most.
-const maxPairs = 2 * 22
+const maxPairs = 2 * 25
 
 // pairs lists the fields that are set, as klog wants them.
 func (e *Event) pairs() []any {
@@ -83,6 +89,11 @@
 	kv = appendDuration(kv, "left", e.Left)
 	kv = appendDuration(kv, "retry_after", e.RetryAfter)
 	kv = appendDuration(kv, "known", e.Known)
+	kv = appendText(kv, "last_event", e.LastEvent)
+	if e.Sources != 0 {
+		kv = append(kv, "sources", e.Sources)
+	}
+	kv = appendText(kv, "framing", e.Framing)
 	return appendText(kv, "address", e.Address)
 }
 
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -28,6 +28,31 @@
 	foreign  bool
 }
 
+// Framing is how an answer marks its end.
+type Framing string
+
+// The framings of answers.
+const (
+	// FramedByLength announces the number of bytes.
+	FramedByLength Framing = "length"
+	// FramedByChunks has a last chunk.
+	FramedByChunks Framing = "chunks"
+	// FramedByClose ends with its connection.
+	FramedByClose Framing = "close"
+)
+
+// Framing tells how the answer marks its end.
+func (r *Reply) Framing() Framing {
+	switch {
+	case len(r.response.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.response.ContentLength >= 0:
+		return FramedByLength
+	default:
+		return FramedByClose
+	}
+}
+
 // Do sends a request to an address and waits for the header of its answer. The
 // context bounds the whole attempt, the body included.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
@@ -151,8 +176,7 @@
 		// would be read as the next request.
 		return false
 	}
-	unframed := r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0
-	if r.foreign || unframed || r.response.Close || r.conn.reader.Buffered() > 0 {
+	if r.foreign || r.Framing() == FramedByClose || r.response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	r.conn.keep = idleMax
