--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -177,6 +177,21 @@
 	}
 }
 
+// TestResetWhileTheBodyIsWrittenIsNoEnd guards against an answer without a length that
+// looks whole, since the writer of the body was told of the reset and the reader wasn't.
+func TestResetWhileTheBodyIsWrittenIsNoEnd(t *testing.T) {
+	address, _ := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nid: 1\n\n")
+		_ = nc.(*net.TCPConn).SetLinger(0)
+	})
+	body := strings.Repeat("x", 16<<20)
+	for range 40 {
+		_, err := do(t, New(), address, body, Options{})
+		require.Error(t, err)
+	}
+}
+
 // A target answers before it has read a long body, and reads on later. The answer is
 // taken; the connection, on which the rest of the body is due, carries nothing else.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
