Let no answer of another status end a stream

Callers saw a stream that ended as complete before its last event, with the text of a failure at its end.

Cause: a stream that breaks off goes on at another target. What that target answers was looked at as if it were the first answer: anything but 200 went to passWhole, which sends a head (the caller has one already, so that the status is dropped) and the body, and ends the answer as a whole one. Engines that fail with an answer of their own while others break their streams off do that.

Ruled out: taking the second target's failure for a reason to end the stream with an event of our own; the platform has none.

Change: once the caller has the head, an answer that is no stream is a failed attempt that may have run. Another attempt follows where the route and the budget allow it; otherwise the caller's connection is closed, which shows.

Why it works: after the head the only ways out are the end of a stream, and abort, which closes the connection before the last chunk.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -23,10 +23,15 @@
 
 // passOn gives the target's answer to the caller.
 func (q *request) passOn(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
-	if q.streams() && reply.Status == http.StatusOK {
+	switch {
+	case q.streams() && reply.Status == http.StatusOK:
 		return q.passEvents(ctx, reply, silence)
+	case q.headerSent:
+		// The caller has a part of a stream: no other answer can end it.
+		return routing.OutcomeOK, &failure{cause: errors.Newf("target continued the stream with status %d", reply.Status)}
+	default:
+		return q.passWhole(ctx, reply)
 	}
-	return q.passWhole(ctx, reply)
 }
 
 // passWhole passes an answer on that is no stream of events. What is not too
