Remember the last event of a stream over a part without events

Cause: each part of a stream began with an empty last id, and the request's one was overwritten by it with each batch of events. A part that brought a comment and broke off had the next one begin at the first event, after events that the caller had: they came twice.

Change: the splitter begins with the id that the stream goes on behind, so that there is one way to tell the last event, and one place that names the id to go on behind, the caller's own included.

Ruled out: writing the request's id only where the part has one; the order of events needs the id at the seam as well.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -102,7 +102,7 @@
 // passEvents passes a stream on, event by event: a target may stop in the middle
 // of one, and what goes on elsewhere begins with a whole one.
 func (q *request) passEvents(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
-	events := sse.NewSplitter(0)
+	events := sse.NewSplitter(0, q.lastID())
 	delivered := false
 	buffer := make([]byte, readBuffer)
 	controller := http.NewResponseController(q.w)
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -363,10 +364,6 @@
 
 // outgoing is the request as the target gets it.
 func (q *request) outgoing(t routing.Target) *http.Request {
-	resume := q.call.ResumeAfter
-	if q.lastEvent != "" {
-		resume = q.lastEvent
-	}
 	header := q.relay.options.Dialect.TargetHeader(q.r.Header, exchange.Send{
 		Left:        time.Until(q.deadline),
 		Target:      t.Name,
@@ -374,7 +371,7 @@
 		Priority:    q.priority,
 		Prompt:      q.route.PromptRoute,
 		Inputs:      q.handles,
-		ResumeAfter: resume,
+		ResumeAfter: q.lastID(),
 	})
 	out := &http.Request{
 		Method: q.r.Method, URL: q.r.URL, Host: q.r.Host, Header: header,
@@ -387,6 +384,10 @@
 	return out
 }
 
+// lastID is the id of the last event that the caller has, in this answer or in an earlier
+// one that it asks to go on with.
+func (q *request) lastID() string { return cmp.Or(q.lastEvent, q.call.ResumeAfter) }
+
 // belongs tells whether a reply is this request's.
 func (q *request) belongs(status int, h http.Header) bool {
 	id := q.relay.options.Dialect.ParseReply(status, h).ID
--- a/protocol/sse/splitter.go
+++ b/protocol/sse/splitter.go
@@ -14,12 +14,13 @@
 }
 
 // NewSplitter returns a splitter for events up to limit bytes; 0 is
-// DefaultMaxEvent.
-func NewSplitter(limit int) *Splitter {
+// DefaultMaxEvent. The stream goes on behind the event of the id after; empty for a
+// stream from its begin.
+func NewSplitter(limit int, after string) *Splitter {
 	if limit <= 0 {
 		limit = DefaultMaxEvent
 	}
-	return &Splitter{limit: limit}
+	return &Splitter{limit: limit, lastID: after}
 }
 
 // Add takes in bytes and returns the whole events that there are now. The slice
@@ -71,7 +72,8 @@
 	}
 }
 
-// LastID returns the id of the last whole event that had one.
+// LastID returns the id of the last whole event that had one, before any the one that the
+// stream goes on behind.
 func (s *Splitter) LastID() string { return s.lastID }
 
 // Torn returns the bytes of an event that has not come whole.
--- a/protocol/sse/splitter_test.go
+++ b/protocol/sse/splitter_test.go
@@ -19,7 +19,7 @@
 	}
 	for _, stream := range streams {
 		for cut := range len(stream) {
-			s := sse.NewSplitter(0)
+			s := sse.NewSplitter(0, "")
 			var got strings.Builder
 			for _, part := range []string{stream[:cut], stream[cut:]} {
 				whole, err := s.Add([]byte(part))
@@ -34,7 +34,7 @@
 }
 
 func TestSplitterKeepsWhatIsTorn(t *testing.T) {
-	s := sse.NewSplitter(0)
+	s := sse.NewSplitter(0, "")
 	whole, err := s.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: to"))
 	require.NoError(t, err)
 	require.Equal(t, "id: 1\ndata: a\n\n", string(whole))
@@ -43,7 +43,16 @@
 }
 
 func TestSplitterBoundsAnEvent(t *testing.T) {
-	s := sse.NewSplitter(16)
+	s := sse.NewSplitter(16, "")
 	_, err := s.Add([]byte("data: " + strings.Repeat("x", 20)))
 	require.ErrorIs(t, err, sse.ErrEventTooLarge)
 }
+
+// TestSplitterKeepsTheIDToGoOnBehind guards against a stream that begins anew after a part
+// without events.
+func TestSplitterKeepsTheIDToGoOnBehind(t *testing.T) {
+	s := sse.NewSplitter(0, "7")
+	_, err := s.Add([]byte(": comment\n\n"))
+	require.NoError(t, err)
+	require.Equal(t, "7", s.LastID())
+}
