End a stream whose events don't rise

Callers may see events twice, or of two runs, in one answer.

Cause: nothing looked at the ids of events but to remember the last one. A target that goes on from its first event again, and a second answer behind one that has no length, were passed on.

Ruled out: leaving out the events that the caller has. They tell that the target began another run, whose later events don't go on with what the caller has. Asking for ids without a gap: they are only said to rise.

Change: the splitter refuses an event whose id doesn't rise, and what is no event. The attempt has failed then, and what came before is passed on. A stream of which the caller has an event without an id goes on nowhere else.

What remains: an event that is left out where a stream goes on can't be told from ids that leave a gap.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -115,9 +115,6 @@
 			}
 			silence.Reset(q.gapBound())
 			whole, err := events.Add(buffer[:n])
-			if err != nil {
-				return q.brokenOff(ctx, err)
-			}
 			if len(whole) > 0 {
 				q.parts.event(time.Now())
 				if err := q.sendEvents(reply, whole, controller); err != nil {
@@ -129,6 +126,10 @@
 					q.sources++
 				}
 			}
+			q.notResumable = !events.Resumable()
+			if err != nil {
+				return q.brokenOff(ctx, err)
+			}
 		}
 		if readErr == io.EOF && len(events.Torn()) == 0 {
 			if !q.headerSent {
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -254,6 +254,8 @@
 	switch {
 	case ctx.Err() != nil, q.refused > maxRefused, q.tooLateToSend(time.Now()):
 		return false, err
+	case q.notResumable:
+		return false, err
 	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
 		return false, err
 	case !f.unreached && !q.payResend():
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -157,6 +157,8 @@
 	status int
 	// lastEvent is the last whole event that the caller has.
 	lastEvent string
+	// notResumable tells that the caller has events behind lastEvent that have no id.
+	notResumable bool
 	// sources counts the targets whose events the caller has.
 	sources int
 	// framing is how the latest target marks the end of its answer.
--- a/protocol/sse/splitter.go
+++ b/protocol/sse/splitter.go
@@ -1,6 +1,9 @@
 package sse
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // Splitter cuts a stream at the ends of its events and leaves their bytes as
 // they are. It is not safe for concurrent use.
@@ -11,6 +14,8 @@
 	// limit bounds an event, in bytes.
 	limit  int
 	lastID string
+	// unnumbered tells that an event without an id came after the last one that had one.
+	unnumbered bool
 }
 
 // NewSplitter returns a splitter for events up to limit bytes; 0 is
@@ -23,26 +28,30 @@
 	return &Splitter{limit: limit, lastID: after}
 }
 
-// Add takes in bytes and returns the whole events that there are now. The slice
-// is valid until the next call. ErrEventTooLarge tells of an event over the limit.
+// Add takes in bytes and returns the whole events that there are now, up to the first
+// that is at fault. The slice is valid until the next call. ErrEventTooLarge tells of an
+// event over the limit, ErrOutOfOrder of one whose id doesn't rise, and ErrNoEvent of
+// something else in its place; after any of them the stream can't be read further.
 func (s *Splitter) Add(p []byte) ([]byte, error) {
 	s.pending = append(s.pending, p...)
 	end := 0
-	for {
+	var fault error
+	for fault == nil {
 		n := s.eventEnd(end)
 		if n < 0 {
 			break
 		}
-		s.note(s.pending[end:n])
-		end = n
+		if fault = s.note(s.pending[end:n]); fault == nil {
+			end = n
+		}
 	}
-	if len(s.pending)-end > s.limit {
-		return nil, ErrEventTooLarge
+	if fault == nil && len(s.pending)-end > s.limit {
+		fault = ErrEventTooLarge
 	}
 	whole := s.pending[:end:end]
 	s.pending = s.pending[end:]
 	s.scanned = max(s.scanned-end, 0)
-	return whole, nil
+	return whole, fault
 }
 
 // eventEnd returns where the event that begins at from ends, -1 if it has not
@@ -63,18 +72,64 @@
 	return -1
 }
 
-// note remembers the id of an event.
-func (s *Splitter) note(event []byte) {
+// note checks an event against those before it and remembers its id.
+func (s *Splitter) note(event []byte) error {
+	id, hasData, isEvent := readFields(event)
+	switch {
+	case !isEvent:
+		return ErrNoEvent
+	case id == "":
+		s.unnumbered = s.unnumbered || hasData
+		return nil
+	case s.lastID != "" && !rises(s.lastID, id):
+		return ErrOutOfOrder
+	}
+	s.lastID, s.unnumbered = id, false
+	return nil
+}
+
+// readFields reads the fields of an event that matter here. What has lines, but neither a
+// comment nor a field of any event, is none: the head of another answer, say.
+func readFields(event []byte) (id string, hasData, isEvent bool) {
+	isEvent = len(bytes.TrimSpace(event)) == 0
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimSpace(id))
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		switch string(name) {
+		case "id":
+			id = string(bytes.TrimSpace(value))
+		case "data":
+			hasData = true
+		case "event", "retry":
+		case "":
+			if len(line) == 0 || line[0] != ':' {
+				continue
+			}
+		default:
+			continue
 		}
+		isEvent = true
 	}
+	return id, hasData, isEvent
+}
+
+// rises tells whether an id may follow another. Ids that are no numbers only have to
+// differ.
+func rises(last, id string) bool {
+	a, errA := strconv.ParseUint(last, 10, 64)
+	b, errB := strconv.ParseUint(id, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return b > a
 }
 
 // LastID returns the id of the last whole event that had one, before any the one that the
 // stream goes on behind.
 func (s *Splitter) LastID() string { return s.lastID }
 
+// Resumable tells whether the stream can go on behind LastID: no event without an id has
+// come since.
+func (s *Splitter) Resumable() bool { return !s.unnumbered }
+
 // Torn returns the bytes of an event that has not come whole.
 func (s *Splitter) Torn() []byte { return s.pending }
--- a/protocol/sse/splitter_test.go
+++ b/protocol/sse/splitter_test.go
@@ -56,3 +56,50 @@
 	require.NoError(t, err)
 	require.Equal(t, "7", s.LastID())
 }
+
+// TestSplitterRefusesWhatDoesNotFollow guards against events that come twice, of two runs,
+// or with the head of another answer between them.
+func TestSplitterRefusesWhatDoesNotFollow(t *testing.T) {
+	cases := map[string]struct {
+		after, stream, whole string
+		err                  error
+	}{
+		"ids rise":                  {"", "id: 1\ndata: a\n\nid: 3\ndata: b\n\n", "id: 1\ndata: a\n\nid: 3\ndata: b\n\n", nil},
+		"ids rise in number":        {"", "id: 9\n\nid: 10\n\n", "id: 9\n\nid: 10\n\n", nil},
+		"id comes twice":            {"", "id: 1\n\nid: 1\n\n", "id: 1\n\n", sse.ErrOutOfOrder},
+		"id goes back":              {"", "id: 2\n\nid: 1\n\nid: 3\n\n", "id: 2\n\n", sse.ErrOutOfOrder},
+		"goes on where it should":   {"4", "id: 5\n\n", "id: 5\n\n", nil},
+		"goes on from the first":    {"4", "id: 1\n\n", "", sse.ErrOutOfOrder},
+		"goes on with the last":     {"4", "id: 4\n\n", "", sse.ErrOutOfOrder},
+		"text ids":                  {"", "id: b\n\nid: a\n\nid: a\n\n", "id: b\n\nid: a\n\n", sse.ErrOutOfOrder},
+		"comments and empty lines":  {"1", ": c\n\n\nretry: 5\n\nid: 2\n\n", ": c\n\n\nretry: 5\n\nid: 2\n\n", nil},
+		"unknown field of an event": {"", "version: 3\nid: 1\n\n", "version: 3\nid: 1\n\n", nil},
+		"head of another answer":    {"", "id: 1\n\nHTTP/1.1 200 OK\r\nRequest-Id: x\r\n\r\nid: 2\n\n", "id: 1\n\n", sse.ErrNoEvent},
+		"text that is no event":     {"", "failed: badly\n\n", "", sse.ErrNoEvent},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := sse.NewSplitter(0, c.after)
+			whole, err := s.Add([]byte(c.stream))
+			require.ErrorIs(t, err, c.err)
+			require.Equal(t, c.whole, string(whole))
+		})
+	}
+}
+
+// TestSplitterKnowsWhereAStreamCanGoOn guards against an event that comes twice since it has
+// no id to go on behind.
+func TestSplitterKnowsWhereAStreamCanGoOn(t *testing.T) {
+	s := sse.NewSplitter(0, "")
+	for _, step := range []struct {
+		text      string
+		resumable bool
+	}{
+		{": comment\n\n", true}, {"id: 1\ndata: a\n\n", true}, {"data: b\n\n", false},
+		{": comment\n\n", false}, {"id: 2\ndata: c\n\n", true},
+	} {
+		_, err := s.Add([]byte(step.text))
+		require.NoError(t, err)
+		require.Equal(t, step.resumable, s.Resumable(), step.text)
+	}
+}
--- a/protocol/sse/sse.go
+++ b/protocol/sse/sse.go
@@ -17,7 +17,7 @@
 	DefaultMaxEvent = 1 << 20
 )
 
-// Errors of the decoder. After any of them the stream can't be read further.
+// Errors of the decoder and the splitter. After any of them the stream can't be read further.
 var (
 	// ErrTruncated says that the stream ended inside an event.
 	ErrTruncated = errors.New("sse: stream ended inside an event")
@@ -25,6 +25,10 @@
 	ErrLineTooLong = errors.New("sse: line too long")
 	// ErrEventTooLarge says that an event holds more than Limits.Event.
 	ErrEventTooLarge = errors.New("sse: event too large")
+	// ErrOutOfOrder says that an event's id doesn't rise.
+	ErrOutOfOrder = errors.New("sse: event out of order")
+	// ErrNoEvent says that something else came where an event was due.
+	ErrNoEvent = errors.New("sse: no event where one is due")
 )
 
 // Event is one event of a stream.
