Take a stream that ends before its first event for a broken one

Callers may get a whole answer without a single event.

Cause: the end of the body was the only mark of a whole stream, so that one with no event, or with comments alone, counted as whole.

Ruled out: leaving it to answers without a length. A request begins to run with its first token, so that a stream without one has not run to its end, however the target marks it.

Change: such a stream is a failed attempt.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -131,7 +131,7 @@
 				return q.brokenOff(ctx, err)
 			}
 		}
-		if readErr == io.EOF && len(events.Torn()) == 0 {
+		if readErr == io.EOF && len(events.Torn()) == 0 && events.Begun() {
 			if !q.headerSent {
 				q.sendHead(reply.Status, reply.Header, -1)
 			}
--- a/protocol/sse/splitter.go
+++ b/protocol/sse/splitter.go
@@ -131,5 +131,8 @@
 // come since.
 func (s *Splitter) Resumable() bool { return !s.unnumbered }
 
+// Begun tells whether the stream has had an event, also one that it goes on behind.
+func (s *Splitter) Begun() bool { return s.lastID != "" || s.unnumbered }
+
 // Torn returns the bytes of an event that has not come whole.
 func (s *Splitter) Torn() []byte { return s.pending }
--- a/protocol/sse/splitter_test.go
+++ b/protocol/sse/splitter_test.go
@@ -103,3 +103,15 @@
 		require.Equal(t, step.resumable, s.Resumable(), step.text)
 	}
 }
+
+// TestSplitterTellsWhetherAStreamHasBegun guards against a stream without events that looks
+// whole.
+func TestSplitterTellsWhetherAStreamHasBegun(t *testing.T) {
+	for text, begun := range map[string]bool{"": false, ": comment\n\n": false, "id: 1\n\n": true, "data: a\n\n": true} {
+		s := sse.NewSplitter(0, "")
+		_, err := s.Add([]byte(text))
+		require.NoError(t, err)
+		require.Equal(t, begun, s.Begun(), text)
+	}
+	require.True(t, sse.NewSplitter(0, "3").Begun())
+}
