See a reset that the writer of the request was told of

Callers may get an answer, or a stream, as whole that a reset cut.

Cause: an answer without a length ends with its connection, and is whole if that end is an orderly one. A socket tells of a reset once. Long bodies are written beside the reader: if the write is told, the read that follows sees an orderly end.

Ruled out: asking the kernel for the socket's state at the end (TCP_INFO). It tells an orderly end before a reset from none no better, and not every platform has it.

Change: at such an end the sending of the request is awaited, which is cut short if it still waits; if it failed with anything but that, the answer is cut. TestEndByCloseNeedsASentRequest plays each error without a network.

What remains: an answer without a length whose target dies between two events, with an orderly end of its connection, can't be told from a whole one.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,10 @@
 	response *http.Response
 	options  Options
 	written  <-chan error
+	// sendDone tells that written has told how the sending of the request ended, and
+	// sendErr its error.
+	sendDone bool
+	sendErr  error
 	stop     func() bool
 	whole    bool
 	foreign  bool
@@ -53,6 +58,9 @@
 	}
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // Do sends a request to an address and waits for the header of its answer. The
 // context bounds the whole attempt, the body included.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
@@ -68,8 +76,13 @@
 		c.keep(k)
 		return nil, &Error{Step: StepConnect, Peer: address, Err: ctx.Err()}
 	}
+	return c.exchange(ctx, k, request, o)
+}
+
+// exchange sends a request on a connection and waits for the header of its answer.
+func (c *Client) exchange(ctx context.Context, k *conn, request *http.Request, o Options) (*Reply, error) {
 	// Waiting reads and writes end with the context.
-	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) }) // a closed one needs none
+	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }) // a closed one needs none
 	r := &Reply{client: c, conn: k, options: o, stop: stop}
 	r.written = send(k, request)
 	if err := r.readHeader(request); err != nil {
@@ -129,10 +142,10 @@
 	r.stop()
 	// Closed before the count is read, so that no byte can leave after.
 	_ = r.conn.Close() // its fault is told by err
-	writeErr := <-r.written
+	r.awaitSend()
 	failed := &Error{Step: StepReply, Peer: r.conn.address, Sent: r.conn.writes > 0, Err: err}
-	if !failed.Sent && writeErr != nil {
-		failed.Step, failed.Err = StepSend, writeErr
+	if !failed.Sent && r.sendErr != nil {
+		failed.Step, failed.Err = StepSend, r.sendErr
 	}
 	if ctx.Err() != nil {
 		failed.Err = errors.CombineErrors(context.Cause(ctx), failed.Err)
@@ -143,6 +156,9 @@
 // Read reads the body.
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
+	if err == io.EOF && r.Framing() == FramedByClose {
+		err = r.endByClose()
+	}
 	if err == io.EOF {
 		r.whole = true
 		return n, err
@@ -153,6 +169,27 @@
 	return n, err
 }
 
+// endByClose tells what the end of a connection means that is the end of its answer:
+// io.EOF, or the error that broke it off.
+//
+// A socket tells of a reset once. If the writer of the request is told, the reader sees an
+// orderly end.
+func (r *Reply) endByClose() error {
+	_ = r.conn.SetWriteDeadline(longAgo) // a writer that waits is of no use any more
+	r.awaitSend()
+	if r.sendErr == nil || errors.Is(r.sendErr, os.ErrDeadlineExceeded) {
+		return io.EOF
+	}
+	return r.sendErr
+}
+
+// awaitSend waits until the sending of the request has ended.
+func (r *Reply) awaitSend() {
+	if !r.sendDone {
+		r.sendErr, r.sendDone = <-r.written, true
+	}
+}
+
 // Close ends the attempt. The connection is kept if the answer was whole and
 // nothing follows it; otherwise it is closed, which tells the target to stop.
 func (r *Reply) Close() {
@@ -168,10 +205,10 @@
 func (r *Reply) reusable() bool {
 	select {
 	case err := <-r.written:
-		if err != nil {
-			return false
-		}
+		r.sendErr, r.sendDone = err, true
 	default:
+	}
+	if !r.sendDone || r.sendErr != nil {
 		// The target answered before it had the body; what of it is on the way
 		// would be read as the next request.
 		return false
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -192,6 +194,47 @@
 	}
 }
 
+// wire is a connection whose writes all end with an error.
+type wire struct {
+	net.Conn
+	io.Reader
+	writeErr error
+}
+
+func (w wire) Read(p []byte) (int, error)     { return w.Reader.Read(p) }
+func (w wire) Write([]byte) (int, error)      { return 0, w.writeErr }
+func (wire) SetWriteDeadline(time.Time) error { return nil }
+func (wire) Close() error                     { return nil }
+
+// TestEndByCloseNeedsASentRequest guards against an answer without a length that looks whole
+// though its connection broke under the writer of the request.
+func TestEndByCloseNeedsASentRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		head     string
+		writeErr error
+		whole    bool
+	}{
+		"reset":                     {"", syscall.ECONNRESET, false},
+		"broken pipe":               {"", syscall.EPIPE, false},
+		"silence":                   {"", syscall.ETIMEDOUT, false},
+		"body not taken":            {"", os.ErrDeadlineExceeded, true},
+		"reset behind whole answer": {"Content-Length: 2\r\n", syscall.ECONNRESET, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nc := wire{Reader: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.head + "\r\nok"), writeErr: c.writeErr}
+			k := &conn{Conn: nc, reader: bufio.NewReader(nc)}
+			request, err := http.NewRequest(http.MethodPost, "http://target/x", strings.NewReader("body"))
+			require.NoError(t, err)
+			reply, err := New().exchange(t.Context(), k, request, Options{})
+			require.NoError(t, err)
+			defer reply.Close()
+			got, err := io.ReadAll(reply)
+			require.Equal(t, "ok", string(got))
+			require.Equal(t, c.whole, err == nil, "%v", err)
+		})
+	}
+}
+
 // A target answers before it has read a long body, and reads on later. The answer is
 // taken; the connection, on which the rest of the body is due, carries nothing else.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
