Refuse callers of HTTP/1.0 on the platform's face

A caller of HTTP/1.0 may take a cut answer for a whole one.

Cause: an answer without a length has chunks over HTTP/1.1. Over HTTP/1.0 it ends with its connection, which looks the same whether the answer ended, we aborted it, or the instance died. The platform's pages know only HTTP/1.1.

Ruled out: closing such a connection by a reset when an answer is aborted. A process that is killed closes it in order all the same.

Change: 505 at once, before anything runs.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -200,6 +200,11 @@
 
 // accept reads the request, and answers at once what isn't served.
 func (q *request) accept(ctx context.Context) bool {
+	if !q.r.ProtoAtLeast(1, 1) {
+		// An answer without a length ends with its connection there: cut, it looks whole.
+		q.deny(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
+		return false
+	}
 	q.relay.awaitStart(ctx)
 	table := q.relay.options.Table()
 	if table == nil {
