Send one head for an answer, and cut what would send a second

Cause: the class of the ORDER fault is an answer that continues another and is sent as one of its own.

Ruled out: checks of headerSent before each answer; they are what was missing.

Change: one function sends heads; behind a first one it closes the caller's connection.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -87,6 +87,15 @@
 	if length >= 0 && q.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	q.writeHead(status)
+}
+
+// writeHead sends the one head of the answer. net/http would drop a second one, and have
+// what follows it end the answer.
+func (q *request) writeHead(status int) {
+	if q.headerSent {
+		q.abort("stream_broken_off")
+	}
 	q.w.WriteHeader(status)
 	q.headerSent, q.status = true, status
 }
@@ -249,7 +258,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	body := text + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	q.w.WriteHeader(status)
+	q.writeHead(status)
 	_, _ = fmt.Fprint(q.w, body) // a caller that left needs no answer
 	q.logEnd(status)
 }
