--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -173,14 +174,16 @@
 // io.EOF, or the error that broke it off.
 //
 // A socket tells of a reset once. If the writer of the request is told, the reader sees an
-// orderly end.
+// orderly end. EPIPE tells of a reset behind an orderly end: the target had answered and
+// closed before it got the rest of the request.
 func (r *Reply) endByClose() error {
 	_ = r.conn.SetWriteDeadline(longAgo) // a writer that waits is of no use any more
 	r.awaitSend()
-	if r.sendErr == nil || errors.Is(r.sendErr, os.ErrDeadlineExceeded) {
+	err := r.conn.writeErr
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
 		return io.EOF
 	}
-	return r.sendErr
+	return err
 }
 
 // awaitSend waits until the sending of the request has ended.
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -66,12 +66,18 @@
 	since  time.Time
 	keep   time.Duration
 	writes int
+	// writeErr is the first error of a write.
+	writeErr error
 }
 
-// Write counts the bytes that left.
+// Write counts the bytes that left, and keeps an error: net/http wraps those of a body's
+// writes so that they can't be told apart.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.writes += n
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	return n, err
 }
 
