Ask for a mark of the end of a continuation without events

Callers may get a stream as whole that lacks its end.

Cause: a stream that had begun counted as ended at any end of the body. A target that it goes on at and that dies before its first event ends an answer without a length just so.

Evidence: TestContinuationWithoutEventsNeedsAMarkOfItsEnd failed before (200, one of three events, no error) and passes; TestStreamThatHasNothingLeftIsWhole, whose continuation has a last chunk, passes as before.

What remains: a continuation without events whose last chunk is there is the target's own word that nothing is left.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -140,7 +140,7 @@
 				return q.brokenOff(ctx, err)
 			}
 		}
-		if readErr == io.EOF && len(events.Torn()) == 0 && events.Begun() {
+		if readErr == io.EOF && q.endsStream(events, delivered) {
 			if !q.headerSent {
 				q.sendHead(reply.Status, reply.Header, -1)
 			}
@@ -156,6 +156,14 @@
 	}
 }
 
+// endsStream tells whether a target's stream that has ended is the rest of the caller's.
+// One that brought no event may have nothing left, if it says so by more than the end of
+// its connection.
+func (q *request) endsStream(events *sse.Splitter, delivered bool) bool {
+	marked := delivered || q.framing != forward.FramedByClose
+	return len(events.Torn()) == 0 && events.Begun() && marked
+}
+
 // gapBound is how long a stream may pause before it goes on elsewhere.
 func (q *request) gapBound() time.Duration {
 	if !q.mayBetter() {
