Count the events of a part, and split what passes them on

Cause: comments counted as what a target had sent, so that a continuation of comments alone that ends with its connection was still taken for the end; and passEvents had grown.

Change: the splitter counts whole events; the caller decides what an end behind none of them means.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -112,7 +112,6 @@
 // of one, and what goes on elsewhere begins with a whole one.
 func (q *request) passEvents(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
 	events := sse.NewSplitter(0, q.lastID())
-	delivered := false
 	buffer := make([]byte, readBuffer)
 	controller := http.NewResponseController(q.w)
 	for {
@@ -123,24 +122,11 @@
 				q.handles = []string{}
 			}
 			silence.Reset(q.gapBound())
-			whole, err := events.Add(buffer[:n])
-			if len(whole) > 0 {
-				q.parts.event(time.Now())
-				if err := q.sendEvents(reply, whole, controller); err != nil {
-					return routing.OutcomeCancelled, nil
-				}
-				q.lastEvent = events.LastID()
-				if !delivered {
-					delivered = true
-					q.sources++
-				}
-			}
-			q.notResumable = !events.Resumable()
-			if err != nil {
+			if err := q.takeEvents(reply, events, buffer[:n], controller); err != nil {
 				return q.brokenOff(ctx, err)
 			}
 		}
-		if readErr == io.EOF && q.endsStream(events, delivered) {
+		if readErr == io.EOF && q.endsStream(events) {
 			if !q.headerSent {
 				q.sendHead(reply.Status, reply.Header, -1)
 			}
@@ -156,12 +142,31 @@
 	}
 }
 
+// takeEvents takes in bytes of a stream and sends the whole events. The error tells of what
+// is no event or doesn't follow those before it.
+func (q *request) takeEvents(reply *forward.Reply, events *sse.Splitter, p []byte, controller *http.ResponseController) error {
+	before := events.Events()
+	whole, err := events.Add(p)
+	q.notResumable = !events.Resumable()
+	if len(whole) > 0 {
+		q.parts.event(time.Now())
+		q.sendEvents(reply, whole, controller)
+		q.lastEvent = events.LastID()
+	}
+	if before == 0 && events.Events() > 0 {
+		q.sources++
+	}
+	return err
+}
+
 // endsStream tells whether a target's stream that has ended is the rest of the caller's.
 // One that brought no event may have nothing left, if it says so by more than the end of
 // its connection.
-func (q *request) endsStream(events *sse.Splitter, delivered bool) bool {
-	marked := delivered || q.framing != forward.FramedByClose
-	return len(events.Torn()) == 0 && events.Begun() && marked
+func (q *request) endsStream(events *sse.Splitter) bool {
+	if len(events.Torn()) > 0 {
+		return false
+	}
+	return events.Events() > 0 || q.lastID() != "" && q.framing != forward.FramedByClose
 }
 
 // gapBound is how long a stream may pause before it goes on elsewhere.
@@ -173,7 +178,7 @@
 }
 
 // sendEvents sends whole events at once.
-func (q *request) sendEvents(reply *forward.Reply, whole []byte, controller *http.ResponseController) error {
+func (q *request) sendEvents(reply *forward.Reply, whole []byte, controller *http.ResponseController) {
 	if !q.headerSent {
 		q.sendHead(reply.Status, reply.Header, -1)
 	}
@@ -186,7 +191,6 @@
 		q.logEnd(reply.Status)
 		panic(http.ErrAbortHandler)
 	}
-	return nil
 }
 
 // brokenOff tells what an answer means that ended early.
--- a/protocol/sse/splitter.go
+++ b/protocol/sse/splitter.go
@@ -14,6 +14,7 @@
 	// limit bounds an event, in bytes.
 	limit  int
 	lastID string
+	events int
 	// unnumbered tells that an event without an id came after the last one that had one.
 	unnumbered bool
 }
@@ -78,13 +79,17 @@
 	switch {
 	case !isEvent:
 		return ErrNoEvent
+	case id == "" && !hasData:
+		return nil
 	case id == "":
-		s.unnumbered = s.unnumbered || hasData
+		s.unnumbered = true
+		s.events++
 		return nil
 	case s.lastID != "" && !rises(s.lastID, id):
 		return ErrOutOfOrder
 	}
 	s.lastID, s.unnumbered = id, false
+	s.events++
 	return nil
 }
 
@@ -131,8 +136,8 @@
 // come since.
 func (s *Splitter) Resumable() bool { return !s.unnumbered }
 
-// Begun tells whether the stream has had an event, also one that it goes on behind.
-func (s *Splitter) Begun() bool { return s.lastID != "" || s.unnumbered }
+// Events returns the number of whole events so far; comments are none.
+func (s *Splitter) Events() int { return s.events }
 
 // Torn returns the bytes of an event that has not come whole.
 func (s *Splitter) Torn() []byte { return s.pending }
--- a/protocol/sse/splitter_test.go
+++ b/protocol/sse/splitter_test.go
@@ -104,14 +104,14 @@
 	}
 }
 
-// TestSplitterTellsWhetherAStreamHasBegun guards against a stream without events that looks
-// whole.
-func TestSplitterTellsWhetherAStreamHasBegun(t *testing.T) {
-	for text, begun := range map[string]bool{"": false, ": comment\n\n": false, "id: 1\n\n": true, "data: a\n\n": true} {
+// TestSplitterCountsEvents guards against a stream of comments alone that looks whole.
+func TestSplitterCountsEvents(t *testing.T) {
+	for text, want := range map[string]int{
+		"": 0, ": comment\n\n": 0, "retry: 5\n\n": 0, "id: 1\n\n": 1, "data: a\n\n": 1, "id: 1\ndata: a\n\n: c\n\nid: 2\n\n": 2, "id: 1": 0,
+	} {
 		s := sse.NewSplitter(0, "")
 		_, err := s.Add([]byte(text))
 		require.NoError(t, err)
-		require.Equal(t, begun, s.Begun(), text)
+		require.Equal(t, want, s.Events(), text)
 	}
-	require.True(t, sse.NewSplitter(0, "3").Begun())
 }
