Let a stream pause that can go on nowhere else

Cause: lets such a stream go on nowhere else, and the bound of a target's silence, which is for streams that may, didn't know of it. Found in review, before it landed.

Test: TestStreamThatCannotGoOnMayPause failed before and passes. Events of the platform carry ids.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -121,8 +121,9 @@
 				q.release(time.Since(q.parts.sent))
 				q.handles = []string{}
 			}
+			err := q.takeEvents(reply, events, buffer[:n], controller)
 			silence.Reset(q.gapBound())
-			if err := q.takeEvents(reply, events, buffer[:n], controller); err != nil {
+			if err != nil {
 				return q.brokenOff(ctx, err)
 			}
 		}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -343,7 +343,7 @@
 // mayBetter tells whether another target may be asked if this one doesn't answer
 // well.
 func (q *request) mayBetter() bool {
-	return q.route.MayRepeat() && q.sent+1 < q.route.MaxAttempts
+	return q.route.MayRepeat() && !q.notResumable && q.sent+1 < q.route.MaxAttempts
 }
 
 func (q *request) streams() bool { return q.route.MaxPause > 0 }
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -80,3 +80,12 @@
 	q.route = &routes.Route{}
 	require.Equal(t, placing.Prompt{}, q.prompt(), "no prompt, no engine to choose")
 }
+
+// TestStreamThatCannotGoOnMayPause guards against the end of a stream by our own bound of its
+// silence, though no other target can go on with it.
+func TestStreamThatCannotGoOnMayPause(t *testing.T) {
+	q := &request{route: &routes.Route{MaxPause: 300 * time.Millisecond, Repeat: routes.Streaming, Resumable: true, MaxAttempts: 2}}
+	require.Equal(t, silentGap, q.gapBound())
+	q.notResumable = true
+	require.Equal(t, unbounded, q.gapBound())
+}
