Let a long answer pause once its caller has a part of it

A caller of a plain answer over 64 KiB may have it cut after 0.7 of its objective.

Cause: the bound of a target's silence is there so that a second target may answer in time. It went on while a long answer was passed on, which no second target can better. Such a cut shows to the caller.

Evidence: TestLongAnswerIsNotCutForASecondAttempt failed before (the bound still held at the end of the answer) and passes.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -30,13 +30,13 @@
 		// The caller has a part of a stream: no other answer can end it.
 		return routing.OutcomeOK, &failure{cause: errors.Newf("target continued the stream with status %d", reply.Status)}
 	default:
-		return q.passWhole(ctx, reply)
+		return q.passWhole(ctx, reply, silence)
 	}
 }
 
 // passWhole passes an answer on that is no stream of events. What is not too
 // long is read whole before its head is sent.
-func (q *request) passWhole(ctx context.Context, reply *forward.Reply) (routing.Outcome, error) {
+func (q *request) passWhole(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(reply, bufferedAnswer))
 	if err != nil {
 		return q.brokenOff(ctx, err)
@@ -53,6 +53,7 @@
 		q.sendHeld(&heldReply{reply.Status, reply.Header, body})
 		return routing.OutcomeOK, nil
 	}
+	silence.Stop() // no other target can better an answer whose caller has a part of it
 	q.sendHead(reply.Status, reply.Header, reply.Length)
 	if _, err := q.w.Write(body); err == nil {
 		_, err = io.Copy(q.w, reply)
