Hold a stream to the event that its caller names only where streams are resumed

Where a route doesn't resume streams, a target may begin anew, and the caller would have got 502. Found in review. The status of the log's last line needs no mapping any more: behind the head only a stream goes on.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -98,7 +98,7 @@
 		q.abort("stream_broken_off")
 	}
 	q.w.WriteHeader(status)
-	q.headerSent, q.status = true, status
+	q.headerSent = true
 }
 
 // announceStop tells the caller of an instance that stops to go elsewhere with its next
@@ -112,7 +112,7 @@
 // passEvents passes a stream on, event by event: a target may stop in the middle
 // of one, and what goes on elsewhere begins with a whole one.
 func (q *request) passEvents(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
-	events := sse.NewSplitter(0, q.lastID())
+	events := sse.NewSplitter(0, q.behind())
 	buffer := make([]byte, readBuffer)
 	controller := http.NewResponseController(q.w)
 	for {
@@ -161,6 +161,16 @@
 	return err
 }
 
+// behind is the id of the event that a target's stream must go on behind; empty if it
+// begins anew. Where streams aren't resumed, what a caller says of that is for the target
+// alone.
+func (q *request) behind() string {
+	if !q.route.MayRepeat() {
+		return ""
+	}
+	return q.lastID()
+}
+
 // endsStream tells whether a target's stream that has ended is the rest of the caller's.
 // One that brought no event may have nothing left, if it says so by more than the end of
 // its connection.
@@ -168,7 +178,7 @@
 	if len(events.Torn()) > 0 {
 		return false
 	}
-	return events.Events() > 0 || q.lastID() != "" && q.framing != forward.FramedByClose
+	return events.Events() > 0 || q.behind() != "" && q.framing != forward.FramedByClose
 }
 
 // gapBound is how long a stream may pause before it goes on elsewhere.
@@ -289,9 +299,6 @@
 // logEnd writes the line of the request's end. Status is 0 if the caller's connection is
 // closed before the end of the answer.
 func (q *request) logEnd(status int) {
-	if q.headerSent && status != 0 {
-		status = q.status
-	}
 	route := ""
 	if q.route != nil {
 		route = q.route.Name
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -153,8 +153,6 @@
 
 	// headerSent is set once the caller has the head of the answer.
 	headerSent bool
-	// status is that of the answer whose head the caller has.
-	status int
 	// lastEvent is the last whole event that the caller has.
 	lastEvent string
 	// notResumable tells that the caller has events behind lastEvent that have no id.
