Take no answer to a call for pieces twice

A request may get the results of another one, or of another stage.

Cause: answers to calls for pieces have no id, and a target may send an answer twice, the second time where the next one on the connection is due. Only the number of results was looked at. From then on the connection is one answer late.

Ruled out: a connection for each call (connections are priced, and the answers of hundreds of calls a second would each wait for one); an id of our own on the call, which the platform doesn't say is sent back.

Change: an answer whose first result was had before has failed. A kept connection is kept on only behind an answer with a new result: one with none, or a refusal, may be a second one too. Calls that free results have connections of their own, since their answers say nothing. What is remembered is bounded.

What remains: a second answer of only reasons, or a second refusal, is taken for the due one. It makes nothing of another request's, and ends its connection.

--- /dev/null
+++ b/daemon/stages/answers_test.go
@@ -0,0 +1,34 @@
+package stages
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+)
+
+// TestAnswersComeOnce guards against results of an earlier call that are taken for those of
+// the one that is due.
+func TestAnswersComeOnce(t *testing.T) {
+	var a answers
+	made := func(handles ...string) []gather.PieceResult {
+		results := []gather.PieceResult{{Failure: gather.PieceLate}}
+		for _, h := range handles {
+			results = append(results, gather.PieceResult{Handle: h})
+		}
+		return results
+	}
+	require.True(t, a.add("x", made("1", "2")))
+	require.False(t, a.add("x", made("1", "2")))
+	require.True(t, a.add("y", made("1", "2")), "another process")
+	require.True(t, a.add("x", made()))
+	require.True(t, a.add("x", made()), "nothing tells answers without results apart")
+	for i := range 2 * maxAnswers {
+		require.True(t, a.add("z", made(fmt.Sprint(i))))
+	}
+	require.Len(t, a.known, maxAnswers)
+	require.Len(t, a.order, maxAnswers)
+	require.False(t, a.add("z", made(fmt.Sprint(maxAnswers))))
+}
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -71,7 +71,13 @@
 	gather.CallLost:        "lost",
 }
 
-// exchange sends a call and reads its results.
+// useFree keeps the connections apart that free results: their answers say nothing by which
+// one that belongs to a call for pieces could be told.
+const useFree = "free"
+
+// exchange sends a call and reads its results. A kept connection is in step, and kept on, if
+// the answer has a result that is new; any other answer may be a second one to an earlier
+// call, and the one that is due may follow it.
 func (o *Owner) exchange(c gather.StartCall) ([]gather.PieceResult, gather.CallOutcome, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
@@ -83,7 +89,13 @@
 	if err != nil {
 		return nil, gather.CallLost, err
 	}
-	defer reply.Close()
+	inStep := !reply.Reused()
+	defer func() {
+		if !inStep {
+			reply.Distrust()
+		}
+		reply.Close()
+	}()
 	said := o.dialect.ParseReply(reply.Status, reply.Header)
 	body, err := io.ReadAll(io.LimitReader(reply, maxReply))
 	switch {
@@ -100,8 +112,12 @@
 	if err == nil && len(results) != len(c.Pieces) {
 		err = errors.Newf("%d results for %d pieces", len(results), len(c.Pieces))
 	}
+	if err == nil && !o.answers.add(c.Target.Incarnation, results) {
+		inStep, err = false, errRepeated
+	}
 	if err != nil {
 		return nil, gather.CallLost, err
 	}
+	inStep = inStep || firstHandle(results) != ""
 	return results, gather.CallAnswered, nil
 }
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -43,6 +43,7 @@
 	// follower is told of targets that another process replaced.
 	follower Follower
 	metrics  metrics
+	answers  answers
 	// passEnd and passDrops tell the instance that has the queue of the end of a call
 	// and of requests that nobody waits for.
 	passEnd   func(to string, call uint64, how gather.CallOutcome, results []gather.PieceResult)
@@ -351,7 +352,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	reply, err := o.client.Do(ctx, t.Address, request, forward.Options{Process: t.Incarnation})
+	reply, err := o.client.Do(ctx, t.Address, request, forward.Options{Process: t.Incarnation, Use: useFree})
 	if err == nil {
 		_, err = io.Copy(io.Discard, reply)
 		reply.Close()
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -32,6 +32,7 @@
 	stop     func() bool
 	whole    bool
 	foreign  bool
+	reused   bool
 }
 
 // Framing is how an answer marks its end.
@@ -65,9 +66,10 @@
 // Do sends a request to an address and waits for the header of its answer. The
 // context bounds the whole attempt, the body included.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
-	peer := peerKey{address, o.Process}
+	peer := peerKey{address, o.Process, o.Use}
 	k := c.take(peer, cmp.Or(o.MaxIdle, idleMax))
-	if k == nil {
+	reused := k != nil
+	if !reused {
 		var err error
 		if k, err = c.dial(ctx, peer); err != nil {
 			return nil, err
@@ -77,7 +79,12 @@
 		c.keep(k)
 		return nil, &Error{Step: StepConnect, Peer: address, Err: ctx.Err()}
 	}
-	return c.exchange(ctx, k, request, o)
+	reply, err := c.exchange(ctx, k, request, o)
+	if err != nil {
+		return nil, err
+	}
+	reply.reused = reused
+	return reply, nil
 }
 
 // exchange sends a request on a connection and waits for the header of its answer.
@@ -193,6 +200,13 @@
 	}
 }
 
+// Reused tells whether the connection had carried another request.
+func (r *Reply) Reused() bool { return r.reused }
+
+// Distrust has Close close the connection: an answer that belongs to no later request may
+// follow on it.
+func (r *Reply) Distrust() { r.foreign = true }
+
 // Close ends the attempt. The connection is kept if the answer was whole and
 // nothing follows it; otherwise it is closed, which tells the target to stop.
 func (r *Reply) Close() {
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -56,7 +56,7 @@
 // are answered by a reset from the process that has its address now, and what may run
 // once at most would then count as one that may have run. So a connection carries
 // only what is for the process that it was opened for.
-type peerKey struct{ address, process string }
+type peerKey struct{ address, process, use string }
 
 // conn is a connection to a target.
 type conn struct {
@@ -237,6 +237,8 @@
 	// Process names the incarnation that the attempt is for. Kept connections of
 	// others at the address are not used.
 	Process string
+	// Use keeps connections apart: one carries only requests of one use.
+	Use string
 	// MaxIdle bounds how long a kept connection may have been idle; 0 is no
 	// bound of its own.
 	MaxIdle time.Duration
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -335,5 +335,30 @@
 
 	c.CloseIdle(func(process string) bool { return process == "a@200" })
 	require.Len(t, c.idle, 1)
-	require.Contains(t, c.idle, peerKey{address, "a@200"})
+	require.Contains(t, c.idle, peerKey{address: address, process: "a@200"})
+}
+
+// TestConnectionsAreKeptApart guards against an answer that comes late, on a connection that
+// another kind of request would share or that its reader has given up.
+func TestConnectionsAreKeptApart(t *testing.T) {
+	address, conns := serve(t, answerAll(whole))
+	c := New()
+	for _, use := range []string{"", "other", "", "other"} {
+		_, err := do(t, c, address, "", Options{Use: use})
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, conns.Load())
+
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", nil)
+	require.NoError(t, err)
+	reply, err := c.Do(t.Context(), address, request, Options{})
+	require.NoError(t, err)
+	require.True(t, reply.Reused())
+	_, err = io.ReadAll(reply)
+	require.NoError(t, err)
+	reply.Distrust()
+	reply.Close()
+	_, err = do(t, c, address, "", Options{})
+	require.NoError(t, err)
+	require.EqualValues(t, 3, conns.Load())
 }
