Learn which targets leave while another has the stage queue

Cause: an instance that gave its queue away threw away the lists of targets that came until it had the queue again, and so did one whose hand-over was under way. It went on with the list of before, and called targets that it had itself logged as leaving, until the next change of any target. It has the queue again when the instance that got it stands still, dies, is passed over, or hands it back. With a hand-over that nobody took, calls went out before the list was in force.

Ruled out: an instance that doesn't hear the store (all logged the word at once, known is small), a call decided before a freeze and written after it (the caller had not stood still), an entry of an earlier start that brings a target back (no line says so), and the grace for entries that run out (the word was "leaving"). Of the ways to mend it: sending the list along when the queue comes back, since the sender may be the one that is gone; asking the follower for the list at each way back, which are four, and each new one would have to remember it.

Change: the list is taken in at once whoever has the queue, and while the queue is on its way the latest one waits until that is decided. A queue that nobody took goes on with it before the ends of calls free any target.

--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -45,10 +45,11 @@
 	exported gather.State
 	// decided is closed when the queue isn't frozen any more.
 	decided chan struct{}
-	// steps, ends and drops came while it was frozen.
-	steps []func(*gather.Planner) []gather.Action
-	ends  []callEnd
-	drops []placing.Served
+	// steps, ends and drops came while it was frozen; listed tells the targets that did.
+	steps  []func(*gather.Planner) []gather.Action
+	ends   []callEnd
+	drops  []placing.Served
+	listed func() []gather.Action
 	// movedTo is the address of the instance that has the queue. yielded tells that
 	// this one goes on beside it and may have the queue again.
 	movedTo string
@@ -99,6 +100,7 @@
 func (o *Owner) thaw(state gather.State) {
 	o.mu.Lock()
 	actions, ids := o.planner.Import(time.Now(), state)
+	actions = append(actions, o.takeListed()...)
 	o.rename(ids)
 	ends, steps := o.ends, o.steps
 	o.ends, o.steps, o.drops = nil, nil, nil
@@ -137,6 +139,7 @@
 	o.mu.Lock()
 	ends, drops := o.ends, o.drops
 	o.ends, o.steps, o.drops = nil, nil, nil
+	o.takeListed() // there are no actions where nothing is held
 	for _, c := range o.exported.Calls {
 		o.movedCalls[c.ID] = to
 	}
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -98,28 +98,6 @@
 	}
 }
 
-// setTargets takes the usable targets of all stage services.
-func (o *Owner) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
-	o.do(func(p *gather.Planner) []gather.Action {
-		var actions []gather.Action
-		for name, s := range table.Services {
-			if s.Batch == nil {
-				o.setEngines(s, usable[name])
-				continue
-			}
-			p.SetService(name, shape(s.Batch))
-			list := make([]gather.Target, 0, len(usable[name]))
-			for _, t := range usable[name] {
-				list = append(list, gather.Target{
-					Incarnation: t.Incarnation(), Name: t.Name, Address: t.Address, DataCentre: t.DataCentre,
-				})
-			}
-			actions = append(actions, p.SetTargets(now, name, list)...)
-		}
-		return actions
-	})
-}
-
 func shape(b *routes.Batch) gather.Shape {
 	return gather.Shape{
 		Slots: b.Slots, MaxPieces: b.MaxPieces,
