Keep the order of hand-overs without a lock

Cause: a lock was held while the queue was sent, up to the time-outs of its messages, and neither the context of a stop nor its bound of a second counted while it waited for it. The later tries of a stop had no bound over all their messages, so that an instance that takes each part just in time kept the queue from being served. Found by reading. Ruled out: a lock that can be waited for with a context, which is still held over the network; a queue of wishes, of which each would be a try of its own. Change: a try is made by a goroutine of its own, within a bound. Who wants the queue given away while a try is under way shares the next one, so there are two at most. A stop waits for its try for a second and then goes on; the try doesn't end with the wait, and only a try's end lets the queue go on here. Figures: TestStopDoesNotWaitForAnotherHandOver and TestHandOversKeepTheirOrder didn't end before (a goroutine waited for the lock, in virtual time); TestHandOverEndsWithItsTime guards the bound. Conclusion: no lock is held while a queue is sent.

--- /dev/null
+++ b/daemon/stages/giving_test.go
@@ -0,0 +1,120 @@
+package stages
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+)
+
+// TestStopDoesNotWaitForAnotherHandOver guards against a planned stop that waits for the
+// messages of a hand-over which began before it.
+func TestStopDoesNotWaitForAnotherHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(4)
+		c.answer = silent
+		s := startStages(t, c)
+		holdCall(t, s, time.Minute)
+		go s.Yield()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		begun := time.Now()
+		s.HandOver(ctx)
+		require.Equal(t, 100*time.Millisecond, time.Since(begun))
+	})
+}
+
+// TestHandOversKeepTheirOrder guards against two hand-overs of an instance at once, and
+// against one for each of many that want it while one is on its way.
+func TestHandOversKeepTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(3)
+		var sending, handOvers atomic.Int32
+		c.answer = func(_ context.Context, _, method string, body []byte) ([]byte, error) {
+			if method != methodTake {
+				return nil, nil
+			}
+			assert.EqualValues(t, 1, sending.Add(1))
+			time.Sleep(100 * time.Millisecond)
+			sending.Add(-1)
+			last, answer := taken(t, body)
+			if last {
+				handOvers.Add(1)
+			}
+			return answer, nil
+		}
+		s := startStages(t, c)
+		holdCall(t, s, time.Minute)
+		var all sync.WaitGroup
+		for range 20 {
+			all.Go(s.Yield)
+		}
+		all.Go(func() { s.HandOver(t.Context()) })
+		begun := time.Now()
+		all.Wait()
+		require.Equal(t, 200*time.Millisecond, time.Since(begun), "one hand-over of two messages")
+		require.EqualValues(t, 1, handOvers.Load())
+		require.False(t, s.owner.takeOver(sender{"b", 2}, gather.State{}), "an instance that stops takes no queue")
+	})
+}
+
+// TestHandOverEndsWithItsTime guards against a queue that nobody serves while another
+// instance takes its parts, each just in time.
+func TestHandOverEndsWithItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(2)
+		c.answer = func(ctx context.Context, _, method string, body []byte) ([]byte, error) {
+			if method != methodTake {
+				return nil, nil
+			}
+			select {
+			case <-time.After(takeTimeout - time.Millisecond):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			_, answer := taken(t, body)
+			return answer, nil
+		}
+		s := startStages(t, c)
+		var state gather.State
+		for i := range 40 * worksPerPart {
+			state.Works = append(state.Works, gather.HeldWork{
+				ID: fmt.Sprint(i), Objective: time.Hour, Deadline: time.Hour,
+				Stages: []gather.Stage{{Service: "stage", Pieces: 1}}, Progress: []gather.HeldStage{{Todo: []int{0}}},
+			})
+		}
+		require.True(t, s.owner.takeOver(sender{"z", 1}, state))
+		s.owner.mu.Lock()
+		clear(s.owner.unclaimed) // their askers wait
+		s.owner.mu.Unlock()
+		s.HandOver(t.Context())
+		for tries := 0; !s.owner.isFrozen(); tries++ {
+			require.Less(t, tries, 100, "no second try")
+			time.Sleep(retryHandOver)
+		}
+		s.owner.mu.Lock()
+		decided := s.owner.decided
+		s.owner.mu.Unlock()
+		select {
+		case <-decided:
+		case <-time.After(takingFor + takeTimeout):
+			require.Fail(t, "the hand-over doesn't end")
+		}
+	})
+}
+
+// isFrozen tells whether the queue is on its way.
+func (o *Owner) isFrozen() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.frozen
+}
--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -25,8 +25,8 @@
 	// takeTimeout bounds one message of a hand-over; the largest, of some 200 KB,
 	// takes 0.16 s over a link of 10 Mbit/s.
 	takeTimeout = 500 * time.Millisecond
-	// handOverTimeout bounds the first try, which a stop waits for: a seventh of the
-	// usual grace.
+	// handOverTimeout bounds a yield and the first try of a stop, which waits for it: a
+	// seventh of the usual grace.
 	handOverTimeout = time.Second
 	// retryHandOver is how soon a stopping instance looks again for one that takes
 	// its queue over, as one that has just started.
@@ -35,8 +35,8 @@
 	// results take some 2 KB each, calls of 128 pieces 3 KB.
 	worksPerPart = 100
 	callsPerPart = 32
-	// takingFor is after how long a hand-over that breaks off is forgotten: longer than
-	// its 40 parts take over a link of 10 Mbit/s.
+	// takingFor bounds later tries, and is after how long a hand-over that breaks off is
+	// forgotten: longer than its 40 parts take over a link of 10 Mbit/s.
 	takingFor = 10 * time.Second
 	// endedTimeout bounds the word that a call has ended; the new holder counts a
 	// call of which it hears nothing as lost.
@@ -84,47 +84,11 @@
 	s.owner.mayTakeBack(false)
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	if !s.tryHandOver(ctx) {
+	if !s.give(ctx, handOverTimeout) {
 		go s.keepTrying()
 	}
 }
 
-// keepTrying goes on until another instance has the queue.
-func (s *Stages) keepTrying() {
-	ticker := time.NewTicker(retryHandOver)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ended:
-			return
-		case <-ticker.C:
-		}
-		if s.tryHandOver(context.Background()) {
-			return
-		}
-	}
-}
-
-// tryHandOver asks up to maxOwners instances.
-func (s *Stages) tryHandOver(ctx context.Context) bool {
-	s.giving.Lock()
-	defer s.giving.Unlock()
-	if s.owner.hasMoved() {
-		return true
-	}
-	for range maxOwners {
-		next, ok := s.next(time.Now())
-		if !ok {
-			return false
-		}
-		if s.handTo(ctx, next) {
-			return true
-		}
-		s.avoid(next.Name)
-	}
-	return false
-}
-
 func (s *Stages) next(now time.Time) (membership.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -82,8 +82,9 @@
 	asking map[string]*asking
 	// stopping tells that this instance gives its queue away and takes no other.
 	stopping bool
-	// giving is held while this instance gives its queue away.
-	giving sync.Mutex
+	// giving is the try to give the queue away that is under way, following the one
+	// after it; nil if there is none.
+	giving, following *attempt
 	// taking are the hand-overs on their way to this instance, by the name of the one
 	// that stops.
 	taking map[string]*taking
--- a/daemon/stages/yield.go
+++ b/daemon/stages/yield.go
@@ -27,17 +27,7 @@
 
 // Yield gives the queue to the next holder while this instance goes on. Without one
 // it keeps the queue.
-func (s *Stages) Yield() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	if !s.tryHandOver(ctx) {
-		s.owner.thawFrozen()
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.owner.mayTakeBack(!s.stopping)
-}
+func (s *Stages) Yield() { s.give(context.Background(), handOverTimeout) }
 
 // mayTakeBack says whether a queue that was given away may come back.
 func (o *Owner) mayTakeBack(may bool) {
