Forget calls given away whose end nobody tells

Cause: what an instance notes of calls in progress as it gives the queue away was forgotten as they end. A call that a third instance carries out, which is gone before it tells the end, stayed noted for good. Where the queue had been taken back or had come back, its loss was told to who had the queue meanwhile. Found by reading. Ruled out: to forget notes as the third is known to be gone, which is later or never at an instance that doesn't know it; a bound of their number, which forgets calls whose end still comes. Change: such a note is forgotten when the latest possible end of its call has passed, by the timer that was there for calls of a queue that wasn't given away. The notes of an instance's own calls end with these, whose time is bounded. Conclusion: the notes are bounded by the calls that can be in progress.

--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -184,17 +184,36 @@
 	return true
 }
 
-// adoptedLost counts a call as lost of whose end no word has come.
+// adoptedLost counts a call as lost of whose end no word has come, and forgets one that
+// was given away with the queue: who has that finds out for itself.
+//
+// It guards against notes that stay for good, since the instance that has the call is
+// gone and its end will never be told.
 func (o *Owner) adoptedLost(id uint64) {
 	o.mu.Lock()
-	moved := o.movedTo != ""
 	maps.DeleteFunc(o.adopted, func(_ adoptedCall, here uint64) bool { return here == id })
+	gone := o.forgetGiven(id) || o.movedTo != ""
 	o.mu.Unlock()
-	if !moved {
+	if !gone {
 		o.callEnded(id, gather.CallLost, nil)
 	}
 }
 
+// forgetGiven forgets a call in progress if the queue was given away since it was taken
+// in, and tells whether it did; mu is held.
+func (o *Owner) forgetGiven(id uint64) bool {
+	now, renamed := o.renamed[id]
+	if !renamed {
+		now = id
+	}
+	_, given := o.movedCalls[now]
+	if given || o.movedTo != "" {
+		delete(o.renamed, id)
+		delete(o.movedCalls, now)
+	}
+	return given
+}
+
 // adoptedEnded takes in the end of a call that another instance carried out.
 func (o *Owner) adoptedEnded(from sender, id uint64, how gather.CallOutcome, results []gather.PieceResult) {
 	key := adoptedCall{from, id}
