Test that an instance which stood still begins the hand-over

Cause: the hand-over of an instance that stood still was tested by a call of Yield; that it begins by itself had no test. Ruled out: a process that is stopped, which takes real time. Change: tests in virtual time, at a tick and at a request that comes before the first tick; that one which ran late, held nothing or knows no other keeps its queue. The clock since the machine's boot is a field of the owner for it.

--- a/daemon/stages/cluster_test.go
+++ b/daemon/stages/cluster_test.go
@@ -23,8 +23,15 @@
 
 	mu      sync.Mutex
 	members []membership.Member
+	// gate, where set, is what View waits for.
+	gate chan struct{}
+	// told are the calls to others.
+	told []toldCall
 }
 
+// toldCall is a call to an instance.
+type toldCall struct{ to, method string }
+
 func newFakeCluster(instances int) *fakeCluster {
 	c := &fakeCluster{}
 	for i := range instances {
@@ -47,6 +54,12 @@
 
 // View implements Cluster.
 func (c *fakeCluster) View() *membership.View {
+	c.mu.Lock()
+	gate := c.gate
+	c.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return membership.NewView(1, "a", append([]membership.Member(nil), c.members...))
@@ -60,9 +73,58 @@
 
 // Call implements Cluster.
 func (c *fakeCluster) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
+	c.mu.Lock()
+	c.told = append(c.told, toldCall{address, method})
+	c.mu.Unlock()
 	return c.answer(ctx, address, method, body)
 }
 
+// calls returns the methods that an instance was called by.
+func (c *fakeCluster) calls(to string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var methods []string
+	for _, call := range c.told {
+		if call.to == to {
+			methods = append(methods, call.method)
+		}
+	}
+	return methods
+}
+
+// standStill has what the instance does each tick stand still for a time.
+func (c *fakeCluster) standStill(d time.Duration) {
+	gate := make(chan struct{})
+	c.mu.Lock()
+	c.gate = gate
+	c.mu.Unlock()
+	time.Sleep(d)
+	c.mu.Lock()
+	c.gate = nil
+	c.mu.Unlock()
+	close(gate)
+}
+
+// takes answers as an instance that takes a queue and serves requests.
+func takes(t *testing.T) func(context.Context, string, string, []byte) ([]byte, error) {
+	return func(_ context.Context, _, method string, body []byte) ([]byte, error) {
+		switch method {
+		case methodTake:
+			_, answer := taken(t, body)
+			return answer, nil
+		case methodPlace:
+			return encode(&placeAnswer{})
+		}
+		return nil, nil
+	}
+}
+
+// emptyRequest has a stage without pieces, which is done as soon as a holder has it.
+func emptyRequest(id string) gather.Request {
+	until := time.Now().Add(time.Minute)
+	return gather.Request{ID: id, Objective: until, Deadline: until, Stages: []gather.Stage{{Service: "stage"}}}
+}
+
 // silent answers nothing.
 func silent(ctx context.Context, _, _ string, _ []byte) ([]byte, error) {
 	<-ctx.Done()
@@ -73,6 +135,7 @@
 // queue away.
 func startStages(t *testing.T, c *fakeCluster) *Stages {
 	s := New(c, nil, nil, nil, tally.NoopScope)
+	s.owner.boot = time.Now
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
--- a/daemon/stages/moving_test.go
+++ b/daemon/stages/moving_test.go
@@ -1,7 +1,6 @@
 package stages
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,11 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newFakeCluster(2)
-				var told []string
-				c.answer = func(_ context.Context, _, method string, _ []byte) ([]byte, error) {
-					told = append(told, method)
-					return nil, nil
-				}
+				c.answer = takes(t)
 				s := startStages(t, c)
 				holdCall(t, s, within)
 				move(s.owner)
@@ -62,7 +57,7 @@
 				require.Empty(t, s.owner.adopted)
 				require.Zero(t, s.owner.planner.Calls())
 				if name != "on its way" {
-					require.Empty(t, told, "the next holder finds out for itself")
+					require.Empty(t, c.calls("at-b"), "the next holder finds out for itself")
 				}
 			})
 		})
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -15,6 +15,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/holder"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/daemon/orders/boottime"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -55,8 +56,9 @@
 	prompts map[string]placing.Prompt
 	waiting map[string]chan outcome
 	freeing map[gather.Target][]string
-	// stall finds out that this instance stood still.
+	// stall finds out that this instance stood still, by boot beside the time of day.
 	stall holder.Stall
+	boot  boottime.Clock
 	// stalled is called once the queue is frozen since this instance stood still.
 	stalled func()
 	// running counts the calls that this instance carries out.
@@ -94,6 +96,7 @@
 		waiting:  map[string]chan outcome{},
 		freeing:  map[gather.Target][]string{},
 		readers:  map[string]reading{},
+		boot:     boottime.Now,
 		handing:  newHanding(),
 	}
 }
--- a/daemon/stages/yield.go
+++ b/daemon/stages/yield.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
-	"github.com/ivyhollow/ivyhollow/daemon/orders/boottime"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
@@ -15,7 +14,7 @@
 // targets.
 func (o *Owner) enter() {
 	o.mu.Lock()
-	if !o.stall.Look(time.Now(), boottime.Now) || o.frozen || o.movedTo != "" || !o.holdsWork() {
+	if !o.stall.Look(time.Now(), o.boot) || o.frozen || o.movedTo != "" || !o.holdsWork() {
 		return
 	}
 	o.export()
--- /dev/null
+++ b/daemon/stages/yield_test.go
@@ -0,0 +1,71 @@
+package stages
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
+)
+
+// TestInstanceThatStoodStillBeginsTheHandOver guards against an instance that wakes and goes
+// on with its queue, while its askers have turned to another holder.
+func TestInstanceThatStoodStillBeginsTheHandOver(t *testing.T) {
+	const stoodStill, ranLate = 1500 * time.Millisecond, 500 * time.Millisecond
+	cases := map[string]struct {
+		instances int
+		still     time.Duration
+		holds     bool
+		moves     bool
+	}{
+		"stood still":            {3, stoodStill, true, true},
+		"ran late":               {3, ranLate, true, false},
+		"held nothing":           {3, stoodStill, false, false},
+		"knows no other to have": {1, stoodStill, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newFakeCluster(c.instances)
+				cluster.answer = takes(t)
+				s := startStages(t, cluster)
+				time.Sleep(2 * tick)
+				if c.holds {
+					holdCall(t, s, time.Minute)
+				}
+				cluster.standStill(c.still)
+				synctest.Wait()
+				require.Equal(t, c.moves, s.owner.hasMoved())
+				made, err := s.Make(t.Context(), emptyRequest("1"), placing.Prompt{})
+				require.NoError(t, err)
+				require.Equal(t, map[bool]string{true: "at-b", false: "at-a"}[c.moves], made.Owner)
+				s.owner.mu.Lock()
+				defer s.owner.mu.Unlock()
+				require.Equal(t, c.holds && !c.moves, s.owner.planner.Calls() == 1, "the call is counted by who holds the queue")
+			})
+		})
+	}
+}
+
+// TestRequestThatWakesAHolderIsNotServedThere guards against a request that comes before the
+// first tick after its holder stood still, and begins calls beside the next holder's.
+func TestRequestThatWakesAHolderIsNotServedThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(3)
+		c.answer = takes(t)
+		s := startStages(t, c)
+		time.Sleep(2 * tick)
+		holdCall(t, s, time.Minute)
+		ends := make(chan outcome, 1)
+		time.AfterFunc(1400*time.Millisecond, func() {
+			end, err := s.owner.make(t.Context(), emptyRequest("1"), placing.Prompt{}, false, true)
+			assert.NoError(t, err)
+			ends <- end
+		})
+		c.standStill(1500 * time.Millisecond)
+		require.Equal(t, "at-b", (<-ends).movedTo)
+	})
+}
