Test the tick that takes a queue back from a member that is gone

Cause: it had no test that fails without it. The test of a queue that is taken back from a lost holder passes by what askers find out. Ruled out: a check in that test, whose askers are to find out there. Change: a test in virtual time, with members that are dead, have left, and are suspected only, from which the queue isn't taken back. Conclusion: the tick has its test.

--- a/daemon/stages/yield_test.go
+++ b/daemon/stages/yield_test.go
@@ -8,7 +8,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
 // TestInstanceThatStoodStillBeginsTheHandOver guards against an instance that wakes and goes
@@ -69,3 +71,30 @@
 		require.Equal(t, "at-b", (<-ends).movedTo)
 	})
 }
+
+// TestQueueIsTakenBackFromAMemberThatIsGone guards against askers that are sent on to an
+// instance which has the queue since a yield, when its end is known.
+func TestQueueIsTakenBackFromAMemberThatIsGone(t *testing.T) {
+	for state, goneNow := range map[membership.State]bool{membership.Dead: true, membership.Left: true, membership.Suspect: false} {
+		t.Run(state.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newFakeCluster(3)
+				c.answer = takes(t)
+				s := startStages(t, c)
+				s.Yield()
+				require.True(t, s.owner.hasMoved())
+				c.set("b", state)
+				time.Sleep(2 * tick)
+				answer, err := s.makeFor(t.Context(), peer.Peer{Member: c.members[2]}, &placeAsk{Follow: followAsk{
+					Make: *newAsk(time.Now(), emptyRequest("1")),
+				}})
+				require.NoError(t, err)
+				require.Equal(t, map[bool]string{true: "", false: "at-b"}[goneNow], answer.Follow.Moved)
+				made, err := s.Make(t.Context(), emptyRequest("2"), placing.Prompt{})
+				require.NoError(t, err)
+				require.Equal(t, map[bool]string{true: "at-a", false: "at-b"}[goneNow], made.Owner)
+				require.Equal(t, !goneNow, len(c.calls("at-b")) > 0)
+			})
+		})
+	}
+}
