--- /dev/null
+++ b/daemon/stages/cluster_test.go
@@ -0,0 +1,175 @@
+package stages
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// fakeCluster is a cluster of instances a, b and so on, as a sees it: only a runs, and
+// answer stands for the others.
+type fakeCluster struct {
+	answer func(ctx context.Context, to, method string, body []byte) ([]byte, error)
+
+	mu      sync.Mutex
+	members []membership.Member
+	// gate, where set, is what View waits for.
+	gate chan struct{}
+	// told are the calls to others.
+	told []toldCall
+}
+
+// toldCall is a call to an instance.
+type toldCall struct{ to, method string }
+
+func newFakeCluster(instances int) *fakeCluster {
+	c := &fakeCluster{}
+	for i := range instances {
+		name := string(rune('a' + i))
+		c.members = append(c.members, membership.Member{Name: name, Address: "at-" + name, Incarnation: uint64(i + 1)})
+	}
+	return c
+}
+
+// set changes the state of an instance.
+func (c *fakeCluster) set(name string, state membership.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.members {
+		if c.members[i].Name == name {
+			c.members[i].State = state
+		}
+	}
+}
+
+// View implements Cluster.
+func (c *fakeCluster) View() *membership.View {
+	c.mu.Lock()
+	gate := c.gate
+	c.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return membership.NewView(1, "a", append([]membership.Member(nil), c.members...))
+}
+
+// Handle implements Cluster.
+func (c *fakeCluster) Handle(string, peer.Handler, ...peer.HandleOption) {}
+
+// AwaitJoin implements Cluster.
+func (c *fakeCluster) AwaitJoin(context.Context) {}
+
+// Call implements Cluster.
+func (c *fakeCluster) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
+	c.mu.Lock()
+	c.told = append(c.told, toldCall{address, method})
+	c.mu.Unlock()
+	return c.answer(ctx, address, method, body)
+}
+
+// calls returns the methods that an instance was called by.
+func (c *fakeCluster) calls(to string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var methods []string
+	for _, call := range c.told {
+		if call.to == to {
+			methods = append(methods, call.method)
+		}
+	}
+	return methods
+}
+
+// standStill has what the instance does each tick stand still for a time.
+func (c *fakeCluster) standStill(d time.Duration) {
+	gate := make(chan struct{})
+	c.mu.Lock()
+	c.gate = gate
+	c.mu.Unlock()
+	time.Sleep(d)
+	c.mu.Lock()
+	c.gate = nil
+	c.mu.Unlock()
+	close(gate)
+}
+
+// takes answers as an instance that takes a queue and serves requests.
+func takes(t *testing.T) func(context.Context, string, string, []byte) ([]byte, error) {
+	return func(_ context.Context, _, method string, body []byte) ([]byte, error) {
+		switch method {
+		case methodTake:
+			_, answer := taken(t, body)
+			return answer, nil
+		case methodPlace:
+			return encode(&placeAnswer{})
+		}
+		return nil, nil
+	}
+}
+
+// emptyRequest has a stage without pieces, which is done as soon as a holder has it.
+func emptyRequest(id string) gather.Request {
+	until := time.Now().Add(time.Minute)
+	return gather.Request{ID: id, Objective: until, Deadline: until, Stages: []gather.Stage{{Service: "stage"}}}
+}
+
+// silent answers nothing.
+func silent(ctx context.Context, _, _ string, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// startStages runs instance a until the test ends, and waits for its tries to give the
+// queue away.
+func startStages(t *testing.T, c *fakeCluster) *Stages {
+	s := New(c, nil, nil, nil, tally.NoopScope)
+	s.owner.boot = time.Now
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-ended)
+		for s.isGiving() {
+			time.Sleep(tick)
+		}
+	})
+	return s
+}
+
+// isGiving tells whether a try to give the queue away is under way.
+func (s *Stages) isGiving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.giving != nil
+}
+
+// holdCall has an instance hold the queue with one call of another, which ends within
+// the given time.
+func holdCall(t *testing.T, s *Stages, within time.Duration) {
+	require.True(t, s.owner.takeOver(sender{"z", 1}, gather.State{
+		Targets: []gather.HeldTarget{{Service: "stage", Incarnation: "t"}},
+		Calls:   []gather.HeldCall{{ID: 7, Expires: within}},
+	}))
+}
+
+// taken answers a message of a hand-over.
+func taken(t *testing.T, body []byte) (last bool, answer []byte) {
+	var ask takeAsk
+	assert.NoError(t, msgpack.Unmarshal(body, &ask))
+	answer, err := encode(&takeAnswer{Taken: true})
+	assert.NoError(t, err)
+	return ask.Last, answer
+}
--- a/daemon/stages/yield.go
+++ b/daemon/stages/yield.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
-	"github.com/ivyhollow/ivyhollow/daemon/orders/boottime"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
@@ -15,7 +14,7 @@
 // targets.
 func (o *Owner) enter() {
 	o.mu.Lock()
-	if !o.stall.Look(time.Now(), boottime.Now) || o.frozen || o.movedTo != "" || !o.holdsWork() {
+	if !o.stall.Look(time.Now(), o.boot) || o.frozen || o.movedTo != "" || !o.holdsWork() {
 		return
 	}
 	o.export()
@@ -27,17 +26,7 @@
 
 // Yield gives the queue to the next holder while this instance goes on. Without one
 // it keeps the queue.
-func (s *Stages) Yield() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	if !s.tryHandOver(ctx) {
-		s.owner.thawFrozen()
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.owner.mayTakeBack(!s.stopping)
-}
+func (s *Stages) Yield() { s.give(context.Background(), handOverTimeout) }
 
 // mayTakeBack says whether a queue that was given away may come back.
 func (o *Owner) mayTakeBack(may bool) {
