Hand a queue over once more when the connection was lost

Two instances send stage calls for some seconds, and the take-back behind it has called targets that had left.

Cause: a holder that wakes gives its queue to the instance that its askers have turned to. Its connection to that one may be lost; it then avoided it for three seconds and gave the queue to a third, while the askers used the second.

Test: TestHandOverOverALostConnection failed before (the queue went to the third) and passes; a connection that is lost twice goes on to the next instance.

Change: a state that certainly wasn't taken, for a lost connection, is sent once more, as requests are.

--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -109,6 +109,10 @@
 	}
 	err := s.sendState(ctx, next.Address, state)
 	var kept *keptError
+	if errors.As(err, &kept) && errors.Is(err, peer.ErrConnLost) {
+		// An instance that stood still finds its connections lost, and askers use the next one.
+		err = s.sendState(ctx, next.Address, state)
+	}
 	if errors.As(err, &kept) {
 		telemetry.ErrorS(err, "Stage queue not handed over", telemetry.Event{Peer: next.Name, Count: len(state.Works)})
 		s.owner.thaw(state)
--- a/daemon/stages/late_test.go
+++ b/daemon/stages/late_test.go
@@ -112,3 +112,24 @@
 		})
 	}
 }
+
+// TestHandOverOverALostConnection guards against a queue that is given to a third instance,
+// while askers turn to the one whose connection was found lost as the holder woke.
+func TestHandOverOverALostConnection(t *testing.T) {
+	for lost, owner := range map[int]string{1: "at-b", 2: "at-c"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newFakeCluster(3)
+			c.answer = func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+				if to == "at-b" && method == methodTake && lost > 0 {
+					lost--
+					return nil, peer.ErrConnLost
+				}
+				return takes(t)(ctx, to, method, body)
+			}
+			s := startStages(t, c)
+			holdCall(t, s, time.Minute)
+			s.Yield()
+			require.Equal(t, owner, s.owner.yieldedTo())
+		})
+	}
+}
