Take in the targets before a queue that nobody took goes on

Stage calls may reach targets that have left.

Cause: keeps the list of targets that comes while a queue is on its way, and took it in behind the import of the queue, which sends calls: an idle target that left meanwhile got one. And who takes a queue over kept the results of a target whose start anew it knew already (by reading).

Test: TestKeptQueueCallsNoTargetThatLeft failed before and passes.

Change: the list first, then the queue; the import drops the results of earlier starts of listed targets.

--- a/coordination/gather/import.go
+++ b/coordination/gather/import.go
@@ -32,6 +32,9 @@
 	// requests wait: one by one, the first would take free targets with calls that are
 	// nearly empty.
 	p.importing = true
+	for _, s := range p.services {
+		p.restarted(now, s.listed())
+	}
 	for _, w := range taken {
 		p.advance(now, w)
 	}
@@ -160,3 +163,14 @@
 	}
 	return expiries
 }
+
+// listed returns the targets that may be called, those of the list that came last.
+func (s *service) listed() []Target {
+	var list []Target
+	for _, t := range s.targets {
+		if !t.leaving {
+			list = append(list, t.Target)
+		}
+	}
+	return list
+}
--- a/daemon/stages/giving_test.go
+++ b/daemon/stages/giving_test.go
@@ -118,3 +118,11 @@
 	defer o.mu.Unlock()
 	return o.frozen
 }
+
+// heldWork is a request of one piece that waits.
+func heldWork(id string) gather.HeldWork {
+	return gather.HeldWork{
+		ID: id, Objective: time.Hour, Deadline: time.Hour,
+		Stages: []gather.Stage{{Service: "stage", Pieces: 1}}, Progress: []gather.HeldStage{{Todo: []int{0}}},
+	}
+}
--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -99,8 +99,9 @@
 // thaw goes on with a queue that no other instance took.
 func (o *Owner) thaw(state gather.State) {
 	o.mu.Lock()
-	actions, ids := o.planner.Import(time.Now(), state)
-	actions = append(actions, o.takeListed()...)
+	actions := o.takeListed()
+	imported, ids := o.planner.Import(time.Now(), state)
+	actions = append(actions, imported...)
 	o.rename(ids)
 	ends, steps := o.ends, o.steps
 	o.ends, o.steps, o.drops = nil, nil, nil
--- a/daemon/stages/moving_test.go
+++ b/daemon/stages/moving_test.go
@@ -1,13 +1,18 @@
 package stages
 
 import (
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/state/routes"
 )
 
 // TestCallsOfWhoseEndsNoWordComesAreForgotten guards against notes of calls in progress that
@@ -63,3 +68,55 @@
 		})
 	}
 }
+
+// stubDialect notes the targets that are called, and calls none.
+type stubDialect struct {
+	exchange.Dialect
+	mu     sync.Mutex
+	called []string
+}
+
+func (d *stubDialect) StageCall(address, name string, _ []gather.PieceOrder, _ time.Time) (*http.Request, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.called = append(d.called, name)
+	return nil, errors.New("stub")
+}
+
+// stubFollower follows nothing.
+type stubFollower struct{}
+
+func (stubFollower) Leaving(string)            {}
+func (stubFollower) TargetsAge() time.Duration { return 0 }
+
+// TestKeptQueueCallsNoTargetThatLeft guards against a call to an idle target that left while the
+// queue was on its way to an instance that didn't take it.
+func TestKeptQueueCallsNoTargetThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(3)
+		c.answer = takes(t)
+		s := startStages(t, c)
+		d := &stubDialect{}
+		s.owner.dialect, s.owner.follower = d, stubFollower{}
+		table := &routes.Table{Services: map[string]*routes.Service{"stage": {Name: "stage", Batch: &routes.Batch{
+			Slots: 1, MaxPieces: 8, CallTime: time.Second, PieceTime: time.Millisecond, ResultBytes: 1 << 20, KeepFor: time.Minute,
+		}}}}
+		usable := map[string][]routes.Target{"stage": {{Name: "t", Address: "at-t", DataCentre: "x"}}}
+		s.SetTargets(time.Now(), table, usable)
+		id := usable["stage"][0].Incarnation()
+		require.True(t, s.owner.takeOver(sender{"z", 1}, gather.State{
+			Targets: []gather.HeldTarget{{Service: "stage", Incarnation: id, Name: "t", Address: "at-t", DataCentre: "x", Slow: 1, DownUntil: 350 * time.Millisecond}},
+			Works:   []gather.HeldWork{heldWork("1")},
+		}))
+		s.owner.mu.Lock()
+		clear(s.owner.unclaimed)
+		s.owner.mu.Unlock()
+		time.Sleep(340 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond) // it was down until now
+		state := s.owner.freeze()
+		s.SetTargets(time.Now(), table, map[string][]routes.Target{"stage": nil})
+		s.owner.thaw(state)
+		synctest.Wait()
+		require.Empty(t, d.called, "a target that has left is called")
+	})
+}
