Pass the ends of calls on beside the move of their queue

Nobody may serve for seconds: 20 s in the test.

Cause: the ends of calls that came while a queue was on its way were passed on one after the other, each for up to 2 s, before the instance could take the queue back from one that is gone. Found in review.

Test: TestEndsPassedOnDoNotKeepTheQueueAway failed before (ten ends, the next holder dead) and passes.

--- a/daemon/stages/giving_test.go
+++ b/daemon/stages/giving_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
 )
 
 // TestStopDoesNotWaitForAnotherHandOver guards against a planned stop that waits for the
@@ -126,3 +127,45 @@
 		Stages: []gather.Stage{{Service: "stage", Pieces: 1}}, Progress: []gather.HeldStage{{Todo: []int{0}}},
 	}
 }
+
+// TestEndsPassedOnDoNotKeepTheQueueAway guards against a queue that nobody serves, since ends
+// of calls are passed on to a holder that is gone before the queue can be taken back.
+func TestEndsPassedOnDoNotKeepTheQueueAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(3)
+		release := make(chan struct{})
+		c.answer = func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+			if method == methodTake {
+				last, answer := taken(t, body)
+				if last {
+					<-release
+				}
+				return answer, nil
+			}
+			return silent(ctx, to, method, body)
+		}
+		s := startStages(t, c)
+		var state gather.State
+		state.Targets = []gather.HeldTarget{{Service: "stage", Incarnation: "t"}}
+		for i := range 10 {
+			state.Calls = append(state.Calls, gather.HeldCall{ID: uint64(i + 1), Expires: time.Minute})
+		}
+		require.True(t, s.owner.takeOver(sender{"z", 1}, state))
+		go s.Yield()
+		synctest.Wait()
+		for i := range 10 {
+			s.owner.adoptedEnded(sender{"z", 1}, uint64(i+1), gather.CallLost, nil)
+		}
+		close(release)
+		synctest.Wait()
+		require.True(t, s.owner.hasMoved())
+		c.set("b", membership.Dead)
+		begun := time.Now()
+		for s.owner.hasMoved() {
+			time.Sleep(tick)
+		}
+		took := time.Since(begun)
+		time.Sleep(3 * endedTimeout)
+		require.Less(t, took, 3*tick, "nobody serves")
+	})
+}
--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -154,7 +154,8 @@
 	clear(o.prompts)
 	o.mu.Unlock()
 	for _, e := range ends {
-		o.callEnded(e.id, e.how, e.results)
+		// Each may wait for an instance that is gone by now; a call's end waits for no other.
+		go o.callEnded(e.id, e.how, e.results)
 	}
 	o.passDrops(to, drops...)
 }
