End a hand-over whose time is over before it asks another instance

A stopping instance may keep its queue for seconds more.

Cause: a try whose time was over went on to further instances. Each ask failed at once, and each instance was passed over for three seconds though it was never asked.

Test: TestTryThatRanOutAvoidsNoOther failed before (given away after 7 s) and passes.

--- a/daemon/stages/giving.go
+++ b/daemon/stages/giving.go
@@ -91,6 +91,9 @@
 			return true
 		}
 		s.avoid(next.Name)
+		if ctx.Err() != nil {
+			return false
+		}
 	}
 	return false
 }
--- a/daemon/stages/giving_test.go
+++ b/daemon/stages/giving_test.go
@@ -169,3 +169,42 @@
 		require.Less(t, took, 3*tick, "nobody serves")
 	})
 }
+
+// TestTryThatRanOutAvoidsNoOther guards against a try whose time is over and that passes over
+// instances which it never asked.
+func TestTryThatRanOutAvoidsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(4)
+		c.answer = func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+			if method != methodTake {
+				return nil, nil
+			}
+			if to == "at-b" {
+				select {
+				case <-time.After(takeTimeout - time.Millisecond):
+				case <-ctx.Done():
+				}
+			}
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			_, answer := taken(t, body)
+			return answer, nil
+		}
+		s := startStages(t, c)
+		var state gather.State
+		for i := range 5 * worksPerPart {
+			state.Works = append(state.Works, heldWork(fmt.Sprint(i)))
+		}
+		require.True(t, s.owner.takeOver(sender{"z", 1}, state))
+		s.owner.mu.Lock()
+		clear(s.owner.unclaimed)
+		s.owner.mu.Unlock()
+		begun := time.Now()
+		s.HandOver(t.Context())
+		for !s.owner.hasMoved() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, time.Since(begun), handOverTimeout+2*retryHandOver)
+	})
+}
