Leave a queue with the instance that has it and answers

Two instances may send stage calls at once.

Cause: an instance that gave its queue away takes it back from one that it passes over, and two connections to that one reset in a row were enough for that, though it lives and goes on with the queue. Found in review.

Change: before it takes the queue back it asks whether the other answers, as is done for one that is thought to be lost.

--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -264,7 +264,7 @@
 func (s *Stages) makeAt(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, sent bool) (Made, error) {
 	r, bounded := s.ask(m.Address, r)
 	if m.Name == s.cluster.View().Self {
-		s.takeBackAvoided(time.Now())
+		s.takeBackAvoided(ctx, time.Now())
 		end, err := s.owner.make(ctx, r, prompt, bounded, false)
 		if err == nil && end.movedTo != "" {
 			return Made{}, &movedError{end.movedTo}
--- a/daemon/stages/yield.go
+++ b/daemon/stages/yield.go
@@ -80,16 +80,24 @@
 	return s.tellServed(ctx, address, nil) == nil
 }
 
-// takeBackAvoided takes the queue back from an instance that this one passes over.
-func (s *Stages) takeBackAvoided(now time.Time) {
+// takeBackAvoided takes the queue back from an instance that this one passes over, unless it
+// answers: then it has lost no more than connections, and goes on with the queue.
+func (s *Stages) takeBackAvoided(ctx context.Context, now time.Time) {
 	to := s.owner.yieldedTo()
 	if to == "" {
 		return
 	}
+	name := s.memberAt(to).Name
 	s.mu.Lock()
-	avoided := s.isAvoided(now, s.memberAt(to).Name)
+	avoided := s.isAvoided(now, name)
 	s.mu.Unlock()
-	if avoided {
+	switch {
+	case !avoided:
+	case s.reaches(ctx, to):
+		s.mu.Lock()
+		delete(s.avoided, name)
+		s.mu.Unlock()
+	default:
 		s.owner.takeBack(to)
 	}
 }
