Keep requests whose askers wait to hear who has the queue

A request may be dropped though its caller waits.

Cause: a request that nobody asks for is dropped after a while, also while the queue is on its way; an asker whose connection was reset asks again, and waits just then. The drop was passed on to the next holder. Found in review.

Test: TestAskerThatWaitsForTheQueueClaimsItsRequest failed before ("moved": the next holder is told to drop it) and passes; its case "kept" passed before too.

Change: nothing is dropped while the queue is on its way, and askers have their time anew behind it.

--- a/daemon/stages/moving.go
+++ b/daemon/stages/moving.go
@@ -103,6 +103,9 @@
 	imported, ids := o.planner.Import(time.Now(), state)
 	actions = append(actions, imported...)
 	o.rename(ids)
+	for id := range o.unclaimed {
+		o.unclaimed[id] = time.Now().Add(claimWithin)
+	}
 	ends, steps := o.ends, o.steps
 	o.ends, o.steps, o.drops = nil, nil, nil
 	o.frozen, o.exported = false, gather.State{}
@@ -260,6 +263,11 @@
 func (o *Owner) dropUnclaimed(now time.Time) {
 	var gone []placing.Served
 	o.mu.Lock()
+	if o.frozen {
+		// Their askers may be waiting to hear who has the queue.
+		o.mu.Unlock()
+		return
+	}
 	for id, until := range o.unclaimed {
 		if now.After(until) {
 			gone = append(gone, placing.Served{Request: id})
--- a/daemon/stages/moving_test.go
+++ b/daemon/stages/moving_test.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -11,8 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
 // TestCallsOfWhoseEndsNoWordComesAreForgotten guards against notes of calls in progress that
@@ -120,3 +123,50 @@
 		require.Empty(t, d.called, "a target that has left is called")
 	})
 }
+
+// TestAskerThatWaitsForTheQueueClaimsItsRequest guards against a request that is dropped while
+// its asker waits to hear who has the queue.
+func TestAskerThatWaitsForTheQueueClaimsItsRequest(t *testing.T) {
+	for _, move := range []string{"moved", "kept"} {
+		t.Run(move, func(t *testing.T) {
+			for i := range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					c := newFakeCluster(3)
+					c.answer = takes(t)
+					s := startStages(t, c)
+					lost, reset := context.WithCancelCause(t.Context())
+					r := emptyRequest("1")
+					r.Stages[0].Pieces = 1
+					r.Deadline = time.Now().Add(20 * time.Second)
+					r.Objective = r.Deadline
+					require.True(t, s.owner.takeOver(sender{"z", 1}, gather.State{Works: []gather.HeldWork{heldWork("1")}}))
+					go s.owner.make(lost, r, placing.Prompt{}, false, true)
+					synctest.Wait()
+					state := s.owner.freeze()
+					reset(peer.ErrConnLost)
+					synctest.Wait()
+					ends := make(chan error, 1)
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					go func() {
+						_, err := s.owner.make(ctx, r, placing.Prompt{}, false, true)
+						ends <- err
+					}()
+					time.Sleep(takeTimeout)
+					if move == "moved" {
+						s.owner.moved("at-b")
+						require.NoError(t, <-ends)
+						time.Sleep(time.Second)
+						require.NotContains(t, c.calls("at-b"), methodServed, "the request that its asker waits for is dropped at the next holder")
+						return
+					}
+					s.owner.thaw(state)
+					synctest.Wait()
+					s.owner.mu.Lock()
+					defer s.owner.mu.Unlock()
+					require.Equal(t, len(s.owner.waiting), s.owner.planner.Held(), "try %d: its asker waits for a request that isn't held", i)
+				})
+			}
+		})
+	}
+}
