Tell the next instance also of a queue that is empty

A request may go between two instances that each name the other, 41 times in the test, and begin a second queue then.

Cause: an empty queue was given away without a word. Where the next instance is the one that the queue came from, that one still names this one as its holder. Found in review.

Change: an instance that has had another's queue sends the one last part.

--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -103,9 +103,13 @@
 	state := s.owner.freeze()
 	if len(state.Works) == 0 && len(state.Calls) == 0 {
 		// What an instance knows of targets that it sends no calls is old.
-		s.owner.moved(next.Address)
-		go s.tellKnown(next.Address)
-		return true
+		state.Targets, state.Times = nil, nil
+		if !s.owner.everTookOver() {
+			s.owner.moved(next.Address)
+			go s.tellKnown(next.Address)
+			return true
+		}
+		// The next one may be who gave the queue away, and name this one to askers.
 	}
 	err := s.sendState(ctx, next.Address, state)
 	var kept *keptError
@@ -265,3 +269,10 @@
 	s.owner.adoptedEnded(sender{from.Name, from.Incarnation}, ask.Call, gather.CallOutcome(ask.Outcome), ask.Results)
 	return nil, nil
 }
+
+// everTookOver tells whether this instance has had another's queue.
+func (o *Owner) everTookOver() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.tookOver.IsZero()
+}
