Keep what is known of targets where an empty queue isn't taken

Cause: the state without its targets was also the one that an instance went on with if nobody took it; room of results that were being freed was forgotten. Read in the diff, not shown.

--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -101,9 +101,10 @@
 func (s *Stages) handTo(ctx context.Context, next membership.Member) bool {
 	begun := time.Now()
 	state := s.owner.freeze()
+	sent := state
 	if len(state.Works) == 0 && len(state.Calls) == 0 {
 		// What an instance knows of targets that it sends no calls is old.
-		state.Targets, state.Times = nil, nil
+		sent.Targets, sent.Times = nil, nil
 		if !s.owner.everTookOver() {
 			s.owner.moved(next.Address)
 			go s.tellKnown(next.Address)
@@ -111,11 +112,11 @@
 		}
 		// The next one may be who gave the queue away, and name this one to askers.
 	}
-	err := s.sendState(ctx, next.Address, state)
+	err := s.sendState(ctx, next.Address, sent)
 	var kept *keptError
 	if errors.As(err, &kept) && errors.Is(err, peer.ErrConnLost) {
 		// An instance that stood still finds its connections lost, and askers use the next one.
-		err = s.sendState(ctx, next.Address, state)
+		err = s.sendState(ctx, next.Address, sent)
 	}
 	if errors.As(err, &kept) {
 		telemetry.ErrorS(err, "Stage queue not handed over", telemetry.Event{Peer: next.Name, Count: len(state.Works)})
