Have the soak's callers ask for the rest of a stream that broke off

Cause: no caller of the soak ever went on with a stream by itself, as the platform's clients do with Last-Event-Id after a broken connection, and what a caller had of an answer that broke off wasn't looked at.

Ruled out: the rest of /stream-staged/ too, whose stages would have to run anew for each; the resumption is the same.

Change: after a cut answer of /stream-resume/ a caller asks again, up to three times, at an instance that it draws from a source of its own, with the last id that it has and a new request id. It must get exactly the rest, and no target may be told to go on before that event. A part of an answer must be the first bytes of the whole. Nothing that was checked is checked less.

--- a/testkit/soak/callers.go
+++ b/testkit/soak/callers.go
@@ -27,6 +27,8 @@
 	callerWait  = 3500 * time.Millisecond
 	// eventsOfAStream is what the targets send.
 	eventsOfAStream = 5
+	// resumesMost is how often a caller asks for the rest of a stream.
+	resumesMost = 3
 )
 
 // answer is what a caller got.
@@ -34,8 +36,10 @@
 	id, path string
 	once     bool
 	pieces   [2]int
-	status   int
-	body     string
+	// after is the event behind which the caller asked the stream to go on; 0 for none.
+	after  int
+	status int
+	body   string
 	// whole tells that the answer ended as it should.
 	whole bool
 	ended time.Time
@@ -47,45 +51,92 @@
 	var all []answer
 	var wg sync.WaitGroup
 	for i := range w.options.Callers {
-		random := rand.New(rand.NewPCG(w.options.Seed, uint64(i)+1))
+		c := newCaller(w, i)
 		wg.Go(func() {
-			// Each caller keeps its connections until they are gone.
-			client := &http.Client{Transport: &http.Transport{}, Timeout: callerWait}
-			defer client.CloseIdleConnections()
-			for n := 0; ctx.Err() == nil; n++ {
-				a := w.call(client, random, fmt.Sprintf("%04x%06x", i, n))
-				mu.Lock()
-				all = append(all, a)
-				mu.Unlock()
-				if a.status != http.StatusOK {
-					time.Sleep(30 * time.Millisecond) // a caller that was refused doesn't come back at once
-				}
-			}
+			defer c.client.CloseIdleConnections()
+			c.run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, c.all...)
 		})
 	}
 	wg.Wait()
 	return all
 }
 
-func (w *world) call(client *http.Client, random *rand.Rand, id string) (a answer) {
-	kind := paths[random.IntN(len(paths))]
-	a = answer{id: id, path: kind.path, once: kind.once, pieces: [2]int{random.IntN(4), 1 + random.IntN(4)}}
-	defer func() { a.ended = time.Now() }()
-	in := w.instances[random.IntN(len(w.instances))]
-	request, err := http.NewRequest(http.MethodPost, "http://"+in.callers+kind.path, strings.NewReader("body of "+id))
+// caller sends one request after the other.
+type caller struct {
+	world *world
+	// client keeps its connections until they are gone.
+	client *http.Client
+	number int
+	// random draws requests, instances those that are asked for the rest of a stream.
+	random, instances *rand.Rand
+	all               []answer
+}
+
+func newCaller(w *world, number int) *caller {
+	return &caller{
+		world: w, client: &http.Client{Transport: &http.Transport{}, Timeout: callerWait}, number: number,
+		random:    rand.New(rand.NewPCG(w.options.Seed, uint64(number)+1)),
+		instances: rand.New(rand.NewPCG(w.options.Seed, 4<<32+uint64(number))),
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		kind := paths[c.random.IntN(len(paths))]
+		a := answer{id: c.nextID(), path: kind.path, once: kind.once, pieces: [2]int{c.random.IntN(4), 1 + c.random.IntN(4)}}
+		c.call(&a, c.random)
+		for range resumesMost {
+			after, cut := a.brokeOff()
+			if !cut || ctx.Err() != nil {
+				break
+			}
+			a = answer{id: c.nextID(), path: a.path, after: after}
+			c.call(&a, c.instances)
+		}
+	}
+}
+
+// nextID is the id of the caller's next request.
+func (c *caller) nextID() string { return fmt.Sprintf("%04x%06x", c.number, len(c.all)) }
+
+// brokeOff tells that the caller has a part of a stream that may go on, and the last
+// event it has.
+func (a *answer) brokeOff() (after int, cut bool) {
+	if a.path != "/stream-resume/a" || a.status != http.StatusOK || a.whole {
+		return 0, false
+	}
+	after = max(a.after, lastEvent(a.body))
+	return after, after > 0
+}
+
+// call sends a request to an instance and keeps its answer.
+func (c *caller) call(a *answer, random *rand.Rand) {
+	c.exchange(a, c.world.instances[random.IntN(len(c.world.instances))])
+	a.ended = time.Now()
+	c.all = append(c.all, *a)
+	if a.status != http.StatusOK {
+		time.Sleep(30 * time.Millisecond) // a caller that was refused doesn't come back at once
+	}
+}
+
+func (c *caller) exchange(a *answer, in *instance) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+in.callers+a.path, strings.NewReader("body of "+a.id))
 	if err != nil {
-		return a
+		panic(err) // a path of our own
 	}
 	request.Host = "host.example"
 	request.Header = standin.Call{
-		ID: id, Key: (*w.keys.Load())[0], Wait: requestWait, Subject: "s1", Pieces: a.pieces[:], PieceKey: "key" + id,
+		ID: a.id, Key: (*c.world.keys.Load())[0], Wait: requestWait, Subject: "s1", Pieces: a.pieces[:], PieceKey: "key" + a.id,
+		After: a.after,
 	}.Header()
-	response, err := client.Do(request)
+	response, err := c.client.Do(request)
 	if err != nil {
-		return a
+		return // the status stays 0
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	a.status, a.body, a.whole = response.StatusCode, string(body), err == nil
-	return a
 }
--- a/testkit/soak/check.go
+++ b/testkit/soak/check.go
@@ -1,8 +1,8 @@
 package soak
 
 import (
-	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -78,18 +78,23 @@
 	if a.once && ran > 0 && a.status == http.StatusServiceUnavailable {
 		w.breach("%s %s was called not run and ran", a.path, a.id)
 	}
-	if a.status != http.StatusOK || !a.whole {
-		return
+	if a.status == http.StatusOK {
+		w.checkBody(a)
 	}
+}
+
+// checkBody looks at the body of a success, and at what a caller has of one that broke
+// off.
+func (w *world) checkBody(a answer) {
 	want := "answer to " + a.id
 	if strings.HasPrefix(a.path, "/stream") {
-		want = ""
-		for i := 1; i <= eventsOfAStream; i++ {
-			want += fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
-		}
+		want = events(a.after)
 	}
-	if a.body != want {
-		w.breach("%s %s was answered %q", a.path, a.id, a.body)
+	switch {
+	case a.whole && a.body != want:
+		w.breach("%s %s behind event %d was answered %q", a.path, a.id, a.after, a.body)
+	case !a.whole && !isPart(a.body, want):
+		w.breach("%s %s behind event %d got %q before it broke off", a.path, a.id, a.after, a.body)
 	}
 }
 
@@ -104,12 +109,23 @@
 		if arrival.Body != "body of "+id || arrival.Path != a.path || arrival.Account() != "account-1" || arrival.HasKey() {
 			w.breach("%s %s reached a target changed: %v", a.path, id, arrival)
 		}
+		if after, err := lastID(arrival); err != nil || after < a.after {
+			w.breach("%s %s of a caller that has event %d reached a target behind %q", a.path, id, a.after, arrival.GoesOnAfter())
+		}
 		if a.path == "/stream-staged/a" {
 			w.checkInputs(id, arrival.Inputs(), a.pieces[1], 1, made)
 		}
 	}
 }
 
+// lastID is the event behind which a target was told to go on; 0 for none.
+func lastID(a standin.Arrival) (int, error) {
+	if a.GoesOnAfter() == "" {
+		return 0, nil
+	}
+	return strconv.Atoi(a.GoesOnAfter())
+}
+
 // checkInputs looks at the results that are read together: all of one stage of one
 // request, each once.
 func (w *world) checkInputs(id string, inputs []string, want, stage int, made map[string]standin.Piece) {
