Have all engines of the soak misbehave at once

Cause: the soak had one target at a time misbehave, in one way, so that no stream met one fault at its first target and another at its second. A stream that broke off and went on at a target that answered 500 came out as a whole 200, and neither the soak nor the tests saw it. Eight of the faults of the stand-in's streams were never drawn.

Faults drawn in the order in which requests arrive: a seed would give others on each run. An empty answer behind an event: a target that has nothing left answers so, and nothing tells the two apart; a stream may then still end early.

Change: spans in which one request in two to six meets faults at the engines, whichever it is sent to, from a source of their own beside harm; what a request meets depends on the seed and its id alone. Half of the first faults break off a stream that its caller has a part of. The fault of a single target comes before these. Only in the mode of faults. Events are compared exactly; comment lines, which the protocol of event streams allows, are left out before, and nothing else. An answer that broke off may end with the event without an id that its target sent. Broken promises tell the faults by name.

What it can't find is a rest that its target ends too early in order.

--- a/testkit/soak/check.go
+++ b/testkit/soak/check.go
@@ -86,15 +86,15 @@
 // checkBody looks at the body of a success, and at what a caller has of one that broke
 // off.
 func (w *world) checkBody(a answer) {
-	want := "answer to " + a.id
+	body, want := a.body, "answer to "+a.id
 	if strings.HasPrefix(a.path, "/stream") {
-		want = events(a.after)
+		body, want = withoutComments(body), events(a.after)
 	}
 	switch {
-	case a.whole && a.body != want:
-		w.breach("%s %s behind event %d was answered %q", a.path, a.id, a.after, a.body)
-	case !a.whole && !isPart(a.body, want):
-		w.breach("%s %s behind event %d got %q before it broke off", a.path, a.id, a.after, a.body)
+	case a.whole && body != want:
+		w.breach("%s %s behind event %d was answered %q, its targets' faults: %v", a.path, a.id, a.after, a.body, w.conduct.faults(a.id))
+	case !a.whole && !isPart(body, want):
+		w.breach("%s %s behind event %d got %q before it broke off, its targets' faults: %v", a.path, a.id, a.after, a.body, w.conduct.faults(a.id))
 	}
 }
 
--- a/testkit/soak/check_test.go
+++ b/testkit/soak/check_test.go
@@ -17,6 +17,7 @@
 		broken bool
 	}{
 		"whole":                      {answer{path: "/stream/a", whole: true, body: events(0)}, false},
+		"whole, with a comment":      {answer{path: "/stream/a", whole: true, body: first + ": no event yet\n\n" + events(1)}, false},
 		"short":                      {answer{path: "/stream/a", whole: true, body: first}, true},
 		"empty":                      {answer{path: "/stream/a", whole: true}, true},
 		"failure at its end":         {answer{path: "/stream/a", whole: true, body: first + "failed"}, true},
@@ -37,7 +38,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			w := &world{}
+			w := &world{conduct: newConduct(1)}
 			c.answer.status = http.StatusOK
 			w.checkAnswer(c.answer, nil)
 			require.Equal(t, c.broken, len(w.broken) > 0, w.broken)
@@ -49,7 +50,7 @@
 // last event of the caller.
 func TestChecksWhereAStreamGoesOn(t *testing.T) {
 	for asked, broken := range map[int]bool{0: true, 1: true, 2: false, 3: false} {
-		w := &world{}
+		w := &world{conduct: newConduct(1)}
 		header := standin.Call{ID: "1", After: asked}.Header()
 		header.Del("Authorization")
 		header.Set("Tenant", "account-1")
--- a/testkit/soak/events.go
+++ b/testkit/soak/events.go
@@ -6,6 +6,9 @@
 	"strings"
 )
 
+// unnumbered is the event without an id that a target may send before it breaks off.
+const unnumbered = "data: token 1\n\n"
+
 // events is a stream behind one of its events; 0 for all of it.
 func events(after int) string {
 	var text strings.Builder
@@ -15,9 +18,37 @@
 	return text.String()
 }
 
+// withoutComments leaves out the comment lines of a stream, and the blank line behind
+// those that are no part of an event. All else stays as it is.
+func withoutComments(body string) string {
+	var text, block strings.Builder
+	comments := false
+	for line := range strings.SplitAfterSeq(body, "\n") {
+		switch {
+		case strings.HasPrefix(line, ":") && strings.HasSuffix(line, "\n"):
+			comments = true
+		case line == "\n":
+			if block.Len() > 0 || !comments {
+				text.WriteString(block.String() + line)
+			}
+			block.Reset()
+			comments = false
+		default:
+			block.WriteString(line)
+		}
+	}
+	return text.String() + block.String()
+}
+
 // isPart tells whether a caller may have this much of a stream when it breaks off: its
-// first events.
-func isPart(got, stream string) bool { return strings.HasPrefix(stream, got) }
+// first events, and behind them one that its target sent without an id.
+func isPart(got, stream string) bool {
+	if strings.HasPrefix(stream, got) {
+		return true
+	}
+	numbered, ok := strings.CutSuffix(got, unnumbered)
+	return ok && strings.HasPrefix(stream, numbered) && (numbered == "" || strings.HasSuffix(numbered, "\n\n"))
+}
 
 // lastEvent is the id of the last whole event; 0 if there is none with an id.
 func lastEvent(body string) int {
--- a/testkit/soak/events_test.go
+++ b/testkit/soak/events_test.go
@@ -6,6 +6,26 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestOnlyCommentsAreLeftOut guards against a check that passes over what a stream has too
+// much or too little.
+func TestOnlyCommentsAreLeftOut(t *testing.T) {
+	const one, two = "id: 1\ndata: token 1\n\n", "id: 2\ndata: token 2\n\n"
+	for body, want := range map[string]string{
+		"":                                    "",
+		one + two:                             one + two,
+		one + ": c\n\n" + two:                 one + two,
+		": c\n: d\n\n" + one:                  one,
+		"id: 1\n: c\ndata: token 1\n\n":       one,
+		one + "\n" + two:                      one + "\n" + two,
+		one + " : c\n\n":                      one + " : c\n\n",
+		one + ": torn":                        one + ": torn",
+		one + "failed":                        one + "failed",
+		one + "HTTP/1.1 200 OK\r\n\r\n" + two: one + "HTTP/1.1 200 OK\r\n\r\n" + two,
+	} {
+		require.Equal(t, want, withoutComments(body), "%q", body)
+	}
+}
+
 // TestPartsOfAStream guards against a check that passes over events that come twice or are
 // missing where an answer broke off.
 func TestPartsOfAStream(t *testing.T) {
@@ -15,13 +35,18 @@
 		part bool
 		last int
 	}{
-		"nothing":            {"", true, 0},
-		"first events":       {one + two, true, 2},
-		"torn":               {one + "id: 2\ndata", true, 1},
-		"twice":              {one + one, false, 0},
-		"missing":            {one + three, false, 0},
-		"not from the first": {two, false, 0},
-		"another answer":     {one + "failed", false, 0},
+		"nothing":               {"", true, 0},
+		"first events":          {one + two, true, 2},
+		"torn":                  {one + "id: 2\ndata", true, 1},
+		"behind no id":          {one + unnumbered, true, 1},
+		"no id alone":           {unnumbered, true, 0},
+		"no id within an event": {one + "id: 2\n" + unnumbered, false, 0},
+		"no id twice":           {unnumbered + unnumbered, false, 0},
+		"goes on behind no id":  {unnumbered + one, false, 0},
+		"twice":                 {one + one, false, 0},
+		"missing":               {one + three, false, 0},
+		"not from the first":    {two, false, 0},
+		"another answer":        {one + "failed", false, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/testkit/soak/faults.go
+++ b/testkit/soak/faults.go
@@ -119,13 +119,12 @@
 // misbehave has a target serve one request in a few badly.
 func (w *world) misbehave(name string, fault standin.Fault, every int, span time.Duration) {
 	n := 0
-	target, _ := w.target(name)
-	target.Behave(func(standin.Arrival) standin.Fault {
+	end := w.conduct.misbehave(name, func() standin.Fault {
 		if n++; n%every == 0 {
 			return fault
 		}
 		return standin.Well
 	})
 	time.Sleep(span)
-	target.Behave(nil)
+	end()
 }
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -62,6 +62,7 @@
 		until := time.Now().Add(w.options.Faults)
 		var wg sync.WaitGroup
 		wg.Go(func() { w.plan(until, restAmongFaults) })
+		wg.Go(func() { w.troubleEngines(until) })
 		w.harm(until)
 		wg.Wait()
 		w.leaveAfterSilences(w.options.Silences)
--- a/testkit/soak/world.go
+++ b/testkit/soak/world.go
@@ -39,6 +39,7 @@
 type world struct {
 	options   Options
 	random    *rand.Rand
+	conduct   *conduct
 	store     *standin.Store
 	storeHTTP *httptest.Server
 	targets   map[string]*standin.Target
@@ -62,7 +63,7 @@
 
 func newWorld(o Options) (*world, error) {
 	w := &world{
-		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), conduct: newConduct(o.Seed),
 		store: standin.NewStore(), targets: map[string]*standin.Target{}, paths: map[string]*relay.Relay{},
 		over: make(chan struct{}),
 	}
