Send the soak's hangups to processes that catch them

The machine was busy.

Ruled out: an exception for such ends in the check of processes that end by themselves; catching it sooner in the daemon, which a program can't before it runs; it catches signals before anything else it does.

Change: a hangup among the faults waits until the process has run for startTime, the time after which a stop has to end it without an error. The check is as it was.

--- a/testkit/soak/faults.go
+++ b/testkit/soak/faults.go
@@ -75,7 +75,7 @@
 	case 10:
 		return func() { w.misbehave(target, behaviour, every, span) }
 	default:
-		return func() { in.signal(syscall.SIGHUP, false) }
+		return in.hangUp
 	}
 }
 
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -127,10 +127,31 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.asked = in.asked || ends
+	in.send(s)
+}
+
+// send sends a signal; the caller holds the lock.
+func (in *instance) send(s syscall.Signal) {
 	in.life.note(s)
 	_ = in.process.Process.Signal(s) // it may have ended
 }
 
+// hangUp has the process read its settings again, once it catches signals. Before, one
+// would end it, as any program.
+func (in *instance) hangUp() {
+	for {
+		in.mu.Lock()
+		early := startTime - time.Since(in.life.launched)
+		if early <= 0 {
+			in.send(syscall.SIGHUP)
+			in.mu.Unlock()
+			return
+		}
+		in.mu.Unlock()
+		time.Sleep(early)
+	}
+}
+
 // present is the process that runs, or the one that ran last.
 func (in *instance) present() (l *life, ended <-chan struct{}) {
 	in.mu.Lock()
--- /dev/null
+++ b/testkit/soak/instance_test.go
@@ -0,0 +1,22 @@
+package soak
+
+import (
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHangupAtAStartEndsNoProcess guards against a soak that ends a process by a signal
+// which no program catches yet, and blames the process.
+func TestHangupAtAStartEndsNoProcess(t *testing.T) {
+	w, err := newWorld(Options{Binary: build(t), Dir: t.TempDir(), Instances: 1})
+	require.NoError(t, err)
+	defer w.close()
+	in := w.instances[0]
+	w.restart(in, syscall.SIGKILL, 0)
+	in.hangUp()
+	in.signal(syscall.SIGTERM, true)
+	in.await()
+	require.True(t, in.process.ProcessState.Success(), "%v", in.process.ProcessState)
+}
