Play the seed of streams that came out as whole

Cause: a seed that ever failed joins those that the tests play.

By the luck of timing it may pass on a faulty tree; there the soak by hand fails.

--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -15,7 +15,10 @@
 //
 // 520: a connection took the port of an instance that was down, which then could not
 // start again; the ports are reserved since.
-var seeds = []uint64{1, 520}
+//
+// 705: streams went on at targets that answered with a failure, began anew or sent a second
+// answer, or ended before their first event, and came out as whole.
+var seeds = []uint64{1, 520, 705}
 
 // plannedSeeds are played with planned work only.
 //
@@ -33,9 +36,10 @@
 }
 
 // Instances are killed, paused, restarted and cut off, targets and the store
-// misbehave, all at random and overlapping. What callers and targets saw is compared
-// afterwards: nothing ran twice, no refusal was false, no answer was another's or cut
-// short, no piece read another request's results, and the fleet is well afterwards.
+// misbehave, engines all at once too, at random and overlapping. What callers and
+// targets saw is compared afterwards: nothing ran twice, no refusal was false, no answer
+// was another's or cut short, no piece read another request's results, and the fleet is
+// well afterwards.
 func TestSoak(t *testing.T) {
 	binary := build(t)
 	for _, seed := range seeds {
