Draw an empty rest whose end nothing marks in the soak

Change: it is drawn, and behind an event it takes the place of an empty stream that is marked as ended, which a target that has nothing left sends too.

--- a/testkit/soak/conduct.go
+++ b/testkit/soak/conduct.go
@@ -15,7 +15,7 @@
 var streamFaults = []standin.Fault{
 	standin.Full, standin.Fails, standin.Silent, standin.Cuts, standin.Resets, standin.Unsigned,
 	standin.Stray, standin.Unframed, standin.InputsGone, standin.NoContent, standin.Restarts, standin.Twice,
-	standin.Empty, standin.CutsTheEnd, standin.UnnumberedThenCuts, standin.CommentsThenCuts,
+	standin.Empty, standin.CutsTheEnd, standin.UnnumberedThenCuts, standin.CommentsThenCuts, standin.EmptyUnframed,
 }
 
 // breakFaults break a stream off whose caller has a part of it. Half of the first faults are
@@ -93,7 +93,7 @@
 	}
 	if fault == standin.Empty && a.GoesOnAfter() != "" {
 		// Behind an event this is the whole answer of a target that has nothing left.
-		return standin.Fails
+		return standin.EmptyUnframed
 	}
 	return fault
 }
