Log which failed requests have the same content

Cause: a caller's repeat has a new id, so the logs couldn't tell one request that crashes a target at each repeat from many that are lost beside it, nor repeats that come late from those that were on their way. Change: "Attempt failed", and "Request ended" after a failed attempt, carry the digest of path, client account and body. Ruled out: the digest on each line: it costs a hash a request for lines that nobody compares. Conclusion: the three hypotheses can be told apart by the log alone.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -299,15 +299,18 @@
 // logEnd writes the line of the request's end. Status is 0 if the caller's connection is
 // closed before the end of the answer.
 func (q *request) logEnd(status int) {
-	route := ""
+	route, digest := "", ""
 	if q.route != nil {
 		route = q.route.Name
 	}
+	if q.sent+q.refused > 0 {
+		digest = q.digest().String()
+	}
 	if q.reason == "caller_left" && inbound.ClosedHere(q.r.Context()) {
 		q.reason = "closed_here"
 	}
 	telemetry.InfoS("Request ended", telemetry.Event{
-		RequestID: q.call.ID, Pipeline: route, Target: q.target, Reason: q.reason,
+		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Reason: q.reason,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.sent + q.refused, Head: q.head,
 		Stages: q.parts.stages, First: q.parts.first, Pause: q.parts.pause, Known: q.known,
 		LastEvent: q.lastEvent, Sources: q.sources, Framing: string(q.framing),
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -232,7 +232,7 @@
 		return false, err
 	}
 	telemetry.InfoS("Attempt failed", telemetry.Event{
-		RequestID: q.call.ID, Pipeline: q.route.Name, Target: q.target, Reason: f.cause.Error(),
+		RequestID: q.call.ID, Digest: q.digest().String(), Pipeline: q.route.Name, Target: q.target, Reason: f.cause.Error(),
 		Elapsed: time.Since(q.arrived), Count: q.sent + q.refused,
 		LastEvent: q.lastEvent, Framing: string(q.framing),
 	})
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -21,6 +21,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
@@ -125,7 +126,10 @@
 	// priority is the account's or the route's; 0 goes first.
 	priority int
 	body     []byte
-	service  string
+	// content is the digest of what the request's repeats have in common, once it was
+	// asked for.
+	content *quarantine.Digest
+	service string
 
 	arrived time.Time
 	// head is how long the head took to come in.
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -22,8 +22,10 @@
 	Target    string
 	Peer      string
 	AttemptID string
-	Pipeline  string
-	Pool      string
+	// Digest tells requests of different content apart, and is the same for repeats.
+	Digest   string
+	Pipeline string
+	Pool     string
 	// Record names a record of the platform, as kind/name.
 	Record   string
 	Revision uint64
@@ -57,7 +59,7 @@
 
 // maxPairs is the number of keys and values that an Event and an instance
 // make at most.
-const maxPairs = 2 * 25
+const maxPairs = 2 * 26
 
 // pairs lists the fields that are set, as klog wants them.
 func (e *Event) pairs() []any {
@@ -67,6 +69,7 @@
 	kv = appendText(kv, "target", e.Target)
 	kv = appendText(kv, "peer", e.Peer)
 	kv = appendText(kv, "attempt_id", e.AttemptID)
+	kv = appendText(kv, "digest", e.Digest)
 	kv = appendText(kv, "pipeline", e.Pipeline)
 	kv = appendText(kv, "pool", e.Pool)
 	kv = appendText(kv, "record", e.Record)
