Refuse requests that crash the targets that run them

What callers saw: one request ended up to 14 engines in turn; others beside it lost their streams, or waited for engines that were away. Cause: an attempt is judged by itself. What a crash tells is held against the target, whose successor is another one, and nothing that outlives a caller's attempt or reaches another instance knows of the request. The class: evidence that is kept by the wrong key, the id of an attempt and the incarnation of a target, which both change with each repeat. Change: a request is known by the digest of path, client account and body. An instance whose connection a target ends, and at whose address nothing listens then, records a crash under the request. Three crashes that lie apart, with no run between them that ended well, block it on all instances: they refuse it (503, not run) before a target is chosen, again before each send, and make no second attempt. The block ends after 30 s, doubled with each further crash up to 8 minutes, by one run at a time that the instance responsible for the digest allows. Ruled out: counting failures of any kind (a broken link or a failing target would block a request); one crash or two (what ran beside it twice would be refused); the platform's store for the news (a write for each crash and each request beside it, and none while it is away); clocks on the wire (ages are added up); trials by each instance for itself (a crash an instance). Not covered yet: stage calls, the product's own interface; after the loss of all instances at once the records are gone.

--- /dev/null
+++ b/coordination/quarantine/table.go
@@ -0,0 +1,285 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Config holds the bounds. Zero values take the defaults.
+type Config struct {
+	// Crashes is how many crashes block a request.
+	Crashes int
+	// Apart is the least time between two crashes that both count. What ends many targets
+	// at once is no request.
+	Apart time.Duration
+	// Hold is how long a request is blocked. It doubles with each further crash, up to
+	// MaxHold; then one run at a time is tried.
+	Hold, MaxHold time.Duration
+	// Keep is how long after the latest crash the records of a request are kept. It is
+	// longer than MaxHold.
+	Keep time.Duration
+	// MaxRequests bounds the requests that there are records of, MaxCrashes the records of
+	// each.
+	MaxRequests, MaxCrashes int
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		Crashes:     3,
+		Apart:       100 * time.Millisecond,
+		Hold:        30 * time.Second,
+		MaxHold:     8 * time.Minute,
+		Keep:        15 * time.Minute,
+		MaxRequests: 4096,
+		MaxCrashes:  8,
+	}
+}
+
+// Crash records that a target ended while it ran a request.
+type Crash struct {
+	Digest Digest
+	// Target is the incarnation of the target.
+	Target string
+	// Age is the time since the crash, added up hop by hop: no clocks are compared.
+	Age time.Duration
+	// Cleared tells that a run of the request has ended well since.
+	Cleared bool
+}
+
+// maxTarget bounds a target's name in a record that another instance sent, in bytes.
+const maxTarget = 128
+
+// State tells what to do with a request.
+type State uint8
+
+// The states of a request.
+const (
+	// Allowed requests are sent to targets.
+	Allowed State = iota
+	// Blocked requests are refused.
+	Blocked
+	// OnTrial requests were blocked long enough: one run at a time may show whether they
+	// still crash their targets.
+	OnTrial
+)
+
+// String returns the state's name as it appears in logs.
+func (s State) String() string {
+	return [...]string{"allowed", "blocked", "on_trial"}[s]
+}
+
+// Verdict is what is known of a request.
+type Verdict struct {
+	State State
+	// Crashes is how many crashes count against it.
+	Crashes int
+	// Left is how long a Blocked request stays so.
+	Left time.Duration
+	// Since is the time since its latest crash.
+	Since time.Duration
+}
+
+// Table holds the records of crashes that an instance knows.
+type Table struct {
+	config   Config
+	requests map[Digest]*request
+	// toSend are the records that are being passed on.
+	toSend []*record
+	// next is where the next sample begins.
+	next Digest
+}
+
+// request is what is known of one request.
+type request struct {
+	crashes []*record
+	// latest is when the latest of all crashes was, those included that don't count.
+	latest time.Time
+	// trialUntil is when the run that was allowed last has ended at the latest.
+	trialUntil time.Time
+}
+
+// record is one crash and how often it was passed on.
+type record struct {
+	digest  Digest
+	target  string
+	at      time.Time
+	cleared bool
+	copies  int
+}
+
+// New returns a table without records.
+func New(c Config) *Table {
+	return &Table{config: c, requests: map[Digest]*request{}}
+}
+
+// Len returns the number of requests that there are records of.
+func (t *Table) Len() int { return len(t.requests) }
+
+// Crashed records a crash that this instance saw. It tells whether it is news.
+func (t *Table) Crashed(now time.Time, digest Digest, target string) bool {
+	return t.put(now, Crash{Digest: digest, Target: target})
+}
+
+// Merge takes in a record of another instance. It tells whether it is news.
+func (t *Table) Merge(now time.Time, c Crash) bool {
+	if c.Target == "" || len(c.Target) > maxTarget || c.Age < 0 {
+		return false
+	}
+	return t.put(now, c)
+}
+
+// put keeps a record. Two records of one crash become one, which is cleared if either is,
+// so that records may come twice and in any order.
+func (t *Table) put(now time.Time, c Crash) bool {
+	if c.Age >= t.config.Keep {
+		return false
+	}
+	at := now.Add(-c.Age)
+	r := t.requests[c.Digest]
+	if r == nil {
+		t.makeRoom()
+		r = &request{}
+		t.requests[c.Digest] = r
+	}
+	for _, known := range r.crashes {
+		if known.target != c.Target {
+			continue
+		}
+		if known.cleared || !c.Cleared {
+			return false
+		}
+		known.cleared = true
+		t.passOn(known)
+		return true
+	}
+	if at.After(r.latest) {
+		r.latest = at
+	}
+	added := &record{digest: c.Digest, target: c.Target, at: at, cleared: c.Cleared}
+	r.crashes = append(r.crashes, added)
+	slices.SortStableFunc(r.crashes, func(a, b *record) int { return a.at.Compare(b.at) })
+	if len(r.crashes) > t.config.MaxCrashes {
+		r.crashes = r.crashes[1:]
+	}
+	t.passOn(added)
+	return true
+}
+
+// makeRoom drops the request with the fewest crashes, of several the one with the oldest,
+// if the table is full.
+func (t *Table) makeRoom() {
+	if len(t.requests) < t.config.MaxRequests {
+		return
+	}
+	var least Digest
+	var chosen *request
+	for digest, r := range t.requests {
+		if chosen == nil || t.worthLess(r, chosen) {
+			least, chosen = digest, r
+		}
+	}
+	delete(t.requests, least)
+}
+
+// worthLess tells whether less is lost with the records of a than with those of b.
+func (t *Table) worthLess(a, b *request) bool {
+	if x, y := t.count(a), t.count(b); x != y {
+		return x < y
+	}
+	return a.latest.Before(b.latest)
+}
+
+// EndedWell records that a target ran a request to an end of its own. It tells whether
+// that clears crashes.
+func (t *Table) EndedWell(digest Digest) bool {
+	r := t.requests[digest]
+	if r == nil {
+		return false
+	}
+	cleared := false
+	for _, c := range r.crashes {
+		if !c.cleared {
+			c.cleared, cleared = true, true
+			t.passOn(c)
+		}
+	}
+	return cleared
+}
+
+// count returns how many crashes count against a request: those that no run has cleared
+// and that lie apart.
+func (t *Table) count(r *request) int {
+	n := 0
+	var last time.Time
+	for _, c := range r.crashes {
+		if !c.cleared && (n == 0 || c.at.Sub(last) >= t.config.Apart) {
+			n, last = n+1, c.at
+		}
+	}
+	return n
+}
+
+// Judge tells what is known of a request.
+func (t *Table) Judge(now time.Time, digest Digest) Verdict {
+	r := t.requests[digest]
+	if r == nil {
+		return Verdict{}
+	}
+	return t.verdict(now, r)
+}
+
+func (t *Table) verdict(now time.Time, r *request) Verdict {
+	v := Verdict{Crashes: t.count(r), Since: now.Sub(r.latest)}
+	if v.Crashes < t.config.Crashes {
+		return v
+	}
+	v.State = OnTrial
+	if v.Left = t.hold(v.Crashes) - v.Since; v.Left > 0 {
+		v.State = Blocked
+	}
+	return v
+}
+
+// hold is how long so many crashes block a request.
+func (t *Table) hold(crashes int) time.Duration {
+	hold := t.config.Hold
+	for range crashes - t.config.Crashes {
+		if hold >= t.config.MaxHold {
+			break
+		}
+		hold *= 2
+	}
+	return min(hold, t.config.MaxHold)
+}
+
+// GrantTrial allows one run of a request that is on trial, unless this instance has
+// allowed another one that may not have ended, or knows better. The run ends within left.
+func (t *Table) GrantTrial(now time.Time, digest Digest, left time.Duration) bool {
+	r := t.requests[digest]
+	if r == nil || t.verdict(now, r).State == Blocked || now.Before(r.trialUntil) {
+		return false
+	}
+	r.trialUntil = now.Add(left)
+	return true
+}
+
+// Expire drops the requests whose latest crash is too long ago.
+func (t *Table) Expire(now time.Time) {
+	for digest, r := range t.requests {
+		if now.Sub(r.latest) >= t.config.Keep {
+			delete(t.requests, digest)
+		}
+	}
+}
+
+// Blocked returns what is known of the requests that are blocked or on trial.
+func (t *Table) Blocked(now time.Time) map[Digest]Verdict {
+	blocked := map[Digest]Verdict{}
+	for digest, r := range t.requests {
+		if v := t.verdict(now, r); v.State != Allowed {
+			blocked[digest] = v
+		}
+	}
+	return blocked
+}
--- /dev/null
+++ b/coordination/quarantine/table_test.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// digestOf returns the digest of a request of the tests.
+func digestOf(name string) Digest { return DigestOf("host", "/"+name, "account", nil) }
+
+var suspect = digestOf("suspect")
+
+// crashApart records so many crashes of the suspect, a second apart, and returns when the
+// last was.
+func crashApart(t *Table, n int) time.Time {
+	now := start
+	for i := range n {
+		now = start.Add(time.Duration(i) * time.Second)
+		t.Crashed(now, suspect, fmt.Sprint("target-", i))
+	}
+	return now
+}
+
+// TestCrashesBlock guards against a request that is blocked too early, too late, for too
+// long or for ever.
+func TestCrashesBlock(t *testing.T) {
+	c := DefaultConfig()
+	for crashes, hold := range map[int]time.Duration{
+		0: 0, 1: 0, 2: 0, 3: c.Hold, 4: 2 * c.Hold, 5: 4 * c.Hold, 6: 8 * c.Hold, 7: c.MaxHold, 8: c.MaxHold, 20: c.MaxHold,
+	} {
+		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
+			table := New(c)
+			latest := crashApart(table, crashes)
+			if hold == 0 {
+				require.Equal(t, Allowed, table.Judge(latest, suspect).State)
+				return
+			}
+			require.Equal(t, Blocked, table.Judge(latest, suspect).State)
+			require.Equal(t, hold, table.Judge(latest, suspect).Left)
+			require.Equal(t, Blocked, table.Judge(latest.Add(hold-1), suspect).State)
+			require.Equal(t, OnTrial, table.Judge(latest.Add(hold), suspect).State)
+			table.Expire(latest.Add(c.Keep - 1))
+			require.Equal(t, OnTrial, table.Judge(latest.Add(c.Keep-1), suspect).State)
+			table.Expire(latest.Add(c.Keep))
+			require.Equal(t, Allowed, table.Judge(latest.Add(c.Keep), suspect).State)
+			require.Zero(t, table.Len())
+		})
+	}
+}
+
+// TestCrashesAtOnceCountOnce guards against a request that was in progress at many targets
+// as one event ended them all.
+func TestCrashesAtOnceCountOnce(t *testing.T) {
+	table := New(DefaultConfig())
+	for i := range 20 {
+		table.Crashed(start.Add(time.Duration(i)*time.Millisecond), suspect, fmt.Sprint(i))
+	}
+	require.Equal(t, 1, table.Judge(start, suspect).Crashes)
+}
+
+// TestOneCrashCountsOnce guards against a crash that counts as often as instances report it.
+func TestOneCrashCountsOnce(t *testing.T) {
+	table := New(DefaultConfig())
+	require.True(t, table.Crashed(start, suspect, "a"))
+	for i := range 5 {
+		require.False(t, table.Merge(start.Add(time.Duration(i)*time.Second), Crash{Digest: suspect, Target: "a"}))
+	}
+	require.Equal(t, 1, table.Judge(start, suspect).Crashes)
+}
+
+// TestRunThatEndsWellClears guards against a common request that is blocked by the crashes
+// that it was in progress at, and against old news that blocks it again.
+func TestRunThatEndsWellClears(t *testing.T) {
+	table, other := New(DefaultConfig()), New(DefaultConfig())
+	latest := crashApart(table, 4)
+	old := table.Sample(latest, 10)
+	require.True(t, table.EndedWell(suspect))
+	require.False(t, table.EndedWell(suspect), "there is nothing left to clear")
+	for _, c := range table.Sample(latest, 10) {
+		other.Merge(latest, c)
+	}
+	for _, c := range old {
+		require.False(t, other.Merge(latest, c))
+	}
+	for _, each := range []*Table{table, other} {
+		require.Equal(t, Allowed, each.Judge(latest, suspect).State)
+	}
+	table.Crashed(latest.Add(time.Second), suspect, "later")
+	require.Equal(t, 1, table.Judge(latest, suspect).Crashes)
+}
+
+// TestOneTrialAtATime guards against many runs of a request that was blocked long enough,
+// each of which ends a target.
+func TestOneTrialAtATime(t *testing.T) {
+	c := DefaultConfig()
+	table := New(c)
+	latest := crashApart(table, 3)
+	require.False(t, table.GrantTrial(latest.Add(c.Hold-1), suspect, time.Second), "it is blocked")
+	now := latest.Add(c.Hold)
+	require.False(t, table.GrantTrial(now, digestOf("unknown"), time.Second), "this instance knows nothing of it")
+	require.True(t, table.GrantTrial(now, suspect, 10*time.Second))
+	require.False(t, table.GrantTrial(now.Add(10*time.Second-1), suspect, time.Second))
+	require.True(t, table.GrantTrial(now.Add(10*time.Second), suspect, time.Second))
+	table.Crashed(now.Add(11*time.Second), suspect, "again")
+	require.False(t, table.GrantTrial(now.Add(12*time.Second), suspect, time.Second), "it has crashed again")
+}
+
+// TestTableIsBounded guards against records that grow without limit, and against a blocked
+// request being forgotten for many that were beside one crash.
+func TestTableIsBounded(t *testing.T) {
+	c := DefaultConfig()
+	c.MaxRequests = 10
+	table := New(c)
+	latest := crashApart(table, 100)
+	for i := range 1000 {
+		table.Crashed(latest, digestOf(fmt.Sprint(i)), "target")
+	}
+	require.Equal(t, c.MaxRequests, table.Len())
+	require.Len(t, table.requests[suspect].crashes, c.MaxCrashes)
+	require.LessOrEqual(t, len(table.toSend), maxToSend)
+	require.Equal(t, Blocked, table.Judge(latest, suspect).State)
+	require.Contains(t, table.Blocked(latest), suspect)
+	require.False(t, table.Merge(latest, Crash{Digest: suspect}), "a target without a name")
+	require.False(t, table.Merge(latest, Crash{Digest: suspect, Target: "a", Age: -1}))
+	require.False(t, table.Merge(latest, Crash{Digest: suspect, Target: "a", Age: c.Keep}))
+	require.False(t, table.Merge(latest, Crash{Digest: suspect, Target: string(make([]byte, maxTarget+1))}))
+}
+
+// TestMergeNeedsNoOrder guards against instances that hold the same news and judge a request
+// differently, since it came in another order or twice.
+func TestMergeNeedsNoOrder(t *testing.T) {
+	draw := rapid.Custom(func(t *rapid.T) Crash {
+		target := rapid.IntRange(0, 5).Draw(t, "target")
+		return Crash{
+			Digest: suspect, Target: fmt.Sprint(target), Age: time.Duration(target) * 70 * time.Millisecond,
+			Cleared: rapid.Bool().Draw(t, "cleared"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(draw, 0, 10).Draw(t, "news")
+		again := append(append([]Crash{}, news...), news...)
+		shuffled := rapid.Permutation(again).Draw(t, "shuffled")
+		a, b := New(DefaultConfig()), New(DefaultConfig())
+		for _, c := range news {
+			a.Merge(start, c)
+		}
+		for _, c := range shuffled {
+			b.Merge(start, c)
+		}
+		require.Equal(t, a.Judge(start, suspect), b.Judge(start, suspect))
+	})
+}
+
+// TestSampleTellsOfAllInTurn guards against records that no sample ever has, and against a
+// blocked request that waits for its turn.
+func TestSampleTellsOfAllInTurn(t *testing.T) {
+	const others, limit = 50, 8
+	table, other := New(DefaultConfig()), New(DefaultConfig())
+	latest := crashApart(table, 3)
+	for i := range others {
+		table.Crashed(latest, digestOf(fmt.Sprint(i)), "target")
+	}
+	for round := range others {
+		sample := table.Sample(latest, limit)
+		require.LessOrEqual(t, len(sample), limit)
+		for _, c := range sample {
+			other.Merge(latest, c)
+		}
+		if round == 0 {
+			require.Equal(t, Blocked, other.Judge(latest, suspect).State)
+		}
+	}
+	require.Equal(t, table.Len(), other.Len())
+}
+
+// TestNewsIsPassedOnSoOften guards against news that is never passed on, or for ever.
+func TestNewsIsPassedOnSoOften(t *testing.T) {
+	table := New(DefaultConfig())
+	crashApart(table, 3)
+	sent := 0
+	for table.HasNews() {
+		sent += len(table.News(start, 2, 4))
+		require.LessOrEqual(t, sent, 12)
+	}
+	require.Equal(t, 12, sent)
+	table.EndedWell(suspect)
+	require.True(t, table.HasNews(), "that it is cleared is news")
+}
--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
@@ -34,6 +35,12 @@
 	return peers
 }
 
+// Neighbours returns the addresses of the instances to whom there are connections anyway.
+func (c *Cluster) Neighbours() []string {
+	peers, _ := c.spreadPeers()
+	return slices.Clone(peers)
+}
+
 // Owners returns the n live instances responsible for a key. It is a hint and
 // never a lock.
 func (c *Cluster) Owners(key string, n int) []membership.Member {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -15,11 +15,13 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	crashes "github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
 	"github.com/ivyhollow/ivyhollow/daemon/follow"
+	"github.com/ivyhollow/ivyhollow/daemon/quarantine"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
 	"github.com/ivyhollow/ivyhollow/daemon/relay"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
@@ -77,14 +79,16 @@
 	telemetry *telemetry.Telemetry
 	self      membership.Member
 
-	cluster   *cluster.Cluster
-	calls     *platform.Budget
-	follower  *follow.Follower
-	router    *routing.Table
-	client    *forward.Client
-	stages    *stages.Stages
-	relay     *relay.Relay
-	registrar *register.Registrar
+	cluster  *cluster.Cluster
+	calls    *platform.Budget
+	follower *follow.Follower
+	router   *routing.Table
+	client   *forward.Client
+	stages   *stages.Stages
+	relay    *relay.Relay
+	// quarantine are the requests that crash their targets.
+	quarantine *quarantine.Quarantine
+	registrar  *register.Registrar
 
 	callers  net.Listener
 	admin    net.Listener
@@ -145,6 +149,7 @@
 		return msgpack.Marshal(g.follower.Word().Counts())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, t.Scope)
+	g.quarantine = quarantine.New(g.cluster, crashes.DefaultConfig(), t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect:    p.Dialect,
 		Table:      g.follower.Table,
@@ -156,6 +161,7 @@
 		Shares:     g.sharesOf,
 		Stages:     g.stages,
 		Budgets:    retrybudget.New(g.retryConfig()),
+		Quarantine: g.quarantine,
 		Leaving:    g.follower.Leaving,
 		Tracer:     t.Tracer,
 		Scope:      t.Scope,
@@ -296,6 +302,7 @@
 		}
 	})
 	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
+	mux.Handle("GET /quarantine", g.quarantine)
 	return mux
 }
 
--- /dev/null
+++ b/daemon/quarantine/exchange.go
@@ -0,0 +1,166 @@
+package quarantine
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// methodExchange is the method by which two instances exchange records.
+const methodExchange = "quarantine.exchange"
+
+// Times and bounds of the exchange.
+const (
+	// roundEvery is the least time between two rounds.
+	roundEvery = 100 * time.Millisecond
+	// sampleEvery is the time between two samples while there are records.
+	sampleEvery = time.Second
+	// fanout is how many neighbours get news in one round.
+	fanout = 2
+	// extraCopies, added to the natural logarithm of the number of instances, is how often
+	// an instance passes a record on.
+	extraCopies     = 2
+	exchangeTimeout = time.Second
+	// startSamples is how often an instance asks for samples after its start or after it
+	// stood still, whether it has records or not.
+	startSamples = 5
+	// stoodStill is the time between two rounds that tells of an instance which stood still.
+	stoodStill = 3 * time.Second
+)
+
+// rounds are the state of the loop that sends records.
+type rounds struct {
+	// samples is how many samples are still asked for without records.
+	samples int
+	// latest is when the latest round was, by the time of day, which goes on while an
+	// instance is suspended; sampled is when it asked for a sample.
+	latest, sampled time.Time
+}
+
+// Run exchanges records until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) error {
+	r := rounds{samples: startSamples, latest: time.Now().Round(0)}
+	for q.await(ctx) {
+		now := time.Now()
+		if now.Round(0).Sub(r.latest) > stoodStill {
+			r.samples = startSamples
+		}
+		r.latest = now.Round(0)
+		q.expire(now)
+		q.round(ctx, now, &r)
+	}
+	return nil
+}
+
+// await waits for news, or until a sample may be due. It returns false at the end of ctx.
+func (q *Quarantine) await(ctx context.Context) bool {
+	rest := time.NewTimer(roundEvery)
+	defer rest.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-rest.C:
+	}
+	sample := time.NewTimer(sampleEvery - roundEvery)
+	defer sample.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-q.wake:
+	case <-sample.C:
+	}
+	return true
+}
+
+// round sends news to a few neighbours, and asks one of them for a sample if that is due.
+func (q *Quarantine) round(ctx context.Context, now time.Time, r *rounds) {
+	peers := q.cluster.Neighbours()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	sample := now.Sub(r.sampled) >= sampleEvery && (r.samples > 0 || !q.Empty())
+	for i, address := range peers[:min(fanout, len(peers))] {
+		message := q.message(now, sample && i == 0)
+		if len(message.Crashes) == 0 && !message.Ask {
+			break
+		}
+		go q.exchange(ctx, address, message)
+	}
+	if sample && len(peers) > 0 {
+		r.sampled = now
+		r.samples = max(r.samples-1, 0)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.table.HasNews() {
+		q.signal()
+	}
+}
+
+// message returns what a neighbour is told, and with sample also asked for.
+func (q *Quarantine) message(now time.Time, sample bool) exchange {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	size := len(q.cluster.View().Live())
+	copies := int(math.Ceil(math.Log(float64(max(size, 1))))) + extraCopies
+	m := exchange{Ask: sample, Crashes: encodeCrashes(q.table.News(now, newsPerMessage, copies))}
+	if sample {
+		m.Crashes = append(m.Crashes, encodeCrashes(q.table.Sample(now, samplePerMessage))...)
+	}
+	return m
+}
+
+// exchange tells another instance, and takes in what it answers.
+func (q *Quarantine) exchange(ctx context.Context, address string, m exchange) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var answer exchange
+	body, err := msgpack.Marshal(&m)
+	if err == nil {
+		body, err = q.cluster.Call(ctx, address, methodExchange, body)
+	}
+	if err == nil {
+		err = msgpack.Unmarshal(body, &answer)
+	}
+	if err != nil {
+		if !errors.Is(err, peer.ErrNoMethod) && ctx.Err() == nil {
+			telemetry.ErrorS(err, "Records of crashes were not exchanged", telemetry.Event{Peer: address})
+		}
+		return
+	}
+	q.merge(answer.Crashes)
+}
+
+func (q *Quarantine) handleExchange(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var m exchange
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	var answer exchange
+	if m.Ask {
+		q.mu.Lock()
+		answer.Crashes = encodeCrashes(q.table.Sample(time.Now(), samplePerMessage))
+		q.mu.Unlock()
+	}
+	q.merge(m.Crashes)
+	return msgpack.Marshal(&answer)
+}
+
+// merge takes in records of another instance.
+func (q *Quarantine) merge(crashes []crashMessage) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, m := range crashes[:min(len(crashes), newsPerMessage+samplePerMessage)] {
+		c, ok := m.decode()
+		if ok && q.table.Merge(now, c) {
+			q.metrics.crashes[sourcePeer].Inc(1)
+			q.changed(now, c.Digest, sourcePeer, c.Target)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/quarantine/listing.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/ivyhollow/ivyhollow/telemetry"
+)
+
+// entry is a request that is blocked, as operators see it.
+type entry struct {
+	Digest  string `json:"digest"`
+	State   string `json:"state"`
+	Crashes int    `json:"crashes"`
+	// SinceSeconds is the time since the latest crash, LeftSeconds the time until one run
+	// is tried.
+	SinceSeconds float64 `json:"since_s"`
+	LeftSeconds  float64 `json:"left_s"`
+}
+
+// ServeHTTP lists the requests that are blocked or on trial, those of the latest crash
+// first.
+func (q *Quarantine) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	entries := []entry{}
+	for digest, v := range q.Blocked() {
+		entries = append(entries, entry{
+			Digest: digest.String(), State: v.State.String(), Crashes: v.Crashes,
+			SinceSeconds: v.Since.Seconds(), LeftSeconds: max(v.Left.Seconds(), 0),
+		})
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.SinceSeconds, b.SinceSeconds) })
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(entries); err != nil {
+		telemetry.ErrorS(err, "List of blocked requests not sent", telemetry.Event{})
+	}
+}
--- /dev/null
+++ b/daemon/quarantine/metrics.go
@@ -0,0 +1,45 @@
+package quarantine
+
+import "github.com/uber-go/tally/v4"
+
+// The sources of records.
+const (
+	sourceLocal = "seen_here"
+	sourcePeer  = "told_by_peer"
+)
+
+// The answers to the question for a trial.
+const (
+	trialGranted    = "granted"
+	trialDenied     = "denied"
+	trialUnanswered = "unanswered"
+)
+
+// metrics count the records and what follows from them. The series are made at the start,
+// so that they are served before the first crash.
+type metrics struct {
+	requests, blocked tally.Gauge
+	// crashes are by source, trials by outcome.
+	crashes, trials map[string]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	scope = scope.SubScope("quarantine")
+	m := metrics{
+		requests: scope.Gauge("requests"), blocked: scope.Gauge("blocked"),
+		crashes: map[string]tally.Counter{}, trials: map[string]tally.Counter{},
+	}
+	for _, source := range []string{sourceLocal, sourcePeer} {
+		m.crashes[source] = scope.Tagged(map[string]string{"kind": source}).Counter("crashes")
+	}
+	for _, outcome := range []string{trialGranted, trialDenied, trialUnanswered} {
+		m.trials[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("trials")
+	}
+	return m
+}
+
+// sizes tells how many requests have records and how many of them are blocked.
+func (m metrics) sizes(requests, blocked int) {
+	m.requests.Update(float64(requests))
+	m.blocked.Update(float64(blocked))
+}
--- /dev/null
+++ b/daemon/quarantine/trial.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+// methodTrial is the method by which an instance asks to run a request that is on trial.
+const methodTrial = "quarantine.trial"
+
+const (
+	// trialAnswerWithin bounds that question: the caller waits.
+	trialAnswerWithin = 200 * time.Millisecond
+	// trialMargin, added to the time that a run may take, is for the news of its end to
+	// reach the others.
+	trialMargin = 2 * time.Second
+	// maxTrial bounds the time that a run may take.
+	maxTrial = time.Minute
+	// askAgain is when a caller may come back whose request another run decides on.
+	askAgain = time.Second
+)
+
+// Admit tells whether a request may be sent to targets, within left. A request on trial
+// may if no other run of it is under way on any instance.
+func (q *Quarantine) Admit(ctx context.Context, digest quarantine.Digest, left time.Duration) quarantine.Verdict {
+	v := q.Judge(digest)
+	if v.State != quarantine.OnTrial {
+		return v
+	}
+	if q.askTrial(ctx, digest, left) {
+		return v
+	}
+	v.State, v.Left = quarantine.Blocked, askAgain
+	return v
+}
+
+// askTrial asks the instance that decides on trials of a request.
+func (q *Quarantine) askTrial(ctx context.Context, digest quarantine.Digest, left time.Duration) bool {
+	left = min(max(left, 0), maxTrial)
+	owners := membership.Owners(q.cluster.View(), digest.String(), 1)
+	if len(owners) == 0 || owners[0].Name == q.cluster.View().Self {
+		return q.grantTrial(digest, left)
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialAnswerWithin)
+	defer cancel()
+	var answer trialAnswer
+	body, err := msgpack.Marshal(&trialAsk{digest[:], uint32(left.Milliseconds())})
+	if err == nil {
+		body, err = q.cluster.Call(ctx, owners[0].Address, methodTrial, body)
+	}
+	if err == nil {
+		err = msgpack.Unmarshal(body, &answer)
+	}
+	if err != nil {
+		telemetry.ErrorS(err, "Trial of a request not decided, it stays blocked", telemetry.Event{Digest: digest.String(), Peer: owners[0].Address})
+		q.metrics.trials[trialUnanswered].Inc(1)
+	}
+	return answer.Granted
+}
+
+func (q *Quarantine) handleTrial(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+	var ask trialAsk
+	var digest quarantine.Digest
+	if err := msgpack.Unmarshal(body, &ask); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	if len(ask.Digest) != len(digest) {
+		return nil, errors.Newf("a digest of %d bytes", len(ask.Digest))
+	}
+	copy(digest[:], ask.Digest)
+	left := min(time.Duration(ask.LeftMillis)*time.Millisecond, maxTrial)
+	return msgpack.Marshal(&trialAnswer{q.grantTrial(digest, left)})
+}
+
+// grantTrial decides on a run that ends within left.
+func (q *Quarantine) grantTrial(digest quarantine.Digest, left time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	granted := q.table.GrantTrial(time.Now(), digest, left+trialMargin)
+	outcome := trialDenied
+	if granted {
+		outcome = trialGranted
+		telemetry.InfoS("Request on trial, one run is allowed", telemetry.Event{Digest: digest.String(), Left: left})
+	}
+	q.metrics.trials[outcome].Inc(1)
+	return granted
+}
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -61,6 +61,11 @@
 			q.logEnd(reply.Status)
 			return routing.OutcomeOK, nil
 		}
+		var f *forward.Error
+		if errors.As(err, &f) {
+			_, err = q.brokenOff(ctx, err)
+			q.noteEnd(ctx, err)
+		}
 	}
 	q.abort("answer_broken_off")
 	return routing.OutcomeFailed, nil // not reached: abort panics
@@ -232,6 +237,7 @@
 	}
 	var refused *stages.RefusedError
 	var none *routing.NoTargetError
+	var blocked *blockedError
 	stopped := errors.Is(err, errNoTimeToSend) || errors.Is(err, errStopOver)
 	late := errors.Is(err, errDeadline) || ctx.Err() != nil
 	switch {
@@ -239,6 +245,8 @@
 		q.refuse("stopping", minRetryAfter)
 	case stopped:
 		q.fail(http.StatusGatewayTimeout, "stopping")
+	case errors.As(err, &blocked) && !q.mayHaveRun:
+		q.refuse(reasonCrashes, blocked.left)
 	case errors.As(err, &refused) && !q.mayHaveRun:
 		q.refuse(string(refused.Reason), refused.RetryAfter)
 	case errors.As(err, &none) && !q.mayHaveRun:
@@ -254,6 +262,9 @@
 	}
 }
 
+// reasonCrashes is the reason of a refusal since the request crashes targets.
+const reasonCrashes = "crashes_targets"
+
 // minRetryAfter is the least time to come back: about one stage call.
 const minRetryAfter = 250 * time.Millisecond
 
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -57,16 +57,20 @@
 			return false, err
 		}
 	}
+	if err := q.admitContent(ctx); err != nil {
+		return false, err
+	}
 	started := time.Now()
 	if q.tooLateToSend(started) {
 		return false, errNoTimeToSend
 	}
-	q.target = choice.Target.Incarnation
+	q.target, q.address = choice.Target.Incarnation, choice.Target.Address
 	q.known = q.relay.options.Known()
 	q.parts.sent = started
 	handle := q.relay.options.Router.Started(started, q.target, 1)
 	outcome, err := q.exchange(ctx, choice.Target)
 	handle.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started)})
+	q.noteEnd(ctx, err)
 	if err == nil {
 		if outcome == routing.OutcomeOK {
 			q.relay.durations.observe(q.route.Name, time.Since(started))
@@ -207,6 +211,8 @@
 	// unreached tells that there was no connection to the target, so that it has no part
 	// in the attempt; nothingListens that there is no process at its address.
 	unreached, nothingListens bool
+	// broken tells that the other end of the connection ended it after the request was sent.
+	broken bool
 	// inputsGone tells that the stages' results are gone.
 	inputsGone bool
 	// reply is set for a target's own failure that another target may better.
@@ -254,7 +260,7 @@
 	switch {
 	case ctx.Err() != nil, q.refused > maxRefused, q.tooLateToSend(time.Now()):
 		return false, err
-	case q.notResumable:
+	case q.notResumable, q.contentBlocked():
 		return false, err
 	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
 		return false, err
@@ -361,7 +367,10 @@
 		return routing.OutcomeCancelled, &failure{cause: cause, notRun: notRun}
 	}
 	unreached := f != nil && f.Step == forward.StepConnect
-	return routing.OutcomeFailed, &failure{cause: err, notRun: notRun, unreached: unreached, nothingListens: unreached && f.Refused}
+	return routing.OutcomeFailed, &failure{
+		cause: err, notRun: notRun, unreached: unreached, nothingListens: unreached && f.Refused,
+		broken: !notRun && brokenByPeer(err),
+	}
 }
 
 // outgoing is the request as the target gets it.
--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -1,6 +1,34 @@
 package relay
 
-import "github.com/ivyhollow/ivyhollow/coordination/quarantine"
+import (
+	"context"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+)
+
+// Quarantine knows the requests that crash their targets.
+type Quarantine interface {
+	// Empty tells whether no request can be blocked.
+	Empty() bool
+	// Admit tells whether a request may be sent to targets, within left.
+	Admit(ctx context.Context, digest quarantine.Digest, left time.Duration) quarantine.Verdict
+	// Judge tells what is known of a request here, without a word to other instances.
+	Judge(digest quarantine.Digest) quarantine.Verdict
+	// Crashed records that a target ended under a request.
+	Crashed(digest quarantine.Digest, target string)
+	// EndedWell records that a target ran a request to an end of its own.
+	EndedWell(digest quarantine.Digest)
+}
+
+// blockedError refuses a request since it crashes targets.
+type blockedError struct{ left time.Duration }
+
+func (e *blockedError) Error() string { return "the request crashes targets" }
 
 // digest returns the digest of what the request's repeats have in common. It must not be
 // called before the body was read.
@@ -11,3 +39,52 @@
 	}
 	return *q.content
 }
+
+// admitContent tells whether the request may be sent to a target: a *blockedError if not.
+func (q *request) admitContent(ctx context.Context) error {
+	known := q.relay.options.Quarantine
+	if known.Empty() {
+		return nil
+	}
+	verdict := known.Judge(q.digest())
+	if verdict.State == quarantine.OnTrial && !q.onTrial {
+		verdict = known.Admit(ctx, q.digest(), time.Until(q.deadline))
+		q.onTrial = verdict.State != quarantine.Blocked
+	}
+	if verdict.State == quarantine.Blocked {
+		return &blockedError{verdict.Left}
+	}
+	return nil
+}
+
+// contentBlocked tells whether the request was found to crash targets since it was
+// admitted.
+func (q *request) contentBlocked() bool {
+	known := q.relay.options.Quarantine
+	return !known.Empty() && known.Judge(q.digest()).State == quarantine.Blocked
+}
+
+// noteEnd records how the target did under an attempt that ended with err.
+//
+// A target that ends takes all its connections with it, and then nothing listens at its
+// address. One that breaks a single answer off, or whose connection something on the way
+// has reset, still listens.
+func (q *request) noteEnd(ctx context.Context, err error) {
+	known := q.relay.options.Quarantine
+	var f *failure
+	switch {
+	case err == nil, errors.As(err, &f) && f.reply != nil:
+		if !known.Empty() {
+			known.EndedWell(q.digest())
+		}
+	case f != nil && f.broken && q.relay.options.Client.NothingListens(ctx, q.address):
+		f.nothingListens = true
+		known.Crashed(q.digest(), q.target)
+	}
+}
+
+// brokenByPeer tells whether a connection was ended by its other end.
+func brokenByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -60,6 +60,8 @@
 	Shares  func(service string) map[string]float64
 	Stages  Maker
 	Budgets *retrybudget.Budgets
+	// Quarantine refuses requests that crash their targets.
+	Quarantine Quarantine
 	// Leaving is told of a target that takes nothing new.
 	Leaving func(incarnation string)
 	Tracer  trace.Tracer
@@ -129,6 +131,8 @@
 	// content is the digest of what the request's repeats have in common, once it was
 	// asked for.
 	content *quarantine.Digest
+	// onTrial tells that this is the one run of its content that is allowed.
+	onTrial bool
 	service string
 
 	arrived time.Time
@@ -144,8 +148,9 @@
 	sent, refused int
 	excluded      []string
 	// paid tells that the budget has given the next attempt.
-	paid   atomic.Bool
-	target string
+	paid atomic.Bool
+	// target is the incarnation of the latest attempt's target, address where it listens.
+	target, address string
 	// known is how old the knowledge was by which the target was chosen.
 	known time.Duration
 	// stage results
@@ -239,7 +244,17 @@
 		q.refuse("stopping", minRetryAfter)
 		return false
 	}
-	return q.readBody(table.Limits.BodyBytes)
+	return q.readBody(table.Limits.BodyBytes) && q.acceptContent(ctx)
+}
+
+// acceptContent refuses a request that crashes targets.
+func (q *request) acceptContent(ctx context.Context) bool {
+	var blocked *blockedError
+	if !errors.As(q.admitContent(ctx), &blocked) {
+		return true
+	}
+	q.refuse(reasonCrashes, blocked.left)
+	return false
 }
 
 // authorize finds the route and the client account. It returns the status of a
