Have an instance hear of blocked requests before its first one

Change: an instance asks three neighbours as soon as it has joined, and its first requests wait for an answer within the second that they have for the configuration. News is passed on more often and samples go to two neighbours. The soak's caller repeats one request at all instances in turn; once the fleet is well the request may reach three targets more. Ruled out: records in the platform's store: one write for each block and a read at each start, for the loss of all instances within seconds alone. Conclusion: what all instances lose at once is found again by three crashes.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -153,7 +153,7 @@
 	g.relay = relay.New(relay.Options{
 		Dialect:    p.Dialect,
 		Table:      g.follower.Table,
-		AwaitReady: g.follower.AwaitReady,
+		AwaitReady: g.awaitReady,
 		Confirm:    g.follower.Confirm,
 		Known:      g.follower.TargetsAge,
 		Router:     g.router,
@@ -269,6 +269,13 @@
 	g.shares.Store(&shares)
 }
 
+// awaitReady waits until the instance knows what it needs to serve a request: the
+// configuration, the targets, and which requests the others refuse.
+func (g *Gateway) awaitReady(ctx context.Context) {
+	g.follower.AwaitReady(ctx)
+	g.quarantine.AwaitHeard(ctx)
+}
+
 // sharesOf returns the shares of a service's targets that data centres have.
 func (g *Gateway) sharesOf(service string) map[string]float64 {
 	if shares := g.shares.Load(); shares != nil {
--- a/daemon/quarantine/exchange.go
+++ b/daemon/quarantine/exchange.go
@@ -20,13 +20,15 @@
 const (
 	// roundEvery is the least time between two rounds.
 	roundEvery = 100 * time.Millisecond
-	// sampleEvery is the time between two samples while there are records.
+	// sampleEvery is the time between two exchanges of samples while there are records.
 	sampleEvery = time.Second
+	// joinAsks is how many neighbours an instance asks at its start.
+	joinAsks = 3
 	// fanout is how many neighbours get news in one round.
 	fanout = 2
 	// extraCopies, added to the natural logarithm of the number of instances, is how often
 	// an instance passes a record on.
-	extraCopies     = 2
+	extraCopies     = 4
 	exchangeTimeout = time.Second
 	// startSamples is how often an instance asks for samples after its start or after it
 	// stood still, whether it has records or not.
@@ -44,8 +46,42 @@
 	latest, sampled time.Time
 }
 
+// AwaitHeard waits until this instance knows what others knew at its start, or the context
+// ends. Whoever is alone knows all there is.
+func (q *Quarantine) AwaitHeard(ctx context.Context) {
+	select {
+	case <-q.heard:
+	case <-ctx.Done():
+	}
+}
+
+// join asks neighbours for their records, and returns with the first answer or without any.
+func (q *Quarantine) join(ctx context.Context) {
+	defer close(q.heard)
+	q.cluster.AwaitJoin(ctx)
+	peers := q.shuffled()
+	peers = peers[:min(joinAsks, len(peers))]
+	answers := make(chan bool, len(peers))
+	for _, address := range peers {
+		go func() { answers <- q.exchange(ctx, address, exchange{Ask: true}) }()
+	}
+	for range peers {
+		if <-answers {
+			return
+		}
+	}
+}
+
+// shuffled returns the neighbours in a random order.
+func (q *Quarantine) shuffled() []string {
+	peers := q.cluster.Neighbours()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
 // Run exchanges records until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
+	q.join(ctx)
 	r := rounds{samples: startSamples, latest: time.Now().Round(0)}
 	for q.await(ctx) {
 		now := time.Now()
@@ -79,13 +115,12 @@
 	return true
 }
 
-// round sends news to a few neighbours, and asks one of them for a sample if that is due.
+// round sends news to a few neighbours, and exchanges samples with them if that is due.
 func (q *Quarantine) round(ctx context.Context, now time.Time, r *rounds) {
-	peers := q.cluster.Neighbours()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers := q.shuffled()
 	sample := now.Sub(r.sampled) >= sampleEvery && (r.samples > 0 || !q.Empty())
-	for i, address := range peers[:min(fanout, len(peers))] {
-		message := q.message(now, sample && i == 0)
+	for _, address := range peers[:min(fanout, len(peers))] {
+		message := q.message(now, sample)
 		if len(message.Crashes) == 0 && !message.Ask {
 			break
 		}
@@ -115,8 +150,9 @@
 	return m
 }
 
-// exchange tells another instance, and takes in what it answers.
-func (q *Quarantine) exchange(ctx context.Context, address string, m exchange) {
+// exchange tells another instance, and takes in what it answers. It tells whether it
+// answered.
+func (q *Quarantine) exchange(ctx context.Context, address string, m exchange) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var answer exchange
@@ -131,9 +167,10 @@
 		if !errors.Is(err, peer.ErrNoMethod) && ctx.Err() == nil {
 			telemetry.ErrorS(err, "Records of crashes were not exchanged", telemetry.Event{Peer: address})
 		}
-		return
+		return false
 	}
 	q.merge(answer.Crashes)
+	return true
 }
 
 func (q *Quarantine) handleExchange(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
--- a/daemon/quarantine/messages.go
+++ b/daemon/quarantine/messages.go
@@ -10,7 +10,7 @@
 // 50 bytes each.
 const (
 	newsPerMessage   = 64
-	samplePerMessage = 16
+	samplePerMessage = 12
 )
 
 // exchange is the body and the answer of methodExchange.
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -26,6 +26,7 @@
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
 	View() *membership.View
 	Neighbours() []string
+	AwaitJoin(ctx context.Context)
 }
 
 // Quarantine are the records of an instance. It is safe for concurrent use.
@@ -36,6 +37,8 @@
 	requests atomic.Int64
 	// wake is sent to when there is news.
 	wake chan struct{}
+	// heard is closed once this instance knows what others knew at its start.
+	heard chan struct{}
 
 	mu    sync.Mutex
 	table *quarantine.Table
@@ -47,7 +50,7 @@
 // exchange them.
 func New(cluster Cluster, config quarantine.Config, scope tally.Scope) *Quarantine {
 	q := &Quarantine{
-		cluster: cluster, metrics: newMetrics(scope), wake: make(chan struct{}, 1),
+		cluster: cluster, metrics: newMetrics(scope), wake: make(chan struct{}, 1), heard: make(chan struct{}),
 		table: quarantine.New(config), blocked: map[quarantine.Digest]bool{},
 	}
 	cluster.Handle(methodExchange, q.handleExchange, peer.Idempotent())
@@ -106,8 +109,8 @@
 	event := telemetry.Event{
 		Digest: digest.String(), Target: target, Reason: source, Count: v.Crashes, Elapsed: v.Since, RetryAfter: v.Left,
 	}
-	switch blocked := v.State == quarantine.Blocked; {
-	case blocked:
+	switch {
+	case v.State == quarantine.Blocked && (source == sourceLocal || !q.blocked[digest]):
 		q.blocked[digest] = true
 		telemetry.InfoS("Request blocked, it crashes targets", event)
 	case v.State == quarantine.Allowed && q.blocked[digest]:
--- a/testkit/soak/callers.go
+++ b/testkit/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -34,8 +35,10 @@
 // answer is what a caller got.
 type answer struct {
 	id, path string
-	once     bool
-	pieces   [2]int
+	// sent is the body of the request; empty for the usual one, which names the id.
+	sent   string
+	once   bool
+	pieces [2]int
 	// after is the event behind which the caller asked the stream to go on; 0 for none.
 	after  int
 	status int
@@ -112,6 +115,9 @@
 	return after, after > 0
 }
 
+// request is the body of the request.
+func (a *answer) request() string { return cmp.Or(a.sent, "body of "+a.id) }
+
 // call sends a request to an instance and keeps its answer.
 func (c *caller) call(a *answer, random *rand.Rand) {
 	c.exchange(a, c.world.instances[random.IntN(len(c.world.instances))])
@@ -123,7 +129,7 @@
 }
 
 func (c *caller) exchange(a *answer, in *instance) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+in.callers+a.path, strings.NewReader("body of "+a.id))
+	request, err := http.NewRequest(http.MethodPost, "http://"+in.callers+a.path, strings.NewReader(a.request()))
 	if err != nil {
 		panic(err) // a path of our own
 	}
--- a/testkit/soak/check.go
+++ b/testkit/soak/check.go
@@ -32,9 +32,13 @@
 	return s
 }
 
-// check compares what callers and targets saw.
-func (w *world) check(all []answer, s seen, calmFrom time.Time) {
+// check compares what callers and targets saw. Crashing are the answers to the request that
+// crashes targets, which aren't to be served.
+func (w *world) check(all, crashing []answer, s seen, calmFrom time.Time) {
 	asked := map[string]answer{}
+	for _, a := range crashing {
+		asked[a.id] = a
+	}
 	calmAll, calmServed := 0, 0
 	for _, a := range all {
 		asked[a.id] = a
@@ -106,7 +110,7 @@
 		return
 	}
 	for _, arrival := range arrivals {
-		if arrival.Body != "body of "+id || arrival.Path != a.path || arrival.Account() != "account-1" || arrival.HasKey() {
+		if arrival.Body != a.request() || arrival.Path != a.path || arrival.Account() != "account-1" || arrival.HasKey() {
 			w.breach("%s %s reached a target changed: %v", a.path, id, arrival)
 		}
 		if after, err := lastID(arrival); err != nil || after < a.after {
--- a/testkit/soak/conduct.go
+++ b/testkit/soak/conduct.go
@@ -57,6 +57,9 @@
 func (c *conduct) fault(target string, a standin.Arrival) standin.Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if isCrashing(a) {
+		return crashFault(target)
+	}
 	fault := standin.Well
 	if alone := c.alone[target]; alone != nil {
 		fault = alone()
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -58,6 +58,10 @@
 
 // runFaults harms the fleet in all ways while callers use it.
 func (w *world) runFaults() []answer {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	crashes := make(chan []answer, 1)
+	go func() { crashes <- w.crashCaller(ctx) }()
 	all, calmFrom := during(w.callers, func() {
 		until := time.Now().Add(w.options.Faults)
 		var wg sync.WaitGroup
@@ -67,7 +71,11 @@
 		wg.Wait()
 		w.leaveAfterSilences(w.options.Silences)
 	})
-	w.check(all, w.seen(), calmFrom)
+	stop()
+	crashing := <-crashes
+	s := w.seen()
+	w.checkCrashing(crashing, s, calmFrom)
+	w.check(all, crashing, s, calmFrom)
 	return all
 }
 
@@ -81,7 +89,7 @@
 		all = append(all, x.answer)
 	}
 	s := w.seen()
-	w.check(all, s, calmFrom)
+	w.check(all, nil, s, calmFrom)
 	return all, w.checkPlanned(exchanges, s)
 }
 
--- a/testkit/soak/targets.go
+++ b/testkit/soak/targets.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,9 @@
 	w.mu.Lock()
 	w.targets[name], w.paths[name] = t, path
 	w.mu.Unlock()
+	if slices.Contains(crashing, name) {
+		w.canCrash(name)
+	}
 	w.enter(name, "ready")
 	return nil
 }
