Don't blame common requests and planned ends for crashes

Cause, by reading: crashes within 100 ms counted once, so that one event which ends many targets doesn't block a common request that was in progress at each. But a request that crashes targets may come several times at once too: copies that end eight targets within 100 ms counted as one crash, and the block would come after some 24. And a target that ends as planned, with a long run in progress, looked like one that crashed. Change: all crashes count; an instance that saw a request end well in the last 5 to 10 s doesn't blame it (digests in two bounded generations). A target that was known to leave has not crashed. Ruled out: a share of runs that crash, per request: it needs counts of all requests, not of those lately blamed. Cost: a digest for each answered request, a hash of path and body.

--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -160,7 +160,7 @@
 			for _, d := range common {
 				for _, instance := range f.instances {
 					require.Equal(t, Allowed, instance.Judge(f.now, d).State)
-					instance.EndedWell(d)
+					instance.EndedWell(f.now, d)
 				}
 			}
 		}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -9,9 +9,11 @@
 type Config struct {
 	// Crashes is how many crashes block a request.
 	Crashes int
-	// Apart is the least time between two crashes that both count. What ends many targets
-	// at once is no request.
-	Apart time.Duration
+	// Trust is how long a request that ended well isn't blamed for crashes, at least: it is
+	// in progress at many targets, and one event may end them all.
+	Trust time.Duration
+	// MaxTrusted bounds the requests that are remembered for that, twice.
+	MaxTrusted int
 	// Hold is how long a request is blocked. It doubles with each further crash, up to
 	// MaxHold; then one run at a time is tried.
 	Hold, MaxHold time.Duration
@@ -27,7 +29,8 @@
 func DefaultConfig() Config {
 	return Config{
 		Crashes:     3,
-		Apart:       100 * time.Millisecond,
+		Trust:       5 * time.Second,
+		MaxTrusted:  4096,
 		Hold:        30 * time.Second,
 		MaxHold:     8 * time.Minute,
 		Keep:        15 * time.Minute,
@@ -84,6 +87,8 @@
 type Table struct {
 	config   Config
 	requests map[Digest]*request
+	// trusted are the requests that ended well here lately.
+	trusted recent
 	// toSend are the records that are being passed on.
 	toSend []*record
 	// next is where the next sample begins.
@@ -110,15 +115,16 @@
 
 // New returns a table without records.
 func New(c Config) *Table {
-	return &Table{config: c, requests: map[Digest]*request{}}
+	return &Table{config: c, requests: map[Digest]*request{}, trusted: newRecent(c.Trust, c.MaxTrusted)}
 }
 
 // Len returns the number of requests that there are records of.
 func (t *Table) Len() int { return len(t.requests) }
 
-// Crashed records a crash that this instance saw. It tells whether it is news.
+// Crashed records a crash that this instance saw, unless the request ended well here
+// lately. It tells whether it is news.
 func (t *Table) Crashed(now time.Time, digest Digest, target string) bool {
-	return t.put(now, Crash{Digest: digest, Target: target})
+	return !t.trusted.has(now, digest) && t.put(now, Crash{Digest: digest, Target: target})
 }
 
 // Merge takes in a record of another instance. It tells whether it is news.
@@ -175,7 +181,7 @@
 	var least Digest
 	var chosen *request
 	for digest, r := range t.requests {
-		if chosen == nil || t.worthLess(r, chosen) {
+		if chosen == nil || worthLess(r, chosen) {
 			least, chosen = digest, r
 		}
 	}
@@ -183,8 +189,8 @@
 }
 
 // worthLess tells whether less is lost with the records of a than with those of b.
-func (t *Table) worthLess(a, b *request) bool {
-	if x, y := t.count(a), t.count(b); x != y {
+func worthLess(a, b *request) bool {
+	if x, y := a.count(), b.count(); x != y {
 		return x < y
 	}
 	return a.latest.Before(b.latest)
@@ -192,7 +198,8 @@
 
 // EndedWell records that a target ran a request to an end of its own. It tells whether
 // that clears crashes.
-func (t *Table) EndedWell(digest Digest) bool {
+func (t *Table) EndedWell(now time.Time, digest Digest) bool {
+	t.trusted.add(now, digest)
 	r := t.requests[digest]
 	if r == nil {
 		return false
@@ -207,14 +214,12 @@
 	return cleared
 }
 
-// count returns how many crashes count against a request: those that no run has cleared
-// and that lie apart.
-func (t *Table) count(r *request) int {
+// count returns how many crashes count against a request: those that no run has cleared.
+func (r *request) count() int {
 	n := 0
-	var last time.Time
 	for _, c := range r.crashes {
-		if !c.cleared && (n == 0 || c.at.Sub(last) >= t.config.Apart) {
-			n, last = n+1, c.at
+		if !c.cleared {
+			n++
 		}
 	}
 	return n
@@ -230,7 +235,7 @@
 }
 
 func (t *Table) verdict(now time.Time, r *request) Verdict {
-	v := Verdict{Crashes: t.count(r), Since: now.Sub(r.latest)}
+	v := Verdict{Crashes: r.count(), Since: now.Sub(r.latest)}
 	if v.Crashes < t.config.Crashes {
 		return v
 	}
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -54,14 +54,29 @@
 	}
 }
 
-// TestCrashesAtOnceCountOnce guards against a request that was in progress at many targets
-// as one event ended them all.
-func TestCrashesAtOnceCountOnce(t *testing.T) {
-	table := New(DefaultConfig())
-	for i := range 20 {
-		table.Crashed(start.Add(time.Duration(i)*time.Millisecond), suspect, fmt.Sprint(i))
+// TestCommonRequestIsNotBlamedForOneEvent guards against a request that was in progress at
+// many targets as one event ended them all.
+func TestCommonRequestIsNotBlamedForOneEvent(t *testing.T) {
+	c := DefaultConfig()
+	for age, blamed := range map[time.Duration]bool{0: false, c.Trust: false, 2 * c.Trust: true} {
+		table := New(c)
+		table.EndedWell(start, suspect)
+		for i := range 20 {
+			require.Equal(t, blamed, table.Crashed(start.Add(age), suspect, fmt.Sprint(i)), age)
+		}
+		require.Equal(t, blamed, table.Judge(start.Add(age), suspect).State == Blocked, age)
+	}
+}
+
+// TestTrustIsBounded guards against requests that ended well being remembered without limit.
+func TestTrustIsBounded(t *testing.T) {
+	c := DefaultConfig()
+	c.MaxTrusted = 10
+	table := New(c)
+	for i := range 1000 {
+		table.EndedWell(start.Add(time.Duration(i)*time.Second), digestOf(fmt.Sprint(i)))
+		require.LessOrEqual(t, len(table.trusted.current)+len(table.trusted.before), 2*c.MaxTrusted)
 	}
-	require.Equal(t, 1, table.Judge(start, suspect).Crashes)
 }
 
 // TestOneCrashCountsOnce guards against a crash that counts as often as instances report it.
@@ -80,8 +95,8 @@
 	table, other := New(DefaultConfig()), New(DefaultConfig())
 	latest := crashApart(table, 4)
 	old := table.Sample(latest, 10)
-	require.True(t, table.EndedWell(suspect))
-	require.False(t, table.EndedWell(suspect), "there is nothing left to clear")
+	require.True(t, table.EndedWell(latest, suspect))
+	require.False(t, table.EndedWell(latest, suspect), "there is nothing left to clear")
 	for _, c := range table.Sample(latest, 10) {
 		other.Merge(latest, c)
 	}
@@ -91,8 +106,9 @@
 	for _, each := range []*Table{table, other} {
 		require.Equal(t, Allowed, each.Judge(latest, suspect).State)
 	}
-	table.Crashed(latest.Add(time.Second), suspect, "later")
-	require.Equal(t, 1, table.Judge(latest, suspect).Crashes)
+	later := latest.Add(2 * DefaultConfig().Trust)
+	table.Crashed(later, suspect, "later")
+	require.Equal(t, 1, table.Judge(later, suspect).Crashes)
 }
 
 // TestOneTrialAtATime guards against many runs of a request that was blocked long enough,
@@ -189,6 +205,6 @@
 		require.LessOrEqual(t, sent, 12)
 	}
 	require.Equal(t, 12, sent)
-	table.EndedWell(suspect)
+	table.EndedWell(start, suspect)
 	require.True(t, table.HasNews(), "that it is cleared is news")
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -163,6 +163,7 @@
 		Budgets:    retrybudget.New(g.retryConfig()),
 		Quarantine: g.quarantine,
 		Leaving:    g.follower.Leaving,
+		InUse:      g.isInUse,
 		Tracer:     t.Tracer,
 		Scope:      t.Scope,
 	})
@@ -313,6 +314,12 @@
 	return mux
 }
 
+// isInUse tells whether a target may take something new.
+func (g *Gateway) isInUse(incarnation string) bool {
+	inUse := g.inUse.Load()
+	return inUse != nil && (*inUse)[incarnation]
+}
+
 // sweepIdle closes connections that are of no use any more.
 func (g *Gateway) sweepIdle(ctx context.Context) error {
 	ticker := time.NewTicker(idleSweep)
@@ -322,8 +329,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			inUse := g.inUse.Load()
-			g.client.CloseIdle(func(process string) bool { return inUse != nil && (*inUse)[process] })
+			g.client.CloseIdle(g.isInUse)
 		}
 	}
 }
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -74,13 +74,10 @@
 
 // EndedWell records that a target ran a request to an end of its own.
 func (q *Quarantine) EndedWell(digest quarantine.Digest) {
-	if q.Empty() {
-		return
-	}
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.table.EndedWell(digest) {
+	if q.table.EndedWell(now, digest) {
 		q.changed(now, digest, sourceLocal, "")
 	}
 }
--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -68,18 +68,18 @@
 //
 // A target that ends takes all its connections with it, and then nothing listens at its
 // address. One that breaks a single answer off, or whose connection something on the way
-// has reset, still listens.
+// has reset, still listens. One that was to leave has ended as planned.
 func (q *request) noteEnd(ctx context.Context, err error) {
 	known := q.relay.options.Quarantine
 	var f *failure
 	switch {
 	case err == nil, errors.As(err, &f) && f.reply != nil:
-		if !known.Empty() {
-			known.EndedWell(q.digest())
-		}
+		known.EndedWell(q.digest())
 	case f != nil && f.broken && q.relay.options.Client.NothingListens(ctx, q.address):
 		f.nothingListens = true
-		known.Crashed(q.digest(), q.target)
+		if q.relay.options.InUse(q.target) {
+			known.Crashed(q.digest(), q.target)
+		}
 	}
 }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -64,8 +64,10 @@
 	Quarantine Quarantine
 	// Leaving is told of a target that takes nothing new.
 	Leaving func(incarnation string)
-	Tracer  trace.Tracer
-	Scope   tally.Scope
+	// InUse tells whether a target may take something new.
+	InUse  func(incarnation string) bool
+	Tracer trace.Tracer
+	Scope  tally.Scope
 }
 
 // Relay is the callers' HTTP interface.
