Refuse requests that crash targets on the product's own interface

Cause: the other path of requests, jobs of several stages, had the same fault: nothing outlived a caller's attempt. A job with three attempts ended three targets, and so did each repeat. Change: a job is known by the digest of pipeline, client account and input, and is refused (crashes-targets, not_run) before it costs a stage and again before each attempt. The same records serve both paths; daemon/quarantine is daemon/blocklist now, so that it isn't named like the decisions that it drives. Only a whole job clears its crashes: a stage that ends well before the one that crashes its target says nothing of that one. An instance that joins waits up to 300 ms for another one where the platform lists any (AwaitJoin ended at once where instances tell no capacity). Of the relay's checks, one before each attempt and one behind the stages stay; those after a crash and at the begin did the same twice.

--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -15,11 +15,13 @@
 	"github.com/ivyhollow/ivyhollow/coordination/claim"
 	"github.com/ivyhollow/ivyhollow/coordination/deadline"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/coordination/tiers"
 	"github.com/ivyhollow/ivyhollow/daemon/accounts"
+	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/claims"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
 	"github.com/ivyhollow/ivyhollow/daemon/confsync"
@@ -38,6 +40,7 @@
 	"github.com/ivyhollow/ivyhollow/settings"
 	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 	"github.com/ivyhollow/ivyhollow/transport/platform"
 	"github.com/ivyhollow/ivyhollow/transport/target"
@@ -89,6 +92,8 @@
 	orders    *orders.Group
 	reporter  *report.Reporter
 	tidier    *tidy.Tidier
+	// blocklist holds the requests that crash their targets.
+	blocklist *blocklist.Blocklist
 
 	callers  net.Listener
 	admin    net.Listener
@@ -281,6 +286,7 @@
 }
 
 func (a *App) buildServer() {
+	a.blocklist = blocklist.New(a.cluster, quarantine.DefaultConfig(), a.telemetry.Scope)
 	executor := execute.New(execute.Options{
 		Router:  a.marking,
 		Targets: a.targets,
@@ -290,6 +296,9 @@
 		Status:  a.status,
 		Config:  a.sync.Snapshot,
 		Tracer:  a.telemetry.Tracer,
+
+		Blocklist:      a.blocklist,
+		NothingListens: forward.NothingListens,
 	})
 	limits := a.settings.Limits
 	a.server = serve.New(serve.Options{
@@ -332,5 +341,6 @@
 		}
 	})
 	mux.Handle("GET /metrics", a.telemetry.MetricsHandler())
+	mux.Handle("GET /quarantine", a.blocklist)
 	return mux
 }
--- a/daemon/app/run.go
+++ b/daemon/app/run.go
@@ -44,7 +44,7 @@
 	group.Add(a.cluster.Execute, a.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
 		a.sync.Run, a.claims.Run, a.gates.Run, a.exchange.Run, a.registrar.Run, a.followView,
-		a.poller.Run, a.reporter.Run, a.tidier.Run, a.orders.Run, a.sampleMetrics,
+		a.poller.Run, a.reporter.Run, a.tidier.Run, a.orders.Run, a.blocklist.Run, a.sampleMetrics,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/blocklist/blocklist.go
@@ -1,10 +1,10 @@
-// Package quarantine keeps an instance's records of requests that crash their targets, and
+// Package blocklist keeps an instance's records of requests that crash their targets, and
 // exchanges them with the other instances.
 //
 // Nothing is sent while there are no records. News goes to a few neighbours at once, who
 // pass it on; what is missed by that is found by samples, which an instance also asks for
 // after its start and after it stood still.
-package quarantine
+package blocklist
 
 import (
 	"context"
@@ -26,11 +26,11 @@
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
 	View() *membership.View
 	Neighbours() []string
-	AwaitJoin(ctx context.Context)
+	AwaitPeer(ctx context.Context)
 }
 
-// Quarantine are the records of an instance. It is safe for concurrent use.
-type Quarantine struct {
+// Blocklist holds the records of an instance. It is safe for concurrent use.
+type Blocklist struct {
 	cluster Cluster
 	metrics metrics
 	// requests is the number of requests with records.
@@ -48,97 +48,97 @@
 
 // New returns records without any, and registers the methods by which the instances
 // exchange them.
-func New(cluster Cluster, config quarantine.Config, scope tally.Scope) *Quarantine {
-	q := &Quarantine{
+func New(cluster Cluster, config quarantine.Config, scope tally.Scope) *Blocklist {
+	b := &Blocklist{
 		cluster: cluster, metrics: newMetrics(scope), wake: make(chan struct{}, 1), heard: make(chan struct{}),
 		table: quarantine.New(config), blocked: map[quarantine.Digest]bool{},
 	}
-	cluster.Handle(methodExchange, q.handleExchange, peer.Idempotent())
-	cluster.Handle(methodTrial, q.handleTrial)
-	return q
+	cluster.Handle(methodExchange, b.handleExchange, peer.Idempotent())
+	cluster.Handle(methodTrial, b.handleTrial)
+	return b
 }
 
 // Empty tells whether there are no records, so that no request can be blocked.
-func (q *Quarantine) Empty() bool { return q.requests.Load() == 0 }
+func (b *Blocklist) Empty() bool { return b.requests.Load() == 0 }
 
 // Crashed records that a target ended under a request.
-func (q *Quarantine) Crashed(digest quarantine.Digest, target string) {
+func (b *Blocklist) Crashed(digest quarantine.Digest, target string) {
 	now := time.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.table.Crashed(now, digest, target) {
-		q.metrics.crashes[sourceLocal].Inc(1)
-		q.changed(now, digest, sourceLocal, target)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table.Crashed(now, digest, target) {
+		b.metrics.crashes[sourceLocal].Inc(1)
+		b.changed(now, digest, sourceLocal, target)
 	}
 }
 
 // EndedWell records that a target ran a request to an end of its own.
-func (q *Quarantine) EndedWell(digest quarantine.Digest) {
+func (b *Blocklist) EndedWell(digest quarantine.Digest) {
 	now := time.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.table.EndedWell(now, digest) {
-		q.changed(now, digest, sourceLocal, "")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table.EndedWell(now, digest) {
+		b.changed(now, digest, sourceLocal, "")
 	}
 }
 
 // Judge tells what this instance knows of a request.
-func (q *Quarantine) Judge(digest quarantine.Digest) quarantine.Verdict {
-	if q.Empty() {
+func (b *Blocklist) Judge(digest quarantine.Digest) quarantine.Verdict {
+	if b.Empty() {
 		return quarantine.Verdict{}
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Judge(time.Now(), digest)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Judge(time.Now(), digest)
 }
 
 // Blocked returns what is known of the requests that are blocked or on trial.
-func (q *Quarantine) Blocked() map[quarantine.Digest]quarantine.Verdict {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Blocked(time.Now())
+func (b *Blocklist) Blocked() map[quarantine.Digest]quarantine.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Blocked(time.Now())
 }
 
 // changed logs and counts what a new record means; mu is held.
-func (q *Quarantine) changed(now time.Time, digest quarantine.Digest, source, target string) {
-	q.requests.Store(int64(q.table.Len()))
-	v := q.table.Judge(now, digest)
+func (b *Blocklist) changed(now time.Time, digest quarantine.Digest, source, target string) {
+	b.requests.Store(int64(b.table.Len()))
+	v := b.table.Judge(now, digest)
 	event := telemetry.Event{
 		Digest: digest.String(), Target: target, Reason: source, Count: v.Crashes, Elapsed: v.Since, RetryAfter: v.Left,
 	}
 	switch {
-	case v.State == quarantine.Blocked && (source == sourceLocal || !q.blocked[digest]):
-		q.blocked[digest] = true
+	case v.State == quarantine.Blocked && (source == sourceLocal || !b.blocked[digest]):
+		b.blocked[digest] = true
 		telemetry.InfoS("Request blocked, it crashes targets", event)
-	case v.State == quarantine.Allowed && q.blocked[digest]:
-		delete(q.blocked, digest)
+	case v.State == quarantine.Allowed && b.blocked[digest]:
+		delete(b.blocked, digest)
 		telemetry.InfoS("Request no longer blocked", event)
 	case target != "" && source == sourceLocal:
 		telemetry.InfoS("Target crashed under a request", event)
 	}
-	q.metrics.sizes(q.table.Len(), len(q.blocked))
-	q.signal()
+	b.metrics.sizes(b.table.Len(), len(b.blocked))
+	b.signal()
 }
 
 // signal has the next round begin soon.
-func (q *Quarantine) signal() {
+func (b *Blocklist) signal() {
 	select {
-	case q.wake <- struct{}{}:
+	case b.wake <- struct{}{}:
 	default: // it does already
 	}
 }
 
 // expire drops what is too old.
-func (q *Quarantine) expire(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.Expire(now)
-	q.requests.Store(int64(q.table.Len()))
-	for digest := range q.blocked {
-		if q.table.Judge(now, digest).State == quarantine.Allowed {
-			delete(q.blocked, digest)
+func (b *Blocklist) expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.Expire(now)
+	b.requests.Store(int64(b.table.Len()))
+	for digest := range b.blocked {
+		if b.table.Judge(now, digest).State == quarantine.Allowed {
+			delete(b.blocked, digest)
 			telemetry.InfoS("Request no longer blocked", telemetry.Event{Digest: digest.String(), Reason: "expired"})
 		}
 	}
-	q.metrics.sizes(q.table.Len(), len(q.blocked))
+	b.metrics.sizes(b.table.Len(), len(b.blocked))
 }
--- a/daemon/quarantine/quarantine_test.go
+++ b/daemon/blocklist/blocklist_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"context"
@@ -53,7 +53,7 @@
 	fleet    *fleet
 	address  string
 	handlers map[string]peer.Handler
-	*Quarantine
+	*Blocklist
 }
 
 var errLost = errors.New("lost")
@@ -70,7 +70,7 @@
 func (f *fleet) add(ctx context.Context) *member {
 	f.mu.Lock()
 	m := &member{fleet: f, address: fmt.Sprint("at-", len(f.instances)), handlers: map[string]peer.Handler{}}
-	m.Quarantine = New(m, quarantine.DefaultConfig(), tally.NoopScope)
+	m.Blocklist = New(m, quarantine.DefaultConfig(), tally.NoopScope)
 	f.instances[m.address] = m
 	f.mu.Unlock()
 	go func() { _ = m.Run(ctx) }() // it ends with the context
@@ -116,7 +116,7 @@
 	return addresses
 }
 
-func (m *member) AwaitJoin(context.Context) {}
+func (m *member) AwaitPeer(context.Context) {}
 
 // crash records so many crashes of the request, a second apart, each at another instance.
 func (f *fleet) crash(n int) {
@@ -219,7 +219,7 @@
 func TestMalformedRecordsAreIgnored(t *testing.T) {
 	f := &fleet{instances: map[string]*member{}}
 	m := &member{fleet: f, handlers: map[string]peer.Handler{}}
-	m.Quarantine = New(m, quarantine.DefaultConfig(), tally.NoopScope)
+	m.Blocklist = New(m, quarantine.DefaultConfig(), tally.NoopScope)
 	_, err := m.handlers[methodExchange](t.Context(), peer.Peer{}, []byte("none"))
 	require.Error(t, err)
 	_, err = m.handlers[methodTrial](t.Context(), peer.Peer{}, []byte("none"))
@@ -238,7 +238,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{instances: map[string]*member{}}
 		m := &member{fleet: f, handlers: map[string]peer.Handler{}}
-		m.Quarantine = New(m, quarantine.DefaultConfig(), tally.NoopScope)
+		m.Blocklist = New(m, quarantine.DefaultConfig(), tally.NoopScope)
 		f.instances["at-0"] = m
 		f.crash(3)
 		w := httptest.NewRecorder()
--- a/daemon/quarantine/exchange.go
+++ b/daemon/blocklist/exchange.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"context"
@@ -22,6 +22,9 @@
 	roundEvery = 100 * time.Millisecond
 	// sampleEvery is the time between two exchanges of samples while there are records.
 	sampleEvery = time.Second
+	// joinWithin bounds the wait for another instance after the start. The first one is
+	// known within some ways there and back.
+	joinWithin = 300 * time.Millisecond
 	// joinAsks is how many neighbours an instance asks at its start.
 	joinAsks = 3
 	// fanout is how many neighbours get news in one round.
@@ -48,22 +51,24 @@
 
 // AwaitHeard waits until this instance knows what others knew at its start, or the context
 // ends. Whoever is alone knows all there is.
-func (q *Quarantine) AwaitHeard(ctx context.Context) {
+func (b *Blocklist) AwaitHeard(ctx context.Context) {
 	select {
-	case <-q.heard:
+	case <-b.heard:
 	case <-ctx.Done():
 	}
 }
 
 // join asks neighbours for their records, and returns with the first answer or without any.
-func (q *Quarantine) join(ctx context.Context) {
-	defer close(q.heard)
-	q.cluster.AwaitJoin(ctx)
-	peers := q.shuffled()
+func (b *Blocklist) join(ctx context.Context) {
+	defer close(b.heard)
+	known, cancel := context.WithTimeout(ctx, joinWithin)
+	defer cancel()
+	b.cluster.AwaitPeer(known)
+	peers := b.shuffled()
 	peers = peers[:min(joinAsks, len(peers))]
 	answers := make(chan bool, len(peers))
 	for _, address := range peers {
-		go func() { answers <- q.exchange(ctx, address, exchange{Ask: true}) }()
+		go func() { answers <- b.exchange(ctx, address, exchange{Ask: true}) }()
 	}
 	for range peers {
 		if <-answers {
@@ -73,30 +78,30 @@
 }
 
 // shuffled returns the neighbours in a random order.
-func (q *Quarantine) shuffled() []string {
-	peers := q.cluster.Neighbours()
+func (b *Blocklist) shuffled() []string {
+	peers := b.cluster.Neighbours()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers
 }
 
 // Run exchanges records until ctx ends.
-func (q *Quarantine) Run(ctx context.Context) error {
-	q.join(ctx)
+func (b *Blocklist) Run(ctx context.Context) error {
+	b.join(ctx)
 	r := rounds{samples: startSamples, latest: time.Now().Round(0)}
-	for q.await(ctx) {
+	for b.await(ctx) {
 		now := time.Now()
 		if now.Round(0).Sub(r.latest) > stoodStill {
 			r.samples = startSamples
 		}
 		r.latest = now.Round(0)
-		q.expire(now)
-		q.round(ctx, now, &r)
+		b.expire(now)
+		b.round(ctx, now, &r)
 	}
 	return nil
 }
 
 // await waits for news, or until a sample may be due. It returns false at the end of ctx.
-func (q *Quarantine) await(ctx context.Context) bool {
+func (b *Blocklist) await(ctx context.Context) bool {
 	rest := time.NewTimer(roundEvery)
 	defer rest.Stop()
 	select {
@@ -109,56 +114,56 @@
 	select {
 	case <-ctx.Done():
 		return false
-	case <-q.wake:
+	case <-b.wake:
 	case <-sample.C:
 	}
 	return true
 }
 
 // round sends news to a few neighbours, and exchanges samples with them if that is due.
-func (q *Quarantine) round(ctx context.Context, now time.Time, r *rounds) {
-	peers := q.shuffled()
-	sample := now.Sub(r.sampled) >= sampleEvery && (r.samples > 0 || !q.Empty())
+func (b *Blocklist) round(ctx context.Context, now time.Time, r *rounds) {
+	peers := b.shuffled()
+	sample := now.Sub(r.sampled) >= sampleEvery && (r.samples > 0 || !b.Empty())
 	for _, address := range peers[:min(fanout, len(peers))] {
-		message := q.message(now, sample)
+		message := b.message(now, sample)
 		if len(message.Crashes) == 0 && !message.Ask {
 			break
 		}
-		go q.exchange(ctx, address, message)
+		go b.exchange(ctx, address, message)
 	}
 	if sample && len(peers) > 0 {
 		r.sampled = now
 		r.samples = max(r.samples-1, 0)
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.table.HasNews() {
-		q.signal()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table.HasNews() {
+		b.signal()
 	}
 }
 
 // message returns what a neighbour is told, and with sample also asked for.
-func (q *Quarantine) message(now time.Time, sample bool) exchange {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	size := len(q.cluster.View().Live())
+func (b *Blocklist) message(now time.Time, sample bool) exchange {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := len(b.cluster.View().Live())
 	copies := int(math.Ceil(math.Log(float64(max(size, 1))))) + extraCopies
-	m := exchange{Ask: sample, Crashes: encodeCrashes(q.table.News(now, newsPerMessage, copies))}
+	m := exchange{Ask: sample, Crashes: encodeCrashes(b.table.News(now, newsPerMessage, copies))}
 	if sample {
-		m.Crashes = append(m.Crashes, encodeCrashes(q.table.Sample(now, samplePerMessage))...)
+		m.Crashes = append(m.Crashes, encodeCrashes(b.table.Sample(now, samplePerMessage))...)
 	}
 	return m
 }
 
 // exchange tells another instance, and takes in what it answers. It tells whether it
 // answered.
-func (q *Quarantine) exchange(ctx context.Context, address string, m exchange) bool {
+func (b *Blocklist) exchange(ctx context.Context, address string, m exchange) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var answer exchange
 	body, err := msgpack.Marshal(&m)
 	if err == nil {
-		body, err = q.cluster.Call(ctx, address, methodExchange, body)
+		body, err = b.cluster.Call(ctx, address, methodExchange, body)
 	}
 	if err == nil {
 		err = msgpack.Unmarshal(body, &answer)
@@ -169,35 +174,35 @@
 		}
 		return false
 	}
-	q.merge(answer.Crashes)
+	b.merge(answer.Crashes)
 	return true
 }
 
-func (q *Quarantine) handleExchange(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+func (b *Blocklist) handleExchange(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
 	var m exchange
 	if err := msgpack.Unmarshal(body, &m); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
 	var answer exchange
 	if m.Ask {
-		q.mu.Lock()
-		answer.Crashes = encodeCrashes(q.table.Sample(time.Now(), samplePerMessage))
-		q.mu.Unlock()
+		b.mu.Lock()
+		answer.Crashes = encodeCrashes(b.table.Sample(time.Now(), samplePerMessage))
+		b.mu.Unlock()
 	}
-	q.merge(m.Crashes)
+	b.merge(m.Crashes)
 	return msgpack.Marshal(&answer)
 }
 
 // merge takes in records of another instance.
-func (q *Quarantine) merge(crashes []crashMessage) {
+func (b *Blocklist) merge(crashes []crashMessage) {
 	now := time.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, m := range crashes[:min(len(crashes), newsPerMessage+samplePerMessage)] {
 		c, ok := m.decode()
-		if ok && q.table.Merge(now, c) {
-			q.metrics.crashes[sourcePeer].Inc(1)
-			q.changed(now, c.Digest, sourcePeer, c.Target)
+		if ok && b.table.Merge(now, c) {
+			b.metrics.crashes[sourcePeer].Inc(1)
+			b.changed(now, c.Digest, sourcePeer, c.Target)
 		}
 	}
 }
--- a/daemon/quarantine/listing.go
+++ b/daemon/blocklist/listing.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"cmp"
@@ -22,9 +22,9 @@
 
 // ServeHTTP lists the requests that are blocked or on trial, those of the latest crash
 // first.
-func (q *Quarantine) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (b *Blocklist) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	entries := []entry{}
-	for digest, v := range q.Blocked() {
+	for digest, v := range b.Blocked() {
 		entries = append(entries, entry{
 			Digest: digest.String(), State: v.State.String(), Crashes: v.Crashes,
 			SinceSeconds: v.Since.Seconds(), LeftSeconds: max(v.Left.Seconds(), 0),
--- a/daemon/quarantine/messages.go
+++ b/daemon/blocklist/messages.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"time"
--- a/daemon/quarantine/metrics.go
+++ b/daemon/blocklist/metrics.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import "github.com/uber-go/tally/v4"
 
--- a/daemon/quarantine/trial.go
+++ b/daemon/blocklist/trial.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"context"
@@ -30,12 +30,12 @@
 
 // Admit tells whether a request may be sent to targets, within left. A request on trial
 // may if no other run of it is under way on any instance.
-func (q *Quarantine) Admit(ctx context.Context, digest quarantine.Digest, left time.Duration) quarantine.Verdict {
-	v := q.Judge(digest)
+func (b *Blocklist) Admit(ctx context.Context, digest quarantine.Digest, left time.Duration) quarantine.Verdict {
+	v := b.Judge(digest)
 	if v.State != quarantine.OnTrial {
 		return v
 	}
-	if q.askTrial(ctx, digest, left) {
+	if b.askTrial(ctx, digest, left) {
 		return v
 	}
 	v.State, v.Left = quarantine.Blocked, askAgain
@@ -43,30 +43,30 @@
 }
 
 // askTrial asks the instance that decides on trials of a request.
-func (q *Quarantine) askTrial(ctx context.Context, digest quarantine.Digest, left time.Duration) bool {
+func (b *Blocklist) askTrial(ctx context.Context, digest quarantine.Digest, left time.Duration) bool {
 	left = min(max(left, 0), maxTrial)
-	owners := membership.Owners(q.cluster.View(), digest.String(), 1)
-	if len(owners) == 0 || owners[0].Name == q.cluster.View().Self {
-		return q.grantTrial(digest, left)
+	owners := membership.Owners(b.cluster.View(), digest.String(), 1)
+	if len(owners) == 0 || owners[0].Name == b.cluster.View().Self {
+		return b.grantTrial(digest, left)
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialAnswerWithin)
 	defer cancel()
 	var answer trialAnswer
 	body, err := msgpack.Marshal(&trialAsk{digest[:], uint32(left.Milliseconds())})
 	if err == nil {
-		body, err = q.cluster.Call(ctx, owners[0].Address, methodTrial, body)
+		body, err = b.cluster.Call(ctx, owners[0].Address, methodTrial, body)
 	}
 	if err == nil {
 		err = msgpack.Unmarshal(body, &answer)
 	}
 	if err != nil {
 		telemetry.ErrorS(err, "Trial of a request not decided, it stays blocked", telemetry.Event{Digest: digest.String(), Peer: owners[0].Address})
-		q.metrics.trials[trialUnanswered].Inc(1)
+		b.metrics.trials[trialUnanswered].Inc(1)
 	}
 	return answer.Granted
 }
 
-func (q *Quarantine) handleTrial(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+func (b *Blocklist) handleTrial(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
 	var ask trialAsk
 	var digest quarantine.Digest
 	if err := msgpack.Unmarshal(body, &ask); err != nil {
@@ -77,19 +77,19 @@
 	}
 	copy(digest[:], ask.Digest)
 	left := min(time.Duration(ask.LeftMillis)*time.Millisecond, maxTrial)
-	return msgpack.Marshal(&trialAnswer{q.grantTrial(digest, left)})
+	return msgpack.Marshal(&trialAnswer{b.grantTrial(digest, left)})
 }
 
 // grantTrial decides on a run that ends within left.
-func (q *Quarantine) grantTrial(digest quarantine.Digest, left time.Duration) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	granted := q.table.GrantTrial(time.Now(), digest, left+trialMargin)
+func (b *Blocklist) grantTrial(digest quarantine.Digest, left time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	granted := b.table.GrantTrial(time.Now(), digest, left+trialMargin)
 	outcome := trialDenied
 	if granted {
 		outcome = trialGranted
 		telemetry.InfoS("Request on trial, one run is allowed", telemetry.Event{Digest: digest.String(), Left: left})
 	}
-	q.metrics.trials[outcome].Inc(1)
+	b.metrics.trials[outcome].Inc(1)
 	return granted
 }
--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -157,6 +157,15 @@
 	}
 }
 
+// AwaitPeer waits until this instance knows another one, or the context ends. It doesn't
+// wait where the platform's list names none.
+func (c *Cluster) AwaitPeer(ctx context.Context) {
+	if c.Listed(ctx) == 0 {
+		return
+	}
+	_ = c.WaitView(ctx, func(v *membership.View) bool { return len(v.Live()) > 1 }) // the context bounds it
+}
+
 // checkJoined ends the wait of AwaitJoin; mu is held.
 func (c *Cluster) checkJoined(now time.Time) {
 	select {
--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -80,6 +80,7 @@
 	defer a.contain(&result)
 	call := a.call()
 	answer, meta, err := a.send(ctx, call)
+	a.noteCrash(ctx, err)
 	result = attemptResult{answer: answer, peer: call.Address, err: err}
 	a.classify(&result)
 	a.ledger.Settle(result.verdict)
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -16,7 +16,9 @@
 	"github.com/ivyhollow/ivyhollow/coordination/admission"
 	"github.com/ivyhollow/ivyhollow/coordination/deadline"
 	"github.com/ivyhollow/ivyhollow/coordination/outcome"
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/requests"
 	"github.com/ivyhollow/ivyhollow/telemetry"
@@ -31,6 +33,11 @@
 	Times   *deadline.Times
 	// Status keeps the fate of each attempt.
 	Status *requests.Table
+	// Blocklist refuses requests that crash their targets; nil refuses none.
+	Blocklist blocklist.Records
+	// NothingListens tells whether an address has no process that listens, by which a
+	// target that crashed is known; nil knows none.
+	NothingListens func(ctx context.Context, address string) bool
 	// Config returns the configuration in force, for the pools' records.
 	Config func() *catalog.Snapshot
 	// Tracer starts a span for each stage; nil means none.
@@ -53,6 +60,9 @@
 	if o.Tracer == nil {
 		o.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	if o.Blocklist == nil {
+		o.Blocklist = blocklist.None{}
+	}
 	return &Executor{opts: o, admissions: newAdmissions()}
 }
 
@@ -70,6 +80,10 @@
 
 	// rank is the tier's place among the tiers in force; 0 is the highest.
 	rank int
+	// content is the digest of what the job's repeats have in common; onTrial tells that
+	// this is the one run of it that is allowed.
+	content quarantine.Digest
+	onTrial bool
 	// probe tells that the job was admitted to measure its stages anew.
 	probe bool
 
@@ -87,6 +101,9 @@
 	defer cancel()
 	r := e.newRun(&job)
 	defer func() { r.probed(err == nil) }()
+	if failure := r.admitContent(ctx); failure != nil {
+		return Result{}, r.seal(failure)
+	}
 	if failure := r.hopeless(); failure != nil {
 		return Result{}, r.seal(failure)
 	}
@@ -98,6 +115,7 @@
 		return Result{}, r.seal(r.asFailure(ctx, err))
 	}
 	r.ledger.Seal()
+	r.opts.Blocklist.EndedWell(r.content)
 	last := len(r.outputs) - 1
 	return Result{Output: r.outputs[last], Tokens: r.tokens[last]}, nil
 }
@@ -112,6 +130,7 @@
 		done:     make([]chan struct{}, n),
 		finished: make([]bool, n),
 		rank:     e.place(job.Tier),
+		content:  quarantine.DigestOf("", job.Pipeline.Key.Name, job.Account, []byte(job.Input)),
 	}
 	for i := range job.Pipeline.Stages {
 		r.done[i] = make(chan struct{})
--- a/daemon/execute/job.go
+++ b/daemon/execute/job.go
@@ -63,6 +63,8 @@
 	ReasonClaim Reason = "claim"
 	// ReasonCaller: the caller went away.
 	ReasonCaller Reason = "caller_gone"
+	// ReasonCrashes: the request crashes the targets that run it.
+	ReasonCrashes Reason = "crashes_targets"
 	// ReasonStopping: the instance stops before the request has ended.
 	ReasonStopping Reason = "stopping"
 	// ReasonFault: a fault of the daemon itself ended the stage.
--- a/daemon/execute/stage.go
+++ b/daemon/execute/stage.go
@@ -111,6 +111,9 @@
 			grant.Release()
 		}
 	}()
+	if failure := s.contentBlocked(s.stage.Name); failure != nil {
+		return nil, failure
+	}
 	choice, failure := s.pick()
 	if failure != nil {
 		return nil, failure
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -15,13 +15,13 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
-	crashes "github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
 	"github.com/ivyhollow/ivyhollow/daemon/follow"
-	"github.com/ivyhollow/ivyhollow/daemon/quarantine"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
 	"github.com/ivyhollow/ivyhollow/daemon/relay"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
@@ -86,9 +86,9 @@
 	client   *forward.Client
 	stages   *stages.Stages
 	relay    *relay.Relay
-	// quarantine are the requests that crash their targets.
-	quarantine *quarantine.Quarantine
-	registrar  *register.Registrar
+	// blocklist holds the requests that crash their targets.
+	blocklist *blocklist.Blocklist
+	registrar *register.Registrar
 
 	callers  net.Listener
 	admin    net.Listener
@@ -149,7 +149,7 @@
 		return msgpack.Marshal(g.follower.Word().Counts())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, t.Scope)
-	g.quarantine = quarantine.New(g.cluster, crashes.DefaultConfig(), t.Scope)
+	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect:    p.Dialect,
 		Table:      g.follower.Table,
@@ -161,7 +161,7 @@
 		Shares:     g.sharesOf,
 		Stages:     g.stages,
 		Budgets:    retrybudget.New(g.retryConfig()),
-		Quarantine: g.quarantine,
+		Blocklist:  g.blocklist,
 		Leaving:    g.follower.Leaving,
 		InUse:      g.isInUse,
 		Tracer:     t.Tracer,
@@ -274,7 +274,7 @@
 // configuration, the targets, and which requests the others refuse.
 func (g *Gateway) awaitReady(ctx context.Context) {
 	g.follower.AwaitReady(ctx)
-	g.quarantine.AwaitHeard(ctx)
+	g.blocklist.AwaitHeard(ctx)
 }
 
 // sharesOf returns the shares of a service's targets that data centres have.
@@ -310,7 +310,7 @@
 		}
 	})
 	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
-	mux.Handle("GET /quarantine", g.quarantine)
+	mux.Handle("GET /quarantine", g.blocklist)
 	return mux
 }
 
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -51,7 +51,7 @@
 	}
 	group.Add(g.cluster.Execute, g.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
-		g.follower.Run, g.registrar.Run, g.stages.Run, g.quarantine.Run, g.sweepIdle,
+		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.sweepIdle,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -44,6 +44,9 @@
 // to follow; otherwise either the answer has been passed on or the error says
 // why there is none.
 func (q *request) attempt(ctx context.Context) (again bool, err error) {
+	if err := q.admitContent(ctx); err != nil {
+		return false, err
+	}
 	choice, err := q.pick()
 	if err != nil {
 		return false, err
@@ -53,13 +56,13 @@
 			return false, err
 		}
 		// Seconds may have passed since the choice.
+		if err := q.admitContent(ctx); err != nil {
+			return false, err
+		}
 		if choice, err = q.pick(); err != nil {
 			return false, err
 		}
 	}
-	if err := q.admitContent(ctx); err != nil {
-		return false, err
-	}
 	started := time.Now()
 	if q.tooLateToSend(started) {
 		return false, errNoTimeToSend
@@ -260,7 +263,7 @@
 	switch {
 	case ctx.Err() != nil, q.refused > maxRefused, q.tooLateToSend(time.Now()):
 		return false, err
-	case q.notResumable, q.contentBlocked():
+	case q.notResumable:
 		return false, err
 	case !f.notRun && (!q.route.MayRepeat() || q.sent >= q.route.MaxAttempts):
 		return false, err
--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -9,22 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
-// Quarantine knows the requests that crash their targets.
-type Quarantine interface {
-	// Empty tells whether no request can be blocked.
-	Empty() bool
-	// Admit tells whether a request may be sent to targets, within left.
-	Admit(ctx context.Context, digest quarantine.Digest, left time.Duration) quarantine.Verdict
-	// Judge tells what is known of a request here, without a word to other instances.
-	Judge(digest quarantine.Digest) quarantine.Verdict
-	// Crashed records that a target ended under a request.
-	Crashed(digest quarantine.Digest, target string)
-	// EndedWell records that a target ran a request to an end of its own.
-	EndedWell(digest quarantine.Digest)
-}
-
 // blockedError refuses a request since it crashes targets.
 type blockedError struct{ left time.Duration }
 
@@ -42,7 +29,7 @@
 
 // admitContent tells whether the request may be sent to a target: a *blockedError if not.
 func (q *request) admitContent(ctx context.Context) error {
-	known := q.relay.options.Quarantine
+	known := q.relay.options.Blocklist
 	if known.Empty() {
 		return nil
 	}
@@ -57,25 +44,18 @@
 	return nil
 }
 
-// contentBlocked tells whether the request was found to crash targets since it was
-// admitted.
-func (q *request) contentBlocked() bool {
-	known := q.relay.options.Quarantine
-	return !known.Empty() && known.Judge(q.digest()).State == quarantine.Blocked
-}
-
 // noteEnd records how the target did under an attempt that ended with err.
 //
 // A target that ends takes all its connections with it, and then nothing listens at its
 // address. One that breaks a single answer off, or whose connection something on the way
 // has reset, still listens. One that was to leave has ended as planned.
 func (q *request) noteEnd(ctx context.Context, err error) {
-	known := q.relay.options.Quarantine
+	known := q.relay.options.Blocklist
 	var f *failure
 	switch {
 	case err == nil, errors.As(err, &f) && f.reply != nil:
 		known.EndedWell(q.digest())
-	case f != nil && f.broken && q.relay.options.Client.NothingListens(ctx, q.address):
+	case f != nil && f.broken && forward.NothingListens(ctx, q.address):
 		f.nothingListens = true
 		if q.relay.options.InUse(q.target) {
 			known.Crashed(q.digest(), q.target)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
@@ -60,8 +61,8 @@
 	Shares  func(service string) map[string]float64
 	Stages  Maker
 	Budgets *retrybudget.Budgets
-	// Quarantine refuses requests that crash their targets.
-	Quarantine Quarantine
+	// Blocklist refuses requests that crash their targets.
+	Blocklist blocklist.Records
 	// Leaving is told of a target that takes nothing new.
 	Leaving func(incarnation string)
 	// InUse tells whether a target may take something new.
@@ -246,17 +247,7 @@
 		q.refuse("stopping", minRetryAfter)
 		return false
 	}
-	return q.readBody(table.Limits.BodyBytes) && q.acceptContent(ctx)
-}
-
-// acceptContent refuses a request that crashes targets.
-func (q *request) acceptContent(ctx context.Context) bool {
-	var blocked *blockedError
-	if !errors.As(q.admitContent(ctx), &blocked) {
-		return true
-	}
-	q.refuse(reasonCrashes, blocked.left)
-	return false
+	return q.readBody(table.Limits.BodyBytes)
 }
 
 // authorize finds the route and the client account. It returns the status of a
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
-	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
@@ -115,21 +115,10 @@
 	return New(Options{
 		Dialect: dialect{}, Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
 		Table: func() *routes.Table { return table }, Router: router, Stages: m,
-		Quarantine: noCrashes{},
+		Blocklist: blocklist.None{},
 	})
 }
 
-// noCrashes knows of no request that crashes its targets.
-type noCrashes struct{}
-
-func (noCrashes) Empty() bool                                { return true }
-func (noCrashes) Crashed(quarantine.Digest, string)          {}
-func (noCrashes) EndedWell(quarantine.Digest)                {}
-func (noCrashes) Judge(quarantine.Digest) quarantine.Verdict { return quarantine.Verdict{} }
-func (noCrashes) Admit(context.Context, quarantine.Digest, time.Duration) quarantine.Verdict {
-	return quarantine.Verdict{}
-}
-
 // A request waits for its stages when its instance begins to stop, and they won't be
 // done before the instance ends. Its caller must hear so at once, while another
 // instance can still serve it.
--- a/daemon/serve/metrics.go
+++ b/daemon/serve/metrics.go
@@ -24,7 +24,7 @@
 // problemTypes are the types of problem that callers get.
 var problemTypes = []string{
 	typeUnauthenticated, typeBadRequest, typeNotFound, typeTooLarge,
-	typeKeyRequired, typeKeyReused, typeBudget, typeOverload, typeStore,
+	typeKeyRequired, typeKeyReused, typeBudget, typeOverload, typeCrashes, typeStore,
 	typeDeadline, typeTarget, typeOutcomeUnknown, typeStarting, typeNotKept,
 }
 
--- a/daemon/serve/problem.go
+++ b/daemon/serve/problem.go
@@ -22,6 +22,7 @@
 	typeKeyReused       = "idempotency-key-reused"
 	typeBudget          = "budget-exhausted"
 	typeOverload        = "overload"
+	typeCrashes         = "crashes-targets"
 	typeStore           = "store-unavailable"
 	typeDeadline        = "deadline"
 	typeTarget          = "target-failed"
@@ -84,6 +85,8 @@
 		return typeOverload
 	case execute.ReasonDeadline:
 		return typeDeadline
+	case execute.ReasonCrashes:
+		return typeCrashes
 	case execute.ReasonClaim:
 		return typeStore
 	case execute.ReasonFault:
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -129,22 +129,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// listenTimeout bounds the question whether anything listens. A process that has ended is
-// told by the reset of its machine, on the way of one packet each way.
-const listenTimeout = 250 * time.Millisecond
-
-// NothingListens tells whether an address surely has no process that listens: its machine
-// refuses a connection.
-func (c *Client) NothingListens(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
-	defer cancel()
-	k, err := c.dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = k.Close() // it was opened for the answer alone
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // take returns a kept connection that nothing was received on, or nil.
 func (c *Client) take(peer peerKey, maxIdle time.Duration) *conn {
 	for {
