Give up requests that crash stage targets

Cause: pieces of many requests share a stage call, so the end of a stage target told nothing of which of them it was; a request whose pieces end their targets went from one to the next, and took the pieces beside it along. Change: a call under which its target ended (the connection ends, and nothing listens at the address) counts against each request in it. From the second on a request has calls of its own; if the third target ends under one of these, its stages are refused and the asker's instance blocks its content, as for engines. Ruled out: calls of their own after one crash (a crash of its own accord would cost a call for each request in the call, where targets are short); blaming all requests of a call (what shares calls would be blocked together); a digest in the messages to the queue's holder (arrays of fixed length: a new method, and only the asker needs it).

--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -89,7 +89,7 @@
 		}
 		st := c.stage
 		n := len(st.todo)
-		if n == 0 || (n > left && len(chosen) > 0) || p.waitsForNearer(now, t, st, near) {
+		if n == 0 || (n > left && len(chosen) > 0) || !mayJoin(chosen, st.work) || p.waitsForNearer(now, t, st, near) {
 			continue
 		}
 		n = min(n, left)
--- a/coordination/gather/results.go
+++ b/coordination/gather/results.go
@@ -54,6 +54,10 @@
 	}
 	t.calls--
 	t.heldBytes -= c.bytes
+	if outcome == CallCrashed {
+		outcome = CallLost
+		p.noteCrash(c)
+	}
 	p.learn(now, c, outcome)
 	p.releaseRead(now)
 	touched := map[*work]bool{}
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -106,6 +106,8 @@
 	CallWrongTarget
 	// CallLost got no answer; the pieces may have been made.
 	CallLost
+	// CallCrashed is CallLost, and its target has ended.
+	CallCrashed
 )
 
 // Action is what the driver is to do.
@@ -180,6 +182,9 @@
 	ReasonNoTarget Reason = "no_stage_target"
 	// ReasonRetries tells that pieces failed too often.
 	ReasonRetries Reason = "stage_failed"
+	// ReasonCrashes tells that targets ended under calls of its pieces, the last of them
+	// under one that had no others.
+	ReasonCrashes Reason = "crashes_stage_targets"
 	// ReasonBound tells that the planner holds all requests that it may.
 	ReasonBound Reason = "too_many_requests"
 	// ReasonStopping tells that it won't be done before its asker's planned stop.
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -12,6 +12,8 @@
 	completed bool
 	// begun tells that some piece was sent.
 	begun bool
+	// crashes counts the calls with pieces of it under which the target ended.
+	crashes int
 	// lifted tells that its kind got less than it should when it came.
 	lifted bool
 	// bounded tells that its asker stops and gave it an earlier deadline.
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -151,6 +151,7 @@
 	if err == nil && q.handles == nil {
 		q.handles = []string{}
 	}
+	q.noteStages(err)
 	if err != nil && errors.Is(context.Cause(ctx), errNoTimeToSend) {
 		return errNoTimeToSend
 	}
@@ -372,7 +373,7 @@
 	unreached := f != nil && f.Step == forward.StepConnect
 	return routing.OutcomeFailed, &failure{
 		cause: err, notRun: notRun, unreached: unreached, nothingListens: unreached && f.Refused,
-		broken: !notRun && brokenByPeer(err),
+		broken: !notRun && forward.EndedByPeer(err),
 	}
 }
 
--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
-	"syscall"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
@@ -63,8 +64,14 @@
 	}
 }
 
-// brokenByPeer tells whether a connection was ended by its other end.
-func brokenByPeer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+// noteStages records that stage targets ended under calls of the request, the last of them
+// under one that had no pieces of others.
+func (q *request) noteStages(err error) {
+	var refused *stages.RefusedError
+	if !errors.As(err, &refused) || refused.Reason != gather.ReasonCrashes {
+		return
+	}
+	for i := range gather.MaxCrashes {
+		q.relay.options.Blocklist.Crashed(q.digest(), fmt.Sprintf("stages of %s, %d", q.call.ID, i+1))
+	}
 }
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -18,6 +18,9 @@
 func (o *Owner) call(c gather.StartCall) {
 	started, known := time.Now(), o.follower.TargetsAge()
 	results, how, err := o.exchange(c)
+	if how == gather.CallLost && forward.EndedByPeer(err) && forward.NothingListens(context.Background(), c.Target.Address) {
+		how = gather.CallCrashed
+	}
 	if err != nil {
 		telemetry.ErrorS(err, "Stage call failed", telemetry.Event{
 			Target: c.Target.Incarnation, Address: c.Target.Address, Count: len(c.Pieces),
@@ -69,6 +72,7 @@
 	gather.CallFull:        "target_full",
 	gather.CallWrongTarget: "wrong_target",
 	gather.CallLost:        "lost",
+	gather.CallCrashed:     "crashed",
 }
 
 // useFree keeps the connections apart that free results: their answers say nothing by which
--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -250,6 +250,9 @@
 
 // passEnd tells the new holder of the end of a call that this instance carried out.
 func (s *Stages) passEnd(to string, id uint64, how gather.CallOutcome, results []gather.PieceResult) {
+	if how == gather.CallCrashed {
+		how = gather.CallLost // instances of the version before know no other
+	}
 	body, err := encode(&endedAsk{Call: id, Outcome: uint8(how), Results: results})
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
--- a/transport/forward/listens.go
+++ b/transport/forward/listens.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -9,6 +10,13 @@
 	"github.com/cockroachdb/errors"
 )
 
+// EndedByPeer tells whether an error of an attempt is that the other end closed or reset the
+// connection.
+func EndedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // listenTimeout bounds the question whether anything listens. A process that has ended is
 // told by the reset of its machine, on the way of one packet each way.
 const listenTimeout = 250 * time.Millisecond
