Test the guards of blocked requests that no test failed without

Cause: with guards taken out one at a time (23 in all by now), no test failed without four: that a target which was gone before is no crash, that samples are also sent unasked, that a suspect request has stage calls of its own, and that only such a call gives it up. Change: a test for each.

--- a/coordination/gather/crashes_test.go
+++ b/coordination/gather/crashes_test.go
@@ -14,55 +14,68 @@
 	return slices.ContainsFunc(c.Pieces, func(p PieceOrder) bool { return p.Request == request })
 }
 
+// answerAll makes the results of all pieces of a call.
+func (r *rig) answerAll(c StartCall) (CallOutcome, []PieceResult) {
+	results := make([]PieceResult, len(c.Pieces))
+	for i := range results {
+		r.made++
+		results[i].Handle = fmt.Sprint("result ", r.made)
+	}
+	return CallAnswered, results
+}
+
+// simple is a request of two pieces at one service.
+func simple(id string) Request {
+	return Request{ID: id, Stages: []Stage{{Service: "s", Pieces: 2, ResultBytes: 1000}}}
+}
+
 // TestRequestThatCrashesStageTargetsIsGivenUp guards against a request under whose pieces one
 // target ends after the other, and against those in its calls being given up with it.
 func TestRequestThatCrashesStageTargetsIsGivenUp(t *testing.T) {
 	r := newRig(t)
-	r.service("s", narrow, "x", "x", "x", "x", "x", "x")
-	crashed := 0
+	r.service("s", narrow, "x", "x")
+	crashed, shared := 0, 0
 	r.end = func(c StartCall) (CallOutcome, []PieceResult) {
-		if carries(c, "bad") {
-			crashed++
-			return CallCrashed, nil
+		if !carries(c, "bad") {
+			return r.answerAll(c)
 		}
-		results := make([]PieceResult, len(c.Pieces))
-		for i := range results {
-			r.made++
-			results[i].Handle = fmt.Sprint("result ", r.made)
+		crashed++
+		if carries(c, "a") {
+			shared++
 		}
-		return CallAnswered, results
+		return CallCrashed, nil
 	}
-	for _, id := range []string{"bad", "a", "b", "c"} {
-		r.submit(Request{ID: id, Stages: []Stage{{Service: "s", Pieces: 2, ResultBytes: 1000}}})
+	for _, id := range []string{"first", "second", "bad", "a", "b", "c"} {
+		r.submit(simple(id)) // the first two take both targets, the others wait and share a call
 	}
-	r.run(4 * time.Second)
+	r.run(5 * time.Second)
+	require.Positive(t, shared)
 	require.Equal(t, ReasonCrashes, r.refused["bad"].Reason)
 	require.Len(t, r.refused, 1)
-	require.Len(t, r.completed, 3)
+	require.Len(t, r.completed, 5)
 	require.LessOrEqual(t, crashed, MaxCrashes)
 }
 
-// TestTargetsThatCrashByThemselvesCostNoRequest guards against requests being given up for
-// the ends of targets that one event causes, or that come now and then.
-func TestTargetsThatCrashByThemselvesCostNoRequest(t *testing.T) {
+// TestTargetsThatCrashAtOnceCostNoRequest guards against a request being given up since one
+// event ended targets of all services that worked for it.
+func TestTargetsThatCrashAtOnceCostNoRequest(t *testing.T) {
 	r := newRig(t)
-	r.service("s", narrow, "x", "x", "x", "x")
-	calls := 0
+	var stages []Stage
+	for _, name := range []string{"s", "t", "u"} {
+		r.service(name, narrow, "x", "x")
+		stages = append(stages, Stage{Service: name, Pieces: 2, ResultBytes: 1000})
+	}
+	event := r.now.Add(350 * time.Millisecond)
 	r.end = func(c StartCall) (CallOutcome, []PieceResult) {
-		if calls++; calls <= 4 {
-			return CallCrashed, nil
-		}
-		results := make([]PieceResult, len(c.Pieces))
-		for i := range results {
-			r.made++
-			results[i].Handle = fmt.Sprint("result ", r.made)
+		if r.now.Before(event) || r.now.After(event.Add(300*time.Millisecond)) || len(c.Pieces) == 2 {
+			return r.answerAll(c)
 		}
-		return CallAnswered, results
+		return CallCrashed, nil
 	}
-	for i := range 16 {
-		r.submit(Request{ID: fmt.Sprint(i), Stages: []Stage{{Service: "s", Pieces: 2, ResultBytes: 1000}}})
+	for i := range 6 {
+		r.submit(Request{ID: fmt.Sprint(i), Stages: stages})
 	}
 	r.run(6 * time.Second)
 	require.Empty(t, r.refused)
-	require.Len(t, r.completed, 16)
+	require.Len(t, r.completed, 6)
 }
--- a/daemon/blocklist/blocklist_test.go
+++ b/daemon/blocklist/blocklist_test.go
@@ -46,6 +46,8 @@
 	calls     atomic.Int64
 	// lost is one in how many calls is lost; 0 for none.
 	lost int64
+	// cut is the address of an instance that no call reaches or leaves.
+	cut atomic.Pointer[string]
 }
 
 // member is one instance of a fleet.
@@ -85,6 +87,9 @@
 	if n := m.fleet.calls.Add(1); m.fleet.lost > 0 && n%m.fleet.lost == 0 {
 		return nil, errLost
 	}
+	if cut := m.fleet.cut.Load(); cut != nil && (*cut == address || *cut == m.address) {
+		return nil, errLost
+	}
 	m.fleet.mu.Lock()
 	other := m.fleet.instances[address]
 	m.fleet.mu.Unlock()
@@ -192,6 +197,26 @@
 	})
 }
 
+// TestInstanceThatWasCutOffHears guards against an instance that missed all news, and knows
+// of nothing to ask for.
+func TestInstanceThatWasCutOffHears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx, 8)
+		cut := "at-7"
+		f.cut.Store(&cut)
+		f.crash(3)
+		time.Sleep(time.Minute)
+		require.Equal(t, 0, f.instances[cut].table.Len())
+		f.cut.Store(nil)
+		time.Sleep(heardWithin)
+		require.Equal(t, 1, f.instances[cut].table.Len())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestBlockEndsByOneRun guards against a block that never ends, and against many runs at
 // once as it ends.
 func TestBlockEndsByOneRun(t *testing.T) {
