Bound trials, records and questions of blocked requests

Change: blocks are four times as long after each further crash (30 s, 2 min, 8 min, 10 min); a crash older than those kept is no news; one question a second; names are cut.

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Config holds the bounds. Zero values take the defaults.
+// Config holds the bounds.
 type Config struct {
 	// Crashes is how many crashes block a request.
 	Crashes int
@@ -14,9 +14,10 @@
 	Trust time.Duration
 	// MaxTrusted bounds the requests that are remembered for that, twice.
 	MaxTrusted int
-	// Hold is how long a request is blocked. It doubles with each further crash, up to
-	// MaxHold; then one run at a time is tried.
+	// Hold is how long a request is blocked, HoldGrowth how many times longer after each
+	// further crash, up to MaxHold; then one run at a time is tried.
 	Hold, MaxHold time.Duration
+	HoldGrowth    int
 	// Keep is how long after the latest crash the records of a request are kept. It is
 	// longer than MaxHold.
 	Keep time.Duration
@@ -32,8 +33,9 @@
 		Trust:       5 * time.Second,
 		MaxTrusted:  4096,
 		Hold:        30 * time.Second,
-		MaxHold:     8 * time.Minute,
-		Keep:        15 * time.Minute,
+		MaxHold:     10 * time.Minute,
+		HoldGrowth:  4,
+		Keep:        20 * time.Minute,
 		MaxRequests: 4096,
 		MaxCrashes:  8,
 	}
@@ -159,6 +161,9 @@
 		t.passOn(known)
 		return true
 	}
+	if len(r.crashes) == t.config.MaxCrashes && at.Before(r.crashes[0].at) {
+		return false // it was dropped before, and would be again
+	}
 	if at.After(r.latest) {
 		r.latest = at
 	}
@@ -253,7 +258,7 @@
 		if hold >= t.config.MaxHold {
 			break
 		}
-		hold *= 2
+		hold *= time.Duration(t.config.HoldGrowth)
 	}
 	return min(hold, t.config.MaxHold)
 }
--- a/daemon/blocklist/blocklist.go
+++ b/daemon/blocklist/blocklist.go
@@ -44,14 +44,16 @@
 	table *quarantine.Table
 	// blocked are the digests that were last logged as blocked.
 	blocked map[quarantine.Digest]bool
+	// denied is until when no trial of a request is asked for again.
+	denied map[quarantine.Digest]time.Time
 }
 
-// New returns records without any, and registers the methods by which the instances
+// New returns an empty blocklist, and registers the methods by which the instances
 // exchange them.
 func New(cluster Cluster, config quarantine.Config, scope tally.Scope) *Blocklist {
 	b := &Blocklist{
 		cluster: cluster, metrics: newMetrics(scope), wake: make(chan struct{}, 1), heard: make(chan struct{}),
-		table: quarantine.New(config), blocked: map[quarantine.Digest]bool{},
+		table: quarantine.New(config), blocked: map[quarantine.Digest]bool{}, denied: map[quarantine.Digest]time.Time{},
 	}
 	cluster.Handle(methodExchange, b.handleExchange, peer.Idempotent())
 	cluster.Handle(methodTrial, b.handleTrial)
@@ -140,5 +142,10 @@
 			telemetry.InfoS("Request no longer blocked", telemetry.Event{Digest: digest.String(), Reason: "expired"})
 		}
 	}
+	for digest, until := range b.denied {
+		if now.After(until) {
+			delete(b.denied, digest)
+		}
+	}
 	b.metrics.sizes(b.table.Len(), len(b.blocked))
 }
--- a/daemon/blocklist/exchange.go
+++ b/daemon/blocklist/exchange.go
@@ -157,8 +157,8 @@
 
 // exchange tells another instance, and takes in what it answers. It tells whether it
 // answered.
-func (b *Blocklist) exchange(ctx context.Context, address string, m exchange) bool {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+func (b *Blocklist) exchange(running context.Context, address string, m exchange) bool {
+	ctx, cancel := context.WithTimeout(running, exchangeTimeout)
 	defer cancel()
 	var answer exchange
 	body, err := msgpack.Marshal(&m)
@@ -169,7 +169,7 @@
 		err = msgpack.Unmarshal(body, &answer)
 	}
 	if err != nil {
-		if !errors.Is(err, peer.ErrNoMethod) && ctx.Err() == nil {
+		if !errors.Is(err, peer.ErrNoMethod) && running.Err() == nil {
 			telemetry.ErrorS(err, "Records of crashes were not exchanged", telemetry.Event{Peer: address})
 		}
 		return false
--- a/daemon/blocklist/trial.go
+++ b/daemon/blocklist/trial.go
@@ -35,13 +35,31 @@
 	if v.State != quarantine.OnTrial {
 		return v
 	}
-	if b.askTrial(ctx, digest, left) {
+	if !b.wasDenied(digest) && b.askTrial(ctx, digest, left) {
 		return v
 	}
+	b.deny(digest)
 	v.State, v.Left = quarantine.Blocked, askAgain
 	return v
 }
 
+// wasDenied tells whether a trial of the request was denied within the last askAgain, so that
+// a request that comes often doesn't ask each time.
+func (b *Blocklist) wasDenied(digest quarantine.Digest) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.denied[digest])
+}
+
+func (b *Blocklist) deny(digest quarantine.Digest) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !now.Before(b.denied[digest]) {
+		b.denied[digest] = now.Add(askAgain)
+	}
+}
+
 // askTrial asks the instance that decides on trials of a request.
 func (b *Blocklist) askTrial(ctx context.Context, digest quarantine.Digest, left time.Duration) bool {
 	left = min(max(left, 0), maxTrial)
--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -72,6 +72,6 @@
 		return
 	}
 	for i := range gather.MaxCrashes {
-		q.relay.options.Blocklist.Crashed(q.digest(), fmt.Sprintf("stages of %s, %d", q.call.ID, i+1))
+		q.relay.options.Blocklist.Crashed(q.digest(), fmt.Sprintf("stages of %.32s, %d", q.call.ID, i+1))
 	}
 }
