Know repeats of a request also under another spelling of its host

Cause, by reading: the digest took the Host header as it came, so a port or another case made a repeat another request, with three crashes of its own. Change: the host is that of the route.

--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -22,7 +22,7 @@
 // called before the body was read.
 func (q *request) digest() quarantine.Digest {
 	if q.content == nil {
-		content := quarantine.DigestOf(q.r.Host, q.r.URL.RequestURI(), q.account, q.body)
+		content := quarantine.DigestOf(q.route.Host, q.r.URL.RequestURI(), q.account, q.body)
 		q.content = &content
 	}
 	return *q.content
