Keep requests of one id apart

What callers saw: of requests sent at the same time under one id, one was answered from the results of another's stages, and others waited to their deadline. Cause: the stage queue, the relay's list of those that wait and the words that free results know a request by the id that its caller chose, and a second one took the first one's place. Change: an instance denies (400) a request under an id that is in progress there, and the holder of the queue one whose route, key or pieces aren't those of the request that it has under the id. Whoever is denied frees nothing. Ruled out: keys of our own for the queue (the id on the wire to targets has to stay, and a holder of the version before would send the key); 503, which says that the id has not run. Not covered: two requests without stages at two instances run under one id, each on a connection of its own; two with the same key and pieces share their stages, as a request does that is asked for again.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -177,6 +177,13 @@
 	return p.flush()
 }
 
+// HasOther tells whether the planner holds another request under the id of this one. One
+// that is asked for again, on its way with the queue or for a second attempt, is the same.
+func (p *Planner) HasOther(r Request) bool {
+	w := p.works[r.ID]
+	return w != nil && !(w.Route == r.Route && w.Key == r.Key && slices.Equal(w.Request.pieces(), r.pieces()))
+}
+
 // Drop forgets a request: its caller left, or its results have been read. What
 // it still holds is freed.
 func (p *Planner) Drop(_ time.Time, id string) []Action {
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -57,6 +57,15 @@
 	DataCentre string
 }
 
+// pieces returns the number of pieces of each stage.
+func (r Request) pieces() []int {
+	pieces := make([]int, len(r.Stages))
+	for i, s := range r.Stages {
+		pieces[i] = s.Pieces
+	}
+	return pieces
+}
+
 // PieceOrder is one piece of a call.
 type PieceOrder struct {
 	Request string
@@ -185,6 +194,8 @@
 	// ReasonCrashes tells that targets ended under calls of its pieces, the last of them
 	// under one that had no others.
 	ReasonCrashes Reason = "crashes_stage_targets"
+	// ReasonIDInUse tells that another request has the id.
+	ReasonIDInUse Reason = "id_in_use"
 	// ReasonBound tells that the planner holds all requests that it may.
 	ReasonBound Reason = "too_many_requests"
 	// ReasonStopping tells that it won't be done before its asker's planned stop.
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/sse"
@@ -241,6 +242,8 @@
 	stopped := errors.Is(err, errNoTimeToSend) || errors.Is(err, errStopOver)
 	late := errors.Is(err, errDeadline) || ctx.Err() != nil
 	switch {
+	case isIDInUse(err) && !q.mayHaveRun:
+		q.deny(http.StatusBadRequest, idInUse)
 	case stopped && !q.mayHaveRun:
 		q.refuse("stopping", minRetryAfter)
 	case stopped:
@@ -262,6 +265,12 @@
 	}
 }
 
+// isIDInUse tells whether the holder of the stage queue has another request of the id.
+func isIDInUse(err error) bool {
+	var refused *stages.RefusedError
+	return errors.As(err, &refused) && refused.Reason == gather.ReasonIDInUse
+}
+
 // reasonCrashes is the reason of a refusal since the request crashes targets.
 const reasonCrashes = "crashes_targets"
 
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -152,6 +152,9 @@
 		q.handles = []string{}
 	}
 	q.noteStages(err)
+	if isIDInUse(err) {
+		q.owner = "" // what the holder has under the id is another request's
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errNoTimeToSend) {
 		return errNoTimeToSend
 	}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -79,13 +79,14 @@
 	stopping  *stopping
 	durations *durations
 	waiting   *waiting
+	ids       *ids
 	started   time.Time
 	inFlight  atomic.Int64
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations(), waiting: newWaiting(), started: time.Now()}
+	return &Relay{options: o, metrics: newMetrics(o.Scope), stopping: newStopping(), durations: newDurations(), waiting: newWaiting(), ids: newIDs(), started: time.Now()}
 }
 
 // InFlight returns the number of requests without their final answer.
@@ -122,10 +123,12 @@
 
 // request is one request on its way.
 type request struct {
-	relay   *Relay
-	w       http.ResponseWriter
-	r       *http.Request
-	call    exchange.Call
+	relay *Relay
+	w     http.ResponseWriter
+	r     *http.Request
+	call  exchange.Call
+	// hasID tells that the request's id is its own while it is in progress.
+	hasID   bool
 	route   *routes.Route
 	account string
 	// priority is the account's or the route's; 0 goes first.
@@ -189,6 +192,7 @@
 	q := &request{relay: s, w: w, r: r, arrived: time.Now(), head: inbound.HeadTime(r.Context())}
 	ctx, release := q.untilStopped(r.Context())
 	defer release()
+	defer q.giveBackID()
 	if !q.accept(ctx) {
 		return
 	}
@@ -230,6 +234,10 @@
 		q.deny(http.StatusBadRequest, "the request has no id")
 		return false
 	}
+	if q.hasID = q.relay.ids.take(q.call.ID); !q.hasID {
+		q.deny(http.StatusBadRequest, idInUse)
+		return false
+	}
 	if status := q.authorize(table); status != 0 {
 		// A version that allows the request may be a moment old.
 		q.relay.options.Confirm(ctx)
@@ -250,6 +258,15 @@
 	return q.readBody(table.Limits.BodyBytes)
 }
 
+// idInUse denies a request under the id of another one that is in progress.
+const idInUse = "the id is that of another request in progress"
+
+func (q *request) giveBackID() {
+	if q.hasID {
+		q.relay.ids.giveBack(q.call.ID)
+	}
+}
+
 // authorize finds the route and the client account. It returns the status of a
 // denial, or 0.
 func (q *request) authorize(table *routes.Table) int {
--- a/daemon/stages/owner.go
+++ b/daemon/stages/owner.go
@@ -175,6 +175,11 @@
 		o.mu.Unlock()
 		return done, nil
 	}
+	if o.planner.HasOther(r) {
+		done <- outcome{refused: &gather.Refused{Request: r.ID, Reason: gather.ReasonIDInUse}}
+		o.mu.Unlock()
+		return done, nil
+	}
 	_, taken := o.unclaimed[r.ID]
 	_, asked := o.waiting[r.ID]
 	taken = taken || asked
