Count a crash of a target that started again unheard

Change: an instance that sees the same start end again later than 200 ms after the first counts another crash; whether a target was to leave is asked by its name, whichever its start. Ruled out: crashes by name and time among instances (ages are not exact, so that records wouldn't merge in any order).

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -9,6 +10,8 @@
 type Config struct {
 	// Crashes is how many crashes block a request.
 	Crashes int
+	// Restart is the least time between the ends of one target that starts again.
+	Restart time.Duration
 	// Trust is how long a request that ended well isn't blamed for crashes, at least: it is
 	// in progress at many targets, and one event may end them all.
 	Trust time.Duration
@@ -30,6 +33,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Crashes:     3,
+		Restart:     200 * time.Millisecond,
 		Trust:       5 * time.Second,
 		MaxTrusted:  4096,
 		Hold:        30 * time.Second,
@@ -113,6 +117,8 @@
 	at      time.Time
 	cleared bool
 	copies  int
+	// seen tells that this instance saw the crash itself.
+	seen bool
 }
 
 // New returns a table without records.
@@ -126,7 +132,42 @@
 // Crashed records a crash that this instance saw, unless the request ended well here
 // lately. It tells whether it is news.
 func (t *Table) Crashed(now time.Time, digest Digest, target string) bool {
-	return !t.trusted.has(now, digest) && t.put(now, Crash{Digest: digest, Target: target})
+	if t.trusted.has(now, digest) {
+		return false
+	}
+	target = t.unseen(now, digest, target)
+	news := t.put(now, Crash{Digest: digest, Target: target})
+	if known := t.find(digest, target); known != nil {
+		known.seen = true
+	}
+	return news
+}
+
+// unseen returns the name of a crash that this instance hasn't recorded a while ago. A target
+// that it saw end then has started again, and it hasn't heard of the new start.
+func (t *Table) unseen(now time.Time, digest Digest, target string) string {
+	name := target
+	for n := 2; ; n++ {
+		known := t.find(digest, name)
+		if known == nil || !known.seen || now.Sub(known.at) < t.config.Restart {
+			return name
+		}
+		name = fmt.Sprintf("%s, %d", target, n)
+	}
+}
+
+// find returns the record of a crash, or nil.
+func (t *Table) find(digest Digest, target string) *record {
+	r := t.requests[digest]
+	if r == nil {
+		return nil
+	}
+	for _, known := range r.crashes {
+		if known.target == target {
+			return known
+		}
+	}
+	return nil
 }
 
 // Merge takes in a record of another instance. It tells whether it is news.
@@ -150,10 +191,7 @@
 		r = &request{}
 		t.requests[c.Digest] = r
 	}
-	for _, known := range r.crashes {
-		if known.target != c.Target {
-			continue
-		}
+	if known := t.find(c.Digest, c.Target); known != nil {
 		if known.cleared || !c.Cleared {
 			return false
 		}
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -241,3 +241,19 @@
 	}
 	require.Equal(t, a.Judge(latest, suspect), b.Judge(latest, suspect))
 }
+
+// TestTargetThatStartedAgainCrashesAgain guards against crashes that count as one since the
+// instance hasn't heard that the target started again.
+func TestTargetThatStartedAgainCrashesAgain(t *testing.T) {
+	c := DefaultConfig()
+	table, other := New(c), New(c)
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * c.Restart)
+		require.True(t, table.Crashed(at, suspect, "target"))
+		require.False(t, table.Crashed(at.Add(c.Restart-1), suspect, "target"), "another attempt at the same end")
+	}
+	now := start.Add(3 * c.Restart)
+	require.Equal(t, Blocked, table.Judge(now, suspect).State)
+	other.Merge(now, Crash{Digest: suspect, Target: "target", Age: time.Second})
+	require.False(t, other.Crashed(now, suspect, "target"), "only what it saw itself tells of two ends")
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -96,8 +96,8 @@
 	draining atomic.Bool
 	// shutdown are the times of a planned stop, as last read.
 	shutdown atomic.Pointer[settings.Shutdown]
-	// inUse are the incarnations of the targets in use.
-	inUse atomic.Pointer[map[string]bool]
+	// inUse are the incarnations of the targets in use, namesInUse their names.
+	inUse, namesInUse atomic.Pointer[map[string]bool]
 	// shares are, by service, the shares of its targets that data centres have.
 	shares atomic.Pointer[map[string]map[string]float64]
 }
@@ -163,7 +163,7 @@
 		Budgets:    retrybudget.New(g.retryConfig()),
 		Blocklist:  g.blocklist,
 		Leaving:    g.follower.Leaving,
-		InUse:      g.isInUse,
+		InUse:      func(name string) bool { return has(&g.namesInUse, name) },
 		Tracer:     t.Tracer,
 		Scope:      t.Scope,
 	})
@@ -245,12 +245,12 @@
 
 // setTargets hands the targets to those who use them.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
-	inUse := map[string]bool{}
+	inUse, names := map[string]bool{}, map[string]bool{}
 	shares := map[string]map[string]float64{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
-			inUse[t.Incarnation()] = true
+			inUse[t.Incarnation()], names[t.Name] = true, true
 			if shares[name] == nil {
 				shares[name] = map[string]float64{}
 			}
@@ -267,6 +267,7 @@
 	}
 	g.stages.SetTargets(now, table, usable)
 	g.inUse.Store(&inUse)
+	g.namesInUse.Store(&names)
 	g.shares.Store(&shares)
 }
 
@@ -314,10 +315,10 @@
 	return mux
 }
 
-// isInUse tells whether a target may take something new.
-func (g *Gateway) isInUse(incarnation string) bool {
-	inUse := g.inUse.Load()
-	return inUse != nil && (*inUse)[incarnation]
+// has tells whether a set that is replaced as a whole holds a text.
+func has(set *atomic.Pointer[map[string]bool], text string) bool {
+	texts := set.Load()
+	return texts != nil && (*texts)[text]
 }
 
 // sweepIdle closes connections that are of no use any more.
@@ -329,7 +330,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			g.client.CloseIdle(g.isInUse)
+			g.client.CloseIdle(func(process string) bool { return has(&g.inUse, process) })
 		}
 	}
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -67,7 +67,7 @@
 	if q.tooLateToSend(started) {
 		return false, errNoTimeToSend
 	}
-	q.target, q.address = choice.Target.Incarnation, choice.Target.Address
+	q.target, q.targetName, q.address = choice.Target.Incarnation, choice.Target.Name, choice.Target.Address
 	q.known = q.relay.options.Known()
 	q.parts.sent = started
 	handle := q.relay.options.Router.Started(started, q.target, 1)
--- a/daemon/relay/content.go
+++ b/daemon/relay/content.go
@@ -58,7 +58,7 @@
 		known.EndedWell(q.digest())
 	case f != nil && f.broken && forward.NothingListens(ctx, q.address):
 		f.nothingListens = true
-		if q.relay.options.InUse(q.target) {
+		if q.relay.options.InUse(q.targetName) {
 			known.Crashed(q.digest(), q.target)
 		}
 	}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -65,8 +65,8 @@
 	Blocklist blocklist.Records
 	// Leaving is told of a target that takes nothing new.
 	Leaving func(incarnation string)
-	// InUse tells whether a target may take something new.
-	InUse  func(incarnation string) bool
+	// InUse tells whether a target of the name may take something new, whichever its start.
+	InUse  func(name string) bool
 	Tracer trace.Tracer
 	Scope  tally.Scope
 }
@@ -155,8 +155,9 @@
 	excluded      []string
 	// paid tells that the budget has given the next attempt.
 	paid atomic.Bool
-	// target is the incarnation of the latest attempt's target, address where it listens.
-	target, address string
+	// target is the incarnation of the latest attempt's target, targetName its name whichever
+	// its start, address where it listens.
+	target, targetName, address string
 	// known is how old the knowledge was by which the target was chosen.
 	known time.Duration
 	// stage results
