--- a/daemon/blocklist/messages.go
+++ b/daemon/blocklist/messages.go
@@ -20,14 +20,13 @@
 	Crashes []crashMessage
 }
 
-// crashMessage is one record.
+// crashMessage is one record. Its fields have names on the wire, so that a later version may
+// add some.
 type crashMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Digest    []byte
-	Target    string
-	AgeMillis uint32
-	Cleared   bool
+	Digest    []byte `msgpack:"d"`
+	Target    string `msgpack:"t"`
+	AgeMillis uint32 `msgpack:"a"`
+	Cleared   bool   `msgpack:"c"`
 }
 
 func encodeCrashes(crashes []quarantine.Crash) []crashMessage {
