Let a lone instance's first requests wait for no other

Change: the list counts only those that aren't this instance, in any run. Tests: TestLoneInstanceAwaitsNoPeer, TestInstanceAwaitsAPeer.

--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -158,9 +158,9 @@
 }
 
 // AwaitPeer waits until this instance knows another one, or the context ends. It doesn't
-// wait where the platform's list names none.
+// wait where the platform's list names no other.
 func (c *Cluster) AwaitPeer(ctx context.Context) {
-	if c.Listed(ctx) == 0 {
+	if c.Listed(ctx); c.listedOthers.Load() == 0 {
 		return
 	}
 	_ = c.WaitView(ctx, func(v *membership.View) bool { return len(v.Live()) > 1 }) // the context bounds it
--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -79,6 +79,8 @@
 	view atomic.Pointer[membership.View]
 	// listed is how many instances the platform's list last named.
 	listed atomic.Int64
+	// listedOthers is how many of these aren't this instance, in any of its runs.
+	listedOthers atomic.Int64
 	// listTried is closed once the list was asked for, with an answer or without.
 	listTried chan struct{}
 	listDone  sync.Once
@@ -307,6 +309,7 @@
 	}
 	if err == nil {
 		c.listed.Store(int64(len(listed)))
+		c.listedOthers.Store(int64(c.others(listed)))
 	}
 	seeds = append(seeds, listed...)
 	now := time.Now()
@@ -321,6 +324,17 @@
 	return err == nil
 }
 
+// others counts the members that aren't this instance.
+func (c *Cluster) others(members []membership.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Name != c.opts.Transport.Self.Name {
+			n++
+		}
+	}
+	return n
+}
+
 // list asks the platform for its list, within ListRetry.
 func (c *Cluster) list() ([]membership.Member, error) {
 	if c.opts.ListInstances == nil {
--- a/daemon/cluster/cluster_test.go
+++ b/daemon/cluster/cluster_test.go
@@ -293,6 +293,31 @@
 	require.GreaterOrEqual(t, calls.Load(), int64(3))
 }
 
+// TestLoneInstanceAwaitsNoPeer guards against an instance that lets its first requests wait
+// for others, since the platform lists its own run of before.
+func TestLoneInstanceAwaitsNoPeer(t *testing.T) {
+	alone := start(t, "i000", 2, "127.0.0.1:0", func(o *Options) {
+		o.ListInstances = func(context.Context) ([]membership.Member, error) {
+			return []membership.Member{{Name: "i000", Address: "127.0.0.1:1", Incarnation: 1}}, nil
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	alone.AwaitPeer(ctx)
+	require.NoError(t, ctx.Err())
+}
+
+// TestInstanceAwaitsAPeer guards against an instance that doesn't wait for those that the
+// platform lists.
+func TestInstanceAwaitsAPeer(t *testing.T) {
+	a := start(t, "i000", 1, "127.0.0.1:0", nil)
+	b := start(t, "i001", 1, "127.0.0.1:0", func(o *Options) {
+		o.ListInstances = func(context.Context) ([]membership.Member, error) { return []membership.Member{a.Self()}, nil }
+	})
+	b.AwaitPeer(t.Context())
+	require.Len(t, b.View().Live(), 2)
+}
+
 // BenchmarkCluster prints what an instance sends and the processor time of the
 // whole process by instance, for one period with the default periods, while all report their load.
 func BenchmarkCluster(b *testing.B) {
