Share the begin and the end of the tests of the blocklist

Cause, by the read-through: five tests began and ended a fleet in virtual time with the same lines, and nothing said that their sleeps are virtual. Change: one function; what is asserted is the same. One comment of the table says what it orders.

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -231,7 +231,7 @@
 	delete(t.requests, least)
 }
 
-// worthLess tells whether less is lost with the records of a than with those of b.
+// worthLess orders requests by their crashes, then by the time of the latest one.
 func worthLess(a, b *request) bool {
 	if x, y := a.count(), b.count(); x != y {
 		return x < y
--- a/daemon/blocklist/blocklist_test.go
+++ b/daemon/blocklist/blocklist_test.go
@@ -124,6 +124,16 @@
 
 func (m *member) AwaitPeer(context.Context) {}
 
+// playFleet plays a fleet in virtual time, in which all sleeps of these tests are.
+func playFleet(t *testing.T, n int, lost int64, play func(ctx context.Context, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		play(ctx, newFleet(ctx, n, lost))
+	})
+}
+
 // crash records so many crashes of the request, a second apart, each at another instance.
 func (f *fleet) crash(n int) {
 	for i := range n {
@@ -148,18 +158,13 @@
 func TestNewsReachesAllInstances(t *testing.T) {
 	for _, size := range []int{2, 8, 60, 295} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				f := newFleet(ctx, size, 10)
+			playFleet(t, size, 10, func(ctx context.Context, f *fleet) {
 				f.crash(3)
 				time.Sleep(heardWithin)
 				require.Equal(t, size, f.blocked())
 				f.instances["at-0"].EndedWell(digest)
 				time.Sleep(heardWithin)
 				require.Zero(t, f.blocked())
-				cancel()
-				synctest.Wait()
 			})
 		})
 	}
@@ -167,43 +172,30 @@
 
 // TestNothingIsSentWithoutCrashes guards against a cost where no target crashes.
 func TestNothingIsSentWithoutCrashes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		f := newFleet(ctx, 8, 0)
+	playFleet(t, 8, 0, func(ctx context.Context, f *fleet) {
 		time.Sleep(time.Minute)
 		before := f.calls.Load()
 		time.Sleep(time.Hour)
 		require.Equal(t, before, f.calls.Load())
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // TestInstanceThatJoinsHasHeard guards against an instance that serves its first requests
 // before it knows what the others refuse.
 func TestInstanceThatJoinsHasHeard(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		f := newFleet(ctx, 8, 0)
+	playFleet(t, 8, 0, func(ctx context.Context, f *fleet) {
 		f.crash(3)
 		time.Sleep(heardWithin)
 		joined := f.add(ctx)
 		joined.AwaitHeard(ctx)
 		require.Equal(t, quarantine.Blocked, joined.Judge(digest).State)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // TestInstanceThatWasCutOffHears guards against an instance that missed all news, and knows
 // of nothing to ask for.
 func TestInstanceThatWasCutOffHears(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		f := newFleet(ctx, 8, 0)
+	playFleet(t, 8, 0, func(ctx context.Context, f *fleet) {
 		cut := "at-7"
 		f.cut.Store(&cut)
 		f.crash(3)
@@ -212,18 +204,13 @@
 		f.cut.Store(nil)
 		time.Sleep(heardWithin)
 		require.Equal(t, 1, f.instances[cut].table.Len())
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // TestBlockEndsByOneRun guards against a block that never ends, and against many runs at
 // once as it ends.
 func TestBlockEndsByOneRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		f := newFleet(ctx, 1, 0)
+	playFleet(t, 1, 0, func(ctx context.Context, f *fleet) {
 		f.crash(3)
 		only := f.instances["at-0"]
 		require.Equal(t, quarantine.Blocked, only.Admit(ctx, digest, time.Second).State)
@@ -234,8 +221,6 @@
 		require.Positive(t, second.Left, "its caller is told when to come back")
 		only.EndedWell(digest)
 		require.Equal(t, quarantine.Allowed, only.Admit(ctx, digest, time.Second).State)
-		cancel()
-		synctest.Wait()
 	})
 }
 
