Isolate the clusters of scenarios and give attempts of tests their own IDs

Cause: four tests failed once or in some of many plays beside other work. orders-store-down: all scenarios used one cluster name and free ports of the machine, so an instance that got the port of an ended one could take part in that one's cluster, and a member more competes for leases. Such members were seen in logs of failing trials before. TestBrokenConnectionIsNotACrash: all jobs of the rig had one ID, so a late cancel of an attempt ended the next job's.

Change: each scenario has a cluster name of its own; the rig numbers its jobs; the trace test leaves out only spans with an error whose attempt no target received. Each received attempt still needs its spans.

--- a/daemon/app/trace_test.go
+++ b/daemon/app/trace_test.go
@@ -49,8 +49,10 @@
 	}
 }
 
-// paths counts the spans of a trace by their path from the caller.
-func (s *spans) paths(id trace.TraceID, caller trace.SpanID) map[string]int {
+// paths counts the spans of a trace by their path from the caller. It leaves out the spans of
+// attempts that failed before a target received them, such as the loser of a hedge that was
+// cancelled while it connected.
+func (s *spans) paths(id trace.TraceID, caller trace.SpanID, received func(attempt string) bool) map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	byID := map[string]*otlp.Span{}
@@ -59,6 +61,9 @@
 	}
 	paths := map[string]int{}
 	for _, span := range byID {
+		if span.Status.GetCode() == otlp.Status_STATUS_CODE_ERROR && span.Name == "target.run" && !received(attemptID(span)) {
+			continue
+		}
 		path := span.Name
 		for byID[string(span.ParentSpanId)] != nil {
 			span = byID[string(span.ParentSpanId)]
@@ -72,6 +77,16 @@
 	return paths
 }
 
+// attemptID returns the ID of the attempt that a span is for.
+func attemptID(span *otlp.Span) string {
+	for _, attribute := range span.Attributes {
+		if attribute.Key == "ivyhollow.attempt_id" {
+			return attribute.Value.GetStringValue()
+		}
+	}
+	return ""
+}
+
 // tracedTargets wraps targets so that they continue the trace of each call. Depending on
 // the mode, it also refuses the first attempt of "rerank", which is then retried, or blocks
 // the first attempt of "retrieve", which is then hedged.
@@ -80,15 +95,16 @@
 	mode   string
 
 	mu sync.Mutex
-	// received counts the attempts received in this mode, by stage.
-	received map[string]int
+	// received counts the attempts received in this mode, by stage; receivedIDs has their IDs.
+	received    map[string]int
+	receivedIDs map[string]bool
 }
 
 // begin starts a mode.
 func (tt *tracedTargets) begin(mode string) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
-	tt.mode, tt.received = mode, map[string]int{}
+	tt.mode, tt.received, tt.receivedIDs = mode, map[string]int{}, map[string]bool{}
 }
 
 // record counts an attempt, whose id ends with stage and number, and returns the mode.
@@ -97,9 +113,16 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	tt.received[parts[max(len(parts)-2, 0)]]++
+	tt.receivedIDs[id] = true
 	return tt.mode
 }
 
+func (tt *tracedTargets) receivedAttempt(id string) bool {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	return tt.receivedIDs[id]
+}
+
 func (tt *tracedTargets) attempts(stage string) int {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
@@ -169,7 +192,7 @@
 				want[path+" > target.run > target"] = attempts
 			}
 			require.NoError(c, provider.ForceFlush(context.Background()))
-			require.Equal(c, want, got.paths(id.TraceID(), id.SpanID()), mode)
+			require.Equal(c, want, got.paths(id.TraceID(), id.SpanID(), targets.receivedAttempt), mode)
 		}, 20*time.Second, 20*time.Millisecond)
 	}
 }
--- a/daemon/execute/rig_test.go
+++ b/daemon/execute/rig_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,9 +88,13 @@
 	}
 }
 
+// jobs numbers the jobs of all rigs. Attempts of two jobs of one ID would have the same ID, and
+// the late cancellation of the first would end the second.
+var jobs atomic.Int64
+
 func (r *rig) job(p *catalog.Pipeline, within time.Duration) Job {
 	return Job{
-		ID: "test.1.1", Pipeline: p, Tier: &catalog.Tier{Name: "gold"}, Input: "in",
+		ID: fmt.Sprintf("test.1.%d", jobs.Add(1)), Pipeline: p, Tier: &catalog.Tier{Name: "gold"}, Input: "in",
 		Deadline: time.Now().Add(within),
 	}
 }
--- a/testkit/scenario/testbed.go
+++ b/testkit/scenario/testbed.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,6 +26,10 @@
 // testbed holds the processes of one scenario.
 type testbed struct {
 	directory string
+	// cluster differs for each scenario. An instance that got the port of an ended instance of
+	// another scenario, or of another run, would otherwise join that one's cluster: a member
+	// more, which competes for leases and raises their fencing numbers.
+	cluster   string
 	processes map[string]*process
 	platform  string
 	// targets names the started targets, in order.
@@ -48,6 +54,7 @@
 func Setup(env *testscript.Env) error {
 	tb := &testbed{
 		directory: env.WorkDir,
+		cluster:   "scenario-" + strconv.FormatUint(rand.Uint64(), 36),
 		processes: make(map[string]*process),
 		listed:    make(map[string]platformapi.TargetEntry),
 		relays:    make(map[string]*relay.Relay),
@@ -202,6 +209,7 @@
 	text := fmt.Sprintf(`[instance]
 name = %s
 data_centre = %s
+cluster = %s
 [listen]
 callers = 127.0.0.1:0
 peers = 127.0.0.1:0
@@ -211,7 +219,7 @@
 timeout = 1s
 %s
 %s
-`, name, dataCentre, platformURL, shutdown, strings.Join(extra, "\n"))
+`, name, dataCentre, tb.cluster, platformURL, shutdown, strings.Join(extra, "\n"))
 	path := filepath.Join(tb.directory, name+".ini")
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
