Don't count a target's remaining warm-up as a change of its entry

Cause: a cold target writes its remaining warm-up with each heartbeat. Each such entry counted as a change, so every instance published all its targets again: with the 47 targets of a data centre that come back cold, some 40 times a second for three seconds, and nothing that is published depends on the warm-up.

Ruled out: not to keep the warm-up at all; the field stays checked and known.

Change: an entry that differs by the warm-up alone updates what is known and is no change.

TestRemainingWarmupIsNoChange fails without it.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -92,8 +92,8 @@
 	if t.Leaving {
 		r.MarkLeaving(t.Incarnation())
 	}
-	if e != nil && e.removedAt.IsZero() && e.target == t {
-		e.revision = revision
+	if e != nil && e.removedAt.IsZero() && sameTarget(e.target, t) {
+		e.target, e.revision = t, revision
 		return false
 	}
 	r.entries[t.Name] = &entry{target: t, revision: revision}
@@ -101,6 +101,13 @@
 	return true
 }
 
+// sameTarget reports whether two entries are alike but for the remaining warm-up. It changes with
+// each report of a cold target, and nothing that is published depends on it.
+func sameTarget(a, b routes.Target) bool {
+	a.WarmupRemaining = b.WarmupRemaining
+	return a == b
+}
+
 // recordStart records the latest start of a name.
 func (r *Roster) recordStart(t routes.Target) {
 	if t.StartedMillis == 0 {
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -209,3 +209,22 @@
 	require.False(t, r.KnowsStart("0"))
 	require.True(t, r.KnowsStart(strconv.Itoa(maxStarts)))
 }
+
+// A whole data centre comes back cold, and each target reports its remaining warm-up with every
+// heartbeat. If each report counted as a change, every instance would publish all targets tens of
+// times a second.
+func TestRemainingWarmupIsNoChange(t *testing.T) {
+	r := New()
+	cold := target("a")
+	cold.WarmupRemaining = 3 * time.Second
+	require.True(t, r.Put(cold, 1))
+	require.True(t, r.TakeChanged())
+	cold.WarmupRemaining = time.Second
+	require.False(t, r.Put(cold, 2))
+	require.False(t, r.TakeChanged())
+	require.Equal(t, time.Second, r.Usable()["s"][0].WarmupRemaining)
+	cold.Leaving = true
+	require.True(t, r.Put(cold, 3))
+	require.Empty(t, usable(r))
+	require.False(t, r.Remove(start, "a", 2), "the revision is the latest")
+}
