Follow the operators' drains of data centres

Cause: nothing read the operators' records that ask for a data centre to be emptied.

Change: drains are a third part of what is followed, with the watchers, gossip and freshness of the other two. coordination/dcdrain decides which data centres are drained, by revisions alone, in any order of arrival. The follower publishes no target of a drained data centre, and none at all before it has listed the drains; the instance isn't ready before. What is on its way to a send is checked again just before the first byte, for requests and for stage calls. After a failure the drains wait for another part's call to show the store's return, for 2 s (6 s on an instance that is no watcher). Setting [platform] data_centre_drains; GET /drains; lines and a metric.

On a platform of mixed versions the old ones don't follow drains.

--- a/coordination/watching/watching.go
+++ b/coordination/watching/watching.go
@@ -12,7 +12,11 @@
 // Tracker is a pure state machine: time is an argument. It is not safe for concurrent use.
 package watching
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Part is the part of the store's content that one watch follows.
 type Part string
@@ -21,6 +25,8 @@
 const (
 	Configuration Part = "configuration"
 	Targets       Part = "targets"
+	// Drains are the drains of data centres. Only some platforms have them.
+	Drains Part = "drains"
 )
 
 // Timeouts of watches, and limits for the reports of other instances.
@@ -94,11 +100,18 @@
 	failures int
 }
 
-// New returns a tracker for an instance that is the first watcher.
-func New() *Tracker {
-	return &Tracker{parts: map[Part]*watch{Configuration: {}, Targets: {}}}
+// New returns a tracker of the parts for an instance that is the first watcher.
+func New(parts ...Part) *Tracker {
+	t := &Tracker{parts: map[Part]*watch{}}
+	for _, part := range parts {
+		t.parts[part] = &watch{}
+	}
+	return t
 }
 
+// Parts returns the parts that are followed.
+func (t *Tracker) Parts() []Part { return slices.Sorted(maps.Keys(t.parts)) }
+
 // SetRank sets this instance's rank among the watchers: 0 for the first, NoRank for an
 // instance that leaves watching to others.
 func (t *Tracker) SetRank(rank int) { t.rank = rank }
--- a/coordination/watching/watching_test.go
+++ b/coordination/watching/watching_test.go
@@ -14,7 +14,7 @@
 // newHealthyTracker returns a tracker with the given rank. At start it has received the
 // store's responses for both parts.
 func newHealthyTracker(rank int) *Tracker {
-	t := New()
+	t := New(Configuration, Targets)
 	t.SetRank(rank)
 	for _, part := range []Part{Configuration, Targets} {
 		t.BeginCall(at(-time.Millisecond), part)
@@ -161,8 +161,8 @@
 
 // A report has the age of the older part, and reports of others reduce the age.
 func TestAge(t *testing.T) {
-	require.Zero(t, New().Age(start, Targets))
-	require.False(t, New().Report(start).IsFresh(), "nothing is known")
+	require.Zero(t, New(Configuration, Targets).Age(start, Targets))
+	require.False(t, New(Configuration, Targets).Report(start).IsFresh(), "nothing is known")
 	tracker := newHealthyTracker(3)
 	tracker.BeginCall(start, Targets)
 	tracker.RecordResponse(at(time.Second), Targets)
--- a/daemon/follow/age.go
+++ b/daemon/follow/age.go
@@ -16,7 +16,7 @@
 
 // recordAges updates the metrics of the ages; mu is held.
 func (f *Follower) recordAges(now time.Time) {
-	for _, part := range []watching.Part{watching.Configuration, watching.Targets} {
+	for _, part := range f.tracker.Parts() {
 		scope := f.scope.Tagged(map[string]string{"kind": string(part)})
 		scope.Gauge("known_age").Update(f.tracker.Age(now, part).Seconds())
 	}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
+	"github.com/ivyhollow/ivyhollow/coordination/dcdrain"
 	"github.com/ivyhollow/ivyhollow/coordination/roster"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/coordination/watching"
@@ -32,24 +33,38 @@
 	// nonWatcherRetryMax replaces retryMax in an instance that isn't a watcher: the watchers
 	// retry too, and calls from many more instances to an unavailable store wouldn't help.
 	nonWatcherRetryMax = 2 * time.Second
+	// drainRetryPause replaces retryMax for the drains, whose bound is longer, and
+	// nonWatcherDrainRetryPause nonWatcherRetryMax.
+	drainRetryPause           = 2 * time.Second
+	nonWatcherDrainRetryPause = 6 * time.Second
 	// rosterInterval is the time between two checks for entries whose grace period is over.
 	rosterInterval = 200 * time.Millisecond
 )
 
+// Sources of changes, as logged.
+const (
+	sourceStore = "from the store"
+	sourcePeer  = "from a peer"
+)
+
 // Kinds of the gossiped records, and the name of the configuration's record.
 const (
 	recordConfig     = "config"
 	recordTarget     = "target"
 	recordLeaving    = "leaving"
+	recordDrain      = "drain"
 	recordConfigName = "current"
 )
 
 // Source describes where a platform keeps its configuration and targets, and how to decode
 // them.
 type Source struct {
-	ConfigKind   string
-	ConfigName   string
-	TargetKind   string
+	ConfigKind string
+	ConfigName string
+	TargetKind string
+	// DrainKind is the kind of the objects that request the drain of the data centre that they
+	// are named after; empty if the platform has none.
+	DrainKind    string
 	DecodeConfig func(spec []byte, revision uint64) (*routes.Table, error)
 	// DecodeTarget decodes the entry of a target. It returns an error for an incomplete entry,
 	// which names no target.
@@ -85,8 +100,14 @@
 	targetsListed atomic.Bool
 	ready         chan struct{}
 
+	// drainsListed is true once the drains have been listed.
+	drainsListed atomic.Bool
+	// usable holds the incarnations of the published targets.
+	usable atomic.Pointer[map[string]bool]
+
 	mu     sync.Mutex
 	roster *roster.Roster
+	drains *dcdrain.Set
 	// rejectionLog limits the logs of entries that name no target.
 	rejectionLog rejectionLog
 	// tracker decides how the store is watched.
@@ -106,9 +127,13 @@
 	if o.Fleet == nil {
 		o.Fleet = singleInstance{}
 	}
+	parts := []watching.Part{watching.Configuration, watching.Targets}
+	if o.Source.DrainKind != "" {
+		parts = append(parts, watching.Drains)
+	}
 	return &Follower{
-		ready: make(chan struct{}), options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(),
-		tracker: watching.New(), cancelCalls: map[watching.Part]context.CancelCauseFunc{},
+		ready: make(chan struct{}), options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), drains: dcdrain.New(),
+		tracker: watching.New(parts...), cancelCalls: map[watching.Part]context.CancelCauseFunc{},
 	}
 }
 
@@ -144,6 +169,11 @@
 	wg.Go(func() {
 		f.watchKind(ctx, watchedKind{watching.Targets, source.TargetKind, f.applyTargetEvent, f.applyTargetList})
 	})
+	if source.DrainKind != "" {
+		wg.Go(func() {
+			f.watchKind(ctx, watchedKind{watching.Drains, source.DrainKind, f.applyDrainEvent, f.applyDrainList})
+		})
+	}
 	wg.Go(func() { f.tickRoster(ctx) })
 	wg.Go(func() { f.pollWatchers(ctx) })
 	wg.Wait()
@@ -288,6 +318,10 @@
 	} else {
 		telemetry.ErrorS(err, "Store still doesn't answer", event)
 	}
+	if k.part == watching.Drains && f.drainsKnown() {
+		f.awaitRecovery(ctx, now)
+		return
+	}
 	maxPause := retryMax
 	if f.options.Fleet.Rank() == watching.NoRank {
 		maxPause = nonWatcherRetryMax
@@ -295,6 +329,26 @@
 	sleep(ctx, min(retryMin<<min(failed, 4), maxPause)+rand.N(retryMin))
 }
 
+// awaitRecovery waits until the store is known to have answered a call after a failure, here or at
+// another instance, at most for a pause. The other parts' calls show the recovery, so that the
+// drains needn't.
+func (f *Follower) awaitRecovery(ctx context.Context, failedAt time.Time) {
+	pause := drainRetryPause
+	if f.options.Fleet.Rank() == watching.NoRank {
+		pause = nonWatcherDrainRetryPause
+	}
+	until := failedAt.Add(pause + rand.N(retryMin))
+	for ctx.Err() == nil && time.Now().Before(until) {
+		sleep(ctx, retryMin)
+		f.mu.Lock()
+		recovered := f.tracker.Recovered().After(failedAt)
+		f.mu.Unlock()
+		if recovered {
+			return
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -349,9 +403,9 @@
 	f.publishTargetsFor(time.Now(), table)
 	f.table.Store(table)
 	f.markReady()
-	reason := "from a peer"
+	reason := sourcePeer
 	if direct {
-		reason = "from the store"
+		reason = sourceStore
 	}
 	telemetry.InfoS("Configuration in force", telemetry.Event{Revision: revision, Count: table.RouteCount(), Reason: reason})
 	return true
@@ -365,16 +419,24 @@
 	}
 }
 
-// publishTargetsFor publishes the usable targets with a configuration; mu is held.
+// publishTargetsFor publishes the usable targets with a configuration, once the drains are
+// known; mu is held.
 func (f *Follower) publishTargetsFor(now time.Time, table *routes.Table) {
+	if !f.drainsKnown() {
+		return
+	}
 	f.scope.Gauge("revision").Update(float64(table.Revision))
 	f.scope.Gauge("targets").Update(float64(f.roster.Len()))
-	f.options.OnChange(now, table, f.roster.Usable())
+	f.scope.Gauge("drained_data_centres").Update(float64(len(f.drains.Drains())))
+	usable := f.undrained(f.roster.Usable())
+	set := incarnations(usable)
+	f.usable.Store(&set)
+	f.options.OnChange(now, table, usable)
 }
 
 // markReady records that a configuration is in force and its targets have been published.
 func (f *Follower) markReady() {
-	if f.targetsListed.Load() && !f.Ready() {
+	if f.targetsListed.Load() && f.drainsKnown() && !f.Ready() {
 		close(f.ready)
 	}
 }
--- a/daemon/follow/targets.go
+++ b/daemon/follow/targets.go
@@ -172,6 +172,8 @@
 		f.applyConfig(r.Revision, r.Body, false)
 	case recordTarget:
 		f.applyPeerTarget(r)
+	case recordDrain:
+		f.applyDrain(r, sourcePeer)
 	case recordLeaving:
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -97,8 +98,8 @@
 	draining atomic.Bool
 	// shutdown holds the settings of the planned stop, as last loaded.
 	shutdown atomic.Pointer[settings.Shutdown]
-	// usedIncarnations holds the incarnations of the usable targets, usedNames their names.
-	usedIncarnations, usedNames atomic.Pointer[map[string]bool]
+	// usedNames holds the names of the usable targets.
+	usedNames atomic.Pointer[map[string]bool]
 	// shares holds, by service and data centre, the share of the service's usable targets
 	// that is in the data centre.
 	shares atomic.Pointer[map[string]map[string]float64]
@@ -133,8 +134,12 @@
 	}
 	g.client = forward.New()
 	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize})
+	source := p.Source
+	if !s.Platform.DataCentreDrains {
+		source.DrainKind = ""
+	}
 	g.follower = follow.New(follow.Options{
-		Store: store, Source: p.Source,
+		Store: store, Source: source,
 		Gossip:    g.cluster.Put,
 		OnChange:  g.setTargets,
 		OnLeaving: g.router.Leaving,
@@ -165,6 +170,7 @@
 		Budgets:      retrybudget.New(g.retryConfig()),
 		Blocklist:    g.blocklist,
 		OnLeaving:    g.follower.Leaving,
+		Usable:       g.follower.Usable,
 		InUse:        func(name string) bool { return contains(&g.usedNames, name) },
 		Tracer:       t.Tracer,
 		Scope:        t.Scope,
@@ -251,12 +257,12 @@
 
 // setTargets passes the usable targets on to the router and to the stages.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
-	inUse, names := map[string]bool{}, map[string]bool{}
+	names := map[string]bool{}
 	shares := map[string]map[string]float64{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
-			inUse[t.Incarnation()], names[t.Name] = true, true
+			names[t.Name] = true
 			if shares[name] == nil {
 				shares[name] = map[string]float64{}
 			}
@@ -272,7 +278,6 @@
 		}
 	}
 	g.stages.SetTargets(now, table, usable)
-	g.usedIncarnations.Store(&inUse)
 	g.usedNames.Store(&names)
 	g.shares.Store(&shares)
 }
@@ -319,9 +324,18 @@
 	})
 	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
 	mux.Handle("GET /quarantine", g.blocklist)
+	mux.HandleFunc("GET /drains", g.serveDrains)
 	return mux
 }
 
+// serveDrains lists the drains of data centres that are in force on this instance.
+func (g *Gateway) serveDrains(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(g.follower.Drains()); err != nil {
+		telemetry.ErrorS(err, "List of drains not sent", telemetry.Event{})
+	}
+}
+
 // contains reports whether a set has a member. The pointer is nil before the first set is
 // stored. A stored set is never changed, only replaced by another one.
 func contains(set *atomic.Pointer[map[string]bool], member string) bool {
@@ -338,7 +352,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			g.client.CloseIdle(func(process string) bool { return contains(&g.usedIncarnations, process) })
+			g.client.CloseIdle(g.follower.Usable)
 		}
 	}
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -310,7 +310,10 @@
 		}
 	})
 	defer silence.Stop()
-	options := forward.Options{Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle}
+	options := forward.Options{
+		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
+		Allowed: func() bool { return q.relay.usable(t.Incarnation) },
+	}
 	if !q.route.Repeatable() {
 		options.MaxIdle = forward.NonRepeatableMaxIdle
 	}
@@ -336,6 +339,11 @@
 	return q.forwardReply(ctx, reply, silence)
 }
 
+// usable reports whether a target may receive new work.
+func (s *Relay) usable(incarnation string) bool {
+	return s.options.Usable == nil || s.options.Usable(incarnation)
+}
+
 // noTimeout limits the silence of a target that no other one can replace: the request's own
 // deadline always comes first.
 const noTimeout = 24 * time.Hour
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -65,6 +65,8 @@
 	Blocklist blocklist.Records
 	// OnLeaving is called for a target that accepts no new work.
 	OnLeaving func(incarnation string)
+	// Usable reports whether an incarnation may receive new work; nil if each may.
+	Usable func(incarnation string) bool
 	// InUse reports whether a target of that name may receive new work, in any incarnation.
 	InUse  func(name string) bool
 	Tracer trace.Tracer
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -90,7 +90,12 @@
 	if err != nil {
 		return nil, gather.CallUnanswered, err
 	}
-	reply, err := q.client.Do(ctx, c.Target.Address, request, forward.Options{Incarnation: c.Target.Incarnation})
+	reply, err := q.client.Do(ctx, c.Target.Address, request, forward.Options{
+		Incarnation: c.Target.Incarnation, Allowed: func() bool { return q.follower.Usable(c.Target.Incarnation) },
+	})
+	if errors.Is(err, forward.ErrWithdrawn) {
+		return nil, gather.CallTargetFull, err
+	}
 	if err != nil {
 		return nil, gather.CallUnanswered, err
 	}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -60,6 +60,8 @@
 	Leaving(incarnation string)
 	// TargetsAge returns the age of the knowledge of the targets.
 	TargetsAge() time.Duration
+	// Usable reports whether an incarnation may receive new work.
+	Usable(incarnation string) bool
 }
 
 // Stages runs the stages of this instance's requests and, while it holds the queue, the stages
--- a/daemon/stages/transfer_test.go
+++ b/daemon/stages/transfer_test.go
@@ -92,6 +92,8 @@
 func (stubFollower) Leaving(string)            {}
 func (stubFollower) TargetsAge() time.Duration { return 0 }
 
+func (stubFollower) Usable(string) bool { return true }
+
 // Prevents a call to an idle target that was removed during a handover to an instance that
 // didn't accept the queue.
 func TestKeptQueueCallsNoRemovedTarget(t *testing.T) {
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -37,6 +37,7 @@
 		{"platform", "url", httpURL{&s.Platform.URL}, true},
 		{"platform", "timeout", duration{&s.Platform.Timeout, time.Millisecond, time.Minute}, true},
 		{"platform", "calls_per_second", float{&s.Platform.CallsPerSecond, 0.1, 10000}, true},
+		{"platform", "data_centre_drains", boolean{&s.Platform.DataCentreDrains}, true},
 
 		{"peers", "seeds", addressList{&s.Peers.Seeds}, false},
 		{"peers", "tls_cert", text{p: &s.Peers.TLSCert}, false},
@@ -69,5 +70,8 @@
 		{"retries", "share", float{&s.Retries.Share, 0, 1}, true},
 		{"retries", "slack", float{&s.Retries.Slack, 0, maxCount}, true},
 		{"retries", "window", duration{&s.Retries.Window, 100 * time.Millisecond, time.Hour}, true},
+
+		{"warmup", "overage", float{&s.Warmup.Overage, 0.001, maxCount}, true},
+		{"warmup", "slack", float{&s.Warmup.Slack, 0, maxCount}, true},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	Claims    Claims
 	Orders    Orders
 	Retries   Retries
+	Warmup    Warmup
 }
 
 // Instance identifies this instance.
@@ -56,6 +57,9 @@
 	// CallsPerSecond limits the reads of this instance, including retries. Writes
 	// have a separate limit, a fixed fraction of this one.
 	CallsPerSecond float64
+	// DataCentreDrains is true if operators may request the drain of a data centre by an
+	// object of the platform. Without it these objects aren't watched.
+	DataCentreDrains bool
 }
 
 // Peers configures how instances connect to and authenticate one another.
@@ -149,6 +153,14 @@
 	Window time.Duration
 }
 
+// Warmup limits the requests that all instances together send to one target in any second,
+// for services whose configuration has a rate that a cold target bears. The limit is that
+// rate times Overage, plus Slack.
+type Warmup struct {
+	Overage float64
+	Slack   float64
+}
+
 // Default returns the settings of an empty file. The required keys
 // (instance.name, instance.data_centre, platform.url) are empty.
 func Default() Settings {
@@ -174,5 +186,6 @@
 		Claims:    Claims{Retention: 24 * time.Hour},
 		Orders:    Orders{LongestOrder: 30 * time.Second},
 		Retries:   Retries{Share: 0.2, Slack: 50, Window: 10 * time.Second},
+		Warmup:    Warmup{Overage: 1},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -56,6 +56,7 @@
 url = https://platform:4/base
 timeout = 5ms
 calls_per_second = 2.5
+data_centre_drains = true
 [peers]
 seeds = 10.0.0.2:2, 10.0.0.3:2
 tls_cert = /c#1\
@@ -88,6 +89,9 @@
 share = 0.5
 slack = 13
 window = 14s
+[warmup]
+overage = 1.5
+slack = 15
 `
 	path := filepath.Join(t.TempDir(), "instance.ini")
 	require.NoError(t, os.WriteFile(path, []byte(file), 0o600))
@@ -96,7 +100,7 @@
 	require.Equal(t, Settings{
 		Instance:  Instance{"b", "dc-2", "c", 0.192},
 		Listen:    Listen{"10.0.0.1:1", "[fd00::1]:2", "0.0.0.0:3", "10.0.0.1:4"},
-		Platform:  Platform{"https://platform:4/base", 5 * time.Millisecond, 2.5},
+		Platform:  Platform{"https://platform:4/base", 5 * time.Millisecond, 2.5, true},
 		Peers:     Peers{[]string{"10.0.0.2:2", "10.0.0.3:2"}, `/c#1\`, "/k", "/a", true},
 		Limits:    Limits{1, 2048, 3 * time.Second, 4 * time.Second, 5, 6},
 		Routing:   Routing{7},
@@ -106,6 +110,7 @@
 		Claims:    Claims{11 * time.Hour},
 		Orders:    Orders{12 * time.Second},
 		Retries:   Retries{0.5, 13, 14 * time.Second},
+		Warmup:    Warmup{1.5, 15},
 	}, got)
 	require.True(t, got.Peers.TLS())
 }
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -22,9 +22,10 @@
 	Peer      string
 	AttemptID string
 	// Digest identifies the content of a request; it is the same for repeats.
-	Digest   string
-	Pipeline string
-	Pool     string
+	Digest     string
+	Pipeline   string
+	Pool       string
+	DataCentre string
 	// Record is a record of the platform, as kind/name.
 	Record   string
 	Revision uint64
@@ -59,7 +60,7 @@
 }
 
 // maxPairs is the maximum number of keys and values of an Event and an instance.
-const maxPairs = 2 * 26
+const maxPairs = 2 * 27
 
 // pairs returns the non-empty fields as alternating keys and values for klog.
 func (e *Event) pairs() []any {
@@ -72,6 +73,7 @@
 	kv = appendText(kv, "digest", e.Digest)
 	kv = appendText(kv, "pipeline", e.Pipeline)
 	kv = appendText(kv, "pool", e.Pool)
+	kv = appendText(kv, "data_centre", e.DataCentre)
 	kv = appendText(kv, "record", e.Record)
 	if e.Revision != 0 {
 		kv = append(kv, "revision", e.Revision)
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -79,6 +79,10 @@
 		c.putIdle(k)
 		return nil, &Error{Step: StepConnect, Peer: address, Err: ctx.Err()}
 	}
+	if o.Allowed != nil && !o.Allowed() {
+		c.putIdle(k)
+		return nil, &Error{Step: StepConnect, Peer: address, Err: ErrWithdrawn}
+	}
 	reply, err := c.exchange(ctx, k, request, o)
 	if err != nil {
 		return nil, err
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -104,6 +104,9 @@
 	return errors.CombineErrors(err, failed)
 }
 
+// ErrWithdrawn reports that the target stopped accepting work before the request was sent.
+var ErrWithdrawn = errors.New("the target may receive no new work")
+
 // Step is the step in which an attempt failed.
 type Step string
 
@@ -246,6 +249,10 @@
 	// MaxIdle bounds how long a reused connection may have been idle; 0 means
 	// maxIdleTime.
 	MaxIdle time.Duration
+	// Allowed reports, with the connection ready, whether the request may still be sent. If not,
+	// the attempt ends with ErrWithdrawn and nothing sent: a connection may take more than a
+	// second to open. nil allows all.
+	Allowed func() bool
 	// Matches reports whether a response belongs to this request; nil means that all
 	// do. A target may first send a second response to an earlier request, which is
 	// skipped.
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -363,3 +363,31 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 3, conns.Load())
 }
+
+// A data centre is drained while a connection to one of its targets is being opened. The target
+// must get no byte of the request, and the connection stays usable.
+func TestWithdrawnTargetGetsNothing(t *testing.T) {
+	var received atomic.Int64
+	address, conns := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			received.Add(1)
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(nc, okResponse)
+		}
+	})
+	c := New()
+	_, err := do(t, c, address, "", Options{Allowed: func() bool { return false }})
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.ErrorIs(t, err, ErrWithdrawn)
+	require.False(t, failed.Sent)
+	require.Equal(t, StepConnect, failed.Step)
+	require.Zero(t, received.Load())
+	_, err = do(t, c, address, "", Options{Allowed: func() bool { return true }})
+	require.NoError(t, err)
+	require.Equal(t, int64(1), conns.Load())
+}
