Pace the requests to targets that may be cold

Cause: a target that has just started, or became cold at any moment, bears a limited rate, summed over all instances. Nothing read that rate. A data centre that is taken back has idle targets, the cheapest choice of each request at once.

Ruled out: a limit at targets known to be cold (knowledge is late, and a target may be cold without a word); a ramp for what came back (a restart of all forgets it); a share for each instance (17 a second over 73 instances); a token bucket, the first form here: 5.5 a second with grants valid for 0.2 s, where the window kept, with 0.1 s, allows 7.3 (worked out).

Change: each send to a service with such a rate needs a grant of the holder of the stage queue. coordination/pacing grants a target half of the limit within 1.1 s, so that it holds with two holders; placing counts the wait for a grant as cost; what is sent without stages asks for a grant by the same path, as a request without stages; routing takes the granted target or none; an instance that reaches at most half of the others grants only what a hash gives to its group. Stage calls are paced in the planner. A method of its own between instances, since messages are arrays.

--- /dev/null
+++ b/coordination/gather/paced_test.go
@@ -0,0 +1,39 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
+)
+
+// Short calls come to stage targets that may be cold. None may get more calls in any second than
+// a holder's part of the limit, and all requests are served in the end.
+func TestColdStageTargetsAreNotOverloaded(t *testing.T) {
+	r := newRig(t)
+	r.callDuration = func(StartCall) time.Duration { return 10 * time.Millisecond }
+	config := smallBatch
+	config.MaxPieces, config.Pace = 1, pacing.ForLimit(6)
+	r.service("s", config, "x", "x")
+	started := map[string][]time.Time{}
+	seen := 0
+	for i := range 20 {
+		r.submit(Request{ID: fmt.Sprint(i), Route: "r", Stages: []Stage{{Service: "s", Pieces: 1}}, Objective: r.now.Add(20 * time.Second), Deadline: r.now.Add(20 * time.Second)})
+	}
+	for range 120 {
+		r.run(100 * time.Millisecond)
+		for ; seen < len(r.calls); seen++ {
+			name := r.calls[seen].Target.Name
+			started[name] = append(started[name], r.now)
+		}
+	}
+	require.Len(t, r.completed, 20)
+	for name, times := range started {
+		for i := 3; i < len(times); i++ {
+			require.Greater(t, times[i].Sub(times[i-3]), 900*time.Millisecond, "%s: more than three calls in a second", name)
+		}
+	}
+}
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -149,7 +149,8 @@
 // CallCount returns the number of calls in progress.
 func (p *Planner) CallCount() int { return len(p.calls) }
 
-// Submit admits a request or refuses it at once.
+// Submit admits a request or refuses it at once. A request without stages only has its engine
+// chosen: it has been counted with its stages before, and completes at once.
 func (p *Planner) Submit(now time.Time, r Request) []Action {
 	if old := p.requests[r.ID]; old != nil {
 		p.drop(old)
@@ -162,7 +163,9 @@
 	req.admittedAt = now
 	req.latestStart = req.Objective.Add(-p.minRemaining(req))
 	req.boosted = p.attainments.underserved(now, &req.Request)
-	p.attainments.countSubmitted(now, &req.Request)
+	if len(req.Stages) > 0 {
+		p.attainments.countSubmitted(now, &req.Request)
+	}
 	if refusal := p.admit(now, req); refusal != nil {
 		p.actions = append(p.actions, *refusal)
 		return p.flush()
@@ -311,7 +314,7 @@
 	defer p.updateBacklog(now, req)
 	if req.allDone() {
 		req.completed = true
-		if !now.Add(req.Remaining).After(req.Objective) {
+		if len(req.Stages) > 0 && !now.Add(req.Remaining).After(req.Objective) {
 			p.attainments.countTimely(now, &req.Request)
 		}
 		for _, s := range req.stages {
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
 // service is the queue and the targets of one stage service.
@@ -50,6 +52,8 @@
 	// replaced is true if another process has taken over the target's name. A reply of the
 	// old process that is read later names results that no longer exist.
 	replaced bool
+	// sends are the calls that were started.
+	sends pacing.Target
 }
 
 // Parameters of the targets.
@@ -84,7 +88,8 @@
 
 // usable reports whether the target may get a call now.
 func (t *target) usable(now time.Time) bool {
-	return !t.unlisted && t.calls < max(t.service.config.Slots, 1) && !now.Before(t.downUntil)
+	return !t.unlisted && t.calls < max(t.service.config.Slots, 1) && !now.Before(t.downUntil) &&
+		t.sends.Wait(now, t.service.config.Pace) == 0
 }
 
 // available reports whether the target counts as capacity.
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -1,6 +1,10 @@
 package gather
 
-import "time"
+import (
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
+)
 
 // ServiceConfig describes the targets of one service.
 type ServiceConfig struct {
@@ -14,6 +18,8 @@
 	ResultCapacity int64
 	// ResultTTL is how long a result is kept unless it is freed earlier.
 	ResultTTL time.Duration
+	// Pace limits the calls to each target.
+	Pace pacing.Pace
 }
 
 // Target is one incarnation of a stage target.
--- /dev/null
+++ b/coordination/pacing/pacing.go
@@ -0,0 +1,92 @@
+// Package pacing limits the requests that one target receives in any second, from all instances
+// together.
+//
+// A cold target crashes under a rate that a warm one bears, and may become cold at any moment.
+// What is reported about it arrives late, so the limit applies to every target of a service whose
+// configuration has such a rate, whether it is known to be cold or not. It is far above a
+// target's usual load.
+//
+// Requests are sent by many instances, but each send needs a grant of the holder of the stage
+// queue. A holder grants at a pace that uses a share of the limit, so that the limit holds while
+// two instances consider themselves the holder, or one has just taken over from another.
+//
+// The package is pure: time is an argument.
+package pacing
+
+import "time"
+
+const (
+	// holders is the number of instances that may grant sends to one target within a second.
+	holders = 2
+	// GrantValidity is how long after its time a grant may be used. A later send would fall into
+	// a second whose grants are used as well.
+	GrantValidity = 100 * time.Millisecond
+	// maxLogged bounds the grants that are remembered for each target.
+	maxLogged = 64
+)
+
+// Limits are the operators' limits for the requests to a cold target in any second: a multiple of
+// the rate that it bears, plus a fixed number.
+type Limits struct {
+	Overage, Slack float64
+}
+
+// Limit returns the limit for a target that bears a rate when cold, in requests a second. It is 0,
+// meaning no limit, if the rate is 0.
+func (l Limits) Limit(coldRate float64) float64 {
+	if coldRate <= 0 {
+		return 0
+	}
+	return coldRate*l.Overage + l.Slack
+}
+
+// Pace is the pace at which one holder grants sends to one target: at most a number within any
+// span of time. The zero Pace is unlimited.
+type Pace struct {
+	most int
+	span time.Duration
+}
+
+// ForLimit returns the pace of one holder for a limit, in requests in any second; 0 means no limit.
+//
+// The grants that are used in a second are those of the second and of GrantValidity before it. A
+// limit of less than two can't be kept by two holders, since each grants one request.
+func ForLimit(limit float64) Pace {
+	if limit <= 0 {
+		return Pace{}
+	}
+	most := max(int(limit/holders), 1)
+	// A long span with many grants is divided into equal ones, so that few need be remembered.
+	parts := (most + maxLogged - 1) / maxLogged
+	return Pace{most: most / parts, span: (time.Second + GrantValidity) / time.Duration(parts)}
+}
+
+// Unlimited reports whether there is no limit.
+func (p Pace) Unlimited() bool { return p.most == 0 }
+
+// Target is the state of the grants to one target. The zero Target has none.
+type Target struct {
+	// granted has the times of the latest grants in ascending order; some may be in the future.
+	granted []time.Time
+}
+
+// Wait returns how long the next send to the target has to wait.
+func (t *Target) Wait(now time.Time, p Pace) time.Duration {
+	if p.Unlimited() || len(t.granted) < p.most {
+		return 0
+	}
+	return max(t.granted[len(t.granted)-p.most].Add(p.span).Sub(now), 0)
+}
+
+// Grant grants a send to the target and returns how long it has to wait.
+func (t *Target) Grant(now time.Time, p Pace) time.Duration {
+	if p.Unlimited() {
+		return 0
+	}
+	wait := t.Wait(now, p)
+	if len(t.granted) >= maxLogged {
+		t.granted = append(t.granted[:0], t.granted[len(t.granted)-maxLogged+1:]...)
+	}
+	t.granted = append(t.granted, now.Add(wait))
+	return wait
+}
--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -29,6 +29,9 @@
 		return Choice{}, false
 	}
 	s := search{now: now, prompt: p, transferCost: transferCost}
+	if !pool.Pace.Unlimited() {
+		s.grants = t.grants
+	}
 	for _, e := range pool.byName[pool.homeOf(p.homeKey())] {
 		s.consider(e, homeAdvantage)
 	}
@@ -63,6 +66,8 @@
 	now          time.Time
 	prompt       *Prompt
 	transferCost func(dataCentre string) time.Duration
+	// grants reports whether sends to an engine may be granted; nil means to all.
+	grants func(engine string) bool
 	// best is the cheapest engine so far, nil if there is none; cost is the cost there.
 	best *engineState
 	cost time.Duration
@@ -70,7 +75,7 @@
 
 // consider compares an engine with the best so far; advantage is subtracted from its cost.
 func (s *search) consider(e *engineState, advantage time.Duration) {
-	if slices.Contains(s.prompt.Exclude, e.Incarnation) {
+	if slices.Contains(s.prompt.Exclude, e.Incarnation) || s.grants != nil && !s.grants(e.Name) {
 		return
 	}
 	cost := e.queueCost(s.now) + e.prefillCost(e.uncachedTokens(s.prompt)) + s.transferCost(e.DataCentre) - advantage
@@ -89,7 +94,10 @@
 	if s.best == nil {
 		return Choice{}, false
 	}
-	uncached, wait := s.best.uncachedTokens(s.prompt), s.best.queueWait(s.now)
+	uncached, wait := s.best.uncachedTokens(s.prompt), s.best.wait(s.now)
 	idle := s.best.prefillTime(uncached)
-	return Choice{Engine: s.best.Engine, FirstEvent: wait + idle, FirstEventIdle: idle, uncached: uncached, queueWait: wait}, true
+	return Choice{
+		Engine: s.best.Engine, FirstEvent: wait + idle, FirstEventIdle: idle,
+		SendAfter: s.best.sends.Wait(s.now, s.best.pool.Pace), uncached: uncached, queueWait: wait,
+	}, true
 }
--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
 const (
@@ -48,6 +50,8 @@
 	// unreachableCount the number of times in a row that this was reported.
 	avoidUntil       time.Time
 	unreachableCount int
+	// sends are the sends to the engine that were granted.
+	sends pacing.Target
 }
 
 // prefill is a request whose prompt an engine processes.
@@ -120,12 +124,17 @@
 	return duration(m.seconds(uncached)*e.slowdown + extra)
 }
 
-// queueCost returns the cost of a request that is sent now, without the cost of its prompt.
+// wait returns how long a request waits until it may be sent and those before it are processed.
+func (e *engineState) wait(now time.Time) time.Duration {
+	return max(e.queueWait(now), e.sends.Wait(now, e.pool.Pace))
+}
+
+// queueCost returns the cost of a request that is assigned now, without the cost of its prompt.
 func (e *engineState) queueCost(now time.Time) time.Duration {
 	if now.Before(e.avoidUntil) {
-		return e.queueWait(now) + unreachablePenalty
+		return e.wait(now) + unreachablePenalty
 	}
-	return e.queueWait(now)
+	return e.wait(now)
 }
 
 // markUnreachable starts a backoff because nothing listens at the engine's address. Reports
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -12,6 +12,8 @@
 	// assigned has the engines of the requests whose prompts are being processed, by request
 	// ID.
 	assigned map[string]*engineState
+	// grants reports whether sends to an engine, by name, may be granted; nil means to all.
+	grants func(engine string) bool
 }
 
 // NewTable returns a table without engines.
@@ -19,6 +21,10 @@
 	return &Table{pools: map[string]*poolState{}, assigned: map[string]*engineState{}}
 }
 
+// SetGrants sets which engines, by name, this instance may grant sends to where a pool has a
+// pace; nil means all.
+func (t *Table) SetGrants(grants func(engine string) bool) { t.grants = grants }
+
 // SetEngines replaces the engines of a pool that may receive requests.
 func (t *Table) SetEngines(p Pool, list []Engine) {
 	pool := t.pools[p.Name]
@@ -34,7 +40,7 @@
 
 func requestIDs(prefills map[string]prefill) []string { return slices.Collect(maps.Keys(prefills)) }
 
-// RecordSent records that a request is sent to an engine.
+// RecordSent records that a request is assigned to an engine, and grants its send.
 func (t *Table) RecordSent(now time.Time, request string, p *Prompt, c Choice) {
 	pool := t.pools[p.Pool]
 	if pool == nil {
@@ -45,6 +51,7 @@
 		return
 	}
 	t.removeRequests(request)
+	e.sends.Grant(now, pool.Pace)
 	e.startPrefill(request, prefill{
 		sent: now, due: now.Add(c.FirstEvent), uncached: c.uncached, engineIdle: c.queueWait == 0,
 	})
--- a/coordination/placing/types.go
+++ b/coordination/placing/types.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
+)
 
 // Part is a segment of a prompt. Several requests may have it in common.
 type Part struct {
@@ -35,6 +39,8 @@
 	Name string
 	// CacheTokens is the capacity of each engine's prompt cache; 0 if unknown.
 	CacheTokens int
+	// Pace limits the requests to each engine.
+	Pace pacing.Pace
 }
 
 // Choice is the engine chosen for a request.
@@ -43,6 +49,8 @@
 	// FirstEvent is the predicted time to the request's first event, FirstEventIdle the
 	// prediction for an engine without other prompts to process.
 	FirstEvent, FirstEventIdle time.Duration
+	// SendAfter is how long the request has to wait before it may be sent.
+	SendAfter time.Duration
 	// uncached is the number of prompt tokens that the engine has to process.
 	uncached  int
 	queueWait time.Duration
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -32,6 +32,10 @@
 		return Choice{}, err
 	}
 	chosen, reason := pick.choose()
+	if chosen == nil {
+		t.counts.noTarget.Add(1)
+		return Choice{}, &NoTargetError{Pool: q.Pool, Known: len(p.targets), Ejected: 1}
+	}
 	chosen.target.picks.Add(1)
 	t.counts.reasons[reason].Add(1)
 	pick.recordPrefix(chosen)
@@ -69,7 +73,7 @@
 		case slices.Contains(p.query.Exclude, target.Incarnation):
 			none.Excluded++
 			p.triedDataCentres = append(p.triedDataCentres, target.DataCentre)
-		case !target.Fits(p.query):
+		case !target.Fits(p.query), p.query.Only != "" && target.Incarnation != p.query.Only:
 			none.Unfit++
 		default:
 			eligible = append(eligible, candidate{target: target})
@@ -86,8 +90,12 @@
 }
 
 // choose applies the rules in order: the only candidate, a due probe, the removal of
-// ejected targets down to the ejection floor, then the rules of byRule.
+// ejected targets down to the ejection floor, then the rules of byRule. It returns nil only for a
+// granted target that is ejected.
 func (p *pick) choose() (*candidate, Reason) {
+	if p.query.Only != "" {
+		return p.granted()
+	}
 	if len(p.candidates) == 1 {
 		p.scoreCandidates()
 		return p.candidates[0], ReasonOnly
@@ -107,6 +115,21 @@
 	return c, reason
 }
 
+// granted returns the only candidate, to which a send was granted, or nil if it is ejected and
+// may not be probed.
+func (p *pick) granted() (*candidate, Reason) {
+	if !p.table.config.disabled(MechanismEjection) {
+		if probe := p.probe(); probe != nil {
+			return probe, ReasonProbe
+		}
+		if p.candidates[0].ejection != notEjected {
+			return nil, ReasonPreferred
+		}
+	}
+	p.scoreCandidates()
+	return p.candidates[0], ReasonPreferred
+}
+
 // byRule applies the rules that follow the handling of ejections in order: the preferred
 // target, the home, affinity, load.
 func (p *pick) byRule() (*candidate, Reason) {
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -62,6 +62,9 @@
 	// holder of the stage queue, chose for the request. It is used unless it is ejected,
 	// excluded or unknown.
 	Preferred string
+	// Only is the incarnation to which a send was granted. No other may be chosen, and none if it
+	// is ejected, excluded or unknown. Empty if sends need no grant.
+	Only string
 	// HomeShares maps data centres to the share of home keys that they should have, for
 	// example by where the inputs of the requests are produced. If nil, the shares
 	// follow the number of targets.
@@ -125,13 +128,13 @@
 	Pool string
 	// Known is the number of the pool's targets; the other fields count those that
 	// were left out, by cause.
-	Known, Leaving, Excluded, Unfit int
+	Known, Leaving, Excluded, Unfit, Ejected int
 }
 
 // Error implements error.
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("route: pool %q: no eligible target (known %d, leaving %d, excluded %d, unfit %d)",
-		e.Pool, e.Known, e.Leaving, e.Excluded, e.Unfit)
+	return fmt.Sprintf("route: pool %q: no eligible target (known %d, leaving %d, excluded %d, unfit %d, ejected %d)",
+		e.Pool, e.Known, e.Leaving, e.Excluded, e.Unfit, e.Ejected)
 }
 
 // Outcome is how an attempt ended.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
@@ -155,7 +156,7 @@
 	g.cluster.Handle(methodFresh, func(context.Context, peer.Peer, []byte) ([]byte, error) {
 		return msgpack.Marshal(g.follower.Report().IsFresh())
 	}, peer.Idempotent())
-	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, t.Scope)
+	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), t.Scope)
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
@@ -167,6 +168,7 @@
 		Client:       g.client,
 		TargetShares: g.dataCentreShares,
 		Stages:       g.stages,
+		Paced:        g.stages.Paced,
 		Budgets:      retrybudget.New(g.retryConfig()),
 		Blocklist:    g.blocklist,
 		OnLeaving:    g.follower.Leaving,
@@ -311,6 +313,9 @@
 // AdminAddr returns the address of health, readiness and metrics.
 func (g *Gateway) AdminAddr() string { return g.admin.Addr().String() }
 
+// Paced reports whether sends to the targets of a service need grants.
+func (g *Gateway) Paced(service string) bool { return g.stages.Paced(service) }
+
 // Ready reports whether the instance accepts new connections.
 func (g *Gateway) Ready() bool { return g.follower.Ready() && !g.draining.Load() }
 
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -56,7 +56,14 @@
 		if err := q.checkBlocklist(ctx); err != nil {
 			return false, err
 		}
-		if choice, err = q.pickTarget(); err != nil {
+		if !q.paced {
+			if choice, err = q.pickTarget(); err != nil {
+				return false, err
+			}
+		}
+	}
+	if q.paced {
+		if choice, err = q.awaitGrant(ctx); err != nil {
 			return false, err
 		}
 	}
@@ -81,7 +88,13 @@
 }
 
 // pickTarget chooses a target for the request itself, as opposed to its stages.
-func (q *request) pickTarget() (routing.Choice, error) {
+func (q *request) pickTarget() (routing.Choice, error) { return q.pick(q.targetQuery()) }
+
+func (q *request) pick(query routing.Query) (routing.Choice, error) {
+	return q.relay.options.Router.Pick(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), query)
+}
+
+func (q *request) targetQuery() routing.Query {
 	query := routing.Query{
 		Pool: q.service, Model: q.call.Model, Exclude: q.excluded, Rank: q.priority, Preferred: q.preferredEngine,
 	}
@@ -89,7 +102,7 @@
 		query.HomeKey = lastSharedPart(q.call.Prefix)
 		query.HomeShares = q.inputShares()
 	}
-	return q.relay.options.Router.Pick(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), query)
+	return query
 }
 
 // minLargeInput is the minimum size, in bytes, of a stage's result for which a target near it
@@ -143,7 +156,8 @@
 	}
 	started := time.Now()
 	produced, err := q.relay.options.Stages.Execute(ctx, r, q.prompt())
-	q.resultHandles, q.owner, q.preferredEngine = produced.Handles, produced.Holder, produced.Engine
+	q.resultHandles, q.owner = produced.Handles, produced.Holder
+	q.preferredEngine, q.sendAt = produced.Engine, produced.SendAt
 	q.timings.stagesWait += time.Since(started)
 	if err == nil && q.resultHandles == nil {
 		q.resultHandles = []string{}
@@ -256,11 +270,13 @@
 		q.possibleRuns++
 		q.mayHaveRun = true
 	}
-	if f.nothingListens && q.owner != "" {
-		q.relay.options.Stages.ReportUnreachable(q.owner, q.service, q.target)
+	if holder := cmp.Or(q.owner, q.grant.holder); f.nothingListens && holder != "" {
+		q.relay.options.Stages.ReportUnreachable(holder, q.service, q.target)
+	}
+	if f.inputsGone || errors.Is(f.cause, forward.ErrWithdrawn) {
+		q.excluded = q.excluded[:len(q.excluded)-1] // the target had no part in the failure
 	}
 	if f.inputsGone {
-		q.excluded = q.excluded[:len(q.excluded)-1]
 		q.freeResults()
 	}
 	switch {
@@ -312,7 +328,7 @@
 	defer silence.Stop()
 	options := forward.Options{
 		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
-		Allowed: func() bool { return q.relay.usable(t.Incarnation) },
+		Allowed: func() bool { return q.relay.usable(t.Incarnation) && q.grantValid(time.Now()) },
 	}
 	if !q.route.Repeatable() {
 		options.MaxIdle = forward.NonRepeatableMaxIdle
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -60,7 +60,9 @@
 	// TargetShares returns, by data centre, the share of a service's targets.
 	TargetShares func(service string) map[string]float64
 	Stages       StageRunner
-	Budgets      *retrybudget.Budgets
+	// Paced reports whether sends to the targets of a service need grants; nil if none do.
+	Paced   func(service string) bool
+	Budgets *retrybudget.Budgets
 	// Blocklist refuses requests that crash their targets.
 	Blocklist blocklist.Records
 	// OnLeaving is called for a target that accepts no new work.
@@ -140,6 +142,8 @@
 	// onTrial is true if this is the one allowed run of its content.
 	onTrial bool
 	service string
+	// paced is true if each send to the service needs a grant.
+	paced bool
 
 	arrived time.Time
 	// headTime is how long the request's head took to arrive.
@@ -167,6 +171,10 @@
 	// preferredEngine is the incarnation that the holder of the stage queue chose for the
 	// request; empty if it chose none.
 	preferredEngine string
+	// sendAt is when the request may be sent to preferredEngine, if the service is paced.
+	sendAt time.Time
+	// grant is the grant of a send that was requested apart from the stages.
+	grant grant
 
 	// headerSent is true once the caller has the head of the response.
 	headerSent bool
@@ -370,6 +378,7 @@
 // run serves the request until its final response.
 func (q *request) run(ctx context.Context) {
 	q.service = pickService(q.route.TrafficSplit)
+	q.paced = q.relay.options.Paced != nil && q.relay.options.Paced(q.service)
 	for {
 		retry, err := q.attempt(ctx)
 		if !retry {
--- a/daemon/relay/results.go
+++ b/daemon/relay/results.go
@@ -9,7 +9,7 @@
 // prompt returns the prompt that an engine has to read for the request; empty if the route
 // has none.
 func (q *request) prompt() placing.Prompt {
-	if !q.route.PrefixCaching {
+	if !q.route.PrefixCaching && !q.paced {
 		return placing.Prompt{}
 	}
 	p := placing.Prompt{Pool: q.service, Tokens: clampTokens(q.call.PromptTokens), Exclude: q.excluded}
@@ -35,5 +35,6 @@
 	if q.owner != "" {
 		q.relay.options.Stages.Drop(q.owner, placing.RequestEnd{Request: q.call.ID, Engine: q.target, FirstEvent: firstEvent})
 	}
+	q.dropGrant(firstEvent)
 	q.owner, q.resultHandles, q.preferredEngine = "", nil, ""
 }
--- a/daemon/stages/assign.go
+++ b/daemon/stages/assign.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/holder"
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
@@ -19,12 +21,12 @@
 )
 
 // setEngines replaces the usable engines of a service. mu must be held.
-func (q *queue) setEngines(s *routes.Service, usable []routes.Target) {
+func (q *queue) setEngines(s *routes.Service, pace pacing.Pace, usable []routes.Target) {
 	list := make([]placing.Engine, 0, len(usable))
 	for _, t := range usable {
 		list = append(list, placing.Engine{Incarnation: t.Incarnation(), Name: t.Name, DataCentre: t.DataCentre})
 	}
-	q.engines.SetEngines(placing.Pool{Name: s.Name, CacheTokens: s.CacheTokens}, list)
+	q.engines.SetEngines(placing.Pool{Name: s.Name, CacheTokens: s.CacheTokens, Pace: pace}, list)
 }
 
 // predictEngine returns the request with the data centre where its results are best read, as
@@ -35,6 +37,7 @@
 	if prompt.Pool == "" {
 		return r
 	}
+	q.updateGrants(prompt.Pool)
 	choice, ok := q.engines.Choose(now, &prompt, q.planner.ReadCosts(now, &r))
 	if !ok {
 		return r
@@ -45,14 +48,28 @@
 	return r
 }
 
+// updateGrants updates the engines of a paced pool to which this instance may grant sends. mu must
+// be held.
+func (q *queue) updateGrants(pool string) {
+	if !q.isPaced(pool) {
+		return
+	}
+	if view := q.view(); view != q.grantsView {
+		q.grantsView = view
+		q.engines.SetGrants(holder.Grants(view))
+	}
+}
+
 // assignEngine chooses the engine of a request whose stages have completed. mu must be held.
 // It returns "" if the request's prompt is unknown, as for a request that was taken over
-// before its requester asked here: the requester then chooses.
-func (q *queue) assignEngine(now time.Time, done gather.Completed) string {
+// before its requester asked here: the requester then chooses. sendAt is when the request may be
+// sent.
+func (q *queue) assignEngine(now time.Time, done gather.Completed) (engine string, sendAt time.Time) {
 	prompt, ok := q.prompts[done.Request]
 	if !ok {
-		return ""
+		return "", time.Time{}
 	}
+	q.updateGrants(prompt.Pool)
 	var total int64
 	for _, bytes := range done.Bytes {
 		total += bytes
@@ -61,8 +78,8 @@
 		return gather.CrossingCost(total - done.Bytes[dataCentre])
 	})
 	if !ok {
-		return ""
+		return "", time.Time{}
 	}
 	q.engines.RecordSent(now, done.Request, &prompt, choice)
-	return choice.Engine.Incarnation
+	return choice.Engine.Incarnation, now.Add(choice.SendAfter)
 }
--- a/daemon/stages/assign_test.go
+++ b/daemon/stages/assign_test.go
@@ -43,7 +43,7 @@
 	for _, dataCentre := range []string{"x", "y"} {
 		q := queueWithEngines()
 		q.predictEngine(time.Now(), gather.Request{ID: "1"}, uniquePrompt(500))
-		engine := q.assignEngine(time.Now(), gather.Completed{Request: "1", Bytes: map[string]int64{dataCentre: 4 << 20}})
+		engine, _ := q.assignEngine(time.Now(), gather.Completed{Request: "1", Bytes: map[string]int64{dataCentre: 4 << 20}})
 		require.Equal(t, map[string]string{"x": "e1", "y": "e2"}[dataCentre], engine)
 	}
 }
@@ -51,5 +51,6 @@
 // A request was taken over with the queue of another instance and completes before its
 // requester asks here. Its prompt is unknown here, so the requester chooses.
 func TestEngineOfUnknownPromptIsLeftToRequester(t *testing.T) {
-	require.Empty(t, queueWithEngines().assignEngine(time.Now(), gather.Completed{Request: "1"}))
+	engine, _ := queueWithEngines().assignEngine(time.Now(), gather.Completed{Request: "1"})
+	require.Empty(t, engine)
 }
--- a/daemon/stages/cluster_test.go
+++ b/daemon/stages/cluster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
@@ -134,7 +135,7 @@
 // startStages runs instance a until the test ends, and then waits for the end of its handover
 // attempts.
 func startStages(t *testing.T, c *fakeCluster) *Stages {
-	s := New(c, nil, nil, nil, tally.NoopScope)
+	s := New(c, nil, nil, nil, pacing.Limits{}, tally.NoopScope)
 	s.queue.bootClock = time.Now
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/daemon/stages/messages.go
+++ b/daemon/stages/messages.go
@@ -64,6 +64,14 @@
 	Engine string
 }
 
+// pacedResponse is the response of methodAssignPaced.
+type pacedResponse struct {
+	Assign assignResponse
+	// SendAfter is how long the requester has to wait before it sends the request to the
+	// engine.
+	SendAfter time.Duration
+}
+
 type stageRequest struct {
 	Service     string
 	After       []int
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/holder"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/daemon/orders/boottime"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
@@ -63,6 +65,12 @@
 	bootClock boottime.Clock
 	// onStall is called after the queue was frozen because this instance was stalled.
 	onStall func()
+	// limits bound what cold targets get. pacedPools has the pools whose targets have a pace.
+	limits     pacing.Limits
+	pacedPools atomic.Pointer[map[string]bool]
+	// view returns the known members; grantsView is the one that the grants are based on.
+	view       func() *membership.View
+	grantsView *membership.View
 	// runningCalls counts the calls that this instance carries out.
 	runningCalls int
 	// readers are other instances that read the results of completed requests, by request ID.
@@ -75,7 +83,9 @@
 	handles []string
 	// engine is the incarnation of the engine that is to serve the request. It is empty if
 	// none was chosen.
-	engine  string
+	engine string
+	// sendAt is when the request may be sent to the engine.
+	sendAt  time.Time
 	refused *gather.Refused
 	// movedTo is the address of the instance that now has the queue and the request.
 	movedTo string
@@ -103,8 +113,9 @@
 	}
 }
 
-func serviceConfig(b *routes.BatchConfig) gather.ServiceConfig {
+func serviceConfig(b *routes.BatchConfig, pace pacing.Pace) gather.ServiceConfig {
 	return gather.ServiceConfig{
+		Pace:  pace,
 		Slots: b.Slots, MaxPieces: b.MaxPieces,
 		CallTime: b.CallTime, PieceTime: b.PieceTime,
 		ResultCapacity: b.ResultCapacity, ResultTTL: b.ResultTTL,
@@ -187,6 +198,9 @@
 	delete(q.unclaimed, r.ID)
 	if end, ok := q.earlyOutcomes[r.ID]; ok {
 		delete(q.earlyOutcomes, r.ID)
+		if q.isPaced(prompt.Pool) {
+			end.engine = "" // the time of its grant may be over
+		}
 		done <- end
 		q.mu.Unlock()
 		return done, nil
@@ -263,7 +277,8 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case gather.Completed:
-			q.finish(a.Request, outcome{handles: a.Handles, engine: q.assignEngine(time.Now(), a)})
+			engine, sendAt := q.assignEngine(time.Now(), a)
+			q.finish(a.Request, outcome{handles: a.Handles, engine: engine, sendAt: sendAt})
 		case gather.Refused:
 			q.finish(a.Request, outcome{refused: &a})
 		case gather.FreeResults:
--- a/daemon/stages/relayed.go
+++ b/daemon/stages/relayed.go
@@ -64,7 +64,7 @@
 }
 
 // relay runs the stages of another instance's request at the holder.
-func (s *Stages) relay(ctx context.Context, request *assignRequest) (*assignResponse, error) {
+func (s *Stages) relay(ctx context.Context, request *assignRequest) (*pacedResponse, error) {
 	r := request.Redirectable.Run.request(time.Now())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -76,12 +76,16 @@
 	}
 	switch {
 	case errors.As(err, &refused):
-		return &assignResponse{Redirectable: redirectableResponse{Run: runResponse{Reason: string(refused.Reason), RetryAfter: refused.RetryAfter}}}, nil
+		run := runResponse{Reason: string(refused.Reason), RetryAfter: refused.RetryAfter}
+		return &pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{Run: run}}}, nil
 	case err != nil:
 		return nil, err
 	}
 	s.recordRelayed(r.ID, relayedRequest{holder: result.Holder, deadline: r.Deadline, cancel: cancel})
-	return &assignResponse{Redirectable: redirectableResponse{Run: runResponse{Handles: result.Handles}}, Engine: result.Engine}, nil
+	return &pacedResponse{
+		Assign:    assignResponse{Redirectable: redirectableResponse{Run: runResponse{Handles: result.Handles}}, Engine: result.Engine},
+		SendAfter: time.Until(result.SendAt),
+	}, nil
 }
 
 // recordRelayed records a request that is relayed.
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -17,6 +17,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/holder"
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
@@ -30,6 +31,8 @@
 	methodRun          = "stages.make"
 	methodRedirectable = "stages.follow"
 	methodAssign       = "stages.place"
+	// methodAssignPaced replaces methodAssign for pools whose targets have a pace.
+	methodAssignPaced = "stages.pace"
 )
 
 const (
@@ -95,7 +98,9 @@
 }
 
 // New returns a Stages and registers the methods that other instances call.
-func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, scope tally.Scope) *Stages {
+//
+// limits bound what cold targets get.
+func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, limits pacing.Limits, scope tally.Scope) *Stages {
 	s := &Stages{
 		cluster:      c,
 		queue:        newQueue(d, client, follower, newMetrics(scope)),
@@ -108,6 +113,7 @@
 		incoming:     map[string]*incomingHandover{},
 		ended:        make(chan struct{}),
 	}
+	s.queue.limits, s.queue.view = limits, c.View
 	s.queue.reportCallEnd = s.reportCallEnd
 	s.queue.onStall = s.Yield
 	s.queue.forwardDrops = func(to string, ends ...placing.RequestEnd) {
@@ -119,6 +125,7 @@
 	c.Handle(methodRedirectable, s.handleRedirectable)
 	c.Handle(methodDrop, s.handleDrop)
 	c.Handle(methodAssign, s.handleAssign)
+	c.Handle(methodAssignPaced, s.handleAssignPaced)
 	c.Handle(methodRequestEnds, s.handleRequestEnds)
 	c.Handle(methodCaches, s.handleCaches)
 	c.Handle(methodUnreachable, s.handleUnreachable)
@@ -161,6 +168,8 @@
 	// Engine is the incarnation of the engine that is to serve the request. It is empty if
 	// the requester is to choose.
 	Engine string
+	// SendAt is when the request may be sent to Engine, if the pool is paced.
+	SendAt time.Time
 }
 
 // Execute runs all stages of a request, and has the holder of the queue choose the engine that is
@@ -277,7 +286,7 @@
 		if err == nil && end.refused != nil {
 			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Holder: m.Name}
 		}
-		return Result{Handles: end.handles, Engine: end.engine}, err
+		return Result{Handles: end.handles, Engine: end.engine, SendAt: end.sendAt}, err
 	}
 	redirectable := redirectableRequest{*newRunRequest(time.Now(), r), shortened, redirected, s.avoidedAddresses(time.Now())}
 	response, err := s.executeRemote(ctx, m.Address, &assignRequest{redirectable, prompt})
@@ -289,30 +298,42 @@
 		return Result{}, err
 	}
 	s.recordResponse(time.Now(), m.Address)
-	if response.Redirectable.MovedTo != "" {
-		return Result{}, &movedError{response.Redirectable.MovedTo}
+	assigned := &response.Assign
+	if assigned.Redirectable.MovedTo != "" {
+		return Result{}, &movedError{assigned.Redirectable.MovedTo}
 	}
-	if run := response.Redirectable.Run; run.Reason != "" {
+	run := assigned.Redirectable.Run
+	if run.Reason != "" {
 		return Result{}, &RefusedError{Reason: gather.Reason(run.Reason), RetryAfter: run.RetryAfter, Holder: m.Name}
 	}
-	s.queue.recordPrefill(prompt, response.Engine)
-	return Result{Handles: response.Redirectable.Run.Handles, Engine: response.Engine}, nil
+	s.queue.recordPrefill(prompt, assigned.Engine)
+	return Result{Handles: run.Handles, Engine: assigned.Engine, SendAt: time.Now().Add(response.SendAfter)}, nil
 }
 
 // executeRemote sends a request to another instance. For an instance of an earlier version it
 // uses the latest method that the instance knows.
-func (s *Stages) executeRemote(ctx context.Context, address string, request *assignRequest) (assignResponse, error) {
-	var response assignResponse
-	err := s.callMethod(ctx, address, methodAssign, request, &response)
+func (s *Stages) executeRemote(ctx context.Context, address string, request *assignRequest) (pacedResponse, error) {
+	var response pacedResponse
+	assigned := &response.Assign
+	err := error(peer.ErrNoMethod)
+	if s.Paced(request.Prompt.Pool) {
+		err = s.callMethod(ctx, address, methodAssignPaced, request, &response)
+	}
 	if errors.Is(err, peer.ErrNoMethod) {
-		err = s.callMethod(ctx, address, methodRedirectable, &request.Redirectable, &response.Redirectable)
+		err = s.callMethod(ctx, address, methodAssign, request, assigned)
 	}
 	if errors.Is(err, peer.ErrNoMethod) {
-		err = s.callMethod(ctx, address, methodRun, &request.Redirectable.Run, &response.Redirectable.Run)
+		err = s.callMethod(ctx, address, methodRedirectable, &request.Redirectable, &assigned.Redirectable)
+	}
+	if errors.Is(err, peer.ErrNoMethod) {
+		err = s.callMethod(ctx, address, methodRun, &request.Redirectable.Run, &assigned.Redirectable.Run)
 	}
 	return response, err
 }
 
+// Paced reports whether sends to the targets of a pool need grants.
+func (s *Stages) Paced(pool string) bool { return s.queue.isPaced(pool) }
+
 // callMethod calls a method with a message and decodes its response.
 func (s *Stages) callMethod(ctx context.Context, address, method string, message, response any) error {
 	body, err := encode(message)
@@ -335,10 +356,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.Redirectable.MovedTo != "" {
+	if response.Assign.Redirectable.MovedTo != "" {
 		return nil, errMoved
 	}
-	return encode(&response.Redirectable.Run)
+	return encode(&response.Assign.Redirectable.Run)
 }
 
 func (s *Stages) handleRedirectable(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
@@ -350,25 +371,38 @@
 	if err != nil {
 		return nil, err
 	}
-	return encode(&response.Redirectable)
+	return encode(&response.Assign.Redirectable)
 }
 
 func (s *Stages) handleAssign(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var request assignRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "decode")
+	response, err := s.assignFor(ctx, from, body)
+	if err != nil {
+		return nil, err
 	}
-	response, err := s.executeFor(ctx, from, &request)
+	return encode(&response.Assign)
+}
+
+func (s *Stages) handleAssignPaced(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
+	response, err := s.assignFor(ctx, from, body)
 	if err != nil {
 		return nil, err
 	}
 	return encode(response)
 }
 
+// assignFor runs the stages of another instance's request, given as an encoded assignRequest.
+func (s *Stages) assignFor(ctx context.Context, from peer.Peer, body []byte) (*pacedResponse, error) {
+	var request assignRequest
+	if err := msgpack.Unmarshal(body, &request); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	return s.executeFor(ctx, from, &request)
+}
+
 // executeFor runs the stages of another instance's request.
-func (s *Stages) executeFor(ctx context.Context, from peer.Peer, request *assignRequest) (*assignResponse, error) {
+func (s *Stages) executeFor(ctx context.Context, from peer.Peer, request *assignRequest) (*pacedResponse, error) {
 	if to := s.redirectTo(time.Now(), &request.Redirectable); to != "" {
-		return &assignResponse{Redirectable: redirectableResponse{MovedTo: to}}, nil
+		return &pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{MovedTo: to}}}, nil
 	}
 	if s.relaysToYielded(ctx, &request.Redirectable) || s.shouldRelay(time.Now(), &request.Redirectable) {
 		return s.relay(ctx, request)
@@ -378,10 +412,16 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &assignResponse{redirectableResponse{Run: runResponse{Handles: end.handles}, MovedTo: end.movedTo}, end.engine}
+	response := &pacedResponse{Assign: assignResponse{
+		redirectableResponse{Run: runResponse{Handles: end.handles}, MovedTo: end.movedTo}, end.engine,
+	}}
+	if end.engine != "" && !end.sendAt.IsZero() {
+		response.SendAfter = time.Until(end.sendAt)
+	}
+	run := &response.Assign.Redirectable.Run
 	switch {
 	case end.refused != nil:
-		response.Redirectable.Run.Reason, response.Redirectable.Run.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
+		run.Reason, run.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
 	case end.movedTo == "":
 		s.queue.recordReader(r.ID, resultReader{instanceID{from.Name, from.Incarnation}, r.Deadline})
 	}
--- a/daemon/stages/targets.go
+++ b/daemon/stages/targets.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
 
@@ -29,12 +30,15 @@
 // be held.
 func (q *queue) applyTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) []gather.Action {
 	var actions []gather.Action
+	paced := map[string]bool{}
 	for name, s := range table.Services {
+		pace := pacing.ForLimit(q.limits.Limit(s.ColdRate))
 		if s.Batch == nil {
-			q.setEngines(s, usable[name])
+			paced[name] = !pace.Unlimited()
+			q.setEngines(s, pace, usable[name])
 			continue
 		}
-		q.planner.SetService(name, serviceConfig(s.Batch))
+		q.planner.SetService(name, serviceConfig(s.Batch, pace))
 		list := make([]gather.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
 			list = append(list, gather.Target{
@@ -43,9 +47,16 @@
 		}
 		actions = append(actions, q.planner.SetTargets(now, name, list)...)
 	}
+	q.pacedPools.Store(&paced)
 	return actions
 }
 
+// isPaced reports whether the targets of a pool have a pace.
+func (q *queue) isPaced(pool string) bool {
+	paced := q.pacedPools.Load()
+	return paced != nil && (*paced)[pool]
+}
+
 // applyDeferredTargets applies the targets that were set while the queue was frozen. mu must
 // be held.
 func (q *queue) applyDeferredTargets() []gather.Action {
--- a/daemon/stages/yield_test.go
+++ b/daemon/stages/yield_test.go
@@ -89,7 +89,7 @@
 					Run: *newRunRequest(time.Now(), emptyRequest("1")),
 				}})
 				require.NoError(t, err)
-				require.Equal(t, map[bool]string{true: "", false: "at-b"}[notLive], response.Redirectable.MovedTo)
+				require.Equal(t, map[bool]string{true: "", false: "at-b"}[notLive], response.Assign.Redirectable.MovedTo)
 				result, err := s.Execute(t.Context(), emptyRequest("2"), placing.Prompt{})
 				require.NoError(t, err)
 				require.Equal(t, map[bool]string{true: "at-a", false: "at-b"}[notLive], result.Holder)
--- a/days_test.go
+++ b/days_test.go
@@ -47,7 +47,7 @@
 
 // plannedKinds are the kinds of disturbances that operators cause themselves.
 var plannedKinds = []string{
-	"config_change", "config_storm", "hup", "release", "revoke", "roll_term", "scale_in", "scale_out",
+	"config_change", "config_storm", "evacuate", "hup", "release", "revoke", "roll_term", "scale_in", "scale_out",
 }
 
 // placeholderName matches a placeholder for a site's own service, kind of request or
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -127,6 +127,9 @@
 	// CacheTokens is how many tokens of prompts one target can cache; 0 if the
 	// configuration does not specify it.
 	CacheTokens int
+	// ColdRate is the number of requests a second that one target bears while it is cold; 0 if
+	// the configuration does not specify it.
+	ColdRate float64
 	// Batch is set for services that run the pieces of stages in batches.
 	Batch *BatchConfig
 }
