Drain a data centre and limit cold engines in the soak

Cause: the soak played neither drains of a data centre nor cold targets.

Change: a data centre with one target of each service is drained again and again, beside faults and beside planned work alone. After the faults it is drained once more, and nothing may reach it 5 s later. Engines whose paths aren't disturbed may get no more in any second than they bear when cold.

--- a/testkit/soak/config.go
+++ b/testkit/soak/config.go
@@ -55,7 +55,7 @@
 		},
 		"services": []map[string]any{
 			service("plain", nil),
-			service("engine", map[string]any{"engine": map[string]any{"slots": 8}}),
+			service("engine", map[string]any{"engine": map[string]any{"slots": 8}, "cold_per_s": tb.coldRate()}),
 			service("stage", map[string]any{"segments": map[string]any{
 				"slots": 1, "queue": 2, "batch": 8, "call_ms": 20.0, "item_ms": 1.0, "headroom_mb": 10.0, "handle_s": 4.0,
 			}}),
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -64,7 +64,8 @@
 		name: name, callerAddress: ports[0], adminAddress: ports[1], settingsPath: filepath.Join(tb.options.Dir, name+".ini"),
 		grace: grace, singleThread: tb.options.Planned && len(tb.instances)%2 == 0,
 		baseSettings: fmt.Sprintf("[instance]\nname = %s\ndata_centre = x\n[listen]\ncallers = %s\nadmin = %s\npeers = %s\n"+
-			"[platform]\nurl = http://%s\ncalls_per_second = 200\n", name, ports[0], ports[1], ports[2], path.Addr()),
+			"[platform]\nurl = http://%s\ncalls_per_second = 200\ndata_centre_drains = true\n"+
+			"[warmup]\noverage = %v\nslack = %v\n", name, ports[0], ports[1], ports[2], path.Addr(), coldOverage, coldSlack),
 	}
 	if tb.options.Planned && len(tb.instances)%3 == 1 {
 		in.grace = shortGrace
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -69,13 +69,17 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { tb.runPlannedWork(until, seriesPauseWithFaults) })
 		wg.Go(func() { tb.injectEngineFaults(until) })
+		wg.Go(func() { tb.runDrains(until) })
 		tb.injectFaults(until)
 		wg.Wait()
 		tb.removeTargetsAfterSilences(tb.options.Silences)
+		time.Sleep(recoveryTime)
+		tb.checkDrain()
 	})
 	stop()
 	crashing := <-crashes
 	log := tb.readTargetLog()
+	tb.checkColdLimit()
 	tb.checkCrashes(crashing, log, calmFrom)
 	tb.checkResults(all, crashing, log, calmFrom)
 	return all
@@ -84,13 +88,18 @@
 // runPlanned does only planned work while callers use the fleet.
 func (tb *testbed) runPlanned() ([]callResult, Losses) {
 	exchanges, calmFrom := whileInUse(tb.runPersistentCallers, func() {
-		tb.runPlannedWork(time.Now().Add(tb.options.Faults), seriesPausePlanned)
+		until := time.Now().Add(tb.options.Faults)
+		var wg sync.WaitGroup
+		wg.Go(func() { tb.runDrains(until) })
+		tb.runPlannedWork(until, seriesPausePlanned)
+		wg.Wait()
 	})
 	all := make([]callResult, 0, len(exchanges))
 	for _, x := range exchanges {
 		all = append(all, x.callResult)
 	}
 	log := tb.readTargetLog()
+	tb.checkColdLimit()
 	tb.checkResults(all, nil, log, calmFrom)
 	return all, tb.checkPlanned(exchanges, log)
 }
--- a/testkit/soak/targets.go
+++ b/testkit/soak/targets.go
@@ -60,7 +60,7 @@
 func (tb *testbed) writeEntry(name, state string) {
 	service, _, _ := strings.Cut(name, "-")
 	target, path := tb.target(name)
-	entry := target.Entry(service, "x", state)
+	entry := target.Entry(service, dataCentre(name), state)
 	entry["address"] = path.Addr()
 	tb.store.Put("servers", name, entry)
 }
