Let scenarios of orders desire a state once their instances have joined

Traced in its logs on a starved machine: instance one holds both leases, instance three joins 1.6 s later and is one of the two that compete for one of them now, so one gives that up and three takes it under number 2; the successor of the frozen holder is number 3. On an idle machine three joins before the first lease is taken or the holder is frozen before it gives up. orders-holder-gone has the same race.

Ruled out: members of other clusters (the failing plays had clusters of their own).

Change: a verb waits until the instances know one another, and the desired state is applied then. No check or number is changed. The wait for a holder tells what it saw last.

--- a/testkit/scenario/orders.go
+++ b/testkit/scenario/orders.go
@@ -36,14 +36,18 @@
 	}
 	store := platform.New(platform.Options{BaseURL: tb.platform, Instance: "operator"})
 	var held lease.Record
+	var failed error
 	err := until("lease of "+args[0], func() bool {
 		object, err := store.Get(context.Background(), platformapi.KindLeases, args[0])
-		if err != nil {
+		if failed = err; err != nil {
 			return false
 		}
 		held = lease.Record{}
 		return json.Unmarshal(object.Spec, &held) == nil && held.Holder != "" && held.Fencing > uint64(above)
 	})
+	if err != nil {
+		err = errors.CombineErrors(errors.Wrapf(err, "last seen: %+v", held), failed)
+	}
 	name, _, _ := strings.Cut(held.Holder, "-")
 	ts.Setenv("HOLDER", name)
 	ts.Setenv("FENCING", strconv.FormatUint(held.Fencing, 10))
--- a/testkit/scenario/verbs.go
+++ b/testkit/scenario/verbs.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
 	"os/exec"
 	"slices"
@@ -37,6 +39,7 @@
 		"apply":        applyRecords,
 		"race":         raceRecords,
 		"ready":        waitReady,
+		"joined":       waitJoined,
 		"unready":      waitUnready,
 		"inforce":      waitInForce,
 		"answers":      waitAnswers,
@@ -238,6 +241,25 @@
 	return nil
 }
 
+// waitJoined: joined NAME... waits until each of the instances knows all of them as alive.
+func waitJoined(_ *testscript.TestScript, tb *testbed, args []string) error {
+	alive := []byte(fmt.Sprintf(`membership_members{state="alive"} %d`, len(args)))
+	for _, name := range args {
+		base, err := tb.url(name, "admin")
+		if err != nil {
+			return err
+		}
+		err = until(name+" joined", func() bool {
+			_, _, body, err := exchange(http.MethodGet, base+"/metrics", nil, nil)
+			return err == nil && bytes.Contains(body, alive)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // expectAnswer: answered FILE compares the output of the last submitted request with the one
 // that the program "expected" printed into the file.
 func expectAnswer(ts *testscript.TestScript, _ *testbed, args []string) error {
