Don't hold a withdrawn send against its target

Cause: a send whose grant ran out, or whose target's data centre was drained while it waited for a connection, counted as a failure of the target, though nothing was sent: an instance that is short of processor would eject targets that are well. Found by reading.

Change: it is an attempt that this instance cancelled.

Figures: the test fails without the change.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -396,6 +396,9 @@
 		return routing.OutcomeCancelled, &failure{cause: cause, notRun: notRun}
 	}
 	unreached := f != nil && f.Step == forward.StepConnect
+	if errors.Is(err, forward.ErrWithdrawn) {
+		return routing.OutcomeCancelled, &failure{cause: err, notRun: notRun, notConnected: unreached}
+	}
 	return routing.OutcomeFailed, &failure{
 		cause: err, notRun: notRun, notConnected: unreached, nothingListens: unreached && f.Refused,
 		connectionBroken: !notRun && forward.ClosedByPeer(err),
--- a/daemon/relay/grant_test.go
+++ b/daemon/relay/grant_test.go
@@ -14,7 +14,9 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
 // granter is a holder of the stage queue that grants sends in turn. It grants none after the last.
@@ -46,6 +48,7 @@
 	route, _ := s.options.Table().Match("example.com", "/")
 	now := time.Now()
 	return &request{
+		r:     httptest.NewRequest(http.MethodPost, "http://example.com/", strings.NewReader("")),
 		relay: s, route: route, service: "engine", paced: true, arrived: now, objective: now.Add(time.Second), deadline: now.Add(10 * time.Second),
 	}
 }
@@ -76,6 +79,20 @@
 	})
 }
 
+// A grant ran out, or the target's data centre was drained, while the request was on its way to a
+// send. That tells nothing of the target, which must not be ejected for it, and costs no retry.
+func TestWithdrawnSendIsNoFailureOfTheTarget(t *testing.T) {
+	q := pacedRequest(&granter{})
+	outcome, err := q.classifyError(t.Context(), &forward.Error{Step: forward.StepConnect, Peer: "x", Err: forward.ErrWithdrawn})
+	require.Equal(t, routing.OutcomeCancelled, outcome)
+	q.target = "e"
+	retry, err := q.decideRetry(t.Context(), err)
+	require.NoError(t, err)
+	require.True(t, retry)
+	require.Empty(t, q.excluded)
+	require.False(t, q.mayHaveRun)
+}
+
 // No target may be granted: the request is refused as not run, with a time to come back.
 func TestRequestWithoutGrantIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
