Refuse a request at once whose turn at a cold target comes too late

Cause: a request whose grant is for a time after its caller leaves waited until its deadline and was refused then.

Change: it is refused when the grant comes, with the time of its turn.

Figures: the test fails without the change.

--- a/daemon/relay/grant.go
+++ b/daemon/relay/grant.go
@@ -10,6 +10,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
 )
 
 // maxGrants limits the grants that are requested for one attempt. A grant is useless if this
@@ -27,7 +28,8 @@
 }
 
 // awaitGrant returns the target to which a send was granted, when it may be sent. The grant that
-// came with the stages' results is used first.
+// came with the stages' results is used first. A request whose turn comes too late is refused at
+// once.
 func (q *request) awaitGrant(ctx context.Context) (routing.Choice, error) {
 	var rejected []string
 	err := error(&routing.NoTargetError{Pool: q.service})
@@ -40,6 +42,9 @@
 		if q.preferredEngine == "" {
 			break
 		}
+		if now := time.Now(); q.sendAt.After(q.eventDeadline(now)) {
+			return routing.Choice{}, &stages.RefusedError{Reason: gather.ReasonQueueTooLong, RetryAfter: q.sendAt.Sub(now), Holder: q.grant.holder}
+		}
 		query := q.targetQuery()
 		query.Only, q.preferredEngine = q.preferredEngine, ""
 		if err := waitUntil(ctx, q.sendAt); err != nil {
--- a/daemon/relay/grant_test.go
+++ b/daemon/relay/grant_test.go
@@ -79,6 +79,20 @@
 	})
 }
 
+// All targets have had their share for longer than the caller waits. It must be told at once, with
+// the time at which its turn comes.
+func TestGrantAfterTheDeadlineIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		q := pacedRequest(&granter{grants: []stages.Result{{Engine: "e", Holder: "h", SendAt: begin.Add(11 * time.Second)}}})
+		_, err := q.awaitGrant(t.Context())
+		var refused *stages.RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, 11*time.Second, refused.RetryAfter)
+		require.Equal(t, begin, time.Now())
+	})
+}
+
 // A grant ran out, or the target's data centre was drained, while the request was on its way to a
 // send. That tells nothing of the target, which must not be ejected for it, and costs no retry.
 func TestWithdrawnSendIsNoFailureOfTheTarget(t *testing.T) {
