Log the leases of orders with holder, fencing number and remaining wait

Cause: a test of two lease holders failed with a fencing number too many, and with a lease that was not taken within 30 s. The lines 'lease held' and 'lease lost' name neither the instance's holder name nor the fencing number, nor what a competitor has observed and for how long. Ruled out: a line for each renewal and read: two a second for each six pools at rest. Change: the lines carry holder, fencing number, and the wait for orders of earlier holders. New lines: an instance starts or stops competing, observes another holder (with the time until it may acquire the lease), or gets no answer of the store (verbosity 1; before, it was swallowed). Before, after: no decision changes.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -219,6 +219,33 @@
 	return Write{Record: r, Revision: l.revision}, true
 }
 
+// Status describes a lease as this instance last observed it.
+type Status struct {
+	// Record is the record last read or written; zero if the store has none.
+	Record Record
+	// Unchanged is how long the record has been observed unchanged.
+	Unchanged time.Duration
+	// AvailableIn is the time until this instance may acquire the lease if no renewal
+	// is observed, zero if it holds the lease or may acquire it now.
+	AvailableIn time.Duration
+	// SafeWithoutFencingIn is the time until orders may be sent to targets that ignore
+	// the fencing number, zero if they may be sent now.
+	SafeWithoutFencingIn time.Duration
+}
+
+// Status returns what this instance knows of the lease, for logs.
+func (l *Lease) Status(now time.Time) Status {
+	s := Status{
+		Record:               l.observed,
+		Unchanged:            now.Sub(l.observedSince),
+		SafeWithoutFencingIn: max(l.safeWithoutFencingAt.Sub(now), 0),
+	}
+	if !l.held && !l.available(now) {
+		s.AvailableIn = l.observed.term() - s.Unchanged
+	}
+	return s
+}
+
 // expireIfDue ends a held lease whose term has ended.
 func (l *Lease) expireIfDue(now time.Time) {
 	if l.held && !now.Before(l.expiresAt) {
--- a/daemon/orders/group.go
+++ b/daemon/orders/group.go
@@ -56,6 +56,7 @@
 	controller *Controller
 	stop       context.CancelFunc
 	pool       *catalog.Pool
+	stopped    bool
 }
 
 // NewGroup returns a Group that is started by Run.
@@ -121,7 +122,7 @@
 	}
 	for name, c := range g.controllers {
 		if pools[name] == nil {
-			c.stop()
+			c.stopOnce(name)
 		}
 	}
 	for name, pool := range pools {
@@ -164,6 +165,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c := &runningController{controller: New(options), stop: cancel}
 	g.controllers[name] = c
+	klog.InfoS("orders: competes for the lease", "pool", name, "holder", options.Holder)
 	g.running.Go(func() {
 		defer cancel()
 		_ = c.controller.Run(ctx) // returns only the error of its context
@@ -174,6 +176,15 @@
 	return c
 }
 
+// stopOnce stops the controller of a pool whose lease this instance no longer competes for.
+func (c *runningController) stopOnce(pool string) {
+	if !c.stopped {
+		klog.InfoS("orders: no longer competes for the lease", "pool", pool, "holder", c.controller.opts.Holder)
+	}
+	c.stopped = true
+	c.stop()
+}
+
 // update passes the pool's desired state to the controller if the pool has changed.
 func (c *runningController) update(pool *catalog.Pool) {
 	if c.pool != nil && c.pool.Revision == pool.Revision {
--- a/daemon/orders/renew.go
+++ b/daemon/orders/renew.go
@@ -18,10 +18,12 @@
 	wasHeld := false
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		action := c.lease.Next(c.opts.Now())
-		_, held := c.lease.Held(c.opts.Now())
+		now := c.opts.Now()
+		action := c.lease.Next(now)
+		_, held := c.lease.Held(now)
+		status := c.lease.Status(now)
 		c.mu.Unlock()
-		c.reportHeld(wasHeld, held)
+		c.reportHeld(wasHeld, held, status)
 		wasHeld = held
 		c.perform(ctx, action)
 	}
@@ -71,6 +73,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Now()
+	previous := c.lease.Status(now).Record
+	defer func() { c.logForeignHolder(previous, c.lease.Status(now)) }()
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil && wrote:
@@ -87,7 +91,19 @@
 		c.observeLease(now, conflict.Current)
 	default:
 		c.lease.CallFailed(now)
+		klog.V(1).InfoS("orders: lease call failed", "pool", c.opts.Pool, "holder", c.opts.Holder, "write", wrote, "err", err)
+	}
+}
+
+// logForeignHolder logs that another instance was observed to have acquired or released
+// the lease.
+func (c *Controller) logForeignHolder(previous lease.Record, s lease.Status) {
+	r := s.Record
+	if r.Holder == c.opts.Holder || (r.Holder == previous.Holder && r.Fencing == previous.Fencing) {
+		return
 	}
+	klog.InfoS("orders: lease of another holder", "pool", c.opts.Pool, "observer", c.opts.Holder,
+		"holder", r.Holder, "fencing", r.Fencing, "available_in", s.AvailableIn)
 }
 
 // observeLease passes a stored lease to the lease's state machine. A record that can't be
@@ -121,22 +137,24 @@
 		klog.InfoS("orders: lease not given up, it lapses", "pool", c.opts.Pool, "err", err)
 		return
 	}
-	klog.InfoS("orders: lease given up", "pool", c.opts.Pool)
+	klog.InfoS("orders: lease given up", "pool", c.opts.Pool, "holder", c.opts.Holder, "fencing", w.Record.Fencing)
 }
 
 // reportHeld reports a change of the lease's holder to the log and the metrics.
-func (c *Controller) reportHeld(was, is bool) {
+func (c *Controller) reportHeld(was, is bool, s lease.Status) {
 	if was == is {
 		return
 	}
 	if !is {
 		c.metrics.held.Update(0)
 		c.metrics.lost.Inc(1)
-		klog.InfoS("orders: lease lost", "pool", c.opts.Pool)
+		klog.InfoS("orders: lease lost", "pool", c.opts.Pool, "holder", c.opts.Holder,
+			"fencing", s.Record.Fencing, "stored_holder", s.Record.Holder, "unchanged", s.Unchanged)
 		return
 	}
 	c.metrics.held.Update(1)
-	klog.InfoS("orders: lease held", "pool", c.opts.Pool)
+	klog.InfoS("orders: lease held", "pool", c.opts.Pool, "holder", c.opts.Holder,
+		"fencing", s.Record.Fencing, "attempt", s.Record.Attempt, "safe_without_fencing_in", s.SafeWithoutFencingIn)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
