Keep the lease of orders with its living holder

Callers and operators saw: after each join, return, freeze or false suspicion of an instance the orders of a pool may change hands. At targets that ignore fencing numbers its engines then get no orders for the predecessor's term and longest order (40 s by default), and with members that come and go it may never end. Cause: Group.update stopped the controller of a pool as soon as two others ranked before its instance in the ring, and a controller that is stopped gives its lease up. The option's comment said that competing only limits reads. Ruled out: a hysteresis for holders (a move gains nobody anything: the lease decides, not the ring); giving the lease up only where targets check numbers (a write and a takeover for nothing). Change: a controller ends with its desired state, with a planned stop, or if it neither holds the lease, nor has a write out that may acquire it, nor competes. Conclusion: a living holder's number doesn't move.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -187,6 +187,13 @@
 	return l.lastWrite.Fencing, true
 }
 
+// MayHold reports whether the lease is held, or a write was sent that may have acquired it
+// and whose result isn't known yet.
+func (l *Lease) MayHold(now time.Time) bool {
+	_, held := l.Held(now)
+	return held || !l.writeSentAt.IsZero()
+}
+
 // SafeWithoutFencing reports whether orders may be sent to targets that ignore the
 // fencing number: the lease is held and the orders of earlier holders have ended.
 func (l *Lease) SafeWithoutFencing(now time.Time) bool {
--- a/daemon/orders/controller.go
+++ b/daemon/orders/controller.go
@@ -141,6 +141,14 @@
 	return c.lease.Held(c.opts.Now())
 }
 
+// mayHold reports whether this instance holds the lease, or has sent a write that may have
+// acquired it.
+func (c *Controller) mayHold() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.MayHold(c.opts.Now())
+}
+
 // Run competes for the lease and sends orders until ctx ends. It then releases the lease,
 // unless an order may still be in progress.
 func (c *Controller) Run(ctx context.Context) error {
--- a/daemon/orders/group.go
+++ b/daemon/orders/group.go
@@ -28,17 +28,17 @@
 	Snapshot func() *catalog.Snapshot
 	// Members returns the live targets of a pool.
 	Members func(pool string) []Member
-	// Competes reports whether this instance competes for a pool's lease. It only limits
-	// the reads of the store; which instance holds the lease is decided by the lease
-	// alone.
+	// Competes reports whether this instance competes for a pool's lease while it doesn't
+	// hold it. It only limits the reads of the store; which instance holds the lease is
+	// decided by the lease alone.
 	Competes func(pool string) bool
 	// WeightSlots bounds the concurrent orders of all pools; 0 means
 	// DefaultWeightSlots.
 	WeightSlots int
 }
 
-// Group runs a Controller for each pool that has a desired state and for whose lease this
-// instance competes. It is safe for concurrent use.
+// Group runs a Controller for each pool that has a desired state and whose lease this
+// instance holds or competes for. It is safe for concurrent use.
 type Group struct {
 	opts GroupOptions
 
@@ -134,8 +134,12 @@
 	}
 }
 
-// poolsToRun returns the pools for whose lease this instance competes, nil if there is no
-// configuration yet.
+// poolsToRun returns the pools whose lease this instance holds or competes for, nil if there
+// is no configuration yet.
+//
+// A holder keeps its lease whoever else would compete for it: a successor has to wait for the
+// holder's longest order at targets that ignore fencing numbers, and would have to again
+// after each change of the membership.
 func (g *Group) poolsToRun() map[string]*catalog.Pool {
 	snapshot := g.opts.Snapshot()
 	if snapshot == nil {
@@ -143,13 +147,21 @@
 	}
 	pools := make(map[string]*catalog.Pool)
 	for name, pool := range snapshot.Pools {
-		if pool.Desired != nil && g.opts.Competes(name) {
+		if pool.Desired != nil && (g.opts.Competes(name) || g.mayHold(name)) {
 			pools[name] = pool
 		}
 	}
 	return pools
 }
 
+// mayHold reports whether this instance holds a pool's lease or is about to acquire it.
+func (g *Group) mayHold(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.controllers[name]
+	return c != nil && c.controller.mayHold()
+}
+
 // start starts the controller of a pool. The caller holds the lock. Each controller gets
 // its own holder name. If it continued the lease of an earlier controller of this instance,
 // it would not know the earlier one's orders in progress, and its numbering of the lease's
