Let an expired lease of orders be observed through changes of members

Cause: who is to succeed a holder is the ring's choice of the moment. With each change of the membership an instance that had observed the lease for a while stopped, and another one, or the same, began its term of observation anew. With changes more often than each term nobody ever acquires it. Ruled out: to keep what was observed for the next controller of the pool (the same revision proves that nothing was written since): it helps only where the same instance competes again. Change: an instance goes on competing for a term and a renewal interval after others rank before it. TestFormerCompetitorStopsReading and TestCostOfAnIdlePool hold the reads. Conclusion: changes of members don't delay a takeover.

--- a/daemon/orders/competition_test.go
+++ b/daemon/orders/competition_test.go
@@ -78,3 +78,51 @@
 		second.stop()
 	})
 }
+
+// The holder has died, and who is to succeed it changes with each member that comes or goes. If
+// each change began the observation of the lease anew, nobody would ever acquire it.
+func TestExpiredLeaseIsAcquiredWhileMembersChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, f := emulator.New(emulator.Options{}), newFleet(1)
+		var s atomic.Pointer[catalog.Snapshot]
+		s.Store(snapshotOf(1, "decode", "engines"))
+		first := startCompetitor(t, store, "a", f, &s)
+		time.Sleep(5 * time.Second)
+		store.SetFaults(emulator.Faults{Instances: []string{"a"}, Down: emulator.FailRefuse})
+		died := time.Now()
+		second, third := startCompetitor(t, store, "b", f, &s), startCompetitor(t, store, "c", f, &s)
+		third.competes.Store(false)
+		for storedLease(t, store, "engines").Fencing == 1 {
+			require.Less(t, time.Since(died), lease.DefaultTiming.Term+2*lease.DefaultTiming.RenewInterval)
+			time.Sleep(4 * time.Second)
+			second.competes.Store(!second.competes.Load())
+			third.competes.Store(!third.competes.Load())
+		}
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(2), storedLease(t, store, "engines").Fencing)
+		first.stop()
+		second.stop()
+		third.stop()
+	})
+}
+
+// An instance that no longer competes stops reading the lease. Otherwise each instance that
+// ever competed would go on reading the store.
+func TestFormerCompetitorStopsReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, f := emulator.New(emulator.Options{}), newFleet(1)
+		var s atomic.Pointer[catalog.Snapshot]
+		s.Store(snapshotOf(1, "decode", "engines"))
+		first := startCompetitor(t, store, "a", f, &s)
+		time.Sleep(5 * time.Second)
+		second := startCompetitor(t, store, "b", f, &s)
+		time.Sleep(5 * time.Second)
+		second.competes.Store(false)
+		time.Sleep(lease.DefaultTiming.Term + 2*lease.DefaultTiming.RenewInterval)
+		before := store.Calls().Kinds[platformapi.KindLeases].Reads
+		time.Sleep(time.Minute)
+		require.Equal(t, before, store.Calls().Kinds[platformapi.KindLeases].Reads)
+		first.stop()
+		second.stop()
+	})
+}
--- a/daemon/orders/group.go
+++ b/daemon/orders/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 // instance holds or competes for. It is safe for concurrent use.
 type Group struct {
 	opts GroupOptions
+	// competedAt holds when this instance last competed for each pool's lease. It is only
+	// used by Run.
+	competedAt map[string]time.Time
 
 	mu          sync.Mutex
 	controllers map[string]*runningController
@@ -64,7 +68,8 @@
 	if opts.WeightSlots == 0 {
 		opts.WeightSlots = DefaultWeightSlots
 	}
-	return &Group{opts: opts, controllers: make(map[string]*runningController)}
+	opts.Controller = opts.Controller.withDefaults()
+	return &Group{opts: opts, controllers: make(map[string]*runningController), competedAt: make(map[string]time.Time)}
 }
 
 // Run starts and stops controllers as the configuration changes. When ctx ends it stops
@@ -145,15 +150,41 @@
 	if snapshot == nil {
 		return nil
 	}
+	maps.DeleteFunc(g.competedAt, func(name string, _ time.Time) bool { return snapshot.Pools[name] == nil })
 	pools := make(map[string]*catalog.Pool)
 	for name, pool := range snapshot.Pools {
-		if pool.Desired != nil && (g.opts.Competes(name) || g.mayHold(name)) {
+		if pool.Desired != nil && (g.competes(name) || g.mayHold(name)) {
 			pools[name] = pool
 		}
 	}
 	return pools
 }
 
+// competes reports whether this instance competes for a pool's lease or did so less than
+// competitionGrace ago.
+func (g *Group) competes(name string) bool {
+	now := g.opts.Controller.Now()
+	if g.opts.Competes(name) {
+		g.competedAt[name] = now
+		return true
+	}
+	at, ok := g.competedAt[name]
+	if ok && now.Sub(at) < g.competitionGrace() {
+		return true
+	}
+	delete(g.competedAt, name)
+	return false
+}
+
+// competitionGrace returns how long an instance goes on competing for a lease after others rank
+// before it. A lapsed lease must be observed for a whole term before it is acquired. If each
+// change of the membership began that term again with another instance, frequent changes
+// would leave a pool without a holder.
+func (g *Group) competitionGrace() time.Duration {
+	timing := g.opts.Controller.Timing
+	return timing.Term + timing.RenewInterval
+}
+
 // mayHold reports whether this instance holds a pool's lease or is about to acquire it.
 func (g *Group) mayHold(name string) bool {
 	g.mu.Lock()
