Leave the lease of orders to expire while its holder waits for an earlier one

Seen: in a test only; found while looking for other ways in which a lease moves without the wait for its predecessor's orders. What an operator would see: an engine that ignores fencing numbers goes back to an old role or loads an old version after a rollout that follows a crash. Cause: a holder that waits out its dead predecessor's longest order gave the lease up at a planned stop, and a lease that was given up is acquired without a wait. Ruled out: to hand the remaining wait on in the record (a field that older versions ignore). Change: where the pool's targets ignore numbers, such a lease is left to expire; the successor waits a term and the longest order, as after a crash. Before, after: TestPlannedStopWhileWaitingForAnEarlierHolder fails on the code before ('decode' within the dead holder's longest order), passes now; targets that check numbers don't wait in either. Conclusion: a lease is only free of a wait if no order of any earlier holder can be in progress.

--- a/daemon/orders/controller_test.go
+++ b/daemon/orders/controller_test.go
@@ -172,6 +172,34 @@
 	}
 }
 
+// A holder stops as planned while it waits for an order of its dead predecessor. If it released
+// the lease, its successor would not wait, and a target that ignores fencing numbers could
+// execute the dead one's order after the successor's.
+func TestPlannedStopWhileWaitingForAnEarlierHolder(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := emulator.New(emulator.Options{})
+			f := &fakeTarget{checksFencing: checks, load: targetapi.Load{Incarnation: "t1"}}
+			_, stopFirst := startController(t, store, "a", &link{fakeTarget: f}, "prefill")
+			time.Sleep(5 * time.Second)
+			store.SetFaults(emulator.Faults{Instances: []string{"a"}, Down: emulator.FailRefuse})
+			died := time.Now()
+			second, stopSecond := startController(t, store, "b", &link{fakeTarget: f}, "prefill")
+			time.Sleep(15 * time.Second)
+			_, held := second.Held()
+			require.True(t, held)
+			stopSecond()
+			_, stopThird := startController(t, store, "c", &link{fakeTarget: f}, "decode")
+			time.Sleep(died.Add(lease.DefaultTiming.LongestOrder).Sub(time.Now()))
+			require.Equal(t, checks, f.role() == "decode", "an order of the dead holder may be in progress")
+			time.Sleep(time.Minute)
+			require.Equal(t, "decode", f.role())
+			stopFirst()
+			stopThird()
+		})
+	}
+}
+
 // The store is down for longer than a lease's term. The holder must stop sending orders by
 // itself, and send them again once the store is available.
 func TestStoreOutage(t *testing.T) {
--- a/daemon/orders/renew.go
+++ b/daemon/orders/renew.go
@@ -118,15 +118,16 @@
 	c.lease.Observed(now, r, object.Metadata.Revision)
 }
 
-// release releases the lease at a planned stop. While an order whose response was lost may
-// still be in progress, the lease is left to expire, so that the successor waits for the
-// order's end.
+// release releases the lease at a planned stop. While an order may still be in progress, of this
+// holder because its response was lost, or of an earlier one for which this holder waits, the
+// lease is left to expire, so that the successor waits for the order's end.
 func (c *Controller) release(ctx context.Context) {
+	checks := c.opts.ChecksFencing()
 	c.mu.Lock()
 	now := c.opts.Now()
 	c.pruneBusy(now)
 	w, held := lease.Write{}, false
-	if len(c.busyUntil) == 0 {
+	if len(c.busyUntil) == 0 && (checks || c.lease.SafeWithoutFencing(now)) {
 		w, held = c.lease.Release(now)
 	}
 	c.mu.Unlock()
