Keep the grants to cold targets through a short drain

A cold target may then get more than cold_per_s allows, and crash with its requests. Cause: the grants to a target were part of the entry of its incarnation in the list of usable targets, which a drain removes. Ruled out: to keep removed engines in the list (their caches and predictions are rightly forgotten). Change: pacing.Holder holds the grants of a service by target name, and forgets them a second after the last. An engine that starts again under its name has no new part of the limit either. Conclusion: one holder keeps its part whatever the list of targets does.

--- a/coordination/gather/paced_test.go
+++ b/coordination/gather/paced_test.go
@@ -37,3 +37,32 @@
 		}
 	}
 }
+
+// A stage target is drained and taken back within a second. If the holder forgot the calls that it
+// started there, the target would get its part of the limit twice.
+func TestCallsBeforeAShortDrainCount(t *testing.T) {
+	r := newRig(t)
+	r.callDuration = func(StartCall) time.Duration { return 10 * time.Millisecond }
+	config := smallBatch
+	config.MaxPieces, config.Pace = 1, pacing.ForLimit(6)
+	r.service("s", config, "x")
+	list := r.planner.services["s"].listedTargets()
+	for i := range 20 {
+		r.submit(Request{ID: fmt.Sprint(i), Route: "r", Stages: []Stage{{Service: "s", Pieces: 1}}, Objective: r.now.Add(20 * time.Second), Deadline: r.now.Add(20 * time.Second)})
+	}
+	var started []time.Time
+	seen := 0
+	for i := range 50 {
+		r.run(100 * time.Millisecond)
+		for ; seen < len(r.calls); seen++ {
+			started = append(started, r.now)
+		}
+		if i%5 == 4 {
+			r.do(r.planner.SetTargets(r.now, "s", nil))
+			r.do(r.planner.SetTargets(r.now, "s", list))
+		}
+	}
+	for i := 3; i < len(started); i++ {
+		require.Greater(t, started[i].Sub(started[i-3]), 900*time.Millisecond, "more than three calls in a second")
+	}
+}
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -224,6 +224,7 @@
 	p.hedgeOverdueCalls(now)
 	p.freeReadInputs(now)
 	for _, s := range p.services {
+		s.grants.Prune(now)
 		for _, t := range s.targets {
 			t.expireReservations(now)
 		}
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -13,6 +13,8 @@
 	name    string
 	config  ServiceConfig
 	targets map[string]*target
+	// grants are the calls that were started.
+	grants pacing.Holder
 	// queue holds the stages with pending pieces.
 	queue   []*heldStage
 	backlog backlog
@@ -52,8 +54,6 @@
 	// replaced is true if another process has taken over the target's name. A reply of the
 	// old process that is read later names results that no longer exist.
 	replaced bool
-	// sends are the calls that were started.
-	sends pacing.Target
 }
 
 // Parameters of the targets.
@@ -89,7 +89,7 @@
 // usable reports whether the target may get a call now.
 func (t *target) usable(now time.Time) bool {
 	return !t.unlisted && t.calls < max(t.service.config.Slots, 1) && !now.Before(t.downUntil) &&
-		t.sends.Wait(now, t.service.config.Pace) == 0
+		t.service.grants.Wait(now, t.Name, t.service.config.Pace) == 0
 }
 
 // available reports whether the target counts as capacity.
--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -13,11 +13,14 @@
 // The package is pure: time is an argument.
 package pacing
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
-	// holders is the number of instances that may grant sends to one target within a second.
-	holders = 2
+	// share is the part of the limit that one holder uses: two stay within the limit.
+	share = 1.0 / 2
 	// GrantValidity is how long after its time a grant may be used. A later send would fall into
 	// a second whose grants are used as well.
 	GrantValidity = 100 * time.Millisecond
@@ -55,7 +58,7 @@
 	if limit <= 0 {
 		return Pace{}
 	}
-	most := max(int(limit/holders), 1)
+	most := max(int(limit*share), 1)
 	// A long span with many grants is divided into equal ones, so that few need be remembered.
 	parts := (most + maxLogged - 1) / maxLogged
 	return Pace{most: most / parts, span: (time.Second + GrantValidity) / time.Duration(parts)}
@@ -64,26 +67,67 @@
 // Unlimited reports whether there is no limit.
 func (p Pace) Unlimited() bool { return p.most == 0 }
 
-// Target is the state of the grants to one target. The zero Target has none.
-type Target struct {
-	// granted has the times of the latest grants in ascending order; some may be in the future.
-	granted []time.Time
+// Holder is the state of one holder's grants to the targets of a service. It keeps the grants to
+// a target, by name, also while the target may not be used: the target may soon be back.
+type Holder struct {
+	targets map[string]*target
 }
 
-// Wait returns how long the next send to the target has to wait.
-func (t *Target) Wait(now time.Time, p Pace) time.Duration {
-	if p.Unlimited() || len(t.granted) < p.most {
+// Wait returns how long the next send to a target has to wait.
+func (h *Holder) Wait(now time.Time, name string, p Pace) time.Duration {
+	if p.Unlimited() || h.targets[name] == nil {
 		return 0
 	}
-	return max(t.granted[len(t.granted)-p.most].Add(p.span).Sub(now), 0)
+	return h.targets[name].wait(now, p.most, p.span)
 }
 
-// Grant grants a send to the target and returns how long it has to wait.
-func (t *Target) Grant(now time.Time, p Pace) time.Duration {
+// Grant grants a send to a target and returns how long it has to wait.
+func (h *Holder) Grant(now time.Time, name string, p Pace) time.Duration {
 	if p.Unlimited() {
 		return 0
 	}
-	wait := t.Wait(now, p)
+	t := h.targets[name]
+	if t == nil {
+		if h.targets == nil {
+			h.targets = map[string]*target{}
+		}
+		t = &target{}
+		h.targets[name] = t
+	}
+	return t.grant(now, p.most, p.span)
+}
+
+// Prune forgets the targets whose grants no longer count.
+func (h *Holder) Prune(now time.Time) {
+	maps.DeleteFunc(h.targets, func(_ string, t *target) bool {
+		return now.Sub(t.granted[len(t.granted)-1]) > time.Second+GrantValidity
+	})
+}
+
+// target is the state of the grants to one target.
+type target struct {
+	// granted has the times of the latest grants in ascending order; some may be in the future.
+	granted []time.Time
+}
+
+// wait returns how long the next send has to wait if most sends are allowed within a span.
+func (t *target) wait(now time.Time, most int, span time.Duration) time.Duration {
+	n := len(t.granted)
+	if n == 0 {
+		return 0
+	}
+	next := t.granted[n-1]
+	if n >= most {
+		if free := t.granted[n-most].Add(span); free.After(next) {
+			next = free
+		}
+	}
+	return max(next.Sub(now), 0)
+}
+
+// grant records a send and returns how long it has to wait.
+func (t *target) grant(now time.Time, most int, span time.Duration) time.Duration {
+	wait := t.wait(now, most, span)
 	if len(t.granted) >= maxLogged {
 		t.granted = append(t.granted[:0], t.granted[len(t.granted)-maxLogged+1:]...)
 	}
--- a/coordination/pacing/pacing_test.go
+++ b/coordination/pacing/pacing_test.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -28,15 +29,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(2, 400).Draw(t, "limit")
 		pace := ForLimit(limit)
-		var targets [2]Target
+		var holders [2]Holder
 		now := time.Unix(0, 0)
 		var sent []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
-			target := &targets[rapid.IntRange(0, 1).Draw(t, "holder")]
+			holder := &holders[rapid.IntRange(0, 1).Draw(t, "holder")]
 			for range rapid.IntRange(1, 30).Draw(t, "at once") {
 				late := time.Duration(rapid.Int64Range(0, int64(GrantValidity)).Draw(t, "late"))
-				sent = append(sent, now.Add(target.Grant(now, pace)+late))
+				sent = append(sent, now.Add(holder.Grant(now, "t", pace)+late))
 			}
 		}
 		require.LessOrEqual(t, float64(maxInOneSecond(sent)), limit)
@@ -48,38 +49,46 @@
 func TestWaits(t *testing.T) {
 	pace := ForLimit(17.6)
 	now := time.Unix(0, 0)
-	var target Target
+	holder := &Holder{}
 	for range 8 {
-		require.Zero(t, target.Wait(now, pace))
-		require.Zero(t, target.Grant(now, pace))
+		require.Zero(t, holder.Wait(now, "t", pace))
+		require.Zero(t, holder.Grant(now, "t", pace))
 	}
-	wait := target.Wait(now, pace)
+	wait := holder.Wait(now, "t", pace)
 	require.Positive(t, wait)
-	require.Equal(t, wait, target.Grant(now, pace))
-	require.Equal(t, wait, target.Wait(now, pace), "eight may be sent then")
+	require.Equal(t, wait, holder.Grant(now, "t", pace))
+	require.Equal(t, wait, holder.Wait(now, "t", pace), "eight may be sent then")
 	for range 7 {
-		target.Grant(now, pace)
+		holder.Grant(now, "t", pace)
 	}
-	require.Equal(t, 2*wait, target.Wait(now, pace))
-	require.Zero(t, target.Wait(now.Add(2*wait), pace))
+	require.Equal(t, 2*wait, holder.Wait(now, "t", pace))
+	require.Zero(t, holder.Wait(now.Add(2*wait), "t", pace))
 }
 
 func TestNoLimitMeansNoWait(t *testing.T) {
-	var target Target
+	var holder Holder
 	pace := ForLimit(Limits{Overage: 1.5, Slack: 5}.Limit(0))
 	require.True(t, pace.Unlimited())
 	for range 1000 {
-		require.Zero(t, target.Grant(time.Unix(0, 0), pace))
+		require.Zero(t, holder.Grant(time.Unix(0, 0), "t", pace))
 	}
 	require.InDelta(t, 17.6, Limits{Overage: 1.5, Slack: 5}.Limit(8.4), 1e-9)
 }
 
-// What is remembered of a target's grants must not grow with them.
+// What is remembered of grants must not grow with them, nor with the targets that come and go.
 func TestGrantsAreBounded(t *testing.T) {
-	var target Target
+	var holder Holder
 	pace := ForLimit(1e6)
-	for i := range 10 * maxLogged {
-		target.Grant(time.Unix(0, 0).Add(time.Duration(i)*time.Millisecond), pace)
-		require.LessOrEqual(t, len(target.granted), maxLogged)
+	now := time.Unix(0, 0)
+	for range 10 * maxLogged {
+		now = now.Add(time.Millisecond)
+		holder.Grant(now, "t", pace)
+		require.LessOrEqual(t, len(holder.targets["t"].granted), maxLogged)
+	}
+	for i := range 100 {
+		now = now.Add(100 * time.Millisecond)
+		holder.Grant(now, fmt.Sprint("t", i), pace)
+		holder.Prune(now)
+		require.LessOrEqual(t, len(holder.targets), 13)
 	}
 }
--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -98,6 +98,6 @@
 	idle := s.best.prefillTime(uncached)
 	return Choice{
 		Engine: s.best.Engine, FirstEvent: wait + idle, FirstEventIdle: idle,
-		SendAfter: s.best.sends.Wait(s.now, s.best.pool.Pace), uncached: uncached, queueWait: wait,
+		SendAfter: s.best.sendWait(s.now), uncached: uncached, queueWait: wait,
 	}, true
 }
--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
 const (
@@ -50,8 +48,6 @@
 	// unreachableCount the number of times in a row that this was reported.
 	avoidUntil       time.Time
 	unreachableCount int
-	// sends are the sends to the engine that were granted.
-	sends pacing.Target
 }
 
 // prefill is a request whose prompt an engine processes.
@@ -126,9 +122,18 @@
 
 // wait returns how long a request waits until it may be sent and those before it are processed.
 func (e *engineState) wait(now time.Time) time.Duration {
-	return max(e.queueWait(now), e.sends.Wait(now, e.pool.Pace))
+	return max(e.queueWait(now), e.sendWait(now))
+}
+
+// sendWait returns how long a request waits until it may be sent.
+func (e *engineState) sendWait(now time.Time) time.Duration {
+	return e.pool.grants.Wait(now, e.pacedName(), e.pool.Pace)
 }
 
+// pacedName is the name under which sends to the engine are granted. It stays the same when the
+// engine restarts.
+func (e *engineState) pacedName() string { return cmp.Or(e.Name, e.Incarnation) }
+
 // queueCost returns the cost of a request that is assigned now, without the cost of its prompt.
 func (e *engineState) queueCost(now time.Time) time.Duration {
 	if now.Before(e.avoidUntil) {
--- a/coordination/placing/paced_test.go
+++ b/coordination/placing/paced_test.go
@@ -102,3 +102,28 @@
 	_, ok := table.Choose(time.Unix(2000, 0), &Prompt{Pool: "pool"}, noTransfer)
 	require.False(t, ok)
 }
+
+// A data centre is drained and taken back within a second. If the holder forgot what it granted to
+// the engines there, they would get its part of the limit twice: with a second holder, more than
+// cold ones bear.
+func TestGrantsOutliveAShortDrain(t *testing.T) {
+	table := pacedTable(engines(1)...)
+	sent := map[string][]time.Time{}
+	now := time.Unix(1000, 0)
+	for i := range 100 {
+		now = now.Add(50 * time.Millisecond)
+		id := fmt.Sprint("r", i)
+		prompt := &Prompt{Pool: "pool", Tokens: 500}
+		if choice, ok := table.Choose(now, prompt, noTransfer); ok && choice.SendAfter < time.Second {
+			table.RecordSent(now, id, prompt, choice)
+			sent[choice.Engine.Name] = append(sent[choice.Engine.Name], now.Add(choice.SendAfter))
+		}
+		if i%10 == 0 {
+			table.SetEngines(Pool{Name: "pool", Pace: pacing.ForLimit(coldLimit)}, nil)
+			table.Tick(now)
+			table.SetEngines(Pool{Name: "pool", Pace: pacing.ForLimit(coldLimit)}, engines(1))
+		}
+	}
+	require.Greater(t, len(sent["e0"]), holderPart)
+	require.LessOrEqual(t, mostInOneSecond(sent["e0"]), holderPart)
+}
--- a/coordination/placing/pool.go
+++ b/coordination/placing/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
 )
 
@@ -20,7 +21,9 @@
 // poolState holds the engines of a service, with indexes for Choose.
 type poolState struct {
 	Pool
-	model   firstEventModel
+	model firstEventModel
+	// grants are the sends that were granted.
+	grants  pacing.Holder
 	engines map[string]*engineState
 	// bySlowdown has the engines in ascending order of slowdown.
 	bySlowdown []*engineState
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -51,7 +51,7 @@
 		return
 	}
 	t.removeRequests(request)
-	e.sends.Grant(now, pool.Pace)
+	pool.grants.Grant(now, e.pacedName(), pool.Pace)
 	e.startPrefill(request, prefill{
 		sent: now, due: now.Add(c.FirstEvent), uncached: c.uncached, engineIdle: c.queueWait == 0,
 	})
@@ -100,6 +100,7 @@
 // found to have recovered.
 func (t *Table) Tick(now time.Time) {
 	for _, p := range t.pools {
+		p.grants.Prune(now)
 		for _, e := range p.engines {
 			t.removeRequests(e.expired(now)...)
 		}
