Grant less to cold targets while a holder is new

Cause: each holder uses half of the limit from its first grant on. Evidence: TestThreeHoldersInSuccessionStayBelowTheLimit with half for each: 11 requests in a second where 10 are allowed (the smallest case found). Ruled out: to carry the grants with the handover of the queue (a new message; the holders that die hand nothing over); to void the grants of a holder that died (all its requests in wait ask again at the moment its successor is busiest); to wait a second before the first grant (each holder's loss would cost all paced requests that second). Change: a holder that has granted for less than 3 s, or not for 3 s, uses a quarter of the limit. After: the property test passes, a holder of 6 s and two new ones in any times. A target that bears 17 gets 4 instead of 8 in the first seconds; its usual load is 2 a second. Conclusion: one established holder and two new ones, or two established ones, stay within the limit.

--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -8,7 +8,8 @@
 //
 // Requests are sent by many instances, but each send needs a grant of the holder of the stage
 // queue. A holder grants at a pace that uses a share of the limit, so that the limit holds while
-// two instances consider themselves the holder, or one has just taken over from another.
+// two instances consider themselves the holder, or one has just taken over from another. A holder
+// that has just begun uses a smaller share: its predecessor may have had one itself.
 //
 // The package is pure: time is an argument.
 package pacing
@@ -19,8 +20,15 @@
 )
 
 const (
-	// share is the part of the limit that one holder uses: two stay within the limit.
-	share = 1.0 / 2
+	// share and newHolderShare are the parts of the limit that one holder and one that has just
+	// begun use. Two holders stay within the limit, and so does one with two that have just
+	// begun.
+	share          = 1.0 / 2
+	newHolderShare = 1.0 / 4
+	// newHolderPeriod is how long a holder uses newHolderShare, and the time without a grant
+	// after which it counts as new again. The grants of those before it have been used by then,
+	// unless they were for a time far ahead.
+	newHolderPeriod = 3 * time.Second
 	// GrantValidity is how long after its time a grant may be used. A later send would fall into
 	// a second whose grants are used as well.
 	GrantValidity = 100 * time.Millisecond
@@ -47,13 +55,16 @@
 // span of time. The zero Pace is unlimited.
 type Pace struct {
 	most int
-	span time.Duration
+	// mostOfNew is the number while the holder has just begun.
+	mostOfNew int
+	span      time.Duration
 }
 
 // ForLimit returns the pace of one holder for a limit, in requests in any second; 0 means no limit.
 //
 // The grants that are used in a second are those of the second and of GrantValidity before it. A
-// limit of less than two can't be kept by two holders, since each grants one request.
+// limit of less than two can't be kept by two holders, since each grants one request, and one of
+// less than four not by two that have just begun beside another.
 func ForLimit(limit float64) Pace {
 	if limit <= 0 {
 		return Pace{}
@@ -61,7 +72,10 @@
 	most := max(int(limit*share), 1)
 	// A long span with many grants is divided into equal ones, so that few need be remembered.
 	parts := (most + maxLogged - 1) / maxLogged
-	return Pace{most: most / parts, span: (time.Second + GrantValidity) / time.Duration(parts)}
+	return Pace{
+		most: most / parts, mostOfNew: max(int(limit*newHolderShare)/parts, 1),
+		span: (time.Second + GrantValidity) / time.Duration(parts),
+	}
 }
 
 // Unlimited reports whether there is no limit.
@@ -71,6 +85,8 @@
 // a target, by name, also while the target may not be used: the target may soon be back.
 type Holder struct {
 	targets map[string]*target
+	// since is when the holder began to grant sends, last when it last did.
+	since, last time.Time
 }
 
 // Wait returns how long the next send to a target has to wait.
@@ -78,7 +94,7 @@
 	if p.Unlimited() || h.targets[name] == nil {
 		return 0
 	}
-	return h.targets[name].wait(now, p.most, p.span)
+	return h.targets[name].wait(now, h.most(now, p), p.span)
 }
 
 // Grant grants a send to a target and returns how long it has to wait.
@@ -86,6 +102,10 @@
 	if p.Unlimited() {
 		return 0
 	}
+	if now.Sub(h.last) > newHolderPeriod {
+		h.since = now
+	}
+	h.last = now
 	t := h.targets[name]
 	if t == nil {
 		if h.targets == nil {
@@ -94,7 +114,7 @@
 		t = &target{}
 		h.targets[name] = t
 	}
-	return t.grant(now, p.most, p.span)
+	return t.grant(now, h.most(now, p), p.span)
 }
 
 // Prune forgets the targets whose grants no longer count.
@@ -104,6 +124,14 @@
 	})
 }
 
+// most returns how many grants are allowed within the span of a pace.
+func (h *Holder) most(now time.Time, p Pace) int {
+	if now.Sub(h.since) < newHolderPeriod || now.Sub(h.last) > newHolderPeriod {
+		return p.mostOfNew
+	}
+	return p.most
+}
+
 // target is the state of the grants to one target.
 type target struct {
 	// granted has the times of the latest grants in ascending order; some may be in the future.
