Play requests that wait for a target which leaves meanwhile

Nothing showed whether the check before the first byte, which came later, closes that. Change: tests only, and an accessor. TestTargetThatLeavesDuringConnectGetsNothing: the target leaves while the connection opens. The second test fails with the check moved before the connect.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -316,6 +316,9 @@
 // Paced reports whether sends to the targets of a service need grants.
 func (g *Gateway) Paced(service string) bool { return g.stages.Paced(service) }
 
+// Usable reports whether an incarnation of a target may receive new work.
+func (g *Gateway) Usable(incarnation string) bool { return g.follower.Usable(incarnation) }
+
 // Ready reports whether the instance accepts new connections.
 func (g *Gateway) Ready() bool { return g.follower.Ready() && !g.draining.Load() }
 
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -391,3 +391,26 @@
 	require.NoError(t, err)
 	require.Equal(t, int64(1), conns.Load())
 }
+
+// A target leaves while a connection to it opens, which may take longer than the bound for what
+// leaves. Nothing may be sent on the connection.
+func TestTargetThatLeavesDuringConnectGetsNothing(t *testing.T) {
+	var received atomic.Int64
+	address, _ := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, err := r.ReadByte(); err == nil {
+			received.Add(1)
+		}
+	})
+	var left atomic.Bool
+	c := New()
+	c.dialer.Control = func(string, string, syscall.RawConn) error {
+		left.Store(true)
+		return nil
+	}
+	allowed := func() bool { return !left.Load() }
+	require.True(t, allowed())
+	_, err := do(t, c, address, "", Options{Allowed: allowed})
+	require.ErrorIs(t, err, ErrWithdrawn)
+	c.CloseIdle(func(string) bool { return false })
+	require.Zero(t, received.Load())
+}
