Replace a stage's attempt at a target that stopped responding

Callers saw: two requests of some thousand end at their deadline (6 s) as 'unknown', where the usual answer takes 0.2 s. Cause: a slow attempt is hedged once, at its 95th percentile. If the budget of hedges is used up in that moment, here by some 60 hedges against a target ten times slower, nothing is tried again, and an attempt on a connection that has gone silent holds the request until the deadline. Ruled out: a fault of the leaving (nothing arrives at the leaving target, cmp heard passes); load (the other answers took 0.12 to 0.22 s); a larger budget of hedges (spent on slow targets all the same). Change: a hedge that can't be sent is tried again, after twice the delay each time, while half of the time left is enough for it. Conclusion: a silent target holds a repeatable stage until the budget allows its replacement, not until the deadline. Without any budget (a pool with hardly any requests) it still does.

--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -233,6 +233,19 @@
 	require.Equal(t, 200*ms, HedgeDelay(50*ms, time.Second, false), "only when it appears stuck")
 	require.Equal(t, 40*ms, HedgeDelay(50*ms, 80*ms, true), "half is left for the hedge")
 	require.Zero(t, HedgeDelay(50*ms, -ms, true))
+
+	next, again := NextHedgeDelay(50*ms, 50*ms, time.Second)
+	require.True(t, again)
+	require.Equal(t, 100*ms, next, "ever less often")
+	next, _ = NextHedgeDelay(50*ms, 50*ms, 120*ms)
+	require.Equal(t, 60*ms, next, "half is left for the hedge")
+	_, again = NextHedgeDelay(50*ms, 50*ms, 80*ms)
+	require.False(t, again, "too late for a second attempt")
+	next, _ = NextHedgeDelay(0, 0, time.Second)
+	require.Positive(t, next)
+
+	require.False(t, Stuck(50*ms, 199*ms))
+	require.True(t, Stuck(50*ms, 200*ms))
 	for stage, want := range map[Stage]bool{
 		{Repeatable: true, MaxAttempts: 2}: true,
 		{Repeatable: true, MaxAttempts: 1}: false,
--- a/daemon/execute/hedge.go
+++ b/daemon/execute/hedge.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/daemon/gate"
 )
@@ -30,14 +32,22 @@
 
 // hedgeAfter returns the delay after which the hedge starts.
 func (s *stageRun) hedgeAfter() time.Duration {
+	return retry.HedgeDelay(s.p95(), s.remainingTime(), s.attainmentFirst(s.stage.Pool))
+}
+
+// p95 returns the learned 95th percentile of the stage's duration.
+func (s *stageRun) p95() time.Duration {
 	_, p95 := s.opts.Times.Estimate(s.stageKey(s.index), s.stage.ExpectedDuration)
-	return retry.HedgeDelay(p95, s.remainingTime(), s.attainmentFirst(s.stage.Pool))
+	return p95
 }
 
 // awaitHedged waits for the first complete response of the attempt and its hedge, which it
-// starts when it is due. If all running attempts fail, it returns the last result.
+// starts when it is due or, if that isn't possible then, as soon as it is. If all running
+// attempts fail, it returns the last result.
 func (s *stageRun) awaitHedged(ctx context.Context, results chan attemptResult, request gate.Request) attemptResult {
-	timer := time.NewTimer(s.hedgeAfter())
+	began := s.opts.Now()
+	delay := s.hedgeAfter()
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	running := 1
 	for {
@@ -48,8 +58,14 @@
 				return result
 			}
 		case <-timer.C:
-			if s.startHedge(ctx, results, request) {
+			if s.startHedge(ctx, results, request, began) {
 				running++
+				continue
+			}
+			next, again := retry.NextHedgeDelay(delay, s.p95(), s.remainingTime())
+			if again && s.attempts.MayHedge() {
+				delay = next
+				timer.Reset(delay)
 			}
 		}
 	}
@@ -57,7 +73,7 @@
 
 // startHedge starts the second attempt and reports whether it did. It doesn't if there is no
 // free slot, no further target or no budget.
-func (s *stageRun) startHedge(ctx context.Context, results chan<- attemptResult, request gate.Request) bool {
+func (s *stageRun) startHedge(ctx context.Context, results chan<- attemptResult, request gate.Request, began time.Time) bool {
 	if !s.attempts.MayHedge() {
 		return false
 	}
@@ -65,7 +81,7 @@
 	if !ok {
 		return false
 	}
-	second := s.hedgeAttempt(grant)
+	second := s.hedgeAttempt(grant, began)
 	if second == nil {
 		return false
 	}
@@ -78,7 +94,7 @@
 
 // hedgeAttempt records an attempt at a target that was not tried yet. If it returns nil or
 // panics, it releases the slot.
-func (s *stageRun) hedgeAttempt(grant *gate.Grant) (second *attempt) {
+func (s *stageRun) hedgeAttempt(grant *gate.Grant, began time.Time) (second *attempt) {
 	defer func() {
 		if second == nil {
 			grant.Release()
@@ -88,7 +104,8 @@
 	if failure != nil {
 		return nil
 	}
-	if !s.opts.Budgets.TakeHedge(s.opts.Now(), s.stage.Pool) {
+	if !s.payForHedge(began) {
+		klog.V(1).InfoS("Hedge not sent, the budget is used up", "request", s.job.ID, "pool", s.stage.Pool, "tried", s.tried)
 		return nil
 	}
 	second, err := s.newAttempt(choice)
@@ -97,3 +114,13 @@
 	}
 	return second
 }
+
+// payForHedge takes the price of a second attempt from the budget of hedges or, if the first
+// attempt appears stuck, from that of retries.
+func (s *stageRun) payForHedge(began time.Time) bool {
+	now := s.opts.Now()
+	if s.opts.Budgets.TakeHedge(now, s.stage.Pool) {
+		return true
+	}
+	return retry.Stuck(s.p95(), now.Sub(began)) && s.opts.Budgets.TakeRetry(now, s.stage.Pool)
+}
--- a/daemon/execute/script_test.go
+++ b/daemon/execute/script_test.go
@@ -239,6 +239,43 @@
 	}
 }
 
+// A target stops responding while hedges against slow targets have used up their budget. The
+// request must not wait for its deadline: the attempt counts as failed and is retried elsewhere,
+// or hedged once the budget allows it.
+func TestStuckAttemptIsReplaced(t *testing.T) {
+	const stuckAfter = 4 * 30 * time.Millisecond // four times the 95th percentile of an unknown stage of 20 ms
+	for name, c := range map[string]struct {
+		retries  bool          // the budget of retries isn't empty
+		earnedAt time.Duration // when successes earn tokens
+		within   time.Duration // the latest start of the second attempt
+	}{
+		"paid as a retry":                {retries: true, earnedAt: time.Hour, within: 2 * stuckAfter},
+		"paid as soon as it is possible": {earnedAt: 200 * time.Millisecond, within: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedCaller{steps: []step{{after: time.Hour}, {}}}
+				r := newScriptedRig(s, retry.Config{Reserve: 5})
+				for r.budgets.TakeHedge(time.Now(), rigPool) || !c.retries && r.budgets.TakeRetry(time.Now(), rigPool) {
+					continue
+				}
+				earn := time.AfterFunc(c.earnedAt, func() {
+					for range 40 {
+						r.budgets.Succeeded(time.Now(), rigPool)
+					}
+				})
+				defer earn.Stop()
+				start := time.Now()
+				_, err := r.do(r.job(oneStage(true, false, 0), 6*time.Second))
+				require.NoError(t, err)
+				synctest.Wait()
+				require.Len(t, s.sent, 2)
+				require.LessOrEqual(t, s.sent[1].Sub(start), c.within)
+			})
+		})
+	}
+}
+
 // brokenGate is a gate that fails with an error that isn't a *gate.RefusedError.
 type brokenGate struct{ Gate }
 
--- a/daemon/follow/fleet_test.go
+++ b/daemon/follow/fleet_test.go
@@ -180,6 +180,27 @@
 	}
 }
 
+// The store loses all pending watches, the first watcher fails, and a target's entry is removed
+// without a report. The others must not take that for an entry that expired in an outage.
+func TestRemovalAfterStoreLosesWatchesTakesEffect(t *testing.T) {
+	for _, c := range fleets {
+		for _, failsAfter := range []time.Duration{100 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 2800 * time.Millisecond} {
+			for begins := 10 * time.Second; begins < 19*time.Second; begins += fineStep {
+				t.Run(fmt.Sprint(c.size, " at ", begins, " fails ", failsAfter), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						fl := newFleet(t, c.size, withFleetView(c.all))
+						fl.sleep(begins)
+						fl.store.loseWatches()
+						time.AfterFunc(failsAfter, func() { fl.isolate(0) })
+						fl.sleep(settledAfter)
+						fl.requireLeavingApplied()
+					})
+				})
+			}
+		}
+	}
+}
+
 // The first watcher fails around the store's recovery. No other instance's watch has a
 // short timeout, and the others' watches may be lost: one of them has to take over in time.
 func TestFirstWatcherFailsAtStoreRecovery(t *testing.T) {
