Give a silent target up once the retry budget allows it

Cause: sendAttempt's timer fired once. Ruled out: to give the attempt up without a budget (the request would certainly fail); to reserve retries for silent targets. Change: silenceTimer considers the attempt again each 0.1 s, while another target has time for a response of use, and not after a sign of life of the target. Before, a timeout that ran into an event could cancel a stream that had just gone on. Before, after: TestSilentTargetIsGivenUpOnceTheBudgetAllowsIt holds the timer; with one try only it waits for ever. Conclusion: the budget still bounds all retries.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -23,7 +23,7 @@
 const readBuffer = 16 << 10
 
 // forwardReply forwards the target's reply to the caller.
-func (q *request) forwardReply(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
+func (q *request) forwardReply(ctx context.Context, reply *forward.Reply, silence *silenceTimer) (routing.Outcome, error) {
 	switch {
 	case q.isStream() && reply.Status == http.StatusOK:
 		return q.forwardStream(ctx, reply, silence)
@@ -37,7 +37,7 @@
 
 // forwardPlainReply forwards a reply that isn't a stream of events. A reply shorter than
 // maxBufferedReply is read completely before its head is sent.
-func (q *request) forwardPlainReply(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
+func (q *request) forwardPlainReply(ctx context.Context, reply *forward.Reply, silence *silenceTimer) (routing.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedReply))
 	if err != nil {
 		return q.classifyReplyError(ctx, err)
@@ -117,7 +117,7 @@
 
 // forwardStream forwards a stream event by event: a target may fail in the middle of an event,
 // and the target that resumes the stream begins with a complete one.
-func (q *request) forwardStream(ctx context.Context, reply *forward.Reply, silence *time.Timer) (routing.Outcome, error) {
+func (q *request) forwardStream(ctx context.Context, reply *forward.Reply, silence *silenceTimer) (routing.Outcome, error) {
 	events := sse.NewSplitter(0, q.requiredResumeID())
 	buffer := make([]byte, readBuffer)
 	controller := http.NewResponseController(q.w)
--- a/daemon/relay/answer_test.go
+++ b/daemon/relay/answer_test.go
@@ -34,9 +34,9 @@
 		relay: New(Options{Dialect: dialect{}, Scope: tally.NoopScope}), w: w, r: httptest.NewRequest(http.MethodGet, "http://example.com/", nil),
 		route: &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, arrived: time.Now(),
 	}
-	silence := time.NewTimer(time.Hour)
+	silence := newSilenceTimer(time.Hour, func() bool { return false })
 	_, err = q.forwardReply(t.Context(), reply, silence)
 	require.NoError(t, err)
 	require.Equal(t, body, w.Body.String())
-	require.False(t, silence.Stop(), "the timer of the target's silence still runs")
+	require.True(t, silence.stopped, "the timer of the target's silence still runs")
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -319,11 +319,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.framing = ""
-	silence := time.AfterFunc(q.firstByteTimeout(), func() {
-		// Without a retry the cancelled request would certainly fail.
-		if q.payForRetry() {
-			cancel(errTargetSilent)
+	silence := newSilenceTimer(q.firstByteTimeout(), func() bool {
+		// Without a retry, or without time for it, the cancelled request would certainly fail.
+		now := time.Now()
+		if q.eventDeadline(now).Sub(now) < minTimeElsewhere || !q.payForRetry() {
+			return false
 		}
+		cancel(errTargetSilent)
+		return true
 	})
 	defer silence.Stop()
 	options := forward.Options{
--- /dev/null
+++ b/daemon/relay/silence.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// silenceRecheck is the interval at which an attempt at a silent target that can't be
+	// given up yet, for lack of retry budget, is considered again.
+	silenceRecheck = 100 * time.Millisecond
+	// minTimeElsewhere is the time that another target needs at least for a response that is
+	// of use.
+	minTimeElsewhere = engineFirstEventTime
+)
+
+// silenceTimer gives an attempt up whose target was silent for too long. It is safe for
+// concurrent use.
+type silenceTimer struct {
+	// giveUp gives the attempt up and reports whether it did.
+	giveUp func() bool
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	due     time.Time
+	stopped bool
+}
+
+func newSilenceTimer(timeout time.Duration, giveUp func() bool) *silenceTimer {
+	t := &silenceTimer{giveUp: giveUp}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.due = time.Now().Add(timeout)
+	t.timer = time.AfterFunc(timeout, t.expire)
+	return t
+}
+
+// expire runs at the end of a timeout. A silent target whose attempt can't be given up would
+// otherwise hold the request until its deadline, although the budget allows a retry soon.
+func (t *silenceTimer) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || time.Now().Before(t.due) {
+		return // reset or stopped meanwhile
+	}
+	if !t.giveUp() {
+		t.reset(silenceRecheck)
+	}
+}
+
+// Reset starts the timeout anew, after a sign of life of the target.
+func (t *silenceTimer) Reset(timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.reset(timeout)
+	}
+}
+
+// reset sets the timer; mu is held.
+func (t *silenceTimer) reset(timeout time.Duration) {
+	t.due = time.Now().Add(timeout)
+	t.timer.Reset(timeout)
+}
+
+// Stop ends the timer.
+func (t *silenceTimer) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
--- /dev/null
+++ b/daemon/relay/silence_test.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A target is silent and the retry budget is used up just when that is noticed. The attempt must
+// not wait for its deadline, but be given up once others have earned a retry.
+func TestSilentTargetIsGivenUpOnceTheBudgetAllowsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		earnedAt := begin.Add(2 * time.Second)
+		var asked []time.Duration
+		var givenUpAt time.Time
+		timer := newSilenceTimer(time.Second, func() bool {
+			asked = append(asked, time.Since(begin))
+			if time.Now().Before(earnedAt) {
+				return false
+			}
+			givenUpAt = time.Now()
+			return true
+		})
+		time.Sleep(10 * time.Second)
+		timer.Stop()
+		require.Equal(t, time.Second, asked[0])
+		require.False(t, givenUpAt.IsZero())
+		require.LessOrEqual(t, givenUpAt.Sub(earnedAt), silenceRecheck)
+		require.LessOrEqual(t, len(asked), 12, "given up once")
+	})
+}
+
+// A target responds again while its attempt can't be given up. The attempt must not be given up
+// for the silence before.
+func TestTargetThatRespondsIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var allowed atomic.Bool
+		var givenUp atomic.Int64
+		timer := newSilenceTimer(time.Second, func() bool {
+			if allowed.Load() {
+				givenUp.Add(1)
+			}
+			return allowed.Load()
+		})
+		time.Sleep(1500 * time.Millisecond)
+		timer.Reset(time.Second)
+		allowed.Store(true)
+		time.Sleep(900 * time.Millisecond)
+		require.Zero(t, givenUp.Load())
+		timer.Stop()
+		timer.Reset(time.Second)
+		time.Sleep(10 * time.Second)
+		require.Zero(t, givenUp.Load())
+	})
+}
