--- a/daemon/orders/group_test.go
+++ b/daemon/orders/group_test.go
@@ -172,8 +172,9 @@
 		require.Len(t, f.history(), 1)
 		s.Store(snapshotOf(2, "prefill"))
 		time.Sleep(2 * time.Second)
-		s.Store(snapshotOf(3, "prefill", "engines"))
-		s.Load().Pools["engines"].ChecksFencing = false
+		again := snapshotOf(3, "prefill", "engines")
+		again.Pools["engines"].ChecksFencing = false
+		s.Store(again)
 		time.Sleep(20 * time.Second)
 		require.Len(t, f.history(), 1, "the first order may still be in progress")
 		time.Sleep(40 * time.Second)
