End the loading of engines in a scenario by a command

Seen: orders-load failed in 2 of 3 whole runs beside 30 busy processes, at the request that is expected as not_run while engines load: it was answered. Cause: the script supposed that the request is sent within the two seconds that a load takes. Nothing in the product failed: the engines had loaded. Ruled out: a longer load time (another supposition about time).

--- a/emulator/target/admin.go
+++ b/emulator/target/admin.go
@@ -12,6 +12,8 @@
 	PathAdminRuns = "/admin/runs"
 	// PathAdminOrders lists the orders that took effect.
 	PathAdminOrders = "/admin/orders"
+	// PathAdminReleaseOrders lets held orders take effect.
+	PathAdminReleaseOrders = "/admin/orders/release"
 )
 
 // LeavingRequest is the body of POST /admin/leaving.
@@ -54,3 +56,8 @@
 func (t *Target) serveOrders(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, t.Orders())
 }
+
+func (t *Target) serveReleaseOrders(w http.ResponseWriter, _ *http.Request) {
+	t.ReleaseOrders()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
--- a/emulator/target/control.go
+++ b/emulator/target/control.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
@@ -58,17 +59,32 @@
 		return err
 	}
 	if t.options.LoadTime > 0 {
-		select {
-		case <-t.options.After(t.options.LoadTime):
-		case <-r.Context().Done():
-			return r.Context().Err()
-		case <-t.closing.Done():
-			return errClosed
+		if err := await(r.Context(), t.closing.Done(), t.options.After(t.options.LoadTime)); err != nil {
+			return err
 		}
 	}
+	if err := await(r.Context(), t.closing.Done(), t.released.Done()); err != nil {
+		return err
+	}
 	return t.orders.apply(order)
 }
 
+// ReleaseOrders lets held orders, and all later ones, take effect.
+func (t *Target) ReleaseOrders() { t.release() }
+
+// await waits until a channel is closed or delivers a value. It returns an error if the order's
+// request or the target ends before.
+func await[T any](ctx context.Context, closing <-chan struct{}, event <-chan T) error {
+	select {
+	case <-event:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-closing:
+		return errClosed
+	}
+}
+
 // refuseOrder responds to an order that had no effect.
 func refuseOrder(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
--- a/emulator/target/options.go
+++ b/emulator/target/options.go
@@ -50,6 +50,8 @@
 	Adapters []string
 	// LoadTime is the delay before an order takes effect.
 	LoadTime time.Duration
+	// HoldOrders keeps orders from taking effect until ReleaseOrders.
+	HoldOrders bool
 	// ChecksFencing makes the target refuse orders with an old fencing number.
 	ChecksFencing bool
 
--- a/emulator/target/target.go
+++ b/emulator/target/target.go
@@ -24,7 +24,10 @@
 	leaving     atomic.Bool
 
 	// closing is cancelled by Close.
-	closing     context.Context
+	closing context.Context
+	// released is cancelled by release, when orders may take effect.
+	released    context.Context
+	release     context.CancelFunc
 	cancelCalls context.CancelFunc
 
 	mu sync.Mutex
@@ -53,6 +56,10 @@
 		onChange:   t.loadHistory.record,
 	}
 	t.closing, t.cancelCalls = context.WithCancel(context.Background())
+	t.released, t.release = context.WithCancel(context.Background())
+	if !t.options.HoldOrders {
+		t.release()
+	}
 	return t
 }
 
@@ -73,6 +80,7 @@
 	mux.HandleFunc("POST "+PathAdminLeaving, t.serveSetLeaving)
 	mux.HandleFunc("GET "+PathAdminRuns, t.serveRuns)
 	mux.HandleFunc("GET "+PathAdminOrders, t.serveOrders)
+	mux.HandleFunc("POST "+PathAdminReleaseOrders, t.serveReleaseOrders)
 	return mux
 }
 
--- a/emulator/target/target_test.go
+++ b/emulator/target/target_test.go
@@ -280,6 +280,23 @@
 	})
 }
 
+// A scenario relies on an engine that loads until it is told to end. If an order took effect
+// before, the engine would serve requests that the scenario expects to be refused.
+func TestHeldOrdersTakeEffectOnceReleased(t *testing.T) {
+	runInVirtualTime(t, Options{HoldOrders: true, LoadTime: time.Second, Models: []string{}}, func(t *testing.T, target *Target) {
+		loaded := make(chan int, 1)
+		go func() {
+			loaded <- call(t.Context(), target, http.MethodPost, targetapi.PathOrders, targetapi.Order{Action: targetapi.ActionLoadModel, Value: "m"}).Code
+		}()
+		<-time.After(time.Hour)
+		require.Empty(t, target.Orders())
+		require.Equal(t, http.StatusOK, call(t.Context(), target, http.MethodPost, PathAdminReleaseOrders, nil).Code)
+		require.Equal(t, http.StatusOK, <-loaded)
+		require.Len(t, target.Orders(), 1)
+		require.Equal(t, http.StatusOK, call(t.Context(), target, http.MethodPost, targetapi.PathOrders, targetapi.Order{Action: targetapi.ActionLoadModel, Value: "n"}).Code)
+	})
+}
+
 func TestAdmin(t *testing.T) {
 	target := New(Options{})
 	set := call(t.Context(), target, http.MethodPost, PathAdminFaults, []Fault{{Kind: FaultFailFast, Limit: 1}})
--- a/testkit/scenario/orders.go
+++ b/testkit/scenario/orders.go
@@ -145,6 +145,20 @@
 	return sendJSON(http.MethodPost, base+targetapi.PathOrders, string(text))
 }
 
+// releaseOrders: release TARGET... lets the orders that a target holds take effect.
+func releaseOrders(_ *testscript.TestScript, tb *testbed, args []string) error {
+	for _, name := range args {
+		base, err := tb.url(name, "")
+		if err != nil {
+			return err
+		}
+		if err := sendJSON(http.MethodPost, base+targetemulator.PathAdminReleaseOrders, "{}"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // waitComplete: complete POOL COUNT waits until the pool's state reports that it has COUNT
 // targets and all of them match the present desired state.
 func waitComplete(_ *testscript.TestScript, tb *testbed, args []string) error {
--- a/testkit/scenario/verbs.go
+++ b/testkit/scenario/verbs.go
@@ -35,6 +35,7 @@
 		"store":        setStoreFaults,
 		"fault":        setTargetFaults,
 		"leaving":      setLeaving,
+		"release":      releaseOrders,
 		"unlist":       unlistTarget,
 		"apply":        applyRecords,
 		"race":         raceRecords,
--- a/testkit/standin/standin.go
+++ b/testkit/standin/standin.go
@@ -70,6 +70,7 @@
 			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse orders with an old fencing number"},
 			&cli.BoolFlag{Name: "empty", Usage: "serve only models and adapters that orders have loaded"},
 			&cli.DurationFlag{Name: "load-time", Usage: "time that an order takes"},
+			&cli.BoolFlag{Name: "hold-orders", Usage: "orders take effect only once they are released"},
 		},
 		Action: runTarget,
 	}
@@ -83,6 +84,7 @@
 		CallTime:      c.Duration("call-time"),
 		TokenTime:     c.Duration("token-time"),
 		LoadTime:      c.Duration("load-time"),
+		HoldOrders:    c.Bool("hold-orders"),
 		ChecksFencing: c.Bool("checks-fencing"),
 	}
 	if options.Kind == catalog.KindService {
