Don't read a request's changing state from the timer of its target's silence

Cause: the timer's callback computed the deadline of the next event, which reads whether the head has been sent: a data race with the request's own goroutine, found while reading the change. Change: it compares with the request's deadline, taken before. Before, after: no test showed it; daemon/relay passes under the race detector. Conclusion: the callback reads what doesn't change and the budget, as before.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -319,10 +319,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.framing = ""
+	deadline := q.deadline
 	silence := newSilenceTimer(q.firstByteTimeout(), func() bool {
 		// Without a retry, or without time for it, the cancelled request would certainly fail.
-		now := time.Now()
-		if q.eventDeadline(now).Sub(now) < minTimeElsewhere || !q.payForRetry() {
+		if time.Until(deadline) < minTimeElsewhere || !q.payForRetry() {
 			return false
 		}
 		cancel(errTargetSilent)
