--- a/daemon/orders/controller_test.go
+++ b/daemon/orders/controller_test.go
@@ -190,7 +190,7 @@
 			require.True(t, held)
 			stopSecond()
 			_, stopThird := startController(t, store, "c", &link{fakeTarget: f}, "decode")
-			time.Sleep(died.Add(lease.DefaultTiming.LongestOrder).Sub(time.Now()))
+			time.Sleep(time.Until(died.Add(lease.DefaultTiming.LongestOrder)))
 			require.Equal(t, checks, f.role() == "decode", "an order of the dead holder may be in progress")
 			time.Sleep(time.Minute)
 			require.Equal(t, "decode", f.role())
