--- a/daemon/orders/competition_test.go
+++ b/daemon/orders/competition_test.go
@@ -1,7 +1,6 @@
 package orders
 
 import (
-	"context"
 	"encoding/json"
 	"sync/atomic"
 	"testing"
@@ -25,17 +24,7 @@
 func startCompetitor(t *testing.T, store *emulator.Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot]) *competitor {
 	c := &competitor{}
 	c.competes.Store(true)
-	g := NewGroup(GroupOptions{
-		Controller: Options{Holder: name, Store: store.Local(name), Client: f, Now: time.Now},
-		Snapshot:   s.Load, Members: f.members, Competes: func(string) bool { return c.competes.Load() },
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- g.Run(ctx) }()
-	c.stop = func() {
-		cancel()
-		require.ErrorIs(t, <-ended, context.Canceled)
-	}
+	_, c.stop = startGroupAt(t, store.Local(name), name, f, s, func(string) bool { return c.competes.Load() })
 	return c
 }
 
--- a/daemon/orders/group_test.go
+++ b/daemon/orders/group_test.go
@@ -73,14 +73,14 @@
 }
 
 func startGroup(t *testing.T, store *emulator.Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes bool) (*Group, func()) {
-	return startGroupAt(t, store.Local(name), name, f, s, competes)
+	return startGroupAt(t, store.Local(name), name, f, s, func(string) bool { return competes })
 }
 
 // startGroupAt starts a group; stop ends it.
-func startGroupAt(t *testing.T, store Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes bool) (g *Group, stop func()) {
+func startGroupAt(t *testing.T, store Store, name string, f *fleet, s *atomic.Pointer[catalog.Snapshot], competes func(pool string) bool) (g *Group, stop func()) {
 	g = NewGroup(GroupOptions{
 		Controller: Options{Holder: name, Store: store, Client: f, Now: time.Now},
-		Snapshot:   s.Load, Members: f.members, Competes: func(string) bool { return competes },
+		Snapshot:   s.Load, Members: f.members, Competes: competes,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -135,7 +135,7 @@
 			store, f := emulator.New(emulator.Options{}), newFleet(1)
 			var s atomic.Pointer[catalog.Snapshot]
 			s.Store(snapshotOf(1, "decode", "engines"))
-			g, stop := startGroupAt(t, delayedResponses{store.Local("a")}, "a", f, &s, true)
+			g, stop := startGroupAt(t, delayedResponses{store.Local("a")}, "a", f, &s, func(string) bool { return true })
 			time.Sleep(20*time.Second + offset)
 			began := time.Now()
 			require.NoError(t, g.ReleaseLeases(t.Context()))
