Hold a living lease holder's guard against a long change of members too

Cause: TestHolderKeepsItsLeaseWhenMembersChange went on passing without Group.mayHold. Change: others rank before the holder for a minute as well; all earlier checks stay.

--- a/daemon/orders/competition_test.go
+++ b/daemon/orders/competition_test.go
@@ -52,15 +52,19 @@
 			require.Equal(t, "a-1", r.Holder)
 			require.Equal(t, uint64(1), r.Fencing)
 		}
-
 		first.competes.Store(false)
+		time.Sleep(time.Minute)
+		r := storedLease(t, store, "engines")
+		require.Equal(t, "a-1", r.Holder, "others rank before it for long")
+		require.Equal(t, uint64(1), r.Fencing)
+
 		store.SetFaults(emulator.Faults{Instances: []string{"a"}, Down: emulator.FailRefuse})
 		time.Sleep(20 * time.Second)
 		require.Equal(t, "b-1", storedLease(t, store, "engines").Holder)
 		store.SetFaults(emulator.Faults{})
 		first.competes.Store(true)
 		time.Sleep(time.Minute)
-		r := storedLease(t, store, "engines")
+		r = storedLease(t, store, "engines")
 		require.Equal(t, "b-1", r.Holder, "an instance that comes back doesn't move the lease")
 		require.Equal(t, uint64(2), r.Fencing)
 		first.stop()
