Log the size of a configuration and each record too large to gossip

Change: an Oversized action of the gossip, logged as an error and counted (gossip_oversized); Configuration in force tells its bytes. No decision changes.

--- a/coordination/spread/messages.go
+++ b/coordination/spread/messages.go
@@ -80,5 +80,10 @@
 // Accepted reports a record that is newer than the one held before.
 type Accepted struct{ Record Record }
 
-func (Send) spreadAction()     {}
-func (Accepted) spreadAction() {}
+// Oversized reports a record that was rejected because its body is larger than
+// MaxRecordBytes.
+type Oversized struct{ Record Record }
+
+func (Send) spreadAction()      {}
+func (Accepted) spreadAction()  {}
+func (Oversized) spreadAction() {}
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -182,6 +182,10 @@
 // accept stores a record if it is newer than the one held, and gossips it if
 // requested.
 func (s *Gossip) accept(r Record, gossip bool) {
+	if len(r.Body) > MaxRecordBytes {
+		s.actions = append(s.actions, Oversized{Record: r})
+		return
+	}
 	if !s.records.Apply(r) {
 		return
 	}
--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -272,10 +272,18 @@
 			if c.opts.OnRecord != nil {
 				c.opts.OnRecord(a.Record)
 			}
+		case spread.Oversized:
+			c.reportOversized(a.Record)
 		}
 	}
 }
 
+// reportOversized logs and counts a record that can't be gossiped.
+func (c *Cluster) reportOversized(r spread.Record) {
+	c.metrics.oversized.Inc(1)
+	klog.ErrorS(nil, "Record too large to gossip", "record", r.Kind+"/"+r.Name, "revision", r.Revision, "bytes", len(r.Body), "limit", spread.MaxRecordBytes)
+}
+
 // seedLoop passes the configured seeds and the platform's list to the membership at
 // intervals. The membership contacts those that it doesn't know.
 func (c *Cluster) seedLoop() {
--- a/daemon/cluster/metrics.go
+++ b/daemon/cluster/metrics.go
@@ -7,13 +7,15 @@
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 )
 
-// metrics are the gauges and counters of the membership.
+// metrics are the gauges and counters of the membership and the gossip.
 type metrics struct {
 	scope      tally.Scope
 	version    tally.Gauge
 	superseded tally.Counter
-	states     map[membership.State]tally.Gauge
-	changes    map[membership.State]tally.Counter
+	// oversized counts the records that were too large to gossip.
+	oversized tally.Counter
+	states    map[membership.State]tally.Gauge
+	changes   map[membership.State]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -22,6 +24,7 @@
 		scope:      s,
 		version:    s.Gauge("view_version"),
 		superseded: s.Counter("superseded"),
+		oversized:  scope.SubScope("gossip").Counter("oversized"),
 		states:     make(map[membership.State]tally.Gauge),
 		changes:    make(map[membership.State]tally.Counter),
 	}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -407,7 +407,7 @@
 	if direct {
 		reason = sourceStore
 	}
-	telemetry.InfoS("Configuration in force", telemetry.Event{Revision: revision, Count: table.RouteCount(), Reason: reason})
+	telemetry.InfoS("Configuration in force", telemetry.Event{Revision: revision, Count: table.RouteCount(), Bytes: len(spec), Reason: reason})
 	return true
 }
 
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -32,6 +32,8 @@
 	// Reason is a short constant text of the program, never one from outside.
 	Reason string
 	Count  int
+	// Bytes is the size of a record's body.
+	Bytes int
 	// Status is the status code of an HTTP response; 0 if there was none.
 	Status  int
 	Elapsed time.Duration
@@ -60,7 +62,7 @@
 }
 
 // maxPairs is the maximum number of keys and values of an Event and an instance.
-const maxPairs = 2 * 27
+const maxPairs = 2 * 28
 
 // pairs returns the non-empty fields as alternating keys and values for klog.
 func (e *Event) pairs() []any {
@@ -82,6 +84,9 @@
 	if e.Count != 0 {
 		kv = append(kv, "count", e.Count)
 	}
+	if e.Bytes != 0 {
+		kv = append(kv, "bytes", e.Bytes)
+	}
 	if e.Status != 0 {
 		kv = append(kv, "status", e.Status)
 	}
