--- a/coordination/spread/spread_test.go
+++ b/coordination/spread/spread_test.go
@@ -327,3 +327,21 @@
 		})
 	}
 }
+
+// Guards against a large record using up the budget of the gossip, so that small news of other
+// records, such as a leaving target, waits for many seconds.
+func TestSmallRecordIsNotDelayedByLargeOnes(t *testing.T) {
+	for _, size := range []int{100 << 10, 250 << 10, 500 << 10} {
+		t.Run(fmt.Sprint(size>>10, " KiB"), func(t *testing.T) {
+			b := newSimCluster(73, 0, Config{})
+			for revision := uint64(1); revision <= 4; revision++ {
+				b.send(0, b.nodes[0].Put(record("large", revision, size)))
+				for range 10 {
+					b.round()
+				}
+			}
+			b.send(0, b.nodes[0].Put(record("small", 5, 10)))
+			require.Less(t, b.roundsToAll("small", 5, 100), 20, "rounds of 100 ms")
+		})
+	}
+}
