Offer large records to peers, which fetch them compressed and in parts

Cause: spread.Table dropped each record of more than 512 KiB, though the platform accepts objects of 1 MiB, so that only the instances that watch the store had such a configuration. Below that size a push of each copy used up the gossip's budget for seconds to minutes, and small news waited behind it.

Ruled out as the cause: late gossip (the versions never come), members that are suspect (none in those seconds).

Change: a record above MaxPushBytes (16 KiB) is offered by kind, name, revision and size, in rumours and repairs alike. Who lacks it fetches it from whoever offered it, in parts of 64 KiB of a zstd stream, one revision at a time; other offers serve if the source fails. The limit of a record is 8 MiB. Version 3 of the peers' protocol; an instance of version 2 gets large records pushed when it compares.

--- a/coordination/spread/messages.go
+++ b/coordination/spread/messages.go
@@ -43,6 +43,18 @@
 	Recovered bool
 }
 
+// Offer announces a record that is too large to be pushed. Its size is that of the
+// body in bytes.
+type Offer struct {
+	Kind     string
+	Name     string
+	Revision uint64
+	Size     uint32
+}
+
+// Offers announces records to a peer, which fetches those that it lacks.
+type Offers struct{ Offers []Offer }
+
 // Pull requests the records that differ. With a negative Bucket it compares the
 // roots; otherwise it carries the leaf sums of one bucket.
 type Pull struct {
@@ -64,6 +76,7 @@
 type Loads struct{ Digests []LoadDigest }
 
 func (*Push) spreadMessage()         {}
+func (*Offers) spreadMessage()       {}
 func (*Pull) spreadMessage()         {}
 func (*PullResponse) spreadMessage() {}
 func (*Loads) spreadMessage()        {}
@@ -77,6 +90,13 @@
 	Message Message
 }
 
+// Fetch requests that the record of an offer, or a later revision of it, be fetched
+// from the peer that offers it. The driver reports the result to Fetched.
+type Fetch struct {
+	From  string
+	Offer Offer
+}
+
 // Accepted reports a record that is newer than the one held before.
 type Accepted struct{ Record Record }
 
@@ -85,5 +105,6 @@
 type Oversized struct{ Record Record }
 
 func (Send) spreadAction()      {}
+func (Fetch) spreadAction()     {}
 func (Accepted) spreadAction()  {}
 func (Oversized) spreadAction() {}
--- a/coordination/spread/pull.go
+++ b/coordination/spread/pull.go
@@ -41,11 +41,9 @@
 // sendMissing sends records that a peer lacks. It returns false if there are none.
 func (s *Gossip) sendMissing(to string, records []Record) bool {
 	for _, r := range records {
-		s.recovery.spend(RecordSize(r))
-	}
-	if len(records) > 0 {
-		s.send(to, &Push{Records: records, Recovered: true})
+		s.recovery.spend(transferSize(r, s.cfg.MaxPushBytes))
 	}
+	s.sendRecords(to, records, true)
 	return len(records) > 0
 }
 
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -19,8 +19,8 @@
 	ExtraCopies int
 	// PushBytesPerSecond bounds rumours, on average.
 	PushBytesPerSecond int
-	// MaxPushBytes bounds the records of one message; a larger record is sent
-	// alone.
+	// MaxPushBytes bounds the records of one message. A larger record is offered,
+	// and fetched by the peers that lack it.
 	MaxPushBytes int
 	// PullInterval is the time between two comparisons with a random peer.
 	PullInterval time.Duration
@@ -89,6 +89,7 @@
 	rng       *rand.Rand
 	records   RecordSet
 	rumours   map[recordKey]*rumour
+	fetches   map[recordKey]*fetch
 	lastOrder uint64
 	push      budget
 	recovery  budget
@@ -114,6 +115,7 @@
 		rng:      rng,
 		records:  records,
 		rumours:  make(map[recordKey]*rumour),
+		fetches:  make(map[recordKey]*fetch),
 		push:     budget{rate: float64(cfg.PushBytesPerSecond)},
 		recovery: budget{rate: float64(cfg.RecoveryBytesPerSecond)},
 		loads:    newLoadTable(),
@@ -128,6 +130,9 @@
 	return s.flush()
 }
 
+// Record returns a record that is held.
+func (s *Gossip) Record(kind, name string) (Record, bool) { return s.records.Get(kind, name) }
+
 // Tick runs the periodic work that is due. Peers are the addresses of the
 // neighbours, which are all others in a small cluster; size is the number of live
 // instances, including this one.
@@ -167,6 +172,10 @@
 		for _, r := range msg.Records {
 			s.accept(r, !msg.Recovered)
 		}
+	case *Offers:
+		for _, o := range msg.Offers {
+			s.handleOffer(from, o)
+		}
 	case *Pull:
 		s.handlePull(from, msg)
 	case *PullResponse:
@@ -213,9 +222,7 @@
 		if !s.push.available() {
 			return
 		}
-		if records := s.batch(copies); len(records) > 0 {
-			s.send(to, &Push{Records: records})
-		}
+		s.sendRecords(to, s.batch(copies), false)
 	}
 }
 
@@ -232,7 +239,7 @@
 	var out []Record
 	size := 0
 	for _, r := range list {
-		n := RecordSize(r.record)
+		n := transferSize(r.record, s.cfg.MaxPushBytes)
 		if len(out) > 0 && size+n > s.cfg.MaxPushBytes || !s.push.available() {
 			break
 		}
@@ -247,6 +254,24 @@
 	return out
 }
 
+// sendRecords pushes records to a peer, and offers those that are too large.
+func (s *Gossip) sendRecords(to string, records []Record, recovered bool) {
+	push, offers := &Push{Recovered: recovered}, &Offers{}
+	for _, r := range records {
+		if mustOffer(r, s.cfg.MaxPushBytes) {
+			offers.Offers = append(offers.Offers, Offer{Kind: r.Kind, Name: r.Name, Revision: r.Revision, Size: uint32(len(r.Body))})
+		} else {
+			push.Records = append(push.Records, r)
+		}
+	}
+	if len(push.Records) > 0 {
+		s.send(to, push)
+	}
+	if len(offers.Offers) > 0 {
+		s.send(to, offers)
+	}
+}
+
 // samplePeers returns up to n distinct random peers.
 func (s *Gossip) samplePeers(peers []string, n int) []string {
 	n = min(n, len(peers))
@@ -272,7 +297,7 @@
 	return out
 }
 
-// budget is a token bucket of bytes. One message may overdraw it, so that a record
+// budget is a token bucket of bytes. One message may overdraw it, so that a message
 // larger than the burst can be sent; nothing more is sent until the debt is paid.
 type budget struct {
 	rate   float64
--- a/coordination/spread/spread_test.go
+++ b/coordination/spread/spread_test.go
@@ -23,10 +23,61 @@
 	peers [][]string
 	index map[string]int
 	queue []delivery
-	// recordBytes, comparisonBytes and loadBytes estimate what was sent, by kind
-	// of message.
-	recordBytes, comparisonBytes, loadBytes int
-	down                                    map[int]bool
+	// recordBytes, comparisonBytes, loadBytes and fetchedBytes estimate what was sent,
+	// by kind of message.
+	recordBytes, comparisonBytes, loadBytes, fetchedBytes int
+	down                                                  map[int]bool
+	// linkRate is the rate of each instance's link in bytes a second; 0 is unlimited.
+	linkRate int
+	// linkFree is when the link of an instance has sent all records that others fetch.
+	linkFree  []time.Time
+	transfers []transfer
+}
+
+// transfer is a record that an instance fetches from another one.
+type transfer struct {
+	to     int
+	fetch  Fetch
+	record Record
+	ok     bool
+	ends   time.Time
+}
+
+// fetchTimeout is the time after which a fetch from an unreachable instance fails.
+const fetchTimeout = 700 * time.Millisecond
+
+// startTransfer sends the record of a Fetch over the link of its source, behind the
+// records that the source sends already.
+func (b *simCluster) startTransfer(to int, f Fetch) {
+	from := b.index[f.From]
+	record, ok := b.nodes[from].records.Get(f.Offer.Kind, f.Offer.Name)
+	if !ok || b.down[from] || b.down[to] {
+		b.transfers = append(b.transfers, transfer{to: to, fetch: f, ends: b.now.Add(fetchTimeout)})
+		return
+	}
+	ends := b.now
+	if b.linkRate > 0 {
+		if b.linkFree[from].After(ends) {
+			ends = b.linkFree[from]
+		}
+		ends = ends.Add(time.Duration(len(record.Body)) * time.Second / time.Duration(b.linkRate))
+		b.linkFree[from] = ends
+	}
+	b.fetchedBytes += len(record.Body)
+	b.transfers = append(b.transfers, transfer{to, f, record, true, ends})
+}
+
+// endTransfers reports the transfers that have ended.
+func (b *simCluster) endTransfers() {
+	transfers := b.transfers
+	b.transfers = nil
+	for _, t := range transfers {
+		if t.ends.After(b.now) {
+			b.transfers = append(b.transfers, t)
+			continue
+		}
+		b.send(t.to, b.nodes[t.to].Fetched(t.fetch, t.record, t.ok))
+	}
 }
 
 // delivery is a message in flight.
@@ -36,7 +87,7 @@
 }
 
 func newSimCluster(n int, loss float64, cfg Config) *simCluster {
-	b := &simCluster{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(7, uint64(n))), loss: loss, index: map[string]int{}, down: map[int]bool{}}
+	b := &simCluster{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(7, uint64(n))), loss: loss, index: map[string]int{}, down: map[int]bool{}, linkFree: make([]time.Time, n)}
 	members := make([]membership.Member, n)
 	for i := range members {
 		members[i] = membership.Member{Name: fmt.Sprint("i", i), Address: fmt.Sprint("a", i)}
@@ -57,6 +108,9 @@
 // send queues the messages of the actions, except those that are lost.
 func (b *simCluster) send(from int, actions []Action) {
 	for _, a := range actions {
+		if f, ok := a.(Fetch); ok {
+			b.startTransfer(from, f)
+		}
 		s, ok := a.(Send)
 		if !ok {
 			continue
@@ -66,6 +120,8 @@
 			for _, r := range m.Records {
 				b.recordBytes += RecordSize(r)
 			}
+		case *Offers:
+			b.recordBytes += recordOverhead * len(m.Offers)
 		case *Loads:
 			for _, d := range m.Digests {
 				b.loadBytes += loadOverhead + len(d.Origin) + len(d.Body)
@@ -84,6 +140,7 @@
 // round advances the time by 100 ms, delivers the queued messages and calls Tick.
 func (b *simCluster) round() {
 	b.now = b.now.Add(100 * time.Millisecond)
+	b.endTransfers()
 	queue := b.queue
 	b.queue = nil
 	for _, d := range queue {
@@ -345,3 +402,65 @@
 		})
 	}
 }
+
+// Guards against a large record that isn't spread in time over links of 10 Mbit/s, and against one
+// that is sent to an instance many times.
+func TestLargeRecordReachesAllInTime(t *testing.T) {
+	const compressed = 200 << 10
+	for _, size := range []int{8, 73, 295} {
+		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
+			b := newSimCluster(size, 0, Config{})
+			b.linkRate = 10e6 / 8
+			for revision := uint64(1); revision <= 3; revision++ {
+				b.send(0, b.nodes[0].Put(record("large", revision, compressed)))
+				require.Less(t, b.roundsToAll("large", revision, 100), 30, "rounds of 100 ms")
+			}
+			require.LessOrEqual(t, b.fetchedBytes, 3*size*compressed)
+		})
+	}
+}
+
+// Guards against a record that is lost or never completed because the instance that offered it
+// fails, or because later versions follow while it is fetched.
+func TestLargeRecordIsFetchedFromAnotherPeer(t *testing.T) {
+	const size = 200 << 10
+	now := time.Unix(1000, 0)
+	offer := func(revision uint64) *Offers {
+		return &Offers{Offers: []Offer{{Kind: "k", Name: "r", Revision: revision, Size: size}}}
+	}
+	newNode := func() *Gossip { return New(Config{}, NewTable(1), rand.New(rand.NewPCG(1, 1))) }
+	first := Fetch{From: "a1", Offer: offer(1).Offers[0]}
+
+	t.Run("source fails", func(t *testing.T) {
+		s := newNode()
+		require.Equal(t, []Action{first}, s.Receive(now, "a1", offer(1)))
+		require.Empty(t, s.Receive(now, "a1", offer(1)), "one fetch at a time")
+		require.Empty(t, s.Receive(now, "a2", offer(1)))
+		require.Equal(t, []Action{Fetch{From: "a2", Offer: first.Offer}}, s.Fetched(first, Record{}, false))
+	})
+	t.Run("all sources fail", func(t *testing.T) {
+		s := newNode()
+		s.Receive(now, "a1", offer(1))
+		require.Empty(t, s.Fetched(first, Record{}, false))
+		require.Equal(t, []Action{first}, s.Receive(now, "a1", offer(1)))
+	})
+	t.Run("later version", func(t *testing.T) {
+		s := newNode()
+		s.Receive(now, "a1", offer(1))
+		require.Empty(t, s.Receive(now, "a2", offer(3)))
+		require.Empty(t, s.Receive(now, "a3", offer(2)))
+		actions := s.Fetched(first, record("r", 1, size), true)
+		require.Equal(t, []Action{Accepted{record("r", 1, size)}, Fetch{From: "a2", Offer: offer(3).Offers[0]}}, actions)
+	})
+	t.Run("source has a later version", func(t *testing.T) {
+		s := newNode()
+		s.Receive(now, "a1", offer(1))
+		s.Receive(now, "a2", offer(2))
+		require.Equal(t, []Action{Accepted{record("r", 2, size)}}, s.Fetched(first, record("r", 2, size), true))
+		require.Empty(t, s.fetches)
+	})
+	t.Run("too large", func(t *testing.T) {
+		require.Empty(t, newNode().Receive(now, "a1", &Offers{Offers: []Offer{{Kind: "k", Name: "r", Revision: 1, Size: MaxRecordBytes + 1}}}))
+		require.Equal(t, []Action{Oversized{record("r", 1, MaxRecordBytes+1)}}, newNode().Put(record("r", 1, MaxRecordBytes+1)))
+	})
+}
--- a/coordination/spread/table.go
+++ b/coordination/spread/table.go
@@ -14,8 +14,9 @@
 	LeavesPerBucket = 64
 )
 
-// MaxRecordBytes bounds a record's body so that it fits into a frame.
-const MaxRecordBytes = 512 << 10
+// MaxRecordBytes bounds a record's body. It is several times what the platform accepts
+// as one object.
+const MaxRecordBytes = 8 << 20
 
 // recentRecords is how many of the latest records Since can return.
 const recentRecords = 64
@@ -38,13 +39,16 @@
 	Digest() Digest
 	// Leaves returns the leaf sums of one bucket.
 	Leaves(bucket int) [LeavesPerBucket]uint64
+	// Get returns a record.
+	Get(kind, name string) (Record, bool)
 	// Delta returns the records in those leaves of a bucket whose sums differ
-	// from the given ones, up to about limit bytes.
+	// from the given ones, up to about limit bytes. A record above the limit counts
+	// as its offer.
 	Delta(bucket int, leaves []uint64, limit int) []Record
 	// NewestRevision returns the highest revision held.
 	NewestRevision() uint64
 	// Since returns recent records with a revision higher than the given one, up
-	// to about limit bytes. It may omit older ones.
+	// to about limit bytes, counted as by Delta. It may omit older ones.
 	Since(revision uint64, limit int) []Record
 	// Apply stores a record if it is newer than the one held and reports
 	// whether it was.
@@ -84,7 +88,7 @@
 // Len returns the number of records, including deleted ones.
 func (t *Table) Len() int { return len(t.records) }
 
-// Get returns a record.
+// Get implements RecordSet.
 func (t *Table) Get(kind, name string) (Record, bool) {
 	r, ok := t.records[recordKey{kind, name}]
 	return r, ok
@@ -105,6 +109,7 @@
 // Delta implements RecordSet.
 func (t *Table) Delta(bucket int, leaves []uint64, limit int) []Record {
 	var out []Record
+	maxInline := limit
 	for i := range t.leaves[bucket] {
 		l := &t.leaves[bucket][i]
 		if i < len(leaves) && leaves[i] == l.sum {
@@ -112,7 +117,7 @@
 		}
 		for _, key := range l.keys {
 			r := t.records[key]
-			limit -= RecordSize(r)
+			limit -= transferSize(r, maxInline)
 			out = append(out, r)
 			if limit <= 0 {
 				return out
@@ -128,12 +133,13 @@
 // Since implements RecordSet.
 func (t *Table) Since(revision uint64, limit int) []Record {
 	var out []Record
+	maxInline := limit
 	for i, key := range t.recent {
 		r := t.records[key]
 		if r.Revision <= revision || slices.Contains(t.recent[i+1:], key) {
 			continue
 		}
-		limit -= RecordSize(r)
+		limit -= transferSize(r, maxInline)
 		out = append(out, r)
 		if limit <= 0 {
 			break
--- a/daemon/cluster/cluster.go
+++ b/daemon/cluster/cluster.go
@@ -99,6 +99,11 @@
 	peers     []string
 	peersView *membership.View
 	digestSeq uint64
+
+	encodings encodings
+	// fetchSlots limits the records that are fetched at a time.
+	fetchSlots chan struct{}
+	fetches    sync.WaitGroup
 }
 
 // New creates a cluster and binds the peer address. Handlers have to be registered before
@@ -122,6 +127,7 @@
 		left:        make(chan struct{}),
 		joined:      make(chan struct{}),
 
+		fetchSlots:    make(chan struct{}, maxFetches),
 		firstListDone: make(chan struct{}),
 		members:       membership.New(opts.Membership, self, newRand()),
 		gossip:        spread.New(opts.Gossip, spread.NewTable(maxTombstones), newRand()),
@@ -130,6 +136,7 @@
 	c.view.Store(c.members.View())
 	c.metrics.setCounts(c.View()) // a lone instance's view never changes
 	node.OnMessage(c.receive)
+	node.Handle(methodFetch, c.handleFetch, peer.Idempotent())
 	return c, nil
 }
 
@@ -146,7 +153,9 @@
 	wg.Go(c.seedLoop)
 	<-c.ctx.Done()
 	wg.Wait()
-	return c.node.Close()
+	err := c.node.Close()
+	c.fetches.Wait()
+	return err
 }
 
 // Interrupt ends Execute. A planned stop calls Leave first.
@@ -263,11 +272,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case spread.Send:
-			if from != nil && a.To == from.Address {
-				_ = from.Reply(a.Message)
-				continue
-			}
-			c.node.Post(a.To, a.Message, false)
+			c.sendGossip(from, a)
+		case spread.Fetch:
+			c.fetches.Go(func() { c.fetch(a) })
 		case spread.Accepted:
 			if c.opts.OnRecord != nil {
 				c.opts.OnRecord(a.Record)
@@ -278,6 +285,20 @@
 	}
 }
 
+// sendGossip runs a Send of the gossip, on the connection of the peer whose message it
+// answers.
+func (c *Cluster) sendGossip(from *peer.Peer, s spread.Send) {
+	if from == nil || s.To != from.Address {
+		c.node.Post(s.To, s.Message, false)
+		return
+	}
+	m := s.Message
+	if offers, ok := m.(*spread.Offers); ok && from.Version < protocol.OffersVersion {
+		m = c.pushInstead(offers)
+	}
+	_ = from.Reply(m) // a lost message is repaired by a later comparison
+}
+
 // reportOversized logs and counts a record that can't be gossiped.
 func (c *Cluster) reportOversized(r spread.Record) {
 	c.metrics.oversized.Inc(1)
--- a/daemon/cluster/metrics.go
+++ b/daemon/cluster/metrics.go
@@ -14,19 +14,22 @@
 	superseded tally.Counter
 	// oversized counts the records that were too large to gossip.
 	oversized tally.Counter
-	states    map[membership.State]tally.Gauge
-	changes   map[membership.State]tally.Counter
+	// fetchFailures counts the records that a peer offered and didn't send.
+	fetchFailures tally.Counter
+	states        map[membership.State]tally.Gauge
+	changes       map[membership.State]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	s := scope.SubScope("membership")
 	m := metrics{
-		scope:      s,
-		version:    s.Gauge("view_version"),
-		superseded: s.Counter("superseded"),
-		oversized:  scope.SubScope("gossip").Counter("oversized"),
-		states:     make(map[membership.State]tally.Gauge),
-		changes:    make(map[membership.State]tally.Counter),
+		scope:         s,
+		version:       s.Gauge("view_version"),
+		superseded:    s.Counter("superseded"),
+		oversized:     scope.SubScope("gossip").Counter("oversized"),
+		fetchFailures: scope.SubScope("gossip").Counter("fetch_failures"),
+		states:        make(map[membership.State]tally.Gauge),
+		changes:       make(map[membership.State]tally.Counter),
 	}
 	for state := membership.Alive; state <= membership.Left; state++ {
 		tagged := s.Tagged(map[string]string{"state": state.String()})
--- a/daemon/cluster/records_test.go
+++ b/daemon/cluster/records_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	protocol "github.com/ivyhollow/ivyhollow/protocol/peer"
 	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 )
 
@@ -55,3 +56,50 @@
 		}
 	}
 }
+
+// Guards against a record that never arrives because later revisions replace it at its source faster
+// than it can be fetched.
+func TestReplacedRevisionIsFetchedToItsEnd(t *testing.T) {
+	c := start(t, "i000", 1, "127.0.0.1:0", nil)
+	put := func(revision uint64) {
+		c.Put(spread.Record{Kind: "config", Name: "current", Revision: revision, Body: randomBody(3 * partBytes)})
+	}
+	part := func(revision uint64, offset int) (partResponse, error) {
+		return c.fetchPart(c.Self().Address, partRequest{"config", "current", revision, offset})
+	}
+	put(1)
+	first, err := part(1, 0)
+	require.NoError(t, err)
+	put(2)
+	_, err = part(2, 0)
+	require.NoError(t, err)
+	rest, err := part(1, len(first.Part))
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), rest.Revision)
+	for revision := uint64(3); revision < 3+maxEncodings; revision++ {
+		put(revision)
+		_, err = part(revision, 0)
+		require.NoError(t, err)
+	}
+	require.Len(t, c.encodings.entries, maxEncodings)
+	_, err = part(1, len(first.Part))
+	require.ErrorContains(t, err, errNotHeld.Error())
+	_, err = part(99, 0)
+	require.ErrorContains(t, err, errNotHeld.Error())
+}
+
+// Guards against an instance of the version before that misses each large record during a rollout.
+func TestOlderVersionGetsLargeRecordsPushed(t *testing.T) {
+	c := start(t, "i000", 1, "127.0.0.1:0", nil)
+	for name, c2 := range map[string]struct{ size, pushed int }{
+		"that it accepts": {maxPushedBytes, 1}, "too large for it": {maxPushedBytes + 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.Put(spread.Record{Kind: "config", Name: name, Revision: 1, Body: randomBody(c2.size)})
+			push := c.pushInstead(&spread.Offers{Offers: []spread.Offer{{Kind: "config", Name: name, Revision: 1}}})
+			require.Len(t, push.Records, c2.pushed)
+			_, err := protocol.Encode(push)
+			require.NoError(t, err)
+		})
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -247,8 +247,8 @@
 	return nil
 }
 
-// pushBytesPerSecond is high enough for a configuration of a hundred kilobytes to reach
-// all instances within its limit of two seconds.
+// pushBytesPerSecond is high enough for the entries of all targets to reach all instances
+// within the limit of two seconds. Larger records are fetched and don't count.
 const pushBytesPerSecond = 256 << 10
 
 func spreadConfig() spread.Config {
--- a/protocol/peer/frame_test.go
+++ b/protocol/peer/frame_test.go
@@ -35,6 +35,7 @@
 		&spread.Pull{Root: 1, NewestRevision: 8, Bucket: -1, Leaves: []uint64{1, 1 << 63}},
 		&spread.PullResponse{InSync: true, Buckets: []uint64{3}},
 		&spread.Loads{Digests: []spread.LoadDigest{{Origin: "i1", Incarnation: 2, Seq: 3, AgeMillis: 4, Body: []byte{5}}}},
+		&spread.Offers{Offers: []spread.Offer{{Kind: "tiers", Name: "gold", Revision: 7, Size: 8}}},
 		&Request{ID: 1, Method: "claims.ask", TimeoutMillis: 100, Body: []byte("q")},
 		&Response{ID: 1, Code: CodeFailed, Reason: "why", Body: []byte("a")},
 	}
--- a/protocol/peer/messages.go
+++ b/protocol/peer/messages.go
@@ -14,8 +14,10 @@
 // Version is the protocol version of this build, and MinVersion the oldest
 // version that it accepts.
 const (
-	Version    = 2
+	Version    = 3
 	MinVersion = 2
+	// OffersVersion is the first version that understands spread.Offers.
+	OffersVersion = 3
 )
 
 // Type is the type number of a message on the wire. A number is never reused.
@@ -36,6 +38,7 @@
 	TypePull         Type = 21
 	TypePullResponse Type = 22
 	TypeLoads        Type = 23
+	TypeOffers       Type = 24
 	TypeRequest      Type = 30
 	TypeResponse     Type = 31
 )
@@ -149,6 +152,8 @@
 		return new(spread.PullResponse)
 	case TypeLoads:
 		return new(spread.Loads)
+	case TypeOffers:
+		return new(spread.Offers)
 	case TypeRequest:
 		return new(Request)
 	case TypeResponse:
@@ -186,6 +191,8 @@
 		return TypePullResponse
 	case *spread.Loads:
 		return TypeLoads
+	case *spread.Offers:
+		return TypeOffers
 	case *Request:
 		return TypeRequest
 	case *Response:
--- a/protocol/peer/versions_test.go
+++ b/protocol/peer/versions_test.go
@@ -12,6 +12,7 @@
 // pingLayouts holds the encoding of a Ping with one member, by protocol version.
 var pingLayouts = map[int]string{
 	2: "9307079198a161a162a163a164010200cd0320",
+	3: "9307079198a161a162a163a164010200cd0320",
 }
 
 // During a rolling update two versions run side by side for minutes. Messages are
--- a/protocol/peer/wire_test.go
+++ b/protocol/peer/wire_test.go
@@ -47,6 +47,9 @@
 		{"loads", &spread.Loads{Digests: []spread.LoadDigest{
 			{Origin: "origin", Incarnation: 23, Seq: 24, AgeMillis: 25, Body: []byte{26}},
 		}}, "0000001117919195a66f726967696e171819c4011a"},
+		{"offers", &spread.Offers{Offers: []spread.Offer{
+			{Kind: "kind", Name: "name", Revision: 32, Size: 33},
+		}}, "0000001018919194a46b696e64a46e616d652021"},
 		{"request", &Request{ID: 27, Method: "method", TimeoutMillis: 28, Body: []byte{29}}, "0000000e1e941ba66d6574686f641cc4011d"},
 		{"response", &Response{ID: 30, Code: CodeFailed, Reason: "reason", Body: []byte{31}}, "0000000e1f941e05a6726561736f6ec4011f"},
 	}
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -19,7 +19,9 @@
 // Peer is the instance at the other end of a connection.
 type Peer struct {
 	membership.Member
-	conn *conn
+	// Version is the protocol version of the instance.
+	Version int
+	conn    *conn
 }
 
 // Reply sends a one-way message on the connection that the peer used. That
@@ -97,7 +99,7 @@
 // setPeer stores the peer found by the handshake and marks the connection as
 // ready.
 func (c *conn) setPeer(h peer.Hello) {
-	c.peer = Peer{Member: h.Member(), conn: c}
+	c.peer = Peer{Member: h.Member(), Version: h.Version, conn: c}
 	c.ready.Store(true)
 }
 
