Time out a response of the store that stops arriving, not one that is long

A call to the store had 2 s from its start to the end of its response, and a watch the slack of 1 s beyond its wait. An object of 1 MiB takes 0.84 s on an idle link of 10 Mbit/s, and more beside traffic, so that a watcher whose link is busy never receives it and asks again.

Change: a call's timeout bounds the time until the response begins and each pause in it; ten seconds more bound the whole.

Before: TestLongResponseIsReadToItsEnd fails (given up after 1 s). After: it passes; a response that stops is still given up after the timeout.

--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -31,10 +31,11 @@
 	Instance string
 	// HTTP sends the calls; nil means a new client that uses only HTTP/1.1.
 	HTTP *http.Client
-	// Timeout bounds each call from its start to the end of its response.
+	// Timeout bounds the time from the start of a call until its response begins, and
+	// the time without progress until its end.
 	Timeout time.Duration
 	// WatchSlack is the time after the end of a watch's wait by which a response
-	// must have arrived. Without one, the connection is considered silent.
+	// must have begun. Without one, the connection is considered silent.
 	WatchSlack time.Duration
 	// Budget is shared by all clients of the process; nil means a new one.
 	Budget *Budget
--- a/transport/platform/exchange.go
+++ b/transport/platform/exchange.go
@@ -21,6 +21,10 @@
 // exceed it, and the envelope.
 const maxResponseBytes = platformapi.MaxPageBytes + 4*platformapi.MaxValueBytes
 
+// maxTransferTime bounds the time from the timeout of a call to the end of its response. It
+// is enough for the largest object at a megabit a second.
+const maxTransferTime = 10 * time.Second
+
 // idleTimeout is the time after which unused connections are closed.
 const idleTimeout = 30 * time.Second
 
@@ -65,7 +69,8 @@
 	probe string
 	in    *platformapi.Object
 	// decode reads the body of a successful response; nil discards it.
-	decode  func(body []byte) error
+	decode func(body []byte) error
+	// timeout is the time until the response begins.
 	timeout time.Duration
 	// unresponsiveAfter is the time without a response after which the call counts
 	// as a failure of the platform, even if the caller gave up before timeout.
@@ -116,11 +121,13 @@
 	return &UnavailableError{Call: call, Err: err}
 }
 
-// send sends the request of an exchange and handles its response, within the
-// exchange's timeout.
+// send sends the request of an exchange and handles its response. The response must begin
+// within the exchange's timeout, and must go on to arrive.
 func (c *Client) send(ctx context.Context, x exchange) (callResult, error) {
 	start := time.Now()
-	limited, cancel := context.WithTimeout(ctx, x.timeout)
+	limited, cancel := WithProgressTimeout(ctx, ProgressTimeout{
+		First: x.timeout, Idle: c.options.Timeout, Total: x.timeout + maxTransferTime,
+	})
 	defer cancel()
 
 	// The call counts as sent once it has a connection. A later event would be too
@@ -138,7 +145,8 @@
 		return c.classifyIncomplete(x, incompleteCall{err: err, sent: sent.Load(), elapsed: time.Since(start), callerGaveUp: ctx.Err() != nil})
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	reportProgress(limited)
+	body, err := io.ReadAll(io.LimitReader(progressReader{response.Body, limited}, maxResponseBytes+1))
 	if err != nil {
 		return c.classifyIncomplete(x, incompleteCall{err: err, sent: true, elapsed: time.Since(start), callerGaveUp: ctx.Err() != nil})
 	}
