Confirm a configuration without reading all of it, and let a large one arrive

Change: the check is a watch that doesn't wait, from the last known revision of the store, whose response is small while nothing is newer; without history the object is read as before. The 400 ms bound the time without a byte, 3 s the whole. Where the first watcher knows a newer version of more than 64 KiB, the instance awaits it from the gossip for a second at most, and a read is given up when the gossip brings another version. An instance that knows of a newer version than it has refuses (503, one second) instead of denying.

Before: with the 400 ms for the whole, TestLargeConfigurationIsConfirmed fails in three of six cases.

--- a/daemon/follow/confirm_test.go
+++ b/daemon/follow/confirm_test.go
@@ -136,15 +136,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &slowStore{delay: 4 * time.Millisecond}
 				f := newConfirmFollower(store)
-				f.options.ConfirmerRevision = func(context.Context) (uint64, bool) { return c.revision, c.known }
+				f.options.AskConfirmer = func(context.Context) Newest { return Newest{Revision: c.revision, Known: c.known} }
 				f.table.Store(&routes.Table{Revision: 6})
 				require.True(t, f.Confirm(t.Context()))
 				require.Equal(t, c.calls, store.calls.Load())
 				require.True(t, f.Confirm(t.Context()), "the confirmation is valid for a while")
 				require.Equal(t, c.calls, store.calls.Load())
-				revision, known := f.NewestRevision(t.Context())
-				require.True(t, known)
-				require.Equal(t, f.Table().Revision, revision)
+				require.Equal(t, Newest{Revision: f.Table().Revision, Known: true}, f.Newest(t.Context()))
 			})
 		})
 	}
@@ -177,3 +175,117 @@
 	require.Equal(t, 2, applied)
 	require.True(t, known())
 }
+
+// largeStore transfers a configuration for longer than a check may wait for an answer to begin, as
+// over a slow link. Its watch answers at once if there is nothing newer.
+type largeStore struct {
+	platform.Store
+	newest      uint64
+	historyGone bool
+	gets        atomic.Int32
+	watches     atomic.Int32
+}
+
+const (
+	// transferTime is how long a large configuration takes.
+	transferTime = 2 * confirmTimeout
+	largeSize    = maxDirectRead + 1
+)
+
+func (s *largeStore) transfer(ctx context.Context) (platformapi.Object, error) {
+	for range 8 {
+		select {
+		case <-ctx.Done():
+			return platformapi.Object{}, ctx.Err()
+		case <-time.After(transferTime / 8):
+			platform.ReportProgress(ctx)
+		}
+	}
+	return platformapi.Object{Metadata: platformapi.Metadata{Name: "main", Revision: s.newest}, Spec: make([]byte, largeSize)}, nil
+}
+
+func (s *largeStore) Get(ctx context.Context, _, _ string) (*platformapi.Object, error) {
+	s.gets.Add(1)
+	o, err := s.transfer(ctx)
+	return &o, err
+}
+
+func (s *largeStore) Watch(ctx context.Context, _ []string, from uint64, _ time.Duration) (platformapi.WatchResponse, error) {
+	s.watches.Add(1)
+	switch {
+	case s.historyGone:
+		return platformapi.WatchResponse{}, platform.ErrCompacted
+	case s.newest <= from:
+		return platformapi.WatchResponse{Revision: from}, nil
+	}
+	o, err := s.transfer(ctx)
+	return platformapi.WatchResponse{Revision: s.newest, Events: []platformapi.Event{{Object: o}}}, err
+}
+
+// Guards against a large configuration that can never be confirmed, because reading it takes longer
+// than a check may, and against reading it again although nothing has changed.
+func TestLargeConfigurationIsConfirmed(t *testing.T) {
+	cases := map[string]struct {
+		store *largeStore
+		// peerKnows is the revision that the confirmer reports; 0 if it doesn't respond.
+		peerKnows uint64
+		// gossiped is when a peer sends the newest version; 0 if none does.
+		gossiped      time.Duration
+		known         bool
+		gets, watches int32
+		elapsed       time.Duration
+	}{
+		"nothing newer":                {&largeStore{newest: 6}, 0, 0, true, 0, 1, 0},
+		"newer":                        {&largeStore{newest: 7}, 0, 0, true, 0, 1, transferTime},
+		"newer, history gone":          {&largeStore{newest: 7, historyGone: true}, 0, 0, true, 1, 1, transferTime},
+		"gossip brings it":             {&largeStore{newest: 7}, 7, 300 * time.Millisecond, true, 0, 0, 300 * time.Millisecond},
+		"gossip doesn't bring it":      {&largeStore{newest: 7}, 7, 0, true, 0, 1, gossipWait + transferTime},
+		"gossip comes during the read": {&largeStore{newest: 7}, 0, 100 * time.Millisecond, false, 0, 1, 100 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newConfirmFollower(nil)
+				f.options.Store = c.store
+				f.table.Store(&routes.Table{Revision: 6})
+				f.configKnownTo.Store(6)
+				f.options.AskConfirmer = func(context.Context) Newest {
+					return Newest{Revision: c.peerKnows, Bytes: largeSize, Known: c.peerKnows != 0}
+				}
+				if c.gossiped > 0 {
+					time.AfterFunc(c.gossiped, func() { f.applyConfig(7, make([]byte, largeSize), false) })
+				}
+				begin := time.Now()
+				require.Equal(t, c.known, f.Confirm(t.Context()))
+				require.Equal(t, c.elapsed, time.Since(begin))
+				require.Equal(t, c.store.newest, f.Table().Revision)
+				require.Equal(t, c.gets, c.store.gets.Load())
+				require.Equal(t, c.watches, c.store.watches.Load())
+				require.False(t, f.Outdated())
+			})
+		})
+	}
+}
+
+// Guards against a denial by a configuration that is known to be outdated, and against refusing for
+// ever when the newer version can't be decoded.
+func TestOutdatedUntilTheNewerVersionArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowStore{delay: time.Hour}
+		f := newConfirmFollower(store)
+		f.table.Store(&routes.Table{Revision: 6})
+		f.options.AskConfirmer = func(context.Context) Newest { return Newest{Revision: 7, Bytes: largeSize, Known: true} }
+		require.False(t, f.Outdated())
+		require.False(t, f.Confirm(t.Context()))
+		require.True(t, f.Outdated())
+		decode := f.options.Source.DecodeConfig
+		f.options.Source.DecodeConfig = func([]byte, uint64) (*routes.Table, error) { return nil, errors.New("invalid") }
+		f.applyConfig(7, nil, false)
+		require.False(t, f.Outdated())
+		f.options.Source.DecodeConfig = decode
+		f.newestRevision.Store(8)
+		require.True(t, f.Outdated())
+		f.applyConfig(8, nil, false)
+		require.False(t, f.Outdated())
+	})
+}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -82,11 +82,10 @@
 	OnChange func(now time.Time, t *routes.Table, usable map[string][]routes.Target)
 	// Fleet represents the other instances; nil if there are none.
 	Fleet Fleet
-	// ConfirmerRevision asks the instance that confirms for all others for the newest
-	// revision in the store. known is false if this instance is that one, or if that one
-	// doesn't respond or doesn't know. The function is nil if each instance calls the store
-	// itself.
-	ConfirmerRevision func(ctx context.Context) (revision uint64, known bool)
+	// AskConfirmer asks the instance that confirms for all others for the newest version in the
+	// store. Known is false if this instance is that one, or if that one doesn't respond or
+	// doesn't know. The function is nil if each instance calls the store itself.
+	AskConfirmer func(ctx context.Context) Newest
 	// OnLeaving is called for each incarnation that accepts no new work from now on.
 	OnLeaving func(now time.Time, incarnation string)
 	Scope     tally.Scope
@@ -117,6 +116,19 @@
 	// confirmedAt is the latest time as of which the newest version was known.
 	confirmedAt time.Time
 
+	// configChanged is closed and replaced when another version is put in force.
+	configChanged chan struct{}
+	// configBytes is the size of the version in force.
+	configBytes int
+
+	// configKnownTo is the revision of the store up to which changes of the configuration are
+	// known.
+	configKnownTo atomic.Uint64
+	// newestRevision is the newest revision that another instance has reported.
+	newestRevision atomic.Uint64
+	// refusedRevision is the newest revision that couldn't be decoded.
+	refusedRevision atomic.Uint64
+
 	confirming singleflight.Group
 	// confirmFailedAt is when the store last failed to answer a check for a newer version.
 	confirmFailedAt time.Time
@@ -132,7 +144,7 @@
 		parts = append(parts, watching.Drains)
 	}
 	return &Follower{
-		ready: make(chan struct{}), options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), drains: dcdrain.New(),
+		ready: make(chan struct{}), configChanged: make(chan struct{}), options: o, scope: o.Scope.SubScope("follow"), roster: roster.New(), drains: dcdrain.New(),
 		tracker: watching.New(parts...), cancelCalls: map[watching.Part]context.CancelCauseFunc{},
 	}
 }
@@ -215,6 +227,9 @@
 			f.handleFailure(ctx, k, started, err)
 		default:
 			revision = next
+			if k.part == watching.Configuration {
+				f.configKnownTo.Store(revision)
+			}
 			f.awaitBatch(ctx, changes)
 		}
 	}
@@ -395,6 +410,7 @@
 	}
 	table, err := f.options.Source.DecodeConfig(spec, revision)
 	if err != nil {
+		f.refusedRevision.Store(max(f.refusedRevision.Load(), revision))
 		klog.ErrorS(err, "Configuration refused, the one before stays in force", "revision", revision)
 		return false
 	}
@@ -402,6 +418,9 @@
 	// configuration names would be refused for lack of a target until its targets are published.
 	f.publishTargetsFor(time.Now(), table)
 	f.table.Store(table)
+	f.configBytes = len(spec)
+	close(f.configChanged)
+	f.configChanged = make(chan struct{})
 	f.markReady()
 	reason := sourcePeer
 	if direct {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -147,7 +147,7 @@
 		Scope:     t.Scope,
 		Fleet:     fleet{g},
 
-		ConfirmerRevision: g.requestConfirmation,
+		AskConfirmer: g.askConfirmer,
 	})
 	g.cluster.Handle(methodConfirm, g.handleConfirm, peer.Idempotent())
 	g.cluster.Handle(methodReport, func(context.Context, peer.Peer, []byte) ([]byte, error) {
@@ -163,6 +163,7 @@
 		Table:        g.follower.Table,
 		AwaitReady:   g.awaitReady,
 		Confirm:      g.follower.Confirm,
+		Outdated:     g.follower.Outdated,
 		KnowledgeAge: g.follower.TargetsAge,
 		Router:       g.router,
 		Client:       g.client,
--- a/daemon/gateway/watchers.go
+++ b/daemon/gateway/watchers.go
@@ -8,6 +8,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/watching"
+	"github.com/ivyhollow/ivyhollow/daemon/follow"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
@@ -90,30 +91,31 @@
 type confirmResponse struct {
 	Revision uint64
 	Known    bool
+	Bytes    int `msgpack:"Bytes,omitempty"`
 }
 
-// requestConfirmation requests from the first watcher the newest revision that the store
-// reports. If known is false, the caller has to read the revision from the store: this
-// instance is the first watcher, or the first watcher doesn't respond or doesn't know it.
-func (g *Gateway) requestConfirmation(ctx context.Context) (revision uint64, known bool) {
+// askConfirmer requests from the first watcher the newest version that the store reports. If
+// Known is false, the caller has to ask the store: this instance is the first watcher, or the
+// first watcher doesn't respond or doesn't know it.
+func (g *Gateway) askConfirmer(ctx context.Context) follow.Newest {
 	watchers := g.cluster.Owners(watchersKey, 1)
 	if len(watchers) == 0 || watchers[0].Name == g.self.Name {
-		return 0, false
+		return follow.Newest{}
 	}
 	response, err := g.cluster.Call(ctx, watchers[0].Address, methodConfirm, nil)
 	if err != nil {
-		return 0, false
+		return follow.Newest{}
 	}
 	var c confirmResponse
 	if err := msgpack.Unmarshal(response, &c); err != nil {
 		klog.ErrorS(err, "Answer of a peer could not be read", "peer", watchers[0].Name, "step", methodConfirm)
-		return 0, false
+		return follow.Newest{}
 	}
-	return c.Revision, c.Known
+	return follow.Newest{Revision: c.Revision, Bytes: c.Bytes, Known: c.Known}
 }
 
 // handleConfirm handles methodConfirm.
 func (g *Gateway) handleConfirm(ctx context.Context, _ peer.Peer, _ []byte) ([]byte, error) {
-	revision, known := g.follower.NewestRevision(ctx)
-	return msgpack.Marshal(confirmResponse{Revision: revision, Known: known})
+	newest := g.follower.Newest(ctx)
+	return msgpack.Marshal(confirmResponse{Revision: newest.Revision, Known: newest.Known, Bytes: newest.Bytes})
 }
--- a/daemon/gateway/wire_test.go
+++ b/daemon/gateway/wire_test.go
@@ -20,6 +20,7 @@
 	}{
 		{"report", watching.Report{Known: true, Age: 1, Recovered: 2}, "83a54b6e6f776ec3a3416765d30000000000000001a95265636f7665726564d30000000000000002"},
 		{"fresh", watching.Report{Known: true, Age: 1, Recovered: 2}.IsFresh(), "c3"},
+		{"confirmed with its size", confirmResponse{Revision: 3, Known: true, Bytes: 4}, "83a85265766973696f6ecf0000000000000003a54b6e6f776ec3a5427974657304"},
 		{"confirmed", confirmResponse{Revision: 3, Known: true}, "82a85265766973696f6ecf0000000000000003a54b6e6f776ec3"},
 	}
 	for _, c := range cases {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -51,8 +51,12 @@
 	// AwaitReady waits until the configuration and the targets are known. It is nil if
 	// they always are.
 	AwaitReady func(ctx context.Context)
-	// Confirm checks whether a newer configuration exists, and puts it in force.
+	// Confirm checks whether a newer configuration exists, and puts it in force. It reports
+	// whether the newest one is known.
 	Confirm func(ctx context.Context) bool
+	// Outdated reports whether a newer configuration is known to exist than the one in force.
+	// It is nil if that is never known.
+	Outdated func() bool
 	// KnowledgeAge returns the age of this instance's knowledge of the targets.
 	KnowledgeAge func() time.Duration
 	Router       *routing.Table
@@ -251,12 +255,16 @@
 	}
 	if status := q.authorize(table); status != 0 {
 		// The request may be allowed by a version that was written a moment ago.
-		q.relay.options.Confirm(ctx)
+		confirmed := q.relay.options.Confirm(ctx)
 		if errors.Is(context.Cause(ctx), errStopEnded) {
 			q.refuse("stopping", minRetryAfter)
 			return false
 		}
 		if status = q.authorize(q.relay.options.Table()); status != 0 {
+			if !confirmed && q.relay.outdated() {
+				q.refuse("configuration_outdated", time.Second)
+				return false
+			}
 			q.deny(status, http.StatusText(status))
 			return false
 		}
@@ -269,6 +277,9 @@
 	return q.readBody(table.Limits.MaxBodyBytes)
 }
 
+// outdated reports whether a denial by the configuration in force may be wrong.
+func (r *Relay) outdated() bool { return r.options.Outdated != nil && r.options.Outdated() }
+
 // idInUse is the reason for rejecting a request with the ID of another one in progress.
 const idInUse = "the id is that of another request in progress"
 
--- a/transport/platform/exchange.go
+++ b/transport/platform/exchange.go
@@ -145,7 +145,7 @@
 		return c.classifyIncomplete(x, incompleteCall{err: err, sent: sent.Load(), elapsed: time.Since(start), callerGaveUp: ctx.Err() != nil})
 	}
 	defer response.Body.Close()
-	reportProgress(limited)
+	ReportProgress(limited)
 	body, err := io.ReadAll(io.LimitReader(progressReader{response.Body, limited}, maxResponseBytes+1))
 	if err != nil {
 		return c.classifyIncomplete(x, incompleteCall{err: err, sent: true, elapsed: time.Since(start), callerGaveUp: ctx.Err() != nil})
--- a/transport/platform/progress.go
+++ b/transport/platform/progress.go
@@ -31,7 +31,7 @@
 		if timer.Stop() {
 			timer.Reset(timeout.Idle)
 		}
-		reportProgress(parent)
+		ReportProgress(parent)
 	})
 	return ctx, func() {
 		timer.Stop()
@@ -40,8 +40,9 @@
 	}
 }
 
-// reportProgress resets the idle timeouts of a context.
-func reportProgress(ctx context.Context) {
+// ReportProgress resets the idle timeouts of the context of a call. A Store calls it as a
+// response arrives.
+func ReportProgress(ctx context.Context) {
 	if report, ok := ctx.Value(progressKey{}).(func()); ok {
 		report()
 	}
@@ -56,7 +57,7 @@
 func (r progressReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if n > 0 {
-		reportProgress(r.ctx)
+		ReportProgress(r.ctx)
 	}
 	return n, err
 }
