Count a confirmation whose own response brought the newer version

Cause: a check at the store is given up when another version is put in force meanwhile. Its own response puts one in force as well, and when the goroutine that watches for changes ran before the check had ended, the check counted as given up although the store had answered. Callers would have got a denial by the version just put in force without a confirmation, or another check.

Change: only a check that failed counts as given up.

--- a/daemon/follow/confirm.go
+++ b/daemon/follow/confirm.go
@@ -186,7 +186,7 @@
 	}()
 	start := time.Now()
 	err := f.readNewest(limited)
-	if errors.Is(context.Cause(ctx), errChanged) {
+	if err != nil && errors.Is(context.Cause(ctx), errChanged) {
 		return false
 	}
 	if err != nil {
