Grant the sends to targets that name a limit

Cause: nothing read the limit. Class: a word of a target that no instance hears, as leaving was once. Ruled out: that each instance heeds it alone (the load of the limited engines doesn't change when they name it), repeats and second attempts (the arrivals are first attempts).

Change: the limit is read from each response of a request or stage call, changes are gossiped as small records (kind limit), and a pool with such a target is paced like one of cold targets: each send needs a grant of the holder of the stage queue, which spreads them evenly and so that two holders together stay within what is tolerated. A limited stage target counts as capacity for the time that its limit allows. No grant is given beyond a request's deadline, nor further ahead than a horizon that is shorter for less urgent priorities; who gets none is refused at once with the time of the next one.

Before: TestTargetsGetNoMoreThanTheirLimit: 67 arrivals in four seconds, 11 allowed. After: it passes, with the race detector too: limited targets of three kinds stay within 11, get at least half of what they name, and get more within 1.5 s of its end; over 95% of the requests are served. TestLimitHoldsWhileInstancesStopAndStart passes.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -107,7 +107,7 @@
 		if t.unlisted {
 			continue
 		}
-		free := max(t.downUntil.Sub(now), 0)
+		free := max(t.downUntil.Sub(now), s.grants.Wait(now, t.Name, s.config.Pace, t.limit))
 		if t.calls >= max(s.config.Slots, 1) {
 			free = max(free, t.busyUntil.Sub(now), 0)
 		}
--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -209,7 +209,7 @@
 	p.updateBacklogs(now, chosen)
 	c.expectedDuration = t.service.expected(pieceTime)
 	t.calls++
-	t.service.grants.Grant(now, t.Name, t.service.config.Pace)
+	t.service.grants.Grant(now, t.Name, t.service.config.Pace, t.limit)
 	t.usedBytes += c.bytes
 	t.lastCallAt = now
 	t.busyUntil = now.Add(time.Duration(max(t.slowness, 1) * float64(c.expectedDuration)))
--- a/coordination/gather/import.go
+++ b/coordination/gather/import.go
@@ -59,7 +59,7 @@
 	s := p.service(held.Service)
 	t := s.targets[held.Incarnation]
 	if t == nil {
-		t = &target{Target: Target{held.Incarnation, held.Name, held.Address, held.DataCentre}, service: s, unlisted: true}
+		t = &target{Target: Target{held.Incarnation, held.Name, held.Address, held.DataCentre}, service: s, unlisted: true, limit: p.limits[held.Incarnation]}
 		s.targets[held.Incarnation] = t
 	}
 	t.replaced = t.replaced || held.Replaced
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
 // Config holds the limits of a Planner. Zero values select the defaults.
@@ -43,6 +45,8 @@
 	// capacityShortAt is when a result last didn't fit at any target.
 	capacityShortAt time.Time
 	actions         []Action
+	// limits are the paces of the targets that name a limit, by incarnation.
+	limits map[string]pacing.Pace
 	// importing suppresses calls until all imported requests are queued.
 	importing bool
 }
@@ -127,7 +131,7 @@
 			known.unlisted = false
 			continue
 		}
-		s.targets[t.Incarnation] = &target{Target: t, service: s, slowness: 1}
+		s.targets[t.Incarnation] = &target{Target: t, service: s, slowness: 1, limit: p.limits[t.Incarnation]}
 		added = append(added, t)
 	}
 	for id, t := range s.targets {
@@ -143,6 +147,25 @@
 	return p.flush()
 }
 
+// SetLimits replaces the paces of the targets that name a limit, by incarnation.
+func (p *Planner) SetLimits(now time.Time, limits map[string]pacing.Pace) []Action {
+	p.PrepareLimits(limits)
+	for _, s := range p.services {
+		p.dispatch(now, s)
+	}
+	return p.flush()
+}
+
+// PrepareLimits is SetLimits without new calls.
+func (p *Planner) PrepareLimits(limits map[string]pacing.Pace) {
+	p.limits = limits
+	for _, s := range p.services {
+		for incarnation, t := range s.targets {
+			t.limit = limits[incarnation]
+		}
+	}
+}
+
 // RequestCount returns the number of requests that wait or have results here.
 func (p *Planner) RequestCount() int { return len(p.requests) }
 
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -28,6 +28,8 @@
 	Target
 	service *service
 	calls   int
+	// limit is the pace of the calls, if the target names a limit.
+	limit pacing.Pace
 	// usedBytes is the capacity that results occupy, including those of calls in progress.
 	usedBytes int64
 	// slowness is the moving average of the ratio of a call's actual to its expected time.
@@ -89,7 +91,7 @@
 // usable reports whether the target may get a call now.
 func (t *target) usable(now time.Time) bool {
 	return !t.unlisted && t.calls < max(t.service.config.Slots, 1) && !now.Before(t.downUntil) &&
-		t.service.grants.Wait(now, t.Name, t.service.config.Pace) == 0
+		t.service.grants.Wait(now, t.Name, t.service.config.Pace, t.limit) == 0
 }
 
 // available reports whether the target counts as capacity.
@@ -97,17 +99,27 @@
 	return !t.unlisted && (t.unansweredCalls == 0 || !now.Before(t.downUntil))
 }
 
-// capacity returns the number of available targets; a slow target counts for a fraction.
+// capacity returns the number of available targets; a slow target counts for a fraction, and so
+// does one that may get few calls.
 func (s *service) capacity(now time.Time) float64 {
 	total := 0.0
 	for _, t := range s.targets {
 		if t.available(now) {
-			total += 1 / max(t.slowness, 1)
+			total += min(1/max(t.slowness, 1), t.limitShare())
 		}
 	}
 	return total
 }
 
+// limitShare returns the fraction of the time for which the target may be busy, by its limit.
+func (t *target) limitShare() float64 {
+	if t.limit.Unlimited() {
+		return 1
+	}
+	fullCall := t.service.expected(time.Duration(t.service.config.MaxPieces) * t.service.config.PieceTime)
+	return min(t.limit.Rate()*fullCall.Seconds()/float64(max(t.service.config.Slots, 1)), 1)
+}
+
 // callUnanswered records a call without an answer. Results it may have produced occupy
 // capacity until they expire: if that capacity counted as free, the next calls would be
 // refused.
--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -11,11 +11,16 @@
 // two instances consider themselves the holder, or one has just taken over from another. A holder
 // that has just begun uses a smaller share: its predecessor may have had one itself.
 //
+// A target may also name a limit itself, in its responses. The pace for that spreads the grants
+// evenly.
+//
 // The package is pure: time is an argument.
 package pacing
 
 import (
 	"maps"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -36,6 +41,21 @@
 	maxLogged = 64
 )
 
+// A target that names a limit tolerates, in any rateWindow, rateOverage times the requests that
+// the limit allows, and rateSlack more.
+const (
+	rateWindow  = 4 * time.Second
+	rateOverage = 1.5
+	rateSlack   = 5.0
+	// maxRateInterval is the longest interval between two grants of a holder. A target that
+	// names a limit near zero still gets a request from time to time, whose response shows
+	// whether the limit has ended.
+	maxRateInterval = 4 * time.Second
+	// newHolderSlowdown is the factor by which a holder that has just begun grants such sends
+	// more slowly.
+	newHolderSlowdown = 2
+)
+
 // Limits are the operators' limits for the requests to a cold target in any second: a multiple of
 // the rate that it bears, plus a fixed number.
 type Limits struct {
@@ -57,7 +77,8 @@
 	most int
 	// mostOfNew is the number while the holder has just begun.
 	mostOfNew int
-	span      time.Duration
+	// span is the span of time, and spanOfNew that while the holder has just begun.
+	span, spanOfNew time.Duration
 }
 
 // ForLimit returns the pace of one holder for a limit, in requests in any second; 0 means no limit.
@@ -72,10 +93,45 @@
 	most := max(int(limit*share), 1)
 	// A long span with many grants is divided into equal ones, so that few need be remembered.
 	parts := (most + maxLogged - 1) / maxLogged
-	return Pace{
-		most: most / parts, mostOfNew: max(int(limit*newHolderShare)/parts, 1),
-		span: (time.Second + GrantValidity) / time.Duration(parts),
+	span := (time.Second + GrantValidity) / time.Duration(parts)
+	return Pace{most: most / parts, mostOfNew: max(int(limit*newHolderShare)/parts, 1), span: span, spanOfNew: span}
+}
+
+// ForRate returns the pace of one holder for a target that names a limit, in requests a second
+// from all instances together.
+//
+// The interval between two grants is that of the limit or, if that is longer, the one at which two
+// holders together stay within what the target tolerates.
+func ForRate(perSecond float64) Pace {
+	interval := maxRateInterval
+	if perSecond > 0 {
+		tolerated := (rateOverage*perSecond*rateWindow.Seconds() + rateSlack) / 2
+		forTwo := (rateWindow + GrantValidity).Seconds() / (tolerated - 1)
+		seconds := max(1/perSecond, forTwo)
+		if seconds < maxRateInterval.Seconds() {
+			interval = time.Duration(seconds * float64(time.Second))
+		}
+	}
+	return Pace{most: 1, mostOfNew: 1, span: interval, spanOfNew: newHolderSlowdown * interval}
+}
+
+// maxGrantAhead limits how far ahead a send to a target that names a limit is granted to a request
+// of the most urgent priority.
+const maxGrantAhead = 2 * time.Second
+
+// GrantHorizon returns how far ahead a send to a target that names a limit is granted to a request
+// of a priority, of which 0 is the most urgent. It is shorter for less urgent ones: they get the
+// grants that the more urgent ones leave, and can't use up those of the next seconds.
+func GrantHorizon(priority int) time.Duration {
+	return maxGrantAhead / time.Duration(1+max(priority, 0))
+}
+
+// Rate returns the requests a second that the pace allows; infinite if it is unlimited.
+func (p Pace) Rate() float64 {
+	if p.Unlimited() || p.span == 0 {
+		return math.Inf(1)
 	}
+	return float64(p.most) / p.span.Seconds()
 }
 
 // Unlimited reports whether there is no limit.
@@ -89,23 +145,35 @@
 	since, last time.Time
 }
 
-// Wait returns how long the next send to a target has to wait.
-func (h *Holder) Wait(now time.Time, name string, p Pace) time.Duration {
-	if p.Unlimited() || h.targets[name] == nil {
-		return 0
+// Wait returns how long the next send to a target has to wait for all of its paces.
+func (h *Holder) Wait(now time.Time, name string, paces ...Pace) time.Duration {
+	if t := h.targets[name]; t != nil {
+		return h.wait(now, t, paces)
 	}
-	return h.targets[name].wait(now, h.most(now, p), p.span)
+	return 0
 }
 
-// Grant grants a send to a target and returns how long it has to wait.
-func (h *Holder) Grant(now time.Time, name string, p Pace) time.Duration {
-	if p.Unlimited() {
-		return 0
+// wait returns how long the next send to a target has to wait.
+func (h *Holder) wait(now time.Time, t *target, paces []Pace) time.Duration {
+	var longest time.Duration
+	for _, p := range paces {
+		if !p.Unlimited() {
+			most, span := h.allowed(now, p)
+			longest = max(longest, t.wait(now, most, span))
+		}
 	}
+	return longest
+}
+
+// Grant grants a send to a target and returns how long it has to wait for all of its paces.
+func (h *Holder) Grant(now time.Time, name string, paces ...Pace) time.Duration {
 	if now.Sub(h.last) > newHolderPeriod {
 		h.since = now
 	}
 	h.last = now
+	if !slices.ContainsFunc(paces, func(p Pace) bool { return !p.Unlimited() }) {
+		return 0
+	}
 	t := h.targets[name]
 	if t == nil {
 		if h.targets == nil {
@@ -114,28 +182,36 @@
 		t = &target{}
 		h.targets[name] = t
 	}
-	return t.grant(now, h.most(now, p), p.span)
+	wait := h.wait(now, t, paces)
+	t.longestSpan = time.Second
+	for _, p := range paces {
+		t.longestSpan = max(t.longestSpan, p.span, p.spanOfNew)
+	}
+	t.record(now.Add(wait))
+	return wait
 }
 
 // Prune forgets the targets whose grants no longer count.
 func (h *Holder) Prune(now time.Time) {
 	maps.DeleteFunc(h.targets, func(_ string, t *target) bool {
-		return now.Sub(t.granted[len(t.granted)-1]) > time.Second+GrantValidity
+		return now.Sub(t.granted[len(t.granted)-1]) > t.longestSpan+GrantValidity
 	})
 }
 
-// most returns how many grants are allowed within the span of a pace.
-func (h *Holder) most(now time.Time, p Pace) int {
+// allowed returns how many grants are allowed within which span of time.
+func (h *Holder) allowed(now time.Time, p Pace) (most int, span time.Duration) {
 	if now.Sub(h.since) < newHolderPeriod || now.Sub(h.last) > newHolderPeriod {
-		return p.mostOfNew
+		return p.mostOfNew, p.spanOfNew
 	}
-	return p.most
+	return p.most, p.span
 }
 
 // target is the state of the grants to one target.
 type target struct {
 	// granted has the times of the latest grants in ascending order; some may be in the future.
 	granted []time.Time
+	// longestSpan is the time for which the latest grant counts.
+	longestSpan time.Duration
 }
 
 // wait returns how long the next send has to wait if most sends are allowed within a span.
@@ -153,12 +229,10 @@
 	return max(next.Sub(now), 0)
 }
 
-// grant records a send and returns how long it has to wait.
-func (t *target) grant(now time.Time, most int, span time.Duration) time.Duration {
-	wait := t.wait(now, most, span)
+// record records a send.
+func (t *target) record(at time.Time) {
 	if len(t.granted) >= maxLogged {
 		t.granted = append(t.granted[:0], t.granted[len(t.granted)-maxLogged+1:]...)
 	}
-	t.granted = append(t.granted, now.Add(wait))
-	return wait
+	t.granted = append(t.granted, at)
 }
--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -28,10 +28,7 @@
 	if pool == nil {
 		return Choice{}, false
 	}
-	s := search{now: now, prompt: p, transferCost: transferCost}
-	if !pool.Pace.Unlimited() {
-		s.grants = t.grants
-	}
+	s := search{now: now, prompt: p, transferCost: transferCost, grants: t.grants}
 	for _, e := range pool.byName[pool.homeOf(p.homeKey())] {
 		s.consider(e, homeAdvantage)
 	}
@@ -66,7 +63,7 @@
 	now          time.Time
 	prompt       *Prompt
 	transferCost func(dataCentre string) time.Duration
-	// grants reports whether sends to an engine may be granted; nil means to all.
+	// grants reports whether sends to an engine with a pace may be granted; nil means to all.
 	grants func(engine string) bool
 	// best is the cheapest engine so far, nil if there is none; cost is the cost there.
 	best *engineState
@@ -75,7 +72,7 @@
 
 // consider compares an engine with the best so far; advantage is subtracted from its cost.
 func (s *search) consider(e *engineState, advantage time.Duration) {
-	if slices.Contains(s.prompt.Exclude, e.Incarnation) || s.grants != nil && !s.grants(e.Name) {
+	if slices.Contains(s.prompt.Exclude, e.Incarnation) || s.grants != nil && e.isPaced() && !s.grants(e.Name) {
 		return
 	}
 	cost := e.queueCost(s.now) + e.prefillCost(e.uncachedTokens(s.prompt)) + s.transferCost(e.DataCentre) - advantage
@@ -98,6 +95,6 @@
 	idle := s.best.prefillTime(uncached)
 	return Choice{
 		Engine: s.best.Engine, FirstEvent: wait + idle, FirstEventIdle: idle,
-		SendAfter: s.best.sendWait(s.now), uncached: uncached, queueWait: wait,
+		SendAfter: s.best.sendWait(s.now), Limited: !s.best.limit.Unlimited(), uncached: uncached, queueWait: wait,
 	}, true
 }
--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
 const (
@@ -33,7 +35,9 @@
 // engineState is the state of one engine.
 type engineState struct {
 	Engine
-	pool *poolState
+	// limit is the pace of the sends, if the engine names a limit.
+	limit pacing.Pace
+	pool  *poolState
 	// prefills are the requests whose first events have not been reported, by request ID;
 	// firstDue and lastDue are the earliest and the latest of their predicted first events.
 	prefills          map[string]prefill
@@ -127,9 +131,12 @@
 
 // sendWait returns how long a request waits until it may be sent.
 func (e *engineState) sendWait(now time.Time) time.Duration {
-	return e.pool.grants.Wait(now, e.pacedName(), e.pool.Pace)
+	return e.pool.grants.Wait(now, e.pacedName(), e.pool.Pace, e.limit)
 }
 
+// isPaced reports whether sends to the engine need grants.
+func (e *engineState) isPaced() bool { return !e.pool.Pace.Unlimited() || !e.limit.Unlimited() }
+
 // pacedName is the name under which sends to the engine are granted. It stays the same when the
 // engine restarts.
 func (e *engineState) pacedName() string { return cmp.Or(e.Name, e.Incarnation) }
--- a/coordination/placing/paced_test.go
+++ b/coordination/placing/paced_test.go
@@ -127,3 +127,30 @@
 	require.Greater(t, len(sent["e0"]), holderPart)
 	require.LessOrEqual(t, mostInOneSecond(sent["e0"]), holderPart)
 }
+
+// Guards against an engine that names a limit and gets more than that, and against one that is left
+// out although it accepts some requests.
+func TestEngineGetsWhatItsLimitAllows(t *testing.T) {
+	table := NewTable()
+	table.SetLimits(map[string]pacing.Pace{"e0@1": pacing.ForRate(2)})
+	table.SetEngines(Pool{Name: "pool"}, engines(3))
+	sent, longest := sendAll(table, 60, 10*time.Second)
+	require.LessOrEqual(t, len(sent["e0"]), 2*10+1)
+	require.GreaterOrEqual(t, len(sent["e0"]), 10)
+	require.Less(t, longest, 100*time.Millisecond, "others have room")
+	table.SetLimits(nil)
+	sent, _ = sendAll(table, 60, 10*time.Second)
+	require.Greater(t, len(sent["e0"]), 100)
+}
+
+// Guards against two groups of instances that don't reach each other and both grant sends to an
+// engine that names a limit.
+func TestGrantsToLimitedEnginesAreRestricted(t *testing.T) {
+	table := NewTable()
+	table.SetEngines(Pool{Name: "pool"}, engines(3))
+	table.SetLimits(map[string]pacing.Pace{"e0@1": pacing.ForRate(2)})
+	table.SetGrants(func(name string) bool { return name == "e2" })
+	sent, _ := sendAll(table, 30, time.Second)
+	require.NotContains(t, sent, "e0")
+	require.Contains(t, sent, "e1", "it needs no grant")
+}
--- a/coordination/placing/pool.go
+++ b/coordination/placing/pool.go
@@ -65,6 +65,13 @@
 	return removed
 }
 
+// setLimits sets the paces of the engines that name a limit, by incarnation.
+func (p *poolState) setLimits(limits map[string]pacing.Pace) {
+	for incarnation, e := range p.engines {
+		e.limit = limits[incarnation]
+	}
+}
+
 // rebuildIndexes rebuilds the indexes that depend on the list of engines.
 func (p *poolState) rebuildIndexes() {
 	p.bySlowdown = slices.SortedFunc(maps.Values(p.engines), compareSlowdown)
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
 // Table holds the engines of all pools and assigns requests to them.
@@ -14,6 +16,8 @@
 	assigned map[string]*engineState
 	// grants reports whether sends to an engine, by name, may be granted; nil means to all.
 	grants func(engine string) bool
+	// limits are the paces of the engines that name a limit, by incarnation.
+	limits map[string]pacing.Pace
 }
 
 // NewTable returns a table without engines.
@@ -21,10 +25,18 @@
 	return &Table{pools: map[string]*poolState{}, assigned: map[string]*engineState{}}
 }
 
-// SetGrants sets which engines, by name, this instance may grant sends to where a pool has a
-// pace; nil means all.
+// SetGrants sets which engines, by name, this instance may grant sends to where the pool or the
+// engine has a pace; nil means all.
 func (t *Table) SetGrants(grants func(engine string) bool) { t.grants = grants }
 
+// SetLimits replaces the paces of the engines that name a limit, by incarnation.
+func (t *Table) SetLimits(limits map[string]pacing.Pace) {
+	t.limits = limits
+	for _, pool := range t.pools {
+		pool.setLimits(limits)
+	}
+}
+
 // SetEngines replaces the engines of a pool that may receive requests.
 func (t *Table) SetEngines(p Pool, list []Engine) {
 	pool := t.pools[p.Name]
@@ -33,6 +45,7 @@
 		t.pools[p.Name] = pool
 	}
 	pool.Pool = p
+	defer pool.setLimits(t.limits)
 	for _, e := range pool.setEngines(list) {
 		t.removeRequests(requestIDs(e.prefills)...)
 	}
@@ -51,7 +64,7 @@
 		return
 	}
 	t.removeRequests(request)
-	pool.grants.Grant(now, e.pacedName(), pool.Pace)
+	pool.grants.Grant(now, e.pacedName(), pool.Pace, e.limit)
 	e.startPrefill(request, prefill{
 		sent: now, due: now.Add(c.FirstEvent), uncached: c.uncached, engineIdle: c.queueWait == 0,
 	})
--- a/coordination/placing/types.go
+++ b/coordination/placing/types.go
@@ -51,6 +51,8 @@
 	FirstEvent, FirstEventIdle time.Duration
 	// SendAfter is how long the request has to wait before it may be sent.
 	SendAfter time.Duration
+	// Limited is true if the engine names a limit.
+	Limited bool
 	// uncached is the number of prompt tokens that the engine has to process.
 	uncached  int
 	queueWait time.Duration
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
 	"github.com/ivyhollow/ivyhollow/daemon/follow"
+	"github.com/ivyhollow/ivyhollow/daemon/limits"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
 	"github.com/ivyhollow/ivyhollow/daemon/relay"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
@@ -91,6 +92,8 @@
 	relay      *relay.Relay
 	// blocklist blocks the requests that crash their targets.
 	blocklist *blocklist.Blocklist
+	// limits are the limits that targets name.
+	limits    *limits.Limits
 	registrar *register.Registrar
 
 	callers  net.Listener
@@ -157,6 +160,8 @@
 		return msgpack.Marshal(g.follower.Report().IsFresh())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), t.Scope)
+	g.limits = limits.New(limits.Options{Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
+	g.stages.OnResponse(g.limits.Observe)
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
@@ -173,6 +178,7 @@
 		Budgets:      retrybudget.New(g.retryConfig()),
 		Blocklist:    g.blocklist,
 		OnLeaving:    g.follower.Leaving,
+		OnResponse:   g.limits.Observe,
 		Usable:       g.follower.Usable,
 		InUse:        func(name string) bool { return contains(&g.usedNames, name) },
 		Tracer:       t.Tracer,
@@ -239,7 +245,7 @@
 		ListInstances:     g.registrar.List,
 		ListInterval:      listInterval,
 		ListRetryInterval: listRetryInterval,
-		OnRecord:          func(r spread.Record) { g.follower.Receive(r) },
+		OnRecord:          g.receiveRecord,
 	})
 	if err != nil {
 		return err
@@ -258,14 +264,23 @@
 	return c
 }
 
+// receiveRecord passes a record that is new to its receiver.
+func (g *Gateway) receiveRecord(r spread.Record) {
+	if r.Kind == limits.RecordKind {
+		g.limits.Receive(r)
+		return
+	}
+	g.follower.Receive(r)
+}
+
 // setTargets passes the usable targets on to the router and to the stages.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
-	names := map[string]bool{}
+	names, incarnations := map[string]bool{}, map[string]bool{}
 	shares := map[string]map[string]float64{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
-			names[t.Name] = true
+			names[t.Name], incarnations[t.Incarnation()] = true, true
 			if shares[name] == nil {
 				shares[name] = map[string]float64{}
 			}
@@ -281,6 +296,7 @@
 		}
 	}
 	g.stages.SetTargets(now, table, usable)
+	g.limits.Forget(func(incarnation string) bool { return incarnations[incarnation] })
 	g.usedNames.Store(&names)
 	g.shares.Store(&shares)
 }
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -332,7 +332,7 @@
 	telemetry.InfoS("Request ended", telemetry.Event{
 		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Reason: q.reason,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals, HeaderDuration: q.headTime,
-		StageWait: q.timings.stagesWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: q.knowledgeAge,
+		StageWait: q.timings.stagesWait, GrantWait: q.timings.grantWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: q.knowledgeAge,
 		LastEvent: q.lastEventID, Sources: q.sources, Framing: string(q.framing),
 	})
 	q.relay.metrics.recordResponse(status, q.reason, time.Since(q.arrived))
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -44,6 +44,7 @@
 	if err := q.checkBlocklist(ctx); err != nil {
 		return false, err
 	}
+	q.updatePaced()
 	choice, err := q.pickTarget()
 	if err != nil {
 		return false, err
@@ -56,6 +57,9 @@
 		if err := q.checkBlocklist(ctx); err != nil {
 			return false, err
 		}
+		q.updatePaced()
+		// The holder may know of a limit that hasn't been heard of here.
+		q.paced = q.paced || q.sendAt.After(time.Now())
 		if !q.paced {
 			if choice, err = q.pickTarget(); err != nil {
 				return false, err
@@ -331,7 +335,9 @@
 	defer silence.Stop()
 	options := forward.Options{
 		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
-		Allowed: func() bool { return q.relay.usable(t.Incarnation) && q.grantValid(time.Now()) },
+		Allowed: func() bool {
+			return q.relay.usable(t.Incarnation) && q.grantValid(time.Now()) && (q.paced || !q.relay.isPaced(q.service))
+		},
 	}
 	if !q.route.Repeatable() {
 		options.MaxIdle = forward.NonRepeatableMaxIdle
@@ -343,6 +349,9 @@
 	defer reply.Close()
 	q.framing = reply.Framing()
 	parsed := q.relay.options.Dialect.ParseTargetResponse(reply.Status, reply.Header)
+	if q.relay.options.OnResponse != nil {
+		q.relay.options.OnResponse(t.Incarnation, parsed)
+	}
 	if parsed.WrongTarget {
 		q.relay.options.OnLeaving(t.Incarnation)
 	}
--- a/daemon/relay/grant.go
+++ b/daemon/relay/grant.go
@@ -31,6 +31,8 @@
 // came with the stages' results is used first. A request whose turn comes too late is refused at
 // once.
 func (q *request) awaitGrant(ctx context.Context) (routing.Choice, error) {
+	started := time.Now()
+	defer func() { q.timings.grantWait += time.Since(started) }()
 	var rejected []string
 	err := error(&routing.NoTargetError{Pool: q.service})
 	for range maxGrants {
@@ -39,10 +41,11 @@
 				return routing.Choice{}, err
 			}
 		}
-		if q.preferredEngine == "" {
+		now := time.Now()
+		if q.preferredEngine == "" && !q.sendAt.After(now) {
 			break
 		}
-		if now := time.Now(); q.sendAt.After(q.eventDeadline(now)) {
+		if q.preferredEngine == "" || q.sendAt.After(q.eventDeadline(now)) {
 			return routing.Choice{}, &stages.RefusedError{Reason: gather.ReasonQueueTooLong, RetryAfter: q.sendAt.Sub(now), Holder: q.grant.holder}
 		}
 		query := q.targetQuery()
--- a/daemon/relay/metrics.go
+++ b/daemon/relay/metrics.go
@@ -12,7 +12,7 @@
 	scope tally.Scope
 	// Durations of the phases of a request. The timers are created at the start, so that they
 	// are served before the first request.
-	stagesWait, firstEvent, longestPause tally.Timer
+	stagesWait, grantWait, firstEvent, longestPause tally.Timer
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -20,6 +20,7 @@
 	return metrics{
 		scope:        scope,
 		stagesWait:   scope.Timer("stages_wait"),
+		grantWait:    scope.Timer("grant_wait"),
 		firstEvent:   scope.Timer("first_event"),
 		longestPause: scope.Timer("longest_pause"),
 	}
@@ -41,6 +42,9 @@
 	if t.stagesWait > 0 {
 		m.stagesWait.Record(t.stagesWait)
 	}
+	if t.grantWait > 0 {
+		m.grantWait.Record(t.grantWait)
+	}
 	if t.firstEvent > 0 {
 		m.firstEvent.Record(t.firstEvent)
 	}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -54,6 +54,8 @@
 	// Confirm checks whether a newer configuration exists, and puts it in force. It reports
 	// whether the newest one is known.
 	Confirm func(ctx context.Context) bool
+	// OnResponse is called with the header of each response of a target; nil if nobody needs it.
+	OnResponse func(incarnation string, response exchange.TargetResponse)
 	// Outdated reports whether a newer configuration is known to exist than the one in force.
 	// It is nil if that is never known.
 	Outdated func() bool
@@ -389,7 +391,6 @@
 // run serves the request until its final response.
 func (q *request) run(ctx context.Context) {
 	q.service = pickService(q.route.TrafficSplit)
-	q.paced = q.relay.options.Paced != nil && q.relay.options.Paced(q.service)
 	for {
 		retry, err := q.attempt(ctx)
 		if !retry {
@@ -405,6 +406,15 @@
 	}
 }
 
+// updatePaced records whether a send to the service needs a grant now. A target may name a limit at
+// any time.
+func (q *request) updatePaced() { q.paced = q.relay.isPaced(q.service) }
+
+// isPaced reports whether each send to a service needs a grant.
+func (r *Relay) isPaced(service string) bool {
+	return r.options.Paced != nil && r.options.Paced(service)
+}
+
 // pickService chooses a service at random by weight.
 func pickService(split []routes.WeightedService) string {
 	total := 0.0
--- a/daemon/relay/timings.go
+++ b/daemon/relay/timings.go
@@ -6,6 +6,8 @@
 type timings struct {
 	// stagesWait is the wait for the stages' results, over all attempts.
 	stagesWait time.Duration
+	// grantWait is the wait for grants of sends, over all attempts.
+	grantWait time.Duration
 	// attemptStart is when the latest attempt was sent.
 	attemptStart time.Time
 	// firstEvent is the time from the start of an attempt to its first event, or to its
--- a/daemon/stages/assign.go
+++ b/daemon/stages/assign.go
@@ -42,12 +42,34 @@
 	if !ok {
 		return r
 	}
-	q.prompts[r.ID] = prompt
+	q.prompts[r.ID] = heldPrompt{prompt, r.Deadline, r.Priority}
 	r.DataCentre = choice.Engine.DataCentre
 	r.Remaining = min(choice.FirstEventIdle+remainingMargin, maxRemaining)
+	if choice.SendAfter > 0 && now.Add(choice.SendAfter).After(r.Deadline) {
+		// The request would get no grant after its stages either.
+		r.Remaining = choice.SendAfter
+	}
 	return r
 }
 
+// heldPrompt is the prompt of a request whose stages run here.
+type heldPrompt struct {
+	placing.Prompt
+	// deadline and priority are those of the request.
+	deadline time.Time
+	priority int
+}
+
+// mayWait reports whether a send may be granted to the request for a later time. A grant beyond its
+// deadline would be lost for other requests, and with enough of them no request would get one in
+// time.
+func (h *heldPrompt) mayWait(now time.Time, c placing.Choice) bool {
+	if c.SendAfter <= 0 {
+		return true
+	}
+	return !now.Add(c.SendAfter).After(h.deadline) && (!c.Limited || c.SendAfter <= pacing.GrantHorizon(h.priority))
+}
+
 // updateGrants updates the engines of a paced pool to which this instance may grant sends. mu must
 // be held.
 func (q *queue) updateGrants(pool string) {
@@ -63,7 +85,7 @@
 // assignEngine chooses the engine of a request whose stages have completed. mu must be held.
 // It returns "" if the request's prompt is unknown, as for a request that was taken over
 // before its requester asked here: the requester then chooses. sendAt is when the request may be
-// sent.
+// sent. With an engine of "" it is the earliest time for which there will be a grant.
 func (q *queue) assignEngine(now time.Time, done gather.Completed) (engine string, sendAt time.Time) {
 	prompt, ok := q.prompts[done.Request]
 	if !ok {
@@ -74,12 +96,15 @@
 	for _, bytes := range done.Bytes {
 		total += bytes
 	}
-	choice, ok := q.engines.Choose(now, &prompt, func(dataCentre string) time.Duration {
+	choice, ok := q.engines.Choose(now, &prompt.Prompt, func(dataCentre string) time.Duration {
 		return gather.CrossingCost(total - done.Bytes[dataCentre])
 	})
 	if !ok {
 		return "", time.Time{}
 	}
-	q.engines.RecordSent(now, done.Request, &prompt, choice)
+	if !prompt.mayWait(now, choice) {
+		return "", now.Add(choice.SendAfter)
+	}
+	q.engines.RecordSent(now, done.Request, &prompt.Prompt, choice)
 	return choice.Engine.Incarnation, now.Add(choice.SendAfter)
 }
--- a/daemon/stages/assign_test.go
+++ b/daemon/stages/assign_test.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
@@ -54,3 +56,27 @@
 	engine, _ := queueWithEngines().assignEngine(time.Now(), gather.Completed{Request: "1"})
 	require.Empty(t, engine)
 }
+
+// Guards against requests that can't wait for a grant and use up those of the requests that can: under
+// overload every grant would lie beyond its request's deadline, and the engine would get nothing.
+func TestGrantsBeyondTheDeadlineAreNotUsedUp(t *testing.T) {
+	q := queueWithEngines()
+	view := membership.NewView(1, "a", []membership.Member{{Name: "a"}})
+	q.view = func() *membership.View { return view }
+	q.setLimits(time.Now(), map[string]float64{"e1": 1, "e2": 1})
+	now := time.Now()
+	granted := map[int]int{}
+	for i := range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		id, priority := fmt.Sprint(i), i%2
+		q.predictEngine(now, gather.Request{ID: id, Priority: priority, Deadline: now.Add(time.Minute)}, uniquePrompt(500))
+		engine, sendAt := q.assignEngine(now, gather.Completed{Request: id})
+		require.LessOrEqual(t, sendAt.Sub(now), 4*time.Second, "the horizon and one interval of a holder that has just begun")
+		if engine != "" {
+			granted[priority]++
+			q.engines.RecordEnd(placing.RequestEnd{Request: id, Engine: engine, FirstEvent: time.Millisecond})
+		}
+	}
+	require.GreaterOrEqual(t, granted[0]+granted[1], 14, "of twenty in ten seconds")
+	require.Greater(t, granted[0], 2*granted[1], "the more urgent requests come first")
+}
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -107,6 +107,12 @@
 		reply.Close()
 	}()
 	parsed := q.dialect.ParseTargetResponse(reply.Status, reply.Header)
+	if q.onResponse != nil {
+		// A response to a stage call has no signature of its own.
+		stated := parsed
+		stated.Signed = stated.Signed || reply.Status == http.StatusOK
+		q.onResponse(c.Target.Incarnation, stated)
+	}
 	body, err := io.ReadAll(io.LimitReader(reply, maxReply))
 	switch {
 	case parsed.WrongTarget:
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -57,7 +57,7 @@
 	engines *placing.Table
 	// prompts holds the prompts of the requests whose stages run here, by request ID. waiters
 	// holds the channels that receive the requests' outcomes.
-	prompts     map[string]placing.Prompt
+	prompts     map[string]heldPrompt
 	waiters     map[string]chan outcome
 	pendingFree map[gather.Target][]string
 	// stall detects, by bootClock and the time of day, that this instance was stalled.
@@ -68,6 +68,13 @@
 	// limits bound what cold targets get. pacedPools has the pools whose targets have a pace.
 	limits     pacing.Limits
 	pacedPools atomic.Pointer[map[string]bool]
+	// engineNames has the incarnations of the usable engines by pool, coldPools the pools with a
+	// cold rate, and targetLimits the limits that targets name.
+	engineNames  map[string][]string
+	coldPools    map[string]bool
+	targetLimits map[string]float64
+	// onResponse is called with the header of each response to a stage call; nil for none.
+	onResponse func(incarnation string, response exchange.TargetResponse)
 	// view returns the known members; grantsView is the one that the grants are based on.
 	view       func() *membership.View
 	grantsView *membership.View
@@ -104,7 +111,7 @@
 		metrics:       m,
 		planner:       gather.New(gather.Config{}),
 		engines:       placing.NewTable(),
-		prompts:       map[string]placing.Prompt{},
+		prompts:       map[string]heldPrompt{},
 		waiters:       map[string]chan outcome{},
 		pendingFree:   map[gather.Target][]string{},
 		readers:       map[string]resultReader{},
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -147,6 +147,15 @@
 	s.queue.setTargets(now, table, usable)
 }
 
+// SetLimits replaces the limits that targets name, in requests a second by incarnation.
+func (s *Stages) SetLimits(limits map[string]float64) { s.queue.setLimits(time.Now(), limits) }
+
+// OnResponse sets the function that is called with the header of each response to a stage call. It
+// must be called before Run.
+func (s *Stages) OnResponse(f func(incarnation string, response exchange.TargetResponse)) {
+	s.queue.onResponse = f
+}
+
 // RefusedError means that a request's stages won't be run by its deadline.
 type RefusedError struct {
 	Reason     gather.Reason
@@ -168,7 +177,8 @@
 	// Engine is the incarnation of the engine that is to serve the request. It is empty if
 	// the requester is to choose.
 	Engine string
-	// SendAt is when the request may be sent to Engine, if the pool is paced.
+	// SendAt is when the request may be sent to Engine, if the pool is paced. If Engine is
+	// empty and SendAt lies ahead, it is when there will be a grant.
 	SendAt time.Time
 }
 
@@ -316,7 +326,7 @@
 	var response pacedResponse
 	assigned := &response.Assign
 	err := error(peer.ErrNoMethod)
-	if s.Paced(request.Prompt.Pool) {
+	if request.Prompt.Pool != "" {
 		err = s.callMethod(ctx, address, methodAssignPaced, request, &response)
 	}
 	if errors.Is(err, peer.ErrNoMethod) {
@@ -415,7 +425,7 @@
 	response := &pacedResponse{Assign: assignResponse{
 		redirectableResponse{Run: runResponse{Handles: end.handles}, MovedTo: end.movedTo}, end.engine,
 	}}
-	if end.engine != "" && !end.sendAt.IsZero() {
+	if !end.sendAt.IsZero() {
 		response.SendAfter = time.Until(end.sendAt)
 	}
 	run := &response.Assign.Redirectable.Run
--- a/daemon/stages/targets.go
+++ b/daemon/stages/targets.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
@@ -30,11 +31,14 @@
 // be held.
 func (q *queue) applyTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) []gather.Action {
 	var actions []gather.Action
-	paced := map[string]bool{}
+	q.coldPools, q.engineNames = map[string]bool{}, map[string][]string{}
 	for name, s := range table.Services {
 		pace := pacing.ForLimit(q.limits.Limit(s.ColdRate))
 		if s.Batch == nil {
-			paced[name] = !pace.Unlimited()
+			q.coldPools[name] = !pace.Unlimited()
+			for _, t := range usable[name] {
+				q.engineNames[name] = append(q.engineNames[name], t.Incarnation())
+			}
 			q.setEngines(s, pace, usable[name])
 			continue
 		}
@@ -47,10 +51,45 @@
 		}
 		actions = append(actions, q.planner.SetTargets(now, name, list)...)
 	}
-	q.pacedPools.Store(&paced)
+	q.updatePacedPools()
 	return actions
 }
 
+// setLimits replaces the limits that targets name, in requests a second by incarnation.
+func (q *queue) setLimits(now time.Time, limits map[string]float64) {
+	paces := make(map[string]pacing.Pace, len(limits))
+	for incarnation, perSecond := range limits {
+		paces[incarnation] = pacing.ForRate(perSecond)
+	}
+	q.lockAndCheckStall()
+	q.targetLimits = limits
+	q.engines.SetLimits(paces)
+	var actions []gather.Action
+	if q.frozen {
+		// Calls are started after the handover only.
+		q.planner.PrepareLimits(paces)
+	} else {
+		actions = q.planner.SetLimits(now, paces)
+	}
+	q.updatePacedPools()
+	q.recordActions(actions)
+	q.mu.Unlock()
+	q.performActions(actions)
+}
+
+// updatePacedPools determines the pools whose targets have a pace: by the configuration, or since
+// one of them names a limit. mu must be held.
+func (q *queue) updatePacedPools() {
+	paced := map[string]bool{}
+	for pool, engines := range q.engineNames {
+		paced[pool] = slices.ContainsFunc(engines, func(e string) bool { _, ok := q.targetLimits[e]; return ok })
+	}
+	for pool, cold := range q.coldPools {
+		paced[pool] = paced[pool] || cold
+	}
+	q.pacedPools.Store(&paced)
+}
+
 // isPaced reports whether the targets of a pool have a pace.
 func (q *queue) isPaced(pool string) bool {
 	paced := q.pacedPools.Load()
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/coordination/targetlimit"
 )
 
 // CallerRequest holds the fields of a caller's request headers.
@@ -62,6 +63,10 @@
 	Signed bool
 	// InputsMissing is set if results that the request needs no longer exist.
 	InputsMissing bool
+	// Limit is what the response says about the requests that the target accepts from all
+	// instances together. LimitInvalid is set if that can't be read.
+	Limit        targetlimit.Statement
+	LimitInvalid bool
 	// IdleTimeout is how long the target keeps an idle connection; 0 if the
 	// response does not state it.
 	IdleTimeout time.Duration
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -34,6 +34,10 @@
 	Count  int
 	// Bytes is the size of a record's body.
 	Bytes int
+	// Rate is a number of requests a second.
+	Rate float64
+	// GrantWait is how long a request waited until it was granted a send to a target.
+	GrantWait time.Duration
 	// Status is the status code of an HTTP response; 0 if there was none.
 	Status  int
 	Elapsed time.Duration
@@ -62,7 +66,7 @@
 }
 
 // maxPairs is the maximum number of keys and values of an Event and an instance.
-const maxPairs = 2 * 28
+const maxPairs = 2 * 30
 
 // pairs returns the non-empty fields as alternating keys and values for klog.
 func (e *Event) pairs() []any {
@@ -87,12 +91,16 @@
 	if e.Bytes != 0 {
 		kv = append(kv, "bytes", e.Bytes)
 	}
+	if e.Rate != 0 {
+		kv = append(kv, "per_second", e.Rate)
+	}
 	if e.Status != 0 {
 		kv = append(kv, "status", e.Status)
 	}
 	kv = appendDuration(kv, "elapsed", e.Elapsed)
 	kv = appendDuration(kv, "head", e.HeaderDuration)
 	kv = appendDuration(kv, "stages", e.StageWait)
+	kv = appendDuration(kv, "grant", e.GrantWait)
 	kv = appendDuration(kv, "first", e.FirstEvent)
 	kv = appendDuration(kv, "pause", e.LongestPause)
 	kv = appendDuration(kv, "needed", e.Predicted)
