List again when the changes of a watch are too large to read

A response of more than 8 MiB is refused; the changes that a watch missed in an outage can be ten versions of a configuration of 0.9 MB. The watch was sent again from the same revision and failed again, until the store dropped its history.

Change: such a watch is followed by a list, like one whose history is gone. The log line of both has the reason.

Before: TestTooManyLargeChangesAreListed fails (version 1 of 4 in force five seconds after the store's return). After: it passes.

--- a/daemon/follow/confirm.go
+++ b/daemon/follow/confirm.go
@@ -212,7 +212,7 @@
 			}
 			return nil
 		}
-		if !errors.Is(err, platform.ErrCompacted) {
+		if !errors.Is(err, platform.ErrCompacted) && !errors.Is(err, platform.ErrResponseTooLarge) {
 			return err
 		}
 	}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -219,8 +219,8 @@
 		resent := errors.Is(context.Cause(call), errResend)
 		cancel(nil)
 		switch {
-		case errors.Is(err, platform.ErrCompacted):
-			telemetry.InfoS("History of the store is gone, listing again", telemetry.Event{Record: k.kind, Revision: revision})
+		case errors.Is(err, platform.ErrCompacted), revision != 0 && errors.Is(err, platform.ErrResponseTooLarge):
+			telemetry.InfoS("Changes can't be read, listing again", telemetry.Event{Record: k.kind, Revision: revision, Reason: unreadableReason(err)})
 			revision = 0
 		case err != nil && resent:
 		case err != nil:
@@ -235,6 +235,14 @@
 	}
 }
 
+// unreadableReason returns why the changes since a revision can't be read, for the log.
+func unreadableReason(err error) string {
+	if errors.Is(err, platform.ErrCompacted) {
+		return "history_gone"
+	}
+	return "too_large"
+}
+
 // awaitBatch delays the next watch after changes, in a fleet in which most instances receive
 // changes by gossip. Where all instances watch, each must receive changes at once: until it knows
 // that a target has restarted under its name, requests are sent on connections to the earlier
--- a/daemon/follow/silence_test.go
+++ b/daemon/follow/silence_test.go
@@ -422,3 +422,30 @@
 		})
 	})
 }
+
+// verboseStore answers no watch of the configuration while more than one version is new: its response
+// would be too large.
+type verboseStore struct{ *timedStore }
+
+func (v verboseStore) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) (platformapi.WatchResponse, error) {
+	w, err := v.timedStore.Watch(ctx, kinds, from, wait)
+	if len(w.Events) > 1 {
+		return platformapi.WatchResponse{}, platform.ErrResponseTooLarge
+	}
+	return w, err
+}
+
+// Guards against a follower that asks for the same changes for ever although their response is too large
+// to be read.
+func TestTooManyLargeChangesAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 1, func(fl *fleet, _ int, o *Options) { o.Store = verboseStore{fl.store} })
+		fl.store.silent(2 * time.Second)
+		for version := range 3 {
+			fl.store.put("config", "main", fmt.Sprint(version))
+		}
+		newest := fl.store.revision
+		fl.sleep(2*time.Second + settledAfter)
+		require.Equal(t, newest, fl.followers[0].Table().Revision)
+	})
+}
--- a/transport/platform/errors.go
+++ b/transport/platform/errors.go
@@ -17,6 +17,9 @@
 	// ErrCompacted means that the platform no longer has the history of the
 	// watch; the caller must list again.
 	ErrCompacted = errors.New("history is gone")
+	// ErrResponseTooLarge means that a response exceeds what is read. A watch gets one when
+	// many large objects have changed; the caller must list instead.
+	ErrResponseTooLarge = errors.New("response too large")
 	// ErrTooLarge means that the value exceeds platformapi.MaxValueBytes.
 	ErrTooLarge = errors.New("value too large")
 	// ErrRefused means that the platform does not accept the call, for example
--- a/transport/platform/exchange.go
+++ b/transport/platform/exchange.go
@@ -223,7 +223,7 @@
 func decodeSuccess(x exchange, body []byte) (callResult, error) {
 	ok := callResult{outcome: outcomeOK}
 	if len(body) > maxResponseBytes {
-		return ok, NoResponseError(x.call, errors.Newf("answer over %d bytes", maxResponseBytes))
+		return ok, NoResponseError(x.call, errors.Wrapf(ErrResponseTooLarge, "over %d bytes", maxResponseBytes))
 	}
 	if x.decode == nil {
 		return ok, nil
