Let a target name a limit during the planned work of a soak

A target of plain requests names 1 request a second while instances stop in series and targets are replaced, and may get 11 in four seconds.

--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -91,6 +91,7 @@
 		until := time.Now().Add(tb.options.Faults)
 		var wg sync.WaitGroup
 		wg.Go(func() { tb.runDrains(until) })
+		wg.Go(func() { tb.nameLimit(until) })
 		tb.runPlannedWork(until, seriesPausePlanned)
 		wg.Wait()
 	})
