Ask for changes since the version in force, and check the revision of each part

A check for a newer version asked for all changes since the instance last called the store itself: one that hears by gossip would have downloaded each version of the last twenty seconds. It asks from the version in force on, if that is later. Parts of a record from a peer that changes its revision midway are refused instead of failing to decompress.

Before: TestLargeConfigurationIsConfirmed, with knowledge of the store older than the version in force, fails where nothing is newer.

--- a/daemon/cluster/fetch.go
+++ b/daemon/cluster/fetch.go
@@ -202,7 +202,7 @@
 		if err != nil {
 			return spread.Record{}, err
 		}
-		if part.Revision < q.Revision || part.Size > maxEncodedBytes || len(part.Part) == 0 {
+		if part.Revision < q.Revision || q.Offset > 0 && part.Revision > q.Revision || part.Size > maxEncodedBytes || len(part.Part) == 0 {
 			return spread.Record{}, errors.Newf("part of revision %d, %d of %d bytes", part.Revision, len(part.Part), part.Size)
 		}
 		data = append(data, part.Part...)
--- a/daemon/follow/confirm.go
+++ b/daemon/follow/confirm.go
@@ -204,7 +204,7 @@
 // store's response is small, whatever the size of the configuration.
 func (f *Follower) readNewest(ctx context.Context) error {
 	source := &f.options.Source
-	if known := f.configKnownTo.Load(); known != 0 {
+	if known := max(f.configKnownTo.Load(), f.revision()); known != 0 {
 		w, err := f.options.Store.Watch(ctx, []string{source.ConfigKind}, known, 0)
 		if err == nil {
 			for _, e := range w.Events {
--- a/daemon/follow/confirm_test.go
+++ b/daemon/follow/confirm_test.go
@@ -40,6 +40,11 @@
 	return &platformapi.Object{Metadata: platformapi.Metadata{Name: name, Revision: 7}}, nil
 }
 
+// Watch finds no history, so that the object is read.
+func (s *slowStore) Watch(context.Context, []string, uint64, time.Duration) (platformapi.WatchResponse, error) {
+	return platformapi.WatchResponse{}, platform.ErrCompacted
+}
+
 func newConfirmFollower(s *slowStore) *Follower {
 	return New(Options{
 		Store: s,
@@ -248,7 +253,7 @@
 				f := newConfirmFollower(nil)
 				f.options.Store = c.store
 				f.table.Store(&routes.Table{Revision: 6})
-				f.configKnownTo.Store(6)
+				f.configKnownTo.Store(1)
 				f.options.AskConfirmer = func(context.Context) Newest {
 					return Newest{Revision: c.peerKnows, Bytes: largeSize, Known: c.peerKnows != 0}
 				}
