Drop log lines that are written after the log is closed

Callers weren't concerned: a planned stop ended with exit status 2 instead of 0, as its last act.

Cause: the log's queue was closed while a timer of daemon/stages still logged that a holder had not been told of ended requests; a send on a closed channel panics. The queue asked its callers not to write after Close, which a process with timers can't promise.

Change: Write and Close exclude each other, and a line after Close is dropped and counted. Write still never waits for the reader.

Before: TestLinesAfterCloseAreDropped panics.

--- a/telemetry/queue.go
+++ b/telemetry/queue.go
@@ -36,7 +36,10 @@
 	unreportedDrops atomic.Int64
 	droppedTotal    atomic.Int64
 	done            chan struct{}
-	close           sync.Once
+
+	mu sync.RWMutex
+	// closed is true once lines is closed.
+	closed bool
 }
 
 // NewLineQueue returns a queue that writes to out.
@@ -51,9 +54,12 @@
 	return q
 }
 
-// Write enqueues one line. It never fails and never blocks.
+// Write enqueues one line. It never fails and never waits for the reader. After Close, the line is
+// dropped: a timer may still log while the process ends.
 func (q *LineQueue) Write(line []byte) (int, error) {
-	if !q.limit.Allow() {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed || !q.limit.Allow() {
 		q.drop()
 		return len(line), nil
 	}
@@ -85,10 +91,14 @@
 	}
 }
 
-// Close flushes the queue, waiting at most flushTimeout. Write must not be called
-// after it.
+// Close flushes the queue, waiting at most flushTimeout.
 func (q *LineQueue) Close() {
-	q.close.Do(func() { close(q.lines) })
+	q.mu.Lock()
+	if !q.closed {
+		q.closed = true
+		close(q.lines)
+	}
+	q.mu.Unlock()
 	select {
 	case <-q.done:
 	case <-time.After(flushTimeout):
--- a/telemetry/queue_test.go
+++ b/telemetry/queue_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -68,3 +70,24 @@
 	q.Close()
 	require.Less(t, strings.Count(out.String(), "line\n"), 2*linesBurst)
 }
+
+// Guards against a planned stop that ends with a panic because a timer logs while the log is closed.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	q := NewLineQueue(io.Discard)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 100 {
+				_, err := q.Write([]byte("line\n"))
+				require.NoError(t, err)
+			}
+		})
+	}
+	q.Close()
+	q.Close()
+	writers.Wait()
+	dropped := q.Dropped()
+	_, err := q.Write([]byte("line\n"))
+	require.NoError(t, err)
+	require.Equal(t, dropped+1, q.Dropped())
+}
