Log who granted a send, and which requests broke a limit in a soak

The last line of a request now names the instance that granted its last send, and the soak lists the arrivals of the window that broke the limit.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -45,6 +45,7 @@
 		return false, err
 	}
 	q.updatePaced()
+	q.grantedBy = ""
 	choice, err := q.pickTarget()
 	if err != nil {
 		return false, err
@@ -70,6 +71,7 @@
 		if choice, err = q.awaitGrant(ctx); err != nil {
 			return false, err
 		}
+		q.grantedBy = cmp.Or(q.grant.holder, q.owner)
 	}
 	started := time.Now()
 	if q.pastSendDeadline(started) {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -181,6 +181,9 @@
 	sendAt time.Time
 	// grant is the grant of a send that was requested apart from the stages.
 	grant grant
+	// grantedBy is the address of the instance that granted the latest send; empty if it needed no
+	// grant.
+	grantedBy string
 
 	// headerSent is true once the caller has the head of the response.
 	headerSent bool
--- a/testkit/soak/limits.go
+++ b/testkit/soak/limits.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/ivyhollow/ivyhollow/platform/standin"
 )
 
 const (
@@ -18,6 +20,8 @@
 	limitWindow  = 4 * time.Second
 	limitOverage = 1.5
 	limitSlack   = 5.0
+	// arrivalMargin is the time in which a request's body is read after its header has arrived.
+	arrivalMargin = 50 * time.Millisecond
 )
 
 // nameLimit makes a target name a limit until the given time, and checks that it gets no more.
@@ -38,7 +42,18 @@
 		}
 		if n := i - first + 1; float64(n) > allowed {
 			tb.violation("%s got %d requests in %v, %v allowed", limitedTarget, n, limitWindow, allowed)
+			tb.logArrivals(target, times[first], at)
 			break
 		}
 	}
 }
+
+// logArrivals logs the requests that arrived at a target in a span of time, so that the instances'
+// logs tell who sent them.
+func (tb *testbed) logArrivals(target *standin.Target, from, to time.Time) {
+	for _, a := range target.Arrivals() {
+		if !a.ReceivedAt.Before(from) && !a.ReceivedAt.After(to.Add(arrivalMargin)) {
+			tb.logf("at %s %s got %s", a.ReceivedAt.UTC().Format("15:04:05.000"), limitedTarget, a.ID)
+		}
+	}
+}
