--- a/daemon/blocklist/blocklist.go
+++ b/daemon/blocklist/blocklist.go
@@ -17,6 +17,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/daemon/initialsync"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
@@ -26,8 +27,7 @@
 	Handle(method string, h peer.Handler, opts ...peer.HandleOption)
 	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
 	View() *membership.View
-	Neighbours() []string
-	AwaitPeer(ctx context.Context)
+	initialsync.Cluster
 }
 
 // Blocklist holds the records of an instance. It is safe for concurrent use.
@@ -38,8 +38,8 @@
 	requestCount atomic.Int64
 	// wake receives a value when there are records to send.
 	wake chan struct{}
-	// synced is closed once the exchange of records at the start is over.
-	synced chan struct{}
+	// initialSync is the exchange of records at the start.
+	initialSync *initialsync.Sync
 
 	mu    sync.Mutex
 	table *quarantine.Table
@@ -55,7 +55,7 @@
 // records and request trials.
 func New(cluster Cluster, config quarantine.Config, scope tally.Scope) *Blocklist {
 	b := &Blocklist{
-		cluster: cluster, metrics: newMetrics(scope), wake: make(chan struct{}, 1), synced: make(chan struct{}),
+		cluster: cluster, metrics: newMetrics(scope), wake: make(chan struct{}, 1), initialSync: initialsync.New(),
 		table: quarantine.New(config), loggedBlocked: map[quarantine.Digest]bool{}, deniedUntil: map[quarantine.Digest]time.Time{},
 	}
 	cluster.Handle(methodExchange, b.handleExchange, peer.Idempotent())
--- a/daemon/blocklist/exchange.go
+++ b/daemon/blocklist/exchange.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/ivyhollow/ivyhollow/daemon/initialsync"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
@@ -22,11 +22,6 @@
 	minExchangeInterval = 100 * time.Millisecond
 	// sampleInterval is the time between two exchanges of samples while there are records.
 	sampleInterval = time.Second
-	// joinTimeout limits how long an instance waits at its start until it knows another
-	// one, which takes a few round trips.
-	joinTimeout = 300 * time.Millisecond
-	// joinFanout is how many neighbours an instance requests records from at its start.
-	joinFanout = 3
 	// fanout is the maximum number of neighbours to which one exchange sends a message.
 	fanout = 2
 	// An instance sends each record as many times as extraCopies plus the natural
@@ -54,43 +49,13 @@
 // AwaitInitialSync waits until this instance has received records from another one after its
 // start. It returns earlier if the context ends, if no other instance is known in time, or
 // if the requests to the others have all failed.
-func (b *Blocklist) AwaitInitialSync(ctx context.Context) {
-	select {
-	case <-b.synced:
-	case <-ctx.Done():
-	}
-}
-
-// syncAtStart requests records from neighbours. It returns at the first response, or once all
-// requests have failed.
-func (b *Blocklist) syncAtStart(ctx context.Context) {
-	defer close(b.synced)
-	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	b.cluster.AwaitPeer(joinCtx)
-	peers := b.shuffledNeighbours()
-	peers = peers[:min(joinFanout, len(peers))]
-	responses := make(chan bool, len(peers))
-	for _, address := range peers {
-		go func() { responses <- b.exchangeWith(ctx, address, exchangeMessage{Ask: true}) }()
-	}
-	for range peers {
-		if <-responses {
-			return
-		}
-	}
-}
-
-// shuffledNeighbours returns the neighbours in random order.
-func (b *Blocklist) shuffledNeighbours() []string {
-	peers := b.cluster.Neighbours()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers
-}
+func (b *Blocklist) AwaitInitialSync(ctx context.Context) { b.initialSync.Await(ctx) }
 
 // Run exchanges records until ctx ends.
 func (b *Blocklist) Run(ctx context.Context) error {
-	b.syncAtStart(ctx)
+	b.initialSync.Run(ctx, b.cluster, func(ctx context.Context, address string) bool {
+		return b.exchangeWith(ctx, address, exchangeMessage{Ask: true})
+	})
 	r := exchangeState{samplesDue: initialSamples, lastExchange: time.Now().Round(0)}
 	for b.awaitNextExchange(ctx) {
 		now := time.Now()
@@ -128,7 +93,7 @@
 // exchangeWithNeighbours gossips records to a few neighbours, and exchanges samples with them if
 // that is due.
 func (b *Blocklist) exchangeWithNeighbours(ctx context.Context, now time.Time, r *exchangeState) {
-	peers := b.shuffledNeighbours()
+	peers := initialsync.ShuffledNeighbours(b.cluster)
 	sample := now.Sub(r.lastSample) >= sampleInterval && (r.samplesDue > 0 || !b.Empty())
 	for _, address := range peers[:min(fanout, len(peers))] {
 		message := b.newMessage(now, sample)
