Ask other instances for the limits of targets before serving

The class: an instance that acts on state before it has asked for it.

Ruled out: the number of holders within four seconds.

Change: it asks its neighbours for all limits (limits.list), until one answers that has itself received them since its start, for a second at most. Until then it isn't ready, lets requests wait as for its configuration, starts no stages and grants no sends for others, and refuses the queue after 250 ms. Changes from one answer are applied together.

--- a/coordination/targetlimit/targetlimit.go
+++ b/coordination/targetlimit/targetlimit.go
@@ -9,7 +9,9 @@
 package targetlimit
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -106,6 +108,18 @@
 	return true
 }
 
+// Changes returns the latest changes of the targets whose names follow after, in the order of the
+// names, and at most as many as given.
+func (t *Table) Changes(after string, most int) []Change {
+	var changes []Change
+	for _, target := range slices.Sorted(maps.Keys(t.entries)) {
+		if target > after && len(changes) < most {
+			changes = append(changes, t.entries[target].Change)
+		}
+	}
+	return changes
+}
+
 // Limits returns the limits in requests a second, by incarnation.
 func (t *Table) Limits() map[string]float64 {
 	limits := map[string]float64{}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -160,8 +160,9 @@
 		return msgpack.Marshal(g.follower.Report().IsFresh())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), t.Scope)
-	g.limits = limits.New(limits.Options{Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
+	g.limits = limits.New(limits.Options{Cluster: g.cluster, Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
 	g.stages.OnResponse(g.limits.Observe)
+	g.stages.AwaitLimits(g.limits.AwaitInitialSync)
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
@@ -302,10 +303,12 @@
 }
 
 // awaitReady waits until the instance has the state that it needs to serve a request:
-// the configuration, the targets, and the requests that other instances block.
+// the configuration, the targets, the requests that other instances block, and the limits that
+// targets name.
 func (g *Gateway) awaitReady(ctx context.Context) {
 	g.follower.AwaitReady(ctx)
 	g.blocklist.AwaitInitialSync(ctx)
+	g.limits.AwaitInitialSync(ctx)
 }
 
 // dataCentreShares returns, by data centre, the share of a service's usable targets that
@@ -337,7 +340,9 @@
 func (g *Gateway) Usable(incarnation string) bool { return g.follower.Usable(incarnation) }
 
 // Ready reports whether the instance accepts new connections.
-func (g *Gateway) Ready() bool { return g.follower.Ready() && !g.draining.Load() }
+func (g *Gateway) Ready() bool {
+	return g.follower.Ready() && g.limits.Synced() && !g.draining.Load()
+}
 
 func (g *Gateway) adminHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/daemon/limits/limits.go
+++ b/daemon/limits/limits.go
@@ -3,6 +3,7 @@
 package limits
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,8 +14,10 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/coordination/targetlimit"
+	"github.com/ivyhollow/ivyhollow/daemon/initialsync"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
 // RecordKind is the kind of the gossiped records. A record is named by the target's incarnation,
@@ -30,6 +33,7 @@
 
 // Options are the dependencies of Limits.
 type Options struct {
+	Cluster Cluster
 	// Gossip disseminates a record to the other instances.
 	Gossip func(r spread.Record)
 	// OnChange is called with all limits, in requests a second by incarnation, after each change.
@@ -47,14 +51,23 @@
 	// takes the lock.
 	known atomic.Int64
 
+	// initialSync is the receipt of the limits at the start.
+	initialSync *initialsync.Sync
+
 	mu    sync.Mutex
 	table *targetlimit.Table
 }
 
-// New returns Limits without a target.
+// New returns Limits without a target, and registers the method by which other instances receive
+// them.
 func New(o Options) *Limits {
 	scope := o.Scope.SubScope("limits")
-	return &Limits{options: o, changes: scope.Counter("changes"), limited: scope.Gauge("targets"), table: targetlimit.New()}
+	l := &Limits{
+		options: o, changes: scope.Counter("changes"), limited: scope.Gauge("targets"),
+		initialSync: initialsync.New(), table: targetlimit.New(),
+	}
+	o.Cluster.Handle(methodList, l.handleList, peer.Idempotent())
+	return l
 }
 
 // Observe records what a response of a target says. The end of a limit counts only if the target
@@ -69,7 +82,7 @@
 	l.mu.Lock()
 	change, changed := l.table.Observe(time.Now(), incarnation, response.Limit)
 	if changed {
-		l.publish(change, sourceResponse)
+		l.publish(sourceResponse, change)
 	}
 	l.mu.Unlock()
 	if changed {
@@ -88,11 +101,16 @@
 		}
 		change.Statement = targetlimit.Statement{Limited: true, PerSecond: perSecond}
 	}
+	l.apply(change)
+}
+
+// apply applies changes that another instance knows.
+func (l *Limits) apply(changes ...targetlimit.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.table.Apply(time.Now(), change) {
-		l.publish(change, sourcePeer)
-	}
+	now := time.Now()
+	changes = slices.DeleteFunc(changes, func(c targetlimit.Change) bool { return !l.table.Apply(now, c) })
+	l.publish(sourcePeer, changes...)
 }
 
 // Forget removes the targets that are no longer listed.
@@ -103,25 +121,28 @@
 	l.mu.Lock()
 	ended := l.table.Forget(time.Now(), listed)
 	l.known.Store(int64(l.table.Len()))
-	for _, change := range ended {
-		l.publish(change, sourceResponse)
-	}
+	l.publish(sourceResponse, ended...)
 	l.mu.Unlock()
 	for _, change := range ended {
 		l.options.Gossip(record(change))
 	}
 }
 
-// publish logs a change and passes all limits on; mu is held.
-func (l *Limits) publish(c targetlimit.Change, source string) {
+// publish logs changes and passes all limits on; mu is held.
+func (l *Limits) publish(source string, changes ...targetlimit.Change) {
 	l.known.Store(int64(l.table.Len()))
-	l.changes.Inc(1)
-	event := telemetry.Event{Target: c.Target, Revision: c.Revision, Rate: c.Statement.PerSecond, Reason: source}
-	if c.Statement.Limited {
-		telemetry.InfoS("Target names a limit", event)
-	} else {
-		telemetry.InfoS("Limit of a target ended", event)
+	for _, c := range changes {
+		event := telemetry.Event{Target: c.Target, Revision: c.Revision, Rate: c.Statement.PerSecond, Reason: source}
+		if c.Statement.Limited {
+			telemetry.InfoS("Target names a limit", event)
+		} else {
+			telemetry.InfoS("Limit of a target ended", event)
+		}
+	}
+	if len(changes) == 0 {
+		return
 	}
+	l.changes.Inc(int64(len(changes)))
 	limits := l.table.Limits()
 	l.limited.Update(float64(len(limits)))
 	l.options.OnChange(limits)
--- a/daemon/limits/limits_test.go
+++ b/daemon/limits/limits_test.go
@@ -1,19 +1,51 @@
 package limits
 
 import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/coordination/targetlimit"
+	"github.com/ivyhollow/ivyhollow/daemon/initialsync"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
+// fakeCluster is the connections of an instance to others, by address.
+type fakeCluster struct {
+	handler peer.Handler
+	others  map[string]*instance
+}
+
+func (c *fakeCluster) AwaitPeer(context.Context) {}
+
+func (c *fakeCluster) Neighbours() []string { return slices.Collect(maps.Keys(c.others)) }
+
+func (c *fakeCluster) Handle(_ string, h peer.Handler, _ ...peer.HandleOption) { c.handler = h }
+
+func (c *fakeCluster) Call(ctx context.Context, address, _ string, body []byte) ([]byte, error) {
+	other := c.others[address]
+	if other == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return other.cluster.handler(ctx, peer.Peer{}, body)
+}
+
 // instance is Limits with what it has passed on.
 type instance struct {
 	*Limits
+	cluster  fakeCluster
 	gossiped []spread.Record
 	limits   map[string]float64
 }
@@ -21,6 +53,7 @@
 func newInstance() *instance {
 	i := &instance{}
 	i.Limits = New(Options{
+		Cluster:  &i.cluster,
 		Gossip:   func(r spread.Record) { i.gossiped = append(i.gossiped, r) },
 		OnChange: func(limits map[string]float64) { i.limits = limits },
 		Scope:    tally.NoopScope,
@@ -53,3 +86,70 @@
 	require.Equal(t, a.limits, b.limits)
 	require.Empty(t, b.gossiped)
 }
+
+// Guards against an instance that serves before it knows the limits that others know: by a neighbour
+// that has itself just started, one that is silent, or an answer that is cut.
+func TestStartedInstanceReceivesAllLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		knows, started := newInstance(), newInstance()
+		go func() { _ = knows.Run(ctx) }()
+		synctest.Wait()
+		var changes []targetlimit.Change
+		for i := range 2*pageSize + 1 {
+			changes = append(changes, targetlimit.Change{Target: fmt.Sprint("t", i), Revision: 1, Statement: named(float64(i + 1)).Limit})
+		}
+		knows.apply(changes...)
+		started.cluster.others = map[string]*instance{"knows": knows}
+		for i := range 4 {
+			started.cluster.others[fmt.Sprint("starts", i)] = newInstance()
+		}
+		started.cluster.others["silent"] = nil
+		go func() { _ = started.Run(ctx) }()
+		require.False(t, started.Synced())
+		started.AwaitInitialSync(ctx)
+		require.Equal(t, knows.limits, started.limits)
+	})
+}
+
+// Guards against an instance that is never ready because it reaches no other one that can answer.
+func TestSyncOfLimitsEnds(t *testing.T) {
+	for name, others := range map[string]map[string]*instance{
+		"alone":      nil,
+		"silent":     {"a": nil, "b": nil, "c": nil, "d": nil},
+		"all starts": {"a": newInstance()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				i, started := newInstance(), time.Now()
+				i.cluster.others = others
+				go func() { _ = i.Run(ctx) }()
+				i.AwaitInitialSync(ctx)
+				require.LessOrEqual(t, time.Since(started), initialsync.Timeout)
+			})
+		})
+	}
+}
+
+// Guards against a build that can't read the limits that an instance of another build sends.
+func TestBytesOfLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		message any
+		want    string
+	}{
+		"request": {&listRequest{After: "a"}, "81a54166746572a161"},
+		"response": {&listResponse{Synced: true, Changes: []changeMessage{{"t", 5, true, 1.5}}},
+			"83a653796e636564c3a74368616e6765739184a174a174a172cf0000000000000005a16cc3a170cb3ff8000000000000a44d6f7265c2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, err := msgpack.Marshal(c.message)
+			require.NoError(t, err)
+			require.Equal(t, c.want, hex.EncodeToString(body))
+		})
+	}
+}
--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -38,6 +38,9 @@
 	// longHandoverTimeout limits later attempts. It is also the age at which an incomplete
 	// incoming handover is removed. It is longer than 40 parts take over a link of 10 Mbit/s.
 	longHandoverTimeout = 10 * time.Second
+	// limitsTimeout limits how long an instance that has just started lets the sender of a part
+	// wait. It is shorter than partTimeout, so that the sender hears of a refusal.
+	limitsTimeout = partTimeout / 2
 	// callEndTimeout limits the report of a call's end. The new holder counts a call as
 	// unanswered if it receives no report.
 	callEndTimeout = 2 * time.Second
@@ -203,12 +206,19 @@
 }
 
 // handleHandover takes over the queue of an instance that stops. It refuses without waiting
-// if this instance stops too, so that two that stop at once don't wait for each other.
-func (s *Stages) handleHandover(_ context.Context, from peer.Peer, body []byte) ([]byte, error) {
+// if this instance stops too, so that two that stop at once don't wait for each other. It also
+// refuses if this instance has just started and the limits that targets name aren't known in time:
+// the first calls would exceed them.
+func (s *Stages) handleHandover(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
 	var part handoverPart
 	if err := msgpack.Unmarshal(body, &part); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
+	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
+	defer cancel()
+	if s.awaitLimits(ctx); ctx.Err() != nil {
+		return encode(&handoverResponse{})
+	}
 	state, ok := s.addPart(from.Name, &part)
 	if ok && part.Last {
 		ok = s.queue.takeOver(instanceID{from.Name, from.Incarnation}, state)
--- a/daemon/stages/handover_test.go
+++ b/daemon/stages/handover_test.go
@@ -1,14 +1,17 @@
 package stages
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
 // maxFrameBytes is the maximum size of a message between instances.
@@ -106,3 +109,37 @@
 		p.Import(now, state)
 	}
 }
+
+// Guards against an instance that has just started, is given the queue or asked for a grant, and exceeds
+// the limits of targets because it hasn't heard of them.
+func TestInstanceWithoutLimitsHoldsNoQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStages(t, newFakeCluster(2))
+		known := make(chan struct{})
+		s.AwaitLimits(func(ctx context.Context) {
+			select {
+			case <-known:
+			case <-ctx.Done():
+			}
+		})
+		part, err := encode(&handoverPart{Number: 1, Last: true})
+		require.NoError(t, err)
+		handOver := func() bool {
+			var response handoverResponse
+			body, err := s.handleHandover(t.Context(), peer.Peer{}, part)
+			require.NoError(t, err)
+			require.NoError(t, msgpack.Unmarshal(body, &response))
+			return response.Accepted
+		}
+		require.False(t, handOver())
+		request := &assignRequest{Redirectable: redirectableRequest{Run: *newRunRequest(time.Now(), emptyRequest("r")), Redirected: true}}
+		short, stop := context.WithTimeout(t.Context(), limitsTimeout)
+		defer stop()
+		_, err = s.executeFor(short, peer.Peer{}, request)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		close(known)
+		require.True(t, handOver())
+		_, err = s.executeFor(t.Context(), peer.Peer{}, request)
+		require.NoError(t, err)
+	})
+}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -95,6 +95,8 @@
 	incoming map[string]*incomingHandover
 	// ended is closed when Run ends.
 	ended chan struct{}
+	// awaitLimits waits, after the start, until the limits that targets name are known.
+	awaitLimits func(ctx context.Context)
 }
 
 // New returns a Stages and registers the methods that other instances call.
@@ -112,6 +114,7 @@
 		waiting:      map[string]*waitingRequest{},
 		incoming:     map[string]*incomingHandover{},
 		ended:        make(chan struct{}),
+		awaitLimits:  func(context.Context) {},
 	}
 	s.queue.limits, s.queue.view = limits, c.View
 	s.queue.reportCallEnd = s.reportCallEnd
@@ -156,6 +159,11 @@
 	s.queue.onResponse = f
 }
 
+// AwaitLimits sets the function that waits, after the start, until the limits that targets name are
+// known, or the context ends. Until then the instance starts no calls for others, and grants them no
+// sends. It must be called before Run.
+func (s *Stages) AwaitLimits(f func(ctx context.Context)) { s.awaitLimits = f }
+
 // RefusedError means that a request's stages won't be run by its deadline.
 type RefusedError struct {
 	Reason     gather.Reason
@@ -418,6 +426,9 @@
 		return s.relay(ctx, request)
 	}
 	r := request.Redirectable.Run.request(time.Now())
+	if s.awaitLimits(ctx); ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	end, err := s.queue.execute(ctx, r, request.Prompt, request.Redirectable.DeadlineShortened, true)
 	if err != nil {
 		return nil, err
