--- a/coordination/pacing/rate_test.go
+++ b/coordination/pacing/rate_test.go
@@ -44,6 +44,32 @@
 	})
 }
 
+// Guards against holders that follow one another, as in a series of planned stops, and together grant
+// more sends than a target that names a limit tolerates.
+func TestHoldersInSeriesStayBelowTheRate(t *testing.T) {
+	const holders = 4
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.OneOf(rapid.Float64Range(0, 3), rapid.Float64Range(0, 100)).Draw(t, "limit")
+		pace := ForRate(limit)
+		now := time.Unix(1000, 0)
+		h := establishedHolder(now, pace)
+		var sent []time.Time
+		for i := range holders {
+			held := time.Duration(rapid.Int64Range(int64(300*time.Millisecond), int64(rateWindow)).Draw(t, "held"))
+			for end := now.Add(held); now.Before(end); now = now.Add(50 * time.Millisecond) {
+				for h.Wait(now, "t", pace) <= GrantHorizon(0) {
+					late := time.Duration(rapid.Int64Range(0, int64(GrantValidity)).Draw(t, "late"))
+					sent = append(sent, now.Add(h.Grant(now, "t", pace)+late))
+				}
+			}
+			if i < holders-1 {
+				h = &Holder{}
+			}
+		}
+		require.LessOrEqual(t, float64(maxInRateWindow(sent)), rateOverage*limit*rateWindow.Seconds()+rateSlack)
+	})
+}
+
 // Guards against a pace that keeps a target far below the limit that it names, or above it.
 func TestRateIsUsed(t *testing.T) {
 	for _, limit := range []float64{0.5, 1, 1.1, 3, 10, 60} {
