Pass over targets whose limit grants no send in time

What callers saw: read in the code and played in a test only. A request whose cheapest engine named a limit, and had no grant within the request's horizon, was refused, although another engine would have served it a little later: three of ten requests of a less urgent priority, two engines.

Cause: the choice took the wait for a grant as a cost like others; whether the request may wait that long was looked at after the choice.

Change: an engine that names a limit and has no grant in time counts as dearer than any other. It is still chosen if there is no other, so that the refusal names the time of its next grant.

Engines without a limit are chosen as before: nothing changes while no target names one.

--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -15,20 +16,32 @@
 	homeAdvantage = 40 * time.Millisecond
 )
 
-// Choose returns the engine with the lowest cost for a request. The cost is the sum of the
+// beyondPenalty is added to the cost of an engine whose next grant comes too late; it exceeds the
+// cost of any other engine.
+const beyondPenalty = time.Minute
+
+// Choose is ChooseWithin without a limit of the wait.
+func (t *Table) Choose(now time.Time, p *Prompt, transferCost func(dataCentre string) time.Duration) (Choice, bool) {
+	return t.ChooseWithin(now, p, math.MaxInt64, transferCost)
+}
+
+// ChooseWithin returns the engine with the lowest cost for a request. The cost is the sum of the
 // wait for the requests before it, the weighted time for its uncached tokens, and the cost
 // of transferring its inputs to the engine's data centre, which has to be the same for all
 // engines there. It returns false if no engine of the pool may serve the request.
 //
+// An engine that names a limit and has no grant within longestWait is chosen only if there is no
+// other.
+//
 // Few engines are examined: the home, those with a part in cache that few others have, and
 // then the remaining ones in ascending order of slowdown, until the lower bound of the next
 // one's cost exceeds the lowest cost found.
-func (t *Table) Choose(now time.Time, p *Prompt, transferCost func(dataCentre string) time.Duration) (Choice, bool) {
+func (t *Table) ChooseWithin(now time.Time, p *Prompt, longestWait time.Duration, transferCost func(dataCentre string) time.Duration) (Choice, bool) {
 	pool := t.pools[p.Pool]
 	if pool == nil {
 		return Choice{}, false
 	}
-	s := search{now: now, prompt: p, transferCost: transferCost, grants: t.grants}
+	s := search{now: now, prompt: p, longestWait: longestWait, transferCost: transferCost, grants: t.grants}
 	for _, e := range pool.byName[pool.homeOf(p.homeKey())] {
 		s.consider(e, homeAdvantage)
 	}
@@ -42,7 +55,7 @@
 		if s.best != nil && bound > s.cost {
 			break
 		}
-		if s.isBetter(bound+e.queueCost(now), e) {
+		if s.isBetter(bound+s.queueCost(e), e) {
 			s.consider(e, 0)
 		}
 	}
@@ -62,6 +75,7 @@
 type search struct {
 	now          time.Time
 	prompt       *Prompt
+	longestWait  time.Duration
 	transferCost func(dataCentre string) time.Duration
 	// grants reports whether sends to an engine with a pace may be granted; nil means to all.
 	grants func(engine string) bool
@@ -75,12 +89,21 @@
 	if slices.Contains(s.prompt.Exclude, e.Incarnation) || s.grants != nil && e.isPaced() && !s.grants(e.Name) {
 		return
 	}
-	cost := e.queueCost(s.now) + e.prefillCost(e.uncachedTokens(s.prompt)) + s.transferCost(e.DataCentre) - advantage
+	cost := s.queueCost(e) + e.prefillCost(e.uncachedTokens(s.prompt)) + s.transferCost(e.DataCentre) - advantage
 	if s.isBetter(cost, e) {
 		s.best, s.cost = e, cost
 	}
 }
 
+// queueCost returns the cost of the request at an engine, without the cost of its prompt.
+func (s *search) queueCost(e *engineState) time.Duration {
+	cost := e.queueCost(s.now)
+	if !e.limit.Unlimited() && e.sendWait(s.now) > s.longestWait {
+		cost += beyondPenalty
+	}
+	return cost
+}
+
 // isBetter reports whether an engine with the given cost is preferred to the best so far. If
 // the costs are equal, the lower incarnation is preferred.
 func (s *search) isBetter(cost time.Duration, e *engineState) bool {
--- a/daemon/stages/assign.go
+++ b/daemon/stages/assign.go
@@ -38,11 +38,12 @@
 		return r
 	}
 	q.updateGrants(prompt.Pool)
-	choice, ok := q.engines.Choose(now, &prompt, q.planner.ReadCosts(now, &r))
+	held := heldPrompt{prompt, r.Deadline, r.Priority}
+	choice, ok := q.engines.ChooseWithin(now, &prompt, held.longestWait(now), q.planner.ReadCosts(now, &r))
 	if !ok {
 		return r
 	}
-	q.prompts[r.ID] = heldPrompt{prompt, r.Deadline, r.Priority}
+	q.prompts[r.ID] = held
 	r.DataCentre = choice.Engine.DataCentre
 	r.Remaining = min(choice.FirstEventIdle+remainingMargin, maxRemaining)
 	if choice.SendAfter > 0 && now.Add(choice.SendAfter).After(r.Deadline) {
@@ -60,6 +61,11 @@
 	priority int
 }
 
+// longestWait returns how long the request may wait for a send to an engine that names a limit.
+func (h *heldPrompt) longestWait(now time.Time) time.Duration {
+	return min(pacing.GrantHorizon(h.priority), h.deadline.Sub(now))
+}
+
 // mayWait reports whether a send may be granted to the request for a later time. A grant beyond its
 // deadline would be lost for other requests, and with enough of them no request would get one in
 // time.
@@ -67,7 +73,10 @@
 	if c.SendAfter <= 0 {
 		return true
 	}
-	return !now.Add(c.SendAfter).After(h.deadline) && (!c.Limited || c.SendAfter <= pacing.GrantHorizon(h.priority))
+	if c.Limited {
+		return c.SendAfter <= h.longestWait(now)
+	}
+	return !now.Add(c.SendAfter).After(h.deadline)
 }
 
 // updateGrants updates the engines of a paced pool to which this instance may grant sends. mu must
@@ -96,7 +105,7 @@
 	for _, bytes := range done.Bytes {
 		total += bytes
 	}
-	choice, ok := q.engines.Choose(now, &prompt.Prompt, func(dataCentre string) time.Duration {
+	choice, ok := q.engines.ChooseWithin(now, &prompt.Prompt, prompt.longestWait(now), func(dataCentre string) time.Duration {
 		return gather.CrossingCost(total - done.Bytes[dataCentre])
 	})
 	if !ok {
--- a/daemon/stages/assign_test.go
+++ b/daemon/stages/assign_test.go
@@ -16,6 +16,8 @@
 
 func queueWithEngines() *queue {
 	q := newQueue(nil, nil, nil, newMetrics(tally.NoopScope))
+	view := membership.NewView(1, "a", []membership.Member{{Name: "a"}})
+	q.view = func() *membership.View { return view }
 	table := &routes.Table{Services: map[string]*routes.Service{"engines": {Name: "engines", CacheTokens: 300_000}}}
 	q.setTargets(time.Now(), table, map[string][]routes.Target{"engines": {
 		{Name: "e1", DataCentre: "x"}, {Name: "e2", DataCentre: "y"},
@@ -61,8 +63,6 @@
 // overload every grant would lie beyond its request's deadline, and the engine would get nothing.
 func TestGrantsBeyondTheDeadlineAreNotUsedUp(t *testing.T) {
 	q := queueWithEngines()
-	view := membership.NewView(1, "a", []membership.Member{{Name: "a"}})
-	q.view = func() *membership.View { return view }
 	q.setLimits(time.Now(), map[string]float64{"e1": 1, "e2": 1})
 	now := time.Now()
 	granted := map[int]int{}
@@ -80,3 +80,21 @@
 	require.GreaterOrEqual(t, granted[0]+granted[1], 14, "of twenty in ten seconds")
 	require.Greater(t, granted[0], 2*granted[1], "the more urgent requests come first")
 }
+
+// Guards against a request that is refused because its cheapest engine names a limit and has no grant for
+// it in time, although another engine would serve it a little later.
+func TestEngineWithoutATimelyGrantIsPassedOver(t *testing.T) {
+	q := queueWithEngines()
+	q.setLimits(time.Now(), map[string]float64{"e1": 0.5})
+	now := time.Now()
+	engines := map[string]int{}
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		prompt := uniquePrompt(30_000)
+		prompt.Parts[0].ID = id
+		q.predictEngine(now, gather.Request{ID: id, Priority: 2, Deadline: now.Add(time.Minute)}, prompt)
+		engine, _ := q.assignEngine(now, gather.Completed{Request: id})
+		engines[engine]++
+	}
+	require.Equal(t, map[string]int{"e1": 1, "e2": 9}, engines)
+}
