Have a larger instance that joins ask for the stage queue

What callers saw: calls of pieces that found targets full while two instances held a queue; grants to cold and to limited targets from both.

Cause: all instances pick the larger one as soon as they hear of it, and it began a queue of its own, while the former holder went on with its requests. Nothing moved the queue but a planned stop, a stall or a death.

Change: an instance that has started, and ranks first by its own view, asks the one that would hold the queue without it to hand it over, before it runs its first request (stages.claim). The former holder does so by the usual handover, if it has work and considers the caller the holder; until it has heard of the caller the claim is repeated. Requests wait for it for 0.3 s at most, once, and only in the first ten seconds of an instance.

Ruled out: to let the former holder decide by itself when its view changes. The first requests arrive at the newcomer before that.

--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -95,6 +95,8 @@
 	incoming map[string]*incomingHandover
 	// ended is closed when Run ends.
 	ended chan struct{}
+	// claim is the claim of the queue after the start.
+	claim queueClaim
 	// awaitLimits waits, after the start, until the limits that targets name are known.
 	awaitLimits func(ctx context.Context)
 }
@@ -114,6 +116,7 @@
 		waiting:      map[string]*waitingRequest{},
 		incoming:     map[string]*incomingHandover{},
 		ended:        make(chan struct{}),
+		claim:        queueClaim{startedAt: time.Now(), done: make(chan struct{})},
 		awaitLimits:  func(context.Context) {},
 	}
 	s.queue.limits, s.queue.view = limits, c.View
@@ -135,6 +138,7 @@
 	c.Handle(methodHandover, s.handleHandover)
 	c.Handle(methodCallEnd, s.handleCallEnd)
 	c.Handle(methodShorten, s.handleShorten)
+	c.Handle(methodClaim, s.handleClaim, peer.Idempotent())
 	return s
 }
 
@@ -297,6 +301,7 @@
 	r, shortened := s.addWaiting(m.Address, r)
 	if m.Name == s.cluster.View().Self {
 		s.takeBackAvoided(ctx, time.Now())
+		s.awaitQueueClaim(ctx)
 		end, err := s.queue.execute(ctx, r, prompt, shortened, false)
 		if err == nil && end.movedTo != "" {
 			return Result{}, &movedError{end.movedTo}
@@ -429,6 +434,7 @@
 	if s.awaitLimits(ctx); ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
+	s.awaitQueueClaim(ctx)
 	end, err := s.queue.execute(ctx, r, request.Prompt, request.Redirectable.DeadlineShortened, true)
 	if err != nil {
 		return nil, err
