--- a/daemon/stages/claim_test.go
+++ b/daemon/stages/claim_test.go
@@ -53,7 +53,9 @@
 // Guards against requests that wait for long because the former holder doesn't answer the claim, and
 // against claims of instances that don't rank first, or that started long ago.
 func TestClaimOfTheQueueIsBounded(t *testing.T) {
-	unknown := func(context.Context, string, string, []byte) ([]byte, error) { return encode(&claimResponse{Unknown: true}) }
+	unknown := func(context.Context, string, string, []byte) ([]byte, error) {
+		return encode(&claimResponse{Unknown: true})
+	}
 	known := func(context.Context, string, string, []byte) ([]byte, error) { return encode(&claimResponse{}) }
 	for name, c := range map[string]struct {
 		capacity uint32
