Free results at limited stage targets once a second

What callers saw: nothing; read in the code. A target that names a limit counts all requests, and the calls that free its results came up to 25 times a second beside those that the pace grants.

Change: at a target that names a limit results are collected for a second, elsewhere for 40 ms as before. When the queue moves, what is collected is freed at once, since the next holder expects that.

TestResultsAtLimitedTargetsAreFreedTogether fails without the delay and without the handover.

--- /dev/null
+++ b/daemon/stages/free_test.go
@@ -0,0 +1,67 @@
+package stages
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+)
+
+// freeRecorder records the handles of each call that would free results.
+type freeRecorder struct {
+	exchange.Dialect
+	mu    sync.Mutex
+	calls [][]string
+}
+
+func (r *freeRecorder) NewFreeRequest(_, _ string, handles []string) (*http.Request, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, handles)
+	return nil, errors.New("not sent")
+}
+
+// Guards against calls that free results and take a target that names a limit far above it, and against
+// results that are kept back when the queue moves.
+func TestResultsAtLimitedTargetsAreFreedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var recorder freeRecorder
+		q := newQueue(&recorder, nil, nil, newMetrics(tally.NoopScope))
+		q.setLimits(time.Now(), map[string]float64{"limited": 10})
+		target := gather.Target{Incarnation: "limited"}
+		schedule := func(handle string) {
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			q.scheduleFree(gather.FreeResults{Target: target, Handles: []string{handle}})
+		}
+		count := 80
+		for i := range count {
+			schedule(fmt.Sprint(i))
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(recorder.calls), 4)
+		q.freeze()
+		synctest.Wait()
+		var freed []string
+		for _, handles := range recorder.calls {
+			freed = append(freed, handles...)
+		}
+		require.Len(t, freed, count)
+		time.Sleep(2 * limitedFreeDelay)
+		require.LessOrEqual(t, len(recorder.calls), 5)
+
+		target.Incarnation = "other"
+		schedule("last")
+		time.Sleep(2 * freeDelay)
+		require.Equal(t, []string{"last"}, recorder.calls[len(recorder.calls)-1])
+	})
+}
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -30,6 +30,9 @@
 	// freeDelay is the time in which the results of a target are collected, to be freed in
 	// one call. A few requests end in that time.
 	freeDelay = 40 * time.Millisecond
+	// limitedFreeDelay replaces freeDelay at a target that names a limit, which counts these calls
+	// as well.
+	limitedFreeDelay = time.Second
 	// freeTimeout limits a call that frees results. Results expire if it fails.
 	freeTimeout = 500 * time.Millisecond
 	// maxReply limits the reply to a stage call, in bytes: the handles of 128 pieces and a
@@ -347,7 +350,22 @@
 	first := len(q.pendingFree[f.Target]) == 0
 	q.pendingFree[f.Target] = append(q.pendingFree[f.Target], f.Handles...)
 	if first {
-		time.AfterFunc(freeDelay, func() { q.free(f.Target) })
+		time.AfterFunc(q.freeDelayAt(f.Target), func() { q.free(f.Target) })
+	}
+}
+
+// freeDelayAt returns how long the results of a target are collected. mu must be held.
+func (q *queue) freeDelayAt(t gather.Target) time.Duration {
+	if _, limited := q.targetLimits[t.Incarnation]; limited {
+		return limitedFreeDelay
+	}
+	return freeDelay
+}
+
+// freeCollected frees all collected results at once. mu must be held.
+func (q *queue) freeCollected() {
+	for t := range q.pendingFree {
+		go q.free(t)
 	}
 }
 
@@ -357,6 +375,9 @@
 	handles := q.pendingFree[t]
 	delete(q.pendingFree, t)
 	q.mu.Unlock()
+	if len(handles) == 0 {
+		return // freed early
+	}
 	request, err := q.dialect.NewFreeRequest(t.Address, t.Name, handles)
 	if err != nil {
 		klog.ErrorS(err, "Results could not be freed", "target", t.Incarnation, "count", len(handles))
--- a/daemon/stages/transfer.go
+++ b/daemon/stages/transfer.go
@@ -91,10 +91,12 @@
 	return q.exported
 }
 
-// freezeLocked is freeze with mu held.
+// freezeLocked is freeze with mu held. The next holder expects results that are being freed to be
+// gone soon, so that none is kept back.
 func (q *queue) freezeLocked() {
 	if !q.frozen {
 		q.frozen, q.unfrozen = true, make(chan struct{})
+		q.freeCollected()
 		q.exported = q.planner.Export(time.Now())
 	}
 }
