Offer a claimed stage queue to nobody but the claimant

Found by reading: a claimant that didn't accept the queue was avoided, and the usual attempt went on to the next candidate, so that a third instance got the queue while requests turn to the claimant.

Change: an attempt has a number of candidates; a claim has one. The former holder goes on with its requests if the claimant doesn't accept them. TestQueueThatIsNotAcceptedAfterAClaimStays failed before.

The test of frees read its record without the lock, seen under the race detector; it takes it now.

--- a/daemon/stages/attempts.go
+++ b/daemon/stages/attempts.go
@@ -5,10 +5,16 @@
 	"time"
 )
 
+// handoverLimits limit an attempt to hand the queue over.
+type handoverLimits struct {
+	timeout time.Duration
+	// candidates is how many instances are asked to accept the queue.
+	candidates int
+}
+
 // handoverAttempt is one attempt to hand the queue over to another instance.
 type handoverAttempt struct {
-	// timeout limits the attempt.
-	timeout time.Duration
+	handoverLimits
 	// done is closed when the attempt ends. succeeded is set before done is closed, and is
 	// true if another instance has the queue.
 	done      chan struct{}
@@ -21,8 +27,8 @@
 //
 // Attempts run one at a time, since two at once might give one queue to two instances. All
 // callers that arrive during an attempt share the next one, so there are never more than two.
-func (s *Stages) awaitHandover(ctx context.Context, timeout time.Duration) bool {
-	a := s.nextAttempt(timeout)
+func (s *Stages) awaitHandover(ctx context.Context, limits handoverLimits) bool {
+	a := s.nextAttempt(limits)
 	select {
 	case <-a.done:
 		return a.succeeded
@@ -31,31 +37,33 @@
 	}
 }
 
-// nextAttempt returns the attempt that starts next. It starts one if none is in progress.
-func (s *Stages) nextAttempt(timeout time.Duration) *handoverAttempt {
+// nextAttempt returns the attempt that starts next. It starts one if none is in progress. An attempt
+// that several callers share has the highest of their limits.
+func (s *Stages) nextAttempt(limits handoverLimits) *handoverAttempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.handover == nil:
-		s.handover = newHandoverAttempt(timeout)
+		s.handover = newHandoverAttempt(limits)
 		go s.runAttempts(s.handover)
 		return s.handover
 	case s.nextHandover == nil:
-		s.nextHandover = newHandoverAttempt(timeout)
+		s.nextHandover = newHandoverAttempt(limits)
 	default:
-		s.nextHandover.timeout = max(s.nextHandover.timeout, timeout)
+		s.nextHandover.timeout = max(s.nextHandover.timeout, limits.timeout)
+		s.nextHandover.candidates = max(s.nextHandover.candidates, limits.candidates)
 	}
 	return s.nextHandover
 }
 
-func newHandoverAttempt(timeout time.Duration) *handoverAttempt {
-	return &handoverAttempt{timeout: timeout, done: make(chan struct{})}
+func newHandoverAttempt(limits handoverLimits) *handoverAttempt {
+	return &handoverAttempt{handoverLimits: limits, done: make(chan struct{})}
 }
 
 // runAttempts runs an attempt, and then each one that was requested meanwhile.
 func (s *Stages) runAttempts(a *handoverAttempt) {
 	for a != nil {
-		a.succeeded = s.tryHandover(a.timeout)
+		a.succeeded = s.tryHandover(a.handoverLimits)
 		s.mu.Lock()
 		next := s.nextHandover
 		s.handover, s.nextHandover = next, nil
@@ -65,12 +73,11 @@
 	}
 }
 
-// tryHandover asks up to maxCandidates instances to accept the queue. If none does, this
-// instance continues with it.
-func (s *Stages) tryHandover(timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+// tryHandover asks instances to accept the queue. If none does, this instance continues with it.
+func (s *Stages) tryHandover(limits handoverLimits) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limits.timeout)
 	defer cancel()
-	if !s.queue.hasMoved() && !s.offerQueue(ctx) {
+	if !s.queue.hasMoved() && !s.offerQueue(ctx, limits.candidates) {
 		s.queue.unfreezeExported()
 		return false
 	}
@@ -81,8 +88,8 @@
 }
 
 // offerQueue asks one instance after another to accept the queue.
-func (s *Stages) offerQueue(ctx context.Context) bool {
-	for range maxCandidates {
+func (s *Stages) offerQueue(ctx context.Context, candidates int) bool {
+	for range candidates {
 		next, ok := s.nextHolder(time.Now())
 		if !ok {
 			return false
@@ -107,7 +114,7 @@
 		case <-s.ended:
 		case <-ticker.C:
 		}
-		if s.hasEnded() || s.awaitHandover(context.Background(), longHandoverTimeout) {
+		if s.hasEnded() || s.awaitHandover(context.Background(), handoverLimits{longHandoverTimeout, maxCandidates}) {
 			return
 		}
 	}
--- a/daemon/stages/claim.go
+++ b/daemon/stages/claim.go
@@ -102,7 +102,7 @@
 		return encode(&claimResponse{Unknown: true})
 	}
 	if s.queue.holdsWork() {
-		s.awaitHandover(ctx, queueClaimTimeout)
+		s.awaitHandover(ctx, handoverLimits{queueClaimTimeout, 1})
 	}
 	return encode(&claimResponse{})
 }
--- a/daemon/stages/claim_test.go
+++ b/daemon/stages/claim_test.go
@@ -50,6 +50,27 @@
 	})
 }
 
+// Guards against a queue that goes to a third instance because the one that claimed it doesn't accept it.
+func TestQueueThatIsNotAcceptedAfterAClaimStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(2)
+		c.respond = func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+			if to == "at-large" {
+				return encode(&handoverResponse{})
+			}
+			return acceptHandover(t)(ctx, to, method, body)
+		}
+		larger := membership.Member{Name: "large", Address: "at-large", Incarnation: 9, Capacity: 10}
+		c.members = append(c.members, larger)
+		s := startStages(t, c)
+		require.True(t, s.queue.takeOver(instanceID{"z", 1}, gather.State{Requests: []gather.RequestState{pendingRequest("1")}}))
+		_, err := s.handleClaim(t.Context(), peer.Peer{Member: larger}, nil)
+		require.NoError(t, err)
+		require.False(t, s.queue.hasMoved())
+		require.Empty(t, c.methodsCalled("at-b"))
+	})
+}
+
 // Guards against requests that wait for long because the former holder doesn't answer the claim, and
 // against claims of instances that don't rank first, or that started long ago.
 func TestClaimOfTheQueueIsBounded(t *testing.T) {
--- a/daemon/stages/free_test.go
+++ b/daemon/stages/free_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,12 @@
 	return nil, errors.New("not sent")
 }
 
+func (r *freeRecorder) recorded() [][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.calls)
+}
+
 // Guards against calls that free results and take a target that names a limit far above it, and against
 // results that are kept back when the queue moves.
 func TestResultsAtLimitedTargetsAreFreedTogether(t *testing.T) {
@@ -48,20 +55,20 @@
 			schedule(fmt.Sprint(i))
 			time.Sleep(50 * time.Millisecond)
 		}
-		require.LessOrEqual(t, len(recorder.calls), 4)
+		require.LessOrEqual(t, len(recorder.recorded()), 4)
 		q.freeze()
 		synctest.Wait()
 		var freed []string
-		for _, handles := range recorder.calls {
+		for _, handles := range recorder.recorded() {
 			freed = append(freed, handles...)
 		}
 		require.Len(t, freed, count)
 		time.Sleep(2 * limitedFreeDelay)
-		require.LessOrEqual(t, len(recorder.calls), 5)
+		require.LessOrEqual(t, len(recorder.recorded()), 5)
 
 		target.Incarnation = "other"
 		schedule("last")
 		time.Sleep(2 * freeDelay)
-		require.Equal(t, []string{"last"}, recorder.calls[len(recorder.calls)-1])
+		require.Equal(t, []string{"last"}, recorder.recorded()[len(recorder.recorded())-1])
 	})
 }
--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -88,7 +88,7 @@
 	s.queue.setYielded(false)
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	if !s.awaitHandover(ctx, handoverTimeout) {
+	if !s.awaitHandover(ctx, handoverLimits{handoverTimeout, maxCandidates}) {
 		go s.retryHandover()
 	}
 }
--- a/daemon/stages/yield.go
+++ b/daemon/stages/yield.go
@@ -25,7 +25,9 @@
 
 // Yield hands the queue over to the next holder while this instance keeps running. Without
 // another instance it keeps the queue.
-func (s *Stages) Yield() { s.awaitHandover(context.Background(), handoverTimeout) }
+func (s *Stages) Yield() {
+	s.awaitHandover(context.Background(), handoverLimits{handoverTimeout, maxCandidates})
+}
 
 // setYielded sets whether a queue that was handed over may come back.
 func (q *queue) setYielded(yielded bool) {
