Hand over a claimed stage queue that was taken over a moment ago, even if it is empty

Found by reading: an instance that took a queue over counts itself as its holder for five seconds, whatever its view. A larger instance that restarts hands its queue over, comes back within that time and claims it; with nothing in the queue at that moment nothing moved, and both served requests.

Change: the queue is handed over also while the former holder counts itself as recent. The new case of TestQueueIsHandedToALargerInstance failed before.

--- a/daemon/stages/claim.go
+++ b/daemon/stages/claim.go
@@ -101,7 +101,7 @@
 	if !ok || next.Name != from.Name || next.Incarnation != from.Incarnation || picksSelf(s.cluster.View()) {
 		return encode(&claimResponse{Unknown: true})
 	}
-	if s.queue.holdsWork() {
+	if s.queue.holdsWork() || s.queue.isRecentHolder(time.Now()) {
 		s.awaitHandover(ctx, handoverLimits{queueClaimTimeout, 1})
 	}
 	return encode(&claimResponse{})
--- a/daemon/stages/claim_test.go
+++ b/daemon/stages/claim_test.go
@@ -17,6 +17,12 @@
 // Guards against a holder that goes on with its requests after a larger instance has joined, and against
 // one that gives them to an instance that isn't to hold them.
 func TestQueueIsHandedToALargerInstance(t *testing.T) {
+	for name, requests := range map[string][]gather.RequestState{"with a request": {pendingRequest("1")}, "empty, taken over": nil} {
+		t.Run(name, func(t *testing.T) { requireHandedToLarger(t, requests) })
+	}
+}
+
+func requireHandedToLarger(t *testing.T, requests []gather.RequestState) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newFakeCluster(2)
 		c.respond = acceptHandover(t)
@@ -38,7 +44,7 @@
 		require.False(t, claim(larger))
 		require.False(t, s.queue.hasMoved(), "there is nothing to hand over")
 
-		require.True(t, s.queue.takeOver(instanceID{"z", 1}, gather.State{Requests: []gather.RequestState{pendingRequest("1")}}))
+		require.True(t, s.queue.takeOver(instanceID{"z", 1}, gather.State{Requests: requests}))
 		require.True(t, claim(equal))
 		former := larger
 		former.Incarnation--
