--- a/daemon/limits/limits_test.go
+++ b/daemon/limits/limits_test.go
@@ -114,6 +114,25 @@
 	})
 }
 
+// Guards against an instance that reaches nobody at its start, as while all others stop, and grants sends
+// to the first one that it comes to know without the limits which that one knows.
+func TestInstanceThatReachedNobodyAsksLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		knows, started := newInstance(), newInstance()
+		go func() { _ = knows.Run(ctx) }()
+		synctest.Wait()
+		knows.Observe("t", named(1))
+		go func() { _ = started.Run(ctx) }()
+		synctest.Wait()
+		started.cluster.others = map[string]*instance{"knows": knows}
+		time.Sleep(initialsync.Timeout)
+		require.Equal(t, knows.limits, started.limits)
+	})
+}
+
 // Guards against an instance that is never ready because it reaches no other one that can answer.
 func TestSyncOfLimitsEnds(t *testing.T) {
 	for name, others := range map[string]map[string]*instance{
