Ask whoever is granted a send for the limits, if nobody answered at the start

Change: while nobody that has the limits has answered, an instance goes on asking its neighbours for five seconds, and asks the one that hands the queue over, or is to be granted a send, before it acts for it, once each. Who has itself had no answer in its first five seconds says so. An instance that was answered at its start, the usual case, does nothing more than before.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -162,7 +162,7 @@
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), t.Scope)
 	g.limits = limits.New(limits.Options{Cluster: g.cluster, Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
 	g.stages.OnResponse(g.limits.Observe)
-	g.stages.AwaitLimits(g.limits.AwaitInitialSync)
+	g.stages.AwaitLimits(g.limits.AwaitFrom)
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
--- a/daemon/limits/exchange.go
+++ b/daemon/limits/exchange.go
@@ -21,6 +21,11 @@
 	pageSize = 2000
 	// listTimeout limits one call.
 	listTimeout = 500 * time.Millisecond
+	// startPeriod is how long after its start an instance asks for the limits until somebody has
+	// answered. By then it has heard of them by gossip.
+	startPeriod = 5 * time.Second
+	// retryInterval is the interval at which it asks.
+	retryInterval = 100 * time.Millisecond
 )
 
 // Cluster connects the instances.
@@ -37,7 +42,7 @@
 
 // listResponse is a page. Its fields are sent by name.
 type listResponse struct {
-	// Synced is false if the responder has itself just started and may lack limits.
+	// Synced is false if the responder has itself just started and nobody has answered it.
 	Synced  bool
 	Changes []changeMessage
 	// More is true if other pages follow.
@@ -54,22 +59,79 @@
 
 // Run receives the limits that other instances know. Then it waits for the end of ctx.
 func (l *Limits) Run(ctx context.Context) error {
-	started := time.Now()
-	l.initialSync.Run(ctx, l.options.Cluster, l.receiveList)
-	telemetry.InfoS("Limits of targets received at the start", telemetry.Event{Count: int(l.known.Load()), Elapsed: time.Since(started)})
+	l.initialSync.Run(ctx, l.options.Cluster, func(ctx context.Context, address string) bool {
+		return l.receiveList(ctx, address) && l.received.Load()
+	})
+	telemetry.InfoS("Limits of targets received at the start", telemetry.Event{Count: int(l.known.Load()), Elapsed: time.Since(l.started)})
+	l.retry(ctx)
 	<-ctx.Done()
 	return nil
 }
 
-// Synced reports whether the instance has received the limits that others know, as far as it has
-// reached any.
+// retry asks the neighbours until one of them has answered, or startPeriod is over. As others stop, an
+// instance that starts may come to know nobody in time for the first sync.
+func (l *Limits) retry(ctx context.Context) {
+	ticker := time.NewTicker(retryInterval)
+	defer ticker.Stop()
+	for l.isStarting() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if neighbours := initialsync.ShuffledNeighbours(l.options.Cluster); len(neighbours) > 0 {
+			l.receiveList(ctx, neighbours[0])
+		}
+	}
+}
+
+// isStarting reports whether the instance may lack limits that others know: none that has them has
+// answered since its start.
+func (l *Limits) isStarting() bool {
+	return !l.received.Load() && time.Since(l.started) < startPeriod
+}
+
+// Synced reports whether the instance has asked the others for the limits at its start.
 func (l *Limits) Synced() bool { return l.initialSync.Done() }
 
 // AwaitInitialSync waits until Synced, or until the context ends.
 func (l *Limits) AwaitInitialSync(ctx context.Context) { l.initialSync.Await(ctx) }
 
-// receiveList receives all limits that another instance knows. It returns false if they may be
-// incomplete.
+// AwaitFrom waits until the limits are known that another instance knows, or until the context ends. If
+// nobody has answered since the start, it asks that instance, which is to be granted a send or hands the
+// stage queue over.
+func (l *Limits) AwaitFrom(ctx context.Context, address string) {
+	l.initialSync.Await(ctx)
+	if !l.isStarting() {
+		return
+	}
+	l.askMu.Lock()
+	ended := l.asked[address]
+	if ended == nil {
+		ended = make(chan struct{})
+		l.asked[address] = ended
+		go l.ask(address, ended)
+	}
+	l.askMu.Unlock()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// ask asks an instance for all limits. Those that wait for it share the call; an instance that has
+// answered isn't asked again.
+func (l *Limits) ask(address string, ended chan struct{}) {
+	if !l.receiveList(context.Background(), address) {
+		l.askMu.Lock()
+		delete(l.asked, address)
+		l.askMu.Unlock()
+	}
+	close(ended)
+}
+
+// receiveList receives all limits that another instance knows. It reports whether that instance has
+// answered.
 func (l *Limits) receiveList(ctx context.Context, address string) bool {
 	complete := true
 	for after := ""; ; {
@@ -83,7 +145,10 @@
 		l.apply(decode(page.Changes)...)
 		complete = complete && page.Synced
 		if !page.More || len(page.Changes) == 0 {
-			return complete
+			if complete {
+				l.received.Store(true)
+			}
+			return true
 		}
 		after = page.Changes[len(page.Changes)-1].Target
 	}
@@ -124,7 +189,7 @@
 	l.mu.Lock()
 	changes := l.table.Changes(request.After, pageSize+1)
 	l.mu.Unlock()
-	page := listResponse{Synced: l.Synced(), More: len(changes) > pageSize}
+	page := listResponse{Synced: !l.isStarting(), More: len(changes) > pageSize}
 	for _, c := range changes[:min(len(changes), pageSize)] {
 		page.Changes = append(page.Changes, changeMessage{c.Target, c.Revision, c.Statement.Limited, c.Statement.PerSecond})
 	}
--- a/daemon/limits/limits.go
+++ b/daemon/limits/limits.go
@@ -53,6 +53,13 @@
 
 	// initialSync is the receipt of the limits at the start.
 	initialSync *initialsync.Sync
+	started     time.Time
+	// received is true once another instance that has the limits has answered.
+	received atomic.Bool
+	askMu    sync.Mutex
+	// asked holds, by address, the instances that were asked before they were granted a send. The
+	// channels are closed once they have answered.
+	asked map[string]chan struct{}
 
 	mu    sync.Mutex
 	table *targetlimit.Table
@@ -64,7 +71,7 @@
 	scope := o.Scope.SubScope("limits")
 	l := &Limits{
 		options: o, changes: scope.Counter("changes"), limited: scope.Gauge("targets"),
-		initialSync: initialsync.New(), table: targetlimit.New(),
+		initialSync: initialsync.New(), started: time.Now(), asked: map[string]chan struct{}{}, table: targetlimit.New(),
 	}
 	o.Cluster.Handle(methodList, l.handleList, peer.Idempotent())
 	return l
--- a/daemon/limits/limits_test.go
+++ b/daemon/limits/limits_test.go
@@ -1,11 +1,14 @@
 package limits
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,17 +27,35 @@
 // fakeCluster is the connections of an instance to others, by address.
 type fakeCluster struct {
 	handler peer.Handler
+	mu      sync.Mutex
 	others  map[string]*instance
+	// leaving are instances that answer and are no neighbours.
+	leaving map[string]*instance
+	calls   atomic.Int32
 }
 
 func (c *fakeCluster) AwaitPeer(context.Context) {}
 
-func (c *fakeCluster) Neighbours() []string { return slices.Collect(maps.Keys(c.others)) }
+func (c *fakeCluster) Neighbours() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.others))
+}
+
+// meet makes other instances known.
+func (c *fakeCluster) meet(others map[string]*instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.others = others
+}
 
 func (c *fakeCluster) Handle(_ string, h peer.Handler, _ ...peer.HandleOption) { c.handler = h }
 
 func (c *fakeCluster) Call(ctx context.Context, address, _ string, body []byte) ([]byte, error) {
-	other := c.others[address]
+	c.calls.Add(1)
+	c.mu.Lock()
+	other := cmp.Or(c.others[address], c.leaving[address])
+	c.mu.Unlock()
 	if other == nil {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -94,9 +115,10 @@
 		ctx, stop := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer stop()
-		knows, started := newInstance(), newInstance()
+		knows := newInstance()
 		go func() { _ = knows.Run(ctx) }()
-		synctest.Wait()
+		time.Sleep(startPeriod)
+		started := newInstance()
 		var changes []targetlimit.Change
 		for i := range 2*pageSize + 1 {
 			changes = append(changes, targetlimit.Change{Target: fmt.Sprint("t", i), Revision: 1, Statement: named(float64(i + 1)).Limit})
@@ -121,15 +143,41 @@
 		ctx, stop := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer stop()
-		knows, started := newInstance(), newInstance()
+		knows := newInstance()
 		go func() { _ = knows.Run(ctx) }()
-		synctest.Wait()
+		time.Sleep(startPeriod)
+		started := newInstance()
 		knows.Observe("t", named(1))
 		go func() { _ = started.Run(ctx) }()
 		synctest.Wait()
-		started.cluster.others = map[string]*instance{"knows": knows}
+		started.cluster.meet(map[string]*instance{"knows": knows})
 		time.Sleep(initialsync.Timeout)
+		synctest.Wait()
+		require.Equal(t, knows.limits, started.limits)
+	})
+}
+
+// Guards against an instance that has reached nobody and is handed the stage queue, or asked for a grant, by
+// one that knows the limits.
+func TestLimitsAreReceivedFromWhoIsGrantedASend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		knows := newInstance()
+		time.Sleep(startPeriod)
+		knows.Observe("t", named(1))
+		started := newInstance()
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go func() { _ = started.Run(ctx) }()
+		synctest.Wait()
+		started.cluster.leaving = map[string]*instance{"knows": knows, "starts": newInstance()}
+		started.AwaitFrom(ctx, "starts")
+		started.AwaitFrom(ctx, "starts")
+		require.EqualValues(t, 1, started.cluster.calls.Load())
+		started.AwaitFrom(ctx, "knows")
 		require.Equal(t, knows.limits, started.limits)
+		started.AwaitFrom(ctx, "another")
+		require.EqualValues(t, 2, started.cluster.calls.Load())
 	})
 }
 
--- a/daemon/stages/handover.go
+++ b/daemon/stages/handover.go
@@ -216,7 +216,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
 	defer cancel()
-	if s.awaitLimits(ctx); ctx.Err() != nil {
+	if s.awaitLimits(ctx, from.Address); ctx.Err() != nil {
 		return encode(&handoverResponse{})
 	}
 	state, ok := s.addPart(from.Name, &part)
--- a/daemon/stages/handover_test.go
+++ b/daemon/stages/handover_test.go
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := startStages(t, newFakeCluster(2))
 		known := make(chan struct{})
-		s.AwaitLimits(func(ctx context.Context) {
+		s.AwaitLimits(func(ctx context.Context, _ string) {
 			select {
 			case <-known:
 			case <-ctx.Done():
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -97,8 +97,8 @@
 	ended chan struct{}
 	// claim is the claim of the queue after the start.
 	claim queueClaim
-	// awaitLimits waits, after the start, until the limits that targets name are known.
-	awaitLimits func(ctx context.Context)
+	// awaitLimits waits, after the start, until the limits are known that another instance knows.
+	awaitLimits func(ctx context.Context, from string)
 }
 
 // New returns a Stages and registers the methods that other instances call.
@@ -117,7 +117,7 @@
 		incoming:     map[string]*incomingHandover{},
 		ended:        make(chan struct{}),
 		claim:        queueClaim{startedAt: time.Now(), done: make(chan struct{})},
-		awaitLimits:  func(context.Context) {},
+		awaitLimits:  func(context.Context, string) {},
 	}
 	s.queue.limits, s.queue.view = limits, c.View
 	s.queue.reportCallEnd = s.reportCallEnd
@@ -164,9 +164,9 @@
 }
 
 // AwaitLimits sets the function that waits, after the start, until the limits that targets name are
-// known, or the context ends. Until then the instance starts no calls for others, and grants them no
-// sends. It must be called before Run.
-func (s *Stages) AwaitLimits(f func(ctx context.Context)) { s.awaitLimits = f }
+// known as far as the instance at an address knows them, or the context ends. Until then this instance
+// starts no calls for that one, grants it no sends and accepts no queue. It must be called before Run.
+func (s *Stages) AwaitLimits(f func(ctx context.Context, from string)) { s.awaitLimits = f }
 
 // RefusedError means that a request's stages won't be run by its deadline.
 type RefusedError struct {
@@ -431,7 +431,7 @@
 		return s.relay(ctx, request)
 	}
 	r := request.Redirectable.Run.request(time.Now())
-	if s.awaitLimits(ctx); ctx.Err() != nil {
+	if s.awaitLimits(ctx, from.Address); ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
 	s.awaitQueueClaim(ctx)
