Read a reply that came during a pause before calling its target silent

Cause: instance-1 is suspended for 330 ms just after it has sent the request (its own record: paused from 331 ms to 1 ms before the end). When it wakes, the timeout of the target's silence has passed, and its timer runs before the reply in the socket is read. The class: an instance that wakes and acts on what it believed before it has looked again.

Ruled out: a slow target (1 arrival, the others of that time answer in milliseconds); the limits (the target names none).

Change: a timeout that ends more than 50 ms late shows a pause of this instance; the reply gets another 50 ms to be read. A target that is really silent is given up that much later, after a pause only.

Before: TestPausedInstanceLooksForTheReplyFirst failed (given up at once); passes, three times under the race detector.

--- a/daemon/relay/silence.go
+++ b/daemon/relay/silence.go
@@ -9,6 +9,10 @@
 	// silenceRecheck is the interval at which an attempt at a silent target that can't be
 	// given up yet, for lack of retry budget, is considered again.
 	silenceRecheck = 100 * time.Millisecond
+	// maxTimerDelay is how late a timeout ends on an instance that runs. If it is later, the instance
+	// was paused, and the reply may have come meanwhile: it gets replyGrace to be read.
+	maxTimerDelay = 50 * time.Millisecond
+	replyGrace    = 50 * time.Millisecond
 	// minTimeElsewhere is the time that another target needs at least for a response that is
 	// of use.
 	minTimeElsewhere = engineFirstEventTime
@@ -43,6 +47,10 @@
 	if t.stopped || time.Now().Before(t.due) {
 		return // reset or stopped meanwhile
 	}
+	if time.Since(t.due) > maxTimerDelay {
+		t.reset(replyGrace)
+		return
+	}
 	if !t.giveUp() {
 		t.reset(silenceRecheck)
 	}
--- a/daemon/relay/silence_test.go
+++ b/daemon/relay/silence_test.go
@@ -57,3 +57,20 @@
 		require.Zero(t, givenUp.Load())
 	})
 }
+
+// Guards against an instance that was paused and takes a target for silent whose reply has come meanwhile.
+func TestPausedInstanceLooksForTheReplyFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var gaveUp atomic.Int64
+		timer := newSilenceTimer(time.Second, func() bool { gaveUp.Add(1); return true })
+		defer timer.Stop()
+		timer.mu.Lock()
+		timer.due = time.Now().Add(-2 * maxTimerDelay)
+		timer.mu.Unlock()
+		timer.expire()
+		require.Zero(t, gaveUp.Load())
+		time.Sleep(replyGrace)
+		synctest.Wait()
+		require.EqualValues(t, 1, gaveUp.Load())
+	})
+}
