Read a table of records under its lock in a test

Cause: the test read without the lock; the product holds it (Blocklist.merge). Both checks stay as they are. No product change.

--- a/daemon/blocklist/blocklist_test.go
+++ b/daemon/blocklist/blocklist_test.go
@@ -124,6 +124,13 @@
 
 func (m *member) AwaitPeer(context.Context) {}
 
+// recordedCount returns the number of requests with records.
+func (m *member) recordedCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Len()
+}
+
 // runFleet runs a fleet in virtual time. All sleeps of these tests are in virtual time.
 func runFleet(t *testing.T, n int, lossInterval int64, test func(ctx context.Context, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -199,10 +206,10 @@
 		f.isolated.Store(&isolated)
 		f.crash(3)
 		time.Sleep(time.Minute)
-		require.Equal(t, 0, f.instances[isolated].table.Len())
+		require.Equal(t, 0, f.instances[isolated].recordedCount())
 		f.isolated.Store(nil)
 		time.Sleep(gossipBound)
-		require.Equal(t, 1, f.instances[isolated].table.Len())
+		require.Equal(t, 1, f.instances[isolated].recordedCount())
 	})
 }
 
