--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Dialect  exchange.Dialect
 	Spelling platform.Codec
 	Source   follow.Source
+	// DialTarget opens the connections to targets; nil means TCP.
+	DialTarget forward.DialFunc
 }
 
 // ejectionFloor is the minimum share of a service's targets that stay routable,
@@ -136,7 +138,7 @@
 	if err := g.buildCluster(); err != nil {
 		return nil, err
 	}
-	g.client = forward.New()
+	g.client = forward.New(forward.ClientOptions{Dial: p.DialTarget})
 	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize})
 	source := p.Source
 	if !s.Platform.DataCentreDrains {
--- a/daemon/relay/answer_test.go
+++ b/daemon/relay/answer_test.go
@@ -25,7 +25,7 @@
 	defer target.Close()
 	out, err := http.NewRequest(http.MethodGet, target.URL, nil)
 	require.NoError(t, err)
-	reply, err := forward.New().Do(t.Context(), target.Listener.Addr().String(), out, forward.Options{})
+	reply, err := forward.New(forward.ClientOptions{}).Do(t.Context(), target.Listener.Addr().String(), out, forward.Options{})
 	require.NoError(t, err)
 	defer reply.Close()
 
--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -10,7 +10,6 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
-	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
 // blockedError refuses a request because it crashes targets.
@@ -57,7 +56,7 @@
 	switch {
 	case err == nil, errors.As(err, &f) && f.reply != nil:
 		records.RecordCompletion(q.digest())
-	case f != nil && f.connectionBroken && forward.NothingListens(ctx, q.address):
+	case f != nil && f.connectionBroken && q.relay.options.Client.NothingListens(ctx, q.address):
 		f.nothingListens = true
 		if q.relay.options.InUse(q.targetName) {
 			records.RecordCrash(q.digest(), q.target)
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -18,7 +18,7 @@
 func (q *queue) runCall(c gather.StartCall) {
 	started, targetsAge := time.Now(), q.follower.TargetsAge()
 	results, callOutcome, err := q.sendCall(c)
-	if callOutcome == gather.CallUnanswered && forward.ClosedByPeer(err) && forward.NothingListens(context.Background(), c.Target.Address) {
+	if callOutcome == gather.CallUnanswered && forward.ClosedByPeer(err) && q.client.NothingListens(context.Background(), c.Target.Address) {
 		callOutcome = gather.CallTargetCrashed
 	}
 	if err != nil {
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -44,7 +44,7 @@
 
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
-	dialer net.Dialer
+	options ClientOptions
 
 	mu sync.Mutex
 	// idle holds the idle connections.
@@ -82,12 +82,27 @@
 	return n, err
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// ClientOptions are the options of a Client.
+type ClientOptions struct {
+	// Dial opens the connections to targets; nil means Dial of this package.
+	Dial DialFunc
+}
+
 // New returns a client.
-func New() *Client {
-	return &Client{
-		dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout},
-		idle:   map[idleKey][]*conn{},
+func New(o ClientOptions) *Client {
+	if o.Dial == nil {
+		o.Dial = Dial
 	}
+	return &Client{options: o, idle: map[idleKey][]*conn{}}
+}
+
+// Dial opens a TCP connection that detects an unreachable other end.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // KeepAlive detects connections whose other end is unreachable within about three
@@ -232,7 +247,7 @@
 
 // dial opens a connection.
 func (c *Client) dial(ctx context.Context, peer idleKey) (*conn, error) {
-	nc, err := c.dialer.DialContext(ctx, "tcp", peer.address)
+	nc, err := c.options.Dial(ctx, peer.address)
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: peer.address, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -73,7 +73,7 @@
 // A connection is reused after a complete response.
 func TestConnectionIsReused(t *testing.T) {
 	address, conns := serve(t, answerAll(okResponse))
-	c := New()
+	c := New(ClientOptions{})
 	for range 3 {
 		got, err := do(t, c, address, "", Options{})
 		require.NoError(t, err)
@@ -94,7 +94,7 @@
 	for name, text := range cases {
 		t.Run(name, func(t *testing.T) {
 			address, conns := serve(t, answerAll(text))
-			c := New()
+			c := New(ClientOptions{})
 			o := Options{Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "1" }}
 			for range 3 {
 				got, err := do(t, c, address, "", o)
@@ -120,7 +120,7 @@
 		once.Do(func() { close(sent) })
 		_, _ = r.ReadByte()
 	})
-	c := New()
+	c := New(ClientOptions{})
 	_, err := do(t, c, address, "", Options{})
 	require.NoError(t, err)
 	close(late)
@@ -144,7 +144,7 @@
 			requests.Add(1)
 		}
 	})
-	_, err := do(t, New(), address, "body", Options{})
+	_, err := do(t, New(ClientOptions{}), address, "body", Options{})
 	var failed *Error
 	require.True(t, errors.As(err, &failed))
 	require.True(t, failed.Sent)
@@ -154,7 +154,7 @@
 	require.NoError(t, err)
 	nobody := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = do(t, New(), nobody, "body", Options{})
+	_, err = do(t, New(ClientOptions{}), nobody, "body", Options{})
 	require.True(t, errors.As(err, &failed))
 	require.False(t, failed.Sent)
 	require.True(t, failed.Refused)
@@ -172,7 +172,7 @@
 				_, _ = http.ReadRequest(r)
 				_, _ = io.WriteString(nc, text)
 			})
-			got, err := do(t, New(), address, "", Options{})
+			got, err := do(t, New(ClientOptions{}), address, "", Options{})
 			require.Error(t, err)
 			require.NotErrorIs(t, err, io.EOF)
 			require.Equal(t, "ok", got)
@@ -190,7 +190,7 @@
 	})
 	body := strings.Repeat("x", 16<<20)
 	for range 40 {
-		_, err := do(t, New(), address, body, Options{})
+		_, err := do(t, New(ClientOptions{}), address, body, Options{})
 		require.Error(t, err)
 	}
 }
@@ -213,7 +213,7 @@
 			})
 			body := strings.Repeat("x", 16<<20)
 			for range 40 {
-				got, err := do(t, New(), address, body, Options{})
+				got, err := do(t, New(ClientOptions{}), address, body, Options{})
 				require.NoError(t, err)
 				require.Equal(t, "whole", got)
 			}
@@ -252,7 +252,7 @@
 			k := &conn{Conn: nc, reader: bufio.NewReader(nc)}
 			request, err := http.NewRequest(http.MethodPost, "http://target/x", strings.NewReader(strings.Repeat("x", 2*maxSyncBody)))
 			require.NoError(t, err)
-			reply, err := New().exchange(t.Context(), k, request, Options{})
+			reply, err := New(ClientOptions{}).exchange(t.Context(), k, request, Options{})
 			require.NoError(t, err)
 			defer reply.Close()
 			got, err := io.ReadAll(reply)
@@ -270,7 +270,7 @@
 		_, _ = io.WriteString(nc, okResponse)
 		_, _ = io.Copy(io.Discard, r)
 	})
-	c := New()
+	c := New(ClientOptions{})
 	for range 2 {
 		got, err := do(t, c, address, strings.Repeat("x", 32<<20), Options{})
 		require.NoError(t, err)
@@ -283,7 +283,7 @@
 // once, since the target may close it at that moment.
 func TestMaxIdle(t *testing.T) {
 	address, conns := serve(t, answerAll(okResponse))
-	c := New()
+	c := New(ClientOptions{})
 	_, err := do(t, c, address, "", Options{})
 	require.NoError(t, err)
 	c.mu.Lock()
@@ -301,7 +301,7 @@
 	defer cancel()
 	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
 	require.NoError(t, err)
-	_, err = New().Do(ctx, address, request, Options{})
+	_, err = New(ClientOptions{}).Do(ctx, address, request, Options{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
@@ -324,7 +324,7 @@
 			_, _ = io.WriteString(nc, okResponse)
 		}
 	})
-	c := New()
+	c := New(ClientOptions{})
 	_, err := do(t, c, address, "", Options{Incarnation: "a@100"})
 	require.NoError(t, err)
 	for range 2 {
@@ -343,7 +343,7 @@
 // and a connection is not reused after DiscardConn.
 func TestConnGroupsAndDiscardedConns(t *testing.T) {
 	address, conns := serve(t, answerAll(okResponse))
-	c := New()
+	c := New(ClientOptions{})
 	for _, use := range []string{"", "other", "", "other"} {
 		_, err := do(t, c, address, "", Options{ConnGroup: use})
 		require.NoError(t, err)
@@ -379,7 +379,7 @@
 			_, _ = io.WriteString(nc, okResponse)
 		}
 	})
-	c := New()
+	c := New(ClientOptions{})
 	_, err := do(t, c, address, "", Options{Allowed: func() bool { return false }})
 	var failed *Error
 	require.ErrorAs(t, err, &failed)
@@ -402,11 +402,10 @@
 		}
 	})
 	var left atomic.Bool
-	c := New()
-	c.dialer.Control = func(string, string, syscall.RawConn) error {
+	c := New(ClientOptions{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		left.Store(true)
-		return nil
-	}
+		return Dial(ctx, address)
+	}})
 	allowed := func() bool { return !left.Load() }
 	require.True(t, allowed())
 	_, err := do(t, c, address, "", Options{Allowed: allowed})
--- a/transport/forward/listens.go
+++ b/transport/forward/listens.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"syscall"
 	"time"
 
@@ -23,9 +22,19 @@
 
 // NothingListens reports whether certainly no process listens at an address, because its
 // host refuses the connection.
+func (c *Client) NothingListens(ctx context.Context, address string) bool {
+	return nothingListens(ctx, c.options.Dial, address)
+}
+
+// NothingListens is Client.NothingListens for those that have no client.
 func NothingListens(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: listenTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", address)
+	return nothingListens(ctx, Dial, address)
+}
+
+func nothingListens(ctx context.Context, dial DialFunc, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
+	defer cancel()
+	nc, err := dial(ctx, address)
 	if err == nil {
 		_ = nc.Close() // it was opened only for the check
 	}
