Let instances open connections to targets for one another

Cause: an instance that alone has lost its links to the targets has no other way to one, and no instance can lend it its own. Ruled out: handing the whole request to a peer: attempts, retry budget, events and what is known of a request's fate would live on two instances, and the holder's stage calls would need a second mechanism. Data on the multiplexed connection between instances: one slow caller would hold up all, and a frame bounds a body. Raw bytes behind the handshake: an instance in between that is killed would end a response that ends with its connection as if it were whole. Change: a Hello may name a target; the receiver dials it (Options.DialTarget) and both ends then exchange Data frames and, at the target's regular end only, End. Refusals tell whether nothing listens at the target. Protocol version 4, which still speaks to 2 and 3: the field is omitted otherwise. Conclusion: not used by anything yet.

--- a/protocol/peer/messages.go
+++ b/protocol/peer/messages.go
@@ -14,10 +14,12 @@
 // Version is the protocol version of this build, and MinVersion the oldest
 // version that it accepts.
 const (
-	Version    = 3
+	Version    = 4
 	MinVersion = 2
 	// OffersVersion is the first version that understands spread.Offers.
 	OffersVersion = 3
+	// TunnelVersion is the first version that understands Hello.Tunnel.
+	TunnelVersion = 4
 )
 
 // Type is the type number of a message on the wire. A number is never reused.
@@ -41,6 +43,8 @@
 	TypeOffers       Type = 24
 	TypeRequest      Type = 30
 	TypeResponse     Type = 31
+	TypeData         Type = 40
+	TypeEnd          Type = 41
 )
 
 // Message is any message of this protocol: a pointer to a message struct of
@@ -57,6 +61,9 @@
 	DataCentre  string
 	Incarnation uint64
 	Capacity    uint32
+	// Tunnel is the address of the target that the connection is to be a tunnel to; empty for a
+	// connection between instances.
+	Tunnel string `msgpack:"Tunnel,omitempty"`
 }
 
 // Member returns the sender of the Hello as a member that is alive.
@@ -89,6 +96,10 @@
 	CodeFailed
 	// CodeInvalid means that the Hello lacks a field.
 	CodeInvalid
+	// CodeRefused means that nothing listens at the address of a tunnel.
+	CodeRefused
+	// CodeUnreachable means that the address of a tunnel can't be reached from the receiver.
+	CodeUnreachable
 )
 
 // Welcome is the response to a Hello. If Code is not CodeOK, the connection is
@@ -123,6 +134,12 @@
 	Body   []byte
 }
 
+// Data carries bytes through a tunnel, in either direction.
+type Data struct{ Bytes []byte }
+
+// End ends the bytes of a tunnel's target. Without it the connection to the target broke off.
+type End struct{}
+
 // newMessage returns an empty message of type t, or nil if t is unknown.
 func newMessage(t Type) Message {
 	switch t {
@@ -158,6 +175,10 @@
 		return new(Request)
 	case TypeResponse:
 		return new(Response)
+	case TypeData:
+		return new(Data)
+	case TypeEnd:
+		return new(End)
 	}
 	return nil
 }
@@ -197,6 +218,10 @@
 		return TypeRequest
 	case *Response:
 		return TypeResponse
+	case *Data:
+		return TypeData
+	case *End:
+		return TypeEnd
 	}
 	return 0
 }
--- a/protocol/peer/versions_test.go
+++ b/protocol/peer/versions_test.go
@@ -13,6 +13,7 @@
 var pingLayouts = map[int]string{
 	2: "9307079198a161a162a163a164010200cd0320",
 	3: "9307079198a161a162a163a164010200cd0320",
+	4: "9307079198a161a162a163a164010200cd0320",
 }
 
 // During a rolling update two versions run side by side for minutes. Messages are
--- a/protocol/peer/wire_test.go
+++ b/protocol/peer/wire_test.go
@@ -51,6 +51,8 @@
 			{Kind: "kind", Name: "name", Revision: 32, Size: 33},
 		}}, "0000001018919194a46b696e64a46e616d652021"},
 		{"request", &Request{ID: 27, Method: "method", TimeoutMillis: 28, Body: []byte{29}}, "0000000e1e941ba66d6574686f641cc4011d"},
+		{"data", &Data{Bytes: []byte{34}}, "000000052891c40122"},
+		{"end", &End{}, "000000022990"},
 		{"response", &Response{ID: 30, Code: CodeFailed, Reason: "reason", Body: []byte{31}}, "0000000e1f941e05a6726561736f6ec4011f"},
 	}
 	for _, c := range cases {
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -42,6 +42,8 @@
 	socket net.Conn
 	nc     net.Conn
 	reader *bufio.Reader
+	// target is the connection to the target of a tunnel; nil for other connections.
+	target net.Conn
 	// peer is set by the handshake. Other goroutines read it only once ready is
 	// set.
 	peer Peer
--- a/transport/peer/errors.go
+++ b/transport/peer/errors.go
@@ -32,6 +32,10 @@
 	ErrInvalid = errors.New("invalid handshake")
 	// ErrNoMethod means that the peer has no handler for the method.
 	ErrNoMethod = errors.New("method is not registered")
+	// ErrRefused means that nothing listens at the address of a tunnel.
+	ErrRefused = errors.New("nothing listens at the target's address")
+	// ErrUnreachable means that a peer doesn't reach the address of a tunnel.
+	ErrUnreachable = errors.New("peer doesn't reach the target")
 	// ErrHandler means that the peer's handler returned an error.
 	ErrHandler = errors.New("handler failed")
 )
@@ -48,6 +52,7 @@
 	StepRead      Step = "read"
 	StepWrite     Step = "write"
 	StepCall      Step = "call"
+	StepTunnel    Step = "tunnel"
 )
 
 // Error is an error of this package with its step, peer and cause.
@@ -102,6 +107,10 @@
 		cause = ErrNoMethod
 	case peer.CodeFailed:
 		cause = ErrHandler
+	case peer.CodeRefused:
+		cause = ErrRefused
+	case peer.CodeUnreachable:
+		cause = ErrUnreachable
 	}
 	return errors.Wrap(cause, reason)
 }
--- a/transport/peer/handshake.go
+++ b/transport/peer/handshake.go
@@ -53,13 +53,18 @@
 	}
 	welcome := &peer.Welcome{Hello: n.localHello()}
 	welcome.Code, welcome.Reason = n.validateHello(hello)
+	if welcome.Code == peer.CodeOK && hello.Tunnel != "" {
+		welcome.Code, welcome.Reason = n.openTunnel(c, hello)
+	}
 	if err := c.writeHandshake(welcome); err != nil {
 		return err
 	}
 	if welcome.Code != peer.CodeOK {
 		return codeError(welcome.Code, welcome.Reason)
 	}
-	c.setPeer(*hello)
+	if c.target == nil {
+		c.setPeer(*hello)
+	}
 	return c.nc.SetDeadline(time.Time{})
 }
 
@@ -75,7 +80,7 @@
 	if h.Name == "" || h.Address == "" || h.Incarnation == 0 {
 		return peer.CodeInvalid, "name, address and incarnation must be set"
 	}
-	for _, s := range []string{h.Name, h.Address, h.CallerURL, h.DataCentre} {
+	for _, s := range []string{h.Name, h.Address, h.CallerURL, h.DataCentre, h.Tunnel} {
 		if len(s) > maxNameLength {
 			return peer.CodeInvalid, "a field is too long"
 		}
@@ -83,15 +88,14 @@
 	return peer.CodeOK, ""
 }
 
-// dialHandshake performs the handshake on a dialled connection.
-func (n *Node) dialHandshake(c *conn) error {
+// dialHandshake performs the handshake on a dialled connection, as the Hello requests it.
+func (n *Node) dialHandshake(c *conn, hello peer.Hello) error {
 	if err := c.nc.SetDeadline(time.Now().Add(n.opts.HandshakeTimeout)); err != nil {
 		return err
 	}
 	if err := n.startTLS(c, n.clientTLS, tls.Client); err != nil {
 		return wrapError(StepTLS, c.dialedAddress, err)
 	}
-	hello := n.localHello()
 	if err := c.writeHandshake(&hello); err != nil {
 		return wrapError(StepHandshake, c.dialedAddress, err)
 	}
@@ -109,7 +113,11 @@
 	if err := codeError(n.validateHello(&welcome.Hello)); err != nil {
 		return wrapError(StepHandshake, c.dialedAddress, err)
 	}
-	c.setPeer(welcome.Hello)
+	if hello.Tunnel == "" {
+		c.setPeer(welcome.Hello)
+	} else if welcome.Hello.Version < peer.TunnelVersion {
+		return wrapError(StepTunnel, c.dialedAddress, errors.Wrapf(ErrVersion, "version %d opens no tunnels", welcome.Hello.Version))
+	}
 	return c.nc.SetDeadline(time.Time{})
 }
 
@@ -190,13 +198,19 @@
 	}
 }
 
+// checkCleartext returns an error if connections to an address need TLS, which isn't configured.
+func (n *Node) checkCleartext(address string) error {
+	if n.clientTLS != nil || n.opts.Cleartext {
+		return nil
+	}
+	return requireLoopback(address)
+}
+
 // connect dials an address and performs the handshake.
 func (n *Node) connect(address string) (*conn, error) {
 	n.metrics.dials.Inc(1)
-	if n.clientTLS == nil && !n.opts.Cleartext {
-		if err := requireLoopback(address); err != nil {
-			return nil, notRunError(StepDial, address, err)
-		}
+	if err := n.checkCleartext(address); err != nil {
+		return nil, notRunError(StepDial, address, err)
 	}
 	dialer := net.Dialer{Timeout: n.opts.DialTimeout}
 	nc, err := dialer.DialContext(n.ctx, "tcp", address)
@@ -208,7 +222,7 @@
 		_ = nc.Close()
 		return nil, notRunError(StepDial, address, err)
 	}
-	if err := n.dialHandshake(c); err != nil {
+	if err := n.dialHandshake(c, n.localHello()); err != nil {
 		c.close(err)
 		var e *Error
 		if errors.As(err, &e) {
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -45,6 +45,11 @@
 
 	bytesIn  atomic.Int64
 	bytesOut atomic.Int64
+
+	// tunnels is the number of tunnels of other instances through this one.
+	tunnels atomic.Int64
+	// noTunnels is true once this instance accepts no new ones.
+	noTunnels atomic.Bool
 }
 
 // Stats are counts since the start of a Node.
@@ -191,7 +196,11 @@
 	if err := n.acceptHandshake(c); err != nil {
 		n.metrics.refused(StepHandshake, err)
 		klog.V(2).InfoS("Peer connection refused", "peer", c.remoteAddress, "err", err)
-		c.close(err)
+		n.closeTunnel(c, err)
+		return
+	}
+	if c.target != nil {
+		n.serveTunnel(c)
 		return
 	}
 	n.setAddress(c)
@@ -257,6 +266,7 @@
 	unknown  tally.Counter
 	bytesIn  tally.Counter
 	bytesOut tally.Counter
+	tunnels  tally.Gauge
 }
 
 // newMetrics creates the counters.
@@ -270,6 +280,7 @@
 		unknown:  s.Counter("unknown_messages"),
 		bytesIn:  s.Counter("bytes_in"),
 		bytesOut: s.Counter("bytes_out"),
+		tunnels:  s.Gauge("tunnels"),
 	}
 }
 
@@ -299,6 +310,8 @@
 		return "cleartext"
 	case errors.Is(err, errTLS):
 		return "tls"
+	case errors.Is(err, ErrRefused), errors.Is(err, ErrUnreachable):
+		return "tunnel"
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return "timeout"
 	}
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"time"
 
@@ -57,8 +58,14 @@
 	// changes.
 	ReloadInterval time.Duration
 
+	// DialTarget opens the connection to the target of another instance's tunnel. It returns
+	// ErrRefused if nothing listens at the address. Nil refuses all tunnels.
+	DialTarget func(ctx context.Context, address string) (net.Conn, error)
+
 	// MaxConns bounds the connections, dialled and accepted ones together.
 	MaxConns int
+	// MaxTunnels bounds the tunnels of other instances through this one.
+	MaxTunnels int
 	// MaxHandlers bounds the handlers that run concurrently.
 	MaxHandlers int
 	// MaxPendingCalls bounds the calls that wait for a response on one
@@ -95,6 +102,7 @@
 		IdleTimeout:      2 * time.Minute,
 		ReloadInterval:   5 * time.Second,
 		MaxConns:         defaultMaxConns,
+		MaxTunnels:       512,
 		MaxHandlers:      128,
 		MaxPendingCalls:  256,
 		MaxPendingPosts:  64,
@@ -118,6 +126,7 @@
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, d.IdleTimeout)
 	o.ReloadInterval = cmp.Or(o.ReloadInterval, d.ReloadInterval)
 	o.MaxConns = cmp.Or(o.MaxConns, d.MaxConns)
+	o.MaxTunnels = cmp.Or(o.MaxTunnels, d.MaxTunnels)
 	o.MaxHandlers = cmp.Or(o.MaxHandlers, d.MaxHandlers)
 	o.MaxPendingCalls = cmp.Or(o.MaxPendingCalls, d.MaxPendingCalls)
 	o.MaxPendingPosts = cmp.Or(o.MaxPendingPosts, d.MaxPendingPosts)
