Reach targets through other instances when the direct path is lost

The instance that has a request was the only one that could open a connection for it, and a duty's holder is chosen by who lives, not by who can do it. The class: an instance takes 'I can't reach it' for 'it is down'. Ruled out: leaving readiness (a closed connection is a failed attempt, and a whole data centre may be cut); handing the queue over (callers of cut-off instances would still be refused); a verdict on targets by their failures alone (a data centre of targets that dies looks the same). Change: coordination/reach decides by service. A path is suspected after a second of silence while requests wait, two targets that break off in a row, or two targets that only another instance connects to; it counts as lost once another instance's connection works where the direct one doesn't. Attempts then take connections that other instances open (daemon/detour), so that budgets, at-most-once, grants and events stay where the request is, and the holder goes on with its duty. A dial that is refused or takes 200 ms is tried through a peer at once. Probes find the path again: connections only where targets refused, a request that can be repeated, at doubling intervals, where they accepted and stayed silent. 'Nothing listens' is what another instance that reaches a further target confirms. Log lines and metrics for path and detour; a planned stop waits for the connections of others. Crashes are still concluded from a refusal alone.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -420,7 +420,7 @@
 			return
 		}
 	}
-	p.actions = append(p.actions, FreeResults{Target: t, Handles: []string{handle}})
+	p.actions = append(p.actions, FreeResults{Target: t, Service: producer.service.name, Handles: []string{handle}})
 }
 
 // FreeDone reports that a target has freed results, or couldn't be notified.
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -176,6 +176,7 @@
 // FreeResults asks a target to free results.
 type FreeResults struct {
 	Target  Target
+	Service string
 	Handles []string
 }
 
--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"time"
 
@@ -84,6 +85,17 @@
 	return c.node.Call(ctx, address, method, body)
 }
 
+// DialThrough opens a connection to a target through the instance at an address.
+func (c *Cluster) DialThrough(ctx context.Context, peerAddress, target string) (net.Conn, error) {
+	return c.node.DialThrough(ctx, peerAddress, target)
+}
+
+// StopTunnels refuses new connections of other instances to targets from now on.
+func (c *Cluster) StopTunnels() { c.node.StopTunnels() }
+
+// TunnelCount returns the number of connections of other instances to targets through this one.
+func (c *Cluster) TunnelCount() int { return c.node.TunnelCount() }
+
 // SendDigest replaces the load digest of this instance. The gossip sends it to the other
 // instances at the configured rate.
 func (c *Cluster) SendDigest(body []byte) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,11 +18,13 @@
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/coordination/reach"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
 	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
+	"github.com/ivyhollow/ivyhollow/daemon/detour"
 	"github.com/ivyhollow/ivyhollow/daemon/follow"
 	"github.com/ivyhollow/ivyhollow/daemon/limits"
 	"github.com/ivyhollow/ivyhollow/daemon/register"
@@ -109,6 +111,8 @@
 	// shares holds, by service and data centre, the share of the service's usable targets
 	// that is in the data centre.
 	shares atomic.Pointer[map[string]map[string]float64]
+	// targets holds the services of the usable targets, by address.
+	targets atomic.Pointer[detour.Targets]
 }
 
 // New assembles an instance and opens its ports.
@@ -135,10 +139,15 @@
 		Budget: g.callBudget, Codec: p.Spelling, WatchSlack: time.Second,
 	})
 	g.registrar = register.New(store, func() membership.Member { return g.self })
-	if err := g.buildCluster(); err != nil {
+	if p.DialTarget == nil {
+		p.DialTarget = forward.Dial
+	}
+	if err := g.buildCluster(p.DialTarget); err != nil {
 		return nil, err
 	}
-	g.client = forward.New(forward.ClientOptions{Dial: p.DialTarget})
+	g.client = forward.New(forward.ClientOptions{
+		Dial: p.DialTarget, Detour: detour.NewDialer(g.cluster, t.Scope), OnPathChange: g.recordPathChange,
+	})
 	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize})
 	source := p.Source
 	if !s.Platform.DataCentreDrains {
@@ -228,19 +237,24 @@
 	return errors.Wrap(err, "listen for metrics")
 }
 
-func (g *Gateway) buildCluster() error {
+func (g *Gateway) buildCluster(dialTarget forward.DialFunc) error {
 	s := g.settings
 	var files *peer.TLSFiles
 	if s.Peers.TLS() {
 		files = &peer.TLSFiles{Cert: s.Peers.TLSCert, Key: s.Peers.TLSKey, CA: s.Peers.TLSCA}
 	}
+	tunnels := detour.Server{
+		Dial:     dialTarget,
+		PathLost: func(service string) bool { return g.client.PathLost(service) },
+		Targets:  g.targetServices,
+	}
 	var err error
 	g.cluster, err = cluster.New(cluster.Options{
 		Transport: peer.Options{
 			Cluster: s.Instance.Cluster, Self: g.self, Listen: s.Listen.Peers,
 			TLS: files, Cleartext: s.Peers.Cleartext, Scope: g.telemetry.Scope,
 			CallTimeout: peerCallTimeout, MaxHandlers: maxPeerCalls, MaxPendingCalls: maxPeerCalls,
-			QueueLength: peerQueueLength,
+			QueueLength: peerQueueLength, DialTarget: tunnels.DialTarget,
 		},
 		Membership:        membership.DefaultConfig(),
 		Gossip:            spreadConfig(),
@@ -279,11 +293,13 @@
 // setTargets passes the usable targets on to the router and to the stages.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
 	names, incarnations := map[string]bool{}, map[string]bool{}
+	services := detour.Targets{}
 	shares := map[string]map[string]float64{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
 			names[t.Name], incarnations[t.Incarnation()] = true, true
+			services[t.Address] = name
 			if shares[name] == nil {
 				shares[name] = map[string]float64{}
 			}
@@ -302,6 +318,27 @@
 	g.limits.Forget(func(incarnation string) bool { return incarnations[incarnation] })
 	g.usedNames.Store(&names)
 	g.shares.Store(&shares)
+	g.targets.Store(&services)
+}
+
+// targetServices returns the services of the usable targets, by address.
+func (g *Gateway) targetServices() detour.Targets {
+	if targets := g.targets.Load(); targets != nil {
+		return *targets
+	}
+	return nil
+}
+
+// recordPathChange logs that the direct path to the targets of a service was lost or found, and
+// counts the services whose path is lost.
+func (g *Gateway) recordPathChange(change reach.Change, lost int) {
+	g.telemetry.Scope.Gauge("target_paths_lost").Update(float64(lost))
+	event := telemetry.Event{Pool: change.Service, Reason: string(change.Cause), Count: lost, Elapsed: change.Duration}
+	if change.Lost {
+		telemetry.InfoS("Path to targets lost", event)
+		return
+	}
+	telemetry.InfoS("Path to targets found", event)
 }
 
 // awaitReady waits until the instance has the state that it needs to serve a request:
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -52,7 +52,7 @@
 	}
 	group.Add(g.cluster.Execute, g.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
-		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.closeIdleConnections,
+		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.client.Run, g.closeIdleConnections,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
@@ -76,6 +76,7 @@
 	start := time.Now()
 	telemetry.InfoS("Planned stop", telemetry.Event{Count: g.relay.InFlight()})
 	g.draining.Store(true)
+	g.cluster.StopTunnels()
 	times := g.shutdown.Load()
 	noticed, deadline := start.Add(times.BalancerDelay), start.Add(times.Grace-exitMargin)
 	g.relay.Drain(noticed, deadline)
@@ -109,11 +110,11 @@
 }
 
 // awaitDrained waits until no caller has a connection and no request of another
-// instance has stages here, at most until the deadline.
+// instance has stages or a connection to a target here, at most until the deadline.
 func (g *Gateway) awaitDrained(callers *inbound.Server, deadline time.Time) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for time.Now().Before(deadline) && (callers.OpenConns() > 0 || g.stages.ActiveCount() > 0) {
+	for time.Now().Before(deadline) && (callers.OpenConns() > 0 || g.stages.ActiveCount() > 0 || g.cluster.TunnelCount() > 0) {
 		<-ticker.C
 	}
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -336,6 +336,7 @@
 	})
 	defer silence.Stop()
 	options := forward.Options{
+		Service: q.service, MayProbe: q.mayRetry(),
 		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
 		Allowed: func() bool {
 			return q.relay.usable(t.Incarnation) && q.grantValid(time.Now()) && (q.paced || !q.relay.isPaced(q.service))
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -91,6 +91,7 @@
 		return nil, gather.CallUnanswered, err
 	}
 	reply, err := q.client.Do(ctx, c.Target.Address, request, forward.Options{
+		Service: c.Service, EndIfLost: true,
 		Incarnation: c.Target.Incarnation, Allowed: func() bool { return q.follower.Usable(c.Target.Incarnation) },
 	})
 	if errors.Is(err, forward.ErrWithdrawn) {
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -62,7 +62,7 @@
 	// holds the channels that receive the requests' outcomes.
 	prompts     map[string]heldPrompt
 	waiters     map[string]chan outcome
-	pendingFree map[gather.Target][]string
+	pendingFree map[gather.Target]gather.FreeResults
 	// stall detects, by bootClock and the time of day, that this instance was stalled.
 	stall     holder.StallDetector
 	bootClock boottime.Clock
@@ -116,7 +116,7 @@
 		engines:       placing.NewTable(),
 		prompts:       map[string]heldPrompt{},
 		waiters:       map[string]chan outcome{},
-		pendingFree:   map[gather.Target][]string{},
+		pendingFree:   map[gather.Target]gather.FreeResults{},
 		readers:       map[string]resultReader{},
 		bootClock:     boottime.Now,
 		handoverState: newHandoverState(),
@@ -347,9 +347,10 @@
 
 // scheduleFree collects results to free. mu must be held.
 func (q *queue) scheduleFree(f gather.FreeResults) {
-	first := len(q.pendingFree[f.Target]) == 0
-	q.pendingFree[f.Target] = append(q.pendingFree[f.Target], f.Handles...)
-	if first {
+	collected, waits := q.pendingFree[f.Target]
+	f.Handles = append(collected.Handles, f.Handles...)
+	q.pendingFree[f.Target] = f
+	if !waits {
 		time.AfterFunc(q.freeDelayAt(f.Target), func() { q.free(f.Target) })
 	}
 }
@@ -372,12 +373,13 @@
 // free frees the collected results of a target.
 func (q *queue) free(t gather.Target) {
 	q.mu.Lock()
-	handles := q.pendingFree[t]
+	collected, waits := q.pendingFree[t]
 	delete(q.pendingFree, t)
 	q.mu.Unlock()
-	if len(handles) == 0 {
+	if !waits {
 		return // freed early
 	}
+	handles := collected.Handles
 	request, err := q.dialect.NewFreeRequest(t.Address, t.Name, handles)
 	if err != nil {
 		klog.ErrorS(err, "Results could not be freed", "target", t.Incarnation, "count", len(handles))
@@ -385,7 +387,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	reply, err := q.client.Do(ctx, t.Address, request, forward.Options{Incarnation: t.Incarnation, ConnGroup: freeConnGroup})
+	reply, err := q.client.Do(ctx, t.Address, request, forward.Options{
+		Service: collected.Service, MayProbe: true, Incarnation: t.Incarnation, ConnGroup: freeConnGroup,
+	})
 	if err == nil {
 		_, err = io.Copy(io.Discard, reply)
 		reply.Close()
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -67,11 +67,12 @@
 // bounds the whole attempt including the body.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
 	peer := idleKey{address, o.Incarnation, o.ConnGroup}
-	k := c.takeIdle(peer, cmp.Or(o.MaxIdle, maxIdleTime))
+	way := c.choose(o)
+	k := c.takeIdle(peer, cmp.Or(o.MaxIdle, maxIdleTime), way)
 	reused := k != nil
 	if !reused {
 		var err error
-		if k, err = c.dial(ctx, peer); err != nil {
+		if k, err = c.connect(ctx, peer, o.Service, way); err != nil {
 			return nil, err
 		}
 	}
@@ -96,8 +97,10 @@
 	// The end of the context interrupts blocked reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }) // fails only if the connection is closed
 	r := &Reply{client: c, conn: k, options: o, stopCancel: stop}
+	k.began(o.EndIfLost)
 	r.sendResult = send(k, request)
 	if err := r.readHeader(request); err != nil {
+		k.ended(err)
 		return nil, r.fail(ctx, err)
 	}
 	return r, nil
@@ -214,6 +217,7 @@
 // Close ends the attempt. The connection is kept if the response was complete and nothing
 // follows it; otherwise it is closed, which makes the target stop.
 func (r *Reply) Close() {
+	r.conn.ended(nil)
 	stopped := r.stopCancel()
 	if !r.complete || !stopped || !r.reusable() {
 		_ = r.conn.Close() // the attempt is over, so an error is ignored
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -11,12 +11,15 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/ivyhollow/ivyhollow/coordination/reach"
 )
 
 // Timeouts and limits of connections.
@@ -49,6 +52,14 @@
 	mu sync.Mutex
 	// idle holds the idle connections.
 	idle map[idleKey][]*conn
+	// endIfLost has the direct connections whose attempts end if the path is lost, and when their
+	// requests were sent.
+	endIfLost map[*conn]time.Time
+
+	// pathMu protects paths and verdicts. It may be locked while mu is held, but not vice versa.
+	pathMu   sync.Mutex
+	paths    *reach.Tracker
+	verdicts map[string]verdict
 }
 
 // idleKey identifies the idle connections that may carry the same requests. It
@@ -63,6 +74,14 @@
 type conn struct {
 	net.Conn
 	idleKey
+	client  *Client
+	service string
+	// through is the instance that the connection goes through; empty for a direct one.
+	through  string
+	openedAt time.Time
+	// waits is true while a request waits for the first byte on a direct connection. It is
+	// protected by pathMu.
+	waits        bool
 	reader       *bufio.Reader
 	idleSince    time.Time
 	idleTimeout  time.Duration
@@ -89,6 +108,12 @@
 type ClientOptions struct {
 	// Dial opens the connections to targets; nil means Dial of this package.
 	Dial DialFunc
+	// Detour opens connections to targets that this instance alone doesn't reach. It is nil if
+	// there are no other instances; Run isn't needed then.
+	Detour Detour
+	// OnPathChange is called when a direct path was lost or found, with the number of services
+	// whose path is lost.
+	OnPathChange func(change reach.Change, lost int)
 }
 
 // New returns a client.
@@ -96,7 +121,10 @@
 	if o.Dial == nil {
 		o.Dial = Dial
 	}
-	return &Client{options: o, idle: map[idleKey][]*conn{}}
+	return &Client{
+		options: o, idle: map[idleKey][]*conn{}, endIfLost: map[*conn]time.Time{},
+		paths: reach.NewTracker(), verdicts: map[string]verdict{},
+	}
 }
 
 // Dial opens a TCP connection that detects an unreachable other end.
@@ -140,7 +168,8 @@
 	// Sent reports whether bytes of the request may have been sent, so that it may
 	// have run.
 	Sent bool
-	// Refused reports that no process listens at the address.
+	// Refused reports that no process listens at the address, which other instances confirm if
+	// there are any.
 	Refused bool
 	Err     error
 }
@@ -150,37 +179,51 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// takeIdle removes and returns an idle connection on which nothing was received, or
-// returns nil.
-func (c *Client) takeIdle(peer idleKey, maxIdle time.Duration) *conn {
+// takeIdle removes and returns an idle connection that takes the given way and on which nothing
+// was received, or returns nil.
+func (c *Client) takeIdle(peer idleKey, maxIdle time.Duration, way reach.Way) *conn {
+	if way == reach.Probe {
+		return nil // a new connection shows more
+	}
 	for {
-		k := c.popIdle(peer)
+		k := c.popIdle(peer, way)
 		if k == nil {
 			return nil
 		}
 		idle := time.Since(k.idleSince)
-		if idle < min(k.idleTimeout, maxIdle) && nothingReceived(k.Conn) {
+		if idle < min(k.idleTimeout, maxIdle) && c.throughUsable(k) && nothingReceived(k.Conn) {
 			return k
 		}
 		_ = k.Close() // it is not reusable
 	}
 }
 
-func (c *Client) popIdle(peer idleKey) *conn {
+// throughUsable reports whether the instance that a connection goes through, if any, serves on.
+func (c *Client) throughUsable(k *conn) bool {
+	return k.through == "" || c.options.Detour.Usable(k.through)
+}
+
+func (c *Client) popIdle(peer idleKey, way reach.Way) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[peer]
-	if len(list) == 0 {
-		return nil
+	for i, k := range slices.Backward(list) {
+		if (k.through != "") == (way == reach.Detour) {
+			c.setIdle(peer, list, slices.Delete(list, i, i+1))
+			return k
+		}
 	}
-	k := list[len(list)-1]
-	list[len(list)-1] = nil
-	if len(list) == 1 {
-		delete(c.idle, peer)
+	return nil
+}
+
+// setIdle replaces the list of idle connections of a key by a part of it; mu is held.
+func (c *Client) setIdle(key idleKey, list, kept []*conn) {
+	clear(list[len(kept):])
+	if len(kept) == 0 {
+		delete(c.idle, key)
 	} else {
-		c.idle[peer] = list[:len(list)-1]
+		c.idle[key] = kept
 	}
-	return k
 }
 
 // putIdle adds a connection to the idle ones, or closes it if there are too many.
@@ -209,19 +252,15 @@
 	for peer, list := range c.idle {
 		kept := list[:0]
 		for _, k := range list {
-			if inUse(peer.incarnation) && now.Sub(k.idleSince) < k.idleTimeout {
+			if inUse(peer.incarnation) && now.Sub(k.idleSince) < k.idleTimeout && c.throughUsable(k) {
 				kept = append(kept, k)
 				continue
 			}
 			_ = k.Close() // no request uses it
 		}
-		clear(list[len(kept):])
-		if len(kept) == 0 {
-			delete(c.idle, peer)
-		} else {
-			c.idle[peer] = kept
-		}
+		c.setIdle(peer, list, kept)
 	}
+	c.forgetVerdicts(now)
 }
 
 // nothingReceived reports whether nothing has arrived on an idle connection, neither its
@@ -245,17 +284,16 @@
 	return err == nil && silent
 }
 
-// dial opens a connection.
-func (c *Client) dial(ctx context.Context, peer idleKey) (*conn, error) {
-	nc, err := c.options.Dial(ctx, peer.address)
-	if err != nil {
-		return nil, &Error{Step: StepConnect, Peer: peer.address, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
-	}
-	return &conn{Conn: nc, idleKey: peer, reader: bufio.NewReader(nc), idleTimeout: maxIdleTime}, nil
-}
-
 // Options are the options of one attempt.
 type Options struct {
+	// Service is the service of the target: the paths to its targets are judged together.
+	Service string
+	// MayProbe is true if the request can be sent again at little cost, so that it may show whether
+	// a lost path is back.
+	MayProbe bool
+	// EndIfLost ends the attempt when the direct path to the service is lost, or after probeTimeout
+	// without a response if it is lost already.
+	EndIfLost bool
 	// Incarnation is the process that the attempt is for. Idle connections to other
 	// processes at the address are not used.
 	Incarnation string
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -249,10 +249,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			nc := failingWriteConn{Reader: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.head + "\r\nok"), writeErr: c.writeErr}
-			k := &conn{Conn: nc, reader: bufio.NewReader(nc)}
+			client := New(ClientOptions{})
+			k := &conn{Conn: nc, client: client, reader: bufio.NewReader(nc)}
 			request, err := http.NewRequest(http.MethodPost, "http://target/x", strings.NewReader(strings.Repeat("x", 2*maxSyncBody)))
 			require.NoError(t, err)
-			reply, err := New(ClientOptions{}).exchange(t.Context(), k, request, Options{})
+			reply, err := client.exchange(t.Context(), k, request, Options{})
 			require.NoError(t, err)
 			defer reply.Close()
 			got, err := io.ReadAll(reply)
