Count a crash of a target only if another instance confirms it

Cause: a connection that breaks and a new one that is refused counted as the crash of the target. Ruled out: a crash counts only if an own connection to another target works: a cut from some targets passes that. Change: nothing listens at an address if another instance that reaches a further target is refused there too. An instance that knows no other one yet but has listed some concludes nothing; a lone instance decides as before. In the half second after a start in which no instance has listed another, a lone decision is still possible.

--- a/daemon/cluster/api.go
+++ b/daemon/cluster/api.go
@@ -180,6 +180,18 @@
 	_ = c.WaitView(ctx, func(v *membership.View) bool { return len(v.Live()) > 1 }) // only the end of the context is an error
 }
 
+// Alone reports whether there is no other instance. An instance that has just started and doesn't know
+// the others yet isn't alone.
+func (c *Cluster) Alone() bool {
+	select {
+	case <-c.firstListDone:
+	default:
+		return false
+	}
+	view := c.View()
+	return len(view.Live()) <= 1 && (c.listedOtherCount.Load() == 0 || len(view.Members) > 1)
+}
+
 // checkJoined ends the wait of AwaitJoin; mu is held.
 func (c *Cluster) checkJoined(now time.Time) {
 	select {
--- a/daemon/detour/detour.go
+++ b/daemon/detour/detour.go
@@ -36,9 +36,13 @@
 type Cluster interface {
 	View() *membership.View
 	Peers() []membership.Member
+	// Alone reports whether there is no other instance, known or not yet known.
+	Alone() bool
 	DialThrough(ctx context.Context, peerAddress, target string) (net.Conn, error)
 }
 
+var errNoPeerKnown = errors.New("no other instance is known yet")
+
 // Dialer opens connections to targets through other instances. It implements forward.Detour.
 type Dialer struct {
 	cluster Cluster
@@ -70,8 +74,11 @@
 // or finds that nothing listens there.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, string, error) {
 	peers := d.order()
-	if len(peers) == 0 {
+	switch {
+	case len(peers) == 0 && d.cluster.Alone():
 		return nil, "", forward.ErrNoDetour
+	case len(peers) == 0:
+		return nil, "", errNoPeerKnown
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/daemon/detour/detour_test.go
+++ b/daemon/detour/detour_test.go
@@ -18,7 +18,12 @@
 )
 
 // fakeCluster has peers that answer by name; the others don't answer.
-type fakeCluster struct{ answers map[string]error }
+type fakeCluster struct {
+	answers map[string]error
+	joining bool
+}
+
+func (c fakeCluster) Alone() bool { return len(c.answers) == 0 && !c.joining }
 
 func (c fakeCluster) View() *membership.View { return membership.NewView(1, "self", c.Peers()) }
 
@@ -54,18 +59,20 @@
 		answers map[string]error
 		through string
 		err     error
+		joining bool
 	}{
-		"alone":                      {map[string]error{}, "", forward.ErrNoDetour},
-		"one reaches it":             {map[string]error{"a": peer.ErrUnreachable, "b": nil, "c": peer.ErrBusy}, "b", nil},
-		"others don't answer":        {map[string]error{"a": errNoAnswer, "b": errNoAnswer, "c": nil}, "c", nil},
-		"nothing listens":            {map[string]error{"a": peer.ErrRefused, "b": peer.ErrUnreachable}, "", forward.ErrNothingListens},
-		"none reaches it":            {map[string]error{"a": peer.ErrUnreachable, "b": peer.ErrUnreachable}, "", peer.ErrUnreachable},
-		"none answers in the bound":  {map[string]error{"a": errNoAnswer}, "", context.DeadlineExceeded},
-		"none of an earlier version": {map[string]error{"a": peer.ErrVersion}, "", peer.ErrVersion},
+		"alone":                      {map[string]error{}, "", forward.ErrNoDetour, false},
+		"just started":               {map[string]error{}, "", errNoPeerKnown, true},
+		"one reaches it":             {map[string]error{"a": peer.ErrUnreachable, "b": nil, "c": peer.ErrBusy}, "b", nil, false},
+		"others don't answer":        {map[string]error{"a": errNoAnswer, "b": errNoAnswer, "c": nil}, "c", nil, false},
+		"nothing listens":            {map[string]error{"a": peer.ErrRefused, "b": peer.ErrUnreachable}, "", forward.ErrNothingListens, false},
+		"none reaches it":            {map[string]error{"a": peer.ErrUnreachable, "b": peer.ErrUnreachable}, "", peer.ErrUnreachable, false},
+		"none answers in the bound":  {map[string]error{"a": errNoAnswer}, "", context.DeadlineExceeded, false},
+		"none of an earlier version": {map[string]error{"a": peer.ErrVersion}, "", peer.ErrVersion, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			d := NewDialer(fakeCluster{c.answers}, tally.NoopScope)
+			d := NewDialer(fakeCluster{answers: c.answers, joining: c.joining}, tally.NoopScope)
 			nc, through, err := d.Dial(t.Context(), "target")
 			require.True(t, errors.Is(err, c.err), "%v", err)
 			require.Equal(t, c.through, through)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -378,6 +378,9 @@
 // Usable reports whether an incarnation of a target may receive new work.
 func (g *Gateway) Usable(incarnation string) bool { return g.follower.Usable(incarnation) }
 
+// InstanceCount returns the number of live instances that this one knows, itself included.
+func (g *Gateway) InstanceCount() int { return len(g.cluster.View().Live()) }
+
 // Ready reports whether the instance accepts new connections.
 func (g *Gateway) Ready() bool {
 	return g.follower.Ready() && g.limits.Synced() && !g.draining.Load()
--- a/transport/forward/listens.go
+++ b/transport/forward/listens.go
@@ -20,23 +20,34 @@
 // the connection within one round trip.
 const listenTimeout = 250 * time.Millisecond
 
-// NothingListens reports whether certainly no process listens at an address, because its
-// host refuses the connection.
+// NothingListens reports whether certainly no process listens at an address, because its host
+// refuses the connection. If there are other instances, one of them has to confirm it: a path that
+// was cut may refuse connections too.
 func (c *Client) NothingListens(ctx context.Context, address string) bool {
-	return nothingListens(ctx, c.options.Dial, address)
+	opens, refused := tryConnect(ctx, c.options.Dial, address)
+	if opens || c.options.Detour == nil {
+		return refused
+	}
+	nc, _, err := c.options.Detour.Dial(ctx, address)
+	if err == nil {
+		_ = nc.Close() // it was opened only for the check
+	}
+	return errors.Is(err, ErrNothingListens) || refused && errors.Is(err, ErrNoDetour)
 }
 
 // NothingListens is Client.NothingListens for those that have no client.
 func NothingListens(ctx context.Context, address string) bool {
-	return nothingListens(ctx, Dial, address)
+	_, refused := tryConnect(ctx, Dial, address)
+	return refused
 }
 
-func nothingListens(ctx context.Context, dial DialFunc, address string) bool {
+// tryConnect reports whether a connection to an address opens, and whether it is refused.
+func tryConnect(ctx context.Context, dial DialFunc, address string) (opens, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
 	nc, err := dial(ctx, address)
 	if err == nil {
 		_ = nc.Close() // it was opened only for the check
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err == nil, errors.Is(err, syscall.ECONNREFUSED)
 }
