End detours when the path is back, and dials that nobody can make

Cause: tests of the path's end, found while they were written: a connection through another instance that was in use when the path was found went back to the idle ones and was used on (1 left after two seconds); where no instance reaches a target that doesn't answer, a dial took the whole 1.5 s, so that a request with two targets ended at its deadline. Change: an idle connection that doesn't take the present way is closed; a dial ends with its detour, and for a second after that in 200 ms. Before: TestPathIsFoundAgain 'reset' and 'held' and TestNobodyReachesTargets 'unanswered' failed. After: go test ./platform -run 'PathIsFound|CutFromOne|NobodyReaches|StopOfInstanceInBetween|InstancesCut|CutIsNot', once: all pass.

--- a/daemon/detour/detour.go
+++ b/daemon/detour/detour.go
@@ -41,8 +41,6 @@
 	DialThrough(ctx context.Context, peerAddress, target string) (net.Conn, error)
 }
 
-var errNoPeerKnown = errors.New("no other instance is known yet")
-
 // Dialer opens connections to targets through other instances. It implements forward.Detour.
 type Dialer struct {
 	cluster Cluster
@@ -78,7 +76,7 @@
 	case len(peers) == 0 && d.cluster.Alone():
 		return nil, "", forward.ErrNoDetour
 	case len(peers) == 0:
-		return nil, "", errNoPeerKnown
+		return nil, "", forward.ErrNoPeerKnown
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/daemon/detour/detour_test.go
+++ b/daemon/detour/detour_test.go
@@ -62,7 +62,7 @@
 		joining bool
 	}{
 		"alone":                      {map[string]error{}, "", forward.ErrNoDetour, false},
-		"just started":               {map[string]error{}, "", errNoPeerKnown, true},
+		"just started":               {map[string]error{}, "", forward.ErrNoPeerKnown, true},
 		"one reaches it":             {map[string]error{"a": peer.ErrUnreachable, "b": nil, "c": peer.ErrBusy}, "b", nil, false},
 		"others don't answer":        {map[string]error{"a": errNoAnswer, "b": errNoAnswer, "c": nil}, "c", nil, false},
 		"nothing listens":            {map[string]error{"a": peer.ErrRefused, "b": peer.ErrUnreachable}, "", forward.ErrNothingListens, false},
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -381,6 +381,9 @@
 // InstanceCount returns the number of live instances that this one knows, itself included.
 func (g *Gateway) InstanceCount() int { return len(g.cluster.View().Live()) }
 
+// TunnelCount returns the number of connections of other instances to targets through this one.
+func (g *Gateway) TunnelCount() int { return g.cluster.TunnelCount() }
+
 // Ready reports whether the instance accepts new connections.
 func (g *Gateway) Ready() bool {
 	return g.follower.Ready() && g.limits.Synced() && !g.draining.Load()
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -226,12 +226,13 @@
 	}
 }
 
-// putIdle adds a connection to the idle ones, or closes it if there are too many.
+// putIdle adds a connection to the idle ones, or closes it if there are too many or it doesn't take
+// the present way.
 func (c *Client) putIdle(k *conn) {
 	k.idleSince = time.Now()
 	k.bytesWritten = 0
-	if k.SetDeadline(time.Time{}) != nil {
-		_ = k.Close() // it is closed already
+	if k.SetDeadline(time.Time{}) != nil || c.pathAvoided(k.service) != (k.through != "") {
+		_ = k.Close() // it is closed already, or no request would use it
 		return
 	}
 	c.mu.Lock()
--- a/transport/forward/path.go
+++ b/transport/forward/path.go
@@ -18,7 +18,7 @@
 	detourDelay = 200 * time.Millisecond
 	// verdictValidity is how long a target counts as unreachable from all instances once others
 	// didn't reach it either.
-	verdictValidity = 500 * time.Millisecond
+	verdictValidity = time.Second
 	// tickInterval is the interval of the checks for silent paths.
 	tickInterval = 250 * time.Millisecond
 	// probeTimeout is how long an attempt that ends if its path is lost probes such a path.
@@ -30,8 +30,11 @@
 	// ErrNothingListens means that another instance reaches the target's host and no process listens
 	// at the address.
 	ErrNothingListens = errors.New("another instance finds nothing that listens")
-	// ErrNoDetour means that there is no other instance to ask.
-	ErrNoDetour = errors.New("there is no other instance")
+	// ErrNoDetour means that there is no other instance to ask, ErrNoPeerKnown that none is known yet.
+	ErrNoDetour    = errors.New("there is no other instance")
+	ErrNoPeerKnown = errors.New("no other instance is known yet")
+	// errUnreachable means that neither this instance nor others connect to a target.
+	errUnreachable = errors.New("the target doesn't answer and other instances don't reach it")
 )
 
 // Detour opens connections to targets through other instances.
@@ -214,8 +217,8 @@
 	}
 	if v, ok := c.recentVerdict(key.address); ok {
 		if first == nil {
-			d := <-direct
-			first = &d
+			go c.keepLate(direct, key, service)
+			return dialed{err: errUnreachable}
 		}
 		return first.judged(v.nothingListens)
 	}
@@ -242,12 +245,15 @@
 			}
 		case d := <-detour:
 			cancel()
+			if errors.IsAny(d.err, ErrNoDetour, ErrNoPeerKnown) {
+				return <-direct
+			}
+			go c.keepLate(direct, key, service)
 			if d.err != nil {
-				result := <-direct
-				return result.judged(c.recordVerdict(key.address, d.err))
+				c.recordVerdict(key.address, d.err)
+				return dialed{err: errors.CombineErrors(errUnreachable, d.err)}
 			}
 			c.recordDetour(key, service)
-			go c.keepLate(direct, key, service)
 			return d
 		}
 	}
--- a/transport/peer/tunnel.go
+++ b/transport/peer/tunnel.go
@@ -21,7 +21,7 @@
 	// maxTunnelFrame is the maximum size in bytes of a frame that carries such data.
 	maxTunnelFrame = maxTunnelChunk + 64
 	// tunnelDialTimeout bounds the opening of the connection to a tunnel's target.
-	tunnelDialTimeout = 500 * time.Millisecond
+	tunnelDialTimeout = 300 * time.Millisecond
 )
 
 // tunnelKeepAlive detects the end of an instance at the other end of a tunnel within about three
