Confirm a crash also while all other targets of the service are down

The request was not blocked within ten seconds. Change: up to three others of the service are tried, then targets of other services unless the asked instance's own attempts at the service have failed since it last heard from it. Conclusion: a cut of one service that resets, at an instance that has had no traffic there, may still be taken for a crash if all its targets refuse at once.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -219,7 +219,13 @@
 	return p != nil && p.lost
 }
 
-// Avoided returns whether attempts at the targets of a service go through other instances.
+// Suspected reports whether attempts at the targets of a service failed since a byte of one arrived.
+func (t *Tracker) Suspected(service string) bool {
+	p := t.paths[service]
+	return p != nil && (p.avoided || p.failures > 0)
+}
+
+// Avoided reports whether attempts at the targets of a service go through other instances.
 func (t *Tracker) Avoided(service string) bool {
 	p := t.paths[service]
 	return p != nil && p.avoided
--- a/daemon/detour/detour.go
+++ b/daemon/detour/detour.go
@@ -30,6 +30,9 @@
 	nextPeerDelay = 100 * time.Millisecond
 	// maxPeers bounds the instances that are asked for one connection.
 	maxPeers = 32
+	// maxControls bounds the targets of a service that are tried to tell whether a refusal concerns
+	// one target alone.
+	maxControls = 3
 )
 
 // Cluster has the operations of the connections between instances that the package needs.
@@ -165,8 +168,9 @@
 type Server struct {
 	// Dial opens a direct connection.
 	Dial forward.DialFunc
-	// PathLost reports whether this instance itself has lost the path to a service.
-	PathLost func(service string) bool
+	// PathLost reports whether this instance itself has lost the path to a service, PathSuspected
+	// whether its latest attempts there failed.
+	PathLost, PathSuspected func(service string) bool
 	// Targets returns the services of the targets in use, by address.
 	Targets func() Targets
 }
@@ -192,25 +196,36 @@
 	return nil, err
 }
 
-// reachesAnother reports whether this instance connects to another target, of the same service if
-// there is one: a refusal shows nothing about a target while all refuse.
+// reachesAnother reports whether this instance connects to another target of the service or, unless
+// its own attempts at the service fail too, of another service: a refusal shows nothing about a target
+// while all refuse.
 func (s Server) reachesAnother(ctx context.Context, targets Targets, service, refused string) bool {
-	control := ""
-	for address, other := range targets {
-		if address == refused {
-			continue
-		}
-		control = address
-		if other == service {
-			break
+	var same, other []string
+	for address, of := range targets {
+		switch {
+		case address == refused:
+		case of == service:
+			same = append(same, address)
+		default:
+			other = append(other, address)
 		}
 	}
-	if control == "" {
+	if len(same) == 0 && len(other) == 0 {
+		return true
+	}
+	if s.connectsToAny(ctx, same) {
 		return true
 	}
-	nc, err := s.Dial(ctx, control)
-	if err == nil {
-		_ = nc.Close() // it was opened only for the check
+	return !s.PathSuspected(service) && s.connectsToAny(ctx, other)
+}
+
+// connectsToAny tries some of the addresses.
+func (s Server) connectsToAny(ctx context.Context, addresses []string) bool {
+	for _, address := range addresses[:min(len(addresses), maxControls)] {
+		if nc, err := s.Dial(ctx, address); err == nil {
+			_ = nc.Close() // it was opened only for the check
+			return true
+		}
 	}
-	return err == nil
+	return false
 }
--- a/daemon/detour/detour_test.go
+++ b/daemon/detour/detour_test.go
@@ -95,19 +95,21 @@
 		"cut off":                  {Targets{"t": "s", "other": "s"}, true, false, false},
 		"cut off and knows it":     {Targets{"t": "s", "other": "s"}, true, true, false},
 		"another service only":     {Targets{"t": "s", "other": "x"}, false, false, true},
+		"service may be cut off":   {Targets{"t": "s", "t2": "s", "other": "x"}, false, false, false},
 		"target isn't in its list": {Targets{"other": "s"}, false, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := Server{
 				Dial: func(_ context.Context, address string) (net.Conn, error) {
-					if c.cutOff || address == "t" {
+					if c.cutOff || address == "t" || address == "t2" {
 						return nil, refused
 					}
 					nc, _ := net.Pipe()
 					return nc, nil
 				},
-				PathLost: func(string) bool { return c.lost },
-				Targets:  func() Targets { return c.targets },
+				PathLost:      func(string) bool { return c.lost },
+				PathSuspected: func(string) bool { return len(c.targets) > 2 },
+				Targets:       func() Targets { return c.targets },
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -244,9 +244,10 @@
 		files = &peer.TLSFiles{Cert: s.Peers.TLSCert, Key: s.Peers.TLSKey, CA: s.Peers.TLSCA}
 	}
 	tunnels := detour.Server{
-		Dial:     dialTarget,
-		PathLost: func(service string) bool { return g.client.PathLost(service) },
-		Targets:  g.targetServices,
+		Dial:          dialTarget,
+		PathLost:      func(service string) bool { return g.client.PathLost(service) },
+		PathSuspected: func(service string) bool { return g.client.PathSuspected(service) },
+		Targets:       g.targetServices,
 	}
 	var err error
 	g.cluster, err = cluster.New(cluster.Options{
--- a/transport/forward/path.go
+++ b/transport/forward/path.go
@@ -68,6 +68,14 @@
 	return c.paths.Lost(service)
 }
 
+// PathSuspected reports whether the latest attempts at the targets of a service failed on the direct
+// path.
+func (c *Client) PathSuspected(service string) bool {
+	c.pathMu.Lock()
+	defer c.pathMu.Unlock()
+	return c.paths.Suspected(service)
+}
+
 // observe updates the paths with an observation and applies the changes.
 func (c *Client) observe(update func(t *reach.Tracker, now time.Time)) {
 	if c.options.Detour == nil {
