Cut instances from targets in the soak

Change: the relay before a target can hold up or reset the connections of one source address, and instances may be told to connect to targets from an address of their own ([targets] source_address, as on hosts with several). Cuts of one to all but one instance, from all targets or one service, for a while or coming and going, overlap the other faults; with -cuts they come alone and RECOVER is checked. A short seeded run of that joins the tests. Conclusion: on loopback a relay can't refuse or ignore the connection of one source only: it accepts and holds, or resets; platform/cutoff_test.go plays the others.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -140,7 +140,7 @@
 	})
 	g.registrar = register.New(store, func() membership.Member { return g.self })
 	if p.DialTarget == nil {
-		p.DialTarget = forward.Dial
+		p.DialTarget = forward.DialFrom(net.ParseIP(s.Targets.SourceAddress))
 	}
 	if err := g.buildCluster(p.DialTarget); err != nil {
 		return nil, err
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -73,5 +73,7 @@
 
 		{"warmup", "overage", float{&s.Warmup.Overage, 0.001, maxCount}, true},
 		{"warmup", "slack", float{&s.Warmup.Slack, 0, maxCount}, true},
+
+		{"targets", "source_address", ipAddress{&s.Targets.SourceAddress}, false},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 	Orders    Orders
 	Retries   Retries
 	Warmup    Warmup
+	Targets   Targets
 }
 
 // Instance identifies this instance.
@@ -153,6 +154,13 @@
 	Window time.Duration
 }
 
+// Targets configures the connections to targets.
+type Targets struct {
+	// SourceAddress is the IP address that the connections are opened from; empty lets the system
+	// choose. Only for the gateway.
+	SourceAddress string
+}
+
 // Warmup limits the requests that all instances together send to one target in any second,
 // for services whose configuration has a rate that a cold target bears. The limit is that
 // rate times Overage, plus Slack.
--- a/settings/values.go
+++ b/settings/values.go
@@ -52,6 +52,19 @@
 
 func (a address) format() string { return *a.p }
 
+// ipAddress is an IP address without a port.
+type ipAddress struct{ p *string }
+
+func (a ipAddress) parse(raw string) error {
+	if _, err := netip.ParseAddr(raw); err != nil {
+		return errors.Newf("%q is not an IP address, such as 10.1.0.41", raw)
+	}
+	*a.p = raw
+	return nil
+}
+
+func (a ipAddress) format() string { return *a.p }
+
 // addressList is a comma-separated list of IP:port to connect to.
 type addressList struct{ p *[]string }
 
--- a/testkit/cmd/soak/main.go
+++ b/testkit/cmd/soak/main.go
@@ -19,6 +19,7 @@
 	faults := flag.Duration("faults", 10*time.Second, "how long faults come")
 	dir := flag.String("dir", os.TempDir(), "where settings and logs of failed seeds are kept")
 	planned := flag.Bool("planned", false, "do planned work only, and check that no caller loses by it")
+	cuts := flag.Bool("cuts", false, "cut instances from targets only, and check how callers are served")
 	instances := flag.Int("instances", 4, "how many instances run")
 	callers := flag.Int("callers", 12, "how many callers there are")
 	silences := flag.Int("silences", 2, "how often the store is silent after the faults, and a target leaves then")
@@ -29,7 +30,7 @@
 		seed := *first + uint64(i)
 		o := soak.Options{
 			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
-			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned,
+			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned, Cuts: *cuts,
 			Silences: *silences,
 		}
 		if !runSeed(o, *verbose) {
--- a/testkit/relay/link.go
+++ b/testkit/relay/link.go
@@ -24,6 +24,10 @@
 	delays   *[ways]atomic.Int64
 	counters *counters
 	muted    [ways]atomic.Bool
+	// source is the client's IP address. held returns a channel that is closed when the bytes of a
+	// source are no longer held up; nil if they aren't.
+	source string
+	held   func(source string) <-chan struct{}
 
 	mu       sync.Mutex
 	target   net.Conn // nil until dialled
@@ -39,7 +43,10 @@
 
 func newLink(client net.Conn, delays *[ways]atomic.Int64, c *counters) *link {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &link{ctx: ctx, cancel: cancel, client: client, delays: delays, counters: c}
+	return &link{
+		ctx: ctx, cancel: cancel, client: client, delays: delays, counters: c,
+		held: func(string) <-chan struct{} { return nil },
+	}
 }
 
 func (l *link) mute(d Direction) {
@@ -122,7 +129,7 @@
 // deliver writes each chunk at its due time.
 func (l *link) deliver(way int, to net.Conn, queue <-chan chunk) {
 	for c := range queue {
-		if !l.waitUntil(c.due) {
+		if !l.waitUntil(c.due) || !l.waitUnheld() {
 			return
 		}
 		if l.muted[way].Load() {
@@ -185,6 +192,22 @@
 	}
 }
 
+// waitUnheld waits while the bytes of the client are held up. It returns false if the link is reset
+// before.
+func (l *link) waitUnheld() bool {
+	for {
+		restored := l.held(l.source)
+		if restored == nil {
+			return true
+		}
+		select {
+		case <-restored:
+		case <-l.ctx.Done():
+			return false
+		}
+	}
+}
+
 // reset closes a connection with a TCP reset, so that the other end reads an error and not an
 // orderly end.
 func reset(conn net.Conn) {
--- a/testkit/relay/relay.go
+++ b/testkit/relay/relay.go
@@ -44,8 +44,10 @@
 	counters counters
 	wg       sync.WaitGroup
 
-	mu      sync.Mutex
-	links   map[*link]struct{}
+	mu    sync.Mutex
+	links map[*link]struct{}
+	// cuts are the cuts of single sources, by IP address.
+	cuts    map[string]cut
 	muteNew [ways]bool
 	closed  bool
 }
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: reserve %s: %w", address, err)
 	}
-	r := &Relay{target: target, port: p, links: map[*link]struct{}{}}
+	r := &Relay{target: target, port: p, links: map[*link]struct{}{}, cuts: map[string]cut{}}
 	r.counters.init()
 	if err := r.listen(); err != nil {
 		p.release()
@@ -100,14 +102,19 @@
 }
 
 // add registers a connection before its target is dialled, so that every command applies to
-// it. It returns nil if the relay is closed.
+// it. It returns nil if the relay is closed or resets connections of this source.
 func (r *Relay) add(conn net.Conn) *link {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
 		return nil
 	}
+	source := sourceOf(conn)
+	if r.cuts[source].mode == Break {
+		return nil
+	}
 	l := newLink(conn, &r.delays, &r.counters)
+	l.source, l.held = source, r.heldUntil
 	for way := range ways {
 		l.muted[way].Store(r.muteNew[way])
 	}
--- a/testkit/soak/callers.go
+++ b/testkit/soak/callers.go
@@ -43,8 +43,11 @@
 	// resumedAfter is the last event that the caller had when it resumed the stream; 0 for a
 	// new stream.
 	resumedAfter int
-	status       int
-	body         string
+	// instance is the name of the instance that got the request, began when it was sent.
+	instance string
+	began    time.Time
+	status   int
+	body     string
 	// complete reports whether the response ended without an error.
 	complete bool
 	ended    time.Time
@@ -122,7 +125,9 @@
 
 // call sends a request to a random instance and records the result.
 func (c *caller) call(a *callResult, random *rand.Rand) {
-	c.send(a, c.testbed.instances[random.IntN(len(c.testbed.instances))])
+	in := c.testbed.instances[random.IntN(len(c.testbed.instances))]
+	a.instance, a.began = in.name, time.Now()
+	c.send(a, in)
 	a.ended = time.Now()
 	c.results = append(c.results, *a)
 	if a.status != http.StatusOK {
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -25,7 +25,9 @@
 
 // instance is one daemon, started again whenever it ends.
 type instance struct {
-	name          string
+	name string
+	// sourceAddress is the IP address from which it connects to targets.
+	sourceAddress string
 	callerAddress string
 	adminAddress  string
 	settingsPath  string
@@ -60,12 +62,13 @@
 	if err != nil {
 		return err
 	}
+	source := fmt.Sprintf("127.200.0.%d", len(tb.instances)+1)
 	in := &instance{
-		name: name, callerAddress: ports[0], adminAddress: ports[1], settingsPath: filepath.Join(tb.options.Dir, name+".ini"),
+		name: name, sourceAddress: source, callerAddress: ports[0], adminAddress: ports[1], settingsPath: filepath.Join(tb.options.Dir, name+".ini"),
 		grace: grace, singleThread: tb.options.Planned && len(tb.instances)%2 == 0,
 		baseSettings: fmt.Sprintf("[instance]\nname = %s\ndata_centre = x\n[listen]\ncallers = %s\nadmin = %s\npeers = %s\n"+
 			"[platform]\nurl = http://%s\ncalls_per_second = 200\ndata_centre_drains = true\n"+
-			"[warmup]\noverage = %v\nslack = %v\n", name, ports[0], ports[1], ports[2], path.Addr(), coldOverage, coldSlack),
+			"[warmup]\noverage = %v\nslack = %v\n[targets]\nsource_address = %s\n", name, ports[0], ports[1], ports[2], path.Addr(), coldOverage, coldSlack, source),
 	}
 	if tb.options.Planned && len(tb.instances)%3 == 1 {
 		in.grace = shortGrace
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -42,9 +42,12 @@
 	time.Sleep(time.Second) // the instances discover each other
 	report := Report{Seed: o.Seed}
 	var all []callResult
-	if o.Planned {
+	switch {
+	case o.Planned:
 		all, report.Losses = tb.runPlanned()
-	} else {
+	case o.Cuts:
+		all = tb.runCuts()
+	default:
 		all = tb.runFaults()
 	}
 	tb.mu.Lock()
@@ -70,6 +73,7 @@
 		wg.Go(func() { tb.runPlannedWork(until, seriesPauseWithFaults) })
 		wg.Go(func() { tb.injectEngineFaults(until) })
 		wg.Go(func() { tb.runDrains(until) })
+		wg.Go(func() { tb.cutInstances(until, maxOverlappingCut) })
 		tb.injectFaults(until)
 		wg.Wait()
 		tb.removeTargetsAfterSilences(tb.options.Silences)
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -85,3 +85,15 @@
 		})
 	}
 }
+
+// Guards against instances that refuse their callers, or as the holder of the stage queue all callers,
+// while they alone don't reach the targets.
+func TestSoakCuts(t *testing.T) {
+	binary := build(t)
+	report, err := Run(Options{
+		Binary: binary, Dir: t.TempDir(), Seed: 7020, Faults: 12 * time.Second, Instances: 4, Callers: 40, Cuts: true,
+	})
+	require.NoError(t, err)
+	t.Logf("%d requests, %d served", report.Requests, report.Served)
+	require.Empty(t, report.Violations, "faults: %v", report.Faults)
+}
--- a/testkit/soak/testbed.go
+++ b/testkit/soak/testbed.go
@@ -30,6 +30,9 @@
 	Callers   int
 	// Planned limits the run to planned work, and checks that no caller loses a request by it.
 	Planned bool
+	// Cuts limits the run to cuts of instances from targets, and checks how callers are served
+	// meanwhile.
+	Cuts bool
 	// Silences is how often, after the faults, the store falls silent and a target leaves; not
 	// used in runs of planned work.
 	Silences int
@@ -49,8 +52,10 @@
 	instances []*instance
 	// reservedSockets hold the instances' ports.
 	reservedSockets []int
-	configVersion   int
-	keys            atomic.Pointer[[]string]
+	// cuts are the cuts of instances from all targets, for the check.
+	cuts          []targetCut
+	configVersion int
+	keys          atomic.Pointer[[]string]
 
 	// over is closed at the end of the run. departures waits for the targets that are leaving.
 	over       chan struct{}
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -129,8 +129,18 @@
 
 // Dial opens a TCP connection that detects an unreachable other end.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return DialFrom(nil)(ctx, address)
+}
+
+// DialFrom returns Dial for connections from an IP address; nil lets the system choose one.
+func DialFrom(source net.IP) DialFunc {
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 }
 
 // KeepAlive detects connections whose other end is unreachable within about three
