--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/ivyhollow/ivyhollow/coordination/membership"
 	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
-	"github.com/ivyhollow/ivyhollow/coordination/reach"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
@@ -243,19 +242,13 @@
 	if s.Peers.TLS() {
 		files = &peer.TLSFiles{Cert: s.Peers.TLSCert, Key: s.Peers.TLSKey, CA: s.Peers.TLSCA}
 	}
-	tunnels := detour.Server{
-		Dial:          dialTarget,
-		PathLost:      func(service string) bool { return g.client.PathLost(service) },
-		PathSuspected: func(service string) bool { return g.client.PathSuspected(service) },
-		Targets:       g.targetServices,
-	}
 	var err error
 	g.cluster, err = cluster.New(cluster.Options{
 		Transport: peer.Options{
 			Cluster: s.Instance.Cluster, Self: g.self, Listen: s.Listen.Peers,
 			TLS: files, Cleartext: s.Peers.Cleartext, Scope: g.telemetry.Scope,
 			CallTimeout: peerCallTimeout, MaxHandlers: maxPeerCalls, MaxPendingCalls: maxPeerCalls,
-			QueueLength: peerQueueLength, DialTarget: tunnels.DialTarget,
+			QueueLength: peerQueueLength, DialTarget: g.tunnelServer(dialTarget).DialTarget,
 		},
 		Membership:        membership.DefaultConfig(),
 		Gossip:            spreadConfig(),
@@ -322,28 +315,6 @@
 	g.targets.Store(&services)
 }
 
-// targetServices returns the services of the usable targets, by address.
-func (g *Gateway) targetServices() detour.Targets {
-	if targets := g.targets.Load(); targets != nil {
-		return *targets
-	}
-	return nil
-}
-
-// recordPathChange logs that the direct path to the targets of a service was lost or found, counts the
-// services whose path is lost, and forgets what failures on a lost path seemed to show about targets.
-func (g *Gateway) recordPathChange(change reach.Change, lost int) {
-	g.telemetry.Scope.Gauge("target_paths_lost").Update(float64(lost))
-	event := telemetry.Event{Pool: change.Service, Reason: string(change.Cause), Count: lost, Elapsed: change.Duration}
-	if change.Lost {
-		telemetry.InfoS("Path to targets lost", event)
-		g.router.ForgetFailures(change.Service)
-		g.stages.ForgetFailures(change.Service)
-		return
-	}
-	telemetry.InfoS("Path to targets found", event)
-}
-
 // awaitReady waits until the instance has the state that it needs to serve a request:
 // the configuration, the targets, the requests that other instances block, and the limits that
 // targets name.
@@ -384,9 +355,6 @@
 // InstanceCount returns the number of live instances that this one knows, itself included.
 func (g *Gateway) InstanceCount() int { return len(g.cluster.View().Live()) }
 
-// TunnelCount returns the number of connections of other instances to targets through this one.
-func (g *Gateway) TunnelCount() int { return g.cluster.TunnelCount() }
-
 // Ready reports whether the instance accepts new connections.
 func (g *Gateway) Ready() bool {
 	return g.follower.Ready() && g.limits.Synced() && !g.draining.Load()
