--- a/transport/peer/tunnel_test.go
+++ b/transport/peer/tunnel_test.go
@@ -173,3 +173,29 @@
 	require.Error(t, err)
 	require.Error(t, ctx.Err())
 }
+
+// A tunnel between instances that use TLS carries bytes, and can't be checked for bytes that wait: it is
+// never used for a second request.
+func TestTunnelOverTLS(t *testing.T) {
+	authority := newAuthority(t)
+	withTLS := func(o *Options) { o.TLS = authority.issue(t, t.TempDir()) }
+	from, _ := testNode(t, "a", withTLS)
+	through, _ := testNode(t, "b", func(o *Options) {
+		withTLS(o)
+		o.DialTarget = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	})
+	nc, err := from.DialThrough(t.Context(), through.Addr(), tunnelTarget(t, echoBytes))
+	require.NoError(t, err)
+	defer nc.Close()
+	_, err = io.WriteString(nc, "over TLS")
+	require.NoError(t, err)
+	got := make([]byte, len("over TLS"))
+	_, err = io.ReadFull(nc, got)
+	require.NoError(t, err)
+	require.Equal(t, "over TLS", string(got))
+	_, err = nc.(syscall.Conn).SyscallConn()
+	require.Error(t, err)
+}
