Free stage targets at once when the path to them is found silent

Change: a verdict holds for all services that have been silent since, suspected or not; stage calls that wait on a path found silent end at once, and calls ended so don't pause their targets.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -283,7 +283,7 @@
 }
 
 // confirm marks an avoided path as lost. Paths to other services that have been silent since it was
-// lost are avoided too, until a probe gets an answer there.
+// lost are lost too, until a probe gets an answer there.
 func (t *Tracker) confirm(now time.Time, p *path) {
 	if p.lost {
 		return
@@ -291,11 +291,14 @@
 	p.lost = true
 	t.changes = append(t.changes, Change{Service: p.service, Lost: true, Cause: p.cause})
 	for _, other := range t.paths {
-		if !other.avoided && !other.receivedAt.After(p.since.Add(lossTolerance)) {
+		if other.lost || other.receivedAt.After(p.since.Add(lossTolerance)) {
+			continue
+		}
+		if !other.avoided {
 			t.avoid(now, other, p.cause, p.since)
-			other.lost = true
-			t.changes = append(t.changes, Change{Service: other.service, Lost: true, Cause: p.cause})
 		}
+		other.lost = true
+		t.changes = append(t.changes, Change{Service: other.service, Lost: true, Cause: other.cause})
 	}
 }
 
--- a/daemon/stages/calls.go
+++ b/daemon/stages/calls.go
@@ -36,6 +36,9 @@
 		q.follower.Leaving(c.Target.Incarnation)
 	}
 	q.callEnded(c.ID, callOutcome, results)
+	if errors.Is(err, forward.ErrPathLost) {
+		q.forgetFailures(c.Service)
+	}
 	q.mu.Lock()
 	q.runningCalls--
 	q.mu.Unlock()
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -159,8 +159,10 @@
 
 // ForgetFailures forgets what failed calls seemed to show about the stage targets of a service: this
 // instance has lost its path to them.
-func (s *Stages) ForgetFailures(service string) {
-	s.queue.apply(func(p *gather.Planner) []gather.Action { return p.ForgetFailures(time.Now(), service) })
+func (s *Stages) ForgetFailures(service string) { s.queue.forgetFailures(service) }
+
+func (q *queue) forgetFailures(service string) {
+	q.apply(func(p *gather.Planner) []gather.Action { return p.ForgetFailures(time.Now(), service) })
 }
 
 // OnResponse sets the function that is called with the header of each response to a stage call. It
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -163,8 +163,11 @@
 	if !failed.Sent && r.sendErr != nil {
 		failed.Step, failed.Err = StepSend, r.sendErr
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		failed.Err = errors.CombineErrors(context.Cause(ctx), failed.Err)
+	case r.conn.pathLost.Load():
+		failed.Err = errors.Mark(failed.Err, ErrPathLost)
 	}
 	return failed
 }
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,6 +84,8 @@
 	openedAt time.Time
 	// endIfLost is true if the attempt ends when the path is lost.
 	endIfLost bool
+	// pathLost is true once an attempt was ended since the path is lost.
+	pathLost atomic.Bool
 	// waits is true while a request waits for the first byte on a direct connection. It is
 	// protected by pathMu.
 	waits        bool
@@ -164,6 +167,9 @@
 // ErrWithdrawn reports that the target stopped accepting work before the request was sent.
 var ErrWithdrawn = errors.New("the target may receive no new work")
 
+// ErrPathLost reports that an attempt was ended since the direct path to its target is lost.
+var ErrPathLost = errors.New("the path to the target is lost")
+
 // Step is the step in which an attempt failed.
 type Step string
 
@@ -309,8 +315,8 @@
 	// MayProbe is true if the request can be sent again at little cost, so that it may show whether
 	// a lost path is back.
 	MayProbe bool
-	// EndIfLost ends the attempt after probeTimeout without a response if the direct path to the
-	// service is lost.
+	// EndIfLost ends the attempt with ErrPathLost when the direct path to the service is found
+	// silent, and after probeTimeout without a response if it is lost already.
 	EndIfLost bool
 	// Incarnation is the process that the attempt is for. Idle connections to other
 	// processes at the address are not used.
--- a/transport/forward/path.go
+++ b/transport/forward/path.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// applyChange closes the idle connections that don't take the present way to a service.
+// applyChange closes the idle connections that don't take the present way to a service, and ends
+// attempts that wait on a path that was found silent and ask for that.
 func (c *Client) applyChange(change reach.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,6 +78,22 @@
 		}
 		c.setIdle(key, list, kept)
 	}
+	if !change.Lost || change.Cause != reach.CauseSilence {
+		return
+	}
+	for k := range c.waiting {
+		if k.service == change.Service {
+			c.endAttempt(k)
+		}
+	}
+}
+
+// endAttempt ends the attempt on a connection if it asks for that; mu is held.
+func (c *Client) endAttempt(k *conn) {
+	if k.endIfLost {
+		k.pathLost.Store(true)
+		_ = k.SetDeadline(longAgo) // fails only if the connection is closed
+	}
 }
 
 // Run detects silent paths until the context ends.
@@ -133,8 +150,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k, sentAt := range c.waiting {
-		if k.endIfLost && now.Sub(sentAt) >= probeTimeout && c.PathLost(k.service) {
-			_ = k.SetDeadline(longAgo) // fails only if the connection is closed
+		if now.Sub(sentAt) >= probeTimeout && c.PathLost(k.service) {
+			c.endAttempt(k)
 		}
 	}
 }
