--- a/transport/peer/tunnel.go
+++ b/transport/peer/tunnel.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/protocol/peer"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
 const (
@@ -24,10 +25,6 @@
 	tunnelDialTimeout = 300 * time.Millisecond
 )
 
-// tunnelKeepAlive detects the end of an instance at the other end of a tunnel within about three
-// seconds.
-var tunnelKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
 // DialThrough opens a connection to a target through the instance at peerAddress. The connection
 // behaves like one to the target: the end of the target's bytes is io.EOF only if the target
 // closed its connection regularly.
@@ -35,7 +32,7 @@
 	if err := n.checkCleartext(peerAddress); err != nil {
 		return nil, notRunError(StepTunnel, peerAddress, err)
 	}
-	dialer := net.Dialer{Timeout: n.opts.DialTimeout, KeepAliveConfig: tunnelKeepAlive}
+	dialer := net.Dialer{Timeout: n.opts.DialTimeout, KeepAliveConfig: forward.KeepAlive}
 	nc, err := dialer.DialContext(ctx, "tcp", peerAddress)
 	if err != nil {
 		return nil, notRunError(StepTunnel, peerAddress, err)
@@ -104,7 +101,7 @@
 func (n *Node) serveTunnel(c *conn) {
 	if counting, ok := c.socket.(*countingConn); ok {
 		if tcp, ok := counting.Conn.(*net.TCPConn); ok {
-			if err := tcp.SetKeepAliveConfig(tunnelKeepAlive); err != nil {
+			if err := tcp.SetKeepAliveConfig(forward.KeepAlive); err != nil {
 				klog.V(2).InfoS("Keep-alive of a tunnel not set", "peer", c.remoteAddress, "err", err)
 			}
 		}
