Log the software versions of targets, and which stream a caller takes up again

Cause: the logs of the incident tell neither the version of a target nor the attempt that a caller names in Resumes, so that a second version within one answer can't be told from one that came with the caller's next try.

Change: the version of a target's entry is kept (it was checked and dropped), and Resumes is parsed. Both are on the lines of attempts and requests, the version on that of an entry. Nothing decides by them.

Conclusion: observability only.

--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -28,6 +28,8 @@
 	Pool       string
 	Address    string
 	DataCentre string
+	// Version is the version of the target's software; empty if it isn't known.
+	Version string
 	// Slots is the number of requests that the target runs concurrently.
 	Slots int
 	// Models and Adapters are those that an engine has loaded; an empty list means
--- a/daemon/follow/targets.go
+++ b/daemon/follow/targets.go
@@ -119,7 +119,7 @@
 		if t.Leaving {
 			f.options.OnLeaving(now, t.Incarnation())
 		}
-		telemetry.InfoS("Entry of a target", telemetry.Event{Target: t.Incarnation(), Revision: r.Revision, Reason: targetState(t)})
+		telemetry.InfoS("Entry of a target", telemetry.Event{Target: t.Incarnation(), Version: t.Version, Revision: r.Revision, Reason: targetState(t)})
 	}
 	f.publishIfChanged(now)
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -300,7 +300,7 @@
 			shares[name][t.DataCentre] += 1 / float64(len(usable[name]))
 			list = append(list, routing.Target{
 				Incarnation: t.Incarnation(), Name: t.Name, Pool: name, Address: t.Address,
-				DataCentre: t.DataCentre, Slots: max(t.Slots, service.Slots),
+				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots),
 			})
 		}
 		if service.Batch == nil {
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -330,7 +330,7 @@
 		q.reason = "closed_here"
 	}
 	telemetry.InfoS("Request ended", telemetry.Event{
-		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Peer: q.grantedBy, Reason: q.reason,
+		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Version: q.targetVersion, Resumes: q.call.Resumes, Peer: q.grantedBy, Reason: q.reason,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals, HeaderDuration: q.headTime,
 		StageWait: q.timings.stagesWait, GrantWait: q.timings.grantWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: q.knowledgeAge,
 		LastEvent: q.lastEventID, Sources: q.sources, Framing: string(q.framing),
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -78,6 +78,7 @@
 		return false, errNoTimeToSend
 	}
 	q.target, q.targetName, q.address = choice.Target.Incarnation, choice.Target.Name, choice.Target.Address
+	q.targetVersion = choice.Target.Version
 	q.knowledgeAge = q.relay.options.KnowledgeAge()
 	q.timings.attemptStart = started
 	attempt := q.relay.options.Router.Started(started, q.target, 1)
@@ -264,7 +265,7 @@
 		return false, err
 	}
 	telemetry.InfoS("Attempt failed", telemetry.Event{
-		RequestID: q.call.ID, Digest: q.digest().String(), Pipeline: q.route.Name, Target: q.target, Reason: f.cause.Error(),
+		RequestID: q.call.ID, Digest: q.digest().String(), Pipeline: q.route.Name, Target: q.target, Version: q.targetVersion, Reason: f.cause.Error(),
 		Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals,
 		LastEvent: q.lastEventID, Framing: string(q.framing),
 	})
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -168,6 +168,8 @@
 	// target is the incarnation of the latest attempt's target, targetName its name, which all
 	// its incarnations share, and address where it listens.
 	target, targetName, address string
+	// targetVersion is the software version of that target.
+	targetVersion string
 	// knowledgeAge is how old the knowledge of the targets was when the target was chosen.
 	knowledgeAge time.Duration
 	// resultHandles are the handles of the stages' results; nil before the stages have run.
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -23,7 +23,10 @@
 	APIKey string
 	// ResumeAfter is the id of the last event of a stream that the caller received.
 	ResumeAfter string
-	Model       string
+	// Resumes is the id of the attempt that brought the first event of that stream; empty if
+	// the request doesn't state it.
+	Resumes string
+	Model   string
 	// PromptTokens is the size of the prompt and OutputTokens the maximum size of
 	// the response.
 	PromptTokens, OutputTokens int
--- a/state/routes/target.go
+++ b/state/routes/target.go
@@ -18,7 +18,9 @@
 	Service       string
 	Address       string
 	DataCentre    string
-	Slots         int
+	// Version is the version of the process's software. Nothing orders versions.
+	Version string
+	Slots   int
 	// Leaving targets finish their requests and accept no new ones.
 	Leaving bool
 	// WarmupRemaining is how much longer the target is slow after its start.
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -19,6 +19,10 @@
 	RequestID string
 	Stage     string
 	Target    string
+	// Version is the software version of the target.
+	Version string
+	// Resumes is the id of the caller's attempt that began the stream.
+	Resumes   string
 	Peer      string
 	AttemptID string
 	// Digest identifies the content of a request; it is the same for repeats.
@@ -74,6 +78,8 @@
 	kv = appendText(kv, "request_id", e.RequestID)
 	kv = appendText(kv, "stage", e.Stage)
 	kv = appendText(kv, "target", e.Target)
+	kv = appendText(kv, "version", e.Version)
+	kv = appendText(kv, "resumes", e.Resumes)
 	kv = appendText(kv, "peer", e.Peer)
 	kv = appendText(kv, "attempt_id", e.AttemptID)
 	kv = appendText(kv, "digest", e.Digest)
