Keep a stream at the software version that began it, within one answer

Callers saw streams that a target broke off go on, in the same answer, at a target of another software version.

Cause: targets of one service were taken for interchangeable. The routing table and the queue's holder knew no version, so that the second attempt went to any other target.

Ruled out: a check of the chosen target at its send: refused choices would cost grants and time. A field of the prompt for the holder: messages are arrays of fixed length, so that it needs a method of its own, and earlier instances would not know it.

Change: a query names the version that is allowed, and each rule of the choice sees only such targets. Where the holder chooses, the targets of other versions are excluded in what it is asked; what it chooses is checked here as any other choice. A stream is bound once its caller has a part of it. Without another target of its version a broken stream ends at once, and a slow one is not given up for its silence.

Conclusion: holds within one answer.

--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -50,6 +50,8 @@
 	Model   string
 	Adapter string
 	Prefix  []PrefixPart
+	// Version is the only software version of the target that is allowed; empty for any.
+	Version string
 	// Exclude lists the incarnations that this stage was already sent to.
 	Exclude []string
 	// Rank is the tier's rank; 0 is the highest.
@@ -73,8 +75,11 @@
 	HomeShares map[string]float64
 }
 
-// Fits reports whether the target can serve the query's model and adapter.
+// Fits reports whether the target has the query's software version and can serve its model and adapter.
 func (t *Target) Fits(q *Query) bool {
+	if q.Version != "" && t.Version != q.Version {
+		return false
+	}
 	if q.Model != "" && len(t.Models) > 0 && !slices.Contains(t.Models, q.Model) {
 		return false
 	}
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -159,6 +159,7 @@
 	if len(whole) > 0 {
 		q.timings.recordEvent(time.Now())
 		q.sendEvents(reply, whole, controller)
+		q.bindStream()
 		q.lastEventID = events.LastID()
 	}
 	if before == 0 && events.Events() > 0 {
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -103,7 +104,7 @@
 
 func (q *request) targetQuery() routing.Query {
 	query := routing.Query{
-		Pool: q.service, Model: q.call.Model, Exclude: q.excluded, Rank: q.priority, Preferred: q.preferredEngine,
+		Pool: q.service, Model: q.call.Model, Version: q.streamVersion, Exclude: q.excluded, Rank: q.priority, Preferred: q.preferredEngine,
 	}
 	if q.route.PrefixCaching {
 		query.HomeKey = lastSharedPart(q.call.Prefix)
@@ -326,10 +327,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.framing = ""
+	q.updateContinuation()
 	deadline := q.deadline
 	silence := newSilenceTimer(q.firstByteTimeout(), func() bool {
 		// Without a retry, or without time for it, the cancelled request would certainly fail.
-		if time.Until(deadline) < minTimeElsewhere || !q.payForRetry() {
+		if time.Until(deadline) < minTimeElsewhere || !q.canContinueElsewhere() || !q.payForRetry() {
 			return false
 		}
 		cancel(errTargetSilent)
@@ -371,6 +373,32 @@
 	return q.forwardReply(ctx, reply, silence)
 }
 
+// bindStream restricts the stream, of which the caller now has a part, to targets of the same software
+// version.
+func (q *request) bindStream() {
+	if q.streamVersion == "" {
+		q.streamVersion = q.targetVersion
+		q.updateContinuation()
+	}
+}
+
+// updateContinuation sets the query for another target, if the stream has begun.
+func (q *request) updateContinuation() {
+	if q.streamVersion == "" {
+		return
+	}
+	query := q.targetQuery()
+	query.Exclude = append(slices.Clone(query.Exclude), q.target)
+	q.continuation.Store(&query)
+}
+
+// canContinueElsewhere reports whether another target may replace the present one. It is safe for
+// concurrent use.
+func (q *request) canContinueElsewhere() bool {
+	query := q.continuation.Load()
+	return query == nil || q.relay.options.Router.Serves(query)
+}
+
 // usable reports whether a target may receive new work.
 func (s *Relay) usable(incarnation string) bool {
 	return s.options.Usable == nil || s.options.Usable(incarnation)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -193,6 +193,11 @@
 	lastEventID string
 	// notResumable is true if the caller has later events without an ID.
 	notResumable bool
+	// streamVersion is the software version of the targets of the caller's stream, empty until the
+	// stream has begun. What two versions write doesn't fit together.
+	streamVersion string
+	// continuation is the query for another target of a stream that has begun; nil before.
+	continuation atomic.Pointer[routing.Query]
 	// sources counts the targets whose events the caller has.
 	sources int
 	// framing is how the latest target marks the end of its reply.
--- a/daemon/relay/results.go
+++ b/daemon/relay/results.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
@@ -13,6 +14,9 @@
 		return placing.Prompt{}
 	}
 	p := placing.Prompt{Pool: q.service, Tokens: clampTokens(q.call.PromptTokens), Exclude: q.excluded}
+	if q.streamVersion != "" {
+		p.Exclude = slices.Concat(p.Exclude, q.relay.options.Router.OtherVersions(q.service, q.streamVersion))
+	}
 	for _, part := range q.call.Prefix {
 		p.Parts = append(p.Parts, placing.Part{ID: part.ID, Tokens: clampTokens(part.Tokens)})
 	}
