Send a stream that has begun to an ejected target if its version has no other

Callers of services whose sends need grants were refused with no_target while all targets of their stream's version were ejected, though such a target could serve.

Cause: where a send is granted, an ejected target is passed over and another grant asked for; the ejection floor, which keeps one target routable, holds for choices without grants alone. With one version only, others were nearly always left.

Change: the granted target is taken if no target of the query's version is left that isn't ejected. Queries without a version are chosen for as before.

Other granted sends still have no floor.

--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -91,7 +91,7 @@
 
 // choose applies the rules in order: the only candidate, a due probe, the removal of
 // ejected targets down to the ejection floor, then the rules of byRule. It returns nil only for a
-// granted target that is ejected.
+// granted target that is ejected while another one isn't, or while the query has no version.
 func (p *pick) choose() (*candidate, Reason) {
 	if p.query.Only != "" {
 		return p.granted()
@@ -115,14 +115,14 @@
 	return c, reason
 }
 
-// granted returns the only candidate, to which a send was granted, or nil if it is ejected and
-// may not be probed.
+// granted returns the only candidate, to which a send was granted, or nil if it is ejected, may not be
+// probed and isn't the last of its version.
 func (p *pick) granted() (*candidate, Reason) {
 	if !p.table.config.disabled(MechanismEjection) {
 		if probe := p.probe(); probe != nil {
 			return probe, ReasonProbe
 		}
-		if p.candidates[0].ejection != notEjected {
+		if p.candidates[0].ejection != notEjected && !p.isLastOfVersion() {
 			return nil, ReasonPreferred
 		}
 	}
@@ -130,6 +130,20 @@
 	return p.candidates[0], ReasonPreferred
 }
 
+// isLastOfVersion reports whether the query has a version of which all targets are ejected: the stream
+// that has begun there can't go on elsewhere.
+func (p *pick) isLastOfVersion() bool {
+	if p.query.Version == "" {
+		return false
+	}
+	for _, target := range p.pool.targets {
+		if !target.leaving && target.Fits(p.query) && !slices.Contains(p.query.Exclude, target.Incarnation) && target.health.ejectionState(p.now) == notEjected {
+			return false
+		}
+	}
+	return true
+}
+
 // byRule applies the rules that follow the handling of ejections in order: the preferred
 // target, the home, affinity, load.
 func (p *pick) byRule() (*candidate, Reason) {
--- a/coordination/routing/version_test.go
+++ b/coordination/routing/version_test.go
@@ -29,7 +29,8 @@
 		"by home":      {HomeKey: "k"},
 		"by prefix":    {Prefix: []PrefixPart{{ID: "p", Tokens: 100}}},
 		"preferred":    {Preferred: "c"},
-		"granted":      {Only: "c"},
+		"granted":      {Only: "a"},
+		"not granted":  {Only: "c"},
 		"one excluded": {Exclude: []string{"a"}},
 		"all excluded": {Exclude: []string{"a", "b"}},
 	}
@@ -43,7 +44,7 @@
 					require.Equal(t, "v1", choice.Target.Version)
 					continue
 				}
-				require.Contains(t, []string{"granted", "all excluded"}, name)
+				require.Contains(t, []string{"not granted", "all excluded"}, name)
 			}
 		})
 	}
