Take a stream up at the software version that began it, at any instance

Callers saw streams that they took up at another instance go on at a target of another software version.

Cause: a stream outlives the instance that decided its version, and only that instance knew it. Resumes, in which the caller names the attempt that began the stream, was read nowhere.

Ruled out: the version as a function of the request's id and of shares that change seldom: it would outlive the loss of all instances, but each stream that has to begin against it needs a record all the same, whose loss would then be a wrong version and not an unknown one, and new streams lose the choice of target. Asking all peers only: a killed instance's streams are unknown. Writes to the store by stream: priced calls. Waiting for a keeper's acknowledgement before the first event: a lost record is a refusal, not a second version.

Change: with the first event the id, service and version go to three other instances, by rendezvous hash over data centres, if the service has or had several versions within a minute (coordination/resumption, daemon/streams). They are sent on when members change, when a second version appears, and at a planned stop. Whoever a caller comes back to asks them. Without a record the version is known only if the service has had one version for the lifetime of a stream; else the stream is refused at once, with stream_unknown. A note of each rollout in the store (kind rollouts, written by the first watcher) tells that to instances that start after the loss of all others. Route, retry, grants and stages as before, with the version as a part of what is asked for.

Guards seen failing their tests when removed: three keepers, records sent on, the complete history, notes, their ranks, old knowledge, what others answer, the handover at a stop.

Conclusion: no stream of two versions in these tests. After the loss of an instance and of all three keepers a stream is refused while several versions serve.

--- /dev/null
+++ b/coordination/resumption/resumption_test.go
@@ -0,0 +1,178 @@
+package resumption
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	v1    = Origin{"engine", "v1"}
+	v2    = Origin{"engine", "v2"}
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// Guards against a table that grows without bound, forgets renewed records or keeps old ones.
+func TestTableKeepsRecordsForTheirLifetime(t *testing.T) {
+	table := NewTable(3)
+	table.Put(at(0), Record{ID: "a", Origin: v1})
+	table.Put(at(Lifetime/2), Record{ID: "b", Origin: v1})
+	table.Put(at(Lifetime/2), Record{ID: "a", Origin: v1})
+	_, found := table.Get(at(Lifetime), "a")
+	require.True(t, found, "renewed")
+	table.Put(at(Lifetime), Record{ID: "c", Origin: v1})
+	require.Equal(t, 3, table.Len())
+	table.Put(at(Lifetime), Record{ID: "d", Origin: v1})
+	require.Equal(t, 3, table.Len())
+	_, found = table.Get(at(Lifetime), "b")
+	require.False(t, found, "the oldest is dropped")
+	_, found = table.Get(at(Lifetime*3/2), "a")
+	require.False(t, found)
+	require.Empty(t, table.All(at(Lifetime*2)))
+	require.Zero(t, table.Len())
+}
+
+// Guards against two streams under one id of which the second takes the version of the first.
+func TestContradictingRecordsAreAmbiguous(t *testing.T) {
+	table := NewTable(10)
+	table.Put(at(0), Record{ID: "a", Origin: v1})
+	table.Put(at(0), Record{ID: "a", Origin: v2})
+	table.Put(at(0), Record{ID: "a", Origin: v1})
+	r, found := table.Get(at(0), "a")
+	require.True(t, found)
+	require.True(t, r.Ambiguous)
+}
+
+func present(versions ...string) map[string][]string { return map[string][]string{"engine": versions} }
+
+// Guards against a version that is taken for the only one although another one may have begun streams.
+func TestSoleVersion(t *testing.T) {
+	cases := map[string]struct {
+		play func(h *History)
+		at   time.Duration
+		sole string
+	}{
+		"just started":           {func(h *History) { h.SetPresent(at(0), present("v1")) }, time.Second, ""},
+		"known for long":         {func(h *History) { h.SetPresent(at(0), present("v1")) }, Lifetime, "v1"},
+		"just started, no notes": {func(h *History) { h.SetPresent(at(0), present("v1")); h.Complete(at(0)) }, time.Second, "v1"},
+		"two":                    {func(h *History) { h.SetPresent(at(0), present("v1", "v2")) }, Lifetime, ""},
+		"replaced a moment ago":  {func(h *History) { h.SetPresent(at(0), present("v1")); h.SetPresent(at(Lifetime), present("v2")) }, 2*Lifetime - 1, ""},
+		"replaced long ago":      {func(h *History) { h.SetPresent(at(0), present("v1")); h.SetPresent(at(Lifetime), present("v2")) }, 2 * Lifetime, "v2"},
+		"comes back": {func(h *History) {
+			h.SetPresent(at(0), present("v1"))
+			h.SetPresent(at(1), present("v2"))
+			h.SetPresent(at(2), present("v1"))
+		}, Lifetime, ""},
+		"no target for a moment": {func(h *History) {
+			h.SetPresent(at(0), present("v1"))
+			h.SetPresent(at(1), nil)
+			h.SetPresent(at(2), present("v2"))
+		}, Lifetime, ""},
+		"noted by others": {func(h *History) { h.SetPresent(at(0), present("v2")); h.SetNoted("engine", []string{"v1", "v2"}) }, Lifetime, ""},
+		"note taken back": {func(h *History) {
+			h.SetPresent(at(0), present("v2"))
+			h.SetNoted("engine", []string{"v1", "v2"})
+			h.SetNoted("engine", nil)
+		}, Lifetime, "v2"},
+		"a service without target": {func(h *History) { h.SetPresent(at(0), nil) }, Lifetime, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := NewHistory(start)
+			c.play(h)
+			require.Equal(t, c.sole, h.Sole(at(c.at), "engine"))
+		})
+	}
+}
+
+// Guards against an instance that has just started and takes the note of a rollout back that it hasn't seen.
+func TestNoteOfAnotherInstanceStays(t *testing.T) {
+	h := NewHistory(start)
+	h.SetPresent(start, present("v2"))
+	h.SetNoted("engine", []string{"v1", "v2"})
+	require.Equal(t, []string{"v1", "v2"}, h.Note(at(Lifetime-1), start, "engine"))
+	require.Nil(t, h.Note(at(Lifetime), start, "engine"))
+	h.SetPresent(at(Lifetime), present("v2", "v3"))
+	require.Equal(t, []string{"v2", "v3"}, h.Note(at(Lifetime), start, "engine"))
+}
+
+// Guards against a version that is the only one by a history in which another one was present within the
+// lifetime of a stream.
+func TestSoleVersionIsTheOnlyOneOfTheLifetime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHistory(start)
+		versions := []string{"v1", "v2", "v3"}
+		lastPresent := map[string]time.Duration{}
+		now := time.Duration(0)
+		current := map[string]bool{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			for v := range current {
+				lastPresent[v] = now
+			}
+			clear(current)
+			for _, v := range rapid.SliceOfN(rapid.SampledFrom(versions), 0, 3).Draw(t, "present") {
+				current[v], lastPresent[v] = true, now
+			}
+			list := []string{}
+			for v := range current {
+				list = append(list, v)
+			}
+			h.SetPresent(at(now), present(list...))
+			now += time.Duration(rapid.Int64Range(0, int64(Lifetime)).Draw(t, "pause"))
+			for v := range current {
+				lastPresent[v] = now
+			}
+			if sole := h.Sole(at(now), "engine"); sole != "" {
+				for v, last := range lastPresent {
+					if v != sole && now-last < Lifetime {
+						t.Fatalf("%s counts as the only one though %s was present %v ago", sole, v, now-last)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a version that is guessed.
+func TestLocate(t *testing.T) {
+	record := func(o Origin) Answer { return Answer{Found: true, Record: Record{ID: "a", Origin: o}, Several: true} }
+	ambiguous := Answer{Found: true, Record: Record{ID: "a", Ambiguous: true}}
+	several, sole, nothing := Answer{Several: true}, Answer{Sole: "v1"}, Answer{}
+	cases := map[string]struct {
+		own     Answer
+		stale   bool
+		answers []Answer
+		origin  Origin
+		why     Reason
+	}{
+		"record here":                         {record(v2), false, nil, v2, ReasonRecord},
+		"record there":                        {several, false, []Answer{nothing, record(v2)}, v2, ReasonRecord},
+		"record of another service":           {sole, false, []Answer{record(Origin{"other", "v9"})}, Origin{"other", "v9"}, ReasonRecord},
+		"record against the only version":     {sole, false, []Answer{record(v2)}, v2, ReasonRecord},
+		"records that differ":                 {nothing, false, []Answer{record(v1), record(v2)}, Origin{}, ReasonAmbiguous},
+		"ambiguous record":                    {sole, false, []Answer{ambiguous}, Origin{}, ReasonAmbiguous},
+		"one version":                         {sole, false, nil, v1, ReasonSole},
+		"one version, as another one says":    {nothing, false, []Answer{sole}, v1, ReasonSole},
+		"one version, stale, nobody answers":  {sole, true, nil, Origin{}, ReasonUnsure},
+		"one version, stale, one answers":     {sole, true, []Answer{nothing}, v1, ReasonSole},
+		"one version here, several elsewhere": {sole, false, []Answer{several}, Origin{}, ReasonNoRecord},
+		"different only versions":             {sole, false, []Answer{{Sole: "v2"}}, Origin{}, ReasonNoRecord},
+		"several versions":                    {several, false, []Answer{nothing}, Origin{}, ReasonNoRecord},
+		"nobody knows":                        {nothing, false, []Answer{nothing}, Origin{}, ReasonUnsure},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			origin, why, ok := Locate("engine", c.own, !c.stale, c.answers)
+			require.Equal(t, c.why, why)
+			require.Equal(t, c.origin != (Origin{}), ok, fmt.Sprint(origin))
+			if ok {
+				require.Equal(t, c.origin, origin)
+			}
+		})
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/ivyhollow/ivyhollow/daemon/relay"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
+	"github.com/ivyhollow/ivyhollow/daemon/streams"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/settings"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
@@ -96,7 +97,9 @@
 	// blocklist blocks the requests that crash their targets.
 	blocklist *blocklist.Blocklist
 	// limits are the limits that targets name.
-	limits    *limits.Limits
+	limits *limits.Limits
+	// streams knows where streams began that callers take up again.
+	streams   *streams.Directory
 	registrar *register.Registrar
 
 	callers  net.Listener
@@ -174,6 +177,9 @@
 	g.stages.OnResponse(g.limits.Observe)
 	g.stages.AwaitLimits(g.limits.AwaitFrom)
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
+	g.streams = streams.New(streams.Options{
+		Cluster: g.cluster, Store: store, Gossip: g.cluster.Put, Rank: fleet{g}.Rank, KnowledgeAge: g.follower.TargetsAge, Scope: t.Scope,
+	})
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
 		Table:        g.follower.Table,
@@ -185,6 +191,7 @@
 		Client:       g.client,
 		TargetShares: g.dataCentreShares,
 		Stages:       g.stages,
+		Streams:      g.streams,
 		Paced:        g.stages.Paced,
 		Budgets:      retrybudget.New(g.retryConfig()),
 		Blocklist:    g.blocklist,
@@ -277,11 +284,14 @@
 
 // receiveRecord passes a record that is new to its receiver.
 func (g *Gateway) receiveRecord(r spread.Record) {
-	if r.Kind == limits.RecordKind {
+	switch r.Kind {
+	case limits.RecordKind:
 		g.limits.Receive(r)
-		return
+	case streams.RecordKind:
+		g.streams.Receive(r)
+	default:
+		g.follower.Receive(r)
 	}
-	g.follower.Receive(r)
 }
 
 // setTargets passes the usable targets on to the router and to the stages.
@@ -309,6 +319,7 @@
 		}
 	}
 	g.stages.SetTargets(now, table, usable)
+	g.streams.SetTargets(now, table, usable)
 	g.limits.Forget(func(incarnation string) bool { return incarnations[incarnation] })
 	g.usedNames.Store(&names)
 	g.shares.Store(&shares)
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -32,6 +32,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// leaveTimeout limits the notification of the other instances.
 	leaveTimeout = time.Second
+	// recordsTimeout limits the passing on of the records of streams.
+	recordsTimeout = 300 * time.Millisecond
 )
 
 // Run runs the instance until ctx ends, then does a planned stop: it reports not
@@ -52,7 +54,7 @@
 	}
 	group.Add(g.cluster.Execute, g.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
-		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.client.Run, g.closeIdleConnections,
+		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.streams.Run, g.client.Run, g.closeIdleConnections,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
@@ -86,6 +88,10 @@
 	if err := g.cluster.Leave(leave); err != nil {
 		telemetry.ErrorS(err, "The other instances were not all told of the stop", telemetry.Event{})
 	}
+	// Only now do the others no longer have this instance keep their records.
+	handover, cancelHandover := context.WithTimeout(context.Background(), recordsTimeout)
+	defer cancelHandover()
+	g.streams.Handover(handover)
 	g.finish(callers, noticed, deadline)
 	telemetry.InfoS("Instance stopped", telemetry.Event{Count: g.relay.InFlight(), Elapsed: time.Since(start)})
 	return context.Canceled
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -138,6 +138,7 @@
 			if !q.headerSent {
 				q.sendHead(reply.Status, reply.Header, -1)
 			}
+			q.endStream()
 			q.logEnd(reply.Status)
 			return routing.OutcomeOK, nil
 		}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -373,32 +372,6 @@
 	return q.forwardReply(ctx, reply, silence)
 }
 
-// bindStream restricts the stream, of which the caller now has a part, to targets of the same software
-// version.
-func (q *request) bindStream() {
-	if q.streamVersion == "" {
-		q.streamVersion = q.targetVersion
-		q.updateContinuation()
-	}
-}
-
-// updateContinuation sets the query for another target, if the stream has begun.
-func (q *request) updateContinuation() {
-	if q.streamVersion == "" {
-		return
-	}
-	query := q.targetQuery()
-	query.Exclude = append(slices.Clone(query.Exclude), q.target)
-	q.continuation.Store(&query)
-}
-
-// canContinueElsewhere reports whether another target may replace the present one. It is safe for
-// concurrent use.
-func (q *request) canContinueElsewhere() bool {
-	query := q.continuation.Load()
-	return query == nil || q.relay.options.Router.Serves(query)
-}
-
 // usable reports whether a target may receive new work.
 func (s *Relay) usable(incarnation string) bool {
 	return s.options.Usable == nil || s.options.Usable(incarnation)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -22,10 +22,12 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/coordination/resumption"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/retrybudget"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
+	"github.com/ivyhollow/ivyhollow/daemon/streams"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
@@ -43,6 +45,16 @@
 	ShortenDeadlines(until time.Time, ids ...string)
 }
 
+// Streams knows where streams began. *streams.Directory implements it.
+type Streams interface {
+	// Began records that the caller has the first event of a stream. It doesn't wait.
+	Began(id string, origin resumption.Origin)
+	// Ended records that a stream has ended well.
+	Ended(id string)
+	// Find finds out where a stream of a service began. id is empty if the caller doesn't name the stream.
+	Find(ctx context.Context, service, id string) streams.Location
+}
+
 // Options are the dependencies of a Relay.
 type Options struct {
 	Dialect exchange.Dialect
@@ -66,6 +78,8 @@
 	// TargetShares returns, by data centre, the share of a service's targets.
 	TargetShares func(service string) map[string]float64
 	Stages       StageRunner
+	// Streams knows where streams began that callers take up again.
+	Streams Streams
 	// Paced reports whether sends to the targets of a service need grants; nil if none do.
 	Paced   func(service string) bool
 	Budgets *retrybudget.Budgets
@@ -196,6 +210,8 @@
 	// streamVersion is the software version of the targets of the caller's stream, empty until the
 	// stream has begun. What two versions write doesn't fit together.
 	streamVersion string
+	// streamBound is true once the caller has a part of the stream from this request.
+	streamBound bool
 	// continuation is the query for another target of a stream that has begun; nil before.
 	continuation atomic.Pointer[routing.Query]
 	// sources counts the targets whose events the caller has.
@@ -401,6 +417,9 @@
 // run serves the request until its final response.
 func (q *request) run(ctx context.Context) {
 	q.service = pickService(q.route.TrafficSplit)
+	if !q.locateStream(ctx) {
+		return
+	}
 	for {
 		retry, err := q.attempt(ctx)
 		if !retry {
--- /dev/null
+++ b/daemon/streams/directory.go
@@ -0,0 +1,245 @@
+// Package streams finds out at which software version of its targets a stream goes on that its caller
+// takes up again, at any instance. It keeps the records of streams at a few instances each, and a note of
+// each rollout in the platform's store.
+package streams
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/resumption"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+)
+
+const (
+	// copies is the number of other instances that keep the record of a stream.
+	copies = 3
+	// maxAsked limits the instances that are asked for a record while a service has several versions.
+	// It is larger than copies, since the instances that have it may have lost their rank to others.
+	maxAsked = 12
+	// maxRecords limits the records that an instance keeps, of its own streams and of others.
+	maxRecords = 1 << 16
+	// maxSending limits the records that are being sent.
+	maxSending = 256
+	// tickInterval is the interval at which records are sent to instances that lack them, and notes are
+	// compared with what is known.
+	tickInterval = 500 * time.Millisecond
+	// currentAge is the age up to which this instance's knowledge of the targets counts as current.
+	currentAge = 2 * time.Second
+)
+
+// Cluster connects the instances.
+type Cluster interface {
+	View() *membership.View
+	Owners(key string, n int) []membership.Member
+	// AwaitPeer waits until another instance is known, or the context ends. It returns at once if
+	// there is none.
+	AwaitPeer(ctx context.Context)
+	Handle(method string, h peer.Handler, opts ...peer.HandleOption)
+	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
+}
+
+// Store is the part of the platform's store that a Directory uses. platform.Store implements it.
+type Store interface {
+	List(ctx context.Context, kind string) (platformapi.List, error)
+	Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
+	Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+}
+
+// Options are the dependencies of a Directory.
+type Options struct {
+	Cluster Cluster
+	Store   Store
+	// Gossip disseminates a record to the other instances.
+	Gossip func(r spread.Record)
+	// Rank is this instance's position among those that write for the fleet; negative if it doesn't.
+	Rank func() int
+	// KnowledgeAge returns the age of this instance's knowledge of the targets.
+	KnowledgeAge func() time.Duration
+	Scope        tally.Scope
+}
+
+// Directory knows where streams began.
+type Directory struct {
+	options Options
+	started time.Time
+	metrics metrics
+	sending chan struct{}
+
+	mu      sync.Mutex
+	history *resumption.History
+	table   *resumption.Table
+	// own are the streams of this instance that haven't ended well, by id.
+	own map[string]*ownStream
+	// changed is true if records may have to be sent to other instances since the last tick.
+	changed bool
+	view    *membership.View
+	notes   notes
+}
+
+// ownStream is a stream that this instance serves, or served in part.
+type ownStream struct {
+	origin resumption.Origin
+	began  time.Time
+	// sentTo holds the instances that have the record, or are being sent it.
+	sentTo map[holder]bool
+}
+
+// holder is one run of an instance.
+type holder struct {
+	name        string
+	incarnation uint64
+}
+
+// New returns a Directory and registers the methods that other instances call.
+func New(o Options) *Directory {
+	now := time.Now()
+	d := &Directory{
+		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending),
+		history: resumption.NewHistory(now), table: resumption.NewTable(maxRecords),
+		own: map[string]*ownStream{}, notes: newNotes(),
+	}
+	o.Cluster.Handle(methodKeep, d.handleKeep, peer.Idempotent())
+	o.Cluster.Handle(methodFind, d.handleFind, peer.Idempotent())
+	return d
+}
+
+// Run keeps records and notes up to date until the context ends.
+func (d *Directory) Run(ctx context.Context) error {
+	go d.followNotes(ctx)
+	every(ctx, tickInterval, d.sendAllMissing)
+	return nil
+}
+
+// every calls f at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
+
+// SetTargets replaces the targets that may receive new work. Only services whose streams may be taken up
+// again are followed.
+func (d *Directory) SetTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
+	present := map[string][]string{}
+	for _, service := range table.ResumableServices() {
+		present[service] = versionsOf(usable[service])
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changed = d.history.SetPresent(now, present) || d.changed
+}
+
+func versionsOf(targets []routes.Target) []string {
+	var versions []string
+	for _, t := range targets {
+		if !slices.Contains(versions, t.Version) {
+			versions = append(versions, t.Version)
+		}
+	}
+	return versions
+}
+
+// Began records that the caller has the first event of a stream. It doesn't wait.
+func (d *Directory) Began(id string, origin resumption.Origin) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Put(now, resumption.Record{ID: id, Origin: origin})
+	if d.own[id] == nil && len(d.own) < maxRecords {
+		d.own[id] = &ownStream{origin: origin, began: now, sentTo: map[holder]bool{}}
+	}
+	if d.history.Several(now, origin.Service) {
+		d.sendMissing(id)
+	}
+}
+
+// Ended records that a stream has ended well, so that its record need not be kept up to date.
+func (d *Directory) Ended(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.own, id)
+}
+
+// sendAllMissing sends the records of this instance's streams to those that are to keep them and lack
+// them: the instances may have changed, or a service may have got a second version.
+func (d *Directory) sendAllMissing(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.metrics.records.Update(float64(d.table.Len()))
+	view := d.options.Cluster.View()
+	if !d.changed && view == d.view {
+		return
+	}
+	d.changed, d.view = false, view
+	for id, s := range d.own {
+		switch {
+		case now.Sub(s.began) >= resumption.Lifetime:
+			delete(d.own, id)
+		case d.history.Several(now, s.origin.Service):
+			d.sendMissing(id)
+		}
+	}
+}
+
+// sendMissing sends the record of an own stream to the instances that are to keep it and lack it. mu must
+// be held.
+func (d *Directory) sendMissing(id string) {
+	s := d.own[id]
+	if s == nil {
+		return
+	}
+	for _, m := range d.keepers(id, copies) {
+		to := holder{m.Name, m.Incarnation}
+		if s.sentTo[to] {
+			continue
+		}
+		select {
+		case d.sending <- struct{}{}:
+		default:
+			d.changed = true // too many at once, the next tick sends it
+			return
+		}
+		s.sentTo[to] = true
+		go d.send(m, to, id, s.origin)
+	}
+}
+
+// send sends one record.
+func (d *Directory) send(m membership.Member, to holder, id string, origin resumption.Origin) {
+	defer func() { <-d.sending }()
+	err := d.keepAt(context.Background(), m, []recordMessage{newRecordMessage(resumption.Record{ID: id, Origin: origin})})
+	if err == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.own[id]; s != nil {
+		delete(s.sentTo, to)
+		d.changed = true
+	}
+}
+
+// keepers returns the other instances that keep the record of a stream, the first n.
+func (d *Directory) keepers(id string, n int) []membership.Member {
+	self := d.options.Cluster.View().Self
+	owners := d.options.Cluster.Owners(id, n+1)
+	owners = slices.DeleteFunc(owners, func(m membership.Member) bool { return m.Name == self })
+	return owners[:min(len(owners), n)]
+}
--- /dev/null
+++ b/daemon/streams/fleet_test.go
@@ -0,0 +1,301 @@
+package streams
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ivyhollow/ivyhollow/coordination/membership"
+	"github.com/ivyhollow/ivyhollow/coordination/resumption"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+	"github.com/ivyhollow/ivyhollow/transport/peer"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// fleet is a number of directories in virtual time, connected to one another and to a store.
+type fleet struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	// notes are the objects in the store, by name; down makes its calls fail.
+	notes    map[string]platformapi.Object
+	revision uint64
+	down     atomic.Bool
+	calls    int
+	writes   int
+	// present are the versions of the targets.
+	present []string
+	runs    sync.WaitGroup
+}
+
+// node is an instance: its directory and its connections.
+type node struct {
+	*Directory
+	fleet    *fleet
+	member   membership.Member
+	handlers map[string]peer.Handler
+	// cut makes the node unreachable, frozen makes it answer nothing.
+	cut, frozen atomic.Bool
+	// old makes the node one of a version without the methods.
+	old   atomic.Bool
+	stale atomic.Bool
+	// view is the latest view, as it is replaced only when it changes.
+	view *membership.View
+	stop context.CancelFunc
+}
+
+func runFleet(t *testing.T, instances int, play func(f *fleet)) {
+	synctest.Test(t, func(*testing.T) {
+		f := &fleet{nodes: map[string]*node{}, notes: map[string]platformapi.Object{}, present: []string{"v1"}}
+		for n := range instances {
+			f.start(fmt.Sprint("instance-", n))
+		}
+		time.Sleep(time.Second)
+		play(f)
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		f.runs.Wait()
+	})
+}
+
+// start starts an instance, or starts it again.
+func (f *fleet) start(name string) *node {
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{
+		fleet: f, handlers: map[string]peer.Handler{}, stop: stop,
+		member: membership.Member{Name: name, Address: name, DataCentre: "dc-" + name[len(name)-1:], Incarnation: uint64(time.Now().UnixNano())},
+	}
+	n.Directory = New(Options{
+		Cluster: n, Store: f, Gossip: f.gossip, Rank: func() int { return f.rank(name) },
+		KnowledgeAge: func() time.Duration {
+			if n.stale.Load() {
+				return time.Minute
+			}
+			return 0
+		},
+		Scope: tally.NoopScope,
+	})
+	n.list(f.present)
+	f.mu.Lock()
+	f.nodes[name] = n
+	f.mu.Unlock()
+	f.changeViews()
+	f.runs.Go(func() { _ = n.Run(ctx) })
+	return n
+}
+
+// kill ends instances.
+func (f *fleet) kill(names ...string) {
+	f.mu.Lock()
+	for _, name := range names {
+		f.nodes[name].stop()
+		delete(f.nodes, name)
+	}
+	f.mu.Unlock()
+	f.changeViews()
+}
+
+// killAll ends all instances and starts one.
+func (f *fleet) killAll() *node {
+	f.mu.Lock()
+	var names []string
+	for name := range f.nodes {
+		names = append(names, name)
+	}
+	f.mu.Unlock()
+	f.kill(names...)
+	return f.start("instance-0")
+}
+
+func (f *fleet) changeViews() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var members []membership.Member
+	for _, n := range f.nodes {
+		members = append(members, n.member)
+	}
+	for name, n := range f.nodes {
+		n.view = membership.NewView(1, name, members)
+	}
+}
+
+func (f *fleet) rank(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for other := range f.nodes {
+		names = append(names, other)
+	}
+	slices.Sort(names)
+	return slices.Index(names, name)
+}
+
+func (f *fleet) gossip(r spread.Record) {
+	f.mu.Lock()
+	nodes := []*node{}
+	for _, n := range f.nodes {
+		if !n.cut.Load() && !n.frozen.Load() {
+			nodes = append(nodes, n)
+		}
+	}
+	f.mu.Unlock()
+	for _, n := range nodes {
+		n.Receive(r)
+	}
+}
+
+var table = routes.Build(routes.Table{}, []*routes.Route{{
+	Kind: routes.KindStreaming, Resumable: true, TrafficSplit: []routes.WeightedService{{Service: "engine", Weight: 1}},
+}}, nil)
+
+// deploy sets the versions of the targets, as all instances see them.
+func (f *fleet) deploy(versions ...string) {
+	f.present = versions
+	for _, n := range f.nodes {
+		n.list(versions)
+	}
+}
+
+// list sets the versions of the targets, as one instance sees them.
+func (n *node) list(versions []string) {
+	var targets []routes.Target
+	for _, v := range versions {
+		targets = append(targets, routes.Target{Name: "target-" + v, Service: "engine", Version: v})
+	}
+	n.SetTargets(time.Now(), table, map[string][]routes.Target{"engine": targets})
+}
+
+func (n *node) node(address string) *node {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.nodes[address]
+}
+
+func (n *node) View() *membership.View {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.view
+}
+
+func (n *node) Owners(key string, count int) []membership.Member {
+	return membership.Owners(n.View(), key, count)
+}
+
+func (n *node) AwaitPeer(context.Context) {}
+
+func (n *node) Handle(method string, h peer.Handler, _ ...peer.HandleOption) { n.handlers[method] = h }
+
+func (n *node) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
+	n.fleet.mu.Lock()
+	n.fleet.calls++
+	n.fleet.mu.Unlock()
+	other := n.node(address)
+	switch {
+	case other == nil || other.cut.Load() || n.cut.Load():
+		return nil, errors.New("unreachable")
+	case other.frozen.Load():
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case other.old.Load():
+		return nil, peer.ErrNoMethod
+	}
+	return other.handlers[method](ctx, peer.Peer{}, body)
+}
+
+var errDown = errors.New("the store is down")
+
+func (f *fleet) List(context.Context, string) (platformapi.List, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down.Load() {
+		return platformapi.List{}, errDown
+	}
+	var list platformapi.List
+	for _, o := range f.notes {
+		list.Items = append(list.Items, o)
+	}
+	return list, nil
+}
+
+func (f *fleet) Create(ctx context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	f.mu.Lock()
+	_, exists := f.notes[o.Metadata.Name]
+	f.mu.Unlock()
+	if exists {
+		return nil, &platform.ConflictError{}
+	}
+	return f.Update(ctx, kind, o)
+}
+
+func (f *fleet) Update(_ context.Context, _ string, o platformapi.Object) (*platformapi.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down.Load() {
+		return nil, errDown
+	}
+	f.revision++
+	f.writes++
+	o.Metadata.Revision = f.revision
+	f.notes[o.Metadata.Name] = o
+	return &o, nil
+}
+
+func (f *fleet) Delete(_ context.Context, _, name string, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down.Load() {
+		return errDown
+	}
+	f.revision++
+	f.writes++
+	delete(f.notes, name)
+	return nil
+}
+
+// begin has an instance begin streams and returns their ids.
+func (f *fleet) begin(n *node, version string, count int) []string {
+	var ids []string
+	for i := range count {
+		id := fmt.Sprintf("%s-%d-%d", n.member.Name, time.Now().UnixNano(), i)
+		n.Began(id, resumption.Origin{Service: "engine", Version: version})
+		ids = append(ids, id)
+	}
+	synctest.Wait()
+	return ids
+}
+
+// taken counts, of streams that are taken up at an instance, those that go on at a version, at another one
+// and those that are unknown.
+func taken(n *node, ids []string, version string) (right, wrong, unknown int) {
+	for _, id := range ids {
+		switch l := n.Find(context.Background(), "engine", id); {
+		case !l.Known:
+			unknown++
+		case l.Origin.Version == version:
+			right++
+		default:
+			wrong++
+		}
+	}
+	return right, wrong, unknown
+}
+
+// settle waits for what is in progress and returns the notes in the store and the number of their
+// writes.
+func (f *fleet) settle() (notes map[string]platformapi.Object, writes int) {
+	synctest.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.notes), f.writes
+}
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -25,6 +25,9 @@
 	KindDigests   = "digests"
 	// KindOrders holds one object per pool with a desired state.
 	KindOrders = "orders"
+	// KindRollouts has one object per service whose targets have several software versions, or had
+	// within the time in which a stream may be taken up again.
+	KindRollouts = "rollouts"
 )
 
 // RecordKinds are the kinds that operators write.
@@ -182,3 +185,9 @@
 	// empty if the state of the target could not be read.
 	Lacks []string `json:"lacks,omitempty"`
 }
+
+// RolloutEntry is the spec of an object of KindRollouts, whose name is the service.
+type RolloutEntry struct {
+	// Versions are the software versions, sorted.
+	Versions []string `json:"versions"`
+}
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -6,6 +6,7 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -38,7 +39,9 @@
 	// must carry the key of one unless their route is anonymous.
 	RequiresKeys bool
 
-	byHost            map[string][]*Route
+	byHost map[string][]*Route
+	// resumable has the services of resumable streams.
+	resumable         []string
 	accountsByKeyHash map[[sha256.Size]byte]*Account
 }
 
@@ -167,6 +170,7 @@
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	t.resumable = resumableServices(all)
 	t.accountsByKeyHash = make(map[[sha256.Size]byte]*Account, len(keys))
 	for key, account := range keys {
 		t.accountsByKeyHash[sha256.Sum256([]byte(key))] = account
@@ -174,6 +178,23 @@
 	return &t
 }
 
+func resumableServices(all []*Route) []string {
+	services := map[string]bool{}
+	for _, r := range all {
+		if r.Kind != KindStreaming || !r.Resumable {
+			continue
+		}
+		for _, s := range r.TrafficSplit {
+			services[s.Service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
+// ResumableServices returns the services of resumable streams, sorted. The caller must not modify the
+// slice.
+func (t *Table) ResumableServices() []string { return t.resumable }
+
 // Match returns the route of a host with the longest Prefix that path begins
 // with.
 func (t *Table) Match(host, path string) (*Route, bool) {
