Roll out software versions of engines in the soak

Change: a mode of the soak with engines of up to four versions side by side, rollouts of some or all of them, versions that come back, callers that leave in the middle and take streams up at other instances, beside kills of one, half or all instances, planned stops, pauses, cuts and faults of engines. Events state their version. It checks that no stream has events of two versions, and that streams taken up at instances in touch go on at least half as often as new ones begin. A path whose target has left need not heal; a caller that left isn't counted as unserved.

--- a/testkit/soak/callers.go
+++ b/testkit/soak/callers.go
@@ -43,11 +43,16 @@
 	// resumedAfter is the last event that the caller had when it resumed the stream; 0 for a
 	// new stream.
 	resumedAfter int
+	// stream is the id of the attempt that brought the first event of the stream that is resumed; empty if the
+	// caller doesn't name it.
+	stream string
 	// instance is the name of the instance that got the request, began when it was sent.
 	instance string
 	began    time.Time
 	status   int
 	body     string
+	// left is true if the caller left before the end of the response.
+	left bool
 	// complete reports whether the response ended without an error.
 	complete bool
 	ended    time.Time
@@ -135,15 +140,18 @@
 	}
 }
 
-func (c *caller) send(a *callResult, in *instance) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+in.callerAddress+a.path, strings.NewReader(a.requestBody()))
+func (c *caller) send(a *callResult, in *instance) { c.sendWithin(context.Background(), a, in) }
+
+// sendWithin sends a request that ends with the context.
+func (c *caller) sendWithin(ctx context.Context, a *callResult, in *instance) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.callerAddress+a.path, strings.NewReader(a.requestBody()))
 	if err != nil {
 		panic(err) // the URL is constant and valid
 	}
 	request.Host = "host.example"
 	request.Header = standin.Call{
 		ID: a.id, Key: (*c.testbed.keys.Load())[0], Wait: requestDeadline, SharedPart: "s1", Pieces: a.pieceCounts[:], PieceKey: "key" + a.id,
-		LastEvent: a.resumedAfter,
+		LastEvent: a.resumedAfter, Resumes: a.stream,
 	}.Header()
 	response, err := c.client.Do(request)
 	if err != nil {
--- a/testkit/soak/check.go
+++ b/testkit/soak/check.go
@@ -43,7 +43,7 @@
 	for _, a := range all {
 		sent[a.id] = a
 		tb.checkResult(a, log.arrivals[a.id])
-		if a.ended.After(calmFrom) {
+		if a.ended.After(calmFrom) && !a.left {
 			calmAll++
 			if a.status == http.StatusOK && a.complete {
 				calmServed++
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -42,9 +42,11 @@
 	// restarting is locked from the time that the soak ends the process until the next start.
 	restarting sync.Mutex
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	history *processHistory
+	mu sync.Mutex
+	// disturbedAt is when the process was last started or sent a signal.
+	disturbedAt time.Time
+	process     *exec.Cmd
+	history     *processHistory
 	// exited is closed when the current process has exited.
 	exited chan struct{}
 	// endRequested reports whether the soak itself ended the current process.
@@ -108,6 +110,7 @@
 	ended := make(chan struct{})
 	history := &processHistory{instance: in.name, grace: in.grace, launchedAt: time.Now()}
 	in.process, in.history, in.endRequested, in.exited = command, history, false, ended
+	in.disturbedAt = time.Now()
 	in.mu.Unlock()
 	go func() {
 		defer close(ended)
@@ -137,9 +140,17 @@
 // send sends a signal. The caller holds in.mu.
 func (in *instance) send(s syscall.Signal) {
 	in.history.recordSignal(s)
+	in.disturbedAt = time.Now()
 	_ = in.process.Process.Signal(s) // the process may have exited
 }
 
+// undisturbedFor reports whether the process was neither started nor sent a signal in the last span.
+func (in *instance) undisturbedFor(span time.Duration) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return time.Since(in.disturbedAt) >= span
+}
+
 // reload sends SIGHUP, so that the process reads its settings again. It waits until the
 // process handles signals: before that, SIGHUP ends a process by default.
 func (in *instance) reload() {
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -14,6 +14,8 @@
 	Requests, Served int
 	// Losses are counted only in runs of planned work.
 	Losses Losses
+	// Streams are counted only in runs with several software versions.
+	Streams StreamCounts
 	// Violations are the guarantees that were broken, Faults the log of injected faults and
 	// planned work.
 	Violations, Faults []string
@@ -47,6 +49,8 @@
 		all, report.Losses = tb.runPlanned()
 	case o.Cuts:
 		all = tb.runCuts()
+	case o.Versions:
+		all, report.Streams = tb.runVersions()
 	default:
 		all = tb.runFaults()
 	}
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -97,3 +97,15 @@
 	t.Logf("%d requests, %d served", report.Requests, report.Served)
 	require.Empty(t, report.Violations, "faults: %v", report.Faults)
 }
+
+// Guards against streams with events of two software versions, and against streams that don't go on at
+// theirs, during rollouts beside kills, stops, cuts and misbehaving engines.
+func TestSoakVersions(t *testing.T) {
+	binary := build(t)
+	report, err := Run(Options{
+		Binary: binary, Dir: t.TempDir(), Seed: 5400000, Faults: 8 * time.Second, Instances: 4, Callers: 20, Versions: true,
+	})
+	require.NoError(t, err)
+	t.Logf("%d requests, %d served, %+v", report.Requests, report.Served, report.Streams)
+	require.Empty(t, report.Violations, "faults: %v", report.Faults)
+}
--- a/testkit/soak/targets.go
+++ b/testkit/soak/targets.go
@@ -27,11 +27,19 @@
 	maxStageDelay = time.Second
 )
 
-func (tb *testbed) addTarget(name string) error {
+func (tb *testbed) addTarget(name string) error { return tb.addTargetOf(name, firstVersion) }
+
+// addTargetOf adds a target of a software version.
+func (tb *testbed) addTargetOf(name, version string) error {
 	t := standin.NewTarget(name)
+	t.SetVersion(version)
 	pace := eventInterval
-	if tb.options.Planned {
+	switch {
+	case tb.options.Planned:
 		pace = eventIntervalPlanned
+	case tb.options.Versions:
+		pace = eventIntervalVersions
+		t.StateVersion()
 	}
 	t.SetStream(eventsPerStream, pace)
 	t.SetFaults(func(a standin.Arrival) standin.Fault { return tb.injector.nextFault(name, a) })
@@ -121,6 +129,9 @@
 			return
 		}
 		target, path := tb.target(name)
+		tb.mu.Lock()
+		tb.departed[name] = true
+		tb.mu.Unlock()
 		path.Close()
 		target.Close()
 	})
--- a/testkit/soak/testbed.go
+++ b/testkit/soak/testbed.go
@@ -33,6 +33,9 @@
 	// Cuts limits the run to cuts of instances from targets, and checks how callers are served
 	// meanwhile.
 	Cuts bool
+	// Versions has targets of several software versions, rollouts and callers that take streams up, beside
+	// faults, and checks that each stream keeps to its version and goes on.
+	Versions bool
 	// Silences is how often, after the faults, the store falls silent and a target leaves; not
 	// used in runs of planned work.
 	Silences int
@@ -53,7 +56,11 @@
 	// reservedSockets hold the instances' ports.
 	reservedSockets []int
 	// cuts are the cuts of instances from all targets, for the check.
-	cuts          []targetCut
+	cuts []targetCut
+	// departed are the targets that have left, whose paths are closed.
+	departed map[string]bool
+	// rollouts records which software versions the engines have.
+	rollouts      rolloutLog
 	configVersion int
 	keys          atomic.Pointer[[]string]
 
@@ -69,7 +76,7 @@
 func newTestbed(o Options) (*testbed, error) {
 	tb := &testbed{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), injector: newFaultInjector(o.Seed),
-		store: standin.NewStore(), targets: map[string]*standin.Target{}, relays: map[string]*relay.Relay{},
+		store: standin.NewStore(), targets: map[string]*standin.Target{}, relays: map[string]*relay.Relay{}, departed: map[string]bool{},
 		over: make(chan struct{}),
 	}
 	tb.storeHTTP = httptest.NewServer(tb.store)
