Wait less for other instances where a service has one software version

Cause: read in the code: where a service has one version, an instance asks three others only because its own list may lag, and one of them that is frozen, or dead and not yet noticed, would hold up each stream that is taken up by 250 ms.

Change: the wait is 50 ms there.

Figures: TestStreamsOfTheOnlyVersionGoOn bounds it.

Conclusion: other waits as before.

--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -24,9 +24,11 @@
 const (
 	// keepTimeout limits the sending of records to one instance.
 	keepTimeout = time.Second
-	// findTimeout limits the wait for the answers about a stream, and joinTimeout that of an instance that
-	// has just started until it knows another one.
-	findTimeout = 250 * time.Millisecond
+	// findTimeout limits the wait for the answers about a stream. checkTimeout replaces it where this instance
+	// knows only one version of the service, and asks because its list may lag.
+	findTimeout  = 250 * time.Millisecond
+	checkTimeout = 50 * time.Millisecond
+	// joinTimeout limits the wait of an instance that has just started until it knows another one.
 	joinTimeout = 300 * time.Millisecond
 	// pageSize is the maximum number of records in a message: some 40 KB.
 	pageSize = 500
@@ -95,12 +97,12 @@
 	defer cancel()
 	d.options.Cluster.AwaitPeer(join)
 	current := d.options.KnowledgeAge() <= currentAge
-	n := copies
+	n, timeout := copies, checkTimeout
 	if own.Several || own.Sole == "" || !current {
-		n = maxAsked
+		n, timeout = maxAsked, findTimeout
 	}
 	peers := d.keepers(id, n)
-	answers := d.ask(ctx, peers, findRequest{ID: id, Service: service})
+	answers := d.ask(ctx, peers, findRequest{ID: id, Service: service}, timeout)
 	l := newLocation(resumption.Locate(service, own, current, answers))
 	l.Asked = len(peers)
 	return l
@@ -123,10 +125,10 @@
 	return a
 }
 
-// ask asks instances at once. It returns their answers when one has a record, all have answered or
-// findTimeout is over.
-func (d *Directory) ask(ctx context.Context, peers []membership.Member, request findRequest) []resumption.Answer {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+// ask asks instances at once. It returns their answers when one has a record, all have answered or the
+// timeout is over.
+func (d *Directory) ask(ctx context.Context, peers []membership.Member, request findRequest, timeout time.Duration) []resumption.Answer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	received := make(chan *resumption.Answer, len(peers))
 	for _, m := range peers {
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -167,6 +167,7 @@
 				for _, id := range []string{"unknown", ""} {
 					l := n.Find(context.Background(), "engine", id)
 					require.True(t, l.Known, l.Reason)
+					require.True(t, n.stale.Load() || l.Elapsed <= checkTimeout, l.Elapsed)
 					require.Equal(t, "v1", l.Origin.Version)
 				}
 			})
