--- a/daemon/streams/bench_test.go
+++ b/daemon/streams/bench_test.go
@@ -12,19 +12,20 @@
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
-// benchFleet is the number of instances of the benchmarks.
-const benchFleet = 440
-
-// BenchmarkKeepers chooses the instances that keep a record.
+// BenchmarkKeepers chooses the instances that keep a record, in fleets of several sizes.
 func BenchmarkKeepers(b *testing.B) {
-	var members []membership.Member
-	for n := range benchFleet {
-		members = append(members, membership.Member{Name: fmt.Sprint("instance-", n), DataCentre: fmt.Sprint("dc-", n%5)})
-	}
-	n := &node{fleet: &fleet{}, view: membership.NewView(1, "instance-0", members)}
-	d := &Directory{options: Options{Cluster: n}}
-	for i := range b.N {
-		d.keepers(fmt.Sprintf("%016x", i), copies)
+	for _, size := range []int{8, 73, 295, 440} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var members []membership.Member
+			for n := range size {
+				members = append(members, membership.Member{Name: fmt.Sprint("instance-", n), DataCentre: fmt.Sprint("dc-", n%5)})
+			}
+			n := &node{fleet: &fleet{}, view: membership.NewView(1, "instance-0", members)}
+			d := &Directory{options: Options{Cluster: n}}
+			for i := range b.N {
+				d.keepers(fmt.Sprintf("%016x", i), copies)
+			}
+		})
 	}
 }
 
