Send the records of streams as soon as a second software version appears

Cause: streams that began before had no record for up to half a second after their instance had heard of the second version.

Change: a change of versions or of a note wakes the sender.

Figures: TestStreamsOfBeforeARolloutAreRecorded no longer waits two ticks; it passes (5 plays under the race detector).

Conclusion: the gap is the time until the instance has heard.

--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -74,6 +74,8 @@
 	started time.Time
 	metrics metrics
 	sending chan struct{}
+	// wake has a value when records or notes may have to be sent before the next tick.
+	wake chan struct{}
 
 	mu      sync.Mutex
 	history *resumption.History
@@ -104,7 +106,7 @@
 func New(o Options) *Directory {
 	now := time.Now()
 	d := &Directory{
-		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending),
+		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending), wake: make(chan struct{}, 1),
 		history: resumption.NewHistory(now), table: resumption.NewTable(maxRecords),
 		own: map[string]*ownStream{}, notes: newNotes(),
 	}
@@ -116,21 +118,16 @@
 // Run keeps records and notes up to date until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
 	go d.followNotes(ctx)
-	every(ctx, tickInterval, d.sendAllMissing)
-	return nil
-}
-
-// every calls f at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			f(now)
+			return nil
+		case <-ticker.C:
+		case <-d.wake:
 		}
+		d.sendAllMissing(time.Now())
 	}
 }
 
@@ -143,7 +140,19 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.changed = d.history.SetPresent(now, present) || d.changed
+	if d.history.SetPresent(now, present) {
+		d.noteChange()
+	}
+}
+
+// noteChange records that records may have to be sent to other instances, and has them sent soon. mu must be
+// held.
+func (d *Directory) noteChange() {
+	d.changed = true
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 func versionsOf(targets []routes.Target) []string {
--- a/daemon/streams/notes.go
+++ b/daemon/streams/notes.go
@@ -43,7 +43,16 @@
 // followNotes reads the notes after the start, and then writes those that are missing or outdated.
 func (d *Directory) followNotes(ctx context.Context) {
 	d.readNotes(ctx)
-	every(ctx, tickInterval, func(now time.Time) { d.writeNotes(ctx, now) })
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.writeNotes(ctx, now)
+		}
+	}
 }
 
 // readNotes reads all notes after the start, until the store has answered.
@@ -98,7 +107,7 @@
 	}
 	d.notes.revisions[service] = revision
 	if d.history.SetNoted(service, versions) {
-		d.changed = true
+		d.noteChange()
 		telemetry.InfoS("Rollout of a service noted", telemetry.Event{Pool: service, Revision: revision, Count: len(versions)})
 	}
 }
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -83,7 +83,7 @@
 		f.settle()
 		require.Zero(t, f.calls, "nothing is sent while there is one version")
 		f.deploy("v1", "v2")
-		time.Sleep(2 * tickInterval)
+		synctest.Wait()
 		f.kill("instance-0")
 		requireTaken(t, f.nodes["instance-1"], ids, "v1")
 	})
