Choose the keepers of streams without holding the lock

Cause: read in the code: a change of members, and a planned stop, chose keepers for all streams under one lock; 43 us each among 440 instances, while streams that begin wait for it.

Change: one stream at a time; at a stop without the lock, and no longer than the context.

Figures: go test -race -count=10 ./daemon/streams passes.

Conclusion: same records.

--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -93,11 +93,11 @@
 	origin resumption.Origin
 	began  time.Time
 	// sentTo holds the instances that have the record, or are being sent it.
-	sentTo map[holder]bool
+	sentTo map[keeperID]bool
 }
 
-// holder is one run of an instance.
-type holder struct {
+// keeperID identifies one run of an instance that keeps records.
+type keeperID struct {
 	name        string
 	incarnation uint64
 }
@@ -172,7 +172,7 @@
 	defer d.mu.Unlock()
 	d.table.Put(now, resumption.Record{ID: id, Origin: origin})
 	if d.own[id] == nil && len(d.own) < maxRecords {
-		d.own[id] = &ownStream{origin: origin, began: now, sentTo: map[holder]bool{}}
+		d.own[id] = &ownStream{origin: origin, began: now, sentTo: map[keeperID]bool{}}
 	}
 	if d.history.Several(now, origin.Service) {
 		d.sendMissing(id)
@@ -189,22 +189,34 @@
 // sendAllMissing sends the records of this instance's streams to those that are to keep them and lack
 // them: the instances may have changed, or a service may have got a second version.
 func (d *Directory) sendAllMissing(now time.Time) {
+	for _, id := range d.ownStreams(now) {
+		// One at a time: choosing keepers in a large fleet takes long, and streams that begin wait for the lock.
+		d.mu.Lock()
+		d.sendMissing(id)
+		d.mu.Unlock()
+	}
+}
+
+// ownStreams returns the own streams whose records may have to be sent since the last call.
+func (d *Directory) ownStreams(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.metrics.records.Update(float64(d.table.Len()))
 	view := d.options.Cluster.View()
 	if !d.changed && view == d.view {
-		return
+		return nil
 	}
 	d.changed, d.view = false, view
+	var ids []string
 	for id, s := range d.own {
 		switch {
 		case now.Sub(s.began) >= resumption.Lifetime:
 			delete(d.own, id)
 		case d.history.Several(now, s.origin.Service):
-			d.sendMissing(id)
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
 
 // sendMissing sends the record of an own stream to the instances that are to keep it and lack it. mu must
@@ -215,7 +227,7 @@
 		return
 	}
 	for _, m := range d.keepers(id, copies) {
-		to := holder{m.Name, m.Incarnation}
+		to := keeperID{m.Name, m.Incarnation}
 		if s.sentTo[to] {
 			continue
 		}
@@ -231,7 +243,7 @@
 }
 
 // send sends one record.
-func (d *Directory) send(m membership.Member, to holder, id string, origin resumption.Origin) {
+func (d *Directory) send(m membership.Member, to keeperID, id string, origin resumption.Origin) {
 	defer func() { <-d.sending }()
 	err := d.keepAt(context.Background(), m, []recordMessage{newRecordMessage(resumption.Record{ID: id, Origin: origin})})
 	if err == nil {
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -213,22 +214,19 @@
 }
 
 // Handover passes the records on to the instances that keep them once this one has stopped. It returns when
-// they have them or don't answer.
+// they have them or don't answer, or when the context ends.
 func (d *Directory) Handover(ctx context.Context) {
-	now := time.Now()
 	byPeer := map[string][]recordMessage{}
 	members := map[string]membership.Member{}
-	d.mu.Lock()
-	for _, r := range d.table.All(now) {
-		if !d.history.Several(now, r.Origin.Service) && !r.Ambiguous {
-			continue
+	for _, r := range d.neededRecords() {
+		if ctx.Err() != nil {
+			return
 		}
 		for _, m := range d.keepers(r.ID, copies) {
 			byPeer[m.Name] = append(byPeer[m.Name], newRecordMessage(r))
 			members[m.Name] = m
 		}
 	}
-	d.mu.Unlock()
 	sent := make(chan struct{}, len(byPeer))
 	for name, records := range byPeer {
 		go func() {
@@ -246,3 +244,13 @@
 		<-sent
 	}
 }
+
+// neededRecords returns the records of services that have several versions.
+func (d *Directory) neededRecords() []resumption.Record {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(d.table.All(now), func(r resumption.Record) bool {
+		return !r.Ambiguous && !d.history.Several(now, r.Origin.Service)
+	})
+}
