Keep the records of streams at the owners of 32 keys

Cause: read in the code: keepers were chosen by each stream's own id, so that in a rollout each instance would open connections to all others, which stay open for two minutes: a full mesh, which the fleet must not have.

Ruled out: the sender's own neighbours as keepers: whoever looks for a record doesn't know the sender, and would ask all.

Change: the id is hashed to one of 32 keys, whose owners keep the record: at most 96 instances in all. The owners of a key are computed once a view.

Conclusion: fixed fan-out. At the peak of 440 instances the keepers of a rollout are over their bounds of bytes (docs/CAPACITY.md).

--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -9,7 +9,12 @@
 // The package is pure: time is an argument. Its types are not safe for concurrent use.
 package resumption
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/rendezvous"
+)
 
 // Lifetime is the time in which a caller may take a stream up again, from its first event. It is
 // longer than the deadlines of callers.
@@ -21,3 +26,14 @@
 	// Version is the software version of the targets.
 	Version string
 }
+
+// KeyCount is the number of keys over which the records of streams are spread. It bounds the instances that one
+// instance sends records to, whatever the size of the fleet.
+const KeyCount = 32
+
+// Key returns the key whose owners keep the record of a stream, and its number from 0. It must not change:
+// instances of two releases would look for a record at different ones.
+func Key(id string) (key string, number int) {
+	number = int(rendezvous.Score("stream", id) % KeyCount)
+	return "streams/" + strconv.Itoa(number), number
+}
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -15,6 +15,23 @@
 	v2    = Origin{"engine", "v2"}
 )
 
+// Guards against instances of two releases that look for a record at different instances, and against keys
+// that few streams have.
+func TestKeyNeverChanges(t *testing.T) {
+	key, number := Key("9c41d07be2a35f68")
+	require.Equal(t, 8, number)
+	require.Equal(t, "streams/8", key)
+	counts := map[string]int{}
+	for n := range 3200 {
+		key, _ := Key(fmt.Sprintf("%016x", n))
+		counts[key]++
+	}
+	require.Len(t, counts, KeyCount)
+	for key, n := range counts {
+		require.InDelta(t, 100, n, 50, key)
+	}
+}
+
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // Guards against a table that grows without bound, forgets renewed records or keeps old ones.
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -39,7 +39,6 @@
 // Cluster connects the instances.
 type Cluster interface {
 	View() *membership.View
-	Owners(key string, n int) []membership.Member
 	// AwaitPeer waits until another instance is known, or the context ends. It returns at once if
 	// there is none.
 	AwaitPeer(ctx context.Context)
@@ -86,6 +85,11 @@
 	changed bool
 	view    *membership.View
 	notes   notes
+
+	ownersMu sync.Mutex
+	// owners are the first owners of each key in ownersView, as far as they have been needed.
+	owners     [resumption.KeyCount][]membership.Member
+	ownersView *membership.View
 }
 
 // ownStream is a stream that this instance serves, or served in part.
@@ -190,7 +194,6 @@
 // them: the instances may have changed, or a service may have got a second version.
 func (d *Directory) sendAllMissing(now time.Time) {
 	for _, id := range d.ownStreams(now) {
-		// One at a time: choosing keepers in a large fleet takes long, and streams that begin wait for the lock.
 		d.mu.Lock()
 		d.sendMissing(id)
 		d.mu.Unlock()
@@ -259,8 +262,17 @@
 
 // keepers returns the other instances that keep the record of a stream, the first n.
 func (d *Directory) keepers(id string, n int) []membership.Member {
-	self := d.options.Cluster.View().Self
-	owners := d.options.Cluster.Owners(id, n+1)
-	owners = slices.DeleteFunc(owners, func(m membership.Member) bool { return m.Name == self })
+	key, number := resumption.Key(id)
+	view := d.options.Cluster.View()
+	d.ownersMu.Lock()
+	defer d.ownersMu.Unlock()
+	if view != d.ownersView {
+		d.owners, d.ownersView = [resumption.KeyCount][]membership.Member{}, view
+	}
+	if d.owners[number] == nil {
+		owners := membership.Owners(view, key, maxAsked+1)
+		d.owners[number] = slices.DeleteFunc(owners, func(m membership.Member) bool { return m.Name == view.Self })
+	}
+	owners := d.owners[number]
 	return owners[:min(len(owners), n)]
 }
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -188,10 +188,6 @@
 	return n.view
 }
 
-func (n *node) Owners(key string, count int) []membership.Member {
-	return membership.Owners(n.View(), key, count)
-}
-
 func (n *node) AwaitPeer(context.Context) {}
 
 func (n *node) Handle(method string, h peer.Handler, _ ...peer.HandleOption) { n.handlers[method] = h }
