Notice one id of two streams also at the instance that has one of them

Cause: read in the code: an instance with a record of its own asked nobody, so that another caller's stream of the same id, begun elsewhere at another version, would go on at the wrong one there; and the second of two streams of one id at one instance was not sent to the keepers.

Change: it asks the keepers where the service has several versions, and a record that has become ambiguous is sent again. A route whose only service has no weight takes streams up as well.

Figures: TestOneIDOfTwoStreams now asks all instances, TestOneIDOfTwoStreamsAtOneInstance is new; go test -race -count=10 ./daemon/streams passes.

Conclusion: an id of two streams is refused at each instance while its records last.

--- a/daemon/relay/streams.go
+++ b/daemon/relay/streams.go
@@ -28,7 +28,7 @@
 		RequestID: q.call.ID, Resumes: q.call.Resumes, Pool: l.Origin.Service, Version: l.Origin.Version, LastEvent: q.call.ResumeAfter,
 		Reason: string(l.Reason), Count: l.Asked, Elapsed: l.Elapsed,
 	})
-	if !l.Known || !q.sendsTo(l.Origin.Service) {
+	if !l.Known || l.Origin.Service != q.service && !q.sendsTo(l.Origin.Service) {
 		q.refuse(reasonStreamUnknown, unknownStreamRetryAfter)
 		return false
 	}
@@ -36,7 +36,7 @@
 	return true
 }
 
-// sendsTo reports whether the route sends requests to a service.
+// sendsTo reports whether the route sends a share of its requests to a service.
 func (q *request) sendsTo(service string) bool {
 	return slices.ContainsFunc(q.route.TrafficSplit, func(s routes.WeightedService) bool { return s.Service == service && s.Weight > 0 })
 }
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -94,7 +94,7 @@
 
 // ownStream is a stream that this instance serves, or served in part.
 type ownStream struct {
-	origin resumption.Origin
+	record resumption.Record
 	began  time.Time
 	// sentTo holds the instances that have the record, or are being sent it.
 	sentTo map[keeperID]bool
@@ -175,8 +175,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Put(now, resumption.Record{ID: id, Origin: origin})
-	if d.own[id] == nil && len(d.own) < maxRecords {
-		d.own[id] = &ownStream{origin: origin, began: now, sentTo: map[keeperID]bool{}}
+	record, _ := d.table.Get(now, id)
+	if s := d.own[id]; s == nil && len(d.own) < maxRecords || s != nil && s.record != record {
+		d.own[id] = &ownStream{record: record, began: now, sentTo: map[keeperID]bool{}}
 	}
 	if d.history.Several(now, origin.Service) {
 		d.sendMissing(id)
@@ -215,7 +216,7 @@
 		switch {
 		case now.Sub(s.began) >= resumption.Lifetime:
 			delete(d.own, id)
-		case d.history.Several(now, s.origin.Service):
+		case d.history.Several(now, s.record.Origin.Service):
 			ids = append(ids, id)
 		}
 	}
@@ -241,20 +242,20 @@
 			return
 		}
 		s.sentTo[to] = true
-		go d.send(m, to, id, s.origin)
+		go d.send(m, to, s.record)
 	}
 }
 
 // send sends one record.
-func (d *Directory) send(m membership.Member, to keeperID, id string, origin resumption.Origin) {
+func (d *Directory) send(m membership.Member, to keeperID, r resumption.Record) {
 	defer func() { <-d.sending }()
-	err := d.keepAt(context.Background(), m, []recordMessage{newRecordMessage(resumption.Record{ID: id, Origin: origin})})
+	err := d.keepAt(context.Background(), m, []recordMessage{newRecordMessage(r)})
 	if err == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.own[id]; s != nil {
+	if s := d.own[r.ID]; s != nil {
 		delete(s.sentTo, to)
 		d.changed = true
 	}
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -26,7 +26,8 @@
 	// keepTimeout limits the sending of records to one instance.
 	keepTimeout = time.Second
 	// findTimeout limits the wait for the answers about a stream. checkTimeout replaces it where this instance
-	// knows only one version of the service, and asks because its list may lag.
+	// has a record, and asks because another stream may have the id, and where it knows only one version of the
+	// service, and asks because its list may lag.
 	findTimeout  = 250 * time.Millisecond
 	checkTimeout = 50 * time.Millisecond
 	// joinTimeout limits the wait of an instance that has just started until it knows another one.
@@ -91,7 +92,7 @@
 
 func (d *Directory) find(ctx context.Context, service, id string) Location {
 	own := d.answer(service, id)
-	if own.Found {
+	if own.Found && !own.Several {
 		return newLocation(resumption.Locate(service, own, true, nil))
 	}
 	join, cancel := context.WithTimeout(ctx, joinTimeout)
@@ -99,7 +100,7 @@
 	d.options.Cluster.AwaitPeer(join)
 	current := d.options.KnowledgeAge() <= currentAge
 	n, timeout := copies, checkTimeout
-	if own.Several || own.Sole == "" || !current {
+	if !own.Found && (own.Several || own.Sole == "" || !current) {
 		n, timeout = maxAsked, findTimeout
 	}
 	peers := d.keepers(id, n)
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -194,12 +194,30 @@
 		f.nodes["instance-0"].Began("same", resumption.Origin{Service: "engine", Version: "v1"})
 		f.nodes["instance-1"].Began("same", resumption.Origin{Service: "engine", Version: "v2"})
 		synctest.Wait()
+		for _, n := range f.nodes {
+			require.Equal(t, resumption.ReasonAmbiguous, n.Find(context.Background(), "engine", "same").Reason, n.member.Name)
+		}
 		f.kill("instance-0", "instance-1")
 		l := f.nodes["instance-3"].Find(context.Background(), "engine", "same")
 		require.Equal(t, resumption.ReasonAmbiguous, l.Reason)
 	})
 }
 
+// Guards against a stream whose id another one had before, at the same instance.
+func TestOneIDOfTwoStreamsAtOneInstance(t *testing.T) {
+	runFleet(t, 5, func(f *fleet) {
+		f.deploy("v1", "v2")
+		n := f.nodes["instance-0"]
+		n.Began("same", resumption.Origin{Service: "engine", Version: "v1"})
+		synctest.Wait()
+		n.Began("same", resumption.Origin{Service: "engine", Version: "v2"})
+		synctest.Wait()
+		f.kill("instance-0")
+		l := f.nodes["instance-3"].Find(context.Background(), "engine", "same")
+		require.Equal(t, resumption.ReasonAmbiguous, l.Reason)
+	})
+}
+
 // Guards against a rollout of which each instance writes a note, or none does since the first one is gone, and
 // against notes that are never removed.
 func TestRolloutIsNotedOnce(t *testing.T) {
