--- a/coordination/resumption/locate.go
+++ b/coordination/resumption/locate.go
@@ -17,6 +17,9 @@
 	ReasonUnsure Reason = "unsure"
 )
 
+// Reasons has all reasons.
+var Reasons = []Reason{ReasonRecord, ReasonSole, ReasonNoRecord, ReasonAmbiguous, ReasonUnsure}
+
 // Answer is what an instance knows of a stream.
 type Answer struct {
 	// Record is the record of the stream, if Found.
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -86,7 +86,7 @@
 	started := time.Now()
 	l := d.find(ctx, service, id)
 	l.Elapsed = time.Since(started)
-	d.metrics.located(l.Reason)
+	d.metrics.takenUp[l.Reason].Inc(1)
 	return l
 }
 
--- a/daemon/streams/metrics.go
+++ b/daemon/streams/metrics.go
@@ -7,17 +7,17 @@
 )
 
 type metrics struct {
-	scope   tally.Scope
 	records tally.Gauge
 	notKept tally.Counter
+	// takenUp counts the streams that callers take up again, by why their origin is known or unknown.
+	takenUp map[resumption.Reason]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("streams")
-	return metrics{scope: scope, records: scope.Gauge("records"), notKept: scope.Counter("not_kept")}
-}
-
-// located counts a stream that a caller takes up again.
-func (m *metrics) located(why resumption.Reason) {
-	m.scope.Tagged(map[string]string{"result": string(why)}).Counter("taken_up").Inc(1)
+	m := metrics{records: scope.Gauge("records"), notKept: scope.Counter("not_kept"), takenUp: map[resumption.Reason]tally.Counter{}}
+	for _, why := range resumption.Reasons {
+		m.takenUp[why] = scope.Tagged(map[string]string{"result": string(why)}).Counter("taken_up")
+	}
+	return m
 }
