Log the error that ends a request without a target's response

Ruled out: a line of its own; the end of the request is one line already. Change: Request ended has the error as cause.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -231,6 +231,7 @@
 		q.sendBuffered(f.reply)
 		return
 	}
+	q.cause = err
 	if q.headerSent {
 		q.abort("stream_broken_off")
 		return
@@ -328,11 +329,15 @@
 	if q.possibleRuns+q.refusals > 0 {
 		digest = q.digest().String()
 	}
+	cause := ""
+	if q.cause != nil {
+		cause = q.cause.Error()
+	}
 	if q.reason == "caller_left" && inbound.ClosedByServer(q.r.Context()) {
 		q.reason = "closed_here"
 	}
 	telemetry.InfoS("Request ended", telemetry.Event{
-		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Version: q.targetVersion, Resumes: q.call.Resumes, Peer: q.grantedBy, Reason: q.reason,
+		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Version: q.targetVersion, Resumes: q.call.Resumes, Peer: q.grantedBy, Reason: q.reason, Cause: cause,
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals, HeaderDuration: q.headTime,
 		StageWait: q.timings.stagesWait, GrantWait: q.timings.grantWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: q.knowledgeAge,
 		LastEvent: q.lastEventID, Sources: q.sources, Framing: string(q.framing),
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -220,8 +220,9 @@
 	framing forward.Framing
 	// timings are the durations of the request's phases, for the log.
 	timings timings
-	// reason is why the response is not a target's, for the log.
+	// reason is why the response is not a target's, cause the error behind it, for the log.
 	reason string
+	cause  error
 }
 
 // ServeHTTP implements http.Handler.
--- a/days_test.go
+++ b/days_test.go
@@ -24,10 +24,17 @@
 	Name   string  `toml:"name"`
 	Slot   string  `toml:"slot"`
 	Seed   int64   `toml:"seed"`
+	Timing timing  `toml:"timing"`
 	Plan   []event `toml:"plan"`
 	Faults []event `toml:"faults"`
 }
 
+// timing tells how a day's times are varied.
+type timing struct {
+	// Stands keeps the times as they are written.
+	Stands bool `toml:"stands"`
+}
+
 // event is one disturbance, by planned work or by a fault. Times are in seconds
 // since the start of the traffic.
 type event struct {
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -35,7 +35,9 @@
 	Revision uint64
 	// Reason is a short constant text of the program, never one from outside.
 	Reason string
-	Count  int
+	// Cause is the error that ended a request without a response of a target.
+	Cause string
+	Count int
 	// Bytes is the size of a record's body.
 	Bytes int
 	// Rate is a number of requests a second.
@@ -70,7 +72,7 @@
 }
 
 // maxPairs is the maximum number of keys and values of an Event and an instance.
-const maxPairs = 2 * 30
+const maxPairs = 2 * 31
 
 // pairs returns the non-empty fields as alternating keys and values for klog.
 func (e *Event) pairs() []any {
@@ -91,6 +93,7 @@
 		kv = append(kv, "revision", e.Revision)
 	}
 	kv = appendText(kv, "reason", e.Reason)
+	kv = appendText(kv, "cause", e.Cause)
 	if e.Count != 0 {
 		kv = append(kv, "count", e.Count)
 	}
