Keep a silent target's attempt until another target responds

What callers saw: streams that had begun ended with a closed connection, and requests failed with 502, while their target was sound and paused for a second. Cause: what may still succeed was given up before its replacement was certain. After 1.2 s of silence the attempt was cancelled, its target's work thrown away, and only then the stages, the choice of a target, the grant and the other target were asked, each of which may refuse. The class: break before make. Change: a silent target's attempt stays open. Another target is sought beside it, the search ends as soon as the silent one responds, and the first target whose event, or whole plain reply, arrives goes on; the other attempt is cancelled then. Each attempt is read by a goroutine of its own and passes what it reads to its request, which alone forwards, so that events stay in order. Before the first byte both attempts use the same results of stages. A target that responds after a silence is no longer counted as failed. A target's own error response is kept for a caller that gets nothing better. Conclusion: a response ends early for silence no longer; what targets that hang for good cost is measured next.

--- a/coordination/routing/attempt.go
+++ b/coordination/routing/attempt.go
@@ -15,6 +15,8 @@
 	utilization float64
 	startMillis int64
 	ended       atomic.Bool
+	// silent is true while the target has sent nothing for longer than it should.
+	silent atomic.Bool
 }
 
 // Started records that an attempt was sent. Cost is its expected work relative to the
@@ -46,11 +48,33 @@
 	// A target with more load than slots is expected to take longer. Only latency beyond
 	// that indicates a slow target.
 	result.Expected = time.Duration(float64(result.Expected) * a.utilization)
+	if a.silent.Load() && result.Outcome == OutcomeFailed {
+		return // Silent has recorded the failure
+	}
 	if a.target.health.observe(ns, result) && !a.table.config.disabled(MechanismEjection) {
 		a.table.eject(ns, a.target)
 	}
 }
 
+// Silent records, as a failure, that the target has sent nothing for longer than it should. The
+// attempt goes on.
+func (a *Attempt) Silent(now time.Time) {
+	if a.target == nil || a.ended.Load() || a.silent.Swap(true) {
+		return
+	}
+	ns := now.UnixNano()
+	if a.target.health.recordFailure(ns) && !a.table.config.disabled(MechanismEjection) {
+		a.table.eject(ns, a.target)
+	}
+}
+
+// Responded records that the target has sent something after Silent: it only paused.
+func (a *Attempt) Responded() {
+	if a.target != nil && a.silent.Swap(false) {
+		a.target.health.forgetFailures()
+	}
+}
+
 // eject removes a target from routing unless the pool's ejection floor prevents it.
 func (t *Table) eject(now int64, target *targetView) {
 	pool := target.pool
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -13,7 +13,6 @@
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
-	"github.com/ivyhollow/ivyhollow/protocol/sse"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
 	"github.com/ivyhollow/ivyhollow/transport/inbound"
@@ -22,59 +21,65 @@
 // readBuffer is the size in bytes of one read of a reply.
 const readBuffer = 16 << 10
 
-// forwardReply forwards the target's reply to the caller.
-func (q *request) forwardReply(ctx context.Context, reply *forward.Reply, silence *silenceTimer) (routing.Outcome, error) {
+// forwardReply forwards what an attempt has received of its reply. It reports whether the response
+// is complete, or returns the error that ended the attempt.
+func (q *request) forwardReply(m message) (complete bool, _ routing.Outcome, _ error) {
 	switch {
-	case q.isStream() && reply.Status == http.StatusOK:
-		return q.forwardStream(ctx, reply, silence)
+	case q.isStream() && m.head.status == http.StatusOK:
+		return q.forwardStream(m)
 	case q.headerSent:
 		// The caller has a part of a stream, which no other kind of response can complete.
-		return routing.OutcomeOK, &failure{cause: errors.Newf("target continued the stream with status %d", reply.Status)}
+		return false, routing.OutcomeOK, &failure{cause: errors.Newf("target continued the stream with status %d", m.head.status)}
 	default:
-		return q.forwardPlainReply(ctx, reply, silence)
+		return q.forwardPlainReply(m)
 	}
 }
 
 // forwardPlainReply forwards a reply that isn't a stream of events. A reply shorter than
-// maxBufferedReply is read completely before its head is sent.
-func (q *request) forwardPlainReply(ctx context.Context, reply *forward.Reply, silence *silenceTimer) (routing.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedReply))
-	if err != nil {
-		return q.classifyReplyError(ctx, err)
+// maxBufferedReply was read completely before its head is sent.
+func (q *request) forwardPlainReply(m message) (complete bool, _ routing.Outcome, _ error) {
+	a := m.from
+	if m.err != nil && !m.isEnd() {
+		outcome, err := q.classifyReplyError(a.ctx, m.err)
+		return false, outcome, err
 	}
-	q.freeResults()
-	q.timings.recordEvent(time.Now())
-	if reply.Status >= http.StatusInternalServerError && q.mayRetry() {
-		return routing.OutcomeOK, &failure{
-			cause: errors.Newf("target failed with status %d", reply.Status),
-			reply: &bufferedReply{reply.Status, reply.Header, body},
+	if m.rest != nil {
+		defer m.rest.Close()
+	}
+	if m.head.status >= http.StatusInternalServerError && (len(q.open) > 1 || q.mayRetry()) {
+		return false, routing.OutcomeOK, &failure{
+			cause: errors.Newf("target failed with status %d", m.head.status),
+			reply: &bufferedReply{m.head.status, m.head.header, m.data},
 		}
 	}
-	if len(body) < maxBufferedReply {
-		q.sendBuffered(&bufferedReply{reply.Status, reply.Header, body})
-		return routing.OutcomeOK, nil
+	q.adopt(a)
+	q.freeResults()
+	q.timings.recordEvent(time.Now(), a.started)
+	if m.rest == nil {
+		q.sendBuffered(&bufferedReply{m.head.status, m.head.header, m.data})
+		return true, routing.OutcomeOK, nil
 	}
-	silence.Stop() // the caller has a part of the response, so no other target can replace it
-	q.sendHead(reply.Status, reply.Header, reply.Length)
-	if _, err := q.w.Write(body); err == nil {
-		_, err = io.Copy(q.w, reply)
+	a.silence.Stop() // the caller has a part of the response, so no other target can replace it
+	q.sendHead(m.head)
+	if _, err := q.w.Write(m.data); err == nil {
+		_, err = io.Copy(q.w, m.rest)
 		if err == nil {
-			q.logEnd(reply.Status)
-			return routing.OutcomeOK, nil
+			q.logEnd(m.head.status)
+			return true, routing.OutcomeOK, nil
 		}
 		var f *forward.Error
 		if errors.As(err, &f) {
-			_, err = q.classifyReplyError(ctx, err)
-			q.recordAttemptEnd(ctx, err)
+			_, err = q.classifyReplyError(a.ctx, err)
+			q.recordAttemptEnd(a.ctx, a, err)
 		}
 	}
 	q.abort("answer_broken_off")
-	return routing.OutcomeFailed, nil // not reached: abort panics
+	return false, routing.OutcomeFailed, nil // not reached: abort panics
 }
 
 // sendBuffered sends a complete reply of a target to the caller.
 func (q *request) sendBuffered(h *bufferedReply) {
-	q.sendHead(h.status, h.header, int64(len(h.body)))
+	q.sendHead(&replyHead{status: h.status, header: h.header, length: int64(len(h.body))})
 	if _, err := q.w.Write(h.body); err != nil {
 		q.reason = "caller_left"
 	}
@@ -82,19 +87,19 @@
 }
 
 // sendHead sends the head of a target's reply to the caller.
-func (q *request) sendHead(status int, header http.Header, length int64) {
+func (q *request) sendHead(head *replyHead) {
 	h := q.w.Header()
 	q.closeIfStopping(h)
-	for name, values := range q.relay.options.Dialect.CallerResponseHeader(header) {
+	for name, values := range q.relay.options.Dialect.CallerResponseHeader(head.header) {
 		h[name] = values
 	}
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // else net/http guesses one
 	}
-	if length >= 0 && q.r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	if head.length >= 0 && q.r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.FormatInt(head.length, 10))
 	}
-	q.writeHead(status)
+	q.writeHead(head.status)
 }
 
 // writeHead sends the only head of the response. net/http would ignore a second one, and would
@@ -115,55 +120,56 @@
 	}
 }
 
-// forwardStream forwards a stream event by event: a target may fail in the middle of an event,
-// and the target that resumes the stream begins with a complete one.
-func (q *request) forwardStream(ctx context.Context, reply *forward.Reply, silence *silenceTimer) (routing.Outcome, error) {
-	events := sse.NewSplitter(0, q.requiredResumeID())
-	buffer := make([]byte, readBuffer)
-	controller := http.NewResponseController(q.w)
-	for {
-		n, readErr := reply.Read(buffer)
-		if n > 0 {
-			if q.resultHandles != nil {
-				q.releaseResults(time.Since(q.timings.attemptStart))
-				q.resultHandles = []string{}
-			}
-			err := q.forwardEvents(reply, events, buffer[:n], controller)
-			silence.Reset(q.eventTimeout())
-			if err != nil {
-				return q.classifyReplyError(ctx, err)
-			}
-		}
-		if readErr == io.EOF && q.completesStream(events) {
-			if !q.headerSent {
-				q.sendHead(reply.Status, reply.Header, -1)
-			}
-			q.endStream()
-			q.logEnd(reply.Status)
-			return routing.OutcomeOK, nil
+// forwardStream forwards a part of a stream event by event: a target may fail in the middle of an
+// event, and the target that resumes the stream begins with a complete one.
+func (q *request) forwardStream(m message) (complete bool, _ routing.Outcome, _ error) {
+	a := m.from
+	if len(m.data) > 0 {
+		q.recordData(a)
+		if err := q.forwardEvents(a, m.data); err != nil {
+			outcome, err := q.classifyReplyError(a.ctx, err)
+			return false, outcome, err
 		}
-		if readErr == io.EOF {
-			readErr = io.ErrUnexpectedEOF
-		}
-		if readErr != nil {
-			return q.classifyReplyError(ctx, readErr)
+	}
+	switch {
+	case m.err == nil:
+		return false, routing.OutcomeOK, nil
+	case m.isEnd() && q.completesStream(a):
+		q.adopt(a)
+		if !q.headerSent {
+			q.sendStreamHead(a)
 		}
+		q.endStream()
+		q.logEnd(a.head.status)
+		return true, routing.OutcomeOK, nil
+	case m.isEnd():
+		m.err = io.ErrUnexpectedEOF
 	}
+	outcome, err := q.classifyReplyError(a.ctx, m.err)
+	return false, outcome, err
+}
+
+// sendStreamHead sends the head of a stream to the caller.
+func (q *request) sendStreamHead(a *attempt) {
+	head := *a.head
+	head.length = -1
+	q.sendHead(&head)
 }
 
 // forwardEvents parses bytes of a stream and sends the complete events. It returns an error for
 // bytes that aren't an event, and for an event that doesn't follow the events before it.
-func (q *request) forwardEvents(reply *forward.Reply, events *sse.Splitter, p []byte, controller *http.ResponseController) error {
-	before := events.Events()
-	whole, err := events.Add(p)
-	q.notResumable = !events.Resumable()
+func (q *request) forwardEvents(a *attempt, p []byte) error {
+	before := a.events.Events()
+	whole, err := a.events.Add(p)
 	if len(whole) > 0 {
-		q.timings.recordEvent(time.Now())
-		q.sendEvents(reply, whole, controller)
+		q.adopt(a)
+		q.notResumable = !a.events.Resumable()
+		q.timings.recordEvent(time.Now(), a.started)
+		q.sendEvents(a, whole)
 		q.bindStream()
-		q.lastEventID = events.LastID()
+		q.lastEventID = a.events.LastID()
 	}
-	if before == 0 && events.Events() > 0 {
+	if before == 0 && a.events.Events() > 0 {
 		q.sources++
 	}
 	return err
@@ -179,17 +185,17 @@
 	return q.resumeID()
 }
 
-// completesStream reports whether a target's stream that has ended completes the caller's
+// completesStream reports whether an attempt's stream that has ended completes the caller's
 // stream. A stream without events may mean that nothing remained, but only if its end is marked
 // by more than the end of the connection.
-func (q *request) completesStream(events *sse.Splitter) bool {
-	if len(events.Partial()) > 0 {
+func (q *request) completesStream(a *attempt) bool {
+	if len(a.events.Partial()) > 0 {
 		return false
 	}
-	return events.Events() > 0 || q.requiredResumeID() != "" && q.framing != forward.FramedByClose
+	return a.events.Events() > 0 || q.requiredResumeID() != "" && a.head.framing != forward.FramedByClose
 }
 
-// eventTimeout returns how long a stream may pause before it is resumed elsewhere.
+// eventTimeout returns how long a stream may pause before another target is asked to resume it.
 func (q *request) eventTimeout() time.Duration {
 	if !q.mayRetry() {
 		return noTimeout
@@ -198,17 +204,17 @@
 }
 
 // sendEvents sends complete events and flushes them.
-func (q *request) sendEvents(reply *forward.Reply, whole []byte, controller *http.ResponseController) {
+func (q *request) sendEvents(a *attempt, whole []byte) {
 	if !q.headerSent {
-		q.sendHead(reply.Status, reply.Header, -1)
+		q.sendStreamHead(a)
 	}
 	_, err := q.w.Write(whole)
 	if err == nil {
-		err = controller.Flush()
+		err = http.NewResponseController(q.w).Flush()
 	}
 	if err != nil {
 		q.reason = "caller_left"
-		q.logEnd(reply.Status)
+		q.logEnd(a.head.status)
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -226,9 +232,8 @@
 
 // sendFailure sends the final response to a request that no target has answered.
 func (q *request) sendFailure(ctx context.Context, err error) {
-	var f *failure
-	if errors.As(err, &f) && f.reply != nil && !q.headerSent {
-		q.sendBuffered(f.reply)
+	if q.heldReply != nil && !q.headerSent {
+		q.sendBuffered(q.heldReply)
 		return
 	}
 	q.cause = err
@@ -329,18 +334,18 @@
 	if q.possibleRuns+q.refusals > 0 {
 		digest = q.digest().String()
 	}
-	cause := ""
-	if q.cause != nil {
-		cause = q.cause.Error()
+	a := q.current
+	if a == nil {
+		a = &attempt{}
 	}
 	if q.reason == "caller_left" && inbound.ClosedByServer(q.r.Context()) {
 		q.reason = "closed_here"
 	}
 	telemetry.InfoS("Request ended", telemetry.Event{
-		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: q.target, Version: q.targetVersion, Resumes: q.call.Resumes, Peer: q.grantedBy, Reason: q.reason, Cause: cause,
+		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: a.target.Incarnation, Version: a.target.Version, Resumes: q.call.Resumes, Peer: a.grantedBy, Reason: q.reason, Cause: textOf(q.cause),
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals, HeaderDuration: q.headTime,
-		StageWait: q.timings.stagesWait, GrantWait: q.timings.grantWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: q.knowledgeAge,
-		LastEvent: q.lastEventID, Sources: q.sources, Framing: string(q.framing),
+		StageWait: q.timings.stagesWait, GrantWait: q.timings.grantWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: a.knowledgeAge,
+		LastEvent: q.lastEventID, Sources: q.sources, Framing: a.framing(),
 	})
 	q.relay.metrics.recordResponse(status, q.reason, time.Since(q.arrived))
 	q.relay.metrics.recordTimings(&q.timings)
--- a/daemon/relay/answer_test.go
+++ b/daemon/relay/answer_test.go
@@ -34,9 +34,13 @@
 		relay: New(Options{Dialect: dialect{}, Scope: tally.NoopScope}), w: w, r: httptest.NewRequest(http.MethodGet, "http://example.com/", nil),
 		route: &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, arrived: time.Now(),
 	}
-	silence := newSilenceTimer(time.Hour, func() bool { return false })
-	_, err = q.forwardReply(t.Context(), reply, silence)
+	a := &attempt{ctx: t.Context(), silence: newSilenceTimer(time.Hour, func() bool { return false })}
+	q.open = []*attempt{a}
+	part, err := io.ReadAll(io.LimitReader(reply, maxBufferedReply))
 	require.NoError(t, err)
+	complete, _, err := q.forwardReply(message{from: a, head: &replyHead{status: reply.Status, header: reply.Header, length: reply.Length}, data: part, rest: reply})
+	require.NoError(t, err)
+	require.True(t, complete)
 	require.Equal(t, body, w.Body.String())
-	require.True(t, silence.stopped, "the timer of the target's silence still runs")
+	require.True(t, a.silence.stopped, "the timer of the target's silence still runs")
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -5,28 +5,25 @@
 	"cmp"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
-	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
-	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
-	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/protocol/sse"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
 const (
-	// maxRefusals limits the targets that refuse one request in turn.
-	maxRefusals = 3
-	// maxFirstByteDelay is the time to the first byte after which a target is replaced, if
-	// that is allowed: several times what an engine takes for the longest prompts.
+	// maxFirstByteDelay is the time to the first byte after which another target is tried beside the
+	// present one, if that is allowed: several times what an engine takes for the longest prompts.
 	maxFirstByteDelay = 1200 * time.Millisecond
-	// maxEventGap is the pause after which a stream that may be resumed is resumed at another
-	// target. It is a few times as long as a pause that misses the objective.
+	// maxEventGap is the pause after which another target is asked to resume a stream, if that is
+	// allowed. It is a few times as long as a pause that misses the objective.
 	maxEventGap = 1200 * time.Millisecond
 	// hedgeShare is the share of the objective after which a plain request may be sent to
 	// another target, so that the second response can still meet the objective.
@@ -34,342 +31,83 @@
 	// maxBufferedReply is the size, in bytes, up to which a reply is read completely before
 	// its head is forwarded. Until then another target may replace one that breaks off.
 	maxBufferedReply = 64 << 10
+	// streamBuffers is the number of read buffers of a stream: one is filled while the other is
+	// forwarded.
+	streamBuffers = 2
 )
 
-var errTargetSilent = errors.New("the target was silent for too long")
-
-// attempt sends the request to one target. It reports whether another attempt is to follow.
-// If not, either the response has been forwarded or the error says why there is no response.
-func (q *request) attempt(ctx context.Context) (retry bool, err error) {
-	if err := q.checkBlocklist(ctx); err != nil {
-		return false, err
-	}
-	q.updatePaced()
-	q.grantedBy = ""
-	choice, err := q.pickTarget()
-	if err != nil {
-		return false, err
-	}
-	if len(q.route.Stages) > 0 && q.resultHandles == nil {
-		if err := q.runStages(ctx, choice.Target.DataCentre); err != nil {
-			return false, err
-		}
-		// The stages may have taken seconds, so the target is chosen again.
-		if err := q.checkBlocklist(ctx); err != nil {
-			return false, err
-		}
-		q.updatePaced()
-		// The holder may know of a limit that hasn't been heard of here.
-		q.paced = q.paced || q.sendAt.After(time.Now())
-		if !q.paced {
-			if choice, err = q.pickTarget(); err != nil {
-				return false, err
-			}
-		}
+// errAbandoned cancels an attempt whose request needs it no longer.
+var errAbandoned = errors.New("the request needs the attempt no longer")
+
+// attempt is one send of a request to a target. Its reader passes what the target sends to the
+// request.
+type attempt struct {
+	target  routing.Target
+	started time.Time
+	tracked *routing.Attempt
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	span    trace.Span
+	silence *silenceTimer
+	// abandoned is closed when nobody receives the attempt's messages any more.
+	abandoned chan struct{}
+	// grant is the grant of the send, if it was requested apart from the stages.
+	grant grant
+	// grantedBy is the address of the instance that granted the send; empty if it needed no grant.
+	grantedBy string
+	// knowledgeAge is how old the knowledge of the targets was when the target was chosen.
+	knowledgeAge time.Duration
+
+	// The request alone uses the fields below.
+
+	head *replyHead
+	// events splits a stream into events.
+	events *sse.Splitter
+	// silent is true while the target has sent nothing for so long that another one was sought.
+	silent bool
+	// responded is true once the target has sent a part of its reply, lastData when it sent the
+	// latest part, or else when the attempt started.
+	responded bool
+	lastData  time.Time
+}
+
+// start sends the request to a target. The attempt ends with ctx at the latest.
+func (q *request) start(ctx context.Context, t routing.Target) {
+	now := time.Now()
+	ctx, span := q.relay.options.Tracer.Start(ctx, "attempt "+t.Pool)
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{
+		target: t, started: now, lastData: now, ctx: ctx, cancel: cancel, span: span, abandoned: make(chan struct{}),
+		grant: q.grant, knowledgeAge: q.relay.options.KnowledgeAge(), events: sse.NewSplitter(0, q.requiredResumeID()),
 	}
 	if q.paced {
-		if choice, err = q.awaitGrant(ctx); err != nil {
-			return false, err
-		}
-		q.grantedBy = cmp.Or(q.grant.holder, q.owner)
-	}
-	started := time.Now()
-	if q.pastSendDeadline(started) {
-		return false, errNoTimeToSend
-	}
-	q.target, q.targetName, q.address = choice.Target.Incarnation, choice.Target.Name, choice.Target.Address
-	q.targetVersion = choice.Target.Version
-	q.knowledgeAge = q.relay.options.KnowledgeAge()
-	q.timings.attemptStart = started
-	attempt := q.relay.options.Router.Started(started, q.target, 1)
-	outcome, err := q.sendAttempt(ctx, choice.Target)
-	attempt.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(started)})
-	q.recordAttemptEnd(ctx, err)
-	if err == nil {
-		if outcome == routing.OutcomeOK {
-			q.relay.durations.observe(q.route.Name, time.Since(started))
-		}
-		return false, nil
-	}
-	return q.decideRetry(ctx, err)
-}
-
-// pickTarget chooses a target for the request itself, as opposed to its stages.
-func (q *request) pickTarget() (routing.Choice, error) { return q.pick(q.targetQuery()) }
-
-func (q *request) pick(query routing.Query) (routing.Choice, error) {
-	return q.relay.options.Router.Pick(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), query)
-}
-
-func (q *request) targetQuery() routing.Query {
-	query := routing.Query{
-		Pool: q.service, Model: q.call.Model, Version: q.streamVersion, Exclude: q.excluded, Rank: q.priority, Preferred: q.preferredEngine,
-	}
-	if q.route.PrefixCaching {
-		query.HomeKey = lastSharedPart(q.call.Prefix)
-		query.HomeShares = q.inputShares()
-	}
-	return query
-}
-
-// minLargeInput is the minimum size, in bytes, of a stage's result for which a target near it
-// is preferred: transferring a result of this size between data centres costs as much as
-// reading hundreds of tokens again.
-const minLargeInput = 256 << 10
-
-// inputShares returns, by data centre, the share of the targets that produce the request's first
-// large input. It returns nil if the request has no large input.
-func (q *request) inputShares() map[string]float64 {
-	for _, i := range q.route.FinalStages() {
-		if st := q.route.Stages[i]; st.ResultBytes >= minLargeInput {
-			return q.relay.options.TargetShares(st.Service)
-		}
-	}
-	return nil
-}
-
-// lastSharedPart returns the ID of the last part of a prompt that other requests read too. The
-// very last part belongs to the request itself or to its session. The requests of a session
-// have the parts before it in common.
-func lastSharedPart(prefix []routing.PrefixPart) string {
-	if len(prefix) == 0 {
-		return ""
-	}
-	return prefix[max(len(prefix)-2, 0)].ID
-}
-
-// runStages runs the request's stages and waits for their results.
-func (q *request) runStages(ctx context.Context, dataCentre string) error {
-	ctx, span := q.relay.options.Tracer.Start(ctx, "stages "+q.route.Name)
-	defer span.End()
-	ctx, release := q.withSendDeadline(ctx)
-	defer release()
-	q.relay.stageWaiters.add(q)
-	defer q.relay.stageWaiters.remove(q)
-	objective := q.objective
-	if q.headerSent {
-		objective = time.Now().Add(resumeObjective)
-	}
-	r := gather.Request{
-		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority, KindPriority: q.route.Priority,
-		Objective: objective, Deadline: q.stagesDeadline(time.Now()), Remaining: engineFirstEventTime, DataCentre: dataCentre,
-	}
-	for i, s := range q.route.Stages {
-		pieces := 0
-		if i < len(q.call.PieceCounts) {
-			pieces = q.call.PieceCounts[i]
-		}
-		r.Stages = append(r.Stages, gather.Stage{Service: s.Service, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
-	}
-	started := time.Now()
-	produced, err := q.relay.options.Stages.Execute(ctx, r, q.prompt())
-	q.resultHandles, q.owner = produced.Handles, produced.Holder
-	q.preferredEngine, q.sendAt = produced.Engine, produced.SendAt
-	q.timings.stagesWait += time.Since(started)
-	if err == nil && q.resultHandles == nil {
-		q.resultHandles = []string{}
-	}
-	q.recordStageCrashes(err)
-	if isIDInUse(err) {
-		q.owner = "" // what the holder has under the id is another request's
-	}
-	if err != nil && errors.Is(context.Cause(ctx), errNoTimeToSend) {
-		return errNoTimeToSend
-	}
-	var refused *stages.RefusedError
-	if errors.As(err, &refused) {
-		// A retry goes to another instance. If this one is stopping, the other one's deadline is
-		// later, so the retry delay is shorter by the difference.
-		refused.RetryAfter -= q.eventDeadline(time.Now()).Sub(r.Deadline)
-	}
-	return err
-}
-
-// stagesDeadline returns the deadline for the first event that needs the stages' results.
-// During a planned stop it is early enough to leave time for the rest of the response.
-func (q *request) stagesDeadline(now time.Time) time.Time {
-	due := q.eventDeadline(now)
-	if window, stopping := q.relay.stopWindow(); stopping {
-		due = earlier(due, window.SendDeadline(q.drainRequest()).Add(engineFirstEventTime))
-	}
-	return due
-}
-
-// Callers abandon a stream without an event after the longest of a minimum time, a multiple of
-// the objective and a multiple of the longest pause that meets its objective.
-const (
-	abandonMin        = 2 * time.Second
-	abandonObjectives = 4
-	abandonPauses     = 8
-)
-
-// eventDeadline returns when the next event is due: the first one or, if a stream was broken
-// off, the event with which it resumes. Work that ends later is of no use.
-func (q *request) eventDeadline(now time.Time) time.Time {
-	if !q.isStream() {
-		return q.deadline
-	}
-	from := q.arrived
-	if q.headerSent {
-		from = now
-	}
-	wait := max(abandonMin, abandonObjectives*q.route.LatencyObjective, abandonPauses*q.route.MaxEventGap)
-	if due := from.Add(wait - answerMargin); due.Before(q.deadline) {
-		return due
-	}
-	return q.deadline
-}
-
-// resumeObjective is the time in which a stream that was broken off should resume. Its caller has
-// a part of the response and waits. By the original objective the request would already be late:
-// its stages would run after those of all requests whose responses have not begun, until the
-// caller gives up.
-const resumeObjective = 2 * time.Second
-
-// engineFirstEventTime is how long an engine takes to its first event, as measured at the
-// usual load.
-const engineFirstEventTime = 250 * time.Millisecond
-
-// failure is an attempt without a complete response.
-type failure struct {
-	cause error
-	// notRun is true if the target certainly didn't run the request.
-	notRun bool
-	// notConnected is true if there was no connection to the target, so that the target had
-	// no part in the attempt. nothingListens is true if no process listens at its address.
-	notConnected, nothingListens bool
-	// connectionBroken is true if the peer ended the connection after the request was sent.
-	connectionBroken bool
-	// inputsGone is true if the stages' results no longer exist.
-	inputsGone bool
-	// reply is an error response of the target, which is sent if no other target does better.
-	reply *bufferedReply
-}
-
-// bufferedReply is a complete reply of a target.
-type bufferedReply struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-func (f *failure) Error() string { return f.cause.Error() }
-
-// Unwrap returns the cause.
-func (f *failure) Unwrap() error { return f.cause }
-
-// decideRetry handles a failed attempt. It reports whether another attempt is to follow.
-func (q *request) decideRetry(ctx context.Context, err error) (retry bool, _ error) {
-	var f *failure
-	if !errors.As(err, &f) {
-		return false, err
-	}
-	telemetry.InfoS("Attempt failed", telemetry.Event{
-		RequestID: q.call.ID, Digest: q.digest().String(), Pipeline: q.route.Name, Target: q.target, Version: q.targetVersion, Reason: f.cause.Error(),
-		Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals,
-		LastEvent: q.lastEventID, Framing: string(q.framing),
-	})
-	q.relay.metrics.recordFailedAttempt(f.notRun)
-	q.excluded = append(q.excluded, q.target)
-	if f.notRun {
-		q.refusals++
-	} else {
-		q.possibleRuns++
-		q.mayHaveRun = true
+		a.grantedBy = cmp.Or(q.grant.holder, q.owner)
 	}
-	if holder := cmp.Or(q.owner, q.grant.holder); f.nothingListens && holder != "" {
-		q.relay.options.Stages.ReportUnreachable(holder, q.service, q.target)
+	q.grant = grant{number: q.grant.number}
+	a.tracked = q.relay.options.Router.Started(a.started, t.Incarnation, 1)
+	q.open = append(q.open, a)
+	if q.current == nil || !slices.Contains(q.open, q.current) {
+		q.current = a
 	}
-	if f.inputsGone || errors.Is(f.cause, forward.ErrWithdrawn) {
-		q.excluded = q.excluded[:len(q.excluded)-1] // the target had no part in the failure
-	}
-	if f.inputsGone {
-		q.freeResults()
-	}
-	switch {
-	case ctx.Err() != nil, q.refusals > maxRefusals, q.pastSendDeadline(time.Now()):
-		return false, err
-	case q.notResumable:
-		return false, err
-	case !f.notRun && (!q.route.Repeatable() || q.possibleRuns >= q.route.MaxAttempts):
-		return false, err
-	case !f.notConnected && !q.payForRetry():
-		// The budget limits the additional load on the targets. An attempt that reached no target
-		// caused no load, so its retry is free.
-		return false, err
-	}
-	q.retryPaid.Store(false)
-	if q.lastEventID != "" || !f.notRun {
-		// The results have been freed, at the first byte or some time ago.
-		q.freeResults()
-	}
-	return true, nil
-}
-
-// payForRetry takes a retry from the budget, once for each attempt. It reports whether the
-// budget allows it.
-func (q *request) payForRetry() bool {
-	if q.retryPaid.Load() {
-		return true
-	}
-	if !q.relay.options.Budgets.TakeRetry(time.Now(), q.service) {
-		return false
-	}
-	q.retryPaid.Store(true)
-	return true
+	q.updateContinuation()
+	a.silence = newSilenceTimer(q.firstByteTimeout(), func() bool { return q.reportSilence(a) })
+	go a.read(q.relay, q.inbox, q.targetRequest(t), q.sendOptions(t), q.isStream())
 }
 
-// sendAttempt sends the request to a target and forwards its reply.
-func (q *request) sendAttempt(ctx context.Context, t routing.Target) (routing.Outcome, error) {
-	ctx, span := q.relay.options.Tracer.Start(ctx, "attempt "+t.Pool)
-	defer span.End()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	q.framing = ""
-	q.updateContinuation()
-	deadline := q.deadline
-	silence := newSilenceTimer(q.firstByteTimeout(), func() bool {
-		// Without a retry, or without time for it, the cancelled request would certainly fail.
-		if time.Until(deadline) < minTimeElsewhere || !q.canContinueElsewhere() || !q.payForRetry() {
-			return false
-		}
-		cancel(errTargetSilent)
-		return true
-	})
-	defer silence.Stop()
+// sendOptions returns the options of a send to a target.
+func (q *request) sendOptions(t routing.Target) forward.Options {
+	paced, sendAt := q.paced, q.sendAt
 	options := forward.Options{
 		Service: q.service, MayProbe: q.mayRetry(),
 		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
 		Allowed: func() bool {
-			return q.relay.usable(t.Incarnation) && q.grantValid(time.Now()) && (q.paced || !q.relay.isPaced(q.service))
+			return q.relay.usable(t.Incarnation) && grantValid(paced, sendAt, time.Now()) && (paced || !q.relay.isPaced(q.service))
 		},
 	}
 	if !q.route.Repeatable() {
 		options.MaxIdle = forward.NonRepeatableMaxIdle
 	}
-	reply, err := q.relay.options.Client.Do(ctx, t.Address, q.targetRequest(t), options)
-	if err != nil {
-		return q.classifyError(ctx, err)
-	}
-	defer reply.Close()
-	q.framing = reply.Framing()
-	parsed := q.relay.options.Dialect.ParseTargetResponse(reply.Status, reply.Header)
-	if q.relay.options.OnResponse != nil {
-		q.relay.options.OnResponse(t.Incarnation, parsed)
-	}
-	if parsed.WrongTarget {
-		q.relay.options.OnLeaving(t.Incarnation)
-	}
-	switch {
-	case parsed.NotRun:
-		_, _ = io.Copy(io.Discard, io.LimitReader(reply, maxBufferedReply)) // allows the connection to be reused
-		return routing.OutcomeNotRun, &failure{cause: errors.Newf("target refused with status %d", reply.Status), notRun: true, inputsGone: parsed.InputsMissing}
-	case !parsed.Signed:
-		return routing.OutcomeFailed, &failure{cause: errors.Newf("reply with status %d has no signature", reply.Status)}
-	case reply.Header.Get("Content-Encoding") != "":
-		return routing.OutcomeFailed, &failure{cause: errors.New("reply is encoded")}
-	}
-	return q.forwardReply(ctx, reply, silence)
+	return options
 }
 
 // usable reports whether a target may receive new work.
@@ -377,51 +115,87 @@
 	return s.options.Usable == nil || s.options.Usable(incarnation)
 }
 
-// noTimeout limits the silence of a target that no other one can replace: the request's own
-// deadline always comes first.
-const noTimeout = 24 * time.Hour
-
-// firstByteTimeout returns how long the target may take to its first byte.
-func (q *request) firstByteTimeout() time.Duration {
-	if !q.mayRetry() {
-		return noTimeout
+// read sends the request and reads the reply.
+func (a *attempt) read(s *Relay, messages *inbox, request *http.Request, options forward.Options, stream bool) {
+	reply, err := s.options.Client.Do(a.ctx, a.target.Address, request, options)
+	if err != nil {
+		messages.put(message{from: a, err: err})
+		return
+	}
+	parsed := s.options.Dialect.ParseTargetResponse(reply.Status, reply.Header)
+	if s.options.OnResponse != nil {
+		s.options.OnResponse(a.target.Incarnation, parsed)
 	}
-	remaining := time.Until(q.deadline)
-	if q.isStream() {
-		return min(maxFirstByteDelay, remaining/2)
+	if parsed.WrongTarget {
+		s.options.OnLeaving(a.target.Incarnation)
+	}
+	head := &replyHead{status: reply.Status, header: reply.Header, length: reply.Length, framing: reply.Framing(), parsed: parsed}
+	if stream && head.isUsable() && reply.Status == http.StatusOK {
+		a.readStream(messages, reply, head)
+		return
 	}
-	return min(time.Duration(hedgeShare*float64(q.route.LatencyObjective)), remaining/2)
+	a.readPlain(messages, reply, head)
 }
 
-// mayRetry reports whether another target may be tried if the present one fails.
-func (q *request) mayRetry() bool {
-	return q.route.Repeatable() && !q.notResumable && q.possibleRuns+1 < q.route.MaxAttempts
+// isUsable reports whether the reply is the target's whole and own response.
+func (h *replyHead) isUsable() bool {
+	return !h.parsed.NotRun && h.parsed.Signed && h.header.Get("Content-Encoding") == ""
 }
 
-func (q *request) isStream() bool { return q.route.MaxEventGap > 0 }
+// readStream passes a stream on as it arrives.
+func (a *attempt) readStream(messages *inbox, reply *forward.Reply, head *replyHead) {
+	var buffers [streamBuffers][]byte
+	for i := 0; ; i = (i + 1) % streamBuffers {
+		if buffers[i] == nil {
+			buffers[i] = make([]byte, readBuffer)
+		}
+		n, err := reply.Read(buffers[i])
+		if err != nil {
+			reply.Close()
+		}
+		if !messages.put(message{from: a, head: head, data: buffers[i][:n], err: err}) {
+			reply.Close()
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
 
-// classifyError returns the outcome of an attempt that ended with an error.
-func (q *request) classifyError(ctx context.Context, err error) (routing.Outcome, error) {
-	var f *forward.Error
-	notRun := errors.As(err, &f) && !f.Sent
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errTargetSilent):
-		return routing.OutcomeFailed, &failure{cause: errors.CombineErrors(errTargetSilent, err), notRun: notRun}
-	case errors.Is(cause, errDeadline):
-		return routing.OutcomeDeadlineMissed, &failure{cause: errDeadline, notRun: notRun}
-	case cause != nil:
-		return routing.OutcomeCancelled, &failure{cause: cause, notRun: notRun}
+// readPlain passes a reply on that isn't a stream, whole or with what is left to read.
+func (a *attempt) readPlain(messages *inbox, reply *forward.Reply, head *replyHead) {
+	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedReply))
+	m := message{from: a, head: head, data: body, err: err}
+	if err == nil && len(body) == maxBufferedReply {
+		m.rest = reply
+	} else {
+		reply.Close()
 	}
-	unreached := f != nil && f.Step == forward.StepConnect
-	if errors.Is(err, forward.ErrWithdrawn) {
-		return routing.OutcomeCancelled, &failure{cause: err, notRun: notRun, notConnected: unreached}
+	if err == nil && m.rest == nil {
+		m.err = io.EOF
 	}
-	return routing.OutcomeFailed, &failure{
-		cause: err, notRun: notRun, notConnected: unreached, nothingListens: unreached && f.Refused,
-		connectionBroken: !notRun && forward.ClosedByPeer(err),
+	if !messages.put(m) && m.rest != nil {
+		reply.Close()
 	}
 }
 
+// framing returns how the target marks the end of its reply; empty if there is none.
+func (a *attempt) framing() string {
+	if a.head == nil {
+		return ""
+	}
+	return string(a.head.framing)
+}
+
+// end releases what the attempt holds, and cancels it if it still runs.
+func (a *attempt) end() {
+	a.silence.Stop()
+	a.cancel(errAbandoned)
+	close(a.abandoned)
+	a.span.End()
+}
+
 // targetRequest returns the request to send to the target.
 func (q *request) targetRequest(t routing.Target) *http.Request {
 	header := q.relay.options.Dialect.TargetRequestHeader(q.r.Header, exchange.TargetRequest{
--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -9,6 +9,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 )
 
@@ -50,17 +51,31 @@
 // A target that crashes closes all its connections, and then nothing listens at its address.
 // A target still listens if it breaks off a single response or if a connection to it was
 // reset on the way. The end of a target that was leaving was planned, so it isn't a crash.
-func (q *request) recordAttemptEnd(ctx context.Context, err error) {
+func (q *request) recordAttemptEnd(ctx context.Context, a *attempt, err error) {
 	records := q.relay.options.Blocklist
 	var f *failure
 	switch {
 	case err == nil, errors.As(err, &f) && f.reply != nil:
 		records.RecordCompletion(q.digest())
-	case f != nil && f.connectionBroken && q.relay.options.Client.NothingListens(ctx, q.address):
+	case f != nil && f.connectionBroken && len(q.open) > 0:
+		digest := q.digest()
+		go func() {
+			// The check takes longer than the caller may wait for the events of another attempt.
+			if q.relay.options.Client.NothingListens(context.WithoutCancel(ctx), a.target.Address) {
+				q.relay.recordCrash(digest, a.target)
+			}
+		}()
+	case f != nil && f.connectionBroken && q.relay.options.Client.NothingListens(ctx, a.target.Address):
 		f.nothingListens = true
-		if q.relay.options.InUse(q.targetName) {
-			records.RecordCrash(q.digest(), q.target)
-		}
+		q.relay.recordCrash(q.digest(), a.target)
+	}
+}
+
+// recordCrash records that a target at whose address nothing listens ended under a request, unless
+// it was leaving.
+func (s *Relay) recordCrash(digest quarantine.Digest, t routing.Target) {
+	if s.options.InUse(t.Name) {
+		s.options.Blocklist.RecordCrash(digest, t.Incarnation)
 	}
 }
 
--- a/daemon/relay/grant.go
+++ b/daemon/relay/grant.go
@@ -67,7 +67,7 @@
 func (q *request) requestGrant(ctx context.Context, rejected []string) error {
 	ctx, release := q.withSendDeadline(ctx)
 	defer release()
-	q.dropGrant(0)
+	q.dropPreparedGrant()
 	q.grant.number++
 	r := gather.Request{
 		ID: q.call.ID + "#" + strconv.Itoa(q.grant.number), Route: q.route.Name,
@@ -82,20 +82,25 @@
 	return err
 }
 
-// dropGrant reports the end of the requested grant to its holder, with the time to the first
-// event of the request that was sent by it; 0 if there was none.
-func (q *request) dropGrant(firstEvent time.Duration) {
-	if q.grant.holder != "" {
-		q.relay.options.Stages.Drop(q.grant.holder, placing.RequestEnd{
-			Request: q.grant.request, Engine: q.target, FirstEvent: firstEvent,
-		})
+// dropGrant reports the end of an attempt's requested grant to its holder, with the time to the first
+// event; 0 if there was none.
+func (q *request) dropGrant(a *attempt, firstEvent time.Duration) {
+	q.drop(&a.grant, a.target.Incarnation, firstEvent)
+}
+
+// dropPreparedGrant reports to its holder that a requested grant isn't used.
+func (q *request) dropPreparedGrant() { q.drop(&q.grant, "", 0) }
+
+func (q *request) drop(g *grant, target string, firstEvent time.Duration) {
+	if g.holder != "" {
+		q.relay.options.Stages.Drop(g.holder, placing.RequestEnd{Request: g.request, Engine: target, FirstEvent: firstEvent})
 	}
-	q.grant.request, q.grant.holder = "", ""
+	g.request, g.holder = "", ""
 }
 
-// grantValid reports whether the request may still be sent by its grant.
-func (q *request) grantValid(now time.Time) bool {
-	return !q.paced || now.Sub(q.sendAt) <= pacing.GrantValidity
+// grantValid reports whether a request may still be sent by its grant, if it needs one.
+func grantValid(paced bool, sendAt, now time.Time) bool {
+	return !paced || now.Sub(sendAt) <= pacing.GrantValidity
 }
 
 // waitUntil waits until a time. It returns an error if the context ends before.
--- a/daemon/relay/grant_test.go
+++ b/daemon/relay/grant_test.go
@@ -74,8 +74,8 @@
 		require.Equal(t, g.asked[0].ID, g.dropped[0].Request)
 		require.Empty(t, q.preferredEngine, "a grant is for one send")
 
-		require.True(t, q.grantValid(time.Now().Add(pacing.GrantValidity)))
-		require.False(t, q.grantValid(time.Now().Add(pacing.GrantValidity+1)))
+		require.True(t, grantValid(q.paced, q.sendAt, time.Now().Add(pacing.GrantValidity)))
+		require.False(t, grantValid(q.paced, q.sendAt, time.Now().Add(pacing.GrantValidity+1)))
 	})
 }
 
@@ -99,8 +99,7 @@
 	q := pacedRequest(&granter{})
 	outcome, err := q.classifyError(t.Context(), &forward.Error{Step: forward.StepConnect, Peer: "x", Err: forward.ErrWithdrawn})
 	require.Equal(t, routing.OutcomeCancelled, outcome)
-	q.target = "e"
-	retry, err := q.decideRetry(t.Context(), err)
+	retry, err := q.decideRetry(t.Context(), &attempt{target: routing.Target{Incarnation: "e"}}, err)
 	require.NoError(t, err)
 	require.True(t, retry)
 	require.Empty(t, q.excluded)
--- a/daemon/relay/metrics.go
+++ b/daemon/relay/metrics.go
@@ -13,6 +13,8 @@
 	// Durations of the phases of a request. The timers are created at the start, so that they
 	// are served before the first request.
 	stagesWait, grantWait, firstEvent, longestPause tally.Timer
+	// silentTargets counts the targets beside which others were sought.
+	silentTargets tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -23,6 +25,8 @@
 		grantWait:    scope.Timer("grant_wait"),
 		firstEvent:   scope.Timer("first_event"),
 		longestPause: scope.Timer("longest_pause"),
+
+		silentTargets: scope.Counter("silent_targets"),
 	}
 }
 
@@ -77,3 +81,13 @@
 	}
 	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
 }
+
+// recordReplacement counts an attempt that was abandoned for another one, of a target that was sought
+// beside a silent one or of the silent one itself.
+func (m metrics) recordReplacement(replaced bool) {
+	wentOn := "silent_target"
+	if replaced {
+		wentOn = "other_target"
+	}
+	m.scope.Tagged(map[string]string{"outcome": wentOn}).Counter("attempts_abandoned").Inc(1)
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -179,13 +179,16 @@
 	excluded               []string
 	// retryPaid is true if the next attempt has been taken from the budget.
 	retryPaid atomic.Bool
-	// target is the incarnation of the latest attempt's target, targetName its name, which all
-	// its incarnations share, and address where it listens.
-	target, targetName, address string
-	// targetVersion is the software version of that target.
-	targetVersion string
-	// knowledgeAge is how old the knowledge of the targets was when the target was chosen.
-	knowledgeAge time.Duration
+	// open are the attempts in progress, in the order of their start. inbox passes their messages on,
+	// silences those whose targets have become silent.
+	open     []*attempt
+	inbox    *inbox
+	silences chan *attempt
+	// current is the attempt of which the caller has the latest part of the response, or else the
+	// latest one; nil before the first.
+	current *attempt
+	// heldReply is an error response of a target, which is sent if no other target does better.
+	heldReply *bufferedReply
 	// resultHandles are the handles of the stages' results; nil before the stages have run.
 	// owner is the address of the instance that holds them.
 	resultHandles []string
@@ -197,9 +200,6 @@
 	sendAt time.Time
 	// grant is the grant of a send that was requested apart from the stages.
 	grant grant
-	// grantedBy is the address of the instance that granted the latest send; empty if it needed no
-	// grant.
-	grantedBy string
 
 	// headerSent is true once the caller has the head of the response.
 	headerSent bool
@@ -216,8 +216,6 @@
 	continuation atomic.Pointer[routing.Query]
 	// sources counts the targets whose events the caller has.
 	sources int
-	// framing is how the latest target marks the end of its reply.
-	framing forward.Framing
 	// timings are the durations of the request's phases, for the log.
 	timings timings
 	// reason is why the response is not a target's, cause the error behind it, for the log.
@@ -232,7 +230,7 @@
 	if chunked(r) {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{relay: s, w: w, r: r, arrived: time.Now(), headTime: inbound.HeadReadTime(r.Context())}
+	q := &request{relay: s, w: w, r: r, arrived: time.Now(), headTime: inbound.HeadReadTime(r.Context()), inbox: newInbox(), silences: make(chan *attempt, 1)}
 	ctx, release := q.withStopEnd(r.Context())
 	defer release()
 	defer q.releaseID()
@@ -421,18 +419,9 @@
 	if !q.locateStream(ctx) {
 		return
 	}
-	for {
-		retry, err := q.attempt(ctx)
-		if !retry {
-			if err != nil {
-				q.sendFailure(ctx, err)
-			}
-			return
-		}
-		if ctx.Err() != nil {
-			q.sendFailure(ctx, context.Cause(ctx))
-			return
-		}
+	defer q.abandonAll()
+	if err := q.race(ctx); err != nil {
+		q.sendFailure(ctx, err)
 	}
 }
 
--- a/daemon/relay/results.go
+++ b/daemon/relay/results.go
@@ -13,7 +13,7 @@
 	if !q.route.PrefixCaching && !q.paced {
 		return placing.Prompt{}
 	}
-	p := placing.Prompt{Pool: q.service, Tokens: clampTokens(q.call.PromptTokens), Exclude: q.excluded}
+	p := placing.Prompt{Pool: q.service, Tokens: clampTokens(q.call.PromptTokens), Exclude: q.unwanted()}
 	if q.streamVersion != "" {
 		p.Exclude = slices.Concat(p.Exclude, q.relay.options.Router.OtherVersions(q.service, q.streamVersion))
 	}
@@ -31,14 +31,20 @@
 func clampTokens(n int) int { return min(max(n, 0), maxPromptTokens) }
 
 // freeResults frees the stages' results.
-func (q *request) freeResults() { q.releaseResults(0) }
+func (q *request) freeResults() {
+	target := ""
+	if q.current != nil {
+		target = q.current.target.Incarnation
+	}
+	q.releaseResults(target, 0)
+}
 
 // releaseResults frees the stages' results, and reports how the engine that was chosen with
 // them performed: the time to the first event, or 0 without one.
-func (q *request) releaseResults(firstEvent time.Duration) {
+func (q *request) releaseResults(engine string, firstEvent time.Duration) {
 	if q.owner != "" {
-		q.relay.options.Stages.Drop(q.owner, placing.RequestEnd{Request: q.call.ID, Engine: q.target, FirstEvent: firstEvent})
+		q.relay.options.Stages.Drop(q.owner, placing.RequestEnd{Request: q.call.ID, Engine: engine, FirstEvent: firstEvent})
 	}
-	q.dropGrant(firstEvent)
+	q.dropPreparedGrant()
 	q.owner, q.resultHandles, q.preferredEngine = "", nil, ""
 }
--- a/daemon/relay/silence.go
+++ b/daemon/relay/silence.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// silenceRecheck is the interval at which an attempt at a silent target that can't be
-	// given up yet, for lack of retry budget, is considered again.
+	// silenceRecheck is the interval at which another target is sought again beside a silent one
+	// for which there is none yet, or no retry budget.
 	silenceRecheck = 100 * time.Millisecond
 	// maxTimerDelay is how late a timeout ends on an instance that runs. If it is later, the instance
 	// was paused, and the reply may have come meanwhile: it gets replyGrace to be read.
@@ -18,11 +18,10 @@
 	minTimeElsewhere = engineFirstEventTime
 )
 
-// silenceTimer gives an attempt up whose target was silent for too long. It is safe for
-// concurrent use.
+// silenceTimer reports a target that has been silent for too long. It is safe for concurrent use.
 type silenceTimer struct {
-	// giveUp gives the attempt up and reports whether it did.
-	giveUp func() bool
+	// report reports the silence. It returns false if nothing can be done about it yet.
+	report func() bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -30,8 +29,8 @@
 	stopped bool
 }
 
-func newSilenceTimer(timeout time.Duration, giveUp func() bool) *silenceTimer {
-	t := &silenceTimer{giveUp: giveUp}
+func newSilenceTimer(timeout time.Duration, report func() bool) *silenceTimer {
+	t := &silenceTimer{report: report}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.due = time.Now().Add(timeout)
@@ -39,7 +38,7 @@
 	return t
 }
 
-// expire runs at the end of a timeout. A silent target whose attempt can't be given up would
+// expire runs at the end of a timeout. A silent target that nothing can be done about would
 // otherwise hold the request until its deadline, although the budget allows a retry soon.
 func (t *silenceTimer) expire() {
 	t.mu.Lock()
@@ -51,7 +50,7 @@
 		t.reset(replyGrace)
 		return
 	}
-	if !t.giveUp() {
+	if !t.report() {
 		t.reset(silenceRecheck)
 	}
 }
--- a/daemon/relay/stop_test.go
+++ b/daemon/relay/stop_test.go
@@ -235,7 +235,7 @@
 		r := httptest.NewRequest(http.MethodGet, "http://example.com/", nil)
 		q := &request{relay: s, w: w, r: r, route: route, arrived: time.Now(), deadline: time.Now().Add(time.Minute)}
 		held := &bufferedReply{status: http.StatusInternalServerError, body: []byte("its own")}
-		retry, err := q.decideRetry(t.Context(), &failure{cause: io.EOF, reply: held})
+		retry, err := q.decideRetry(t.Context(), &attempt{}, &failure{cause: io.EOF, reply: held})
 		require.False(t, retry)
 		q.sendFailure(t.Context(), err)
 		require.Equal(t, http.StatusInternalServerError, w.Code)
--- a/daemon/relay/streams.go
+++ b/daemon/relay/streams.go
@@ -62,7 +62,7 @@
 	}
 	q.streamBound = true
 	if q.streamVersion == "" {
-		q.streamVersion = q.targetVersion
+		q.streamVersion = q.current.target.Version
 		q.updateContinuation()
 	}
 	if id := q.streamID(); id != "" {
@@ -83,11 +83,10 @@
 		return
 	}
 	query := q.targetQuery()
-	query.Exclude = append(slices.Clone(query.Exclude), q.target)
 	q.continuation.Store(&query)
 }
 
-// canContinueElsewhere reports whether another target may replace the present one. It is safe for
+// canContinueElsewhere reports whether another target may replace the present ones. It is safe for
 // concurrent use.
 func (q *request) canContinueElsewhere() bool {
 	query := q.continuation.Load()
--- a/daemon/relay/timings.go
+++ b/daemon/relay/timings.go
@@ -8,8 +8,6 @@
 	stagesWait time.Duration
 	// grantWait is the wait for grants of sends, over all attempts.
 	grantWait time.Duration
-	// attemptStart is when the latest attempt was sent.
-	attemptStart time.Time
 	// firstEvent is the time from the start of an attempt to its first event, or to its
 	// complete response if that isn't a stream.
 	firstEvent time.Duration
@@ -19,10 +17,11 @@
 	latestEvent time.Time
 }
 
-// recordEvent records the arrival of events or of a complete response.
-func (p *timings) recordEvent(now time.Time) {
+// recordEvent records the arrival of events or of a complete response of an attempt that was
+// started at a time.
+func (p *timings) recordEvent(now, started time.Time) {
 	if p.latestEvent.IsZero() {
-		p.firstEvent = now.Sub(p.attemptStart)
+		p.firstEvent = now.Sub(started)
 	} else {
 		p.longestPause = max(p.longestPause, now.Sub(p.latestEvent))
 	}
