Free the results of stages as soon as one attempt goes on

Cause: with two attempts open the results were kept until the request's end, and a failed search freed them while another attempt had yet to read them; an attempt that was left alone by a refusal had no timer for its silence. Ruled out: freeing at the first byte of any attempt; the other one may still read them. Change: the results are freed when one attempt remains and has its first data. A search frees only what it made itself. The end of an attempt sets the timers of the others anew. A search that finds none is logged only when its cause is another than before. Conclusion: results are freed once, when nobody needs them.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -65,10 +65,12 @@
 	events *sse.Splitter
 	// silent is true while the target has sent nothing for so long that another one was sought.
 	silent bool
-	// responded is true once the target has sent a part of its reply, lastData when it sent the
-	// latest part, or else when the attempt started.
-	responded bool
-	lastData  time.Time
+	// notFound is why the latest search for another target found none.
+	notFound string
+	// firstData is the time from the start to the first part of the reply; 0 before.
+	firstData time.Duration
+	// lastData is when the latest part of the reply arrived, or else when the attempt started.
+	lastData time.Time
 }
 
 // start sends the request to a target. The attempt ends with ctx at the latest.
--- a/daemon/relay/race.go
+++ b/daemon/relay/race.go
@@ -90,9 +90,20 @@
 		q.relay.durations.observe(q.route.Name, time.Since(a.started))
 	}
 	for _, o := range q.open {
-		if o.silent {
-			o.silence.Reset(q.seekDelay(nil))
-		}
+		o.silence.Reset(q.silenceTimeout(o))
+	}
+}
+
+// silenceTimeout returns how long to wait for the next sign of life of an attempt's target until
+// another target is sought.
+func (q *request) silenceTimeout(a *attempt) time.Duration {
+	switch {
+	case a.silent:
+		return q.seekDelay(nil)
+	case a.firstData == 0:
+		return q.firstByteTimeout()
+	default:
+		return q.eventTimeout()
 	}
 }
 
@@ -129,6 +140,14 @@
 		q.relay.metrics.recordReplacement(!a.silent)
 		q.abandon(other)
 	}
+	q.releaseRead(a)
+}
+
+// releaseRead frees the stages' results once the only attempt has read them.
+func (q *request) releaseRead(a *attempt) {
+	if len(q.open) == 1 && q.resultHandles != nil {
+		q.releaseResults(a.target.Incarnation, a.firstData)
+	}
 }
 
 // reportSilence has another target sought beside a silent one. It reports whether that is possible
@@ -163,20 +182,20 @@
 		return
 	}
 	defer q.inbox.watch(nil)
-	began := time.Now()
-	if q.headerSent {
-		q.freeResults() // they were read before the first event
-	}
+	began, runsStages := time.Now(), q.resultHandles == nil
 	target, err := q.prepare(seekCtx)
-	if err == nil {
-		err = context.Cause(seekCtx)
+	if seekCtx.Err() != nil {
+		target, err = routing.Target{}, context.Cause(seekCtx)
+	}
+	if text := textOf(err); err == nil || text != a.notFound {
+		a.notFound = text
+		telemetry.InfoS("Target silent, another one sought", telemetry.Event{
+			RequestID: q.call.ID, Pipeline: q.route.Name, Target: a.target.Incarnation, Version: a.target.Version, Peer: target.Incarnation,
+			Cause: text, Elapsed: time.Since(began), LongestPause: time.Since(a.lastData), Count: len(q.open), LastEvent: q.lastEventID,
+		})
 	}
-	telemetry.InfoS("Target silent, another one sought", telemetry.Event{
-		RequestID: q.call.ID, Pipeline: q.route.Name, Target: a.target.Incarnation, Version: a.target.Version, Peer: target.Incarnation,
-		Cause: textOf(err), Elapsed: time.Since(began), LongestPause: time.Since(a.lastData), Count: len(q.open), LastEvent: q.lastEventID,
-	})
 	if err != nil {
-		if q.headerSent {
+		if runsStages {
 			q.freeResults()
 		}
 		q.dropPreparedGrant()
@@ -203,13 +222,10 @@
 // recordData records that the target of an attempt has sent a part of its reply.
 func (q *request) recordData(a *attempt) {
 	a.lastData = time.Now()
-	if !a.responded {
-		a.responded = true
-		q.dropGrant(a, a.lastData.Sub(a.started))
-		if len(q.open) == 1 && q.resultHandles != nil {
-			q.releaseResults(a.target.Incarnation, a.lastData.Sub(a.started))
-			q.resultHandles = []string{}
-		}
+	if a.firstData == 0 {
+		a.firstData = a.lastData.Sub(a.started)
+		q.dropGrant(a, a.firstData)
+		q.releaseRead(a)
 	}
 	if a.silent {
 		a.silent = false
--- a/daemon/relay/race_test.go
+++ b/daemon/relay/race_test.go
@@ -217,6 +217,46 @@
 	require.WithinDuration(t, time.Now().Add(3*time.Second), silent.silence.due, time.Second, "sought again too soon or never")
 }
 
+// Guards against an attempt that is left alone with a silent target, since another one was
+// allowed only after the first had refused.
+func TestRefusalAllowsAnotherSearch(t *testing.T) {
+	q, _ := raceRequest(t, &granter{}, "1")
+	q.route.MaxAttempts = 2
+	silent, other := openAttempt(q, "silent"), openAttempt(q, "other")
+	_, err := q.receive(t.Context(), message{from: silent, head: &replyHead{parsed: exchange.TargetResponse{NotRun: true}}, err: io.EOF})
+	require.NoError(t, err)
+	other.silence.mu.Lock()
+	defer other.silence.mu.Unlock()
+	require.WithinDuration(t, time.Now().Add(maxFirstByteDelay), other.silence.due, maxFirstByteDelay/2)
+}
+
+// Guards against results of stages that are kept after they were read, or freed while an attempt
+// still has to read them.
+func TestResultsAreFreedOnceTheyAreRead(t *testing.T) {
+	for name, c := range map[string]struct{ lastEvent, speaks string }{
+		"before the first event, the silent target": {"", "silent"},
+		"before the first event, the other target":  {"", "other"},
+		"of a begun stream, the silent target":      {"1", "silent"},
+		"of a begun stream, the other target":       {"1", "other"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &granter{}
+			q, _ := raceRequest(t, g, c.lastEvent)
+			attempts := map[string]*attempt{"silent": openAttempt(q, "silent"), "other": openAttempt(q, "other")}
+			q.resultHandles, q.owner = []string{"handle"}, "h"
+			a := attempts[c.speaks]
+			_, err := q.receive(t.Context(), message{from: a, head: streamHead(c.speaks), data: []byte("id: ")})
+			require.NoError(t, err)
+			require.Empty(t, g.dropped, "the other attempt may still read them")
+			_, err = q.receive(t.Context(), message{from: a, head: a.head, data: []byte("2\n\n")})
+			require.NoError(t, err)
+			require.Len(t, g.dropped, 1)
+			require.Equal(t, c.speaks, g.dropped[0].Engine)
+			require.Nil(t, q.resultHandles, "another attempt needs new ones")
+		})
+	}
+}
+
 // refuser refuses all stages.
 type refuser struct{ stageRunner }
 
