End an ejection for silence, and no other one, when the target responds

Cause: found in review. A response after a silence made the router forget all failures of the target, an ejection for real failures too. Ruled out: a probe as after other ejections; a pause that is over needs none. Change: an ejection is marked as one for silence; a response takes back only it. Figures: TestResponseAfterSilenceKeepsAnEarlierEjection failed before and passes; go test -race ./coordination/routing passes. Conclusion: only a probe ends an ejection for failures.

--- a/coordination/routing/attempt.go
+++ b/coordination/routing/attempt.go
@@ -62,16 +62,21 @@
 	if a.target == nil || a.ended.Load() || a.silent.Swap(true) {
 		return
 	}
-	ns := now.UnixNano()
-	if a.target.health.recordFailure(ns) && !a.table.config.disabled(MechanismEjection) {
-		a.table.eject(ns, a.target)
+	ns, health := now.UnixNano(), &a.target.health
+	if !health.recordFailure(ns) || a.table.config.disabled(MechanismEjection) {
+		return
+	}
+	wasEjected := health.ejectedUntil.Load() != 0
+	if a.table.eject(ns, a.target); !wasEjected && health.ejectedUntil.Load() != 0 {
+		health.ejectedForSilence.Store(true)
 	}
 }
 
-// Responded records that the target has sent something after Silent: it only paused.
-func (a *Attempt) Responded() {
+// Responded records that the target has sent something after Silent: it only paused. That ends an
+// ejection for silence, and no other one.
+func (a *Attempt) Responded(now time.Time) {
 	if a.target != nil && a.silent.Swap(false) {
-		a.target.health.forgetFailures()
+		a.target.health.withdrawSilence(now.UnixNano())
 	}
 }
 
--- a/coordination/routing/health.go
+++ b/coordination/routing/health.go
@@ -45,6 +45,8 @@
 	peerSuspicions atomic.Int64
 	// recoveredAt is when a probe last succeeded; a slow start begins then.
 	recoveredAt atomic.Int64
+	// ejectedForSilence is true while the target is ejected since it was silent.
+	ejectedForSilence atomic.Bool
 }
 
 // decayingAverage is an exponential moving average that decays to 0 while there are no
@@ -169,9 +171,20 @@
 	h.failureRate.reset()
 }
 
+// withdrawSilence takes back what the silence of a target seemed to show.
+func (h *health) withdrawSilence(now int64) {
+	h.consecutiveFailures.Store(0)
+	h.failureRate.sample(now, 0)
+	if h.ejectedForSilence.Swap(false) {
+		h.ejectedUntil.Store(0)
+		h.probeSentAt.Store(0)
+	}
+}
+
 // eject removes the target from routing for a time that doubles with each consecutive
 // ejection. The count restarts after more than twice Config.MaxEjectionTime without one.
 func (h *health) eject(now int64, c *Config) {
+	h.ejectedForSilence.Store(false)
 	if now-h.lastEjection.Swap(now) > 2*int64(c.MaxEjectionTime) {
 		h.consecutiveEjections.Store(0)
 	}
