Let a retry that was not sent be returned to its budget

Cause: found in review. A search for another target takes a retry from the budget first; one that finds none kept it, so that silences of many targets used up what failures need. Ruled out: paying after the search; many searches would run for one retry. Change: budgets take a retry back.

--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -79,6 +79,11 @@
 	return b.retry.spend(now, b.config.HalfLife)
 }
 
+// ReturnRetry returns the token of a retry that was not sent.
+func (b *Budget) ReturnRetry(now time.Time) {
+	b.retry.earn(now, b.config.HalfLife, 1)
+}
+
 // SpendHedge spends the token of one hedge and reports whether there was one.
 func (b *Budget) SpendHedge(now time.Time) bool {
 	return b.hedge.spend(now, b.config.HalfLife)
--- a/daemon/retrybudget/retrybudget.go
+++ b/daemon/retrybudget/retrybudget.go
@@ -63,6 +63,15 @@
 	return b.retries.record(p.budget.SpendRetry(now))
 }
 
+// ReturnRetry returns the token of a retry that was not sent.
+func (b *Budgets) ReturnRetry(now time.Time, name string) {
+	p := b.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.ReturnRetry(now)
+	b.retries.paid.Add(^uint64(0))
+}
+
 // TakeHedge takes one token for a second attempt beside the first. It returns false if there
 // is none.
 func (b *Budgets) TakeHedge(now time.Time, name string) bool {
