Bound what the search beside a silent target may do

What callers could have seen: more runs than max_attempts, events twice, a connection that is closed under another request, a response that waits for the end of a search. Cause: whether another attempt is allowed and paid was asked when the silence was reported and not when the search began; the timers of the others were set before the failure was counted; the stream's end was not taken for a response; an end that nobody received closed its connection twice; the rest of an unusable reply stayed open; a comment decided which attempt goes on. Ruled out: asking only at the report; another attempt may begin or fail between. Change: the search asks again, an attempt is paid once under a lock and returned if unused, the end of a response ends the search, each reply is closed once, comments wait for an event, a panic of a reader fails the attempt and not the process, a crash beside another attempt is reported to the holder too.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -43,9 +43,6 @@
 		outcome, err := q.classifyReplyError(a.ctx, m.err)
 		return false, outcome, err
 	}
-	if m.rest != nil {
-		defer m.rest.Close()
-	}
 	if m.head.status >= http.StatusInternalServerError && (len(q.open) > 1 || q.mayRetry()) {
 		return false, routing.OutcomeOK, &failure{
 			cause: errors.Newf("target failed with status %d", m.head.status),
@@ -126,7 +123,9 @@
 	a := m.from
 	if len(m.data) > 0 {
 		q.recordData(a)
-		if err := q.forwardEvents(a, m.data); err != nil {
+		err := q.forwardEvents(a, m.data)
+		a.silence.Reset(q.eventTimeout())
+		if err != nil {
 			outcome, err := q.classifyReplyError(a.ctx, err)
 			return false, outcome, err
 		}
@@ -161,6 +160,13 @@
 func (q *request) forwardEvents(a *attempt, p []byte) error {
 	before := a.events.Events()
 	whole, err := a.events.Add(p)
+	if len(q.open) > 1 && a.events.Events() == before && len(a.comments)+len(whole) <= maxBufferedReply {
+		a.comments = append(a.comments, whole...) // they don't decide which attempt goes on
+		return err
+	}
+	if len(a.comments) > 0 {
+		whole, a.comments = append(a.comments, whole...), nil
+	}
 	if len(whole) > 0 {
 		q.adopt(a)
 		q.notResumable = !a.events.Resumable()
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -63,6 +64,8 @@
 	head *replyHead
 	// events splits a stream into events.
 	events *sse.Splitter
+	// comments are the comments of a stream that wait for an event while other attempts are open.
+	comments []byte
 	// silent is true while the target has sent nothing for so long that another one was sought.
 	silent bool
 	// notFound is why the latest search for another target found none.
@@ -119,6 +122,12 @@
 
 // read sends the request and reads the reply.
 func (a *attempt) read(s *Relay, messages *inbox, request *http.Request, options forward.Options, stream bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			// As in a handler of net/http, a panic ends the request and not the process.
+			messages.put(message{from: a, err: errors.Newf("reading the reply: panic: %v\n%s", r, debug.Stack())})
+		}
+	}()
 	reply, err := s.options.Client.Do(a.ctx, a.target.Address, request, options)
 	if err != nil {
 		messages.put(message{from: a, err: err})
@@ -153,13 +162,14 @@
 		}
 		n, err := reply.Read(buffers[i])
 		if err != nil {
-			reply.Close()
+			reply.Close() // only once: the connection may serve another request from then on
 		}
-		if !messages.put(message{from: a, head: head, data: buffers[i][:n], err: err}) {
-			reply.Close()
+		received := messages.put(message{from: a, head: head, data: buffers[i][:n], err: err})
+		switch {
+		case err != nil:
 			return
-		}
-		if err != nil {
+		case !received:
+			reply.Close()
 			return
 		}
 	}
--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -58,11 +59,12 @@
 	case err == nil, errors.As(err, &f) && f.reply != nil:
 		records.RecordCompletion(q.digest())
 	case f != nil && f.connectionBroken && len(q.open) > 0:
-		digest := q.digest()
+		digest, holder := q.digest(), cmp.Or(q.owner, a.grantedBy)
 		go func() {
 			// The check takes longer than the caller may wait for the events of another attempt.
 			if q.relay.options.Client.NothingListens(context.WithoutCancel(ctx), a.target.Address) {
 				q.relay.recordCrash(digest, a.target)
+				q.relay.reportUnreachable(holder, a.target)
 			}
 		}()
 	case f != nil && f.connectionBroken && q.relay.options.Client.NothingListens(ctx, a.target.Address):
--- a/daemon/relay/inbox.go
+++ b/daemon/relay/inbox.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net/http"
 	"sync"
 
@@ -30,6 +31,14 @@
 	err error
 }
 
+// isEnd reports whether a reply has ended completely.
+func (m *message) isEnd() bool { return m.err == io.EOF }
+
+// isResponse reports whether the message has a part of a target's response, or its end.
+func (m *message) isResponse() bool {
+	return m.head != nil && m.head.isUsable() && (len(m.data) > 0 || m.isEnd())
+}
+
 // inbox passes the messages of a request's attempts to the request.
 type inbox struct {
 	messages chan message
@@ -37,7 +46,7 @@
 	mu sync.Mutex
 	// waiting is the number of messages that nobody has received yet.
 	waiting int
-	// onData is called when data arrives; nil if nobody waits for it elsewhere.
+	// onData is called when a part of a response arrives; nil if nobody waits for it elsewhere.
 	onData func()
 }
 
@@ -47,7 +56,7 @@
 func (b *inbox) put(m message) bool {
 	b.mu.Lock()
 	b.waiting++
-	if b.onData != nil && len(m.data) > 0 {
+	if b.onData != nil && m.isResponse() {
 		b.onData()
 	}
 	b.mu.Unlock()
@@ -64,7 +73,7 @@
 	}
 }
 
-// watch has f called when data arrives. It reports whether no message waits already. A nil f ends
+// watch has f called when a part of a response arrives. It reports whether no message waits already. A nil f ends
 // the watch.
 func (b *inbox) watch(f func()) bool {
 	b.mu.Lock()
--- a/daemon/relay/race.go
+++ b/daemon/relay/race.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"time"
 
@@ -55,10 +54,10 @@
 // the error that ends the request.
 func (q *request) receive(ctx context.Context, m message) (done bool, _ error) {
 	a := m.from
+	if m.rest != nil {
+		defer m.rest.Close()
+	}
 	if !slices.Contains(q.open, a) {
-		if m.rest != nil {
-			m.rest.Close()
-		}
 		return false, nil
 	}
 	complete, outcome, err := q.forward(m)
@@ -71,6 +70,7 @@
 	}
 	retry, err := q.decideRetry(ctx, a, err)
 	if !retry {
+		q.watchSilence()
 		return false, err
 	}
 	if ctx.Err() != nil {
@@ -89,8 +89,13 @@
 	if err == nil && outcome == routing.OutcomeOK {
 		q.relay.durations.observe(q.route.Name, time.Since(a.started))
 	}
-	for _, o := range q.open {
-		o.silence.Reset(q.silenceTimeout(o))
+}
+
+// watchSilence sets the timers of the open attempts anew: whether another attempt is allowed beside
+// them may have changed.
+func (q *request) watchSilence() {
+	for _, a := range q.open {
+		a.silence.Reset(q.silenceTimeout(a))
 	}
 }
 
@@ -137,7 +142,7 @@
 			RequestID: q.call.ID, Pipeline: q.route.Name, Target: other.target.Incarnation, Version: other.target.Version, Peer: a.target.Incarnation,
 			Elapsed: time.Since(other.started), LastEvent: q.lastEventID,
 		})
-		q.relay.metrics.recordReplacement(!a.silent)
+		q.relay.metrics.recordReplacement(a.started.After(other.started))
 		q.abandon(other)
 	}
 	q.releaseRead(a)
@@ -168,6 +173,11 @@
 // a target responds.
 func (q *request) seekReplacement(ctx context.Context, a *attempt) {
 	if !slices.Contains(q.open, a) || time.Since(a.lastData) < silenceRecheck {
+		return // it has ended, or has responded meanwhile
+	}
+	if !q.mayRetry() || !q.payForRetry() {
+		// Another attempt was sent, or has failed, since the silence was reported.
+		a.silence.Reset(q.seekDelay(nil))
 		return
 	}
 	if !a.silent {
@@ -229,9 +239,8 @@
 	}
 	if a.silent {
 		a.silent = false
-		a.tracked.Responded()
+		a.tracked.Responded(a.lastData)
 	}
-	a.silence.Reset(q.eventTimeout())
 }
 
 // textOf returns the text of an error; empty for nil.
@@ -264,6 +273,3 @@
 		return q.forwardReply(m)
 	}
 }
-
-// isEnd reports whether a reply has ended completely.
-func (m message) isEnd() bool { return m.err == io.EOF }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -177,8 +178,9 @@
 	// possibleRuns counts the attempts that may have run, refusals those that didn't.
 	possibleRuns, refusals int
 	excluded               []string
-	// retryPaid is true if the next attempt has been taken from the budget.
+	// retryPaid is true if the next attempt has been taken from the budget. payMu serialises taking it.
 	retryPaid atomic.Bool
+	payMu     sync.Mutex
 	// open are the attempts in progress, in the order of their start. inbox passes their messages on,
 	// silences those whose targets have become silent.
 	open     []*attempt
@@ -419,7 +421,8 @@
 	if !q.locateStream(ctx) {
 		return
 	}
-	defer q.abandonAll()
+	defer q.returnRetry()
+	defer q.abandonAll() // ends the timers that take a retry
 	if err := q.race(ctx); err != nil {
 		q.sendFailure(ctx, err)
 	}
--- a/daemon/relay/retry.go
+++ b/daemon/relay/retry.go
@@ -64,8 +64,8 @@
 		q.possibleRuns++
 		q.mayHaveRun = true
 	}
-	if holder := cmp.Or(q.owner, a.grantedBy); f.nothingListens && holder != "" {
-		q.relay.options.Stages.ReportUnreachable(holder, q.service, a.target.Incarnation)
+	if f.nothingListens {
+		q.relay.reportUnreachable(cmp.Or(q.owner, a.grantedBy), a.target)
 	}
 	if f.inputsGone || errors.Is(f.cause, forward.ErrWithdrawn) {
 		q.excluded = q.excluded[:len(q.excluded)-1] // the target had no part in the failure
@@ -98,9 +98,19 @@
 	return true, nil
 }
 
+// reportUnreachable reports to the holder of the stage queue, if there is one, that nothing listens
+// at a target's address.
+func (s *Relay) reportUnreachable(holder string, t routing.Target) {
+	if holder != "" {
+		s.options.Stages.ReportUnreachable(holder, t.Pool, t.Incarnation)
+	}
+}
+
 // payForRetry takes a retry from the budget, once for each attempt. It reports whether the
-// budget allows it.
+// budget allows it. It is safe for concurrent use.
 func (q *request) payForRetry() bool {
+	q.payMu.Lock()
+	defer q.payMu.Unlock()
 	if q.retryPaid.Load() {
 		return true
 	}
@@ -111,6 +121,13 @@
 	return true
 }
 
+// returnRetry returns a retry that was taken from the budget, and not used, at the end of the request.
+func (q *request) returnRetry() {
+	if q.retryPaid.Swap(false) {
+		q.relay.options.Budgets.ReturnRetry(time.Now(), q.service)
+	}
+}
+
 // noTimeout limits the silence of a target that no other one can replace: the request's own
 // deadline always comes first.
 const noTimeout = 24 * time.Hour
