Report a request's end before the request is sent again

Callers saw requests that waited for another queue, or ended, after an attempt failed: "Holder of the stage queue didn't answer ... the request was dropped", and a sound holder was avoided for three seconds.

Cause: the ends of requests are collected for 30 ms and then reported. A holder knows requests only by their IDs. Execute with the same ID in that time, or while the report is on its way, submits the request again, and the report of the earlier end drops it or frees its new results.

Ruled out: the local holder, where an end is applied at once (unless a handover is in progress, which is a fault of its own).

Change: before a request is sent to a holder, the reports of its earlier ends are sent at once and awaited, also at the instance to which they go if the first one doesn't respond. After a second without a response the request is sent nevertheless, and the earlier ends that aren't on their way are discarded. No lock is held meanwhile, and messages are as before.

Conclusion: an end can no longer overtake the next attempt at a holder that responds within a second. A holder that is silent for longer may still process a report that it has received after the next attempt.

--- a/daemon/stages/requestends.go
+++ b/daemon/stages/requestends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +24,20 @@
 	dropDelay = 30 * time.Millisecond
 	// dropTimeout limits the report that results have been read.
 	dropTimeout = 2 * time.Second
+	// endWait limits how long a request that is sent again waits for the report of its earlier end.
+	endWait = time.Second
 )
 
+// endReport is a message to a holder that reports the ends of requests.
+type endReport struct {
+	holder string
+	ends   []placing.RequestEnd
+	// sent is true once the message is on its way; no ends are added then.
+	sent bool
+	// done is closed when the holder has responded, or the ends are to be reported elsewhere.
+	done chan struct{}
+}
+
 // Drop reports to the holder that the results of a request have been read, together with the
 // performance of the request's engine, or that the caller left. It doesn't wait.
 func (s *Stages) Drop(holder string, end placing.RequestEnd) {
@@ -35,25 +48,103 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := len(s.pendingDrops[holder]) == 0
-	s.pendingDrops[holder] = append(s.pendingDrops[holder], end)
-	if first {
-		time.AfterFunc(dropDelay, func() { s.sendDrops(holder) })
+	s.addEnd(holder, end)
+}
+
+// addEnd adds the end of a request to the next message to a holder. mu must be held.
+func (s *Stages) addEnd(holder string, end placing.RequestEnd) {
+	report := s.pendingReports[holder]
+	if report == nil {
+		report = &endReport{holder: holder, done: make(chan struct{})}
+		s.pendingReports[holder] = report
+		time.AfterFunc(dropDelay, func() { s.sendReport(report) })
 	}
+	report.ends = append(report.ends, end)
+	s.unreported[end.Request] = append(s.unreported[end.Request], report)
 }
 
-func (s *Stages) sendDrops(holder string) {
+// sendReport sends a message, unless it has been sent.
+func (s *Stages) sendReport(report *endReport) {
 	s.mu.Lock()
-	ends := s.pendingDrops[holder]
-	delete(s.pendingDrops, holder)
+	if report.sent {
+		s.mu.Unlock()
+		return
+	}
+	report.sent = true
+	delete(s.pendingReports, report.holder)
+	ends := s.unreportedEnds(report)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
-	defer cancel()
-	if err := s.reportEnds(ctx, holder, ends); err != nil {
+	var err error
+	if len(ends) > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+		defer cancel()
+		err = s.reportEnds(ctx, report.holder, ends)
+	}
+	if err != nil {
 		// The holder drops the requests at their deadlines.
-		telemetry.ErrorS(err, "Holder of the stage queue was not told of ended requests", telemetry.Event{Peer: holder, Count: len(ends)})
-		s.dropElsewhere(holder, ends)
+		telemetry.ErrorS(err, "Holder of the stage queue was not told of ended requests", telemetry.Event{Peer: report.holder, Count: len(ends)})
+		s.dropElsewhere(report)
+	}
+	s.completeReport(report)
+}
+
+// unreportedEnds returns the ends of a message whose requests weren't sent again meanwhile. mu must be
+// held.
+func (s *Stages) unreportedEnds(report *endReport) []placing.RequestEnd {
+	var ends []placing.RequestEnd
+	for _, end := range report.ends {
+		if slices.Contains(s.unreported[end.Request], report) {
+			ends = append(ends, end)
+		}
 	}
+	return ends
+}
+
+// completeReport releases the requests that wait for a message.
+func (s *Stages) completeReport(report *endReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, end := range report.ends {
+		others := slices.DeleteFunc(s.unreported[end.Request], func(r *endReport) bool { return r == report })
+		if s.unreported[end.Request] = others; len(others) == 0 {
+			delete(s.unreported, end.Request)
+		}
+	}
+	close(report.done)
+}
+
+// awaitEndReports sends the reports of a request's earlier ends at once, and waits until they have
+// arrived or the context ends. It reports whether none is left.
+func (s *Stages) awaitEndReports(ctx context.Context, id string) bool {
+	for {
+		s.mu.Lock()
+		reports := s.unreported[id]
+		if len(reports) == 0 {
+			s.mu.Unlock()
+			return true
+		}
+		report := reports[0]
+		s.mu.Unlock()
+		go s.sendReport(report)
+		select {
+		case <-report.done:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// settleEnds makes sure that the earlier ends of a request don't end it as it is sent again: a holder
+// distinguishes requests only by their IDs.
+func (s *Stages) settleEnds(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, endWait)
+	defer cancel()
+	if s.awaitEndReports(ctx, id) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.unreported, id)
 }
 
 // reportEnds reports ended requests to a holder. A holder of an earlier version receives only
@@ -79,14 +170,22 @@
 
 // dropElsewhere reports ended requests to the present holder, which may have taken them over
 // from the instance that didn't respond.
-func (s *Stages) dropElsewhere(failed string, ends []placing.RequestEnd) {
+func (s *Stages) dropElsewhere(failed *endReport) {
 	next, _ := s.pickHolder(time.Now())
-	if next.Address == failed || next.Address == "" {
+	if next.Address == failed.holder || next.Address == "" {
 		return
 	}
-	for _, end := range ends {
-		s.Drop(next.Address, end)
+	self, _ := s.cluster.View().Find(s.cluster.View().Self)
+	s.mu.Lock()
+	ends := s.unreportedEnds(failed)
+	if next.Address != self.Address {
+		for _, end := range ends {
+			s.addEnd(next.Address, end)
+		}
+		ends = nil
 	}
+	s.mu.Unlock()
+	s.queue.drop(ends...)
 }
 
 func (s *Stages) handleDrop(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -82,8 +82,11 @@
 	// lastResponse is when instances last responded, by address.
 	lastResponse map[string]time.Time
 	// relayed are the relayed requests of other instances, by ID.
-	relayed      map[string]relayedRequest
-	pendingDrops map[string][]placing.RequestEnd
+	relayed map[string]relayedRequest
+	// pendingReports are the reports of ended requests that aren't sent yet, by the address of the
+	// holder. unreported has the reports that haven't arrived yet, by request ID.
+	pendingReports map[string]*endReport
+	unreported     map[string][]*endReport
 	// waiting are the requests of this instance that wait for their stages, by ID.
 	waiting map[string]*waitingRequest
 	// stopping means that this instance hands its queue over and accepts no other.
@@ -106,18 +109,19 @@
 // limits bound what cold targets get.
 func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, limits pacing.Limits, scope tally.Scope) *Stages {
 	s := &Stages{
-		cluster:      c,
-		queue:        newQueue(d, client, follower, newMetrics(scope)),
-		avoidedUntil: map[string]time.Time{},
-		redirects:    map[string]redirect{},
-		lastResponse: map[string]time.Time{},
-		relayed:      map[string]relayedRequest{},
-		pendingDrops: map[string][]placing.RequestEnd{},
-		waiting:      map[string]*waitingRequest{},
-		incoming:     map[string]*incomingHandover{},
-		ended:        make(chan struct{}),
-		claim:        queueClaim{startedAt: time.Now(), done: make(chan struct{})},
-		awaitLimits:  func(context.Context, string) {},
+		cluster:        c,
+		queue:          newQueue(d, client, follower, newMetrics(scope)),
+		avoidedUntil:   map[string]time.Time{},
+		redirects:      map[string]redirect{},
+		lastResponse:   map[string]time.Time{},
+		relayed:        map[string]relayedRequest{},
+		pendingReports: map[string]*endReport{},
+		unreported:     map[string][]*endReport{},
+		waiting:        map[string]*waitingRequest{},
+		incoming:       map[string]*incomingHandover{},
+		ended:          make(chan struct{}),
+		claim:          queueClaim{startedAt: time.Now(), done: make(chan struct{})},
+		awaitLimits:    func(context.Context, string) {},
 	}
 	s.queue.limits, s.queue.view = limits, c.View
 	s.queue.reportCallEnd = s.reportCallEnd
@@ -306,6 +310,7 @@
 }
 
 func (s *Stages) executeAt(ctx context.Context, m membership.Member, r gather.Request, prompt placing.Prompt, redirected bool) (Result, error) {
+	s.settleEnds(ctx, r.ID)
 	r, shortened := s.addWaiting(m.Address, r)
 	if m.Name == s.cluster.View().Self {
 		s.takeBackAvoided(ctx, time.Now())
