Apply deferred ends of requests before their next attempts

Callers see the same as with ends that are reported late: a request that is sent again is dropped or loses its results.

Cause: during a handover of the stage queue ends are deferred. If the queue was kept, they were applied after the requests that waited for the end of the handover; if it moved, or had moved, they were collected for the next holder after their sender or the next attempt had been answered. The requester then sends the request to the next holder, which receives the earlier end afterwards.

Ruled out: ends of calls; only their order with ends of requests matters, and it is kept.

Change: a queue that is kept applies what was deferred under the lock under which it opens. A queue that moves forwards ends before it redirects. An instance that forwards ends, of a moved or a relayed request, awaits that for up to half a second before it responds.

Conclusion: an end that reaches a holder during a handover is still answered before it is forwarded, so that a requester that turns to the next holder on its own, without a redirect, may overtake it.

--- a/daemon/stages/relayed.go
+++ b/daemon/stages/relayed.go
@@ -109,8 +109,8 @@
 }
 
 // dropEnded drops the ended requests that are held here, and reports those that were relayed
-// to their holders.
-func (s *Stages) dropEnded(ends []placing.RequestEnd) {
+// to their holders. It waits for these reports, since the requester may send the requests again next.
+func (s *Stages) dropEnded(ctx context.Context, ends []placing.RequestEnd) {
 	local := make([]placing.RequestEnd, 0, len(ends))
 	for _, end := range ends {
 		r, ok := s.removeRelayed(end.Request)
@@ -124,4 +124,19 @@
 		}
 	}
 	s.queue.drop(local...)
+	ids := make([]string, len(ends))
+	for i, end := range ends {
+		ids[i] = end.Request
+	}
+	s.awaitForwarded(ctx, ids...)
+}
+
+// awaitForwarded waits until the ends of requests that are reported to other instances have arrived
+// there, so that requesters may send the requests there, or until forwardWait is over.
+func (s *Stages) awaitForwarded(ctx context.Context, ids ...string) {
+	ctx, cancel := context.WithTimeout(ctx, forwardWait)
+	defer cancel()
+	for _, id := range ids {
+		s.awaitEndReports(ctx, id)
+	}
 }
--- a/daemon/stages/requestends.go
+++ b/daemon/stages/requestends.go
@@ -24,8 +24,10 @@
 	dropDelay = 30 * time.Millisecond
 	// dropTimeout limits the report that results have been read.
 	dropTimeout = 2 * time.Second
-	// endWait limits how long a request that is sent again waits for the report of its earlier end.
-	endWait = time.Second
+	// endWait limits how long a request that is sent again waits for the report of its earlier end,
+	// and forwardWait how long an instance that forwards ends delays its response.
+	endWait     = time.Second
+	forwardWait = endWait / 2
 )
 
 // endReport is a message to a holder that reports the ends of requests.
@@ -188,7 +190,7 @@
 	s.queue.drop(ends...)
 }
 
-func (s *Stages) handleDrop(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+func (s *Stages) handleDrop(ctx context.Context, _ peer.Peer, body []byte) ([]byte, error) {
 	var ids []string
 	if err := msgpack.Unmarshal(body, &ids); err != nil {
 		return nil, errors.Wrap(err, "decode")
@@ -197,15 +199,15 @@
 	for i, id := range ids {
 		ends[i].Request = id
 	}
-	s.dropEnded(ends)
+	s.dropEnded(ctx, ends)
 	return nil, nil
 }
 
-func (s *Stages) handleRequestEnds(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
+func (s *Stages) handleRequestEnds(ctx context.Context, _ peer.Peer, body []byte) ([]byte, error) {
 	var ends []placing.RequestEnd
 	if err := msgpack.Unmarshal(body, &ends); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	s.dropEnded(ends)
+	s.dropEnded(ctx, ends)
 	return nil, nil
 }
--- a/daemon/stages/requestends_test.go
+++ b/daemon/stages/requestends_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
+	"github.com/ivyhollow/ivyhollow/state/routes"
 	"github.com/ivyhollow/ivyhollow/transport/peer"
 )
 
@@ -132,3 +134,89 @@
 		s.avoid(name)
 	}
 }
+
+// Guards against a request that is dropped, as it is sent again, because its earlier end was deferred by a
+// handover that failed.
+func TestDeferredEndIsAppliedBeforeTheRequestIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStages(t, newFakeCluster(1))
+		s.queue.dialect, s.queue.follower = &stubDialect{}, stubFollower{}
+		table := &routes.Table{Services: map[string]*routes.Service{"stage": {Name: "stage", Batch: &routes.BatchConfig{
+			Slots: 1, MaxPieces: 1, CallTime: time.Second, PieceTime: time.Millisecond, ResultCapacity: 1 << 20, ResultTTL: time.Minute,
+		}}}}
+		s.SetTargets(time.Now(), table, map[string][]routes.Target{"stage": {{Name: "t", Address: "at-t", DataCentre: "x"}}})
+		s.queue.reportCallEnd = func(string, uint64, gather.CallOutcome, []gather.PieceResult) { time.Sleep(tick) }
+		s.queue.mu.Lock()
+		s.queue.movedCalls[7] = "at-c"
+		s.queue.mu.Unlock()
+		r := emptyRequest("1")
+		r.Stages[0].Pieces = 1
+		state := s.queue.freeze()
+		s.queue.callEnded(7, gather.CallUnanswered, nil)
+		s.queue.drop(placing.RequestEnd{Request: "1"})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.queue.execute(ctx, r, placing.Prompt{}, false, false)
+		synctest.Wait()
+		s.queue.unfreeze(state)
+		synctest.Wait()
+		s.queue.mu.Lock()
+		defer s.queue.mu.Unlock()
+		require.Len(t, s.queue.waiters, 1)
+		require.Equal(t, 1, s.queue.planner.RequestCount(), "its requester waits for a request that was dropped")
+	})
+}
+
+// Guards against the end of a request that ends the same request at the instance that took the queue over.
+func TestEndIsForwardedBeforeItIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(2)
+		recorder := endRecorder{held: map[string]int{}}
+		handover := acceptHandover(t)
+		c.respond = func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+			if method == methodHandover {
+				return handover(ctx, to, method, body)
+			}
+			return recorder.call(ctx, to, method, body)
+		}
+		s := startStages(t, c)
+		holdCall(t, s, time.Minute)
+		s.Yield()
+		require.Equal(t, "at-b", s.queue.yieldedTo())
+		body, err := encode([]placing.RequestEnd{{Request: "1"}})
+		require.NoError(t, err)
+		_, err = s.handleRequestEnds(t.Context(), peer.Peer{}, body)
+		require.NoError(t, err)
+		recorder.mu.Lock()
+		defer recorder.mu.Unlock()
+		require.Equal(t, 1, recorder.ends)
+	})
+}
+
+// Guards against an end, deferred by a handover, that reaches the next holder after the request's next
+// attempt.
+func TestDeferredEndPrecedesARedirectedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(2)
+		recorder := endRecorder{held: map[string]int{}}
+		c.respond = recorder.call
+		s := startStages(t, c)
+		forward := s.queue.forwardDrops
+		s.queue.forwardDrops = func(to string, ends ...placing.RequestEnd) {
+			time.Sleep(dropDelay)
+			forward(to, ends...)
+		}
+		s.queue.freeze()
+		s.queue.drop(placing.RequestEnd{Request: "1"})
+		answered := make(chan error, 1)
+		go func() {
+			_, err := s.Execute(t.Context(), emptyRequest("1"), placing.Prompt{})
+			answered <- err
+		}()
+		synctest.Wait()
+		s.queue.completeHandover("at-b")
+		require.NoError(t, <-answered)
+		time.Sleep(3 * dropDelay)
+		require.Equal(t, 1, recorder.holds("1"))
+	})
+}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -452,6 +452,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if end.movedTo != "" {
+		s.awaitForwarded(ctx, r.ID)
+	}
 	response := &pacedResponse{Assign: assignResponse{
 		redirectableResponse{Run: runResponse{Handles: end.handles}, MovedTo: end.movedTo}, end.engine,
 	}}
--- a/daemon/stages/transfer.go
+++ b/daemon/stages/transfer.go
@@ -37,6 +37,12 @@
 	results []gather.PieceResult
 }
 
+// movedEnd is the end of a call that was handed over to another instance.
+type movedEnd struct {
+	callEnd
+	to string
+}
+
 // handoverState is the state of the handovers in which a queue took part.
 type handoverState struct {
 	// frozen means that a handover to another instance is in progress: nothing changes here
@@ -113,16 +119,29 @@
 	}
 	ends, steps := q.deferredEnds, q.deferredSteps
 	q.deferredEnds, q.deferredSteps, q.deferredDrops = nil, nil, nil
-	q.frozen, q.exported = false, gather.State{}
-	close(q.unfrozen)
 	q.recordActions(actions)
-	q.mu.Unlock()
-	q.performActions(actions)
+	// All that was deferred precedes the requests that wait for the end of the handover: the end of
+	// a request mustn't end the same request as it is sent again.
+	var moved []movedEnd
 	for _, e := range ends {
-		q.callEnded(e.id, e.outcome, e.results)
+		ended, to := q.endCall(&e)
+		q.recordActions(ended)
+		actions = append(actions, ended...)
+		if to != "" {
+			moved = append(moved, movedEnd{e, to})
+		}
 	}
 	for _, step := range steps {
-		q.apply(step)
+		applied := step(q.planner)
+		q.recordActions(applied)
+		actions = append(actions, applied...)
+	}
+	q.frozen, q.exported = false, gather.State{}
+	close(q.unfrozen)
+	q.mu.Unlock()
+	q.performActions(actions)
+	for _, e := range moved {
+		q.reportCallEnd(e.to, e.id, e.outcome, e.results)
 	}
 }
 
@@ -146,8 +165,16 @@
 // are redirected to it.
 func (q *queue) completeHandover(to string) {
 	q.mu.Lock()
-	ends, drops := q.deferredEnds, q.deferredDrops
-	q.deferredEnds, q.deferredSteps, q.deferredDrops = nil, nil, nil
+	for len(q.deferredDrops) > 0 {
+		// They precede the redirects of requests that are sent again.
+		drops := q.deferredDrops
+		q.deferredDrops = nil
+		q.mu.Unlock()
+		q.forwardDrops(to, drops...)
+		q.mu.Lock()
+	}
+	ends := q.deferredEnds
+	q.deferredEnds, q.deferredSteps = nil, nil
 	q.applyDeferredTargets() // returns no actions, since nothing is held
 	for _, c := range q.exported.Calls {
 		q.movedCalls[c.ID] = to
@@ -166,7 +193,6 @@
 		// others.
 		go q.callEnded(e.id, e.outcome, e.results)
 	}
-	q.forwardDrops(to, drops...)
 }
 
 // takeOver continues with the queue that another instance hands over. It returns false if this
@@ -249,20 +275,28 @@
 		q.mu.Unlock()
 		return
 	}
-	if to, ok := q.renumbered[id]; ok {
-		delete(q.renumbered, id)
-		id = to
-	}
-	if to, ok := q.movedCalls[id]; ok {
-		delete(q.movedCalls, id)
-		q.mu.Unlock()
-		q.reportCallEnd(to, id, callOutcome, results)
-		return
-	}
-	actions := q.planner.CallDone(time.Now(), id, callOutcome, results)
+	e := callEnd{id, callOutcome, results}
+	actions, to := q.endCall(&e)
 	q.recordActions(actions)
 	q.mu.Unlock()
 	q.performActions(actions)
+	if to != "" {
+		q.reportCallEnd(to, e.id, callOutcome, results)
+	}
+}
+
+// endCall applies the end of a call to the planner. If the call was handed over, it returns the address
+// of the instance to report to. It sets the present ID of a renumbered call. mu must be held.
+func (q *queue) endCall(e *callEnd) (_ []gather.Action, movedTo string) {
+	if id, ok := q.renumbered[e.id]; ok {
+		delete(q.renumbered, e.id)
+		e.id = id
+	}
+	if to, ok := q.movedCalls[e.id]; ok {
+		delete(q.movedCalls, e.id)
+		return nil, to
+	}
+	return q.planner.CallDone(time.Now(), e.id, e.outcome, e.results), ""
 }
 
 // dropUnclaimed drops the unclaimed requests whose requesters haven't asked here in time.
