Keep a silent stream that no other attempt may replace

Callers of the product's own interface got target_failed, "no byte for too long", for a stream whose target paused and would have gone on.

Cause: a stream that is silent for maxEventGap is given up, and a repeatable one after half of its time without a header, also if no other attempt may follow: the stage isn't repeatable, isn't resumable and has delivered tokens, or has used up its attempts.

Ruled out: whole answers, which wait until their deadlines, and hedges, which keep the first attempt until another one has its answer.

Change: the client asks before each wait whether the stream ends if it is silent. It doesn't while no other attempt may follow; its deadline ends it. Streams without a deadline are bounded as before.

Conclusion: fixed where nothing can replace the attempt. Where another attempt may follow, a silent one is still given up before the retry budget, the gate and the routing table have accepted the next one. A connection whose state a network element has dropped is now found by the deadline for streams that nothing replaces.

--- a/coordination/retry/attempts.go
+++ b/coordination/retry/attempts.go
@@ -91,6 +91,11 @@
 	return a.stage.Repeatable && !a.stage.Streaming && a.sent < a.stage.MaxAttempts
 }
 
+// MayRetry reports whether another attempt may follow one that may have run.
+func (a *Attempts) MayRetry(tokensDelivered bool) bool {
+	return a.stage.Repeatable && a.stopReason(Failure{TokensDelivered: tokensDelivered}) == ""
+}
+
 // AfterFailure decides whether to retry once no attempt is in flight and the
 // last one failed. latestStart is the last moment at which an attempt can start
 // and still meet the deadline.
--- a/daemon/execute/attempt.go
+++ b/daemon/execute/attempt.go
@@ -109,6 +109,7 @@
 func (a *attempt) call() target.Call {
 	return target.Call{
 		HeaderTimeout: a.headerTimeout(),
+		EndsIfSilent:  func() bool { return a.attempts.MayRetry(a.offset > 0) },
 		Address:       a.choice.Target.Address,
 		Incarnation:   a.choice.Target.Incarnation,
 		AttemptID:     a.id,
@@ -130,10 +131,10 @@
 
 // headerTimeout limits the wait for the first byte of a repeatable stream to half of the
 // remaining time, so that after a target that doesn't respond there is time for another
-// one. Other attempts may wait until the deadline: for a stage that is not repeatable, an
-// earlier timeout would turn a late response into an unknown outcome.
+// one. Attempts that no other one may follow may wait until the deadline: an earlier timeout
+// would lose a late response and, for a stage that is not repeatable, make its outcome unknown.
 func (a *attempt) headerTimeout() time.Duration {
-	if a.stream && a.stage.Repeatable {
+	if a.stream && a.attempts.MayRetry(a.offset > 0) {
 		return a.remainingTime() / 2
 	}
 	return a.remainingTime()
--- a/daemon/execute/executor_test.go
+++ b/daemon/execute/executor_test.go
@@ -125,6 +125,34 @@
 	}
 }
 
+// Guards against a stream that is given up in a pause of its target although no other attempt may
+// continue it.
+func TestStreamThatNothingReplacesOutlivesAPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		repeatable, resumable bool
+		attempts              int
+	}{
+		"not repeatable":   {attempts: 3},
+		"not resumable":    {repeatable: true, attempts: 3},
+		"the last attempt": {repeatable: true, resumable: true, attempts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, catalog.KindEngine, catalog.ObjectiveAttainment)
+			for _, e := range r.targets {
+				e.SetFaults(emulated.Fault{Kind: emulated.FaultLate, DelayMS: 2 * rigBodyIdle.Milliseconds()})
+			}
+			p := oneStage(c.repeatable, c.resumable, rigTokens)
+			p.MaxAttempts = c.attempts
+			job := r.job(p, 10*rigBodyIdle)
+			job.OnToken = func(int, string) error { return nil }
+			_, err := r.do(job)
+			require.NoError(t, err)
+			require.Equal(t, 1, r.runs(job.ID))
+		})
+	}
+}
+
 // Both targets were replaced but are still listed under their old incarnations, so each
 // refuses and nothing runs. A false "unknown" would keep the caller from retrying.
 func TestRefusedEverywhereIsNotRun(t *testing.T) {
--- a/daemon/execute/rig_test.go
+++ b/daemon/execute/rig_test.go
@@ -24,6 +24,8 @@
 const (
 	rigPool   = "pool"
 	rigTokens = 6
+	// rigBodyIdle is how long a stream that another attempt may continue may be silent.
+	rigBodyIdle = 200 * time.Millisecond
 )
 
 // rig is an executor with two emulated targets of one pool.
@@ -56,7 +58,7 @@
 		Tiers: tiers.Config{Preempt: true, MinRunTime: time.Nanosecond}, OvercommitOrdered: 1, OvercommitUnordered: 1,
 	}, time.Now)
 	gates.SetCapacity(rigPool, 8, kind == catalog.KindEngine)
-	client := target.New(target.Options{BodyIdleTimeout: 200 * time.Millisecond})
+	client := target.New(target.Options{BodyIdleTimeout: rigBodyIdle})
 	t.Cleanup(client.Close)
 	snapshot := &catalog.Snapshot{Pools: map[string]*catalog.Pool{rigPool: {Name: rigPool, Objective: objective}}}
 	r.Executor = New(Options{
--- a/daemon/execute/script_test.go
+++ b/daemon/execute/script_test.go
@@ -65,7 +65,10 @@
 	return targetapi.RunResponse{Output: call.AttemptID}, target.ResponseMeta{}, err
 }
 
+// Stream ends an attempt that is silent for its HeaderTimeout.
 func (s *scriptedCaller) Stream(ctx context.Context, call target.Call, _ func(int, string) error) (targetapi.RunResponse, target.ResponseMeta, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.HeaderTimeout)
+	defer cancel()
 	return s.Run(ctx, call)
 }
 
@@ -276,6 +279,19 @@
 	}
 }
 
+// Guards against a stream that is given up for its target's silence although no other attempt may follow.
+func TestLastAttemptOutlivesItsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedCaller{steps: []step{{err: connectionReset}, {after: 700 * time.Millisecond}}}
+		r := newScriptedRig(s, retry.Config{Reserve: 5})
+		p := oneStage(true, true, rigTokens)
+		p.MaxAttempts = 2
+		_, err := r.do(r.job(p, time.Second))
+		require.NoError(t, err)
+		require.Len(t, s.sent, 2)
+	})
+}
+
 // brokenGate is a gate that fails with an error that isn't a *gate.RefusedError.
 type brokenGate struct{ Gate }
 
--- a/transport/target/exchange.go
+++ b/transport/target/exchange.go
@@ -45,6 +45,8 @@
 	silenceTimer *time.Timer
 	// bodyIdleTimeout bounds each wait for bytes of the body.
 	bodyIdleTimeout time.Duration
+	// endsIfSilent reports whether the next wait is bounded; nil means that all are.
+	endsIfSilent func() bool
 
 	// hasConn reports whether the call got a connection; writesBefore is the
 	// connection's write count at that time.
--- a/transport/target/options.go
+++ b/transport/target/options.go
@@ -75,7 +75,10 @@
 	Tier     string
 	// HeaderTimeout overrides Options.HeaderTimeout unless it is 0.
 	HeaderTimeout time.Duration
-	Run           targetapi.RunRequest
+	// EndsIfSilent reports whether a stream that is silent for Options.BodyIdleTimeout ends before
+	// its Deadline. nil means that it does.
+	EndsIfSilent func() bool
+	Run          targetapi.RunRequest
 }
 
 // ResponseMeta is what the response headers report about the target. It may be
--- a/transport/target/response.go
+++ b/transport/target/response.go
@@ -133,7 +133,9 @@
 // is slow to process a token doesn't make the target look silent.
 func (b *boundedBody) Read(p []byte) (int, error) {
 	x := b.exchange
-	x.silenceTimer.Reset(x.bodyIdleTimeout)
+	if x.endsIfSilent == nil || x.endsIfSilent() {
+		x.silenceTimer.Reset(x.bodyIdleTimeout)
+	}
 	n, err := x.response.Body.Read(p)
 	x.silenceTimer.Stop()
 	b.remaining -= int64(n)
--- a/transport/target/stream.go
+++ b/transport/target/stream.go
@@ -36,6 +36,9 @@
 
 // readStream reads a streamed response up to its done or error event.
 func (x *exchange) readStream(onToken func(offset int, token string) error) (targetapi.RunResponse, error) {
+	if !x.call.Deadline.IsZero() {
+		x.endsIfSilent = x.call.EndsIfSilent
+	}
 	limit := int(x.client.options.MaxBody)
 	s := &tokenStream{
 		exchange:   x,
@@ -145,7 +148,7 @@
 // stays valid.
 func (s *tokenStream) readEnd() {
 	x := s.exchange
-	x.bodyIdleTimeout = streamEndTimeout
+	x.bodyIdleTimeout, x.endsIfSilent = streamEndTimeout, nil
 	if _, err := s.events.Next(); err != io.EOF {
 		x.closeConn()
 	}
