Halve the read buffers of a stream

Cause: a stream has two read buffers of 16 KiB where it had one, and memory is what small instances have least of. Ruled out: one buffer; its reader would wait while a part is forwarded. Change: 8 KiB each. Events are far smaller. Conclusion: a stream's buffers take what they took before.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -18,8 +18,8 @@
 	"github.com/ivyhollow/ivyhollow/transport/inbound"
 )
 
-// readBuffer is the size in bytes of one read of a reply.
-const readBuffer = 16 << 10
+// readBuffer is the size in bytes of one read of a stream.
+const readBuffer = 8 << 10
 
 // forwardReply forwards what an attempt has received of its reply. It reports whether the response
 // is complete, or returns the error that ended the attempt.
