End attempts on a lost path only if it stays lost

Calls of stages ended with "the path to the target is lost" at sound targets that had paused for two to three seconds and were about to respond; their pieces ran again elsewhere, or their requests were refused for the time that was left.

Cause: after two seconds without a byte of any target of a service new attempts go through other instances. A response through one of them is taken as the proof that the direct path is lost, and all attempts that wait on it were ended in that moment. If all targets had paused, their responses on the direct connections arrive at the same time.

Change: attempts are ended a tick later (250 ms), if no target has sent anything on the direct path by then.

The case "target goes on" of TestAttemptEndsOnlyIfItsPathStaysLost failed 3 of 3 before and passes; "path stays lost" holds the other side.

Conclusion: a target whose pause ends more than 250 to 500 ms after another one's response through an instance is still taken for lost.

--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -58,6 +58,8 @@
 	// waiting has the direct connections on which a request was sent and no response header arrived,
 	// and when it was sent.
 	waiting map[*conn]time.Time
+	// lost has the direct paths that are lost, by service.
+	lost map[string]lostPath
 
 	// pathMu protects paths and verdicts. It may be locked while mu is held, but not vice versa.
 	pathMu   sync.Mutex
@@ -129,7 +131,7 @@
 		o.Dial = Dial
 	}
 	return &Client{
-		options: o, idle: map[idleKey][]*conn{}, waiting: map[*conn]time.Time{},
+		options: o, idle: map[idleKey][]*conn{}, waiting: map[*conn]time.Time{}, lost: map[string]lostPath{},
 		paths: reach.NewTracker(), verdicts: map[string]verdict{},
 	}
 }
@@ -315,7 +317,7 @@
 	// MayProbe is true if the request can be sent again at little cost, so that it may show whether
 	// a lost path is back.
 	MayProbe bool
-	// EndIfLost ends the attempt with ErrPathLost when the direct path to the service is found
+	// EndIfLost ends the attempt with ErrPathLost soon after the direct path to the service is found
 	// silent, and after probeTimeout without a response if it is lost already.
 	EndIfLost bool
 	// Incarnation is the process that the attempt is for. Idle connections to other
--- a/transport/forward/path.go
+++ b/transport/forward/path.go
@@ -16,6 +16,9 @@
 	tickInterval = 250 * time.Millisecond
 	// probeTimeout is how long an attempt that ends if its path is lost probes such a path.
 	probeTimeout = time.Second
+	// lossConfirmation is how long a path must have been lost before attempts on it are ended. If the
+	// targets only paused, an answer through another instance may precede theirs by little.
+	lossConfirmation = tickInterval
 	// ackTimeout is how long the host of a target may take to acknowledge a request.
 	ackTimeout = 500 * time.Millisecond
 )
@@ -62,8 +65,8 @@
 	}
 }
 
-// applyChange closes the idle connections that don't take the present way to a service, and ends
-// attempts that wait on a path that was found silent and ask for that.
+// applyChange closes the idle connections that don't take the present way to a service, and records
+// since when a path is lost.
 func (c *Client) applyChange(change reach.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,14 +81,17 @@
 		}
 		c.setIdle(key, list, kept)
 	}
-	if !change.Lost || change.Cause != reach.CauseSilence {
+	if !change.Lost {
+		delete(c.lost, change.Service)
 		return
 	}
-	for k := range c.waiting {
-		if k.service == change.Service {
-			c.endAttempt(k)
-		}
-	}
+	c.lost[change.Service] = lostPath{time.Now(), change.Cause}
+}
+
+// lostPath is a direct path that is lost.
+type lostPath struct {
+	since time.Time
+	cause reach.Cause
 }
 
 // endAttempt ends the attempt on a connection if it asks for that; mu is held.
@@ -109,7 +115,7 @@
 			c.observe(func(t *reach.Tracker, now time.Time) {
 				t.Tick(now, func(service string) bool { return !unacked[service] })
 			})
-			c.endProbes(time.Now())
+			c.endAttempts(time.Now())
 		}
 	}
 }
@@ -145,12 +151,22 @@
 	return err == nil && failed == nil && queued > 0
 }
 
-// endProbes ends attempts that have waited on a lost path for long and ask for that.
-func (c *Client) endProbes(now time.Time) {
+// endAttempts ends attempts that wait on a lost path and ask for that: those that have waited for long,
+// and those that were sent before the path was found silent.
+func (c *Client) endAttempts(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k, sentAt := range c.waiting {
-		if now.Sub(sentAt) >= probeTimeout && c.PathLost(k.service) {
+		if !c.PathLost(k.service) {
+			continue
+		}
+		path, recorded := c.lost[k.service]
+		if !recorded {
+			c.lost[k.service] = lostPath{since: now} // concurrent changes were applied in another order
+			continue
+		}
+		silent := path.cause == reach.CauseSilence && sentAt.Before(path.since)
+		if now.Sub(path.since) >= lossConfirmation && (silent || now.Sub(sentAt) >= probeTimeout) {
 			c.endAttempt(k)
 		}
 	}
--- /dev/null
+++ b/transport/forward/path_test.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// peerDetour is a detour that always works.
+type peerDetour struct{}
+
+func (peerDetour) Dial(ctx context.Context, address string) (net.Conn, string, error) {
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return nc, "peer", err
+}
+
+func (peerDetour) Usable(string) bool { return true }
+
+// Guards against answers of targets that paused, and go on at the same time as others, that are given up
+// because another instance received an answer first.
+func TestAttemptEndsOnlyIfItsPathStaysLost(t *testing.T) {
+	const wakes = 2500 * time.Millisecond
+	for name, c := range map[string]struct {
+		responds time.Duration
+		ends     bool
+	}{
+		"target goes on":  {responds: wakes + 50*time.Millisecond},
+		"path stays lost": {responds: time.Minute, ends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			start := time.Now()
+			serve := func(after time.Duration) string {
+				s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					select {
+					case <-time.After(time.Until(start.Add(after))):
+					case <-r.Context().Done():
+					}
+				}))
+				t.Cleanup(s.Close)
+				return s.Listener.Addr().String()
+			}
+			client := New(ClientOptions{Detour: peerDetour{}})
+			go func() { _ = client.Run(t.Context()) }()
+			do := func(address string) error {
+				request, err := http.NewRequest(http.MethodPost, "http://"+address+"/", nil)
+				require.NoError(t, err)
+				reply, err := client.Do(t.Context(), address, request, Options{Service: "s", EndIfLost: true})
+				if err == nil {
+					reply.Close()
+				}
+				return err
+			}
+			paused, other := serve(c.responds), serve(wakes)
+			result := make(chan error, 1)
+			go func() { result <- do(paused) }()
+			time.Sleep(wakes - 100*time.Millisecond)
+			require.NoError(t, do(other), "through another instance")
+			err := <-result
+			if !c.ends {
+				require.NoError(t, err)
+				return
+			}
+			require.True(t, errors.Is(err, ErrPathLost), "%v", err)
+			require.Less(t, time.Since(start), wakes+time.Second)
+		})
+	}
+}
