Keep admitted requests while all targets of a stage pause

Callers were refused with no_stage_target, with several seconds left, when all targets of a stage paused for little longer than a second.

Cause: a call that isn't answered in time makes its target count as down for 400 ms. If that holds for all targets of a service, requests that had been admitted, waited and could no longer meet their objectives were refused at once, although the targets are listed and tried again soon.

Change: an admitted request isn't refused for the lack of an answering target while targets are listed. The time that it needs at least still ends it before its deadline. New requests are refused as before.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -328,9 +328,11 @@
 	if req.started || !now.After(req.latestStart) {
 		return
 	}
-	if refusal := p.admit(now, req); refusal != nil {
-		p.refuse(req, *refusal)
+	refusal := p.admit(now, req)
+	if refusal == nil || refusal.Reason == ReasonNoTarget && req.targetsListed() {
+		return // targets that don't answer may have paused, and are tried again soon
 	}
+	p.refuse(req, *refusal)
 }
 
 // refuse drops an admitted request and refuses it.
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -99,6 +99,16 @@
 	return !t.unlisted && (t.unansweredCalls == 0 || !now.Before(t.downUntil))
 }
 
+// hasListed reports whether the service has a target that may get calls once it is tried again.
+func (s *service) hasListed() bool {
+	for _, t := range s.targets {
+		if !t.unlisted {
+			return true
+		}
+	}
+	return false
+}
+
 // capacity returns the number of available targets; a slow target counts for a fraction, and so
 // does one that may get few calls.
 func (s *service) capacity(now time.Time) float64 {
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -113,6 +113,17 @@
 	return req
 }
 
+// targetsListed reports whether the services of all stages that aren't done have targets, even if none
+// of them answers.
+func (req *heldRequest) targetsListed() bool {
+	for _, s := range req.stages {
+		if !s.done() && !s.service.hasListed() {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *heldStage) done() bool { return s.produced == s.Pieces }
 
 // inputsReady reports whether all results that the stage reads exist.
