Have the soak pause targets and check how responses end

Cause: the soak's targets never paused as a whole, and nothing checked that a response goes on behind a target that is only silent. Ruled out: the requests that fail by design: at their own time, at the end of a stop, for an instance that was killed, for a target that broke its connection or sent something false. Each is told from the records of the soak itself, not from the instances' logs. Change: option Pauses (testkit/cmd/soak -pauses, on by default): engines, targets of stages, both, or plain targets pause for 0.9 to 2.3 s, 0.3 to all of a service at once, again and again, beside faults and in planned work. In runs of faults, cuts and versions a response that has begun may end early only if a target that it reached broke, and a request may fail early only if a target that can serve it did. In planned work each loss was a violation already; with pauses a request whose target paused may end at the end of its instance's stop, which is counted. The cold limit is checked by when requests reached the target's host: the same for targets that don't pause. In planned work the target whose limit has yet to be noticed isn't paused.

--- a/testkit/cmd/soak/main.go
+++ b/testkit/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	versions := flag.Bool("versions", false, "roll out software versions of engines beside faults, and check what becomes of streams")
 	instances := flag.Int("instances", 4, "how many instances run")
 	callers := flag.Int("callers", 12, "how many callers there are")
+	pauses := flag.Bool("pauses", true, "pause targets again and again, beside faults or planned work")
 	silences := flag.Int("silences", 2, "how often the store is silent after the faults, and a target leaves then")
 	verbose := flag.Bool("verbose", false, "tell what was done in runs that pass, too")
 	flag.Parse()
@@ -32,7 +33,7 @@
 		o := soak.Options{
 			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
 			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned, Cuts: *cuts, Versions: *versions,
-			Silences: *silences,
+			Silences: *silences, Pauses: *pauses,
 		}
 		if !runSeed(o, *verbose) {
 			failed++
@@ -57,8 +58,8 @@
 	}
 	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", report.Seed, report.Requests, report.Served, len(report.Violations))
 	if o.Planned {
-		fmt.Printf("  refused %d, crossed a close %d, not accepted %d, overdue %d\n",
-			report.Losses.Refused, report.Losses.Crossed, report.Losses.Unaccepted, report.Losses.Overdue)
+		fmt.Printf("  refused %d, crossed a close %d, not accepted %d, overdue %d, ended by a stop %d\n",
+			report.Losses.Refused, report.Losses.Crossed, report.Losses.Unaccepted, report.Losses.Overdue, report.Losses.StopEnded)
 	}
 	if o.Versions {
 		fmt.Printf("  %+v\n", report.Streams)
--- a/testkit/soak/crashing.go
+++ b/testkit/soak/crashing.go
@@ -33,13 +33,16 @@
 // connections until the target is back.
 func (tb *testbed) enableCrashes(name string) {
 	target, path := tb.target(name)
+	restored := func() {}
 	target.SetCrashRecovery(crashDowntime, func() {
+		restored = tb.breaks.begin(name)
 		path.Refuse()
 		path.Reset()
 	}, func() {
 		if err := path.Restore(); err != nil {
 			tb.violation("path %s doesn't heal after a crash: %v", name, err)
 		}
+		restored()
 		tb.writeEntry(name, "ready")
 	})
 }
--- a/testkit/soak/cuts.go
+++ b/testkit/soak/cuts.go
@@ -35,7 +35,9 @@
 // runCuts only cuts instances from targets while callers use the fleet.
 func (tb *testbed) runCuts() []callResult {
 	all, calmFrom := whileInUse(tb.runCallers, func() { tb.cutInstances(time.Now().Add(tb.options.Faults), maxCut) })
-	tb.checkResults(all, nil, tb.readTargetLog(), calmFrom)
+	log := tb.readTargetLog()
+	tb.checkResults(all, nil, log, calmFrom)
+	tb.checkEndings(all, log)
 	tb.checkCuts(all)
 	return all
 }
@@ -92,10 +94,19 @@
 func (tb *testbed) setCut(names map[string]bool, service string, mode relay.CutMode) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	for name, path := range tb.relays {
-		if tb.targets[name] == nil || !strings.HasPrefix(name, service) {
-			continue
+	var affected []string
+	for name := range tb.relays {
+		if tb.targets[name] != nil && strings.HasPrefix(name, service) {
+			affected = append(affected, name)
 		}
+	}
+	tb.endBreakOfCut()
+	tb.endBreakOfCut = func() {}
+	if mode == relay.Break {
+		tb.endBreakOfCut = tb.breaks.begin(affected...)
+	}
+	for _, name := range affected {
+		path := tb.relays[name]
 		for _, in := range tb.instances {
 			switch {
 			case !names[in.name]:
--- a/testkit/soak/drains.go
+++ b/testkit/soak/drains.go
@@ -95,7 +95,7 @@
 		}
 		var times []time.Time
 		for _, a := range target.Arrivals() {
-			times = append(times, a.ReceivedAt)
+			times = append(times, a.HostReceivedAt)
 		}
 		slices.SortFunc(times, time.Time.Compare)
 		first := 0
--- a/testkit/soak/faults.go
+++ b/testkit/soak/faults.go
@@ -60,7 +60,11 @@
 	case 4:
 		return func() { tb.disturbPath(path, span, func(r *relay.Relay) { r.MuteNew(relay.Both) }) }
 	case 5:
-		return func() { tb.disturbPath(path, span, (*relay.Relay).Reset) }
+		return func() {
+			end := tb.breaks.begin(path)
+			tb.disturbPath(path, span, (*relay.Relay).Reset)
+			end()
+		}
 	case 6:
 		return func() { tb.disturbPath(path, span, func(r *relay.Relay) { r.Delay(relay.Both, span/10) }) }
 	case 7:
--- a/testkit/soak/history.go
+++ b/testkit/soak/history.go
@@ -17,8 +17,10 @@
 	// stopBeganAt is the time of the first SIGTERM, secondTermAt that of the second; all are
 	// zero if it didn't happen.
 	launchedAt, stopBeganAt, secondTermAt, exitedAt time.Time
-	// killed reports that the process was sent SIGKILL, so that no clean exit is expected.
-	killed bool
+	// killed reports that the process was sent SIGKILL, so that no clean exit is expected; killedAt is
+	// when it was.
+	killed   bool
+	killedAt time.Time
 	// pauses are the periods in which it was paused; the last one may be open.
 	pauses []span
 }
@@ -44,6 +46,9 @@
 			h.secondTermAt = now
 		}
 	case syscall.SIGKILL:
+		if !h.killed {
+			h.killedAt = now
+		}
 		h.killed = true
 	case syscall.SIGSTOP:
 		h.pauses = append(h.pauses, span{from: now})
--- a/testkit/soak/injector.go
+++ b/testkit/soak/injector.go
@@ -47,7 +47,7 @@
 	targetFaults map[string]func() standin.Fault
 	// oneIn is N if one in N requests meets faults at the engines; 0 for none.
 	oneIn int
-	// injected holds, by request id, the faults that each request met at engines, in order.
+	// injected holds, by request id, the faults that each request met at targets, in order.
 	injected map[string][]standin.Fault
 }
 
@@ -66,10 +66,7 @@
 	if targetFault := f.targetFaults[target]; targetFault != nil {
 		fault = targetFault()
 	}
-	if !strings.HasPrefix(target, "engine-") {
-		return fault
-	}
-	if fault == standin.NoFault && f.oneIn > 0 {
+	if fault == standin.NoFault && f.oneIn > 0 && strings.HasPrefix(target, "engine-") {
 		fault = f.sample(a, len(f.injected[a.ID]))
 	}
 	f.injected[a.ID] = append(f.injected[a.ID], fault)
@@ -123,7 +120,7 @@
 	f.oneIn = oneIn
 }
 
-// injectedInto returns the faults that a request met at engines, in order.
+// injectedInto returns the faults that a request met at targets, in order.
 func (f *faultInjector) injectedInto(id string) []standin.Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,8 @@
 	disturbedAt time.Time
 	process     *exec.Cmd
 	history     *processHistory
+	// histories are those of all processes, including the current one.
+	histories []*processHistory
 	// exited is closed when the current process has exited.
 	exited chan struct{}
 	// endRequested reports whether the soak itself ended the current process.
@@ -110,6 +113,7 @@
 	ended := make(chan struct{})
 	history := &processHistory{instance: in.name, grace: in.grace, launchedAt: time.Now()}
 	in.process, in.history, in.endRequested, in.exited = command, history, false, ended
+	in.histories = append(in.histories, history)
 	in.disturbedAt = time.Now()
 	in.mu.Unlock()
 	go func() {
@@ -174,6 +178,13 @@
 	return in.history, in.exited
 }
 
+// processes returns the histories of all processes so far.
+func (in *instance) processes() []*processHistory {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.Clone(in.histories)
+}
+
 // awaitExit waits until the current process has exited.
 func (in *instance) awaitExit() {
 	_, ended := in.current()
--- a/testkit/soak/losses.go
+++ b/testkit/soak/losses.go
@@ -14,6 +14,9 @@
 	// connection, Unaccepted those on a connection that the instance may never have accepted.
 	// None of these requests reached a target.
 	Crossed, Unaccepted int
+	// StopEnded counts the requests with a paused target that were ended at the end of their
+	// instance's stop.
+	StopEnded int
 	// Overdue counts the requests that were ended at their deadline, by a response that says
 	// so or in the middle of one.
 	Overdue int
@@ -54,6 +57,9 @@
 		case x.overdue():
 			losses.Overdue++
 			tb.logf("overdue: %d, %s", x.status, tb.describe(x, log))
+		case tb.endedByStop(x):
+			losses.StopEnded++
+			tb.logf("ended by a stop: %d, %s", x.status, tb.describe(x, log))
 		case !x.complete:
 			tb.reportLoss(x, log, "was cut in the middle of its answer")
 		case x.status == http.StatusOK:
@@ -82,6 +88,15 @@
 	return gaveUp && x.fullySent && x.ended.Sub(x.lastByte) >= x.deadline-deadlineTolerance
 }
 
+// endedByStop reports whether a request that had waited for a paused target was ended at the end of its
+// instance's stop, by a response that says so or in the middle of one.
+func (tb *testbed) endedByStop(x *exchange) bool {
+	gaveUp := !x.complete || x.status == http.StatusGatewayTimeout
+	since, stopping := x.history.sinceStop(x.ended)
+	return gaveUp && stopping && since >= x.history.grace-exitMargin &&
+		tb.pauses.any(span{x.firstByte, x.ended}, func(target string) bool { return serves(target, x.path) })
+}
+
 // checkClosed classifies a request without a response.
 func (tb *testbed) checkClosed(x *exchange, log targetLog, losses *Losses) {
 	between := span{x.firstByte, x.closeSeen}
--- a/testkit/soak/losses_test.go
+++ b/testkit/soak/losses_test.go
@@ -108,6 +108,42 @@
 	}
 }
 
+// Guards against an end of a stop that excuses requests which no paused target held up, or which ended
+// before it.
+func TestOnlyPausedTargetsLetAStopEndRequests(t *testing.T) {
+	ends := grace - exitMargin
+	cut := answered(ends-time.Second, time.Second, http.StatusOK, "")
+	cut.complete = false
+	early := answered(ends-2*time.Second, time.Second, http.StatusOK, "")
+	early.complete = false
+	timedOut := answered(ends-time.Second, time.Second, http.StatusGatewayTimeout, "")
+	failed := answered(ends-time.Second, time.Second, http.StatusBadGateway, "")
+	during := span{stopBegan.Add(ends - time.Second), stopBegan.Add(ends)}
+	before := span{stopBegan, stopBegan.Add(time.Second)}
+	cases := map[string]struct {
+		x      exchange
+		target string
+		paused span
+		broken bool
+	}{
+		"cut":                              {cut, "plain-1", during, false},
+		"timed out":                        {timedOut, "plain-1", during, false},
+		"failed":                           {failed, "plain-1", during, true},
+		"cut before the end":               {early, "plain-1", span{before.from, during.to}, true},
+		"target of another service paused": {cut, "engine-1", during, true},
+		"target paused before":             {cut, "plain-1", before, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tb := &testbed{options: Options{Planned: true}}
+			tb.pauses.periods = []targetPeriod{{c.target, c.paused}}
+			losses := tb.checkPlanned([]exchange{answered(0, 0, http.StatusOK, ""), c.x}, targetLog{})
+			require.Equal(t, c.broken, len(tb.violations) > 0, tb.violations)
+			require.Equal(t, !c.broken, losses.StopEnded == 1)
+		})
+	}
+}
+
 // A single closed connection may be a crossed close; many can't be.
 func TestCrossedClosesAreBounded(t *testing.T) {
 	var all []exchange
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -78,6 +78,9 @@
 		wg.Go(func() { tb.injectEngineFaults(until) })
 		wg.Go(func() { tb.runDrains(until) })
 		wg.Go(func() { tb.cutInstances(until, maxOverlappingCut) })
+		if tb.options.Pauses {
+			wg.Go(func() { tb.pauseTargets(until) })
+		}
 		tb.injectFaults(until)
 		wg.Wait()
 		tb.removeTargetsAfterSilences(tb.options.Silences)
@@ -90,6 +93,7 @@
 	tb.checkColdLimit()
 	tb.checkCrashes(crashing, log, calmFrom)
 	tb.checkResults(all, crashing, log, calmFrom)
+	tb.checkEndings(all, log)
 	return all
 }
 
@@ -100,6 +104,9 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { tb.runDrains(until) })
 		wg.Go(func() { tb.nameLimit(until) })
+		if tb.options.Pauses {
+			wg.Go(func() { tb.pauseTargets(until) })
+		}
 		tb.runPlannedWork(until, seriesPausePlanned)
 		wg.Wait()
 	})
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -27,6 +27,12 @@
 // second SIGTERM ended a process in the middle of its stop.
 var plannedSeeds = []uint64{6}
 
+// pausedSeeds are run with planned work beside pauses of targets.
+//
+// 5700000: streams that had begun ended, and requests failed with 502, while their targets were only
+// paused, since attempts were given up before they could be replaced.
+var pausedSeeds = []uint64{5700000}
+
 // build builds the daemon and returns its path.
 func build(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "ivyhollowd")
@@ -86,6 +92,23 @@
 	}
 }
 
+// Guards against responses that end, and requests that fail, for the silence of targets that pause
+// and wake again while their hosts acknowledge: engines, targets of stages, both and plain ones, some
+// or all of a service, beside planned work.
+func TestSoakPausedTargets(t *testing.T) {
+	binary := build(t)
+	for _, seed := range pausedSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			report, err := Run(Options{
+				Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: 5 * time.Second, Instances: 3, Callers: 120, Planned: true, Pauses: true,
+			})
+			require.NoError(t, err)
+			t.Logf("%d requests, %d served, losses %+v", report.Requests, report.Served, report.Losses)
+			require.Empty(t, report.Violations, "planned work: %v", report.Faults)
+		})
+	}
+}
+
 // Guards against instances that refuse their callers, or as the holder of the stage queue all callers,
 // while they alone don't reach the targets.
 func TestSoakCuts(t *testing.T) {
--- a/testkit/soak/testbed.go
+++ b/testkit/soak/testbed.go
@@ -36,6 +36,8 @@
 	// Versions has targets of several software versions, rollouts and callers that take streams up, beside
 	// faults, and checks that each stream keeps to its version and goes on.
 	Versions bool
+	// Pauses pauses targets beside faults or planned work, again and again.
+	Pauses bool
 	// Silences is how often, after the faults, the store falls silent and a target leaves; not
 	// used in runs of planned work.
 	Silences int
@@ -57,6 +59,10 @@
 	reservedSockets []int
 	// cuts are the cuts of instances from all targets, for the check.
 	cuts []targetCut
+	// breaks records when connections to targets were reset or refused, pauses when targets were paused.
+	breaks, pauses periodLog
+	// endBreakOfCut ends the record of a cut that resets connections.
+	endBreakOfCut func()
 	// departed are the targets that have left, whose paths are closed.
 	departed map[string]bool
 	// rollouts records which software versions the engines have.
@@ -77,7 +83,8 @@
 	tb := &testbed{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), injector: newFaultInjector(o.Seed),
 		store: standin.NewStore(), targets: map[string]*standin.Target{}, relays: map[string]*relay.Relay{}, departed: map[string]bool{},
-		over: make(chan struct{}),
+		endBreakOfCut: func() {},
+		over:          make(chan struct{}),
 	}
 	tb.storeHTTP = httptest.NewServer(tb.store)
 	for _, name := range []string{"plain-1", "plain-2", "plain-3", "engine-1", "engine-2", "engine-3", "stage-1", "stage-2"} {
--- a/testkit/soak/versions.go
+++ b/testkit/soak/versions.go
@@ -52,7 +52,9 @@
 		tb.injectFaults(until)
 		wg.Wait()
 	})
-	tb.checkResults(all, nil, tb.readTargetLog(), calmFrom)
+	log := tb.readTargetLog()
+	tb.checkResults(all, nil, log, calmFrom)
+	tb.checkEndings(all, log)
 	return all, tb.checkStreams(streams)
 }
 
