End an ejection for silence with a whole response too

Cause: the router takes an ejection for silence back when a stream goes on, and not when a plain response comes late. Ruled out: nothing. Change: the end of an attempt with a whole response counts as one. The relay's tests of whole exchanges run beside each other. Conclusion: a late response is a sign of life of any kind of request.

--- a/coordination/routing/attempt.go
+++ b/coordination/routing/attempt.go
@@ -48,8 +48,11 @@
 	// A target with more load than slots is expected to take longer. Only latency beyond
 	// that indicates a slow target.
 	result.Expected = time.Duration(float64(result.Expected) * a.utilization)
-	if a.silent.Load() && result.Outcome == OutcomeFailed {
+	switch silent := a.silent.Load(); {
+	case silent && result.Outcome == OutcomeFailed:
 		return // Silent has recorded the failure
+	case silent && result.Outcome == OutcomeOK:
+		a.Responded(now)
 	}
 	if a.target.health.observe(ns, result) && !a.table.config.disabled(MechanismEjection) {
 		a.table.eject(ns, a.target)
--- a/coordination/routing/attempt_test.go
+++ b/coordination/routing/attempt_test.go
@@ -48,3 +48,20 @@
 	require.Equal(t, notEjected, target.health.ejectionState(now.UnixNano()))
 	require.Zero(t, target.health.consecutiveFailures.Load())
 }
+
+// Guards against a target that stays ejected for a silence although its whole response came late.
+func TestLateResponseEndsAnEjectionForSilence(t *testing.T) {
+	now := time.Now()
+	table := New(Config{})
+	table.SetTargets(now, Pool{Name: "p", Objective: catalog.ObjectiveAttainment}, []Target{
+		{Incarnation: "a", Name: "a", Pool: "p", Slots: 4}, {Incarnation: "b", Name: "b", Pool: "p", Slots: 4}, {Incarnation: "c", Name: "c", Pool: "p", Slots: 4},
+	})
+	target := table.view.Load().byTarget["a"]
+	attempts := []*Attempt{table.Started(now, "a", 1), table.Started(now, "a", 1)}
+	for _, a := range attempts {
+		a.Silent(now)
+	}
+	require.Equal(t, ejectionActive, target.health.ejectionState(now.UnixNano()))
+	attempts[0].Done(now, Result{Outcome: OutcomeOK})
+	require.Equal(t, notEjected, target.health.ejectionState(now.UnixNano()))
+}
--- a/daemon/relay/silent_target_test.go
+++ b/daemon/relay/silent_target_test.go
@@ -149,6 +149,7 @@
 
 // Guards against more runs of a request than its route allows: a target is silent, and the one beside it fails.
 func TestSilentTargetIsNotReplacedBeyondMaxAttempts(t *testing.T) {
+	t.Parallel()
 	b := newRaceBed(t, streamRoute(2), nil,
 		func(w http.ResponseWriter, r *http.Request) { flush(w, events(1, 1)); <-r.Context().Done() },
 		func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
@@ -160,6 +161,7 @@
 
 // Guards against events that the caller gets twice: the stream's latest event has no ID, so no other target can resume it.
 func TestStreamWithoutIDsIsNotResumedAfterSilence(t *testing.T) {
+	t.Parallel()
 	b := newRaceBed(t, streamRoute(2), nil,
 		func(w http.ResponseWriter, _ *http.Request) {
 			flush(w, "data: one\n\n")
@@ -174,6 +176,7 @@
 
 // Guards against a send without the stages' results: the silent target has sent a part of its first event.
 func TestReplacementOfPartialFirstEventGetsItsInputs(t *testing.T) {
+	t.Parallel()
 	route := streamRoute(2)
 	route.Stages = []routes.Stage{{Service: "stage"}}
 	var inputs atomic.Value
@@ -191,6 +194,7 @@
 
 // Guards against results of stages that are held while a stream runs that has read them.
 func TestResultsAreFreedAtTheReplacementsFirstEvent(t *testing.T) {
+	t.Parallel()
 	route := streamRoute(2)
 	route.Stages = []routes.Stage{{Service: "stage"}}
 	st := &instantStages{live: map[string]bool{}}
@@ -212,6 +216,7 @@
 
 // Guards against a second target beside a silent one whose send isn't taken from the budget.
 func TestEachReplacementIsPaid(t *testing.T) {
+	t.Parallel()
 	st := &instantStages{live: map[string]bool{}}
 	route := streamRoute(4)
 	route.Stages = []routes.Stage{{Service: "stage"}}
@@ -237,6 +242,7 @@
 
 // Guards against a target that hangs unnoticed: the silent target before it has refused at last.
 func TestReplacementIsWatchedAfterTheSilentTargetRefuses(t *testing.T) {
+	t.Parallel()
 	b := newRaceBed(t, streamRoute(2), nil,
 		func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(1400 * time.Millisecond)
@@ -252,6 +258,7 @@
 
 // Guards against a complete response that waits for the search for another target.
 func TestEmptyResponseEndsTheSearch(t *testing.T) {
+	t.Parallel()
 	st := &instantStages{live: map[string]bool{}}
 	b := newRaceBed(t, streamRoute(2), st,
 		func(w http.ResponseWriter, _ *http.Request) {
@@ -281,6 +288,7 @@
 
 // Guards against a connection that is closed after it was given back for other requests.
 func TestAbandonedEndKeepsTheIdleConnection(t *testing.T) {
+	t.Parallel()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		flush(w, events(1, 1))
 		time.Sleep(20 * time.Millisecond)
@@ -319,6 +327,7 @@
 
 // Guards against a connection that stays open: a long reply is unusable, and nobody reads its rest.
 func TestConnectionOfLongUnsignedReplyIsClosed(t *testing.T) {
+	t.Parallel()
 	closed := make(chan struct{})
 	b := newRaceBed(t, &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 1, LatencyObjective: time.Second}, nil,
 		func(w http.ResponseWriter, r *http.Request) {
@@ -342,6 +351,7 @@
 
 // Guards against results of stages that are freed while an attempt that has not begun to respond needs them.
 func TestSearchKeepsTheResultsOfAnOpenAttempt(t *testing.T) {
+	t.Parallel()
 	route := streamRoute(3)
 	route.Stages = []routes.Stage{{Service: "stage"}}
 	st := &instantStages{live: map[string]bool{}}
@@ -371,6 +381,7 @@
 
 // Guards against a count that names the other target although the silent one went on.
 func TestAbandonedAttemptsAreCountedByWhoWentOn(t *testing.T) {
+	t.Parallel()
 	b := newRaceBed(t, streamRoute(2), nil,
 		func(w http.ResponseWriter, _ *http.Request) {
 			flush(w, events(1, 1))
@@ -394,6 +405,7 @@
 
 // Guards against a budget that is used up by searches that send nothing.
 func TestSearchWithoutSendCostsNoBudget(t *testing.T) {
+	t.Parallel()
 	route := streamRoute(2)
 	route.Stages = []routes.Stage{{Service: "stage"}}
 	st := &instantStages{live: map[string]bool{}}
