Log the digests of a prompt's parts with a failed attempt

Cause: the logs can't tell requests that share a part of their prompts from repeats of a few requests: no line says which parts a request has.

Ruled out: logging the parts' names (they are the callers', and a log must not give them away); logging them with each ended request (a line that is written for each request grows by up to 100 bytes and tells nothing more about crashes).

Change: `Attempt failed` has the field `parts`, the digests of all parts but the last, which belongs to the request itself. The digest covers the service, since targets of another service run other software.

Conclusion: requests that fail at targets which end can be grouped by part over all instances' logs.

--- a/coordination/quarantine/digest.go
+++ b/coordination/quarantine/digest.go
@@ -14,6 +14,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 )
 
 // digestSize is the size of a digest in bytes.
@@ -26,14 +27,26 @@
 // account and the body. It covers neither the request ID nor any other header.
 func DigestOf(host, path, account string, body []byte) Digest {
 	h := sha256.New()
-	for _, text := range []string{host, path, account} {
+	writeTexts(h, host, path, account)
+	h.Write(body)
+	return Digest(h.Sum(nil)[:digestSize])
+}
+
+// DigestOfPart returns the digest of a part of the prompts that are sent to a service.
+func DigestOfPart(service, id string) Digest {
+	h := sha256.New()
+	writeTexts(h, "part", service, id)
+	return Digest(h.Sum(nil)[:digestSize])
+}
+
+// writeTexts hashes texts such that no two lists of texts join to the same bytes.
+func writeTexts(h hash.Hash, texts ...string) {
+	for _, text := range texts {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(text)))
-		h.Write(length[:]) // so that no two lists of texts join to the same bytes
+		h.Write(length[:])
 		h.Write([]byte(text))
 	}
-	h.Write(body)
-	return Digest(h.Sum(nil)[:digestSize])
 }
 
 // String returns the digest in hexadecimal, as it appears in logs.
--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,27 @@
 	return *q.contentDigest
 }
 
+// sharedParts returns the digests of the parts of the prompt that other requests may have too:
+// all but the last, which belongs to the request itself or to its session.
+func (q *request) sharedParts() []quarantine.Digest {
+	var digests []quarantine.Digest
+	for _, part := range q.call.Prefix[:max(len(q.call.Prefix)-1, 0)] {
+		if digest := quarantine.DigestOfPart(q.service, part.ID); !slices.Contains(digests, digest) {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
+// textsOf returns digests as they appear in logs.
+func textsOf(digests []quarantine.Digest) []string {
+	texts := make([]string, 0, len(digests))
+	for _, digest := range digests {
+		texts = append(texts, digest.String())
+	}
+	return texts
+}
+
 // checkBlocklist returns a *blockedError if the request must not be sent to a target.
 func (q *request) checkBlocklist(ctx context.Context) error {
 	records := q.relay.options.Blocklist
--- a/daemon/relay/blocklist_test.go
+++ b/daemon/relay/blocklist_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
@@ -33,3 +35,23 @@
 		require.NotEqual(t, first.digest(), other.digest())
 	}
 }
+
+// Requests with a common part of their prompts must have its digest in common, whatever else they
+// hold. Otherwise a part that crashes targets could not be recognised.
+func TestRequestsShareDigestsOfParts(t *testing.T) {
+	parts := func(service string, ids ...string) []quarantine.Digest {
+		q := &request{service: service}
+		for i, id := range ids {
+			q.call.Prefix = append(q.call.Prefix, routing.PrefixPart{ID: id, Tokens: i})
+		}
+		return q.sharedParts()
+	}
+	bad := quarantine.DigestOfPart("engine", "bad")
+	require.Contains(t, parts("engine", "a", "bad", "own-1"), bad)
+	require.Contains(t, parts("engine", "bad", "own-2"), bad)
+	require.Equal(t, parts("engine", "a", "bad", "own-1"), parts("engine", "a", "bad", "a", "bad", "own-2"))
+	require.NotContains(t, parts("engine", "a", "bad"), bad, "the last part is the request's own")
+	require.NotContains(t, parts("other", "a", "bad", "own-1"), bad)
+	require.Empty(t, parts("engine"))
+	require.Empty(t, parts("engine", "own"))
+}
--- a/daemon/relay/retry.go
+++ b/daemon/relay/retry.go
@@ -52,7 +52,7 @@
 		return false, err
 	}
 	telemetry.InfoS("Attempt failed", telemetry.Event{
-		RequestID: q.call.ID, Digest: q.digest().String(), Pipeline: q.route.Name, Target: a.target.Incarnation, Version: a.target.Version, Reason: f.cause.Error(),
+		RequestID: q.call.ID, Digest: q.digest().String(), Parts: textsOf(q.sharedParts()), Pipeline: q.route.Name, Target: a.target.Incarnation, Version: a.target.Version, Reason: f.cause.Error(),
 		Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals,
 		LastEvent: q.lastEventID, Framing: a.framing(),
 	})
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +27,9 @@
 	Peer      string
 	AttemptID string
 	// Digest identifies the content of a request; it is the same for repeats.
-	Digest     string
+	Digest string
+	// Parts are the digests of the shared parts of a request's prompt.
+	Parts      []string
 	Pipeline   string
 	Pool       string
 	DataCentre string
@@ -72,7 +75,7 @@
 }
 
 // maxPairs is the maximum number of keys and values of an Event and an instance.
-const maxPairs = 2 * 31
+const maxPairs = 2 * 32
 
 // pairs returns the non-empty fields as alternating keys and values for klog.
 func (e *Event) pairs() []any {
@@ -85,6 +88,7 @@
 	kv = appendText(kv, "peer", e.Peer)
 	kv = appendText(kv, "attempt_id", e.AttemptID)
 	kv = appendText(kv, "digest", e.Digest)
+	kv = appendText(kv, "parts", strings.Join(e.Parts, ","))
 	kv = appendText(kv, "pipeline", e.Pipeline)
 	kv = appendText(kv, "pool", e.Pool)
 	kv = appendText(kv, "data_centre", e.DataCentre)
