Hold crashes against the parts of a prompt too

Callers' requests with one part in their prompts, no two alike, crashed engine after engine; sound callers lost their answers with each. A crash was recorded under the digest of the whole request (path, account, body), a name that the next request with the part doesn't have, so nothing ever reached the three crashes that block. The class: blame is kept under too narrow a key.

Change: crashes are recorded for the request and for each part of its prompt but the last, by the same gossip (a record of a part has one more field, those of requests have the same bytes). A request is refused if one of its suspects is blocked, unless something else that is blocked explains all crashes of that suspect. Only a whole 2xx response clears a part. It is judged once more directly before each send. Blocked records are gossiped first. The same in daemon/execute.

Streams that end with their connection at a target that crashes still count as whole; that is next.

--- a/coordination/quarantine/digest.go
+++ b/coordination/quarantine/digest.go
@@ -51,3 +51,12 @@
 
 // String returns the digest in hexadecimal, as it appears in logs.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Texts returns digests as they appear in logs.
+func Texts(digests []Digest) []string {
+	texts := make([]string, 0, len(digests))
+	for _, digest := range digests {
+		texts = append(texts, digest.String())
+	}
+	return texts
+}
--- a/coordination/quarantine/gossip.go
+++ b/coordination/quarantine/gossip.go
@@ -14,7 +14,8 @@
 		t.gossipQueue = append(t.gossipQueue, r)
 	}
 	if len(t.gossipQueue) > maxGossipQueue {
-		t.gossipQueue = t.gossipQueue[1:] // samples include it
+		dropped := max(slices.IndexFunc(t.gossipQueue, func(r *record) bool { return t.blocked[r.digest] == nil }), 0)
+		t.gossipQueue = slices.Delete(t.gossipQueue, dropped, dropped+1) // samples include it
 	}
 }
 
@@ -22,10 +23,10 @@
 // others from samples.
 const maxGossipQueue = 1024
 
-// Gossip returns at most limit records that have been sent fewer than copies times, those
-// sent the fewest times first, and counts them as sent once more.
+// Gossip returns at most limit records that have been sent fewer than copies times, and counts
+// them as sent once more. Those of what is blocked come first, then those sent the fewest times.
 func (t *Table) Gossip(now time.Time, limit, copies int) []Crash {
-	slices.SortStableFunc(t.gossipQueue, func(a, b *record) int { return a.timesSent - b.timesSent })
+	slices.SortStableFunc(t.gossipQueue, t.compareUrgency)
 	n := min(limit, len(t.gossipQueue))
 	crashes := make([]Crash, 0, n)
 	for _, r := range t.gossipQueue[:n] {
@@ -36,6 +37,16 @@
 	return crashes
 }
 
+func (t *Table) compareUrgency(a, b *record) int {
+	if x, y := t.blocked[a.digest] != nil, t.blocked[b.digest] != nil; x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return a.timesSent - b.timesSent
+}
+
 // HasGossip reports whether Gossip would return any record.
 func (t *Table) HasGossip() bool { return len(t.gossipQueue) > 0 }
 
@@ -44,7 +55,7 @@
 func (t *Table) Sample(now time.Time, limit int) []Crash {
 	var blocked, others []Digest
 	for _, digest := range t.sampleOrder() {
-		if t.verdict(now, t.requests[digest]).State == Allowed {
+		if t.verdict(now, digest, t.requests[digest]).State == Allowed {
 			others = append(others, digest)
 		} else {
 			blocked = append(blocked, digest)
@@ -80,5 +91,5 @@
 
 // crash returns the record as it is sent to other instances.
 func (r *record) crash(now time.Time) Crash {
-	return Crash{Digest: r.digest, Target: r.target, Age: now.Sub(r.at), Cleared: r.cleared}
+	return Crash{Digest: r.digest, Part: r.part, Target: r.target, Age: now.Sub(r.at), Cleared: r.cleared}
 }
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -8,8 +8,11 @@
 
 // Config holds the limits and periods of a Table.
 type Config struct {
-	// BlockThreshold is the number of crashes that block a request.
+	// BlockThreshold is the number of crashes that block a request or a part of prompts.
 	BlockThreshold int
+	// MaxExplained is the number of crashes up to which a blocked digest may be allowed since
+	// others explain its crashes.
+	MaxExplained int
 	// MinRestart is the shortest time between two ends of a target that restarts.
 	MinRestart time.Duration
 	// TrustPeriod is the shortest time during which a request that ended well isn't blamed
@@ -32,6 +35,7 @@
 func DefaultConfig() Config {
 	return Config{
 		BlockThreshold: 3,
+		MaxExplained:   5,
 		MinRestart:     200 * time.Millisecond,
 		TrustPeriod:    5 * time.Second,
 		MaxTrusted:     4096,
@@ -46,7 +50,9 @@
 
 // Crash reports that a target ended while it ran a request.
 type Crash struct {
+	// Digest is that of the request, or of a part of its prompt if Part is true.
 	Digest Digest
+	Part   bool
 	// Target is the incarnation of the target.
 	Target string
 	// Age is the time since the crash. Each instance adds to it; clocks of different
@@ -78,9 +84,13 @@
 	return [...]string{"allowed", "blocked", "on_trial"}[s]
 }
 
-// Verdict is the assessment of a request.
+// Verdict is the assessment of a request, or of one of its suspects.
 type Verdict struct {
 	State State
+	// Digest is the suspect that decides; Part is true if it is a part of the prompt. Digest is zero
+	// for a request that is allowed.
+	Digest Digest
+	Part   bool
 	// Crashes is the number of crashes that are not cleared.
 	Crashes int
 	// Remaining is how much longer a Blocked request stays blocked.
@@ -93,6 +103,8 @@
 type Table struct {
 	config   Config
 	requests map[Digest]*requestState
+	// blocked are those of requests that have enough crashes to be blocked or on trial.
+	blocked map[Digest]*requestState
 	// trusted are the requests that ended well recently at this instance.
 	trusted recentSet
 	// gossipQueue has the records that are being sent to other instances.
@@ -101,8 +113,9 @@
 	sampleStart Digest
 }
 
-// requestState has the records of one request.
+// requestState has the records of one request, or of one part of prompts.
 type requestState struct {
+	part    bool
 	crashes []*record
 	// lastCrash is the time of the last crash, also if that one is cleared or was dropped.
 	lastCrash time.Time
@@ -113,6 +126,7 @@
 // record is a crash and its dissemination.
 type record struct {
 	digest    Digest
+	part      bool
 	target    string
 	at        time.Time
 	cleared   bool
@@ -123,20 +137,28 @@
 
 // New returns a table without records.
 func New(c Config) *Table {
-	return &Table{config: c, requests: map[Digest]*requestState{}, trusted: newRecentSet(c.TrustPeriod, c.MaxTrusted)}
+	return &Table{
+		config: c, requests: map[Digest]*requestState{}, blocked: map[Digest]*requestState{}, trusted: newRecentSet(c.TrustPeriod, c.MaxTrusted),
+	}
 }
 
-// Len returns the number of requests with records.
+// Len returns the number of requests and parts with records.
 func (t *Table) Len() int { return len(t.requests) }
 
-// RecordCrash records a crash that this instance saw, unless the request ended well here
-// recently. It reports whether the record is new.
+// RecordCrash records a crash that this instance saw under a request, unless the request ended
+// well here recently. It reports whether the record is new.
 func (t *Table) RecordCrash(now time.Time, digest Digest, target string) bool {
+	return t.recordCrash(now, Crash{Digest: digest, Target: target})
+}
+
+func (t *Table) recordCrash(now time.Time, c Crash) bool {
+	digest := c.Digest
 	if t.trusted.has(now, digest) {
 		return false
 	}
-	target = t.uniqueTarget(now, digest, target)
-	added := t.insert(now, Crash{Digest: digest, Target: target})
+	target := t.uniqueTarget(now, digest, c.Target)
+	c.Target = target
+	added := t.insert(now, c)
 	if existing := t.findCrash(digest, target); existing != nil {
 		existing.local = true
 	}
@@ -189,9 +211,10 @@
 	r := t.requests[c.Digest]
 	if r == nil {
 		t.evictRequest()
-		r = &requestState{}
+		r = &requestState{part: c.Part}
 		t.requests[c.Digest] = r
 	}
+	defer t.updateBlocked(c.Digest, r)
 	if existing := t.findCrash(c.Digest, c.Target); existing != nil {
 		if existing.cleared || !c.Cleared {
 			return false
@@ -206,7 +229,7 @@
 	if at.After(r.lastCrash) {
 		r.lastCrash = at
 	}
-	added := &record{digest: c.Digest, target: c.Target, at: at, cleared: c.Cleared}
+	added := &record{digest: c.Digest, part: c.Part, target: c.Target, at: at, cleared: c.Cleared}
 	r.crashes = append(r.crashes, added)
 	slices.SortStableFunc(r.crashes, func(a, b *record) int { return a.at.Compare(b.at) })
 	if len(r.crashes) > t.config.MaxCrashes {
@@ -229,7 +252,22 @@
 			victim, chosen = digest, r
 		}
 	}
-	delete(t.requests, victim)
+	t.remove(victim)
+}
+
+// remove removes a request with its records.
+func (t *Table) remove(digest Digest) {
+	delete(t.requests, digest)
+	delete(t.blocked, digest)
+}
+
+// updateBlocked updates the set of blocked requests after a change of a request's records.
+func (t *Table) updateBlocked(digest Digest, r *requestState) {
+	if r.activeCrashes() >= t.config.BlockThreshold {
+		t.blocked[digest] = r
+	} else {
+		delete(t.blocked, digest)
+	}
 }
 
 // lessRelevant orders requests by their number of crashes, then by their last crash.
@@ -255,6 +293,7 @@
 			t.enqueueGossip(c)
 		}
 	}
+	t.updateBlocked(digest, r)
 	return cleared
 }
 
@@ -269,17 +308,17 @@
 	return n
 }
 
-// Judge returns the assessment of a request.
+// Judge returns the assessment of one digest by its own records.
 func (t *Table) Judge(now time.Time, digest Digest) Verdict {
 	r := t.requests[digest]
 	if r == nil {
 		return Verdict{}
 	}
-	return t.verdict(now, r)
+	return t.verdict(now, digest, r)
 }
 
-func (t *Table) verdict(now time.Time, r *requestState) Verdict {
-	v := Verdict{Crashes: r.activeCrashes(), SinceLastCrash: now.Sub(r.lastCrash)}
+func (t *Table) verdict(now time.Time, digest Digest, r *requestState) Verdict {
+	v := Verdict{Digest: digest, Part: r.part, Crashes: r.activeCrashes(), SinceLastCrash: now.Sub(r.lastCrash)}
 	if v.Crashes < t.config.BlockThreshold {
 		return v
 	}
@@ -307,7 +346,7 @@
 // or considers it blocked. The run ends within maxDuration.
 func (t *Table) GrantTrial(now time.Time, digest Digest, maxDuration time.Duration) bool {
 	r := t.requests[digest]
-	if r == nil || t.verdict(now, r).State == Blocked || now.Before(r.trialUntil) {
+	if r == nil || t.verdict(now, digest, r).State == Blocked || now.Before(r.trialUntil) {
 		return false
 	}
 	r.trialUntil = now.Add(maxDuration)
@@ -318,18 +357,16 @@
 func (t *Table) Expire(now time.Time) {
 	for digest, r := range t.requests {
 		if now.Sub(r.lastCrash) >= t.config.Retention {
-			delete(t.requests, digest)
+			t.remove(digest)
 		}
 	}
 }
 
-// Blocked returns the assessment of all requests that are blocked or on trial.
+// Blocked returns the assessment of all requests and parts that are blocked or on trial.
 func (t *Table) Blocked(now time.Time) map[Digest]Verdict {
-	blocked := map[Digest]Verdict{}
-	for digest, r := range t.requests {
-		if v := t.verdict(now, r); v.State != Allowed {
-			blocked[digest] = v
-		}
+	verdicts := map[Digest]Verdict{}
+	for digest, r := range t.blocked {
+		verdicts[digest] = t.verdict(now, digest, r)
 	}
-	return blocked
+	return verdicts
 }
--- a/daemon/blocklist/blocklist.go
+++ b/daemon/blocklist/blocklist.go
@@ -44,7 +44,7 @@
 	mu    sync.Mutex
 	table *quarantine.Table
 	// loggedBlocked holds the digests that were logged as blocked and not since then as no
-	// longer blocked.
+	// longer blocked. Its values are true for parts of prompts.
 	loggedBlocked map[quarantine.Digest]bool
 	// deniedUntil holds, for each request whose trial was denied, the time before which no
 	// further trial of it is requested.
@@ -67,34 +67,41 @@
 func (b *Blocklist) Empty() bool { return b.requestCount.Load() == 0 }
 
 // RecordCrash records that a target ended while it ran a request.
-func (b *Blocklist) RecordCrash(digest quarantine.Digest, target string) {
+func (b *Blocklist) RecordCrash(s quarantine.Suspects, target string) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.table.RecordCrash(now, digest, target) {
+	recorded := b.table.RecordRequestCrash(now, s, target)
+	if len(recorded) == 0 {
+		return
+	}
+	telemetry.InfoS("Target crashed under a request", telemetry.Event{
+		Digest: s.Request.String(), Parts: quarantine.Texts(s.Parts), Target: target, Count: b.table.Judge(now, s.Request).Crashes,
+	})
+	for _, digest := range recorded {
 		b.metrics.crashes[sourceLocal].Inc(1)
-		b.recordChanged(now, digest, sourceLocal, target)
+		b.recordChanged(now, digest, telemetry.Event{Reason: sourceLocal, Target: target})
 	}
 }
 
 // RecordCompletion records that a run of a request ended without a crash of its target.
-func (b *Blocklist) RecordCompletion(digest quarantine.Digest) {
+func (b *Blocklist) RecordCompletion(s quarantine.Suspects) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.table.RecordCompletion(now, digest) {
-		b.recordChanged(now, digest, sourceLocal, "")
+	for _, digest := range b.table.RecordRequestCompletion(now, s) {
+		b.recordChanged(now, digest, telemetry.Event{Reason: sourceLocal, Cause: "request " + s.Request.String() + " ended well"})
 	}
 }
 
 // Judge returns the verdict on a request by the records of this instance.
-func (b *Blocklist) Judge(digest quarantine.Digest) quarantine.Verdict {
+func (b *Blocklist) Judge(s quarantine.Suspects) quarantine.Verdict {
 	if b.Empty() {
 		return quarantine.Verdict{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.table.Judge(time.Now(), digest)
+	return b.table.JudgeRequest(time.Now(), s)
 }
 
 // Blocked returns the verdicts on the requests that are blocked or on trial.
@@ -104,28 +111,57 @@
 	return b.table.Blocked(time.Now())
 }
 
-// recordChanged logs a change of a request's records, updates the numbers of requests with
-// records and of blocked ones, and wakes the loop that sends records. The caller holds mu.
-func (b *Blocklist) recordChanged(now time.Time, digest quarantine.Digest, source, target string) {
+// recordChanged logs a change of the records of a request or part with the event's reason, updates
+// the numbers of those with records and of blocked ones, and wakes the loop that sends records. The
+// caller holds mu.
+func (b *Blocklist) recordChanged(now time.Time, digest quarantine.Digest, event telemetry.Event) {
 	b.requestCount.Store(int64(b.table.Len()))
 	v := b.table.Judge(now, digest)
-	event := telemetry.Event{
-		Digest: digest.String(), Target: target, Reason: source, Count: v.Crashes, Elapsed: v.SinceLastCrash, RetryAfter: v.Remaining,
-	}
+	_, logged := b.loggedBlocked[digest]
+	event.Digest, event.Count, event.Elapsed, event.RetryAfter = digest.String(), v.Crashes, v.SinceLastCrash, v.Remaining
 	switch {
-	case v.State == quarantine.Blocked && (source == sourceLocal || !b.loggedBlocked[digest]):
-		b.loggedBlocked[digest] = true
-		telemetry.InfoS("Request blocked, it crashes targets", event)
-	case v.State == quarantine.Allowed && b.loggedBlocked[digest]:
-		delete(b.loggedBlocked, digest)
-		telemetry.InfoS("Request no longer blocked", event)
-	case target != "" && source == sourceLocal:
-		telemetry.InfoS("Target crashed under a request", event)
+	case v.State == quarantine.Blocked && (event.Reason == sourceLocal || !logged):
+		b.loggedBlocked[digest] = v.Part
+		logBlocked(v.Part, event)
+	case v.State == quarantine.Allowed && logged:
+		b.logUnblocked(digest, event)
 	}
-	b.metrics.updateSizes(b.table.Len(), len(b.loggedBlocked))
+	b.updateSizes()
 	b.signal()
 }
 
+// logBlocked logs that a request, or a part of prompts, is blocked from now on.
+func logBlocked(part bool, event telemetry.Event) {
+	if part {
+		telemetry.InfoS("Prompt part blocked, it crashes targets", event)
+		return
+	}
+	telemetry.InfoS("Request blocked, it crashes targets", event)
+}
+
+// logUnblocked logs that a request or part is no longer blocked. The caller holds mu.
+func (b *Blocklist) logUnblocked(digest quarantine.Digest, event telemetry.Event) {
+	part := b.loggedBlocked[digest]
+	delete(b.loggedBlocked, digest)
+	if part {
+		telemetry.InfoS("Prompt part no longer blocked", event)
+		return
+	}
+	telemetry.InfoS("Request no longer blocked", event)
+}
+
+// updateSizes updates the metrics of how many requests and parts have records or are blocked. The
+// caller holds mu.
+func (b *Blocklist) updateSizes() {
+	parts := 0
+	for _, part := range b.loggedBlocked {
+		if part {
+			parts++
+		}
+	}
+	b.metrics.updateSizes(b.table.Len(), len(b.loggedBlocked)-parts, parts)
+}
+
 // signal wakes the loop that exchanges records.
 func (b *Blocklist) signal() {
 	select {
@@ -143,8 +179,7 @@
 	b.requestCount.Store(int64(b.table.Len()))
 	for digest := range b.loggedBlocked {
 		if b.table.Judge(now, digest).State == quarantine.Allowed {
-			delete(b.loggedBlocked, digest)
-			telemetry.InfoS("Request no longer blocked", telemetry.Event{Digest: digest.String(), Reason: "expired"})
+			b.logUnblocked(digest, telemetry.Event{Digest: digest.String(), Reason: "expired"})
 		}
 	}
 	for digest, until := range b.deniedUntil {
@@ -152,5 +187,5 @@
 			delete(b.deniedUntil, digest)
 		}
 	}
-	b.metrics.updateSizes(b.table.Len(), len(b.loggedBlocked))
+	b.updateSizes()
 }
--- a/daemon/blocklist/blocklist_test.go
+++ b/daemon/blocklist/blocklist_test.go
@@ -37,7 +37,10 @@
 // gossipBound is the time within which a record reaches all instances.
 const gossipBound = 3 * time.Second
 
-var digest = quarantine.DigestOf("host", "/path", "account", nil)
+var (
+	digest   = quarantine.DigestOf("host", "/path", "account", nil)
+	suspects = quarantine.Suspects{Request: digest}
+)
 
 // fleet is a set of instances in one process whose calls take no time.
 type fleet struct {
@@ -145,7 +148,7 @@
 func (f *fleet) crash(n int) {
 	for i := range n {
 		time.Sleep(time.Second)
-		f.instances[fmt.Sprint("at-", i%len(f.instances))].RecordCrash(digest, fmt.Sprint("target-", i))
+		f.instances[fmt.Sprint("at-", i%len(f.instances))].RecordCrash(suspects, fmt.Sprint("target-", i))
 	}
 }
 
@@ -153,7 +156,7 @@
 func (f *fleet) blocked() int {
 	n := 0
 	for _, m := range f.instances {
-		if m.Judge(digest).State == quarantine.Blocked {
+		if m.Judge(suspects).State == quarantine.Blocked {
 			n++
 		}
 	}
@@ -169,7 +172,7 @@
 				f.crash(3)
 				time.Sleep(gossipBound)
 				require.Equal(t, size, f.blocked())
-				f.instances["at-0"].RecordCompletion(digest)
+				f.instances["at-0"].RecordCompletion(suspects)
 				time.Sleep(gossipBound)
 				require.Zero(t, f.blocked())
 			})
@@ -194,7 +197,7 @@
 		time.Sleep(gossipBound)
 		joined := f.add(ctx)
 		joined.AwaitInitialSync(ctx)
-		require.Equal(t, quarantine.Blocked, joined.Judge(digest).State)
+		require.Equal(t, quarantine.Blocked, joined.Judge(suspects).State)
 	})
 }
 
@@ -218,14 +221,14 @@
 	runFleet(t, 1, 0, func(ctx context.Context, f *fleet) {
 		f.crash(3)
 		only := f.instances["at-0"]
-		require.Equal(t, quarantine.Blocked, only.Admit(ctx, digest, time.Second).State)
+		require.Equal(t, quarantine.Blocked, only.Admit(ctx, suspects, time.Second).State)
 		time.Sleep(quarantine.DefaultConfig().BlockPeriod)
-		require.Equal(t, quarantine.OnTrial, only.Admit(ctx, digest, time.Second).State)
-		second := only.Admit(ctx, digest, time.Second)
+		require.Equal(t, quarantine.OnTrial, only.Admit(ctx, suspects, time.Second).State)
+		second := only.Admit(ctx, suspects, time.Second)
 		require.Equal(t, quarantine.Blocked, second.State)
 		require.Positive(t, second.Remaining, "the caller needs a delay after which to retry")
-		only.RecordCompletion(digest)
-		require.Equal(t, quarantine.Allowed, only.Admit(ctx, digest, time.Second).State)
+		only.RecordCompletion(suspects)
+		require.Equal(t, quarantine.Allowed, only.Admit(ctx, suspects, time.Second).State)
 	})
 }
 
@@ -242,13 +245,13 @@
 		}
 		f.crash(3)
 		time.Sleep(quarantine.DefaultConfig().BlockPeriod)
-		require.Equal(t, quarantine.OnTrial, m.Admit(t.Context(), digest, time.Minute).State)
+		require.Equal(t, quarantine.OnTrial, m.Admit(t.Context(), suspects, time.Minute).State)
 		for range 100 {
-			require.Equal(t, quarantine.Blocked, m.Admit(t.Context(), digest, time.Second).State)
+			require.Equal(t, quarantine.Blocked, m.Admit(t.Context(), suspects, time.Second).State)
 		}
 		require.Equal(t, int64(1), denied())
 		time.Sleep(trialRetryInterval)
-		m.Admit(t.Context(), digest, time.Second)
+		m.Admit(t.Context(), suspects, time.Second)
 		require.Equal(t, int64(2), denied())
 	})
 }
--- a/daemon/blocklist/exchange.go
+++ b/daemon/blocklist/exchange.go
@@ -174,7 +174,7 @@
 		c, ok := m.decode()
 		if ok && b.table.Merge(now, c) {
 			b.metrics.crashes[sourcePeer].Inc(1)
-			b.recordChanged(now, c.Digest, sourcePeer, c.Target)
+			b.recordChanged(now, c.Digest, telemetry.Event{Reason: sourcePeer, Target: c.Target})
 		}
 	}
 }
--- a/daemon/blocklist/listing.go
+++ b/daemon/blocklist/listing.go
@@ -9,9 +9,11 @@
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
-// entry is a request that is blocked or on trial, as it is listed for operators.
+// entry is a request or part that is blocked or on trial, as it is listed for operators.
 type entry struct {
-	Digest  string `json:"digest"`
+	Digest string `json:"digest"`
+	// Kind is kindPart for a part of prompts and empty for a request.
+	Kind    string `json:"kind,omitempty"`
 	State   string `json:"state"`
 	Crashes int    `json:"crashes"`
 	// SinceSeconds is the time since the latest crash, RemainingSeconds the time until one
@@ -20,13 +22,20 @@
 	RemainingSeconds float64 `json:"left_s"`
 }
 
-// ServeHTTP lists the requests that are blocked or on trial, those with the most recent crash
+// kindPart is the kind of an entry for a part of prompts.
+const kindPart = "part"
+
+// ServeHTTP lists the requests and parts that are blocked or on trial, those with the most recent crash
 // first.
 func (b *Blocklist) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	entries := []entry{}
 	for digest, v := range b.Blocked() {
+		kind := ""
+		if v.Part {
+			kind = kindPart
+		}
 		entries = append(entries, entry{
-			Digest: digest.String(), State: v.State.String(), Crashes: v.Crashes,
+			Digest: digest.String(), Kind: kind, State: v.State.String(), Crashes: v.Crashes,
 			SinceSeconds: v.SinceLastCrash.Seconds(), RemainingSeconds: max(v.Remaining.Seconds(), 0),
 		})
 	}
--- a/daemon/blocklist/messages.go
+++ b/daemon/blocklist/messages.go
@@ -27,13 +27,14 @@
 	Target    string `msgpack:"t"`
 	AgeMillis uint32 `msgpack:"a"`
 	Cleared   bool   `msgpack:"c"`
+	Part      bool   `msgpack:"p,omitempty"`
 }
 
 func encodeCrashes(crashes []quarantine.Crash) []crashMessage {
 	messages := make([]crashMessage, 0, len(crashes))
 	for _, c := range crashes {
 		messages = append(messages, crashMessage{
-			Digest: c.Digest[:], Target: c.Target, AgeMillis: uint32(c.Age.Milliseconds()), Cleared: c.Cleared,
+			Digest: c.Digest[:], Target: c.Target, AgeMillis: uint32(c.Age.Milliseconds()), Cleared: c.Cleared, Part: c.Part,
 		})
 	}
 	return messages
@@ -47,7 +48,7 @@
 	}
 	copy(digest[:], m.Digest)
 	age := time.Duration(m.AgeMillis) * time.Millisecond
-	return quarantine.Crash{Digest: digest, Target: m.Target, Age: age, Cleared: m.Cleared}, true
+	return quarantine.Crash{Digest: digest, Target: m.Target, Age: age, Cleared: m.Cleared, Part: m.Part}, true
 }
 
 // trialRequest is the request of methodTrial. LeftMillis is the maximum time of the run. Its
--- a/daemon/blocklist/metrics.go
+++ b/daemon/blocklist/metrics.go
@@ -18,7 +18,7 @@
 // metrics counts crashes, trials and the requests with records. The series are created at the
 // start, so that they are served before the first crash.
 type metrics struct {
-	requests, blocked tally.Gauge
+	requests, blocked, blockedParts tally.Gauge
 	// crashes is keyed by source, trials by outcome.
 	crashes, trials map[string]tally.Counter
 }
@@ -26,7 +26,7 @@
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("quarantine")
 	m := metrics{
-		requests: scope.Gauge("requests"), blocked: scope.Gauge("blocked"),
+		requests: scope.Gauge("requests"), blocked: scope.Gauge("blocked"), blockedParts: scope.Gauge("blocked_parts"),
 		crashes: map[string]tally.Counter{}, trials: map[string]tally.Counter{},
 	}
 	for _, source := range []string{sourceLocal, sourcePeer} {
@@ -38,8 +38,10 @@
 	return m
 }
 
-// updateSizes sets how many requests have records and how many of them are blocked.
-func (m metrics) updateSizes(requests, blocked int) {
-	m.requests.Update(float64(requests))
+// updateSizes sets how many requests and parts have records, and how many requests and how many parts
+// are blocked.
+func (m metrics) updateSizes(recorded, blocked, blockedParts int) {
+	m.requests.Update(float64(recorded))
 	m.blocked.Update(float64(blocked))
+	m.blockedParts.Update(float64(blockedParts))
 }
--- a/daemon/blocklist/trial.go
+++ b/daemon/blocklist/trial.go
@@ -29,17 +29,17 @@
 	trialRetryInterval = time.Second
 )
 
-// Admit decides whether a request with the remaining time may be sent to targets. A request
-// on trial may be sent if no other run of it is in progress on any instance.
-func (b *Blocklist) Admit(ctx context.Context, digest quarantine.Digest, remaining time.Duration) quarantine.Verdict {
-	v := b.Judge(digest)
+// Admit decides whether a request with the remaining time may be sent to targets. A request of
+// which a suspect is on trial may be sent if no other run with it is in progress on any instance.
+func (b *Blocklist) Admit(ctx context.Context, s quarantine.Suspects, remaining time.Duration) quarantine.Verdict {
+	v := b.Judge(s)
 	if v.State != quarantine.OnTrial {
 		return v
 	}
-	if !b.recentlyDenied(digest) && b.requestTrial(ctx, digest, remaining) {
+	if !b.recentlyDenied(v.Digest) && b.requestTrial(ctx, v.Digest, remaining) {
 		return v
 	}
-	b.deny(digest)
+	b.deny(v.Digest)
 	v.State, v.Remaining = quarantine.Blocked, trialRetryInterval
 	return v
 }
--- a/daemon/execute/content_test.go
+++ b/daemon/execute/content_test.go
@@ -30,28 +30,28 @@
 
 func (r *fakeRecords) Empty() bool { return false }
 
-func (r *fakeRecords) Admit(_ context.Context, d quarantine.Digest, _ time.Duration) quarantine.Verdict {
-	return r.Judge(d)
+func (r *fakeRecords) Admit(_ context.Context, s quarantine.Suspects, _ time.Duration) quarantine.Verdict {
+	return r.Judge(s)
 }
 
-func (r *fakeRecords) Judge(d quarantine.Digest) quarantine.Verdict {
+func (r *fakeRecords) Judge(s quarantine.Suspects) quarantine.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Judge(time.Now(), d)
+	return r.table.JudgeRequest(time.Now(), s)
 }
 
 // RecordCrash records each crash as the crash of another incarnation of the target.
-func (r *fakeRecords) RecordCrash(d quarantine.Digest, target string) {
+func (r *fakeRecords) RecordCrash(s quarantine.Suspects, target string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.crashes++
-	r.table.RecordCrash(time.Now(), d, fmt.Sprint(target, r.crashes))
+	r.table.RecordRequestCrash(time.Now(), s, fmt.Sprint(target, r.crashes))
 }
 
-func (r *fakeRecords) RecordCompletion(d quarantine.Digest) {
+func (r *fakeRecords) RecordCompletion(s quarantine.Suspects) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.RecordCompletion(time.Now(), d)
+	r.table.RecordRequestCompletion(time.Now(), s)
 }
 
 // newCrashRig returns a rig whose targets break off all connections and count as crashed then.
@@ -107,11 +107,11 @@
 
 func (v fixedVerdicts) Empty() bool { return false }
 
-func (v fixedVerdicts) Admit(context.Context, quarantine.Digest, time.Duration) quarantine.Verdict {
+func (v fixedVerdicts) Admit(context.Context, quarantine.Suspects, time.Duration) quarantine.Verdict {
 	return quarantine.Verdict{State: v.admit}
 }
 
-func (v fixedVerdicts) Judge(quarantine.Digest) quarantine.Verdict {
+func (v fixedVerdicts) Judge(quarantine.Suspects) quarantine.Verdict {
 	return quarantine.Verdict{State: v.judge}
 }
 
@@ -163,5 +163,28 @@
 	r.setFaults()
 	_, err := r.do(r.job(oneStage(false, false, 0), time.Second))
 	require.NoError(t, err)
-	require.Zero(t, records.Judge(quarantine.DigestOf("", "p", "", []byte("in"))).Crashes)
+	require.Zero(t, records.Judge(quarantine.Suspects{Request: quarantine.DigestOf("", "p", "", []byte("in"))}).Crashes)
+}
+
+// Prevents jobs with one part of their prompts in common, no two alike, from crashing one target after
+// the other.
+func TestPromptPartThatCrashesTargetsIsRefused(t *testing.T) {
+	r, records := newCrashRig(t)
+	do := func(input string, parts ...string) *Failure {
+		job := r.job(oneStage(false, false, 10), time.Second)
+		job.Input = input
+		for _, part := range parts {
+			job.Prefix = append(job.Prefix, Part{ID: part, Tokens: 10})
+		}
+		_, err := r.do(job)
+		var failure *Failure
+		require.ErrorAs(t, err, &failure)
+		return failure
+	}
+	for i := range 3 {
+		require.Equal(t, ReasonTarget, do(fmt.Sprint("crash ", i), fmt.Sprint("rare ", i), "bad").Reason)
+	}
+	require.Equal(t, ReasonCrashes, do("refused", "other", "bad").Reason)
+	require.Equal(t, ReasonTarget, do("another part", "rare 1").Reason)
+	require.Equal(t, 4, records.crashes)
 }
--- a/daemon/execute/executor.go
+++ b/daemon/execute/executor.go
@@ -81,9 +81,9 @@
 
 	// rank is the position of the tier among the tiers in force; 0 is the highest.
 	rank int
-	// content is the digest of what the job's repetitions have in common. trialGranted is
-	// true if this is the one run of this content that is allowed as a trial.
-	content      quarantine.Digest
+	// suspects is what of the job may crash targets. trialGranted is true if this is the one
+	// run with a suspect on trial that is allowed.
+	suspects     quarantine.Suspects
 	trialGranted bool
 	// probe is true if the job was admitted to measure its stages again.
 	probe bool
@@ -117,7 +117,7 @@
 		return Result{}, r.seal(r.asFailure(ctx, err))
 	}
 	r.ledger.Seal()
-	r.opts.Blocklist.RecordCompletion(r.content)
+	r.opts.Blocklist.RecordCompletion(r.suspects)
 	last := len(r.outputs) - 1
 	return Result{Output: r.outputs[last], Tokens: r.tokens[last]}, nil
 }
@@ -132,7 +132,7 @@
 		done:     make([]chan struct{}, n),
 		finished: make([]bool, n),
 		rank:     e.gateRank(job.Tier),
-		content:  quarantine.DigestOf("", job.Pipeline.Key.Name, job.Account, []byte(job.Input)),
+		suspects: suspectsOf(job),
 	}
 	for i := range job.Pipeline.Stages {
 		r.done[i] = make(chan struct{})
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -264,7 +264,7 @@
 	case stopped:
 		q.fail(http.StatusGatewayTimeout, "stopping")
 	case errors.As(err, &blocked) && !q.mayHaveRun:
-		q.refuse(reasonCrashes, blocked.remaining)
+		q.refuse(reasonCrashes, blocked.verdict.Remaining)
 	case errors.As(err, &refused) && !q.mayHaveRun:
 		q.refuse(string(refused.Reason), refused.RetryAfter)
 	case errors.As(err, &none) && !q.mayHaveRun:
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -101,12 +101,12 @@
 
 // sendOptions returns the options of a send to a target.
 func (q *request) sendOptions(t routing.Target) forward.Options {
-	paced, sendAt := q.paced, q.sendAt
+	paced, sendAt, suspects := q.paced, q.sendAt, q.suspects()
 	options := forward.Options{
 		Service: q.service, MayProbe: q.mayRetry(),
 		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
 		Allowed: func() bool {
-			return q.relay.usable(t.Incarnation) && grantValid(paced, sendAt, time.Now()) && (paced || !q.relay.isPaced(q.service))
+			return q.relay.usable(t.Incarnation) && !q.relay.blocked(suspects) && grantValid(paced, sendAt, time.Now()) && (paced || !q.relay.isPaced(q.service))
 		},
 	}
 	if !q.route.Repeatable() {
--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -15,10 +16,15 @@
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 )
 
-// blockedError refuses a request because it crashes targets.
-type blockedError struct{ remaining time.Duration }
+// blockedError refuses a request because it, or a part of its prompt, crashes targets.
+type blockedError struct{ verdict quarantine.Verdict }
 
-func (e *blockedError) Error() string { return "the request crashes targets" }
+func (e *blockedError) Error() string {
+	if e.verdict.Part {
+		return "the prompt's part " + e.verdict.Digest.String() + " crashes targets"
+	}
+	return "the request crashes targets"
+}
 
 // digest returns the digest of what the retries of the request have in common. It must not
 // be called before the body has been read.
@@ -42,13 +48,13 @@
 	return digests
 }
 
-// textsOf returns digests as they appear in logs.
-func textsOf(digests []quarantine.Digest) []string {
-	texts := make([]string, 0, len(digests))
-	for _, digest := range digests {
-		texts = append(texts, digest.String())
+// suspects returns what may be the cause if a target crashes under the request. It must not be called
+// before the body has been read and the service is known.
+func (q *request) suspects() quarantine.Suspects {
+	if q.knownSuspects == nil {
+		q.knownSuspects = &quarantine.Suspects{Request: q.digest(), Parts: q.sharedParts()}
 	}
-	return texts
+	return *q.knownSuspects
 }
 
 // checkBlocklist returns a *blockedError if the request must not be sent to a target.
@@ -57,17 +63,23 @@
 	if records.Empty() {
 		return nil
 	}
-	verdict := records.Judge(q.digest())
+	verdict := records.Judge(q.suspects())
 	if verdict.State == quarantine.OnTrial && !q.onTrial {
-		verdict = records.Admit(ctx, q.digest(), time.Until(q.deadline))
+		verdict = records.Admit(ctx, q.suspects(), time.Until(q.deadline))
 		q.onTrial = verdict.State != quarantine.Blocked
 	}
 	if verdict.State == quarantine.Blocked {
-		return &blockedError{verdict.Remaining}
+		return &blockedError{verdict}
 	}
 	return nil
 }
 
+// blocked reports whether requests with these suspects must not be sent, by the records of this
+// instance.
+func (s *Relay) blocked(suspects quarantine.Suspects) bool {
+	return s.options.Blocklist.Judge(suspects).State == quarantine.Blocked
+}
+
 // recordAttemptEnd records in the blocklist whether the target survived an attempt that ended
 // with err.
 //
@@ -79,27 +91,36 @@
 	var f *failure
 	switch {
 	case err == nil, errors.As(err, &f) && f.reply != nil:
-		records.RecordCompletion(q.digest())
+		records.RecordCompletion(q.clearedBy(a))
 	case f != nil && f.connectionBroken && len(q.open) > 0:
-		digest, holder := q.digest(), cmp.Or(q.owner, a.grantedBy)
+		suspects, holder := q.suspects(), cmp.Or(q.owner, a.grantedBy)
 		go func() {
 			// The check takes longer than the caller may wait for the events of another attempt.
 			if q.relay.options.Client.NothingListens(context.WithoutCancel(ctx), a.target.Address) {
-				q.relay.recordCrash(digest, a.target)
+				q.relay.recordCrash(suspects, a.target)
 				q.relay.reportUnreachable(holder, a.target)
 			}
 		}()
 	case f != nil && f.connectionBroken && q.relay.options.Client.NothingListens(ctx, a.target.Address):
 		f.nothingListens = true
-		q.relay.recordCrash(q.digest(), a.target)
+		q.relay.recordCrash(q.suspects(), a.target)
+	}
+}
+
+// clearedBy returns the suspects that an attempt shows not to crash targets. A target that reports an
+// error may not have come to the prompt.
+func (q *request) clearedBy(a *attempt) quarantine.Suspects {
+	if a.head.status/100 != http.StatusOK/100 {
+		return quarantine.Suspects{Request: q.digest()}
 	}
+	return q.suspects()
 }
 
 // recordCrash records that a target at whose address nothing listens ended under a request, unless
 // it was leaving.
-func (s *Relay) recordCrash(digest quarantine.Digest, t routing.Target) {
+func (s *Relay) recordCrash(suspects quarantine.Suspects, t routing.Target) {
 	if s.options.InUse(t.Name) {
-		s.options.Blocklist.RecordCrash(digest, t.Incarnation)
+		s.options.Blocklist.RecordCrash(suspects, t.Incarnation)
 	}
 }
 
@@ -111,6 +132,6 @@
 		return
 	}
 	for i := range gather.MaxCrashes {
-		q.relay.options.Blocklist.RecordCrash(q.digest(), fmt.Sprintf("stages of %.32s, %d", q.call.ID, i+1))
+		q.relay.options.Blocklist.RecordCrash(quarantine.Suspects{Request: q.digest()}, fmt.Sprintf("stages of %.32s, %d", q.call.ID, i+1))
 	}
 }
--- a/daemon/relay/blocklist_test.go
+++ b/daemon/relay/blocklist_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
@@ -55,3 +57,25 @@
 	require.Empty(t, parts("engine"))
 	require.Empty(t, parts("engine", "own"))
 }
+
+// verdictRecords are records with one verdict for all requests.
+type verdictRecords struct {
+	blocklist.None
+	state quarantine.State
+}
+
+func (r verdictRecords) Judge(quarantine.Suspects) quarantine.Verdict {
+	return quarantine.Verdict{State: r.state}
+}
+
+// A part of a request's prompt may be blocked while the request waits for its turn at a target. It
+// must not be sent then.
+func TestRequestBlockedBeforeItsSendIsNotSent(t *testing.T) {
+	for state, allowed := range map[quarantine.State]bool{quarantine.Allowed: true, quarantine.OnTrial: true, quarantine.Blocked: false} {
+		q := pacedRequest(&granter{})
+		q.sendAt = time.Now()
+		options := q.sendOptions(routing.Target{Incarnation: "e"})
+		q.relay.options.Blocklist = verdictRecords{state: state}
+		require.Equal(t, allowed, options.Allowed(), state)
+	}
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -160,6 +160,8 @@
 	body     []byte
 	// contentDigest is the result of digest, once computed.
 	contentDigest *quarantine.Digest
+	// knownSuspects is the result of suspects, once computed.
+	knownSuspects *quarantine.Suspects
 	// onTrial is true if this is the one allowed run of its content.
 	onTrial bool
 	service string
--- a/daemon/relay/retry.go
+++ b/daemon/relay/retry.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 	"github.com/ivyhollow/ivyhollow/transport/forward"
@@ -52,7 +53,7 @@
 		return false, err
 	}
 	telemetry.InfoS("Attempt failed", telemetry.Event{
-		RequestID: q.call.ID, Digest: q.digest().String(), Parts: textsOf(q.sharedParts()), Pipeline: q.route.Name, Target: a.target.Incarnation, Version: a.target.Version, Reason: f.cause.Error(),
+		RequestID: q.call.ID, Digest: q.digest().String(), Parts: quarantine.Texts(q.suspects().Parts), Pipeline: q.route.Name, Target: a.target.Incarnation, Version: a.target.Version, Reason: f.cause.Error(),
 		Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals,
 		LastEvent: q.lastEventID, Framing: a.framing(),
 	})
