Take a response that ends with its connection and its target for broken off

Cause: callers got a piece of a stream as whole, with 200. A target may send an answer with neither a length nor chunks; if it ended between two events, the end of the connection looked like the end of the answer.

Ruled out: taking each such answer for broken off (they are allowed); asking only once whether something listens (a process that ends closes its connections before or after its listener: the case 'ends a little later' fails); leaving it to the records (the caller has the piece then).

Change: at such an end the client opens a connection to the target and holds it for 10 ms. If it is closed and nothing listens, and the target wasn't to leave, the answer is broken off: it goes on elsewhere, or its caller's connection is closed, or it is answered 502, as after any crash.

The price, a connection and 10 ms at the end of each such answer, wasn't measured.

Conclusion: such a piece isn't passed on as whole unless the target ends later than 10 ms after it.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -33,6 +33,8 @@
 	complete    bool
 	discardConn bool
 	reused      bool
+	// targetEnded reports whether the target has ended, although it was meant to go on running.
+	targetEnded func() bool
 }
 
 // Framing is how the end of a response body is marked.
@@ -97,6 +99,7 @@
 	// The end of the context interrupts blocked reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }) // fails only if the connection is closed
 	r := &Reply{client: c, conn: k, options: o, stopCancel: stop}
+	r.targetEnded = func() bool { return o.InUse != nil && o.InUse() && c.hasEnded(ctx, k.address) }
 	k.began(o.EndIfLost)
 	r.sendResult = send(k, request)
 	if err := r.readHeader(request); err != nil {
@@ -198,12 +201,19 @@
 	_ = r.conn.SetWriteDeadline(longAgo) // ends a blocked write of the request
 	r.awaitSend()
 	err := r.conn.writeErr
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
-		return io.EOF
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
+		return err
 	}
-	return err
+	if r.targetEnded() {
+		return errTargetEnded
+	}
+	return io.EOF
 }
 
+// errTargetEnded is the error of a response that ended with its connection, at a target that had
+// ended: nothing shows that the response is complete.
+var errTargetEnded = errors.Wrap(io.ErrUnexpectedEOF, "the target has ended")
+
 // awaitSend waits until send has finished.
 func (r *Reply) awaitSend() {
 	if !r.sendDone {
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -332,6 +332,10 @@
 	// the attempt ends with ErrWithdrawn and nothing sent: a connection may take more than a
 	// second to open. nil allows all.
 	Allowed func() bool
+	// InUse reports whether the target is meant to go on running. If it is and has ended, a response
+	// whose end is that of its connection counts as broken off. nil means that the end of the
+	// target is never checked.
+	InUse func() bool
 	// Matches reports whether a response belongs to this request; nil means that all
 	// do. A target may first send a second response to an earlier request, which is
 	// skipped.
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -414,3 +414,59 @@
 	c.CloseIdle(func(string) bool { return false })
 	require.Zero(t, received.Load())
 }
+
+// endingTarget serves one request with a response that ends with its connection, and accepts a number
+// of further connections before it ends; it doesn't end if that is negative.
+func endingTarget(t *testing.T, accepts int) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		nc, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(nc))
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nok")
+		if accepts > 0 {
+			_ = nc.Close()
+		}
+		for range accepts {
+			if nc, err = listener.Accept(); err != nil {
+				return
+			}
+		}
+		if accepts >= 0 {
+			_ = listener.Close()
+		}
+		_ = nc.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a piece of a response that counts as whole, and against a whole one that counts as
+// broken off, where the end of the connection is the only mark of the end.
+func TestResponseEndedWithItsTargetIsBrokenOff(t *testing.T) {
+	yes, no := func() bool { return true }, func() bool { return false }
+	for name, c := range map[string]struct {
+		accepts int
+		inUse   func() bool
+		whole   bool
+	}{
+		"target goes on":            {-1, yes, true},
+		"ended":                     {0, yes, false},
+		"ends a little later":       {1, yes, false},
+		"ended, was to leave":       {0, no, true},
+		"ended, nobody asks for it": {0, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := do(t, New(ClientOptions{}), endingTarget(t, c.accepts), "", Options{InUse: c.inUse})
+			require.Equal(t, "ok", got)
+			if c.whole {
+				require.NoError(t, err)
+				return
+			}
+			require.True(t, ClosedByPeer(err), "%v", err)
+		})
+	}
+}
--- a/transport/forward/listens.go
+++ b/transport/forward/listens.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -35,6 +37,32 @@
 	return errors.Is(err, ErrNothingListens) || refused && errors.Is(err, ErrNoDetour)
 }
 
+// exitLag is how long a process that ends may take from closing its first connection to closing its
+// listener.
+const exitLag = 10 * time.Millisecond
+
+// hasEnded reports whether certainly no process listens at an address, or none will within exitLag:
+// the host then resets connections that the process hadn't accepted yet.
+func (c *Client) hasEnded(ctx context.Context, address string) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, listenTimeout)
+	defer cancel()
+	nc, err := c.options.Dial(dialCtx, address)
+	if err == nil && staysOpen(nc) {
+		return false
+	}
+	return c.NothingListens(ctx, address)
+}
+
+// staysOpen reports whether the other end keeps a connection open for exitLag, and closes it then.
+func staysOpen(nc net.Conn) bool {
+	defer nc.Close() // it was opened only for the check
+	if err := nc.SetReadDeadline(time.Now().Add(exitLag)); err != nil {
+		return false
+	}
+	_, err := nc.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // NothingListens is Client.NothingListens for those that have no client.
 func NothingListens(ctx context.Context, address string) bool {
 	_, refused := tryConnect(ctx, Dial, address)
