Limit the connections of callers to an instance

Cause: the balancer may hand most new connections to one instance, and callers open more. Nothing bounded what an instance accepts: a crowd takes all file descriptors, and requests that were read find no connection to their target.

Ruled out: a limit of requests in progress (streams last long and cost little); refusing with 503 (the head has to be read, which is what a small instance can least afford); a limit by processor time and waiting, which is what remains (see the conclusion).

Beyond that a new connection takes the place of one that waits for a request, closed as at a planned stop, or is closed unread, so that its caller may send the request elsewhere. Metric caller_connections_refused.

The tests don't compile without the change. No trial with processes at their limits was run.

Conclusion: descriptors are bounded. Processor time isn't: an instance that gets nine of ten new connections of a large fleet still reads all that it accepts.

--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -43,8 +43,11 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
+	refused := g.telemetry.Scope.Counter("caller_connections_refused")
+	refused.Inc(0) // so that the series is served before the first one
 	callers := inbound.New(g.callers, g.relay, inbound.Options{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxConns: maxCallerConns(), OnRefuse: func() { refused.Inc(1) },
 	})
 	group.Add(func() error { return g.lifecycle(ctx, callers) }, func(error) {})
 	addServer(&group, callers)
--- a/testkit/soak/callers.go
+++ b/testkit/soak/callers.go
@@ -37,7 +37,9 @@
 type callResult struct {
 	id, path string
 	// customBody is the body of the request; empty for the default one, which contains the id.
-	customBody  string
+	customBody string
+	// crashPart is the part of the prompt that crashes targets; empty if it has none.
+	crashPart   string
 	once        bool
 	pieceCounts [2]int
 	// resumedAfter is the last event that the caller had when it resumed the stream; 0 for a
@@ -150,7 +152,7 @@
 	}
 	request.Host = "host.example"
 	request.Header = standin.Call{
-		ID: a.id, Key: (*c.testbed.keys.Load())[0], Wait: requestDeadline, SharedPart: "s1", Pieces: a.pieceCounts[:], PieceKey: "key" + a.id,
+		ID: a.id, Key: (*c.testbed.keys.Load())[0], Wait: requestDeadline, SharedPart: "s1", OtherPart: a.crashPart, Pieces: a.pieceCounts[:], PieceKey: "key" + a.id,
 		LastEvent: a.resumedAfter, Resumes: a.stream,
 	}.Header()
 	response, err := c.client.Do(request)
--- a/testkit/soak/crashing.go
+++ b/testkit/soak/crashing.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// crashBody is the body of the requests that crash the targets which run them.
+	// crashBody begins the bodies of the requests that crash the targets which run them. crashPart is
+	// a part of the prompts of those that are not alike.
 	crashBody = "crash"
+	crashPart = "crash"
 	// crashInterval is the time between two of these requests.
 	crashInterval = 150 * time.Millisecond
 	// crashDowntime is how long a target is down after a crash.
@@ -55,16 +57,21 @@
 	return standin.Full
 }
 
-// runCrashCaller repeats one crash request, at the instances in turn, until the context ends.
-// It returns the results.
+// runCrashCaller sends crash requests, at the instances in turn, until the context ends: in half of
+// the seeds the same one, in the others requests that share a part of their prompts, no two alike. It
+// returns the results.
 func (tb *testbed) runCrashCaller(ctx context.Context) []callResult {
 	c := newCaller(tb, tb.options.Callers)
 	defer c.client.CloseIdleConnections()
 	random := rand.New(rand.NewPCG(tb.options.Seed, 5<<32))
 	kind := requestKinds[random.IntN(len(requestKinds)-1)] // the last one has stages, which run at other targets
-	tb.logf("%s with the body %q crashes targets", kind.path, crashBody)
+	alike := rand.New(rand.NewPCG(tb.options.Seed, 6<<32)).IntN(2) == 0
+	tb.logf("%s with the body %q crashes targets, the same each time: %v", kind.path, crashBody, alike)
 	for i := 0; ctx.Err() == nil; i++ {
 		a := callResult{id: c.nextID(), path: kind.path, once: kind.once, customBody: crashBody}
+		if !alike {
+			a.crashPart, a.customBody = crashPart, crashBody+a.id
+		}
 		c.send(&a, tb.instances[i%len(tb.instances)])
 		a.ended = time.Now()
 		c.results = append(c.results, a)
--- a/transport/inbound/conn.go
+++ b/transport/inbound/conn.go
@@ -214,6 +214,19 @@
 	c.shortenWait(time.Now())
 }
 
+// drainIfIdle drains the connection if it has carried a request, waits for the next one and isn't
+// draining yet. It reports whether it did.
+func (c *conn) drainIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining || !c.responded || c.phase != phaseIdle {
+		return false
+	}
+	c.draining = true
+	c.shortenWait(time.Now())
+	return true
+}
+
 // longAgo is a deadline in the past, which ends blocked calls at once.
 var longAgo = time.Unix(1, 0)
 
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -31,6 +31,10 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if err == nil && !l.server.admit() {
+			l.server.refuse(nc)
+			continue
+		}
 		if err == nil {
 			return l.server.track(nc), nil
 		}
--- a/transport/inbound/server.go
+++ b/transport/inbound/server.go
@@ -28,6 +28,11 @@
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
+	// MaxConns limits the open connections. Beyond it a new connection takes the place of one that
+	// waits for a request, or is closed unread.
+	MaxConns int
+	// OnRefuse is called for each connection that is closed unread; nil if nobody needs it.
+	OnRefuse func()
 }
 
 // Server is an HTTP server for callers. To stop it, call BeginDrain, Drain and Close.
@@ -39,6 +44,9 @@
 	acceptDone, closed chan struct{}
 	closeOnce          sync.Once
 
+	maxConns int
+	onRefuse func()
+
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
@@ -51,6 +59,7 @@
 	s := &Server{
 		acceptDone: make(chan struct{}), closed: make(chan struct{}),
 		conns: map[*conn]struct{}{}, connClosed: make(chan struct{}, 1),
+		maxConns: o.MaxConns, onRefuse: o.OnRefuse,
 	}
 	s.listener = &listener{Listener: l, server: s}
 	s.http = &http.Server{
@@ -177,6 +186,38 @@
 	return all
 }
 
+// evictionSample is how many connections are looked at to find one that waits for a request.
+const evictionSample = 16
+
+// admit reports whether one more connection may be served. If there are too many, it has one that
+// waits for a request closed, if it finds any.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.maxConns <= 0 || len(s.conns) < s.maxConns {
+		return true
+	}
+	looked := 0
+	for c := range s.conns {
+		if c.drainIfIdle() {
+			return true
+		}
+		if looked++; looked == evictionSample {
+			break
+		}
+	}
+	return false
+}
+
+// refuse closes a connection of which nothing has been read: its caller may safely send the request
+// again elsewhere.
+func (s *Server) refuse(nc net.Conn) {
+	_ = nc.Close() // it is given up either way
+	if s.onRefuse != nil {
+		s.onRefuse()
+	}
+}
+
 // track adds an accepted connection to the server.
 func (s *Server) track(nc net.Conn) *conn {
 	now := time.Now()
--- a/transport/inbound/server_test.go
+++ b/transport/inbound/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -347,3 +348,46 @@
 	close(listener.resumed)
 	c.readResponse()
 }
+
+// newLimitedServer returns a server of at most n connections and the number of those it refused.
+func newLimitedServer(t *testing.T, n int, waitsForRelease bool) (*testServer, *atomic.Int64) {
+	s, refused := newTestServer(t, listen(t), waitsForRelease), new(atomic.Int64)
+	s.server.maxConns, s.server.onRefuse = n, func() { refused.Add(1) }
+	s.serve()
+	return s, refused
+}
+
+// Guards against a crowd of connections that takes all descriptors, so that no request is served.
+func TestConnectionsBeyondTheLimitAreClosedUnread(t *testing.T) {
+	s, refused := newLimitedServer(t, 2, true)
+	served := []*caller{s.dial(), s.dial()}
+	for _, c := range served {
+		c.send(requestText)
+		<-s.entered
+	}
+	for range 5 {
+		c := s.dial()
+		_, err := c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+	}
+	require.Equal(t, int64(5), refused.Load())
+	require.Equal(t, 2, s.server.OpenConns())
+	for _, c := range served {
+		s.release <- struct{}{}
+		require.False(t, c.readResponse())
+	}
+	require.Empty(t, s.entered)
+}
+
+// Guards against connections that wait for a request and keep callers with one from being served.
+func TestIdleConnectionMakesRoomForANewOne(t *testing.T) {
+	s, refused := newLimitedServer(t, 2, false)
+	for range 6 {
+		c := s.dial()
+		c.send(requestText)
+		require.False(t, c.readResponse())
+		require.Eventually(t, func() bool { return s.server.CountByState()[Idle] == s.server.OpenConns() }, waitTimeout, time.Millisecond)
+	}
+	require.Zero(t, refused.Load())
+	require.Eventually(t, func() bool { return s.server.OpenConns() == 2 }, waitTimeout, time.Millisecond)
+}
