Give up responses that never end

A head was read without a limit, until no memory was left; the body of a response without the signature was read up to 64 KiB before the response was judged, so one that came slowly held a request that may run once until its deadline.

Ruled out: a limit of the time for a head (a silent target has one already, and engines take their time); a limit for whole answers (nobody states how long they may be; the deadline bounds them).

Change: heads have at most 256 KiB, each; a response without the signature, or encoded, fails at its head, and its connection is closed.

Conclusion: memory stays bounded and such requests are answered at once or go on elsewhere. A body without end behind a signature is passed on until the deadline.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -142,6 +142,11 @@
 		s.options.OnLeaving(a.target.Incarnation)
 	}
 	head := &replyHead{status: reply.Status, header: reply.Header, length: reply.Length, framing: reply.Framing(), parsed: parsed}
+	if !parsed.NotRun && !head.isUsable() {
+		reply.Close() // its body, which may never end, is of no use
+		messages.put(message{from: a, head: head, err: io.EOF})
+		return
+	}
 	if stream && head.isUsable() && reply.Status == http.StatusOK {
 		a.readStream(messages, reply, head)
 		return
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -131,7 +131,10 @@
 // readHeader reads responses up to the header of the one that belongs to the request.
 func (r *Reply) readHeader(request *http.Request) error {
 	for range maxUnmatchedReplies {
+		left := maxHeadBytes
+		r.conn.headLeft = &left
 		response, err := http.ReadResponse(r.conn.reader, request)
+		r.conn.headLeft = nil
 		if err != nil {
 			return err
 		}
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -95,6 +95,8 @@
 	idleSince    time.Time
 	idleTimeout  time.Duration
 	bytesWritten int
+	// headLeft is how many more bytes may be read for the head of a response; nil while none is read.
+	headLeft *int
 	// writeErr is the first error of Write.
 	writeErr error
 }
@@ -348,5 +350,11 @@
 // maxUnmatchedReplies bounds the responses read for a request until one matches.
 const maxUnmatchedReplies = 4
 
+// maxHeadBytes bounds the heads of the responses to a request, in bytes.
+const maxHeadBytes = 256 << 10
+
+// ErrHeadTooLong means that the head of a response doesn't end within maxHeadBytes.
+var ErrHeadTooLong = errors.New("the head of the response is too long")
+
 // maxUnmatchedBytes bounds the body of a response that is skipped.
 const maxUnmatchedBytes = 1 << 20
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -470,3 +471,33 @@
 		})
 	}
 }
+
+// Guards against a target that sends a head without end until no memory is left.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	closed := make(chan int, 1)
+	address, _ := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		sent, chunk := 0, strings.Repeat("x", 4096)
+		for _, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nX: "); err == nil; sent += len(chunk) {
+			_, err = io.WriteString(nc, chunk)
+		}
+		closed <- sent
+	})
+	_, err := do(t, New(ClientOptions{}), address, "", Options{})
+	require.ErrorIs(t, err, ErrHeadTooLong)
+	require.False(t, ClosedByPeer(err))
+	require.Greater(t, <-closed, 0, "the connection is closed")
+}
+
+// Guards against a limit of heads that counts the bodies of replies, or the heads of earlier ones.
+func TestHeadLimitIsForEachHead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHeadBytes/2) + "\r\nContent-Length: " + strconv.Itoa(maxHeadBytes) + "\r\n\r\n"
+	address, conns := serve(t, answerAll(head+strings.Repeat("y", maxHeadBytes)))
+	c := New(ClientOptions{})
+	for range 3 {
+		got, err := do(t, c, address, "", Options{})
+		require.NoError(t, err)
+		require.Len(t, got, maxHeadBytes)
+	}
+	require.Equal(t, int64(1), conns.Load())
+}
--- a/transport/forward/path.go
+++ b/transport/forward/path.go
@@ -180,7 +180,16 @@
 
 // Read implements net.Conn. What arrives shows which way works.
 func (k *conn) Read(p []byte) (int, error) {
+	if k.headLeft != nil {
+		if *k.headLeft <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		p = p[:min(len(p), *k.headLeft)]
+	}
 	n, err := k.Conn.Read(p)
+	if k.headLeft != nil {
+		*k.headLeft -= n
+	}
 	if n > 0 {
 		k.client.observe(func(t *reach.Tracker, now time.Time) {
 			if k.through != "" {
