Don't send a request on trial without its grant

Cause: a suspect of a request may become blocked and then due for a trial, or lose what explained it, while the request waits for its turn at a target. The judgement directly before the send let a request whose suspect is on trial pass, with or without the one grant.

Ruled out: asking for the grant at that place (the callback must not wait for another instance; the request is withdrawn and asks when it prepares its next attempt).

Change: only a request that holds the grant passes as on trial. TestRequestBlockedBeforeItsSendIsNotSent expected the opposite for a request without one; it now has both, and is stricter.

Before: the case without a grant fails. After: go test ./daemon/relay ./platform -run 'Block|Crash|PromptPart' passes.

Conclusion: one run at a time is tried, also behind a wait.

--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -74,10 +74,11 @@
 	return nil
 }
 
-// blocked reports whether requests with these suspects must not be sent, by the records of this
-// instance.
-func (s *Relay) blocked(suspects quarantine.Suspects) bool {
-	return s.options.Blocklist.Judge(suspects).State == quarantine.Blocked
+// blocked reports whether a request with these suspects must not be sent, by the records of this
+// instance. onTrial is true if the request is the one run that is allowed.
+func (s *Relay) blocked(suspects quarantine.Suspects, onTrial bool) bool {
+	state := s.options.Blocklist.Judge(suspects).State
+	return state == quarantine.Blocked || state == quarantine.OnTrial && !onTrial
 }
 
 // recordAttemptEnd records in the blocklist whether the target survived an attempt that ended
--- a/daemon/relay/blocklist_test.go
+++ b/daemon/relay/blocklist_test.go
@@ -71,11 +71,19 @@
 // A part of a request's prompt may be blocked while the request waits for its turn at a target. It
 // must not be sent then.
 func TestRequestBlockedBeforeItsSendIsNotSent(t *testing.T) {
-	for state, allowed := range map[quarantine.State]bool{quarantine.Allowed: true, quarantine.OnTrial: true, quarantine.Blocked: false} {
+	for _, c := range []struct {
+		state            quarantine.State
+		onTrial, allowed bool
+	}{
+		{quarantine.Allowed, false, true},
+		{quarantine.OnTrial, false, false},
+		{quarantine.OnTrial, true, true},
+		{quarantine.Blocked, true, false},
+	} {
 		q := pacedRequest(&granter{})
-		q.sendAt = time.Now()
+		q.sendAt, q.onTrial = time.Now(), c.onTrial
 		options := q.sendOptions(routing.Target{Incarnation: "e"})
-		q.relay.options.Blocklist = verdictRecords{state: state}
-		require.Equal(t, allowed, options.Allowed(), state)
+		q.relay.options.Blocklist = verdictRecords{state: c.state}
+		require.Equal(t, c.allowed, options.Allowed(), "%+v", c)
 	}
 }
