Don't wait for the end of a refusal that never ends

Cause: the body of a target's refusal (not run) was read up to 64 KiB before the refusal was judged. One that comes slowly and never ends held the request until its deadline, although another target could have served it.

Ruled out: leaving the body unread (refusals are frequent at full targets, and their connections are used again).

Change: the body of a refusal is read for 100 ms at most; then the connection is closed.

Before: without the timer three of the four cases of an endless refusal that were printed fail in TestBytesWithoutEndAreGivenUp. After: it passes twice.

Conclusion: no kind of bytes without end holds a request, but for a signed response that never ends.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -37,6 +37,13 @@
 	streamBuffers = 2
 )
 
+// maxRefusalBodyTime bounds the time for reading the body of a refusal, which only lets its connection
+// be used again.
+const maxRefusalBodyTime = 100 * time.Millisecond
+
+// errRefusalTooLong cancels an attempt whose target's refusal doesn't end.
+var errRefusalTooLong = errors.New("the refusal doesn't end")
+
 // errAbandoned cancels an attempt whose request needs it no longer.
 var errAbandoned = errors.New("the request needs the attempt no longer")
 
@@ -147,6 +154,10 @@
 		messages.put(message{from: a, head: head, err: io.EOF})
 		return
 	}
+	if parsed.NotRun {
+		timer := time.AfterFunc(maxRefusalBodyTime, func() { a.cancel(errRefusalTooLong) })
+		defer timer.Stop()
+	}
 	if stream && head.isUsable() && reply.Status == http.StatusOK {
 		a.readStream(messages, reply, head)
 		return
