Ask other instances at once whether a target has ended

Cause: at the end of a response that ends with its connection, an instance that had lost its path to the target connected to it twice in a row, 250 ms each, before it asked another instance: an answer that was ready was held back. And no test held that only another instance confirms the end.

Ruled out: taking the response for whole without asking (a piece would pass where a path is cut).

Change: an instance that can't connect asks another one at once. TestOnlyAnotherInstanceConfirmsThatTheTargetHasEnded.

Before: two connections of up to 250 ms before the question. The test fails if the refusal of the own connection is believed.

Conclusion: an instance that alone lost its path doesn't take a whole response for broken off.

--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -445,6 +445,29 @@
 	return listener.Addr().String()
 }
 
+// askedPeer is a Detour whose every connection fails with an error, or opens if that is nil.
+type askedPeer struct{ err error }
+
+func (p askedPeer) Dial(context.Context, string) (net.Conn, string, error) {
+	if p.err != nil {
+		return nil, "", p.err
+	}
+	nc, _ := net.Pipe()
+	return nc, "peer", nil
+}
+
+func (askedPeer) Usable(string) bool { return true }
+
+// Guards against an instance that takes a whole response for broken off since it alone lost its path to
+// the target.
+func TestOnlyAnotherInstanceConfirmsThatTheTargetHasEnded(t *testing.T) {
+	for want, whole := range map[error]bool{nil: true, ErrNoPeerKnown: true, ErrNothingListens: false, ErrNoDetour: false} {
+		c := New(ClientOptions{Detour: askedPeer{want}})
+		_, err := do(t, c, endingTarget(t, 0), "", Options{InUse: func() bool { return true }})
+		require.Equal(t, whole, err == nil, "%v: %v", want, err)
+	}
+}
+
 // Guards against a piece of a response that counts as whole, and against a whole one that counts as
 // broken off, where the end of the connection is the only mark of the end.
 func TestResponseEndedWithItsTargetIsBrokenOff(t *testing.T) {
--- a/transport/forward/listens.go
+++ b/transport/forward/listens.go
@@ -27,7 +27,13 @@
 // was cut may refuse connections too.
 func (c *Client) NothingListens(ctx context.Context, address string) bool {
 	opens, refused := tryConnect(ctx, c.options.Dial, address)
-	if opens || c.options.Detour == nil {
+	return !opens && c.confirmsNothingListens(ctx, address, refused)
+}
+
+// confirmsNothingListens reports whether certainly no process listens at an address to which this
+// instance couldn't connect; refused is true if the connection was refused.
+func (c *Client) confirmsNothingListens(ctx context.Context, address string, refused bool) bool {
+	if c.options.Detour == nil {
 		return refused
 	}
 	nc, _, err := c.options.Detour.Dial(ctx, address)
@@ -47,10 +53,10 @@
 	dialCtx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
 	nc, err := c.options.Dial(dialCtx, address)
-	if err == nil && staysOpen(nc) {
-		return false
+	if err != nil {
+		return c.confirmsNothingListens(ctx, address, errors.Is(err, syscall.ECONNREFUSED))
 	}
-	return c.NothingListens(ctx, address)
+	return !staysOpen(nc) && c.NothingListens(ctx, address)
 }
 
 // staysOpen reports whether the other end keeps a connection open for exitLag, and closes it then.
