--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -42,6 +42,34 @@
 	running          []run
 }
 
+// newFleetSim draws a fleet of instances.
+func newFleetSim(t *rapid.T) fleetSim {
+	seed := rapid.Uint64().Draw(t, "seed")
+	f := fleetSim{
+		t: t, now: start, loss: rapid.Float64Range(0, maxLoss).Draw(t, "loss"), random: rand.New(rand.NewPCG(seed, seed)),
+	}
+	for range rapid.IntRange(2, 8).Draw(t, "instances") {
+		f.instances = append(f.instances, New(DefaultConfig()))
+		f.joined = append(f.joined, time.Time{})
+	}
+	return f
+}
+
+// exchange has the instances exchange records as they do in step i.
+func (f *fleetSim) exchange(i int) {
+	for from := range f.instances {
+		if i%2 == 0 {
+			f.sendGossip(from)
+		}
+		if i%20 == 0 {
+			f.exchangeSamples(from)
+		}
+	}
+	if i%100 == 99 {
+		f.replace(rapid.IntRange(0, len(f.instances)-1).Draw(f.t, "replaced"))
+	}
+}
+
 // replace replaces an instance by a new one.
 func (f *fleetSim) replace(i int) {
 	f.instances[i], f.joined[i] = New(DefaultConfig()), f.now
@@ -139,14 +167,7 @@
 // messages are lost and whichever instances are replaced.
 func TestCrashingRequestIsBlockedInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		f := &fleetSim{
-			t: t, now: start, loss: rapid.Float64Range(0, maxLoss).Draw(t, "loss"), random: rand.New(rand.NewPCG(seed, seed)),
-		}
-		for range rapid.IntRange(2, 8).Draw(t, "instances") {
-			f.instances = append(f.instances, New(DefaultConfig()))
-			f.joined = append(f.joined, time.Time{})
-		}
+		f := newFleetSim(t)
 		common := []Digest{digestOf("common-1"), digestOf("common-2")}
 		every := rapid.IntRange(2, 40).Draw(t, "every")
 		for i := range 400 {
@@ -155,17 +176,7 @@
 				f.send(rapid.IntRange(0, len(f.instances)-1).Draw(t, "at"))
 			}
 			f.end(common)
-			for from := range f.instances {
-				if i%2 == 0 {
-					f.sendGossip(from)
-				}
-				if i%20 == 0 {
-					f.exchangeSamples(from)
-				}
-			}
-			if i%100 == 99 {
-				f.replace(rapid.IntRange(0, len(f.instances)-1).Draw(t, "replaced"))
-			}
+			f.exchange(i)
 			for _, d := range common {
 				for _, instance := range f.instances {
 					require.Equal(t, Allowed, instance.Judge(f.now, d).State)
--- a/coordination/quarantine/suspects_test.go
+++ b/coordination/quarantine/suspects_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -90,8 +89,6 @@
 		later := start.Add(2 * c.TrustPeriod)
 		for i := range c.BlockThreshold {
 			table.RecordRequestCrash(later, request(fmt.Sprint(i), "other"), fmt.Sprint("target-", i+1))
-		}
-		for i := range c.BlockThreshold {
 			table.RecordRequestCrash(later, request(fmt.Sprint("bad", i), "bad"), fmt.Sprint("target-", i))
 		}
 		require.True(t, blocked(table, later, "bad"))
@@ -229,15 +226,8 @@
 // lost and whichever instances are replaced.
 func TestCrashingPartIsBlockedInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		random := rand.New(rand.NewPCG(seed, seed))
-		f := &partSim{fleetSim: fleetSim{
-			t: t, now: start, loss: rapid.Float64Range(0, maxLoss).Draw(t, "loss"), random: random,
-		}}
-		for range rapid.IntRange(2, 8).Draw(t, "instances") {
-			f.instances = append(f.instances, New(DefaultConfig()))
-			f.joined = append(f.joined, time.Time{})
-		}
+		f := &partSim{fleetSim: newFleetSim(t)}
+		random := f.random
 		for i := range rapid.IntRange(1, 5).Draw(t, "companions") {
 			f.companions = append(f.companions, fmt.Sprint("companion-", i))
 		}
@@ -253,17 +243,7 @@
 				f.send(false, random.IntN(len(f.instances)), random.IntN(targets), companion(), companion())
 			}
 			f.endRuns()
-			for from := range f.instances {
-				if i%2 == 0 {
-					f.sendGossip(from)
-				}
-				if i%20 == 0 {
-					f.exchangeSamples(from)
-				}
-			}
-			if i%100 == 99 {
-				f.replace(rapid.IntRange(0, len(f.instances)-1).Draw(t, "replaced"))
-			}
+			f.exchange(i)
 		}
 		late := 0
 		for _, at := range f.started {
--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -196,6 +196,5 @@
 // caller gives up.
 const resumeObjective = 2 * time.Second
 
-// engineFirstEventTime is how long an engine takes to its first event, as measured at the
-// usual load.
+// engineFirstEventTime is how long an engine is expected to take to its first event.
 const engineFirstEventTime = 250 * time.Millisecond
