Add the settings and messages that scheduling by account needs

Cause: sharing by client account, reservations for retries, flow control between stages and placement by cost need to be switched on by settings, and the holder of the stage queue needs to know a request's account, its content and how long its caller waits before a retry. Ruled out: new fields in the existing messages between instances; they are arrays whose lengths both ends have to agree on, so an earlier version would reject them. Conclusion: nothing reads the new fields yet.

--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -14,6 +14,14 @@
 	LocalityWait time.Duration
 	// MaxRequests bounds the requests that the planner holds.
 	MaxRequests int
+	// AccountSharing shares scarce capacity between client accounts. AccountWeights has the
+	// weights that aren't 1, by account.
+	AccountSharing bool
+	AccountWeights map[string]float64
+	// RetryReservations reserves capacity for callers that are told when to retry.
+	RetryReservations bool
+	// ResultFlowControl releases work into a stage by the capacity of the stages after it.
+	ResultFlowControl bool
 }
 
 // Defaults of Config.
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -61,6 +61,13 @@
 	Remaining time.Duration
 	// DataCentre is where the final results are read.
 	DataCentre string
+	// Account is the client account; empty if there is none.
+	Account string
+	// Fingerprint identifies the content of the request, so that a caller's retry is known by it.
+	// It is empty if retries aren't told from new requests.
+	Fingerprint string
+	// MaxRetryDelay is the longest retry delay that the caller honours; 0 means any.
+	MaxRetryDelay time.Duration
 }
 
 // pieces returns the number of pieces of each stage.
@@ -171,6 +178,10 @@
 	// Needed is the predicted time that the rest of the request takes, TimeToDeadline the
 	// time until its deadline. Both are zero for a refusal without a prediction.
 	Needed, TimeToDeadline time.Duration
+	// Account is the request's client account. Reserved is true if capacity is reserved for the
+	// caller's retry.
+	Account  string
+	Reserved bool
 }
 
 // FreeResults asks a target to free results.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -172,7 +172,7 @@
 	g.cluster.Handle(methodFresh, func(context.Context, peer.Peer, []byte) ([]byte, error) {
 		return msgpack.Marshal(g.follower.Report().IsFresh())
 	}, peer.Idempotent())
-	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), t.Scope)
+	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), planning(s.Scheduling), t.Scope)
 	g.limits = limits.New(limits.Options{Cluster: g.cluster, Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
 	g.stages.OnResponse(g.limits.Observe)
 	g.stages.AwaitLimits(g.limits.AwaitFrom)
@@ -219,6 +219,14 @@
 	maxRetryReserve = 2.4
 )
 
+// planning returns the part of the scheduling that the holder of the stage queue does.
+func planning(s settings.Scheduling) gather.Config {
+	return gather.Config{
+		AccountSharing: s.AccountSharing, AccountWeights: s.AccountWeights,
+		RetryReservations: s.RetryReservations, ResultFlowControl: s.ResultFlowControl,
+	}
+}
+
 // retryConfig returns the configuration of this instance's retry budget, which is a share
 // of the fleet's budget.
 func (g *Gateway) retryConfig() retry.Config {
--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -123,6 +123,7 @@
 	r := gather.Request{
 		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority, KindPriority: q.route.Priority,
 		Objective: objective, Deadline: q.stagesDeadline(time.Now()), Remaining: engineFirstEventTime, DataCentre: dataCentre,
+		Account: q.account, Fingerprint: q.digest().String(), MaxRetryDelay: q.maxRetryDelay(time.Now()),
 	}
 	for i, s := range q.route.Stages {
 		pieces := 0
@@ -155,6 +156,15 @@
 	return err
 }
 
+// maxRetryDelay returns the longest retry delay that the caller honours if it is refused now.
+func (q *request) maxRetryDelay(now time.Time) time.Duration {
+	if q.call.Timeout <= 0 {
+		return 0
+	}
+	remaining := q.call.Timeout - now.Sub(q.arrived)
+	return max(time.Duration(float64(q.call.MaxRetryDelay)*float64(remaining)/float64(q.call.Timeout)), time.Millisecond)
+}
+
 // stagesDeadline returns the deadline for the first event that needs the stages' results.
 // During a planned stop it is early enough to leave time for the rest of the response.
 func (q *request) stagesDeadline(now time.Time) time.Time {
--- a/daemon/stages/assign_test.go
+++ b/daemon/stages/assign_test.go
@@ -15,7 +15,7 @@
 )
 
 func queueWithEngines() *queue {
-	q := newQueue(nil, nil, nil, newMetrics(tally.NoopScope))
+	q := newQueue(nil, nil, nil, gather.Config{}, newMetrics(tally.NoopScope))
 	view := membership.NewView(1, "a", []membership.Member{{Name: "a"}})
 	q.view = func() *membership.View { return view }
 	table := &routes.Table{Services: map[string]*routes.Service{"engines": {Name: "engines", CacheTokens: 300_000}}}
--- a/daemon/stages/cluster_test.go
+++ b/daemon/stages/cluster_test.go
@@ -135,7 +135,7 @@
 // startStages runs instance a until the test ends, and then waits for the end of its handover
 // attempts.
 func startStages(t *testing.T, c *fakeCluster) *Stages {
-	s := New(c, nil, nil, nil, pacing.Limits{}, tally.NoopScope)
+	s := New(c, nil, nil, nil, pacing.Limits{}, gather.Config{}, tally.NoopScope)
 	s.queue.bootClock = time.Now
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/daemon/stages/free_test.go
+++ b/daemon/stages/free_test.go
@@ -42,7 +42,7 @@
 func TestResultsAtLimitedTargetsAreFreedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var recorder freeRecorder
-		q := newQueue(&recorder, nil, nil, newMetrics(tally.NoopScope))
+		q := newQueue(&recorder, nil, nil, gather.Config{}, newMetrics(tally.NoopScope))
 		q.setLimits(time.Now(), map[string]float64{"limited": 10})
 		target := gather.Target{Incarnation: "limited"}
 		schedule := func(handle string) {
--- a/daemon/stages/handover_test.go
+++ b/daemon/stages/handover_test.go
@@ -132,7 +132,7 @@
 			return response.Accepted
 		}
 		require.False(t, handOver())
-		request := &assignRequest{Redirectable: redirectableRequest{Run: *newRunRequest(time.Now(), emptyRequest("r")), Redirected: true}}
+		request := &scheduleRequest{Assign: assignRequest{Redirectable: redirectableRequest{Run: *newRunRequest(time.Now(), emptyRequest("r")), Redirected: true}}}
 		short, stop := context.WithTimeout(t.Context(), limitsTimeout)
 		defer stop()
 		_, err = s.executeFor(short, peer.Peer{}, request)
--- a/daemon/stages/messages.go
+++ b/daemon/stages/messages.go
@@ -72,6 +72,23 @@
 	SendAfter time.Duration
 }
 
+// scheduleRequest is the body of methodSchedule, sent where requests are scheduled by more than
+// their priority and their deadline.
+type scheduleRequest struct {
+	Assign assignRequest
+	// Account, Fingerprint and MaxRetryDelay are as in gather.Request.
+	Account       string
+	Fingerprint   string
+	MaxRetryDelay time.Duration
+}
+
+// scheduleResponse is the response of methodSchedule.
+type scheduleResponse struct {
+	Paced pacedResponse
+	// Reserved is true if capacity is reserved for the retry of a refused request's caller.
+	Reserved bool
+}
+
 type stageRequest struct {
 	Service     string
 	After       []int
@@ -121,3 +138,13 @@
 	}
 	return r
 }
+
+func newScheduleRequest(assign *assignRequest, r gather.Request) *scheduleRequest {
+	return &scheduleRequest{Assign: *assign, Account: r.Account, Fingerprint: r.Fingerprint, MaxRetryDelay: r.MaxRetryDelay}
+}
+
+func (s *scheduleRequest) request(now time.Time) gather.Request {
+	r := s.Assign.Redirectable.Run.request(now)
+	r.Account, r.Fingerprint, r.MaxRetryDelay = s.Account, s.Fingerprint, s.MaxRetryDelay
+	return r
+}
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -106,13 +106,13 @@
 // errDropped is returned to a requester whose request was dropped meanwhile.
 var errDropped = errors.New("the request was dropped")
 
-func newQueue(d exchange.Dialect, client *forward.Client, follower Follower, m metrics) *queue {
+func newQueue(d exchange.Dialect, client *forward.Client, follower Follower, config gather.Config, m metrics) *queue {
 	return &queue{
 		dialect:       d,
 		client:        client,
 		follower:      follower,
 		metrics:       m,
-		planner:       gather.New(gather.Config{}),
+		planner:       gather.New(config),
 		engines:       placing.NewTable(),
 		prompts:       map[string]heldPrompt{},
 		waiters:       map[string]chan outcome{},
--- a/daemon/stages/relayed.go
+++ b/daemon/stages/relayed.go
@@ -64,12 +64,12 @@
 }
 
 // relay runs the stages of another instance's request at the holder.
-func (s *Stages) relay(ctx context.Context, request *assignRequest) (*pacedResponse, error) {
-	r := request.Redirectable.Run.request(time.Now())
+func (s *Stages) relay(ctx context.Context, request *scheduleRequest) (*scheduleResponse, error) {
+	r := request.request(time.Now())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.recordRelayed(r.ID, relayedRequest{deadline: r.Deadline, cancel: cancel})
-	result, err := s.execute(ctx, r, request.Prompt, true)
+	result, err := s.execute(ctx, r, request.Assign.Prompt, true)
 	var refused *RefusedError
 	if err != nil {
 		s.removeRelayed(r.ID)
@@ -77,15 +77,15 @@
 	switch {
 	case errors.As(err, &refused):
 		run := runResponse{Reason: string(refused.Reason), RetryAfter: refused.RetryAfter}
-		return &pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{Run: run}}}, nil
+		return &scheduleResponse{Paced: pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{Run: run}}}, Reserved: refused.Reserved}, nil
 	case err != nil:
 		return nil, err
 	}
 	s.recordRelayed(r.ID, relayedRequest{holder: result.Holder, deadline: r.Deadline, cancel: cancel})
-	return &pacedResponse{
+	return &scheduleResponse{Paced: pacedResponse{
 		Assign:    assignResponse{Redirectable: redirectableResponse{Run: runResponse{Handles: result.Handles}}, Engine: result.Engine},
 		SendAfter: time.Until(result.SendAt),
-	}, nil
+	}}, nil
 }
 
 // recordRelayed records a request that is relayed.
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -33,6 +33,9 @@
 	methodAssign       = "stages.place"
 	// methodAssignPaced replaces methodAssign for pools whose targets have a pace.
 	methodAssignPaced = "stages.pace"
+	// methodSchedule replaces methodAssignPaced where requests are scheduled by more than their
+	// priority and their deadline.
+	methodSchedule = "stages.schedule"
 )
 
 const (
@@ -100,6 +103,8 @@
 	ended chan struct{}
 	// claim is the claim of the queue after the start.
 	claim queueClaim
+	// sendsScheduling is true if requests are sent with what only methodSchedule carries.
+	sendsScheduling bool
 	// awaitLimits waits, after the start, until the limits are known that another instance knows.
 	awaitLimits func(ctx context.Context, from string)
 }
@@ -107,21 +112,22 @@
 // New returns a Stages and registers the methods that other instances call.
 //
 // limits bound what cold targets get.
-func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, limits pacing.Limits, scope tally.Scope) *Stages {
+func New(c Cluster, d exchange.Dialect, client *forward.Client, follower Follower, limits pacing.Limits, config gather.Config, scope tally.Scope) *Stages {
 	s := &Stages{
-		cluster:        c,
-		queue:          newQueue(d, client, follower, newMetrics(scope)),
-		avoidedUntil:   map[string]time.Time{},
-		redirects:      map[string]redirect{},
-		lastResponse:   map[string]time.Time{},
-		relayed:        map[string]relayedRequest{},
-		pendingReports: map[string]*endReport{},
-		unreported:     map[string][]*endReport{},
-		waiting:        map[string]*waitingRequest{},
-		incoming:       map[string]*incomingHandover{},
-		ended:          make(chan struct{}),
-		claim:          queueClaim{startedAt: time.Now(), done: make(chan struct{})},
-		awaitLimits:    func(context.Context, string) {},
+		cluster:         c,
+		queue:           newQueue(d, client, follower, config, newMetrics(scope)),
+		sendsScheduling: config.AccountSharing || config.RetryReservations,
+		avoidedUntil:    map[string]time.Time{},
+		redirects:       map[string]redirect{},
+		lastResponse:    map[string]time.Time{},
+		relayed:         map[string]relayedRequest{},
+		pendingReports:  map[string]*endReport{},
+		unreported:      map[string][]*endReport{},
+		waiting:         map[string]*waitingRequest{},
+		incoming:        map[string]*incomingHandover{},
+		ended:           make(chan struct{}),
+		claim:           queueClaim{startedAt: time.Now(), done: make(chan struct{})},
+		awaitLimits:     func(context.Context, string) {},
 	}
 	s.queue.limits, s.queue.view = limits, c.View
 	s.queue.reportCallEnd = s.reportCallEnd
@@ -136,6 +142,7 @@
 	c.Handle(methodDrop, s.handleDrop)
 	c.Handle(methodAssign, s.handleAssign)
 	c.Handle(methodAssignPaced, s.handleAssignPaced)
+	c.Handle(methodSchedule, s.handleSchedule)
 	c.Handle(methodRequestEnds, s.handleRequestEnds)
 	c.Handle(methodCaches, s.handleCaches)
 	c.Handle(methodUnreachable, s.handleUnreachable)
@@ -184,6 +191,8 @@
 type RefusedError struct {
 	Reason     gather.Reason
 	RetryAfter time.Duration
+	// Reserved is true if capacity is reserved for the caller's retry.
+	Reserved bool
 	// Holder is the name of the instance that decided.
 	Holder string
 }
@@ -320,40 +329,45 @@
 			return Result{}, &movedError{end.movedTo}
 		}
 		if err == nil && end.refused != nil {
-			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Holder: m.Name}
+			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Reserved: end.refused.Reserved, Holder: m.Name}
 		}
 		return Result{Handles: end.handles, Engine: end.engine, SendAt: end.sendAt}, err
 	}
 	redirectable := redirectableRequest{*newRunRequest(time.Now(), r), shortened, redirected, s.avoidedAddresses(time.Now())}
-	response, err := s.executeRemote(ctx, m.Address, &assignRequest{redirectable, prompt})
+	request := newScheduleRequest(&assignRequest{redirectable, prompt}, r)
+	response, err := s.executeRemote(ctx, m.Address, request)
 	if errors.Is(err, peer.ErrConnLost) {
 		// The holder keeps the request for reconnectTimeout, and may well be reachable.
-		response, err = s.executeRemote(ctx, m.Address, &assignRequest{redirectable, prompt})
+		response, err = s.executeRemote(ctx, m.Address, request)
 	}
 	if err != nil {
 		return Result{}, err
 	}
 	s.recordResponse(time.Now(), m.Address)
-	assigned := &response.Assign
+	assigned := &response.Paced.Assign
 	if assigned.Redirectable.MovedTo != "" {
 		return Result{}, &movedError{assigned.Redirectable.MovedTo}
 	}
 	run := assigned.Redirectable.Run
 	if run.Reason != "" {
-		return Result{}, &RefusedError{Reason: gather.Reason(run.Reason), RetryAfter: run.RetryAfter, Holder: m.Name}
+		return Result{}, &RefusedError{Reason: gather.Reason(run.Reason), RetryAfter: run.RetryAfter, Reserved: response.Reserved, Holder: m.Name}
 	}
 	s.queue.recordPrefill(prompt, assigned.Engine)
-	return Result{Handles: run.Handles, Engine: assigned.Engine, SendAt: time.Now().Add(response.SendAfter)}, nil
+	return Result{Handles: run.Handles, Engine: assigned.Engine, SendAt: time.Now().Add(response.Paced.SendAfter)}, nil
 }
 
 // executeRemote sends a request to another instance. For an instance of an earlier version it
 // uses the latest method that the instance knows.
-func (s *Stages) executeRemote(ctx context.Context, address string, request *assignRequest) (pacedResponse, error) {
-	var response pacedResponse
+func (s *Stages) executeRemote(ctx context.Context, address string, scheduled *scheduleRequest) (scheduleResponse, error) {
+	var whole scheduleResponse
+	response, request := &whole.Paced, &scheduled.Assign
 	assigned := &response.Assign
 	err := error(peer.ErrNoMethod)
-	if request.Prompt.Pool != "" {
-		err = s.callMethod(ctx, address, methodAssignPaced, request, &response)
+	if s.sendsScheduling {
+		err = s.callMethod(ctx, address, methodSchedule, scheduled, &whole)
+	}
+	if errors.Is(err, peer.ErrNoMethod) && request.Prompt.Pool != "" {
+		err = s.callMethod(ctx, address, methodAssignPaced, request, response)
 	}
 	if errors.Is(err, peer.ErrNoMethod) {
 		err = s.callMethod(ctx, address, methodAssign, request, assigned)
@@ -364,7 +378,7 @@
 	if errors.Is(err, peer.ErrNoMethod) {
 		err = s.callMethod(ctx, address, methodRun, &request.Redirectable.Run, &assigned.Redirectable.Run)
 	}
-	return response, err
+	return whole, err
 }
 
 // Paced reports whether sends to the targets of a pool need grants.
@@ -388,26 +402,26 @@
 	if err := msgpack.Unmarshal(body, &request); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	response, err := s.executeFor(ctx, from, &assignRequest{Redirectable: redirectableRequest{Run: request, Redirected: true}})
+	response, err := s.executeFor(ctx, from, &scheduleRequest{Assign: assignRequest{Redirectable: redirectableRequest{Run: request, Redirected: true}}})
 	if err != nil {
 		return nil, err
 	}
-	if response.Assign.Redirectable.MovedTo != "" {
+	if response.Paced.Assign.Redirectable.MovedTo != "" {
 		return nil, errMoved
 	}
-	return encode(&response.Assign.Redirectable.Run)
+	return encode(&response.Paced.Assign.Redirectable.Run)
 }
 
 func (s *Stages) handleRedirectable(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var request assignRequest
-	if err := msgpack.Unmarshal(body, &request.Redirectable); err != nil {
+	var request scheduleRequest
+	if err := msgpack.Unmarshal(body, &request.Assign.Redirectable); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
 	response, err := s.executeFor(ctx, from, &request)
 	if err != nil {
 		return nil, err
 	}
-	return encode(&response.Assign.Redirectable)
+	return encode(&response.Paced.Assign.Redirectable)
 }
 
 func (s *Stages) handleAssign(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
@@ -415,7 +429,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encode(&response.Assign)
+	return encode(&response.Paced.Assign)
 }
 
 func (s *Stages) handleAssignPaced(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
@@ -423,48 +437,62 @@
 	if err != nil {
 		return nil, err
 	}
+	return encode(&response.Paced)
+}
+
+func (s *Stages) handleSchedule(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
+	var request scheduleRequest
+	if err := msgpack.Unmarshal(body, &request); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	response, err := s.executeFor(ctx, from, &request)
+	if err != nil {
+		return nil, err
+	}
 	return encode(response)
 }
 
 // assignFor runs the stages of another instance's request, given as an encoded assignRequest.
-func (s *Stages) assignFor(ctx context.Context, from peer.Peer, body []byte) (*pacedResponse, error) {
-	var request assignRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
+func (s *Stages) assignFor(ctx context.Context, from peer.Peer, body []byte) (*scheduleResponse, error) {
+	var request scheduleRequest
+	if err := msgpack.Unmarshal(body, &request.Assign); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
 	return s.executeFor(ctx, from, &request)
 }
 
 // executeFor runs the stages of another instance's request.
-func (s *Stages) executeFor(ctx context.Context, from peer.Peer, request *assignRequest) (*pacedResponse, error) {
-	if to := s.redirectTo(time.Now(), &request.Redirectable); to != "" {
-		return &pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{MovedTo: to}}}, nil
+func (s *Stages) executeFor(ctx context.Context, from peer.Peer, request *scheduleRequest) (*scheduleResponse, error) {
+	redirectable := &request.Assign.Redirectable
+	if to := s.redirectTo(time.Now(), redirectable); to != "" {
+		return &scheduleResponse{Paced: pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{MovedTo: to}}}}, nil
 	}
-	if s.relaysToYielded(ctx, &request.Redirectable) || s.shouldRelay(time.Now(), &request.Redirectable) {
+	if s.relaysToYielded(ctx, redirectable) || s.shouldRelay(time.Now(), redirectable) {
 		return s.relay(ctx, request)
 	}
-	r := request.Redirectable.Run.request(time.Now())
+	r := request.request(time.Now())
 	if s.awaitLimits(ctx, from.Address); ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
 	s.awaitQueueClaim(ctx)
-	end, err := s.queue.execute(ctx, r, request.Prompt, request.Redirectable.DeadlineShortened, true)
+	end, err := s.queue.execute(ctx, r, request.Assign.Prompt, redirectable.DeadlineShortened, true)
 	if err != nil {
 		return nil, err
 	}
 	if end.movedTo != "" {
 		s.awaitForwarded(ctx, r.ID)
 	}
-	response := &pacedResponse{Assign: assignResponse{
+	response := &scheduleResponse{Paced: pacedResponse{Assign: assignResponse{
 		redirectableResponse{Run: runResponse{Handles: end.handles}, MovedTo: end.movedTo}, end.engine,
-	}}
+	}}}
 	if !end.sendAt.IsZero() {
-		response.SendAfter = time.Until(end.sendAt)
+		response.Paced.SendAfter = time.Until(end.sendAt)
 	}
-	run := &response.Assign.Redirectable.Run
+	run := &response.Paced.Assign.Redirectable.Run
 	switch {
 	case end.refused != nil:
 		run.Reason, run.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
+		response.Reserved = end.refused.Reserved
 	case end.movedTo == "":
 		s.queue.recordReader(r.ID, resultReader{instanceID{from.Name, from.Incarnation}, r.Deadline})
 	}
--- a/daemon/stages/wire_test.go
+++ b/daemon/stages/wire_test.go
@@ -40,6 +40,9 @@
 			"0000000000000007d30000000000000008a2646309c3c392a27031a2703294a4706f6f6c9192a4706172740b0c92a26531a2" +
 			"6532"},
 		{"assign response", &assignResponse{Redirectable: redirectableResponse{Run: response, MovedTo: "moved"}, Engine: "engine"}, "92929392a26831a26832ae71756575655f746f6f5f6c6f6e67d3000000000000000aa56d6f766564a6656e67696e65"},
+		{"schedule", &scheduleRequest{Account: "account", Fingerprint: "fingerprint", MaxRetryDelay: 43}, "9492949aa0a0a000c0d30000000000000000d30000000000000000d30000000000000000a000c2c2c094a0c000c0a7" +
+			"6163636f756e74ab66696e6765727072696e74d3000000000000002b"},
+		{"schedule response", &scheduleResponse{Reserved: true}, "9292929293c0a0d30000000000000000a0a0d30000000000000000c3"},
 		{"handover, requests", &handoverPart{Number: 13, Last: true, State: gather.State{Requests: []gather.RequestState{{
 			ID: "id", Route: "route", Key: "key", Priority: 1, KindPriority: 2,
 			Stages:    []gather.Stage{{Service: "service", After: []int{3}, Pieces: 4, ResultBytes: 5}},
--- a/daemon/stages/yield_test.go
+++ b/daemon/stages/yield_test.go
@@ -85,11 +85,11 @@
 				require.True(t, s.queue.hasMoved())
 				c.set("b", state)
 				time.Sleep(2 * tick)
-				response, err := s.executeFor(t.Context(), peer.Peer{Member: c.members[2]}, &assignRequest{Redirectable: redirectableRequest{
+				response, err := s.executeFor(t.Context(), peer.Peer{Member: c.members[2]}, &scheduleRequest{Assign: assignRequest{Redirectable: redirectableRequest{
 					Run: *newRunRequest(time.Now(), emptyRequest("1")),
-				}})
+				}}})
 				require.NoError(t, err)
-				require.Equal(t, map[bool]string{true: "", false: "at-b"}[notLive], response.Assign.Redirectable.MovedTo)
+				require.Equal(t, map[bool]string{true: "", false: "at-b"}[notLive], response.Paced.Assign.Redirectable.MovedTo)
 				result, err := s.Execute(t.Context(), emptyRequest("2"), placing.Prompt{})
 				require.NoError(t, err)
 				require.Equal(t, map[bool]string{true: "at-a", false: "at-b"}[notLive], result.Holder)
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -34,6 +34,10 @@
 	// PieceCounts is the number of pieces of each stage.
 	PieceCounts []int
 	PieceKey    string
+	// MaxRetryDelay is the longest retry delay that the caller honours; 0 means any.
+	MaxRetryDelay time.Duration
+	// OutputHint is the caller's estimate of the response's tokens; 0 if the request has none.
+	OutputHint int
 }
 
 // TargetRequest holds the fields of an attempt that are sent to a target.
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -10,6 +10,8 @@
 	maxCount       = 1 << 20
 	maxCores       = 1024
 	maxLogLevel    = 10
+	minWeight      = 0.001
+	maxWeight      = 1000
 	maxRetention   = 366 * 24 * time.Hour
 )
 
@@ -75,5 +77,11 @@
 		{"warmup", "slack", float{&s.Warmup.Slack, 0, maxCount}, true},
 
 		{"targets", "source_address", ipAddress{&s.Targets.SourceAddress}, false},
+
+		{"scheduling", "account_sharing", boolean{&s.Scheduling.AccountSharing}, true},
+		{"scheduling", "account_weights", weights{&s.Scheduling.AccountWeights, minWeight, maxWeight}, false},
+		{"scheduling", "retry_reservations", boolean{&s.Scheduling.RetryReservations}, true},
+		{"scheduling", "result_flow_control", boolean{&s.Scheduling.ResultFlowControl}, true},
+		{"scheduling", "cost_placement", boolean{&s.Scheduling.CostPlacement}, true},
 	}
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -126,6 +126,9 @@
 	if s.Status.RingSize < minStatusPerInFlight*s.Limits.MaxInFlight {
 		report("status", "ring_size", "must be at least twice [limits] max_in_flight")
 	}
+	if len(s.Scheduling.AccountWeights) > 0 && !s.Scheduling.AccountSharing {
+		report("scheduling", "account_weights", "needs [scheduling] account_sharing = true")
+	}
 	peers, err := netip.ParseAddrPort(s.Listen.Peers)
 	if err != nil {
 		return faults
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,20 +7,21 @@
 
 // Settings holds all settings of an instance.
 type Settings struct {
-	Instance  Instance
-	Listen    Listen
-	Platform  Platform
-	Peers     Peers
-	Limits    Limits
-	Routing   Routing
-	Shutdown  Shutdown
-	Telemetry Telemetry
-	Status    Status
-	Claims    Claims
-	Orders    Orders
-	Retries   Retries
-	Warmup    Warmup
-	Targets   Targets
+	Instance   Instance
+	Listen     Listen
+	Platform   Platform
+	Peers      Peers
+	Limits     Limits
+	Routing    Routing
+	Shutdown   Shutdown
+	Telemetry  Telemetry
+	Status     Status
+	Claims     Claims
+	Orders     Orders
+	Retries    Retries
+	Warmup     Warmup
+	Targets    Targets
+	Scheduling Scheduling
 }
 
 // Instance identifies this instance.
@@ -161,6 +162,21 @@
 	SourceAddress string
 }
 
+// Scheduling selects decisions under load that are off by default. Only for the gateway.
+type Scheduling struct {
+	// AccountSharing shares scarce capacity between client accounts.
+	AccountSharing bool
+	// AccountWeights has the weights of client accounts whose weight isn't 1, by name. It needs
+	// AccountSharing.
+	AccountWeights map[string]float64
+	// RetryReservations reserves capacity for callers that are told when to retry.
+	RetryReservations bool
+	// ResultFlowControl releases work into a stage by the capacity of the stages after it.
+	ResultFlowControl bool
+	// CostPlacement chooses targets by predicted cost and by the work that each has left.
+	CostPlacement bool
+}
+
 // Warmup limits the requests that all instances together send to one target in any second,
 // for services whose configuration has a rate that a cold target bears. The limit is that
 // rate times Overage, plus Slack.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -92,6 +92,12 @@
 [warmup]
 overage = 1.5
 slack = 15
+[scheduling]
+account_sharing = true
+account_weights = a=2, b = 0.5
+retry_reservations = true
+result_flow_control = true
+cost_placement = true
 `
 	path := filepath.Join(t.TempDir(), "instance.ini")
 	require.NoError(t, os.WriteFile(path, []byte(file), 0o600))
@@ -111,6 +117,10 @@
 		Orders:    Orders{12 * time.Second},
 		Retries:   Retries{0.5, 13, 14 * time.Second},
 		Warmup:    Warmup{1.5, 15},
+		Scheduling: Scheduling{
+			AccountSharing: true, AccountWeights: map[string]float64{"a": 2, "b": 0.5},
+			RetryReservations: true, ResultFlowControl: true, CostPlacement: true,
+		},
 	}, got)
 	require.True(t, got.Peers.TLS())
 }
@@ -156,6 +166,11 @@
 			[]string{"line 9: [status] ring_size: must be at least twice [limits] max_in_flight"}},
 		"peers unspecified": {required + "[peers]\ntls_cert=/c\ntls_key=/k\ntls_ca=/a\n[listen]\npeers = [::]:1",
 			[]string{"line 11: [listen] peers: other instances are told to connect to this address: it can't be unspecified"}},
+		"weight of nothing":       {required + "[scheduling]\naccount_sharing = true\naccount_weights = a", []string{`line 8: [scheduling] account_weights: "a" is not NAME=WEIGHT`}},
+		"weight out of range":     {required + "[scheduling]\naccount_sharing = true\naccount_weights = a=0", []string{`line 8: [scheduling] account_weights: weight of "a": 0 is out of range: want 0.001 to 1000`}},
+		"weight that's no number": {required + "[scheduling]\naccount_sharing = true\naccount_weights = a=NaN", []string{`line 8: [scheduling] account_weights: weight of "a": NaN is out of range: want 0.001 to 1000`}},
+		"two weights":             {required + "[scheduling]\naccount_sharing = true\naccount_weights = a=1, a=2", []string{`line 8: [scheduling] account_weights: "a" has two weights`}},
+		"weights without shares":  {required + "[scheduling]\naccount_weights = a=2", []string{"line 7: [scheduling] account_weights: needs [scheduling] account_sharing = true"}},
 		"all at once": {"[instance]\nname = UPPER\nhuh\n[platfrom]\nurl = x\n[limits]\nmax_streams = none\n", []string{
 			"[instance] data_centre: must be set",
 			"[platform] url: must be set",
--- a/settings/values.go
+++ b/settings/values.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"maps"
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -176,3 +178,38 @@
 }
 
 func (f float) format() string { return strconv.FormatFloat(*f.p, 'g', -1, 64) }
+
+// weights is a comma-separated list of NAME=WEIGHT with weights from min to max.
+type weights struct {
+	p        *map[string]float64
+	min, max float64
+}
+
+func (w weights) parse(raw string) error {
+	parsed := map[string]float64{}
+	for item := range strings.SplitSeq(raw, ",") {
+		name, text, ok := strings.Cut(item, "=")
+		name = strings.TrimSpace(name)
+		if !ok || name == "" {
+			return errors.Newf("%q is not NAME=WEIGHT", strings.TrimSpace(item))
+		}
+		if _, repeated := parsed[name]; repeated {
+			return errors.Newf("%q has two weights", name)
+		}
+		var weight float64
+		if err := (float{&weight, w.min, w.max}).parse(strings.TrimSpace(text)); err != nil {
+			return errors.Wrapf(err, "weight of %q", name)
+		}
+		parsed[name] = weight
+	}
+	*w.p = parsed
+	return nil
+}
+
+func (w weights) format() string {
+	items := make([]string, 0, len(*w.p))
+	for _, name := range slices.Sorted(maps.Keys(*w.p)) {
+		items = append(items, name+"="+strconv.FormatFloat((*w.p)[name], 'g', -1, 64))
+	}
+	return strings.Join(items, ", ")
+}
