Limit how long a caller may leave its response unread

Cause: a caller that sends a request and reads nothing occupied its connection, the request and its target until the caller closed the connection, since a blocked write ignores the request's deadline. Ruled out: an own buffer for slow callers; what is held is two read buffers and an event, and a larger buffer would only delay the same end. Change: writes to the caller end two seconds after the request's deadline. Before: without the limit TestCallerThatReadsNothingIsGivenUp fails (request still in flight after 10 s).

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -371,6 +371,9 @@
 // Usable reports whether an incarnation of a target may receive new work.
 func (g *Gateway) Usable(incarnation string) bool { return g.follower.Usable(incarnation) }
 
+// InFlight returns the number of callers' requests without their final response.
+func (g *Gateway) InFlight() int { return g.relay.InFlight() }
+
 // InstanceCount returns the number of live instances that this one knows, itself included.
 func (g *Gateway) InstanceCount() int { return len(g.cluster.View().Live()) }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -143,6 +143,11 @@
 	s.options.AwaitReady(ctx)
 }
 
+// writeGrace is how long after a request's deadline its caller may still read the response. Callers
+// that read slowly get what is ready; one that doesn't read at all must not occupy its connection,
+// the request's memory and its target without end.
+const writeGrace = 2 * time.Second
+
 var errDeadline = errors.New("the request's time is over")
 
 // request is a caller's request in progress.
@@ -243,12 +248,21 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 	defer cancel()
+	defer q.limitWrites()()
 	ctx, span := s.options.Tracer.Start(ctx, "request "+q.route.Name)
 	defer span.End()
 	defer q.freeResults()
 	q.run(ctx)
 }
 
+// limitWrites limits the time for which the caller may leave the response unread. The returned function
+// removes the limit from the connection, which may serve further requests.
+func (q *request) limitWrites() (remove func()) {
+	controller := http.NewResponseController(q.w)
+	_ = controller.SetWriteDeadline(q.deadline.Add(writeGrace)) // unsupported only in tests
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 // chunked reports whether the body is sent in chunks.
 //
 // ServeHTTP closes the connection after the response to such a request. This prevents request
