--- a/coordination/gather/reservations.go
+++ b/coordination/gather/reservations.go
@@ -16,6 +16,10 @@
 	// reservationMargin is the factor by which the work ahead of a reservation is overestimated:
 	// the arrivals of some seconds, about a hundred requests, scatter by a tenth.
 	reservationMargin = 1.1
+	// minRetryDelayLoss is by how much less the longest retry delay of a caller is at its return:
+	// half of what one that honours a third of its time left loses while it waits minRetryAfter.
+	// Other requests with the same content are new ones.
+	minRetryDelayLoss = minRetryAfter / 6
 )
 
 // callerKey identifies a caller's request over its retries.
@@ -33,7 +37,9 @@
 	boosted  bool
 	// toldAt is the time told; a return after expiresAt counts as a new request.
 	toldAt, expiresAt time.Time
-	work              []reservedWork
+	// maxRetryDelay is the longest delay that the caller honoured at its refusal.
+	maxRetryDelay time.Duration
+	work          []reservedWork
 }
 
 // reservedWork is what a reservation has added to the backlog of a service.
@@ -79,21 +85,33 @@
 	}
 }
 
-// removeFirst removes the first expected return of a caller; there is one.
-func (r *retryReservations) removeFirst(key callerKey) *retryReservation {
+// remove removes an expected return.
+func (r *retryReservations) remove(key callerKey, v *retryReservation) {
 	list := r.byCaller[key]
-	v := list[0]
-	if len(list) == 1 {
-		delete(r.byCaller, key)
+	i := slices.Index(list, v)
+	if i < 0 {
+		return
+	}
+	if list = slices.Delete(list, i, i+1); len(list) > 0 {
+		r.byCaller[key] = list
 	} else {
-		r.byCaller[key] = list[1:]
+		delete(r.byCaller, key)
 	}
 	r.count--
 	for _, w := range v.work {
 		w.service.backlog.remove(v.position.rank, bucketOf(v.position.objective), w.queuedWork)
 		w.service.reserved.remove(v.position.rank, bucketOf(v.position.objective), w.queuedWork)
 	}
-	return v
+}
+
+// find returns the first expected return that a request may be, nil if there is none.
+func (r *retryReservations) find(now time.Time, req *heldRequest) *retryReservation {
+	for _, v := range r.byCaller[req.callerKey()] {
+		if now.Before(v.expiresAt) && (req.MaxRetryDelay <= 0 || req.MaxRetryDelay <= v.maxRetryDelay-minRetryDelayLoss) {
+			return v
+		}
+	}
+	return nil
 }
 
 // expireReservations removes the reservations of callers that didn't return in time.
@@ -104,11 +122,11 @@
 	}
 	r.checkedAt = now
 	for key, list := range r.byCaller {
-		for _, v := range list {
+		for _, v := range slices.Clone(list) {
 			if now.Before(v.expiresAt) {
-				break // the others of the caller were told later times
+				continue
 			}
-			r.removeFirst(key)
+			r.remove(key, v)
 			if v.reserved {
 				r.counts.Expired++
 			}
@@ -124,8 +142,7 @@
 	}
 	p.expireReservations(now)
 	if req.Fingerprint != "" {
-		if list := p.reservations.byCaller[req.callerKey()]; len(list) > 0 && now.Before(list[0].expiresAt) {
-			req.retryOf = list[0]
+		if req.retryOf = p.reservations.find(now, req); req.retryOf != nil {
 			return
 		}
 	}
@@ -140,7 +157,7 @@
 	if !v.reserved {
 		return p.admitUnreserved(now, req)
 	}
-	p.reservations.removeFirst(req.callerKey())
+	p.reservations.remove(req.callerKey(), req.retryOf)
 	boosted := req.boosted
 	req.boosted = v.boosted
 	predicted, ok := p.predict(now, req, v.position)
@@ -164,7 +181,7 @@
 // it gets a place where the caller of a new request would get a reservation, and no other: room
 // that new requests still find is taken by those whose work is reserved.
 func (p *Planner) admitUnreserved(now time.Time, req *heldRequest) *Refused {
-	p.reservations.removeFirst(req.callerKey())
+	p.reservations.remove(req.callerKey(), req.retryOf)
 	at, predicted, ok := p.reservablePosition(now, req)
 	if ok && !now.Add(predicted).After(at.objective) {
 		req.takePosition(at.objective, predicted)
@@ -211,7 +228,7 @@
 		return refusal
 	}
 	longest := req.maxRetryDelay(now)
-	v := &retryReservation{boosted: req.boosted}
+	v := &retryReservation{boosted: req.boosted, maxRetryDelay: longest}
 	at, predicted, ok := p.reservablePosition(now, req)
 	if ok && longest >= minRetryAfter && !now.Add(predicted).After(at.objective) {
 		v.reserved, v.position, v.work = true, at, req.work()
