--- a/coordination/gather/reservations_test.go
+++ b/coordination/gather/reservations_test.go
@@ -65,6 +65,7 @@
 			r.run(after)
 			r.submit(r.retryRequest("back", "same", 6*time.Second-after))
 			require.Equal(t, 1, r.planner.TakeReservationCounts().Used)
+			require.Equal(t, r.now.Add(6*time.Second-after-reservationGrace), r.planner.requests["back"].Objective)
 			r.run(6*time.Second - after)
 			require.Contains(t, r.completed, "back")
 		})
@@ -117,6 +118,7 @@
 		r.run(told.RetryAfter)
 		r.submit(r.retryRequest("back", "same", 4*time.Second))
 		require.Equal(t, imported, r.planner.TakeReservationCounts().Used == 1)
+		require.Equal(t, imported, r.planner.requests["back"].Objective.Equal(r.now.Add(4*time.Second-reservationGrace)))
 		r.run(2 * time.Second)
 		require.Contains(t, r.completed, "back")
 	}
@@ -135,8 +137,11 @@
 			r.planner.ExportReservations(r.now)
 		}
 		for i := range 80 {
-			q := r.retryRequest(fmt.Sprint("high", i), "", 6*time.Second)
+			q := r.retryRequest(fmt.Sprint("high", i), "", 20*time.Second)
 			q.Priority = 0
+			if i%2 == 0 {
+				q.Objective = r.now // it yields
+			}
 			r.submit(q)
 			if req := r.planner.requests[q.ID]; req != nil {
 				predicted = append(predicted, req.predicted)
