Tell callers the time of their reservation unchanged

Cause: the relay shortens the retry delay where its instance stops, and the deadline of the stages may be before the time until which the caller waits. Change: a reserved time is passed on as it is; without a reservation the delay is at least the time that the caller has left. The holder counts reservations given, used and expired. Before: a stopping instance told another time than the one reserved.

--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -149,9 +149,7 @@
 	}
 	var refused *stages.RefusedError
 	if errors.As(err, &refused) {
-		// A retry goes to another instance. If this one is stopping, the other one's deadline is
-		// later, so the retry delay is shorter by the difference.
-		refused.RetryAfter -= q.eventDeadline(time.Now()).Sub(r.Deadline)
+		refused.RetryAfter = q.retryAfter(time.Now(), r, refused)
 	}
 	return err
 }
--- a/daemon/stages/metrics.go
+++ b/daemon/stages/metrics.go
@@ -57,3 +57,12 @@
 func (m metrics) refused(reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("refused").Inc(1)
 }
+
+// reservations counts reservations for callers' retries by what became of them.
+func (m metrics) reservations(c gather.ReservationCounts) {
+	for event, n := range map[string]int{"given": c.Given, "used": c.Used, "expired": c.Expired} {
+		if n > 0 {
+			m.scope.Tagged(map[string]string{"event": event}).Counter("reservations").Inc(int64(n))
+		}
+	}
+}
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -143,13 +143,13 @@
 		case now := <-ticker.C:
 			q.takeBackFromDead(view())
 			q.lockAndCheckStall()
-			idle := q.planner.RequestCount() == 0
+			idle := q.planner.RequestCount() == 0 && q.planner.ReservationCount() == 0
 			q.engines.Tick(now)
 			q.mu.Unlock()
 			q.dropUnclaimed(now)
 			q.dropOrphaned(now, view())
 			if !idle {
-				q.apply(func(p *gather.Planner) []gather.Action { return p.Tick(now) })
+				q.apply(func(p *gather.Planner) []gather.Action { return q.checkTimers(p, now) })
 			}
 		}
 	}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -105,6 +105,8 @@
 	claim queueClaim
 	// sendsScheduling is true if requests are sent with what only methodSchedule carries.
 	sendsScheduling bool
+	// reservesRetries is true if capacity is reserved for callers that are told when to retry.
+	reservesRetries bool
 	// awaitLimits waits, after the start, until the limits are known that another instance knows.
 	awaitLimits func(ctx context.Context, from string)
 }
@@ -117,6 +119,7 @@
 		cluster:         c,
 		queue:           newQueue(d, client, follower, config, newMetrics(scope)),
 		sendsScheduling: config.AccountSharing || config.RetryReservations,
+		reservesRetries: config.RetryReservations,
 		avoidedUntil:    map[string]time.Time{},
 		redirects:       map[string]redirect{},
 		lastResponse:    map[string]time.Time{},
@@ -193,6 +196,8 @@
 	RetryAfter time.Duration
 	// Reserved is true if capacity is reserved for the caller's retry.
 	Reserved bool
+	// NoTimeLeft is true if retries are reserved, and no time within the caller's deadline was found.
+	NoTimeLeft bool
 	// Holder is the name of the instance that decided.
 	Holder string
 }
@@ -329,7 +334,7 @@
 			return Result{}, &movedError{end.movedTo}
 		}
 		if err == nil && end.refused != nil {
-			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Reserved: end.refused.Reserved, Holder: m.Name}
+			err = s.refusedError(end.refused.Reason, end.refused.RetryAfter, end.refused.Reserved, m.Name)
 		}
 		return Result{Handles: end.handles, Engine: end.engine, SendAt: end.sendAt}, err
 	}
@@ -350,7 +355,7 @@
 	}
 	run := assigned.Redirectable.Run
 	if run.Reason != "" {
-		return Result{}, &RefusedError{Reason: gather.Reason(run.Reason), RetryAfter: run.RetryAfter, Reserved: response.Reserved, Holder: m.Name}
+		return Result{}, s.refusedError(gather.Reason(run.Reason), run.RetryAfter, response.Reserved, m.Name)
 	}
 	s.queue.recordPrefill(prompt, assigned.Engine)
 	return Result{Handles: run.Handles, Engine: assigned.Engine, SendAt: time.Now().Add(response.Paced.SendAfter)}, nil
