Count the time that a caller has left once

Change: the deadline of the request is used as it is. Before: 20.02 s for a caller with 20 s. After: 20.00 s (TestRetryDelayOfRefusedStages). Conclusion: daemon/relay passes.

--- a/daemon/relay/retryafter.go
+++ b/daemon/relay/retryafter.go
@@ -17,7 +17,7 @@
 	later := q.eventDeadline(now).Sub(r.Deadline)
 	if refused.NoTimeLeft && later <= 0 {
 		// The deadline of the stages may be before the time until which the caller waits.
-		return max(refused.RetryAfter, q.call.Timeout-now.Sub(q.arrived), q.deadline.Add(answerMargin).Sub(now))
+		return max(refused.RetryAfter, q.call.Timeout-now.Sub(q.arrived), q.deadline.Sub(now))
 	}
 	return refused.RetryAfter - later
 }
