--- a/coordination/gather/handover_test.go
+++ b/coordination/gather/handover_test.go
@@ -288,3 +288,15 @@
 	require.Len(t, r.completed["one"], 2)
 	require.NotContains(t, r.freed, "a-0/1")
 }
+
+// The other instance doesn't accept the queue, and the planner continues with what it exported. If
+// its waiting work counted twice, requests would be refused as if the queue were longer.
+func TestKeptQueueCountsItsWorkOnce(t *testing.T) {
+	r := newRig(t)
+	r.service("a", smallBatch, "x")
+	for i := range 3 {
+		r.submit(chain(fmt.Sprint(i), 8))
+	}
+	r.planner.Import(r.now, r.planner.Export(r.now))
+	checkBacklog(t, r.planner)
+}
