Share scarce stage capacity between client accounts

Cause: among requests of one rank, whoever sends more gets more: of 110 and 4 requests a second at targets that do 40, the small account had 14 of 49 served. Ruled out: an account's own wait that counts its requests that yield (one of three equal accounts got 29 where the others had 232 and 205); order keys only in the queue, without the account's own wait at admission (of the large account's 1,312 requests beside six small ones up to 262 are refused after their admission). Change: the holder keeps the rates at which accounts ask for each service, by rank. While they exceed the capacity, stages are ordered by their objective plus the wait behind the account's own queued work at its share, before their height, and admission predicts at least that wait. Refusals carry the account. ScheduleState carries accounts and keys to the next holder.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -17,7 +17,7 @@
 // targets has failed: work that misses its deadline would then displace work that meets
 // it.
 func (p *Planner) admit(now time.Time, req *heldRequest) *Refused {
-	timely := queuePosition{rank: req.baseRank(), objective: req.Objective}
+	timely := queuePosition{rank: req.baseRank()}
 	predicted, ok := p.predict(now, req, timely)
 	if !ok {
 		return &Refused{Request: req.ID, Reason: ReasonNoTarget, RetryAfter: time.Second}
@@ -28,7 +28,7 @@
 	}
 	// A request that would miss its objective is queued behind those that can meet theirs,
 	// including those still to arrive.
-	yielding := queuePosition{rank: timely.rank + missedObjectivePenalty, objective: req.Objective, yields: true}
+	yielding := queuePosition{rank: timely.rank + missedObjectivePenalty, yields: true}
 	predicted, _ = p.predict(now, req, yielding)
 	req.predicted = predicted - req.Remaining
 	end := now.Add(predicted)
@@ -44,8 +44,9 @@
 
 // queuePosition is the position of a request in the queues.
 type queuePosition struct {
-	rank      float64
-	objective time.Time
+	rank float64
+	// key is the order key of the stage, its objective or later.
+	key time.Time
 	// yields is true if requests still to arrive go first.
 	yields bool
 }
@@ -90,11 +91,13 @@
 	if capacity == 0 {
 		return 0, false
 	}
+	at.key = s.key()
 	ahead := sv.backlog.ahead(at)
 	calls := float64(ahead.pieces) / float64(max(sv.config.MaxPieces, 1))
 	wait := (calls*float64(sv.callTime()) + float64(ahead.pieceTime)) / capacity
+	wait = max(wait, s.ownWait(now, at, capacity))
 	if at.yields {
-		wait /= max(1-sv.loadAbove(now, at.rank, capacity), minYieldingShare)
+		wait /= max(1-sv.loadAbove(now, at.rank, capacity), s.minYieldingShare(now))
 	}
 	own := sv.expected(time.Duration(s.Pieces) * s.pieceTime())
 	return time.Duration(wait) + sv.timeUntilFree(now) + own, true
--- a/coordination/gather/backlog.go
+++ b/coordination/gather/backlog.go
@@ -68,7 +68,7 @@
 // ahead returns the work that is ahead of a position.
 func (b *backlog) ahead(at queuePosition) queuedWork {
 	var sum queuedWork
-	last := bucketOf(at.objective)
+	last := bucketOf(at.key)
 	for rank, r := range b.ranks {
 		switch {
 		case rank < at.rank:
@@ -95,6 +95,8 @@
 type backlogEntry struct {
 	rank   float64
 	bucket int64
+	// objective is the bucket of the objective, by which the account's own work is ordered.
+	objective int64
 	queuedWork
 }
 
@@ -104,9 +106,9 @@
 	if p.requests[req.ID] != req {
 		return
 	}
-	rank, bucket := req.rank(now), bucketOf(req.Objective)
+	rank, objective := req.rank(now), bucketOf(req.Objective)
 	for _, s := range req.stages {
-		s.updateBacklog(rank, bucket)
+		s.updateBacklog(rank, bucketOf(s.key()), objective)
 	}
 }
 
@@ -123,14 +125,15 @@
 }
 
 // updateBacklog updates the service's backlog with the stage's pending pieces.
-func (s *heldStage) updateBacklog(rank float64, bucket int64) {
-	if s.backlogEntry.pieces == len(s.pending) && s.backlogEntry.rank == rank && s.backlogEntry.bucket == bucket {
+func (s *heldStage) updateBacklog(rank float64, bucket, objective int64) {
+	if s.backlogEntry.pieces == len(s.pending) && s.backlogEntry.rank == rank && s.backlogEntry.bucket == bucket && s.backlogEntry.objective == objective {
 		return
 	}
 	s.leaveBacklog()
 	if n := len(s.pending); n > 0 {
-		s.backlogEntry = backlogEntry{rank, bucket, queuedWork{n, time.Duration(n) * s.pieceTime()}}
+		s.backlogEntry = backlogEntry{rank: rank, bucket: bucket, objective: objective, queuedWork: queuedWork{n, time.Duration(n) * s.pieceTime()}}
 		s.service.backlog.add(rank, bucket, s.backlogEntry.queuedWork)
+		s.service.shares.addQueued(s)
 	}
 }
 
@@ -138,6 +141,7 @@
 func (s *heldStage) leaveBacklog() {
 	if s.backlogEntry.pieces > 0 {
 		s.service.backlog.remove(s.backlogEntry.rank, s.backlogEntry.bucket, s.backlogEntry.queuedWork)
+		s.service.shares.removeQueued(s)
 	}
 	s.backlogEntry = backlogEntry{}
 }
--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -54,19 +54,21 @@
 const missedObjectivePenalty = 1.5
 
 // sortedQueue returns the queue sorted by rank, then by ascending height, since stages near
-// the end read results that already occupy capacity, then by objective.
+// the end read results that already occupy capacity, then by order key. While accounts share the
+// service's capacity, the key precedes the height: otherwise an account whose requests use the
+// service near their end would take the shares of others.
 func (p *Planner) sortedQueue(now time.Time, s *service) []candidate {
 	ordered := make([]candidate, len(s.queue))
 	for i, st := range s.queue {
 		ordered[i] = candidate{stage: st, rank: st.request.rank(now)}
 	}
+	keysFirst := s.sharesBind()
 	slices.SortStableFunc(ordered, func(a, b candidate) int {
-		reqA, reqB := a.stage.request, b.stage.request
-		return cmp.Or(
-			cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.stage.height, b.stage.height),
-			reqA.Objective.Compare(reqB.Objective),
-		)
+		byRank, byHeight, byKey := cmp.Compare(a.rank, b.rank), cmp.Compare(a.stage.height, b.stage.height), a.stage.key().Compare(b.stage.key())
+		if keysFirst {
+			return cmp.Or(byRank, byKey, byHeight)
+		}
+		return cmp.Or(byRank, byHeight, byKey)
 	})
 	return ordered
 }
--- a/coordination/gather/export.go
+++ b/coordination/gather/export.go
@@ -38,6 +38,7 @@
 	clear(p.calls)
 	for _, s := range p.services {
 		s.queue, s.backlog = nil, newBacklog()
+		s.shares.clearQueued()
 	}
 	return state
 }
--- a/coordination/gather/fleet_test.go
+++ b/coordination/gather/fleet_test.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -22,6 +23,17 @@
 	// readDelay is the time from the last stage's end until the results are read.
 	readDelay time.Duration
 	stages    func(rng *rand.Rand) []Stage
+	caller    fleetCaller
+}
+
+// fleetCaller is who sends the requests of a kind.
+type fleetCaller struct {
+	// account is the client account, tier its priority, the usual one if 0.
+	account string
+	tier    int
+	// route is the kind of request if it isn't the name. Even arrivals have constant intervals.
+	route string
+	even  bool
 }
 
 // fleetService is a service with its targets.
@@ -68,22 +80,24 @@
 				return []Stage{{Service: lookup}}
 			}
 			return []Stage{{Service: lookup, Pieces: around(rng, 2.5, 10), ResultBytes: 1500 << 10}}
-		}},
+		}, fleetCaller{}},
 		{"summary", 0, 254 * scale, 2 * time.Second, 6 * time.Second, 100 * time.Millisecond, func(rng *rand.Rand) []Stage {
 			return chained(rng, 0)
-		}},
+		}, fleetCaller{}},
 		{"query", 2, 140 * scale, 1900 * time.Millisecond, 20 * time.Second, 100 * time.Millisecond, func(rng *rand.Rand) []Stage {
 			large := 0
 			if rng.Float64() < 0.4 {
 				large = around(rng, 1.5, 6)
 			}
 			return append([]Stage{{Service: lookup, Pieces: large, ResultBytes: 1500 << 10}}, chained(rng, 1)...)
-		}},
+		}, fleetCaller{}},
 	}
 }
 
 // fleetResult counts the results of the requests of one kind.
-type fleetResult struct{ submitted, timely, missed, refused int }
+// Requests that were admitted before are counted in refusedLate as well, and in wasted if
+// pieces of them were sent.
+type fleetResult struct{ submitted, timely, missed, refused, refusedLate, wasted int }
 
 func (r fleetResult) timelyShare() float64  { return float64(r.timely) / float64(r.submitted) }
 func (r fleetResult) refusedShare() float64 { return float64(r.refused) / float64(r.submitted) }
@@ -101,19 +115,22 @@
 	order    int
 	nextID   int
 	handles  int
-	open     map[string]fleetOpen
+	open     map[string]*fleetOpen
 	results  map[string]*fleetResult
 	calls    map[string]int
 	pieces   map[string]int
 	services map[string]fleetService
+	// renumbered has the ids of calls at the present planner by those at an earlier one.
+	renumbered map[uint64]uint64
 	// plannerTime is the time spent in the planner.
 	plannerTime time.Duration
 	maxHeld     int
 }
 
 type fleetOpen struct {
-	kind fleetKind
-	due  time.Time
+	kind       fleetKind
+	at, due    time.Time
+	sentPieces bool
 }
 
 type fleetEvent struct {
@@ -140,14 +157,18 @@
 }
 
 func newFleetRun(seed uint64, scale float64) *fleetRun {
+	return newFleetRunOf(seed, Config{}, fleetServices(scale), fleetKinds(scale))
+}
+
+func newFleetRunOf(seed uint64, config Config, services []fleetService, kinds []fleetKind) *fleetRun {
 	r := &fleetRun{
-		planner: New(Config{}), rng: rand.New(rand.NewPCG(seed, 1)), kinds: fleetKinds(scale),
+		planner: New(config), rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds,
 		surge: func(string, time.Duration) float64 { return 1 },
 		begin: time.Unix(1000, 0), now: time.Unix(1000, 0),
-		open: map[string]fleetOpen{}, results: map[string]*fleetResult{},
+		open: map[string]*fleetOpen{}, results: map[string]*fleetResult{},
 		calls: map[string]int{}, pieces: map[string]int{}, services: map[string]fleetService{},
 	}
-	for _, s := range fleetServices(scale) {
+	for _, s := range services {
 		r.services[s.name] = s
 		r.planner.SetService(s.name, s.config)
 		var list []Target
@@ -181,7 +202,11 @@
 
 func (r *fleetRun) arrive(k fleetKind) {
 	rate := k.rate * r.surge(k.name, r.now.Sub(r.begin))
-	r.at(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+	intervals := 1.0
+	if !k.caller.even {
+		intervals = r.rng.ExpFloat64()
+	}
+	r.at(time.Duration(intervals/rate*float64(time.Second)), func() {
 		r.submit(k)
 		r.arrive(k)
 	})
@@ -190,12 +215,12 @@
 func (r *fleetRun) submit(k fleetKind) {
 	r.nextID++
 	q := Request{
-		ID: fmt.Sprint("q", r.nextID), Route: k.name, Key: "k", Priority: 1, KindPriority: k.priority,
+		ID: fmt.Sprint("q", r.nextID), Route: cmp.Or(k.caller.route, k.name), Key: "k", Priority: 1 + k.caller.tier, KindPriority: k.priority, Account: k.caller.account,
 		Stages: k.stages(r.rng), Objective: r.now.Add(k.objective), Deadline: r.now.Add(k.deadline),
 		Remaining: k.readDelay, DataCentre: fmt.Sprint("dc", r.rng.IntN(5)),
 	}
 	r.results[k.name].submitted++
-	r.open[q.ID] = fleetOpen{k, q.Objective}
+	r.open[q.ID] = &fleetOpen{kind: k, at: r.now, due: q.Objective}
 	r.step(func() []Action { return r.planner.Submit(r.now, q) })
 	r.maxHeld = max(r.maxHeld, r.planner.RequestCount())
 }
@@ -231,6 +256,11 @@
 	config := r.services[c.Service].config
 	r.calls[c.Service]++
 	r.pieces[c.Service] += len(c.Pieces)
+	for _, piece := range c.Pieces {
+		if open := r.open[piece.Request]; open != nil {
+			open.sentPieces = true
+		}
+	}
 	took := config.CallTime + time.Duration(len(c.Pieces))*config.PieceTime
 	r.at(took, func() {
 		results := make([]PieceResult, len(c.Pieces))
@@ -238,7 +268,31 @@
 			r.handles++
 			results[i].Handle = fmt.Sprint("h", r.handles)
 		}
-		r.step(func() []Action { return r.planner.CallDone(r.now, c.ID, CallAnswered, results) })
+		r.step(func() []Action { return r.planner.CallDone(r.now, r.callID(c.ID), CallAnswered, results) })
+	})
+}
+
+func (r *fleetRun) callID(id uint64) uint64 {
+	if to, ok := r.renumbered[id]; ok {
+		return to
+	}
+	return id
+}
+
+// handover moves the queue to a new planner.
+func (r *fleetRun) handover() {
+	schedule, state := r.planner.ExportSchedule(r.now), r.planner.Export(r.now)
+	next := New(r.planner.config)
+	for name, s := range r.services {
+		next.SetService(name, s.config)
+		next.SetTargets(r.now, name, r.planner.services[name].listedTargets())
+	}
+	r.planner = next
+	r.step(func() []Action {
+		next.ImportSchedule(r.now, schedule)
+		actions, ids := next.Import(r.now, state)
+		r.renumbered = ids
+		return actions
 	})
 }
 
@@ -248,6 +302,12 @@
 	result := r.results[open.kind.name]
 	if !completed {
 		result.refused++
+		if r.now.After(open.at) {
+			result.refusedLate++
+		}
+		if open.sentPieces {
+			result.wasted++
+		}
 		return
 	}
 	if r.now.Add(open.kind.readDelay).After(open.due) {
@@ -317,5 +377,16 @@
 			total += slots
 		}
 		require.Equal(t, pieces, total, s.name)
+		if s.shares == nil {
+			continue
+		}
+		for _, own := range s.shares.queued {
+			for _, part := range []backlog{own.timely, own.yielding} {
+				for _, r := range part.ranks {
+					total -= r.total.pieces
+				}
+			}
+		}
+		require.Zero(t, total, "queued work of the accounts of %s", s.name)
 	}
 }
--- a/coordination/gather/handover_test.go
+++ b/coordination/gather/handover_test.go
@@ -11,9 +11,9 @@
 
 // handover moves the queue to a new planner, on which before runs first.
 func (r *rig) handover(before ...func()) {
-	state := r.planner.Export(r.now)
+	schedule, state := r.planner.ExportSchedule(r.now), r.planner.Export(r.now)
 	require.Zero(r.t, r.planner.RequestCount())
-	next := New(Config{})
+	next := New(r.planner.config)
 	for name, s := range r.services {
 		next.SetService(name, s.config)
 		require.Empty(r.t, next.SetTargets(r.now, name, s.targets))
@@ -23,6 +23,7 @@
 	for _, f := range before {
 		f()
 	}
+	next.ImportSchedule(r.now, schedule)
 	actions, ids := next.Import(r.now, state)
 	for i, c := range r.running[:inProgress] {
 		id, ok := ids[c.ID]
@@ -206,6 +207,7 @@
 func TestAnyOrderOfHandovers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRig(t)
+		r.planner = New(Config{AccountSharing: rapid.Bool().Draw(rt, "sharing")})
 		for _, name := range []string{"a", "b", "c"} {
 			r.service(name, longTTL, "x", "y")
 		}
@@ -216,6 +218,7 @@
 			case 0, 1, 2:
 				q := chain(fmt.Sprint(submitted), rapid.IntRange(1, 6).Draw(rt, "n1"), rapid.IntRange(0, 6).Draw(rt, "n2"), rapid.IntRange(0, 4).Draw(rt, "n3"))
 				q.Priority = rapid.IntRange(0, 2).Draw(rt, "priority")
+				q.Account = rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "account")
 				submitted++
 				r.submit(q)
 			case 3:
--- a/coordination/gather/import.go
+++ b/coordination/gather/import.go
@@ -38,7 +38,7 @@
 	for _, req := range imported {
 		p.advance(now, req)
 	}
-	p.importing = false
+	p.importing, p.scheduled = false, nil
 	for _, s := range p.services {
 		p.dispatch(now, s)
 	}
@@ -82,6 +82,7 @@
 		Objective: now.Add(held.Objective), Deadline: now.Add(held.Deadline), Remaining: held.Remaining, DataCentre: held.DataCentre,
 	})
 	req.admittedAt = absoluteFrom(now, held.AdmittedAt)
+	p.restoreSchedule(req)
 	req.started, req.boosted, req.deadlineShortened, req.completed = held.Started, held.Boosted, held.DeadlineShortened, held.Completed
 	for i, progress := range held.Progress {
 		if i < len(req.stages) {
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -55,6 +55,8 @@
 	actions         []Action
 	// limits are the paces of the targets that name a limit, by incarnation.
 	limits map[string]pacing.Pace
+	// scheduled has, by ID, how the requests of the next import are scheduled.
+	scheduled map[string]ScheduledRequest
 	// importing suppresses calls until all imported requests are queued.
 	importing bool
 }
@@ -116,7 +118,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, targets: map[string]*target{}, times: newCallTimes(), backlog: newBacklog(), arrivalRates: map[float64]*rate{}}
+		s = &service{name: name, targets: map[string]*target{}, times: newCallTimes(), backlog: newBacklog(), arrivalRates: map[float64]*rate{}, shares: newShares(&p.config)}
 		p.services[name] = s
 	}
 	return s
@@ -202,7 +204,7 @@
 		p.drop(old)
 	}
 	if len(p.requests) >= p.config.MaxRequests || len(r.Stages) > maxStages {
-		p.actions = append(p.actions, Refused{Request: r.ID, Reason: ReasonTooManyRequests, RetryAfter: minRetryAfter})
+		p.actions = append(p.actions, Refused{Request: r.ID, Account: r.Account, Reason: ReasonTooManyRequests, RetryAfter: minRetryAfter})
 		return p.flush()
 	}
 	req := p.newHeldRequest(r)
@@ -212,10 +214,14 @@
 	if len(req.Stages) > 0 {
 		p.attainments.countSubmitted(now, &req.Request)
 	}
+	p.countDemand(now, req)
+	p.setKeys(now, req)
 	if refusal := p.admit(now, req); refusal != nil {
+		refusal.Account = r.Account
 		p.actions = append(p.actions, *refusal)
 		return p.flush()
 	}
+	p.setYieldingKeys(now, req)
 	p.requests[r.ID] = req
 	for _, st := range req.stages {
 		if st.Pieces > 0 {
@@ -271,6 +277,7 @@
 	p.freeReadInputs(now)
 	for _, s := range p.services {
 		s.grants.Prune(now)
+		s.expireShares(now)
 		for _, t := range s.targets {
 			t.expireReservations(now)
 		}
@@ -349,7 +356,7 @@
 	if req.deadlineShortened {
 		refusal = refusal.asStopping()
 	}
-	refusal.Request = req.ID
+	refusal.Request, refusal.Account = req.ID, req.Account
 	p.actions = append(p.actions, refusal)
 }
 
--- a/coordination/gather/property_test.go
+++ b/coordination/gather/property_test.go
@@ -16,6 +16,7 @@
 func TestAnyOrderOfFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRig(t)
+		r.planner = New(Config{AccountSharing: rapid.Bool().Draw(rt, "sharing")})
 		config := smallBatch
 		config.ResultTTL = time.Duration(rapid.IntRange(300, 3000).Draw(rt, "keep")) * time.Millisecond
 		config.ResultCapacity = int64(rapid.IntRange(5, 40).Draw(rt, "room")) * 1000
@@ -49,6 +50,7 @@
 			case 0, 1:
 				q := chain(fmt.Sprint(submitted), rapid.IntRange(0, 9).Draw(rt, "n1"), rapid.IntRange(0, 12).Draw(rt, "n2"), rapid.IntRange(0, 5).Draw(rt, "n3"))
 				q.Priority = rapid.IntRange(0, 2).Draw(rt, "priority")
+				q.Account = rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "account")
 				q.DataCentre = "y"
 				submitted++
 				r.submit(q)
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -21,6 +21,8 @@
 	times   callTimes
 	// arrivalRates has the recent arrival rate of pieces by rank.
 	arrivalRates map[float64]*rate
+	// shares divides the capacity between client accounts; nil if they don't share it.
+	shares *shares
 }
 
 // target is one stage target.
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -16,6 +16,8 @@
 	crashes int
 	// boosted is true if its kind was underserved at its admission.
 	boosted bool
+	// yields is true if it was admitted behind the requests that can meet their objectives.
+	yields bool
 	// deadlineShortened is true if its requester stops and gave it an earlier deadline.
 	deadlineShortened bool
 	admittedAt        time.Time
@@ -72,6 +74,8 @@
 	inputsReadAt time.Time
 	// backlogEntry is how its pending pieces are counted in the service's backlog.
 	backlogEntry backlogEntry
+	// keyDelay is what the stage's order key adds to the objective. It is fixed at admission.
+	keyDelay time.Duration
 	// sentAt and endedAt are when the latest call with pieces of it started and ended.
 	sentAt, endedAt time.Time
 }
