--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -20,7 +20,7 @@
 	if req.retryOf != nil {
 		return p.admitRetry(now, req)
 	}
-	timely := queuePosition{rank: req.baseRank(), objective: req.Objective}
+	timely := queuePosition{rank: req.baseRank()}
 	predicted, ok := p.predict(now, req, timely)
 	if !ok {
 		return &Refused{Request: req.ID, Reason: ReasonNoTarget, RetryAfter: time.Second}
@@ -31,7 +31,7 @@
 	}
 	// A request that would miss its objective is queued behind those that can meet theirs,
 	// including those still to arrive.
-	yielding := queuePosition{rank: timely.rank + missedObjectivePenalty, objective: req.Objective, yields: true}
+	yielding := queuePosition{rank: timely.rank + missedObjectivePenalty, yields: true}
 	predicted, _ = p.predict(now, req, yielding)
 	req.predicted = predicted - req.Remaining
 	end := now.Add(predicted)
@@ -47,12 +47,14 @@
 
 // queuePosition is the position of a request in the queues.
 type queuePosition struct {
-	rank      float64
-	objective time.Time
+	rank float64
+	// key is the order key of the stage, its objective or later.
+	key time.Time
 	// yields is true if requests still to arrive go first.
 	yields bool
-	// promised is true if no later arrival that is due after the objective goes first. Requests
-	// that arrive within arrivalsAhead are due before it.
+	// due replaces the key at a place that is reserved. It is promised while it is looked for: the
+	// requests that arrive within arrivalsAhead go before it.
+	due           time.Time
 	promised      bool
 	arrivalsAhead time.Duration
 }
@@ -97,6 +99,10 @@
 	if capacity == 0 {
 		return 0, false
 	}
+	at.key = s.key()
+	if !at.due.IsZero() {
+		at.key = at.due
+	}
 	ahead := sv.backlog.ahead(at)
 	if at.yields {
 		ahead.remove(sv.reservedBehind(at))
@@ -106,8 +112,9 @@
 	if at.promised {
 		wait = sv.waitOfPromised(now, at, wait, capacity)
 	}
+	wait = max(wait, s.ownWait(now, at, capacity))
 	if at.yields {
-		wait /= max(1-sv.loadAbove(now, at.rank, capacity), minYieldingShare)
+		wait /= max(1-sv.loadAbove(now, at.rank, capacity), s.minYieldingShare(now))
 	}
 	own := sv.expected(time.Duration(s.Pieces) * s.pieceTime())
 	return time.Duration(wait) + sv.timeUntilFree(now) + own, true
--- a/coordination/gather/exportreservations.go
+++ b/coordination/gather/exportreservations.go
@@ -11,10 +11,10 @@
 	Account, Route, Fingerprint string
 	// Reserved is true if work is reserved.
 	Reserved bool
-	// Rank and Objective are the place of the request in the queues, Boosted is as in heldRequest.
-	Rank                         float64
-	Boosted                      bool
-	Objective, ToldAt, ExpiresAt time.Duration
+	// Rank and Due are the place of the request in the queues, Boosted is as in heldRequest.
+	Rank                   float64
+	Boosted                bool
+	Due, ToldAt, ExpiresAt time.Duration
 	// MaxRetryDelay is the longest delay that the caller honoured at its refusal.
 	MaxRetryDelay time.Duration
 	Work          []ReservedWorkState
@@ -35,7 +35,7 @@
 			p.reservations.remove(key, v)
 			state := ReservationState{
 				Account: key.account, Route: key.route, Fingerprint: key.fingerprint, Reserved: v.reserved,
-				Rank: v.position.rank, Boosted: v.boosted, Objective: relativeTo(now, v.position.objective),
+				Rank: v.position.rank, Boosted: v.boosted, Due: relativeTo(now, v.position.due),
 				ToldAt: relativeTo(now, v.toldAt), ExpiresAt: relativeTo(now, v.expiresAt), MaxRetryDelay: v.maxRetryDelay,
 			}
 			for _, w := range v.work {
@@ -59,7 +59,7 @@
 		}
 		v := &retryReservation{
 			reserved: state.Reserved, boosted: state.Boosted,
-			position: queuePosition{rank: state.Rank, objective: absoluteFrom(now, state.Objective)},
+			position: queuePosition{rank: state.Rank, due: absoluteFrom(now, state.Due)},
 			toldAt:   absoluteFrom(now, state.ToldAt), expiresAt: absoluteFrom(now, state.ExpiresAt), maxRetryDelay: state.MaxRetryDelay,
 		}
 		if !now.Before(v.expiresAt) || slices.ContainsFunc(state.Work, func(w ReservedWorkState) bool { return w.Pieces <= 0 }) {
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -57,6 +57,8 @@
 	limits map[string]pacing.Pace
 	// reservations has the returns of refused requests that are expected.
 	reservations retryReservations
+	// scheduled has, by ID, how the requests of the next import are scheduled.
+	scheduled map[string]ScheduledRequest
 	// importing suppresses calls until all imported requests are queued.
 	importing bool
 }
@@ -118,7 +120,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, targets: map[string]*target{}, times: newCallTimes(), backlog: newBacklog(), reserved: newBacklog(), arrivalRates: map[float64]*rate{}}
+		s = &service{name: name, targets: map[string]*target{}, times: newCallTimes(), backlog: newBacklog(), reserved: newBacklog(), arrivalRates: map[float64]*rate{}, shares: newShares(&p.config)}
 		p.services[name] = s
 	}
 	return s
@@ -204,7 +206,7 @@
 		p.drop(old)
 	}
 	if len(p.requests) >= p.config.MaxRequests || len(r.Stages) > maxStages {
-		p.actions = append(p.actions, Refused{Request: r.ID, Reason: ReasonTooManyRequests, RetryAfter: minRetryAfter})
+		p.actions = append(p.actions, Refused{Request: r.ID, Account: r.Account, Reason: ReasonTooManyRequests, RetryAfter: minRetryAfter})
 		return p.flush()
 	}
 	req := p.newHeldRequest(r)
@@ -215,10 +217,14 @@
 		p.attainments.countSubmitted(now, &req.Request)
 	}
 	p.recognizeRetry(now, req)
+	p.countDemand(now, req)
+	p.setKeys(now, req)
 	if refusal := p.admit(now, req); refusal != nil {
+		refusal.Account = r.Account
 		p.actions = append(p.actions, *refusal)
 		return p.flush()
 	}
+	p.setYieldingKeys(now, req)
 	p.requests[r.ID] = req
 	for _, st := range req.stages {
 		if st.Pieces > 0 {
@@ -275,6 +281,7 @@
 	p.freeReadInputs(now)
 	for _, s := range p.services {
 		s.grants.Prune(now)
+		s.expireShares(now)
 		for _, t := range s.targets {
 			t.expireReservations(now)
 		}
@@ -353,7 +360,7 @@
 	if req.deadlineShortened {
 		refusal = refusal.asStopping()
 	}
-	refusal.Request = req.ID
+	refusal.Request, refusal.Account = req.ID, req.Account
 	p.actions = append(p.actions, refusal)
 }
 
--- a/coordination/gather/reservations.go
+++ b/coordination/gather/reservations.go
@@ -80,8 +80,8 @@
 	r.byCaller[key] = list
 	r.count++
 	for _, w := range v.work {
-		w.service.backlog.add(v.position.rank, bucketOf(v.position.objective), w.queuedWork)
-		w.service.reserved.add(v.position.rank, bucketOf(v.position.objective), w.queuedWork)
+		w.service.backlog.add(v.position.rank, bucketOf(v.position.due), w.queuedWork)
+		w.service.reserved.add(v.position.rank, bucketOf(v.position.due), w.queuedWork)
 	}
 }
 
@@ -99,8 +99,8 @@
 	}
 	r.count--
 	for _, w := range v.work {
-		w.service.backlog.remove(v.position.rank, bucketOf(v.position.objective), w.queuedWork)
-		w.service.reserved.remove(v.position.rank, bucketOf(v.position.objective), w.queuedWork)
+		w.service.backlog.remove(v.position.rank, bucketOf(v.position.due), w.queuedWork)
+		w.service.reserved.remove(v.position.rank, bucketOf(v.position.due), w.queuedWork)
 	}
 }
 
@@ -163,7 +163,7 @@
 	predicted, ok := p.predict(now, req, v.position)
 	if ok && !now.Add(predicted).After(req.Deadline) {
 		p.reservations.counts.Used++
-		req.takePosition(v.position.objective, predicted)
+		req.takePosition(v.position.due, predicted)
 		return nil
 	}
 	req.boosted = boosted
@@ -183,8 +183,8 @@
 func (p *Planner) admitUnreserved(now time.Time, req *heldRequest) *Refused {
 	p.reservations.remove(req.callerKey(), req.retryOf)
 	at, predicted, ok := p.reservablePosition(now, req)
-	if ok && !now.Add(predicted).After(at.objective) {
-		req.takePosition(at.objective, predicted)
+	if ok && !now.Add(predicted).After(at.due) {
+		req.takePosition(at.due, predicted)
 		return nil
 	}
 	return refusedRetry(now, req, predicted, ok)
@@ -206,6 +206,9 @@
 	req.retryOf, req.returned = nil, true
 	req.predicted = predicted - req.Remaining
 	req.attainBy, req.Objective = req.Objective, at
+	for _, s := range req.stages {
+		s.keyDelay = 0
+	}
 }
 
 // timelyBy is the time by which the request counts as done in time.
@@ -230,7 +233,7 @@
 	longest := req.maxRetryDelay(now)
 	v := &retryReservation{boosted: req.boosted, maxRetryDelay: longest}
 	at, predicted, ok := p.reservablePosition(now, req)
-	if ok && longest >= minRetryAfter && !now.Add(predicted).After(at.objective) {
+	if ok && longest >= minRetryAfter && !now.Add(predicted).After(at.due) {
 		v.reserved, v.position, v.work = true, at, req.work()
 		untilTurn := predicted - p.minRemaining(req) - reservationGrace
 		refusal.RetryAfter, refusal.Reserved = min(max(untilTurn, minRetryAfter), longest), true
@@ -279,7 +282,7 @@
 // arrive until then at their usual rate fit in before it.
 func (p *Planner) reservablePosition(now time.Time, req *heldRequest) (queuePosition, time.Duration, bool) {
 	due := req.Deadline.Add(-reservationGrace)
-	at := queuePosition{rank: req.baseRank(), objective: due, promised: true}
+	at := queuePosition{rank: req.baseRank(), due: due, promised: true}
 	at.arrivalsAhead = max(due.Sub(now)-max(req.timelyBy().Sub(req.admittedAt), 0), 0)
 	predicted, ok := p.predict(now, req, at)
 	at.promised = false
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -25,6 +25,8 @@
 	usual usualRate
 	// reserved is the part of the backlog that is reserved for retries.
 	reserved backlog
+	// shares divides the capacity between client accounts; nil if they don't share it.
+	shares *shares
 }
 
 // target is one stage target.
