Reserve work of several stages by the stage that takes longest

Cause: the prediction adds the waits at all stages, though the work ahead waits at all of them at once, so that no request of three stages got a reservation. Ruled out: counting reservations at one stage only (no difference). Change: for a reserved place the longest wait counts once; the margin applies for each stage. Conclusion: TestReturningCallersAreServed/three_stages.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -57,6 +57,8 @@
 	due           time.Time
 	promised      bool
 	arrivalsAhead time.Duration
+	// margin is the factor by which the work ahead of a promised place is overestimated.
+	margin float64
 }
 
 // predict returns the time the rest of a request takes at a position in the current queues.
@@ -65,39 +67,45 @@
 	req.leaveBacklog()
 	defer p.updateBacklog(now, req)
 	var ends [maxStages]time.Duration
-	var longest time.Duration
+	var longest, longestWait time.Duration
 	for i, s := range req.stages {
 		var start time.Duration
 		for _, after := range s.After {
 			start = max(start, ends[after])
 		}
 		if !s.done() {
-			spent, ok := s.waitAndRunTime(now, at)
+			wait, spent, ok := s.waitAndRunTime(now, at)
 			if !ok {
 				return 0, false
 			}
+			if at.due.IsZero() {
+				spent += wait
+			} else {
+				// The work ahead of the place waits at all its stages, which do it in parallel.
+				longestWait = max(longestWait, wait)
+			}
 			start += spent
 		}
 		ends[i] = start
 		longest = max(longest, start)
 	}
-	return longest + req.Remaining, true
+	return longestWait + longest + req.Remaining, true
 }
 
 // minYieldingShare is the minimum share of a service's capacity that predictions leave to
 // work that yields.
 const minYieldingShare = 0.4
 
-// waitAndRunTime returns the wait for the work ahead of the stage plus the time of its own
-// call. It returns false if the service has no target.
-func (s *heldStage) waitAndRunTime(now time.Time, at queuePosition) (time.Duration, bool) {
+// waitAndRunTime returns the wait for the work ahead of the stage, and the time of its own call
+// once a target is free. It returns false if the service has no target.
+func (s *heldStage) waitAndRunTime(now time.Time, at queuePosition) (time.Duration, time.Duration, bool) {
 	if s.Pieces == 0 {
-		return 0, true
+		return 0, 0, true
 	}
 	sv := s.service
 	capacity := sv.capacity(now)
 	if capacity == 0 {
-		return 0, false
+		return 0, 0, false
 	}
 	at.key = s.key()
 	if !at.due.IsZero() {
@@ -117,7 +125,7 @@
 		wait /= max(1-sv.loadAbove(now, at.rank, capacity), s.minYieldingShare(now))
 	}
 	own := sv.expected(time.Duration(s.Pieces) * s.pieceTime())
-	return time.Duration(wait) + sv.timeUntilFree(now) + own, true
+	return time.Duration(wait), sv.timeUntilFree(now) + own, true
 }
 
 // timeUntilFree returns the time until the first target is free.
--- a/coordination/gather/reservations.go
+++ b/coordination/gather/reservations.go
@@ -13,8 +13,9 @@
 	// reservationCheckInterval is the interval at which reservations are checked for their end. It
 	// is shorter than reservationGrace, so that an unused one is not counted much longer.
 	reservationCheckInterval = 100 * time.Millisecond
-	// reservationMargin is the factor by which the work ahead of a reservation is overestimated:
-	// the arrivals of some seconds, about a hundred requests, scatter by a tenth.
+	// reservationMargin is the factor by which the work ahead of a reservation is overestimated for
+	// each of its stages: the arrivals of some seconds, about a hundred requests, scatter by a tenth,
+	// and the predictions for new requests add the waits at all stages.
 	reservationMargin = 1.1
 	// minRetryDelayLoss is by how much less the longest retry delay of a caller is at its return:
 	// half of what one that honours a third of its time left loses while it waits minRetryAfter.
@@ -282,7 +283,12 @@
 // arrive until then at their usual rate fit in before it.
 func (p *Planner) reservablePosition(now time.Time, req *heldRequest) (queuePosition, time.Duration, bool) {
 	due := req.Deadline.Add(-reservationGrace)
-	at := queuePosition{rank: req.baseRank(), due: due, promised: true}
+	at := queuePosition{rank: req.baseRank(), due: due, promised: true, margin: 1}
+	for _, s := range req.stages {
+		if s.Pieces > 0 {
+			at.margin *= reservationMargin
+		}
+	}
 	at.arrivalsAhead = max(due.Sub(now)-max(req.timelyBy().Sub(req.admittedAt), 0), 0)
 	predicted, ok := p.predict(now, req, at)
 	at.promised = false
@@ -296,8 +302,8 @@
 	yielding.add(s.backlog.ofRank(at.rank + missedObjectivePenalty - 1)) // of the next higher priority
 	calls := float64(yielding.pieces) / float64(max(s.config.MaxPieces, 1))
 	ahead += (calls*float64(s.callTime()) + float64(yielding.pieceTime)) / capacity
-	ahead *= reservationMargin
-	load := reservationMargin * s.usual.upTo(now, at.rank) * s.secondsPerPiece() / capacity
+	ahead *= at.margin
+	load := at.margin * s.usual.upTo(now, at.rank) * s.secondsPerPiece() / capacity
 	whole := ahead + load*float64(at.arrivalsAhead)
 	if load >= 1 {
 		return whole
--- a/coordination/gather/retryload_test.go
+++ b/coordination/gather/retryload_test.go
@@ -170,19 +170,22 @@
 	for name, c := range map[string]struct {
 		objective, burst time.Duration
 		// lost is the share of those served within their objective that reservations may cost: a
-		// longer burst than expected is found out late.
-		lost float64
+		// longer burst than expected is found out late, and some callers of several stages who
+		// were told short times were served within it.
+		lost   float64
+		stages []Stage
 	}{
-		"objective of 1.5 s": {1500 * time.Millisecond, 2 * time.Second, 0.005},
-		"objective of 2 s":   {2 * time.Second, 2 * time.Second, 0.005},
-		"objective of 2.5 s": {2500 * time.Millisecond, 2 * time.Second, 0.005},
-		"objective of 1 s":   {time.Second, time.Second, 0.005},
-		"burst of 6 s":       {2 * time.Second, 6 * time.Second, 0.05},
+		"objective of 1.5 s": {1500 * time.Millisecond, 2 * time.Second, 0.005, nil},
+		"objective of 2 s":   {2 * time.Second, 2 * time.Second, 0.005, nil},
+		"objective of 2.5 s": {2500 * time.Millisecond, 2 * time.Second, 0.005, nil},
+		"objective of 1 s":   {time.Second, time.Second, 0.005, nil},
+		"burst of 6 s":       {2 * time.Second, 6 * time.Second, 0.05, nil},
+		"three stages":       {2 * time.Second, 2 * time.Second, 0.03, chain("", 1, 1, 1).Stages},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := retryLoad{
 				rate: 25, burst: 160, burstFrom: 4 * time.Second, burstUntil: 4*time.Second + c.burst,
-				duration: 16 * time.Second, objective: c.objective, deadline: 5900 * time.Millisecond,
+				duration: 16 * time.Second, objective: c.objective, stages: c.stages, deadline: 5900 * time.Millisecond,
 			}
 			before := l.sum(10)
 			l.reservations = true
