Scatter even arrivals in plays of accounts

Cause: even arrivals of accounts coincided in the same order every time, which no callers' timers do; the account first in order got what was left. Change: even arrivals are up to 10 ms late, and the four loads are played with an objective and deadline of 0.8 s as well.

--- a/coordination/gather/fleet_test.go
+++ b/coordination/gather/fleet_test.go
@@ -26,6 +26,10 @@
 	caller    fleetCaller
 }
 
+// timerScatter is by how much even arrivals are late. Without it those of several accounts would
+// coincide, and always in the same order.
+const timerScatter = 10 * time.Millisecond
+
 // fleetCaller is who sends the requests of a kind.
 type fleetCaller struct {
 	// account is the client account, tier its priority, the usual one if 0.
@@ -202,11 +206,14 @@
 
 func (r *fleetRun) arrive(k fleetKind) {
 	rate := k.rate * r.surge(k.name, r.now.Sub(r.begin))
-	intervals := 1.0
-	if !k.caller.even {
-		intervals = r.rng.ExpFloat64()
+	if k.caller.even {
+		r.at(time.Duration(float64(time.Second)/rate), func() {
+			r.at(time.Duration(r.rng.Int64N(int64(timerScatter))), func() { r.submit(k) })
+			r.arrive(k)
+		})
+		return
 	}
-	r.at(time.Duration(intervals/rate*float64(time.Second)), func() {
+	r.at(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		r.submit(k)
 		r.arrive(k)
 	})
--- a/coordination/gather/shares_test.go
+++ b/coordination/gather/shares_test.go
@@ -112,7 +112,7 @@
 		{"one alone", []float64{large}, func(*testing.T, *fleetRun) {}},
 	}
 	for _, c := range cases {
-		for _, within := range [][2]time.Duration{{2 * time.Second, 6 * time.Second}, {time.Second, 2 * time.Second}, {6 * time.Second, 6 * time.Second}} {
+		for _, within := range [][2]time.Duration{{2 * time.Second, 6 * time.Second}, {time.Second, 2 * time.Second}, {6 * time.Second, 6 * time.Second}, {800 * time.Millisecond, 800 * time.Millisecond}} {
 			for _, even := range []bool{true, false} {
 				t.Run(fmt.Sprint(c.name, within, even), func(t *testing.T) {
 					l := sharingLoad{rates: c.rates, objective: within[0], deadline: within[1], even: even}
