Count an account's own yielding work while it is alone

Cause: beside an account alone, 253 of its requests were refused after admission where 151 were without sharing (objective 2 s, deadline 6 s): requests that could be timely were admitted as if those that yield weren't there. Ruled out: counting work that yields always; of three alike one got 162 and another 251 (objective 2 s, deadline 20 s). Change: the account's yielding work counts for later requests while no other account asks.

--- a/coordination/gather/shares.go
+++ b/coordination/gather/shares.go
@@ -124,7 +124,7 @@
 	if math.IsInf(r.level, 1) {
 		return 0
 	}
-	own := s.shares.ownAhead(req, queuePosition{rank: req.baseRank(), yields: req.yields})
+	own := s.shares.ownAhead(r, req, queuePosition{rank: req.baseRank(), yields: req.yields})
 	delay := s.workTime(own) / (r.level * s.shares.weight(req.Account))
 	return time.Duration(min(delay, maxKeyDelay.Seconds()) * float64(time.Second))
 }
@@ -173,20 +173,19 @@
 }
 
 // ownAhead returns the queued work of the request's account that precedes the request at a position.
-// Work that yields precedes only later work that yields: otherwise it would keep all requests of the
-// account behind those of others until they yield too.
-func (h *shares) ownAhead(req *heldRequest, at queuePosition) queuedWork {
+// Where accounts compete, work that yields precedes only later work that yields: otherwise it would
+// keep all requests of the account behind those of others until they yield too.
+func (h *shares) ownAhead(r *rankShares, req *heldRequest, at queuePosition) queuedWork {
 	own := h.queued[req.Account]
 	if own == nil {
 		return queuedWork{}
 	}
 	last := bucketOf(req.Objective)
-	if !at.yields {
-		return own.timely.upTo(at.rank, last)
-	}
 	sum := own.timely.upTo(at.rank, last)
-	sum.add(own.yielding.upTo(at.rank, last))
-	if base := req.baseRank(); base != at.rank {
+	if at.yields || r.accounts == 1 {
+		sum.add(own.yielding.upTo(at.rank, last))
+	}
+	if base := req.baseRank(); at.yields && base != at.rank {
 		sum.add(own.timely.upTo(base, math.MaxInt64))
 		sum.add(own.yielding.upTo(base, math.MaxInt64))
 	}
@@ -218,7 +217,7 @@
 	if math.IsInf(r.level, 1) {
 		return 0
 	}
-	own := sv.workTime(sv.shares.ownAhead(s.request, at))
+	own := sv.workTime(sv.shares.ownAhead(r, s.request, at))
 	stretch := r.capacity / (r.level * sv.shares.weight(s.request.Account))
 	wait := (sv.workTime(sv.backlog.above(s.request.baseRank())) + own*max(stretch, 1)) / capacity
 	return min(wait, maxKeyDelay.Seconds()) * float64(time.Second)
