--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -17,7 +17,10 @@
 // targets has failed: work that misses its deadline would then displace work that meets
 // it.
 func (p *Planner) admit(now time.Time, req *heldRequest) *Refused {
-	timely := queuePosition{rank: req.baseRank(), objective: req.Objective}
+	if req.retryOf != nil {
+		return p.admitRetry(now, req)
+	}
+	timely := queuePosition{rank: req.baseRank()}
 	predicted, ok := p.predict(now, req, timely)
 	if !ok {
 		return &Refused{Request: req.ID, Reason: ReasonNoTarget, RetryAfter: time.Second}
@@ -28,26 +31,34 @@
 	}
 	// A request that would miss its objective is queued behind those that can meet theirs,
 	// including those still to arrive.
-	yielding := queuePosition{rank: timely.rank + missedObjectivePenalty, objective: req.Objective, yields: true}
+	yielding := queuePosition{rank: timely.rank + missedObjectivePenalty, yields: true}
 	predicted, _ = p.predict(now, req, yielding)
 	req.predicted = predicted - req.Remaining
 	end := now.Add(predicted)
 	if !end.After(req.Deadline) {
 		return nil
 	}
-	return &Refused{
+	return p.offerRetry(now, req, &Refused{
 		Request: req.ID, Reason: ReasonQueueTooLong,
 		RetryAfter: min(max(end.Sub(req.Deadline), minRetryAfter), maxRetryAfter),
 		Needed:     predicted, TimeToDeadline: req.Deadline.Sub(now),
-	}
+	})
 }
 
 // queuePosition is the position of a request in the queues.
 type queuePosition struct {
-	rank      float64
-	objective time.Time
+	rank float64
+	// key is the order key of the stage, its objective or later.
+	key time.Time
 	// yields is true if requests still to arrive go first.
 	yields bool
+	// due replaces the key at a place that is reserved. It is promised while it is looked for: the
+	// requests that arrive within arrivalsAhead go before it.
+	due           time.Time
+	promised      bool
+	arrivalsAhead time.Duration
+	// margin is the factor by which the work ahead of a promised place is overestimated.
+	margin float64
 }
 
 // predict returns the time the rest of a request takes at a position in the current queues.
@@ -56,48 +67,65 @@
 	req.leaveBacklog()
 	defer p.updateBacklog(now, req)
 	var ends [maxStages]time.Duration
-	var longest time.Duration
+	var longest, longestWait time.Duration
 	for i, s := range req.stages {
 		var start time.Duration
 		for _, after := range s.After {
 			start = max(start, ends[after])
 		}
 		if !s.done() {
-			spent, ok := s.waitAndRunTime(now, at)
+			wait, spent, ok := s.waitAndRunTime(now, at)
 			if !ok {
 				return 0, false
 			}
+			if at.due.IsZero() {
+				spent += wait
+			} else {
+				// The work ahead of the place waits at all its stages, which do it in parallel.
+				longestWait = max(longestWait, wait)
+			}
 			start += spent
 		}
 		ends[i] = start
 		longest = max(longest, start)
 	}
-	return longest + req.Remaining, true
+	return longestWait + longest + req.Remaining, true
 }
 
 // minYieldingShare is the minimum share of a service's capacity that predictions leave to
 // work that yields.
 const minYieldingShare = 0.4
 
-// waitAndRunTime returns the wait for the work ahead of the stage plus the time of its own
-// call. It returns false if the service has no target.
-func (s *heldStage) waitAndRunTime(now time.Time, at queuePosition) (time.Duration, bool) {
+// waitAndRunTime returns the wait for the work ahead of the stage, and the time of its own call
+// once a target is free. It returns false if the service has no target.
+func (s *heldStage) waitAndRunTime(now time.Time, at queuePosition) (time.Duration, time.Duration, bool) {
 	if s.Pieces == 0 {
-		return 0, true
+		return 0, 0, true
 	}
 	sv := s.service
 	capacity := sv.capacity(now)
 	if capacity == 0 {
-		return 0, false
+		return 0, 0, false
+	}
+	at.key = s.key()
+	if !at.due.IsZero() {
+		at.key = at.due
 	}
 	ahead := sv.backlog.ahead(at)
+	if at.yields {
+		ahead.remove(sv.reservedBehind(at))
+	}
 	calls := float64(ahead.pieces) / float64(max(sv.config.MaxPieces, 1))
 	wait := (calls*float64(sv.callTime()) + float64(ahead.pieceTime)) / capacity
+	if at.promised {
+		wait = sv.waitOfPromised(now, at, wait, capacity)
+	}
+	wait = max(wait, s.ownWait(now, at, capacity))
 	if at.yields {
-		wait /= max(1-sv.loadAbove(now, at.rank, capacity), minYieldingShare)
+		wait /= max(1-sv.loadAbove(now, at.rank, capacity), s.minYieldingShare(now))
 	}
 	own := sv.expected(time.Duration(s.Pieces) * s.pieceTime())
-	return time.Duration(wait) + sv.timeUntilFree(now) + own, true
+	return time.Duration(wait), sv.timeUntilFree(now) + own, true
 }
 
 // timeUntilFree returns the time until the first target is free.
--- a/coordination/gather/export.go
+++ b/coordination/gather/export.go
@@ -36,8 +36,10 @@
 	}
 	clear(p.requests)
 	clear(p.calls)
+	p.ExportReservations(now) // lost unless ExportSchedule has exported them
 	for _, s := range p.services {
-		s.queue = nil
+		s.queue, s.backlog = nil, newBacklog()
+		s.shares.clearQueued()
 	}
 	return state
 }
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -16,9 +16,17 @@
 	crashes int
 	// boosted is true if its kind was underserved at its admission.
 	boosted bool
+	// yields is true if it was admitted behind the requests that can meet their objectives.
+	yields bool
 	// deadlineShortened is true if its requester stops and gave it an earlier deadline.
 	deadlineShortened bool
-	admittedAt        time.Time
+	// retryOf is the expected return that a submitted request is. returned is true once it has the
+	// position that was reserved; its objective is then that of the position, and attainBy its
+	// own.
+	retryOf    *retryReservation
+	returned   bool
+	attainBy   time.Time
+	admittedAt time.Time
 	// predicted is the time its stages were predicted to take at its admission.
 	predicted time.Duration
 	// latestStart is the latest time at which the remaining stages must start for the
@@ -40,7 +48,7 @@
 
 // rank is baseRank with a penalty for requests that can't meet their objectives any more.
 func (req *heldRequest) rank(now time.Time) float64 {
-	if now.After(req.latestStart) {
+	if now.After(req.latestStart) && !req.returned {
 		return req.baseRank() + missedObjectivePenalty
 	}
 	return req.baseRank()
@@ -72,6 +80,8 @@
 	inputsReadAt time.Time
 	// backlogEntry is how its pending pieces are counted in the service's backlog.
 	backlogEntry backlogEntry
+	// keyDelay is what the stage's order key adds to the objective. It is fixed at admission.
+	keyDelay time.Duration
 	// sentAt and endedAt are when the latest call with pieces of it started and ended.
 	sentAt, endedAt time.Time
 }
