Limit what accounts send while targets reject

Cause: an account that sends more than the targets of a service take fills their queues, and accounts that send little are rejected as often as it is. Change: coordination/accountlimit, a pure decision for one instance. Nothing uses it yet. Before: no limit. Conclusion: an instance can decide from what it sees itself.

--- /dev/null
+++ b/coordination/accountlimit/accountlimit.go
@@ -0,0 +1,309 @@
+// Package accountlimit decides which requests an instance refuses while the targets of a service
+// reject work, so that client accounts share what the targets accept.
+//
+// It uses only what the instance sees itself: the requests of each account, its sends, and the
+// rejections of targets. While targets reject, the instance limits what it sends to a multiple of
+// what they accepted lately; the multiple rises while they reject nothing. Within a priority, accounts divide that by weighted max-min fairness; what is left after
+// the more urgent priorities goes to the others. Nothing is limited while targets accept all.
+//
+// Limiter is a pure state machine: time is an argument. It is not safe for concurrent use.
+package accountlimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/ivyhollow/ivyhollow/coordination/fairshare"
+)
+
+const (
+	// halfLife is the half-life of the rates. The half of a request that a small account sends in
+	// it shows that the account is small; with a longer one the limit would follow the capacity
+	// of targets too late.
+	halfLife = 1500 * time.Millisecond
+	// acceptMultiple is what is sent just after a rejection, as a multiple of what targets accept.
+	// Below 1 the queues of targets become shorter, which leaves room for the accounts within
+	// their shares. With 1.05, targets reject twice as many of their requests.
+	acceptMultiple = 0.90
+	// quietTime is the time without a rejection after which the multiple rises. A shorter one
+	// raises it between the rejections of a lasting overload.
+	quietTime = 2 * time.Second
+	// doublingTime is the time in which the multiple then doubles, so that capacity which has
+	// risen again is found. A rejection ends the rise.
+	doublingTime = 4 * time.Second
+	// probeRate is sent in any case, in requests a second. It finds targets again that rejected
+	// everything, and lets instances with different histories approach the same rate.
+	probeRate = 0.5
+	// priorAsked and priorAccepted are what counts as asked and accepted before the first
+	// rejection. What was sent until then has filled the queues of targets, and doesn't show
+	// what they work; without a prior, the first responses alone would decide.
+	priorAsked, priorAccepted = 5.0, 2.5
+	// forgetTime is the time without a rejection after which nothing is limited. It is a few
+	// times what the multiple needs to rise above a demand of twice the capacity.
+	forgetTime = 20 * time.Second
+	// cutTime is how long targets must go on rejecting without work of less urgent priorities
+	// until a priority is limited itself. Targets need it to work off what waits there.
+	cutTime = 2 * time.Second
+	// minRejections is the decaying number of rejections at which the limit begins. Single ones
+	// come from a burst that has filled the queues for a moment.
+	minRejections = 3
+	// levelInterval is the interval at which the shares are computed again. The rates change
+	// little in it, and a computation takes the time of many requests if there are many accounts.
+	levelInterval = 20 * time.Millisecond
+	// maxRetryAfter limits the retry delay. The rates that it follows from have changed by then.
+	maxRetryAfter = 5 * time.Second
+	// heldTime is how long after its last refusal an account counts as held to its share.
+	heldTime = 2 * time.Second
+	// priorities is the number of priorities that are kept apart. Less urgent ones count as the
+	// last of them.
+	priorities = 10
+	// maxServices and maxAccounts (of one service and priority) limit what is kept. Both are far
+	// above what configurations have.
+	maxServices, maxAccounts = 256, 1024
+)
+
+// Request is a request that is about to be sent for the first time.
+type Request struct {
+	Service, Account string
+	Priority         int
+}
+
+// Verdict says whether a request may be sent.
+type Verdict struct {
+	Refused bool
+	// RetryAfter is the delay until the account's share has room, for a refused request.
+	RetryAfter time.Duration
+}
+
+// Limiter limits what one instance sends.
+type Limiter struct {
+	weights  map[string]float64
+	services map[string]*service
+}
+
+// New returns a limiter. Accounts without a weight have the weight 1.
+func New(weights map[string]float64) *Limiter {
+	return &Limiter{weights: weights, services: map[string]*service{}}
+}
+
+// service is what is known of one service.
+type service struct {
+	// demands are the rates at which accounts ask, by priority; nil if none did.
+	demands [priorities]*fairshare.Rates
+	// asked are all requests and accepted what was sent less what was rejected, both since the
+	// limit began. The ratio of two rates of the same age is right also
+	// while both are far from settled.
+	asked, accepted, rejections meter
+	lastRejection               time.Time
+	// accepts is what targets accepted, in requests a second, at the last rejection. rejected is
+	// true if there was one since it was computed.
+	accepts  float64
+	rejected bool
+	lastUsed time.Time
+	// levels are the rates per weight up to which accounts are served, by priority.
+	levels  [priorities]float64
+	leveled time.Time
+	// cutSince is since when, by priority, nothing is left for the less urgent ones; zero if
+	// something is.
+	cutSince [priorities]time.Time
+	held     map[heldKey]*heldAccount
+}
+
+type heldKey struct {
+	priority int
+	account  string
+}
+
+// heldAccount is an account that asks for more than its share.
+type heldAccount struct {
+	// credit is the part of a request that the share allows beyond those that were sent.
+	credit float64
+	// toldUntil is the latest time that a refused caller was told.
+	toldUntil   time.Time
+	lastRefused time.Time
+}
+
+func (l *Limiter) weight(account string) float64 {
+	if w, ok := l.weights[account]; ok {
+		return w
+	}
+	return 1
+}
+
+// Ask records that a request is about to be sent, and decides whether it may be.
+func (l *Limiter) Ask(now time.Time, r Request) Verdict {
+	s := l.service(now, r.Service)
+	p := min(max(r.Priority, 0), priorities-1)
+	if s.demands[p] == nil {
+		s.demands[p] = fairshare.NewRates(halfLife, maxAccounts)
+	}
+	s.demands[p].Add(now, r.Account, 1)
+	s.asked.add(now, 1)
+	if !s.isLimited(now) {
+		clear(s.held)
+		return Verdict{}
+	}
+	s.updateLevels(now, l.weight)
+	share, rate := s.levels[p]*l.weight(r.Account), s.demands[p].Rate(now, r.Account)
+	if rate <= share {
+		return Verdict{}
+	}
+	h := s.holdAccount(heldKey{p, r.Account})
+	if h.credit += share / rate; h.credit >= 1 {
+		h.credit--
+		return Verdict{}
+	}
+	h.lastRefused = now
+	return Verdict{Refused: true, RetryAfter: h.tell(now, share)}
+}
+
+// Sent records a send to a target. It counts as accepted until Rejected or NotSent takes it back:
+// a rejection arrives at once, a response only when the work is done.
+func (l *Limiter) Sent(now time.Time, name string) {
+	l.service(now, name).accepted.add(now, 1)
+}
+
+// NotSent records that a send has not reached its target.
+func (l *Limiter) NotSent(now time.Time, name string) {
+	l.service(now, name).accepted.add(now, -1)
+}
+
+// Rejected records that a target has rejected a send.
+func (l *Limiter) Rejected(now time.Time, name string) {
+	s := l.service(now, name)
+	s.accepted.add(now, -1)
+	s.rejections.add(now, 1)
+	switch {
+	case s.isLimited(now):
+	case s.rejections.sum(now) < minRejections:
+		return
+	default:
+		s.asked, s.accepted = meter{priorAsked, now}, meter{priorAccepted, now}
+		s.accepts = 0
+	}
+	s.lastRejection, s.rejected = now, true
+}
+
+// service returns what is known of a service, and forgets the least recently used one if there
+// are too many.
+func (l *Limiter) service(now time.Time, name string) *service {
+	s := l.services[name]
+	if s == nil {
+		if len(l.services) >= maxServices {
+			oldest := ""
+			for other, known := range l.services {
+				if oldest == "" || known.lastUsed.Before(l.services[oldest].lastUsed) {
+					oldest = other
+				}
+			}
+			delete(l.services, oldest)
+		}
+		s = &service{held: map[heldKey]*heldAccount{}}
+		l.services[name] = s
+	}
+	s.lastUsed = now
+	return s
+}
+
+// isLimited reports whether targets have rejected anything lately.
+func (s *service) isLimited(now time.Time) bool {
+	return !s.lastRejection.IsZero() && now.Sub(s.lastRejection) < forgetTime
+}
+
+// estimate returns what targets accept of a demand, in requests a second.
+func (s *service) estimate(now time.Time, demand float64) float64 {
+	accepted := max(s.accepted.rate(now), 0)
+	if asked := s.asked.rate(now); asked > 0 {
+		// Early, the accepted share of the demand says more. After the demand has fallen, the rate does.
+		accepted = max(accepted, demand*accepted/asked)
+	}
+	return accepted
+}
+
+// capacity returns what may be sent of a demand, in requests a second. What is accepted shows the
+// capacity only while targets reject: without rejections, it falls with what is sent.
+func (s *service) capacity(now time.Time, demand float64) float64 {
+	if s.rejected {
+		s.accepts, s.rejected = s.estimate(now, demand), false
+	}
+	multiple := acceptMultiple
+	if quiet := now.Sub(s.lastRejection) - quietTime; quiet > 0 {
+		multiple *= math.Exp2(float64(quiet) / float64(doublingTime))
+	}
+	return multiple*max(s.accepts, s.estimate(now, demand)) + probeRate
+}
+
+// updateLevels computes the shares. What is left after the more urgent priorities is shared.
+func (s *service) updateLevels(now time.Time, weight func(string) float64) {
+	if elapsed := now.Sub(s.leveled); elapsed >= 0 && elapsed < levelInterval {
+		return
+	}
+	s.leveled = now
+	var demands [priorities][]fairshare.Demand
+	var asked [priorities]float64
+	total := 0.0 // of all priorities, then of those that are less urgent
+	for p, rates := range s.demands {
+		if rates == nil {
+			continue
+		}
+		rates.Prune(now)
+		demands[p] = rates.Demands(now, weight)
+		for _, d := range demands[p] {
+			asked[p] += d.Rate
+		}
+		total += asked[p]
+	}
+	left := s.capacity(now, total)
+	for p := range demands {
+		s.levels[p] = fairshare.Level(left, demands[p])
+		total -= asked[p]
+		if math.IsInf(s.levels[p], 1) {
+			s.cutSince[p] = time.Time{}
+		} else if total > 0 && !s.lessUrgentCut(now, p) {
+			s.levels[p] = math.Inf(1)
+		}
+		left = max(left-asked[p], 0)
+	}
+	for key, h := range s.held {
+		if now.Sub(h.lastRefused) >= forgetTime {
+			delete(s.held, key)
+		}
+	}
+}
+
+// lessUrgentCut reports whether targets have gone on rejecting for cutTime after the priorities that
+// are less urgent than p were left nothing.
+func (s *service) lessUrgentCut(now time.Time, p int) bool {
+	if s.cutSince[p].IsZero() {
+		s.cutSince[p] = now
+	}
+	return s.lastRejection.Sub(s.cutSince[p]) >= cutTime
+}
+
+// holdAccount returns the record of an account that asks for more than its share.
+func (s *service) holdAccount(key heldKey) *heldAccount {
+	h := s.held[key]
+	if h == nil {
+		if len(s.held) >= maxAccounts {
+			for other := range s.held {
+				delete(s.held, other) // any of them: it begins again without credit
+				break
+			}
+		}
+		h = &heldAccount{}
+		s.held[key] = h
+	}
+	return h
+}
+
+// tell returns the delay after which a refused caller is to retry. Callers are told times at the
+// rate of the account's share, so that they don't all return at the same time.
+func (h *heldAccount) tell(now time.Time, share float64) time.Duration {
+	delay := maxRetryAfter
+	if interval := 1 / share; interval < maxRetryAfter.Seconds() {
+		delay = max(h.toldUntil.Sub(now), 0) + time.Duration(interval*float64(time.Second))
+	}
+	delay = min(delay, maxRetryAfter)
+	h.toldUntil = now.Add(delay)
+	return delay
+}
--- /dev/null
+++ b/coordination/accountlimit/accountlimit_test.go
@@ -0,0 +1,62 @@
+package accountlimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// overload has an account ask at an instance whose targets reject all, until it is refused.
+func overload(l *Limiter, now time.Time, service, account string) Verdict {
+	for {
+		now = now.Add(time.Millisecond)
+		if v := l.Ask(now, Request{Service: service, Account: account}); v.Refused {
+			return v
+		}
+		l.Sent(now, service)
+		l.Rejected(now, service)
+	}
+}
+
+// Guards against memory that grows with the names of services and accounts.
+func TestMemoryIsBounded(t *testing.T) {
+	l := New(nil)
+	for i := range 2 * maxServices {
+		overload(l, start, fmt.Sprint(i), "a")
+	}
+	require.Len(t, l.services, maxServices)
+	now := start
+	for i := range 3 * maxAccounts {
+		now = now.Add(levelInterval)
+		account := fmt.Sprint(i)
+		for range 20 {
+			l.Ask(now, Request{Service: "s", Account: account})
+			l.Rejected(now, "s")
+		}
+	}
+	require.LessOrEqual(t, len(l.services["s"].held), maxAccounts)
+	require.NotEmpty(t, l.Held(now))
+	require.Empty(t, l.Held(now.Add(heldTime)))
+	l.Ask(now.Add(forgetTime), Request{Service: "s"})
+	require.Empty(t, l.services["s"].held)
+}
+
+// Guards against refused callers that are all told the same time, and against times that are later than
+// the shares are known for.
+func TestRetryTimesAreSpread(t *testing.T) {
+	l := New(nil)
+	last := overload(l, start, "s", "a").RetryAfter
+	require.Positive(t, last)
+	for range 100 {
+		v := l.Ask(start.Add(time.Second), Request{Service: "s", Account: "a"})
+		if !v.Refused {
+			continue
+		}
+		require.GreaterOrEqual(t, v.RetryAfter, last-time.Second)
+		require.LessOrEqual(t, v.RetryAfter, maxRetryAfter)
+		last = v.RetryAfter
+	}
+	require.Equal(t, maxRetryAfter, last)
+}
