Hold accounts to their shares in the relay

Cause: nothing asked coordination/accountlimit, and operators can't see which accounts are refused. Ruled out: the limit for requests with stages, whose queue has a holder, and for streams of which the caller has a part. Change: the relay asks before the first send of a request without stages and records the ends of attempts; GET /accounts, a log line and two metrics; "Request ended" names the account. All of it only with account_sharing.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/accountshares"
 	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
 	"github.com/ivyhollow/ivyhollow/daemon/detour"
@@ -99,7 +100,9 @@
 	// limits are the limits that targets name.
 	limits *limits.Limits
 	// streams knows where streams began that callers take up again.
-	streams   *streams.Directory
+	streams *streams.Directory
+	// accounts shares what targets accept between client accounts; nil if they don't share.
+	accounts  *accountshares.Shares
 	registrar *register.Registrar
 
 	callers  net.Listener
@@ -180,6 +183,7 @@
 	g.streams = streams.New(streams.Options{
 		Cluster: g.cluster, Store: store, Gossip: g.cluster.Put, Rank: fleet{g}.Rank, KnowledgeAge: g.follower.TargetsAge, Scope: t.Scope,
 	})
+	g.buildAccounts()
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
 		Table:        g.follower.Table,
@@ -194,6 +198,7 @@
 		Streams:      g.streams,
 		Paced:        g.stages.Paced,
 		Budgets:      retrybudget.New(g.retryConfig()),
+		Accounts:     g.sharing(),
 		Blocklist:    g.blocklist,
 		OnLeaving:    g.follower.Leaving,
 		OnResponse:   g.limits.Observe,
@@ -390,6 +395,9 @@
 	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
 	mux.Handle("GET /quarantine", g.blocklist)
 	mux.HandleFunc("GET /drains", g.serveDrains)
+	if g.accounts != nil {
+		mux.Handle("GET /accounts", g.accounts)
+	}
 	return mux
 }
 
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -57,7 +57,7 @@
 	}
 	group.Add(g.cluster.Execute, g.cluster.Interrupt)
 	for _, loop := range []func(context.Context) error{
-		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.streams.Run, g.client.Run, g.closeIdleConnections,
+		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.streams.Run, g.client.Run, g.closeIdleConnections, g.runAccounts,
 	} {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -348,13 +348,14 @@
 		q.reason = "closed_here"
 	}
 	telemetry.InfoS("Request ended", telemetry.Event{
-		RequestID: q.call.ID, Digest: digest, Pipeline: route, Target: a.target.Incarnation, Version: a.target.Version, Resumes: q.call.Resumes, Peer: a.grantedBy, Reason: q.reason, Cause: textOf(q.cause),
+		RequestID: q.call.ID, Account: q.loggedAccount(), Digest: digest, Pipeline: route, Target: a.target.Incarnation, Version: a.target.Version, Resumes: q.call.Resumes, Peer: a.grantedBy, Reason: q.reason, Cause: textOf(q.cause),
 		Status: status, Elapsed: time.Since(q.arrived), Count: q.possibleRuns + q.refusals, HeaderDuration: q.headTime,
 		StageWait: q.timings.stagesWait, GrantWait: q.timings.grantWait, FirstEvent: q.timings.firstEvent, LongestPause: q.timings.longestPause, KnowledgeAge: a.knowledgeAge,
 		LastEvent: q.lastEventID, Sources: q.sources, Framing: a.framing(),
 	})
 	q.relay.metrics.recordResponse(status, q.reason, time.Since(q.arrived))
 	q.relay.metrics.recordTimings(&q.timings)
+	q.recordOutcome(status)
 	if status == http.StatusOK && q.service != "" {
 		q.relay.options.Budgets.Succeeded(time.Now(), q.service)
 	}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -97,6 +97,7 @@
 	}
 	q.grant = grant{number: q.grant.number}
 	a.tracked = q.relay.options.Router.Started(a.started, t.Incarnation, 1)
+	q.recordSend()
 	q.open = append(q.open, a)
 	if q.current == nil || !slices.Contains(q.open, q.current) {
 		q.current = a
--- a/daemon/relay/race.go
+++ b/daemon/relay/race.go
@@ -85,6 +85,7 @@
 	a.tracked.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(a.started)})
 	a.end()
 	q.dropGrant(a, 0)
+	q.recordSendEnd(a, outcome, err)
 	q.recordAttemptEnd(ctx, a, err)
 	if err == nil && outcome == routing.OutcomeOK {
 		q.relay.durations.observe(q.route.Name, time.Since(a.started))
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -84,6 +84,8 @@
 	// Paced reports whether sends to the targets of a service need grants; nil if none do.
 	Paced   func(service string) bool
 	Budgets *retrybudget.Budgets
+	// Accounts shares what targets accept between client accounts; nil if they don't share.
+	Accounts Accounts
 	// Blocklist refuses requests that crash their targets.
 	Blocklist blocklist.Records
 	// OnLeaving is called for a target that accepts no new work.
@@ -420,7 +422,7 @@
 // run serves the request until its final response.
 func (q *request) run(ctx context.Context) {
 	q.service = pickService(q.route.TrafficSplit)
-	if !q.locateStream(ctx) {
+	if !q.locateStream(ctx) || !q.checkShare() {
 		return
 	}
 	defer q.returnRetry()
--- a/daemon/relay/timings.go
+++ b/daemon/relay/timings.go
@@ -11,6 +11,8 @@
 	// firstEvent is the time from the start of an attempt to its first event, or to its
 	// complete response if that isn't a stream.
 	firstEvent time.Duration
+	// firstEventAt is when the first event or the complete response arrived.
+	firstEventAt time.Time
 	// longestPause is the longest time between two consecutive events.
 	longestPause time.Duration
 	// latestEvent is when the latest event arrived.
@@ -21,7 +23,7 @@
 // started at a time.
 func (p *timings) recordEvent(now, started time.Time) {
 	if p.latestEvent.IsZero() {
-		p.firstEvent = now.Sub(started)
+		p.firstEvent, p.firstEventAt = now.Sub(started), now
 	} else {
 		p.longestPause = max(p.longestPause, now.Sub(p.latestEvent))
 	}
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -26,6 +26,8 @@
 	Resumes   string
 	Peer      string
 	AttemptID string
+	// Account is the name of a client account, or of several separated by commas.
+	Account string
 	// Digest identifies the content of a request; it is the same for repeats.
 	Digest string
 	// Parts are the digests of the shared parts of a request's prompt.
@@ -87,6 +89,7 @@
 	kv = appendText(kv, "resumes", e.Resumes)
 	kv = appendText(kv, "peer", e.Peer)
 	kv = appendText(kv, "attempt_id", e.AttemptID)
+	kv = appendText(kv, "account", e.Account)
 	kv = appendText(kv, "digest", e.Digest)
 	kv = appendText(kv, "parts", strings.Join(e.Parts, ","))
 	kv = appendText(kv, "pipeline", e.Pipeline)
