Explain shares without a holder to operators

Cause: operators had no way from "our requests are refused" to the account that bears the cost. Ruled out: labels for accounts in metrics, which are unbounded. A held account is listed with the demand that its share follows from.

--- a/daemon/accountshares/listing.go
+++ b/daemon/accountshares/listing.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/ivyhollow/ivyhollow/coordination/accountlimit"
 	"github.com/ivyhollow/ivyhollow/coordination/accountstats"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
@@ -44,15 +45,19 @@
 func (s *Shares) rows(now time.Time) []row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	shares := map[[2]string]float64{}
+	type key struct{ service, account string }
+	held := map[key]accountlimit.Share{}
 	for _, h := range s.limiter.Held(now) {
-		shares[[2]string{h.Service, h.Account}] += h.Share
+		sum := held[key{h.Service, h.Account}] // of its priorities
+		sum.Demand, sum.Share = sum.Demand+h.Demand, sum.Share+h.Share
+		held[key{h.Service, h.Account}] = sum
 	}
 	rows := []row{}
 	for _, worst := range s.stats.Worst(now, maxListed) {
 		entry := row{Row: worst}
-		if share, held := shares[[2]string{worst.Service, worst.Account}]; held {
-			entry.Share = &share
+		if h, ok := held[key{worst.Service, worst.Account}]; ok {
+			// The share follows from the demand of the last seconds.
+			entry.Demand, entry.Share = h.Demand, &h.Share
 		}
 		rows = append(rows, entry)
 	}
