Let the limit rise by sends and not by time

Change: the multiple rises after 20 sends without a rejection and doubles with each 80, within bounds of time; a prior of 15 requests; the probe is a floor and no longer added.

--- a/coordination/accountlimit/accountlimit.go
+++ b/coordination/accountlimit/accountlimit.go
@@ -25,19 +25,22 @@
 	// Below 1 the queues of targets become shorter, which leaves room for the accounts within
 	// their shares. With 1.05, targets reject twice as many of their requests.
 	acceptMultiple = 0.90
-	// quietTime is the time without a rejection after which the multiple rises. A shorter one
-	// raises it between the rejections of a lasting overload.
-	quietTime = 2 * time.Second
-	// doublingTime is the time in which the multiple then doubles, so that capacity which has
-	// risen again is found. A rejection ends the rise.
-	doublingTime = 4 * time.Second
+	// quietSends is the number of sends without a rejection after which the multiple rises, and
+	// doublingSends that in which it then doubles, so that capacity which has risen again is found.
+	// A rejection ends the rise. About one in twenty sends is rejected in a lasting overload.
+	quietSends, doublingSends = 20, 80
+	// The times that these sends take count as at least and at most so long: longer ones would
+	// leave capacity unused after an outage. Where hardly anything was accepted, there is nothing
+	// to protect, and the least times apply.
+	minQuiet, maxQuiet       = 500 * time.Millisecond, 2 * time.Second
+	minDoubling, maxDoubling = time.Second, 4 * time.Second
 	// probeRate is sent in any case, in requests a second. It finds targets again that rejected
-	// everything, and lets instances with different histories approach the same rate.
+	// everything.
 	probeRate = 0.5
 	// priorAsked and priorAccepted are what counts as asked and accepted before the first
 	// rejection. What was sent until then has filled the queues of targets, and doesn't show
 	// what they work; without a prior, the first responses alone would decide.
-	priorAsked, priorAccepted = 5.0, 2.5
+	priorAsked, priorAccepted = 15, 7.5
 	// forgetTime is the time without a rejection after which nothing is limited. It is a few
 	// times what the multiple needs to rise above a demand of twice the capacity.
 	forgetTime = 20 * time.Second
@@ -226,11 +229,22 @@
 	if s.rejected {
 		s.accepts, s.rejected = s.estimate(now, demand), false
 	}
+	accepts := max(s.accepts, s.estimate(now, demand))
+	pause, doubling := minQuiet, minDoubling
+	if accepts > probeRate {
+		pause = min(max(timeOf(quietSends, accepts), minQuiet), maxQuiet)
+		doubling = min(max(timeOf(doublingSends, accepts), minDoubling), maxDoubling)
+	}
 	multiple := acceptMultiple
-	if quiet := now.Sub(s.lastRejection) - quietTime; quiet > 0 {
-		multiple *= math.Exp2(float64(quiet) / float64(doublingTime))
+	if quiet := now.Sub(s.lastRejection) - pause; quiet > 0 {
+		multiple *= math.Exp2(float64(quiet) / float64(doubling))
 	}
-	return multiple*max(s.accepts, s.estimate(now, demand)) + probeRate
+	return max(multiple*accepts, probeRate)
+}
+
+// timeOf returns the time that a number of sends takes at a rate a second.
+func timeOf(sends, rate float64) time.Duration {
+	return time.Duration(sends / rate * float64(time.Second))
 }
 
 // updateLevels computes the shares. What is left after the more urgent priorities is shared.
--- a/daemon/accountshares/accountshares.go
+++ b/daemon/accountshares/accountshares.go
@@ -4,6 +4,7 @@
 package accountshares
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -24,6 +25,8 @@
 	logInterval = 5 * time.Second
 	// maxNamed limits the accounts that a line names.
 	maxNamed = 8
+	// unnamed stands for requests without an account.
+	unnamed = "(none)"
 )
 
 // Shares holds accounts to their shares. It is safe for concurrent use.
@@ -111,8 +114,8 @@
 func eventOf(held []accountlimit.Share) telemetry.Event {
 	var accounts, services []string
 	for _, h := range held[:min(len(held), maxNamed)] {
-		if !slices.Contains(accounts, h.Account) {
-			accounts = append(accounts, h.Account)
+		if name := cmp.Or(h.Account, unnamed); !slices.Contains(accounts, name) {
+			accounts = append(accounts, name)
 		}
 		if !slices.Contains(services, h.Service) {
 			services = append(services, h.Service)
