Choose targets by predicted cost and by the work that each has left

Cause: the score of a target counts requests and discounts a cached part or the home by a share, so that a part of 200 tokens outweighs a queue: light requests wait behind heavy ones at the home of a common part. Ruled out: a larger bound on the home's load (it is relative to the least score, and counts requests of 40 ms and of 1.6 s alike); taking the number of others' requests as exact or as scattering altogether (the first made instances choose the same free slot, the second moved requests off their home without need). Change: coordination/workload keeps the requests that run at a target with their expected remaining time; with Config.CostPlacement and a predicted cost, Pick adds wait for a slot, own time, delay by reading, lack of memory and crossing, and the home decides between equal costs. The slowdown of a target is the median ratio of durations to usual ones, times what it reports.

--- a/coordination/cost/cost.go
+++ b/coordination/cost/cost.go
@@ -23,7 +23,9 @@
 type Estimate struct {
 	// FirstEvent and Total are the times to the first event and to the end at an idle target.
 	FirstEvent, Total time.Duration
-	// Read is the part of both for the uncached tokens.
+	// Median is the time to the end that half of such requests need.
+	Median time.Duration
+	// Read is the part of these times for the uncached tokens.
 	Read time.Duration
 	// Output is the number of output tokens.
 	Output float64
@@ -33,6 +35,13 @@
 	rest *distribution // of Total without Read
 }
 
+// WithRead returns the estimate with a share of the uncached tokens, 0 to 1.
+func (e Estimate) WithRead(share float64) Estimate {
+	saved := e.Read - time.Duration(float64(e.Read)*share)
+	e.Read, e.FirstEvent, e.Median, e.Total = e.Read-saved, e.FirstEvent-saved, e.Median-saved, e.Total-saved
+	return e
+}
+
 // Mean returns the expected time until the end of a request that starts now at an idle target.
 func (e Estimate) Mean() time.Duration { return e.Remaining(0) }
 
--- a/coordination/cost/model.go
+++ b/coordination/cost/model.go
@@ -66,7 +66,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	read := seconds(m.read(r.Pool) * float64(max(r.Uncached, 0)))
-	e := Estimate{Read: read, FirstEvent: read + defaultRest, Total: read + defaultRest, Output: float64(plausibleOutput(r))}
+	e := Estimate{Read: read, FirstEvent: read + defaultRest, Median: read + defaultRest, Total: read + defaultRest, Output: float64(plausibleOutput(r))}
 	for _, k := range kindsOf(&r) {
 		s := m.kinds[k]
 		if s == nil || s.rest.weight(now) < minSamples {
@@ -78,6 +78,7 @@
 		}
 		e.rest = s.summary
 		e.Total = read + seconds(s.rest.quantile(PlanningQuantile)*secondsUnit)
+		e.Median = read + seconds(s.rest.quantile(0.5)*secondsUnit)
 		e.FirstEvent = min(read+seconds(s.first.quantile(PlanningQuantile)*secondsUnit), e.Total)
 		if s.output.weight(now) >= minSamples {
 			e.Output = s.output.quantile(PlanningQuantile)
--- a/coordination/routing/attempt.go
+++ b/coordination/routing/attempt.go
@@ -17,6 +17,8 @@
 	ended       atomic.Bool
 	// silent is true while the target has sent nothing for longer than it should.
 	silent atomic.Bool
+	// costs is what the attempt has in the target's account of work; nil without a predicted cost.
+	costs *attemptCosts
 }
 
 // Started records that an attempt was sent. Cost is its expected work relative to the
@@ -43,7 +45,9 @@
 		return
 	}
 	ns := now.UnixNano()
-	a.target.addInFlight(ns, -a.cost)
+	if a.endCosts(now, result) {
+		a.target.addInFlight(ns, -a.cost)
+	}
 	a.target.attemptAges.finish(a.startMillis, result.Expected)
 	// A target with more load than slots is expected to take longer. Only latency beyond
 	// that indicates a slow target.
--- a/coordination/routing/config.go
+++ b/coordination/routing/config.go
@@ -54,6 +54,9 @@
 	PrefixTTL time.Duration
 	// PrefixTableSize bounds the prefix parts remembered for each target.
 	PrefixTableSize int
+	// CostPlacement chooses targets by the predicted cost of requests and by the work that each
+	// target has left, where queries state the cost.
+	CostPlacement bool
 	// Disabled turns mechanisms off, for experiments.
 	Disabled Mechanism
 }
--- a/coordination/routing/digest.go
+++ b/coordination/routing/digest.go
@@ -67,11 +67,13 @@
 	sums := make(map[uint32]int64, len(v.byHash))
 	suspicions := make(map[uint32]int64)
 	off := t.config.disabled(MechanismSuspicion)
+	ages := int64(0)
 	for origin, digest := range t.digests.byOrigin {
 		if now.Sub(digest.receivedAt) > t.config.DigestTTL {
 			delete(t.digests.byOrigin, origin)
 			continue
 		}
+		ages += int64(now.Sub(digest.receivedAt))
 		for _, e := range digest.entries {
 			if e.InFlight == Suspected {
 				if !off {
@@ -85,6 +87,9 @@
 	at := now.UnixNano()
 	if len(t.digests.byOrigin) == 0 {
 		at = 0
+		t.digestsAt.Store(0)
+	} else {
+		t.digestsAt.Store(at - ages/int64(len(t.digests.byOrigin)))
 	}
 	for hash, target := range v.byHash {
 		target.peerInFlight.Store(sums[hash])
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -38,7 +38,9 @@
 	}
 	chosen.target.picks.Add(1)
 	t.counts.reasons[reason].Add(1)
-	pick.recordPrefix(chosen)
+	if !pick.byCostEnabled() {
+		pick.recordPrefix(chosen)
+	}
 	return Choice{
 		Target:       chosen.target.Target,
 		Reason:       reason,
@@ -150,6 +152,9 @@
 	if c := p.preferred(); c != nil {
 		return c, ReasonPreferred
 	}
+	if p.byCostEnabled() {
+		return p.byCost()
+	}
 	if p.query.HomeKey != "" {
 		return p.byHome()
 	}
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -14,6 +14,8 @@
 	config Config
 	view   atomic.Pointer[view]
 	counts counters
+	// digestsAt is the mean time of the peers' digests, in Unix nanoseconds; 0 without any.
+	digestsAt atomic.Int64
 
 	mu      sync.Mutex // serialises updates; never held by Pick
 	states  map[string]*targetState
@@ -28,6 +30,7 @@
 	listed     map[string]bool
 	subset     []Target
 	ejectionMu sync.Mutex // serialises the pool's ejections
+	remaining  remainingTime
 }
 
 // view is the immutable state that Pick reads.
@@ -41,6 +44,7 @@
 	pool       Pool
 	targets    []*targetView
 	ejectionMu *sync.Mutex
+	remaining  *remainingTime
 }
 
 // targetView is one target of a view, with its mutable state.
@@ -133,6 +137,7 @@
 		return
 	}
 	target.applyReport(now, load, !t.config.disabled(MechanismAgeCorrection))
+	target.costs.slowdown.report(now.UnixNano()-int64(load.Age), load.Slowdown)
 }
 
 // CacheEvent records a page of an engine's cache events.
@@ -197,7 +202,7 @@
 		byHash:   make(map[uint32]*targetView, len(t.states)),
 	}
 	for name, input := range t.pools {
-		p := &poolView{pool: input.pool, ejectionMu: &input.ejectionMu}
+		p := &poolView{pool: input.pool, ejectionMu: &input.ejectionMu, remaining: &input.remaining}
 		for _, target := range input.subset {
 			tv := t.newTargetView(target, p)
 			p.targets = append(p.targets, tv)
--- a/coordination/routing/target.go
+++ b/coordination/routing/target.go
@@ -32,6 +32,7 @@
 	health          health
 	prefixes        prefixIndex
 	picks           atomic.Uint64
+	costs           targetCosts
 }
 
 // reportState is a load report, split into this instance's part and that of others.
--- a/coordination/routing/types.go
+++ b/coordination/routing/types.go
@@ -32,6 +32,8 @@
 	Version string
 	// Slots is the number of requests that the target runs concurrently.
 	Slots int
+	// Memory is the number of tokens that running requests and cached prompts may take; 0 if unknown.
+	Memory int
 	// Models and Adapters are those that an engine has loaded; an empty list means
 	// that no constraint is known and the target accepts any.
 	Models   []string
@@ -58,6 +60,9 @@
 	Rank int
 	// Cost is the expected work relative to the pool's mean; 0 means 1.
 	Cost float64
+	// Work is what the request is predicted to cost; nil if it isn't known. It is used only with
+	// Config.CostPlacement.
+	Work *Work
 	// HomeKey identifies data that many requests read, such as a subject whose prompt
 	// an engine caches. All instances map a key to the same target, its home, without
 	// communication, as long as that target isn't overloaded.
@@ -177,6 +182,8 @@
 	Active, Queued int
 	// Slots is the reported number of slots; 0 keeps the configured number.
 	Slots int
+	// Slowdown is how much longer than usual work takes at the moment; 1 is usual, 0 unknown.
+	Slowdown float64
 	// Age is the age of the report at the time of its arrival.
 	Age time.Duration
 }
