Predict costs in the relay and exchange what instances have running

Cause: the relay tells the router of requests as alike, instances don't know what others have running at targets, and what targets say of their load is not read. Change: with cost_placement on, the relay estimates each attempt, observes its first event and its end, and passes both to the router; instances exchange load digests every 200 ms; Server-Load is decoded and feeds Table.Report, its fourth figure as a slowdown for 600 ms. Before: with two instances and two targets of one slot, requests of one go to the target that the other occupies half of the time. After: go test -count 3 -run KnowEachOthers ./platform passes; go test ./daemon/relay ./daemon/gateway pass. Conclusion: with the switch off nothing is sent, estimated or reported; TestReferencedNamesExist still fails for docs/design/scarce-capacity.md.

--- a/coordination/routing/costfleet_test.go
+++ b/coordination/routing/costfleet_test.go
@@ -195,10 +195,9 @@
 	f.after(simDelay, func() {
 		f.engines[choice.Target.Incarnation].run(f, r, func() {
 			f.after(simDelay, func() {
-				uncached, wait, slowdown, ok := attempt.Conditions(f.now)
-				if ok {
-					cr.Uncached = uncached
-					m.Observe(f.now, cr, cost.Observation{Total: f.now.Sub(sent), Wait: wait, Slowdown: slowdown})
+				if had, ok := attempt.Conditions(f.now); ok {
+					cr.Uncached = had.Uncached
+					m.Observe(f.now, cr, cost.Observation{Total: f.now.Sub(sent), Wait: had.Wait, Slowdown: had.Slowdown})
 				}
 				attempt.Done(f.now, Result{Latency: f.now.Sub(sent)})
 				f.answered++
--- a/coordination/routing/costs.go
+++ b/coordination/routing/costs.go
@@ -118,14 +118,21 @@
 	a.target.costs.account.Began(now, a.costs.number)
 }
 
-// Conditions returns what an observation of the attempt has to be corrected for: the prompt tokens
-// that the target had to read, the wait for a slot, and the target's slowdown. It returns false
-// for an attempt without a predicted cost.
-func (a *Attempt) Conditions(now time.Time) (uncached int, wait time.Duration, slowdown float64, ok bool) {
+// Conditions are what an observation of an attempt has to be corrected for.
+type Conditions struct {
+	// Uncached is the number of prompt tokens that the target had to read.
+	Uncached int
+	// Wait is the predicted wait for a slot, Slowdown that of the target.
+	Wait     time.Duration
+	Slowdown float64
+}
+
+// Conditions returns the conditions of the attempt; false for one without a predicted cost.
+func (a *Attempt) Conditions(now time.Time) (Conditions, bool) {
 	if a.costs == nil {
-		return 0, 0, 0, false
+		return Conditions{}, false
 	}
-	return a.costs.uncached, a.costs.wait, a.target.costs.slowdown.read(now.UnixNano()), true
+	return Conditions{a.costs.uncached, a.costs.wait, a.target.costs.slowdown.read(now.UnixNano())}, true
 }
 
 // endCosts removes the attempt from the account. It returns false if it has expired there.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -150,7 +150,7 @@
 	g.client = forward.New(forward.ClientOptions{
 		Dial: p.DialTarget, Detour: detour.NewDialer(g.cluster, t.Scope), OnPathChange: g.recordPathChange,
 	})
-	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize})
+	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize, MaxOrigins: maxDigestOrigins, CostPlacement: s.Scheduling.CostPlacement})
 	source := p.Source
 	if !s.Platform.DataCentreDrains {
 		source.DrainKind = ""
@@ -196,11 +196,13 @@
 		Budgets:      retrybudget.New(g.retryConfig()),
 		Blocklist:    g.blocklist,
 		OnLeaving:    g.follower.Leaving,
-		OnResponse:   g.limits.Observe,
+		OnResponse:   g.observeResponse,
 		Usable:       g.follower.Usable,
 		InUse:        func(name string) bool { return contains(&g.usedNames, name) },
 		Tracer:       t.Tracer,
 		Scope:        t.Scope,
+
+		CostPlacement: s.Scheduling.CostPlacement,
 	})
 	return g, nil
 }
@@ -266,7 +268,7 @@
 			QueueLength: peerQueueLength, DialTarget: g.tunnelServer(dialTarget).DialTarget,
 		},
 		Membership:        membership.DefaultConfig(),
-		Gossip:            spreadConfig(),
+		Gossip:            g.spreadConfig(),
 		Seeds:             s.Peers.Seeds,
 		ListInstances:     g.registrar.List,
 		ListInterval:      listInterval,
@@ -284,9 +286,12 @@
 // within the limit of two seconds. Larger records are fetched and don't count.
 const pushBytesPerSecond = 256 << 10
 
-func spreadConfig() spread.Config {
+func (g *Gateway) spreadConfig() spread.Config {
 	c := spread.DefaultConfig()
 	c.PushBytesPerSecond = pushBytesPerSecond
+	if g.settings.Scheduling.CostPlacement {
+		c = withDigests(c)
+	}
 	return c
 }
 
@@ -318,7 +323,7 @@
 			shares[name][t.DataCentre] += 1 / float64(len(usable[name]))
 			list = append(list, routing.Target{
 				Incarnation: t.Incarnation(), Name: t.Name, Pool: name, Address: t.Address,
-				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots),
+				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots), Memory: service.CacheTokens,
 			})
 		}
 		if service.Batch == nil {
--- a/daemon/gateway/run.go
+++ b/daemon/gateway/run.go
@@ -56,9 +56,13 @@
 		addServer(&group, inbound.New(g.metrics, g.adminHandler(), inbound.Options{HeaderTimeout: adminHeaderTimeout}))
 	}
 	group.Add(g.cluster.Execute, g.cluster.Interrupt)
-	for _, loop := range []func(context.Context) error{
+	loops := []func(context.Context) error{
 		g.follower.Run, g.registrar.Run, g.stages.Run, g.blocklist.Run, g.limits.Run, g.streams.Run, g.client.Run, g.closeIdleConnections,
-	} {
+	}
+	if g.settings.Scheduling.CostPlacement {
+		loops = append(loops, g.newDigests().Run)
+	}
+	for _, loop := range loops {
 		loopContext, stop := context.WithCancel(background)
 		group.Add(func() error { return loop(loopContext) }, func(error) { stop() })
 	}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -75,6 +75,8 @@
 	comments []byte
 	// silent is true while the target has sent nothing for so long that another one was sought.
 	silent bool
+	// resumed is true if the attempt continues a stream.
+	resumed bool
 	// notFound is why the latest search for another target found none.
 	notFound string
 	// firstData is the time from the start to the first part of the reply; 0 before.
@@ -91,12 +93,13 @@
 	a := &attempt{
 		target: t, started: now, lastData: now, ctx: ctx, cancel: cancel, span: span, abandoned: make(chan struct{}),
 		grant: q.grant, knowledgeAge: q.relay.options.KnowledgeAge(), events: sse.NewSplitter(0, q.requiredResumeID()),
+		resumed: q.resumeID() != "",
 	}
 	if q.paced {
 		a.grantedBy = cmp.Or(q.grant.holder, q.owner)
 	}
 	q.grant = grant{number: q.grant.number}
-	a.tracked = q.relay.options.Router.Started(a.started, t.Incarnation, 1)
+	a.tracked = q.relay.options.Router.StartedWork(a.started, t.Incarnation, q.predictWork())
 	q.open = append(q.open, a)
 	if q.current == nil || !slices.Contains(q.open, q.current) {
 		q.current = a
--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -60,6 +60,7 @@
 
 func (q *request) targetQuery() routing.Query {
 	query := routing.Query{
+		Work: q.predictWork(),
 		Pool: q.service, Model: q.call.Model, Version: q.streamVersion, Exclude: q.unwanted(), Rank: q.priority, Preferred: q.preferredEngine,
 	}
 	if q.route.PrefixCaching {
--- a/daemon/relay/race.go
+++ b/daemon/relay/race.go
@@ -82,6 +82,9 @@
 // close records the end of an attempt.
 func (q *request) close(ctx context.Context, a *attempt, outcome routing.Outcome, err error) {
 	q.open = slices.DeleteFunc(q.open, func(o *attempt) bool { return o == a })
+	if err == nil && outcome == routing.OutcomeOK {
+		q.observeEnd(a, time.Since(a.started))
+	}
 	a.tracked.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(a.started)})
 	a.end()
 	q.dropGrant(a, 0)
@@ -236,6 +239,7 @@
 		a.firstData = a.lastData.Sub(a.started)
 		q.dropGrant(a, a.firstData)
 		q.releaseRead(a)
+		q.observeFirstEvent(a)
 	}
 	if a.silent {
 		a.silent = false
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/ivyhollow/ivyhollow/coordination/cost"
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
@@ -86,6 +87,8 @@
 	Budgets *retrybudget.Budgets
 	// Blocklist refuses requests that crash their targets.
 	Blocklist blocklist.Records
+	// CostPlacement predicts what requests cost, for the choice of their targets.
+	CostPlacement bool
 	// OnLeaving is called for a target that accepts no new work.
 	OnLeaving func(incarnation string)
 	// Usable reports whether an incarnation may receive new work; nil if each may.
@@ -101,8 +104,10 @@
 	options Options
 	metrics metrics
 	// stop is the planned stop, whether it has begun or not.
-	stop         *plannedStop
-	durations    *durations
+	stop      *plannedStop
+	durations *durations
+	// costs predicts what requests cost; nil without placement by cost.
+	costs        *cost.Model
 	stageWaiters *stageWaiters
 	activeIDs    *activeIDs
 	started      time.Time
@@ -111,7 +116,11 @@
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{options: o, metrics: newMetrics(o.Scope), stop: newPlannedStop(), durations: newDurations(), stageWaiters: newStageWaiters(), activeIDs: newActiveIDs(), started: time.Now()}
+	r := &Relay{options: o, metrics: newMetrics(o.Scope), stop: newPlannedStop(), durations: newDurations(), stageWaiters: newStageWaiters(), activeIDs: newActiveIDs(), started: time.Now()}
+	if o.CostPlacement {
+		r.costs = cost.NewModel()
+	}
+	return r
 }
 
 // InFlight returns the number of requests without their final response.
--- a/daemon/relay/silent_target_test.go
+++ b/daemon/relay/silent_target_test.go
@@ -107,7 +107,7 @@
 		name := fmt.Sprintf("e%d", i)
 		targets = append(targets, routing.Target{Incarnation: name, Name: name, Pool: "engine", Address: server.Listener.Addr().String(), Slots: 4, Version: "v"})
 	}
-	router := routing.New(routing.Config{})
+	router := routing.New(routing.Config{CostPlacement: true})
 	router.SetTargets(time.Now(), routing.Pool{Name: "engine", Objective: catalog.ObjectiveAttainment}, targets)
 	b.budgets = retrybudget.New(retry.Config{RetryRatio: 1, Reserve: 100, HalfLife: time.Hour})
 	b.Relay = New(Options{
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -74,11 +74,21 @@
 	// instances together. LimitInvalid is set if that can't be read.
 	Limit        targetlimit.Statement
 	LimitInvalid bool
+	// Load is what the response says about the target's load; nil if it says nothing.
+	Load *TargetLoad
 	// IdleTimeout is how long the target keeps an idle connection; 0 if the
 	// response does not state it.
 	IdleTimeout time.Duration
 }
 
+// TargetLoad is the load of a target, as the target states it.
+type TargetLoad struct {
+	// Running and Waiting are numbers of requests, Slots is how many may run at once.
+	Running, Waiting, Slots int
+	// Slowdown is how much longer than usual work takes at the moment: 1 is usual; 0 if not stated.
+	Slowdown float64
+}
+
 // Dialect is the encoding of the messages in a wire protocol.
 type Dialect interface {
 	// ParseCallerRequest parses a caller's request. An error names the invalid
