Test the wait for a slot and the ends of resumed streams apart

Cause: without the wait, or with resumed streams observed, no test failed; equal costs already choose the least loaded target. Ruled out: none. Before, after: each case fails without its guard (go test -run 'CostOf|Teach' ./coordination/routing ./daemon/relay).

--- a/coordination/routing/bycost.go
+++ b/coordination/routing/bycost.go
@@ -17,9 +17,6 @@
 	// homeShare is the share of the time to read the shared parts of a prompt up to which a higher
 	// cost counts as equal, so that the home decides. Below 1, a target that has them cached wins.
 	homeShare = 0.5
-	// minHomeRead is the time to read the shared parts from which on they have a home: less is
-	// read again sooner than a wait at their home is over.
-	minHomeRead = 10 * time.Millisecond
 	// equalCost is the difference up to which costs count as equal without a home. Less is chance.
 	equalCost = time.Millisecond
 	// tieScatter, in requests, decides among equal loads at random, so that instances that know the
@@ -125,10 +122,7 @@
 		return equalCost.Seconds(), false
 	}
 	read := w.Estimate.Read.Seconds() * float64(w.sharedTokens()) / float64(w.PromptTokens)
-	if read < minHomeRead.Seconds() {
-		return equalCost.Seconds(), false
-	}
-	return homeShare * read, true
+	return max(homeShare*read, equalCost.Seconds()), true
 }
 
 // costAt returns the cost of the request at a candidate, in seconds: the wait for a slot, its own
--- a/coordination/routing/bycost_test.go
+++ b/coordination/routing/bycost_test.go
@@ -94,7 +94,7 @@
 	f.run(1)
 	assert.Less(t, f.busiest(), 1.3, "in the ten seconds after the recovery")
 	table := newTable(Config{CostPlacement: true}, testTargets(2))
-	w := &Work{Estimate: cost.Estimate{Median: time.Second, Total: time.Second}}
+	w := &Work{Estimate: cost.Estimate{Median: 100 * time.Millisecond, Total: 100 * time.Millisecond}}
 	now := start
 	end := func(took time.Duration, n int) float64 {
 		for range n {
@@ -104,8 +104,8 @@
 		}
 		return table.target("t0").costs.slowdown.read(now.UnixNano())
 	}
-	assert.InDelta(t, 2, end(2*time.Second, 40), 0.4)
-	assert.Equal(t, 1.0, end(time.Second, 12))
+	assert.InDelta(t, 2, end(200*time.Millisecond, 40), 0.4)
+	assert.Equal(t, 1.0, end(100*time.Millisecond, 12))
 }
 
 // Fails if a request whose end isn't reported counts for good, or its late end is counted twice.
@@ -154,6 +154,20 @@
 				table.StartedWork(start, "t0", &Work{Estimate: cost.Estimate{Total: time.Second}})
 			}
 		}},
+		{name: "longer work of fewer requests", change: func(table *Table, _ []Target) {
+			for i := range 9 {
+				total := 50 * time.Millisecond
+				if i < 4 {
+					total = time.Second
+				}
+				table.StartedWork(start, []string{"t0", "t1"}[min(i/4, 1)], &Work{Estimate: cost.Estimate{Total: total}})
+			}
+		}},
+		{name: "queue where a part is cached", change: func(table *Table, _ []Target) {
+			for range 4 {
+				table.StartedWork(start, "t0", &Work{Estimate: cost.Estimate{Total: time.Second}, PromptTokens: 900, Prefix: []PrefixPart{{"a", 900}}})
+			}
+		}},
 		{name: "reported requests", change: func(table *Table, _ []Target) { table.Report(start, "t0", Load{Active: 4, Queued: 3}) }},
 		{name: "peers' requests", change: func(table *Table, _ []Target) {
 			table.PeerDigest(start, "i1", []DigestEntry{{HashTarget("t0"), 5}})
--- a/daemon/relay/costs_test.go
+++ b/daemon/relay/costs_test.go
@@ -21,6 +21,12 @@
 		flush(w, "id: 1\ndata: a\n\nid: 2\nda")
 		panic(http.ErrAbortHandler)
 	}
+	resumed := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("After") == "" {
+			broken(w, r)
+		}
+		flush(w, "id: 2\ndata: b\n\n")
+	}
 	for _, c := range []struct {
 		name     string
 		route    *routes.Route
@@ -31,6 +37,7 @@
 		{"stream", streamRoute(1), events, true, 2},
 		{"plain", &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 1, LatencyObjective: time.Second}, func(w http.ResponseWriter, _ *http.Request) { flush(w, "x") }, true, 0},
 		{"broken", streamRoute(1), broken, false, 0},
+		{"resumed", streamRoute(2), resumed, false, 0},
 		{"error", streamRoute(1), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
