--- a/coordination/routing/bycost_test.go
+++ b/coordination/routing/bycost_test.go
@@ -45,6 +45,7 @@
 		{"no estimates", fleet{shared: 200}, 0.85},
 		{"nothing in common, no estimates", fleet{}, 0.9},
 		{"two engines twice as slow", fleet{shared: 200, slow: 2}, 0.9},
+		{"two slow engines that state it", fleet{shared: 200, slow: 2, report: true}, 0.9},
 		{"plain", fleet{plain: true}, 0.9},
 		{"plain, ten instances", fleet{plain: true, instances: 10}, 0.9},
 		{"ten instances", fleet{shared: 200, instances: 10}, 0.9},
--- a/coordination/routing/costfleet_test.go
+++ b/coordination/routing/costfleet_test.go
@@ -19,6 +19,8 @@
 	sessions int
 	// plain is true if the targets have no prompt cache, cutOff if the first instance exchanges no digests.
 	plain, cutOff bool
+	// report is true if responses state the engine's load and slowdown.
+	report bool
 	// recoverAt is when the slow engines become as fast as the others; 0 for never.
 	recoverAt time.Duration
 	// load is the share of the engines' capacity, digestEvery the interval of the digests; 0 for none.
@@ -193,13 +195,18 @@
 	attempt := t.StartedWork(f.now, choice.Target.Incarnation, q.Work)
 	sent := f.now
 	f.after(simDelay, func() {
-		f.engines[choice.Target.Incarnation].run(f, r, func() {
+		e := f.engines[choice.Target.Incarnation]
+		e.run(f, r, func() {
+			state := Load{Active: e.running, Queued: len(e.waiting), Slots: simSlots, Slowdown: e.slow, Age: simDelay}
 			f.after(simDelay, func() {
 				if had, ok := attempt.Conditions(f.now); ok {
 					cr.Uncached = had.Uncached
 					m.Observe(f.now, cr, cost.Observation{Total: f.now.Sub(sent), Wait: had.Wait, Slowdown: had.Slowdown})
 				}
 				attempt.Done(f.now, Result{Latency: f.now.Sub(sent)})
+				if f.report {
+					t.Report(f.now, choice.Target.Incarnation, state)
+				}
 				f.answered++
 				if !r.heavy {
 					f.light = append(f.light, f.now.Sub(r.arrived))
--- a/coordination/routing/doc.go
+++ b/coordination/routing/doc.go
@@ -6,7 +6,8 @@
 // arguments. Updates of lists, leaving targets and digests (SetTargets, Leaving,
 // PeerDigest, Digest) are serialised; SetTargets and Leaving publish an immutable
 // view through an atomic pointer. Pick, Started and Done read that view and change
-// only the atomics of single targets, so the request path takes no shared lock.
+// only the atomics of single targets, so the request path takes no shared lock. With
+// Config.CostPlacement each target has an account of its work under a lock of its own.
 //
 // Pick uses the power of two choices (Mitzenmacher, "The Power of Two Choices in
 // Randomized Load Balancing", IEEE TPDS 2001) on the estimated load from all
--- a/coordination/routing/pick_test.go
+++ b/coordination/routing/pick_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/ivyhollow/ivyhollow/coordination/cost"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -22,7 +23,7 @@
 			targets[i].Models = [][]string{nil, {"a"}, {"b"}, {"a", "b"}}[rapid.IntRange(0, 3).Draw(rt, "models")]
 			targets[i].DataCentre = rapid.SampledFrom([]string{"dc-0", "dc-1"}).Draw(rt, "dc")
 		}
-		table := newTable(Config{}, targets)
+		table := newTable(Config{CostPlacement: rapid.Bool().Draw(rt, "cost placement")}, targets)
 		listed := targets
 		leaving := map[string]bool{}
 		now := start
@@ -51,7 +52,7 @@
 				}
 			},
 			"report": func(rt *rapid.T) {
-				table.Report(now, name(), Load{Active: rapid.IntRange(0, 9).Draw(rt, "active"), Age: time.Second})
+				table.Report(now, name(), Load{Active: rapid.IntRange(0, 9).Draw(rt, "active"), Slowdown: rapid.Float64Range(0, 3).Draw(rt, "slowdown"), Age: time.Second})
 			},
 			"digest": func(rt *rapid.T) {
 				in := rapid.SampledFrom([]uint16{0, 7, Suspected}).Draw(rt, "in")
@@ -65,6 +66,10 @@
 					Rank:    rapid.IntRange(0, 1).Draw(rt, "rank"),
 					Prefix:  []PrefixPart{{rapid.SampledFrom([]string{"p", "q"}).Draw(rt, "part"), 100}},
 				}
+				q.Work = &Work{
+					Estimate:     cost.Estimate{Read: time.Millisecond, Total: time.Duration(rapid.IntRange(0, 9999).Draw(rt, "total")) * time.Millisecond},
+					PromptTokens: rapid.IntRange(0, 200).Draw(rt, "tokens"), Prefix: q.Prefix,
+				}
 				eligible := map[string]bool{}
 				for _, target := range listed {
 					if !leaving[target.Incarnation] && !slices.Contains(q.Exclude, target.Incarnation) && target.Fits(&q) {
@@ -80,7 +85,7 @@
 				}
 				require.NoError(rt, err)
 				require.True(rt, eligible[choice.Target.Incarnation], choice.Target.Incarnation)
-				inFlight = append(inFlight, table.Started(now, choice.Target.Incarnation, 1))
+				inFlight = append(inFlight, table.StartedWork(now, choice.Target.Incarnation, q.Work))
 			},
 		})
 	})
