--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -30,8 +30,6 @@
 	Account string
 	// Digest identifies the content of a request; it is the same for repeats.
 	Digest string
-	// Account is the name of the client account.
-	Account string
 	// Parts are the digests of the shared parts of a request's prompt.
 	Parts      []string
 	Pipeline   string
@@ -93,7 +91,6 @@
 	kv = appendText(kv, "attempt_id", e.AttemptID)
 	kv = appendText(kv, "account", e.Account)
 	kv = appendText(kv, "digest", e.Digest)
-	kv = appendText(kv, "account", e.Account)
 	kv = appendText(kv, "parts", strings.Join(e.Parts, ","))
 	kv = appendText(kv, "pipeline", e.Pipeline)
 	kv = appendText(kv, "pool", e.Pool)
