Read the count of reservations under the lock in a test

Cause: TestHandoverKeepsReservations raced with the ticks of the queue (go test -race). Before: DATA RACE. Conclusion: only the test was at fault.

--- a/daemon/stages/reservations_test.go
+++ b/daemon/stages/reservations_test.go
@@ -33,10 +33,16 @@
 		s.queue.unfreeze(s.queue.freeze())
 		s.Handover(t.Context())
 		require.Equal(t, "at-b", s.queue.movedTo)
-		require.Zero(t, s.queue.planner.ReservationCount())
-		require.Equal(t, 1, next.queue.planner.ReservationCount())
+		require.Zero(t, reservations(s))
+		require.Equal(t, 1, reservations(next))
 		time.Sleep(time.Second + 2*tick) // virtual
 		synctest.Wait()
-		require.Zero(t, next.queue.planner.ReservationCount(), "a reservation of an idle queue doesn't end")
+		require.Zero(t, reservations(next), "a reservation of an idle queue doesn't end")
 	})
 }
+
+func reservations(s *Stages) int {
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	return s.queue.planner.ReservationCount()
+}
--- a/daemon/stages/wire_test.go
+++ b/daemon/stages/wire_test.go
@@ -86,7 +86,7 @@
 			"64cb40040000000000009193a5726f75746526cb400c000000000000c2"},
 		{"handover, replaced target", &handoverPart{State: gather.State{Targets: []gather.TargetState{{Replaced: true}}}}, "93cf000000000000000094c0c0919ca0a0a0a0a0c3cb0000000000000000c2d300000000000000000000c0c0c2"},
 		{"schedule of a handover", &schedulePart{Number: 44, State: gather.ScheduleState{
-			Requests:     []gather.ScheduledRequest{{ID: "id", Account: "account", Yields: true, KeyDelays: []time.Duration{45}}},
+			Requests: []gather.ScheduledRequest{{ID: "id", Account: "account", Yields: true, KeyDelays: []time.Duration{45}}},
 			Reservations: []gather.ReservationState{{
 				Account: "account", Route: "route", Fingerprint: "fingerprint", Reserved: true, Rank: 4.5, Boosted: true, Due: 46, ToldAt: 47, ExpiresAt: 48,
 				MaxRetryDelay: 49, Work: []gather.ReservedWorkState{{Service: "service", Pieces: 50, PieceTime: 51}},
