Keep load digests within the control traffic of an instance

Cause: digests every 200 ms with 4 KiB are 20 KB a second and instance, ten times what an instance of a large fleet may send for control.

--- a/daemon/gateway/costs.go
+++ b/daemon/gateway/costs.go
@@ -11,21 +11,15 @@
 )
 
 const (
-	// digestInterval is the time between two transmissions of load digests. Heavy requests run for
-	// seconds; of what a digest older than that shows, too much has ended.
-	digestInterval = 200 * time.Millisecond
-	// maxDigestBytes is the maximum of bytes of digests that an instance sends in that interval: its
-	// own to some 25 others. Among more instances it passes on as many digests, so that those of 90
-	// instances reach each other within a second.
-	maxDigestBytes = 4 << 10
 	// maxDigestOrigins bounds the instances whose digests are kept: those of the largest fleet for
 	// which a second is young enough. Entries of others would count as no load.
 	maxDigestOrigins = 128
 )
 
-// withDigests adds the exchange of load digests to the configuration of the gossip.
+// withDigests adds the exchange of load digests to the configuration of the gossip, within the
+// control traffic that an instance may cause in a fleet of several hundred.
 func withDigests(c spread.Config) spread.Config {
-	c.LoadInterval, c.MaxLoadBytes = digestInterval, maxDigestBytes
+	c.MaxLoadBytes = load.GossipConfig().MaxLoadBytes
 	return c
 }
 
