Hold reservations to the requests served in time without them

Cause: the play of returning callers allowed three loads to lose 3 to 5 in 100 of the requests served within the objective; these bounds were measured figures. Change: one bound for all loads, 0.5 in 100 for the scatter of two plays. Conclusion: open.

--- a/coordination/gather/retryload_test.go
+++ b/coordination/gather/retryload_test.go
@@ -164,26 +164,25 @@
 
 func (l retryLoad) served() int { return l.first + l.again }
 
+// timelyScatter is the share by which the requests served within their objective may differ in two
+// plays that differ in the order of a few events only.
+const timelyScatter = 0.005
+
 // Prevents times told to callers at which they are refused again, and reservations at the cost of
 // others: neither all served nor those served within their objective may be fewer than without.
 func TestReturningCallersAreServed(t *testing.T) {
 	for name, c := range map[string]struct {
 		objective, burst time.Duration
-		// lost is the share of those served within their objective that reservations may cost: a
-		// longer burst than expected is found out late, the keys of accounts aren't planned for
-		// exactly, and some callers of several stages who
-		// were told short times were served within it.
-		lost    float64
-		stages  []Stage
-		sharing bool
+		stages           []Stage
+		sharing          bool
 	}{
-		"objective of 1.5 s": {1500 * time.Millisecond, 2 * time.Second, 0.005, nil, false},
-		"objective of 2 s":   {2 * time.Second, 2 * time.Second, 0.005, nil, false},
-		"objective of 2.5 s": {2500 * time.Millisecond, 2 * time.Second, 0.005, nil, false},
-		"objective of 1 s":   {time.Second, time.Second, 0.005, nil, false},
-		"burst of 6 s":       {2 * time.Second, 6 * time.Second, 0.05, nil, false},
-		"accounts share":     {2 * time.Second, 2 * time.Second, 0.03, nil, true},
-		"three stages":       {2 * time.Second, 2 * time.Second, 0.03, chain("", 1, 1, 1).Stages, false},
+		"objective of 1.5 s": {1500 * time.Millisecond, 2 * time.Second, nil, false},
+		"objective of 2 s":   {2 * time.Second, 2 * time.Second, nil, false},
+		"objective of 2.5 s": {2500 * time.Millisecond, 2 * time.Second, nil, false},
+		"objective of 1 s":   {time.Second, time.Second, nil, false},
+		"burst of 6 s":       {2 * time.Second, 6 * time.Second, nil, false},
+		"accounts share":     {2 * time.Second, 2 * time.Second, nil, true},
+		"three stages":       {2 * time.Second, 2 * time.Second, chain("", 1, 1, 1).Stages, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := retryLoad{
@@ -198,7 +197,7 @@
 			require.GreaterOrEqual(t, float64(after.toldServed), 0.8*float64(after.told))
 			require.NotZero(t, after.told)
 			require.Greater(t, after.served(), before.served())
-			require.GreaterOrEqual(t, float64(after.timely), (1-c.lost)*float64(before.timely))
+			require.GreaterOrEqual(t, float64(after.timely), (1-timelyScatter)*float64(before.timely))
 		})
 	}
 }
