Limit nothing where single targets reject

Cause: three rejections began a limit, also those of one target that stops while the others have room, and each later one kept it. Ruled out: no share for keeping the limit (a play of 1 in 60 rejected after an overload stays limited beyond 40 s). Change: the limit begins if 1 in 20 sends is rejected, and a rejection keeps it from rising if 1 in 50 is. Before: TestSingleTargetThatRejectsLimitsNothing fails without either share.

--- a/coordination/accountlimit/accountlimit.go
+++ b/coordination/accountlimit/accountlimit.go
@@ -50,6 +50,11 @@
 	// minRejections is the decaying number of rejections at which the limit begins. Single ones
 	// come from a burst that has filled the queues for a moment.
 	minRejections = 3
+	// beginShare is the share of sends that must be rejected for the limit to begin. Where it is
+	// less, single targets reject, such as one that stops, and another one takes the requests.
+	// keepShare is the share below which a rejection doesn't keep the limit from rising: less than
+	// the limit itself leaves in a lasting overload.
+	beginShare, keepShare = 0.05, 0.02
 	// levelInterval is the interval at which the shares are computed again. The rates change
 	// little in it, and a computation takes the time of many requests if there are many accounts.
 	levelInterval = 20 * time.Millisecond
@@ -96,8 +101,10 @@
 	// asked are all requests and accepted what was sent less what was rejected, both since the
 	// limit began. The ratio of two rates of the same age is right also
 	// while both are far from settled.
-	asked, accepted, rejections meter
-	lastRejection               time.Time
+	asked, accepted meter
+	// sent and rejections are all sends and rejections.
+	sent, rejections meter
+	lastRejection    time.Time
 	// accepts is what targets accepted, in requests a second, at the last rejection. rejected is
 	// true if there was one since it was computed.
 	accepts  float64
@@ -163,7 +170,9 @@
 // Sent records a send to a target. It counts as accepted until Rejected or NotSent takes it back:
 // a rejection arrives at once, a response only when the work is done.
 func (l *Limiter) Sent(now time.Time, name string) {
-	l.service(now, name).accepted.add(now, 1)
+	s := l.service(now, name)
+	s.accepted.add(now, 1)
+	s.sent.add(now, 1)
 }
 
 // NotSent records that a send has not reached its target.
@@ -176,11 +185,12 @@
 	s := l.service(now, name)
 	s.accepted.add(now, -1)
 	s.rejections.add(now, 1)
-	switch {
-	case s.isLimited(now):
-	case s.rejections.sum(now) < minRejections:
+	rejections, limited := s.rejections.sum(now), s.isLimited(now)
+	share := rejections / max(s.sent.sum(now), 1)
+	if limited && share < keepShare || !limited && (rejections < minRejections || share < beginShare) {
 		return
-	default:
+	}
+	if !limited {
 		s.asked, s.accepted = meter{priorAsked, now}, meter{priorAccepted, now}
 		s.accepts = 0
 	}
