Control the flow of results between stages

Cause: results wait at their targets for readers, callers and the free call. Change: with result_flow_control, calls of a service that binds are filled (a short wait, split requests), pieces whose readers have no time are held back, started requests keep their rank, results at targets that are half full are freed at once, and large results leave less room unused.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -67,7 +67,7 @@
 			if !ok {
 				return 0, false
 			}
-			start += spent
+			start = p.afterStage(start, spent, s, at)
 		}
 		ends[i] = start
 		longest = max(longest, start)
--- a/coordination/gather/backlog.go
+++ b/coordination/gather/backlog.go
@@ -107,6 +107,9 @@
 	rank, bucket := req.rank(now), bucketOf(req.Objective)
 	for _, s := range req.stages {
 		s.updateBacklog(rank, bucket)
+		if req.flowControl {
+			s.updateReleased()
+		}
 	}
 }
 
@@ -146,5 +149,6 @@
 func (req *heldRequest) leaveBacklog() {
 	for _, s := range req.stages {
 		s.leaveBacklog()
+		s.countReleased(0)
 	}
 }
--- a/coordination/gather/capacity.go
+++ b/coordination/gather/capacity.go
@@ -26,13 +26,14 @@
 // requests that need these wait half a second and more.
 const smallResultShare = 0.08
 
-// maxResults returns how many results of a size fit into the free capacity.
-func (s *service) maxResults(free, size int64) int {
+// maxResults returns how many results of a size fit into the free capacity, of which large ones
+// leave a reserve to small ones.
+func (s *service) maxResults(free, size, reserve int64) int {
 	if s.config.ResultCapacity <= 0 || size <= 0 {
 		return s.config.MaxPieces
 	}
 	if size >= largeResultBytes {
-		free -= int64(smallResultShare * float64(s.config.ResultCapacity))
+		free -= reserve
 	}
 	return int(max(free, 0) / size)
 }
--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -40,7 +40,7 @@
 	ordered := p.sortedQueue(now, s)
 	fast := s.fastDataCentres(now)
 	for _, t := range free {
-		if chosen := p.choosePieces(now, t, ordered, fast); len(chosen) > 0 {
+		if chosen := p.choosePieces(now, t, ordered, fast); len(chosen) > 0 && !p.waitsToFill(now, t, chosen) {
 			p.startCall(now, t, chosen)
 			ordered = slices.DeleteFunc(ordered, func(c candidate) bool { return len(c.stage.pending) == 0 })
 		}
@@ -90,11 +90,11 @@
 		}
 		st := c.stage
 		n := len(st.pending)
-		if n == 0 || (n > left && len(chosen) > 0) || !canShareCall(chosen, st.request) || p.waitsForCloserTarget(now, t, st, fastDataCentres) {
+		if n == 0 || (n > left && len(chosen) > 0 && !p.maySplit(now, s, len(chosen))) || p.heldBack(now, st) || !canShareCall(chosen, st.request) || p.waitsForCloserTarget(now, t, st, fastDataCentres) {
 			continue
 		}
 		n = min(n, left)
-		if most := s.maxResults(free, st.ResultBytes); most < n {
+		if most := s.maxResults(free, st.ResultBytes, p.largeResultReserve(s)); most < n {
 			p.noteCapacityShortage(now, t)
 			n = most
 		}
--- a/coordination/gather/export.go
+++ b/coordination/gather/export.go
@@ -37,7 +37,7 @@
 	clear(p.requests)
 	clear(p.calls)
 	for _, s := range p.services {
-		s.queue = nil
+		s.queue, s.flow = nil, releaseFlow{}
 	}
 	return state
 }
--- a/coordination/gather/fleet_test.go
+++ b/coordination/gather/fleet_test.go
@@ -109,6 +109,9 @@
 	// plannerTime is the time spent in the planner.
 	plannerTime time.Duration
 	maxHeld     int
+	dataCentres int
+	// carryOut replaces how calls run and results are freed; it reports whether it did.
+	carryOut func(Action) bool
 }
 
 type fleetOpen struct {
@@ -140,20 +143,24 @@
 }
 
 func newFleetRun(seed uint64, scale float64) *fleetRun {
+	return newFleetRunOf(seed, Config{}, fleetServices(scale), fleetKinds(scale), 5)
+}
+
+func newFleetRunOf(seed uint64, config Config, services []fleetService, kinds []fleetKind, dataCentres int) *fleetRun {
 	r := &fleetRun{
-		planner: New(Config{}), rng: rand.New(rand.NewPCG(seed, 1)), kinds: fleetKinds(scale),
+		planner: New(config), rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, dataCentres: dataCentres,
 		surge: func(string, time.Duration) float64 { return 1 },
 		begin: time.Unix(1000, 0), now: time.Unix(1000, 0),
 		open: map[string]fleetOpen{}, results: map[string]*fleetResult{},
 		calls: map[string]int{}, pieces: map[string]int{}, services: map[string]fleetService{},
 	}
-	for _, s := range fleetServices(scale) {
+	for _, s := range services {
 		r.services[s.name] = s
 		r.planner.SetService(s.name, s.config)
 		var list []Target
 		for i := range s.targets {
 			id := fmt.Sprintf("%s-%d", s.name, i)
-			list = append(list, Target{Incarnation: id, Name: id, Address: id, DataCentre: fmt.Sprint("dc", i%5)})
+			list = append(list, Target{Incarnation: id, Name: id, Address: id, DataCentre: fmt.Sprint("dc", i%dataCentres)})
 		}
 		r.step(func() []Action { return r.planner.SetTargets(r.now, s.name, list) })
 	}
@@ -192,7 +199,7 @@
 	q := Request{
 		ID: fmt.Sprint("q", r.nextID), Route: k.name, Key: "k", Priority: 1, KindPriority: k.priority,
 		Stages: k.stages(r.rng), Objective: r.now.Add(k.objective), Deadline: r.now.Add(k.deadline),
-		Remaining: k.readDelay, DataCentre: fmt.Sprint("dc", r.rng.IntN(5)),
+		Remaining: k.readDelay, DataCentre: fmt.Sprint("dc", r.rng.IntN(r.dataCentres)),
 	}
 	r.results[k.name].submitted++
 	r.open[q.ID] = fleetOpen{k, q.Objective}
@@ -213,6 +220,9 @@
 	actions := step()
 	r.plannerTime += time.Since(begin)
 	for _, a := range actions {
+		if r.carryOut != nil && r.carryOut(a) {
+			continue
+		}
 		switch a := a.(type) {
 		case StartCall:
 			r.call(a)
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -445,7 +445,7 @@
 			return
 		}
 	}
-	p.actions = append(p.actions, FreeResults{Target: t, Service: producer.service.name, Handles: []string{handle}})
+	p.actions = append(p.actions, FreeResults{Target: t, Service: producer.service.name, Handles: []string{handle}, Urgent: p.config.ResultFlowControl && producer.nearlyFull()})
 }
 
 // FreeDone reports that a target has freed results, or couldn't be notified.
--- a/coordination/gather/results.go
+++ b/coordination/gather/results.go
@@ -55,6 +55,7 @@
 		outcome = CallUnanswered
 	}
 	t.calls--
+	t.idleSince = now
 	t.usedBytes -= c.bytes
 	if outcome == CallTargetCrashed {
 		outcome = CallUnanswered
--- a/coordination/gather/target.go
+++ b/coordination/gather/target.go
@@ -18,6 +18,7 @@
 	// queue holds the stages with pending pieces.
 	queue   []*heldStage
 	backlog backlog
+	flow    releaseFlow
 	times   callTimes
 	// arrivalRates has the recent arrival rate of pieces by rank.
 	arrivalRates map[float64]*rate
@@ -36,6 +37,8 @@
 	slowness float64
 	// lastCallAt is when the latest call started.
 	lastCallAt time.Time
+	// idleSince is when the latest call ended.
+	idleSince time.Time
 	// downUntil is when a target that failed is tried again. unansweredCalls counts the
 	// calls in a row without an answer.
 	downUntil       time.Time
--- a/coordination/gather/types.go
+++ b/coordination/gather/types.go
@@ -18,6 +18,8 @@
 	ResultCapacity int64
 	// ResultTTL is how long a result is kept unless it is freed earlier.
 	ResultTTL time.Duration
+	// LinkRate is the rate of a target's link in bits a second; 0 if unknown.
+	LinkRate int64
 	// Pace limits the calls to each target.
 	Pace pacing.Pace
 }
@@ -189,6 +191,8 @@
 	Target  Target
 	Service string
 	Handles []string
+	// Urgent is true if the target needs the capacity for its next call.
+	Urgent bool
 }
 
 func (StartCall) gatherAction()   {}
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -24,6 +24,8 @@
 	// latestStart is the latest time at which the remaining stages must start for the
 	// request to meet its objective.
 	latestStart time.Time
+	// flowControl is Config.ResultFlowControl.
+	flowControl bool
 }
 
 // priorityBoost is how much higher requests of an underserved kind rank: ahead of all
@@ -40,7 +42,7 @@
 
 // rank is baseRank with a penalty for requests that can't meet their objectives any more.
 func (req *heldRequest) rank(now time.Time) float64 {
-	if now.After(req.latestStart) {
+	if now.After(req.latestStart) && !req.keepsRank() {
 		return req.baseRank() + missedObjectivePenalty
 	}
 	return req.baseRank()
@@ -72,6 +74,8 @@
 	inputsReadAt time.Time
 	// backlogEntry is how its pending pieces are counted in the service's backlog.
 	backlogEntry backlogEntry
+	// releasedPieces is how many of its pieces are counted in the service's releaseFlow.
+	releasedPieces int
 	// sentAt and endedAt are when the latest call with pieces of it started and ended.
 	sentAt, endedAt time.Time
 }
@@ -87,7 +91,7 @@
 
 // newHeldRequest sets up a request and its stages, none of them queued yet.
 func (p *Planner) newHeldRequest(r Request) *heldRequest {
-	req := &heldRequest{Request: r}
+	req := &heldRequest{Request: r, flowControl: p.config.ResultFlowControl}
 	for i, s := range r.Stages {
 		sv := p.service(s.Service)
 		st := &heldStage{request: req, service: sv, index: i, timeFactor: sv.times.pieceFactor(pieceKind{r.Route, i}), Stage: s, results: make([]*result, s.Pieces)}
--- a/daemon/stages/metrics.go
+++ b/daemon/stages/metrics.go
@@ -14,15 +14,52 @@
 	// elapsed is the time that the stages of a request took. longer and shorter are the
 	// amounts by which this time was above or below the prediction.
 	elapsed, longer, shorter tally.Timer
+	// services has the services that have metrics of their own. It is used under the queue's mu.
+	services map[string]bool
+}
+
+// maxServiceLabels bounds the services that have metrics of their own; a configuration has a few.
+const maxServiceLabels = 32
+
+// ofService returns the scope of a service, one for all services beyond the bound.
+func (m metrics) ofService(name string) tally.Scope {
+	if !m.services[name] {
+		if len(m.services) >= maxServiceLabels {
+			name = "other"
+		} else {
+			m.services[name] = true
+		}
+	}
+	return m.scope.Tagged(map[string]string{"service": name})
+}
+
+// callFill records how many pieces a call carries, of at most most. It records nothing if most is 0.
+func (m metrics) callFill(service string, pieces, most int) {
+	if most > 0 {
+		m.ofService(service).Counter("call_pieces").Inc(int64(pieces))
+		m.ofService(service).Counter("call_max_pieces").Inc(int64(most))
+	}
+}
+
+// binding records which services bind.
+func (m metrics) binding(services map[string]bool) {
+	for name, binds := range services {
+		value := 0.0
+		if binds {
+			value = 1
+		}
+		m.ofService(name).Gauge("binding").Update(value)
+	}
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("stages")
 	return metrics{
-		scope:   scope,
-		elapsed: scope.Timer("taken"),
-		longer:  scope.Timer("longer_than_predicted"),
-		shorter: scope.Timer("shorter_than_predicted"),
+		scope:    scope,
+		services: map[string]bool{},
+		elapsed:  scope.Timer("taken"),
+		longer:   scope.Timer("longer_than_predicted"),
+		shorter:  scope.Timer("shorter_than_predicted"),
 	}
 }
 
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -128,7 +128,7 @@
 		Pace:  pace,
 		Slots: b.Slots, MaxPieces: b.MaxPieces,
 		CallTime: b.CallTime, PieceTime: b.PieceTime,
-		ResultCapacity: b.ResultCapacity, ResultTTL: b.ResultTTL,
+		ResultCapacity: b.ResultCapacity, ResultTTL: b.ResultTTL, LinkRate: b.LinkRate,
 	}
 }
 
@@ -145,6 +145,7 @@
 			q.lockAndCheckStall()
 			idle := q.planner.RequestCount() == 0
 			q.engines.Tick(now)
+			q.metrics.binding(q.planner.BindingServices(now))
 			q.mu.Unlock()
 			q.dropUnclaimed(now)
 			q.dropOrphaned(now, view())
@@ -295,6 +296,7 @@
 			q.scheduleFree(a)
 		case gather.StartCall:
 			q.runningCalls++
+			q.metrics.callFill(a.Service, len(a.Pieces), q.planner.MaxPieces(a.Service))
 		}
 	}
 }
@@ -350,16 +352,19 @@
 	collected, waits := q.pendingFree[f.Target]
 	f.Handles = append(collected.Handles, f.Handles...)
 	q.pendingFree[f.Target] = f
-	if !waits {
-		time.AfterFunc(q.freeDelayAt(f.Target), func() { q.free(f.Target) })
+	if delay := q.freeDelayOf(f); !waits || delay == 0 {
+		time.AfterFunc(delay, func() { q.free(f.Target) })
 	}
 }
 
-// freeDelayAt returns how long the results of a target are collected. mu must be held.
-func (q *queue) freeDelayAt(t gather.Target) time.Duration {
-	if _, limited := q.targetLimits[t.Incarnation]; limited {
+// freeDelayOf returns how long results to free are collected. mu must be held.
+func (q *queue) freeDelayOf(f gather.FreeResults) time.Duration {
+	if _, limited := q.targetLimits[f.Target.Incarnation]; limited {
 		return limitedFreeDelay
 	}
+	if f.Urgent {
+		return 0
+	}
 	return freeDelay
 }
 
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -150,6 +150,9 @@
 	ResultCapacity int64
 	// ResultTTL is how long a result is stored unless it is freed earlier.
 	ResultTTL time.Duration
+	// LinkRate is the rate of a target's link in bits a second; 0 if the configuration does
+	// not specify it.
+	LinkRate int64
 }
 
 // Account is a client account.
