--- a/coordination/gather/handover_test.go
+++ b/coordination/gather/handover_test.go
@@ -13,7 +13,7 @@
 func (r *rig) handover(before ...func()) {
 	state := r.planner.Export(r.now)
 	require.Zero(r.t, r.planner.RequestCount())
-	next := New(Config{})
+	next := New(r.config)
 	for name, s := range r.services {
 		next.SetService(name, s.config)
 		require.Empty(r.t, next.SetTargets(r.now, name, s.targets))
--- a/coordination/gather/planner_test.go
+++ b/coordination/gather/planner_test.go
@@ -31,6 +31,8 @@
 	services map[string]listedService
 	// endCount counts how often each request ended.
 	endCount map[string]int
+	// config is that of the planners.
+	config Config
 }
 
 type listedService struct {
@@ -43,9 +45,11 @@
 	ends time.Time
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigOf(t, Config{}) }
+
+func newRigOf(t *testing.T, config Config) *rig {
 	return &rig{
-		t: t, planner: New(Config{}), now: time.Unix(1000, 0),
+		t: t, config: config, planner: New(config), now: time.Unix(1000, 0),
 		completed: map[string][]string{}, refused: map[string]Refused{}, starts: map[string]int{},
 		services: map[string]listedService{}, endCount: map[string]int{},
 	}
--- a/coordination/gather/property_test.go
+++ b/coordination/gather/property_test.go
@@ -15,7 +15,7 @@
 // ends once, and nothing is held forever.
 func TestAnyOrderOfFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		r := newRig(t)
+		r := newRigOf(t, Config{ResultFlowControl: rapid.Bool().Draw(rt, "flow control")})
 		config := smallBatch
 		config.ResultTTL = time.Duration(rapid.IntRange(300, 3000).Draw(rt, "keep")) * time.Millisecond
 		config.ResultCapacity = int64(rapid.IntRange(5, 40).Draw(rt, "room")) * 1000
@@ -66,6 +66,7 @@
 			}
 			r.run(time.Duration(rapid.IntRange(10, 400).Draw(rt, "pause")) * time.Millisecond)
 			checkBacklog(rt, r.planner)
+			checkReleased(rt, r.planner)
 		}
 		r.run(12 * time.Second)
 		for _, c := range r.calls {
