--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -90,7 +90,7 @@
 		}
 		st := c.stage
 		n := len(st.pending)
-		if n == 0 || (n > left && len(chosen) > 0 && !p.maySplit(now, s, len(chosen))) || p.heldBack(now, st) || !canShareCall(chosen, st.request) || p.waitsForCloserTarget(now, t, st, fastDataCentres) {
+		if n == 0 || (n > left && len(chosen) > 0 && !p.maySplit(now, s)) || p.heldBack(now, st) || !canShareCall(chosen, st.request) || p.waitsForCloserTarget(now, t, st, fastDataCentres) {
 			continue
 		}
 		n = min(n, left)
--- a/coordination/gather/flow.go
+++ b/coordination/gather/flow.go
@@ -8,18 +8,16 @@
 // Flow control between stages (Config.ResultFlowControl) shortens the time that results occupy
 // their targets, and with it the room that keeps calls of the stage that binds from being full.
 const (
-	// fullShare is the share of MaxPieces from which a call counts as full: a stage that binds
-	// must work at this share of its throughput.
-	fullShare = 0.95
-	// fillShare is the share of MaxPieces from which a call isn't delayed to be filled. It is
-	// below fullShare since large results may not fit exactly.
+	// fillShare is the share of MaxPieces from which a call isn't delayed to be filled: large
+	// results may not fit exactly.
 	fillShare = 0.9
 	// maxFillWait bounds the delay of a call to be filled: half the fixed time of a usual call,
 	// which the call saves if two become one.
 	maxFillWait = 100 * time.Millisecond
 	// releaseMargin is the work that may wait at a stage beyond what it does until a call of the
-	// stage before it ends: some calls of all targets end within it, so that none runs idle.
-	releaseMargin = 100 * time.Millisecond
+	// stage before it ends: the fixed time of a usual call, so that it doesn't run idle between
+	// two of them.
+	releaseMargin = 200 * time.Millisecond
 	// nearlyFullShare is the share of its capacity from which results are freed at once: the
 	// results of a call and those of the call before it share the capacity.
 	nearlyFullShare = 0.5
@@ -143,10 +141,10 @@
 	return false
 }
 
-// maySplit reports whether the pieces of a stage may be split to fill a call that has chosen pieces
-// so far. The parts then read the same inputs, so only a service that binds does so.
-func (p *Planner) maySplit(now time.Time, s *service, chosen int) bool {
-	return p.config.ResultFlowControl && float64(chosen) < fullShare*float64(s.config.MaxPieces) && s.binds(now)
+// maySplit reports whether the pieces of a stage may be split to fill a call. The parts then read the
+// same inputs, so only a service that binds does so.
+func (p *Planner) maySplit(now time.Time, s *service) bool {
+	return p.config.ResultFlowControl && s.binds(now)
 }
 
 // waitsToFill reports whether a call of a service that binds should wait for more pieces, or for
--- a/daemon/stages/free_test.go
+++ b/daemon/stages/free_test.go
@@ -72,3 +72,37 @@
 		require.Equal(t, []string{"last"}, recorder.recorded()[len(recorder.recorded())-1])
 	})
 }
+
+// Guards against results that occupy a target which needs their capacity at once, and against extra
+// calls to a target that names a limit.
+func TestUrgentResultsAreFreedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var recorder freeRecorder
+		q := newQueue(&recorder, nil, nil, gather.Config{}, newMetrics(tally.NoopScope))
+		q.setLimits(time.Now(), map[string]float64{"limited": 10})
+		for _, f := range []gather.FreeResults{
+			{Target: gather.Target{Incarnation: "other"}, Handles: []string{"first"}},
+			{Target: gather.Target{Incarnation: "other"}, Handles: []string{"second"}, Urgent: true},
+			{Target: gather.Target{Incarnation: "limited"}, Handles: []string{"third"}, Urgent: true},
+		} {
+			q.mu.Lock()
+			q.scheduleFree(f)
+			q.mu.Unlock()
+		}
+		synctest.Wait()
+		require.Equal(t, [][]string{{"first", "second"}}, recorder.recorded())
+		time.Sleep(2 * limitedFreeDelay)
+		require.Len(t, recorder.recorded(), 2)
+	})
+}
+
+// Guards against metrics that grow with the number of services.
+func TestServiceLabelsAreBounded(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := newMetrics(scope)
+	for i := range 2 * maxServiceLabels {
+		m.callFill(fmt.Sprint(i), 3, 4)
+	}
+	m.callFill("without flow control", 3, 0)
+	require.LessOrEqual(t, len(scope.Snapshot().Counters()), 2*(maxServiceLabels+1))
+}
