--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -79,12 +79,12 @@
 				return 0, false
 			}
 			if at.due.IsZero() {
-				spent += wait
+				start = p.afterStage(start, wait+spent, s, at)
 			} else {
 				// The work ahead of the place waits at all its stages, which do it in parallel.
 				longestWait = max(longestWait, wait)
+				start += spent
 			}
-			start += spent
 		}
 		ends[i] = start
 		longest = max(longest, start)
--- a/coordination/gather/backlog.go
+++ b/coordination/gather/backlog.go
@@ -109,6 +109,9 @@
 	rank, objective := req.rank(now), bucketOf(req.Objective)
 	for _, s := range req.stages {
 		s.updateBacklog(rank, bucketOf(s.key()), objective)
+		if req.flowControl {
+			s.updateReleased()
+		}
 	}
 }
 
@@ -150,5 +153,6 @@
 func (req *heldRequest) leaveBacklog() {
 	for _, s := range req.stages {
 		s.leaveBacklog()
+		s.countReleased(0)
 	}
 }
--- a/coordination/gather/export.go
+++ b/coordination/gather/export.go
@@ -38,7 +38,7 @@
 	clear(p.calls)
 	p.ExportReservations(now) // lost unless ExportSchedule has exported them
 	for _, s := range p.services {
-		s.queue, s.backlog = nil, newBacklog()
+		s.queue, s.backlog, s.flow = nil, newBacklog(), releaseFlow{}
 		s.shares.clearQueued()
 	}
 	return state
--- a/coordination/gather/shares_test.go
+++ b/coordination/gather/shares_test.go
@@ -51,7 +51,7 @@
 		}
 		kinds = append(kinds, k)
 	}
-	return newFleetRunOf(1, l.config, sharedServices, kinds)
+	return newFleetRunOf(1, l.config, sharedServices, kinds, 5)
 }
 
 // served returns the requests of an account that were answered, and their share.
