--- a/coordination/gather/flowplay_test.go
+++ b/coordination/gather/flowplay_test.go
@@ -39,9 +39,9 @@
 
 // flowTotals are the measures of one stage service.
 type flowTotals struct {
-	calls, pieces       int
-	spent, full, wasted time.Duration
-	noRoom, unused      int
+	calls, pieces  int
+	full, wasted   time.Duration
+	noRoom, unused int
 }
 
 // flowRun plays a flowDeployment.
@@ -245,25 +245,32 @@
 		}
 	}
 	t.busyUntil = f.now.Add(took)
-	period := int(f.now.Sub(f.begin) / time.Second)
-	if f.byPeriod[period] == nil {
-		f.byPeriod[period] = map[string]*flowTotals{}
-	}
-	if f.byPeriod[period][c.Service] == nil {
-		f.byPeriod[period][c.Service] = &flowTotals{}
-	}
-	fullTime := config.CallTime + time.Duration(config.MaxPieces)*config.PieceTime
-	for _, w := range []*flowTotals{total, f.byPeriod[period][c.Service]} {
-		w.calls++
-		w.pieces += running
-		w.spent += took
-		w.full += fullTime * time.Duration(running) / time.Duration(config.MaxPieces)
+	full := (config.CallTime + time.Duration(config.MaxPieces)*config.PieceTime) * time.Duration(running) / time.Duration(config.MaxPieces)
+	begin, end := f.now.Sub(f.begin), f.now.Add(took).Sub(f.begin)
+	f.period(begin, c.Service).calls++
+	f.period(begin, c.Service).pieces += running
+	for at := begin; at < end; {
+		next := min(at.Truncate(time.Second)+time.Second, end)
+		f.period(at, c.Service).full += time.Duration(float64(full) * float64(next-at) / float64(took))
+		at = next
 	}
 	f.at(took+time.Millisecond, func() {
 		f.step(func() []Action { return f.planner.CallDone(f.now, c.ID, CallAnswered, results) })
 	})
 }
 
+// period returns the measures of a service in the second of a time since the start.
+func (f *flowRun) period(at time.Duration, service string) *flowTotals {
+	second := int(at / time.Second)
+	if f.byPeriod[second] == nil {
+		f.byPeriod[second] = map[string]*flowTotals{}
+	}
+	if f.byPeriod[second][service] == nil {
+		f.byPeriod[second][service] = &flowTotals{}
+	}
+	return f.byPeriod[second][service]
+}
+
 // overloaded returns the sums over the seconds in which requests were refused, from the second
 // second of the burst on, and the number of these seconds.
 func (f *flowRun) overloaded() (map[string]*flowTotals, int) {
@@ -280,7 +287,6 @@
 			sums[name].calls += t.calls
 			sums[name].pieces += t.pieces
 			sums[name].full += t.full
-			sums[name].spent += t.spent
 		}
 	}
 	return sums, n
