Play accounts that compete in the fault soak

Cause: no play of the soak had more than one client account, demand beyond what targets bear, or callers that come back when they are told to. Change: -accounts of the soak has three accounts, one of which sends several times what targets bear, beside the usual faults, with the four switches of [scheduling] on. It checks the shares, refusals, the time after the faults, and that nothing is left over. Stand-in targets work on one call of pieces at a time if a call takes time. Statuses 429, 408 and 421 count as refusals in all plays.

--- a/testkit/cmd/soak/main.go
+++ b/testkit/cmd/soak/main.go
@@ -20,6 +20,7 @@
 	dir := flag.String("dir", os.TempDir(), "where settings and logs of failed seeds are kept")
 	planned := flag.Bool("planned", false, "do planned work only, and check that no caller loses by it")
 	cuts := flag.Bool("cuts", false, "cut instances from targets only, and check how callers are served")
+	accounts := flag.Bool("accounts", false, "have client accounts compete beside faults, and check how each is served")
 	versions := flag.Bool("versions", false, "roll out software versions of engines beside faults, and check what becomes of streams")
 	instances := flag.Int("instances", 4, "how many instances run")
 	callers := flag.Int("callers", 12, "how many callers there are")
@@ -32,7 +33,7 @@
 		seed := *first + uint64(i)
 		o := soak.Options{
 			Binary: *binary, Dir: filepath.Join(*dir, "soak-"+strconv.FormatUint(seed, 10)),
-			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned, Cuts: *cuts, Versions: *versions,
+			Seed: seed, Faults: *faults, Instances: *instances, Callers: *callers, Planned: *planned, Cuts: *cuts, Versions: *versions, Accounts: *accounts,
 			Silences: *silences, Pauses: *pauses,
 		}
 		if !runSeed(o, *verbose) {
@@ -64,6 +65,9 @@
 	if o.Versions {
 		fmt.Printf("  %+v\n", report.Streams)
 	}
+	for _, a := range report.Accounts {
+		fmt.Printf("  %+v\n", a)
+	}
 	for _, b := range report.Violations {
 		fmt.Println("  broken:", b)
 	}
--- a/testkit/soak/callers.go
+++ b/testkit/soak/callers.go
@@ -48,6 +48,12 @@
 	// stream is the id of the attempt that brought the first event of the stream that is resumed; empty if the
 	// caller doesn't name it.
 	stream string
+	// account is the client account; empty for account-1.
+	account string
+	// deadline is the deadline that the request carries; 0 for requestDeadline.
+	deadline time.Duration
+	// retryAfter is the time of the response's Retry-After; 0 for none.
+	retryAfter time.Duration
 	// instance is the name of the instance that got the request, began when it was sent.
 	instance string
 	began    time.Time
@@ -152,7 +158,7 @@
 	}
 	request.Host = "host.example"
 	request.Header = standin.Call{
-		ID: a.id, Key: (*c.testbed.keys.Load())[0], Wait: requestDeadline, SharedPart: "s1", OtherPart: a.crashPart, Pieces: a.pieceCounts[:], PieceKey: "key" + a.id,
+		ID: a.id, Key: c.testbed.callerKey(a.account), Wait: cmp.Or(a.deadline, requestDeadline), SharedPart: "s1", OtherPart: a.crashPart, Pieces: a.pieceCounts[:], PieceKey: "key" + a.id,
 		LastEvent: a.resumedAfter, Resumes: a.stream,
 	}.Header()
 	response, err := c.client.Do(request)
@@ -160,6 +166,7 @@
 		return // status 0 stands for no response
 	}
 	defer response.Body.Close()
+	a.retryAfter = parseRetryAfter(response.Header.Get("Retry-After"))
 	body, err := io.ReadAll(response.Body)
 	a.status, a.body, a.complete = response.StatusCode, string(body), err == nil
 }
--- a/testkit/soak/check.go
+++ b/testkit/soak/check.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,6 +71,16 @@
 	return ran
 }
 
+// refused reports whether the response promises that the request has not run.
+func (a *callResult) refused() bool {
+	switch a.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkResult checks one result against the arrivals of its request at targets.
 func (tb *testbed) checkResult(a callResult, arrivals []standin.Arrival) {
 	ran := countRuns(arrivals)
@@ -79,7 +90,7 @@
 	if !a.once && ran > 2 {
 		tb.violation("%s %s ran at %d targets", a.path, a.id, ran)
 	}
-	if a.once && ran > 0 && a.status == http.StatusServiceUnavailable {
+	if a.once && ran > 0 && a.refused() {
 		tb.violation("%s %s was called not run and ran", a.path, a.id)
 	}
 	if a.status == http.StatusOK {
@@ -110,7 +121,7 @@
 		return
 	}
 	for _, arrival := range arrivals {
-		if arrival.Body != a.requestBody() || arrival.Path != a.path || arrival.Account() != "account-1" || arrival.HasKey() {
+		if arrival.Body != a.requestBody() || arrival.Path != a.path || arrival.Account() != cmp.Or(a.account, "account-1") || arrival.HasKey() {
 			tb.violation("%s %s reached a target changed: %v", a.path, id, arrival)
 		}
 		if after, err := resumedAfter(arrival); err != nil || after < a.resumedAfter {
--- a/testkit/soak/config.go
+++ b/testkit/soak/config.go
@@ -19,15 +19,21 @@
 func (tb *testbed) writeConfiguration() {
 	tb.configVersion++
 	kept, timeout := keysInForce, requestDeadline
-	if tb.options.Planned {
+	switch {
+	case tb.options.Planned:
 		kept, timeout = keysInForcePlanned, maxStreamDeadline
+	case tb.options.Accounts:
+		kept = keysInForcePlanned
 	}
 	var keys []string
 	for n := range kept {
 		keys = append(keys, fmt.Sprint("key-", tb.configVersion-n))
 	}
-	tb.store.Put("config", "main", standin.Config{
-		Version: tb.configVersion, Keys: keys, Timeout: timeout, ColdRate: tb.coldRate(),
-	}.Body())
+	config := standin.Config{Version: tb.configVersion, Keys: keys, Timeout: timeout, ColdRate: tb.coldRate()}
+	if tb.options.Accounts {
+		config.StageCall, config.StageBatch = scarceStageCall, scarceStageBatch
+		config.OtherAccounts = otherAccounts(keys)
+	}
+	tb.store.Put("config", "main", config.Body())
 	tb.keys.Store(&keys)
 }
--- a/testkit/soak/endings.go
+++ b/testkit/soak/endings.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -67,7 +68,7 @@
 	ended, broke := 0, 0
 	for _, a := range all {
 		arrivals := log.arrivals[a.id]
-		if !a.failed(arrivals) || a.left || a.ended.Sub(a.began) >= requestDeadline-earlyTolerance {
+		if !a.failed(arrivals) || a.left || a.ended.Sub(a.began) >= cmp.Or(a.deadline, requestDeadline)-earlyTolerance {
 			continue
 		}
 		switch {
--- a/testkit/soak/instance.go
+++ b/testkit/soak/instance.go
@@ -75,6 +75,9 @@
 			"[platform]\nurl = http://%s\ncalls_per_second = 200\ndata_centre_drains = true\n"+
 			"[warmup]\noverage = %v\nslack = %v\n[targets]\nsource_address = %s\n", name, ports[0], ports[1], ports[2], path.Addr(), coldOverage, coldSlack, source),
 	}
+	if tb.options.Accounts {
+		in.baseSettings += schedulingSettings
+	}
 	if tb.options.Planned && len(tb.instances)%3 == 1 {
 		in.grace = shortGrace
 	}
--- a/testkit/soak/run.go
+++ b/testkit/soak/run.go
@@ -16,6 +16,8 @@
 	Losses Losses
 	// Streams are counted only in runs with several software versions.
 	Streams StreamCounts
+	// Accounts are counted only in runs with several client accounts.
+	Accounts []AccountCounts
 	// Violations are the guarantees that were broken, Faults the log of injected faults and
 	// planned work.
 	Violations, Faults []string
@@ -49,6 +51,8 @@
 		all, report.Losses = tb.runPlanned()
 	case o.Cuts:
 		all = tb.runCuts()
+	case o.Accounts:
+		all, report.Accounts = tb.runAccounts()
 	case o.Versions:
 		all, report.Streams = tb.runVersions()
 	default:
--- a/testkit/soak/soak_test.go
+++ b/testkit/soak/soak_test.go
@@ -33,6 +33,9 @@
 // paused, since attempts were given up before they could be replaced.
 var pausedSeeds = []uint64{5700000}
 
+// accountSeeds are run with client accounts that compete.
+var accountSeeds = []uint64{1}
+
 // build builds the daemon and returns its path.
 func build(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "ivyhollowd")
@@ -132,3 +135,20 @@
 	t.Logf("%d requests, %d served, %+v", report.Requests, report.Served, report.Streams)
 	require.Empty(t, report.Violations, "faults: %v", report.Faults)
 }
+
+// Guards against small accounts that are refused since a large one sends several times what targets bear,
+// against false refusals and refusals without a time to come back, and against requests and results that
+// are left over, beside faults and planned work.
+func TestSoakAccounts(t *testing.T) {
+	binary := build(t)
+	for _, seed := range accountSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			report, err := Run(Options{
+				Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: 4 * time.Second, Instances: 3, Accounts: true, Pauses: true,
+			})
+			require.NoError(t, err)
+			t.Logf("%d requests, %d served, %+v", report.Requests, report.Served, report.Accounts)
+			require.Empty(t, report.Violations, "faults: %v", report.Faults)
+		})
+	}
+}
--- a/testkit/soak/targets.go
+++ b/testkit/soak/targets.go
@@ -42,6 +42,9 @@
 		t.StateVersion()
 	}
 	t.SetStream(eventsPerStream, pace)
+	if tb.options.Accounts {
+		makeScarce(t)
+	}
 	t.SetFaults(func(a standin.Arrival) standin.Fault { return tb.injector.nextFault(name, a) })
 	path, err := relay.Start("127.0.0.1:0", t.Address())
 	if err != nil {
--- a/testkit/soak/testbed.go
+++ b/testkit/soak/testbed.go
@@ -36,6 +36,9 @@
 	// Versions has targets of several software versions, rollouts and callers that take streams up, beside
 	// faults, and checks that each stream keeps to its version and goes on.
 	Versions bool
+	// Accounts has client accounts that compete for targets, and callers that come back when they are told to,
+	// beside faults, and checks how each account is served.
+	Accounts bool
 	// Pauses pauses targets beside faults or planned work, again and again.
 	Pauses bool
 	// Silences is how often, after the faults, the store falls silent and a target leaves; not
@@ -65,6 +68,8 @@
 	endBreakOfCut func()
 	// departed are the targets that have left, whose paths are closed.
 	departed map[string]bool
+	// overload holds when the large account sent more than targets bear.
+	overload overloadLog
 	// rollouts records which software versions the engines have.
 	rollouts      rolloutLog
 	configVersion int
