--- a/testkit/soak/accountchecks.go
+++ b/testkit/soak/accountchecks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"time"
 )
@@ -75,6 +76,9 @@
 			served = 1
 		}
 		if first.began.After(calmFrom) {
+			if served == 0 {
+				tb.logf("not served after the faults: %s", c.describe())
+			}
 			n.CalmSent++
 			n.CalmServed += served
 		}
@@ -98,6 +102,16 @@
 	return n
 }
 
+// describe lists the tries of a request.
+func (c *accountCall) describe() string {
+	var text []string
+	for _, a := range c.tries {
+		text = append(text, fmt.Sprintf("%s %s at %s, %s, status %d, complete: %v, Retry-After %v, %q", a.path, a.id, a.instance,
+			a.began.UTC().Format("15:04:05.000"), a.status, a.complete, a.retryAfter, a.body))
+	}
+	return c.account + ": " + strings.Join(text, "; ")
+}
+
 // checkRefusals checks that each refusal names a time to come back.
 func (tb *testbed) checkRefusals(all []callResult) {
 	for _, a := range all {
