Number the callers of accounts apart from that of crash requests

Ruled out: a fault of the instances; the ids are 0000 and a count in both. Change: numbers of account callers follow that of the caller of crash requests.

--- a/testkit/soak/accounts.go
+++ b/testkit/soak/accounts.go
@@ -197,7 +197,9 @@
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: callerTimeout}
 		defer client.CloseIdleConnections()
 		for load := range accountLoads {
-			c := &accountCaller{testbed: tb, account: account, load: load, number: len(callers), client: client,
+			// The caller of crash requests has the number before the first one.
+			number := tb.options.Callers + 1 + len(callers)
+			c := &accountCaller{testbed: tb, account: account, load: load, number: number, client: client,
 				random: rand.New(rand.NewPCG(tb.options.Seed, 10<<32+uint64(len(callers))))}
 			callers = append(callers, c)
 			wg.Go(func() { c.run(ctx) })
