Choose engines at the holder by the work that each has left

Cause: the holder forgot a request at its first event, so that the choice of an engine ignored running generations, their memory and the time of steps with many of them. Ruled out: further fields in the existing messages, which are arrays of fixed length. Change: with cost_placement the holder keeps each request in its engine's account until its end; stages.progress reports first events and ends, stages.running carries the accounts to the next holder. The cost of an engine gets the wait for a slot, longer steps, the delay of others and lack of memory. Before: queue of prompts only. After: as above; without the setting nothing changes.

--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -41,7 +41,7 @@
 	if pool == nil {
 		return Choice{}, false
 	}
-	s := search{now: now, prompt: p, longestWait: longestWait, transferCost: transferCost, grants: t.grants}
+	s := search{now: now, prompt: p, longestWait: longestWait, transferCost: transferCost, grants: t.grants, work: t.predict(now, p)}
 	for _, e := range pool.byName[pool.homeOf(p.homeKey())] {
 		s.consider(e, homeAdvantage)
 	}
@@ -82,6 +82,8 @@
 	// best is the cheapest engine so far, nil if there is none; cost is the cost there.
 	best *engineState
 	cost time.Duration
+	// work is what the request needs while it runs; nil unless engines are chosen by cost.
+	work *work
 }
 
 // consider compares an engine with the best so far; advantage is subtracted from its cost.
@@ -89,7 +91,8 @@
 	if slices.Contains(s.prompt.Exclude, e.Incarnation) || s.grants != nil && e.isPaced() && !s.grants(e.Name) {
 		return
 	}
-	cost := s.queueCost(e) + e.prefillCost(e.uncachedTokens(s.prompt)) + s.transferCost(e.DataCentre) - advantage
+	uncached := e.uncachedTokens(s.prompt)
+	cost := s.queueCost(e) + e.prefillCost(uncached) + e.readDelay(uncached) + s.transferCost(e.DataCentre) - advantage
 	if s.isBetter(cost, e) {
 		s.best, s.cost = e, cost
 	}
@@ -97,7 +100,7 @@
 
 // queueCost returns the cost of the request at an engine, without the cost of its prompt.
 func (s *search) queueCost(e *engineState) time.Duration {
-	cost := e.queueCost(s.now)
+	cost := e.queueCost(s.now) + e.runCost(s.work)
 	if !e.limit.Unlimited() && e.sendWait(s.now) > s.longestWait {
 		cost += beyondPenalty
 	}
--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -52,6 +52,7 @@
 	// unreachableCount the number of times in a row that this was reported.
 	avoidUntil       time.Time
 	unreachableCount int
+	generations
 }
 
 // prefill is a request whose prompt an engine processes.
@@ -126,7 +127,7 @@
 
 // wait returns how long a request waits until it may be sent and those before it are processed.
 func (e *engineState) wait(now time.Time) time.Duration {
-	return max(e.queueWait(now), e.sendWait(now))
+	return max(e.queueWait(now), e.sendWait(now), e.slotWait(now))
 }
 
 // sendWait returns how long a request waits until it may be sent.
--- a/coordination/placing/pool.go
+++ b/coordination/placing/pool.go
@@ -22,6 +22,7 @@
 type poolState struct {
 	Pool
 	model firstEventModel
+	steps stepModel
 	// grants are the sends that were granted.
 	grants  pacing.Holder
 	engines map[string]*engineState
--- a/coordination/placing/table.go
+++ b/coordination/placing/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/ivyhollow/ivyhollow/coordination/cost"
 	"github.com/ivyhollow/ivyhollow/coordination/pacing"
 )
 
@@ -18,6 +19,10 @@
 	grants func(engine string) bool
 	// limits are the paces of the engines that name a limit, by incarnation.
 	limits map[string]pacing.Pace
+	// costs predicts how long requests run; nil unless engines are chosen by cost. running has the
+	// engines of the requests that run or wait there, by request ID.
+	costs   *cost.Model
+	running map[string]*engineState
 }
 
 // NewTable returns a table without engines.
@@ -48,6 +53,7 @@
 	defer pool.setLimits(t.limits)
 	for _, e := range pool.setEngines(list) {
 		t.removeRequests(requestIDs(e.prefills)...)
+		t.removeRunning(e)
 	}
 }
 
@@ -70,6 +76,7 @@
 	})
 	e.addToCache(now, p.Parts, len(p.Parts)-1, pool.CacheTokens)
 	t.assigned[request] = e
+	t.startRunning(now, request, p, e, c)
 }
 
 // RecordEnd records the end of a request, and learns from the time to its first event.
@@ -116,6 +123,7 @@
 		p.grants.Prune(now)
 		for _, e := range p.engines {
 			t.removeRequests(e.expired(now)...)
+			t.expireRunning(now, e)
 		}
 	}
 }
--- a/coordination/placing/types.go
+++ b/coordination/placing/types.go
@@ -24,6 +24,9 @@
 	Tokens int
 	// Exclude lists incarnations that may not serve the request.
 	Exclude []string
+	// Route and Account tell kinds of requests apart in the prediction of costs; they aren't sent.
+	Route   string `msgpack:"-"`
+	Account string `msgpack:"-"`
 }
 
 // Engine identifies one incarnation of an engine.
@@ -39,6 +42,8 @@
 	Name string
 	// CacheTokens is the capacity of each engine's prompt cache; 0 if unknown.
 	CacheTokens int
+	// Slots is the number of requests that each engine runs at once; 0 if unknown.
+	Slots int
 	// Pace limits the requests to each engine.
 	Pace pacing.Pace
 }
@@ -65,4 +70,16 @@
 	Engine string
 	// FirstEvent is the time from sending the request to its first event; 0 if none came.
 	FirstEvent time.Duration
+
+	// Running is true if the stream goes on, and its end will be reported too.
+	Running bool `msgpack:"-"`
+	// Duration is the time from sending the request to the end of its stream; 0 in a report of the
+	// first event. Events is the number of its events, and Complete is true if it ended well.
+	Duration time.Duration `msgpack:"-"`
+	Events   int           `msgpack:"-"`
+	Complete bool          `msgpack:"-"`
 }
+
+// EndsStream reports whether this is the second report of a request: the first one, of its first event,
+// has released all else that the holder keeps for it.
+func (e *RequestEnd) EndsStream() bool { return e.Duration > 0 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -176,6 +176,9 @@
 		return msgpack.Marshal(g.follower.Report().IsFresh())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), planning(s.Scheduling), t.Scope)
+	if s.Scheduling.CostPlacement {
+		g.stages.PlaceByCost()
+	}
 	g.limits = limits.New(limits.Options{Cluster: g.cluster, Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
 	g.stages.OnResponse(g.limits.Observe)
 	g.stages.AwaitLimits(g.limits.AwaitFrom)
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -63,6 +63,9 @@
 	grant grant
 	// grantedBy is the address of the instance that granted the send; empty if it needed no grant.
 	grantedBy string
+	// accountedBy is the address of the instance that waits for the report of the attempt's end; empty
+	// if none does.
+	accountedBy string
 	// knowledgeAge is how old the knowledge of the targets was when the target was chosen.
 	knowledgeAge time.Duration
 
--- a/daemon/relay/costs.go
+++ b/daemon/relay/costs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/coordination/cost"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 )
 
@@ -68,3 +69,15 @@
 	r.Uncached, o.Wait, o.Slowdown = conditions.Uncached, conditions.Wait, conditions.Slowdown
 	q.relay.costs.Observe(now, r, o)
 }
+
+// reportStreamEnd reports the end of an attempt to the holder that keeps account of the engines' work.
+func (q *request) reportStreamEnd(a *attempt, complete bool) {
+	if a.accountedBy == "" {
+		return
+	}
+	q.relay.options.Stages.Drop(a.accountedBy, placing.RequestEnd{
+		Request: q.call.ID, Engine: a.target.Incarnation, FirstEvent: a.firstData,
+		Duration: time.Since(a.started), Events: a.events.Events(), Complete: complete && !a.resumed,
+	})
+	a.accountedBy = ""
+}
--- a/daemon/relay/race.go
+++ b/daemon/relay/race.go
@@ -88,6 +88,7 @@
 	a.tracked.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(a.started)})
 	a.end()
 	q.dropGrant(a, 0)
+	q.reportStreamEnd(a, err == nil && outcome == routing.OutcomeOK)
 	q.recordSendEnd(a, outcome, err)
 	q.recordAttemptEnd(ctx, a, err)
 	if err == nil && outcome == routing.OutcomeOK {
@@ -122,6 +123,7 @@
 	a.tracked.Done(time.Now(), routing.Result{Outcome: routing.OutcomeCancelled, Latency: time.Since(a.started)})
 	a.end()
 	q.dropGrant(a, 0)
+	q.reportStreamEnd(a, false)
 	q.excluded = append(q.excluded, a.target.Incarnation)
 	q.possibleRuns++
 	q.mayHaveRun = true
@@ -155,6 +157,9 @@
 // releaseRead frees the stages' results once the only attempt has read them.
 func (q *request) releaseRead(a *attempt) {
 	if len(q.open) == 1 && q.resultHandles != nil {
+		if q.relay.costs != nil && a.firstData > 0 {
+			a.accountedBy = q.owner
+		}
 		q.releaseResults(a.target.Incarnation, a.firstData)
 	}
 }
--- a/daemon/relay/results.go
+++ b/daemon/relay/results.go
@@ -43,7 +43,9 @@
 // them performed: the time to the first event, or 0 without one.
 func (q *request) releaseResults(engine string, firstEvent time.Duration) {
 	if q.owner != "" {
-		q.relay.options.Stages.Drop(q.owner, placing.RequestEnd{Request: q.call.ID, Engine: engine, FirstEvent: firstEvent})
+		q.relay.options.Stages.Drop(q.owner, placing.RequestEnd{
+			Request: q.call.ID, Engine: engine, FirstEvent: firstEvent, Running: q.relay.costs != nil && firstEvent > 0,
+		})
 	}
 	q.dropPreparedGrant()
 	q.owner, q.resultHandles, q.preferredEngine = "", nil, ""
--- a/daemon/stages/assign.go
+++ b/daemon/stages/assign.go
@@ -26,7 +26,7 @@
 	for _, t := range usable {
 		list = append(list, placing.Engine{Incarnation: t.Incarnation(), Name: t.Name, DataCentre: t.DataCentre})
 	}
-	q.engines.SetEngines(placing.Pool{Name: s.Name, CacheTokens: s.CacheTokens, Pace: pace}, list)
+	q.engines.SetEngines(placing.Pool{Name: s.Name, CacheTokens: s.CacheTokens, Slots: s.Slots, Pace: pace}, list)
 }
 
 // predictEngine returns the request with the data centre where its results are best read, as
@@ -38,6 +38,7 @@
 		return r
 	}
 	q.updateGrants(prompt.Pool)
+	prompt.Route, prompt.Account = r.Route, r.Account
 	held := heldPrompt{prompt, r.Deadline, r.Priority}
 	choice, ok := q.engines.ChooseWithin(now, &prompt, held.longestWait(now), q.planner.ReadCosts(now, &r))
 	if !ok {
--- a/daemon/stages/caches.go
+++ b/daemon/stages/caches.go
@@ -29,6 +29,9 @@
 func (s *Stages) sendCaches(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cachesTimeout)
 	defer cancel()
+	if s.placesByCost {
+		defer s.sendRunning(ctx, address)
+	}
 	for _, message := range splitCaches(s.queue.caches()) {
 		body, err := encode(message)
 		if err == nil {
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -232,11 +232,15 @@
 
 // drop removes requests and frees their results.
 func (q *queue) drop(ends ...placing.RequestEnd) {
-	ids := make([]string, len(ends))
+	ids := make([]string, 0, len(ends))
 	q.lockAndCheckStall()
-	for i, end := range ends {
+	for _, end := range ends {
 		id := end.Request
-		ids[i] = id
+		q.engines.RecordProgress(time.Now(), end)
+		if end.EndsStream() {
+			continue
+		}
+		ids = append(ids, id)
 		q.engines.RecordEnd(end)
 		if q.waiters[id] != nil {
 			q.finish(id, outcome{dropped: true})
--- a/daemon/stages/relayed.go
+++ b/daemon/stages/relayed.go
@@ -113,6 +113,10 @@
 func (s *Stages) dropEnded(ctx context.Context, ends []placing.RequestEnd) {
 	local := make([]placing.RequestEnd, 0, len(ends))
 	for _, end := range ends {
+		if end.EndsStream() {
+			local = append(local, end)
+			continue
+		}
 		r, ok := s.removeRelayed(end.Request)
 		switch {
 		case !ok:
@@ -120,6 +124,7 @@
 		case r.holder == "":
 			r.cancel()
 		default:
+			end.Running = false // its end won't be forwarded
 			s.Drop(r.holder, end)
 		}
 	}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -107,6 +107,8 @@
 	sendsScheduling bool
 	// reservesRetries is true if capacity is reserved for callers that are told when to retry.
 	reservesRetries bool
+	// placesByCost is true if engines are chosen by the work that each has left.
+	placesByCost bool
 	// awaitLimits waits, after the start, until the limits are known that another instance knows.
 	awaitLimits func(ctx context.Context, from string)
 }
@@ -147,7 +149,9 @@
 	c.Handle(methodAssignPaced, s.handleAssignPaced)
 	c.Handle(methodSchedule, s.handleSchedule)
 	c.Handle(methodRequestEnds, s.handleRequestEnds)
+	c.Handle(methodRequestProgress, s.handleRequestProgress)
 	c.Handle(methodCaches, s.handleCaches)
+	c.Handle(methodRunning, s.handleRunning)
 	c.Handle(methodUnreachable, s.handleUnreachable)
 	c.Handle(methodHandover, s.handleHandover)
 	c.Handle(methodTakeSchedule, s.handleTakeSchedule)
