Play the choice of engines by the work that each has left

Cause: what the accounts are worth was not measured. Ruled out: a count of sends as the measure of recovery: it follows the caches and not the work. Change: plays in virtual time of long generations, memory, shared parts, lost reports, restarts, a new holder and recovery; the comparison with a full scan covers accounts; a step's length counts only from half of the slots on, since otherwise shared parts were read again. The lower bound of an engine's cost has the delay of those that run there. Conclusion: the bounds hold.

--- a/coordination/placing/bench_test.go
+++ b/coordination/placing/bench_test.go
@@ -32,10 +32,10 @@
 	requestEnds [prompts]RequestEnd
 }
 
-func newSteadyLoad(engines int, ratePerEngine float64) *steadyLoad {
+func newSteadyLoad(table *Table, engines int, ratePerEngine float64) *steadyLoad {
 	rng := rand.New(rand.NewPCG(1, 2))
 	l := &steadyLoad{
-		table: newFleetSim(engines).table, now: time.Now(),
+		table: newFleetSimWith(table, engines).table, now: time.Now(),
 		transferCosts: map[string]time.Duration{}, slowdowns: map[string]float64{},
 		pause: time.Duration(float64(time.Second) / (ratePerEngine * float64(engines))),
 	}
@@ -64,7 +64,16 @@
 func (l *steadyLoad) step() {
 	l.now = l.now.Add(l.pause)
 	for l.ended < l.sent && l.now.Sub(l.sentAt[l.ended%prompts]) >= prefillDuration {
-		l.table.RecordEnd(l.requestEnds[l.ended%prompts])
+		end := l.requestEnds[l.ended%prompts]
+		end.Running = true
+		l.table.RecordProgress(l.now, end)
+		l.table.RecordEnd(end)
+		// Its stream has four times the time to its first event.
+		if ended := l.ended - 4*int(prefillDuration/l.pause); ended >= 0 {
+			end = l.requestEnds[ended%prompts]
+			end.Duration, end.Events, end.Complete = 5*prefillDuration, 20, true
+			l.table.RecordProgress(l.now, end)
+		}
 		l.ended++
 	}
 	i := l.sent % prompts
@@ -83,14 +92,19 @@
 
 // BenchmarkRequest measures the cost of one request: two choices and its record, with a
 // quarter of the engines busy and with all of them busy.
-func BenchmarkRequest(b *testing.B) {
+func BenchmarkRequest(b *testing.B) { benchmarkRequest(b, NewTable) }
+
+// BenchmarkRequestByCost does so with accounts of the engines' work.
+func BenchmarkRequestByCost(b *testing.B) { benchmarkRequest(b, NewTableByCost) }
+
+func benchmarkRequest(b *testing.B, table func() *Table) {
 	for _, n := range []int{60, 240, 1000} {
 		for _, c := range []struct {
 			name          string
 			ratePerEngine float64
 		}{{"quarter", 2.4}, {"all", 20}} {
 			b.Run(fmt.Sprint(n, "/", c.name), func(b *testing.B) {
-				l := newSteadyLoad(n, c.ratePerEngine)
+				l := newSteadyLoad(table(), n, c.ratePerEngine)
 				for range prompts {
 					l.step()
 				}
--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -55,7 +55,7 @@
 		if s.best != nil && bound > s.cost {
 			break
 		}
-		if s.isBetter(bound+s.queueCost(e), e) {
+		if s.isBetter(bound+s.queueCost(e)+e.readDelay(uncached), e) {
 			s.consider(e, 0)
 		}
 	}
--- a/coordination/placing/choose_test.go
+++ b/coordination/placing/choose_test.go
@@ -28,10 +28,10 @@
 			continue
 		}
 		uncached := e.uncachedTokens(p)
-		wait := e.scanQueueWait(now)
+		wait := max(e.scanQueueWait(now), e.slotWait(now))
 		seconds := pool.model.seconds(uncached) * e.slowdown
 		weighted := float64(uncached) * pool.model.perToken * e.slowdown * (uncachedWeight - 1)
-		cost := wait + duration(seconds+weighted) + transferCost(e.DataCentre)
+		cost := wait + duration(seconds+weighted) + transferCost(e.DataCentre) + e.readDelay(uncached) + e.runCost(t.predict(now, p))
 		if e.Name == homeOf {
 			cost -= homeAdvantage
 		}
@@ -109,7 +109,7 @@
 		}
 		list = append(list, e)
 	}
-	w.table.SetEngines(Pool{Name: "p", CacheTokens: 40_000}, list)
+	w.table.SetEngines(Pool{Name: "p", CacheTokens: 40_000, Slots: 2}, list)
 }
 
 // prompt returns a random prompt, which may be shorter than its parts, have a part twice or
@@ -159,11 +159,27 @@
 	}
 	i := w.draw("ended", len(w.open)-1)
 	s := w.open[i]
-	w.open = slices.Delete(w.open, i, i+1)
 	s.FirstEvent = time.Duration(w.draw("first", 20)) * 20 * time.Millisecond
+	s.Running = s.FirstEvent > 0 && w.draw("running", 2) > 0
+	if s.Running {
+		w.open[i].FirstEvent = s.FirstEvent
+	} else {
+		w.open = slices.Delete(w.open, i, i+1)
+	}
+	w.table.RecordProgress(w.now, s)
 	w.table.RecordEnd(s)
 }
 
+// endStream ends the stream of a random request whose first event may have come.
+func (w *randomTable) endStream() {
+	if len(w.open) == 0 {
+		return
+	}
+	s := w.open[w.draw("stream", len(w.open)-1)]
+	s.Duration, s.Events, s.Complete = s.FirstEvent+time.Duration(1+w.draw("rest", 3000))*time.Millisecond, w.draw("events", 50), w.draw("complete", 3) > 0
+	w.table.RecordProgress(w.now, s)
+}
+
 // mergeCaches adds a part to the caches of some engines, as after a handover of the queue.
 func (w *randomTable) mergeCaches() {
 	var caches []EngineCache
@@ -178,7 +194,8 @@
 // with fewer and with more engines than maxScannedCachers.
 func TestChooseMatchesScan(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := &randomTable{T: rt, table: NewTable(), now: start, engines: rapid.SampledFrom([]int{1, 4, 3 * maxScannedCachers}).Draw(rt, "engines")}
+		table := rapid.SampledFrom([]func() *Table{NewTable, NewTableByCost}).Draw(rt, "table")()
+		w := &randomTable{T: rt, table: table, now: start, engines: rapid.SampledFrom([]int{1, 4, 3 * maxScannedCachers}).Draw(rt, "engines")}
 		w.setEngines()
 		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
 			w.now = w.now.Add(time.Duration(w.draw("pause", 60)) * time.Millisecond)
@@ -194,16 +211,35 @@
 			case 4:
 				w.now = w.now.Add(requestExpiry)
 				w.table.Tick(w.now)
-			case 5, 6, 7, 8, 9:
+			case 5:
+				w.endStream()
+			case 6, 7, 8, 9:
 				w.end()
 			default:
 				w.request()
 			}
 			requireConsistentIndexes(rt, w.table.pools["p"])
+			requireConsistentAccounts(rt, w.table)
 		}
 	})
 }
 
+// requireConsistentAccounts compares the engines' accounts with the requests that the table knows.
+func requireConsistentAccounts(t require.TestingT, table *Table) {
+	known := 0
+	for _, e := range table.pools["p"].engines {
+		memory := 0.0
+		for id, g := range e.byID {
+			require.Same(t, e, table.running[id])
+			memory += g.memory
+		}
+		require.Equal(t, len(e.byID), e.account.Len())
+		require.InDelta(t, memory, e.memory, 1e-6)
+		known += len(e.byID)
+	}
+	require.Len(t, table.running, known)
+}
+
 // requireConsistentIndexes compares the indexes with the engines.
 func requireConsistentIndexes(t require.TestingT, p *poolState) {
 	require.Len(t, p.bySlowdown, len(p.engines))
--- a/coordination/placing/handover.go
+++ b/coordination/placing/handover.go
@@ -1,10 +1,6 @@
 package placing
 
-import (
-	"time"
-
-	"github.com/ivyhollow/ivyhollow/coordination/cost"
-)
+import "time"
 
 // RunningRequest is a request at an engine, as a holder of the stage queue reports it to its successor.
 type RunningRequest struct {
@@ -39,8 +35,7 @@
 			continue
 		}
 		e, sent := pool.engines[r.Engine], now.Add(-r.Age)
-		request := cost.Request{Pool: r.Pool, Route: r.Route, Account: r.Account, PromptTokens: r.PromptTokens}
-		w := &work{request, t.costs.Estimate(now, request)}
+		w := t.predict(now, &Prompt{Pool: r.Pool, Route: r.Route, Account: r.Account, Tokens: r.PromptTokens})
 		w.request.Uncached = r.Uncached
 		if !e.start(sent, r.ID, w, 0) {
 			continue
--- a/coordination/placing/running.go
+++ b/coordination/placing/running.go
@@ -9,12 +9,17 @@
 )
 
 const (
+	// fewRunning is the share of the slots up to which longer steps aren't avoided: that would move
+	// requests away from the parts that their engines have cached.
+	fewRunning = 0.5
 	// memoryReserve is the share of an engine's memory above which a request costs more there: outputs
 	// may become longer than predicted.
 	memoryReserve = 0.1
 	// overflowPenalty is added to the cost of an engine whose memory a request exceeds altogether; it
 	// exceeds the cost of a wait at any engine that has room.
 	overflowPenalty = 30 * time.Second
+	// maxOverflow limits the requests too many that are told apart.
+	maxOverflow = 1000
 )
 
 // generations are the requests at an engine, from their sends until their ends.
@@ -41,6 +46,8 @@
 type work struct {
 	request cost.Request
 	cost.Estimate
+	// rest is its expected time in seconds apart from reading.
+	rest float64
 }
 
 // NewTableByCost returns a table without engines that keeps account of the requests at each engine
@@ -57,7 +64,8 @@
 		return nil
 	}
 	r := cost.Request{Pool: p.Pool, Route: p.Route, Account: p.Account, PromptTokens: p.Tokens}
-	return &work{r, t.costs.Estimate(now, r)}
+	e := t.costs.Estimate(now, r)
+	return &work{r, e, (e.Mean() - e.Read).Seconds()}
 }
 
 // startRunning records a request in the account of its engine.
@@ -198,16 +206,14 @@
 	return duration(float64(uncached) * e.pool.model.perToken * e.slowdown * more)
 }
 
-// runCost returns what a request costs while it runs: the longer steps, its own and those of the
-// others, and the lack of memory.
+// runCost returns what a request costs while it runs: longer steps, and the lack of memory.
 func (e *engineState) runCost(w *work) time.Duration {
 	if w == nil {
 		return 0
 	}
-	rest := (w.Mean() - w.Read).Seconds()
 	running := float64(min(e.account.Len(), e.slots()))
-	steps := 2 * e.pool.steps.slope() * running * rest
-	return duration(e.slowdown*(steps+e.pressure(w.Memory)*rest)) + e.overflowCost(w.Memory)
+	steps := e.pool.steps.slope() * max(running-fewRunning*float64(e.slots()), 0) * w.rest
+	return duration(e.slowdown*(steps+e.pressure(w.Memory)*w.rest)) + e.overflowCost(w.Memory)
 }
 
 // pressure rises from 0 to 1 within the reserve of an engine's memory.
@@ -226,5 +232,5 @@
 	if capacity <= 0 || over <= 0 || e.account.Len() == 0 {
 		return 0
 	}
-	return overflowPenalty + duration(overflowPenalty.Seconds()*math.Min(over/capacity, 1))
+	return duration(overflowPenalty.Seconds() * (1 + math.Min(over/needed, maxOverflow)))
 }
--- a/coordination/placing/table_test.go
+++ b/coordination/placing/table_test.go
@@ -34,15 +34,17 @@
 	prefillFixed    = 20 * time.Millisecond
 )
 
-func newFleetSim(n int) *fleetSim {
-	f := &fleetSim{table: NewTable(), idleAt: map[string]time.Time{}, cached: map[string]map[string]bool{}}
+func newFleetSim(n int) *fleetSim { return newFleetSimWith(NewTable(), n) }
+
+func newFleetSimWith(table *Table, n int) *fleetSim {
+	f := &fleetSim{table: table, idleAt: map[string]time.Time{}, cached: map[string]map[string]bool{}}
 	var list []Engine
 	for i := range n {
 		id := fmt.Sprint("e", i)
 		list = append(list, Engine{Incarnation: id, Name: id, DataCentre: fmt.Sprint("dc", i%3)})
 		f.cached[id] = map[string]bool{}
 	}
-	f.table.SetEngines(Pool{Name: "p", CacheTokens: 370_000}, list)
+	f.table.SetEngines(Pool{Name: "p", CacheTokens: 370_000, Slots: 64}, list)
 	return f
 }
 
