--- a/daemon/relay/race_test.go
+++ b/daemon/relay/race_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ivyhollow/ivyhollow/coordination/cost"
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
@@ -257,6 +258,31 @@
 	}
 }
 
+// Guards against a holder that isn't told of the end of a stream, or is told of it twice.
+func TestEndOfStreamIsReported(t *testing.T) {
+	for name, end := range map[string]func(*request, *attempt){
+		"complete":  func(q *request, a *attempt) { q.close(t.Context(), a, routing.OutcomeOK, nil) },
+		"abandoned": func(q *request, a *attempt) { q.abandon(a) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &granter{}
+			q, _ := raceRequest(t, g, "")
+			q.relay.costs = cost.NewModel()
+			a := openAttempt(q, "silent")
+			q.resultHandles, q.owner = []string{"handle"}, "h"
+			_, err := q.receive(t.Context(), message{from: a, head: streamHead("silent"), data: []byte("id: 2\n\n")})
+			require.NoError(t, err)
+			require.Len(t, g.dropped, 1)
+			require.True(t, g.dropped[0].Running)
+			end(q, a)
+			q.reportStreamEnd(a, true)
+			require.Len(t, g.dropped, 2)
+			require.True(t, g.dropped[1].EndsStream())
+			require.Equal(t, name == "complete", g.dropped[1].Complete)
+		})
+	}
+}
+
 // refuser refuses all stages.
 type refuser struct{ stageRunner }
 
--- a/daemon/stages/wire_test.go
+++ b/daemon/stages/wire_test.go
@@ -103,6 +103,12 @@
 		}}, "9193a4706f6f6ca6656e67696e659192a47061727428"},
 		{"unreachable", &unreachableReport{Pool: "pool", Engine: "engine"}, "92a4706f6f6ca6656e67696e65"},
 		{"request ends", []placing.RequestEnd{{Request: "request", Engine: "engine", FirstEvent: 41}}, "9193a772657175657374a6656e67696e65d30000000000000029"},
+		{"request progress", []requestProgress{{
+			Request: "request", Engine: "engine", FirstEvent: 52, Running: true, Duration: 53, Events: 54, Complete: true,
+		}}, "9197a772657175657374a6656e67696e65d30000000000000034c3d3000000000000003536c3"},
+		{"running requests", []placing.RunningRequest{{
+			ID: "id", Pool: "pool", Engine: "engine", Route: "route", Account: "account", PromptTokens: 55, Uncached: 56, Age: 57, Began: true,
+		}}, "9199a26964a4706f6f6ca6656e67696e65a5726f757465a76163636f756e743738d30000000000000039c3"},
 		{"shorten", &shortenRequest{Remaining: 42, IDs: []string{"id1", "id2"}}, "92d3000000000000002a92a3696431a3696432"},
 	}
 	for _, c := range cases {
