Keep requests of unknown duration in the engines' accounts for a minute

Cause: while nothing was observed, requests counted as ended after 10 s and generations took longer, so that engines were sent more than their memory holds although the account showed room elsewhere. Ruled out: the predicted output; 39 of the 50 sends beyond the memory had room in the account. Change: a minute until durations are known.

--- a/coordination/placing/generations_test.go
+++ b/coordination/placing/generations_test.go
@@ -112,9 +112,9 @@
 // Guards against an engine that counts as busy for good after a report of an end was lost.
 func TestLostEndExpires(t *testing.T) {
 	table, c := accountTable(t)
-	table.Tick(start.Add(9 * time.Second))
+	table.Tick(start.Add(unknownExpiry))
 	requireAccount(t, table, c.Engine.Incarnation, 1, 1000)
-	table.Tick(start.Add(11 * time.Second))
+	table.Tick(start.Add(unknownExpiry + time.Second))
 	requireAccount(t, table, c.Engine.Incarnation, 0, 0)
 }
 
--- a/coordination/placing/running.go
+++ b/coordination/placing/running.go
@@ -15,6 +15,11 @@
 	// memoryReserve is the share of an engine's memory above which a request costs more there: outputs
 	// may become longer than predicted.
 	memoryReserve = 0.1
+	// unknownExpiry is the age at which a request counts as ended while nothing is known of how long such
+	// requests take, expiryTotals the number of predicted durations after which it does otherwise. Long
+	// generations take tens of seconds.
+	unknownExpiry = time.Minute
+	expiryTotals  = 4
 	// overflowPenalty is added to the cost of an engine whose memory a request exceeds altogether; it
 	// exceeds the cost of a wait at any engine that has room.
 	overflowPenalty = 30 * time.Second
@@ -37,6 +42,8 @@
 	sent    time.Time
 	began   bool
 	memory  float64
+	// expiry is the age at which it counts as ended without a report.
+	expiry time.Duration
 	// wait is the predicted wait for requests before it, others the number of those at its send.
 	wait   time.Duration
 	others int
@@ -91,7 +98,7 @@
 	if e.byID == nil {
 		e.byID = map[string]generation{}
 	}
-	e.byID[id] = generation{request: w.request, number: number, sent: now, memory: w.Memory, wait: wait, others: others}
+	e.byID[id] = generation{request: w.request, number: number, sent: now, memory: w.Memory, expiry: w.expiry(), wait: wait, others: others}
 	e.memory += w.Memory
 	return true
 }
@@ -104,6 +111,14 @@
 	e.account.Began(now, g.number)
 }
 
+// expiry returns the age at which the request counts as ended without a report.
+func (w *work) expiry() time.Duration {
+	if w.Output == 0 {
+		return unknownExpiry
+	}
+	return max(workload.Expiry, expiryTotals*w.Total)
+}
+
 // slots returns the number of requests that the engine runs at once.
 func (e *engineState) slots() int {
 	if e.pool.Slots <= 0 {
@@ -137,11 +152,8 @@
 
 // expireRunning removes the requests whose ends are overdue.
 func (t *Table) expireRunning(now time.Time, e *engineState) {
-	if e.account.Expire(now) == 0 {
-		return
-	}
 	for id, g := range e.byID {
-		if !e.account.Has(g.number) {
+		if now.Sub(g.sent) > g.expiry {
 			t.endRunning(now, id)
 		}
 	}
--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -111,9 +111,6 @@
 	return expired
 }
 
-// Has reports whether a request is in the account.
-func (a *Account) Has(id uint64) bool { return a.index(id) >= 0 }
-
 // Len returns the number of requests.
 func (a *Account) Len() int { return len(a.requests) }
 
