Merge account shares, reservations, flow control and placement by cost

Cause: client accounts compete for too little room and demand and targets are uneven; see docs/design/scarce-capacity.md. Change: account shares at the holder of the stage queue and without one, GET /accounts, reservations for retries, flow control between stages, placement by cost with and without a holder, soak of accounts; all off by default.

--- a/coordination/gather/dispatch.go
+++ b/coordination/gather/dispatch.go
@@ -40,7 +40,7 @@
 	ordered := p.sortedQueue(now, s)
 	fast := s.fastDataCentres(now)
 	for _, t := range free {
-		if chosen := p.choosePieces(now, t, ordered, fast); len(chosen) > 0 {
+		if chosen := p.choosePieces(now, t, ordered, fast); len(chosen) > 0 && !p.waitsToFill(now, t, chosen) {
 			p.startCall(now, t, chosen)
 			ordered = slices.DeleteFunc(ordered, func(c candidate) bool { return len(c.stage.pending) == 0 })
 		}
@@ -54,19 +54,21 @@
 const missedObjectivePenalty = 1.5
 
 // sortedQueue returns the queue sorted by rank, then by ascending height, since stages near
-// the end read results that already occupy capacity, then by objective.
+// the end read results that already occupy capacity, then by order key. While accounts share the
+// service's capacity, the key precedes the height: otherwise an account whose requests use the
+// service near their end would take the shares of others.
 func (p *Planner) sortedQueue(now time.Time, s *service) []candidate {
 	ordered := make([]candidate, len(s.queue))
 	for i, st := range s.queue {
 		ordered[i] = candidate{stage: st, rank: st.request.rank(now)}
 	}
+	keysFirst := s.sharesBind()
 	slices.SortStableFunc(ordered, func(a, b candidate) int {
-		reqA, reqB := a.stage.request, b.stage.request
-		return cmp.Or(
-			cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.stage.height, b.stage.height),
-			reqA.Objective.Compare(reqB.Objective),
-		)
+		byRank, byHeight, byKey := cmp.Compare(a.rank, b.rank), cmp.Compare(a.stage.height, b.stage.height), a.stage.key().Compare(b.stage.key())
+		if keysFirst {
+			return cmp.Or(byRank, byKey, byHeight)
+		}
+		return cmp.Or(byRank, byHeight, byKey)
 	})
 	return ordered
 }
@@ -90,11 +92,11 @@
 		}
 		st := c.stage
 		n := len(st.pending)
-		if n == 0 || (n > left && len(chosen) > 0) || !canShareCall(chosen, st.request) || p.waitsForCloserTarget(now, t, st, fastDataCentres) {
+		if n == 0 || (n > left && len(chosen) > 0 && !p.maySplit(now, s)) || p.heldBack(now, st) || !canShareCall(chosen, st.request) || p.waitsForCloserTarget(now, t, st, fastDataCentres) {
 			continue
 		}
 		n = min(n, left)
-		if most := s.maxResults(free, st.ResultBytes); most < n {
+		if most := s.maxResults(free, st.ResultBytes, p.largeResultReserve(s)); most < n {
 			p.noteCapacityShortage(now, t)
 			n = most
 		}
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -16,14 +16,24 @@
 	crashes int
 	// boosted is true if its kind was underserved at its admission.
 	boosted bool
+	// held is true once it was admitted, yields if it was admitted behind the requests that can meet their objectives.
+	held, yields bool
 	// deadlineShortened is true if its requester stops and gave it an earlier deadline.
 	deadlineShortened bool
-	admittedAt        time.Time
+	// retryOf is the expected return that a submitted request is. returned is true once it has the
+	// position that was reserved; its objective is then that of the position, and attainBy its
+	// own.
+	retryOf    *retryReservation
+	returned   bool
+	attainBy   time.Time
+	admittedAt time.Time
 	// predicted is the time its stages were predicted to take at its admission.
 	predicted time.Duration
 	// latestStart is the latest time at which the remaining stages must start for the
 	// request to meet its objective.
 	latestStart time.Time
+	// flowControl is Config.ResultFlowControl.
+	flowControl bool
 }
 
 // priorityBoost is how much higher requests of an underserved kind rank: ahead of all
@@ -40,7 +50,7 @@
 
 // rank is baseRank with a penalty for requests that can't meet their objectives any more.
 func (req *heldRequest) rank(now time.Time) float64 {
-	if now.After(req.latestStart) {
+	if now.After(req.latestStart) && !req.returned && !req.keepsRank() {
 		return req.baseRank() + missedObjectivePenalty
 	}
 	return req.baseRank()
@@ -72,6 +82,10 @@
 	inputsReadAt time.Time
 	// backlogEntry is how its pending pieces are counted in the service's backlog.
 	backlogEntry backlogEntry
+	// keyDelay is what the stage's order key adds to the objective. It is fixed at admission.
+	keyDelay time.Duration
+	// releasedPieces is how many of its pieces are counted in the service's releaseFlow.
+	releasedPieces int
 	// sentAt and endedAt are when the latest call with pieces of it started and ended.
 	sentAt, endedAt time.Time
 }
@@ -87,7 +101,7 @@
 
 // newHeldRequest sets up a request and its stages, none of them queued yet.
 func (p *Planner) newHeldRequest(r Request) *heldRequest {
-	req := &heldRequest{Request: r}
+	req := &heldRequest{Request: r, flowControl: p.config.ResultFlowControl}
 	for i, s := range r.Stages {
 		sv := p.service(s.Service)
 		st := &heldStage{request: req, service: sv, index: i, timeFactor: sv.times.pieceFactor(pieceKind{r.Route, i}), Stage: s, results: make([]*result, s.Pieces)}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/ivyhollow/ivyhollow/coordination/retry"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/daemon/accountshares"
 	"github.com/ivyhollow/ivyhollow/daemon/blocklist"
 	"github.com/ivyhollow/ivyhollow/daemon/cluster"
 	"github.com/ivyhollow/ivyhollow/daemon/detour"
@@ -99,7 +100,9 @@
 	// limits are the limits that targets name.
 	limits *limits.Limits
 	// streams knows where streams began that callers take up again.
-	streams   *streams.Directory
+	streams *streams.Directory
+	// accounts shares what targets accept between client accounts; nil if they don't share.
+	accounts  *accountshares.Shares
 	registrar *register.Registrar
 
 	callers  net.Listener
@@ -150,7 +153,7 @@
 	g.client = forward.New(forward.ClientOptions{
 		Dial: p.DialTarget, Detour: detour.NewDialer(g.cluster, t.Scope), OnPathChange: g.recordPathChange,
 	})
-	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize})
+	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize, MaxOrigins: maxDigestOrigins, CostPlacement: s.Scheduling.CostPlacement})
 	source := p.Source
 	if !s.Platform.DataCentreDrains {
 		source.DrainKind = ""
@@ -173,6 +176,9 @@
 		return msgpack.Marshal(g.follower.Report().IsFresh())
 	}, peer.Idempotent())
 	g.stages = stages.New(g.cluster, p.Dialect, g.client, g.follower, pacing.Limits(s.Warmup), planning(s.Scheduling), t.Scope)
+	if s.Scheduling.CostPlacement {
+		g.stages.PlaceByCost()
+	}
 	g.limits = limits.New(limits.Options{Cluster: g.cluster, Gossip: g.cluster.Put, OnChange: g.stages.SetLimits, Scope: t.Scope})
 	g.stages.OnResponse(g.limits.Observe)
 	g.stages.AwaitLimits(g.limits.AwaitFrom)
@@ -180,6 +186,7 @@
 	g.streams = streams.New(streams.Options{
 		Cluster: g.cluster, Store: store, Gossip: g.cluster.Put, Rank: fleet{g}.Rank, KnowledgeAge: g.follower.TargetsAge, Scope: t.Scope,
 	})
+	g.buildAccounts()
 	g.relay = relay.New(relay.Options{
 		Dialect:      p.Dialect,
 		Table:        g.follower.Table,
@@ -194,13 +201,16 @@
 		Streams:      g.streams,
 		Paced:        g.stages.Paced,
 		Budgets:      retrybudget.New(g.retryConfig()),
+		Accounts:     g.sharing(),
 		Blocklist:    g.blocklist,
 		OnLeaving:    g.follower.Leaving,
-		OnResponse:   g.limits.Observe,
+		OnResponse:   g.observeResponse,
 		Usable:       g.follower.Usable,
 		InUse:        func(name string) bool { return contains(&g.usedNames, name) },
 		Tracer:       t.Tracer,
 		Scope:        t.Scope,
+
+		CostPlacement: s.Scheduling.CostPlacement,
 	})
 	return g, nil
 }
@@ -266,7 +276,7 @@
 			QueueLength: peerQueueLength, DialTarget: g.tunnelServer(dialTarget).DialTarget,
 		},
 		Membership:        membership.DefaultConfig(),
-		Gossip:            spreadConfig(),
+		Gossip:            g.spreadConfig(),
 		Seeds:             s.Peers.Seeds,
 		ListInstances:     g.registrar.List,
 		ListInterval:      listInterval,
@@ -284,9 +294,12 @@
 // within the limit of two seconds. Larger records are fetched and don't count.
 const pushBytesPerSecond = 256 << 10
 
-func spreadConfig() spread.Config {
+func (g *Gateway) spreadConfig() spread.Config {
 	c := spread.DefaultConfig()
 	c.PushBytesPerSecond = pushBytesPerSecond
+	if g.settings.Scheduling.CostPlacement {
+		c = withDigests(c)
+	}
 	return c
 }
 
@@ -318,7 +331,7 @@
 			shares[name][t.DataCentre] += 1 / float64(len(usable[name]))
 			list = append(list, routing.Target{
 				Incarnation: t.Incarnation(), Name: t.Name, Pool: name, Address: t.Address,
-				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots),
+				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots), Memory: service.CacheTokens,
 			})
 		}
 		if service.Batch == nil {
@@ -393,6 +406,9 @@
 	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
 	mux.Handle("GET /quarantine", g.blocklist)
 	mux.HandleFunc("GET /drains", g.serveDrains)
+	if g.accounts != nil {
+		mux.Handle("GET /accounts", g.accounts)
+	}
 	return mux
 }
 
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -63,6 +63,9 @@
 	grant grant
 	// grantedBy is the address of the instance that granted the send; empty if it needed no grant.
 	grantedBy string
+	// accountedBy is the address of the instance that waits for the report of the attempt's end; empty
+	// if none does.
+	accountedBy string
 	// knowledgeAge is how old the knowledge of the targets was when the target was chosen.
 	knowledgeAge time.Duration
 
@@ -75,6 +78,8 @@
 	comments []byte
 	// silent is true while the target has sent nothing for so long that another one was sought.
 	silent bool
+	// resumed is true if the attempt continues a stream.
+	resumed bool
 	// notFound is why the latest search for another target found none.
 	notFound string
 	// firstData is the time from the start to the first part of the reply; 0 before.
@@ -91,12 +96,14 @@
 	a := &attempt{
 		target: t, started: now, lastData: now, ctx: ctx, cancel: cancel, span: span, abandoned: make(chan struct{}),
 		grant: q.grant, knowledgeAge: q.relay.options.KnowledgeAge(), events: sse.NewSplitter(0, q.requiredResumeID()),
+		resumed: q.resumeID() != "",
 	}
 	if q.paced {
 		a.grantedBy = cmp.Or(q.grant.holder, q.owner)
 	}
 	q.grant = grant{number: q.grant.number}
-	a.tracked = q.relay.options.Router.Started(a.started, t.Incarnation, 1)
+	a.tracked = q.relay.options.Router.StartedWork(a.started, t.Incarnation, q.predictWork())
+	q.recordSend()
 	q.open = append(q.open, a)
 	if q.current == nil || !slices.Contains(q.open, q.current) {
 		q.current = a
--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -60,6 +60,7 @@
 
 func (q *request) targetQuery() routing.Query {
 	query := routing.Query{
+		Work: q.predictWork(),
 		Pool: q.service, Model: q.call.Model, Version: q.streamVersion, Exclude: q.unwanted(), Rank: q.priority, Preferred: q.preferredEngine,
 	}
 	if q.route.PrefixCaching {
@@ -149,9 +150,7 @@
 	}
 	var refused *stages.RefusedError
 	if errors.As(err, &refused) {
-		// A retry goes to another instance. If this one is stopping, the other one's deadline is
-		// later, so the retry delay is shorter by the difference.
-		refused.RetryAfter -= q.eventDeadline(time.Now()).Sub(r.Deadline)
+		refused.RetryAfter = q.retryAfter(time.Now(), r, refused)
 	}
 	return err
 }
--- a/daemon/relay/race.go
+++ b/daemon/relay/race.go
@@ -82,9 +82,14 @@
 // close records the end of an attempt.
 func (q *request) close(ctx context.Context, a *attempt, outcome routing.Outcome, err error) {
 	q.open = slices.DeleteFunc(q.open, func(o *attempt) bool { return o == a })
+	if err == nil && outcome == routing.OutcomeOK {
+		q.observeEnd(a, time.Since(a.started))
+	}
 	a.tracked.Done(time.Now(), routing.Result{Outcome: outcome, Latency: time.Since(a.started)})
 	a.end()
 	q.dropGrant(a, 0)
+	q.reportStreamEnd(a, err == nil && outcome == routing.OutcomeOK)
+	q.recordSendEnd(a, outcome, err)
 	q.recordAttemptEnd(ctx, a, err)
 	if err == nil && outcome == routing.OutcomeOK {
 		q.relay.durations.observe(q.route.Name, time.Since(a.started))
@@ -118,6 +123,7 @@
 	a.tracked.Done(time.Now(), routing.Result{Outcome: routing.OutcomeCancelled, Latency: time.Since(a.started)})
 	a.end()
 	q.dropGrant(a, 0)
+	q.reportStreamEnd(a, false)
 	q.excluded = append(q.excluded, a.target.Incarnation)
 	q.possibleRuns++
 	q.mayHaveRun = true
@@ -151,6 +157,9 @@
 // releaseRead frees the stages' results once the only attempt has read them.
 func (q *request) releaseRead(a *attempt) {
 	if len(q.open) == 1 && q.resultHandles != nil {
+		if q.relay.costs != nil && a.firstData > 0 {
+			a.accountedBy = q.owner
+		}
 		q.releaseResults(a.target.Incarnation, a.firstData)
 	}
 }
@@ -236,6 +245,7 @@
 		a.firstData = a.lastData.Sub(a.started)
 		q.dropGrant(a, a.firstData)
 		q.releaseRead(a)
+		q.observeFirstEvent(a)
 	}
 	if a.silent {
 		a.silent = false
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -128,7 +128,7 @@
 		Pace:  pace,
 		Slots: b.Slots, MaxPieces: b.MaxPieces,
 		CallTime: b.CallTime, PieceTime: b.PieceTime,
-		ResultCapacity: b.ResultCapacity, ResultTTL: b.ResultTTL,
+		ResultCapacity: b.ResultCapacity, ResultTTL: b.ResultTTL, LinkRate: b.LinkRate,
 	}
 }
 
@@ -143,13 +143,14 @@
 		case now := <-ticker.C:
 			q.takeBackFromDead(view())
 			q.lockAndCheckStall()
-			idle := q.planner.RequestCount() == 0
+			idle := q.planner.RequestCount() == 0 && q.planner.ReservationCount() == 0
 			q.engines.Tick(now)
+			q.metrics.binding(q.planner.BindingServices(now))
 			q.mu.Unlock()
 			q.dropUnclaimed(now)
 			q.dropOrphaned(now, view())
 			if !idle {
-				q.apply(func(p *gather.Planner) []gather.Action { return p.Tick(now) })
+				q.apply(func(p *gather.Planner) []gather.Action { return q.checkTimers(p, now) })
 			}
 		}
 	}
@@ -198,7 +199,7 @@
 		return done, nil
 	}
 	if q.planner.IDInUse(r) {
-		done <- outcome{refused: &gather.Refused{Request: r.ID, Reason: gather.ReasonIDInUse}}
+		done <- outcome{refused: &gather.Refused{Request: r.ID, Account: r.Account, Reason: gather.ReasonIDInUse}}
 		q.mu.Unlock()
 		return done, nil
 	}
@@ -232,11 +233,15 @@
 
 // drop removes requests and frees their results.
 func (q *queue) drop(ends ...placing.RequestEnd) {
-	ids := make([]string, len(ends))
+	ids := make([]string, 0, len(ends))
 	q.lockAndCheckStall()
-	for i, end := range ends {
+	for _, end := range ends {
 		id := end.Request
-		ids[i] = id
+		q.engines.RecordProgress(time.Now(), end)
+		if end.EndsStream() {
+			continue
+		}
+		ids = append(ids, id)
 		q.engines.RecordEnd(end)
 		if q.waiters[id] != nil {
 			q.finish(id, outcome{dropped: true})
@@ -295,6 +300,7 @@
 			q.scheduleFree(a)
 		case gather.StartCall:
 			q.runningCalls++
+			q.metrics.callFill(a.Service, len(a.Pieces), q.planner.MaxPieces(a.Service))
 		}
 	}
 }
@@ -313,7 +319,7 @@
 			})
 		case gather.Refused:
 			q.metrics.refused(string(a.Reason))
-			telemetry.InfoS("Stages refused", telemetry.Event{RequestID: a.Request, Reason: string(a.Reason), Predicted: a.Needed, Remaining: a.TimeToDeadline, RetryAfter: a.RetryAfter})
+			telemetry.InfoS("Stages refused", telemetry.Event{RequestID: a.Request, Account: a.Account, Reason: string(a.Reason), Predicted: a.Needed, Remaining: a.TimeToDeadline, RetryAfter: a.RetryAfter})
 		}
 	}
 }
@@ -350,16 +356,19 @@
 	collected, waits := q.pendingFree[f.Target]
 	f.Handles = append(collected.Handles, f.Handles...)
 	q.pendingFree[f.Target] = f
-	if !waits {
-		time.AfterFunc(q.freeDelayAt(f.Target), func() { q.free(f.Target) })
+	if delay := q.freeDelayOf(f); !waits || delay == 0 {
+		time.AfterFunc(delay, func() { q.free(f.Target) })
 	}
 }
 
-// freeDelayAt returns how long the results of a target are collected. mu must be held.
-func (q *queue) freeDelayAt(t gather.Target) time.Duration {
-	if _, limited := q.targetLimits[t.Incarnation]; limited {
+// freeDelayOf returns how long results to free are collected. mu must be held.
+func (q *queue) freeDelayOf(f gather.FreeResults) time.Duration {
+	if _, limited := q.targetLimits[f.Target.Incarnation]; limited {
 		return limitedFreeDelay
 	}
+	if f.Urgent {
+		return 0
+	}
 	return freeDelay
 }
 
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -105,6 +105,10 @@
 	claim queueClaim
 	// sendsScheduling is true if requests are sent with what only methodSchedule carries.
 	sendsScheduling bool
+	// reservesRetries is true if capacity is reserved for callers that are told when to retry.
+	reservesRetries bool
+	// placesByCost is true if engines are chosen by the work that each has left.
+	placesByCost bool
 	// awaitLimits waits, after the start, until the limits are known that another instance knows.
 	awaitLimits func(ctx context.Context, from string)
 }
@@ -117,6 +121,7 @@
 		cluster:         c,
 		queue:           newQueue(d, client, follower, config, newMetrics(scope)),
 		sendsScheduling: config.AccountSharing || config.RetryReservations,
+		reservesRetries: config.RetryReservations,
 		avoidedUntil:    map[string]time.Time{},
 		redirects:       map[string]redirect{},
 		lastResponse:    map[string]time.Time{},
@@ -144,9 +149,12 @@
 	c.Handle(methodAssignPaced, s.handleAssignPaced)
 	c.Handle(methodSchedule, s.handleSchedule)
 	c.Handle(methodRequestEnds, s.handleRequestEnds)
+	c.Handle(methodRequestProgress, s.handleRequestProgress)
 	c.Handle(methodCaches, s.handleCaches)
+	c.Handle(methodRunning, s.handleRunning)
 	c.Handle(methodUnreachable, s.handleUnreachable)
 	c.Handle(methodHandover, s.handleHandover)
+	c.Handle(methodTakeSchedule, s.handleTakeSchedule)
 	c.Handle(methodCallEnd, s.handleCallEnd)
 	c.Handle(methodShorten, s.handleShorten)
 	c.Handle(methodClaim, s.handleClaim, peer.Idempotent())
@@ -193,6 +201,8 @@
 	RetryAfter time.Duration
 	// Reserved is true if capacity is reserved for the caller's retry.
 	Reserved bool
+	// NoTimeLeft is true if retries are reserved, and no time within the caller's deadline was found.
+	NoTimeLeft bool
 	// Holder is the name of the instance that decided.
 	Holder string
 }
@@ -329,7 +339,7 @@
 			return Result{}, &movedError{end.movedTo}
 		}
 		if err == nil && end.refused != nil {
-			err = &RefusedError{Reason: end.refused.Reason, RetryAfter: end.refused.RetryAfter, Reserved: end.refused.Reserved, Holder: m.Name}
+			err = s.refusedError(end.refused.Reason, end.refused.RetryAfter, end.refused.Reserved, m.Name)
 		}
 		return Result{Handles: end.handles, Engine: end.engine, SendAt: end.sendAt}, err
 	}
@@ -350,7 +360,7 @@
 	}
 	run := assigned.Redirectable.Run
 	if run.Reason != "" {
-		return Result{}, &RefusedError{Reason: gather.Reason(run.Reason), RetryAfter: run.RetryAfter, Reserved: response.Reserved, Holder: m.Name}
+		return Result{}, s.refusedError(gather.Reason(run.Reason), run.RetryAfter, response.Reserved, m.Name)
 	}
 	s.queue.recordPrefill(prompt, assigned.Engine)
 	return Result{Handles: run.Handles, Engine: assigned.Engine, SendAt: time.Now().Add(response.Paced.SendAfter)}, nil
@@ -397,108 +407,6 @@
 	return errors.Wrap(msgpack.Unmarshal(reply, response), "decode")
 }
 
-func (s *Stages) handleRun(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var request runRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "decode")
-	}
-	response, err := s.executeFor(ctx, from, &scheduleRequest{Assign: assignRequest{Redirectable: redirectableRequest{Run: request, Redirected: true}}})
-	if err != nil {
-		return nil, err
-	}
-	if response.Paced.Assign.Redirectable.MovedTo != "" {
-		return nil, errMoved
-	}
-	return encode(&response.Paced.Assign.Redirectable.Run)
-}
-
-func (s *Stages) handleRedirectable(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var request scheduleRequest
-	if err := msgpack.Unmarshal(body, &request.Assign.Redirectable); err != nil {
-		return nil, errors.Wrap(err, "decode")
-	}
-	response, err := s.executeFor(ctx, from, &request)
-	if err != nil {
-		return nil, err
-	}
-	return encode(&response.Paced.Assign.Redirectable)
-}
-
-func (s *Stages) handleAssign(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	response, err := s.assignFor(ctx, from, body)
-	if err != nil {
-		return nil, err
-	}
-	return encode(&response.Paced.Assign)
-}
-
-func (s *Stages) handleAssignPaced(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	response, err := s.assignFor(ctx, from, body)
-	if err != nil {
-		return nil, err
-	}
-	return encode(&response.Paced)
-}
-
-func (s *Stages) handleSchedule(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var request scheduleRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "decode")
-	}
-	response, err := s.executeFor(ctx, from, &request)
-	if err != nil {
-		return nil, err
-	}
-	return encode(response)
-}
-
-// assignFor runs the stages of another instance's request, given as an encoded assignRequest.
-func (s *Stages) assignFor(ctx context.Context, from peer.Peer, body []byte) (*scheduleResponse, error) {
-	var request scheduleRequest
-	if err := msgpack.Unmarshal(body, &request.Assign); err != nil {
-		return nil, errors.Wrap(err, "decode")
-	}
-	return s.executeFor(ctx, from, &request)
-}
-
-// executeFor runs the stages of another instance's request.
-func (s *Stages) executeFor(ctx context.Context, from peer.Peer, request *scheduleRequest) (*scheduleResponse, error) {
-	redirectable := &request.Assign.Redirectable
-	if to := s.redirectTo(time.Now(), redirectable); to != "" {
-		return &scheduleResponse{Paced: pacedResponse{Assign: assignResponse{Redirectable: redirectableResponse{MovedTo: to}}}}, nil
-	}
-	if s.relaysToYielded(ctx, redirectable) || s.shouldRelay(time.Now(), redirectable) {
-		return s.relay(ctx, request)
-	}
-	r := request.request(time.Now())
-	if s.awaitLimits(ctx, from.Address); ctx.Err() != nil {
-		return nil, context.Cause(ctx)
-	}
-	s.awaitQueueClaim(ctx)
-	end, err := s.queue.execute(ctx, r, request.Assign.Prompt, redirectable.DeadlineShortened, true)
-	if err != nil {
-		return nil, err
-	}
-	if end.movedTo != "" {
-		s.awaitForwarded(ctx, r.ID)
-	}
-	response := &scheduleResponse{Paced: pacedResponse{Assign: assignResponse{
-		redirectableResponse{Run: runResponse{Handles: end.handles}, MovedTo: end.movedTo}, end.engine,
-	}}}
-	if !end.sendAt.IsZero() {
-		response.Paced.SendAfter = time.Until(end.sendAt)
-	}
-	run := &response.Paced.Assign.Redirectable.Run
-	switch {
-	case end.refused != nil:
-		run.Reason, run.RetryAfter = string(end.refused.Reason), end.refused.RetryAfter
-		response.Reserved = end.refused.Reserved
-	case end.movedTo == "":
-		s.queue.recordReader(r.ID, resultReader{instanceID{from.Name, from.Incarnation}, r.Deadline})
-	}
-	return response, nil
-}
-
 // ActiveCount returns the sum of three numbers: the requests whose stages this instance holds,
 // the calls that it carries out, also for another instance's queue, and the targets whose
 // results it is about to free.
--- a/daemon/stages/wire_test.go
+++ b/daemon/stages/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -84,6 +85,15 @@
 			"63c3cb3ff8000000000000c3d3000000000000002122239192d30000000000000024d300000000000000259193a574696d65" +
 			"64cb40040000000000009193a5726f75746526cb400c000000000000c2"},
 		{"handover, replaced target", &handoverPart{State: gather.State{Targets: []gather.TargetState{{Replaced: true}}}}, "93cf000000000000000094c0c0919ca0a0a0a0a0c3cb0000000000000000c2d300000000000000000000c0c0c2"},
+		{"schedule of a handover", &schedulePart{Number: 44, State: gather.ScheduleState{
+			Requests: []gather.ScheduledRequest{{ID: "id", Account: "account", Yields: true, KeyDelays: []time.Duration{45}}},
+			Reservations: []gather.ReservationState{{
+				Account: "account", Route: "route", Fingerprint: "fingerprint", Reserved: true, Rank: 4.5, Boosted: true, Due: 46, ToldAt: 47, ExpiresAt: 48,
+				MaxRetryDelay: 49, Work: []gather.ReservedWorkState{{Service: "service", Pieces: 50, PieceTime: 51}},
+			}},
+		}}, "92cf000000000000002c929194a26964a76163636f756e74c391d3000000000000002d919ba76163636f756e74a5726f7574" +
+			"65ab66696e6765727072696e74c3cb4012000000000000c3d3000000000000002ed3000000000000002fd300000000000000" +
+			"30d300000000000000319193a77365727669636532d30000000000000033"},
 		{"handover response", &handoverResponse{Accepted: true}, "91c3"},
 		{"call end", &callEndReport{Call: 39, Outcome: uint8(gather.CallUnanswered), Results: []gather.PieceResult{
 			{Handle: "handle", Failure: gather.PieceFailed},
@@ -93,6 +103,12 @@
 		}}, "9193a4706f6f6ca6656e67696e659192a47061727428"},
 		{"unreachable", &unreachableReport{Pool: "pool", Engine: "engine"}, "92a4706f6f6ca6656e67696e65"},
 		{"request ends", []placing.RequestEnd{{Request: "request", Engine: "engine", FirstEvent: 41}}, "9193a772657175657374a6656e67696e65d30000000000000029"},
+		{"request progress", []requestProgress{{
+			Request: "request", Engine: "engine", FirstEvent: 52, Running: true, Duration: 53, Events: 54, Complete: true,
+		}}, "9197a772657175657374a6656e67696e65d30000000000000034c3d3000000000000003536c3"},
+		{"running requests", []placing.RunningRequest{{
+			ID: "id", Pool: "pool", Engine: "engine", Route: "route", Account: "account", PromptTokens: 55, Uncached: 56, Age: 57, Began: true,
+		}}, "9199a26964a4706f6f6ca6656e67696e65a5726f757465a76163636f756e743738d30000000000000039c3"},
 		{"shorten", &shortenRequest{Remaining: 42, IDs: []string{"id1", "id2"}}, "92d3000000000000002a92a3696431a3696432"},
 	}
 	for _, c := range cases {
