End the limit of accounts five seconds after the last rejection

Change: an instance that has seen no rejection for 5 s limits nothing. The test that used the constant as its bound keeps the 20 s that it had.

--- a/coordination/accountlimit/accountlimit.go
+++ b/coordination/accountlimit/accountlimit.go
@@ -41,9 +41,10 @@
 	// rejection. What was sent until then has filled the queues of targets, and doesn't show
 	// what they work; without a prior, the first responses alone would decide.
 	priorAsked, priorAccepted = 15, 7.5
-	// forgetTime is the time without a rejection after which nothing is limited. It is a few
-	// times what the multiple needs to rise above a demand of twice the capacity.
-	forgetTime = 20 * time.Second
+	// forgetTime is the time without a rejection after which nothing is limited. While targets
+	// are full, instances hear of it more often; a longer time would refuse requests that targets
+	// have room for after an overload.
+	forgetTime = 5 * time.Second
 	// cutTime is how long targets must go on rejecting without work of less urgent priorities
 	// until a priority is limited itself. Targets need it to work off what waits there.
 	cutTime = 2 * time.Second
--- a/coordination/accountlimit/accountlimit_test.go
+++ b/coordination/accountlimit/accountlimit_test.go
@@ -63,6 +63,7 @@
 
 // Guards against a limit where a single one of many targets rejects, with all requests and after an overload.
 func TestSingleTargetThatRejectsLimitsNothing(t *testing.T) {
+	const afterOverload = 20 * time.Second
 	for _, overloaded := range []bool{false, true} {
 		l, now := New(nil), start
 		if overloaded {
@@ -72,7 +73,7 @@
 			now = now.Add(10 * time.Millisecond)
 			refused := l.Ask(now, Request{Service: "s", Account: "a"}).Refused
 			if refused {
-				require.True(t, overloaded && now.Sub(start) < forgetTime, now.Sub(start))
+				require.True(t, overloaded && now.Sub(start) < afterOverload, now.Sub(start))
 				continue
 			}
 			l.Sent(now, "s")
