Compute a request's fingerprint only where retries are known by it

Cause: with all switches off each request with stages had its body hashed for nothing. Change: the relay computes the fingerprint only with retry_reservations. Figures: go test ./daemon/relay ./daemon/gateway ./daemon/stages passes; the saved time was not measured.

--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -124,7 +124,7 @@
 	r := gather.Request{
 		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority, KindPriority: q.route.Priority,
 		Objective: objective, Deadline: q.stagesDeadline(time.Now()), Remaining: engineFirstEventTime, DataCentre: dataCentre,
-		Account: q.account, Fingerprint: q.digest().String(), MaxRetryDelay: q.maxRetryDelay(time.Now()),
+		Account: q.account, Fingerprint: q.fingerprint(), MaxRetryDelay: q.maxRetryDelay(time.Now()),
 	}
 	for i, s := range q.route.Stages {
 		pieces := 0
@@ -155,6 +155,14 @@
 	return err
 }
 
+// fingerprint returns what a caller's retry is known by; empty if nobody asks for it.
+func (q *request) fingerprint() string {
+	if !q.relay.options.RetryReservations {
+		return ""
+	}
+	return q.digest().String()
+}
+
 // maxRetryDelay returns the longest retry delay that the caller honours if it is refused now.
 func (q *request) maxRetryDelay(now time.Time) time.Duration {
 	if q.call.Timeout <= 0 {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -80,6 +80,9 @@
 	// TargetShares returns, by data centre, the share of a service's targets.
 	TargetShares func(service string) map[string]float64
 	Stages       StageRunner
+	// RetryReservations is true if the holder of the stage queue reserves capacity for retries, which
+	// it knows by their content.
+	RetryReservations bool
 	// Streams knows where streams began that callers take up again.
 	Streams Streams
 	// Paced reports whether sends to the targets of a service need grants; nil if none do.
