--- a/daemon/accountshares/accountshares_test.go
+++ b/daemon/accountshares/accountshares_test.go
@@ -21,7 +21,7 @@
 		scope := tally.NewTestScope("", nil)
 		s := New(nil, scope)
 		for range 200 {
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond) // virtual
 			if s.Ask(accountlimit.Request{Service: "plain", Account: "a b"}).Refused {
 				s.Ended(accountstats.Outcome{Service: "plain", Account: "a b", Refused: "account_share"})
 				continue
