Count a refused connection before it is closed

With a delay of 1 ms between close and count it fails each time. Ruled out: the number of connections, which is changed under the lock.

--- a/transport/inbound/server.go
+++ b/transport/inbound/server.go
@@ -212,10 +212,10 @@
 // refuse closes a connection of which nothing has been read: its caller may safely send the request
 // again elsewhere.
 func (s *Server) refuse(nc net.Conn) {
-	_ = nc.Close() // it is given up either way
 	if s.onRefuse != nil {
 		s.onRefuse()
 	}
+	_ = nc.Close() // it is given up either way
 }
 
 // track adds an accepted connection to the server.
