Delay calls of a binding stage only for pieces that are about to be ready

Cause: with flow control, calls of a stage that binds waited up to 100 ms for more pieces even if no call in progress would make any ready.

Change: a call waits for pieces if the fuller call does more pieces a second, the wait included, by the calls in progress that end within the wait. Where room limits the call it waits as before.

The new test fails without the change.

--- a/coordination/gather/flow.go
+++ b/coordination/gather/flow.go
@@ -147,12 +147,47 @@
 	return p.config.ResultFlowControl && s.binds(now)
 }
 
-// waitsToFill reports whether a call of a service that binds should wait for more pieces, or for
-// capacity for them.
+// waitsToFill reports whether a call of a service that binds should wait to be filled: for results that
+// are freed if capacity limits the call, else for pieces that calls in progress make ready, if the
+// fuller call then does more pieces a second, the wait included.
 func (p *Planner) waitsToFill(now time.Time, t *target, chosen []pieceRef) bool {
 	s := t.service
-	return p.config.ResultFlowControl && float64(len(chosen)) < fillShare*float64(s.config.MaxPieces) &&
-		now.Sub(t.idleSince) < maxFillWait && !chosen[0].stage.request.suspect() && s.binds(now)
+	left := maxFillWait - now.Sub(t.idleSince)
+	if !p.config.ResultFlowControl || left <= 0 || float64(len(chosen)) >= fillShare*float64(s.config.MaxPieces) ||
+		chosen[0].stage.request.suspect() || !s.binds(now) {
+		return false
+	}
+	if t.capacityShortAt.Equal(now) {
+		return true
+	}
+	more := min(p.piecesReadyWithin(s, now.Add(left)), s.config.MaxPieces-len(chosen))
+	return s.throughput(len(chosen)+more, left) > s.throughput(len(chosen), 0)
+}
+
+// throughput returns the pieces a second of calls of n pieces that start after a wait.
+func (s *service) throughput(n int, wait time.Duration) float64 {
+	return float64(n) / (wait + s.expected(time.Duration(n)*s.config.PieceTime)).Seconds()
+}
+
+// piecesReadyWithin returns how many waiting pieces of a service read results of calls that are predicted
+// to end by a time.
+func (p *Planner) piecesReadyWithin(s *service, by time.Time) int {
+	n := 0
+	counted := map[*heldStage]bool{}
+	for _, c := range p.calls {
+		if c.startedAt.Add(c.expectedDuration).After(by) {
+			continue
+		}
+		for _, ref := range c.pieces {
+			for _, reader := range ref.stage.request.stages {
+				if reader.service == s && !counted[reader] && slices.Contains(reader.After, ref.stage.index) && reader.inputsReleased() {
+					counted[reader] = true
+					n += len(reader.pending)
+				}
+			}
+		}
+	}
+	return n
 }
 
 // largeResultReserve returns the capacity of a target that large results leave to small ones.
--- a/coordination/gather/flow_test.go
+++ b/coordination/gather/flow_test.go
@@ -247,3 +247,27 @@
 		require.Equal(t, 2*time.Second, p.afterStage(time.Second, time.Second, req.stages[0], queuePosition{}))
 	}
 }
+
+// Guards against calls that wait to be filled while nothing can fill them: the wait would only be added
+// to the time of their requests.
+func TestCallThatNothingFillsIsNotDelayed(t *testing.T) {
+	r := newRigOf(t, Config{ResultFlowControl: true})
+	slow := smallBatch
+	slow.CallTime = 2 * time.Second
+	r.service("a", slow, "x")
+	r.service("b", smallBatch, "x")
+	r.callDuration = func(c StartCall) time.Duration {
+		return map[string]time.Duration{"a": slow.CallTime, "b": smallBatch.CallTime}[c.Service]
+	}
+	single := func(id string) {
+		r.submit(Request{ID: id, Route: "r", Key: "k", Stages: []Stage{{Service: "b", Pieces: 1, ResultBytes: 1000}}})
+	}
+	single("first")
+	single("second")
+	for i := range 4 {
+		r.submit(chain(fmt.Sprint("chain", i), 1, 8))
+	}
+	require.True(t, r.planner.service("b").binds(r.now))
+	r.run(230 * time.Millisecond)
+	require.Equal(t, "second", r.calls[len(r.calls)-1].Pieces[0].Request)
+}
