List the accounts that compete at the holder of the stage queue

Cause: GET /accounts listed only what an instance saw of its own requests, so an operator could not tell which account takes the capacity of stage targets. Ruled out: adding the holder's rows to the instance's, since their units differ (target-seconds and requests).

Change: the planner returns demand, share and waiting work of accounts at services that are asked for more than they can do (at most 64), the holder answers the idempotent method stages.accounts, and /accounts shows it below its own list, also when the holder doesn't answer within a second.

--- a/coordination/fairshare/rates.go
+++ b/coordination/fairshare/rates.go
@@ -69,6 +69,14 @@
 	return demands
 }
 
+// Each calls f with the rate of each account, the one that asked last first.
+func (r *Rates) Each(now time.Time, f func(account string, rate float64)) {
+	for known := r.recent.Front(); known != nil; known = known.Next() {
+		e := known.Value.(*entry)
+		f(e.account, r.rate(now, e))
+	}
+}
+
 // Prune removes the accounts whose rates have decayed to nothing.
 func (r *Rates) Prune(now time.Time) {
 	for last := r.recent.Back(); last != nil; last = r.recent.Back() {
--- a/coordination/gather/shares_test.go
+++ b/coordination/gather/shares_test.go
@@ -293,3 +293,21 @@
 	require.Nil(t, submit("two", accountName(1), r.now, 1500*time.Millisecond), "the small account is served at once")
 	require.Nil(t, submit("three", accountName(0), r.now, 1500*time.Millisecond+large.RetryAfter), "served with the time that it was told")
 }
+
+// Guards operators against a list without the account that causes an overload, and against figures that
+// change because they are read.
+func TestCompetingAccountsAreListed(t *testing.T) {
+	r := newSharingLoad(110, 4).start()
+	require.Empty(t, r.planner.AccountShares(r.now, 64))
+	r.run(3 * time.Second)
+	shares := r.planner.AccountShares(r.now, 64)
+	require.Equal(t, shares, r.planner.AccountShares(r.now, 64))
+	require.Len(t, shares, 2)
+	large, small := shares[0], shares[1]
+	require.Equal(t, []string{lookup, accountName(0), accountName(1)}, []string{large.Service, large.Account, small.Account})
+	require.Greater(t, large.Demand, large.Share)
+	require.Positive(t, large.Waiting)
+	require.InDelta(t, small.Demand, small.Share, 1e-9)
+	require.InDelta(t, 2, large.Share+small.Share, 0.1, "the two targets work two seconds a second")
+	require.Equal(t, shares[:1], r.planner.AccountShares(r.now, 1))
+}
--- a/daemon/accountshares/accountshares.go
+++ b/daemon/accountshares/accountshares.go
@@ -15,6 +15,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/accountlimit"
 	"github.com/ivyhollow/ivyhollow/coordination/accountstats"
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
@@ -35,15 +36,19 @@
 	limiter *accountlimit.Limiter
 	stats   *accountstats.Table
 
+	// queueShares returns the shares at the holder of the stage queue, and its name.
+	queueShares func(context.Context) (string, []gather.AccountShare, error)
+
 	held, largest tally.Gauge
 	lastLog       time.Time
 }
 
-// New returns the shares of accounts with the given weights; others have the weight 1.
-func New(weights map[string]float64, scope tally.Scope) *Shares {
+// New returns the shares of accounts with the given weights; others have the weight 1. queueShares
+// returns the shares at the holder of the stage queue, and its name also with an error.
+func New(weights map[string]float64, queueShares func(context.Context) (string, []gather.AccountShare, error), scope tally.Scope) *Shares {
 	scope = scope.SubScope("accounts")
 	return &Shares{
-		limiter: accountlimit.New(weights), stats: accountstats.New(),
+		limiter: accountlimit.New(weights), stats: accountstats.New(), queueShares: queueShares,
 		held: scope.Gauge("held"), largest: scope.Gauge("largest_share"),
 	}
 }
--- a/daemon/accountshares/listing.go
+++ b/daemon/accountshares/listing.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/accountlimit"
 	"github.com/ivyhollow/ivyhollow/coordination/accountstats"
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/telemetry"
 )
 
@@ -25,17 +27,36 @@
 	Share *float64 `json:"share_per_s,omitempty"`
 }
 
-// ServeHTTP lists the accounts with the most requests refused or late lately at this instance, as
-// text, or as JSON if the query has format=json or the caller accepts it.
+// listing is the response to GET /accounts.
+type listing struct {
+	// Accounts are those of this instance's requests.
+	Accounts   []row      `json:"accounts"`
+	StageQueue stageQueue `json:"stage_queue"`
+}
+
+// stageQueue has the shares at the holder of the stage queue.
+type stageQueue struct {
+	Holder   string                `json:"holder"`
+	Accounts []gather.AccountShare `json:"accounts"`
+	// Error is why the holder's shares aren't known.
+	Error string `json:"error,omitempty"`
+}
+
+// ServeHTTP lists the accounts with the most requests refused or late lately at this instance, and those
+// that compete at the holder of the stage queue, as text, or as JSON if the query has format=json or
+// the caller accepts it.
 func (s *Shares) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	rows := s.rows(time.Now())
+	l := listing{Accounts: s.rows(time.Now())}
 	var err error
+	if l.StageQueue.Holder, l.StageQueue.Accounts, err = s.queueShares(r.Context()); err != nil {
+		l.StageQueue.Error = err.Error()
+	}
 	if r.URL.Query().Get("format") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
 		w.Header().Set("Content-Type", "application/json")
-		err = json.NewEncoder(w).Encode(rows)
+		err = json.NewEncoder(w).Encode(l)
 	} else {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		err = writeText(w, rows)
+		err = l.writeText(w)
 	}
 	if err != nil {
 		telemetry.ErrorS(err, "List of accounts not sent", telemetry.Event{})
@@ -64,10 +85,10 @@
 	return rows
 }
 
-func writeText(w http.ResponseWriter, rows []row) error {
+func (l *listing) writeText(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "SERVICE\tACCOUNT\tDEMAND/S\tSHARE/S\tSERVED\tLATE\tWAITED\tREFUSED")
-	for _, r := range rows {
+	for _, r := range l.Accounts {
 		share := "-"
 		if r.Share != nil {
 			share = fmt.Sprintf("%.1f", *r.Share)
@@ -79,5 +100,26 @@
 		_, _ = fmt.Fprintf(table, "%s\t%q\t%.1f\t%s\t%.0f\t%.0f\t%.3fs\t%s\n",
 			r.Service, r.Account, r.Demand, share, r.Served, r.Late, r.Waited, strings.Join(refused, " "))
 	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return l.StageQueue.writeText(w)
+}
+
+func (q *stageQueue) writeText(w io.Writer) error {
+	switch {
+	case q.Error != "":
+		_, err := fmt.Fprintf(w, "\nStage queue of %s: not known: %s\n", q.Holder, q.Error)
+		return err
+	case len(q.Accounts) == 0:
+		_, err := fmt.Fprintf(w, "\nStage queue of %s: no service is short of capacity\n", q.Holder)
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "\nStage queue of %s, in target-seconds:\n", q.Holder)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "SERVICE\tACCOUNT\tDEMAND/S\tSHARE/S\tWAITING")
+	for _, a := range q.Accounts {
+		_, _ = fmt.Fprintf(table, "%s\t%q\t%.2f\t%.2f\t%.2f\n", a.Service, a.Account, a.Demand, a.Share, a.Waiting)
+	}
 	return table.Flush()
 }
--- a/daemon/gateway/accounts.go
+++ b/daemon/gateway/accounts.go
@@ -10,7 +10,7 @@
 // buildAccounts creates the shares of client accounts, if the settings turn them on.
 func (g *Gateway) buildAccounts() {
 	if s := g.settings.Scheduling; s.AccountSharing {
-		g.accounts = accountshares.New(s.AccountWeights, g.telemetry.Scope)
+		g.accounts = accountshares.New(s.AccountWeights, g.stages.AccountShares, g.telemetry.Scope)
 	}
 }
 
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -158,6 +158,7 @@
 	c.Handle(methodCallEnd, s.handleCallEnd)
 	c.Handle(methodShorten, s.handleShorten)
 	c.Handle(methodClaim, s.handleClaim, peer.Idempotent())
+	c.Handle(methodAccounts, s.handleAccounts, peer.Idempotent())
 	return s
 }
 
