Let the limit of accounts follow a demand that falls

Cause: requests were refused with account_share for seconds after an overload in which targets were out of service for a part (soak: three instances served 2 requests a second of 4 to 6 for 7 s, without a rejection). What was accepted then was taken for what targets work, and it rose with the time that 80 sends take, which is longest where the estimate is too low. Change: once accounts ask for less than half of what they asked for at the latest rejection, the multiple doubles each 0.5 s. A limit that begins while targets restart without an overload still lasts up to 5 s.

--- a/coordination/accountlimit/accountlimit.go
+++ b/coordination/accountlimit/accountlimit.go
@@ -37,6 +37,12 @@
 	// probeRate is sent in any case, in requests a second. It finds targets again that rejected
 	// everything.
 	probeRate = 0.5
+	// fallenDemand is the part of the demand at the latest rejection below which the overload is over.
+	// What was accepted of the greater demand then doesn't show what there is room for, least of all
+	// if targets were out of service for a part of it. The multiple rises from minQuiet on and doubles
+	// in fallenDoubling: the few sends that the limit leaves would find the room after seconds.
+	fallenDemand   = 0.5
+	fallenDoubling = 500 * time.Millisecond
 	// priorAsked and priorAccepted are what counts as asked and accepted before the first
 	// rejection. What was sent until then has filled the queues of targets, and doesn't show
 	// what they work; without a prior, the first responses alone would decide.
@@ -117,6 +123,8 @@
 	// true if there was one since it was computed.
 	accepts  float64
 	rejected bool
+	// demand is what all accounts asked for at that rejection, in requests a second.
+	demand   float64
 	lastUsed time.Time
 	// levels are the rates per weight up to which accounts are served, by priority.
 	levels  [priorities]float64
@@ -259,7 +267,7 @@
 // capacity only while targets reject: without rejections, it falls with what is sent.
 func (s *service) capacity(now time.Time, demand float64) float64 {
 	if s.rejected {
-		s.accepts, s.rejected = s.estimate(now, demand), false
+		s.accepts, s.demand, s.rejected = s.estimate(now, demand), demand, false
 	}
 	accepts := max(s.accepts, s.estimate(now, demand))
 	pause, doubling := minQuiet, minDoubling
@@ -267,6 +275,9 @@
 		pause = min(max(timeOf(quietSends, accepts), minQuiet), maxQuiet)
 		doubling = min(max(timeOf(doublingSends, accepts), minDoubling), maxDoubling)
 	}
+	if demand < fallenDemand*s.demand {
+		pause, doubling = minQuiet, fallenDoubling
+	}
 	multiple := acceptMultiple
 	if quiet := now.Sub(s.lastRejection) - pause; quiet > 0 {
 		multiple *= math.Exp2(float64(quiet) / float64(doubling))
--- a/coordination/accountlimit/play_test.go
+++ b/coordination/accountlimit/play_test.go
@@ -169,6 +169,20 @@
 	}
 }
 
+// overloadThenCalm is an overload of 8 s before accounts ask for 0.3 of what targets bear.
+var overloadThenCalm = []load{
+	{account: "large", perSecond: 240, until: 8 * time.Second}, {account: "large", perSecond: 8, from: 8 * time.Second},
+	{account: "small", perSecond: 8}, {account: "other", perSecond: 8},
+}
+
+// limitedOf returns how many requests of all accounts were refused for their shares.
+func limitedOf(c counts, from, until int) (n int) {
+	for account := range c {
+		n += c.sum(account, from, until).limited
+	}
+	return n
+}
+
 // Each case is a failure or a change of the load that must not lock accounts out, and that must not
 // leave a limit in force when nothing is rejected any more.
 func TestLimitFollowsTheTargets(t *testing.T) {
@@ -248,6 +262,24 @@
 			}},
 			func(t *testing.T, got counts) { require.Zero(t, got.sum("urgent", 0, 10).limited) },
 		},
+		"targets reject all as an overload ends": {
+			play{duration: seconds(20), loads: overloadThenCalm, targets: func(at time.Duration) int {
+				if at > seconds(5) && at < seconds(8) {
+					return 0
+				}
+				return 2
+			}},
+			func(t *testing.T, got counts) { require.LessOrEqual(t, limitedOf(got, 12, 20), 1) },
+		},
+		"targets reject all after an overload": {
+			play{duration: seconds(20), loads: overloadThenCalm, targets: func(at time.Duration) int {
+				if at > seconds(8) && at < seconds(10) {
+					return 0
+				}
+				return 2
+			}},
+			func(t *testing.T, got counts) { require.LessOrEqual(t, limitedOf(got, 14, 20), 1) },
+		},
 		"weights": {
 			play{duration: seconds(20), weights: map[string]float64{"three": 3}, loads: []load{{account: "three", perSecond: 120}, {account: "one", perSecond: 120}}},
 			func(t *testing.T, got counts) {
