Send the caller's estimate of the output to the holder

Cause: with cost_placement the holder predicted by route alone (also the account went to it only where accounts share), so that long and short requests of a route counted as the same. Ruled out: a field of scheduleRequest or of Prompt, since decoders check the length of arrays; a new method, which would cost one more call to each holder of an earlier version. Change: a second value in the body of stages.schedule, which decoders of earlier versions ignore. It is sent only with cost_placement, and requests for an engine then use that method. placing predicts with estimate and greatest number. A request counts as of unknown duration until such requests were observed, and not until an output is known: an estimate would have ended it after 10 s instead of a minute. Seen failing without the guard: estimates in predict, the minute, the method with cost_placement, no second value without it.

--- a/coordination/cost/cost.go
+++ b/coordination/cost/cost.go
@@ -35,6 +35,9 @@
 	rest *distribution // of Total without Read
 }
 
+// Observed reports whether the times follow from requests that were observed, and not from defaults.
+func (e Estimate) Observed() bool { return e.rest != nil }
+
 // WithRead returns the estimate with a share of the uncached tokens, 0 to 1.
 func (e Estimate) WithRead(share float64) Estimate {
 	saved := e.Read - time.Duration(float64(e.Read)*share)
--- a/coordination/placing/generations_test.go
+++ b/coordination/placing/generations_test.go
@@ -154,3 +154,22 @@
 	next.RecordProgress(now, RequestEnd{Request: "1", Engine: c.Engine.Incarnation, FirstEvent: time.Second, Duration: 2 * time.Second, Complete: true})
 	requireAccount(t, next, c.Engine.Incarnation, 0, 0)
 }
+
+// Guards against a holder that ignores what the caller says of the output: it then takes a long request
+// for a short one of the same kind. Without observations it doesn't tell when a request has ended.
+func TestOutputEstimatePredictsWork(t *testing.T) {
+	table, c := accountTable(t)
+	prompt := func(hint int) *Prompt { return &Prompt{Pool: "p", Tokens: 1000, Hint: hint, MaxOutput: 600} }
+	w := table.predict(start, prompt(500))
+	require.Equal(t, 1500.0, w.Memory)
+	require.Equal(t, 1600.0, table.predict(start, prompt(900)).Memory, "at most the greatest number")
+	require.Equal(t, unknownExpiry, w.expiry())
+	for i := range 10 {
+		for hint, took := range map[int]time.Duration{20: time.Second, 500: 20 * time.Second} {
+			id := fmt.Sprint(hint, "-", i)
+			table.RecordSent(start, id, prompt(hint), c)
+			table.RecordProgress(start.Add(took), RequestEnd{Request: id, Engine: c.Engine.Incarnation, FirstEvent: 1, Duration: took, Events: hint, Complete: true})
+		}
+	}
+	require.Greater(t, table.predict(start, prompt(500)).rest, 5*table.predict(start, prompt(20)).rest)
+}
--- a/coordination/placing/running.go
+++ b/coordination/placing/running.go
@@ -70,7 +70,7 @@
 	if t.costs == nil {
 		return nil
 	}
-	r := cost.Request{Pool: p.Pool, Route: p.Route, Account: p.Account, PromptTokens: p.Tokens}
+	r := cost.Request{Pool: p.Pool, Route: p.Route, Account: p.Account, PromptTokens: p.Tokens, Hint: p.Hint, MaxOutput: p.MaxOutput}
 	e := t.costs.Estimate(now, r)
 	return &work{r, e, (e.Mean() - e.Read).Seconds()}
 }
@@ -113,7 +113,7 @@
 
 // expiry returns the age at which the request counts as ended without a report.
 func (w *work) expiry() time.Duration {
-	if w.Output == 0 {
+	if !w.Observed() {
 		return unknownExpiry
 	}
 	return max(workload.Expiry, expiryTotals*w.Total)
--- a/coordination/placing/types.go
+++ b/coordination/placing/types.go
@@ -24,9 +24,12 @@
 	Tokens int
 	// Exclude lists incarnations that may not serve the request.
 	Exclude []string
-	// Route and Account tell kinds of requests apart in the prediction of costs; they aren't sent.
+	// Route and Account tell kinds of requests apart in the prediction of costs; they aren't sent with the prompt.
 	Route   string `msgpack:"-"`
 	Account string `msgpack:"-"`
+	// Hint is the caller's estimate of the output tokens, MaxOutput their greatest number; 0 if unknown.
+	Hint      int `msgpack:"-"`
+	MaxOutput int `msgpack:"-"`
 }
 
 // Engine identifies one incarnation of an engine.
--- a/daemon/relay/results.go
+++ b/daemon/relay/results.go
@@ -13,7 +13,10 @@
 	if !q.route.PrefixCaching && !q.paced {
 		return placing.Prompt{}
 	}
-	p := placing.Prompt{Pool: q.service, Tokens: clampTokens(q.call.PromptTokens), Exclude: q.unwanted()}
+	p := placing.Prompt{
+		Pool: q.service, Tokens: clampTokens(q.call.PromptTokens), Exclude: q.unwanted(),
+		Hint: clampTokens(q.call.OutputHint), MaxOutput: clampTokens(q.call.OutputTokens),
+	}
 	if q.streamVersion != "" {
 		p.Exclude = slices.Concat(p.Exclude, q.relay.options.Router.OtherVersions(q.service, q.streamVersion))
 	}
--- a/daemon/stages/handlers.go
+++ b/daemon/stages/handlers.go
@@ -56,11 +56,11 @@
 }
 
 func (s *Stages) handleSchedule(ctx context.Context, from peer.Peer, body []byte) ([]byte, error) {
-	var request scheduleRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "decode")
+	request, err := decodeSchedule(body)
+	if err != nil {
+		return nil, err
 	}
-	response, err := s.executeFor(ctx, from, &request)
+	response, err := s.executeFor(ctx, from, request)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/stages/messages.go
+++ b/daemon/stages/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,6 +83,13 @@
 	MaxRetryDelay time.Duration
 }
 
+// outputEstimate is a second value in the body of methodSchedule, where engines are chosen by cost. A
+// decoder of an earlier version reads the first value and ignores what follows.
+type outputEstimate struct {
+	// Hint and MaxOutput are as in placing.Prompt.
+	Hint, MaxOutput int
+}
+
 // scheduleResponse is the response of methodSchedule.
 type scheduleResponse struct {
 	Paced pacedResponse
@@ -143,6 +151,31 @@
 	return &scheduleRequest{Assign: *assign, Account: r.Account, Fingerprint: r.Fingerprint, MaxRetryDelay: r.MaxRetryDelay}
 }
 
+// encodeSchedule encodes the body of methodSchedule, with an outputEstimate if there is one.
+func encodeSchedule(s *scheduleRequest, output outputEstimate) ([]byte, error) {
+	body, err := encode(s)
+	if err != nil || output == (outputEstimate{}) {
+		return body, err
+	}
+	more, err := encode(&output)
+	return append(body, more...), err
+}
+
+// decodeSchedule decodes the body of methodSchedule.
+func decodeSchedule(body []byte) (*scheduleRequest, error) {
+	var s scheduleRequest
+	var output outputEstimate
+	decoder := msgpack.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&s); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	if err := decoder.Decode(&output); err != nil && !errors.Is(err, io.EOF) {
+		return nil, errors.Wrap(err, "decode output estimate")
+	}
+	s.Assign.Prompt.Hint, s.Assign.Prompt.MaxOutput = output.Hint, output.MaxOutput
+	return &s, nil
+}
+
 func (s *scheduleRequest) request(now time.Time) gather.Request {
 	r := s.Assign.Redirectable.Run.request(now)
 	r.Account, r.Fingerprint, r.MaxRetryDelay = s.Account, s.Fingerprint, s.MaxRetryDelay
--- a/daemon/stages/schedule_test.go
+++ b/daemon/stages/schedule_test.go
@@ -98,3 +98,51 @@
 		})
 	}
 }
+
+// Guards against a holder that isn't told what the caller says of the output, and against bytes that
+// instances without placement by cost don't expect.
+func TestOutputEstimateReachesTheHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		byCost, sharing bool
+		pool            string
+		prompt          placing.Prompt
+		method          string
+	}{
+		"by cost":              {byCost: true, pool: "pool", prompt: placing.Prompt{Hint: 7, MaxOutput: 9}, method: methodSchedule},
+		"by cost, none":        {byCost: true, pool: "pool", method: methodSchedule},
+		"by cost, no engine":   {byCost: true, method: methodAssign},
+		"accounts share alone": {sharing: true, pool: "pool", method: methodSchedule},
+		"off":                  {pool: "pool", method: methodAssignPaced},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newFakeCluster(2)
+			var sent []byte
+			cluster.respond = func(_ context.Context, _, method string, body []byte) ([]byte, error) {
+				sent = body
+				return encode(map[string]any{methodSchedule: &scheduleResponse{}, methodAssignPaced: &pacedResponse{}, methodAssign: &assignResponse{}}[method])
+			}
+			s := startStagesWith(t, cluster, gather.Config{AccountSharing: c.sharing})
+			s.placesByCost = c.byCost
+			request := &scheduleRequest{Account: "account"}
+			request.Assign.Prompt = placing.Prompt{Pool: c.pool, Hint: 7, MaxOutput: 9}
+			if c.byCost {
+				request.Assign.Prompt.Hint, request.Assign.Prompt.MaxOutput = c.prompt.Hint, c.prompt.MaxOutput
+			}
+			_, err := s.executeRemote(t.Context(), "at-b", request)
+			require.NoError(t, err)
+			require.Equal(t, []string{c.method}, cluster.methodsCalled("at-b"))
+			if c.method != methodSchedule {
+				return
+			}
+			got, err := decodeSchedule(sent)
+			require.NoError(t, err)
+			c.prompt.Pool = c.pool
+			require.Equal(t, c.prompt, got.Assign.Prompt)
+			if c.prompt.Hint == 0 {
+				plain, err := encode(request)
+				require.NoError(t, err)
+				require.Equal(t, plain, sent)
+			}
+		})
+	}
+}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -103,7 +103,8 @@
 	ended chan struct{}
 	// claim is the claim of the queue after the start.
 	claim queueClaim
-	// sendsScheduling is true if requests are sent with what only methodSchedule carries.
+	// sendsScheduling is true if requests are sent with what only methodSchedule carries; those that
+	// have an engine chosen are too if placesByCost is true.
 	sendsScheduling bool
 	// reservesRetries is true if capacity is reserved for callers that are told when to retry.
 	reservesRetries bool
@@ -373,8 +374,8 @@
 	response, request := &whole.Paced, &scheduled.Assign
 	assigned := &response.Assign
 	err := error(peer.ErrNoMethod)
-	if s.sendsScheduling {
-		err = s.callMethod(ctx, address, methodSchedule, scheduled, &whole)
+	if s.sendsScheduling || s.placesByCost && request.Prompt.Pool != "" {
+		err = s.callSchedule(ctx, address, scheduled, &whole)
 	}
 	if errors.Is(err, peer.ErrNoMethod) && request.Prompt.Pool != "" {
 		err = s.callMethod(ctx, address, methodAssignPaced, request, response)
@@ -391,6 +392,19 @@
 	return whole, err
 }
 
+// callSchedule calls methodSchedule. What predicts the costs of engines is sent only if they decide.
+func (s *Stages) callSchedule(ctx context.Context, address string, scheduled *scheduleRequest, response *scheduleResponse) error {
+	var output outputEstimate
+	if s.placesByCost {
+		output = outputEstimate{scheduled.Assign.Prompt.Hint, scheduled.Assign.Prompt.MaxOutput}
+	}
+	body, err := encodeSchedule(scheduled, output)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	return s.callBody(ctx, address, methodSchedule, body, response)
+}
+
 // Paced reports whether sends to the targets of a pool need grants.
 func (s *Stages) Paced(pool string) bool { return s.queue.isPaced(pool) }
 
@@ -400,6 +414,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
+	return s.callBody(ctx, address, method, body, response)
+}
+
+// callBody calls a method with an encoded message and decodes its response.
+func (s *Stages) callBody(ctx context.Context, address, method string, body []byte, response any) error {
 	reply, err := s.cluster.Call(ctx, address, method, body)
 	if err != nil {
 		return err
--- a/daemon/stages/wire_test.go
+++ b/daemon/stages/wire_test.go
@@ -118,6 +118,15 @@
 			require.Equal(t, c.want, hex.EncodeToString(body))
 		})
 	}
+	t.Run("schedule with an output estimate", func(t *testing.T) {
+		body, err := encodeSchedule(&scheduleRequest{Account: "account"}, outputEstimate{Hint: 60, MaxOutput: 61})
+		require.NoError(t, err)
+		require.Equal(t, "9492949aa0a0a000c0d30000000000000000d30000000000000000d30000000000000000a000c2c2c094a0c000c0a7"+
+			"6163636f756e74a0d30000000000000000"+"923c3d", hex.EncodeToString(body))
+		var earlier scheduleRequest
+		require.NoError(t, msgpack.Unmarshal(body, &earlier), "a decoder of an earlier version")
+		require.Equal(t, "account", earlier.Account)
+	})
 	t.Run("drop", func(t *testing.T) {
 		body, err := msgpack.Marshal([]string{"id1", "id2"})
 		require.NoError(t, err)
