Serve the metrics of detours from the start

Cause: TestMetricsOfThePageAreServed fails whenever it runs without the tests of lost paths: target_paths_lost and detour_dials appear with their first value only, and all instances of the test process share the registry. For operators it is a fault too: a rate of a counter that appears with its first value misses it.

Ruled out: a lost path in the test, which hides the fault.

Change: the gauge and the counters of all results are served as zero.

--- a/daemon/detour/detour.go
+++ b/daemon/detour/detour.go
@@ -53,9 +53,25 @@
 	peers *reach.Peers
 }
 
-// NewDialer returns a dialer.
+// Results of asking an instance, as a label of the metric.
+const (
+	resultOpened         = "opened"
+	resultNothingListens = "nothing_listens"
+	resultFailed         = "failed"
+)
+
+// NewDialer returns a dialer. Its counters are served as zero from the start, since a rate of a
+// counter that appears with its first value misses that value.
 func NewDialer(c Cluster, scope tally.Scope) *Dialer {
-	return &Dialer{cluster: c, scope: scope.SubScope("detour"), peers: reach.NewPeers()}
+	d := &Dialer{cluster: c, scope: scope.SubScope("detour"), peers: reach.NewPeers()}
+	for _, result := range []string{resultOpened, resultNothingListens, resultFailed} {
+		d.count(result, 0)
+	}
+	return d
+}
+
+func (d *Dialer) count(result string, n int64) {
+	d.scope.Tagged(map[string]string{"result": result}).Counter("dials").Inc(n)
 }
 
 // Usable implements forward.Detour.
@@ -134,19 +150,19 @@
 
 // record remembers and counts the result of asking an instance.
 func (d *Dialer) record(a attempt) {
-	result := "opened"
+	result := resultOpened
 	d.mu.Lock()
 	switch {
 	case a.err == nil:
 		d.peers.Reached(time.Now(), a.peer.Name)
 	case errors.Is(a.err, peer.ErrRefused):
-		result = "nothing_listens"
+		result = resultNothingListens
 	default:
-		result = "failed"
+		result = resultFailed
 		d.peers.Failed(time.Now(), a.peer.Name)
 	}
 	d.mu.Unlock()
-	d.scope.Tagged(map[string]string{"result": result}).Counter("dials").Inc(1)
+	d.count(result, 1)
 	if a.err == nil {
 		telemetry.InfoS("Connection to a target opened through another instance", telemetry.Event{Peer: a.peer.Name})
 	}
--- a/daemon/gateway/detours.go
+++ b/daemon/gateway/detours.go
@@ -28,10 +28,14 @@
 	return nil
 }
 
+func (g *Gateway) countLostPaths(lost int) {
+	g.telemetry.Scope.Gauge("target_paths_lost").Update(float64(lost))
+}
+
 // recordPathChange logs that the direct path to the targets of a service was lost or found, counts the
 // services whose path is lost, and forgets what failures on a lost path seemed to show about targets.
 func (g *Gateway) recordPathChange(change reach.Change, lost int) {
-	g.telemetry.Scope.Gauge("target_paths_lost").Update(float64(lost))
+	g.countLostPaths(lost)
 	event := telemetry.Event{Pool: change.Service, Reason: string(change.Cause), Count: lost, Elapsed: change.Duration}
 	if change.Lost {
 		telemetry.InfoS("Path to targets lost", event)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -153,6 +153,7 @@
 	g.client = forward.New(forward.ClientOptions{
 		Dial: p.DialTarget, Detour: detour.NewDialer(g.cluster, t.Scope), OnPathChange: g.recordPathChange,
 	})
+	g.countLostPaths(0) // the gauge is served before the first path is lost
 	g.router = routing.New(routing.Config{Instance: s.Instance.Name, LocalDataCentre: s.Instance.DataCentre, SubsetSize: targetSubsetSize, MaxOrigins: maxDigestOrigins, CostPlacement: s.Scheduling.CostPlacement})
 	source := p.Source
 	if !s.Platform.DataCentreDrains {
