Explain the choice of a target without making it

Cause: operators want to see where a request would be routed and why. The choice kept none of its terms, and making it claims probes, removes overdue work and counts.

Ruled out: a second computation of scores and costs for display, which would drift from the choice.

Change: routing.Table.Explain runs the code of Pick in a read-only mode, in which the terms of scores and costs are recorded, a probe isn't claimed, and overdue work is left out on a copy of the account. cost.Model.Peek estimates without counting as a use.

TestExplainPredictsPicksAndChangesNothing was seen failing without the guard of the probe, and without that of the account.

Conclusion: the choice and its explanation are one computation. Nothing asks for an explanation yet.

--- a/coordination/cost/cost_test.go
+++ b/coordination/cost/cost_test.go
@@ -120,3 +120,21 @@
 	require.LessOrEqual(t, len(m.reads), maxPools)
 	assert.NotNil(t, m.kinds[kind{"r", "", 0}], "kinds in use are kept")
 }
+
+// Fails if a question about a request counts as a use of its kind, so that another kind is removed in its
+// place, or gets another estimate than the request.
+func TestPeekIsEstimateWithoutUse(t *testing.T) {
+	m := NewModel()
+	r := Request{Pool: "p", Route: "r", Account: "a"}
+	now := time.Unix(1000, 0)
+	for range 20 {
+		m.Observe(now, r, Observation{Total: time.Second})
+	}
+	later := now.Add(time.Second)
+	peeked := m.Peek(later, r)
+	for _, s := range m.kinds {
+		require.Equal(t, now, s.used)
+	}
+	require.Equal(t, m.Estimate(later, r), peeked)
+	require.Greater(t, peeked.Total, 500*time.Millisecond, "it has learned")
+}
--- a/coordination/routing/affinity.go
+++ b/coordination/routing/affinity.go
@@ -4,7 +4,7 @@
 // The discount is a share of the score: a popular prefix moves to further targets once
 // those that cache it have queues, and the cache counts for more when all engines have
 // queues.
-func (p *pick) discountCachedPrefix() {
+func (p *pick) discountCachedPrefix(candidates []*candidate) {
 	p.hashPrefix()
 	total := 0
 	for _, part := range p.query.Prefix {
@@ -14,9 +14,13 @@
 		return
 	}
 	weight := p.table.config.CacheWeight / float64(total)
-	for _, c := range p.candidates {
+	for _, c := range candidates {
 		c.cachedTokens = c.target.cachedTokens(p.now, p.query.Prefix, p.prefixHashes, p.table.config.PrefixTTL)
-		c.score *= 1 - weight*float64(c.cachedTokens)
+		discount := weight * float64(c.cachedTokens)
+		c.score = discounted(c.score, discount)
+		if p.readOnly {
+			p.terms[c].score.CacheDiscount = discount
+		}
 	}
 }
 
@@ -24,7 +28,7 @@
 // prefix. It compares all candidates, since a sample of two would mostly miss the few
 // that have the prefix cached.
 func (p *pick) byPrefix() (*candidate, Reason) {
-	p.discountCachedPrefix()
+	p.discountCachedPrefix(p.candidates)
 	c := p.bestOfSample(len(p.candidates), func(*candidate) bool { return true })
 	if c.cachedTokens > 0 {
 		return c, ReasonAffinity
--- a/coordination/routing/bycost.go
+++ b/coordination/routing/bycost.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/cost"
+	"github.com/ivyhollow/ivyhollow/coordination/workload"
 )
 
 const (
@@ -30,11 +31,9 @@
 // byCost returns the candidate with the lowest cost. Of those whose costs are equal, the home is
 // chosen, or else any at random.
 func (p *pick) byCost() (*candidate, Reason) {
-	p.prefixHashes = hashParts(p.query.Work.Prefix)
-	mean, home := p.pool.meanOthersLoad(p.now, &p.table.config), p.home()
+	p.setCosts(p.candidates, p.home())
 	open := make([]*candidate, 0, len(p.candidates))
 	for _, c := range p.candidates {
-		c.score = p.costAt(c, c == home, mean)
 		if !p.passedOver(c) {
 			open = append(open, c)
 		}
@@ -60,6 +59,19 @@
 	return best, reason
 }
 
+// setCosts sets the costs of candidates. home is the home of the prompt; nil if it has none.
+func (p *pick) setCosts(candidates []*candidate, home *candidate) {
+	p.prefixHashes = hashParts(p.query.Work.Prefix)
+	mean := p.pool.meanOthersLoad(p.now, &p.table.config)
+	for _, c := range candidates {
+		terms := p.costAt(c, c == home, mean)
+		c.score = terms.Seconds()
+		if p.readOnly {
+			p.recordCost(c, terms)
+		}
+	}
+}
+
 func compareScores(a, b *candidate) int {
 	switch {
 	case a.score < b.score:
@@ -77,6 +89,7 @@
 		return p.firstByHome(equal), ReasonHome
 	}
 	best, least := equal[0], math.Inf(1)
+	p.random = p.random || len(equal) > 1
 	for _, c := range equal {
 		if load := c.load + tieScatter*p.rng.Float64(); load < least {
 			best, least = c, load
@@ -125,10 +138,10 @@
 	return max(homeShare*read, equalCost.Seconds()), true
 }
 
-// costAt returns the cost of the request at a candidate, in seconds: the wait for a slot, its own
-// time, the delay that reading its prompt causes to those that run there, what a lack of memory
-// causes, and the crossing to another data centre.
-func (p *pick) costAt(c *candidate, isHome bool, mean float64) float64 {
+// costAt returns the cost of the request at a candidate: the wait for a slot, its own time, the delay
+// that reading its prompt causes to those that run there, what a lack of memory causes, and the
+// crossing to another data centre.
+func (p *pick) costAt(c *candidate, isHome bool, mean float64) CostTerms {
 	target, config := c.target, &p.table.config
 	c.cachedTokens = target.cachedTokens(p.now, p.query.Work.Prefix, p.prefixHashes, config.PrefixTTL)
 	cached := c.cachedTokens
@@ -137,18 +150,29 @@
 		cached = max(cached, p.query.Work.sharedTokens())
 	}
 	estimate := p.query.Work.at(cached)
-	work := target.work(p.now, p.table, mean)
-	slowdown := target.costs.slowdown.read(p.now)
+	work := p.workOf(target, mean)
 	running := min(c.load, target.slots(target.Slots))
 	readDelay := time.Duration(running * float64(estimate.Read))
-	total := slowdown * (work.Wait() + estimate.Mean() + readDelay + p.pressure(c, work.Memory, estimate)).Seconds()
+	terms := CostTerms{
+		Wait: work.Wait(), Own: estimate.Mean(), Reading: readDelay, Memory: p.pressure(c, work.Memory, estimate),
+		Slowdown: target.costs.slowdown.read(p.now),
+	}
 	if !target.local && !config.disabled(MechanismLocalFirst) {
-		total += crossingCost.Seconds()
+		terms.Crossing = crossingCost
 	}
 	if slices.Contains(p.triedDataCentres, target.DataCentre) && !config.disabled(MechanismRetryElsewhere) {
-		total += triedPenalty * estimate.Mean().Seconds()
+		terms.Tried = time.Duration(triedPenalty * float64(estimate.Mean()))
+	}
+	return terms
+}
+
+// workOf returns the work that a target has left. A pick that is read-only leaves requests whose ends
+// are overdue in the account.
+func (p *pick) workOf(target *targetView, mean float64) workload.Work {
+	if p.readOnly {
+		return target.readWork(p.now, p.table, mean)
 	}
-	return total
+	return target.work(p.now, p.table, mean)
 }
 
 // pressure returns the cost of a request for which a target has too little memory: the share of it
--- a/coordination/routing/costs.go
+++ b/coordination/routing/costs.go
@@ -37,9 +37,7 @@
 // work returns the work that the target has left. mean is the mean number of others' requests at the
 // pool's targets.
 func (t *targetView) work(now int64, table *Table, mean float64) workload.Work {
-	remaining, memory := t.pool.remaining.read()
-	others := workload.OthersSince(table.peersAge(now), t.othersLoad(now, &table.config), mean, remaining)
-	others.Memory = memory
+	others := t.others(now, table, mean)
 	t.costs.mu.Lock()
 	defer t.costs.mu.Unlock()
 	if n := t.costs.account.Expire(time.Unix(0, now)); n > 0 {
@@ -48,6 +46,24 @@
 	return t.costs.account.Work(time.Unix(0, now), int(t.slots(t.Slots)), others)
 }
 
+// readWork is work without a change of the account.
+func (t *targetView) readWork(now int64, table *Table, mean float64) workload.Work {
+	others := t.others(now, table, mean)
+	t.costs.mu.Lock()
+	account := t.costs.account.Clone()
+	t.costs.mu.Unlock()
+	account.Expire(time.Unix(0, now))
+	return account.Work(time.Unix(0, now), int(t.slots(t.Slots)), others)
+}
+
+// others returns what is known of the requests at the target that this instance didn't send.
+func (t *targetView) others(now int64, table *Table, mean float64) workload.Others {
+	remaining, memory := t.pool.remaining.read()
+	others := workload.OthersSince(table.peersAge(now), t.othersLoad(now, &table.config), mean, remaining)
+	others.Memory = memory
+	return others
+}
+
 // othersLoad returns the estimated number of requests at the target that this instance didn't send.
 func (s *targetState) othersLoad(now int64, c *Config) float64 {
 	return max(s.estimatedLoad(now, c)-s.ownLoad(), 0)
--- a/coordination/routing/health.go
+++ b/coordination/routing/health.go
@@ -216,14 +216,16 @@
 	return probeDue
 }
 
+// probeFree reports whether no probe is in flight.
+func (h *health) probeFree(now int64) bool { return isProbeFree(now, h.probeSentAt.Load()) }
+
+func isProbeFree(now, sent int64) bool { return sent == 0 || now-sent >= probeTimeout }
+
 // claimProbe reports whether the caller may send the probe. Of several concurrent picks,
 // only one may.
 func (h *health) claimProbe(now int64) bool {
 	sent := h.probeSentAt.Load()
-	if sent != 0 && now-sent < probeTimeout {
-		return false
-	}
-	return h.probeSentAt.CompareAndSwap(sent, now)
+	return isProbeFree(now, sent) && h.probeSentAt.CompareAndSwap(sent, now)
 }
 
 // trafficShare returns the share of its normal traffic, 0 to 1, that the target may get:
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -17,6 +17,9 @@
 	score        float64 // lower is better
 	cachedTokens int
 	ejection     ejectionState
+	// sampled and skipped tell whether the candidate was compared with others, or passed over at random
+	// for its traffic share.
+	sampled, skipped bool
 }
 
 // Pick chooses a target. It returns *NoTargetError if the pool is unknown or all of its
@@ -27,15 +30,11 @@
 		return Choice{}, &NoTargetError{Pool: q.Pool}
 	}
 	pick := pick{table: t, pool: p, query: &q, rng: rng, now: now.UnixNano()}
-	if err := pick.collectEligible(); err != nil {
+	chosen, reason, err := pick.decide()
+	if err != nil {
 		t.counts.noTarget.Add(1)
 		return Choice{}, err
 	}
-	chosen, reason := pick.choose()
-	if chosen == nil {
-		t.counts.noTarget.Add(1)
-		return Choice{}, &NoTargetError{Pool: q.Pool, Known: len(p.targets), Ejected: 1}
-	}
 	chosen.target.picks.Add(1)
 	t.counts.reasons[reason].Add(1)
 	if !pick.byCostEnabled() {
@@ -56,6 +55,17 @@
 	query *Query
 	rng   *rand.Rand
 	now   int64
+	// readOnly forbids changes of the table's state, and has terms recorded.
+	readOnly bool
+	// terms has the terms of scores and costs. Without readOnly it stays nil: candidates that hold
+	// their terms make a pick twice as slow.
+	terms map[*candidate]candidateTerms
+	// random is true once the choice depends on a random number.
+	random bool
+	// sampling is true once a sample of the candidates was drawn.
+	sampling bool
+	// eligible holds all candidates, also those that are ejected.
+	eligible []candidate
 	// candidates holds pointers, so that sampling can reorder them while an earlier
 	// choice is still in use.
 	candidates   []*candidate
@@ -64,33 +74,59 @@
 	triedDataCentres []string
 }
 
+// decide chooses a target. It changes nothing but the state of the pick and, unless it is read-only,
+// the claim of a probe and the accounts of work.
+func (p *pick) decide() (*candidate, Reason, error) {
+	if err := p.collectEligible(); err != nil {
+		return nil, 0, err
+	}
+	chosen, reason := p.choose()
+	if chosen == nil {
+		return nil, 0, &NoTargetError{Pool: p.query.Pool, Known: len(p.pool.targets), Ejected: 1}
+	}
+	return chosen, reason, nil
+}
+
 // collectEligible sets the candidates to the eligible targets.
 func (p *pick) collectEligible() error {
-	eligible := make([]candidate, 0, len(p.pool.targets))
+	p.eligible = make([]candidate, 0, len(p.pool.targets))
 	none := NoTargetError{Pool: p.query.Pool, Known: len(p.pool.targets)}
 	for _, target := range p.pool.targets {
-		switch {
-		case target.leaving:
+		switch p.query.eligibility(target) {
+		case StateLeaving:
 			none.Leaving++
-		case slices.Contains(p.query.Exclude, target.Incarnation):
+		case StateExcluded:
 			none.Excluded++
 			p.triedDataCentres = append(p.triedDataCentres, target.DataCentre)
-		case !target.Fits(p.query), p.query.Only != "" && target.Incarnation != p.query.Only:
+		case StateUnfit:
 			none.Unfit++
 		default:
-			eligible = append(eligible, candidate{target: target})
+			p.eligible = append(p.eligible, candidate{target: target})
 		}
 	}
-	if len(eligible) == 0 {
+	if len(p.eligible) == 0 {
 		return &none
 	}
-	p.candidates = make([]*candidate, len(eligible))
-	for i := range eligible {
-		p.candidates[i] = &eligible[i]
+	p.candidates = make([]*candidate, len(p.eligible))
+	for i := range p.eligible {
+		p.candidates[i] = &p.eligible[i]
 	}
 	return nil
 }
 
+// eligibility returns the reason for which a target can't be chosen at all; StateUsable if there is none.
+func (q *Query) eligibility(target *targetView) TargetState {
+	switch {
+	case target.leaving:
+		return StateLeaving
+	case slices.Contains(q.Exclude, target.Incarnation):
+		return StateExcluded
+	case !target.Fits(q), q.Only != "" && target.Incarnation != q.Only:
+		return StateUnfit
+	}
+	return StateUsable
+}
+
 // choose applies the rules in order: the only candidate, a due probe, the removal of
 // ejected targets down to the ejection floor, then the rules of byRule. It returns nil only for a
 // granted target that is ejected while another one isn't, or while the query has no version.
@@ -158,12 +194,17 @@
 	if p.query.HomeKey != "" {
 		return p.byHome()
 	}
-	if len(p.query.Prefix) > 0 && !p.table.config.disabled(MechanismAffinity) {
+	if p.usesPrefixAffinity() {
 		return p.byPrefix()
 	}
 	return p.byLoad()
 }
 
+// usesPrefixAffinity reports whether the target is chosen by the parts of the prompt that it has cached.
+func (p *pick) usesPrefixAffinity() bool {
+	return len(p.query.Prefix) > 0 && p.query.HomeKey == "" && !p.table.config.disabled(MechanismAffinity)
+}
+
 // preferred returns the candidate that the query names in Preferred, or nil if it isn't
 // among the candidates.
 func (p *pick) preferred() *candidate {
@@ -196,13 +237,21 @@
 		if p.query.Rank == 0 && p.now-h.ejectedUntil.Load() < probeLowerTierWait {
 			continue
 		}
-		if h.claimProbe(p.now) {
+		if p.claimProbe(h) {
 			return c
 		}
 	}
 	return nil
 }
 
+// claimProbe reports whether this pick may send the probe. One that is read-only doesn't take it.
+func (p *pick) claimProbe(h *health) bool {
+	if p.readOnly {
+		return h.probeFree(p.now)
+	}
+	return h.claimProbe(p.now)
+}
+
 // dropEjected removes the ejected targets, but keeps as many as the ejection floor
 // requires: those with the earliest ends of ejection. It reports whether it kept any.
 func (p *pick) dropEjected() bool {
@@ -244,21 +293,30 @@
 // scoreCandidates sets each candidate's load and score. The score is the estimated time
 // of a request there, relative to the time on an idle target.
 func (p *pick) scoreCandidates() {
+	for _, c := range p.candidates {
+		p.scoreCandidate(c)
+	}
+}
+
+func (p *pick) scoreCandidate(c *candidate) {
 	config := &p.table.config
 	cost := p.query.Cost
 	if cost <= 0 {
 		cost = 1
 	}
-	for _, c := range p.candidates {
-		c.load = c.target.estimatedLoad(p.now, config)
-		utilization := (c.load + cost) / c.target.slots(c.target.Slots)
-		c.score = 1 + utilizationWeight*math.Min(utilization, 1) + math.Max(0, utilization-1)
-		if !config.disabled(MechanismLatency) {
-			c.score *= max(c.target.health.slowdown(p.now), c.target.attemptAges.slowdown(p.now, utilization))
-		}
-		if slices.Contains(p.triedDataCentres, c.target.DataCentre) && !config.disabled(MechanismRetryElsewhere) {
-			c.score += triedPenalty
-		}
+	c.load = c.target.estimatedLoad(p.now, config)
+	slots := c.target.slots(c.target.Slots)
+	utilization := (c.load + cost) / slots
+	terms := ScoreTerms{Slots: slots, Load: c.load, Utilization: utilization, Slowdown: 1}
+	if !config.disabled(MechanismLatency) {
+		terms.Slowdown = max(c.target.health.slowdown(p.now), c.target.attemptAges.slowdown(p.now, utilization))
+	}
+	if slices.Contains(p.triedDataCentres, c.target.DataCentre) && !config.disabled(MechanismRetryElsewhere) {
+		terms.Tried = triedPenalty
+	}
+	c.score = terms.Score()
+	if p.readOnly {
+		p.recordScore(c, terms)
 	}
 }
 
@@ -301,6 +359,7 @@
 // or nil if none matches. A candidate is passed over with a probability of 1 minus its
 // traffic share; if all are passed over, the best of those is returned.
 func (p *pick) bestOfSample(limit int, matches func(*candidate) bool) *candidate {
+	p.sampling = true
 	var best, fallback *candidate
 	sampled := 0
 	n := len(p.candidates)
@@ -317,8 +376,10 @@
 			continue
 		}
 		sampled++
+		c.sampled = true
 		best = better(best, c)
 	}
+	p.random = p.random || sampled == limit && n > limit
 	if best == nil {
 		return fallback
 	}
@@ -328,7 +389,12 @@
 // passedOver decides at random, by the candidate's traffic share, whether to pass over it.
 func (p *pick) passedOver(c *candidate) bool {
 	share := c.target.trafficShare(p.now, &p.table.config)
-	return share < 1 && p.rng.Float64() >= share
+	if share >= 1 {
+		return false
+	}
+	p.random = true
+	c.skipped = p.rng.Float64() >= share
+	return c.skipped
 }
 
 // better returns the candidate with the lower score; a may be nil.
--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -111,6 +111,9 @@
 	return expired
 }
 
+// Clone returns an independent copy.
+func (a *Account) Clone() Account { return Account{requests: slices.Clone(a.requests), last: a.last} }
+
 // Len returns the number of requests.
 func (a *Account) Len() int { return len(a.requests) }
 
