Serve and print explanations of a request's route

Operators could see only afterwards, in logs, where a request was sent, and not why.

Ruled out: taking the headers of a request as the question, since their names are the platform's; a caller address of the instance, since the question names an account without its key.

Change: GET /explain on the admin address, for routes that this instance decides on. The relay builds a request that is only asked about and takes its query from the code of real ones. For stages and grants the answer says that the holder isn't asked. `ivyhollow explain` asks and prints text or JSON; -o text is another name for -o table.

Conclusion: requests that the instance routes itself are explained but for the refusals of the relay (share of an account, blocked prompt, planned stop).

--- a/client/app.go
+++ b/client/app.go
@@ -77,7 +77,7 @@
 		Flags:          a.globalFlags(),
 		Commands: []*cli.Command{
 			a.applyCommand(), a.validateCommand(), a.getCommand(), a.listCommand(), a.watchCommand(),
-			a.deleteCommand(), a.statusCommand(), a.requestCommand(), a.submitCommand(),
+			a.deleteCommand(), a.statusCommand(), a.requestCommand(), a.submitCommand(), a.explainCommand(),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Present() {
@@ -106,7 +106,7 @@
 		&cli.StringFlag{Name: flagPlatform, Usage: "`URL` of the platform's object API, or " + envPlatform},
 		&cli.StringFlag{Name: flagInstance, Usage: "`URL` of an instance, or " + envInstance},
 		&cli.StringFlag{Name: flagKeyFile, Usage: "`FILE` that holds the caller key, or the key in " + envKey},
-		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: outputTable, Usage: "`FORMAT`: table or json", Validator: checkOutput},
+		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: outputTable, Usage: "`FORMAT`: table (or text) or json", Validator: checkOutput},
 		&cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "bound on the whole command; watch has none"},
 	}
 }
--- a/client/instance.go
+++ b/client/instance.go
@@ -33,7 +33,8 @@
 type instanceClient struct {
 	http *http.Client
 	base string
-	key  string
+	// key is empty for calls to an admin address, which requires none.
+	key string
 }
 
 func (a *app) newInstanceClient(cmd *cli.Command) (*instanceClient, error) {
@@ -117,7 +118,9 @@
 	for name, values := range c.header {
 		request.Header[name] = values
 	}
-	request.Header.Set("Authorization", "Bearer "+i.key)
+	if i.key != "" {
+		request.Header.Set("Authorization", "Bearer "+i.key)
+	}
 	if body != nil {
 		request.Header.Set("Content-Type", callerapi.MediaJSON)
 	}
--- a/client/output.go
+++ b/client/output.go
@@ -18,12 +18,14 @@
 // Output formats.
 const (
 	outputTable = "table"
-	outputJSON  = "json"
+	// outputText is another name for outputTable.
+	outputText = "text"
+	outputJSON = "json"
 )
 
 func checkOutput(format string) error {
-	if format != outputTable && format != outputJSON {
-		return errors.Newf("%q is neither table nor json", format)
+	if format != outputTable && format != outputText && format != outputJSON {
+		return errors.Newf("%q is neither table, text nor json", format)
 	}
 	return nil
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/daemon/streams"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/protocol/explainapi"
 	"github.com/ivyhollow/ivyhollow/settings"
 	"github.com/ivyhollow/ivyhollow/state/catalog"
 	"github.com/ivyhollow/ivyhollow/state/routes"
@@ -194,6 +195,7 @@
 		Confirm:           g.follower.Confirm,
 		Outdated:          g.follower.Outdated,
 		KnowledgeAge:      g.follower.TargetsAge,
+		Instance:          s.Instance.Name,
 		Router:            g.router,
 		Client:            g.client,
 		TargetShares:      g.dataCentreShares,
@@ -407,6 +409,7 @@
 	mux.Handle("GET /metrics", g.telemetry.MetricsHandler())
 	mux.Handle("GET /quarantine", g.blocklist)
 	mux.HandleFunc("GET /drains", g.serveDrains)
+	mux.HandleFunc("GET "+explainapi.Path, g.serveExplain)
 	if g.accounts != nil {
 		mux.Handle("GET /accounts", g.accounts)
 	}
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -268,7 +268,7 @@
 	case errors.As(err, &refused) && !q.mayHaveRun:
 		q.refuse(string(refused.Reason), refused.RetryAfter)
 	case errors.As(err, &none) && !q.mayHaveRun:
-		q.refuse("no_target", time.Second)
+		q.refuse(reasonNoTarget, time.Second)
 	case !q.mayHaveRun && late:
 		q.refuse("deadline", minRetryAfter)
 	case !q.mayHaveRun:
@@ -286,6 +286,12 @@
 	return errors.As(err, &refused) && refused.Reason == gather.ReasonIDInUse
 }
 
+// Reasons for refusals that are explained as well.
+const (
+	reasonNoConfiguration = "no_configuration"
+	reasonNoTarget        = "no_target"
+)
+
 // reasonCrashes is the reason for refusing a request that crashes targets.
 const reasonCrashes = "crashes_targets"
 
--- a/daemon/relay/costs.go
+++ b/daemon/relay/costs.go
@@ -31,7 +31,11 @@
 		return nil
 	}
 	r := q.costRequest()
-	w := &routing.Work{Estimate: q.relay.costs.Estimate(time.Now(), r), PromptTokens: r.PromptTokens}
+	estimate := q.relay.costs.Estimate
+	if q.hypothetical {
+		estimate = q.relay.costs.Peek
+	}
+	w := &routing.Work{Estimate: estimate(time.Now(), r), PromptTokens: r.PromptTokens}
 	if q.route.PrefixCaching {
 		for _, part := range q.call.Prefix {
 			w.Prefix = append(w.Prefix, routing.PrefixPart{ID: part.ID, Tokens: clampTokens(part.Tokens)})
--- /dev/null
+++ b/daemon/relay/explain.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/routing"
+	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/protocol/explainapi"
+	"github.com/ivyhollow/ivyhollow/state/routes"
+)
+
+// ErrUnknownRoute means that the configuration in force has no route of that name.
+var ErrUnknownRoute = errors.New("no such route")
+
+// Explain returns what would become of a request that arrived now, and why. Nothing is sent, recorded
+// or spent. The error is ErrUnknownRoute.
+func (s *Relay) Explain(ctx context.Context, question explainapi.Question) (explainapi.Answer, error) {
+	x := explanation{answer: explainapi.Answer{
+		Route: question.Route, Account: question.Account, Candidates: []explainapi.Candidate{},
+		DecidedBy: explainapi.Decider{Role: explainapi.RoleInstance, Name: s.options.Instance},
+	}}
+	table := s.options.Table()
+	if table == nil {
+		x.refuse(reasonNoConfiguration, time.Second)
+		x.unknown("route", "the instance has no configuration yet")
+		return x.answer, nil
+	}
+	route, ok := table.RouteNamed(question.Route)
+	if !ok {
+		return explainapi.Answer{}, ErrUnknownRoute
+	}
+	x.q = s.hypotheticalRequest(question, route)
+	x.answer.Service = x.q.service
+	x.answer.KnowledgeAgeMS = milliseconds(s.options.KnowledgeAge())
+	x.identifyAccount(table)
+	x.explainTrafficSplit()
+	x.explainTarget()
+	x.explainStages(ctx)
+	return x.answer, nil
+}
+
+// explanation is an answer in the making.
+type explanation struct {
+	q      *request
+	answer explainapi.Answer
+}
+
+// hypotheticalRequest returns a request that is only asked about.
+func (s *Relay) hypotheticalRequest(question explainapi.Question, route *routes.Route) *request {
+	q := &request{
+		relay: s, hypothetical: true, route: route, account: question.Account, priority: route.Priority,
+		service: heaviestService(route.TrafficSplit), arrived: time.Now(),
+		call: exchange.CallerRequest{
+			Timeout: question.Deadline, PromptTokens: question.PromptTokens, OutputTokens: question.OutputTokens,
+			OutputHint: question.Hint, PieceCounts: question.Pieces,
+		},
+	}
+	for _, part := range question.Prefix {
+		q.call.Prefix = append(q.call.Prefix, routing.PrefixPart{ID: part.ID, Tokens: part.Tokens})
+	}
+	q.setDeadlines()
+	q.updatePaced()
+	return q
+}
+
+// heaviestService returns the service that most requests of a route are sent to.
+func heaviestService(split []routes.WeightedService) string {
+	var heaviest routes.WeightedService
+	for i, s := range split {
+		if i == 0 || s.Weight > heaviest.Weight {
+			heaviest = s
+		}
+	}
+	return heaviest.Service
+}
+
+// refuse records the refusal that the caller would get, unless an earlier one is known.
+func (x *explanation) refuse(reason string, after time.Duration) {
+	if x.answer.Refusal == nil {
+		x.answer.Refusal = &explainapi.Refusal{Reason: reason, RetryAfterMS: milliseconds(max(after, minRetryAfter))}
+	}
+}
+
+func (x *explanation) unknown(what, why string) {
+	x.answer.Unknown = append(x.answer.Unknown, explainapi.Unknown{What: what, Why: why})
+}
+
+// identifyAccount takes the priority of the client account.
+func (x *explanation) identifyAccount(table *routes.Table) {
+	if !table.RequiresKeys || x.q.route.Anonymous {
+		return
+	}
+	account, ok := table.AccountNamed(x.q.account)
+	switch {
+	case x.q.account == "":
+		x.unknown("priority", "no account was named, and the route requires one: the priority is the route's")
+	case !ok:
+		x.unknown("priority", "the configuration has no such account: the priority is the route's")
+	case account.Priority != nil:
+		x.q.priority = *account.Priority
+	}
+}
+
+func (x *explanation) explainTrafficSplit() {
+	if len(x.q.route.TrafficSplit) > 1 {
+		x.unknown("service", "each request gets one of the route's services at random by weight; this is the one with the highest weight")
+	}
+}
+
+// explainTarget explains the choice of the target by this instance.
+func (x *explanation) explainTarget() {
+	// A source of its own: the numbers of requests must not depend on questions.
+	rng := rand.New(rand.NewPCG(uint64(x.q.arrived.UnixNano()), 0))
+	e := x.q.relay.options.Router.Explain(time.Now(), rng, x.q.targetQuery())
+	x.answer.CandidatesOmitted = e.Omitted
+	for i := range e.Targets {
+		x.answer.Candidates = append(x.answer.Candidates, candidateOf(&e.Targets[i]))
+	}
+	if e.Err != nil {
+		x.refuse(reasonNoTarget, time.Second)
+		return
+	}
+	x.answer.Reason, x.answer.Random = e.Reason.String(), e.Random
+	for _, c := range x.answer.Candidates {
+		if c.Chosen {
+			x.answer.Chosen = c.Target
+		}
+	}
+}
+
+func candidateOf(t *routing.Explained) explainapi.Candidate {
+	c := explainapi.Candidate{
+		Target: t.Target.Incarnation, DataCentre: t.Target.DataCentre, State: string(t.State),
+		EjectedMS: milliseconds(t.EjectedFor), Chosen: t.Chosen, CachedTokens: t.CachedTokens,
+	}
+	if t.Age >= 0 {
+		age := milliseconds(t.Age)
+		c.AgeMS = &age
+	}
+	if cost := t.Cost; cost != nil {
+		c.Cost = &explainapi.Cost{
+			WaitMS: milliseconds(cost.Wait), OwnMS: milliseconds(cost.Own), ReadingMS: milliseconds(cost.Reading),
+			MemoryMS: milliseconds(cost.Memory), Slowdown: cost.Slowdown, CrossingMS: milliseconds(cost.Crossing),
+			SumMS: cost.Seconds() * 1000,
+		}
+	}
+	if score := t.Score; score != nil {
+		c.Score = &explainapi.Score{
+			Load: score.Load, Slots: score.Slots, Utilization: score.Utilization, Slowdown: score.Slowdown,
+			CacheDiscount: score.CacheDiscount, Sum: score.Score(),
+		}
+	}
+	return c
+}
+
+// explainStages says what the holder of the stage queue decides.
+func (x *explanation) explainStages(context.Context) {
+	if len(x.q.route.Stages) == 0 && !x.q.paced {
+		return
+	}
+	x.answer.DecidedBy = explainapi.Decider{Role: explainapi.RoleHolder}
+	x.unknown("holder", "the holder of the stage queue isn't asked: the candidates are what this instance would choose from")
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -75,8 +75,10 @@
 	Outdated func() bool
 	// KnowledgeAge returns the age of this instance's knowledge of the targets.
 	KnowledgeAge func() time.Duration
-	Router       *routing.Table
-	Client       *forward.Client
+	// Instance is the name of this instance.
+	Instance string
+	Router   *routing.Table
+	Client   *forward.Client
 	// TargetShares returns, by data centre, the share of a service's targets.
 	TargetShares func(service string) map[string]float64
 	Stages       StageRunner
@@ -167,9 +169,11 @@
 // request is a caller's request in progress.
 type request struct {
 	relay *Relay
-	w     http.ResponseWriter
-	r     *http.Request
-	call  exchange.CallerRequest
+	// hypothetical is true for a request that is only asked about: it leaves no trace.
+	hypothetical bool
+	w            http.ResponseWriter
+	r            *http.Request
+	call         exchange.CallerRequest
 	// hasID is true while the request holds its ID in activeIDs.
 	hasID   bool
 	route   *routes.Route
@@ -296,7 +300,7 @@
 	q.relay.awaitStartup(ctx)
 	table := q.relay.options.Table()
 	if table == nil {
-		q.refuse("no_configuration", time.Second)
+		q.refuse(reasonNoConfiguration, time.Second)
 		return false
 	}
 	var err error
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -215,6 +215,28 @@
 	return a, ok
 }
 
+// RouteNamed returns the route of a name.
+func (t *Table) RouteNamed(name string) (*Route, bool) {
+	for _, list := range t.byHost {
+		for _, r := range list {
+			if r.Name == name {
+				return r, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// AccountNamed returns the client account of a name.
+func (t *Table) AccountNamed(name string) (*Account, bool) {
+	for _, a := range t.accountsByKeyHash {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
