Explain the refusals that an instance decides by itself

Cause: a request beyond the share of its account, with a blocked part of its prompt or during a planned stop looked as if it would be sent.

Ruled out: reading the share from the listing of accounts, which knows neither the credit of an account nor the retry time. Asking for a trial of a part that crashed targets, which would use the trial up.

Change: accountlimit.Limiter.Peek runs Ask on a copy of a service's state. The relay judges a question by the functions that judge a request, in the same order, and an answer with a refusal names no chosen target. What needs the body or a trial is unknown. The fake records of the blocklist's tests also say that they aren't empty, which they were not asked before.

TestPeekIsAskWithoutATrace was seen failing without the copy of the held accounts, and without that of the demands.

Conclusion: all refusals that need no holder are explained.

--- a/coordination/accountlimit/accountlimit_test.go
+++ b/coordination/accountlimit/accountlimit_test.go
@@ -83,3 +83,27 @@
 		}
 	}
 }
+
+// Fails if Peek records a question, spends the credit of an account or moves the time that the next
+// refused caller is told, or if it decides otherwise than Ask.
+func TestPeekIsAskWithoutATrace(t *testing.T) {
+	asked, left := New(nil), New(nil)
+	require.Equal(t, overload(asked, start, "s", "a"), overload(left, start, "s", "a"))
+	refused := 0
+	for i := range 400 {
+		now := start.Add(time.Second + time.Duration(i)*13*time.Millisecond)
+		r := Request{Service: "s", Account: fmt.Sprint(i % 3), Priority: i % 2}
+		require.False(t, asked.Peek(now, Request{Service: "unknown"}).Refused)
+		peeked := asked.Peek(now, r)
+		require.Equal(t, left, asked)
+		require.Equal(t, left.Ask(now, r), peeked)
+		require.Equal(t, peeked, asked.Ask(now, r))
+		if peeked.Refused {
+			refused++
+		} else if i%4 == 0 {
+			left.Rejected(now, "s")
+			asked.Rejected(now, "s")
+		}
+	}
+	require.Positive(t, refused)
+}
--- a/coordination/fairshare/rates.go
+++ b/coordination/fairshare/rates.go
@@ -33,6 +33,16 @@
 	return &Rates{halfLife: halfLife, most: max(most, 1), accounts: map[string]*list.Element{}, recent: list.New()}
 }
 
+// Clone returns an independent copy.
+func (r *Rates) Clone() *Rates {
+	c := NewRates(r.halfLife, r.most)
+	for known := r.recent.Front(); known != nil; known = known.Next() {
+		e := *known.Value.(*entry)
+		c.accounts[e.account] = c.recent.PushBack(&e)
+	}
+	return c
+}
+
 // Add records that an account asks for an amount of capacity.
 func (r *Rates) Add(now time.Time, account string, cost float64) {
 	if known := r.accounts[account]; known != nil {
--- a/daemon/accountshares/accountshares.go
+++ b/daemon/accountshares/accountshares.go
@@ -55,6 +55,13 @@
 	return s.limiter.Ask(time.Now(), r)
 }
 
+// Peek returns what Ask would decide, and records nothing.
+func (s *Shares) Peek(r accountlimit.Request) accountlimit.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Peek(time.Now(), r)
+}
+
 // Sent records a send to a target of a service.
 func (s *Shares) Sent(service string) {
 	s.mu.Lock()
--- a/daemon/relay/accounts.go
+++ b/daemon/relay/accounts.go
@@ -16,6 +16,8 @@
 type Accounts interface {
 	// Ask decides whether a request without stages may be sent for the first time.
 	Ask(r accountlimit.Request) accountlimit.Verdict
+	// Peek returns what Ask would decide, and records nothing.
+	Peek(r accountlimit.Request) accountlimit.Verdict
 	// Sent records a send of such a request, Rejected that its target rejected it, and NotSent
 	// that it came to nothing for another reason.
 	Sent(service string)
@@ -36,16 +38,24 @@
 // checkShare refuses a request beyond the share of its account. It returns false if it has sent that
 // response. A stream of which the caller has a part is not refused.
 func (q *request) checkShare() bool {
-	if !q.sharesTargets() || q.call.ResumeAfter != "" {
-		return true
-	}
-	verdict := q.relay.options.Accounts.Ask(accountlimit.Request{Service: q.service, Account: q.account, Priority: q.priority})
+	verdict := q.judgeShare()
 	if verdict.Refused {
 		q.refuse(reasonAccountShare, verdict.RetryAfter)
 	}
 	return !verdict.Refused
 }
 
+func (q *request) judgeShare() accountlimit.Verdict {
+	if !q.sharesTargets() || q.call.ResumeAfter != "" {
+		return accountlimit.Verdict{}
+	}
+	judge := q.relay.options.Accounts.Ask
+	if q.hypothetical {
+		judge = q.relay.options.Accounts.Peek
+	}
+	return judge(accountlimit.Request{Service: q.service, Account: q.account, Priority: q.priority})
+}
+
 // recordSend records the start of an attempt.
 func (q *request) recordSend() {
 	if q.sharesTargets() {
--- a/daemon/relay/accounts_test.go
+++ b/daemon/relay/accounts_test.go
@@ -25,6 +25,9 @@
 	r.events = append(r.events, "ask")
 	return accountlimit.Verdict{Refused: true, RetryAfter: 1500 * time.Millisecond}
 }
+func (r *refusingAccounts) Peek(accountlimit.Request) accountlimit.Verdict {
+	return accountlimit.Verdict{Refused: true, RetryAfter: 1500 * time.Millisecond}
+}
 func (r *refusingAccounts) Sent(string)                  { r.events = append(r.events, "sent") }
 func (r *refusingAccounts) Rejected(string)              { r.events = append(r.events, "rejected") }
 func (r *refusingAccounts) NotSent(string)               { r.events = append(r.events, "not sent") }
--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -260,7 +260,7 @@
 	case isIDInUse(err) && !q.mayHaveRun:
 		q.deny(http.StatusBadRequest, idInUse)
 	case stopped && !q.mayHaveRun:
-		q.refuse("stopping", minRetryAfter)
+		q.refuse(reasonStopping, minRetryAfter)
 	case stopped:
 		q.fail(http.StatusGatewayTimeout, "stopping")
 	case errors.As(err, &blocked) && !q.mayHaveRun:
@@ -290,6 +290,7 @@
 const (
 	reasonNoConfiguration = "no_configuration"
 	reasonNoTarget        = "no_target"
+	reasonStopping        = "stopping"
 )
 
 // reasonCrashes is the reason for refusing a request that crashes targets.
--- a/daemon/relay/blocklist_test.go
+++ b/daemon/relay/blocklist_test.go
@@ -61,11 +61,14 @@
 // verdictRecords are records with one verdict for all requests.
 type verdictRecords struct {
 	blocklist.None
-	state quarantine.State
+	state     quarantine.State
+	remaining time.Duration
 }
 
+func (r verdictRecords) Empty() bool { return false }
+
 func (r verdictRecords) Judge(quarantine.Suspects) quarantine.Verdict {
-	return quarantine.Verdict{State: r.state}
+	return quarantine.Verdict{State: r.state, Remaining: r.remaining}
 }
 
 // A part of a request's prompt may be blocked while the request waits for its turn at a target. It
--- a/daemon/relay/explain.go
+++ b/daemon/relay/explain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/coordination/routing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/protocol/explainapi"
@@ -38,8 +39,10 @@
 	x.answer.KnowledgeAgeMS = milliseconds(s.options.KnowledgeAge())
 	x.identifyAccount(table)
 	x.explainTrafficSplit()
+	x.explainRefusals()
 	x.explainTarget()
 	x.explainStages(ctx)
+	x.dropChoiceOfRefused()
 	return x.answer, nil
 }
 
@@ -111,6 +114,39 @@
 	}
 }
 
+// explainRefusals explains the refusals that come before the choice of a target, in the order in which
+// a request meets them.
+func (x *explanation) explainRefusals() {
+	if x.q.isTooLateForStop() {
+		x.refuse(reasonStopping, minRetryAfter)
+	}
+	if verdict := x.q.judgeShare(); verdict.Refused {
+		x.refuse(reasonAccountShare, verdict.RetryAfter)
+	}
+	records := x.q.relay.options.Blocklist
+	if records.Empty() {
+		return
+	}
+	x.unknown("blocked content", "the body isn't asked for, so it isn't known whether it crashes targets")
+	switch verdict := records.Judge(quarantine.Suspects{Parts: x.q.sharedParts()}); verdict.State {
+	case quarantine.Blocked:
+		x.refuse(reasonCrashes, verdict.Remaining)
+	case quarantine.OnTrial:
+		x.unknown("blocked part", "the prompt's part "+verdict.Digest.String()+" crashed targets, and only one run with it is allowed at a time: a trial isn't asked for")
+	}
+}
+
+// dropChoiceOfRefused removes the choice, which a request that is refused doesn't come to.
+func (x *explanation) dropChoiceOfRefused() {
+	if x.answer.Refusal == nil {
+		return
+	}
+	x.answer.Chosen, x.answer.Reason, x.answer.Random = "", "", false
+	for i := range x.answer.Candidates {
+		x.answer.Candidates[i].Chosen = false
+	}
+}
+
 // explainTarget explains the choice of the target by this instance.
 func (x *explanation) explainTarget() {
 	// A source of its own: the numbers of requests must not depend on questions.
--- a/daemon/relay/explain_test.go
+++ b/daemon/relay/explain_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/cost"
+	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
 	"github.com/ivyhollow/ivyhollow/protocol/explainapi"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
@@ -81,3 +82,54 @@
 	s.options.Table = func() *routes.Table { return nil }
 	require.Equal(t, "no_configuration", explain(t, s, explainapi.Question{}).Refusal.Reason)
 }
+
+// Fails if a refusal that a request would get from this instance is missing from the answer, has another
+// retry time, or looks as if a target had been chosen all the same.
+func TestExplainNamesTheRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			change  func(s *Relay)
+			refusal *explainapi.Refusal
+			unknown []string
+		}{
+			"none": {change: func(*Relay) {}},
+			"stopping": {
+				change: func(s *Relay) {
+					s.Drain(time.Now(), time.Now().Add(time.Minute))
+					time.Sleep(59 * time.Second)
+				},
+				refusal: &explainapi.Refusal{Reason: "stopping", RetryAfterMS: 250},
+			},
+			"beyond the share": {
+				change:  func(s *Relay) { s.options.Accounts = &refusingAccounts{} },
+				refusal: &explainapi.Refusal{Reason: "account_share", RetryAfterMS: 1500},
+			},
+			"blocked": {
+				change: func(s *Relay) {
+					s.options.Blocklist = verdictRecords{state: quarantine.Blocked, remaining: 30 * time.Second}
+				},
+				refusal: &explainapi.Refusal{Reason: "crashes_targets", RetryAfterMS: 30000}, unknown: []string{"blocked content"},
+			},
+			"on trial": {
+				change:  func(s *Relay) { s.options.Blocklist = verdictRecords{state: quarantine.OnTrial} },
+				unknown: []string{"blocked content", "blocked part"},
+			},
+		} {
+			s, _ := explainRelay(&granter{})
+			c.change(s)
+			answer := explain(t, s, explainapi.Question{})
+			require.Equal(t, c.refusal, answer.Refusal, name)
+			require.Equal(t, c.refusal == nil, answer.Chosen != "", name)
+			require.Equal(t, c.refusal == nil, answer.Candidates[0].Chosen, name)
+			var unknown []string
+			for _, u := range answer.Unknown {
+				unknown = append(unknown, u.What)
+			}
+			require.Equal(t, c.unknown, unknown, name)
+			if accounts, ok := s.options.Accounts.(*refusingAccounts); ok {
+				require.Empty(t, accounts.events)
+				require.Empty(t, accounts.ended)
+			}
+		}
+	})
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -320,7 +320,7 @@
 		// The request may be allowed by a version that was written a moment ago.
 		confirmed := q.relay.options.Confirm(ctx)
 		if errors.Is(context.Cause(ctx), errStopEnded) {
-			q.refuse("stopping", minRetryAfter)
+			q.refuse(reasonStopping, minRetryAfter)
 			return false
 		}
 		if status = q.authorize(q.relay.options.Table()); status != 0 {
@@ -333,13 +333,19 @@
 		}
 	}
 	q.setDeadlines()
-	if window, stopping := q.relay.stopWindow(); stopping && !window.Accepts(q.drainRequest()) {
-		q.refuse("stopping", minRetryAfter)
+	if q.isTooLateForStop() {
+		q.refuse(reasonStopping, minRetryAfter)
 		return false
 	}
 	return q.readBody(table.Limits.MaxBodyBytes)
 }
 
+// isTooLateForStop reports whether a planned stop leaves no time for the request.
+func (q *request) isTooLateForStop() bool {
+	window, stopping := q.relay.stopWindow()
+	return stopping && !window.Accepts(q.drainRequest())
+}
+
 // outdated reports whether a denial by the configuration in force may be wrong.
 func (r *Relay) outdated() bool { return r.options.Outdated != nil && r.options.Outdated() }
 
