Explain what the planner of the stage queue would decide

Cause: for routes with stages the holder decides, and nothing told its prediction or its refusal without a request being submitted.

Ruled out: read-only versions of the prediction, since decaying rates, shares and reservations are updated where they are read, and a second version would drift. A copy of the whole planner, which holds up to 16,384 requests.

The prediction records the wait and the time of each stage.

--- a/coordination/gather/admit.go
+++ b/coordination/gather/admit.go
@@ -78,6 +78,7 @@
 			if !ok {
 				return 0, false
 			}
+			s.recordPrediction(at, wait, spent)
 			if at.due.IsZero() {
 				start = p.afterStage(start, wait+spent, s, at)
 			} else {
--- a/coordination/gather/planner.go
+++ b/coordination/gather/planner.go
@@ -205,22 +205,12 @@
 	if old := p.requests[r.ID]; old != nil {
 		p.drop(old)
 	}
-	if len(p.requests) >= p.config.MaxRequests || len(r.Stages) > maxStages {
-		p.actions = append(p.actions, Refused{Request: r.ID, Account: r.Account, Reason: ReasonTooManyRequests, RetryAfter: minRetryAfter})
+	if refusal := p.refuseExcess(&r); refusal != nil {
+		p.actions = append(p.actions, *refusal)
 		return p.flush()
 	}
 	req := p.newHeldRequest(r)
-	req.admittedAt = now
-	req.latestStart = req.Objective.Add(-p.minRemaining(req))
-	req.boosted = p.attainments.underserved(now, &req.Request)
-	if len(req.Stages) > 0 {
-		p.attainments.countSubmitted(now, &req.Request)
-	}
-	p.recognizeRetry(now, req)
-	p.countDemand(now, req)
-	p.setKeys(now, req)
-	if refusal := p.admit(now, req); refusal != nil {
-		refusal.Account = r.Account
+	if refusal := p.judge(now, req); refusal != nil {
 		p.actions = append(p.actions, *refusal)
 		return p.flush()
 	}
@@ -235,6 +225,32 @@
 	return p.flush()
 }
 
+// refuseExcess refuses a request that exceeds the bounds of the planner. It returns nil for others.
+func (p *Planner) refuseExcess(r *Request) *Refused {
+	if len(p.requests) < p.config.MaxRequests && len(r.Stages) <= maxStages {
+		return nil
+	}
+	return &Refused{Request: r.ID, Account: r.Account, Reason: ReasonTooManyRequests, RetryAfter: minRetryAfter}
+}
+
+// judge decides about a new request. It returns nil for a request that is admitted.
+func (p *Planner) judge(now time.Time, req *heldRequest) *Refused {
+	req.admittedAt = now
+	req.latestStart = req.Objective.Add(-p.minRemaining(req))
+	req.boosted = p.attainments.underserved(now, &req.Request)
+	if len(req.Stages) > 0 {
+		p.attainments.countSubmitted(now, &req.Request)
+	}
+	p.recognizeRetry(now, req)
+	p.countDemand(now, req)
+	p.setKeys(now, req)
+	refusal := p.admit(now, req)
+	if refusal != nil {
+		refusal.Account = req.Account
+	}
+	return refusal
+}
+
 // IDInUse reports whether the planner holds a different request with the same id. A request
 // that is submitted again, during a handover of the queue or for a second attempt, is the
 // same.
--- a/coordination/gather/reservations.go
+++ b/coordination/gather/reservations.go
@@ -145,7 +145,9 @@
 	if !p.config.RetryReservations {
 		return
 	}
-	p.expireReservations(now)
+	if req.predictions == nil {
+		p.expireReservations(now)
+	}
 	if req.Fingerprint != "" {
 		if req.retryOf = p.reservations.find(now, req); req.retryOf != nil {
 			return
--- a/coordination/gather/work.go
+++ b/coordination/gather/work.go
@@ -32,6 +32,8 @@
 	// latestStart is the latest time at which the remaining stages must start for the
 	// request to meet its objective.
 	latestStart time.Time
+	// predictions are recorded by stage for a request that is only asked about; otherwise nil.
+	predictions []StagePrediction
 	// flowControl is Config.ResultFlowControl.
 	flowControl bool
 }
