Explain which engine the holder would choose

Cause: the holder of the stage queue chooses engines by its own account of their work, which no instance could show.

Ruled out: keeping the terms of the best engine while searching: the search examines few engines, and operators ask about the others.

Change: placing.Table.Explain runs the search of ChooseWithin without its cache of homes and without a use of the learned durations, and gives the terms of all engines. The cost of an engine that is considered is the sum of the same terms.

TestChooseMatchesScan compares each choice with its explanation too.

Conclusion: what the holder decides can be explained; no method asks for it yet.

--- a/coordination/placing/choose.go
+++ b/coordination/placing/choose.go
@@ -42,14 +42,21 @@
 		return Choice{}, false
 	}
 	s := search{now: now, prompt: p, longestWait: longestWait, transferCost: transferCost, grants: t.grants, work: t.predict(now, p)}
-	for _, e := range pool.byName[pool.homeOf(p.homeKey())] {
+	s.run(pool, pool.homeOf(p.homeKey()))
+	return s.choice()
+}
+
+// run finds the best engine of a pool. home is the name of the prompt's home.
+func (s *search) run(pool *poolState, home string) {
+	p := s.prompt
+	for _, e := range pool.byName[home] {
 		s.consider(e, homeAdvantage)
 	}
 	cachers, uncached := pool.enginesWithRarePart(p)
 	for _, e := range cachers {
 		s.consider(e, 0)
 	}
-	minTransfer := pool.minTransferCost(transferCost)
+	minTransfer := pool.minTransferCost(s.transferCost)
 	for _, e := range pool.bySlowdown {
 		bound := e.prefillCost(uncached) + minTransfer
 		if s.best != nil && bound > s.cost {
@@ -59,7 +66,6 @@
 			s.consider(e, 0)
 		}
 	}
-	return s.choice()
 }
 
 // homeKey returns the key that requests of the same home have in common: the ID of the last
@@ -88,23 +94,53 @@
 
 // consider compares an engine with the best so far; advantage is subtracted from its cost.
 func (s *search) consider(e *engineState, advantage time.Duration) {
-	if slices.Contains(s.prompt.Exclude, e.Incarnation) || s.grants != nil && e.isPaced() && !s.grants(e.Name) {
+	if s.isExcluded(e) || s.lacksGrant(e) {
 		return
 	}
-	uncached := e.uncachedTokens(s.prompt)
-	cost := s.queueCost(e) + e.prefillCost(uncached) + e.readDelay(uncached) + s.transferCost(e.DataCentre) - advantage
-	if s.isBetter(cost, e) {
+	if cost := s.termsAt(e, advantage).Sum(); s.isBetter(cost, e) {
 		s.best, s.cost = e, cost
 	}
 }
 
-// queueCost returns the cost of the request at an engine, without the cost of its prompt.
+func (s *search) isExcluded(e *engineState) bool {
+	return slices.Contains(s.prompt.Exclude, e.Incarnation)
+}
+
+// lacksGrant reports whether sends to the engine need grants that another instance gives.
+func (s *search) lacksGrant(e *engineState) bool {
+	return s.grants != nil && e.isPaced() && !s.grants(e.Name)
+}
+
+// termsAt returns the terms of the cost of the request at an engine.
+func (s *search) termsAt(e *engineState, advantage time.Duration) Terms {
+	uncached := e.uncachedTokens(s.prompt)
+	return Terms{
+		Wait: e.wait(s.now), Own: e.prefillCost(uncached), Reading: e.readDelay(uncached), Memory: e.runCost(s.work),
+		Crossing: s.transferCost(e.DataCentre), Penalty: s.penalty(e), Home: advantage,
+	}
+}
+
+// queueCost returns the cost of the request at an engine, without the cost of its prompt. It is what all
+// engines are compared by, so it is computed without the other terms.
 func (s *search) queueCost(e *engineState) time.Duration {
-	cost := e.queueCost(s.now) + e.runCost(s.work)
-	if !e.limit.Unlimited() && e.sendWait(s.now) > s.longestWait {
-		cost += beyondPenalty
+	return e.wait(s.now) + e.runCost(s.work) + s.penalty(e)
+}
+
+// penalty returns the cost of an engine that can't be reached or has no grant in time.
+func (s *search) penalty(e *engineState) time.Duration {
+	var penalty time.Duration
+	if e.isAvoided(s.now) {
+		penalty += unreachablePenalty
+	}
+	if s.isBeyondWait(e) {
+		penalty += beyondPenalty
 	}
-	return cost
+	return penalty
+}
+
+// isBeyondWait reports whether an engine that names a limit has no grant in time.
+func (s *search) isBeyondWait(e *engineState) bool {
+	return !e.limit.Unlimited() && e.sendWait(s.now) > s.longestWait
 }
 
 // isBetter reports whether an engine with the given cost is preferred to the best so far. If
--- a/coordination/placing/choose_test.go
+++ b/coordination/placing/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -139,10 +140,14 @@
 		transferCosts[fmt.Sprint("dc", i)] = time.Duration(w.draw("transfer cost", 3)) * 10 * time.Millisecond
 	}
 	transferCost := func(dataCentre string) time.Duration { return transferCosts[dataCentre] }
+	homes := len(w.table.pools["p"].homeNames)
+	explained := w.table.Explain(w.now, p, math.MaxInt64, transferCost, nil)
+	require.Len(w, w.table.pools["p"].homeNames, homes)
 	want, wantOK := w.table.scanChoose(w.now, p, transferCost)
 	got, ok := w.table.Choose(w.now, p, transferCost)
 	require.Equal(w, wantOK, ok)
 	require.Equal(w, want, got)
+	requireExplains(w, explained, got, ok)
 	if !ok || w.draw("sent", 3) == 0 {
 		return
 	}
@@ -152,6 +157,21 @@
 	w.open = append(w.open, RequestEnd{Request: id, Engine: got.Engine.Incarnation})
 }
 
+// requireExplains compares an explanation with a choice.
+func requireExplains(t require.TestingT, e Explanation, choice Choice, ok bool) {
+	require.Equal(t, ok, e.Found)
+	require.Equal(t, choice, e.Choice)
+	for i, x := range e.Engines {
+		require.Equal(t, ok && i == 0, x.Chosen)
+		if x.Chosen {
+			require.Equal(t, choice.Engine, x.Engine)
+		}
+		if i > 0 && x.State == e.Engines[i-1].State && x.State == StateUsable {
+			require.GreaterOrEqual(t, x.Terms.Sum(), e.Engines[i-1].Terms.Sum())
+		}
+	}
+}
+
 // end ends a random request, with or without a first event.
 func (w *randomTable) end() {
 	if len(w.open) == 0 {
--- a/coordination/placing/engine.go
+++ b/coordination/placing/engine.go
@@ -142,13 +142,8 @@
 // engine restarts.
 func (e *engineState) pacedName() string { return cmp.Or(e.Name, e.Incarnation) }
 
-// queueCost returns the cost of a request that is assigned now, without the cost of its prompt.
-func (e *engineState) queueCost(now time.Time) time.Duration {
-	if now.Before(e.avoidUntil) {
-		return e.wait(now) + unreachablePenalty
-	}
-	return e.wait(now)
-}
+// isAvoided reports whether nothing listened at the engine's address a moment ago.
+func (e *engineState) isAvoided(now time.Time) bool { return now.Before(e.avoidUntil) }
 
 // markUnreachable starts a backoff because nothing listens at the engine's address. Reports
 // during a backoff are ignored: they usually concern requests that were sent before it began.
--- a/coordination/placing/running.go
+++ b/coordination/placing/running.go
@@ -70,8 +70,20 @@
 	if t.costs == nil {
 		return nil
 	}
+	return workOf(now, p, t.costs.Estimate)
+}
+
+// peek is predict for a request that is only asked about.
+func (t *Table) peek(now time.Time, p *Prompt) *work {
+	if t.costs == nil {
+		return nil
+	}
+	return workOf(now, p, t.costs.Peek)
+}
+
+func workOf(now time.Time, p *Prompt, estimate func(time.Time, cost.Request) cost.Estimate) *work {
 	r := cost.Request{Pool: p.Pool, Route: p.Route, Account: p.Account, PromptTokens: p.Tokens}
-	e := t.costs.Estimate(now, r)
+	e := estimate(now, r)
 	return &work{r, e, (e.Mean() - e.Read).Seconds()}
 }
 
