Ask the holder of the stage queue to explain its decision

Cause: for routes with stages and for targets with a limit the holder decides, and GET /explain only said so.

Ruled out: new fields in stages.schedule, which would submit the request; asking several instances until one answers, which would hide that the holder is silent.

Change: stages.explain, idempotent and with a time-out of one second, answers with the prediction for the stages, the refusal as the relay passes it on, and the engines with the terms of their costs. A holder that doesn't answer, hands its queue over or is of an earlier version is listed under unknown. The requests for stages and for grants are built by functions of their own, which a question uses too. The dialect of the platform states the longest retry delay of a caller. With everything else as it was, the bytes on the wire are the same: the method is sent for a question only.

Questions about a retry, and grants after stages, are not explained, and the answer or the design note says so.

--- a/client/explain.go
+++ b/client/explain.go
@@ -78,6 +78,9 @@
 func writeExplanation(w io.Writer, answer *explainapi.Answer) error {
 	fmt.Fprintf(w, "route %s, service %s, decided by %s %s, targets known %.0f ms ago\n",
 		answer.Route, answer.Service, answer.DecidedBy.Role, answer.DecidedBy.Name, answer.KnowledgeAgeMS)
+	if d := answer.StagesDecidedBy; d != nil {
+		fmt.Fprintf(w, "stages decided by %s %s\n", d.Role, d.Name)
+	}
 	if r := answer.Refusal; r != nil {
 		fmt.Fprintf(w, "refused: %s, retry after %.0f ms\n", r.Reason, r.RetryAfterMS)
 	}
@@ -125,7 +128,7 @@
 	}
 	t := table{header: []string{"", "TARGET", "DATA CENTRE", "STATE", "AGE MS", "CACHED", "SCORE", "LOAD", "SLOTS", "SLOWDOWN", "CACHE DISCOUNT"}}
 	if byCost {
-		t.header = append(t.header[:6], "COST MS", "WAIT", "OWN", "READING", "MEMORY", "SLOWDOWN", "CROSSING")
+		t.header = append(t.header[:6], "COST MS", "WAIT", "OWN", "READING", "MEMORY", "SLOWDOWN", "CROSSING", "PENALTY", "HOME")
 	}
 	for _, c := range candidates {
 		mark, age := "", "-"
@@ -141,11 +144,20 @@
 		}
 		if s := c.Cost; s != nil {
 			row = append(row, formatNumber(s.SumMS, 1), formatNumber(s.WaitMS, 1), formatNumber(s.OwnMS, 1), formatNumber(s.ReadingMS, 1),
-				formatNumber(s.MemoryMS, 1), formatNumber(s.Slowdown, 2), formatNumber(s.CrossingMS, 1))
+				formatNumber(s.MemoryMS, 1), formatSlowdown(s), formatNumber(s.CrossingMS, 1),
+				formatNumber(s.PenaltyMS, 1), formatNumber(s.HomeMS, 1))
 		}
 		t.rows = append(t.rows, row)
 	}
 	return t
 }
 
+// formatSlowdown marks a slowdown that the other terms contain already.
+func formatSlowdown(c *explainapi.Cost) string {
+	if c.IncludedSlowdown > 0 {
+		return "(" + formatNumber(c.IncludedSlowdown, 2) + ")"
+	}
+	return formatNumber(c.Slowdown, 2)
+}
+
 func formatNumber(n float64, decimals int) string { return strconv.FormatFloat(n, 'f', decimals, 64) }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -200,6 +200,7 @@
 		Client:            g.client,
 		TargetShares:      g.dataCentreShares,
 		Stages:            g.stages,
+		ExplainStages:     g.stages.Explain,
 		RetryReservations: s.Scheduling.RetryReservations,
 		Streams:           g.streams,
 		Paced:             g.stages.Paced,
--- a/daemon/relay/choose.go
+++ b/daemon/relay/choose.go
@@ -117,22 +117,7 @@
 	defer release()
 	q.relay.stageWaiters.add(q)
 	defer q.relay.stageWaiters.remove(q)
-	objective := q.objective
-	if q.headerSent {
-		objective = time.Now().Add(resumeObjective)
-	}
-	r := gather.Request{
-		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority, KindPriority: q.route.Priority,
-		Objective: objective, Deadline: q.stagesDeadline(time.Now()), Remaining: engineFirstEventTime, DataCentre: dataCentre,
-		Account: q.account, Fingerprint: q.fingerprint(), MaxRetryDelay: q.maxRetryDelay(time.Now()),
-	}
-	for i, s := range q.route.Stages {
-		pieces := 0
-		if i < len(q.call.PieceCounts) {
-			pieces = q.call.PieceCounts[i]
-		}
-		r.Stages = append(r.Stages, gather.Stage{Service: s.Service, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
-	}
+	r := q.stagesRequest(dataCentre)
 	started := time.Now()
 	produced, err := q.relay.options.Stages.Execute(ctx, r, q.prompt())
 	q.resultHandles, q.owner = produced.Handles, produced.Holder
@@ -155,9 +140,31 @@
 	return err
 }
 
+// stagesRequest returns what the holder of the stage queue gets to know of the request. dataCentre is where
+// the results are read.
+func (q *request) stagesRequest(dataCentre string) gather.Request {
+	objective := q.objective
+	if q.headerSent {
+		objective = time.Now().Add(resumeObjective)
+	}
+	r := gather.Request{
+		ID: q.call.ID, Route: q.route.Name, Key: q.call.PieceKey, Priority: q.priority, KindPriority: q.route.Priority,
+		Objective: objective, Deadline: q.stagesDeadline(time.Now()), Remaining: engineFirstEventTime, DataCentre: dataCentre,
+		Account: q.account, Fingerprint: q.fingerprint(), MaxRetryDelay: q.maxRetryDelay(time.Now()),
+	}
+	for i, s := range q.route.Stages {
+		pieces := 0
+		if i < len(q.call.PieceCounts) {
+			pieces = q.call.PieceCounts[i]
+		}
+		r.Stages = append(r.Stages, gather.Stage{Service: s.Service, After: s.After, Pieces: pieces, ResultBytes: s.ResultBytes})
+	}
+	return r
+}
+
 // fingerprint returns what a caller's retry is known by; empty if nobody asks for it.
 func (q *request) fingerprint() string {
-	if !q.relay.options.RetryReservations {
+	if !q.relay.options.RetryReservations || q.hypothetical {
 		return ""
 	}
 	return q.digest().String()
--- a/daemon/relay/explain.go
+++ b/daemon/relay/explain.go
@@ -17,6 +17,9 @@
 // ErrUnknownRoute means that the configuration in force has no route of that name.
 var ErrUnknownRoute = errors.New("no such route")
 
+// errNoHolder means that the instance has no way to ask the holder of the stage queue.
+var errNoHolder = errors.New("it can't be asked")
+
 // Explain returns what would become of a request that arrived now, and why. Nothing is sent, recorded
 // or spent. The error is ErrUnknownRoute.
 func (s *Relay) Explain(ctx context.Context, question explainapi.Question) (explainapi.Answer, error) {
@@ -41,7 +44,7 @@
 	x.explainTrafficSplit()
 	x.explainRefusals()
 	x.explainTarget()
-	x.explainStages(ctx)
+	x.askHolder(ctx)
 	x.dropChoiceOfRefused()
 	return x.answer, nil
 }
@@ -50,6 +53,8 @@
 type explanation struct {
 	q      *request
 	answer explainapi.Answer
+	// dataCentre is that of the chosen target.
+	dataCentre string
 }
 
 // hypotheticalRequest returns a request that is only asked about.
@@ -65,11 +70,20 @@
 	for _, part := range question.Prefix {
 		q.call.Prefix = append(q.call.Prefix, routing.PrefixPart{ID: part.ID, Tokens: part.Tokens})
 	}
+	if d, ok := s.options.Dialect.(retryDelayer); ok {
+		q.call.MaxRetryDelay = d.MaxRetryDelay(q.call.Timeout)
+	}
 	q.setDeadlines()
 	q.updatePaced()
 	return q
 }
 
+// retryDelayer is a dialect that knows the longest retry delay that a caller honours which waits so long.
+// Otherwise any delay counts as honoured.
+type retryDelayer interface {
+	MaxRetryDelay(timeout time.Duration) time.Duration
+}
+
 // heaviestService returns the service that most requests of a route are sent to.
 func heaviestService(split []routes.WeightedService) string {
 	var heaviest routes.WeightedService
@@ -149,23 +163,32 @@
 
 // explainTarget explains the choice of the target by this instance.
 func (x *explanation) explainTarget() {
-	// A source of its own: the numbers of requests must not depend on questions.
-	rng := rand.New(rand.NewPCG(uint64(x.q.arrived.UnixNano()), 0))
-	e := x.q.relay.options.Router.Explain(time.Now(), rng, x.q.targetQuery())
+	e := x.chooseHere(x.q.targetQuery())
 	x.answer.CandidatesOmitted = e.Omitted
 	for i := range e.Targets {
 		x.answer.Candidates = append(x.answer.Candidates, candidateOf(&e.Targets[i]))
 	}
 	if e.Err != nil {
 		x.refuse(reasonNoTarget, time.Second)
-		return
+	}
+}
+
+// chooseHere explains a choice by this instance, and records it in the answer.
+func (x *explanation) chooseHere(query routing.Query) routing.Explanation {
+	// A source of its own: the numbers of requests must not depend on questions.
+	rng := rand.New(rand.NewPCG(uint64(x.q.arrived.UnixNano()), 0))
+	e := x.q.relay.options.Router.Explain(time.Now(), rng, query)
+	x.answer.Chosen, x.answer.Reason, x.answer.Random, x.dataCentre = "", "", false, ""
+	if e.Err != nil {
+		return e
 	}
 	x.answer.Reason, x.answer.Random = e.Reason.String(), e.Random
-	for _, c := range x.answer.Candidates {
-		if c.Chosen {
-			x.answer.Chosen = c.Target
+	for i := range e.Targets {
+		if t := &e.Targets[i]; t.Chosen {
+			x.answer.Chosen, x.dataCentre = t.Target.Incarnation, t.Target.DataCentre
 		}
 	}
+	return e
 }
 
 func candidateOf(t *routing.Explained) explainapi.Candidate {
@@ -193,13 +216,4 @@
 	return c
 }
 
-// explainStages says what the holder of the stage queue decides.
-func (x *explanation) explainStages(context.Context) {
-	if len(x.q.route.Stages) == 0 && !x.q.paced {
-		return
-	}
-	x.answer.DecidedBy = explainapi.Decider{Role: explainapi.RoleHolder}
-	x.unknown("holder", "the holder of the stage queue isn't asked: the candidates are what this instance would choose from")
-}
-
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/daemon/relay/explain_test.go
+++ b/daemon/relay/explain_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,7 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/cost"
+	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/coordination/quarantine"
+	"github.com/ivyhollow/ivyhollow/daemon/stages"
 	"github.com/ivyhollow/ivyhollow/protocol/explainapi"
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
@@ -59,16 +64,86 @@
 }
 
 // Fails if an answer about stages or grants, which the holder decides on, looks complete without it.
-func TestExplainSaysThatTheHolderDecides(t *testing.T) {
-	s, route := explainRelay(&granter{})
-	s.options.Paced = func(string) bool { return true }
-	answer := explain(t, s, explainapi.Question{})
-	require.Equal(t, explainapi.RoleHolder, answer.DecidedBy.Role)
-	require.Equal(t, "holder", answer.Unknown[0].What)
-	s.options.Paced, route.Stages = nil, []routes.Stage{{Service: "stage"}}
-	answer = explain(t, s, explainapi.Question{})
-	require.Equal(t, "holder", answer.Unknown[0].What)
-	require.NotEmpty(t, answer.Candidates)
+func TestExplainSaysThatTheHolderIsUnknown(t *testing.T) {
+	for name, ask := range map[string]func(context.Context, gather.Request, placing.Prompt) (stages.Explanation, error){
+		"can't be asked": nil,
+		"earlier version": func(context.Context, gather.Request, placing.Prompt) (stages.Explanation, error) {
+			return stages.Explanation{Holder: "h"}, stages.ErrEarlierVersion
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, route := explainRelay(&granter{})
+			s.options.ExplainStages, route.Stages = ask, []routes.Stage{{Service: "stage"}}
+			answer := explain(t, s, explainapi.Question{})
+			require.Equal(t, explainapi.RoleHolder, answer.DecidedBy.Role)
+			require.Equal(t, explainapi.RoleHolder, answer.StagesDecidedBy.Role)
+			require.Equal(t, "holder", answer.Unknown[0].What)
+			require.Equal(t, "e", answer.Candidates[0].Target, "what this instance knows itself")
+		})
+	}
+}
+
+// Fails if what the holder would decide is missing from the answer, or a refusal gets another reason or
+// another retry time than the caller would be told.
+func TestExplainWithHolder(t *testing.T) {
+	engines := []placing.Explained{{Engine: placing.Engine{Incarnation: "e", DataCentre: "d"}, State: placing.StateUsable, Terms: placing.Terms{Wait: time.Second}}}
+	predicted := []gather.StagePrediction{{Service: "stage", Pieces: 4, Wait: 2 * time.Second, Time: time.Second}}
+	for name, c := range map[string]struct {
+		staged, caching, paced bool
+		holder                 stages.Explanation
+		target, stagesBy       string
+		chosen, reason         string
+		refusal                *explainapi.Refusal
+	}{
+		"target and stages": {staged: true, caching: true, holder: stages.Explanation{Stages: predicted, Engines: engines, Engine: "e"}, target: "h", stagesBy: "h", chosen: "e", reason: "only"},
+		"stages alone":      {staged: true, holder: stages.Explanation{Stages: predicted}, target: "one", stagesBy: "h", chosen: "e", reason: "only"},
+		"stages refused": {staged: true, holder: stages.Explanation{Stages: predicted, Refused: &stages.RefusedError{Reason: gather.ReasonQueueTooLong, RetryAfter: 3 * time.Second}},
+			target: "one", stagesBy: "h", refusal: &explainapi.Refusal{Reason: "queue_too_long", RetryAfterMS: 3000}},
+		"granted":       {paced: true, holder: stages.Explanation{Engines: engines, Engine: "e", SendAfter: time.Second}, target: "h", chosen: "e", reason: "preferred"},
+		"granted late":  {paced: true, holder: stages.Explanation{Engines: engines, Engine: "e", SendAfter: time.Hour}, target: "h", refusal: &explainapi.Refusal{Reason: "queue_too_long", RetryAfterMS: 3.6e6}},
+		"no grant":      {paced: true, holder: stages.Explanation{Engines: engines, SendAfter: 4 * time.Second}, target: "h", refusal: &explainapi.Refusal{Reason: "queue_too_long", RetryAfterMS: 4000}},
+		"no engine":     {paced: true, target: "h", refusal: &explainapi.Refusal{Reason: "no_target", RetryAfterMS: 1000}},
+		"other granted": {paced: true, holder: stages.Explanation{Engines: engines, Engine: "other"}, target: "h"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &granter{}
+				s, route := explainRelay(g)
+				s.options.RetryReservations = true
+				route.PrefixCaching = c.caching
+				if c.staged {
+					route.Stages = []routes.Stage{{Service: "stage"}}
+				}
+				s.options.Paced = func(string) bool { return c.paced }
+				s.options.ExplainStages = func(_ context.Context, r gather.Request, p placing.Prompt) (stages.Explanation, error) {
+					require.Equal(t, c.caching || c.paced, p.Pool == "engine")
+					require.Empty(t, r.Fingerprint)
+					if c.staged {
+						require.Equal(t, 4, r.Stages[0].Pieces)
+						require.Equal(t, "a", r.Account)
+					}
+					c.holder.Holder = "h"
+					return c.holder, nil
+				}
+				answer := explain(t, s, explainapi.Question{Account: "a", Pieces: []int{4}, Deadline: 10 * time.Second})
+				require.Equal(t, c.target, answer.DecidedBy.Name)
+				if c.staged {
+					require.Equal(t, c.stagesBy, answer.StagesDecidedBy.Name)
+					require.Equal(t, []explainapi.Stage{{Service: "stage", Pieces: 4, WaitMS: 2000, TimeMS: 1000}}, answer.Stages)
+				}
+				require.Equal(t, c.refusal, answer.Refusal)
+				require.Equal(t, c.chosen, answer.Chosen)
+				require.Equal(t, c.reason, answer.Reason)
+				require.Len(t, answer.Candidates, max(len(c.holder.Engines), map[bool]int{true: 1}[c.target == "one"]))
+				if len(c.holder.Engines) > 0 {
+					require.Equal(t, 1000.0, answer.Candidates[0].Cost.SumMS)
+					require.Equal(t, c.chosen == "e", answer.Candidates[0].Chosen)
+				}
+				require.Empty(t, g.asked)
+				require.Equal(t, name == "other granted", slices.ContainsFunc(answer.Unknown, func(u explainapi.Unknown) bool { return u.What == "target" }))
+			})
+		})
+	}
 }
 
 // Fails if a question about a pool whose targets all leave, or before the first configuration, isn't
--- a/daemon/relay/grant.go
+++ b/daemon/relay/grant.go
@@ -69,11 +69,7 @@
 	defer release()
 	q.dropPreparedGrant()
 	q.grant.number++
-	r := gather.Request{
-		ID: q.call.ID + "#" + strconv.Itoa(q.grant.number), Route: q.route.Name,
-		Priority: q.priority, KindPriority: q.route.Priority,
-		Objective: q.objective, Deadline: q.stagesDeadline(time.Now()),
-	}
+	r := q.grantRequest()
 	prompt := q.prompt()
 	prompt.Exclude = slices.Concat(prompt.Exclude, rejected)
 	result, err := q.relay.options.Stages.Execute(ctx, r, prompt)
@@ -82,6 +78,15 @@
 	return err
 }
 
+// grantRequest returns the request for a grant.
+func (q *request) grantRequest() gather.Request {
+	return gather.Request{
+		ID: q.call.ID + "#" + strconv.Itoa(q.grant.number), Route: q.route.Name,
+		Priority: q.priority, KindPriority: q.route.Priority,
+		Objective: q.objective, Deadline: q.stagesDeadline(time.Now()),
+	}
+}
+
 // dropGrant reports the end of an attempt's requested grant to its holder, with the time to the first
 // event; 0 if there was none.
 func (q *request) dropGrant(a *attempt, firstEvent time.Duration) {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -85,6 +85,9 @@
 	// RetryReservations is true if the holder of the stage queue reserves capacity for retries, which
 	// it knows by their content.
 	RetryReservations bool
+	// ExplainStages returns what the holder of the stage queue would decide about a request, and records
+	// nothing. It is nil if there is no holder to ask.
+	ExplainStages func(ctx context.Context, r gather.Request, prompt placing.Prompt) (stages.Explanation, error)
 	// Streams knows where streams began that callers take up again.
 	Streams Streams
 	// Paced reports whether sends to the targets of a service need grants; nil if none do.
--- a/daemon/stages/assign.go
+++ b/daemon/stages/assign.go
@@ -45,6 +45,12 @@
 		return r
 	}
 	q.prompts[r.ID] = held
+	return servedBy(now, r, choice)
+}
+
+// servedBy returns the request with the data centre of the engine that is expected to serve it, and with the
+// time that it needs there.
+func servedBy(now time.Time, r gather.Request, choice placing.Choice) gather.Request {
 	r.DataCentre = choice.Engine.DataCentre
 	r.Remaining = min(choice.FirstEventIdle+remainingMargin, maxRemaining)
 	if choice.SendAfter > 0 && now.Add(choice.SendAfter).After(r.Deadline) {
--- a/daemon/stages/redirect.go
+++ b/daemon/stages/redirect.go
@@ -26,13 +26,21 @@
 // lookUpRedirect returns the live member to which an instance redirected its latest request,
 // if that was recent and the member isn't avoided. mu must be held.
 func (s *Stages) lookUpRedirect(now time.Time, view *membership.View, name string) (membership.Member, bool) {
+	m, ok := s.validRedirect(now, view, name)
+	if !ok {
+		delete(s.redirects, name)
+	}
+	return m, ok
+}
+
+// validRedirect is lookUpRedirect without the removal of what is over. mu must be held.
+func (s *Stages) validRedirect(now time.Time, view *membership.View, name string) (membership.Member, bool) {
 	r, ok := s.redirects[name]
 	if !ok {
 		return membership.Member{}, false
 	}
 	m, found := view.Find(r.to)
-	if !now.Before(r.until) || !found || !m.Live() || s.isAvoided(now, r.to) {
-		delete(s.redirects, name)
+	if !now.Before(r.until) || !found || !m.Live() || s.avoids(now, r.to) {
 		return membership.Member{}, false
 	}
 	return m, true
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -158,6 +158,7 @@
 	c.Handle(methodCallEnd, s.handleCallEnd)
 	c.Handle(methodShorten, s.handleShorten)
 	c.Handle(methodClaim, s.handleClaim, peer.Idempotent())
+	c.Handle(methodExplain, s.handleExplain, peer.Idempotent())
 	return s
 }
 
@@ -313,12 +314,17 @@
 // isAvoided reports whether an instance is avoided because it didn't respond. mu must be
 // held.
 func (s *Stages) isAvoided(now time.Time, name string) bool {
-	until, ok := s.avoidedUntil[name]
-	if ok && !now.Before(until) {
-		delete(s.avoidedUntil, name)
-		return false
+	if s.avoids(now, name) {
+		return true
 	}
-	return ok
+	delete(s.avoidedUntil, name)
+	return false
+}
+
+// avoids is isAvoided without the removal of what is over. mu must be held.
+func (s *Stages) avoids(now time.Time, name string) bool {
+	until, ok := s.avoidedUntil[name]
+	return ok && now.Before(until)
 }
 
 func (s *Stages) avoid(name string) {
--- a/protocol/explainapi/explainapi.go
+++ b/protocol/explainapi/explainapi.go
@@ -34,6 +34,8 @@
 	Service   string  `json:"service,omitempty"`
 	Account   string  `json:"account,omitempty"`
 	DecidedBy Decider `json:"decided_by"`
+	// StagesDecidedBy decides on the stages; nil if the route has none.
+	StagesDecidedBy *Decider `json:"stages_decided_by,omitempty"`
 	// KnowledgeAgeMS is the age of the asked instance's knowledge of the targets.
 	KnowledgeAgeMS float64 `json:"knowledge_age_ms"`
 	// Chosen is the incarnation of the chosen target, Reason the rule that chose it. Random is true if
@@ -82,7 +84,13 @@
 	MemoryMS   float64 `json:"memory_ms"`
 	Slowdown   float64 `json:"slowdown"`
 	CrossingMS float64 `json:"crossing_ms"`
-	SumMS      float64 `json:"sum_ms"`
+	// PenaltyMS is added if the target can't be reached or gets no send in time; HomeMS is subtracted at
+	// the home of the prompt.
+	PenaltyMS float64 `json:"penalty_ms,omitempty"`
+	HomeMS    float64 `json:"home_ms,omitempty"`
+	// IncludedSlowdown is a slowdown that the first four contain already; 0 if they don't.
+	IncludedSlowdown float64 `json:"included_slowdown,omitempty"`
+	SumMS            float64 `json:"sum_ms"`
 }
 
 // Score has the terms of the score by which targets are chosen without a predicted cost: the estimated
--- a/protocol/explainapi/explainapi_test.go
+++ b/protocol/explainapi/explainapi_test.go
@@ -54,17 +54,17 @@
 	age := 3.0
 	for want, answer := range map[string]Answer{
 		`{"route":"","decided_by":{"role":""},"knowledge_age_ms":0,"candidates":null,"candidates_omitted":0}`: {},
-		`{"route":"r","service":"s","account":"a","decided_by":{"role":"holder","name":"h"},"knowledge_age_ms":1,` +
+		`{"route":"r","service":"s","account":"a","decided_by":{"role":"holder","name":"h"},"stages_decided_by":{"role":"holder"},"knowledge_age_ms":1,` +
 			`"chosen":"t","reason":"load","random":true,"candidates":[{"target":"t","data_centre":"d","state":"usable",` +
 			`"ejected_ms":2,"chosen":true,"cached_tokens":4,"cost":{"wait_ms":1,"own_ms":2,"reading_ms":3,"memory_ms":4,` +
-			`"slowdown":5,"crossing_ms":6,"sum_ms":7},"score":{"load":1,"slots":2,"utilization":3,"slowdown":4,` +
+			`"slowdown":5,"crossing_ms":6,"penalty_ms":7,"home_ms":8,"included_slowdown":9,"sum_ms":10},"score":{"load":1,"slots":2,"utilization":3,"slowdown":4,` +
 			`"cache_discount":5,"sum":6},"age_ms":3}],"candidates_omitted":1,"stages":[{"service":"s","pieces":1,"wait_ms":2,` +
 			`"time_ms":3}],"refusal":{"reason":"no_target","retry_after_ms":1000},"unknown":[{"what":"w","why":"y"}]}`: {
-			Route: "r", Service: "s", Account: "a", DecidedBy: Decider{RoleHolder, "h"}, KnowledgeAgeMS: 1,
+			Route: "r", Service: "s", Account: "a", DecidedBy: Decider{RoleHolder, "h"}, StagesDecidedBy: &Decider{Role: RoleHolder}, KnowledgeAgeMS: 1,
 			Chosen: "t", Reason: "load", Random: true,
 			Candidates: []Candidate{{
 				Target: "t", DataCentre: "d", State: "usable", EjectedMS: 2, Chosen: true, CachedTokens: 4,
-				Cost: &Cost{1, 2, 3, 4, 5, 6, 7}, Score: &Score{1, 2, 3, 4, 5, 6}, AgeMS: &age,
+				Cost: &Cost{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}, Score: &Score{1, 2, 3, 4, 5, 6}, AgeMS: &age,
 			}},
 			CandidatesOmitted: 1, Stages: []Stage{{"s", 1, 2, 3}},
 			Refusal: &Refusal{"no_target", 1000}, Unknown: []Unknown{{"w", "y"}},
