Send the estimate of output with questions to the holder

Cause: the merge of two parts left questions without the caller's estimate, since a prompt doesn't carry it: the explanation predicted another work than the request. The list of accounts logged a change of the holder. Change: a question has the body of methodSchedule, estimate included; the list looks the holder up without a trace.

--- a/daemon/stages/accounts.go
+++ b/daemon/stages/accounts.go
@@ -25,7 +25,7 @@
 // also with an error.
 func (s *Stages) AccountShares(ctx context.Context) (string, []gather.AccountShare, error) {
 	view := s.cluster.View()
-	holder, _ := s.pickHolder(time.Now())
+	holder := s.expectedHolder(time.Now())
 	if holder.Name == view.Self {
 		return holder.Name, s.queue.accountShares(), nil
 	}
--- a/daemon/stages/explain.go
+++ b/daemon/stages/explain.go
@@ -90,7 +90,7 @@
 	}
 	var response explainResponse
 	request := newScheduleRequest(&assignRequest{redirectableRequest{Run: *newRunRequest(time.Now(), r)}, prompt}, r)
-	err := s.callMethod(ctx, m.Address, methodExplain, request, &response)
+	err := s.callSchedule(ctx, m.Address, methodExplain, request, &response)
 	return &response, err
 }
 
@@ -121,9 +121,9 @@
 }
 
 func (s *Stages) handleExplain(_ context.Context, _ peer.Peer, body []byte) ([]byte, error) {
-	var request scheduleRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "decode")
+	request, err := decodeSchedule(body)
+	if err != nil {
+		return nil, err
 	}
 	now := time.Now()
 	return msgpack.Marshal(s.queue.explain(now, request.request(now), request.Assign.Prompt))
--- a/daemon/stages/schedule_test.go
+++ b/daemon/stages/schedule_test.go
@@ -138,10 +138,16 @@
 			require.NoError(t, err)
 			c.prompt.Pool = c.pool
 			require.Equal(t, c.prompt, got.Assign.Prompt)
+			scheduled := sent
+			_, err = s.explainAt(t.Context(), cluster.members[1], gather.Request{}, request.Assign.Prompt)
+			require.NoError(t, err)
+			asked, err := decodeSchedule(sent)
+			require.NoError(t, err)
+			require.Equal(t, c.prompt, asked.Assign.Prompt, "a question gets the same estimate")
 			if c.prompt.Hint == 0 {
 				plain, err := encode(request)
 				require.NoError(t, err)
-				require.Equal(t, plain, sent)
+				require.Equal(t, plain, scheduled)
 			}
 		})
 	}
--- a/daemon/stages/stages.go
+++ b/daemon/stages/stages.go
@@ -382,7 +382,7 @@
 	assigned := &response.Assign
 	err := error(peer.ErrNoMethod)
 	if s.sendsScheduling || s.placesByCost && request.Prompt.Pool != "" {
-		err = s.callSchedule(ctx, address, scheduled, &whole)
+		err = s.callSchedule(ctx, address, methodSchedule, scheduled, &whole)
 	}
 	if errors.Is(err, peer.ErrNoMethod) && request.Prompt.Pool != "" {
 		err = s.callMethod(ctx, address, methodAssignPaced, request, response)
@@ -399,8 +399,9 @@
 	return whole, err
 }
 
-// callSchedule calls methodSchedule. What predicts the costs of engines is sent only if they decide.
-func (s *Stages) callSchedule(ctx context.Context, address string, scheduled *scheduleRequest, response *scheduleResponse) error {
+// callSchedule calls a method whose body is that of methodSchedule. What predicts the costs of engines is
+// sent only if they decide.
+func (s *Stages) callSchedule(ctx context.Context, address, method string, scheduled *scheduleRequest, response any) error {
 	var output outputEstimate
 	if s.placesByCost {
 		output = outputEstimate{scheduled.Assign.Prompt.Hint, scheduled.Assign.Prompt.MaxOutput}
@@ -409,7 +410,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
-	return s.callBody(ctx, address, methodSchedule, body, response)
+	return s.callBody(ctx, address, method, body, response)
 }
 
 // Paced reports whether sends to the targets of a pool need grants.
