Renew the order keys of waiting work while accounts compete

Cause: a key is fixed at admission. What an account queued before its overload was known had no delay, and work that yields is served later than its key says, since the account's own timely requests precede it. The small accounts waited behind both, and were refused for it in the first second, or later where most requests yield. Ruled out: new keys of all that waits each second: an account that asked before another one got 0 of 40 requests in a second (TestIdleAccountHasEarnedNothing), and weights of 2 to 1 gave 3.8 to 1. New keys of requests that have started: 15 instead of 4 requests of the large account were refused after a first stage. Finding the overload earlier by the queue: shares would bind in usual bursts. Change: requests of which nothing was sent get new keys when the demands begin to exceed the capacity, and each second if they can't meet their objectives any more. Conclusion: what remains is refused before the overload is known, up to 0.7 s after its beginning.

--- a/coordination/gather/shares.go
+++ b/coordination/gather/shares.go
@@ -35,6 +35,10 @@
 	// ones leave.
 	ranks      map[float64]*rankShares
 	computedAt time.Time
+	// keysRenewedAt is when the keys of what waits were set anew.
+	keysRenewedAt time.Time
+	// boundSince is since when accounts ask for more than the capacity.
+	boundSince time.Time
 	// queued has the work that waits, by account, rank and objective.
 	queued map[string]*accountWork
 }
@@ -124,55 +128,12 @@
 	for _, s := range req.stages {
 		if s.Pieces > 0 {
 			s.service.shares.rank(req.baseRank()).demands.Add(now, req.Account, s.cost())
+			s.service.sharesOf(now, req)
+			p.renewKeys(now, s.service)
 		}
 	}
 }
 
-// setKeys sets where the stages of a new request are queued within their ranks.
-func (p *Planner) setKeys(now time.Time, req *heldRequest) {
-	if !p.config.AccountSharing {
-		return
-	}
-	for _, s := range req.stages {
-		if s.Pieces > 0 {
-			s.keyDelay = s.service.keyDelay(now, req)
-		}
-	}
-}
-
-// setYieldingKeys sets the keys of a request that is admitted but yields.
-func (p *Planner) setYieldingKeys(now time.Time, req *heldRequest) {
-	if req.returned {
-		return
-	}
-	req.yields = now.Add(req.predicted + req.Remaining).After(req.Objective)
-	if req.yields {
-		p.setKeys(now, req)
-	}
-}
-
-// key orders the stages of one rank. It is the objective, or, while accounts ask for more than the
-// service's capacity, later by the wait behind the account's own work at the account's share.
-func (s *heldStage) key() time.Time { return s.request.Objective.Add(s.keyDelay) }
-
-// keyDelay returns the wait of a request behind the queued work of its account at its share.
-func (s *service) keyDelay(now time.Time, req *heldRequest) time.Duration {
-	r := s.sharesOf(now, req)
-	if math.IsInf(r.level, 1) {
-		return 0
-	}
-	at := queuePosition{rank: req.baseRank()}
-	if req.yields {
-		at = queuePosition{rank: at.rank + missedObjectivePenalty, yields: true}
-	}
-	own := s.shares.ownAhead(r, req, at)
-	delay := s.workTime(own) / (r.level * s.shares.weight(req.Account))
-	return time.Duration(min(delay, maxKeyDelay.Seconds()) * float64(time.Second))
-}
-
-// maxKeyDelay bounds the delay of a key. It is longer than callers wait for an answer.
-const maxKeyDelay = time.Hour
-
 // sharesOf returns the shares of the request's rank.
 func (s *service) sharesOf(now time.Time, req *heldRequest) *rankShares {
 	if now.Sub(s.shares.computedAt) >= shareInterval || now.Before(s.shares.computedAt) {
@@ -192,6 +153,7 @@
 // ones leave, and at least what predictions leave to work that yields.
 func (s *service) computeShares(now time.Time) {
 	s.shares.computedAt = now
+	bound := s.sharesBind()
 	total := s.capacity(now) * float64(max(s.config.Slots, 1))
 	left := total
 	for _, rank := range slices.Sorted(maps.Keys(s.shares.ranks)) {
@@ -211,6 +173,9 @@
 			left -= d.Rate
 		}
 	}
+	if !bound && s.sharesBind() {
+		s.shares.boundSince = now
+	}
 }
 
 // ownAhead returns the queued work of the request's account that precedes the request at a position.
--- a/coordination/gather/shares_test.go
+++ b/coordination/gather/shares_test.go
@@ -177,7 +177,11 @@
 					}
 					r.run(begins + lasts + deadline)
 					for i := range refused {
-						refused[i] += r.results[accountName(i)].refused - before[accountName(i)].refused
+						n := r.results[accountName(i)].refused - before[accountName(i)].refused
+						refused[i] += n
+						if c.small == 1 && i > 0 {
+							require.LessOrEqual(t, n, 1, "of 12 in play %d", seed)
+						}
 					}
 				}
 				t.Log(refused, sent)
