--- a/coordination/gather/shares.go
+++ b/coordination/gather/shares.go
@@ -84,6 +84,12 @@
 	return r.demands.Rate(now, account) > r.level*weight
 }
 
+// withinShare reports whether accounts ask for more than the service's capacity, and the stage's account
+// for no more than its share.
+func (s *heldStage) withinShare(now time.Time) bool {
+	return s.service.sharesBind() && !s.service.sharesOf(now, s.request).exceeds(now, s.request.Account, s.service.shares.weight(s.request.Account))
+}
+
 // countTimely counts a request that was admitted without yielding.
 func (p *Planner) countTimely(now time.Time, req *heldRequest) {
 	if !p.config.AccountSharing || req.yields {
@@ -294,7 +300,7 @@
 	if math.IsInf(r.level, 1) || len(s.request.stages) == 1 && r.accounts == 1 {
 		return minYieldingShare
 	}
-	within, left := !r.exceeds(now, s.request.Account, s.service.shares.weight(s.request.Account)), 0.0
+	within, left := s.withinShare(now), 0.0
 	if within {
 		left = 1 - s.service.timelyLoad(now, s.request.baseRank()+missedObjectivePenalty)
 	}
