Merge shares that know an overload when it begins

Small accounts are no longer refused for the first seconds of an overload, nor where stages can hardly meet the objective. A question to the holder renews no keys.

--- a/coordination/gather/shares.go
+++ b/coordination/gather/shares.go
@@ -35,6 +35,10 @@
 	// ones leave.
 	ranks      map[float64]*rankShares
 	computedAt time.Time
+	// keysRenewedAt is when the keys of what waits were set anew.
+	keysRenewedAt time.Time
+	// boundSince is since when accounts ask for more than the capacity.
+	boundSince time.Time
 	// queued has the work that waits, by account, rank and objective.
 	queued map[string]*accountWork
 }
@@ -47,6 +51,8 @@
 	capacity, level float64
 	// accounts is the number of accounts that ask.
 	accounts int
+	// timely has the pieces of the requests that were admitted without yielding.
+	timely rate
 }
 
 // newShares returns nil if accounts don't share capacity.
@@ -67,80 +73,75 @@
 func (h *shares) rank(rank float64) *rankShares {
 	r := h.ranks[rank]
 	if r == nil {
-		r = &rankShares{demands: fairshare.NewRates(demandHalfLife, maxSharingAccounts), level: math.Inf(1)}
+		r = &rankShares{demands: fairshare.NewRates(demandHalfLife, maxSharingAccounts), level: math.Inf(1), timely: rate{halfLife: demandHalfLife}}
 		h.ranks[rank] = r
 	}
 	return r
 }
 
-// cost returns the time that the stage takes of a target, as part of full calls.
-func (s *heldStage) cost() float64 {
-	return s.service.workTime(queuedWork{s.Pieces, time.Duration(s.Pieces) * s.pieceTime()})
+// exceeds reports whether an account asks for more than its share.
+func (r *rankShares) exceeds(now time.Time, account string, weight float64) bool {
+	return r.demands.Rate(now, account) > r.level*weight
 }
 
-// workTime returns how many seconds of one target some work takes in full calls.
-func (s *service) workTime(w queuedWork) float64 {
-	return float64(w.pieces)/float64(max(s.config.MaxPieces, 1))*s.callTime().Seconds() + w.pieceTime.Seconds()
+// withinShare reports whether accounts ask for more than the service's capacity, and the stage's account
+// for no more than its share.
+func (s *heldStage) withinShare(now time.Time) bool {
+	return s.service.sharesBind() && !s.service.sharesOf(now, s.request).exceeds(now, s.request.Account, s.service.shares.weight(s.request.Account))
 }
 
-// countDemand counts what a new request asks of the services, whether or not it is admitted. A
-// request that can't meet its deadline even at idle targets takes nothing from others.
-func (p *Planner) countDemand(now time.Time, req *heldRequest) {
-	if !p.config.AccountSharing || now.Add(p.minRemaining(req)).After(req.Deadline) {
+// countTimely counts a request that was admitted without yielding.
+func (p *Planner) countTimely(now time.Time, req *heldRequest) {
+	if !p.config.AccountSharing || req.yields {
 		return
 	}
 	for _, s := range req.stages {
 		if s.Pieces > 0 {
-			s.service.shares.rank(req.baseRank()).demands.Add(now, req.Account, s.cost())
+			s.service.shares.rank(req.baseRank()).timely.add(now, s.Pieces)
 		}
 	}
 }
 
-// setKeys sets where the stages of a new request are queued within their ranks.
-func (p *Planner) setKeys(now time.Time, req *heldRequest) {
-	if !p.config.AccountSharing {
-		return
-	}
-	for _, s := range req.stages {
-		if s.Pieces > 0 {
-			s.keyDelay = s.service.keyDelay(now, req)
+// timelyLoad returns the share of the service used by requests of higher rank that were admitted without
+// yielding.
+func (s *service) timelyLoad(now time.Time, rank float64) float64 {
+	pieces := 0.0
+	for other, r := range s.shares.ranks {
+		if other < rank {
+			pieces += r.timely.perSecond(now)
 		}
 	}
+	capacity := s.capacity(now)
+	return pieces * (s.callTime().Seconds()/float64(max(s.config.MaxPieces, 1)) + s.config.PieceTime.Seconds()) / capacity
 }
 
-// setYieldingKeys sets the keys of a request that is admitted but yields.
-func (p *Planner) setYieldingKeys(now time.Time, req *heldRequest) {
-	if req.returned {
-		return
-	}
-	req.yields = now.Add(req.predicted + req.Remaining).After(req.Objective)
-	if req.yields {
-		p.setKeys(now, req)
-	}
+// cost returns the time that the stage takes of a target, as part of full calls.
+func (s *heldStage) cost() float64 {
+	return s.service.workTime(queuedWork{s.Pieces, time.Duration(s.Pieces) * s.pieceTime()})
 }
 
-// key orders the stages of one rank. It is the objective, or, while accounts ask for more than the
-// service's capacity, later by the wait behind the account's own work at the account's share.
-func (s *heldStage) key() time.Time { return s.request.Objective.Add(s.keyDelay) }
+// workTime returns how many seconds of one target some work takes in full calls.
+func (s *service) workTime(w queuedWork) float64 {
+	return float64(w.pieces)/float64(max(s.config.MaxPieces, 1))*s.callTime().Seconds() + w.pieceTime.Seconds()
+}
 
-// keyDelay returns the wait of a request behind the queued work of its account at its share.
-func (s *service) keyDelay(now time.Time, req *heldRequest) time.Duration {
-	r := s.sharesOf(now, req)
-	if math.IsInf(r.level, 1) {
-		return 0
+// countDemand counts what a new request asks of the services, whether or not it is admitted. A
+// request that can't meet its deadline even at idle targets takes nothing from others.
+func (p *Planner) countDemand(now time.Time, req *heldRequest) {
+	if !p.config.AccountSharing || now.Add(p.minRemaining(req)).After(req.Deadline) {
+		return
 	}
-	at := queuePosition{rank: req.baseRank()}
-	if req.yields {
-		at = queuePosition{rank: at.rank + missedObjectivePenalty, yields: true}
+	for _, s := range req.stages {
+		if s.Pieces > 0 {
+			s.service.shares.rank(req.baseRank()).demands.Add(now, req.Account, s.cost())
+			s.service.sharesOf(now, req)
+			if req.predictions == nil {
+				p.renewKeys(now, s.service)
+			}
+		}
 	}
-	own := s.shares.ownAhead(r, req, at)
-	delay := s.workTime(own) / (r.level * s.shares.weight(req.Account))
-	return time.Duration(min(delay, maxKeyDelay.Seconds()) * float64(time.Second))
 }
 
-// maxKeyDelay bounds the delay of a key. It is longer than callers wait for an answer.
-const maxKeyDelay = time.Hour
-
 // sharesOf returns the shares of the request's rank.
 func (s *service) sharesOf(now time.Time, req *heldRequest) *rankShares {
 	if now.Sub(s.shares.computedAt) >= shareInterval || now.Before(s.shares.computedAt) {
@@ -160,6 +161,7 @@
 // ones leave, and at least what predictions leave to work that yields.
 func (s *service) computeShares(now time.Time) {
 	s.shares.computedAt = now
+	bound := s.sharesBind()
 	total := s.capacity(now) * float64(max(s.config.Slots, 1))
 	left := total
 	for _, rank := range slices.Sorted(maps.Keys(s.shares.ranks)) {
@@ -179,6 +181,9 @@
 			left -= d.Rate
 		}
 	}
+	if !bound && s.sharesBind() {
+		s.shares.boundSince = now
+	}
 }
 
 // ownAhead returns the queued work of the request's account that precedes the request at a position.
@@ -297,9 +302,16 @@
 	if math.IsInf(r.level, 1) || len(s.request.stages) == 1 && r.accounts == 1 {
 		return minYieldingShare
 	}
+	within, left := s.withinShare(now), 0.0
+	if within {
+		left = 1 - s.service.timelyLoad(now, s.request.baseRank()+missedObjectivePenalty)
+	}
 	switch {
 	case s.request.held:
-		return heldYieldingShare
+		return max(heldYieldingShare, left)
+	case within:
+		// The others are admitted by less. Where nearly all requests yield, their arrivals don't go first.
+		return max(minYieldingShare, left)
 	case now.After(s.request.latestStart):
 		// It would be late at idle targets, and so would all of its kind: they don't yield to others.
 		return minYieldingShare
