--- a/coordination/gather/flow.go
+++ b/coordination/gather/flow.go
@@ -120,7 +120,7 @@
 // the same or a higher priority than it does until they exist. They would occupy capacity that the
 // stage needs for other results.
 func (p *Planner) heldBack(now time.Time, st *heldStage) bool {
-	if !p.config.ResultFlowControl {
+	if !p.config.ResultFlowControl || st.withinShare(now) {
 		return false
 	}
 	for _, reader := range st.request.stages {
