Close a tunnel whose request ends as the direct path comes back

Cause: TestPathIsFoundAgain/held once found a tunnel of another instance open 2.5 s after the path was back. putIdle read whether the path is avoided before it locked the idle connections. If the path came back in between, the idle tunnels were closed first and this one was added after that: no request takes it, and it stays open for up to 3 s and the next CloseIdle. That this was the order of the failure seen is suspected: it left no logs.

Ruled out: a server end that stays open after its requester's end is closed (both directions close the target's connection), and late results of the dials (closeLate, closeRest).

Change: the way is checked with the idle connections locked. A change of the way is applied with the same lock, so it comes either before the check or after the addition. TestTunnelOfEndedRequestClosesAsPathComesBack fails without the change.

Conclusion: an idle tunnel is closed as the path comes back. Not changed: a path that is avoided for broken connections, and is back before it is known to be lost, is no change of the path, so its idle tunnels stay for up to 3 s. Found by reading, not seen in a test.

--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -258,17 +258,22 @@
 	if k.through != "" {
 		k.idleTimeout = min(k.idleTimeout, maxIdleThrough)
 	}
-	if k.SetDeadline(time.Time{}) != nil || c.pathAvoided(k.service) != (k.through != "") {
+	if k.SetDeadline(time.Time{}) != nil || !c.addIdle(k) {
 		_ = k.Close() // it is closed already, or no request would use it
-		return
 	}
+}
+
+// addIdle adds a connection to the idle ones. It reports whether there is room for it and it takes the
+// present way. That is decided with mu held: a change of the way between the decision and the addition
+// would close the other idle connections and leave this one, which no request uses.
+func (c *Client) addIdle(k *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[k.idleKey]) >= maxIdlePerTarget {
-		_ = k.Close() // there are maxIdlePerTarget idle ones already
-		return
+	if c.pathAvoided(k.service) != (k.through != "") || len(c.idle[k.idleKey]) >= maxIdlePerTarget {
+		return false
 	}
 	c.idle[k.idleKey] = append(c.idle[k.idleKey], k)
+	return true
 }
 
 // CloseIdle closes connections that have been idle too long, and all idle connections to
--- a/transport/forward/path_test.go
+++ b/transport/forward/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -72,3 +74,37 @@
 		})
 	}
 }
+
+// Guards against a tunnel that stays open idle because the direct path comes back just as its request
+// ends: between the check of the way and the addition to the idle connections.
+func TestTunnelOfEndedRequestClosesAsPathComesBack(t *testing.T) {
+	client := New(ClientOptions{Detour: peerDetour{}})
+	for _, address := range []string{"a", "b"} {
+		client.recordDetour(idleKey{address: address}, "s")
+	}
+	require.True(t, client.PathLost("s"))
+	tunnel, _ := net.Pipe()
+	k := client.newConn(dialed{nc: tunnel, through: "peer"}, idleKey{address: "a"}, "s")
+	client.pathMu.Lock()
+	put := make(chan struct{})
+	go func() {
+		defer close(put)
+		client.putIdle(k)
+	}()
+	assert.Eventually(t, func() bool {
+		free := client.mu.TryLock()
+		if free {
+			client.mu.Unlock()
+		}
+		return !free
+	}, 10*time.Second, time.Millisecond, "the way is checked before the idle connections are locked")
+	client.paths.Received(time.Now(), "s", time.Now())
+	changes := client.paths.TakeChanges()
+	client.pathMu.Unlock()
+	require.Len(t, changes, 1)
+	client.applyChange(changes[0])
+	<-put
+	require.Empty(t, client.idle)
+	_, err := tunnel.Write([]byte{1})
+	require.ErrorIs(t, err, io.ErrClosedPipe)
+}
