Repeat a call that frees results if it wasn't sent in time

Cause: a call that frees results has 500 ms, and nothing repeats it. If this instance is stalled or short of processor time for that long before the call is sent, the results stay at their target until they expire.

Ruled out: repeating calls that were sent, since the target may have got them, or that were refused, since nothing listens there.

Change: a call that ran out of time before a byte was sent is repeated once. At an unreachable target the capacity thus counts as used for up to half a second longer. TestUnsentCallThatFreesResultsIsRepeated fails with one call, in its case "not sent".

Conclusion: a stall of one call's time no longer costs results' capacity.

--- a/daemon/stages/free_test.go
+++ b/daemon/stages/free_test.go
@@ -1,9 +1,14 @@
 package stages
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +20,7 @@
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
+	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
 // freeRecorder records the handles of each call that would free results.
@@ -96,6 +102,73 @@
 	})
 }
 
+// freeingTarget is a target that responds to calls that free results, unless it is silent.
+type freeingTarget struct {
+	exchange.Dialect
+	silent bool
+	// unanswered is how many attempts to connect are left unanswered.
+	unanswered int
+	dials      int
+	received   []string
+}
+
+func (f *freeingTarget) NewFreeRequest(address, _ string, handles []string) (*http.Request, error) {
+	return http.NewRequest(http.MethodPost, "http://"+address, strings.NewReader(strings.Join(handles, " ")))
+}
+
+// dial is a forward.DialFunc.
+func (f *freeingTarget) dial(ctx context.Context, _ string) (net.Conn, error) {
+	if f.dials++; f.dials <= f.unanswered {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		r, err := http.ReadRequest(bufio.NewReader(far))
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body) // a part shows in received
+		f.received = append(f.received, string(body))
+		if f.silent {
+			time.Sleep(2 * freeTimeout)
+			return
+		}
+		_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") // else received twice
+	}()
+	return near, nil
+}
+
+// Guards against results that are kept until they expire because the call that frees them ran out of
+// time before it was sent, and against calls without end to a target that can't be reached.
+func TestUnsentCallThatFreesResultsIsRepeated(t *testing.T) {
+	for name, c := range map[string]struct {
+		target   freeingTarget
+		dials    int
+		received []string
+	}{
+		"answered":    {dials: 1, received: []string{"h1 h2"}},
+		"not sent":    {freeingTarget{unanswered: 1}, 2, []string{"h1 h2"}},
+		"unreachable": {freeingTarget{unanswered: 10}, maxFreeCalls, nil},
+		"silent":      {freeingTarget{silent: true}, 1, []string{"h1 h2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := &c.target
+				q := newQueue(target, forward.New(forward.ClientOptions{Dial: target.dial}), nil, gather.Config{}, newMetrics(tally.NoopScope))
+				q.mu.Lock()
+				q.scheduleFree(gather.FreeResults{Target: gather.Target{Address: "target"}, Handles: []string{"h1", "h2"}})
+				q.mu.Unlock()
+				time.Sleep(10 * freeTimeout)
+				synctest.Wait()
+				require.Equal(t, c.dials, target.dials)
+				require.Equal(t, c.received, target.received)
+			})
+		})
+	}
+}
+
 // Guards against metrics that grow with the number of services.
 func TestServiceLabelsAreBounded(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/holder"
@@ -33,8 +31,6 @@
 	// limitedFreeDelay replaces freeDelay at a target that names a limit, which counts these calls
 	// as well.
 	limitedFreeDelay = time.Second
-	// freeTimeout limits a call that frees results. Results expire if it fails.
-	freeTimeout = 500 * time.Millisecond
 	// maxReply limits the reply to a stage call, in bytes: the handles of 128 pieces and a
 	// reserve.
 	maxReply = 1 << 20
@@ -378,34 +374,3 @@
 		go q.free(t)
 	}
 }
-
-// free frees the collected results of a target.
-func (q *queue) free(t gather.Target) {
-	q.mu.Lock()
-	collected, waits := q.pendingFree[t]
-	delete(q.pendingFree, t)
-	q.mu.Unlock()
-	if !waits {
-		return // freed early
-	}
-	handles := collected.Handles
-	request, err := q.dialect.NewFreeRequest(t.Address, t.Name, handles)
-	if err != nil {
-		klog.ErrorS(err, "Results could not be freed", "target", t.Incarnation, "count", len(handles))
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	reply, err := q.client.Do(ctx, t.Address, request, forward.Options{
-		Service: collected.Service, MayProbe: true, Incarnation: t.Incarnation, ConnGroup: freeConnGroup,
-	})
-	if err == nil {
-		_, err = io.Copy(io.Discard, reply)
-		reply.Close()
-	}
-	if err != nil {
-		// The results expire by themselves; until then their capacity is in use.
-		telemetry.ErrorS(err, "Results were not freed", telemetry.Event{Target: t.Incarnation, Count: len(handles)})
-	}
-	q.apply(func(p *gather.Planner) []gather.Action { return p.FreeDone(time.Now(), handles) })
-}
