Drop an ended request in one critical section

Cause: the note that a request has ended and its step in the planner were two critical sections (left open in docs/design/division.md). A handover that began in between exported the request with its results and discarded the step, and the next holder kept the results until the request's deadline. An instance that notices a stall begins a handover in the second section, so a busy machine can bring this about.

Ruled out: ends of calls that pass from holder to holder, and requests whose connections are reset (read; no order found that loses results for good in the test, whose resets let handlers go on).

Change: drop applies the step where it notes the drop. TestDropDuringStallIsNotLost fails without the change.

Conclusion: a drop is applied, deferred or forwarded, whenever a handover begins. A requester that hears nothing of its report of an end, from a holder that stays the holder, still doesn't repeat it.

--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -251,18 +251,20 @@
 		q.deferredDrops = append(q.deferredDrops, ends...)
 	}
 	to := q.movedTo
-	q.mu.Unlock()
-	if to != "" {
-		q.forwardDrops(to, ends...)
-		return
-	}
-	q.apply(func(p *gather.Planner) []gather.Action {
+	// In the same critical section: a handover that begins in between would export the requests and
+	// discard the step, and the next holder would keep their results until their deadlines.
+	actions := q.applyLocked(func(p *gather.Planner) []gather.Action {
 		var actions []gather.Action
 		for _, id := range ids {
 			actions = append(actions, p.Drop(time.Now(), id)...)
 		}
 		return actions
 	})
+	q.mu.Unlock()
+	q.performActions(actions)
+	if to != "" {
+		q.forwardDrops(to, ends...)
+	}
 }
 
 // apply runs a step of the planner and its actions. The step runs under mu, the actions
@@ -270,17 +272,22 @@
 // the queue.
 func (q *queue) apply(step func(*gather.Planner) []gather.Action) {
 	q.lockAndCheckStall()
+	actions := q.applyLocked(step)
+	q.mu.Unlock()
+	q.performActions(actions)
+}
+
+// applyLocked is apply with mu held. It returns the actions to perform without it.
+func (q *queue) applyLocked(step func(*gather.Planner) []gather.Action) []gather.Action {
 	if q.frozen {
 		q.deferredSteps = append(q.deferredSteps, step)
 	}
 	if q.frozen || q.movedTo != "" {
-		q.mu.Unlock()
-		return
+		return nil
 	}
 	actions := step(q.planner)
 	q.recordActions(actions)
-	q.mu.Unlock()
-	q.performActions(actions)
+	return actions
 }
 
 // recordActions updates the state of the queue according to actions. mu must be held.
--- a/daemon/stages/transfer_test.go
+++ b/daemon/stages/transfer_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
+	"github.com/ivyhollow/ivyhollow/coordination/holder"
 	"github.com/ivyhollow/ivyhollow/coordination/placing"
 	"github.com/ivyhollow/ivyhollow/protocol/exchange"
 	"github.com/ivyhollow/ivyhollow/state/routes"
@@ -171,3 +173,26 @@
 		})
 	}
 }
+
+// Guards against results that the next holder keeps until the deadline of their request, because a
+// handover begins while the request is dropped: here as a stall is noticed.
+func TestDropDuringStallIsNotLost(t *testing.T) {
+	q := newQueue(nil, nil, nil, gather.Config{}, newMetrics(tally.NoopScope))
+	var forwarded []placing.RequestEnd
+	q.forwardDrops = func(_ string, ends ...placing.RequestEnd) { forwarded = append(forwarded, ends...) }
+	q.onStall = func() {}
+	completed := pendingRequest("1")
+	completed.Completed = true
+	require.True(t, q.takeOver(instanceID{"z", 1}, gather.State{Requests: []gather.RequestState{completed}}))
+	var stalled holder.StallDetector
+	earlier := time.Now().Add(-time.Minute)
+	stalled.Check(earlier, func() time.Time { return earlier })
+	q.bootClock = func() time.Time {
+		q.stall = stalled // the next check finds a stall
+		return time.Now()
+	}
+	q.drop(placing.RequestEnd{Request: "1"})
+	exported := q.freeze()
+	q.completeHandover("at-b")
+	require.True(t, len(exported.Requests) == 0 || len(forwarded) == 1, "the next holder has the request and isn't told of its end")
+}
