--- a/daemon/stages/queue.go
+++ b/daemon/stages/queue.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/ivyhollow/ivyhollow/coordination/gather"
 	"github.com/ivyhollow/ivyhollow/coordination/holder"
@@ -33,8 +31,6 @@
 	// limitedFreeDelay replaces freeDelay at a target that names a limit, which counts these calls
 	// as well.
 	limitedFreeDelay = time.Second
-	// freeTimeout limits a call that frees results. Results expire if it fails.
-	freeTimeout = 500 * time.Millisecond
 	// maxReply limits the reply to a stage call, in bytes: the handles of 128 pieces and a
 	// reserve.
 	maxReply = 1 << 20
@@ -255,18 +251,20 @@
 		q.deferredDrops = append(q.deferredDrops, ends...)
 	}
 	to := q.movedTo
-	q.mu.Unlock()
-	if to != "" {
-		q.forwardDrops(to, ends...)
-		return
-	}
-	q.apply(func(p *gather.Planner) []gather.Action {
+	// In the same critical section: a handover that begins in between would export the requests and
+	// discard the step, and the next holder would keep their results until their deadlines.
+	actions := q.applyLocked(func(p *gather.Planner) []gather.Action {
 		var actions []gather.Action
 		for _, id := range ids {
 			actions = append(actions, p.Drop(time.Now(), id)...)
 		}
 		return actions
 	})
+	q.mu.Unlock()
+	q.performActions(actions)
+	if to != "" {
+		q.forwardDrops(to, ends...)
+	}
 }
 
 // apply runs a step of the planner and its actions. The step runs under mu, the actions
@@ -274,17 +272,22 @@
 // the queue.
 func (q *queue) apply(step func(*gather.Planner) []gather.Action) {
 	q.lockAndCheckStall()
+	actions := q.applyLocked(step)
+	q.mu.Unlock()
+	q.performActions(actions)
+}
+
+// applyLocked is apply with mu held. It returns the actions to perform without it.
+func (q *queue) applyLocked(step func(*gather.Planner) []gather.Action) []gather.Action {
 	if q.frozen {
 		q.deferredSteps = append(q.deferredSteps, step)
 	}
 	if q.frozen || q.movedTo != "" {
-		q.mu.Unlock()
-		return
+		return nil
 	}
 	actions := step(q.planner)
 	q.recordActions(actions)
-	q.mu.Unlock()
-	q.performActions(actions)
+	return actions
 }
 
 // recordActions updates the state of the queue according to actions. mu must be held.
@@ -378,34 +381,3 @@
 		go q.free(t)
 	}
 }
-
-// free frees the collected results of a target.
-func (q *queue) free(t gather.Target) {
-	q.mu.Lock()
-	collected, waits := q.pendingFree[t]
-	delete(q.pendingFree, t)
-	q.mu.Unlock()
-	if !waits {
-		return // freed early
-	}
-	handles := collected.Handles
-	request, err := q.dialect.NewFreeRequest(t.Address, t.Name, handles)
-	if err != nil {
-		klog.ErrorS(err, "Results could not be freed", "target", t.Incarnation, "count", len(handles))
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	reply, err := q.client.Do(ctx, t.Address, request, forward.Options{
-		Service: collected.Service, MayProbe: true, Incarnation: t.Incarnation, ConnGroup: freeConnGroup,
-	})
-	if err == nil {
-		_, err = io.Copy(io.Discard, reply)
-		reply.Close()
-	}
-	if err != nil {
-		// The results expire by themselves; until then their capacity is in use.
-		telemetry.ErrorS(err, "Results were not freed", telemetry.Event{Target: t.Incarnation, Count: len(handles)})
-	}
-	q.apply(func(p *gather.Planner) []gather.Action { return p.FreeDone(time.Now(), handles) })
-}
