Let suspects that explain each other's crashes through in turns

Cause: TestCrashingPartIsBlockedInTime refused sound requests. Traced with the case that rapid reduced it to: a part crashes a target every 200 ms, so that it has six crashes before all instances know of three, and one of two sound parts came with it each time. Each of its crashes was explained by the crashing part, but above five (MaxExplained) nothing was explained, and the sound part was refused for 10 minutes.

Ruled out: a higher MaxExplained, which only moves the case; not counting the crashes within a second after the one that blocks (tried: both parts are let through at once, run beside each other at the same targets, and crash together until their records are full; the case failed with 18 refused requests instead of 17).

Change: above MaxExplained, suspects with equally many crashes that share some are let through in turns of 2 s (ExplainedTurn), in the order of their digests, from 2 s after the last crash. In its turn a sound part is cleared by its first run, and the crashing part gets a crash that the other doesn't have. At eight crashes, where records are full, nothing is explained, so the number of crashes stays bounded.

Seen failing without the guard: the turns, the bound of full records and the count of crashes.

Sound parts that crash eight times with a bad one before their turn are still refused until the trial, and those with six or seven until their turn.

--- a/coordination/quarantine/suspects.go
+++ b/coordination/quarantine/suspects.go
@@ -66,7 +66,7 @@
 
 func (t *Table) judgeSuspect(now time.Time, digest Digest, s Suspects) Verdict {
 	r := t.blocked[digest]
-	if r == nil || t.explained(r, s) {
+	if r == nil || t.explained(now, digest, r, s) {
 		return Verdict{}
 	}
 	return t.verdict(now, digest, r)
@@ -89,11 +89,11 @@
 // explained reports whether each crash of a suspect was also one of something that is blocked, has
 // crashed at least as many targets and is not in the present request.
 //
-// Two that are always in progress together would explain each other for ever, so MaxExplained
-// limits the crashes that can be explained.
-func (t *Table) explained(r *requestState, s Suspects) bool {
+// Two that are always in progress together would explain each other for ever. Above MaxExplained
+// they are therefore allowed in turns, and not at all once their records are full.
+func (t *Table) explained(now time.Time, digest Digest, r *requestState, s Suspects) bool {
 	count := r.activeCrashes()
-	if count > t.config.MaxExplained {
+	if count > t.config.MaxExplained && !t.hasTurn(now, digest, r) {
 		return false
 	}
 	for _, c := range r.crashes {
@@ -104,14 +104,49 @@
 	return true
 }
 
+// hasTurn reports whether it is the turn of a suspect among those that have crashed as many targets,
+// some of them the same. The turns follow each other in the order of the digests, from
+// ExplainedTurn after the last crash.
+//
+// A part that crashes a target every 200 ms has six crashes before all instances know of three, and a
+// sound part may come with it each time. If both were allowed at once, a crash under the one would
+// often end a run of the other too. In its own turn, a sound one is cleared by its first run.
+func (t *Table) hasTurn(now time.Time, digest Digest, r *requestState) bool {
+	if len(r.crashes) >= t.config.MaxCrashes {
+		return false
+	}
+	count, members, rank := r.activeCrashes(), 1, 0
+	for other, o := range t.blocked {
+		if other == digest || o.activeCrashes() != count || !r.sharesCrash(o) {
+			continue
+		}
+		members++
+		if compareDigests(other, digest) < 0 {
+			rank++
+		}
+	}
+	turn := int(now.Sub(r.lastCrash)/t.config.ExplainedTurn) - 1
+	return turn >= 0 && turn%members == rank
+}
+
 func (t *Table) explainedCrash(target string, count int, s Suspects) bool {
 	for digest, other := range t.blocked {
 		if s.Has(digest) || other.activeCrashes() < count {
 			continue
 		}
-		if slices.ContainsFunc(other.crashes, func(c *record) bool { return !c.cleared && c.target == target }) {
+		if other.crashed(target) {
 			return true
 		}
 	}
 	return false
 }
+
+// crashed reports whether a target has a crash that isn't cleared.
+func (r *requestState) crashed(target string) bool {
+	return slices.ContainsFunc(r.crashes, func(c *record) bool { return !c.cleared && c.target == target })
+}
+
+// sharesCrash reports whether one crash, not cleared in either, is among the records of both.
+func (r *requestState) sharesCrash(other *requestState) bool {
+	return slices.ContainsFunc(r.crashes, func(c *record) bool { return !c.cleared && other.crashed(c.target) })
+}
--- a/coordination/quarantine/suspects_test.go
+++ b/coordination/quarantine/suspects_test.go
@@ -73,6 +73,35 @@
 		table.RecordRequestCrash(now, request("again", "a", "b"), "again")
 		require.True(t, blocked(table, now, "a"))
 	})
+	t.Run("explained too often, in turns", func(t *testing.T) {
+		table := New(c)
+		now := crashParts(table, c.MaxExplained+1, "a", "b")
+		first, second := "a", "b"
+		if compareDigests(DigestOfPart("engine", "b"), DigestOfPart("engine", "a")) < 0 {
+			first, second = "b", "a"
+		}
+		for turn, allowed := range []string{"", first, second, first, second} {
+			for _, part := range []string{"a", "b"} {
+				at := now.Add(time.Duration(turn+1)*c.ExplainedTurn - 1)
+				require.Equal(t, part != allowed, blocked(table, at, part), "part %s in turn %d", part, turn)
+			}
+		}
+		now = now.Add(c.ExplainedTurn)
+		table.RecordRequestCrash(now, request("in its turn", first), "again")
+		for turn := range 4 {
+			at := now.Add(time.Duration(turn) * c.ExplainedTurn)
+			require.True(t, blocked(table, at, first), "a crash that the other one doesn't have")
+			require.False(t, blocked(table, at, second))
+		}
+	})
+	t.Run("explained without end", func(t *testing.T) {
+		table := New(c)
+		now := crashParts(table, c.MaxCrashes, "a", "b")
+		for turn := range 4 {
+			require.True(t, blocked(table, now.Add(time.Duration(turn)*c.ExplainedTurn), "a"))
+			require.True(t, blocked(table, now.Add(time.Duration(turn)*c.ExplainedTurn), "b"))
+		}
+	})
 	t.Run("by what crashes fewer targets", func(t *testing.T) {
 		table := New(c)
 		now := crashParts(table, c.BlockThreshold+1, "bad")
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -12,9 +12,12 @@
 type Config struct {
 	// BlockThreshold is the number of crashes that block a request or a part of prompts.
 	BlockThreshold int
-	// MaxExplained is the number of crashes up to which a blocked digest may be allowed since
-	// others explain its crashes.
+	// MaxExplained is the number of crashes up to which a blocked digest may be allowed at any time
+	// since others explain its crashes, also if these crashes explain those of the others.
 	MaxExplained int
+	// ExplainedTurn is how long, above MaxExplained, each of those that explain each other's crashes
+	// is allowed in turn. It is longer than the records of a crash take to reach all instances.
+	ExplainedTurn time.Duration
 	// MinRestart is the shortest time between two ends of a target that restarts.
 	MinRestart time.Duration
 	// TrustPeriod is the shortest time during which a request that ended well isn't blamed
@@ -38,6 +41,7 @@
 	return Config{
 		BlockThreshold: 3,
 		MaxExplained:   5,
+		ExplainedTurn:  2 * time.Second,
 		MinRestart:     200 * time.Millisecond,
 		TrustPeriod:    5 * time.Second,
 		MaxTrusted:     4096,
