Test targets that read requests slowly

By reading: the bytes of a request that its target's host accepts no more count as unacknowledged (TIOCOUTQ includes them), so that the direct path of a slowly reading target is suspected after 1 s instead of the 2 s of targets that are slow.

Ruled out: no time limit for a target whose host accepts nothing.

Change: bytes that wait to be sent (SIOCOUTQNSD) don't count as unacknowledged.

--- a/transport/forward/path.go
+++ b/transport/forward/path.go
@@ -135,20 +135,36 @@
 	return unacked
 }
 
-// hasUnackedBytes reports whether the other end's host has not acknowledged all bytes sent.
+// hasUnackedBytes reports whether the other end's host has not acknowledged all bytes sent. Bytes that
+// wait to be sent don't count: a target that reads a long request slowly has its host accept no more.
 func hasUnackedBytes(nc net.Conn) bool {
+	unacked, _ := sendQueue(nc)
+	return unacked > 0
+}
+
+// sendQueue returns the number of bytes that were sent and not acknowledged, and of those that wait to
+// be sent. It returns zeros if the system doesn't tell.
+func sendQueue(nc net.Conn) (unacked, unsent int) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, 0
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, 0
 	}
 	queued := 0
 	var failed error
-	err = raw.Control(func(fd uintptr) { queued, failed = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	return err == nil && failed == nil && queued > 0
+	err = raw.Control(func(fd uintptr) {
+		queued, failed = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+		if failed == nil {
+			unsent, failed = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD)
+		}
+	})
+	if err != nil || failed != nil {
+		return 0, 0
+	}
+	return max(queued-unsent, 0), unsent // more may have been written in between
 }
 
 // endAttempts ends attempts that wait on a lost path and ask for that: those that have waited for long,
--- a/transport/forward/path_test.go
+++ b/transport/forward/path_test.go
@@ -72,3 +72,24 @@
 		})
 	}
 }
+
+// Guards against a target that stops reading a long request, whose path is taken for one that doesn't
+// answer: its host acknowledges what it accepts.
+func TestUnsentBytesAreNotUnacknowledged(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	nc, err := Dial(t.Context(), listener.Addr().String())
+	require.NoError(t, err)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = nc.Write(make([]byte, 64<<20)) // ends when the connection is closed
+	}()
+	require.Eventually(t, func() bool {
+		unacked, unsent := sendQueue(nc)
+		return unsent > 0 && unacked == 0 && !hasUnackedBytes(nc)
+	}, 2*time.Second, time.Millisecond)
+	require.NoError(t, nc.Close())
+	<-written
+}
