Have a test's silent target go on after the other one was asked

Cause: TestAbandonedAttemptsAreCountedByWhoWentOn failed once on a busy machine. Its first target goes on 1.5 s after its first event, and another one is sought after 1.2 s: a timer that is 0.3 s late leaves no second attempt, and nothing is counted. That the failure on the busy machine was this one is suspected; its output was not kept.

Ruled out: a longer pause of the target, which leaves the race.

Change: the first target goes on when the second one has received the request. What is asserted is unchanged.

--- a/daemon/relay/silent_target_test.go
+++ b/daemon/relay/silent_target_test.go
@@ -382,13 +382,20 @@
 // Guards against a count that names the other target although the silent one went on.
 func TestAbandonedAttemptsAreCountedByWhoWentOn(t *testing.T) {
 	t.Parallel()
+	otherAsked := make(chan struct{})
 	b := newRaceBed(t, streamRoute(2), nil,
-		func(w http.ResponseWriter, _ *http.Request) {
+		func(w http.ResponseWriter, r *http.Request) {
 			flush(w, events(1, 1))
-			time.Sleep(1500 * time.Millisecond)
-			flush(w, events(2, 3))
+			select {
+			case <-otherAsked:
+				flush(w, events(2, 3))
+			case <-r.Context().Done():
+			}
+		},
+		func(w http.ResponseWriter, r *http.Request) {
+			close(otherAsked)
+			hang(w, r)
 		},
-		hang,
 	)
 	scope := tally.NewTestScope("", nil)
 	b.metrics = newMetrics(scope)
