--- a/client/explain.go
+++ b/client/explain.go
@@ -18,7 +18,7 @@
 // flagAddress is the admin address of an instance, which isn't that for callers.
 const flagAddress = "address"
 
-// explainParameters are the parameters of a question, each of which is a flag of the same name.
+// explainParameters are the parameters of a query, each of which is a flag of the same name.
 var explainParameters = []struct{ name, usage string }{
 	{explainapi.ParamRoute, "`ROUTE` of the request"},
 	{explainapi.ParamAccount, "`NAME` of a client account"},
--- a/client/explain_test.go
+++ b/client/explain_test.go
@@ -11,7 +11,7 @@
 )
 
 // Fails if a flag doesn't reach the instance, if the answer of the instance is shown in part, or if a
-// script can't tell a wrong question by the exit code.
+// script can't tell a wrong query by the exit code.
 func TestExplain(t *testing.T) {
 	cost := `{"target":"t@1","data_centre":"d","state":"usable","chosen":true,"cost":{"wait_ms":11,"own_ms":22,"reading_ms":33,"memory_ms":44,"slowdown":1.5,"crossing_ms":15,"penalty_ms":66,"home_ms":77,"sum_ms":180},"age_ms":70}`
 	answer := `{"route":"r","service":"s","decided_by":{"role":"holder","name":"h"},"stages_decided_by":{"role":"holder","name":"k"},"knowledge_age_ms":1,"chosen":"t@1","reason":"home","random":true,
@@ -33,11 +33,11 @@
 		"malformed":     {problem(400), nil, ExitUsage, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var asked explainapi.Question
+			var asked explainapi.Query
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				require.Empty(t, r.Header.Get("Authorization"))
 				var err error
-				asked, err = explainapi.ParseQuestion(r.URL.Query())
+				asked, err = explainapi.ParseQuery(r.URL.Query())
 				require.NoError(t, err)
 				c.handler(w, r)
 			}))
@@ -46,7 +46,7 @@
 			args := append([]string{"explain", "--address", server.Listener.Addr().String(), "--route", "r", "--account", "a", "--prefix", "s:1,o:2",
 				"--tokens", "3,4", "--hint", "5", "--pieces", "6,7", "--deadline", "6s"}, c.args...)
 			require.Equal(t, c.code, h.run(args...), h.stderr.String())
-			require.Equal(t, explainapi.Question{
+			require.Equal(t, explainapi.Query{
 				Route: "r", Account: "a", Prefix: []explainapi.Part{{ID: "s", Tokens: 1}, {ID: "o", Tokens: 2}},
 				PromptTokens: 3, OutputTokens: 4, Hint: 5, Pieces: []int{6, 7}, Deadline: 6e9,
 			}, asked)
--- a/coordination/accountlimit/accountlimit_test.go
+++ b/coordination/accountlimit/accountlimit_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// Fails if Peek records a question, spends the credit of an account or moves the time that the next
+// Fails if Peek records a query, spends the credit of an account or moves the time that the next
 // refused caller is told, or if it decides otherwise than Ask.
 func TestPeekIsAskWithoutATrace(t *testing.T) {
 	asked, left := New(nil), New(nil)
--- a/coordination/cost/cost_test.go
+++ b/coordination/cost/cost_test.go
@@ -121,7 +121,7 @@
 	assert.NotNil(t, m.kinds[kind{"r", "", 0}], "kinds in use are kept")
 }
 
-// Fails if a question about a request counts as a use of its kind, so that another kind is removed in its
+// Fails if a query about a request counts as a use of its kind, so that another kind is removed in its
 // place, or gets another estimate than the request.
 func TestPeekIsEstimateWithoutUse(t *testing.T) {
 	m := NewModel()
--- a/coordination/gather/explain.go
+++ b/coordination/gather/explain.go
@@ -22,15 +22,15 @@
 	Wait, Time time.Duration
 }
 
-// questionFingerprint stands for the content of a request that is only asked about. Fingerprints of
+// queryFingerprint stands for the content of a request that is only asked about. Fingerprints of
 // requests are hexadecimal, so that none is the same.
-const questionFingerprint = "question"
+const queryFingerprint = "query"
 
 // Explain returns what Submit would decide about a request that isn't a retry, and changes nothing: it
 // judges the request as Submit does, and restores the state that this touches.
 func (p *Planner) Explain(now time.Time, r Request) Explanation {
 	if r.Fingerprint = ""; p.config.RetryReservations {
-		r.Fingerprint = questionFingerprint
+		r.Fingerprint = queryFingerprint
 	}
 	if refusal := p.refuseExcess(&r); refusal != nil {
 		return Explanation{Refused: refusal}
@@ -53,7 +53,7 @@
 func (p *Planner) saveState(now time.Time, r *Request) (restore func()) {
 	attainments, reservations := p.attainments.clone(), p.reservations
 	reservations.unreserved = slices.Clone(reservations.unreserved)
-	key := callerKey{r.Account, r.Route, questionFingerprint}
+	key := callerKey{r.Account, r.Route, queryFingerprint}
 	services := map[string]*service{}
 	for _, st := range r.Stages {
 		if s := p.services[st.Service]; s != nil && services[s.name] == nil {
--- a/coordination/gather/explain_test.go
+++ b/coordination/gather/explain_test.go
@@ -56,7 +56,7 @@
 	return b.String()
 }
 
-// Fails if a question changes anything in the planner, down to the last bit of a decayed rate, or is
+// Fails if a query changes anything in the planner, down to the last bit of a decayed rate, or is
 // answered otherwise than a request that arrives at the same time.
 func TestExplainPredictsSubmitAndChangesNothing(t *testing.T) {
 	for name, config := range map[string]Config{
--- a/coordination/gather/reservations_test.go
+++ b/coordination/gather/reservations_test.go
@@ -172,7 +172,7 @@
 }
 
 // Prevents that retries without a reservation take the time of new requests that can be in time, that
-// requests of a lower priority displace them, and that questions do.
+// requests of a lower priority displace them, and that queries do.
 func TestNewRequestsDisplaceUnreservedRetries(t *testing.T) {
 	for name, c := range map[string]struct {
 		priority  int
@@ -194,7 +194,7 @@
 				q.Priority = c.priority
 				before := r.planner.dump()
 				refused := r.planner.Explain(r.now, q).Refused
-				require.True(t, before == r.planner.dump(), "a question has changed the planner")
+				require.True(t, before == r.planner.dump(), "a query has changed the planner")
 				r.submit(q)
 				require.Equal(t, refused == nil, r.planner.requests[q.ID] != nil)
 			}
--- a/coordination/routing/explain_test.go
+++ b/coordination/routing/explain_test.go
@@ -39,7 +39,7 @@
 	return table, at(10*time.Second + 500*time.Millisecond)
 }
 
-// Fails if a question claims a probe, uses a random number, removes overdue work, or changes anything
+// Fails if a query claims a probe, uses a random number, removes overdue work, or changes anything
 // else that the next decisions depend on, or if it answers something other than the next decision.
 func TestExplainPredictsPicksAndChangesNothing(t *testing.T) {
 	for name, c := range explainCases {
@@ -117,7 +117,7 @@
 	require.Equal(t, "t99", e.Targets[MaxExplained-1].Target.Incarnation)
 }
 
-// Fails if a question about a pool without a usable target isn't answered by the refusal.
+// Fails if a query about a pool without a usable target isn't answered by the refusal.
 func TestExplainWithoutTarget(t *testing.T) {
 	table := newTable(Config{}, testTargets(1))
 	var none *NoTargetError
--- a/daemon/gateway/explain.go
+++ b/daemon/gateway/explain.go
@@ -14,15 +14,15 @@
 
 // serveExplain answers where a request would be sent now, and why.
 func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
-	question, err := explainapi.ParseQuestion(r.URL.Query())
+	query, err := explainapi.ParseQuery(r.URL.Query())
 	var parameter *explainapi.ParameterError
 	if errors.As(err, &parameter) {
 		sendExplanation(w, http.StatusBadRequest, problemOf(http.StatusBadRequest, parameter.Name, parameter.Reason))
 		return
 	}
-	answer, err := g.relay.Explain(r.Context(), question)
+	answer, err := g.relay.Explain(r.Context(), query)
 	if errors.Is(err, relay.ErrUnknownRoute) {
-		sendExplanation(w, http.StatusNotFound, problemOf(http.StatusNotFound, explainapi.ParamRoute, "there is no route "+question.Route))
+		sendExplanation(w, http.StatusNotFound, problemOf(http.StatusNotFound, explainapi.ParamRoute, "there is no route "+query.Route))
 		return
 	}
 	sendExplanation(w, http.StatusOK, answer)
--- a/daemon/gateway/explain_test.go
+++ b/daemon/gateway/explain_test.go
@@ -18,7 +18,7 @@
 	"github.com/ivyhollow/ivyhollow/state/routes"
 )
 
-// Fails if the admin address answers a malformed question or one about an unknown route as if it were
+// Fails if the admin address answers a malformed query or one about an unknown route as if it were
 // valid, or doesn't answer a valid one.
 func TestExplainIsServed(t *testing.T) {
 	table := routes.Build(routes.Table{}, []*routes.Route{{Name: "r", TrafficSplit: []routes.WeightedService{{Service: "s", Weight: 1}}}}, nil)
--- a/daemon/relay/explain.go
+++ b/daemon/relay/explain.go
@@ -22,9 +22,9 @@
 
 // Explain returns what would become of a request that arrived now, and why. Nothing is sent, recorded
 // or spent. The error is ErrUnknownRoute.
-func (s *Relay) Explain(ctx context.Context, question explainapi.Question) (explainapi.Answer, error) {
+func (s *Relay) Explain(ctx context.Context, query explainapi.Query) (explainapi.Answer, error) {
 	x := explanation{answer: explainapi.Answer{
-		Route: question.Route, Account: question.Account, Candidates: []explainapi.Candidate{},
+		Route: query.Route, Account: query.Account, Candidates: []explainapi.Candidate{},
 		DecidedBy: explainapi.Decider{Role: explainapi.RoleInstance, Name: s.options.Instance},
 	}}
 	table := s.options.Table()
@@ -33,11 +33,11 @@
 		x.unknown("route", "the instance has no configuration yet")
 		return x.answer, nil
 	}
-	route, ok := table.RouteNamed(question.Route)
+	route, ok := table.RouteNamed(query.Route)
 	if !ok {
 		return explainapi.Answer{}, ErrUnknownRoute
 	}
-	x.q = s.hypotheticalRequest(question, route)
+	x.q = s.hypotheticalRequest(query, route)
 	x.answer.Service = x.q.service
 	x.answer.KnowledgeAgeMS = milliseconds(s.options.KnowledgeAge())
 	x.identifyAccount(table)
@@ -58,16 +58,16 @@
 }
 
 // hypotheticalRequest returns a request that is only asked about.
-func (s *Relay) hypotheticalRequest(question explainapi.Question, route *routes.Route) *request {
+func (s *Relay) hypotheticalRequest(query explainapi.Query, route *routes.Route) *request {
 	q := &request{
-		relay: s, hypothetical: true, route: route, account: question.Account, priority: route.Priority,
+		relay: s, hypothetical: true, route: route, account: query.Account, priority: route.Priority,
 		service: heaviestService(route.TrafficSplit), arrived: time.Now(),
 		call: exchange.CallerRequest{
-			Timeout: question.Deadline, PromptTokens: question.PromptTokens, OutputTokens: question.OutputTokens,
-			OutputHint: question.Hint, PieceCounts: question.Pieces,
+			Timeout: query.Deadline, PromptTokens: query.PromptTokens, OutputTokens: query.OutputTokens,
+			OutputHint: query.Hint, PieceCounts: query.Pieces,
 		},
 	}
-	for _, part := range question.Prefix {
+	for _, part := range query.Prefix {
 		q.call.Prefix = append(q.call.Prefix, routing.PrefixPart{ID: part.ID, Tokens: part.Tokens})
 	}
 	if d, ok := s.options.Dialect.(retryDelayer); ok {
@@ -175,7 +175,7 @@
 
 // chooseHere explains a choice by this instance, and records it in the answer.
 func (x *explanation) chooseHere(query routing.Query) routing.Explanation {
-	// A source of its own: the numbers of requests must not depend on questions.
+	// A source of its own: the numbers of requests must not depend on queries.
 	rng := rand.New(rand.NewPCG(uint64(x.q.arrived.UnixNano()), 0))
 	e := x.q.relay.options.Router.Explain(time.Now(), rng, query)
 	x.answer.Chosen, x.answer.Reason, x.answer.Random, x.dataCentre = "", "", false, ""
--- a/daemon/relay/explain_test.go
+++ b/daemon/relay/explain_test.go
@@ -28,14 +28,14 @@
 	return s, route
 }
 
-func explain(t *testing.T, s *Relay, question explainapi.Question) explainapi.Answer {
-	question.Route = "r"
-	answer, err := s.Explain(t.Context(), question)
+func explain(t *testing.T, s *Relay, query explainapi.Query) explainapi.Answer {
+	query.Route = "r"
+	answer, err := s.Explain(t.Context(), query)
 	require.NoError(t, err)
 	return answer
 }
 
-// Fails if a question is answered with less than this instance knows, or leaves a trace: a send, a
+// Fails if a query is answered with less than this instance knows, or leaves a trace: a send, a
 // choice that counts, an entry of a request, a grant, a use of a learned duration.
 func TestExplainOfAPlainRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -46,7 +46,7 @@
 		}
 		stats := s.options.Router.Stats(time.Now())
 		time.Sleep(time.Second)
-		answer := explain(t, s, explainapi.Question{Account: "a", Prefix: []explainapi.Part{{ID: "s", Tokens: 100}, {ID: "own", Tokens: 10}}, OutputTokens: 50, Hint: 10})
+		answer := explain(t, s, explainapi.Query{Account: "a", Prefix: []explainapi.Part{{ID: "s", Tokens: 100}, {ID: "own", Tokens: 10}}, OutputTokens: 50, Hint: 10})
 		require.Equal(t, explainapi.Decider{Role: "instance", Name: "one"}, answer.DecidedBy)
 		require.Equal(t, "e", answer.Chosen)
 		require.Equal(t, "only", answer.Reason)
@@ -58,7 +58,7 @@
 		require.Equal(t, stats, s.options.Router.Stats(time.Now()))
 		require.Zero(t, s.InFlight())
 		require.Empty(t, g.asked)
-		_, err := s.Explain(t.Context(), explainapi.Question{Route: "other"})
+		_, err := s.Explain(t.Context(), explainapi.Query{Route: "other"})
 		require.ErrorIs(t, err, ErrUnknownRoute)
 	})
 }
@@ -74,7 +74,7 @@
 		t.Run(name, func(t *testing.T) {
 			s, route := explainRelay(&granter{})
 			s.options.ExplainStages, route.Stages = ask, []routes.Stage{{Service: "stage"}}
-			answer := explain(t, s, explainapi.Question{})
+			answer := explain(t, s, explainapi.Query{})
 			require.Equal(t, explainapi.RoleHolder, answer.DecidedBy.Role)
 			require.Equal(t, explainapi.RoleHolder, answer.StagesDecidedBy.Role)
 			require.Equal(t, "holder", answer.Unknown[0].What)
@@ -125,7 +125,7 @@
 					c.holder.Holder = "h"
 					return c.holder, nil
 				}
-				answer := explain(t, s, explainapi.Question{Account: "a", Pieces: []int{4}, Deadline: 10 * time.Second})
+				answer := explain(t, s, explainapi.Query{Account: "a", Pieces: []int{4}, Deadline: 10 * time.Second})
 				require.Equal(t, c.target, answer.DecidedBy.Name)
 				if c.staged {
 					require.Equal(t, c.stagesBy, answer.StagesDecidedBy.Name)
@@ -146,16 +146,16 @@
 	}
 }
 
-// Fails if a question about a pool whose targets all leave, or before the first configuration, isn't
+// Fails if a query about a pool whose targets all leave, or before the first configuration, isn't
 // answered by the refusal.
 func TestExplainWithoutTargetOrConfiguration(t *testing.T) {
 	s, _ := explainRelay(&granter{})
 	s.options.Router.Leaving(time.Now(), "e")
-	answer := explain(t, s, explainapi.Question{})
+	answer := explain(t, s, explainapi.Query{})
 	require.Equal(t, &explainapi.Refusal{Reason: "no_target", RetryAfterMS: 1000}, answer.Refusal)
 	require.Equal(t, "leaving", answer.Candidates[0].State)
 	s.options.Table = func() *routes.Table { return nil }
-	require.Equal(t, "no_configuration", explain(t, s, explainapi.Question{}).Refusal.Reason)
+	require.Equal(t, "no_configuration", explain(t, s, explainapi.Query{}).Refusal.Reason)
 }
 
 // Fails if a refusal that a request would get from this instance is missing from the answer, has another
@@ -192,7 +192,7 @@
 		} {
 			s, _ := explainRelay(&granter{})
 			c.change(s)
-			answer := explain(t, s, explainapi.Question{})
+			answer := explain(t, s, explainapi.Query{})
 			require.Equal(t, c.refusal, answer.Refusal, name)
 			require.Equal(t, c.refusal == nil, answer.Chosen != "", name)
 			require.Equal(t, c.refusal == nil, answer.Candidates[0].Chosen, name)
--- a/daemon/stages/accounts.go
+++ b/daemon/stages/accounts.go
@@ -15,7 +15,7 @@
 const methodAccounts = "stages.accounts"
 
 const (
-	// accountsTimeout limits the question to the holder: an operator waits for the answer.
+	// accountsTimeout limits the query to the holder: an operator waits for the answer.
 	accountsTimeout = time.Second
 	// maxAccountShares limits the accounts of one answer, to some 4 KB.
 	maxAccountShares = 64
--- a/daemon/stages/explain_test.go
+++ b/daemon/stages/explain_test.go
@@ -22,7 +22,7 @@
 	return r
 }
 
-// Fails if the queue's own answer lacks the refusal or the engines, or if a question leaves a prompt, a
+// Fails if the queue's own answer lacks the refusal or the engines, or if a query leaves a prompt, a
 // request or a grant behind.
 func TestQueueExplainsWithoutATrace(t *testing.T) {
 	q := queueWithEngines()
@@ -44,7 +44,7 @@
 	require.Equal(t, "at-b", q.explain(time.Now(), r, placing.Prompt{}).MovedTo)
 }
 
-// Fails if the answer of a remote holder is lost, if a question waits for a holder that doesn't answer, or
+// Fails if the answer of a remote holder is lost, if a query waits for a holder that doesn't answer, or
 // if it has the asking instance avoid or follow another one.
 func TestHolderIsAskedOnce(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/daemon/stages/schedule_test.go
+++ b/daemon/stages/schedule_test.go
@@ -143,7 +143,7 @@
 			require.NoError(t, err)
 			asked, err := decodeSchedule(sent)
 			require.NoError(t, err)
-			require.Equal(t, c.prompt, asked.Assign.Prompt, "a question gets the same estimate")
+			require.Equal(t, c.prompt, asked.Assign.Prompt, "a query gets the same estimate")
 			if c.prompt.Hint == 0 {
 				plain, err := encode(request)
 				require.NoError(t, err)
--- a/protocol/explainapi/explainapi.go
+++ b/protocol/explainapi/explainapi.go
@@ -1,11 +1,11 @@
-// Package explainapi defines the question and the answer of GET /explain on the admin address of an
+// Package explainapi defines the query and the answer of GET /explain on the admin address of an
 // instance. docs/api/explain.md is the contract.
 package explainapi
 
 // Path is the path on the admin address.
 const Path = "/explain"
 
-// Names of the parameters of a question.
+// Names of the parameters of a query.
 const (
 	ParamRoute    = "route"
 	ParamAccount  = "account"
--- a/protocol/explainapi/explainapi_test.go
+++ b/protocol/explainapi/explainapi_test.go
@@ -10,17 +10,17 @@
 )
 
 // Fails if a malformed parameter is taken for something else, or isn't named.
-func TestQuestionIsParsedOrFaultNamed(t *testing.T) {
+func TestQueryIsParsedOrFaultNamed(t *testing.T) {
 	whole := "route=r&account=a&prefix=s:100,own:10&tokens=110,80&hint=40&pieces=4,1&deadline=6s"
 	for text, want := range map[string]struct {
-		question Question
-		fault    string
+		query Query
+		fault string
 	}{
-		whole: {question: Question{
+		whole: {query: Query{
 			Route: "r", Account: "a", Prefix: []Part{{"s", 100}, {"own", 10}}, PromptTokens: 110, OutputTokens: 80,
 			Hint: 40, Pieces: []int{4, 1}, Deadline: 6 * time.Second,
 		}},
-		"route=r&hint=":             {question: Question{Route: "r"}},
+		"route=r&hint=":             {query: Query{Route: "r"}},
 		"":                          {fault: ParamRoute},
 		"route=r&route=s":           {fault: ParamRoute},
 		"route=r&other=1":           {fault: "other"},
@@ -37,7 +37,7 @@
 	} {
 		query, err := url.ParseQuery(text)
 		require.NoError(t, err)
-		got, err := ParseQuestion(query)
+		got, err := ParseQuery(query)
 		if want.fault == "" {
 			require.NoError(t, err, text)
 		} else {
@@ -45,7 +45,7 @@
 			require.ErrorAs(t, err, &fault, text)
 			require.Equal(t, want.fault, fault.Name, text)
 		}
-		require.Equal(t, want.question, got, text)
+		require.Equal(t, want.query, got, text)
 	}
 }
 
--- a/protocol/explainapi/question.go
+++ b/protocol/explainapi/query.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Question describes the request that is asked about.
-type Question struct {
+// Query describes the request that is asked about.
+type Query struct {
 	Route, Account string
 	Prefix         []Part
 	// PromptTokens and OutputTokens are the number of prompt tokens and the maximum number of output
@@ -27,7 +27,7 @@
 	Tokens int
 }
 
-// Bounds of a question. They are those of requests.
+// Bounds of a query. They are those of requests.
 const (
 	maxParts    = 64
 	maxPartID   = 128
@@ -36,15 +36,15 @@
 	maxDeadline = 24 * time.Hour
 )
 
-// ParameterError reports a missing or malformed parameter of a question.
+// ParameterError reports a missing or malformed parameter of a query.
 type ParameterError struct{ Name, Reason string }
 
 // Error implements error.
 func (e *ParameterError) Error() string { return fmt.Sprintf("parameter %s: %s", e.Name, e.Reason) }
 
-// ParseQuestion parses the query of a URL. An error is a *ParameterError.
-func ParseQuestion(query url.Values) (Question, error) {
-	var q Question
+// ParseQuery parses the query of a URL. An error is a *ParameterError.
+func ParseQuery(query url.Values) (Query, error) {
+	var q Query
 	parsers := map[string]func(string) string{
 		ParamRoute:    func(text string) string { q.Route = text; return "" },
 		ParamAccount:  func(text string) string { q.Account = text; return "" },
@@ -58,18 +58,18 @@
 		parse := parsers[name]
 		switch {
 		case parse == nil:
-			return Question{}, &ParameterError{name, "unknown"}
+			return Query{}, &ParameterError{name, "unknown"}
 		case len(values) != 1:
-			return Question{}, &ParameterError{name, "given more than once"}
+			return Query{}, &ParameterError{name, "given more than once"}
 		case values[0] == "":
 			continue
 		}
 		if fault := parse(values[0]); fault != "" {
-			return Question{}, &ParameterError{name, fault}
+			return Query{}, &ParameterError{name, fault}
 		}
 	}
 	if q.Route == "" {
-		return Question{}, &ParameterError{ParamRoute, "missing"}
+		return Query{}, &ParameterError{ParamRoute, "missing"}
 	}
 	return q, nil
 }
