--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -85,6 +85,8 @@
 	changed bool
 	view    *membership.View
 	notes   notes
+	// notesRead is closed when the notes have been read after the start.
+	notesRead chan struct{}
 
 	ownersMu sync.Mutex
 	// owners are the first owners of each key in ownersView, as far as they have been needed.
@@ -112,7 +114,7 @@
 	d := &Directory{
 		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending), wake: make(chan struct{}, 1),
 		history: resumption.NewHistory(now), table: resumption.NewTable(maxRecords),
-		own: map[string]*ownStream{}, notes: newNotes(),
+		own: map[string]*ownStream{}, notes: newNotes(), notesRead: make(chan struct{}),
 	}
 	o.Cluster.Handle(methodKeep, d.handleKeep, peer.Idempotent())
 	o.Cluster.Handle(methodFind, d.handleFind, peer.Idempotent())
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -31,8 +31,10 @@
 	notes    map[string]platformapi.Object
 	revision uint64
 	down     atomic.Bool
-	calls    int
-	writes   int
+	// listDelay is how long the store takes to list, in nanoseconds.
+	listDelay atomic.Int64
+	calls     int
+	writes    int
 	// present are the versions of the targets.
 	present []string
 	runs    sync.WaitGroup
@@ -212,6 +214,7 @@
 var errDown = errors.New("the store is down")
 
 func (f *fleet) List(context.Context, string) (platformapi.List, error) {
+	time.Sleep(time.Duration(f.listDelay.Load()))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down.Load() {
--- a/daemon/streams/notes.go
+++ b/daemon/streams/notes.go
@@ -62,6 +62,7 @@
 		list, err := d.options.Store.List(ctx, platformapi.KindRollouts)
 		if err == nil {
 			d.applyNotes(list)
+			close(d.notesRead)
 			return
 		}
 		if ctx.Err() == nil {
@@ -75,6 +76,18 @@
 	}
 }
 
+// awaitNotes waits until the notes have been read after the start, or the context ends. It doesn't wait
+// once notesTimeout is over.
+func (d *Directory) awaitNotes(ctx context.Context) {
+	if time.Since(d.started) > notesTimeout {
+		return
+	}
+	select {
+	case <-d.notesRead:
+	case <-ctx.Done():
+	}
+}
+
 func (d *Directory) applyNotes(list platformapi.List) {
 	for _, o := range list.Items {
 		d.Receive(spread.Record{Kind: RecordKind, Name: o.Metadata.Name, Revision: o.Metadata.Revision, Body: o.Spec})
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -137,6 +137,15 @@
 	}
 }
 
+// Guards against a stream that is refused at an instance that has just started and is alone, since it hasn't
+// read the notes yet.
+func TestStreamIsTakenUpRightAfterTheStart(t *testing.T) {
+	runFleet(t, 1, func(f *fleet) {
+		f.listDelay.Store(int64(joinTimeout / 3))
+		requireTaken(t, f.killAll(), []string{"unknown"}, "v1")
+	})
+}
+
 // Guards against streams that aren't taken up although their service has only one version.
 func TestStreamsOfTheOnlyVersionGoOn(t *testing.T) {
 	cases := map[string]func(f *fleet) (at *node){
