--- a/coordination/gather/explain_test.go
+++ b/coordination/gather/explain_test.go
@@ -67,7 +67,7 @@
 			r := newFleetRunOf(1, config, fleetServices(scale), fleetKinds(scale), 2)
 			r.surge = func(_ string, at time.Duration) float64 {
 				if at > 2*time.Second && at < 5*time.Second {
-					return 3
+					return 6
 				}
 				return 1
 			}
