--- a/coordination/gather/shares_test.go
+++ b/coordination/gather/shares_test.go
@@ -140,6 +140,16 @@
 // Guards against small accounts that are refused in the first seconds of an overload, and against ones that
 // are refused for all of it where the stages can hardly meet the objective.
 func TestSmallAccountsInAnOverloadThatBegins(t *testing.T) {
+	playOverloadThatBegins(t, Config{AccountSharing: true})
+}
+
+// Guards against small accounts that are refused since their first stages are held back for the work that
+// a large one has at the later ones.
+func TestFlowControlHoldsBackNoSmallAccount(t *testing.T) {
+	playOverloadThatBegins(t, Config{AccountSharing: true, ResultFlowControl: true})
+}
+
+func playOverloadThatBegins(t *testing.T, config Config) {
 	const begins, lasts, deadline, plays = 4 * time.Second, 4 * time.Second, 3 * time.Second, 20
 	services := []fleetService{{lookup, 2, ServiceConfig{Slots: 1, MaxPieces: 4, CallTime: 100 * time.Millisecond, ResultCapacity: 27 << 20, ResultTTL: 4 * time.Second}}}
 	stages := func(rng *rand.Rand) []Stage {
@@ -159,7 +169,7 @@
 							stages: stages, caller: fleetCaller{account: accountName(i), route: "route", even: c.small < 6}})
 					}
 					kinds[0].rate = 3
-					r := newFleetRunOf(seed, Config{AccountSharing: true}, services, kinds, 1)
+					r := newFleetRunOf(seed, config, services, kinds, 1)
 					r.surge = func(name string, at time.Duration) float64 {
 						if name == accountName(0) && at > begins && at < begins+lasts {
 							return 20
