--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -29,12 +29,6 @@
 // metricsPort is the port that the template gives to metrics.
 const metricsPort = 9464
 
-// Bounds of the small deployments' sheets that the cases judge by.
-const (
-	DrainBound   = 2 * time.Second
-	ContactBound = 3 * time.Second
-)
-
 // Bed is one run of a case.
 type Bed struct {
 	Store *Store
@@ -81,9 +75,6 @@
 	_, _ = fmt.Fprintf(b.record, "%8.3f %s\n", time.Since(b.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// Elapsed returns the time of the record.
-func (b *Bed) Elapsed() time.Duration { return time.Since(b.started) }
-
 // Listen opens a port of a loopback address for a stand-in.
 func (b *Bed) Listen() (net.Listener, error) { return net.Listen("tcp", b.net+"3:0") }
 
@@ -291,11 +282,9 @@
 		if err != nil {
 			b.Recordf("the case couldn't run: %v", err)
 		}
-		if err == nil && code != Broken {
-			for _, i := range b.instances {
-				if i.Ended() {
-					b.Recordf("%s has ended", i.Name)
-				}
+		for _, i := range b.instances {
+			if i.Ended() {
+				b.Recordf("%s has ended", i.Name)
 			}
 		}
 		keepLogs(b)
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -49,8 +49,6 @@
 	objects  map[string]map[string]Object
 	history  []event
 	changed  chan struct{}
-	// cut is closed and replaced when the waiting watches are cut off.
-	cut chan struct{}
 }
 
 func startStore(address string) (*Store, error) {
@@ -60,7 +58,7 @@
 	}
 	s := &Store{
 		Address: l.Addr().String(), revision: 1, objects: map[string]map[string]Object{},
-		changed: make(chan struct{}), cut: make(chan struct{}),
+		changed: make(chan struct{}),
 	}
 	go func() { _ = http.Serve(l, s) }() // ends with the process
 	return s, nil
@@ -86,14 +84,6 @@
 	return time.Now()
 }
 
-// CutWatches cuts off the watches that wait now, and returns how many.
-func (s *Store) CutWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
 // write stores an object; mu is held.
 func (s *Store) write(kind string, o Object) Object {
 	s.revision++
@@ -193,9 +183,6 @@
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms")) // without it the call doesn't wait
 	timer := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWait))
 	defer timer.Stop()
-	s.mu.Lock()
-	cut := s.cut
-	s.mu.Unlock()
 	for over := false; ; {
 		s.mu.Lock()
 		changed, revision := s.changed, s.revision
@@ -214,8 +201,6 @@
 		case <-changed:
 		case <-timer.C:
 			over = true
-		case <-cut:
-			panic(http.ErrAbortHandler) // closes the connection without a response
 		case <-r.Context().Done():
 			return
 		}
