--- a/review/1/main.go
+++ b/review/1/main.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/review/bed"
@@ -125,21 +124,35 @@
 	return s.results[handle] != ""
 }
 
+const (
+	engines = 12
+	// garbled engines may send an answer a second time in the windows: one in each, and no more than
+	// maxExtraShare of their answers. Share, time and limit are those of the site file.
+	garbled       = 7
+	maxExtraShare = 0.03
+	window        = 5 * time.Second
+	windows       = 3
+	pause         = 70 * time.Millisecond
+	// downTime is how long the stage target is down that crashes in each window, entryTime how long its
+	// entry stays.
+	downTime  = 2 * time.Second
+	entryTime = 3600 * time.Millisecond
+)
+
 type world struct {
-	b      *bed.Bed
-	mu     sync.Mutex
-	stages []*stageTarget
-	runs   map[string]int
-	// window is true while engines may send an answer a second time. answers and extras count theirs then.
-	window  atomic.Bool
-	answers int
-	extras  int
+	b  *bed.Bed
+	mu sync.Mutex
+	// first are the targets of the first stage.
+	first, stages []*stageTarget
+	runs          map[string]int
+	// open is true in a window. answers and extras count those of garbled engines since it began.
+	open            bool
+	answers, extras int
 }
 
-// maxExtraShare is the largest share of the answers that garble spoils in the site file.
-const maxExtraShare = 0.05
-
 func (w *world) exists(handle string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, s := range w.stages {
 		if s.holds(handle) {
 			return true
@@ -148,17 +161,23 @@
 	return false
 }
 
-func (w *world) serveEngine(l net.Listener, name string) {
+func (w *world) isOpen() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
+
+func (w *world) serveEngine(l net.Listener, name string, mayRepeat bool) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go w.serveEngineConn(c, name)
+		go w.serveEngineConn(c, name, mayRepeat)
 	}
 }
 
-func (w *world) serveEngineConn(c net.Conn, name string) {
+func (w *world) serveEngineConn(c net.Conn, name string, mayRepeat bool) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	extra := ""
@@ -169,15 +188,15 @@
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
 		id := q.Header.Get("Request-Id")
-		if extra != "" {
+		if extra != "" && w.isOpen() {
 			w.b.Recordf("%s sends an earlier answer a second time, where that to %s is expected", name, id)
 			if _, err := io.WriteString(c, extra); err != nil {
 				return
 			}
-			extra = ""
 		}
+		extra = ""
 		w.mu.Lock()
-		if w.window.Load() {
+		if w.open && mayRepeat {
 			w.answers++
 		}
 		w.mu.Unlock()
@@ -198,7 +217,7 @@
 				return
 			}
 			w.mu.Lock()
-			if w.window.Load() && w.extras == 0 {
+			if w.open && mayRepeat && w.extras == 0 {
 				w.extras++
 				extra = answer
 			}
@@ -233,29 +252,25 @@
 
 func run(b *bed.Bed) (int, error) {
 	w := &world{b: b, runs: map[string]int{}}
-	for _, service := range []struct {
-		name     string
-		count    int
-		duration time.Duration
-	}{{"stage-a", 4, 100 * time.Millisecond}, {"stage-b", 6, 350 * time.Millisecond}} {
-		for i := range service.count {
-			l, err := b.Listen()
-			if err != nil {
-				return 0, err
-			}
-			s := &stageTarget{name: fmt.Sprintf("i-%s-%d", service.name, i), listener: l, duration: service.duration, results: map[string]string{}, conns: map[net.Conn]struct{}{}}
-			w.stages = append(w.stages, s)
-			go s.serve()
-			b.Store.Put("servers", s.name, bed.Entry(service.name, l.Addr().String(), "z1", "ready", 1))
+	for i := range 4 {
+		t, err := w.startStage("stage-a", fmt.Sprintf("i-stage-a-%d", i), 100*time.Millisecond)
+		if err != nil {
+			return 0, err
 		}
+		w.first = append(w.first, t)
 	}
-	for i := range 12 {
+	for i := range 6 {
+		if _, err := w.startStage("stage-b", fmt.Sprintf("i-stage-b-%d", i), 350*time.Millisecond); err != nil {
+			return 0, err
+		}
+	}
+	for i := range engines {
 		l, err := b.Listen()
 		if err != nil {
 			return 0, err
 		}
 		name := fmt.Sprintf("i-engine-%d", i)
-		go w.serveEngine(l, name)
+		go w.serveEngine(l, name, i < garbled)
 		b.Store.Put("servers", name, bed.Entry("engine", l.Addr().String(), "z1", "ready", 96))
 	}
 	segments := func(call, item float64) map[string]any {
@@ -284,34 +299,36 @@
 	}
 	time.Sleep(time.Second)
 	var clients sync.WaitGroup
-	stop := time.Now().Add(16 * time.Second)
-	n := 0
-	for time.Now().Before(stop) {
-		n++
-		in := fronts[n%len(fronts)]
-		clients.Go(func() {
-			id := bed.NewID()
-			b.Recordf("client sends %s to %s", id, in.Name)
-			a := bed.Send(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, in, "POST", "/once/x", id, 6*time.Second, map[string]string{
-				"Model": "m", "Token-Count": "568,20", "Prompt-Prefix": fmt.Sprintf("aa%d:100,%s:468", n%7, id), "Pieces": "2,2", "Piece-Key": id,
-			}, "prompt of "+id)
-			b.Recordf("client got %d %v for %s: %.60q", a.Status, a.Err, id, a.Body)
-		})
-		time.Sleep(250 * time.Millisecond)
-		if bed.Trouble() && n == 20 {
-			w.window.Store(true)
-			b.Recordf("garble begins")
-			time.AfterFunc(6*time.Second, func() { w.window.Store(false); b.Recordf("garble ends") })
+	stop := make(chan struct{})
+	clients.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pause):
+			}
+			in := fronts[n%len(fronts)]
+			clients.Go(func() {
+				id := bed.NewID()
+				b.Recordf("client sends %s to %s", id, in.Name)
+				a := bed.Send(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, in, "POST", "/once/x", id, 6*time.Second, map[string]string{
+					"Model": "m", "Token-Count": "568,20", "Prompt-Prefix": fmt.Sprintf("aa%d:100,%s:468", n%7, id), "Pieces": "2,2", "Piece-Key": id,
+				}, "prompt of "+id)
+				b.Recordf("client got %d %v for %s: %.60q", a.Status, a.Err, id, a.Body)
+			})
 		}
-		if bed.Trouble() && n == 30 {
-			go crashOne(w)
+	})
+	time.Sleep(3 * time.Second)
+	for n := range windows {
+		if err := w.playWindow(n); err != nil {
+			return 0, err
 		}
+		time.Sleep(4 * time.Second)
 	}
+	close(stop)
 	clients.Wait()
-	b.Recordf("answers in the window %d, extra ones %d", w.answers, w.extras)
-	if float64(w.extras) > maxExtraShare*float64(w.answers) {
-		return 0, fmt.Errorf("%d extra answers among %d are more than the page allows", w.extras, w.answers)
-	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	twice := 0
 	for id, runs := range w.runs {
 		if runs > 1 {
@@ -325,19 +342,78 @@
 	return bed.Held, nil
 }
 
-// crashOne crashes a target that holds a result which hasn't been read yet.
-func crashOne(w *world) {
+// startStage starts a target of a stage service.
+func (w *world) startStage(service, name string, duration time.Duration) (*stageTarget, error) {
+	l, err := w.b.Listen()
+	if err != nil {
+		return nil, err
+	}
+	s := &stageTarget{name: name, listener: l, duration: duration, results: map[string]string{}, conns: map[net.Conn]struct{}{}}
+	go s.serve()
+	w.mu.Lock()
+	w.stages = append(w.stages, s)
+	w.mu.Unlock()
+	_, err = w.b.Store.Put("servers", name, bed.Entry(service, l.Addr().String(), "z1", "ready", 1))
+	return s, err
+}
+
+// playWindow lets engines send an answer a second time, and crashes a target of the first stage.
+func (w *world) playWindow(n int) error {
+	if !bed.Trouble() {
+		time.Sleep(window)
+		return nil
+	}
+	w.mu.Lock()
+	w.open, w.answers, w.extras = true, 0, 0
+	w.mu.Unlock()
+	w.b.Recordf("window %d begins", n)
+	ended := make(chan struct{})
+	time.AfterFunc(window, func() {
+		w.mu.Lock()
+		w.open = false
+		w.mu.Unlock()
+		close(ended)
+	})
+	time.Sleep(time.Second)
+	crashed, at := w.crashOne(ended)
+	if crashed == nil {
+		return fmt.Errorf("no target holds a result")
+	}
+	time.Sleep(downTime)
+	again, err := w.startStage("stage-a", fmt.Sprintf("%s-%d", crashed.name, n), crashed.duration)
+	if err != nil {
+		return err
+	}
+	w.first[at] = again
+	time.AfterFunc(entryTime-downTime, func() { w.b.Store.Remove("servers", crashed.name) })
+	<-ended
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.b.Recordf("window %d ends: answers of garbled engines %d, extra ones %d", n, w.answers, w.extras)
+	if float64(w.extras) > maxExtraShare*float64(w.answers) {
+		return fmt.Errorf("%d extra answers among %d are more than the limit", w.extras, w.answers)
+	}
+	return nil
+}
+
+// crashOne crashes the first target of the first stage that holds a result, before the window ends. It
+// returns the target and its place.
+func (w *world) crashOne(ended <-chan struct{}) (*stageTarget, int) {
 	for {
-		for _, s := range w.stages[:4] {
+		for i, s := range w.first {
 			s.mu.Lock()
 			holds := len(s.results) > 0
 			s.mu.Unlock()
 			if holds {
 				w.b.Recordf("%s crashes", s.name)
 				s.crash()
-				return
+				return s, i
 			}
 		}
-		time.Sleep(5 * time.Millisecond)
+		select {
+		case <-ended:
+			return nil, 0
+		case <-time.After(5 * time.Millisecond):
+		}
 	}
 }
