Send a request under one ID only once over a connection

Callers saw nothing: their streams came whole.

Cause: transport/forward tells responses apart by their ID alone. A request whose inputs are gone (409, Not-Executed) goes to the same target again under the same ID, and mostly over the same connection, since it was used last. A target may send a response a second time, at the point where a later one is expected. The duplicate of the 409 has the expected ID, so it was taken for the response to the second send; the target ran the request all the same, and the instance sent it a third time.

Ruled out: a new connection only after a 409 (a duplicate may come after any response, and the connection may carry other requests in between); excluding the target after a 409 (it holds the prompt's parts, and had no part in the failure); closing each connection after a refusal (full targets refuse often, and connections are priced).

Change: a connection keeps hashes of the IDs that it has carried and is passed over for a request with one of them. It is closed after 1024 requests, which bounds the record at 8 KB. An ID then names one send of the connection, so it tells a duplicate from the response whenever it comes. The same holds for a resumed stream, a second attempt and connections through another instance, which all go through Client.Do.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -118,7 +118,7 @@
 	paced, sendAt, suspects, onTrial := q.paced, q.sendAt, q.suspects(), q.onTrial
 	options := forward.Options{
 		Service: q.service, MayProbe: q.mayRetry(),
-		Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
+		RequestID: q.call.ID, Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
 		InUse: func() bool { return q.relay.options.InUse(t.Name) },
 		Allowed: func() bool {
 			return q.relay.usable(t.Incarnation) && !q.relay.blocked(suspects, onTrial) && grantValid(paced, sendAt, time.Now()) && (paced || !q.relay.isPaced(q.service))
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -70,7 +70,7 @@
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, o Options) (*Reply, error) {
 	peer := idleKey{address, o.Incarnation, o.ConnGroup}
 	way := c.choose(o)
-	k := c.takeIdle(peer, cmp.Or(o.MaxIdle, maxIdleTime), way)
+	k := c.takeIdle(peer, cmp.Or(o.MaxIdle, maxIdleTime), way, o.RequestID)
 	reused := k != nil
 	if !reused {
 		var err error
@@ -101,6 +101,7 @@
 	r := &Reply{client: c, conn: k, options: o, stopCancel: stop}
 	r.targetEnded = func() bool { return o.InUse != nil && o.InUse() && c.hasEnded(ctx, k.address) }
 	k.began(o.EndIfLost)
+	k.recordRequest(o.RequestID)
 	r.sendResult = send(k, request)
 	if err := r.readHeader(request); err != nil {
 		k.ended(err)
@@ -254,7 +255,7 @@
 		// the rest of the body as the next request.
 		return false
 	}
-	if r.discardConn || r.Framing() == FramedByClose || r.response.Close || r.conn.reader.Buffered() > 0 {
+	if r.discardConn || r.Framing() == FramedByClose || r.response.Close || r.conn.reader.Buffered() > 0 || len(r.conn.requestIDs) >= maxRequestIDs {
 		return false
 	}
 	r.conn.idleTimeout = maxIdleTime
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
@@ -46,6 +47,8 @@
 	maxIdleThrough = 3 * time.Second
 	// maxIdlePerTarget bounds the idle connections of one idleKey.
 	maxIdlePerTarget = 32
+	// maxRequestIDs bounds the requests with an ID that a connection carries.
+	maxRequestIDs = 1024
 )
 
 // Client sends requests. It is safe for concurrent use.
@@ -95,6 +98,8 @@
 	idleSince    time.Time
 	idleTimeout  time.Duration
 	bytesWritten int
+	// requestIDs are hashes of the IDs of the requests that the connection has carried.
+	requestIDs []uint64
 	// headLeft is how many more bytes may be read for the head of a response; nil while none is read.
 	headLeft *int
 	// writeErr is the first error of Write.
@@ -203,14 +208,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// takeIdle removes and returns an idle connection that takes the given way and on which nothing
-// was received, or returns nil.
-func (c *Client) takeIdle(peer idleKey, maxIdle time.Duration, way reach.Way) *conn {
+// takeIdle removes and returns an idle connection that takes the given way, on which nothing was
+// received and which has not carried the request before, or returns nil.
+func (c *Client) takeIdle(peer idleKey, maxIdle time.Duration, way reach.Way, requestID string) *conn {
 	if way == reach.Probe {
 		return nil // a new connection shows more
 	}
 	for {
-		k := c.popIdle(peer, way)
+		k := c.popIdle(peer, way, requestID)
 		if k == nil {
 			return nil
 		}
@@ -227,12 +232,12 @@
 	return k.through == "" || c.options.Detour.Usable(k.through)
 }
 
-func (c *Client) popIdle(peer idleKey, way reach.Way) *conn {
+func (c *Client) popIdle(peer idleKey, way reach.Way, requestID string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[peer]
 	for i, k := range slices.Backward(list) {
-		if (k.through != "") == (way == reach.Detour) {
+		if (k.through != "") == (way == reach.Detour) && !k.hasCarried(requestID) {
 			c.setIdle(peer, list, slices.Delete(list, i, i+1))
 			return k
 		}
@@ -240,6 +245,18 @@
 	return nil
 }
 
+// hasCarried reports whether a request with the ID was sent on the connection.
+func (k *conn) hasCarried(requestID string) bool {
+	return requestID != "" && slices.Contains(k.requestIDs, xxhash.Sum64String(requestID))
+}
+
+// recordRequest records that a request is sent on the connection; the ID is empty if it has none.
+func (k *conn) recordRequest(requestID string) {
+	if requestID != "" {
+		k.requestIDs = append(k.requestIDs, xxhash.Sum64String(requestID))
+	}
+}
+
 // setIdle replaces the list of idle connections of a key by a part of it; mu is held.
 func (c *Client) setIdle(key idleKey, list, kept []*conn) {
 	clear(list[len(kept):])
@@ -327,6 +344,10 @@
 	// EndIfLost ends the attempt with ErrPathLost soon after the direct path to the service is found
 	// silent, and after probeTimeout without a response if it is lost already.
 	EndIfLost bool
+	// RequestID is the ID that the response echoes; empty if it echoes none. A connection carries an ID
+	// only once: a target may send a duplicate of an earlier response at any later one, and a duplicate
+	// with the expected ID can't be recognized.
+	RequestID string
 	// Incarnation is the process that the attempt is for. Idle connections to other
 	// processes at the address are not used.
 	Incarnation string
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+// Guards against a duplicate of an earlier response that is taken for the response to a later send of the
+// same request.
+func TestConnectionCarriesARequestOnce(t *testing.T) {
+	address, conns := serve(t, answerAll(okResponse))
+	c := New(ClientOptions{})
+	for _, step := range []struct {
+		requestID string
+		conns     int
+	}{{"a", 1}, {"b", 1}, {"a", 2}, {"c", 2}, {"a", 3}, {"b", 3}} {
+		_, err := do(t, c, address, "", Options{RequestID: step.requestID})
+		require.NoError(t, err)
+		require.EqualValues(t, step.conns, conns.Load(), "request %s", step.requestID)
+	}
+}
+
+// Guards against records of requests that grow as long as a connection lives.
+func TestConnectionCarriesALimitedNumberOfRequests(t *testing.T) {
+	address, conns := serve(t, answerAll(okResponse))
+	c := New(ClientOptions{})
+	for i := range maxRequestIDs + 1 {
+		_, err := do(t, c, address, "", Options{RequestID: strconv.Itoa(i)})
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
 // A second response that arrives while the connection is idle must not be read as the
 // response to the next request.
 func TestLateResponseIsNotAccepted(t *testing.T) {
