Don't believe a response without an ID on a reused connection

Callers were told "not run" for, or got a second run of, a request that had run, if a target sent a refusal without an ID in front of the response.

An empty ID counted as the request's own, on any connection. A stray response can only come on a connection that has carried another request, and there only the ID tells it from the response.

Ruled out: skipping such a response and waiting for the next (if it was the real one, the request would wait for its deadline); refusing it on a new connection too (nothing can have come before it there).

Change: the attempt ends as one that may have run, and its connection is closed. Looked at besides, no change: stage calls (a duplicate is known by its handles, and a reused connection is kept only after a new result), calls that free results (a group of connections of their own, their response isn't read), the product's own interface (each attempt has an ID of its own, a response without it is refused), detours (each connection through another instance is one to the target, with the same rule). A service with stages receives no requests of callers, so their connections don't meet (trial: no_target).

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -44,6 +44,10 @@
 // errRefusalTooLong cancels an attempt whose target's refusal doesn't end.
 var errRefusalTooLong = errors.New("the refusal doesn't end")
 
+// errUnidentified means that a reply without an ID arrived on a connection that has carried other requests:
+// it may belong to any of them.
+var errUnidentified = errors.New("the reply on a reused connection has no ID")
+
 // errAbandoned cancels an attempt whose request needs it no longer.
 var errAbandoned = errors.New("the request needs the attempt no longer")
 
@@ -149,6 +153,12 @@
 		return
 	}
 	parsed := s.options.Dialect.ParseTargetResponse(reply.Status, reply.Header)
+	if parsed.ID == "" && reply.Reused() {
+		reply.DiscardConn()
+		reply.Close()
+		messages.put(message{from: a, err: &forward.Error{Step: forward.StepReply, Peer: a.target.Address, Sent: true, Err: errUnidentified}})
+		return
+	}
 	if s.options.OnResponse != nil {
 		s.options.OnResponse(a.target.Incarnation, parsed)
 	}
