Take a service for one with a single version only if somebody has looked

Callers got streams of two versions if all targets of a service were replaced while no instance ran (rule ORDER), and whenever no note of a rollout could be written.

Cause: the store had a note only while a service had several versions. After the loss of all instances the absence of a note was taken for "one version only", though it also means that nobody has looked, or that a write was never accepted. Of the same kind: the answer of another instance that knows nothing counted as confirmation for an instance whose list is old.

Ruled out: comparing the targets of now with a note alone (two replacements would look like none); a time in the note (clocks differ); refusing all streams in the first minute after a loss of all (the users' rule LOST).

A version is the only one after a start only by a complete record that doesn't differ from what serves. The records are written by rank, half a second apart.

Tests: TestRolloutIsNotedOnce becomes TestVersionsAreStoredOnce, as strict: it names the exact records and one write for each change.

--- a/coordination/resumption/history.go
+++ b/coordination/resumption/history.go
@@ -6,104 +6,184 @@
 	"time"
 )
 
-// History holds the software versions that the targets of services have, or had within Lifetime.
+// Stored is what the store has of a service's versions, for instances that start after all others were lost.
+type Stored struct {
+	// Versions are the versions at which streams that may be taken up can have begun, sorted.
+	Versions []string
+	// Complete is true if no such stream can have begun at another version. It is false if the instance that
+	// began the record didn't know the time before.
+	Complete bool
+}
+
+// Equal reports whether two records are the same.
+func (s Stored) Equal(other Stored) bool {
+	return s.Complete == other.Complete && slices.Equal(s.Versions, other.Versions)
+}
+
+// History holds the software versions that the targets of services have, or had within Lifetime, and what
+// the store has of them.
 //
-// An instance that has just started doesn't know the versions of before. Until it has read the
-// rollouts that the fleet has noted, its history is incomplete for Lifetime.
+// An instance that has just started doesn't know the versions of before, unless no instance has run before
+// it. It knows them from a complete record in the store. That there is no record says nothing.
 type History struct {
-	completeFrom time.Time
-	services     map[string]*serviceHistory
+	startedAt time.Time
+	// first is true if no instance has run before.
+	first    bool
+	named    bool
+	services map[string]*serviceHistory
 }
 
 type serviceHistory struct {
-	// present are the versions of the targets that may receive new work.
-	present []string
-	// gone holds until when other versions were present.
-	gone map[string]time.Time
-	// noted are the versions that the fleet's note lists.
-	noted []string
-}
-
-// NewHistory returns the history of an instance that starts at a time.
-func NewHistory(now time.Time) *History {
-	return &History{completeFrom: now.Add(Lifetime), services: map[string]*serviceHistory{}}
+	// named is true while the configuration has the service.
+	named bool
+	// completeFrom is when this instance has known the service's versions for Lifetime.
+	completeFrom time.Time
+	// present are the versions of the targets that may receive new work, since each has been so.
+	present map[string]time.Time
+	// past holds when other versions were last known to be present, here or by the store's record.
+	past map[string]time.Time
+	// stored is the store's record; nil if none is known.
+	stored *Stored
 }
 
-// Complete records that all notes of the fleet have been passed to SetNoted.
-func (h *History) Complete(now time.Time) {
-	if now.Before(h.completeFrom) {
-		h.completeFrom = now
-	}
+// NewHistory returns the history of an instance that starts at a time. first is true if no instance has run
+// before.
+func NewHistory(now time.Time, first bool) *History {
+	return &History{startedAt: now, first: first, services: map[string]*serviceHistory{}}
 }
 
-// SetPresent replaces the versions of the targets that may receive new work, by service. It reports
-// whether that is a change.
+// SetPresent replaces the versions of the targets that may receive new work, by service. It has all
+// services that are followed. It reports whether that is a change.
 func (h *History) SetPresent(now time.Time, present map[string][]string) bool {
 	changed := false
 	for name, s := range h.services {
-		if len(present[name]) == 0 {
-			changed = s.setPresent(now, nil) || changed
+		versions, named := present[name]
+		changed = s.setPresent(now, versions) || changed
+		if named && !s.named {
+			s.completeFrom = now.Add(Lifetime)
 		}
-		if len(s.present) == 0 && len(s.noted) == 0 && len(s.versions(now)) == 0 {
+		s.named = named
+		if !named && s.stored == nil && len(s.versions(now)) == 0 {
 			delete(h.services, name)
 		}
 	}
 	for name, versions := range present {
-		if len(versions) > 0 {
-			changed = h.service(name).setPresent(now, versions) || changed
+		if h.services[name] == nil {
+			changed = h.add(now, name).setPresent(now, versions) || changed
 		}
 	}
+	h.named = true
 	return changed
 }
 
+// add adds a service that the configuration names.
+func (h *History) add(now time.Time, name string) *serviceHistory {
+	s := newServiceHistory()
+	s.named = true
+	switch {
+	case h.named:
+		s.completeFrom = now.Add(Lifetime) // it may have been named for a while
+	case h.first:
+		s.completeFrom = h.startedAt
+	default:
+		s.completeFrom = h.startedAt.Add(Lifetime)
+	}
+	h.services[name] = s
+	return s
+}
+
+func newServiceHistory() *serviceHistory {
+	return &serviceHistory{present: map[string]time.Time{}, past: map[string]time.Time{}}
+}
+
 func (s *serviceHistory) setPresent(now time.Time, versions []string) bool {
-	versions = slices.Sorted(maps.Keys(setOf(versions)))
-	if slices.Equal(versions, s.present) {
-		return false
+	changed := false
+	for v := range s.present {
+		if !slices.Contains(versions, v) {
+			delete(s.present, v)
+			s.past[v] = now
+			changed = true
+		}
 	}
-	for _, v := range s.present {
-		s.gone[v] = now
+	for _, v := range versions {
+		if _, ok := s.present[v]; !ok {
+			s.present[v] = now
+			changed = true
+		}
 	}
-	s.present = versions
-	return true
+	return changed
 }
 
-// SetNoted replaces the versions that the fleet's note of a service lists; nil if there is no note.
-// It reports whether that is a change.
-func (h *History) SetNoted(name string, versions []string) bool {
-	s := h.service(name)
-	changed := !slices.Equal(s.noted, versions)
-	s.noted = versions
-	return changed
+// SetStored replaces the store's record of a service; nil if it has none. It reports whether that is a change.
+func (h *History) SetStored(now time.Time, name string, stored *Stored) bool {
+	s := h.services[name]
+	if s == nil {
+		if stored == nil {
+			return false
+		}
+		s = newServiceHistory()
+		s.completeFrom = now.Add(Lifetime)
+		h.services[name] = s
+	}
+	before := s.stored
+	s.stored = stored
+	if stored == nil {
+		return before != nil
+	}
+	for _, v := range stored.Versions {
+		if before == nil || !slices.Contains(before.Versions, v) {
+			s.past[v] = now
+		}
+	}
+	return before == nil || !before.Equal(*stored)
 }
 
-// Noted returns the versions that the fleet's note of a service lists.
-func (h *History) Noted(name string) []string { return h.service(name).noted }
+// Stored returns the store's record of a service; nil if none is known.
+func (h *History) Stored(name string) *Stored {
+	if s := h.services[name]; s != nil {
+		return s.stored
+	}
+	return nil
+}
 
 // Services returns the names of the known services.
 func (h *History) Services() []string { return slices.Sorted(maps.Keys(h.services)) }
 
-// Note returns the versions that the fleet's note of a service has to list, sorted; nil if there must be no
-// note. Noted versions that this instance hasn't seen stay until its own history is long enough.
-func (h *History) Note(now, startedAt time.Time, name string) []string {
-	s := h.service(name)
-	versions := s.versions(now)
-	if now.Sub(startedAt) < Lifetime {
-		versions = union(versions, s.noted)
+// Desired returns the record that the store should have of a service; nil if it should have none. current is
+// true if this instance knows the targets as they are now: only then are versions taken out.
+func (h *History) Desired(now time.Time, name string, current bool) *Stored {
+	s := h.services[name]
+	if s == nil {
+		return nil
 	}
-	if len(versions) < 2 {
+	versions := s.versions(now)
+	if !s.named {
+		if len(versions) > 0 || !current {
+			return s.stored
+		}
 		return nil
 	}
-	return versions
+	desired := Stored{Versions: versions, Complete: !now.Before(s.completeFrom)}
+	if s.stored != nil {
+		desired.Complete = desired.Complete || s.stored.Complete
+		if !current || len(versions) == 0 {
+			desired.Versions = union(versions, s.stored.Versions)
+		}
+	}
+	if len(desired.Versions) == 0 {
+		return s.stored
+	}
+	return &desired
 }
 
 // Several reports whether a service has, or had within Lifetime, targets of several versions.
 func (h *History) Several(now time.Time, name string) bool { return len(h.known(now, name)) > 1 }
 
 // Sole returns the only version that a service has had for Lifetime; empty if there are several, none or
-// the history is incomplete.
+// nobody has known them for so long.
 func (h *History) Sole(now time.Time, name string) string {
-	if known := h.known(now, name); len(known) == 1 && !now.Before(h.completeFrom) {
+	s := h.services[name]
+	if known := h.known(now, name); len(known) == 1 && (s.stored != nil && s.stored.Complete || s.named && !now.Before(s.completeFrom)) {
 		return known[0]
 	}
 	return ""
@@ -114,41 +194,27 @@
 	if s == nil {
 		return nil
 	}
-	return union(s.versions(now), s.noted)
+	if s.stored == nil {
+		return s.versions(now)
+	}
+	return union(s.versions(now), s.stored.Versions)
 }
 
-// versions returns the versions that this instance has seen within Lifetime, sorted.
+// versions returns the versions that were present within Lifetime, sorted.
 func (s *serviceHistory) versions(now time.Time) []string {
-	versions := setOf(s.present)
-	for v, until := range s.gone {
-		if now.Sub(until) < Lifetime {
-			versions[v] = true
+	versions := maps.Clone(s.present)
+	for v, last := range s.past {
+		if now.Sub(last) < Lifetime {
+			versions[v] = last
 		} else {
-			delete(s.gone, v)
+			delete(s.past, v)
 		}
 	}
 	return slices.Sorted(maps.Keys(versions))
 }
 
-func (h *History) service(name string) *serviceHistory {
-	s := h.services[name]
-	if s == nil {
-		s = &serviceHistory{gone: map[string]time.Time{}}
-		h.services[name] = s
-	}
-	return s
-}
-
-func setOf(list []string) map[string]bool {
-	set := make(map[string]bool, len(list))
-	for _, v := range list {
-		set[v] = true
-	}
-	return set
-}
-
 func union(a, b []string) []string {
-	set := setOf(a)
-	maps.Copy(set, setOf(b))
-	return slices.Sorted(maps.Keys(set))
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
 }
--- a/coordination/resumption/locate.go
+++ b/coordination/resumption/locate.go
@@ -32,15 +32,16 @@
 }
 
 // Locate decides where a stream of a service began. own is what this instance knows, and current is true if
-// it knows the targets as they are now; answers are those of other instances. The origin is meaningful only
-// if ok is true.
+// it knows the targets, or what the store has of their versions, as they are now; answers are those of other
+// instances. The origin is meaningful only if ok is true.
 //
 // A record counts whoever has it. An instance whose knowledge is old takes a version for the only one
-// only if another instance has answered.
+// only if another instance that knows does so too.
 func Locate(service string, own Answer, current bool, answers []Answer) (origin Origin, why Reason, ok bool) {
 	sole := ""
-	several, unsure := own.Several, !current && len(answers) == 0
-	for _, a := range append([]Answer{own}, answers...) {
+	several, sure := own.Several, current
+	for i, a := range append([]Answer{own}, answers...) {
+		sure = sure || i > 0 && a.Sole != ""
 		switch {
 		case a.Found && (a.Record.Ambiguous || origin != (Origin{}) && origin != a.Record.Origin):
 			return Origin{}, ReasonAmbiguous, false
@@ -57,7 +58,7 @@
 		return origin, ReasonRecord, true
 	case several:
 		return Origin{}, ReasonNoRecord, false
-	case unsure || sole == "":
+	case !sure || sole == "":
 		return Origin{}, ReasonUnsure, false
 	}
 	return Origin{service, sole}, ReasonSole, true
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -67,62 +67,102 @@
 
 func present(versions ...string) map[string][]string { return map[string][]string{"engine": versions} }
 
+// complete and incomplete return records of the store.
+func complete(versions ...string) *Stored   { return &Stored{Versions: versions, Complete: true} }
+func incomplete(versions ...string) *Stored { return &Stored{Versions: versions} }
+
 // Guards against a version that is taken for the only one although another one may have begun streams.
 func TestSoleVersion(t *testing.T) {
 	cases := map[string]struct {
-		play func(h *History)
-		at   time.Duration
-		sole string
+		first bool
+		play  func(h *History)
+		at    time.Duration
+		sole  string
 	}{
-		"just started":           {func(h *History) { h.SetPresent(at(0), present("v1")) }, time.Second, ""},
-		"known for long":         {func(h *History) { h.SetPresent(at(0), present("v1")) }, Lifetime, "v1"},
-		"just started, no notes": {func(h *History) { h.SetPresent(at(0), present("v1")); h.Complete(at(0)) }, time.Second, "v1"},
-		"two":                    {func(h *History) { h.SetPresent(at(0), present("v1", "v2")) }, Lifetime, ""},
-		"replaced a moment ago":  {func(h *History) { h.SetPresent(at(0), present("v1")); h.SetPresent(at(Lifetime), present("v2")) }, 2*Lifetime - 1, ""},
-		"replaced long ago":      {func(h *History) { h.SetPresent(at(0), present("v1")); h.SetPresent(at(Lifetime), present("v2")) }, 2 * Lifetime, "v2"},
-		"comes back": {func(h *History) {
+		"just started":              {false, func(h *History) { h.SetPresent(at(0), present("v1")) }, time.Second, ""},
+		"known for long":            {false, func(h *History) { h.SetPresent(at(0), present("v1")) }, Lifetime, "v1"},
+		"first start of all":        {true, func(h *History) { h.SetPresent(at(0), present("v1")) }, time.Second, "v1"},
+		"just started, stored":      {false, func(h *History) { h.SetPresent(at(0), present("v1")); h.SetStored(at(0), "engine", complete("v1")) }, time.Second, "v1"},
+		"replaced while none ran":   {false, func(h *History) { h.SetPresent(at(0), present("v2")); h.SetStored(at(0), "engine", complete("v1")) }, time.Second, ""},
+		"no targets yet, stored":    {false, func(h *History) { h.SetPresent(at(0), present()); h.SetStored(at(0), "engine", complete("v1")) }, time.Second, "v1"},
+		"record of who didn't know": {false, func(h *History) { h.SetPresent(at(0), present("v2")); h.SetStored(at(0), "engine", incomplete("v2")) }, time.Second, ""},
+		"record is gone": {false, func(h *History) {
+			h.SetPresent(at(0), present("v2"))
+			h.SetStored(at(0), "engine", complete("v2"))
+			h.SetStored(at(1), "engine", nil)
+		}, time.Second, ""},
+		"two":                        {false, func(h *History) { h.SetPresent(at(0), present("v1", "v2")) }, Lifetime, ""},
+		"replaced a moment ago":      {false, func(h *History) { h.SetPresent(at(0), present("v1")); h.SetPresent(at(Lifetime), present("v2")) }, 2*Lifetime - 1, ""},
+		"replaced long ago":          {false, func(h *History) { h.SetPresent(at(0), present("v1")); h.SetPresent(at(Lifetime), present("v2")) }, 2 * Lifetime, "v2"},
+		"named after the start":      {true, func(h *History) { h.SetPresent(at(0), nil); h.SetPresent(at(1), present("v1")) }, Lifetime, ""},
+		"named long after the start": {false, func(h *History) { h.SetPresent(at(0), nil); h.SetPresent(at(Lifetime), present("v1")) }, 2 * Lifetime, "v1"},
+		"named again": {false, func(h *History) {
+			h.SetPresent(at(0), present("v1"))
+			h.SetPresent(at(Lifetime), nil)
+			h.SetPresent(at(Lifetime+2), present("v1"))
+		}, Lifetime + 3, ""},
+		"comes back": {false, func(h *History) {
 			h.SetPresent(at(0), present("v1"))
 			h.SetPresent(at(1), present("v2"))
 			h.SetPresent(at(2), present("v1"))
 		}, Lifetime, ""},
-		"no target for a moment": {func(h *History) {
+		"no target for a moment": {false, func(h *History) {
 			h.SetPresent(at(0), present("v1"))
-			h.SetPresent(at(1), nil)
+			h.SetPresent(at(1), present())
 			h.SetPresent(at(2), present("v2"))
 		}, Lifetime, ""},
-		"noted by others": {func(h *History) { h.SetPresent(at(0), present("v2")); h.SetNoted("engine", []string{"v1", "v2"}) }, Lifetime, ""},
-		"note taken back": {func(h *History) {
+		"stored by others": {false, func(h *History) {
 			h.SetPresent(at(0), present("v2"))
-			h.SetNoted("engine", []string{"v1", "v2"})
-			h.SetNoted("engine", nil)
+			h.SetStored(at(Lifetime), "engine", complete("v1", "v2"))
+		}, Lifetime, ""},
+		"taken out of the record": {false, func(h *History) {
+			h.SetPresent(at(0), present("v2"))
+			h.SetStored(at(0), "engine", complete("v1", "v2"))
+			h.SetStored(at(Lifetime), "engine", complete("v2"))
 		}, Lifetime, "v2"},
-		"a service without target": {func(h *History) { h.SetPresent(at(0), nil) }, Lifetime, ""},
+		"a service without target": {false, func(h *History) { h.SetPresent(at(0), nil) }, Lifetime, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			h := NewHistory(start)
+			h := NewHistory(start, c.first)
 			c.play(h)
 			require.Equal(t, c.sole, h.Sole(at(c.at), "engine"))
 		})
 	}
 }
 
-// Guards against an instance that has just started and takes the note of a rollout back that it hasn't seen.
-func TestNoteOfAnotherInstanceStays(t *testing.T) {
-	h := NewHistory(start)
+// Guards against an instance that takes a version out of the record that others still need, or claims to know
+// what it doesn't.
+func TestDesiredRecord(t *testing.T) {
+	h := NewHistory(start, false)
 	h.SetPresent(start, present("v2"))
-	h.SetNoted("engine", []string{"v1", "v2"})
-	require.Equal(t, []string{"v1", "v2"}, h.Note(at(Lifetime-1), start, "engine"))
-	require.Nil(t, h.Note(at(Lifetime), start, "engine"))
-	h.SetPresent(at(Lifetime), present("v2", "v3"))
-	require.Equal(t, []string{"v2", "v3"}, h.Note(at(Lifetime), start, "engine"))
+	require.Equal(t, incomplete("v2"), h.Desired(start, "engine", true), "not known before")
+	h.SetStored(start, "engine", complete("v1", "v2"))
+	require.Equal(t, complete("v1", "v2"), h.Desired(at(Lifetime-1), "engine", true), "not seen here")
+	require.Equal(t, complete("v1", "v2"), h.Desired(at(Lifetime), "engine", false), "the list may lag")
+	require.Equal(t, complete("v2"), h.Desired(at(Lifetime), "engine", true))
+	h.SetStored(at(Lifetime), "engine", complete("v2", "v3"))
+	require.Equal(t, complete("v2", "v3"), h.Desired(at(2*Lifetime-1), "engine", true), "added by another instance")
+	h.SetPresent(at(2*Lifetime), present())
+	require.Equal(t, complete("v2", "v3"), h.Desired(at(4*Lifetime), "engine", true), "no targets")
+	h.SetPresent(at(4*Lifetime), nil)
+	require.Nil(t, h.Desired(at(4*Lifetime), "engine", true), "no longer configured")
+}
+
+// Guards against a record that stays incomplete.
+func TestRecordBecomesComplete(t *testing.T) {
+	h := NewHistory(start, false)
+	h.SetPresent(start, present("v1"))
+	h.SetStored(start, "engine", incomplete("v1"))
+	require.Equal(t, incomplete("v1"), h.Desired(at(Lifetime-1), "engine", true))
+	require.Equal(t, complete("v1"), h.Desired(at(Lifetime), "engine", true))
 }
 
 // Guards against a version that is the only one by a history in which another one was present within the
 // lifetime of a stream.
 func TestSoleVersionIsTheOnlyOneOfTheLifetime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := NewHistory(start)
+		h := NewHistory(start, false)
 		versions := []string{"v1", "v2", "v3"}
 		lastPresent := map[string]time.Duration{}
 		now := time.Duration(0)
@@ -176,7 +216,8 @@
 		"one version":                         {sole, false, nil, v1, ReasonSole},
 		"one version, as another one says":    {nothing, false, []Answer{sole}, v1, ReasonSole},
 		"one version, stale, nobody answers":  {sole, true, nil, Origin{}, ReasonUnsure},
-		"one version, stale, one answers":     {sole, true, []Answer{nothing}, v1, ReasonSole},
+		"one version, stale, one knows":       {sole, true, []Answer{nothing, sole}, v1, ReasonSole},
+		"one version, stale, nobody knows":    {sole, true, []Answer{nothing}, Origin{}, ReasonUnsure},
 		"one version here, several elsewhere": {sole, false, []Answer{several}, Origin{}, ReasonNoRecord},
 		"different only versions":             {sole, false, []Answer{{Sole: "v2"}}, Origin{}, ReasonNoRecord},
 		"several versions":                    {several, false, []Answer{nothing}, Origin{}, ReasonNoRecord},
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -186,7 +186,8 @@
 	g.stages.AwaitLimits(g.limits.AwaitFrom)
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.streams = streams.New(streams.Options{
-		Cluster: g.cluster, Store: store, Gossip: g.cluster.Put, Rank: fleet{g}.Rank, KnowledgeAge: g.follower.TargetsAge, Scope: t.Scope,
+		Cluster: g.cluster, Store: store, Gossip: g.cluster.Put, Rank: fleet{g}.Rank, KnowledgeAge: g.follower.TargetsAge,
+		FirstStart: s.Instance.FirstStart, Scope: t.Scope,
 	})
 	g.buildAccounts()
 	g.relay = relay.New(relay.Options{
--- a/daemon/streams/bench_test.go
+++ b/daemon/streams/bench_test.go
@@ -31,7 +31,7 @@
 
 // BenchmarkKeep decodes and keeps a record of another instance.
 func BenchmarkKeep(b *testing.B) {
-	d := &Directory{history: resumption.NewHistory(time.Now()), table: resumption.NewTable(maxRecords)}
+	d := &Directory{history: resumption.NewHistory(time.Now(), false), table: resumption.NewTable(maxRecords)}
 	for i := range b.N {
 		record := newRecordMessage(resumption.Record{ID: fmt.Sprintf("%016x", i), Origin: resumption.Origin{Service: "baxa93e", Version: "v1.1"}})
 		body, err := msgpack.Marshal(&keepRequest{[]recordMessage{record}})
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -1,6 +1,6 @@
 // Package streams finds out at which software version of its targets a stream goes on that its caller
-// takes up again, at any instance. It keeps the records of streams at a few instances each, and a note of
-// each rollout in the platform's store.
+// takes up again, at any instance. It keeps the records of streams at a few instances each, and the versions
+// of each service in the platform's store.
 package streams
 
 import (
@@ -29,8 +29,8 @@
 	maxRecords = 1 << 16
 	// maxSending limits the records that are being sent.
 	maxSending = 256
-	// tickInterval is the interval at which records are sent to instances that lack them, and notes are
-	// compared with what is known.
+	// tickInterval is the interval at which records are sent to instances that lack them, and what the store
+	// has is compared with what is known.
 	tickInterval = 500 * time.Millisecond
 	// currentAge is the age up to which this instance's knowledge of the targets counts as current.
 	currentAge = 2 * time.Second
@@ -48,6 +48,7 @@
 
 // Store is the part of the platform's store that a Directory uses. platform.Store implements it.
 type Store interface {
+	Get(ctx context.Context, kind, name string) (*platformapi.Object, error)
 	List(ctx context.Context, kind string) (platformapi.List, error)
 	Create(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
 	Update(ctx context.Context, kind string, object platformapi.Object) (*platformapi.Object, error)
@@ -64,7 +65,9 @@
 	Rank func() int
 	// KnowledgeAge returns the age of this instance's knowledge of the targets.
 	KnowledgeAge func() time.Duration
-	Scope        tally.Scope
+	// FirstStart is true if no instance has run before the ones that start now.
+	FirstStart bool
+	Scope      tally.Scope
 }
 
 // Directory knows where streams began.
@@ -73,8 +76,9 @@
 	started time.Time
 	metrics metrics
 	sending chan struct{}
-	// wake has a value when records or notes may have to be sent before the next tick.
-	wake chan struct{}
+	// wake and wakeWriter have a value when records may have to be sent, or versions stored, before the next
+	// tick.
+	wake, wakeWriter chan struct{}
 
 	mu      sync.Mutex
 	history *resumption.History
@@ -84,9 +88,9 @@
 	// changed is true if records may have to be sent to other instances since the last tick.
 	changed bool
 	view    *membership.View
-	notes   notes
-	// notesRead is closed when the notes have been read after the start.
-	notesRead chan struct{}
+	stored  stored
+	// versionsRead is closed when all services' versions have been read after the start.
+	versionsRead chan struct{}
 
 	ownersMu sync.Mutex
 	// owners are the first owners of each key in ownersView, as far as they have been needed.
@@ -112,18 +116,19 @@
 func New(o Options) *Directory {
 	now := time.Now()
 	d := &Directory{
-		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending), wake: make(chan struct{}, 1),
-		history: resumption.NewHistory(now), table: resumption.NewTable(maxRecords),
-		own: map[string]*ownStream{}, notes: newNotes(), notesRead: make(chan struct{}),
+		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending),
+		wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
+		history: resumption.NewHistory(now, o.FirstStart), table: resumption.NewTable(maxRecords),
+		own: map[string]*ownStream{}, stored: newStored(), versionsRead: make(chan struct{}),
 	}
 	o.Cluster.Handle(methodKeep, d.handleKeep, peer.Idempotent())
 	o.Cluster.Handle(methodFind, d.handleFind, peer.Idempotent())
 	return d
 }
 
-// Run keeps records and notes up to date until the context ends.
+// Run keeps records and stored versions up to date until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
-	go d.followNotes(ctx)
+	go d.followVersions(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -133,7 +138,8 @@
 		case <-ticker.C:
 		case <-d.wake:
 		}
-		d.sendAllMissing(time.Now())
+		now := time.Now()
+		d.sendAllMissing(now)
 	}
 }
 
@@ -148,6 +154,7 @@
 	defer d.mu.Unlock()
 	if d.history.SetPresent(now, present) {
 		d.noteChange()
+		wake(d.wakeWriter)
 	}
 }
 
@@ -155,8 +162,13 @@
 // held.
 func (d *Directory) noteChange() {
 	d.changed = true
+	wake(d.wake)
+}
+
+// wake makes a loop that waits for the channel run.
+func wake(waker chan<- struct{}) {
 	select {
-	case d.wake <- struct{}{}:
+	case waker <- struct{}{}:
 	default:
 	}
 }
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -32,9 +32,9 @@
 	checkTimeout = 50 * time.Millisecond
 	// joinTimeout limits the wait of an instance that has just started until it knows another one.
 	joinTimeout = 300 * time.Millisecond
-	// notesTimeout is the time after the start in which the notes are waited for, as long as joinTimeout at most.
-	// After it the store is down, and a wait would only delay the refusal.
-	notesTimeout = 2 * time.Second
+	// readTimeout is the time after the start in which the stored versions are waited for, as long as joinTimeout
+	// at most. After it the store is down, and a wait would only delay the refusal.
+	readTimeout = 2 * time.Second
 	// pageSize is the maximum number of records in a message: some 40 KB.
 	pageSize = 500
 )
@@ -111,7 +111,7 @@
 	l := newLocation(resumption.Locate(service, own, current, answers))
 	if l.Reason == resumption.ReasonUnsure {
 		// An instance may have just started, and the others too, or there is none.
-		d.awaitNotes(join)
+		d.awaitVersions(join)
 		l = newLocation(resumption.Locate(service, d.answer(service, id), current, answers))
 	}
 	l.Asked = len(peers)
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -27,14 +27,16 @@
 type fleet struct {
 	mu    sync.Mutex
 	nodes map[string]*node
-	// notes are the objects in the store, by name; down makes its calls fail.
-	notes    map[string]platformapi.Object
-	revision uint64
-	down     atomic.Bool
-	// listDelay is how long the store takes to list, in nanoseconds.
-	listDelay atomic.Int64
-	calls     int
-	writes    int
+	// stored are the objects in the store, by name; down makes its calls fail, and forbidden its writes.
+	stored          map[string]platformapi.Object
+	revision        uint64
+	down, forbidden atomic.Bool
+	// readDelay and writeDelay are how long the store takes to answer, in nanoseconds.
+	readDelay, writeDelay atomic.Int64
+	calls                 int
+	writes                int
+	refused               int
+	deletions             int
 	// present are the versions of the targets.
 	present []string
 	runs    sync.WaitGroup
@@ -51,28 +53,41 @@
 	// old makes the node one of a version without the methods.
 	old   atomic.Bool
 	stale atomic.Bool
+	// listed are the versions that the instance sees.
+	listed []string
 	// view is the latest view, as it is replaced only when it changes.
 	view *membership.View
 	stop context.CancelFunc
 }
 
+// end ends all instances and waits for the calls that the store still carries out.
+func (f *fleet) end() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	f.runs.Wait()
+	time.Sleep(time.Duration(f.writeDelay.Load()) + time.Minute)
+}
+
+// settleTime is the time after which a fleet that has started has stored the versions.
+const settleTime = createDelay + time.Second
+
 func runFleet(t *testing.T, instances int, play func(f *fleet)) {
 	synctest.Test(t, func(*testing.T) {
-		f := &fleet{nodes: map[string]*node{}, notes: map[string]platformapi.Object{}, present: []string{"v1"}}
+		f := &fleet{nodes: map[string]*node{}, stored: map[string]platformapi.Object{}, present: []string{"v1"}}
 		for n := range instances {
-			f.start(fmt.Sprint("instance-", n))
+			f.startNode(fmt.Sprint("instance-", n), true)
 		}
-		time.Sleep(time.Second)
+		time.Sleep(settleTime)
+		defer f.end()
 		play(f)
-		for _, n := range f.nodes {
-			n.stop()
-		}
-		f.runs.Wait()
 	})
 }
 
 // start starts an instance, or starts it again.
-func (f *fleet) start(name string) *node {
+func (f *fleet) start(name string) *node { return f.startNode(name, false) }
+
+func (f *fleet) startNode(name string, first bool) *node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{
 		fleet: f, handlers: map[string]peer.Handler{}, stop: stop,
@@ -86,7 +101,7 @@
 			}
 			return 0
 		},
-		Scope: tally.NoopScope,
+		FirstStart: first, Scope: tally.NoopScope,
 	})
 	n.list(f.present)
 	f.mu.Lock()
@@ -171,6 +186,17 @@
 
 // list sets the versions of the targets, as one instance sees them.
 func (n *node) list(versions []string) {
+	n.fleet.mu.Lock()
+	n.listed = versions
+	n.fleet.mu.Unlock()
+	n.republish()
+}
+
+// republish passes the targets on once more.
+func (n *node) republish() {
+	n.fleet.mu.Lock()
+	versions := n.listed
+	n.fleet.mu.Unlock()
 	var targets []routes.Target
 	for _, v := range versions {
 		targets = append(targets, routes.Target{Name: "target-" + v, Service: "engine", Version: v})
@@ -213,55 +239,90 @@
 
 var errDown = errors.New("the store is down")
 
+// readable waits as long as a read takes, and returns an error if the store is down.
+func (f *fleet) readable() error {
+	time.Sleep(time.Duration(f.readDelay.Load()))
+	if f.down.Load() {
+		return errDown
+	}
+	return nil
+}
+
 func (f *fleet) List(context.Context, string) (platformapi.List, error) {
-	time.Sleep(time.Duration(f.listDelay.Load()))
+	if err := f.readable(); err != nil {
+		return platformapi.List{}, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down.Load() {
-		return platformapi.List{}, errDown
-	}
 	var list platformapi.List
-	for _, o := range f.notes {
+	for _, o := range f.stored {
 		list.Items = append(list.Items, o)
 	}
 	return list, nil
 }
 
-func (f *fleet) Create(ctx context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
-	f.mu.Lock()
-	_, exists := f.notes[o.Metadata.Name]
-	f.mu.Unlock()
-	if exists {
-		return nil, &platform.ConflictError{}
+func (f *fleet) Get(_ context.Context, _, name string) (*platformapi.Object, error) {
+	if err := f.readable(); err != nil {
+		return nil, err
 	}
-	return f.Update(ctx, kind, o)
-}
-
-func (f *fleet) Update(_ context.Context, _ string, o platformapi.Object) (*platformapi.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down.Load() {
-		return nil, errDown
+	o, ok := f.stored[name]
+	if !ok {
+		return nil, platform.ErrNotFound
 	}
-	f.revision++
-	f.writes++
-	o.Metadata.Revision = f.revision
-	f.notes[o.Metadata.Name] = o
 	return &o, nil
 }
 
-func (f *fleet) Delete(_ context.Context, _, name string, _ uint64) error {
+// write carries out a write whose condition is checked as it takes effect.
+func (f *fleet) write(name string, allowed func(current platformapi.Object, exists bool) bool, apply func()) error {
+	time.Sleep(time.Duration(f.writeDelay.Load()))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down.Load() {
+	switch {
+	case f.down.Load():
 		return errDown
+	case f.forbidden.Load():
+		f.refused++
+		return &platform.CallError{Err: platform.ErrRefused}
+	}
+	current, exists := f.stored[name]
+	if !allowed(current, exists) {
+		if !exists {
+			return &platform.ConflictError{}
+		}
+		return &platform.ConflictError{Current: &current}
 	}
 	f.revision++
 	f.writes++
-	delete(f.notes, name)
+	apply()
 	return nil
 }
 
+func (f *fleet) Create(_ context.Context, _ string, o platformapi.Object) (*platformapi.Object, error) {
+	err := f.write(o.Metadata.Name, func(_ platformapi.Object, exists bool) bool { return !exists }, func() { f.put(&o) })
+	return &o, err
+}
+
+func (f *fleet) Update(_ context.Context, _ string, o platformapi.Object) (*platformapi.Object, error) {
+	err := f.write(o.Metadata.Name, func(current platformapi.Object, exists bool) bool {
+		return exists && current.Metadata.Revision == o.Metadata.Revision
+	}, func() { f.put(&o) })
+	return &o, err
+}
+
+// put stores an object; mu is held.
+func (f *fleet) put(o *platformapi.Object) {
+	o.Metadata.Revision = f.revision
+	f.stored[o.Metadata.Name] = *o
+}
+
+func (f *fleet) Delete(_ context.Context, _, name string, revision uint64) error {
+	return f.write(name, func(current platformapi.Object, exists bool) bool {
+		return exists && (revision == 0 || current.Metadata.Revision == revision)
+	}, func() { delete(f.stored, name); f.deletions++ })
+}
+
 // begin has an instance begin streams and returns their ids.
 func (f *fleet) begin(n *node, version string, count int) []string {
 	var ids []string
@@ -290,11 +351,11 @@
 	return right, wrong, unknown
 }
 
-// settle waits for what is in progress and returns the notes in the store and the number of their
+// settle waits for what is in progress and returns the objects in the store and the number of their
 // writes.
-func (f *fleet) settle() (notes map[string]platformapi.Object, writes int) {
+func (f *fleet) settle() (stored map[string]platformapi.Object, writes int) {
 	synctest.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.notes), f.writes
+	return maps.Clone(f.stored), f.writes
 }
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -110,6 +110,7 @@
 			n := f.nodes["instance-0"]
 			n.cut.Store(true)
 			n.stale.Store(true)
+			f.down.Store(true)
 			return n
 		}, resumption.ReasonUnsure},
 		"all killed in a rollout": {func(f *fleet) *node {
@@ -141,7 +142,7 @@
 // read the notes yet.
 func TestStreamIsTakenUpRightAfterTheStart(t *testing.T) {
 	runFleet(t, 1, func(f *fleet) {
-		f.listDelay.Store(int64(joinTimeout / 3))
+		f.readDelay.Store(int64(joinTimeout / 3))
 		requireTaken(t, f.killAll(), []string{"unknown"}, "v1")
 	})
 }
@@ -149,11 +150,15 @@
 // Guards against streams that aren't taken up although their service has only one version.
 func TestStreamsOfTheOnlyVersionGoOn(t *testing.T) {
 	cases := map[string]func(f *fleet) (at *node){
-		"usual":                        func(f *fleet) *node { return f.nodes["instance-1"] },
-		"all killed":                   func(f *fleet) *node { n := f.killAll(); synctest.Wait(); return n },
-		"just started, store down":     func(f *fleet) *node { f.down.Store(true); return f.start("instance-9") },
-		"old knowledge, others answer": func(f *fleet) *node { f.nodes["instance-1"].stale.Store(true); return f.nodes["instance-1"] },
-		"a peer is frozen":             func(f *fleet) *node { f.nodes["instance-2"].frozen.Store(true); return f.nodes["instance-1"] },
+		"usual":                    func(f *fleet) *node { return f.nodes["instance-1"] },
+		"all killed":               func(f *fleet) *node { n := f.killAll(); synctest.Wait(); return n },
+		"just started, store down": func(f *fleet) *node { f.down.Store(true); return f.start("instance-9") },
+		"old knowledge, others answer": func(f *fleet) *node {
+			f.nodes["instance-1"].stale.Store(true)
+			f.down.Store(true)
+			return f.nodes["instance-1"]
+		},
+		"a peer is frozen": func(f *fleet) *node { f.nodes["instance-2"].frozen.Store(true); return f.nodes["instance-1"] },
 		"peers of an earlier version": func(f *fleet) *node {
 			for _, n := range f.nodes {
 				n.old.Store(true)
@@ -227,28 +232,32 @@
 	})
 }
 
-// Guards against a rollout of which each instance writes a note, or none does since the first one is gone, and
-// against notes that are never removed.
-func TestRolloutIsNotedOnce(t *testing.T) {
+// Guards against versions that each instance writes, or none does since the first one is gone, and against
+// versions that are never taken out.
+func TestVersionsAreStoredOnce(t *testing.T) {
 	runFleet(t, 4, func(f *fleet) {
-		time.Sleep(3 * time.Second)
-		_, writes := f.settle()
-		require.Zero(t, writes)
+		stored, writes := f.settle()
+		require.Len(t, stored, 1)
+		require.JSONEq(t, `{"versions":["v1"],"complete":true}`, string(stored["engine"].Spec))
+		require.Equal(t, 1, writes)
 		f.deploy("v1", "v2")
 		f.kill("instance-0")
 		time.Sleep(3 * time.Second)
-		notes, writes := f.settle()
-		require.Len(t, notes, 1)
-		require.JSONEq(t, `{"versions":["v1","v2"]}`, string(notes["engine"].Spec))
-		require.Equal(t, 1, writes)
+		stored, writes = f.settle()
+		require.Len(t, stored, 1)
+		require.JSONEq(t, `{"versions":["v1","v2"],"complete":true}`, string(stored["engine"].Spec))
+		require.Equal(t, 2, writes)
 		f.deploy("v2")
 		time.Sleep(resumption.Lifetime - 5*time.Second)
-		notes, _ = f.settle()
-		require.Len(t, notes, 1)
+		stored, _ = f.settle()
+		require.JSONEq(t, `{"versions":["v1","v2"],"complete":true}`, string(stored["engine"].Spec))
 		time.Sleep(10 * time.Second)
-		notes, writes = f.settle()
-		require.Empty(t, notes)
-		require.Equal(t, 2, writes)
+		stored, writes = f.settle()
+		require.JSONEq(t, `{"versions":["v2"],"complete":true}`, string(stored["engine"].Spec))
+		require.Equal(t, 3, writes)
+		time.Sleep(resumption.Lifetime)
+		_, writes = f.settle()
+		require.Equal(t, 3, writes)
 	})
 }
 
--- /dev/null
+++ b/daemon/streams/versions.go
@@ -0,0 +1,290 @@
+package streams
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ivyhollow/ivyhollow/coordination/resumption"
+	"github.com/ivyhollow/ivyhollow/coordination/spread"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
+	"github.com/ivyhollow/ivyhollow/telemetry"
+	"github.com/ivyhollow/ivyhollow/transport/platform"
+)
+
+// RecordKind is the kind of the gossiped records of services' versions. A record is named by the service, its
+// body is a platformapi.VersionsEntry, and it is deleted when the service is no longer configured.
+const RecordKind = "service-versions"
+
+const (
+	// rankDelay is how long an instance leaves a due write to each of those that rank before it.
+	rankDelay = 500 * time.Millisecond
+	// missedDelay is after which time an instance that doesn't write reads a record that lacks a version.
+	missedDelay = time.Second
+	// createDelay is how long after the start of an instance a service without a record gets one. By then
+	// the instances that start together know which one ranks first.
+	createDelay = 2 * time.Second
+	// versionsRetryMin and versionsRetryMax limit the delay before a failed read or write is retried.
+	versionsRetryMin = 500 * time.Millisecond
+	versionsRetryMax = 10 * time.Second
+)
+
+// stored is what is known of the records of services' versions in the store. A record lists the versions at
+// which streams that may be taken up can have begun. It is for instances that start after the loss of all.
+type stored struct {
+	// revisions are those of the latest records, by service. That of a deleted record is the last one it had.
+	revisions map[string]uint64
+	// due holds the writes that are due, by service.
+	due map[string]*dueWrite
+}
+
+// dueWrite is a record that differs from the desired one.
+type dueWrite struct {
+	since time.Time
+	// notBefore is when the write is tried again; pause is the limit of the latest delay.
+	notBefore time.Time
+	pause     time.Duration
+}
+
+func newStored() stored {
+	return stored{
+		revisions: map[string]uint64{}, due: map[string]*dueWrite{},
+	}
+}
+
+// followVersions reads the records after the start, and then writes those that are missing or outdated.
+func (d *Directory) followVersions(ctx context.Context) {
+	d.readAllVersions(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-d.wakeWriter:
+		}
+		d.writeVersions(ctx, time.Now())
+	}
+}
+
+// readAllVersions reads all records after the start, until the store has answered.
+func (d *Directory) readAllVersions(ctx context.Context) {
+	pause := versionsRetryMin
+	for ctx.Err() == nil {
+		list, err := d.options.Store.List(ctx, platformapi.KindServiceVersions)
+		if err == nil {
+			for i := range list.Items {
+				d.applyObject(&list.Items[i])
+			}
+			close(d.versionsRead)
+			return
+		}
+		if ctx.Err() == nil {
+			telemetry.ErrorS(err, "Versions of services not read", telemetry.Event{Elapsed: time.Since(d.started)})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, versionsRetryMax)
+	}
+}
+
+// awaitVersions waits until the records have been read after the start, or the context ends. It doesn't wait
+// once readTimeout is over.
+func (d *Directory) awaitVersions(ctx context.Context) {
+	if time.Since(d.started) > readTimeout {
+		return
+	}
+	select {
+	case <-d.versionsRead:
+	case <-ctx.Done():
+	}
+}
+
+// readVersions reads the record of a service.
+func (d *Directory) readVersions(ctx context.Context, service string) error {
+	d.mu.Lock()
+	known := d.stored.revisions[service]
+	d.mu.Unlock()
+	object, err := d.options.Store.Get(ctx, platformapi.KindServiceVersions, service)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		d.applyAbsence(service, known)
+		return nil
+	case err != nil:
+		return err
+	}
+	return d.applyObject(object)
+}
+
+// applyObject applies a record that was read from the store.
+func (d *Directory) applyObject(o *platformapi.Object) error {
+	return d.receive(spread.Record{Kind: RecordKind, Name: o.Metadata.Name, Revision: o.Metadata.Revision, Body: o.Spec})
+}
+
+// Receive applies the record of another instance.
+func (d *Directory) Receive(r spread.Record) { _ = d.receive(r) } // logged
+
+func (d *Directory) receive(r spread.Record) error {
+	var entry platformapi.VersionsEntry
+	if !r.Deleted {
+		if err := json.Unmarshal(r.Body, &entry); err != nil {
+			telemetry.ErrorS(err, "Versions of a service can't be decoded", telemetry.Event{Pool: r.Name, Revision: r.Revision})
+			return errors.Wrap(err, "decode")
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.Deleted {
+		d.apply(r.Name, nil, r.Revision)
+		return nil
+	}
+	d.apply(r.Name, &resumption.Stored{Versions: entry.Versions, Complete: entry.Complete}, r.Revision)
+	return nil
+}
+
+// applyAbsence applies that the store has no record of a service, unless a later one than the given revision
+// is known.
+func (d *Directory) applyAbsence(service string, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stored.revisions[service] == revision {
+		d.apply(service, nil, revision+1)
+	}
+}
+
+// apply applies a record that is newer than the known one; nil if there is none. mu must be held.
+func (d *Directory) apply(service string, record *resumption.Stored, revision uint64) {
+	if revision <= d.stored.revisions[service] {
+		return
+	}
+	d.stored.revisions[service] = revision
+	if !d.history.SetStored(time.Now(), service, record) {
+		return
+	}
+	d.noteChange()
+	count := 0
+	if record != nil {
+		count = len(record.Versions)
+	}
+	telemetry.InfoS("Versions of a service stored", telemetry.Event{Pool: service, Revision: revision, Count: count})
+}
+
+// writeVersions writes the records that differ from the desired ones, if that is this instance's turn. An
+// instance whose turn it isn't reads a record that lacks a version, since it may have missed the write.
+func (d *Directory) writeVersions(ctx context.Context, now time.Time) {
+	rank := d.options.Rank()
+	for service, desired := range d.takeDue(now, rank) {
+		var err error
+		if rank < 0 {
+			err = d.readVersions(ctx, service)
+		} else {
+			err = d.write(ctx, service, desired)
+		}
+		d.recordWrite(service, err)
+	}
+}
+
+// takeDue returns the desired records that have differed from the known ones for long enough, by service.
+func (d *Directory) takeDue(now time.Time, rank int) map[string]*resumption.Stored {
+	current := d.options.KnowledgeAge() <= currentAge
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	due := map[string]*resumption.Stored{}
+	for _, service := range d.history.Services() {
+		desired, known := d.history.Desired(now, service, current), d.history.Stored(service)
+		if desired == known || desired != nil && known != nil && desired.Equal(*known) {
+			delete(d.stored.due, service)
+			continue
+		}
+		w := d.stored.due[service]
+		if w == nil {
+			w = &dueWrite{since: now}
+			d.stored.due[service] = w
+		}
+		wait := time.Duration(max(rank, 0)) * rankDelay
+		if rank < 0 {
+			wait = missedDelay
+		}
+		if now.Sub(w.since) < wait || now.Before(w.notBefore) || known == nil && now.Sub(d.started) < createDelay {
+			continue
+		}
+		due[service] = desired
+	}
+	return due
+}
+
+// recordWrite schedules the next try after a write or, if err is nil, after the read in its place.
+func (d *Directory) recordWrite(service string, err error) {
+	d.mu.Lock()
+	w := d.stored.due[service]
+	if w == nil {
+		d.mu.Unlock()
+		return
+	}
+	pause := w.recordTry(time.Now())
+	d.mu.Unlock()
+	if err != nil {
+		d.metrics.notStored.Inc(1)
+		telemetry.ErrorS(err, "Versions of a service not stored", telemetry.Event{Pool: service, RetryAfter: pause})
+	}
+}
+
+// recordTry doubles the pause and returns the one before the next try.
+func (w *dueWrite) recordTry(now time.Time) time.Duration {
+	w.pause = min(max(2*w.pause, versionsRetryMin), versionsRetryMax)
+	pause := w.pause/2 + rand.N(w.pause/2)
+	w.notBefore = now.Add(pause)
+	return pause
+}
+
+// write writes or deletes the record of a service and tells the other instances. It does so only if the store has
+// the record that is known here; if not, it applies the store's.
+func (d *Directory) write(ctx context.Context, service string, desired *resumption.Stored) error {
+	d.mu.Lock()
+	known := d.stored.revisions[service]
+	exists := d.history.Stored(service) != nil
+	d.mu.Unlock()
+	revision, body, err := d.store(ctx, service, desired, known, exists)
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict) && conflict.Current != nil:
+		return d.applyObject(conflict.Current)
+	case errors.As(err, &conflict), errors.Is(err, platform.ErrNotFound):
+		return d.readVersions(ctx, service)
+	case err != nil:
+		return err
+	}
+	d.mu.Lock()
+	d.apply(service, desired, revision)
+	d.mu.Unlock()
+	d.options.Gossip(spread.Record{Kind: RecordKind, Name: service, Revision: revision, Deleted: desired == nil, Body: body})
+	return nil
+}
+
+func (d *Directory) store(ctx context.Context, service string, desired *resumption.Stored, known uint64, exists bool) (revision uint64, body []byte, err error) {
+	if desired == nil {
+		err = d.options.Store.Delete(ctx, platformapi.KindServiceVersions, service, known)
+		return known + 1, nil, errors.Wrap(err, "delete")
+	}
+	if body, err = json.Marshal(platformapi.VersionsEntry{Versions: desired.Versions, Complete: desired.Complete}); err != nil {
+		return 0, nil, errors.Wrap(err, "encode")
+	}
+	object := platformapi.Object{Metadata: platformapi.Metadata{Name: service}, Spec: body}
+	var written *platformapi.Object
+	if exists {
+		object.Metadata.Revision = known
+		written, err = d.options.Store.Update(ctx, platformapi.KindServiceVersions, object)
+	} else {
+		written, err = d.options.Store.Create(ctx, platformapi.KindServiceVersions, object)
+	}
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "write")
+	}
+	return written.Metadata.Revision, body, nil
+}
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -25,9 +25,9 @@
 	KindDigests   = "digests"
 	// KindOrders holds one object per pool with a desired state.
 	KindOrders = "orders"
-	// KindRollouts has one object per service whose targets have several software versions, or had
-	// within the time in which a stream may be taken up again.
-	KindRollouts = "service-versions"
+	// KindServiceVersions has one object per service whose streams may be taken up again, with the software
+	// versions of its targets.
+	KindServiceVersions = "service-versions"
 )
 
 // RecordKinds are the kinds that operators write.
@@ -186,8 +186,10 @@
 	Lacks []string `json:"lacks,omitempty"`
 }
 
-// RolloutEntry is the spec of an object of KindRollouts, whose name is the service.
-type RolloutEntry struct {
-	// Versions are the software versions, sorted.
+// VersionsEntry is the spec of an object of KindServiceVersions, whose name is the service.
+type VersionsEntry struct {
+	// Versions are the software versions at which streams that may be taken up can have begun, sorted.
 	Versions []string `json:"versions"`
+	// Complete is true if no such stream can have begun at another version.
+	Complete bool `json:"complete,omitempty"`
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -30,6 +30,7 @@
 		{"instance", "data_centre", name(&s.Instance.DataCentre), true},
 		{"instance", "cluster", name(&s.Instance.Cluster), true},
 		{"instance", "capacity", float{&s.Instance.Capacity, 0.001, maxCores}, true},
+		{"instance", "first_start", boolean{&s.Instance.FirstStart}, true},
 
 		{"listen", "callers", address{&s.Listen.Callers}, true},
 		{"listen", "peers", address{&s.Listen.Peers}, true},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,9 @@
 	// instance performs for all are assigned to the instance with the largest
 	// capacity.
 	Capacity float64
+	// FirstStart is true if the whole installation starts for the first time, so that
+	// no instance has served callers before.
+	FirstStart bool
 }
 
 // Listen holds the addresses that the instance listens on, each as IP:port.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,6 +47,7 @@
 data_centre = dc-2
 cluster = c
 capacity = 0.192
+first_start = true
 [listen]
 callers = 10.0.0.1:1
 peers = [fd00::1]:2
@@ -104,7 +105,7 @@
 	got, err := Load(path)
 	require.NoError(t, err)
 	require.Equal(t, Settings{
-		Instance:  Instance{"b", "dc-2", "c", 0.192},
+		Instance:  Instance{"b", "dc-2", "c", 0.192, true},
 		Listen:    Listen{"10.0.0.1:1", "[fd00::1]:2", "0.0.0.0:3", "10.0.0.1:4"},
 		Platform:  Platform{"https://platform:4/base", 5 * time.Millisecond, 2.5, true},
 		Peers:     Peers{[]string{"10.0.0.2:2", "10.0.0.3:2"}, `/c#1\`, "/k", "/a", true},
