Read a service's stored versions before a stream is taken up as the only one

Cause: "one version only" was judged by what the instance had last heard. The others, which knew better, were asked, but were gone; the record in the store was read at the start alone, and its changes came by gossip, which an instance that is cut off or just joins misses.

Ruled out: a shorter limit for the age of the list (the lag is within any limit); a read for each stream (priced).

Change: who takes a stream up without its record reads the service's record then, at most once in 50 ms for all streams together, and waits 100 ms. A read that began after the stream was asked for has every version at which it can have begun. It also spares the questions to other instances where the service has one version.

--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -35,6 +35,8 @@
 	// readTimeout is the time after the start in which the stored versions are waited for, as long as joinTimeout
 	// at most. After it the store is down, and a wait would only delay the refusal.
 	readTimeout = 2 * time.Second
+	// confirmTimeout limits the wait for the store before other instances are asked.
+	confirmTimeout = 100 * time.Millisecond
 	// pageSize is the maximum number of records in a message: some 40 KB.
 	pageSize = 500
 )
@@ -100,8 +102,16 @@
 	}
 	join, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
+	confirmed := false
+	if !own.Found && !own.Several {
+		confirmed = d.awaitConfirmation(ctx, service)
+		own = d.answer(service, id)
+		if confirmed && own.Sole != "" {
+			return newLocation(resumption.Locate(service, own, true, nil))
+		}
+	}
 	d.options.Cluster.AwaitPeer(join)
-	current := d.options.KnowledgeAge() <= currentAge
+	current := confirmed || d.options.KnowledgeAge() <= currentAge
 	n, timeout := copies, checkTimeout
 	if !own.Found && (own.Several || own.Sole == "" || !current) {
 		n, timeout = maxAsked, findTimeout
@@ -118,6 +128,20 @@
 	return l
 }
 
+// awaitConfirmation reads what the store has of a service's versions. It reports whether the store has
+// answered in time.
+func (d *Directory) awaitConfirmation(ctx context.Context, service string) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	c := d.confirm(service)
+	select {
+	case <-c.done:
+		return c.ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func newLocation(origin resumption.Origin, why resumption.Reason, known bool) Location {
 	return Location{Origin: origin, Known: known, Reason: why}
 }
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -158,6 +158,11 @@
 			f.down.Store(true)
 			return f.nodes["instance-1"]
 		},
+		"old knowledge, only the store answers": func(f *fleet) *node {
+			f.nodes["instance-1"].stale.Store(true)
+			f.nodes["instance-1"].cut.Store(true)
+			return f.nodes["instance-1"]
+		},
 		"a peer is frozen": func(f *fleet) *node { f.nodes["instance-2"].frozen.Store(true); return f.nodes["instance-1"] },
 		"peers of an earlier version": func(f *fleet) *node {
 			for _, n := range f.nodes {
--- a/daemon/streams/versions.go
+++ b/daemon/streams/versions.go
@@ -30,6 +30,8 @@
 	// versionsRetryMin and versionsRetryMax limit the delay before a failed read or write is retried.
 	versionsRetryMin = 500 * time.Millisecond
 	versionsRetryMax = 10 * time.Second
+	// confirmInterval is the shortest time between two reads of a service's record for streams that are taken up.
+	confirmInterval = 50 * time.Millisecond
 )
 
 // stored is what is known of the records of services' versions in the store. A record lists the versions at
@@ -39,6 +41,10 @@
 	revisions map[string]uint64
 	// due holds the writes that are due, by service.
 	due map[string]*dueWrite
+	// confirming are the reads for streams that are taken up, by service, and confirmedAt is when the latest
+	// one began or will begin.
+	confirming  map[string]*confirmation
+	confirmedAt map[string]time.Time
 }
 
 // dueWrite is a record that differs from the desired one.
@@ -49,9 +55,17 @@
 	pause     time.Duration
 }
 
+// confirmation is a read of a service's record that has not begun.
+type confirmation struct {
+	// done is closed at its end; ok is true if the store has answered.
+	done chan struct{}
+	ok   bool
+}
+
 func newStored() stored {
 	return stored{
 		revisions: map[string]uint64{}, due: map[string]*dueWrite{},
+		confirming: map[string]*confirmation{}, confirmedAt: map[string]time.Time{},
 	}
 }
 
@@ -106,6 +120,36 @@
 	}
 }
 
+// confirm reads a service's record once the call has begun. The result is true if the store has answered.
+// Concurrent calls share a read.
+func (d *Directory) confirm(service string) *confirmation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.stored.confirming[service]
+	if c == nil {
+		c = &confirmation{done: make(chan struct{})}
+		now := time.Now()
+		delay := max(d.stored.confirmedAt[service].Add(confirmInterval).Sub(now), 0)
+		d.stored.confirming[service], d.stored.confirmedAt[service] = c, now.Add(delay)
+		go d.runConfirmation(service, c, delay)
+	}
+	return c
+}
+
+func (d *Directory) runConfirmation(service string, c *confirmation, delay time.Duration) {
+	time.Sleep(delay)
+	d.mu.Lock()
+	delete(d.stored.confirming, service)
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	err := d.readVersions(ctx, service)
+	if c.ok = err == nil; !c.ok {
+		telemetry.ErrorS(err, "Versions of a service not read", telemetry.Event{Pool: service})
+	}
+	close(c.done)
+}
+
 // readVersions reads the record of a service.
 func (d *Directory) readVersions(ctx context.Context, service string) error {
 	d.mu.Lock()
--- a/daemon/streams/versions_test.go
+++ b/daemon/streams/versions_test.go
@@ -66,6 +66,23 @@
 	})
 }
 
+// Guards against streams that go on at another version at an instance whose list of targets lags, after all
+// instances with their records were lost.
+func TestKeepersLostBesideAListThatLags(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		lagging := f.nodes["instance-0"]
+		lagging.cut.Store(true)
+		for _, name := range f.names()[1:] {
+			f.nodes[name].list([]string{"v1", "v2"})
+		}
+		time.Sleep(2 * rankDelay)
+		ids := f.begin(f.nodes["instance-1"], "v2", streamCount)
+		f.kill(f.names()[1:]...)
+		lagging.cut.Store(false)
+		requireNoneAtAnotherVersion(t, lagging, ids, "v2")
+	})
+}
+
 // Guards against a record of an instance that doesn't know the time before it, taken for one of who does.
 func TestRecordOfAnInstanceThatKnowsNothingBefore(t *testing.T) {
 	runFleet(t, 4, func(f *fleet) {
