Repeat a refused write of versions after ever longer delays

Each call has its price, and only a log line told of it.

Cause: a failed write was tried again at the next tick, whatever the error.

Ruled out: giving up after one refusal (permissions can be mended while the fleet runs).

Change: a failed write is tried again after 0.5 to 10 s, one that is refused for good after 10 s to 5 min, doubled and drawn; streams_versions_not_stored counts them. The same class elsewhere on the platform: the entries of instances are the only other writes; they back off already, and are accepted.

--- a/daemon/streams/versions.go
+++ b/daemon/streams/versions.go
@@ -30,6 +30,9 @@
 	// versionsRetryMin and versionsRetryMax limit the delay before a failed read or write is retried.
 	versionsRetryMin = 500 * time.Millisecond
 	versionsRetryMax = 10 * time.Second
+	// refusedRetryMin and refusedRetryMax do so for a write that the store refuses for good.
+	refusedRetryMin = 10 * time.Second
+	refusedRetryMax = 5 * time.Minute
 	// confirmInterval is the shortest time between two reads of a service's record for streams that are taken up.
 	confirmInterval = 50 * time.Millisecond
 )
@@ -271,7 +274,7 @@
 		d.mu.Unlock()
 		return
 	}
-	pause := w.recordTry(time.Now())
+	pause := w.recordTry(time.Now(), errors.Is(err, platform.ErrRefused))
 	d.mu.Unlock()
 	if err != nil {
 		d.metrics.notStored.Inc(1)
@@ -280,8 +283,12 @@
 }
 
 // recordTry doubles the pause and returns the one before the next try.
-func (w *dueWrite) recordTry(now time.Time) time.Duration {
-	w.pause = min(max(2*w.pause, versionsRetryMin), versionsRetryMax)
+func (w *dueWrite) recordTry(now time.Time, refused bool) time.Duration {
+	shortest, longest := versionsRetryMin, versionsRetryMax
+	if refused {
+		shortest, longest = refusedRetryMin, refusedRetryMax
+	}
+	w.pause = min(max(2*w.pause, shortest), longest)
 	pause := w.pause/2 + rand.N(w.pause/2)
 	w.notBefore = now.Add(pause)
 	return pause
--- a/daemon/streams/versions_test.go
+++ b/daemon/streams/versions_test.go
@@ -100,3 +100,17 @@
 		requireTaken(t, f.loseAll("v2"), []string{"later"}, "v2")
 	})
 }
+
+// Guards against a write that the store refuses for good and that all instances repeat at once and for ever.
+func TestRefusedWritesAreRepeatedLessAndLess(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		f.forbidden.Store(true)
+		f.deploy("v1", "v2")
+		time.Sleep(time.Minute)
+		f.settle()
+		require.LessOrEqual(t, f.refused, 4*4)
+		time.Sleep(time.Hour)
+		f.settle()
+		require.LessOrEqual(t, f.refused, 4*(5+60/2), "at most one each half of refusedRetryMax")
+	})
+}
