Give a version no new work until the store lists it

Cause: streams began at a version as soon as an instance saw a target of it. The write that tells later instances of it followed up to half a second later, and later still where the store is slow.

Evidence: TestAllLostBeforeAVersionIsStored failed on the code before with 40 of 40 streams at the other version (the store takes 1.5 s for a write).

Ruled out: holding the first event of a stream back until the store has answered (each stream of a rollout would wait); no bound for the hold (a store that refuses writes would leave a release without its new targets).

Change: targets of a version that the store's record lacks get no new work for up to 3 s, as long as targets of listed versions serve. The write goes out at once, and the targets are published again as soon as the record is known.

--- a/coordination/resumption/history.go
+++ b/coordination/resumption/history.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxHold is how long a version that the store doesn't list gets no new work while targets of listed versions
+// can do it.
+const MaxHold = 3 * time.Second
+
 // Stored is what the store has of a service's versions, for instances that start after all others were lost.
 type Stored struct {
 	// Versions are the versions at which streams that may be taken up can have begun, sorted.
@@ -176,6 +180,31 @@
 	return &desired
 }
 
+// Held returns the versions of a service that should get no new work yet: a stream that began at a version that the
+// store doesn't list could go on at another one after the loss of all instances. No version is held for longer
+// than MaxHold, while no record is known or while no target has a listed version.
+func (h *History) Held(now time.Time, name string) []string {
+	s := h.services[name]
+	if s == nil || s.stored == nil {
+		return nil
+	}
+	var held []string
+	listed := false
+	for v, since := range s.present {
+		switch {
+		case slices.Contains(s.stored.Versions, v):
+			listed = true
+		case now.Sub(since) < MaxHold:
+			held = append(held, v)
+		}
+	}
+	if !listed {
+		return nil
+	}
+	slices.Sort(held)
+	return held
+}
+
 // Several reports whether a service has, or had within Lifetime, targets of several versions.
 func (h *History) Several(now time.Time, name string) bool { return len(h.known(now, name)) > 1 }
 
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -158,6 +158,24 @@
 	require.Equal(t, complete("v1"), h.Desired(at(Lifetime), "engine", true))
 }
 
+// Guards against new streams at a version that the store doesn't list yet, and against targets that get no work
+// for that.
+func TestUnlistedVersionsAreHeld(t *testing.T) {
+	h := NewHistory(start, true)
+	h.SetPresent(at(0), present("v1", "v2"))
+	require.Empty(t, h.Held(at(0), "engine"), "no record")
+	h.SetStored(at(0), "engine", complete("v1"))
+	require.Equal(t, []string{"v2"}, h.Held(at(0), "engine"))
+	require.Empty(t, h.Held(at(MaxHold), "engine"), "the store accepts nothing")
+	h.SetPresent(at(MaxHold), present("v1", "v3"))
+	require.Equal(t, []string{"v3"}, h.Held(at(MaxHold), "engine"))
+	h.SetPresent(at(MaxHold), present("v3"))
+	require.Empty(t, h.Held(at(MaxHold), "engine"), "no target of another version")
+	h.SetPresent(at(MaxHold), present("v1", "v3"))
+	h.SetStored(at(MaxHold), "engine", complete("v1", "v3"))
+	require.Empty(t, h.Held(at(MaxHold), "engine"))
+}
+
 // Guards against a version that is the only one by a history in which another one was present within the
 // lifetime of a stream.
 func TestSoleVersionIsTheOnlyOneOfTheLifetime(t *testing.T) {
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -438,6 +438,13 @@
 	return true
 }
 
+// Republish publishes the targets once more.
+func (f *Follower) Republish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publishTargets(time.Now())
+}
+
 // publishTargets publishes the targets with the configuration in force; mu is held.
 func (f *Follower) publishTargets(now time.Time) {
 	if table := f.table.Load(); table != nil {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -187,7 +188,7 @@
 	g.blocklist = blocklist.New(g.cluster, quarantine.DefaultConfig(), t.Scope)
 	g.streams = streams.New(streams.Options{
 		Cluster: g.cluster, Store: store, Gossip: g.cluster.Put, Rank: fleet{g}.Rank, KnowledgeAge: g.follower.TargetsAge,
-		FirstStart: s.Instance.FirstStart, Scope: t.Scope,
+		FirstStart: s.Instance.FirstStart, Republish: g.follower.Republish, Scope: t.Scope,
 	})
 	g.buildAccounts()
 	g.relay = relay.New(relay.Options{
@@ -323,9 +324,11 @@
 
 // setTargets passes the usable targets on to the router and to the stages.
 func (g *Gateway) setTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
+	held := g.streams.SetTargets(now, table, usable)
 	names, incarnations := map[string]bool{}, map[string]bool{}
 	services := detour.Targets{}
 	shares := map[string]map[string]float64{}
+	forWork := map[string][]routes.Target{}
 	for name, service := range table.Services {
 		list := make([]routing.Target, 0, len(usable[name]))
 		for _, t := range usable[name] {
@@ -335,6 +338,10 @@
 				shares[name] = map[string]float64{}
 			}
 			shares[name][t.DataCentre] += 1 / float64(len(usable[name]))
+			if slices.Contains(held[name], t.Version) {
+				continue
+			}
+			forWork[name] = append(forWork[name], t)
 			list = append(list, routing.Target{
 				Incarnation: t.Incarnation(), Name: t.Name, Pool: name, Address: t.Address,
 				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots), Memory: service.CacheTokens,
@@ -345,8 +352,7 @@
 			g.router.SetTargets(now, pool, list)
 		}
 	}
-	g.stages.SetTargets(now, table, usable)
-	g.streams.SetTargets(now, table, usable)
+	g.stages.SetTargets(now, table, forWork)
 	g.limits.Forget(func(incarnation string) bool { return incarnations[incarnation] })
 	g.usedNames.Store(&names)
 	g.shares.Store(&shares)
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -67,7 +68,9 @@
 	KnowledgeAge func() time.Duration
 	// FirstStart is true if no instance has run before the ones that start now.
 	FirstStart bool
-	Scope      tally.Scope
+	// Republish has SetTargets called again, since other versions are held; nil if nobody holds any.
+	Republish func()
+	Scope     tally.Scope
 }
 
 // Directory knows where streams began.
@@ -91,6 +94,8 @@
 	stored  stored
 	// versionsRead is closed when all services' versions have been read after the start.
 	versionsRead chan struct{}
+	// held are the versions that the latest SetTargets returned.
+	held map[string][]string
 
 	ownersMu sync.Mutex
 	// owners are the first owners of each key in ownersView, as far as they have been needed.
@@ -140,12 +145,13 @@
 		}
 		now := time.Now()
 		d.sendAllMissing(now)
+		d.republishHeld(now)
 	}
 }
 
 // SetTargets replaces the targets that may receive new work. Only services whose streams may be taken up
-// again are followed.
-func (d *Directory) SetTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) {
+// again are followed. It returns the versions that should get no new work yet, by service.
+func (d *Directory) SetTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) map[string][]string {
 	present := map[string][]string{}
 	for _, service := range table.ResumableServices() {
 		present[service] = versionsOf(usable[service])
@@ -156,6 +162,29 @@
 		d.noteChange()
 		wake(d.wakeWriter)
 	}
+	d.held = d.heldVersions(now)
+	return d.held
+}
+
+// heldVersions returns the versions that should get no new work yet, by service. mu must be held.
+func (d *Directory) heldVersions(now time.Time) map[string][]string {
+	held := map[string][]string{}
+	for _, service := range d.history.Services() {
+		if versions := d.history.Held(now, service); len(versions) > 0 {
+			held[service] = versions
+		}
+	}
+	return held
+}
+
+// republishHeld has the targets published again if other versions are held than when they were published.
+func (d *Directory) republishHeld(now time.Time) {
+	d.mu.Lock()
+	same := maps.EqualFunc(d.heldVersions(now), d.held, slices.Equal)
+	d.mu.Unlock()
+	if !same && d.options.Republish != nil {
+		d.options.Republish()
+	}
 }
 
 // noteChange records that records may have to be sent to other instances, and has them sent soon. mu must be
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -33,10 +33,12 @@
 	down, forbidden atomic.Bool
 	// readDelay and writeDelay are how long the store takes to answer, in nanoseconds.
 	readDelay, writeDelay atomic.Int64
-	calls                 int
-	writes                int
-	refused               int
-	deletions             int
+	// received counts the writes that the store has received, writes those that took effect.
+	received  atomic.Int64
+	calls     int
+	writes    int
+	refused   int
+	deletions int
 	// present are the versions of the targets.
 	present []string
 	runs    sync.WaitGroup
@@ -53,8 +55,9 @@
 	// old makes the node one of a version without the methods.
 	old   atomic.Bool
 	stale atomic.Bool
-	// listed are the versions that the instance sees.
+	// listed are the versions that the instance sees, held those that it holds.
 	listed []string
+	held   atomic.Pointer[[]string]
 	// view is the latest view, as it is replaced only when it changes.
 	view *membership.View
 	stop context.CancelFunc
@@ -101,7 +104,7 @@
 			}
 			return 0
 		},
-		FirstStart: first, Scope: tally.NoopScope,
+		FirstStart: first, Republish: func() { n.republish() }, Scope: tally.NoopScope,
 	})
 	n.list(f.present)
 	f.mu.Lock()
@@ -201,7 +204,8 @@
 	for _, v := range versions {
 		targets = append(targets, routes.Target{Name: "target-" + v, Service: "engine", Version: v})
 	}
-	n.SetTargets(time.Now(), table, map[string][]routes.Target{"engine": targets})
+	held := n.SetTargets(time.Now(), table, map[string][]routes.Target{"engine": targets})["engine"]
+	n.held.Store(&held)
 }
 
 func (n *node) node(address string) *node {
@@ -276,6 +280,7 @@
 
 // write carries out a write whose condition is checked as it takes effect.
 func (f *fleet) write(name string, allowed func(current platformapi.Object, exists bool) bool, apply func()) error {
+	f.received.Add(1)
 	time.Sleep(time.Duration(f.writeDelay.Load()))
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -327,7 +332,7 @@
 func (f *fleet) begin(n *node, version string, count int) []string {
 	var ids []string
 	for i := range count {
-		id := fmt.Sprintf("%s-%d-%d", n.member.Name, time.Now().UnixNano(), i)
+		id := fmt.Sprintf("%s-%s-%d-%d", n.member.Name, version, time.Now().UnixNano(), i)
 		n.Began(id, resumption.Origin{Service: "engine", Version: version})
 		ids = append(ids, id)
 	}
--- a/daemon/streams/versions_test.go
+++ b/daemon/streams/versions_test.go
@@ -1,7 +1,9 @@
 package streams
 
 import (
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -47,19 +49,58 @@
 	}
 }
 
+// Guards against streams that go on at another version because the store had not yet taken the second version when
+// all instances were lost.
+func TestAllLostBeforeAVersionIsStored(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		f.writeDelay.Store(int64(1500 * time.Millisecond))
+		f.deploy("v1", "v2")
+		var ids []string
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range f.nodes {
+				if !n.holds("v2") {
+					ids = append(ids, f.begin(n, "v2", 1)...)
+				}
+			}
+		}
+		requireNoneAtAnotherVersion(t, f.loseAll("v1"), ids, "v2")
+	})
+}
+
+// Guards against a version that gets no work for long after the store has taken it.
+func TestStoredVersionsGetWork(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		f.deploy("v1", "v2")
+		synctest.Wait()
+		for name, n := range f.nodes {
+			require.False(t, n.holds("v2"), name)
+		}
+		f.writeDelay.Store(int64(time.Minute))
+		f.deploy("v1", "v2", "v3")
+		time.Sleep(resumption.MaxHold + tickInterval)
+		for name, n := range f.nodes {
+			require.False(t, n.holds("v3"), name)
+		}
+	})
+}
+
 // Guards against a version that another instance has added and that a late write takes out again.
 func TestLateWriteTakesNoVersionOut(t *testing.T) {
 	runFleet(t, 2, func(f *fleet) {
 		f.deploy("v1", "v2")
 		synctest.Wait()
 		f.deploy("v2")
-		time.Sleep(resumption.Lifetime - tickInterval)
+		time.Sleep(resumption.Lifetime - 2*tickInterval)
 		f.writeDelay.Store(int64(3 * time.Second))
-		time.Sleep(2 * tickInterval) // the first instance takes v1 out, slowly
+		for received := f.received.Load(); f.received.Load() == received; {
+			time.Sleep(time.Millisecond) // until the first instance takes v1 out, slowly
+		}
 		f.writeDelay.Store(0)
 		second := f.nodes["instance-1"]
 		second.list([]string{"v2", "v3"})
 		time.Sleep(2*rankDelay + tickInterval)
+		require.False(t, second.holds("v3"))
 		ids := f.begin(second, "v3", streamCount)
 		time.Sleep(3 * time.Second)
 		requireNoneAtAnotherVersion(t, f.loseAll("v2"), ids, "v3")
@@ -76,6 +117,7 @@
 			f.nodes[name].list([]string{"v1", "v2"})
 		}
 		time.Sleep(2 * rankDelay)
+		require.False(t, f.nodes["instance-1"].holds("v2"))
 		ids := f.begin(f.nodes["instance-1"], "v2", streamCount)
 		f.kill(f.names()[1:]...)
 		lagging.cut.Store(false)
@@ -114,3 +156,129 @@
 		require.LessOrEqual(t, f.refused, 4*(5+60/2), "at most one each half of refusedRetryMax")
 	})
 }
+
+// Guards against streams of two versions in drawn series of losses, releases, lags and slow writes.
+func TestNoDrawnSeriesJoinsTwoVersions(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runFleet(t, 4, func(f *fleet) { newDrawnSeries(t, f, seed).play() })
+		})
+	}
+}
+
+// drawnSeries plays events that are drawn from a seed, while streams begin and are taken up.
+type drawnSeries struct {
+	t      *testing.T
+	f      *fleet
+	random *rand.Rand
+	// begun holds the streams that may be taken up, by version.
+	begun map[string][]string
+	taken int
+	// started counts the instances that were added.
+	started int
+}
+
+func newDrawnSeries(t *testing.T, f *fleet, seed uint64) *drawnSeries {
+	return &drawnSeries{t: t, f: f, random: rand.New(rand.NewPCG(seed, 70)), begun: map[string][]string{}}
+}
+
+func (s *drawnSeries) play() {
+	for range 60 {
+		s.disturb()
+		s.use()
+		time.Sleep(time.Duration(s.random.Int64N(int64(2 * time.Second))))
+		s.use()
+	}
+	require.NotZero(s.t, s.taken)
+}
+
+// drawVersions returns one or two versions.
+func (s *drawnSeries) drawVersions() []string {
+	versions := []string{"v1", "v2", "v3"}
+	s.random.Shuffle(len(versions), func(i, j int) { versions[i], versions[j] = versions[j], versions[i] })
+	return versions[:1+s.random.IntN(2)]
+}
+
+func (s *drawnSeries) disturb() {
+	names := s.f.names()
+	someone := names[s.random.IntN(len(names))]
+	switch s.random.IntN(9) {
+	case 0, 1:
+		s.f.deploy(s.drawVersions()...)
+	case 2: // one instance's list is ahead
+		s.f.nodes[someone].list(s.drawVersions())
+		time.Sleep(time.Duration(s.random.Int64N(int64(time.Second))))
+		s.f.deploy(s.f.nodes[someone].listed...)
+	case 3: // one instance's list lags
+		before := s.f.nodes[someone].listed
+		s.f.deploy(s.drawVersions()...)
+		s.f.nodes[someone].list(before)
+		s.use()
+		s.f.nodes[someone].list(s.f.present)
+	case 4:
+		s.f.kill(someone)
+	case 5:
+		s.f.loseAll(s.drawVersions()...)
+		s.use()
+	case 6:
+		if len(names) < 4 {
+			s.started++
+			s.f.start(fmt.Sprint("instance-", 10+s.started))
+		}
+	case 7:
+		s.f.writeDelay.Store(s.random.Int64N(int64(time.Second)))
+	case 8:
+		s.f.readDelay.Store(s.random.Int64N(int64(2 * confirmTimeout)))
+	}
+	if s.random.IntN(10) == 0 {
+		s.loseBesideNewVersion()
+	}
+	if len(s.f.names()) == 0 {
+		s.f.start("instance-0")
+	}
+}
+
+// loseBesideNewVersion has all instances lost while a version appears for a moment.
+func (s *drawnSeries) loseBesideNewVersion() {
+	before := s.f.present
+	s.f.deploy(append([]string{"v4"}, before...)...)
+	time.Sleep(time.Duration(s.random.Int64N(int64(time.Second))))
+	s.begin()
+	s.f.loseAll(before...)
+	s.use()
+}
+
+// use begins streams and takes all earlier ones up once.
+func (s *drawnSeries) use() {
+	s.begin()
+	s.takeUp()
+}
+
+// begin begins streams at versions that are present and not held.
+func (s *drawnSeries) begin() {
+	for _, name := range s.f.names() {
+		n := s.f.nodes[name]
+		for _, version := range n.listed {
+			if !n.holds(version) {
+				s.begun[version] = append(s.begun[version], s.f.begin(n, version, 1)...)
+			}
+		}
+	}
+}
+
+func (s *drawnSeries) takeUp() {
+	names := s.f.names()
+	for version, ids := range s.begun {
+		s.begun[version] = nil
+		n := s.f.nodes[names[s.random.IntN(len(names))]]
+		right, wrong, unknown := taken(n, ids, version)
+		require.Zero(s.t, wrong, "of %s at %s, %d unknown", version, n.member.Name, unknown)
+		s.taken += right
+	}
+}
+
+// holds reports whether an instance gives no new work to a version.
+func (n *node) holds(version string) bool {
+	held := n.held.Load()
+	return held != nil && slices.Contains(*held, version)
+}
