Let targets of the soak repeat refusals on their connections

Drawn series of faults, stops and cuts had none: whether a target can send such a duplicate depends on what the connection has carried.

Ruled out: drawing it like other faults, by seed and request alone (on a new connection it would be what no target of the platform does).

The soak injects it where a connection has carried a refusal and the request would meet no fault. The draws are as before.

--- a/testkit/soak/injector.go
+++ b/testkit/soak/injector.go
@@ -49,10 +49,15 @@
 	oneIn int
 	// injected holds, by request id, the faults that each request met at targets, in order.
 	injected map[string][]standin.Fault
+	// refusedOn holds the connections that have carried a refusal that the target has not repeated.
+	refusedOn map[targetConnection]bool
 }
 
+// targetConnection identifies a connection of a target.
+type targetConnection struct{ target, connection string }
+
 func newFaultInjector(seed uint64) *faultInjector {
-	return &faultInjector{seed: seed, targetFaults: map[string]func() standin.Fault{}, injected: map[string][]standin.Fault{}}
+	return &faultInjector{seed: seed, targetFaults: map[string]func() standin.Fault{}, injected: map[string][]standin.Fault{}, refusedOn: map[targetConnection]bool{}}
 }
 
 // nextFault returns the fault with which a target serves a request.
@@ -73,6 +78,25 @@
 	return fault
 }
 
+// nextFaultOnConnection returns the fault of nextFault. If there is none and the connection has carried a
+// refusal, the target repeats it.
+func (f *faultInjector) nextFaultOnConnection(target string, a standin.Arrival) standin.Fault {
+	fault := f.nextFault(target, a)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := targetConnection{target, a.Connection}
+	switch {
+	case fault == standin.Full, fault == standin.InputsMissing:
+		f.refusedOn[c] = true
+	case fault == standin.NoFault && f.refusedOn[c] && !isCrashRequest(a):
+		delete(f.refusedOn, c)
+		fault = standin.RepeatsRefusal
+		injected := f.injected[a.ID]
+		injected[len(injected)-1] = fault
+	}
+	return fault
+}
+
 // sample chooses the fault that a request meets at its next target, after the given number of
 // other targets. At a given rate the choice depends only on the seed and the request, not on
 // the order in which requests arrive.
--- a/testkit/soak/injector_test.go
+++ b/testkit/soak/injector_test.go
@@ -35,6 +35,22 @@
 	}
 }
 
+// TestRefusalsAreRepeated prevents a soak in which no target repeats a refusal on the connection that carried it.
+func TestRefusalsAreRepeated(t *testing.T) {
+	for _, refusal := range []standin.Fault{standin.Full, standin.InputsMissing} {
+		c := newFaultInjector(1)
+		next := func(connection string) standin.Fault {
+			return c.nextFaultOnConnection("engine-1", standin.Arrival{ID: "1", Connection: connection})
+		}
+		end := c.injectAt("engine-1", func() standin.Fault { return refusal })
+		require.Equal(t, refusal, next("a"))
+		end()
+		require.Equal(t, standin.NoFault, next("b"))
+		require.Equal(t, standin.RepeatsRefusal, next("a"))
+		require.Equal(t, standin.NoFault, next("a"))
+	}
+}
+
 // TestFaultsDependOnSeedAndRequestOnly prevents a seed whose requests meet other faults
 // whenever they arrive in another order.
 func TestFaultsDependOnSeedAndRequestOnly(t *testing.T) {
--- a/testkit/soak/targets.go
+++ b/testkit/soak/targets.go
@@ -45,7 +45,7 @@
 	if tb.options.Accounts {
 		makeScarce(t)
 	}
-	t.SetFaults(func(a standin.Arrival) standin.Fault { return tb.injector.nextFault(name, a) })
+	t.SetFaults(func(a standin.Arrival) standin.Fault { return tb.injector.nextFaultOnConnection(name, a) })
 	path, err := relay.Start("127.0.0.1:0", t.Address())
 	if err != nil {
 		return err
