Read the versions of all services at once when streams are taken up

Cause: who takes a stream up without a record reads its service's record in the store, at most once in 50 ms a service. Where a large event breaks streams of many services, an instance would make 20 reads a second for each of them: with six services 120 of the 100 reads that its budget allows by default, and at 440 instances 53,000 a second, where the platform of the large deployment serves 16,000. Its other calls, which keep its entry and its configuration, would wait behind these.

Ruled out: one interval for all services with a read each (the sixth service would wait 300 ms, where streams wait 100); longer intervals (a read must begin after the stream was asked for).

Change: the reads are shared by all services, as one list of the kind, which holds a few records of some 100 bytes. A record that is not in a complete list is known not to exist at the list's revision. If some record can't be decoded, only what was read counts. The read at the start is the same function, and the two log lines are one.

For a service alone the number of calls is as before.

--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -133,10 +133,10 @@
 func (d *Directory) awaitConfirmation(ctx context.Context, service string) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	c := d.confirm(service)
+	c := d.confirm()
 	select {
 	case <-c.done:
-		return c.ok
+		return c.contents.covers(service)
 	case <-ctx.Done():
 		return false
 	}
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -35,9 +35,11 @@
 	readDelay, writeDelay atomic.Int64
 	// received counts the writes that the store has received, writes those that took effect.
 	received atomic.Int64
-	calls    int
-	writes   int
-	refused  int
+	// reads counts the reads that the store has received.
+	reads   atomic.Int64
+	calls   int
+	writes  int
+	refused int
 	// present are the versions of the targets.
 	present []string
 	runs    sync.WaitGroup
@@ -244,6 +246,7 @@
 
 // readable waits as long as a read takes, and returns an error if the store is down.
 func (f *fleet) readable() error {
+	f.reads.Add(1)
 	time.Sleep(time.Duration(f.readDelay.Load()))
 	if f.down.Load() {
 		return errDown
@@ -257,7 +260,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list platformapi.List
+	list := platformapi.List{Revision: f.revision}
 	for _, o := range f.stored {
 		list.Items = append(list.Items, o)
 	}
--- a/daemon/streams/versions.go
+++ b/daemon/streams/versions.go
@@ -33,7 +33,7 @@
 	// refusedRetryMin and refusedRetryMax do so for a write that the store refuses for good.
 	refusedRetryMin = 10 * time.Second
 	refusedRetryMax = 5 * time.Minute
-	// confirmInterval is the shortest time between two reads of a service's record for streams that are taken up.
+	// confirmInterval is the shortest time between two reads of the records for streams that are taken up.
 	confirmInterval = 50 * time.Millisecond
 )
 
@@ -44,10 +44,10 @@
 	revisions map[string]uint64
 	// due holds the writes that are due, by service.
 	due map[string]*dueWrite
-	// confirming are the reads for streams that are taken up, by service, and confirmedAt is when the latest
+	// confirming is the read for streams that are taken up, nil if none is due, and confirmedAt is when the latest
 	// one began or will begin.
-	confirming  map[string]*confirmation
-	confirmedAt map[string]time.Time
+	confirming  *confirmation
+	confirmedAt time.Time
 }
 
 // dueWrite is a record that differs from the desired one.
@@ -58,18 +58,27 @@
 	pause     time.Duration
 }
 
-// confirmation is a read of a service's record that has not begun.
+// confirmation is a read of the records of all services that has not begun.
 type confirmation struct {
-	// done is closed at its end; ok is true if the store has answered.
-	done chan struct{}
-	ok   bool
+	// done is closed at its end; contents is then what was read, nil if the store has not answered.
+	done     chan struct{}
+	contents *contents
+}
+
+// contents are the records that the store had when they were read.
+type contents struct {
+	readable map[string]bool
+	// complete is false if some record couldn't be decoded.
+	complete bool
+}
+
+// covers reports whether it is known which record the store had of a service, or that it had none.
+func (c *contents) covers(service string) bool {
+	return c != nil && (c.complete || c.readable[service])
 }
 
 func newStored() stored {
-	return stored{
-		revisions: map[string]uint64{}, due: map[string]*dueWrite{},
-		confirming: map[string]*confirmation{}, confirmedAt: map[string]time.Time{},
-	}
+	return stored{revisions: map[string]uint64{}, due: map[string]*dueWrite{}}
 }
 
 // followVersions reads the records after the start, and then writes those that are missing or outdated.
@@ -92,11 +101,8 @@
 func (d *Directory) readAllVersions(ctx context.Context) {
 	pause := versionsRetryMin
 	for ctx.Err() == nil {
-		list, err := d.options.Store.List(ctx, platformapi.KindServiceVersions)
+		_, err := d.readContents(ctx)
 		if err == nil {
-			for i := range list.Items {
-				d.applyObject(&list.Items[i])
-			}
 			close(d.versionsRead)
 			return
 		}
@@ -123,36 +129,67 @@
 	}
 }
 
-// confirm reads a service's record once the call has begun. The result is true if the store has answered.
-// Concurrent calls share a read.
-func (d *Directory) confirm(service string) *confirmation {
+// confirm reads the records once the call has begun. Concurrent calls share a read, whatever the service, so
+// that the rate of reads doesn't grow with the number of streams or services.
+func (d *Directory) confirm() *confirmation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.stored.confirming[service]
+	c := d.stored.confirming
 	if c == nil {
 		c = &confirmation{done: make(chan struct{})}
 		now := time.Now()
-		delay := max(d.stored.confirmedAt[service].Add(confirmInterval).Sub(now), 0)
-		d.stored.confirming[service], d.stored.confirmedAt[service] = c, now.Add(delay)
-		go d.runConfirmation(service, c, delay)
+		delay := max(d.stored.confirmedAt.Add(confirmInterval).Sub(now), 0)
+		d.stored.confirming, d.stored.confirmedAt = c, now.Add(delay)
+		go d.runConfirmation(c, delay)
 	}
 	return c
 }
 
-func (d *Directory) runConfirmation(service string, c *confirmation, delay time.Duration) {
+func (d *Directory) runConfirmation(c *confirmation, delay time.Duration) {
 	time.Sleep(delay)
 	d.mu.Lock()
-	delete(d.stored.confirming, service)
+	d.stored.confirming = nil
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
-	err := d.readVersions(ctx, service)
-	if c.ok = err == nil; !c.ok {
-		telemetry.ErrorS(err, "Versions of a service not read", telemetry.Event{Pool: service})
+	var err error
+	if c.contents, err = d.readContents(ctx); err != nil {
+		telemetry.ErrorS(err, "Versions of services not read", telemetry.Event{Elapsed: time.Since(d.started)})
 	}
 	close(c.done)
 }
 
+// readContents reads the records of all services.
+func (d *Directory) readContents(ctx context.Context) (*contents, error) {
+	list, err := d.options.Store.List(ctx, platformapi.KindServiceVersions)
+	if err != nil {
+		return nil, errors.Wrap(err, "list versions of services")
+	}
+	c := &contents{readable: map[string]bool{}, complete: list.Unreadable == 0}
+	for i := range list.Items {
+		if d.applyObject(&list.Items[i]) != nil {
+			c.complete = false
+			continue
+		}
+		c.readable[list.Items[i].Metadata.Name] = true
+	}
+	if c.complete {
+		d.applyAbsences(c.readable, list.Revision)
+	}
+	return c, nil
+}
+
+// applyAbsences applies that the store had no records but the present ones at a revision.
+func (d *Directory) applyAbsences(present map[string]bool, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service := range d.stored.revisions {
+		if !present[service] {
+			d.apply(service, nil, revision)
+		}
+	}
+}
+
 // readVersions reads the record of a service.
 func (d *Directory) readVersions(ctx context.Context, service string) error {
 	d.mu.Lock()
--- a/daemon/streams/versions_test.go
+++ b/daemon/streams/versions_test.go
@@ -1,6 +1,7 @@
 package streams
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ivyhollow/ivyhollow/coordination/resumption"
+	"github.com/ivyhollow/ivyhollow/protocol/platformapi"
 )
 
 // loseAll ends all instances, replaces the versions of the targets and starts one instance.
@@ -155,6 +157,38 @@
 	})
 }
 
+// Guards against reads of the store that grow with the number of services whose streams are taken up at once.
+func TestStreamsOfManyServicesShareReads(t *testing.T) {
+	runFleet(t, 1, func(f *fleet) {
+		n, before := f.nodes["instance-0"], f.reads.Load()
+		const span = time.Second
+		for range span / (10 * time.Millisecond) {
+			for service := range 8 {
+				go n.Find(context.Background(), fmt.Sprint("service-", service), "stream")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, f.reads.Load()-before, int64(span/confirmInterval)+2)
+	})
+}
+
+// Guards against a service whose record can't be decoded, taken for one without a record.
+func TestUnreadableRecordIsNotTakenForNone(t *testing.T) {
+	runFleet(t, 1, func(f *fleet) {
+		d := f.nodes["instance-0"].Directory
+		confirmed := func(service string) bool { return d.awaitConfirmation(context.Background(), service) }
+		require.True(t, confirmed("engine"))
+		require.True(t, confirmed("without-a-record"))
+		f.mu.Lock()
+		f.stored["unreadable"] = platformapi.Object{Metadata: platformapi.Metadata{Name: "unreadable", Revision: f.revision}, Spec: []byte("{")}
+		f.mu.Unlock()
+		require.True(t, confirmed("engine"))
+		require.False(t, confirmed("unreadable"))
+		require.False(t, confirmed("without-a-record"))
+	})
+}
+
 // Guards against streams of two versions in drawn series of losses, releases, lags and slow writes.
 func TestNoDrawnSeriesJoinsTwoVersions(t *testing.T) {
 	for seed := range uint64(100) {
