Keep the service label of stage metrics

Cause: stages_binding, stages_call_pieces and stages_call_max_pieces set the label "service", stages_reservations "event". Neither is in telemetry's list of bounded labels, so they were dropped and the series of all services were one (the gauge that of the last one that was set). No other metric sets a label that the list lacks: all calls of Tagged were read.

Ruled out: "pool" for the service (OPERATIONS names "service" for these metrics); another entry in the list for "event" ("outcome" says the same).

Reservations are counted by "outcome".

--- a/daemon/stages/metrics.go
+++ b/daemon/stages/metrics.go
@@ -97,9 +97,9 @@
 
 // reservations counts reservations for callers' retries by what became of them.
 func (m metrics) reservations(c gather.ReservationCounts) {
-	for event, n := range map[string]int{"given": c.Given, "used": c.Used, "expired": c.Expired} {
+	for outcome, n := range map[string]int{"given": c.Given, "used": c.Used, "expired": c.Expired} {
 		if n > 0 {
-			m.scope.Tagged(map[string]string{"event": event}).Counter("reservations").Inc(int64(n))
+			m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("reservations").Inc(int64(n))
 		}
 	}
 }
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -15,7 +15,7 @@
 // would be a time series that is never removed.
 var allowedLabels = []string{
 	"pipeline", "stage", "tier", "pool", "result", "outcome", "reason", "kind",
-	"operation", "state", "role", "code", "step", "verdict", "rank",
+	"operation", "state", "role", "code", "step", "verdict", "rank", "service",
 }
 
 var errUnknownLabel = errors.New("not in the list of bounded labels")
