--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -83,6 +83,9 @@
 // Instance is one process of the project, as on a machine of its own.
 type Instance struct {
 	Name, Callers, Ready string
+	// Address is where clients reach the machine: Callers, or the other end of its Link.
+	Address string
+	Link    *Link
 
 	bed                   *Bed
 	zone, ip, peers, path string
@@ -114,6 +117,7 @@
 			}
 		}
 		in.Callers, in.Ready, in.peers = fmt.Sprintf("%s:%d", in.ip, ports[0]), fmt.Sprintf("%s:%d", in.ip, ports[1]), fmt.Sprint(ports[2])
+		in.Address = in.Callers
 		in.path = filepath.Join(b.dir, in.Name+".ini")
 		var err error
 		if in.log, err = os.Create(filepath.Join(b.dir, in.Name+".log")); err != nil {
--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -40,7 +40,7 @@
 }
 
 func request(ctx context.Context, in *Instance, method, path, id string, deadline time.Duration, body string, header map[string]string) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+in.Callers+path, bytes.NewReader([]byte(body)))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+in.Address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return nil, err
 	}
