--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,19 +1,19 @@
-// Command 7 shows what becomes of the streams of a machine that is lost shortly before a server of another software
-// version joins their service.
+// Command 7 shows what becomes of the streams of a machine that is killed some seconds after a version of the
+// configuration has moved their route to another service. All servers have one software version.
 package main
 
 import (
 	"fmt"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/review/bed2"
 )
 
 const (
-	service  = "chat"
+	before   = "chat-a"
+	service  = "chat-b"
 	machines = 7
 	// taken is the number of streams at the machine that is lost, others that at each other machine.
 	taken, others = 20, 2
@@ -23,28 +23,34 @@
 	// gap is the longest of two seconds, four times the objective and eight times the pause of the route.
 	gap     = 4 * time.Second
 	retries = 3
-	// dark is how long the machine has no power.
-	dark = 3500 * time.Millisecond
+	// moved is the time from the move of the route to the streams, down how long the machine is down.
+	moved = 5 * time.Second
+	down  = 3500 * time.Millisecond
 )
 
-var route = bed2.Route{
-	Name: "chat", Prefix: "/chat/", Kind: "streaming", Service: service,
-	Objective: 1000, Timeout: 20000, Gap: 300, MaxAttempts: 2, Resumable: true,
+func route(service string) bed2.Route {
+	return bed2.Route{
+		Name: "chat", Prefix: "/chat/", Kind: "streaming", Service: service,
+		Objective: 1000, Timeout: 20000, Gap: 300, MaxAttempts: 2, Resumable: true,
+	}
 }
 
 func main() { bed2.Main(run) }
 
 func run(b *bed2.Bed) (broken bool, err error) {
-	for i := range 4 {
-		if _, err := b.AddWorker(fmt.Sprintf("i-1%d", i), service, fmt.Sprintf("zone-%d", i%3+1), "v1", bed2.StreamEvents(events, pause)); err != nil {
+	for i := range 6 {
+		if _, err := b.AddWorker(fmt.Sprintf("i-1%d", i), []string{before, service}[i%2], fmt.Sprintf("zone-%d", i/2+1), "v1", bed2.StreamEvents(events, pause)); err != nil {
 			return false, err
 		}
 	}
-	b.Configure(1, []string{service}, route)
+	b.Configure(1, []string{before, service}, route(before))
 	if err := b.AddInstances(machines); err != nil {
 		return false, err
 	}
 	time.Sleep(8 * time.Second) // the start is long over
+	b.Configure(2, []string{before, service}, route(service))
+	b.Logf("version 2 of the configuration moves the route from %s to %s", before, service)
+	time.Sleep(moved)
 	lost := b.Instances[2]
 	var streams []*bed2.Stream
 	var kept []*bed2.Stream
@@ -60,24 +66,14 @@
 	}
 	time.Sleep(2 * time.Second)
 	if b.Trouble {
-		b.Logf("%s loses power", lost.Name)
-		lost.Signal(syscall.SIGSTOP)
-		time.AfterFunc(dark, func() {
-			lost.Kill()
-			b.Logf("%s has power again: %v", lost.Name, lost.Start(false))
-		})
+		b.Logf("%s is killed", lost.Name)
+		lost.Kill()
+		time.AfterFunc(down, func() { b.Logf("%s is started again: %v", lost.Name, lost.Start(false)) })
 	} else {
-		time.AfterFunc(dark, func() {
-			for _, s := range streams {
-				s.Leave() // the clients leave, as they do beside the machine that is lost
-			}
-		})
-	}
-	time.Sleep(time.Second)
-	if _, err := b.AddWorker("i-20", service, "zone-2", "v2", bed2.StreamEvents(events, pause)); err != nil {
-		return false, err
+		for _, s := range streams {
+			s.Leave() // the clients leave, as they do if the machine is killed
+		}
 	}
-	b.Logf("a server of version v2 joins four of v1")
 	var newOnes []*bed2.Stream
 	var wg sync.WaitGroup
 	goOn, mixed := 0, 0
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,10 +1,12 @@
-// Command 8 shows what becomes of streams if all machines lose power while a service has two software versions.
+// Command 8 shows what becomes of the streams of a machine that is lost shortly before a server of another software
+// version joins their service.
 package main
 
 import (
 	"fmt"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/review/bed2"
@@ -12,29 +14,29 @@
 
 const (
 	service  = "chat"
-	machines = 3
-	streams  = 24
-	events   = 120
-	pause    = 150 * time.Millisecond
-	deadline = 20 * time.Second
+	machines = 7
+	// taken is the number of streams at the machine that is lost, others that at each other machine.
+	taken, others = 20, 2
+	events        = 110
+	pause         = 150 * time.Millisecond
+	deadline      = 20 * time.Second
 	// gap is the longest of two seconds, four times the objective and eight times the pause of the route.
-	gap     = 5600 * time.Millisecond
+	gap     = 4 * time.Second
 	retries = 3
-	// dark is how long all machines have no power, contact is contact_ms.
-	dark    = 1500 * time.Millisecond
-	contact = 3 * time.Second
+	// dark is how long the machine has no power.
+	dark = 3500 * time.Millisecond
 )
 
 var route = bed2.Route{
 	Name: "chat", Prefix: "/chat/", Kind: "streaming", Service: service,
-	Objective: 1400, Timeout: 20000, Gap: 300, MaxAttempts: 2, Resumable: true,
+	Objective: 1000, Timeout: 20000, Gap: 300, MaxAttempts: 2, Resumable: true,
 }
 
 func main() { bed2.Main(run) }
 
 func run(b *bed2.Bed) (broken bool, err error) {
-	for i := range 6 {
-		if _, err := b.AddWorker(fmt.Sprintf("i-1%d", i), service, fmt.Sprintf("zone-%d", i/2+1), fmt.Sprint("v", i%2+1), bed2.StreamEvents(events, pause)); err != nil {
+	for i := range 4 {
+		if _, err := b.AddWorker(fmt.Sprintf("i-1%d", i), service, fmt.Sprintf("zone-%d", i%3+1), "v1", bed2.StreamEvents(events, pause)); err != nil {
 			return false, err
 		}
 	}
@@ -42,57 +44,50 @@
 	if err := b.AddInstances(machines); err != nil {
 		return false, err
 	}
-	for _, in := range b.Instances {
-		if err := in.AddLink(); err != nil {
-			return false, err
-		}
+	time.Sleep(8 * time.Second) // the start is long over
+	lost := b.Instances[2]
+	var streams []*bed2.Stream
+	var kept []*bed2.Stream
+	for n := range taken {
+		streams = append(streams, open(lost, prompt(n), nil))
 	}
-	time.Sleep(6 * time.Second)
-	var all []*bed2.Stream
-	for n := range streams {
-		all = append(all, open(b.Instances[n%machines], n, nil))
+	for i, in := range b.Instances {
+		for n := range others {
+			if in != lost {
+				kept = append(kept, open(in, fmt.Sprint("other prompt ", i, n), nil))
+			}
+		}
 	}
 	time.Sleep(2 * time.Second)
-	var startedAt time.Time
 	if b.Trouble {
-		b.Logf("all machines lose power")
-		for _, in := range b.Instances {
-			in.Link.SetDark(true)
-		}
-		for _, in := range b.Instances {
-			in.Kill()
-		}
-		time.Sleep(dark)
-		startedAt = time.Now()
-		for _, in := range b.Instances {
-			if err := in.Start(false); err != nil {
-				return false, err
-			}
-			in.Link.SetDark(false)
-		}
-		if err := b.AwaitReady(10 * time.Second); err != nil {
-			return false, err
-		}
-		b.Logf("all machines run again")
+		b.Logf("%s loses power", lost.Name)
+		lost.Signal(syscall.SIGSTOP)
+		time.AfterFunc(dark, func() {
+			lost.Kill()
+			b.Logf("%s has power again: %v", lost.Name, lost.Start(false))
+		})
 	} else {
-		time.AfterFunc(gap, func() {
-			for _, s := range all {
-				s.Leave() // the clients leave, as they do if the machines are lost
+		time.AfterFunc(dark, func() {
+			for _, s := range streams {
+				s.Leave() // the clients leave, as they do beside the machine that is lost
 			}
 		})
 	}
-	var mu sync.Mutex
+	time.Sleep(time.Second)
+	if _, err := b.AddWorker("i-20", service, "zone-2", "v2", bed2.StreamEvents(events, pause)); err != nil {
+		return false, err
+	}
+	b.Logf("a server of version v2 joins four of v1")
+	var newOnes []*bed2.Stream
 	var wg sync.WaitGroup
-	taken, goOn, mixed := 0, 0, 0
-	for n, s := range all {
+	goOn, mixed := 0, 0
+	var mu sync.Mutex
+	for n, s := range streams {
 		wg.Go(func() {
 			s.Wait()
-			tried, on, versions := resume(b, s, n, startedAt)
+			on, versions := resume(b, s, n, lost)
 			mu.Lock()
 			defer mu.Unlock()
-			if tried {
-				taken++
-			}
 			if on {
 				goOn++
 			}
@@ -101,62 +96,75 @@
 			}
 		})
 	}
+	for n := range 20 {
+		time.Sleep(300 * time.Millisecond)
+		if in := b.Instances[n%machines]; in != lost {
+			newOnes = append(newOnes, open(in, fmt.Sprint("new prompt ", n), nil))
+		}
+	}
 	wg.Wait()
 	began := 0
-	for n := range streams {
-		s := open(b.Instances[n%machines], streams+n, nil)
-		first(s)
+	for _, s := range newOnes {
+		s.Leave()
+		s.Wait()
 		if s.Last() > 0 {
 			began++
 		}
 	}
-	b.Logf("streams taken up at machines in touch: %d, of which went on: %d; new streams: %d, of which began: %d; of two versions: %d", taken, goOn, streams, began, mixed)
-	if taken < 12 {
-		return false, fmt.Errorf("only %d streams were taken up", taken)
+	for _, s := range kept {
+		s.Leave()
 	}
-	return float64(goOn)/float64(taken) < float64(began)/streams/2, nil
+	b.Logf("streams taken up: %d, of which went on: %d; new streams: %d, of which began: %d; of two versions: %d", taken, goOn, len(newOnes), began, mixed)
+	share, usual := float64(goOn)/taken, float64(began)/float64(len(newOnes))
+	return share < usual/2, nil
 }
 
-func open(in *bed2.Instance, n int, header map[string]string) *bed2.Stream {
-	return bed2.Open(in, "/chat/a", bed2.NewID(), fmt.Sprint("prompt ", n), deadline, gap, header)
+func open(in *bed2.Instance, prompt string, header map[string]string) *bed2.Stream {
+	return bed2.Open(in, "/chat/a", bed2.NewID(), prompt, deadline, gap, header)
 }
 
-// first waits for the first event of a stream, or its end, and leaves it.
-func first(s *bed2.Stream) {
-	done := make(chan struct{})
-	go func() {
-		s.Wait()
-		close(done)
-	}()
-	select {
-	case <-s.Began:
-	case <-done:
-	}
-	s.Leave()
-	s.Wait()
-}
+func prompt(n int) string { return fmt.Sprint("prompt ", n) }
 
-// resume takes up a stream. It reports whether a machine in touch was asked, whether the stream goes on, and of how
-// many versions its events are.
-func resume(b *bed2.Bed, s *bed2.Stream, n int, startedAt time.Time) (inTouch, goesOn bool, versions int) {
+// resume takes up a stream at other machines, as a client does that has lost its connection. It reports whether the
+// stream goes on, and of how many versions its events are.
+func resume(b *bed2.Bed, first *bed2.Stream, n int, lost *bed2.Instance) (goesOn bool, versions int) {
 	seen := map[string]bool{}
-	for _, e := range s.Events {
+	for _, e := range first.Events {
 		seen[e.Data[:2]] = true
 	}
-	b.Logf("stream %s has %d events, silent %v; it is taken up", s.ID, len(s.Events), s.Silent)
+	b.Logf("stream %s has %d events, last %d, silent %v; it is taken up", first.ID, len(first.Events), first.Last(), first.Silent)
 	for try := range retries {
-		in := b.Instances[(n+try+1)%machines]
-		inTouch = inTouch || time.Since(startedAt) > contact
-		again := open(in, n, map[string]string{"Last-Event-Id": strconv.Itoa(s.Last()), "Resumes": s.ID})
-		first(again)
-		for _, e := range again.Events {
+		in := b.Instances[(n+try)%machines]
+		if in == lost {
+			in = b.Instances[(n+try+1)%machines]
+		}
+		s := open(in, prompt(n), map[string]string{"Last-Event-Id": strconv.Itoa(first.Last()), "Resumes": first.ID})
+		select {
+		case <-s.Began:
+			s.Leave()
+			s.Wait()
+		case <-time.After(gap):
+			s.Leave()
+			s.Wait()
+		case <-wait(s):
+		}
+		for _, e := range s.Events {
 			seen[e.Data[:2]] = true
 		}
-		b.Logf("stream %s, try %d at %s: status %d %s, events %d", s.ID, try+1, in.Name, again.Status, again.Refusal, len(again.Events))
-		if again.Last() > 0 {
-			return inTouch, true, len(seen)
+		b.Logf("stream %s, try %d at %s: status %d %s, retry after %q, events %d", first.ID, try+1, in.Name, s.Status, s.Refusal, s.Header.Get("Retry-After"), len(s.Events))
+		if s.Last() > 0 {
+			return true, len(seen)
 		}
-		time.Sleep(bed2.Answer{Header: again.Header}.RetryAfter())
+		time.Sleep(bed2.Answer{Header: s.Header}.RetryAfter())
 	}
-	return inTouch, false, len(seen)
+	return false, len(seen)
+}
+
+func wait(s *bed2.Stream) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		s.Wait()
+		close(done)
+	}()
+	return done
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,136 +1,162 @@
-// Command 9 shows how many servers a request crashes that comes again and again, if all machines are killed once.
+// Command 9 shows what becomes of streams if all machines lose power while a service has two software versions.
 package main
 
 import (
 	"fmt"
-	"net/http"
+	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ivyhollow/ivyhollow/review/bed2"
 )
 
 const (
-	service  = "drafts"
+	service  = "chat"
 	machines = 3
-	workers  = 6
-	// contact is contact_ms of the sheets, down how long all machines are down, back when a crashed server is back.
+	streams  = 24
+	events   = 120
+	pause    = 150 * time.Millisecond
+	deadline = 20 * time.Second
+	// gap is the longest of two seconds, four times the objective and eight times the pause of the route.
+	gap     = 5600 * time.Millisecond
+	retries = 3
+	// dark is how long all machines have no power, contact is contact_ms.
+	dark    = 1500 * time.Millisecond
 	contact = 3 * time.Second
-	down    = 1400 * time.Millisecond
-	back    = 2 * time.Second
-	// interval is the time between two tries of the request, tries their number.
-	interval = 4 * time.Second
-	tries    = 17
-	// killedAfter is the number of tries before the machines are killed.
-	killedAfter = 4
-	// allowed is the number of retries that the rule allows.
-	allowed  = 3
-	deadline = 2 * time.Second
 )
 
 var route = bed2.Route{
-	Name: "drafts", Prefix: "/drafts/", Kind: "idempotent", Service: service, Objective: 300, Timeout: 2000, MaxAttempts: 1,
+	Name: "chat", Prefix: "/chat/", Kind: "streaming", Service: service,
+	Objective: 1400, Timeout: 20000, Gap: 300, MaxAttempts: 2, Resumable: true,
 }
 
 func main() { bed2.Main(run) }
 
 func run(b *bed2.Bed) (broken bool, err error) {
-	var list []*bed2.Worker
-	var crashes atomic.Int32
-	for i := range workers {
-		var k *bed2.Worker
-		serve := func(w http.ResponseWriter, _ *http.Request, run bed2.Run) {
-			if run.Body != "deadly" {
-				fmt.Fprint(w, "answer to "+run.ID)
-				return
-			}
-			b.Logf("server %s runs request %s and crashes, crash %d", run.Worker, run.ID, crashes.Add(1))
-			go k.Crash()
-			time.AfterFunc(back, func() {
-				if err := k.Restart("v1"); err != nil {
-					b.Logf("server %s isn't back: %v", run.Worker, err)
-				}
-			})
-			panic(http.ErrAbortHandler)
-		}
-		if k, err = b.AddWorker(fmt.Sprintf("i-1%d", i), service, fmt.Sprintf("zone-%d", i%3+1), "v1", serve); err != nil {
+	for i := range 6 {
+		if _, err := b.AddWorker(fmt.Sprintf("i-1%d", i), service, fmt.Sprintf("zone-%d", i/2+1), fmt.Sprint("v", i%2+1), bed2.StreamEvents(events, pause)); err != nil {
 			return false, err
 		}
-		list = append(list, k)
 	}
 	b.Configure(1, []string{service}, route)
 	if err := b.AddInstances(machines); err != nil {
 		return false, err
 	}
-	time.Sleep(contact + time.Second)
-	stop := background(b)
-	defer stop()
-	var startedAt, thirdAt time.Time
-	retries := 0
-	for n := range tries {
-		if n == killedAfter && b.Trouble {
-			b.Logf("all machines are killed")
-			for _, in := range b.Instances {
-				in.Kill()
-			}
-			time.Sleep(down)
-			startedAt = time.Now()
-			for _, in := range b.Instances {
-				if err := in.Start(false); err != nil {
-					return false, err
-				}
-			}
-			if err := b.AwaitReady(10 * time.Second); err != nil {
+	for _, in := range b.Instances {
+		if err := in.AddLink(); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	var all []*bed2.Stream
+	for n := range streams {
+		all = append(all, open(b.Instances[n%machines], n, nil))
+	}
+	time.Sleep(2 * time.Second)
+	var startedAt time.Time
+	if b.Trouble {
+		b.Logf("all machines lose power")
+		for _, in := range b.Instances {
+			in.Link.SetDark(true)
+		}
+		for _, in := range b.Instances {
+			in.Kill()
+		}
+		time.Sleep(dark)
+		startedAt = time.Now()
+		for _, in := range b.Instances {
+			if err := in.Start(false); err != nil {
 				return false, err
 			}
-			b.Logf("all machines run again")
-			time.Sleep(contact + time.Second - time.Since(startedAt))
+			in.Link.SetDark(false)
 		}
-		at := time.Now()
-		inTouch := startedAt.IsZero() || at.Sub(startedAt) > contact
-		before := crashes.Load()
-		in := b.Instances[n%machines]
-		id := bed2.NewID()
-		got := bed2.Send(in, http.MethodPost, "/drafts/x", id, deadline, "deadly")
-		ran := crashes.Load() > before
-		counts := ran && inTouch && !thirdAt.IsZero() && at.Sub(thirdAt) > contact
-		if counts {
-			retries++
+		if err := b.AwaitReady(10 * time.Second); err != nil {
+			return false, err
 		}
-		if crashes.Load() >= 3 && thirdAt.IsZero() {
-			thirdAt = time.Now()
+		b.Logf("all machines run again")
+	} else {
+		time.AfterFunc(gap, func() {
+			for _, s := range all {
+				s.Leave() // the clients leave, as they do if the machines are lost
+			}
+		})
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	taken, goOn, mixed := 0, 0, 0
+	for n, s := range all {
+		wg.Go(func() {
+			s.Wait()
+			tried, on, versions := resume(b, s, n, startedAt)
+			mu.Lock()
+			defer mu.Unlock()
+			if tried {
+				taken++
+			}
+			if on {
+				goOn++
+			}
+			if versions > 1 {
+				mixed++
+			}
+		})
+	}
+	wg.Wait()
+	began := 0
+	for n := range streams {
+		s := open(b.Instances[n%machines], streams+n, nil)
+		first(s)
+		if s.Last() > 0 {
+			began++
 		}
-		b.Logf("try %d, %s at %s: status %d, error %v; ran %v, machines in touch %v, counts %v", n+1, id, in.Name, got.Status, got.Err, ran, inTouch, counts)
-		time.Sleep(interval - time.Since(at))
 	}
-	b.Logf("the request crashed %d servers; retries that reached servers later than %v after the third crash, by machines in touch: %d; allowed: %d", crashes.Load(), contact, retries, allowed)
-	return retries > allowed, nil
+	b.Logf("streams taken up at machines in touch: %d, of which went on: %d; new streams: %d, of which began: %d; of two versions: %d", taken, goOn, streams, began, mixed)
+	if taken < 12 {
+		return false, fmt.Errorf("only %d streams were taken up", taken)
+	}
+	return float64(goOn)/float64(taken) < float64(began)/streams/2, nil
 }
 
-// background sends sound requests until it is stopped.
-func background(b *bed2.Bed) (stop func()) {
+func open(in *bed2.Instance, n int, header map[string]string) *bed2.Stream {
+	return bed2.Open(in, "/chat/a", bed2.NewID(), fmt.Sprint("prompt ", n), deadline, gap, header)
+}
+
+// first waits for the first event of a stream, or its end, and leaves it.
+func first(s *bed2.Stream) {
 	done := make(chan struct{})
-	var wg sync.WaitGroup
-	var sent, served atomic.Int32
-	wg.Go(func() {
-		for n := 0; ; n++ {
-			select {
-			case <-done:
-				return
-			case <-time.After(250 * time.Millisecond):
-			}
-			wg.Go(func() {
-				sent.Add(1)
-				if bed2.Send(b.Instances[n%machines], http.MethodPost, "/drafts/y", bed2.NewID(), deadline, "sound "+fmt.Sprint(n)).Status == http.StatusOK {
-					served.Add(1)
-				}
-			})
-		}
-	})
-	return func() {
+	go func() {
+		s.Wait()
 		close(done)
-		wg.Wait()
-		b.Logf("sound requests: %d sent, %d served", sent.Load(), served.Load())
+	}()
+	select {
+	case <-s.Began:
+	case <-done:
+	}
+	s.Leave()
+	s.Wait()
+}
+
+// resume takes up a stream. It reports whether a machine in touch was asked, whether the stream goes on, and of how
+// many versions its events are.
+func resume(b *bed2.Bed, s *bed2.Stream, n int, startedAt time.Time) (inTouch, goesOn bool, versions int) {
+	seen := map[string]bool{}
+	for _, e := range s.Events {
+		seen[e.Data[:2]] = true
+	}
+	b.Logf("stream %s has %d events, silent %v; it is taken up", s.ID, len(s.Events), s.Silent)
+	for try := range retries {
+		in := b.Instances[(n+try+1)%machines]
+		inTouch = inTouch || time.Since(startedAt) > contact
+		again := open(in, n, map[string]string{"Last-Event-Id": strconv.Itoa(s.Last()), "Resumes": s.ID})
+		first(again)
+		for _, e := range again.Events {
+			seen[e.Data[:2]] = true
+		}
+		b.Logf("stream %s, try %d at %s: status %d %s, events %d", s.ID, try+1, in.Name, again.Status, again.Refusal, len(again.Events))
+		if again.Last() > 0 {
+			return inTouch, true, len(seen)
+		}
+		time.Sleep(bed2.Answer{Header: again.Header}.RetryAfter())
 	}
+	return inTouch, false, len(seen)
 }
