--- a/review/7/main.go
+++ b/review/7/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -25,7 +24,7 @@
 	retries = 3
 	// moved is the time from the move of the route to the streams, down how long the machine is down.
 	moved = 5 * time.Second
-	down  = 3500 * time.Millisecond
+	down  = 3400 * time.Millisecond
 )
 
 func route(service string) bed2.Route {
@@ -55,12 +54,12 @@
 	var streams []*bed2.Stream
 	var kept []*bed2.Stream
 	for n := range taken {
-		streams = append(streams, open(lost, prompt(n), nil))
+		streams = append(streams, open(lost, prompt(n)))
 	}
 	for i, in := range b.Instances {
 		for n := range others {
 			if in != lost {
-				kept = append(kept, open(in, fmt.Sprint("other prompt ", i, n), nil))
+				kept = append(kept, open(in, fmt.Sprint("other prompt ", i, n)))
 			}
 		}
 	}
@@ -95,7 +94,7 @@
 	for n := range 20 {
 		time.Sleep(300 * time.Millisecond)
 		if in := b.Instances[n%machines]; in != lost {
-			newOnes = append(newOnes, open(in, fmt.Sprint("new prompt ", n), nil))
+			newOnes = append(newOnes, open(in, fmt.Sprint("new prompt ", n)))
 		}
 	}
 	wg.Wait()
@@ -111,12 +110,17 @@
 		s.Leave()
 	}
 	b.Logf("streams taken up: %d, of which went on: %d; new streams: %d, of which began: %d; of two versions: %d", taken, goOn, len(newOnes), began, mixed)
+	for _, s := range streams {
+		if s.Last() == 0 {
+			return false, fmt.Errorf("stream %s had not begun", s.ID)
+		}
+	}
 	share, usual := float64(goOn)/taken, float64(began)/float64(len(newOnes))
 	return share < usual/2, nil
 }
 
-func open(in *bed2.Instance, prompt string, header map[string]string) *bed2.Stream {
-	return bed2.Open(in, "/chat/a", bed2.NewID(), prompt, deadline, gap, header)
+func open(in *bed2.Instance, prompt string) *bed2.Stream {
+	return bed2.Open(in, "/chat/a", bed2.NewID(), prompt, deadline, gap, nil)
 }
 
 func prompt(n int) string { return fmt.Sprint("prompt ", n) }
@@ -134,7 +138,7 @@
 		if in == lost {
 			in = b.Instances[(n+try+1)%machines]
 		}
-		s := open(in, prompt(n), map[string]string{"Last-Event-Id": strconv.Itoa(first.Last()), "Resumes": first.ID})
+		s := first.TakeUp(in, "/chat/a", prompt(n), gap)
 		select {
 		case <-s.Began:
 			s.Leave()
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -50,7 +49,7 @@
 	time.Sleep(6 * time.Second)
 	var all []*bed2.Stream
 	for n := range streams {
-		all = append(all, open(b.Instances[n%machines], n, nil))
+		all = append(all, open(b.Instances[n%machines], n))
 	}
 	time.Sleep(2 * time.Second)
 	var startedAt time.Time
@@ -63,13 +62,13 @@
 			in.Kill()
 		}
 		time.Sleep(dark)
-		startedAt = time.Now()
 		for _, in := range b.Instances {
 			if err := in.Start(false); err != nil {
 				return false, err
 			}
 			in.Link.SetDark(false)
 		}
+		startedAt = time.Now()
 		if err := b.AwaitReady(10 * time.Second); err != nil {
 			return false, err
 		}
@@ -104,7 +103,7 @@
 	wg.Wait()
 	began := 0
 	for n := range streams {
-		s := open(b.Instances[n%machines], streams+n, nil)
+		s := open(b.Instances[n%machines], streams+n)
 		first(s)
 		if s.Last() > 0 {
 			began++
@@ -117,8 +116,8 @@
 	return float64(goOn)/float64(taken) < float64(began)/streams/2, nil
 }
 
-func open(in *bed2.Instance, n int, header map[string]string) *bed2.Stream {
-	return bed2.Open(in, "/chat/a", bed2.NewID(), fmt.Sprint("prompt ", n), deadline, gap, header)
+func open(in *bed2.Instance, n int) *bed2.Stream {
+	return bed2.Open(in, "/chat/a", bed2.NewID(), fmt.Sprint("prompt ", n), deadline, gap, nil)
 }
 
 // first waits for the first event of a stream, or its end, and leaves it.
@@ -147,7 +146,7 @@
 	for try := range retries {
 		in := b.Instances[(n+try+1)%machines]
 		inTouch = inTouch || time.Since(startedAt) > contact
-		again := open(in, n, map[string]string{"Last-Event-Id": strconv.Itoa(s.Last()), "Resumes": s.ID})
+		again := s.TakeUp(in, "/chat/a", fmt.Sprint("prompt ", n), gap)
 		first(again)
 		for _, e := range again.Events {
 			seen[e.Data[:2]] = true
--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -29,10 +29,17 @@
 	record *os.File
 }
 
+// mostTime bounds a run.
+const mostTime = 115 * time.Second
+
 // Main runs a case and ends the process: with 1 if the rule was broken, 0 if it held and 2 if the case couldn't
 // run. The first argument is the case's folder.
 func Main(run func(b *Bed) (broken bool, err error)) {
 	b := &Bed{start: time.Now(), Trouble: os.Getenv("TROUBLE") != "0"}
+	time.AfterFunc(mostTime, func() {
+		b.Logf("couldn't run: not done after %v", mostTime)
+		os.Exit(2) // ends the instances too
+	})
 	broken, err := b.run(run)
 	for _, in := range b.Instances {
 		in.Kill()
@@ -87,11 +94,11 @@
 	Address string
 	Link    *Link
 
-	bed                   *Bed
-	zone, ip, peers, path string
-	log                   *os.File
-	process               *exec.Cmd
-	ended                 chan struct{}
+	bed                            *Bed
+	zone, ip, peers, metrics, path string
+	log                            *os.File
+	process                        *exec.Cmd
+	ended                          chan struct{}
 }
 
 // freePort returns a free port of a loopback address.
@@ -109,7 +116,7 @@
 	for i := range n {
 		in := &Instance{bed: b, Name: fmt.Sprintf("front-%d", i+1), zone: fmt.Sprintf("zone-%d", i%3+1)}
 		in.ip = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, os.Getpid()/64%250, i+1)
-		var ports [3]int
+		var ports [4]int
 		for p := range ports {
 			var err error
 			if ports[p], err = freePort(in.ip); err != nil {
@@ -117,6 +124,7 @@
 			}
 		}
 		in.Callers, in.Ready, in.peers = fmt.Sprintf("%s:%d", in.ip, ports[0]), fmt.Sprintf("%s:%d", in.ip, ports[1]), fmt.Sprint(ports[2])
+		in.metrics = fmt.Sprint(ports[3])
 		in.Address = in.Callers
 		in.path = filepath.Join(b.dir, in.Name+".ini")
 		var err error
@@ -189,6 +197,7 @@
 		}
 		return m[2]
 	})
+	text = strings.Replace(text, "{{ip}}:9464", "{{ip}}:"+in.metrics, 1) // a free port
 	return placeholders.ReplaceAllStringFunc(text, func(s string) string { return values[strings.Trim(s, "{}")] }), nil
 }
 
--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -77,6 +77,8 @@
 	ID     string
 	Status int
 	Header http.Header
+	// Until is when the client's deadline is over, also for its later tries.
+	Until time.Time
 	// Began is closed at the first event.
 	Began  chan struct{}
 	Events []Event
@@ -93,7 +95,7 @@
 // Open begins a stream. The client leaves it after a gap of that length.
 func Open(in *Instance, path, id, body string, deadline, gap time.Duration, header map[string]string) *Stream {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
-	s := &Stream{ID: id, Began: make(chan struct{}), cancel: cancel, done: make(chan struct{})}
+	s := &Stream{ID: id, Until: time.Now().Add(deadline), Began: make(chan struct{}), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		defer cancel()
@@ -137,6 +139,11 @@
 	return s
 }
 
+// TakeUp takes the stream up at a machine, within what is left of the client's deadline.
+func (s *Stream) TakeUp(in *Instance, path, body string, gap time.Duration) *Stream {
+	return Open(in, path, NewID(), body, time.Until(s.Until), gap, map[string]string{"Last-Event-Id": strconv.Itoa(s.Last()), "Resumes": s.ID})
+}
+
 // Leave closes the client's connection.
 func (s *Stream) Leave() { s.cancel() }
 
--- a/review/bed2/store.go
+++ b/review/bed2/store.go
@@ -1,6 +1,7 @@
 package bed2
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -77,6 +78,9 @@
 	if !ok {
 		o = object{Metadata: metadata{Name: name, Finalizers: []string{}}}
 	}
+	if ok && bytes.Equal(o.Spec, body) {
+		return o.Metadata.Revision // a write that changes nothing is no event
+	}
 	o.Spec = body
 	return s.write(kind, o)
 }
@@ -185,6 +189,8 @@
 		s.history = append(s.history, change{kind, s.revision, event{existing, true}})
 		s.notify()
 		return http.StatusOK, existing
+	case len(parts) > 2 && bytes.Equal(existing.Status, in.Status), len(parts) == 2 && bytes.Equal(existing.Spec, in.Spec):
+		return http.StatusOK, existing // a write that changes nothing is no event
 	case len(parts) > 2:
 		existing.Status = in.Status
 	default:
--- a/review/bed2/worker.go
+++ b/review/bed2/worker.go
@@ -32,9 +32,11 @@
 	mu      sync.Mutex
 	version string
 	born    int64
-	seq     int
-	server  *http.Server
-	runs    []Run
+	// listed is what the store has of the server but its seq.
+	listed string
+	seq    int
+	server *http.Server
+	runs   []Run
 }
 
 // AddWorker starts a server that lists itself as ready.
@@ -71,7 +73,7 @@
 	return nil
 }
 
-// beat writes the entry, unless the store is down.
+// beat writes the entry if more than its seq has changed, unless the store is down.
 func (k *Worker) beat() {
 	k.bed.Store.mu.Lock()
 	silent := k.bed.Store.silent
@@ -81,12 +83,17 @@
 	}
 	k.mu.Lock()
 	k.seq++
+	content := fmt.Sprint(k.version, k.born)
+	changed := content != k.listed
+	k.listed = content
 	entry := map[string]any{
 		"service": k.Service, "address": k.Address, "zone": k.Zone, "version": k.version, "slots": 32, "state": "ready",
 		"cold_left_ms": 0, "seq": k.seq, "born": k.born,
 	}
 	k.mu.Unlock()
-	k.bed.Store.Put("servers", k.ID, entry)
+	if changed {
+		k.bed.Store.Put("servers", k.ID, entry)
+	}
 }
 
 // Crash ends the server as the end of its process does: all connections close, and nothing listens.
@@ -141,6 +148,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", k.ID)
+		return
+	}
 	k.mu.Lock()
 	run := Run{k.ID, k.version, r.Header.Get("Request-Id"), r.URL.RequestURI(), string(body), r.Header.Clone(), time.Now()}
 	k.runs = append(k.runs, run)
