Send records of streams to two other instances while there is one version

Cause: where a stream began was known to its instance alone while its service had one version. The record was sent on only once the instance knew of a second version, which one that is dark or dead never does.

Change: while a service has one version its records go to two other instances, the same for all streams of an instance, each half second in one message with five bytes a stream. Streams that have ended by then cost nothing. When a second version appears, who keeps such records passes them on to the owners of their keys, whatever has become of the instance that serves the streams. A keeper that doesn't answer is logged once, not at each try.

Records are named by a hash, so messages of the version before are still read, but that version doesn't read the new ones: while instances are upgraded during a rollout of targets, streams of new instances may be refused if only old ones are left.

--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -27,13 +27,45 @@
 	Version string
 }
 
+// Hash identifies a stream in records. The streams that one instance has records of are few against its range, so
+// that two of them hardly ever share one.
+type Hash uint64
+
+// HashSize is the length of an encoded Hash in bytes.
+const HashSize = 5
+
+// HashOf returns the hash of the id of the caller's attempt that began a stream. It must not change: instances of two
+// releases exchange records by it.
+func HashOf(id string) Hash { return Hash(rendezvous.Score("stream", id) % (1 << (8 * HashSize))) }
+
+// Append appends the encoded hash.
+func (h Hash) Append(b []byte) []byte {
+	for i := range HashSize {
+		b = append(b, byte(h>>(8*i)))
+	}
+	return b
+}
+
+// DecodeHashes returns the hashes that Append has encoded. What follows the last whole one is left out.
+func DecodeHashes(b []byte) []Hash {
+	hashes := make([]Hash, 0, len(b)/HashSize)
+	for ; len(b) >= HashSize; b = b[HashSize:] {
+		var h Hash
+		for i := range HashSize {
+			h |= Hash(b[i]) << (8 * i)
+		}
+		hashes = append(hashes, h)
+	}
+	return hashes
+}
+
 // KeyCount is the number of keys over which the records of streams are spread. It bounds the instances that one
 // instance sends records to, whatever the size of the fleet.
 const KeyCount = 32
 
 // Key returns the key whose owners keep the record of a stream, and its number from 0. It must not change:
 // instances of two releases would look for a record at different ones.
-func Key(id string) (key string, number int) {
-	number = int(rendezvous.Score("stream", id) % KeyCount)
+func (h Hash) Key() (key string, number int) {
+	number = int(h % KeyCount)
 	return "streams/" + strconv.Itoa(number), number
 }
--- a/coordination/resumption/table.go
+++ b/coordination/resumption/table.go
@@ -4,24 +4,26 @@
 
 // Record is what is known of the beginning of a stream.
 type Record struct {
-	// ID is the id of the caller's attempt that brought the stream's first event.
-	ID     string
+	// ID is the hash of the id of the caller's attempt that brought the stream's first event.
+	ID     Hash
 	Origin Origin
 	// Ambiguous is true if two streams with different origins have the id. Origin is then meaningless.
 	Ambiguous bool
+	// Backup is true if the record came as a copy that the owners of its key may lack.
+	Backup bool
 }
 
 // Table holds the records of streams for Lifetime each. If there are more than its limit, the oldest
 // ones are dropped.
 type Table struct {
 	limit   int
-	records map[string]*tableRecord
+	records map[Hash]*tableRecord
 	// order has each record once, by the end of its lifetime as it was when the record came here.
 	order []position
 }
 
 type position struct {
-	id      string
+	id      Hash
 	expires time.Time
 }
 
@@ -32,7 +34,7 @@
 
 // NewTable returns an empty table for up to limit records.
 func NewTable(limit int) *Table {
-	return &Table{limit: limit, records: map[string]*tableRecord{}}
+	return &Table{limit: limit, records: map[Hash]*tableRecord{}}
 }
 
 // Put adds a record, or renews it. A record that contradicts an earlier one makes both ambiguous.
@@ -52,7 +54,7 @@
 }
 
 // Get returns the record of a stream.
-func (t *Table) Get(now time.Time, id string) (Record, bool) {
+func (t *Table) Get(now time.Time, id Hash) (Record, bool) {
 	r := t.records[id]
 	if r == nil || !now.Before(r.expires) {
 		return Record{}, false
@@ -70,6 +72,27 @@
 	return all
 }
 
+// TakeBackups returns the backups of services whose records the owners of their keys should have. They are backups no
+// more.
+func (t *Table) TakeBackups(now time.Time, wanted func(service string) bool) []Record {
+	t.expire(now)
+	var taken []Record
+	for _, p := range t.order {
+		if r := t.records[p.id]; r.Backup && wanted(r.Origin.Service) {
+			r.Backup = false
+			taken = append(taken, r.Record)
+		}
+	}
+	return taken
+}
+
+// MarkBackup makes a record a backup again.
+func (t *Table) MarkBackup(id Hash) {
+	if r := t.records[id]; r != nil {
+		r.Backup = true
+	}
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int { return len(t.records) }
 
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -21,17 +21,10 @@
 )
 
 const (
-	// copies is the number of other instances that keep the record of a stream.
-	copies = 3
-	// maxAsked limits the instances that are asked for a record while a service has several versions.
-	// It is larger than copies, since the instances that have it may have lost their rank to others.
-	maxAsked = 12
 	// maxRecords limits the records that an instance keeps, of its own streams and of others.
 	maxRecords = 1 << 16
-	// maxSending limits the records that are being sent.
-	maxSending = 256
-	// tickInterval is the interval at which records are sent to instances that lack them, and what the store
-	// has is compared with what is known.
+	// tickInterval is the interval at which records are sent to instances that lack them, in batches, and what the
+	// store has is compared with what is known.
 	tickInterval = 500 * time.Millisecond
 	// currentAge is the age up to which this instance's knowledge of the targets counts as current.
 	currentAge = 2 * time.Second
@@ -86,9 +79,11 @@
 	mu      sync.Mutex
 	history *resumption.History
 	table   *resumption.Table
-	// own are the streams of this instance that haven't ended well, by id.
-	own map[string]*ownStream
-	// changed is true if records may have to be sent to other instances since the last tick.
+	// own are the streams of this instance that haven't ended well.
+	own map[resumption.Hash]*ownStream
+	// unsent are the own streams whose records other instances may lack.
+	unsent map[resumption.Hash]struct{}
+	// changed is true if all records may have to be sent to other instances since the last tick.
 	changed bool
 	view    *membership.View
 	stored  stored
@@ -97,24 +92,7 @@
 	// held are the versions that the latest SetTargets returned.
 	held map[string][]string
 
-	ownersMu sync.Mutex
-	// owners are the first owners of each key in ownersView, as far as they have been needed.
-	owners     [resumption.KeyCount][]membership.Member
-	ownersView *membership.View
-}
-
-// ownStream is a stream that this instance serves, or served in part.
-type ownStream struct {
-	record resumption.Record
-	began  time.Time
-	// sentTo holds the instances that have the record, or are being sent it.
-	sentTo map[keeperID]bool
-}
-
-// keeperID identifies one run of an instance that keeps records.
-type keeperID struct {
-	name        string
-	incarnation uint64
+	keepers keepers
 }
 
 // New returns a Directory and registers the methods that other instances call.
@@ -124,7 +102,7 @@
 		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending),
 		wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
 		history: resumption.NewHistory(now, o.FirstStart), table: resumption.NewTable(maxRecords),
-		own: map[string]*ownStream{}, stored: newStored(), versionsRead: make(chan struct{}),
+		own: map[resumption.Hash]*ownStream{}, unsent: map[resumption.Hash]struct{}{}, stored: newStored(), versionsRead: make(chan struct{}),
 	}
 	o.Cluster.Handle(methodKeep, d.handleKeep, peer.Idempotent())
 	o.Cluster.Handle(methodFind, d.handleFind, peer.Idempotent())
@@ -145,6 +123,7 @@
 		}
 		now := time.Now()
 		d.sendAllMissing(now)
+		d.distributeBackups(now)
 		d.republishHeld(now)
 	}
 }
@@ -211,112 +190,3 @@
 	}
 	return versions
 }
-
-// Began records that the caller has the first event of a stream. It doesn't wait.
-func (d *Directory) Began(id string, origin resumption.Origin) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.table.Put(now, resumption.Record{ID: id, Origin: origin})
-	record, _ := d.table.Get(now, id)
-	if s := d.own[id]; s == nil && len(d.own) < maxRecords || s != nil && s.record != record {
-		d.own[id] = &ownStream{record: record, began: now, sentTo: map[keeperID]bool{}}
-	}
-	if d.history.Several(now, origin.Service) {
-		d.sendMissing(id)
-	}
-}
-
-// Ended records that a stream has ended well, so that its record need not be kept up to date.
-func (d *Directory) Ended(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.own, id)
-}
-
-// sendAllMissing sends the records of this instance's streams to those that are to keep them and lack
-// them: the instances may have changed, or a service may have got a second version.
-func (d *Directory) sendAllMissing(now time.Time) {
-	for _, id := range d.ownStreams(now) {
-		d.mu.Lock()
-		d.sendMissing(id)
-		d.mu.Unlock()
-	}
-}
-
-// ownStreams returns the own streams whose records may have to be sent since the last call.
-func (d *Directory) ownStreams(now time.Time) []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.metrics.records.Update(float64(d.table.Len()))
-	view := d.options.Cluster.View()
-	if !d.changed && view == d.view {
-		return nil
-	}
-	d.changed, d.view = false, view
-	var ids []string
-	for id, s := range d.own {
-		switch {
-		case now.Sub(s.began) >= resumption.Lifetime:
-			delete(d.own, id)
-		case d.history.Several(now, s.record.Origin.Service):
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// sendMissing sends the record of an own stream to the instances that are to keep it and lack it. mu must
-// be held.
-func (d *Directory) sendMissing(id string) {
-	s := d.own[id]
-	if s == nil {
-		return
-	}
-	for _, m := range d.keepers(id, copies) {
-		to := keeperID{m.Name, m.Incarnation}
-		if s.sentTo[to] {
-			continue
-		}
-		select {
-		case d.sending <- struct{}{}:
-		default:
-			d.changed = true // too many at once, the next tick sends it
-			return
-		}
-		s.sentTo[to] = true
-		go d.send(m, to, s.record)
-	}
-}
-
-// send sends one record.
-func (d *Directory) send(m membership.Member, to keeperID, r resumption.Record) {
-	defer func() { <-d.sending }()
-	err := d.keepAt(context.Background(), m, []recordMessage{newRecordMessage(r)})
-	if err == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s := d.own[r.ID]; s != nil {
-		delete(s.sentTo, to)
-		d.changed = true
-	}
-}
-
-// keepers returns the other instances that keep the record of a stream, the first n.
-func (d *Directory) keepers(id string, n int) []membership.Member {
-	key, number := resumption.Key(id)
-	view := d.options.Cluster.View()
-	d.ownersMu.Lock()
-	defer d.ownersMu.Unlock()
-	if view != d.ownersView {
-		d.owners, d.ownersView = [resumption.KeyCount][]membership.Member{}, view
-	}
-	if d.owners[number] == nil {
-		owners := membership.Owners(view, key, maxAsked+1)
-		d.owners[number] = slices.DeleteFunc(owners, func(m membership.Member) bool { return m.Name == view.Self })
-	}
-	owners := d.owners[number]
-	return owners[:min(len(owners), n)]
-}
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -37,20 +37,74 @@
 	readTimeout = 2 * time.Second
 	// confirmTimeout limits the wait for the store before other instances are asked.
 	confirmTimeout = 100 * time.Millisecond
-	// pageSize is the maximum number of records in a message: some 40 KB.
+	// pageSize is the maximum number of records in a message: some 3 KB.
 	pageSize = 500
 )
 
 // recordMessage is a record. Its fields are sent by name.
 type recordMessage struct {
+	// ID is that of the caller's attempt.
 	ID        string `msgpack:"i"`
 	Service   string `msgpack:"s"`
 	Version   string `msgpack:"v"`
 	Ambiguous bool   `msgpack:"a,omitempty"`
 }
 
+// recordGroup has records of streams that began at the same service and version. Its fields are sent by name.
+type recordGroup struct {
+	Service   string `msgpack:"s"`
+	Version   string `msgpack:"v"`
+	Ambiguous bool   `msgpack:"a,omitempty"`
+	// Hashes has a resumption.Hash for each stream.
+	Hashes []byte `msgpack:"h"`
+}
+
 // keepRequest is the body of methodKeep, whose response is empty. Its fields are sent by name.
-type keepRequest struct{ Records []recordMessage }
+type keepRequest struct {
+	// Records come from instances of the version before.
+	Records []recordMessage `msgpack:",omitempty"`
+	Groups  []recordGroup
+	// Backup is true if the owners of the records' keys may lack them.
+	Backup bool `msgpack:",omitempty"`
+}
+
+// newKeepRequest returns the request to keep records.
+func newKeepRequest(records []resumption.Record, backup bool) *keepRequest {
+	type kind struct {
+		origin    resumption.Origin
+		ambiguous bool
+	}
+	positions := map[kind]int{}
+	request := &keepRequest{Backup: backup}
+	for _, r := range records {
+		k := kind{r.Origin, r.Ambiguous}
+		position, ok := positions[k]
+		if !ok {
+			position = len(request.Groups)
+			positions[k] = position
+			request.Groups = append(request.Groups, recordGroup{Service: r.Origin.Service, Version: r.Origin.Version, Ambiguous: r.Ambiguous})
+		}
+		g := &request.Groups[position]
+		g.Hashes = r.ID.Append(g.Hashes)
+	}
+	return request
+}
+
+// records returns the records of a request.
+func (k *keepRequest) records() []resumption.Record {
+	var records []resumption.Record
+	for i := range k.Records {
+		records = append(records, k.Records[i].record())
+	}
+	for _, g := range k.Groups {
+		for _, id := range resumption.DecodeHashes(g.Hashes) {
+			records = append(records, resumption.Record{
+				ID: id, Origin: resumption.Origin{Service: g.Service, Version: g.Version}, Ambiguous: g.Ambiguous, Backup: k.Backup,
+			})
+		}
+	}
+	return records
+}
 
 // findRequest is the body of methodFind. Its fields are sent by name.
 type findRequest struct {
@@ -66,12 +120,12 @@
 	Sole    string
 }
 
-func newRecordMessage(r resumption.Record) recordMessage {
-	return recordMessage{r.ID, r.Origin.Service, r.Origin.Version, r.Ambiguous}
+func newRecordMessage(id string, r resumption.Record) recordMessage {
+	return recordMessage{id, r.Origin.Service, r.Origin.Version, r.Ambiguous}
 }
 
 func (m *recordMessage) record() resumption.Record {
-	return resumption.Record{ID: m.ID, Origin: resumption.Origin{Service: m.Service, Version: m.Version}, Ambiguous: m.Ambiguous}
+	return resumption.Record{ID: resumption.HashOf(m.ID), Origin: resumption.Origin{Service: m.Service, Version: m.Version}, Ambiguous: m.Ambiguous}
 }
 
 // Location is where a stream goes on.
@@ -116,7 +170,7 @@
 	if !own.Found && (own.Several || own.Sole == "" || !current) {
 		n, timeout = maxAsked, findTimeout
 	}
-	peers := d.keepers(id, n)
+	peers := d.keepers.ofKey(d.options.Cluster.View(), resumption.HashOf(id), n)
 	answers := d.ask(ctx, peers, findRequest{ID: id, Service: service}, timeout)
 	l := newLocation(resumption.Locate(service, own, current, answers))
 	if l.Reason == resumption.ReasonUnsure {
@@ -153,7 +207,7 @@
 	defer d.mu.Unlock()
 	var a resumption.Answer
 	if id != "" {
-		a.Record, a.Found = d.table.Get(now, id)
+		a.Record, a.Found = d.table.Get(now, resumption.HashOf(id))
 	}
 	a.Several, a.Sole = d.history.Several(now, service), d.history.Sole(now, service)
 	return a
@@ -204,21 +258,34 @@
 	return &resumption.Answer{Record: response.Record.record(), Found: response.Found, Several: response.Several, Sole: response.Sole}
 }
 
-// keepAt has an instance keep records. An instance of an earlier version doesn't keep any.
-func (d *Directory) keepAt(ctx context.Context, m membership.Member, records []recordMessage) error {
+// keepAt has an instance keep records.
+func (d *Directory) keepAt(ctx context.Context, t *transfer) error {
+	for records := range slices.Chunk(t.records, pageSize) {
+		err := d.keepPageAt(ctx, t.to, newKeepRequest(records, t.backup))
+		first := d.keepers.noteAnswer(t.to, err == nil)
+		if err == nil {
+			continue
+		}
+		d.metrics.notKept.Inc(1)
+		if first {
+			telemetry.ErrorS(err, "Version of a stream was not kept at another instance", telemetry.Event{Peer: t.to.Name, Count: len(t.records)})
+		}
+		return err
+	}
+	return nil
+}
+
+// keepPageAt sends a message. An instance of an earlier version doesn't keep any records.
+func (d *Directory) keepPageAt(ctx context.Context, to membership.Member, request *keepRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	body, err := msgpack.Marshal(&keepRequest{records})
+	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
-	_, err = d.options.Cluster.Call(ctx, m.Address, methodKeep, body)
-	switch {
-	case errors.Is(err, peer.ErrNoMethod):
+	_, err = d.options.Cluster.Call(ctx, to.Address, methodKeep, body)
+	if errors.Is(err, peer.ErrNoMethod) {
 		return nil
-	case err != nil:
-		d.metrics.notKept.Inc(1)
-		telemetry.ErrorS(err, "Version of a stream was not kept at another instance", telemetry.Event{Resumes: records[0].ID, Peer: m.Name, Count: len(records)})
 	}
 	return err
 }
@@ -231,8 +298,8 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i := range request.Records {
-		d.table.Put(now, request.Records[i].record())
+	for _, r := range request.records() {
+		d.table.Put(now, r)
 	}
 	return nil, nil
 }
@@ -243,47 +310,5 @@
 		return nil, errors.Wrap(err, "decode")
 	}
 	a := d.answer(request.Service, request.ID)
-	return msgpack.Marshal(&findResponse{Record: newRecordMessage(a.Record), Found: a.Found, Several: a.Several, Sole: a.Sole})
-}
-
-// Handover passes the records on to the instances that keep them once this one has stopped. It returns when
-// they have them or don't answer, or when the context ends.
-func (d *Directory) Handover(ctx context.Context) {
-	byPeer := map[string][]recordMessage{}
-	members := map[string]membership.Member{}
-	for _, r := range d.neededRecords() {
-		if ctx.Err() != nil {
-			return
-		}
-		for _, m := range d.keepers(r.ID, copies) {
-			byPeer[m.Name] = append(byPeer[m.Name], newRecordMessage(r))
-			members[m.Name] = m
-		}
-	}
-	sent := make(chan struct{}, len(byPeer))
-	for name, records := range byPeer {
-		go func() {
-			defer func() { sent <- struct{}{} }()
-			for len(records) > 0 {
-				page := records[:min(len(records), pageSize)]
-				if d.keepAt(ctx, members[name], page) != nil {
-					return
-				}
-				records = records[len(page):]
-			}
-		}()
-	}
-	for range byPeer {
-		<-sent
-	}
-}
-
-// neededRecords returns the records of services that have several versions.
-func (d *Directory) neededRecords() []resumption.Record {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.DeleteFunc(d.table.All(now), func(r resumption.Record) bool {
-		return !r.Ambiguous && !d.history.Several(now, r.Origin.Service)
-	})
+	return msgpack.Marshal(&findResponse{Record: newRecordMessage(request.ID, a.Record), Found: a.Found, Several: a.Several, Sole: a.Sole})
 }
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -382,3 +382,10 @@
 	defer f.mu.Unlock()
 	return f.calls
 }
+
+// records returns how many records an instance has.
+func (n *node) records() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Len()
+}
