Don't write versions of a service that another instance has just written

Cause: a write was decided on before the record of another instance had come by gossip, and made after it: a second call with the same content, which the store prices.

Change: the record is compared once more as the write is made.

--- a/daemon/streams/versions.go
+++ b/daemon/streams/versions.go
@@ -282,7 +282,7 @@
 	due := map[string]*resumption.Stored{}
 	for _, service := range d.history.Services() {
 		desired, known := d.history.Desired(now, service, current), d.history.Stored(service)
-		if desired == known || desired != nil && known != nil && desired.Equal(*known) {
+		if isSame(desired, known) {
 			delete(d.stored.due, service)
 			continue
 		}
@@ -303,6 +303,9 @@
 	return due
 }
 
+// isSame reports whether two records are the same, or both are missing.
+func isSame(a, b *resumption.Stored) bool { return a == b || a != nil && b != nil && a.Equal(*b) }
+
 // recordWrite schedules the next try after a write or, if err is nil, after the read in its place.
 func (d *Directory) recordWrite(service string, err error) {
 	d.mu.Lock()
@@ -336,8 +339,12 @@
 func (d *Directory) write(ctx context.Context, service string, desired *resumption.Stored) error {
 	d.mu.Lock()
 	known := d.stored.revisions[service]
-	exists := d.history.Stored(service) != nil
+	stored := d.history.Stored(service)
 	d.mu.Unlock()
+	if isSame(desired, stored) {
+		return nil // another instance has written it in the meantime
+	}
+	exists := stored != nil
 	revision, body, err := d.store(ctx, service, desired, known, exists)
 	var conflict *platform.ConflictError
 	switch {
