Make streams of a service known that has just been named

Cause, two halves: the versions of a service were followed only once its streams could be taken up, so that for a minute no instance took its version for the only one (reason unsure); and records were distributed to the owners of their keys only if there were several versions, not if it was unknown whether there were.

Ruled out: to take the configuration of before for a proof that no stream can have begun: instances learn it at different times.

Change: the versions of all services with targets are followed, whether their streams may be taken up or not. Records are distributed while no version is known to be the only one. The store's record of a service that is no longer resumable is deleted a minute later also if it keeps its targets, since nobody would keep it up to date.

--- a/coordination/resumption/history.go
+++ b/coordination/resumption/history.go
@@ -32,14 +32,26 @@
 type History struct {
 	startedAt time.Time
 	// first is true if no instance has run before.
-	first    bool
-	named    bool
+	first bool
+	// follows is true once the first services are known.
+	follows  bool
 	services map[string]*serviceHistory
 }
 
+// Presence is what is present of a service.
+type Presence struct {
+	// Versions are those of the targets that may receive new work.
+	Versions []string
+	// Resumable is true if the configuration has streams of the service taken up.
+	Resumable bool
+}
+
 type serviceHistory struct {
-	// named is true while the configuration has the service.
-	named bool
+	// followed is true while the service has targets, or is resumable.
+	followed  bool
+	resumable bool
+	// resumableUntil is when the service was last resumable, if it isn't.
+	resumableUntil time.Time
 	// completeFrom is when this instance has known the service's versions for Lifetime.
 	completeFrom time.Time
 	// present are the versions of the targets that may receive new work, since each has been so.
@@ -56,37 +68,37 @@
 	return &History{startedAt: now, first: first, services: map[string]*serviceHistory{}}
 }
 
-// SetPresent replaces the versions of the targets that may receive new work, by service. It has all
-// services that are followed. It reports whether that is a change.
-func (h *History) SetPresent(now time.Time, present map[string][]string) bool {
+// SetPresent replaces what is present, by service. It has all services with targets, so that the versions of a service
+// are known before its streams may be taken up. It reports whether that is a change.
+func (h *History) SetPresent(now time.Time, present map[string]Presence) bool {
 	changed := false
 	for name, s := range h.services {
-		versions, named := present[name]
-		changed = s.setPresent(now, versions) || changed
-		if named && !s.named {
+		p, followed := present[name]
+		changed = s.setPresent(now, p) || changed
+		if followed && !s.followed {
 			s.completeFrom = now.Add(Lifetime)
 		}
-		s.named = named
-		if !named && s.stored == nil && len(s.versions(now)) == 0 {
+		s.followed = followed
+		if !followed && s.stored == nil && len(s.versions(now)) == 0 {
 			delete(h.services, name)
 		}
 	}
-	for name, versions := range present {
+	for name, p := range present {
 		if h.services[name] == nil {
-			changed = h.add(now, name).setPresent(now, versions) || changed
+			changed = h.add(now, name).setPresent(now, p) || changed
 		}
 	}
-	h.named = true
+	h.follows = true
 	return changed
 }
 
-// add adds a service that the configuration names.
+// add adds a service that has targets, or that the configuration names.
 func (h *History) add(now time.Time, name string) *serviceHistory {
 	s := newServiceHistory()
-	s.named = true
+	s.followed = true
 	switch {
-	case h.named:
-		s.completeFrom = now.Add(Lifetime) // it may have been named for a while
+	case h.follows:
+		s.completeFrom = now.Add(Lifetime) // it may have had targets for a while
 	case h.first:
 		s.completeFrom = h.startedAt
 	default:
@@ -100,16 +112,20 @@
 	return &serviceHistory{present: map[string]time.Time{}, past: map[string]time.Time{}}
 }
 
-func (s *serviceHistory) setPresent(now time.Time, versions []string) bool {
-	changed := false
+func (s *serviceHistory) setPresent(now time.Time, p Presence) bool {
+	changed := s.resumable != p.Resumable
+	if s.resumable && !p.Resumable {
+		s.resumableUntil = now
+	}
+	s.resumable = p.Resumable
 	for v := range s.present {
-		if !slices.Contains(versions, v) {
+		if !slices.Contains(p.Versions, v) {
 			delete(s.present, v)
 			s.past[v] = now
 			changed = true
 		}
 	}
-	for _, v := range versions {
+	for _, v := range p.Versions {
 		if _, ok := s.present[v]; !ok {
 			s.present[v] = now
 			changed = true
@@ -161,11 +177,11 @@
 		return nil
 	}
 	versions := s.versions(now)
-	if !s.named {
-		if len(versions) > 0 || !current {
-			return s.stored
+	if !s.resumable {
+		if current && (len(versions) == 0 || now.Sub(s.resumableUntil) >= Lifetime) {
+			return nil
 		}
-		return nil
+		return s.stored
 	}
 	desired := Stored{Versions: versions, Complete: !now.Before(s.completeFrom)}
 	if s.stored != nil {
@@ -212,7 +228,7 @@
 // nobody has known them for so long.
 func (h *History) Sole(now time.Time, name string) string {
 	s := h.services[name]
-	if known := h.known(now, name); len(known) == 1 && (s.stored != nil && s.stored.Complete || s.named && !now.Before(s.completeFrom)) {
+	if known := h.known(now, name); len(known) == 1 && (s.stored != nil && s.stored.Complete || s.followed && !now.Before(s.completeFrom)) {
 		return known[0]
 	}
 	return ""
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -74,7 +74,14 @@
 	require.True(t, r.Ambiguous)
 }
 
-func present(versions ...string) map[string][]string { return map[string][]string{"engine": versions} }
+func present(versions ...string) map[string]Presence {
+	return map[string]Presence{"engine": {Versions: versions, Resumable: true}}
+}
+
+// notResumable returns the presence of a service whose streams may not be taken up.
+func notResumable(versions ...string) map[string]Presence {
+	return map[string]Presence{"engine": {Versions: versions}}
+}
 
 // complete and incomplete return records of the store.
 func complete(versions ...string) *Stored   { return &Stored{Versions: versions, Complete: true} }
@@ -110,6 +117,15 @@
 			h.SetPresent(at(Lifetime), nil)
 			h.SetPresent(at(Lifetime+2), present("v1"))
 		}, Lifetime + 3, ""},
+		"resumable long after it had targets": {true, func(h *History) {
+			h.SetPresent(at(0), nil)
+			h.SetPresent(at(1), notResumable("v1"))
+			h.SetPresent(at(1+Lifetime), present("v1"))
+		}, 1 + Lifetime, "v1"},
+		"replaced a moment before it is resumable": {true, func(h *History) {
+			h.SetPresent(at(0), notResumable("v1"))
+			h.SetPresent(at(Lifetime), present("v2"))
+		}, Lifetime + 1, ""},
 		"comes back": {false, func(h *History) {
 			h.SetPresent(at(0), present("v1"))
 			h.SetPresent(at(1), present("v2"))
@@ -158,6 +174,18 @@
 	require.Nil(t, h.Desired(at(4*Lifetime), "engine", true), "no longer configured")
 }
 
+// Guards against a record that stays in the store, and gets out of date, while a service has targets but no streams that
+// may be taken up.
+func TestRecordOfAServiceThatIsNoLongerResumable(t *testing.T) {
+	h := NewHistory(start, true)
+	h.SetPresent(start, present("v1"))
+	h.SetStored(start, "engine", complete("v1"))
+	h.SetPresent(at(1), notResumable("v1"))
+	require.Equal(t, complete("v1"), h.Desired(at(Lifetime), "engine", true))
+	require.Nil(t, h.Desired(at(1+Lifetime), "engine", true))
+	require.Equal(t, complete("v1"), h.Desired(at(1+Lifetime), "engine", false), "the list may lag")
+}
+
 // Guards against a record that stays incomplete.
 func TestRecordBecomesComplete(t *testing.T) {
 	h := NewHistory(start, false)
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -128,12 +128,15 @@
 	}
 }
 
-// SetTargets replaces the targets that may receive new work. Only services whose streams may be taken up
-// again are followed. It returns the versions that should get no new work yet, by service.
+// SetTargets replaces the targets that may receive new work. It returns the versions that should get no new work yet, by
+// service.
 func (d *Directory) SetTargets(now time.Time, table *routes.Table, usable map[string][]routes.Target) map[string][]string {
-	present := map[string][]string{}
+	present := make(map[string]resumption.Presence, len(usable))
+	for service, targets := range usable {
+		present[service] = resumption.Presence{Versions: versionsOf(targets)}
+	}
 	for _, service := range table.ResumableServices() {
-		present[service] = versionsOf(usable[service])
+		present[service] = resumption.Presence{Versions: present[service].Versions, Resumable: true}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -40,8 +40,9 @@
 	calls   int
 	writes  int
 	refused int
-	// present are the versions of the targets.
+	// present are the versions of the targets, table is the configuration.
 	present []string
+	table   *routes.Table
 	runs    sync.WaitGroup
 }
 
@@ -78,7 +79,7 @@
 
 func runFleet(t *testing.T, instances int, play func(f *fleet)) {
 	synctest.Test(t, func(*testing.T) {
-		f := &fleet{nodes: map[string]*node{}, stored: map[string]platformapi.Object{}, present: []string{"v1"}}
+		f := &fleet{nodes: map[string]*node{}, stored: map[string]platformapi.Object{}, present: []string{"v1"}, table: table}
 		for n := range instances {
 			f.startNode(fmt.Sprint("instance-", n), true)
 		}
@@ -180,6 +181,9 @@
 	Kind: routes.KindStreaming, Resumable: true, TrafficSplit: []routes.WeightedService{{Service: "engine", Weight: 1}},
 }}, nil)
 
+// withoutRoutes is a configuration in which no streams may be taken up.
+var withoutRoutes = routes.Build(routes.Table{}, nil, nil)
+
 // deploy sets the versions of the targets, as all instances see them.
 func (f *fleet) deploy(versions ...string) {
 	f.present = versions
@@ -188,6 +192,16 @@
 	}
 }
 
+// configure sets the configuration at all instances.
+func (f *fleet) configure(t *routes.Table) {
+	f.mu.Lock()
+	f.table = t
+	f.mu.Unlock()
+	for _, n := range f.nodes {
+		n.republish()
+	}
+}
+
 // list sets the versions of the targets, as one instance sees them.
 func (n *node) list(versions []string) {
 	n.fleet.mu.Lock()
@@ -199,13 +213,17 @@
 // republish passes the targets on once more.
 func (n *node) republish() {
 	n.fleet.mu.Lock()
-	versions := n.listed
+	versions, table := n.listed, n.fleet.table
 	n.fleet.mu.Unlock()
 	var targets []routes.Target
 	for _, v := range versions {
 		targets = append(targets, routes.Target{Name: "target-" + v, Service: "engine", Version: v})
 	}
-	held := n.SetTargets(time.Now(), table, map[string][]routes.Target{"engine": targets})["engine"]
+	usable := map[string][]routes.Target{}
+	if len(targets) > 0 {
+		usable["engine"] = targets
+	}
+	held := n.SetTargets(time.Now(), table, usable)["engine"]
 	n.held.Store(&held)
 }
 
--- a/daemon/streams/records.go
+++ b/daemon/streams/records.go
@@ -52,10 +52,10 @@
 }
 
 // isDistributed reports whether the records of a service's streams go to the owners of their keys, where any instance
-// finds them: a version may not be the only one. Those of other services go to the instances that keep the records of
+// finds them: nobody can conclude from the versions of the service where a stream began. Those of other services go to the instances that keep the records of
 // this one, in one message for many of them. mu must be held.
 func (d *Directory) isDistributed(now time.Time, service string) bool {
-	return d.history.Several(now, service)
+	return d.history.Sole(now, service) == ""
 }
 
 // sendAllMissing sends the records of this instance's streams to those that are to keep them and lack
@@ -162,7 +162,7 @@
 }
 
 // distributeBackups passes the records that this instance keeps for others on to the owners of their keys, for services
-// that have got a second version: the instances that serve the streams may be lost.
+// whose only version isn't known any more: the instances that serve the streams may be lost.
 func (d *Directory) distributeBackups(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -115,6 +115,44 @@
 	}
 }
 
+// Guards against streams of an instance that is lost within a minute after their route has been moved to their service,
+// which nobody knows the versions of before.
+func TestStreamsOfANewServiceOutliveTheirInstance(t *testing.T) {
+	for _, instances := range []int{7, 40} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			runFleet(t, instances, func(f *fleet) {
+				f.configure(withoutRoutes)
+				f.deploy()
+				time.Sleep(2 * resumption.Lifetime)
+				f.deploy("v1")
+				f.configure(table)
+				time.Sleep(5 * time.Second)
+				ids := f.begin(f.nodes["instance-1"], "v1", streamCount)
+				time.Sleep(2 * tickInterval)
+				f.kill("instance-1")
+				for _, n := range f.nodes {
+					requireTaken(t, n, ids, "v1")
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams that can't be taken up after the loss of all within a minute after their route has been moved to a
+// service whose targets have long been known.
+func TestMovedRouteOutlivesTheLossOfAll(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		f.configure(withoutRoutes)
+		time.Sleep(2 * resumption.Lifetime)
+		f.configure(table)
+		time.Sleep(5 * time.Second)
+		ids := f.begin(f.nodes["instance-1"], "v1", streamCount)
+		n := f.loseAll("v1")
+		time.Sleep(time.Second)
+		requireTaken(t, n, ids, "v1")
+	})
+}
+
 // Guards against records of the only version that cost a message each, or go to ever more instances.
 func TestRecordsOfTheOnlyVersionGoInBatches(t *testing.T) {
 	runFleet(t, 40, func(f *fleet) {
