Store where streams began while their service has several versions

Cause: the record of where a stream began was at its instance and at three others, all gone. Nothing that outlives all instances had it.

Change: while no version of a service is known to be the only one, each instance writes the records of its streams that have not ended into one object of its own (kind stream-records, five bytes a stream), at each half second, less often in fleets of over 50, and only if a stream was added. Whoever takes up a stream that no instance has a record of reads the objects of all, at most once a second. The first write of a started instance meets the object of its earlier run and keeps what it has, so that a second loss loses nothing. Objects go two minutes after their last write; those of instances that are gone are deleted by the first-ranked one.

What began after the last write before the loss is refused, as before.

The bound of TestStreamsOfManyServicesShareReads holds for the reads of versions as before; those of records have a bound of their own beside it.

--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -87,6 +87,7 @@
 	changed bool
 	view    *membership.View
 	stored  stored
+	records storedRecords
 	// versionsRead is closed when all services' versions have been read after the start.
 	versionsRead chan struct{}
 	// held are the versions that the latest SetTargets returned.
@@ -102,7 +103,8 @@
 		options: o, started: now, metrics: newMetrics(o.Scope), sending: make(chan struct{}, maxSending),
 		wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
 		history: resumption.NewHistory(now, o.FirstStart), table: resumption.NewTable(maxRecords),
-		own: map[resumption.Hash]*ownStream{}, unsent: map[resumption.Hash]struct{}{}, stored: newStored(), versionsRead: make(chan struct{}),
+		own: map[resumption.Hash]*ownStream{}, unsent: map[resumption.Hash]struct{}{},
+		stored: newStored(), records: storedRecords{sweptAt: now}, versionsRead: make(chan struct{}),
 	}
 	o.Cluster.Handle(methodKeep, d.handleKeep, peer.Idempotent())
 	o.Cluster.Handle(methodFind, d.handleFind, peer.Idempotent())
@@ -112,6 +114,7 @@
 // Run keeps records and stored versions up to date until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
 	go d.followVersions(ctx)
+	go d.followRecords(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -70,24 +70,28 @@
 
 // newKeepRequest returns the request to keep records.
 func newKeepRequest(records []resumption.Record, backup bool) *keepRequest {
+	return &keepRequest{Groups: groupRecords(records), Backup: backup}
+}
+
+// groupRecords returns records in groups.
+func groupRecords(records []resumption.Record) []recordGroup {
 	type kind struct {
 		origin    resumption.Origin
 		ambiguous bool
 	}
 	positions := map[kind]int{}
-	request := &keepRequest{Backup: backup}
+	var groups []recordGroup
 	for _, r := range records {
 		k := kind{r.Origin, r.Ambiguous}
 		position, ok := positions[k]
 		if !ok {
-			position = len(request.Groups)
+			position = len(groups)
 			positions[k] = position
-			request.Groups = append(request.Groups, recordGroup{Service: r.Origin.Service, Version: r.Origin.Version, Ambiguous: r.Ambiguous})
+			groups = append(groups, recordGroup{Service: r.Origin.Service, Version: r.Origin.Version, Ambiguous: r.Ambiguous})
 		}
-		g := &request.Groups[position]
-		g.Hashes = r.ID.Append(g.Hashes)
+		groups[position].Hashes = r.ID.Append(groups[position].Hashes)
 	}
-	return request
+	return groups
 }
 
 // records returns the records of a request.
@@ -178,6 +182,11 @@
 		d.awaitVersions(join)
 		l = newLocation(resumption.Locate(service, d.answer(service, id), current, answers))
 	}
+	if !l.Known && l.Reason != resumption.ReasonAmbiguous && id != "" {
+		// All that had the record may be lost.
+		d.awaitStoredRecords(ctx)
+		l = newLocation(resumption.Locate(service, d.answer(service, id), current, answers))
+	}
 	l.Asked = len(peers)
 	return l
 }
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -27,19 +27,22 @@
 type fleet struct {
 	mu    sync.Mutex
 	nodes map[string]*node
-	// stored are the objects in the store, by name; down makes its calls fail, and forbidden its writes.
-	stored          map[string]platformapi.Object
+	// stored are the versions of services in the store, by name, and storedRecords the records of instances; down makes
+	// the store's calls fail, and forbidden its writes.
+	stored, storedRecords map[string]platformapi.Object
+
 	revision        uint64
 	down, forbidden atomic.Bool
 	// readDelay and writeDelay are how long the store takes to answer, in nanoseconds.
 	readDelay, writeDelay atomic.Int64
 	// received counts the writes that the store has received, writes those that took effect.
 	received atomic.Int64
-	// reads counts the reads that the store has received.
-	reads   atomic.Int64
-	calls   int
-	writes  int
-	refused int
+	// reads counts the reads of versions that the store has received, recordReads those of records.
+	reads, recordReads atomic.Int64
+	calls int
+	// writes counts those of versions, recordWrites those of records.
+	writes, recordWrites int
+	refused              int
 	// present are the versions of the targets, table is the configuration.
 	present []string
 	table   *routes.Table
@@ -79,7 +82,7 @@
 
 func runFleet(t *testing.T, instances int, play func(f *fleet)) {
 	synctest.Test(t, func(*testing.T) {
-		f := &fleet{nodes: map[string]*node{}, stored: map[string]platformapi.Object{}, present: []string{"v1"}, table: table}
+		f := &fleet{nodes: map[string]*node{}, stored: map[string]platformapi.Object{}, storedRecords: map[string]platformapi.Object{}, present: []string{"v1"}, table: table}
 		for n := range instances {
 			f.startNode(fmt.Sprint("instance-", n), true)
 		}
@@ -263,8 +266,12 @@
 var errDown = errors.New("the store is down")
 
 // readable waits as long as a read takes, and returns an error if the store is down.
-func (f *fleet) readable() error {
-	f.reads.Add(1)
+func (f *fleet) readable(kind string) error {
+	if kind == platformapi.KindStreamRecords {
+		f.recordReads.Add(1)
+	} else {
+		f.reads.Add(1)
+	}
 	time.Sleep(time.Duration(f.readDelay.Load()))
 	if f.down.Load() {
 		return errDown
@@ -272,26 +279,34 @@
 	return nil
 }
 
-func (f *fleet) List(context.Context, string) (platformapi.List, error) {
-	if err := f.readable(); err != nil {
+// objects returns the objects of a kind; mu is held.
+func (f *fleet) objects(kind string) map[string]platformapi.Object {
+	if kind == platformapi.KindStreamRecords {
+		return f.storedRecords
+	}
+	return f.stored
+}
+
+func (f *fleet) List(_ context.Context, kind string) (platformapi.List, error) {
+	if err := f.readable(kind); err != nil {
 		return platformapi.List{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := platformapi.List{Revision: f.revision}
-	for _, o := range f.stored {
+	for _, o := range f.objects(kind) {
 		list.Items = append(list.Items, o)
 	}
 	return list, nil
 }
 
-func (f *fleet) Get(_ context.Context, _, name string) (*platformapi.Object, error) {
-	if err := f.readable(); err != nil {
+func (f *fleet) Get(_ context.Context, kind, name string) (*platformapi.Object, error) {
+	if err := f.readable(kind); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	o, ok := f.stored[name]
+	o, ok := f.objects(kind)[name]
 	if !ok {
 		return nil, platform.ErrNotFound
 	}
@@ -299,7 +314,7 @@
 }
 
 // write carries out a write whose condition is checked as it takes effect.
-func (f *fleet) write(name string, allowed func(current platformapi.Object, exists bool) bool, apply func()) error {
+func (f *fleet) write(kind, name string, allowed func(current platformapi.Object, exists bool) bool, apply func()) error {
 	f.received.Add(1)
 	time.Sleep(time.Duration(f.writeDelay.Load()))
 	f.mu.Lock()
@@ -311,7 +326,7 @@
 		f.refused++
 		return &platform.CallError{Err: platform.ErrRefused}
 	}
-	current, exists := f.stored[name]
+	current, exists := f.objects(kind)[name]
 	if !allowed(current, exists) {
 		if !exists {
 			return &platform.ConflictError{}
@@ -319,33 +334,37 @@
 		return &platform.ConflictError{Current: &current}
 	}
 	f.revision++
-	f.writes++
+	if kind == platformapi.KindStreamRecords {
+		f.recordWrites++
+	} else {
+		f.writes++
+	}
 	apply()
 	return nil
 }
 
-func (f *fleet) Create(_ context.Context, _ string, o platformapi.Object) (*platformapi.Object, error) {
-	err := f.write(o.Metadata.Name, func(_ platformapi.Object, exists bool) bool { return !exists }, func() { f.put(&o) })
+func (f *fleet) Create(_ context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	err := f.write(kind, o.Metadata.Name, func(_ platformapi.Object, exists bool) bool { return !exists }, func() { f.put(kind, &o) })
 	return &o, err
 }
 
-func (f *fleet) Update(_ context.Context, _ string, o platformapi.Object) (*platformapi.Object, error) {
-	err := f.write(o.Metadata.Name, func(current platformapi.Object, exists bool) bool {
+func (f *fleet) Update(_ context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	err := f.write(kind, o.Metadata.Name, func(current platformapi.Object, exists bool) bool {
 		return exists && current.Metadata.Revision == o.Metadata.Revision
-	}, func() { f.put(&o) })
+	}, func() { f.put(kind, &o) })
 	return &o, err
 }
 
 // put stores an object; mu is held.
-func (f *fleet) put(o *platformapi.Object) {
+func (f *fleet) put(kind string, o *platformapi.Object) {
 	o.Metadata.Revision = f.revision
-	f.stored[o.Metadata.Name] = *o
+	f.objects(kind)[o.Metadata.Name] = *o
 }
 
-func (f *fleet) Delete(_ context.Context, _, name string, revision uint64) error {
-	return f.write(name, func(current platformapi.Object, exists bool) bool {
+func (f *fleet) Delete(_ context.Context, kind, name string, revision uint64) error {
+	return f.write(kind, name, func(current platformapi.Object, exists bool) bool {
 		return exists && (revision == 0 || current.Metadata.Revision == revision)
-	}, func() { delete(f.stored, name) })
+	}, func() { delete(f.objects(kind), name) })
 }
 
 // begin has an instance begin streams and returns their ids.
@@ -407,3 +426,12 @@
 	defer n.mu.Unlock()
 	return n.table.Len()
 }
+
+// settledRecords waits for what is in progress and returns the names of the instances with records in the store, and the
+// number of their writes.
+func (f *fleet) settledRecords() (names []string, writes int) {
+	synctest.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.storedRecords)), f.recordWrites
+}
--- a/daemon/streams/versions_test.go
+++ b/daemon/streams/versions_test.go
@@ -170,6 +170,7 @@
 		}
 		time.Sleep(time.Second)
 		require.LessOrEqual(t, f.reads.Load()-before, int64(span/confirmInterval)+2)
+		require.LessOrEqual(t, f.recordReads.Load(), int64(2*span/recordsReadInterval)+1)
 	})
 }
 
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -28,6 +28,9 @@
 	// KindServiceVersions has one object per service whose streams may be taken up again, with the software
 	// versions of its targets.
 	KindServiceVersions = "service-versions"
+	// KindStreamRecords has one object per instance, with where its streams began while their services have several
+	// versions.
+	KindStreamRecords = "stream-records"
 )
 
 // RecordKinds are the kinds that operators write.
@@ -193,3 +196,20 @@
 	// Complete is true if no such stream can have begun at another version.
 	Complete bool `json:"complete,omitempty"`
 }
+
+// StreamsEntry is the spec of an object of KindStreamRecords, whose name is the instance.
+type StreamsEntry struct {
+	Groups []StreamGroup `json:"groups"`
+}
+
+// StreamGroup has streams that began at the same service and version.
+type StreamGroup struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Ambiguous is true if other streams have the same ids.
+	Ambiguous bool `json:"ambiguous,omitempty"`
+	// Until is the Unix time, in seconds, from which nobody needs the group.
+	Until int64 `json:"until"`
+	// Streams are the encoded hashes of the streams' ids.
+	Streams []byte `json:"streams"`
+}
