Take a status that HTTP doesn't define for no response

Here: a status below 200 counted as interim, 000 to 099 too. The request was held until its deadline, and a second head behind it was taken for its response; 600 and 999 were passed on as responses; 101 counted as interim though no request asks for another protocol.

Change: interim are 100 and 102 to 199; below 100, above 599 and 101 are ErrInvalidStatus, the connection is closed, and the request goes on as after any response that can't be read. Stage calls use the same client. The store's client takes any status that it doesn't know for a call without a response.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -139,7 +139,11 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
+		interim, err := classifyStatus(response.StatusCode)
+		if err != nil {
+			return err
+		}
+		if interim {
 			continue
 		}
 		if r.options.Matches != nil && !r.options.Matches(response.StatusCode, response.Header) {
@@ -160,6 +164,18 @@
 	return errors.New("too many replies of other requests")
 }
 
+// ErrInvalidStatus means that what a target sent is no response to the request.
+var ErrInvalidStatus = errors.New("invalid status")
+
+// classifyStatus reports whether a response with a status is followed by another one. It returns ErrInvalidStatus for one
+// that HTTP doesn't define, and for a change of protocols, which no request asks for.
+func classifyStatus(status int) (interim bool, err error) {
+	if status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
+		return false, errors.Wrapf(ErrInvalidStatus, "status %03d", status)
+	}
+	return status < http.StatusOK, nil
+}
+
 // fail closes the connection and returns the error of an attempt without a response.
 func (r *Reply) fail(ctx context.Context, err error) error {
 	r.stopCancel()
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -521,6 +521,33 @@
 	}
 }
 
+// Guards against a status that is none, which is passed on as a response, or taken for an interim one, so that the request
+// waits for another head, or the next one is taken for its response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		for name, rest := range map[string]string{"alone": "", "with a response behind it": okResponse} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				address, conns := serve(t, answerAll("HTTP/1.1 "+status+" Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n"+rest))
+				c := New(ClientOptions{})
+				for range 2 {
+					got, err := do(t, c, address, "", Options{})
+					require.ErrorIs(t, err, ErrInvalidStatus)
+					require.Empty(t, got)
+				}
+				require.EqualValues(t, 2, conns.Load(), "the connection is not reused")
+			})
+		}
+	}
+}
+
+// Guards against an interim response that is taken for the response.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	address, _ := serve(t, answerAll("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"+okResponse))
+	got, err := do(t, New(ClientOptions{}), address, "", Options{})
+	require.NoError(t, err)
+	require.Equal(t, "ok", got)
+}
+
 // Guards against a target that sends a head without end until no memory is left.
 func TestEndlessHeadIsGivenUp(t *testing.T) {
 	closed := make(chan int, 1)
--- a/transport/platform/faults_test.go
+++ b/transport/platform/faults_test.go
@@ -337,3 +337,11 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a status that HTTP doesn't define, which is taken for a refusal or a success of a write.
+func TestUndefinedStatusLeavesTheEffectUnknown(t *testing.T) {
+	for _, status := range []int{0, 99, 600, 999} {
+		var unknown *platform.UnknownEffectError
+		require.ErrorAs(t, platform.StatusError(platform.Call{Write: true}, status, 0, nil), &unknown, "%d", status)
+	}
+}
