Take a response for broken off if its target closes before the whole request is read

Two ways showed the same fault:

- Through another instance: a socket reports a reset only once.
There the write of the request got it, the read saw a regular end, and passed that on as one.

Change: a response that ends with its connection is complete only if no reset follows within 100 ms while the request is still being written, or if the request was sent. Targets that read on, or hold the connection open, are taken as before. The end of a tunnel is passed on after the same time, and the tunnel stays open for a second, since a target may read on.

Tests changed: the case "then it closes" of TestEarlyResponseIsComplete and "reset behind its end" of TestCloseDelimitedEndAfterWriteError held such a response to be complete.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -211,17 +210,22 @@
 	return n, err
 }
 
+// ResetDelay is how much later than the end of a target's bytes a reset may be seen that the target's host sends because
+// the target has closed the connection with bytes of the request unread or on the way.
+const ResetDelay = 100 * time.Millisecond
+
 // closeDelimitedEnd returns io.EOF if the end of the connection is the regular end of the
 // response body, or else the error that truncated the body.
 //
 // A socket reports a reset only once. If a write of the request gets the error, the reader
-// sees a regular end. EPIPE means a reset after a regular end: the target had responded and
-// closed the connection before it received the rest of the request.
+// sees a regular end. A target that responds before it has read the whole request keeps the
+// connection and reads on, so a reset means that it has broken off, even if its bytes ended in
+// order before (EPIPE).
 func (r *Reply) closeDelimitedEnd() error {
+	r.awaitSendFor(ResetDelay)
 	_ = r.conn.SetWriteDeadline(longAgo) // ends a blocked write of the request
 	r.awaitSend()
-	err := r.conn.writeErr
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
+	if err := r.conn.writeErr; err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
 	if r.targetEnded() {
@@ -241,6 +245,20 @@
 	}
 }
 
+// awaitSendFor waits until send has finished, at most for a time.
+func (r *Reply) awaitSendFor(limit time.Duration) {
+	if r.sendDone {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case err := <-r.sendResult:
+		r.sendErr, r.sendDone = err, true
+	case <-timer.C:
+	}
+}
+
 // Reused reports whether the connection had carried another request.
 func (r *Reply) Reused() bool { return r.reused }
 
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -222,22 +222,28 @@
 	}
 }
 
-// A complete response without a length must be accepted even if the target sent it and
-// closed without reading the whole request.
+// earlyTarget responds without a length and ends the response before it has read the whole request.
+func earlyTarget(t *testing.T, after func(nc net.Conn)) string {
+	address, _ := serve(t, func(nc net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = nc.(*net.TCPConn).CloseWrite()
+		after(nc)
+	})
+	return address
+}
+
+// A complete response without a length must be accepted even if the target sent it before it has read the whole
+// request.
 func TestEarlyResponseIsComplete(t *testing.T) {
 	done := make(chan struct{})
 	defer close(done)
-	for name, after := range map[string]func(){
-		"then it closes":               func() {},
-		"then it doesn't read further": func() { <-done },
+	for name, after := range map[string]func(nc net.Conn){
+		"then it reads on":             func(nc net.Conn) { _, _ = io.Copy(io.Discard, nc) },
+		"then it doesn't read further": func(net.Conn) { <-done },
 	} {
 		t.Run(name, func(t *testing.T) {
-			address, _ := serve(t, func(nc net.Conn, r *bufio.Reader) {
-				_, _ = http.ReadRequest(r)
-				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nwhole")
-				_ = nc.(*net.TCPConn).CloseWrite()
-				after()
-			})
+			address := earlyTarget(t, after)
 			body := strings.Repeat("x", 16<<20)
 			for range 40 {
 				got, err := do(t, New(ClientOptions{}), address, body, Options{})
@@ -248,6 +254,24 @@
 	}
 }
 
+// Guards against a part of a response that looks complete since its target closed the connection without reading the whole
+// request.
+func TestEarlyResponseIsBrokenOffIfItsTargetCloses(t *testing.T) {
+	for name, end := range map[string]func(nc net.Conn){
+		"in order": func(net.Conn) {},
+		"reset":    func(nc net.Conn) { _ = nc.(*net.TCPConn).SetLinger(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := earlyTarget(t, end)
+			body := strings.Repeat("x", 16<<20)
+			for range 40 {
+				_, err := do(t, New(ClientOptions{}), address, body, Options{})
+				require.Error(t, err)
+			}
+		})
+	}
+}
+
 // failingWriteConn is a connection whose writes all fail.
 type failingWriteConn struct {
 	net.Conn
@@ -269,7 +293,7 @@
 		complete bool
 	}{
 		"reset":                     {"", syscall.ECONNRESET, false},
-		"reset behind its end":      {"", syscall.EPIPE, true},
+		"reset behind its end":      {"", syscall.EPIPE, false},
 		"silence":                   {"", syscall.ETIMEDOUT, false},
 		"body not taken":            {"", os.ErrDeadlineExceeded, true},
 		"reset behind whole answer": {"Content-Length: 2\r\n", syscall.ECONNRESET, true},
--- a/transport/peer/tunnel.go
+++ b/transport/peer/tunnel.go
@@ -23,6 +23,8 @@
 	maxTunnelFrame = maxTunnelChunk + 64
 	// tunnelDialTimeout bounds the opening of the connection to a tunnel's target.
 	tunnelDialTimeout = 300 * time.Millisecond
+	// tunnelLinger bounds the life of a tunnel after the regular end of its target's bytes.
+	tunnelLinger = time.Second
 )
 
 // DialThrough opens a connection to a target through the instance at peerAddress. The connection
@@ -106,31 +108,42 @@
 			}
 		}
 	}
+	failed := make(chan error, 1)
 	var copying sync.WaitGroup
 	copying.Go(func() {
-		c.copyToTarget()
+		if err := c.copyToTarget(); err != nil {
+			failed <- err
+		}
 		_ = c.target.Close()
 	})
-	n.closeTunnel(c, errors.Wrap(c.copyFromTarget(), "tunnel"))
+	err := c.copyFromTarget(failed)
+	if err == nil {
+		// The target may read on.
+		_ = c.nc.SetReadDeadline(time.Now().Add(tunnelLinger)) // fails only if the connection is closed
+		_ = c.target.SetWriteDeadline(time.Now().Add(tunnelLinger))
+		copying.Wait()
+	}
+	n.closeTunnel(c, errors.Wrap(err, "tunnel"))
 	copying.Wait()
 }
 
 // copyToTarget writes the bytes of the other instance to the target until that instance closes
-// the tunnel.
-func (c *conn) copyToTarget() {
+// the tunnel. It returns the error of a write.
+func (c *conn) copyToTarget() error {
 	for {
 		data, err := readTunnel(c)
-		if err == nil {
-			_, err = c.target.Write(data)
-		}
 		if err != nil {
-			return
+			return nil
+		}
+		if _, err = c.target.Write(data); err != nil {
+			return err
 		}
 	}
 }
 
-// copyFromTarget sends the target's bytes to the other instance, and their end if it was regular.
-func (c *conn) copyFromTarget() error {
+// copyFromTarget sends the target's bytes to the other instance, and their end if it was regular. failed has the error of
+// a write to the target: a socket reports a reset only once, and the read sees a regular end if the write got it.
+func (c *conn) copyFromTarget(failed <-chan error) error {
 	buffer := make([]byte, maxTunnelChunk)
 	for {
 		read, err := c.target.Read(buffer)
@@ -140,7 +153,12 @@
 			}
 		}
 		if err == io.EOF {
-			return c.writeHandshake(&peer.End{})
+			select {
+			case err := <-failed:
+				return err
+			case <-time.After(forward.ResetDelay):
+				return c.writeHandshake(&peer.End{})
+			}
 		}
 		if err != nil {
 			return err
--- a/transport/peer/tunnel_test.go
+++ b/transport/peer/tunnel_test.go
@@ -123,6 +123,65 @@
 	}
 }
 
+// Guards against a response that ends with its connection and looks complete though the target reset that connection while
+// the request was still being written: a socket reports a reset only once, here to the write.
+func TestTunnelEndIsNotRegularIfAWriteMetAReset(t *testing.T) {
+	for name, end := range map[string]func(nc *net.TCPConn){
+		"reset":                     func(nc *net.TCPConn) { _ = nc.SetLinger(0); _ = nc.Close() },
+		"closed with unread bytes":  func(nc *net.TCPConn) { _ = nc.Close() },
+		"end of the response first": func(nc *net.TCPConn) { _ = nc.CloseWrite(); _ = nc.SetLinger(0); _ = nc.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := tunnelTarget(t, func(nc *net.TCPConn) {
+				_, _ = io.ReadFull(nc, make([]byte, 4096))
+				_, _ = io.WriteString(nc, "part")
+				end(nc)
+			})
+			from, through := tunnelNodes(t, nil)
+			for range 60 {
+				nc, err := from.DialThrough(t.Context(), through.Addr(), target)
+				require.NoError(t, err)
+				go func() { _, _ = io.WriteString(nc, strings.Repeat("x", 4<<20)) }()
+				_, err = io.ReadAll(nc)
+				require.ErrorIs(t, err, syscall.ECONNRESET)
+				require.NoError(t, nc.Close())
+			}
+			awaitNoTunnels(t, through)
+		})
+	}
+}
+
+// Guards against a whole response that looks broken off, since its target ended it before it had read the request and then
+// reads on, or not.
+func TestTunnelEndIsRegularWhileTheRequestIsWritten(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	for name, after := range map[string]func(nc *net.TCPConn){
+		"reads on":      func(nc *net.TCPConn) { _, _ = io.Copy(io.Discard, nc) },
+		"reads no more": func(*net.TCPConn) { <-done },
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := tunnelTarget(t, func(nc *net.TCPConn) {
+				_, _ = io.ReadFull(nc, make([]byte, 4096))
+				defer nc.Close()
+				_, _ = io.WriteString(nc, "whole")
+				_ = nc.CloseWrite()
+				after(nc)
+			})
+			from, through := tunnelNodes(t, nil)
+			for range 5 {
+				nc, err := from.DialThrough(t.Context(), through.Addr(), target)
+				require.NoError(t, err)
+				go func() { _, _ = io.WriteString(nc, strings.Repeat("x", 4<<20)) }()
+				got, err := io.ReadAll(nc)
+				require.NoError(t, err)
+				require.Equal(t, "whole", string(got))
+				require.NoError(t, nc.Close())
+			}
+		})
+	}
+}
+
 // The dialing instance learns whether nothing listens at the target, and a stopping or busy one in
 // between opens nothing.
 func TestTunnelRefusals(t *testing.T) {
