Don't conclude from old knowledge that a service has one version

It happens here: TestInstancesThatAreCutOffDontGuessVersions failed with 1, 2 and 3 of 7 instances cut off, with all 20 streams at v1 that had begun at v2.

Causes, both where the store doesn't answer: - A list of targets of at most two seconds counted as current. What joined in these two seconds is the question. - One other instance that knew the same only version made it sure, also one that was cut off together with this one.

Change: the only version counts if the store has been read since the stream was taken up, or if a quorum of instances knows it as the only one: a majority of those that are asked, this one included, at an instance that sees more than half of all known ones alive. Streams of which an instance has a record go on as before.

The price: at an instance that reaches neither the store nor most others, streams without a record there are refused (unsure) instead of joined to another version. All tests of streams of the only version pass, also those with an outage of the store.

An instance that stood still reads the store after the stream came, so that its own list doesn't count: TestInstanceThatStoodStillDoesntGuessVersions passed before and after.

--- a/coordination/resumption/locate.go
+++ b/coordination/resumption/locate.go
@@ -31,17 +31,27 @@
 	Sole    string
 }
 
-// Locate decides where a stream of a service began. own is what this instance knows, and current is true if
-// it knows the targets, or what the store has of their versions, as they are now; answers are those of other
-// instances. The origin is meaningful only if ok is true.
+// Evidence is what is known of a stream as it is taken up.
+type Evidence struct {
+	// Own is what this instance knows, Answers what others do.
+	Own     Answer
+	Answers []Answer
+	// Confirmed is true if the store has been read since the stream is taken up, so that this instance knows all
+	// versions at which the stream can have begun.
+	Confirmed bool
+	// Quorum is how many instances, this one included, have to know the same version as the only one if the store
+	// hasn't been read: more than can have been cut off from the others together. What an instance knows may be older
+	// than the stream.
+	Quorum int
+}
+
+// Locate decides where a stream of a service began. The origin is meaningful only if ok is true.
 //
-// A record counts whoever has it. An instance whose knowledge is old takes a version for the only one
-// only if another instance that knows does so too.
-func Locate(service string, own Answer, current bool, answers []Answer) (origin Origin, why Reason, ok bool) {
+// A record counts whoever has it.
+func Locate(service string, e Evidence) (origin Origin, why Reason, ok bool) {
 	sole := ""
-	several, sure := own.Several, current
-	for i, a := range append([]Answer{own}, answers...) {
-		sure = sure || i > 0 && a.Sole != ""
+	several, agreeing := false, 0
+	for _, a := range append([]Answer{e.Own}, e.Answers...) {
 		switch {
 		case a.Found && (a.Record.Ambiguous || origin != (Origin{}) && origin != a.Record.Origin):
 			return Origin{}, ReasonAmbiguous, false
@@ -51,6 +61,7 @@
 		several = several || a.Several || a.Sole != "" && sole != "" && a.Sole != sole
 		if a.Sole != "" {
 			sole = a.Sole
+			agreeing++
 		}
 	}
 	switch {
@@ -58,7 +69,7 @@
 		return origin, ReasonRecord, true
 	case several:
 		return Origin{}, ReasonNoRecord, false
-	case !sure || sole == "":
+	case sole == "" || !e.Confirmed && agreeing < e.Quorum:
 		return Origin{}, ReasonUnsure, false
 	}
 	return Origin{service, sole}, ReasonSole, true
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -259,30 +259,34 @@
 	several, sole, nothing := Answer{Several: true}, Answer{Sole: "v1"}, Answer{}
 	cases := map[string]struct {
 		own     Answer
-		stale   bool
+		unread  bool
 		answers []Answer
 		origin  Origin
 		why     Reason
 	}{
-		"record here":                         {record(v2), false, nil, v2, ReasonRecord},
-		"record there":                        {several, false, []Answer{nothing, record(v2)}, v2, ReasonRecord},
-		"record of another service":           {sole, false, []Answer{record(Origin{"other", "v9"})}, Origin{"other", "v9"}, ReasonRecord},
-		"record against the only version":     {sole, false, []Answer{record(v2)}, v2, ReasonRecord},
-		"records that differ":                 {nothing, false, []Answer{record(v1), record(v2)}, Origin{}, ReasonAmbiguous},
-		"ambiguous record":                    {sole, false, []Answer{ambiguous}, Origin{}, ReasonAmbiguous},
-		"one version":                         {sole, false, nil, v1, ReasonSole},
-		"one version, as another one says":    {nothing, false, []Answer{sole}, v1, ReasonSole},
-		"one version, stale, nobody answers":  {sole, true, nil, Origin{}, ReasonUnsure},
-		"one version, stale, one knows":       {sole, true, []Answer{nothing, sole}, v1, ReasonSole},
-		"one version, stale, nobody knows":    {sole, true, []Answer{nothing}, Origin{}, ReasonUnsure},
-		"one version here, several elsewhere": {sole, false, []Answer{several}, Origin{}, ReasonNoRecord},
-		"different only versions":             {sole, false, []Answer{{Sole: "v2"}}, Origin{}, ReasonNoRecord},
-		"several versions":                    {several, false, []Answer{nothing}, Origin{}, ReasonNoRecord},
-		"nobody knows":                        {nothing, false, []Answer{nothing}, Origin{}, ReasonUnsure},
+		"record here":                           {record(v2), false, nil, v2, ReasonRecord},
+		"record there":                          {several, false, []Answer{nothing, record(v2)}, v2, ReasonRecord},
+		"record of another service":             {sole, false, []Answer{record(Origin{"other", "v9"})}, Origin{"other", "v9"}, ReasonRecord},
+		"record against the only version":       {sole, false, []Answer{record(v2)}, v2, ReasonRecord},
+		"records that differ":                   {nothing, false, []Answer{record(v1), record(v2)}, Origin{}, ReasonAmbiguous},
+		"ambiguous record":                      {sole, false, []Answer{ambiguous}, Origin{}, ReasonAmbiguous},
+		"one version":                           {sole, false, nil, v1, ReasonSole},
+		"one version, as another one says":      {nothing, false, []Answer{sole}, v1, ReasonSole},
+		"one version, not read, nobody answers": {sole, true, nil, Origin{}, ReasonUnsure},
+		"one version, not read, one knows":      {sole, true, []Answer{nothing, sole}, Origin{}, ReasonUnsure},
+		"one version, not read, a quorum knows": {sole, true, []Answer{sole, nothing, sole}, v1, ReasonSole},
+		"a quorum but this one knows":           {nothing, true, []Answer{sole, sole, sole}, v1, ReasonSole},
+		"a quorum, several elsewhere":           {sole, true, []Answer{sole, sole, several}, Origin{}, ReasonNoRecord},
+		"one version, not read, nobody knows":   {sole, true, []Answer{nothing}, Origin{}, ReasonUnsure},
+		"record, not read":                      {sole, true, []Answer{record(v2)}, v2, ReasonRecord},
+		"one version here, several elsewhere":   {sole, false, []Answer{several}, Origin{}, ReasonNoRecord},
+		"different only versions":               {sole, false, []Answer{{Sole: "v2"}}, Origin{}, ReasonNoRecord},
+		"several versions":                      {several, false, []Answer{nothing}, Origin{}, ReasonNoRecord},
+		"nobody knows":                          {nothing, false, []Answer{nothing}, Origin{}, ReasonUnsure},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			origin, why, ok := Locate("engine", c.own, !c.stale, c.answers)
+			origin, why, ok := Locate("engine", Evidence{Own: c.own, Answers: c.answers, Confirmed: !c.unread, Quorum: 3})
 			require.Equal(t, c.why, why)
 			require.Equal(t, c.origin != (Origin{}), ok, fmt.Sprint(origin))
 			if ok {
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -26,8 +26,7 @@
 	// keepTimeout limits the sending of records to one instance.
 	keepTimeout = time.Second
 	// findTimeout limits the wait for the answers about a stream. checkTimeout replaces it where this instance
-	// has a record, and asks because another stream may have the id, and where it knows only one version of the
-	// service, and asks because its list may lag.
+	// has a record, and asks because another stream may have the id.
 	findTimeout  = 250 * time.Millisecond
 	checkTimeout = 50 * time.Millisecond
 	// joinTimeout limits the wait of an instance that has just started until it knows another one.
@@ -154,43 +153,59 @@
 }
 
 func (d *Directory) find(ctx context.Context, service, id string) Location {
-	own := d.answer(service, id)
-	if own.Found && !own.Several {
-		return newLocation(resumption.Locate(service, own, true, nil))
+	e := resumption.Evidence{Own: d.answer(service, id)}
+	if e.Own.Found && !e.Own.Several {
+		return newLocation(service, e)
 	}
 	join, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	confirmed := false
-	if !own.Found && !own.Several {
-		confirmed = d.awaitConfirmation(ctx, service)
-		own = d.answer(service, id)
-		if confirmed && own.Sole != "" {
-			return newLocation(resumption.Locate(service, own, true, nil))
+	if !e.Own.Found && !e.Own.Several {
+		e.Confirmed = d.awaitConfirmation(ctx, service)
+		e.Own = d.answer(service, id)
+		if e.Confirmed && e.Own.Sole != "" {
+			return newLocation(service, e)
 		}
 	}
 	d.options.Cluster.AwaitPeer(join)
-	current := confirmed || d.options.KnowledgeAge() <= currentAge
-	n, timeout := copies, checkTimeout
-	if !own.Found && (own.Several || own.Sole == "" || !current) {
-		n, timeout = maxAsked, findTimeout
+	n, timeout := maxAsked, findTimeout
+	if e.Own.Found {
+		n, timeout = copies, checkTimeout
 	}
-	peers := d.keepers.ofKey(d.options.Cluster.View(), resumption.HashOf(id), n)
-	answers := d.ask(ctx, peers, findRequest{ID: id, Service: service}, timeout)
-	l := newLocation(resumption.Locate(service, own, current, answers))
+	view := d.options.Cluster.View()
+	peers := d.keepers.ofKey(view, resumption.HashOf(id), n)
+	e.Answers, e.Quorum = d.ask(ctx, peers, findRequest{ID: id, Service: service}, timeout), quorum(view, len(peers))
+	l := newLocation(service, e)
 	if l.Reason == resumption.ReasonUnsure {
 		// An instance may have just started, and the others too, or there is none.
 		d.awaitVersions(join)
-		l = newLocation(resumption.Locate(service, d.answer(service, id), current, answers))
+		e.Own = d.answer(service, id)
+		l = newLocation(service, e)
 	}
 	if !l.Known && l.Reason != resumption.ReasonAmbiguous && id != "" {
 		// All that had the record may be lost.
 		d.awaitStoredRecords(ctx)
-		l = newLocation(resumption.Locate(service, d.answer(service, id), current, answers))
+		e.Own = d.answer(service, id)
+		l = newLocation(service, e)
 	}
 	l.Asked = len(peers)
 	return l
 }
 
+// quorum returns how many instances have to know the same only version if a number of others is asked. It is more than
+// all if this instance may be one of a minority that is cut off.
+func quorum(view *membership.View, asked int) int {
+	known := 0
+	for _, m := range view.Members {
+		if m.State != membership.Left {
+			known++
+		}
+	}
+	if 2*len(view.Live()) <= known {
+		return known + 1
+	}
+	return (asked+1)/2 + 1
+}
+
 // awaitConfirmation reads what the store has of a service's versions. It reports whether the store has
 // answered in time.
 func (d *Directory) awaitConfirmation(ctx context.Context, service string) bool {
@@ -205,7 +220,8 @@
 	}
 }
 
-func newLocation(origin resumption.Origin, why resumption.Reason, known bool) Location {
+func newLocation(service string, e resumption.Evidence) Location {
+	origin, why, known := resumption.Locate(service, e)
 	return Location{Origin: origin, Known: known, Reason: why}
 }
 
--- a/daemon/streams/fleet_test.go
+++ b/daemon/streams/fleet_test.go
@@ -39,7 +39,7 @@
 	received atomic.Int64
 	// reads counts the reads of versions that the store has received, recordReads those of records.
 	reads, recordReads atomic.Int64
-	calls int
+	calls              int
 	// writes counts those of versions, recordWrites those of records.
 	writes, recordWrites int
 	refused              int
@@ -57,6 +57,8 @@
 	handlers map[string]peer.Handler
 	// cut makes the node unreachable, frozen makes it answer nothing.
 	cut, frozen atomic.Bool
+	// apart makes the node reach neither the store nor the nodes that aren't apart.
+	apart atomic.Bool
 	// old makes the node one of a version without the methods.
 	old   atomic.Bool
 	stale atomic.Bool
@@ -102,7 +104,7 @@
 		member: membership.Member{Name: name, Address: name, DataCentre: "dc-" + name[len(name)-1:], Incarnation: uint64(time.Now().UnixNano())},
 	}
 	n.Directory = New(Options{
-		Cluster: n, Store: f, Gossip: f.gossip, Rank: func() int { return f.rank(name) },
+		Cluster: n, Store: nodeStore{f, n}, Gossip: n.gossip, Rank: func() int { return f.rank(name) },
 		KnowledgeAge: func() time.Duration {
 			if n.stale.Load() {
 				return time.Minute
@@ -166,18 +168,40 @@
 	return slices.Index(names, name)
 }
 
-func (f *fleet) gossip(r spread.Record) {
-	f.mu.Lock()
+// gossip passes a record on to the nodes that are reached.
+func (n *node) gossip(r spread.Record) {
+	n.fleet.mu.Lock()
 	nodes := []*node{}
-	for _, n := range f.nodes {
-		if !n.cut.Load() && !n.frozen.Load() {
-			nodes = append(nodes, n)
+	for _, other := range n.fleet.nodes {
+		if !other.cut.Load() && !other.frozen.Load() && other.apart.Load() == n.apart.Load() {
+			nodes = append(nodes, other)
 		}
 	}
-	f.mu.Unlock()
-	for _, n := range nodes {
-		n.Receive(r)
+	n.fleet.mu.Unlock()
+	for _, other := range nodes {
+		other.Receive(r)
+	}
+}
+
+// nodeStore is the store as a node reaches it.
+type nodeStore struct {
+	Store
+	node *node
+}
+
+func (s nodeStore) List(ctx context.Context, kind string) (platformapi.List, error) {
+	if s.node.apart.Load() {
+		<-ctx.Done()
+		return platformapi.List{}, ctx.Err()
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func (s nodeStore) Update(ctx context.Context, kind string, o platformapi.Object) (*platformapi.Object, error) {
+	if s.node.apart.Load() {
+		return nil, errDown
 	}
+	return s.Store.Update(ctx, kind, o)
 }
 
 var table = routes.Build(routes.Table{}, []*routes.Route{{
@@ -252,7 +276,7 @@
 	n.fleet.mu.Unlock()
 	other := n.node(address)
 	switch {
-	case other == nil || other.cut.Load() || n.cut.Load():
+	case other == nil || other.cut.Load() || n.cut.Load() || other.apart.Load() != n.apart.Load():
 		return nil, errors.New("unreachable")
 	case other.frozen.Load():
 		<-ctx.Done()
--- a/daemon/streams/versions_test.go
+++ b/daemon/streams/versions_test.go
@@ -127,6 +127,64 @@
 	})
 }
 
+// Guards against streams that began at a version which joined a moment ago, and go on at another one at instances that
+// are cut off from the store and from the others, and don't know that version.
+func TestInstancesThatAreCutOffDontGuessVersions(t *testing.T) {
+	for apart := 1; apart <= 3; apart++ {
+		t.Run(fmt.Sprint(apart, " of 7"), func(t *testing.T) {
+			runFleet(t, 7, func(f *fleet) {
+				time.Sleep(2 * resumption.Lifetime)
+				names := f.names()
+				cutOff, others := names[7-apart:], names[:7-apart]
+				for _, name := range cutOff {
+					f.nodes[name].apart.Store(true)
+				}
+				time.Sleep(300 * time.Millisecond)
+				f.present = []string{"v1", "v2"}
+				for _, name := range others {
+					f.nodes[name].list(f.present)
+				}
+				time.Sleep(time.Second)
+				require.False(t, f.nodes[others[0]].holds("v2"))
+				ids := f.begin(f.nodes[others[0]], "v2", 20)
+				for range 2 {
+					time.Sleep(500 * time.Millisecond)
+					for _, name := range cutOff {
+						requireNoneAtAnotherVersion(t, f.nodes[name], ids, "v2")
+					}
+				}
+				for _, name := range cutOff {
+					f.nodes[name].apart.Store(false)
+				}
+				for _, name := range names {
+					requireTaken(t, f.nodes[name], ids, "v2")
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that stands still while streams are taken up at it, and concludes from what it knew before that
+// their service has one version.
+func TestInstanceThatStoodStillDoesntGuessVersions(t *testing.T) {
+	runFleet(t, 5, func(f *fleet) {
+		still := f.nodes["instance-0"]
+		still.frozen.Store(true)
+		f.present = []string{"v1", "v2"}
+		for _, name := range f.names()[1:] {
+			f.nodes[name].list(f.present)
+		}
+		time.Sleep(time.Second)
+		ids := f.begin(f.nodes["instance-1"], "v2", 20)
+		time.Sleep(2 * time.Second)
+		still.frozen.Store(false)
+		requireTaken(t, still, ids, "v2")
+		f.down.Store(true)
+		f.kill("instance-1", "instance-2")
+		requireNoneAtAnotherVersion(t, still, ids, "v2")
+	})
+}
+
 // Guards against a record of an instance that doesn't know the time before it, taken for one of who does.
 func TestRecordOfAnInstanceThatKnowsNothingBefore(t *testing.T) {
 	runFleet(t, 4, func(f *fleet) {
