Bound the head of a response at 64 KiB

Here the bytes of heads, events, refusals and stage replies have bounds, but the memory for a head can be a multiple of its bytes: with 50 attempts at once at targets that send short header lines without end the heap grew by up to 127 MB (90 MB with one name), half of an instance's memory on the users' sites. One long line needed 34 MB.

Change: a head may have 64 KiB, as those of the product's own targets.

--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -377,7 +377,7 @@
 const maxUnmatchedReplies = 4
 
 // maxHeadBytes bounds the heads of the responses to a request, in bytes.
-const maxHeadBytes = 256 << 10
+const maxHeadBytes = 64 << 10
 
 // ErrHeadTooLong means that the head of a response doesn't end within maxHeadBytes.
 var ErrHeadTooLong = errors.New("the head of the response is too long")
