--- a/daemon/streams/bench_test.go
+++ b/daemon/streams/bench_test.go
@@ -44,3 +44,23 @@
 		}
 	}
 }
+
+// BenchmarkKeepBatch decodes and keeps the records of another instance's streams of half a second, at the peak of 440 instances.
+func BenchmarkKeepBatch(b *testing.B) {
+	const streams = 95 / 2
+	d := &Directory{history: resumption.NewHistory(time.Now(), false), table: resumption.NewTable(maxRecords)}
+	for i := range b.N {
+		var records []resumption.Record
+		for n := range streams {
+			records = append(records, resumption.Record{ID: resumption.Hash(i*streams + n), Origin: resumption.Origin{Service: "baxa93e", Version: "v1.1"}})
+		}
+		body, err := msgpack.Marshal(newKeepRequest(records, true))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(body)), "bytes")
+		if _, err := d.handleKeep(b.Context(), peer.Peer{}, body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
