Look for backups to distribute only when some may be due

A tick went through all kept records, some 17,000 at the target size, twice a second. It does so now after a change of versions, and after backups of a service that is distributed have come.

--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -83,8 +83,9 @@
 	own map[resumption.Hash]*ownStream
 	// unsent are the own streams whose records other instances may lack.
 	unsent map[resumption.Hash]struct{}
-	// changed is true if all records may have to be sent to other instances since the last tick.
-	changed bool
+	// changed is true if all records may have to be sent to other instances since the last tick, backupsDue if some that
+	// this instance keeps for others may have to be distributed.
+	changed, backupsDue bool
 	view    *membership.View
 	stored  stored
 	records storedRecords
@@ -175,7 +176,7 @@
 // noteChange records that records may have to be sent to other instances, and has them sent soon. mu must be
 // held.
 func (d *Directory) noteChange() {
-	d.changed = true
+	d.changed, d.backupsDue = true, true
 	wake(d.wake)
 }
 
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -325,6 +325,7 @@
 	defer d.mu.Unlock()
 	for _, r := range request.records() {
 		d.table.Put(now, r)
+		d.backupsDue = d.backupsDue || r.Backup && d.isDistributed(now, r.Origin.Service)
 	}
 	return nil, nil
 }
--- a/daemon/streams/records.go
+++ b/daemon/streams/records.go
@@ -166,11 +166,16 @@
 func (d *Directory) distributeBackups(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.backupsDue {
+		return
+	}
+	d.backupsDue = false
 	records := d.table.TakeBackups(now, func(service string) bool { return d.isDistributed(now, service) })
 	d.startSending(d.toOwners(records), func(t *transfer) {
 		for _, r := range t.records {
 			d.table.MarkBackup(r.ID)
 		}
+		d.backupsDue = true
 	})
 }
 
