Let streams that are taken up be due by their deadline

Cause: a request that would miss its objective is queued behind those that can meet theirs, and refused if that is too late. The objective is that of the first event. The caller of a stream that is taken up has it, and a part of the response; its time runs out after seconds of silence.

Change: such a request is due by its deadline. It keeps the rank of its priority, behind those that are due earlier, so that no higher tier waits for it.

TestStreamThatIsTakenUpIsDueByItsDeadline failed before.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -403,6 +403,11 @@
 	}
 	q.deadline = q.arrived.Add(timeout)
 	q.objective = q.arrived.Add(q.route.LatencyObjective)
+	if q.isStream() && q.requiredResumeID() != "" {
+		// The objective is that of the first event, which the caller has. By it the stream would be queued behind all new
+		// ones that can meet theirs, and mostly be refused.
+		q.objective = q.deadline
+	}
 }
 
 // readBody reads the complete body, so that it can be sent again where that is allowed. It
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -68,6 +68,20 @@
 	require.Equal(t, brokenOff.Add(5600*time.Millisecond-answerMargin), q.eventDeadline(brokenOff))
 }
 
+// Guards against streams that are taken up and refused, since they would miss the objective of a first event that their
+// callers have, while new streams begin.
+func TestStreamThatIsTakenUpIsDueByItsDeadline(t *testing.T) {
+	for resumeAfter, want := range map[string]time.Duration{"": time.Second, "12": 6 * time.Second} {
+		q := &request{
+			route: &routes.Route{Kind: routes.KindStreaming, Resumable: true, LatencyObjective: time.Second, MaxEventGap: 300 * time.Millisecond, Timeout: 6 * time.Second},
+			call:  exchange.CallerRequest{ResumeAfter: resumeAfter}, arrived: began,
+		}
+		q.setDeadlines()
+		require.Equal(t, began.Add(want), q.objective, "resumes after %q", resumeAfter)
+		require.Equal(t, began.Add(6*time.Second), q.deadline)
+	}
+}
+
 // A caller declares a prompt with more tokens than any engine holds, or a negative number of them.
 // If the length weren't clamped, it would overflow, and an engine would count as idle in spite of it.
 func TestPromptLengthIsClamped(t *testing.T) {
--- a/daemon/streams/directory.go
+++ b/daemon/streams/directory.go
@@ -86,6 +86,7 @@
 	// changed is true if all records may have to be sent to other instances since the last tick, backupsDue if some that
 	// this instance keeps for others may have to be distributed.
 	changed, backupsDue bool
+
 	view    *membership.View
 	stored  stored
 	records storedRecords
