Let no stream go on at a process that took a crashed target's place

Cause: the version of a target is that of its entry, which stands while the store is down. The instance saw that the process ended and used that for requests that crash targets alone; the new process takes requests for the old id.

Ruled out: to ask each target for its start before a stream goes on there (a priced call for each, and not all targets answer it); to give such a target no work at all (in an outage targets that came back are needed).

Change: a start that is found to have ended is remembered and gossiped. Until an entry names a later one, the software at the address counts as a version of its own.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -27,11 +27,11 @@
 // available again. The platform states about two seconds.
 const outageGrace = 2200 * time.Millisecond
 
-// Limits of the incarnations that are remembered as leaving, and of the names whose starts
+// Limits of the incarnations that are remembered as leaving, or as ended, and of the names whose starts
 // are remembered.
 const (
-	maxLeaving = 8192
-	maxStarts  = 8192
+	maxIncarnations = 8192
+	maxStarts       = 8192
 )
 
 // Removal is the removal of an entry that has taken effect.
@@ -45,10 +45,11 @@
 	removals []Removal
 	// entries holds the entries by name.
 	entries map[string]*entry
-	// leaving holds the latest maxLeaving incarnations that were reported as leaving. Nothing
+	// leaving holds the latest incarnations that were reported as leaving. Nothing
 	// makes them usable again while they are in it.
-	leaving      map[string]struct{}
-	leavingOrder []string
+	leaving incarnations
+	// ended holds the latest ones whose processes were found to have ended.
+	ended incarnations
 	// lastStart is the latest start of each name whose entries report starts. It outlives the
 	// entry, since an earlier start may still be reported later.
 	lastStart  map[string]int64
@@ -70,7 +71,34 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]*entry{}, leaving: map[string]struct{}{}, lastStart: map[string]int64{}}
+	return &Roster{entries: map[string]*entry{}, leaving: newIncarnations(), ended: newIncarnations(), lastStart: map[string]int64{}}
+}
+
+// incarnations holds the latest maxIncarnations incarnations that were added.
+type incarnations struct {
+	members map[string]struct{}
+	order   []string
+}
+
+func newIncarnations() incarnations { return incarnations{members: map[string]struct{}{}} }
+
+// add adds an incarnation. It reports whether that is a change.
+func (i *incarnations) add(incarnation string) bool {
+	if i.has(incarnation) {
+		return false
+	}
+	if len(i.order) >= maxIncarnations {
+		delete(i.members, i.order[0])
+		i.order = i.order[1:]
+	}
+	i.members[incarnation] = struct{}{}
+	i.order = append(i.order, incarnation)
+	return true
+}
+
+func (i *incarnations) has(incarnation string) bool {
+	_, ok := i.members[incarnation]
+	return ok
 }
 
 // Put adds or updates an entry as of a revision of the store. It reports whether that is a
@@ -176,17 +204,17 @@
 // MarkLeaving records that an incarnation accepts no new work, whatever the source of the
 // report. It reports whether that is a change.
 func (r *Roster) MarkLeaving(incarnation string) bool {
-	if _, known := r.leaving[incarnation]; known {
-		return false
-	}
-	if len(r.leavingOrder) >= maxLeaving {
-		delete(r.leaving, r.leavingOrder[0])
-		r.leavingOrder = r.leavingOrder[1:]
-	}
-	r.leaving[incarnation] = struct{}{}
-	r.leavingOrder = append(r.leavingOrder, incarnation)
-	r.changed = true
-	return true
+	changed := r.leaving.add(incarnation)
+	r.changed = r.changed || changed
+	return changed
+}
+
+// MarkEnded records that the process of an incarnation has ended. Its entry may stand on, and name an address at which
+// another process runs by now. It reports whether that is a change.
+func (r *Roster) MarkEnded(incarnation string) bool {
+	changed := r.ended.add(incarnation)
+	r.changed = r.changed || changed
+	return changed
 }
 
 // RecordStoreFailure records that the store was unavailable at a time, or became available
@@ -236,9 +264,13 @@
 func (r *Roster) Usable() map[string][]routes.Target {
 	usable := map[string][]routes.Target{}
 	for _, e := range r.entries {
-		if _, left := r.leaving[e.target.Incarnation()]; !left {
-			usable[e.target.Service] = append(usable[e.target.Service], e.target)
+		incarnation := e.target.Incarnation()
+		if r.leaving.has(incarnation) {
+			continue
 		}
+		target := e.target
+		target.Ended = r.ended.has(incarnation)
+		usable[target.Service] = append(usable[target.Service], target)
 	}
 	for _, list := range usable {
 		slices.SortFunc(list, func(a, b routes.Target) int { return cmp.Compare(a.Name, b.Name) })
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -228,3 +228,23 @@
 	require.Empty(t, usable(r))
 	require.False(t, r.Remove(start, "a", 2), "the revision is the latest")
 }
+
+// Guards against a process that takes the place of a target which has ended, and counts as one with the software of its entry.
+func TestVersionAtTheAddressOfAnEndedTargetIsUnknown(t *testing.T) {
+	r := New()
+	target := routes.Target{Name: "a", Service: "s", Version: "v1", StartedMillis: 1}
+	r.Put(target, 1)
+	require.Equal(t, "v1", r.Usable()["s"][0].RunningVersion())
+	require.True(t, r.MarkEnded(target.Incarnation()))
+	require.False(t, r.MarkEnded(target.Incarnation()))
+	require.True(t, r.TakeChanged())
+	ended := r.Usable()["s"][0]
+	require.NotEqual(t, "v1", ended.RunningVersion())
+	require.Equal(t, "v1", ended.Version)
+	target.Slots = 2
+	r.Put(target, 2)
+	require.True(t, r.Usable()["s"][0].Ended, "the entry is one of the same start")
+	target.StartedMillis, target.Version = 2, "v2"
+	r.Put(target, 3)
+	require.Equal(t, "v2", r.Usable()["s"][0].RunningVersion())
+}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -52,6 +52,7 @@
 	recordConfig     = "config"
 	recordTarget     = "target"
 	recordLeaving    = "leaving"
+	recordEnded      = "ended"
 	recordDrain      = "drain"
 	recordConfigName = "current"
 )
--- a/daemon/follow/targets.go
+++ b/daemon/follow/targets.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// Ended records that the process of an incarnation has ended, as found at its address, and gossips it.
+func (f *Follower) Ended(incarnation string) {
+	if f.applyEnded(incarnation) {
+		f.options.Gossip(spread.Record{Kind: recordEnded, Name: incarnation, Revision: 1})
+	}
+}
+
+// applyEnded reports whether that is new.
+func (f *Follower) applyEnded(incarnation string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.roster.MarkEnded(incarnation)
+	if changed {
+		telemetry.InfoS("Process of a target has ended", telemetry.Event{Target: incarnation})
+		f.publishIfChanged(time.Now())
+	}
+	return changed
+}
+
 // Receive applies a record of another instance.
 func (f *Follower) Receive(r spread.Record) {
 	switch r.Kind {
@@ -174,6 +193,8 @@
 		f.applyPeerTarget(r)
 	case recordDrain:
 		f.applyDrain(r, sourcePeer)
+	case recordEnded:
+		f.applyEnded(r.Name)
 	case recordLeaving:
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -211,6 +211,7 @@
 		Accounts:          g.sharing(),
 		Blocklist:         g.blocklist,
 		OnLeaving:         g.follower.Leaving,
+		OnEnded:           g.follower.Ended,
 		OnResponse:        g.observeResponse,
 		Usable:            g.follower.Usable,
 		InUse:             func(name string) bool { return contains(&g.usedNames, name) },
@@ -344,7 +345,7 @@
 			forWork[name] = append(forWork[name], t)
 			list = append(list, routing.Target{
 				Incarnation: t.Incarnation(), Name: t.Name, Pool: name, Address: t.Address,
-				DataCentre: t.DataCentre, Version: t.Version, Slots: max(t.Slots, service.Slots), Memory: service.CacheTokens,
+				DataCentre: t.DataCentre, Version: t.RunningVersion(), Slots: max(t.Slots, service.Slots), Memory: service.CacheTokens,
 			})
 		}
 		if service.Batch == nil {
--- a/daemon/relay/blocklist.go
+++ b/daemon/relay/blocklist.go
@@ -120,6 +120,9 @@
 // recordCrash records that a target at whose address nothing listens ended under a request, unless
 // it was leaving.
 func (s *Relay) recordCrash(suspects quarantine.Suspects, t routing.Target) {
+	if s.options.OnEnded != nil {
+		s.options.OnEnded(t.Incarnation)
+	}
 	if s.options.InUse(t.Name) {
 		s.options.Blocklist.RecordCrash(suspects, t.Incarnation)
 	}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -101,6 +101,8 @@
 	CostPlacement bool
 	// OnLeaving is called for a target that accepts no new work.
 	OnLeaving func(incarnation string)
+	// OnEnded is called for a target whose process has ended.
+	OnEnded func(incarnation string)
 	// Usable reports whether an incarnation may receive new work; nil if each may.
 	Usable func(incarnation string) bool
 	// InUse reports whether a target of that name may receive new work, in any incarnation.
--- a/state/routes/target.go
+++ b/state/routes/target.go
@@ -23,10 +23,25 @@
 	Slots   int
 	// Leaving targets finish their requests and accept no new ones.
 	Leaving bool
+	// Ended is true if the process is known to have ended. Another one may run at its address under its name before its
+	// entry is replaced, and have other software.
+	Ended bool
 	// WarmupRemaining is how much longer the target is slow after its start.
 	WarmupRemaining time.Duration
 }
 
+// unknownVersion begins the version of the software at the address of a target that has ended.
+const unknownVersion = "unknown/"
+
+// RunningVersion returns the version of the software that runs at the target's address. It is that of no other target if
+// it isn't known.
+func (t Target) RunningVersion() string {
+	if t.Ended {
+		return unknownVersion + t.Incarnation()
+	}
+	return t.Version
+}
+
 // incarnationSeparator separates the name from the start time in an incarnation
 // identifier.
 const incarnationSeparator = "@"
