Hold an error response whole while another target may do better

Cause: a response of more than 64 KiB comes as a part and a rest. One with status 500 or above was held without its rest.

Ruled out: to hold the rest unread (it holds the target's connection and slot while another target works); to drop what is too long (the caller would learn less than now).

Change: an error response is read up to 1 MiB. A longer one is passed on as it arrives, without another attempt, or dropped if another one is open.

--- a/daemon/relay/answer.go
+++ b/daemon/relay/answer.go
@@ -43,11 +43,8 @@
 		outcome, err := q.classifyReplyError(a.ctx, m.err)
 		return false, outcome, err
 	}
-	if m.head.status >= http.StatusInternalServerError && (len(q.open) > 1 || q.mayRetry()) {
-		return false, routing.OutcomeOK, &failure{
-			cause: errors.Newf("target failed with status %d", m.head.status),
-			reply: &bufferedReply{m.head.status, m.head.header, m.data},
-		}
+	if m.head.status >= http.StatusInternalServerError && (len(q.open) > 1 || m.rest == nil && q.mayRetry()) {
+		return false, routing.OutcomeOK, m.targetFailure()
 	}
 	q.adopt(a)
 	q.freeResults()
@@ -74,6 +71,16 @@
 	return false, routing.OutcomeFailed, nil // not reached: abort panics
 }
 
+// targetFailure returns the failure of an attempt whose target has sent an error response. It has the response if that
+// is whole.
+func (m message) targetFailure() *failure {
+	f := &failure{cause: errors.Newf("target failed with status %d", m.head.status)}
+	if m.rest == nil {
+		f.reply = &bufferedReply{m.head.status, m.head.header, m.data}
+	}
+	return f
+}
+
 // sendBuffered sends a complete reply of a target to the caller.
 func (q *request) sendBuffered(h *bufferedReply) {
 	q.sendHead(&replyHead{status: h.status, header: h.header, length: int64(len(h.body))})
--- a/daemon/relay/answer_test.go
+++ b/daemon/relay/answer_test.go
@@ -44,3 +44,59 @@
 	require.Equal(t, body, w.Body.String())
 	require.True(t, a.silence.stopped, "the timer of the target's silence still runs")
 }
+
+// Guards against an error response of which the caller gets a part that looks whole, since it was held while another target
+// might do better.
+func TestLongErrorResponseIsNotCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		length     int
+		open       int
+		held, sent bool
+	}{
+		"held":                        {2 * maxBufferedReply, 1, true, false},
+		"held beside another attempt": {2 * maxBufferedReply, 2, true, false},
+		"too long to be held":         {2 * maxBufferedFailure, 1, false, true},
+		"too long, another attempt":   {2 * maxBufferedFailure, 2, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Repeat("x", c.length)
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, body) // a failed write is detected by the length of the response
+			}))
+			defer target.Close()
+			out, err := http.NewRequest(http.MethodGet, target.URL, nil)
+			require.NoError(t, err)
+			reply, err := forward.New(forward.ClientOptions{}).Do(t.Context(), target.Listener.Addr().String(), out, forward.Options{})
+			require.NoError(t, err)
+			defer reply.Close()
+
+			w := httptest.NewRecorder()
+			q := &request{
+				relay: New(Options{Dialect: dialect{}, Scope: tally.NoopScope}), w: w, r: httptest.NewRequest(http.MethodGet, "http://example.com/", nil),
+				route: &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 3}, arrived: time.Now(), inbox: newInbox(),
+			}
+			a := &attempt{ctx: t.Context(), silence: newSilenceTimer(time.Hour, func() bool { return false })}
+			for range c.open {
+				q.open = append(q.open, a)
+			}
+			head := &replyHead{status: reply.Status, header: reply.Header, length: reply.Length}
+			go a.readPlain(q.inbox, reply, head)
+			m := <-q.inbox.messages
+			complete, _, err := q.forwardReply(m)
+			require.Equal(t, c.sent, complete)
+			if c.sent {
+				require.NoError(t, err)
+				require.Equal(t, body, w.Body.String())
+				return
+			}
+			var f *failure
+			require.ErrorAs(t, err, &f)
+			require.Equal(t, c.held, f.reply != nil)
+			if c.held {
+				q.sendBuffered(f.reply)
+				require.Equal(t, body, w.Body.String())
+			}
+		})
+	}
+}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -32,6 +32,9 @@
 	// maxBufferedReply is the size, in bytes, up to which a reply is read completely before
 	// its head is forwarded. Until then another target may replace one that breaks off.
 	maxBufferedReply = 64 << 10
+	// maxBufferedFailure is the same for an error response, which is held while another target may do better. A longer one
+	// is forwarded, or dropped if another attempt is open.
+	maxBufferedFailure = 1 << 20
 	// streamBuffers is the number of read buffers of a stream: one is filled while the other is
 	// forwarded.
 	streamBuffers = 2
@@ -211,9 +214,13 @@
 
 // readPlain passes a reply on that isn't a stream, whole or with what is left to read.
 func (a *attempt) readPlain(messages *inbox, reply *forward.Reply, head *replyHead) {
-	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedReply))
+	limit := maxBufferedReply
+	if head.status >= http.StatusInternalServerError {
+		limit = maxBufferedFailure
+	}
+	body, err := io.ReadAll(io.LimitReader(reply, int64(limit)))
 	m := message{from: a, head: head, data: body, err: err}
-	if err == nil && len(body) == maxBufferedReply {
+	if err == nil && len(body) == limit {
 		m.rest = reply
 	} else {
 		reply.Close()
