Take a response for broken off if nobody can tell that its target runs

Cause: a response that ends with its connection was whole unless it was certain that its target had ended. A refused connection had to be confirmed by another instance, and those confirm nothing about a service of which they reach no other target, or at which their own attempts have failed.

Change: it is whole only if the target's host takes a connection, or another instance reaches the target, or no other instance is known yet.

TestOnlyAnotherInstanceConfirmsThatTheTargetHasEnded is now TestOnlyAnother- InstanceShowsThatTheTargetRuns: the same four cases and one more, which failed before.

--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -509,9 +509,9 @@
 func (askedPeer) Usable(string) bool { return true }
 
 // Guards against an instance that takes a whole response for broken off since it alone lost its path to
-// the target.
-func TestOnlyAnotherInstanceConfirmsThatTheTargetHasEnded(t *testing.T) {
-	for want, whole := range map[error]bool{nil: true, ErrNoPeerKnown: true, ErrNothingListens: false, ErrNoDetour: false} {
+// the target, and against a piece that counts as whole since no other instance reaches the target either.
+func TestOnlyAnotherInstanceShowsThatTheTargetRuns(t *testing.T) {
+	for want, whole := range map[error]bool{nil: true, ErrNoPeerKnown: true, ErrNothingListens: false, ErrNoDetour: false, errors.New("not reached"): false} {
 		c := New(ClientOptions{Detour: askedPeer{want}})
 		_, err := do(t, c, endingTarget(t, 0), "", Options{InUse: func() bool { return true }})
 		require.Equal(t, whole, err == nil, "%v: %v", want, err)
--- a/transport/forward/listens.go
+++ b/transport/forward/listens.go
@@ -47,16 +47,35 @@
 // listener.
 const exitLag = 10 * time.Millisecond
 
-// hasEnded reports whether certainly no process listens at an address, or none will within exitLag:
-// the host then resets connections that the process hadn't accepted yet.
-func (c *Client) hasEnded(ctx context.Context, address string) bool {
+// mayHaveEnded reports whether no process listens at an address, or none will within exitLag: the host then resets
+// connections that the process hadn't accepted yet. It is true also if nobody can tell: the host refuses this instance's
+// connections, and no other instance reaches the target either.
+func (c *Client) mayHaveEnded(ctx context.Context, address string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
 	nc, err := c.options.Dial(dialCtx, address)
-	if err != nil {
-		return c.confirmsNothingListens(ctx, address, errors.Is(err, syscall.ECONNREFUSED))
+	if err == nil {
+		if staysOpen(nc) {
+			return false
+		}
+		opens, refused := tryConnect(ctx, c.options.Dial, address)
+		return !opens && c.othersDontReach(ctx, address, refused)
+	}
+	return c.othersDontReach(ctx, address, errors.Is(err, syscall.ECONNREFUSED))
+}
+
+// othersDontReach reports whether no other instance reaches a target, to which this one couldn't connect; refused is
+// true if the connection was refused. It is false if this instance alone may not reach the target.
+func (c *Client) othersDontReach(ctx context.Context, address string, refused bool) bool {
+	if c.options.Detour == nil {
+		return refused
+	}
+	nc, _, err := c.options.Detour.Dial(ctx, address)
+	if err == nil {
+		_ = nc.Close() // it was opened only for the check
+		return false
 	}
-	return !staysOpen(nc) && c.NothingListens(ctx, address)
+	return errors.Is(err, ErrNothingListens) || refused && !errors.Is(err, ErrNoPeerKnown)
 }
 
 // staysOpen reports whether the other end keeps a connection open for exitLag, and closes it then.
