Ask whether a target has ended also if it has said that it leaves

Cause: the end of such a target was taken for planned, and the end of its connections for that of its responses.

Change: the check holds for all targets.

The price is that a whole response without a length is broken off if a leaving target ends within 10 ms of it.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -126,7 +126,7 @@
 	options := forward.Options{
 		Service: q.service, MayProbe: q.mayRetry(),
 		RequestID: q.call.ID, Incarnation: t.Incarnation, Matches: q.isOwnReply, KeepIdle: q.keepIdle,
-		InUse: func() bool { return q.relay.options.InUse(t.Name) },
+		EndsWithTarget: true,
 		Allowed: func() bool {
 			return q.relay.usable(t.Incarnation) && !q.relay.blocked(suspects, onTrial) && grantValid(paced, sendAt, time.Now()) && (paced || !q.relay.isPaced(q.service))
 		},
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -32,7 +32,7 @@
 	complete    bool
 	discardConn bool
 	reused      bool
-	// targetEnded reports whether the target may have ended, although it was meant to go on running.
+	// targetEnded reports whether the target may have ended.
 	targetEnded func() bool
 }
 
@@ -98,7 +98,7 @@
 	// The end of the context interrupts blocked reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }) // fails only if the connection is closed
 	r := &Reply{client: c, conn: k, options: o, stopCancel: stop}
-	r.targetEnded = func() bool { return o.InUse != nil && o.InUse() && c.mayHaveEnded(ctx, k.address) }
+	r.targetEnded = func() bool { return o.EndsWithTarget && c.mayHaveEnded(ctx, k.address) }
 	k.began(o.EndIfLost)
 	k.recordRequest(o.RequestID)
 	r.sendResult = send(k, request)
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -360,10 +360,9 @@
 	// the attempt ends with ErrWithdrawn and nothing sent: a connection may take more than a
 	// second to open. nil allows all.
 	Allowed func() bool
-	// InUse reports whether the target is meant to go on running. If it is and has ended, a response
-	// whose end is that of its connection counts as broken off. nil means that the end of the
-	// target is never checked.
-	InUse func() bool
+	// EndsWithTarget makes a response whose end is that of its connection count as broken off if the target may have
+	// ended. One that leaves serves on until it ends, so its end says nothing of the response either.
+	EndsWithTarget bool
 	// Matches reports whether a response belongs to this request; nil means that all
 	// do. A target may first send a second response to an earlier request, which is
 	// skipped.
