Find out once a pass which services' records are distributed

The versions of a service were sorted for each stream, each half second, some 1,100 times at the target size. Two tests of long responses share how they get one.

--- a/daemon/relay/answer_test.go
+++ b/daemon/relay/answer_test.go
@@ -15,30 +15,44 @@
 	"github.com/ivyhollow/ivyhollow/transport/forward"
 )
 
-// A reply that is too long to be buffered is forwarded in parts. The first byte timeout must not
-// cancel it while it is forwarded: its caller has a part of it, so no retry can replace it.
-func TestLongReplyIsNotCutForRetry(t *testing.T) {
-	body := strings.Repeat("x", 2*maxBufferedReply)
+// plainReply returns a target's reply with a status and a body.
+func plainReply(t *testing.T, status int, body string) (*forward.Reply, *replyHead) {
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
 		_, _ = io.WriteString(w, body) // a failed write is detected by the length of the response
 	}))
-	defer target.Close()
+	t.Cleanup(target.Close)
 	out, err := http.NewRequest(http.MethodGet, target.URL, nil)
 	require.NoError(t, err)
 	reply, err := forward.New(forward.ClientOptions{}).Do(t.Context(), target.Listener.Addr().String(), out, forward.Options{})
 	require.NoError(t, err)
-	defer reply.Close()
+	t.Cleanup(reply.Close)
+	return reply, &replyHead{status: reply.Status, header: reply.Header, length: reply.Length}
+}
 
+// plainRequest returns a request that may be repeated, with a number of open attempts.
+func plainRequest(t *testing.T, attempts int) (*request, *attempt, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
 	q := &request{
 		relay: New(Options{Dialect: dialect{}, Scope: tally.NoopScope}), w: w, r: httptest.NewRequest(http.MethodGet, "http://example.com/", nil),
-		route: &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, arrived: time.Now(),
+		route: &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 3}, arrived: time.Now(), inbox: newInbox(),
 	}
 	a := &attempt{ctx: t.Context(), silence: newSilenceTimer(time.Hour, func() bool { return false })}
-	q.open = []*attempt{a}
+	for range attempts {
+		q.open = append(q.open, a)
+	}
+	return q, a, w
+}
+
+// A reply that is too long to be buffered is forwarded in parts. The first byte timeout must not
+// cancel it while it is forwarded: its caller has a part of it, so no retry can replace it.
+func TestLongReplyIsNotCutForRetry(t *testing.T) {
+	body := strings.Repeat("x", 2*maxBufferedReply)
+	reply, head := plainReply(t, http.StatusOK, body)
+	q, a, w := plainRequest(t, 1)
 	part, err := io.ReadAll(io.LimitReader(reply, maxBufferedReply))
 	require.NoError(t, err)
-	complete, _, err := q.forwardReply(message{from: a, head: &replyHead{status: reply.Status, header: reply.Header, length: reply.Length}, data: part, rest: reply})
+	complete, _, err := q.forwardReply(message{from: a, head: head, data: part, rest: reply})
 	require.NoError(t, err)
 	require.True(t, complete)
 	require.Equal(t, body, w.Body.String())
@@ -60,30 +74,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			body := strings.Repeat("x", c.length)
-			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				w.WriteHeader(http.StatusInternalServerError)
-				_, _ = io.WriteString(w, body) // a failed write is detected by the length of the response
-			}))
-			defer target.Close()
-			out, err := http.NewRequest(http.MethodGet, target.URL, nil)
-			require.NoError(t, err)
-			reply, err := forward.New(forward.ClientOptions{}).Do(t.Context(), target.Listener.Addr().String(), out, forward.Options{})
-			require.NoError(t, err)
-			defer reply.Close()
-
-			w := httptest.NewRecorder()
-			q := &request{
-				relay: New(Options{Dialect: dialect{}, Scope: tally.NoopScope}), w: w, r: httptest.NewRequest(http.MethodGet, "http://example.com/", nil),
-				route: &routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 3}, arrived: time.Now(), inbox: newInbox(),
-			}
-			a := &attempt{ctx: t.Context(), silence: newSilenceTimer(time.Hour, func() bool { return false })}
-			for range c.open {
-				q.open = append(q.open, a)
-			}
-			head := &replyHead{status: reply.Status, header: reply.Header, length: reply.Length}
+			reply, head := plainReply(t, http.StatusInternalServerError, body)
+			q, a, w := plainRequest(t, c.open)
 			go a.readPlain(q.inbox, reply, head)
-			m := <-q.inbox.messages
-			complete, _, err := q.forwardReply(m)
+			complete, _, err := q.forwardReply(<-q.inbox.messages)
 			require.Equal(t, c.sent, complete)
 			if c.sent {
 				require.NoError(t, err)
--- a/daemon/streams/exchange.go
+++ b/daemon/streams/exchange.go
@@ -323,9 +323,10 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	isDistributed := d.distribution(now)
 	for _, r := range request.records() {
 		d.table.Put(now, r)
-		d.backupsDue = d.backupsDue || r.Backup && d.isDistributed(now, r.Origin.Service)
+		d.backupsDue = d.backupsDue || r.Backup && isDistributed(r.Origin.Service)
 	}
 	return nil, nil
 }
--- a/daemon/streams/records.go
+++ b/daemon/streams/records.go
@@ -33,7 +33,7 @@
 		d.own[id] = &ownStream{record: record, began: now, sentTo: map[keeperID]bool{}}
 		d.unsent[id] = struct{}{}
 	}
-	if d.isDistributed(now, origin.Service) {
+	if d.distribution(now)(origin.Service) {
 		d.sendMissing(now, id)
 	}
 }
@@ -51,11 +51,20 @@
 	delete(d.unsent, id)
 }
 
-// isDistributed reports whether the records of a service's streams go to the owners of their keys, where any instance
-// finds them: nobody can conclude from the versions of the service where a stream began. Those of other services go to the instances that keep the records of
-// this one, in one message for many of them. mu must be held.
-func (d *Directory) isDistributed(now time.Time, service string) bool {
-	return d.history.Sole(now, service) == ""
+// distribution returns a function that reports whether the records of a service's streams go to the owners of their keys,
+// where any instance finds them: nobody can conclude from the versions of the service where a stream began. Those of other
+// services go to the instances that keep the records of this one, in one message for many of them. mu must be held for
+// each call.
+func (d *Directory) distribution(now time.Time) func(service string) bool {
+	known := map[string]bool{}
+	return func(service string) bool {
+		distributed, ok := known[service]
+		if !ok {
+			distributed = d.history.Sole(now, service) == ""
+			known[service] = distributed
+		}
+		return distributed
+	}
 }
 
 // sendAllMissing sends the records of this instance's streams to those that are to keep them and lack
@@ -108,14 +117,14 @@
 // be held.
 func (d *Directory) sendMissing(now time.Time, ids ...resumption.Hash) {
 	view := d.options.Cluster.View()
-	missing := transfers{}
+	missing, isDistributed := transfers{}, d.distribution(now)
 	for _, id := range ids {
 		delete(d.unsent, id)
 		s := d.own[id]
 		if s == nil {
 			continue
 		}
-		backup := !d.isDistributed(now, s.record.Origin.Service)
+		backup := !isDistributed(s.record.Origin.Service)
 		to := d.keepers.ofKey(view, id, copies)
 		if backup {
 			to = d.keepers.ofSelf(view)
@@ -170,7 +179,7 @@
 		return
 	}
 	d.backupsDue = false
-	records := d.table.TakeBackups(now, func(service string) bool { return d.isDistributed(now, service) })
+	records := d.table.TakeBackups(now, d.distribution(now))
 	d.startSending(d.toOwners(records), func(t *transfer) {
 		for _, r := range t.records {
 			d.table.MarkBackup(r.ID)
@@ -212,7 +221,8 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	isDistributed := d.distribution(now)
 	return slices.DeleteFunc(d.table.All(now), func(r resumption.Record) bool {
-		return !r.Ambiguous && !d.isDistributed(now, r.Origin.Service)
+		return !r.Ambiguous && !isDistributed(r.Origin.Service)
 	})
 }
--- a/daemon/streams/stored_records.go
+++ b/daemon/streams/stored_records.go
@@ -113,8 +113,9 @@
 		return recordsChange{}, false
 	}
 	change.name = view.Self
+	isDistributed := d.distribution(now)
 	for id, s := range d.own {
-		if !d.isDistributed(now, s.record.Origin.Service) {
+		if !isDistributed(s.record.Origin.Service) {
 			continue
 		}
 		change.records = append(change.records, s.record)
