Keep the record of a service for a minute after the start

An instance that had just started deleted the record of a service that its configuration doesn't name as resumable at once, while the record of a service that ceased to be so stays for a minute. Another instance may have a later configuration. TestRecordIsKeptAfterTheStart failed before. One name of the tunnel's copying is clearer.

--- a/coordination/resumption/history.go
+++ b/coordination/resumption/history.go
@@ -50,7 +50,7 @@
 	// followed is true while the service has targets, or is resumable.
 	followed  bool
 	resumable bool
-	// resumableUntil is when the service was last resumable, if it isn't.
+	// resumableUntil is until when the service may have been resumable, if it isn't.
 	resumableUntil time.Time
 	// completeFrom is when this instance has known the service's versions for Lifetime.
 	completeFrom time.Time
@@ -94,7 +94,7 @@
 
 // add adds a service that has targets, or that the configuration names.
 func (h *History) add(now time.Time, name string) *serviceHistory {
-	s := newServiceHistory()
+	s := newServiceHistory(now)
 	s.followed = true
 	switch {
 	case h.follows:
@@ -108,8 +108,8 @@
 	return s
 }
 
-func newServiceHistory() *serviceHistory {
-	return &serviceHistory{present: map[string]time.Time{}, past: map[string]time.Time{}}
+func newServiceHistory(now time.Time) *serviceHistory {
+	return &serviceHistory{present: map[string]time.Time{}, past: map[string]time.Time{}, resumableUntil: now}
 }
 
 func (s *serviceHistory) setPresent(now time.Time, p Presence) bool {
@@ -141,7 +141,7 @@
 		if stored == nil {
 			return false
 		}
-		s = newServiceHistory()
+		s = newServiceHistory(now)
 		s.completeFrom = now.Add(Lifetime)
 		h.services[name] = s
 	}
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -186,6 +186,16 @@
 	require.Equal(t, complete("v1"), h.Desired(at(1+Lifetime), "engine", false), "the list may lag")
 }
 
+// Guards against an instance that has just started, and deletes the record of a service that is resumable by a configuration
+// it doesn't have yet.
+func TestRecordIsKeptAfterTheStart(t *testing.T) {
+	h := NewHistory(start, false)
+	h.SetStored(start, "engine", complete("v1"))
+	h.SetPresent(start, notResumable("v1"))
+	require.Equal(t, complete("v1"), h.Desired(at(Lifetime-1), "engine", true))
+	require.Nil(t, h.Desired(at(Lifetime), "engine", true))
+}
+
 // Guards against a record that stays incomplete.
 func TestRecordBecomesComplete(t *testing.T) {
 	h := NewHistory(start, false)
--- a/transport/peer/tunnel.go
+++ b/transport/peer/tunnel.go
@@ -108,15 +108,15 @@
 			}
 		}
 	}
-	failed := make(chan error, 1)
+	writeFailed := make(chan error, 1)
 	var copying sync.WaitGroup
 	copying.Go(func() {
 		if err := c.copyToTarget(); err != nil {
-			failed <- err
+			writeFailed <- err
 		}
 		_ = c.target.Close()
 	})
-	err := c.copyFromTarget(failed)
+	err := c.copyFromTarget(writeFailed)
 	if err == nil {
 		// The target may read on.
 		_ = c.nc.SetReadDeadline(time.Now().Add(tunnelLinger)) // fails only if the connection is closed
@@ -141,9 +141,9 @@
 	}
 }
 
-// copyFromTarget sends the target's bytes to the other instance, and their end if it was regular. failed has the error of
+// copyFromTarget sends the target's bytes to the other instance, and their end if it was regular. writeFailed has the error of
 // a write to the target: a socket reports a reset only once, and the read sees a regular end if the write got it.
-func (c *conn) copyFromTarget(failed <-chan error) error {
+func (c *conn) copyFromTarget(writeFailed <-chan error) error {
 	buffer := make([]byte, maxTunnelChunk)
 	for {
 		read, err := c.target.Read(buffer)
@@ -154,7 +154,7 @@
 		}
 		if err == io.EOF {
 			select {
-			case err := <-failed:
+			case err := <-writeFailed:
 				return err
 			case <-time.After(forward.ResetDelay):
 				return c.writeHandshake(&peer.End{})
