Prove the backoff of refused records and the gossip of ended processes

Ruled out: to change the quorum now: if more than half of the instances are cut off from the store together, their answers don't say how current they are.

--- a/coordination/resumption/locate.go
+++ b/coordination/resumption/locate.go
@@ -40,7 +40,7 @@
 	// versions at which the stream can have begun.
 	Confirmed bool
 	// Quorum is how many instances, this one included, have to know the same version as the only one if the store
-	// hasn't been read: more than can have been cut off from the others together. What an instance knows may be older
+	// hasn't been read: more than a minority that is cut off from the others has. What an instance knows may be older
 	// than the stream.
 	Quorum int
 }
--- a/daemon/follow/targets_test.go
+++ b/daemon/follow/targets_test.go
@@ -20,6 +20,7 @@
 type recordingFollower struct {
 	*Follower
 	usable   []string
+	ended    []string
 	leaving  []string
 	gossiped []spread.Record
 	// inForce is the revision in force at the latest change.
@@ -43,9 +44,12 @@
 		}},
 		Gossip: func(r spread.Record) { h.gossiped = append(h.gossiped, r) },
 		OnChange: func(_ time.Time, _ *routes.Table, usable map[string][]routes.Target) {
-			h.usable, h.inForce = nil, h.Table().Revision
+			h.usable, h.ended, h.inForce = nil, nil, h.Table().Revision
 			for _, t := range usable["s"] {
 				h.usable = append(h.usable, t.Incarnation())
+				if t.Ended {
+					h.ended = append(h.ended, t.Incarnation())
+				}
 			}
 		},
 		OnLeaving: func(_ time.Time, incarnation string) { h.leaving = append(h.leaving, incarnation) },
@@ -88,6 +92,37 @@
 	require.NotEqual(t, report.Name, h.gossiped[len(h.gossiped)-1].Name, "the second report is a separate record")
 }
 
+// Guards against an end of a process that other instances don't hear of, or that they take for the end of the one that started
+// later under its name.
+func TestEndOfAProcessIsOfOneIncarnation(t *testing.T) {
+	h, other := newRecordingFollower(), newRecordingFollower()
+	for _, f := range []*recordingFollower{h, other} {
+		f.event("a", 1, "ready 100")
+		f.event("b", 2, "ready 100")
+	}
+	h.Ended("a@100")
+	report := h.gossiped[len(h.gossiped)-1]
+	require.Equal(t, recordEnded, report.Kind)
+	h.Ended("a@100")
+	require.Equal(t, 1, countKind(h.gossiped, recordEnded), "it is gossiped once")
+	other.Receive(report)
+	for _, f := range []*recordingFollower{h, other} {
+		require.Equal(t, []string{"a@100"}, f.ended)
+		require.Equal(t, []string{"a@100", "b@100"}, f.usable, "it goes on to get work")
+		f.event("a", 3, "ready 200")
+		require.Empty(t, f.ended)
+	}
+}
+
+func countKind(records []spread.Record, kind string) (n int) {
+	for _, r := range records {
+		if r.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
 // An instance whose store was unavailable gossips the removal of an entry after the target has
 // restarted. Revisions order the two.
 func TestLateRemovalIsIgnored(t *testing.T) {
--- a/daemon/streams/stored_records_test.go
+++ b/daemon/streams/stored_records_test.go
@@ -151,3 +151,18 @@
 		}
 	})
 }
+
+// Guards against records that the store refuses for good, and that all instances write again at each tick.
+func TestRefusedRecordsAreWrittenLessAndLess(t *testing.T) {
+	runFleet(t, 3, func(f *fleet) {
+		f.deploy("v1", "v2")
+		time.Sleep(2 * time.Second)
+		f.forbidden.Store(true)
+		for range 120 {
+			f.beginBoth(1)
+			time.Sleep(tickInterval)
+		}
+		require.NotZero(t, f.refusals())
+		require.LessOrEqual(t, f.refusals(), 3*5, "in a minute")
+	})
+}
